--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+MODULES := $(shell grep -o '\./[a-z]*' go.work | cut -c3-)
+
+.PHONY: build test lines format vet sweep gen tidy up
+
+build:
+	go build -o bin/ ./cmd/...
+
+# The whole check, the same as CI runs.
+test: format lines vet
+	go test -race -count=1 $(foreach m,$(MODULES),./$(m)/...)
+
+format:
+	@out=$$(gofmt -l .); if [ -n "$$out" ]; then echo "not gofmt's form: $$out"; exit 1; fi
+
+lines:
+	@git ls-files -co --exclude-standard '*.go' '*.cue' '*.star' '*.sh' '*.md' | xargs wc -l | awk '$$2 != "total" && $$1 > 400 { print $$2 " has " $$1 " lines, over 400"; bad = 1 } END { exit bad }'
+
+vet:
+	go vet $(foreach m,$(MODULES),./$(m)/...)
+
+gen:
+	$(foreach m,$(MODULES),(cd $(m) && go generate ./...) &&) true
+
+tidy:
+	tools/mods.sh
+
+# A fleet of real processes on loopback, until interrupted.
+up: build
+	bin/realm up
--- /dev/null
+++ b/cmd/boot/boot.go
@@ -0,0 +1,47 @@
+// Package boot is what the thin programs share: signals, listeners, the ring.
+package boot
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"keelstair.example/seam"
+	"keelstair.example/tale"
+	"keelstair.example/wire"
+)
+
+// Signals ends the context on SIGTERM or an interrupt.
+func Signals() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+}
+
+// Fail prints one clear line and ends the process.
+func Fail(program string, err error) {
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
+		os.Exit(1)
+	}
+}
+
+// Serve listens and answers in the background until the context ends; fail gets
+// what goes wrong.
+func Serve(ctx context.Context, host seam.Host, addr string, mux *http.ServeMux, fail func(error)) {
+	l, err := host.Net.Listen(addr)
+	if err != nil {
+		fail(err)
+		return
+	}
+	go func() {
+		if err := wire.Serve(ctx, l, mux); err != nil {
+			fail(err)
+		}
+	}()
+}
+
+// Ring is the program's log: it pours to the error output when something goes
+// wrong.
+func Ring(name string) *tale.Ring { return tale.NewRing(512, os.Stderr, name) }
--- /dev/null
+++ b/cmd/edict/main.go
@@ -0,0 +1,277 @@
+// Edict is the operators' command line. It speaks to any node's door.
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"keelstair.example/creed"
+	"keelstair.example/crux"
+	"keelstair.example/door"
+	"keelstair.example/lore"
+	"keelstair.example/rein"
+)
+
+type applyCmd struct {
+	File    string  `arg:"positional,required" help:"CUE or JSON; - for standard input"`
+	Partial bool    `arg:"--partial" help:"lay it over the configuration in force"`
+	Base    *uint64 `arg:"--base" help:"the version it was made over; else the newest"`
+	Op      string  `arg:"--op" help:"ask again for the outcome of this operation"`
+	Dry     bool    `arg:"--dry" help:"only check it"`
+}
+
+type showCmd struct {
+	Out string `arg:"positional" help:"write the configuration to this file"`
+}
+
+type diffCmd struct {
+	File    string `arg:"positional,required"`
+	Partial bool   `arg:"--partial"`
+}
+
+type nameCmd struct {
+	Name string `arg:"positional,required"`
+	Op   string `arg:"--op" help:"ask again for the outcome of this operation"`
+}
+
+type settings struct {
+	Doors    []string  `arg:"--doors,env:KEELSTAIR_DOORS" help:"doors of nodes, tried in turn"`
+	Apply    *applyCmd `arg:"subcommand:apply" help:"apply a whole or partial configuration"`
+	Show     *showCmd  `arg:"subcommand:show" help:"show the configuration in force"`
+	Diff     *diffCmd  `arg:"subcommand:diff" help:"what a configuration would change"`
+	Evacuate *nameCmd  `arg:"subcommand:evacuate" help:"empty a zone of new work"`
+	Return   *nameCmd  `arg:"subcommand:return" help:"take an evacuation back"`
+	Drain    *nameCmd  `arg:"subcommand:drain" help:"keep new work from a worker"`
+	Undrain  *nameCmd  `arg:"subcommand:undrain" help:"take a drain back"`
+	Status   *struct{} `arg:"subcommand:status" help:"how the fleet stands, as one node sees it"`
+}
+
+func (s *settings) File() string { return "" }
+
+func (s *settings) Check() error {
+	if len(s.Doors) == 1 {
+		s.Doors = strings.Split(s.Doors[0], ",")
+	}
+	if len(s.Doors) == 0 {
+		return creed.Fault("doors", "at least one is needed (--doors or KEELSTAIR_DOORS)")
+	}
+	for _, d := range s.Doors {
+		if err := creed.Addr("doors", d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// told is an answer that says no; its code becomes the exit code.
+type told struct {
+	exit int
+	text string
+}
+
+func (t *told) Error() string { return t.text }
+
+func main() {
+	s := &settings{}
+	creed.Read(s, "edict", "Edict is keelstair's operators' command line.", os.Args[1:])
+	if err := s.run(); err != nil {
+		fmt.Fprintf(os.Stderr, "edict: %v\n", err)
+		var t *told
+		if errors.As(err, &t) {
+			os.Exit(t.exit)
+		}
+		os.Exit(1)
+	}
+}
+
+func (s *settings) run() error {
+	switch {
+	case s.Apply != nil:
+		return s.apply(s.Apply)
+	case s.Show != nil:
+		return s.show(s.Show.Out)
+	case s.Diff != nil:
+		return s.diff(s.Diff)
+	case s.Evacuate != nil:
+		return s.mark("zones", s.Evacuate, true)
+	case s.Return != nil:
+		return s.mark("zones", s.Return, false)
+	case s.Drain != nil:
+		return s.mark("workers", s.Drain, true)
+	case s.Undrain != nil:
+		return s.mark("workers", s.Undrain, false)
+	case s.Status != nil:
+		var v any
+		if err := s.ask(http.MethodGet, "/v1/status", nil, &v); err != nil {
+			return err
+		}
+		return print(v)
+	}
+	return creed.Fault("command", "one is needed; see edict --help")
+}
+
+func print(v any) error {
+	b, err := json.MarshalIndent(v, "", "  ")
+	fmt.Println(string(b))
+	return err
+}
+
+// ask tries the doors in turn until one can be reached.
+func (s *settings) ask(method, path string, in, out any) error {
+	web := &http.Client{Timeout: 8 * time.Second}
+	var last error
+	for _, d := range s.Doors {
+		var body io.Reader
+		if in != nil {
+			b, err := json.Marshal(in)
+			if err != nil {
+				return err
+			}
+			body = bytes.NewReader(b)
+		}
+		q, err := http.NewRequest(method, "http://"+d+path, body)
+		if err != nil {
+			return err
+		}
+		r, err := web.Do(q)
+		if err != nil {
+			last = err
+			continue
+		}
+		b, err := io.ReadAll(r.Body)
+		r.Body.Close()
+		if err != nil {
+			last = err
+			continue
+		}
+		if r.StatusCode == http.StatusOK {
+			return json.Unmarshal(b, out)
+		}
+		var f struct{ Error rein.Bounce }
+		json.Unmarshal(b, &f)
+		text := strings.TrimSpace(f.Error.Name + " " + f.Error.Field + ": " + f.Error.Detail)
+		switch r.StatusCode {
+		case http.StatusServiceUnavailable:
+			last = &told{4, text}
+			continue
+		case http.StatusConflict:
+			return &told{3, text}
+		case http.StatusGatewayTimeout:
+			return &told{5, text}
+		}
+		return &told{2, text}
+	}
+	return last
+}
+
+func read(file string) (string, string, error) {
+	if file == "-" {
+		b, err := io.ReadAll(os.Stdin)
+		return "stdin", string(b), err
+	}
+	b, err := os.ReadFile(file)
+	return file, string(b), err
+}
+
+func (s *settings) now() (*door.Shown, error) {
+	var out door.Shown
+	return &out, s.ask(http.MethodGet, "/v1/policy", nil, &out)
+}
+
+func (s *settings) apply(c *applyCmd) error {
+	name, text, err := read(c.File)
+	if err != nil {
+		return err
+	}
+	a := door.Apply{Op: c.Op, Partial: c.Partial, Name: name, Source: text, Dry: c.Dry}
+	if a.Op == "" {
+		a.Op = crux.Name()
+	}
+	if c.Base != nil {
+		a.Base = *c.Base
+	} else {
+		sh, err := s.now()
+		if err != nil {
+			return err
+		}
+		a.Base = sh.Newest
+	}
+	fmt.Printf("operation %s over version %d\n", a.Op, a.Base)
+	var out door.Applied
+	if err := s.ask(http.MethodPost, "/v1/policy", a, &out); err != nil {
+		return err
+	}
+	switch {
+	case c.Dry:
+		fmt.Println("it is sound; nothing was written")
+	case out.Active:
+		fmt.Printf("version %d is in force\n", out.Version)
+	default:
+		fmt.Printf("version %d is taken and durable; it is not in force everywhere yet\n", out.Version)
+	}
+	return nil
+}
+
+func (s *settings) show(file string) error {
+	sh, err := s.now()
+	if err != nil {
+		return err
+	}
+	if file == "" {
+		return print(sh)
+	}
+	var whole bytes.Buffer
+	if err := json.Indent(&whole, sh.Policy, "", "  "); err != nil {
+		return err
+	}
+	fmt.Printf("version %d\n", sh.Version)
+	return os.WriteFile(file, append(whole.Bytes(), '\n'), 0o644)
+}
+
+func (s *settings) diff(c *diffCmd) error {
+	name, text, err := read(c.File)
+	if err != nil {
+		return err
+	}
+	sh, err := s.now()
+	if err != nil {
+		return err
+	}
+	var out door.Applied
+	a := door.Apply{Op: crux.Name(), Base: sh.Newest, Partial: c.Partial, Name: name, Source: text, Dry: true}
+	if err := s.ask(http.MethodPost, "/v1/policy", a, &out); err != nil {
+		return err
+	}
+	rows, err := lore.Diff(sh.Policy, out.Policy)
+	if err != nil {
+		return err
+	}
+	if len(rows) == 0 {
+		fmt.Println("nothing would change")
+	}
+	for _, r := range rows {
+		fmt.Println(r)
+	}
+	return nil
+}
+
+func (s *settings) mark(what string, c *nameCmd, out bool) error {
+	m := door.Mark{Op: c.Op, Out: out}
+	if m.Op == "" {
+		m.Op = crux.Name()
+	}
+	fmt.Printf("operation %s\n", m.Op)
+	var got door.Applied
+	if err := s.ask(http.MethodPost, "/v1/"+what+"/"+c.Name, m, &got); err != nil {
+		return err
+	}
+	fmt.Println("done")
+	return nil
+}
--- /dev/null
+++ b/cmd/guise/main.go
@@ -0,0 +1,114 @@
+// Guise runs the stand-ins: a worker, the platform, or a load of callers.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"keelstair.example/cmd/boot"
+	"keelstair.example/creed"
+	"keelstair.example/guise"
+	"keelstair.example/rein"
+	"keelstair.example/seam"
+	"keelstair.example/word"
+)
+
+type workerCmd struct {
+	Id      string   `arg:"--id,required" help:"the worker's name"`
+	Addr    string   `arg:"--addr,required" help:"IP number and port"`
+	Part    string   `arg:"--part" default:"prefill" help:"prefill or decode"`
+	Model   string   `arg:"--model,required"`
+	Weights string   `arg:"--weights" default:"w1"`
+	Adapter []string `arg:"--adapter,separate"`
+	Room    int      `arg:"--room" default:"2048" help:"blocks of KV"`
+	Block   int      `arg:"--block" default:"16" help:"tokens a block"`
+}
+
+type platformCmd struct {
+	Addr string `arg:"--addr,required" help:"IP number and port"`
+}
+
+type loadCmd struct {
+	Site     string  `arg:"--site" default:"vatuloa" help:"vatuloa or almaty"`
+	Doors    string  `arg:"--doors" help:"comma-separated doors; without them the platform is asked"`
+	Platform string  `arg:"--platform" help:"the platform's address"`
+	Rate     float64 `arg:"--rate" default:"30" help:"arrivals a second"`
+	Seconds  int     `arg:"--seconds" default:"10"`
+	Seed     uint64  `arg:"--seed" default:"1"`
+	Retries  int     `arg:"--retries" default:"6" help:"how often a bounced caller comes back"`
+	Weights  string  `arg:"--weights" default:"w1" help:"comma-separated weight versions that may answer"`
+}
+
+type settings struct {
+	Worker   *workerCmd   `arg:"subcommand:worker" help:"a stand-in model worker"`
+	Platform *platformCmd `arg:"subcommand:platform" help:"a stand-in platform"`
+	Load     *loadCmd     `arg:"subcommand:load" help:"stand-in callers, an open loop"`
+}
+
+func (s *settings) File() string { return "" }
+
+func (s *settings) Check() error {
+	switch {
+	case s.Worker != nil:
+		if s.Worker.Part != string(word.Prefill) && s.Worker.Part != string(word.Decode) {
+			return creed.Fault("part", "%q is neither prefill nor decode", s.Worker.Part)
+		}
+		return creed.Addr("addr", s.Worker.Addr)
+	case s.Platform != nil:
+		return creed.Addr("addr", s.Platform.Addr)
+	case s.Load != nil:
+		if _, ok := guise.Sites[s.Load.Site]; !ok {
+			return creed.Fault("site", "there is no site %q", s.Load.Site)
+		}
+		if s.Load.Rate <= 0 || s.Load.Seconds <= 0 {
+			return creed.Fault("rate, seconds", "above 0 they must be")
+		}
+		return nil
+	}
+	return creed.Fault("command", "one of worker, platform, load is needed")
+}
+
+func main() {
+	s := &settings{}
+	creed.Read(s, "guise", "Guise runs keelstair's stand-ins.", os.Args[1:])
+	host, err := seam.Real("")
+	boot.Fail("guise", err)
+	ctx, stop := boot.Signals()
+	defer stop()
+	fail := func(err error) { boot.Fail("guise", err) }
+	switch {
+	case s.Worker != nil:
+		c := s.Worker
+		w := guise.NewWorker(guise.WorkerOptions{Id: word.WorkerId(c.Id), Addr: c.Addr, Part: word.Part(c.Part), Room: c.Room, Block: c.Block,
+			Model: rein.Model{Name: c.Model, Weights: c.Weights, Adapters: c.Adapter}, Host: host})
+		mux := http.NewServeMux()
+		mux.Handle("/", w.Handler())
+		boot.Serve(ctx, host, c.Addr, mux, fail)
+		w.Run(ctx)
+	case s.Platform != nil:
+		p := guise.NewPlatform(host)
+		mux := http.NewServeMux()
+		mux.Handle("/", p.Handler())
+		boot.Serve(ctx, host, s.Platform.Addr, mux, fail)
+		p.Run(ctx)
+	case s.Load != nil:
+		load(ctx, host, s.Load)
+	}
+}
+
+func load(ctx context.Context, host seam.Host, c *loadCmd) {
+	site := guise.Sites[c.Site]
+	doors := func() []string { return strings.Split(c.Doors, ",") }
+	if c.Doors == "" {
+		doors = guise.Asked(ctx, host, c.Platform)
+	}
+	all := guise.Load(ctx, guise.LoadOptions{Host: host, Doors: doors, Shapes: site.Shapes, Rate: c.Rate,
+		Span: time.Duration(c.Seconds) * time.Second, Seed: c.Seed, Model: site.Model, Weights: strings.Split(c.Weights, ","), Retries: c.Retries})
+	b, _ := json.MarshalIndent(guise.Sum(all), "", "  ")
+	fmt.Println(string(b))
+}
--- /dev/null
+++ b/cmd/omen/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/realm/main.go
@@ -0,0 +1,109 @@
+// Realm is the test tool that starts a whole fleet of real processes on
+// loopback and breaks it. It alone may start processes; no product does.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"keelstair.example/cmd/boot"
+	"keelstair.example/creed"
+	"keelstair.example/guise"
+)
+
+type upCmd struct {
+	Site    string `arg:"--site" default:"vatuloa" help:"vatuloa or almaty"`
+	Dir     string `arg:"--dir" default:"realm-data" help:"folder for data, logs and realm.json"`
+	Bin     string `arg:"--bin" default:"bin" help:"folder with the programs"`
+	Seconds int    `arg:"--seconds" default:"0" help:"end by itself after so long; 0 for a signal"`
+}
+
+type runCmd struct {
+	upCmd
+	Rate  float64 `arg:"--rate" default:"40" help:"arrivals a second"`
+	Load  int     `arg:"--load" default:"30" help:"seconds of load"`
+	Seed  uint64  `arg:"--seed" default:"1"`
+	Break string  `arg:"--break" default:"none" help:"none, tenet, hall, worker, verge, freeze, wipe, core or all"`
+}
+
+type settings struct {
+	Up  *upCmd  `arg:"subcommand:up" help:"start a fleet, apply its configuration, and keep it"`
+	Run *runCmd `arg:"subcommand:run" help:"start a fleet, load it, break it, and report"`
+}
+
+func (s *settings) File() string { return "" }
+
+func (s *settings) Check() error {
+	site := ""
+	switch {
+	case s.Up != nil:
+		site = s.Up.Site
+	case s.Run != nil:
+		site = s.Run.Site
+	default:
+		return creed.Fault("command", "one of up, run is needed")
+	}
+	if _, ok := guise.Sites[site]; !ok {
+		return creed.Fault("site", "there is no site %q", site)
+	}
+	return nil
+}
+
+func main() {
+	s := &settings{}
+	creed.Read(s, "realm", "Realm starts and breaks a fleet on this machine.", os.Args[1:])
+	ctx, stop := boot.Signals()
+	defer stop()
+	if s.Run != nil {
+		boot.Fail("realm", run(ctx, s.Run))
+		return
+	}
+	f, err := start(ctx, s.Up)
+	defer f.stop()
+	boot.Fail("realm", err)
+	f.describe(os.Stdout)
+	if s.Up.Seconds > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(s.Up.Seconds) * time.Second):
+		}
+		return
+	}
+	<-ctx.Done()
+}
+
+// ports finds free ones.
+func ports(n int) ([]string, error) {
+	var out []string
+	var held []net.Listener
+	defer func() {
+		for _, l := range held {
+			l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		held = append(held, l)
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+func save(dir, name string, v any) error {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, name), append(b, '\n'), 0o644)
+}
+
+func logf(form string, args ...any) {
+	fmt.Printf("%s "+form+"\n", append([]any{time.Now().Format("15:04:05.000")}, args...)...)
+}
--- /dev/null
+++ b/cmd/realm/run.go
@@ -0,0 +1,153 @@
+// A run: a fleet under load, one breakdown in the middle, and a report.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"syscall"
+	"time"
+
+	"keelstair.example/guise"
+	"keelstair.example/seam"
+)
+
+func run(ctx context.Context, c *runCmd) error {
+	f, err := start(ctx, &c.upCmd)
+	defer f.stop()
+	if err != nil {
+		return err
+	}
+	host, err := seam.Real("")
+	if err != nil {
+		return err
+	}
+	cx, stop := context.WithCancel(ctx)
+	defer stop()
+	span := time.Duration(c.Load) * time.Second
+	go func() {
+		if seam.Sleep(cx, span/3) {
+			f.harm(cx, c.Break)
+		}
+	}()
+	begun := time.Now()
+	all := guise.Load(ctx, guise.LoadOptions{Host: host, Doors: guise.Asked(cx, host, f.platform), Shapes: f.site.Shapes, Rate: c.Rate, Span: span,
+		Seed: c.Seed, Model: f.site.Model, Weights: []string{guise.SiteWeights}, Retries: 8})
+	b, err := json.MarshalIndent(guise.Sum(all), "", "  ")
+	if err != nil {
+		return err
+	}
+	fmt.Println(string(b))
+	logf("load took %.1f s; longest span without a completed call that was due: %.2f s", time.Since(begun).Seconds(), gap(all).Seconds())
+	runs, doubles := f.tallies()
+	logf("workers' own books: %d runs began, %d requests with two records", runs, doubles)
+	return nil
+}
+
+// gap is the longest span between completions, in the order of their ends.
+func gap(all []guise.Outcome) time.Duration {
+	seen := map[int64]bool{}
+	var top int64
+	for _, o := range all {
+		if o.End == "complete" {
+			t := (o.At + o.Whole).Milliseconds() / 10
+			seen[t] = true
+			top = max(top, t)
+		}
+	}
+	var most, last int64
+	for t := int64(0); t <= top; t++ {
+		if seen[t] {
+			most, last = max(most, t-last), t
+		}
+	}
+	return time.Duration(most) * 10 * time.Millisecond
+}
+
+// tallies reads what the workers that still run have counted.
+func (f *fleet) tallies() (runs, doubles int) {
+	records := map[string]int{}
+	for _, p := range f.of("worker-") {
+		var book map[string]guise.Tally
+		r, err := web.Get("http://" + p.Addr + "/tally")
+		if read(r, err, &book) != nil {
+			continue
+		}
+		for id, t := range book {
+			runs += t.Runs
+			records[id] += t.Records
+		}
+	}
+	for _, n := range records {
+		if n > 1 {
+			doubles++
+		}
+	}
+	return runs, doubles
+}
+
+// harm breaks the fleet once, as asked.
+func (f *fleet) harm(ctx context.Context, how string) {
+	lead := f.tenetThatLeads()
+	logf("breaking: %s", how)
+	back := func(p *proc, wait time.Duration) {
+		if seam.Sleep(ctx, wait) {
+			if err := f.begin(p); err != nil {
+				logf("%v", err)
+			}
+		}
+	}
+	switch how {
+	case "tenet":
+		lead.kill()
+		back(lead, 5*time.Second)
+	case "wipe":
+		lead.kill()
+		os.RemoveAll(lead.Data)
+		back(lead, 2*time.Second)
+	case "core":
+		for _, p := range f.of("tenet") {
+			p.kill()
+		}
+		for _, p := range f.of("tenet") {
+			back(p, 300*time.Millisecond)
+		}
+	case "verge":
+		f.of("verge")[0].kill()
+	case "worker":
+		f.of("worker-d")[0].kill()
+	case "freeze":
+		lead.signal(syscall.SIGSTOP)
+		v := f.of("verge")[0]
+		v.signal(syscall.SIGSTOP)
+		seam.Sleep(ctx, 6*time.Second)
+		lead.signal(syscall.SIGCONT)
+		v.signal(syscall.SIGCONT)
+	case "hall":
+		for _, p := range f.procs {
+			if p.Zone == f.site.Zones[0] {
+				p.signal(syscall.SIGKILL)
+			}
+		}
+	case "all":
+		for _, p := range append(f.of("tenet"), f.of("verge")...) {
+			p.signal(syscall.SIGKILL)
+		}
+		for _, p := range append(f.of("tenet"), f.of("verge")...) {
+			<-p.gone
+			back(p, 0)
+		}
+	}
+}
+
+func (f *fleet) tenetThatLeads() *proc {
+	for _, p := range f.of("tenet") {
+		var st struct{ Leads bool }
+		r, err := web.Get("http://" + p.Addr + "/v1/status")
+		if read(r, err, &st) == nil && st.Leads {
+			return p
+		}
+	}
+	return f.of("tenet")[0]
+}
--- /dev/null
+++ b/cmd/tenet/main.go
@@ -0,0 +1,79 @@
+// Tenet is the control plane: on a disk machine it holds a register and is the
+// primary, the backup or a spare.
+package main
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	"keelstair.example/cmd/boot"
+	"keelstair.example/creed"
+	"keelstair.example/crux"
+	"keelstair.example/door"
+	"keelstair.example/lore"
+	"keelstair.example/seam"
+)
+
+type settings struct {
+	Settings  string   `arg:"--settings" help:"a JSON file with these same settings; flags stand over it" json:"-"`
+	Addr      string   `arg:"--addr" help:"IP number and port to listen on" json:"addr"`
+	Zone      string   `arg:"--zone" help:"the hall or district this machine stands in" json:"zone"`
+	Seeds     []string `arg:"--seeds" help:"three addresses of other processes" json:"seeds"`
+	Data      string   `arg:"--data" help:"the folder for all files" json:"data"`
+	BeatMs    int      `arg:"--beat-ms" default:"200" help:"primary to backup and witness" json:"beatMs"`
+	SilenceMs int      `arg:"--silence-ms" default:"1200" help:"after so long the backup takes over" json:"silenceMs"`
+	LeaseMs   int      `arg:"--lease-ms" default:"3000" help:"of every node; the nodes must have the same" json:"leaseMs"`
+	StallMs   int      `arg:"--stall-ms" default:"1000" help:"a disk step that takes longer makes this machine stand down" json:"stallMs"`
+	ReplaceMs int      `arg:"--replace-ms" default:"4000" help:"a register holder silent so long may be replaced by a spare" json:"replaceMs"`
+}
+
+func (s *settings) File() string { return s.Settings }
+
+func (s *settings) Check() error {
+	span := func(field string, ms, least, most int) error {
+		if ms < least || ms > most {
+			return creed.Fault(field, "%d ms is not from %d to %d", ms, least, most)
+		}
+		return nil
+	}
+	if s.Data == "" {
+		return creed.Fault("data", "it is missing")
+	}
+	if s.Zone == "" {
+		return creed.Fault("zone", "it is missing")
+	}
+	return creed.First(creed.Addr("addr", s.Addr), creed.Seeds("seeds", s.Seeds),
+		span("beatMs", s.BeatMs, 20, 1000), span("silenceMs", s.SilenceMs, 4*s.BeatMs, 30000),
+		span("leaseMs", s.LeaseMs, 2*s.SilenceMs, 60000), span("stallMs", s.StallMs, 50, 30000), span("replaceMs", s.ReplaceMs, s.SilenceMs, 600000))
+}
+
+func main() {
+	s := &settings{}
+	creed.Read(s, "tenet", "Tenet is keelstair's control plane.", os.Args[1:])
+	host, err := seam.Real(s.Data)
+	boot.Fail("tenet", err)
+	ring := boot.Ring("tenet " + s.Addr)
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	core, err := crux.New(crux.Options{Addr: s.Addr, Host: host, Seeds: s.Seeds, Ring: ring,
+		Machine: func() crux.Machine { return lore.NewMachine(0) },
+		Beat:    ms(s.BeatMs), Silence: ms(s.SilenceMs), Lease: ms(s.LeaseMs), Stall: ms(s.StallMs), Replace: ms(s.ReplaceMs)})
+	boot.Fail("tenet", err)
+	ctx, stop := boot.Signals()
+	defer stop()
+	mux := http.NewServeMux()
+	core.Mount(mux)
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		ok := core.Book().Record().Founding != ""
+		code := http.StatusOK
+		if !ok {
+			code = http.StatusServiceUnavailable
+		}
+		door.Write(w, code, map[string]any{"ready": ok, "leads": core.Leads()})
+	})
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
+		door.Write(w, http.StatusOK, map[string]any{"leads": core.Leads(), "page": core.Book().Page()})
+	})
+	boot.Serve(ctx, host, s.Addr, mux, func(err error) { boot.Fail("tenet", err) })
+	boot.Fail("tenet", core.Run(ctx))
+}
--- /dev/null
+++ b/creed/creed.go
@@ -0,0 +1,111 @@
+// Package creed reads settings: a JSON file first, flags over it, and then a
+// check that names the field that is off.
+package creed
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/alexflint/go-arg"
+
+	"keelstair.example/breakdown"
+)
+
+// Settings is what a program's settings struct must do.
+type Settings interface {
+	File() string
+	Check() error
+}
+
+// Read fills s from the arguments. It ends the process for --help, and with
+// one clear line and code 2 where something is off.
+func Read(s Settings, program, about string, args []string) {
+	if err := Parse(s, program, about, args); err != nil {
+		if errors.Is(err, errHelp) {
+			os.Exit(0)
+		}
+		fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
+		os.Exit(2)
+	}
+}
+
+var errHelp = errors.New("help was asked for")
+
+// Parse is Read without ending the process.
+func Parse(s Settings, program, about string, args []string) error {
+	p, err := arg.NewParser(arg.Config{Program: program}, s)
+	if err != nil {
+		return breakdown.As(err, breakdown.Bad, "read flags", program)
+	}
+	switch err := p.Parse(args); {
+	case errors.Is(err, arg.ErrHelp):
+		fmt.Printf("%s\n\n", about)
+		p.WriteHelp(os.Stdout)
+		return errHelp
+	case err != nil:
+		return breakdown.As(err, breakdown.Bad, "read flags", program)
+	}
+	if f := s.File(); f != "" {
+		if err := load(f, s); err != nil {
+			return err
+		}
+		// Flags stand over the file.
+		if err := p.Parse(args); err != nil {
+			return breakdown.As(err, breakdown.Bad, "read flags", program)
+		}
+	}
+	return s.Check()
+}
+
+func load(path string, s Settings) error {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return breakdown.As(err, breakdown.Bad, "read settings", path)
+	}
+	rows := json.NewDecoder(strings.NewReader(string(body)))
+	rows.DisallowUnknownFields()
+	return breakdown.As(rows.Decode(s), breakdown.Bad, "read settings", path)
+}
+
+// Fault names a field that is off.
+func Fault(field, form string, args ...any) error {
+	return breakdown.New(breakdown.Bad, "check settings", field, form, args...)
+}
+
+// Addr checks an address by IP number and port.
+func Addr(field, addr string) error {
+	if addr == "" {
+		return Fault(field, "it is missing")
+	}
+	if _, err := netip.ParseAddrPort(addr); err != nil {
+		return Fault(field, "%q is no IP number with a port", addr)
+	}
+	return nil
+}
+
+// Seeds checks the three seed addresses.
+func Seeds(field string, list []string) error {
+	if len(list) != 3 {
+		return Fault(field, "three are needed, %d given", len(list))
+	}
+	for i, a := range list {
+		if err := Addr(fmt.Sprintf("%s[%d]", field, i), a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// First gives the first error of several checks.
+func First(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/crux/agent.go
@@ -0,0 +1,276 @@
+// An Agent is a node's side of the core: it holds the node's lease, follows the
+// news (from the core, or from a neighbour while the core is away) and knows
+// which keys the node may act under at this very moment.
+package crux
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/seam"
+	"keelstair.example/tale"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+// Follower is the embedder's view, folded from the open part of the log. Fold
+// tells whether the core should learn at once that the node has seen the entry.
+type Follower interface {
+	Restore(open []byte) error
+	Fold(seq word.Seq, kind string, body []byte) (loud bool)
+	Picture() []byte
+}
+
+// AgentOptions name a node to the core.
+type AgentOptions struct {
+	Me     Member
+	Host   seam.Host
+	Seeds  []string
+	View   Follower
+	Ring   *tale.Ring
+	Lease  time.Duration // 3s, the same as the core's
+	Renew  time.Duration // 500ms
+	Gap    time.Duration // 1s between ticks means that the process slept
+	Lonely func() bool   // tells that the core, not this node, is away
+}
+
+type sight struct {
+	seq     word.Seq
+	fence   word.Fence
+	members []Member
+	grants  map[word.Key]Grant
+}
+
+type Agent struct {
+	opt  AgentOptions
+	call *wire.Caller
+	book *Book
+	feed *feed
+
+	mu    sync.Mutex
+	sight atomic.Pointer[sight]
+
+	until atomic.Int64
+	sent  atomic.Int64
+	floor atomic.Uint64
+	tick  atomic.Int64
+	bye   atomic.Bool
+	poke  chan struct{}
+	busy  sync.Map
+	given sync.Map
+}
+
+func NewAgent(opt AgentOptions) *Agent {
+	if opt.Lease == 0 {
+		opt.Lease = 3 * time.Second
+	}
+	if opt.Renew == 0 {
+		opt.Renew = 500 * time.Millisecond
+	}
+	if opt.Gap == 0 {
+		opt.Gap = time.Second
+	}
+	if opt.Ring == nil {
+		opt.Ring = tale.Mute()
+	}
+	a := &Agent{opt: opt, call: wire.NewCaller(opt.Host.Net), feed: newFeed(), poke: make(chan struct{}, 1)}
+	a.book = NewBook(opt.Host, a.call, opt.Seeds, Seat{Addr: opt.Me.Addr})
+	a.sight.Store(&sight{grants: map[word.Key]Grant{}})
+	a.tick.Store(int64(opt.Host.Clock.Now()))
+	return a
+}
+
+func (a *Agent) Book() *Book          { return a.book }
+func (a *Agent) Caller() *wire.Caller { return a.call }
+func (a *Agent) Me() Member           { return a.opt.Me }
+
+// Mount lets neighbours ask whereabouts and news of this node.
+func (a *Agent) Mount(mux *http.ServeMux) {
+	a.book.Serve(mux)
+	wire.Handle(mux, "crux/news", func(ctx context.Context, q *NewsAsk) (*NewsReply, error) {
+		if a.sight.Load().seq == 0 {
+			return nil, breakdown.New(breakdown.Away, "news", a.opt.Me.Addr, "nothing is known yet")
+		}
+		return a.feed.news(ctx, q, func() (*Image, error) { return a.image(), nil })
+	})
+}
+
+func (a *Agent) image() *Image {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := a.sight.Load()
+	img := &Image{Seq: s.seq, Fence: s.fence, Members: s.members, App: a.opt.View.Picture()}
+	for _, g := range s.grants {
+		img.Grants = append(img.Grants, g)
+	}
+	return img
+}
+
+// Run keeps lease, news and whereabouts until the context ends, and then says
+// goodbye, so that its keys pass on at once.
+func (a *Agent) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { a.book.Keep(ctx) })
+	wg.Go(func() { a.follow(ctx) })
+	wg.Go(func() { a.keep(ctx) })
+	wg.Go(func() {
+		for seam.Sleep(ctx, a.opt.Gap/8) {
+			a.Awake()
+		}
+	})
+	wg.Wait()
+	if a.bye.Load() {
+		cx, stop := context.WithTimeout(context.Background(), 700*time.Millisecond)
+		defer stop()
+		a.renew(cx)
+	}
+	a.call.Close()
+}
+
+// Leave makes the end of Run a goodbye.
+func (a *Agent) Leave() { a.bye.Store(true) }
+
+// Awake notes the tick. After a gap (the machine slept) the lease counts as
+// lapsed until it is renewed anew.
+func (a *Agent) Awake() bool {
+	now := a.opt.Host.Clock.Now()
+	old := word.Tick(a.tick.Load())
+	if now.Past(old, a.opt.Gap) {
+		a.until.Store(0)
+		a.opt.Ring.Warn().Dur("gap", now.Since(old)).Msg("slept; the lease is asked for anew")
+	}
+	a.tick.Store(int64(now))
+	return a.until.Load() > int64(now)
+}
+
+// Leased tells whether the lease holds now.
+func (a *Agent) Leased() bool { return a.Awake() }
+
+// Fresh tells for how long the core has not confirmed this node.
+func (a *Agent) Fresh() time.Duration {
+	return a.opt.Host.Clock.Now().Since(word.Tick(a.sent.Load()))
+}
+
+// Held gives the fence of a key if this node may act under it now. While the
+// core as a whole is away the last view is kept; workers refuse older fences.
+func (a *Agent) Held(k word.Key) (word.Fence, bool) {
+	leased := a.Awake()
+	s := a.sight.Load()
+	g, ok := s.grants[k]
+	if !ok || g.Node != a.opt.Me.Node || uint64(s.seq) < a.floor.Load() {
+		return 0, false
+	}
+	if _, gone := a.given.Load(k); gone {
+		return 0, false
+	}
+	if !leased && (a.sent.Load() == 0 || a.opt.Lonely == nil || !a.opt.Lonely()) {
+		return 0, false
+	}
+	return g.Fence, true
+}
+
+// Begin marks an order under a key as under way, so that the key is given back
+// only when it has ended.
+func (a *Agent) Begin(k word.Key) (word.Fence, func(), bool) {
+	n, _ := a.busy.LoadOrStore(k, new(atomic.Int64))
+	n.(*atomic.Int64).Add(1)
+	end := func() { n.(*atomic.Int64).Add(-1) }
+	f, ok := a.Held(k)
+	if !ok {
+		end()
+		return 0, nil, false
+	}
+	return f, end, true
+}
+
+// Holder gives the member that does a key's duty as far as is known.
+func (a *Agent) Holder(k word.Key) (Member, word.Fence, bool) {
+	s := a.sight.Load()
+	g, ok := s.grants[k]
+	if !ok {
+		return Member{}, 0, false
+	}
+	for _, m := range s.members {
+		if m.Node == g.Node {
+			return m, g.Fence, true
+		}
+	}
+	return Member{}, 0, false
+}
+
+// Mine lists the keys granted to this node.
+func (a *Agent) Mine() []Grant {
+	var out []Grant
+	for _, g := range a.sight.Load().grants {
+		if g.Node == a.opt.Me.Node {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
+func (a *Agent) Members() []Member { return a.sight.Load().members }
+func (a *Agent) Seq() word.Seq     { return a.sight.Load().seq }
+
+func (a *Agent) keep(ctx context.Context) {
+	for {
+		cx, stop := context.WithTimeout(ctx, 900*time.Millisecond)
+		err := a.renew(cx)
+		stop()
+		wait := a.opt.Renew*4/5 + rand.N(a.opt.Renew*2/5)
+		if err != nil {
+			wait = 100*time.Millisecond + rand.N(150*time.Millisecond)
+			if ctx.Err() == nil {
+				a.book.Ask(ctx, 3)
+			}
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+		case <-a.poke:
+			t.Stop()
+		}
+	}
+}
+
+// Poke renews now, so that the core learns how far the news was folded.
+func (a *Agent) Poke() {
+	select {
+	case a.poke <- struct{}{}:
+	default:
+	}
+}
+
+func (a *Agent) renew(ctx context.Context) error {
+	now := a.opt.Host.Clock.Now()
+	q := &RenewAsk{Me: a.opt.Me, Seen: a.Seq(), Bye: a.bye.Load()}
+	a.given.Range(func(k, g any) bool {
+		if n, ok := a.busy.Load(k); !ok || n.(*atomic.Int64).Load() == 0 {
+			q.Done = append(q.Done, g.(Grant))
+		}
+		return true
+	})
+	r, err := wire.Call[RenewAsk, RenewReply](ctx, a.call, a.book.Addr(a.book.Record().Primary), "crux/renew", q)
+	if err != nil {
+		return err
+	}
+	if a.until.Load() <= int64(a.opt.Host.Clock.Now()) {
+		a.floor.Store(uint64(r.Seq))
+	}
+	a.until.Store(int64(now.Add(a.opt.Lease)))
+	a.sent.Store(int64(now))
+	for _, g := range r.Drop {
+		if _, had := a.given.LoadOrStore(g.Key, g); !had {
+			a.Poke()
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/crux/asks.go
@@ -0,0 +1,35 @@
+// The messages between the core and those who live by it: submitting a
+// command, asking where the core is.
+package crux
+
+import "keelstair.example/word"
+
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file asks.go
+//msgp:shim word.OpId as:string using:string/word.OpId
+//msgp:shim word.Seq as:uint64 using:uint64/word.Seq
+
+// SubmitAsk asks for one command. Asking again with the same Op gives the
+// outcome that the first asking had.
+type SubmitAsk struct {
+	Op   word.OpId
+	Kind string
+	Body []byte
+}
+
+type SubmitReply struct {
+	Seq  word.Seq
+	Body []byte
+	Code string
+	Why  string
+}
+
+// WhereAsk is asked of anyone by anyone; both sides learn.
+type WhereAsk struct {
+	Me      Seat
+	Blank   bool
+	Record  Record
+	Seats   []Seat
+	Members []Member
+}
+
+type Empty struct{}
--- /dev/null
+++ b/crux/book.go
@@ -0,0 +1,207 @@
+// The book of whereabouts that every process keeps and shares: the newest
+// record, the disk machines heard of, the members. Three seeds are only where
+// the first pages come from; whoever answers is asked again, so a book outlives
+// the swap of every seed.
+package crux
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"keelstair.example/seam"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+type seatSeen struct {
+	Seat
+	blank bool
+	at    word.Tick
+}
+
+// Book is safe for use by many threads.
+type Book struct {
+	mu      sync.Mutex
+	host    seam.Host
+	seeds   []string
+	me      WhereAsk
+	record  Record
+	seats   map[word.DiskId]seatSeen
+	members []Member
+	call    *wire.Caller
+	foreign string
+	changed func()
+}
+
+func NewBook(host seam.Host, call *wire.Caller, seeds []string, me Seat) *Book {
+	return &Book{host: host, call: call, seeds: seeds, me: WhereAsk{Me: me}, seats: map[word.DiskId]seatSeen{}}
+}
+
+// Page is what the book would tell another process now.
+func (b *Book) Page() *WhereAsk {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.me
+	p.Blank = p.Blank && b.record.Founding == ""
+	p.Record, p.Members = b.record, b.members
+	now := b.host.Clock.Now()
+	for _, s := range b.seats {
+		if !now.Past(s.at, 10*time.Second) {
+			p.Seats = append(p.Seats, s.Seat)
+		}
+	}
+	sort.Slice(p.Seats, func(i, j int) bool { return p.Seats[i].Disk < p.Seats[j].Disk })
+	return &p
+}
+
+// Learn takes in another's page. Only what the speaker says of itself is dated.
+func (b *Book) Learn(p *WhereAsk) {
+	b.mu.Lock()
+	if b.record.Founding != "" && p.Record.Founding != "" && p.Record.Founding != b.record.Founding {
+		b.foreign = p.Record.Founding
+		b.mu.Unlock()
+		return
+	}
+	grown := p.Record.Epoch > b.record.Epoch
+	if grown {
+		b.record = p.Record
+	}
+	if p.Me.Disk != "" && p.Me.Disk != b.me.Me.Disk {
+		b.seats[p.Me.Disk] = seatSeen{p.Me, p.Blank, b.host.Clock.Now()}
+	}
+	for _, s := range p.Seats {
+		if _, ok := b.seats[s.Disk]; !ok && s.Disk != b.me.Me.Disk {
+			b.seats[s.Disk] = seatSeen{Seat: s, at: b.host.Clock.Now().Add(-5 * time.Second)}
+		}
+	}
+	if len(p.Members) > 0 && (b.members == nil || p.Record.Epoch >= b.record.Epoch) {
+		b.members = p.Members
+	}
+	f := b.changed
+	b.mu.Unlock()
+	if grown && f != nil {
+		f()
+	}
+}
+
+// SetMembers is called by those who follow the news themselves.
+func (b *Book) SetMembers(ms []Member) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.members = ms
+}
+
+func (b *Book) Record() Record {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.record
+}
+
+// Foreign is the founding id of another fleet that was met, if any.
+func (b *Book) Foreign() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.foreign
+}
+
+// Addr gives the freshest address of a seat.
+func (b *Book) Addr(s Seat) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if got, ok := b.seats[s.Disk]; ok {
+		return got.Addr
+	}
+	return s.Addr
+}
+
+// heard gives the seats that spoke for themselves within the span.
+func (b *Book) heard(span time.Duration) (all []Seat, blank []Seat) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.host.Clock.Now()
+	for _, s := range b.seats {
+		if now.Past(s.at, span) {
+			continue
+		}
+		all = append(all, s.Seat)
+		if s.blank {
+			blank = append(blank, s.Seat)
+		}
+	}
+	return all, blank
+}
+
+// whom lists every address worth asking.
+func (b *Book) whom() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	set := map[string]bool{}
+	for _, a := range b.seeds {
+		set[a] = true
+	}
+	for _, s := range b.seats {
+		set[s.Addr] = true
+	}
+	for _, m := range b.members {
+		set[m.Addr] = true
+	}
+	for _, s := range b.record.Holders {
+		set[s.Addr] = true
+	}
+	delete(set, b.me.Me.Addr)
+	var out []string
+	for a := range set {
+		out = append(out, a)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Ask asks so many of the known, in a random order, and learns.
+func (b *Book) Ask(ctx context.Context, most int) {
+	list := b.whom()
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	if len(list) > most {
+		list = list[:most]
+	}
+	if p := b.Record().Primary; p.Disk != "" && p.Disk != b.me.Me.Disk {
+		list = append(list, b.Addr(p))
+	}
+	var wg sync.WaitGroup
+	for _, a := range list {
+		wg.Go(func() {
+			c, stop := context.WithTimeout(ctx, 700*time.Millisecond)
+			defer stop()
+			if p, err := wire.Call[WhereAsk, WhereAsk](c, b.call, a, "crux/where", b.Page()); err == nil {
+				b.Learn(p)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Keep asks for ever: often while the core is unknown, seldom afterwards.
+func (b *Book) Keep(ctx context.Context) {
+	for {
+		b.Ask(ctx, 4)
+		wait := time.Second
+		if b.Record().Founding == "" {
+			wait = 200 * time.Millisecond
+		}
+		if !seam.Sleep(ctx, wait/2+rand.N(wait)) {
+			return
+		}
+	}
+}
+
+// Serve answers others from the book.
+func (b *Book) Serve(mux *http.ServeMux) {
+	wire.Handle(mux, "crux/where", func(_ context.Context, q *WhereAsk) (*WhereAsk, error) {
+		b.Learn(q)
+		return b.Page(), nil
+	})
+}
--- /dev/null
+++ b/crux/core.go
@@ -0,0 +1,348 @@
+// A Core is one disk machine's part in the control plane: holder of a register,
+// and primary, backup or spare as the newest record says. This file joins its
+// pieces and answers its neighbours.
+package crux
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/seam"
+	"keelstair.example/tale"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+// Options of a core; zero spans take the defaults named beside them.
+type Options struct {
+	Addr    string
+	Host    seam.Host
+	Seeds   []string
+	Machine func() Machine
+	Ring    *tale.Ring
+	Beat    time.Duration // 200ms: primary to backup and witnesses
+	Silence time.Duration // 1.2s: then the backup takes over
+	Lease   time.Duration // 3s: of every node
+	Stall   time.Duration // 1s: a disk step that takes longer
+	Replace time.Duration // 4s: a register holder silent so long may be replaced
+}
+
+func (o *Options) fill() {
+	set := func(d *time.Duration, v time.Duration) {
+		if *d == 0 {
+			*d = v
+		}
+	}
+	set(&o.Beat, 200*time.Millisecond)
+	set(&o.Silence, 1200*time.Millisecond)
+	set(&o.Lease, 3*time.Second)
+	set(&o.Stall, time.Second)
+	set(&o.Replace, 4*time.Second)
+	if o.Ring == nil {
+		o.Ring = tale.Mute()
+	}
+}
+
+type Core struct {
+	opt   Options
+	me    Seat
+	call  *wire.Caller
+	book  *Book
+	store *store
+	feed  *feed
+
+	regMu sync.Mutex
+	reg   register
+	heard map[word.DiskId]word.Tick
+
+	dataMu sync.Mutex
+	roll   *roll
+	ready  atomic.Uint64
+	sour   bool
+
+	lead  atomic.Pointer[leader]
+	top   atomic.Uint64
+	fatal chan error
+}
+
+// New opens the disk and reads what it holds. It starts nothing.
+func New(opt Options) (*Core, error) {
+	opt.fill()
+	c := &Core{opt: opt, feed: newFeed(), heard: map[word.DiskId]word.Tick{}, fatal: make(chan error, 1)}
+	c.store = &store{disk: opt.Host.Disk, stall: opt.Stall}
+	id, err := opt.Host.Disk.Load(identityFile)
+	if errors.Is(err, seam.ErrGone) {
+		id = []byte(Name())
+		err = opt.Host.Disk.Save(identityFile, id)
+	}
+	if err != nil {
+		return nil, breakdown.Wrap(err, "open identity", "disk")
+	}
+	c.me = Seat{Disk: word.DiskId(id), Addr: opt.Addr}
+	if c.reg, err = c.store.loadRegister(); err != nil {
+		return nil, err
+	}
+	c.roll = newRoll(opt.Machine())
+	if err := c.store.load(c.roll); err != nil {
+		return nil, err
+	}
+	c.call = wire.NewCaller(opt.Host.Net)
+	c.book = NewBook(opt.Host, c.call, opt.Seeds, c.me)
+	c.book.me.Blank = c.reg.Accepted.Founding == ""
+	c.book.Learn(&WhereAsk{Record: c.reg.Accepted})
+	if body, err := opt.Host.Disk.Load(bookFile); err == nil {
+		var p WhereAsk
+		if _, err := p.UnmarshalMsg(body); err == nil {
+			p.Me = Seat{}
+			c.book.Learn(&p)
+		}
+	}
+	return c, nil
+}
+
+// Name makes a fresh random id.
+func Name() string {
+	var b [8]byte
+	rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// Short is a fixed short name for a longer one.
+func Short(long string) string {
+	sum := sha256.Sum256([]byte(long))
+	return hex.EncodeToString(sum[:12])
+}
+
+func (c *Core) Book() *Book { return c.book }
+
+// Leads tells whether this core is the primary now.
+func (c *Core) Leads() bool { return c.lead.Load() != nil }
+
+// Mount puts the core's answers on a mux.
+func (c *Core) Mount(mux *http.ServeMux) {
+	c.book.Serve(mux)
+	wire.Handle(mux, "crux/ballot", c.ballot)
+	wire.Handle(mux, "crux/append", c.append)
+	wire.Handle(mux, "crux/picture", c.picture)
+	wire.Handle(mux, "crux/submit", c.submit)
+	wire.Handle(mux, "crux/renew", c.renew)
+	wire.Handle(mux, "crux/news", c.news)
+	wire.Handle(mux, "crux/beat", c.beat)
+}
+
+// Run takes part until the context ends. It returns early only on a breakdown
+// that an operator must see, such as a disk of another fleet.
+func (c *Core) Run(ctx context.Context) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	var wg sync.WaitGroup
+	wg.Go(func() { c.book.Keep(ctx) })
+	wg.Go(func() { c.steward(ctx) })
+	wg.Go(func() { c.keepBook(ctx) })
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-c.fatal:
+	}
+	stop()
+	wg.Wait()
+	c.call.Close()
+	return err
+}
+
+// keepBook saves the whereabouts now and then, so that a restart finds others
+// even when every seed has gone.
+func (c *Core) keepBook(ctx context.Context) {
+	var old string
+	for seam.Sleep(ctx, 2*time.Second) {
+		p := c.book.Page()
+		body := string(Pack(p))
+		if body == old || len(p.Seats)+len(p.Members) == 0 || c.store.busy.Load() > 0 {
+			continue
+		}
+		if c.store.within("save book", func() error { return c.opt.Host.Disk.Save(bookFile, []byte(body)) }) == nil {
+			old = body
+		}
+	}
+}
+
+func (c *Core) accepted() (Record, word.Epoch) {
+	c.regMu.Lock()
+	defer c.regMu.Unlock()
+	return c.reg.Accepted, c.reg.Promised
+}
+
+func holds(list []Seat, d word.DiskId) bool {
+	for _, s := range list {
+		if s.Disk == d {
+			return true
+		}
+	}
+	return false
+}
+
+// ballot answers either round of the register, synced before the answer.
+func (c *Core) ballot(_ context.Context, q *BallotAsk) (*BallotReply, error) {
+	ready := word.Epoch(c.ready.Load())
+	c.regMu.Lock()
+	defer c.regMu.Unlock()
+	now := c.opt.Host.Clock.Now()
+	out := func(why string) (*BallotReply, error) {
+		return &BallotReply{Ok: why == "", Promised: c.reg.Promised, Accepted: c.reg.Accepted, Why: why}, nil
+	}
+	next := c.reg
+	switch prim := c.reg.Accepted.Primary.Disk; {
+	case c.reg.Accepted.Founding != "" && c.reg.Accepted.Founding != q.Record.Founding:
+		return out("another founding")
+	case !holds(q.Record.Holders, c.me.Disk):
+		return out("not a holder")
+	case !q.Accept && q.Epoch <= c.reg.Promised, q.Accept && q.Epoch < c.reg.Promised:
+		return out("a newer epoch is promised")
+	case q.Takeover && q.From.Disk != prim && c.alive(prim, now):
+		return out("the primary is heard")
+	case q.Accept && q.Record.Backup.Disk == c.me.Disk && ready != q.Epoch:
+		return out("the picture of this epoch is missing")
+	case q.Accept:
+		next.Accepted, next.Promised = q.Record, q.Epoch
+	default:
+		next.Promised = q.Epoch
+	}
+	if err := c.store.saveRegister(next); err != nil {
+		return nil, err
+	}
+	c.reg = next
+	if q.Accept {
+		c.heard[q.From.Disk] = now
+		c.book.Learn(&WhereAsk{Record: q.Record})
+	}
+	return out("")
+}
+
+func (c *Core) alive(d word.DiskId, now word.Tick) bool {
+	if d == c.me.Disk {
+		return c.Leads()
+	}
+	at, ok := c.heard[d]
+	return ok && !now.Past(at, c.opt.Silence*2/3)
+}
+
+// beat is the primary's sign of life to those it sends no entries.
+func (c *Core) beat(_ context.Context, q *AppendAsk) (*AppendReply, error) {
+	c.regMu.Lock()
+	defer c.regMu.Unlock()
+	if q.Epoch >= c.reg.Accepted.Epoch && q.Epoch >= c.reg.Promised {
+		c.heard[q.From.Disk] = c.opt.Host.Clock.Now()
+		return &AppendReply{Ok: true, Promised: c.reg.Promised}, nil
+	}
+	return &AppendReply{Promised: c.reg.Promised}, nil
+}
+
+// append takes entries as the backup; they are synced before the answer. An
+// older epoch is refused, so a deposed primary can acknowledge nothing.
+func (c *Core) append(_ context.Context, q *AppendAsk) (*AppendReply, error) {
+	c.dataMu.Lock()
+	defer c.dataMu.Unlock()
+	rec, promised := c.accepted()
+	r := &AppendReply{Promised: promised, Last: c.roll.seq}
+	if q.Epoch < promised || rec.Epoch != q.Epoch || rec.Backup.Disk != c.me.Disk || c.sour || q.Prev != c.roll.seq {
+		return r, nil
+	}
+	c.regMu.Lock()
+	c.heard[q.From.Disk] = c.opt.Host.Clock.Now()
+	c.regMu.Unlock()
+	if err := c.store.append(q.Entries); err != nil {
+		c.sour = true
+		return nil, err
+	}
+	for i := range q.Entries {
+		if _, err := c.roll.apply(&q.Entries[i]); err != nil {
+			c.sour = true
+			return nil, breakdown.Wrap(err, "apply entry", q.From.Addr)
+		}
+	}
+	if _, promised = c.accepted(); promised > q.Epoch {
+		return &AppendReply{Promised: promised}, nil
+	}
+	if c.store.rows > rowsPerLog {
+		if err := c.store.reset(c.roll.picture(false)); err != nil {
+			c.sour = true
+			return nil, err
+		}
+	}
+	return &AppendReply{Ok: true, Last: c.roll.seq, Promised: promised}, nil
+}
+
+// picture replaces all data with the proposer's, synced. Only the one that this
+// register has promised the epoch to may send it.
+func (c *Core) picture(_ context.Context, q *PictureAsk) (*AppendReply, error) {
+	c.dataMu.Lock()
+	defer c.dataMu.Unlock()
+	rec, promised := c.accepted()
+	if promised != q.Epoch || rec.Epoch >= q.Epoch || c.Leads() {
+		return &AppendReply{Promised: promised}, nil
+	}
+	var img Image
+	if _, err := img.UnmarshalMsg(q.Body); err != nil {
+		return nil, breakdown.As(err, breakdown.Bad, "read picture", q.From.Addr)
+	}
+	fresh := newRoll(c.opt.Machine())
+	if err := fresh.restore(&img); err != nil {
+		return nil, err
+	}
+	if err := c.store.reset(&img); err != nil {
+		c.sour = true
+		return nil, err
+	}
+	c.roll, c.sour = fresh, false
+	c.ready.Store(uint64(q.Epoch))
+	return &AppendReply{Ok: true, Last: img.Seq, Promised: promised}, nil
+}
+
+func (c *Core) submit(ctx context.Context, q *SubmitAsk) (*SubmitReply, error) {
+	l := c.lead.Load()
+	if l == nil {
+		return nil, breakdown.New(breakdown.Away, "submit", c.me.Addr, "not the primary")
+	}
+	j := &job{ent: &Entry{Kind: q.Kind, Body: q.Body, Op: q.Op}, done: make(chan struct{})}
+	if err := l.ask(ctx, j); err != nil {
+		return nil, err
+	}
+	if j.err != nil {
+		return nil, j.err
+	}
+	return &SubmitReply{Seq: j.ent.Seq, Body: j.out}, nil
+}
+
+func (c *Core) renew(ctx context.Context, q *RenewAsk) (*RenewReply, error) {
+	l := c.lead.Load()
+	if l == nil {
+		return nil, breakdown.New(breakdown.Away, "renew", c.me.Addr, "not the primary")
+	}
+	j := &job{renew: q, done: make(chan struct{})}
+	if err := l.ask(ctx, j); err != nil {
+		return nil, err
+	}
+	return j.lease, j.err
+}
+
+func (c *Core) news(ctx context.Context, q *NewsAsk) (*NewsReply, error) {
+	l := c.lead.Load()
+	if l == nil {
+		return nil, breakdown.New(breakdown.Away, "news", c.me.Addr, "not the primary")
+	}
+	return c.feed.news(ctx, q, func() (*Image, error) {
+		j := &job{peek: true, done: make(chan struct{})}
+		if err := l.ask(ctx, j); err != nil {
+			return nil, err
+		}
+		return j.img, j.err
+	})
+}
--- /dev/null
+++ b/crux/follow.go
@@ -0,0 +1,148 @@
+// How an agent follows the news and submits commands.
+package crux
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/seam"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+// follow asks the core, and while that is away, neighbours.
+func (a *Agent) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		if a.fetch(ctx, a.book.Addr(a.book.Record().Primary), 2*time.Second) == nil {
+			continue
+		}
+		if a.Fresh() > time.Second {
+			if ms := a.Members(); len(ms) > 0 {
+				m := ms[rand.N(len(ms))]
+				if m.Node != a.opt.Me.Node {
+					a.fetch(ctx, m.Addr, 0)
+				}
+			}
+		}
+		seam.Sleep(ctx, 50*time.Millisecond+rand.N(100*time.Millisecond))
+	}
+}
+
+// Fetch takes the news that a neighbour has.
+func (a *Agent) Fetch(ctx context.Context, addr string) error { return a.fetch(ctx, addr, 0) }
+
+func (a *Agent) fetch(ctx context.Context, addr string, wait time.Duration) error {
+	ctx, stop := context.WithTimeout(ctx, wait+700*time.Millisecond)
+	defer stop()
+	q := &NewsAsk{From: a.Seq(), Wait: int64(wait)}
+	r, err := wire.Call[NewsAsk, NewsReply](ctx, a.call, addr, "crux/news", q)
+	if err != nil {
+		return err
+	}
+	return a.take(q, r)
+}
+
+func (a *Agent) take(q *NewsAsk, r *NewsReply) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	old := a.sight.Load()
+	next := newRoll(nil)
+	next.seq, next.fence = old.seq, old.fence
+	loud := r.Picture != nil
+	switch {
+	case r.Picture != nil:
+		var img Image
+		if _, err := img.UnmarshalMsg(r.Picture); err != nil {
+			return breakdown.As(err, breakdown.Bad, "read picture", "news")
+		}
+		if img.Seq <= old.seq {
+			return nil
+		}
+		if err := a.opt.View.Restore(img.App); err != nil {
+			return breakdown.Wrap(err, "restore view", "news")
+		}
+		next.seq, next.fence = img.Seq, img.Fence
+		for _, m := range img.Members {
+			next.members[m.Node] = m
+		}
+		for _, g := range img.Grants {
+			next.grants[g.Key] = g
+		}
+		a.feed.start(img.Seq)
+	case len(r.Entries) > 0 && old.seq == q.From:
+		for _, m := range old.members {
+			next.members[m.Node] = m
+		}
+		maps.Copy(next.grants, old.grants)
+		for _, e := range r.Entries {
+			if e.Seq != next.seq+1 {
+				return breakdown.New(breakdown.Bad, "fold news", "news", "entry %d follows %d", e.Seq, next.seq)
+			}
+			next.seq = e.Seq
+			if c, err := parse(e.Kind, e.Body); err != nil {
+				return err
+			} else if c != nil {
+				c.apply(next)
+			} else if e.Open && a.opt.View.Fold(e.Seq, e.Kind, e.Body) {
+				loud = true
+			}
+		}
+		a.feed.push(r.Entries)
+	default:
+		return nil
+	}
+	s := &sight{seq: next.seq, fence: next.fence, grants: next.grants}
+	for _, m := range next.members {
+		s.members = append(s.members, m)
+	}
+	sort.Slice(s.members, func(i, j int) bool { return s.members[i].Node < s.members[j].Node })
+	a.sight.Store(s)
+	a.book.SetMembers(s.members)
+	a.given.Range(func(k, g any) bool {
+		if s.grants[k.(word.Key)] != g.(Grant) {
+			a.given.Delete(k)
+		}
+		return true
+	})
+	if loud {
+		a.Poke()
+	}
+	return nil
+}
+
+// Submit asks the core for a command until the context ends. The same op is
+// asked with throughout, so whichever asking is taken, the outcome is one. An
+// error of kind Unknown means that it may have been done.
+func (a *Agent) Submit(ctx context.Context, op word.OpId, kind string, body []byte) (*SubmitReply, error) {
+	return Submit(ctx, a.call, a.book, &SubmitAsk{Op: op, Kind: kind, Body: body})
+}
+
+// Submit is for those that hold no lease.
+func Submit(ctx context.Context, call *wire.Caller, book *Book, q *SubmitAsk) (*SubmitReply, error) {
+	var doubt error
+	for {
+		cx, stop := context.WithTimeout(ctx, 1500*time.Millisecond)
+		addr := book.Addr(book.Record().Primary)
+		r, err := wire.Call[SubmitAsk, SubmitReply](cx, call, addr, "crux/submit", q)
+		stop()
+		switch {
+		case err == nil:
+			return r, nil
+		case breakdown.Is(err, breakdown.Stale), breakdown.Is(err, breakdown.Bad):
+			return nil, err
+		case breakdown.Is(err, breakdown.Unknown):
+			doubt = err
+		}
+		book.Ask(ctx, 3)
+		if !seam.Sleep(ctx, 20*time.Millisecond+rand.N(60*time.Millisecond)) {
+			if doubt != nil {
+				return nil, breakdown.As(doubt, breakdown.Unknown, "submit", addr)
+			}
+			return nil, breakdown.As(err, breakdown.Away, "submit", addr)
+		}
+	}
+}
--- /dev/null
+++ b/crux/lead.go
@@ -0,0 +1,284 @@
+// The primary's writer. One loop takes all that wants writing, makes it durable
+// here and at the backup side by side (group commit), and only then answers. A
+// renewal of a lease counts only with a beat that the backup confirmed after
+// the renewal came, so a deposed primary can lengthen no lease.
+package crux
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+type job struct {
+	ent   *Entry
+	renew *RenewAsk
+	peek  bool
+
+	out   []byte
+	lease *RenewReply
+	img   *Image
+	err   error
+	done  chan struct{}
+}
+
+type leader struct {
+	c     *Core
+	rec   Record
+	jobs  chan *job
+	end   chan struct{}
+	since word.Tick
+	deals word.Tick
+	nodes map[word.NodeId]*tenant
+	asked word.Tick
+}
+
+func (l *leader) ask(ctx context.Context, j *job) error {
+	away := breakdown.New(breakdown.Bounced, "ask primary", l.c.me.Addr, "it has stood down")
+	select {
+	case <-l.end:
+		return away
+	default:
+	}
+	select {
+	case l.jobs <- j:
+	case <-l.end:
+		return away
+	case <-ctx.Done():
+		return breakdown.As(ctx.Err(), breakdown.Bounced, "ask primary", l.c.me.Addr)
+	}
+	select {
+	case <-j.done:
+		return nil
+	case <-ctx.Done():
+		return breakdown.As(ctx.Err(), breakdown.Unknown, "ask primary", l.c.me.Addr)
+	}
+}
+
+// serve leads until it must stand down.
+func (c *Core) serve(ctx context.Context, rec Record) {
+	now := c.opt.Host.Clock.Now()
+	l := &leader{c: c, rec: rec, jobs: make(chan *job, 256), end: make(chan struct{}), since: now,
+		deals: now.Add(c.opt.Lease + c.opt.Lease/10), nodes: map[word.NodeId]*tenant{}}
+	c.dataMu.Lock()
+	for n, m := range c.roll.members {
+		l.nodes[n] = &tenant{Member: m, last: now}
+	}
+	c.feed.start(c.roll.seq)
+	c.dataMu.Unlock()
+	c.lead.Store(l)
+	c.opt.Ring.Warn().Uint64("epoch", uint64(rec.Epoch)).Str("backup", rec.Backup.Addr).Msg("leads")
+	err := l.loop(ctx)
+	c.lead.Store(nil)
+	close(l.end)
+	c.opt.Ring.Warn().Uint64("epoch", uint64(l.rec.Epoch)).AnErr("cause", err).Msg("stands down")
+	for {
+		select {
+		case j := <-l.jobs:
+			l.finish(j, breakdown.New(breakdown.Bounced, "write", c.me.Addr, "stood down before it was taken"))
+		default:
+			return
+		}
+	}
+}
+
+func (l *leader) finish(j *job, err error) {
+	if j.err == nil {
+		j.err = err
+	}
+	close(j.done)
+}
+
+func (l *leader) loop(ctx context.Context) error {
+	beat := time.NewTicker(l.c.opt.Beat)
+	defer beat.Stop()
+	for {
+		var batch []*job
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-beat.C:
+			if err := l.heal(ctx); err != nil {
+				return err
+			}
+			batch = l.duty()
+		case j := <-l.jobs:
+			batch = append(batch, j)
+		}
+	more:
+		for len(batch) < 512 {
+			select {
+			case j := <-l.jobs:
+				batch = append(batch, j)
+			default:
+				break more
+			}
+		}
+		if err := l.commit(ctx, batch); err != nil {
+			return err
+		}
+	}
+}
+
+// commit writes one batch on both copies and answers it.
+func (l *leader) commit(ctx context.Context, batch []*job) error {
+	c := l.c
+	c.dataMu.Lock()
+	defer c.dataMu.Unlock()
+	prev := c.roll.seq
+	var ents []Entry
+	add := func(j *job, e *Entry) {
+		if p, ok := c.roll.past[e.Op]; ok && e.Op != "" {
+			j.out, e.Seq = p.Body, p.Seq
+			return
+		}
+		switch j.out, j.err = c.roll.apply(e); j.err {
+		case nil:
+			ents = append(ents, *e)
+		case Same:
+			j.err = nil
+		}
+	}
+	for _, j := range batch {
+		switch {
+		case j.ent != nil:
+			add(j, j.ent)
+		case j.renew != nil:
+			for _, e := range l.hear(j.renew) {
+				add(j, e)
+			}
+		}
+	}
+	err := l.write(ctx, prev, ents)
+	if err != nil {
+		c.sour = true
+		err = breakdown.As(err, breakdown.Unknown, "write", c.me.Addr)
+		for _, j := range batch {
+			l.finish(j, err)
+		}
+		return err
+	}
+	c.feed.push(ents)
+	now := c.opt.Host.Clock.Now()
+	for _, j := range batch {
+		if j.renew != nil {
+			j.lease = l.extend(j.renew, now, c.roll)
+		}
+		if j.peek {
+			j.img = c.roll.picture(true)
+		}
+		l.finish(j, nil)
+	}
+	if c.store.rows > rowsPerLog {
+		return c.store.reset(c.roll.picture(false))
+	}
+	return nil
+}
+
+// write returns only once both copies are synced. A silent backup is replaced
+// on the spot, by a picture that holds the entries too; meanwhile all wait.
+func (l *leader) write(ctx context.Context, prev word.Seq, ents []Entry) error {
+	c := l.c
+	var wg sync.WaitGroup
+	var mine error
+	wg.Go(func() { mine = c.store.append(ents) })
+	ask := &AppendAsk{Epoch: l.rec.Epoch, From: c.me, Prev: prev, Entries: ents}
+	cx, stop := context.WithTimeout(ctx, 600*time.Millisecond)
+	r, err := wire.Call[AppendAsk, AppendReply](cx, c.call, c.book.Addr(l.rec.Backup), "crux/append", ask)
+	stop()
+	wg.Wait()
+	if mine != nil {
+		return mine
+	}
+	if err == nil && r.Ok {
+		c.hear(l.rec.Backup.Disk)
+		l.tell(ctx, l.rec)
+		return nil
+	}
+	if err == nil && r.Promised > l.rec.Epoch {
+		c.raise(r.Promised)
+	}
+	c.opt.Ring.Warn().AnErr("cause", err).Str("backup", l.rec.Backup.Addr).Msg("backup does not follow")
+	for n := 0; ; n++ {
+		rec, err := c.ascend(ctx, swap{}, l.rec.Epoch)
+		if err == nil {
+			l.rec = rec
+			return nil
+		}
+		if breakdown.Is(err, breakdown.Stale) || n > 4 || ctx.Err() != nil {
+			return err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// tell gives the other holders a sign of life, once per beat.
+func (l *leader) tell(ctx context.Context, rec Record) {
+	c := l.c
+	now := c.opt.Host.Clock.Now()
+	if !now.Past(l.asked, c.opt.Beat*4/5) && l.asked != 0 {
+		return
+	}
+	l.asked = now
+	for _, s := range rec.Holders {
+		if s.Disk != c.me.Disk && s.Disk != rec.Backup.Disk {
+			go func() {
+				cx, stop := context.WithTimeout(ctx, 500*time.Millisecond)
+				defer stop()
+				r, err := wire.Call[AppendAsk, AppendReply](cx, c.call, c.book.Addr(s), "crux/beat", &AppendAsk{Epoch: rec.Epoch, From: c.me})
+				if err == nil && r.Ok {
+					c.hear(s.Disk)
+				}
+			}()
+		}
+	}
+}
+
+func (c *Core) hear(d word.DiskId) {
+	c.regMu.Lock()
+	defer c.regMu.Unlock()
+	c.heard[d] = c.opt.Host.Clock.Now()
+}
+
+// heal gives the register of a long silent holder to a spare that is heard.
+func (l *leader) heal(ctx context.Context) error {
+	c := l.c
+	now := c.opt.Host.Clock.Now()
+	c.book.SetMembers(l.list())
+	if !now.Past(l.since, c.opt.Replace) {
+		return nil
+	}
+	all, _ := c.book.heard(5 * time.Second)
+	for _, s := range l.rec.Holders {
+		c.regMu.Lock()
+		at := c.heard[s.Disk]
+		c.regMu.Unlock()
+		if s.Disk == c.me.Disk || !now.Past(at, c.opt.Replace) {
+			continue
+		}
+		for _, spare := range all {
+			if holds(l.rec.Holders, spare.Disk) {
+				continue
+			}
+			c.dataMu.Lock()
+			rec, err := c.ascend(ctx, swap{s.Disk, spare}, l.rec.Epoch)
+			c.dataMu.Unlock()
+			c.opt.Ring.Warn().AnErr("cause", err).Str("out", s.Addr).Str("in", spare.Addr).Msg("replaces a register holder")
+			if err == nil {
+				l.rec = rec
+			}
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *leader) list() []Member {
+	l.c.dataMu.Lock()
+	defer l.c.dataMu.Unlock()
+	return l.c.roll.picture(true).Members
+}
--- /dev/null
+++ b/crux/lease.go
@@ -0,0 +1,154 @@
+// Leases and duties as the primary sees them. A key is dealt only when nobody
+// may still act under it: its holder gave it back, or left, or its lease has
+// surely lapsed. A new primary waits a whole lease before it deals at all.
+package crux
+
+import (
+	"hash/fnv"
+	"sort"
+
+	"keelstair.example/word"
+)
+
+type tenant struct {
+	Member
+	last word.Tick
+	seen word.Seq
+	bye  bool
+	drop []Grant
+}
+
+// Owner is the node that a key falls to: the highest hash of key and node.
+func Owner(key word.Key, nodes []word.NodeId) word.NodeId {
+	var best uint64
+	var top word.NodeId
+	for _, n := range nodes {
+		h := fnv.New64a()
+		h.Write([]byte(n))
+		h.Write([]byte{0})
+		h.Write([]byte(key))
+		v := mix(h.Sum64())
+		if top == "" || v > best || v == best && n < top {
+			best, top = v, n
+		}
+	}
+	return top
+}
+
+func mix(v uint64) uint64 {
+	v ^= v >> 33
+	v *= 0xff51afd7ed558ccd
+	v ^= v >> 33
+	v *= 0xc4ceb9fe1a85ec53
+	return v ^ v>>33
+}
+
+// hear turns a renewal into the entries it needs, before it is confirmed.
+func (l *leader) hear(q *RenewAsk) []*Entry {
+	var out []*Entry
+	old, ok := l.c.roll.members[q.Me.Node]
+	switch {
+	case q.Bye && ok:
+		out = append(out, &Entry{Kind: leaveKind, Body: Pack(&q.Me)})
+	case q.Bye:
+	case !ok || old != q.Me:
+		out = append(out, &Entry{Kind: joinKind, Body: Pack(&q.Me)})
+	}
+	var back Deal
+	for _, g := range q.Done {
+		if cur := l.c.roll.grants[g.Key]; cur == g && g.Node == q.Me.Node {
+			back.Grants = append(back.Grants, Grant{Key: g.Key})
+		}
+	}
+	if len(back.Grants) > 0 && !q.Bye {
+		out = append(out, &Entry{Kind: dealKind, Body: Pack(&back)})
+	}
+	return out
+}
+
+// extend lengthens the lease once the beat behind it was confirmed.
+func (l *leader) extend(q *RenewAsk, now word.Tick, r *roll) *RenewReply {
+	if q.Bye {
+		delete(l.nodes, q.Me.Node)
+		return &RenewReply{Seq: r.seq}
+	}
+	t := l.nodes[q.Me.Node]
+	if t == nil {
+		t = &tenant{}
+		l.nodes[q.Me.Node] = t
+	}
+	t.Member, t.last, t.seen = q.Me, now, max(t.seen, q.Seen)
+	return &RenewReply{Seq: r.seq, Drop: t.drop}
+}
+
+// duty makes the jobs that the primary gives itself at each beat.
+func (l *leader) duty() []*job {
+	c := l.c
+	now := c.opt.Host.Clock.Now()
+	c.dataMu.Lock()
+	defer c.dataMu.Unlock()
+	var out []*job
+	put := func(kind string, body []byte) {
+		out = append(out, &job{ent: &Entry{Kind: kind, Body: body}, done: make(chan struct{})})
+	}
+	span := c.opt.Lease + c.opt.Lease/10
+	late, seen := 0, c.roll.seq
+	var live []word.NodeId
+	for n, t := range l.nodes {
+		if now.Past(t.last, span) {
+			late++
+			continue
+		}
+		live = append(live, n)
+		seen = min(seen, t.seen)
+	}
+	sort.Slice(live, func(i, j int) bool { return live[i] < live[j] })
+	// Most leases lapsing together is taken as the core's own trouble for one
+	// more lease: the last view is kept.
+	grace := span
+	if late > 1 && late*2 > len(l.nodes) {
+		grace = 2 * span
+	}
+	for n, t := range l.nodes {
+		if now.Past(t.last, grace) {
+			put(leaveKind, Pack(&t.Member))
+			delete(l.nodes, n)
+		}
+	}
+	for _, cmd := range c.roll.app.Due(now, c.roll.seq, seen) {
+		put(cmd.Kind, cmd.Body)
+	}
+	if d := l.plan(now, live); len(d.Grants) > 0 {
+		put(dealKind, Pack(&d))
+	}
+	return out
+}
+
+// plan deals the free keys and marks the held ones that should move.
+func (l *leader) plan(now word.Tick, live []word.NodeId) Deal {
+	var d Deal
+	if now.Before(l.deals) && l.rec.Epoch > 1 || len(live) == 0 {
+		return d
+	}
+	for _, t := range l.nodes {
+		t.drop = nil
+	}
+	want := map[word.Key]bool{}
+	for _, k := range l.c.roll.app.Keys() {
+		want[k] = true
+		to := Owner(k, live)
+		cur, ok := l.c.roll.grants[k]
+		switch t := l.nodes[cur.Node]; {
+		case !ok:
+			d.Grants = append(d.Grants, Grant{Key: k, Node: to})
+		case cur.Node != to && t != nil:
+			t.drop = append(t.drop, cur)
+		}
+	}
+	for k, g := range l.c.roll.grants {
+		if t := l.nodes[g.Node]; !want[k] && t != nil {
+			t.drop = append(t.drop, g)
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/crux/lease_note.go
@@ -0,0 +1,31 @@
+// The messages by which a lease is renewed and keys are given back.
+package crux
+
+import "keelstair.example/word"
+
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file lease_note.go
+//msgp:shim word.Seq as:uint64 using:uint64/word.Seq
+//msgp:shim word.Fence as:uint64 using:uint64/word.Fence
+//msgp:shim word.NodeId as:string using:string/word.NodeId
+//msgp:shim word.Zone as:string using:string/word.Zone
+//msgp:shim word.Key as:string using:string/word.Key
+
+// RenewAsk renews a lease, says how far the node has folded the news, and
+// gives back keys it no longer acts under.
+type RenewAsk struct {
+	Me   Member
+	Seen word.Seq
+	Done []Grant
+	Bye  bool
+}
+
+// RenewReply lists the keys that the node should give back.
+type RenewReply struct {
+	Seq  word.Seq
+	Drop []Grant
+}
+
+// Deal hands keys to nodes; the fences are set as it is applied.
+type Deal struct {
+	Grants []Grant
+}
--- /dev/null
+++ b/crux/roll.go
@@ -0,0 +1,179 @@
+// Package crux is keelstair's coordination core, of use to any fleet: a log
+// that a primary writes to a synced backup before it answers, registers on
+// three disk machines that decide who leads, leases, keyed duties under rising
+// fences, and a numbered feed of news. What the commands mean is the embedder's:
+// it brings a Machine. This file is the state that the log builds.
+package crux
+
+import (
+	"errors"
+	"sort"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/word"
+)
+
+// Machine is the embedder's state. Apply must be deterministic, and must change
+// nothing when it gives an error. Open tells whether followers see a kind.
+type Machine interface {
+	Apply(kind string, body []byte) ([]byte, error)
+	Open(kind string) bool
+	Picture(open bool) []byte
+	Restore(body []byte) error
+	Keys() []word.Key
+	Due(now word.Tick, seq, seen word.Seq) []Cmd
+}
+
+// Same is what Apply gives, with an answer, when there is nothing to write.
+var Same = errors.New("nothing to write")
+
+// Cmd is a command of the embedder's, by name and body.
+type Cmd struct {
+	Kind string
+	Body []byte
+}
+
+const (
+	joinKind  = "crux.join"
+	leaveKind = "crux.leave"
+	dealKind  = "crux.deal"
+	maxPast   = 4096
+)
+
+type roll struct {
+	seq     word.Seq
+	fence   word.Fence
+	members map[word.NodeId]Member
+	grants  map[word.Key]Grant
+	past    map[word.OpId]Past
+	order   []word.OpId
+	app     Machine
+}
+
+func newRoll(app Machine) *roll {
+	return &roll{members: map[word.NodeId]Member{}, grants: map[word.Key]Grant{}, past: map[word.OpId]Past{}, app: app}
+}
+
+type command interface{ apply(*roll) }
+
+type join struct{ Member }
+type leave struct{ Member }
+type deal struct{ Deal }
+
+func (c join) apply(r *roll) { r.members[c.Node] = c.Member }
+
+func (c leave) apply(r *roll) {
+	delete(r.members, c.Node)
+	for k, g := range r.grants {
+		if g.Node == c.Node {
+			delete(r.grants, k)
+		}
+	}
+}
+
+func (c deal) apply(r *roll) {
+	for _, g := range c.Grants {
+		if g.Node == "" {
+			delete(r.grants, g.Key)
+			continue
+		}
+		r.fence++
+		g.Fence = r.fence
+		r.grants[g.Key] = g
+	}
+}
+
+func parse(kind string, body []byte) (command, error) {
+	var c command
+	var err error
+	switch kind {
+	case joinKind, leaveKind:
+		var m Member
+		_, err = m.UnmarshalMsg(body)
+		if c = (join{m}); kind == leaveKind {
+			c = leave{m}
+		}
+	case dealKind:
+		var d Deal
+		_, err = d.UnmarshalMsg(body)
+		c = deal{d}
+	default:
+		return nil, nil
+	}
+	return c, breakdown.As(err, breakdown.Bad, "read command", kind)
+}
+
+// apply takes the next entry. An error means that nothing changed.
+func (r *roll) apply(e *Entry) ([]byte, error) {
+	c, err := parse(e.Kind, e.Body)
+	if err != nil {
+		return nil, err
+	}
+	var out []byte
+	if c != nil {
+		c.apply(r)
+	} else if out, err = r.app.Apply(e.Kind, e.Body); err != nil {
+		return out, err
+	}
+	r.seq++
+	e.Seq = r.seq
+	e.Open = c != nil || r.app.Open(e.Kind)
+	if e.Op != "" {
+		r.past[e.Op] = Past{Op: e.Op, Seq: e.Seq, Body: out}
+		r.order = append(r.order, e.Op)
+		if len(r.order) > maxPast {
+			delete(r.past, r.order[0])
+			r.order = r.order[1:]
+		}
+	}
+	return out, nil
+}
+
+func (r *roll) picture(open bool) *Image {
+	img := &Image{Seq: r.seq, Fence: r.fence, App: r.app.Picture(open)}
+	for _, m := range r.members {
+		img.Members = append(img.Members, m)
+	}
+	sort.Slice(img.Members, func(i, j int) bool { return img.Members[i].Node < img.Members[j].Node })
+	for _, g := range r.grants {
+		img.Grants = append(img.Grants, g)
+	}
+	sort.Slice(img.Grants, func(i, j int) bool { return img.Grants[i].Key < img.Grants[j].Key })
+	if !open {
+		for _, op := range r.order {
+			img.Ops = append(img.Ops, r.past[op])
+		}
+	}
+	return img
+}
+
+func (r *roll) restore(img *Image) error {
+	if err := r.app.Restore(img.App); err != nil {
+		return breakdown.As(err, breakdown.Bad, "restore picture", "")
+	}
+	fresh := newRoll(r.app)
+	fresh.seq, fresh.fence = img.Seq, img.Fence
+	for _, m := range img.Members {
+		fresh.members[m.Node] = m
+	}
+	for _, g := range img.Grants {
+		fresh.grants[g.Key] = g
+	}
+	for _, p := range img.Ops {
+		fresh.past[p.Op] = p
+		fresh.order = append(fresh.order, p.Op)
+	}
+	*r = *fresh
+	return nil
+}
+
+// Pack turns a message into bytes; it cannot fail for messages of ours.
+func Pack(m msgp.Marshaler) []byte {
+	b, err := m.MarshalMsg(nil)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
--- /dev/null
+++ b/crux/steward.go
@@ -0,0 +1,314 @@
+// The steward decides what this core is: it founds, takes over, refits a lost
+// backup, replaces a lost register holder, or waits.
+package crux
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/seam"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+type swap struct {
+	out word.DiskId
+	in  Seat
+}
+
+func (c *Core) raise(e word.Epoch) {
+	for {
+		old := c.top.Load()
+		if uint64(e) <= old || c.top.CompareAndSwap(old, uint64(e)) {
+			return
+		}
+	}
+}
+
+func (c *Core) steward(ctx context.Context) {
+	idle := c.opt.Host.Clock.Now()
+	for seam.Sleep(ctx, 60*time.Millisecond+rand.N(60*time.Millisecond)) {
+		now := c.opt.Host.Clock.Now()
+		rec, _ := c.accepted()
+		known := c.book.Record()
+		if f := c.book.Foreign(); f != "" && rec.Founding != "" && c.orphan(now, rec) {
+			c.fatal <- breakdown.New(breakdown.Bad, "meet neighbours", f, "this disk belongs to founding %s; the seeds to another", rec.Founding)
+			return
+		}
+		if rec.Founding == "" {
+			if known.Founding == "" {
+				c.found(ctx)
+			} else if c.named(known) {
+				c.adopt(known)
+			}
+			continue
+		}
+		if known.Epoch > rec.Epoch && (c.adopt(known) || !c.named(known)) {
+			idle = now
+			continue
+		}
+		if c.store.busy.Load() > 0 || !c.named(rec) || c.soured() {
+			continue
+		}
+		wait := time.Duration(0)
+		if rec.Backup.Disk == c.me.Disk {
+			wait = c.opt.Silence
+			c.regMu.Lock()
+			if at, ok := c.heard[rec.Primary.Disk]; ok && idle.Before(at) {
+				idle = at
+			}
+			c.regMu.Unlock()
+		}
+		if !now.Past(idle, wait) {
+			continue
+		}
+		got, err := c.ascend(ctx, swap{}, 0)
+		if err != nil {
+			c.opt.Ring.Info().AnErr("cause", err).Msg("does not lead")
+			continue
+		}
+		c.serve(ctx, got)
+		idle = c.opt.Host.Clock.Now()
+	}
+}
+
+// orphan: none of the own fleet's holders was heard for a while.
+func (c *Core) orphan(now word.Tick, rec Record) bool {
+	c.regMu.Lock()
+	defer c.regMu.Unlock()
+	for _, s := range rec.Holders {
+		if at, ok := c.heard[s.Disk]; ok && !now.Past(at, 5*time.Second) {
+			return false
+		}
+	}
+	all, _ := c.book.heard(5 * time.Second)
+	for _, s := range all {
+		if holds(rec.Holders, s.Disk) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) named(r Record) bool {
+	return r.Primary.Disk == c.me.Disk || r.Backup.Disk == c.me.Disk
+}
+
+// soured data (a failed disk step) is read again from disk before it is used.
+func (c *Core) soured() bool {
+	c.dataMu.Lock()
+	defer c.dataMu.Unlock()
+	if !c.sour {
+		return false
+	}
+	fresh := newRoll(c.opt.Machine())
+	if err := c.store.load(fresh); err != nil {
+		c.opt.Ring.Error().AnErr("cause", err).Msg("disk cannot be read back")
+		return true
+	}
+	c.roll, c.sour = fresh, false
+	return false
+}
+
+// adopt takes over a newer record that others have accepted.
+// It counts as an accept that came late by another way, so a promise to a newer
+// epoch forbids it; and a backup accepts only what it holds the picture of.
+func (c *Core) adopt(r Record) bool {
+	c.regMu.Lock()
+	defer c.regMu.Unlock()
+	if r.Epoch <= c.reg.Accepted.Epoch || !holds(r.Holders, c.me.Disk) || c.reg.Promised > r.Epoch || r.Backup.Disk == c.me.Disk {
+		return false
+	}
+	if err := c.store.saveRegister(register{Promised: r.Epoch, Accepted: r}); err != nil {
+		return false
+	}
+	c.reg = register{Promised: r.Epoch, Accepted: r}
+	return true
+}
+
+// found makes the first record, only when three empty disk machines have met
+// and all three accept it. The lowest identity proposes.
+func (c *Core) found(ctx context.Context) {
+	all, blank := c.book.heard(2 * time.Second)
+	if len(all) != len(blank) || len(blank) < 2 {
+		return
+	}
+	trio := append(blank, c.me)
+	sort.Slice(trio, func(i, j int) bool { return trio[i].Disk < trio[j].Disk })
+	trio = trio[:3]
+	if trio[0].Disk != c.me.Disk {
+		return
+	}
+	rec := Record{Epoch: 1, Founding: "f-" + string(c.me.Disk), Primary: c.me, Backup: trio[1], Holders: trio}
+	ask := &BallotAsk{Epoch: 1, From: c.me, Record: rec}
+	if n, _, _ := c.poll(ctx, ask, trio); n < 3 {
+		if _, promised := c.accepted(); promised != 1 {
+			return
+		}
+	}
+	c.dataMu.Lock()
+	body := Pack(c.roll.picture(false))
+	c.dataMu.Unlock()
+	if err := c.send(ctx, 1, trio[1], body); err != nil {
+		return
+	}
+	ask.Accept = true
+	for _, s := range []Seat{trio[1], trio[2], c.me} {
+		if n, _, _ := c.poll(ctx, ask, []Seat{s}); n < 1 {
+			return
+		}
+	}
+	c.serve(ctx, rec)
+}
+
+// poll asks holders either round; it tells how many said yes, the newest record
+// and the yes-sayers. Once enough said yes, the rest get only a moment more.
+func (c *Core) poll(ctx context.Context, ask *BallotAsk, whom []Seat, sets ...[]Seat) (int, Record, []Seat) {
+	ctx, stop := context.WithTimeout(ctx, 700*time.Millisecond)
+	defer stop()
+	type vote struct {
+		seat Seat
+		r    *BallotReply
+	}
+	votes := make(chan vote, len(whom))
+	for _, s := range whom {
+		go func() {
+			var r *BallotReply
+			var err error
+			if s.Disk == c.me.Disk {
+				r, err = c.ballot(ctx, ask)
+			} else {
+				r, err = wire.Call[BallotAsk, BallotReply](ctx, c.call, c.book.Addr(s), "crux/ballot", ask)
+			}
+			if err != nil {
+				r = &BallotReply{}
+			}
+			votes <- vote{s, r}
+		}()
+	}
+	var top Record
+	var yes []Seat
+	var soon <-chan time.Time
+	for range whom {
+		select {
+		case v := <-votes:
+			c.raise(v.r.Promised)
+			if v.r.Accepted.Epoch > top.Epoch {
+				top = v.r.Accepted
+			}
+			if v.r.Ok {
+				yes = append(yes, v.seat)
+			}
+		case <-soon:
+			return len(yes), top, yes
+		}
+		enough := len(sets) > 0
+		for _, set := range sets {
+			enough = enough && most(set, yes)
+		}
+		if enough && soon == nil {
+			soon = time.After(60 * time.Millisecond)
+		}
+	}
+	return len(yes), top, yes
+}
+
+func (c *Core) send(ctx context.Context, e word.Epoch, to Seat, body []byte) error {
+	ctx, stop := context.WithTimeout(ctx, 2*time.Second)
+	defer stop()
+	r, err := wire.Call[PictureAsk, AppendReply](ctx, c.call, c.book.Addr(to), "crux/picture", &PictureAsk{Epoch: e, From: c.me, Body: body})
+	if err == nil && !r.Ok {
+		err = breakdown.New(breakdown.Stale, "send picture", to.Addr, "refused, promised %d", r.Promised)
+	}
+	return err
+}
+
+func most(set, yes []Seat) bool {
+	n := 0
+	for _, s := range set {
+		if holds(yes, s.Disk) {
+			n++
+		}
+	}
+	return 2*n > len(set)
+}
+
+// ascend makes this core the primary of a new epoch with a backup that holds a
+// picture, by two rounds over the registers. The caller either leads already
+// (held is its epoch, and it holds dataMu) or leads not at all.
+func (c *Core) ascend(ctx context.Context, sw swap, held word.Epoch) (Record, error) {
+	cur, promised := c.accepted()
+	c.raise(promised)
+	if !c.named(cur) || held != 0 && cur.Epoch != held {
+		return cur, breakdown.New(breakdown.Stale, "ascend", c.me.Addr, "the newest record names others")
+	}
+	next := cur
+	next.Epoch = word.Epoch(c.top.Load() + 1)
+	next.Holders = nil
+	for _, s := range cur.Holders {
+		if s.Disk == sw.out {
+			s = sw.in
+		}
+		s.Addr = c.book.Addr(s)
+		if s.Disk == c.me.Disk {
+			s = c.me
+		}
+		next.Holders = append(next.Holders, s)
+	}
+	union := append([]Seat(nil), next.Holders...)
+	for _, s := range cur.Holders {
+		if !holds(union, s.Disk) {
+			union = append(union, s)
+		}
+	}
+	ask := &BallotAsk{Epoch: next.Epoch, From: c.me, Takeover: held == 0, Record: cur}
+	ask.Record.Holders = union
+	_, top, yes := c.poll(ctx, ask, union, cur.Holders, next.Holders)
+	if top.Epoch > cur.Epoch {
+		c.book.Learn(&WhereAsk{Record: top})
+		c.adopt(top)
+		return cur, breakdown.New(breakdown.Stale, "ascend", c.me.Addr, "epoch %d is newer", top.Epoch)
+	}
+	if !most(cur.Holders, yes) || !most(next.Holders, yes) {
+		return cur, breakdown.New(breakdown.Away, "ascend", c.me.Addr, "%d of %d registers promised", len(yes), len(union))
+	}
+	sort.SliceStable(yes, func(i, j int) bool { return c.named(cur) && partner(cur, yes[i]) && !partner(cur, yes[j]) })
+	if held == 0 {
+		c.dataMu.Lock()
+	}
+	body := Pack(c.roll.picture(false))
+	if held == 0 {
+		c.dataMu.Unlock()
+	}
+	next.Primary, next.Backup = c.me, Seat{}
+	for _, s := range yes {
+		if s.Disk != c.me.Disk && holds(next.Holders, s.Disk) && c.send(ctx, next.Epoch, s, body) == nil {
+			next.Backup = s
+			break
+		}
+	}
+	if next.Backup.Disk == "" {
+		return cur, breakdown.New(breakdown.Away, "ascend", c.me.Addr, "no backup took the picture")
+	}
+	ask = &BallotAsk{Epoch: next.Epoch, From: c.me, Accept: true, Record: next}
+	if n, _, _ := c.poll(ctx, ask, []Seat{next.Backup}); n == 0 {
+		return cur, breakdown.New(breakdown.Unknown, "ascend", next.Backup.Addr, "the backup did not accept")
+	}
+	var rest []Seat
+	for _, s := range union {
+		if s.Disk != next.Backup.Disk {
+			rest = append(rest, s)
+		}
+	}
+	_, _, yes = c.poll(ctx, ask, rest, []Seat{c.me})
+	yes = append(yes, next.Backup)
+	if !holds(yes, c.me.Disk) || !most(cur.Holders, yes) || !most(next.Holders, yes) {
+		return cur, breakdown.New(breakdown.Unknown, "ascend", c.me.Addr, "only %d registers accepted", len(yes))
+	}
+	return next, nil
+}
+
+func partner(r Record, s Seat) bool { return s.Disk == r.Primary.Disk || s.Disk == r.Backup.Disk }
--- /dev/null
+++ b/door/operate.go
@@ -0,0 +1,97 @@
+// The operators' side of the door.
+package door
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+)
+
+// Apply is a whole or partial configuration. Source is CUE or JSON text; Base
+// is the version it was made over; Op is the operation's id, by which an
+// operator who was told nothing may ask again and learns the one outcome.
+type Apply struct {
+	Op      string `json:"op"`
+	Base    uint64 `json:"base"`
+	Partial bool   `json:"partial,omitempty"`
+	Name    string `json:"name,omitempty"`
+	Source  string `json:"source"`
+	Dry     bool   `json:"dry,omitempty"`
+}
+
+// Applied answers it.
+type Applied struct {
+	Version uint64          `json:"version"`
+	Active  bool            `json:"active"`
+	Policy  json.RawMessage `json:"policy,omitempty"`
+}
+
+// Mark is an evacuation, a drain, or the taking back of one.
+type Mark struct {
+	Op  string `json:"op"`
+	Out bool   `json:"out"`
+}
+
+// Shown is the configuration in force.
+type Shown struct {
+	Version uint64          `json:"version"`
+	Newest  uint64          `json:"newest"`
+	Policy  json.RawMessage `json:"policy"`
+	Zones   []string        `json:"evacuated"`
+	Drained []string        `json:"drained"`
+}
+
+// Operator is what operators may ask of a node.
+type Operator interface {
+	Apply(ctx context.Context, a *Apply) (*Applied, error)
+	Evacuate(ctx context.Context, zone string, m *Mark) (*Applied, error)
+	Drain(ctx context.Context, worker string, m *Mark) (*Applied, error)
+	Show() *Shown
+	Status() any
+}
+
+const maxPolicy = 8 << 20
+
+// MountOperator puts the operators' side on a mux.
+func MountOperator(mux *http.ServeMux, o Operator) {
+	mux.HandleFunc("GET /v1/policy", func(w http.ResponseWriter, _ *http.Request) { Write(w, http.StatusOK, o.Show()) })
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { Write(w, http.StatusOK, o.Status()) })
+	mux.HandleFunc("POST /v1/policy", func(w http.ResponseWriter, r *http.Request) {
+		var a Apply
+		if f := Read(r, &a, maxPolicy); f != nil {
+			Refuse(w, f)
+			return
+		}
+		if a.Op == "" {
+			Refuse(w, No(http.StatusBadRequest, "missing", "op", "an operation needs an id of its own"))
+			return
+		}
+		got, err := o.Apply(r.Context(), &a)
+		answer(w, got, err)
+	})
+	mark := func(f func(context.Context, string, *Mark) (*Applied, error)) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			var m Mark
+			if f := Read(r, &m, 4096); f != nil {
+				Refuse(w, f)
+				return
+			}
+			if m.Op == "" {
+				Refuse(w, No(http.StatusBadRequest, "missing", "op", "an operation needs an id of its own"))
+				return
+			}
+			got, err := f(r.Context(), r.PathValue("name"), &m)
+			answer(w, got, err)
+		}
+	}
+	mux.HandleFunc("POST /v1/zones/{name}", mark(o.Evacuate))
+	mux.HandleFunc("POST /v1/workers/{name}", mark(o.Drain))
+}
+
+func answer(w http.ResponseWriter, a *Applied, err error) {
+	if err != nil {
+		Refuse(w, err)
+		return
+	}
+	Write(w, http.StatusOK, a)
+}
--- /dev/null
+++ b/guise/load.go
@@ -0,0 +1,297 @@
+// Stand-in callers: an open loop whose arrivals are fixed beforehand, so that
+// waiting is counted; each answer is held against a run that never moved.
+package guise
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"keelstair.example/door"
+	"keelstair.example/seam"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+// Shape is one kind of stream as callers send it.
+type Shape struct {
+	Kind    string
+	Claimed bool
+	Share   int // of 100
+	Shared  int // prompt tokens that all of the kind share
+	Own     int // prompt tokens of the caller's own, at most
+	Max     int
+}
+
+// LoadOptions say what to send.
+type LoadOptions struct {
+	Host    seam.Host
+	Doors   func() []string
+	Shapes  []Shape
+	Rate    float64 // arrivals a second
+	Span    time.Duration
+	Seed    uint64
+	Model   string
+	Weights []string // any that may answer
+	Retries int      // how often a bounced caller comes back when told
+	Patient time.Duration
+}
+
+// Outcome of one call.
+type Outcome struct {
+	Kind   string
+	Key    string
+	At     time.Duration
+	First  time.Duration
+	Whole  time.Duration
+	End    string // complete, broken, unknown, bounced, cut, wrong
+	Detail string
+	Tokens []int32
+	Tries  int
+}
+
+// Summary is what a load comes to.
+type Summary struct {
+	Sent    int                `json:"sent"`
+	Ends    map[string]int     `json:"ends"`
+	Kinds   map[string]KindSum `json:"kinds"`
+	Details map[string]int     `json:"details,omitempty"`
+}
+
+type KindSum struct {
+	Sent     int     `json:"sent"`
+	Complete int     `json:"complete"`
+	FirstP50 float64 `json:"firstP50Ms"`
+	FirstP99 float64 `json:"firstP99Ms"`
+	WholeP99 float64 `json:"wholeP99Ms"`
+}
+
+type call struct {
+	at    time.Duration
+	shape Shape
+	ask   door.Ask
+}
+
+func plan(o *LoadOptions) []call {
+	rng := rand.New(rand.NewPCG(o.Seed, 7))
+	var out []call
+	for at, i := time.Duration(0), 0; ; i++ {
+		at += time.Duration(rng.ExpFloat64() / o.Rate * float64(time.Second))
+		if at >= o.Span {
+			return out
+		}
+		n, sh := rng.IntN(100), o.Shapes[len(o.Shapes)-1]
+		for _, s := range o.Shapes {
+			if n -= s.Share; n < 0 {
+				sh = s
+				break
+			}
+		}
+		a := door.Ask{Kind: sh.Kind, MaxTokens: sh.Max, Seed: rng.Uint64() >> 12}
+		base := int32(len(sh.Kind) * 1000)
+		for j := range sh.Shared {
+			a.PromptIds = append(a.PromptIds, base+int32(j)+1)
+		}
+		for range 1 + rng.IntN(sh.Own) {
+			a.PromptIds = append(a.PromptIds, 1+rng.Int32N(50000))
+		}
+		if sh.Claimed {
+			a.Key = fmt.Sprintf("c%d-%d", o.Seed, i)
+		}
+		out = append(out, call{at, sh, a})
+	}
+}
+
+// Load sends it all and waits for every answer.
+func Load(ctx context.Context, o LoadOptions) []Outcome {
+	web := wire.Web(o.Host.Net)
+	defer web.CloseIdleConnections()
+	if o.Patient == 0 {
+		o.Patient = 20 * time.Second
+	}
+	calls := plan(&o)
+	out := make([]Outcome, len(calls))
+	start := time.Now()
+	var wg sync.WaitGroup
+	for i, c := range calls {
+		if !seam.Sleep(ctx, time.Until(start.Add(c.at))) {
+			out = out[:i]
+			break
+		}
+		wg.Go(func() { out[i] = one(ctx, &o, web, &c, start, uint64(i)) })
+	}
+	wg.Wait()
+	return out
+}
+
+func one(ctx context.Context, o *LoadOptions, web *http.Client, c *call, start time.Time, n uint64) Outcome {
+	rng := rand.New(rand.NewPCG(o.Seed, n+100))
+	r := Outcome{Kind: c.ask.Kind, Key: c.ask.Key, At: c.at}
+	cx, stop := context.WithTimeout(ctx, o.Patient)
+	defer stop()
+	due := start.Add(c.at)
+	for {
+		r.Tries++
+		again := knock(cx, o, web, c, &r, due, rng)
+		if again <= 0 || r.Tries > o.Retries || !seam.Sleep(cx, again) {
+			break
+		}
+	}
+	if r.End == door.Complete && !o.whole(c, r.Tokens) {
+		r.End, r.Detail = "wrong", fmt.Sprintf("tokens %v", r.Tokens)
+	}
+	return r
+}
+
+// whole holds an answer against the run that never moved.
+func (o *LoadOptions) whole(c *call, toks []int32) bool {
+	for _, w := range o.Weights {
+		solo := Solo(c.ask.PromptIds, c.ask.MaxTokens, c.ask.Seed, c.ask.Temperature, o.Model, w, c.ask.Adapters)
+		if len(solo) == len(toks) {
+			same := true
+			for i := range solo {
+				same = same && solo[i] == toks[i]
+			}
+			if same {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// knock asks once; it gives how long to wait before asking again, if at all.
+func knock(ctx context.Context, o *LoadOptions, web *http.Client, c *call, r *Outcome, due time.Time, rng *rand.Rand) time.Duration {
+	doors := o.Doors()
+	if len(doors) == 0 {
+		r.End, r.Detail = "bounced", "no door"
+		return 500 * time.Millisecond
+	}
+	body, _ := json.Marshal(c.ask)
+	q, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+doors[rng.IntN(len(doors))]+"/v1/streams", bytes.NewReader(body))
+	a, err := web.Do(q)
+	if err != nil {
+		r.End, r.Detail = "cut", "no answer"
+		if wire.Undialled(err) {
+			r.End, r.Detail = "bounced", "door is shut"
+			return 300 * time.Millisecond
+		}
+		if c.shape.Claimed {
+			return time.Second
+		}
+		return 0
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		var f struct {
+			Error struct {
+				Name  string
+				After int64 `json:"retryAfterMs"`
+			}
+		}
+		b, _ := io.ReadAll(a.Body)
+		json.Unmarshal(b, &f)
+		r.End, r.Detail = "bounced", f.Error.Name
+		if f.Error.Name == "not-run" {
+			c.ask.Key += "+"
+			r.Key = c.ask.Key
+		}
+		return time.Duration(f.Error.After) * time.Millisecond
+	}
+	r.Tokens, r.End, r.Detail = nil, "cut", "the stream stopped"
+	rows := bufio.NewScanner(a.Body)
+	for rows.Scan() {
+		var l door.Line
+		if err := json.Unmarshal(rows.Bytes(), &l); err != nil {
+			r.End, r.Detail = "wrong", "garbage"
+			return 0
+		}
+		if l.Index != len(r.Tokens) {
+			r.End, r.Detail = "wrong", fmt.Sprintf("piece %d where %d was due", l.Index, len(r.Tokens))
+			return 0
+		}
+		if l.End != "" {
+			r.End, r.Whole, r.Detail = l.End, time.Since(due), ""
+			if l.Error != nil {
+				r.Detail = l.Error.Name
+			}
+			if l.End == door.Complete && l.Count != len(r.Tokens) {
+				r.End = "wrong"
+			}
+			if l.End == door.Unknown && c.shape.Claimed && l.Error != nil && l.Error.After > 0 {
+				return time.Duration(l.Error.After) * time.Millisecond
+			}
+			return 0
+		}
+		if len(r.Tokens) == 0 && r.First == 0 {
+			r.First = time.Since(due)
+		}
+		r.Tokens = append(r.Tokens, l.Token)
+	}
+	if c.shape.Claimed {
+		return time.Second
+	}
+	return 0
+}
+
+// Sum counts outcomes and gives percentiles by kind.
+func Sum(all []Outcome) Summary {
+	s := Summary{Sent: len(all), Ends: map[string]int{}, Kinds: map[string]KindSum{}, Details: map[string]int{}}
+	first, whole := map[string][]time.Duration{}, map[string][]time.Duration{}
+	for _, o := range all {
+		s.Ends[o.End]++
+		if o.End != door.Complete {
+			s.Details[o.End+": "+o.Detail]++
+		}
+		k := s.Kinds[o.Kind]
+		k.Sent++
+		if o.End == door.Complete {
+			k.Complete++
+			first[o.Kind] = append(first[o.Kind], o.First)
+			whole[o.Kind] = append(whole[o.Kind], o.Whole)
+		}
+		s.Kinds[o.Kind] = k
+	}
+	for n, k := range s.Kinds {
+		k.FirstP50, k.FirstP99, k.WholeP99 = Quantile(first[n], 0.5), Quantile(first[n], 0.99), Quantile(whole[n], 0.99)
+		s.Kinds[n] = k
+	}
+	return s
+}
+
+// Quantile in milliseconds.
+func Quantile(row []time.Duration, q float64) float64 {
+	if len(row) == 0 {
+		return 0
+	}
+	row = append([]time.Duration(nil), row...)
+	sort.Slice(row, func(i, j int) bool { return row[i] < row[j] })
+	return float64(row[int(q*float64(len(row)-1))].Microseconds()) / 1000
+}
+
+// Site is one of the two deployments, in the sizes of today.
+type Site struct {
+	Name    string
+	Zones   []word.Zone
+	Nodes   int // machines without a disk
+	Prefill int
+	Decode  int
+	Model   string
+	Shapes  []Shape
+}
+
+// Sites are the two.
+var Sites = map[string]Site{
+	"vatuloa": {Name: "vatuloa", Zones: []word.Zone{"hall-a", "hall-b", "hall-c"}, Nodes: 7, Prefill: 6, Decode: 6, Model: "bridge-8b",
+		Shapes: []Shape{{"verdict", true, 45, 384, 640, 2}, {"clarification", false, 55, 96, 48, 24}}},
+	"almaty": {Name: "almaty", Zones: []word.Zone{"alatau", "medeu", "bostandyk"}, Nodes: 6, Prefill: 4, Decode: 5, Model: "scooter-8b",
+		Shapes: []Shape{{"ruling", true, 45, 320, 480, 2}, {"rider", false, 55, 128, 48, 24}}},
+}
--- /dev/null
+++ b/guise/move.go
@@ -0,0 +1,235 @@
+// The decode side of the stand-in: import pays the whole block bill first or
+// fails loudly, attention waits for every byte, for the digest and for the
+// resume, and a cancelled attempt can never start again.
+package guise
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"keelstair.example/rein"
+	"keelstair.example/word"
+)
+
+func (w *Worker) take(_ context.Context, q *rein.ImportAsk) (*rein.Answer, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m := q.Identity
+	if err := w.heed("import", q.Lead, m.Id); err != nil {
+		return nil, err
+	}
+	if w.live[m.Id] != nil {
+		return &rein.Answer{}, nil
+	}
+	bill := word.Blocks(m.Computed, w.pool.size)
+	whole := max(bill, word.Blocks(len(m.Prompt)+m.Params.MaxTokens, w.pool.size))
+	switch {
+	case w.part != word.Decode:
+		return nil, no(http.StatusConflict, "this worker prefills")
+	case !w.opt.Model.Offers(m.Model):
+		return nil, no(http.StatusUnprocessableEntity, "another model")
+	case m.Length != int64(8*m.Computed):
+		return nil, no(http.StatusUnprocessableEntity, "%d bytes for %d tokens", m.Length, m.Computed)
+	case !w.pool.fits(whole):
+		w.count(m.Id.Request).Refused++
+		w.tell("refused", m.Id, q.Lead)
+		return nil, no(http.StatusInsufficientStorage, "no room for %d blocks", whole)
+	}
+	r := &run{ident: m, tab: w.pool.take(bill), pledge: whole - bill, touched: w.now(), news: make(chan struct{})}
+	w.pool.pledge += r.pledge
+	w.live[m.Id] = r
+	go w.fetch(r, q.Source)
+	return &rein.Answer{}, nil
+}
+
+// fetch fills the blocks as the bytes come in.
+func (w *Worker) fetch(r *run, source string) {
+	id := r.ident.Id
+	err := func() error {
+		cx, stop := context.WithTimeout(context.Background(), w.opt.Stage)
+		defer stop()
+		q, err := http.NewRequestWithContext(cx, http.MethodGet, fmt.Sprintf("http://%s/kv?request=%s&attempt=%d", source, id.Request, id.Attempt), nil)
+		if err != nil {
+			return err
+		}
+		a, err := w.web.Do(q)
+		if err != nil {
+			return err
+		}
+		defer a.Body.Close()
+		if a.StatusCode != http.StatusOK {
+			return no(a.StatusCode, "source gave %d", a.StatusCode)
+		}
+		var all []byte
+		buf := make([]byte, 4096)
+		for {
+			n, err := a.Body.Read(buf)
+			all = append(all, buf[:n]...)
+			if int64(len(all)) > r.ident.Length {
+				return no(0, "too many bytes")
+			}
+			w.mu.Lock()
+			if r.tab == nil {
+				w.mu.Unlock()
+				return no(0, "dropped meanwhile")
+			}
+			for i := (len(all) - n) / 8; i < len(all)/8; i++ {
+				w.pool.put(r.tab, i, binary.LittleEndian.Uint64(all[8*i:]))
+			}
+			if w.fault.Hurry && len(all) > 0 {
+				r.arrived = true
+				w.flash(r)
+			}
+			w.mu.Unlock()
+			if err == io.EOF {
+				break
+			}
+			if err != nil {
+				return err
+			}
+		}
+		if int64(len(all)) != r.ident.Length || digest(all) != r.ident.Digest {
+			return no(0, "the digest does not fit")
+		}
+		return nil
+	}()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err != nil {
+		r.lost = true
+		w.tell("lost", id, rein.Lead{})
+		if !r.arrived {
+			w.drop(r, rein.FateNever)
+		}
+		return
+	}
+	r.arrived = true
+	r.touched = w.now()
+	w.flash(r)
+	w.kick()
+}
+
+// resume is the point of no return.
+func (w *Worker) resume(ctx context.Context, q *rein.IdAsk) (*rein.Answer, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := w.live[q.Id]
+	if err := w.heed("resume", q.Lead, q.Id); err != nil {
+		return nil, err
+	}
+	if r == nil {
+		if f := w.fates[q.Id.Request]; f != nil && f.Fate != rein.FateNever {
+			return f, nil
+		}
+		return nil, no(http.StatusGone, "nothing to resume")
+	}
+	for !r.arrived && !r.stopped {
+		news := r.news
+		w.mu.Unlock()
+		select {
+		case <-news:
+			w.mu.Lock()
+		case <-ctx.Done():
+			w.mu.Lock()
+			return nil, no(http.StatusGone, "the asker went away")
+		}
+	}
+	if r.stopped {
+		return nil, no(http.StatusGone, "the memory was lost")
+	}
+	if err := w.heed("resumed", q.Lead, q.Id); err != nil {
+		return nil, err
+	}
+	if !r.resumed {
+		r.resumed = true
+		t := w.count(q.Id.Request)
+		t.Runs++
+		t.First = append(t.First, len(r.ident.Output))
+	}
+	r.touched = w.now()
+	w.kick()
+	return &rein.Answer{Fate: rein.FateRunning}, nil
+}
+
+// cancel stops an attempt for good and tells what came of the request here.
+func (w *Worker) cancel(_ context.Context, q *rein.IdAsk) (*rein.Answer, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.heed("cancel", q.Lead, q.Id); err != nil {
+		return nil, err
+	}
+	if n, ok := w.tomb[q.Id.Request]; !ok || q.Id.Attempt > n {
+		w.tomb[q.Id.Request] = q.Id.Attempt
+	}
+	for id, r := range w.live {
+		if id.Request != q.Id.Request || id.Attempt > q.Id.Attempt {
+			continue
+		}
+		if r.resumed {
+			w.drop(r, rein.FateStopped)
+		} else {
+			w.drop(r, rein.FateNever)
+		}
+	}
+	if f := w.fates[q.Id.Request]; f != nil {
+		cop := *f
+		return &cop, nil
+	}
+	return &rein.Answer{Fate: rein.FateNever}, nil
+}
+
+// stream hands out pieces from an index on. A line goes out at least every
+// half second, so a reader knows a silent worker from a slow one.
+func (w *Worker) stream(rw http.ResponseWriter, q *http.Request) {
+	n, _ := strconv.Atoi(q.FormValue("attempt"))
+	at, _ := strconv.Atoi(q.FormValue("from"))
+	id := rein.Id{Request: q.FormValue("request"), Attempt: n}
+	w.mu.Lock()
+	r := w.live[id]
+	f := w.fates[id.Request]
+	w.mu.Unlock()
+	if r == nil && (f == nil || !f.Done) {
+		reply(rw, http.StatusGone, rein.Bounce{Name: "no such run"})
+		return
+	}
+	rows := json.NewEncoder(rw)
+	put := func(out []int32, ended bool) {
+		for ; at < len(out); at++ {
+			rows.Encode(rein.Piece{Index: at, Token: out[at], Text: fmt.Sprintf("t%d ", out[at])})
+		}
+		if ended {
+			rows.Encode(rein.Piece{Index: at, End: "stop", Count: len(out)})
+		}
+		rw.(http.Flusher).Flush()
+	}
+	if r == nil {
+		put(f.Output, true)
+		return
+	}
+	for {
+		w.mu.Lock()
+		out, ended, stopped, news, now := r.ident.Output, r.ended, r.stopped, r.news, w.now()
+		r.touched = now
+		w.mu.Unlock()
+		put(out, ended)
+		if ended || stopped {
+			if stopped {
+				panic(http.ErrAbortHandler)
+			}
+			return
+		}
+		select {
+		case <-news:
+		case <-q.Context().Done():
+			return
+		case <-time.After(400 * time.Millisecond):
+			rw.Write([]byte("\n"))
+		}
+	}
+}
--- /dev/null
+++ b/guise/platform.go
@@ -0,0 +1,201 @@
+// The stand-in platform: it lists workers as they come and go, checks every
+// node's readiness each second, and hands callers to ready nodes in their zone.
+package guise
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"keelstair.example/rein"
+	"keelstair.example/seam"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+// Door is a node as the platform knows it.
+type Door struct {
+	Addr  string    `json:"addr"`
+	Zone  word.Zone `json:"zone"`
+	Ready bool      `json:"ready"`
+}
+
+// Platform lists workers and doors.
+type Platform struct {
+	mu      sync.Mutex
+	web     *http.Client
+	workers map[word.WorkerId]rein.Listed
+	doors   map[string]*Door
+}
+
+func NewPlatform(host seam.Host) *Platform {
+	return &Platform{web: wire.Web(host.Net), workers: map[word.WorkerId]rein.Listed{}, doors: map[string]*Door{}}
+}
+
+// List puts a worker on the list, or changes its line.
+func (p *Platform) List(l rein.Listed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.workers[l.Id] = l
+}
+
+// Strike takes a worker off the list.
+func (p *Platform) Strike(id word.WorkerId) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.workers, id)
+}
+
+// Leave marks a worker as leaving.
+func (p *Platform) Leave(id word.WorkerId) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l, ok := p.workers[id]; ok {
+		l.Leaving = true
+		p.workers[id] = l
+	}
+}
+
+// Door adds a node's door.
+func (p *Platform) Door(addr string, zone word.Zone) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.doors[addr] = &Door{Addr: addr, Zone: zone}
+}
+
+// Doors lists the doors that were ready when last asked.
+func (p *Platform) Doors(zone word.Zone) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var near, far []string
+	for _, d := range p.doors {
+		switch {
+		case !d.Ready:
+		case d.Zone == zone || zone == "":
+			near = append(near, d.Addr)
+		default:
+			far = append(far, d.Addr)
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	return far
+}
+
+// Run checks readiness every second until the context ends.
+func (p *Platform) Run(ctx context.Context) {
+	for seam.Sleep(ctx, time.Second) {
+		p.mu.Lock()
+		var all []string
+		for a := range p.doors {
+			all = append(all, a)
+		}
+		p.mu.Unlock()
+		var wg sync.WaitGroup
+		for _, a := range all {
+			wg.Go(func() {
+				cx, stop := context.WithTimeout(ctx, 700*time.Millisecond)
+				defer stop()
+				q, _ := http.NewRequestWithContext(cx, http.MethodGet, "http://"+a+"/ready", nil)
+				r, err := p.web.Do(q)
+				ok := err == nil && r.StatusCode == http.StatusOK
+				if err == nil {
+					r.Body.Close()
+				}
+				p.mu.Lock()
+				p.doors[a].Ready = ok
+				p.mu.Unlock()
+			})
+		}
+		wg.Wait()
+	}
+	p.web.CloseIdleConnections()
+}
+
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /workers", func(w http.ResponseWriter, _ *http.Request) {
+		p.mu.Lock()
+		out := []rein.Listed{}
+		for _, l := range p.workers {
+			out = append(out, l)
+		}
+		p.mu.Unlock()
+		reply(w, http.StatusOK, out)
+	})
+	mux.HandleFunc("POST /workers", func(w http.ResponseWriter, r *http.Request) {
+		var l rein.Listed
+		if err := json.NewDecoder(r.Body).Decode(&l); err != nil || l.Id == "" {
+			reply(w, http.StatusBadRequest, rein.Bounce{Name: "malformed"})
+			return
+		}
+		p.List(l)
+		reply(w, http.StatusOK, l)
+	})
+	mux.HandleFunc("POST /workers/{id}/leave", func(w http.ResponseWriter, r *http.Request) {
+		p.Leave(word.WorkerId(r.PathValue("id")))
+		reply(w, http.StatusOK, "leaving")
+	})
+	mux.HandleFunc("DELETE /workers/{id}", func(w http.ResponseWriter, r *http.Request) {
+		p.Strike(word.WorkerId(r.PathValue("id")))
+		reply(w, http.StatusOK, "gone")
+	})
+	mux.HandleFunc("POST /doors", func(w http.ResponseWriter, r *http.Request) {
+		var d Door
+		if err := json.NewDecoder(r.Body).Decode(&d); err != nil || d.Addr == "" {
+			reply(w, http.StatusBadRequest, rein.Bounce{Name: "malformed"})
+			return
+		}
+		p.Door(d.Addr, d.Zone)
+		reply(w, http.StatusOK, d)
+	})
+	mux.HandleFunc("GET /doors", func(w http.ResponseWriter, r *http.Request) {
+		out := p.Doors(word.Zone(r.FormValue("zone")))
+		if out == nil {
+			out = []string{}
+		}
+		reply(w, http.StatusOK, out)
+	})
+	return mux
+}
+
+// Asked gives the doors that a platform names ready, asked anew twice a second.
+func Asked(ctx context.Context, host seam.Host, addr string) func() []string {
+	web := wire.Web(host.Net)
+	var mu sync.Mutex
+	var kept []string
+	ask := func() {
+		cx, stop := context.WithTimeout(ctx, 700*time.Millisecond)
+		defer stop()
+		q, err := http.NewRequestWithContext(cx, http.MethodGet, "http://"+addr+"/doors", nil)
+		if err != nil {
+			return
+		}
+		r, err := web.Do(q)
+		if err != nil {
+			return
+		}
+		defer r.Body.Close()
+		var out []string
+		if json.NewDecoder(r.Body).Decode(&out) == nil {
+			mu.Lock()
+			kept = out
+			mu.Unlock()
+		}
+	}
+	ask()
+	go func() {
+		for seam.Sleep(ctx, 500*time.Millisecond) {
+			ask()
+		}
+		web.CloseIdleConnections()
+	}()
+	return func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return kept
+	}
+}
--- /dev/null
+++ b/guise/pool.go
@@ -0,0 +1,135 @@
+// Package guise holds the stand-ins: a model worker, callers, a platform. This
+// file is the worker's memory: a pool of blocks of KV cells, and block tables
+// that put them in the order of tokens. Freed blocks keep their old cells, as
+// real memory does, so reading what was never filled gives foreign content.
+package guise
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+
+	"keelstair.example/word"
+)
+
+type pool struct {
+	size   int
+	cells  [][]uint64
+	free   []int
+	pledge int
+}
+
+func newPool(room, size int) *pool {
+	p := &pool{size: size}
+	for i := range room {
+		p.cells = append(p.cells, make([]uint64, size))
+		p.free = append(p.free, room-1-i)
+	}
+	return p
+}
+
+func (p *pool) used() int { return len(p.cells) - len(p.free) }
+
+// fits tells whether so many blocks can be had beside all pledged growth.
+func (p *pool) fits(n int) bool { return len(p.free)-p.pledge >= n }
+
+func (p *pool) take(n int) []int {
+	if n > len(p.free) {
+		return nil
+	}
+	at := len(p.free) - n
+	out := append([]int(nil), p.free[at:]...)
+	p.free = p.free[:at]
+	return out
+}
+
+func (p *pool) give(tab []int) { p.free = append(p.free, tab...) }
+
+func (p *pool) put(tab []int, pos int, v uint64) { p.cells[tab[pos/p.size]][pos%p.size] = v }
+func (p *pool) get(tab []int, pos int) uint64    { return p.cells[tab[pos/p.size]][pos%p.size] }
+
+func mix(a, b uint64) uint64 {
+	v := a*0x9e3779b97f4a7c15 ^ (b + 0x7f4a7c15f39cc060)
+	v ^= v >> 29
+	v *= 0xbf58476d1ce4e5b9
+	return v ^ v>>32
+}
+
+func text(s string) uint64 {
+	v := uint64(14695981039346656037)
+	for _, c := range []byte(s) {
+		v = (v ^ uint64(c)) * 1099511628211
+	}
+	return v
+}
+
+// cell is what a token's KV is on given weights and adapters.
+func cell(base, last uint64, pos int, tok int32) uint64 {
+	return mix(mix(base, last), uint64(pos)<<32|uint64(uint32(tok)))
+}
+
+// attend reads every cell below n through the table; the next token hangs on
+// all of it, on the seed and on the temperature.
+func (p *pool) attend(tab []int, n int, base, seed uint64, warmth float64) uint64 {
+	v := mix(base, seed)
+	if warmth > 0 {
+		v = mix(v, uint64(warmth*1000))
+	}
+	for i := range n {
+		v = mix(v, p.get(tab, i))
+	}
+	return v
+}
+
+// token turns what was attended to into a token; 0 ends the answer.
+func token(v uint64, at int) int32 {
+	if at > 2 && v%23 == 0 {
+		return 0
+	}
+	return int32(v%50000) + 1
+}
+
+// freight is the KV as it crosses the wire.
+func (p *pool) freight(tab []int, n int) ([]byte, string) {
+	out := make([]byte, 0, 8*n)
+	for i := range n {
+		out = binary.LittleEndian.AppendUint64(out, p.get(tab, i))
+	}
+	return out, digest(out)
+}
+
+func digest(b []byte) string {
+	sum := sha256.Sum256(b)
+	return hex.EncodeToString(sum[:12])
+}
+
+// Solo is the answer of a run that never moves: the measure for all others.
+func Solo(prompt []int32, max int, seed uint64, warmth float64, model, weights string, adapters []string) []int32 {
+	p := newPool(word.Blocks(len(prompt)+max+1, 16), 16)
+	tab := p.take(len(p.cells))
+	base := stem(model, weights, adapters)
+	var last uint64
+	for i, t := range prompt {
+		last = cell(base, last, i, t)
+		p.put(tab, i, last)
+	}
+	var out []int32
+	for n := len(prompt); len(out) < max; n++ {
+		t := token(p.attend(tab, n, base, seed, warmth), len(out))
+		if t == 0 {
+			break
+		}
+		out = append(out, t)
+		last = cell(base, last, n, t)
+		p.put(tab, n, last)
+	}
+	return out
+}
+
+func stem(model, weights string, adapters []string) uint64 {
+	v := mix(text(model), text(weights))
+	for _, a := range adapters {
+		v = mix(v, text(a))
+	}
+	return v
+}
--- /dev/null
+++ b/guise/site.go
@@ -0,0 +1,64 @@
+// A site's configuration, as its operators would write it.
+package guise
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"keelstair.example/lore"
+	"keelstair.example/word"
+)
+
+// Room and Block of every stand-in worker.
+const (
+	SiteRoom    = 2048
+	SiteBlock   = 16
+	SiteWeights = "w1"
+)
+
+// Names lists a site's workers, part by part, spread over its zones.
+func (s Site) Names() []word.WorkerId {
+	var out []word.WorkerId
+	for i := range s.Prefill + s.Decode {
+		out = append(out, s.Name1(i))
+	}
+	return out
+}
+
+// Name1 names the i-th worker.
+func (s Site) Name1(i int) word.WorkerId {
+	if i < s.Prefill {
+		return word.WorkerId(fmt.Sprintf("p%d", i+1))
+	}
+	return word.WorkerId(fmt.Sprintf("d%d", i-s.Prefill+1))
+}
+
+// Worker gives the i-th worker's catalogue line.
+func (s Site) Worker(i int) lore.Worker {
+	part := word.Prefill
+	at := i
+	if i >= s.Prefill {
+		part, at = word.Decode, i-s.Prefill
+	}
+	return lore.Worker{Part: part, Model: s.Model, Weights: SiteWeights, Adapters: []string{}, Room: SiteRoom, Block: SiteBlock, Zone: s.Zones[at%len(s.Zones)]}
+}
+
+// Policy is the whole configuration as JSON text.
+func (s Site) Policy(programs map[string]lore.Program) string {
+	workers := map[word.WorkerId]lore.Worker{}
+	for i, id := range s.Names() {
+		workers[id] = s.Worker(i)
+	}
+	kinds := map[string]any{}
+	for _, sh := range s.Shapes {
+		kinds[sh.Kind] = map[string]any{"claimed": sh.Claimed, "model": s.Model, "maxTokens": 64, "weight": 1}
+	}
+	if programs == nil {
+		programs = map[string]lore.Program{}
+	}
+	b, err := json.MarshalIndent(map[string]any{"zones": s.Zones, "workers": workers, "kinds": kinds, "programs": programs}, "", "  ")
+	if err != nil {
+		panic(err)
+	}
+	return string(b)
+}
--- /dev/null
+++ b/guise/worker.go
@@ -0,0 +1,281 @@
+// The stand-in worker: what it is set up as, the faults it can be ordered to
+// have, and its own count of runs and records, by which a double shows.
+package guise
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"sync"
+	"time"
+
+	"keelstair.example/rein"
+	"keelstair.example/seam"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+// WorkerOptions set up a stand-in worker.
+type WorkerOptions struct {
+	Id     word.WorkerId
+	Addr   string
+	Part   word.Part
+	Model  rein.Model
+	Room   int           // blocks
+	Block  int           // tokens a block
+	Read   time.Duration // a prompt token's prefill, 40us
+	Step   time.Duration // a decode step, 4ms
+	Lag    time.Duration // how old its reports are, 300ms
+	Stage  time.Duration // how long outgoing KV waits, 5s
+	Orphan time.Duration // import without resume, or run without reader, 2s
+	Weight int           // bytes a token's KV weighs on the wire, 64
+	Speed  int           // bytes a second between workers, 64 MB
+	Host   seam.Host
+}
+
+func (o *WorkerOptions) fill() {
+	set := func(d *time.Duration, v time.Duration) {
+		if *d == 0 {
+			*d = v
+		}
+	}
+	set(&o.Read, 40*time.Microsecond)
+	set(&o.Step, 4*time.Millisecond)
+	set(&o.Lag, 300*time.Millisecond)
+	set(&o.Stage, 5*time.Second)
+	set(&o.Orphan, 2*time.Second)
+	if o.Block == 0 {
+		o.Block = 16
+	}
+	if o.Weight == 0 {
+		o.Weight = 64
+	}
+	if o.Speed == 0 {
+		o.Speed = 64 << 20
+	}
+}
+
+// Faults are ordered over POST /fault.
+type Faults struct {
+	Speed   int  `json:"speed,omitempty"`   // bytes a second of outgoing KV
+	Corrupt bool `json:"corrupt,omitempty"` // flips a byte of outgoing KV
+	Drop    bool `json:"drop,omitempty"`    // breaks outgoing KV half way
+	LagMs   int  `json:"lagMs,omitempty"`
+	Dark    bool `json:"dark,omitempty"` // hears orders, answers nothing
+	Garbage bool `json:"garbage,omitempty"`
+	Hurry   bool `json:"hurry,omitempty"`  // planted: attends before all bytes are in
+	Forget  bool `json:"forget,omitempty"` // planted: ignores fences and tombstones
+}
+
+// Tally is the worker's own book of what it did for one request.
+type Tally struct {
+	Runs    int   `json:"runs"`    // resumes that began to decode
+	Records int   `json:"records"` // runs that came to their end
+	Reads   int   `json:"reads"`   // prefills
+	Refused int   `json:"refused"` // imports refused for room
+	Starved int   `json:"starved"` // decodes that ran out of room midway
+	First   []int `json:"first,omitempty"`
+}
+
+// Event is one line for a checker.
+type Event struct {
+	What    string
+	Worker  word.WorkerId
+	Id      rein.Id
+	Fence   word.Fence
+	Version word.Version
+	At      word.Tick
+}
+
+// Worker is one stand-in.
+type Worker struct {
+	opt  WorkerOptions
+	web  *http.Client
+	life string
+	Tell func(Event)
+
+	mu      sync.Mutex
+	part    word.Part
+	pool    *pool
+	fence   word.Fence
+	version word.Version
+	fault   Faults
+	live    map[rein.Id]*run
+	queue   []*run
+	staged  map[rein.Id]*parcel
+	tomb    map[string]int
+	fates   map[string]*rein.Answer
+	tally   map[string]*Tally
+	warm    map[uint64]word.Tick
+	late    []dated
+	wake    chan struct{}
+}
+
+type dated struct {
+	at word.Tick
+	r  rein.Report
+}
+
+type parcel struct {
+	ident rein.Identity
+	body  []byte
+	until word.Tick
+}
+
+// run is one request on this worker.
+type run struct {
+	ident   rein.Identity
+	tab     []int
+	pledge  int
+	last    uint64
+	read    bool
+	arrived bool
+	lost    bool
+	resumed bool
+	ended   bool
+	stopped bool
+	touched word.Tick
+	news    chan struct{}
+}
+
+func NewWorker(opt WorkerOptions) *Worker {
+	opt.fill()
+	return &Worker{opt: opt, life: rand.Text(), web: wire.Web(opt.Host.Net), part: opt.Part, pool: newPool(opt.Room, opt.Block),
+		live: map[rein.Id]*run{}, staged: map[rein.Id]*parcel{}, tomb: map[string]int{}, tally: map[string]*Tally{},
+		fates: map[string]*rein.Answer{}, warm: map[uint64]word.Tick{}, wake: make(chan struct{}, 1)}
+}
+
+func (w *Worker) now() word.Tick { return w.opt.Host.Clock.Now() }
+
+// Run works until the context ends.
+func (w *Worker) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { w.engine(ctx) })
+	wg.Go(func() {
+		for seam.Sleep(ctx, 50*time.Millisecond) {
+			w.sweep()
+		}
+	})
+	wg.Wait()
+	w.web.CloseIdleConnections()
+}
+
+func (w *Worker) tell(what string, id rein.Id, l rein.Lead) {
+	if w.Tell != nil {
+		w.Tell(Event{what, w.opt.Id, id, l.Fence, l.Version, w.now()})
+	}
+}
+
+func (w *Worker) count(request string) *Tally {
+	t := w.tally[request]
+	if t == nil {
+		t = &Tally{}
+		w.tally[request] = t
+	}
+	return t
+}
+
+// Tallies copies the worker's book.
+func (w *Worker) Tallies() map[string]Tally {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := map[string]Tally{}
+	for k, t := range w.tally {
+		out[k] = *t
+	}
+	return out
+}
+
+// Used tells how many blocks are taken.
+func (w *Worker) Used() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.pool.used()
+}
+
+// Order sets the faults.
+func (w *Worker) Order(f Faults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fault = f
+}
+
+func (w *Worker) kick() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// drop frees all that a run holds. The caller holds mu.
+func (w *Worker) drop(r *run, fate string) {
+	if _, ok := w.live[r.ident.Id]; !ok {
+		return
+	}
+	delete(w.live, r.ident.Id)
+	for i, q := range w.queue {
+		if q == r {
+			w.queue = append(w.queue[:i:i], w.queue[i+1:]...)
+			break
+		}
+	}
+	w.pool.give(r.tab)
+	w.pool.pledge -= r.pledge
+	r.tab, r.pledge = nil, 0
+	if f := w.fates[r.ident.Id.Request]; f == nil || f.Fate == rein.FateNever || fate == rein.FateFinished {
+		w.fates[r.ident.Id.Request] = &rein.Answer{Fate: fate, Output: r.ident.Output, Done: fate == rein.FateFinished}
+	}
+	if !r.ended {
+		r.stopped = true
+	}
+	w.flash(r)
+}
+
+// flash tells the readers of a run that it went on.
+func (w *Worker) flash(r *run) {
+	close(r.news)
+	r.news = make(chan struct{})
+}
+
+// sweep ends what nobody came for: staged KV, imports never resumed, runs that
+// nobody reads. It also keeps the late reports.
+func (w *Worker) sweep() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.now()
+	for id, p := range w.staged {
+		if p.until.Before(now) {
+			delete(w.staged, id)
+		}
+	}
+	for _, r := range w.live {
+		if !now.Past(r.touched, w.opt.Orphan) {
+			continue
+		}
+		switch {
+		case r.resumed && !r.ended:
+			w.tell("orphan-run", r.ident.Id, rein.Lead{})
+			w.drop(r, rein.FateStopped)
+		case !r.resumed && (w.part == word.Decode || r.read):
+			w.tell("orphan-import", r.ident.Id, rein.Lead{})
+			w.drop(r, rein.FateNever)
+		}
+	}
+	w.late = append(w.late, dated{now, w.report()})
+	lag := w.opt.Lag
+	if w.fault.LagMs > 0 {
+		lag = time.Duration(w.fault.LagMs) * time.Millisecond
+	}
+	for len(w.late) > 1 && now.Past(w.late[1].at, lag) {
+		w.late = w.late[1:]
+	}
+}
+
+func (w *Worker) report() rein.Report {
+	r := rein.Report{Part: w.part, Model: w.opt.Model, Used: w.pool.used(), Capacity: len(w.pool.cells),
+		Block: w.pool.size, Queue: len(w.queue), Version: w.version, Running: []rein.Running{}}
+	for id, v := range w.live {
+		r.Running = append(r.Running, rein.Running{Id: id, Blocks: len(v.tab), Room: v.pledge})
+	}
+	return r
+}
--- /dev/null
+++ b/lore/deed.go
@@ -0,0 +1,37 @@
+// The messages of deeds: a claim before anything runs, one outcome after.
+package lore
+
+import "keelstair.example/word"
+
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file deed.go
+//msgp:shim word.NodeId as:string using:string/word.NodeId
+
+// Deed is one ruling or verdict by its caller's key.
+type Deed struct {
+	Key    string
+	Owner  word.NodeId
+	Digest string
+	Fate   string
+	Out    []byte
+}
+
+// Fates of a deed. Once it is not Claimed any more it never changes.
+const (
+	Claimed = "claimed"
+	Done    = "done"
+	NotRun  = "notrun"
+	Unsure  = "unknown"
+)
+
+// Claim takes a key for a node; the answer says whether it is fresh, and the
+// deed as it stands.
+type Claim struct {
+	Key    string
+	Owner  word.NodeId
+	Digest string
+}
+
+type ClaimReply struct {
+	Fresh bool
+	Deed  Deed
+}
--- /dev/null
+++ b/lore/diff.go
@@ -0,0 +1,66 @@
+// What one policy would change over another, line by line.
+package lore
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+
+	"keelstair.example/breakdown"
+)
+
+// Diff lists the fields that differ: + comes, - goes, ~ changes.
+func Diff(old, new []byte) ([]string, error) {
+	var a, b any
+	if err := json.Unmarshal(old, &a); err != nil {
+		return nil, breakdown.As(err, breakdown.Bad, "diff policies", "old")
+	}
+	if err := json.Unmarshal(new, &b); err != nil {
+		return nil, breakdown.As(err, breakdown.Bad, "diff policies", "new")
+	}
+	var out []string
+	walk("", a, b, &out)
+	return out, nil
+}
+
+func walk(path string, a, b any, out *[]string) {
+	x, okA := a.(map[string]any)
+	y, okB := b.(map[string]any)
+	if !okA || !okB {
+		l, _ := json.Marshal(a)
+		r, _ := json.Marshal(b)
+		if string(l) != string(r) {
+			*out = append(*out, fmt.Sprintf("~ %s: %s -> %s", path, l, r))
+		}
+		return
+	}
+	keys := map[string]bool{}
+	for k := range x {
+		keys[k] = true
+	}
+	for k := range y {
+		keys[k] = true
+	}
+	names := make([]string, 0, len(keys))
+	for k := range keys {
+		names = append(names, k)
+	}
+	sort.Strings(names)
+	for _, k := range names {
+		at := k
+		if path != "" {
+			at = path + "." + k
+		}
+		l, inA := x[k]
+		r, inB := y[k]
+		switch {
+		case !inA:
+			v, _ := json.Marshal(r)
+			*out = append(*out, fmt.Sprintf("+ %s: %s", at, v))
+		case !inB:
+			*out = append(*out, "- "+at)
+		default:
+			walk(at, l, r, out)
+		}
+	}
+}
--- /dev/null
+++ b/lore/image.go
@@ -0,0 +1,16 @@
+// The picture of all that is agreed on.
+package lore
+
+import "keelstair.example/word"
+
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file image.go
+//msgp:shim word.Fence as:uint64 using:uint64/word.Fence
+
+type Image struct {
+	Active  Ruled
+	Staged  []Ruled
+	Zones   []string
+	Drained []string
+	Fence   word.Fence
+	Deeds   []Deed
+}
--- /dev/null
+++ b/lore/machine.go
@@ -0,0 +1,95 @@
+// The machine puts the state under the core: it says which duties there are
+// and when a staged version is due.
+package lore
+
+import (
+	"encoding/json"
+	"sort"
+	"time"
+
+	"keelstair.example/crux"
+	"keelstair.example/word"
+)
+
+// The keys of duties that do not hang on a worker.
+const (
+	BudgetKey word.Key = "budget"
+	SettleKey word.Key = "settle"
+)
+
+func WorkerKey(id word.WorkerId) word.Key { return word.Key("worker/" + string(id)) }
+func PoolKey(model string) word.Key       { return word.Key("pool/" + model) }
+
+type stagedAt struct {
+	at  word.Tick
+	seq word.Seq
+}
+
+// Machine is what tenets run over the core.
+type Machine struct {
+	*State
+	wait time.Duration
+	due  map[word.Version]stagedAt
+	keys []word.Key
+	of   word.Version
+}
+
+// NewMachine waits so long (1s by default) for silent nodes before a staged
+// version is put in force.
+func NewMachine(wait time.Duration) *Machine {
+	if wait == 0 {
+		wait = time.Second
+	}
+	return &Machine{State: newState(false), wait: wait, due: map[word.Version]stagedAt{}}
+}
+
+func (m *Machine) Open(string) bool          { return true }
+func (m *Machine) Picture(open bool) []byte  { return crux.Pack(m.image(open)) }
+func (m *Machine) Restore(body []byte) error { m.of = 0; m.keys = nil; return m.load(body) }
+
+// Keys names a duty for each worker and each model of the active policy.
+func (m *Machine) Keys() []word.Key {
+	if m.keys != nil && m.of == m.active.Version {
+		return m.keys
+	}
+	m.of = m.active.Version
+	m.keys = []word.Key{BudgetKey, SettleKey}
+	var p Policy
+	if len(m.active.Text) > 0 && json.Unmarshal(m.active.Text, &p) == nil {
+		pools := map[string]bool{}
+		for id, w := range p.Workers {
+			m.keys = append(m.keys, WorkerKey(id))
+			pools[w.Model] = true
+		}
+		for n := range pools {
+			m.keys = append(m.keys, PoolKey(n))
+		}
+	}
+	sort.Slice(m.keys, func(i, j int) bool { return m.keys[i] < m.keys[j] })
+	return m.keys
+}
+
+// Due puts in force the newest staged version that all live nodes have seen,
+// or that has waited long enough for silent ones.
+func (m *Machine) Due(now word.Tick, seq, seen word.Seq) []crux.Cmd {
+	var top word.Version
+	for _, r := range m.staged {
+		d, ok := m.due[r.Version]
+		if !ok {
+			d = stagedAt{now, seq}
+			m.due[r.Version] = d
+		}
+		if seen >= d.seq || now.Past(d.at, m.wait) {
+			top = r.Version
+		}
+	}
+	if top == 0 {
+		return nil
+	}
+	for v := range m.due {
+		if v <= top {
+			delete(m.due, v)
+		}
+	}
+	return []crux.Cmd{{Kind: ActivateKind, Body: crux.Pack(&Activate{top})}}
+}
--- /dev/null
+++ b/lore/policy.cue
@@ -0,0 +1,59 @@
+// The shape of a policy. Defaults are marked with a star.
+#Worker: {
+	part:     "prefill" | "decode"
+	model:    string & !=""
+	weights:  string & !=""
+	adapters: *[] | [...string]
+	room:     int & >0 & <=10000000
+	block:    *16 | (int & >0 & <=4096)
+	zone:     string & !=""
+}
+
+#Kind: {
+	claimed:   *false | bool
+	model:     string & !=""
+	maxTokens: int & >0 & <=100000
+	maxPrompt: *32768 | (int & >0 & <=1000000)
+	weight:    *1 | (int & >0 & <=100)
+}
+
+#Program: {
+	source: string & !=""
+	share:  *0 | (int & >=0 & <=100)
+	shadow: *false | bool
+}
+
+#Limits: {
+	// Streams that one node carries at once.
+	inflight: *512 | (int & >0 & <=100000)
+	// Starts that one worker may have under way.
+	queue: *16 | (int & >0 & <=10000)
+	// How long a new, switched or returned worker ramps up.
+	rampMs: *2000 | (int & >=0 & <=600000)
+	// How old a worker's report may be.
+	lagMs: *500 | (int & >=0 & <=60000)
+	// The retry budget that all nodes share: tokens a second, and the most.
+	retryRate:  *4.0 | (number & >=0 & <=10000)
+	retryBurst: *12 | (int & >=0 & <=10000)
+	// Tries at one request, the first included.
+	attempts: *3 | (int & >0 & <=10)
+	// How many prompt tokens make the shared prefix.
+	prefixTokens: *64 | (int & >0 & <=100000)
+	// What a bounced caller is told.
+	retryAfterMs: *1000 | (int & >0 & <=60000)
+	// How long a worker keeps a part before it may switch again.
+	dwellMs: *15000 | (int & >=0 & <=3600000)
+	// Steps that a routing program may take for one request.
+	steps: *20000 | (int & >0 & <=10000000)
+	// When a request that was not yet started is given up.
+	giveUpMs: *4000 | (int & >0 & <=600000)
+}
+
+#Policy: {
+	workers: [string & !=""]:  #Worker
+	zones:                     [...(string & !="")]
+	kinds: [string & !=""]:    #Kind
+	programs: [string & !=""]: #Program
+	limits:                    #Limits
+	switch:                    *false | bool
+}
--- /dev/null
+++ b/lore/policy.go
@@ -0,0 +1,269 @@
+// Package lore is what the fleet agrees on: the operators' configuration (in
+// our words the policy), zones that are evacuated, workers that drain, and the
+// deeds, that is, claims and outcomes of rulings and verdicts. This file reads
+// and checks a policy with CUE.
+package lore
+
+import (
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"cuelang.org/go/cue"
+	"cuelang.org/go/cue/ast"
+	"cuelang.org/go/cue/cuecontext"
+	"cuelang.org/go/cue/errors"
+	"cuelang.org/go/cue/parser"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/word"
+)
+
+//go:embed policy.cue
+var schema string
+
+// Worker is one line of the catalogue.
+type Worker struct {
+	Part     word.Part `json:"part"`
+	Model    string    `json:"model"`
+	Weights  string    `json:"weights"`
+	Adapters []string  `json:"adapters"`
+	Room     int       `json:"room"`
+	Block    int       `json:"block"`
+	Zone     word.Zone `json:"zone"`
+}
+
+// Kind is one sort of stream.
+type Kind struct {
+	Claimed   bool   `json:"claimed"`
+	Model     string `json:"model"`
+	MaxTokens int    `json:"maxTokens"`
+	MaxPrompt int    `json:"maxPrompt"`
+	Weight    int    `json:"weight"`
+}
+
+// Program is a routing program and its share of the traffic.
+type Program struct {
+	Source string `json:"source"`
+	Share  int    `json:"share"`
+	Shadow bool   `json:"shadow"`
+}
+
+// Limits are the numbers that operators may set; the schema has the defaults.
+type Limits struct {
+	Inflight     int     `json:"inflight"`
+	Queue        int     `json:"queue"`
+	RampMs       int     `json:"rampMs"`
+	LagMs        int     `json:"lagMs"`
+	RetryRate    float64 `json:"retryRate"`
+	RetryBurst   int     `json:"retryBurst"`
+	Attempts     int     `json:"attempts"`
+	PrefixTokens int     `json:"prefixTokens"`
+	RetryAfterMs int     `json:"retryAfterMs"`
+	DwellMs      int     `json:"dwellMs"`
+	Steps        uint64  `json:"steps"`
+	GiveUpMs     int     `json:"giveUpMs"`
+}
+
+func (l Limits) Lag() time.Duration    { return time.Duration(l.LagMs) * time.Millisecond }
+func (l Limits) Ramp() time.Duration   { return time.Duration(l.RampMs) * time.Millisecond }
+func (l Limits) Dwell() time.Duration  { return time.Duration(l.DwellMs) * time.Millisecond }
+func (l Limits) GiveUp() time.Duration { return time.Duration(l.GiveUpMs) * time.Millisecond }
+
+type Policy struct {
+	Workers  map[word.WorkerId]Worker `json:"workers"`
+	Zones    []word.Zone              `json:"zones"`
+	Kinds    map[string]Kind          `json:"kinds"`
+	Programs map[string]Program       `json:"programs"`
+	Limits   Limits                   `json:"limits"`
+	Switch   bool                     `json:"switch"`
+}
+
+// Names lists the programs in a fixed order.
+func (p *Policy) Names() []string {
+	var out []string
+	for n := range p.Programs {
+		out = append(out, n)
+	}
+	sort.Strings(out)
+	return out
+}
+
+func bad(err error) error {
+	var rows []string
+	for _, e := range errors.Errors(err) {
+		form, args := e.Msg()
+		row := fmt.Sprintf(form, args...)
+		if path := e.Path(); len(path) > 0 {
+			row = strings.Join(path, ".") + ": " + row
+		}
+		if pos := e.Position(); pos.IsValid() && pos.Filename() != "schema" {
+			row = fmt.Sprintf("%s:%d:%d: %s", pos.Filename(), pos.Line(), pos.Column(), row)
+		}
+		if rows = append(rows, row); len(rows) == 5 {
+			break
+		}
+	}
+	return breakdown.New(breakdown.Bad, "check policy", "", "%s", strings.Join(rows, "; "))
+}
+
+// twice finds a field that stands twice in one struct, such as a worker that
+// is listed two times; CUE alone would join equal ones in silence.
+func twice(f *ast.File) error {
+	var out error
+	ast.Walk(f, func(n ast.Node) bool {
+		var row []ast.Decl
+		switch v := n.(type) {
+		case *ast.StructLit:
+			row = v.Elts
+		case *ast.File:
+			row = v.Decls
+		}
+		seen := map[string]bool{}
+		for _, d := range row {
+			if fd, ok := d.(*ast.Field); ok {
+				if name, _, err := ast.LabelName(fd.Label); err == nil && out == nil {
+					if seen[name] {
+						pos := fd.Pos()
+						out = breakdown.New(breakdown.Bad, "check policy", "", "%s:%d:%d: %s stands twice", pos.Filename(), pos.Line(), pos.Column(), name)
+					}
+					seen[name] = true
+				}
+			}
+		}
+		return true
+	}, nil)
+	return out
+}
+
+// Source reads CUE or JSON text to plain JSON, with positions in its errors.
+func Source(name string, text []byte) ([]byte, error) {
+	f, err := parser.ParseFile(name, text)
+	if err != nil {
+		return nil, bad(err)
+	}
+	if err := twice(f); err != nil {
+		return nil, err
+	}
+	v := cuecontext.New().BuildFile(f)
+	if v.Err() != nil {
+		return nil, bad(v.Err())
+	}
+	b, err := v.MarshalJSON()
+	if err != nil {
+		return nil, bad(err)
+	}
+	return b, nil
+}
+
+// Check holds a policy, as JSON or CUE, against the schema and fills defaults.
+func Check(name string, text []byte) (*Policy, error) {
+	f, err := parser.ParseFile(name, text)
+	if err != nil {
+		return nil, bad(err)
+	}
+	if err := twice(f); err != nil {
+		return nil, err
+	}
+	cx := cuecontext.New()
+	law := cx.CompileString(schema, cue.Filename("schema"))
+	if law.Err() != nil {
+		return nil, bad(law.Err())
+	}
+	v := law.LookupPath(cue.ParsePath("#Policy")).Unify(cx.BuildFile(f))
+	if err := v.Validate(cue.Concrete(true), cue.All()); err != nil {
+		return nil, bad(err)
+	}
+	p := &Policy{}
+	if err := v.Decode(p); err != nil {
+		return nil, bad(err)
+	}
+	return p, p.sane()
+}
+
+// Whole checks a policy and gives it back as plain JSON with all defaults.
+func Whole(name string, text []byte) (*Policy, []byte, error) {
+	p, err := Check(name, text)
+	if err != nil {
+		return nil, nil, err
+	}
+	b, err := json.Marshal(p)
+	return p, b, breakdown.As(err, breakdown.Bad, "check policy", "")
+}
+
+// sane checks what spans several fields.
+func (p *Policy) sane() error {
+	fault := func(field, form string, args ...any) error {
+		return breakdown.New(breakdown.Bad, "check policy", "", field+": "+form, args...)
+	}
+	zones := map[word.Zone]bool{}
+	for _, z := range p.Zones {
+		if zones[z] {
+			return fault("zones", "%s stands twice", z)
+		}
+		zones[z] = true
+	}
+	models := map[string]map[word.Part]bool{}
+	for id, w := range p.Workers {
+		if !zones[w.Zone] {
+			return fault(fmt.Sprintf("workers.%s.zone", id), "unknown zone %q", w.Zone)
+		}
+		if models[w.Model] == nil {
+			models[w.Model] = map[word.Part]bool{}
+		}
+		models[w.Model][w.Part] = true
+	}
+	for name, k := range p.Kinds {
+		if m := models[k.Model]; len(p.Workers) > 0 && !(m[word.Prefill] && m[word.Decode]) {
+			return fault(fmt.Sprintf("kinds.%s.model", name), "no prefill and decode worker offers %q", k.Model)
+		}
+	}
+	sum, shares := 0, 0
+	for _, g := range p.Programs {
+		if !g.Shadow {
+			sum, shares = sum+g.Share, shares+1
+		}
+	}
+	if shares > 0 && sum != 100 {
+		return fault("programs", "the shares add up to %d, not to 100", sum)
+	}
+	return nil
+}
+
+// Merge lays a partial policy over a whole one: fields replace fields, null
+// removes, all else stays.
+func Merge(whole, part []byte) ([]byte, error) {
+	var a, b any
+	if len(whole) == 0 {
+		whole = []byte("{}")
+	}
+	if err := json.Unmarshal(whole, &a); err != nil {
+		return nil, breakdown.As(err, breakdown.Bad, "merge policy", "")
+	}
+	if err := json.Unmarshal(part, &b); err != nil {
+		return nil, breakdown.As(err, breakdown.Bad, "merge policy", "")
+	}
+	return json.Marshal(lay(a, b))
+}
+
+func lay(a, b any) any {
+	over, ok := b.(map[string]any)
+	if !ok {
+		return b
+	}
+	under, ok := a.(map[string]any)
+	if !ok {
+		under = map[string]any{}
+	}
+	for k, v := range over {
+		if v == nil {
+			delete(under, k)
+		} else {
+			under[k] = lay(under[k], v)
+		}
+	}
+	return under
+}
--- /dev/null
+++ b/lore/settle.go
@@ -0,0 +1,24 @@
+// The messages that end a deed, or pass it on.
+package lore
+
+import "keelstair.example/word"
+
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file settle.go
+//msgp:shim word.NodeId as:string using:string/word.NodeId
+//msgp:shim word.Fence as:uint64 using:uint64/word.Fence
+
+// Settle records the one outcome.
+type Settle struct {
+	Key   string
+	Owner word.NodeId
+	Fate  string
+	Out   []byte
+}
+
+// Seize passes a dead node's claim to the holder of the settling duty.
+type Seize struct {
+	Key   string
+	From  word.NodeId
+	To    word.NodeId
+	Fence word.Fence
+}
--- /dev/null
+++ b/lore/state.go
@@ -0,0 +1,224 @@
+// The state that the decrees and deeds build, the same on every copy. Commands
+// are types with an apply method; one that is refused changes nothing.
+package lore
+
+import (
+	"sort"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/crux"
+	"keelstair.example/word"
+)
+
+// Kinds of command by their names in the log.
+const (
+	StageKind    = "lore.stage"
+	ActivateKind = "lore.activate"
+	VacateKind   = "lore.vacate"
+	DrainKind    = "lore.drain"
+	ClaimKind    = "lore.claim"
+	SettleKind   = "lore.settle"
+	SeizeKind    = "lore.seize"
+)
+
+// keepDeeds is how many settled deeds are remembered.
+const keepDeeds = 200000
+
+// State holds it all. A lean one (on nodes) keeps open claims only.
+type State struct {
+	lean    bool
+	active  Ruled
+	staged  []Ruled
+	zones   map[word.Zone]bool
+	drained map[word.WorkerId]bool
+	fence   word.Fence
+	deeds   map[string]Deed
+	order   []string
+}
+
+func newState(lean bool) *State {
+	return &State{lean: lean, zones: map[word.Zone]bool{}, drained: map[word.WorkerId]bool{}, deeds: map[string]Deed{}}
+}
+
+func (s *State) newest() word.Version {
+	if n := len(s.staged); n > 0 {
+		return s.staged[n-1].Version
+	}
+	return s.active.Version
+}
+
+type command interface {
+	msgp.Unmarshaler
+	apply(*State) (msgp.Marshaler, error)
+}
+
+func parse(kind string) command {
+	switch kind {
+	case StageKind:
+		return &Stage{}
+	case ActivateKind:
+		return &Activate{}
+	case VacateKind:
+		return &Vacate{}
+	case DrainKind:
+		return &Drain{}
+	case ClaimKind:
+		return &Claim{}
+	case SettleKind:
+		return &Settle{}
+	case SeizeKind:
+		return &Seize{}
+	}
+	return nil
+}
+
+// Apply reads a command by its kind and applies it.
+func (s *State) Apply(kind string, body []byte) ([]byte, error) {
+	c := parse(kind)
+	if c == nil {
+		return nil, breakdown.New(breakdown.Bad, "apply", kind, "no such command")
+	}
+	if _, err := c.UnmarshalMsg(body); err != nil {
+		return nil, breakdown.As(err, breakdown.Bad, "apply", kind)
+	}
+	out, err := c.apply(s)
+	if err != nil && err != crux.Same || out == nil {
+		return nil, err
+	}
+	return crux.Pack(out), err
+}
+
+func (c *Stage) apply(s *State) (msgp.Marshaler, error) {
+	if c.Base != s.newest() {
+		return nil, breakdown.New(breakdown.Stale, "apply policy", "", "it was made over version %d, the current one is %d", c.Base, s.newest())
+	}
+	v := s.newest() + 1
+	s.staged = append(s.staged, Ruled{v, c.Text})
+	return &Ruling{v}, nil
+}
+
+func (c *Activate) apply(s *State) (msgp.Marshaler, error) {
+	for i, r := range s.staged {
+		if r.Version == c.Version {
+			s.active = r
+			s.staged = append([]Ruled(nil), s.staged[i+1:]...)
+			return &Ruling{c.Version}, nil
+		}
+	}
+	return nil, breakdown.New(breakdown.Stale, "activate", "", "version %d is not staged", c.Version)
+}
+
+func (c *Vacate) apply(s *State) (msgp.Marshaler, error) {
+	if s.zones[c.Zone] == c.Out {
+		return &Ruling{s.newest()}, crux.Same
+	}
+	if s.zones[c.Zone] = c.Out; !c.Out {
+		delete(s.zones, c.Zone)
+	}
+	return &Ruling{s.newest()}, nil
+}
+
+func (c *Drain) apply(s *State) (msgp.Marshaler, error) {
+	if s.drained[c.Worker] == c.Out {
+		return &Ruling{s.newest()}, crux.Same
+	}
+	if s.drained[c.Worker] = c.Out; !c.Out {
+		delete(s.drained, c.Worker)
+	}
+	return &Ruling{s.newest()}, nil
+}
+
+func (c *Claim) apply(s *State) (msgp.Marshaler, error) {
+	if d, ok := s.deeds[c.Key]; ok {
+		return &ClaimReply{Deed: d}, crux.Same
+	}
+	d := Deed{Key: c.Key, Owner: c.Owner, Digest: c.Digest, Fate: Claimed}
+	s.deeds[c.Key] = d
+	if !s.lean {
+		s.order = append(s.order, c.Key)
+		s.forget()
+	}
+	return &ClaimReply{Fresh: true, Deed: d}, nil
+}
+
+// forget drops the oldest settled deeds over the count that is kept.
+func (s *State) forget() {
+	for len(s.order) > keepDeeds && s.deeds[s.order[0]].Fate != Claimed {
+		delete(s.deeds, s.order[0])
+		s.order = s.order[1:]
+	}
+}
+
+func (c *Settle) apply(s *State) (msgp.Marshaler, error) {
+	d, ok := s.deeds[c.Key]
+	if !ok || d.Fate != Claimed || d.Owner != c.Owner {
+		return nil, breakdown.New(breakdown.Stale, "settle", c.Key, "it is %q and not this node's", d.Fate)
+	}
+	if s.lean {
+		delete(s.deeds, c.Key)
+		return nil, nil
+	}
+	d.Fate, d.Out = c.Fate, c.Out
+	s.deeds[c.Key] = d
+	return &d, nil
+}
+
+func (c *Seize) apply(s *State) (msgp.Marshaler, error) {
+	d, ok := s.deeds[c.Key]
+	if !ok || d.Fate != Claimed || d.Owner != c.From || c.Fence < s.fence {
+		return nil, breakdown.New(breakdown.Stale, "seize", c.Key, "it is %q of %s, fence %d", d.Fate, d.Owner, s.fence)
+	}
+	s.fence = c.Fence
+	d.Owner = c.To
+	s.deeds[c.Key] = d
+	return &d, nil
+}
+
+func (s *State) image(open bool) *Image {
+	img := &Image{Active: s.active, Staged: s.staged, Fence: s.fence}
+	for z := range s.zones {
+		img.Zones = append(img.Zones, string(z))
+	}
+	sort.Strings(img.Zones)
+	for w := range s.drained {
+		img.Drained = append(img.Drained, string(w))
+	}
+	sort.Strings(img.Drained)
+	if !open && !s.lean {
+		for _, k := range s.order {
+			img.Deeds = append(img.Deeds, s.deeds[k])
+		}
+		return img
+	}
+	for _, d := range s.deeds {
+		if d.Fate == Claimed {
+			img.Deeds = append(img.Deeds, d)
+		}
+	}
+	return img
+}
+
+func (s *State) load(body []byte) error {
+	var img Image
+	if _, err := img.UnmarshalMsg(body); err != nil {
+		return breakdown.As(err, breakdown.Bad, "restore lore", "")
+	}
+	next := newState(s.lean)
+	next.active, next.staged, next.fence = img.Active, img.Staged, img.Fence
+	for _, z := range img.Zones {
+		next.zones[word.Zone(z)] = true
+	}
+	for _, w := range img.Drained {
+		next.drained[word.WorkerId(w)] = true
+	}
+	for _, d := range img.Deeds {
+		next.deeds[d.Key] = d
+		if !s.lean {
+			next.order = append(next.order, d.Key)
+		}
+	}
+	*s = *next
+	return nil
+}
--- /dev/null
+++ b/passage/clean.go
@@ -0,0 +1,81 @@
+// What follows a lost attempt. Nothing is recomputed before the earlier attempt
+// is confirmed cancelled or its time is surely over, and a claimed task whose
+// run may have begun is never run again.
+package passage
+
+import (
+	"context"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/rein"
+	"keelstair.example/seam"
+	"keelstair.example/word"
+)
+
+// Stopper is what clean needs of Hands; settling a dead node's claims uses it
+// too.
+type Stopper interface {
+	Cancel(ctx context.Context, w word.WorkerId, id rein.Id) (*rein.Answer, error)
+}
+
+// clean ends the attempt at both workers. It tells the task's final error if
+// there is nothing more to try; a nil one means that the answer is whole.
+func (f *flight) clean(cause error, gone bool) (error, bool) {
+	// The origin's context may be over; the attempt must be ended all the same.
+	ctx, stop := context.WithTimeout(context.Background(), f.Orphan+2*time.Second)
+	defer stop()
+	if f.from != "" {
+		f.stop(ctx, f.from)
+	}
+	if f.to == "" {
+		return nil, true
+	}
+	a, err := f.stop(ctx, f.to)
+	switch {
+	case err != nil && f.t.Claimed && f.runs:
+		return breakdown.As(cause, breakdown.Unknown, "hand-over", f.id.Request), false
+	case err != nil && !gone:
+		// The worker cannot be asked. Once the orphan's time is over it has
+		// dropped the import, or stopped the run that nobody reads.
+		if !breakdown.Is(err, breakdown.Lost) {
+			seam.Sleep(ctx, f.Orphan+300*time.Millisecond)
+		}
+		return nil, true
+	case err != nil:
+		return nil, true
+	case a.Done && !gone:
+		if err := f.hand(a.Output); err != nil {
+			return f.verdict(err), false
+		}
+		return nil, false
+	case f.t.Claimed && f.runs && a.Fate != rein.FateNever:
+		return breakdown.As(cause, breakdown.Unknown, "hand-over", f.id.Request), false
+	}
+	return nil, true
+}
+
+// stop cancels at one worker, trying a few times. A worker that has begun a new
+// life has lost the attempt; what came of it is not known.
+func (f *flight) stop(ctx context.Context, w word.WorkerId) (*rein.Answer, error) {
+	var err error
+	for n := range 3 {
+		if n > 0 && !seam.Sleep(ctx, 150*time.Millisecond) {
+			break
+		}
+		cx, end := context.WithTimeout(ctx, 900*time.Millisecond)
+		var a *rein.Answer
+		a, err = f.Hands.Cancel(cx, w, f.id)
+		end()
+		if err == nil && w == f.to && f.life != "" && a.Life != f.life {
+			return nil, breakdown.New(breakdown.Lost, "cancel", string(w), "the worker began a new life")
+		}
+		if err == nil {
+			return a, nil
+		}
+		if breakdown.Is(err, breakdown.Lost) {
+			break
+		}
+	}
+	return nil, err
+}
--- /dev/null
+++ b/passage/controller.go
@@ -0,0 +1,288 @@
+// The controller moves one request: granted, prefilled, exported, imported,
+// resumed, ended, or dropped on the way. Room to finish the whole answer is
+// booked before anything runs, the import is acknowledged before the first
+// piece goes out, and resume is the point of no return.
+package passage
+
+import (
+	"context"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/rein"
+	"keelstair.example/seam"
+	"keelstair.example/whim"
+	"keelstair.example/word"
+)
+
+// Hands give the controller its reach: every order goes through the worker's
+// one duty holder.
+type Hands interface {
+	Pick(q *whim.Question, on rein.Model, shun map[word.WorkerId]bool) []Choice
+	Reserve(ctx context.Context, w word.WorkerId, id rein.Id, blocks int) error
+	Prefill(ctx context.Context, w word.WorkerId, m rein.Identity) (*rein.Answer, error)
+	Export(ctx context.Context, w word.WorkerId, id rein.Id) (*rein.Answer, error)
+	Import(ctx context.Context, w word.WorkerId, m rein.Identity, source word.WorkerId) (*rein.Answer, error)
+	Resume(ctx context.Context, w word.WorkerId, id rein.Id) (*rein.Answer, error)
+	Cancel(ctx context.Context, w word.WorkerId, id rein.Id) (*rein.Answer, error)
+	Done(w word.WorkerId, id rein.Id)
+	Stream(ctx context.Context, w word.WorkerId, id rein.Id, from int, put func(rein.Piece) error) error
+	Spend(ctx context.Context) bool
+}
+
+// Choice is a cleared worker with what it runs on.
+type Choice struct {
+	Id    word.WorkerId
+	Model rein.Model
+	Block int
+}
+
+// State of a hand-over, in the order in which it goes.
+type Stage string
+
+const (
+	Granted   Stage = "granted"
+	Prefilled Stage = "prefilled"
+	Exported  Stage = "exported"
+	Imported  Stage = "imported"
+	Resumed   Stage = "resumed"
+	Ended     Stage = "ended"
+	Dropped   Stage = "dropped"
+)
+
+// Event is one step of one hand-over.
+type Event struct {
+	Id     rein.Id
+	Stage  Stage
+	Worker word.WorkerId
+	At     word.Tick
+	Why    string
+}
+
+// Task is one request.
+type Task struct {
+	Identity rein.Identity
+	Kind     string
+	Zone     word.Zone
+	Claimed  bool
+	Tries    int
+	GiveUp   time.Duration
+}
+
+// Controller runs tasks.
+type Controller struct {
+	Hands  Hands
+	Clock  seam.Clock
+	Orphan time.Duration // after so long an attempt without a controller is surely over
+	Pulse  time.Duration // a worker silent for so long within a stream is lost
+	Tell   func(Event)
+}
+
+// Put hands a piece to the origin. An error ends the task.
+type Put func(index int, tok int32, text string) error
+
+// flight is a task on its way.
+type flight struct {
+	*Controller
+	t    *Task
+	id   rein.Id
+	sent []int32
+	put  Put
+	from word.WorkerId
+	to   word.WorkerId
+	life string
+	runs bool // resume was ordered
+}
+
+func (f *flight) tell(s Stage, w word.WorkerId, why error) {
+	if f.Tell == nil {
+		return
+	}
+	e := Event{Id: f.id, Stage: s, Worker: w, At: f.Clock.Now()}
+	if why != nil {
+		e.Why = why.Error()
+	}
+	f.Tell(e)
+}
+
+// Run carries a task to its end. Nil means that every piece was put and the
+// answer is whole. Bounced: nothing was put, and nothing runs. Lost: some pieces
+// were put and the rest will not come. Unknown: a claimed task may have run.
+func (c *Controller) Run(ctx context.Context, t *Task, put Put) error {
+	f := &flight{Controller: c, t: t, put: put}
+	start := c.Clock.Now()
+	shun := map[word.WorkerId]bool{}
+	for n := 1; ; n++ {
+		f.id = rein.Id{Request: t.Identity.Id.Request, Attempt: n}
+		f.from, f.to, f.life, f.runs = "", "", "", false
+		err := f.try(ctx, shun)
+		if err == nil {
+			f.tell(Ended, f.to, nil)
+			return nil
+		}
+		f.tell(Dropped, f.to, err)
+		gone := ctx.Err() != nil
+		if done, again := f.clean(err, gone); !again {
+			return done
+		}
+		late := len(f.sent) == 0 && c.Clock.Now().Past(start, t.GiveUp)
+		switch {
+		case gone:
+			return f.verdict(breakdown.As(ctx.Err(), breakdown.Lost, "origin went away", ""))
+		case breakdown.Is(err, breakdown.Bad):
+			return err
+		case n >= t.Tries || late:
+			return f.verdict(err)
+		case f.from == "" && f.to == "" && len(f.sent) == 0 && n == 1:
+			return f.verdict(err)
+		case f.from != "" && !c.Hands.Spend(ctx):
+			return f.verdict(breakdown.As(err, breakdown.KindOf(err), "retry budget is spent", ""))
+		case f.from == "":
+			seam.Sleep(ctx, 100*time.Millisecond)
+		}
+		for _, w := range []word.WorkerId{f.from, f.to} {
+			if w != "" {
+				shun[w] = breakdown.Is(err, breakdown.Lost) || breakdown.Is(err, breakdown.Unknown)
+			}
+		}
+	}
+}
+
+// verdict names a failed task by what its origin has seen of it.
+func (f *flight) verdict(err error) error {
+	kind := breakdown.Bounced
+	if len(f.sent) > 0 {
+		kind = breakdown.Lost
+	}
+	return breakdown.As(err, kind, "hand-over", f.id.Request)
+}
+
+// try goes once through all the stages.
+func (f *flight) try(ctx context.Context, shun map[word.WorkerId]bool) error {
+	t, h := f.t, f.Hands
+	m := t.Identity
+	m.Id, m.Output = f.id, append([]int32(nil), f.sent...)
+	ask := &whim.Question{Request: m.Id.Request, Kind: t.Kind, Model: m.Model.Name, Zone: t.Zone,
+		Prompt: len(m.Prompt), Max: m.Params.MaxTokens, Part: word.Decode}
+	whole := len(m.Prompt) + m.Params.MaxTokens
+	to, err := f.book(ctx, ask, m.Model, whole, shun)
+	if err != nil {
+		return err
+	}
+	m.Model.Weights = to.Model.Weights
+	t.Identity.Model.Weights = to.Model.Weights
+	defer h.Done(to.Id, f.id)
+	ask.Part = word.Prefill
+	from, err := f.book(ctx, ask, m.Model, len(m.Prompt)+len(m.Output)+1, shun)
+	if err != nil {
+		return err
+	}
+	defer h.Done(from.Id, f.id)
+	f.from = from.Id
+	f.tell(Granted, from.Id, nil)
+	a, err := h.Prefill(ctx, from.Id, m)
+	if err != nil {
+		return err
+	}
+	f.tell(Prefilled, from.Id, nil)
+	if a, err = h.Export(ctx, from.Id, f.id); err != nil {
+		return err
+	}
+	f.tell(Exported, from.Id, nil)
+	got := a.Identity
+	if got == nil || !f.fits(&m, got) {
+		return breakdown.New(breakdown.Lost, "export", string(from.Id), "what came back is not what went in")
+	}
+	h.Done(from.Id, f.id)
+	for {
+		f.to = to.Id
+		if a, err = h.Import(ctx, to.Id, *got, from.Id); err == nil {
+			break
+		}
+		if !breakdown.Is(err, breakdown.Bounced) {
+			return err
+		}
+		// Refused before any token of the decode side: the next one is tried.
+		f.to = ""
+		shun[to.Id] = true
+		ask.Part = word.Decode
+		if to, err = f.book(ctx, ask, m.Model, whole, shun); err != nil {
+			return err
+		}
+		defer h.Done(to.Id, f.id)
+	}
+	f.life = a.Life
+	f.tell(Imported, to.Id, nil)
+	if err := f.hand(got.Output); err != nil {
+		return err
+	}
+	f.runs = true
+	if _, err = h.Resume(ctx, to.Id, f.id); err != nil {
+		return err
+	}
+	f.tell(Resumed, to.Id, nil)
+	return h.Stream(ctx, to.Id, f.id, len(f.sent), f.piece)
+}
+
+// fits checks that the identity which travels on is the one that was sent in.
+func (f *flight) fits(in, out *rein.Identity) bool {
+	if out.Id != in.Id || len(out.Prompt) != len(in.Prompt) || len(out.Output) < len(in.Output) ||
+		!in.Model.Offers(out.Model) || out.Params != in.Params || out.Computed < len(in.Prompt) {
+		return false
+	}
+	for i := range in.Prompt {
+		if in.Prompt[i] != out.Prompt[i] {
+			return false
+		}
+	}
+	for i := range in.Output {
+		if in.Output[i] != out.Output[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// book reserves room on the first worker that has it, in the program's order.
+func (f *flight) book(ctx context.Context, ask *whim.Question, on rein.Model, toks int, shun map[word.WorkerId]bool) (Choice, error) {
+	ask.Need = toks
+	list := f.Hands.Pick(ask, on, shun)
+	err := breakdown.New(breakdown.Bounced, "pick "+string(ask.Part), "", "no worker is cleared")
+	for _, c := range list {
+		if err = f.Hands.Reserve(ctx, c.Id, f.id, word.Blocks(toks, c.Block)); err == nil {
+			return c, nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return Choice{}, breakdown.As(err, breakdown.Bounced, "book "+string(ask.Part), "")
+}
+
+// hand puts all tokens that the origin has not had yet.
+func (f *flight) hand(out []int32) error {
+	for i := len(f.sent); i < len(out); i++ {
+		if err := f.piece(rein.Piece{Index: i, Token: out[i]}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// piece passes on index = last+1 only.
+func (f *flight) piece(p rein.Piece) error {
+	if p.Index != len(f.sent) {
+		return breakdown.New(breakdown.Lost, "stream", string(f.to), "piece %d came where %d was due", p.Index, len(f.sent))
+	}
+	if p.End != "" {
+		if p.Count != len(f.sent) {
+			return breakdown.New(breakdown.Lost, "stream", string(f.to), "an end after %d of %d pieces", len(f.sent), p.Count)
+		}
+		return nil
+	}
+	if err := f.put(p.Index, p.Token, p.Text); err != nil {
+		return breakdown.As(err, breakdown.Lost, "write to origin", "")
+	}
+	f.sent = append(f.sent, p.Token)
+	return nil
+}
--- /dev/null
+++ b/passage/ledger.go
@@ -0,0 +1,191 @@
+// Package passage is the hand-over: moving a live request from the worker that
+// read its prompt to the one that continues it. This file is the ledger that a
+// worker's one duty holder keeps of its blocks. Reports are late, so the ledger
+// adds what a report cannot show yet and never counts on what it may still
+// show; whatever it errs by makes a worker look fuller.
+package passage
+
+import (
+	"sync"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/rein"
+	"keelstair.example/word"
+)
+
+type hold struct {
+	blocks int
+	at     word.Tick // when it was reserved
+	moved  word.Tick // when the worker took it
+	ended  word.Tick
+}
+
+// Ledger of one worker under one grant.
+type Ledger struct {
+	mu     sync.Mutex
+	since  word.Tick
+	fresh  word.Tick // when the worker was first seen ready, for the ramp
+	lag    time.Duration
+	ramp   time.Duration
+	cap    int
+	part   word.Part
+	report *rein.Report
+	asked  word.Tick
+	holds  map[rein.Id]*hold
+	misses int
+}
+
+// NewLedger begins with nothing known: what an earlier holder ordered shows in
+// the first report that is surely younger than the grant.
+func NewLedger(now word.Tick, lag, ramp time.Duration, limit int) *Ledger {
+	return &Ledger{since: now, fresh: now, lag: lag, ramp: ramp, cap: limit, holds: map[rein.Id]*hold{}}
+}
+
+// Tune takes limits that a newer policy sets.
+func (l *Ledger) Tune(lag, ramp time.Duration, limit int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag, l.ramp, l.cap = lag, ramp, limit
+}
+
+// Report takes a report that was asked for at a tick.
+func (l *Ledger) Report(r *rein.Report, asked word.Tick) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.report != nil && (r.Part != l.part || l.misses > 5) {
+		l.fresh = asked
+	}
+	l.report, l.asked, l.part, l.misses = r, asked, r.Part, 0
+	on := map[rein.Id]bool{}
+	for _, v := range r.Running {
+		on[v.Id] = true
+	}
+	for id, h := range l.holds {
+		switch {
+		case h.ended != 0 && h.ended.Before(asked.Add(-l.lag)):
+			delete(l.holds, id)
+		case h.ended == 0 && h.moved != 0 && h.moved.Before(asked.Add(-l.lag)) && !on[id]:
+			delete(l.holds, id)
+		case h.moved == 0 && asked.Past(h.at, 15*time.Second):
+			delete(l.holds, id)
+		}
+	}
+}
+
+// Missed notes that the worker did not answer.
+func (l *Ledger) Missed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.misses++
+}
+
+// State is what the ledger says of its worker now.
+type State struct {
+	Part  word.Part
+	Ready bool
+	Free  int
+	Room  int
+	Busy  int
+	Cap   int
+	Block int
+	Model rein.Model
+}
+
+func (l *Ledger) State(now word.Tick) State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state(now)
+}
+
+func (l *Ledger) state(now word.Tick) State {
+	s := State{Cap: l.limit(now)}
+	r := l.report
+	if r == nil {
+		return s
+	}
+	s.Part, s.Room, s.Block, s.Model = r.Part, r.Capacity, r.Block, r.Model
+	// The first report that shows all of an earlier holder's orders was asked
+	// for one lag after the grant.
+	s.Ready = l.misses < 3 && !now.Past(l.asked, 2*time.Second) && l.asked.Since(l.since) >= l.lag
+	used := 0
+	for _, v := range r.Running {
+		if l.holds[v.Id] == nil {
+			used += v.Blocks + v.Room
+		}
+	}
+	shown := 0
+	for _, v := range r.Running {
+		shown += v.Blocks
+	}
+	used += max(0, r.Used-shown)
+	for _, h := range l.holds {
+		used += h.blocks
+		if h.ended == 0 {
+			s.Busy++
+		}
+	}
+	s.Free = r.Capacity - used
+	return s
+}
+
+// limit ramps up: a cold worker takes few starts at once.
+func (l *Ledger) limit(now word.Tick) int {
+	age := now.Since(l.fresh)
+	if l.ramp <= 0 || age >= l.ramp {
+		return l.cap
+	}
+	return max(1, int(float64(l.cap)*float64(age)/float64(l.ramp)))
+}
+
+// Reserve books room for a hand-over, or says at once that there is none.
+func (l *Ledger) Reserve(id rein.Id, blocks int, now word.Tick) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.holds[id] != nil {
+		return nil
+	}
+	s := l.state(now)
+	switch {
+	case !s.Ready:
+		return breakdown.New(breakdown.Bounced, "reserve", "", "no report young enough")
+	case s.Busy >= s.Cap:
+		return breakdown.New(breakdown.Bounced, "reserve", "", "%d starts are under way, the cap is %d", s.Busy, s.Cap)
+	case s.Free < blocks:
+		return breakdown.New(breakdown.Bounced, "reserve", "", "%d blocks free, %d needed", s.Free, blocks)
+	}
+	l.holds[id] = &hold{blocks: blocks, at: now}
+	return nil
+}
+
+// Reserved tells whether a hand-over has its room booked.
+func (l *Ledger) Reserved(id rein.Id) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.holds[id]
+	return h != nil && h.ended == 0
+}
+
+// Moved notes that the worker took the request in.
+func (l *Ledger) Moved(id rein.Id, now word.Tick) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if h := l.holds[id]; h != nil && h.moved == 0 {
+		h.moved = now
+	}
+}
+
+// Ended notes that the request is done here. The room counts as taken until a
+// report shows it free.
+func (l *Ledger) Ended(id rein.Id, now word.Tick) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.holds[id]
+	switch {
+	case h == nil:
+	case h.moved == 0:
+		delete(l.holds, id)
+	case h.ended == 0:
+		h.ended = now
+	}
+}
--- /dev/null
+++ b/proof/doc.go
@@ -0,0 +1,1 @@
+package proof
--- /dev/null
+++ b/seam/seam.go
@@ -0,0 +1,93 @@
+// Package seam holds the three edges at which a process meets its machine: the
+// clock, the network and the disk. Real ones stand beside this file; their
+// simulated twins live in package sham. All code above takes a Host and never
+// asks the machine itself.
+package seam
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"keelstair.example/word"
+)
+
+type Clock interface {
+	Now() word.Tick
+	Wall() time.Time
+}
+
+type Net interface {
+	Dial(ctx context.Context, addr string) (net.Conn, error)
+	Listen(addr string) (net.Listener, error)
+}
+
+// Disk keeps small files and logs under one folder. Save and Append return
+// only once what they wrote is synced.
+type Disk interface {
+	Save(name string, body []byte) error
+	Load(name string) ([]byte, error)
+	Open(name string) (Log, [][]byte, error)
+	Drop(name string) error
+	List() ([]string, error)
+}
+
+// Log is a row of records; Open gave those it already held.
+type Log interface {
+	Append(rows [][]byte) error
+	Close() error
+}
+
+type Host struct {
+	Clock Clock
+	Net   Net
+	Disk  Disk
+}
+
+// Sleep waits for a span or until the context ends; it reports whether the
+// whole span went by.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+type realClock struct{}
+
+// Now counts suspension, so that a machine which slept knows it slept.
+func (realClock) Now() word.Tick {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic(err)
+	}
+	return word.Tick(ts.Nano())
+}
+
+func (realClock) Wall() time.Time { return time.Now() }
+
+type realNet struct{}
+
+func (realNet) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: time.Second}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+func (realNet) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+
+// Real gives the machine's own clock and network, and a disk if dir is named.
+func Real(dir string) (Host, error) {
+	host := Host{Clock: realClock{}, Net: realNet{}}
+	if dir == "" {
+		return host, nil
+	}
+	disk, err := OpenDisk(dir)
+	host.Disk = disk
+	return host, err
+}
--- /dev/null
+++ b/verge/beat_note.go
@@ -0,0 +1,33 @@
+// The messages of beats, by which neighbours tell each other what they know.
+package verge
+
+import "keelstair.example/word"
+
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file beat_note.go
+//msgp:shim word.Version as:uint64 using:uint64/word.Version
+//msgp:shim word.WorkerId as:string using:string/word.WorkerId
+//msgp:shim word.NodeId as:string using:string/word.NodeId
+//msgp:shim word.Fence as:uint64 using:uint64/word.Fence
+//msgp:shim word.Part as:string using:string/word.Part
+
+// Beat says which version a node has heard of, how long ago the core confirmed
+// it, and how the workers stand whose ledgers it keeps.
+type Beat struct {
+	Node    word.NodeId
+	Version word.Version
+	Fresh   int64
+	Workers []Stand
+}
+
+// Stand is one ledger's state.
+type Stand struct {
+	Id    word.WorkerId
+	Fence word.Fence
+	Part  word.Part
+	Ready bool
+	Free  int
+	Room  int
+	Busy  int
+	Cap   int
+	Block int
+}
--- /dev/null
+++ b/verge/beats.go
@@ -0,0 +1,153 @@
+// Beats: every node tells every other, several times a second, which version it
+// has heard of, how fresh its word from the core is, and how its ledgers stand.
+// So a node cut from the core alone still learns, and nodes can tell the core's
+// own trouble from theirs.
+package verge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"keelstair.example/crux"
+	"keelstair.example/lore"
+	"keelstair.example/rein"
+	"keelstair.example/seam"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+type mate struct {
+	at     word.Tick
+	fresh  time.Duration
+	stands []Stand
+}
+
+func (n *Node) beat() *Beat {
+	b := &Beat{Node: n.me.Node, Version: n.view.Known(), Fresh: int64(n.agent.Fresh())}
+	now := n.now()
+	n.ledgers.Range(func(k, v any) bool {
+		d := v.(*desk)
+		if f, ok := n.agent.Held(lore.WorkerKey(d.id)); ok && f == d.fence {
+			st := d.ledger.State(now)
+			b.Workers = append(b.Workers, Stand{Id: d.id, Fence: f, Part: st.Part, Ready: st.Ready, Free: st.Free,
+				Room: st.Room, Busy: st.Busy, Cap: st.Cap, Block: st.Block})
+		}
+		return true
+	})
+	return b
+}
+
+func (n *Node) beats(ctx context.Context) {
+	for seam.Sleep(ctx, n.opt.Beat) {
+		b := n.beat()
+		n.note(b)
+		var wg sync.WaitGroup
+		for _, m := range n.agent.Members() {
+			if m.Node == n.me.Node {
+				continue
+			}
+			wg.Go(func() {
+				cx, stop := context.WithTimeout(ctx, 2*n.opt.Beat)
+				defer stop()
+				if r, err := wire.Call[Beat, Beat](cx, n.call, m.Addr, "verge/beat", b); err == nil {
+					n.learn(ctx, m, r)
+				}
+			})
+		}
+		wg.Wait()
+		n.sum()
+	}
+}
+
+func (n *Node) hearBeat(ctx context.Context, b *Beat) (*Beat, error) {
+	for _, m := range n.agent.Members() {
+		if m.Node == b.Node {
+			n.learn(context.WithoutCancel(ctx), m, b)
+		}
+	}
+	return n.beat(), nil
+}
+
+func (n *Node) note(b *Beat) {
+	n.mates.Store(b.Node, mate{n.now(), time.Duration(b.Fresh), b.Workers})
+}
+
+// learn takes a neighbour's beat. A newer version than is staged here is
+// fetched from that neighbour at once.
+func (n *Node) learn(ctx context.Context, m crux.Member, b *Beat) {
+	n.note(b)
+	if !n.view.Heard(b.Version) {
+		go n.agent.Fetch(ctx, m.Addr)
+	}
+}
+
+// sum joins the stands that were told lately; the highest fence speaks for a
+// worker.
+func (n *Node) sum() {
+	now := n.now()
+	live := map[word.NodeId]bool{}
+	for _, m := range n.agent.Members() {
+		live[m.Node] = true
+	}
+	all := map[word.WorkerId]Stand{}
+	n.mates.Range(func(k, v any) bool {
+		m := v.(mate)
+		if now.Past(m.at, 5*time.Second) && !live[k.(word.NodeId)] {
+			n.mates.Delete(k)
+		}
+		if now.Past(m.at, time.Second) {
+			return true
+		}
+		for _, st := range m.stands {
+			if old, ok := all[st.Id]; !ok || old.Fence < st.Fence {
+				all[st.Id] = st
+			}
+		}
+		return true
+	})
+	n.stands.Store(&all)
+}
+
+// lonely tells that the core itself is away: this node's neighbours, at least
+// half of them, are heard, and none has fresh word from the core.
+func (n *Node) lonely() bool {
+	now := n.now()
+	ms := n.agent.Members()
+	heard := 0
+	for _, m := range ms {
+		if m.Node == n.me.Node {
+			continue
+		}
+		v, ok := n.mates.Load(m.Node)
+		if !ok {
+			continue
+		}
+		k := v.(mate)
+		if now.Past(k.at, time.Second) {
+			continue
+		}
+		if k.fresh < n.opt.Lease/2 {
+			return false
+		}
+		heard++
+	}
+	return len(ms) > 1 && heard*2 >= len(ms)-1
+}
+
+// rosters keeps asking the platform which workers there are. While it does not
+// answer, the last list is kept.
+func (n *Node) rosters(ctx context.Context) {
+	for {
+		if list, err := n.rein.Workers(ctx, n.opt.Platform); err == nil {
+			all := make(map[word.WorkerId]rein.Listed, len(list))
+			for _, l := range list {
+				all[l.Id] = l
+			}
+			n.roster.Store(&all)
+		}
+		if !seam.Sleep(ctx, n.opt.Roster) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/verge/hands.go
@@ -0,0 +1,146 @@
+// The node's hands: how its controller picks cleared workers and reaches them.
+package verge
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/crux"
+	"keelstair.example/lore"
+	"keelstair.example/passage"
+	"keelstair.example/rein"
+	"keelstair.example/seam"
+	"keelstair.example/whim"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+// hands act for one request under the sight it began with; whether a worker may
+// get new work is always asked of the newest.
+type hands struct {
+	n      *Node
+	sight  *lore.Sight
+	deck   *whim.Deck
+	prefix uint64
+}
+
+func (h *hands) Pick(q *whim.Question, on rein.Model, shun map[word.WorkerId]bool) []passage.Choice {
+	n := h.n
+	if !n.view.Settled() {
+		return nil
+	}
+	s := n.view.Sight()
+	by := map[word.WorkerId]passage.Choice{}
+	var list, last []whim.Candidate
+	both := map[string]map[word.Part]bool{}
+	for id, st := range *n.stands.Load() {
+		w, ok := s.Policy.Workers[id]
+		if !ok || !st.Ready || !n.fit(s, id) {
+			continue
+		}
+		if both[w.Weights] == nil {
+			both[w.Weights] = map[word.Part]bool{}
+		}
+		both[w.Weights][st.Part] = true
+	}
+	for id, st := range *n.stands.Load() {
+		w, ok := s.Policy.Workers[id]
+		m := rein.Model{Name: w.Model, Weights: w.Weights, Adapters: w.Adapters}
+		want := on
+		if want.Weights == "" {
+			want.Weights = w.Weights
+		}
+		if !ok || st.Part != q.Part || !st.Ready || !n.fit(s, id) || !m.Offers(want) || st.Busy >= st.Cap ||
+			!both[w.Weights][word.Prefill] || !both[w.Weights][word.Decode] || st.Free < word.Blocks(q.Need, st.Block) {
+			continue
+		}
+		by[id] = passage.Choice{Id: id, Model: m, Block: st.Block}
+		c := whim.Candidate{Id: id, Zone: w.Zone, Free: st.Free, Room: st.Room, Busy: st.Busy, Cap: st.Cap, Affinity: whim.Affinity(h.prefix, id)}
+		if shun[id] {
+			last = append(last, c)
+		} else {
+			list = append(list, c)
+		}
+	}
+	if len(list) == 0 {
+		list = last
+	}
+	out := make([]passage.Choice, 0, len(list))
+	for _, id := range h.deck.Order(q, list) {
+		out = append(out, by[id])
+	}
+	return out
+}
+
+func (h *hands) ask(ctx context.Context, verb string, w word.WorkerId, id rein.Id, q OrderAsk, m *rein.Identity, span time.Duration) (*rein.Answer, error) {
+	cx, stop := context.WithTimeout(ctx, span)
+	defer stop()
+	q.Worker, q.Verb, q.Request, q.Attempt = w, verb, id.Request, id.Attempt
+	if m != nil {
+		var err error
+		if q.Body, err = json.Marshal(m); err != nil {
+			return nil, breakdown.As(err, breakdown.Bad, verb, string(w))
+		}
+	}
+	return h.n.order(cx, &q)
+}
+
+func (h *hands) Reserve(ctx context.Context, w word.WorkerId, id rein.Id, blocks int) error {
+	_, err := h.ask(ctx, verbReserve, w, id, OrderAsk{Need: blocks}, nil, 400*time.Millisecond)
+	return err
+}
+
+func (h *hands) Prefill(ctx context.Context, w word.WorkerId, m rein.Identity) (*rein.Answer, error) {
+	return h.ask(ctx, verbPrefill, w, m.Id, OrderAsk{}, &m, 6*time.Second)
+}
+
+func (h *hands) Export(ctx context.Context, w word.WorkerId, id rein.Id) (*rein.Answer, error) {
+	return h.ask(ctx, verbExport, w, id, OrderAsk{}, nil, 1500*time.Millisecond)
+}
+
+func (h *hands) Import(ctx context.Context, w word.WorkerId, m rein.Identity, src word.WorkerId) (*rein.Answer, error) {
+	return h.ask(ctx, verbImport, w, m.Id, OrderAsk{Source: src}, &m, 1500*time.Millisecond)
+}
+
+func (h *hands) Resume(ctx context.Context, w word.WorkerId, id rein.Id) (*rein.Answer, error) {
+	return h.ask(ctx, verbResume, w, id, OrderAsk{}, nil, 3*time.Second)
+}
+
+func (h *hands) Cancel(ctx context.Context, w word.WorkerId, id rein.Id) (*rein.Answer, error) {
+	return h.ask(ctx, verbCancel, w, id, OrderAsk{}, nil, time.Second)
+}
+
+// Done gives the room back without waiting; a lost one is found by reports.
+func (h *hands) Done(w word.WorkerId, id rein.Id) {
+	go h.ask(context.Background(), verbDone, w, id, OrderAsk{}, nil, time.Second)
+}
+
+func (h *hands) Stream(ctx context.Context, w word.WorkerId, id rein.Id, from int, put func(rein.Piece) error) error {
+	l, ok := (*h.n.roster.Load())[w]
+	if !ok {
+		return breakdown.New(breakdown.Lost, "stream", string(w), "the platform does not list it")
+	}
+	return h.n.rein.Stream(ctx, l.Addr, id, from, h.n.opt.Pulse, put)
+}
+
+// Spend asks the budget's holder for one recompute.
+func (h *hands) Spend(ctx context.Context) bool {
+	n := h.n
+	for range 3 {
+		m, _, ok := n.agent.Holder(lore.BudgetKey)
+		if ok {
+			cx, stop := context.WithTimeout(ctx, 400*time.Millisecond)
+			r, err := wire.Call[crux.Empty, Spent](cx, n.call, m.Addr, "verge/spend", &crux.Empty{})
+			stop()
+			if err == nil {
+				return r.Ok
+			}
+		}
+		if !seam.Sleep(ctx, 200*time.Millisecond) {
+			break
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/verge/holder.go
@@ -0,0 +1,219 @@
+// The holder's side of a worker's duty: it polls the worker's reports, keeps
+// the ledger, and gives the orders, each under the fence and each only while
+// this node holds the key.
+package verge
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/lore"
+	"keelstair.example/passage"
+	"keelstair.example/rein"
+	"keelstair.example/seam"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+// desk is the duty for one worker under one grant.
+type desk struct {
+	id     word.WorkerId
+	fence  word.Fence
+	ledger *passage.Ledger
+	stop   context.CancelFunc
+}
+
+// Verbs of orders.
+const (
+	verbReserve = "reserve"
+	verbPrefill = "prefill"
+	verbExport  = "export"
+	verbImport  = "import"
+	verbResume  = "resume"
+	verbCancel  = "cancel"
+	verbDone    = "done"
+)
+
+// desks opens a desk for each worker whose key falls here and shuts those that
+// went elsewhere.
+func (n *Node) desks(ctx context.Context) {
+	var wg sync.WaitGroup
+	for {
+		lim := n.view.Sight().Policy.Limits
+		mine := map[word.WorkerId]bool{}
+		for id := range n.view.Sight().Policy.Workers {
+			f, ok := n.agent.Held(lore.WorkerKey(id))
+			if !ok {
+				continue
+			}
+			mine[id] = true
+			if old, ok := n.ledgers.Load(id); ok {
+				if d := old.(*desk); d.fence == f {
+					d.ledger.Tune(lim.Lag(), lim.Ramp(), lim.Queue)
+					continue
+				}
+				old.(*desk).stop()
+			}
+			cx, stop := context.WithCancel(ctx)
+			d := &desk{id: id, fence: f, stop: stop, ledger: passage.NewLedger(n.now(), lim.Lag(), lim.Ramp(), lim.Queue)}
+			n.ledgers.Store(id, d)
+			wg.Go(func() { n.poll(cx, d) })
+		}
+		n.ledgers.Range(func(k, v any) bool {
+			if !mine[k.(word.WorkerId)] {
+				v.(*desk).stop()
+				n.ledgers.Delete(k)
+			}
+			return true
+		})
+		if !seam.Sleep(ctx, 50*time.Millisecond) {
+			break
+		}
+	}
+	n.ledgers.Range(func(_, v any) bool { v.(*desk).stop(); return true })
+	wg.Wait()
+}
+
+func (n *Node) poll(ctx context.Context, d *desk) {
+	for {
+		if l, ok := (*n.roster.Load())[d.id]; ok {
+			asked := n.now()
+			r, err := n.rein.Report(ctx, l.Addr)
+			if err == nil {
+				d.ledger.Report(r, asked)
+				n.view.Heard(r.Version)
+			} else {
+				d.ledger.Missed()
+			}
+		}
+		if !seam.Sleep(ctx, n.opt.Poll) {
+			return
+		}
+	}
+}
+
+// obey answers an order that another node (or this one) asks the holder for.
+func (n *Node) obey(ctx context.Context, q *OrderAsk) (*OrderReply, error) {
+	a, err := n.act(ctx, q)
+	if err != nil {
+		return nil, breakdown.Wrap(err, q.Verb, string(q.Worker))
+	}
+	r := &OrderReply{Version: n.view.Known()}
+	if a != nil {
+		r.Version = max(r.Version, a.Version)
+		if r.Body, err = json.Marshal(a); err != nil {
+			return nil, breakdown.As(err, breakdown.Bad, q.Verb, string(q.Worker))
+		}
+	}
+	return r, nil
+}
+
+func (n *Node) act(ctx context.Context, q *OrderAsk) (*rein.Answer, error) {
+	fence, end, ok := n.agent.Begin(lore.WorkerKey(q.Worker))
+	if !ok {
+		return nil, breakdown.New(breakdown.Away, "hold key", n.me.Addr, "not the holder of %s", q.Worker)
+	}
+	defer end()
+	v, ok := n.ledgers.Load(q.Worker)
+	if !ok || v.(*desk).fence != fence {
+		return nil, breakdown.New(breakdown.Away, "hold key", n.me.Addr, "the desk of %s is not open yet", q.Worker)
+	}
+	led := v.(*desk).ledger
+	id := rein.Id{Request: q.Request, Attempt: q.Attempt}
+	l, ok := (*n.roster.Load())[q.Worker]
+	if !ok {
+		return nil, breakdown.New(breakdown.Lost, "find worker", string(q.Worker), "the platform does not list it")
+	}
+	settled := n.view.Heard(q.Version)
+	lead := rein.Lead{Fence: fence, Version: n.view.Sight().Version}
+	var in rein.Identity
+	if len(q.Body) > 0 {
+		if err := json.Unmarshal(q.Body, &in); err != nil {
+			return nil, breakdown.As(err, breakdown.Bad, "read order", string(q.Worker))
+		}
+	}
+	var a *rein.Answer
+	var err error
+	switch q.Verb {
+	case verbReserve:
+		if s := n.view.Sight(); !n.fit(s, q.Worker) || !settled {
+			return nil, breakdown.New(breakdown.Bounced, "reserve", string(q.Worker), "it may get no new work")
+		}
+		return nil, led.Reserve(id, q.Need, n.now())
+	case verbPrefill:
+		if !led.Reserved(id) {
+			return nil, breakdown.New(breakdown.Bounced, "prefill", string(q.Worker), "no room is booked for %s", id.Request)
+		}
+		led.Moved(id, n.now())
+		a, err = n.rein.Prefill(ctx, l.Addr, &rein.PrefillAsk{Lead: lead, Identity: in})
+	case verbExport:
+		a, err = n.rein.Export(ctx, l.Addr, &rein.ExportAsk{Lead: lead, Id: id})
+	case verbImport:
+		src, ok := (*n.roster.Load())[q.Source]
+		if !led.Reserved(id) || !ok {
+			return nil, breakdown.New(breakdown.Bounced, "import", string(q.Worker), "no room is booked for %s", id.Request)
+		}
+		led.Moved(id, n.now())
+		a, err = n.rein.Import(ctx, l.Addr, &rein.ImportAsk{Lead: lead, Identity: in, Source: src.Addr})
+	case verbResume:
+		a, err = n.rein.Resume(ctx, l.Addr, &rein.IdAsk{Lead: lead, Id: id})
+	case verbCancel:
+		a, err = n.rein.Cancel(ctx, l.Addr, &rein.IdAsk{Lead: lead, Id: id})
+		led.Ended(id, n.now())
+	case verbDone:
+		led.Ended(id, n.now())
+		return nil, nil
+	default:
+		return nil, breakdown.New(breakdown.Bad, "read order", n.me.Addr, "no verb %q", q.Verb)
+	}
+	if err != nil {
+		return nil, err
+	}
+	n.view.Heard(a.Version)
+	return a, nil
+}
+
+// order sends an order to the worker's holder, wherever that is now. While the
+// key is between two hands nothing was done, and it asks again until its time
+// is up; only a reservation is better made elsewhere.
+func (n *Node) order(ctx context.Context, q *OrderAsk) (*rein.Answer, error) {
+	for {
+		a, err := n.send(ctx, q)
+		if !breakdown.Is(err, breakdown.Away) {
+			return a, err
+		}
+		if q.Verb == verbReserve || q.Verb == verbDone || !seam.Sleep(ctx, 60*time.Millisecond) {
+			return nil, breakdown.As(err, breakdown.Bounced, q.Verb, string(q.Worker))
+		}
+	}
+}
+
+func (n *Node) send(ctx context.Context, q *OrderAsk) (*rein.Answer, error) {
+	q.Version = n.view.Known()
+	m, _, ok := n.agent.Holder(lore.WorkerKey(q.Worker))
+	if !ok {
+		return nil, breakdown.New(breakdown.Away, q.Verb, string(q.Worker), "nobody holds its key now")
+	}
+	if m.Node == n.me.Node {
+		a, err := n.act(ctx, q)
+		return a, breakdown.Wrap(err, q.Verb, string(q.Worker))
+	}
+	r, err := wire.Call[OrderAsk, OrderReply](ctx, n.call, m.Addr, "verge/order", q)
+	if wire.Undialled(err) {
+		return nil, breakdown.As(err, breakdown.Away, q.Verb, string(q.Worker))
+	}
+	if err != nil {
+		return nil, breakdown.Wrap(err, q.Verb, string(q.Worker))
+	}
+	n.view.Heard(r.Version)
+	a := &rein.Answer{}
+	if len(r.Body) > 0 {
+		if err := json.Unmarshal(r.Body, a); err != nil {
+			return nil, breakdown.As(err, breakdown.Unknown, q.Verb, m.Addr)
+		}
+	}
+	return a, nil
+}
--- /dev/null
+++ b/verge/node.go
@@ -0,0 +1,223 @@
+// Package verge is the data plane: a router node that opens its door to
+// origins, carries their requests from worker to worker, and does the keyed
+// duties that fall to it. This file joins the parts of a node.
+package verge
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"keelstair.example/crux"
+	"keelstair.example/lore"
+	"keelstair.example/passage"
+	"keelstair.example/rein"
+	"keelstair.example/seam"
+	"keelstair.example/tale"
+	"keelstair.example/whim"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+// Options of a node; zero spans take the defaults named beside them.
+type Options struct {
+	Name     string
+	Addr     string
+	Zone     word.Zone
+	Seeds    []string
+	Platform string
+	Host     seam.Host
+	Ring     *tale.Ring
+	Lease    time.Duration // 3s
+	Renew    time.Duration // 500ms
+	Beat     time.Duration // 150ms between neighbours
+	Poll     time.Duration // 200ms between reports of a worker
+	Roster   time.Duration // 400ms between askings of the platform's list
+	Orphan   time.Duration // 2s, the same as the workers'
+	Pulse    time.Duration // 1.2s of silence within a stream
+	Trace    func(passage.Event)
+}
+
+func (o *Options) fill() {
+	set := func(d *time.Duration, v time.Duration) {
+		if *d == 0 {
+			*d = v
+		}
+	}
+	set(&o.Lease, 3*time.Second)
+	set(&o.Renew, 500*time.Millisecond)
+	set(&o.Beat, 150*time.Millisecond)
+	set(&o.Poll, 200*time.Millisecond)
+	set(&o.Roster, 400*time.Millisecond)
+	set(&o.Orphan, 2*time.Second)
+	set(&o.Pulse, 1200*time.Millisecond)
+	if o.Ring == nil {
+		o.Ring = tale.Mute()
+	}
+}
+
+// Node is one router node.
+type Node struct {
+	opt     Options
+	me      crux.Member
+	agent   *crux.Agent
+	view    *lore.View
+	rein    *rein.Rein
+	call    *wire.Caller
+	scores  *whim.Scores
+	journal *tale.Journal[passage.Event]
+	counts  Counts
+
+	decks    sync.Map // word.Version -> *whim.Deck
+	roster   atomic.Pointer[map[word.WorkerId]rein.Listed]
+	stands   atomic.Pointer[map[word.WorkerId]Stand]
+	mates    sync.Map // word.NodeId -> mate
+	ledgers  sync.Map // word.WorkerId -> *desk
+	inflight atomic.Int64
+	kinds    sync.Map // kind -> *atomic.Int64
+	stopping atomic.Bool
+	streams  sync.WaitGroup
+	purse    purse
+}
+
+// Counts are the node's figures since it started.
+type Counts struct {
+	Asked, Done, Bounced, Broken, Unsure, Replayed, Moved, Again atomic.Int64
+}
+
+func New(opt Options) *Node {
+	opt.fill()
+	n := &Node{opt: opt, scores: &whim.Scores{}, journal: tale.NewJournal[passage.Event](1024)}
+	n.me = crux.Member{Node: word.NodeId(opt.Name + "-" + crux.Name()), Addr: opt.Addr, Zone: opt.Zone}
+	n.view = lore.NewView(opt.Ring)
+	n.view.Ready = n.compile
+	n.agent = crux.NewAgent(crux.AgentOptions{Me: n.me, Host: opt.Host, Seeds: opt.Seeds, View: n.view, Ring: opt.Ring,
+		Lease: opt.Lease, Renew: opt.Renew, Lonely: n.lonely})
+	n.call = n.agent.Caller()
+	n.rein = rein.New(opt.Host.Net)
+	n.roster.Store(&map[word.WorkerId]rein.Listed{})
+	n.stands.Store(&map[word.WorkerId]Stand{})
+	n.journal.View(n.fold)
+	if opt.Trace != nil {
+		n.journal.View(opt.Trace)
+	}
+	return n
+}
+
+func (n *Node) fold(e passage.Event) {
+	switch e.Stage {
+	case passage.Resumed:
+		n.counts.Moved.Add(1)
+	case passage.Granted:
+		if e.Id.Attempt > 1 {
+			n.counts.Again.Add(1)
+		}
+	}
+}
+
+func (n *Node) now() word.Tick { return n.opt.Host.Clock.Now() }
+
+// Me is how the core knows this node.
+func (n *Node) Me() crux.Member { return n.me }
+
+// View shows what the node knows of the lore.
+func (n *Node) View() *lore.View { return n.view }
+
+// Mount puts the node's answers to its neighbours on a mux.
+func (n *Node) Mount(mux *http.ServeMux) {
+	n.agent.Mount(mux)
+	wire.Handle(mux, "verge/order", n.obey)
+	wire.Handle(mux, "verge/beat", n.hearBeat)
+	wire.Handle(mux, "verge/spend", n.spendHere)
+}
+
+// Run works until the context ends; then it takes no new work, lets streams
+// finish for a while, and says goodbye to the core.
+func (n *Node) Run(ctx context.Context, drain time.Duration) {
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	for _, f := range []func(context.Context){n.agent.Run, n.beats, n.rosters, n.desks, n.settler, n.switcher} {
+		wg.Go(func() { f(inner) })
+	}
+	<-ctx.Done()
+	n.stopping.Store(true)
+	if drain > 0 {
+		done := make(chan struct{})
+		go func() { n.streams.Wait(); close(done) }()
+		t := time.NewTimer(drain)
+		select {
+		case <-done:
+		case <-t.C:
+		}
+		t.Stop()
+		n.agent.Leave()
+	}
+	stop()
+	wg.Wait()
+	n.rein.Close()
+}
+
+// compile readies the programs of a version before it is in force.
+func (n *Node) compile(v word.Version, p *lore.Policy) {
+	deck, err := whim.NewDeck(Sources(p), p.Limits.Steps, n.scores)
+	if err != nil {
+		n.opt.Ring.Error().AnErr("cause", err).Uint64("version", uint64(v)).Msg("programs do not compile; the plain order serves")
+		deck, _ = whim.NewDeck(nil, 0, n.scores)
+	}
+	n.decks.Store(v, deck)
+	n.decks.Range(func(k, _ any) bool {
+		if k.(word.Version)+8 < v {
+			n.decks.Delete(k)
+		}
+		return true
+	})
+}
+
+// Sources lists a policy's programs.
+func Sources(p *lore.Policy) []whim.Source {
+	var out []whim.Source
+	for _, name := range p.Names() {
+		g := p.Programs[name]
+		out = append(out, whim.Source{Name: name, Text: g.Source, Share: g.Share, Shadow: g.Shadow})
+	}
+	return out
+}
+
+// Ready tells whether new work can be served here now, and if not, why.
+func (n *Node) Ready() (bool, string) {
+	s := n.view.Sight()
+	switch {
+	case n.stopping.Load():
+		return false, "draining"
+	case n.agent.Seq() == 0:
+		return false, "the core has not been found yet"
+	case s.Version == 0:
+		return false, "no configuration is in force"
+	case s.Zones[n.me.Zone]:
+		return false, "the zone is evacuated"
+	case !n.agent.Leased() && !n.lonely():
+		return false, "the lease has lapsed"
+	}
+	ready := map[word.Part]bool{}
+	for _, st := range *n.stands.Load() {
+		if st.Ready && n.fit(s, st.Id) {
+			ready[st.Part] = true
+		}
+	}
+	if !ready[word.Prefill] || !ready[word.Decode] {
+		return false, "no prefill and decode worker is ready"
+	}
+	return true, ""
+}
+
+// fit tells whether a worker may get new work under a sight.
+func (n *Node) fit(s *lore.Sight, id word.WorkerId) bool {
+	w, ok := s.Policy.Workers[id]
+	if !ok || s.Drained[id] || s.Zones[w.Zone] {
+		return false
+	}
+	l, ok := (*n.roster.Load())[id]
+	return ok && !l.Leaving && !s.Zones[l.Zone]
+}
--- /dev/null
+++ b/verge/operate.go
@@ -0,0 +1,194 @@
+// What operators may ask of a node: configurations, evacuations, drains, and
+// how things stand.
+package verge
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/crux"
+	"keelstair.example/door"
+	"keelstair.example/lore"
+	"keelstair.example/passage"
+	"keelstair.example/seam"
+	"keelstair.example/whim"
+	"keelstair.example/word"
+)
+
+// Apply checks the whole configuration before anything is written; then the
+// core takes it if it was made over the newest version.
+func (n *Node) Apply(ctx context.Context, a *door.Apply) (*door.Applied, error) {
+	name := a.Name
+	if name == "" {
+		name = "policy"
+	}
+	text, err := lore.Source(name, []byte(a.Source))
+	if err != nil {
+		return nil, err
+	}
+	if a.Partial {
+		s := n.view.Sight()
+		for wait := 0; uint64(s.Version) < a.Base && wait < 40 && seam.Sleep(ctx, 50*time.Millisecond); wait++ {
+			s = n.view.Sight()
+		}
+		if uint64(s.Version) != a.Base {
+			return nil, n.stale(a.Base, s)
+		}
+		if text, err = lore.Merge(s.Text, text); err != nil {
+			return nil, err
+		}
+	}
+	p, whole, err := lore.Whole(name, text)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := whim.NewDeck(Sources(p), p.Limits.Steps, &whim.Scores{}); err != nil {
+		return nil, err
+	}
+	if a.Dry {
+		return &door.Applied{Version: a.Base, Policy: whole}, nil
+	}
+	cx, stop := context.WithTimeout(ctx, 5*time.Second)
+	defer stop()
+	r, err := n.agent.Submit(cx, word.OpId("op/"+a.Op), lore.StageKind, crux.Pack(&lore.Stage{Base: word.Version(a.Base), Text: whole}))
+	if err != nil {
+		if breakdown.Is(err, breakdown.Stale) {
+			return nil, n.stale(a.Base, n.view.Sight())
+		}
+		return nil, n.fate(err)
+	}
+	return n.ruled(ctx, r, true)
+}
+
+func (n *Node) stale(base uint64, s *lore.Sight) error {
+	return door.No(http.StatusConflict, "stale", "base", "it was made over version %d; the newest is %d", base, max(s.Newest, s.Version))
+}
+
+// fate tells an operator whether a thing was surely not done.
+func (n *Node) fate(err error) error {
+	if breakdown.Is(err, breakdown.Unknown) {
+		return door.Later(http.StatusGatewayTimeout, "unknown-fate", n.after(), "it may have been taken; ask again with the same op: %v", err)
+	}
+	if breakdown.Is(err, breakdown.Bad) || breakdown.Is(err, breakdown.Stale) {
+		return err
+	}
+	return door.Later(http.StatusServiceUnavailable, "core-away", n.after(), "it was not taken: %v", err)
+}
+
+// ruled waits a while until this node has put the answer's version in force.
+func (n *Node) ruled(ctx context.Context, r *crux.SubmitReply, wait bool) (*door.Applied, error) {
+	var got lore.Ruling
+	if _, err := got.UnmarshalMsg(r.Body); err != nil {
+		return nil, breakdown.As(err, breakdown.Unknown, "read ruling", "core")
+	}
+	for range 80 {
+		if n.agent.Seq() >= r.Seq && (!wait || n.view.Sight().Version >= got.Version) {
+			return &door.Applied{Version: uint64(got.Version), Active: true}, nil
+		}
+		if !seam.Sleep(ctx, 25*time.Millisecond) {
+			break
+		}
+	}
+	return &door.Applied{Version: uint64(got.Version)}, nil
+}
+
+func (n *Node) mark(ctx context.Context, op, kind string, body []byte) (*door.Applied, error) {
+	cx, stop := context.WithTimeout(ctx, 5*time.Second)
+	defer stop()
+	r, err := n.agent.Submit(cx, word.OpId("op/"+op), kind, body)
+	if err != nil {
+		return nil, n.fate(err)
+	}
+	return n.ruled(ctx, r, false)
+}
+
+// Evacuate empties a zone of new work, or takes that back.
+func (n *Node) Evacuate(ctx context.Context, zone string, m *door.Mark) (*door.Applied, error) {
+	known := false
+	for _, z := range n.view.Sight().Policy.Zones {
+		known = known || string(z) == zone
+	}
+	if !known {
+		return nil, door.No(http.StatusNotFound, "unknown", "zone", "there is no zone %q", zone)
+	}
+	return n.mark(ctx, m.Op, lore.VacateKind, crux.Pack(&lore.Vacate{Zone: word.Zone(zone), Out: m.Out}))
+}
+
+// Drain keeps new work from a worker, or takes that back.
+func (n *Node) Drain(ctx context.Context, worker string, m *door.Mark) (*door.Applied, error) {
+	if _, ok := n.view.Sight().Policy.Workers[word.WorkerId(worker)]; !ok {
+		return nil, door.No(http.StatusNotFound, "unknown", "worker", "there is no worker %q", worker)
+	}
+	return n.mark(ctx, m.Op, lore.DrainKind, crux.Pack(&lore.Drain{Worker: word.WorkerId(worker), Out: m.Out}))
+}
+
+// Show gives the configuration in force.
+func (n *Node) Show() *door.Shown {
+	s := n.view.Sight()
+	out := &door.Shown{Version: uint64(s.Version), Newest: uint64(max(s.Newest, s.Version)), Policy: s.Text, Zones: []string{}, Drained: []string{}}
+	if len(out.Policy) == 0 {
+		out.Policy = []byte("{}")
+	}
+	for z := range s.Zones {
+		out.Zones = append(out.Zones, string(z))
+	}
+	for w := range s.Drained {
+		out.Drained = append(out.Drained, string(w))
+	}
+	sort.Strings(out.Zones)
+	sort.Strings(out.Drained)
+	return out
+}
+
+// Standing is the answer of status.
+type Standing struct {
+	Node      word.NodeId                 `json:"node"`
+	Zone      word.Zone                   `json:"zone"`
+	Ready     bool                        `json:"ready"`
+	Why       string                      `json:"why,omitempty"`
+	Version   word.Version                `json:"version"`
+	Seq       word.Seq                    `json:"seq"`
+	Core      crux.Record                 `json:"core"`
+	Members   []crux.Member               `json:"members"`
+	Holds     []word.Key                  `json:"holds"`
+	Workers   []Stand                     `json:"workers"`
+	Counts    map[string]int64            `json:"counts"`
+	Programs  map[string]map[string]any   `json:"programs"`
+	Last      []passage.Event             `json:"last"`
+	Listed    map[word.WorkerId]word.Zone `json:"listed"`
+	Evacuated []string                    `json:"evacuated"`
+	Drained   []string                    `json:"drained"`
+}
+
+// Status tells how the node stands.
+func (n *Node) Status() any {
+	ok, why := n.Ready()
+	sh := n.Show()
+	st := &Standing{Node: n.me.Node, Zone: n.me.Zone, Ready: ok, Why: why, Version: n.view.Sight().Version, Seq: n.agent.Seq(),
+		Core: n.agent.Book().Record(), Members: n.agent.Members(), Programs: map[string]map[string]any{},
+		Listed: map[word.WorkerId]word.Zone{}, Evacuated: sh.Zones, Drained: sh.Drained, Workers: []Stand{}, Holds: []word.Key{}}
+	for _, g := range n.agent.Mine() {
+		st.Holds = append(st.Holds, g.Key)
+	}
+	sort.Slice(st.Holds, func(i, j int) bool { return st.Holds[i] < st.Holds[j] })
+	for _, s := range *n.stands.Load() {
+		st.Workers = append(st.Workers, s)
+	}
+	sort.Slice(st.Workers, func(i, j int) bool { return st.Workers[i].Id < st.Workers[j].Id })
+	for id, l := range *n.roster.Load() {
+		st.Listed[id] = l.Zone
+	}
+	c := &n.counts
+	st.Counts = map[string]int64{"asked": c.Asked.Load(), "done": c.Done.Load(), "bounced": c.Bounced.Load(), "broken": c.Broken.Load(),
+		"unsure": c.Unsure.Load(), "replayed": c.Replayed.Load(), "moved": c.Moved.Load(), "again": c.Again.Load(), "inflight": n.inflight.Load()}
+	n.scores.Each(func(name string, s *whim.Score) {
+		st.Programs[name] = map[string]any{"picks": s.Picks.Load(), "fallbacks": s.Fallbacks.Load(), "agreed": s.Agreed.Load(),
+			"done": s.Done.Load(), "broken": s.Broken.Load(), "bounced": s.Bounced.Load(),
+			"firstP50Ms": float64(s.Quantile(0.5)) / 1e6, "firstP99Ms": float64(s.Quantile(0.99)) / 1e6}
+	})
+	st.Last, _ = n.journal.Last(8)
+	return st
+}
--- /dev/null
+++ b/verge/serve.go
@@ -0,0 +1,290 @@
+// How a node carries one origin's request: the gates, the claim where the kind
+// needs one, the run, and the record before the end line. What is given up gets
+// its answer at once, with when to come back.
+package verge
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/crux"
+	"keelstair.example/door"
+	"keelstair.example/lore"
+	"keelstair.example/passage"
+	"keelstair.example/rein"
+	"keelstair.example/whim"
+	"keelstair.example/word"
+)
+
+func (n *Node) after() time.Duration {
+	if ms := n.view.Sight().Policy.Limits.RetryAfterMs; ms > 0 {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return time.Second
+}
+
+func (n *Node) later(code int, name, form string, args ...any) *door.Fault {
+	n.counts.Bounced.Add(1)
+	return door.Later(code, name, n.after(), form, args...)
+}
+
+// Serve is the door's Server.
+func (n *Node) Serve(ctx context.Context, ask *door.Ask, out door.Sink) error {
+	n.counts.Asked.Add(1)
+	n.streams.Add(1)
+	defer n.streams.Done()
+	if ok, why := n.Ready(); !ok {
+		return n.later(http.StatusServiceUnavailable, "not-ready", "%s", why)
+	}
+	s := n.view.Sight()
+	kind, ok := s.Policy.Kinds[ask.Kind]
+	switch {
+	case !ok:
+		return door.No(http.StatusBadRequest, "unknown", "kind", "there is no kind %q", ask.Kind)
+	case ask.Model != "" && ask.Model != kind.Model:
+		return door.No(http.StatusBadRequest, "unknown", "model", "kind %q runs on %q", ask.Kind, kind.Model)
+	case !n.adapters(s, kind.Model, ask.Adapters):
+		return door.No(http.StatusBadRequest, "unknown", "adapters", "no worker offers them all")
+	}
+	if f := ask.Check(kind.Claimed, kind.MaxTokens, kind.MaxPrompt); f != nil {
+		return f
+	}
+	if ask.MaxTokens == 0 {
+		ask.MaxTokens = kind.MaxTokens
+	}
+	leave, f := n.enter(s, ask.Kind)
+	if f != nil {
+		return f
+	}
+	defer leave()
+	t := &passage.Task{Kind: ask.Kind, Zone: n.me.Zone, Claimed: kind.Claimed, Tries: s.Policy.Limits.Attempts, GiveUp: s.Policy.Limits.GiveUp()}
+	t.Identity = rein.Identity{Prompt: ask.Tokens(), Model: rein.Model{Name: kind.Model, Adapters: ask.Adapters},
+		Params: rein.Params{MaxTokens: ask.MaxTokens, Temperature: ask.Temperature, Seed: ask.Seed}}
+	t.Identity.Id.Request = crux.Name()
+	if !kind.Claimed {
+		return n.plain(ctx, s, t, out)
+	}
+	return n.claimed(ctx, s, t, ask, out)
+}
+
+func (n *Node) adapters(s *lore.Sight, model string, want []string) bool {
+	if len(want) == 0 {
+		return true
+	}
+	for _, w := range s.Policy.Workers {
+		m := rein.Model{Name: w.Model, Weights: w.Weights, Adapters: w.Adapters}
+		if m.Offers(rein.Model{Name: model, Weights: w.Weights, Adapters: want}) {
+			return true
+		}
+	}
+	return false
+}
+
+// enter bounds the streams carried at once. Once a node is half full, a kind
+// may take no more than its share by weight, so a crowd of one cannot shut out
+// the other.
+func (n *Node) enter(s *lore.Sight, kind string) (func(), *door.Fault) {
+	v, _ := n.kinds.LoadOrStore(kind, new(atomic.Int64))
+	mine := v.(*atomic.Int64)
+	most := int64(s.Policy.Limits.Inflight)
+	sum := int64(0)
+	for _, k := range s.Policy.Kinds {
+		sum += int64(k.Weight)
+	}
+	all, own := n.inflight.Add(1), mine.Add(1)
+	leave := func() { n.inflight.Add(-1); mine.Add(-1) }
+	share := most * int64(s.Policy.Kinds[kind].Weight) / max(sum, 1)
+	if all > most || all > most/2 && own > max(share, 1) {
+		leave()
+		return nil, n.later(http.StatusTooManyRequests, "crowded", "%d streams are carried here", all-1)
+	}
+	return leave, nil
+}
+
+func (n *Node) controller(s *lore.Sight, t *passage.Task) (*passage.Controller, *whim.Score) {
+	v, ok := n.decks.Load(s.Version)
+	deck, _ := v.(*whim.Deck)
+	if !ok {
+		deck, _ = whim.NewDeck(nil, 0, n.scores)
+	}
+	h := &hands{n: n, sight: s, deck: deck, prefix: whim.Prefix(t.Identity.Prompt, s.Policy.Limits.PrefixTokens)}
+	return &passage.Controller{Hands: h, Clock: n.opt.Host.Clock, Orphan: n.opt.Orphan, Pulse: n.opt.Pulse, Tell: n.journal.Append},
+		n.scores.Of(deck.For(t.Identity.Id.Request))
+}
+
+// plain runs a request that needs no claim.
+func (n *Node) plain(ctx context.Context, s *lore.Sight, t *passage.Task, out door.Sink) error {
+	c, score := n.controller(s, t)
+	start, count := n.now(), 0
+	err := c.Run(ctx, t, func(i int, tok int32, text string) error {
+		if count++; count == 1 {
+			score.First(n.now().Since(start))
+		}
+		return out.Put(door.Line{Index: i, Token: tok, Text: text})
+	})
+	return n.finish(err, count, score, out)
+}
+
+// finish says how a stream ended; only a whole one looks complete.
+func (n *Node) finish(err error, count int, score *whim.Score, out door.Sink) error {
+	switch {
+	case err == nil:
+		n.counts.Done.Add(1)
+		score.Done.Add(1)
+		return out.Put(door.Line{Index: count, End: door.Complete, Count: count})
+	case breakdown.Is(err, breakdown.Bad):
+		return door.No(http.StatusBadRequest, "refused", "", "%v", err)
+	case count == 0:
+		score.Bounced.Add(1)
+		return n.later(http.StatusServiceUnavailable, "bounced", "%v", err)
+	}
+	n.counts.Broken.Add(1)
+	score.Broken.Add(1)
+	n.opt.Ring.Info().AnErr("cause", err).Int("pieces", count).Msg("a stream broke")
+	return out.Put(door.Line{Index: count, End: door.Broken, Count: count,
+		Error: &rein.Bounce{Name: "broken", Detail: err.Error(), After: n.after().Milliseconds()}})
+}
+
+// claimed runs a ruling or verdict: the key is claimed before anything runs, and
+// the outcome is recorded before the end line is sent. It runs on when the
+// origin goes away: the same key asked again is then answered from the record.
+func (n *Node) claimed(ctx context.Context, s *lore.Sight, t *passage.Task, ask *door.Ask, out door.Sink) error {
+	// With no room anywhere it is bounced before the key is claimed.
+	c, score := n.controller(s, t)
+	for part, toks := range map[word.Part]int{word.Prefill: len(t.Identity.Prompt) + 1, word.Decode: len(t.Identity.Prompt) + ask.MaxTokens} {
+		if !n.room(s, part, toks) {
+			return n.later(http.StatusServiceUnavailable, "bounced", "no %s worker has room", part)
+		}
+	}
+	key := ask.Kind + "/" + ask.Key
+	t.Identity.Id.Request = Request(key)
+	cx, stop := context.WithTimeout(context.WithoutCancel(ctx), 1500*time.Millisecond)
+	defer stop()
+	claim := &lore.Claim{Key: key, Owner: n.me.Node, Digest: ask.Digest()}
+	r, err := n.agent.Submit(cx, word.OpId("claim/"+crux.Name()), lore.ClaimKind, crux.Pack(claim))
+	if err != nil {
+		if breakdown.Is(err, breakdown.Unknown) {
+			return n.later(http.StatusServiceUnavailable, "claim-unknown", "whether the key was claimed is not known; nothing runs on it: %v", err)
+		}
+		return n.later(http.StatusServiceUnavailable, "core-away", "%v", err)
+	}
+	var got lore.ClaimReply
+	if _, err := got.UnmarshalMsg(r.Body); err != nil {
+		return n.later(http.StatusServiceUnavailable, "core-away", "%v", err)
+	}
+	switch {
+	case got.Deed.Digest != claim.Digest:
+		return door.No(http.StatusUnprocessableEntity, "key-reused", "key", "the key stands for another request")
+	case !got.Fresh:
+		return n.replay(&got.Deed, out)
+	}
+	start, deaf := n.now(), false
+	var toks []int32
+	var texts []string
+	run, end := context.WithTimeout(context.WithoutCancel(ctx), time.Minute)
+	defer end()
+	err = c.Run(run, t, func(i int, tok int32, text string) error {
+		if toks, texts = append(toks, tok), append(texts, text); len(toks) == 1 {
+			score.First(n.now().Since(start))
+		}
+		if !deaf && out.Put(door.Line{Index: i, Token: tok, Text: text}) != nil {
+			deaf = true
+		}
+		return nil
+	})
+	fate := lore.Done
+	switch {
+	case err == nil:
+	case breakdown.Is(err, breakdown.Unknown):
+		fate = lore.Unsure
+	case len(toks) > 0:
+		fate = lore.Unsure
+	default:
+		fate = lore.NotRun
+	}
+	body, _ := json.Marshal(record{toks, texts})
+	if fate != lore.Done {
+		body = nil
+	}
+	if e := n.settle(&lore.Settle{Key: key, Owner: n.me.Node, Fate: fate, Out: body}); e != nil {
+		n.counts.Unsure.Add(1)
+		if len(toks) == 0 && fate == lore.NotRun {
+			return n.later(http.StatusServiceUnavailable, "outcome-pending", "%v", e)
+		}
+		return out.Put(door.Line{Index: len(toks), End: door.Unknown, Count: len(toks),
+			Error: &rein.Bounce{Name: "unrecorded", Detail: "the outcome is not on record yet; ask again with the same key", After: n.after().Milliseconds()}})
+	}
+	switch fate {
+	case lore.Unsure:
+		n.counts.Unsure.Add(1)
+		return out.Put(door.Line{Index: len(toks), End: door.Unknown, Count: len(toks),
+			Error: &rein.Bounce{Name: "may-have-run", Detail: err.Error()}})
+	case lore.NotRun:
+		score.Bounced.Add(1)
+		return n.gone(len(toks), out)
+	}
+	return n.finish(nil, len(toks), score, out)
+}
+
+// gone answers for a key that ends as not run: no late copy of it can run, so
+// the caller comes back with a new key.
+func (n *Node) gone(count int, out door.Sink) error {
+	no := rein.Bounce{Name: "not-run", Field: "key", Detail: "it was not run and never will be; ask anew with another key", After: n.after().Milliseconds()}
+	n.counts.Bounced.Add(1)
+	if count == 0 {
+		return &door.Fault{Code: http.StatusServiceUnavailable, Bounce: no}
+	}
+	return out.Put(door.Line{Index: count, End: door.Broken, Count: count, Error: &no})
+}
+
+// room tells whether some cleared worker of a part may have room.
+func (n *Node) room(s *lore.Sight, part word.Part, toks int) bool {
+	for id, st := range *n.stands.Load() {
+		if st.Part == part && st.Ready && n.fit(s, id) && st.Busy < st.Cap && st.Free >= word.Blocks(toks, st.Block) {
+			return true
+		}
+	}
+	return false
+}
+
+type record struct {
+	Tokens []int32  `json:"tokens"`
+	Texts  []string `json:"texts"`
+}
+
+// Request is the request id that a key always has.
+func Request(key string) string { return "k-" + crux.Short(key) }
+
+func (n *Node) settle(s *lore.Settle) error {
+	cx, stop := context.WithTimeout(context.Background(), 4*time.Second)
+	defer stop()
+	_, err := n.agent.Submit(cx, word.OpId("settle/"+s.Key+"/"+string(s.Owner)), lore.SettleKind, crux.Pack(s))
+	return err
+}
+
+// replay answers a key that is known already.
+func (n *Node) replay(d *lore.Deed, out door.Sink) error {
+	n.counts.Replayed.Add(1)
+	switch d.Fate {
+	case lore.Claimed:
+		return n.later(http.StatusConflict, "running", "the key is being run")
+	case lore.NotRun:
+		return n.gone(0, out)
+	case lore.Unsure:
+		return door.No(http.StatusGone, "may-have-run", "key", "whether it ran is not known; it will not be run again")
+	}
+	var r record
+	if err := json.Unmarshal(d.Out, &r); err != nil {
+		return breakdown.As(err, breakdown.Bad, "replay", d.Key)
+	}
+	for i, t := range r.Tokens {
+		if err := out.Put(door.Line{Index: i, Token: t, Text: r.Texts[i], Replay: true}); err != nil {
+			return err
+		}
+	}
+	return out.Put(door.Line{Index: len(r.Tokens), End: door.Complete, Count: len(r.Tokens), Replay: true})
+}
