--- /dev/null
+++ b/verge/settle.go
@@ -0,0 +1,121 @@
+// Settling the claims of nodes that died: one node holds the duty, seizes each
+// such claim under its fence, cancels the request on every worker, and records
+// what the workers say became of it. And the purse: the retry budget that all
+// nodes share, kept by one, empty in new hands.
+package verge
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"keelstair.example/crux"
+	"keelstair.example/lore"
+	"keelstair.example/rein"
+	"keelstair.example/seam"
+	"keelstair.example/word"
+)
+
+func (n *Node) settler(ctx context.Context) {
+	for seam.Sleep(ctx, 300*time.Millisecond) {
+		fence, end, ok := n.agent.Begin(lore.SettleKey)
+		if !ok {
+			continue
+		}
+		live := map[word.NodeId]bool{}
+		for _, m := range n.agent.Members() {
+			live[m.Node] = true
+		}
+		for _, d := range n.view.Claims() {
+			if !live[d.Owner] {
+				n.close(ctx, d, fence)
+			}
+		}
+		end()
+	}
+}
+
+func (n *Node) close(ctx context.Context, d lore.Deed, fence word.Fence) {
+	cx, stop := context.WithTimeout(ctx, 2*time.Second)
+	defer stop()
+	seize := &lore.Seize{Key: d.Key, From: d.Owner, To: n.me.Node, Fence: fence}
+	if _, err := n.agent.Submit(cx, "", lore.SeizeKind, crux.Pack(seize)); err != nil {
+		return
+	}
+	fate, out := n.inquire(ctx, Request(d.Key))
+	s := &lore.Settle{Key: d.Key, Owner: n.me.Node, Fate: fate, Out: out}
+	if err := n.settle(s); err != nil {
+		n.opt.Ring.Warn().AnErr("cause", err).Str("key", d.Key).Msg("a dead node's claim is not settled yet")
+	}
+}
+
+// inquire cancels a request everywhere, for good, and gathers its fate. A
+// worker that cannot be asked may have run it.
+func (n *Node) inquire(ctx context.Context, request string) (string, []byte) {
+	s := n.view.Sight()
+	h := &hands{n: n, sight: s}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	fate := lore.NotRun
+	var out []byte
+	for id := range s.Policy.Workers {
+		if _, ok := (*n.roster.Load())[id]; !ok {
+			fate = lore.Unsure
+			continue
+		}
+		wg.Go(func() {
+			var a *rein.Answer
+			var err error
+			for range 4 {
+				if a, err = h.Cancel(ctx, id, rein.Id{Request: request, Attempt: 1 << 20}); err == nil || !seam.Sleep(ctx, 500*time.Millisecond) {
+					break
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err != nil, a.Fate == rein.FateStopped:
+				if fate != lore.Done {
+					fate = lore.Unsure
+				}
+			case a.Done:
+				texts := make([]string, len(a.Output))
+				out, _ = json.Marshal(record{a.Output, texts})
+				fate = lore.Done
+			}
+		})
+	}
+	wg.Wait()
+	return fate, out
+}
+
+type purse struct {
+	mu    sync.Mutex
+	fence word.Fence
+	at    word.Tick
+	coins float64
+}
+
+func (n *Node) spendHere(_ context.Context, _ *crux.Empty) (*Spent, error) {
+	fence, end, ok := n.agent.Begin(lore.BudgetKey)
+	if !ok {
+		return &Spent{}, nil
+	}
+	defer end()
+	lim := n.view.Sight().Policy.Limits
+	p := &n.purse
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := n.now()
+	if p.fence != fence {
+		p.fence, p.at, p.coins = fence, now, 0
+	}
+	p.coins = min(float64(lim.RetryBurst), p.coins+lim.RetryRate*now.Since(p.at).Seconds())
+	p.at = now
+	if p.coins < 1 {
+		return &Spent{}, nil
+	}
+	p.coins--
+	return &Spent{Ok: true}, nil
+}
--- /dev/null
+++ b/whim/deck.go
@@ -0,0 +1,153 @@
+// A deck is the programs of one version of the policy, with their shares. The
+// scores outlive decks, so that a program is compared across swaps.
+package whim
+
+import (
+	"hash/fnv"
+	"slices"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/word"
+)
+
+// Score counts how a program fares. All is atomic: it is on the request path.
+type Score struct {
+	Picks, Fallbacks, Agreed, Done, Broken, Bounced, Warm atomic.Int64
+
+	mu    sync.Mutex
+	first []time.Duration
+	at    int
+}
+
+const keepFirst = 2048
+
+// First notes the time to a first piece.
+func (s *Score) First(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.first) < keepFirst {
+		s.first = append(s.first, d)
+		return
+	}
+	s.first[s.at%keepFirst] = d
+	s.at++
+}
+
+// Quantile of the newest first-piece times.
+func (s *Score) Quantile(q float64) time.Duration {
+	s.mu.Lock()
+	row := slices.Clone(s.first)
+	s.mu.Unlock()
+	if len(row) == 0 {
+		return 0
+	}
+	sort.Slice(row, func(i, j int) bool { return row[i] < row[j] })
+	return row[int(q*float64(len(row)-1))]
+}
+
+// Scores by program name.
+type Scores struct{ all sync.Map }
+
+func (s *Scores) Of(name string) *Score {
+	v, ok := s.all.Load(name)
+	if !ok {
+		v, _ = s.all.LoadOrStore(name, &Score{})
+	}
+	return v.(*Score)
+}
+
+func (s *Scores) Each(f func(string, *Score)) {
+	s.all.Range(func(k, v any) bool { f(k.(string), v.(*Score)); return true })
+}
+
+// Source is a program as the policy has it.
+type Source struct {
+	Name   string
+	Text   string
+	Share  int
+	Shadow bool
+}
+
+type slot struct {
+	name   string
+	share  int
+	shadow bool
+	prog   Program
+}
+
+// PlainName is what the built-in order is called in the scores.
+const PlainName = "plain"
+
+type Deck struct {
+	slots  []slot
+	scores *Scores
+}
+
+// NewDeck compiles all sources; any fault refuses the whole deck.
+func NewDeck(list []Source, steps uint64, scores *Scores) (*Deck, error) {
+	d := &Deck{scores: scores}
+	for _, s := range list {
+		p, err := Compile(s.Name, s.Text, steps)
+		if err != nil {
+			return nil, breakdown.Wrap(err, "check programs", "")
+		}
+		d.slots = append(d.slots, slot{s.Name, s.Share, s.Shadow, p})
+	}
+	return d, nil
+}
+
+// For gives the name of the program that a request falls to.
+func (d *Deck) For(request string) string {
+	h := fnv.New32a()
+	h.Write([]byte(request))
+	at := int(h.Sum32() % 100)
+	for _, s := range d.slots {
+		if s.shadow {
+			continue
+		}
+		if at -= s.share; at < 0 {
+			return s.name
+		}
+	}
+	return PlainName
+}
+
+// Order asks the request's program, and in its shadow the shadow programs,
+// whose choices are only counted.
+func (d *Deck) Order(q *Question, list []Candidate) []word.WorkerId {
+	name := d.For(q.Request)
+	plain, _ := Plain{}.Order(q, list)
+	out := plain
+	for _, s := range d.slots {
+		if s.name != name && !s.shadow {
+			continue
+		}
+		got, err := s.prog.Order(q, list)
+		if err == nil {
+			got, err = clear(q, list, got)
+		}
+		score := d.scores.Of(s.name)
+		if score.Picks.Add(1); err != nil {
+			score.Fallbacks.Add(1)
+			got = plain
+		}
+		if s.name == name {
+			out = got
+		}
+	}
+	for _, s := range d.slots {
+		if s.shadow && len(out) > 0 {
+			if got, err := s.prog.Order(q, list); err == nil && len(got) > 0 && got[0] == out[0] {
+				d.scores.Of(s.name).Agreed.Add(1)
+			}
+		}
+	}
+	if name == PlainName {
+		d.scores.Of(name).Picks.Add(1)
+	}
+	return out
+}
--- /dev/null
+++ b/whim/whim.go
@@ -0,0 +1,116 @@
+// Package whim runs routing programs: rival ideas of which worker should take a
+// piece of work. A program only orders candidates that the controller has
+// already cleared, so no program can break a promise; one that fails, runs too
+// long or names strangers falls back to the built-in order and is counted.
+package whim
+
+import (
+	"hash/fnv"
+	"sort"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/word"
+)
+
+// Question is what a program may know of the work.
+type Question struct {
+	Request string
+	Kind    string
+	Model   string
+	Part    word.Part
+	Zone    word.Zone
+	Prompt  int
+	Max     int
+	Need    int
+}
+
+// Candidate is a worker that may take it. Affinity, from 0 to 1, is the same on
+// every node for the same prompt prefix and worker.
+type Candidate struct {
+	Id       word.WorkerId
+	Zone     word.Zone
+	Free     int
+	Room     int
+	Busy     int
+	Cap      int
+	Affinity float64
+}
+
+// Program orders candidates, best first. Those it leaves out come last.
+type Program interface {
+	Order(q *Question, list []Candidate) ([]word.WorkerId, error)
+}
+
+// Affinity is high for the worker that a prefix falls to.
+func Affinity(prefix uint64, id word.WorkerId) float64 {
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	v := h.Sum64() ^ prefix
+	v ^= v >> 33
+	v *= 0xff51afd7ed558ccd
+	v ^= v >> 33
+	v *= 0xc4ceb9fe1a85ec53
+	v ^= v >> 33
+	return float64(v>>11) / (1 << 53)
+}
+
+// Prefix hashes the first tokens of a prompt.
+func Prefix(prompt []int32, n int) uint64 {
+	v := uint64(14695981039346656037)
+	for _, t := range prompt[:min(n, len(prompt))] {
+		v = (v ^ uint64(uint32(t))) * 1099511628211
+	}
+	return v
+}
+
+// Plain is the built-in order: for prefill, the worker that the prefix falls to
+// among the least busy; for decode, the most free blocks.
+type Plain struct{}
+
+func (Plain) Order(q *Question, list []Candidate) ([]word.WorkerId, error) {
+	score := func(c Candidate) float64 {
+		if q.Part == word.Prefill {
+			return float64(c.Busy) - 1.5*c.Affinity
+		}
+		return -float64(c.Free) / float64(max(c.Room, 1))
+	}
+	row := append([]Candidate(nil), list...)
+	sort.SliceStable(row, func(i, j int) bool {
+		a, b := score(row[i]), score(row[j])
+		if a != b {
+			return a < b
+		}
+		return row[i].Affinity > row[j].Affinity
+	})
+	out := make([]word.WorkerId, len(row))
+	for i, c := range row {
+		out[i] = c.Id
+	}
+	return out, nil
+}
+
+// clear holds a program's order against the candidates: strangers and repeats
+// are an error, and whoever was left out comes last in the plain order.
+func clear(q *Question, list []Candidate, got []word.WorkerId) ([]word.WorkerId, error) {
+	left := make(map[word.WorkerId]bool, len(list))
+	for _, c := range list {
+		left[c.Id] = true
+	}
+	out := make([]word.WorkerId, 0, len(list))
+	for _, id := range got {
+		if !left[id] {
+			return nil, breakdown.New(breakdown.Bad, "order workers", string(id), "the program names a worker that is no candidate, or names it twice")
+		}
+		delete(left, id)
+		out = append(out, id)
+	}
+	if len(left) > 0 {
+		rest, _ := Plain{}.Order(q, list)
+		for _, id := range rest {
+			if left[id] {
+				out = append(out, id)
+			}
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/wire/wire.go
@@ -0,0 +1,141 @@
+// Package wire carries messages between keelstair's own processes: connect-go
+// over HTTP/1.1 with a msgp codec. Handle puts a function behind a name, Call
+// asks it of an address. An error keeps its kind across the wire and gains the
+// step and the peer.
+package wire
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/tinylib/msgp/msgp"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/seam"
+)
+
+type codec struct{}
+
+func (codec) Name() string { return "msgp" }
+
+func (codec) Marshal(v any) ([]byte, error) {
+	m, ok := v.(msgp.Marshaler)
+	if !ok {
+		return nil, fmt.Errorf("%T is no msgp message", v)
+	}
+	return m.MarshalMsg(nil)
+}
+
+func (codec) Unmarshal(b []byte, v any) error {
+	m, ok := v.(msgp.Unmarshaler)
+	if !ok {
+		return fmt.Errorf("%T is no msgp message", v)
+	}
+	_, err := m.UnmarshalMsg(b)
+	return err
+}
+
+const maxBody = 64 << 20
+
+var codes = map[breakdown.Kind]connect.Code{
+	breakdown.Bounced: connect.CodeResourceExhausted,
+	breakdown.Stale:   connect.CodeAborted,
+	breakdown.Lost:    connect.CodeDataLoss,
+	breakdown.Bad:     connect.CodeInvalidArgument,
+	breakdown.Away:    connect.CodeFailedPrecondition,
+	breakdown.Unknown: connect.CodeUnknown,
+}
+
+// Handle serves f under a name such as "crux/append".
+func Handle[Q, A any](mux *http.ServeMux, name string, f func(context.Context, *Q) (*A, error)) {
+	h := connect.NewUnaryHandler("/"+name, func(ctx context.Context, q *connect.Request[Q]) (*connect.Response[A], error) {
+		a, err := f(ctx, q.Msg)
+		if err != nil {
+			return nil, connect.NewError(codes[breakdown.KindOf(err)], err)
+		}
+		return connect.NewResponse(a), nil
+	}, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxBody))
+	mux.Handle("/"+name, h)
+}
+
+// Caller asks other processes; it keeps connections and typed clients.
+type Caller struct {
+	web  *http.Client
+	kept sync.Map
+}
+
+func NewCaller(net seam.Net) *Caller { return &Caller{web: Web(net)} }
+
+// Web is an HTTP client over the seam's network.
+func Web(n seam.Net) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return n.Dial(ctx, addr)
+		},
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     20 * time.Second,
+		DisableCompression:  true,
+	}}
+}
+
+func (c *Caller) Close() { c.web.CloseIdleConnections() }
+
+// Call asks the process at addr. Without a deadline of the context it waits
+// one second.
+func Call[Q, A any](ctx context.Context, c *Caller, addr, name string, q *Q) (*A, error) {
+	if addr == "" {
+		return nil, breakdown.New(breakdown.Bounced, name, "nobody", "no address is known")
+	}
+	if _, ok := ctx.Deadline(); !ok {
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(ctx, time.Second)
+		defer stop()
+	}
+	k := addr + "/" + name
+	got, ok := c.kept.Load(k)
+	if !ok {
+		got, _ = c.kept.LoadOrStore(k, connect.NewClient[Q, A](c.web, "http://"+k,
+			connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxBody)))
+	}
+	a, err := got.(*connect.Client[Q, A]).CallUnary(ctx, connect.NewRequest(q))
+	if err != nil {
+		kind := breakdown.Unknown
+		var ce *connect.Error
+		if errors.As(err, &ce) && connect.IsWireError(err) {
+			for k, code := range codes {
+				if code == ce.Code() {
+					kind = k
+				}
+			}
+		}
+		if Undialled(err) {
+			kind = breakdown.Bounced
+		}
+		return nil, breakdown.As(err, kind, name, addr)
+	}
+	return a.Msg, nil
+}
+
+// Undialled tells that an asking never left, since nobody could be reached.
+func Undialled(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// Serve answers on a listener until the context ends.
+func Serve(ctx context.Context, l net.Listener, h http.Handler) error {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	end := context.AfterFunc(ctx, func() { srv.Close() })
+	defer end()
+	err := srv.Serve(l)
+	if ctx.Err() != nil || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return breakdown.Wrap(err, "serve", l.Addr().String())
+}
