--- /dev/null
+++ b/proof/book.go
@@ -0,0 +1,269 @@
+// The book records what workers and controllers say they did; the checkers read
+// it afterwards, one for each line of what must never happen.
+package proof
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"keelstair.example/guise"
+	"keelstair.example/passage"
+	"keelstair.example/verge"
+	"keelstair.example/word"
+)
+
+// Mark is a thing the script did, with when it was known to be done.
+type Mark struct {
+	What string // leave, evacuate, return, fault
+	Name string
+	At   time.Duration
+}
+
+// Seen is a worker's event at a simulated time.
+type Seen struct {
+	guise.Event
+	When time.Duration
+}
+
+// Book gathers it all.
+type Book struct {
+	mu    sync.Mutex
+	start time.Time
+	rows  []Seen
+	lives []*guise.Worker
+	marks []Mark
+	steps map[passage.Stage]int
+	again []time.Duration
+	acks  []Acked
+}
+
+// Acked is a configuration that an operator was told is taken.
+type Acked struct {
+	Version word.Version
+	Text    string
+	At      time.Duration
+}
+
+func NewBook() *Book { return &Book{start: time.Now(), steps: map[passage.Stage]int{}} }
+
+// Now is the time since the book was opened.
+func (b *Book) Now() time.Duration { return time.Since(b.start) }
+
+func (b *Book) Worker(e guise.Event) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rows = append(b.rows, Seen{e, b.Now()})
+}
+
+func (b *Book) Life(w *guise.Worker) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lives = append(b.lives, w)
+}
+
+func (b *Book) Step(_ string, e passage.Event) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.steps[e.Stage]++
+	if e.Stage == passage.Granted && e.Id.Attempt > 1 {
+		b.again = append(b.again, b.Now())
+	}
+}
+
+func (b *Book) Mark(what, name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.marks = append(b.marks, Mark{what, name, b.Now()})
+}
+
+func (b *Book) Ack(v word.Version, text string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.acks = append(b.acks, Acked{v, text, b.Now()})
+}
+
+// Fault is one violation found.
+type Fault struct{ Line, What string }
+
+func (f Fault) String() string { return f.Line + ": " + f.What }
+
+type finder struct{ out []Fault }
+
+func (f *finder) say(line, form string, args ...any) {
+	f.out = append(f.out, Fault{line, fmt.Sprintf(form, args...)})
+}
+
+// The lines of what must never happen, by short names.
+const (
+	Twice     = "run twice or two records"
+	NotRun    = "not run was run"
+	Torn      = "stream lost, repeated, joined or falsely whole"
+	Differs   = "output differs"
+	Foreign   = "foreign or half-arrived memory"
+	Starved   = "import failed mid-decode"
+	LateLeave = "leaving worker got new work"
+	LateZone  = "evacuated zone got work"
+	SlowLaw   = "configuration slow or fell back"
+	LostLaw   = "acknowledged configuration lost"
+	Conflict  = "conflicting orders"
+	Overspent = "recomputes beyond the budget"
+	NotBack   = "service not back"
+)
+
+// Check reads the book and the callers' outcomes.
+func (b *Book) Check(all []guise.Outcome) []Fault {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f := &finder{}
+	b.twice(f, all)
+	streams(f, all)
+	b.places(f)
+	b.order(f)
+	b.spent(f)
+	return f.out
+}
+
+func requests(all []guise.Outcome) map[string]guise.Outcome {
+	out := map[string]guise.Outcome{}
+	for _, o := range all {
+		if o.Key != "" {
+			out[o.Kind+"/"+o.Key] = o
+		}
+	}
+	return out
+}
+
+func (b *Book) twice(f *finder, all []guise.Outcome) {
+	runs, records, starved := map[string]int{}, map[string]int{}, 0
+	for _, w := range b.lives {
+		for id, t := range w.Tallies() {
+			starved += t.Starved
+			if strings.HasPrefix(id, "k-") {
+				runs[id] += t.Runs
+				records[id] += t.Records
+			}
+		}
+	}
+	for id, n := range runs {
+		if n > 1 || records[id] > 1 {
+			f.say(Twice, "%s: %d runs, %d records", id, n, records[id])
+		}
+	}
+	if starved > 0 {
+		f.say(Starved, "%d decodes ran out of room", starved)
+	}
+	for key := range requests(all) {
+		// A caller that was told "not run" has moved on to a key with a plus.
+		for k := key; strings.HasSuffix(k, "+"); {
+			k = strings.TrimSuffix(k, "+")
+			if n := runs[verge.Request(k)]; n > 0 {
+				f.say(NotRun, "%s was told not run, and ran %d times", k, n)
+			}
+		}
+	}
+}
+
+// streams reads what the callers themselves found off.
+func streams(f *finder, all []guise.Outcome) {
+	for _, o := range all {
+		if o.End != "wrong" {
+			continue
+		}
+		if strings.HasPrefix(o.Detail, "tokens") {
+			f.say(Differs, "%s at %s: %s", o.Kind, o.At, o.Detail)
+		} else {
+			f.say(Torn, "%s at %s: %s", o.Kind, o.At, o.Detail)
+		}
+	}
+}
+
+// places: no new work at a worker that leaves, or in a zone that was emptied.
+func (b *Book) places(f *finder) {
+	for _, m := range b.marks {
+		bound, line := 3*time.Second, LateLeave
+		until := time.Duration(1 << 62)
+		switch m.What {
+		case "leave":
+		case "evacuate":
+			bound, line = 5*time.Second, LateZone
+			for _, r := range b.marks {
+				if r.What == "return" && r.Name == m.Name && r.At > m.At {
+					until = min(until, r.At)
+				}
+			}
+		default:
+			continue
+		}
+		for _, e := range b.rows {
+			if (e.What == "prefill" || e.What == "import") && string(e.Worker) == m.Name && e.When > m.At+bound && e.When < until {
+				f.say(line, "%s got a %s %.2f s after", m.Name, e.What, (e.When - m.At).Seconds())
+				break
+			}
+		}
+	}
+}
+
+// order: at each worker fences never go down, and no order carries a version
+// older than one the worker had seen a quarter second before.
+func (b *Book) order(f *finder) {
+	fence := map[word.WorkerId]word.Fence{}
+	type since struct {
+		v  word.Version
+		at time.Duration
+	}
+	seen := map[word.WorkerId][]since{}
+	for _, e := range b.rows {
+		if e.Fence == 0 {
+			continue
+		}
+		if e.Fence < fence[e.Worker] {
+			f.say(Conflict, "%s took %s under fence %d after %d", e.Worker, e.What, e.Fence, fence[e.Worker])
+		}
+		fence[e.Worker] = max(fence[e.Worker], e.Fence)
+		for _, s := range seen[e.Worker] {
+			if e.Version < s.v && e.When > s.at+250*time.Millisecond {
+				f.say(SlowLaw, "%s got %s under version %d, %.2f s after it saw %d", e.Worker, e.What, e.Version, (e.When - s.at).Seconds(), s.v)
+				break
+			}
+		}
+		if n := len(seen[e.Worker]); n == 0 || seen[e.Worker][n-1].v < e.Version {
+			seen[e.Worker] = append(seen[e.Worker], since{e.Version, e.When})
+		}
+	}
+}
+
+// spent holds recomputes against the bucket of the default budget.
+func (b *Book) spent(f *finder) {
+	const rate, burst = 4.0, 12
+	for i := range b.again {
+		for j := i; j < len(b.again); j++ {
+			if n := float64(j - i + 1); n > burst+1+rate*(b.again[j]-b.again[i]).Seconds() {
+				f.say(Overspent, "%d recomputes within %s", j-i+1, b.again[j]-b.again[i])
+				return
+			}
+		}
+	}
+}
+
+// Back tells the longest span after a moment without a completed call.
+func Back(all []guise.Outcome, from, to time.Duration) time.Duration {
+	var ends []time.Duration
+	for _, o := range all {
+		if o.End == "complete" {
+			ends = append(ends, o.At+o.Whole)
+		}
+	}
+	most := time.Duration(0)
+	for t := from; t < to; t += 20 * time.Millisecond {
+		next := to
+		for _, e := range ends {
+			if e >= t && e < next {
+				next = e
+			}
+		}
+		most = max(most, next-t)
+	}
+	return most
+}
--- /dev/null
+++ b/proof/cluster.go
@@ -0,0 +1,365 @@
+// Package proof runs whole fleets in one process, on the simulated machines of
+// seam/sham and the real HTTP and connect-go stacks, breaks them as a seed says,
+// and holds what was recorded against every line of what must never happen.
+// This file builds a fleet; it is meant for a testing/synctest bubble.
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"keelstair.example/crux"
+	"keelstair.example/door"
+	"keelstair.example/guise"
+	"keelstair.example/lore"
+	"keelstair.example/passage"
+	"keelstair.example/rein"
+	"keelstair.example/seam"
+	"keelstair.example/seam/sham"
+	"keelstair.example/tale"
+	"keelstair.example/verge"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+// Box is one machine of the fleet with its process.
+type Box struct {
+	Name    string
+	Kind    string
+	Zone    word.Zone
+	Addr    string
+	Door    string
+	Machine *sham.Machine
+	Core    *crux.Core
+	Node    *verge.Node
+	Worker  *guise.Worker
+	Up      bool
+
+	proc  *sham.Proc
+	stop  context.CancelFunc
+	begin func(b *Box, ctx context.Context, host seam.Host) error
+}
+
+// Cluster is a fleet.
+type Cluster struct {
+	World    *sham.World
+	Site     guise.Site
+	Boxes    []*Box
+	Platform *guise.Platform
+	Book     *Book
+	Seeds    []string
+	Tune     func(*guise.WorkerOptions)
+	Programs map[string]lore.Program
+
+	base   context.Context
+	shut   context.CancelFunc
+	wg     sync.WaitGroup
+	out    *sham.Proc
+	web    *http.Client
+	nextIp int
+}
+
+// Build sets up a site's fleet and starts all of it but the load.
+func Build(seed uint64, site guise.Site, tune func(*Cluster)) *Cluster {
+	c := &Cluster{World: sham.NewWorld(seed), Site: site, Book: NewBook(), nextIp: 50}
+	c.base, c.shut = context.WithCancel(context.Background())
+	if tune != nil {
+		tune(c)
+	}
+	p := c.World.Machine("10.8.0.1").Start()
+	c.Platform = guise.NewPlatform(p.Host())
+	c.serve(c.base, p.Host(), "10.8.0.1:80", c.Platform.Handler())
+	c.wg.Go(func() { c.Platform.Run(c.base) })
+	c.out = c.World.Machine("10.9.0.1").Start()
+	c.web = wire.Web(c.out.Host().Net)
+	for i := range 3 {
+		c.Seeds = append(c.Seeds, fmt.Sprintf("10.1.0.%d:700", i+1))
+	}
+	for i, a := range c.Seeds {
+		c.add(c.Tenet(fmt.Sprintf("tenet-%d", i+1), a, site.Zones[i%len(site.Zones)]))
+	}
+	for i := range site.Nodes {
+		c.add(c.Verge(fmt.Sprintf("verge-%d", i+1), fmt.Sprintf("10.2.0.%d", i+1), site.Zones[i%len(site.Zones)]))
+	}
+	for i, id := range site.Names() {
+		c.add(c.Stand(id, site.Worker(i), fmt.Sprintf("10.3.0.%d", i+1)))
+	}
+	return c
+}
+
+func (c *Cluster) add(b *Box) *Box {
+	c.Boxes = append(c.Boxes, b)
+	c.Start(b)
+	return b
+}
+
+func (c *Cluster) serve(ctx context.Context, host seam.Host, addr string, h http.Handler) error {
+	l, err := host.Net.Listen(addr)
+	if err != nil {
+		return err
+	}
+	c.wg.Go(func() { wire.Serve(ctx, l, h) })
+	return nil
+}
+
+func (c *Cluster) ring(name string) *tale.Ring {
+	if os.Getenv("KEELSTAIR_TALK") != "" {
+		return tale.NewRing(64, os.Stderr, name)
+	}
+	return tale.Mute()
+}
+
+// Tenet describes a disk machine.
+func (c *Cluster) Tenet(name, addr string, zone word.Zone) *Box {
+	ip := addr[:len(addr)-4]
+	return &Box{Name: name, Kind: "tenet", Zone: zone, Addr: addr, Machine: c.World.Machine(ip),
+		begin: func(b *Box, ctx context.Context, host seam.Host) error {
+			core, err := crux.New(crux.Options{Addr: addr, Host: host, Seeds: c.Seeds, Ring: c.ring(name),
+				Machine: func() crux.Machine { return lore.NewMachine(0) }})
+			if err != nil {
+				return err
+			}
+			b.Core = core
+			mux := http.NewServeMux()
+			core.Mount(mux)
+			c.wg.Go(func() { core.Run(ctx) })
+			return c.serve(ctx, host, addr, mux)
+		}}
+}
+
+// Verge describes a router node.
+func (c *Cluster) Verge(name, ip string, zone word.Zone) *Box {
+	return &Box{Name: name, Kind: "verge", Zone: zone, Addr: ip + ":701", Door: ip + ":80", Machine: c.World.Machine(ip),
+		begin: func(b *Box, ctx context.Context, host seam.Host) error {
+			n := verge.New(verge.Options{Name: name, Addr: b.Addr, Zone: zone, Seeds: c.Seeds, Platform: "10.8.0.1:80", Host: host,
+				Ring: c.ring(name), Trace: func(e passage.Event) { c.Book.Step(name, e) }})
+			b.Node = n
+			in, out := http.NewServeMux(), http.NewServeMux()
+			n.Mount(in)
+			door.Mount(out, n)
+			door.MountOperator(out, n)
+			c.wg.Go(func() { n.Run(ctx, 0) })
+			c.Platform.Door(b.Door, zone)
+			if err := c.serve(ctx, host, b.Addr, in); err != nil {
+				return err
+			}
+			return c.serve(ctx, host, b.Door, out)
+		}}
+}
+
+// Stand describes a stand-in worker.
+func (c *Cluster) Stand(id word.WorkerId, w lore.Worker, ip string) *Box {
+	return &Box{Name: string(id), Kind: "worker", Zone: w.Zone, Addr: ip + ":90", Machine: c.World.Machine(ip),
+		begin: func(b *Box, ctx context.Context, host seam.Host) error {
+			opt := guise.WorkerOptions{Id: id, Addr: b.Addr, Part: w.Part, Room: w.Room, Block: w.Block, Host: host,
+				Model: rein.Model{Name: w.Model, Weights: w.Weights, Adapters: w.Adapters}}
+			if c.Tune != nil {
+				c.Tune(&opt)
+			}
+			k := guise.NewWorker(opt)
+			k.Tell = c.Book.Worker
+			b.Worker = k
+			c.Book.Life(k)
+			c.wg.Go(func() { k.Run(ctx) })
+			c.Platform.List(rein.Listed{Id: id, Addr: b.Addr, Zone: w.Zone})
+			return c.serve(ctx, host, b.Addr, k.Handler())
+		}}
+}
+
+// Start begins a box's process.
+func (c *Cluster) Start(b *Box) error {
+	ctx, stop := context.WithCancel(c.base)
+	b.proc, b.stop, b.Up = b.Machine.Start(), stop, true
+	err := b.begin(b, ctx, b.proc.Host())
+	if err != nil {
+		c.Kill(b)
+	}
+	return err
+}
+
+// Kill ends a box's process at once, as kill -9 does.
+func (c *Cluster) Kill(b *Box) {
+	if b.Up {
+		b.Up = false
+		b.proc.Kill()
+		b.stop()
+	}
+}
+
+// PowerOff takes a box's power: nobody is told, and a disk step that was under
+// way is left as chance has it.
+func (c *Cluster) PowerOff(b *Box) {
+	if b.Up {
+		b.Up = false
+		b.Machine.PowerOff()
+		b.stop()
+	}
+}
+
+// Of lists boxes of a kind.
+func (c *Cluster) Of(kind string) []*Box {
+	var out []*Box
+	for _, b := range c.Boxes {
+		if b.Kind == kind {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// Box finds one by name.
+func (c *Cluster) Box(name string) *Box {
+	for _, b := range c.Boxes {
+		if b.Name == name {
+			return b
+		}
+	}
+	panic("no box " + name)
+}
+
+// Leader is the tenet that leads, or nil.
+func (c *Cluster) Leader() *Box {
+	for _, b := range c.Of("tenet") {
+		if b.Up && b.Core.Leads() {
+			return b
+		}
+	}
+	return nil
+}
+
+// Until waits for something to become true.
+func (c *Cluster) Until(span time.Duration, f func() bool) bool {
+	end := time.Now().Add(span)
+	for !f() {
+		if time.Now().After(end) {
+			return false
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return true
+}
+
+// Found waits for the core and applies the site's first configuration.
+func (c *Cluster) Found() error {
+	if !c.Until(10*time.Second, func() bool { return c.Leader() != nil }) {
+		return fmt.Errorf("no core was founded")
+	}
+	text := c.Site.Policy(c.Programs)
+	var err error
+	c.Until(10*time.Second, func() bool {
+		_, err = c.Apply(&door.Apply{Op: "first", Base: 0, Source: text})
+		return err == nil
+	})
+	if err != nil {
+		return err
+	}
+	if !c.Until(10*time.Second, func() bool {
+		for _, b := range c.Of("verge") {
+			if ok, _ := b.Node.Ready(); b.Up && !ok {
+				return false
+			}
+		}
+		return len(c.Platform.Doors("")) > 0
+	}) {
+		return fmt.Errorf("the nodes did not become ready")
+	}
+	return nil
+}
+
+// Apply asks the first door that answers.
+func (c *Cluster) Apply(a *door.Apply) (*door.Applied, error) {
+	got := &door.Applied{}
+	return got, c.Operate("/v1/policy", a, got)
+}
+
+// Mark evacuates, drains, or takes that back.
+func (c *Cluster) Mark(path, op string, out bool) error {
+	return c.Operate(path, &door.Mark{Op: op, Out: out}, nil)
+}
+
+// Refused is an operator's no.
+type Refused struct {
+	Code int
+	Name string
+	Text string
+}
+
+func (r *Refused) Error() string { return fmt.Sprintf("%d %s %s", r.Code, r.Name, r.Text) }
+
+// Operate asks doors in turn, going on only where nothing was done.
+func (c *Cluster) Operate(path string, in, out any) error {
+	var last error = fmt.Errorf("no door is up")
+	for _, b := range c.Of("verge") {
+		if !b.Up {
+			continue
+		}
+		err := c.At(b, path, in, out)
+		if r, ok := err.(*Refused); err == nil || ok && r.Code != http.StatusServiceUnavailable {
+			return err
+		}
+		last = err
+	}
+	return last
+}
+
+// At asks one node's door.
+func (c *Cluster) At(b *Box, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	cx, stop := context.WithTimeout(c.base, 6*time.Second)
+	defer stop()
+	q, err := http.NewRequestWithContext(cx, http.MethodPost, "http://"+b.Door+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	r, err := c.web.Do(q)
+	if err != nil {
+		return err
+	}
+	defer r.Body.Close()
+	got, err := io.ReadAll(r.Body)
+	if err != nil {
+		return err
+	}
+	if r.StatusCode != http.StatusOK {
+		var f struct{ Error rein.Bounce }
+		json.Unmarshal(got, &f)
+		return &Refused{r.StatusCode, f.Error.Name, f.Error.Detail}
+	}
+	if out == nil {
+		return nil
+	}
+	return json.Unmarshal(got, out)
+}
+
+// Load sends the site's mix for a span and waits for every answer.
+func (c *Cluster) Load(rate float64, span time.Duration, seed uint64) []guise.Outcome {
+	doors := func() []string { return c.Platform.Doors("") }
+	return guise.Load(c.base, guise.LoadOptions{Host: c.out.Host(), Doors: doors, Shapes: c.Site.Shapes, Rate: rate, Span: span, Seed: seed,
+		Model: c.Site.Model, Weights: []string{guise.SiteWeights, "w2"}, Retries: 8})
+}
+
+// Close ends the fleet and everything in it.
+func (c *Cluster) Close() {
+	for _, b := range c.Boxes {
+		b.Machine.Freeze(false)
+		b.Machine.Stall(false)
+		c.Kill(b)
+	}
+	c.shut()
+	c.web.CloseIdleConnections()
+	c.out.Kill()
+	for _, ip := range []string{"10.8.0.1", "10.9.0.1"} {
+		c.World.Machine(ip).PowerOff()
+	}
+	c.wg.Wait()
+}
--- a/proof/doc.go
+++ /dev/null
@@ -1,1 +0,0 @@
-package proof
