--- /dev/null
+++ b/proof/others.go
@@ -0,0 +1,241 @@
+package proof
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"keelstair.example/door"
+	"keelstair.example/guise"
+	"keelstair.example/word"
+)
+
+func ips(list ...*Box) []string {
+	var out []string
+	for _, b := range list {
+		out = append(out, b.Machine.Ip)
+	}
+	return out
+}
+
+func (c *Cluster) others(b *Box) []string {
+	out := []string{"10.9.0.1"}
+	for _, o := range c.Boxes {
+		if o != b {
+			out = append(out, o.Machine.Ip)
+		}
+	}
+	return out
+}
+
+// Others are the scripts of links, clocks, workers and operators.
+var Others = []Script{
+	{Name: "core-split", Run: func(c *Cluster, r *rand.Rand) error {
+		pause(r)
+		b := leader(c)
+		var rest []string
+		for _, o := range c.Of("tenet") {
+			if o != b {
+				rest = append(rest, o.Machine.Ip)
+			}
+		}
+		c.World.Cut(ips(b), rest, true)
+		c.World.Cut(rest, ips(b), true)
+		time.Sleep(6 * time.Second)
+		c.World.Cut(ips(b), rest, false)
+		c.World.Cut(rest, ips(b), false)
+		time.Sleep(2 * time.Second)
+		return change(c, "after-split", 2200)
+	}},
+	{Name: "leader-cut-one-way", Run: func(c *Cluster, r *rand.Rand) error {
+		pause(r)
+		b := leader(c)
+		rest := c.others(b)
+		if r.IntN(2) == 0 {
+			c.World.Cut(ips(b), rest, true)
+		} else {
+			c.World.Cut(rest, ips(b), true)
+		}
+		time.Sleep(6 * time.Second)
+		c.World.Cut(ips(b), rest, false)
+		c.World.Cut(rest, ips(b), false)
+		return nil
+	}},
+	{Name: "lone-verge-cut", Run: func(c *Cluster, r *rand.Rand) error {
+		pause(r)
+		b := hit(r, c.Of("verge"))
+		// Its workers and callers still reach it: only its own kind does not.
+		mates := append(ips(c.Of("tenet")...), ips(c.Of("verge")...)...)
+		c.World.Cut(ips(b), mates, true)
+		c.World.Cut(mates, ips(b), true)
+		time.Sleep(7 * time.Second)
+		c.World.Cut(ips(b), mates, false)
+		c.World.Cut(mates, ips(b), false)
+		return nil
+	}},
+	{Name: "all-leases-lapse", Run: func(c *Cluster, r *rand.Rand) error {
+		pause(r)
+		core, nodes := ips(c.Of("tenet")...), ips(c.Of("verge")...)
+		c.World.Cut(core, nodes, true)
+		c.World.Cut(nodes, core, true)
+		time.Sleep(time.Duration(4000+r.IntN(3000)) * time.Millisecond)
+		c.World.Cut(core, nodes, false)
+		c.World.Cut(nodes, core, false)
+		return nil
+	}},
+	{Name: "clocks-leap", Run: func(c *Cluster, r *rand.Rand) error {
+		for range 6 {
+			pause(r)
+			hit(r, append(c.Of("verge"), c.Of("tenet")...)).Machine.Leap(time.Duration(1+r.IntN(20)) * time.Second)
+		}
+		return nil
+	}},
+	{Name: "workers-crash", Run: func(c *Cluster, r *rand.Rand) error {
+		for range 3 {
+			pause(r)
+			b := hit(r, c.Of("worker"))
+			c.Kill(b)
+			time.Sleep(2500 * time.Millisecond)
+			if err := c.Start(b); err != nil {
+				return err
+			}
+		}
+		return nil
+	}},
+	{Name: "worker-goes-dark", Run: func(c *Cluster, r *rand.Rand) error {
+		for range 2 {
+			pause(r)
+			b := hit(r, c.Of("worker"))
+			if r.IntN(2) == 0 {
+				b.Machine.Freeze(true)
+				time.Sleep(4 * time.Second)
+				b.Machine.Freeze(false)
+			} else {
+				b.Worker.Order(guise.Faults{Dark: true})
+				time.Sleep(4 * time.Second)
+				b.Worker.Order(guise.Faults{})
+			}
+		}
+		return nil
+	}},
+	{Name: "links-slow-then-worker-lost", Run: func(c *Cluster, r *rand.Rand) error {
+		pause(r)
+		for _, b := range c.Of("worker") {
+			if r.IntN(2) == 0 {
+				b.Worker.Order(guise.Faults{Speed: 100_000 + r.IntN(400_000)})
+			}
+		}
+		time.Sleep(time.Second)
+		b := hit(r, c.Of("worker"))
+		c.Kill(b)
+		time.Sleep(3 * time.Second)
+		for _, o := range c.Of("worker") {
+			o.Worker.Order(guise.Faults{})
+		}
+		return c.Start(b)
+	}},
+	{Name: "memory-lost-or-spoilt", Run: func(c *Cluster, r *rand.Rand) error {
+		for _, b := range c.Of("worker")[:3] {
+			b.Worker.Order(guise.Faults{Drop: r.IntN(2) == 0, Corrupt: true})
+		}
+		time.Sleep(3 * time.Second)
+		for _, b := range c.Of("worker")[:3] {
+			b.Worker.Order(guise.Faults{})
+		}
+		return nil
+	}},
+	{Name: "worker-speaks-garbage", Run: func(c *Cluster, r *rand.Rand) error {
+		b := hit(r, c.Of("worker"))
+		b.Worker.Order(guise.Faults{Garbage: true})
+		time.Sleep(3 * time.Second)
+		b.Worker.Order(guise.Faults{})
+		return nil
+	}},
+	{Name: "reports-lag", Run: func(c *Cluster, r *rand.Rand) error {
+		for _, b := range c.Of("worker") {
+			b.Worker.Order(guise.Faults{LagMs: 450})
+		}
+		time.Sleep(5 * time.Second)
+		return nil
+	}, Tune: func(c *Cluster) { c.Tune = func(o *guise.WorkerOptions) { o.Room = 140 } }},
+	{Name: "workers-leave", Run: func(c *Cluster, r *rand.Rand) error {
+		for _, id := range []string{"p1", "d1"} {
+			pause(r)
+			c.Platform.Leave(word.WorkerId(id))
+			c.Book.Mark("leave", id)
+		}
+		time.Sleep(5 * time.Second)
+		return nil
+	}, Calm: true},
+	{Name: "zone-evacuated-and-back", Run: func(c *Cluster, r *rand.Rand) error {
+		pause(r)
+		z := hit(r, c.Site.Zones)
+		if err := c.Mark("/v1/zones/"+string(z), "out", true); err != nil {
+			return err
+		}
+		for _, b := range c.Of("worker") {
+			if b.Zone == z {
+				c.Book.Mark("evacuate", b.Name)
+			}
+		}
+		time.Sleep(7 * time.Second)
+		for _, b := range c.Of("worker") {
+			if b.Zone == z {
+				c.Book.Mark("return", b.Name)
+			}
+		}
+		return c.Mark("/v1/zones/"+string(z), "back", false)
+	}, Calm: true},
+	{Name: "operators-race", Run: func(c *Cluster, r *rand.Rand) error {
+		for n := range 4 {
+			var wg sync.WaitGroup
+			var mu sync.Mutex
+			won := 0
+			base := c.Of("verge")[0].Node.Show().Newest
+			for k := range 2 {
+				wg.Go(func() {
+					ms := 3000 + 10*n + k
+					got := &door.Applied{}
+					b := c.Of("verge")[k]
+					err := c.At(b, "/v1/policy", &door.Apply{Op: fmt.Sprintf("race-%d-%d", n, k), Base: base, Partial: true,
+						Source: fmt.Sprintf(`{"limits":{"retryAfterMs":%d}}`, ms)}, got)
+					if err == nil {
+						c.Book.Ack(word.Version(got.Version), fmt.Sprint(ms))
+						mu.Lock()
+						won++
+						mu.Unlock()
+					}
+				})
+			}
+			wg.Wait()
+			if won != 1 {
+				return fmt.Errorf("round %d: %d of two racing operators won", n, won)
+			}
+			c.Until(3*time.Second, func() bool { return c.Of("verge")[0].Node.Show().Version > base })
+		}
+		return nil
+	}, Calm: true},
+	{Name: "configuration-storm", Run: func(c *Cluster, r *rand.Rand) error {
+		for n := range 25 {
+			if err := change(c, fmt.Sprintf("storm-%d", n), 4000+n); err != nil {
+				return fmt.Errorf("storm %d: %w", n, err)
+			}
+		}
+		return nil
+	}, Calm: true},
+	{Name: "storm-with-a-node-cut-from-the-core", Run: func(c *Cluster, r *rand.Rand) error {
+		b := c.Of("verge")[3]
+		core := ips(c.Of("tenet")...)
+		c.World.Cut(ips(b), core, true)
+		c.World.Cut(core, ips(b), true)
+		for n := range 4 {
+			if err := change(c, fmt.Sprintf("cut-%d", n), 5000+n); err != nil {
+				return err
+			}
+		}
+		c.World.Cut(ips(b), core, false)
+		c.World.Cut(core, ips(b), false)
+		return nil
+	}},
+}
