--- a/crux/core.go
+++ b/crux/core.go
@@ -59,11 +59,11 @@
 	store *store
 	feed  *feed
 
-	regMu sync.Mutex
+	regMu seam.Latch
 	reg   register
 	heard map[word.DiskId]word.Tick
 
-	dataMu sync.Mutex
+	dataMu seam.Latch
 	roll   *roll
 	ready  atomic.Uint64
 	sour   bool
@@ -76,7 +76,7 @@
 // New opens the disk and reads what it holds. It starts nothing.
 func New(opt Options) (*Core, error) {
 	opt.fill()
-	c := &Core{opt: opt, feed: newFeed(), heard: map[word.DiskId]word.Tick{}, fatal: make(chan error, 1)}
+	c := &Core{opt: opt, regMu: seam.NewLatch(), dataMu: seam.NewLatch(), feed: newFeed(), heard: map[word.DiskId]word.Tick{}, fatal: make(chan error, 1)}
 	c.store = &store{disk: opt.Host.Disk, stall: opt.Stall}
 	id, err := opt.Host.Disk.Load(identityFile)
 	if errors.Is(err, seam.ErrGone) {
--- a/passage/controller.go
+++ b/passage/controller.go
@@ -1,7 +1,7 @@
 // The controller moves one request: granted, prefilled, exported, imported,
 // resumed, ended, or dropped on the way. Room to finish the whole answer is
-// booked before anything runs, the import is acknowledged before the first
-// piece goes out, and resume is the point of no return.
+// booked before anything runs, and resume, with every byte of the memory in, is
+// the point of no return, before which no piece goes out.
 package passage
 
 import (
@@ -28,6 +28,7 @@
 	Done(w word.WorkerId, id rein.Id)
 	Stream(ctx context.Context, w word.WorkerId, id rein.Id, from int, put func(rein.Piece) error) error
 	Spend(ctx context.Context) bool
+	Blame(w word.WorkerId)
 }
 
 // Choice is a cleared worker with what it runs on.
@@ -142,6 +143,7 @@
 		}
 		for _, w := range []word.WorkerId{f.from, f.to} {
 			if w != "" {
+				c.Hands.Blame(w)
 				shun[w] = breakdown.Is(err, breakdown.Lost) || breakdown.Is(err, breakdown.Unknown)
 			}
 		}
@@ -213,14 +215,16 @@
 	}
 	f.life = a.Life
 	f.tell(Imported, to.Id, nil)
-	if err := f.hand(got.Output); err != nil {
-		return err
-	}
 	f.runs = true
 	if _, err = h.Resume(ctx, to.Id, f.id); err != nil {
 		return err
 	}
 	f.tell(Resumed, to.Id, nil)
+	// Only now, with every byte in and the digest right, does the origin get
+	// the first piece: a lost transfer is a bounce, not a broken stream.
+	if err := f.hand(got.Output); err != nil {
+		return err
+	}
 	return h.Stream(ctx, to.Id, f.id, len(f.sent), f.piece)
 }
 
--- a/proof/cluster.go
+++ b/proof/cluster.go
@@ -160,6 +160,8 @@
 		begin: func(b *Box, ctx context.Context, host seam.Host) error {
 			opt := guise.WorkerOptions{Id: id, Addr: b.Addr, Part: w.Part, Room: w.Room, Block: w.Block, Host: host,
 				Model: rein.Model{Name: w.Model, Weights: w.Weights, Adapters: w.Adapters}}
+			// Slow enough that a breakdown finds work in flight.
+			opt.Step, opt.Read = 10*time.Millisecond, 80*time.Microsecond
 			if c.Tune != nil {
 				c.Tune(&opt)
 			}
--- a/proof/trial.go
+++ b/proof/trial.go
@@ -36,12 +36,12 @@
 		time.Sleep(2 * time.Second)
 		done <- s.Run(c, r)
 	}()
-	all := c.Load(25, span, seed)
+	all := c.Load(40, span, seed)
 	err := <-done
 	struck := 2 * time.Second
 	// After the script the fleet must serve again, whatever happened.
 	rest := time.Since(begun)
-	all2 := c.Load(25, 14*time.Second, seed+1000)
+	all2 := c.Load(40, 14*time.Second, seed+1000)
 	for i := range all2 {
 		all2[i].At += rest
 	}
--- a/rein/rein.go
+++ b/rein/rein.go
@@ -7,9 +7,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"keelstair.example/breakdown"
@@ -119,8 +121,14 @@
 	return r.order(ctx, addr, "/resume", q, 5*time.Second)
 }
 
+// Cancel ends an attempt. Where nobody listens any more no process is left that
+// could go on with it: it is lost, which is more than not having been reached.
 func (r *Rein) Cancel(ctx context.Context, addr string, q *IdAsk) (*Answer, error) {
-	return r.order(ctx, addr, "/cancel", q, time.Second)
+	a, err := r.order(ctx, addr, "/cancel", q, time.Second)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		err = breakdown.As(err, breakdown.Lost, "cancel", addr)
+	}
+	return a, err
 }
 
 func (r *Rein) Part(ctx context.Context, addr string, q *PartAsk) (*Answer, error) {
--- a/seam/seam.go
+++ b/seam/seam.go
@@ -91,3 +91,12 @@
 	host.Disk = disk
 	return host, err
 }
+
+// Latch is a lock that may be held across the edges of the machine. Waiting for
+// it is waiting on a channel, so simulated time goes on meanwhile.
+type Latch chan struct{}
+
+func NewLatch() Latch { return make(Latch, 1) }
+
+func (l Latch) Lock()   { l <- struct{}{} }
+func (l Latch) Unlock() { <-l }
--- a/seam/sham/world.go
+++ b/seam/sham/world.go
@@ -228,8 +228,10 @@
 
 type clock struct{ p *Proc }
 
+// Now does not wait for a frozen machine to wake: it is asked under locks. A
+// frozen process is held at its next step on the network or the disk instead,
+// which is the harsher case: what it had checked before is old by then.
 func (c clock) Now() word.Tick {
-	c.p.gate()
 	c.p.at.world.mu.Lock()
 	defer c.p.at.world.mu.Unlock()
 	return word.Tick(time.Since(c.p.at.world.start) + c.p.at.ahead + time.Hour)
--- /dev/null
+++ b/verge/debt.go
@@ -0,0 +1,72 @@
+// Debts: what a node owes the core's records. A claim whose fate was not learnt
+// in time, or an outcome that could not be recorded while the core was away, is
+// asked again with the same operation until it is known; so no key stays claimed
+// by a node that lives and does not run it.
+package verge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/crux"
+	"keelstair.example/lore"
+	"keelstair.example/seam"
+	"keelstair.example/word"
+)
+
+type debt struct {
+	op     word.OpId
+	claim  *lore.Claim
+	settle *lore.Settle
+}
+
+type debts struct {
+	mu  sync.Mutex
+	row []debt
+}
+
+func (d *debts) add(one debt) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.row = append(d.row, one)
+}
+
+func (d *debts) all() []debt {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := d.row
+	d.row = nil
+	return out
+}
+
+func (n *Node) payer(ctx context.Context) {
+	for seam.Sleep(ctx, 250*time.Millisecond) {
+		for _, d := range n.debts.all() {
+			if !n.pay(ctx, d) {
+				n.debts.add(d)
+			}
+		}
+	}
+}
+
+// pay tells whether nothing more is owed.
+func (n *Node) pay(ctx context.Context, d debt) bool {
+	if d.settle == nil {
+		cx, stop := context.WithTimeout(ctx, 1500*time.Millisecond)
+		defer stop()
+		r, err := n.agent.Submit(cx, d.op, lore.ClaimKind, crux.Pack(d.claim))
+		if err != nil {
+			return breakdown.Is(err, breakdown.Stale) || breakdown.Is(err, breakdown.Bad)
+		}
+		var got lore.ClaimReply
+		if _, err := got.UnmarshalMsg(r.Body); err != nil || !got.Fresh {
+			return true
+		}
+		// It was claimed for nothing: nothing ran, and now nothing can.
+		d.settle = &lore.Settle{Key: d.claim.Key, Owner: n.me.Node, Fate: lore.NotRun}
+	}
+	err := n.settle(d.settle)
+	return err == nil || breakdown.Is(err, breakdown.Stale)
+}
--- a/verge/hands.go
+++ b/verge/hands.go
@@ -58,7 +58,7 @@
 		}
 		by[id] = passage.Choice{Id: id, Model: m, Block: st.Block}
 		c := whim.Candidate{Id: id, Zone: w.Zone, Free: st.Free, Room: st.Room, Busy: st.Busy, Cap: st.Cap, Affinity: whim.Affinity(h.prefix, id)}
-		if shun[id] {
+		if shun[id] || n.blamed(id) {
 			last = append(last, c)
 		} else {
 			list = append(list, c)
@@ -144,3 +144,29 @@
 	}
 	return false
 }
+
+// blame is how often hand-overs were lost at a worker of late.
+type blame struct {
+	count int
+	at    word.Tick
+}
+
+const blameSpan = 3 * time.Second
+
+// Blame notes a lost hand-over. Which of its two workers was at fault is not
+// known; the one that is at fault again and again stands out.
+func (h *hands) Blame(w word.WorkerId) {
+	n := h.n
+	now := n.now()
+	b := blame{1, now}
+	if v, ok := n.blames.Load(w); ok && !now.Past(v.(blame).at, blameSpan) {
+		b.count += v.(blame).count
+	}
+	n.blames.Store(w, b)
+}
+
+// blamed workers are picked last for a while.
+func (n *Node) blamed(w word.WorkerId) bool {
+	v, ok := n.blames.Load(w)
+	return ok && v.(blame).count >= 2 && !n.now().Past(v.(blame).at, blameSpan)
+}
--- a/verge/node.go
+++ b/verge/node.go
@@ -75,6 +75,8 @@
 	stands   atomic.Pointer[map[word.WorkerId]Stand]
 	mates    sync.Map // word.NodeId -> mate
 	ledgers  sync.Map // word.WorkerId -> *desk
+	blames   sync.Map // word.WorkerId -> blame
+	debts    debts
 	inflight atomic.Int64
 	kinds    sync.Map // kind -> *atomic.Int64
 	stopping atomic.Bool
@@ -138,7 +140,7 @@
 func (n *Node) Run(ctx context.Context, drain time.Duration) {
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){n.agent.Run, n.beats, n.rosters, n.desks, n.settler, n.switcher} {
+	for _, f := range []func(context.Context){n.agent.Run, n.beats, n.rosters, n.desks, n.settler, n.payer, n.switcher} {
 		wg.Go(func() { f(inner) })
 	}
 	<-ctx.Done()
--- a/verge/serve.go
+++ b/verge/serve.go
@@ -165,9 +165,11 @@
 	cx, stop := context.WithTimeout(context.WithoutCancel(ctx), 1500*time.Millisecond)
 	defer stop()
 	claim := &lore.Claim{Key: key, Owner: n.me.Node, Digest: ask.Digest()}
-	r, err := n.agent.Submit(cx, word.OpId("claim/"+crux.Name()), lore.ClaimKind, crux.Pack(claim))
+	op := word.OpId("claim/" + crux.Name())
+	r, err := n.agent.Submit(cx, op, lore.ClaimKind, crux.Pack(claim))
 	if err != nil {
 		if breakdown.Is(err, breakdown.Unknown) {
+			n.debts.add(debt{op: op, claim: claim})
 			return n.later(http.StatusServiceUnavailable, "claim-unknown", "whether the key was claimed is not known; nothing runs on it: %v", err)
 		}
 		return n.later(http.StatusServiceUnavailable, "core-away", "%v", err)
@@ -185,8 +187,8 @@
 	start, deaf := n.now(), false
 	var toks []int32
 	var texts []string
-	run, end := context.WithTimeout(context.WithoutCancel(ctx), time.Minute)
-	defer end()
+	run, halt := context.WithTimeout(context.WithoutCancel(ctx), time.Minute)
+	defer halt()
 	err = c.Run(run, t, func(i int, tok int32, text string) error {
 		if toks, texts = append(toks, tok), append(texts, text); len(toks) == 1 {
 			score.First(n.now().Since(start))
@@ -210,8 +212,12 @@
 	if fate != lore.Done {
 		body = nil
 	}
-	if e := n.settle(&lore.Settle{Key: key, Owner: n.me.Node, Fate: fate, Out: body}); e != nil {
+	end := &lore.Settle{Key: key, Owner: n.me.Node, Fate: fate, Out: body}
+	if e := n.settle(end); e != nil {
 		n.counts.Unsure.Add(1)
+		if !breakdown.Is(e, breakdown.Stale) {
+			n.debts.add(debt{settle: end})
+		}
 		if len(toks) == 0 && fate == lore.NotRun {
 			return n.later(http.StatusServiceUnavailable, "outcome-pending", "%v", e)
 		}
