--- a/guise/serve.go
+++ b/guise/serve.go
@@ -52,6 +52,7 @@
 		switch {
 		case q.URL.Path == "/fault" || q.URL.Path == "/tally":
 		case f.Dark:
+			io.Copy(io.Discard, q.Body) // else the server would not notice a caller that leaves
 			<-q.Context().Done()
 			return
 		case f.Garbage:
