--- /dev/null
+++ b/guise/worker_test.go
@@ -0,0 +1,209 @@
+package guise
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/rein"
+	"keelstair.example/seam/sham"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+// pairOf runs a prefill and a decode worker and gives a rein to drive them.
+type pairOf struct {
+	p, d   *Worker
+	pa, da string
+	r      *rein.Rein
+	ctx    context.Context
+}
+
+func twin(t *testing.T, room int, f func(*pairOf)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := sham.NewWorld(1)
+		ctx, stop := context.WithCancel(context.Background())
+		x := &pairOf{pa: "10.0.0.1:90", da: "10.0.0.2:90", ctx: ctx}
+		for i, part := range []word.Part{word.Prefill, word.Decode} {
+			host := w.Machine(fmt.Sprintf("10.0.0.%d", i+1)).Start().Host()
+			addr := fmt.Sprintf("10.0.0.%d:90", i+1)
+			k := NewWorker(WorkerOptions{Id: word.WorkerId(part), Addr: addr, Part: part, Room: room, Host: host, Model: rein.Model{Name: "m", Weights: "w1"}})
+			l, err := host.Net.Listen(addr)
+			require.NoError(t, err)
+			go wire.Serve(ctx, l, k.Handler())
+			go k.Run(ctx)
+			if part == word.Prefill {
+				x.p = k
+			} else {
+				x.d = k
+			}
+		}
+		me := w.Machine("10.0.0.9").Start()
+		x.r = rein.New(me.Host().Net)
+		defer func() {
+			stop()
+			x.r.Close()
+			me.Kill()
+			for i := range 2 {
+				w.Machine(fmt.Sprintf("10.0.0.%d", i+1)).PowerOff()
+			}
+			time.Sleep(10 * time.Second) // simulated: what is under way runs out
+		}()
+		f(x)
+	})
+}
+
+func (x *pairOf) identity(name string, prompt, max int) rein.Identity {
+	m := rein.Identity{Id: rein.Id{Request: name, Attempt: 1}, Params: rein.Params{MaxTokens: max, Seed: 7}, Model: rein.Model{Name: "m", Weights: "w1"}}
+	for i := range prompt {
+		m.Prompt = append(m.Prompt, int32(i*31%997+len(name)))
+	}
+	return m
+}
+
+func (x *pairOf) read(t *testing.T, m rein.Identity) rein.Identity {
+	_, err := x.r.Prefill(x.ctx, x.pa, &rein.PrefillAsk{Lead: rein.Lead{Fence: 1}, Identity: m})
+	require.NoError(t, err)
+	a, err := x.r.Export(x.ctx, x.pa, &rein.ExportAsk{Lead: rein.Lead{Fence: 1}, Id: m.Id})
+	require.NoError(t, err)
+	return *a.Identity
+}
+
+func (x *pairOf) move(m rein.Identity) error {
+	_, err := x.r.Import(x.ctx, x.da, &rein.ImportAsk{Lead: rein.Lead{Fence: 1}, Identity: m, Source: x.pa})
+	return err
+}
+
+func (x *pairOf) resume(m rein.Identity) error {
+	_, err := x.r.Resume(x.ctx, x.da, &rein.IdAsk{Lead: rein.Lead{Fence: 1}, Id: m.Id})
+	return err
+}
+
+func (x *pairOf) rest(t *testing.T, m rein.Identity) []int32 {
+	out := append([]int32(nil), m.Output...)
+	require.NoError(t, x.r.Stream(x.ctx, x.da, m.Id, len(out), time.Second, func(p rein.Piece) error {
+		if p.End == "" {
+			out = append(out, p.Token)
+		}
+		return nil
+	}))
+	return out
+}
+
+func solo(m rein.Identity) []int32 {
+	return Solo(m.Prompt, m.Params.MaxTokens, m.Params.Seed, m.Params.Temperature, m.Model.Name, m.Model.Weights, m.Model.Adapters)
+}
+
+// TestSameTokens: after prefill plus one step, and again in mid-decode, the
+// request that moved gives what a run that never moved gives. The source is
+// clean, and the destination pays exactly the block bill.
+func TestSameTokens(t *testing.T) {
+	twin(t, 64, func(x *pairOf) {
+		for _, sent := range []int{0, 1, 3, 5} {
+			m := x.identity(fmt.Sprintf("r%d", sent), 100, 8)
+			whole := solo(m)
+			require.Greater(t, len(whole), sent)
+			m.Output = whole[:sent:sent]
+			got := x.read(t, m)
+			require.Zero(t, x.p.Used(), "the source must come back clean")
+			require.NoError(t, x.move(got))
+			require.Equal(t, word.Blocks(got.Computed, 16), x.d.Used(), "the bill is ceil(computed / block size)")
+			require.NoError(t, x.resume(got))
+			require.Equal(t, whole, x.rest(t, got))
+			require.Zero(t, x.d.Used())
+		}
+	})
+}
+
+// TestLoudImport: what does not fit whole, answer included, is refused at the
+// import, before any token; and nothing is taken.
+func TestLoudImport(t *testing.T) {
+	twin(t, 8, func(x *pairOf) {
+		m := x.identity("big", 100, 40)
+		got := x.read(t, m)
+		err := x.move(got)
+		require.True(t, breakdown.Is(err, breakdown.Bounced), "%v", err)
+		require.Zero(t, x.d.Used())
+		require.Equal(t, 1, x.d.Tallies()["big"].Refused)
+		fit := x.read(t, x.identity("fits", 100, 20))
+		require.NoError(t, x.move(fit))
+	})
+}
+
+// TestArrivalFence: attention waits for every byte. The planted worker that
+// hurries gives other tokens, so the check can fail.
+func TestArrivalFence(t *testing.T) {
+	twin(t, 64, func(x *pairOf) {
+		x.p.Order(Faults{Speed: 20_000})
+		m := x.read(t, x.identity("slow", 200, 8))
+		require.NoError(t, x.move(m))
+		require.NoError(t, x.resume(m))
+		require.Equal(t, solo(m), x.rest(t, m))
+		x.d.Order(Faults{Hurry: true})
+		m = x.read(t, x.identity("hurried", 200, 8))
+		require.NoError(t, x.move(m))
+		require.NoError(t, x.resume(m))
+		require.NotEqual(t, solo(m), x.rest(t, m))
+	})
+}
+
+// TestSpoilt: memory whose digest is off, or that breaks off, is never resumed.
+func TestSpoilt(t *testing.T) {
+	for _, f := range []Faults{{Corrupt: true}, {Drop: true}} {
+		twin(t, 64, func(x *pairOf) {
+			x.p.Order(f)
+			m := x.read(t, x.identity("spoilt", 100, 8))
+			require.NoError(t, x.move(m))
+			require.True(t, breakdown.Is(x.resume(m), breakdown.Lost))
+			require.Zero(t, x.d.Used())
+			require.Zero(t, x.d.Tallies()["spoilt"].Runs)
+		})
+	}
+}
+
+// TestOrphans: an import that is never resumed and a run that nobody reads end
+// by themselves, and a cancelled attempt can never start.
+func TestOrphans(t *testing.T) {
+	twin(t, 64, func(x *pairOf) {
+		m := x.read(t, x.identity("left", 100, 8))
+		require.NoError(t, x.move(m))
+		time.Sleep(3 * time.Second)
+		require.Zero(t, x.d.Used())
+		require.True(t, breakdown.Is(x.resume(m), breakdown.Lost))
+		m = x.read(t, x.identity("stopped", 100, 8))
+		a, err := x.r.Cancel(x.ctx, x.da, &rein.IdAsk{Lead: rein.Lead{Fence: 1}, Id: m.Id})
+		require.NoError(t, err)
+		require.Equal(t, rein.FateNever, a.Fate)
+		require.True(t, breakdown.Is(x.move(m), breakdown.Lost))
+	})
+}
+
+// TestFence: an order under an older fence is refused and changes nothing.
+func TestFence(t *testing.T) {
+	twin(t, 64, func(x *pairOf) {
+		_, err := x.r.Part(x.ctx, x.da, &rein.PartAsk{Lead: rein.Lead{Fence: 5}, Part: word.Decode})
+		require.NoError(t, err)
+		m := x.read(t, x.identity("old", 100, 8))
+		require.True(t, breakdown.Is(x.move(m), breakdown.Stale))
+		require.Zero(t, x.d.Used())
+	})
+}
+
+// TestBadOrders: what is malformed or for another model is named and refused.
+func TestBadOrders(t *testing.T) {
+	twin(t, 64, func(x *pairOf) {
+		m := x.identity("other", 10, 4)
+		m.Model.Weights = "w9"
+		_, err := x.r.Prefill(x.ctx, x.pa, &rein.PrefillAsk{Lead: rein.Lead{Fence: 1}, Identity: m})
+		require.True(t, breakdown.Is(err, breakdown.Bad), "%v", err)
+		x.d.Order(Faults{Garbage: true})
+		_, err = x.r.Report(x.ctx, x.da)
+		require.ErrorContains(t, err, "garbage")
+		require.Equal(t, x.da, breakdown.Peer(err))
+	})
+}
--- /dev/null
+++ b/passage/ledger_test.go
@@ -0,0 +1,109 @@
+package passage
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/rein"
+	"keelstair.example/word"
+)
+
+const lag = 500 * time.Millisecond
+
+func at(ms int) word.Tick { return word.Tick(time.Duration(ms) * time.Millisecond) }
+
+func report(used int, on ...rein.Running) *rein.Report {
+	return &rein.Report{Part: word.Decode, Used: used, Capacity: 100, Block: 16, Running: on}
+}
+
+func one(n int) rein.Id { return rein.Id{Request: string(rune('a' + n)), Attempt: 1} }
+
+// TestLedgerWaits: a new holder books nothing before a report that surely shows
+// all that the one before it ordered.
+func TestLedgerWaits(t *testing.T) {
+	l := NewLedger(at(1000), lag, 0, 8)
+	l.Report(report(0), at(1100))
+	require.Error(t, l.Reserve(one(0), 1, at(1110)))
+	l.Report(report(30, rein.Running{Id: one(9), Blocks: 30, Room: 60}), at(1500))
+	require.NoError(t, l.Reserve(one(0), 10, at(1510)))
+	require.Error(t, l.Reserve(one(1), 1, at(1511)))
+}
+
+// TestLedgerLag: reports that do not show an import yet, or still show an ended
+// one, never make the worker look emptier than it is.
+func TestLedgerLag(t *testing.T) {
+	l := NewLedger(at(0), lag, 0, 8)
+	l.Report(report(0), at(600))
+	require.NoError(t, l.Reserve(one(0), 60, at(610)))
+	l.Moved(one(0), at(620))
+	l.Report(report(0), at(800))
+	require.Equal(t, 40, l.State(at(800)).Free, "the import is not in the report")
+	l.Report(report(50, rein.Running{Id: one(0), Blocks: 50, Room: 10}), at(1300))
+	require.Equal(t, 40, l.State(at(1300)).Free, "counted once")
+	l.Ended(one(0), at(1310))
+	l.Report(report(50, rein.Running{Id: one(0), Blocks: 50, Room: 10}), at(1500))
+	require.Equal(t, 40, l.State(at(1500)).Free, "the completion is not in the report")
+	l.Report(report(0), at(1900))
+	require.Equal(t, 100, l.State(at(1900)).Free)
+}
+
+// TestLedgerNeverOverbooks plays a worker whose reports are up to the lag old
+// against the ledger: what the ledger lets through always fits.
+func TestLedgerNeverOverbooks(t *testing.T) {
+	for seed := uint64(1); seed <= 200; seed++ {
+		r := rand.New(rand.NewPCG(seed, 3))
+		l := NewLedger(at(0), lag, 0, 1000)
+		type run struct{ blocks, start, end int }
+		truth := map[rein.Id]run{}
+		var history []*rein.Report
+		taken := 0
+		for now := 0; now < 8000; now += 10 {
+			used := 0
+			rep := report(0)
+			for id, v := range truth {
+				if v.end <= now {
+					l.Ended(id, at(now))
+					delete(truth, id)
+					continue
+				}
+				used += v.blocks
+				rep.Running = append(rep.Running, rein.Running{Id: id, Blocks: v.blocks})
+			}
+			require.LessOrEqual(t, used, 100, "seed %d at %d ms", seed, now)
+			rep.Used = used
+			history = append(history, rep)
+			if now%200 == 0 {
+				l.Report(history[max(0, len(history)-1-r.IntN(49))], at(now))
+			}
+			if r.IntN(4) == 0 {
+				id := rein.Id{Request: string(rune(now)), Attempt: int(seed)}
+				n := 1 + r.IntN(30)
+				if l.Reserve(id, n, at(now)) == nil {
+					l.Moved(id, at(now))
+					truth[id] = run{n, now, now + 50 + r.IntN(900)}
+					taken++
+				}
+			}
+		}
+		require.Greater(t, taken, 20, "seed %d", seed)
+	}
+}
+
+// TestRamp: a cold worker takes few starts, then more.
+func TestRamp(t *testing.T) {
+	l := NewLedger(at(0), lag, 2*time.Second, 16)
+	l.Report(report(0), at(600))
+	require.Equal(t, 4, l.State(at(600)).Cap)
+	for n := range 4 {
+		require.NoError(t, l.Reserve(one(n), 1, at(600)))
+	}
+	require.Error(t, l.Reserve(one(5), 1, at(600)))
+	require.Equal(t, 16, l.State(at(2100)).Cap)
+	back := report(0)
+	back.Part = word.Prefill
+	l.Report(back, at(3000))
+	require.Equal(t, 4, l.State(at(3500)).Cap, "a switched worker is cold again")
+}
--- a/proof/cluster.go
+++ b/proof/cluster.go
@@ -364,4 +364,5 @@
 		c.World.Machine(ip).PowerOff()
 	}
 	c.wg.Wait()
+	time.Sleep(30 * time.Second) // simulated: what is under way runs out
 }
