--- a/cmd/omen/main.go
+++ b/cmd/omen/main.go
@@ -1,3 +1,172 @@
+// Omen is the planner: it shows what a change would move before it is applied.
 package main
 
-func main() {}
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"keelstair.example/cmd/boot"
+	"keelstair.example/creed"
+	"keelstair.example/door"
+	"keelstair.example/lore"
+	"keelstair.example/verge"
+	"keelstair.example/verge/augur"
+	"keelstair.example/whim"
+	"keelstair.example/word"
+)
+
+type policyCmd struct {
+	File    string  `arg:"positional,required" help:"CUE or JSON"`
+	Partial bool    `arg:"--partial" help:"it is laid over the configuration in force"`
+	Base    *uint64 `arg:"--base" help:"the version it was made over"`
+}
+
+type nameCmd struct {
+	Name string `arg:"positional,required"`
+}
+
+type settings struct {
+	Doors    []string   `arg:"--doors,env:KEELSTAIR_DOORS" help:"doors of nodes, tried in turn"`
+	Json     bool       `arg:"--json" help:"print JSON"`
+	Policy   *policyCmd `arg:"subcommand:apply" help:"a configuration"`
+	Evacuate *nameCmd   `arg:"subcommand:evacuate" help:"the evacuation of a zone"`
+	Zone     *nameCmd   `arg:"subcommand:lose-zone" help:"the loss of a zone"`
+	Machine  *nameCmd   `arg:"subcommand:lose-machine" help:"the loss of a machine, by its address"`
+	Drain    *nameCmd   `arg:"subcommand:drain" help:"the draining of a worker"`
+}
+
+func (s *settings) File() string { return "" }
+
+func (s *settings) Check() error {
+	if len(s.Doors) == 1 {
+		s.Doors = strings.Split(s.Doors[0], ",")
+	}
+	if len(s.Doors) == 0 {
+		return creed.Fault("doors", "at least one is needed (--doors or KEELSTAIR_DOORS)")
+	}
+	if s.Policy == nil && s.Evacuate == nil && s.Zone == nil && s.Machine == nil && s.Drain == nil {
+		return creed.Fault("command", "one is needed; see omen --help")
+	}
+	return nil
+}
+
+func main() {
+	s := &settings{}
+	creed.Read(s, "omen", "Omen shows what a change would move.", os.Args[1:])
+	boot.Fail("omen", s.run())
+}
+
+func (s *settings) get(path string, into any) error {
+	web := &http.Client{Timeout: 5 * time.Second}
+	var last error
+	for _, d := range s.Doors {
+		r, err := web.Get("http://" + d + path)
+		if err != nil {
+			last = err
+			continue
+		}
+		defer r.Body.Close()
+		return json.NewDecoder(r.Body).Decode(into)
+	}
+	return last
+}
+
+func (s *settings) run() error {
+	var st verge.Standing
+	var sh door.Shown
+	if err := s.get("/v1/status", &st); err != nil {
+		return err
+	}
+	if err := s.get("/v1/policy", &sh); err != nil {
+		return err
+	}
+	now := &lore.Policy{}
+	if err := json.Unmarshal(sh.Policy, now); err != nil {
+		return err
+	}
+	c, err := s.change(&sh)
+	if err != nil {
+		return err
+	}
+	f, err := augur.Foresee(&st, now, c)
+	if err != nil {
+		return err
+	}
+	if s.Json {
+		b, err := json.MarshalIndent(f, "", "  ")
+		fmt.Println(string(b))
+		return err
+	}
+	tell(f)
+	return nil
+}
+
+func (s *settings) change(sh *door.Shown) (augur.Change, error) {
+	switch {
+	case s.Evacuate != nil:
+		return augur.Change{Evacuate: word.Zone(s.Evacuate.Name)}, nil
+	case s.Zone != nil:
+		return augur.Change{LoseZone: word.Zone(s.Zone.Name)}, nil
+	case s.Machine != nil:
+		return augur.Change{LoseAddr: s.Machine.Name}, nil
+	case s.Drain != nil:
+		return augur.Change{Drain: word.WorkerId(s.Drain.Name)}, nil
+	}
+	if s.Policy.Base != nil && *s.Policy.Base != sh.Newest {
+		return augur.Change{}, fmt.Errorf("the plan was made over version %d; the newest is %d", *s.Policy.Base, sh.Newest)
+	}
+	text, err := os.ReadFile(s.Policy.File)
+	if err != nil {
+		return augur.Change{}, err
+	}
+	body, err := lore.Source(s.Policy.File, text)
+	if err == nil && s.Policy.Partial {
+		body, err = lore.Merge(sh.Policy, body)
+	}
+	if err != nil {
+		return augur.Change{}, err
+	}
+	p, err := lore.Check(s.Policy.File, body)
+	if err != nil {
+		return augur.Change{}, err
+	}
+	_, err = whim.NewDeck(verge.Sources(p), p.Limits.Steps, &whim.Scores{})
+	return augur.Change{Policy: p}, err
+}
+
+func tell(f *augur.Forecast) {
+	fmt.Printf("over version %d\n\nworkers\n", f.Version)
+	for _, w := range f.Workers {
+		fmt.Println("  " + w)
+	}
+	if len(f.Workers) == 0 {
+		fmt.Println("  the catalogue stays")
+	}
+	fmt.Printf("\nnodes %d -> %d, disk machines %d -> %d\n", f.Nodes[0], f.Nodes[1], f.Disks[0], f.Disks[1])
+	fmt.Printf("\nkeys that change hands: %d\n", len(f.Keys))
+	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	for _, m := range f.Keys {
+		fmt.Fprintf(out, "  %s\t%s\t-> %s\n", m.Key, m.From, m.To)
+	}
+	fmt.Fprintf(out, "\nroom\tworkers\tblocks\ttaken now\tzones\n")
+	for _, r := range f.Rooms {
+		fmt.Fprintf(out, "  %s %s\t%d -> %d\t%d -> %d\t%d\t%d -> %d\n", r.Model, r.Part, r.Workers[0], r.Workers[1], r.Blocks[0], r.Blocks[1], r.Used, r.Zones[0], r.Zones[1])
+	}
+	fmt.Fprintf(out, "\nshares\n")
+	for n, p := range f.Shares {
+		fmt.Fprintf(out, "  %s\t%d -> %d\n", n, p[0], p[1])
+	}
+	out.Flush()
+	fmt.Println()
+	for _, w := range f.Warnings {
+		fmt.Println("warning: " + w)
+	}
+	if len(f.Warnings) == 0 {
+		fmt.Println("no warnings")
+	}
+}
--- a/cmd/tenet/main.go
+++ b/cmd/tenet/main.go
@@ -13,6 +13,7 @@
 	"keelstair.example/door"
 	"keelstair.example/lore"
 	"keelstair.example/seam"
+	"keelstair.example/word"
 )
 
 type settings struct {
@@ -55,7 +56,7 @@
 	boot.Fail("tenet", err)
 	ring := boot.Ring("tenet " + s.Addr)
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
-	core, err := crux.New(crux.Options{Addr: s.Addr, Host: host, Seeds: s.Seeds, Ring: ring,
+	core, err := crux.New(crux.Options{Addr: s.Addr, Zone: word.Zone(s.Zone), Host: host, Seeds: s.Seeds, Ring: ring,
 		Machine: func() crux.Machine { return lore.NewMachine(0) },
 		Beat:    ms(s.BeatMs), Silence: ms(s.SilenceMs), Lease: ms(s.LeaseMs), Stall: ms(s.StallMs), Replace: ms(s.ReplaceMs)})
 	boot.Fail("tenet", err)
--- a/crux/core.go
+++ b/crux/core.go
@@ -24,6 +24,7 @@
 // Options of a core; zero spans take the defaults named beside them.
 type Options struct {
 	Addr    string
+	Zone    word.Zone
 	Host    seam.Host
 	Seeds   []string
 	Machine func() Machine
@@ -86,7 +87,7 @@
 	if err != nil {
 		return nil, breakdown.Wrap(err, "open identity", "disk")
 	}
-	c.me = Seat{Disk: word.DiskId(id), Addr: opt.Addr}
+	c.me = Seat{Disk: word.DiskId(id), Addr: opt.Addr, Zone: opt.Zone}
 	if c.reg, err = c.store.loadRegister(); err != nil {
 		return nil, err
 	}
--- a/crux/note.go
+++ b/crux/note.go
@@ -7,11 +7,13 @@
 //msgp:shim word.Epoch as:uint64 using:uint64/word.Epoch
 //msgp:shim word.Seq as:uint64 using:uint64/word.Seq
 //msgp:shim word.DiskId as:string using:string/word.DiskId
+//msgp:shim word.Zone as:string using:string/word.Zone
 
 // Seat is a disk machine: its identity and where it listens now.
 type Seat struct {
 	Disk word.DiskId
 	Addr string
+	Zone word.Zone
 }
 
 // Record is what the registers decide: who leads in an epoch.
--- a/crux/note_gen.go
+++ b/crux/note_gen.go
@@ -19,33 +19,42 @@
 	o = msgp.AppendString(o, z.Founding)
 	// string "Primary"
 	o = append(o, 0xa7, 0x50, 0x72, 0x69, 0x6d, 0x61, 0x72, 0x79)
-	// map header, size 2
+	// map header, size 3
 	// string "Disk"
-	o = append(o, 0x82, 0xa4, 0x44, 0x69, 0x73, 0x6b)
+	o = append(o, 0x83, 0xa4, 0x44, 0x69, 0x73, 0x6b)
 	o = msgp.AppendString(o, string(z.Primary.Disk))
 	// string "Addr"
 	o = append(o, 0xa4, 0x41, 0x64, 0x64, 0x72)
 	o = msgp.AppendString(o, z.Primary.Addr)
+	// string "Zone"
+	o = append(o, 0xa4, 0x5a, 0x6f, 0x6e, 0x65)
+	o = msgp.AppendString(o, string(z.Primary.Zone))
 	// string "Backup"
 	o = append(o, 0xa6, 0x42, 0x61, 0x63, 0x6b, 0x75, 0x70)
-	// map header, size 2
+	// map header, size 3
 	// string "Disk"
-	o = append(o, 0x82, 0xa4, 0x44, 0x69, 0x73, 0x6b)
+	o = append(o, 0x83, 0xa4, 0x44, 0x69, 0x73, 0x6b)
 	o = msgp.AppendString(o, string(z.Backup.Disk))
 	// string "Addr"
 	o = append(o, 0xa4, 0x41, 0x64, 0x64, 0x72)
 	o = msgp.AppendString(o, z.Backup.Addr)
+	// string "Zone"
+	o = append(o, 0xa4, 0x5a, 0x6f, 0x6e, 0x65)
+	o = msgp.AppendString(o, string(z.Backup.Zone))
 	// string "Holders"
 	o = append(o, 0xa7, 0x48, 0x6f, 0x6c, 0x64, 0x65, 0x72, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Holders)))
 	for za0001 := range z.Holders {
-		// map header, size 2
+		// map header, size 3
 		// string "Disk"
-		o = append(o, 0x82, 0xa4, 0x44, 0x69, 0x73, 0x6b)
+		o = append(o, 0x83, 0xa4, 0x44, 0x69, 0x73, 0x6b)
 		o = msgp.AppendString(o, string(z.Holders[za0001].Disk))
 		// string "Addr"
 		o = append(o, 0xa4, 0x41, 0x64, 0x64, 0x72)
 		o = msgp.AppendString(o, z.Holders[za0001].Addr)
+		// string "Zone"
+		o = append(o, 0xa4, 0x5a, 0x6f, 0x6e, 0x65)
+		o = msgp.AppendString(o, string(z.Holders[za0001].Zone))
 	}
 	return
 }
@@ -115,6 +124,16 @@
 						err = msgp.WrapError(err, "Primary", "Addr")
 						return
 					}
+				case "Zone":
+					{
+						var zb0005 string
+						zb0005, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Primary", "Zone")
+							return
+						}
+						z.Primary.Zone = word.Zone(zb0005)
+					}
 				default:
 					bts, err = msgp.Skip(bts)
 					if err != nil {
@@ -124,14 +143,14 @@
 				}
 			}
 		case "Backup":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Backup")
 				return
 			}
-			for zb0005 > 0 {
-				zb0005--
+			for zb0006 > 0 {
+				zb0006--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Backup")
@@ -140,13 +159,13 @@
 				switch msgp.UnsafeString(field) {
 				case "Disk":
 					{
-						var zb0006 string
-						zb0006, bts, err = msgp.ReadStringBytes(bts)
+						var zb0007 string
+						zb0007, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "Backup", "Disk")
 							return
 						}
-						z.Backup.Disk = word.DiskId(zb0006)
+						z.Backup.Disk = word.DiskId(zb0007)
 					}
 				case "Addr":
 					z.Backup.Addr, bts, err = msgp.ReadStringBytes(bts)
@@ -154,6 +173,16 @@
 						err = msgp.WrapError(err, "Backup", "Addr")
 						return
 					}
+				case "Zone":
+					{
+						var zb0008 string
+						zb0008, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Backup", "Zone")
+							return
+						}
+						z.Backup.Zone = word.Zone(zb0008)
+					}
 				default:
 					bts, err = msgp.Skip(bts)
 					if err != nil {
@@ -163,26 +192,26 @@
 				}
 			}
 		case "Holders":
-			var zb0007 uint32
-			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Holders")
 				return
 			}
-			if cap(z.Holders) >= int(zb0007) {
-				z.Holders = (z.Holders)[:zb0007]
+			if cap(z.Holders) >= int(zb0009) {
+				z.Holders = (z.Holders)[:zb0009]
 			} else {
-				z.Holders = make([]Seat, zb0007)
+				z.Holders = make([]Seat, zb0009)
 			}
 			for za0001 := range z.Holders {
-				var zb0008 uint32
-				zb0008, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0010 uint32
+				zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Holders", za0001)
 					return
 				}
-				for zb0008 > 0 {
-					zb0008--
+				for zb0010 > 0 {
+					zb0010--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Holders", za0001)
@@ -191,13 +220,13 @@
 					switch msgp.UnsafeString(field) {
 					case "Disk":
 						{
-							var zb0009 string
-							zb0009, bts, err = msgp.ReadStringBytes(bts)
+							var zb0011 string
+							zb0011, bts, err = msgp.ReadStringBytes(bts)
 							if err != nil {
 								err = msgp.WrapError(err, "Holders", za0001, "Disk")
 								return
 							}
-							z.Holders[za0001].Disk = word.DiskId(zb0009)
+							z.Holders[za0001].Disk = word.DiskId(zb0011)
 						}
 					case "Addr":
 						z.Holders[za0001].Addr, bts, err = msgp.ReadStringBytes(bts)
@@ -205,6 +234,16 @@
 							err = msgp.WrapError(err, "Holders", za0001, "Addr")
 							return
 						}
+					case "Zone":
+						{
+							var zb0012 string
+							zb0012, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Holders", za0001, "Zone")
+								return
+							}
+							z.Holders[za0001].Zone = word.Zone(zb0012)
+						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -228,9 +267,9 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Record) Msgsize() (s int) {
-	s = 1 + 6 + msgp.Uint64Size + 9 + msgp.StringPrefixSize + len(z.Founding) + 8 + 1 + 5 + msgp.StringPrefixSize + len(string(z.Primary.Disk)) + 5 + msgp.StringPrefixSize + len(z.Primary.Addr) + 7 + 1 + 5 + msgp.StringPrefixSize + len(string(z.Backup.Disk)) + 5 + msgp.StringPrefixSize + len(z.Backup.Addr) + 8 + msgp.ArrayHeaderSize
+	s = 1 + 6 + msgp.Uint64Size + 9 + msgp.StringPrefixSize + len(z.Founding) + 8 + 1 + 5 + msgp.StringPrefixSize + len(string(z.Primary.Disk)) + 5 + msgp.StringPrefixSize + len(z.Primary.Addr) + 5 + msgp.StringPrefixSize + len(string(z.Primary.Zone)) + 7 + 1 + 5 + msgp.StringPrefixSize + len(string(z.Backup.Disk)) + 5 + msgp.StringPrefixSize + len(z.Backup.Addr) + 5 + msgp.StringPrefixSize + len(string(z.Backup.Zone)) + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Holders {
-		s += 1 + 5 + msgp.StringPrefixSize + len(string(z.Holders[za0001].Disk)) + 5 + msgp.StringPrefixSize + len(z.Holders[za0001].Addr)
+		s += 1 + 5 + msgp.StringPrefixSize + len(string(z.Holders[za0001].Disk)) + 5 + msgp.StringPrefixSize + len(z.Holders[za0001].Addr) + 5 + msgp.StringPrefixSize + len(string(z.Holders[za0001].Zone))
 	}
 	return
 }
@@ -238,13 +277,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z Seat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "Disk"
-	o = append(o, 0x82, 0xa4, 0x44, 0x69, 0x73, 0x6b)
+	o = append(o, 0x83, 0xa4, 0x44, 0x69, 0x73, 0x6b)
 	o = msgp.AppendString(o, string(z.Disk))
 	// string "Addr"
 	o = append(o, 0xa4, 0x41, 0x64, 0x64, 0x72)
 	o = msgp.AppendString(o, z.Addr)
+	// string "Zone"
+	o = append(o, 0xa4, 0x5a, 0x6f, 0x6e, 0x65)
+	o = msgp.AppendString(o, string(z.Zone))
 	return
 }
 
@@ -282,6 +324,16 @@
 				err = msgp.WrapError(err, "Addr")
 				return
 			}
+		case "Zone":
+			{
+				var zb0003 string
+				zb0003, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Zone")
+					return
+				}
+				z.Zone = word.Zone(zb0003)
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -296,6 +348,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Seat) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(string(z.Disk)) + 5 + msgp.StringPrefixSize + len(z.Addr)
+	s = 1 + 5 + msgp.StringPrefixSize + len(string(z.Disk)) + 5 + msgp.StringPrefixSize + len(z.Addr) + 5 + msgp.StringPrefixSize + len(string(z.Zone))
 	return
 }
--- a/guise/engine.go
+++ b/guise/engine.go
@@ -41,12 +41,16 @@
 		r := w.queue[0]
 		return w.opt.Step + time.Duration(len(r.ident.Prompt)-w.cached(r))*w.opt.Read
 	}
+	n := 0
 	for _, r := range w.live {
 		if r.resumed && r.arrived && !r.ended {
-			return w.opt.Step
+			n++
 		}
 	}
-	return 0
+	if n == 0 {
+		return 0
+	}
+	return w.opt.Step + time.Duration(n)*w.opt.Each
 }
 
 func (w *Worker) settle() {
--- a/guise/load.go
+++ b/guise/load.go
@@ -29,6 +29,7 @@
 	Shared  int // prompt tokens that all of the kind share
 	Own     int // prompt tokens of the caller's own, at most
 	Max     int
+	Long    int // the least of the caller's own tokens
 }
 
 // LoadOptions say what to send.
@@ -100,7 +101,7 @@
 		for j := range sh.Shared {
 			a.PromptIds = append(a.PromptIds, base+int32(j)+1)
 		}
-		for range 1 + rng.IntN(sh.Own) {
+		for range max(1, sh.Long) + rng.IntN(sh.Own) {
 			a.PromptIds = append(a.PromptIds, 1+rng.Int32N(50000))
 		}
 		if sh.Claimed {
@@ -291,7 +292,7 @@
 // Sites are the two.
 var Sites = map[string]Site{
 	"vatuloa": {Name: "vatuloa", Zones: []word.Zone{"hall-a", "hall-b", "hall-c"}, Nodes: 7, Prefill: 6, Decode: 6, Model: "bridge-8b",
-		Shapes: []Shape{{"verdict", true, 45, 384, 640, 2}, {"clarification", false, 55, 96, 48, 24}}},
+		Shapes: []Shape{{Kind: "verdict", Claimed: true, Share: 45, Shared: 384, Own: 640, Max: 2}, {Kind: "clarification", Share: 55, Shared: 96, Own: 48, Max: 24}}},
 	"almaty": {Name: "almaty", Zones: []word.Zone{"alatau", "medeu", "bostandyk"}, Nodes: 6, Prefill: 4, Decode: 5, Model: "scooter-8b",
-		Shapes: []Shape{{"ruling", true, 45, 320, 480, 2}, {"rider", false, 55, 128, 48, 24}}},
+		Shapes: []Shape{{Kind: "ruling", Claimed: true, Share: 45, Shared: 320, Own: 480, Max: 2}, {Kind: "rider", Share: 55, Shared: 128, Own: 48, Max: 24}}},
 }
--- a/guise/worker.go
+++ b/guise/worker.go
@@ -25,6 +25,7 @@
 	Block  int           // tokens a block
 	Read   time.Duration // a prompt token's prefill, 40us
 	Step   time.Duration // a decode step, 4ms
+	Each   time.Duration // what each run adds to a step, 200us
 	Lag    time.Duration // how old its reports are, 300ms
 	Stage  time.Duration // how long outgoing KV waits, 5s
 	Orphan time.Duration // import without resume, or run without reader, 2s
@@ -41,6 +42,7 @@
 	}
 	set(&o.Read, 40*time.Microsecond)
 	set(&o.Step, 4*time.Millisecond)
+	set(&o.Each, 200*time.Microsecond)
 	set(&o.Lag, 300*time.Millisecond)
 	set(&o.Stage, 5*time.Second)
 	set(&o.Orphan, 2*time.Second)
@@ -279,3 +281,10 @@
 	}
 	return r
 }
+
+// Part tells what the worker does now.
+func (w *Worker) Part() word.Part {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.part
+}
--- a/lore/policy.go
+++ b/lore/policy.go
@@ -217,7 +217,7 @@
 		models[w.Model][w.Part] = true
 	}
 	for name, k := range p.Kinds {
-		if m := models[k.Model]; len(p.Workers) > 0 && !(m[word.Prefill] && m[word.Decode]) {
+		if m := models[k.Model]; !(m[word.Prefill] && m[word.Decode]) {
 			return fault(fmt.Sprintf("kinds.%s.model", name), "no prefill and decode worker offers %q", k.Model)
 		}
 	}
--- a/passage/controller.go
+++ b/passage/controller.go
@@ -18,7 +18,7 @@
 // Hands give the controller its reach: every order goes through the worker's
 // one duty holder.
 type Hands interface {
-	Pick(q *whim.Question, on rein.Model, shun map[word.WorkerId]bool) []Choice
+	Pick(q *whim.Question, on rein.Model, shun map[word.WorkerId]bool) []Picked
 	Reserve(ctx context.Context, w word.WorkerId, id rein.Id, blocks int) error
 	Prefill(ctx context.Context, w word.WorkerId, m rein.Identity) (*rein.Answer, error)
 	Export(ctx context.Context, w word.WorkerId, id rein.Id) (*rein.Answer, error)
@@ -31,8 +31,8 @@
 	Blame(w word.WorkerId)
 }
 
-// Choice is a cleared worker with what it runs on.
-type Choice struct {
+// Picked is a cleared worker with what it runs on.
+type Picked struct {
 	Id    word.WorkerId
 	Model rein.Model
 	Block int
@@ -248,7 +248,7 @@
 }
 
 // book reserves room on the first worker that has it, in the program's order.
-func (f *flight) book(ctx context.Context, ask *whim.Question, on rein.Model, toks int, shun map[word.WorkerId]bool) (Choice, error) {
+func (f *flight) book(ctx context.Context, ask *whim.Question, on rein.Model, toks int, shun map[word.WorkerId]bool) (Picked, error) {
 	ask.Need = toks
 	list := f.Hands.Pick(ask, on, shun)
 	err := breakdown.New(breakdown.Bounced, "pick "+string(ask.Part), "", "no worker is cleared")
@@ -260,7 +260,7 @@
 			break
 		}
 	}
-	return Choice{}, breakdown.As(err, breakdown.Bounced, "book "+string(ask.Part), "")
+	return Picked{}, breakdown.As(err, breakdown.Bounced, "book "+string(ask.Part), "")
 }
 
 // hand puts all tokens that the origin has not had yet.
--- a/passage/ledger.go
+++ b/passage/ledger.go
@@ -34,6 +34,7 @@
 	asked  word.Tick
 	holds  map[rein.Id]*hold
 	misses int
+	held   bool
 }
 
 // NewLedger begins with nothing known: what an earlier holder ordered shows in
@@ -73,6 +74,25 @@
 	}
 }
 
+// Hold keeps new work away, so that the worker drains; or lets it come again.
+func (l *Ledger) Hold(on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held = on
+}
+
+// Empty tells that nothing is booked and the last report shows nothing.
+func (l *Ledger) Empty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, h := range l.holds {
+		if h.ended == 0 {
+			return false
+		}
+	}
+	return l.report != nil && len(l.report.Running) == 0 && l.report.Queue == 0
+}
+
 // Missed notes that the worker did not answer.
 func (l *Ledger) Missed() {
 	l.mu.Lock()
@@ -107,7 +127,7 @@
 	s.Part, s.Room, s.Block, s.Model = r.Part, r.Capacity, r.Block, r.Model
 	// The first report that shows all of an earlier holder's orders was asked
 	// for one lag after the grant.
-	s.Ready = l.misses < 3 && !now.Past(l.asked, 2*time.Second) && l.asked.Since(l.since) >= l.lag
+	s.Ready = !l.held && l.misses < 3 && !now.Past(l.asked, 2*time.Second) && l.asked.Since(l.since) >= l.lag
 	used := 0
 	for _, v := range r.Running {
 		if l.holds[v.Id] == nil {
--- a/proof/book.go
+++ b/proof/book.go
@@ -32,7 +32,7 @@
 	mu    sync.Mutex
 	start time.Time
 	rows  []Seen
-	lives []*guise.Worker
+	lives []Teller
 	marks []Mark
 	steps map[passage.Stage]int
 	again []time.Duration
@@ -46,6 +46,9 @@
 	At      time.Duration
 }
 
+// Teller is a worker that keeps a count of its own.
+type Teller interface{ Tallies() map[string]guise.Tally }
+
 func NewBook() *Book { return &Book{start: time.Now(), steps: map[passage.Stage]int{}} }
 
 // Now is the time since the book was opened.
@@ -57,7 +60,7 @@
 	b.rows = append(b.rows, Seen{e, b.Now()})
 }
 
-func (b *Book) Life(w *guise.Worker) {
+func (b *Book) Life(w Teller) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.lives = append(b.lives, w)
--- /dev/null
+++ b/proof/checker_test.go
@@ -0,0 +1,82 @@
+package proof
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/guise"
+	"keelstair.example/rein"
+	"keelstair.example/verge"
+	"keelstair.example/word"
+)
+
+type fake map[string]guise.Tally
+
+func (f fake) Tallies() map[string]guise.Tally { return f }
+
+// TestCheckersCatch plants one violation of each line and sees it caught, under
+// its own name and no other.
+func TestCheckersCatch(t *testing.T) {
+	event := func(b *Book, what, worker string, fence word.Fence, v word.Version, at time.Duration) {
+		b.rows = append(b.rows, Seen{guise.Event{What: what, Worker: word.WorkerId(worker), Id: rein.Id{Request: "r"}, Fence: fence, Version: v}, at})
+	}
+	for line, plant := range map[string]func(b *Book) []guise.Outcome{
+		Twice: func(b *Book) []guise.Outcome {
+			b.Life(fake{"k-1": {Runs: 1, Records: 1}})
+			b.Life(fake{"k-1": {Runs: 1}})
+			return nil
+		},
+		NotRun: func(b *Book) []guise.Outcome {
+			b.Life(fake{verge.Request("verdict/c1"): {Runs: 1, Records: 1}})
+			return []guise.Outcome{{Kind: "verdict", Key: "c1+", End: "complete"}}
+		},
+		Torn: func(*Book) []guise.Outcome {
+			return []guise.Outcome{{Kind: "rider", End: "wrong", Detail: "piece 4 where 3 was due"}}
+		},
+		Differs: func(*Book) []guise.Outcome {
+			return []guise.Outcome{{Kind: "rider", End: "wrong", Detail: "tokens [1]"}}
+		},
+		Starved: func(b *Book) []guise.Outcome { b.Life(fake{"x": {Starved: 1}}); return nil },
+		LateLeave: func(b *Book) []guise.Outcome {
+			b.marks = append(b.marks, Mark{"leave", "p1", time.Second})
+			event(b, "prefill", "p1", 1, 1, 3900*time.Millisecond)
+			event(b, "prefill", "p1", 1, 1, 4100*time.Millisecond)
+			return nil
+		},
+		LateZone: func(b *Book) []guise.Outcome {
+			b.marks = append(b.marks, Mark{"evacuate", "d1", time.Second}, Mark{"return", "d1", 8 * time.Second})
+			event(b, "import", "d1", 1, 1, 9*time.Second)
+			event(b, "import", "d1", 1, 1, 7*time.Second)
+			return nil
+		},
+		SlowLaw: func(b *Book) []guise.Outcome {
+			event(b, "import", "d1", 1, 5, time.Second)
+			event(b, "import", "d1", 1, 4, 1200*time.Millisecond)
+			event(b, "import", "d1", 1, 4, 1300*time.Millisecond)
+			return nil
+		},
+		Conflict: func(b *Book) []guise.Outcome {
+			event(b, "import", "d1", 7, 1, time.Second)
+			event(b, "import", "d1", 6, 1, 2*time.Second)
+			return nil
+		},
+		Overspent: func(b *Book) []guise.Outcome {
+			for i := range 20 {
+				b.again = append(b.again, time.Duration(i)*50*time.Millisecond)
+			}
+			return nil
+		},
+	} {
+		t.Run(line, func(t *testing.T) {
+			b := NewBook()
+			got := b.Check(plant(b))
+			require.Len(t, got, 1, "%v", got)
+			require.Equal(t, line, got[0].Line)
+		})
+	}
+	require.Equal(t, 5*time.Second, Back([]guise.Outcome{
+		{End: "complete", At: time.Second}, {End: "broken", At: 3 * time.Second}, {End: "complete", At: 6 * time.Second},
+	}, time.Second, 7*time.Second).Round(time.Second))
+}
--- a/proof/cluster.go
+++ b/proof/cluster.go
@@ -12,6 +12,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -57,6 +58,7 @@
 	Seeds    []string
 	Tune     func(*guise.WorkerOptions)
 	Programs map[string]lore.Program
+	Switch   bool
 
 	base   context.Context
 	shut   context.CancelFunc
@@ -121,7 +123,7 @@
 	ip := addr[:len(addr)-4]
 	return &Box{Name: name, Kind: "tenet", Zone: zone, Addr: addr, Machine: c.World.Machine(ip),
 		begin: func(b *Box, ctx context.Context, host seam.Host) error {
-			core, err := crux.New(crux.Options{Addr: addr, Host: host, Seeds: c.Seeds, Ring: c.ring(name),
+			core, err := crux.New(crux.Options{Addr: addr, Zone: zone, Host: host, Seeds: c.Seeds, Ring: c.ring(name),
 				Machine: func() crux.Machine { return lore.NewMachine(0) }})
 			if err != nil {
 				return err
@@ -254,6 +256,9 @@
 		return fmt.Errorf("no core was founded")
 	}
 	text := c.Site.Policy(c.Programs)
+	if c.Switch {
+		text = strings.Replace(text, "{", `{"switch": true,"limits":{"dwellMs":4000},`, 1)
+	}
 	var err error
 	c.Until(10*time.Second, func() bool {
 		_, err = c.Apply(&door.Apply{Op: "first", Base: 0, Source: text})
@@ -287,13 +292,13 @@
 }
 
 // Refused is an operator's no.
-type Refused struct {
+type Bounced struct {
 	Code int
 	Name string
 	Text string
 }
 
-func (r *Refused) Error() string { return fmt.Sprintf("%d %s %s", r.Code, r.Name, r.Text) }
+func (r *Bounced) Error() string { return fmt.Sprintf("%d %s %s", r.Code, r.Name, r.Text) }
 
 // Operate asks doors in turn, going on only where nothing was done.
 func (c *Cluster) Operate(path string, in, out any) error {
@@ -303,7 +308,7 @@
 			continue
 		}
 		err := c.At(b, path, in, out)
-		if r, ok := err.(*Refused); err == nil || ok && r.Code != http.StatusServiceUnavailable {
+		if r, ok := err.(*Bounced); err == nil || ok && r.Code != http.StatusServiceUnavailable {
 			return err
 		}
 		last = err
@@ -335,7 +340,7 @@
 	if r.StatusCode != http.StatusOK {
 		var f struct{ Error rein.Bounce }
 		json.Unmarshal(got, &f)
-		return &Refused{r.StatusCode, f.Error.Name, f.Error.Detail}
+		return &Bounced{r.StatusCode, f.Error.Name, f.Error.Detail}
 	}
 	if out == nil {
 		return nil
@@ -345,8 +350,13 @@
 
 // Load sends the site's mix for a span and waits for every answer.
 func (c *Cluster) Load(rate float64, span time.Duration, seed uint64) []guise.Outcome {
+	return c.Mix(c.Site.Shapes, rate, span, seed)
+}
+
+// Mix sends another mix of shapes.
+func (c *Cluster) Mix(shapes []guise.Shape, rate float64, span time.Duration, seed uint64) []guise.Outcome {
 	doors := func() []string { return c.Platform.Doors("") }
-	return guise.Load(c.base, guise.LoadOptions{Host: c.out.Host(), Doors: doors, Shapes: c.Site.Shapes, Rate: rate, Span: span, Seed: seed,
+	return guise.Load(c.base, guise.LoadOptions{Host: c.out.Host(), Doors: doors, Shapes: shapes, Rate: rate, Span: span, Seed: seed,
 		Model: c.Site.Model, Weights: []string{guise.SiteWeights, "w2"}, Retries: 8})
 }
 
--- /dev/null
+++ b/proof/input_test.go
@@ -0,0 +1,121 @@
+package proof
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/door"
+	"keelstair.example/guise"
+)
+
+// inBubble runs a founded fleet of a site.
+func inBubble(t *testing.T, site string, tune func(*Cluster), f func(t *testing.T, c *Cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := Build(1, guise.Sites[site], tune)
+		defer c.Close()
+		require.NoError(t, c.Found())
+		f(t, c)
+	})
+}
+
+func code(t *testing.T, err error) (int, string, string) {
+	var r *Bounced
+	require.True(t, errors.As(err, &r), "%v", err)
+	return r.Code, r.Name, r.Text
+}
+
+// TestBadAsks: each is refused with a named error, and nothing runs.
+func TestBadAsks(t *testing.T) {
+	inBubble(t, "vatuloa", nil, func(t *testing.T, c *Cluster) {
+		big := make([]int32, 40000)
+		for i := range big {
+			big[i] = 1
+		}
+		for _, k := range []struct {
+			ask  any
+			code int
+			name string
+		}{
+			{"text", http.StatusBadRequest, "wrong-type"},
+			{map[string]any{"kind": "clarification", "colour": 1}, http.StatusBadRequest, "unknown-field"},
+			{map[string]any{"kind": "clarification", "maxTokens": "x"}, http.StatusBadRequest, "wrong-type"},
+			{door.Ask{Kind: "sermon", Prompt: "a"}, http.StatusBadRequest, "unknown"},
+			{door.Ask{Kind: "clarification", Model: "other", Prompt: "a"}, http.StatusBadRequest, "unknown"},
+			{door.Ask{Kind: "clarification", Adapters: []string{"x"}, Prompt: "a"}, http.StatusBadRequest, "unknown"},
+			{door.Ask{Kind: "clarification"}, http.StatusBadRequest, "missing"},
+			{door.Ask{Kind: "verdict", Prompt: "a"}, http.StatusBadRequest, "missing"},
+			{door.Ask{Kind: "clarification", Prompt: "a", MaxTokens: 1000}, http.StatusBadRequest, "out-of-range"},
+			{door.Ask{Kind: "clarification", PromptIds: big}, http.StatusRequestEntityTooLarge, "too-large"},
+			{door.Ask{Kind: "clarification", Prompt: strings.Repeat("a ", 3<<20)}, http.StatusRequestEntityTooLarge, "too-large"},
+		} {
+			got, name, _ := code(t, c.At(c.Of("verge")[0], "/v1/streams", k.ask, nil))
+			require.Equal(t, k.code, got, "%v", k.name)
+			require.Equal(t, k.name, name)
+		}
+		for _, w := range c.Of("worker") {
+			require.Empty(t, w.Worker.Tallies())
+		}
+	})
+}
+
+// TestBadPolicies: refused whole, with place and reason; the old one stays.
+func TestBadPolicies(t *testing.T) {
+	inBubble(t, "almaty", nil, func(t *testing.T, c *Cluster) {
+		for _, k := range []struct {
+			a    door.Apply
+			code int
+			says string
+		}{
+			{door.Apply{Op: "a", Base: 1, Source: "{workers: {"}, 400, "policy:1"},
+			{door.Apply{Op: "b", Base: 1, Partial: true, Source: `{workers: {p1: {room: -4}}}`}, 400, "room"},
+			{door.Apply{Op: "c", Base: 1, Partial: true, Source: `{workers: {p1: {zone: "moon"}}}`}, 400, "moon"},
+			{door.Apply{Op: "d", Base: 1, Source: "{\"workers\": {\"p1\": {},\n\"p1\": {}}}"}, 400, "p1 stands twice"},
+			{door.Apply{Op: "e", Base: 1, Partial: true, Source: `{colour: 3}`}, 400, "colour"},
+			{door.Apply{Op: "f", Base: 1, Partial: true, Source: `{programs: {x: {share: 100, source: "def order(a, b):\n  retrun b"}}}`}, 400, "x.star:2"},
+			{door.Apply{Op: "g", Base: 1, Partial: true, Source: `{programs: {x: {share: 40, source: "def order(a, b):\n  return []"}}}`}, 400, "40, not to 100"},
+			{door.Apply{Op: "h", Base: 1, Partial: true, Source: `{workers: null}`}, 400, ""},
+			{door.Apply{Op: "i", Base: 0, Partial: true, Source: `{limits: {queue: 3}}`}, 409, "newest is 1"},
+			{door.Apply{Op: "", Base: 1, Source: `{}`}, 400, "id of its own"},
+		} {
+			_, err := c.Apply(&k.a)
+			got, name, text := code(t, err)
+			require.Equal(t, k.code, got, "%s %s %s", k.a.Op, name, text)
+			require.Contains(t, text, k.says, k.a.Op)
+		}
+		require.Equal(t, uint64(1), c.Of("verge")[0].Node.Show().Newest)
+		got, _, _ := code(t, c.Mark("/v1/zones/moon", "z", true))
+		require.Equal(t, 404, got)
+	})
+}
+
+// TestOperationIds: the same operation asked again has the one outcome it had,
+// even after the leader was lost; another id over the old base loses.
+func TestOperationIds(t *testing.T) {
+	inBubble(t, "almaty", nil, func(t *testing.T, c *Cluster) {
+		a := &door.Apply{Op: "once", Base: 1, Partial: true, Source: `{limits: {queue: 9}}`}
+		one, err := c.Apply(a)
+		require.NoError(t, err)
+		c.PowerOff(c.Leader())
+		time.Sleep(4 * time.Second)
+		two, err := c.Apply(a)
+		if err != nil {
+			// A partial one is merged anew, and the base has moved on.
+			got, _, _ := code(t, err)
+			require.Equal(t, 409, got)
+			a.Partial, a.Source = false, string(c.Of("verge")[0].Node.Show().Policy)
+			two, err = c.Apply(a)
+			require.NoError(t, err)
+		}
+		require.Equal(t, one.Version, two.Version)
+		_, err = c.Apply(&door.Apply{Op: "other", Base: 1, Source: a.Source})
+		got, _, _ := code(t, err)
+		require.True(t, got == 409 || got == 400, "%v", err)
+		require.Equal(t, one.Version, c.Of("verge")[0].Node.Show().Newest)
+	})
+}
--- /dev/null
+++ b/verge/augur/augur.go
@@ -0,0 +1,268 @@
+// Package augur works out what a change would move, before it is made: workers,
+// keys, room, shares of traffic, and whether the core still decides. It only
+// reads; the state it is given is the live one, as a node shows it.
+package augur
+
+import (
+	"fmt"
+	"sort"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/crux"
+	"keelstair.example/lore"
+	"keelstair.example/verge"
+	"keelstair.example/word"
+)
+
+// Change is what may be done; one of its fields is set.
+type Change struct {
+	Policy   *lore.Policy // a whole new configuration
+	Evacuate word.Zone
+	LoseZone word.Zone
+	LoseAddr string // a machine, by any of its addresses
+	Drain    word.WorkerId
+}
+
+// Move is a key that would change hands.
+type Move struct {
+	Key  word.Key    `json:"key"`
+	From word.NodeId `json:"from"`
+	To   word.NodeId `json:"to"`
+}
+
+// Room is what one part of a model can hold, in blocks.
+type Room struct {
+	Model   string    `json:"model"`
+	Part    word.Part `json:"part"`
+	Workers [2]int    `json:"workers"`
+	Blocks  [2]int    `json:"blocks"`
+	Used    int       `json:"used"`
+	Zones   [2]int    `json:"zones"`
+}
+
+// Forecast is what would come of it; pairs are before and after.
+type Forecast struct {
+	Version  word.Version      `json:"version"`
+	Workers  []string          `json:"workers"`
+	Keys     []Move            `json:"keys"`
+	Rooms    []Room            `json:"rooms"`
+	Shares   map[string][2]int `json:"shares"`
+	Nodes    [2]int            `json:"nodes"`
+	Disks    [2]int            `json:"disks"`
+	Warnings []string          `json:"warnings"`
+}
+
+func (f *Forecast) warn(form string, args ...any) {
+	f.Warnings = append(f.Warnings, fmt.Sprintf(form, args...))
+}
+
+// Foresee holds a change against the live state.
+func Foresee(st *verge.Standing, now *lore.Policy, c Change) (*Forecast, error) {
+	if err := known(st, now, c); err != nil {
+		return nil, err
+	}
+	f := &Forecast{Version: st.Version, Workers: []string{}, Keys: []Move{}, Rooms: []Room{}, Shares: map[string][2]int{}, Warnings: []string{}}
+	next := now
+	if c.Policy != nil {
+		next = c.Policy
+	}
+	f.workers(now, next)
+	f.shares(now, next)
+	f.keys(st, next, c)
+	f.rooms(st, now, next, c)
+	f.core(st, c)
+	return f, nil
+}
+
+func known(st *verge.Standing, p *lore.Policy, c Change) error {
+	for _, z := range []word.Zone{c.Evacuate, c.LoseZone} {
+		ok := z == ""
+		for _, have := range p.Zones {
+			ok = ok || have == z
+		}
+		if !ok {
+			return breakdown.New(breakdown.Bad, "plan", string(z), "there is no such zone")
+		}
+	}
+	if _, ok := p.Workers[c.Drain]; !ok && c.Drain != "" {
+		return breakdown.New(breakdown.Bad, "plan", string(c.Drain), "there is no such worker")
+	}
+	if c.LoseAddr != "" {
+		for _, m := range st.Members {
+			if m.Addr == c.LoseAddr {
+				return nil
+			}
+		}
+		for _, s := range st.Core.Holders {
+			if s.Addr == c.LoseAddr {
+				return nil
+			}
+		}
+		return breakdown.New(breakdown.Bad, "plan", c.LoseAddr, "no node and no disk machine has this address")
+	}
+	return nil
+}
+
+func ids(a, b *lore.Policy) []word.WorkerId {
+	set := map[word.WorkerId]bool{}
+	for id := range a.Workers {
+		set[id] = true
+	}
+	for id := range b.Workers {
+		set[id] = true
+	}
+	out := make([]word.WorkerId, 0, len(set))
+	for id := range set {
+		out = append(out, id)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+func (f *Forecast) workers(a, b *lore.Policy) {
+	for _, id := range ids(a, b) {
+		x, was := a.Workers[id]
+		y, is := b.Workers[id]
+		switch {
+		case !was:
+			f.Workers = append(f.Workers, fmt.Sprintf("+ %s: %s of %s %s in %s, %d blocks", id, y.Part, y.Model, y.Weights, y.Zone, y.Room))
+		case !is:
+			f.Workers = append(f.Workers, fmt.Sprintf("- %s: %s of %s %s in %s", id, x.Part, x.Model, x.Weights, x.Zone))
+		case fmt.Sprint(x) != fmt.Sprint(y):
+			f.Workers = append(f.Workers, fmt.Sprintf("~ %s: %v -> %v", id, x, y))
+		}
+	}
+}
+
+func (f *Forecast) shares(a, b *lore.Policy) {
+	for i, p := range []*lore.Policy{a, b} {
+		plain := 100
+		put := func(name string, n int) {
+			pair := f.Shares[name]
+			pair[i] = n
+			f.Shares[name] = pair
+		}
+		for name, g := range p.Programs {
+			if !g.Shadow {
+				put(name, g.Share)
+				plain -= g.Share
+			}
+		}
+		put("plain", plain)
+	}
+}
+
+// lost tells whether a change takes away what stands at an address in a zone.
+func (c Change) lost(zone word.Zone, addr string) bool {
+	return c.LoseZone != "" && c.LoseZone == zone || c.LoseAddr != "" && c.LoseAddr == addr
+}
+
+func (f *Forecast) keys(st *verge.Standing, next *lore.Policy, c Change) {
+	var was, is []word.NodeId
+	for _, m := range st.Members {
+		was = append(was, m.Node)
+		if !c.lost(m.Zone, m.Addr) {
+			is = append(is, m.Node)
+		}
+	}
+	f.Nodes = [2]int{len(was), len(is)}
+	if len(is) == 0 {
+		f.warn("no node would be left")
+	}
+	keys := []word.Key{lore.BudgetKey, lore.SettleKey}
+	pools := map[string]bool{}
+	for id, w := range next.Workers {
+		keys = append(keys, lore.WorkerKey(id))
+		pools[w.Model] = true
+	}
+	for m := range pools {
+		keys = append(keys, lore.PoolKey(m))
+	}
+	sort.Slice(keys, func(i, j int) bool { return keys[i] < keys[j] })
+	for _, k := range keys {
+		if from, to := crux.Owner(k, was), crux.Owner(k, is); from != to {
+			f.Keys = append(f.Keys, Move{k, from, to})
+		}
+	}
+}
+
+func (f *Forecast) rooms(st *verge.Standing, now, next *lore.Policy, c Change) {
+	type group struct {
+		model string
+		part  word.Part
+	}
+	rooms := map[group]*Room{}
+	zones := map[group][2]map[word.Zone]bool{}
+	stands := map[word.WorkerId]verge.Stand{}
+	for _, s := range st.Workers {
+		stands[s.Id] = s
+	}
+	out := map[string]bool{}
+	for _, z := range st.Evacuated {
+		out[z] = true
+	}
+	for _, w := range st.Drained {
+		out[w] = true
+	}
+	for i, p := range []*lore.Policy{now, next} {
+		for id, w := range p.Workers {
+			part := w.Part
+			s, live := stands[id]
+			if live && s.Part != "" {
+				part = s.Part
+			}
+			g := group{w.Model, part}
+			if rooms[g] == nil {
+				rooms[g] = &Room{Model: w.Model, Part: part}
+				zones[g] = [2]map[word.Zone]bool{{}, {}}
+			}
+			if out[string(w.Zone)] || out[string(id)] {
+				continue
+			}
+			if i == 0 {
+				rooms[g].Used += max(0, s.Room-s.Free)
+			} else if c.lost(w.Zone, "") || c.Evacuate == w.Zone && w.Zone != "" || c.Drain == id {
+				continue
+			}
+			rooms[g].Workers[i]++
+			rooms[g].Blocks[i] += w.Room
+			zones[g][i][w.Zone] = true
+		}
+	}
+	for g, r := range rooms {
+		r.Zones = [2]int{len(zones[g][0]), len(zones[g][1])}
+		f.Rooms = append(f.Rooms, *r)
+	}
+	sort.Slice(f.Rooms, func(i, j int) bool {
+		a, b := f.Rooms[i], f.Rooms[j]
+		return a.Model+string(a.Part) < b.Model+string(b.Part)
+	})
+	for _, r := range f.Rooms {
+		who := fmt.Sprintf("%s of %s", r.Part, r.Model)
+		switch {
+		case r.Workers[1] == 0 && r.Workers[0] > 0:
+			f.warn("no worker would be left for %s", who)
+		case r.Used > r.Blocks[1]:
+			f.warn("%s would have %d blocks, %d are taken now", who, r.Blocks[1], r.Used)
+		case r.Used*10 > r.Blocks[1]*8:
+			f.warn("%s would be over four fifths full: %d of %d blocks", who, r.Used, r.Blocks[1])
+		case r.Zones[1] < 2 && r.Zones[0] >= 2:
+			f.warn("%s would stand in one zone only", who)
+		}
+	}
+}
+
+func (f *Forecast) core(st *verge.Standing, c Change) {
+	f.Disks[0] = len(st.Core.Holders)
+	for _, s := range st.Core.Holders {
+		if !c.lost(s.Zone, s.Addr) {
+			f.Disks[1]++
+		}
+	}
+	switch {
+	case f.Disks[1]*2 <= f.Disks[0]:
+		f.warn("the core could not decide: %d of %d disk machines would be left", f.Disks[1], f.Disks[0])
+	case f.Disks[1] < f.Disks[0]:
+		f.warn("the core would bear no further loss until a spare disk machine joins")
+	}
+}
--- a/verge/hands.go
+++ b/verge/hands.go
@@ -26,13 +26,13 @@
 	prefix uint64
 }
 
-func (h *hands) Pick(q *whim.Question, on rein.Model, shun map[word.WorkerId]bool) []passage.Choice {
+func (h *hands) Pick(q *whim.Question, on rein.Model, shun map[word.WorkerId]bool) []passage.Picked {
 	n := h.n
 	if !n.view.Settled() {
 		return nil
 	}
 	s := n.view.Sight()
-	by := map[word.WorkerId]passage.Choice{}
+	by := map[word.WorkerId]passage.Picked{}
 	var list, last []whim.Candidate
 	both := map[string]map[word.Part]bool{}
 	for id, st := range *n.stands.Load() {
@@ -56,7 +56,7 @@
 			!both[w.Weights][word.Prefill] || !both[w.Weights][word.Decode] || st.Free < word.Blocks(q.Need, st.Block) {
 			continue
 		}
-		by[id] = passage.Choice{Id: id, Model: m, Block: st.Block}
+		by[id] = passage.Picked{Id: id, Model: m, Block: st.Block}
 		c := whim.Candidate{Id: id, Zone: w.Zone, Free: st.Free, Room: st.Room, Busy: st.Busy, Cap: st.Cap, Affinity: whim.Affinity(h.prefix, id)}
 		if shun[id] || n.blamed(id) {
 			last = append(last, c)
@@ -67,7 +67,7 @@
 	if len(list) == 0 {
 		list = last
 	}
-	out := make([]passage.Choice, 0, len(list))
+	out := make([]passage.Picked, 0, len(list))
 	for _, id := range h.deck.Order(q, list) {
 		out = append(out, by[id])
 	}
--- a/verge/holder.go
+++ b/verge/holder.go
@@ -35,6 +35,7 @@
 	verbResume  = "resume"
 	verbCancel  = "cancel"
 	verbDone    = "done"
+	verbTurn    = "turn"
 )
 
 // desks opens a desk for each worker whose key falls here and shuts those that
@@ -130,7 +131,7 @@
 	settled := n.view.Heard(q.Version)
 	lead := rein.Lead{Fence: fence, Version: n.view.Sight().Version}
 	var in rein.Identity
-	if len(q.Body) > 0 {
+	if len(q.Body) > 0 && q.Verb != verbTurn {
 		if err := json.Unmarshal(q.Body, &in); err != nil {
 			return nil, breakdown.As(err, breakdown.Bad, "read order", string(q.Worker))
 		}
@@ -163,6 +164,8 @@
 	case verbCancel:
 		a, err = n.rein.Cancel(ctx, l.Addr, &rein.IdAsk{Lead: lead, Id: id})
 		led.Ended(id, n.now())
+	case verbTurn:
+		return n.turnHere(ctx, v.(*desk), l.Addr, lead, word.Part(q.Body))
 	case verbDone:
 		led.Ended(id, n.now())
 		return nil, nil
--- a/verge/node.go
+++ b/verge/node.go
@@ -77,6 +77,7 @@
 	ledgers  sync.Map // word.WorkerId -> *desk
 	blames   sync.Map // word.WorkerId -> blame
 	debts    debts
+	turned   sync.Map // word.WorkerId -> word.Tick
 	inflight atomic.Int64
 	kinds    sync.Map // kind -> *atomic.Int64
 	stopping atomic.Bool
@@ -86,7 +87,7 @@
 
 // Counts are the node's figures since it started.
 type Counts struct {
-	Asked, Done, Bounced, Broken, Unsure, Replayed, Moved, Again atomic.Int64
+	Asked, Done, Bounced, Broken, Unsure, Replayed, Moved, Again, Turned atomic.Int64
 }
 
 func New(opt Options) *Node {
