--- /dev/null
+++ b/proof/program_test.go
@@ -0,0 +1,115 @@
+package proof
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/door"
+	"keelstair.example/guise"
+	"keelstair.example/lore"
+	"keelstair.example/verge"
+	"keelstair.example/whim"
+	"keelstair.example/word"
+)
+
+func programs(t *testing.T, list map[string]lore.Program) string {
+	b, err := json.Marshal(map[string]any{"programs": list})
+	require.NoError(t, err)
+	return string(b)
+}
+
+// TestSwap: programs are added, swapped, shadowed and removed under load. No
+// call breaks, whichever idea rules, a hostile one included; the shares show in
+// the comparison.
+func TestSwap(t *testing.T) {
+	inBubble(t, "vatuloa", nil, func(t *testing.T, c *Cluster) {
+		hostile := "def order(ask, workers):\n    return ['p1']\n"
+		rounds := []string{
+			programs(t, map[string]lore.Program{"free": {Source: whim.Shipped("free"), Share: 50}, "prefix": {Source: whim.Shipped("prefix"), Share: 50}}),
+			programs(t, map[string]lore.Program{"free": {Source: whim.Shipped("free"), Share: 20}, "prefix": {Source: whim.Shipped("prefix"), Share: 30}, "hostile": {Source: hostile, Share: 50}}),
+			programs(t, map[string]lore.Program{"free": {Source: whim.Shipped("free"), Share: 0, Shadow: true}, "prefix": {Source: whim.Shipped("prefix"), Share: 0, Shadow: true},
+				"hostile": {Source: "def order(ask, workers):\n    return workers[7]\n", Share: 100}}),
+			`{"programs": {"hostile": null, "free": null, "prefix": {"share": 100, "shadow": false}}}`,
+		}
+		done := make(chan error, 1)
+		go func() {
+			for i, text := range rounds {
+				time.Sleep(1500 * time.Millisecond)
+				if _, err := c.Apply(&door.Apply{Op: fmt.Sprint("swap", i), Base: uint64(i + 1), Partial: true, Source: text}); err != nil {
+					done <- fmt.Errorf("round %d: %w", i, err)
+					return
+				}
+			}
+			done <- nil
+		}()
+		all := c.Load(50, 9*time.Second, 3)
+		require.NoError(t, <-done)
+		sum := guise.Sum(all)
+		require.Equal(t, len(all), sum.Ends["complete"], "%+v", sum)
+		require.Empty(t, c.Book.Check(all))
+		picks, falls := map[string]int64{}, map[string]int64{}
+		for _, b := range c.Of("verge") {
+			for name, p := range b.Node.Status().(*verge.Standing).Programs {
+				picks[name] += p["picks"].(int64)
+				falls[name] += p["fallbacks"].(int64)
+			}
+		}
+		for _, name := range []string{"plain", "free", "prefix", "hostile"} {
+			require.Positive(t, picks[name], "%v", picks)
+		}
+		require.Positive(t, falls["hostile"])
+		require.Zero(t, falls["prefix"])
+	})
+}
+
+// TestRollOut: a new weight version runs beside the old one, then the old one
+// drains away. Streams never cross versions: each answer is one of the two.
+func TestRollOut(t *testing.T) {
+	inBubble(t, "almaty", nil, func(t *testing.T, c *Cluster) {
+		site := guise.Sites["almaty"]
+		news := map[string]any{}
+		for i, part := range []int{0, 4, 1, 5} {
+			w := site.Worker(part)
+			w.Weights = "w2"
+			id := fmt.Sprintf("n%d", i+1)
+			b := c.add(c.Stand(word.WorkerId(id), w, fmt.Sprintf("10.4.0.%d", i+1)))
+			require.True(t, b.Up)
+			news[id] = w
+		}
+		add, err := json.Marshal(map[string]any{"workers": news})
+		require.NoError(t, err)
+		done := make(chan error, 1)
+		go func() {
+			time.Sleep(2 * time.Second)
+			_, err := c.Apply(&door.Apply{Op: "add", Base: 1, Partial: true, Source: string(add)})
+			time.Sleep(3 * time.Second)
+			for _, id := range site.Names() {
+				if err == nil {
+					err = c.Mark("/v1/workers/"+string(id), "drain-"+string(id), true)
+				}
+			}
+			done <- err
+		}()
+		all := c.Load(40, 10*time.Second, 3)
+		require.NoError(t, <-done)
+		sum := guise.Sum(all)
+		require.Equal(t, len(all), sum.Ends["complete"], "%+v", sum)
+		require.Empty(t, c.Book.Check(all))
+		late := c.Load(40, 3*time.Second, 4)
+		require.Equal(t, len(late), guise.Sum(late).Ends["complete"])
+		runs := 0
+		for _, b := range c.Of("worker") {
+			if b.Name[0] == 'n' {
+				runs += len(b.Worker.Tallies())
+			}
+			if b.Name[0] == 'd' {
+				require.Zero(t, b.Worker.Used(), "%s is drained", b.Name)
+			}
+		}
+		require.Positive(t, runs)
+	})
+}
--- a/whim/star.go
+++ b/whim/star.go
@@ -3,6 +3,8 @@
 package whim
 
 import (
+	"errors"
+
 	"go.starlark.net/starlark"
 	"go.starlark.net/starlarkstruct"
 	"go.starlark.net/syntax"
@@ -25,7 +27,7 @@
 	thread.SetMaxExecutionSteps(steps)
 	globals, err := starlark.ExecFileOptions(dialect, thread, name+".star", source, nil)
 	if err != nil {
-		return nil, breakdown.As(err, breakdown.Bad, "compile program", name)
+		return nil, fault(err, "compile program", name)
 	}
 	globals.Freeze()
 	f, ok := globals["order"].(*starlark.Function)
@@ -35,6 +37,19 @@
 	return &star{name, f, steps}, nil
 }
 
+// fault names the place at which a program failed while it ran.
+func fault(err error, step, name string) error {
+	var ev *starlark.EvalError
+	if errors.As(err, &ev) {
+		for i := range ev.CallStack {
+			if pos := ev.CallStack.At(i).Pos; pos.Line > 0 {
+				return breakdown.New(breakdown.Bad, step, name, "%s: %s", pos, ev.Msg)
+			}
+		}
+	}
+	return breakdown.As(err, breakdown.Bad, step, name)
+}
+
 func (s *star) Order(q *Question, list []Candidate) ([]word.WorkerId, error) {
 	thread := &starlark.Thread{Name: s.name, Print: func(*starlark.Thread, string) {}}
 	thread.SetMaxExecutionSteps(s.steps)
@@ -53,7 +68,7 @@
 	}
 	v, err := starlark.Call(thread, s.order, starlark.Tuple{ask, starlark.NewList(row)}, nil)
 	if err != nil {
-		return nil, breakdown.As(err, breakdown.Bad, "run program", s.name)
+		return nil, fault(err, "run program", s.name)
 	}
 	seq, ok := v.(starlark.Iterable)
 	if !ok {
--- /dev/null
+++ b/whim/whim_test.go
@@ -0,0 +1,118 @@
+package whim
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/word"
+)
+
+func some(n int) []Candidate {
+	var out []Candidate
+	for i := range n {
+		out = append(out, Candidate{Id: word.WorkerId(fmt.Sprintf("w%d", i)), Free: 100 + i, Room: 200, Busy: n - i, Cap: 16, Affinity: Affinity(7, word.WorkerId(fmt.Sprintf("w%d", i)))})
+	}
+	return out
+}
+
+// TestShippedOrder: the shipped programs compile and order by what they say.
+func TestShippedOrder(t *testing.T) {
+	for name, first := range map[string]word.WorkerId{"free": "w5", "short": "w5"} {
+		p, err := Compile(name, Shipped(name), 20000)
+		require.NoError(t, err)
+		got, err := p.Order(&Question{Part: word.Decode}, some(6))
+		require.NoError(t, err)
+		require.Len(t, got, 6)
+		require.Equal(t, first, got[0], name)
+	}
+	p, err := Compile("prefix", Shipped("prefix"), 20000)
+	require.NoError(t, err)
+	level := some(6)
+	best := level[0]
+	for i := range level {
+		level[i].Busy = 1
+		if level[i].Affinity > best.Affinity {
+			best = level[i]
+		}
+	}
+	got, err := p.Order(&Question{Part: word.Prefill}, level)
+	require.NoError(t, err)
+	require.Equal(t, best.Id, got[0])
+}
+
+// TestHostile: a program that never ends, fails, names a stranger, names one
+// twice or gives nonsense falls back to the built-in order, and is counted.
+func TestHostile(t *testing.T) {
+	plain, _ := Plain{}.Order(&Question{Part: word.Decode}, some(4))
+	for name, body := range map[string]string{
+		"endless":  "    x = 0\n    for i in range(1000000000):\n        x += i\n    return [w.id for w in workers]",
+		"failing":  "    return [w.id for w in workers][99]",
+		"stranger": "    return ['nobody']",
+		"twice":    "    return ['w1', 'w1']",
+		"nonsense": "    return 5",
+		"numbers":  "    return [1, 2]",
+		"flood":    "    return ['w1'] * 100000",
+		"mutating": "    workers.clear()\n    seen.append(1)\n    return []",
+	} {
+		scores := &Scores{}
+		deck, err := NewDeck([]Source{{Name: name, Text: "seen = []\ndef order(ask, workers):\n" + body, Share: 100}}, 20000, scores)
+		require.NoError(t, err, name)
+		require.Equal(t, plain, deck.Order(&Question{Part: word.Decode, Request: "r"}, some(4)), name)
+		require.EqualValues(t, 1, scores.Of(name).Fallbacks.Load(), name)
+	}
+}
+
+// TestLeftOut: whom a program leaves out comes last, so it cannot starve a call.
+func TestLeftOut(t *testing.T) {
+	deck, err := NewDeck([]Source{{Name: "one", Text: "def order(ask, workers):\n    return ['w2']", Share: 100}}, 20000, &Scores{})
+	require.NoError(t, err)
+	got := deck.Order(&Question{Part: word.Decode, Request: "r"}, some(4))
+	require.Len(t, got, 4)
+	require.Equal(t, word.WorkerId("w2"), got[0])
+}
+
+// TestShares: traffic falls to programs by their shares, a shadow only counts.
+func TestShares(t *testing.T) {
+	scores := &Scores{}
+	deck, err := NewDeck([]Source{{Name: "a", Text: Shipped("free"), Share: 30}, {Name: "b", Text: Shipped("short"), Share: 70},
+		{Name: "c", Text: Shipped("prefix"), Shadow: true}}, 20000, scores)
+	require.NoError(t, err)
+	for i := range 2000 {
+		deck.Order(&Question{Part: word.Decode, Request: fmt.Sprint("r", i)}, some(3))
+	}
+	a, b, c := scores.Of("a").Picks.Load(), scores.Of("b").Picks.Load(), scores.Of("c").Picks.Load()
+	require.EqualValues(t, 2000, a+b)
+	require.InDelta(t, 600, a, 90)
+	require.EqualValues(t, 2000, c)
+}
+
+// TestRefused: a program that does not compile is refused with its place.
+func TestRefused(t *testing.T) {
+	for text, says := range map[string]string{
+		"def order(a, b):\n    retrun b": "bad.star:2", "x = 1": "must define order", "def order(a):\n    return a": "must define order",
+		"load('x', 'y')\ndef order(a, b):\n    return b": "bad.star:1",
+		"while True:\n    pass":                          "bad.star:1",
+	} {
+		_, err := NewDeck([]Source{{Name: "bad", Text: text}}, 20000, &Scores{})
+		require.True(t, breakdown.Is(err, breakdown.Bad), text)
+		require.ErrorContains(t, err, says)
+	}
+}
+
+func BenchmarkPlain(b *testing.B) {
+	list := some(12)
+	for b.Loop() {
+		Plain{}.Order(&Question{Part: word.Prefill}, list)
+	}
+}
+
+func BenchmarkStar(b *testing.B) {
+	p, _ := Compile("prefix", Shipped("prefix"), 20000)
+	list := some(12)
+	for b.Loop() {
+		p.Order(&Question{Part: word.Prefill}, list)
+	}
+}
