--- a/cmd/verge/main.go
+++ b/cmd/verge/main.go
@@ -13,6 +13,7 @@
 	"keelstair.example/door"
 	"keelstair.example/seam"
 	"keelstair.example/verge"
+	"keelstair.example/verge/span"
 	"keelstair.example/word"
 )
 
@@ -27,6 +28,7 @@
 	LeaseMs  int      `arg:"--lease-ms" default:"3000" help:"the same as the tenets'" json:"leaseMs"`
 	OrphanMs int      `arg:"--orphan-ms" default:"2000" help:"after so long a worker drops what nobody came for" json:"orphanMs"`
 	PulseMs  int      `arg:"--pulse-ms" default:"1200" help:"a worker silent for so long in a stream is lost" json:"pulseMs"`
+	Trace    string   `arg:"--trace" help:"append OpenTelemetry JSON lines to this file" json:"trace"`
 	DrainMs  int      `arg:"--drain-ms" default:"10000" help:"how long streams may finish after SIGTERM" json:"drainMs"`
 }
 
@@ -55,8 +57,14 @@
 	host, err := seam.Real("")
 	boot.Fail("verge", err)
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
-	node := verge.New(verge.Options{Name: s.Name, Addr: s.Addr, Zone: word.Zone(s.Zone), Seeds: s.Seeds, Platform: s.Platform,
-		Host: host, Ring: boot.Ring(s.Name), Lease: ms(s.LeaseMs), Orphan: ms(s.OrphanMs), Pulse: ms(s.PulseMs)})
+	opt := verge.Options{Name: s.Name, Addr: s.Addr, Zone: word.Zone(s.Zone), Seeds: s.Seeds, Platform: s.Platform,
+		Host: host, Ring: boot.Ring(s.Name), Lease: ms(s.LeaseMs), Orphan: ms(s.OrphanMs), Pulse: ms(s.PulseMs)}
+	if s.Trace != "" {
+		file, err := os.OpenFile(s.Trace, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		boot.Fail("verge", err)
+		opt.Trace = span.New(file, s.Name, host.Clock).Tell
+	}
+	node := verge.New(opt)
 	ctx, stop := boot.Signals()
 	defer stop()
 	listen, shut := context.WithCancel(context.Background())
--- /dev/null
+++ b/verge/span/span_test.go
@@ -0,0 +1,52 @@
+package span
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/passage"
+	"keelstair.example/rein"
+	"keelstair.example/seam/sham"
+)
+
+// TestSpans: one line a hand-over, one span a step, all under one parent, and a
+// dropped one is marked with its reason.
+func TestSpans(t *testing.T) {
+	var out bytes.Buffer
+	clock := sham.NewWorld(1).Machine("10.0.0.1").Start().Host().Clock
+	w := New(&out, "n1", clock)
+	id := rein.Id{Request: "r", Attempt: 2}
+	for i, s := range []passage.Stage{passage.Granted, passage.Prefilled, passage.Exported, passage.Imported, passage.Dropped} {
+		require.Zero(t, out.Len())
+		w.Tell(passage.Event{Id: id, Stage: s, Worker: "d1", At: clock.Now().Add(time.Duration(i) * time.Millisecond), Why: "lost"})
+	}
+	var got struct {
+		ResourceSpans []struct {
+			ScopeSpans []struct {
+				Spans []struct {
+					Name, TraceId, SpanId, ParentSpanId, StartTimeUnixNano, EndTimeUnixNano string
+					Status                                                                  struct {
+						Code    int
+						Message string
+					}
+				}
+			}
+		}
+	}
+	require.NoError(t, json.Unmarshal(out.Bytes(), &got))
+	spans := got.ResourceSpans[0].ScopeSpans[0].Spans
+	require.Len(t, spans, 5)
+	require.Equal(t, "hand-over", spans[0].Name)
+	require.Equal(t, 2, spans[0].Status.Code)
+	require.Equal(t, "lost", spans[0].Status.Message)
+	for _, s := range spans[1:] {
+		require.Equal(t, spans[0].SpanId, s.ParentSpanId)
+		require.Equal(t, spans[0].TraceId, s.TraceId)
+		require.Less(t, s.StartTimeUnixNano, s.EndTimeUnixNano)
+	}
+	require.Empty(t, w.open)
+}
