--- /dev/null
+++ b/crux/example_test.go
@@ -0,0 +1,252 @@
+package crux_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/crux"
+	"keelstair.example/seam/sham"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+// tally is the smallest machine an embedder may bring: a sum, and two duties.
+type tally struct{ sum int }
+
+func (t *tally) Apply(kind string, body []byte) ([]byte, error) {
+	n, err := strconv.Atoi(string(body))
+	if err != nil || kind != "add" {
+		return nil, breakdown.New(breakdown.Bad, "apply", kind, "it adds numbers only")
+	}
+	t.sum += n
+	return []byte(strconv.Itoa(t.sum)), nil
+}
+
+func (t *tally) Open(string) bool                             { return true }
+func (t *tally) Picture(bool) []byte                          { return []byte(strconv.Itoa(t.sum)) }
+func (t *tally) Restore(b []byte) (err error)                 { t.sum, err = strconv.Atoi(string(b)); return err }
+func (t *tally) Keys() []word.Key                             { return []word.Key{"left", "right"} }
+func (t *tally) Due(word.Tick, word.Seq, word.Seq) []crux.Cmd { return nil }
+
+// echo is a follower's view of it.
+type echo struct{ sum atomic.Int64 }
+
+func (e *echo) Restore(b []byte) error {
+	n, err := strconv.Atoi(string(b))
+	e.sum.Store(int64(n))
+	return err
+}
+
+func (e *echo) Fold(_ word.Seq, _ string, body []byte) bool {
+	n, _ := strconv.Atoi(string(body))
+	e.sum.Add(int64(n))
+	return false
+}
+
+func (e *echo) Picture() []byte { return []byte(strconv.FormatInt(e.sum.Load(), 10)) }
+
+// fleet is three cores and two agents on simulated machines.
+type fleet struct {
+	w      *sham.World
+	procs  map[string]*sham.Proc
+	stops  map[string]context.CancelFunc
+	cores  map[string]*crux.Core
+	agents []*crux.Agent
+	views  []*echo
+	seeds  []string
+}
+
+func build(seed uint64) *fleet {
+	f := &fleet{w: sham.NewWorld(seed), procs: map[string]*sham.Proc{}, stops: map[string]context.CancelFunc{}, cores: map[string]*crux.Core{}}
+	for i := range 3 {
+		f.seeds = append(f.seeds, fmt.Sprintf("10.0.0.%d:1", i+1))
+	}
+	for _, a := range f.seeds {
+		f.core(a)
+	}
+	for i := range 2 {
+		ip := fmt.Sprintf("10.0.1.%d", i+1)
+		v := &echo{}
+		p := f.w.Machine(ip).Start()
+		a := crux.NewAgent(crux.AgentOptions{Me: crux.Member{Node: word.NodeId(ip), Addr: ip + ":1"}, Host: p.Host(), Seeds: f.seeds, View: v})
+		f.agents, f.views = append(f.agents, a), append(f.views, v)
+		f.run(ip, ip+":1", p, a.Mount, a.Run)
+	}
+	return f
+}
+
+func (f *fleet) run(ip, addr string, p *sham.Proc, mount func(*http.ServeMux), run func(context.Context)) {
+	ctx, stop := context.WithCancel(context.Background())
+	f.procs[ip], f.stops[ip] = p, stop
+	l, err := p.Host().Net.Listen(addr)
+	if err != nil {
+		panic(err)
+	}
+	mux := http.NewServeMux()
+	mount(mux)
+	go wire.Serve(ctx, l, mux)
+	go run(ctx)
+}
+
+func (f *fleet) core(addr string) {
+	ip := addr[:len(addr)-2]
+	p := f.w.Machine(ip).Start()
+	c, err := crux.New(crux.Options{Addr: addr, Host: p.Host(), Seeds: f.seeds, Machine: func() crux.Machine { return &tally{} }})
+	if err != nil {
+		panic(err)
+	}
+	f.cores[ip] = c
+	f.run(ip, addr, p, c.Mount, func(ctx context.Context) { c.Run(ctx) })
+}
+
+func (f *fleet) off(ip string) {
+	f.w.Machine(ip).PowerOff()
+	f.stops[ip]()
+	delete(f.cores, ip)
+}
+
+func (f *fleet) leader() string {
+	for ip, c := range f.cores {
+		if c.Leads() {
+			return ip
+		}
+	}
+	return ""
+}
+
+func (f *fleet) close() {
+	for ip := range f.procs {
+		f.w.Machine(ip).Freeze(false)
+		f.w.Machine(ip).Stall(false)
+		f.off(ip)
+	}
+	time.Sleep(30 * time.Second)
+}
+
+func (f *fleet) add(n int, op string, span time.Duration) error {
+	ctx, stop := context.WithTimeout(context.Background(), span)
+	defer stop()
+	_, err := f.agents[0].Submit(ctx, word.OpId(op), "add", []byte(strconv.Itoa(n)))
+	return err
+}
+
+// Example embeds the core: a machine of one's own, a command, a follower.
+func Example() {
+	synctest.Test(new(testing.T), func(*testing.T) {
+		f := build(1)
+		defer f.close()
+		fmt.Println(f.add(40, "a", 10*time.Second), f.add(2, "b", time.Second), f.add(2, "b", time.Second))
+		time.Sleep(time.Second)
+		fmt.Println("the followers have", f.views[0].sum.Load(), f.views[1].sum.Load())
+		_, _, left := f.agents[0].Holder("left")
+		fmt.Println("a duty is held:", left)
+	})
+	// Output:
+	// <nil> <nil> <nil>
+	// the followers have 42 42
+	// a duty is held: true
+}
+
+// TestAckedSurvives: whatever machine loses power right after an answer, and
+// whatever the disk tears, each acknowledged command is there once, and each
+// operation has one outcome. Many seeds.
+func TestAckedSurvives(t *testing.T) {
+	for seed := uint64(1); seed <= 12; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			f := build(seed)
+			defer f.close()
+			want := 0
+			require.NoError(t, f.add(1, "first", 10*time.Second))
+			want++
+			for i := range 6 {
+				op := fmt.Sprint("op", i)
+				got := make(chan error, 1)
+				go func() { got <- f.add(1<<(4*i+4), op, 8*time.Second) }()
+				time.Sleep(time.Duration(seed*37%23) * 100 * time.Microsecond)
+				ip := f.leader()
+				if ip == "" || int(seed)%2 == i%2 {
+					ip = f.seeds[(int(seed)+i)%3][:8]
+				}
+				f.off(ip)
+				err := <-got
+				if err != nil {
+					err = f.add(1<<(4*i+4), op, 8*time.Second)
+				}
+				require.NoError(t, err, "seed %d round %d", seed, i)
+				want += 1 << (4*i + 4)
+				f.core(ip + ":1")
+				time.Sleep(2 * time.Second)
+			}
+			time.Sleep(3 * time.Second)
+			require.EqualValues(t, want, f.views[0].sum.Load(), "seed %d", seed)
+			require.EqualValues(t, want, f.views[1].sum.Load(), "seed %d", seed)
+		})
+	}
+}
+
+// TestOneHolder: two agents never both hold a key, however leases lapse, cuts
+// come and go, machines freeze, and leaders change. Many seeds.
+func TestOneHolder(t *testing.T) {
+	for seed := uint64(1); seed <= 12; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			f := build(seed)
+			defer f.close()
+			require.NoError(t, f.add(1, "first", 10*time.Second))
+			held := [2]int{}
+			stop := make(chan struct{})
+			go func() {
+				defer close(stop)
+				for i := range 8 {
+					ip := fmt.Sprintf("10.0.1.%d", (int(seed)+i)%2+1)
+					switch (int(seed) + i) % 4 {
+					case 0:
+						f.w.Cut([]string{ip}, []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"}, true)
+						time.Sleep(5 * time.Second)
+						f.w.Cut([]string{ip}, []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"}, false)
+					case 1:
+						f.w.Machine(ip).Freeze(true)
+						time.Sleep(4 * time.Second)
+						f.w.Machine(ip).Freeze(false)
+					case 2:
+						l := f.leader()
+						if l != "" {
+							f.off(l)
+							time.Sleep(4 * time.Second)
+							f.core(l + ":1")
+						}
+					case 3:
+						f.w.Machine(ip).Leap(7 * time.Second)
+					}
+					time.Sleep(2 * time.Second)
+				}
+			}()
+			for {
+				for _, k := range []word.Key{"left", "right"} {
+					_, a := f.agents[0].Held(k)
+					_, b := f.agents[1].Held(k)
+					require.False(t, a && b, "seed %d: both hold %s", seed, k)
+					if a || b {
+						held[1]++
+					}
+					held[0]++
+				}
+				select {
+				case <-stop:
+					require.Greater(t, held[1]*10, held[0]*3, "seed %d: keys are held most of the time", seed)
+					return
+				default:
+					time.Sleep(5 * time.Millisecond)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/passage/controller_test.go
@@ -0,0 +1,280 @@
+package passage
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/rein"
+	"keelstair.example/seam/sham"
+	"keelstair.example/whim"
+	"keelstair.example/word"
+)
+
+var answer = []int32{11, 12, 13, 14, 15}
+
+// script is a fake fleet of two prefill and two decode workers that does what
+// a test says.
+type script struct {
+	full    map[word.WorkerId]bool // bounces imports
+	spoil   func(m *rein.Identity)
+	resume  func(n int) error
+	stream  func(n, from int, put func(rein.Piece) error) error
+	fate    func(n int) (*rein.Answer, error)
+	coins   int
+	resumes int
+	cancels int
+	tries   int
+	imports []word.WorkerId
+	loose   map[string]int
+}
+
+func lost() error    { return breakdown.New(breakdown.Lost, "test", "w", "lost") }
+func bounced() error { return breakdown.New(breakdown.Bounced, "test", "w", "bounced") }
+
+func (s *script) Pick(q *whim.Question, _ rein.Model, shun map[word.WorkerId]bool) []Picked {
+	var out []Picked
+	for _, id := range []word.WorkerId{"1", "2"} {
+		w := word.WorkerId(q.Part[:1]) + id
+		if !shun[w] {
+			out = append(out, Picked{Id: w, Model: rein.Model{Name: "m", Weights: "w1"}, Block: 16})
+		}
+	}
+	return out
+}
+
+func (s *script) Reserve(_ context.Context, w word.WorkerId, id rein.Id, _ int) error {
+	s.loose[string(w)+id.Request]++
+	return nil
+}
+
+func (s *script) Prefill(_ context.Context, _ word.WorkerId, m rein.Identity) (*rein.Answer, error) {
+	s.tries++
+	m.Computed = len(m.Prompt)
+	if len(m.Output) == 0 {
+		m.Output = answer[:1]
+	}
+	return &rein.Answer{Identity: &m}, nil
+}
+
+func (s *script) Export(_ context.Context, _ word.WorkerId, id rein.Id) (*rein.Answer, error) {
+	m := ident()
+	m.Id, m.Output, m.Computed = id, answer[:1], len(m.Prompt)
+	m.Model.Weights = "w1"
+	if s.spoil != nil {
+		s.spoil(&m)
+	}
+	return &rein.Answer{Identity: &m}, nil
+}
+
+func (s *script) Import(_ context.Context, w word.WorkerId, _ rein.Identity, _ word.WorkerId) (*rein.Answer, error) {
+	s.imports = append(s.imports, w)
+	if s.full[w] {
+		return nil, bounced()
+	}
+	return &rein.Answer{Life: "one"}, nil
+}
+
+func (s *script) Resume(context.Context, word.WorkerId, rein.Id) (*rein.Answer, error) {
+	s.resumes++
+	if s.resume != nil {
+		if err := s.resume(s.resumes); err != nil {
+			return nil, err
+		}
+	}
+	return &rein.Answer{}, nil
+}
+
+func (s *script) Cancel(_ context.Context, w word.WorkerId, _ rein.Id) (*rein.Answer, error) {
+	if w[0] == 'p' {
+		return &rein.Answer{Fate: rein.FateNever}, nil
+	}
+	s.cancels++
+	if s.fate != nil {
+		return s.fate(s.cancels)
+	}
+	return &rein.Answer{Fate: rein.FateNever, Life: "one"}, nil
+}
+
+func (s *script) Done(w word.WorkerId, id rein.Id) { s.loose[string(w)+id.Request] = 0 }
+func (s *script) Blame(word.WorkerId)              {}
+
+func (s *script) Stream(_ context.Context, _ word.WorkerId, _ rein.Id, from int, put func(rein.Piece) error) error {
+	if s.stream != nil {
+		return s.stream(s.resumes, from, put)
+	}
+	return send(put, from, len(answer), true)
+}
+
+func (s *script) Spend(context.Context) bool { s.coins--; return s.coins >= 0 }
+
+func send(put func(rein.Piece) error, from, to int, end bool) error {
+	for i := from; i < to; i++ {
+		if err := put(rein.Piece{Index: i, Token: answer[i]}); err != nil {
+			return err
+		}
+	}
+	if end {
+		return put(rein.Piece{Index: to, End: "stop", Count: to})
+	}
+	return lost()
+}
+
+func ident() rein.Identity {
+	return rein.Identity{Id: rein.Id{Request: "r"}, Prompt: []int32{1, 2, 3}, Params: rein.Params{MaxTokens: 5}, Model: rein.Model{Name: "m"}}
+}
+
+func play(t *testing.T, s *script, claimed bool) (got []int32, err error, took time.Duration) {
+	s.loose = map[string]int{}
+	synctest.Test(t, func(t *testing.T) {
+		c := &Controller{Hands: s, Clock: sham.NewWorld(1).Machine("10.0.0.1").Start().Host().Clock, Orphan: 2 * time.Second, Pulse: time.Second}
+		begun := time.Now()
+		err = c.Run(context.Background(), &Task{Identity: ident(), Claimed: claimed, Tries: 3, GiveUp: 10 * time.Second}, func(i int, tok int32, _ string) error {
+			require.Equal(t, len(got), i)
+			got = append(got, tok)
+			return nil
+		})
+		took = time.Since(begun)
+	})
+	for k, n := range s.loose {
+		require.Zero(t, n, "room is given back: %s", k)
+	}
+	return got, err, took
+}
+
+// TestPlainMove: one prefill, one import, one resume, the whole answer.
+func TestPlainMove(t *testing.T) {
+	s := &script{}
+	got, err, _ := play(t, s, true)
+	require.NoError(t, err)
+	require.Equal(t, answer, got)
+	require.Equal(t, 1, s.resumes)
+}
+
+// TestRefusedImport: a refusal goes to the next worker before any piece; where
+// nobody has room the call is bounced at once, and nothing was put.
+func TestRefusedImport(t *testing.T) {
+	s := &script{full: map[word.WorkerId]bool{"d1": true}}
+	got, err, _ := play(t, s, false)
+	require.NoError(t, err)
+	require.Equal(t, answer, got)
+	require.Equal(t, []word.WorkerId{"d1", "d2"}, s.imports)
+	s = &script{full: map[word.WorkerId]bool{"d1": true, "d2": true}}
+	got, err, took := play(t, s, false)
+	require.True(t, breakdown.Is(err, breakdown.Bounced), "%v", err)
+	require.Empty(t, got)
+	require.Less(t, took, time.Second, "given up means answered at once")
+}
+
+// TestBadPieces: a gap, a repeat, and an end that comes too early never reach
+// the caller as a whole answer; with a coin the rest is recomputed.
+func TestBadPieces(t *testing.T) {
+	for name, bad := range map[string]func(put func(rein.Piece) error) error{
+		"gap":       func(put func(rein.Piece) error) error { return put(rein.Piece{Index: 3, Token: 14}) },
+		"repeat":    func(put func(rein.Piece) error) error { return put(rein.Piece{Index: 0, Token: 11}) },
+		"early end": func(put func(rein.Piece) error) error { return put(rein.Piece{Index: 1, End: "stop", Count: 5}) },
+		"cut":       func(put func(rein.Piece) error) error { return send(put, 1, 3, false) },
+	} {
+		for coins := range 2 {
+			s := &script{coins: coins, stream: func(n, from int, put func(rein.Piece) error) error {
+				if n == 1 {
+					return bad(put)
+				}
+				return send(put, from, len(answer), true)
+			}}
+			s.spoil = func(m *rein.Identity) {
+				if m.Id.Attempt > 1 {
+					m.Output = answer[:max(1, map[string]int{"cut": 3}[name])]
+				}
+			}
+			got, err, _ := play(t, s, false)
+			if coins == 0 {
+				require.True(t, breakdown.Is(err, breakdown.Lost), "%s: %v", name, err)
+				require.Equal(t, 1, s.tries, "%s: no coin, no recompute", name)
+				continue
+			}
+			require.NoError(t, err, name)
+			require.Equal(t, answer, got, name)
+		}
+	}
+}
+
+// TestForeignIdentity: what comes back from export must be what went in.
+func TestForeignIdentity(t *testing.T) {
+	for name, spoil := range map[string]func(m *rein.Identity){
+		"other prompt":  func(m *rein.Identity) { m.Prompt = []int32{1, 2, 4} },
+		"other request": func(m *rein.Identity) { m.Id.Request = "x" },
+		"other attempt": func(m *rein.Identity) { m.Id.Attempt++ },
+		"other seed":    func(m *rein.Identity) { m.Params.Seed++ },
+		"other weights": func(m *rein.Identity) { m.Model.Weights = "w2" },
+		"too little":    func(m *rein.Identity) { m.Computed = 1 },
+	} {
+		s := &script{spoil: spoil}
+		got, err, _ := play(t, s, false)
+		require.Error(t, err, name)
+		require.Empty(t, got, name)
+		require.Zero(t, s.resumes, name)
+	}
+}
+
+// TestClaimedOnce: a claimed run that may have begun is never begun again: not
+// when its worker cannot be asked, nor when it began a new life, nor when it was
+// stopped midway. One that surely never began is tried again.
+func TestClaimedOnce(t *testing.T) {
+	cut := func(n, from int, put func(rein.Piece) error) error {
+		if n == 1 {
+			return lost()
+		}
+		return send(put, from, len(answer), true)
+	}
+	for name, fate := range map[string]func(int) (*rein.Answer, error){
+		"cannot be asked": func(int) (*rein.Answer, error) { return nil, bounced() },
+		"nobody listens":  func(int) (*rein.Answer, error) { return nil, lost() },
+		"new life":        func(int) (*rein.Answer, error) { return &rein.Answer{Fate: rein.FateNever, Life: "two"}, nil },
+		"stopped midway":  func(int) (*rein.Answer, error) { return &rein.Answer{Fate: rein.FateStopped, Life: "one"}, nil },
+	} {
+		s := &script{coins: 5, stream: cut, fate: fate}
+		_, err, _ := play(t, s, true)
+		require.True(t, breakdown.Is(err, breakdown.Unknown), "%s: %v", name, err)
+		require.Equal(t, 1, s.resumes, name)
+	}
+	s := &script{coins: 5, resume: func(n int) error {
+		if n == 1 {
+			return lost()
+		}
+		return nil
+	}}
+	got, err, _ := play(t, s, true)
+	require.NoError(t, err)
+	require.Equal(t, answer, got)
+	s = &script{stream: cut, fate: func(int) (*rein.Answer, error) {
+		return &rein.Answer{Fate: rein.FateFinished, Done: true, Output: answer, Life: "one"}, nil
+	}}
+	got, err, _ = play(t, s, true)
+	require.NoError(t, err, "it had finished: its own output is handed on")
+	require.Equal(t, answer, got)
+	require.Equal(t, 1, s.resumes)
+}
+
+// TestOrphanWait: while the earlier attempt cannot be cancelled, nothing is
+// recomputed before its time is surely over.
+func TestOrphanWait(t *testing.T) {
+	var again time.Time
+	begun := time.Now()
+	s := &script{coins: 5, fate: func(int) (*rein.Answer, error) { return nil, bounced() }}
+	s.stream = func(n, from int, put func(rein.Piece) error) error {
+		if n == 1 {
+			begun = time.Now()
+			return lost()
+		}
+		again = time.Now()
+		return send(put, from, len(answer), true)
+	}
+	_, err, _ := play(t, s, false)
+	require.NoError(t, err)
+	require.Greater(t, again.Sub(begun), 2*time.Second)
+}
