--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 MODULES := $(shell grep -o '\./[a-z]*' go.work | cut -c3-)
 
-.PHONY: build test lines format vet sweep gen tidy up
+.PHONY: build test lines format vet sweep gen tidy up ablate
 
 build:
 	go build -o bin/ ./cmd/...
@@ -34,3 +34,7 @@
 # A fleet of real processes on loopback, until interrupted.
 up: build
 	bin/realm up
+
+# Takes each mechanism away in a copy and sees its test fail.
+ablate:
+	python3 tools/ablate.py
--- a/cmd/realm/fleet.go
+++ b/cmd/realm/fleet.go
@@ -190,6 +190,16 @@
 			return err
 		}
 	}
+	if err := f.until(ctx, 5*time.Second, func() error {
+		var list []string
+		r, err := web.Get("http://" + f.platform + "/doors")
+		if err = read(r, err, &list); err == nil && len(list) < len(f.doors()) {
+			err = fmt.Errorf("the platform finds %d doors ready", len(list))
+		}
+		return err
+	}); err != nil {
+		return err
+	}
 	logf("all %d nodes are ready, %.1f s after the start", len(f.doors()), time.Since(begun).Seconds())
 	return nil
 }
--- /dev/null
+++ b/proof/deed_test.go
@@ -0,0 +1,148 @@
+package proof
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/door"
+	"keelstair.example/guise"
+	"keelstair.example/verge"
+)
+
+// stream asks one door and gives the lines, or the refusal.
+func (c *Cluster) stream(b *Box, ask door.Ask) ([]door.Line, error) {
+	body, err := json.Marshal(ask)
+	if err != nil {
+		return nil, err
+	}
+	cx, stop := context.WithTimeout(c.base, 20*time.Second)
+	defer stop()
+	q, err := http.NewRequestWithContext(cx, http.MethodPost, "http://"+b.Door+"/v1/streams", strings.NewReader(string(body)))
+	if err != nil {
+		return nil, err
+	}
+	r, err := c.web.Do(q)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		var f struct{ Error struct{ Name string } }
+		json.NewDecoder(r.Body).Decode(&f)
+		return nil, &Bounced{r.StatusCode, f.Error.Name, ""}
+	}
+	var out []door.Line
+	for rows := json.NewDecoder(r.Body); ; {
+		var l door.Line
+		if rows.Decode(&l) != nil {
+			return out, nil
+		}
+		out = append(out, l)
+	}
+}
+
+func runsOf(c *Cluster, key string) (runs, records int) {
+	c.Book.mu.Lock()
+	defer c.Book.mu.Unlock()
+	for _, w := range c.Book.lives {
+		t := w.Tallies()[verge.Request(key)]
+		runs, records = runs+t.Runs, records+t.Records
+	}
+	return runs, records
+}
+
+var verdict = door.Ask{Kind: "verdict", Key: "q1", Prompt: "was the binding resolution carried by the chairs present", MaxTokens: 3, Seed: 5}
+
+// TestSameKey: one key asked of every node at once, and again later, runs once
+// and gives one record; another body under the key is refused.
+func TestSameKey(t *testing.T) {
+	unraced(t)
+	inBubble(t, "vatuloa", nil, func(t *testing.T, c *Cluster) {
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		whole, running := 0, 0
+		for _, b := range c.Of("verge") {
+			wg.Go(func() {
+				got, err := c.stream(b, verdict)
+				mu.Lock()
+				defer mu.Unlock()
+				if r, ok := err.(*Bounced); ok && r.Name == "running" {
+					running++
+				} else if err == nil && got[len(got)-1].End == door.Complete {
+					whole++
+				}
+			})
+		}
+		wg.Wait()
+		require.Equal(t, len(c.Of("verge")), whole+running)
+		require.Positive(t, whole)
+		first, err := c.stream(c.Of("verge")[0], verdict)
+		require.NoError(t, err)
+		solo := guise.Solo(verdict.Tokens(), 3, 5, 0, c.Site.Model, guise.SiteWeights, nil)
+		require.Len(t, first, len(solo)+1)
+		for i, tok := range solo {
+			require.Equal(t, tok, first[i].Token)
+			require.True(t, first[i].Replay)
+		}
+		runs, records := runsOf(c, "verdict/q1")
+		require.Equal(t, []int{1, 1}, []int{runs, records})
+		other := verdict
+		other.Seed++
+		_, err = c.stream(c.Of("verge")[1], other)
+		require.Equal(t, "key-reused", err.(*Bounced).Name)
+	})
+}
+
+// TestDeadController: a node dies at every point of a hand-over in turn. Its
+// claim is settled by another; the key then gives the record, or says that it
+// was not run, or may have; it never runs twice, and a tombstone holds.
+func TestDeadController(t *testing.T) {
+	unraced(t)
+	inBubble(t, "almaty", nil, func(t *testing.T, c *Cluster) {
+		fates := map[string]int{}
+		for i := range 12 {
+			ask := verdict
+			ask.Kind, ask.Key = "ruling", "dead"+string(rune('a'+i))
+			b := c.Of("verge")[i%len(c.Of("verge"))]
+			done := make(chan struct{})
+			go func() { c.stream(b, ask); close(done) }()
+			time.Sleep(time.Duration(2+i*4) * time.Millisecond)
+			c.Kill(b)
+			<-done
+			require.NoError(t, c.Start(b))
+			var last string
+			ok := c.Until(12*time.Second, func() bool {
+				for _, o := range c.Of("verge") {
+					if o == b {
+						continue
+					}
+					got, err := c.stream(o, ask)
+					if r, is := err.(*Bounced); is {
+						last = r.Name
+					} else if err == nil && len(got) > 0 {
+						last = got[len(got)-1].End
+					}
+					return last == door.Complete || last == "not-run" || last == "may-have-run"
+				}
+				return false
+			})
+			require.True(t, ok, "round %d is not settled: %s", i, last)
+			fates[last]++
+			runs, records := runsOf(c, "ruling/"+ask.Key)
+			require.LessOrEqual(t, runs, 1)
+			require.LessOrEqual(t, records, 1)
+			if last == "not-run" {
+				require.Zero(t, runs, "told not run")
+			}
+		}
+		t.Logf("%v", fates)
+		require.Greater(t, len(fates), 1)
+	})
+}
--- /dev/null
+++ b/tools/ablate.py
@@ -0,0 +1,72 @@
+#!/usr/bin/env python3
+"""Takes one mechanism away at a time, in a copy of the tree, and runs the test
+that is meant to miss it. A test that still passes proves nothing, and is
+reported. Usage: tools/ablate.py [name ...]"""
+import pathlib, shutil, subprocess, sys, tempfile
+
+# name, file, what stands there, what is put in its place, module, test
+CASES = [
+    ("backup-sync", "crux/lead.go", "if err == nil && r.Ok {", "if true {", "crux", "TestAckedSurvives"),
+    ("operation-ids", "crux/lead.go", "if p, ok := c.roll.past[e.Op]; ok && e.Op != \"\" {", "if p, ok := c.roll.past[e.Op]; ok && false {", "crux", "TestAckedSurvives"),
+    ("lease-check", "crux/agent.go", "if !leased && (", "if false && (", "crux", "TestOneHolder"),
+    ("lease-floor", "crux/agent.go", "|| uint64(s.seq) < a.floor.Load()", "", "crux", "TestOneHolder"),
+    ("torn-tail", "seam/disk.go", "if good == len(body) {", "if true {", "seam", "TestTornTail|TestSpoiltTail"),
+    ("damage", "seam/disk.go", "if bad {", "if false {", "seam", "TestDamage"),
+    ("ledger-lag", "passage/ledger.go", "case h.ended != 0 && h.ended.Before(asked.Add(-l.lag)):", "case h.ended != 0:", "passage", "TestLedger"),
+    ("ledger-grant", "passage/ledger.go", " && l.asked.Since(l.since) >= l.lag", "", "passage", "TestLedgerWaits"),
+    ("ramp", "passage/ledger.go", "if l.ramp <= 0 || age >= l.ramp {", "if true {", "passage", "TestRamp"),
+    ("piece-index", "passage/controller.go", "if p.Index != len(f.sent) {", "if false {", "passage", "TestBadPieces"),
+    ("end-count", "passage/controller.go", "if p.Count != len(f.sent) {", "if false {", "passage", "TestBadPieces"),
+    ("identity", "passage/controller.go", "if got == nil || !f.fits(&m, got) {", "if got == nil {", "passage", "TestForeignIdentity"),
+    ("claimed-once", "passage/clean.go", "case err != nil && f.t.Claimed && f.runs:", "case false:", "passage", "TestClaimedOnce"),
+    ("orphan-wait", "passage/clean.go", "seam.Sleep(ctx, f.Orphan+300*time.Millisecond)", "_ = time.Second; _ = seam.Sleep", "passage", "TestOrphanWait"),
+    ("import-room", "guise/move.go", "case !w.pool.fits(whole):", "case false:", "guise", "TestLoudImport"),
+    ("digest", "guise/move.go", "if int64(len(all)) != r.ident.Length || digest(all) != r.ident.Digest {", "if false {", "guise", "TestSpoilt"),
+    ("worker-fence", "guise/serve.go", "if l.Fence < w.fence && !w.fault.Forget {", "if false {", "guise", "TestFence"),
+    ("tombstone", "guise/serve.go", "what != \"cancel\" && id.Attempt <= n && !w.fault.Forget", "false", "guise", "TestOrphans"),
+    ("program-clearing", "whim/deck.go", "got, err = clear(q, list, got)", "_ = clear", "whim", "TestHostile|TestLeftOut"),
+    ("program-steps", "whim/star.go", "	thread.SetMaxExecutionSteps(s.steps)\n", "	thread.SetMaxExecutionSteps(1 << 40)\n", "whim", "TestHostile"),
+    ("leaving", "verge/node.go", "return ok && !l.Leaving &&", "return ok &&", "proof", "TestScripts/workers-leave"),
+    ("evacuation", "verge/node.go", "|| s.Drained[id] || s.Zones[w.Zone]", "|| s.Drained[id]", "proof", "TestScripts/zone-evacuated"),
+    ("version-spread", "lore/view.go", "if uint64(n) <= old {", "if true {", "proof", "TestScripts/storm-with"),
+    ("compare-and-set", "lore/state.go", "if c.Base != s.newest() {", "if false {", "proof", "TestScripts/operators-race|TestBadPolicies"),
+    ("retry-budget", "verge/settle.go", "if p.coins < 1 {", "if false {", "proof", "TestScripts/memory-lost"),
+    ("claim", "lore/state.go", "if d, ok := s.deeds[c.Key]; ok {", "if d, ok := s.deeds[c.Key]; ok && false {", "proof", "TestSameKey"),
+    ("dead-claims", "verge/settle.go", "if !live[d.Owner] {", "if false {", "proof", "TestDeadController"),
+]
+
+
+def main():
+    root = pathlib.Path(__file__).resolve().parent.parent
+    bad = 0
+    for name, file, old, new, mod, test in CASES:
+        if sys.argv[1:] and name not in sys.argv[1:]:
+            continue
+        with tempfile.TemporaryDirectory() as tmp:
+            copy = pathlib.Path(tmp) / "tree"
+            shutil.copytree(root, copy, ignore=shutil.ignore_patterns(".git", "bin", "realm-data", "sweep.out"))
+            path = copy / file
+            text = path.read_text()
+            if old not in text:
+                print(f"{name}: the text to take away is not in {file}")
+                bad += 1
+                continue
+            path.write_text(text.replace(old, new))
+            try:
+                run = subprocess.run(["go", "test", "-count=1", "-vet=off", "-timeout", "100s", "-run", test, f"./{mod}"], cwd=copy,
+                                     capture_output=True, text=True, timeout=150)
+                out, ok = run.stdout + run.stderr, run.returncode == 0
+            except subprocess.TimeoutExpired:
+                out, ok = "--- FAIL: timed out", False
+        if "build failed" in out or "no tests to run" in out:
+            print(f"{name}: {test} did not run:\n{out[:600]}")
+            bad += 1
+        elif ok:
+            print(f"{name}: {test} STILL PASSES without it")
+            bad += 1
+        else:
+            print(f"{name}: {test} fails without it, as it should", flush=True)
+    sys.exit(1 if bad else 0)
+
+
+main()
