--- a/creed/creed.go
+++ b/creed/creed.go
@@ -53,7 +53,10 @@
 		if err := load(f, s); err != nil {
 			return err
 		}
-		// Flags stand over the file.
+		// Flags stand over the file, and the file over the defaults.
+		if p, err = arg.NewParser(arg.Config{Program: program, IgnoreDefault: true}, s); err != nil {
+			return breakdown.As(err, breakdown.Bad, "read flags", program)
+		}
 		if err := p.Parse(args); err != nil {
 			return breakdown.As(err, breakdown.Bad, "read flags", program)
 		}
--- a/door/door.go
+++ b/door/door.go
@@ -115,12 +115,12 @@
 	mux.HandleFunc("POST /v1/streams", func(w http.ResponseWriter, r *http.Request) {
 		var ask Ask
 		if f := Read(r, &ask, maxAsk); f != nil {
-			Refuse(w, f)
+			Bounce(w, f)
 			return
 		}
 		out := &lines{w: w, rows: json.NewEncoder(w)}
 		if err := s.Serve(r.Context(), &ask, out); err != nil && !out.begun {
-			Refuse(w, err)
+			Bounce(w, err)
 		}
 	})
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
@@ -187,8 +187,8 @@
 	json.NewEncoder(w).Encode(v)
 }
 
-// Refuse answers with an error and, where one may come back, with when.
-func Refuse(w http.ResponseWriter, err error) {
+// Bounce answers with an error and, where one may come back, with when.
+func Bounce(w http.ResponseWriter, err error) {
 	var f *Fault
 	if !errors.As(err, &f) {
 		switch breakdown.KindOf(err) {
--- a/door/operate.go
+++ b/door/operate.go
@@ -59,11 +59,11 @@
 	mux.HandleFunc("POST /v1/policy", func(w http.ResponseWriter, r *http.Request) {
 		var a Apply
 		if f := Read(r, &a, maxPolicy); f != nil {
-			Refuse(w, f)
+			Bounce(w, f)
 			return
 		}
 		if a.Op == "" {
-			Refuse(w, No(http.StatusBadRequest, "missing", "op", "an operation needs an id of its own"))
+			Bounce(w, No(http.StatusBadRequest, "missing", "op", "an operation needs an id of its own"))
 			return
 		}
 		got, err := o.Apply(r.Context(), &a)
@@ -73,11 +73,11 @@
 		return func(w http.ResponseWriter, r *http.Request) {
 			var m Mark
 			if f := Read(r, &m, 4096); f != nil {
-				Refuse(w, f)
+				Bounce(w, f)
 				return
 			}
 			if m.Op == "" {
-				Refuse(w, No(http.StatusBadRequest, "missing", "op", "an operation needs an id of its own"))
+				Bounce(w, No(http.StatusBadRequest, "missing", "op", "an operation needs an id of its own"))
 				return
 			}
 			got, err := f(r.Context(), r.PathValue("name"), &m)
@@ -90,7 +90,7 @@
 
 func answer(w http.ResponseWriter, a *Applied, err error) {
 	if err != nil {
-		Refuse(w, err)
+		Bounce(w, err)
 		return
 	}
 	Write(w, http.StatusOK, a)
--- a/guise/move.go
+++ b/guise/move.go
@@ -37,8 +37,8 @@
 	case m.Length != int64(8*m.Computed):
 		return nil, no(http.StatusUnprocessableEntity, "%d bytes for %d tokens", m.Length, m.Computed)
 	case !w.pool.fits(whole):
-		w.count(m.Id.Request).Refused++
-		w.tell("refused", m.Id, q.Lead)
+		w.count(m.Id.Request).Bounced++
+		w.tell("bounced", m.Id, q.Lead)
 		return nil, no(http.StatusInsufficientStorage, "no room for %d blocks", whole)
 	}
 	r := &run{ident: m, tab: w.pool.take(bill), pledge: whole - bill, touched: w.now(), news: make(chan struct{})}
--- a/guise/worker.go
+++ b/guise/worker.go
@@ -74,7 +74,7 @@
 	Runs    int   `json:"runs"`    // resumes that began to decode
 	Records int   `json:"records"` // runs that came to their end
 	Reads   int   `json:"reads"`   // prefills
-	Refused int   `json:"refused"` // imports refused for room
+	Bounced int   `json:"bounced"` // imports refused for room
 	Starved int   `json:"starved"` // decodes that ran out of room midway
 	First   []int `json:"first,omitempty"`
 }
--- a/guise/worker_test.go
+++ b/guise/worker_test.go
@@ -129,7 +129,7 @@
 		err := x.move(got)
 		require.True(t, breakdown.Is(err, breakdown.Bounced), "%v", err)
 		require.Zero(t, x.d.Used())
-		require.Equal(t, 1, x.d.Tallies()["big"].Refused)
+		require.Equal(t, 1, x.d.Tallies()["big"].Bounced)
 		fit := x.read(t, x.identity("fits", 100, 20))
 		require.NoError(t, x.move(fit))
 	})
@@ -204,6 +204,6 @@
 		x.d.Order(Faults{Garbage: true})
 		_, err = x.r.Report(x.ctx, x.da)
 		require.ErrorContains(t, err, "garbage")
-		require.Equal(t, x.da, breakdown.Peer(err))
+		require.Equal(t, x.da, breakdown.Neighbour(err))
 	})
 }
--- /dev/null
+++ b/lore/lore_test.go
@@ -0,0 +1,118 @@
+package lore
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/crux"
+	"keelstair.example/tale"
+	"keelstair.example/word"
+)
+
+const small = `{
+	zones: ["a"]
+	workers: p1: {part: "prefill", model: "m", weights: "w1", room: 10, zone: "a"}
+	workers: d1: {part: "decode", model: "m", weights: "w1", room: 10, zone: "a"}
+	kinds: verdict: {claimed: true, model: "m", maxTokens: 4}
+	programs: {}
+	limits: {}
+}`
+
+// TestCheck: CUE text becomes a whole policy with defaults; each fault is named.
+func TestCheck(t *testing.T) {
+	text, err := Source("f.cue", []byte(small))
+	require.NoError(t, err)
+	p, whole, err := Whole("f.cue", text)
+	require.NoError(t, err)
+	require.Equal(t, 16, p.Workers["p1"].Block)
+	require.Equal(t, 500*time.Millisecond, p.Limits.Lag())
+	again, _, err := Whole("f.cue", whole)
+	require.NoError(t, err)
+	require.Equal(t, p, again, "what was filled in checks to itself")
+	for part, says := range map[string]string{
+		`{workers: p1: part: "both"}`:                        "workers.p1.part",
+		`{workers: p1: room: 0}`:                             "workers.p1.room",
+		`{workers: p1: zone: "b"}`:                           `unknown zone "b"`,
+		`{zones: ["a", "a"]}`:                                "stands twice",
+		`{kinds: verdict: model: "n"}`:                       `offers "n"`,
+		`{workers: d1: null}`:                                "no prefill and decode",
+		`{limits: queue: 1.5}`:                               "limits.queue",
+		`{programs: x: {share: 30, source: "def order..."}}`: "30, not to 100",
+	} {
+		b, err := Source("part.cue", []byte(part))
+		require.NoError(t, err, part)
+		merged, err := Merge(whole, b)
+		require.NoError(t, err)
+		_, err = Check("part.cue", merged)
+		require.ErrorContains(t, err, says, part)
+		require.True(t, breakdown.Is(err, breakdown.Bad))
+	}
+	rows, err := Diff(whole, []byte(`{}`))
+	require.NoError(t, err)
+	require.NotEmpty(t, rows)
+}
+
+func do(t *testing.T, s *State, kind string, c interface{ MarshalMsg([]byte) ([]byte, error) }) error {
+	t.Helper()
+	body, err := c.MarshalMsg(nil)
+	require.NoError(t, err)
+	_, err = s.Apply(kind, body)
+	return err
+}
+
+// TestDeeds: one claim, one outcome; a seizure needs the newest fence; the one
+// it was seized from can record nothing any more.
+func TestDeeds(t *testing.T) {
+	s := newState(false)
+	require.NoError(t, do(t, s, ClaimKind, &Claim{Key: "k", Owner: "n1"}))
+	require.ErrorIs(t, do(t, s, ClaimKind, &Claim{Key: "k", Owner: "n2"}), crux.Same)
+	require.Error(t, do(t, s, SettleKind, &Settle{Key: "k", Owner: "n2", Fate: Done}))
+	require.NoError(t, do(t, s, SeizeKind, &Seize{Key: "k", From: "n1", To: "n3", Fence: 7}))
+	require.Error(t, do(t, s, SeizeKind, &Seize{Key: "k", From: "n3", To: "n4", Fence: 6}), "an older settler")
+	require.Error(t, do(t, s, SettleKind, &Settle{Key: "k", Owner: "n1", Fate: Done}), "woken too late")
+	require.NoError(t, do(t, s, SettleKind, &Settle{Key: "k", Owner: "n3", Fate: NotRun}))
+	require.Error(t, do(t, s, SettleKind, &Settle{Key: "k", Owner: "n3", Fate: Done}), "a tombstone stays")
+	copied := newState(false)
+	require.NoError(t, copied.load(crux.Pack(s.image(false))))
+	require.Equal(t, s.deeds, copied.deeds)
+}
+
+// TestActivation: a staged version waits for all to have seen it, at most the
+// wait; a storm cannot put it off for ever.
+func TestActivation(t *testing.T) {
+	m := NewMachine(time.Second)
+	require.NoError(t, do(t, m.State, StageKind, &Stage{Base: 0, Text: []byte(`{}`)}))
+	require.Error(t, do(t, m.State, StageKind, &Stage{Base: 0, Text: []byte(`{}`)}), "the loser of two")
+	require.Empty(t, m.Due(0, 5, 4))
+	require.Len(t, m.Due(word.Tick(time.Millisecond), 6, 5), 1)
+	m = NewMachine(time.Second)
+	for v := range 3 {
+		require.NoError(t, do(t, m.State, StageKind, &Stage{Base: word.Version(v), Text: []byte(`{}`)}))
+		m.Due(word.Tick(time.Duration(v)*400*time.Millisecond), word.Seq(v+1), 0)
+	}
+	got := m.Due(word.Tick(1100*time.Millisecond), 4, 0)
+	require.Equal(t, []crux.Cmd{{Kind: ActivateKind, Body: crux.Pack(&Activate{1})}}, got)
+}
+
+// TestHeard: a version heard of is put in force if it is staged here; else the
+// node holds its picks.
+func TestHeard(t *testing.T) {
+	v := NewView(tale.Mute())
+	fold := func(kind string, c interface{ MarshalMsg([]byte) ([]byte, error) }) {
+		b, _ := c.MarshalMsg(nil)
+		v.Fold(0, kind, b)
+	}
+	fold(StageKind, &Stage{Base: 0, Text: []byte(`{"zones":["a"]}`)})
+	require.Zero(t, v.Sight().Version)
+	require.True(t, v.Heard(1), "staged, so it is in force now")
+	require.EqualValues(t, 1, v.Sight().Version)
+	require.False(t, v.Heard(2), "not known here: picks are held")
+	fold(ActivateKind, &Activate{1})
+	require.False(t, v.Settled())
+	fold(StageKind, &Stage{Base: 1, Text: []byte(`{"zones":["a","b"]}`)})
+	require.True(t, v.Settled())
+	require.Len(t, v.Sight().Policy.Zones, 2)
+}
--- a/lore/policy.go
+++ b/lore/policy.go
@@ -110,33 +110,45 @@
 	return breakdown.New(breakdown.Bad, "check policy", "", "%s", strings.Join(rows, "; "))
 }
 
-// twice finds a field that stands twice in one struct, such as a worker that
-// is listed two times; CUE alone would join equal ones in silence.
+// twice finds an entry, such as a worker, that is listed two times; CUE alone
+// would join equal or matching ones in silence.
 func twice(f *ast.File) error {
-	var out error
-	ast.Walk(f, func(n ast.Node) bool {
-		var row []ast.Decl
-		switch v := n.(type) {
-		case *ast.StructLit:
-			row = v.Elts
-		case *ast.File:
-			row = v.Decls
-		}
-		seen := map[string]bool{}
+	seen := map[string]bool{}
+	var look func(row []ast.Decl, path []string) error
+	look = func(row []ast.Decl, path []string) error {
 		for _, d := range row {
-			if fd, ok := d.(*ast.Field); ok {
-				if name, _, err := ast.LabelName(fd.Label); err == nil && out == nil {
-					if seen[name] {
-						pos := fd.Pos()
-						out = breakdown.New(breakdown.Bad, "check policy", "", "%s:%d:%d: %s stands twice", pos.Filename(), pos.Line(), pos.Column(), name)
+			if e, ok := d.(*ast.EmbedDecl); ok {
+				if lit, ok := e.Expr.(*ast.StructLit); ok {
+					if err := look(lit.Elts, path); err != nil {
+						return err
 					}
-					seen[name] = true
 				}
 			}
+			fd, ok := d.(*ast.Field)
+			if !ok {
+				continue
+			}
+			name, _, err := ast.LabelName(fd.Label)
+			if err != nil {
+				continue
+			}
+			at := append(append([]string(nil), path...), name)
+			lit, deep := fd.Value.(*ast.StructLit)
+			if len(at) < 2 && deep {
+				if err := look(lit.Elts, at); err != nil {
+					return err
+				}
+				continue
+			}
+			key := strings.Join(at, ".")
+			if pos := fd.Pos(); seen[key] {
+				return breakdown.New(breakdown.Bad, "check policy", "", "%s:%d:%d: %s stands twice", pos.Filename(), pos.Line(), pos.Column(), key)
+			}
+			seen[key] = true
 		}
-		return true
-	}, nil)
-	return out
+		return nil
+	}
+	return look(f.Decls, nil)
 }
 
 // Source reads CUE or JSON text to plain JSON, with positions in its errors.
--- a/passage/controller_test.go
+++ b/passage/controller_test.go
@@ -155,9 +155,9 @@
 	require.Equal(t, 1, s.resumes)
 }
 
-// TestRefusedImport: a refusal goes to the next worker before any piece; where
+// TestBouncedImport: a refusal goes to the next worker before any piece; where
 // nobody has room the call is bounced at once, and nothing was put.
-func TestRefusedImport(t *testing.T) {
+func TestBouncedImport(t *testing.T) {
 	s := &script{full: map[word.WorkerId]bool{"d1": true}}
 	got, err, _ := play(t, s, false)
 	require.NoError(t, err)
--- a/seam/sham/net.go
+++ b/seam/sham/net.go
@@ -54,22 +54,22 @@
 	}
 }
 
-type conn struct {
+type session struct {
 	p       *Proc
 	in, out *half
 	near    place
 	far     place
 }
 
-func (p *Proc) pair(q *Proc, near, far place) (*conn, *conn) {
+func (p *Proc) pair(q *Proc, near, far place) (*session, *session) {
 	w := p.at.world
 	a := &half{w: w, from: p.at.Ip, to: q.at.Ip, ring: make(chan struct{})}
 	b := &half{w: w, from: q.at.Ip, to: p.at.Ip, ring: make(chan struct{})}
 	p.cons[b], q.cons[a] = a, b
-	return &conn{p, b, a, near, far}, &conn{q, a, b, far, near}
+	return &session{p, b, a, near, far}, &session{q, a, b, far, near}
 }
 
-func (c *conn) Read(b []byte) (int, error) {
+func (c *session) Read(b []byte) (int, error) {
 	w := c.p.at.world
 	h := c.in
 	for {
@@ -119,7 +119,7 @@
 	}
 }
 
-func (c *conn) Write(b []byte) (int, error) {
+func (c *session) Write(b []byte) (int, error) {
 	if !c.p.gate() {
 		return 0, errReset
 	}
@@ -144,7 +144,7 @@
 	return len(b), nil
 }
 
-func (c *conn) Close() error {
+func (c *session) Close() error {
 	w := c.p.at.world
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -154,12 +154,12 @@
 	return nil
 }
 
-func (c *conn) LocalAddr() net.Addr  { return c.near }
-func (c *conn) RemoteAddr() net.Addr { return c.far }
+func (c *session) LocalAddr() net.Addr  { return c.near }
+func (c *session) RemoteAddr() net.Addr { return c.far }
 
-func (c *conn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
+func (c *session) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
 
-func (c *conn) SetReadDeadline(t time.Time) error {
+func (c *session) SetReadDeadline(t time.Time) error {
 	c.p.at.world.mu.Lock()
 	defer c.p.at.world.mu.Unlock()
 	c.in.due = t
@@ -167,13 +167,13 @@
 	return nil
 }
 
-func (c *conn) SetWriteDeadline(time.Time) error { return nil }
+func (c *session) SetWriteDeadline(time.Time) error { return nil }
 
 // ear is a listener.
 type ear struct {
 	proc   *Proc
 	addr   place
-	calls  chan *conn
+	calls  chan *session
 	closed chan struct{}
 	over   bool
 }
@@ -196,7 +196,7 @@
 	if err != nil || host != p.at.Ip || p.at.ears[addr] != nil {
 		return nil, &net.OpError{Op: "listen", Net: "sham", Err: syscall.EADDRINUSE}
 	}
-	e := &ear{proc: p, addr: place(addr), calls: make(chan *conn, 1024), closed: make(chan struct{})}
+	e := &ear{proc: p, addr: place(addr), calls: make(chan *session, 1024), closed: make(chan struct{})}
 	p.at.ears[addr] = e
 	return e, nil
 }
--- /dev/null
+++ b/verge/augur/augur_test.go
@@ -0,0 +1,69 @@
+package augur
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/crux"
+	"keelstair.example/lore"
+	"keelstair.example/verge"
+	"keelstair.example/word"
+)
+
+func fixture() (*verge.Standing, *lore.Policy) {
+	st := &verge.Standing{Version: 4}
+	p := &lore.Policy{Zones: []word.Zone{"a", "b"}, Workers: map[word.WorkerId]lore.Worker{}}
+	for i, z := range []word.Zone{"a", "b", "b"} {
+		n := string(rune('1' + i))
+		st.Members = append(st.Members, crux.Member{Node: word.NodeId("n" + n), Addr: "10.0.0." + n + ":1", Zone: z})
+		st.Core.Holders = append(st.Core.Holders, crux.Seat{Disk: word.DiskId(n), Addr: "10.0.1." + n + ":1", Zone: z})
+		for _, part := range []word.Part{word.Prefill, word.Decode} {
+			id := word.WorkerId(string(part[0]) + n)
+			p.Workers[id] = lore.Worker{Part: part, Model: "m", Weights: "w", Room: 100, Block: 16, Zone: z}
+			st.Workers = append(st.Workers, verge.Stand{Id: id, Part: part, Ready: true, Free: 40, Room: 100})
+		}
+	}
+	return st, p
+}
+
+// TestForesee: the loss of the larger zone moves its nodes' keys, takes two of
+// three disk machines and leaves too little room; all of it is warned of.
+func TestForesee(t *testing.T) {
+	st, p := fixture()
+	f, err := Foresee(st, p, Change{LoseZone: "b"})
+	require.NoError(t, err)
+	require.Equal(t, [2]int{3, 1}, f.Nodes)
+	require.Equal(t, [2]int{3, 1}, f.Disks)
+	for _, m := range f.Keys {
+		require.Equal(t, word.NodeId("n1"), m.To)
+		require.Equal(t, crux.Owner(m.Key, []word.NodeId{"n1", "n2", "n3"}), m.From)
+	}
+	require.Len(t, f.Rooms, 2)
+	require.Equal(t, [2]int{300, 100}, f.Rooms[0].Blocks)
+	require.Contains(t, f.Warnings, "the core could not decide: 1 of 3 disk machines would be left")
+	require.Contains(t, f.Warnings, "decode of m would have 100 blocks, 180 are taken now")
+	f, err = Foresee(st, p, Change{Evacuate: "a"})
+	require.NoError(t, err)
+	require.Empty(t, f.Keys, "an evacuation moves no duty")
+	require.Contains(t, f.Warnings, "prefill of m would be over four fifths full: 180 of 200 blocks")
+	f, err = Foresee(st, p, Change{LoseAddr: "10.0.1.1:1"})
+	require.NoError(t, err)
+	require.Equal(t, [2]int{3, 2}, f.Disks)
+	require.Len(t, f.Warnings, 1)
+	next := *p
+	next.Workers = map[word.WorkerId]lore.Worker{"p1": p.Workers["p1"]}
+	f, err = Foresee(st, p, Change{Policy: &next})
+	require.NoError(t, err)
+	require.Len(t, f.Workers, 5)
+	require.Contains(t, f.Warnings, "no worker would be left for decode of m")
+}
+
+// TestUnknown: what does not exist is named.
+func TestUnknown(t *testing.T) {
+	st, p := fixture()
+	for _, c := range []Change{{Evacuate: "moon"}, {LoseZone: "moon"}, {Drain: "x9"}, {LoseAddr: "10.9.9.9:1"}} {
+		_, err := Foresee(st, p, c)
+		require.Error(t, err)
+	}
+}
--- a/verge/holder.go
+++ b/verge/holder.go
@@ -184,7 +184,7 @@
 // is up; only a reservation is better made elsewhere.
 func (n *Node) order(ctx context.Context, q *OrderAsk) (*rein.Answer, error) {
 	for {
-		a, err := n.send(ctx, q)
+		a, err := n.ferry(ctx, q)
 		if !breakdown.Is(err, breakdown.Away) {
 			return a, err
 		}
@@ -194,7 +194,7 @@
 	}
 }
 
-func (n *Node) send(ctx context.Context, q *OrderAsk) (*rein.Answer, error) {
+func (n *Node) ferry(ctx context.Context, q *OrderAsk) (*rein.Answer, error) {
 	q.Version = n.view.Known()
 	m, _, ok := n.agent.Holder(lore.WorkerKey(q.Worker))
 	if !ok {
--- a/verge/serve.go
+++ b/verge/serve.go
@@ -57,7 +57,7 @@
 	if ask.MaxTokens == 0 {
 		ask.MaxTokens = kind.MaxTokens
 	}
-	leave, f := n.enter(s, ask.Kind)
+	leave, f := n.grantEntry(s, ask.Kind)
 	if f != nil {
 		return f
 	}
@@ -85,10 +85,10 @@
 	return false
 }
 
-// enter bounds the streams carried at once. Once a node is half full, a kind
+// grantEntry bounds the streams carried at once. Once a node is half full, a kind
 // may take no more than its share by weight, so a crowd of one cannot shut out
 // the other.
-func (n *Node) enter(s *lore.Sight, kind string) (func(), *door.Fault) {
+func (n *Node) grantEntry(s *lore.Sight, kind string) (func(), *door.Fault) {
 	v, _ := n.kinds.LoadOrStore(kind, new(atomic.Int64))
 	mine := v.(*atomic.Int64)
 	most := int64(s.Policy.Limits.Inflight)
--- a/whim/whim_test.go
+++ b/whim/whim_test.go
@@ -89,8 +89,8 @@
 	require.EqualValues(t, 2000, c)
 }
 
-// TestRefused: a program that does not compile is refused with its place.
-func TestRefused(t *testing.T) {
+// TestBouncedProgram: a program that does not compile is refused with its place.
+func TestBouncedProgram(t *testing.T) {
 	for text, says := range map[string]string{
 		"def order(a, b):\n    retrun b": "bad.star:2", "x = 1": "must define order", "def order(a):\n    return a": "must define order",
 		"load('x', 'y')\ndef order(a, b):\n    return b": "bad.star:1",
