--- a/passage/ledger.go
+++ b/passage/ledger.go
@@ -6,6 +6,7 @@
 package passage
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -38,10 +39,17 @@
 	held   bool
 }
 
-// NewLedger begins with nothing known: what an earlier holder ordered shows in
-// the first report that is surely younger than the grant.
-func NewLedger(now word.Tick, lag, ramp time.Duration, limit int) *Ledger {
-	return &Ledger{since: now, fresh: now, lag: lag, ramp: ramp, cap: limit, holds: map[rein.Id]*hold{}}
+// NewLedger begins with nothing known, and is of no use before Begin.
+func NewLedger(lag, ramp time.Duration, limit int) *Ledger {
+	return &Ledger{since: math.MaxInt64, lag: lag, ramp: ramp, cap: limit, holds: map[rein.Id]*hold{}}
+}
+
+// Begin notes from when on the worker obeys this holder alone: what an earlier
+// one ordered shows in the first report that is surely younger.
+func (l *Ledger) Begin(now word.Tick) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.since, l.fresh = now, now
 }
 
 // Tune takes limits that a newer policy sets.
@@ -122,13 +130,13 @@
 func (l *Ledger) state(now word.Tick) State {
 	s := State{Cap: l.limit(now)}
 	r := l.report
-	if r == nil {
+	if r == nil || l.since == math.MaxInt64 {
 		return s
 	}
 	s.Part, s.Room, s.Block, s.Model = r.Part, r.Capacity, r.Block, r.Model
 	// The first report that shows all of an earlier holder's orders was asked
 	// for one lag after the grant.
-	s.Ready = !l.held && l.misses < 3 && !now.Past(l.asked, 2*time.Second) && l.asked.Since(l.since) >= l.lag
+	s.Ready = !l.held && l.misses < 3 && !now.Past(l.asked, 2*time.Second) && !l.asked.Before(l.since.Add(l.lag))
 	used := 0
 	for _, v := range r.Running {
 		if l.holds[v.Id] == nil {
--- a/passage/ledger_test.go
+++ b/passage/ledger_test.go
@@ -19,12 +19,18 @@
 	return &rein.Report{Part: word.Decode, Used: used, Capacity: 100, Block: 16, Running: on}
 }
 
+func begun(ms int, ramp time.Duration, limit int) *Ledger {
+	l := NewLedger(lag, ramp, limit)
+	l.Begin(at(ms))
+	return l
+}
+
 func one(n int) rein.Id { return rein.Id{Request: string(rune('a' + n)), Attempt: 1} }
 
 // TestLedgerWaits: a new holder books nothing before a report that surely shows
 // all that the one before it ordered.
 func TestLedgerWaits(t *testing.T) {
-	l := NewLedger(at(1000), lag, 0, 8)
+	l := begun(1000, 0, 8)
 	l.Report(report(0), at(1100))
 	require.Error(t, l.Reserve(one(0), 1, at(1110)))
 	l.Report(report(30, rein.Running{Id: one(9), Blocks: 30, Room: 60}), at(1500))
@@ -35,7 +41,7 @@
 // TestLedgerLag: reports that do not show an import yet, or still show an ended
 // one, never make the worker look emptier than it is.
 func TestLedgerLag(t *testing.T) {
-	l := NewLedger(at(0), lag, 0, 8)
+	l := begun(0, 0, 8)
 	l.Report(report(0), at(600))
 	require.NoError(t, l.Reserve(one(0), 60, at(610)))
 	l.Moved(one(0), at(620))
@@ -60,7 +66,7 @@
 func TestLedgerNeverOverbooks(t *testing.T) {
 	for seed := uint64(1); seed <= 200; seed++ {
 		r := rand.New(rand.NewPCG(seed, 3))
-		l := NewLedger(at(0), lag, 0, 1000)
+		l := begun(0, 0, 1000)
 		type run struct{ blocks, start, end int }
 		truth := map[rein.Id]run{}
 		var history []*rein.Report
@@ -99,7 +105,7 @@
 
 // TestRamp: a cold worker takes few starts, then more.
 func TestRamp(t *testing.T) {
-	l := NewLedger(at(0), lag, 2*time.Second, 16)
+	l := begun(0, 2*time.Second, 16)
 	l.Report(report(0), at(600))
 	require.Equal(t, 4, l.State(at(600)).Cap)
 	for n := range 4 {
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -13,7 +13,7 @@
     ("torn-tail", "seam/disk.go", "if good == len(body) {", "if true {", "seam", "TestTornTail|TestSpoiltTail"),
     ("damage", "seam/disk.go", "if bad {", "if bad && false {", "seam", "TestDamage"),
     ("ledger-lag", "passage/ledger.go", "h.moved.Before(asked.Add(-l.lag)) && !on[id]", "!on[id]", "passage", "TestLedger"),
-    ("ledger-grant", "passage/ledger.go", " && l.asked.Since(l.since) >= l.lag", "", "passage", "TestLedgerWaits"),
+    ("ledger-grant", "passage/ledger.go", " && !l.asked.Before(l.since.Add(l.lag))", "", "passage", "TestLedgerWaits"),
     ("ramp", "passage/ledger.go", "if l.ramp <= 0 || age >= l.ramp {", "if true {", "passage", "TestRamp"),
     ("piece-index", "passage/controller.go", "if p.Index != len(f.sent) {", "if false {", "passage", "TestBadPieces"),
     ("end-count", "passage/controller.go", "if p.Count != len(f.sent) {", "if false {", "passage", "TestBadPieces"),
--- a/verge/beats.go
+++ b/verge/beats.go
@@ -109,8 +109,8 @@
 	n.stands.Store(&all)
 }
 
-// lonely tells that the core itself is away: this node's neighbours, at least
-// half of them, are heard, and none has fresh word from the core.
+// lonely tells that the core itself is away: with this node, most of the members
+// are heard, and none has fresh word from the core.
 func (n *Node) lonely() bool {
 	now := n.now()
 	ms := n.agent.Members()
@@ -132,7 +132,7 @@
 		}
 		heard++
 	}
-	return len(ms) > 1 && heard*2 >= len(ms)-1
+	return len(ms) > 1 && (heard+1)*2 > len(ms)
 }
 
 // rosters keeps asking the platform which workers there are. While it does not
--- a/verge/holder.go
+++ b/verge/holder.go
@@ -23,6 +23,7 @@
 	id     word.WorkerId
 	fence  word.Fence
 	ledger *passage.Ledger
+	known  bool // the worker knows the fence; the poll alone reads and sets it
 	stop   context.CancelFunc
 }
 
@@ -59,7 +60,7 @@
 				old.(*desk).stop()
 			}
 			cx, stop := context.WithCancel(ctx)
-			d := &desk{id: id, fence: f, stop: stop, ledger: passage.NewLedger(n.now(), lim.Lag(), lim.Ramp(), lim.Queue)}
+			d := &desk{id: id, fence: f, stop: stop, ledger: passage.NewLedger(lim.Lag(), lim.Ramp(), lim.Queue)}
 			n.ledgers.Store(id, d)
 			wg.Go(func() { n.poll(cx, d) })
 		}
@@ -83,6 +84,9 @@
 		if l, ok := (*n.roster.Load())[d.id]; ok {
 			asked := n.now()
 			r, err := n.rein.Report(ctx, l.Addr)
+			if err == nil && !d.known {
+				err = n.firstOrder(ctx, d, l.Addr, r.Part)
+			}
 			if err == nil {
 				d.ledger.Report(r, asked)
 				n.view.Heard(r.Version)
@@ -96,6 +100,25 @@
 	}
 }
 
+// firstOrder names the worker the part that it has, under the new fence. From
+// then on it obeys no earlier holder, and only from then on is the time counted
+// after which a report surely shows all that the earlier one had ordered.
+func (n *Node) firstOrder(ctx context.Context, d *desk, addr string, part word.Part) error {
+	f, ok := n.agent.Held(lore.WorkerKey(d.id))
+	if !ok || f != d.fence {
+		return breakdown.New(breakdown.Away, "first order", n.me.Addr, "the key of %s went to other hands", d.id)
+	}
+	cx, stop := context.WithTimeout(ctx, 800*time.Millisecond)
+	defer stop()
+	lead := rein.Lead{Fence: f, Version: n.view.Sight().Version}
+	if _, err := n.rein.Part(cx, addr, &rein.PartAsk{Lead: lead, Part: part}); err != nil {
+		return err
+	}
+	d.known = true
+	d.ledger.Begin(n.now())
+	return nil
+}
+
 // obey answers an order that another node (or this one) asks the holder for.
 func (n *Node) obey(ctx context.Context, q *OrderAsk) (*OrderReply, error) {
 	a, err := n.act(ctx, q)
--- a/verge/node.go
+++ b/verge/node.go
@@ -81,7 +81,6 @@
 	inflight atomic.Int64
 	kinds    sync.Map // kind -> *atomic.Int64
 	stopping atomic.Bool
-	streams  sync.WaitGroup
 	purse    purse
 }
 
@@ -147,14 +146,9 @@
 	<-ctx.Done()
 	n.stopping.Store(true)
 	if drain > 0 {
-		done := make(chan struct{})
-		go func() { n.streams.Wait(); close(done) }()
-		t := time.NewTimer(drain)
-		select {
-		case <-done:
-		case <-t.C:
+		for end := n.now().Add(drain); n.inflight.Load() > 0 && n.now().Before(end); {
+			seam.Sleep(inner, 50*time.Millisecond)
 		}
-		t.Stop()
 		n.agent.Leave()
 	}
 	stop()
--- a/verge/serve.go
+++ b/verge/serve.go
@@ -36,8 +36,6 @@
 // Serve is the door's Server.
 func (n *Node) Serve(ctx context.Context, ask *door.Ask, out door.Sink) error {
 	n.counts.Asked.Add(1)
-	n.streams.Add(1)
-	defer n.streams.Done()
 	if ok, why := n.Ready(); !ok {
 		return n.later(http.StatusServiceUnavailable, "not-ready", "%s", why)
 	}
