--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 MODULES := $(shell grep -o '\./[a-z]*' go.work | cut -c3-)
 
-.PHONY: build test lines format vet sweep gen tidy up ablate
+.PHONY: build test lines format vet sweep gen tidy up ablate compare
 
 build:
 	go build -o bin/ ./cmd/...
@@ -38,3 +38,7 @@
 # Takes each mechanism away in a copy and sees its test fail.
 ablate:
 	python3 tools/ablate.py
+
+# The routing programs against each other, on simulated time.
+compare:
+	KEELSTAIR_COMPARE=1 go test -count=1 -timeout 300s -run TestCompare ./proof -v | grep -E "^\||FAIL|^ok" | sort
--- a/cmd/edict/main.go
+++ b/cmd/edict/main.go
@@ -9,14 +9,12 @@
 	"io"
 	"net/http"
 	"os"
-	"strings"
-	"time"
 
+	"keelstair.example/cmd/boot"
 	"keelstair.example/creed"
 	"keelstair.example/crux"
 	"keelstair.example/door"
 	"keelstair.example/lore"
-	"keelstair.example/rein"
 )
 
 type applyCmd struct {
@@ -55,37 +53,16 @@
 
 func (s *settings) File() string { return "" }
 
-func (s *settings) Check() error {
-	if len(s.Doors) == 1 {
-		s.Doors = strings.Split(s.Doors[0], ",")
-	}
-	if len(s.Doors) == 0 {
-		return creed.Fault("doors", "at least one is needed (--doors or KEELSTAIR_DOORS)")
-	}
-	for _, d := range s.Doors {
-		if err := creed.Addr("doors", d); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// told is an answer that says no; its code becomes the exit code.
-type told struct {
-	exit int
-	text string
-}
-
-func (t *told) Error() string { return t.text }
+func (s *settings) Check() error { return boot.Doors(&s.Doors) }
 
 func main() {
 	s := &settings{}
 	creed.Read(s, "edict", "Edict is keelstair's operators' command line.", os.Args[1:])
 	if err := s.run(); err != nil {
 		fmt.Fprintf(os.Stderr, "edict: %v\n", err)
-		var t *told
+		var t *boot.Told
 		if errors.As(err, &t) {
-			os.Exit(t.exit)
+			os.Exit(t.Exit)
 		}
 		os.Exit(1)
 	}
@@ -123,52 +100,8 @@
 	return err
 }
 
-// ask tries the doors in turn until one can be reached.
 func (s *settings) ask(method, path string, in, out any) error {
-	web := &http.Client{Timeout: 8 * time.Second}
-	var last error
-	for _, d := range s.Doors {
-		var body io.Reader
-		if in != nil {
-			b, err := json.Marshal(in)
-			if err != nil {
-				return err
-			}
-			body = bytes.NewReader(b)
-		}
-		q, err := http.NewRequest(method, "http://"+d+path, body)
-		if err != nil {
-			return err
-		}
-		r, err := web.Do(q)
-		if err != nil {
-			last = err
-			continue
-		}
-		b, err := io.ReadAll(r.Body)
-		r.Body.Close()
-		if err != nil {
-			last = err
-			continue
-		}
-		if r.StatusCode == http.StatusOK {
-			return json.Unmarshal(b, out)
-		}
-		var f struct{ Error rein.Bounce }
-		json.Unmarshal(b, &f)
-		text := strings.TrimSpace(f.Error.Name + " " + f.Error.Field + ": " + f.Error.Detail)
-		switch r.StatusCode {
-		case http.StatusServiceUnavailable:
-			last = &told{4, text}
-			continue
-		case http.StatusConflict:
-			return &told{3, text}
-		case http.StatusGatewayTimeout:
-			return &told{5, text}
-		}
-		return &told{2, text}
-	}
-	return last
+	return boot.Ask(s.Doors, method, path, in, out)
 }
 
 func read(file string) (string, string, error) {
--- a/cmd/omen/main.go
+++ b/cmd/omen/main.go
@@ -6,9 +6,7 @@
 	"fmt"
 	"net/http"
 	"os"
-	"strings"
 	"text/tabwriter"
-	"time"
 
 	"keelstair.example/cmd/boot"
 	"keelstair.example/creed"
@@ -43,16 +41,10 @@
 func (s *settings) File() string { return "" }
 
 func (s *settings) Check() error {
-	if len(s.Doors) == 1 {
-		s.Doors = strings.Split(s.Doors[0], ",")
-	}
-	if len(s.Doors) == 0 {
-		return creed.Fault("doors", "at least one is needed (--doors or KEELSTAIR_DOORS)")
-	}
 	if s.Policy == nil && s.Evacuate == nil && s.Zone == nil && s.Machine == nil && s.Drain == nil {
 		return creed.Fault("command", "one is needed; see omen --help")
 	}
-	return nil
+	return boot.Doors(&s.Doors)
 }
 
 func main() {
@@ -62,18 +54,7 @@
 }
 
 func (s *settings) get(path string, into any) error {
-	web := &http.Client{Timeout: 5 * time.Second}
-	var last error
-	for _, d := range s.Doors {
-		r, err := web.Get("http://" + d + path)
-		if err != nil {
-			last = err
-			continue
-		}
-		defer r.Body.Close()
-		return json.NewDecoder(r.Body).Decode(into)
-	}
-	return last
+	return boot.Ask(s.Doors, http.MethodGet, path, nil, into)
 }
 
 func (s *settings) run() error {
--- a/crux/agent.go
+++ b/crux/agent.go
@@ -66,15 +66,9 @@
 }
 
 func NewAgent(opt AgentOptions) *Agent {
-	if opt.Lease == 0 {
-		opt.Lease = 3 * time.Second
-	}
-	if opt.Renew == 0 {
-		opt.Renew = 500 * time.Millisecond
-	}
-	if opt.Gap == 0 {
-		opt.Gap = time.Second
-	}
+	word.Or(&opt.Lease, 3*time.Second)
+	word.Or(&opt.Renew, 500*time.Millisecond)
+	word.Or(&opt.Gap, time.Second)
 	if opt.Ring == nil {
 		opt.Ring = tale.Mute()
 	}
--- a/crux/core.go
+++ b/crux/core.go
@@ -37,16 +37,11 @@
 }
 
 func (o *Options) fill() {
-	set := func(d *time.Duration, v time.Duration) {
-		if *d == 0 {
-			*d = v
-		}
-	}
-	set(&o.Beat, 200*time.Millisecond)
-	set(&o.Silence, 1200*time.Millisecond)
-	set(&o.Lease, 3*time.Second)
-	set(&o.Stall, time.Second)
-	set(&o.Replace, 4*time.Second)
+	word.Or(&o.Beat, 200*time.Millisecond)
+	word.Or(&o.Silence, 1200*time.Millisecond)
+	word.Or(&o.Lease, 3*time.Second)
+	word.Or(&o.Stall, time.Second)
+	word.Or(&o.Replace, 4*time.Second)
 	if o.Ring == nil {
 		o.Ring = tale.Mute()
 	}
--- a/guise/worker.go
+++ b/guise/worker.go
@@ -35,17 +35,12 @@
 }
 
 func (o *WorkerOptions) fill() {
-	set := func(d *time.Duration, v time.Duration) {
-		if *d == 0 {
-			*d = v
-		}
-	}
-	set(&o.Read, 40*time.Microsecond)
-	set(&o.Step, 4*time.Millisecond)
-	set(&o.Each, 200*time.Microsecond)
-	set(&o.Lag, 300*time.Millisecond)
-	set(&o.Stage, 5*time.Second)
-	set(&o.Orphan, 2*time.Second)
+	word.Or(&o.Read, 40*time.Microsecond)
+	word.Or(&o.Step, 4*time.Millisecond)
+	word.Or(&o.Each, 200*time.Microsecond)
+	word.Or(&o.Lag, 300*time.Millisecond)
+	word.Or(&o.Stage, 5*time.Second)
+	word.Or(&o.Orphan, 2*time.Second)
 	if o.Block == 0 {
 		o.Block = 16
 	}
--- /dev/null
+++ b/proof/compare_test.go
@@ -0,0 +1,47 @@
+package proof
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/guise"
+	"keelstair.example/lore"
+	"keelstair.example/whim"
+)
+
+// TestCompare measures the routing programs against each other: each alone, on
+// the same arrivals, at both sites. It is run by make compare, not by make test.
+func TestCompare(t *testing.T) {
+	if os.Getenv("KEELSTAIR_COMPARE") == "" {
+		t.Skip("run by make compare")
+	}
+	for _, name := range []string{"vatuloa", "almaty"} {
+		for _, prog := range []string{whim.PlainName, "free", "prefix", "short"} {
+			for seed := uint64(1); seed <= 3; seed++ {
+				t.Run(fmt.Sprintf("%s/%s/%d", name, prog, seed), func(t *testing.T) {
+					t.Parallel()
+					synctest.Test(t, func(t *testing.T) {
+						site := guise.Sites[name]
+						c := Build(seed, site, func(c *Cluster) {
+							if prog != whim.PlainName {
+								c.Programs = map[string]lore.Program{prog: {Source: whim.Shipped(prog), Share: 100}}
+							}
+						})
+						defer c.Close()
+						require.NoError(t, c.Found())
+						rate := 15.0 * float64(site.Prefill)
+						sum := guise.Sum(c.Load(rate, 12*time.Second, seed))
+						a, b := sum.Kinds[site.Shapes[0].Kind], sum.Kinds[site.Shapes[1].Kind]
+						fmt.Printf("| %s | %s | %d | %d of %d | %.0f / %.0f | %.0f / %.0f |\n", name, prog, seed, sum.Ends["complete"], sum.Sent, a.FirstP50, a.FirstP99, b.FirstP50, b.FirstP99)
+						require.Empty(t, c.Book.Check(nil))
+					})
+				})
+			}
+		}
+	}
+}
--- a/verge/node.go
+++ b/verge/node.go
@@ -41,18 +41,13 @@
 }
 
 func (o *Options) fill() {
-	set := func(d *time.Duration, v time.Duration) {
-		if *d == 0 {
-			*d = v
-		}
-	}
-	set(&o.Lease, 3*time.Second)
-	set(&o.Renew, 500*time.Millisecond)
-	set(&o.Beat, 150*time.Millisecond)
-	set(&o.Poll, 200*time.Millisecond)
-	set(&o.Roster, 400*time.Millisecond)
-	set(&o.Orphan, 2*time.Second)
-	set(&o.Pulse, 1200*time.Millisecond)
+	word.Or(&o.Lease, 3*time.Second)
+	word.Or(&o.Renew, 500*time.Millisecond)
+	word.Or(&o.Beat, 150*time.Millisecond)
+	word.Or(&o.Poll, 200*time.Millisecond)
+	word.Or(&o.Roster, 400*time.Millisecond)
+	word.Or(&o.Orphan, 2*time.Second)
+	word.Or(&o.Pulse, 1200*time.Millisecond)
 	if o.Ring == nil {
 		o.Ring = tale.Mute()
 	}
--- a/word/word.go
+++ b/word/word.go
@@ -41,3 +41,10 @@
 	}
 	return (toks + size - 1) / size
 }
+
+// Or sets a span that was left at zero.
+func Or(d *time.Duration, v time.Duration) {
+	if *d == 0 {
+		*d = v
+	}
+}
