--- a/guise/move.go
+++ b/guise/move.go
@@ -179,6 +179,7 @@
 	}
 	if f := w.fates[q.Id.Request]; f != nil {
 		cop := *f
+		cop.Texts = nil
 		return &cop, nil
 	}
 	return &rein.Answer{Fate: rein.FateNever}, nil
@@ -201,7 +202,7 @@
 	rows := json.NewEncoder(rw)
 	put := func(out []int32, ended bool) {
 		for ; at < len(out); at++ {
-			rows.Encode(rein.Piece{Index: at, Token: out[at], Text: fmt.Sprintf("t%d ", out[at])})
+			rows.Encode(rein.Piece{Index: at, Token: out[at], Text: say(out[at])})
 		}
 		if ended {
 			rows.Encode(rein.Piece{Index: at, End: "stop", Count: len(out)})
--- a/guise/serve.go
+++ b/guise/serve.go
@@ -93,11 +93,21 @@
 		}
 		w.mu.Lock()
 		a.Version, a.Life = w.version, w.life
+		toks := a.Output
+		if a.Identity != nil {
+			toks = a.Identity.Output
+		}
+		for _, t := range toks {
+			a.Texts = append(a.Texts, say(t))
+		}
 		w.mu.Unlock()
 		reply(rw, http.StatusOK, a)
 	}
 }
 
+// say is a token as text.
+func say(t int32) string { return fmt.Sprintf("t%d ", t) }
+
 // heed checks the fence and notes the version. The caller holds mu.
 func (w *Worker) heed(what string, l rein.Lead, id rein.Id) error {
 	if l.Fence < w.fence && !w.fault.Forget {
--- a/lore/policy.go
+++ b/lore/policy.go
@@ -98,10 +98,13 @@
 		form, args := e.Msg()
 		row := fmt.Sprintf(form, args...)
 		if path := e.Path(); len(path) > 0 {
-			row = strings.Join(path, ".") + ": " + row
+			row = strings.TrimPrefix(strings.Join(path, "."), "#Policy.") + ": " + row
 		}
-		if pos := e.Position(); pos.IsValid() && pos.Filename() != "schema" {
-			row = fmt.Sprintf("%s:%d:%d: %s", pos.Filename(), pos.Line(), pos.Column(), row)
+		for _, pos := range append(e.InputPositions(), e.Position()) {
+			if pos.IsValid() && pos.Filename() != "schema" {
+				row = fmt.Sprintf("%s:%d:%d: %s", pos.Filename(), pos.Line(), pos.Column(), row)
+				break
+			}
 		}
 		if rows = append(rows, row); len(rows) == 5 {
 			break
@@ -180,20 +183,39 @@
 	if err := twice(f); err != nil {
 		return nil, err
 	}
+	v, err := hold(f, true)
+	if err != nil {
+		return nil, err
+	}
+	p := &Policy{}
+	if err := v.Decode(p); err != nil {
+		return nil, bad(err)
+	}
+	return p, p.sane()
+}
+
+// hold unifies a text with the schema.
+func hold(f *ast.File, whole bool) (cue.Value, error) {
 	cx := cuecontext.New()
 	law := cx.CompileString(schema, cue.Filename("schema"))
 	if law.Err() != nil {
-		return nil, bad(law.Err())
+		return law, bad(law.Err())
 	}
 	v := law.LookupPath(cue.ParsePath("#Policy")).Unify(cx.BuildFile(f))
-	if err := v.Validate(cue.Concrete(true), cue.All()); err != nil {
-		return nil, bad(err)
+	if err := v.Validate(cue.Concrete(whole), cue.All()); err != nil {
+		return v, bad(err)
 	}
-	p := &Policy{}
-	if err := v.Decode(p); err != nil {
-		return nil, bad(err)
+	return v, nil
+}
+
+// Fault looks for the place of a fault in an operator's own text.
+func Fault(name string, text []byte, whole bool) error {
+	f, err := parser.ParseFile(name, text)
+	if err != nil {
+		return bad(err)
 	}
-	return p, p.sane()
+	_, err = hold(f, whole)
+	return err
 }
 
 // Whole checks a policy and gives it back as plain JSON with all defaults.
--- a/passage/clean.go
+++ b/passage/clean.go
@@ -45,7 +45,7 @@
 	case err != nil:
 		return nil, true
 	case a.Done && !gone:
-		if err := f.hand(a.Output); err != nil {
+		if err := f.hand(a.Output, a.Texts); err != nil {
 			return f.verdict(err), false
 		}
 		return nil, false
--- a/passage/controller.go
+++ b/passage/controller.go
@@ -202,7 +202,7 @@
 		return err
 	}
 	f.tell(Exported, from.Id, nil)
-	got := a.Identity
+	got, texts := a.Identity, a.Texts
 	if got == nil || !f.fits(&m, got) {
 		return breakdown.New(breakdown.Lost, "export", string(from.Id), "what came back is not what went in")
 	}
@@ -234,7 +234,7 @@
 	f.tell(Resumed, to.Id, nil)
 	// Only now, with every byte in and the digest right, does the origin get
 	// the first piece: a lost transfer is a bounce, not a broken stream.
-	if err := f.hand(got.Output); err != nil {
+	if err := f.hand(got.Output, texts); err != nil {
 		return err
 	}
 	err = h.Stream(ctx, to.Id, f.id, len(f.sent), f.piece)
@@ -278,9 +278,13 @@
 }
 
 // hand puts all tokens that the origin has not had yet.
-func (f *flight) hand(out []int32) error {
+func (f *flight) hand(out []int32, texts []string) error {
 	for i := len(f.sent); i < len(out); i++ {
-		if err := f.piece(rein.Piece{Index: i, Token: out[i]}); err != nil {
+		p := rein.Piece{Index: i, Token: out[i]}
+		if i < len(texts) {
+			p.Text = texts[i]
+		}
+		if err := f.piece(p); err != nil {
 			return err
 		}
 	}
--- a/proof/input_test.go
+++ b/proof/input_test.go
@@ -75,7 +75,7 @@
 			says string
 		}{
 			{door.Apply{Op: "a", Base: 1, Source: "{workers: {"}, 400, "policy:1"},
-			{door.Apply{Op: "b", Base: 1, Partial: true, Source: `{workers: {p1: {room: -4}}}`}, 400, "room"},
+			{door.Apply{Op: "b", Base: 1, Partial: true, Source: "{workers: {\n  p1: {room: -4}}}"}, 400, "policy:2:14: workers.p1.room"},
 			{door.Apply{Op: "c", Base: 1, Partial: true, Source: `{workers: {p1: {zone: "moon"}}}`}, 400, "moon"},
 			{door.Apply{Op: "d", Base: 1, Source: "{\"workers\": {\"p1\": {},\n\"p1\": {}}}"}, 400, "p1 stands twice"},
 			{door.Apply{Op: "e", Base: 1, Partial: true, Source: `{colour: 3}`}, 400, "colour"},
--- a/rein/talk.go
+++ b/rein/talk.go
@@ -86,13 +86,14 @@
 	Part word.Part `json:"part"`
 }
 
-// Answer is what every order gets back. Life is another one after every start
+// Answer is what every order gets back. Texts are those of the output. Life is another one after every start
 // of the worker, so that a fresh process is not taken for one that remembers.
 type Answer struct {
 	Version  word.Version `json:"version"`
 	Identity *Identity    `json:"identity,omitempty"`
 	Fate     string       `json:"fate,omitempty"`
 	Output   []int32      `json:"output,omitempty"`
+	Texts    []string     `json:"texts,omitempty"`
 	Done     bool         `json:"done,omitempty"`
 	Life     string       `json:"life"`
 }
--- a/verge/operate.go
+++ b/verge/operate.go
@@ -43,6 +43,10 @@
 	}
 	p, whole, err := lore.Whole(name, text)
 	if err != nil {
+		// Where the fault shows in the operator's own text, its place is given.
+		if e := lore.Fault(name, []byte(a.Source), !a.Partial); e != nil {
+			err = e
+		}
 		return nil, err
 	}
 	if _, err := whim.NewDeck(Sources(p), p.Limits.Steps, &whim.Scores{}); err != nil {
--- a/verge/settle.go
+++ b/verge/settle.go
@@ -80,8 +80,8 @@
 					fate = lore.Unsure
 				}
 			case a.Done:
-				texts := make([]string, len(a.Output))
-				out, _ = json.Marshal(record{a.Output, texts})
+				texts := append(a.Texts, make([]string, len(a.Output))...)
+				out, _ = json.Marshal(record{a.Output, texts[:len(a.Output)]})
 				fate = lore.Done
 			}
 		})
