--- a/crux/roll.go
+++ b/crux/roll.go
@@ -8,6 +8,7 @@
 import (
 	"errors"
 	"sort"
+	"strings"
 
 	"github.com/tinylib/msgp/msgp"
 
@@ -39,7 +40,7 @@
 	joinKind  = "crux.join"
 	leaveKind = "crux.leave"
 	dealKind  = "crux.deal"
-	maxPast   = 4096
+	maxPast   = 2048 // of each class of operations
 )
 
 type roll struct {
@@ -48,12 +49,12 @@
 	members map[word.NodeId]Member
 	grants  map[word.Key]Grant
 	past    map[word.OpId]Past
-	order   []word.OpId
+	order   map[string][]word.OpId
 	app     Machine
 }
 
 func newRoll(app Machine) *roll {
-	return &roll{members: map[word.NodeId]Member{}, grants: map[word.Key]Grant{}, past: map[word.OpId]Past{}, app: app}
+	return &roll{members: map[word.NodeId]Member{}, grants: map[word.Key]Grant{}, past: map[word.OpId]Past{}, order: map[string][]word.OpId{}, app: app}
 }
 
 type command interface{ apply(*roll) }
@@ -121,16 +122,24 @@
 	e.Seq = r.seq
 	e.Open = c != nil || r.app.Open(e.Kind)
 	if e.Op != "" {
-		r.past[e.Op] = Past{Op: e.Op, Seq: e.Seq, Body: out}
-		r.order = append(r.order, e.Op)
-		if len(r.order) > maxPast {
-			delete(r.past, r.order[0])
-			r.order = r.order[1:]
-		}
+		r.keep(Past{Op: e.Op, Seq: e.Seq, Body: out})
 	}
 	return out, nil
 }
 
+// keep remembers an operation's outcome. Operations are classed by what stands
+// before the first slash, so that many of one class push out none of another.
+func (r *roll) keep(p Past) {
+	class, _, _ := strings.Cut(string(p.Op), "/")
+	r.past[p.Op] = p
+	row := append(r.order[class], p.Op)
+	if len(row) > maxPast {
+		delete(r.past, row[0])
+		row = row[1:]
+	}
+	r.order[class] = row
+}
+
 func (r *roll) picture(open bool) *Image {
 	img := &Image{Seq: r.seq, Fence: r.fence, App: r.app.Picture(open)}
 	for _, m := range r.members {
@@ -142,9 +151,10 @@
 	}
 	sort.Slice(img.Grants, func(i, j int) bool { return img.Grants[i].Key < img.Grants[j].Key })
 	if !open {
-		for _, op := range r.order {
-			img.Ops = append(img.Ops, r.past[op])
+		for _, p := range r.past {
+			img.Ops = append(img.Ops, p)
 		}
+		sort.Slice(img.Ops, func(i, j int) bool { return img.Ops[i].Seq < img.Ops[j].Seq })
 	}
 	return img
 }
@@ -162,8 +172,7 @@
 		fresh.grants[g.Key] = g
 	}
 	for _, p := range img.Ops {
-		fresh.past[p.Op] = p
-		fresh.order = append(fresh.order, p.Op)
+		fresh.keep(p)
 	}
 	*r = *fresh
 	return nil
--- /dev/null
+++ b/crux/roll_test.go
@@ -0,0 +1,24 @@
+package crux
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/word"
+)
+
+// TestPastByClass: a flood of one class of operations pushes out its own oldest
+// only, and a picture brings all of them over.
+func TestPastByClass(t *testing.T) {
+	r := newRoll(nil)
+	r.keep(Past{Op: "op/first", Seq: 1})
+	for i := range 3 * maxPast {
+		r.keep(Past{Op: word.OpId(fmt.Sprintf("claim/%d", i)), Seq: word.Seq(i + 2)})
+	}
+	require.Contains(t, r.past, word.OpId("op/first"))
+	require.Len(t, r.past, maxPast+1)
+	require.NotContains(t, r.past, word.OpId("claim/0"))
+	require.Contains(t, r.past, word.OpId(fmt.Sprintf("claim/%d", 3*maxPast-1)))
+}
--- a/crux/store.go
+++ b/crux/store.go
@@ -35,17 +35,19 @@
 }
 
 // within runs one disk step and gives up waiting, not the step, when it stalls.
-func (s *store) within(step string, f func() error) error {
+func (s *store) within(step string, f func() error) error { return s.inside(s.stall, step, f) }
+
+func (s *store) inside(most time.Duration, step string, f func() error) error {
 	done := make(chan error, 1)
 	s.busy.Add(1)
 	go func() { defer s.busy.Add(-1); done <- f() }()
-	t := time.NewTimer(s.stall)
+	t := time.NewTimer(most)
 	defer t.Stop()
 	select {
 	case err := <-done:
 		return err
 	case <-t.C:
-		return breakdown.New(breakdown.Lost, step, "disk", "stalled for over %s", s.stall)
+		return breakdown.New(breakdown.Lost, step, "disk", "stalled for over %s", most)
 	}
 }
 
@@ -128,7 +130,8 @@
 	name := fmt.Sprintf("log-%d", n+1)
 	old, oldName := s.log, s.name
 	var log seam.Log
-	err := s.within("save picture", func() error {
+	// A picture is large, so it may take longer than a few rows may.
+	err := s.inside(4*s.stall, "save picture", func() error {
 		if err := s.disk.Drop(name); err != nil {
 			return err
 		}
--- a/lore/lore_test.go
+++ b/lore/lore_test.go
@@ -1,6 +1,7 @@
 package lore
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -116,3 +117,20 @@
 	require.True(t, v.Settled())
 	require.Len(t, v.Sight().Policy.Zones, 2)
 }
+
+// BenchmarkPicture makes and restores a picture with all the deeds that are kept.
+func BenchmarkPicture(b *testing.B) {
+	s := newState(false)
+	for i := range keepDeeds {
+		d := Deed{Key: fmt.Sprintf("verdict/call-%08d", i), Owner: "verge-1-0123456789abcdef", Digest: "0123456789abcdef01234567", Fate: Done, Out: make([]byte, 60)}
+		s.deeds[d.Key] = d
+		s.order = append(s.order, d.Key)
+	}
+	for b.Loop() {
+		body := crux.Pack(s.image(false))
+		b.SetBytes(int64(len(body)))
+		if err := newState(false).load(body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
