A stream that has begun waits for the retry budget instead of breaking

Cause: after the loss of a zone, streams broke though their model, weights and budget allowed a recompute: the budget's holder had been in the lost zone, its key was between two hands for up to four seconds, and new hands start empty. Ruled out: room (the survivors had it), attempts (one used of three). Change: asking for a coin waits up to 6 s once a piece was put; before the first piece the caller is told within 0.3 s as before. Not measured: how long such a stream pauses. The budget itself is untouched.

--- a/passage/controller.go
+++ b/passage/controller.go
@@ -27,7 +27,8 @@
 	Cancel(ctx context.Context, w word.WorkerId, id rein.Id) (*rein.Answer, error)
 	Done(w word.WorkerId, id rein.Id, sure bool)
 	Stream(ctx context.Context, w word.WorkerId, id rein.Id, from int, put func(rein.Piece) error) error
-	Spend(ctx context.Context) bool
+	// Spend asks for one recompute, waiting a while for it if need be.
+	Spend(ctx context.Context, wait time.Duration) bool
 	Blame(w word.WorkerId)
 }
 
@@ -140,7 +141,7 @@
 			return f.verdict(err)
 		case f.from == "" && f.to == "" && len(f.sent) == 0 && n == 1:
 			return f.verdict(err)
-		case f.from != "" && !c.Hands.Spend(ctx):
+		case f.from != "" && !c.Hands.Spend(ctx, f.patience()):
 			return f.verdict(breakdown.As(err, breakdown.KindOf(err), "retry budget is spent", ""))
 		case f.from == "":
 			seam.Sleep(ctx, 100*time.Millisecond)
@@ -154,6 +155,16 @@
 	}
 }
 
+// patience: a stream that has begun is better paused than broken, so it waits for
+// the budget, even for one that is between two hands. Before the first piece the
+// origin is better told at once.
+func (f *flight) patience() time.Duration {
+	if len(f.sent) > 0 {
+		return 6 * time.Second
+	}
+	return 300 * time.Millisecond
+}
+
 // verdict names a failed task by what its origin has seen of it.
 func (f *flight) verdict(err error) error {
 	kind := breakdown.Bounced
--- a/passage/controller_test.go
+++ b/passage/controller_test.go
@@ -110,7 +110,7 @@
 	return send(put, from, len(answer), true)
 }
 
-func (s *script) Spend(context.Context) bool { s.coins--; return s.coins >= 0 }
+func (s *script) Spend(context.Context, time.Duration) bool { s.coins--; return s.coins >= 0 }
 
 func send(put func(rein.Piece) error, from, to int, end bool) error {
 	for i := from; i < to; i++ {
--- a/verge/hands.go
+++ b/verge/hands.go
@@ -129,24 +129,23 @@
 	return h.n.rein.Stream(ctx, l.Addr, id, from, h.n.opt.Pulse, put)
 }
 
-// Spend asks the budget's holder for one recompute.
-func (h *hands) Spend(ctx context.Context) bool {
+// Spend asks the budget's holder for one recompute, until it has one or the
+// patience is over.
+func (h *hands) Spend(ctx context.Context, wait time.Duration) bool {
 	n := h.n
-	for range 3 {
-		m, _, ok := n.agent.Holder(lore.BudgetKey)
-		if ok {
+	for end := n.now().Add(wait); ; {
+		if m, _, ok := n.agent.Holder(lore.BudgetKey); ok {
 			cx, stop := context.WithTimeout(ctx, 400*time.Millisecond)
 			r, err := wire.Call[crux.Empty, Spent](cx, n.call, m.Addr, "verge/spend", &crux.Empty{})
 			stop()
-			if err == nil {
-				return r.Ok
+			if err == nil && r.Ok {
+				return true
 			}
 		}
-		if !seam.Sleep(ctx, 200*time.Millisecond) {
-			break
+		if !n.now().Before(end) || !seam.Sleep(ctx, 150*time.Millisecond) {
+			return false
 		}
 	}
-	return false
 }
 
 // blame is how often hand-overs were lost at a worker of late.
