--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -53,7 +53,7 @@
                 continue
             path.write_text(text.replace(old, new))
             try:
-                run = subprocess.run(["go", "test", "-count=1", "-vet=off", "-timeout", "100s", "-run", test, f"./{mod}"], cwd=copy,
+                run = subprocess.run(["go", "test", "-count=1", "-vet=off", "-timeout", "60s", "-run", test, f"./{mod}"], cwd=copy,
                                      capture_output=True, text=True, timeout=150)
                 out, ok = run.stdout + run.stderr, run.returncode == 0
             except subprocess.TimeoutExpired:
--- a/whim/whim.go
+++ b/whim/whim.go
@@ -63,24 +63,28 @@
 	return v
 }
 
-// Plain is the built-in order: for prefill, the worker that the prefix falls to
-// among the least busy; for decode, the most free blocks.
+// Plain is the built-in order: for prefill the least busy, for decode the most
+// free blocks; among equals the request decides, so that calls which come between
+// two beats do not all fall to one worker.
 type Plain struct{}
 
 func (Plain) Order(q *Question, list []Candidate) ([]word.WorkerId, error) {
 	score := func(c Candidate) float64 {
 		if q.Part == word.Prefill {
-			return float64(c.Busy) - 1.5*c.Affinity
+			return float64(c.Busy)
 		}
 		return -float64(c.Free) / float64(max(c.Room, 1))
 	}
 	row := append([]Candidate(nil), list...)
+	h := fnv.New64a()
+	h.Write([]byte(q.Request))
+	own := h.Sum64()
 	sort.SliceStable(row, func(i, j int) bool {
 		a, b := score(row[i]), score(row[j])
 		if a != b {
 			return a < b
 		}
-		return row[i].Affinity > row[j].Affinity
+		return Affinity(own, row[i].Id) > Affinity(own, row[j].Id)
 	})
 	out := make([]word.WorkerId, len(row))
 	for i, c := range row {
