--- a/cmd/boot/ask.go
+++ b/cmd/boot/ask.go
@@ -1,3 +1,6 @@
+// How operators' programs ask a door: any of several, in turn, until one answers
+// for good; each kind of no has an exit code of its own.
+
 package boot
 
 import (
--- a/cmd/realm/fleet.go
+++ b/cmd/realm/fleet.go
@@ -1,5 +1,6 @@
 // A fleet of real processes: tenets with data folders, verges over the zones,
 // stand-in workers and a platform.
+
 package main
 
 import (
--- a/cmd/realm/run.go
+++ b/cmd/realm/run.go
@@ -1,4 +1,5 @@
 // A run: a fleet under load, one breakdown in the middle, and a report.
+
 package main
 
 import (
--- a/creed/creed_test.go
+++ b/creed/creed_test.go
@@ -1,3 +1,5 @@
+// Settings: what stands over what, and that every fault names its field.
+
 package creed
 
 import (
--- a/crux/agent.go
+++ b/crux/agent.go
@@ -1,6 +1,7 @@
 // An Agent is a node's side of the core: it holds the node's lease, follows the
 // news (from the core, or from a neighbour while the core is away) and knows
 // which keys the node may act under at this very moment.
+
 package crux
 
 import (
--- a/crux/agent_test.go
+++ b/crux/agent_test.go
@@ -1,3 +1,5 @@
+// The agent alone, against a core that only renews.
+
 package crux
 
 import (
--- a/crux/asks.go
+++ b/crux/asks.go
@@ -1,5 +1,6 @@
 // The messages between the core and those who live by it: submitting a
 // command, asking where the core is.
+
 package crux
 
 import "keelstair.example/word"
--- a/crux/ballot_note.go
+++ b/crux/ballot_note.go
@@ -1,4 +1,5 @@
 // The two rounds that decide a record.
+
 package crux
 
 import "keelstair.example/word"
--- a/crux/book.go
+++ b/crux/book.go
@@ -2,6 +2,7 @@
 // record, the disk machines heard of, the members. Three seeds are only where
 // the first pages come from; whoever answers is asked again, so a book outlives
 // the swap of every seed.
+
 package crux
 
 import (
--- a/crux/core.go
+++ b/crux/core.go
@@ -1,6 +1,7 @@
 // A Core is one disk machine's part in the control plane: holder of a register,
 // and primary, backup or spare as the newest record says. This file joins its
 // pieces and answers its neighbours.
+
 package crux
 
 import (
--- a/crux/entry.go
+++ b/crux/entry.go
@@ -1,5 +1,6 @@
 // The messages that carry the log: entries from primary to backup, pictures,
 // and what one process asks the core to do.
+
 package crux
 
 import "keelstair.example/word"
--- a/crux/example_test.go
+++ b/crux/example_test.go
@@ -1,3 +1,6 @@
+// The core as others embed it: a small machine, its followers, and the runs that
+// lose machines, cut links and freeze them, over many seeds.
+
 package crux_test
 
 import (
--- a/crux/feed.go
+++ b/crux/feed.go
@@ -1,5 +1,6 @@
 // The feed: entries by number, the newest kept in memory. Whoever asks from a
 // place that is still kept gets what followed; anyone else needs a picture.
+
 package crux
 
 import (
--- a/crux/follow.go
+++ b/crux/follow.go
@@ -1,4 +1,5 @@
 // How an agent follows the news and submits commands.
+
 package crux
 
 import (
--- a/crux/image_note.go
+++ b/crux/image_note.go
@@ -1,4 +1,5 @@
 // The picture of all that the core holds.
+
 package crux
 
 import "keelstair.example/word"
--- a/crux/lead.go
+++ b/crux/lead.go
@@ -2,6 +2,7 @@
 // here and at the backup side by side (group commit), and only then answers. A
 // renewal of a lease counts only with a beat that the backup confirmed after
 // the renewal came, so a deposed primary can lengthen no lease.
+
 package crux
 
 import (
--- a/crux/lease.go
+++ b/crux/lease.go
@@ -1,6 +1,7 @@
 // Leases and duties as the primary sees them. A key is dealt only when nobody
 // may still act under it: its holder gave it back, or left, or its lease has
 // surely lapsed. A new primary waits a whole lease before it deals at all.
+
 package crux
 
 import (
--- a/crux/lease_note.go
+++ b/crux/lease_note.go
@@ -1,4 +1,5 @@
 // The messages by which a lease is renewed and keys are given back.
+
 package crux
 
 import "keelstair.example/word"
--- a/crux/news_note.go
+++ b/crux/news_note.go
@@ -1,4 +1,5 @@
 // The messages of the feed: news from a place on, or a picture to start from.
+
 package crux
 
 import "keelstair.example/word"
--- a/crux/note.go
+++ b/crux/note.go
@@ -1,4 +1,5 @@
 // The messages of the register, of replication and of finding one another.
+
 package crux
 
 import "keelstair.example/word"
--- a/crux/roll_note.go
+++ b/crux/roll_note.go
@@ -1,4 +1,5 @@
 // The messages of membership, duties and news.
+
 package crux
 
 import "keelstair.example/word"
--- a/crux/roll_test.go
+++ b/crux/roll_test.go
@@ -1,3 +1,5 @@
+// What the roll remembers of operations.
+
 package crux
 
 import (
--- a/crux/steward.go
+++ b/crux/steward.go
@@ -1,5 +1,6 @@
 // The steward decides what this core is: it founds, takes over, refits a lost
 // backup, replaces a lost register holder, or waits.
+
 package crux
 
 import (
--- a/crux/store.go
+++ b/crux/store.go
@@ -2,6 +2,7 @@
 // log that follows the picture. The picture names its log, so that taking a new
 // picture swaps both in one rename. Every disk step is watched: one that takes
 // longer than the stall limit makes its holder stand down.
+
 package crux
 
 import (
--- a/door/operate.go
+++ b/door/operate.go
@@ -1,4 +1,5 @@
 // The operators' side of the door.
+
 package door
 
 import (
--- a/guise/engine.go
+++ b/guise/engine.go
@@ -1,6 +1,7 @@
 // The stand-in's schedule: one loop reads queued prompts, or makes one token for
 // each resumed run a step, growing block tables out of the room that the import
 // was pledged.
+
 package guise
 
 import (
--- a/guise/load.go
+++ b/guise/load.go
@@ -1,5 +1,6 @@
 // Stand-in callers: an open loop whose arrivals are fixed beforehand, so that
 // waiting is counted; each answer is held against a run that never moved.
+
 package guise
 
 import (
--- a/guise/move.go
+++ b/guise/move.go
@@ -1,6 +1,7 @@
 // The decode side of the stand-in: import pays the whole block bill first or
 // fails loudly, attention waits for every byte, for the digest and for the
 // resume, and a cancelled attempt can never start again.
+
 package guise
 
 import (
--- a/guise/platform.go
+++ b/guise/platform.go
@@ -1,5 +1,6 @@
 // The stand-in platform: it lists workers as they come and go, checks every
 // node's readiness each second, and hands callers to ready nodes in their zone.
+
 package guise
 
 import (
--- a/guise/serve.go
+++ b/guise/serve.go
@@ -1,5 +1,6 @@
 // The stand-in's HTTP side: orders under a fence, the late report, the stream,
 // and the KV that another worker fetches.
+
 package guise
 
 import (
--- a/guise/site.go
+++ b/guise/site.go
@@ -1,4 +1,5 @@
 // A site's configuration, as its operators would write it.
+
 package guise
 
 import (
--- a/guise/worker.go
+++ b/guise/worker.go
@@ -1,5 +1,6 @@
 // The stand-in worker: what it is set up as, the faults it can be ordered to
 // have, and its own count of runs and records, by which a double shows.
+
 package guise
 
 import (
--- a/guise/worker_test.go
+++ b/guise/worker_test.go
@@ -1,3 +1,6 @@
+// The stand-in worker, held against what the hand-over paper's own tests prove and
+// what the paper leaves open: arrival, lost memory, orphans, fences.
+
 package guise
 
 import (
--- a/lore/decree.go
+++ b/lore/decree.go
@@ -1,4 +1,5 @@
 // The messages of decrees: configurations, zones and drains.
+
 package lore
 
 import "keelstair.example/word"
--- a/lore/deed.go
+++ b/lore/deed.go
@@ -1,4 +1,5 @@
 // The messages of deeds: a claim before anything runs, one outcome after.
+
 package lore
 
 import "keelstair.example/word"
--- a/lore/diff.go
+++ b/lore/diff.go
@@ -1,4 +1,5 @@
 // What one policy would change over another, line by line.
+
 package lore
 
 import (
--- a/lore/image.go
+++ b/lore/image.go
@@ -1,4 +1,5 @@
 // The picture of all that is agreed on.
+
 package lore
 
 import "keelstair.example/word"
--- a/lore/lore_test.go
+++ b/lore/lore_test.go
@@ -1,3 +1,5 @@
+// Policies, deeds and activation, without a fleet round them.
+
 package lore
 
 import (
--- a/lore/machine.go
+++ b/lore/machine.go
@@ -1,5 +1,6 @@
 // The machine puts the state under the core: it says which duties there are
 // and when a staged version is due.
+
 package lore
 
 import (
--- a/lore/settle.go
+++ b/lore/settle.go
@@ -1,4 +1,5 @@
 // The messages that end a deed, or pass it on.
+
 package lore
 
 import "keelstair.example/word"
--- a/lore/state.go
+++ b/lore/state.go
@@ -1,5 +1,6 @@
 // The state that the decrees and deeds build, the same on every copy. Commands
 // are types with an apply method; one that is refused changes nothing.
+
 package lore
 
 import (
--- a/lore/view.go
+++ b/lore/view.go
@@ -1,6 +1,7 @@
 // The view is a node's folded sight of the lore, read without locks on the path
 // of a request. A version heard of in any message is put in force as soon as it
 // is staged here; until it is, the view says that new picks must be held.
+
 package lore
 
 import (
--- a/passage/clean.go
+++ b/passage/clean.go
@@ -1,6 +1,7 @@
 // What follows a lost attempt. Nothing is recomputed before the earlier attempt
 // is confirmed cancelled or its time is surely over, and a claimed task whose
 // run may have begun is never run again.
+
 package passage
 
 import (
--- a/passage/controller.go
+++ b/passage/controller.go
@@ -2,6 +2,7 @@
 // resumed, ended, or dropped on the way. Room to finish the whole answer is
 // booked before anything runs, and resume, with every byte of the memory in, is
 // the point of no return, before which no piece goes out.
+
 package passage
 
 import (
--- a/passage/controller_test.go
+++ b/passage/controller_test.go
@@ -1,3 +1,6 @@
+// The controller against a scripted fleet: every way a hand-over can go wrong, and
+// what the origin then gets.
+
 package passage
 
 import (
--- a/passage/ledger_test.go
+++ b/passage/ledger_test.go
@@ -1,3 +1,5 @@
+// The ledger against reports that are late in every way they may be.
+
 package passage
 
 import (
--- a/proof/book.go
+++ b/proof/book.go
@@ -1,5 +1,6 @@
 // The book records what workers and controllers say they did; the checkers read
 // it afterwards, one for each line of what must never happen.
+
 package proof
 
 import (
--- a/proof/checker_test.go
+++ b/proof/checker_test.go
@@ -1,3 +1,5 @@
+// The checkers themselves: each catches a planted violation of its line.
+
 package proof
 
 import (
--- a/proof/compare_test.go
+++ b/proof/compare_test.go
@@ -1,3 +1,5 @@
+// The routing programs measured against each other.
+
 package proof
 
 import (
--- a/proof/crowd_test.go
+++ b/proof/crowd_test.go
@@ -1,3 +1,5 @@
+// Crowds, and a fleet that has lost every seed it was started with.
+
 package proof
 
 import (
--- a/proof/deed_test.go
+++ b/proof/deed_test.go
@@ -1,3 +1,6 @@
+// Rulings and verdicts: one key asked everywhere, and controllers that die at every
+// step of a hand-over.
+
 package proof
 
 import (
--- a/proof/input_test.go
+++ b/proof/input_test.go
@@ -1,3 +1,5 @@
+// Bad input at the door, operations asked again, and what ready means.
+
 package proof
 
 import (
--- a/proof/others.go
+++ b/proof/others.go
@@ -1,3 +1,5 @@
+// Scripts of links, clocks, workers and operators.
+
 package proof
 
 import (
--- a/proof/plain_test.go
+++ b/proof/plain_test.go
@@ -1,3 +1,5 @@
+// A day on which nothing breaks.
+
 package proof
 
 import (
--- a/proof/program_test.go
+++ b/proof/program_test.go
@@ -1,3 +1,5 @@
+// Programs swapped under load, and weight versions rolled out.
+
 package proof
 
 import (
--- a/proof/script_test.go
+++ b/proof/script_test.go
@@ -1,3 +1,5 @@
+// Every script as a test, with one seed or many.
+
 package proof
 
 import (
--- a/proof/swing_test.go
+++ b/proof/swing_test.go
@@ -1,3 +1,5 @@
+// A mix that swings, with fixed parts and with workers that turn.
+
 package proof
 
 import (
--- a/proof/trial.go
+++ b/proof/trial.go
@@ -1,4 +1,5 @@
 // A trial is one script against one site under one seed, with its verdict.
+
 package proof
 
 import (
--- a/rein/rein.go
+++ b/rein/rein.go
@@ -1,5 +1,6 @@
 // How orders, reports and streams go over the wire, and what each refusal of a
 // worker means in our own kinds of breakdown.
+
 package rein
 
 import (
--- a/seam/disk.go
+++ b/seam/disk.go
@@ -2,6 +2,7 @@
 // tidwall/wal. Every row carries its own checksum. A tail torn by lost power is
 // cut back to the last whole row; a bad row with good ones behind it means
 // damage to acknowledged data, and the disk then counts as lost.
+
 package seam
 
 import (
--- a/seam/disk_test.go
+++ b/seam/disk_test.go
@@ -1,3 +1,5 @@
+// The real disk: torn tails, damage, and files that are whole or not there.
+
 package seam
 
 import (
--- a/seam/sham/disk.go
+++ b/seam/sham/disk.go
@@ -1,6 +1,7 @@
 // The simulated disk. A step takes its time and takes effect at its end; a
 // process that dies within a step leaves all, part or none of it behind, as
 // chance has it. A disk can be slow, stall, or be lost.
+
 package sham
 
 import (
--- a/seam/sham/net.go
+++ b/seam/sham/net.go
@@ -1,5 +1,6 @@
 // The simulated network: byte streams that keep their order, take their time,
 // wait out a cut as TCP would, and break when an end dies.
+
 package sham
 
 import (
--- a/tale/journal.go
+++ b/tale/journal.go
@@ -1,3 +1,5 @@
+// The journal: events in memory, and the views folded from them.
+
 package tale
 
 import "sync"
--- a/verge/augur/augur_test.go
+++ b/verge/augur/augur_test.go
@@ -1,3 +1,5 @@
+// The planner against a small fleet that is known by heart.
+
 package augur
 
 import (
--- a/verge/beat_note.go
+++ b/verge/beat_note.go
@@ -1,4 +1,5 @@
 // The messages of beats, by which neighbours tell each other what they know.
+
 package verge
 
 import "keelstair.example/word"
--- a/verge/beats.go
+++ b/verge/beats.go
@@ -2,6 +2,7 @@
 // has heard of, how fresh its word from the core is, and how its ledgers stand.
 // So a node cut from the core alone still learns, and nodes can tell the core's
 // own trouble from theirs.
+
 package verge
 
 import (
--- a/verge/debt.go
+++ b/verge/debt.go
@@ -2,6 +2,7 @@
 // in time, or an outcome that could not be recorded while the core was away, is
 // asked again with the same operation until it is known; so no key stays claimed
 // by a node that lives and does not run it.
+
 package verge
 
 import (
--- a/verge/hands.go
+++ b/verge/hands.go
@@ -1,4 +1,5 @@
 // The node's hands: how its controller picks cleared workers and reaches them.
+
 package verge
 
 import (
--- a/verge/holder.go
+++ b/verge/holder.go
@@ -1,6 +1,7 @@
 // The holder's side of a worker's duty: it polls the worker's reports, keeps
 // the ledger, and gives the orders, each under the fence and each only while
 // this node holds the key.
+
 package verge
 
 import (
--- a/verge/operate.go
+++ b/verge/operate.go
@@ -1,5 +1,6 @@
 // What operators may ask of a node: configurations, evacuations, drains, and
 // how things stand.
+
 package verge
 
 import (
--- a/verge/order.go
+++ b/verge/order.go
@@ -1,4 +1,5 @@
 // The messages between nodes: orders for a worker's one holder, and beats.
+
 package verge
 
 import "keelstair.example/word"
--- a/verge/serve.go
+++ b/verge/serve.go
@@ -1,6 +1,7 @@
 // How a node carries one origin's request: the gates, the claim where the kind
 // needs one, the run, and the record before the end line. What is given up gets
 // its answer at once, with when to come back.
+
 package verge
 
 import (
--- a/verge/settle.go
+++ b/verge/settle.go
@@ -2,6 +2,7 @@
 // such claim under its fence, cancels the request on every worker, and records
 // what the workers say became of it. And the purse: the retry budget that all
 // nodes share, kept by one, empty in new hands.
+
 package verge
 
 import (
--- a/verge/span/span_test.go
+++ b/verge/span/span_test.go
@@ -1,3 +1,5 @@
+// The shape of a trace.
+
 package span
 
 import (
--- a/verge/switch.go
+++ b/verge/switch.go
@@ -3,6 +3,7 @@
 // turned only when one part is hard pressed and the other is not, when neither
 // the worker nor the pool has turned within the dwell, and when the part it
 // leaves keeps enough workers. The worker's own holder drains it first.
+
 package verge
 
 import (
--- a/whim/deck.go
+++ b/whim/deck.go
@@ -1,5 +1,6 @@
 // A deck is the programs of one version of the policy, with their shares. The
 // scores outlive decks, so that a program is compared across swaps.
+
 package whim
 
 import (
--- a/whim/programs.go
+++ b/whim/programs.go
@@ -1,3 +1,5 @@
+// The programs that come with keelstair.
+
 package whim
 
 import "embed"
--- a/whim/star.go
+++ b/whim/star.go
@@ -1,5 +1,6 @@
 // Starlark programs: short, without loops that never end (steps are counted),
 // without state between calls (globals are frozen), and deterministic.
+
 package whim
 
 import (
--- a/whim/whim_test.go
+++ b/whim/whim_test.go
@@ -1,3 +1,5 @@
+// Programs that ship, programs that are hostile, shares and shadows.
+
 package whim
 
 import (
