--- a/crux/example_test.go
+++ b/crux/example_test.go
@@ -253,3 +253,34 @@
 		})
 	}
 }
+
+// TestForeignDisk: a disk of another fleet that is started among this one's
+// machines ends with one clear error, and this fleet goes on as it was.
+func TestForeignDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := build(3)
+		defer f.close()
+		require.NoError(t, f.add(1, "first", 10*time.Second))
+		var other []string
+		for i := range 3 {
+			other = append(other, fmt.Sprintf("10.7.0.%d:1", i+1))
+		}
+		mine := f.seeds
+		f.seeds = other
+		for _, a := range other {
+			f.core(a)
+		}
+		time.Sleep(3 * time.Second)
+		for _, a := range other {
+			f.off(a[:8])
+		}
+		p := f.w.Machine("10.7.0.1").Start()
+		c, err := crux.New(crux.Options{Addr: "10.7.0.1:1", Host: p.Host(), Seeds: mine, Machine: func() crux.Machine { return &tally{} }})
+		require.NoError(t, err)
+		ctx, stop := context.WithTimeout(context.Background(), 20*time.Second)
+		defer stop()
+		require.ErrorContains(t, c.Run(ctx), "belongs to founding")
+		require.NoError(t, f.add(2, "second", 5*time.Second))
+		p.Kill()
+	})
+}
