--- a/crux/example_test.go
+++ b/crux/example_test.go
@@ -25,7 +25,7 @@
 // tally is the smallest machine an embedder may bring: a sum, and two duties.
 type tally struct{ sum int }
 
-func (t *tally) Apply(kind string, body []byte) ([]byte, error) {
+func (t *tally) Apply(_ word.Seq, kind string, body []byte) ([]byte, error) {
 	n, err := strconv.Atoi(string(body))
 	if err != nil || kind != "add" {
 		return nil, breakdown.New(breakdown.Bad, "apply", kind, "it adds numbers only")
--- a/crux/roll.go
+++ b/crux/roll.go
@@ -17,9 +17,9 @@
 )
 
 // Machine is the embedder's state. Apply must be deterministic, and must change
-// nothing when it gives an error. Open tells whether followers see a kind.
+// nothing when it gives an error; seq is the entry's number if there is none. Open tells whether followers see a kind.
 type Machine interface {
-	Apply(kind string, body []byte) ([]byte, error)
+	Apply(seq word.Seq, kind string, body []byte) ([]byte, error)
 	Open(kind string) bool
 	Picture(open bool) []byte
 	Restore(body []byte) error
@@ -115,7 +115,7 @@
 	var out []byte
 	if c != nil {
 		c.apply(r)
-	} else if out, err = r.app.Apply(e.Kind, e.Body); err != nil {
+	} else if out, err = r.app.Apply(r.seq+1, e.Kind, e.Body); err != nil {
 		return out, err
 	}
 	r.seq++
--- a/lore/lore_test.go
+++ b/lore/lore_test.go
@@ -83,20 +83,25 @@
 	require.Equal(t, s.deeds, copied.deeds)
 }
 
-// TestActivation: a staged version waits for all to have seen it, at most the
-// wait; a storm cannot put it off for ever.
+// TestActivation: a staged version waits for all to have seen it, and not for
+// what came after it, at most the wait; a storm cannot put it off for ever.
 func TestActivation(t *testing.T) {
+	stage := func(m *Machine, seq word.Seq, base word.Version) error {
+		_, err := m.Apply(seq, StageKind, crux.Pack(&Stage{Base: base, Text: []byte(`{}`)}))
+		return err
+	}
+	ms := func(n int) word.Tick { return word.Tick(time.Duration(n) * time.Millisecond) }
 	m := NewMachine(time.Second)
-	require.NoError(t, do(t, m.State, StageKind, &Stage{Base: 0, Text: []byte(`{}`)}))
-	require.Error(t, do(t, m.State, StageKind, &Stage{Base: 0, Text: []byte(`{}`)}), "the loser of two")
-	require.Empty(t, m.Due(0, 5, 4))
-	require.Len(t, m.Due(word.Tick(time.Millisecond), 6, 5), 1)
+	require.NoError(t, stage(m, 5, 0))
+	require.Error(t, stage(m, 6, 0), "the loser of two")
+	require.Empty(t, m.Due(ms(1), 9, 4))
+	require.Len(t, m.Due(ms(2), 9, 5), 1, "entries 6 to 9 need not be seen")
 	m = NewMachine(time.Second)
 	for v := range 3 {
-		require.NoError(t, do(t, m.State, StageKind, &Stage{Base: word.Version(v), Text: []byte(`{}`)}))
-		m.Due(word.Tick(time.Duration(v)*400*time.Millisecond), word.Seq(v+1), 0)
+		require.NoError(t, stage(m, word.Seq(v+1), word.Version(v)))
+		m.Due(ms(1+v*400), word.Seq(v+1), 0)
 	}
-	got := m.Due(word.Tick(1100*time.Millisecond), 4, 0)
+	got := m.Due(ms(1100), 4, 0)
 	require.Equal(t, []crux.Cmd{{Kind: ActivateKind, Body: crux.Pack(&Activate{1})}}, got)
 }
 
--- a/lore/machine.go
+++ b/lore/machine.go
@@ -44,6 +44,16 @@
 	return &Machine{State: newState(false), wait: wait, due: map[word.Version]stagedAt{}}
 }
 
+// Apply notes at which number a version was staged: that is what nodes must have
+// seen, not the claims that come after it.
+func (m *Machine) Apply(seq word.Seq, kind string, body []byte) ([]byte, error) {
+	out, err := m.State.Apply(kind, body)
+	if err == nil && kind == StageKind {
+		m.due[m.newest()] = stagedAt{seq: seq}
+	}
+	return out, err
+}
+
 func (m *Machine) Open(string) bool          { return true }
 func (m *Machine) Picture(open bool) []byte  { return crux.Pack(m.image(open)) }
 func (m *Machine) Restore(body []byte) error { m.of = 0; m.keys = nil; return m.load(body) }
@@ -77,7 +87,10 @@
 	for _, r := range m.staged {
 		d, ok := m.due[r.Version]
 		if !ok {
-			d = stagedAt{now, seq}
+			d.seq = seq
+		}
+		if d.at == 0 {
+			d.at = now
 			m.due[r.Version] = d
 		}
 		if seen >= d.seq || now.Past(d.at, m.wait) {
--- a/proof/book.go
+++ b/proof/book.go
@@ -38,6 +38,7 @@
 	steps map[passage.Stage]int
 	again []time.Duration
 	acks  []Acked
+	laws  []time.Duration // how long each apply took, until it was in force
 }
 
 // Acked is a configuration that an operator was told is taken.
@@ -88,6 +89,13 @@
 	b.acks = append(b.acks, Acked{v, text, b.Now()})
 }
 
+// Took notes how long an apply was under way.
+func (b *Book) Took(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.laws = append(b.laws, d)
+}
+
 // Fault is one violation found.
 type Fault struct{ Line, What string }
 
@@ -251,6 +259,61 @@
 	}
 }
 
+// Late tells how long after it was marked each leaving worker, and each worker of
+// an emptied zone, last got new work.
+func (b *Book) Late(what string) []time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []time.Duration
+	for _, m := range b.marks {
+		if m.What != what {
+			continue
+		}
+		until := time.Duration(1 << 62)
+		for _, r := range b.marks {
+			if r.What == "return" && r.Name == m.Name && r.At > m.At {
+				until = min(until, r.At)
+			}
+		}
+		last := time.Duration(0)
+		for _, e := range b.rows {
+			if (e.What == "prefill" || e.What == "import") && string(e.Worker) == m.Name && e.When > m.At && e.When < until {
+				last = e.When - m.At
+			}
+		}
+		out = append(out, last)
+	}
+	return out
+}
+
+// FellBack is the longest that any worker, having seen a version, still got an
+// order under an older one.
+func (b *Book) FellBack() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	first := map[word.WorkerId]map[word.Version]time.Duration{}
+	most := time.Duration(0)
+	for _, e := range b.rows {
+		if e.Fence == 0 {
+			continue
+		}
+		seen := first[e.Worker]
+		if seen == nil {
+			seen = map[word.Version]time.Duration{}
+			first[e.Worker] = seen
+		}
+		for v, at := range seen {
+			if v > e.Version {
+				most = max(most, e.When-at)
+			}
+		}
+		if _, ok := seen[e.Version]; !ok {
+			seen[e.Version] = e.When
+		}
+	}
+	return most
+}
+
 // Back tells the longest span after a moment without a completed call.
 func Back(all []guise.Outcome, from, to time.Duration) time.Duration {
 	var ends []time.Duration
--- a/proof/script.go
+++ b/proof/script.go
@@ -62,6 +62,7 @@
 		return err
 	}
 	c.Book.Ack(word.Version(got.Version), fmt.Sprint(ms))
+	c.Book.Took(c.Book.Now() - begun)
 	if took := c.Book.Now() - begun; took > 2*time.Second || !got.Active {
 		c.Book.Mark("slow-apply", fmt.Sprintf("version %d took %s, in force: %v", got.Version, took, got.Active))
 	}
--- a/proof/script_test.go
+++ b/proof/script_test.go
@@ -62,6 +62,7 @@
 					v := Trial(s, site, seed, pace)
 					assert.Empty(t, v.Faults)
 					t.Logf("%s seed %d at %s: back %s, again %d, %v %v", s.Name, seed, site.Name, v.Back, v.Again, v.Sum.Ends, v.Sum.Details)
+					t.Logf("bounds: left %v out %v laws %v old %v", v.Left, v.Out, v.Laws, v.Old)
 				})
 			})
 		}
--- a/proof/trial.go
+++ b/proof/trial.go
@@ -17,7 +17,10 @@
 	Sum    guise.Summary
 	Back   time.Duration
 	Again  int
-	Note   string
+	Left   []time.Duration // leaving workers' last new work
+	Out    []time.Duration // the same in emptied zones
+	Laws   []time.Duration // applies, until in force
+	Old    time.Duration   // orders under an older version
 }
 
 // Pace is how much load a trial has, and for how long before and after.
@@ -75,6 +78,7 @@
 	v.Faults = append(v.Faults, c.Book.Check(all)...)
 	v.Faults = append(v.Faults, c.laws()...)
 	v.Again = len(c.Book.again)
+	v.Left, v.Out, v.Laws, v.Old = c.Book.Late("leave"), c.Book.Late("evacuate"), c.Book.laws, c.Book.FellBack()
 	return v
 }
 
