A node that lags behind a configuration holds its picks instead of using the old

Orders carry their holder's version, so a door that was behind did not show at the worker; its picks under an old configuration were let through. Change: a reservation carries the version that it was picked under; the holder refuses an older one and the door picks anew, holding its picks (for at most 1 s) while it has heard of a newer version than it has. The checker now also holds every grant against the versions that workers had seen a quarter second before, and catches a planted one. Not measured: the wait of a held pick.

--- a/passage/controller.go
+++ b/passage/controller.go
@@ -123,6 +123,11 @@
 		f.id = rein.Id{Request: t.Identity.Id.Request, Attempt: n}
 		f.from, f.to, f.life, f.runs = "", "", "", false
 		err := f.try(ctx, shun)
+		// Picked under a version that is no longer in force: picked anew, once the
+		// newer one is here.
+		for breakdown.Is(err, breakdown.Stale) && f.from == "" && !c.Clock.Now().Past(start, time.Second) && seam.Sleep(ctx, 30*time.Millisecond) {
+			err = f.try(ctx, shun)
+		}
 		if err == nil {
 			f.tell(Ended, f.to, nil)
 			return nil
@@ -282,6 +287,9 @@
 		if err = f.Hands.Reserve(ctx, c.Id, f.id, word.Blocks(toks, c.Block)); err == nil {
 			return c, nil
 		}
+		if breakdown.Is(err, breakdown.Stale) {
+			return Picked{}, err
+		}
 		if ctx.Err() != nil {
 			break
 		}
--- a/proof/book.go
+++ b/proof/book.go
@@ -35,7 +35,7 @@
 	rows  []Seen
 	lives []Teller
 	marks []Mark
-	steps map[passage.Stage]int
+	picks []Pick
 	again []time.Duration
 	acks  []Acked
 	laws  []time.Duration // how long each apply took, until it was in force
@@ -51,7 +51,14 @@
 // Teller is a worker that keeps a count of its own.
 type Teller interface{ Tallies() map[string]guise.Tally }
 
-func NewBook() *Book { return &Book{start: time.Now(), steps: map[passage.Stage]int{}} }
+// Pick is a hand-over granted by a node, under the version it has in force.
+type Pick struct {
+	Node    string
+	Version word.Version
+	At      time.Duration
+}
+
+func NewBook() *Book { return &Book{start: time.Now()} }
 
 // Now is the time since the book was opened.
 func (b *Book) Now() time.Duration { return time.Since(b.start) }
@@ -68,10 +75,13 @@
 	b.lives = append(b.lives, w)
 }
 
-func (b *Book) Step(_ string, e passage.Event) {
+// Step takes a hand-over's event, with the version that its node has in force.
+func (b *Book) Step(node string, e passage.Event, v word.Version) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.steps[e.Stage]++
+	if e.Stage == passage.Granted {
+		b.picks = append(b.picks, Pick{node, v, b.Now()})
+	}
 	if e.Stage == passage.Granted && e.Id.Attempt > 1 {
 		b.again = append(b.again, b.Now())
 	}
@@ -133,6 +143,7 @@
 	streams(f, all)
 	b.places(f)
 	b.order(f)
+	b.behind(f)
 	b.spent(f)
 	return f.out
 }
@@ -246,6 +257,25 @@
 	}
 }
 
+// behind: no node grants anything under a version older than one that some worker
+// had seen a quarter second before.
+func (b *Book) behind(f *finder) {
+	first := map[word.Version]time.Duration{}
+	for _, e := range b.rows {
+		if at, ok := first[e.Version]; e.Version > 0 && (!ok || e.When < at) {
+			first[e.Version] = e.When
+		}
+	}
+	for _, p := range b.picks {
+		for v, at := range first {
+			if v > p.Version && p.At > at+250*time.Millisecond {
+				f.say(SlowLaw, "%s granted under version %d, %.2f s after a worker saw %d", p.Node, p.Version, (p.At - at).Seconds(), v)
+				return
+			}
+		}
+	}
+}
+
 // spent holds recomputes against the bucket of the default budget.
 func (b *Book) spent(f *finder) {
 	const rate, burst = 4.0, 12
--- a/proof/checker_test.go
+++ b/proof/checker_test.go
@@ -78,6 +78,12 @@
 			require.Equal(t, line, got[0].Line)
 		})
 	}
+	b := NewBook()
+	event(b, "import", "d1", 1, 5, time.Second)
+	b.picks = []Pick{{"n1", 4, 1200 * time.Millisecond}, {"n2", 4, 1300 * time.Millisecond}}
+	require.Equal(t, SlowLaw, b.Check(nil)[0].Line)
+	b.picks = b.picks[:1]
+	require.Empty(t, b.Check(nil))
 	require.Equal(t, 5*time.Second, Back([]guise.Outcome{
 		{End: "complete", At: time.Second}, {End: "broken", At: 3 * time.Second}, {End: "complete", At: 6 * time.Second},
 	}, time.Second, 7*time.Second).Round(time.Second))
--- a/proof/cluster.go
+++ b/proof/cluster.go
@@ -142,7 +142,7 @@
 	return &Box{Name: name, Kind: "verge", Zone: zone, Addr: ip + ":701", Door: ip + ":80", Machine: c.World.Machine(ip),
 		begin: func(b *Box, ctx context.Context, host seam.Host) error {
 			n := verge.New(verge.Options{Name: name, Addr: b.Addr, Zone: zone, Seeds: c.Seeds, Platform: "10.8.0.1:80", Host: host,
-				Ring: c.ring(name), Trace: func(e passage.Event) { c.Book.Step(name, e) }})
+				Ring: c.ring(name), Trace: func(e passage.Event) { c.Book.Step(name, e, b.Node.View().Sight().Version) }})
 			b.Node = n
 			in, out := http.NewServeMux(), http.NewServeMux()
 			n.Mount(in)
--- a/verge/hands.go
+++ b/verge/hands.go
@@ -29,8 +29,11 @@
 
 func (h *hands) Pick(q *whim.Question, on rein.Model, shun map[word.WorkerId]bool) []passage.Picked {
 	n := h.n
-	if !n.view.Settled() {
-		return nil
+	// While a newer version is heard of and not had yet, picks are held.
+	for end := n.now().Add(time.Second); !n.view.Settled(); {
+		if !n.now().Before(end) || !seam.Sleep(context.Background(), 20*time.Millisecond) {
+			return nil
+		}
 	}
 	s := n.view.Sight()
 	by := map[word.WorkerId]passage.Picked{}
--- a/verge/holder.go
+++ b/verge/holder.go
@@ -164,7 +164,11 @@
 	var err error
 	switch q.Verb {
 	case verbReserve:
-		if s := n.view.Sight(); !n.fit(s, q.Worker) || !settled {
+		s := n.view.Sight()
+		if q.Version < s.Version {
+			return nil, breakdown.New(breakdown.Stale, "reserve", string(q.Worker), "picked under version %d, %d is in force", q.Version, s.Version)
+		}
+		if !n.fit(s, q.Worker) || !settled {
 			return nil, breakdown.New(breakdown.Bounced, "reserve", string(q.Worker), "it may get no new work")
 		}
 		return nil, led.Reserve(id, q.Need, n.now())
@@ -219,7 +223,9 @@
 }
 
 func (n *Node) ferry(ctx context.Context, q *OrderAsk) (*rein.Answer, error) {
-	q.Version = n.view.Known()
+	if q.Version = n.view.Known(); q.Verb == verbReserve {
+		q.Version = n.view.Sight().Version
+	}
 	m, _, ok := n.agent.Holder(lore.WorkerKey(q.Worker))
 	if !ok {
 		return nil, breakdown.New(breakdown.Away, q.Verb, string(q.Worker), "nobody holds its key now")
