--- a/proof/book.go
+++ b/proof/book.go
@@ -123,7 +123,6 @@
 	NotRun    = "not run was run"
 	Torn      = "stream lost, repeated, joined or falsely whole"
 	Differs   = "output differs"
-	Foreign   = "foreign or half-arrived memory"
 	Starved   = "import failed mid-decode"
 	LateLeave = "leaving worker got new work"
 	LateZone  = "evacuated zone got work"
--- a/whim/deck.go
+++ b/whim/deck.go
@@ -17,7 +17,7 @@
 
 // Score counts how a program fares. All is atomic: it is on the request path.
 type Score struct {
-	Picks, Fallbacks, Agreed, Done, Broken, Bounced, Warm atomic.Int64
+	Picks, Fallbacks, Agreed, Done, Broken, Bounced atomic.Int64
 
 	mu    sync.Mutex
 	first []time.Duration
