--- a/crux/roll.go
+++ b/crux/roll.go
@@ -17,7 +17,8 @@
 )
 
 // Machine is the embedder's state. Apply must be deterministic, and must change
-// nothing when it gives an error; seq is the entry's number if there is none. Open tells whether followers see a kind.
+// nothing when it gives an error; seq is the number that the entry gets. Open
+// tells whether followers see a kind.
 type Machine interface {
 	Apply(seq word.Seq, kind string, body []byte) ([]byte, error)
 	Open(kind string) bool
--- a/passage/ledger.go
+++ b/passage/ledger.go
@@ -135,7 +135,7 @@
 	}
 	s.Part, s.Room, s.Block, s.Model = r.Part, r.Capacity, r.Block, r.Model
 	// The first report that shows all of an earlier holder's orders was asked
-	// for one lag after the grant.
+	// for one lag after the worker knew this holder's fence.
 	s.Ready = !l.held && l.misses < 3 && !now.Past(l.asked, 2*time.Second) && !l.asked.Before(l.since.Add(l.lag))
 	used := 0
 	for _, v := range r.Running {
--- a/proof/cluster.go
+++ b/proof/cluster.go
@@ -61,17 +61,16 @@
 	Programs map[string]lore.Program
 	Switch   bool
 
-	base   context.Context
-	shut   context.CancelFunc
-	wg     sync.WaitGroup
-	out    *sham.Proc
-	web    *http.Client
-	nextIp int
+	base context.Context
+	shut context.CancelFunc
+	wg   sync.WaitGroup
+	out  *sham.Proc
+	web  *http.Client
 }
 
 // Build sets up a site's fleet and starts all of it but the load.
 func Build(seed uint64, site guise.Site, tune func(*Cluster)) *Cluster {
-	c := &Cluster{World: sham.NewWorld(seed), Site: site, Book: NewBook(), nextIp: 50}
+	c := &Cluster{World: sham.NewWorld(seed), Site: site, Book: NewBook()}
 	c.base, c.shut = context.WithCancel(context.Background())
 	if tune != nil {
 		tune(c)
@@ -221,16 +220,6 @@
 	return out
 }
 
-// Box finds one by name.
-func (c *Cluster) Box(name string) *Box {
-	for _, b := range c.Boxes {
-		if b.Name == name {
-			return b
-		}
-	}
-	panic("no box " + name)
-}
-
 // Leader is the tenet that leads, or nil.
 func (c *Cluster) Leader() *Box {
 	for _, b := range c.Of("tenet") {
@@ -294,7 +283,7 @@
 	return c.Operate(path, &door.Mark{Op: op, Out: out}, nil)
 }
 
-// Refused is an operator's no.
+// Bounced is a door's no.
 type Bounced struct {
 	Code int
 	Name string
--- a/proof/others.go
+++ b/proof/others.go
@@ -42,11 +42,9 @@
 				rest = append(rest, o.Machine.Ip)
 			}
 		}
-		c.World.Cut(ips(b), rest, true)
-		c.World.Cut(rest, ips(b), true)
+		c.World.Sever(ips(b), rest, true)
 		time.Sleep(6 * time.Second)
-		c.World.Cut(ips(b), rest, false)
-		c.World.Cut(rest, ips(b), false)
+		c.World.Sever(ips(b), rest, false)
 		time.Sleep(2 * time.Second)
 		return change(c, "after-split", 2200)
 	}},
@@ -60,8 +58,7 @@
 			c.World.Cut(rest, ips(b), true)
 		}
 		time.Sleep(6 * time.Second)
-		c.World.Cut(ips(b), rest, false)
-		c.World.Cut(rest, ips(b), false)
+		c.World.Sever(ips(b), rest, false)
 		return nil
 	}},
 	{Name: "lone-verge-cut", Run: func(c *Cluster, r *rand.Rand) error {
@@ -69,21 +66,17 @@
 		b := hit(r, c.Of("verge"))
 		// Its workers and callers still reach it: only its own kind does not.
 		mates := append(ips(c.Of("tenet")...), ips(c.Of("verge")...)...)
-		c.World.Cut(ips(b), mates, true)
-		c.World.Cut(mates, ips(b), true)
+		c.World.Sever(ips(b), mates, true)
 		time.Sleep(7 * time.Second)
-		c.World.Cut(ips(b), mates, false)
-		c.World.Cut(mates, ips(b), false)
+		c.World.Sever(ips(b), mates, false)
 		return nil
 	}},
 	{Name: "all-leases-lapse", Run: func(c *Cluster, r *rand.Rand) error {
 		pause(r)
 		core, nodes := ips(c.Of("tenet")...), ips(c.Of("verge")...)
-		c.World.Cut(core, nodes, true)
-		c.World.Cut(nodes, core, true)
+		c.World.Sever(core, nodes, true)
 		time.Sleep(time.Duration(4000+r.IntN(3000)) * time.Millisecond)
-		c.World.Cut(core, nodes, false)
-		c.World.Cut(nodes, core, false)
+		c.World.Sever(core, nodes, false)
 		return nil
 	}},
 	{Name: "clocks-leap", Run: func(c *Cluster, r *rand.Rand) error {
@@ -229,15 +222,13 @@
 	{Name: "storm-with-a-node-cut-from-the-core", Run: func(c *Cluster, r *rand.Rand) error {
 		b := c.Of("verge")[3]
 		core := ips(c.Of("tenet")...)
-		c.World.Cut(ips(b), core, true)
-		c.World.Cut(core, ips(b), true)
+		c.World.Sever(ips(b), core, true)
 		for n := range 4 {
 			if err := change(c, fmt.Sprintf("cut-%d", n), 5000+n); err != nil {
 				return err
 			}
 		}
-		c.World.Cut(ips(b), core, false)
-		c.World.Cut(core, ips(b), false)
+		c.World.Sever(ips(b), core, false)
 		return nil
 	}},
 }
--- a/seam/sham/world.go
+++ b/seam/sham/world.go
@@ -109,6 +109,12 @@
 	w.shake()
 }
 
+// Sever cuts or heals all links between two groups, both ways.
+func (w *World) Sever(a, b []string, cut bool) {
+	w.Cut(a, b, cut)
+	w.Cut(b, a, cut)
+}
+
 // Slow sets the speed of all links into and out of a machine; 0 heals.
 func (w *World) Slow(ip string, speed int, delay time.Duration) {
 	w.mu.Lock()
