Founding anew from one surviving disk, by an operator's order and with refusals

Cause: with two of three disk machines lost for good, no record could be decided any more, and there was no way back but an empty fleet. Ruled out: a tool that edits registers beside a running core (nothing would stop it while a holder lives), and a new founding id (every node would take the core for another fleet's).

It is refused while another holder is heard, on a disk without data, behind, empty, or of another fleet. TestFoundAnew keeps all that was acknowledged and the operations' outcomes; before, nothing came back. Found on the way: without the jump of numbers, nodes that had followed further would have taken the new core's picture for an old one, and without new deals a key would have stayed with a holder that lost it.

--- a/cmd/tenet/main.go
+++ b/cmd/tenet/main.go
@@ -26,6 +26,7 @@
 	SilenceMs int      `arg:"--silence-ms" default:"900" help:"after so long the backup takes over" json:"silenceMs"`
 	LeaseMs   int      `arg:"--lease-ms" default:"3000" help:"of every node; the nodes must have the same" json:"leaseMs"`
 	StallMs   int      `arg:"--stall-ms" default:"1000" help:"a disk step that takes longer makes this machine stand down" json:"stallMs"`
+	FoundAnew bool     `arg:"--found-anew" help:"two of three disk machines are lost for good: go on from this disk with two empty ones; see the operators' page" json:"-"`
 	ReplaceMs int      `arg:"--replace-ms" default:"4000" help:"a register holder silent so long may be replaced by a spare" json:"replaceMs"`
 }
 
@@ -58,7 +59,7 @@
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	core, err := crux.New(crux.Options{Addr: s.Addr, Zone: word.Zone(s.Zone), Host: host, Seeds: s.Seeds, Ring: ring,
 		Machine: func() crux.Machine { return lore.NewMachine(lore.MachineOptions{}) },
-		Beat:    ms(s.BeatMs), Silence: ms(s.SilenceMs), Lease: ms(s.LeaseMs), Stall: ms(s.StallMs), Replace: ms(s.ReplaceMs)})
+		Beat:    ms(s.BeatMs), Silence: ms(s.SilenceMs), Lease: ms(s.LeaseMs), Stall: ms(s.StallMs), Replace: ms(s.ReplaceMs), Anew: s.FoundAnew})
 	boot.Fail("tenet", err)
 	ctx, stop := boot.Signals()
 	defer stop()
--- /dev/null
+++ b/crux/anew_test.go
@@ -0,0 +1,106 @@
+// Two of three disk machines lost for good.
+
+package crux_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestFoundAnew: from one surviving copy and two empty machines the core goes on with
+// all that was acknowledged, operations keep their outcomes, and the followers go on
+// as they were; keys are dealt under higher fences.
+func TestFoundAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := build(3)
+		defer f.close()
+		require.NoError(t, f.add(7, "a", 10*time.Second))
+		time.Sleep(2 * time.Second)
+		_, before, _ := f.agents[0].Holder("left")
+		lead := f.leader()
+		var data string
+		for ip, c := range f.cores {
+			if b := c.Book().Record().Backup.Addr; b == ip+":1" {
+				data = ip
+			}
+		}
+		require.NotEmpty(t, data)
+		for _, a := range f.seeds {
+			f.off(a[:8])
+			if a[:8] != data {
+				f.w.Machine(a[:8]).Wipe()
+			}
+		}
+		require.NotEqual(t, lead, data)
+		end := f.coreAs(data+":1", true)
+		f.core("10.0.0.8:1")
+		f.core("10.0.0.9:1")
+		require.NoError(t, f.add(7, "a", 20*time.Second), "the same operation again")
+		require.NoError(t, f.add(2, "b", 5*time.Second))
+		time.Sleep(5 * time.Second)
+		require.EqualValues(t, 9, f.views[0].sum.Load())
+		require.EqualValues(t, 9, f.views[1].sum.Load())
+		_, after, ok := f.agents[0].Holder("left")
+		require.True(t, ok)
+		require.Greater(t, after, before)
+		select {
+		case err := <-end:
+			t.Fatal(err)
+		default:
+		}
+		// What was lost comes back after all: it joins as a spare, and nothing changes.
+		f.core("10.0.0.7:1")
+		time.Sleep(2 * time.Second)
+		require.NoError(t, f.add(1, "c", 5*time.Second))
+		time.Sleep(time.Second)
+		require.EqualValues(t, 10, f.views[0].sum.Load())
+	})
+}
+
+// TestFoundAnewBounced: it is refused, in one clear line, while another holder lives,
+// on a disk without data, on an empty one, and on one that is behind.
+func TestFoundAnewBounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := build(4)
+		defer f.close()
+		require.NoError(t, f.add(7, "a", 10*time.Second))
+		time.Sleep(2 * time.Second)
+		rec := f.cores[f.leader()].Book().Record()
+		at := func(addr string) string { return addr[:8] }
+		var witness string
+		for _, s := range rec.Holders {
+			if s.Disk != rec.Primary.Disk && s.Disk != rec.Backup.Disk {
+				witness = at(s.Addr)
+			}
+		}
+		says := func(end chan error, part string) {
+			select {
+			case err := <-end:
+				require.ErrorContains(t, err, part)
+			case <-time.After(20 * time.Second):
+				t.Fatal("it was not refused: " + part)
+			}
+		}
+		f.off(at(rec.Backup.Addr))
+		says(f.coreAs(rec.Backup.Addr, true), "lives")
+		f.off(at(rec.Backup.Addr))
+		f.off(witness)
+		says(f.coreAs(witness+":1", true), "no data")
+		says(f.coreAs("10.0.0.6:1", true), "no fleet")
+		f.off(witness)
+		f.off("10.0.0.6")
+		f.core(witness + ":1")
+		f.core(rec.Backup.Addr)
+		time.Sleep(4 * time.Second)
+		// The old primary is gone a while, the others go on: its disk is behind then.
+		f.off(at(rec.Primary.Addr))
+		time.Sleep(4 * time.Second)
+		require.NoError(t, f.add(1, "b", 8*time.Second))
+		says(f.coreAs(rec.Primary.Addr, true), "")
+		time.Sleep(time.Second)
+		require.NoError(t, f.add(1, "c", 8*time.Second))
+	})
+}
--- a/crux/core.go
+++ b/crux/core.go
@@ -35,6 +35,7 @@
 	Lease   time.Duration // 3s: of every node
 	Stall   time.Duration // 1s: a disk step that takes longer
 	Replace time.Duration // 4s: a register holder silent so long may be replaced
+	Anew    bool          // an operator orders the core founded anew from this disk
 }
 
 func (o *Options) fill() {
@@ -143,7 +144,15 @@
 	defer stop()
 	var wg sync.WaitGroup
 	wg.Go(func() { c.book.Keep(ctx) })
-	wg.Go(func() { c.steward(ctx) })
+	wg.Go(func() {
+		if c.opt.Anew {
+			if err := c.anew(ctx); err != nil {
+				c.fatal <- err
+				return
+			}
+		}
+		c.steward(ctx)
+	})
 	wg.Go(func() { c.keepBook(ctx) })
 	wg.Go(func() { c.collect(ctx) })
 	var err error
--- a/crux/example_test.go
+++ b/crux/example_test.go
@@ -100,15 +100,19 @@
 	go run(ctx)
 }
 
-func (f *fleet) core(addr string) {
+func (f *fleet) core(addr string) { f.coreAs(addr, false) }
+
+func (f *fleet) coreAs(addr string, anew bool) chan error {
 	ip := addr[:len(addr)-2]
 	p := f.w.Machine(ip).Start()
-	c, err := crux.New(crux.Options{Addr: addr, Host: p.Host(), Seeds: f.seeds, Machine: func() crux.Machine { return &tally{} }})
+	c, err := crux.New(crux.Options{Addr: addr, Host: p.Host(), Seeds: f.seeds, Machine: func() crux.Machine { return &tally{} }, Anew: anew})
 	if err != nil {
 		panic(err)
 	}
 	f.cores[ip] = c
-	f.run(ip, addr, p, c.Mount, func(ctx context.Context) { c.Run(ctx) })
+	end := make(chan error, 1)
+	f.run(ip, addr, p, c.Mount, func(ctx context.Context) { end <- c.Run(ctx) })
+	return end
 }
 
 func (f *fleet) off(ip string) {
--- a/crux/steward.go
+++ b/crux/steward.go
@@ -144,25 +144,12 @@
 		return
 	}
 	rec := Record{Epoch: 1, Founding: "f-" + string(c.me.Disk), Primary: c.me, Backup: trio[1], Holders: trio}
-	ask := &BallotAsk{Epoch: 1, From: c.me, Record: rec}
-	if n, _, _ := c.poll(ctx, ask, trio); n < 3 {
-		if _, promised := c.accepted(); promised != 1 {
-			return
-		}
-	}
 	c.dataMu.Lock()
 	body, shelf := Pack(c.roll.picture(false)), sheets(c.roll.app)
 	c.dataMu.Unlock()
-	if err := c.send(ctx, 1, trio[1], body, shelf); err != nil {
-		return
-	}
-	ask.Accept = true
-	for _, s := range []Seat{trio[1], trio[2], c.me} {
-		if n, _, _ := c.poll(ctx, ask, []Seat{s}); n < 1 {
-			return
-		}
+	if c.begin(ctx, rec, body, shelf) {
+		c.serve(ctx, rec)
 	}
-	c.serve(ctx, rec)
 }
 
 // poll asks holders either round; it tells how many said yes, the newest record
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -8,6 +8,8 @@
 CASES = [
     ("backup-sync", "crux/lead.go", "if err == nil && r.Ok {", "if err == nil && r.Ok || true {", "crux", "TestAckedSurvives"),
     ("operation-ids", "crux/lead.go", "if p, ok := c.roll.past[e.Op]; ok && e.Op != \"\" {", "if p, ok := c.roll.past[e.Op]; ok && false {", "crux", "TestAckedSurvives"),
+    ("anew-living", "crux/anew.go", "if holds(rec.Holders, s.Disk) {", "if false {", "crux", "TestFoundAnewBounced"),
+    ("anew-deals", "crux/anew.go", "	c.roll.grants = map[word.Key]Grant{}\n", "	_ = word.Key(\"\")\n", "crux", "TestFoundAnew$"),
     ("lease-check", "crux/agent.go", "if !leased && (", "if !leased && false && (", "crux", "TestOneHolder"),
     ("lease-floor", "crux/agent.go", "|| uint64(s.seq) < a.floor.Load()", "", "crux", "TestLateNews"),
     ("torn-tail", "seam/disk.go", "if good == len(body) {", "if true {", "seam", "TestTornTail|TestSpoiltTail"),
