--- /dev/null
+++ b/lore/over.go
@@ -0,0 +1,92 @@
+// A partial policy over one that was checked already. Only what the part touches is
+// held against the schema again, so that a large policy that grows by many small
+// parts stays quick to apply; what spans fields is checked over the whole.
+
+package lore
+
+import (
+	"encoding/json"
+	"maps"
+
+	"keelstair.example/breakdown"
+)
+
+// maxEntries bounds workers, kinds and programs together: a whole policy of so many
+// is checked in about half a second.
+const maxEntries = 3000
+
+var sections = []string{"workers", "kinds", "programs"}
+
+// Over lays a part over a whole text and gives what Whole would give of both.
+func Over(name string, whole, part []byte) (*Policy, []byte, error) {
+	merged, err := Merge(whole, part)
+	if err != nil {
+		return nil, nil, err
+	}
+	var all, touch map[string]json.RawMessage
+	if json.Unmarshal(merged, &all) != nil || json.Unmarshal(part, &touch) != nil {
+		return Whole(name, merged)
+	}
+	sub := maps.Clone(touch)
+	for _, k := range []string{"zones", "limits", "switch"} {
+		if v, ok := all[k]; ok {
+			sub[k] = v
+		} else {
+			delete(sub, k)
+		}
+	}
+	gone := map[string][]string{}
+	for _, sec := range sections {
+		var had, has map[string]json.RawMessage
+		if raw, ok := touch[sec]; ok && (json.Unmarshal(raw, &had) != nil || had == nil) {
+			return Whole(name, merged)
+		}
+		if json.Unmarshal(all[sec], &has) != nil {
+			return Whole(name, merged)
+		}
+		some := map[string]json.RawMessage{}
+		for id := range had {
+			if v, ok := has[id]; ok {
+				some[id] = v
+			} else {
+				gone[sec] = append(gone[sec], id)
+			}
+		}
+		if sub[sec], err = json.Marshal(some); err != nil {
+			return nil, nil, breakdown.As(err, breakdown.Bad, "check policy", name)
+		}
+	}
+	text, err := json.Marshal(sub)
+	if err != nil {
+		return nil, nil, breakdown.As(err, breakdown.Bad, "check policy", name)
+	}
+	q, err := shape(name, text)
+	if err != nil {
+		return nil, nil, err
+	}
+	p := &Policy{}
+	if err := json.Unmarshal(whole, p); err != nil {
+		return nil, nil, breakdown.As(err, breakdown.Bad, "read policy", name)
+	}
+	lap(p.Workers, q.Workers, gone["workers"])
+	lap(p.Kinds, q.Kinds, gone["kinds"])
+	lap(p.Programs, q.Programs, gone["programs"])
+	p.Zones, p.Limits, p.Switch = q.Zones, q.Limits, q.Switch
+	return p.done()
+}
+
+func lap[K ~string, V any](into, from map[K]V, gone []string) {
+	maps.Copy(into, from)
+	for _, id := range gone {
+		delete(into, K(id))
+	}
+}
+
+// done checks what spans fields and writes the whole.
+func (p *Policy) done() (*Policy, []byte, error) {
+	if err := p.sane(); err != nil {
+		return nil, nil, err
+	}
+	b, err := json.Marshal(p)
+	return p, b, breakdown.As(err, breakdown.Bad, "check policy", "")
+}
--- /dev/null
+++ b/lore/over_test.go
@@ -0,0 +1,80 @@
+// Parts laid over wholes, and policies that are large.
+
+package lore
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/breakdown"
+)
+
+// big is a policy of n workers and n kinds.
+func big(n int) []byte {
+	var b strings.Builder
+	b.WriteString(`{"zones":["a","b"],"programs":{},"limits":{},"workers":{`)
+	for i := range n {
+		fmt.Fprintf(&b, `"w%d":{"part":"%s","model":"m","weights":"w1","room":100,"zone":"a","adapters":["x%d"]},`, i, []string{"prefill", "decode"}[i%2], i)
+	}
+	b.WriteString(`"last":{"part":"decode","model":"m","weights":"w1","room":100,"zone":"a"}},"kinds":{`)
+	for i := range n - 2 {
+		fmt.Fprintf(&b, `"k%d":{"model":"m","maxTokens":%d},`, i, i+1)
+	}
+	b.WriteString(`"last":{"model":"m","maxTokens":3}}}`)
+	return []byte(b.String())
+}
+
+// TestOver: a part laid over a checked whole comes to what checking all of it would
+// come to, the refusals included.
+func TestOver(t *testing.T) {
+	_, whole, err := Whole("w", big(20))
+	require.NoError(t, err)
+	for _, part := range []string{
+		`{limits: queue: 9}`, `{workers: w3: room: 7}`, `{workers: w4: null}`, `{workers: new: {part: "decode", model: "m", weights: "w2", room: 5, zone: "b"}}`,
+		`{kinds: {k1: null, k2: maxTokens: 9, fresh: {model: "m", maxTokens: 3}}}`, `{zones: ["a", "b", "c"], switch: false}`,
+		`{programs: p: {share: 100, source: "x"}}`, `{limits: null}`, `{}`,
+		// refused
+		`{workers: w3: room: 0}`, `{workers: w3: zone: "z"}`, `{colour: 3}`, `{workers: null}`, `{kinds: k1: model: "other"}`, `{zones: ["b"]}`,
+		`{workers: bare: {}}`, `{limits: queue: "x"}`, `{programs: p: {share: 40, source: "x"}}`, `{switch: 3}`, `{zones: null}`, `{workers: 5}`,
+	} {
+		src, err := Source("part", []byte(part))
+		require.NoError(t, err, part)
+		merged, err := Merge(whole, src)
+		require.NoError(t, err, part)
+		_, want, e1 := Whole("part", merged)
+		_, got, e2 := Over("part", whole, src)
+		require.Equal(t, e1 == nil, e2 == nil, "%s: %v / %v", part, e1, e2)
+		require.Equal(t, string(want), string(got), part)
+	}
+}
+
+// TestTooLarge: a policy with too many entries is refused by its count, before the
+// schema is held against all of them; one just below it is taken.
+func TestTooLarge(t *testing.T) {
+	_, whole, err := Whole("w", big(maxEntries/2))
+	require.NoError(t, err)
+	_, _, err = Over("part", whole, []byte(`{"kinds":{"one-more":{"model":"m","maxTokens":3}}}`))
+	require.ErrorContains(t, err, "3001 entries")
+	_, err = Source("huge", big(20000))
+	require.ErrorContains(t, err, "over 3000 entries")
+	require.True(t, breakdown.Is(err, breakdown.Bad))
+}
+
+// BenchmarkOver and BenchmarkWhole apply one small change to a large policy.
+func BenchmarkOver(b *testing.B) {
+	_, whole, _ := Whole("w", big(maxEntries/2))
+	for b.Loop() {
+		Over("part", whole, []byte(`{"limits":{"queue":9}}`))
+	}
+}
+
+func BenchmarkWhole(b *testing.B) {
+	_, whole, _ := Whole("w", big(maxEntries/2))
+	for b.Loop() {
+		merged, _ := Merge(whole, []byte(`{"limits":{"queue":9}}`))
+		Whole("part", merged)
+	}
+}
--- a/lore/policy.go
+++ b/lore/policy.go
@@ -149,7 +149,9 @@
 			if pos := fd.Pos(); seen[key] {
 				return breakdown.New(breakdown.Bad, "check policy", "", "%s:%d:%d: %s stands twice", pos.Filename(), pos.Line(), pos.Column(), key)
 			}
-			seen[key] = true
+			if seen[key] = true; len(seen) > maxEntries+100 {
+				return breakdown.New(breakdown.Bad, "check policy", "", "%s: over %d entries; a policy may have no more", fd.Pos().Filename(), maxEntries)
+			}
 		}
 		return nil
 	}
@@ -178,6 +180,15 @@
 
 // Check holds a policy, as JSON or CUE, against the schema and fills defaults.
 func Check(name string, text []byte) (*Policy, error) {
+	p, err := shape(name, text)
+	if err != nil {
+		return nil, err
+	}
+	return p, p.sane()
+}
+
+// shape holds a text against the schema alone.
+func shape(name string, text []byte) (*Policy, error) {
 	f, err := parser.ParseFile(name, text)
 	if err != nil {
 		return nil, bad(err)
@@ -193,7 +204,7 @@
 	if err := v.Decode(p); err != nil {
 		return nil, bad(err)
 	}
-	return p, p.sane()
+	return p, nil
 }
 
 // hold unifies a text with the schema.
@@ -222,12 +233,11 @@
 
 // Whole checks a policy and gives it back as plain JSON with all defaults.
 func Whole(name string, text []byte) (*Policy, []byte, error) {
-	p, err := Check(name, text)
+	p, err := shape(name, text)
 	if err != nil {
 		return nil, nil, err
 	}
-	b, err := json.Marshal(p)
-	return p, b, breakdown.As(err, breakdown.Bad, "check policy", "")
+	return p.done()
 }
 
 // sane checks what spans several fields.
@@ -235,6 +245,9 @@
 	fault := func(field, form string, args ...any) error {
 		return breakdown.New(breakdown.Bad, "check policy", "", field+": "+form, args...)
 	}
+	if n := len(p.Workers) + len(p.Kinds) + len(p.Programs); n > maxEntries {
+		return fault("workers, kinds, programs", "%d entries in all, over %d", n, maxEntries)
+	}
 	zones := map[word.Zone]bool{}
 	for _, z := range p.Zones {
 		if zones[z] {
--- a/proof/duties.go
+++ b/proof/duties.go
@@ -51,6 +51,37 @@
 	return nil
 }
 
+// grow makes a policy large by many routes: parts from several doors, with ones that
+// are refused, and ones that another operator forestalls, between them.
+func grow(c *Cluster, r *rand.Rand) error {
+	for n := range 8 {
+		kinds, workers := map[string]any{}, map[string]any{}
+		for i := range 120 {
+			kinds[fmt.Sprintf("kind-%d-%d", n, i)] = map[string]any{"model": c.Site.Model, "maxTokens": 8}
+		}
+		for i := range 15 {
+			workers[fmt.Sprintf("ghost-%d-%d", n, i)] = map[string]any{"part": "decode", "model": "ghost", "weights": "g", "room": 9, "zone": c.Site.Zones[i%3]}
+		}
+		if n > 3 {
+			kinds[fmt.Sprintf("kind-%d-7", n-3)], workers[fmt.Sprintf("ghost-%d-7", n-3)] = nil, nil
+		}
+		sh := shown(c)
+		b := hit(r, c.Of("verge"))
+		bad := &door.Apply{Op: fmt.Sprint("bad-", n), Base: sh.Version, Partial: true, Source: `{"workers":{"p1":{"room":0}}}`}
+		if err := c.At(b, "/v1/policy", bad, nil); err == nil {
+			return fmt.Errorf("round %d: a bad part was taken", n)
+		}
+		if err := alter(c, fmt.Sprint("grow-", n), partOf(map[string]any{"kinds": kinds, "workers": workers})); err != nil {
+			return err
+		}
+		late := &door.Apply{Op: fmt.Sprint("late-", n), Base: sh.Version, Partial: true, Source: `{"limits":{"queue":3}}`}
+		if err := c.At(hit(r, c.Of("verge")), "/v1/policy", late, nil); err == nil {
+			return fmt.Errorf("round %d: a part over an old version was taken", n)
+		}
+	}
+	return nil
+}
+
 // Duties are the scripts of operators and the platform.
 var Duties = []Script{
 	{Name: "zone-emptied-while-leader-dies", Run: func(c *Cluster, r *rand.Rand) error {
@@ -118,6 +149,7 @@
 		time.Sleep(5 * time.Second)
 		return errors.Join(c.Start(l), c.Start(b))
 	}},
+	{Name: "configuration-grows", Run: grow, Calm: true},
 	{Name: "nodes-stopped-one-by-one", Span: 38 * time.Second, Calm: true, Run: func(c *Cluster, _ *rand.Rand) error {
 		for _, b := range c.Of("verge") {
 			if err := stopped(c, b); err != nil {
--- a/proof/plain_test.go
+++ b/proof/plain_test.go
@@ -12,6 +12,41 @@
 	"keelstair.example/guise"
 )
 
+// TestTenthSecond: callers come in the tenth second after the machines were started,
+// though the disks are slow, one disk machine and one node come late, and operators
+// apply the configuration as soon as a door takes it.
+func TestTenthSecond(t *testing.T) {
+	unraced(t)
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		c := Build(7, guise.Sites["vatuloa"], nil)
+		defer c.Close()
+		for _, b := range c.Of("tenet") {
+			b.Machine.Disk(60 * time.Millisecond)
+		}
+		late := []*Box{c.Of("tenet")[1], c.Of("verge")[4]}
+		for _, b := range late {
+			c.Kill(b)
+		}
+		go func() {
+			time.Sleep(4 * time.Second)
+			for _, b := range late {
+				c.Start(b)
+			}
+		}()
+		require.NoError(t, c.Found())
+		require.Less(t, time.Since(begun), 10*time.Second)
+		time.Sleep(10*time.Second - time.Since(begun))
+		all := c.Load(40, 5*time.Second, 7)
+		sum := guise.Sum(all)
+		require.Equal(t, len(all), sum.Ends["complete"], "%+v", sum)
+		for _, o := range all {
+			require.Equal(t, 1, o.Tries, "nobody is sent away")
+		}
+		require.Empty(t, c.Book.Check(all))
+	})
+}
+
 // TestPlainDay: with nothing broken, every call completes, token for token, at
 // both sites.
 func TestPlainDay(t *testing.T) {
--- a/verge/operate.go
+++ b/verge/operate.go
@@ -26,6 +26,7 @@
 	if name == "" {
 		name = "policy"
 	}
+	var base []byte
 	text, err := lore.Source(name, []byte(a.Source))
 	if err != nil {
 		return nil, err
@@ -48,11 +49,15 @@
 			}
 			return nil, n.stale(a.Base, s)
 		}
-		if text, err = lore.Merge(s.Text, text); err != nil {
-			return nil, err
-		}
+		base = s.Text
+	}
+	var p *lore.Policy
+	var whole []byte
+	if len(base) > 0 {
+		p, whole, err = lore.Over(name, base, text)
+	} else {
+		p, whole, err = lore.Whole(name, text)
 	}
-	p, whole, err := lore.Whole(name, text)
 	if err != nil {
 		// Where the fault shows in the operator's own text, its place is given.
 		if e := lore.Fault(name, []byte(a.Source), !a.Partial); e != nil {
