realm: breakdowns of the core after an answer, rolling replacement, racing operators

Real processes are now broken in the ways that simulated ones are: killed and wiped right after an acknowledgement (every node is then asked for what was acknowledged), replaced one by one at new addresses, stopped by SIGTERM one by one, raced by two operators, a zone emptied with the last work counted from the asking.

--- a/cmd/realm/fleet.go
+++ b/cmd/realm/fleet.go
@@ -85,6 +85,8 @@
 }
 
 func (f *fleet) of(kind string) []*proc {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	var out []*proc
 	for _, p := range f.procs {
 		if p.Kind == kind || strings.HasPrefix(p.Name, kind) {
--- /dev/null
+++ b/cmd/realm/harm.go
@@ -0,0 +1,221 @@
+// What a run can do to its fleet of real processes.
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"keelstair.example/cmd/boot"
+	"keelstair.example/crux"
+	"keelstair.example/door"
+	"keelstair.example/guise"
+	"keelstair.example/seam"
+)
+
+// change applies a part over what is in force, as edict does, and tells how long it
+// took until it was in force.
+func (f *fleet) change(ctx context.Context, name, part string) error {
+	var sh door.Shown
+	if err := boot.Ask(f.doors(), http.MethodGet, "/v1/policy", nil, &sh); err != nil {
+		return err
+	}
+	begun := time.Now()
+	var got door.Applied
+	a := door.Apply{Op: crux.Name(), Base: sh.Newest, Partial: true, Name: name, Source: part}
+	if err := boot.Ask(f.doors(), http.MethodPost, "/v1/policy", a, &got); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	logf("%s: version %d, in force %v after %.2f s", name, got.Version, got.Active, time.Since(begun).Seconds())
+	return nil
+}
+
+// expect looks at every node for a limit that was acknowledged.
+func (f *fleet) expect(what string, want int) {
+	for _, p := range f.of("verge") {
+		var sh door.Shown
+		var v struct{ Limits struct{ RetryAfterMs int } }
+		err := boot.Ask([]string{p.Door}, http.MethodGet, "/v1/policy", nil, &sh)
+		if err == nil {
+			err = json.Unmarshal(sh.Policy, &v)
+		}
+		if err != nil || v.Limits.RetryAfterMs != want {
+			logf("LOST at %s: %s is %d, %d was acknowledged (%v)", p.Name, what, v.Limits.RetryAfterMs, want, err)
+			return
+		}
+	}
+	logf("every node has %s %d", what, want)
+}
+
+// race lets two operators change one version at once, several times: one must win.
+func (f *fleet) race(ctx context.Context) {
+	for n := range 6 {
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		won := 0
+		for k := range 2 {
+			wg.Go(func() {
+				err := f.change(ctx, fmt.Sprintf("race %d, operator %d", n, k), fmt.Sprintf(`{"limits":{"retryAfterMs":%d}}`, 2000+10*n+k))
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil {
+					won++
+				}
+			})
+		}
+		wg.Wait()
+		logf("round %d: %d won", n, won)
+		if !seam.Sleep(ctx, 500*time.Millisecond) {
+			return
+		}
+	}
+}
+
+// empty evacuates a zone, counts what its workers still begin, and takes it back.
+func (f *fleet) empty(ctx context.Context) {
+	z := f.site.Zones[1]
+	path := "/v1/zones/" + string(z)
+	begun := time.Now()
+	if err := boot.Ask(f.doors(), http.MethodPost, path, door.Mark{Op: crux.Name(), Out: true}, nil); err != nil {
+		logf("%v", err)
+	}
+	reads := func() (n int) {
+		for _, p := range f.of("worker-") {
+			var book map[string]guise.Tally
+			r, err := web.Get("http://" + p.Addr + "/tally")
+			if p.Zone == z && read(r, err, &book) == nil {
+				for _, t := range book {
+					n += t.Reads + t.Runs
+				}
+			}
+		}
+		return n
+	}
+	last, at := reads(), time.Since(begun)
+	for time.Since(begun) < 6*time.Second && seam.Sleep(ctx, 100*time.Millisecond) {
+		if n := reads(); n > last {
+			last, at = n, time.Since(begun)
+		}
+	}
+	logf("the zone's workers last began something %.2f s after the asking", at.Seconds())
+	if err := boot.Ask(f.doors(), http.MethodPost, path, door.Mark{Op: crux.Name()}, nil); err != nil {
+		logf("%v", err)
+	}
+}
+
+// roll replaces each tenet by an empty one at a new address, and looks for what was
+// acknowledged before.
+func (f *fleet) roll(ctx context.Context) {
+	for i, old := range f.of("tenet") {
+		want := 1300 + i
+		if err := f.change(ctx, fmt.Sprint("roll ", i), fmt.Sprintf(`{"limits":{"retryAfterMs":%d}}`, want)); err != nil {
+			logf("%v", err)
+		}
+		old.kill()
+		os.RemoveAll(old.Data)
+		free, err := ports(1)
+		if err != nil {
+			logf("%v", err)
+			return
+		}
+		p := f.tenet(fmt.Sprintf("tenet-new-%d", i), free[0], old.Zone)
+		if err := f.begin(p); err != nil {
+			logf("%v", err)
+			return
+		}
+		f.mu.Lock()
+		f.procs = append(f.procs, p)
+		f.mu.Unlock()
+		if !seam.Sleep(ctx, 8*time.Second) {
+			return
+		}
+		f.expect("limits.retryAfterMs", want)
+	}
+}
+
+// harm breaks the fleet once, as asked.
+func (f *fleet) harm(ctx context.Context, how string) {
+	lead := f.tenetThatLeads()
+	logf("breaking: %s", how)
+	back := func(p *proc, wait time.Duration) {
+		if seam.Sleep(ctx, wait) {
+			if err := f.begin(p); err != nil {
+				logf("%v", err)
+			}
+		}
+	}
+	switch how {
+	case "tenet":
+		lead.kill()
+		back(lead, 5*time.Second)
+	case "wipe":
+		lead.kill()
+		os.RemoveAll(lead.Data)
+		back(lead, 2*time.Second)
+	case "core":
+		for _, p := range f.of("tenet") {
+			p.kill()
+		}
+		for _, p := range f.of("tenet") {
+			back(p, 300*time.Millisecond)
+		}
+	case "verge":
+		f.of("verge")[0].kill()
+	case "worker":
+		f.of("worker-d")[0].kill()
+	case "freeze":
+		lead.signal(syscall.SIGSTOP)
+		v := f.of("verge")[0]
+		v.signal(syscall.SIGSTOP)
+		seam.Sleep(ctx, 6*time.Second)
+		lead.signal(syscall.SIGCONT)
+		v.signal(syscall.SIGCONT)
+	case "ack":
+		// Killed right after it acknowledged a change, and wiped.
+		if err := f.change(ctx, "ack", `{"limits":{"retryAfterMs":1234}}`); err != nil {
+			logf("%v", err)
+		}
+		lead.kill()
+		os.RemoveAll(lead.Data)
+		seam.Sleep(ctx, 3*time.Second)
+		f.expect("limits.retryAfterMs", 1234)
+		back(lead, 0)
+	case "race":
+		f.race(ctx)
+	case "evacuate":
+		f.empty(ctx)
+	case "roll":
+		f.roll(ctx)
+	case "stop":
+		for _, p := range f.of("verge") {
+			p.signal(syscall.SIGTERM)
+			select {
+			case <-p.gone:
+			case <-ctx.Done():
+				return
+			}
+			back(p, 200*time.Millisecond)
+			f.until(ctx, 8*time.Second, func() error { return get(p.Door, "/ready") })
+		}
+	case "hall":
+		for _, p := range f.procs {
+			if p.Zone == f.site.Zones[0] {
+				p.signal(syscall.SIGKILL)
+			}
+		}
+	case "all":
+		for _, p := range append(f.of("tenet"), f.of("verge")...) {
+			p.signal(syscall.SIGKILL)
+		}
+		for _, p := range append(f.of("tenet"), f.of("verge")...) {
+			<-p.gone
+			back(p, 0)
+		}
+	}
+}
--- a/cmd/realm/main.go
+++ b/cmd/realm/main.go
@@ -27,7 +27,7 @@
 	Rate  float64 `arg:"--rate" default:"40" help:"arrivals a second"`
 	Load  int     `arg:"--load" default:"30" help:"seconds of load"`
 	Seed  uint64  `arg:"--seed" default:"1"`
-	Break string  `arg:"--break" default:"none" help:"none, tenet, hall, worker, verge, freeze, wipe, core or all"`
+	Break string  `arg:"--break" default:"none" help:"none, tenet, wipe, ack, core, roll, verge, stop, worker, freeze, hall, all, race or evacuate"`
 }
 
 type settings struct {
--- a/cmd/realm/run.go
+++ b/cmd/realm/run.go
@@ -6,9 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"os"
 	"strings"
-	"syscall"
 	"time"
 
 	"keelstair.example/guise"
@@ -93,60 +91,6 @@
 	return runs, doubles
 }
 
-// harm breaks the fleet once, as asked.
-func (f *fleet) harm(ctx context.Context, how string) {
-	lead := f.tenetThatLeads()
-	logf("breaking: %s", how)
-	back := func(p *proc, wait time.Duration) {
-		if seam.Sleep(ctx, wait) {
-			if err := f.begin(p); err != nil {
-				logf("%v", err)
-			}
-		}
-	}
-	switch how {
-	case "tenet":
-		lead.kill()
-		back(lead, 5*time.Second)
-	case "wipe":
-		lead.kill()
-		os.RemoveAll(lead.Data)
-		back(lead, 2*time.Second)
-	case "core":
-		for _, p := range f.of("tenet") {
-			p.kill()
-		}
-		for _, p := range f.of("tenet") {
-			back(p, 300*time.Millisecond)
-		}
-	case "verge":
-		f.of("verge")[0].kill()
-	case "worker":
-		f.of("worker-d")[0].kill()
-	case "freeze":
-		lead.signal(syscall.SIGSTOP)
-		v := f.of("verge")[0]
-		v.signal(syscall.SIGSTOP)
-		seam.Sleep(ctx, 6*time.Second)
-		lead.signal(syscall.SIGCONT)
-		v.signal(syscall.SIGCONT)
-	case "hall":
-		for _, p := range f.procs {
-			if p.Zone == f.site.Zones[0] {
-				p.signal(syscall.SIGKILL)
-			}
-		}
-	case "all":
-		for _, p := range append(f.of("tenet"), f.of("verge")...) {
-			p.signal(syscall.SIGKILL)
-		}
-		for _, p := range append(f.of("tenet"), f.of("verge")...) {
-			<-p.gone
-			back(p, 0)
-		}
-	}
-}
-
 func (f *fleet) tenetThatLeads() *proc {
 	for _, p := range f.of("tenet") {
 		var st struct{ Leads bool }
