No first order and no turn under a version that may be outdated

A new holder's first order, and a turn after its drain, carried what the node knew without asking whether it might be behind. Both now wait until it is current, and a turn takes the version at the time of its order.

--- a/verge/holder.go
+++ b/verge/holder.go
@@ -109,6 +109,9 @@
 	if !ok || f != d.fence {
 		return breakdown.New(breakdown.Away, "first order", n.me.Addr, "the key of %s went to other hands", d.id)
 	}
+	if !n.view.Settled() || !n.current() {
+		return breakdown.New(breakdown.Away, "first order", n.me.Addr, "a newer version may be in force")
+	}
 	cx, stop := context.WithTimeout(ctx, 800*time.Millisecond)
 	defer stop()
 	lead := rein.Lead{Fence: f, Version: n.view.Sight().Version}
--- a/verge/switch.go
+++ b/verge/switch.go
@@ -176,7 +176,8 @@
 		if f, ok := n.agent.Held(lore.WorkerKey(d.id)); !ok || f != d.fence {
 			return nil, breakdown.New(breakdown.Away, "turn", n.me.Addr, "the key of %s went to other hands", d.id)
 		}
-		if d.ledger.Empty() {
+		lead.Version = n.view.Sight().Version
+		if n.view.Settled() && n.current() && d.ledger.Empty() {
 			a, err := n.rein.Part(cx, addr, &rein.PartAsk{Lead: lead, Part: to})
 			if !breakdown.Is(err, breakdown.Bounced) {
 				return a, err
