One question for all who may be behind: sure

Four places asked two questions in the same words: whether a newer version was heard of, and whether one would have been. They call one piece now; behaviour is the same. The ablation of the second question aims at its own line.

--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -39,7 +39,7 @@
     ("version-spread", "lore/view.go", "if uint64(n) <= old {", "if true {", "proof", "TestScripts/storm-with-a-node-cut-from-the-core"),
     ("compare-and-set", "lore/state.go", "if c.Base != s.newest() {", "if false {", "proof", "TestScripts/operators-race|TestBadPolicies"),
     ("held-picks", "lore/view.go", "func (v *View) Settled() bool { return uint64(v.sight.Load().Version) >= v.heard.Load() }", "func (v *View) Settled() bool { return true }", "lore", "TestHeard"),
-    ("current", "verge/hands.go", "!n.view.Settled() || !n.current(); {", "!n.view.Settled(); {", "proof", "TestScripts/storm-with-a-node-cut-from-its"),
+    ("current", "verge/beats.go", "return heard*2 > len(ms)", "return true", "proof", "TestScripts/storm-with-a-node-cut-from-its"),
     ("stale-after-claim", "passage/controller.go", "if h.Stale() {", "if h.Stale() && false {", "passage", "TestStaleAfterClaim"),
     ("silent-nodes", "lore/machine.go", "seen >= d.seq || now.Past(d.at, m.wait)", "seen >= d.seq", "lore", "TestActivation"),
     ("replace-holders", "crux/lead.go", "if s.Disk == c.me.Disk || !now.Past(at, c.opt.Replace) {", "if true || now.Past(at, c.opt.Replace) {", "proof", "TestScripts/rolling-replacement"),
--- a/verge/beats.go
+++ b/verge/beats.go
@@ -170,6 +170,10 @@
 	}
 }
 
+// sure tells that no newer version than the one in force here was heard of, and that
+// one would have been heard of.
+func (n *Node) sure() bool { return n.view.Settled() && n.current() }
+
 // current tells that this node would have heard of a newer version: within the last
 // half second the core confirmed it, or most members, with it, were heard. A staged
 // version waits for silent nodes nearly as long before it is in force anywhere.
--- a/verge/hands.go
+++ b/verge/hands.go
@@ -32,7 +32,7 @@
 	n := h.n
 	// While a newer version is heard of and not had yet, or could not be heard of,
 	// picks are held.
-	for end := n.now().Add(time.Second); !n.view.Settled() || !n.current(); {
+	for end := n.now().Add(time.Second); !n.sure(); {
 		if !n.now().Before(end) || !seam.Sleep(context.Background(), 20*time.Millisecond) {
 			return nil
 		}
@@ -157,7 +157,7 @@
 
 // Stale: what was picked may be outdated by now.
 func (h *hands) Stale() bool {
-	return !h.n.view.Settled() || !h.n.current() || h.n.view.Sight().Version != h.picked
+	return !h.n.sure() || h.n.view.Sight().Version != h.picked
 }
 
 // blame is how often hand-overs were lost at a worker of late.
--- a/verge/holder.go
+++ b/verge/holder.go
@@ -109,7 +109,7 @@
 	if !ok || f != d.fence {
 		return breakdown.New(breakdown.Away, "first order", n.me.Addr, "the key of %s went to other hands", d.id)
 	}
-	if !n.view.Settled() || !n.current() {
+	if !n.sure() {
 		return breakdown.New(breakdown.Away, "first order", n.me.Addr, "a newer version may be in force")
 	}
 	cx, stop := context.WithTimeout(ctx, 800*time.Millisecond)
--- a/verge/switch.go
+++ b/verge/switch.go
@@ -177,7 +177,7 @@
 			return nil, breakdown.New(breakdown.Away, "turn", n.me.Addr, "the key of %s went to other hands", d.id)
 		}
 		lead.Version = n.view.Sight().Version
-		if n.view.Settled() && n.current() && d.ledger.Empty() {
+		if n.sure() && d.ledger.Empty() {
 			a, err := n.rein.Part(cx, addr, &rein.PartAsk{Lead: lead, Part: to})
 			if !breakdown.Is(err, breakdown.Bounced) {
 				return a, err
