--- /dev/null
+++ b/cmd/berth/main.go
@@ -0,0 +1,121 @@
+// Berth runs keelstair on the users' platform: "berth core" is a control process with a
+// disk, "berth node" a router node. What it is told stands in the platform's settings
+// file; the options are those of the product's own programs.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"keelstair.example/cmd/boot"
+	"keelstair.example/crux"
+	"keelstair.example/lore"
+	"keelstair.example/platform"
+	"keelstair.example/relay"
+	"keelstair.example/seam"
+	"keelstair.example/word"
+)
+
+func main() {
+	role := ""
+	if len(os.Args) == 2 {
+		role = os.Args[1]
+	}
+	run, ok := map[string]func(*platform.Settings, *reload) error{"core": core, "node": node}[role]
+	if !ok {
+		fmt.Fprintln(os.Stderr, "usage: berth core | berth node\nThe settings file is named by the variable "+platform.BootVar+".")
+		os.Exit(2)
+	}
+	s, err := platform.Load()
+	boot.Fail("berth "+role, err)
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(s.Memory * 3 / 4)
+	}
+	boot.Fail("berth "+role, run(s, &reload{}))
+}
+
+// reload reads the settings again at a hang-up, for the seeds they name.
+type reload struct{}
+
+func (*reload) watch(ctx context.Context, book *crux.Book) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hup:
+				if s, err := platform.Load(); err == nil {
+					book.Reseed(s.Seeds)
+				}
+			}
+		}
+	}()
+}
+
+func core(s *platform.Settings, r *reload) error {
+	if s.Control == "" || s.Dir == "" {
+		return fmt.Errorf("read settings: bindAddresses.controlPort and stateDir are needed")
+	}
+	host, err := seam.Real(s.Dir)
+	if err != nil {
+		return err
+	}
+	ring := boot.Ring("core " + s.Name)
+	c, err := crux.New(crux.Options{Addr: s.Control, Zone: word.Zone(s.Zone), Host: host, Seeds: s.Seeds, Ring: ring, Lease: s.Lease, Joins: !s.Founds,
+		Machine: func() crux.Machine { return lore.NewMachine(lore.MachineOptions{Read: platform.Policy}) }})
+	if err != nil {
+		return err
+	}
+	ctx, stop := boot.Signals()
+	defer stop()
+	r.watch(ctx, c.Book())
+	mux := http.NewServeMux()
+	c.Mount(mux)
+	(&platform.Operator{Call: c.Caller(), Book: c.Book(), Zones: s.Zones, Ring: ring}).Mount(mux)
+	boot.Serve(ctx, host, s.Control, mux, func(err error) { boot.Fail("berth core", err) })
+	return c.Run(ctx)
+}
+
+func node(s *platform.Settings, r *reload) error {
+	if s.Front == "" || s.Readiness == "" || s.List == "" {
+		return fmt.Errorf("read settings: bindAddresses.frontPlain, bindAddresses.readiness and cloudApi.address are needed")
+	}
+	host, err := seam.Real("")
+	if err != nil {
+		return err
+	}
+	n, err := relay.New(relay.Options{Name: s.Name, Addr: s.Peer(), Zone: word.Zone(s.Zone), Seeds: s.Seeds, Host: host, Ring: boot.Ring(s.Name),
+		Back: platform.NewBack(host.Net, s.List), Read: platform.Policy, Lease: s.Lease,
+		Ratio: s.Ratio, Window: s.Window, Allow: s.Allow, Over: s.Over, Spare: s.Spare})
+	if err != nil {
+		return err
+	}
+	ctx, stop := boot.Signals()
+	defer stop()
+	listen, shut := context.WithCancel(context.Background())
+	defer shut()
+	r.watch(listen, n.Book())
+	fail := func(err error) { boot.Fail("berth node", err) }
+	peers := http.NewServeMux()
+	n.Mount(peers)
+	boot.Serve(listen, host, s.Peer(), peers, fail)
+	ready := http.NewServeMux()
+	ready.Handle("GET /readiness", platform.Readiness(n))
+	boot.Serve(listen, host, s.Readiness, ready, fail)
+	door := &http.Server{Handler: &platform.Door{Node: n, Clock: host.Clock}, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 20 * time.Second}
+	l, err := host.Net.Listen(s.Front)
+	if err != nil {
+		return err
+	}
+	go door.Serve(l)
+	n.Run(ctx, 2500*time.Millisecond, s.Grace-1500*time.Millisecond)
+	return nil
+}
--- a/crux/book.go
+++ b/crux/book.go
@@ -89,6 +89,13 @@
 	}
 }
 
+// Reseed takes the seeds that changed settings name.
+func (b *Book) Reseed(seeds []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.seeds = seeds
+}
+
 // SetMembers is called by those who follow the news themselves.
 func (b *Book) SetMembers(ms []Member) {
 	b.mu.Lock()
--- a/crux/core.go
+++ b/crux/core.go
@@ -35,6 +35,7 @@
 	Lease   time.Duration // 3s: of every node
 	Stall   time.Duration // 1s: a disk step that takes longer
 	Replace time.Duration // 4s: a register holder silent so long may be replaced
+	Joins   bool          // it founds nothing and waits for a core that stands
 	Anew    bool          // an operator orders the core founded anew from this disk
 }
 
@@ -119,7 +120,8 @@
 	return hex.EncodeToString(sum[:12])
 }
 
-func (c *Core) Book() *Book { return c.book }
+func (c *Core) Book() *Book          { return c.book }
+func (c *Core) Caller() *wire.Caller { return c.call }
 
 // Leads tells whether this core is the primary now.
 func (c *Core) Leads() bool { return c.lead.Load() != nil }
--- a/crux/steward.go
+++ b/crux/steward.go
@@ -41,7 +41,9 @@
 		}
 		if rec.Founding == "" {
 			if known.Founding == "" {
-				c.found(ctx)
+				if !c.opt.Joins {
+					c.found(ctx)
+				}
 			} else if c.named(known) {
 				c.adopt(known)
 			}
--- a/lore/decree_gen.go
+++ b/lore/decree_gen.go
@@ -252,13 +252,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Stage) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "Base"
-	o = append(o, 0x82, 0xa4, 0x42, 0x61, 0x73, 0x65)
+	o = append(o, 0x83, 0xa4, 0x42, 0x61, 0x73, 0x65)
 	o = msgp.AppendUint64(o, uint64(z.Base))
 	// string "Text"
 	o = append(o, 0xa4, 0x54, 0x65, 0x78, 0x74)
 	o = msgp.AppendBytes(o, z.Text)
+	// string "Next"
+	o = append(o, 0xa4, 0x4e, 0x65, 0x78, 0x74)
+	o = msgp.AppendUint64(o, uint64(z.Next))
 	return
 }
 
@@ -296,6 +299,16 @@
 				err = msgp.WrapError(err, "Text")
 				return
 			}
+		case "Next":
+			{
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Next")
+					return
+				}
+				z.Next = word.Version(zb0003)
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -310,7 +323,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Stage) Msgsize() (s int) {
-	s = 1 + 5 + msgp.Uint64Size + 5 + msgp.BytesPrefixSize + len(z.Text)
+	s = 1 + 5 + msgp.Uint64Size + 5 + msgp.BytesPrefixSize + len(z.Text) + 5 + msgp.Uint64Size
 	return
 }
 
--- a/lore/machine.go
+++ b/lore/machine.go
@@ -4,7 +4,6 @@
 package lore
 
 import (
-	"encoding/json"
 	"sort"
 	"time"
 
@@ -30,6 +29,7 @@
 type Machine struct {
 	*State
 	wait time.Duration
+	read Reader
 	due  map[word.Version]stagedAt
 	keys []word.Key
 	of   word.Version
@@ -38,12 +38,16 @@
 // MachineOptions of a machine; what is zero takes the default named beside it.
 type MachineOptions struct {
 	Wait  time.Duration // 300ms for silent nodes before a staged version is put in force
+	Read  Reader        // Plain: makes a policy of a text
 	Depth Depth
 }
 
 func NewMachine(opt MachineOptions) *Machine {
 	word.Or(&opt.Wait, 300*time.Millisecond)
-	return &Machine{State: newState(false, opt.Depth), wait: opt.Wait, due: map[word.Version]stagedAt{}}
+	if opt.Read == nil {
+		opt.Read = Plain
+	}
+	return &Machine{State: newState(false, opt.Depth), wait: opt.Wait, read: opt.Read, due: map[word.Version]stagedAt{}}
 }
 
 // Apply notes at which number a version was staged: that is what nodes must have
@@ -67,8 +71,7 @@
 	}
 	m.of = m.active.Version
 	m.keys = []word.Key{BudgetKey, SettleKey}
-	var p Policy
-	if len(m.active.Text) > 0 && json.Unmarshal(m.active.Text, &p) == nil {
+	if p, err := m.read(m.active.Text); len(m.active.Text) > 0 && err == nil {
 		pools := map[string]bool{}
 		for id, w := range p.Workers {
 			m.keys = append(m.keys, WorkerKey(id))
--- a/lore/policy.cue
+++ b/lore/policy.cue
@@ -54,7 +54,47 @@
 	deeds: *20000000 | (int & >=1000 & <=1000000000)
 }
 
+// A route carries opaque requests of a host and path prefix to a service's workers.
+#Route: {
+	name:       string & !=""
+	host:       string & !=""
+	prefix:     =~"^/(.*/)?$"
+	service:    *"" | string
+	split:      *[] | [...{service: string & !="", weight: int & >=0}]
+	stream:     *false | bool
+	repeatable: *false | bool
+	resumable:  *false | bool
+	tries:      *1 | (int & >0 & <=10)
+	deadlineMs: int & >0 & <=3600000
+	aimMs:      *deadlineMs | (int & >0)
+	gapMs:      *0 | (int & >=0)
+	urgency:    *5 | (int & >=0 & <=9)
+}
+
+// What is known of a service's workers beforehand.
+#Service: {
+	name:      string & !=""
+	probe:     *"" | string
+	conns:     *0 | (int & >=0)
+	warmMs:    *0 | (int & >=0)
+	warmRate:  *0 | (number & >=0)
+	slots:     *0 | (int & >=0)
+	memory:    *0 | (int & >=0)
+	tokenSize: *0 | (int & >=0)
+	holdMs:    *0 | (int & >=0)
+	turnMs:    *0 | (int & >=0)
+	models:    *[] | [...string]
+}
+
 #Policy: {
+	routes?: [...#Route]
+	services?: [Name=string & !=""]: #Service & {name: Name}
+	intake?: {
+		headerBytes:  *16384 | (int & >0)
+		bodyBytes:    *4194304 | (int & >0)
+		headerWaitMs: *3000 | (int & >0)
+		idleMs:       *15000 | (int & >0)
+	}
 	workers: [string & !=""]:  #Worker
 	zones:                     [...(string & !="")]
 	kinds: [string & !=""]:    #Kind
--- a/lore/policy.go
+++ b/lore/policy.go
@@ -82,6 +82,18 @@
 	Programs map[string]Program       `json:"programs"`
 	Limits   Limits                   `json:"limits"`
 	Switch   bool                     `json:"switch"`
+	Routes   []Route                  `json:"routes,omitempty"`
+	Services map[string]Service       `json:"services,omitempty"`
+	Intake   Intake                   `json:"intake,omitzero"`
+}
+
+// Reader makes a policy of an operator's text.
+type Reader func(text []byte) (*Policy, error)
+
+// Plain reads the product's own form, as Whole gives it.
+func Plain(text []byte) (*Policy, error) {
+	p := &Policy{}
+	return p, json.Unmarshal(text, p)
 }
 
 // Names lists the programs in a fixed order.
@@ -285,7 +297,7 @@
 	if shares > 0 && sum != 100 {
 		return fault("programs", "the shares add up to %d, not to 100", sum)
 	}
-	return nil
+	return p.CheckRoutes()
 }
 
 // Merge lays a partial policy over a whole one: fields replace fields, null
--- a/lore/state.go
+++ b/lore/state.go
@@ -113,6 +113,10 @@
 		return nil, breakdown.New(breakdown.Stale, "apply policy", "", "it was made over version %d, the current one is %d", c.Base, s.newest())
 	}
 	v := s.newest() + 1
+	if c.Next != 0 && c.Next < v {
+		return nil, breakdown.New(breakdown.Bad, "apply policy", "", "version %d is not above the current one, %d", c.Next, s.newest())
+	}
+	v = max(v, c.Next)
 	s.staged = append(s.staged, Ruled{v, c.Text})
 	return &Ruling{v}, nil
 }
--- a/lore/view.go
+++ b/lore/view.go
@@ -5,7 +5,6 @@
 package lore
 
 import (
-	"encoding/json"
 	"sync"
 	"sync/atomic"
 
@@ -18,6 +17,7 @@
 type Sight struct {
 	Version word.Version
 	Policy  *Policy
+	Table   *Table
 	Text    []byte
 	Newest  word.Version
 	Zones   map[word.Zone]bool
@@ -29,6 +29,7 @@
 type View struct {
 	Ready func(word.Version, *Policy)
 	Ring  *tale.Ring
+	Read  Reader // Plain, if it is not set: makes a policy of a text
 
 	mu    sync.Mutex
 	state *State
@@ -39,7 +40,7 @@
 
 func NewView(ring *tale.Ring) *View {
 	v := &View{Ring: ring, state: newState(true, Depth{}), kept: map[word.Version]*Policy{}}
-	v.sight.Store(&Sight{Policy: &Policy{}, Zones: map[word.Zone]bool{}, Drained: map[word.WorkerId]bool{}})
+	v.sight.Store(&Sight{Policy: &Policy{}, Table: NewTable(&Policy{}), Zones: map[word.Zone]bool{}, Drained: map[word.WorkerId]bool{}})
 	return v
 }
 
@@ -122,8 +123,12 @@
 	now := v.state.active
 	for i, r := range all {
 		if _, ok := v.kept[r.Version]; !ok && len(r.Text) > 0 {
-			p := &Policy{}
-			if err := json.Unmarshal(r.Text, p); err != nil {
+			read := v.Read
+			if read == nil {
+				read = Plain
+			}
+			p, err := read(r.Text)
+			if err != nil {
 				v.Ring.Error().AnErr("cause", err).Msg("policy cannot be read")
 				continue
 			}
@@ -149,6 +154,11 @@
 	if s.Policy == nil {
 		s.Policy = &Policy{}
 	}
+	if old := v.sight.Load(); old.Policy == s.Policy && old.Table != nil {
+		s.Table = old.Table
+	} else {
+		s.Table = NewTable(s.Policy)
+	}
 	for z := range v.state.zones {
 		s.Zones[z] = true
 	}
--- /dev/null
+++ b/relay/carry.go
@@ -0,0 +1,323 @@
+// The way of one request: read at one worker, moved, emitted at another, passed on. The
+// node that took a try keeps its promise alone, since every try has an id of its own:
+// what was offered and not turned away may have run, and never ends in a refusal.
+
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/lore"
+	"keelstair.example/passage"
+	"keelstair.example/seam"
+	"keelstair.example/word"
+)
+
+// Event is one step of one request.
+type Event struct {
+	Request string
+	Stage   passage.Stage
+	Worker  word.WorkerId
+	At      word.Tick
+	Why     string
+}
+
+type trip struct {
+	n     *Node
+	r     *Request
+	route *lore.Route
+	svc   *lore.Service
+	sink  Sink
+	end   word.Tick
+	marks []uint64
+	tried map[word.WorkerId]bool
+
+	sends int    // counted: emits, and readings turned away or repeated
+	ran   bool   // it may have run
+	begun bool   // the caller has the head of an answer
+	last  string // id of the last event that the caller has
+}
+
+func (t *trip) tell(stage passage.Stage, w word.WorkerId, why string) {
+	if t.n.opt.Trace != nil {
+		t.n.opt.Trace(Event{t.r.Id, stage, w, t.n.now(), why})
+	}
+}
+
+func (t *trip) left() time.Duration { return t.end.Since(t.n.now()) }
+
+// Carry brings a request to its end. A nil error means that the sink has the whole
+// answer; a *Refusal, that it was not run; a *Broken, that it may have been.
+func (n *Node) Carry(ctx context.Context, r *Request, sink Sink) error {
+	n.counts.Asked.Add(1)
+	n.inflight.Add(1)
+	defer n.inflight.Add(-1)
+	s := n.view.Sight()
+	if s.Version == 0 {
+		return n.refuse(http.StatusServiceUnavailable, time.Second, "no configuration is in force")
+	}
+	route := s.Table.Find(r.Host, r.Path)
+	if route == nil {
+		return n.refuse(http.StatusNotFound, 0, "no route")
+	}
+	svc, ok := s.Policy.Services[route.Pick(r.Id)]
+	if !ok {
+		return n.refuse(http.StatusNotFound, 0, "no service")
+	}
+	wait := route.Deadline()
+	if r.Wait > 0 {
+		wait = min(wait, r.Wait)
+	}
+	t := &trip{n: n, r: r, route: route, svc: &svc, sink: sink, end: r.At.Add(wait), tried: map[word.WorkerId]bool{}, last: r.From}
+	t.marks, _ = marks(r)
+	n.budget.ask(n.now())
+	cx, stop := context.WithTimeout(ctx, wait)
+	defer stop()
+	err := t.run(cx)
+	switch err.(type) {
+	case nil:
+		n.counts.Done.Add(1)
+		t.tell(passage.Ended, "", "")
+	case *Refusal:
+		n.counts.Refused.Add(1)
+		t.tell(passage.Dropped, "", err.Error())
+	default:
+		n.counts.Broken.Add(1)
+		t.tell(passage.Dropped, "", err.Error())
+	}
+	return err
+}
+
+func (n *Node) refuse(code int, after time.Duration, why string) error {
+	n.counts.Refused.Add(1)
+	return &Refusal{Code: code, After: after, Why: why}
+}
+
+// run tries until the answer is whole, the tries are used up or the time is over.
+func (t *trip) run(ctx context.Context) error {
+	var src *Source
+	var why error
+	split := t.last == ""
+	for {
+		if split {
+			src, why = t.read(ctx)
+			split = false
+		}
+		if ctx.Err() != nil {
+			return t.giveUp(why, http.StatusGatewayTimeout)
+		}
+		w, reply, err := t.emit(ctx, src)
+		if err == nil {
+			src = nil
+			if err = t.pass(ctx, w, reply); err == nil {
+				return nil
+			}
+		}
+		if why = err; src != nil && breakdown.Is(err, breakdown.Away) {
+			t.free(src)
+			src = nil
+		}
+		if breakdown.Is(err, breakdown.Unknown) {
+			t.ran, src = true, nil
+			if !t.route.Again() || t.begun && !t.route.Resumable {
+				return t.giveUp(err, http.StatusBadGateway)
+			}
+		}
+		if breakdown.Is(err, breakdown.Lost) {
+			src = nil
+		}
+		if ctx.Err() != nil || breakdown.Is(err, breakdown.Away) {
+			t.drop(src)
+			return t.giveUp(err, http.StatusGatewayTimeout)
+		}
+		t.n.counts.Again.Add(1)
+	}
+}
+
+func (t *trip) drop(src *Source) {
+	if src != nil {
+		t.free(src)
+	}
+}
+
+// free gives memory back that nobody will fetch.
+func (t *trip) free(src *Source) {
+	go func() {
+		cx, stop := context.WithTimeout(context.Background(), time.Second)
+		defer stop()
+		t.n.opt.Back.Free(cx, src.Worker, src.Handle)
+	}()
+}
+
+// giveUp answers at once: a refusal with when to come back where nothing ran.
+func (t *trip) giveUp(err error, code int) error {
+	why := "given up"
+	if err != nil {
+		why = err.Error()
+	}
+	if t.ran || t.begun {
+		return &Broken{Code: code, Begun: t.begun, Why: why}
+	}
+	return &Refusal{Code: http.StatusServiceUnavailable, After: t.after(), Why: why}
+}
+
+func (t *trip) after() time.Duration {
+	return min(max(150*time.Millisecond, t.route.Aim()/4), max(50*time.Millisecond, t.left()/4))
+}
+
+// pay counts one more sending, and takes it from the shared budget unless it is the first.
+func (t *trip) pay() bool {
+	if t.sends == 0 {
+		t.sends++
+		return true
+	}
+	if t.sends >= max(1, t.route.Tries) || !t.n.spend() {
+		return false
+	}
+	t.sends++
+	return true
+}
+
+func (n *Node) spend() bool {
+	return n.budget.spend(n.now(), 0.9*n.opt.Ratio, 0.8*float64(n.opt.Allow)*n.share())
+}
+
+// send books a worker for one sending; false if it is cold and was sent enough.
+func (t *trip) send(c *choice, reads int) bool {
+	if c.gap > 0 && !t.n.warm.book(c.w.Id, c.gap, t.n.now()) {
+		return false
+	}
+	var ms []uint64
+	if reads > 0 {
+		ms = t.marks
+	}
+	c.st.begin(reads, ms, t.n.now())
+	return true
+}
+
+// read has the prompt read. No source and no error means that the emitting worker is to
+// read by itself.
+func (t *trip) read(ctx context.Context) (*Source, error) {
+	for _, c := range t.n.readers(t.n.view.Sight(), t.svc, t.r, t.tried) {
+		if !t.send(&c, max(1, c.need)) {
+			continue
+		}
+		t.tell(passage.Granted, c.w.Id, "")
+		span := min(t.n.opt.Silence+time.Duration(c.cost*2)*time.Millisecond, t.left())
+		cx, stop := context.WithTimeout(ctx, span)
+		memo, err := t.n.opt.Back.Read(cx, *c.w, t.r, span, t.route.Urgency)
+		stop()
+		c.st.end(max(1, c.need))
+		now := t.n.now()
+		if err == nil {
+			c.st.well(memo.Load, now)
+			t.tell(passage.Prefilled, c.w.Id, "")
+			return &Source{Worker: *c.w, Handle: memo.Handle}, nil
+		}
+		t.blame(ctx, &c, err, now)
+		t.tell(passage.Dropped, c.w.Id, err.Error())
+		if breakdown.Is(err, breakdown.Bounced) && breakdown.Step(err) == dialStep {
+			continue // it never arrived
+		}
+		if breakdown.Is(err, breakdown.Bounced) || breakdown.Is(err, breakdown.Stale) {
+			t.sends++
+			t.n.spend()
+		}
+		return nil, err
+	}
+	return nil, nil
+}
+
+// dialStep names the step of breakdowns where no connection came up.
+const dialStep = "dial"
+
+// Undialled makes the breakdown of a request that never left.
+func Undialled(err error, near string) error {
+	return breakdown.As(err, breakdown.Bounced, dialStep, near)
+}
+
+func (t *trip) blame(ctx context.Context, c *choice, err error, now word.Tick) {
+	switch {
+	case breakdown.Is(err, breakdown.Lost):
+	case breakdown.Is(err, breakdown.Stale):
+		t.tried[c.w.Id] = true
+		c.st.fault(now)
+	case breakdown.Is(err, breakdown.Bounced) && breakdown.Step(err) != dialStep:
+		c.st.full(now)
+	case ctx.Err() == nil:
+		c.st.fault(now)
+	}
+}
+
+// emit offers the request to a worker. Away means that there is none or no try left.
+func (t *trip) emit(ctx context.Context, src *Source) (*choice, *Reply, error) {
+	for round := 0; ; round++ {
+		var from *Worker
+		if src != nil {
+			from = &src.Worker
+		}
+		for _, c := range t.n.emitters(t.n.view.Sight(), t.svc, t.r, from, t.tried) {
+			if t.sends >= max(1, t.route.Tries) {
+				break
+			}
+			if !t.send(&c, 0) {
+				continue
+			}
+			if !t.pay() {
+				c.st.end(0)
+				break
+			}
+			if src == nil {
+				t.n.counts.Direct.Add(1)
+			}
+			reply, err := t.offer(ctx, &c, src)
+			if err == nil {
+				return &c, reply, nil
+			}
+			c.st.end(0)
+			t.blame(ctx, &c, err, t.n.now())
+			t.tell(passage.Dropped, c.w.Id, err.Error())
+			if breakdown.Is(err, breakdown.Bounced) && breakdown.Step(err) == dialStep {
+				t.sends--
+				t.tried[c.w.Id] = true
+				continue
+			}
+			return nil, nil, err
+		}
+		if t.sends >= max(1, t.route.Tries) {
+			return nil, nil, breakdown.New(breakdown.Away, "emit", t.svc.Name, "no try is left")
+		}
+		if round > 2 || !seam.Sleep(ctx, 30*time.Millisecond) {
+			return nil, nil, breakdown.New(breakdown.Away, "emit", t.svc.Name, "no worker may take it")
+		}
+	}
+}
+
+// offer sends to one worker. A silent one is left for another only where the request may
+// run again.
+func (t *trip) offer(ctx context.Context, c *choice, src *Source) (*Reply, error) {
+	cx, stop := context.WithCancelCause(ctx)
+	var quiet *time.Timer
+	if t.route.Again() {
+		quiet = time.AfterFunc(t.patience(), func() { stop(errSilent) })
+	}
+	reply, err := t.n.opt.Back.Emit(cx, *c.w, t.r, src, t.last, t.left(), t.route.Urgency)
+	if quiet != nil {
+		quiet.Stop()
+	}
+	if err != nil {
+		stop(nil)
+		return nil, err
+	}
+	reply.Body = &guarded{reply.Body, stop}
+	return reply, nil
+}
+
+// patience is how long an emitting worker may say nothing before a request that may run
+// again goes elsewhere.
+func (t *trip) patience() time.Duration {
+	return max(t.n.opt.Silence, 2*t.route.Aim())
+}
--- /dev/null
+++ b/relay/node.go
@@ -0,0 +1,181 @@
+// A Node joins the parts: the core's agent, the view of the configuration, the list of
+// workers and what is known of each.
+
+package relay
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"keelstair.example/crux"
+	"keelstair.example/lore"
+	"keelstair.example/seam"
+	"keelstair.example/tale"
+	"keelstair.example/whim"
+	"keelstair.example/word"
+)
+
+// Options of a node; zero spans and numbers take the defaults named beside them.
+type Options struct {
+	Name    string
+	Addr    string
+	Zone    word.Zone
+	Seeds   []string
+	Host    seam.Host
+	Ring    *tale.Ring
+	Back    Backend
+	Read    lore.Reader   // of the operators' text; lore.Plain
+	Deck    []whim.Source // routing programs, beside the built-in order
+	Steps   uint64        // 20000: that a program may take for one request
+	Lease   time.Duration // 3s
+	Renew   time.Duration // 500ms
+	Roster  time.Duration // 700ms between askings of the list of workers
+	Ratio   float64       // 0.2: repeats for each request
+	Window  time.Duration // 10s over which repeats are counted
+	Allow   int           // 0: repeats that all nodes have besides
+	Over    float64       // 1.5: of a cold worker's rate
+	Spare   int           // 5: requests besides that in a second
+	Silence time.Duration // 900ms: a reading worker that says nothing is left
+	Pace    float64       // 50: prompt tokens that a worker reads in a ms
+	Trace   func(Event)
+}
+
+func (o *Options) fill() {
+	word.Or(&o.Lease, 3*time.Second)
+	word.Or(&o.Renew, 500*time.Millisecond)
+	word.Or(&o.Roster, 700*time.Millisecond)
+	word.Or(&o.Window, 10*time.Second)
+	word.Or(&o.Silence, 900*time.Millisecond)
+	if o.Ratio == 0 {
+		o.Ratio = 0.2
+	}
+	if o.Over == 0 {
+		o.Over = 1.5
+	}
+	if o.Spare == 0 {
+		o.Spare = 5
+	}
+	if o.Pace == 0 {
+		o.Pace = 50
+	}
+	if o.Steps == 0 {
+		o.Steps = 20000
+	}
+	if o.Ring == nil {
+		o.Ring = tale.Mute()
+	}
+}
+
+// Counts are the node's figures since it started.
+type Counts struct {
+	Asked, Done, Refused, Broken, Moved, Direct, Again, Resumed atomic.Int64
+}
+
+// Node is one router node for opaque requests.
+type Node struct {
+	opt      Options
+	me       crux.Member
+	agent    *crux.Agent
+	view     *lore.View
+	counts   Counts
+	budget   budget
+	deck     *whim.Deck
+	roster   atomic.Pointer[roster]
+	states   sync.Map // word.WorkerId -> *state
+	warm     warm
+	zones    sync.Map // word.Zone -> word.Tick, when it was taken back
+	inflight atomic.Int64
+	leaving  atomic.Bool
+}
+
+// New makes a node; it starts nothing.
+func New(opt Options) (*Node, error) {
+	opt.fill()
+	n := &Node{opt: opt, budget: newBudget(opt.Window), warm: newWarm()}
+	deck, err := whim.NewDeck(opt.Deck, opt.Steps, &whim.Scores{})
+	if err != nil {
+		return nil, err
+	}
+	n.deck = deck
+	n.me = crux.Member{Node: word.NodeId(opt.Name + "-" + crux.Name()), Addr: opt.Addr, Zone: opt.Zone}
+	n.view = lore.NewView(opt.Ring)
+	n.view.Read = opt.Read
+	n.agent = crux.NewAgent(crux.AgentOptions{Me: n.me, Host: opt.Host, Seeds: opt.Seeds, View: n.view, Ring: opt.Ring, Lease: opt.Lease, Renew: opt.Renew})
+	n.roster.Store(&roster{})
+	return n, nil
+}
+
+func (n *Node) now() word.Tick { return n.opt.Host.Clock.Now() }
+
+// View shows what the node knows of the configuration.
+func (n *Node) View() *lore.View { return n.view }
+
+// Book is where the node knows others from.
+func (n *Node) Book() *crux.Book { return n.agent.Book() }
+
+// Counts gives the node's figures.
+func (n *Node) Counts() *Counts { return &n.counts }
+
+// Intake tells what callers may send under the version in force.
+func (n *Node) Intake() lore.Intake { return n.view.Sight().Policy.Intake }
+
+// Mount puts the node's answers to its peers on a mux.
+func (n *Node) Mount(mux *http.ServeMux) { n.agent.Mount(mux) }
+
+// Run works until the context ends; then it says that it is not ready, goes on for the
+// linger so that callers hear of it, and lets what is under way finish within the grace.
+func (n *Node) Run(ctx context.Context, linger, grace time.Duration) {
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	for _, f := range []func(context.Context){n.agent.Run, n.rosters, n.watch} {
+		wg.Go(func() { f(inner) })
+	}
+	<-ctx.Done()
+	n.leaving.Store(true)
+	began := n.now()
+	for !n.now().Past(began, grace) && (!n.now().Past(began, linger) || n.inflight.Load() > 0) {
+		seam.Sleep(inner, 50*time.Millisecond)
+	}
+	n.agent.Leave()
+	stop()
+	wg.Wait()
+	n.opt.Back.Close()
+}
+
+// Leaving tells that the node was told to stop.
+func (n *Node) Leaving() bool { return n.leaving.Load() }
+
+// Ready tells whether new work can be served here now, and if not, why.
+func (n *Node) Ready() (bool, string) {
+	switch s := n.view.Sight(); {
+	case n.leaving.Load():
+		return false, "draining"
+	case s.Version == 0:
+		return false, "no configuration is in force"
+	case len(n.roster.Load().all) == 0:
+		return false, "no worker is listed"
+	}
+	return true, ""
+}
+
+// share is one over the number of nodes that there may be.
+func (n *Node) share() float64 {
+	return 1 / float64(max(1, n.budget.peers(n.now(), len(n.agent.Members()))))
+}
+
+// watch notes which zones were taken back, since their workers may have turned cold.
+func (n *Node) watch(ctx context.Context) {
+	was := map[word.Zone]bool{}
+	for seam.Sleep(ctx, 100*time.Millisecond) {
+		now := n.view.Sight().Zones
+		for z := range was {
+			if !now[z] {
+				n.zones.Store(z, n.now())
+			}
+		}
+		was = now
+	}
+}
--- /dev/null
+++ b/relay/pass.go
@@ -0,0 +1,159 @@
+// Passing the answer on: whole events as they come, each once. Where the stream may go on
+// elsewhere, what the first worker did not finish is asked of another one, from the last
+// event that the caller has.
+
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/passage"
+)
+
+var errSilent = errors.New("the worker says nothing")
+
+// guarded ends the request to the worker when the body is closed.
+type guarded struct {
+	io.ReadCloser
+	stop context.CancelCauseFunc
+}
+
+func (g *guarded) Close() error {
+	err := g.ReadCloser.Close()
+	g.stop(nil)
+	return err
+}
+
+// pass copies an answer to the caller. Unknown means that it broke off.
+func (t *trip) pass(ctx context.Context, c *choice, reply *Reply) error {
+	defer reply.Body.Close()
+	defer c.st.end(0)
+	c.st.well(reply.Load, t.n.now())
+	t.ran = true
+	if reply.Status/100 == 2 && !reply.Whole {
+		return breakdown.New(breakdown.Unknown, "pass", c.w.Addr, "a success without the worker's stamp")
+	}
+	if t.begun && (reply.Status != http.StatusOK || !reply.Events) {
+		return breakdown.New(breakdown.Unknown, "resume", c.w.Addr, "status %d", reply.Status)
+	}
+	if reply.Status/100 == 5 && t.route.Again() && t.sends < t.route.Tries {
+		c.st.fault(t.n.now())
+		return breakdown.New(breakdown.Unknown, "pass", c.w.Addr, "status %d", reply.Status)
+	}
+	t.tell(passage.Resumed, c.w.Id, "")
+	var err error
+	if reply.Events {
+		err = t.events(c, reply)
+	} else {
+		err = t.plain(reply)
+	}
+	if err != nil && ctx.Err() == nil && !errors.Is(err, errCaller) {
+		c.st.fault(t.n.now())
+	}
+	return err
+}
+
+var errCaller = errors.New("the caller went away")
+
+func (t *trip) head(reply *Reply, length int64) error {
+	if t.begun {
+		return nil
+	}
+	t.begun = true
+	return t.sink.Head(reply.Status, reply.Header, length)
+}
+
+func (t *trip) write(p []byte) error {
+	if err := t.sink.Write(p); err != nil {
+		return breakdown.As(errors.Join(errCaller, err), breakdown.Unknown, "pass", "caller")
+	}
+	return nil
+}
+
+// plain copies an answer without events. Its head goes out with its first bytes, so that
+// one which breaks off before them can still be asked of another.
+func (t *trip) plain(reply *Reply) error {
+	buf := make([]byte, 16<<10)
+	for {
+		k, err := reply.Body.Read(buf)
+		if err != nil && err != io.EOF {
+			return breakdown.As(err, breakdown.Unknown, "pass", "worker")
+		}
+		if k > 0 || err == io.EOF {
+			if err := t.head(reply, reply.Length); err != nil {
+				return breakdown.As(errors.Join(errCaller, err), breakdown.Unknown, "pass", "caller")
+			}
+		}
+		if k > 0 {
+			if err := t.write(buf[:k]); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+	}
+}
+
+// events copies whole events.
+func (t *trip) events(c *choice, reply *Reply) error {
+	quiet := time.Duration(0)
+	var timer *time.Timer
+	if t.route.Again() {
+		quiet = max(600*time.Millisecond, 3*time.Duration(t.route.GapMs)*time.Millisecond)
+		timer = time.AfterFunc(t.patience(), func() { reply.Body.(*guarded).stop(errSilent) })
+		defer timer.Stop()
+	}
+	var held []byte
+	buf := make([]byte, 8<<10)
+	for {
+		k, err := reply.Body.Read(buf)
+		held = append(held, buf[:k]...)
+		if at := bytes.LastIndex(held, []byte("\n\n")); at >= 0 {
+			whole := held[:at+2]
+			if err := t.head(reply, -1); err != nil {
+				return breakdown.As(errors.Join(errCaller, err), breakdown.Unknown, "pass", "caller")
+			}
+			if err := t.write(whole); err != nil {
+				return err
+			}
+			if id := lastId(whole); id != "" {
+				t.last = id
+			}
+			held = append(held[:0], held[at+2:]...)
+			if timer != nil {
+				timer.Reset(quiet)
+			}
+		}
+		if err == io.EOF {
+			if err := t.head(reply, -1); err != nil {
+				return breakdown.As(errors.Join(errCaller, err), breakdown.Unknown, "pass", "caller")
+			}
+			if len(held) > 0 {
+				return t.write(held)
+			}
+			return nil
+		}
+		if err != nil {
+			return breakdown.As(err, breakdown.Unknown, "pass", c.w.Addr)
+		}
+	}
+}
+
+// lastId gives the id of the last event in whole ones.
+func lastId(p []byte) string {
+	id := ""
+	for line := range strings.Lines(string(p)) {
+		if v, ok := strings.CutPrefix(strings.TrimRight(line, "\r\n"), "id:"); ok {
+			id = strings.TrimSpace(v)
+		}
+	}
+	return id
+}
--- /dev/null
+++ b/relay/pick.go
@@ -0,0 +1,222 @@
+// Which worker: every candidate that is cleared gets a cost in ms (what it has yet to
+// read, what waits there, how far it is), and the routing programs order them. Prompts
+// that begin alike fall to the same reading worker on every node, unless it is busier
+// than the reading anew is worth.
+
+package relay
+
+import (
+	"hash/fnv"
+	"math"
+	"sort"
+	"time"
+
+	"keelstair.example/lore"
+	"keelstair.example/whim"
+	"keelstair.example/word"
+)
+
+const (
+	loadSpan  = 400 * time.Millisecond // how long a worker's word of its load counts
+	readFirst = 16.0                   // ms for each prompt, besides its tokens
+	farStep   = 4.0                    // ms for another zone
+	farKilo   = 0.8                    // ms for each KB that goes to another zone
+	most      = 8                      // candidates that programs see
+)
+
+// marks are the hashes of a prompt's beginnings that others may share: all its parts but
+// the last, one after the other.
+func marks(r *Request) ([]uint64, []int) {
+	var out []uint64
+	var toks []int
+	h := fnv.New64a()
+	h.Write([]byte(r.Model))
+	sum := 0
+	for i := 0; i+1 < len(r.Parts); i++ {
+		h.Write([]byte{0})
+		h.Write([]byte(r.Parts[i].Id))
+		sum += r.Parts[i].Tokens
+		out, toks = append(out, h.Sum64()), append(toks, sum)
+	}
+	return out, toks
+}
+
+// home is the worker that a beginning falls to.
+func home(mark uint64, list []*Worker) word.WorkerId {
+	var top word.WorkerId
+	best := -1.0
+	for _, w := range list {
+		if a := whim.Affinity(mark, w.Id); a > best {
+			best, top = a, w.Id
+		}
+	}
+	return top
+}
+
+type choice struct {
+	w    *Worker
+	st   *state
+	cost float64
+	need int // prompt tokens it has yet to read
+	aff  float64
+	busy int
+	gap  time.Duration // between requests while it is cold
+}
+
+// cleared lists the workers of a service that may get new work of a part now. Those that
+// are to be left alone come only if no other is there.
+func (n *Node) cleared(s *lore.Sight, svc *lore.Service, part word.Part, tried map[word.WorkerId]bool) []choice {
+	var good, shy []choice
+	now := n.now()
+	ros := n.roster.Load()
+	for i := range ros.all {
+		w := &ros.all[i]
+		if w.Service != svc.Name || w.Part != part && w.Part != "" || tried[w.Id] || !fit(s, w) {
+			continue
+		}
+		c := choice{w: w, st: n.state(w.Id)}
+		if n.coldFor(w, svc, ros.at, now) > 0 {
+			var ok bool
+			if c.gap, ok = n.gap(w.Id, svc); !ok || !n.warm.may(w.Id, c.gap, now) {
+				continue
+			}
+		}
+		c.st.mu.Lock()
+		shun := now.Before(c.st.shun)
+		c.st.mu.Unlock()
+		if shun {
+			shy = append(shy, c)
+		} else {
+			good = append(good, c)
+		}
+	}
+	if len(good) == 0 {
+		return shy
+	}
+	return good
+}
+
+// gap is the pause that this node keeps between requests to a cold worker, so that all
+// nodes together stay under what it bears; where there are more nodes than it bears
+// requests, only some may send.
+func (n *Node) gap(id word.WorkerId, svc *lore.Service) (time.Duration, bool) {
+	bound := int(svc.WarmRate*n.opt.Over) + n.opt.Spare - 2
+	peers := int(math.Round(1 / n.share()))
+	if per := bound / peers; per > 1 {
+		return time.Second/time.Duration(per-1) + 20*time.Millisecond, true
+	}
+	if bound >= peers {
+		return 1050 * time.Millisecond, true
+	}
+	mine, above := whim.Affinity(fnv64(string(n.me.Node)), id), 0
+	for _, m := range n.agent.Members() {
+		if m.Node != n.me.Node && whim.Affinity(fnv64(string(m.Node)), id) > mine {
+			above++
+		}
+	}
+	return 1050 * time.Millisecond, above < bound
+}
+
+func fnv64(s string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(s))
+	return h.Sum64()
+}
+
+func (n *Node) far(w *Worker, bytes int) float64 {
+	if w.Zone == n.me.Zone {
+		return 0
+	}
+	return farStep + farKilo*float64(bytes)/1024
+}
+
+// readers orders the workers that may read a prompt.
+func (n *Node) readers(s *lore.Sight, svc *lore.Service, r *Request, tried map[word.WorkerId]bool) []choice {
+	list := n.cleared(s, svc, word.Prefill, tried)
+	ms, toks := marks(r)
+	ros := n.roster.Load()
+	var stay []*Worker
+	for i := range ros.all {
+		if w := &ros.all[i]; w.Service == svc.Name && w.Part == word.Prefill && fit(s, w) {
+			stay = append(stay, w)
+		}
+	}
+	homes := make([]word.WorkerId, len(ms))
+	for i, m := range ms {
+		homes[i] = home(m, stay)
+	}
+	now := n.now()
+	for i := range list {
+		c := &list[i]
+		c.need = r.Prompt
+		c.st.mu.Lock()
+		for k := len(ms) - 1; k >= 0; k-- {
+			if _, ok := c.st.cached[ms[k]]; ok || homes[k] == c.w.Id {
+				c.need = max(1, r.Prompt-toks[k])
+				break
+			}
+		}
+		ahead, count := c.st.reads, c.st.readers
+		if !now.Past(c.st.loadAt, loadSpan) {
+			if others := c.st.load.Running + c.st.load.Waiting - count; others > 0 {
+				ahead, count = ahead+2000*others, count+others
+			}
+		}
+		c.st.mu.Unlock()
+		c.busy = count
+		c.cost = float64(c.need+ahead)/n.opt.Pace + readFirst*float64(count) + n.far(c.w, len(r.Body))
+		if len(ms) > 0 {
+			c.aff = whim.Affinity(ms[len(ms)-1], c.w.Id)
+		}
+	}
+	return n.order(r, word.Prefill, list)
+}
+
+// emitters orders the workers that may emit the answer, near the memory and near here.
+func (n *Node) emitters(s *lore.Sight, svc *lore.Service, r *Request, from *Worker, tried map[word.WorkerId]bool) []choice {
+	list := n.cleared(s, svc, word.Decode, tried)
+	now := n.now()
+	for i := range list {
+		c := &list[i]
+		c.st.mu.Lock()
+		c.busy = c.st.emits
+		if !now.Past(c.st.loadAt, loadSpan) {
+			c.busy = max(c.busy, c.st.load.Running+c.st.load.Waiting)
+		}
+		c.st.mu.Unlock()
+		slots := max(1, c.w.Slots)
+		c.cost = 1.5*float64(c.busy) + n.far(c.w, len(r.Body))
+		if c.busy >= slots*9/10 {
+			c.cost += 20 * float64(c.busy-slots*9/10+1)
+		}
+		if from != nil && from.Zone != c.w.Zone {
+			c.cost += farStep + 1.6*float64(r.Prompt)/1000
+		}
+		if from == nil {
+			c.need = r.Prompt
+		}
+	}
+	return n.order(r, word.Decode, list)
+}
+
+// order asks the routing programs, cheapest first.
+func (n *Node) order(r *Request, part word.Part, list []choice) []choice {
+	sort.SliceStable(list, func(i, j int) bool { return list[i].cost < list[j].cost })
+	head := list[:min(most, len(list))]
+	if len(head) < 2 {
+		return list
+	}
+	q := &whim.Question{Request: r.Id, Kind: r.Host, Model: r.Model, Part: part, Zone: n.me.Zone, Prompt: r.Prompt, Max: r.Most, Priced: true}
+	cands := make([]whim.Candidate, len(head))
+	by := make(map[word.WorkerId]choice, len(head))
+	for i, c := range head {
+		cands[i] = whim.Candidate{Id: c.w.Id, Zone: c.w.Zone, Room: c.w.Slots, Free: max(0, c.w.Slots-c.busy), Busy: c.busy, Cap: c.w.Slots, Affinity: c.aff, Cost: c.cost}
+		by[c.w.Id] = c
+	}
+	out := make([]choice, 0, len(list))
+	for _, id := range n.deck.Order(q, cands) {
+		out = append(out, by[id])
+		delete(by, id)
+	}
+	return out
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,115 @@
+// Package relay is the data plane for opaque requests: it carries each from the door to
+// a worker that reads its prompt and on to one that emits the answer, and keeps the
+// hand-over's promises though it never looks into a body. This file has what the door
+// and the workers' adapter must bring, and what they get.
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"keelstair.example/word"
+)
+
+// Part is one piece of a prompt; requests that begin with the same parts share them.
+type Part struct {
+	Id     string
+	Tokens int
+}
+
+// Request is one try of a caller's. The id is the try's own.
+type Request struct {
+	Id     string
+	Method string
+	Target string // path and query as they came
+	Path   string
+	Host   string
+	Header http.Header // what is passed on, without what concerns one connection
+	Body   []byte
+	From   string // the id of the last event that the caller has
+	Model  string
+	Parts  []Part
+	Prompt int           // tokens in
+	Most   int           // tokens out at most
+	Wait   time.Duration // how long the caller waits; 0 if it does not say
+	At     word.Tick     // when it came
+}
+
+// Worker is one line of the platform's list.
+type Worker struct {
+	Id      word.WorkerId // of this life
+	Service string
+	Addr    string
+	Zone    word.Zone
+	Part    word.Part // Prefill, Decode, or empty where the service knows no parts
+	Slots   int
+	Leaving bool
+	Cold    time.Duration // how much longer it is cold
+}
+
+// Load is what a worker says of itself with an answer.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Memo is a worker's word that it has read a prompt and keeps the memory.
+type Memo struct {
+	Handle string
+	Tokens int
+	Load   *Load
+}
+
+// Source names memory to be fetched by the emitting worker.
+type Source struct {
+	Worker Worker
+	Handle string
+}
+
+// Reply is a worker's answer as it begins.
+type Reply struct {
+	Status int
+	Header http.Header // as it is passed to the caller
+	Whole  bool        // it carries the worker's own stamp
+	Events bool
+	Length int64 // -1 if it is not told
+	Body   io.ReadCloser
+	Load   *Load
+}
+
+// Backend reaches workers. Errors are breakdowns: Bounced where the request was surely
+// not run, Stale where another life has the address, Lost where the memory cannot be
+// had and nothing was run, Unknown where it may have been run.
+type Backend interface {
+	List(ctx context.Context) ([]Worker, error)
+	Read(ctx context.Context, w Worker, r *Request, left time.Duration, urgency int) (*Memo, error)
+	Emit(ctx context.Context, w Worker, r *Request, src *Source, from string, left time.Duration, urgency int) (*Reply, error)
+	Free(ctx context.Context, w Worker, handle string) error
+	Close()
+}
+
+// Sink takes the answer to the caller. Head is called once at most.
+type Sink interface {
+	Head(status int, h http.Header, length int64) error
+	Write(p []byte) error // passed on at once
+}
+
+// Refusal ends a request that was not run and never will be.
+type Refusal struct {
+	Code  int
+	After time.Duration // when to come back
+	Why   string
+}
+
+func (r *Refusal) Error() string { return r.Why }
+
+// Broken ends a request that may have been run. Begun tells that the caller has a part
+// of the answer, so that the connection must be cut.
+type Broken struct {
+	Code  int
+	Begun bool
+	Why   string
+}
+
+func (b *Broken) Error() string { return b.Why }
--- a/verge/span/span.go
+++ b/verge/span/span.go
@@ -5,11 +5,15 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"io"
 	"sync"
 
-	"go.opentelemetry.io/collector/pdata/pcommon"
-	"go.opentelemetry.io/collector/pdata/ptrace"
+	common "go.opentelemetry.io/proto/otlp/common/v1"
+	resource "go.opentelemetry.io/proto/otlp/resource/v1"
+	trace "go.opentelemetry.io/proto/otlp/trace/v1"
+	"google.golang.org/protobuf/encoding/protojson"
 
 	"keelstair.example/passage"
 	"keelstair.example/rein"
@@ -43,45 +47,73 @@
 		return
 	}
 	delete(w.open, e.Id)
-	if line, err := (&ptrace.JSONMarshaler{}).MarshalTraces(w.trace(e.Id, rows)); err == nil {
+	if line, err := form(w.trace(e.Id, rows)); err == nil {
 		w.out.Write(append(line, '\n'))
 	}
 }
 
-func (w *Writer) trace(id rein.Id, rows []passage.Event) ptrace.Traces {
-	t := ptrace.NewTraces()
-	res := t.ResourceSpans().AppendEmpty()
-	res.Resource().Attributes().PutStr("service.name", "keelstair")
-	res.Resource().Attributes().PutStr("service.instance.id", w.node)
-	scope := res.ScopeSpans().AppendEmpty()
-	scope.Scope().SetName("keelstair.example/passage")
+// form gives the JSON form, in which enumerations are numbers and ids are hex, where the
+// library writes any bytes as base64.
+func form(t *trace.TracesData) ([]byte, error) {
+	line, err := protojson.MarshalOptions{UseEnumNumbers: true}.Marshal(t)
+	if err != nil {
+		return nil, err
+	}
+	var doc any
+	if err := json.Unmarshal(line, &doc); err != nil {
+		return nil, err
+	}
+	return json.Marshal(hexed(doc))
+}
+
+func hexed(v any) any {
+	switch v := v.(type) {
+	case []any:
+		for i := range v {
+			v[i] = hexed(v[i])
+		}
+	case map[string]any:
+		for k, one := range v {
+			var id []byte
+			if s, ok := one.(string); ok && (k == "traceId" || k == "spanId" || k == "parentSpanId") && json.Unmarshal([]byte(`"`+s+`"`), &id) == nil {
+				v[k] = hex.EncodeToString(id)
+			} else {
+				v[k] = hexed(one)
+			}
+		}
+	}
+	return v
+}
+
+func text(key, v string) *common.KeyValue {
+	return &common.KeyValue{Key: key, Value: &common.AnyValue{Value: &common.AnyValue_StringValue{StringValue: v}}}
+}
+
+func (w *Writer) trace(id rein.Id, rows []passage.Event) *trace.TracesData {
+	scope := &trace.ScopeSpans{Scope: &common.InstrumentationScope{Name: "keelstair.example/passage"}}
+	res := &trace.ResourceSpans{ScopeSpans: []*trace.ScopeSpans{scope},
+		Resource: &resource.Resource{Attributes: []*common.KeyValue{text("service.name", "keelstair"), text("service.instance.id", w.node)}}}
 	// Ticks become wall time by what the clocks show now.
 	now, wall := w.clock.Now(), w.clock.Wall()
-	at := func(e passage.Event) pcommon.Timestamp {
-		return pcommon.NewTimestampFromTime(wall.Add(-now.Since(e.At)))
-	}
+	at := func(e passage.Event) uint64 { return uint64(wall.Add(-now.Since(e.At)).UnixNano()) }
 	sum := sha256.Sum256([]byte(id.Request))
-	put := func(name string, n int, from, to passage.Event) ptrace.Span {
-		s := scope.Spans().AppendEmpty()
-		s.SetTraceID(pcommon.TraceID(sum[:16]))
-		s.SetSpanID(pcommon.SpanID{byte(id.Attempt), byte(n + 1), sum[16], sum[17], sum[18], sum[19], sum[20], sum[21]})
-		s.SetName(name)
-		s.SetStartTimestamp(at(from))
-		s.SetEndTimestamp(at(to))
+	put := func(name string, n int, from, to passage.Event) *trace.Span {
+		s := &trace.Span{TraceId: sum[:16], SpanId: append([]byte{byte(id.Attempt), byte(n + 1)}, sum[16:22]...), Name: name,
+			StartTimeUnixNano: at(from), EndTimeUnixNano: at(to)}
+		scope.Spans = append(scope.Spans, s)
 		return s
 	}
 	last := rows[len(rows)-1]
 	whole := put("hand-over", 0, rows[0], last)
-	whole.Attributes().PutStr("request", id.Request)
-	whole.Attributes().PutInt("attempt", int64(id.Attempt))
+	whole.Attributes = []*common.KeyValue{text("request", id.Request),
+		{Key: "attempt", Value: &common.AnyValue{Value: &common.AnyValue_IntValue{IntValue: int64(id.Attempt)}}}}
 	if last.Stage == passage.Dropped {
-		whole.Status().SetCode(ptrace.StatusCodeError)
-		whole.Status().SetMessage(last.Why)
+		whole.Status = &trace.Status{Code: trace.Status_STATUS_CODE_ERROR, Message: last.Why}
 	}
 	for i := 1; i < len(rows); i++ {
 		s := put(string(rows[i].Stage), i, rows[i-1], rows[i])
-		s.SetParentSpanID(whole.SpanID())
-		s.Attributes().PutStr("worker", string(rows[i].Worker))
+		s.ParentSpanId = whole.SpanId
+		s.Attributes = []*common.KeyValue{text("worker", string(rows[i].Worker))}
 	}
-	return t
+	return &trace.TracesData{ResourceSpans: []*trace.ResourceSpans{res}}
 }
--- a/whim/star.go
+++ b/whim/star.go
@@ -100,7 +100,7 @@
 	return starlarkstruct.FromStringDict(starlark.String("worker"), starlark.StringDict{
 		"id": starlark.String(c.Id), "zone": starlark.String(c.Zone), "weights": starlark.String(c.Weights),
 		"adapters": names(c.Adapters), "free": starlark.MakeInt(c.Free), "room": starlark.MakeInt(c.Room),
-		"busy": starlark.MakeInt(c.Busy), "cap": starlark.MakeInt(c.Cap), "affinity": starlark.Float(c.Affinity),
+		"busy": starlark.MakeInt(c.Busy), "cap": starlark.MakeInt(c.Cap), "affinity": starlark.Float(c.Affinity), "cost": starlark.Float(c.Cost),
 	})
 }
 
--- a/whim/whim.go
+++ b/whim/whim.go
@@ -23,6 +23,7 @@
 	Prompt   int
 	Max      int
 	Need     int
+	Priced   bool // the candidates' cost was reckoned
 }
 
 // Candidate is a worker that may take it. Affinity, from 0 to 1, is the same on
@@ -37,6 +38,7 @@
 	Busy     int
 	Cap      int
 	Affinity float64
+	Cost     float64 // ms that the node reckons it takes there, if the question is priced
 }
 
 // Program is a routing policy: which of the cleared workers a request matches, in
@@ -72,7 +74,7 @@
 }
 
 // Plain is the built-in order: for prefill the least busy, for decode the most
-// free blocks; among equals the request decides, so that calls which come between
+// free blocks, and where a cost was reckoned, the cheapest; among equals the request decides, so that calls which come between
 // two beats do not all fall to one worker.
 type Plain struct{}
 
@@ -81,6 +83,9 @@
 
 func (Plain) Order(q *Question, list []Candidate) ([]word.WorkerId, error) {
 	score := func(c Candidate) float64 {
+		if q.Priced {
+			return c.Cost
+		}
 		if q.Part == word.Prefill {
 			return float64(c.Busy)
 		}
