--- a/lore/image.go
+++ b/lore/image.go
@@ -12,6 +12,7 @@
 	Staged  []Ruled
 	Zones   []string
 	Drained []string
+	Turning []Turn
 	Fence   word.Fence
 	Deeds   []Deed
 	// Rows of the open leaf, and how many deeds there are in all.
--- a/lore/image_gen.go
+++ b/lore/image_gen.go
@@ -10,9 +10,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Image) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 9
 	// string "Active"
-	o = append(o, 0x88, 0xa6, 0x41, 0x63, 0x74, 0x69, 0x76, 0x65)
+	o = append(o, 0x89, 0xa6, 0x41, 0x63, 0x74, 0x69, 0x76, 0x65)
 	o, err = z.Active.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Active")
@@ -40,16 +40,26 @@
 	for za0003 := range z.Drained {
 		o = msgp.AppendString(o, z.Drained[za0003])
 	}
+	// string "Turning"
+	o = append(o, 0xa7, 0x54, 0x75, 0x72, 0x6e, 0x69, 0x6e, 0x67)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Turning)))
+	for za0004 := range z.Turning {
+		o, err = z.Turning[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Turning", za0004)
+			return
+		}
+	}
 	// string "Fence"
 	o = append(o, 0xa5, 0x46, 0x65, 0x6e, 0x63, 0x65)
 	o = msgp.AppendUint64(o, uint64(z.Fence))
 	// string "Deeds"
 	o = append(o, 0xa5, 0x44, 0x65, 0x65, 0x64, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Deeds)))
-	for za0004 := range z.Deeds {
-		o, err = z.Deeds[za0004].MarshalMsg(o)
+	for za0005 := range z.Deeds {
+		o, err = z.Deeds[za0005].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Deeds", za0004)
+			err = msgp.WrapError(err, "Deeds", za0005)
 			return
 		}
 	}
@@ -143,32 +153,51 @@
 					return
 				}
 			}
+		case "Turning":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Turning")
+				return
+			}
+			if cap(z.Turning) >= int(zb0005) {
+				z.Turning = (z.Turning)[:zb0005]
+			} else {
+				z.Turning = make([]Turn, zb0005)
+			}
+			for za0004 := range z.Turning {
+				bts, err = z.Turning[za0004].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Turning", za0004)
+					return
+				}
+			}
 		case "Fence":
 			{
-				var zb0005 uint64
-				zb0005, bts, err = msgp.ReadUint64Bytes(bts)
+				var zb0006 uint64
+				zb0006, bts, err = msgp.ReadUint64Bytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Fence")
 					return
 				}
-				z.Fence = word.Fence(zb0005)
+				z.Fence = word.Fence(zb0006)
 			}
 		case "Deeds":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Deeds")
 				return
 			}
-			if cap(z.Deeds) >= int(zb0006) {
-				z.Deeds = (z.Deeds)[:zb0006]
+			if cap(z.Deeds) >= int(zb0007) {
+				z.Deeds = (z.Deeds)[:zb0007]
 			} else {
-				z.Deeds = make([]Deed, zb0006)
+				z.Deeds = make([]Deed, zb0007)
 			}
-			for za0004 := range z.Deeds {
-				bts, err = z.Deeds[za0004].UnmarshalMsg(bts)
+			for za0005 := range z.Deeds {
+				bts, err = z.Deeds[za0005].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Deeds", za0004)
+					err = msgp.WrapError(err, "Deeds", za0005)
 					return
 				}
 			}
@@ -210,9 +239,13 @@
 	for za0003 := range z.Drained {
 		s += msgp.StringPrefixSize + len(z.Drained[za0003])
 	}
+	s += 8 + msgp.ArrayHeaderSize
+	for za0004 := range z.Turning {
+		s += z.Turning[za0004].Msgsize()
+	}
 	s += 6 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
-	for za0004 := range z.Deeds {
-		s += z.Deeds[za0004].Msgsize()
+	for za0005 := range z.Deeds {
+		s += z.Deeds[za0005].Msgsize()
 	}
 	s += 5 + msgp.BytesPrefixSize + len(z.Rows) + 6 + msgp.IntSize
 	return
--- a/lore/machine.go
+++ b/lore/machine.go
@@ -77,6 +77,9 @@
 			m.keys = append(m.keys, WorkerKey(id))
 			pools[w.Model] = true
 		}
+		for n := range p.Services {
+			m.keys = append(m.keys, ServiceKey(n))
+		}
 		for n := range pools {
 			m.keys = append(m.keys, PoolKey(n))
 		}
--- a/lore/state.go
+++ b/lore/state.go
@@ -36,6 +36,7 @@
 	staged  []Ruled
 	zones   map[word.Zone]bool
 	drained map[word.WorkerId]bool
+	turning map[word.WorkerId]word.Part
 	fence   word.Fence
 	deeds   map[string]Deed
 	order   []string // settled, oldest first
@@ -45,7 +46,7 @@
 }
 
 func newState(lean bool, d Depth) *State {
-	return &State{lean: lean, zones: map[word.Zone]bool{}, drained: map[word.WorkerId]bool{}, deeds: map[string]Deed{}, shelf: newShelf(d)}
+	return &State{lean: lean, zones: map[word.Zone]bool{}, drained: map[word.WorkerId]bool{}, turning: map[word.WorkerId]word.Part{}, deeds: map[string]Deed{}, shelf: newShelf(d)}
 }
 
 // rule puts a version in force.
@@ -77,6 +78,8 @@
 		return &Vacate{}
 	case DrainKind:
 		return &Drain{}
+	case TurnKind:
+		return &Turn{}
 	case ClaimKind:
 		return &Claim{}
 	case SettleKind:
@@ -225,6 +228,10 @@
 		img.Drained = append(img.Drained, string(w))
 	}
 	sort.Strings(img.Drained)
+	for w, to := range s.turning {
+		img.Turning = append(img.Turning, Turn{Worker: w, To: to})
+	}
+	sort.Slice(img.Turning, func(i, j int) bool { return img.Turning[i].Worker < img.Turning[j].Worker })
 	if !open && !s.lean {
 		for _, k := range s.order {
 			img.Deeds = append(img.Deeds, s.deeds[k])
@@ -255,6 +262,9 @@
 	for _, w := range img.Drained {
 		next.drained[word.WorkerId(w)] = true
 	}
+	for _, t := range img.Turning {
+		next.turning[t.Worker] = t.To
+	}
 	for _, d := range img.Deeds {
 		next.deeds[d.Key] = d
 		if d.Fate != Claimed {
--- a/lore/view.go
+++ b/lore/view.go
@@ -5,6 +5,7 @@
 package lore
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 
@@ -22,6 +23,7 @@
 	Newest  word.Version
 	Zones   map[word.Zone]bool
 	Drained map[word.WorkerId]bool
+	Turning map[word.WorkerId]word.Part
 }
 
 // View is a crux.Follower. Ready is called with every policy as it is staged,
@@ -86,7 +88,7 @@
 	if _, err := v.state.Apply(kind, body); err != nil && err != crux.Same {
 		v.Ring.Error().AnErr("cause", err).Str("kind", kind).Msg("news does not fold")
 	}
-	loud := kind == StageKind || kind == ActivateKind || kind == VacateKind || kind == DrainKind
+	loud := kind == StageKind || kind == ActivateKind || kind == VacateKind || kind == DrainKind || kind == TurnKind
 	if loud {
 		v.show()
 	}
@@ -150,7 +152,7 @@
 		}
 	}
 	s := &Sight{Version: now.Version, Policy: v.kept[now.Version], Text: now.Text, Newest: all[len(all)-1].Version,
-		Zones: map[word.Zone]bool{}, Drained: map[word.WorkerId]bool{}}
+		Zones: map[word.Zone]bool{}, Drained: map[word.WorkerId]bool{}, Turning: maps.Clone(v.state.turning)}
 	if s.Policy == nil {
 		s.Policy = &Policy{}
 	}
--- a/relay/carry.go
+++ b/relay/carry.go
@@ -35,6 +35,7 @@
 	marks []uint64
 	tried map[word.WorkerId]bool
 
+	extra bool   // a reading that failed is yet to be counted
 	sends int    // counted: emits, and readings turned away or repeated
 	ran   bool   // it may have run
 	begun bool   // the caller has the head of an answer
@@ -170,13 +171,10 @@
 
 // pay counts one more sending, and takes it from the shared budget unless it is the first.
 func (t *trip) pay() bool {
-	if t.sends == 0 {
-		t.sends++
-		return true
-	}
-	if t.sends >= max(1, t.route.Tries) || !t.n.spend() {
+	if t.sends >= max(1, t.route.Tries) || (t.sends > 0 || t.extra) && !t.n.spend() {
 		return false
 	}
+	t.extra = false
 	t.sends++
 	return true
 }
@@ -222,9 +220,10 @@
 		if breakdown.Is(err, breakdown.Bounced) && breakdown.Step(err) == dialStep {
 			continue // it never arrived
 		}
+		// It may not have been taken up, and then counts like any other sending.
+		t.extra = true
 		if breakdown.Is(err, breakdown.Bounced) || breakdown.Is(err, breakdown.Stale) {
 			t.sends++
-			t.n.spend()
 		}
 		return nil, err
 	}
--- a/relay/node.go
+++ b/relay/node.go
@@ -40,6 +40,7 @@
 	Spare   int           // 5: requests besides that in a second
 	Silence time.Duration // 900ms: a reading worker that says nothing is left
 	Pace    float64       // 50: prompt tokens that a worker reads in a ms
+	Turn    time.Duration // 500ms between looks at whether a worker should change its part; below 0 never
 	Trace   func(Event)
 }
 
@@ -48,6 +49,7 @@
 	word.Or(&o.Renew, 500*time.Millisecond)
 	word.Or(&o.Roster, 700*time.Millisecond)
 	word.Or(&o.Window, 10*time.Second)
+	word.Or(&o.Turn, 500*time.Millisecond)
 	word.Or(&o.Silence, 900*time.Millisecond)
 	if o.Ratio == 0 {
 		o.Ratio = 0.2
@@ -130,7 +132,7 @@
 func (n *Node) Run(ctx context.Context, linger, grace time.Duration) {
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){n.agent.Run, n.rosters, n.watch} {
+	for _, f := range []func(context.Context){n.agent.Run, n.rosters, n.watch, n.turner} {
 		wg.Go(func() { f(inner) })
 	}
 	<-ctx.Done()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -78,6 +78,26 @@
 	Load   *Load
 }
 
+// Report is what a worker tells of itself when asked, some moments old.
+type Report struct {
+	Part    word.Part
+	Turning bool // an order is under way
+	Orders  int  // taken in this life
+	Waiting int
+	Running int
+	Used    int // tokens of memory that cannot give way
+	Room    int
+}
+
+// Order changes the part that a worker plays. Only the holder of the service's duty
+// sends one.
+type Order struct {
+	To    word.Part
+	Owner word.NodeId
+	Fence word.Fence
+	After int // orders that the worker is expected to have taken
+}
+
 // Backend reaches workers. Errors are breakdowns: Bounced where the request was surely
 // not run, Stale where another life has the address, Lost where the memory cannot be
 // had and nothing was run, Unknown where it may have been run.
@@ -86,6 +106,8 @@
 	Read(ctx context.Context, w Worker, r *Request, left time.Duration, urgency int) (*Memo, error)
 	Emit(ctx context.Context, w Worker, r *Request, src *Source, from string, left time.Duration, urgency int) (*Reply, error)
 	Free(ctx context.Context, w Worker, handle string) error
+	Report(ctx context.Context, w Worker) (*Report, error)
+	Order(ctx context.Context, w Worker, o *Order) error
 	Close()
 }
 
--- a/relay/roster.go
+++ b/relay/roster.go
@@ -74,7 +74,8 @@
 
 // fit tells whether a worker may get new work under a sight.
 func fit(s *lore.Sight, w *Worker) bool {
-	return !w.Leaving && !s.Zones[w.Zone] && !s.Drained[w.Id]
+	_, turning := s.Turning[w.Id]
+	return !w.Leaving && !turning && !s.Zones[w.Zone] && !s.Drained[w.Id]
 }
 
 // coldFor tells how much longer a worker counts as cold.
--- /dev/null
+++ b/relay/turn.go
@@ -0,0 +1,255 @@
+// Turning: the one holder of a service's duty looks at the workers' reports and has one
+// change its part when the other part is pressed. The workers need not check fences, so
+// the lease alone protects: a holder sends its first order only once any earlier one's
+// lease has surely lapsed. All nodes hear of a turn before the order goes out, so that
+// nothing new is sent to the worker meanwhile.
+
+package relay
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/crux"
+	"keelstair.example/lore"
+	"keelstair.example/seam"
+	"keelstair.example/word"
+)
+
+const (
+	turnDwell = 1200 * time.Millisecond // between two turns of a service
+	turnWait  = 8 * time.Second         // then a turn that shows no end is given up
+	turnWarn  = 350 * time.Millisecond  // for all nodes to hear of it
+	pressRead = 0.9                     // prompts at each reading worker
+	pressEmit = 0.6                     // of the places of emitting workers
+	easyEmit  = 0.4
+)
+
+type duty struct {
+	fence  word.Fence
+	since  word.Tick
+	last   word.Tick // when the last turn ended
+	read   float64   // smoothed
+	emit   float64
+	looked word.Tick
+}
+
+type turn struct {
+	began word.Tick
+	sent  bool
+	after int
+}
+
+// turner does the duties that are this node's.
+func (n *Node) turner(ctx context.Context) {
+	if n.opt.Turn < 0 {
+		return
+	}
+	duties := map[string]*duty{}
+	turns := map[word.WorkerId]*turn{}
+	for seam.Sleep(ctx, n.opt.Turn) {
+		s := n.view.Sight()
+		for name := range s.Policy.Services {
+			key := lore.ServiceKey(name)
+			fence, ok := n.agent.Held(key)
+			if !ok {
+				delete(duties, name)
+				continue
+			}
+			d := duties[name]
+			if d == nil || d.fence != fence {
+				d = &duty{fence: fence, since: n.now(), last: n.now(), read: 0.5, emit: 0.2}
+				duties[name] = d
+			}
+			if n.now().Past(d.since, n.opt.Lease+n.opt.Lease/5) {
+				svc := s.Policy.Services[name]
+				n.look(ctx, s, &svc, key, d, turns)
+			}
+		}
+	}
+}
+
+func (n *Node) submitTurn(ctx context.Context, t *lore.Turn) bool {
+	cx, stop := context.WithTimeout(ctx, 700*time.Millisecond)
+	defer stop()
+	_, err := n.agent.Submit(cx, word.OpId("turn/"+crux.Name()), lore.TurnKind, crux.Pack(t))
+	return err == nil
+}
+
+type report struct {
+	*Report
+	w *Worker
+}
+
+// look asks the workers, ends turns that are over, and begins one where it helps.
+func (n *Node) look(ctx context.Context, s *lore.Sight, svc *lore.Service, key word.Key, d *duty, turns map[word.WorkerId]*turn) {
+	ros := n.roster.Load()
+	listed := map[word.WorkerId]*Worker{}
+	mine := false
+	for i := range ros.all {
+		if w := &ros.all[i]; w.Service == svc.Name {
+			listed[w.Id] = w
+			if _, on := s.Turning[w.Id]; on {
+				mine = true
+			}
+		}
+	}
+	for id, to := range s.Turning {
+		w := listed[id]
+		if w == nil && !n.elsewhere(id) || w != nil && n.over(ctx, w, to, key, d, turns) {
+			if n.submitTurn(ctx, &lore.Turn{Worker: id, Done: true}) {
+				delete(turns, id)
+				d.last = n.now()
+			}
+		}
+	}
+	if mine || !n.now().Past(d.looked, 2*n.opt.Turn-50*time.Millisecond) {
+		return
+	}
+	d.looked = n.now()
+	rows := n.reports(ctx, s, listed)
+	read, emit := d.weigh(rows, svc)
+	if !n.now().Past(d.last, turnDwell) {
+		return
+	}
+	w, to := choose(rows, read, emit)
+	if w == nil {
+		return
+	}
+	if n.submitTurn(ctx, &lore.Turn{Worker: w.w.Id, To: to}) {
+		turns[w.w.Id] = &turn{began: n.now(), after: w.Orders}
+		n.opt.Ring.Info().Str("worker", string(w.w.Id)).Str("to", string(to)).Float64("read", read).Float64("emit", emit).Msg("turns a worker")
+	}
+}
+
+// elsewhere tells that another service's worker, or one whose list is not known, has it.
+func (n *Node) elsewhere(id word.WorkerId) bool {
+	ros := n.roster.Load()
+	for i := range ros.all {
+		if ros.all[i].Id == id {
+			return true
+		}
+	}
+	return len(ros.all) == 0
+}
+
+// over sends the order of a turn once all have heard of it, and tells when it is done.
+func (n *Node) over(ctx context.Context, w *Worker, to word.Part, key word.Key, d *duty, turns map[word.WorkerId]*turn) bool {
+	now := n.now()
+	t := turns[w.Id]
+	if t == nil { // an earlier holder began it
+		t = &turn{began: now, sent: true}
+		turns[w.Id] = t
+	}
+	switch {
+	case w.Part == to, now.Past(t.began, turnWait), w.Leaving:
+		return true
+	case t.sent || !now.Past(t.began, turnWarn):
+		return false
+	}
+	t.sent = true
+	fence, end, ok := n.agent.Begin(key)
+	if !ok || fence != d.fence {
+		if ok {
+			end()
+		}
+		return true
+	}
+	defer end()
+	cx, stop := context.WithTimeout(ctx, 600*time.Millisecond)
+	defer stop()
+	err := n.opt.Back.Order(cx, *w, &Order{To: to, Owner: n.me.Node, Fence: fence, After: t.after})
+	return breakdown.Is(err, breakdown.Bounced)
+}
+
+// reports asks all workers that may be counted on, side by side.
+func (n *Node) reports(ctx context.Context, s *lore.Sight, listed map[word.WorkerId]*Worker) []report {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var out []report
+	for _, w := range listed {
+		if !fit(s, w) || w.Part == "" {
+			continue
+		}
+		wg.Go(func() {
+			cx, stop := context.WithTimeout(ctx, 400*time.Millisecond)
+			defer stop()
+			r, err := n.opt.Back.Report(cx, *w)
+			if err != nil || r.Turning || r.Part != w.Part {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, report{r, w})
+		})
+	}
+	wg.Wait()
+	sort.Slice(out, func(i, j int) bool { return out[i].w.Id < out[j].w.Id })
+	return out
+}
+
+// weigh gives the smoothed prompts at each reading worker, and the part of the emitting
+// workers' places or memory that is taken.
+func (d *duty) weigh(rows []report, svc *lore.Service) (read, emit float64) {
+	var readers, emitters, prompts, streams, used, room int
+	for _, r := range rows {
+		if r.Part == word.Prefill {
+			readers, prompts = readers+1, prompts+r.Running+r.Waiting
+		} else {
+			emitters, streams, used, room = emitters+1, streams+r.Running+r.Waiting, used+r.Used, room+r.Room
+		}
+	}
+	if readers > 0 {
+		d.read += 0.4 * (float64(prompts)/float64(readers) - d.read)
+	}
+	if emitters > 0 && room > 0 {
+		taken := max(float64(streams)/float64(emitters*max(1, svc.Slots)), float64(used)/float64(room))
+		d.emit += 0.4 * (taken - d.emit)
+	}
+	return d.read, d.emit
+}
+
+// choose names a worker that should turn, the least busy of the part that can spare one,
+// in the zone that has the most of it.
+func choose(rows []report, read, emit float64) (*report, word.Part) {
+	readers, emitters := 0, 0
+	zones := map[word.Part]map[word.Zone]int{word.Prefill: {}, word.Decode: {}}
+	for _, r := range rows {
+		if r.Part == word.Prefill {
+			readers++
+		} else {
+			emitters++
+		}
+		zones[r.Part][r.w.Zone]++
+	}
+	from, to := word.Part(""), word.Part("")
+	switch {
+	case readers+emitters < 2:
+		return nil, ""
+	case readers == 0 && emitters > 1:
+		from, to = word.Decode, word.Prefill
+	case emitters == 0 && readers > 1:
+		from, to = word.Prefill, word.Decode
+	case read > pressRead && emitters > 2 && emit*float64(emitters)/float64(emitters-1) < easyEmit:
+		from, to = word.Decode, word.Prefill
+	case emit > pressEmit && readers > 2 && read*float64(readers)/float64(readers-1) < pressRead:
+		from, to = word.Prefill, word.Decode
+	default:
+		return nil, ""
+	}
+	var best *report
+	for i := range rows {
+		r := &rows[i]
+		if r.Part != from {
+			continue
+		}
+		if best == nil || zones[from][r.w.Zone] > zones[from][best.w.Zone] ||
+			zones[from][r.w.Zone] == zones[from][best.w.Zone] && r.Running+r.Waiting < best.Running+best.Waiting {
+			best = r
+		}
+	}
+	return best, to
+}
