--- a/crux/core.go
+++ b/crux/core.go
@@ -250,9 +250,9 @@
 	defer c.regMu.Unlock()
 	if q.Epoch >= c.reg.Accepted.Epoch && q.Epoch >= c.reg.Promised {
 		c.heard[q.From.Disk] = c.opt.Host.Clock.Now()
-		return &AppendReply{Ok: true, Promised: c.reg.Promised}, nil
+		return &AppendReply{Disk: c.me.Disk, Ok: true, Promised: c.reg.Promised}, nil
 	}
-	return &AppendReply{Promised: c.reg.Promised}, nil
+	return &AppendReply{Disk: c.me.Disk, Promised: c.reg.Promised}, nil
 }
 
 // append takes entries as the backup; they are synced before the answer. An
--- a/crux/entry.go
+++ b/crux/entry.go
@@ -28,6 +28,7 @@
 }
 
 type AppendReply struct {
+	Disk     word.DiskId // who answers a beat
 	Ok       bool
 	Last     word.Seq
 	Promised word.Epoch
--- a/crux/entry_gen.go
+++ b/crux/entry_gen.go
@@ -124,9 +124,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *AppendReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
+	// string "Disk"
+	o = append(o, 0x85, 0xa4, 0x44, 0x69, 0x73, 0x6b)
+	o = msgp.AppendString(o, string(z.Disk))
 	// string "Ok"
-	o = append(o, 0x84, 0xa2, 0x4f, 0x6b)
+	o = append(o, 0xa2, 0x4f, 0x6b)
 	o = msgp.AppendBool(o, z.Ok)
 	// string "Last"
 	o = append(o, 0xa4, 0x4c, 0x61, 0x73, 0x74)
@@ -161,6 +164,16 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "Disk":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Disk")
+					return
+				}
+				z.Disk = word.DiskId(zb0002)
+			}
 		case "Ok":
 			z.Ok, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -169,35 +182,35 @@
 			}
 		case "Last":
 			{
-				var zb0002 uint64
-				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Last")
 					return
 				}
-				z.Last = word.Seq(zb0002)
+				z.Last = word.Seq(zb0003)
 			}
 		case "Promised":
 			{
-				var zb0003 uint64
-				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+				var zb0004 uint64
+				zb0004, bts, err = msgp.ReadUint64Bytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Promised")
 					return
 				}
-				z.Promised = word.Epoch(zb0003)
+				z.Promised = word.Epoch(zb0004)
 			}
 		case "Lacks":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Lacks")
 				return
 			}
-			if cap(z.Lacks) >= int(zb0004) {
-				z.Lacks = (z.Lacks)[:zb0004]
+			if cap(z.Lacks) >= int(zb0005) {
+				z.Lacks = (z.Lacks)[:zb0005]
 			} else {
-				z.Lacks = make([]string, zb0004)
+				z.Lacks = make([]string, zb0005)
 			}
 			for za0001 := range z.Lacks {
 				z.Lacks[za0001], bts, err = msgp.ReadStringBytes(bts)
@@ -220,7 +233,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *AppendReply) Msgsize() (s int) {
-	s = 1 + 3 + msgp.BoolSize + 5 + msgp.Uint64Size + 9 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
+	s = 1 + 5 + msgp.StringPrefixSize + len(string(z.Disk)) + 3 + msgp.BoolSize + 5 + msgp.Uint64Size + 9 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
 	for za0001 := range z.Lacks {
 		s += msgp.StringPrefixSize + len(z.Lacks[za0001])
 	}
--- a/crux/lead.go
+++ b/crux/lead.go
@@ -231,7 +231,8 @@
 				cx, stop := context.WithTimeout(ctx, 500*time.Millisecond)
 				defer stop()
 				r, err := wire.Call[AppendAsk, AppendReply](cx, c.call, c.book.Addr(s), "crux/beat", &AppendAsk{Epoch: rec.Epoch, From: c.me})
-				if err == nil && r.Ok {
+				// An empty disk may answer at the address of one that is lost.
+				if err == nil && r.Ok && r.Disk == s.Disk {
 					c.hear(s.Disk)
 				}
 			}()
--- /dev/null
+++ b/crux/wipe_test.go
@@ -0,0 +1,36 @@
+// A disk that is lost while its machine keeps its address.
+
+package crux_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestWipedInPlace: a machine comes back at its address with an empty disk. It is not
+// taken for the disk that is lost: its own takes over that register, so that another
+// lost disk can be borne later.
+func TestWipedInPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := build(5)
+		defer f.close()
+		require.NoError(t, f.add(7, "a", 10*time.Second))
+		time.Sleep(2 * time.Second)
+		wipe := func(ip string) {
+			f.off(ip)
+			f.w.Machine(ip).Wipe()
+			time.Sleep(time.Second)
+			f.core(ip + ":1")
+			time.Sleep(12 * time.Second)
+		}
+		for i, op := range []string{"b", "c", "d"} {
+			wipe(f.leader())
+			require.NoError(t, f.add(1, op, 8*time.Second))
+			time.Sleep(time.Second)
+			require.EqualValues(t, 8+i, f.views[0].sum.Load())
+		}
+	})
+}
