--- a/proof/script.go
+++ b/proof/machines_test.go
@@ -1,6 +1,6 @@
 // Scripts are the brief's failures, each a function over a fleet under load. A
 // seed picks whom a script strikes. This file holds those of machines, disks
-// and the core; others.go those of links, clocks, workers and operators.
+// and the core; others_test.go those of links, clocks, workers and operators.
 
 package proof
 
--- /dev/null
+++ b/relay/alarm_note.go
@@ -0,0 +1,16 @@
+// The message by which nodes warn each other of a worker that fell silent.
+
+package relay
+
+import "keelstair.example/word"
+
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file alarm_note.go
+//msgp:shim word.WorkerId as:string using:string/word.WorkerId
+
+// Alarm names a worker that the sender got no answer from.
+type Alarm struct {
+	Worker word.WorkerId
+}
+
+// Heard answers it.
+type Heard struct{}
--- a/relay/carry.go
+++ b/relay/carry.go
@@ -206,7 +206,14 @@
 		t.tell(passage.Granted, c.w.Id, "")
 		span := min(t.n.opt.Silence+time.Duration(c.cost*2)*time.Millisecond, t.left())
 		cx, stop := context.WithTimeout(ctx, span)
+		cx, take := context.WithCancelCause(cx)
+		f := &flight{take}
+		c.st.board(f)
+		quiet := time.AfterFunc(hush+time.Duration(c.cost)*time.Millisecond, func() { t.n.suspect(*c.w, true) })
 		memo, err := t.n.opt.Back.Read(cx, *c.w, t.r, span, t.route.Urgency)
+		quiet.Stop()
+		c.st.leave(f)
+		take(nil)
 		stop()
 		c.st.end(max(1, c.need))
 		now := t.n.now()
@@ -243,11 +250,12 @@
 	case breakdown.Is(err, breakdown.Lost):
 	case breakdown.Is(err, breakdown.Stale):
 		t.tried[c.w.Id] = true
-		c.st.fault(now)
+		c.st.gone(now)
 	case breakdown.Is(err, breakdown.Bounced) && breakdown.Step(err) != dialStep:
 		c.st.full(now)
 	case ctx.Err() == nil:
 		c.st.fault(now)
+		t.n.suspect(*c.w, true)
 	}
 }
 
@@ -299,22 +307,25 @@
 // run again.
 func (t *trip) offer(ctx context.Context, c *choice, src *Source) (*Reply, error) {
 	cx, stop := context.WithCancelCause(ctx)
-	var quiet *time.Timer
-	if t.route.Again() {
-		quiet = time.AfterFunc(t.patience(), func() { stop(errSilent) })
+	g := &guarded{t: t, c: c, stop: stop}
+	if t.again() {
+		g.flight = &flight{stop}
+		c.st.board(g.flight)
+		g.give = time.AfterFunc(t.patience(), func() { stop(errSilent) })
 	}
+	g.ask = time.AfterFunc(hush, func() { t.n.suspect(*c.w, true) })
 	reply, err := t.n.opt.Back.Emit(cx, *c.w, t.r, src, t.last, t.left(), t.route.Urgency)
-	if quiet != nil {
-		quiet.Stop()
-	}
 	if err != nil {
-		stop(nil)
+		g.done()
 		return nil, err
 	}
-	reply.Body = &guarded{reply.Body, stop}
+	g.ReadCloser, reply.Body = reply.Body, g
 	return reply, nil
 }
 
+// again tells whether this try may run once more.
+func (t *trip) again() bool { return t.route.Again() && t.sends < max(1, t.route.Tries) }
+
 // patience is how long an emitting worker may say nothing before a request that may run
 // again goes elsewhere.
 func (t *trip) patience() time.Duration {
--- a/relay/node.go
+++ b/relay/node.go
@@ -15,6 +15,7 @@
 	"keelstair.example/seam"
 	"keelstair.example/tale"
 	"keelstair.example/whim"
+	"keelstair.example/wire"
 	"keelstair.example/word"
 )
 
@@ -91,6 +92,8 @@
 	zones    sync.Map // word.Zone -> word.Tick, when it was taken back
 	inflight atomic.Int64
 	leaving  atomic.Bool
+	inner    context.Context // ends with Run
+	stop     context.CancelFunc
 }
 
 // New makes a node; it starts nothing.
@@ -107,6 +110,7 @@
 	n.view.Read = opt.Read
 	n.agent = crux.NewAgent(crux.AgentOptions{Me: n.me, Host: opt.Host, Seeds: opt.Seeds, View: n.view, Ring: opt.Ring, Lease: opt.Lease, Renew: opt.Renew})
 	n.roster.Store(&roster{})
+	n.inner, n.stop = context.WithCancel(context.Background())
 	return n, nil
 }
 
@@ -125,12 +129,15 @@
 func (n *Node) Intake() lore.Intake { return n.view.Sight().Policy.Intake }
 
 // Mount puts the node's answers to its peers on a mux.
-func (n *Node) Mount(mux *http.ServeMux) { n.agent.Mount(mux) }
+func (n *Node) Mount(mux *http.ServeMux) {
+	n.agent.Mount(mux)
+	wire.Handle(mux, "relay/alarm", n.hear)
+}
 
 // Run works until the context ends; then it says that it is not ready, goes on for the
 // linger so that callers hear of it, and lets what is under way finish within the grace.
 func (n *Node) Run(ctx context.Context, linger, grace time.Duration) {
-	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	inner := n.inner
 	var wg sync.WaitGroup
 	for _, f := range []func(context.Context){n.agent.Run, n.rosters, n.watch, n.turner} {
 		wg.Go(func() { f(inner) })
@@ -142,7 +149,7 @@
 		seam.Sleep(inner, 50*time.Millisecond)
 	}
 	n.agent.Leave()
-	stop()
+	n.stop()
 	wg.Wait()
 	n.opt.Back.Close()
 }
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -19,15 +19,43 @@
 
 var errSilent = errors.New("the worker says nothing")
 
-// guarded ends the request to the worker when the body is closed.
+// guarded is an answer's body under watch: after a silence the worker is asked for its
+// report, and where the request may go elsewhere, a longer silence ends it.
 type guarded struct {
 	io.ReadCloser
-	stop context.CancelCauseFunc
+	t      *trip
+	c      *choice
+	stop   context.CancelCauseFunc
+	flight *flight
+	ask    *time.Timer
+	give   *time.Timer
+}
+
+func (g *guarded) Read(p []byte) (int, error) {
+	k, err := g.ReadCloser.Read(p)
+	if k > 0 && err == nil {
+		g.ask.Reset(hush + time.Duration(g.t.route.GapMs)*time.Millisecond)
+		if g.give != nil {
+			g.give.Reset(max(600*time.Millisecond, 3*time.Duration(g.t.route.GapMs)*time.Millisecond))
+		}
+	}
+	return k, err
+}
+
+func (g *guarded) done() {
+	g.ask.Stop()
+	if g.give != nil {
+		g.give.Stop()
+	}
+	if g.flight != nil {
+		g.c.st.leave(g.flight)
+	}
+	g.stop(nil)
 }
 
 func (g *guarded) Close() error {
 	err := g.ReadCloser.Close()
-	g.stop(nil)
+	g.done()
 	return err
 }
 
@@ -56,6 +84,7 @@
 	}
 	if err != nil && ctx.Err() == nil && !errors.Is(err, errCaller) {
 		c.st.fault(t.n.now())
+		t.n.suspect(*c.w, true)
 	}
 	return err
 }
@@ -104,13 +133,6 @@
 
 // events copies whole events.
 func (t *trip) events(c *choice, reply *Reply) error {
-	quiet := time.Duration(0)
-	var timer *time.Timer
-	if t.route.Again() {
-		quiet = max(600*time.Millisecond, 3*time.Duration(t.route.GapMs)*time.Millisecond)
-		timer = time.AfterFunc(t.patience(), func() { reply.Body.(*guarded).stop(errSilent) })
-		defer timer.Stop()
-	}
 	var held []byte
 	buf := make([]byte, 8<<10)
 	for {
@@ -128,9 +150,6 @@
 				t.last = id
 			}
 			held = append(held[:0], held[at+2:]...)
-			if timer != nil {
-				timer.Reset(quiet)
-			}
 		}
 		if err == io.EOF {
 			if err := t.head(reply, -1); err != nil {
--- a/relay/roster.go
+++ b/relay/roster.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"keelstair.example/lore"
@@ -28,6 +29,8 @@
 	reads   int // under way from here, in prompt tokens
 	readers int
 	emits   int
+	flights map[*flight]bool
+	watched atomic.Bool
 	cached  map[uint64]word.Tick // beginnings of prompts that it was seen to have read
 }
 
@@ -95,6 +98,13 @@
 	s.shun = now.Add(time.Duration(s.faults) * 700 * time.Millisecond)
 }
 
+// gone notes that another life has the worker's address.
+func (s *state) gone(now word.Tick) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shun = now.Add(time.Minute)
+}
+
 // full notes that a worker turned a request away.
 func (s *state) full(now word.Tick) {
 	s.mu.Lock()
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -24,8 +24,10 @@
 	turnWait  = 8 * time.Second         // then a turn that shows no end is given up
 	turnWarn  = 350 * time.Millisecond  // for all nodes to hear of it
 	pressRead = 0.9                     // prompts at each reading worker
-	pressEmit = 0.6                     // of the places of emitting workers
-	easyEmit  = 0.4
+	pressEmit = 0.45                    // of the places of emitting workers
+	easyEmit  = 0.3
+	fullEmit  = 0.8 // pressed beyond what readers may weigh against it
+	leastPart = 3   // one of so many workers keeps each part
 )
 
 type duty struct {
@@ -226,6 +228,7 @@
 		zones[r.Part][r.w.Zone]++
 	}
 	from, to := word.Part(""), word.Part("")
+	least := max(1, (readers+emitters+leastPart-1)/leastPart)
 	switch {
 	case readers+emitters < 2:
 		return nil, ""
@@ -233,9 +236,9 @@
 		from, to = word.Decode, word.Prefill
 	case emitters == 0 && readers > 1:
 		from, to = word.Prefill, word.Decode
-	case read > pressRead && emitters > 2 && emit*float64(emitters)/float64(emitters-1) < easyEmit:
+	case read > pressRead && emitters > least && emit*float64(emitters)/float64(emitters-1) < easyEmit:
 		from, to = word.Decode, word.Prefill
-	case emit > pressEmit && readers > 2 && read*float64(readers)/float64(readers-1) < pressRead:
+	case emit > pressEmit && readers > least && (emit > fullEmit || read*float64(readers)/float64(readers-1) < pressRead):
 		from, to = word.Prefill, word.Decode
 	default:
 		return nil, ""
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -40,6 +40,8 @@
     ("compare-and-set", "lore/state.go", "if c.Base != s.newest() {", "if false {", "proof", "TestScripts/operators-race|TestBadPolicies"),
     ("held-picks", "lore/view.go", "func (v *View) Settled() bool { return uint64(v.sight.Load().Version) >= v.heard.Load() }", "func (v *View) Settled() bool { return true }", "lore", "TestHeard"),
     ("current", "verge/beats.go", "return heard*2 > len(ms)", "return true", "proof", "TestScripts/storm-with-a-node-cut-from-its"),
+    ("current-by-answers", "verge/beats.go", "!now.Past(v.(mate).told, currentSpan)", "!now.Past(v.(mate).at, currentSpan)", "verge", "TestCurrentByAnswers"),
+    ("current-from-asking", "verge/beats.go", "n.learn(ctx, m, r, asked)", "_ = asked\n					n.learn(ctx, m, r, n.now())", "verge", "TestCurrentByAnswers"),
     ("stale-after-claim", "passage/controller.go", "if h.Stale() {", "if h.Stale() && false {", "passage", "TestStaleAfterClaim"),
     ("silent-nodes", "lore/machine.go", "seen >= d.seq || now.Past(d.at, m.wait)", "seen >= d.seq", "lore", "TestActivation"),
     ("replace-holders", "crux/lead.go", "if s.Disk == c.me.Disk || !now.Past(at, c.opt.Replace) {", "if true || now.Past(at, c.opt.Replace) {", "proof", "TestScripts/rolling-replacement"),
--- a/verge/beats.go
+++ b/verge/beats.go
@@ -24,6 +24,7 @@
 
 type mate struct {
 	at     word.Tick
+	told   word.Tick // when it was asked what it then answered
 	fresh  time.Duration
 	stands []Stand
 	leave  []word.WorkerId
@@ -54,7 +55,8 @@
 func (n *Node) beats(ctx context.Context) {
 	for seam.Sleep(ctx, n.opt.Beat) {
 		b := n.beat()
-		n.note(b)
+		n.note(b, 0)
+		asked := n.now()
 		var wg sync.WaitGroup
 		for _, m := range n.agent.Members() {
 			if m.Node == n.me.Node {
@@ -64,7 +66,7 @@
 				cx, stop := context.WithTimeout(ctx, 2*n.opt.Beat)
 				defer stop()
 				if r, err := wire.Call[Beat, Beat](cx, n.call, m.Addr, "verge/beat", b); err == nil {
-					n.learn(ctx, m, r)
+					n.learn(ctx, m, r, asked)
 				}
 			})
 		}
@@ -76,23 +78,26 @@
 func (n *Node) hearBeat(ctx context.Context, b *Beat) (*Beat, error) {
 	for _, m := range n.agent.Members() {
 		if m.Node == b.Node {
-			n.learn(context.WithoutCancel(ctx), m, b)
+			n.learn(context.WithoutCancel(ctx), m, b, 0)
 		}
 	}
 	return n.beat(), nil
 }
 
-func (n *Node) note(b *Beat) {
-	n.mates.Store(b.Node, mate{n.now(), time.Duration(b.Fresh), b.Workers, b.Leaving})
+func (n *Node) note(b *Beat, told word.Tick) {
+	if v, ok := n.mates.Load(b.Node); ok {
+		told = max(told, v.(mate).told)
+	}
+	n.mates.Store(b.Node, mate{n.now(), told, time.Duration(b.Fresh), b.Workers, b.Leaving})
 }
 
 // learn takes a neighbour's beat; it counts as heard once its version is noted. A newer version than is staged here is
 // fetched from that neighbour at once.
-func (n *Node) learn(ctx context.Context, m crux.Member, b *Beat) {
+func (n *Node) learn(ctx context.Context, m crux.Member, b *Beat, told word.Tick) {
 	if !n.view.Heard(b.Version) {
 		go n.agent.Fetch(ctx, m.Addr)
 	}
-	n.note(b)
+	n.note(b, told)
 }
 
 // sum joins what was told lately: the stands, where the highest fence speaks for a
@@ -176,7 +181,8 @@
 
 // current tells that this node would have heard of a newer version: within the last
 // half second the core confirmed it, with all news up to then folded, or most members,
-// with it, were heard. A staged
+// with it, answered what they were asked since. (A beat that comes by itself may have
+// waited behind a cut and tell of the time before it.) A staged
 // version waits for silent nodes nearly as long before it is in force anywhere.
 func (n *Node) current() bool {
 	if n.agent.Caught(currentSpan) {
@@ -185,7 +191,7 @@
 	ms := n.agent.Members()
 	now, heard := n.now(), 1
 	for _, m := range ms {
-		if v, ok := n.mates.Load(m.Node); ok && m.Node != n.me.Node && !now.Past(v.(mate).at, currentSpan) {
+		if v, ok := n.mates.Load(m.Node); ok && m.Node != n.me.Node && !now.Past(v.(mate).told, currentSpan) {
 			heard++
 		}
 	}
