--- a/crux/agent.go
+++ b/crux/agent.go
@@ -111,7 +111,7 @@
 // goodbye, so that its keys pass on at once.
 func (a *Agent) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go(func() { a.book.Keep(ctx) })
+	wg.Go(func() { a.book.Keep(ctx, func() bool { return a.sent.Load() > 0 && a.Fresh() < 3*a.opt.Renew }) })
 	wg.Go(func() { a.follow(ctx) })
 	wg.Go(func() { a.keep(ctx) })
 	wg.Go(func() {
--- a/crux/book.go
+++ b/crux/book.go
@@ -192,14 +192,18 @@
 	wg.Wait()
 }
 
-// Keep asks for ever: often while the core is unknown, seldom afterwards.
-func (b *Book) Keep(ctx context.Context) {
+// Keep asks for ever: often while the core is unknown, seldom afterwards, and hardly
+// while all is calm, since whoever moves asks the others.
+func (b *Book) Keep(ctx context.Context, calm func() bool) {
 	for {
-		b.Ask(ctx, 4)
-		wait := time.Second
-		if b.Record().Founding == "" {
+		most, wait := 4, time.Second
+		switch {
+		case b.Record().Founding == "":
 			wait = 200 * time.Millisecond
+		case calm():
+			most, wait = 1, 4*time.Second
 		}
+		b.Ask(ctx, most)
 		if !seam.Sleep(ctx, wait/2+rand.N(wait)) {
 			return
 		}
--- a/crux/core.go
+++ b/crux/core.go
@@ -145,7 +145,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	var wg sync.WaitGroup
-	wg.Go(func() { c.book.Keep(ctx) })
+	wg.Go(func() { c.book.Keep(ctx, c.calm) })
 	wg.Go(func() {
 		if c.opt.Anew {
 			if err := c.anew(ctx); err != nil {
@@ -168,6 +168,14 @@
 	return err
 }
 
+// calm tells that this core is a holder that leads, or hears the one that does.
+func (c *Core) calm() bool {
+	rec, _ := c.accepted()
+	c.regMu.Lock()
+	defer c.regMu.Unlock()
+	return holds(rec.Holders, c.me.Disk) && c.alive(rec.Primary.Disk, c.opt.Host.Clock.Now())
+}
+
 // keepBook saves the whereabouts now and then, so that a restart finds others
 // even when every seed has gone.
 func (c *Core) keepBook(ctx context.Context) {
--- a/lore/machine.go
+++ b/lore/machine.go
@@ -77,6 +77,9 @@
 			m.keys = append(m.keys, WorkerKey(id))
 			pools[w.Model] = true
 		}
+		if len(p.Services) > 0 {
+			m.keys = append(m.keys, RosterKey)
+		}
 		for n := range p.Services {
 			m.keys = append(m.keys, ServiceKey(n))
 		}
--- a/lore/turn.go
+++ b/lore/turn.go
@@ -24,6 +24,9 @@
 	Done   bool
 }
 
+// RosterKey is the duty of asking the platform which workers there are.
+const RosterKey word.Key = "roster"
+
 // ServiceKey is the duty of a service's workers: who may order them.
 func ServiceKey(name string) word.Key { return word.Key("service/" + name) }
 
--- a/relay/node.go
+++ b/relay/node.go
@@ -132,6 +132,7 @@
 func (n *Node) Mount(mux *http.ServeMux) {
 	n.agent.Mount(mux)
 	wire.Handle(mux, "relay/alarm", n.hear)
+	wire.Handle(mux, "relay/list", n.serveList)
 }
 
 // Run works until the context ends; then it says that it is not ready, goes on for the
--- /dev/null
+++ b/relay/state.go
@@ -0,0 +1,112 @@
+// What this node knows of each life of a worker.
+
+package relay
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"keelstair.example/lore"
+	"keelstair.example/word"
+)
+
+// state is what this node knows of one life of a worker.
+type state struct {
+	mu      sync.Mutex
+	load    Load
+	loadAt  word.Tick
+	shun    word.Tick // nothing is sent before
+	faults  int
+	reads   int // under way from here, in prompt tokens
+	readers int
+	emits   int
+	flights map[*flight]bool
+	watched atomic.Bool
+	cached  map[uint64]word.Tick // beginnings of prompts that it was seen to have read
+}
+
+func (n *Node) state(id word.WorkerId) *state {
+	if v, ok := n.states.Load(id); ok {
+		return v.(*state)
+	}
+	v, _ := n.states.LoadOrStore(id, &state{cached: map[uint64]word.Tick{}})
+	return v.(*state)
+}
+
+// fit tells whether a worker may get new work under a sight.
+func fit(s *lore.Sight, w *Worker) bool {
+	_, turning := s.Turning[w.Id]
+	return !w.Leaving && !turning && !s.Zones[w.Zone] && !s.Drained[w.Id]
+}
+
+// coldFor tells how much longer a worker counts as cold.
+func (n *Node) coldFor(w *Worker, svc *lore.Service, asked, now word.Tick) time.Duration {
+	left := w.Cold - now.Since(asked)
+	if at, ok := n.zones.Load(w.Zone); ok && svc.WarmMs > 0 {
+		left = max(left, time.Duration(svc.WarmMs)*time.Millisecond+time.Second-now.Since(at.(word.Tick)))
+	}
+	return max(left, 0)
+}
+
+// fault notes that a worker failed; it is left alone for a while, longer each time.
+func (s *state) fault(now word.Tick) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = min(s.faults+1, 4)
+	s.shun = now.Add(time.Duration(s.faults) * 700 * time.Millisecond)
+}
+
+// gone notes that another life has the worker's address.
+func (s *state) gone(now word.Tick) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shun = now.Add(time.Minute)
+}
+
+// full notes that a worker turned a request away.
+func (s *state) full(now word.Tick) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shun = max(s.shun, now.Add(150*time.Millisecond))
+}
+
+func (s *state) well(l *Load, now word.Tick) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = 0
+	if l != nil {
+		s.load, s.loadAt = *l, now
+	}
+}
+
+// keepParts bounds the memory of what a worker has read.
+const keepParts = 4096
+
+func (s *state) begin(reads int, marks []uint64, now word.Tick) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if reads > 0 {
+		s.reads += reads
+		s.readers++
+	} else {
+		s.emits++
+	}
+	if len(s.cached) > keepParts {
+		clear(s.cached)
+	}
+	for _, m := range marks {
+		s.cached[m] = now
+	}
+}
+
+func (s *state) end(reads int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if reads > 0 {
+		s.reads -= reads
+		s.readers--
+	} else {
+		s.emits--
+	}
+}
