--- a/lore/policy.cue
+++ b/lore/policy.cue
@@ -64,6 +64,7 @@
 	stream:     *false | bool
 	repeatable: *false | bool
 	resumable:  *false | bool
+	apart:      *false | bool
 	tries:      *1 | (int & >0 & <=10)
 	deadlineMs: int & >0 & <=3600000
 	aimMs:      *deadlineMs | (int & >0)
--- a/lore/route.go
+++ b/lore/route.go
@@ -30,6 +30,7 @@
 	Stream     bool    `json:"stream,omitempty"`
 	Repeatable bool    `json:"repeatable,omitempty"` // a try may run more than once
 	Resumable  bool    `json:"resumable,omitempty"`  // a stream may go on elsewhere
+	Apart      bool    `json:"apart,omitempty"`      // prompts are read at one worker and answered at another
 	Tries      int     `json:"tries"`
 	DeadlineMs int     `json:"deadlineMs"`
 	AimMs      int     `json:"aimMs"`
--- a/relay/carry.go
+++ b/relay/carry.go
@@ -101,13 +101,13 @@
 func (t *trip) run(ctx context.Context) error {
 	var src *Source
 	var why error
-	split := t.last == ""
+	split := t.route.Apart && t.last == ""
 	for {
 		if split {
 			src, why = t.read(ctx)
 			split = false
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || t.ran && !t.route.Again() {
 			return t.giveUp(why, http.StatusGatewayTimeout)
 		}
 		w, reply, err := t.emit(ctx, src)
@@ -227,6 +227,7 @@
 		if breakdown.Is(err, breakdown.Bounced) && breakdown.Step(err) == dialStep {
 			continue // it never arrived
 		}
+		t.ran = t.ran || breakdown.Is(err, breakdown.Bad)
 		// It may not have been taken up, and then counts like any other sending.
 		t.extra = true
 		if breakdown.Is(err, breakdown.Bounced) || breakdown.Is(err, breakdown.Stale) {
--- /dev/null
+++ b/relay/check_test.go
@@ -0,0 +1,325 @@
+// Checkers over the yard's book and the callers' ends, and planted violations that each
+// of them must catch.
+
+package relay
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/word"
+)
+
+// onceOnly: what may not be repeated runs once at most, and does not end in a refusal
+// once it was offered and not turned away; a refusal means that nothing ran.
+func onceOnly(rows []row, ends []*asked) []string {
+	var out []string
+	ran, took := map[string]int{}, map[string]int{}
+	for _, k := range rows {
+		if k.Kind == "emit" && k.Ran {
+			ran[k.Req]++
+		}
+		if k.Kind == "emit" && k.Took {
+			took[k.Req]++
+		}
+	}
+	for _, a := range ends {
+		if !a.again && ran[a.Id] > 1 {
+			out = append(out, fmt.Sprintf("%s ran %d times", a.Id, ran[a.Id]))
+		}
+		if _, no := a.err.(*Refusal); no && ran[a.Id] > 0 {
+			out = append(out, fmt.Sprintf("%s was refused, and ran", a.Id))
+		} else if no && !a.again && took[a.Id] > 0 {
+			out = append(out, fmt.Sprintf("%s was refused, and was offered", a.Id))
+		}
+		if a.err == nil && ran[a.Id] == 0 {
+			out = append(out, fmt.Sprintf("%s is answered, and never ran", a.Id))
+		}
+	}
+	return out
+}
+
+// ended: every request has an end, in time, of one of the three sorts.
+func ended(ends []*asked, most time.Duration) []string {
+	var out []string
+	for _, a := range ends {
+		switch a.err.(type) {
+		case nil, *Refusal, *Broken:
+		default:
+			out = append(out, fmt.Sprintf("%s ends with %T", a.Id, a.err))
+		}
+		if !a.ended || a.end-a.at > most {
+			out = append(out, fmt.Sprintf("%s took %s", a.Id, a.end-a.at))
+		}
+	}
+	return out
+}
+
+// answers: a success has the whole answer, each event once and in order, after the one
+// that the caller had; a broken one has whole events of it only (or whole bytes of a
+// plain answer); a refused one has nothing.
+func answers(ends []*asked) []string {
+	var out []string
+	for _, a := range ends {
+		got, first := a.sink.text(), 0
+		fmt.Sscan(a.From, &first)
+		if _, no := a.err.(*Refusal); no && (got != "" || a.sink.heads > 0) {
+			out = append(out, a.Id+" is refused and has bytes")
+		}
+		if b, no := a.err.(*Broken); no && b.Begun != (a.sink.heads > 0) {
+			out = append(out, a.Id+" does not tell whether it began")
+		}
+		if a.sink.heads > 1 {
+			out = append(out, a.Id+" has two heads")
+		}
+		if a.sink.heads > 0 && a.sink.status != 200 {
+			continue
+		}
+		if !a.stream {
+			want := ""
+			for i := 1; i <= a.Most; i++ {
+				want += fmt.Sprintf("word-%d of %s;", i, a.Id)
+			}
+			if a.err == nil && got != want || !strings.HasPrefix(want, got) {
+				out = append(out, a.Id+" has another answer")
+			}
+			continue
+		}
+		n := first
+		for got != "" {
+			n++
+			event := fmt.Sprintf("id: %d\ndata: word-%d of %s\n\n", n, n, a.Id)
+			if !strings.HasPrefix(got, event) {
+				out = append(out, fmt.Sprintf("%s has %q where event %d should stand", a.Id, got[:min(len(got), 40)], n))
+				break
+			}
+			got = got[len(event):]
+		}
+		if a.err == nil && got == "" && n != a.Most {
+			out = append(out, fmt.Sprintf("%s completed after event %d of %d", a.Id, n, a.Most))
+		}
+	}
+	return out
+}
+
+// extras: arrivals beyond the first of each request, apart from one reading that worked,
+// stay within ratio x requests + allowance in every window.
+func extras(rows []row, ends []*asked, ratio, allow float64, window time.Duration) []string {
+	var out []string
+	type step struct {
+		at    time.Duration
+		extra bool
+	}
+	var steps []step
+	for _, a := range ends {
+		steps = append(steps, step{a.at, false})
+	}
+	count := map[string]int{}
+	for _, k := range rows {
+		if k.Kind == "emit" || k.Kind == "read" {
+			if count[k.Req]++; count[k.Req] > 1 {
+				steps = append(steps, step{k.At, true})
+			}
+			if k.Kind == "read" && k.Ran {
+				count[k.Req]--
+			}
+		}
+	}
+	sort.SliceStable(steps, func(i, j int) bool { return steps[i].at < steps[j].at })
+	low, asks, extra := 0, 0, 0
+	for _, s := range steps {
+		if s.extra {
+			extra++
+		} else {
+			asks++
+		}
+		for ; s.at-steps[low].at > window; low++ {
+			if steps[low].extra {
+				extra--
+			} else {
+				asks--
+			}
+		}
+		if s.extra && float64(extra) > ratio*float64(asks)+allow {
+			out = append(out, fmt.Sprintf("at %s: %d extra arrivals for %d requests", s.at, extra, asks))
+		}
+	}
+	return out
+}
+
+// coldRate: in no second do more than so many arrivals come to one cold worker.
+func coldRate(rows []row, most int) []string {
+	var out []string
+	by := map[word.WorkerId][]time.Duration{}
+	for _, k := range rows {
+		if !k.Cold || k.Kind != "read" && k.Kind != "emit" {
+			continue
+		}
+		at := append(by[k.Worker], k.At)
+		by[k.Worker] = at
+		if n := len(at); n > most && at[n-1]-at[n-1-most] < time.Second {
+			out = append(out, fmt.Sprintf("at %s: over %d in a second to %s", k.At, most, k.Worker))
+		}
+	}
+	return out
+}
+
+// leftAlone: nothing new goes to a worker that the node has known for a moment to be
+// leaving, turning, drained or in an evacuated zone.
+func leftAlone(rows []row, moment time.Duration) []string {
+	var out []string
+	for _, k := range rows {
+		if (k.Kind == "read" || k.Kind == "emit") && k.Off > moment {
+			out = append(out, fmt.Sprintf("at %s: %s sends a %s to %s, known as off for %s", k.At, k.Node, k.Kind, k.Worker, k.Off))
+		}
+	}
+	return out
+}
+
+// sentTo lists arrivals at a worker within a span.
+func sentTo(rows []row, id word.WorkerId, from, to time.Duration) []string {
+	var out []string
+	for _, k := range rows {
+		if (k.Kind == "read" || k.Kind == "emit") && k.Worker == id && k.At >= from && k.At < to {
+			out = append(out, fmt.Sprintf("at %s: %s of %s from %s", k.At, k.Kind, k.Req, k.Node))
+		}
+	}
+	return out
+}
+
+// ordersApart: orders of different owners to one worker are a lease apart at least, and
+// fences never fall.
+func ordersApart(rows []row, lease time.Duration) []string {
+	var out []string
+	last := map[word.WorkerId]row{}
+	for _, k := range rows {
+		if k.Kind != "order" {
+			continue
+		}
+		if old, ok := last[k.Worker]; ok {
+			if old.Owner != k.Owner && k.At-old.At < lease {
+				out = append(out, fmt.Sprintf("at %s: %s orders %s, %s after %s did", k.At, k.Owner, k.Worker, k.At-old.At, old.Owner))
+			}
+			if k.Fence < old.Fence {
+				out = append(out, fmt.Sprintf("at %s: fence %d after %d at %s", k.At, k.Fence, old.Fence, k.Worker))
+			}
+		}
+		last[k.Worker] = k
+	}
+	return out
+}
+
+// thirds: each part keeps a third of the workers (rounded up, one at least), by what
+// orders make of them.
+func thirds(rows []row, parts map[word.WorkerId]word.Part) []string {
+	var out []string
+	now := map[word.WorkerId]word.Part{}
+	for id, p := range parts {
+		now[id] = p
+	}
+	least := (len(parts) + 2) / 3
+	for _, k := range rows {
+		if k.Kind != "order" || !k.Took {
+			continue
+		}
+		now[k.Worker] = k.To
+		count := map[word.Part]int{}
+		for _, p := range now {
+			count[p]++
+		}
+		if count[word.Prefill] < least || count[word.Decode] < least {
+			out = append(out, fmt.Sprintf("at %s: %v are left", k.At, count))
+		}
+	}
+	return out
+}
+
+// kept lists handles that were neither fetched nor freed.
+func kept(y *yard) []string {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	var out []string
+	for name, h := range y.handles {
+		if h.had == 0 && !h.freed {
+			out = append(out, name+" of "+h.req)
+		}
+	}
+	return out
+}
+
+// TestPlanted: each checker keeps silent on a clean book and catches its own violation.
+func TestPlanted(t *testing.T) {
+	event := func(i int) string { return fmt.Sprintf("id: %d\ndata: word-%d of r\n\n", i, i) }
+	end := func(err error, path, got string) []*asked {
+		s := &sink{got: []byte(got)}
+		if got != "" {
+			s.heads, s.status = 1, 200
+		}
+		return []*asked{{Request: &Request{Id: "r", Path: path, Most: 2}, err: err, sink: s, stream: strings.HasPrefix(path, "/s"), ended: true, at: time.Second, end: 2 * time.Second}}
+	}
+	emit := row{Kind: "emit", Req: "r", Took: true, Ran: true, Worker: "w"}
+	silent := emit
+	silent.Ran = false
+	plainText := "word-1 of r;word-2 of r;"
+
+	require.Empty(t, onceOnly([]row{emit}, end(nil, "/once/", plainText)))
+	require.Empty(t, onceOnly([]row{{Kind: "emit", Req: "r"}}, end(&Refusal{}, "/once/", "")))
+	require.NotEmpty(t, onceOnly([]row{emit, emit}, end(nil, "/once/", plainText)), "ran twice")
+	require.NotEmpty(t, onceOnly([]row{emit}, end(&Refusal{}, "/once/", "")), "ran and refused")
+	require.NotEmpty(t, onceOnly([]row{silent}, end(&Refusal{}, "/once/", "")), "offered and refused")
+	require.NotEmpty(t, onceOnly(nil, end(nil, "/once/", plainText)), "never ran")
+
+	require.Empty(t, ended(end(nil, "/once/", plainText), 2*time.Second))
+	require.NotEmpty(t, ended(end(nil, "/once/", plainText), time.Millisecond), "late")
+	require.NotEmpty(t, ended(end(errReset, "/once/", ""), 2*time.Second), "another sort of end")
+
+	require.Empty(t, answers(end(nil, "/once/", plainText)))
+	require.Empty(t, answers(end(&Broken{Begun: true}, "/stream/", event(1))))
+	require.Empty(t, answers(end(nil, "/stream/", event(1)+event(2))))
+	require.NotEmpty(t, answers(end(nil, "/once/", "word-1 of r;")), "a part as a whole")
+	require.NotEmpty(t, answers(end(nil, "/stream/", event(1))), "a part as a whole")
+	require.NotEmpty(t, answers(end(nil, "/stream/", event(1)+event(1)+event(2))), "an event twice")
+	require.NotEmpty(t, answers(end(nil, "/stream/", event(2)+event(1))), "out of order")
+	require.NotEmpty(t, answers(end(&Broken{Begun: true}, "/stream/", event(1)+"id: 2\nda")), "a partial event")
+	require.NotEmpty(t, answers(end(&Refusal{}, "/stream/", event(1))), "a refusal with bytes")
+	require.NotEmpty(t, answers(end(&Broken{}, "/stream/", event(1))), "begun and not told")
+
+	second := emit
+	second.At = 3 * time.Second
+	require.Empty(t, extras([]row{emit, second}, end(nil, "/again/", plainText), 1, 0, 10*time.Second))
+	require.NotEmpty(t, extras([]row{emit, second}, end(nil, "/again/", plainText), 0.5, 0, 10*time.Second), "one extra for one request")
+	require.NotEmpty(t, extras([]row{emit, second}, end(nil, "/again/", plainText), 1, 0, time.Second), "the request is out of the window")
+	require.NotEmpty(t, extras([]row{{Kind: "read", Req: "r"}, second}, end(nil, "/again/", plainText), 0.5, 0, 10*time.Second), "a failed reading")
+	require.Empty(t, extras([]row{{Kind: "read", Req: "r", Ran: true}, second}, end(nil, "/again/", plainText), 0.5, 0, 10*time.Second))
+
+	cold := row{Kind: "read", Worker: "w", Cold: true}
+	require.Empty(t, coldRate([]row{cold, cold}, 2))
+	require.NotEmpty(t, coldRate([]row{cold, cold, cold}, 2))
+	off := row{Kind: "emit", Worker: "w", Off: time.Second}
+	require.Empty(t, leftAlone([]row{emit, off}, 2*time.Second))
+	require.NotEmpty(t, leftAlone([]row{emit, off}, 100*time.Millisecond))
+	require.Empty(t, sentTo([]row{second}, "w", 0, time.Second))
+	require.NotEmpty(t, sentTo([]row{second}, "w", 3*time.Second, 4*time.Second))
+
+	order := func(at time.Duration, owner word.NodeId, fence word.Fence) row {
+		return row{Kind: "order", At: at, Worker: "w", Owner: owner, Fence: fence, To: word.Decode, Took: true}
+	}
+	require.Empty(t, ordersApart([]row{order(0, "a", 1), order(1, "a", 1), order(4*time.Second, "b", 2)}, 3*time.Second))
+	require.NotEmpty(t, ordersApart([]row{order(0, "a", 1), order(2*time.Second, "b", 2)}, 3*time.Second), "too close")
+	require.NotEmpty(t, ordersApart([]row{order(0, "a", 2), order(4*time.Second, "b", 1)}, 3*time.Second), "a lower fence")
+	parts := map[word.WorkerId]word.Part{"v": word.Prefill, "w": word.Prefill, "x": word.Decode}
+	require.Empty(t, thirds([]row{order(0, "a", 1)}, parts))
+	require.NotEmpty(t, thirds([]row{order(0, "a", 1)}, map[word.WorkerId]word.Part{"w": word.Prefill, "x": word.Decode}))
+
+	y := newYard()
+	y.handles["h"] = &handle{had: 1}
+	y.handles["i"] = &handle{freed: true}
+	require.Empty(t, kept(y))
+	y.handles["j"] = &handle{}
+	require.NotEmpty(t, kept(y))
+}
--- /dev/null
+++ b/relay/fleet_test.go
@@ -0,0 +1,389 @@
+// Small fleets on simulated machines: three cores, some relay nodes, a yard of workers.
+
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/tinylib/msgp/msgp"
+
+	"keelstair.example/crux"
+	"keelstair.example/lore"
+	"keelstair.example/seam/sham"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+// berth is one node of a fleet with its process.
+type berth struct {
+	*Node
+	ip   string
+	proc *sham.Proc
+	stop context.CancelFunc
+	done chan struct{}
+	up   bool
+}
+
+type fleet struct {
+	t     *testing.T
+	w     *sham.World
+	y     *yard
+	seeds []string
+	cores map[string]*crux.Core
+	procs map[string]*sham.Proc
+	stops map[string]context.CancelFunc
+	tune  func(*Options)
+
+	mu    sync.Mutex
+	nodes []*berth
+	asks  []*asked
+	over  chan struct{}
+	wg    sync.WaitGroup
+}
+
+var coreIps = []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"}
+
+// build starts a fleet and puts a policy in force.
+func build(t *testing.T, seed uint64, nodes int, y *yard, text []byte, tune func(*Options)) *fleet {
+	f := &fleet{t: t, w: sham.NewWorld(seed), y: y, tune: tune, cores: map[string]*crux.Core{}, procs: map[string]*sham.Proc{}, stops: map[string]context.CancelFunc{}, over: make(chan struct{})}
+	for _, ip := range coreIps {
+		f.seeds = append(f.seeds, ip+":1")
+	}
+	for _, ip := range coreIps {
+		f.core(ip)
+	}
+	for i := range nodes {
+		f.node(i)
+	}
+	f.wg.Go(f.poll)
+	require.True(t, f.until(10*time.Second, func() bool { return f.leader() != "" }), "a core leads")
+	require.NoError(t, f.put("first", 0, 0, text))
+	require.True(t, f.until(10*time.Second, func() bool {
+		for _, n := range f.up() {
+			if ok, _ := n.Ready(); !ok || len(n.agent.Members()) < nodes {
+				return false
+			}
+		}
+		return true
+	}), "the nodes are ready")
+	return f
+}
+
+func (f *fleet) core(ip string) {
+	ctx, stop := context.WithCancel(context.Background())
+	p := f.w.Machine(ip).Start()
+	c, err := crux.New(crux.Options{Addr: ip + ":1", Host: p.Host(), Seeds: f.seeds, Machine: func() crux.Machine { return lore.NewMachine(lore.MachineOptions{}) }})
+	require.NoError(f.t, err)
+	f.cores[ip], f.procs[ip], f.stops[ip] = c, p, stop
+	l, err := p.Host().Net.Listen(ip + ":1")
+	require.NoError(f.t, err)
+	mux := http.NewServeMux()
+	c.Mount(mux)
+	f.wg.Go(func() { wire.Serve(ctx, l, mux) })
+	f.wg.Go(func() { c.Run(ctx) })
+}
+
+func (f *fleet) offCore(ip string) {
+	if f.cores[ip] == nil {
+		return
+	}
+	f.w.Machine(ip).PowerOff()
+	f.stops[ip]()
+	delete(f.cores, ip)
+}
+
+func (f *fleet) leader() string {
+	for ip, c := range f.cores {
+		if c.Leads() {
+			return ip
+		}
+	}
+	return ""
+}
+
+func nodeIp(i int) string { return fmt.Sprintf("10.0.1.%d", i+1) }
+
+// node starts the node of a number, again if it was there before.
+func (f *fleet) node(i int) *berth {
+	ip := nodeIp(i)
+	p := f.w.Machine(ip).Start()
+	opt := Options{Name: fmt.Sprint("n", i), Addr: ip + ":2", Zone: word.Zone([]string{"a", "b"}[i%2]), Seeds: f.seeds, Host: p.Host(), Back: &back{f.y, ip}, Turn: -1}
+	if f.tune != nil {
+		f.tune(&opt)
+	}
+	n, err := New(opt)
+	require.NoError(f.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	b := &berth{Node: n, ip: ip, proc: p, stop: stop, done: make(chan struct{}), up: true}
+	l, err := p.Host().Net.Listen(ip + ":2")
+	require.NoError(f.t, err)
+	mux := http.NewServeMux()
+	n.Mount(mux)
+	f.wg.Go(func() { wire.Serve(ctx, l, mux) })
+	f.wg.Go(func() { n.Run(ctx, 0, 0); close(b.done) })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if i < len(f.nodes) {
+		f.nodes[i] = b
+	} else {
+		f.nodes = append(f.nodes, b)
+	}
+	return b
+}
+
+// kill ends a node without a word.
+func (f *fleet) kill(i int) {
+	f.mu.Lock()
+	b := f.nodes[i]
+	f.mu.Unlock()
+	f.freeze(i, false)
+	f.mu.Lock()
+	b.up = false
+	f.mu.Unlock()
+	b.proc.Kill()
+	b.stop()
+	b.Node.stop()
+}
+
+// freeze stops or wakes a node at its next step on the network.
+func (f *fleet) freeze(i int, on bool) {
+	f.w.Machine(nodeIp(i)).Freeze(on)
+	f.y.at(func() { f.y.frozen[nodeIp(i)] = on })
+}
+
+func (f *fleet) up() []*berth {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*berth
+	for _, b := range f.nodes {
+		if b.up {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// poll notes since when each node knows that a worker is to get nothing new.
+func (f *fleet) poll() {
+	for {
+		for _, b := range f.up() {
+			s := b.view.Sight()
+			list := b.roster.Load().all
+			off := map[word.WorkerId]bool{}
+			for _, w := range list {
+				_, turns := s.Turning[w.Id]
+				off[w.Id] = w.Leaving || turns || s.Drained[w.Id] || s.Zones[w.Zone]
+			}
+			f.y.at(func() {
+				m := f.y.off[b.ip]
+				if m == nil {
+					m = map[word.WorkerId]time.Time{}
+					f.y.off[b.ip] = m
+				}
+				for id, on := range off {
+					if _, was := m[id]; on && !was {
+						m[id] = time.Now()
+					} else if !on {
+						delete(m, id)
+					}
+				}
+				for id := range m {
+					if _, ok := off[id]; !ok {
+						delete(m, id)
+					}
+				}
+			})
+		}
+		select {
+		case <-f.over:
+			return
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+func (f *fleet) close() {
+	for i, b := range f.nodes {
+		f.freeze(i, false)
+		if b.up {
+			f.kill(i)
+		}
+	}
+	for _, ip := range coreIps {
+		f.w.Machine(ip).Freeze(false)
+		f.offCore(ip)
+	}
+	close(f.over)
+	f.wg.Wait()
+	time.Sleep(40 * time.Second)
+}
+
+func (f *fleet) until(span time.Duration, ok func() bool) bool {
+	for end := time.Now().Add(span); !ok(); {
+		if time.Now().After(end) {
+			return false
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return true
+}
+
+// put stages a text by way of the first node that is up.
+func (f *fleet) put(op word.OpId, base, next word.Version, text []byte) error {
+	ctx, stop := context.WithTimeout(context.Background(), 8*time.Second)
+	defer stop()
+	n := f.up()[0]
+	_, err := lore.Put(ctx, n.agent.Caller(), n.Book(), op, base, next, text)
+	return err
+}
+
+// submit brings another command to the core.
+func (f *fleet) submit(kind string, c msgp.Marshaler) {
+	ctx, stop := context.WithTimeout(context.Background(), 8*time.Second)
+	defer stop()
+	_, err := f.up()[0].agent.Submit(ctx, word.OpId("op/"+crux.Name()), kind, crux.Pack(c))
+	require.NoError(f.t, err)
+}
+
+// asked is one request with its end.
+type asked struct {
+	*Request
+	again, stream, resume bool
+	at, end               time.Duration
+	err                   error
+	sink                  *sink
+	ended                 bool
+}
+
+// sink keeps what the caller got.
+type sink struct {
+	mu     sync.Mutex
+	status int
+	heads  int
+	got    []byte
+	when   []time.Duration
+	start  time.Time
+	broken bool // the caller went away
+}
+
+func (s *sink) Head(status int, _ http.Header, _ int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.status = status
+	s.heads++
+	return nil
+}
+
+func (s *sink) Write(p []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.broken {
+		return errors.New("the caller went away")
+	}
+	s.got = append(s.got, p...)
+	s.when = append(s.when, time.Since(s.start))
+	return nil
+}
+
+func (s *sink) text() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.got)
+}
+
+// host is what requests name.
+const host = "models.example"
+
+// req makes a request for a path; it asks for events if its path begins with /s.
+func (f *fleet) req(id, path string, prompt, most int) *Request {
+	r := &Request{Id: id, Method: "POST", Target: path, Path: path, Host: host, Header: http.Header{}, Body: []byte("{}"), Model: "m", Prompt: prompt, Most: most,
+		Parts: []Part{{Id: "system", Tokens: prompt / 2}, {Id: "last-" + id, Tokens: prompt - prompt/2}}}
+	if strings.HasPrefix(path, "/s") {
+		r.Header.Set("Accept", "text/event-stream")
+	}
+	return r
+}
+
+// ask carries a request at a node to its end.
+func (f *fleet) ask(b *berth, r *Request) *asked { return f.askAs(context.Background(), b, r, &sink{}) }
+
+func (f *fleet) askAs(ctx context.Context, b *berth, r *Request, s *sink) *asked {
+	r.At = b.now()
+	s.start = time.Now()
+	a := &asked{Request: r, at: f.y.now(), sink: s}
+	for _, k := range ways() {
+		if strings.HasPrefix(r.Path, k.Prefix) {
+			a.again, a.stream, a.resume = k.Again(), k.Stream, k.Resumable
+		}
+	}
+	f.mu.Lock()
+	f.asks = append(f.asks, a)
+	f.mu.Unlock()
+	err := b.Carry(ctx, r, s)
+	f.mu.Lock()
+	a.err, a.end, a.ended = err, f.y.now(), true
+	f.mu.Unlock()
+	return a
+}
+
+// load asks at the nodes by turns, at a rate, and waits for all ends.
+func (f *fleet) load(rate float64, span time.Duration, form func(i int) *Request) []*asked {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var out []*asked
+	gap := time.Duration(float64(time.Second) / rate)
+	for i, end := 0, time.Now().Add(span); time.Now().Before(end); i++ {
+		row := f.up()
+		b := row[i%len(row)]
+		wg.Go(func() {
+			a := f.ask(b, form(i))
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, a)
+		})
+		time.Sleep(gap)
+	}
+	wg.Wait()
+	return out
+}
+
+// ways are the routes that most tests use.
+func ways() []lore.Route {
+	return []lore.Route{
+		{Name: "once", Host: host, Prefix: "/once/", Service: "svc", Tries: 3, DeadlineMs: 4000, AimMs: 400, Urgency: 5},
+		{Name: "again", Host: host, Prefix: "/again/", Service: "svc", Repeatable: true, Tries: 3, DeadlineMs: 4000, AimMs: 400, Urgency: 5},
+		{Name: "stream", Host: host, Prefix: "/stream/", Service: "svc", Stream: true, Tries: 3, DeadlineMs: 8000, AimMs: 400, GapMs: 60, Urgency: 5},
+		{Name: "sresume", Host: host, Prefix: "/sresume/", Service: "svc", Stream: true, Resumable: true, Tries: 4, DeadlineMs: 8000, AimMs: 400, GapMs: 60, Urgency: 5},
+	}
+}
+
+func policy(routes []lore.Route, services ...lore.Service) []byte {
+	p := &lore.Policy{Routes: routes, Services: map[string]lore.Service{}}
+	for _, s := range services {
+		p.Services[s.Name] = s
+	}
+	b, _ := json.Marshal(p)
+	return b
+}
+
+func plain() []byte { return policy(ways(), lore.Service{Name: "svc", Slots: 16, TurnMs: 1000}) }
+
+// bubble runs a test in a bubble of its own, where time is free.
+func bubble(t *testing.T, f func(t *testing.T)) { synctest.Test(t, f) }
+
+// eachSeed runs a test under several seeds.
+func eachSeed(t *testing.T, n int, f func(t *testing.T, seed uint64)) {
+	for seed := uint64(1); seed <= uint64(n); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { bubble(t, func(t *testing.T) { f(t, seed) }) })
+	}
+}
--- a/relay/list_note.go
+++ b/relay/list_note.go
@@ -6,6 +6,7 @@
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file list_note.go
 //msgp:shim word.WorkerId as:string using:string/word.WorkerId
+//msgp:shim word.NodeId as:string using:string/word.NodeId
 //msgp:shim word.Zone as:string using:string/word.Zone
 //msgp:shim word.Part as:string using:string/word.Part
 
@@ -21,16 +22,25 @@
 	Cold    int64
 }
 
-// ListAsk waits until the list is newer than Seq, or for Wait nanoseconds.
+// Reads is what a node, or all but the one that asks, have under way at a reading worker.
+type Reads struct {
+	Id     word.WorkerId
+	Tokens int
+	Count  int
+}
+
+// ListAsk tells which list a node has, and its readings under way.
 type ListAsk struct {
-	Seq  uint64
-	Wait int64
+	Node  word.NodeId
+	Seq   uint64
+	Reads []Reads
 }
 
 // ListReply has the rows only where they are newer; Age is how long ago the platform was
-// asked, in nanoseconds.
+// asked, in nanoseconds. Reads are those of the other nodes.
 type ListReply struct {
-	Seq  uint64
-	Age  int64
-	Rows []Row
+	Seq   uint64
+	Age   int64
+	Rows  []Row
+	Reads []Reads
 }
--- a/relay/list_note_gen.go
+++ b/relay/list_note_gen.go
@@ -8,15 +8,30 @@
 )
 
 // MarshalMsg implements msgp.Marshaler
-func (z ListAsk) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ListAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
+	// string "Node"
+	o = append(o, 0x83, 0xa4, 0x4e, 0x6f, 0x64, 0x65)
+	o = msgp.AppendString(o, string(z.Node))
 	// string "Seq"
-	o = append(o, 0x82, 0xa3, 0x53, 0x65, 0x71)
+	o = append(o, 0xa3, 0x53, 0x65, 0x71)
 	o = msgp.AppendUint64(o, z.Seq)
-	// string "Wait"
-	o = append(o, 0xa4, 0x57, 0x61, 0x69, 0x74)
-	o = msgp.AppendInt64(o, z.Wait)
+	// string "Reads"
+	o = append(o, 0xa5, 0x52, 0x65, 0x61, 0x64, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Reads)))
+	for za0001 := range z.Reads {
+		// map header, size 3
+		// string "Id"
+		o = append(o, 0x83, 0xa2, 0x49, 0x64)
+		o = msgp.AppendString(o, string(z.Reads[za0001].Id))
+		// string "Tokens"
+		o = append(o, 0xa6, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+		o = msgp.AppendInt(o, z.Reads[za0001].Tokens)
+		// string "Count"
+		o = append(o, 0xa5, 0x43, 0x6f, 0x75, 0x6e, 0x74)
+		o = msgp.AppendInt(o, z.Reads[za0001].Count)
+	}
 	return
 }
 
@@ -38,18 +53,80 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "Node":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Node")
+					return
+				}
+				z.Node = word.NodeId(zb0002)
+			}
 		case "Seq":
 			z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Seq")
 				return
 			}
-		case "Wait":
-			z.Wait, bts, err = msgp.ReadInt64Bytes(bts)
+		case "Reads":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Wait")
+				err = msgp.WrapError(err, "Reads")
 				return
 			}
+			if cap(z.Reads) >= int(zb0003) {
+				z.Reads = (z.Reads)[:zb0003]
+			} else {
+				z.Reads = make([]Reads, zb0003)
+			}
+			for za0001 := range z.Reads {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Reads", za0001)
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Reads", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "Id":
+						{
+							var zb0005 string
+							zb0005, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Reads", za0001, "Id")
+								return
+							}
+							z.Reads[za0001].Id = word.WorkerId(zb0005)
+						}
+					case "Tokens":
+						z.Reads[za0001].Tokens, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Reads", za0001, "Tokens")
+							return
+						}
+					case "Count":
+						z.Reads[za0001].Count, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Reads", za0001, "Count")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Reads", za0001)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -63,17 +140,20 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z ListAsk) Msgsize() (s int) {
-	s = 1 + 4 + msgp.Uint64Size + 5 + msgp.Int64Size
+func (z *ListAsk) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(string(z.Node)) + 4 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
+	for za0001 := range z.Reads {
+		s += 1 + 3 + msgp.StringPrefixSize + len(string(z.Reads[za0001].Id)) + 7 + msgp.IntSize + 6 + msgp.IntSize
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ListReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "Seq"
-	o = append(o, 0x83, 0xa3, 0x53, 0x65, 0x71)
+	o = append(o, 0x84, 0xa3, 0x53, 0x65, 0x71)
 	o = msgp.AppendUint64(o, z.Seq)
 	// string "Age"
 	o = append(o, 0xa3, 0x41, 0x67, 0x65)
@@ -88,6 +168,21 @@
 			return
 		}
 	}
+	// string "Reads"
+	o = append(o, 0xa5, 0x52, 0x65, 0x61, 0x64, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Reads)))
+	for za0002 := range z.Reads {
+		// map header, size 3
+		// string "Id"
+		o = append(o, 0x83, 0xa2, 0x49, 0x64)
+		o = msgp.AppendString(o, string(z.Reads[za0002].Id))
+		// string "Tokens"
+		o = append(o, 0xa6, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+		o = msgp.AppendInt(o, z.Reads[za0002].Tokens)
+		// string "Count"
+		o = append(o, 0xa5, 0x43, 0x6f, 0x75, 0x6e, 0x74)
+		o = msgp.AppendInt(o, z.Reads[za0002].Count)
+	}
 	return
 }
 
@@ -140,6 +235,64 @@
 					return
 				}
 			}
+		case "Reads":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reads")
+				return
+			}
+			if cap(z.Reads) >= int(zb0003) {
+				z.Reads = (z.Reads)[:zb0003]
+			} else {
+				z.Reads = make([]Reads, zb0003)
+			}
+			for za0002 := range z.Reads {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Reads", za0002)
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Reads", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "Id":
+						{
+							var zb0005 string
+							zb0005, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Reads", za0002, "Id")
+								return
+							}
+							z.Reads[za0002].Id = word.WorkerId(zb0005)
+						}
+					case "Tokens":
+						z.Reads[za0002].Tokens, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Reads", za0002, "Tokens")
+							return
+						}
+					case "Count":
+						z.Reads[za0002].Count, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Reads", za0002, "Count")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Reads", za0002)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -158,6 +311,84 @@
 	for za0001 := range z.Rows {
 		s += z.Rows[za0001].Msgsize()
 	}
+	s += 6 + msgp.ArrayHeaderSize
+	for za0002 := range z.Reads {
+		s += 1 + 3 + msgp.StringPrefixSize + len(string(z.Reads[za0002].Id)) + 7 + msgp.IntSize + 6 + msgp.IntSize
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Reads) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "Id"
+	o = append(o, 0x83, 0xa2, 0x49, 0x64)
+	o = msgp.AppendString(o, string(z.Id))
+	// string "Tokens"
+	o = append(o, 0xa6, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+	o = msgp.AppendInt(o, z.Tokens)
+	// string "Count"
+	o = append(o, 0xa5, 0x43, 0x6f, 0x75, 0x6e, 0x74)
+	o = msgp.AppendInt(o, z.Count)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Reads) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Id":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Id")
+					return
+				}
+				z.Id = word.WorkerId(zb0002)
+			}
+		case "Tokens":
+			z.Tokens, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
+			}
+		case "Count":
+			z.Count, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Count")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Reads) Msgsize() (s int) {
+	s = 1 + 3 + msgp.StringPrefixSize + len(string(z.Id)) + 7 + msgp.IntSize + 6 + msgp.IntSize
 	return
 }
 
--- a/relay/node.go
+++ b/relay/node.go
@@ -33,6 +33,7 @@
 	Steps   uint64        // 20000: that a program may take for one request
 	Lease   time.Duration // 3s
 	Renew   time.Duration // 500ms
+	Share   time.Duration // 250ms between tellings of what is under way
 	Roster  time.Duration // 700ms between askings of the list of workers
 	Ratio   float64       // 0.2: repeats for each request
 	Window  time.Duration // 10s over which repeats are counted
@@ -48,6 +49,7 @@
 func (o *Options) fill() {
 	word.Or(&o.Lease, 3*time.Second)
 	word.Or(&o.Renew, 500*time.Millisecond)
+	word.Or(&o.Share, 250*time.Millisecond)
 	word.Or(&o.Roster, 700*time.Millisecond)
 	word.Or(&o.Window, 10*time.Second)
 	word.Or(&o.Turn, 500*time.Millisecond)
@@ -89,6 +91,7 @@
 	roster   atomic.Pointer[roster]
 	states   sync.Map // word.WorkerId -> *state
 	warm     warm
+	told     sync.Map // word.NodeId -> told
 	zones    sync.Map // word.Zone -> word.Tick, when it was taken back
 	inflight atomic.Int64
 	leaving  atomic.Bool
@@ -176,10 +179,15 @@
 	return 1 / float64(max(1, n.budget.peers(n.now(), len(n.agent.Members()))))
 }
 
-// watch notes which zones were taken back, since their workers may have turned cold.
+// watch notes which zones were taken back, since their workers may have turned cold, and
+// logs when the node turns ready or not.
 func (n *Node) watch(ctx context.Context) {
-	was := map[word.Zone]bool{}
+	was, last := map[word.Zone]bool{}, "-"
 	for seam.Sleep(ctx, 100*time.Millisecond) {
+		if _, why := n.Ready(); why != last {
+			last = why
+			n.opt.Ring.Info().Str("why", why).Bool("ready", why == "").Msg("readiness")
+		}
 		now := n.view.Sight().Zones
 		for z := range was {
 			if !now[z] {
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -18,7 +18,8 @@
 
 const (
 	loadSpan  = 400 * time.Millisecond // how long a worker's word of its load counts
-	readFirst = 16.0                   // ms for each prompt, besides its tokens
+	readFirst = 3.0                    // ms for each prompt, besides its tokens
+	readAnew  = 8.0                    // how much more reading counts than waiting, since others wait for it too
 	farStep   = 4.0                    // ms for another zone
 	farKilo   = 0.8                    // ms for each KB that goes to another zone
 	most      = 8                      // candidates that programs see
@@ -157,14 +158,12 @@
 			}
 		}
 		ahead, count := c.st.reads, c.st.readers
-		if !now.Past(c.st.loadAt, loadSpan) {
-			if others := c.st.load.Running + c.st.load.Waiting - count; others > 0 {
-				ahead, count = ahead+2000*others, count+others
-			}
+		if !now.Past(c.st.otherAt, readSpan) {
+			ahead, count = ahead+c.st.other.Tokens, count+c.st.other.Count
 		}
 		c.st.mu.Unlock()
 		c.busy = count
-		c.cost = float64(c.need+ahead)/n.opt.Pace + readFirst*float64(count) + n.far(c.w, len(r.Body))
+		c.cost = (readAnew*float64(c.need)+float64(ahead))/n.opt.Pace + readFirst*float64(count) + n.far(c.w, len(r.Body))
 		if len(ms) > 0 {
 			c.aff = whim.Affinity(ms[len(ms)-1], c.w.Id)
 		}
--- a/relay/roster.go
+++ b/relay/roster.go
@@ -1,5 +1,6 @@
 // The list of workers, kept fresh: one node holds the duty of asking the platform, and the
-// others wait at that node for changes. Whoever hears nothing fresh there asks the platform.
+// others hear from it, and tell it which readings they have under way, so that each knows the
+// sum. Whoever hears nothing fresh there asks the platform.
 
 package relay
 
@@ -15,16 +16,16 @@
 )
 
 const (
-	listWait = 900 * time.Millisecond  // at the holder, for a change
+	listWait = 500 * time.Millisecond  // for the holder's answer
 	listOld  = 1500 * time.Millisecond // then what the holder has is not fresh
+	readSpan = 500 * time.Millisecond  // how long another node's word of its readings counts
 	coldSlip = 300 * time.Millisecond  // by which a cold time may be off and is no change
 )
 
 type roster struct {
-	all  []Worker
-	at   word.Tick     // when it was asked for
-	seq  uint64        // rises when something changed
-	ring chan struct{} // closed by the next change
+	all []Worker
+	at  word.Tick // when it was asked for
+	seq uint64    // rises when something changed
 }
 
 // rosters keeps the list fresh. While it cannot be had, the last one is kept.
@@ -38,7 +39,7 @@
 				from, seq = m.Node, 0
 			}
 			if n.follow(ctx, m.Addr, &seq) {
-				seam.Sleep(ctx, 20*time.Millisecond)
+				seam.Sleep(ctx, n.opt.Share*4/5+rand.N(n.opt.Share*2/5))
 				continue
 			}
 			from = ""
@@ -49,19 +50,28 @@
 		} else if ctx.Err() == nil {
 			n.opt.Ring.Info().AnErr("cause", err).Msg("the list of workers cannot be had")
 		}
-		seam.Sleep(ctx, wait*4/5+rand.N(wait*2/5))
+		n.restAsHolder(ctx, wait*4/5+rand.N(wait*2/5))
 	}
 }
 
-// follow waits at the holder once; false if it has nothing fresh.
+// restAsHolder waits, and meanwhile keeps the sum of the readings fresh.
+func (n *Node) restAsHolder(ctx context.Context, wait time.Duration) {
+	for end := n.now().Add(wait); n.now().Before(end) && seam.Sleep(ctx, min(n.opt.Share, wait)); {
+		n.others(n.sum(n.me.Node))
+	}
+}
+
+// follow asks the holder once; false if it has nothing fresh.
 func (n *Node) follow(ctx context.Context, addr string, seq *uint64) bool {
-	cx, stop := context.WithTimeout(ctx, listWait+300*time.Millisecond)
+	cx, stop := context.WithTimeout(ctx, listWait)
 	defer stop()
-	r, err := wire.Call[ListAsk, ListReply](cx, n.agent.Caller(), addr, "relay/list", &ListAsk{Seq: *seq, Wait: int64(listWait)})
+	q := &ListAsk{Node: n.me.Node, Seq: *seq, Reads: n.myReads()}
+	r, err := wire.Call[ListAsk, ListReply](cx, n.agent.Caller(), addr, "relay/list", q)
 	if err != nil || r.Age > int64(listOld) || r.Seq == 0 {
 		return false
 	}
 	at := n.now().Add(-time.Duration(r.Age))
+	n.others(r.Reads)
 	if r.Seq == *seq {
 		old := *n.roster.Load()
 		old.all, old.at = cooled(old.all, at.Since(old.at)), at
@@ -77,27 +87,80 @@
 	return true
 }
 
-// serveList answers those who wait for a change.
-func (n *Node) serveList(ctx context.Context, q *ListAsk) (*ListReply, error) {
-	t := time.NewTimer(min(time.Duration(q.Wait), 5*time.Second))
-	defer t.Stop()
-	for {
-		ros := n.roster.Load()
-		if ros.seq == 0 || ros.seq != q.Seq {
-			out := &ListReply{Seq: ros.seq, Age: int64(n.now().Since(ros.at))}
-			for _, w := range ros.all {
-				out.Rows = append(out.Rows, Row{w.Id, w.Service, w.Addr, w.Zone, w.Part, w.Slots, w.Leaving, int64(w.Cold)})
-			}
-			return out, nil
+// myReads lists the readings that this node has under way.
+func (n *Node) myReads() []Reads {
+	var out []Reads
+	n.states.Range(func(k, v any) bool {
+		st := v.(*state)
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		if st.readers > 0 {
+			out = append(out, Reads{k.(word.WorkerId), st.reads, st.readers})
 		}
-		select {
-		case <-ros.ring:
-		case <-t.C:
-			return &ListReply{Seq: ros.seq, Age: int64(n.now().Since(ros.at))}, nil
-		case <-ctx.Done():
-			return nil, ctx.Err()
+		return true
+	})
+	return out
+}
+
+// others notes what the other nodes have under way, as far as the holder knows.
+func (n *Node) others(row []Reads) {
+	now := n.now()
+	for _, r := range row {
+		st := n.state(r.Id)
+		st.mu.Lock()
+		st.other, st.otherAt = r, now
+		st.mu.Unlock()
+	}
+}
+
+// told is what a node said last of its readings.
+type told struct {
+	at    word.Tick
+	reads []Reads
+}
+
+// serveList answers the other nodes with the list and with what all have under way.
+func (n *Node) serveList(_ context.Context, q *ListAsk) (*ListReply, error) {
+	now := n.now()
+	n.told.Store(q.Node, told{now, q.Reads})
+	ros := n.roster.Load()
+	out := &ListReply{Seq: ros.seq, Age: int64(now.Since(ros.at)), Reads: n.sum(q.Node)}
+	if ros.seq != q.Seq {
+		for _, w := range ros.all {
+			out.Rows = append(out.Rows, Row{w.Id, w.Service, w.Addr, w.Zone, w.Part, w.Slots, w.Leaving, int64(w.Cold)})
 		}
 	}
+	return out, nil
+}
+
+// sum adds up what all nodes but one have under way.
+func (n *Node) sum(but word.NodeId) []Reads {
+	now := n.now()
+	at := map[word.WorkerId]int{}
+	var out []Reads
+	add := func(row []Reads) {
+		for _, r := range row {
+			i, ok := at[r.Id]
+			if !ok {
+				i, at[r.Id] = len(out), len(out)
+				out = append(out, Reads{Id: r.Id})
+			}
+			out[i].Tokens, out[i].Count = out[i].Tokens+r.Tokens, out[i].Count+r.Count
+		}
+	}
+	if but != n.me.Node {
+		add(n.myReads())
+	}
+	n.told.Range(func(k, v any) bool {
+		switch t := v.(told); {
+		case now.Past(t.at, 4*readSpan):
+			n.told.Delete(k)
+		case k.(word.NodeId) != but && !now.Past(t.at, 2*readSpan):
+			add(t.reads)
+		}
+		return true
+	})
+	return out
 }
 
 // cooled is a list as it is some time later.
@@ -127,9 +190,9 @@
 
 func (n *Node) take(list []Worker, asked word.Tick) {
 	old := n.roster.Load()
-	next := &roster{all: list, at: asked, seq: old.seq, ring: old.ring}
+	next := &roster{all: list, at: asked, seq: old.seq}
 	if next.seq == 0 || !same(cooled(old.all, asked.Since(old.at)), list) {
-		next.seq, next.ring = old.seq+1, make(chan struct{})
+		next.seq = old.seq + 1
 		on := make(map[word.WorkerId]bool, len(list))
 		for _, w := range list {
 			on[w.Id] = true
@@ -142,7 +205,4 @@
 		})
 	}
 	n.roster.Store(next)
-	if next.seq != old.seq && old.ring != nil {
-		close(old.ring)
-	}
 }
--- a/relay/state.go
+++ b/relay/state.go
@@ -21,6 +21,8 @@
 	reads   int // under way from here, in prompt tokens
 	readers int
 	emits   int
+	other   Reads // of the other nodes
+	otherAt word.Tick
 	flights map[*flight]bool
 	watched atomic.Bool
 	cached  map[uint64]word.Tick // beginnings of prompts that it was seen to have read
--- /dev/null
+++ b/relay/yard_test.go
@@ -0,0 +1,548 @@
+// A yard of stand-in workers behind a Backend: parts, slots, queues, silence, resets,
+// turning away, handles that can be had once, events with ids, reports and orders. It
+// keeps a book of what arrived when, and what ran.
+
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/word"
+)
+
+// fate is what becomes of one call at a worker.
+type fate int
+
+const (
+	fine       fate = iota
+	unreached       // no connection comes up
+	turnedAway      // surely not run
+	ranReset        // run, and reset before the answer
+	idleReset       // not run, and reset before the answer
+	ranSilent       // run, and not a word until the asker gives up
+	idleSilent      // not run, and not a word
+	midReset        // reset in the middle of the answer, within an event
+	foreign         // the answer of another request
+	bare            // a success without the stamp
+	failed          // a 500 with the stamp
+	lostMemory      // the memory cannot be had
+)
+
+// row is one line of the book.
+type row struct {
+	At     time.Duration
+	Kind   string // read, emit, free, order
+	Node   string
+	Worker word.WorkerId
+	Req    string
+	From   string
+	Took   bool          // it was not turned away
+	Ran    bool          // an emission began, or a reading gave its memory
+	Cold   bool          // the worker was cold
+	Off    time.Duration // how long the node knew that the worker is to get nothing new
+	Owner  word.NodeId
+	Fence  word.Fence
+	To     word.Part
+}
+
+// handle is memory that a worker keeps.
+type handle struct {
+	worker word.WorkerId
+	req    string
+	had    int
+	freed  bool
+}
+
+// stand is one worker.
+type stand struct {
+	Worker
+	name             string
+	life             int
+	dark             bool
+	dead             bool
+	hidden           bool // not listed
+	warm             time.Time
+	orders           int
+	turning          word.Part
+	running, waiting int
+	press            int // added to what its reports say is running
+}
+
+type yard struct {
+	mu      sync.Mutex
+	start   time.Time
+	all     []*stand
+	rows    []row
+	handles map[string]*handle
+	cut     map[string]bool // nodes that reach no worker
+	frozen  map[string]bool // nodes that stand still
+	off     map[string]map[word.WorkerId]time.Time
+	fate    func(k row, w *stand) fate
+	listed  func() time.Duration // how long the asking for the list is under way
+	nolist  bool
+	step    time.Duration // between events
+	turn    time.Duration
+	handle  int
+	onRead  func(r *Request)
+}
+
+func newYard(all ...*stand) *yard {
+	return &yard{start: time.Now(), all: all, handles: map[string]*handle{}, cut: map[string]bool{}, frozen: map[string]bool{},
+		off: map[string]map[word.WorkerId]time.Time{}, step: 20 * time.Millisecond, turn: time.Second}
+}
+
+// stands makes so many workers of a part, by turns in two zones.
+func stands(service string, part word.Part, n int) []*stand {
+	var out []*stand
+	for i := range n {
+		name := fmt.Sprintf("%s-%s-%d", service, part, i)
+		if part == "" {
+			name = fmt.Sprintf("%s-%d", service, i)
+		}
+		out = append(out, &stand{name: name, life: 1, Worker: Worker{Id: word.WorkerId(name + ".1"), Service: service, Addr: name + ":90",
+			Zone: word.Zone([]string{"a", "b"}[i%2]), Part: part, Slots: 16}})
+	}
+	return out
+}
+
+// both makes readers and emitters of one service.
+func both(service string, readers, emitters int) []*stand {
+	return append(stands(service, word.Prefill, readers), stands(service, word.Decode, emitters)...)
+}
+
+func (y *yard) now() time.Duration { return time.Since(y.start) }
+
+// at changes the yard.
+func (y *yard) at(f func()) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	f()
+}
+
+func (y *yard) of(name string) *stand {
+	for _, w := range y.all {
+		if w.name == name {
+			return w
+		}
+	}
+	return nil
+}
+
+// restart ends a worker's life and begins another at the same address.
+func (y *yard) restart(name string) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	for i, w := range y.all {
+		if w.name == name {
+			w.dead = true
+			next := &stand{Worker: w.Worker, name: name, life: w.life + 1}
+			next.Id = word.WorkerId(fmt.Sprintf("%s.%d", name, next.life))
+			y.all[i] = next
+		}
+	}
+}
+
+func (y *yard) book() []row {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	return append([]row(nil), y.rows...)
+}
+
+// back is one node's way to the workers.
+type back struct {
+	y  *yard
+	ip string
+}
+
+var errReset = errors.New("connection reset")
+
+func unknown(w Worker, why string) error {
+	return breakdown.New(breakdown.Unknown, "ask worker", w.Addr, "%s", why)
+}
+
+// gate holds a frozen node at its next step on the network.
+func (b *back) gate() {
+	for {
+		b.y.mu.Lock()
+		on := b.y.frozen[b.ip]
+		b.y.mu.Unlock()
+		if !on {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func nap(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// reach goes to the worker that has the address now.
+func (b *back) reach(ctx context.Context, w Worker) (*stand, error) {
+	b.gate()
+	if ctx.Err() != nil {
+		return nil, Undialled(ctx.Err(), w.Addr)
+	}
+	b.y.mu.Lock()
+	cut := b.y.cut[b.ip]
+	b.y.mu.Unlock()
+	if cut {
+		nap(ctx, 400*time.Millisecond)
+		return nil, Undialled(errors.New("no answer"), w.Addr)
+	}
+	if !nap(ctx, 500*time.Microsecond) {
+		return nil, unknown(w, "given up on the way")
+	}
+	b.y.mu.Lock()
+	defer b.y.mu.Unlock()
+	for _, s := range b.y.all {
+		if s.Addr == w.Addr && !s.dead {
+			return s, nil
+		}
+	}
+	return nil, Undialled(errors.New("refused"), w.Addr)
+}
+
+// arrive writes a call into the book and says what becomes of it. The yard is locked.
+func (b *back) arrive(k row, s *stand, w Worker) (*row, fate, error) {
+	y := b.y
+	k.At, k.Node, k.Worker, k.Cold = y.now(), b.ip, w.Id, time.Now().Before(s.warm)
+	if at, ok := y.off[b.ip][w.Id]; ok {
+		k.Off = time.Since(at)
+	}
+	how := fine
+	if y.fate != nil {
+		how = y.fate(k, s)
+	}
+	if how == unreached {
+		return nil, how, Undialled(errors.New("refused"), w.Addr)
+	}
+	y.rows = append(y.rows, k)
+	p := &y.rows[len(y.rows)-1]
+	switch {
+	case s.Id != w.Id:
+		return p, how, breakdown.New(breakdown.Stale, "ask worker", w.Addr, "another life has the address")
+	case s.dark && (how == fine || how == midReset):
+		how = idleSilent
+	case how == turnedAway, s.turning != "", s.waiting >= 2*s.Slots, k.Kind == "read" && s.Part == word.Decode:
+		return p, how, breakdown.New(breakdown.Bounced, "ask worker", w.Addr, "turned away")
+	}
+	p.Took = true
+	return p, how, nil
+}
+
+// place waits for one of the worker's places. It gives how to leave it.
+func (y *yard) place(ctx context.Context, s *stand) (func(), error) {
+	y.at(func() { s.waiting++ })
+	for {
+		y.mu.Lock()
+		if s.running < s.Slots && !s.dark && !s.dead {
+			s.waiting, s.running = s.waiting-1, s.running+1
+			y.mu.Unlock()
+			return sync.OnceFunc(func() { y.at(func() { s.running-- }) }), nil
+		}
+		dead := s.dead
+		y.mu.Unlock()
+		if dead || !nap(ctx, 5*time.Millisecond) {
+			y.at(func() { s.waiting-- })
+			return nil, unknown(s.Worker, "ended while it waited")
+		}
+	}
+}
+
+func (y *yard) load(s *stand) *Load {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	return &Load{Running: s.running, Waiting: s.waiting, Slots: s.Slots}
+}
+
+// quiet is a fate by which nothing comes back.
+func quiet(ctx context.Context, how fate, w Worker) (error, bool) {
+	switch how {
+	case ranReset, idleReset:
+		return unknown(w, "reset"), true
+	case foreign:
+		return unknown(w, "the answer belongs to another request"), true
+	case ranSilent, idleSilent:
+		<-ctx.Done()
+		return unknown(w, "nothing came"), true
+	}
+	return nil, false
+}
+
+// ok tells whether an answer can come back, and waits for it while a node is frozen.
+func (b *back) ok(ctx context.Context, s *stand) error {
+	b.gate()
+	b.y.mu.Lock()
+	lost := b.y.cut[b.ip] || s.dark
+	dead := s.dead
+	b.y.mu.Unlock()
+	switch {
+	case dead:
+		return unknown(s.Worker, "reset")
+	case lost:
+		<-ctx.Done()
+		return unknown(s.Worker, "nothing came")
+	case ctx.Err() != nil:
+		return unknown(s.Worker, "given up")
+	}
+	return nil
+}
+
+func (b *back) Read(ctx context.Context, w Worker, r *Request, left time.Duration, _ int) (*Memo, error) {
+	y := b.y
+	s, err := b.reach(ctx, w)
+	if err != nil {
+		return nil, err
+	}
+	y.mu.Lock()
+	_, how, err := b.arrive(row{Kind: "read", Req: r.Id}, s, w)
+	at := len(y.rows) - 1
+	y.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	if err, ended := quiet(ctx, how, w); ended {
+		return nil, err
+	}
+	leave, err := y.place(ctx, s)
+	if err != nil {
+		return nil, err
+	}
+	defer leave()
+	if !nap(ctx, 5*time.Millisecond+time.Duration(r.Prompt/50)*time.Millisecond) {
+		return nil, unknown(w, "given up")
+	}
+	y.mu.Lock()
+	y.handle++
+	name := fmt.Sprint("kv-", y.handle)
+	if !s.dead {
+		y.handles[name] = &handle{worker: s.Id, req: r.Id}
+	}
+	hook := y.onRead
+	y.mu.Unlock()
+	if err := b.ok(ctx, s); err != nil {
+		return nil, err
+	}
+	if hook != nil {
+		hook(r)
+	}
+	y.at(func() { y.rows[at].Ran = true })
+	return &Memo{Handle: name, Tokens: r.Prompt, Load: y.load(s)}, nil
+}
+
+// fetch has memory of a source, once. The yard is locked.
+func (y *yard) fetch(src *Source) bool {
+	h := y.handles[src.Handle]
+	if h == nil || h.had > 0 || h.freed {
+		return false
+	}
+	for _, s := range y.all {
+		if s.Id == h.worker && !s.dark && !s.dead {
+			h.had++
+			return true
+		}
+	}
+	return false
+}
+
+func (b *back) Emit(ctx context.Context, w Worker, r *Request, src *Source, from string, left time.Duration, _ int) (*Reply, error) {
+	y := b.y
+	s, err := b.reach(ctx, w)
+	if err != nil {
+		return nil, err
+	}
+	y.mu.Lock()
+	p, how, err := b.arrive(row{Kind: "emit", Req: r.Id, From: from}, s, w)
+	if err == nil && src != nil && how != idleReset && how != idleSilent && (how == lostMemory || !y.fetch(src)) {
+		p.Took = false
+		err = breakdown.New(breakdown.Lost, "fetch memory", w.Addr, "it cannot be had")
+	}
+	if err == nil && how != idleReset && how != idleSilent {
+		p.Ran = true
+	}
+	y.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	if err, ended := quiet(ctx, how, w); ended {
+		return nil, err
+	}
+	leave, err := y.place(ctx, s)
+	if err != nil {
+		return nil, err
+	}
+	if src == nil && from == "" && !nap(ctx, time.Duration(r.Prompt/50)*time.Millisecond) {
+		leave()
+		return nil, unknown(w, "given up")
+	}
+	if err := b.ok(ctx, s); err != nil {
+		leave()
+		return nil, err
+	}
+	a := &answer{ctx: ctx, b: b, s: s, leave: leave, cut: -1}
+	out := &Reply{Status: http.StatusOK, Header: http.Header{"X-Worker": {string(w.Id)}}, Whole: how != bare, Length: -1, Body: a, Load: y.load(s)}
+	if how == failed {
+		out.Status = http.StatusInternalServerError
+		a.rest = [][]byte{[]byte("failed")}
+		return out, nil
+	}
+	if r.Header.Get("Accept") == "text/event-stream" {
+		out.Events = true
+		n, _ := strconv.Atoi(from)
+		for i := n + 1; i <= r.Most; i++ {
+			a.rest = append(a.rest, fmt.Appendf(nil, "id: %d\ndata: word-%d of %s\n\n", i, i, r.Id))
+		}
+	} else {
+		for i := 1; i <= r.Most; i++ {
+			a.rest = append(a.rest, fmt.Appendf(nil, "word-%d of %s;", i, r.Id))
+		}
+	}
+	if how == midReset {
+		a.cut = len(a.rest) / 2
+	}
+	return out, nil
+}
+
+// answer is a body that comes piece by piece.
+type answer struct {
+	ctx   context.Context
+	b     *back
+	s     *stand
+	leave func()
+	rest  [][]byte
+	buf   []byte
+	at    int
+	cut   int // the piece that is cut in its middle; -1 if none
+	ended error
+}
+
+func (a *answer) Read(p []byte) (int, error) {
+	if len(a.buf) == 0 {
+		if a.ended == nil && a.at == len(a.rest) && a.cut != a.at {
+			a.ended = io.EOF
+		}
+		if a.ended != nil {
+			a.leave()
+			return 0, a.ended
+		}
+		if !nap(a.ctx, a.b.y.step) {
+			a.leave()
+			return 0, a.ctx.Err()
+		}
+		if err := a.b.ok(a.ctx, a.s); err != nil {
+			a.leave()
+			return 0, err
+		}
+		if a.at == a.cut {
+			a.ended = errReset
+			if a.at < len(a.rest) {
+				a.buf = a.rest[a.at][:len(a.rest[a.at])/2]
+			}
+			if len(a.buf) == 0 {
+				return 0, a.ended
+			}
+		} else {
+			a.buf = a.rest[a.at]
+			a.at++
+		}
+	}
+	k := copy(p, a.buf)
+	a.buf = a.buf[k:]
+	return k, nil
+}
+
+func (a *answer) Close() error { a.leave(); return nil }
+
+func (b *back) Free(ctx context.Context, w Worker, name string) error {
+	s, err := b.reach(ctx, w)
+	if err != nil {
+		return err
+	}
+	b.y.mu.Lock()
+	defer b.y.mu.Unlock()
+	b.y.rows = append(b.y.rows, row{At: b.y.now(), Kind: "free", Node: b.ip, Worker: s.Id})
+	if h := b.y.handles[name]; h != nil && h.worker == s.Id {
+		h.freed = true
+	}
+	return nil
+}
+
+func (b *back) Report(ctx context.Context, w Worker) (*Report, error) {
+	s, err := b.reach(ctx, w)
+	if err != nil {
+		return nil, err
+	}
+	if err := b.ok(ctx, s); err != nil {
+		return nil, err
+	}
+	b.y.mu.Lock()
+	defer b.y.mu.Unlock()
+	return &Report{Part: s.Part, Turning: s.turning != "", Orders: s.orders, Waiting: s.waiting, Running: s.running + s.press, Used: 100 * s.running, Room: 100 * s.Slots}, nil
+}
+
+func (b *back) Order(ctx context.Context, w Worker, o *Order) error {
+	s, err := b.reach(ctx, w)
+	if err != nil {
+		return err
+	}
+	y := b.y
+	y.mu.Lock()
+	k := row{At: y.now(), Kind: "order", Node: b.ip, Worker: w.Id, Owner: o.Owner, Fence: o.Fence, To: o.To}
+	if s.Id != w.Id || s.turning != "" || o.After != s.orders || s.dark {
+		y.rows = append(y.rows, k)
+		y.mu.Unlock()
+		return breakdown.New(breakdown.Bounced, "order", w.Addr, "refused")
+	}
+	k.Took = true
+	y.rows = append(y.rows, k)
+	s.orders++
+	s.turning = o.To
+	y.mu.Unlock()
+	time.AfterFunc(y.turn, func() { y.at(func() { s.Part, s.turning = s.turning, "" }) })
+	return b.ok(ctx, s)
+}
+
+func (b *back) List(ctx context.Context) ([]Worker, error) {
+	b.gate()
+	y := b.y
+	y.mu.Lock()
+	lag := 500 * time.Microsecond
+	if y.listed != nil {
+		lag = y.listed()
+	}
+	no := y.nolist || y.cut[b.ip]
+	y.mu.Unlock()
+	if no || !nap(ctx, lag) {
+		return nil, breakdown.New(breakdown.Away, "list", "", "no list")
+	}
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	var out []Worker
+	for _, s := range y.all {
+		if s.hidden || s.dead {
+			continue
+		}
+		w := s.Worker
+		w.Cold = max(0, time.Until(s.warm))
+		out = append(out, w)
+	}
+	return out, nil
+}
+
+func (b *back) Close() {}
