--- a/crux/book.go
+++ b/crux/book.go
@@ -35,11 +35,11 @@
 	members []Member
 	call    *wire.Caller
 	foreign string
-	changed func()
+	grown   chan struct{} // closed when a newer record is learnt
 }
 
 func NewBook(host seam.Host, call *wire.Caller, seeds []string, me Seat) *Book {
-	return &Book{host: host, call: call, seeds: seeds, me: WhereAsk{Me: me}, seats: map[word.DiskId]seatSeen{}}
+	return &Book{host: host, call: call, seeds: seeds, me: WhereAsk{Me: me}, seats: map[word.DiskId]seatSeen{}, grown: make(chan struct{})}
 }
 
 // Page is what the book would tell another process now.
@@ -82,11 +82,11 @@
 	if len(p.Members) > 0 && (b.members == nil || p.Record.Epoch >= b.record.Epoch) {
 		b.members = p.Members
 	}
-	f := b.changed
-	b.mu.Unlock()
-	if grown && f != nil {
-		f()
+	if grown {
+		close(b.grown)
+		b.grown = make(chan struct{})
 	}
+	b.mu.Unlock()
 }
 
 // Reseed takes the seeds that changed settings name.
@@ -109,6 +109,25 @@
 	return b.record
 }
 
+// Grown is closed when a newer record than that of now is learnt.
+func (b *Book) Grown() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.grown
+}
+
+// Tell gives everyone known this page, so that they need not find out by themselves.
+func (b *Book) Tell(ctx context.Context) {
+	p := b.Page()
+	for _, a := range b.whom() {
+		go func() {
+			cx, stop := context.WithTimeout(ctx, 700*time.Millisecond)
+			defer stop()
+			wire.Call[WhereAsk, WhereAsk](cx, b.call, a, "crux/where", p)
+		}()
+	}
+}
+
 // Foreign is the founding id of another fleet that was met, if any.
 func (b *Book) Foreign() string {
 	b.mu.Lock()
--- a/crux/follow.go
+++ b/crux/follow.go
@@ -18,7 +18,7 @@
 // follow asks the core, and while that is away, neighbours.
 func (a *Agent) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		if a.fetch(ctx, a.book.Addr(a.book.Record().Primary), 2*time.Second) == nil {
+		if a.wait(ctx) == nil {
 			continue
 		}
 		if a.Fresh() > time.Second {
@@ -33,6 +33,22 @@
 	}
 }
 
+// wait asks the primary for news, and leaves it when another one is heard of: a deposed
+// one that is cut off from the others alone would keep it waiting.
+func (a *Agent) wait(ctx context.Context) error {
+	cx, stop := context.WithCancel(ctx)
+	defer stop()
+	grown := a.book.Grown()
+	go func() {
+		select {
+		case <-grown:
+			stop()
+		case <-cx.Done():
+		}
+	}()
+	return a.fetch(cx, a.book.Addr(a.book.Record().Primary), 2*time.Second)
+}
+
 // Fetch takes the news that a neighbour has.
 func (a *Agent) Fetch(ctx context.Context, addr string) error { return a.fetch(ctx, addr, 0) }
 
--- a/crux/lead.go
+++ b/crux/lead.go
@@ -73,6 +73,8 @@
 	c.dataMu.Unlock()
 	c.lead.Store(l)
 	c.opt.Ring.Warn().Uint64("epoch", uint64(rec.Epoch)).Str("backup", rec.Backup.Addr).Msg("leads")
+	c.book.SetMembers(l.list())
+	c.book.Tell(ctx)
 	err := l.loop(ctx)
 	c.lead.Store(nil)
 	close(l.end)
--- a/crux/wipe_test.go
+++ b/crux/wipe_test.go
@@ -34,3 +34,28 @@
 		}
 	})
 }
+
+// TestDeposedKeepsNobody: the primary is cut off from the other disk machines alone. The
+// nodes that wait for news at it hear of the next one and have what that takes at once.
+func TestDeposedKeepsNobody(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		f := build(seed)
+		defer f.close()
+		require.NoError(t, f.add(7, "a", 10*time.Second))
+		time.Sleep(2*time.Second + time.Duration(seed)*150*time.Millisecond)
+		old := f.leader()
+		var rest []string
+		for _, a := range f.seeds {
+			if ip := a[:8]; ip != old {
+				rest = append(rest, ip)
+			}
+		}
+		f.w.Sever([]string{old}, rest, true)
+		require.NoError(t, f.add(1, "b", 8*time.Second))
+		time.Sleep(300 * time.Millisecond)
+		for _, v := range f.views {
+			require.EqualValues(t, 8, v.sum.Load())
+		}
+		f.w.Sever([]string{old}, rest, false)
+	})
+}
