--- a/cmd/berth/main.go
+++ b/cmd/berth/main.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"log"
 	"net/http"
 	"os"
 	"os/signal"
@@ -69,6 +70,7 @@
 		return err
 	}
 	ring := boot.Ring("core " + s.Name)
+	log.SetOutput(ring)
 	c, err := crux.New(crux.Options{Addr: s.Control, Zone: word.Zone(s.Zone), Host: host, Seeds: s.Seeds, Ring: ring, Lease: s.Lease, Joins: !s.Founds,
 		Machine: func() crux.Machine { return lore.NewMachine(lore.MachineOptions{Read: platform.Policy}) }})
 	if err != nil {
@@ -92,7 +94,9 @@
 	if err != nil {
 		return err
 	}
-	n, err := relay.New(relay.Options{Name: s.Name, Addr: s.Peer(), Zone: word.Zone(s.Zone), Seeds: s.Seeds, Host: host, Ring: boot.Ring(s.Name),
+	ring := boot.Ring(s.Name)
+	log.SetOutput(ring)
+	n, err := relay.New(relay.Options{Name: s.Name, Addr: s.Peer(), Zone: word.Zone(s.Zone), Seeds: s.Seeds, Host: host, Ring: ring,
 		Back: platform.NewBack(host.Net, s.List), Read: platform.Policy, Lease: s.Lease,
 		Ratio: s.Ratio, Window: s.Window, Allow: s.Allow, Over: s.Over, Spare: s.Spare})
 	if err != nil {
@@ -110,7 +114,7 @@
 	ready := http.NewServeMux()
 	ready.Handle("GET /readiness", platform.Readiness(n))
 	boot.Serve(listen, host, s.Readiness, ready, fail)
-	door := &http.Server{Handler: &platform.Door{Node: n, Clock: host.Clock}, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 20 * time.Second}
+	door := &http.Server{Handler: &platform.Door{Node: n, Clock: host.Clock}, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 20 * time.Second, MaxHeaderBytes: 64 << 10}
 	l, err := host.Net.Listen(s.Front)
 	if err != nil {
 		return err
--- a/lore/route.go
+++ b/lore/route.go
@@ -49,18 +49,18 @@
 
 // Pick gives the service that a request falls to; the same id always falls to the same.
 func (r *Route) Pick(id string) string {
-	sum := 0
+	sum := uint64(0)
 	for _, s := range r.Split {
-		sum += s.Weight
+		sum += uint64(s.Weight)
 	}
 	if sum == 0 {
 		return r.Service
 	}
-	h := fnv.New32a()
+	h := fnv.New64a()
 	h.Write([]byte(id))
-	at := int(h.Sum32() % uint32(sum))
+	at := int64(h.Sum64() >> 1 % sum)
 	for _, s := range r.Split {
-		if at -= s.Weight; at < 0 {
+		if at -= int64(s.Weight); at < 0 {
 			return s.Service
 		}
 	}
--- /dev/null
+++ b/relay/alarm_test.go
@@ -0,0 +1,179 @@
+// Workers that are silent, and nodes that are cut off.
+
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/word"
+)
+
+// TestDark: an emitting worker goes silent: soon no node sends there, also those that had
+// nothing there and were warned by a peer; what may run elsewhere is taken from it at once
+// and completes; what may not is neither repeated nor refused. Later it is used again.
+func TestDark(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 3, 4)...)
+		f := build(t, 51, 3, y, plain(), func(o *Options) { o.Allow = 40 })
+		defer f.close()
+		// Only nodes 0 and 1 have traffic at first.
+		var all []*asked
+		quiet := f.nodes[2]
+		f.at(func() { f.nodes = f.nodes[:2] })
+		var dark time.Duration
+		f.wg.Go(func() {
+			time.Sleep(2 * time.Second)
+			y.at(func() { y.of("svc-decode-1").dark = true; dark = y.now() })
+		})
+		all = append(all, f.load(60, 4*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), paths[i%4], 400, 15) })...)
+		for i := range 40 {
+			all = append(all, f.ask(quiet, f.req(fmt.Sprint("q", i), "/once/x", 400, 1)))
+		}
+		f.at(func() { f.nodes = append(f.nodes, quiet) })
+		rows := y.book()
+		require.NotEmpty(t, sentTo(rows, "svc-decode-1.1", 0, dark))
+		require.Empty(t, sentTo(rows, "svc-decode-1.1", dark+1500*time.Millisecond, time.Hour))
+		require.Empty(t, onceOnly(rows, all))
+		require.Empty(t, answers(all))
+		for _, a := range all {
+			if a.resume {
+				require.NoError(t, a.err, a.Id)
+				require.Less(t, a.end-a.at, 3*time.Second, "it does not wait for the deadline")
+			}
+			if a.at > dark+1500*time.Millisecond {
+				require.NoError(t, a.err, a.Id)
+			}
+		}
+		asks := map[string]int{}
+		for _, k := range rows {
+			if k.Kind == "report" && k.Worker == "svc-decode-1.1" && k.At > dark {
+				asks[k.Node]++
+			}
+		}
+		require.Greater(t, asks[quiet.ip], 0, "it asked for itself")
+		y.at(func() { y.of("svc-decode-1").dark = false })
+		time.Sleep(3 * time.Second)
+		from := y.now()
+		f.load(60, 4*time.Second, func(i int) *Request { return f.req(fmt.Sprint("s", i), "/once/x", 400, 10) })
+		require.NotEmpty(t, sentTo(y.book(), "svc-decode-1.1", from, time.Hour), "it is back")
+	})
+}
+
+// TestDarkReader: a reading worker goes silent: every request that was to be read there is
+// answered all the same, soon, and nothing runs twice.
+func TestDarkReader(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 3, 4)...)
+		f := build(t, 52, 2, y, plain(), func(o *Options) { o.Allow = 60 })
+		defer f.close()
+		f.wg.Go(func() {
+			time.Sleep(2 * time.Second)
+			y.at(func() { y.of("svc-prefill-0").dark = true })
+		})
+		all := f.load(30, 6*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), paths[i%4], 400, 4) })
+		require.Empty(t, onceOnly(y.book(), all))
+		require.Empty(t, answers(all))
+		require.NotEmpty(t, sentTo(y.book(), "svc-prefill-0.1", 0, 3*time.Second))
+		for _, a := range all {
+			require.NoError(t, a.err, a.Id)
+			require.Less(t, a.end-a.at, 2500*time.Millisecond, a.Id)
+		}
+		require.Empty(t, sentTo(y.book(), "svc-prefill-0.1", 4*time.Second, time.Hour))
+	})
+}
+
+// TestCutNode: a node that reaches no worker warns its peers of all of them; the peers ask
+// for themselves and leave no worker alone for it, at no moment.
+func TestCutNode(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 3, 4)...)
+		f := build(t, 53, 3, y, plain(), func(o *Options) { o.Allow = 40 })
+		defer f.close()
+		cut := f.nodes[0]
+		f.wg.Go(func() {
+			time.Sleep(2 * time.Second)
+			y.at(func() { y.cut[cut.ip] = true })
+			for i := range 40 {
+				f.wg.Go(func() { f.ask(cut, f.req(fmt.Sprint("c", i), paths[i%4], 400, 10)) })
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+		shunned := map[word.WorkerId]bool{}
+		over := make(chan bool)
+		f.wg.Go(func() {
+			for {
+				for _, b := range f.nodes[1:3] {
+					b.states.Range(func(k, v any) bool {
+						st := v.(*state)
+						st.mu.Lock()
+						defer st.mu.Unlock()
+						if b.now().Before(st.shun) {
+							shunned[k.(word.WorkerId)] = true
+						}
+						return true
+					})
+				}
+				select {
+				case <-over:
+					return
+				case <-time.After(10 * time.Millisecond):
+				}
+			}
+		})
+		var peers []*asked
+		for i := range 160 {
+			peers = append(peers, f.ask(f.nodes[1+i%2], f.req(fmt.Sprint("p", i), paths[i%4], 400, 2)))
+		}
+		close(over)
+		time.Sleep(10 * time.Second)
+		for _, a := range peers {
+			require.NoError(t, a.err)
+		}
+		require.Empty(t, shunned)
+		warned := 0
+		for _, k := range y.book() {
+			if k.Kind == "report" && k.Node != cut.ip {
+				warned++
+			}
+		}
+		require.Positive(t, warned, "peers were warned and asked for themselves")
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		require.Empty(t, onceOnly(y.book(), f.asks))
+		require.Empty(t, ended(f.asks, 8500*time.Millisecond))
+		require.Empty(t, answers(f.asks))
+	})
+}
+
+// TestSilentCall: one call is not answered though its worker is well: the worker's report
+// clears it, and others go on being sent there.
+func TestSilentCall(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 2, 2)...)
+		f := build(t, 54, 2, y, plain(), nil)
+		defer f.close()
+		y.at(func() {
+			y.fate = func(k row, _ *stand) fate {
+				if k.Kind == "emit" && k.Req == "mute" {
+					return idleSilent
+				}
+				return fine
+			}
+		})
+		f.wg.Go(func() { f.ask(f.nodes[0], f.req("mute", "/once/x", 400, 4)) })
+		time.Sleep(time.Second)
+		from := y.now()
+		f.load(40, 2*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), "/once/x", 400, 4) })
+		for _, id := range []word.WorkerId{"svc-decode-0.1", "svc-decode-1.1"} {
+			require.NotEmpty(t, sentTo(y.book(), id, from, time.Hour), id)
+		}
+		time.Sleep(4 * time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		require.Empty(t, onceOnly(y.book(), f.asks))
+	})
+}
--- /dev/null
+++ b/relay/budget_test.go
@@ -0,0 +1,186 @@
+// The retry budget and cold workers: bounds over all nodes that need no message.
+
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/lore"
+	"keelstair.example/word"
+)
+
+const window = 10 * time.Second
+
+// TestBudget: however many calls fail, the extra arrivals of all nodes together stay
+// within ratio x requests + allowance in every window, with the core away as well, and
+// whether it is emissions or readings that fail.
+func TestBudget(t *testing.T) {
+	for _, kind := range []string{"emit", "read", "any"} {
+		for _, away := range []bool{false, true} {
+			t.Run(fmt.Sprint(kind, " core-away-", away), func(t *testing.T) {
+				bubble(t, func(t *testing.T) {
+					y := newYard(both("svc", 3, 4)...)
+					rng := rand.New(rand.NewPCG(1, 2))
+					y.fate = func(k row, _ *stand) fate {
+						if (kind == "any" || kind == k.Kind) && rng.IntN(10) < 6 {
+							return []fate{ranReset, idleReset, turnedAway, midReset, lostMemory, foreign}[rng.IntN(6)]
+						}
+						return fine
+					}
+					f := build(t, 21, 3, y, plain(), func(o *Options) { o.Allow = 6 })
+					defer f.close()
+					if away {
+						for _, ip := range coreIps {
+							f.offCore(ip)
+						}
+						time.Sleep(time.Second)
+					}
+					all := f.load(40, 25*time.Second, func(i int) *Request {
+						return f.req(fmt.Sprint("r", i), []string{"/again/x", "/sresume/x", "/once/x"}[i%3], 400, 4)
+					})
+					rows := y.book()
+					require.Empty(t, extras(rows, all, 0.2, 6, window))
+					require.Empty(t, onceOnly(rows, all))
+					require.NotEmpty(t, extras(rows, all, 0.05, 0, window), "repeats were made")
+				})
+			})
+		}
+	}
+}
+
+// TestBudgetAfterBurst: a burst of requests does not buy repeats that come once the burst
+// has left the window.
+func TestBudgetAfterBurst(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 3, 4)...)
+		for _, w := range y.all {
+			w.Slots = 100
+		}
+		routes := ways()
+		routes[3].DeadlineMs = 30000
+		f := build(t, 22, 2, y, policy(routes, lore.Service{Name: "svc"}), nil)
+		defer f.close()
+		time.Sleep(12 * time.Second)
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		var all []*asked
+		from := y.now()
+		for i := range 200 {
+			wg.Go(func() {
+				a := f.ask(f.nodes[i%2], f.req(fmt.Sprint("r", i), "/sresume/x", 100, 1000))
+				mu.Lock()
+				defer mu.Unlock()
+				all = append(all, a)
+			})
+		}
+		time.Sleep(window + 200*time.Millisecond - (y.now() - from))
+		for i := range 4 {
+			y.restart(fmt.Sprint("svc-decode-", i))
+		}
+		wg.Wait()
+		require.Empty(t, answers(all))
+		require.Empty(t, extras(y.book(), all, 0.2, 0, window))
+	})
+}
+
+// warming is a service whose cold workers bear four requests a second.
+func warming() []byte {
+	return policy(ways(), lore.Service{Name: "svc", Slots: 16, WarmMs: 6000, WarmRate: 4})
+}
+
+const coldMost = 11 // 1.5 x 4 + 5
+
+// TestCold: no cold worker gets more than rate x over + spare in any second, however many
+// nodes there are and however fast requests come; it gets some.
+func TestCold(t *testing.T) {
+	for _, nodes := range []int{1, 2, 4} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				y := newYard(both("svc", 4, 4)...)
+				f := build(t, 23, nodes, y, warming(), nil)
+				defer f.close()
+				y.restart("svc-decode-1")
+				y.restart("svc-prefill-2")
+				y.at(func() {
+					for _, name := range []string{"svc-decode-1", "svc-prefill-2", "svc-decode-2"} {
+						y.of(name).warm = time.Now().Add(6 * time.Second)
+					}
+				})
+				time.Sleep(1500 * time.Millisecond)
+				from := y.now()
+				all := f.load(250, 7*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), "/once/x", 300, 2) })
+				rows := y.book()
+				require.Empty(t, coldRate(rows, coldMost))
+				require.NotEmpty(t, sentTo(rows, "svc-decode-1.2", from, from+4*time.Second), "it is warmed")
+				require.Empty(t, onceOnly(rows, all))
+			})
+		})
+	}
+}
+
+// TestColdAllNodesStart: workers are cold from the first request on, and all nodes begin
+// at once with no history.
+func TestColdAllNodesStart(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 2, 2)...)
+		for _, w := range y.all {
+			w.warm = time.Now().Add(20 * time.Second)
+		}
+		f := build(t, 24, 3, y, warming(), nil)
+		defer f.close()
+		f.load(200, 6*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), paths[i%4], 300, 2) })
+		require.Empty(t, coldRate(y.book(), coldMost))
+	})
+}
+
+// TestColdSlowList: the answer to the asking for the list takes its time: a worker does
+// not count as warm before it is.
+func TestColdSlowList(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 3, 3)...)
+		f := build(t, 25, 2, y, warming(), nil)
+		defer f.close()
+		y.at(func() {
+			y.listed = func() time.Duration { return 400 * time.Millisecond }
+			for _, w := range y.all {
+				if w.Part == word.Decode {
+					w.warm = time.Now().Add(5 * time.Second)
+				}
+			}
+		})
+		time.Sleep(3 * time.Second)
+		f.load(200, 5*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), "/once/x", 300, 2) })
+		require.Empty(t, coldRate(y.book(), coldMost))
+	})
+}
+
+// TestColdZoneBack: the workers of a zone that is taken back count as cold from the first
+// request on.
+func TestColdZoneBack(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 4, 4)...)
+		f := build(t, 26, 2, y, warming(), nil)
+		defer f.close()
+		f.submit(lore.VacateKind, &lore.Vacate{Zone: "b", Out: true})
+		time.Sleep(3 * time.Second)
+		f.wg.Go(func() {
+			time.Sleep(2 * time.Second)
+			y.at(func() {
+				for _, w := range y.all {
+					if w.Zone == "b" {
+						w.warm = time.Now().Add(6 * time.Second)
+					}
+				}
+			})
+			f.submit(lore.VacateKind, &lore.Vacate{Zone: "b", Out: false})
+		})
+		f.load(400, 6*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), "/once/x", 300, 2) })
+		require.Empty(t, coldRate(y.book(), coldMost))
+	})
+}
--- /dev/null
+++ b/relay/config_test.go
@@ -0,0 +1,324 @@
+// Configurations: staged at the core, in force at the nodes.
+
+package relay
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/lore"
+	"keelstair.example/word"
+)
+
+func (f *fleet) inForce(v word.Version) bool {
+	for _, b := range f.up() {
+		if b.view.Sight().Version != v {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) newest(t *testing.T) lore.Ruled {
+	ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+	defer stop()
+	b := f.up()[0]
+	got, _, err := lore.Newest(ctx, b.agent.Caller(), b.Book())
+	require.NoError(t, err)
+	return got
+}
+
+// TestPut: a version gets the number that it asks for, uneven steps included; one over a
+// stale base, or with a number that is not above the newest, changes nothing; the same
+// operation asked again gives its one outcome, also after others came. Newest reads what
+// was staged at once, and the outcome of an operation can be asked for.
+func TestPut(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 2, 2)...)
+		f := build(t, 71, 2, y, plain(), nil)
+		defer f.close()
+		b := f.nodes[0]
+		put := func(op word.OpId, base, next word.Version, text string) (word.Version, error) {
+			ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+			defer stop()
+			return lore.Put(ctx, b.agent.Caller(), b.Book(), op, base, next, []byte(text))
+		}
+		outcome := func(op word.OpId) (word.Version, error) {
+			ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+			defer stop()
+			return lore.Outcome(ctx, b.agent.Caller(), b.Book(), op)
+		}
+		require.True(t, f.until(3*time.Second, func() bool { return f.inForce(1) }))
+		v, err := put("seven", 1, 7, `{"zones":["seven"]}`)
+		require.NoError(t, err)
+		require.EqualValues(t, 7, v)
+		require.Equal(t, lore.Ruled{Version: 7, Text: []byte(`{"zones":["seven"]}`)}, f.newest(t), "staged or in force, at once")
+		_, err = put("stale", 1, 9, `{}`)
+		require.True(t, breakdown.Is(err, breakdown.Stale), "%v", err)
+		for _, low := range []word.Version{3, 7} {
+			_, err = put(word.OpId(fmt.Sprint("low", low)), 7, low, `{}`)
+			require.True(t, breakdown.Is(err, breakdown.Bad), "%v", err)
+		}
+		v, err = put("twelve", 7, 12, `{"zones":["twelve"]}`)
+		require.NoError(t, err)
+		require.EqualValues(t, 12, v)
+		v, err = put("seven", 1, 7, `{"zones":["seven"]}`)
+		require.NoError(t, err, "asked again")
+		require.EqualValues(t, 7, v)
+		v, err = put("plain", 12, 0, `{"zones":["thirteen"]}`)
+		require.NoError(t, err)
+		require.EqualValues(t, 13, v)
+		require.Equal(t, `{"zones":["thirteen"]}`, string(f.newest(t).Text))
+		_, err = put("stale", 1, 9, `{}`)
+		require.True(t, breakdown.Is(err, breakdown.Stale), "a refusal stays one")
+		v, err = outcome("twelve")
+		require.NoError(t, err)
+		require.EqualValues(t, 12, v)
+		_, err = outcome("never")
+		require.True(t, breakdown.Is(err, breakdown.Stale))
+		require.True(t, f.until(3*time.Second, func() bool { return f.inForce(13) }))
+	})
+}
+
+// TestNewestReadsStaged: while a node is frozen and a version only staged, Newest gives it
+// already, though the nodes still serve the older one.
+func TestNewestReadsStaged(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 2, 2)...)
+		f := build(t, 72, 3, y, plain(), nil)
+		defer f.close()
+		f.freeze(2, true)
+		require.NoError(t, f.put("two", 1, 2, plain()))
+		require.EqualValues(t, 2, f.newest(t).Version)
+		require.EqualValues(t, 1, f.nodes[0].view.Sight().Version, "only staged yet")
+		f.freeze(2, false)
+		require.True(t, f.until(3*time.Second, func() bool { return f.inForce(2) }))
+	})
+}
+
+// TestNeverBack: versions come while leaders lose power, nodes are cut off from the core
+// and follow their neighbours, and nodes start anew: the version in force at a node never
+// falls, the same number has the same text at all, and in the end all have the newest.
+func TestNeverBack(t *testing.T) {
+	eachSeed(t, 4, func(t *testing.T, seed uint64) {
+		y := newYard(both("svc", 2, 2)...)
+		f := build(t, seed, 3, y, plain(), nil)
+		defer f.close()
+		var mu sync.Mutex
+		texts := map[word.Version]string{}
+		var faults []string
+		over := make(chan bool)
+		f.wg.Go(func() {
+			last := map[*Node]word.Version{}
+			for {
+				mu.Lock()
+				for _, b := range f.up() {
+					s := b.view.Sight()
+					if s.Version < last[b.Node] {
+						faults = append(faults, fmt.Sprintf("%s went from %d to %d", b.ip, last[b.Node], s.Version))
+					}
+					if old, ok := texts[s.Version]; ok && old != string(s.Text) {
+						faults = append(faults, fmt.Sprintf("two texts of %d", s.Version))
+					}
+					texts[s.Version], last[b.Node] = string(s.Text), s.Version
+				}
+				mu.Unlock()
+				select {
+				case <-over:
+					return
+				case <-time.After(3 * time.Millisecond):
+				}
+			}
+		})
+		v := word.Version(1)
+		for i := range 8 {
+			n := (int(seed) + i) % 3
+			ip := []string{nodeIp(n)}
+			switch (int(seed) + i) % 4 {
+			case 0:
+				if l := f.leader(); l != "" {
+					f.offCore(l)
+					defer f.core(l)
+				}
+			case 1:
+				f.w.Sever(ip, coreIps, true)
+			case 2:
+				f.freeze(n, true)
+			case 3:
+				f.kill(n)
+			}
+			next := v + word.Version(1+i%3)
+			var err error
+			f.until(20*time.Second, func() bool {
+				err = f.put(word.OpId(fmt.Sprint("op", i)), v, next, policy(append(ways(), lore.Route{Name: fmt.Sprint("x", next), Host: "x", Prefix: "/", Service: "svc"}), lore.Service{Name: "svc"}))
+				return err == nil
+			})
+			require.NoError(t, err)
+			v = next
+			time.Sleep(2 * time.Second)
+			f.w.Sever(ip, coreIps, false)
+			f.freeze(n, false)
+			if !f.nodes[n].up {
+				f.node(n)
+			}
+			for _, core := range coreIps {
+				if f.cores[core] == nil {
+					f.core(core)
+				}
+			}
+			time.Sleep(2 * time.Second)
+		}
+		require.True(t, f.until(10*time.Second, func() bool { return f.inForce(v) }))
+		close(over)
+		mu.Lock()
+		defer mu.Unlock()
+		require.Empty(t, faults)
+	})
+}
+
+// TestKeepsRoute: a request keeps the route and the service that it began with, though the
+// route goes elsewhere or is dropped meanwhile; it is taken up again by the old one's
+// rules. A request that comes after goes by the new ones.
+func TestKeepsRoute(t *testing.T) {
+	for _, dropped := range []bool{false, true} {
+		t.Run(fmt.Sprint("dropped-", dropped), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				y := newYard(append(both("svc", 2, 2), both("other", 2, 2)...)...)
+				f := build(t, 73, 2, y, plain(), func(o *Options) { o.Allow = 10 })
+				defer f.close()
+				long := make(chan *asked, 1)
+				f.wg.Go(func() { long <- f.ask(f.nodes[0], f.req("long", "/sresume/x", 400, 150)) })
+				time.Sleep(500 * time.Millisecond)
+				routes := ways()
+				routes[3].Service, routes[3].Resumable = "other", false
+				if dropped {
+					routes = routes[:3]
+				}
+				require.NoError(t, f.put("two", 1, 2, policy(routes, lore.Service{Name: "svc"}, lore.Service{Name: "other"})))
+				require.True(t, f.until(2*time.Second, func() bool { return f.inForce(2) }))
+				late := f.ask(f.nodes[0], f.req("late", "/sresume/x", 400, 3))
+				for _, k := range y.book() {
+					if k.Kind == "emit" && k.Req == "long" {
+						y.restart(string(k.Worker[:len(k.Worker)-2]))
+					}
+				}
+				a := <-long
+				require.NoError(t, a.err)
+				require.Empty(t, answers([]*asked{a}))
+				emits := 0
+				for _, k := range y.book() {
+					if k.Kind == "emit" && k.Req == "long" {
+						require.Contains(t, string(k.Worker), "svc")
+						emits++
+					}
+					if k.Req == "late" {
+						require.Contains(t, string(k.Worker), "other")
+					}
+				}
+				require.Equal(t, 2, emits)
+				if dropped {
+					require.Equal(t, 404, late.err.(*Refusal).Code)
+				} else {
+					require.NoError(t, late.err)
+				}
+			})
+		})
+	}
+}
+
+// TestRoutesComeAndGo: a route that is added is found at every node, one that is dropped
+// is not, and the longest prefix wins; a request without a route never reaches a worker.
+func TestRoutesComeAndGo(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(append(both("svc", 2, 2), both("other", 2, 2)...)...)
+		f := build(t, 74, 3, y, plain(), nil)
+		defer f.close()
+		try := func(id, path string) []string {
+			var out []string
+			for _, b := range f.nodes {
+				a := f.ask(b, f.req(id+b.ip, path, 400, 2))
+				if no, ok := a.err.(*Refusal); ok {
+					require.Equal(t, 404, no.Code)
+					out = append(out, "404")
+					continue
+				}
+				require.NoError(t, a.err)
+				for _, k := range y.book() {
+					if k.Kind == "emit" && k.Req == a.Id {
+						out = append(out, string(k.Worker[:3]))
+					}
+				}
+			}
+			return out
+		}
+		require.Equal(t, []string{"404", "404", "404"}, try("a", "/new/x"))
+		require.Equal(t, []string{"svc", "svc", "svc"}, try("b", "/once/deep/x"))
+		routes := append(ways()[1:], lore.Route{Name: "new", Host: host, Prefix: "/new/", Service: "svc", Apart: true, Tries: 1, DeadlineMs: 3000, AimMs: 100},
+			lore.Route{Name: "deep", Host: host, Prefix: "/again/deep/", Service: "other", Apart: true, Tries: 1, DeadlineMs: 3000, AimMs: 100})
+		require.NoError(t, f.put("two", 1, 2, policy(routes, lore.Service{Name: "svc"}, lore.Service{Name: "other"})))
+		require.True(t, f.until(2*time.Second, func() bool { return f.inForce(2) }))
+		require.Equal(t, []string{"svc", "svc", "svc"}, try("c", "/new/x"))
+		require.Equal(t, []string{"404", "404", "404"}, try("d", "/once/x"))
+		require.Equal(t, []string{"svc", "svc", "svc"}, try("e", "/again/x"))
+		require.Equal(t, []string{"oth", "oth", "oth"}, try("g", "/again/deep/x"))
+	})
+}
+
+// TestSplit: a route's requests fall to its services by their weights, each by its id, so
+// that the same try falls to the same service on every node.
+func TestSplit(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(append(both("svc", 2, 3), both("other", 2, 3)...)...)
+		split := lore.Route{Name: "r", Host: host, Prefix: "/once/", Split: []lore.Share{{Service: "svc", Weight: 3}, {Service: "other", Weight: 1}, {Service: "svc", Weight: 0}}, Apart: true, Tries: 2, DeadlineMs: 4000, AimMs: 400}
+		f := build(t, 75, 2, y, policy([]lore.Route{split}, lore.Service{Name: "svc"}, lore.Service{Name: "other"}), nil)
+		defer f.close()
+		all := f.load(80, 5*time.Second, func(i int) *Request { return f.req(fmt.Sprint("try-", i/2), "/once/x", 200, 2) })
+		at := map[string]string{}
+		count := map[string]int{}
+		for _, k := range y.book() {
+			if k.Kind == "emit" {
+				to := string(k.Worker[:3])
+				if old, ok := at[k.Req]; ok {
+					require.Equal(t, old, to, k.Req)
+				}
+				at[k.Req] = to
+				count[to]++
+			}
+		}
+		require.InDelta(t, 0.75, float64(count["svc"])/float64(len(all)), 0.08)
+	})
+}
+
+// TestNotReady: a node without a configuration, or without a worker on its list, is not
+// ready, and refuses without reaching any worker; a node that lost the core goes on.
+func TestNotReady(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 2, 2)...)
+		f := build(t, 76, 2, y, plain(), nil)
+		defer f.close()
+		for _, ip := range coreIps {
+			f.offCore(ip)
+		}
+		y.at(func() { y.nolist = true })
+		time.Sleep(10 * time.Second)
+		all := f.load(20, 4*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), paths[i%4], 400, 3) })
+		for _, a := range all {
+			require.NoError(t, a.err, "the last list and configuration are kept")
+		}
+		f.kill(0)
+		f.kill(1)
+		b := f.node(0)
+		time.Sleep(2 * time.Second)
+		ok, why := b.Ready()
+		require.False(t, ok)
+		require.NotEmpty(t, why)
+		a := f.ask(b, f.req("late", "/once/x", 400, 3))
+		require.Equal(t, 503, a.err.(*Refusal).Code)
+	})
+}
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -123,6 +123,9 @@
 	}
 	n, err := New(opt)
 	require.NoError(f.t, err)
+	if f.y.prep != nil {
+		f.y.prep(n)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	b := &berth{Node: n, ip: ip, proc: p, stop: stop, done: make(chan struct{}), up: true}
 	l, err := p.Host().Net.Listen(ip + ":2")
@@ -130,7 +133,7 @@
 	mux := http.NewServeMux()
 	n.Mount(mux)
 	f.wg.Go(func() { wire.Serve(ctx, l, mux) })
-	f.wg.Go(func() { n.Run(ctx, 0, 0); close(b.done) })
+	f.wg.Go(func() { n.Run(ctx, 0, -time.Millisecond); close(b.done) })
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if i < len(f.nodes) {
@@ -307,7 +310,7 @@
 // req makes a request for a path; it asks for events if its path begins with /s.
 func (f *fleet) req(id, path string, prompt, most int) *Request {
 	r := &Request{Id: id, Method: "POST", Target: path, Path: path, Host: host, Header: http.Header{}, Body: []byte("{}"), Model: "m", Prompt: prompt, Most: most,
-		Parts: []Part{{Id: "system", Tokens: prompt / 2}, {Id: "last-" + id, Tokens: prompt - prompt/2}}}
+		Parts: []Part{{Id: "system-" + id[len(id)-1:], Tokens: prompt / 2}, {Id: "last-" + id, Tokens: prompt - prompt/2}}}
 	if strings.HasPrefix(path, "/s") {
 		r.Header.Set("Accept", "text/event-stream")
 	}
@@ -360,10 +363,10 @@
 // ways are the routes that most tests use.
 func ways() []lore.Route {
 	return []lore.Route{
-		{Name: "once", Host: host, Prefix: "/once/", Service: "svc", Tries: 3, DeadlineMs: 4000, AimMs: 400, Urgency: 5},
-		{Name: "again", Host: host, Prefix: "/again/", Service: "svc", Repeatable: true, Tries: 3, DeadlineMs: 4000, AimMs: 400, Urgency: 5},
-		{Name: "stream", Host: host, Prefix: "/stream/", Service: "svc", Stream: true, Tries: 3, DeadlineMs: 8000, AimMs: 400, GapMs: 60, Urgency: 5},
-		{Name: "sresume", Host: host, Prefix: "/sresume/", Service: "svc", Stream: true, Resumable: true, Tries: 4, DeadlineMs: 8000, AimMs: 400, GapMs: 60, Urgency: 5},
+		{Name: "once", Host: host, Prefix: "/once/", Service: "svc", Apart: true, Tries: 3, DeadlineMs: 4000, AimMs: 400, Urgency: 5},
+		{Name: "again", Host: host, Prefix: "/again/", Service: "svc", Apart: true, Repeatable: true, Tries: 3, DeadlineMs: 4000, AimMs: 400, Urgency: 5},
+		{Name: "stream", Host: host, Prefix: "/stream/", Service: "svc", Apart: true, Stream: true, Tries: 3, DeadlineMs: 8000, AimMs: 400, GapMs: 60, Urgency: 5},
+		{Name: "sresume", Host: host, Prefix: "/sresume/", Service: "svc", Apart: true, Stream: true, Resumable: true, Tries: 4, DeadlineMs: 8000, AimMs: 400, GapMs: 60, Urgency: 5},
 	}
 }
 
@@ -387,3 +390,10 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { bubble(t, func(t *testing.T) { f(t, seed) }) })
 	}
 }
+
+// at changes the fleet.
+func (f *fleet) at(do func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	do()
+}
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -138,8 +138,8 @@
 	for {
 		k, err := reply.Body.Read(buf)
 		held = append(held, buf[:k]...)
-		if at := bytes.LastIndex(held, []byte("\n\n")); at >= 0 {
-			whole := held[:at+2]
+		if at := whole(held); at > 0 {
+			whole := held[:at]
 			if err := t.head(reply, -1); err != nil {
 				return breakdown.As(errors.Join(errCaller, err), breakdown.Unknown, "pass", "caller")
 			}
@@ -149,7 +149,7 @@
 			if id := lastId(whole); id != "" {
 				t.last = id
 			}
-			held = append(held[:0], held[at+2:]...)
+			held = append(held[:0], held[at:]...)
 		}
 		if err == io.EOF {
 			if err := t.head(reply, -1); err != nil {
@@ -166,6 +166,17 @@
 	}
 }
 
+// whole is the length of the whole events that bytes begin with.
+func whole(p []byte) int {
+	at := 0
+	for _, end := range []string{"\n\n", "\r\n\r\n"} {
+		if i := bytes.LastIndex(p, []byte(end)); i >= 0 {
+			at = max(at, i+len(end))
+		}
+	}
+	return at
+}
+
 // lastId gives the id of the last event in whole ones.
 func lastId(p []byte) string {
 	id := ""
--- /dev/null
+++ b/relay/place_test.go
@@ -0,0 +1,111 @@
+// Workers that are to get nothing new.
+
+package relay
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/lore"
+	"keelstair.example/word"
+)
+
+// TestOff: a worker that is drained, in an evacuated zone, leaving or off the list gets
+// nothing new once a node knows, all nodes know within two seconds, what runs there ends
+// there, and callers notice nothing.
+func TestOff(t *testing.T) {
+	for _, how := range []string{"drained", "evacuated", "leaving", "unlisted"} {
+		t.Run(how, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				y := newYard(both("svc", 4, 4)...)
+				f := build(t, 31, 3, y, plain(), nil)
+				defer f.close()
+				var gone []word.WorkerId
+				var at time.Duration
+				f.wg.Go(func() {
+					time.Sleep(2 * time.Second)
+					y.at(func() {
+						for _, w := range y.all {
+							if how == "evacuated" && w.Zone == "b" || how != "evacuated" && strings.HasSuffix(w.name, "-1") {
+								gone = append(gone, w.Id)
+								w.Leaving, w.hidden = how == "leaving", how == "unlisted"
+							}
+						}
+					})
+					switch how {
+					case "drained":
+						for _, id := range gone {
+							f.submit(lore.DrainKind, &lore.Drain{Worker: id, Out: true})
+						}
+					case "evacuated":
+						f.submit(lore.VacateKind, &lore.Vacate{Zone: "b", Out: true})
+					}
+					at = y.now()
+				})
+				all := f.load(60, 8*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), paths[i%4], 400, 10) })
+				rows := y.book()
+				require.NotEmpty(t, gone)
+				require.Empty(t, leftAlone(rows, 100*time.Millisecond))
+				for _, id := range gone {
+					require.NotEmpty(t, sentTo(rows, id, 0, at), id)
+					require.Empty(t, sentTo(rows, id, at+2*time.Second, time.Hour), id)
+				}
+				require.Empty(t, answers(all))
+				for _, a := range all {
+					require.NoError(t, a.err)
+				}
+			})
+		})
+	}
+}
+
+// TestStale: a life that answered that it is gone is left alone by the node it told, as
+// long as another worker is there.
+func TestStale(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 3, 3)...)
+		f := build(t, 32, 2, y, plain(), func(o *Options) { o.Allow = 50 })
+		defer f.close()
+		y.at(func() { y.nolist = true })
+		y.restart("svc-decode-1")
+		y.restart("svc-prefill-1")
+		all := f.load(30, 10*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), paths[i%4], 400, 4) })
+		require.Empty(t, onceOnly(y.book(), all))
+		count := map[string]int{}
+		for _, k := range y.book() {
+			if (k.Kind == "emit" || k.Kind == "read") && strings.HasSuffix(string(k.Worker), "-1.1") {
+				count[k.Node+string(k.Worker)]++
+			}
+		}
+		require.NotEmpty(t, count)
+		for at, n := range count {
+			require.LessOrEqual(t, n, 2, at)
+		}
+	})
+}
+
+// TestGoneStaysGone: a life that is gone stays left alone though the life that has its
+// address now answers with a report.
+func TestGoneStaysGone(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 2, 2)...)
+		f := build(t, 33, 1, y, plain(), nil)
+		defer f.close()
+		y.at(func() { y.nolist = true })
+		y.restart("svc-decode-1")
+		n := f.nodes[0]
+		for _, w := range n.roster.Load().all {
+			if w.Id == "svc-decode-1.1" {
+				n.state(w.Id).gone(n.now())
+				n.suspect(w, false)
+			}
+		}
+		time.Sleep(time.Second)
+		f.load(20, 3*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), "/once/x", 400, 4) })
+		require.Empty(t, sentTo(y.book(), "svc-decode-1.1", 0, time.Hour))
+	})
+}
--- /dev/null
+++ b/relay/program_test.go
@@ -0,0 +1,99 @@
+// Routing programs on the path of opaque requests.
+
+package relay
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/whim"
+	"keelstair.example/word"
+)
+
+var programs = []whim.Source{
+	{Name: "dear", Share: 40, Text: "def order(ask, workers):\n    return [w.id for w in sorted(workers, key = lambda w: -w.cost)]\n"},
+	{Name: "idle", Share: 30, Text: "def order(ask, workers):\n    return [w.id for w in sorted(workers, key = lambda w: w.busy)]\n"},
+	{Name: "endless", Share: 10, Text: "def order(ask, workers):\n    n = 0\n    for i in range(1000000000):\n        n += i\n    return []\n"},
+	{Name: "stranger", Share: 10, Text: "def order(ask, workers):\n    return ['svc-prefill-99.1'] + [w.id for w in workers]\n"},
+	{Name: "nobody", Share: 10, Text: "def match(ask, worker):\n    return False\n"},
+	{Name: "watcher", Shadow: true, Text: "def order(ask, workers):\n    return [w.id for w in sorted(workers, key = lambda w: w.cost)]\n"},
+}
+
+// TestPrograms: two programs side by side by their shares, three hostile ones (endless,
+// naming strangers, matching nobody) and one in the shadow: hostile ones that fail fall
+// back and are counted, the shadow one is asked each time and has no say, and nothing
+// that is promised is broken.
+func TestPrograms(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 3, 4)...)
+		scores := &whim.Scores{}
+		y.prep = func(n *Node) {
+			deck, err := whim.NewDeck(n.opt.Deck, n.opt.Steps, scores)
+			require.NoError(t, err)
+			n.deck = deck
+		}
+		f := build(t, 61, 2, y, plain(), func(o *Options) { o.Deck = programs; o.Steps = 5000; o.Allow = 40 })
+		defer f.close()
+		hit := map[string]bool{}
+		y.at(func() {
+			y.fate = func(k row, _ *stand) fate {
+				if h := fnv64(k.Req); k.Kind == "emit" && h%7 == 0 && !hit[k.Req] {
+					hit[k.Req] = true
+					return midReset
+				}
+				return fine
+			}
+		})
+		all := f.load(50, 12*1e9, func(i int) *Request { return f.req(fmt.Sprint("r", i), paths[i%4], 400, 6) })
+		rows := y.book()
+		require.Empty(t, onceOnly(rows, all))
+		require.Empty(t, answers(all))
+		require.Empty(t, leftAlone(rows, 0))
+		require.Empty(t, extras(rows, all, 0.2, 40, window))
+		picks := map[string]int64{}
+		scores.Each(func(name string, s *whim.Score) {
+			picks[name] = s.Picks.Load()
+			switch name {
+			case "endless", "stranger":
+				require.Equal(t, s.Picks.Load(), s.Fallbacks.Load(), name)
+			default:
+				require.Zero(t, s.Fallbacks.Load(), name)
+			}
+		})
+		total := picks["watcher"]
+		require.Greater(t, total, int64(900), "the shadow one is asked each time")
+		for _, p := range programs[:5] {
+			require.InDelta(t, float64(p.Share)/100, float64(picks[p.Name])/float64(total), 0.08, p.Name)
+		}
+		require.Zero(t, picks[whim.PlainName], "the shares add up to all")
+	})
+}
+
+// TestProgramRules: a program's order is kept for its share, and its order never brings a
+// request to a worker that is drained.
+func TestProgramRules(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 3, 4)...)
+		deck := []whim.Source{{Name: "fixed", Share: 100, Text: "def order(ask, workers):\n    return [w.id for w in sorted(workers, key = lambda w: w.id)]\n"}}
+		f := build(t, 62, 2, y, plain(), func(o *Options) { o.Deck = deck })
+		defer f.close()
+		all := f.load(30, 3*1e9, func(i int) *Request { return f.req(fmt.Sprint("r", i), "/once/x", 400, 2) })
+		at := map[word.WorkerId]int{}
+		for _, k := range y.book() {
+			if k.Kind == "emit" || k.Kind == "read" {
+				at[k.Worker]++
+			}
+		}
+		require.Equal(t, map[word.WorkerId]int{"svc-prefill-0.1": len(all), "svc-decode-0.1": len(all)}, at)
+	})
+}
+
+// TestBadProgram: a deck with a program that does not compile makes no node.
+func TestBadProgram(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		_, err := New(Options{Name: "n", Deck: []whim.Source{{Name: "x", Share: 100, Text: "def order(ask"}}})
+		require.ErrorContains(t, err, "x.star")
+	})
+}
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -23,10 +23,10 @@
 	turnDwell = 1200 * time.Millisecond // between two turns of a service
 	turnWait  = 8 * time.Second         // then a turn that shows no end is given up
 	turnWarn  = 350 * time.Millisecond  // for all nodes to hear of it
-	pressRead = 0.9                     // prompts at each reading worker
-	pressEmit = 0.45                    // of the places of emitting workers
-	easyEmit  = 0.3
-	fullEmit  = 0.8 // pressed beyond what readers may weigh against it
+	pressRead = 1.3                     // prompts at each reading worker
+	pressEmit = 0.35                    // of the places of emitting workers
+	easyEmit  = 0.25
+	fullEmit  = 0.6 // pressed beyond what readers may weigh against it
 	leastPart = 3   // one of so many workers keeps each part
 )
 
--- /dev/null
+++ b/relay/turn_test.go
@@ -0,0 +1,246 @@
+// Workers that change their part by the one holder of a service's duty.
+
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/lore"
+	"keelstair.example/word"
+)
+
+var svcKey = lore.ServiceKey("svc")
+
+// turning has nodes look at the workers' reports.
+func turning(o *Options) { o.Turn, o.Allow = 500*time.Millisecond, 20 }
+
+// pressed makes the workers of a part busy by their reports.
+func (y *yard) pressed(part word.Part, by int) {
+	y.at(func() {
+		y.lean = func(s *stand) int {
+			if s.Part == part {
+				return by
+			}
+			return 0
+		}
+	})
+}
+
+func parts(y *yard) map[word.WorkerId]word.Part {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	out := map[word.WorkerId]word.Part{}
+	for _, s := range y.all {
+		out[s.Id] = s.Part
+	}
+	return out
+}
+
+// holder gives the number of the node that holds the duty, or -1.
+func (f *fleet) holder() int {
+	for i, b := range f.nodes {
+		if _, ok := b.agent.Held(svcKey); ok && b.up {
+			return i
+		}
+	}
+	return -1
+}
+
+func orders(rows []row) []row {
+	var out []row
+	for _, k := range rows {
+		if k.Kind == "order" {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// untouched: nothing is sent to a worker from its order until its turn is over.
+func untouched(rows []row, span time.Duration) []string {
+	var out []string
+	for _, k := range orders(rows) {
+		if k.Took {
+			out = append(out, sentTo(rows, k.Worker, k.At, k.At+span)...)
+		}
+	}
+	return out
+}
+
+// TestTurnBothWays: workers turn to the part that is pressed, and back when the other one
+// is; meanwhile a worker that turns gets nothing, each part keeps a third, orders come
+// from one node, and callers notice nothing.
+func TestTurnBothWays(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 4, 5)...)
+		f := build(t, 41, 3, y, plain(), turning)
+		defer f.close()
+		was := parts(y)
+		f.wg.Go(func() {
+			y.pressed(word.Prefill, 6)
+			time.Sleep(14 * time.Second)
+			y.pressed(word.Decode, 14)
+			time.Sleep(25 * time.Second)
+			y.pressed(word.Prefill, 6)
+		})
+		all := f.load(25, 50*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), paths[i%4], 400, 6) })
+		rows := y.book()
+		to := map[word.Part]int{}
+		by := map[word.NodeId]bool{}
+		var flips []word.Part
+		for _, k := range orders(rows) {
+			to[k.To]++
+			by[k.Owner] = true
+			if n := len(flips); n == 0 || flips[n-1] != k.To {
+				flips = append(flips, k.To)
+			}
+		}
+		require.Equal(t, []word.Part{word.Prefill, word.Decode, word.Prefill}, flips, "%v", orders(rows))
+		require.Len(t, by, 1, "one node orders")
+		require.Empty(t, thirds(rows, was))
+		require.Empty(t, leftAlone(rows, 100*time.Millisecond))
+		require.Empty(t, untouched(rows, time.Second))
+		require.Empty(t, ordersApart(rows, 3*time.Second))
+		require.Empty(t, onceOnly(rows, all))
+		require.Empty(t, answers(all))
+		for _, a := range all {
+			require.NoError(t, a.err)
+		}
+	})
+}
+
+// TestNoTurnNeeded: without pressure, and for workers without parts, nothing is ordered.
+func TestNoTurnNeeded(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(append(both("svc", 3, 3), stands("free", "", 3)...)...)
+		text := policy(append(ways(), lore.Route{Name: "f", Host: host, Prefix: "/free/", Service: "free", Tries: 2, DeadlineMs: 4000, AimMs: 400}), lore.Service{Name: "svc", Slots: 16}, lore.Service{Name: "free", Slots: 16})
+		f := build(t, 42, 2, y, text, turning)
+		defer f.close()
+		f.load(20, 10*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), []string{"/once/x", "/free/x"}[i%2], 400, 4) })
+		require.Empty(t, orders(y.book()))
+	})
+}
+
+// TestOneOrders: holders that are killed, frozen and cut off from the core, in turn: orders
+// to one worker by different owners are a lease apart at least, fences never fall, a fence
+// belongs to one owner, no part falls below a third, and every turn comes to an end.
+func TestOneOrders(t *testing.T) {
+	eachSeed(t, 8, func(t *testing.T, seed uint64) {
+		y := newYard(both("svc", 3, 4)...)
+		f := build(t, seed, 3, y, plain(), turning)
+		defer f.close()
+		was := parts(y)
+		for i := range 7 {
+			y.pressed([]word.Part{word.Prefill, word.Decode}[i%2], []int{6, 14}[i%2])
+			f.until(12*time.Second, func() bool { return f.holder() >= 0 && len(orders(y.book())) > i })
+			time.Sleep(time.Duration(seed*131%17+uint64(i)*7%5) * 100 * time.Millisecond)
+			h := f.holder()
+			if h < 0 {
+				continue
+			}
+			ip := []string{nodeIp(h)}
+			switch (int(seed) + i) % 4 {
+			case 0:
+				f.kill(h)
+				time.Sleep(1500 * time.Millisecond)
+				f.node(h)
+			case 1:
+				f.freeze(h, true)
+				time.Sleep(5 * time.Second)
+				f.freeze(h, false)
+			case 2:
+				f.w.Sever(ip, coreIps, true)
+				time.Sleep(6 * time.Second)
+				f.w.Sever(ip, coreIps, false)
+			case 3:
+				f.freeze(h, true)
+				time.Sleep(2 * time.Second)
+				f.freeze(h, false)
+				if l := f.leader(); l != "" {
+					f.offCore(l)
+					time.Sleep(3 * time.Second)
+					f.core(l)
+				}
+			}
+		}
+		y.at(func() { y.lean = nil })
+		require.True(t, f.until(30*time.Second, func() bool {
+			for _, b := range f.up() {
+				if len(b.view.Sight().Turning) > 0 {
+					return false
+				}
+			}
+			return true
+		}), "every turn comes to an end")
+		rows := y.book()
+		require.Greater(t, len(orders(rows)), 3)
+		require.Empty(t, ordersApart(rows, 3*time.Second))
+		require.Empty(t, thirds(rows, was))
+		owner, last := map[word.Fence]word.NodeId{}, word.Fence(0)
+		for _, k := range orders(rows) {
+			if old, ok := owner[k.Fence]; ok {
+				require.Equal(t, old, k.Owner)
+			}
+			owner[k.Fence] = k.Owner
+			require.GreaterOrEqual(t, k.Fence, last, "over all workers of the service")
+			last = k.Fence
+		}
+	})
+}
+
+// TestOrphan: the holder dies right after all heard of a turn, before or after its order:
+// nothing is sent to that worker while the turn stands, and the next holder ends it.
+func TestOrphan(t *testing.T) {
+	for _, ordered := range []bool{false, true} {
+		t.Run(fmt.Sprint("ordered-", ordered), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				y := newYard(both("svc", 3, 4)...)
+				f := build(t, 43, 3, y, plain(), turning)
+				defer f.close()
+				y.pressed(word.Prefill, 6)
+				require.True(t, f.until(15*time.Second, func() bool {
+					return len(f.nodes[0].view.Sight().Turning) > 0 && (!ordered || len(orders(y.book())) > 0)
+				}))
+				h := f.holder()
+				require.GreaterOrEqual(t, h, 0)
+				f.kill(h)
+				y.at(func() { y.lean = nil })
+				all := f.load(20, 25*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), paths[i%4], 400, 4) })
+				for _, b := range f.up() {
+					require.Empty(t, b.view.Sight().Turning, "the next holder ended it")
+				}
+				require.Empty(t, leftAlone(y.book(), 100*time.Millisecond))
+				require.Empty(t, onceOnly(y.book(), all))
+				if !ordered {
+					require.Empty(t, orders(y.book()))
+				}
+			})
+		})
+	}
+}
+
+// TestNewHolderWaits: a new holder sends no order until more than a lease went by since it
+// was given the duty, also where the one before it is only cut off and goes on.
+func TestNewHolderWaits(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 3, 4)...)
+		f := build(t, 44, 3, y, plain(), turning)
+		defer f.close()
+		time.Sleep(3 * time.Second)
+		h := f.holder()
+		require.GreaterOrEqual(t, h, 0)
+		f.w.Sever([]string{nodeIp(h)}, coreIps, true)
+		next := -1
+		require.True(t, f.until(20*time.Second, func() bool { next = f.holder(); return next >= 0 && next != h }))
+		since := y.now()
+		y.pressed(word.Prefill, 6)
+		require.True(t, f.until(20*time.Second, func() bool { return len(orders(y.book())) > 0 }))
+		first := orders(y.book())[0]
+		require.Equal(t, nodeIp(next), first.Node)
+		require.Greater(t, first.At-since, 3*time.Second)
+	})
+}
--- a/relay/yard_test.go
+++ b/relay/yard_test.go
@@ -39,7 +39,7 @@
 // row is one line of the book.
 type row struct {
 	At     time.Duration
-	Kind   string // read, emit, free, order
+	Kind   string // read, emit, free, order, report
 	Node   string
 	Worker word.WorkerId
 	Req    string
@@ -73,7 +73,6 @@
 	orders           int
 	turning          word.Part
 	running, waiting int
-	press            int // added to what its reports say is running
 }
 
 type yard struct {
@@ -92,6 +91,8 @@
 	turn    time.Duration
 	handle  int
 	onRead  func(r *Request)
+	prep    func(n *Node)      // before a node runs
+	lean    func(s *stand) int // added to what reports say is running
 }
 
 func newYard(all ...*stand) *yard {
@@ -488,12 +489,19 @@
 	if err != nil {
 		return nil, err
 	}
+	b.y.at(func() {
+		b.y.rows = append(b.y.rows, row{At: b.y.now(), Kind: "report", Node: b.ip, Worker: s.Id})
+	})
 	if err := b.ok(ctx, s); err != nil {
 		return nil, err
 	}
 	b.y.mu.Lock()
 	defer b.y.mu.Unlock()
-	return &Report{Part: s.Part, Turning: s.turning != "", Orders: s.orders, Waiting: s.waiting, Running: s.running + s.press, Used: 100 * s.running, Room: 100 * s.Slots}, nil
+	more := 0
+	if b.y.lean != nil {
+		more = b.y.lean(s)
+	}
+	return &Report{Part: s.Part, Turning: s.turning != "", Orders: s.orders, Waiting: s.waiting, Running: s.running + more, Used: 100 * s.running, Room: 100 * s.Slots}, nil
 }
 
 func (b *back) Order(ctx context.Context, w Worker, o *Order) error {
