--- a/cmd/berth/main.go
+++ b/cmd/berth/main.go
@@ -20,6 +20,8 @@
 	"keelstair.example/platform"
 	"keelstair.example/relay"
 	"keelstair.example/seam"
+	"keelstair.example/tale"
+	"keelstair.example/wire"
 	"keelstair.example/word"
 )
 
@@ -71,7 +73,10 @@
 	}
 	ring := boot.Ring("core " + s.Name)
 	log.SetOutput(ring)
-	c, err := crux.New(crux.Options{Addr: s.Control, Zone: word.Zone(s.Zone), Host: host, Seeds: s.Seeds, Ring: ring, Lease: s.Lease, Joins: !s.Founds,
+	if s.Dir == "" {
+		return desk(s, r, host, ring)
+	}
+	c, err := crux.New(crux.Options{Addr: s.Control, Zone: word.Zone(s.Zone), Host: host, Seeds: s.Seeds, Ring: ring, Lease: s.Lease, Joins: !s.Founds, Losses: s.Losses,
 		Machine: func() crux.Machine { return lore.NewMachine(lore.MachineOptions{Read: platform.Policy}) }})
 	if err != nil {
 		return err
@@ -86,6 +91,22 @@
 	return c.Run(ctx)
 }
 
+// desk serves the operator on a machine without a disk: it holds nothing and asks the core.
+func desk(s *platform.Settings, r *reload, host seam.Host, ring *tale.Ring) error {
+	ctx, stop := boot.Signals()
+	defer stop()
+	call := wire.NewCaller(host.Net)
+	defer call.Close()
+	book := crux.NewBook(host, call, s.Seeds, crux.Seat{Addr: s.Control})
+	r.watch(ctx, book)
+	mux := http.NewServeMux()
+	book.Serve(mux)
+	(&platform.Operator{Call: call, Book: book, Zones: s.Zones, Ring: ring}).Mount(mux)
+	boot.Serve(ctx, host, s.Control, mux, func(err error) { boot.Fail("berth core", err) })
+	book.Keep(ctx, func() bool { return false })
+	return nil
+}
+
 func node(s *platform.Settings, r *reload) error {
 	if err := s.ForNode(); err != nil {
 		return err
--- a/crux/anew.go
+++ b/crux/anew.go
@@ -47,12 +47,13 @@
 				return no("the holder at %s lives; the core will be back when two of three are", s.Addr)
 			}
 		}
-		if now.Past(from, anewListen) && len(all) >= 2 {
-			spare = all[:2]
+		need := 2 * rec.losses()
+		if now.Past(from, anewListen) && len(all) >= need {
+			spare = all[:need]
 			break
 		}
 		if now.Past(from, anewWait) {
-			return no("%d empty machines were met, two are needed", len(all))
+			return no("%d empty machines were met, %d are needed", len(all), need)
 		}
 		if !seam.Sleep(ctx, 200*time.Millisecond) {
 			return ctx.Err()
@@ -72,7 +73,8 @@
 	}
 	next := rec
 	next.Epoch += anewJump
-	next.Primary, next.Backup, next.Holders = c.me, spare[0], []Seat{c.me, spare[0], spare[1]}
+	next.Primary, next.Holders = c.me, append([]Seat{c.me}, spare...)
+	next.follow(spare[:rec.losses()])
 	if !c.begin(ctx, next, Pack(img), shelf) {
 		return no("the empty machines at %s and %s did not agree; order it again", spare[0].Addr, spare[1].Addr)
 	}
@@ -90,13 +92,15 @@
 			return false
 		}
 	}
-	if c.send(ctx, rec.Epoch, rec.Backup, body, shelf) != nil {
-		return false
+	order := rec.backups()
+	for _, s := range order {
+		if c.send(ctx, rec.Epoch, s, body, shelf) != nil {
+			return false
+		}
 	}
 	ask.Accept = true
-	order := []Seat{rec.Backup}
 	for _, s := range rec.Holders {
-		if s.Disk != rec.Backup.Disk && s.Disk != c.me.Disk {
+		if rec.rank(s.Disk) < 0 && s.Disk != c.me.Disk {
 			order = append(order, s)
 		}
 	}
--- a/crux/core.go
+++ b/crux/core.go
@@ -35,6 +35,7 @@
 	Lease   time.Duration // 3s: of every node
 	Stall   time.Duration // 1s: a disk step that takes longer
 	Replace time.Duration // 4s: a register holder silent so long may be replaced
+	Losses  int           // 1: machines that may be lost at once; counts when the core is founded
 	Joins   bool          // it founds nothing and waits for a core that stands
 	Anew    bool          // an operator orders the core founded anew from this disk
 }
@@ -45,6 +46,7 @@
 	word.Or(&o.Lease, 3*time.Second)
 	word.Or(&o.Stall, time.Second)
 	word.Or(&o.Replace, 4*time.Second)
+	o.Losses = max(1, o.Losses)
 	if o.Ring == nil {
 		o.Ring = tale.Mute()
 	}
@@ -226,7 +228,7 @@
 		return out("a newer epoch is promised")
 	case q.Takeover && q.From.Disk != prim && c.alive(prim, now):
 		return out("the primary is heard")
-	case q.Accept && q.Record.Backup.Disk == c.me.Disk && ready != q.Epoch:
+	case q.Accept && q.Record.rank(c.me.Disk) >= 0 && ready != q.Epoch:
 		return out("the picture of this epoch is missing")
 	case q.Accept:
 		next.Accepted, next.Promised = q.Record, q.Epoch
@@ -270,7 +272,7 @@
 	defer c.dataMu.Unlock()
 	rec, promised := c.accepted()
 	r := &AppendReply{Promised: promised, Last: c.roll.seq}
-	if q.Epoch < promised || rec.Epoch != q.Epoch || rec.Backup.Disk != c.me.Disk || c.sour || q.Prev != c.roll.seq {
+	if q.Epoch < promised || rec.Epoch != q.Epoch || rec.rank(c.me.Disk) < 0 || c.sour || q.Prev != c.roll.seq {
 		return r, nil
 	}
 	c.regMu.Lock()
--- a/crux/example_test.go
+++ b/crux/example_test.go
@@ -66,11 +66,15 @@
 	agents []*crux.Agent
 	views  []*echo
 	seeds  []string
+	losses int
 }
 
-func build(seed uint64) *fleet {
-	f := &fleet{w: sham.NewWorld(seed), procs: map[string]*sham.Proc{}, stops: map[string]context.CancelFunc{}, cores: map[string]*crux.Core{}}
-	for i := range 3 {
+func build(seed uint64) *fleet { return buildOf(seed, 3, 1) }
+
+// buildOf is a fleet of so many cores that bears so many losses at once.
+func buildOf(seed uint64, cores, losses int) *fleet {
+	f := &fleet{losses: losses, w: sham.NewWorld(seed), procs: map[string]*sham.Proc{}, stops: map[string]context.CancelFunc{}, cores: map[string]*crux.Core{}}
+	for i := range cores {
 		f.seeds = append(f.seeds, fmt.Sprintf("10.0.0.%d:1", i+1))
 	}
 	for _, a := range f.seeds {
@@ -105,7 +109,7 @@
 func (f *fleet) coreAs(addr string, anew bool) chan error {
 	ip := addr[:len(addr)-2]
 	p := f.w.Machine(ip).Start()
-	c, err := crux.New(crux.Options{Addr: addr, Host: p.Host(), Seeds: f.seeds, Machine: func() crux.Machine { return &tally{} }, Anew: anew})
+	c, err := crux.New(crux.Options{Addr: addr, Host: p.Host(), Seeds: f.seeds, Machine: func() crux.Machine { return &tally{} }, Anew: anew, Losses: f.losses})
 	if err != nil {
 		panic(err)
 	}
--- a/crux/lead.go
+++ b/crux/lead.go
@@ -1,5 +1,5 @@
 // The primary's writer. One loop takes all that wants writing, makes it durable
-// here and at the backup side by side (group commit), and only then answers. A
+// here and at the backups side by side (group commit), and only then answers. A
 // renewal of a lease counts only with a beat that the backup confirmed after
 // the renewal came, so a deposed primary can lengthen no lease.
 
@@ -182,7 +182,7 @@
 	return nil
 }
 
-// write returns only once both copies are synced. A silent backup is replaced
+// write returns only once all copies are synced. A silent backup is replaced
 // on the spot, by a picture that holds the entries too; meanwhile all wait.
 func (l *leader) write(ctx context.Context, prev word.Seq, ents []Entry) error {
 	c := l.c
@@ -191,21 +191,26 @@
 	wg.Go(func() { mine = c.store.append(ents) })
 	ask := &AppendAsk{Epoch: l.rec.Epoch, From: c.me, Prev: prev, Entries: ents}
 	cx, stop := context.WithTimeout(ctx, 450*time.Millisecond)
-	r, err := wire.Call[AppendAsk, AppendReply](cx, c.call, c.book.Addr(l.rec.Backup), "crux/append", ask)
-	stop()
+	defer stop()
+	behind := make([]error, len(l.rec.backups()))
+	for i, s := range l.rec.backups() {
+		wg.Go(func() { behind[i] = l.copyTo(cx, s, ask) })
+	}
 	wg.Wait()
 	if mine != nil {
 		return mine
 	}
-	if err == nil && r.Ok {
-		c.hear(l.rec.Backup.Disk)
+	all := true
+	for i, s := range l.rec.backups() {
+		if behind[i] != nil {
+			all = false
+			c.opt.Ring.Warn().AnErr("cause", behind[i]).Str("backup", s.Addr).Msg("backup does not follow")
+		}
+	}
+	if all {
 		l.tell(ctx, l.rec)
 		return nil
 	}
-	if err == nil && r.Promised > l.rec.Epoch {
-		c.raise(r.Promised)
-	}
-	c.opt.Ring.Warn().AnErr("cause", err).Str("backup", l.rec.Backup.Addr).Msg("backup does not follow")
 	for n := 0; ; n++ {
 		rec, err := c.ascend(ctx, swap{}, l.rec.Epoch)
 		if err == nil {
@@ -219,6 +224,22 @@
 	}
 }
 
+// copyTo has one backup take a batch, synced.
+func (l *leader) copyTo(ctx context.Context, s Seat, ask *AppendAsk) error {
+	r, err := wire.Call[AppendAsk, AppendReply](ctx, l.c.call, l.c.book.Addr(s), "crux/append", ask)
+	switch {
+	case err != nil:
+		return err
+	case !r.Ok:
+		if r.Promised > ask.Epoch {
+			l.c.raise(r.Promised)
+		}
+		return breakdown.New(breakdown.Stale, "append", s.Addr, "refused, promised %d", r.Promised)
+	}
+	l.c.hear(s.Disk)
+	return nil
+}
+
 // tell gives the other holders a sign of life, once per beat.
 func (l *leader) tell(ctx context.Context, rec Record) {
 	c := l.c
@@ -228,7 +249,7 @@
 	}
 	l.asked = now
 	for _, s := range rec.Holders {
-		if s.Disk != c.me.Disk && s.Disk != rec.Backup.Disk {
+		if s.Disk != c.me.Disk && rec.rank(s.Disk) < 0 {
 			go func() {
 				cx, stop := context.WithTimeout(ctx, 500*time.Millisecond)
 				defer stop()
--- /dev/null
+++ b/crux/losses_test.go
@@ -0,0 +1,66 @@
+// Where two machines may be lost at once.
+
+package crux_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestTwoLost: any two of six disk machines lose power or their disks right after an
+// answer, at the same moment and again and again, the primary and a backup among them.
+// What was acknowledged is there, and the core goes on. Many seeds.
+func TestTwoLost(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		f := buildOf(seed, 6, 2)
+		defer f.close()
+		r := rand.New(rand.NewPCG(seed, 1))
+		want := int64(0)
+		for i := range 3 {
+			require.NoError(t, f.add(1, fmt.Sprint("op", i), 10*time.Second), "round %d", i)
+			want++
+			lead := f.leader()
+			ips := []string{lead}
+			rec := f.cores[lead].Book().Record()
+			switch r.IntN(3) {
+			case 0:
+				ips = append(ips, rec.Backup.Addr[:8])
+			case 1:
+				ips = []string{rec.Backup.Addr[:8], rec.Also[0].Addr[:8]}
+			default:
+				for len(ips) < 2 {
+					if ip := f.seeds[r.IntN(len(f.seeds))][:8]; ip != lead {
+						ips = append(ips, ip)
+					}
+				}
+			}
+			for _, ip := range ips {
+				f.off(ip)
+				if r.IntN(2) == 0 {
+					f.w.Machine(ip).Wipe()
+				}
+			}
+			require.NoError(t, f.add(1, fmt.Sprint("then", i), 10*time.Second), "round %d without %v", i, ips)
+			want++
+			for _, ip := range ips {
+				f.core(ip + ":1")
+			}
+			time.Sleep(14 * time.Second) // lost registers pass on to machines that are heard
+			for _, v := range f.views {
+				require.Equal(t, want, v.sum.Load())
+			}
+		}
+		all := 0
+		for _, c := range f.cores {
+			rec := c.Book().Record()
+			require.Len(t, rec.Holders, 5)
+			require.Len(t, rec.Also, 1)
+			all++
+		}
+		require.Equal(t, 6, all)
+	})
+}
--- a/crux/note.go
+++ b/crux/note.go
@@ -24,4 +24,5 @@
 	Primary  Seat
 	Backup   Seat
 	Holders  []Seat
+	Also     []Seat // further backups, where more than one machine may be lost at once
 }
--- a/crux/note_gen.go
+++ b/crux/note_gen.go
@@ -10,9 +10,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Record) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "Epoch"
-	o = append(o, 0x85, 0xa5, 0x45, 0x70, 0x6f, 0x63, 0x68)
+	o = append(o, 0x86, 0xa5, 0x45, 0x70, 0x6f, 0x63, 0x68)
 	o = msgp.AppendUint64(o, uint64(z.Epoch))
 	// string "Founding"
 	o = append(o, 0xa8, 0x46, 0x6f, 0x75, 0x6e, 0x64, 0x69, 0x6e, 0x67)
@@ -56,6 +56,21 @@
 		o = append(o, 0xa4, 0x5a, 0x6f, 0x6e, 0x65)
 		o = msgp.AppendString(o, string(z.Holders[za0001].Zone))
 	}
+	// string "Also"
+	o = append(o, 0xa4, 0x41, 0x6c, 0x73, 0x6f)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Also)))
+	for za0002 := range z.Also {
+		// map header, size 3
+		// string "Disk"
+		o = append(o, 0x83, 0xa4, 0x44, 0x69, 0x73, 0x6b)
+		o = msgp.AppendString(o, string(z.Also[za0002].Disk))
+		// string "Addr"
+		o = append(o, 0xa4, 0x41, 0x64, 0x64, 0x72)
+		o = msgp.AppendString(o, z.Also[za0002].Addr)
+		// string "Zone"
+		o = append(o, 0xa4, 0x5a, 0x6f, 0x6e, 0x65)
+		o = msgp.AppendString(o, string(z.Also[za0002].Zone))
+	}
 	return
 }
 
@@ -253,6 +268,68 @@
 					}
 				}
 			}
+		case "Also":
+			var zb0013 uint32
+			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Also")
+				return
+			}
+			if cap(z.Also) >= int(zb0013) {
+				z.Also = (z.Also)[:zb0013]
+			} else {
+				z.Also = make([]Seat, zb0013)
+			}
+			for za0002 := range z.Also {
+				var zb0014 uint32
+				zb0014, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Also", za0002)
+					return
+				}
+				for zb0014 > 0 {
+					zb0014--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Also", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "Disk":
+						{
+							var zb0015 string
+							zb0015, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Also", za0002, "Disk")
+								return
+							}
+							z.Also[za0002].Disk = word.DiskId(zb0015)
+						}
+					case "Addr":
+						z.Also[za0002].Addr, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Also", za0002, "Addr")
+							return
+						}
+					case "Zone":
+						{
+							var zb0016 string
+							zb0016, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Also", za0002, "Zone")
+								return
+							}
+							z.Also[za0002].Zone = word.Zone(zb0016)
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Also", za0002)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -271,6 +348,10 @@
 	for za0001 := range z.Holders {
 		s += 1 + 5 + msgp.StringPrefixSize + len(string(z.Holders[za0001].Disk)) + 5 + msgp.StringPrefixSize + len(z.Holders[za0001].Addr) + 5 + msgp.StringPrefixSize + len(string(z.Holders[za0001].Zone))
 	}
+	s += 5 + msgp.ArrayHeaderSize
+	for za0002 := range z.Also {
+		s += 1 + 5 + msgp.StringPrefixSize + len(string(z.Also[za0002].Disk)) + 5 + msgp.StringPrefixSize + len(z.Also[za0002].Addr) + 5 + msgp.StringPrefixSize + len(string(z.Also[za0002].Zone))
+	}
 	return
 }
 
--- /dev/null
+++ b/crux/record.go
@@ -0,0 +1,51 @@
+// What a record says of how many machines may be lost: n backups beside the primary, and
+// registers on 2n+1 machines, so that after n losses one copy of the data is left and a
+// majority of the registers.
+
+package crux
+
+import "keelstair.example/word"
+
+// losses is how many machines may be lost at once.
+func (r Record) losses() int { return max(1, (len(r.Holders)-1)/2) }
+
+// backups are all that take every entry before it is answered.
+func (r Record) backups() []Seat {
+	if r.Backup.Disk == "" {
+		return nil
+	}
+	return append([]Seat{r.Backup}, r.Also...)
+}
+
+// follow names the backups.
+func (r *Record) follow(list []Seat) {
+	r.Backup, r.Also = Seat{}, nil
+	if len(list) > 0 {
+		r.Backup, r.Also = list[0], append([]Seat(nil), list[1:]...)
+	}
+}
+
+// rank is the place of a backup, from 0 on, or -1.
+func (r Record) rank(d word.DiskId) int {
+	for i, s := range r.backups() {
+		if s.Disk == d {
+			return i
+		}
+	}
+	return -1
+}
+
+// spread takes n of the seats, as evenly from the zones as may be, in the order given.
+func spread(row []Seat, n int) []Seat {
+	var out []Seat
+	per := map[word.Zone]int{}
+	for most := 1; len(out) < n; most++ {
+		for _, s := range row {
+			if len(out) < n && per[s.Zone] < most && !holds(out, s.Disk) {
+				per[s.Zone]++
+				out = append(out, s)
+			}
+		}
+	}
+	return out
+}
--- a/crux/steward.go
+++ b/crux/steward.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -15,6 +16,12 @@
 	"keelstair.example/word"
 )
 
+// meeting is who was met last, and since when nobody else.
+type meeting struct {
+	row []Seat
+	at  word.Tick
+}
+
 type swap struct {
 	out word.DiskId
 	in  Seat
@@ -31,6 +38,7 @@
 
 func (c *Core) steward(ctx context.Context) {
 	idle := c.opt.Host.Clock.Now()
+	met := &meeting{}
 	for seam.Sleep(ctx, 60*time.Millisecond+rand.N(60*time.Millisecond)) {
 		now := c.opt.Host.Clock.Now()
 		rec, _ := c.accepted()
@@ -42,7 +50,7 @@
 		if rec.Founding == "" {
 			if known.Founding == "" {
 				if !c.opt.Joins {
-					c.found(ctx)
+					c.found(ctx, met)
 				}
 			} else if c.named(known) {
 				c.adopt(known)
@@ -57,8 +65,8 @@
 			continue
 		}
 		wait := time.Duration(0)
-		if rec.Backup.Disk == c.me.Disk {
-			wait = c.opt.Silence
+		if rank := rec.rank(c.me.Disk); rank >= 0 {
+			wait = c.opt.Silence + time.Duration(rank)*c.opt.Silence/3
 			c.regMu.Lock()
 			if at, ok := c.heard[rec.Primary.Disk]; ok && idle.Before(at) {
 				idle = at
@@ -97,7 +105,7 @@
 }
 
 func (c *Core) named(r Record) bool {
-	return r.Primary.Disk == c.me.Disk || r.Backup.Disk == c.me.Disk
+	return r.Primary.Disk == c.me.Disk || r.rank(c.me.Disk) >= 0
 }
 
 // soured data (a failed disk step) is read again from disk before it is used.
@@ -122,7 +130,7 @@
 func (c *Core) adopt(r Record) bool {
 	c.regMu.Lock()
 	defer c.regMu.Unlock()
-	if r.Epoch <= c.reg.Accepted.Epoch || !holds(r.Holders, c.me.Disk) || c.reg.Promised > r.Epoch || r.Backup.Disk == c.me.Disk {
+	if r.Epoch <= c.reg.Accepted.Epoch || !holds(r.Holders, c.me.Disk) || c.reg.Promised > r.Epoch || r.rank(c.me.Disk) >= 0 {
 		return false
 	}
 	if err := c.store.saveRegister(register{Promised: r.Epoch, Accepted: r}); err != nil {
@@ -132,20 +140,25 @@
 	return true
 }
 
-// found makes the first record, only when three empty disk machines have met
-// and all three accept it. The lowest identity proposes.
-func (c *Core) found(ctx context.Context) {
+// found makes the first record, only when enough empty disk machines have met (three, if
+// one may be lost) and all of them accept it. The lowest identity proposes, once it heard
+// of no other machine for a while.
+func (c *Core) found(ctx context.Context, met *meeting) {
 	all, blank := c.book.heard(2 * time.Second)
-	if len(all) != len(blank) || len(blank) < 2 {
+	n := 2*c.opt.Losses + 1
+	if len(all) != len(blank) || len(blank) < n-1 {
 		return
 	}
-	trio := append(blank, c.me)
-	sort.Slice(trio, func(i, j int) bool { return trio[i].Disk < trio[j].Disk })
-	trio = trio[:3]
-	if trio[0].Disk != c.me.Disk {
+	row := append(blank, c.me)
+	sort.Slice(row, func(i, j int) bool { return row[i].Disk < row[j].Disk })
+	if now := c.opt.Host.Clock.Now(); !slices.Equal(met.row, row) {
+		met.row, met.at = row, now
+		return
+	} else if row = spread(row, n); row[0].Disk != c.me.Disk || !now.Past(met.at, c.opt.Silence/2) {
 		return
 	}
-	rec := Record{Epoch: 1, Founding: "f-" + string(c.me.Disk), Primary: c.me, Backup: trio[1], Holders: trio}
+	rec := Record{Epoch: 1, Founding: "f-" + string(c.me.Disk), Primary: c.me, Holders: row}
+	rec.follow(row[1 : 1+c.opt.Losses])
 	c.dataMu.Lock()
 	body, shelf := Pack(c.roll.picture(false)), sheets(c.roll.app)
 	c.dataMu.Unlock()
@@ -235,7 +248,7 @@
 	return 2*n > len(set)
 }
 
-// ascend makes this core the primary of a new epoch with a backup that holds a
+// ascend makes this core the primary of a new epoch with backups that hold a
 // picture, by two rounds over the registers. The caller either leads already
 // (held is its epoch, and it holds dataMu) or leads not at all.
 func (c *Core) ascend(ctx context.Context, sw swap, held word.Epoch) (Record, error) {
@@ -282,32 +295,33 @@
 	if held == 0 {
 		c.dataMu.Unlock()
 	}
-	next.Primary, next.Backup = c.me, Seat{}
+	next.Primary = c.me
+	var ready []Seat
 	for _, s := range yes {
-		if s.Disk != c.me.Disk && holds(next.Holders, s.Disk) && c.send(ctx, next.Epoch, s, body, all) == nil {
-			next.Backup = s
-			break
+		if len(ready) < next.losses() && s.Disk != c.me.Disk && holds(next.Holders, s.Disk) && c.send(ctx, next.Epoch, s, body, all) == nil {
+			ready = append(ready, s)
 		}
 	}
-	if next.Backup.Disk == "" {
-		return cur, breakdown.New(breakdown.Away, "ascend", c.me.Addr, "no backup took the picture")
+	if len(ready) < next.losses() {
+		return cur, breakdown.New(breakdown.Away, "ascend", c.me.Addr, "%d of %d backups took the picture", len(ready), next.losses())
 	}
+	next.follow(ready)
 	ask = &BallotAsk{Epoch: next.Epoch, From: c.me, Accept: true, Record: next}
-	if n, _, _ := c.poll(ctx, ask, []Seat{next.Backup}); n == 0 {
-		return cur, breakdown.New(breakdown.Unknown, "ascend", next.Backup.Addr, "the backup did not accept")
+	if n, _, _ := c.poll(ctx, ask, ready); n < len(ready) {
+		return cur, breakdown.New(breakdown.Unknown, "ascend", next.Backup.Addr, "%d of %d backups accepted", n, len(ready))
 	}
 	var rest []Seat
 	for _, s := range union {
-		if s.Disk != next.Backup.Disk {
+		if next.rank(s.Disk) < 0 {
 			rest = append(rest, s)
 		}
 	}
 	_, _, yes = c.poll(ctx, ask, rest, []Seat{c.me})
-	yes = append(yes, next.Backup)
+	yes = append(yes, ready...)
 	if !holds(yes, c.me.Disk) || !most(cur.Holders, yes) || !most(next.Holders, yes) {
 		return cur, breakdown.New(breakdown.Unknown, "ascend", c.me.Addr, "only %d registers accepted", len(yes))
 	}
 	return next, nil
 }
 
-func partner(r Record, s Seat) bool { return s.Disk == r.Primary.Disk || s.Disk == r.Backup.Disk }
+func partner(r Record, s Seat) bool { return s.Disk == r.Primary.Disk || r.rank(s.Disk) >= 0 }
--- a/seam/sham/disk.go
+++ b/seam/sham/disk.go
@@ -41,11 +41,13 @@
 	m.world.shake()
 }
 
-// Wipe loses all that the disk held.
+// Wipe loses all that the disk held, and what a dying process was still writing.
 func (m *Machine) Wipe() {
 	m.world.mu.Lock()
 	defer m.world.mu.Unlock()
-	m.disk.files, m.disk.logs = map[string][]byte{}, map[string][][]byte{}
+	next := newDisk(m.world)
+	next.delay, next.stall, next.count = m.disk.delay, m.disk.stall, m.disk.count
+	m.disk = next
 }
 
 // Syncs counts the steps that were made durable.
