--- /dev/null
+++ b/cmd/gauge/hollow.go
@@ -0,0 +1,151 @@
+// Hollow nodes: the product's own node, with its own listener and no callers.
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/crux"
+	"keelstair.example/door"
+	"keelstair.example/lore"
+	"keelstair.example/platform"
+	"keelstair.example/relay"
+	"keelstair.example/seam"
+	"keelstair.example/verge"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+// halls are zones as the target has them: 3 regions with 7 zones.
+var halls = []word.Zone{"r1-a", "r1-b", "r1-c", "r2-a", "r2-b", "r3-a", "r3-b"}
+
+// hollow is one node.
+type hollow struct {
+	addr  string
+	door  string
+	view  *lore.View
+	relay *relay.Node
+	run   func(context.Context)
+}
+
+// members asks the node, as a neighbour would, how many members it knows; -1 if it has
+// no news yet.
+func (h *hollow) members(ctx context.Context, call *wire.Caller) int {
+	r, err := wire.Call[crux.NewsAsk, crux.NewsReply](ctx, call, h.addr, "crux/news", &crux.NewsAsk{})
+	if err != nil {
+		return -1
+	}
+	var img crux.Image
+	if _, err := img.UnmarshalMsg(r.Picture); err != nil {
+		return -1
+	}
+	return len(img.Members)
+}
+
+// raise makes a node and has it listen; run must still be called.
+func raise(ctx context.Context, host seam.Host, c *holdCmd, name string, zone word.Zone, back relay.Backend) (*hollow, error) {
+	l, err := host.Net.Listen("127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	h := &hollow{addr: l.Addr().String()}
+	switch c.Sort {
+	case "verge":
+		n := verge.New(verge.Options{Name: name, Addr: l.Addr().String(), Zone: zone, Seeds: c.Seeds, Platform: c.List, Host: host})
+		n.Mount(mux)
+		door.Mount(mux, n)
+		door.MountOperator(mux, n)
+		h.door = h.addr
+		h.view, h.run = n.View(), func(ctx context.Context) { n.Run(ctx, time.Second) }
+	case "relay":
+		if back == nil {
+			back = platform.NewBack(host.Net, c.List)
+		}
+		turn := time.Duration(-1)
+		if c.Turns {
+			turn = 0 // the product's own
+		}
+		n, err := relay.New(relay.Options{Name: name, Addr: l.Addr().String(), Zone: zone, Seeds: c.Seeds, Host: host, Back: back, Turn: turn})
+		if err != nil {
+			l.Close()
+			return nil, err
+		}
+		n.Mount(mux)
+		h.view, h.relay, h.run = n.View(), n, func(ctx context.Context) { n.Run(ctx, 0, 0) }
+	default:
+		l.Close()
+		return nil, breakdown.New(breakdown.Bad, "make node", name, "there is no sort %q", c.Sort)
+	}
+	go wire.Serve(ctx, l, mux)
+	return h, nil
+}
+
+// text is a configuration of a size; turn changes one route's deadline.
+func (s *Size) text(turn int) *lore.Policy {
+	p := &lore.Policy{Services: map[string]lore.Service{}, Zones: halls, Limits: lore.Limits{Deeds: 20_000_000}}
+	for i := range s.models() {
+		n := s.model(i)
+		p.Services[n] = lore.Service{Name: n, Probe: "/health", Conns: 64, WarmMs: 20000, WarmRate: 3, Slots: 48, Memory: 400_000, TokenSize: 131072, HoldMs: 30000, TurnMs: 4000, Models: []string{n}}
+	}
+	for i := range s.Routes {
+		// Names that are not all alike, since messages are packed on their way.
+		p.Routes = append(p.Routes, lore.Route{Name: fmt.Sprintf("route-%05d-%s", i, crux.Short(fmt.Sprint(i))[:8]), Host: fmt.Sprintf("tenant-%03d.example", i%330), Prefix: fmt.Sprintf("/v1/%05d/", i),
+			Split: []lore.Share{{Service: s.model(i), Weight: 900}, {Service: s.model(i + 1), Weight: 100}}, Stream: true, Resumable: true, Tries: 3, DeadlineMs: 30000, AimMs: 740, GapMs: 64, Urgency: 5})
+	}
+	p.Routes[turn%len(p.Routes)].DeadlineMs += turn
+	if s.Duties > 0 {
+		p.Workers = map[word.WorkerId]lore.Worker{}
+	}
+	for i := range s.Duties {
+		p.Workers[word.WorkerId(fmt.Sprintf("w-%05d", i))] = lore.Worker{Part: s.part(i), Model: s.model(i), Weights: "w1", Adapters: []string{}, Room: 400_000, Block: 16, Zone: halls[i%len(halls)]}
+	}
+	return p
+}
+
+// models are 17, or fewer where there would not be six workers for each.
+func (s *Size) models() int { return max(1, min(17, s.Workers/6)) }
+
+func (s *Size) model(i int) string { return fmt.Sprintf("model-%02d", i%s.models()) }
+
+// part has 32 of 100 workers of each model read prompts.
+func (s *Size) part(i int) word.Part {
+	if i/s.models()*8%25 < 8 {
+		return word.Prefill
+	}
+	return word.Decode
+}
+
+// workers is a platform's list of a size. Those of a part answer at one address, if any
+// does: else nobody is there, and it is on this machine all the same.
+func (s *Size) workers(at map[word.Part]string) []relay.Worker {
+	out := make([]relay.Worker, s.Workers)
+	for i := range out {
+		out[i] = relay.Worker{Id: word.WorkerId(fmt.Sprintf("w-%05d-%s", i, crux.Short(fmt.Sprint("w", i))[:8])), Service: s.model(i), Addr: at[s.part(i)],
+			Zone: halls[i%len(halls)], Part: s.part(i), Slots: 48}
+		if out[i].Addr == "" {
+			out[i].Addr = fmt.Sprintf("127.1.%d.%d:9", i/250, 1+i%250)
+		}
+	}
+	return out
+}
+
+// body is the text of a configuration of a size.
+func (s *Size) body(turn int) ([]byte, error) {
+	p := s.text(turn)
+	if !s.Tools {
+		return json.Marshal(p)
+	}
+	// Operators' programs hold it against the schema, so it is made to fit that.
+	part, err := json.Marshal(map[string]any{"zones": p.Zones, "workers": p.Workers, "limits": map[string]any{"retryAfterMs": 900 + turn}})
+	if err != nil {
+		return nil, err
+	}
+	_, whole, err := lore.Whole("gauge", part)
+	return whole, err
+}
--- /dev/null
+++ b/cmd/gauge/page.go
@@ -0,0 +1,242 @@
+// The page's tables, made from the figures that were kept, each between its two marks.
+
+package main
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"strings"
+
+	"keelstair.example/breakdown"
+)
+
+// render rewrites the tables of a page.
+func render(from, page string) error {
+	book, err := load(from)
+	if err != nil {
+		return err
+	}
+	if len(book.Points) == 0 {
+		return breakdown.New(breakdown.Bad, "make page", from, "it holds no point; run first")
+	}
+	body, err := os.ReadFile(page)
+	if err != nil {
+		return err
+	}
+	out, err := fill(string(body), book.tables())
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(page, []byte(out), 0o644); err != nil {
+		return err
+	}
+	return os.WriteFile(strings.TrimSuffix(page, ".md")+"-points.md", []byte(aside+book.pointTables()), 0o644)
+}
+
+const aside = `# Capacity: the points
+
+Made by "gauge", all of it; what the words mean and what follows stands on the page beside
+it. A sweep turns the size in its head; *off* is what a fit leaves, of the span of y.
+`
+
+func (b *Book) tables() map[string]string {
+	return map[string]string{"run": b.runTable(), "node": b.nodeTable(),
+		"roles": b.roleTable(), "crossings": b.crossTable(), "lines": b.lineTable(), "design": b.designTable(), "failures": b.harmTable()}
+}
+
+// fill puts each table between its marks; all must be there.
+func fill(text string, tables map[string]string) (string, error) {
+	for name, table := range tables {
+		from, to := "<!-- gauge:"+name+" -->", "<!-- /gauge:"+name+" -->"
+		i, j := strings.Index(text, from), strings.Index(text, to)
+		if i < 0 || j < i {
+			return "", breakdown.New(breakdown.Bad, "make page", name, "the marks %s and %s are not there in this order", from, to)
+		}
+		text = text[:i+len(from)] + "\n" + table + text[j:]
+	}
+	return text, nil
+}
+
+type grid struct{ b strings.Builder }
+
+func (g *grid) row(cells ...string) { fmt.Fprintf(&g.b, "| %s |\n", strings.Join(cells, " | ")) }
+
+func (g *grid) head(cells ...string) {
+	g.row(cells...)
+	fmt.Fprintf(&g.b, "%s|\n", strings.Repeat("|---", len(cells)))
+}
+
+// quantity is one figure of a point.
+type quantity struct {
+	name string
+	of   func(*Point) float64
+}
+
+// alone is a figure of the node with a process for itself, unless it asks for the list.
+func (p *Point) alone(y float64) float64 {
+	if p.Size.Nodes > 1 && p.Alone.Flows["workers"].Asked > 0.3 && p.Size.Sort == "relay" {
+		return math.NaN()
+	}
+	return y
+}
+
+func flow(r *Role, names ...string) float64 {
+	x := 0.0
+	for _, n := range names {
+		x += r.Flows[n].In + r.Flows[n].Out
+	}
+	return x
+}
+
+var (
+	nodeCpu     = quantity{"node: processor, % of a core", func(p *Point) float64 { return p.Plain.Cpu }}
+	aloneCpu    = quantity{"node alone in a process: processor, % of a core", func(p *Point) float64 { return p.alone(p.Alone.Cpu) }}
+	nodeHeap    = quantity{"node alone: heap and stacks, MB", func(p *Point) float64 { return p.alone(p.Alone.Memory) }}
+	nodeRss     = quantity{"node alone in a process: resident, MB", func(p *Point) float64 { return p.alone(p.Alone.Rss) }}
+	nodeBytes   = quantity{"node: bytes/s, both ways", func(p *Point) float64 { return p.Plain.In + p.Plain.Out }}
+	nodeNews    = quantity{"node: bytes/s of news", func(p *Point) float64 { return flow(&p.Plain, "crux/news") }}
+	nodeLease   = quantity{"node: bytes/s of leases", func(p *Point) float64 { return flow(&p.Plain, "crux/renew") }}
+	nodeWhere   = quantity{"node: bytes/s of whereabouts", func(p *Point) float64 { return flow(&p.Plain, "crux/where") }}
+	nodeList    = quantity{"node: bytes/s of the list, from the platform or a peer", func(p *Point) float64 { return flow(&p.Plain, "relay/list", "workers") }}
+	nodeBeat    = quantity{"node: bytes/s of beats", func(p *Point) float64 { return flow(&p.Plain, "verge/beat") }}
+	nodeBeats   = quantity{"node: beats sent a second", func(p *Point) float64 { return p.Plain.Flows["verge/beat"].Asked }}
+	nodeAsked   = quantity{"node: requests sent a second", func(p *Point) float64 { return p.Plain.Asked }}
+	nodeServed  = quantity{"node: requests answered a second", func(p *Point) float64 { return p.Plain.Served }}
+	nodeSockets = quantity{"node: sockets", func(p *Point) float64 { return p.Plain.Sockets }}
+	nodeFiles   = quantity{"node alone: files that are no sockets", func(p *Point) float64 { return p.Alone.Files - p.Alone.Sockets }}
+	askList     = quantity{"asker of the list: bytes/s from the platform", func(p *Point) float64 { return p.Lister.Flows["workers"].In }}
+	askCpu      = quantity{"asker of the list: processor, % of a core", func(p *Point) float64 { return p.Lister.Cpu }}
+	askSockets  = quantity{"asker of the list: sockets", func(p *Point) float64 { return p.Lister.Sockets }}
+	askCalls    = quantity{"asker of the list: askings a second, all nodes together", func(p *Point) float64 { return p.Node.Flows["workers"].Asked * float64(p.Size.Nodes) }}
+	giveList    = quantity{"asker of the list: requests of nodes a second", func(p *Point) float64 { return p.Lister.Flows["relay/list"].Served }}
+	giveBytes   = quantity{"asker of the list: bytes/s sent on", func(p *Point) float64 { return p.Lister.Flows["relay/list"].Out }}
+	coreCpu     = quantity{"primary: processor, % of a core", func(p *Point) float64 { return p.Cores[0].Cpu }}
+	coreRss     = quantity{"primary: resident, MB", func(p *Point) float64 { return p.Cores[0].Rss }}
+	coreIn      = quantity{"primary: bytes/s read", func(p *Point) float64 { return p.Cores[0].In }}
+	coreOut     = quantity{"primary: bytes/s written", func(p *Point) float64 { return p.Cores[0].Out }}
+	coreServed  = quantity{"primary: requests of nodes a second", func(p *Point) float64 { return p.Cores[0].Served }}
+	coreSockets = quantity{"primary: sockets", func(p *Point) float64 { return p.Cores[0].Sockets }}
+	coreFiles   = quantity{"primary: files that are no sockets", func(p *Point) float64 { return p.Cores[0].Files - p.Cores[0].Sockets }}
+	sideCpu     = quantity{"backup: processor, % of a core", func(p *Point) float64 { return p.Cores[1].Cpu }}
+	sideRss     = quantity{"backup: resident, MB", func(p *Point) float64 { return p.Cores[1].Rss }}
+	sideBytes   = quantity{"backup: bytes/s, both ways", func(p *Point) float64 { return p.Cores[1].In + p.Cores[1].Out }}
+	thirdCpu    = quantity{"third core: processor, % of a core", func(p *Point) float64 { return p.Cores[2].Cpu }}
+	reachMean   = quantity{"in force at the last node, mean, ms", func(p *Point) float64 { return p.Last.some(p.Last.Mean) }}
+	reachWorst  = quantity{"in force at the last node, worst, ms", func(p *Point) float64 { return p.Last.some(p.Last.Worst) }}
+	ackMean     = quantity{"taken by the core, mean, ms", func(p *Point) float64 { return p.Ack.some(p.Ack.Mean) }}
+	textBytes   = quantity{"bytes of the configuration", func(p *Point) float64 { return float64(p.Text) }}
+	known       = quantity{"known, s", func(p *Point) float64 { return p.Known }}
+	mended      = quantity{"mended, s", func(p *Point) float64 { return p.Mended }}
+	pickMicros  = quantity{"one request's picking and carrying, us", func(p *Point) float64 {
+		if p.Picked == nil {
+			return math.NaN()
+		}
+		return p.Picked.Micros
+	}}
+)
+
+func tool(name, part string, of func(Tool) float64) quantity {
+	return quantity{name + ": " + part, func(p *Point) float64 {
+		for _, t := range p.Tools {
+			if t.Name == name {
+				return of(t)
+			}
+		}
+		return math.NaN()
+	}}
+}
+
+// fit of a quantity over a sweep.
+func (b *Book) fit(sweep string, q quantity) Fit {
+	var xs, ys []float64
+	for _, p := range b.sweep(sweep) {
+		if y := q.of(&p); !math.IsNaN(y) {
+			xs, ys = append(xs, p.X), append(ys, y)
+		}
+	}
+	return fit(xs, ys)
+}
+
+// shown are the quantities that each sweep's table and fits have.
+var shown = []struct {
+	sweep, what string
+	row         []quantity
+}{
+	{"nodes", "nodes, nothing changes", []quantity{aloneCpu, nodeCpu, nodeHeap, nodeRss, nodeBytes, nodeWhere, nodeList, nodeSockets, askCalls, askCpu, giveList, askSockets, coreCpu, coreRss, coreIn, coreOut, coreServed, coreSockets, sideCpu, sideBytes}},
+	{"reach", "nodes, one change a second of 200 routes", []quantity{ackMean, reachMean, reachWorst, nodeCpu, nodeNews, coreCpu, coreIn, coreOut}},
+	{"routes", "routes, one change a second", []quantity{textBytes, ackMean, reachMean, reachWorst, nodeCpu, nodeHeap, nodeRss, nodeNews, coreCpu, coreRss, coreOut, sideCpu}},
+	{"changes", "changes a second of 50 routes", []quantity{ackMean, reachMean, reachWorst, nodeCpu, nodeNews, nodeLease, coreCpu, coreOut}},
+	{"workers", "workers listed, one of them changing every two seconds", []quantity{nodeCpu, nodeHeap, nodeRss, nodeList, askList, giveBytes, askCpu, coreCpu}},
+	{"duties", "workers named in the configuration, each a key", []quantity{nodeCpu, nodeHeap, nodeBytes, coreCpu, coreRss, sideCpu}},
+	{"holder", "workers under one node's duties", []quantity{nodeCpu, nodeRss, nodeBytes, nodeAsked, nodeSockets}},
+	{"beats", "verges, 150 ms between beats", []quantity{nodeCpu, nodeHeap, nodeBeat, nodeBeats, nodeSockets, coreCpu}},
+	{"losses", "nodes of 64 killed together and replaced", []quantity{known, mended}},
+	{"takeover", "nodes, the primary killed", []quantity{known, mended}},
+	{"picks", "workers listed, requests at one node", []quantity{pickMicros}},
+	{"tools", "workers named in the configuration", []quantity{
+		tool("edict apply", "ms", func(t Tool) float64 { return t.Ms }), tool("edict apply", "ms of processor", func(t Tool) float64 { return t.CpuMs }),
+		tool("edict apply", "bytes", func(t Tool) float64 { return t.In + t.Out }),
+		tool("omen drain", "ms", func(t Tool) float64 { return t.Ms }), tool("omen drain", "ms of processor", func(t Tool) float64 { return t.CpuMs }),
+		tool("omen drain", "bytes", func(t Tool) float64 { return t.In + t.Out })}},
+}
+
+func (b *Book) runTable() string {
+	g := &grid{}
+	var commits []string
+	first, last, most := b.Points[0].When, b.Points[0].When, 0.0
+	lo := math.Inf(1)
+	for _, p := range b.Points {
+		if !slices.Contains(commits, p.Commit) {
+			commits = append(commits, p.Commit)
+		}
+		if p.When.Before(first) {
+			first = p.When
+		}
+		if p.When.After(last) {
+			last = p.When
+		}
+		most, lo = max(most, p.Load), min(lo, p.Load)
+	}
+	g.head("command", "commit (+: the work tree differed)", "points", "from, to (UTC)", "machine", "its load meanwhile")
+	g.row("`"+b.Command+"`", strings.Join(commits, ", "), fmt.Sprint(len(b.Points)), first.Format("2006-01-02 15:04")+", "+last.Format("15:04"),
+		fmt.Sprintf("%d cores, %d GB", b.Machine.Cores, b.Machine.Memory>>30), fmt.Sprintf("%.1f to %.1f", lo, most))
+	return g.b.String()
+}
+
+func (b *Book) pointTables() string {
+	var out strings.Builder
+	for _, s := range shown {
+		pts := b.sweep(s.sweep)
+		fmt.Fprintf(&out, "\n**%s**: %s\n\n", s.sweep, s.what)
+		if len(pts) == 0 {
+			out.WriteString("Not run.\n")
+			continue
+		}
+		g := &grid{}
+		head := []string{""}
+		for _, p := range pts {
+			head = append(head, fmt.Sprint(p.X))
+		}
+		g.head(append(head, "shape", "fit", "off the line, the parabola")...)
+		for _, q := range s.row {
+			row := []string{q.name}
+			for _, p := range pts {
+				if y := q.of(&p); math.IsNaN(y) {
+					row = append(row, "-")
+				} else {
+					row = append(row, num(y))
+				}
+			}
+			f := b.fit(s.sweep, q)
+			off := "-"
+			if len(f.Xs) > 3 {
+				off = fmt.Sprintf("%.0f %%, %.0f %%", 100*f.LineOff, 100*f.CurveOff)
+			}
+			g.row(append(row, f.Shape, f.String(), off)...)
+		}
+		out.WriteString(g.b.String())
+	}
+	return out.String()
+}
--- /dev/null
+++ b/cmd/gauge/picks.go
@@ -0,0 +1,94 @@
+// What one request costs a node by the number of workers: requests are carried through
+// the product's node with workers that answer at once, so that what is left is the
+// picking and the carrying itself.
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/relay"
+	"keelstair.example/seam"
+)
+
+// Picked is what a run of requests cost.
+type Picked struct {
+	Count  int     `json:"count"`
+	Done   int     `json:"done"`
+	Micros float64 `json:"micros"` // for each, on one thread
+	Bytes  float64 `json:"bytes"`  // taken from the heap for each
+	Why    string  `json:"why"`    // the first that failed
+}
+
+// still stands in for workers that answer at once.
+type still struct{ list []relay.Worker }
+
+func (s *still) List(context.Context) ([]relay.Worker, error) { return s.list, nil }
+
+func (s *still) Read(_ context.Context, w relay.Worker, r *relay.Request, _ time.Duration, _ int) (*relay.Memo, error) {
+	return &relay.Memo{Handle: "h", Tokens: r.Prompt, Load: &relay.Load{Slots: w.Slots}}, nil
+}
+
+func (s *still) Emit(_ context.Context, w relay.Worker, _ *relay.Request, _ *relay.Source, _ string, _ time.Duration, _ int) (*relay.Reply, error) {
+	return &relay.Reply{Status: http.StatusOK, Header: http.Header{}, Whole: true, Events: true, Length: -1,
+		Body: io.NopCloser(strings.NewReader("id: 1\ndata: t\n\n")), Load: &relay.Load{Slots: w.Slots}}, nil
+}
+
+func (s *still) Free(context.Context, relay.Worker, string) error { return nil }
+
+func (s *still) Report(context.Context, relay.Worker) (*relay.Report, error) {
+	return nil, breakdown.New(breakdown.Away, "report", "", "none is given")
+}
+
+func (s *still) Order(context.Context, relay.Worker, *relay.Order) error {
+	return breakdown.New(breakdown.Bounced, "order", "", "none is taken")
+}
+
+func (s *still) Close() {}
+
+type sink struct{}
+
+func (sink) Head(int, http.Header, int64) error { return nil }
+func (sink) Write([]byte) error                 { return nil }
+
+// pickMany carries so many requests, one after the other. Each shares its beginning with
+// others of its tenant.
+func (s *Size) pickMany(ctx context.Context, n *relay.Node, count int) *Picked {
+	host, err := seam.Real("")
+	if err != nil || n == nil {
+		return &Picked{Why: "there is no such node"}
+	}
+	out := &Picked{Count: count}
+	var before, after runtime.MemStats
+	run := func(i int) error {
+		route := i % 50
+		return n.Carry(ctx, &relay.Request{Id: fmt.Sprint("r-", i), Method: http.MethodPost, Path: fmt.Sprintf("/v1/%05d/chat", route), Target: "/",
+			Host: fmt.Sprintf("tenant-%03d.example", route%330), Header: http.Header{}, Body: make([]byte, 4096), Model: s.model(route),
+			Parts:  []relay.Part{{Id: fmt.Sprint("system-", route), Tokens: 600}, {Id: fmt.Sprint("turn-", i%400), Tokens: 900}, {Id: fmt.Sprint("last-", i), Tokens: 100}},
+			Prompt: 1600, Most: 200, At: host.Clock.Now()}, sink{})
+	}
+	for i := range count / 10 {
+		run(i)
+	}
+	runtime.ReadMemStats(&before)
+	from := time.Now()
+	for i := range count {
+		if err := run(i); err == nil {
+			out.Done++
+		} else if out.Why == "" {
+			out.Why = err.Error()
+		}
+	}
+	span := time.Since(from)
+	runtime.ReadMemStats(&after)
+	out.Micros = float64(span.Microseconds()) / float64(max(1, count))
+	out.Bytes = float64(after.TotalAlloc-before.TotalAlloc) / float64(max(1, count))
+	return out
+}
--- /dev/null
+++ b/cmd/gauge/run.go
@@ -0,0 +1,160 @@
+// A run over the points that were asked for. What was measured is kept after each, so
+// that an interrupted run loses one point at most.
+
+package main
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"os/exec"
+	"regexp"
+	"slices"
+	"strings"
+
+	"keelstair.example/breakdown"
+)
+
+// Book is the file of figures.
+type Book struct {
+	Command string  `json:"command"`
+	Machine machine `json:"machine"`
+	Points  []Point `json:"points"`
+}
+
+func load(path string) (*Book, error) {
+	b := &Book{}
+	body, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return b, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return b, json.Unmarshal(body, b)
+}
+
+// digits are figures with more of them than were measured.
+var digits = regexp.MustCompile(`(-?[0-9]+\.[0-9]{3})[0-9]+`)
+
+func (b *Book) save(path string) error {
+	body, err := json.MarshalIndent(b, "", " ")
+	if err != nil {
+		return err
+	}
+	body = digits.ReplaceAll(body, []byte("$1"))
+	return os.WriteFile(path, append(body, '\n'), 0o644)
+}
+
+// put keeps a point in place of an earlier one at its size.
+func (b *Book) put(p Point) {
+	for i := range b.Points {
+		if b.Points[i].Sweep == p.Sweep && b.Points[i].X == p.X {
+			b.Points[i] = p
+			return
+		}
+	}
+	b.Points = append(b.Points, p)
+}
+
+func (b *Book) sweep(name string) []Point {
+	var out []Point
+	for _, p := range b.Points {
+		if p.Sweep == name {
+			out = append(out, p)
+		}
+	}
+	slices.SortFunc(out, func(p, q Point) int { return cmp.Compare(p.X, q.X) })
+	return out
+}
+
+// commit names the source; + says that the work tree differs from it.
+func commit() string {
+	out, err := exec.Command("git", "describe", "--always", "--abbrev=10", "--exclude=*", "--dirty=+").Output()
+	if err != nil {
+		return "unknown"
+	}
+	return strings.TrimSpace(string(out))
+}
+
+func loadNow() (x float64) {
+	if b, err := os.ReadFile("/proc/loadavg"); err == nil {
+		fmt.Sscan(string(b), &x)
+	}
+	return x
+}
+
+func textSize(s *Size) int {
+	b, err := s.body(1)
+	if err != nil {
+		return 0
+	}
+	return len(b)
+}
+
+func run(ctx context.Context, c *runCmd) error {
+	points, err := choose(c.Only, c.Most, c.At...)
+	if err != nil {
+		return err
+	}
+	dir := c.Dir
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "gauge-"); err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+	}
+	book, err := load(c.Json)
+	if err != nil {
+		return err
+	}
+	if book.Machine, err = thisMachine(); err != nil {
+		return err
+	}
+	book.Command = "make build && bin/gauge run --page docs/CAPACITY.md"
+	source := commit()
+	var failed error
+	fmt.Printf("%d points; %d cores, %d MB\n", len(points), book.Machine.Cores, book.Machine.Memory>>20)
+	fmt.Println(columns)
+	for _, s := range points {
+		p, err := measure(ctx, c, dir, s)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			err = breakdown.Wrap(err, "measure "+s.Sweep, fmt.Sprint(s.X))
+			fmt.Println(err)
+			failed = breakdown.Join(failed, err)
+			continue
+		}
+		p.Commit = source
+		book.put(*p)
+		if err := book.save(c.Json); err != nil {
+			return err
+		}
+		fmt.Println(p.row())
+	}
+	if c.Page != "" {
+		failed = breakdown.Join(failed, render(c.Json, c.Page))
+	}
+	return failed
+}
+
+const columns = "sweep       x | a node: cpu %  MB  kB/s in  kB/s out  asked/s  served/s  sockets | primary: cpu %  MB  kB/s in  kB/s out  sockets | in force at last, ms: mean p99 worst | load"
+
+func (p *Point) row() string {
+	n, l := p.Node, p.Cores[0]
+	row := fmt.Sprintf("%-8s %4v | %.2f %.2f %.1f %.1f %.1f %.1f %.1f | %.1f %.1f %.1f %.1f %.0f | %.0f %.0f %.0f | %.1f",
+		p.Sweep, p.X, n.Cpu, n.Memory, n.In/1000, n.Out/1000, n.Asked, n.Served, n.Sockets, l.Cpu, l.Rss, l.In/1000, l.Out/1000, l.Sockets, p.Last.Mean, p.Last.P99, p.Last.Worst, p.Load)
+	if p.Known > 0 {
+		row += fmt.Sprintf(" | known after %.2f s, replaced in %.2f s", p.Known, p.Mended)
+	}
+	if p.Picked != nil {
+		row += fmt.Sprintf(" | %.1f us and %.1f kB a request, %d of %d done %s", p.Picked.Micros, p.Picked.Bytes/1000, p.Picked.Done, p.Picked.Count, p.Picked.Why)
+	}
+	return row
+}
--- a/crux/note.go
+++ b/crux/note.go
@@ -16,13 +16,3 @@
 	Addr string
 	Zone word.Zone
 }
-
-// Record is what the registers decide: who leads in an epoch.
-type Record struct {
-	Epoch    word.Epoch
-	Founding string
-	Primary  Seat
-	Backup   Seat
-	Holders  []Seat
-	Also     []Seat // further backups, where more than one machine may be lost at once
-}
--- /dev/null
+++ b/crux/record_note.go
@@ -0,0 +1,18 @@
+// The record that the registers decide.
+
+package crux
+
+import "keelstair.example/word"
+
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file record_note.go
+//msgp:shim word.Epoch as:uint64 using:uint64/word.Epoch
+
+// Record is what the registers decide: who leads in an epoch.
+type Record struct {
+	Epoch    word.Epoch
+	Founding string
+	Primary  Seat
+	Backup   Seat
+	Holders  []Seat
+	Also     []Seat // further backups, where more than one machine may be lost at once
+}
--- a/relay/node.go
+++ b/relay/node.go
@@ -43,6 +43,7 @@
 	Silence time.Duration // 900ms: a reading worker that says nothing is left
 	Pace    float64       // 50: prompt tokens that a worker reads in a ms
 	Turn    time.Duration // 500ms between looks at whether a worker should change its part; below 0 never
+	Rest    float64       // 0.55: of a service's workers read while nothing is under way; below 0 none is turned for it
 	Trace   func(Event)
 }
 
@@ -66,6 +67,9 @@
 	if o.Pace == 0 {
 		o.Pace = 50
 	}
+	if o.Rest == 0 {
+		o.Rest = 0.55
+	}
 	if o.Steps == 0 {
 		o.Steps = 20000
 	}
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -60,6 +60,7 @@
 	cost float64
 	need int // prompt tokens it has yet to read
 	aff  float64
+	tie  float64
 	busy int
 	gap  time.Duration // between requests while it is cold
 }
@@ -203,7 +204,17 @@
 
 // order asks the routing programs, cheapest first.
 func (n *Node) order(r *Request, part word.Part, list []choice) []choice {
-	sort.SliceStable(list, func(i, j int) bool { return list[i].cost < list[j].cost })
+	// Among equals the request decides, so that nodes that know little crowd no worker.
+	own := fnv64(r.Id)
+	for i := range list {
+		list[i].tie = whim.Affinity(own, list[i].w.Id)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].cost != list[j].cost {
+			return list[i].cost < list[j].cost
+		}
+		return list[i].tie > list[j].tie
+	})
 	head := list[:min(most, len(list))]
 	if len(head) < 2 && !n.deck.Rules() {
 		return list
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -28,6 +28,7 @@
 	easyEmit  = 0.25
 	fullEmit  = 0.6 // pressed beyond what readers may weigh against it
 	leastPart = 3   // one of so many workers keeps each part
+	turnPart  = 12  // one of so many workers turns at once
 )
 
 type duty struct {
@@ -99,15 +100,26 @@
 			}
 		}
 	}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
 	for id, to := range s.Turning {
-		w := listed[id]
-		if w == nil && !n.elsewhere(id) || w != nil && n.over(ctx, w, to, key, d, turns) {
-			if n.submitTurn(ctx, &lore.Turn{Worker: id, Done: true}) {
-				delete(turns, id)
-				d.last = n.now()
-			}
+		w, t := listed[id], turns[id]
+		if t == nil { // an earlier holder began it
+			t = &turn{began: n.now(), sent: true}
+			turns[id] = t
 		}
+		wg.Go(func() {
+			if w == nil && !n.elsewhere(id) || w != nil && n.over(ctx, w, to, key, d, t) {
+				if n.submitTurn(ctx, &lore.Turn{Worker: id, Done: true}) {
+					mu.Lock()
+					defer mu.Unlock()
+					delete(turns, id)
+					d.last = n.now()
+				}
+			}
+		})
 	}
+	wg.Wait()
 	if mine || !n.now().Past(d.looked, 2*n.opt.Turn-50*time.Millisecond) {
 		return
 	}
@@ -117,13 +129,12 @@
 	if !n.now().Past(d.last, turnDwell) {
 		return
 	}
-	w, to := choose(rows, read, emit)
-	if w == nil {
-		return
-	}
-	if n.submitTurn(ctx, &lore.Turn{Worker: w.w.Id, To: to}) {
-		turns[w.w.Id] = &turn{began: n.now(), after: w.Orders}
-		n.opt.Ring.Info().Str("worker", string(w.w.Id)).Str("to", string(to)).Float64("read", read).Float64("emit", emit).Msg("turns a worker")
+	some, to := choose(rows, read, emit, n.opt.Rest)
+	for _, w := range some {
+		if n.submitTurn(ctx, &lore.Turn{Worker: w.w.Id, To: to}) {
+			turns[w.w.Id] = &turn{began: n.now(), after: w.Orders}
+			n.opt.Ring.Info().Str("worker", string(w.w.Id)).Str("to", string(to)).Float64("read", read).Float64("emit", emit).Msg("turns a worker")
+		}
 	}
 }
 
@@ -139,13 +150,8 @@
 }
 
 // over sends the order of a turn once all have heard of it, and tells when it is done.
-func (n *Node) over(ctx context.Context, w *Worker, to word.Part, key word.Key, d *duty, turns map[word.WorkerId]*turn) bool {
+func (n *Node) over(ctx context.Context, w *Worker, to word.Part, key word.Key, d *duty, t *turn) bool {
 	now := n.now()
-	t := turns[w.Id]
-	if t == nil { // an earlier holder began it
-		t = &turn{began: now, sent: true}
-		turns[w.Id] = t
-	}
 	switch {
 	case w.Part == to, now.Past(t.began, turnWait), w.Leaving:
 		return true
@@ -214,45 +220,62 @@
 	return d.read, d.emit
 }
 
-// choose names a worker that should turn, the least busy of the part that can spare one,
-// in the zone that has the most of it.
-func choose(rows []report, read, emit float64) (*report, word.Part) {
-	readers, emitters := 0, 0
-	zones := map[word.Part]map[word.Zone]int{word.Prefill: {}, word.Decode: {}}
+// choose names the workers that should turn: more at once where there are many, the least
+// busy of the part that can spare them, from the zones that have the most of it. While
+// nothing is under way, rest is the part of the workers that reads.
+func choose(rows []report, read, emit, rest float64) ([]*report, word.Part) {
+	var readers, emitters, busy int
+	zones := map[word.Zone]int{}
 	for _, r := range rows {
+		busy += r.Running + r.Waiting
 		if r.Part == word.Prefill {
 			readers++
 		} else {
 			emitters++
 		}
-		zones[r.Part][r.w.Zone]++
 	}
-	from, to := word.Part(""), word.Part("")
-	least := max(1, (readers+emitters+leastPart-1)/leastPart)
+	all := readers + emitters
+	least := max(1, (all+leastPart-1)/leastPart)
+	from, to, want := word.Decode, word.Prefill, max(1, all/turnPart)
+	spare := func(load float64, have, by int) float64 { return load * float64(have) / float64(max(1, have-by)) }
 	switch {
-	case readers+emitters < 2:
+	case all < 2:
 		return nil, ""
-	case readers == 0 && emitters > 1:
-		from, to = word.Decode, word.Prefill
-	case emitters == 0 && readers > 1:
-		from, to = word.Prefill, word.Decode
-	case read > pressRead && emitters > least && emit*float64(emitters)/float64(emitters-1) < easyEmit:
-		from, to = word.Decode, word.Prefill
-	case emit > pressEmit && readers > least && (emit > fullEmit || read*float64(readers)/float64(readers-1) < pressRead):
+	case readers == 0:
+		want = min(want, emitters-1)
+	case emitters == 0:
+		from, to, want = word.Prefill, word.Decode, min(want, readers-1)
+	case busy == 0 && float64(readers+1) <= rest*float64(all):
+		want = min(want, int(rest*float64(all))-readers, emitters-least)
+	case read > pressRead:
+		for want = min(want, emitters-least); want > 0 && spare(emit, emitters, want) >= easyEmit; want-- {
+		}
+	case emit > pressEmit:
 		from, to = word.Prefill, word.Decode
+		for want = min(want, readers-least); want > 0 && emit <= fullEmit && spare(read, readers, want) >= pressRead; want-- {
+		}
 	default:
 		return nil, ""
 	}
-	var best *report
+	var some []*report
 	for i := range rows {
-		r := &rows[i]
-		if r.Part != from {
-			continue
+		if rows[i].Part == from {
+			some = append(some, &rows[i])
+			zones[rows[i].w.Zone]++
 		}
-		if best == nil || zones[from][r.w.Zone] > zones[from][best.w.Zone] ||
-			zones[from][r.w.Zone] == zones[from][best.w.Zone] && r.Running+r.Waiting < best.Running+best.Waiting {
-			best = r
+	}
+	var out []*report
+	for len(out) < want && len(some) > 0 {
+		best := 0
+		for i, r := range some {
+			a, b := zones[r.w.Zone], zones[some[best].w.Zone]
+			if a > b || a == b && r.Running+r.Waiting < some[best].Running+some[best].Waiting {
+				best = i
+			}
 		}
+		zones[some[best].w.Zone]--
+		out = append(out, some[best])
+		some = append(some[:best], some[best+1:]...)
 	}
-	return best, to
+	return out, to
 }
