--- a/lore/machine.go
+++ b/lore/machine.go
@@ -71,7 +71,7 @@
 	}
 	m.of = m.active.Version
 	m.keys = []word.Key{BudgetKey, SettleKey}
-	if p, err := m.read(m.active.Text); len(m.active.Text) > 0 && err == nil {
+	if p, err := m.read(unpack(m.active.Text)); len(m.active.Text) > 0 && err == nil {
 		pools := map[string]bool{}
 		for id, w := range p.Workers {
 			m.keys = append(m.keys, WorkerKey(id))
--- a/lore/read.go
+++ b/lore/read.go
@@ -36,6 +36,7 @@
 			if n := len(own.Staged); n > 0 {
 				top = own.Staged[n-1]
 			}
+			top.Text = unpack(top.Text)
 			return top, own.Zones, nil
 		}
 		book.Ask(ctx, 3)
@@ -50,7 +51,7 @@
 // another version is the newest, Bad where the number is too low, Unknown where it may
 // have been taken, Away where it was not.
 func Put(ctx context.Context, call *wire.Caller, book *crux.Book, op word.OpId, base, next word.Version, text []byte) (word.Version, error) {
-	return decide(ctx, call, book, &crux.SubmitAsk{Op: op, Kind: StageKind, Body: crux.Pack(&Stage{Base: base, Text: text, Next: next})})
+	return decide(ctx, call, book, &crux.SubmitAsk{Op: op, Kind: StageKind, Body: crux.Pack(&Stage{Base: base, Text: pack(text), Next: next})})
 }
 
 // Outcome tells the version that an operation made, or Stale if none was taken.
--- a/lore/state.go
+++ b/lore/state.go
@@ -52,7 +52,7 @@
 // rule puts a version in force.
 func (s *State) rule(r Ruled) {
 	var p struct{ Limits Limits }
-	json.Unmarshal(r.Text, &p)
+	json.Unmarshal(unpack(r.Text), &p)
 	s.active, s.most = r, p.Limits.Deeds
 }
 
--- /dev/null
+++ b/lore/text.go
@@ -0,0 +1,43 @@
+// Texts of policies are kept packed: a large one goes to every node.
+
+package lore
+
+import (
+	"bytes"
+	"compress/gzip"
+	"io"
+)
+
+const packFrom = 2048 // bytes; shorter texts stay as they are
+
+// pack makes a text short, once, before it goes to the core.
+func pack(text []byte) []byte {
+	if len(text) < packFrom || isPacked(text) {
+		return text
+	}
+	var b bytes.Buffer
+	z := gzip.NewWriter(&b)
+	if _, err := z.Write(text); err != nil || z.Close() != nil || b.Len() >= len(text) {
+		return text
+	}
+	return b.Bytes()
+}
+
+// isPacked tells by the first bytes, which begin no JSON text.
+func isPacked(text []byte) bool { return len(text) > 2 && text[0] == 0x1f && text[1] == 0x8b }
+
+// unpack gives a text as it came. One that cannot be unpacked stays, and is no policy.
+func unpack(text []byte) []byte {
+	if !isPacked(text) {
+		return text
+	}
+	z, err := gzip.NewReader(bytes.NewReader(text))
+	if err != nil {
+		return text
+	}
+	out, err := io.ReadAll(z)
+	if err != nil {
+		return text
+	}
+	return out
+}
--- a/lore/view.go
+++ b/lore/view.go
@@ -129,7 +129,7 @@
 			if read == nil {
 				read = Plain
 			}
-			p, err := read(r.Text)
+			p, err := read(unpack(r.Text))
 			if err != nil {
 				v.Ring.Error().AnErr("cause", err).Msg("policy cannot be read")
 				continue
@@ -151,7 +151,11 @@
 			delete(v.kept, n)
 		}
 	}
-	s := &Sight{Version: now.Version, Policy: v.kept[now.Version], Text: now.Text, Newest: all[len(all)-1].Version,
+	text := v.sight.Load().Text
+	if v.sight.Load().Version != now.Version {
+		text = unpack(now.Text)
+	}
+	s := &Sight{Version: now.Version, Policy: v.kept[now.Version], Text: text, Newest: all[len(all)-1].Version,
 		Zones: map[word.Zone]bool{}, Drained: map[word.WorkerId]bool{}, Turning: maps.Clone(v.state.turning)}
 	if s.Policy == nil {
 		s.Policy = &Policy{}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -41,7 +41,10 @@
 	return err
 }
 
-const maxBody = 64 << 20
+const (
+	maxBody  = 64 << 20
+	packFrom = 1024 // bytes; shorter answers go as they are
+)
 
 var codes = map[breakdown.Kind]connect.Code{
 	breakdown.Bounced: connect.CodeResourceExhausted,
@@ -60,7 +63,7 @@
 			return nil, connect.NewError(codes[breakdown.KindOf(err)], err)
 		}
 		return connect.NewResponse(a), nil
-	}, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxBody))
+	}, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxBody), connect.WithCompressMinBytes(packFrom))
 	mux.Handle("/"+name, h)
 }
 
