--- a/cmd/berth/main.go
+++ b/cmd/berth/main.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"keelstair.example/breakdown"
 	"keelstair.example/cmd/boot"
 	"keelstair.example/crux"
 	"keelstair.example/lore"
@@ -21,18 +22,20 @@
 	"keelstair.example/relay"
 	"keelstair.example/seam"
 	"keelstair.example/tale"
+	"keelstair.example/verge"
+	"keelstair.example/whim"
 	"keelstair.example/wire"
 	"keelstair.example/word"
 )
 
 func main() {
 	role := ""
-	if len(os.Args) == 2 {
+	if len(os.Args) == 2 || len(os.Args) == 3 && os.Args[1] == "node" {
 		role = os.Args[1]
 	}
 	run, ok := map[string]func(*platform.Settings, *reload) error{"core": core, "node": node}[role]
 	if !ok {
-		fmt.Fprintln(os.Stderr, "usage: berth core | berth node\nThe settings file is named by the variable "+platform.BootVar+".")
+		fmt.Fprintln(os.Stderr, "usage: berth core | berth node [POLICY]\nPOLICY is a file of the product's own configuration, in plain JSON; its programs route, by their shares.\nThe settings file is named by the variable "+platform.BootVar+".")
 		os.Exit(2)
 	}
 	s, err := platform.Load()
@@ -107,6 +110,22 @@
 	return nil
 }
 
+// programs are those of the policy that the command line names.
+func programs() ([]whim.Source, error) {
+	if len(os.Args) < 3 {
+		return nil, nil
+	}
+	text, err := os.ReadFile(os.Args[2])
+	if err != nil {
+		return nil, breakdown.As(err, breakdown.Bad, "read policy", os.Args[2])
+	}
+	p, err := lore.Plain(text)
+	if err == nil {
+		err = p.CheckPrograms()
+	}
+	return verge.Sources(p), breakdown.As(err, breakdown.Bad, "read policy", os.Args[2])
+}
+
 func node(s *platform.Settings, r *reload) error {
 	if err := s.ForNode(); err != nil {
 		return err
@@ -115,11 +134,15 @@
 	if err != nil {
 		return err
 	}
+	deck, err := programs()
+	if err != nil {
+		return err
+	}
 	ring := boot.Ring(s.Name)
 	log.SetOutput(ring)
 	n, err := relay.New(relay.Options{Name: s.Name, Addr: s.Peer(), Zone: word.Zone(s.Zone), Seeds: s.Seeds, Host: host, Ring: ring,
-		Back: platform.NewBack(host.Net, s.List), Read: platform.Policy, Lease: s.Lease,
-		Ratio: s.Ratio, Window: s.Window, Allow: s.Allow, Over: s.Over, Spare: s.Spare})
+		Back: platform.NewBack(host.Net, s.List), Read: platform.Policy, Deck: deck, Lease: s.Lease,
+		Rate: s.ListRate, Ratio: s.Ratio, Window: s.Window, Allow: s.Allow, Over: s.Over, Spare: s.Spare})
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/cmd/berth/main_test.go
@@ -0,0 +1,42 @@
+// The command line's policy.
+
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestPrograms: the programs of the named policy are taken with their shares; without one
+// there are none, and one that is missing, malformed or off in its shares is refused.
+func TestPrograms(t *testing.T) {
+	old := os.Args
+	defer func() { os.Args = old }()
+	at := filepath.Join(t.TempDir(), "policy.json")
+	os.Args = []string{"berth", "node"}
+	got, err := programs()
+	require.NoError(t, err)
+	require.Empty(t, got)
+	os.Args = append(os.Args, at)
+	_, err = programs()
+	require.ErrorContains(t, err, at)
+	for text, ok := range map[string]bool{
+		`{"programs":{"a":{"source":"x","share":60},"b":{"source":"y","share":40},"c":{"source":"z","shadow":true}}}`: true,
+		`{"programs":{"a":{"source":"x","share":60}}}`:                                                                false,
+		`{"programs":`: false,
+	} {
+		require.NoError(t, os.WriteFile(at, []byte(text), 0o600))
+		got, err := programs()
+		require.Equal(t, ok, err == nil, text)
+		if ok {
+			require.Len(t, got, 3)
+		}
+	}
+	os.Args[2] = "../../deploy/two-programs.json"
+	got, err = programs()
+	require.NoError(t, err)
+	require.Len(t, got, 3)
+}
--- a/lore/policy.go
+++ b/lore/policy.go
@@ -282,6 +282,17 @@
 			return fault(fmt.Sprintf("kinds.%s.model", name), "no prefill and decode worker offers %q", k.Model)
 		}
 	}
+	if err := p.CheckPrograms(); err != nil {
+		return err
+	}
+	return p.CheckRoutes()
+}
+
+// CheckPrograms checks that the shares add up and that one program at most turns workers.
+func (p *Policy) CheckPrograms() error {
+	fault := func(form string, args ...any) error {
+		return breakdown.New(breakdown.Bad, "check policy", "", "programs: "+form, args...)
+	}
 	sum, shares, turners := 0, 0, 0
 	for _, g := range p.Programs {
 		if g.Turns {
@@ -292,12 +303,12 @@
 		}
 	}
 	if turners > 1 {
-		return fault("programs", "%d are in charge of turning; one may be", turners)
+		return fault("%d are in charge of turning; one may be", turners)
 	}
 	if shares > 0 && sum != 100 {
-		return fault("programs", "the shares add up to %d, not to 100", sum)
+		return fault("the shares add up to %d, not to 100", sum)
 	}
-	return p.CheckRoutes()
+	return nil
 }
 
 // Merge lays a partial policy over a whole one: fields replace fields, null
--- a/relay/node.go
+++ b/relay/node.go
@@ -35,6 +35,7 @@
 	Renew   time.Duration // 500ms
 	Share   time.Duration // 250ms between tellings of what is under way
 	Roster  time.Duration // 700ms between askings of the list of workers
+	Rate    float64       // 0: askings of the list a second that all nodes have; 0 is no bound
 	Ratio   float64       // 0.2: repeats for each request
 	Window  time.Duration // 10s over which repeats are counted
 	Allow   int           // 0: repeats that all nodes have besides
--- /dev/null
+++ b/relay/rate_test.go
@@ -0,0 +1,56 @@
+// How often nodes ask for the list of workers.
+
+package relay
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/lore"
+	"keelstair.example/seam"
+	"keelstair.example/seam/sham"
+	"keelstair.example/word"
+)
+
+// TestListPause: however many nodes ask by themselves, all together stay within the rate;
+// without a rate, or with room, each asks as often as it likes.
+func TestListPause(t *testing.T) {
+	least := 700 * time.Millisecond
+	require.Equal(t, least, listPause(least, 0, 0.01))
+	require.Equal(t, least, listPause(least, 42, 0.1))
+	for _, nodes := range []float64{1, 10, 88, 650} {
+		for _, rate := range []float64{0.5, 5, 42, 310} {
+			require.LessOrEqual(t, nodes/listPause(least, rate, 1/nodes).Seconds(), rate+0.001)
+		}
+	}
+}
+
+// TestTies: where nothing is known of the workers, requests spread over all of them, and
+// not over those that the list names first.
+func TestTies(t *testing.T) {
+	n, err := New(Options{Name: "n", Zone: "a", Host: quietHost()})
+	require.NoError(t, err)
+	list := make([]Worker, 60)
+	for i := range list {
+		list[i] = Worker{Id: wid(i), Service: "s", Zone: "a", Part: "decode", Slots: 8}
+	}
+	n.take(list, 1, 1)
+	got := map[string]int{}
+	for i := range 3000 {
+		row := n.emitters(n.view.Sight(), service("s"), &Request{Id: string(wid(i)) + "q"}, nil, nil)
+		got[string(row[0].w.Id)]++
+	}
+	require.Len(t, got, 60)
+	for id, k := range got {
+		require.Less(t, k, 150, id)
+	}
+}
+
+func quietHost() seam.Host { return sham.NewWorld(1).Machine("10.0.0.9").Start().Host() }
+
+func wid(i int) word.WorkerId { return word.WorkerId("w" + strconv.Itoa(i)) }
+
+func service(name string) *lore.Service { return &lore.Service{Name: name} }
--- a/relay/roster.go
+++ b/relay/roster.go
@@ -34,8 +34,11 @@
 	var from word.NodeId
 	var seq uint64
 	for ctx.Err() == nil {
-		wait := n.opt.Roster
-		if m, _, ok := n.agent.Holder(lore.RosterKey); ok && m.Node != n.me.Node {
+		wait := listPause(n.opt.Roster, n.opt.Rate, n.share())
+		m, _, ok := n.agent.Holder(lore.RosterKey)
+		if ok && m.Node == n.me.Node {
+			wait = n.opt.Roster
+		} else if ok {
 			if m.Node != from {
 				from, seq = m.Node, 0
 			}
@@ -55,6 +58,15 @@
 	}
 }
 
+// listPause is the time between two askings of a node, so that all together stay within
+// two thirds of the rate though each asks by itself.
+func listPause(least time.Duration, rate, share float64) time.Duration {
+	if rate <= 0 {
+		return least
+	}
+	return max(least, time.Duration(1.5/share/rate*float64(time.Second)))
+}
+
 // restAsHolder waits, and meanwhile keeps the sum of the readings fresh.
 func (n *Node) restAsHolder(ctx context.Context, wait time.Duration) {
 	for end := n.now().Add(wait); n.now().Before(end) && seam.Sleep(ctx, min(n.opt.Share, wait)); {
