--- a/relay/carry.go
+++ b/relay/carry.go
@@ -209,7 +209,7 @@
 		f := &flight{take}
 		c.st.board(f)
 		quiet := time.AfterFunc(hush+time.Duration(c.cost)*time.Millisecond, func() { t.n.suspect(*c.w, true) })
-		memo, err := t.n.opt.Back.Read(cx, *c.w, t.r, span, t.route.Urgency)
+		memo, err := t.n.opt.Back.Read(cx, *c.w, t.r, span, rank(t.route.Urgency, c.need))
 		quiet.Stop()
 		c.st.leave(f)
 		take(nil)
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -23,6 +23,8 @@
 	farStep   = 4.0                    // ms for another zone
 	farKilo   = 0.8                    // ms for each KB that goes to another zone
 	most      = 8                      // candidates that programs see
+	shortRead = 1024                   // prompt tokens that hold up nobody
+	longRead  = 64 * shortRead         // more than that is one rank
 )
 
 // marks are the hashes of a prompt's beginnings that others may share: all its parts but
@@ -233,3 +235,13 @@
 	}
 	return out
 }
+
+// rank is how urgent a reading is to its worker, 0 first: a long one holds up the short
+// ones behind it, so each fourfold of what is to be read counts as much as two ranks of
+// the route.
+func rank(urgency, need int) int {
+	for most := shortRead; need > most && most < longRead; most *= 4 {
+		urgency += 2
+	}
+	return min(urgency, 9)
+}
--- a/relay/rate_test.go
+++ b/relay/rate_test.go
@@ -54,3 +54,20 @@
 func wid(i int) word.WorkerId { return word.WorkerId("w" + strconv.Itoa(i)) }
 
 func service(name string) *lore.Service { return &lore.Service{Name: name} }
+
+// TestRank: a longer reading is never more urgent than a shorter one of the same route, a
+// short one keeps its route's urgency, and none passes the worker's scale.
+func TestRank(t *testing.T) {
+	for urgency := range 10 {
+		last := urgency
+		for need := 1; need < 1<<20; need += 97 {
+			r := rank(urgency, need)
+			require.GreaterOrEqual(t, r, last)
+			require.LessOrEqual(t, r, 9)
+			last = r
+		}
+		require.Equal(t, urgency, rank(urgency, shortRead))
+		require.Equal(t, min(9, urgency+6), last)
+	}
+	require.Less(t, rank(1, 633), rank(0, 4486), "a rider's question before a long ruling")
+}
