--- a/crux/asks.go
+++ b/crux/asks.go
@@ -31,6 +31,7 @@
 	Record  Record
 	Seats   []Seat
 	Members []Member
+	Seq     word.Seq // of the log, that the members are as of
 }
 
 type Empty struct{}
--- a/crux/asks_gen.go
+++ b/crux/asks_gen.go
@@ -212,9 +212,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *WhereAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "Me"
-	o = append(o, 0x85, 0xa2, 0x4d, 0x65)
+	o = append(o, 0x86, 0xa2, 0x4d, 0x65)
 	o, err = z.Me.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Me")
@@ -250,6 +250,9 @@
 			return
 		}
 	}
+	// string "Seq"
+	o = append(o, 0xa3, 0x53, 0x65, 0x71)
+	o = msgp.AppendUint64(o, uint64(z.Seq))
 	return
 }
 
@@ -327,6 +330,16 @@
 					return
 				}
 			}
+		case "Seq":
+			{
+				var zb0004 uint64
+				zb0004, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Seq")
+					return
+				}
+				z.Seq = word.Seq(zb0004)
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -349,5 +362,6 @@
 	for za0002 := range z.Members {
 		s += z.Members[za0002].Msgsize()
 	}
+	s += 4 + msgp.Uint64Size
 	return
 }
--- a/crux/book.go
+++ b/crux/book.go
@@ -33,6 +33,7 @@
 	record  Record
 	seats   map[word.DiskId]seatSeen
 	members []Member
+	seq     word.Seq // of the log, that the members are as of
 	call    *wire.Caller
 	foreign string
 	grown   chan struct{} // closed when a newer record is learnt
@@ -48,7 +49,7 @@
 	defer b.mu.Unlock()
 	p := b.me
 	p.Blank = p.Blank && b.record.Founding == ""
-	p.Record, p.Members = b.record, b.members
+	p.Record, p.Members, p.Seq = b.record, b.members, b.seq
 	now := b.host.Clock.Now()
 	for _, s := range b.seats {
 		if !now.Past(s.at, 10*time.Second) {
@@ -79,9 +80,7 @@
 			b.seats[s.Disk] = seatSeen{Seat: s, at: b.host.Clock.Now().Add(-5 * time.Second)}
 		}
 	}
-	if len(p.Members) > 0 && (b.members == nil || p.Record.Epoch >= b.record.Epoch) {
-		b.members = p.Members
-	}
+	b.enlist(p.Seq, p.Members)
 	if grown {
 		close(b.grown)
 		b.grown = make(chan struct{})
@@ -96,11 +95,20 @@
 	b.seeds = seeds
 }
 
-// SetMembers is called by those who follow the news themselves.
-func (b *Book) SetMembers(ms []Member) {
+// SetMembers is called by those who follow the news themselves; seq is the number of the
+// log up to which they have.
+func (b *Book) SetMembers(seq word.Seq, ms []Member) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.members = ms
+	b.enlist(seq, ms)
+}
+
+// enlist takes members that are newer than those known. Epochs do not tell: whoever hears
+// of a newer one may know members of long ago.
+func (b *Book) enlist(seq word.Seq, ms []Member) {
+	if seq > b.seq {
+		b.seq, b.members = seq, ms
+	}
 }
 
 func (b *Book) Record() Record {
--- /dev/null
+++ b/crux/book_test.go
@@ -0,0 +1,56 @@
+// Pages of whereabouts that went round for a while.
+
+package crux
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/seam/sham"
+	"keelstair.example/word"
+)
+
+// TestStalePage: of two pages of one epoch the one that has more of the log tells who the
+// members are, whichever comes last; so does one that tells of none left.
+func TestStalePage(t *testing.T) {
+	rec := Record{Epoch: 3, Founding: "f"}
+	page := func(epoch word.Epoch, seq word.Seq, names ...word.NodeId) *WhereAsk {
+		p := &WhereAsk{Record: rec, Seq: seq}
+		p.Record.Epoch = epoch
+		for _, n := range names {
+			p.Members = append(p.Members, Member{Node: n, Addr: string(n) + ":1"})
+		}
+		return p
+	}
+	has := func(b *Book, names ...word.NodeId) {
+		t.Helper()
+		var got []word.NodeId
+		for _, m := range b.Page().Members {
+			got = append(got, m.Node)
+		}
+		require.Equal(t, names, got)
+	}
+	p := sham.NewWorld(1).Machine("10.0.0.1").Start()
+	defer p.Kill()
+	b := NewBook(p.Host(), nil, nil, Seat{Disk: "d", Addr: "d:1"})
+	b.Learn(page(3, 5, "a", "b"))
+	has(b, "a", "b")
+	b.Learn(page(3, 4, "a", "gone"))
+	has(b, "a", "b")
+	b.Learn(page(4, 4, "a", "gone"))
+	has(b, "a", "b")
+	b.Learn(page(3, 6, "a", "b", "c"))
+	has(b, "a", "b", "c")
+	b.SetMembers(7, page(4, 7, "c").Members)
+	has(b, "c")
+	b.Learn(page(4, 6, "a", "b", "c"))
+	has(b, "c")
+	b.SetMembers(6, page(4, 6, "a", "b", "c").Members)
+	has(b, "c")
+	require.Equal(t, word.Seq(7), b.Page().Seq)
+	b.Learn(page(4, 8))
+	has(b)
+	b.Learn(page(4, 7, "c"))
+	has(b)
+}
--- a/crux/example_test.go
+++ b/crux/example_test.go
@@ -81,16 +81,20 @@
 		f.core(a)
 	}
 	for i := range 2 {
-		ip := fmt.Sprintf("10.0.1.%d", i+1)
-		v := &echo{}
-		p := f.w.Machine(ip).Start()
-		a := crux.NewAgent(crux.AgentOptions{Me: crux.Member{Node: word.NodeId(ip), Addr: ip + ":1"}, Host: p.Host(), Seeds: f.seeds, View: v})
+		a, v := f.agent(fmt.Sprintf("10.0.1.%d", i+1))
 		f.agents, f.views = append(f.agents, a), append(f.views, v)
-		f.run(ip, ip+":1", p, a.Mount, a.Run)
 	}
 	return f
 }
 
+func (f *fleet) agent(ip string) (*crux.Agent, *echo) {
+	v := &echo{}
+	p := f.w.Machine(ip).Start()
+	a := crux.NewAgent(crux.AgentOptions{Me: crux.Member{Node: word.NodeId(ip), Addr: ip + ":1"}, Host: p.Host(), Seeds: f.seeds, View: v})
+	f.run(ip, ip+":1", p, a.Mount, a.Run)
+	return a, v
+}
+
 func (f *fleet) run(ip, addr string, p *sham.Proc, mount func(*http.ServeMux), run func(context.Context)) {
 	ctx, stop := context.WithCancel(context.Background())
 	f.procs[ip], f.stops[ip] = p, stop
--- a/crux/follow.go
+++ b/crux/follow.go
@@ -6,7 +6,6 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"sort"
 	"time"
 
 	"keelstair.example/breakdown"
@@ -112,13 +111,9 @@
 	default:
 		return nil
 	}
-	s := &sight{seq: next.seq, fence: next.fence, grants: next.grants}
-	for _, m := range next.members {
-		s.members = append(s.members, m)
-	}
-	sort.Slice(s.members, func(i, j int) bool { return s.members[i].Node < s.members[j].Node })
+	s := &sight{seq: next.seq, fence: next.fence, grants: next.grants, members: next.list()}
 	a.sight.Store(s)
-	a.book.SetMembers(s.members)
+	a.book.SetMembers(s.seq, s.members)
 	a.given.Range(func(k, g any) bool {
 		if s.grants[k.(word.Key)] != g.(Grant) {
 			a.given.Delete(k)
--- a/crux/lead.go
+++ b/crux/lead.go
@@ -73,7 +73,7 @@
 	c.dataMu.Unlock()
 	c.lead.Store(l)
 	c.opt.Ring.Warn().Uint64("epoch", uint64(rec.Epoch)).Str("backup", rec.Backup.Addr).Msg("leads")
-	c.book.SetMembers(l.list())
+	c.book.SetMembers(l.members())
 	c.book.Tell(ctx)
 	err := l.loop(ctx)
 	c.lead.Store(nil)
@@ -273,7 +273,7 @@
 func (l *leader) heal(ctx context.Context) error {
 	c := l.c
 	now := c.opt.Host.Clock.Now()
-	c.book.SetMembers(l.list())
+	c.book.SetMembers(l.members())
 	if !now.Past(l.since, c.opt.Replace) {
 		return nil
 	}
@@ -302,8 +302,8 @@
 	return nil
 }
 
-func (l *leader) list() []Member {
+func (l *leader) members() (word.Seq, []Member) {
 	l.c.dataMu.Lock()
 	defer l.c.dataMu.Unlock()
-	return l.c.roll.picture(true).Members
+	return l.c.roll.seq, l.c.roll.list()
 }
--- /dev/null
+++ b/crux/pages_test.go
@@ -0,0 +1,123 @@
+// Whereabouts that change while old pages of them go round.
+
+package crux_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/crux"
+	"keelstair.example/wire"
+)
+
+// TestOldPages: the seeds are exchanged one by one for empty machines at new addresses,
+// nodes leave and others join at new addresses, and at each step everyone is told the
+// pages that were true before. Nobody goes back to them: all name the members that the
+// log has, and the disk machines that hold the core. Many seeds.
+func TestOldPages(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		f := build(seed)
+		defer f.close()
+		require.NoError(t, f.add(1, "first", 10*time.Second))
+		books := func() map[string]*crux.Book {
+			out := map[string]*crux.Book{}
+			for ip, c := range f.cores {
+				out[ip] = c.Book()
+			}
+			for _, a := range f.agents {
+				out[string(a.Me().Node)] = a.Book()
+			}
+			return out
+		}
+		apart := func() string {
+			if f.leader() == "" {
+				return "nobody leads"
+			}
+			want := f.cores[f.leader()].Book().Page()
+			for ip, b := range books() {
+				p := b.Page()
+				if p.Record.Epoch != want.Record.Epoch || fmt.Sprint(p.Members) != fmt.Sprint(want.Members) {
+					return fmt.Sprintf("%s has %v in epoch %d, the leader %v in %d", ip, p.Members, p.Record.Epoch, want.Members, want.Record.Epoch)
+				}
+			}
+			if len(want.Members) != len(f.agents) {
+				return fmt.Sprintf("%v for %d nodes", want.Members, len(f.agents))
+			}
+			return ""
+		}
+		agree := func(what string) {
+			t.Helper()
+			end := time.Now().Add(40 * time.Second)
+			for apart() != "" && time.Now().Before(end) {
+				time.Sleep(100 * time.Millisecond)
+			}
+			require.Empty(t, apart(), what)
+		}
+		teller := f.w.Machine("10.0.2.1").Start()
+		call := wire.NewCaller(teller.Host().Net)
+		defer func() { call.Close(); teller.Kill() }()
+		var old []*crux.WhereAsk
+		tell := func() {
+			for _, p := range old {
+				for ip := range books() {
+					ctx, stop := context.WithTimeout(context.Background(), time.Second)
+					wire.Call[crux.WhereAsk, crux.WhereAsk](ctx, call, ip+":1", "crux/where", p)
+					stop()
+					require.Empty(t, apart(), "told by a page of epoch %d", p.Record.Epoch)
+				}
+			}
+		}
+		agree("at the start")
+		for i := range 3 {
+			for _, b := range books() {
+				p := b.Page()
+				p.Me = crux.Seat{}
+				old = append(old, p)
+			}
+			switch k := (int(seed) + i) % 3; k {
+			case 0: // a node leaves, another joins elsewhere
+				f.agents[1].Leave()
+				f.stops[string(f.agents[1].Me().Node)]()
+				time.Sleep(time.Second)
+				f.agents[1], f.views[1] = f.agent(fmt.Sprintf("10.0.1.%d", 7+i))
+			case 1: // one more node
+				a, v := f.agent(fmt.Sprintf("10.0.1.%d", 7+i))
+				f.agents, f.views = append(f.agents, a), append(f.views, v)
+			case 2: // a seed is exchanged
+				out := f.seeds[i][:8]
+				f.off(out)
+				f.w.Machine(out).Wipe()
+				f.seeds[i] = fmt.Sprintf("10.0.0.%d:1", 7+i)
+				f.core(f.seeds[i])
+				for _, b := range books() {
+					b.Reseed(f.seeds)
+				}
+				end := time.Now().Add(40 * time.Second)
+				for held := false; !held && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+					if l := f.leader(); l != "" {
+						for _, s := range f.cores[l].Book().Record().Holders {
+							held = held || s.Addr == f.seeds[i]
+						}
+					}
+				}
+			}
+			agree(fmt.Sprint("after step ", i))
+			tell()
+			time.Sleep(6 * time.Second)
+			require.Empty(t, apart(), "later")
+			require.NoError(t, f.add(1, fmt.Sprint("op", i), 10*time.Second))
+			agree("once more")
+			for _, s := range f.cores[f.leader()].Book().Record().Holders {
+				require.NotNil(t, f.cores[s.Addr[:8]], "%s holds a register", s.Addr)
+			}
+		}
+		time.Sleep(time.Second)
+		for _, v := range f.views {
+			require.EqualValues(t, 4, v.sum.Load())
+		}
+	})
+}
--- a/crux/roll.go
+++ b/crux/roll.go
@@ -141,12 +141,18 @@
 	r.order[class] = row
 }
 
-func (r *roll) picture(open bool) *Image {
-	img := &Image{Seq: r.seq, Fence: r.fence, App: r.app.Picture(open)}
+// list gives the members by name.
+func (r *roll) list() []Member {
+	var out []Member
 	for _, m := range r.members {
-		img.Members = append(img.Members, m)
+		out = append(out, m)
 	}
-	sort.Slice(img.Members, func(i, j int) bool { return img.Members[i].Node < img.Members[j].Node })
+	sort.Slice(out, func(i, j int) bool { return out[i].Node < out[j].Node })
+	return out
+}
+
+func (r *roll) picture(open bool) *Image {
+	img := &Image{Seq: r.seq, Fence: r.fence, App: r.app.Picture(open), Members: r.list()}
 	for _, g := range r.grants {
 		img.Grants = append(img.Grants, g)
 	}
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -12,6 +12,7 @@
     ("anew-deals", "crux/anew.go", "	c.roll.grants = map[word.Key]Grant{}\n", "	_ = word.Key(\"\")\n", "crux", "TestFoundAnew$"),
     ("lease-check", "crux/agent.go", "if !leased && (", "if !leased && false && (", "crux", "TestOneHolder"),
     ("lease-floor", "crux/agent.go", "|| uint64(s.seq) < a.floor.Load()", "", "crux", "TestLateNews"),
+    ("stale-page", "crux/book.go", "	if seq > b.seq {\n", "	if len(ms) > 0 {\n", "crux", "TestOldPages"),
     ("torn-tail", "seam/disk.go", "if good == len(body) {", "if true {", "seam", "TestTornTail|TestSpoiltTail"),
     ("damage", "seam/disk.go", "			bad = true\n			continue\n", "			break\n", "seam", "TestDamage"),
     ("ledger-lag", "passage/ledger.go", "h.moved.Before(asked.Add(-l.lag)) && !on[id]", "!on[id]", "passage", "TestLedger"),
