--- a/lore/image.go
+++ b/lore/image.go
@@ -13,8 +13,11 @@
 	Zones   []string
 	Drained []string
 	Turning []Turn
-	Fence   word.Fence
-	Deeds   []Deed
+	// Zones taken back of late, and how many times one ever was.
+	Failbacks []Failback
+	Returns   uint64
+	Fence     word.Fence
+	Deeds     []Deed
 	// Rows of the open leaf, and how many deeds there are in all.
 	Rows  []byte
 	Count int
--- a/lore/image_gen.go
+++ b/lore/image_gen.go
@@ -10,9 +10,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Image) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 11
 	// string "Active"
-	o = append(o, 0x89, 0xa6, 0x41, 0x63, 0x74, 0x69, 0x76, 0x65)
+	o = append(o, 0x8b, 0xa6, 0x41, 0x63, 0x74, 0x69, 0x76, 0x65)
 	o, err = z.Active.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Active")
@@ -50,16 +50,29 @@
 			return
 		}
 	}
+	// string "Failbacks"
+	o = append(o, 0xa9, 0x46, 0x61, 0x69, 0x6c, 0x62, 0x61, 0x63, 0x6b, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Failbacks)))
+	for za0005 := range z.Failbacks {
+		o, err = z.Failbacks[za0005].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Failbacks", za0005)
+			return
+		}
+	}
+	// string "Returns"
+	o = append(o, 0xa7, 0x52, 0x65, 0x74, 0x75, 0x72, 0x6e, 0x73)
+	o = msgp.AppendUint64(o, z.Returns)
 	// string "Fence"
 	o = append(o, 0xa5, 0x46, 0x65, 0x6e, 0x63, 0x65)
 	o = msgp.AppendUint64(o, uint64(z.Fence))
 	// string "Deeds"
 	o = append(o, 0xa5, 0x44, 0x65, 0x65, 0x64, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Deeds)))
-	for za0005 := range z.Deeds {
-		o, err = z.Deeds[za0005].MarshalMsg(o)
+	for za0006 := range z.Deeds {
+		o, err = z.Deeds[za0006].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Deeds", za0005)
+			err = msgp.WrapError(err, "Deeds", za0006)
 			return
 		}
 	}
@@ -172,32 +185,57 @@
 					return
 				}
 			}
+		case "Failbacks":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Failbacks")
+				return
+			}
+			if cap(z.Failbacks) >= int(zb0006) {
+				z.Failbacks = (z.Failbacks)[:zb0006]
+			} else {
+				z.Failbacks = make([]Failback, zb0006)
+			}
+			for za0005 := range z.Failbacks {
+				bts, err = z.Failbacks[za0005].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Failbacks", za0005)
+					return
+				}
+			}
+		case "Returns":
+			z.Returns, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Returns")
+				return
+			}
 		case "Fence":
 			{
-				var zb0006 uint64
-				zb0006, bts, err = msgp.ReadUint64Bytes(bts)
+				var zb0007 uint64
+				zb0007, bts, err = msgp.ReadUint64Bytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Fence")
 					return
 				}
-				z.Fence = word.Fence(zb0006)
+				z.Fence = word.Fence(zb0007)
 			}
 		case "Deeds":
-			var zb0007 uint32
-			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Deeds")
 				return
 			}
-			if cap(z.Deeds) >= int(zb0007) {
-				z.Deeds = (z.Deeds)[:zb0007]
+			if cap(z.Deeds) >= int(zb0008) {
+				z.Deeds = (z.Deeds)[:zb0008]
 			} else {
-				z.Deeds = make([]Deed, zb0007)
+				z.Deeds = make([]Deed, zb0008)
 			}
-			for za0005 := range z.Deeds {
-				bts, err = z.Deeds[za0005].UnmarshalMsg(bts)
+			for za0006 := range z.Deeds {
+				bts, err = z.Deeds[za0006].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Deeds", za0005)
+					err = msgp.WrapError(err, "Deeds", za0006)
 					return
 				}
 			}
@@ -243,9 +281,13 @@
 	for za0004 := range z.Turning {
 		s += z.Turning[za0004].Msgsize()
 	}
-	s += 6 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
-	for za0005 := range z.Deeds {
-		s += z.Deeds[za0005].Msgsize()
+	s += 10 + msgp.ArrayHeaderSize
+	for za0005 := range z.Failbacks {
+		s += z.Failbacks[za0005].Msgsize()
+	}
+	s += 8 + msgp.Uint64Size + 6 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
+	for za0006 := range z.Deeds {
+		s += z.Deeds[za0006].Msgsize()
 	}
 	s += 5 + msgp.BytesPrefixSize + len(z.Rows) + 6 + msgp.IntSize
 	return
--- a/lore/machine.go
+++ b/lore/machine.go
@@ -33,6 +33,9 @@
 	due  map[word.Version]stagedAt
 	keys []word.Key
 	of   word.Version
+	warm time.Duration        // the longest that a zone that was taken back may hold cold workers
+	back map[uint64]word.Tick // since when the failback of a number is seen here, while this leads
+	now  word.Tick
 }
 
 // MachineOptions of a machine; what is zero takes the default named beside it.
@@ -47,7 +50,7 @@
 	if opt.Read == nil {
 		opt.Read = Plain
 	}
-	return &Machine{State: newState(false, opt.Depth), wait: opt.Wait, read: opt.Read, due: map[word.Version]stagedAt{}}
+	return &Machine{State: newState(false, opt.Depth), wait: opt.Wait, read: opt.Read, due: map[word.Version]stagedAt{}, back: map[uint64]word.Tick{}}
 }
 
 // Apply notes at which number a version was staged: that is what nodes must have
@@ -61,16 +64,23 @@
 }
 
 func (m *Machine) Open(string) bool          { return true }
-func (m *Machine) Picture(open bool) []byte  { return crux.Pack(m.image(open)) }
 func (m *Machine) Restore(body []byte) error { m.of = 0; m.keys = nil; return m.load(body) }
 
+func (m *Machine) Picture(open bool) []byte {
+	img := m.image(open)
+	for i, f := range img.Failbacks {
+		img.Failbacks[i].Ago = int64(m.ago(f))
+	}
+	return crux.Pack(img)
+}
+
 // Keys names a duty for each worker and each model of the active policy.
 func (m *Machine) Keys() []word.Key {
 	if m.keys != nil && m.of == m.active.Version {
 		return m.keys
 	}
 	m.of = m.active.Version
-	m.keys = []word.Key{BudgetKey, SettleKey}
+	m.keys, m.warm = []word.Key{BudgetKey, SettleKey}, 0
 	if p, err := m.read(unpack(m.active.Text)); len(m.active.Text) > 0 && err == nil {
 		pools := map[string]bool{}
 		for id, w := range p.Workers {
@@ -80,7 +90,8 @@
 		if len(p.Services) > 0 {
 			m.keys = append(m.keys, RosterKey)
 		}
-		for n := range p.Services {
+		for n, svc := range p.Services {
+			m.warm = max(m.warm, svc.WarmSpan())
 			m.keys = append(m.keys, ServiceKey(n))
 		}
 		for n := range pools {
@@ -92,8 +103,9 @@
 }
 
 // Due puts in force the newest staged version that all live nodes have seen,
-// or that has waited long enough for silent ones.
+// or that has waited long enough for silent ones, and names zones that are warm again.
 func (m *Machine) Due(now word.Tick, seq, seen word.Seq) []crux.Cmd {
+	out := m.warmed(now)
 	var top word.Version
 	for _, r := range m.staged {
 		d, ok := m.due[r.Version]
@@ -109,12 +121,12 @@
 		}
 	}
 	if top == 0 {
-		return nil
+		return out
 	}
 	for v := range m.due {
 		if v <= top {
 			delete(m.due, v)
 		}
 	}
-	return []crux.Cmd{{Kind: ActivateKind, Body: crux.Pack(&Activate{top})}}
+	return append(out, crux.Cmd{Kind: ActivateKind, Body: crux.Pack(&Activate{top})})
 }
--- a/lore/state.go
+++ b/lore/state.go
@@ -31,22 +31,24 @@
 
 // State holds it all. A lean one (on nodes) keeps open claims only.
 type State struct {
-	lean    bool
-	active  Ruled
-	staged  []Ruled
-	zones   map[word.Zone]bool
-	drained map[word.WorkerId]bool
-	turning map[word.WorkerId]word.Part
-	fence   word.Fence
-	deeds   map[string]Deed
-	order   []string // settled, oldest first
-	shelf   shelf
-	count   int // of all deeds there ever were
-	most    int // that the policy in force allows
+	lean      bool
+	active    Ruled
+	staged    []Ruled
+	zones     map[word.Zone]bool
+	drained   map[word.WorkerId]bool
+	turning   map[word.WorkerId]word.Part
+	failbacks map[word.Zone]Failback
+	returns   uint64
+	fence     word.Fence
+	deeds     map[string]Deed
+	order     []string // settled, oldest first
+	shelf     shelf
+	count     int // of all deeds there ever were
+	most      int // that the policy in force allows
 }
 
 func newState(lean bool, d Depth) *State {
-	return &State{lean: lean, zones: map[word.Zone]bool{}, drained: map[word.WorkerId]bool{}, turning: map[word.WorkerId]word.Part{}, deeds: map[string]Deed{}, shelf: newShelf(d)}
+	return &State{lean: lean, zones: map[word.Zone]bool{}, drained: map[word.WorkerId]bool{}, failbacks: map[word.Zone]Failback{}, turning: map[word.WorkerId]word.Part{}, deeds: map[string]Deed{}, shelf: newShelf(d)}
 }
 
 // rule puts a version in force.
@@ -80,6 +82,8 @@
 		return &Drain{}
 	case TurnKind:
 		return &Turn{}
+	case WarmedKind:
+		return &Warmed{}
 	case ClaimKind:
 		return &Claim{}
 	case SettleKind:
@@ -139,8 +143,12 @@
 	if s.zones[c.Zone] == c.Out {
 		return &Ruling{s.newest()}, crux.Same
 	}
-	if s.zones[c.Zone] = c.Out; !c.Out {
+	if s.zones[c.Zone] = c.Out; c.Out {
+		delete(s.failbacks, c.Zone)
+	} else {
 		delete(s.zones, c.Zone)
+		s.returns++
+		s.failbacks[c.Zone] = Failback{Zone: c.Zone, No: s.returns}
 	}
 	return &Ruling{s.newest()}, nil
 }
@@ -224,6 +232,11 @@
 		img.Zones = append(img.Zones, string(z))
 	}
 	sort.Strings(img.Zones)
+	img.Returns = s.returns
+	for _, f := range s.failbacks {
+		img.Failbacks = append(img.Failbacks, f)
+	}
+	sort.Slice(img.Failbacks, func(i, j int) bool { return img.Failbacks[i].No < img.Failbacks[j].No })
 	for w := range s.drained {
 		img.Drained = append(img.Drained, string(w))
 	}
@@ -259,6 +272,10 @@
 	for _, z := range img.Zones {
 		next.zones[word.Zone(z)] = true
 	}
+	next.returns = img.Returns
+	for _, f := range img.Failbacks {
+		next.failbacks[f.Zone] = f
+	}
 	for _, w := range img.Drained {
 		next.drained[word.WorkerId(w)] = true
 	}
--- a/lore/view.go
+++ b/lore/view.go
@@ -16,14 +16,15 @@
 
 // Sight is one frozen state of the view.
 type Sight struct {
-	Version word.Version
-	Policy  *Policy
-	Table   *Table
-	Text    []byte
-	Newest  word.Version
-	Zones   map[word.Zone]bool
-	Drained map[word.WorkerId]bool
-	Turning map[word.WorkerId]word.Part
+	Version   word.Version
+	Policy    *Policy
+	Table     *Table
+	Text      []byte
+	Newest    word.Version
+	Zones     map[word.Zone]bool
+	Drained   map[word.WorkerId]bool
+	Turning   map[word.WorkerId]word.Part
+	Failbacks map[word.Zone]Failback
 }
 
 // View is a crux.Follower. Ready is called with every policy as it is staged,
@@ -156,7 +157,7 @@
 		text = unpack(now.Text)
 	}
 	s := &Sight{Version: now.Version, Policy: v.kept[now.Version], Text: text, Newest: all[len(all)-1].Version,
-		Zones: map[word.Zone]bool{}, Drained: map[word.WorkerId]bool{}, Turning: maps.Clone(v.state.turning)}
+		Zones: map[word.Zone]bool{}, Drained: map[word.WorkerId]bool{}, Turning: maps.Clone(v.state.turning), Failbacks: maps.Clone(v.state.failbacks)}
 	if s.Policy == nil {
 		s.Policy = &Policy{}
 	}
--- a/relay/budget_test.go
+++ b/relay/budget_test.go
@@ -187,3 +187,93 @@
 		require.Empty(t, coldRate(y.book(), coldMost))
 	})
 }
+
+// chilled takes a zone back, of which all workers turn cold at their first request.
+func (f *fleet) chilled(z word.Zone) {
+	f.y.at(func() { f.y.chill = map[word.Zone]time.Duration{z: 6 * time.Second} })
+	f.submit(lore.VacateKind, &lore.Vacate{Zone: z, Out: false})
+}
+
+func (f *fleet) ready() bool {
+	for _, n := range f.up() {
+		if ok, _ := n.Ready(); !ok || len(n.roster.Load().all) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// TestColdZoneBackAllStart: a zone is evacuated and taken back, and all nodes lose power and
+// start again at once, with a takeover in between or not: what the workers turn out to be
+// is not on the list yet, and they get no more than cold ones bear. Once the zone is
+// surely warm, nodes that start know nothing of it any more.
+func TestColdZoneBackAllStart(t *testing.T) {
+	for _, over := range []bool{false, true} {
+		t.Run(fmt.Sprint("takeover-", over), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				y := newYard(both("svc", 4, 4)...)
+				f := build(t, 27, 3, y, warming(), nil)
+				defer f.close()
+				f.submit(lore.VacateKind, &lore.Vacate{Zone: "b", Out: true})
+				time.Sleep(3 * time.Second)
+				f.chilled("b")
+				anew := func() {
+					for i := range f.nodes {
+						f.kill(i)
+					}
+					if l := f.leader(); over && l != "" {
+						f.offCore(l)
+						defer f.core(l)
+					}
+					for i := range f.nodes {
+						f.node(i)
+					}
+					require.True(t, f.until(10*time.Second, f.ready))
+				}
+				anew()
+				f.load(400, 4*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), "/once/x", 300, 2) })
+				rows := y.book()
+				require.Empty(t, coldRate(rows, coldMost))
+				cold := 0
+				for _, k := range rows {
+					if k.Cold {
+						cold++
+					}
+				}
+				require.Greater(t, cold, 20, "they are warmed")
+				time.Sleep(12 * time.Second)
+				anew()
+				for _, n := range f.up() {
+					require.Empty(t, n.sight().Failbacks)
+					require.Zero(t, n.coldFor(&Worker{Zone: "b"}, &lore.Service{WarmMs: 6000}, n.now(), n.now()))
+				}
+			})
+		})
+	}
+}
+
+// TestColdZoneBackLate: a node that starts some seconds after a zone was taken back, by the
+// core's news or by a neighbour's with the core away, counts its workers as cold for what
+// is left of their time, not anew.
+func TestColdZoneBackLate(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 4, 4)...)
+		f := build(t, 28, 3, y, warming(), nil)
+		defer f.close()
+		f.submit(lore.VacateKind, &lore.Vacate{Zone: "b", Out: true})
+		time.Sleep(3 * time.Second)
+		f.submit(lore.VacateKind, &lore.Vacate{Zone: "b", Out: false})
+		from := time.Now()
+		time.Sleep(4 * time.Second)
+		left := func(i int) time.Duration {
+			f.kill(i)
+			n := f.node(i)
+			require.True(t, f.until(10*time.Second, f.ready))
+			n.sight()
+			return n.coldFor(&Worker{Zone: "b"}, &lore.Service{WarmMs: 6000}, n.now(), n.now())
+		}
+		got := left(0)
+		require.GreaterOrEqual(t, got, time.Until(from.Add(7*time.Second)))
+		require.Less(t, got, time.Until(from.Add(8*time.Second)))
+	})
+}
--- a/relay/node.go
+++ b/relay/node.go
@@ -97,7 +97,7 @@
 	states   sync.Map // word.WorkerId -> *state
 	warm     warm
 	told     sync.Map // word.NodeId -> told
-	zones    sync.Map // word.Zone -> word.Tick, when it was taken back
+	backs    sync.Map // word.Zone -> failback, of those that were evacuated
 	seen     atomic.Pointer[lore.Sight]
 	seeing   sync.Mutex
 	inflight atomic.Int64
@@ -186,8 +186,8 @@
 	return 1 / float64(max(1, n.budget.peers(n.now(), len(n.agent.Members()))))
 }
 
-// sight is what is in force. A zone that was taken back since the last look is noted before
-// anything is sent there, since its workers may have turned cold.
+// sight is what is in force. A zone that was taken back is noted before anything is sent
+// there, since its workers may have turned cold.
 func (n *Node) sight() *lore.Sight {
 	s := n.view.Sight()
 	if n.seen.Load() == s {
@@ -195,11 +195,9 @@
 	}
 	n.seeing.Lock()
 	defer n.seeing.Unlock()
-	if old := n.seen.Load(); old != nil && old != s {
-		for z := range old.Zones {
-			if !s.Zones[z] {
-				n.zones.Store(z, n.now())
-			}
+	for z, f := range s.Failbacks {
+		if v, ok := n.backs.Load(z); !ok || v.(failback).no != f.No {
+			n.backs.Store(z, failback{f.No, n.now().Add(-time.Duration(f.Ago))})
 		}
 	}
 	n.seen.Store(s)
--- a/relay/state.go
+++ b/relay/state.go
@@ -43,11 +43,17 @@
 	return !w.Leaving && !turning && !s.Zones[w.Zone] && !s.Drained[w.Id]
 }
 
+// failback is when a zone was taken back, at the latest, and which time that was.
+type failback struct {
+	no uint64
+	at word.Tick
+}
+
 // coldFor tells how much longer a worker counts as cold.
 func (n *Node) coldFor(w *Worker, svc *lore.Service, got, now word.Tick) time.Duration {
 	left := w.Cold - now.Since(got)
-	if at, ok := n.zones.Load(w.Zone); ok && svc.WarmMs > 0 {
-		left = max(left, time.Duration(svc.WarmMs)*time.Millisecond+time.Second-now.Since(at.(word.Tick)))
+	if v, ok := n.backs.Load(w.Zone); ok {
+		left = max(left, svc.WarmSpan()-now.Since(v.(failback).at))
 	}
 	return max(left, 0)
 }
--- a/relay/yard_test.go
+++ b/relay/yard_test.go
@@ -88,7 +88,8 @@
 	fate    func(k row, w *stand) fate
 	listed  func() time.Duration // how long the asking for the list is under way
 	nolist  bool
-	step    time.Duration // between events
+	chill   map[word.Zone]time.Duration // for how long workers of a zone turn cold at their first request
+	step    time.Duration               // between events
 	turn    time.Duration
 	handle  int
 	onRead  func(r *Request)
@@ -239,6 +240,9 @@
 // arrive writes a call into the book and says what becomes of it. The yard is locked.
 func (b *back) arrive(k row, s *stand, w Worker) (*row, fate, error) {
 	y := b.y
+	if span, ok := y.chill[s.Zone]; ok && s.warm.IsZero() {
+		s.warm = time.Now().Add(span)
+	}
 	k.At, k.Node, k.Worker, k.Cold = y.now(), b.ip, w.Id, time.Now().Before(s.warm)
 	how := fine
 	if y.fate != nil {
