--- a/relay/budget_test.go
+++ b/relay/budget_test.go
@@ -277,3 +277,32 @@
 		require.Less(t, got, time.Until(from.Add(8*time.Second)))
 	})
 }
+
+// TestColdZoneBackUnheard: a machine is cut off from all while a zone is evacuated and
+// taken back, and comes back to a load that it has to carry: it sends the zone's workers
+// no more than cold ones bear, from the first request on. Many seeds.
+func TestColdZoneBackUnheard(t *testing.T) {
+	eachSeed(t, 6, func(t *testing.T, seed uint64) {
+		y := newYard(both("svc", 4, 4)...)
+		f := build(t, seed, 3, y, warming(), nil)
+		defer f.close()
+		time.Sleep(2 * time.Second)
+		rest := append([]string{nodeIp(0), nodeIp(2)}, coreIps...)
+		cut := func(on bool) {
+			f.w.Sever([]string{nodeIp(1)}, rest, on)
+			y.at(func() { y.cut[nodeIp(1)] = on })
+		}
+		cut(true)
+		time.Sleep(time.Second)
+		f.submit(lore.VacateKind, &lore.Vacate{Zone: "b", Out: true})
+		time.Sleep(5*time.Second + time.Duration(seed)*270*time.Millisecond)
+		f.chilled("b")
+		time.Sleep(200 * time.Millisecond)
+		f.wg.Go(func() {
+			time.Sleep(700 * time.Millisecond)
+			cut(false)
+		})
+		f.load(600, 5*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), "/once/x", 300, 2) })
+		require.Empty(t, coldRate(y.book(), coldMost))
+	})
+}
--- a/relay/carry.go
+++ b/relay/carry.go
@@ -182,9 +182,11 @@
 	return n.budget.spend(n.now(), 0.9*n.opt.Ratio, 0.8*float64(n.opt.Allow)*n.share())
 }
 
-// send books a worker for one sending; false if it is cold and was sent enough.
+// send books a worker for one sending; false if it may get nothing new by now, or is cold
+// and was sent enough.
 func (t *trip) send(c *choice, reads int) bool {
-	if c.gap > 0 && !t.n.warm.book(c.w.Id, c.gap, t.n.now()) {
+	gap, ok := t.n.open(c.w.Id, t.svc)
+	if !ok || gap > 0 && !t.n.warm.book(c.w.Id, gap, t.n.now()) {
 		return false
 	}
 	var ms []uint64
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -62,7 +62,6 @@
 	aff  float64
 	tie  float64
 	busy int
-	gap  time.Duration // between requests while it is cold
 }
 
 // cleared lists the workers of a service that may get new work of a part now. Those that
@@ -77,11 +76,8 @@
 			continue
 		}
 		c := choice{w: w, st: n.state(w.Id)}
-		if n.coldFor(w, svc, ros.got, now) > 0 {
-			var ok bool
-			if c.gap, ok = n.gap(w.Id, svc); !ok || !n.warm.may(w.Id, c.gap, now) {
-				continue
-			}
+		if _, ok := n.bears(w, svc, ros.got, now); !ok {
+			continue
 		}
 		c.st.mu.Lock()
 		shun, left := now.Before(c.st.shun), c.st.left
@@ -101,6 +97,26 @@
 	return good
 }
 
+// bears tells whether a worker may get a request now, and the pause before another one if
+// it is cold.
+func (n *Node) bears(w *Worker, svc *lore.Service, got, now word.Tick) (time.Duration, bool) {
+	if n.coldFor(w, svc, got, now) <= 0 {
+		return 0, true
+	}
+	gap, ok := n.gap(w.Id, svc)
+	return gap, ok && n.warm.may(w.Id, gap, now)
+}
+
+// open is the same of a worker that was chosen some time ago, before others were tried.
+func (n *Node) open(id word.WorkerId, svc *lore.Service) (time.Duration, bool) {
+	ros := n.roster.Load()
+	w := ros.find(id)
+	if w == nil || !fit(n.sight(), w) {
+		return 0, false
+	}
+	return n.bears(w, svc, ros.got, n.now())
+}
+
 // gap is the pause that this node keeps between requests to a cold worker, so that all
 // nodes together stay under what it bears; where there are more nodes than it bears
 // requests, only some may send.
--- a/relay/roster.go
+++ b/relay/roster.go
@@ -29,6 +29,16 @@
 	seq uint64    // rises when something changed
 }
 
+// find gives the line of a life, if it is listed.
+func (r *roster) find(id word.WorkerId) *Worker {
+	for i := range r.all {
+		if r.all[i].Id == id {
+			return &r.all[i]
+		}
+	}
+	return nil
+}
+
 // rosters keeps the list fresh. While it cannot be had, the last one is kept.
 func (n *Node) rosters(ctx context.Context) {
 	var from word.NodeId
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -16,6 +16,7 @@
     ("failback", "lore/state.go", "s.failbacks[c.Zone] = Failback{Zone: c.Zone, No: s.returns}", "", "relay", "TestColdZoneBackAllStart"),
     ("failback-since", "lore/machine.go", "img.Failbacks[i].Ago = int64(m.ago(f))", "_, _ = i, f", "relay", "TestColdZoneBackLate"),
     ("failback-ends", "lore/failback.go", "if m.ago(f) > m.warm {", "if false {", "relay", "TestColdZoneBackAllStart"),
+    ("looked-at-again", "relay/carry.go", "gap, ok := t.n.open(c.w.Id, t.svc)", "gap, ok := time.Duration(0), true", "relay", "TestColdZoneBackUnheard"),
     ("torn-tail", "seam/disk.go", "if good == len(body) {", "if true {", "seam", "TestTornTail|TestSpoiltTail"),
     ("damage", "seam/disk.go", "			bad = true\n			continue\n", "			break\n", "seam", "TestDamage"),
     ("ledger-lag", "passage/ledger.go", "h.moved.Before(asked.Add(-l.lag)) && !on[id]", "!on[id]", "passage", "TestLedger"),
