--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -47,6 +47,7 @@
     ("current", "verge/beats.go", "return heard*2 > len(ms)", "return true", "proof", "TestScripts/storm-with-a-node-cut-from-its"),
     ("current-by-answers", "verge/beats.go", "!now.Past(v.(mate).told, currentSpan)", "!now.Past(v.(mate).at, currentSpan)", "verge", "TestCurrentByAnswers"),
     ("current-from-asking", "verge/beats.go", "n.learn(ctx, m, r, asked)", "_ = asked\n					n.learn(ctx, m, r, n.now())", "verge", "TestCurrentByAnswers"),
+    ("silent-keeps-nobody", "verge/beats.go", "		rounds.Go(func() {\n			wg.Wait()\n			n.sum()\n		})\n", "		wg.Wait()\n		n.sum()\n", "verge", "TestLongestHold"),
     ("stale-after-claim", "passage/controller.go", "if h.Stale() {", "if h.Stale() && false {", "passage", "TestStaleAfterClaim"),
     ("silent-nodes", "lore/machine.go", "seen >= d.seq || now.Past(d.at, m.wait)", "seen >= d.seq", "lore", "TestActivation"),
     ("replace-holders", "crux/lead.go", "if s.Disk == c.me.Disk || !now.Past(at, c.opt.Replace) {", "if true || now.Past(at, c.opt.Replace) {", "proof", "TestScripts/rolling-replacement"),
--- a/verge/beats.go
+++ b/verge/beats.go
@@ -52,7 +52,10 @@
 	return b
 }
 
+// beats asks all neighbours at each beat, whether or not the earlier askings are answered:
+// one that is silent keeps nobody from being asked.
 func (n *Node) beats(ctx context.Context) {
+	var rounds sync.WaitGroup
 	for seam.Sleep(ctx, n.opt.Beat) {
 		b := n.beat()
 		n.note(b, 0)
@@ -70,9 +73,12 @@
 				}
 			})
 		}
-		wg.Wait()
-		n.sum()
+		rounds.Go(func() {
+			wg.Wait()
+			n.sum()
+		})
 	}
+	rounds.Wait()
 }
 
 func (n *Node) hearBeat(ctx context.Context, b *Beat) (*Beat, error) {
--- a/verge/beats_test.go
+++ b/verge/beats_test.go
@@ -65,3 +65,62 @@
 		n.call.Close()
 	})
 }
+
+// TestLongestHold: with the core away and one of three members silent, a node whose other
+// neighbour answers, however slowly within two beats, never holds its picks; once that one
+// is silent too, it holds within the span and goes on as soon as it is answered again.
+func TestLongestHold(t *testing.T) {
+	for _, slow := range []time.Duration{0, 60 * time.Millisecond, 140 * time.Millisecond, 250 * time.Millisecond} {
+		t.Run(slow.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(context.Background())
+				w := sham.NewWorld(1)
+				near, at, away := w.Machine("10.0.0.1").Start(), w.Machine("10.0.0.2").Start(), w.Machine("10.0.0.3").Start()
+				defer func() { stop(); near.Kill(); at.Kill(); away.Kill(); time.Sleep(10 * time.Second) }()
+				b, c := crux.Member{Node: "b", Addr: "10.0.0.1:1"}, crux.Member{Node: "c", Addr: "10.0.0.3:1"}
+				n := New(Options{Name: "n", Addr: "10.0.0.2:1", Host: at.Host()})
+				img := &crux.Image{Seq: 1, Members: []crux.Member{n.me, b, c}, App: lore.NewView(tale.Mute()).Picture()}
+				mux := http.NewServeMux()
+				wire.Handle(mux, "crux/news", func(context.Context, *crux.NewsAsk) (*crux.NewsReply, error) {
+					return &crux.NewsReply{Seq: 1, Picture: crux.Pack(img)}, nil
+				})
+				wire.Handle(mux, "verge/beat", func(context.Context, *Beat) (*Beat, error) { time.Sleep(slow); return &Beat{Node: "b"}, nil })
+				l, err := near.Host().Net.Listen(b.Addr)
+				require.NoError(t, err)
+				go wire.Serve(ctx, l, mux)
+				require.NoError(t, n.agent.Fetch(ctx, b.Addr))
+				w.Sever([]string{"10.0.0.2"}, []string{"10.0.0.3"}, true)
+				go n.beats(ctx)
+				time.Sleep(2 * time.Second)
+				longest := func(span time.Duration) (most time.Duration) {
+					var since time.Time
+					for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(time.Millisecond) {
+						switch {
+						case n.current():
+							since = time.Time{}
+						case since.IsZero():
+							since = time.Now()
+						default:
+							most = max(most, time.Since(since))
+						}
+					}
+					return most
+				}
+				require.True(t, n.current())
+				got := longest(20 * time.Second)
+				t.Log("the longest hold:", got)
+				require.Zero(t, got)
+				w.Sever([]string{"10.0.0.2"}, []string{"10.0.0.1"}, true)
+				time.Sleep(currentSpan + time.Millisecond)
+				require.False(t, n.current(), "it might not have heard")
+				require.Greater(t, longest(3*time.Second), 2900*time.Millisecond)
+				w.Sever([]string{"10.0.0.2"}, []string{"10.0.0.1"}, false)
+				got = longest(5 * time.Second)
+				t.Log("after the cut:", got)
+				require.Less(t, got, time.Second)
+				require.True(t, n.current())
+				n.call.Close()
+			})
+		})
+	}
+}
