--- a/relay/alarm.go
+++ b/relay/alarm.go
@@ -81,23 +81,12 @@
 			n.warn(w.Id)
 			warn = false
 		}
-		if !n.lists(w.Id) || !seam.Sleep(ctx, probePause) {
+		if n.roster.Load().find(w.Id) == nil || !seam.Sleep(ctx, probePause) {
 			return
 		}
 	}
 }
 
-// lists tells whether a life is on the list of workers.
-func (n *Node) lists(id word.WorkerId) bool {
-	ros := n.roster.Load()
-	for i := range ros.all {
-		if ros.all[i].Id == id {
-			return true
-		}
-	}
-	return false
-}
-
 func (n *Node) warn(id word.WorkerId) {
 	for _, m := range n.agent.Members() {
 		if m.Node != n.me.Node {
@@ -107,11 +96,8 @@
 }
 
 func (n *Node) hear(_ context.Context, a *Alarm) (*Heard, error) {
-	ros := n.roster.Load()
-	for i := range ros.all {
-		if ros.all[i].Id == a.Worker {
-			n.suspect(ros.all[i], false)
-		}
+	if w := n.roster.Load().find(a.Worker); w != nil {
+		n.suspect(*w, false)
 	}
 	return &Heard{}, nil
 }
--- a/relay/node.go
+++ b/relay/node.go
@@ -81,7 +81,7 @@
 
 // Counts are the node's figures since it started.
 type Counts struct {
-	Asked, Done, Refused, Broken, Moved, Direct, Again, Resumed atomic.Int64
+	Asked, Done, Refused, Broken, Direct, Again atomic.Int64
 }
 
 // Node is one router node for opaque requests.
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -141,12 +141,7 @@
 // elsewhere tells that another service's worker, or one whose list is not known, has it.
 func (n *Node) elsewhere(id word.WorkerId) bool {
 	ros := n.roster.Load()
-	for i := range ros.all {
-		if ros.all[i].Id == id {
-			return true
-		}
-	}
-	return len(ros.all) == 0
+	return len(ros.all) == 0 || ros.find(id) != nil
 }
 
 // over sends the order of a turn once all have heard of it, and tells when it is done.
