--- a/crux/lease.go
+++ b/crux/lease.go
@@ -5,7 +5,6 @@
 package crux
 
 import (
-	"hash/fnv"
 	"sort"
 
 	"keelstair.example/word"
@@ -19,29 +18,37 @@
 	drop []Grant
 }
 
-// Owner is the node that a key falls to: the highest hash of key and node.
+// Owner is the node that a key falls to: the highest hash of key and node (rendezvous
+// hashing).
 func Owner(key word.Key, nodes []word.NodeId) word.NodeId {
-	var best uint64
 	var top word.NodeId
 	for _, n := range nodes {
-		h := fnv.New64a()
-		h.Write([]byte(n))
-		h.Write([]byte{0})
-		h.Write([]byte(key))
-		v := mix(h.Sum64())
-		if top == "" || v > best || v == best && n < top {
-			best, top = v, n
+		if top == "" || before(key, n, top) {
+			top = n
 		}
 	}
 	return top
 }
 
-func mix(v uint64) uint64 {
-	v ^= v >> 33
-	v *= 0xff51afd7ed558ccd
-	v ^= v >> 33
-	v *= 0xc4ceb9fe1a85ec53
-	return v ^ v>>33
+// Rank is the place of a node, from 0 on, among those that a key falls to in turn.
+func Rank(key word.Key, node word.NodeId, nodes []Member) int {
+	rank := 0
+	for _, m := range nodes {
+		if m.Node != node && before(key, m.Node, node) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// before tells whether a key falls to a rather than to b.
+func before(key word.Key, a, b word.NodeId) bool {
+	x, y := weight(key, a), weight(key, b)
+	return x > y || x == y && a < b
+}
+
+func weight(key word.Key, n word.NodeId) uint64 {
+	return word.Mix(word.Hash(string(n) + "\x00" + string(key)))
 }
 
 // hear turns a renewal into the entries it needs, before it is confirmed.
--- a/lore/route.go
+++ b/lore/route.go
@@ -5,13 +5,13 @@
 package lore
 
 import (
-	"hash/fnv"
 	"net/url"
 	"sort"
 	"strings"
 	"time"
 
 	"keelstair.example/breakdown"
+	"keelstair.example/word"
 )
 
 // Share is one service of a split, by weight.
@@ -56,9 +56,7 @@
 	if sum == 0 {
 		return r.Service
 	}
-	h := fnv.New64a()
-	h.Write([]byte(id))
-	at := int64(h.Sum64() >> 1 % sum)
+	at := int64(word.Hash(id) >> 1 % sum)
 	for _, s := range r.Split {
 		if at -= int64(s.Weight); at < 0 {
 			return s.Service
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -11,6 +11,7 @@
 	"sort"
 	"time"
 
+	"keelstair.example/crux"
 	"keelstair.example/lore"
 	"keelstair.example/whim"
 	"keelstair.example/word"
@@ -129,19 +130,7 @@
 	if bound >= peers {
 		return 1050 * time.Millisecond, true
 	}
-	mine, above := whim.Affinity(fnv64(string(n.me.Node)), id), 0
-	for _, m := range n.agent.Members() {
-		if m.Node != n.me.Node && whim.Affinity(fnv64(string(m.Node)), id) > mine {
-			above++
-		}
-	}
-	return 1050 * time.Millisecond, above < bound
-}
-
-func fnv64(s string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(s))
-	return h.Sum64()
+	return 1050 * time.Millisecond, crux.Rank(lore.WorkerKey(id), n.me.Node, n.agent.Members()) < bound
 }
 
 func (n *Node) far(w *Worker, bytes int) float64 {
@@ -221,7 +210,7 @@
 // order asks the routing programs, cheapest first.
 func (n *Node) order(r *Request, part word.Part, list []choice) []choice {
 	// Among equals the request decides, so that nodes that know little crowd no worker.
-	own := fnv64(r.Id)
+	own := word.Hash(r.Id)
 	for i := range list {
 		list[i].tie = whim.Affinity(own, list[i].w.Id)
 	}
--- a/relay/program_test.go
+++ b/relay/program_test.go
@@ -37,7 +37,7 @@
 		hit := map[string]bool{}
 		y.at(func() {
 			y.fate = func(k row, _ *stand) fate {
-				if h := fnv64(k.Req); k.Kind == "emit" && h%7 == 0 && !hit[k.Req] {
+				if h := word.Hash(k.Req); k.Kind == "emit" && h%7 == 0 && !hit[k.Req] {
 					hit[k.Req] = true
 					return midReset
 				}
--- a/whim/whim.go
+++ b/whim/whim.go
@@ -5,7 +5,6 @@
 package whim
 
 import (
-	"hash/fnv"
 	"sort"
 
 	"keelstair.example/breakdown"
@@ -53,15 +52,7 @@
 
 // Affinity is high for the worker that a prefix falls to.
 func Affinity(prefix uint64, id word.WorkerId) float64 {
-	h := fnv.New64a()
-	h.Write([]byte(id))
-	v := h.Sum64() ^ prefix
-	v ^= v >> 33
-	v *= 0xff51afd7ed558ccd
-	v ^= v >> 33
-	v *= 0xc4ceb9fe1a85ec53
-	v ^= v >> 33
-	return float64(v>>11) / (1 << 53)
+	return float64(word.Mix(word.Hash(string(id))^prefix)>>11) / (1 << 53)
 }
 
 // Prefix hashes the first tokens of a prompt.
@@ -92,9 +83,7 @@
 		return -float64(c.Free) / float64(max(c.Room, 1))
 	}
 	row := append([]Candidate(nil), list...)
-	h := fnv.New64a()
-	h.Write([]byte(q.Request))
-	own := h.Sum64()
+	own := word.Hash(q.Request)
 	sort.SliceStable(row, func(i, j int) bool {
 		a, b := score(row[i]), score(row[j])
 		if a != b {
--- /dev/null
+++ b/word/hash_test.go
@@ -0,0 +1,16 @@
+// What falls to whom must not change with a version of the code.
+
+package word
+
+import "testing"
+
+func TestHash(t *testing.T) {
+	for s, want := range map[string]uint64{"": 14695981039346656037, "a": 0xaf63dc4c8601ec8c, "foobar": 0x85944171f73967e8} {
+		if got := Hash(s); got != want {
+			t.Errorf("%q: %x, not %x", s, got, want)
+		}
+	}
+	if got := Mix(1); got != 0xb456bcfc34c2cb2c {
+		t.Errorf("%x", got)
+	}
+}
