--- a/relay/budget.go
+++ b/relay/budget.go
@@ -11,7 +11,10 @@
 	"keelstair.example/word"
 )
 
-const slices = 20 // of the window
+const (
+	slices    = 20              // of the window
+	peersSpan = 2 * time.Minute // for which nodes that are no members any more may still serve, at least
+)
 
 type budget struct {
 	mu    sync.Mutex
@@ -40,11 +43,11 @@
 	return int(at % (slices + 1))
 }
 
-// peers gives the most nodes seen in the last span or two.
+// peers gives the most nodes seen at once in the last span or two.
 func (b *budget) peers(now word.Tick, seen int) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if now.Past(b.since, 10*time.Second) {
+	if now.Past(b.since, peersSpan) {
 		b.prior, b.nodes, b.since = b.nodes, 0, now
 	}
 	b.nodes = max(b.nodes, seen)
--- a/relay/budget_test.go
+++ b/relay/budget_test.go
@@ -127,6 +127,61 @@
 	}
 }
 
+// TestColdManyNodes: there are more nodes than a cold worker bears requests: only some send
+// there, so that all together stay within what it bears; the others serve elsewhere.
+func TestColdManyNodes(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 3, 3)...)
+		f := build(t, 29, 9, y, policy(ways(), lore.Service{Name: "svc", Slots: 16, WarmMs: 6000, WarmRate: 0.4}), nil)
+		defer f.close()
+		y.at(func() {
+			for _, name := range []string{"svc-decode-1", "svc-prefill-2"} {
+				y.of(name).warm = time.Now().Add(9 * time.Second)
+			}
+		})
+		time.Sleep(2 * time.Second)
+		from := y.now()
+		all := f.load(200, 5*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), "/once/x", 300, 2) })
+		rows := y.book()
+		require.Empty(t, coldRate(rows, 5)) // 1.5 x 0.4 + 5
+		require.NotEmpty(t, sentTo(rows, "svc-decode-1.1", from, from+4*time.Second), "it is warmed")
+		for _, a := range all {
+			require.NoError(t, a.err)
+		}
+	})
+}
+
+// TestBudgetCutOff: a node is cut off from the core and no longer counts as a member, but
+// goes on serving: the others do not take its part of the allowance meanwhile, also when
+// that goes on for a while.
+func TestBudgetCutOff(t *testing.T) {
+	for _, after := range []time.Duration{0, 60 * time.Second} {
+		t.Run(after.String(), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				const allow = 100
+				y := newYard(both("svc", 3, 4)...)
+				rng := rand.New(rand.NewPCG(3, 4))
+				y.fate = func(k row, _ *stand) fate {
+					if k.Kind == "emit" && rng.IntN(10) < 9 {
+						return turnedAway
+					}
+					return fine
+				}
+				f := build(t, 30, 2, y, plain(), func(o *Options) { o.Allow = allow })
+				defer f.close()
+				time.Sleep(time.Second)
+				f.w.Sever([]string{nodeIp(0)}, append([]string{nodeIp(1)}, coreIps...), true)
+				require.True(t, f.until(10*time.Second, func() bool { return len(f.nodes[1].agent.Members()) == 1 }))
+				time.Sleep(after)
+				all := f.load(30, 9*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), "/again/x", 400, 4) })
+				rows := y.book()
+				require.Empty(t, extras(rows, all, 0.2, allow, window))
+				require.NotEmpty(t, extras(rows, all, 0.2, allow/2, window), "both spend their parts")
+			})
+		})
+	}
+}
+
 // TestColdAllNodesStart: workers are cold from the first request on, and all nodes begin
 // at once with no history.
 func TestColdAllNodesStart(t *testing.T) {
