--- a/relay/budget_test.go
+++ b/relay/budget_test.go
@@ -127,6 +127,61 @@
 	}
 }
 
+// TestColdManyNodes: there are more nodes than a cold worker bears requests: only some send
+// there, so that all together stay within what it bears; the others serve elsewhere.
+func TestColdManyNodes(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 3, 3)...)
+		f := build(t, 29, 9, y, policy(ways(), lore.Service{Name: "svc", Slots: 16, WarmMs: 6000, WarmRate: 0.4}), nil)
+		defer f.close()
+		y.at(func() {
+			for _, name := range []string{"svc-decode-1", "svc-prefill-2"} {
+				y.of(name).warm = time.Now().Add(9 * time.Second)
+			}
+		})
+		time.Sleep(2 * time.Second)
+		from := y.now()
+		all := f.load(200, 5*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), "/once/x", 300, 2) })
+		rows := y.book()
+		require.Empty(t, coldRate(rows, 5)) // 1.5 x 0.4 + 5
+		require.NotEmpty(t, sentTo(rows, "svc-decode-1.1", from, from+4*time.Second), "it is warmed")
+		for _, a := range all {
+			require.NoError(t, a.err)
+		}
+	})
+}
+
+// TestBudgetCutOff: a node is cut off from the core and no longer counts as a member, but
+// goes on serving: the others do not take its part of the allowance meanwhile, also when
+// that goes on for a while.
+func TestBudgetCutOff(t *testing.T) {
+	for _, after := range []time.Duration{0, 60 * time.Second} {
+		t.Run(after.String(), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				const allow = 100
+				y := newYard(both("svc", 3, 4)...)
+				rng := rand.New(rand.NewPCG(3, 4))
+				y.fate = func(k row, _ *stand) fate {
+					if k.Kind == "emit" && rng.IntN(10) < 9 {
+						return turnedAway
+					}
+					return fine
+				}
+				f := build(t, 30, 2, y, plain(), func(o *Options) { o.Allow = allow })
+				defer f.close()
+				time.Sleep(time.Second)
+				f.w.Sever([]string{nodeIp(0)}, append([]string{nodeIp(1)}, coreIps...), true)
+				require.True(t, f.until(10*time.Second, func() bool { return len(f.nodes[1].agent.Members()) == 1 }))
+				time.Sleep(after)
+				all := f.load(30, 9*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), "/again/x", 400, 4) })
+				rows := y.book()
+				require.Empty(t, extras(rows, all, 0.2, allow, window))
+				require.NotEmpty(t, extras(rows, all, 0.2, allow/2, window), "both spend their parts")
+			})
+		})
+	}
+}
+
 // TestColdAllNodesStart: workers are cold from the first request on, and all nodes begin
 // at once with no history.
 func TestColdAllNodesStart(t *testing.T) {
@@ -187,3 +242,122 @@
 		require.Empty(t, coldRate(y.book(), coldMost))
 	})
 }
+
+// chilled takes a zone back, of which all workers turn cold at their first request.
+func (f *fleet) chilled(z word.Zone) {
+	f.y.at(func() { f.y.chill = map[word.Zone]time.Duration{z: 6 * time.Second} })
+	f.submit(lore.VacateKind, &lore.Vacate{Zone: z, Out: false})
+}
+
+func (f *fleet) ready() bool {
+	for _, n := range f.up() {
+		if ok, _ := n.Ready(); !ok || len(n.roster.Load().all) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// TestColdZoneBackAllStart: a zone is evacuated and taken back, and all nodes lose power and
+// start again at once, with a takeover in between or not: what the workers turn out to be
+// is not on the list yet, and they get no more than cold ones bear. Once the zone is
+// surely warm, nodes that start know nothing of it any more.
+func TestColdZoneBackAllStart(t *testing.T) {
+	for _, over := range []bool{false, true} {
+		t.Run(fmt.Sprint("takeover-", over), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				y := newYard(both("svc", 4, 4)...)
+				f := build(t, 27, 3, y, warming(), nil)
+				defer f.close()
+				f.submit(lore.VacateKind, &lore.Vacate{Zone: "b", Out: true})
+				time.Sleep(3 * time.Second)
+				f.chilled("b")
+				anew := func() {
+					for i := range f.nodes {
+						f.kill(i)
+					}
+					if l := f.leader(); over && l != "" {
+						f.offCore(l)
+						defer f.core(l)
+					}
+					for i := range f.nodes {
+						f.node(i)
+					}
+					require.True(t, f.until(10*time.Second, f.ready))
+				}
+				anew()
+				f.load(400, 4*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), "/once/x", 300, 2) })
+				rows := y.book()
+				require.Empty(t, coldRate(rows, coldMost))
+				cold := 0
+				for _, k := range rows {
+					if k.Cold {
+						cold++
+					}
+				}
+				require.Greater(t, cold, 20, "they are warmed")
+				time.Sleep(12 * time.Second)
+				anew()
+				for _, n := range f.up() {
+					require.Empty(t, n.sight().Failbacks)
+					require.Zero(t, n.coldFor(&Worker{Zone: "b"}, &lore.Service{WarmMs: 6000}, n.now(), n.now()))
+				}
+			})
+		})
+	}
+}
+
+// TestColdZoneBackLate: a node that starts some seconds after a zone was taken back, by the
+// core's news or by a neighbour's with the core away, counts its workers as cold for what
+// is left of their time, not anew.
+func TestColdZoneBackLate(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 4, 4)...)
+		f := build(t, 28, 3, y, warming(), nil)
+		defer f.close()
+		f.submit(lore.VacateKind, &lore.Vacate{Zone: "b", Out: true})
+		time.Sleep(3 * time.Second)
+		f.submit(lore.VacateKind, &lore.Vacate{Zone: "b", Out: false})
+		from := time.Now()
+		time.Sleep(4 * time.Second)
+		left := func(i int) time.Duration {
+			f.kill(i)
+			n := f.node(i)
+			require.True(t, f.until(10*time.Second, f.ready))
+			n.sight()
+			return n.coldFor(&Worker{Zone: "b"}, &lore.Service{WarmMs: 6000}, n.now(), n.now())
+		}
+		got := left(0)
+		require.GreaterOrEqual(t, got, time.Until(from.Add(7*time.Second)))
+		require.Less(t, got, time.Until(from.Add(8*time.Second)))
+	})
+}
+
+// TestColdZoneBackUnheard: a machine is cut off from all while a zone is evacuated and
+// taken back, and comes back to a load that it has to carry: it sends the zone's workers
+// no more than cold ones bear, from the first request on. Many seeds.
+func TestColdZoneBackUnheard(t *testing.T) {
+	eachSeed(t, 6, func(t *testing.T, seed uint64) {
+		y := newYard(both("svc", 4, 4)...)
+		f := build(t, seed, 3, y, warming(), nil)
+		defer f.close()
+		time.Sleep(2 * time.Second)
+		rest := append([]string{nodeIp(0), nodeIp(2)}, coreIps...)
+		cut := func(on bool) {
+			f.w.Sever([]string{nodeIp(1)}, rest, on)
+			y.at(func() { y.cut[nodeIp(1)] = on })
+		}
+		cut(true)
+		time.Sleep(time.Second)
+		f.submit(lore.VacateKind, &lore.Vacate{Zone: "b", Out: true})
+		time.Sleep(5*time.Second + time.Duration(seed)*270*time.Millisecond)
+		f.chilled("b")
+		time.Sleep(200 * time.Millisecond)
+		f.wg.Go(func() {
+			time.Sleep(700 * time.Millisecond)
+			cut(false)
+		})
+		f.load(600, 5*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), "/once/x", 300, 2) })
+		require.Empty(t, coldRate(y.book(), coldMost))
+	})
+}
