--- a/crux/losses_test.go
+++ b/crux/losses_test.go
@@ -3,6 +3,7 @@
 package crux_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -64,3 +65,33 @@
 		require.Equal(t, 6, all)
 	})
 }
+
+// TestLostAfterOne: either backup is off, a command is acknowledged without it, and at that
+// moment the primary and the other backup are lost with their disks. Once the first one is
+// back, the core has the command, though that one never took it.
+func TestLostAfterOne(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		f := buildOf(seed, 6, 2)
+		defer f.close()
+		require.NoError(t, f.add(1, "a", 10*time.Second))
+		time.Sleep(time.Duration(seed%5) * 300 * time.Millisecond)
+		lead := f.leader()
+		rec := f.cores[lead].Book().Record()
+		away, other := rec.Also[0].Addr[:8], rec.Backup.Addr[:8]
+		if seed%2 == 0 {
+			away, other = other, away
+		}
+		f.off(away)
+		require.NoError(t, f.add(2, "b", 10*time.Second))
+		for _, ip := range []string{lead, other} {
+			f.off(ip)
+			f.w.Machine(ip).Wipe()
+		}
+		f.core(away + ":1")
+		ctx, stop := context.WithTimeout(context.Background(), 30*time.Second)
+		defer stop()
+		r, err := f.agents[1].Submit(ctx, "c", "add", []byte("4"))
+		require.NoError(t, err)
+		require.Equal(t, "7", string(r.Body))
+	})
+}
--- a/lore/lore_test.go
+++ b/lore/lore_test.go
@@ -123,3 +123,36 @@
 	require.True(t, v.Settled())
 	require.Len(t, v.Sight().Policy.Zones, 2)
 }
+
+// TestSightPinned: the core is founded anew from a copy that lacks the newest version: a
+// node that has served it does not go back, and takes the next one that is above it.
+func TestSightPinned(t *testing.T) {
+	m, v := NewMachine(MachineOptions{}), NewView(tale.Mute())
+	seq := word.Seq(0)
+	do := func(kind string, body []byte, views ...*View) {
+		t.Helper()
+		seq++
+		_, err := m.Apply(seq, kind, body)
+		require.NoError(t, err)
+		for _, w := range views {
+			w.Fold(seq, kind, body)
+		}
+	}
+	rule := func(base, next word.Version, text string, views ...*View) {
+		t.Helper()
+		do(StageKind, crux.Pack(&Stage{Base: base, Text: []byte(text), Next: next}), views...)
+		do(ActivateKind, crux.Pack(&Activate{next}), views...)
+	}
+	rule(0, 1, `{"zones":["one"]}`, v)
+	old := m.Picture(false)
+	rule(1, 2, `{"zones":["two"]}`, v)
+	require.EqualValues(t, 2, v.Sight().Version)
+	require.NoError(t, m.Restore(old))
+	require.NoError(t, v.Restore(m.Picture(true)))
+	require.EqualValues(t, 2, v.Sight().Version)
+	require.Equal(t, []word.Zone{"two"}, v.Sight().Policy.Zones)
+	require.Equal(t, `{"zones":["two"]}`, string(v.Sight().Text))
+	rule(1, 3, `{"zones":["three"]}`, v)
+	require.EqualValues(t, 3, v.Sight().Version)
+	require.Equal(t, []word.Zone{"three"}, v.Sight().Policy.Zones)
+}
--- a/relay/alarm_test.go
+++ b/relay/alarm_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"keelstair.example/lore"
 	"keelstair.example/word"
 )
 
@@ -177,3 +178,51 @@
 		require.Empty(t, onceOnly(y.book(), f.asks))
 	})
 }
+
+// TestReportClears: calls fail at a worker again and again, and each time its report says
+// that it is well: it is not left alone for longer than a moment.
+func TestReportClears(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 2, 2)...)
+		f := build(t, 55, 1, y, plain(), func(o *Options) { o.Allow = 40 })
+		defer f.close()
+		y.at(func() {
+			y.fate = func(k row, s *stand) fate {
+				if k.Kind == "emit" && s.name == "svc-decode-0" && k.Req[0] == 'b' {
+					return idleReset
+				}
+				return fine
+			}
+		})
+		from, fell := y.now(), 0
+		for i := 0; i < 200 && fell < 4; i++ {
+			if a := f.ask(f.nodes[0], f.req(fmt.Sprint("b", i), "/once/x", 400, 4)); a.err != nil {
+				from, fell = y.now()+time.Millisecond, fell+1
+			}
+		}
+		require.Equal(t, 4, fell)
+		f.load(40, 400*time.Millisecond, func(i int) *Request { return f.req(fmt.Sprint("r", i), "/once/x", 400, 4) })
+		require.NotEmpty(t, sentTo(y.book(), "svc-decode-0.1", from, from+400*time.Millisecond))
+	})
+}
+
+// TestTakenFromSilent: requests wait for the first word of a worker that goes silent, by
+// routes that give it seconds: once its report does not come either, what may run elsewhere
+// is taken there at once.
+func TestTakenFromSilent(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 2, 2)...)
+		routes := ways()
+		routes[1].AimMs, routes[1].DeadlineMs = 3000, 9000
+		f := build(t, 56, 1, y, policy(routes, lore.Service{Name: "svc", Slots: 16}), func(o *Options) { o.Allow = 60 })
+		defer f.close()
+		y.at(func() { y.of("svc-decode-0").dark = true })
+		all := f.load(60, 250*time.Millisecond, func(i int) *Request { return f.req(fmt.Sprint("r", i), "/again/x", 400, 20) })
+		require.NotEmpty(t, sentTo(y.book(), "svc-decode-0.1", 0, time.Hour))
+		for _, a := range all {
+			require.NoError(t, a.err, a.Id)
+			require.Less(t, a.end-a.at, 2*time.Second, a.Id)
+		}
+		require.Empty(t, answers(all))
+	})
+}
--- a/relay/config_test.go
+++ b/relay/config_test.go
@@ -86,6 +86,29 @@
 	})
 }
 
+// TestPutPacked: a large text is kept and sent on short, and is in force and read back byte
+// for byte.
+func TestPutPacked(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 2, 2)...)
+		f := build(t, 74, 2, y, plain(), nil)
+		defer f.close()
+		require.True(t, f.until(3*time.Second, func() bool { return f.inForce(1) }))
+		routes := ways()
+		for i := range 1400 {
+			routes = append(routes, lore.Route{Name: fmt.Sprint("x", i), Host: fmt.Sprintf("h%d.example", i), Prefix: "/", Service: "svc"})
+		}
+		text := policy(routes, lore.Service{Name: "svc", Slots: 16})
+		require.NoError(t, f.put("large", 1, 2, text))
+		require.True(t, f.until(3*time.Second, func() bool { return f.inForce(2) }))
+		require.Equal(t, text, f.newest(t).Text)
+		for _, b := range f.nodes {
+			require.Equal(t, text, b.view.Sight().Text)
+			require.Less(t, len(b.view.Picture()), len(text)/5)
+		}
+	})
+}
+
 // TestNewestReadsStaged: while a node is frozen and a version only staged, Newest gives it
 // already, though the nodes still serve the older one.
 func TestNewestReadsStaged(t *testing.T) {
--- /dev/null
+++ b/relay/list_test.go
@@ -0,0 +1,108 @@
+// Who asks the platform for the list of workers, and how the others come by it.
+
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/lore"
+)
+
+// lists counts the askings for the list by node since a time.
+func (y *yard) lists(since time.Duration) map[string]int {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	out := map[string]int{}
+	for _, k := range y.asked {
+		if k.At >= since {
+			out[k.Node]++
+		}
+	}
+	return out
+}
+
+func (f *fleet) lister() int {
+	for i, b := range f.nodes {
+		if _, ok := b.agent.Held(lore.RosterKey); ok && b.up {
+			return i
+		}
+	}
+	return -1
+}
+
+// heard tells whether all nodes that are up know that a worker leaves.
+func (f *fleet) heard(y *yard, name string) bool {
+	id := y.of(name).Id
+	for _, b := range f.up() {
+		if w := b.roster.Load().find(id); w == nil || !w.Leaving {
+			return false
+		}
+	}
+	return true
+}
+
+// TestOneAsker: while all is well the holder of the duty alone asks, and the others hear
+// of a change from it.
+func TestOneAsker(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 3, 3)...)
+		f := build(t, 61, 4, y, plain(), nil)
+		defer f.close()
+		time.Sleep(6 * time.Second)
+		h := f.lister()
+		require.GreaterOrEqual(t, h, 0)
+		from := y.now()
+		time.Sleep(10 * time.Second)
+		got := y.lists(from)
+		require.Len(t, got, 1, "%v", got)
+		require.InDelta(t, 14, got[nodeIp(h)], 4)
+		y.at(func() { y.of("svc-decode-1").Leaving = true })
+		require.True(t, f.until(1500*time.Millisecond, func() bool { return f.heard(y, "svc-decode-1") }))
+		require.Len(t, y.lists(from), 1)
+	})
+}
+
+// TestListWithoutHolder: the holder dies, or cannot have the list itself: the others ask by
+// themselves until there is a fresh one again, and know of a change in time.
+func TestListWithoutHolder(t *testing.T) {
+	for _, how := range []string{"killed", "frozen", "no list"} {
+		t.Run(how, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				y := newYard(both("svc", 3, 3)...)
+				f := build(t, 62, 4, y, plain(), nil)
+				defer f.close()
+				time.Sleep(6 * time.Second)
+				h := f.lister()
+				require.GreaterOrEqual(t, h, 0)
+				held := f.nodes[h]
+				switch how {
+				case "killed":
+					f.kill(h)
+				case "frozen":
+					f.freeze(h, true)
+				default:
+					y.at(func() { y.cut[nodeIp(h)] = true })
+				}
+				f.at(func() { held.up = false })
+				defer func() {
+					f.at(func() { held.up = how != "killed" })
+					f.freeze(h, false)
+				}()
+				from := y.now()
+				for i, name := range []string{"svc-decode-0", "svc-prefill-0", "svc-decode-2"} {
+					y.at(func() { y.of(name).Leaving = true })
+					require.True(t, f.until(3*time.Second, func() bool { return f.heard(y, name) }), "change %d", i)
+					time.Sleep(300 * time.Millisecond)
+				}
+				require.GreaterOrEqual(t, len(y.lists(from)), 1)
+				for _, b := range f.up() {
+					require.Less(t, b.now().Since(b.roster.Load().at), 3*time.Second, fmt.Sprint(b.ip))
+				}
+			})
+		})
+	}
+}
--- a/relay/turn_test.go
+++ b/relay/turn_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"keelstair.example/lore"
+	"keelstair.example/seam/sham"
 	"keelstair.example/word"
 )
 
@@ -244,3 +245,28 @@
 		require.Greater(t, first.At-since, 3*time.Second)
 	})
 }
+
+// TestTurnWarned: news takes its time to one node, and the holder looks often: it sends its
+// order only once that node knows of the turn too, and nothing is sent there meanwhile.
+func TestTurnWarned(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 3, 4)...)
+		f := build(t, 45, 3, y, plain(), func(o *Options) { turning(o); o.Turn = 50 * time.Millisecond })
+		defer f.close()
+		require.True(t, f.until(10*time.Second, func() bool { return f.holder() >= 0 }))
+		late := f.nodes[(f.holder()+1)%3]
+		for _, ip := range coreIps {
+			f.w.Set(ip, late.ip, sham.Link{Delay: 200 * time.Millisecond})
+		}
+		time.Sleep(4 * time.Second)
+		y.pressed(word.Prefill, 6)
+		all := f.load(60, 8*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), paths[i%4], 400, 4) })
+		rows := y.book()
+		require.NotEmpty(t, orders(rows))
+		require.Empty(t, untouched(rows, time.Second))
+		require.Empty(t, onceOnly(rows, all))
+		for _, a := range all {
+			require.NoError(t, a.err)
+		}
+	})
+}
--- a/relay/yard_test.go
+++ b/relay/yard_test.go
@@ -88,6 +88,7 @@
 	fate    func(k row, w *stand) fate
 	listed  func() time.Duration // how long the asking for the list is under way
 	nolist  bool
+	asked   []row                       // askings for the list
 	chill   map[word.Zone]time.Duration // for how long workers of a zone turn cold at their first request
 	step    time.Duration               // between events
 	turn    time.Duration
@@ -553,6 +554,7 @@
 		lag = y.listed()
 	}
 	no := y.nolist || y.cut[b.ip]
+	y.asked = append(y.asked, row{At: y.now(), Node: b.ip})
 	y.mu.Unlock()
 	if no || !nap(ctx, lag) {
 		return nil, breakdown.New(breakdown.Away, "list", "", "no list")
