--- a/crux/follow.go
+++ b/crux/follow.go
@@ -141,25 +141,39 @@
 // Submit is for those that hold no lease.
 func Submit(ctx context.Context, call *wire.Caller, book *Book, q *SubmitAsk) (*SubmitReply, error) {
 	var doubt error
+	final := func(err error) bool {
+		if breakdown.Is(err, breakdown.Unknown) {
+			doubt = err
+		}
+		return breakdown.Is(err, breakdown.Stale) || breakdown.Is(err, breakdown.Bad)
+	}
+	r, addr, err := Primary[SubmitAsk, SubmitReply](ctx, call, book, 1500*time.Millisecond, "crux/submit", q, final)
+	switch {
+	case err == nil:
+		return r, nil
+	case final(err):
+		return nil, err
+	case doubt != nil:
+		return nil, breakdown.As(doubt, breakdown.Unknown, "submit", addr)
+	}
+	return nil, breakdown.As(err, breakdown.Away, "submit", addr)
+}
+
+// Primary asks the primary, each time for the span at most, until it answers, an error is
+// final, or the context ends; the address asked last comes with it. Between askings it
+// looks for the primary. No error is final if final is nil.
+func Primary[Q, R any](ctx context.Context, call *wire.Caller, book *Book, span time.Duration, name string, q *Q, final func(error) bool) (*R, string, error) {
 	for {
-		cx, stop := context.WithTimeout(ctx, 1500*time.Millisecond)
+		cx, stop := context.WithTimeout(ctx, span)
 		addr := book.Addr(book.Record().Primary)
-		r, err := wire.Call[SubmitAsk, SubmitReply](cx, call, addr, "crux/submit", q)
+		r, err := wire.Call[Q, R](cx, call, addr, name, q)
 		stop()
-		switch {
-		case err == nil:
-			return r, nil
-		case breakdown.Is(err, breakdown.Stale), breakdown.Is(err, breakdown.Bad):
-			return nil, err
-		case breakdown.Is(err, breakdown.Unknown):
-			doubt = err
+		if err == nil || final != nil && final(err) {
+			return r, addr, err
 		}
 		book.Ask(ctx, 3)
 		if !seam.Sleep(ctx, 20*time.Millisecond+rand.N(60*time.Millisecond)) {
-			if doubt != nil {
-				return nil, breakdown.As(doubt, breakdown.Unknown, "submit", addr)
-			}
-			return nil, breakdown.As(err, breakdown.Away, "submit", addr)
+			return nil, addr, err
 		}
 	}
 }
