--- a/cmd/berth/main.go
+++ b/cmd/berth/main.go
@@ -17,12 +17,12 @@
 	"keelstair.example/breakdown"
 	"keelstair.example/cmd/boot"
 	"keelstair.example/crux"
+	"keelstair.example/door"
 	"keelstair.example/lore"
 	"keelstair.example/platform"
 	"keelstair.example/relay"
 	"keelstair.example/seam"
 	"keelstair.example/tale"
-	"keelstair.example/verge"
 	"keelstair.example/whim"
 	"keelstair.example/wire"
 	"keelstair.example/word"
@@ -33,9 +33,9 @@
 	if len(os.Args) == 2 || len(os.Args) == 3 && os.Args[1] == "node" {
 		role = os.Args[1]
 	}
-	run, ok := map[string]func(*platform.Settings, *reload) error{"core": core, "node": node}[role]
+	run, ok := map[string]func(*platform.Settings) error{"core": core, "node": node}[role]
 	if !ok {
-		fmt.Fprintln(os.Stderr, "usage: berth core | berth node [POLICY]\nPOLICY is a file of the product's own configuration, in plain JSON; its programs route, by their shares.\nThe settings file is named by the variable "+platform.BootVar+".")
+		fmt.Fprintln(os.Stderr, "usage: berth core | berth node [POLICY]\nPOLICY is a file of the product's own configuration, in plain JSON; its programs route, by their shares, until the core has a set (edict apply).\nThe settings file is named by the variable "+platform.BootVar+".")
 		os.Exit(2)
 	}
 	s, err := platform.Load()
@@ -43,13 +43,11 @@
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(s.Memory * 3 / 4)
 	}
-	boot.Fail("berth "+role, run(s, &reload{}))
+	boot.Fail("berth "+role, run(s))
 }
 
-// reload reads the settings again at a hang-up, for the seeds they name.
-type reload struct{}
-
-func (*reload) watch(ctx context.Context, book *crux.Book) {
+// watch reads the settings again at a hang-up, for the seeds they name.
+func watch(ctx context.Context, book *crux.Book) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	go func() {
@@ -66,7 +64,7 @@
 	}()
 }
 
-func core(s *platform.Settings, r *reload) error {
+func core(s *platform.Settings) error {
 	if err := s.ForCore(); err != nil {
 		return err
 	}
@@ -77,7 +75,7 @@
 	ring := boot.Ring("core " + s.Name)
 	log.SetOutput(ring)
 	if s.Dir == "" {
-		return desk(s, r, host, ring)
+		return desk(s, host, ring)
 	}
 	c, err := crux.New(crux.Options{Addr: s.Control, Zone: word.Zone(s.Zone), Host: host, Seeds: s.Seeds, Ring: ring, Lease: s.Lease, Joins: !s.Founds, Losses: s.Losses,
 		Machine: func() crux.Machine { return lore.NewMachine(lore.MachineOptions{Read: platform.Policy}) }})
@@ -86,25 +84,32 @@
 	}
 	ctx, stop := boot.Signals()
 	defer stop()
-	r.watch(ctx, c.Book())
+	watch(ctx, c.Book())
 	mux := http.NewServeMux()
 	c.Mount(mux)
-	(&platform.Operator{Call: c.Caller(), Book: c.Book(), Zones: s.Zones, Ring: ring}).Mount(mux)
+	operate(mux, s, c.Caller(), c.Book(), ring)
 	boot.Serve(ctx, host, s.Control, mux, func(err error) { boot.Fail("berth core", err) })
 	return c.Run(ctx)
 }
 
+// operate puts the operators' calls on a mux: the platform's, and the product's own for
+// the program set.
+func operate(mux *http.ServeMux, s *platform.Settings, call *wire.Caller, book *crux.Book, ring *tale.Ring) {
+	(&platform.Operator{Call: call, Book: book, Zones: s.Zones, Ring: ring}).Mount(mux)
+	door.MountOperator(mux, &relay.Operator{Call: call, Book: book, Zones: s.Zones})
+}
+
 // desk serves the operator on a machine without a disk: it holds nothing and asks the core.
-func desk(s *platform.Settings, r *reload, host seam.Host, ring *tale.Ring) error {
+func desk(s *platform.Settings, host seam.Host, ring *tale.Ring) error {
 	ctx, stop := boot.Signals()
 	defer stop()
 	call := wire.NewCaller(host.Net)
 	defer call.Close()
 	book := crux.NewBook(host, call, s.Seeds, crux.Seat{Addr: s.Control})
-	r.watch(ctx, book)
+	watch(ctx, book)
 	mux := http.NewServeMux()
 	book.Serve(mux)
-	(&platform.Operator{Call: call, Book: book, Zones: s.Zones, Ring: ring}).Mount(mux)
+	operate(mux, s, call, book, ring)
 	boot.Serve(ctx, host, s.Control, mux, func(err error) { boot.Fail("berth core", err) })
 	book.Keep(ctx, func() bool { return false })
 	return nil
@@ -123,10 +128,10 @@
 	if err == nil {
 		err = p.CheckPrograms()
 	}
-	return verge.Sources(p), breakdown.As(err, breakdown.Bad, "read policy", os.Args[2])
+	return p.Sources(), breakdown.As(err, breakdown.Bad, "read policy", os.Args[2])
 }
 
-func node(s *platform.Settings, r *reload) error {
+func node(s *platform.Settings) error {
 	if err := s.ForNode(); err != nil {
 		return err
 	}
@@ -150,7 +155,7 @@
 	defer stop()
 	listen, shut := context.WithCancel(context.Background())
 	defer shut()
-	r.watch(listen, n.Book())
+	watch(listen, n.Book())
 	fail := func(err error) { boot.Fail("berth node", err) }
 	peers := http.NewServeMux()
 	n.Mount(peers)
--- a/cmd/omen/main.go
+++ b/cmd/omen/main.go
@@ -116,7 +116,7 @@
 	if err != nil {
 		return augur.Change{}, err
 	}
-	_, err = whim.NewDeck(verge.Sources(p), p.Limits.Steps, &whim.Scores{})
+	_, err = p.Deck(&whim.Scores{})
 	return augur.Change{Policy: p}, err
 }
 
--- a/door/operate.go
+++ b/door/operate.go
@@ -6,6 +6,9 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
+
+	"keelstair.example/breakdown"
 )
 
 // Apply is a whole or partial configuration. Source is CUE or JSON text; Base
@@ -47,15 +50,34 @@
 	Apply(ctx context.Context, a *Apply) (*Applied, error)
 	Evacuate(ctx context.Context, zone string, m *Mark) (*Applied, error)
 	Drain(ctx context.Context, worker string, m *Mark) (*Applied, error)
-	Show() *Shown
+	Shown(ctx context.Context) (*Shown, error)
 	Status() any
 }
 
+// Stale is the answer to a configuration that was made over another than the newest.
+func Stale(base, newest uint64) error {
+	return No(http.StatusConflict, "stale", "base", "it was made over version %d; the newest is %d", base, newest)
+}
+
+// Fate tells an operator whether a thing was surely not done, and when to ask again.
+func Fate(err error, after time.Duration) error {
+	switch breakdown.KindOf(err) {
+	case breakdown.Unknown:
+		return Later(http.StatusGatewayTimeout, "unknown-fate", after, "it may have been taken; ask again with the same op: %v", err)
+	case breakdown.Bad, breakdown.Stale:
+		return err
+	}
+	return Later(http.StatusServiceUnavailable, "core-away", after, "it was not taken: %v", err)
+}
+
 const maxPolicy = 8 << 20
 
 // MountOperator puts the operators' side on a mux.
 func MountOperator(mux *http.ServeMux, o Operator) {
-	mux.HandleFunc("GET /v1/policy", func(w http.ResponseWriter, _ *http.Request) { Write(w, http.StatusOK, o.Show()) })
+	mux.HandleFunc("GET /v1/policy", func(w http.ResponseWriter, r *http.Request) {
+		got, err := o.Shown(r.Context())
+		answer(w, got, err)
+	})
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { Write(w, http.StatusOK, o.Status()) })
 	mux.HandleFunc("POST /v1/policy", func(w http.ResponseWriter, r *http.Request) {
 		var a Apply
@@ -89,7 +111,7 @@
 	mux.HandleFunc("POST /v1/workers/{name}", mark(o.Drain))
 }
 
-func answer(w http.ResponseWriter, a *Applied, err error) {
+func answer(w http.ResponseWriter, a any, err error) {
 	if err != nil {
 		Bounce(w, err)
 		return
--- a/lore/image.go
+++ b/lore/image.go
@@ -15,6 +15,9 @@
 	Turning []Turn
 	Fence   word.Fence
 	Deeds   []Deed
+	// The program set in force, and those that are staged.
+	Programs        Ruled
+	ProgramsPending []Ruled
 	// Rows of the open leaf, and how many deeds there are in all.
 	Rows  []byte
 	Count int
--- a/lore/image_gen.go
+++ b/lore/image_gen.go
@@ -10,9 +10,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Image) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 11
 	// string "Active"
-	o = append(o, 0x89, 0xa6, 0x41, 0x63, 0x74, 0x69, 0x76, 0x65)
+	o = append(o, 0x8b, 0xa6, 0x41, 0x63, 0x74, 0x69, 0x76, 0x65)
 	o, err = z.Active.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Active")
@@ -63,6 +63,23 @@
 			return
 		}
 	}
+	// string "Programs"
+	o = append(o, 0xa8, 0x50, 0x72, 0x6f, 0x67, 0x72, 0x61, 0x6d, 0x73)
+	o, err = z.Programs.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Programs")
+		return
+	}
+	// string "ProgramsPending"
+	o = append(o, 0xaf, 0x50, 0x72, 0x6f, 0x67, 0x72, 0x61, 0x6d, 0x73, 0x50, 0x65, 0x6e, 0x64, 0x69, 0x6e, 0x67)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.ProgramsPending)))
+	for za0006 := range z.ProgramsPending {
+		o, err = z.ProgramsPending[za0006].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "ProgramsPending", za0006)
+			return
+		}
+	}
 	// string "Rows"
 	o = append(o, 0xa4, 0x52, 0x6f, 0x77, 0x73)
 	o = msgp.AppendBytes(o, z.Rows)
@@ -201,6 +218,31 @@
 					return
 				}
 			}
+		case "Programs":
+			bts, err = z.Programs.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Programs")
+				return
+			}
+		case "ProgramsPending":
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ProgramsPending")
+				return
+			}
+			if cap(z.ProgramsPending) >= int(zb0008) {
+				z.ProgramsPending = (z.ProgramsPending)[:zb0008]
+			} else {
+				z.ProgramsPending = make([]Ruled, zb0008)
+			}
+			for za0006 := range z.ProgramsPending {
+				bts, err = z.ProgramsPending[za0006].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "ProgramsPending", za0006)
+					return
+				}
+			}
 		case "Rows":
 			z.Rows, bts, err = msgp.ReadBytesBytes(bts, z.Rows)
 			if err != nil {
@@ -247,6 +289,10 @@
 	for za0005 := range z.Deeds {
 		s += z.Deeds[za0005].Msgsize()
 	}
+	s += 9 + z.Programs.Msgsize() + 16 + msgp.ArrayHeaderSize
+	for za0006 := range z.ProgramsPending {
+		s += z.ProgramsPending[za0006].Msgsize()
+	}
 	s += 5 + msgp.BytesPrefixSize + len(z.Rows) + 6 + msgp.IntSize
 	return
 }
--- /dev/null
+++ b/lore/line.go
@@ -0,0 +1,53 @@
+// A line of versions: staged one over the other, and put in force in their order. The
+// configuration is one, the program sets are another.
+
+package lore
+
+import (
+	"slices"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/word"
+)
+
+type line struct {
+	active Ruled
+	staged []Ruled
+}
+
+// all are the version in force and those that are staged, oldest first.
+func (l *line) all() []Ruled { return append([]Ruled{l.active}, l.staged...) }
+
+func (l *line) top() Ruled {
+	if n := len(l.staged); n > 0 {
+		return l.staged[n-1]
+	}
+	return l.active
+}
+
+func (l *line) newest() word.Version { return l.top().Version }
+
+func (l *line) stage(c *Stage) (msgp.Marshaler, error) {
+	if c.Base != l.newest() {
+		return nil, breakdown.New(breakdown.Stale, "apply policy", "", "it was made over version %d, the current one is %d", c.Base, l.newest())
+	}
+	v := l.newest() + 1
+	if c.Next != 0 && c.Next < v {
+		return nil, breakdown.New(breakdown.Bad, "apply policy", "", "version %d is not above the current one, %d", c.Next, l.newest())
+	}
+	v = max(v, c.Next)
+	l.staged = append(l.staged, Ruled{v, c.Text})
+	return &Ruling{v}, nil
+}
+
+func (l *line) activate(v word.Version) (Ruled, error) {
+	for i, r := range l.staged {
+		if r.Version == v {
+			l.active, l.staged = r, slices.Clone(l.staged[i+1:])
+			return r, nil
+		}
+	}
+	return Ruled{}, breakdown.New(breakdown.Stale, "activate", "", "version %d is not staged", v)
+}
--- a/lore/machine.go
+++ b/lore/machine.go
@@ -25,14 +25,21 @@
 	seq word.Seq
 }
 
+// waiting is when the staged versions of a line may be put in force.
+type waiting struct {
+	*line
+	stage, activate string // the kinds of its commands
+	due             map[word.Version]stagedAt
+}
+
 // Machine is what tenets run over the core.
 type Machine struct {
 	*State
-	wait time.Duration
-	read Reader
-	due  map[word.Version]stagedAt
-	keys []word.Key
-	of   word.Version
+	wait  time.Duration
+	read  Reader
+	waits []*waiting
+	keys  []word.Key
+	of    word.Version
 }
 
 // MachineOptions of a machine; what is zero takes the default named beside it.
@@ -47,15 +54,22 @@
 	if opt.Read == nil {
 		opt.Read = Plain
 	}
-	return &Machine{State: newState(false, opt.Depth), wait: opt.Wait, read: opt.Read, due: map[word.Version]stagedAt{}}
+	m := &Machine{State: newState(false, opt.Depth), wait: opt.Wait, read: opt.Read}
+	m.waits = []*waiting{
+		{line: &m.line, stage: StageKind, activate: ActivateKind, due: map[word.Version]stagedAt{}},
+		{line: &m.programs, stage: StageProgramsKind, activate: ActivateProgramsKind, due: map[word.Version]stagedAt{}},
+	}
+	return m
 }
 
 // Apply notes at which number a version was staged: that is what nodes must have
 // seen, not the claims that come after it.
 func (m *Machine) Apply(seq word.Seq, kind string, body []byte) ([]byte, error) {
 	out, err := m.State.Apply(kind, body)
-	if err == nil && kind == StageKind {
-		m.due[m.newest()] = stagedAt{seq: seq}
+	for _, w := range m.waits {
+		if err == nil && kind == w.stage {
+			w.due[w.newest()] = stagedAt{seq: seq}
+		}
 	}
 	return out, err
 }
@@ -91,30 +105,39 @@
 	return m.keys
 }
 
-// Due puts in force the newest staged version that all live nodes have seen,
-// or that has waited long enough for silent ones.
+// Due puts in force the newest staged version of each line that all live nodes have
+// seen, or that has waited long enough for silent ones.
 func (m *Machine) Due(now word.Tick, seq, seen word.Seq) []crux.Cmd {
+	var out []crux.Cmd
+	for _, w := range m.waits {
+		if top := w.ripe(now, seq, seen, m.wait); top != 0 {
+			out = append(out, crux.Cmd{Kind: w.activate, Body: crux.Pack(&Activate{top})})
+		}
+	}
+	return out
+}
+
+func (w *waiting) ripe(now word.Tick, seq, seen word.Seq, wait time.Duration) word.Version {
 	var top word.Version
-	for _, r := range m.staged {
-		d, ok := m.due[r.Version]
+	for _, r := range w.staged {
+		d, ok := w.due[r.Version]
 		if !ok {
 			d.seq = seq
 		}
 		if d.at == 0 {
 			d.at = now
-			m.due[r.Version] = d
+			w.due[r.Version] = d
 		}
-		if seen >= d.seq || now.Past(d.at, m.wait) {
+		if seen >= d.seq || now.Past(d.at, wait) {
 			top = r.Version
 		}
 	}
-	if top == 0 {
-		return nil
-	}
-	for v := range m.due {
-		if v <= top {
-			delete(m.due, v)
+	if top != 0 {
+		for v := range w.due {
+			if v <= top {
+				delete(w.due, v)
+			}
 		}
 	}
-	return []crux.Cmd{{Kind: ActivateKind, Body: crux.Pack(&Activate{top})}}
+	return top
 }
--- /dev/null
+++ b/lore/programs.go
@@ -0,0 +1,137 @@
+// Program sets: routing programs with their shares, apart from the configuration, for
+// fleets whose operators' document has none. A set is a policy of the product's own in
+// which nothing but programs and what bounds them is given; it comes over the same log,
+// is staged, compiled and put in force as the configuration is.
+
+package lore
+
+import (
+	"context"
+	"encoding/json"
+	"reflect"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/crux"
+	"keelstair.example/whim"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+// Kinds of command for program sets.
+const (
+	StageProgramsKind    = "lore.programs.stage"
+	ActivateProgramsKind = "lore.programs.activate"
+)
+
+type stagePrograms struct{ Stage }
+
+func (c *stagePrograms) apply(s *State) (msgp.Marshaler, error) { return s.programs.stage(&c.Stage) }
+
+type activatePrograms struct{ Activate }
+
+func (c *activatePrograms) apply(s *State) (msgp.Marshaler, error) {
+	_, err := s.programs.activate(c.Version)
+	return &Ruling{c.Version}, err
+}
+
+// Bounds of a set: every node keeps and compiles it, small ones too.
+const (
+	maxPrograms = 16
+	maxSources  = 64 << 10 // bytes of all sources
+	maxSteps    = 100000
+)
+
+// Sources lists a policy's programs.
+func (p *Policy) Sources() []whim.Source {
+	var out []whim.Source
+	for _, name := range p.Names() {
+		g := p.Programs[name]
+		out = append(out, whim.Source{Name: name, Text: g.Source, Share: g.Share, Shadow: g.Shadow, Turns: g.Turns})
+	}
+	return out
+}
+
+// Deck compiles a policy's programs. Faults have file, line and reason.
+func (p *Policy) Deck(scores *whim.Scores) (*whim.Deck, error) {
+	return whim.NewDeck(p.Sources(), p.Limits.Steps, scores)
+}
+
+// Draft makes a checked policy of a text that Source gave, whole or, with partial, over
+// base, and compiles its programs. Where a fault shows in the operator's own source, its
+// place is given. The policy also comes as JSON with all defaults.
+func Draft(name, source string, text, base []byte, partial bool) (*Policy, []byte, error) {
+	var p *Policy
+	var whole []byte
+	var err error
+	if partial && len(base) > 0 {
+		p, whole, err = Over(name, base, text)
+	} else {
+		p, whole, err = Whole(name, text)
+	}
+	if err == nil {
+		_, err = p.Deck(&whim.Scores{})
+	} else if e := Fault(name, []byte(source), !partial); e != nil {
+		err = e
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	return p, whole, nil
+}
+
+// CheckSet checks that a policy is a program set and within its bounds.
+func (p *Policy) CheckSet() error {
+	fault := func(form string, args ...any) error {
+		return breakdown.New(breakdown.Bad, "check programs", "", form, args...)
+	}
+	size := 0
+	for _, g := range p.Programs {
+		size += len(g.Source)
+	}
+	switch {
+	case len(p.Programs) > maxPrograms:
+		return fault("programs: %d, over %d", len(p.Programs), maxPrograms)
+	case size > maxSources:
+		return fault("programs: %d bytes of source, over %d", size, maxSources)
+	case p.Limits.Steps > maxSteps:
+		return fault("limits.steps: %d, over %d", p.Limits.Steps, maxSteps)
+	}
+	none, _, err := Whole("set", []byte("{}"))
+	if err != nil {
+		return err
+	}
+	none.Programs, none.Limits.Steps, none.Limits.DwellMs = p.Programs, p.Limits.Steps, p.Limits.DwellMs
+	if !reflect.DeepEqual(none.Limits, p.Limits) {
+		return fault("limits: only steps and dwellMs rule here")
+	}
+	if len(p.Workers)+len(p.Zones)+len(p.Kinds)+len(p.Routes)+len(p.Services) > 0 || p.Switch != none.Switch || p.Intake != none.Intake {
+		return fault("only programs, limits.steps and limits.dwellMs may be given here; the rest comes with the fleet's own document")
+	}
+	return p.CheckPrograms()
+}
+
+// Set reads the text of a program set and compiles it.
+func Set(text []byte, scores *whim.Scores) (*Policy, *whim.Deck, error) {
+	p, err := Plain(unpack(text))
+	if err != nil {
+		return nil, nil, breakdown.As(err, breakdown.Bad, "read programs", "")
+	}
+	d, err := p.Deck(scores)
+	return p, d, err
+}
+
+// PutPrograms asks the core for a program set, as JSON, made over the version base. Its
+// errors are those of Put.
+func PutPrograms(ctx context.Context, call *wire.Caller, book *crux.Book, op word.OpId, base word.Version, text []byte) (word.Version, error) {
+	return decide(ctx, call, book, &crux.SubmitAsk{Op: op, Kind: StageProgramsKind, Body: crux.Pack(&Stage{Base: base, Text: pack(text)})})
+}
+
+// SetText is a set as JSON; for none it is the empty one.
+func SetText(r Ruled) json.RawMessage {
+	if len(r.Text) == 0 {
+		return json.RawMessage("{}")
+	}
+	return unpack(r.Text)
+}
--- /dev/null
+++ b/lore/programs_test.go
@@ -0,0 +1,101 @@
+// Program sets on the state and the view alone, and what one costs to compile.
+
+package lore
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/crux"
+	"keelstair.example/tale"
+	"keelstair.example/whim"
+	"keelstair.example/word"
+)
+
+// setOf is a set of so many programs, each filled up to a size.
+func setOf(count, size int) []byte {
+	p := map[string]Program{}
+	for i := range count {
+		text := whim.Shipped("prefix")
+		for n := 0; len(text) < size; n++ {
+			text += fmt.Sprintf("def f%d(w):\n    return w.busy * %d + len(w.id) if w.zone else -w.free\n", n, n)
+		}
+		p[fmt.Sprint("p", i)] = Program{Source: text, Share: map[bool]int{true: 100}[i == 0], Shadow: i > 0}
+	}
+	b, _ := json.Marshal(map[string]any{"programs": p, "limits": map[string]any{"steps": 20000}})
+	return b
+}
+
+// TestProgramsLine: sets are a line of versions of their own: staged over one another, put
+// in force once they are seen, apart from the configuration's; a copy made from a picture,
+// whole or open, has them.
+func TestProgramsLine(t *testing.T) {
+	m := NewMachine(MachineOptions{Wait: time.Second})
+	apply := func(seq word.Seq, kind string, c interface{ MarshalMsg([]byte) ([]byte, error) }) error {
+		b, _ := c.MarshalMsg(nil)
+		_, err := m.Apply(seq, kind, b)
+		return err
+	}
+	require.NoError(t, apply(1, StageProgramsKind, &Stage{Text: setOf(1, 0)}))
+	require.NoError(t, apply(2, StageKind, &Stage{Text: []byte(`{}`), Next: 7}))
+	require.Error(t, apply(3, StageProgramsKind, &Stage{Text: setOf(2, 0)}), "the loser of two")
+	require.Equal(t, []crux.Cmd{{Kind: ActivateProgramsKind, Body: crux.Pack(&Activate{1})}}, m.Due(1, 3, 1))
+	require.Equal(t, []crux.Cmd{{Kind: ActivateKind, Body: crux.Pack(&Activate{7})}}, m.Due(1, 3, 2))
+	require.NoError(t, apply(4, ActivateProgramsKind, &Activate{1}))
+	require.Error(t, apply(5, ActivateProgramsKind, &Activate{1}))
+	require.NoError(t, apply(6, StageProgramsKind, &Stage{Base: 1, Text: setOf(2, 0)}))
+	require.EqualValues(t, 7, m.newest())
+	for _, open := range []bool{false, true} {
+		copied := NewMachine(MachineOptions{})
+		require.NoError(t, copied.Restore(m.Picture(open)))
+		require.Equal(t, m.programs, copied.programs)
+		require.Equal(t, m.Picture(open), copied.Picture(open))
+		require.Len(t, copied.Due(word.Tick(1), 6, 6), 2, "the copy is due by itself")
+		v := NewView(tale.Mute())
+		v.Scores = &whim.Scores{}
+		require.NoError(t, v.Restore(copied.Picture(true)))
+		require.EqualValues(t, 1, v.Sight().Set.Version)
+		require.True(t, v.Fold(9, ActivateProgramsKind, crux.Pack(&Activate{2})))
+		require.EqualValues(t, 2, v.Sight().Set.Version)
+		require.Equal(t, []string{"p0", "p1"}, v.Sight().Set.Policy.Names())
+	}
+}
+
+// BenchmarkSet compiles sets: the deployed one's size, and the largest that is taken.
+func BenchmarkSet(b *testing.B) {
+	for _, c := range [][2]int{{3, 0}, {maxPrograms, maxSources/maxPrograms - 100}} {
+		text := pack(setOf(c[0], c[1]))
+		b.Run(fmt.Sprintf("programs=%d,source=%dKB", c[0], len(strings.Join(sources(text), ""))>>10), func(b *testing.B) {
+			b.ReportAllocs()
+			var was, is runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&was)
+			var deck *whim.Deck
+			for b.Loop() {
+				var err error
+				if _, deck, err = Set(text, &whim.Scores{}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&is)
+			b.ReportMetric((float64(is.HeapAlloc)-float64(was.HeapAlloc))/1024, "keptKB")
+			runtime.KeepAlive(deck)
+		})
+	}
+}
+
+func sources(text []byte) []string {
+	p, _ := Plain(unpack(text))
+	var out []string
+	for _, s := range p.Sources() {
+		out = append(out, s.Text)
+	}
+	return out
+}
--- a/lore/read.go
+++ b/lore/read.go
@@ -5,45 +5,46 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"keelstair.example/breakdown"
 	"keelstair.example/crux"
-	"keelstair.example/seam"
 	"keelstair.example/wire"
 	"keelstair.example/word"
 )
 
+// Look asks the core for all that is agreed on, until the context ends.
+func Look(ctx context.Context, call *wire.Caller, book *crux.Book) (*Image, error) {
+	r, addr, err := crux.Primary[crux.NewsAsk, crux.NewsReply](ctx, call, book, time.Second, "crux/news", &crux.NewsAsk{}, nil)
+	if err != nil {
+		return nil, breakdown.As(err, breakdown.Away, "read newest", addr)
+	}
+	var img crux.Image
+	own := &Image{}
+	if _, err := img.UnmarshalMsg(r.Picture); err != nil {
+		return nil, breakdown.As(err, breakdown.Bad, "read picture", addr)
+	}
+	if _, err := own.UnmarshalMsg(img.App); err != nil {
+		return nil, breakdown.As(err, breakdown.Bad, "read picture", addr)
+	}
+	return own, nil
+}
+
 // Newest asks the core for the newest version, in force or staged, and for the zones
 // that are evacuated, until the context ends.
 func Newest(ctx context.Context, call *wire.Caller, book *crux.Book) (Ruled, []string, error) {
-	for {
-		cx, stop := context.WithTimeout(ctx, time.Second)
-		addr := book.Addr(book.Record().Primary)
-		r, err := wire.Call[crux.NewsAsk, crux.NewsReply](cx, call, addr, "crux/news", &crux.NewsAsk{})
-		stop()
-		if err == nil {
-			var img crux.Image
-			var own Image
-			if _, err := img.UnmarshalMsg(r.Picture); err != nil {
-				return Ruled{}, nil, breakdown.As(err, breakdown.Bad, "read picture", addr)
-			}
-			if _, err := own.UnmarshalMsg(img.App); err != nil {
-				return Ruled{}, nil, breakdown.As(err, breakdown.Bad, "read picture", addr)
-			}
-			top := own.Active
-			if n := len(own.Staged); n > 0 {
-				top = own.Staged[n-1]
-			}
-			top.Text = unpack(top.Text)
-			return top, own.Zones, nil
-		}
-		book.Ask(ctx, 3)
-		if !seam.Sleep(ctx, 30*time.Millisecond+rand.N(60*time.Millisecond)) {
-			return Ruled{}, nil, breakdown.As(err, breakdown.Away, "read newest", addr)
-		}
+	img, err := Look(ctx, call, book)
+	if err != nil {
+		return Ruled{}, nil, err
 	}
+	top := (&line{img.Active, img.Staged}).top()
+	top.Text = unpack(top.Text)
+	return top, img.Zones, nil
+}
+
+// Set gives the newest program set, in force or staged, and whether it is in force.
+func (img *Image) Set() (Ruled, bool) {
+	return (&line{img.Programs, img.ProgramsPending}).top(), len(img.ProgramsPending) == 0
 }
 
 // Put asks the core for a text as the version next (0: the one after base), made over
@@ -60,8 +61,8 @@
 }
 
 // Mark empties a zone of new work, or takes that back.
-func Mark(ctx context.Context, call *wire.Caller, book *crux.Book, zone word.Zone, out bool) error {
-	_, err := decide(ctx, call, book, &crux.SubmitAsk{Op: word.OpId("mark/" + crux.Name()), Kind: VacateKind, Body: crux.Pack(&Vacate{Zone: zone, Out: out})})
+func Mark(ctx context.Context, call *wire.Caller, book *crux.Book, op word.OpId, zone word.Zone, out bool) error {
+	_, err := decide(ctx, call, book, &crux.SubmitAsk{Op: op, Kind: VacateKind, Body: crux.Pack(&Vacate{Zone: zone, Out: out})})
 	return err
 }
 
--- a/lore/state.go
+++ b/lore/state.go
@@ -31,18 +31,18 @@
 
 // State holds it all. A lean one (on nodes) keeps open claims only.
 type State struct {
-	lean    bool
-	active  Ruled
-	staged  []Ruled
-	zones   map[word.Zone]bool
-	drained map[word.WorkerId]bool
-	turning map[word.WorkerId]word.Part
-	fence   word.Fence
-	deeds   map[string]Deed
-	order   []string // settled, oldest first
-	shelf   shelf
-	count   int // of all deeds there ever were
-	most    int // that the policy in force allows
+	line          // the configuration
+	programs line // the program sets
+	lean     bool
+	zones    map[word.Zone]bool
+	drained  map[word.WorkerId]bool
+	turning  map[word.WorkerId]word.Part
+	fence    word.Fence
+	deeds    map[string]Deed
+	order    []string // settled, oldest first
+	shelf    shelf
+	count    int // of all deeds there ever were
+	most     int // that the policy in force allows
 }
 
 func newState(lean bool, d Depth) *State {
@@ -56,13 +56,6 @@
 	s.active, s.most = r, p.Limits.Deeds
 }
 
-func (s *State) newest() word.Version {
-	if n := len(s.staged); n > 0 {
-		return s.staged[n-1].Version
-	}
-	return s.active.Version
-}
-
 type command interface {
 	msgp.Unmarshaler
 	apply(*State) (msgp.Marshaler, error)
@@ -74,6 +67,10 @@
 		return &Stage{}
 	case ActivateKind:
 		return &Activate{}
+	case StageProgramsKind:
+		return &stagePrograms{}
+	case ActivateProgramsKind:
+		return &activatePrograms{}
 	case VacateKind:
 		return &Vacate{}
 	case DrainKind:
@@ -111,28 +108,14 @@
 	return crux.Pack(out), err
 }
 
-func (c *Stage) apply(s *State) (msgp.Marshaler, error) {
-	if c.Base != s.newest() {
-		return nil, breakdown.New(breakdown.Stale, "apply policy", "", "it was made over version %d, the current one is %d", c.Base, s.newest())
-	}
-	v := s.newest() + 1
-	if c.Next != 0 && c.Next < v {
-		return nil, breakdown.New(breakdown.Bad, "apply policy", "", "version %d is not above the current one, %d", c.Next, s.newest())
-	}
-	v = max(v, c.Next)
-	s.staged = append(s.staged, Ruled{v, c.Text})
-	return &Ruling{v}, nil
-}
+func (c *Stage) apply(s *State) (msgp.Marshaler, error) { return s.stage(c) }
 
 func (c *Activate) apply(s *State) (msgp.Marshaler, error) {
-	for i, r := range s.staged {
-		if r.Version == c.Version {
-			s.rule(r)
-			s.staged = append([]Ruled(nil), s.staged[i+1:]...)
-			return &Ruling{c.Version}, nil
-		}
+	r, err := s.activate(c.Version)
+	if err == nil {
+		s.rule(r)
 	}
-	return nil, breakdown.New(breakdown.Stale, "activate", "", "version %d is not staged", c.Version)
+	return &Ruling{c.Version}, err
 }
 
 func (c *Vacate) apply(s *State) (msgp.Marshaler, error) {
@@ -219,7 +202,7 @@
 }
 
 func (s *State) image(open bool) *Image {
-	img := &Image{Active: s.active, Staged: s.staged, Fence: s.fence, Count: s.count}
+	img := &Image{Active: s.active, Staged: s.staged, Programs: s.programs.active, ProgramsPending: s.programs.staged, Fence: s.fence, Count: s.count}
 	for z := range s.zones {
 		img.Zones = append(img.Zones, string(z))
 	}
@@ -256,6 +239,7 @@
 	next := newState(s.lean, s.shelf.Depth)
 	next.rule(img.Active)
 	next.staged, next.fence, next.count, next.shelf.sealed = img.Staged, img.Fence, img.Count, s.shelf.sealed
+	next.programs = line{img.Programs, img.ProgramsPending}
 	for _, z := range img.Zones {
 		next.zones[word.Zone(z)] = true
 	}
--- a/lore/view.go
+++ b/lore/view.go
@@ -11,6 +11,7 @@
 
 	"keelstair.example/crux"
 	"keelstair.example/tale"
+	"keelstair.example/whim"
 	"keelstair.example/word"
 )
 
@@ -24,6 +25,14 @@
 	Zones   map[word.Zone]bool
 	Drained map[word.WorkerId]bool
 	Turning map[word.WorkerId]word.Part
+	Set     *Deal // the program set in force, if the core has one
+}
+
+// Deal is one program set, compiled.
+type Deal struct {
+	Version word.Version
+	Policy  *Policy
+	Deck    *whim.Deck
 }
 
 // View is a crux.Follower. Ready is called with every policy as it is staged,
@@ -32,16 +41,19 @@
 	Ready func(word.Version, *Policy)
 	Ring  *tale.Ring
 	Read  Reader // Plain, if it is not set: makes a policy of a text
+	// Scores of programs; where it is not set, program sets are not compiled.
+	Scores *whim.Scores
 
 	mu    sync.Mutex
 	state *State
 	kept  map[word.Version]*Policy
+	sets  map[word.Version]*Deal
 	sight atomic.Pointer[Sight]
 	heard atomic.Uint64
 }
 
 func NewView(ring *tale.Ring) *View {
-	v := &View{Ring: ring, state: newState(true, Depth{}), kept: map[word.Version]*Policy{}}
+	v := &View{Ring: ring, state: newState(true, Depth{}), kept: map[word.Version]*Policy{}, sets: map[word.Version]*Deal{}}
 	v.sight.Store(&Sight{Policy: &Policy{}, Table: NewTable(&Policy{}), Zones: map[word.Zone]bool{}, Drained: map[word.WorkerId]bool{}})
 	return v
 }
@@ -88,8 +100,10 @@
 	if _, err := v.state.Apply(kind, body); err != nil && err != crux.Same {
 		v.Ring.Error().AnErr("cause", err).Str("kind", kind).Msg("news does not fold")
 	}
-	loud := kind == StageKind || kind == ActivateKind || kind == VacateKind || kind == DrainKind || kind == TurnKind
-	if loud {
+	loud := false
+	switch kind {
+	case StageKind, ActivateKind, StageProgramsKind, ActivateProgramsKind, VacateKind, DrainKind, TurnKind:
+		loud = true
 		v.show()
 	}
 	return loud
@@ -121,7 +135,7 @@
 
 // show swaps in the next sight. Old streams keep the sight they began with.
 func (v *View) show() {
-	all := append([]Ruled{v.state.active}, v.state.staged...)
+	all := v.state.all()
 	now := v.state.active
 	for i, r := range all {
 		if _, ok := v.kept[r.Version]; !ok && len(r.Text) > 0 {
@@ -156,7 +170,7 @@
 		text = unpack(now.Text)
 	}
 	s := &Sight{Version: now.Version, Policy: v.kept[now.Version], Text: text, Newest: all[len(all)-1].Version,
-		Zones: map[word.Zone]bool{}, Drained: map[word.WorkerId]bool{}, Turning: maps.Clone(v.state.turning)}
+		Zones: map[word.Zone]bool{}, Drained: map[word.WorkerId]bool{}, Turning: maps.Clone(v.state.turning), Set: v.deal()}
 	if s.Policy == nil {
 		s.Policy = &Policy{}
 	}
@@ -176,3 +190,34 @@
 		v.heard.Store(uint64(now.Version))
 	}
 }
+
+// deal compiles the program sets as they are staged, and gives the one in force. One that
+// does not compile here leaves the one before it in force.
+func (v *View) deal() *Deal {
+	old := v.sight.Load().Set
+	if v.Scores == nil {
+		return nil
+	}
+	for _, r := range v.state.programs.all() {
+		if _, ok := v.sets[r.Version]; ok || r.Version == 0 {
+			continue
+		}
+		p, deck, err := Set(r.Text, v.Scores)
+		if err != nil {
+			v.Ring.Error().AnErr("cause", err).Uint64("version", uint64(r.Version)).Msg("programs do not compile; those before them serve")
+			v.sets[r.Version] = nil
+			continue
+		}
+		v.sets[r.Version] = &Deal{r.Version, p, deck}
+	}
+	now := v.state.programs.active.Version
+	for n := range v.sets {
+		if n < now {
+			delete(v.sets, n)
+		}
+	}
+	if d := v.sets[now]; d != nil && (old == nil || d.Version > old.Version) {
+		return d
+	}
+	return old
+}
--- a/relay/carry.go
+++ b/relay/carry.go
@@ -14,6 +14,7 @@
 	"keelstair.example/lore"
 	"keelstair.example/passage"
 	"keelstair.example/seam"
+	"keelstair.example/whim"
 	"keelstair.example/word"
 )
 
@@ -31,6 +32,7 @@
 	r     *Request
 	route *lore.Route
 	svc   *lore.Service
+	deck  *whim.Deck // it keeps to the one it began with
 	sink  Sink
 	end   word.Tick
 	marks []uint64
@@ -73,7 +75,7 @@
 	if r.Wait > 0 {
 		wait = min(wait, r.Wait)
 	}
-	t := &trip{n: n, r: r, route: route, svc: &svc, sink: sink, end: r.At.Add(wait), tried: map[word.WorkerId]bool{}, last: r.From}
+	t := &trip{n: n, r: r, route: route, svc: &svc, deck: n.deal(s).Deck, sink: sink, end: r.At.Add(wait), tried: map[word.WorkerId]bool{}, last: r.From}
 	t.marks, _ = marks(r)
 	n.budget.ask(n.now())
 	cx, stop := context.WithTimeout(ctx, wait)
@@ -198,7 +200,7 @@
 // read has the prompt read. No source and no error means that the emitting worker is to
 // read by itself.
 func (t *trip) read(ctx context.Context) (*Source, error) {
-	for _, c := range t.n.readers(t.n.sight(), t.svc, t.r, t.tried) {
+	for _, c := range t.n.readers(t.deck, t.n.sight(), t.svc, t.r, t.tried) {
 		if !t.send(&c, max(1, c.need)) {
 			continue
 		}
@@ -266,7 +268,7 @@
 		if src != nil {
 			from = &src.Worker
 		}
-		for _, c := range t.n.emitters(t.n.sight(), t.svc, t.r, from, t.tried) {
+		for _, c := range t.n.emitters(t.deck, t.n.sight(), t.svc, t.r, from, t.tried) {
 			if t.sends >= max(1, t.route.Tries) {
 				break
 			}
--- a/relay/node.go
+++ b/relay/node.go
@@ -29,8 +29,8 @@
 	Ring    *tale.Ring
 	Back    Backend
 	Read    lore.Reader   // of the operators' text; lore.Plain
-	Deck    []whim.Source // routing programs, beside the built-in order
-	Steps   uint64        // 20000: that a program may take for one request
+	Deck    []whim.Source // routing programs until the core has a set, beside the built-in order
+	Steps   uint64        // 20000: that one of these may take for one request
 	Lease   time.Duration // 3s
 	Renew   time.Duration // 500ms
 	Share   time.Duration // 250ms between tellings of what is under way
@@ -92,7 +92,8 @@
 	view     *lore.View
 	counts   Counts
 	budget   budget
-	deck     *whim.Deck
+	scores   whim.Scores // outlive the programs' sets
+	first    *lore.Deal  // rules until the core has a set
 	roster   atomic.Pointer[roster]
 	states   sync.Map // word.WorkerId -> *state
 	warm     warm
@@ -110,14 +111,14 @@
 func New(opt Options) (*Node, error) {
 	opt.fill()
 	n := &Node{opt: opt, budget: newBudget(opt.Window), warm: newWarm()}
-	deck, err := whim.NewDeck(opt.Deck, opt.Steps, &whim.Scores{})
+	deck, err := whim.NewDeck(opt.Deck, opt.Steps, &n.scores)
 	if err != nil {
 		return nil, err
 	}
-	n.deck = deck
+	n.first = &lore.Deal{Deck: deck}
 	n.me = crux.Member{Node: word.NodeId(opt.Name + "-" + crux.Name()), Addr: opt.Addr, Zone: opt.Zone}
 	n.view = lore.NewView(opt.Ring)
-	n.view.Read = opt.Read
+	n.view.Read, n.view.Scores = opt.Read, &n.scores
 	n.agent = crux.NewAgent(crux.AgentOptions{Me: n.me, Host: opt.Host, Seeds: opt.Seeds, View: n.view, Ring: opt.Ring, Lease: opt.Lease, Renew: opt.Renew})
 	n.roster.Store(&roster{})
 	n.inner, n.stop = context.WithCancel(context.Background())
@@ -181,6 +182,17 @@
 	return true, ""
 }
 
+// deal is the program set that a sight has, else the one the node began with.
+func (n *Node) deal(s *lore.Sight) *lore.Deal {
+	if s.Set != nil {
+		return s.Set
+	}
+	return n.first
+}
+
+// Scores tell how the programs fare at this node since it started, by name.
+func (n *Node) Scores() *whim.Scores { return &n.scores }
+
 // share is one over the number of nodes that there may be.
 func (n *Node) share() float64 {
 	return 1 / float64(max(1, n.budget.peers(n.now(), len(n.agent.Members()))))
--- /dev/null
+++ b/relay/operate.go
@@ -0,0 +1,128 @@
+// The product's operators' calls at a process that serves control beside a fleet of relay
+// nodes: they carry the program set there. The rest of the configuration is the fleet's
+// own document.
+
+package relay
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/crux"
+	"keelstair.example/door"
+	"keelstair.example/lore"
+	"keelstair.example/seam"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+// Operator is a door.Operator over the core that the book knows.
+type Operator struct {
+	Call  *wire.Caller
+	Book  *crux.Book
+	Zones []string // that there are
+}
+
+const (
+	operatorWait = 4 * time.Second        // for the core
+	forceWait    = 2 * time.Second        // for what was taken to be in force
+	comeBack     = 500 * time.Millisecond // what an operator is told
+)
+
+// Apply checks and compiles a program set before anything is written; the core takes it
+// if it was made over the newest one.
+func (o *Operator) Apply(ctx context.Context, a *door.Apply) (*door.Applied, error) {
+	cx, stop := context.WithTimeout(ctx, operatorWait)
+	defer stop()
+	op, name := word.OpId("op/"+a.Op), cmp.Or(a.Name, "programs")
+	text, err := lore.Source(name, []byte(a.Source))
+	if err != nil {
+		return nil, err
+	}
+	var base []byte
+	if a.Partial {
+		img, err := lore.Look(cx, o.Call, o.Book)
+		if err != nil {
+			return nil, door.Fate(err, comeBack)
+		}
+		top, _ := img.Set()
+		if uint64(top.Version) != a.Base {
+			// The base has moved on, perhaps by this very operation.
+			v, err := lore.Outcome(cx, o.Call, o.Book, op)
+			if breakdown.Is(err, breakdown.Stale) {
+				return nil, door.Stale(a.Base, uint64(top.Version))
+			}
+			return o.ruled(ctx, v, err)
+		}
+		base = lore.SetText(top)
+	}
+	p, whole, err := lore.Draft(name, a.Source, text, base, a.Partial)
+	if err == nil {
+		err = p.CheckSet()
+	}
+	if err != nil {
+		return nil, err
+	}
+	if a.Dry {
+		return &door.Applied{Version: a.Base, Policy: whole}, nil
+	}
+	v, err := lore.PutPrograms(cx, o.Call, o.Book, op, word.Version(a.Base), whole)
+	return o.ruled(ctx, v, err)
+}
+
+// ruled waits a while until the core has put a version in force.
+func (o *Operator) ruled(ctx context.Context, v word.Version, err error) (*door.Applied, error) {
+	if err != nil {
+		return nil, door.Fate(err, comeBack)
+	}
+	cx, stop := context.WithTimeout(ctx, forceWait)
+	defer stop()
+	for {
+		if img, err := lore.Look(cx, o.Call, o.Book); err == nil && img.Programs.Version >= v {
+			return &door.Applied{Version: uint64(v), Active: true}, nil
+		}
+		if !seam.Sleep(cx, 50*time.Millisecond) {
+			return &door.Applied{Version: uint64(v)}, nil
+		}
+	}
+}
+
+// Evacuate empties a zone of new work, or takes that back.
+func (o *Operator) Evacuate(ctx context.Context, zone string, m *door.Mark) (*door.Applied, error) {
+	if !slices.Contains(o.Zones, zone) {
+		return nil, door.No(http.StatusNotFound, "unknown", "zone", "there is no zone %q", zone)
+	}
+	cx, stop := context.WithTimeout(ctx, operatorWait)
+	defer stop()
+	if err := lore.Mark(cx, o.Call, o.Book, word.OpId("op/"+m.Op), word.Zone(zone), m.Out); err != nil {
+		return nil, door.Fate(err, comeBack)
+	}
+	return &door.Applied{Active: true}, nil
+}
+
+// Drain is refused: which workers leave stands in the fleet's own list.
+func (o *Operator) Drain(_ context.Context, worker string, _ *door.Mark) (*door.Applied, error) {
+	return nil, door.No(http.StatusNotFound, "unknown", "worker", "%q is not drained here; which workers leave stands in the list of workers", worker)
+}
+
+// Shown gives the program set in force.
+func (o *Operator) Shown(ctx context.Context) (*door.Shown, error) {
+	cx, stop := context.WithTimeout(ctx, operatorWait)
+	defer stop()
+	img, err := lore.Look(cx, o.Call, o.Book)
+	if err != nil {
+		return nil, err
+	}
+	top, _ := img.Set()
+	return &door.Shown{Version: uint64(img.Programs.Version), Newest: uint64(top.Version), Policy: lore.SetText(img.Programs),
+		Zones: slices.Concat([]string{}, img.Zones), Drained: slices.Concat([]string{}, img.Drained)}, nil
+}
+
+// Status tells where this process believes the core to be.
+func (o *Operator) Status() any {
+	return map[string]any{"core": o.Book.Record(), "zones": o.Zones}
+}
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -136,7 +136,7 @@
 }
 
 // readers orders the workers that may read a prompt.
-func (n *Node) readers(s *lore.Sight, svc *lore.Service, r *Request, tried map[word.WorkerId]bool) []choice {
+func (n *Node) readers(deck *whim.Deck, s *lore.Sight, svc *lore.Service, r *Request, tried map[word.WorkerId]bool) []choice {
 	list := n.cleared(s, svc, word.Prefill, tried)
 	ms, toks := marks(r)
 	ros := n.roster.Load()
@@ -172,11 +172,11 @@
 			c.aff = whim.Affinity(ms[len(ms)-1], c.w.Id)
 		}
 	}
-	return n.order(r, word.Prefill, list)
+	return n.order(deck, r, word.Prefill, list)
 }
 
 // emitters orders the workers that may emit the answer, near the memory and near here.
-func (n *Node) emitters(s *lore.Sight, svc *lore.Service, r *Request, from *Worker, tried map[word.WorkerId]bool) []choice {
+func (n *Node) emitters(deck *whim.Deck, s *lore.Sight, svc *lore.Service, r *Request, from *Worker, tried map[word.WorkerId]bool) []choice {
 	list := n.cleared(s, svc, word.Decode, tried)
 	now := n.now()
 	for i := range list {
@@ -199,11 +199,11 @@
 			c.need = r.Prompt
 		}
 	}
-	return n.order(r, word.Decode, list)
+	return n.order(deck, r, word.Decode, list)
 }
 
 // order asks the routing programs, cheapest first.
-func (n *Node) order(r *Request, part word.Part, list []choice) []choice {
+func (n *Node) order(deck *whim.Deck, r *Request, part word.Part, list []choice) []choice {
 	// Among equals the request decides, so that nodes that know little crowd no worker.
 	own := fnv64(r.Id)
 	for i := range list {
@@ -216,7 +216,7 @@
 		return list[i].tie > list[j].tie
 	})
 	head := list[:min(most, len(list))]
-	if len(head) < 2 && !n.deck.Rules() {
+	if len(head) < 2 && !deck.Rules() {
 		return list
 	}
 	q := &whim.Question{Request: r.Id, Kind: r.Host, Model: r.Model, Part: part, Zone: n.me.Zone, Prompt: r.Prompt, Max: r.Most, Priced: true}
@@ -227,7 +227,7 @@
 		by[c.w.Id] = c
 	}
 	out := make([]choice, 0, len(list))
-	for _, id := range n.deck.Order(q, cands) {
+	for _, id := range deck.Order(q, cands) {
 		out = append(out, by[id])
 		delete(by, id)
 	}
--- a/relay/rate_test.go
+++ b/relay/rate_test.go
@@ -40,7 +40,7 @@
 	n.take(list, 1, 1)
 	got := map[string]int{}
 	for i := range 3000 {
-		row := n.emitters(n.view.Sight(), service("s"), &Request{Id: string(wid(i)) + "q"}, nil, nil)
+		row := n.emitters(n.first.Deck, n.view.Sight(), service("s"), &Request{Id: string(wid(i)) + "q"}, nil, nil)
 		got[string(row[0].w.Id)]++
 	}
 	require.Len(t, got, 60)
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -38,6 +38,7 @@
 	read   float64   // smoothed
 	emit   float64
 	looked word.Tick
+	turned map[word.WorkerId]word.Tick // when a worker was last told to turn
 }
 
 type turn struct {
@@ -64,7 +65,7 @@
 			}
 			d := duties[name]
 			if d == nil || d.fence != fence {
-				d = &duty{fence: fence, since: n.now(), last: n.now(), read: 0.5, emit: 0.2}
+				d = &duty{fence: fence, since: n.now(), last: n.now(), read: 0.5, emit: 0.2, turned: map[word.WorkerId]word.Tick{}}
 				duties[name] = d
 			}
 			if n.now().Past(d.since, n.opt.Lease+n.opt.Lease/5) {
@@ -129,10 +130,17 @@
 	if !n.now().Past(d.last, turnDwell) {
 		return
 	}
+	for id := range d.turned {
+		if listed[id] == nil {
+			delete(d.turned, id)
+		}
+	}
 	some, to := choose(rows, read, emit, n.opt.Rest)
+	some, to = n.wish(n.deal(s), svc, d, rows, some, to)
 	for _, w := range some {
 		if n.submitTurn(ctx, &lore.Turn{Worker: w.w.Id, To: to}) {
 			turns[w.w.Id] = &turn{began: n.now(), after: w.Orders}
+			d.turned[w.w.Id] = n.now()
 			n.opt.Ring.Info().Str("worker", string(w.w.Id)).Str("to", string(to)).Float64("read", read).Float64("emit", emit).Msg("turns a worker")
 		}
 	}
@@ -220,6 +228,9 @@
 	return d.read, d.emit
 }
 
+// least is how many of so many workers keep each part.
+func least(all int) int { return max(1, (all+leastPart-1)/leastPart) }
+
 // choose names the workers that should turn: more at once where there are many, the least
 // busy of the part that can spare them, from the zones that have the most of it. While
 // nothing is under way, rest is the part of the workers that reads.
@@ -235,7 +246,7 @@
 		}
 	}
 	all := readers + emitters
-	least := max(1, (all+leastPart-1)/leastPart)
+	keep := least(all)
 	from, to, want := word.Decode, word.Prefill, max(1, all/turnPart)
 	spare := func(load float64, have, by int) float64 { return load * float64(have) / float64(max(1, have-by)) }
 	switch {
@@ -246,13 +257,13 @@
 	case emitters == 0:
 		from, to, want = word.Prefill, word.Decode, min(want, readers-1)
 	case busy == 0 && float64(readers+1) <= rest*float64(all):
-		want = min(want, int(rest*float64(all))-readers, emitters-least)
+		want = min(want, int(rest*float64(all))-readers, emitters-keep)
 	case read > pressRead:
-		for want = min(want, emitters-least); want > 0 && spare(emit, emitters, want) >= easyEmit; want-- {
+		for want = min(want, emitters-keep); want > 0 && spare(emit, emitters, want) >= easyEmit; want-- {
 		}
 	case emit > pressEmit:
 		from, to = word.Prefill, word.Decode
-		for want = min(want, readers-least); want > 0 && emit <= fullEmit && spare(read, readers, want) >= pressRead; want-- {
+		for want = min(want, readers-keep); want > 0 && emit <= fullEmit && spare(read, readers, want) >= pressRead; want-- {
 		}
 	default:
 		return nil, ""
--- /dev/null
+++ b/relay/wish.go
@@ -0,0 +1,55 @@
+// Turning by a routing program: the one in charge sees a service's workers as they report
+// and names one. Which may turn is decided before: each part keeps its least, and a worker
+// rests for the dwell. Where a part has no worker at all, the built-in choice stands.
+
+package relay
+
+import (
+	"keelstair.example/lore"
+	"keelstair.example/whim"
+	"keelstair.example/word"
+)
+
+// wish gives the workers that the program in charge has turned, else the built-in choice.
+func (n *Node) wish(deal *lore.Deal, svc *lore.Service, d *duty, rows []report, some []*report, to word.Part) ([]*report, word.Part) {
+	if !deal.Deck.Rules() {
+		return some, to
+	}
+	count := map[word.Part]int{}
+	for _, r := range rows {
+		count[r.Part]++
+	}
+	if count[word.Prefill] == 0 || count[word.Decode] == 0 {
+		return some, to
+	}
+	dwell := turnDwell
+	if deal.Policy != nil {
+		dwell = max(dwell, deal.Policy.Limits.Dwell())
+	}
+	now := n.now()
+	// Both parts are pressed from the same press on.
+	p := &whim.Pool{Model: svc.Name, Since: now.Since(d.last),
+		Press: map[word.Part]float64{word.Prefill: min(1, d.read*pressEmit/pressRead), word.Decode: min(1, d.emit)}}
+	for _, r := range rows {
+		at, was := d.turned[r.w.Id]
+		p.Workers = append(p.Workers, whim.Turner{Id: r.w.Id, Zone: r.w.Zone, Part: r.Part, Home: r.Part, Busy: r.Running + r.Waiting, Work: r.Running,
+			Cap: svc.Slots, Free: max(0, r.Room-r.Used), Room: r.Room, May: count[r.Part] > least(len(rows)) && (!was || now.Past(at, dwell))})
+	}
+	var own whim.Wish
+	if len(some) > 0 {
+		own = whim.Wish{Worker: some[0].w.Id, To: to}
+	}
+	w, ok, ruled := deal.Deck.Wish(p, own, len(some) > 0)
+	switch {
+	case !ruled:
+		return some, to
+	case !ok:
+		return nil, ""
+	}
+	for i := range rows {
+		if rows[i].w.Id == w.Worker {
+			return []*report{&rows[i]}, w.To
+		}
+	}
+	return nil, ""
+}
--- a/verge/node.go
+++ b/verge/node.go
@@ -157,7 +157,7 @@
 
 // compile readies the programs of a version before it is in force.
 func (n *Node) compile(v word.Version, p *lore.Policy) {
-	deck, err := whim.NewDeck(Sources(p), p.Limits.Steps, n.scores)
+	deck, err := p.Deck(n.scores)
 	if err != nil {
 		n.opt.Ring.Error().AnErr("cause", err).Uint64("version", uint64(v)).Msg("programs do not compile; the plain order serves")
 		deck, _ = whim.NewDeck(nil, 0, n.scores)
@@ -171,16 +171,6 @@
 	})
 }
 
-// Sources lists a policy's programs.
-func Sources(p *lore.Policy) []whim.Source {
-	var out []whim.Source
-	for _, name := range p.Names() {
-		g := p.Programs[name]
-		out = append(out, whim.Source{Name: name, Text: g.Source, Share: g.Share, Shadow: g.Shadow, Turns: g.Turns})
-	}
-	return out
-}
-
 // Ready tells whether new work can be served here now, and if not, why.
 func (n *Node) Ready() (bool, string) {
 	s := n.view.Sight()
--- a/verge/operate.go
+++ b/verge/operate.go
@@ -4,6 +4,7 @@
 package verge
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sort"
@@ -22,10 +23,7 @@
 // Apply checks the whole configuration before anything is written; then the
 // core takes it if it was made over the newest version.
 func (n *Node) Apply(ctx context.Context, a *door.Apply) (*door.Applied, error) {
-	name := a.Name
-	if name == "" {
-		name = "policy"
-	}
+	name := cmp.Or(a.Name, "policy")
 	var base []byte
 	text, err := lore.Source(name, []byte(a.Source))
 	if err != nil {
@@ -51,21 +49,8 @@
 		}
 		base = s.Text
 	}
-	var p *lore.Policy
-	var whole []byte
-	if len(base) > 0 {
-		p, whole, err = lore.Over(name, base, text)
-	} else {
-		p, whole, err = lore.Whole(name, text)
-	}
+	_, whole, err := lore.Draft(name, a.Source, text, base, a.Partial)
 	if err != nil {
-		// Where the fault shows in the operator's own text, its place is given.
-		if e := lore.Fault(name, []byte(a.Source), !a.Partial); e != nil {
-			err = e
-		}
-		return nil, err
-	}
-	if _, err := whim.NewDeck(Sources(p), p.Limits.Steps, &whim.Scores{}); err != nil {
 		return nil, err
 	}
 	if a.Dry {
@@ -84,19 +69,11 @@
 }
 
 func (n *Node) stale(base uint64, s *lore.Sight) error {
-	return door.No(http.StatusConflict, "stale", "base", "it was made over version %d; the newest is %d", base, max(s.Newest, s.Version))
+	return door.Stale(base, uint64(max(s.Newest, s.Version)))
 }
 
 // fate tells an operator whether a thing was surely not done.
-func (n *Node) fate(err error) error {
-	if breakdown.Is(err, breakdown.Unknown) {
-		return door.Later(http.StatusGatewayTimeout, "unknown-fate", n.after(), "it may have been taken; ask again with the same op: %v", err)
-	}
-	if breakdown.Is(err, breakdown.Bad) || breakdown.Is(err, breakdown.Stale) {
-		return err
-	}
-	return door.Later(http.StatusServiceUnavailable, "core-away", n.after(), "it was not taken: %v", err)
-}
+func (n *Node) fate(err error) error { return door.Fate(err, n.after()) }
 
 // ruled waits a while until this node has put the answer's version in force.
 func (n *Node) ruled(ctx context.Context, r *crux.SubmitReply, wait bool) (*door.Applied, error) {
@@ -145,6 +122,9 @@
 	return n.mark(ctx, m.Op, lore.DrainKind, crux.Pack(&lore.Drain{Worker: word.WorkerId(worker), Out: m.Out}))
 }
 
+// Shown gives operators what Show does.
+func (n *Node) Shown(context.Context) (*door.Shown, error) { return n.Show(), nil }
+
 // Show gives the configuration in force.
 func (n *Node) Show() *door.Shown {
 	s := n.view.Sight()
--- a/whim/turn.go
+++ b/whim/turn.go
@@ -102,10 +102,17 @@
 	return breakdown.New(breakdown.Bad, "turn worker", string(w.Worker), "the program names a worker that may not turn to %q", w.To)
 }
 
-// Turn asks the program in charge, else the built-in one; the others that have a
-// turning part are only counted.
+// Turn asks the program in charge, else the built-in one.
 func (d *Deck) Turn(p *Pool) (Wish, bool) {
 	out, ok, _ := Plain{}.Turn(p)
+	out, ok, _ = d.Wish(p, out, ok)
+	return out, ok
+}
+
+// Wish asks the program in charge; where there is none, or it fails, what the built-in
+// one gave stays, and it is not ruled. The others that have a turning part are only
+// counted.
+func (d *Deck) Wish(p *Pool, out Wish, ok bool) (_ Wish, is, ruled bool) {
 	type said struct {
 		score *Score
 		wish  Wish
@@ -126,7 +133,7 @@
 		case err != nil:
 			score.Fallbacks.Add(1)
 		case s.turns:
-			out, ok = w, is
+			out, ok, ruled = w, is, true
 		default:
 			others = append(others, said{score, w, is})
 		}
@@ -139,5 +146,5 @@
 			o.score.Agreed.Add(1)
 		}
 	}
-	return out, ok
+	return out, ok, ruled
 }
