--- a/lore/state.go
+++ b/lore/state.go
@@ -49,11 +49,14 @@
 	return &State{lean: lean, zones: map[word.Zone]bool{}, drained: map[word.WorkerId]bool{}, turning: map[word.WorkerId]word.Part{}, deeds: map[string]Deed{}, shelf: newShelf(d)}
 }
 
-// rule puts a version in force.
+// rule puts a version in force. A lean state has no need of its bounds.
 func (s *State) rule(r Ruled) {
+	if s.active = r; s.lean {
+		return
+	}
 	var p struct{ Limits Limits }
 	json.Unmarshal(unpack(r.Text), &p)
-	s.active, s.most = r, p.Limits.Deeds
+	s.most = p.Limits.Deeds
 }
 
 type command interface {
--- a/lore/view.go
+++ b/lore/view.go
@@ -28,6 +28,12 @@
 	Set     *Deal // the program set in force, if the core has one
 }
 
+// kept is a version as it was read, once.
+type kept struct {
+	policy *Policy
+	text   []byte
+}
+
 // Deal is one program set, compiled.
 type Deal struct {
 	Version word.Version
@@ -46,14 +52,14 @@
 
 	mu    sync.Mutex
 	state *State
-	kept  map[word.Version]*Policy
+	kept  map[word.Version]kept
 	sets  map[word.Version]*Deal
 	sight atomic.Pointer[Sight]
 	heard atomic.Uint64
 }
 
 func NewView(ring *tale.Ring) *View {
-	v := &View{Ring: ring, state: newState(true, Depth{}), kept: map[word.Version]*Policy{}, sets: map[word.Version]*Deal{}}
+	v := &View{Ring: ring, state: newState(true, Depth{}), kept: map[word.Version]kept{}, sets: map[word.Version]*Deal{}}
 	v.sight.Store(&Sight{Policy: &Policy{}, Table: NewTable(&Policy{}), Zones: map[word.Zone]bool{}, Drained: map[word.WorkerId]bool{}})
 	return v
 }
@@ -130,7 +136,7 @@
 func (v *View) Deeds() (count, most int) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.state.count, v.state.most
+	return v.state.count, v.sight.Load().Policy.Limits.Deeds
 }
 
 // show swaps in the next sight. Old streams keep the sight they began with.
@@ -143,12 +149,13 @@
 			if read == nil {
 				read = Plain
 			}
-			p, err := read(unpack(r.Text))
+			text := unpack(r.Text)
+			p, err := read(text)
 			if err != nil {
 				v.Ring.Error().AnErr("cause", err).Msg("policy cannot be read")
 				continue
 			}
-			v.kept[r.Version] = p
+			v.kept[r.Version] = kept{p, text}
 			if v.Ready != nil {
 				v.Ready(r.Version, p)
 			}
@@ -165,11 +172,11 @@
 			delete(v.kept, n)
 		}
 	}
-	text := v.sight.Load().Text
-	if v.sight.Load().Version != now.Version {
-		text = unpack(now.Text)
+	k := v.kept[now.Version]
+	if k.policy == nil {
+		k.text = unpack(now.Text)
 	}
-	s := &Sight{Version: now.Version, Policy: v.kept[now.Version], Text: text, Newest: all[len(all)-1].Version,
+	s := &Sight{Version: now.Version, Policy: k.policy, Text: k.text, Newest: all[len(all)-1].Version,
 		Zones: map[word.Zone]bool{}, Drained: map[word.WorkerId]bool{}, Turning: maps.Clone(v.state.turning), Set: v.deal()}
 	if s.Policy == nil {
 		s.Policy = &Policy{}
