--- a/lore/decree.go
+++ b/lore/decree.go
@@ -9,19 +9,6 @@
 //msgp:shim word.Zone as:string using:string/word.Zone
 //msgp:shim word.WorkerId as:string using:string/word.WorkerId
 
-// Stage brings a whole, checked policy, made over the version Base.
-// Next is the number it gets; 0 is the one after Base.
-type Stage struct {
-	Base word.Version
-	Text []byte
-	Next word.Version
-}
-
-// Activate puts a staged version in force.
-type Activate struct {
-	Version word.Version
-}
-
 // Vacate empties a zone, or takes that back.
 type Vacate struct {
 	Zone word.Zone
--- /dev/null
+++ b/lore/delta_test.go
@@ -0,0 +1,129 @@
+// Deltas between texts.
+
+package lore
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/crux"
+	"keelstair.example/tale"
+	"keelstair.example/word"
+)
+
+// routesText is a plain text of so many zones and routes; mark sets one route apart.
+func routesText(n, mark int) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, `{"zones":["z%d"],"routes":[`, mark)
+	for i := range n {
+		tries := 1
+		if i == mark {
+			tries = 7
+		}
+		fmt.Fprintf(&b, `{"name":"r%d","host":"h%d.example","prefix":"/","service":"s","tries":%d,"deadlineMs":%d},`, i, i*7919, tries, 900+i%13)
+	}
+	return []byte(b.String() + `{"name":"last","prefix":"/"}]}`)
+}
+
+// TestDelta: whatever two texts are, a delta between them gives the second byte for byte;
+// one that was spoilt, or is laid over another text, gives none.
+func TestDelta(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	texts := [][]byte{nil, []byte("}"), []byte("{}"), []byte("}}}}"), routesText(3, 1), routesText(300, 7), routesText(300, 250), routesText(900, 0)}
+	for range 60 {
+		w := append([]byte(nil), texts[5+r.IntN(3)]...)
+		for range 1 + r.IntN(4) {
+			at := r.IntN(len(w))
+			end := min(len(w), at+r.IntN(3000))
+			switch r.IntN(3) {
+			case 0:
+				w = append(w[:at:at], w[end:]...)
+			case 1:
+				w = append(append(w[:at:at], w[at:end]...), w[at:]...)
+			default:
+				w[at] = byte(r.IntN(256))
+			}
+		}
+		texts = append(texts, w)
+	}
+	for _, old := range texts {
+		for _, text := range texts[:20] {
+			d := diff(old, text)
+			got, err := d.patch(old)
+			require.NoError(t, err)
+			require.Equal(t, string(text), string(got))
+			if string(old) != string(text) && len(d.Hunks) > 1 {
+				_, err = d.patch(append([]byte("x"), old...))
+				require.True(t, breakdown.Is(err, breakdown.Bad), "%v", err)
+			}
+		}
+	}
+	good := diff(texts[5], texts[6])
+	for range 300 {
+		body := crux.Pack(good)
+		body[r.IntN(len(body))] ^= byte(1 + r.IntN(255))
+		var d Delta
+		if _, err := d.UnmarshalMsg(body); err != nil {
+			continue
+		}
+		if got, err := d.patch(texts[5]); err == nil {
+			require.Equal(t, string(texts[6]), string(got))
+		}
+	}
+	for _, d := range []Delta{{Size: -1}, {Size: maxText + 1}, {Size: 5, Hunks: []Hunk{{From: -1, Len: 2}}}, {Size: 5, Hunks: []Hunk{{From: 1, Len: 1 << 62}}}, {Size: 1, Hunks: []Hunk{{Text: []byte("long")}}}} {
+		_, err := d.patch([]byte("abc"))
+		require.True(t, breakdown.Is(err, breakdown.Bad), "%+v", d)
+	}
+}
+
+// TestStageDelta: a small change of a large text goes as a delta of little more than the
+// change; copies and nodes come to the whole text, from pictures too, and pictures are
+// packed. One that does not fit is refused and changes nothing, and a text that differs
+// much goes whole.
+func TestStageDelta(t *testing.T) {
+	one, two := routesText(1400, 3), routesText(1400, 900)
+	c := &Stage{Base: 1, Text: pack(two)}
+	c.Shorten(one, two)
+	require.True(t, c.Delta)
+	require.Less(t, len(c.Text), 1000)
+	far := &Stage{Base: 1, Text: pack(two)}
+	far.Shorten([]byte(`{}`), two)
+	require.False(t, far.Delta)
+	m, v := NewMachine(MachineOptions{}), NewView(tale.Mute())
+	both := func(kind string, body []byte) error {
+		_, err := m.Apply(1, kind, body)
+		v.Fold(1, kind, body)
+		return err
+	}
+	require.NoError(t, both(StageKind, crux.Pack(&Stage{Text: pack(one)})))
+	wrong := &Stage{Base: 1, Text: pack(two)}
+	wrong.Shorten(routesText(1400, 4), two)
+	require.True(t, wrong.Delta)
+	err := both(StageKind, crux.Pack(wrong))
+	require.True(t, breakdown.Is(err, breakdown.Bad), "%v", err)
+	require.True(t, breakdown.Is(both(StageKind, crux.Pack(&Stage{Base: 1, Delta: true, Text: []byte("x")})), breakdown.Bad))
+	require.EqualValues(t, 1, m.newest())
+	require.NoError(t, both(StageKind, crux.Pack(c)))
+	require.NoError(t, both(ActivateKind, crux.Pack(&Activate{2})))
+	require.EqualValues(t, 2, v.Sight().Version)
+	require.Equal(t, string(two), string(v.Sight().Text))
+	require.Len(t, v.Sight().Policy.Routes, 1401)
+	require.Less(t, len(m.Picture(true)), len(two)/5)
+	require.Equal(t, string(two), string(unpack(m.active.Text)))
+	late := NewView(tale.Mute())
+	require.NoError(t, late.Restore(v.Picture()))
+	require.Equal(t, string(two), string(late.Sight().Text))
+	back := &Stage{Base: 2, Text: pack(one)}
+	back.Shorten(two, one)
+	for _, w := range []*View{v, late} {
+		require.True(t, w.Fold(3, StageKind, crux.Pack(back)))
+		w.Fold(4, ActivateKind, crux.Pack(&Activate{3}))
+		require.Equal(t, string(one), string(w.Sight().Text), "also over a packed one")
+		require.EqualValues(t, word.Version(3), w.Sight().Version)
+	}
+}
--- a/lore/line.go
+++ b/lore/line.go
@@ -27,6 +27,14 @@
 	return l.active
 }
 
+// pack makes the texts short, once, for a picture.
+func (l *line) pack() {
+	l.active.Text = pack(l.active.Text)
+	for i := range l.staged {
+		l.staged[i].Text = pack(l.staged[i].Text)
+	}
+}
+
 func (l *line) newest() word.Version { return l.top().Version }
 
 func (l *line) stage(c *Stage) (msgp.Marshaler, error) {
@@ -38,6 +46,18 @@
 		return nil, breakdown.New(breakdown.Bad, "apply policy", "", "version %d is not above the current one, %d", c.Next, l.newest())
 	}
 	v = max(v, c.Next)
+	if c.Delta {
+		var d Delta
+		if _, err := d.UnmarshalMsg(c.Text); err != nil {
+			return nil, breakdown.As(err, breakdown.Bad, "apply delta", "")
+		}
+		text, err := d.patch(unpack(l.top().Text))
+		if err != nil {
+			return nil, err
+		}
+		l.staged = append(l.staged, Ruled{v, text})
+		return &Ruling{v}, nil
+	}
 	l.staged = append(l.staged, Ruled{v, c.Text})
 	return &Ruling{v}, nil
 }
--- a/lore/read.go
+++ b/lore/read.go
@@ -50,9 +50,32 @@
 // Put asks the core for a text as the version next (0: the one after base), made over
 // base. Asked again under the same op, it gives the one outcome. Errors: Stale where
 // another version is the newest, Bad where the number is too low, Unknown where it may
-// have been taken, Away where it was not.
+// have been taken, Away where it was not. A large text that differs little from the one
+// it was made over goes as a delta.
 func Put(ctx context.Context, call *wire.Caller, book *crux.Book, op word.OpId, base, next word.Version, text []byte) (word.Version, error) {
-	return decide(ctx, call, book, &crux.SubmitAsk{Op: op, Kind: StageKind, Body: crux.Pack(&Stage{Base: base, Text: pack(text), Next: next})})
+	c := &Stage{Base: base, Text: pack(text), Next: next}
+	if base > 0 && len(text) >= deltaFrom {
+		top, _, err := Newest(ctx, call, book)
+		if err != nil {
+			return 0, err
+		}
+		if top.Version == base {
+			c.Shorten(top.Text, text)
+		}
+	}
+	return decide(ctx, call, book, &crux.SubmitAsk{Op: op, Kind: StageKind, Body: crux.Pack(c)})
+}
+
+// Shorten makes it a delta where that is half as long at most, and gives the same text.
+func (c *Stage) Shorten(old, text []byte) {
+	d := diff(old, text)
+	body := crux.Pack(d)
+	if 2*len(body) > len(c.Text) {
+		return
+	}
+	if _, err := d.patch(old); err == nil {
+		c.Text, c.Delta = body, true
+	}
 }
 
 // Outcome tells the version that an operation made, or Stale if none was taken.
--- a/lore/state.go
+++ b/lore/state.go
@@ -205,6 +205,8 @@
 }
 
 func (s *State) image(open bool) *Image {
+	s.pack()
+	s.programs.pack()
 	img := &Image{Active: s.active, Staged: s.staged, Programs: s.programs.active, ProgramsPending: s.programs.staged, Fence: s.fence, Count: s.count}
 	for z := range s.zones {
 		img.Zones = append(img.Zones, string(z))
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -60,6 +60,7 @@
     ("set-kept", "lore/view.go", "			v.sets[r.Version] = nil\n			continue\n", "			deck, _ = whim.NewDeck(nil, 0, v.Scores)\n", "relay", "TestSetNotCompiled"),
     ("turn-least", "relay/wish.go", "count[r.Part] > least(len(rows)) &&", "", "relay", "TestTurnByProgram"),
     ("turn-dwell", "relay/wish.go", "(!was || now.Past(at, dwell))", "(!was || now.Past(at, 0))", "relay", "TestTurnByProgram"),
+    ("delta-digest", "lore/delta.go", "len(out) != d.Size || !bytes.Equal(sum[:], d.Sum)", "sum[0] != sum[0]", "lore", "TestDelta|TestStageDelta"),
     ("dead-claims", "verge/settle.go", "if !live[d.Owner] {", "if false {", "proof", "TestDeadController"),
 ]
 
