--- a/lore/delta.go
+++ b/lore/delta.go
@@ -28,7 +28,7 @@
 
 const (
 	deltaFrom = 16 << 10 // bytes; shorter texts go whole
-	maxText   = 64 << 20 // bytes that a delta may come to
+	maxText   = 16 << 20 // bytes that a delta may come to
 )
 
 // pieces cuts a text behind each closing brace.
