--- a/lore/machine.go
+++ b/lore/machine.go
@@ -25,17 +25,24 @@
 	seq word.Seq
 }
 
+// waiting is when the staged versions of a line may be put in force.
+type waiting struct {
+	*line
+	stage, activate string // the kinds of its commands
+	due             map[word.Version]stagedAt
+}
+
 // Machine is what tenets run over the core.
 type Machine struct {
 	*State
-	wait time.Duration
-	read Reader
-	due  map[word.Version]stagedAt
-	keys []word.Key
-	of   word.Version
-	warm time.Duration        // the longest that a zone that was taken back may hold cold workers
-	back map[uint64]word.Tick // since when the failback of a number is seen here, while this leads
-	now  word.Tick
+	wait  time.Duration
+	read  Reader
+	waits []*waiting
+	keys  []word.Key
+	of    word.Version
+	warm  time.Duration        // the longest that a zone that was taken back may hold cold workers
+	back  map[uint64]word.Tick // since when the failback of a number is seen here, while this leads
+	now   word.Tick
 }
 
 // MachineOptions of a machine; what is zero takes the default named beside it.
@@ -50,15 +57,22 @@
 	if opt.Read == nil {
 		opt.Read = Plain
 	}
-	return &Machine{State: newState(false, opt.Depth), wait: opt.Wait, read: opt.Read, due: map[word.Version]stagedAt{}, back: map[uint64]word.Tick{}}
+	m := &Machine{State: newState(false, opt.Depth), wait: opt.Wait, read: opt.Read, back: map[uint64]word.Tick{}}
+	m.waits = []*waiting{
+		{line: &m.line, stage: StageKind, activate: ActivateKind, due: map[word.Version]stagedAt{}},
+		{line: &m.programs, stage: StageProgramsKind, activate: ActivateProgramsKind, due: map[word.Version]stagedAt{}},
+	}
+	return m
 }
 
 // Apply notes at which number a version was staged: that is what nodes must have
 // seen, not the claims that come after it.
 func (m *Machine) Apply(seq word.Seq, kind string, body []byte) ([]byte, error) {
 	out, err := m.State.Apply(kind, body)
-	if err == nil && kind == StageKind {
-		m.due[m.newest()] = stagedAt{seq: seq}
+	for _, w := range m.waits {
+		if err == nil && kind == w.stage {
+			w.due[w.newest()] = stagedAt{seq: seq}
+		}
 	}
 	return out, err
 }
@@ -102,31 +116,39 @@
 	return m.keys
 }
 
-// Due puts in force the newest staged version that all live nodes have seen,
-// or that has waited long enough for silent ones, and names zones that are warm again.
+// Due puts in force the newest staged version of each line that all live nodes have
+// seen, or that has waited long enough for silent ones, and names zones that are warm again.
 func (m *Machine) Due(now word.Tick, seq, seen word.Seq) []crux.Cmd {
 	out := m.warmed(now)
+	for _, w := range m.waits {
+		if top := w.ripe(now, seq, seen, m.wait); top != 0 {
+			out = append(out, crux.Cmd{Kind: w.activate, Body: crux.Pack(&Activate{top})})
+		}
+	}
+	return out
+}
+
+func (w *waiting) ripe(now word.Tick, seq, seen word.Seq, wait time.Duration) word.Version {
 	var top word.Version
-	for _, r := range m.staged {
-		d, ok := m.due[r.Version]
+	for _, r := range w.staged {
+		d, ok := w.due[r.Version]
 		if !ok {
 			d.seq = seq
 		}
 		if d.at == 0 {
 			d.at = now
-			m.due[r.Version] = d
+			w.due[r.Version] = d
 		}
-		if seen >= d.seq || now.Past(d.at, m.wait) {
+		if seen >= d.seq || now.Past(d.at, wait) {
 			top = r.Version
 		}
 	}
-	if top == 0 {
-		return out
-	}
-	for v := range m.due {
-		if v <= top {
-			delete(m.due, v)
+	if top != 0 {
+		for v := range w.due {
+			if v <= top {
+				delete(w.due, v)
+			}
 		}
 	}
-	return append(out, crux.Cmd{Kind: ActivateKind, Body: crux.Pack(&Activate{top})})
+	return top
 }
