--- a/relay/relay.go
+++ b/relay/relay.go
@@ -101,7 +101,7 @@
 // Backend reaches workers. Errors are breakdowns: Bounced where the request was surely
 // not run, Stale where another life has the address, Lost where the memory cannot be
 // had and nothing was run, Unknown where it may have been run, and Bad where a reading was
-// answered by running the request.
+// answered by running the request, or a report's asking by word that the worker is ill.
 type Backend interface {
 	List(ctx context.Context) ([]Worker, error)
 	Read(ctx context.Context, w Worker, r *Request, left time.Duration, urgency int) (*Memo, error)
