--- a/relay/alarm.go
+++ b/relay/alarm.go
@@ -9,6 +9,7 @@
 	"context"
 	"time"
 
+	"keelstair.example/breakdown"
 	"keelstair.example/seam"
 	"keelstair.example/wire"
 	"keelstair.example/word"
@@ -59,6 +60,7 @@
 	}
 	go func() {
 		defer st.watched.Store(false)
+		defer st.lift()
 		n.keepWatch(w, st, warn)
 	}()
 }
@@ -66,6 +68,7 @@
 func (n *Node) keepWatch(w Worker, st *state, warn bool) {
 	ctx := n.inner
 	for end := n.now().Add(watchSpan); n.now().Before(end) && ctx.Err() == nil; {
+		began := n.now()
 		cx, stop := context.WithTimeout(ctx, probeWait)
 		_, err := n.opt.Back.Report(cx, w)
 		stop()
@@ -74,8 +77,19 @@
 			st.faults = 0
 			st.shun = min(st.shun, n.now().Add(probePause/4))
 			st.mu.Unlock()
+			n.rose(st)
 			return
 		}
+		// Whoever says that it is ill, or answers requests meanwhile, is there: outcomes decide.
+		if n.opt.Eject >= 0 && breakdown.Is(err, breakdown.Bad) {
+			n.rose(st)
+			return
+		}
+		if n.opt.Eject >= 0 && st.alive.Load() >= int64(began) {
+			seam.Sleep(ctx, probePause/4)
+			continue
+		}
+		n.fell(st)
 		st.sinks(n.now().Add(2 * (probeWait + probePause)))
 		if warn {
 			n.warn(w.Id)
@@ -87,6 +101,13 @@
 	}
 }
 
+// lift ends the knowledge that a worker is down.
+func (s *state) lift() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = false
+}
+
 // lists tells whether a life is on the list of workers.
 func (n *Node) lists(id word.WorkerId) bool {
 	ros := n.roster.Load()
--- a/relay/carry.go
+++ b/relay/carry.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"keelstair.example/breakdown"
@@ -192,6 +193,7 @@
 		ms = t.marks
 	}
 	c.st.begin(reads, ms, t.n.now())
+	c.ended = new(atomic.Bool)
 	return true
 }
 
@@ -218,6 +220,7 @@
 		now := t.n.now()
 		if err == nil {
 			c.st.well(memo.Load, now)
+			t.n.outcome(&c, true)
 			t.tell(passage.Prefilled, c.w.Id, "")
 			return &Source{Worker: *c.w, Handle: memo.Handle}, nil
 		}
@@ -255,6 +258,9 @@
 		c.st.full(now)
 	case ctx.Err() == nil:
 		c.st.fault(now)
+		if breakdown.Step(err) != dialStep {
+			t.n.outcome(c, false)
+		}
 		t.n.suspect(*c.w, true)
 	}
 }
@@ -312,6 +318,8 @@
 		g.flight = &flight{stop}
 		c.st.board(g.flight)
 		g.give = time.AfterFunc(t.patience(), func() { stop(errSilent) })
+	} else {
+		g.mute = time.AfterFunc(t.patience(), func() { t.n.outcome(c, false) })
 	}
 	g.ask = time.AfterFunc(hush, func() { t.n.suspect(*c.w, true) })
 	reply, err := t.n.opt.Back.Emit(cx, *c.w, t.r, src, t.last, t.left(), t.route.Urgency)
--- /dev/null
+++ b/relay/eject_note.go
@@ -0,0 +1,18 @@
+// What nodes tell each other of how their sendings to a worker ended.
+
+package relay
+
+import "keelstair.example/word"
+
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file eject_note.go
+//msgp:shim word.WorkerId as:string using:string/word.WorkerId
+//msgp:tuple Outcomes
+
+// Outcomes are sendings to a worker of late that ended, and those that it failed, both in
+// tenths and fading; Nodes is how many nodes saw it fail.
+type Outcomes struct {
+	Id     word.WorkerId
+	Sent   int
+	Failed int
+	Nodes  int
+}
--- /dev/null
+++ b/relay/hearsay.go
@@ -0,0 +1,145 @@
+// Outcomes told between nodes, since each alone sees few: by the message to the holder of
+// the list go rows of the workers that failed here, and of those that others saw fail; back
+// comes the sum of the others. Each node's say is bounded.
+
+package relay
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"keelstair.example/word"
+)
+
+const (
+	rowsMost  = 64 // that a node tells
+	askSpan   = time.Second
+	tallySpan = 100 * time.Millisecond
+)
+
+// myOutcomes lists what this node saw of workers that failed here, or that others name.
+func (n *Node) myOutcomes() []Outcomes {
+	if n.opt.Eject < 0 || n.opt.Say < 0 {
+		return nil
+	}
+	now := n.now()
+	var out []Outcomes
+	n.states.Range(func(k, v any) bool {
+		st := v.(*state)
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		r := &st.verdict.mine
+		if r.sent == 0 {
+			return true
+		}
+		r.fade(now, recall)
+		if r.sent > 0.1 && (r.failed > 0.1 || st.verdict.heard.Nodes > 0 && !now.Past(st.verdict.heardAt, askSpan)) {
+			out = append(out, Outcomes{Id: k.(word.WorkerId), Sent: int(10*r.sent + 0.5), Failed: int(10*r.failed + 0.5)})
+		}
+		return true
+	})
+	if len(out) > rowsMost {
+		sort.Slice(out, func(i, j int) bool { return out[i].Failed > out[j].Failed })
+		out = out[:rowsMost]
+	}
+	return out
+}
+
+// hearsay notes what the others saw.
+func (n *Node) hearsay(row []Outcomes) {
+	if n.opt.Eject < 0 || n.opt.Say < 0 {
+		return
+	}
+	now := n.now()
+	n.toldAt.Store(int64(now))
+	for _, r := range row {
+		st := n.state(r.Id)
+		st.mu.Lock()
+		st.verdict.heard, st.verdict.heardAt = r, now
+		st.mu.Unlock()
+		n.stir.Store(true)
+	}
+}
+
+// tally is the sum of what nodes told, and each one's part of it.
+type tally struct {
+	mu    sync.Mutex
+	at    word.Tick
+	total map[word.WorkerId]Outcomes
+	by    map[word.NodeId][]Outcomes
+}
+
+// rest is the sum without one node's part.
+func (n *Node) rest(but word.NodeId) []Outcomes {
+	t := &n.tally
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now := n.now(); t.total == nil || now.Past(t.at, tallySpan) {
+		t.at, t.total, t.by = now, map[word.WorkerId]Outcomes{}, map[word.NodeId][]Outcomes{}
+		t.add(n.me.Node, n.weighed(n.myOutcomes()))
+		n.told.Range(func(k, v any) bool {
+			if o := v.(told); !now.Past(o.at, 2*readSpan) && len(o.outcomes) > 0 {
+				t.add(k.(word.NodeId), n.weighed(o.outcomes))
+			}
+			return true
+		})
+	}
+	own := map[word.WorkerId]Outcomes{}
+	for _, r := range t.by[but] {
+		own[r.Id] = r
+	}
+	var out []Outcomes
+	for id, r := range t.total {
+		m := own[id]
+		if r.Nodes > m.Nodes {
+			out = append(out, Outcomes{id, r.Sent - m.Sent, r.Failed - m.Failed, r.Nodes - m.Nodes})
+		}
+	}
+	return out
+}
+
+func (t *tally) add(node word.NodeId, row []Outcomes) {
+	t.by[node] = row
+	for _, r := range row {
+		s := t.total[r.Id]
+		t.total[r.Id] = Outcomes{r.Id, s.Sent + r.Sent, s.Failed + r.Failed, s.Nodes + r.Nodes}
+	}
+}
+
+// weighed bounds a node's say: of each worker to so many sendings, and to nothing if it
+// accuses more of a part than may be out, since then it is the node that is ill.
+func (n *Node) weighed(row []Outcomes) []Outcomes {
+	if len(row) == 0 {
+		return nil
+	}
+	accuses := map[word.WorkerId]bool{}
+	for _, r := range row {
+		accuses[r.Id] = r.Failed > 3
+	}
+	all, bad := map[group]int{}, map[group]int{}
+	for _, w := range n.roster.Load().all {
+		k := group{w.Service, w.Part}
+		all[k]++
+		if accuses[w.Id] {
+			bad[k]++
+		}
+	}
+	for k, b := range bad {
+		if b > max(1, int(n.opt.Out*float64(all[k]))) {
+			return nil
+		}
+	}
+	out := make([]Outcomes, 0, len(row))
+	for _, r := range row {
+		sent := max(1, r.Sent)
+		failed := min(sent, max(0, r.Failed))
+		f := min(1, 10*n.opt.Say/float64(sent))
+		o := Outcomes{Id: r.Id, Sent: int(f * float64(sent)), Failed: int(f * float64(failed))}
+		if accuses[r.Id] {
+			o.Nodes = 1
+		}
+		out = append(out, o)
+	}
+	return out
+}
--- a/relay/node.go
+++ b/relay/node.go
@@ -45,6 +45,9 @@
 	Pace    float64       // 50: prompt tokens that a worker reads in a ms
 	Turn    time.Duration // 500ms between looks at whether a worker should change its part; below 0 never
 	Rest    float64       // 0.55: of a service's workers read while nothing is under way; below 0 none is turned for it
+	Eject   time.Duration // 2s: that a worker whose failures stand out is left out at first; below 0 never
+	Out     float64       // 0.34: of a service's part may be out at once, by failures
+	Say     float64       // 4: sendings that another node's word of a worker counts for; below 0 none is heard
 	Trace   func(Event)
 }
 
@@ -56,6 +59,7 @@
 	word.Or(&o.Window, 10*time.Second)
 	word.Or(&o.Turn, 500*time.Millisecond)
 	word.Or(&o.Silence, 900*time.Millisecond)
+	word.Or(&o.Eject, 2*time.Second)
 	if o.Ratio == 0 {
 		o.Ratio = 0.2
 	}
@@ -71,6 +75,12 @@
 	if o.Rest == 0 {
 		o.Rest = 0.55
 	}
+	if o.Out == 0 {
+		o.Out = 0.34
+	}
+	if o.Say == 0 {
+		o.Say = 4
+	}
 	if o.Steps == 0 {
 		o.Steps = 20000
 	}
@@ -81,7 +91,7 @@
 
 // Counts are the node's figures since it started.
 type Counts struct {
-	Asked, Done, Refused, Broken, Moved, Direct, Again, Resumed atomic.Int64
+	Asked, Done, Refused, Broken, Moved, Direct, Again, Resumed, Ejected, Readmitted atomic.Int64
 }
 
 // Node is one router node for opaque requests.
@@ -97,7 +107,11 @@
 	states   sync.Map // word.WorkerId -> *state
 	warm     warm
 	told     sync.Map // word.NodeId -> told
-	zones    sync.Map // word.Zone -> word.Tick, when it was taken back
+	tally    tally
+	stir     atomic.Bool  // an outcome is yet to be judged
+	outs     atomic.Int64 // workers that are ejected or on probation
+	toldAt   atomic.Int64 // word.Tick when others' outcomes were heard
+	zones    sync.Map     // word.Zone -> word.Tick, when it was taken back
 	seen     atomic.Pointer[lore.Sight]
 	seeing   sync.Mutex
 	inflight atomic.Int64
@@ -150,7 +164,7 @@
 func (n *Node) Run(ctx context.Context, linger, grace time.Duration) {
 	inner := n.inner
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){n.agent.Run, n.rosters, n.watch, n.turner} {
+	for _, f := range []func(context.Context){n.agent.Run, n.rosters, n.watch, n.turner, n.ejector} {
 		wg.Go(func() { f(inner) })
 	}
 	<-ctx.Done()
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -29,11 +29,16 @@
 	flight *flight
 	ask    *time.Timer
 	give   *time.Timer
+	mute   *time.Timer // until the first byte, where it cannot go elsewhere
 }
 
 func (g *guarded) Read(p []byte) (int, error) {
 	k, err := g.ReadCloser.Read(p)
 	if k > 0 && err == nil {
+		g.c.st.alive.Store(int64(g.t.n.now()))
+		if g.mute != nil {
+			g.mute.Stop()
+		}
 		g.ask.Reset(hush + time.Duration(g.t.route.GapMs)*time.Millisecond)
 		if g.give != nil {
 			g.give.Reset(max(600*time.Millisecond, 3*time.Duration(g.t.route.GapMs)*time.Millisecond))
@@ -44,6 +49,9 @@
 
 func (g *guarded) done() {
 	g.ask.Stop()
+	if g.mute != nil {
+		g.mute.Stop()
+	}
 	if g.give != nil {
 		g.give.Stop()
 	}
@@ -66,11 +74,15 @@
 	c.st.well(reply.Load, t.n.now())
 	t.ran = true
 	if reply.Status/100 == 2 && !reply.Whole {
+		t.n.outcome(c, false)
 		return breakdown.New(breakdown.Unknown, "pass", c.w.Addr, "a success without the worker's stamp")
 	}
 	if t.begun && (reply.Status != http.StatusOK || !reply.Events) {
 		return breakdown.New(breakdown.Unknown, "resume", c.w.Addr, "status %d", reply.Status)
 	}
+	if reply.Status/100 == 5 {
+		t.n.outcome(c, false)
+	}
 	if reply.Status/100 == 5 && t.route.Again() && t.sends < t.route.Tries {
 		c.st.fault(t.n.now())
 		return breakdown.New(breakdown.Unknown, "pass", c.w.Addr, "status %d", reply.Status)
@@ -84,8 +96,12 @@
 	}
 	if err != nil && ctx.Err() == nil && !errors.Is(err, errCaller) {
 		c.st.fault(t.n.now())
+		t.n.outcome(c, false)
 		t.n.suspect(*c.w, true)
 	}
+	if err == nil {
+		t.n.outcome(c, true)
+	}
 	return err
 }
 
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -9,6 +9,7 @@
 	"hash/fnv"
 	"math"
 	"sort"
+	"sync/atomic"
 	"time"
 
 	"keelstair.example/lore"
@@ -22,6 +23,7 @@
 	readAnew  = 8.0                    // how much more reading counts than waiting, since others wait for it too
 	farStep   = 4.0                    // ms for another zone
 	farKilo   = 0.8                    // ms for each KB that goes to another zone
+	illCost   = 500.0                  // ms for a worker that fails all, where it is used though
 	most      = 8                      // candidates that programs see
 )
 
@@ -55,20 +57,22 @@
 }
 
 type choice struct {
-	w    *Worker
-	st   *state
-	cost float64
-	need int // prompt tokens it has yet to read
-	aff  float64
-	tie  float64
-	busy int
-	gap  time.Duration // between requests while it is cold
+	w     *Worker
+	st    *state
+	cost  float64
+	need  int // prompt tokens it has yet to read
+	aff   float64
+	tie   float64
+	busy  int
+	gap   time.Duration // between requests while it is cold
+	ill   float64       // rate of failures, if they stand out
+	ended *atomic.Bool  // its outcome is noted
 }
 
 // cleared lists the workers of a service that may get new work of a part now. Those that
 // are to be left alone come only if no other is there.
 func (n *Node) cleared(s *lore.Sight, svc *lore.Service, part word.Part, tried map[word.WorkerId]bool) []choice {
-	var good, shy []choice
+	var good, out, shy []choice
 	now := n.now()
 	ros := n.roster.Load()
 	for i := range ros.all {
@@ -85,20 +89,27 @@
 		}
 		c.st.mu.Lock()
 		shun, left := now.Before(c.st.shun), c.st.left
+		held := !shun && c.st.verdict.held(now, n.opt.Share)
+		c.ill = c.st.verdict.ill
 		c.st.mu.Unlock()
 		if left {
 			continue
 		}
 		if shun {
 			shy = append(shy, c)
+		} else if held {
+			out = append(out, c)
 		} else {
 			good = append(good, c)
 		}
 	}
-	if len(good) == 0 {
-		return shy
+	if len(good) > 0 {
+		return good
 	}
-	return good
+	if len(out) > 0 {
+		return out
+	}
+	return shy
 }
 
 // gap is the pause that this node keeps between requests to a cold worker, so that all
@@ -142,7 +153,7 @@
 	ros := n.roster.Load()
 	var stay []*Worker
 	for i := range ros.all {
-		if w := &ros.all[i]; w.Service == svc.Name && w.Part == word.Prefill && fit(s, w) {
+		if w := &ros.all[i]; w.Service == svc.Name && w.Part == word.Prefill && fit(s, w) && !n.out(w.Id) {
 			stay = append(stay, w)
 		}
 	}
@@ -207,6 +218,7 @@
 	// Among equals the request decides, so that nodes that know little crowd no worker.
 	own := fnv64(r.Id)
 	for i := range list {
+		list[i].cost += illCost * list[i].ill
 		list[i].tie = whim.Affinity(own, list[i].w.Id)
 	}
 	sort.Slice(list, func(i, j int) bool {
--- /dev/null
+++ b/relay/reads_note.go
@@ -0,0 +1,15 @@
+// What nodes tell each other of the readings that they have under way.
+
+package relay
+
+import "keelstair.example/word"
+
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file reads_note.go
+//msgp:shim word.WorkerId as:string using:string/word.WorkerId
+
+// Reads is what a node, or all but the one that asks, have under way at a reading worker.
+type Reads struct {
+	Id     word.WorkerId
+	Tokens int
+	Count  int
+}
--- a/relay/roster.go
+++ b/relay/roster.go
@@ -71,6 +71,7 @@
 func (n *Node) restAsHolder(ctx context.Context, wait time.Duration) {
 	for end := n.now().Add(wait); n.now().Before(end) && seam.Sleep(ctx, min(n.opt.Share, wait)); {
 		n.others(n.sum(n.me.Node))
+		n.hearsay(n.rest(n.me.Node))
 	}
 }
 
@@ -78,13 +79,14 @@
 func (n *Node) follow(ctx context.Context, addr string, seq *uint64) bool {
 	cx, stop := context.WithTimeout(ctx, listWait)
 	defer stop()
-	q := &ListAsk{Node: n.me.Node, Seq: *seq, Reads: n.myReads()}
+	q := &ListAsk{Node: n.me.Node, Seq: *seq, Reads: n.myReads(), Ends: n.myOutcomes()}
 	r, err := wire.Call[ListAsk, ListReply](cx, n.agent.Caller(), addr, "relay/list", q)
 	if err != nil || r.Age > int64(listOld) || r.Seq == 0 {
 		return false
 	}
 	at := n.now().Add(-time.Duration(r.Age))
 	n.others(r.Reads)
+	n.hearsay(r.Ends)
 	if r.Seq == *seq {
 		old := *n.roster.Load()
 		old.at = at
@@ -128,16 +130,17 @@
 
 // told is what a node said last of its readings.
 type told struct {
-	at    word.Tick
-	reads []Reads
+	at       word.Tick
+	reads    []Reads
+	outcomes []Outcomes
 }
 
 // serveList answers the other nodes with the list and with what all have under way.
 func (n *Node) serveList(_ context.Context, q *ListAsk) (*ListReply, error) {
 	now := n.now()
-	n.told.Store(q.Node, told{now, q.Reads})
+	n.told.Store(q.Node, told{now, q.Reads, q.Ends})
 	ros := n.roster.Load()
-	out := &ListReply{Seq: ros.seq, Age: int64(now.Since(ros.at)), Reads: n.sum(q.Node)}
+	out := &ListReply{Seq: ros.seq, Age: int64(now.Since(ros.at)), Reads: n.sum(q.Node), Ends: n.rest(q.Node)}
 	if ros.seq != q.Seq {
 		for _, w := range ros.all {
 			cold := max(0, w.Cold-now.Since(ros.got))
--- a/relay/state.go
+++ b/relay/state.go
@@ -26,6 +26,9 @@
 	otherAt word.Tick
 	flights map[*flight]bool
 	watched atomic.Bool
+	down    bool         // it gives no report
+	alive   atomic.Int64 // word.Tick of the last sign of life that a sending gave
+	verdict verdict
 	cached  map[uint64]word.Tick // beginnings of prompts that it was seen to have read
 }
 
--- a/relay/tell_note_gen.go
+++ b/relay/tell_note_gen.go
@@ -10,27 +10,47 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ListAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "Node"
-	o = append(o, 0x83, 0xa4, 0x4e, 0x6f, 0x64, 0x65)
-	o = msgp.AppendString(o, string(z.Node))
-	// string "Seq"
-	o = append(o, 0xa3, 0x53, 0x65, 0x71)
-	o = msgp.AppendUint64(o, z.Seq)
-	// string "Reads"
-	o = append(o, 0xa5, 0x52, 0x65, 0x61, 0x64, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Reads)))
-	for za0001 := range z.Reads {
-		// map header, size 3
-		// string "Id"
-		o = append(o, 0x83, 0xa2, 0x49, 0x64)
-		o = msgp.AppendString(o, string(z.Reads[za0001].Id))
-		// string "Tokens"
-		o = append(o, 0xa6, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
-		o = msgp.AppendInt(o, z.Reads[za0001].Tokens)
-		// string "Count"
-		o = append(o, 0xa5, 0x43, 0x6f, 0x75, 0x6e, 0x74)
-		o = msgp.AppendInt(o, z.Reads[za0001].Count)
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Ends == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "Node"
+		o = append(o, 0xa4, 0x4e, 0x6f, 0x64, 0x65)
+		o = msgp.AppendString(o, string(z.Node))
+		// string "Seq"
+		o = append(o, 0xa3, 0x53, 0x65, 0x71)
+		o = msgp.AppendUint64(o, z.Seq)
+		// string "Reads"
+		o = append(o, 0xa5, 0x52, 0x65, 0x61, 0x64, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Reads)))
+		for za0001 := range z.Reads {
+			o, err = z.Reads[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Reads", za0001)
+				return
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "Ends"
+			o = append(o, 0xa4, 0x45, 0x6e, 0x64, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Ends)))
+			for za0002 := range z.Ends {
+				o, err = z.Ends[za0002].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Ends", za0002)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -82,49 +102,29 @@
 				z.Reads = make([]Reads, zb0003)
 			}
 			for za0001 := range z.Reads {
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Reads[za0001].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Reads", za0001)
 					return
 				}
-				for zb0004 > 0 {
-					zb0004--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Reads", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "Id":
-						{
-							var zb0005 string
-							zb0005, bts, err = msgp.ReadStringBytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Reads", za0001, "Id")
-								return
-							}
-							z.Reads[za0001].Id = word.WorkerId(zb0005)
-						}
-					case "Tokens":
-						z.Reads[za0001].Tokens, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Reads", za0001, "Tokens")
-							return
-						}
-					case "Count":
-						z.Reads[za0001].Count, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Reads", za0001, "Count")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Reads", za0001)
-							return
-						}
-					}
+			}
+		case "Ends":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ends")
+				return
+			}
+			if cap(z.Ends) >= int(zb0004) {
+				z.Ends = (z.Ends)[:zb0004]
+			} else {
+				z.Ends = make([]Outcomes, zb0004)
+			}
+			for za0002 := range z.Ends {
+				bts, err = z.Ends[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Ends", za0002)
+					return
 				}
 			}
 		default:
@@ -143,7 +143,11 @@
 func (z *ListAsk) Msgsize() (s int) {
 	s = 1 + 5 + msgp.StringPrefixSize + len(string(z.Node)) + 4 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
 	for za0001 := range z.Reads {
-		s += 1 + 3 + msgp.StringPrefixSize + len(string(z.Reads[za0001].Id)) + 7 + msgp.IntSize + 6 + msgp.IntSize
+		s += z.Reads[za0001].Msgsize()
+	}
+	s += 5 + msgp.ArrayHeaderSize
+	for za0002 := range z.Ends {
+		s += z.Ends[za0002].Msgsize()
 	}
 	return
 }
@@ -151,37 +155,57 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ListReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "Seq"
-	o = append(o, 0x84, 0xa3, 0x53, 0x65, 0x71)
-	o = msgp.AppendUint64(o, z.Seq)
-	// string "Age"
-	o = append(o, 0xa3, 0x41, 0x67, 0x65)
-	o = msgp.AppendInt64(o, z.Age)
-	// string "Rows"
-	o = append(o, 0xa4, 0x52, 0x6f, 0x77, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Rows)))
-	for za0001 := range z.Rows {
-		o, err = z.Rows[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Rows", za0001)
-			return
-		}
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Ends == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	// string "Reads"
-	o = append(o, 0xa5, 0x52, 0x65, 0x61, 0x64, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Reads)))
-	for za0002 := range z.Reads {
-		// map header, size 3
-		// string "Id"
-		o = append(o, 0x83, 0xa2, 0x49, 0x64)
-		o = msgp.AppendString(o, string(z.Reads[za0002].Id))
-		// string "Tokens"
-		o = append(o, 0xa6, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
-		o = msgp.AppendInt(o, z.Reads[za0002].Tokens)
-		// string "Count"
-		o = append(o, 0xa5, 0x43, 0x6f, 0x75, 0x6e, 0x74)
-		o = msgp.AppendInt(o, z.Reads[za0002].Count)
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "Seq"
+		o = append(o, 0xa3, 0x53, 0x65, 0x71)
+		o = msgp.AppendUint64(o, z.Seq)
+		// string "Age"
+		o = append(o, 0xa3, 0x41, 0x67, 0x65)
+		o = msgp.AppendInt64(o, z.Age)
+		// string "Rows"
+		o = append(o, 0xa4, 0x52, 0x6f, 0x77, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Rows)))
+		for za0001 := range z.Rows {
+			o, err = z.Rows[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Rows", za0001)
+				return
+			}
+		}
+		// string "Reads"
+		o = append(o, 0xa5, 0x52, 0x65, 0x61, 0x64, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Reads)))
+		for za0002 := range z.Reads {
+			o, err = z.Reads[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Reads", za0002)
+				return
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "Ends"
+			o = append(o, 0xa4, 0x45, 0x6e, 0x64, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Ends)))
+			for za0003 := range z.Ends {
+				o, err = z.Ends[za0003].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Ends", za0003)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -248,49 +272,29 @@
 				z.Reads = make([]Reads, zb0003)
 			}
 			for za0002 := range z.Reads {
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Reads[za0002].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Reads", za0002)
 					return
 				}
-				for zb0004 > 0 {
-					zb0004--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Reads", za0002)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "Id":
-						{
-							var zb0005 string
-							zb0005, bts, err = msgp.ReadStringBytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Reads", za0002, "Id")
-								return
-							}
-							z.Reads[za0002].Id = word.WorkerId(zb0005)
-						}
-					case "Tokens":
-						z.Reads[za0002].Tokens, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Reads", za0002, "Tokens")
-							return
-						}
-					case "Count":
-						z.Reads[za0002].Count, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Reads", za0002, "Count")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Reads", za0002)
-							return
-						}
-					}
+			}
+		case "Ends":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ends")
+				return
+			}
+			if cap(z.Ends) >= int(zb0004) {
+				z.Ends = (z.Ends)[:zb0004]
+			} else {
+				z.Ends = make([]Outcomes, zb0004)
+			}
+			for za0003 := range z.Ends {
+				bts, err = z.Ends[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Ends", za0003)
+					return
 				}
 			}
 		default:
@@ -313,81 +317,11 @@
 	}
 	s += 6 + msgp.ArrayHeaderSize
 	for za0002 := range z.Reads {
-		s += 1 + 3 + msgp.StringPrefixSize + len(string(z.Reads[za0002].Id)) + 7 + msgp.IntSize + 6 + msgp.IntSize
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z Reads) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "Id"
-	o = append(o, 0x83, 0xa2, 0x49, 0x64)
-	o = msgp.AppendString(o, string(z.Id))
-	// string "Tokens"
-	o = append(o, 0xa6, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
-	o = msgp.AppendInt(o, z.Tokens)
-	// string "Count"
-	o = append(o, 0xa5, 0x43, 0x6f, 0x75, 0x6e, 0x74)
-	o = msgp.AppendInt(o, z.Count)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Reads) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
+		s += z.Reads[za0002].Msgsize()
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "Id":
-			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Id")
-					return
-				}
-				z.Id = word.WorkerId(zb0002)
-			}
-		case "Tokens":
-			z.Tokens, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Tokens")
-				return
-			}
-		case "Count":
-			z.Count, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Count")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	s += 5 + msgp.ArrayHeaderSize
+	for za0003 := range z.Ends {
+		s += z.Ends[za0003].Msgsize()
 	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Reads) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(string(z.Id)) + 7 + msgp.IntSize + 6 + msgp.IntSize
 	return
 }
--- a/relay/yard_test.go
+++ b/relay/yard_test.go
@@ -92,8 +92,9 @@
 	turn    time.Duration
 	handle  int
 	onRead  func(r *Request)
-	prep    func(n *Node)      // before a node runs
-	lean    func(s *stand) int // added to what reports say is running
+	prep    func(n *Node)                     // before a node runs
+	lean    func(s *stand) int                // added to what reports say is running
+	health  func(node string, s *stand) error // what a node gets instead of a report
 }
 
 func newYard(all ...*stand) *yard {
@@ -510,6 +511,14 @@
 		return nil, err
 	}
 	b.y.mu.Lock()
+	lie := b.y.health
+	b.y.mu.Unlock()
+	if lie != nil {
+		if err := lie(b.ip, s); err != nil {
+			return nil, err
+		}
+	}
+	b.y.mu.Lock()
 	defer b.y.mu.Unlock()
 	more := 0
 	if b.y.lean != nil {
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -55,6 +55,22 @@
     ("old-keys", "lore/state.go", "if d, ok := s.shelf.find(c.Key, c.Digest); ok {", "if d, ok := s.shelf.find(c.Key, c.Digest); ok && false {", "proof", "TestOldKeys"),
     ("sheets-sent", "crux/steward.go", "if err == nil && len(r.Lacks) > 0 {", "if false {", "proof", "TestOldKeys"),
     ("dead-claims", "verge/settle.go", "if !live[d.Owner] {", "if false {", "proof", "TestDeadController"),
+    ("ejection", "relay/eject.go", "		if out < most {\n			n.eject(a, now)", "		if false {\n			n.eject(a, now)", "relay", "TestGrey$|TestSparse"),
+    ("ejection-bound", "relay/eject.go", "		if out < most {\n			n.eject(a, now)", "		if true {\n			n.eject(a, now)", "relay", "TestAllGrey"),
+    ("ejection-against-the-rest", "relay/eject.go", "(oddFloor+oddTimes*rest)*a.sent", "oddFloor*a.sent", "relay", "TestAllGrey/all"),
+    ("ejected-used-when-alone", "relay/pick.go", "	if len(out) > 0 {\n		return out\n	}\n", "", "relay", "TestOnlyEjected"),
+    ("least-bad-first", "relay/pick.go", "		list[i].cost += illCost * list[i].ill\n", "", "relay", "TestOnlyEjected"),
+    ("probation", "relay/eject.go", "	case was == probing && (v.tripped || odd || v.flaps):", "	case false:", "relay", "TestProbation"),
+    ("ejection-damping", "relay/eject.go", "	v.strikes++\n", "", "relay", "TestProbation"),
+    ("flap-damping", "relay/alarm.go", "			n.rose(st)\n			return\n		}\n		// Whoever", "			st.lift()\n			return\n		}\n		// Whoever", "relay", "TestFlapping"),
+    ("fall-explains", "relay/eject.go", "	v.mine = record{}\n	if v.phase == ejected && !now", "	if false && v.phase == ejected && !now", "relay", "TestFallExplains"),
+    ("health-by-word", "relay/alarm.go", "if n.opt.Eject >= 0 && breakdown.Is(err, breakdown.Bad) {", "if false && breakdown.Is(err, breakdown.Bad) {", "relay", "TestLyingHealth"),
+    ("outcomes-told", "relay/hearsay.go", "		st.verdict.heard, st.verdict.heardAt = r, now\n", "", "relay", "TestSparse"),
+    ("one-teller", "relay/eject.go", "v.heard.Nodes > 0 && seers > 1", "v.heard.Nodes > 0", "relay", "TestCutTeller"),
+    ("teller-bound", "relay/hearsay.go", "			return nil\n", "", "relay", "TestWeighed"),
+    ("caller-left", "relay/carry.go", "	case ctx.Err() == nil:", "	case true:", "relay", "TestNotCounted"),
+    ("forgotten-idle", "platform/back.go", "on.silentSince(bytes)", "(on.silentSince(bytes) || true)", "platform", "TestForgottenIdle"),
+    ("never-left", "platform/back.go", "on.silentSince(bytes)", "(on.silentSince(bytes) && false)", "platform", "TestForgottenIdle"),
 ]
 
 
