--- a/relay/carry.go
+++ b/relay/carry.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"keelstair.example/breakdown"
@@ -196,6 +197,7 @@
 		ms = t.marks
 	}
 	c.st.begin(reads, ms, t.n.now())
+	c.ended = new(atomic.Bool)
 	return true
 }
 
@@ -222,6 +224,7 @@
 		now := t.n.now()
 		if err == nil {
 			c.st.well(memo.Load, now)
+			t.n.outcome(&c, true)
 			t.tell(passage.Prefilled, c.w.Id, "")
 			return &Source{Worker: *c.w, Handle: memo.Handle}, nil
 		}
@@ -259,6 +262,9 @@
 		c.st.full(now)
 	case ctx.Err() == nil:
 		c.st.fault(now)
+		if breakdown.Step(err) != dialStep {
+			t.n.outcome(c, false)
+		}
 		t.n.suspect(*c.w, true)
 	}
 }
@@ -316,6 +322,8 @@
 		g.flight = &flight{stop}
 		c.st.board(g.flight)
 		g.give = time.AfterFunc(t.patience(), func() { stop(errSilent) })
+	} else {
+		g.mute = time.AfterFunc(t.patience(), func() { t.n.outcome(c, false) })
 	}
 	g.ask = time.AfterFunc(hush, func() { t.n.suspect(*c.w, true) })
 	reply, err := t.n.opt.Back.Emit(cx, *c.w, t.r, src, t.last, t.left(), t.route.Urgency)
