--- a/crux/book.go
+++ b/crux/book.go
@@ -37,6 +37,7 @@
 	call    *wire.Caller
 	foreign string
 	grown   chan struct{} // closed when a newer record is learnt
+	heardAt word.Tick     // when any other process was heard last
 }
 
 func NewBook(host seam.Host, call *wire.Caller, seeds []string, me Seat) *Book {
@@ -72,6 +73,9 @@
 	if grown {
 		b.record = p.Record
 	}
+	if p.Me.Addr != "" && p.Me.Addr != b.me.Me.Addr {
+		b.heardAt = b.host.Clock.Now()
+	}
 	if p.Me.Disk != "" && p.Me.Disk != b.me.Me.Disk {
 		b.seats[p.Me.Disk] = seatSeen{p.Me, p.Blank, b.host.Clock.Now()}
 	}
@@ -88,6 +92,13 @@
 	b.mu.Unlock()
 }
 
+// Heard tells when any other process was heard last.
+func (b *Book) Heard() word.Tick {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.heardAt
+}
+
 // Reseed takes the seeds that changed settings name.
 func (b *Book) Reseed(seeds []string) {
 	b.mu.Lock()
--- a/relay/node.go
+++ b/relay/node.go
@@ -113,6 +113,7 @@
 	stir     atomic.Bool  // an outcome is yet to be judged
 	outs     atomic.Int64 // workers that are ejected or on probation
 	toldAt   atomic.Int64 // word.Tick when others' outcomes were heard
+	deaf     atomic.Int64 // word.Tick when nobody had been heard for a while, last
 	seen     atomic.Pointer[lore.Sight]
 	seeing   sync.Mutex
 	inflight atomic.Int64
@@ -234,6 +235,7 @@
 func (n *Node) watch(ctx context.Context) {
 	last := "-"
 	for seam.Sleep(ctx, 100*time.Millisecond) {
+		n.unheard(n.now())
 		if _, why := n.Ready(); why != last {
 			last = why
 			n.opt.Ring.Info().Str("why", why).Bool("ready", why == "").Msg("readiness")
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -112,9 +112,9 @@
 }
 
 // bears tells whether a worker may get a request now, and the pause before another one if
-// it is cold.
+// it is cold. To a node that is cut off any may be cold.
 func (n *Node) bears(w *Worker, svc *lore.Service, got, now word.Tick) (time.Duration, bool) {
-	if n.coldFor(w, svc, got, now) <= 0 {
+	if n.coldFor(w, svc, got, now) <= 0 && (svc.WarmRate <= 0 || !n.unheard(now)) {
 		return 0, true
 	}
 	gap, ok := n.gap(w.Id, svc)
--- a/relay/state.go
+++ b/relay/state.go
@@ -61,6 +61,23 @@
 	return max(left, 0)
 }
 
+const deafSpan = 2 * time.Second
+
+// unheard tells that this node may have missed a zone that was emptied and taken back:
+// neither the core confirmed it nor did any other process speak to it for a while, or
+// they do so again for too short a time to have told the news.
+func (n *Node) unheard(now word.Tick) bool {
+	if n.agent.Caught(deafSpan) {
+		return false
+	}
+	if now.Past(n.agent.Book().Heard(), deafSpan) {
+		n.deaf.Store(int64(now))
+		return true
+	}
+	at := word.Tick(n.deaf.Load())
+	return at != 0 && !now.Past(at, deafSpan)
+}
+
 // fault notes that a worker failed; it is left alone for a while, longer each time.
 func (s *state) fault(now word.Tick) {
 	s.mu.Lock()
