--- a/relay/carry.go
+++ b/relay/carry.go
@@ -36,11 +36,12 @@
 	marks []uint64
 	tried map[word.WorkerId]bool
 
-	extra bool   // a reading that failed is yet to be counted
-	sends int    // counted: emits, and readings turned away or repeated
-	ran   bool   // it may have run
-	begun bool   // the caller has the head of an answer
-	last  string // id of the last event that the caller has
+	kept  *choice // the worker whose memory of the prompt is yet to be fetched
+	extra bool    // a reading that failed is yet to be counted
+	sends int     // counted: emits, and readings turned away or repeated
+	ran   bool    // it may have run
+	begun bool    // the caller has the head of an answer
+	last  string  // id of the last event that the caller has
 }
 
 func (t *trip) tell(stage passage.Stage, w word.WorkerId, why string) {
@@ -113,6 +114,7 @@
 		w, reply, err := t.emit(ctx, src)
 		if err == nil {
 			src = nil
+			t.fetched()
 			if err = t.pass(ctx, w, reply); err == nil {
 				return nil
 			}
@@ -129,6 +131,7 @@
 			}
 		case breakdown.Lost:
 			src = nil
+			t.fetched()
 		case breakdown.Away:
 			t.drop(src)
 			return t.giveUp(err, http.StatusGatewayTimeout)
@@ -140,6 +143,15 @@
 func (t *trip) drop(src *Source) {
 	if src != nil {
 		t.free(src)
+		t.fetched()
+	}
+}
+
+// fetched notes that a reading worker keeps nothing for this try any more.
+func (t *trip) fetched() {
+	if t.kept != nil {
+		t.kept.release(true, t.n.now())
+		t.kept = nil
 	}
 }
 
@@ -192,6 +204,11 @@
 		ms = t.marks
 	}
 	c.st.begin(reads, ms, t.n.now())
+	more := t.r.Most
+	if reads > 0 {
+		more = 0
+	}
+	c.take(t.r, more, t.n.now())
 	return true
 }
 
@@ -218,9 +235,11 @@
 		now := t.n.now()
 		if err == nil {
 			c.st.well(memo.Load, now)
+			t.kept = &c
 			t.tell(passage.Prefilled, c.w.Id, "")
 			return &Source{Worker: *c.w, Handle: memo.Handle}, nil
 		}
+		c.release(breakdown.Is(err, breakdown.Unknown), now)
 		t.blame(ctx, &c, err, now)
 		t.tell(passage.Dropped, c.w.Id, err.Error())
 		if breakdown.Is(err, breakdown.Bounced) && breakdown.Step(err) == dialStep {
@@ -275,6 +294,7 @@
 			}
 			if !t.pay() {
 				c.st.end(0)
+				c.release(false, t.n.now())
 				break
 			}
 			if src == nil {
@@ -285,6 +305,7 @@
 				return &c, reply, nil
 			}
 			c.st.end(0)
+			c.release(breakdown.Is(err, breakdown.Unknown), t.n.now())
 			t.blame(ctx, &c, err, t.n.now())
 			t.tell(passage.Dropped, c.w.Id, err.Error())
 			if breakdown.Is(err, breakdown.Bounced) && breakdown.Step(err) == dialStep {
--- a/relay/node.go
+++ b/relay/node.go
@@ -45,6 +45,7 @@
 	Pace    float64       // 50: prompt tokens that a worker reads in a ms
 	Turn    time.Duration // 500ms between looks at whether a worker should change its part; below 0 never
 	Rest    float64       // 0.55: of a service's workers read while nothing is under way; below 0 none is turned for it
+	NoRoom  float64       // 100: ms that a worker counts as farther that lacks all the memory needed; below 0 none
 	Trace   func(Event)
 }
 
@@ -71,6 +72,9 @@
 	if o.Rest == 0 {
 		o.Rest = 0.55
 	}
+	if o.NoRoom == 0 {
+		o.NoRoom = 5
+	}
 	if o.Steps == 0 {
 		o.Steps = 20000
 	}
@@ -97,6 +101,7 @@
 	states   sync.Map // word.WorkerId -> *state
 	warm     warm
 	told     sync.Map // word.NodeId -> told
+	board    board
 	zones    sync.Map // word.Zone -> word.Tick, when it was taken back
 	seen     atomic.Pointer[lore.Sight]
 	seeing   sync.Mutex
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -62,7 +62,10 @@
 // pass copies an answer to the caller. Unknown means that it broke off.
 func (t *trip) pass(ctx context.Context, c *choice, reply *Reply) error {
 	defer reply.Body.Close()
-	defer c.st.end(0)
+	defer func() {
+		c.st.end(0)
+		c.release(true, t.n.now())
+	}()
 	c.st.well(reply.Load, t.n.now())
 	t.ran = true
 	if reply.Status/100 == 2 && !reply.Whole {
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -63,6 +63,39 @@
 	tie  float64
 	busy int
 	gap  time.Duration // between requests while it is cold
+	hold *hold
+	room int // blocks; 0 if nothing fresh is known
+	free int
+}
+
+// take books the memory of a request and of so many tokens that it may grow by.
+func (c *choice) take(r *Request, more int, now word.Tick) {
+	own := r.Prompt
+	for i := 0; i+1 < len(r.Parts); i++ {
+		own -= r.Parts[i].Tokens
+	}
+	c.st.mu.Lock()
+	defer c.st.mu.Unlock()
+	c.hold = c.st.mem.book(word.Blocks(r.Prompt+more, blockSize), max(0, own)/blockSize, now)
+}
+
+// release ends that; took tells whether the worker may have had it.
+func (c *choice) release(took bool, now word.Tick) {
+	c.st.mu.Lock()
+	defer c.st.mu.Unlock()
+	c.st.mem.end(c.hold, took, now)
+}
+
+// weigh notes what is free, and adds the cost of lacking room. The state is locked.
+func (c *choice) weigh(need int, noRoom float64, now word.Tick) {
+	free, ok := c.st.mem.free(now)
+	if !ok {
+		return
+	}
+	c.room, c.free = c.st.mem.Room, max(0, free)
+	if need > free && noRoom > 0 {
+		c.cost += noRoom * (1 + float64(need-free)/float64(need))
+	}
 }
 
 // cleared lists the workers of a service that may get new work of a part now. Those that
@@ -165,9 +198,10 @@
 		if !now.Past(c.st.otherAt, readSpan) {
 			ahead, count = ahead+c.st.other.Tokens, count+c.st.other.Count
 		}
+		c.weigh(word.Blocks(r.Prompt, blockSize), n.opt.NoRoom, now)
 		c.st.mu.Unlock()
 		c.busy = count
-		c.cost = (readAnew*float64(c.need)+float64(ahead))/n.opt.Pace + readFirst*float64(count) + n.far(c.w, len(r.Body))
+		c.cost += (readAnew*float64(c.need)+float64(ahead))/n.opt.Pace + readFirst*float64(count) + n.far(c.w, len(r.Body))
 		if len(ms) > 0 {
 			c.aff = whim.Affinity(ms[len(ms)-1], c.w.Id)
 		}
@@ -186,9 +220,10 @@
 		if !now.Past(c.st.loadAt, loadSpan) {
 			c.busy = max(c.busy, c.st.load.Running+c.st.load.Waiting)
 		}
+		c.weigh(word.Blocks(r.Prompt+r.Most, blockSize), n.opt.NoRoom, now)
 		c.st.mu.Unlock()
 		slots := max(1, c.w.Slots)
-		c.cost = 1.5*float64(c.busy) + n.far(c.w, len(r.Body))
+		c.cost += 1.5*float64(c.busy) + n.far(c.w, len(r.Body))
 		if c.busy >= slots*9/10 {
 			c.cost += 20 * float64(c.busy-slots*9/10+1)
 		}
@@ -221,9 +256,16 @@
 	}
 	q := &whim.Question{Request: r.Id, Kind: r.Host, Model: r.Model, Part: part, Zone: n.me.Zone, Prompt: r.Prompt, Max: r.Most, Priced: true}
 	cands := make([]whim.Candidate, len(head))
+	told := true // room is told in blocks if it is known of all, else in places
+	for i := range head {
+		told = told && head[i].room > 0
+	}
 	by := make(map[word.WorkerId]choice, len(head))
 	for i, c := range head {
 		cands[i] = whim.Candidate{Id: c.w.Id, Zone: c.w.Zone, Room: c.w.Slots, Free: max(0, c.w.Slots-c.busy), Busy: c.busy, Cap: c.w.Slots, Affinity: c.aff, Cost: c.cost}
+		if told {
+			cands[i].Room, cands[i].Free = c.room, c.free
+		}
 		by[c.w.Id] = c
 	}
 	out := make([]choice, 0, len(list))
--- a/relay/roster.go
+++ b/relay/roster.go
@@ -32,7 +32,7 @@
 // rosters keeps the list fresh. While it cannot be had, the last one is kept.
 func (n *Node) rosters(ctx context.Context) {
 	var from word.NodeId
-	var seq uint64
+	var have known
 	for ctx.Err() == nil {
 		wait := listPause(n.opt.Roster, n.opt.Rate, n.share())
 		m, _, ok := n.agent.Holder(lore.RosterKey)
@@ -40,9 +40,9 @@
 			wait = n.opt.Roster
 		} else if ok {
 			if m.Node != from {
-				from, seq = m.Node, 0
+				from, have = m.Node, known{}
 			}
-			if n.follow(ctx, m.Addr, &seq) {
+			if n.follow(ctx, m.Addr, &have) {
 				seam.Sleep(ctx, n.opt.Share*4/5+rand.N(n.opt.Share*2/5))
 				continue
 			}
@@ -74,29 +74,39 @@
 	}
 }
 
+// known is what this node has of one holder, by the holder's numbers, and up to which of
+// its own numbers it has told that holder how workers stand.
+type known struct{ seq, stood, told uint64 }
+
 // follow asks the holder once; false if it has nothing fresh.
-func (n *Node) follow(ctx context.Context, addr string, seq *uint64) bool {
+func (n *Node) follow(ctx context.Context, addr string, have *known) bool {
 	cx, stop := context.WithTimeout(ctx, listWait)
 	defer stop()
-	q := &ListAsk{Node: n.me.Node, Seq: *seq, Reads: n.myReads()}
+	q := &ListAsk{Node: n.me.Node, Seq: have.seq, Reads: n.myReads(), Stood: have.stood}
+	var told uint64
+	told, q.Stands = n.board.since(have.told, n.roster.Load().all, n.now(), n.mine)
 	r, err := wire.Call[ListAsk, ListReply](cx, n.agent.Caller(), addr, "relay/list", q)
 	if err != nil || r.Age > int64(listOld) || r.Seq == 0 {
 		return false
 	}
 	at := n.now().Add(-time.Duration(r.Age))
 	n.others(r.Reads)
-	if r.Seq == *seq {
+	have.stood = r.Stood
+	if r.Seq == have.seq {
+		have.told = told
 		old := *n.roster.Load()
 		old.at = at
 		n.roster.Store(&old)
+		n.heard(r.Stands, old.all)
 		return true
 	}
 	list := make([]Worker, len(r.Rows))
 	for i, w := range r.Rows {
 		list[i] = Worker{w.Id, w.Service, w.Addr, w.Zone, w.Part, w.Slots, w.Leaving, time.Duration(w.Cold)}
 	}
-	*seq = r.Seq
+	have.seq = r.Seq
 	n.take(list, at, n.now())
+	n.heard(r.Stands, list)
 	return true
 }
 
@@ -138,6 +148,12 @@
 	n.told.Store(q.Node, told{now, q.Reads})
 	ros := n.roster.Load()
 	out := &ListReply{Seq: ros.seq, Age: int64(now.Since(ros.at)), Reads: n.sum(q.Node)}
+	if ros.seq == q.Seq {
+		n.heard(q.Stands, ros.all)
+	} else {
+		q.Stood = 0
+	}
+	out.Stood, out.Stands = n.board.since(q.Stood, ros.all, now, every)
 	if ros.seq != q.Seq {
 		for _, w := range ros.all {
 			cold := max(0, w.Cold-now.Since(ros.got))
@@ -217,6 +233,7 @@
 			}
 			return true
 		})
+		n.board.prune(on)
 	}
 	n.roster.Store(next)
 }
--- a/relay/state.go
+++ b/relay/state.go
@@ -27,6 +27,7 @@
 	flights map[*flight]bool
 	watched atomic.Bool
 	cached  map[uint64]word.Tick // beginnings of prompts that it was seen to have read
+	mem     ledger
 }
 
 func (n *Node) state(id word.WorkerId) *state {
--- a/relay/tell_note.go
+++ b/relay/tell_note.go
@@ -15,18 +15,24 @@
 	Count  int
 }
 
-// ListAsk tells which list a node has, and its readings under way.
+// ListAsk tells which list a node has, its readings under way, up to where it has heard how
+// the workers stand, and, from the node that asks them, how they do.
 type ListAsk struct {
-	Node  word.NodeId
-	Seq   uint64
-	Reads []Reads
+	Node   word.NodeId
+	Seq    uint64
+	Reads  []Reads
+	Stood  uint64   `msg:"Stood,omitempty"`
+	Stands []Stands `msg:"Stands,omitempty"`
 }
 
 // ListReply has the rows only where they are newer; Age is how long ago the platform was
-// asked, in nanoseconds. Reads are those of the other nodes.
+// asked, in nanoseconds. Reads are those of the other nodes; Stands, what changed after
+// the number that was asked from, up to Stood.
 type ListReply struct {
-	Seq   uint64
-	Age   int64
-	Rows  []Row
-	Reads []Reads
+	Seq    uint64
+	Age    int64
+	Rows   []Row
+	Reads  []Reads
+	Stood  uint64   `msg:"Stood,omitempty"`
+	Stands []Stands `msg:"Stands,omitempty"`
 }
--- a/relay/tell_note_gen.go
+++ b/relay/tell_note_gen.go
@@ -10,27 +10,61 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ListAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "Node"
-	o = append(o, 0x83, 0xa4, 0x4e, 0x6f, 0x64, 0x65)
-	o = msgp.AppendString(o, string(z.Node))
-	// string "Seq"
-	o = append(o, 0xa3, 0x53, 0x65, 0x71)
-	o = msgp.AppendUint64(o, z.Seq)
-	// string "Reads"
-	o = append(o, 0xa5, 0x52, 0x65, 0x61, 0x64, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Reads)))
-	for za0001 := range z.Reads {
-		// map header, size 3
-		// string "Id"
-		o = append(o, 0x83, 0xa2, 0x49, 0x64)
-		o = msgp.AppendString(o, string(z.Reads[za0001].Id))
-		// string "Tokens"
-		o = append(o, 0xa6, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
-		o = msgp.AppendInt(o, z.Reads[za0001].Tokens)
-		// string "Count"
-		o = append(o, 0xa5, 0x43, 0x6f, 0x75, 0x6e, 0x74)
-		o = msgp.AppendInt(o, z.Reads[za0001].Count)
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Stood == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Stands == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "Node"
+		o = append(o, 0xa4, 0x4e, 0x6f, 0x64, 0x65)
+		o = msgp.AppendString(o, string(z.Node))
+		// string "Seq"
+		o = append(o, 0xa3, 0x53, 0x65, 0x71)
+		o = msgp.AppendUint64(o, z.Seq)
+		// string "Reads"
+		o = append(o, 0xa5, 0x52, 0x65, 0x61, 0x64, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Reads)))
+		for za0001 := range z.Reads {
+			// map header, size 3
+			// string "Id"
+			o = append(o, 0x83, 0xa2, 0x49, 0x64)
+			o = msgp.AppendString(o, string(z.Reads[za0001].Id))
+			// string "Tokens"
+			o = append(o, 0xa6, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+			o = msgp.AppendInt(o, z.Reads[za0001].Tokens)
+			// string "Count"
+			o = append(o, 0xa5, 0x43, 0x6f, 0x75, 0x6e, 0x74)
+			o = msgp.AppendInt(o, z.Reads[za0001].Count)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "Stood"
+			o = append(o, 0xa5, 0x53, 0x74, 0x6f, 0x6f, 0x64)
+			o = msgp.AppendUint64(o, z.Stood)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "Stands"
+			o = append(o, 0xa6, 0x53, 0x74, 0x61, 0x6e, 0x64, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Stands)))
+			for za0002 := range z.Stands {
+				o, err = z.Stands[za0002].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Stands", za0002)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -127,6 +161,31 @@
 					}
 				}
 			}
+		case "Stood":
+			z.Stood, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stood")
+				return
+			}
+		case "Stands":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stands")
+				return
+			}
+			if cap(z.Stands) >= int(zb0006) {
+				z.Stands = (z.Stands)[:zb0006]
+			} else {
+				z.Stands = make([]Stands, zb0006)
+			}
+			for za0002 := range z.Stands {
+				bts, err = z.Stands[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Stands", za0002)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -145,43 +204,81 @@
 	for za0001 := range z.Reads {
 		s += 1 + 3 + msgp.StringPrefixSize + len(string(z.Reads[za0001].Id)) + 7 + msgp.IntSize + 6 + msgp.IntSize
 	}
+	s += 6 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
+	for za0002 := range z.Stands {
+		s += z.Stands[za0002].Msgsize()
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ListReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "Seq"
-	o = append(o, 0x84, 0xa3, 0x53, 0x65, 0x71)
-	o = msgp.AppendUint64(o, z.Seq)
-	// string "Age"
-	o = append(o, 0xa3, 0x41, 0x67, 0x65)
-	o = msgp.AppendInt64(o, z.Age)
-	// string "Rows"
-	o = append(o, 0xa4, 0x52, 0x6f, 0x77, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Rows)))
-	for za0001 := range z.Rows {
-		o, err = z.Rows[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Rows", za0001)
-			return
-		}
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Stood == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	// string "Reads"
-	o = append(o, 0xa5, 0x52, 0x65, 0x61, 0x64, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Reads)))
-	for za0002 := range z.Reads {
-		// map header, size 3
-		// string "Id"
-		o = append(o, 0x83, 0xa2, 0x49, 0x64)
-		o = msgp.AppendString(o, string(z.Reads[za0002].Id))
-		// string "Tokens"
-		o = append(o, 0xa6, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
-		o = msgp.AppendInt(o, z.Reads[za0002].Tokens)
-		// string "Count"
-		o = append(o, 0xa5, 0x43, 0x6f, 0x75, 0x6e, 0x74)
-		o = msgp.AppendInt(o, z.Reads[za0002].Count)
+	if z.Stands == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "Seq"
+		o = append(o, 0xa3, 0x53, 0x65, 0x71)
+		o = msgp.AppendUint64(o, z.Seq)
+		// string "Age"
+		o = append(o, 0xa3, 0x41, 0x67, 0x65)
+		o = msgp.AppendInt64(o, z.Age)
+		// string "Rows"
+		o = append(o, 0xa4, 0x52, 0x6f, 0x77, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Rows)))
+		for za0001 := range z.Rows {
+			o, err = z.Rows[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Rows", za0001)
+				return
+			}
+		}
+		// string "Reads"
+		o = append(o, 0xa5, 0x52, 0x65, 0x61, 0x64, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Reads)))
+		for za0002 := range z.Reads {
+			// map header, size 3
+			// string "Id"
+			o = append(o, 0x83, 0xa2, 0x49, 0x64)
+			o = msgp.AppendString(o, string(z.Reads[za0002].Id))
+			// string "Tokens"
+			o = append(o, 0xa6, 0x54, 0x6f, 0x6b, 0x65, 0x6e, 0x73)
+			o = msgp.AppendInt(o, z.Reads[za0002].Tokens)
+			// string "Count"
+			o = append(o, 0xa5, 0x43, 0x6f, 0x75, 0x6e, 0x74)
+			o = msgp.AppendInt(o, z.Reads[za0002].Count)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "Stood"
+			o = append(o, 0xa5, 0x53, 0x74, 0x6f, 0x6f, 0x64)
+			o = msgp.AppendUint64(o, z.Stood)
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "Stands"
+			o = append(o, 0xa6, 0x53, 0x74, 0x61, 0x6e, 0x64, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Stands)))
+			for za0003 := range z.Stands {
+				o, err = z.Stands[za0003].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Stands", za0003)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -293,6 +390,31 @@
 					}
 				}
 			}
+		case "Stood":
+			z.Stood, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stood")
+				return
+			}
+		case "Stands":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stands")
+				return
+			}
+			if cap(z.Stands) >= int(zb0006) {
+				z.Stands = (z.Stands)[:zb0006]
+			} else {
+				z.Stands = make([]Stands, zb0006)
+			}
+			for za0003 := range z.Stands {
+				bts, err = z.Stands[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Stands", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -315,6 +437,10 @@
 	for za0002 := range z.Reads {
 		s += 1 + 3 + msgp.StringPrefixSize + len(string(z.Reads[za0002].Id)) + 7 + msgp.IntSize + 6 + msgp.IntSize
 	}
+	s += 6 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
+	for za0003 := range z.Stands {
+		s += z.Stands[za0003].Msgsize()
+	}
 	return
 }
 
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -125,6 +125,7 @@
 	}
 	d.looked = n.now()
 	rows := n.reports(ctx, s, listed)
+	n.reported(svc.Name, d.looked, rows)
 	read, emit := d.weigh(rows, svc)
 	if !n.now().Past(d.last, turnDwell) {
 		return
--- a/relay/yard_test.go
+++ b/relay/yard_test.go
@@ -59,6 +59,7 @@
 	req    string
 	had    int
 	freed  bool
+	let    func() // the worker's memory is free again
 }
 
 // stand is one worker.
@@ -73,6 +74,15 @@
 	orders           int
 	turning          word.Part
 	running, waiting int
+	memory           int // tokens; 0 is without end
+	used             int
+	past             []snap
+}
+
+// snap is how a worker stood from some time on.
+type snap struct {
+	at                     time.Time
+	running, waiting, used int
 }
 
 type yard struct {
@@ -94,6 +104,8 @@
 	onRead  func(r *Request)
 	prep    func(n *Node)      // before a node runs
 	lean    func(s *stand) int // added to what reports say is running
+	lag     time.Duration      // by which reports are old
+	queue   int                // requests that wait at a worker at most; 0: twice its places
 }
 
 func newYard(all ...*stand) *yard {
@@ -254,28 +266,57 @@
 		return p, how, breakdown.New(breakdown.Stale, "ask worker", w.Addr, "another life has the address")
 	case s.dark && (how == fine || how == midReset):
 		how = idleSilent
-	case how == turnedAway, s.turning != "", s.waiting >= 2*s.Slots, k.Kind == "read" && s.Part == word.Decode:
+	case how == turnedAway, s.turning != "", s.waiting >= y.most(s), k.Kind == "read" && s.Part == word.Decode:
 		return p, how, breakdown.New(breakdown.Bounced, "ask worker", w.Addr, "turned away")
 	}
 	p.Took = true
 	return p, how, nil
 }
 
-// place waits for one of the worker's places. It gives how to leave it.
-func (y *yard) place(ctx context.Context, s *stand) (func(), error) {
-	y.at(func() { s.waiting++ })
+func (y *yard) most(s *stand) int {
+	if y.queue > 0 {
+		return y.queue
+	}
+	return 2 * s.Slots
+}
+
+// mark keeps how a worker stands for late reports. The yard is locked.
+func (y *yard) mark(s *stand) {
+	for y.lag > 0 && len(s.past) > 1 && time.Since(s.past[1].at) > y.lag {
+		s.past = s.past[1:]
+	}
+	s.past = append(s.past, snap{time.Now(), s.running, s.waiting, s.used})
+}
+
+// shown is how a worker stood a lag ago. The yard is locked.
+func (y *yard) shown(s *stand) snap {
+	out := snap{running: s.running, waiting: s.waiting, used: s.used}
+	for i := len(s.past) - 1; y.lag > 0 && i >= 0; i-- {
+		if out = s.past[i]; time.Since(out.at) >= y.lag {
+			break
+		}
+	}
+	return out
+}
+
+// place waits for one of the worker's places, with memory. It gives how to leave it, and
+// how to give the memory back.
+func (y *yard) place(ctx context.Context, s *stand, tokens int) (leave, let func(), err error) {
+	tokens = (tokens + 15) / 16 * 16
+	y.at(func() { s.waiting++; y.mark(s) })
 	for {
 		y.mu.Lock()
-		if s.running < s.Slots && !s.dark && !s.dead {
-			s.waiting, s.running = s.waiting-1, s.running+1
+		if s.running < s.Slots && !s.dark && !s.dead && (s.memory == 0 || s.used+tokens <= s.memory) {
+			s.waiting, s.running, s.used = s.waiting-1, s.running+1, s.used+tokens
+			y.mark(s)
 			y.mu.Unlock()
-			return sync.OnceFunc(func() { y.at(func() { s.running-- }) }), nil
+			return sync.OnceFunc(func() { y.at(func() { s.running--; y.mark(s) }) }), sync.OnceFunc(func() { y.at(func() { s.used -= tokens; y.mark(s) }) }), nil
 		}
 		dead := s.dead
 		y.mu.Unlock()
 		if dead || !nap(ctx, 5*time.Millisecond) {
-			y.at(func() { s.waiting-- })
-			return nil, unknown(s.Worker, "ended while it waited")
+			y.at(func() { s.waiting--; y.mark(s) })
+			return nil, nil, unknown(s.Worker, "ended while it waited")
 		}
 	}
 }
@@ -335,19 +376,20 @@
 	if err, ended := quiet(ctx, how, w); ended {
 		return nil, err
 	}
-	leave, err := y.place(ctx, s)
+	leave, let, err := y.place(ctx, s, r.Prompt)
 	if err != nil {
 		return nil, err
 	}
 	defer leave()
 	if !nap(ctx, 5*time.Millisecond+time.Duration(r.Prompt/50)*time.Millisecond) {
+		let()
 		return nil, unknown(w, "given up")
 	}
 	y.mu.Lock()
 	y.handle++
 	name := fmt.Sprint("kv-", y.handle)
 	if !s.dead {
-		y.handles[name] = &handle{worker: s.Id, req: r.Id}
+		y.handles[name] = &handle{worker: s.Id, req: r.Id, let: let}
 	}
 	hook := y.onRead
 	y.mu.Unlock()
@@ -370,6 +412,7 @@
 	for _, s := range y.all {
 		if s.Id == h.worker && !s.dark && !s.dead {
 			h.had++
+			go h.let()
 			return true
 		}
 	}
@@ -398,10 +441,11 @@
 	if err, ended := quiet(ctx, how, w); ended {
 		return nil, err
 	}
-	leave, err := y.place(ctx, s)
+	out, let, err := y.place(ctx, s, r.Prompt+r.Most)
 	if err != nil {
 		return nil, err
 	}
+	leave := func() { out(); let() }
 	if src == nil && from == "" && !nap(ctx, time.Duration(r.Prompt/50)*time.Millisecond) {
 		leave()
 		return nil, unknown(w, "given up")
@@ -411,14 +455,14 @@
 		return nil, err
 	}
 	a := &answer{ctx: ctx, b: b, s: s, leave: leave, cut: -1}
-	out := &Reply{Status: http.StatusOK, Header: http.Header{"X-Worker": {string(w.Id)}}, Whole: how != bare, Length: -1, Body: a, Load: y.load(s)}
+	reply := &Reply{Status: http.StatusOK, Header: http.Header{"X-Worker": {string(w.Id)}}, Whole: how != bare, Length: -1, Body: a, Load: y.load(s)}
 	if how == failed {
-		out.Status = http.StatusInternalServerError
+		reply.Status = http.StatusInternalServerError
 		a.rest = [][]byte{[]byte("failed")}
-		return out, nil
+		return reply, nil
 	}
 	if r.Header.Get("Accept") == "text/event-stream" {
-		out.Events = true
+		reply.Events = true
 		n, _ := strconv.Atoi(from)
 		for i := n + 1; i <= r.Most; i++ {
 			a.rest = append(a.rest, fmt.Appendf(nil, "id: %d\ndata: word-%d of %s\n\n", i, i, r.Id))
@@ -431,7 +475,7 @@
 	if how == midReset {
 		a.cut = len(a.rest) / 2
 	}
-	return out, nil
+	return reply, nil
 }
 
 // answer is a body that comes piece by piece.
@@ -494,6 +538,7 @@
 	b.y.rows = append(b.y.rows, row{At: b.y.now(), Kind: "free", Node: b.ip, Worker: s.Id})
 	if h := b.y.handles[name]; h != nil && h.worker == s.Id {
 		h.freed = true
+		go h.let()
 	}
 	return nil
 }
@@ -515,7 +560,12 @@
 	if b.y.lean != nil {
 		more = b.y.lean(s)
 	}
-	return &Report{Part: s.Part, Turning: s.turning != "", Orders: s.orders, Waiting: s.waiting, Running: s.running + more, Used: 100 * s.running, Room: 100 * s.Slots}, nil
+	was := b.y.shown(s)
+	r := &Report{Part: s.Part, Turning: s.turning != "", Orders: s.orders, Waiting: was.waiting, Running: was.running + more, Used: 10000 * was.running, Room: 10000 * s.Slots}
+	if s.memory > 0 {
+		r.Used, r.Room = was.used, s.memory
+	}
+	return r, nil
 }
 
 func (b *back) Order(ctx context.Context, w Worker, o *Order) error {
