--- a/relay/budget.go
+++ b/relay/budget.go
@@ -11,33 +11,33 @@
 	"keelstair.example/word"
 )
 
-const slices = 20 // of the window
+const pieces = 20 // of the window
 
 type budget struct {
 	mu    sync.Mutex
 	slice time.Duration
-	asked [slices + 1]int
-	spent [slices + 1]int
+	asked [pieces + 1]int
+	spent [pieces + 1]int
 	last  int64
 	nodes int
 	since word.Tick
 	prior int
 }
 
-func newBudget(window time.Duration) budget { return budget{slice: window / slices} }
+func newBudget(window time.Duration) budget { return budget{slice: window / pieces} }
 
 func (b *budget) turn(now word.Tick) int {
 	at := int64(now) / int64(b.slice)
-	if b.last == 0 || at-b.last > slices {
+	if b.last == 0 || at-b.last > pieces {
 		clear(b.asked[:])
 		clear(b.spent[:])
 	} else {
 		for i := b.last + 1; i <= at; i++ {
-			b.asked[i%(slices+1)], b.spent[i%(slices+1)] = 0, 0
+			b.asked[i%(pieces+1)], b.spent[i%(pieces+1)] = 0, 0
 		}
 	}
 	b.last = max(at, b.last)
-	return int(at % (slices + 1))
+	return int(at % (pieces + 1))
 }
 
 // peers gives the most nodes seen in the last span or two.
@@ -64,7 +64,7 @@
 	defer b.mu.Unlock()
 	i := b.turn(now)
 	// What is allowed counts over a little less than the window, what is spent over more.
-	asked, spent, oldest := 0, 0, (i+1)%(slices+1)
+	asked, spent, oldest := 0, 0, (i+1)%(pieces+1)
 	for k := range b.asked {
 		if k != oldest {
 			asked += b.asked[k]
--- a/relay/carry.go
+++ b/relay/carry.go
@@ -215,47 +215,66 @@
 // read has the prompt read. No source and no error means that the emitting worker is to
 // read by itself.
 func (t *trip) read(ctx context.Context) (*Source, error) {
-	for _, c := range t.n.readers(t.n.sight(), t.svc, t.r, t.tried) {
-		if !t.send(&c, max(1, c.need)) {
-			continue
-		}
-		t.tell(passage.Granted, c.w.Id, "")
-		span := min(t.n.opt.Silence+time.Duration(c.cost*2)*time.Millisecond, t.left())
-		cx, stop := context.WithTimeout(ctx, span)
-		cx, take := context.WithCancelCause(cx)
-		f := &flight{take}
-		c.st.board(f)
-		quiet := time.AfterFunc(hush+time.Duration(c.cost)*time.Millisecond, func() { t.n.suspect(*c.w, true) })
-		memo, err := t.n.opt.Back.Read(cx, *c.w, t.r, span, t.route.Urgency)
-		quiet.Stop()
-		c.st.leave(f)
-		take(nil)
-		stop()
-		c.st.end(max(1, c.need))
-		now := t.n.now()
-		if err == nil {
-			c.st.well(memo.Load, now)
-			t.kept = &c
-			t.tell(passage.Prefilled, c.w.Id, "")
-			return &Source{Worker: *c.w, Handle: memo.Handle}, nil
-		}
-		c.release(breakdown.Is(err, breakdown.Unknown), now)
-		t.blame(ctx, &c, err, now)
-		t.tell(passage.Dropped, c.w.Id, err.Error())
-		if breakdown.Is(err, breakdown.Bounced) && breakdown.Step(err) == dialStep {
-			continue // it never arrived
-		}
-		t.ran = t.ran || breakdown.Is(err, breakdown.Bad)
-		// It may not have been taken up, and then counts like any other sending.
-		t.extra = true
-		if breakdown.Is(err, breakdown.Bounced) || breakdown.Is(err, breakdown.Stale) {
-			t.sends++
+	for again := true; again; {
+		again = false
+		picked := t.n.now()
+		for _, c := range t.n.readers(t.n.sight(), t.svc, t.r, t.tried) {
+			if !t.send(&c, max(1, c.need)) {
+				continue
+			}
+			src, dialled, err := t.readAt(ctx, &c)
+			if dialled {
+				return src, err
+			}
+			t.tried[c.w.Id] = true
+			if ctx.Err() != nil {
+				return nil, err
+			}
+			if again = t.n.now().Past(picked, pickOld); again {
+				break
+			}
 		}
-		return nil, err
 	}
 	return nil, nil
 }
 
+// readAt has one worker read the prompt; false if no connection to it came up.
+func (t *trip) readAt(ctx context.Context, c *choice) (*Source, bool, error) {
+	t.tell(passage.Granted, c.w.Id, "")
+	span := min(t.n.opt.Silence+time.Duration(c.cost*2)*time.Millisecond, t.left())
+	cx, stop := context.WithTimeout(ctx, span)
+	cx, take := context.WithCancelCause(cx)
+	f := &flight{take}
+	c.st.board(f)
+	quiet := time.AfterFunc(hush+time.Duration(c.cost)*time.Millisecond, func() { t.n.suspect(*c.w, true) })
+	memo, err := t.n.opt.Back.Read(cx, *c.w, t.r, span, t.route.Urgency)
+	quiet.Stop()
+	c.st.leave(f)
+	take(nil)
+	stop()
+	c.st.end(max(1, c.need))
+	now := t.n.now()
+	if err == nil {
+		c.st.well(memo.Load, now)
+		t.kept = c
+		t.tell(passage.Prefilled, c.w.Id, "")
+		return &Source{Worker: *c.w, Handle: memo.Handle}, true, nil
+	}
+	c.release(breakdown.Is(err, breakdown.Unknown), now)
+	t.blame(ctx, c, err, now)
+	t.tell(passage.Dropped, c.w.Id, err.Error())
+	if breakdown.Is(err, breakdown.Bounced) && breakdown.Step(err) == dialStep {
+		return nil, false, err
+	}
+	t.ran = t.ran || breakdown.Is(err, breakdown.Bad)
+	// It may not have been taken up, and then counts like any other sending.
+	t.extra = true
+	if breakdown.Is(err, breakdown.Bounced) || breakdown.Is(err, breakdown.Stale) {
+		t.sends++
+	}
+	return nil, true, err
+}
+
 // dialStep names the step of breakdowns where no connection came up.
 const dialStep = "dial"
 
@@ -281,6 +300,7 @@
 // emit offers the request to a worker. Away means that there is none or no try left.
 func (t *trip) emit(ctx context.Context, src *Source) (*choice, *Reply, error) {
 	for round := 0; ; round++ {
+		picked, again := t.n.now(), false
 		var from *Worker
 		if src != nil {
 			from = &src.Worker
@@ -311,10 +331,17 @@
 			if breakdown.Is(err, breakdown.Bounced) && breakdown.Step(err) == dialStep {
 				t.sends--
 				t.tried[c.w.Id] = true
+				if again = t.n.now().Past(picked, pickOld); again {
+					break
+				}
 				continue
 			}
 			return nil, nil, err
 		}
+		if again && ctx.Err() == nil {
+			round--
+			continue
+		}
 		if t.sends >= max(1, t.route.Tries) {
 			return nil, nil, breakdown.New(breakdown.Away, "emit", t.svc.Name, "no try is left")
 		}
--- a/relay/node.go
+++ b/relay/node.go
@@ -102,6 +102,7 @@
 	warm     warm
 	told     sync.Map // word.NodeId -> told
 	board    board
+	table    atomic.Pointer[table]
 	zones    sync.Map // word.Zone -> word.Tick, when it was taken back
 	seen     atomic.Pointer[lore.Sight]
 	seeing   sync.Mutex
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -6,9 +6,10 @@
 package relay
 
 import (
+	"cmp"
 	"hash/fnv"
 	"math"
-	"sort"
+	"slices"
 	"time"
 
 	"keelstair.example/lore"
@@ -22,6 +23,7 @@
 	readAnew  = 8.0                    // how much more reading counts than waiting, since others wait for it too
 	farStep   = 4.0                    // ms for another zone
 	farKilo   = 0.8                    // ms for each KB that goes to another zone
+	pickOld   = 100 * time.Millisecond // then another pick is made after a dial that failed
 	most      = 8                      // candidates that programs see
 )
 
@@ -42,25 +44,13 @@
 	return out, toks
 }
 
-// home is the worker that a beginning falls to.
-func home(mark uint64, list []*Worker) word.WorkerId {
-	var top word.WorkerId
-	best := -1.0
-	for _, w := range list {
-		if a := whim.Affinity(mark, w.Id); a > best {
-			best, top = a, w.Id
-		}
-	}
-	return top
-}
-
 type choice struct {
 	w    *Worker
 	st   *state
+	hash uint64
 	cost float64
 	need int // prompt tokens it has yet to read
 	aff  float64
-	tie  float64
 	busy int
 	gap  time.Duration // between requests while it is cold
 	hold *hold
@@ -68,6 +58,12 @@
 	free int
 }
 
+// rank is what is sorted in a choice's stead, since it is small and holds no pointers.
+type rank struct {
+	cost, tie float64
+	at        int
+}
+
 // take books the memory of a request and of so many tokens that it may grow by.
 func (c *choice) take(r *Request, more int, now word.Tick) {
 	own := r.Prompt
@@ -104,12 +100,15 @@
 	var good, shy []choice
 	now := n.now()
 	ros := n.roster.Load()
-	for i := range ros.all {
-		w := &ros.all[i]
-		if w.Service != svc.Name || w.Part != part && w.Part != "" || tried[w.Id] || !fit(s, w) {
+	row := n.tabled(ros, s).by[role{svc.Name, part}]
+	good = make([]choice, 0, len(row))
+	for i := range row {
+		e := &row[i]
+		if tried[e.id] {
 			continue
 		}
-		c := choice{w: w, st: n.state(w.Id)}
+		w := &ros.all[e.place]
+		c := choice{w: w, st: e.st, hash: e.hash}
 		if n.coldFor(w, svc, ros.got, now) > 0 {
 			var ok bool
 			if c.gap, ok = n.gap(w.Id, svc); !ok || !n.warm.may(w.Id, c.gap, now) {
@@ -172,16 +171,10 @@
 func (n *Node) readers(s *lore.Sight, svc *lore.Service, r *Request, tried map[word.WorkerId]bool) []choice {
 	list := n.cleared(s, svc, word.Prefill, tried)
 	ms, toks := marks(r)
-	ros := n.roster.Load()
-	var stay []*Worker
-	for i := range ros.all {
-		if w := &ros.all[i]; w.Service == svc.Name && w.Part == word.Prefill && fit(s, w) {
-			stay = append(stay, w)
-		}
-	}
+	row := n.tabled(n.roster.Load(), s).by[role{svc.Name, word.Prefill}]
 	homes := make([]word.WorkerId, len(ms))
 	for i, m := range ms {
-		homes[i] = home(m, stay)
+		homes[i] = home(m, row)
 	}
 	now := n.now()
 	for i := range list {
@@ -203,7 +196,7 @@
 		c.busy = count
 		c.cost += (readAnew*float64(c.need)+float64(ahead))/n.opt.Pace + readFirst*float64(count) + n.far(c.w, len(r.Body))
 		if len(ms) > 0 {
-			c.aff = whim.Affinity(ms[len(ms)-1], c.w.Id)
+			c.aff = whim.Mix(ms[len(ms)-1], c.hash)
 		}
 	}
 	return n.order(r, word.Prefill, list)
@@ -241,15 +234,16 @@
 func (n *Node) order(r *Request, part word.Part, list []choice) []choice {
 	// Among equals the request decides, so that nodes that know little crowd no worker.
 	own := fnv64(r.Id)
+	ranks := make([]rank, len(list))
 	for i := range list {
-		list[i].tie = whim.Affinity(own, list[i].w.Id)
+		ranks[i] = rank{list[i].cost, whim.Mix(own, list[i].hash), i}
 	}
-	sort.Slice(list, func(i, j int) bool {
-		if list[i].cost != list[j].cost {
-			return list[i].cost < list[j].cost
-		}
-		return list[i].tie > list[j].tie
-	})
+	slices.SortFunc(ranks, func(a, b rank) int { return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(b.tie, a.tie)) })
+	sorted := make([]choice, len(list))
+	for i, k := range ranks {
+		sorted[i] = list[k.at]
+	}
+	list = sorted
 	head := list[:min(most, len(list))]
 	if len(head) < 2 && !n.deck.Rules() {
 		return list
--- /dev/null
+++ b/relay/table.go
@@ -0,0 +1,66 @@
+// The workers that may get new work, by service and part, made once for each version of the
+// list and of the sight, so that no request walks the whole list or hashes a worker's id.
+
+package relay
+
+import (
+	"keelstair.example/lore"
+	"keelstair.example/whim"
+	"keelstair.example/word"
+)
+
+// entry is a worker's place in the list with what does not change with a request.
+type entry struct {
+	place int
+	id    word.WorkerId
+	part  word.Part
+	hash  uint64
+	st    *state
+}
+
+// role is a part that a service's workers can play; one that knows no parts plays both.
+type role struct {
+	service string
+	part    word.Part
+}
+
+type table struct {
+	seq   uint64
+	sight *lore.Sight
+	by    map[role][]entry
+}
+
+// tabled gives the table of a list under a sight.
+func (n *Node) tabled(ros *roster, s *lore.Sight) *table {
+	if t := n.table.Load(); t != nil && t.seq == ros.seq && t.sight == s {
+		return t
+	}
+	t := &table{seq: ros.seq, sight: s, by: map[role][]entry{}}
+	for i := range ros.all {
+		if w := &ros.all[i]; fit(s, w) {
+			e := entry{i, w.Id, w.Part, whim.Hash(w.Id), n.state(w.Id)}
+			for _, p := range []word.Part{word.Prefill, word.Decode} {
+				if k := (role{w.Service, p}); w.Part == p || w.Part == "" {
+					t.by[k] = append(t.by[k], e)
+				}
+			}
+		}
+	}
+	n.table.Store(t)
+	return t
+}
+
+// home is the reading worker that a beginning falls to.
+func home(mark uint64, row []entry) word.WorkerId {
+	var top word.WorkerId
+	best := -1.0
+	for i := range row {
+		if row[i].part != word.Prefill {
+			continue
+		}
+		if a := whim.Mix(mark, row[i].hash); a > best {
+			best, top = a, row[i].id
+		}
+	}
+	return top
+}
--- a/relay/yard_test.go
+++ b/relay/yard_test.go
@@ -102,10 +102,11 @@
 	turn    time.Duration
 	handle  int
 	onRead  func(r *Request)
-	prep    func(n *Node)      // before a node runs
-	lean    func(s *stand) int // added to what reports say is running
-	lag     time.Duration      // by which reports are old
-	queue   int                // requests that wait at a worker at most; 0: twice its places
+	prep    func(n *Node)            // before a node runs
+	lean    func(s *stand) int       // added to what reports say is running
+	lag     time.Duration            // by which reports are old
+	dial    map[string]time.Duration // addresses to which none comes up, and how long that takes
+	queue   int                      // requests that wait at a worker at most; 0: twice its places
 }
 
 func newYard(all ...*stand) *yard {
@@ -219,6 +220,13 @@
 		nap(ctx, 400*time.Millisecond)
 		return nil, Undialled(errors.New("no answer"), w.Addr)
 	}
+	b.y.mu.Lock()
+	long, no := b.y.dial[w.Addr]
+	b.y.mu.Unlock()
+	if no {
+		nap(ctx, long)
+		return nil, Undialled(errors.New("no answer"), w.Addr)
+	}
 	if !nap(ctx, 500*time.Microsecond) {
 		return nil, unknown(w, "given up on the way")
 	}
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -34,6 +34,8 @@
     ("room-cost", "relay/pick.go", "if need > free && noRoom > 0 {", "if false {", "relay", "TestLedgerNewLife|TestTight"),
     ("room-told-on", "relay/roster.go", "		n.heard(q.Stands, ros.all)\n", "		_ = q.Stands\n", "relay", "TestApartHolders"),
     ("room-changes", "relay/board.go", "!ok || !s.like(old.stood)", "!ok || !s.like(old.stood) || true", "relay", "TestBoard"),
+    ("picked-anew", "relay/pick.go", "pickOld   = 100 * time", "pickOld   = 100000 * time", "relay", "TestPickedAnew"),
+    ("table-sight", "relay/table.go", " && t.sight == s", "", "relay", "TestTable"),
     ("program-clearing", "whim/deck.go", "return clear(q, some, got)", "_ = clear\n	return got, nil", "whim", "TestHostile|TestLeftOut"),
     ("wish-clearing", "whim/turn.go", "err = clearWish(p, w)", "_ = clearWish", "whim", "TestTurnPrograms"),
     ("booked-is-no-pressure", "passage/ledger.go", "if h.moved != 0 {\n			s.Work++", "if true {\n			s.Work++", "proof", "TestTurning"),
--- a/whim/whim.go
+++ b/whim/whim.go
@@ -52,10 +52,18 @@
 }
 
 // Affinity is high for the worker that a prefix falls to.
-func Affinity(prefix uint64, id word.WorkerId) float64 {
+func Affinity(prefix uint64, id word.WorkerId) float64 { return Mix(prefix, Hash(id)) }
+
+// Hash is what Affinity makes of a worker's id.
+func Hash(id word.WorkerId) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(id))
-	v := h.Sum64() ^ prefix
+	return h.Sum64()
+}
+
+// Mix is the Affinity of a worker by its id's Hash, from 0 to 1.
+func Mix(prefix, hash uint64) float64 {
+	v := hash ^ prefix
 	v ^= v >> 33
 	v *= 0xff51afd7ed558ccd
 	v ^= v >> 33
