--- a/verge/tide.go
+++ b/passage/tide.go
@@ -3,9 +3,10 @@
 // is given the first second with room, somewhere within it. So a crowd comes back at
 // the rate at which it can be served, and not as one.
 
-package verge
+package passage
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -16,10 +17,13 @@
 const (
 	tideSpan  = 16  // seconds that may be booked ahead
 	tideWell  = 1.3 // of what was completed: some will find room sooner than was thought
-	tideLeast = 20  // and never less
+	tideLeast = 20  // and never less, unless the book says so
 )
 
-type tide struct {
+// Tide is a book of appointments, ready for use. Least is how many a second has room for at
+// least; 0 is 20.
+type Tide struct {
+	Least  int
 	mu     sync.Mutex
 	second int64 // the second that the counts begin at
 	booked [tideSpan]int
@@ -28,7 +32,7 @@
 }
 
 // roll moves the book on to a second. The caller holds mu.
-func (t *tide) roll(now word.Tick, done int64) {
+func (t *Tide) roll(now word.Tick, done int64) {
 	sec := int64(now) / int64(time.Second)
 	if t.second == 0 || sec-t.second > tideSpan {
 		t.second, t.booked, t.done = sec, [tideSpan]int{}, done
@@ -42,12 +46,12 @@
 	}
 }
 
-// next books an appointment no sooner than a span from now.
-func (t *tide) next(now word.Tick, done int64, least time.Duration) time.Duration {
+// Next books an appointment no sooner than a span from now; done are completions so far.
+func (t *Tide) Next(now word.Tick, done int64, least time.Duration) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.roll(now, done)
-	room := max(tideLeast, int(t.rate*tideWell))
+	room := max(cmp.Or(t.Least, tideLeast), int(t.rate*tideWell))
 	at := min(int(least/time.Second), tideSpan-1)
 	for at < tideSpan-1 && t.booked[at] >= room {
 		at++
--- a/verge/tide_test.go
+++ b/passage/tide_test.go
@@ -1,6 +1,6 @@
 // A crowd's appointments.
 
-package verge
+package passage
 
 import (
 	"testing"
@@ -16,14 +16,14 @@
 // come back soon; and seconds that went by are free again.
 func TestTide(t *testing.T) {
 	at := func(ms int) word.Tick { return word.Tick(time.Duration(100_000+ms) * time.Millisecond) }
-	var b tide
+	var b Tide
 	for s := range 6 {
 		b.roll(at(1000*s), int64(100*s))
 	}
 	require.InDelta(t, 100, b.rate, 5)
 	by := map[int]int{}
 	for range 640 {
-		d := b.next(at(5000), 500, time.Second)
+		d := b.Next(at(5000), 500, time.Second)
 		require.GreaterOrEqual(t, d, time.Second)
 		require.Less(t, d, (tideSpan+1)*time.Second)
 		by[int(d/time.Second)]++
@@ -32,10 +32,10 @@
 	require.LessOrEqual(t, len(by), 7)
 	require.InDelta(t, 125, by[1], 8)
 	require.InDelta(t, 125, by[3], 8)
-	d := b.next(at(14000), 1400, time.Second)
+	d := b.Next(at(14000), 1400, time.Second)
 	require.Less(t, d, 2*time.Second, "the crowd has had its time")
-	var idle tide
+	var idle Tide
 	for range 100 {
-		require.Less(t, idle.next(at(0), 0, time.Second), (tideSpan+1)*time.Second)
+		require.Less(t, idle.Next(at(0), 0, time.Second), (tideSpan+1)*time.Second)
 	}
 }
--- a/relay/carry.go
+++ b/relay/carry.go
@@ -79,7 +79,10 @@
 	n.budget.ask(n.now())
 	cx, stop := context.WithTimeout(ctx, wait)
 	defer stop()
-	err := t.run(cx)
+	err := t.admit(s)
+	if err == nil {
+		err = t.run(cx)
+	}
 	switch err.(type) {
 	case nil:
 		n.counts.Done.Add(1)
--- a/relay/node.go
+++ b/relay/node.go
@@ -12,6 +12,7 @@
 
 	"keelstair.example/crux"
 	"keelstair.example/lore"
+	"keelstair.example/passage"
 	"keelstair.example/seam"
 	"keelstair.example/tale"
 	"keelstair.example/whim"
@@ -46,6 +47,9 @@
 	Turn    time.Duration // 500ms between looks at whether a worker should change its part; below 0 never
 	Rest    float64       // 0.55: of a service's workers read while nothing is under way; below 0 none is turned for it
 	NoRoom  float64       // 100: ms that a worker counts as farther that lacks all the memory needed; below 0 none
+	Admit   float64       // 3: times its aim that a request may be reckoned to take before some are refused early; below 0 none is
+	Fresh   time.Duration // 1s: the age of what is known of workers beyond which none is refused early
+	Callers int           // 4096: refused callers that are remembered
 	Trace   func(Event)
 }
 
@@ -72,6 +76,13 @@
 	if o.Rest == 0 {
 		o.Rest = 0.55
 	}
+	word.Or(&o.Fresh, time.Second)
+	if o.Admit == 0 {
+		o.Admit = 3
+	}
+	if o.Callers == 0 {
+		o.Callers = 4096
+	}
 	if o.NoRoom == 0 {
 		o.NoRoom = 5
 	}
@@ -85,7 +96,7 @@
 
 // Counts are the node's figures since it started.
 type Counts struct {
-	Asked, Done, Refused, Broken, Moved, Direct, Again, Resumed atomic.Int64
+	Asked, Done, Refused, Broken, Moved, Direct, Again, Resumed, Early atomic.Int64
 }
 
 // Node is one router node for opaque requests.
@@ -103,6 +114,8 @@
 	told     sync.Map // word.NodeId -> told
 	board    board
 	table    atomic.Pointer[table]
+	gate     gate
+	tide     passage.Tide
 	zones    sync.Map // word.Zone -> word.Tick, when it was taken back
 	seen     atomic.Pointer[lore.Sight]
 	seeing   sync.Mutex
@@ -115,7 +128,7 @@
 // New makes a node; it starts nothing.
 func New(opt Options) (*Node, error) {
 	opt.fill()
-	n := &Node{opt: opt, budget: newBudget(opt.Window), warm: newWarm()}
+	n := &Node{opt: opt, budget: newBudget(opt.Window), warm: newWarm(), tide: passage.Tide{Least: 2}}
 	deck, err := whim.NewDeck(opt.Deck, opt.Steps, &whim.Scores{})
 	if err != nil {
 		return nil, err
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -187,10 +187,7 @@
 				break
 			}
 		}
-		ahead, count := c.st.reads, c.st.readers
-		if !now.Past(c.st.otherAt, readSpan) {
-			ahead, count = ahead+c.st.other.Tokens, count+c.st.other.Count
-		}
+		ahead, count := c.st.ahead(now)
 		c.weigh(word.Blocks(r.Prompt, blockSize), n.opt.NoRoom, now)
 		c.st.mu.Unlock()
 		c.busy = count
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -122,6 +122,7 @@
 type Refusal struct {
 	Code  int
 	After time.Duration // when to come back
+	Early bool          // before it was offered to any worker, since it would have come late
 	Why   string
 }
 
--- a/relay/state.go
+++ b/relay/state.go
@@ -114,3 +114,25 @@
 		s.emits--
 	}
 }
+
+// ahead gives the prompt tokens and the prompts that all nodes have under way there. The
+// state is locked.
+func (s *state) ahead(now word.Tick) (tokens, count int) {
+	tokens, count = s.reads, s.readers
+	if !now.Past(s.otherAt, readSpan) {
+		tokens, count = tokens+s.other.Tokens, count+s.other.Count
+	}
+	return tokens, count
+}
+
+// busy gives the requests there by the worker's own newest word; false if that is older
+// than a span. The state is locked.
+func (s *state) busy(now word.Tick, span time.Duration) (int, bool) {
+	switch told := s.mem.Room > 0; {
+	case told && s.loadAt.Before(s.mem.at) && !now.Past(s.mem.at, span):
+		return s.mem.Running + s.mem.Waiting, true
+	case !now.Past(s.loadAt, span) && s.loadAt > 0:
+		return s.load.Running + s.load.Waiting, true
+	}
+	return 0, false
+}
--- a/relay/table.go
+++ b/relay/table.go
@@ -4,6 +4,8 @@
 package relay
 
 import (
+	"slices"
+
 	"keelstair.example/lore"
 	"keelstair.example/whim"
 	"keelstair.example/word"
@@ -28,6 +30,7 @@
 	seq   uint64
 	sight *lore.Sight
 	by    map[role][]entry
+	ranks map[string][]int // by service: the urgencies of its routes, least urgent first
 }
 
 // tabled gives the table of a list under a sight.
@@ -35,7 +38,7 @@
 	if t := n.table.Load(); t != nil && t.seq == ros.seq && t.sight == s {
 		return t
 	}
-	t := &table{seq: ros.seq, sight: s, by: map[role][]entry{}}
+	t := &table{seq: ros.seq, sight: s, by: map[role][]entry{}, ranks: ranks(s)}
 	for i := range ros.all {
 		if w := &ros.all[i]; fit(s, w) {
 			e := entry{i, w.Id, w.Part, whim.Hash(w.Id), n.state(w.Id)}
@@ -50,6 +53,29 @@
 	return t
 }
 
+func ranks(s *lore.Sight) map[string][]int {
+	out := map[string][]int{}
+	add := func(service string, urgency int) {
+		if !slices.Contains(out[service], urgency) {
+			out[service] = append(out[service], urgency)
+		}
+	}
+	if s.Policy == nil {
+		return out
+	}
+	for i := range s.Policy.Routes {
+		r := &s.Policy.Routes[i]
+		add(r.Service, r.Urgency)
+		for _, p := range r.Split {
+			add(p.Service, r.Urgency)
+		}
+	}
+	for _, row := range out {
+		slices.SortFunc(row, func(a, b int) int { return b - a })
+	}
+	return out
+}
+
 // home is the reading worker that a beginning falls to.
 func home(mark uint64, row []entry) word.WorkerId {
 	var top word.WorkerId
--- a/relay/tell_note.go
+++ b/relay/tell_note.go
@@ -24,15 +24,3 @@
 	Stood  uint64   `msg:"Stood,omitempty"`
 	Stands []Stands `msg:"Stands,omitempty"`
 }
-
-// ListReply has the rows only where they are newer; Age is how long ago the platform was
-// asked, in nanoseconds. Reads are those of the other nodes; Stands, what changed after
-// the number that was asked from, up to Stood.
-type ListReply struct {
-	Seq    uint64
-	Age    int64
-	Rows   []Row
-	Reads  []Reads
-	Stood  uint64   `msg:"Stood,omitempty"`
-	Stands []Stands `msg:"Stands,omitempty"`
-}
--- a/relay/yard_test.go
+++ b/relay/yard_test.go
@@ -77,6 +77,7 @@
 	memory           int // tokens; 0 is without end
 	used             int
 	past             []snap
+	wants            map[int]int // by urgency: who waits
 }
 
 // snap is how a worker stood from some time on.
@@ -106,12 +107,13 @@
 	lean    func(s *stand) int       // added to what reports say is running
 	lag     time.Duration            // by which reports are old
 	dial    map[string]time.Duration // addresses to which none comes up, and how long that takes
+	direct  int                      // tokens a ms that an emitting worker reads by itself
 	queue   int                      // requests that wait at a worker at most; 0: twice its places
 }
 
 func newYard(all ...*stand) *yard {
 	return &yard{start: time.Now(), all: all, handles: map[string]*handle{}, cut: map[string]bool{}, frozen: map[string]bool{},
-		off: map[string]map[word.WorkerId]time.Time{}, known: map[string]func(word.WorkerId) bool{}, step: 20 * time.Millisecond, turn: time.Second}
+		off: map[string]map[word.WorkerId]time.Time{}, known: map[string]func(word.WorkerId) bool{}, direct: 50, step: 20 * time.Millisecond, turn: time.Second}
 }
 
 // stands makes so many workers of a part, by turns in two zones.
@@ -307,14 +309,30 @@
 	return out
 }
 
-// place waits for one of the worker's places, with memory. It gives how to leave it, and
+// place waits for one of the worker's places, with memory, behind the more urgent. It gives how to leave it, and
 // how to give the memory back.
-func (y *yard) place(ctx context.Context, s *stand, tokens int) (leave, let func(), err error) {
+func (y *yard) place(ctx context.Context, s *stand, tokens, urgency int) (leave, let func(), err error) {
 	tokens = (tokens + 15) / 16 * 16
-	y.at(func() { s.waiting++; y.mark(s) })
+	y.at(func() {
+		if s.wants == nil {
+			s.wants = map[int]int{}
+		}
+		s.wants[urgency]++
+		s.waiting++
+		y.mark(s)
+	})
+	first := func() bool {
+		for u, n := range s.wants {
+			if u < urgency && n > 0 {
+				return false
+			}
+		}
+		return true
+	}
 	for {
 		y.mu.Lock()
-		if s.running < s.Slots && !s.dark && !s.dead && (s.memory == 0 || s.used+tokens <= s.memory) {
+		if s.running < s.Slots && !s.dark && !s.dead && (s.memory == 0 || s.used+tokens <= s.memory) && first() {
+			s.wants[urgency]--
 			s.waiting, s.running, s.used = s.waiting-1, s.running+1, s.used+tokens
 			y.mark(s)
 			y.mu.Unlock()
@@ -323,7 +341,7 @@
 		dead := s.dead
 		y.mu.Unlock()
 		if dead || !nap(ctx, 5*time.Millisecond) {
-			y.at(func() { s.waiting--; y.mark(s) })
+			y.at(func() { s.wants[urgency]--; s.waiting--; y.mark(s) })
 			return nil, nil, unknown(s.Worker, "ended while it waited")
 		}
 	}
@@ -368,7 +386,7 @@
 	return nil
 }
 
-func (b *back) Read(ctx context.Context, w Worker, r *Request, left time.Duration, _ int) (*Memo, error) {
+func (b *back) Read(ctx context.Context, w Worker, r *Request, left time.Duration, urgency int) (*Memo, error) {
 	y, off := b.y, b.knew(w)
 	s, err := b.reach(ctx, w)
 	if err != nil {
@@ -384,7 +402,7 @@
 	if err, ended := quiet(ctx, how, w); ended {
 		return nil, err
 	}
-	leave, let, err := y.place(ctx, s, r.Prompt)
+	leave, let, err := y.place(ctx, s, r.Prompt, urgency)
 	if err != nil {
 		return nil, err
 	}
@@ -427,7 +445,7 @@
 	return false
 }
 
-func (b *back) Emit(ctx context.Context, w Worker, r *Request, src *Source, from string, left time.Duration, _ int) (*Reply, error) {
+func (b *back) Emit(ctx context.Context, w Worker, r *Request, src *Source, from string, left time.Duration, urgency int) (*Reply, error) {
 	y, off := b.y, b.knew(w)
 	s, err := b.reach(ctx, w)
 	if err != nil {
@@ -449,12 +467,12 @@
 	if err, ended := quiet(ctx, how, w); ended {
 		return nil, err
 	}
-	out, let, err := y.place(ctx, s, r.Prompt+r.Most)
+	out, let, err := y.place(ctx, s, r.Prompt+r.Most, urgency)
 	if err != nil {
 		return nil, err
 	}
 	leave := func() { out(); let() }
-	if src == nil && from == "" && !nap(ctx, time.Duration(r.Prompt/50)*time.Millisecond) {
+	if src == nil && from == "" && !nap(ctx, time.Duration(r.Prompt/y.direct)*time.Millisecond) {
 		leave()
 		return nil, unknown(w, "given up")
 	}
--- a/verge/node.go
+++ b/verge/node.go
@@ -79,7 +79,7 @@
 	kinds    sync.Map // kind -> *atomic.Int64
 	stopping atomic.Bool
 	purse    purse
-	tide     tide
+	tide     passage.Tide
 }
 
 // Counts are the node's figures since it started.
--- a/verge/serve.go
+++ b/verge/serve.go
@@ -37,7 +37,7 @@
 // crowd bounces for want of room: the caller comes back when there should be some.
 func (n *Node) crowd(code int, name, form string, args ...any) *door.Fault {
 	f := n.later(code, name, form, args...)
-	f.After = n.tide.next(n.now(), n.counts.Done.Load(), n.after()).Milliseconds()
+	f.After = n.tide.Next(n.now(), n.counts.Done.Load(), n.after()).Milliseconds()
 	return f
 }
 
