--- a/relay/carry.go
+++ b/relay/carry.go
@@ -39,11 +39,12 @@
 	marks []uint64
 	tried map[word.WorkerId]bool
 
-	extra bool   // a reading that failed is yet to be counted
-	sends int    // counted: emits, and readings turned away or repeated
-	ran   bool   // it may have run
-	begun bool   // the caller has the head of an answer
-	last  string // id of the last event that the caller has
+	kept  *choice // the worker whose memory of the prompt is yet to be fetched
+	extra bool    // a reading that failed is yet to be counted
+	sends int     // counted: emits, and readings turned away or repeated
+	ran   bool    // it may have run
+	begun bool    // the caller has the head of an answer
+	last  string  // id of the last event that the caller has
 }
 
 func (t *trip) tell(stage passage.Stage, w word.WorkerId, why string) {
@@ -81,7 +82,10 @@
 	n.budget.ask(n.now())
 	cx, stop := context.WithTimeout(ctx, wait)
 	defer stop()
-	err := t.run(cx)
+	err := t.admit(s)
+	if err == nil {
+		err = t.run(cx)
+	}
 	switch err.(type) {
 	case nil:
 		n.counts.Done.Add(1)
@@ -116,6 +120,7 @@
 		w, reply, err := t.emit(ctx, src)
 		if err == nil {
 			src = nil
+			t.fetched()
 			if err = t.pass(ctx, w, reply); err == nil {
 				return nil
 			}
@@ -132,6 +137,7 @@
 			}
 		case breakdown.Lost:
 			src = nil
+			t.fetched()
 		case breakdown.Away:
 			t.drop(src)
 			return t.giveUp(err, http.StatusGatewayTimeout)
@@ -143,6 +149,15 @@
 func (t *trip) drop(src *Source) {
 	if src != nil {
 		t.free(src)
+		t.fetched()
+	}
+}
+
+// fetched notes that a reading worker keeps nothing for this try any more.
+func (t *trip) fetched() {
+	if t.kept != nil {
+		t.kept.release(true, t.n.now())
+		t.kept = nil
 	}
 }
 
@@ -198,52 +213,78 @@
 	}
 	c.st.begin(reads, ms, t.n.now())
 	c.ended = new(atomic.Bool)
+	more := t.r.Most
+	if reads > 0 {
+		more = 0
+	}
+	c.take(t.r, more, t.n.now())
 	return true
 }
 
 // read has the prompt read. No source and no error means that the emitting worker is to
 // read by itself.
 func (t *trip) read(ctx context.Context) (*Source, error) {
-	for _, c := range t.n.readers(t.deck, t.n.sight(), t.svc, t.r, t.tried) {
-		if !t.send(&c, max(1, c.need)) {
-			continue
-		}
-		t.tell(passage.Granted, c.w.Id, "")
-		span := min(t.n.opt.Silence+time.Duration(c.cost*2)*time.Millisecond, t.left())
-		cx, stop := context.WithTimeout(ctx, span)
-		cx, take := context.WithCancelCause(cx)
-		f := &flight{take}
-		c.st.board(f)
-		quiet := time.AfterFunc(hush+time.Duration(c.cost)*time.Millisecond, func() { t.n.suspect(*c.w, true) })
-		memo, err := t.n.opt.Back.Read(cx, *c.w, t.r, span, rank(t.route.Urgency, c.need))
-		quiet.Stop()
-		c.st.leave(f)
-		take(nil)
-		stop()
-		c.st.end(max(1, c.need))
-		now := t.n.now()
-		if err == nil {
-			c.st.well(memo.Load, now)
-			t.n.outcome(&c, true)
-			t.tell(passage.Prefilled, c.w.Id, "")
-			return &Source{Worker: *c.w, Handle: memo.Handle}, nil
-		}
-		t.blame(ctx, &c, err, now)
-		t.tell(passage.Dropped, c.w.Id, err.Error())
-		if breakdown.Is(err, breakdown.Bounced) && breakdown.Step(err) == dialStep {
-			continue // it never arrived
-		}
-		t.ran = t.ran || breakdown.Is(err, breakdown.Bad)
-		// It may not have been taken up, and then counts like any other sending.
-		t.extra = true
-		if breakdown.Is(err, breakdown.Bounced) || breakdown.Is(err, breakdown.Stale) {
-			t.sends++
+	for again := true; again; {
+		again = false
+		picked := t.n.now()
+		for _, c := range t.n.readers(t.deck, t.n.sight(), t.svc, t.r, t.tried) {
+			if !t.send(&c, max(1, c.need)) {
+				continue
+			}
+			src, dialled, err := t.readAt(ctx, &c)
+			if dialled {
+				return src, err
+			}
+			t.tried[c.w.Id] = true
+			if ctx.Err() != nil {
+				return nil, err
+			}
+			if again = t.n.now().Past(picked, pickOld); again {
+				break
+			}
 		}
-		return nil, err
 	}
 	return nil, nil
 }
 
+// readAt has one worker read the prompt; false if no connection to it came up.
+func (t *trip) readAt(ctx context.Context, c *choice) (*Source, bool, error) {
+	t.tell(passage.Granted, c.w.Id, "")
+	span := min(t.n.opt.Silence+time.Duration(c.cost*2)*time.Millisecond, t.left())
+	cx, stop := context.WithTimeout(ctx, span)
+	cx, take := context.WithCancelCause(cx)
+	f := &flight{take}
+	c.st.board(f)
+	quiet := time.AfterFunc(hush+time.Duration(c.cost)*time.Millisecond, func() { t.n.suspect(*c.w, true) })
+	memo, err := t.n.opt.Back.Read(cx, *c.w, t.r, span, rank(t.route.Urgency, c.need))
+	quiet.Stop()
+	c.st.leave(f)
+	take(nil)
+	stop()
+	c.st.end(max(1, c.need))
+	now := t.n.now()
+	if err == nil {
+		c.st.well(memo.Load, now)
+		t.n.outcome(c, true)
+		t.kept = c
+		t.tell(passage.Prefilled, c.w.Id, "")
+		return &Source{Worker: *c.w, Handle: memo.Handle}, true, nil
+	}
+	c.release(breakdown.Is(err, breakdown.Unknown), now)
+	t.blame(ctx, c, err, now)
+	t.tell(passage.Dropped, c.w.Id, err.Error())
+	if breakdown.Is(err, breakdown.Bounced) && breakdown.Step(err) == dialStep {
+		return nil, false, err
+	}
+	t.ran = t.ran || breakdown.Is(err, breakdown.Bad)
+	// It may not have been taken up, and then counts like any other sending.
+	t.extra = true
+	if breakdown.Is(err, breakdown.Bounced) || breakdown.Is(err, breakdown.Stale) {
+		t.sends++
+	}
+	return nil, true, err
+}
+
 // dialStep names the step of breakdowns where no connection came up.
 const dialStep = "dial"
 
@@ -272,6 +313,7 @@
 // emit offers the request to a worker. Away means that there is none or no try left.
 func (t *trip) emit(ctx context.Context, src *Source) (*choice, *Reply, error) {
 	for round := 0; ; round++ {
+		picked, again := t.n.now(), false
 		var from *Worker
 		if src != nil {
 			from = &src.Worker
@@ -285,6 +327,7 @@
 			}
 			if !t.pay() {
 				c.st.end(0)
+				c.release(false, t.n.now())
 				break
 			}
 			if src == nil {
@@ -295,15 +338,23 @@
 				return &c, reply, nil
 			}
 			c.st.end(0)
+			c.release(breakdown.Is(err, breakdown.Unknown), t.n.now())
 			t.blame(ctx, &c, err, t.n.now())
 			t.tell(passage.Dropped, c.w.Id, err.Error())
 			if breakdown.Is(err, breakdown.Bounced) && breakdown.Step(err) == dialStep {
 				t.sends--
 				t.tried[c.w.Id] = true
+				if again = t.n.now().Past(picked, pickOld); again {
+					break
+				}
 				continue
 			}
 			return nil, nil, err
 		}
+		if again && ctx.Err() == nil {
+			round--
+			continue
+		}
 		if t.sends >= max(1, t.route.Tries) {
 			return nil, nil, breakdown.New(breakdown.Away, "emit", t.svc.Name, "no try is left")
 		}
--- a/relay/node.go
+++ b/relay/node.go
@@ -12,6 +12,7 @@
 
 	"keelstair.example/crux"
 	"keelstair.example/lore"
+	"keelstair.example/passage"
 	"keelstair.example/seam"
 	"keelstair.example/tale"
 	"keelstair.example/whim"
@@ -48,6 +49,10 @@
 	Eject   time.Duration // 2s: that a worker whose failures stand out is left out at first; below 0 never
 	Out     float64       // 0.34: of a service's part may be out at once, by failures
 	Say     float64       // 4: sendings that another node's word of a worker counts for; below 0 none is heard
+	NoRoom  float64       // 5: ms that a worker counts as farther that lacks all the memory needed; below 0 none
+	Admit   float64       // 3: times its aim that a request may be reckoned to take before some are refused early; below 0 none is
+	Fresh   time.Duration // 1s: the age of what is known of workers beyond which none is refused early
+	Callers int           // 4096: refused callers that are remembered
 	Trace   func(Event)
 }
 
@@ -81,6 +86,16 @@
 	if o.Say == 0 {
 		o.Say = 4
 	}
+	word.Or(&o.Fresh, time.Second)
+	if o.Admit == 0 {
+		o.Admit = 3
+	}
+	if o.Callers == 0 {
+		o.Callers = 4096
+	}
+	if o.NoRoom == 0 {
+		o.NoRoom = 5
+	}
 	if o.Steps == 0 {
 		o.Steps = 20000
 	}
@@ -91,7 +106,7 @@
 
 // Counts are the node's figures since it started.
 type Counts struct {
-	Asked, Done, Refused, Broken, Direct, Again, Ejected, Readmitted atomic.Int64
+	Asked, Done, Refused, Broken, Direct, Again, Early, Ejected, Readmitted atomic.Int64
 }
 
 // Node is one router node for opaque requests.
@@ -114,6 +129,10 @@
 	outs     atomic.Int64 // workers that are ejected or on probation
 	toldAt   atomic.Int64 // word.Tick when others' outcomes were heard
 	deaf     atomic.Int64 // word.Tick when nobody had been heard for a while, last
+	board    board
+	table    atomic.Pointer[table]
+	gate     gate
+	tide     passage.Tide
 	seen     atomic.Pointer[lore.Sight]
 	seeing   sync.Mutex
 	inflight atomic.Int64
@@ -125,7 +144,7 @@
 // New makes a node; it starts nothing.
 func New(opt Options) (*Node, error) {
 	opt.fill()
-	n := &Node{opt: opt, budget: newBudget(opt.Window), warm: newWarm()}
+	n := &Node{opt: opt, budget: newBudget(opt.Window), warm: newWarm(), tide: passage.Tide{Least: 2}}
 	deck, err := whim.NewDeck(opt.Deck, opt.Steps, &n.scores)
 	if err != nil {
 		return nil, err
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -6,9 +6,10 @@
 package relay
 
 import (
+	"cmp"
 	"hash/fnv"
 	"math"
-	"sort"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,7 @@
 	farStep   = 4.0                    // ms for another zone
 	farKilo   = 0.8                    // ms for each KB that goes to another zone
 	illCost   = 500.0                  // ms for a worker that fails all, where it is used though
+	pickOld   = 100 * time.Millisecond // then another pick is made after a dial that failed
 	most      = 8                      // candidates that programs see
 	shortRead = 1024                   // prompt tokens that hold up nobody
 	longRead  = 64 * shortRead         // more than that is one rank
@@ -47,42 +49,72 @@
 	return out, toks
 }
 
-// home is the worker that a beginning falls to.
-func home(mark uint64, list []*Worker) word.WorkerId {
-	var top word.WorkerId
-	best := -1.0
-	for _, w := range list {
-		if a := whim.Affinity(mark, w.Id); a > best {
-			best, top = a, w.Id
-		}
-	}
-	return top
-}
-
 type choice struct {
 	w     *Worker
 	st    *state
+	hash  uint64
 	cost  float64
 	need  int // prompt tokens it has yet to read
 	aff   float64
-	tie   float64
 	busy  int
+	hold  *hold
+	room  int // blocks; 0 if nothing fresh is known
+	free  int
 	ill   float64      // rate of failures, if they stand out
 	ended *atomic.Bool // its outcome is noted
 }
 
+// place is what is sorted in a choice's stead, since it is small and holds no pointers.
+type place struct {
+	cost, tie float64
+	at        int
+}
+
+// take books the memory of a request and of so many tokens that it may grow by.
+func (c *choice) take(r *Request, more int, now word.Tick) {
+	own := r.Prompt
+	for i := 0; i+1 < len(r.Parts); i++ {
+		own -= r.Parts[i].Tokens
+	}
+	c.st.mu.Lock()
+	defer c.st.mu.Unlock()
+	c.hold = c.st.mem.book(word.Blocks(r.Prompt+more, blockSize), max(0, own)/blockSize, now)
+}
+
+// release ends that; took tells whether the worker may have had it.
+func (c *choice) release(took bool, now word.Tick) {
+	c.st.mu.Lock()
+	defer c.st.mu.Unlock()
+	c.st.mem.end(c.hold, took, now)
+}
+
+// weigh notes what is free, and adds the cost of lacking room. The state is locked.
+func (c *choice) weigh(need int, noRoom float64, now word.Tick) {
+	free, ok := c.st.mem.free(now)
+	if !ok {
+		return
+	}
+	c.room, c.free = c.st.mem.Room, max(0, free)
+	if need > free && noRoom > 0 {
+		c.cost += noRoom * (1 + float64(need-free)/float64(need))
+	}
+}
+
 // cleared lists the workers of a service that may get new work of a part now. Those that
 // are to be left alone come only if no other is there.
 func (n *Node) cleared(s *lore.Sight, svc *lore.Service, part word.Part, tried map[word.WorkerId]bool) []choice {
 	var good, out, shy []choice
 	now := n.now()
 	ros := n.roster.Load()
-	for i := range ros.all {
-		w := &ros.all[i]
-		if w.Service != svc.Name || w.Part != part && w.Part != "" || tried[w.Id] || !fit(s, w) {
+	row := n.tabled(ros, s).by[role{svc.Name, part}]
+	good = make([]choice, 0, len(row))
+	for i := range row {
+		e := &row[i]
+		if tried[e.id] {
 			continue
 		}
-		c := choice{w: w, st: n.state(w.Id)}
+		w := &ros.all[e.place]
+		c := choice{w: w, st: e.st, hash: e.hash}
 		if _, ok := n.bears(w, svc, ros.got, now); !ok {
 			continue
 		}
@@ -157,16 +189,10 @@
 func (n *Node) readers(deck *whim.Deck, s *lore.Sight, svc *lore.Service, r *Request, tried map[word.WorkerId]bool) []choice {
 	list := n.cleared(s, svc, word.Prefill, tried)
 	ms, toks := marks(r)
-	ros := n.roster.Load()
-	var stay []*Worker
-	for i := range ros.all {
-		if w := &ros.all[i]; w.Service == svc.Name && w.Part == word.Prefill && fit(s, w) && !n.out(w.Id) {
-			stay = append(stay, w)
-		}
-	}
+	row := n.tabled(n.roster.Load(), s).by[role{svc.Name, word.Prefill}]
 	homes := make([]word.WorkerId, len(ms))
 	for i, m := range ms {
-		homes[i] = home(m, stay)
+		homes[i] = home(m, row, n.out)
 	}
 	now := n.now()
 	for i := range list {
@@ -179,15 +205,13 @@
 				break
 			}
 		}
-		ahead, count := c.st.reads, c.st.readers
-		if !now.Past(c.st.otherAt, readSpan) {
-			ahead, count = ahead+c.st.other.Tokens, count+c.st.other.Count
-		}
+		ahead, count := c.st.ahead(now)
+		c.weigh(word.Blocks(r.Prompt, blockSize), n.opt.NoRoom, now)
 		c.st.mu.Unlock()
 		c.busy = count
-		c.cost = (readAnew*float64(c.need)+float64(ahead))/n.opt.Pace + readFirst*float64(count) + n.far(c.w, len(r.Body))
+		c.cost += (readAnew*float64(c.need)+float64(ahead))/n.opt.Pace + readFirst*float64(count) + n.far(c.w, len(r.Body))
 		if len(ms) > 0 {
-			c.aff = whim.Affinity(ms[len(ms)-1], c.w.Id)
+			c.aff = whim.Mix(ms[len(ms)-1], c.hash)
 		}
 	}
 	return n.order(deck, r, word.Prefill, list)
@@ -204,9 +228,10 @@
 		if !now.Past(c.st.loadAt, loadSpan) {
 			c.busy = max(c.busy, c.st.load.Running+c.st.load.Waiting)
 		}
+		c.weigh(word.Blocks(r.Prompt+r.Most, blockSize), n.opt.NoRoom, now)
 		c.st.mu.Unlock()
 		slots := max(1, c.w.Slots)
-		c.cost = 1.5*float64(c.busy) + n.far(c.w, len(r.Body))
+		c.cost += 1.5*float64(c.busy) + n.far(c.w, len(r.Body))
 		if c.busy >= slots*9/10 {
 			c.cost += 20 * float64(c.busy-slots*9/10+1)
 		}
@@ -224,25 +249,33 @@
 func (n *Node) order(deck *whim.Deck, r *Request, part word.Part, list []choice) []choice {
 	// Among equals the request decides, so that nodes that know little crowd no worker.
 	own := word.Hash(r.Id)
+	ranks := make([]place, len(list))
 	for i := range list {
 		list[i].cost += illCost * list[i].ill
-		list[i].tie = whim.Affinity(own, list[i].w.Id)
+		ranks[i] = place{list[i].cost, whim.Mix(own, list[i].hash), i}
 	}
-	sort.Slice(list, func(i, j int) bool {
-		if list[i].cost != list[j].cost {
-			return list[i].cost < list[j].cost
-		}
-		return list[i].tie > list[j].tie
-	})
+	slices.SortFunc(ranks, func(a, b place) int { return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(b.tie, a.tie)) })
+	sorted := make([]choice, len(list))
+	for i, k := range ranks {
+		sorted[i] = list[k.at]
+	}
+	list = sorted
 	head := list[:min(most, len(list))]
 	if len(head) < 2 && !deck.Rules() {
 		return list
 	}
 	q := &whim.Question{Request: r.Id, Kind: r.Host, Model: r.Model, Part: part, Zone: n.me.Zone, Prompt: r.Prompt, Max: r.Most, Priced: true}
 	cands := make([]whim.Candidate, len(head))
+	told := true // room is told in blocks if it is known of all, else in places
+	for i := range head {
+		told = told && head[i].room > 0
+	}
 	by := make(map[word.WorkerId]choice, len(head))
 	for i, c := range head {
 		cands[i] = whim.Candidate{Id: c.w.Id, Zone: c.w.Zone, Room: c.w.Slots, Free: max(0, c.w.Slots-c.busy), Busy: c.busy, Cap: c.w.Slots, Affinity: c.aff, Cost: c.cost}
+		if told {
+			cands[i].Room, cands[i].Free = c.room, c.free
+		}
 		by[c.w.Id] = c
 	}
 	out := make([]choice, 0, len(list))
--- a/relay/tell_note_gen.go
+++ b/relay/tell_note_gen.go
@@ -11,13 +11,21 @@
 func (z *ListAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
 	if z.Ends == nil {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.Stood == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Stands == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -51,6 +59,23 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "Stood"
+			o = append(o, 0xa5, 0x53, 0x74, 0x6f, 0x6f, 0x64)
+			o = msgp.AppendUint64(o, z.Stood)
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "Stands"
+			o = append(o, 0xa6, 0x53, 0x74, 0x61, 0x6e, 0x64, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Stands)))
+			for za0003 := range z.Stands {
+				o, err = z.Stands[za0003].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Stands", za0003)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -127,173 +152,28 @@
 					return
 				}
 			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ListAsk) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(string(z.Node)) + 4 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
-	for za0001 := range z.Reads {
-		s += z.Reads[za0001].Msgsize()
-	}
-	s += 5 + msgp.ArrayHeaderSize
-	for za0002 := range z.Ends {
-		s += z.Ends[za0002].Msgsize()
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *ListReply) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(5)
-	var zb0001Mask uint8 /* 5 bits */
-	_ = zb0001Mask
-	if z.Ends == nil {
-		zb0001Len--
-		zb0001Mask |= 0x10
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "Seq"
-		o = append(o, 0xa3, 0x53, 0x65, 0x71)
-		o = msgp.AppendUint64(o, z.Seq)
-		// string "Age"
-		o = append(o, 0xa3, 0x41, 0x67, 0x65)
-		o = msgp.AppendInt64(o, z.Age)
-		// string "Rows"
-		o = append(o, 0xa4, 0x52, 0x6f, 0x77, 0x73)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Rows)))
-		for za0001 := range z.Rows {
-			o, err = z.Rows[za0001].MarshalMsg(o)
-			if err != nil {
-				err = msgp.WrapError(err, "Rows", za0001)
-				return
-			}
-		}
-		// string "Reads"
-		o = append(o, 0xa5, 0x52, 0x65, 0x61, 0x64, 0x73)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Reads)))
-		for za0002 := range z.Reads {
-			o, err = z.Reads[za0002].MarshalMsg(o)
-			if err != nil {
-				err = msgp.WrapError(err, "Reads", za0002)
-				return
-			}
-		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// string "Ends"
-			o = append(o, 0xa4, 0x45, 0x6e, 0x64, 0x73)
-			o = msgp.AppendArrayHeader(o, uint32(len(z.Ends)))
-			for za0003 := range z.Ends {
-				o, err = z.Ends[za0003].MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "Ends", za0003)
-					return
-				}
-			}
-		}
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ListReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "Seq":
-			z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Seq")
-				return
-			}
-		case "Age":
-			z.Age, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Age")
-				return
-			}
-		case "Rows":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Rows")
-				return
-			}
-			if cap(z.Rows) >= int(zb0002) {
-				z.Rows = (z.Rows)[:zb0002]
-			} else {
-				z.Rows = make([]Row, zb0002)
-			}
-			for za0001 := range z.Rows {
-				bts, err = z.Rows[za0001].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Rows", za0001)
-					return
-				}
-			}
-		case "Reads":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "Stood":
+			z.Stood, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Reads")
+				err = msgp.WrapError(err, "Stood")
 				return
 			}
-			if cap(z.Reads) >= int(zb0003) {
-				z.Reads = (z.Reads)[:zb0003]
-			} else {
-				z.Reads = make([]Reads, zb0003)
-			}
-			for za0002 := range z.Reads {
-				bts, err = z.Reads[za0002].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Reads", za0002)
-					return
-				}
-			}
-		case "Ends":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "Stands":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Ends")
+				err = msgp.WrapError(err, "Stands")
 				return
 			}
-			if cap(z.Ends) >= int(zb0004) {
-				z.Ends = (z.Ends)[:zb0004]
+			if cap(z.Stands) >= int(zb0005) {
+				z.Stands = (z.Stands)[:zb0005]
 			} else {
-				z.Ends = make([]Outcomes, zb0004)
+				z.Stands = make([]Stands, zb0005)
 			}
-			for za0003 := range z.Ends {
-				bts, err = z.Ends[za0003].UnmarshalMsg(bts)
+			for za0003 := range z.Stands {
+				bts, err = z.Stands[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Ends", za0003)
+					err = msgp.WrapError(err, "Stands", za0003)
 					return
 				}
 			}
@@ -310,18 +190,18 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ListReply) Msgsize() (s int) {
-	s = 1 + 4 + msgp.Uint64Size + 4 + msgp.Int64Size + 5 + msgp.ArrayHeaderSize
-	for za0001 := range z.Rows {
-		s += z.Rows[za0001].Msgsize()
-	}
-	s += 6 + msgp.ArrayHeaderSize
-	for za0002 := range z.Reads {
-		s += z.Reads[za0002].Msgsize()
+func (z *ListAsk) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(string(z.Node)) + 4 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
+	for za0001 := range z.Reads {
+		s += z.Reads[za0001].Msgsize()
 	}
 	s += 5 + msgp.ArrayHeaderSize
-	for za0003 := range z.Ends {
-		s += z.Ends[za0003].Msgsize()
+	for za0002 := range z.Ends {
+		s += z.Ends[za0002].Msgsize()
+	}
+	s += 6 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
+	for za0003 := range z.Stands {
+		s += z.Stands[za0003].Msgsize()
 	}
 	return
 }
--- a/whim/whim.go
+++ b/whim/whim.go
@@ -51,8 +51,14 @@
 }
 
 // Affinity is high for the worker that a prefix falls to.
-func Affinity(prefix uint64, id word.WorkerId) float64 {
-	return float64(word.Mix(word.Hash(string(id))^prefix)>>11) / (1 << 53)
+func Affinity(prefix uint64, id word.WorkerId) float64 { return Mix(prefix, Hash(id)) }
+
+// Hash is what Affinity makes of a worker's id.
+func Hash(id word.WorkerId) uint64 { return word.Hash(string(id)) }
+
+// Mix is the Affinity of a worker by its id's Hash, from 0 to 1.
+func Mix(prefix, hash uint64) float64 {
+	return float64(word.Mix(hash^prefix)>>11) / (1 << 53)
 }
 
 // Prefix hashes the first tokens of a prompt.
