--- /dev/null
+++ b/writ/key.go
@@ -0,0 +1,48 @@
+// Key files: PKCS #8 in PEM, as openssl genpkey -algorithm ed25519 writes them too.
+
+package writ
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/base64"
+	"encoding/pem"
+
+	"keelstair.example/breakdown"
+)
+
+// NewKey makes a key and gives its file's text.
+func NewKey() (ed25519.PrivateKey, []byte, error) {
+	_, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return nil, nil, breakdown.As(err, breakdown.Bad, "make key", "")
+	}
+	der, err := x509.MarshalPKCS8PrivateKey(private)
+	if err != nil {
+		return nil, nil, breakdown.As(err, breakdown.Bad, "make key", "")
+	}
+	return private, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: der}), nil
+}
+
+// ReadKey reads a key file's text.
+func ReadKey(text []byte) (ed25519.PrivateKey, error) {
+	block, _ := pem.Decode(text)
+	if block == nil || block.Type != "PRIVATE KEY" {
+		return nil, breakdown.New(breakdown.Bad, "read key", "", "it is no PEM file with a PRIVATE KEY")
+	}
+	any, err := x509.ParsePKCS8PrivateKey(block.Bytes)
+	if err != nil {
+		return nil, breakdown.As(err, breakdown.Bad, "read key", "")
+	}
+	private, ok := any.(ed25519.PrivateKey)
+	if !ok {
+		return nil, breakdown.New(breakdown.Bad, "read key", "", "it is a key of another sort; an Ed25519 key is needed")
+	}
+	return private, nil
+}
+
+// Public gives a key's public half as issuers name it.
+func Public(k ed25519.PrivateKey) string {
+	return base64.StdEncoding.EncodeToString(k.Public().(ed25519.PublicKey))
+}
--- /dev/null
+++ b/writ/register.go
@@ -0,0 +1,263 @@
+// The register is compiled once for each configuration: it answers on the path of a
+// request whether a subject is cleared for a regime at this time, and by which serial.
+
+package writ
+
+import (
+	"errors"
+	"slices"
+	"sort"
+	"time"
+
+	"keelstair.example/word"
+)
+
+// Now is what the fleet's time may be at this moment: two bounds, in nanoseconds since
+// 1970. What begins counts from the lower one, and what ends by the upper one.
+type Now struct{ Low, High int64 }
+
+// At is a time that is known exactly.
+func At(t time.Time) Now { return Now{t.UnixNano(), t.UnixNano()} }
+
+type seat struct {
+	regime  string
+	subject Subject
+	part    word.Part
+}
+
+type entry struct {
+	serial      string
+	from, until int64
+}
+
+// Register is immutable; a nil one governs nothing.
+type Register struct {
+	regimes map[string]Regime
+	kinds   map[string]string
+	seats   map[seat][]entry
+	all     map[string]*Certificate
+	spans   map[string]entry
+	revoked map[string]bool
+}
+
+// Compile makes a register. Every certificate that does not hold is left out of it and
+// named in the error, in the order of the serials. Without regimes the register is nil.
+func Compile(regimes map[string]Regime, issuers map[string]Issuer, certs map[string]Certificate) (*Register, error) {
+	var bad []error
+	if len(regimes) == 0 {
+		if len(certs) > 0 {
+			return nil, fault([]string{"certificates"}, "there are certificates and no regime")
+		}
+		return nil, nil
+	}
+	r := &Register{regimes: regimes, kinds: map[string]string{}, seats: map[seat][]entry{}, all: map[string]*Certificate{}, spans: map[string]entry{}}
+	for _, name := range sorted(regimes) {
+		for _, k := range regimes[name].Kinds {
+			if other, ok := r.kinds[k]; ok {
+				bad = append(bad, fault([]string{"regimes", name, "kinds"}, "kind %q is governed by %q already", k, other))
+				continue
+			}
+			r.kinds[k] = name
+		}
+	}
+	keys := map[string]*key{}
+	for _, id := range sorted(issuers) {
+		k, err := issuers[id].read([]string{"issuers", id})
+		if err != nil {
+			bad = append(bad, err)
+			continue
+		}
+		keys[id] = k
+	}
+	signed := map[string]string{}
+	for _, serial := range sorted(certs) {
+		c := certs[serial]
+		if err := r.admit(serial, &c, keys, signed); err != nil {
+			bad = append(bad, err)
+		}
+	}
+	return r, errors.Join(bad...)
+}
+
+func (r *Register) admit(serial string, c *Certificate, keys map[string]*key, signed map[string]string) error {
+	path := []string{"certificates", serial}
+	switch other, twice := signed[c.Signature]; {
+	case c.Serial != serial:
+		return fault(path, "serial %q stands under the name %q: each serial stands once", c.Serial, serial)
+	case twice:
+		return fault(append(path, "signature"), "it is replayed: serial %q has the same signature", other)
+	case (c.Worker == "") == (c.Node == ""):
+		return fault(path, "its subject is one worker or one node")
+	case (c.Worker == "") != (len(c.Parts) == 0):
+		return fault(path, "a worker's certificate names its parts, and a node's has none")
+	}
+	if _, ok := r.regimes[c.Regime]; !ok {
+		return fault(append(path, "regime"), "unknown regime %q", c.Regime)
+	}
+	signed[c.Signature] = serial
+	from, until, err := c.verify(path, keys)
+	if err != nil {
+		return err
+	}
+	parts := c.Parts
+	if c.Node != "" {
+		parts = []word.Part{""}
+	}
+	e := entry{serial, from, until}
+	for _, p := range parts {
+		at := seat{c.Regime, c.Subject(), p}
+		r.seats[at] = append(r.seats[at], e)
+	}
+	r.all[serial], r.spans[serial] = c, e
+	return nil
+}
+
+func sorted[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// With gives the register under another set of revoked serials.
+func (r *Register) With(revoked map[string]bool) *Register {
+	if r == nil {
+		return nil
+	}
+	next := *r
+	next.revoked = revoked
+	return &next
+}
+
+// Governs names the regime of a kind, or none.
+func (r *Register) Governs(kind string) string {
+	if r == nil {
+		return ""
+	}
+	return r.kinds[kind]
+}
+
+// Clears tells whether a subject may play a part (none for a node) in a regime now, and
+// by which serial: of several the one that ends last.
+func (r *Register) Clears(regime string, s Subject, part word.Part, now Now) (serial string, ok bool) {
+	if r == nil || now.High == 0 {
+		return "", false
+	}
+	var last int64
+	for _, e := range r.seats[seat{regime, s, part}] {
+		if e.from <= now.Low && now.High < e.until && !r.revoked[e.serial] && e.until > last {
+			serial, last, ok = e.serial, e.until, true
+		}
+	}
+	return serial, ok
+}
+
+// Keeps is the share of a worker's room, in percent, that is kept free for governed
+// work: the largest of the regimes that it may serve now in a part.
+func (r *Register) Keeps(w word.WorkerId, part word.Part, now Now) int {
+	most := 0
+	if r != nil {
+		for name, g := range r.regimes {
+			if _, ok := r.Clears(name, Subject{Worker: w}, part, now); ok {
+				most = max(most, g.Keep)
+			}
+		}
+	}
+	return most
+}
+
+// Regimes lists the names in order.
+func (r *Register) Regimes() []string {
+	if r == nil {
+		return nil
+	}
+	return sorted(r.regimes)
+}
+
+// State of a certificate at a time.
+type State string
+
+const (
+	Valid   State = "valid"
+	Early   State = "not yet valid"
+	Expired State = "expired"
+	Revoked State = "revoked"
+)
+
+// Row is one certificate with its state and the end of its span, cut to its issuer's.
+type Row struct {
+	Certificate
+	State State `json:"state"`
+	Ends  int64 `json:"ends"` // nanoseconds since 1970
+}
+
+// Rows lists the certificates of a regime in the order of their ends.
+func (r *Register) Rows(regime string, now Now) []Row {
+	var out []Row
+	if r == nil {
+		return out
+	}
+	for serial, c := range r.all {
+		e := r.spans[serial]
+		if c.Regime != regime {
+			continue
+		}
+		row := Row{Certificate: *c, State: Valid, Ends: e.until}
+		switch {
+		case r.revoked[serial]:
+			row.State = Revoked
+		case now.High >= e.until:
+			row.State = Expired
+		case now.Low < e.from:
+			row.State = Early
+		}
+		out = append(out, row)
+	}
+	slices.SortFunc(out, func(a, b Row) int {
+		if a.Ends != b.Ends {
+			return int(min(max(a.Ends-b.Ends, -1), 1))
+		}
+		if a.Serial < b.Serial {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Find gives a certificate by its serial.
+func (r *Register) Find(serial string) (Certificate, bool) {
+	if r == nil || r.all[serial] == nil {
+		return Certificate{}, false
+	}
+	return *r.all[serial], true
+}
+
+// Short lists what a regime lacks at a time, among the workers that can be picked:
+// fewer than want of a part, or no node. A nil alive counts all.
+func (r *Register) Short(regime string, want int, now Now, alive func(Subject) bool) []string {
+	count := map[word.Part]map[Subject]bool{word.Prefill: {}, word.Decode: {}, "": {}}
+	for _, row := range r.Rows(regime, now) {
+		if row.State != Valid || alive != nil && !alive(row.Subject()) {
+			continue
+		}
+		if row.Node != "" {
+			count[""][row.Subject()] = true
+		}
+		for _, p := range row.Parts {
+			count[p][row.Subject()] = true
+		}
+	}
+	var out []string
+	for _, p := range []word.Part{word.Prefill, word.Decode} {
+		if n := len(count[p]); n < want {
+			out = append(out, string(p)+" workers")
+		}
+	}
+	if len(count[""]) < want {
+		out = append(out, "router nodes")
+	}
+	return out
+}
