--- a/cmd/tenet/main.go
+++ b/cmd/tenet/main.go
@@ -58,7 +58,7 @@
 	ring := boot.Ring("tenet " + s.Addr)
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	core, err := crux.New(crux.Options{Addr: s.Addr, Zone: word.Zone(s.Zone), Host: host, Seeds: s.Seeds, Ring: ring,
-		Machine: func() crux.Machine { return lore.NewMachine(lore.MachineOptions{}) },
+		Machine: func() crux.Machine { return lore.NewMachine(lore.MachineOptions{Wall: host.Clock.Wall}) },
 		Beat:    ms(s.BeatMs), Silence: ms(s.SilenceMs), Lease: ms(s.LeaseMs), Stall: ms(s.StallMs), Replace: ms(s.ReplaceMs), Anew: s.FoundAnew})
 	boot.Fail("tenet", err)
 	ctx, stop := boot.Signals()
--- a/crux/agent.go
+++ b/crux/agent.go
@@ -62,6 +62,8 @@
 	told  atomic.Uint64
 	tick  atomic.Int64
 	bye   atomic.Bool
+	clock atomic.Pointer[heardTime]
+	high  atomic.Int64 // the most that Time gave
 	poke  chan struct{}
 	busy  sync.Map
 	given sync.Map
@@ -138,6 +140,7 @@
 	old := word.Tick(a.tick.Load())
 	if now.Past(old, a.opt.Gap) {
 		a.until.Store(0)
+		a.forget()
 		a.opt.Ring.Warn().Dur("gap", now.Since(old)).Msg("slept; the lease is asked for anew")
 	}
 	a.tick.Store(int64(now))
@@ -268,6 +271,9 @@
 		a.floor.Store(uint64(r.Seq))
 	}
 	a.told.Store(uint64(r.Seq))
+	if r.Time != 0 {
+		a.clock.Store(&heardTime{r.Time, now, a.opt.Host.Clock.Now()})
+	}
 	a.until.Store(int64(now.Add(a.opt.Lease)))
 	a.sent.Store(int64(now))
 	for _, g := range r.Drop {
--- a/crux/lease.go
+++ b/crux/lease.go
@@ -79,7 +79,11 @@
 		l.nodes[q.Me.Node] = t
 	}
 	t.Member, t.last, t.seen = q.Me, now, max(t.seen, q.Seen)
-	return &RenewReply{Seq: r.seq, Drop: t.drop}
+	out := &RenewReply{Seq: r.seq, Drop: t.drop}
+	if k, ok := r.app.(Timekeeper); ok {
+		out.Time = k.Time(now)
+	}
+	return out
 }
 
 // duty makes the jobs that the primary gives itself at each beat.
@@ -125,6 +129,25 @@
 	return out
 }
 
+// among keeps of the live nodes those that a key may fall to. If none may, all do: a key
+// without a holder would help nobody.
+func among(app Machine, k word.Key, live []word.NodeId) []word.NodeId {
+	p, ok := app.(Placer)
+	if !ok {
+		return live
+	}
+	var out []word.NodeId
+	for _, n := range live {
+		if p.May(k, n) {
+			out = append(out, n)
+		}
+	}
+	if len(out) == 0 {
+		return live
+	}
+	return out
+}
+
 // plan deals the free keys and marks the held ones that should move.
 func (l *leader) plan(now word.Tick, live []word.NodeId) Deal {
 	var d Deal
@@ -137,7 +160,7 @@
 	want := map[word.Key]bool{}
 	for _, k := range l.c.roll.app.Keys() {
 		want[k] = true
-		to := Owner(k, live)
+		to := Owner(k, among(l.c.roll.app, k, live))
 		cur, ok := l.c.roll.grants[k]
 		switch t := l.nodes[cur.Node]; {
 		case !ok:
--- a/crux/lease_note.go
+++ b/crux/lease_note.go
@@ -20,10 +20,12 @@
 	Bye  bool
 }
 
-// RenewReply lists the keys that the node should give back.
+// RenewReply lists the keys that the node should give back. Time is the machine's, if
+// it keeps one: see Timekeeper.
 type RenewReply struct {
 	Seq  word.Seq
 	Drop []Grant
+	Time int64 `msg:"Time,omitempty"`
 }
 
 // Deal hands keys to nodes; the fences are set as it is applied.
--- a/crux/lease_note_gen.go
+++ b/crux/lease_note_gen.go
@@ -196,18 +196,36 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RenewReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "Seq"
-	o = append(o, 0x82, 0xa3, 0x53, 0x65, 0x71)
-	o = msgp.AppendUint64(o, uint64(z.Seq))
-	// string "Drop"
-	o = append(o, 0xa4, 0x44, 0x72, 0x6f, 0x70)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Drop)))
-	for za0001 := range z.Drop {
-		o, err = z.Drop[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Drop", za0001)
-			return
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Time == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "Seq"
+		o = append(o, 0xa3, 0x53, 0x65, 0x71)
+		o = msgp.AppendUint64(o, uint64(z.Seq))
+		// string "Drop"
+		o = append(o, 0xa4, 0x44, 0x72, 0x6f, 0x70)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Drop)))
+		for za0001 := range z.Drop {
+			o, err = z.Drop[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Drop", za0001)
+				return
+			}
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "Time"
+			o = append(o, 0xa4, 0x54, 0x69, 0x6d, 0x65)
+			o = msgp.AppendInt64(o, z.Time)
 		}
 	}
 	return
@@ -260,6 +278,12 @@
 					return
 				}
 			}
+		case "Time":
+			z.Time, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Time")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -278,5 +302,6 @@
 	for za0001 := range z.Drop {
 		s += z.Drop[za0001].Msgsize()
 	}
+	s += 5 + msgp.Int64Size
 	return
 }
--- a/crux/roll.go
+++ b/crux/roll.go
@@ -28,6 +28,15 @@
 	Due(now word.Tick, seq, seen word.Seq) []Cmd
 }
 
+// Timekeeper is a Machine that keeps a time of its own for the fleet. The primary asks
+// for it with each renewal of a lease; 0 is no answer.
+type Timekeeper interface{ Time(now word.Tick) int64 }
+
+// Placer is a Machine that says which nodes a key may fall to.
+type Placer interface {
+	May(key word.Key, node word.NodeId) bool
+}
+
 // Same is what Apply gives, with an answer, when there is nothing to write.
 var Same = errors.New("nothing to write")
 
--- /dev/null
+++ b/crux/word_test.go
@@ -0,0 +1,93 @@
+// A node's word from the core, and who a key may fall to.
+
+package crux
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/seam/sham"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+// TestWord: the bounds of the told time hold whenever it was told between asking and
+// answer, and the upper never goes back; the word ends with the lease, and comes back
+// only once the news up to the renewal is folded.
+func TestWord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := sham.NewWorld(1)
+		core, node := w.Machine("10.0.0.1").Start(), w.Machine("10.0.0.2").Start()
+		ctx, stop := context.WithCancel(context.Background())
+		defer func() { stop(); core.Kill(); node.Kill(); time.Sleep(10 * time.Second) }()
+		mux := http.NewServeMux()
+		told := int64(0)
+		wire.Handle(mux, "crux/renew", func(context.Context, *RenewAsk) (*RenewReply, error) {
+			time.Sleep(100 * time.Millisecond)
+			return &RenewReply{Seq: 9, Time: told}, nil
+		})
+		l, err := core.Host().Net.Listen("10.0.0.1:1")
+		require.NoError(t, err)
+		go wire.Serve(ctx, l, mux)
+		a := NewAgent(AgentOptions{Me: Member{Node: "n", Addr: "10.0.0.2:1"}, Host: node.Host(), View: blank{}})
+		defer a.call.Close()
+		a.book.Learn(&WhereAsk{Record: Record{Epoch: 1, Founding: "f", Primary: Seat{Disk: "d", Addr: "10.0.0.1:1"}}})
+		a.sight.Store(&sight{seq: 5, grants: map[word.Key]Grant{}})
+		require.False(t, a.Word(), "no lease yet")
+		require.NoError(t, a.renew(ctx))
+		low, high := a.Time()
+		require.Zero(t, low+high, "none was told")
+		require.False(t, a.Word(), "news 6 to 9 may be a revocation")
+		a.sight.Store(&sight{seq: 9, grants: map[word.Key]Grant{}})
+		require.True(t, a.Word())
+		told = int64(time.Hour)
+		require.NoError(t, a.renew(ctx))
+		low, high = a.Time()
+		require.GreaterOrEqual(t, low, told)
+		require.GreaterOrEqual(t, high, told+int64(100*time.Millisecond), "it may have been told at once")
+		require.Less(t, high, told+int64(time.Second))
+		begun := time.Now()
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			a.Awake()
+			low, high = a.Time()
+			require.LessOrEqual(t, low, told+int64(time.Since(begun)))
+			require.GreaterOrEqual(t, high, told+int64(time.Since(begun)))
+		}
+		// A primary that knows of an earlier time moves nothing back.
+		told -= int64(time.Minute)
+		require.NoError(t, a.renew(ctx))
+		_, again := a.Time()
+		require.GreaterOrEqual(t, again, high)
+		for range 40 {
+			require.True(t, a.Word() || a.Fresh() > 2900*time.Millisecond)
+			time.Sleep(100 * time.Millisecond)
+			a.Awake()
+		}
+		require.False(t, a.Word(), "the lease has lapsed")
+		a.sight.Store(&sight{seq: 8, grants: map[word.Key]Grant{}})
+		require.NoError(t, a.renew(ctx))
+		require.False(t, a.Word(), "what came meanwhile is not folded")
+	})
+}
+
+type placed map[word.NodeId]bool
+
+func (p placed) May(_ word.Key, n word.NodeId) bool { return p[n] }
+
+// TestAmong: a key falls to those that may have it, or, if none may, to any.
+func TestAmong(t *testing.T) {
+	type app struct {
+		Machine
+		placed
+	}
+	live := []word.NodeId{"a", "b", "c"}
+	require.Equal(t, live, among(struct{ Machine }{}, "k", live))
+	require.Equal(t, []word.NodeId{"b", "c"}, among(&app{placed: placed{"b": true, "c": true, "d": true}}, "k", live))
+	require.Equal(t, live, among(&app{placed: placed{}}, "k", live))
+}
--- /dev/null
+++ b/lore/clock.go
@@ -0,0 +1,62 @@
+// The fleet's time. The primary counts it by its own steady clock and writes a bound
+// ahead of it; no answer goes beyond the newest bound, and a new primary goes on from
+// there. So it never goes back, whoever leads, and jumps of wall clocks do nothing: the
+// wall is read once, when regimes first come in force.
+
+package lore
+
+import (
+	"time"
+
+	"keelstair.example/crux"
+	"keelstair.example/word"
+)
+
+const (
+	clockLead  = 2 * time.Second // how far the bound stands ahead
+	clockEvery = time.Second     // how often it is moved on
+)
+
+// clock is what the primary remembers between beats.
+type clock struct {
+	wall func() time.Time
+	base int64     // the time at a tick
+	at   word.Tick // the tick
+	last word.Tick // the newest beat
+	ours int64     // the bound that base and at go with
+}
+
+// steady tells that this machine has led without a break and nobody else moved the
+// time on.
+func (c *clock) steady(now word.Tick, bound int64) bool {
+	return c.ours == bound && c.ours != 0 && !now.Past(c.last, time.Second)
+}
+
+// tick makes the command that moves the bound on, where one is due.
+func (m *Machine) tick(now word.Tick) []crux.Cmd {
+	c := &m.clock
+	if m.time == 0 && !m.governed {
+		return nil
+	}
+	if !c.steady(now, m.time) {
+		if c.base, c.at = m.time, now; m.time == 0 {
+			c.base = c.wall().UnixNano()
+		}
+		c.ours = m.time
+	}
+	c.last = now
+	here := c.base + int64(now.Since(c.at))
+	if m.time-here > int64(clockLead-clockEvery) {
+		return nil
+	}
+	c.ours = here + int64(clockLead)
+	return []crux.Cmd{{Kind: ClockKind, Body: crux.Pack(&Clock{c.ours})}}
+}
+
+// Time gives the fleet's time, in nanoseconds since 1970; 0 while it is not known.
+func (m *Machine) Time(now word.Tick) int64 {
+	if !m.clock.steady(now, m.time) {
+		return 0
+	}
+	return min(m.clock.base+int64(now.Since(m.clock.at)), m.time)
+}
--- a/lore/image.go
+++ b/lore/image.go
@@ -18,4 +18,7 @@
 	// Rows of the open leaf, and how many deeds there are in all.
 	Rows  []byte
 	Count int
+	// Certificates that were revoked, and the fleet's time; neither without regimes.
+	Revoked []Revocation `msg:"Revoked,omitempty"`
+	Time    int64        `msg:"Time,omitempty"`
 }
--- a/lore/image_gen.go
+++ b/lore/image_gen.go
@@ -10,65 +10,99 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Image) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
-	// string "Active"
-	o = append(o, 0x89, 0xa6, 0x41, 0x63, 0x74, 0x69, 0x76, 0x65)
-	o, err = z.Active.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Active")
-		return
-	}
-	// string "Staged"
-	o = append(o, 0xa6, 0x53, 0x74, 0x61, 0x67, 0x65, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Staged)))
-	for za0001 := range z.Staged {
-		o, err = z.Staged[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Staged", za0001)
-			return
-		}
-	}
-	// string "Zones"
-	o = append(o, 0xa5, 0x5a, 0x6f, 0x6e, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Zones)))
-	for za0002 := range z.Zones {
-		o = msgp.AppendString(o, z.Zones[za0002])
+	// check for omitted fields
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
+	_ = zb0001Mask
+	if z.Revoked == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200
 	}
-	// string "Drained"
-	o = append(o, 0xa7, 0x44, 0x72, 0x61, 0x69, 0x6e, 0x65, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Drained)))
-	for za0003 := range z.Drained {
-		o = msgp.AppendString(o, z.Drained[za0003])
+	if z.Time == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x400
 	}
-	// string "Turning"
-	o = append(o, 0xa7, 0x54, 0x75, 0x72, 0x6e, 0x69, 0x6e, 0x67)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Turning)))
-	for za0004 := range z.Turning {
-		o, err = z.Turning[za0004].MarshalMsg(o)
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "Active"
+		o = append(o, 0xa6, 0x41, 0x63, 0x74, 0x69, 0x76, 0x65)
+		o, err = z.Active.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Turning", za0004)
+			err = msgp.WrapError(err, "Active")
 			return
 		}
-	}
-	// string "Fence"
-	o = append(o, 0xa5, 0x46, 0x65, 0x6e, 0x63, 0x65)
-	o = msgp.AppendUint64(o, uint64(z.Fence))
-	// string "Deeds"
-	o = append(o, 0xa5, 0x44, 0x65, 0x65, 0x64, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Deeds)))
-	for za0005 := range z.Deeds {
-		o, err = z.Deeds[za0005].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Deeds", za0005)
-			return
+		// string "Staged"
+		o = append(o, 0xa6, 0x53, 0x74, 0x61, 0x67, 0x65, 0x64)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Staged)))
+		for za0001 := range z.Staged {
+			o, err = z.Staged[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Staged", za0001)
+				return
+			}
+		}
+		// string "Zones"
+		o = append(o, 0xa5, 0x5a, 0x6f, 0x6e, 0x65, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Zones)))
+		for za0002 := range z.Zones {
+			o = msgp.AppendString(o, z.Zones[za0002])
+		}
+		// string "Drained"
+		o = append(o, 0xa7, 0x44, 0x72, 0x61, 0x69, 0x6e, 0x65, 0x64)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Drained)))
+		for za0003 := range z.Drained {
+			o = msgp.AppendString(o, z.Drained[za0003])
+		}
+		// string "Turning"
+		o = append(o, 0xa7, 0x54, 0x75, 0x72, 0x6e, 0x69, 0x6e, 0x67)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Turning)))
+		for za0004 := range z.Turning {
+			o, err = z.Turning[za0004].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Turning", za0004)
+				return
+			}
+		}
+		// string "Fence"
+		o = append(o, 0xa5, 0x46, 0x65, 0x6e, 0x63, 0x65)
+		o = msgp.AppendUint64(o, uint64(z.Fence))
+		// string "Deeds"
+		o = append(o, 0xa5, 0x44, 0x65, 0x65, 0x64, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Deeds)))
+		for za0005 := range z.Deeds {
+			o, err = z.Deeds[za0005].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Deeds", za0005)
+				return
+			}
+		}
+		// string "Rows"
+		o = append(o, 0xa4, 0x52, 0x6f, 0x77, 0x73)
+		o = msgp.AppendBytes(o, z.Rows)
+		// string "Count"
+		o = append(o, 0xa5, 0x43, 0x6f, 0x75, 0x6e, 0x74)
+		o = msgp.AppendInt(o, z.Count)
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "Revoked"
+			o = append(o, 0xa7, 0x52, 0x65, 0x76, 0x6f, 0x6b, 0x65, 0x64)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Revoked)))
+			for za0006 := range z.Revoked {
+				o, err = z.Revoked[za0006].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Revoked", za0006)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "Time"
+			o = append(o, 0xa4, 0x54, 0x69, 0x6d, 0x65)
+			o = msgp.AppendInt64(o, z.Time)
 		}
 	}
-	// string "Rows"
-	o = append(o, 0xa4, 0x52, 0x6f, 0x77, 0x73)
-	o = msgp.AppendBytes(o, z.Rows)
-	// string "Count"
-	o = append(o, 0xa5, 0x43, 0x6f, 0x75, 0x6e, 0x74)
-	o = msgp.AppendInt(o, z.Count)
 	return
 }
 
@@ -213,6 +247,31 @@
 				err = msgp.WrapError(err, "Count")
 				return
 			}
+		case "Revoked":
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Revoked")
+				return
+			}
+			if cap(z.Revoked) >= int(zb0008) {
+				z.Revoked = (z.Revoked)[:zb0008]
+			} else {
+				z.Revoked = make([]Revocation, zb0008)
+			}
+			for za0006 := range z.Revoked {
+				bts, err = z.Revoked[za0006].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Revoked", za0006)
+					return
+				}
+			}
+		case "Time":
+			z.Time, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Time")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -247,6 +306,10 @@
 	for za0005 := range z.Deeds {
 		s += z.Deeds[za0005].Msgsize()
 	}
-	s += 5 + msgp.BytesPrefixSize + len(z.Rows) + 6 + msgp.IntSize
+	s += 5 + msgp.BytesPrefixSize + len(z.Rows) + 6 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
+	for za0006 := range z.Revoked {
+		s += z.Revoked[za0006].Msgsize()
+	}
+	s += 5 + msgp.Int64Size
 	return
 }
--- a/lore/machine.go
+++ b/lore/machine.go
@@ -9,6 +9,7 @@
 
 	"keelstair.example/crux"
 	"keelstair.example/word"
+	"keelstair.example/writ"
 )
 
 // The keys of duties that do not hang on a worker.
@@ -28,11 +29,14 @@
 // Machine is what tenets run over the core.
 type Machine struct {
 	*State
-	wait time.Duration
-	read Reader
-	due  map[word.Version]stagedAt
-	keys []word.Key
-	of   word.Version
+	wait  time.Duration
+	read  Reader
+	due   map[word.Version]stagedAt
+	keys  []word.Key
+	of    word.Version
+	seals map[string]word.Seq // revocations that wait for nodes to have seen them
+	clock clock
+	bare  *writ.Register // of the active policy
 }
 
 // MachineOptions of a machine; what is zero takes the default named beside it.
@@ -40,6 +44,7 @@
 	Wait  time.Duration // 300ms for silent nodes before a staged version is put in force
 	Read  Reader        // Plain: makes a policy of a text
 	Depth Depth
+	Wall  func() time.Time // time.Now: read once, for the fleet's time to begin
 }
 
 func NewMachine(opt MachineOptions) *Machine {
@@ -47,7 +52,10 @@
 	if opt.Read == nil {
 		opt.Read = Plain
 	}
-	return &Machine{State: newState(false, opt.Depth), wait: opt.Wait, read: opt.Read, due: map[word.Version]stagedAt{}}
+	if opt.Wall == nil {
+		opt.Wall = time.Now
+	}
+	return &Machine{State: newState(false, opt.Depth), wait: opt.Wait, read: opt.Read, due: map[word.Version]stagedAt{}, seals: map[string]word.Seq{}, clock: clock{wall: opt.Wall}}
 }
 
 // Apply notes at which number a version was staged: that is what nodes must have
@@ -57,10 +65,16 @@
 	if err == nil && kind == StageKind {
 		m.due[m.newest()] = stagedAt{seq: seq}
 	}
+	if err == nil && kind == RevokeKind {
+		var c Revoke
+		c.UnmarshalMsg(body)
+		m.seals[c.Serial] = seq
+	}
 	return out, err
 }
 
-func (m *Machine) Open(string) bool          { return true }
+// Open: nodes hear of the time by their leases.
+func (m *Machine) Open(kind string) bool     { return kind != ClockKind }
 func (m *Machine) Picture(open bool) []byte  { return crux.Pack(m.image(open)) }
 func (m *Machine) Restore(body []byte) error { m.of = 0; m.keys = nil; return m.load(body) }
 
@@ -70,8 +84,9 @@
 		return m.keys
 	}
 	m.of = m.active.Version
-	m.keys = []word.Key{BudgetKey, SettleKey}
+	m.keys, m.bare = []word.Key{BudgetKey, SettleKey}, nil
 	if p, err := m.read(unpack(m.active.Text)); len(m.active.Text) > 0 && err == nil {
+		m.bare, _ = p.Register()
 		pools := map[string]bool{}
 		for id, w := range p.Workers {
 			m.keys = append(m.keys, WorkerKey(id))
@@ -91,9 +106,43 @@
 	return m.keys
 }
 
-// Due puts in force the newest staged version that all live nodes have seen,
-// or that has waited long enough for silent ones.
+// Due moves the fleet's time on, seals revocations that every node with a lease has
+// seen, and activates what may be.
 func (m *Machine) Due(now word.Tick, seq, seen word.Seq) []crux.Cmd {
+	return append(append(m.tick(now), m.seal(seq, seen)...), m.activate(now, seq, seen)...)
+}
+
+// waiting lists revocations that may not be in force everywhere yet.
+func (s *State) waiting() []string {
+	var out []string
+	for serial, sure := range s.revoked {
+		if !sure {
+			out = append(out, serial)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (m *Machine) seal(seq, seen word.Seq) []crux.Cmd {
+	var out []crux.Cmd
+	for _, r := range m.waiting() {
+		at, ok := m.seals[r]
+		if !ok {
+			at = seq
+			m.seals[r] = at
+		}
+		if seen >= at {
+			delete(m.seals, r)
+			out = append(out, crux.Cmd{Kind: SealKind, Body: crux.Pack(&Seal{r})})
+		}
+	}
+	return out
+}
+
+// activate puts in force the newest staged version that all live nodes have seen,
+// or that has waited long enough for silent ones.
+func (m *Machine) activate(now word.Tick, seq, seen word.Seq) []crux.Cmd {
 	var top word.Version
 	for _, r := range m.staged {
 		d, ok := m.due[r.Version]
--- a/lore/over.go
+++ b/lore/over.go
@@ -11,7 +11,7 @@
 	"keelstair.example/breakdown"
 )
 
-// maxEntries bounds workers, kinds and programs together: a whole policy of so many
+// maxEntries bounds workers, kinds, programs and certificates together: a whole policy of so many
 // is checked in about half a second.
 const maxEntries = 3000
 
@@ -27,7 +27,7 @@
 	if json.Unmarshal(merged, &all) != nil || json.Unmarshal(part, &touch) != nil {
 		return Whole(name, merged)
 	}
-	for _, k := range []string{"routes", "services", "intake"} {
+	for _, k := range []string{"routes", "services", "intake", "regimes", "issuers", "certificates"} {
 		if _, ok := touch[k]; ok {
 			return Whole(name, merged)
 		}
--- a/lore/policy.cue
+++ b/lore/policy.cue
@@ -87,7 +87,36 @@
 	models:    *[] | [...string]
 }
 
+// A regime governs kinds: they are handled on nodes alone that are certified for it.
+#Regime: {
+	kinds: [...(string & !="")]
+	// Of a certified worker's room, how many percent other work leaves free.
+	keep: *20 | (int & >=0 & <=90)
+}
+
+// Whose signature under a certificate counts, and when.
+#Issuer: {
+	key:   string & !=""
+	from:  string & !=""
+	until: string & !=""
+}
+
+#Certificate: {
+	serial:    =~"^[0-9A-Za-z-]{1,64}$"
+	worker?:   string & !=""
+	node?:     string & !=""
+	regime:    string & !=""
+	parts?:    [...("prefill" | "decode")]
+	from:      string & !=""
+	until:     string & !=""
+	issuer:    string & !=""
+	signature: string & !=""
+}
+
 #Policy: {
+	regimes?: [=~"^[0-9A-Za-z-]{1,64}$"]:         #Regime
+	issuers?: [=~"^[0-9A-Za-z-]{1,64}$"]:         #Issuer
+	certificates?: [Serial=string]: #Certificate & {serial: Serial}
 	routes?: [...#Route]
 	services?: [Name=string & !=""]: #Service & {name: Name}
 	intake?: {
--- a/lore/policy.go
+++ b/lore/policy.go
@@ -85,6 +85,7 @@
 	Routes   []Route                  `json:"routes,omitempty"`
 	Services map[string]Service       `json:"services,omitempty"`
 	Intake   Intake                   `json:"intake,omitzero"`
+	Certified
 }
 
 // Reader makes a policy of an operator's text.
@@ -257,8 +258,8 @@
 	fault := func(field, form string, args ...any) error {
 		return breakdown.New(breakdown.Bad, "check policy", "", field+": "+form, args...)
 	}
-	if n := len(p.Workers) + len(p.Kinds) + len(p.Programs); n > maxEntries {
-		return fault("workers, kinds, programs", "%d entries in all, over %d", n, maxEntries)
+	if n := len(p.Workers) + len(p.Kinds) + len(p.Programs) + len(p.Certificates); n > maxEntries {
+		return fault("workers, kinds, programs, certificates", "%d entries in all, over %d", n, maxEntries)
 	}
 	zones := map[word.Zone]bool{}
 	for _, z := range p.Zones {
@@ -285,6 +286,9 @@
 	if err := p.CheckPrograms(); err != nil {
 		return err
 	}
+	if err := p.checkRegimes(); err != nil {
+		return err
+	}
 	return p.CheckRoutes()
 }
 
--- /dev/null
+++ b/lore/regime.go
@@ -0,0 +1,198 @@
+// Regimes in a policy: which kinds are governed, by whose certificates they may be
+// handled, and what is refused beforehand, with its place in the operator's text.
+
+package lore
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"sort"
+	"strings"
+
+	"cuelang.org/go/cue/ast"
+	"cuelang.org/go/cue/parser"
+	"cuelang.org/go/cue/token"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/word"
+	"keelstair.example/writ"
+)
+
+// Certified is the part of a policy that certified nodes are for.
+type Certified struct {
+	Regimes      map[string]writ.Regime      `json:"regimes,omitempty"`
+	Issuers      map[string]writ.Issuer      `json:"issuers,omitempty"`
+	Certificates map[string]writ.Certificate `json:"certificates,omitempty"`
+}
+
+// Register compiles what the policy says of regimes; nil without any.
+func (c *Certified) Register() (*writ.Register, error) {
+	return writ.Compile(c.Regimes, c.Issuers, c.Certificates)
+}
+
+func regimeFault(path []string, reason string) error {
+	return breakdown.As(&writ.Fault{Path: path, Reason: reason}, breakdown.Bad, "check regimes", strings.Join(path, "."))
+}
+
+// checkRegimes: every certificate holds, every governed kind exists, and each regime has
+// a certified worker of each part for each of its kinds, and a certified router node.
+func (p *Policy) checkRegimes() error {
+	if len(p.Regimes)+len(p.Certificates)+len(p.Issuers) == 0 {
+		return nil
+	}
+	if _, err := p.Register(); err != nil {
+		var f *writ.Fault
+		if errors.As(err, &f) {
+			return regimeFault(f.Path, f.Reason)
+		}
+		return err
+	}
+	for _, name := range slices.Sorted(maps.Keys(p.Regimes)) {
+		if len(p.Regimes[name].Kinds) == 0 {
+			return regimeFault([]string{"regimes", name, "kinds"}, "it governs no kind")
+		}
+		for _, kind := range p.Regimes[name].Kinds {
+			k, ok := p.Kinds[kind]
+			if !ok {
+				return regimeFault([]string{"regimes", name, "kinds"}, "unknown kind "+quote(kind))
+			}
+			for _, part := range []word.Part{word.Prefill, word.Decode} {
+				if !p.certified(name, k.Model, part) {
+					return regimeFault([]string{"regimes", name}, "no certified "+string(part)+" worker offers "+quote(k.Model)+" for kind "+quote(kind))
+				}
+			}
+		}
+		node := false
+		for _, c := range p.Certificates {
+			node = node || c.Regime == name && c.Node != ""
+		}
+		if !node {
+			return regimeFault([]string{"regimes", name}, "no router node is certified")
+		}
+	}
+	return nil
+}
+
+func quote(s string) string { return `"` + s + `"` }
+
+// certified tells whether a worker of the catalogue, in its own part, has a certificate.
+func (p *Policy) certified(regime, model string, part word.Part) bool {
+	for _, c := range p.Certificates {
+		if w, ok := p.Workers[c.Worker]; ok && c.Regime == regime && w.Model == model && w.Part == part && slices.Contains(c.Parts, part) {
+			return true
+		}
+	}
+	return false
+}
+
+// Follows checks a policy against the one that it replaces: a serial never stands for
+// another certificate, and none comes in that has ended by now.
+func (p *Policy) Follows(old *Policy, now writ.Now) error {
+	for _, serial := range slices.Sorted(maps.Keys(p.Certificates)) {
+		c := p.Certificates[serial]
+		was, had := old.Certificates[serial]
+		switch {
+		case had && was.Signature != c.Signature:
+			return regimeFault([]string{"certificates", serial}, "serial "+quote(serial)+" stands for another certificate already; a new one needs a new serial")
+		case !had && now.High > 0 && expired(p, serial, now):
+			return regimeFault([]string{"certificates", serial, "until"}, "it has expired: its end "+c.Until+" is past")
+		}
+	}
+	return nil
+}
+
+func expired(p *Policy, serial string, now writ.Now) bool {
+	r, _ := p.Register()
+	for _, row := range r.Rows(p.Certificates[serial].Regime, now) {
+		if row.Serial == serial {
+			return row.State == writ.Expired
+		}
+	}
+	return false
+}
+
+// Locate gives the place of a fault's field in an operator's own text, or of the nearest
+// field around it, before the fault's line.
+func Locate(name string, text []byte, err error) error {
+	var at *writ.Fault
+	if !errors.As(err, &at) {
+		return err
+	}
+	f, bad := parser.ParseFile(name, text)
+	if bad != nil {
+		return err
+	}
+	where := name
+	if pos, _ := place(f.Decls, at.Path); pos.IsValid() {
+		where = pos.Position().String()
+	}
+	return breakdown.New(breakdown.Bad, "check policy", "", "%s: %s: %s", where, strings.Join(at.Path, "."), at.Reason)
+}
+
+// place finds the deepest field along a path, and how deep it is.
+func place(row []ast.Decl, path []string) (pos token.Pos, depth int) {
+	type found struct {
+		pos   token.Pos
+		depth int
+	}
+	var all []found
+	for _, d := range row {
+		if e, ok := d.(*ast.EmbedDecl); ok {
+			if lit, ok := e.Expr.(*ast.StructLit); ok {
+				p, n := place(lit.Elts, path)
+				all = append(all, found{p, n})
+			}
+		}
+		f, ok := d.(*ast.Field)
+		if !ok || len(path) == 0 {
+			continue
+		}
+		if label, _, err := ast.LabelName(f.Label); err != nil || label != path[0] {
+			continue
+		}
+		all = append(all, found{f.Pos(), 1})
+		if lit, ok := f.Value.(*ast.StructLit); ok {
+			if p, n := place(lit.Elts, path[1:]); n > 0 {
+				all = append(all, found{p, n + 1})
+			}
+		}
+	}
+	sort.SliceStable(all, func(i, j int) bool { return all[i].depth > all[j].depth })
+	if len(all) == 0 {
+		return token.NoPos, 0
+	}
+	return all[0].pos, all[0].depth
+}
+
+// NodeName is the name that a node's certificate bears: its id without the part that
+// changes at each start.
+func NodeName(id word.NodeId) string {
+	if i := strings.LastIndexByte(string(id), '-'); i > 0 {
+		return string(id)[:i]
+	}
+	return string(id)
+}
+
+// May: a certified worker's key falls to nodes that are certified for every regime that
+// it may serve, since its holder hands on what is governed; and settling, which reads
+// outcomes, to those certified for all.
+func (m *Machine) May(key word.Key, node word.NodeId) bool {
+	id, worker := strings.CutPrefix(string(key), string(WorkerKey("")))
+	if m.bare == nil || !worker && key != SettleKey {
+		return true
+	}
+	register := m.bare.With(m.revoked)
+	now := writ.Now{Low: m.time - int64(clockLead), High: m.time}
+	for _, g := range register.Regimes() {
+		for _, part := range []word.Part{word.Prefill, word.Decode} {
+			if _, ok := register.Clears(g, writ.Subject{Worker: word.WorkerId(id)}, part, now); !ok && worker {
+				continue
+			}
+			if _, ok := register.Clears(g, writ.Subject{Node: NodeName(node)}, "", now); !ok {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/lore/regime_test.go
@@ -0,0 +1,280 @@
+// Regimes in a policy, revocations that are sealed, and the fleet's time.
+
+package lore
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/crux"
+	"keelstair.example/tale"
+	"keelstair.example/word"
+	"keelstair.example/writ"
+)
+
+// charter gives the small policy with one regime, as its operators' text, a field a line.
+func charter(t *testing.T, change func(all map[string]any, certs map[string]writ.Certificate)) []byte {
+	key, _, err := writ.NewKey()
+	require.NoError(t, err)
+	day := func(n int) string { return time.Date(2026, 12, 1+n, 0, 0, 0, 0, time.UTC).Format(time.RFC3339) }
+	certs := map[string]writ.Certificate{}
+	for serial, c := range map[string]writ.Certificate{"s1": {Worker: "p1", Parts: []word.Part{word.Prefill}}, "s2": {Worker: "d1", Parts: []word.Part{word.Decode}}, "s3": {Node: "v1"}} {
+		c.Serial, c.Regime, c.From, c.Until, c.Issuer = serial, "chair", day(0), day(30), "k1"
+		c.Sign(key)
+		certs[serial] = c
+	}
+	text, err := Source("small", []byte(small))
+	require.NoError(t, err)
+	all := map[string]any{}
+	require.NoError(t, json.Unmarshal(text, &all))
+	all["regimes"] = map[string]any{"chair": map[string]any{"kinds": []string{"verdict"}}}
+	all["issuers"] = map[string]any{"k1": writ.Issuer{Key: writ.Public(key), From: day(-1), Until: day(100)}}
+	all["certificates"] = certs
+	if change != nil {
+		change(all, certs)
+	}
+	out, err := json.MarshalIndent(all, "", "  ")
+	require.NoError(t, err)
+	return out
+}
+
+// line gives the first line of a text that has something.
+func line(text []byte, has string) int {
+	for i, row := range strings.Split(string(text), "\n") {
+		if strings.Contains(row, has) {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+// TestRegimes: a whole policy with regimes checks, checks to itself again, and compiles;
+// each fault is refused with file, line and reason.
+func TestRegimes(t *testing.T) {
+	p, whole, err := Whole("f.cue", charter(t, nil))
+	require.NoError(t, err)
+	again, _, err := Whole("f.cue", whole)
+	require.NoError(t, err)
+	require.Equal(t, p, again)
+	require.Equal(t, 20, p.Regimes["chair"].Keep)
+	r, err := p.Register()
+	require.NoError(t, err)
+	now := writ.At(time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC))
+	serial, ok := r.Clears("chair", writ.Subject{Worker: "d1"}, word.Decode, now)
+	require.True(t, ok)
+	require.Equal(t, "s2", serial)
+	type certs = map[string]writ.Certificate
+	set := func(f func(c *writ.Certificate)) func(map[string]any, certs) {
+		return func(_ map[string]any, all certs) { c := all["s2"]; f(&c); all["s2"] = c }
+	}
+	for says, one := range map[string]struct {
+		change func(map[string]any, certs)
+		at     string
+	}{
+		`unknown regime "x"`:                     {set(func(c *writ.Certificate) { c.Regime = "x" }), `"regime": "x"`},
+		`conflicting values "s9" and "s2"`:       {func(_ map[string]any, all certs) { all["s9"] = all["s2"] }, `"s9"`},
+		`no certified decode worker offers "m"`:  {func(_ map[string]any, all certs) { delete(all, "s2") }, `"regimes"`},
+		`no certified prefill worker offers "m"`: {func(_ map[string]any, all certs) { delete(all, "s1") }, `"regimes"`},
+		"no router node":                         {func(_ map[string]any, all certs) { delete(all, "s3") }, `"regimes"`},
+		"is not after its start":                 {set(func(c *writ.Certificate) { c.Until = "2026-11-01T00:00:00Z" }), `"until": "2026-11-01`},
+		"forged, altered":                        {set(func(c *writ.Certificate) { c.Until = "2027-11-01T00:00:00Z" }), `"signature"`},
+		"truncated":                              {set(func(c *writ.Certificate) { c.Signature = "AAAA" }), `"AAAA"`},
+		`issuer "k7" is foreign`:                 {set(func(c *writ.Certificate) { c.Issuer = "k7" }), `"issuer": "k7"`},
+		`unknown kind "fine"`: {func(all map[string]any, _ certs) {
+			all["regimes"] = map[string]any{"chair": map[string]any{"kinds": []string{"fine"}}}
+		}, `"kinds": [`},
+		"it governs no kind": {func(all map[string]any, _ certs) {
+			all["regimes"] = map[string]any{"chair": map[string]any{"kinds": []string{}}}
+		}, `"kinds": []`},
+		"chair.routes: field not allowed": {func(all map[string]any, _ certs) {
+			all["regimes"] = map[string]any{"chair": map[string]any{"kinds": []string{"verdict"}, "routes": []string{"r"}}}
+		}, `"routes"`},
+		"invalid value 99 (out of bound <=90)": {func(all map[string]any, _ certs) {
+			all["regimes"] = map[string]any{"chair": map[string]any{"kinds": []string{"verdict"}, "keep": 99}}
+		}, `"keep"`},
+		"there are certificates and no regime": {func(all map[string]any, _ certs) { delete(all, "regimes") }, `"certificates"`},
+	} {
+		t.Run(says, func(t *testing.T) {
+			text := charter(t, one.change)
+			_, _, err := Whole("f.cue", text)
+			require.Error(t, err)
+			require.True(t, breakdown.Is(err, breakdown.Bad))
+			if e := Fault("f.cue", text, true); e != nil {
+				err = e
+			}
+			err = Locate("f.cue", text, err)
+			require.ErrorContains(t, err, says)
+			n := line(text, one.at)
+			if one.at == `"kinds": [` || one.at == `"signature"` {
+				n = strings.Count(string(text[:strings.LastIndex(string(text), one.at)]), "\n") + 1
+				if one.at == `"signature"` {
+					s2 := strings.Index(string(text), `"s2"`)
+					n = strings.Count(string(text[:s2+strings.Index(string(text[s2:]), one.at)]), "\n") + 1
+				}
+			}
+			if one.at == `"regimes"` || one.at == `"s9"` {
+				n++ // the next line has it
+			}
+			require.ErrorContains(t, err, fmt.Sprintf("f.cue:%d:", n))
+			require.NotContains(t, err.Error(), "\n")
+		})
+	}
+	_, _, err = Whole("f.cue", []byte(strings.Replace(string(charter(t, nil)), `"certificates": {`, `"certificates": {"s1": {}, `, 1)))
+	require.ErrorContains(t, err, "f.cue:3:")
+	require.ErrorContains(t, err, "certificates.s1 stands twice")
+}
+
+// TestFollows: a serial never stands for another certificate, and none comes in that has
+// ended; one that ends while it stands does not hinder a later change.
+func TestFollows(t *testing.T) {
+	old, _, err := Whole("f", charter(t, nil))
+	require.NoError(t, err)
+	next, _, err := Whole("f", charter(t, nil)) // other keys, so other signatures
+	require.NoError(t, err)
+	early := writ.At(time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC))
+	late := writ.At(time.Date(2027, 1, 30, 0, 0, 0, 0, time.UTC))
+	require.NoError(t, old.Follows(old, late))
+	require.ErrorContains(t, next.Follows(old, early), "stands for another certificate")
+	require.NoError(t, old.Follows(&Policy{}, early))
+	require.ErrorContains(t, old.Follows(&Policy{}, late), "it has expired")
+	require.NoError(t, old.Follows(&Policy{}, writ.Now{}), "no word of the time")
+}
+
+// TestOverCertificates: a part that touches something else leaves certificates alone,
+// and one that takes away a regime's last worker is refused.
+func TestOverCertificates(t *testing.T) {
+	_, whole, err := Whole("f", charter(t, nil))
+	require.NoError(t, err)
+	p, _, err := Over("f", whole, []byte(`{"limits":{"queue":3}}`))
+	require.NoError(t, err)
+	require.Len(t, p.Certificates, 3)
+	_, _, err = Over("f", whole, []byte(`{"certificates":{"s2":null}}`))
+	require.ErrorContains(t, err, "no certified decode worker")
+	_, _, err = Over("f", whole, []byte(`{"workers":{"d1":{"zone":"a","part":"decode","model":"m","weights":"w1","room":9},"d2":{"zone":"a","part":"decode","model":"m","weights":"w1","room":9}},"certificates":null,"regimes":null,"issuers":null}`))
+	require.NoError(t, err)
+}
+
+func run(t *testing.T, m *Machine, list []crux.Cmd) (out []string) {
+	for _, c := range list {
+		_, err := m.Apply(9, c.Kind, c.Body)
+		require.NoError(t, err)
+		out = append(out, c.Kind)
+	}
+	return out
+}
+
+// TestSeal: a revocation is sealed once every node with a lease has seen it, also by a
+// primary that did not take it; it outlives pictures.
+func TestSeal(t *testing.T) {
+	m := NewMachine(MachineOptions{})
+	_, err := m.Apply(7, RevokeKind, crux.Pack(&Revoke{"s1"}))
+	require.NoError(t, err)
+	_, err = m.Apply(8, RevokeKind, crux.Pack(&Revoke{"s1"}))
+	require.ErrorIs(t, err, crux.Same)
+	require.Empty(t, m.Due(1, 9, 6))
+	other := NewMachine(MachineOptions{})
+	require.NoError(t, other.Restore(m.Picture(false)))
+	require.Empty(t, other.Due(1, 9, 8), "what the nodes saw before may have been anything")
+	require.Equal(t, []string{SealKind}, run(t, m, m.Due(1, 9, 7)))
+	require.Equal(t, []string{SealKind}, run(t, other, other.Due(1, 12, 9)))
+	require.Empty(t, m.Due(1, 10, 10))
+	_, err = m.Apply(11, SealKind, crux.Pack(&Seal{"s1"}))
+	require.True(t, breakdown.Is(err, breakdown.Stale))
+	v := NewView(tale.Mute())
+	v.Fold(1, StageKind, crux.Pack(&Stage{Text: charter(t, nil)}))
+	v.Heard(1)
+	require.Empty(t, v.Sight().Revoked)
+	v.Fold(2, RevokeKind, crux.Pack(&Revoke{"s1"}))
+	now := writ.At(time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC))
+	_, ok := v.Sight().Register.Clears("chair", writ.Subject{Worker: "p1"}, word.Prefill, now)
+	require.False(t, ok)
+	_, ok = v.Sight().Register.Clears("chair", writ.Subject{Worker: "d1"}, word.Decode, now)
+	require.True(t, ok)
+	require.Equal(t, map[string]bool{"s1": false}, v.Sight().Revoked)
+	v.Fold(3, SealKind, crux.Pack(&Seal{"s1"}))
+	require.Equal(t, map[string]bool{"s1": true}, v.Sight().Revoked)
+}
+
+// TestClock: the fleet's time runs with the primary's steady clock, whatever the wall
+// does; whoever leads next goes on from the bound, and no answer is lower than an
+// earlier one. Without regimes there is none.
+func TestClock(t *testing.T) {
+	wall := time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC)
+	ms := func(n int) word.Tick { return word.Tick(time.Duration(n) * time.Millisecond) }
+	build := func() *Machine { return NewMachine(MachineOptions{Wall: func() time.Time { return wall }}) }
+	a, b := build(), build()
+	require.Empty(t, a.Due(ms(1), 1, 1), "nothing is written without regimes")
+	require.Zero(t, a.Time(ms(1)))
+	all := []*Machine{a, b}
+	apply := func(kind string, body []byte) {
+		for _, m := range all {
+			_, err := m.Apply(1, kind, body)
+			require.NoError(t, err)
+		}
+	}
+	apply(StageKind, crux.Pack(&Stage{Text: charter(t, nil)}))
+	apply(ActivateKind, crux.Pack(&Activate{1}))
+	writes, least := 0, int64(0)
+	lead := func(m *Machine, from, to int) int64 {
+		var now int64
+		for at := from; at < to; at += 200 {
+			for _, c := range m.Due(ms(at), 1, 1) {
+				writes++
+				apply(c.Kind, c.Body)
+			}
+			now = m.Time(ms(at))
+			require.GreaterOrEqual(t, now, least, "at %d ms", at)
+			least = now
+		}
+		return now
+	}
+	first := lead(a, 1000, 11200)
+	require.Equal(t, 10*time.Second, time.Duration(first-wall.UnixNano()))
+	require.InDelta(t, 10, writes, 1, "a write a second")
+	wall = wall.AddDate(1, 0, 0)
+	then := lead(a, 11200, 21200)
+	require.Equal(t, 10*time.Second, time.Duration(then-first), "the wall jumped")
+	require.Zero(t, b.Time(ms(21200)), "it does not lead")
+	// The other machine's ticks have nothing to do with these.
+	next := lead(b, 500000, 510200)
+	require.LessOrEqual(t, time.Duration(next-then), 12*time.Second)
+	back := lead(a, 60000, 61200)
+	require.Greater(t, back, next)
+	require.LessOrEqual(t, time.Duration(back-next), 3200*time.Millisecond)
+	c := build()
+	require.NoError(t, c.Restore(a.Picture(false)))
+	least, all = back, append(all, c)
+	require.Greater(t, lead(c, 10, 1000), back)
+	require.False(t, a.Open(ClockKind), "nodes hear of it by their leases")
+	// A machine that slept for a while as the primary jumps no further than the bound.
+	require.LessOrEqual(t, time.Duration(lead(c, 90000, 90200)-least), 3*time.Second)
+}
+
+// TestMay: a certified worker's key falls to certified nodes alone.
+func TestMay(t *testing.T) {
+	m := NewMachine(MachineOptions{Wall: func() time.Time { return time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC) }})
+	require.True(t, m.May(WorkerKey("p1"), "v2-aa"))
+	for kind, body := range map[string][]byte{StageKind: crux.Pack(&Stage{Text: charter(t, nil)})} {
+		_, err := m.Apply(1, kind, body)
+		require.NoError(t, err)
+	}
+	_, err := m.Apply(1, ActivateKind, crux.Pack(&Activate{1}))
+	require.NoError(t, err)
+	run(t, m, m.Due(1, 1, 1))
+	m.Keys()
+	require.True(t, m.May(WorkerKey("p1"), "v1-0123456789abcdef"))
+	require.False(t, m.May(WorkerKey("p1"), "v2-0123456789abcdef"))
+	require.True(t, m.May(BudgetKey, "v2-0123456789abcdef"))
+	_, err = m.Apply(2, RevokeKind, crux.Pack(&Revoke{"s3"}))
+	require.NoError(t, err)
+	require.False(t, m.May(WorkerKey("p1"), "v1-0123456789abcdef"))
+	_, err = m.Apply(3, RevokeKind, crux.Pack(&Revoke{"s1"}))
+	require.NoError(t, err)
+	require.True(t, m.May(WorkerKey("p1"), "v2-0123456789abcdef"), "nothing governed runs there")
+}
--- a/lore/state.go
+++ b/lore/state.go
@@ -31,29 +31,35 @@
 
 // State holds it all. A lean one (on nodes) keeps open claims only.
 type State struct {
-	lean    bool
-	active  Ruled
-	staged  []Ruled
-	zones   map[word.Zone]bool
-	drained map[word.WorkerId]bool
-	turning map[word.WorkerId]word.Part
-	fence   word.Fence
-	deeds   map[string]Deed
-	order   []string // settled, oldest first
-	shelf   shelf
-	count   int // of all deeds there ever were
-	most    int // that the policy in force allows
+	lean     bool
+	active   Ruled
+	staged   []Ruled
+	zones    map[word.Zone]bool
+	drained  map[word.WorkerId]bool
+	turning  map[word.WorkerId]word.Part
+	fence    word.Fence
+	deeds    map[string]Deed
+	order    []string // settled, oldest first
+	shelf    shelf
+	count    int             // of all deeds there ever were
+	most     int             // that the policy in force allows
+	revoked  map[string]bool // serials; true once in force everywhere
+	time     int64           // bound of the fleet's time
+	governed bool            // the policy in force has regimes
 }
 
 func newState(lean bool, d Depth) *State {
-	return &State{lean: lean, zones: map[word.Zone]bool{}, drained: map[word.WorkerId]bool{}, turning: map[word.WorkerId]word.Part{}, deeds: map[string]Deed{}, shelf: newShelf(d)}
+	return &State{lean: lean, zones: map[word.Zone]bool{}, drained: map[word.WorkerId]bool{}, turning: map[word.WorkerId]word.Part{}, deeds: map[string]Deed{}, shelf: newShelf(d), revoked: map[string]bool{}}
 }
 
 // rule puts a version in force.
 func (s *State) rule(r Ruled) {
-	var p struct{ Limits Limits }
+	var p struct {
+		Limits  Limits
+		Regimes map[string]json.RawMessage
+	}
 	json.Unmarshal(unpack(r.Text), &p)
-	s.active, s.most = r, p.Limits.Deeds
+	s.active, s.most, s.governed = r, p.Limits.Deeds, len(p.Regimes) > 0
 }
 
 func (s *State) newest() word.Version {
@@ -88,6 +94,12 @@
 		return &Seize{}
 	case BindKind:
 		return &Bind{}
+	case RevokeKind:
+		return &Revoke{}
+	case SealKind:
+		return &Seal{}
+	case ClockKind:
+		return &Clock{}
 	}
 	return nil
 }
@@ -231,6 +243,11 @@
 	for w, to := range s.turning {
 		img.Turning = append(img.Turning, Turn{Worker: w, To: to})
 	}
+	for serial, sure := range s.revoked {
+		img.Revoked = append(img.Revoked, Revocation{serial, sure})
+	}
+	sort.Slice(img.Revoked, func(i, j int) bool { return img.Revoked[i].Serial < img.Revoked[j].Serial })
+	img.Time = s.time
 	sort.Slice(img.Turning, func(i, j int) bool { return img.Turning[i].Worker < img.Turning[j].Worker })
 	if !open && !s.lean {
 		for _, k := range s.order {
@@ -265,6 +282,10 @@
 	for _, t := range img.Turning {
 		next.turning[t.Worker] = t.To
 	}
+	for _, r := range img.Revoked {
+		next.revoked[r.Serial] = r.Sure
+	}
+	next.time = img.Time
 	for _, d := range img.Deeds {
 		next.deeds[d.Key] = d
 		if d.Fate != Claimed {
--- a/lore/view.go
+++ b/lore/view.go
@@ -12,6 +12,7 @@
 	"keelstair.example/crux"
 	"keelstair.example/tale"
 	"keelstair.example/word"
+	"keelstair.example/writ"
 )
 
 // Sight is one frozen state of the view.
@@ -24,6 +25,11 @@
 	Zones   map[word.Zone]bool
 	Drained map[word.WorkerId]bool
 	Turning map[word.WorkerId]word.Part
+	// Register says who is cleared for governed work; nil without regimes. Bare is the
+	// same without revocations. Revoked has their serials: true once in force everywhere.
+	Register *writ.Register
+	Bare     *writ.Register
+	Revoked  map[string]bool
 }
 
 // View is a crux.Follower. Ready is called with every policy as it is staged,
@@ -88,7 +94,7 @@
 	if _, err := v.state.Apply(kind, body); err != nil && err != crux.Same {
 		v.Ring.Error().AnErr("cause", err).Str("kind", kind).Msg("news does not fold")
 	}
-	loud := kind == StageKind || kind == ActivateKind || kind == VacateKind || kind == DrainKind || kind == TurnKind
+	loud := kind == StageKind || kind == ActivateKind || kind == VacateKind || kind == DrainKind || kind == TurnKind || kind == RevokeKind || kind == SealKind
 	if loud {
 		v.show()
 	}
@@ -161,9 +167,17 @@
 		s.Policy = &Policy{}
 	}
 	if old := v.sight.Load(); old.Policy == s.Policy && old.Table != nil {
-		s.Table = old.Table
+		s.Table, s.Bare = old.Table, old.Bare
 	} else {
 		s.Table = NewTable(s.Policy)
+		var err error
+		if s.Bare, err = s.Policy.Register(); err != nil {
+			v.Ring.Error().AnErr("cause", err).Msg("certificates that do not hold are left out")
+		}
+	}
+	if s.Bare != nil {
+		s.Revoked = maps.Clone(v.state.revoked)
+		s.Register = s.Bare.With(s.Revoked)
 	}
 	for z := range v.state.zones {
 		s.Zones[z] = true
--- a/writ/register.go
+++ b/writ/register.go
@@ -37,7 +37,7 @@
 	seats   map[seat][]entry
 	all     map[string]*Certificate
 	spans   map[string]entry
-	revoked map[string]bool
+	revoked map[string]bool // by their presence
 }
 
 // Compile makes a register. Every certificate that does not hold is left out of it and
@@ -121,7 +121,8 @@
 	return out
 }
 
-// With gives the register under another set of revoked serials.
+// With gives the register under another set of revoked serials: those that the map has,
+// whatever it says of them.
 func (r *Register) With(revoked map[string]bool) *Register {
 	if r == nil {
 		return nil
@@ -139,6 +140,20 @@
 	return r.kinds[kind]
 }
 
+func (r *Register) gone(serial string) bool {
+	_, ok := r.revoked[serial]
+	return ok
+}
+
+// Has tells whether there is such a regime.
+func (r *Register) Has(regime string) bool {
+	if r == nil {
+		return false
+	}
+	_, ok := r.regimes[regime]
+	return ok
+}
+
 // Clears tells whether a subject may play a part (none for a node) in a regime now, and
 // by which serial: of several the one that ends last.
 func (r *Register) Clears(regime string, s Subject, part word.Part, now Now) (serial string, ok bool) {
@@ -147,7 +162,7 @@
 	}
 	var last int64
 	for _, e := range r.seats[seat{regime, s, part}] {
-		if e.from <= now.Low && now.High < e.until && !r.revoked[e.serial] && e.until > last {
+		if e.from <= now.Low && now.High < e.until && !r.gone(e.serial) && e.until > last {
 			serial, last, ok = e.serial, e.until, true
 		}
 	}
@@ -206,7 +221,7 @@
 		}
 		row := Row{Certificate: *c, State: Valid, Ends: e.until}
 		switch {
-		case r.revoked[serial]:
+		case r.gone(serial):
 			row.State = Revoked
 		case now.High >= e.until:
 			row.State = Expired
