--- a/cmd/edict/main.go
+++ b/cmd/edict/main.go
@@ -40,20 +40,29 @@
 }
 
 type settings struct {
-	Doors    []string  `arg:"--doors,env:KEELSTAIR_DOORS" help:"doors of nodes, tried in turn"`
-	Apply    *applyCmd `arg:"subcommand:apply" help:"apply a whole or partial configuration"`
-	Show     *showCmd  `arg:"subcommand:show" help:"show the configuration in force"`
-	Diff     *diffCmd  `arg:"subcommand:diff" help:"what a configuration would change"`
-	Evacuate *nameCmd  `arg:"subcommand:evacuate" help:"empty a zone of new work"`
-	Return   *nameCmd  `arg:"subcommand:return" help:"take an evacuation back"`
-	Drain    *nameCmd  `arg:"subcommand:drain" help:"keep new work from a worker"`
-	Undrain  *nameCmd  `arg:"subcommand:undrain" help:"take a drain back"`
-	Status   *struct{} `arg:"subcommand:status" help:"how the fleet stands, as one node sees it"`
+	Doors    []string    `arg:"--doors,env:KEELSTAIR_DOORS" help:"doors of nodes, tried in turn"`
+	Apply    *applyCmd   `arg:"subcommand:apply" help:"apply a whole or partial configuration"`
+	Show     *showCmd    `arg:"subcommand:show" help:"show the configuration in force"`
+	Diff     *diffCmd    `arg:"subcommand:diff" help:"what a configuration would change"`
+	Evacuate *nameCmd    `arg:"subcommand:evacuate" help:"empty a zone of new work"`
+	Return   *nameCmd    `arg:"subcommand:return" help:"take an evacuation back"`
+	Drain    *nameCmd    `arg:"subcommand:drain" help:"keep new work from a worker"`
+	Undrain  *nameCmd    `arg:"subcommand:undrain" help:"take a drain back"`
+	Key      *keyCmd     `arg:"subcommand:key" help:"make an issuer's key file and print its part of a configuration"`
+	Certify  *certifyCmd `arg:"subcommand:certify" help:"sign certificates and print or apply them"`
+	Revoke   *nameCmd    `arg:"subcommand:revoke" help:"end a certificate, by its serial, for good"`
+	Regimes  *struct{}   `arg:"subcommand:regimes" help:"who is certified, until when, and what is short"`
+	Status   *struct{}   `arg:"subcommand:status" help:"how the fleet stands, as one node sees it"`
 }
 
 func (s *settings) File() string { return "" }
 
-func (s *settings) Check() error { return boot.Doors(&s.Doors) }
+func (s *settings) Check() error {
+	if s.Key != nil || s.Certify != nil && !s.Certify.Apply {
+		return nil // nobody is asked
+	}
+	return boot.Doors(&s.Doors)
+}
 
 func main() {
 	s := &settings{}
@@ -84,6 +93,14 @@
 		return s.mark("workers", s.Drain, true)
 	case s.Undrain != nil:
 		return s.mark("workers", s.Undrain, false)
+	case s.Key != nil:
+		return s.key(s.Key)
+	case s.Certify != nil:
+		return s.certify(s.Certify)
+	case s.Revoke != nil:
+		return s.revoke(s.Revoke)
+	case s.Regimes != nil:
+		return s.regimes()
 	case s.Status != nil:
 		var v any
 		if err := s.ask(http.MethodGet, "/v1/status", nil, &v); err != nil {
@@ -123,6 +140,10 @@
 	if err != nil {
 		return err
 	}
+	return s.put(c, name, text)
+}
+
+func (s *settings) put(c *applyCmd, name, text string) error {
 	a := door.Apply{Op: c.Op, Partial: c.Partial, Name: name, Source: text, Dry: c.Dry}
 	if a.Op == "" {
 		a.Op = crux.Name()
--- a/door/door.go
+++ b/door/door.go
@@ -110,19 +110,24 @@
 	Ready() (bool, string)
 }
 
-// Mount puts the origins' side on a mux.
-func Mount(mux *http.ServeMux, s Server) {
-	mux.HandleFunc("POST /v1/streams", func(w http.ResponseWriter, r *http.Request) {
+// Streams answers origins' requests on a path.
+func Streams(mux *http.ServeMux, path string, serve func(context.Context, *Ask, Sink) error) {
+	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 		var ask Ask
 		if f := Read(r, &ask, maxAsk); f != nil {
 			Bounce(w, f)
 			return
 		}
 		out := &lines{w: w, rows: json.NewEncoder(w)}
-		if err := s.Serve(r.Context(), &ask, out); err != nil && !out.begun {
+		if err := serve(r.Context(), &ask, out); err != nil && !out.begun {
 			Bounce(w, err)
 		}
 	})
+}
+
+// Mount puts the origins' side on a mux.
+func Mount(mux *http.ServeMux, s Server) {
+	Streams(mux, "/v1/streams", s.Serve)
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		ok, why := s.Ready()
 		code := http.StatusOK
--- a/door/operate.go
+++ b/door/operate.go
@@ -6,6 +6,8 @@
 	"context"
 	"encoding/json"
 	"net/http"
+
+	"keelstair.example/writ"
 )
 
 // Apply is a whole or partial configuration. Source is CUE or JSON text; Base
@@ -42,11 +44,32 @@
 	Drained []string        `json:"drained"`
 }
 
+// Regimes shows who is certified. Low and High bound the fleet's time; Wall is the
+// node's own clock, which decides nothing. All in nanoseconds since 1970.
+type Regimes struct {
+	Version uint64   `json:"version"`
+	Low     int64    `json:"low"`
+	High    int64    `json:"high"`
+	Wall    int64    `json:"wall"`
+	Regimes []Regime `json:"regimes"`
+}
+
+// Regime is one of them, with its certificates and what it lacks now.
+type Regime struct {
+	Name  string     `json:"name"`
+	Kinds []string   `json:"kinds"`
+	Keep  int        `json:"keep"`
+	Rows  []writ.Row `json:"certificates"`
+	Short []string   `json:"short"`
+}
+
 // Operator is what operators may ask of a node.
 type Operator interface {
 	Apply(ctx context.Context, a *Apply) (*Applied, error)
 	Evacuate(ctx context.Context, zone string, m *Mark) (*Applied, error)
 	Drain(ctx context.Context, worker string, m *Mark) (*Applied, error)
+	Revoke(ctx context.Context, serial string, m *Mark) (*Applied, error)
+	Regimes() *Regimes
 	Show() *Shown
 	Status() any
 }
@@ -87,6 +110,8 @@
 	}
 	mux.HandleFunc("POST /v1/zones/{name}", mark(o.Evacuate))
 	mux.HandleFunc("POST /v1/workers/{name}", mark(o.Drain))
+	mux.HandleFunc("POST /v1/certificates/{name}", mark(o.Revoke))
+	mux.HandleFunc("GET /v1/regimes", func(w http.ResponseWriter, _ *http.Request) { Write(w, http.StatusOK, o.Regimes()) })
 }
 
 func answer(w http.ResponseWriter, a *Applied, err error) {
--- a/passage/controller.go
+++ b/passage/controller.go
@@ -64,6 +64,7 @@
 	Worker word.WorkerId
 	At     word.Tick
 	Why    string
+	Regime string // that the task is bound to, if any
 }
 
 // Task is one request.
@@ -72,6 +73,7 @@
 	Kind     string
 	Zone     word.Zone
 	Claimed  bool
+	Regime   string
 	Tries    int
 	GiveUp   time.Duration
 	// Claim is called when room is booked at both workers and nothing has been sent
@@ -117,7 +119,7 @@
 	if f.Tell == nil {
 		return
 	}
-	e := Event{Id: f.id, Stage: s, Worker: w, At: f.Clock.Now()}
+	e := Event{Id: f.id, Stage: s, Worker: w, At: f.Clock.Now(), Regime: f.t.Regime}
 	if why != nil {
 		e.Why = why.Error()
 	}
--- a/passage/ledger.go
+++ b/passage/ledger.go
@@ -179,14 +179,30 @@
 	return max(1, int(float64(l.cap)*float64(age)/float64(l.ramp)))
 }
 
+// Part is what the worker plays by its newest report.
+func (l *Ledger) Part() word.Part {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.part
+}
+
 // Reserve books room for a hand-over, or says at once that there is none.
 func (l *Ledger) Reserve(id rein.Id, blocks int, now word.Tick) error {
+	return l.ReserveBeside(id, blocks, 0, now)
+}
+
+// ReserveBeside books room that leaves so many percent of all room and starts free.
+func (l *Ledger) ReserveBeside(id rein.Id, blocks, keep int, now word.Tick) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.holds[id] != nil {
 		return nil
 	}
 	s := l.state(now)
+	if keep > 0 {
+		s.Free -= s.Room * keep / 100
+		s.Cap = max(1, s.Cap*(100-keep)/100)
+	}
 	switch {
 	case !s.Ready:
 		return breakdown.New(breakdown.Bounced, "reserve", "", "no report young enough")
--- /dev/null
+++ b/proof/bureau_test.go
@@ -0,0 +1,231 @@
+// A bureau certifies a fleet's machines, and checks afterwards, on the workers' own
+// books, that governed work was handled on certified ones alone.
+
+package proof
+
+import (
+	"crypto/ed25519"
+	"fmt"
+	"maps"
+	"sync"
+	"time"
+
+	"keelstair.example/crux"
+	"keelstair.example/door"
+	"keelstair.example/guise"
+	"keelstair.example/passage"
+	"keelstair.example/verge"
+	"keelstair.example/word"
+	"keelstair.example/writ"
+)
+
+// Uncertified is the line of what must never happen to governed work.
+const Uncertified = "governed work on an uncertified node"
+
+// grace is how long after the acknowledgement of a revocation, or the end of a
+// certificate, work may still be found at its worker.
+const grace = 2 * time.Second
+
+// chamber is a site with governed kinds of both sorts and machines to spare.
+var chamber = guise.Site{Name: "chamber", Zones: []word.Zone{"a", "b", "c"}, Nodes: 5, Prefill: 4, Decode: 4, Model: "m",
+	Shapes: []guise.Shape{{Kind: "verdict", Claimed: true, Share: 30, Shared: 64, Own: 64, Max: 2},
+		{Kind: "speech", Share: 30, Shared: 64, Own: 32, Max: 40}, {Kind: "clarification", Share: 40, Shared: 64, Own: 16, Max: 16}}}
+
+// grant is a certificate's span at a worker, in the book's time.
+type grant struct{ from, until time.Duration }
+
+// Bureau signs for one regime that governs verdicts and speeches.
+type Bureau struct {
+	c      *Cluster
+	key    ed25519.PrivateKey
+	issuer writ.Issuer
+	mu     sync.Mutex
+	certs  map[string]writ.Certificate
+	spans  map[string]grant  // by serial
+	work   map[string]string // governed requests by id, with the node that carries them
+	steps  []passage.Event   // of governed work
+	revoke []time.Duration   // how long each revocation took
+}
+
+// NewBureau must be made before the fleet is built, since it listens to its steps.
+func NewBureau() *Bureau {
+	key, _, err := writ.NewKey()
+	if err != nil {
+		panic(err)
+	}
+	return &Bureau{key: key, certs: map[string]writ.Certificate{}, spans: map[string]grant{}, work: map[string]string{}}
+}
+
+// tune hooks the bureau to a fleet.
+func (b *Bureau) tune(c *Cluster) {
+	b.c, c.Fixed = c, true
+	now := time.Now().UTC()
+	b.issuer = writ.Issuer{Key: writ.Public(b.key), From: now.AddDate(0, 0, -1).Format(time.RFC3339), Until: now.AddDate(1, 0, 0).Format(time.RFC3339)}
+	c.Steps = func(e passage.Event) {
+		if e.Regime != "" {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.work[e.Id.Request] = e.Regime
+			b.steps = append(b.steps, e)
+		}
+	}
+}
+
+// sign makes a certificate that holds from an hour ago on for a span.
+func (b *Bureau) sign(serial string, c writ.Certificate, span time.Duration) writ.Certificate {
+	now := time.Now().UTC()
+	c.Serial, c.Regime, c.Issuer = serial, "chair", "k1"
+	c.From, c.Until = now.Add(-time.Hour).Format(time.RFC3339), now.Add(span).Format(time.RFC3339)
+	c.Sign(b.key)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.certs[serial] = c
+	if c.Worker != "" {
+		end, _ := time.Parse(time.RFC3339, c.Until)
+		b.spans[serial] = grant{b.c.Book.Now(), b.c.Book.Now() + end.Sub(now)}
+	}
+	return c
+}
+
+// certify gives all named a certificate for a day; the serial is c- and the name.
+func (b *Bureau) certify(workers, nodes []string) {
+	for _, w := range workers {
+		part := word.Prefill
+		if w[0] == 'd' {
+			part = word.Decode
+		}
+		b.sign("c-"+w, writ.Certificate{Worker: word.WorkerId(w), Parts: []word.Part{part}}, 24*time.Hour)
+	}
+	for _, n := range nodes {
+		b.sign("c-"+n, writ.Certificate{Node: n}, 24*time.Hour)
+	}
+}
+
+// part is the operators' part of a configuration with all that was signed so far.
+func (b *Bureau) part() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return partOf(map[string]any{"issuers": map[string]any{"k1": b.issuer}, "certificates": maps.Clone(b.certs),
+		"regimes": map[string]any{"chair": map[string]any{"kinds": []string{"verdict", "speech"}}}})
+}
+
+// Open applies the part and waits until every certified node clears somebody.
+func (b *Bureau) Open() error {
+	if err := alter(b.c, "regimes", b.part()); err != nil {
+		return err
+	}
+	if !b.c.Until(10*time.Second, func() bool {
+		for _, box := range running(b.c, "verge") {
+			if g := box.Node.Regimes(); g.High == 0 || len(g.Regimes) == 0 || len(g.Regimes[0].Short) > 0 {
+				return false
+			}
+		}
+		return true
+	}) {
+		return fmt.Errorf("the regimes are not in force")
+	}
+	return nil
+}
+
+// Revoke ends a certificate as edict does, until it is acknowledged.
+func (b *Bureau) Revoke(serial string) error {
+	op, begun := crux.Name(), b.c.Book.Now()
+	var err error
+	b.c.Until(20*time.Second, func() bool {
+		err = b.c.Operate("/v1/certificates/"+serial, &door.Mark{Op: op, Out: true}, nil)
+		return err == nil
+	})
+	if err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.c.Book.Now()
+	b.revoke = append(b.revoke, now-begun)
+	if g, ok := b.spans[serial]; ok && g.until > now {
+		g.until = now
+		b.spans[serial] = g
+	}
+	return nil
+}
+
+// cleared tells whether a worker may be at governed work at a time.
+func (b *Bureau) cleared(w word.WorkerId, at time.Duration) bool {
+	for serial, g := range b.spans {
+		if b.certs[serial].Worker == w && at >= g.from && at <= g.until+grace {
+			return true
+		}
+	}
+	return false
+}
+
+// Check holds the workers' books against the certificates: no order for governed work,
+// and no run of it, at a worker that was not certified then.
+func (b *Bureau) Check(all []guise.Outcome) []Fault {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, o := range all {
+		if o.Kind == "verdict" {
+			b.work[verge.Request(o.Kind+"/"+o.Key)] = "chair"
+		}
+	}
+	b.c.Book.mu.Lock()
+	defer b.c.Book.mu.Unlock()
+	f := &finder{}
+	begun := map[string]Seen{}
+	for _, e := range b.c.Book.rows {
+		if b.work[e.Id.Request] == "" {
+			continue
+		}
+		run := fmt.Sprint(e.Worker, e.Id)
+		switch e.What {
+		case "prefill", "import", "export", "resume", "resumed", "record":
+			if !b.cleared(e.Worker, e.When) {
+				f.say(Uncertified, "%s had %s of %s at %s", e.Worker, e.What, e.Id.Request, e.When)
+			}
+		}
+		switch e.What {
+		case "prefill", "import":
+			begun[run] = e
+		case "export", "cancel", "record", "lost", "bounced", "orphan-run", "orphan-import":
+			if old, ok := begun[run]; ok && !b.cleared(e.Worker, e.When) {
+				f.say(Uncertified, "%s still held %s, begun at %s, at %s", e.Worker, e.Id.Request, old.When, e.When)
+			}
+			delete(begun, run)
+		}
+	}
+	return f.out
+}
+
+// governed counts the requests that were found to be so.
+func (b *Bureau) governed() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.work)
+}
+
+// serves lists the workers at which a request had governed steps.
+func (b *Bureau) serves(stage passage.Stage) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for _, e := range b.steps {
+		if e.Stage == stage {
+			out = append(out, string(e.Worker))
+		}
+	}
+	return out
+}
+
+func upTo(sort string, n int) []string {
+	var out []string
+	for i := range n {
+		out = append(out, sort+fmt.Sprint(i+1))
+	}
+	return out
+}
+
+// usual certifies three of each part and four of the nodes.
+func (b *Bureau) usual() { b.certify(append(upTo("p", 3), upTo("d", 3)...), upTo("verge-", 4)) }
+
+func holds(b *Box) []word.Key { return b.Node.Status().(*verge.Standing).Holds }
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -131,7 +131,9 @@
 	return &Box{Name: name, Kind: "tenet", Zone: zone, Addr: addr, Machine: c.World.Machine(ip),
 		begin: func(b *Box, ctx context.Context, host seam.Host) error {
 			core, err := crux.New(crux.Options{Addr: addr, Zone: zone, Host: host, Seeds: c.Seeds, Ring: c.ring(name),
-				Machine: func() crux.Machine { return lore.NewMachine(lore.MachineOptions{Depth: c.Depth}) }})
+				Machine: func() crux.Machine {
+					return lore.NewMachine(lore.MachineOptions{Depth: c.Depth, Wall: host.Clock.Wall})
+				}})
 			if err != nil {
 				return err
 			}
--- /dev/null
+++ b/proof/regime_test.go
@@ -0,0 +1,236 @@
+// Certified nodes: governed work stays on them as they are revoked, expire, drain, fail
+// and join.
+
+package proof
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/door"
+	"keelstair.example/guise"
+	"keelstair.example/passage"
+	"keelstair.example/word"
+	"keelstair.example/writ"
+)
+
+// inChamber runs a fleet with a regime in force.
+func inChamber(t *testing.T, prepare func(b *Bureau), f func(t *testing.T, c *Cluster, b *Bureau)) {
+	unraced(t)
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBureau()
+		c := Build(1, chamber, b.tune)
+		defer c.Close()
+		require.NoError(t, c.Found())
+		prepare(b)
+		require.NoError(t, b.Open())
+		f(t, c, b)
+	})
+}
+
+func node(c *Cluster, name string) *Box {
+	list := c.Of("verge")
+	return list[slices.IndexFunc(list, func(b *Box) bool { return b.Name == name })]
+}
+
+var speech = door.Ask{Kind: "speech", Prompt: "the chair gives the floor to the delegate of the fourth row", MaxTokens: 60, Seed: 9}
+
+// long gives an asking whose answer has fifty tokens or more.
+func long(ask door.Ask) door.Ask {
+	ask.MaxTokens = 64
+	for len(guise.Solo(ask.Tokens(), ask.MaxTokens, ask.Seed, 0, chamber.Model, guise.SiteWeights, nil)) < 50 {
+		ask.Seed++
+	}
+	return ask
+}
+
+// whole checks a stream against a run that never moved.
+func whole(t *testing.T, c *Cluster, ask door.Ask, got []door.Line) {
+	t.Helper()
+	solo := guise.Solo(ask.Tokens(), ask.MaxTokens, ask.Seed, 0, c.Site.Model, guise.SiteWeights, nil)
+	require.Len(t, got, len(solo)+1, "%+v", got[len(got)-1])
+	for i, tok := range solo {
+		require.Equal(t, tok, got[i].Token)
+	}
+	require.Equal(t, door.Complete, got[len(solo)].End)
+}
+
+// TestCertified: under a mixed load governed work is handled on certified nodes alone,
+// whichever door it came to, and all of it is answered; other work uses all workers.
+func TestCertified(t *testing.T) {
+	inChamber(t, (*Bureau).usual, func(t *testing.T, c *Cluster, b *Bureau) {
+		all := c.Load(30, 10*time.Second, 1)
+		require.Empty(t, b.Check(all))
+		require.Empty(t, c.Book.Check(all))
+		sum := guise.Sum(all)
+		require.Equal(t, len(all), sum.Ends[door.Complete], "%+v", sum)
+		require.Greater(t, b.governed(), 100)
+		used := map[word.WorkerId]bool{}
+		for _, e := range c.Book.rows {
+			used[e.Worker] = true
+		}
+		require.Len(t, used, 8, "other work goes everywhere")
+		passed := int64(0)
+		for _, box := range c.Of("verge") {
+			passed += box.Node.Passed()
+		}
+		require.Positive(t, passed)
+	})
+}
+
+// TestPassed: a node without a certificate passes governed requests on, untouched, and
+// where it reaches no certified one says at once when to come back; it holds no key of a
+// certified worker.
+func TestPassed(t *testing.T) {
+	inChamber(t, (*Bureau).usual, func(t *testing.T, c *Cluster, b *Bureau) {
+		lone := node(c, "verge-5")
+		got, err := c.stream(lone, speech)
+		require.NoError(t, err)
+		whole(t, c, speech, got)
+		ask := verdict
+		first, err := c.stream(lone, ask)
+		require.NoError(t, err)
+		again, err := c.stream(lone, ask)
+		require.NoError(t, err)
+		require.True(t, again[0].Replay)
+		require.Equal(t, first[0].Token, again[0].Token)
+		_, err = c.stream(lone, door.Ask{Kind: "verdict", Key: "q1", Prompt: "another body", MaxTokens: 2})
+		require.Equal(t, "key-reused", err.(*door.Fault).Name, "a refusal comes back as it was")
+		require.True(t, c.Until(10*time.Second, func() bool {
+			for _, k := range holds(lone) {
+				for _, w := range append(upTo("p", 3), upTo("d", 3)...) {
+					if k == word.Key("worker/"+w) {
+						return false
+					}
+				}
+			}
+			return true
+		}), "%v", holds(lone))
+		for _, n := range upTo("verge-", 4) {
+			require.NoError(t, b.Revoke("c-"+n))
+		}
+		begun := time.Now()
+		_, err = c.stream(lone, speech)
+		f, ok := err.(*door.Fault)
+		require.True(t, ok, "%v", err)
+		require.Equal(t, "not-certified", f.Name)
+		require.Positive(t, f.After)
+		require.Less(t, time.Since(begun), 300*time.Millisecond)
+		_, err = c.stream(lone, door.Ask{Kind: "clarification", Prompt: "may I speak", MaxTokens: 3})
+		require.NoError(t, err, "other work goes on")
+	})
+}
+
+// TestRevokedMidStream: a speech whose decode worker is revoked goes on at a certified
+// one, each piece once; within two seconds of the acknowledgement the worker has none.
+func TestRevokedMidStream(t *testing.T) {
+	inChamber(t, (*Bureau).usual, func(t *testing.T, c *Cluster, b *Bureau) {
+		ask := long(speech)
+		done := make(chan []door.Line, 1)
+		go func() {
+			got, _ := c.stream(node(c, "verge-1"), ask)
+			done <- got
+		}()
+		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(passage.Resumed)) == 1 }))
+		at := b.serves(passage.Resumed)[0]
+		time.Sleep(100 * time.Millisecond)
+		require.NoError(t, b.Revoke("c-"+at))
+		require.Less(t, b.revoke[0], time.Second, "all nodes are well")
+		whole(t, c, ask, <-done)
+		resumed := b.serves(passage.Resumed)
+		require.Len(t, resumed, 2, "it moved: %v, revoked in %v", b.steps, b.revoke)
+		require.NotEqual(t, at, resumed[1])
+		time.Sleep(3 * time.Second)
+		require.Empty(t, b.Check(nil))
+	})
+}
+
+// TestRevokedVerdict: a claimed run on a worker that is revoked is never run again: it
+// ends whole, or as unknown, and its key says so later.
+func TestRevokedVerdict(t *testing.T) {
+	inChamber(t, (*Bureau).usual, func(t *testing.T, c *Cluster, b *Bureau) {
+		ask := long(verdict)
+		done := make(chan []door.Line, 1)
+		go func() {
+			got, _ := c.stream(node(c, "verge-1"), ask)
+			done <- got
+		}()
+		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(passage.Resumed)) == 1 }))
+		time.Sleep(50 * time.Millisecond)
+		require.NoError(t, b.Revoke("c-"+b.serves(passage.Resumed)[0]))
+		got := <-done
+		require.Equal(t, door.Unknown, got[len(got)-1].End)
+		_, err := c.stream(node(c, "verge-2"), ask)
+		require.Equal(t, "may-have-run", err.(*door.Fault).Name)
+		runs, _ := runsOf(c, "verdict/q1")
+		require.Equal(t, 1, runs)
+		time.Sleep(3 * time.Second)
+		require.Empty(t, b.Check(nil))
+	})
+}
+
+// TestRevokedWhileCut: a revocation is not acknowledged while a node that has not heard
+// of it may still act on its word; that node's own governed work is over by then.
+func TestRevokedWhileCut(t *testing.T) {
+	inChamber(t, (*Bureau).usual, func(t *testing.T, c *Cluster, b *Bureau) {
+		cut := node(c, "verge-1")
+		mates := append(ips(c.Of("tenet")...), ips(c.Of("verge")...)...)
+		ask := long(speech)
+		go func() {
+			for range 40 {
+				go c.stream(cut, ask)
+				time.Sleep(150 * time.Millisecond)
+			}
+		}()
+		time.Sleep(time.Second)
+		c.World.Sever(ips(cut), mates, true)
+		time.Sleep(50 * time.Millisecond)
+		require.NoError(t, b.Revoke("c-d1"))
+		require.NoError(t, b.Revoke("c-d2"))
+		require.Greater(t, b.revoke[0], 2*time.Second, "it waited for the lease of the one cut off")
+		require.Less(t, b.revoke[0], 5*time.Second)
+		_, err := cut.Node.Clears("chair", writ.Subject{Worker: "d3"}, word.Decode)
+		require.Error(t, err, "its word is too old for anybody")
+		time.Sleep(4 * time.Second)
+		require.Empty(t, b.Check(nil))
+		c.World.Sever(ips(cut), mates, false)
+		require.True(t, c.Until(8*time.Second, func() bool {
+			got, err := c.stream(cut, speech)
+			return err == nil && got[len(got)-1].End == door.Complete
+		}), "it serves again")
+		require.Empty(t, b.Check(nil))
+	})
+}
+
+// TestExpired: certificates end by the fleet's time, without a message, also while
+// clocks of nodes and of the leader leap; streams move on in time.
+func TestExpired(t *testing.T) {
+	inChamber(t, func(b *Bureau) {
+		b.usual()
+		b.sign("c-d1", writ.Certificate{Worker: "d1", Parts: []word.Part{word.Decode}}, 20*time.Second)
+		b.sign("c-p2", writ.Certificate{Worker: "p2", Parts: []word.Part{word.Prefill}}, 20*time.Second)
+	}, func(t *testing.T, c *Cluster, b *Bureau) {
+		go func() {
+			for _, box := range []*Box{node(c, "verge-1"), node(c, "verge-2"), leader(c)} {
+				time.Sleep(4 * time.Second)
+				box.Machine.Leap(48 * time.Hour)
+			}
+		}()
+		all := c.Load(30, 24*time.Second, 1)
+		require.Empty(t, b.Check(all))
+		require.Empty(t, c.Book.Check(all))
+		sum := guise.Sum(all)
+		require.Equal(t, len(all), sum.Ends[door.Complete]+sum.Ends[door.Unknown], "%+v", sum)
+		last := map[string]time.Duration{}
+		for _, e := range c.Book.rows {
+			if b.work[e.Id.Request] != "" && e.What == "resumed" || e.What == "import" {
+				last[string(e.Worker)] = e.When
+			}
+		}
+		require.Greater(t, last["d1"], b.spans["c-d1"].until-5*time.Second, "it was used nearly to its end: %v", last)
+	})
+}
--- /dev/null
+++ b/verge/govern.go
@@ -0,0 +1,104 @@
+// Governed work is held to its regime by mechanism: whom the register does not clear is
+// no candidate, gets no order, and loses what it runs at once.
+
+package verge
+
+import (
+	"context"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/lore"
+	"keelstair.example/seam"
+	"keelstair.example/word"
+	"keelstair.example/writ"
+)
+
+// guardEvery is how often a running step is held against the register.
+const guardEvery = 50 * time.Millisecond
+
+// allows tells whether this node, and then a worker in a part, may handle a regime's
+// work now, and gives the worker's serial. What no regime governs (any more) is allowed.
+func (n *Node) allows(regime string, w word.WorkerId, part word.Part) (string, error) {
+	if regime == "" || !n.view.Sight().Register.Has(regime) {
+		return "", nil
+	}
+	if _, err := n.clears(regime, writ.Subject{Node: n.opt.Name}, ""); err != nil {
+		return "", err
+	}
+	return n.clears(regime, writ.Subject{Worker: w}, part)
+}
+
+// bound gives the regime of a request now: the newest one that governs its kind, else
+// the one that it began under.
+func (h *hands) bound(s *lore.Sight) string {
+	if g := s.Register.Governs(h.kind); g != "" {
+		h.regime = g
+	}
+	return h.regime
+}
+
+// free tells whether a stand has room for so many blocks beside what its worker keeps
+// for governed work.
+func (n *Node) free(s *lore.Sight, st Stand, need int) bool {
+	if s.Register == nil {
+		return true
+	}
+	keep := s.Register.Keeps(st.Id, st.Part, n.clock())
+	return st.Free-need >= st.Room*keep/100 && (keep == 0 || st.Busy < kept(st.Cap, keep))
+}
+
+// kept is how many starts other work may have of a cap.
+func kept(most, keep int) int { return max(1, most*(100-keep)/100) }
+
+// check is the holder's: an order for governed work is given only while the register
+// clears the holder itself, the worker, and where memory would move also its source.
+func (n *Node) check(q *OrderAsk) error {
+	switch q.Verb {
+	case verbReserve, verbPrefill, verbExport, verbImport, verbResume:
+	default:
+		return nil // cancelling and freeing are always right
+	}
+	if _, err := n.allows(q.Regime, q.Worker, q.Part); err != nil {
+		return breakdown.Wrap(err, q.Verb, string(q.Worker))
+	}
+	if q.Verb == verbImport {
+		if _, err := n.allows(q.Regime, q.Source, word.Prefill); err != nil {
+			return breakdown.As(err, breakdown.Lost, q.Verb, string(q.Source))
+		}
+	}
+	return nil
+}
+
+// guard ends a step's context once the worker is not cleared any more. The function that
+// it gives names the cause over an error that came of it.
+func (h *hands) guard(ctx context.Context, w word.WorkerId, part word.Part) (context.Context, func(error) error) {
+	if h.regime == "" {
+		return ctx, func(err error) error { return err }
+	}
+	ctx, stop := context.WithCancelCause(ctx)
+	go func() {
+		for seam.Sleep(ctx, guardEvery) {
+			if _, err := h.n.allows(h.regime, w, part); err != nil {
+				stop(err)
+				return
+			}
+		}
+	}()
+	return ctx, func(err error) error {
+		cause := context.Cause(ctx)
+		stop(nil)
+		if err != nil && cause != nil && breakdown.Step(cause) == "clear" {
+			return breakdown.As(cause, breakdown.Lost, "governed step", string(w))
+		}
+		return err
+	}
+}
+
+// Clears is the register's answer at this node now, for those who look on.
+func (n *Node) Clears(regime string, s writ.Subject, part word.Part) (string, error) {
+	return n.clears(regime, s, part)
+}
+
+// Passed counts the requests that this node had another one serve.
+func (n *Node) Passed() int64 { return n.counts.Passed.Load() }
--- a/verge/hands.go
+++ b/verge/hands.go
@@ -26,6 +26,9 @@
 	deck   *whim.Deck
 	prefix uint64
 	picked word.Version
+	kind   string
+	regime string    // that the request is bound to, if any
+	part   word.Part // that was picked for last
 }
 
 func (h *hands) Pick(q *whim.Question, on rein.Model, shun map[word.WorkerId]bool) []passage.Picked {
@@ -38,13 +41,21 @@
 		}
 	}
 	s := n.view.Sight()
-	h.picked = s.Version
+	h.picked, h.part = s.Version, q.Part
+	regime := h.bound(s)
+	cleared := func(st Stand) bool {
+		if regime == "" {
+			return true
+		}
+		_, err := n.allows(regime, st.Id, st.Part)
+		return err == nil
+	}
 	by := map[word.WorkerId]passage.Picked{}
 	var list, last []whim.Candidate
 	both := map[string]map[word.Part]bool{}
 	for id, st := range *n.stands.Load() {
 		w, ok := s.Policy.Workers[id]
-		if !ok || !st.Ready || !n.fit(s, id) {
+		if !ok || !st.Ready || !n.fit(s, id) || !cleared(st) {
 			continue
 		}
 		if both[w.Weights] == nil {
@@ -59,8 +70,9 @@
 		if want.Weights == "" {
 			want.Weights = w.Weights
 		}
-		if !ok || st.Part != q.Part || !st.Ready || !n.fit(s, id) || !m.Offers(want) || st.Busy >= st.Cap ||
-			!both[w.Weights][word.Prefill] || !both[w.Weights][word.Decode] || st.Free < word.Blocks(q.Need, st.Block) {
+		need := word.Blocks(q.Need, st.Block)
+		if !ok || st.Part != q.Part || !st.Ready || !n.fit(s, id) || !cleared(st) || regime == "" && !n.free(s, st, need) || !m.Offers(want) || st.Busy >= st.Cap ||
+			!both[w.Weights][word.Prefill] || !both[w.Weights][word.Decode] || st.Free < need {
 			continue
 		}
 		by[id] = passage.Picked{Id: id, Model: m, Block: st.Block, Life: st.Life}
@@ -84,35 +96,44 @@
 func (h *hands) ask(ctx context.Context, verb string, w word.WorkerId, id rein.Id, q OrderAsk, m *rein.Identity, span time.Duration) (*rein.Answer, error) {
 	cx, stop := context.WithTimeout(ctx, span)
 	defer stop()
-	q.Worker, q.Verb, q.Request, q.Attempt = w, verb, id.Request, id.Attempt
+	q.Worker, q.Verb, q.Request, q.Attempt, q.Regime = w, verb, id.Request, id.Attempt, h.regime
 	if m != nil {
 		var err error
 		if q.Body, err = json.Marshal(m); err != nil {
 			return nil, breakdown.As(err, breakdown.Bad, verb, string(w))
 		}
 	}
-	return h.n.order(cx, &q)
+	if h.regime == "" || q.Part == "" {
+		q.Part = ""
+		return h.n.order(cx, &q)
+	}
+	if err := h.n.check(&q); err != nil {
+		return nil, err
+	}
+	cx, end := h.guard(cx, w, q.Part)
+	a, err := h.n.order(cx, &q)
+	return a, end(err)
 }
 
 func (h *hands) Reserve(ctx context.Context, w word.WorkerId, id rein.Id, blocks int) error {
-	_, err := h.ask(ctx, verbReserve, w, id, OrderAsk{Need: blocks}, nil, 400*time.Millisecond)
+	_, err := h.ask(ctx, verbReserve, w, id, OrderAsk{Need: blocks, Part: h.part}, nil, 400*time.Millisecond)
 	return err
 }
 
 func (h *hands) Prefill(ctx context.Context, w word.WorkerId, m rein.Identity) (*rein.Answer, error) {
-	return h.ask(ctx, verbPrefill, w, m.Id, OrderAsk{}, &m, 6*time.Second)
+	return h.ask(ctx, verbPrefill, w, m.Id, OrderAsk{Part: word.Prefill}, &m, 6*time.Second)
 }
 
 func (h *hands) Export(ctx context.Context, w word.WorkerId, id rein.Id) (*rein.Answer, error) {
-	return h.ask(ctx, verbExport, w, id, OrderAsk{}, nil, 1500*time.Millisecond)
+	return h.ask(ctx, verbExport, w, id, OrderAsk{Part: word.Prefill}, nil, 1500*time.Millisecond)
 }
 
 func (h *hands) Import(ctx context.Context, w word.WorkerId, m rein.Identity, src word.WorkerId) (*rein.Answer, error) {
-	return h.ask(ctx, verbImport, w, m.Id, OrderAsk{Source: src}, &m, 1500*time.Millisecond)
+	return h.ask(ctx, verbImport, w, m.Id, OrderAsk{Source: src, Part: word.Decode}, &m, 1500*time.Millisecond)
 }
 
 func (h *hands) Resume(ctx context.Context, w word.WorkerId, id rein.Id) (*rein.Answer, error) {
-	return h.ask(ctx, verbResume, w, id, OrderAsk{}, nil, 3*time.Second)
+	return h.ask(ctx, verbResume, w, id, OrderAsk{Part: word.Decode}, nil, 3*time.Second)
 }
 
 func (h *hands) Cancel(ctx context.Context, w word.WorkerId, id rein.Id) (*rein.Answer, error) {
@@ -133,7 +154,13 @@
 	if !ok {
 		return breakdown.New(breakdown.Lost, "stream", string(w), "the platform does not list it")
 	}
-	return h.n.rein.Stream(ctx, l.Addr, id, from, h.n.opt.Pulse, put)
+	ctx, end := h.guard(ctx, w, word.Decode)
+	return end(h.n.rein.Stream(ctx, l.Addr, id, from, h.n.opt.Pulse, func(p rein.Piece) error {
+		if _, err := h.n.allows(h.regime, w, word.Decode); err != nil {
+			return breakdown.As(err, breakdown.Lost, "stream", string(w))
+		}
+		return put(p)
+	}))
 }
 
 // Spend asks the budget's holder for one recompute, until it has one or the
--- a/verge/holder.go
+++ b/verge/holder.go
@@ -150,6 +150,9 @@
 		return nil, breakdown.New(breakdown.Away, "hold key", n.me.Addr, "the desk of %s is not open yet", q.Worker)
 	}
 	led := v.(*desk).ledger
+	if err := n.check(q); err != nil {
+		return nil, err
+	}
 	id := rein.Id{Request: q.Request, Attempt: q.Attempt}
 	l, ok := (*n.roster.Load())[q.Worker]
 	if !ok {
@@ -174,7 +177,11 @@
 		if !n.fit(s, q.Worker) || !settled || !n.current() {
 			return nil, breakdown.New(breakdown.Bounced, "reserve", string(q.Worker), "it may get no new work")
 		}
-		return nil, led.Reserve(id, q.Need, n.now())
+		keep := 0
+		if q.Regime == "" {
+			keep = s.Register.Keeps(q.Worker, led.Part(), n.clock())
+		}
+		return nil, led.ReserveBeside(id, q.Need, keep, n.now())
 	case verbPrefill:
 		if !led.Reserved(id) {
 			return nil, breakdown.New(breakdown.Bounced, "prefill", string(q.Worker), "no room is booked for %s", id.Request)
--- a/verge/node.go
+++ b/verge/node.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"keelstair.example/crux"
+	"keelstair.example/door"
 	"keelstair.example/lore"
 	"keelstair.example/passage"
 	"keelstair.example/rein"
@@ -61,6 +62,7 @@
 	view    *lore.View
 	rein    *rein.Rein
 	call    *wire.Caller
+	web     *http.Client // for what is passed on
 	scores  *whim.Scores
 	journal *tale.Journal[passage.Event]
 	counts  Counts
@@ -84,7 +86,7 @@
 
 // Counts are the node's figures since it started.
 type Counts struct {
-	Asked, Done, Bounced, Broken, Unsure, Replayed, Moved, Again, Turned atomic.Int64
+	Asked, Done, Bounced, Broken, Unsure, Replayed, Moved, Again, Turned, Passed atomic.Int64
 }
 
 func New(opt Options) *Node {
@@ -97,6 +99,7 @@
 		Lease: opt.Lease, Renew: opt.Renew, Lonely: n.lonely})
 	n.call = n.agent.Caller()
 	n.rein = rein.New(opt.Host.Net)
+	n.web = wire.Web(opt.Host.Net)
 	n.roster.Store(&map[word.WorkerId]rein.Listed{})
 	n.stands.Store(&map[word.WorkerId]Stand{})
 	n.leave.Store(&map[word.WorkerId]bool{})
@@ -132,6 +135,7 @@
 	wire.Handle(mux, "verge/order", n.obey)
 	wire.Handle(mux, "verge/beat", n.hearBeat)
 	wire.Handle(mux, "verge/spend", n.spendHere)
+	door.Streams(mux, passPath, n.servePassed)
 }
 
 // Run works until the context ends; then it takes no new work, lets streams
@@ -153,6 +157,7 @@
 	stop()
 	wg.Wait()
 	n.rein.Close()
+	n.web.CloseIdleConnections()
 }
 
 // compile readies the programs of a version before it is in force.
--- a/verge/operate.go
+++ b/verge/operate.go
@@ -63,7 +63,10 @@
 		if e := lore.Fault(name, []byte(a.Source), !a.Partial); e != nil {
 			err = e
 		}
-		return nil, err
+		return nil, lore.Locate(name, []byte(a.Source), err)
+	}
+	if err := p.Follows(n.view.Sight().Policy, n.clock()); err != nil {
+		return nil, lore.Locate(name, []byte(a.Source), err)
 	}
 	if _, err := whim.NewDeck(Sources(p), p.Limits.Steps, &whim.Scores{}); err != nil {
 		return nil, err
@@ -204,7 +207,7 @@
 	}
 	c := &n.counts
 	st.Counts = map[string]int64{"asked": c.Asked.Load(), "done": c.Done.Load(), "bounced": c.Bounced.Load(), "broken": c.Broken.Load(),
-		"unsure": c.Unsure.Load(), "replayed": c.Replayed.Load(), "moved": c.Moved.Load(), "again": c.Again.Load(), "turned": c.Turned.Load(), "inflight": n.inflight.Load()}
+		"unsure": c.Unsure.Load(), "replayed": c.Replayed.Load(), "moved": c.Moved.Load(), "again": c.Again.Load(), "turned": c.Turned.Load(), "passed": c.Passed.Load(), "inflight": n.inflight.Load()}
 	n.scores.Each(func(name string, s *whim.Score) {
 		st.Programs[name] = map[string]any{"picks": s.Picks.Load(), "fallbacks": s.Fallbacks.Load(), "agreed": s.Agreed.Load(), "turnsAsked": s.Asked.Load(), "turnsWished": s.Wishes.Load(),
 			"done": s.Done.Load(), "broken": s.Broken.Load(), "bounced": s.Bounced.Load(),
--- a/verge/order_gen.go
+++ b/verge/order_gen.go
@@ -10,31 +10,58 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *OrderAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
-	// string "Worker"
-	o = append(o, 0x88, 0xa6, 0x57, 0x6f, 0x72, 0x6b, 0x65, 0x72)
-	o = msgp.AppendString(o, string(z.Worker))
-	// string "Verb"
-	o = append(o, 0xa4, 0x56, 0x65, 0x72, 0x62)
-	o = msgp.AppendString(o, z.Verb)
-	// string "Version"
-	o = append(o, 0xa7, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, uint64(z.Version))
-	// string "Request"
-	o = append(o, 0xa7, 0x52, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
-	o = msgp.AppendString(o, z.Request)
-	// string "Attempt"
-	o = append(o, 0xa7, 0x41, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
-	o = msgp.AppendInt(o, z.Attempt)
-	// string "Need"
-	o = append(o, 0xa4, 0x4e, 0x65, 0x65, 0x64)
-	o = msgp.AppendInt(o, z.Need)
-	// string "Source"
-	o = append(o, 0xa6, 0x53, 0x6f, 0x75, 0x72, 0x63, 0x65)
-	o = msgp.AppendString(o, string(z.Source))
-	// string "Body"
-	o = append(o, 0xa4, 0x42, 0x6f, 0x64, 0x79)
-	o = msgp.AppendBytes(o, z.Body)
+	// check for omitted fields
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
+	_ = zb0001Mask
+	if z.Regime == "" {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.Part == "" {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "Worker"
+		o = append(o, 0xa6, 0x57, 0x6f, 0x72, 0x6b, 0x65, 0x72)
+		o = msgp.AppendString(o, string(z.Worker))
+		// string "Verb"
+		o = append(o, 0xa4, 0x56, 0x65, 0x72, 0x62)
+		o = msgp.AppendString(o, z.Verb)
+		// string "Version"
+		o = append(o, 0xa7, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, uint64(z.Version))
+		// string "Request"
+		o = append(o, 0xa7, 0x52, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+		o = msgp.AppendString(o, z.Request)
+		// string "Attempt"
+		o = append(o, 0xa7, 0x41, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
+		o = msgp.AppendInt(o, z.Attempt)
+		// string "Need"
+		o = append(o, 0xa4, 0x4e, 0x65, 0x65, 0x64)
+		o = msgp.AppendInt(o, z.Need)
+		// string "Source"
+		o = append(o, 0xa6, 0x53, 0x6f, 0x75, 0x72, 0x63, 0x65)
+		o = msgp.AppendString(o, string(z.Source))
+		// string "Body"
+		o = append(o, 0xa4, 0x42, 0x6f, 0x64, 0x79)
+		o = msgp.AppendBytes(o, z.Body)
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "Regime"
+			o = append(o, 0xa6, 0x52, 0x65, 0x67, 0x69, 0x6d, 0x65)
+			o = msgp.AppendString(o, z.Regime)
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "Part"
+			o = append(o, 0xa4, 0x50, 0x61, 0x72, 0x74)
+			o = msgp.AppendString(o, string(z.Part))
+		}
+	}
 	return
 }
 
@@ -116,6 +143,22 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "Regime":
+			z.Regime, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Regime")
+				return
+			}
+		case "Part":
+			{
+				var zb0005 string
+				zb0005, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Part")
+					return
+				}
+				z.Part = word.Part(zb0005)
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -130,7 +173,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *OrderAsk) Msgsize() (s int) {
-	s = 1 + 7 + msgp.StringPrefixSize + len(string(z.Worker)) + 5 + msgp.StringPrefixSize + len(z.Verb) + 8 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Request) + 8 + msgp.IntSize + 5 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(string(z.Source)) + 5 + msgp.BytesPrefixSize + len(z.Body)
+	s = 1 + 7 + msgp.StringPrefixSize + len(string(z.Worker)) + 5 + msgp.StringPrefixSize + len(z.Verb) + 8 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Request) + 8 + msgp.IntSize + 5 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(string(z.Source)) + 5 + msgp.BytesPrefixSize + len(z.Body) + 7 + msgp.StringPrefixSize + len(z.Regime) + 5 + msgp.StringPrefixSize + len(string(z.Part))
 	return
 }
 
--- /dev/null
+++ b/verge/pass.go
@@ -0,0 +1,78 @@
+// A node that is not certified itself handles no governed request: it passes it on,
+// untouched, to one that is, or bounces it at once.
+
+package verge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"keelstair.example/crux"
+	"keelstair.example/door"
+	"keelstair.example/lore"
+	"keelstair.example/rein"
+	"keelstair.example/wire"
+	"keelstair.example/writ"
+)
+
+const (
+	passPath   = "/verge/streams"
+	passSilent = 10 * time.Second // no step of a stream is silent for so long
+)
+
+// fellows lists, in a random order, the nodes that were heard lately, stand in no
+// emptied zone, and are certified for a regime.
+func (n *Node) fellows(s *lore.Sight, regime string) []crux.Member {
+	now := n.now()
+	var out []crux.Member
+	for _, m := range n.agent.Members() {
+		v, ok := n.mates.Load(m.Node)
+		if m.Node == n.me.Node || !ok || now.Past(v.(mate).at, time.Second) || s.Zones[m.Zone] {
+			continue
+		}
+		if _, err := n.clears(regime, writ.Subject{Node: lore.NodeName(m.Node)}, ""); err == nil {
+			out = append(out, m)
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+// pass has a certified node serve a request. The next one is asked only where the one
+// before surely did nothing.
+func (n *Node) pass(ctx context.Context, s *lore.Sight, regime string, ask *door.Ask, out door.Sink) error {
+	for _, m := range n.fellows(s, regime) {
+		count, err := door.Pass(ctx, n.web, m.Addr, passPath, ask, passSilent, out)
+		if err == nil {
+			n.counts.Passed.Add(1)
+			return nil
+		}
+		f, refused := err.(*door.Fault)
+		switch {
+		case refused && (f.Name == "not-ready" || f.Name == "not-certified"), count == 0 && wire.Undialled(err):
+			continue
+		case refused:
+			n.counts.Passed.Add(1)
+			return f
+		case count == 0 && s.Policy.Kinds[ask.Kind].Claimed:
+			return n.later(http.StatusServiceUnavailable, "claim-unknown", "the node that it was passed to is lost; ask again with the same key: %v", err)
+		case count == 0:
+			return n.crowd(http.StatusServiceUnavailable, "bounced", "the node that it was passed to is lost: %v", err)
+		}
+		end := door.Broken
+		if s.Policy.Kinds[ask.Kind].Claimed {
+			end = door.Unknown
+		}
+		n.counts.Broken.Add(1)
+		return out.Put(door.Line{Index: count, End: end, Count: count,
+			Error: &rein.Bounce{Name: "broken", Detail: err.Error(), After: n.after().Milliseconds()}})
+	}
+	return n.later(http.StatusServiceUnavailable, "not-certified", "this node is not certified for regime %q now, and reaches none that is", regime)
+}
+
+// servePassed answers what another node passed on; it is passed no further.
+func (n *Node) servePassed(ctx context.Context, ask *door.Ask, out door.Sink) error {
+	return n.serve(ctx, ask, out, true)
+}
--- /dev/null
+++ b/verge/regime.go
@@ -0,0 +1,82 @@
+// What a node knows of regimes: whom its register clears at the fleet's time, and only
+// while its word from the core is good; and what operators may ask of it.
+
+package verge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/crux"
+	"keelstair.example/door"
+	"keelstair.example/lore"
+	"keelstair.example/seam"
+	"keelstair.example/word"
+	"keelstair.example/writ"
+)
+
+// clock gives what the fleet's time may be now.
+func (n *Node) clock() writ.Now {
+	low, high := n.agent.Time()
+	return writ.Now{Low: low, High: high}
+}
+
+// clears gives the serial by which a subject may handle a regime's work now. Nobody may
+// while this node's word is too old to know of revocations and of the time.
+func (n *Node) clears(regime string, s writ.Subject, part word.Part) (string, error) {
+	if !n.agent.Word() {
+		return "", breakdown.New(breakdown.Bounced, "clear", s.String(), "this node's word from the core is too old for regime %q", regime)
+	}
+	serial, ok := n.view.Sight().Register.Clears(regime, s, part, n.clock())
+	if !ok {
+		return "", breakdown.New(breakdown.Bounced, "clear", s.String(), "no certificate in force clears it for regime %q", regime)
+	}
+	return serial, nil
+}
+
+// Revoke ends a certificate for good. It answers once that is in force everywhere.
+func (n *Node) Revoke(ctx context.Context, serial string, m *door.Mark) (*door.Applied, error) {
+	if _, ok := n.view.Sight().Register.Find(serial); !ok {
+		return nil, door.No(http.StatusNotFound, "unknown", "serial", "there is no certificate %q", serial)
+	}
+	if !m.Out {
+		return nil, door.No(http.StatusBadRequest, "out-of-range", "out", "a revocation is for good")
+	}
+	cx, stop := context.WithTimeout(ctx, 5*time.Second)
+	defer stop()
+	r, err := n.agent.Submit(cx, word.OpId("op/"+m.Op), lore.RevokeKind, crux.Pack(&lore.Revoke{Serial: serial}))
+	if err != nil {
+		return nil, n.fate(err)
+	}
+	for !n.view.Sight().Revoked[serial] {
+		if !seam.Sleep(cx, 10*time.Millisecond) {
+			return nil, door.Later(http.StatusGatewayTimeout, "not-everywhere", n.after(), "the revocation is durable and not yet in force everywhere; ask again with the same op")
+		}
+	}
+	return n.ruled(ctx, r, false)
+}
+
+// Regimes tells who is certified, until when, and what is short.
+func (n *Node) Regimes() *door.Regimes {
+	s, now := n.view.Sight(), n.clock()
+	out := &door.Regimes{Version: uint64(s.Version), Low: now.Low, High: now.High, Wall: n.opt.Host.Clock.Wall().UnixNano(), Regimes: []door.Regime{}}
+	for _, name := range s.Register.Regimes() {
+		g := s.Policy.Regimes[name]
+		out.Regimes = append(out.Regimes, door.Regime{Name: name, Kinds: g.Kinds, Keep: g.Keep, Rows: s.Register.Rows(name, now),
+			Short: s.Register.Short(name, 1, now, n.able(s))})
+	}
+	return out
+}
+
+// able tells whether a certificate's subject could be picked now.
+func (n *Node) able(s *lore.Sight) func(writ.Subject) bool {
+	names := map[string]bool{}
+	for _, m := range n.agent.Members() {
+		if !s.Zones[m.Zone] {
+			names[lore.NodeName(m.Node)] = true
+		}
+	}
+	return func(one writ.Subject) bool { return one.Worker != "" && n.fit(s, one.Worker) || names[one.Node] }
+}
--- a/verge/serve.go
+++ b/verge/serve.go
@@ -20,6 +20,7 @@
 	"keelstair.example/rein"
 	"keelstair.example/whim"
 	"keelstair.example/word"
+	"keelstair.example/writ"
 )
 
 func (n *Node) after() time.Duration {
@@ -43,6 +44,11 @@
 
 // Serve is the door's Server.
 func (n *Node) Serve(ctx context.Context, ask *door.Ask, out door.Sink) error {
+	return n.serve(ctx, ask, out, false)
+}
+
+// serve answers what an origin asked, or what another node passed on.
+func (n *Node) serve(ctx context.Context, ask *door.Ask, out door.Sink, passed bool) error {
 	n.counts.Asked.Add(1)
 	if ok, why := n.Ready(); !ok {
 		return n.later(http.StatusServiceUnavailable, "not-ready", "%s", why)
@@ -57,6 +63,13 @@
 	case !n.adapters(s, kind.Model, ask.Adapters):
 		return door.No(http.StatusBadRequest, "unknown", "adapters", "no worker offers them all")
 	}
+	if g := s.Register.Governs(ask.Kind); g != "" {
+		if _, err := n.clears(g, writ.Subject{Node: n.opt.Name}, ""); err != nil && !passed {
+			return n.pass(ctx, s, g, ask, out)
+		} else if err != nil {
+			return n.later(http.StatusServiceUnavailable, "not-certified", "%v", err)
+		}
+	}
 	if f := ask.Check(kind.Claimed, kind.MaxTokens, kind.MaxPrompt); f != nil {
 		return f
 	}
@@ -68,7 +81,7 @@
 		return f
 	}
 	defer leave()
-	t := &passage.Task{Kind: ask.Kind, Zone: n.me.Zone, Claimed: kind.Claimed, Tries: s.Policy.Limits.Attempts, GiveUp: s.Policy.Limits.GiveUp()}
+	t := &passage.Task{Kind: ask.Kind, Regime: s.Register.Governs(ask.Kind), Zone: n.me.Zone, Claimed: kind.Claimed, Tries: s.Policy.Limits.Attempts, GiveUp: s.Policy.Limits.GiveUp()}
 	t.Identity = rein.Identity{Prompt: ask.Tokens(), Model: rein.Model{Name: kind.Model, Adapters: ask.Adapters},
 		Params: rein.Params{MaxTokens: ask.MaxTokens, Temperature: ask.Temperature, Seed: ask.Seed}}
 	t.Identity.Id.Request = crux.Name()
@@ -123,7 +136,7 @@
 
 func (n *Node) controller(s *lore.Sight, t *passage.Task) (*passage.Controller, *whim.Score) {
 	deck := n.deck(s)
-	h := &hands{n: n, sight: s, deck: deck, prefix: whim.Prefix(t.Identity.Prompt, s.Policy.Limits.PrefixTokens)}
+	h := &hands{n: n, sight: s, deck: deck, kind: t.Kind, regime: t.Regime, prefix: whim.Prefix(t.Identity.Prompt, s.Policy.Limits.PrefixTokens)}
 	return &passage.Controller{Hands: h, Clock: n.opt.Host.Clock, Orphan: n.opt.Orphan, Pulse: n.opt.Pulse, Tell: n.journal.Append},
 		n.scores.Of(deck.For(t.Identity.Id.Request))
 }
--- a/verge/settle.go
+++ b/verge/settle.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	"keelstair.example/rein"
 	"keelstair.example/seam"
 	"keelstair.example/word"
+	"keelstair.example/writ"
 )
 
 func (n *Node) settler(ctx context.Context) {
@@ -73,6 +75,8 @@
 			}
 		case a.Life != d.Life:
 			return lore.Unsure, nil
+		case a.Done && !n.mayRead(d.Key):
+			return lore.Unsure, nil
 		case a.Done:
 			texts := append(a.Texts, make([]string, len(a.Output))...)
 			out, _ := json.Marshal(record{a.Output, texts[:len(a.Output)]})
@@ -86,6 +90,18 @@
 	return lore.Unsure, nil
 }
 
+// mayRead tells whether this node may read the outcome of a deed: of a governed one only
+// if it is certified.
+func (n *Node) mayRead(key string) bool {
+	kind, _, _ := strings.Cut(key, "/")
+	g := n.view.Sight().Register.Governs(kind)
+	if g == "" {
+		return true
+	}
+	_, err := n.clears(g, writ.Subject{Node: n.opt.Name}, "")
+	return err == nil
+}
+
 type purse struct {
 	mu    sync.Mutex
 	fence word.Fence
