--- a/cmd/edict/main.go
+++ b/cmd/edict/main.go
@@ -52,6 +52,7 @@
 	Certify  *certifyCmd `arg:"subcommand:certify" help:"sign certificates and print or apply them"`
 	Revoke   *nameCmd    `arg:"subcommand:revoke" help:"end a certificate, by its serial, for good"`
 	Regimes  *struct{}   `arg:"subcommand:regimes" help:"who is certified, until when, and what is short"`
+	Audit    *auditCmd   `arg:"subcommand:audit" help:"the audit record of governed work, checked, as JSON lines"`
 	Status   *struct{}   `arg:"subcommand:status" help:"how the fleet stands, as one node sees it"`
 }
 
@@ -101,6 +102,8 @@
 		return s.revoke(s.Revoke)
 	case s.Regimes != nil:
 		return s.regimes()
+	case s.Audit != nil:
+		return s.audit(s.Audit)
 	case s.Status != nil:
 		var v any
 		if err := s.ask(http.MethodGet, "/v1/status", nil, &v); err != nil {
--- a/door/operate.go
+++ b/door/operate.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 
 	"keelstair.example/writ"
 )
@@ -63,6 +64,15 @@
 	Short []string   `json:"short"`
 }
 
+// Audits are rows of the audit record as their own lines: the number of the first that
+// is kept, how many there ever were, and the newest one's hash.
+type Audits struct {
+	First int               `json:"first"`
+	Count int               `json:"count"`
+	Head  string            `json:"head"`
+	Rows  []json.RawMessage `json:"rows"`
+}
+
 // Operator is what operators may ask of a node.
 type Operator interface {
 	Apply(ctx context.Context, a *Apply) (*Applied, error)
@@ -70,6 +80,7 @@
 	Drain(ctx context.Context, worker string, m *Mark) (*Applied, error)
 	Revoke(ctx context.Context, serial string, m *Mark) (*Applied, error)
 	Regimes() *Regimes
+	Audits(ctx context.Context, from, most int) (*Audits, error)
 	Show() *Shown
 	Status() any
 }
@@ -112,6 +123,19 @@
 	mux.HandleFunc("POST /v1/workers/{name}", mark(o.Drain))
 	mux.HandleFunc("POST /v1/certificates/{name}", mark(o.Revoke))
 	mux.HandleFunc("GET /v1/regimes", func(w http.ResponseWriter, _ *http.Request) { Write(w, http.StatusOK, o.Regimes()) })
+	mux.HandleFunc("GET /v1/audit", func(w http.ResponseWriter, r *http.Request) {
+		from, err := strconv.Atoi(r.FormValue("from"))
+		if err != nil || from < 1 {
+			Bounce(w, No(http.StatusBadRequest, "out-of-range", "from", "a row's number is needed, from 1 on"))
+			return
+		}
+		got, err := o.Audits(r.Context(), from, 500)
+		if err != nil {
+			Bounce(w, err)
+			return
+		}
+		Write(w, http.StatusOK, got)
+	})
 }
 
 func answer(w http.ResponseWriter, a *Applied, err error) {
--- /dev/null
+++ b/lore/audit.go
@@ -0,0 +1,174 @@
+// The audit record of governed work: a row for each request's begin and outcome, each
+// with a hash over the row before it, so that a row that is removed or changed shows.
+// Full leaves are sealed as sheets; the oldest leave the store once there are too many.
+
+package lore
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/crux"
+)
+
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file audit.go
+//msgp:ignore AuditRow AuditRecord AuditStep audit
+
+// Names of these commands in the log. Reading writes nothing.
+const (
+	AuditKind  = "lore.audit"
+	AuditsKind = "lore.audits"
+)
+
+// AuditStep is one step of a request: what was done at whom, cleared by which serial,
+// at the fleet's time in nanoseconds since 1970.
+type AuditStep struct {
+	Attempt int    `json:"attempt,omitempty"`
+	What    string `json:"what"`
+	Worker  string `json:"worker"`
+	Serial  string `json:"serial"`
+	At      int64  `json:"at"`
+}
+
+// AuditRecord is what is kept of a governed request: once as it begins, if its key is
+// not claimed, and once with its outcome.
+type AuditRecord struct {
+	Request string      `json:"request"`
+	Key     string      `json:"key,omitempty"`
+	Kind    string      `json:"kind"`
+	Regime  string      `json:"regime"`
+	Node    string      `json:"node"`
+	Serial  string      `json:"serial"`
+	Steps   []AuditStep `json:"steps,omitempty"`
+	Outcome string      `json:"outcome"`
+}
+
+// Begun is the outcome of a record that is written before anything runs.
+const Begun = "begun"
+
+// AuditRow is a line of the chain. Its hash is over the row before it, its number and
+// the record's own text.
+type AuditRow struct {
+	Index  int             `json:"index"`
+	Prev   string          `json:"prev"`
+	Hash   string          `json:"hash"`
+	Record json.RawMessage `json:"record"`
+}
+
+func (r *AuditRow) sum() string {
+	h := sha256.New()
+	fmt.Fprintf(h, "%s\n%d\n", r.Prev, r.Index)
+	h.Write(r.Record)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// ChainCheck holds rows against each other, and against the one before them if it is
+// known.
+func ChainCheck(before *AuditRow, rows []AuditRow) error {
+	for i := range rows {
+		r := &rows[i]
+		switch {
+		case before != nil && r.Index != before.Index+1:
+			return breakdown.New(breakdown.Bad, "check audit", "", "row %d follows row %d: rows were removed", r.Index, before.Index)
+		case before != nil && r.Prev != before.Hash:
+			return breakdown.New(breakdown.Bad, "check audit", "", "row %d does not follow row %d: one was changed or replaced", r.Index, before.Index)
+		case r.Hash != r.sum():
+			return breakdown.New(breakdown.Bad, "check audit", "", "row %d was changed: its hash is not that of its text", r.Index)
+		}
+		before = r
+	}
+	return nil
+}
+
+// Audit adds a record to the chain.
+type Audit struct {
+	Record []byte
+}
+
+// Audits reads so many rows from a number on.
+type Audits struct {
+	From int
+	Most int
+}
+
+// AuditsReply has the rows' lines, the number of the first row that is kept, how many
+// there ever were, and the newest row's hash.
+type AuditsReply struct {
+	First int
+	Count int
+	Head  string
+	Lines [][]byte
+}
+
+const (
+	auditLeaf   = 1024
+	auditLeaves = 100 // sealed ones that are kept
+	auditMagic  = "keelstair audit\n"
+)
+
+type audit struct {
+	count  int
+	head   string
+	open   [][]byte
+	sealed []crux.Sheet
+}
+
+func (a *audit) add(record []byte) {
+	a.count++
+	r := AuditRow{Index: a.count, Prev: a.head, Record: record}
+	r.Hash = r.sum()
+	line, err := json.Marshal(&r)
+	if err != nil {
+		return // a record that is no JSON is refused before
+	}
+	a.head = r.Hash
+	if a.open = append(a.open, line); len(a.open) < auditLeaf {
+		return
+	}
+	body := append([]byte(auditMagic), bytes.Join(a.open, []byte{'\n'})...)
+	a.sealed = append(a.sealed[:len(a.sealed):len(a.sealed)], crux.Seal(body))
+	a.open = nil
+	if n := len(a.sealed) - auditLeaves; n > 0 {
+		a.sealed = a.sealed[n:]
+	}
+}
+
+// first is the number of the first row that is kept.
+func (a *audit) first() int { return a.count - len(a.open) - len(a.sealed)*auditLeaf + 1 }
+
+func (a *audit) read(from, most int) *AuditsReply {
+	out := &AuditsReply{First: a.first(), Count: a.count, Head: a.head}
+	for at := max(from, out.First); at <= a.count && len(out.Lines) < most; {
+		i := at - out.First
+		leaf := a.open
+		if n := i / auditLeaf; n < len(a.sealed) {
+			leaf = bytes.Split(a.sealed[n].Body[len(auditMagic):], []byte{'\n'})
+			i %= auditLeaf
+		} else {
+			i -= len(a.sealed) * auditLeaf
+		}
+		take := min(len(leaf)-i, most-len(out.Lines))
+		out.Lines = append(out.Lines, leaf[i:i+take]...)
+		at += take
+	}
+	return out
+}
+
+func (c *Audit) apply(s *State) (msgp.Marshaler, error) {
+	// The text stands in a line as it is, so it must be as the encoder writes it.
+	if tight, err := json.Marshal(json.RawMessage(c.Record)); err != nil || !bytes.Equal(tight, c.Record) {
+		return nil, breakdown.New(breakdown.Bad, "audit", "", "a record must be compact JSON")
+	}
+	s.audit.add(c.Record)
+	return nil, nil
+}
+
+func (c *Audits) apply(s *State) (msgp.Marshaler, error) {
+	return s.audit.read(c.From, min(max(c.Most, 1), auditLeaf)), crux.Same
+}
--- /dev/null
+++ b/lore/audit_test.go
@@ -0,0 +1,117 @@
+// The chain of the audit record, over leaves, pictures and tampering.
+
+package lore
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/crux"
+)
+
+func audits(t *testing.T, m *Machine, from, most int) (AuditsReply, []AuditRow) {
+	out, err := m.State.Apply(AuditsKind, crux.Pack(&Audits{From: from, Most: most}))
+	require.ErrorIs(t, err, crux.Same, "reading writes nothing")
+	var got AuditsReply
+	_, err = got.UnmarshalMsg(out)
+	require.NoError(t, err)
+	rows := make([]AuditRow, len(got.Lines))
+	for i, l := range got.Lines {
+		require.NoError(t, json.Unmarshal(l, &rows[i]))
+	}
+	return got, rows
+}
+
+// TestAudit: rows come back whole and in order from every copy, also those of sealed
+// leaves; the oldest leaves go in the end, which shows by the first number.
+func TestAudit(t *testing.T) {
+	m, copied := NewMachine(MachineOptions{}), NewMachine(MachineOptions{})
+	n := auditLeaf*2 + 100
+	for i := range n {
+		body, err := json.Marshal(&AuditRecord{Request: fmt.Sprint("<r&", i), Kind: "verdict", Regime: "chair", Outcome: Done})
+		require.NoError(t, err)
+		for _, x := range []*Machine{m, copied} {
+			_, err = x.Apply(1, AuditKind, crux.Pack(&Audit{body}))
+			require.NoError(t, err)
+		}
+		if i == auditLeaf+7 {
+			copied = NewMachine(MachineOptions{})
+			copied.Shelve(m.Sheets())
+			require.NoError(t, copied.Restore(m.Picture(false)))
+		}
+	}
+	require.Equal(t, m.Sheets(), copied.Sheets())
+	require.Len(t, m.Sheets(), 2)
+	var all []AuditRow
+	for from := 1; from <= n; from += 700 {
+		got, rows := audits(t, copied, from, 700)
+		require.Equal(t, []int{1, n}, []int{got.First, got.Count})
+		all = append(all, rows...)
+		if len(all) == n {
+			require.Equal(t, got.Head, all[n-1].Hash)
+		}
+	}
+	require.Len(t, all, n)
+	require.NoError(t, ChainCheck(nil, all))
+	var r AuditRecord
+	require.NoError(t, json.Unmarshal(all[1500].Record, &r))
+	require.Equal(t, "<r&1500", r.Request)
+	for _, text := range []string{"{} ", `{"a":"<"}`, "{", ""} {
+		_, err := m.Apply(1, AuditKind, crux.Pack(&Audit{[]byte(text)}))
+		require.True(t, breakdown.Is(err, breakdown.Bad), text)
+	}
+	for range auditLeaf * auditLeaves {
+		m.audit.add([]byte("{}"))
+	}
+	got, rows := audits(t, m, 1, 3)
+	require.Equal(t, got.First, rows[0].Index)
+	require.Equal(t, 2*auditLeaf+1, got.First)
+	require.Len(t, m.Sheets(), auditLeaves)
+}
+
+// TestChain: a row that was removed, changed, replaced or moved shows.
+func TestChain(t *testing.T) {
+	build := func(tag string) []AuditRow {
+		a := audit{}
+		for i := range 10 {
+			a.add([]byte(fmt.Sprintf(`{"request":"%s%d"}`, tag, i)))
+		}
+		rows := make([]AuditRow, 10)
+		for i, l := range a.read(1, 10).Lines {
+			require.NoError(t, json.Unmarshal(l, &rows[i]))
+		}
+		return rows
+	}
+	rows := build("a")
+	require.NoError(t, ChainCheck(nil, rows))
+	require.NoError(t, ChainCheck(&rows[3], rows[4:]))
+	for says, spoil := range map[string]func(r []AuditRow) []AuditRow{
+		"rows were removed": func(r []AuditRow) []AuditRow { return append(r[:4], r[5:]...) },
+		"was changed":       func(r []AuditRow) []AuditRow { r[4].Record = json.RawMessage(`{}`); return r },
+		"does not follow": func(r []AuditRow) []AuditRow {
+			r[4].Record = json.RawMessage(`{}`)
+			r[4].Hash = r[4].sum()
+			return r
+		},
+		"row 5 does not follow": func(r []AuditRow) []AuditRow { return append(r[:4], build("b")[4:]...) },
+	} {
+		require.ErrorContains(t, ChainCheck(nil, spoil(build("a"))), says)
+	}
+}
+
+// TestSettleAudits: an outcome and its audit record are one entry; a bad record leaves
+// the claim as it was.
+func TestSettleAudits(t *testing.T) {
+	s := newState(false, Depth{})
+	_, err := claim(t, s, "verdict/1", "b")
+	require.NoError(t, err)
+	require.Error(t, do(t, s, SettleKind, &Settle{Key: "verdict/1", Owner: "n1", Fate: Done, Audit: []byte("{ }")}))
+	require.Equal(t, Claimed, s.deeds["verdict/1"].Fate)
+	require.NoError(t, do(t, s, SettleKind, &Settle{Key: "verdict/1", Owner: "n1", Fate: Done, Audit: []byte("{}")}))
+	require.Error(t, do(t, s, SettleKind, &Settle{Key: "verdict/1", Owner: "n1", Fate: Done, Audit: []byte("{}")}))
+	require.Equal(t, 1, s.audit.count)
+}
--- a/lore/image.go
+++ b/lore/image.go
@@ -21,4 +21,8 @@
 	// Certificates that were revoked, and the fleet's time; neither without regimes.
 	Revoked []Revocation `msg:"Revoked,omitempty"`
 	Time    int64        `msg:"Time,omitempty"`
+	// The open leaf of the audit record, how many rows there were, the newest one's hash.
+	Audits     [][]byte `msg:"Audits,omitempty"`
+	AuditCount int      `msg:"AuditCount,omitempty"`
+	AuditHead  string   `msg:"AuditHead,omitempty"`
 }
--- a/lore/image_gen.go
+++ b/lore/image_gen.go
@@ -11,8 +11,8 @@
 func (z *Image) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
+	zb0001Len := uint32(14)
+	var zb0001Mask uint16 /* 14 bits */
 	_ = zb0001Mask
 	if z.Revoked == nil {
 		zb0001Len--
@@ -22,6 +22,18 @@
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
+	if z.Audits == nil {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
+	if z.AuditCount == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
+	if z.AuditHead == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -102,6 +114,24 @@
 			o = append(o, 0xa4, 0x54, 0x69, 0x6d, 0x65)
 			o = msgp.AppendInt64(o, z.Time)
 		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "Audits"
+			o = append(o, 0xa6, 0x41, 0x75, 0x64, 0x69, 0x74, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Audits)))
+			for za0007 := range z.Audits {
+				o = msgp.AppendBytes(o, z.Audits[za0007])
+			}
+		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// string "AuditCount"
+			o = append(o, 0xaa, 0x41, 0x75, 0x64, 0x69, 0x74, 0x43, 0x6f, 0x75, 0x6e, 0x74)
+			o = msgp.AppendInt(o, z.AuditCount)
+		}
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// string "AuditHead"
+			o = append(o, 0xa9, 0x41, 0x75, 0x64, 0x69, 0x74, 0x48, 0x65, 0x61, 0x64)
+			o = msgp.AppendString(o, z.AuditHead)
+		}
 	}
 	return
 }
@@ -272,6 +302,37 @@
 				err = msgp.WrapError(err, "Time")
 				return
 			}
+		case "Audits":
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Audits")
+				return
+			}
+			if cap(z.Audits) >= int(zb0009) {
+				z.Audits = (z.Audits)[:zb0009]
+			} else {
+				z.Audits = make([][]byte, zb0009)
+			}
+			for za0007 := range z.Audits {
+				z.Audits[za0007], bts, err = msgp.ReadBytesBytes(bts, z.Audits[za0007])
+				if err != nil {
+					err = msgp.WrapError(err, "Audits", za0007)
+					return
+				}
+			}
+		case "AuditCount":
+			z.AuditCount, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AuditCount")
+				return
+			}
+		case "AuditHead":
+			z.AuditHead, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AuditHead")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -310,6 +371,10 @@
 	for za0006 := range z.Revoked {
 		s += z.Revoked[za0006].Msgsize()
 	}
-	s += 5 + msgp.Int64Size
+	s += 5 + msgp.Int64Size + 7 + msgp.ArrayHeaderSize
+	for za0007 := range z.Audits {
+		s += msgp.BytesPrefixSize + len(z.Audits[za0007])
+	}
+	s += 11 + msgp.IntSize + 10 + msgp.StringPrefixSize + len(z.AuditHead)
 	return
 }
--- a/lore/machine.go
+++ b/lore/machine.go
@@ -73,8 +73,8 @@
 	return out, err
 }
 
-// Open: nodes hear of the time by their leases.
-func (m *Machine) Open(kind string) bool     { return kind != ClockKind }
+// Open: nodes hear of the time by their leases, and of the audit record when they ask.
+func (m *Machine) Open(kind string) bool     { return kind != ClockKind && kind != AuditKind }
 func (m *Machine) Picture(open bool) []byte  { return crux.Pack(m.image(open)) }
 func (m *Machine) Restore(body []byte) error { m.of = 0; m.keys = nil; return m.load(body) }
 
--- a/lore/settle.go
+++ b/lore/settle.go
@@ -10,12 +10,13 @@
 //msgp:shim word.Life as:string using:string/word.Life
 //msgp:shim word.Fence as:uint64 using:uint64/word.Fence
 
-// Settle records the one outcome.
+// Settle records the one outcome, and of governed work its audit record.
 type Settle struct {
 	Key   string
 	Owner word.NodeId
 	Fate  string
 	Out   []byte
+	Audit []byte `msg:"Audit,omitempty"`
 }
 
 // Bind has an open claim run elsewhere, before it is resumed there.
--- a/lore/settle_gen.go
+++ b/lore/settle_gen.go
@@ -192,19 +192,37 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Settle) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "Key"
-	o = append(o, 0x84, 0xa3, 0x4b, 0x65, 0x79)
-	o = msgp.AppendString(o, z.Key)
-	// string "Owner"
-	o = append(o, 0xa5, 0x4f, 0x77, 0x6e, 0x65, 0x72)
-	o = msgp.AppendString(o, string(z.Owner))
-	// string "Fate"
-	o = append(o, 0xa4, 0x46, 0x61, 0x74, 0x65)
-	o = msgp.AppendString(o, z.Fate)
-	// string "Out"
-	o = append(o, 0xa3, 0x4f, 0x75, 0x74)
-	o = msgp.AppendBytes(o, z.Out)
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Audit == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "Key"
+		o = append(o, 0xa3, 0x4b, 0x65, 0x79)
+		o = msgp.AppendString(o, z.Key)
+		// string "Owner"
+		o = append(o, 0xa5, 0x4f, 0x77, 0x6e, 0x65, 0x72)
+		o = msgp.AppendString(o, string(z.Owner))
+		// string "Fate"
+		o = append(o, 0xa4, 0x46, 0x61, 0x74, 0x65)
+		o = msgp.AppendString(o, z.Fate)
+		// string "Out"
+		o = append(o, 0xa3, 0x4f, 0x75, 0x74)
+		o = msgp.AppendBytes(o, z.Out)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "Audit"
+			o = append(o, 0xa5, 0x41, 0x75, 0x64, 0x69, 0x74)
+			o = msgp.AppendBytes(o, z.Audit)
+		}
+	}
 	return
 }
 
@@ -254,6 +272,12 @@
 				err = msgp.WrapError(err, "Out")
 				return
 			}
+		case "Audit":
+			z.Audit, bts, err = msgp.ReadBytesBytes(bts, z.Audit)
+			if err != nil {
+				err = msgp.WrapError(err, "Audit")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -268,6 +292,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Settle) Msgsize() (s int) {
-	s = 1 + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.StringPrefixSize + len(string(z.Owner)) + 5 + msgp.StringPrefixSize + len(z.Fate) + 4 + msgp.BytesPrefixSize + len(z.Out)
+	s = 1 + 4 + msgp.StringPrefixSize + len(z.Key) + 6 + msgp.StringPrefixSize + len(string(z.Owner)) + 5 + msgp.StringPrefixSize + len(z.Fate) + 4 + msgp.BytesPrefixSize + len(z.Out) + 6 + msgp.BytesPrefixSize + len(z.Audit)
 	return
 }
--- a/lore/shelf.go
+++ b/lore/shelf.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
+	"slices"
 	"sort"
 
 	"keelstair.example/crux"
@@ -124,6 +125,22 @@
 // count of the rows on the shelf.
 func (s *shelf) count() int { return len(s.sealed)*s.Leaf + len(s.row) }
 
-// Sheets and Shelve make the machine a crux.Shelf.
-func (m *Machine) Sheets() []crux.Sheet       { return m.shelf.sealed }
-func (m *Machine) Shelve(sheets []crux.Sheet) { m.shelf.sealed = sheets }
+// Sheets and Shelve make the machine a crux.Shelf: leaves of old deeds, and of the audit
+// record, which are told by how they begin.
+func (m *Machine) Sheets() []crux.Sheet {
+	if len(m.audit.sealed) == 0 {
+		return m.shelf.sealed
+	}
+	return slices.Concat(m.shelf.sealed, m.audit.sealed)
+}
+
+func (m *Machine) Shelve(sheets []crux.Sheet) {
+	m.shelf.sealed, m.audit.sealed = nil, nil
+	for _, one := range sheets {
+		if bytes.HasPrefix(one.Body, []byte(auditMagic)) {
+			m.audit.sealed = append(m.audit.sealed, one)
+		} else {
+			m.shelf.sealed = append(m.shelf.sealed, one)
+		}
+	}
+}
--- a/lore/state.go
+++ b/lore/state.go
@@ -46,6 +46,7 @@
 	revoked  map[string]bool // serials; true once in force everywhere
 	time     int64           // bound of the fleet's time
 	governed bool            // the policy in force has regimes
+	audit    audit
 }
 
 func newState(lean bool, d Depth) *State {
@@ -100,6 +101,10 @@
 		return &Seal{}
 	case ClockKind:
 		return &Clock{}
+	case AuditKind:
+		return &Audit{}
+	case AuditsKind:
+		return &Audits{}
 	}
 	return nil
 }
@@ -202,6 +207,11 @@
 		delete(s.deeds, c.Key)
 		return nil, nil
 	}
+	if len(c.Audit) > 0 {
+		if _, err := (&Audit{c.Audit}).apply(s); err != nil {
+			return nil, err
+		}
+	}
 	d.Fate, d.Out = c.Fate, c.Out
 	s.deeds[c.Key] = d
 	s.order = append(s.order, c.Key)
@@ -253,6 +263,7 @@
 		for _, k := range s.order {
 			img.Deeds = append(img.Deeds, s.deeds[k])
 		}
+		img.Audits, img.AuditCount, img.AuditHead = s.audit.open, s.audit.count, s.audit.head
 		for _, r := range s.shelf.row {
 			img.Rows = append(img.Rows, r[:]...)
 		}
@@ -286,6 +297,7 @@
 		next.revoked[r.Serial] = r.Sure
 	}
 	next.time = img.Time
+	next.audit = audit{img.AuditCount, img.AuditHead, img.Audits, s.audit.sealed}
 	for _, d := range img.Deeds {
 		next.deeds[d.Key] = d
 		if d.Fate != Claimed {
--- a/proof/regime_test.go
+++ b/proof/regime_test.go
@@ -4,6 +4,7 @@
 package proof
 
 import (
+	"encoding/json"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -13,7 +14,9 @@
 
 	"keelstair.example/door"
 	"keelstair.example/guise"
+	"keelstair.example/lore"
 	"keelstair.example/passage"
+	"keelstair.example/verge"
 	"keelstair.example/word"
 	"keelstair.example/writ"
 )
@@ -82,6 +85,84 @@
 	})
 }
 
+// audited reads the whole audit record as edict does, checked.
+func audited(t *testing.T, c *Cluster) []lore.AuditRecord {
+	var rows []lore.AuditRow
+	for {
+		got, err := c.Of("verge")[0].Node.Audits(c.base, len(rows)+1, 500)
+		require.NoError(t, err)
+		if len(got.Rows) == 0 {
+			break
+		}
+		for _, l := range got.Rows {
+			var r lore.AuditRow
+			require.NoError(t, json.Unmarshal(l, &r))
+			rows = append(rows, r)
+		}
+	}
+	require.NoError(t, lore.ChainCheck(nil, rows))
+	out := make([]lore.AuditRecord, len(rows))
+	for i, r := range rows {
+		require.NoError(t, json.Unmarshal(r.Record, &out[i]))
+	}
+	return out
+}
+
+// TestAudited: each governed request that ran has its record, with the serial of each
+// step, over a death of the leader; what is not governed has none.
+func TestAudited(t *testing.T) {
+	inChamber(t, (*Bureau).usual, func(t *testing.T, c *Cluster, b *Bureau) {
+		go func() {
+			time.Sleep(4 * time.Second)
+			l := leader(c)
+			c.Kill(l)
+			time.Sleep(3 * time.Second)
+			c.Start(l)
+		}()
+		all := c.Load(20, 10*time.Second, 1)
+		require.Empty(t, b.Check(all))
+		time.Sleep(3 * time.Second)
+		ends, begun := map[string]lore.AuditRecord{}, map[string]bool{}
+		for _, r := range audited(t, c) {
+			require.Equal(t, "chair", r.Regime)
+			require.Contains(t, []string{"verdict", "speech"}, r.Kind)
+			require.NotEmpty(t, r.Serial)
+			if r.Outcome == lore.Begun {
+				begun[r.Request] = true
+				continue
+			}
+			require.NotContains(t, ends, r.Request, "once")
+			ends[r.Request] = r
+			for _, step := range r.Steps {
+				require.Equal(t, "c-"+step.Worker, step.Serial)
+				require.Positive(t, step.At)
+			}
+		}
+		speeches := 0
+		for _, o := range all {
+			switch {
+			case o.Kind == "verdict" && o.End == door.Complete:
+				r := ends[verge.Request("verdict/"+o.Key)]
+				require.Equal(t, lore.Done, r.Outcome, "%+v", o)
+				require.Equal(t, "verdict/"+o.Key, r.Key)
+				require.GreaterOrEqual(t, len(r.Steps), 4)
+			case o.Kind == "speech" && o.End == door.Complete:
+				speeches++
+			}
+		}
+		done := 0
+		for id, r := range ends {
+			if r.Kind == "speech" {
+				require.True(t, begun[id])
+				if r.Outcome == door.Complete {
+					done++
+				}
+			}
+		}
+		require.Equal(t, speeches, done)
+	})
+}
+
 // TestPassed: a node without a certificate passes governed requests on, untouched, and
 // where it reaches no certified one says at once when to come back; it holds no key of a
 // certified worker.
--- /dev/null
+++ b/verge/audit.go
@@ -0,0 +1,110 @@
+// The audit record of governed work at its node: the steps as they are cleared, one row
+// at the core before anything runs, and one with the outcome.
+
+package verge
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/crux"
+	"keelstair.example/door"
+	"keelstair.example/lore"
+	"keelstair.example/rein"
+	"keelstair.example/word"
+	"keelstair.example/writ"
+)
+
+// saw notes a step that was cleared.
+func (h *hands) saw(verb string, w word.WorkerId, id rein.Id, serial string) {
+	if serial == "" || verb == verbReserve {
+		return
+	}
+	h.steps = append(h.steps, lore.AuditStep{Attempt: id.Attempt, What: verb, Worker: string(w), Serial: serial, At: h.n.clock().High})
+}
+
+// record writes the row's text; nothing for work that is not governed.
+func (h *hands) record(request, key, outcome string) []byte {
+	if h.regime == "" {
+		return nil
+	}
+	serial, _ := h.n.clears(h.regime, writ.Subject{Node: h.n.opt.Name}, "")
+	b, _ := json.Marshal(&lore.AuditRecord{Request: request, Key: key, Kind: h.kind, Regime: h.regime,
+		Node: string(h.n.me.Node), Serial: serial, Steps: h.steps, Outcome: outcome})
+	return b
+}
+
+// audit adds a row to the core's chain. The operation's id has it stand there once.
+func (n *Node) audit(ctx context.Context, op word.OpId, record []byte) error {
+	_, err := n.agent.Submit(ctx, op, lore.AuditKind, crux.Pack(&lore.Audit{Record: record}))
+	return err
+}
+
+func auditOp(request, what string) word.OpId { return word.OpId("audit/" + request + "/" + what) }
+
+// begin records governed work that claims no key, before anything is sent to a worker.
+func (h *hands) begin(ctx context.Context, request string) error {
+	if h.regime == "" || h.begun {
+		return nil
+	}
+	cx, stop := context.WithTimeout(ctx, 1500*time.Millisecond)
+	defer stop()
+	if err := h.n.audit(cx, auditOp(request, lore.Begun), h.record(request, "", lore.Begun)); err != nil {
+		return h.n.later(http.StatusServiceUnavailable, "core-away", "the request cannot be recorded: %v", err)
+	}
+	h.begun = true
+	return nil
+}
+
+// end records the outcome; where the core is away it is owed.
+func (h *hands) end(request string, err error, count int) {
+	if !h.begun {
+		return
+	}
+	outcome := door.Complete
+	switch {
+	case err != nil && count > 0:
+		outcome = door.Broken
+	case err != nil:
+		outcome = lore.NotRun
+	}
+	d := debt{op: auditOp(request, "end"), audit: h.record(request, "", outcome)}
+	if !h.n.pay(context.Background(), d) {
+		h.n.debts.add(d)
+	}
+}
+
+// seized is the record of a deed that is settled for a node that died.
+func (n *Node) seized(d *lore.Deed, fate string) []byte {
+	kind, _, _ := strings.Cut(d.Key, "/")
+	h := &hands{n: n, kind: kind, regime: n.view.Sight().Register.Governs(kind)}
+	if h.regime == "" {
+		return nil
+	}
+	serial, _ := n.clears(h.regime, writ.Subject{Worker: d.Worker}, word.Decode)
+	h.steps = []lore.AuditStep{{What: "settled", Worker: string(d.Worker), Serial: serial, At: n.clock().High}}
+	return h.record(Request(d.Key), d.Key, fate)
+}
+
+// Audits reads the core's chain.
+func (n *Node) Audits(ctx context.Context, from, most int) (*door.Audits, error) {
+	cx, stop := context.WithTimeout(ctx, 5*time.Second)
+	defer stop()
+	r, err := n.agent.Submit(cx, "", lore.AuditsKind, crux.Pack(&lore.Audits{From: from, Most: most}))
+	if err != nil {
+		return nil, n.fate(err)
+	}
+	var got lore.AuditsReply
+	if _, err := got.UnmarshalMsg(r.Body); err != nil {
+		return nil, breakdown.As(err, breakdown.Unknown, "read audit", "core")
+	}
+	out := &door.Audits{First: got.First, Count: got.Count, Head: got.Head, Rows: []json.RawMessage{}}
+	for _, l := range got.Lines {
+		out.Rows = append(out.Rows, l)
+	}
+	return out, nil
+}
--- a/verge/debt.go
+++ b/verge/debt.go
@@ -21,6 +21,7 @@
 	op     word.OpId
 	claim  *lore.Claim
 	settle *lore.Settle
+	audit  []byte
 }
 
 type debts struct {
@@ -54,6 +55,12 @@
 
 // pay tells whether nothing more is owed.
 func (n *Node) pay(ctx context.Context, d debt) bool {
+	if d.audit != nil {
+		cx, stop := context.WithTimeout(ctx, 1500*time.Millisecond)
+		defer stop()
+		err := n.audit(cx, d.op, d.audit)
+		return err == nil || breakdown.Is(err, breakdown.Bad)
+	}
 	if d.settle == nil {
 		cx, stop := context.WithTimeout(ctx, 1500*time.Millisecond)
 		defer stop()
--- a/verge/govern.go
+++ b/verge/govern.go
@@ -52,22 +52,24 @@
 func kept(most, keep int) int { return max(1, most*(100-keep)/100) }
 
 // check is the holder's: an order for governed work is given only while the register
-// clears the holder itself, the worker, and where memory would move also its source.
-func (n *Node) check(q *OrderAsk) error {
+// clears the holder itself, the worker, and where memory would move also its source. It
+// gives the worker's serial.
+func (n *Node) check(q *OrderAsk) (string, error) {
 	switch q.Verb {
 	case verbReserve, verbPrefill, verbExport, verbImport, verbResume:
 	default:
-		return nil // cancelling and freeing are always right
+		return "", nil // cancelling and freeing are always right
 	}
-	if _, err := n.allows(q.Regime, q.Worker, q.Part); err != nil {
-		return breakdown.Wrap(err, q.Verb, string(q.Worker))
+	serial, err := n.allows(q.Regime, q.Worker, q.Part)
+	if err != nil {
+		return "", breakdown.Wrap(err, q.Verb, string(q.Worker))
 	}
 	if q.Verb == verbImport {
 		if _, err := n.allows(q.Regime, q.Source, word.Prefill); err != nil {
-			return breakdown.As(err, breakdown.Lost, q.Verb, string(q.Source))
+			return "", breakdown.As(err, breakdown.Lost, q.Verb, string(q.Source))
 		}
 	}
-	return nil
+	return serial, nil
 }
 
 // guard ends a step's context once the worker is not cleared any more. The function that
--- a/verge/hands.go
+++ b/verge/hands.go
@@ -29,6 +29,8 @@
 	kind   string
 	regime string    // that the request is bound to, if any
 	part   word.Part // that was picked for last
+	steps  []lore.AuditStep
+	begun  bool // its first row stands
 }
 
 func (h *hands) Pick(q *whim.Question, on rein.Model, shun map[word.WorkerId]bool) []passage.Picked {
@@ -107,9 +109,11 @@
 		q.Part = ""
 		return h.n.order(cx, &q)
 	}
-	if err := h.n.check(&q); err != nil {
+	serial, err := h.n.check(&q)
+	if err != nil {
 		return nil, err
 	}
+	h.saw(verb, w, id, serial)
 	cx, end := h.guard(cx, w, q.Part)
 	a, err := h.n.order(cx, &q)
 	return a, end(err)
--- a/verge/holder.go
+++ b/verge/holder.go
@@ -150,7 +150,7 @@
 		return nil, breakdown.New(breakdown.Away, "hold key", n.me.Addr, "the desk of %s is not open yet", q.Worker)
 	}
 	led := v.(*desk).ledger
-	if err := n.check(q); err != nil {
+	if _, err := n.check(q); err != nil {
 		return nil, err
 	}
 	id := rein.Id{Request: q.Request, Attempt: q.Attempt}
--- a/verge/serve.go
+++ b/verge/serve.go
@@ -134,23 +134,31 @@
 	return d
 }
 
-func (n *Node) controller(s *lore.Sight, t *passage.Task) (*passage.Controller, *whim.Score) {
+func (n *Node) controller(s *lore.Sight, t *passage.Task) (*passage.Controller, *hands, *whim.Score) {
 	deck := n.deck(s)
 	h := &hands{n: n, sight: s, deck: deck, kind: t.Kind, regime: t.Regime, prefix: whim.Prefix(t.Identity.Prompt, s.Policy.Limits.PrefixTokens)}
-	return &passage.Controller{Hands: h, Clock: n.opt.Host.Clock, Orphan: n.opt.Orphan, Pulse: n.opt.Pulse, Tell: n.journal.Append},
+	return &passage.Controller{Hands: h, Clock: n.opt.Host.Clock, Orphan: n.opt.Orphan, Pulse: n.opt.Pulse, Tell: n.journal.Append}, h,
 		n.scores.Of(deck.For(t.Identity.Id.Request))
 }
 
 // plain runs a request that needs no claim.
 func (n *Node) plain(ctx context.Context, s *lore.Sight, t *passage.Task, out door.Sink) error {
-	c, score := n.controller(s, t)
+	c, h, score := n.controller(s, t)
 	start, count := n.now(), 0
+	var known error
+	if t.Regime != "" {
+		t.Claim = func(word.WorkerId, word.Life) error { known = h.begin(ctx, t.Identity.Id.Request); return known }
+	}
 	err := c.Run(ctx, t, func(i int, tok int32, text string) error {
 		if count++; count == 1 {
 			score.First(n.now().Since(start))
 		}
 		return out.Put(door.Line{Index: i, Token: tok, Text: text})
 	})
+	if known != nil {
+		return known
+	}
+	h.end(t.Identity.Id.Request, err, count)
 	return n.finish(err, count, score, out)
 }
 
@@ -181,7 +189,7 @@
 func (n *Node) claimed(ctx context.Context, s *lore.Sight, t *passage.Task, ask *door.Ask, out door.Sink) error {
 	key := ask.Kind + "/" + ask.Key
 	t.Identity.Id.Request = Request(key)
-	c, score := n.controller(s, t)
+	c, h, score := n.controller(s, t)
 	start, deaf, fresh := n.now(), false, false
 	var known error
 	t.Claim = func(w word.WorkerId, life word.Life) error {
@@ -234,7 +242,7 @@
 	if fate != lore.Done {
 		body = nil
 	}
-	end := &lore.Settle{Key: key, Owner: n.me.Node, Fate: fate, Out: body}
+	end := &lore.Settle{Key: key, Owner: n.me.Node, Fate: fate, Out: body, Audit: h.record(t.Identity.Id.Request, key, fate)}
 	if e := n.settle(end); e != nil {
 		n.counts.Unsure.Add(1)
 		if !breakdown.Is(e, breakdown.Stale) {
--- a/verge/settle.go
+++ b/verge/settle.go
@@ -52,7 +52,7 @@
 		return
 	}
 	fate, out := n.inquire(ctx, &d)
-	s := &lore.Settle{Key: d.Key, Owner: n.me.Node, Fate: fate, Out: out}
+	s := &lore.Settle{Key: d.Key, Owner: n.me.Node, Fate: fate, Out: out, Audit: n.seized(&d, fate)}
 	if err := n.settle(s); err != nil {
 		n.opt.Ring.Warn().AnErr("cause", err).Str("key", d.Key).Msg("a dead node's claim is not settled yet")
 	}
