--- a/cmd/omen/main.go
+++ b/cmd/omen/main.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"text/tabwriter"
+	"time"
 
 	"keelstair.example/cmd/boot"
 	"keelstair.example/creed"
@@ -36,12 +37,14 @@
 	Zone     *nameCmd   `arg:"subcommand:lose-zone" help:"the loss of a zone"`
 	Machine  *nameCmd   `arg:"subcommand:lose-machine" help:"the loss of a machine, by its address"`
 	Drain    *nameCmd   `arg:"subcommand:drain" help:"the draining of a worker"`
+	Revoke   *nameCmd   `arg:"subcommand:revoke" help:"the revocation of a certificate, by its serial"`
+	Expire   *nameCmd   `arg:"subcommand:expire" help:"the end of certificates up to a time, in RFC 3339"`
 }
 
 func (s *settings) File() string { return "" }
 
 func (s *settings) Check() error {
-	if s.Policy == nil && s.Evacuate == nil && s.Zone == nil && s.Machine == nil && s.Drain == nil {
+	if s.Policy == nil && s.Evacuate == nil && s.Zone == nil && s.Machine == nil && s.Drain == nil && s.Revoke == nil && s.Expire == nil {
 		return creed.Fault("command", "one is needed; see omen --help")
 	}
 	return boot.Doors(&s.Doors)
@@ -97,6 +100,14 @@
 		return augur.Change{LoseAddr: s.Machine.Name}, nil
 	case s.Drain != nil:
 		return augur.Change{Drain: word.WorkerId(s.Drain.Name)}, nil
+	case s.Revoke != nil:
+		return augur.Change{Revoke: s.Revoke.Name}, nil
+	case s.Expire != nil:
+		at, err := time.Parse(time.RFC3339, s.Expire.Name)
+		if err != nil {
+			return augur.Change{}, creed.Fault("time", "%q is no time such as 2026-12-31T00:00:00Z", s.Expire.Name)
+		}
+		return augur.Change{At: at.UnixNano()}, nil
 	}
 	if s.Policy.Base != nil && *s.Policy.Base != sh.Newest {
 		return augur.Change{}, fmt.Errorf("the plan was made over version %d; the newest is %d", *s.Policy.Base, sh.Newest)
--- a/passage/ledger.go
+++ b/passage/ledger.go
@@ -191,6 +191,9 @@
 	return l.ReserveBeside(id, blocks, 0, now)
 }
 
+// Beside is how many of a cap's starts there are beside so many percent that are kept.
+func Beside(most, keep int) int { return max(1, most*(100-keep)/100) }
+
 // ReserveBeside books room that leaves so many percent of all room and starts free.
 func (l *Ledger) ReserveBeside(id rein.Id, blocks, keep int, now word.Tick) error {
 	l.mu.Lock()
@@ -201,7 +204,7 @@
 	s := l.state(now)
 	if keep > 0 {
 		s.Free -= s.Room * keep / 100
-		s.Cap = max(1, s.Cap*(100-keep)/100)
+		s.Cap = Beside(s.Cap, keep)
 	}
 	switch {
 	case !s.Ready:
--- a/passage/ledger_test.go
+++ b/passage/ledger_test.go
@@ -120,3 +120,20 @@
 	l.Report(back, at(3000))
 	require.Equal(t, 4, l.State(at(3500)).Cap, "a switched worker is cold again")
 }
+
+// TestBeside: work that must leave a share free finds neither its blocks nor its starts;
+// other work does.
+func TestBeside(t *testing.T) {
+	l := begun(0, 0, 4)
+	l.Report(report(50), at(600))
+	now := at(610)
+	require.Error(t, l.ReserveBeside(one(0), 31, 20, now), "50 are free, 20 of 100 stay so")
+	require.NoError(t, l.ReserveBeside(one(0), 30, 20, now))
+	require.Error(t, l.ReserveBeside(one(1), 1, 20, now))
+	require.NoError(t, l.Reserve(one(1), 10, now))
+	require.Error(t, l.Reserve(one(2), 11, now))
+	require.NoError(t, l.Reserve(one(2), 1, now))
+	require.Error(t, l.ReserveBeside(one(3), 1, 1, now), "a start of four stays free")
+	require.NoError(t, l.Reserve(one(3), 1, now))
+	require.Error(t, l.Reserve(one(4), 1, now))
+}
--- a/verge/augur/augur.go
+++ b/verge/augur/augur.go
@@ -21,6 +21,8 @@
 	LoseZone word.Zone
 	LoseAddr string // a machine, by any of its addresses
 	Drain    word.WorkerId
+	Revoke   string // a certificate's serial
+	At       int64  // the fleet's time moves on to this, in nanoseconds since 1970
 }
 
 // Move is a key that would change hands.
@@ -72,6 +74,9 @@
 	f.rooms(st, now, next, c)
 	f.core(st, c)
 	f.deeds(st, next)
+	if err := f.regimes(st, now, next, c); err != nil {
+		return nil, err
+	}
 	return f, nil
 }
 
--- /dev/null
+++ b/verge/augur/regimes.go
@@ -0,0 +1,82 @@
+// What a change would leave of the certified workers and nodes of each regime.
+
+package augur
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"keelstair.example/breakdown"
+	"keelstair.example/lore"
+	"keelstair.example/verge"
+	"keelstair.example/word"
+	"keelstair.example/writ"
+)
+
+// soon is how far ahead ends of certificates are warned of with any plan.
+const soon = 7 * 24 * time.Hour
+
+// gone tells which subjects a change, or what stands already, takes away.
+func gone(st *verge.Standing, p *lore.Policy, c Change) func(writ.Subject) bool {
+	zones, nodes := map[word.Zone]bool{}, map[string]bool{}
+	for _, z := range st.Evacuated {
+		zones[word.Zone(z)] = true
+	}
+	zones[c.Evacuate], zones[c.LoseZone] = true, true
+	for _, m := range st.Members {
+		if !zones[m.Zone] && (c.LoseAddr == "" || m.Addr != c.LoseAddr) {
+			nodes[lore.NodeName(m.Node)] = true
+		}
+	}
+	return func(s writ.Subject) bool {
+		if s.Node != "" {
+			return !nodes[s.Node]
+		}
+		w, ok := p.Workers[s.Worker]
+		return !ok || zones[w.Zone] || s.Worker == c.Drain || slices.Contains(st.Drained, string(s.Worker))
+	}
+}
+
+func (f *Forecast) regimes(st *verge.Standing, now, next *lore.Policy, c Change) error {
+	before, _ := now.Register()
+	after, _ := next.Register()
+	if c.Revoke != "" {
+		if _, ok := before.Find(c.Revoke); !ok {
+			return breakdown.New(breakdown.Bad, "plan", c.Revoke, "there is no such certificate")
+		}
+	}
+	revoked := map[string]bool{}
+	for _, serial := range st.Revoked {
+		revoked[serial] = true
+	}
+	before = before.With(maps.Clone(revoked))
+	revoked[c.Revoke] = true
+	after = after.With(revoked)
+	then := st.Time
+	if c.At > 0 {
+		then = writ.Now{Low: max(c.At, then.Low), High: max(c.At, then.High)}
+	}
+	late := writ.Now{Low: then.Low + int64(soon), High: then.High + int64(soon)}
+	was, is := gone(st, now, Change{}), gone(st, next, c)
+	there := func(f func(writ.Subject) bool) func(writ.Subject) bool {
+		return func(s writ.Subject) bool { return !f(s) }
+	}
+	for _, g := range after.Regimes() {
+		short := after.Short(g, 1, then, there(is))
+		for _, what := range short {
+			f.warn("regime %s would have no certified %s: its work would be bounced", g, what)
+		}
+		for _, what := range after.Short(g, 2, then, there(is)) {
+			if !slices.Contains(short, what) && !slices.Contains(before.Short(g, 2, st.Time, there(was)), what) {
+				f.warn("regime %s would have one left of its certified %s", g, what)
+			}
+		}
+		for _, what := range after.Short(g, 1, late, there(is)) {
+			if !slices.Contains(short, what) {
+				f.warn("regime %s would have no certified %s within %d days, as certificates end", g, what, soon/(24*time.Hour))
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/verge/augur/regimes_test.go
@@ -0,0 +1,66 @@
+// Plans that would leave a regime short.
+
+package augur
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/crux"
+	"keelstair.example/word"
+	"keelstair.example/writ"
+)
+
+// TestShort: before a drain, a revocation, an expiry, an evacuation or the loss of a
+// machine leaves a regime without a part or a node, or with its last, that is said.
+func TestShort(t *testing.T) {
+	st, p := fixture()
+	for i := range st.Members {
+		st.Members[i] = crux.Member{Node: st.Members[i].Node + "-0123", Addr: st.Members[i].Addr, Zone: st.Members[i].Zone}
+	}
+	key, _, err := writ.NewKey()
+	require.NoError(t, err)
+	now := time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC)
+	day := func(n int) string { return now.AddDate(0, 0, n).Format(time.RFC3339) }
+	p.Regimes = map[string]writ.Regime{"chair": {Kinds: []string{"verdict"}}}
+	p.Issuers = map[string]writ.Issuer{"k": {Key: writ.Public(key), From: day(-1), Until: day(100)}}
+	p.Certificates = map[string]writ.Certificate{}
+	put := func(serial string, c writ.Certificate, until int) {
+		c.Serial, c.Regime, c.Issuer, c.From, c.Until = serial, "chair", "k", day(-1), day(until)
+		c.Sign(key)
+		p.Certificates[serial] = c
+	}
+	put("p1", writ.Certificate{Worker: "p1", Parts: []word.Part{word.Prefill}}, 50)
+	put("p2", writ.Certificate{Worker: "p2", Parts: []word.Part{word.Prefill}}, 50)
+	put("d2", writ.Certificate{Worker: "d2", Parts: []word.Part{word.Decode}}, 50)
+	put("d3", writ.Certificate{Worker: "d3", Parts: []word.Part{word.Decode}}, 30)
+	put("n1", writ.Certificate{Node: "n1"}, 50)
+	put("n2", writ.Certificate{Node: "n2"}, 50)
+	st.Time = writ.At(now)
+	warned := func(c Change) (out []string) {
+		f, err := Foresee(st, p, c)
+		require.NoError(t, err)
+		for _, w := range f.Warnings {
+			if len(w) > 6 && w[:6] == "regime" {
+				out = append(out, w)
+			}
+		}
+		return out
+	}
+	require.Empty(t, warned(Change{}))
+	require.Empty(t, warned(Change{Drain: "p3"}))
+	require.Equal(t, []string{"regime chair would have one left of its certified prefill workers"}, warned(Change{Drain: "p1"}))
+	require.Equal(t, []string{"regime chair would have one left of its certified decode workers"}, warned(Change{Revoke: "d3"}))
+	require.Equal(t, []string{"regime chair would have one left of its certified router nodes"}, warned(Change{LoseAddr: "10.0.0.1:1"}))
+	require.Contains(t, warned(Change{Evacuate: "b"}), "regime chair would have no certified decode workers: its work would be bounced")
+	require.Contains(t, warned(Change{LoseZone: "b"}), "regime chair would have one left of its certified router nodes")
+	require.Contains(t, warned(Change{At: now.AddDate(0, 0, 60).UnixNano()}), "regime chair would have no certified prefill workers: its work would be bounced")
+	require.True(t, slices.Contains(warned(Change{At: now.AddDate(0, 0, 45).UnixNano()}), "regime chair would have no certified prefill workers within 7 days, as certificates end"))
+	st.Revoked = []string{"d2"}
+	require.Equal(t, []string{"regime chair would have no certified decode workers: its work would be bounced"}, warned(Change{Drain: "d3"}))
+	_, err = Foresee(st, p, Change{Revoke: "nobody"})
+	require.ErrorContains(t, err, "no such certificate")
+}
--- a/verge/govern.go
+++ b/verge/govern.go
@@ -9,6 +9,7 @@
 
 	"keelstair.example/breakdown"
 	"keelstair.example/lore"
+	"keelstair.example/passage"
 	"keelstair.example/seam"
 	"keelstair.example/word"
 	"keelstair.example/writ"
@@ -45,12 +46,9 @@
 		return true
 	}
 	keep := s.Register.Keeps(st.Id, st.Part, n.clock())
-	return st.Free-need >= st.Room*keep/100 && (keep == 0 || st.Busy < kept(st.Cap, keep))
+	return st.Free-need >= st.Room*keep/100 && (keep == 0 || st.Busy < passage.Beside(st.Cap, keep))
 }
 
-// kept is how many starts other work may have of a cap.
-func kept(most, keep int) int { return max(1, most*(100-keep)/100) }
-
 // check is the holder's: an order for governed work is given only while the register
 // clears the holder itself, the worker, and where memory would move also its source. It
 // gives the worker's serial.
--- a/verge/operate.go
+++ b/verge/operate.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"time"
 
@@ -17,6 +19,7 @@
 	"keelstair.example/seam"
 	"keelstair.example/whim"
 	"keelstair.example/word"
+	"keelstair.example/writ"
 )
 
 // Apply checks the whole configuration before anything is written; then the
@@ -185,6 +188,8 @@
 	Evacuated []string                    `json:"evacuated"`
 	Drained   []string                    `json:"drained"`
 	Deeds     [2]int                      `json:"deeds"` // claimed so far, and how many may ever be
+	Time      writ.Now                    `json:"time"`  // what the fleet's time may be; zeros without regimes
+	Revoked   []string                    `json:"revoked,omitempty"`
 }
 
 // Status tells how the node stands.
@@ -215,5 +220,6 @@
 	})
 	st.Last, _ = n.journal.Last(8)
 	st.Deeds[0], st.Deeds[1] = n.view.Deeds()
+	st.Time, st.Revoked = n.clock(), slices.Sorted(maps.Keys(n.view.Sight().Revoked))
 	return st
 }
--- /dev/null
+++ b/verge/regime_test.go
@@ -0,0 +1,45 @@
+// Turning under regimes, without a fleet.
+
+package verge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/lore"
+	"keelstair.example/word"
+	"keelstair.example/writ"
+)
+
+// TestCovered: a worker that is the last of its part cleared for a regime does not turn;
+// a second one frees it, and a revocation of the second binds it again.
+func TestCovered(t *testing.T) {
+	key, _, err := writ.NewKey()
+	require.NoError(t, err)
+	now := time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC)
+	from, until := now.AddDate(0, 0, -1).Format(time.RFC3339), now.AddDate(0, 0, 1).Format(time.RFC3339)
+	certs := map[string]writ.Certificate{}
+	put := func(serial string, w word.WorkerId) {
+		c := writ.Certificate{Serial: serial, Worker: w, Regime: "chair", Parts: []word.Part{word.Prefill}, From: from, Until: until, Issuer: "k"}
+		c.Sign(key)
+		certs[serial] = c
+	}
+	sight := func(revoked map[string]bool) *lore.Sight {
+		r, err := writ.Compile(map[string]writ.Regime{"chair": {Kinds: []string{"verdict"}}},
+			map[string]writ.Issuer{"k": {Key: writ.Public(key), From: from, Until: until}}, certs)
+		require.NoError(t, err)
+		return &lore.Sight{Register: r.With(revoked)}
+	}
+	list := []Stand{{Id: "p1", Part: word.Prefill}, {Id: "p2", Part: word.Prefill}, {Id: "p3", Part: word.Prefill}}
+	put("1", "p1")
+	at := writ.At(now)
+	require.False(t, covered(sight(nil), list, list[0], at))
+	require.True(t, covered(sight(nil), list, list[1], at), "it serves no regime")
+	require.True(t, covered(&lore.Sight{}, list, list[0], at), "there is no regime")
+	put("2", "p2")
+	require.True(t, covered(sight(nil), list, list[0], at))
+	require.False(t, covered(sight(map[string]bool{"2": false}), list, list[0], at))
+	require.False(t, covered(sight(nil), []Stand{list[0], list[2]}, list[0], at), "the other one is not there")
+}
--- a/verge/switch.go
+++ b/verge/switch.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -21,6 +22,7 @@
 	"keelstair.example/whim"
 	"keelstair.example/wire"
 	"keelstair.example/word"
+	"keelstair.example/writ"
 )
 
 const (
@@ -91,7 +93,7 @@
 			w := s.Policy.Workers[st.Id]
 			view.Workers = append(view.Workers, whim.Turner{Id: st.Id, Zone: w.Zone, Part: part, Home: w.Part, Busy: st.Busy, Work: st.Work,
 				Cap: st.Cap, Free: st.Free, Room: st.Room,
-				May: view.Since >= rest && spare(s, list, st.Id) && !n.turnedWithin(st.Id, dwell)})
+				May: view.Since >= rest && spare(s, list, st.Id) && covered(s, list, st, n.clock()) && !n.turnedWithin(st.Id, dwell)})
 		}
 	}
 	wish, ok := n.wish(s, view)
@@ -144,6 +146,21 @@
 	return same >= 1 && len(after) >= min(2, len(before))
 }
 
+// covered tells whether every regime that a worker serves in its part keeps another one
+// there that is cleared too.
+func covered(s *lore.Sight, list []Stand, me Stand, now writ.Now) bool {
+	for _, g := range s.Register.Regimes() {
+		clear := func(st Stand) bool {
+			_, ok := s.Register.Clears(g, writ.Subject{Worker: st.Id}, me.Part, now)
+			return ok
+		}
+		if clear(me) && !slices.ContainsFunc(list, func(st Stand) bool { return st.Id != me.Id && clear(st) }) {
+			return false
+		}
+	}
+	return true
+}
+
 func (n *Node) turnedWithin(id word.WorkerId, dwell time.Duration) bool {
 	v, ok := n.turned.Load(id)
 	return ok && n.now().Since(v.(word.Tick)) < dwell
