--- /dev/null
+++ b/proof/chamber_test.go
@@ -0,0 +1,236 @@
+// Scripts over a fleet with a regime in force, with seeds, held against the workers' own
+// books.
+
+package proof
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/door"
+	"keelstair.example/guise"
+	"keelstair.example/rein"
+	"keelstair.example/word"
+	"keelstair.example/writ"
+)
+
+// Sitting is one script over the chamber.
+type Sitting struct {
+	Name string
+	Run  func(c *Cluster, b *Bureau, r *rand.Rand) error
+}
+
+func certifiedBox(c *Cluster, r *rand.Rand, sort string) *Box {
+	name := sort + strconv.Itoa(1+r.IntN(3))
+	for _, b := range c.Of("worker") {
+		if b.Name == name {
+			return b
+		}
+	}
+	return nil
+}
+
+// Sittings are what machines, operators and time do to governed work.
+var Sittings = []Sitting{
+	{"workers-crash", func(c *Cluster, b *Bureau, r *rand.Rand) error {
+		for _, sort := range []string{"d", "p"} {
+			w := certifiedBox(c, r, sort)
+			c.Kill(w)
+			time.Sleep(time.Duration(500+r.IntN(1500)) * time.Millisecond)
+			if err := c.Start(w); err != nil {
+				return err
+			}
+			time.Sleep(time.Second)
+		}
+		return nil
+	}},
+	{"workers-drained", func(c *Cluster, b *Bureau, r *rand.Rand) error {
+		for i, sort := range []string{"d", "p"} {
+			w := certifiedBox(c, r, sort)
+			if err := c.Mark("/v1/workers/"+w.Name, fmt.Sprint("out", i), true); err != nil {
+				return err
+			}
+			time.Sleep(time.Duration(1000+r.IntN(1500)) * time.Millisecond)
+			if err := c.Mark("/v1/workers/"+w.Name, fmt.Sprint("back", i), false); err != nil {
+				return err
+			}
+		}
+		return nil
+	}},
+	{"worker-joins", func(c *Cluster, b *Bureau, r *rand.Rand) error {
+		// The fourth pair, so far uncertified, is certified under load.
+		b.certify([]string{"p4", "d4"}, []string{"verge-5"})
+		return alter(c, "join", partOf(map[string]any{"certificates": b.certs}))
+	}},
+	{"zone-lost", func(c *Cluster, b *Bureau, r *rand.Rand) error {
+		z := hit(r, c.Site.Zones)
+		var down []*Box
+		for _, box := range c.Boxes {
+			if box.Zone == z && box.Up {
+				c.PowerOff(box)
+				down = append(down, box)
+			}
+		}
+		time.Sleep(6 * time.Second)
+		var err error
+		for _, box := range down {
+			err = errors.Join(err, c.Start(box))
+		}
+		return err
+	}},
+	{"revoked-mid-stream", func(c *Cluster, b *Bureau, r *rand.Rand) error {
+		for _, sort := range []string{"d", "p"} {
+			if err := b.Revoke("c-" + certifiedBox(c, r, sort).Name); err != nil {
+				return err
+			}
+			pause(r)
+		}
+		return b.Revoke("c-verge-" + strconv.Itoa(1+r.IntN(4)))
+	}},
+	{"revoked-while-cut", func(c *Cluster, b *Bureau, r *rand.Rand) error {
+		box := node(c, "verge-"+strconv.Itoa(1+r.IntN(4)))
+		mates := append(ips(c.Of("tenet")...), ips(c.Of("verge")...)...)
+		c.World.Sever(ips(box), mates, true)
+		time.Sleep(time.Duration(r.IntN(500)) * time.Millisecond)
+		err := b.Revoke("c-" + certifiedBox(c, r, "d").Name)
+		time.Sleep(time.Second)
+		c.World.Sever(ips(box), mates, false)
+		return err
+	}},
+	{"expiry-while-cut", func(c *Cluster, b *Bureau, r *rand.Rand) error {
+		// Two get other certificates, which end soon, and then their first are revoked.
+		for _, w := range []string{"d1", "p1"} {
+			part := word.Decode
+			if w[0] == 'p' {
+				part = word.Prefill
+			}
+			b.sign("short-"+w, writ.Certificate{Worker: word.WorkerId(w), Parts: []word.Part{part}}, 5*time.Second)
+		}
+		if err := alter(c, "short", partOf(map[string]any{"certificates": b.certs})); err != nil {
+			return err
+		}
+		if err := errors.Join(b.Revoke("c-d1"), b.Revoke("c-p1")); err != nil {
+			return err
+		}
+		box := node(c, "verge-"+strconv.Itoa(1+r.IntN(4)))
+		mates := append(ips(c.Of("tenet")...), ips(c.Of("verge")...)...)
+		time.Sleep(time.Duration(1500+r.IntN(1000)) * time.Millisecond)
+		c.World.Sever(ips(box), mates, true)
+		time.Sleep(5 * time.Second)
+		c.World.Sever(ips(box), mates, false)
+		return nil
+	}},
+	{"leader-dies-in-a-revocation", func(c *Cluster, b *Bureau, r *rand.Rand) error {
+		l := leader(c)
+		done := make(chan error, 1)
+		go func() { done <- b.Revoke("c-" + certifiedBox(c, r, "d").Name) }()
+		time.Sleep(time.Duration(r.IntN(120)) * time.Millisecond)
+		c.Kill(l)
+		err := <-done
+		time.Sleep(2 * time.Second)
+		return errors.Join(err, c.Start(l))
+	}},
+	{"operators-race", func(c *Cluster, b *Bureau, r *rand.Rand) error {
+		var wg sync.WaitGroup
+		errs := make([]error, 4)
+		for i, serial := range []string{"c-d1", "c-d1", "c-p1", "c-verge-1"} {
+			wg.Go(func() {
+				pause(r)
+				errs[i] = b.Revoke(serial)
+			})
+		}
+		b.certify([]string{"p4", "d4"}, nil)
+		err := alter(c, "race", partOf(map[string]any{"certificates": b.certs}))
+		wg.Wait()
+		return errors.Join(append(errs, err)...)
+	}},
+	{"clocks-leap", func(c *Cluster, b *Bureau, r *rand.Rand) error {
+		for range 3 {
+			hit(r, append(c.Of("verge"), c.Of("tenet")...)).Machine.Leap(time.Duration(r.IntN(1000)) * time.Hour)
+			time.Sleep(2 * time.Second)
+		}
+		return nil
+	}},
+}
+
+// sit runs one script under load and gives what was wrong.
+func sit(t *testing.T, s Sitting, seed uint64) {
+	b := NewBureau()
+	c := Build(seed, chamber, b.tune)
+	defer c.Close()
+	require.NoError(t, c.Found())
+	b.usual()
+	require.NoError(t, b.Open())
+	done := make(chan error, 1)
+	go func() {
+		time.Sleep(2 * time.Second)
+		done <- s.Run(c, b, rand.New(rand.NewPCG(seed, 7)))
+	}()
+	all := c.Load(25, 10*time.Second, seed)
+	require.NoError(t, <-done)
+	then := c.Load(25, 6*time.Second, seed+1000)
+	time.Sleep(3 * time.Second)
+	require.Empty(t, b.Check(append(all, then...)))
+	require.Empty(t, c.Book.Check(append(all, then...)))
+	sum := guise.Sum(then)
+	require.Equal(t, len(then), sum.Ends[door.Complete], "after the script: %+v", sum)
+	audited(t, c)
+	t.Logf("%s seed %d: %v %v, revocations %v", s.Name, seed, guise.Sum(all).Ends, guise.Sum(all).Details, b.revoke)
+}
+
+// TestSittings runs every script with its seeds.
+func TestSittings(t *testing.T) {
+	unraced(t)
+	for _, s := range Sittings {
+		for _, seed := range seeds() {
+			t.Run(s.Name+"/"+strconv.Itoa(int(seed)), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { sit(t, s, seed) })
+			})
+		}
+	}
+}
+
+// TestBureauCatches plants violations of the line of certified nodes.
+func TestBureauCatches(t *testing.T) {
+	for name, one := range map[string]struct {
+		rows  []Seen
+		wrong bool
+	}{
+		"on a certified one":            {[]Seen{row("prefill", "p1", 5), row("export", "p1", 6)}, false},
+		"never certified":               {[]Seen{row("import", "d9", 5)}, true},
+		"before it was":                 {[]Seen{row("prefill", "p1", 1)}, true},
+		"within two seconds of its end": {[]Seen{row("import", "p1", 11)}, false},
+		"later":                         {[]Seen{row("import", "p1", 13)}, true},
+		"runs on":                       {[]Seen{row("import", "p1", 9), row("cancel", "p1", 13)}, true},
+		"ends in time":                  {[]Seen{row("import", "p1", 9), row("cancel", "p1", 11)}, false},
+		"not governed":                  {[]Seen{{guise.Event{What: "import", Worker: "d9", Id: rein.Id{Request: "free"}}, time.Second}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := NewBureau()
+			b.c = &Cluster{Book: NewBook()}
+			b.certs["s"] = writ.Certificate{Worker: "p1"}
+			b.spans["s"] = grant{2 * time.Second, 10 * time.Second}
+			b.work["r"] = "chair"
+			b.c.Book.rows = one.rows
+			if got := b.Check(nil); one.wrong {
+				require.NotEmpty(t, got)
+				require.Equal(t, Uncertified, got[0].Line)
+			} else {
+				require.Empty(t, got)
+			}
+		})
+	}
+}
+
+func row(what, worker string, second int) Seen {
+	return Seen{guise.Event{What: what, Worker: word.WorkerId(worker), Id: rein.Id{Request: "r", Attempt: 1}}, time.Duration(second) * time.Second}
+}
