--- a/passage/controller.go
+++ b/passage/controller.go
@@ -133,6 +133,7 @@
 	f := &flight{Controller: c, t: t, put: put}
 	start := c.Clock.Now()
 	shun := map[word.WorkerId]bool{}
+	tries, since := 0, word.Tick(0)
 	for n := 1; ; n++ {
 		f.id = rein.Id{Request: t.Identity.Id.Request, Attempt: n}
 		f.from, f.to, f.life, f.runs = "", "", "", false
@@ -152,12 +153,21 @@
 			return done
 		}
 		late := len(f.sent) == 0 && c.Clock.Now().Past(start, t.GiveUp)
+		// Few workers may take over a governed stream: it waits for one of them.
+		switch tries++; {
+		case t.Regime == "" || f.from != "" || f.to != "" || len(f.sent) == 0:
+			since = 0
+		case since == 0:
+			since, tries = c.Clock.Now(), tries-1
+		case !c.Clock.Now().Past(since, f.patience()):
+			tries--
+		}
 		switch {
 		case gone:
 			return f.verdict(breakdown.As(ctx.Err(), breakdown.Lost, "origin went away", ""))
 		case breakdown.Is(err, breakdown.Bad):
 			return err
-		case n >= t.Tries || late:
+		case tries >= t.Tries || late:
 			return f.verdict(err)
 		case f.from == "" && f.to == "" && len(f.sent) == 0 && n == 1:
 			return f.verdict(err)
--- a/passage/controller_test.go
+++ b/passage/controller_test.go
@@ -37,6 +37,8 @@
 	claim   func(w word.WorkerId, life word.Life) error
 	stale   int // so often what was picked is outdated
 	picks   int
+	regime  string
+	none    int // so often nobody is cleared, once a run was resumed
 }
 
 func lost() error    { return breakdown.New(breakdown.Lost, "test", "w", "lost") }
@@ -44,6 +46,10 @@
 
 func (s *script) Pick(q *whim.Question, _ rein.Model, shun map[word.WorkerId]bool) []Picked {
 	s.picks++
+	if s.none > 0 && s.resumes > 0 {
+		s.none--
+		return nil
+	}
 	var out []Picked
 	for _, id := range []word.WorkerId{"1", "2"} {
 		w := word.WorkerId(q.Part[:1]) + id
@@ -141,7 +147,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &Controller{Hands: s, Clock: sham.NewWorld(1).Machine("10.0.0.1").Start().Host().Clock, Orphan: 2 * time.Second, Pulse: time.Second}
 		begun := time.Now()
-		err = c.Run(context.Background(), &Task{Identity: ident(), Claimed: claimed, Claim: s.claim, Tries: 3, GiveUp: 10 * time.Second}, func(i int, tok int32, _ string) error {
+		err = c.Run(context.Background(), &Task{Identity: ident(), Claimed: claimed, Regime: s.regime, Claim: s.claim, Tries: 3, GiveUp: 10 * time.Second}, func(i int, tok int32, _ string) error {
 			require.Equal(t, len(got), i)
 			got = append(got, tok)
 			return nil
@@ -326,3 +332,24 @@
 	require.NoError(t, err)
 	require.Greater(t, again.Sub(begun), 2*time.Second)
 }
+
+// TestGovernedWaits: a governed stream that has begun and finds nobody cleared waits for
+// one that is, within its patience; another one is given up after its tries.
+func TestGovernedWaits(t *testing.T) {
+	whole := func(n, from int, put func(rein.Piece) error) error {
+		if n == 1 {
+			return send(put, from, 3, false)
+		}
+		return send(put, from, len(answer), true)
+	}
+	got, err, took := play(t, &script{stream: whole, coins: 5, regime: "chair", none: 20}, false)
+	require.NoError(t, err)
+	require.Equal(t, answer, got)
+	require.Greater(t, took, time.Second)
+	got, err, _ = play(t, &script{stream: whole, coins: 5, none: 20}, false)
+	require.True(t, breakdown.Is(err, breakdown.Lost), "%v", err)
+	require.Len(t, got, 3)
+	_, err, took = play(t, &script{stream: whole, coins: 5, regime: "chair", none: 1 << 20}, false)
+	require.True(t, breakdown.Is(err, breakdown.Lost), "%v", err)
+	require.Less(t, took, 10*time.Second)
+}
--- /dev/null
+++ b/proof/govern_test.go
@@ -0,0 +1,124 @@
+// The single mechanisms that hold governed work to its regime, each by itself.
+
+package proof
+
+import (
+	"encoding/json"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/door"
+	"keelstair.example/guise"
+	"keelstair.example/passage"
+	"keelstair.example/verge"
+	"keelstair.example/wire"
+	"keelstair.example/word"
+)
+
+// TestHolderChecks: a holder gives no governed order to an uncertified worker, and lets
+// none import from one, whoever asks; what ends work is always given.
+func TestHolderChecks(t *testing.T) {
+	inChamber(t, (*Bureau).usual, func(t *testing.T, c *Cluster, b *Bureau) {
+		for _, w := range []word.WorkerId{"p4", "d4", "d1"} {
+			require.True(t, c.Until(5*time.Second, func() bool { return slices.Contains(holds(holder(c, w)), word.Key("worker/"+w)) }))
+		}
+		time.Sleep(2 * time.Second) // ledgers are open by then
+		ask := func(q verge.OrderAsk) error {
+			q.Request, q.Attempt, q.Regime = "x", 1, "chair"
+			q.Version = c.Of("verge")[0].Node.View().Sight().Version
+			if q.Body == nil {
+				q.Body, _ = json.Marshal(map[string]any{})
+			}
+			call := wire.NewCaller(c.out.Host().Net)
+			defer call.Close()
+			_, err := wire.Call[verge.OrderAsk, verge.OrderReply](c.base, call, holder(c, q.Worker).Addr, "verge/order", &q)
+			return err
+		}
+		for _, verb := range []string{"reserve", "prefill", "export"} {
+			require.ErrorContains(t, ask(verge.OrderAsk{Worker: "p4", Verb: verb, Part: word.Prefill, Need: 1}), "no certificate", verb)
+		}
+		for _, verb := range []string{"import", "resume"} {
+			require.ErrorContains(t, ask(verge.OrderAsk{Worker: "d4", Verb: verb, Part: word.Decode, Source: "p1"}), "no certificate", verb)
+		}
+		require.ErrorContains(t, ask(verge.OrderAsk{Worker: "d1", Verb: "import", Part: word.Decode, Source: "p4"}), "worker p4", "its source")
+		require.ErrorContains(t, ask(verge.OrderAsk{Worker: "d1", Verb: "reserve", Part: word.Prefill, Need: 1}), "no certificate", "another part")
+		require.NoError(t, ask(verge.OrderAsk{Worker: "d1", Verb: "reserve", Part: word.Decode, Need: 1}))
+		require.NoError(t, ask(verge.OrderAsk{Worker: "p4", Verb: "done"}))
+		require.NoError(t, ask(verge.OrderAsk{Worker: "p4", Verb: "cancel"}))
+	})
+}
+
+// TestRevokedMidStep: a long prefill on a worker that is revoked is left at once, not
+// when it is done, and its memory freed.
+func TestRevokedMidStep(t *testing.T) {
+	inChamber(t, (*Bureau).usual, func(t *testing.T, c *Cluster, b *Bureau) {
+		ask := long(speech)
+		ask.Prompt, ask.PromptIds = "", make([]int32, 18000)
+		for i := range ask.PromptIds {
+			ask.PromptIds[i] = int32(i%4000) + 1
+		}
+		done := make(chan []door.Line, 1)
+		go func() {
+			got, _ := c.stream(node(c, "verge-1"), ask)
+			done <- got
+		}()
+		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(passage.Granted)) == 1 }))
+		at := b.serves(passage.Granted)[0]
+		time.Sleep(100 * time.Millisecond)
+		require.NoError(t, b.Revoke("c-"+at))
+		acked := c.Book.Now()
+		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(passage.Granted)) == 2 }))
+		require.Less(t, c.Book.Now()-acked, 300*time.Millisecond)
+		require.NotEqual(t, at, b.serves(passage.Granted)[1])
+		got := <-done
+		require.Equal(t, door.Complete, got[len(got)-1].End)
+		require.Empty(t, b.Check(nil))
+	})
+}
+
+// TestNextPiece: with pieces that come faster than a running step is looked at, the
+// first one after the revocation was folded already comes from a certified worker.
+func TestNextPiece(t *testing.T) {
+	inChamber(t, (*Bureau).usual, func(t *testing.T, c *Cluster, b *Bureau) {
+		ask, n := long(speech), node(c, "verge-1")
+		done := make(chan []door.Line, 1)
+		go func() {
+			got, _ := c.stream(n, ask)
+			done <- got
+		}()
+		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(passage.Resumed)) == 1 }))
+		at := b.serves(passage.Resumed)[0]
+		time.Sleep(30 * time.Millisecond)
+		go b.Revoke("c-" + at)
+		for !seen(n, "c-"+at) {
+			time.Sleep(time.Millisecond)
+		}
+		folded := time.Now()
+		require.True(t, c.Until(time.Second, func() bool { return len(b.serves(passage.Dropped)) == 1 }))
+		require.Less(t, time.Since(folded), 45*time.Millisecond, "a step of the worker takes ten")
+		whole(t, c, ask, <-done)
+	})
+}
+
+func seen(b *Box, serial string) bool {
+	_, ok := b.Node.View().Sight().Revoked[serial]
+	return ok
+}
+
+// TestPlainFleet: without regimes no time is kept, nothing is recorded, and nobody is
+// asked for a certificate.
+func TestPlainFleet(t *testing.T) {
+	unraced(t)
+	inBubble(t, "almaty", nil, func(t *testing.T, c *Cluster) {
+		all := c.Load(20, 4*time.Second, 1)
+		require.Equal(t, len(all), guise.Sum(all).Ends[door.Complete])
+		st := c.Of("verge")[0].Node.Status().(*verge.Standing)
+		require.Zero(t, st.Time)
+		got, err := c.Of("verge")[0].Node.Audits(c.base, 1, 10)
+		require.NoError(t, err)
+		require.Zero(t, got.Count)
+	})
+}
--- a/proof/regime_test.go
+++ b/proof/regime_test.go
@@ -55,7 +55,7 @@
 func whole(t *testing.T, c *Cluster, ask door.Ask, got []door.Line) {
 	t.Helper()
 	solo := guise.Solo(ask.Tokens(), ask.MaxTokens, ask.Seed, 0, c.Site.Model, guise.SiteWeights, nil)
-	require.Len(t, got, len(solo)+1, "%+v", got[len(got)-1])
+	require.Len(t, got, len(solo)+1, "%+v", got[len(got)-1].Error)
 	for i, tok := range solo {
 		require.Equal(t, tok, got[i].Token)
 	}
