--- a/passage/controller_test.go
+++ b/passage/controller_test.go
@@ -342,14 +342,19 @@
 		}
 		return send(put, from, len(answer), true)
 	}
-	got, err, took := play(t, &script{stream: whole, coins: 5, regime: "chair", none: 20}, false)
+	spoil := func(m *rein.Identity) {
+		if m.Id.Attempt > 1 {
+			m.Output = answer[:3]
+		}
+	}
+	got, err, took := play(t, &script{stream: whole, spoil: spoil, coins: 5, regime: "chair", none: 20}, false)
 	require.NoError(t, err)
 	require.Equal(t, answer, got)
 	require.Greater(t, took, time.Second)
-	got, err, _ = play(t, &script{stream: whole, coins: 5, none: 20}, false)
+	got, err, _ = play(t, &script{stream: whole, spoil: spoil, coins: 5, none: 20}, false)
 	require.True(t, breakdown.Is(err, breakdown.Lost), "%v", err)
 	require.Len(t, got, 3)
-	_, err, took = play(t, &script{stream: whole, coins: 5, regime: "chair", none: 1 << 20}, false)
+	_, err, took = play(t, &script{stream: whole, spoil: spoil, coins: 5, regime: "chair", none: 1 << 20}, false)
 	require.True(t, breakdown.Is(err, breakdown.Lost), "%v", err)
 	require.Less(t, took, 10*time.Second)
 }
