--- a/cmd/realm/regime.go
+++ b/cmd/realm/regime.go
@@ -125,8 +125,9 @@
 		if !seam.Sleep(ctx, 2*time.Second) {
 			return
 		}
+		had := f.governed()[name]
 		f.mu.Lock()
-		f.revoked[name] = f.governed()[name]
+		f.revoked[name] = had
 		f.mu.Unlock()
 		logf("the certificate of %s is revoked, acknowledged after %.3f s", name, took.Seconds())
 	}
--- a/crux/agent.go
+++ b/crux/agent.go
@@ -256,7 +256,9 @@
 
 func (a *Agent) renew(ctx context.Context) error {
 	now := a.opt.Host.Clock.Now()
+	a.Awake() // after a leap of the clock no time is told on
 	q := &RenewAsk{Me: a.opt.Me, Seen: a.Seq(), Bye: a.bye.Load()}
+	q.Time, _ = a.Time()
 	a.given.Range(func(k, g any) bool {
 		if n, ok := a.busy.Load(k); !ok || n.(*atomic.Int64).Load() == 0 {
 			q.Done = append(q.Done, g.(Grant))
--- a/crux/lease.go
+++ b/crux/lease.go
@@ -81,6 +81,7 @@
 	t.Member, t.last, t.seen = q.Me, now, max(t.seen, q.Seen)
 	out := &RenewReply{Seq: r.seq, Drop: t.drop}
 	if k, ok := r.app.(Timekeeper); ok {
+		k.Hear(now, q.Time)
 		out.Time = k.Time(now)
 	}
 	return out
--- a/crux/lease_note.go
+++ b/crux/lease_note.go
@@ -18,6 +18,7 @@
 	Seen word.Seq
 	Done []Grant
 	Bye  bool
+	Time int64 `msg:"Time,omitempty"` // the machine's is no lower, as the node counts
 }
 
 // RenewReply lists the keys that the node should give back. Time is the machine's, if
--- a/crux/lease_note_gen.go
+++ b/crux/lease_note_gen.go
@@ -85,30 +85,48 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RenewAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "Me"
-	o = append(o, 0x84, 0xa2, 0x4d, 0x65)
-	o, err = z.Me.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Me")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Time == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	// string "Seen"
-	o = append(o, 0xa4, 0x53, 0x65, 0x65, 0x6e)
-	o = msgp.AppendUint64(o, uint64(z.Seen))
-	// string "Done"
-	o = append(o, 0xa4, 0x44, 0x6f, 0x6e, 0x65)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Done)))
-	for za0001 := range z.Done {
-		o, err = z.Done[za0001].MarshalMsg(o)
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "Me"
+		o = append(o, 0xa2, 0x4d, 0x65)
+		o, err = z.Me.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Done", za0001)
+			err = msgp.WrapError(err, "Me")
 			return
 		}
+		// string "Seen"
+		o = append(o, 0xa4, 0x53, 0x65, 0x65, 0x6e)
+		o = msgp.AppendUint64(o, uint64(z.Seen))
+		// string "Done"
+		o = append(o, 0xa4, 0x44, 0x6f, 0x6e, 0x65)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Done)))
+		for za0001 := range z.Done {
+			o, err = z.Done[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Done", za0001)
+				return
+			}
+		}
+		// string "Bye"
+		o = append(o, 0xa3, 0x42, 0x79, 0x65)
+		o = msgp.AppendBool(o, z.Bye)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "Time"
+			o = append(o, 0xa4, 0x54, 0x69, 0x6d, 0x65)
+			o = msgp.AppendInt64(o, z.Time)
+		}
 	}
-	// string "Bye"
-	o = append(o, 0xa3, 0x42, 0x79, 0x65)
-	o = msgp.AppendBool(o, z.Bye)
 	return
 }
 
@@ -171,6 +189,12 @@
 				err = msgp.WrapError(err, "Bye")
 				return
 			}
+		case "Time":
+			z.Time, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Time")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -189,7 +213,7 @@
 	for za0001 := range z.Done {
 		s += z.Done[za0001].Msgsize()
 	}
-	s += 4 + msgp.BoolSize
+	s += 4 + msgp.BoolSize + 5 + msgp.Int64Size
 	return
 }
 
--- a/crux/roll.go
+++ b/crux/roll.go
@@ -29,8 +29,12 @@
 }
 
 // Timekeeper is a Machine that keeps a time of its own for the fleet. The primary asks
-// for it with each renewal of a lease; 0 is no answer.
-type Timekeeper interface{ Time(now word.Tick) int64 }
+// for it with each renewal of a lease; 0 is no answer. Nodes count on from what they were
+// told, and tell what it cannot be lower than by now, which a new primary needs.
+type Timekeeper interface {
+	Time(now word.Tick) int64
+	Hear(now word.Tick, least int64)
+}
 
 // Placer is a Machine that says which nodes a key may fall to.
 type Placer interface {
--- a/crux/word_test.go
+++ b/crux/word_test.go
@@ -64,6 +64,13 @@
 		require.NoError(t, a.renew(ctx))
 		_, again := a.Time()
 		require.GreaterOrEqual(t, again, high)
+		w.Machine("10.0.0.2").Leap(time.Hour)
+		a.Awake()
+		low, high = a.Time()
+		require.Zero(t, low+high, "its clock leapt: what was told says nothing")
+		require.NoError(t, a.renew(ctx))
+		_, high = a.Time()
+		require.Less(t, high, told+int64(time.Second))
 		for range 40 {
 			require.True(t, a.Word() || a.Fresh() > 2900*time.Millisecond)
 			time.Sleep(100 * time.Millisecond)
--- a/lore/clock.go
+++ b/lore/clock.go
@@ -1,7 +1,8 @@
 // The fleet's time. The primary counts it by its own steady clock and writes a bound
 // ahead of it; no answer goes beyond the newest bound, and a new primary goes on from
 // there. So it never goes back, whoever leads, and jumps of wall clocks do nothing: the
-// wall is read once, when regimes first come in force.
+// wall is read once, when regimes first come in force. What passes while nobody leads is
+// made up for by the nodes, which count on, as far as a takeover may take.
 
 package lore
 
@@ -13,8 +14,10 @@
 )
 
 const (
-	clockLead  = 2 * time.Second // how far the bound stands ahead
-	clockEvery = time.Second     // how often it is moved on
+	clockLead   = 2 * time.Second  // how far the bound stands ahead
+	clockEvery  = time.Second      // how often it is moved on
+	clockMakeUp = 10 * time.Second // the most that nodes make up for
+	clockHears  = 4 * time.Second  // how long a new primary listens to them
 )
 
 // clock is what the primary remembers between beats.
@@ -24,6 +27,7 @@
 	at   word.Tick // the tick
 	last word.Tick // the newest beat
 	ours int64     // the bound that base and at go with
+	made int64     // what nodes made up for since
 }
 
 // steady tells that this machine has led without a break and nobody else moved the
@@ -42,7 +46,7 @@
 		if c.base, c.at = m.time, now; m.time == 0 {
 			c.base = c.wall().UnixNano()
 		}
-		c.ours = m.time
+		c.ours, c.made = m.time, 0
 	}
 	c.last = now
 	here := c.base + int64(now.Since(c.at))
@@ -60,3 +64,15 @@
 	}
 	return min(m.clock.base+int64(now.Since(m.clock.at)), m.time)
 }
+
+// Hear takes a node's word of what the time is not below. It counts only while this
+// machine has led for a short while, and only so far: one whose clock leapt moves little.
+func (m *Machine) Hear(now word.Tick, least int64) {
+	c := &m.clock
+	if !c.steady(now, m.time) || now.Past(c.at, clockHears) {
+		return
+	}
+	if ahead := least - c.base - int64(now.Since(c.at)); ahead > 0 && c.made+ahead <= int64(clockMakeUp) {
+		c.base, c.made = c.base+ahead, c.made+ahead
+	}
+}
--- a/lore/regime_test.go
+++ b/lore/regime_test.go
@@ -252,8 +252,26 @@
 	least, all = back, append(all, c)
 	require.Greater(t, lead(c, 10, 1000), back)
 	require.False(t, a.Open(ClockKind), "nodes hear of it by their leases")
+	// What passed while nobody led is made up for by nodes, at first and up to a bound.
+	d := build()
+	require.NoError(t, d.Restore(c.Picture(false)))
+	all = append(all, d)
+	least = 0
+	was := lead(d, 1000, 1200)
+	d.Hear(ms(1200), was+int64(12*time.Second))
+	require.Equal(t, was, lead(d, 1200, 1201)-int64(200*time.Millisecond), "a clock that leapt")
+	d.Hear(ms(1400), was+int64(6*time.Second))
+	later := lead(d, 1400, 2600)
+	require.InDelta(t, 7, time.Duration(later-was).Seconds(), 0.5)
+	d.Hear(ms(2600), later+int64(6*time.Second))
+	d.Hear(ms(2600), later-int64(6*time.Second))
+	require.InDelta(t, 1, time.Duration(lead(d, 2600, 3800)-later).Seconds(), 0.5)
+	later = lead(d, 3800, 6200)
+	d.Hear(ms(6200), later+int64(2*time.Second))
+	require.Equal(t, later+int64(200*time.Millisecond), lead(d, 6200, 6201), "it has led for long")
 	// A machine that slept for a while as the primary jumps no further than the bound.
-	require.LessOrEqual(t, time.Duration(lead(c, 90000, 90200)-least), 3*time.Second)
+	before := least
+	require.LessOrEqual(t, time.Duration(lead(d, 90000, 90200)-before), 3*time.Second)
 }
 
 // TestMay: a certified worker's key falls to certified nodes alone.
--- /dev/null
+++ b/proof/price_test.go
@@ -0,0 +1,102 @@
+// What regimes cost, on simulated time: first pieces with and without, and how long
+// revocations take. Run by make compare.
+
+package proof
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/door"
+	"keelstair.example/guise"
+	"keelstair.example/word"
+	"keelstair.example/writ"
+)
+
+func measured(t *testing.T) {
+	if os.Getenv("KEELSTAIR_COMPARE") == "" {
+		t.Skip("a measurement, run by make compare")
+	}
+}
+
+// TestPrice: the same load with no regime, with all machines certified, and with three
+// of four workers of each part and four of five nodes.
+func TestPrice(t *testing.T) {
+	measured(t)
+	for _, way := range []string{"no regime", "all certified", "some certified"} {
+		t.Run(way, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := NewBureau()
+				c := Build(4, chamber, b.tune)
+				defer c.Close()
+				require.NoError(t, c.Found())
+				switch way {
+				case "all certified":
+					b.certify(append(upTo("p", 4), upTo("d", 4)...), upTo("verge-", 5))
+				case "some certified":
+					b.usual()
+				}
+				if way != "no regime" {
+					require.NoError(t, b.Open())
+				}
+				time.Sleep(5 * time.Second)
+				all := c.Load(30, 30*time.Second, 4)
+				sum := guise.Sum(all)
+				require.Equal(t, len(all), sum.Ends[door.Complete])
+				for _, sh := range chamber.Shapes {
+					k := sum.Kinds[sh.Kind]
+					fmt.Printf("| first piece, ms | %s | %s | %.1f / %.1f | %d |\n", way, sh.Kind, k.FirstP50, k.FirstP99, k.Complete)
+				}
+			})
+		})
+	}
+}
+
+// TestRevocationTimes: many certificates of one worker are revoked one by one: with all
+// well, with a node cut off shortly before, and with the leader killed shortly after.
+func TestRevocationTimes(t *testing.T) {
+	measured(t)
+	for _, way := range []string{"all well", "a node cut off", "the leader killed"} {
+		t.Run(way, func(t *testing.T) {
+			n := map[string]int{"all well": 100}[way]
+			if n == 0 {
+				n = 20
+			}
+			synctest.Test(t, func(t *testing.T) {
+				b := NewBureau()
+				c := Build(5, chamber, b.tune)
+				defer c.Close()
+				require.NoError(t, c.Found())
+				b.usual()
+				for i := range n {
+					b.sign(fmt.Sprint("x", i), writ.Certificate{Worker: "d3", Parts: []word.Part{word.Decode}}, 24*time.Hour)
+				}
+				require.NoError(t, b.Open())
+				for i := range n {
+					cut, lead := node(c, "verge-2"), leader(c)
+					mates := append(ips(c.Of("tenet")...), ips(c.Of("verge")...)...)
+					switch way {
+					case "a node cut off":
+						c.World.Sever(ips(cut), mates, true)
+					case "the leader killed":
+						go func() {
+							time.Sleep(time.Duration(i) * 3 * time.Millisecond)
+							c.Kill(lead)
+						}()
+					}
+					require.NoError(t, b.Revoke(fmt.Sprint("x", i)))
+					c.World.Sever(ips(cut), mates, false)
+					time.Sleep(2 * time.Second)
+					require.NoError(t, c.Start(lead))
+					time.Sleep(4*time.Second + time.Duration(i)*7*time.Millisecond)
+				}
+				fmt.Printf("| revocation, ms | %s | %d | %.0f / %.0f / %.0f |\n", way, n, guise.Quantile(b.revoke, 0.5), guise.Quantile(b.revoke, 0.95), guise.Quantile(b.revoke, 1))
+			})
+		})
+	}
+}
