--- a/guise/move.go
+++ b/guise/move.go
@@ -168,6 +168,11 @@
 	if n, ok := w.tomb[q.Id.Request]; !ok || q.Id.Attempt > n {
 		w.tomb[q.Id.Request] = q.Id.Attempt
 	}
+	for id := range w.staged {
+		if id.Request == q.Id.Request && id.Attempt <= q.Id.Attempt {
+			w.unstage(id)
+		}
+	}
 	for id, r := range w.live {
 		if id.Request != q.Id.Request || id.Attempt > q.Id.Attempt {
 			continue
--- a/guise/worker.go
+++ b/guise/worker.go
@@ -243,6 +243,12 @@
 	r.news = make(chan struct{})
 }
 
+// unstage frees outgoing KV. The caller holds mu.
+func (w *Worker) unstage(id rein.Id) {
+	delete(w.staged, id)
+	w.tell("unstaged", id, rein.Lead{})
+}
+
 // sweep ends what nobody came for: staged KV, imports never resumed, runs that
 // nobody reads. It also keeps the late reports.
 func (w *Worker) sweep() {
@@ -251,7 +257,7 @@
 	now := w.now()
 	for id, p := range w.staged {
 		if p.until.Before(now) {
-			delete(w.staged, id)
+			w.unstage(id)
 		}
 	}
 	for _, r := range w.live {
--- a/passage/controller.go
+++ b/passage/controller.go
@@ -283,6 +283,10 @@
 		return err
 	}
 	f.tell(Resumed, to.Id, nil)
+	if t.Regime != "" {
+		// What lies staged is of no more use, and may not outlive the source's certificate.
+		go h.Cancel(context.WithoutCancel(ctx), from.Id, f.id)
+	}
 	// Only now, with every byte in and the digest right, does the origin get
 	// the first piece: a lost transfer is a bounce, not a broken stream.
 	if err := f.hand(got.Output, texts); err != nil {
--- a/proof/bureau_test.go
+++ b/proof/bureau_test.go
@@ -45,6 +45,7 @@
 	work   map[string]string // governed requests by id, with the node that carries them
 	steps  []passage.Event   // of governed work
 	revoke []time.Duration   // how long each revocation took
+	stays  []time.Duration   // how long memory lay staged
 }
 
 // NewBureau must be made before the fleet is built, since it listens to its steps.
@@ -59,6 +60,8 @@
 // tune hooks the bureau to a fleet.
 func (b *Bureau) tune(c *Cluster) {
 	b.c, c.Fixed = c, true
+	// What nobody comes for lies staged no longer than an orphan runs.
+	c.Tune = func(o *guise.WorkerOptions) { o.Stage = 2 * time.Second }
 	now := time.Now().UTC()
 	b.issuer = writ.Issuer{Key: writ.Public(b.key), From: now.AddDate(0, 0, -1).Format(time.RFC3339), Until: now.AddDate(1, 0, 0).Format(time.RFC3339)}
 	c.Steps = func(e passage.Event) {
@@ -172,7 +175,7 @@
 	b.c.Book.mu.Lock()
 	defer b.c.Book.mu.Unlock()
 	f := &finder{}
-	begun := map[string]Seen{}
+	begun, staged := map[string]Seen{}, map[string]Seen{}
 	for _, e := range b.c.Book.rows {
 		if b.work[e.Id.Request] == "" {
 			continue
@@ -193,6 +196,17 @@
 			}
 			delete(begun, run)
 		}
+		switch e.What {
+		case "export":
+			staged[run] = e
+		case "unstaged":
+			if !b.cleared(e.Worker, e.When) {
+				f.say(Uncertified, "%s had %s staged until %s", e.Worker, e.Id.Request, e.When)
+			}
+			if old, ok := staged[run]; ok {
+				b.stays = append(b.stays, e.When-old.When)
+			}
+		}
 	}
 	return f.out
 }
--- a/proof/govern_test.go
+++ b/proof/govern_test.go
@@ -157,3 +157,48 @@
 		require.Zero(t, score["fallbacks"], "%v", score)
 	})
 }
+
+// TestStaging: a source that is revoked while its memory is on the way to another worker
+// keeps none of it: the attempt ends, the staging is freed, another source is taken.
+func TestStaging(t *testing.T) {
+	inChamber(t, func(b *Bureau) {
+		b.usual()
+		b.c.slow(40_000)
+	}, func(t *testing.T, c *Cluster, b *Bureau) {
+		ask := long(speech)
+		ask.Prompt, ask.PromptIds = "", make([]int32, 1000)
+		for i := range ask.PromptIds {
+			ask.PromptIds[i] = int32(i) + 1
+		}
+		done := make(chan []door.Line, 1)
+		go func() {
+			got, _ := c.stream(node(c, "verge-1"), ask)
+			done <- got
+		}()
+		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(passage.Imported)) == 1 }))
+		from := b.serves(passage.Granted)[0]
+		require.NoError(t, b.Revoke("c-"+from))
+		acked := c.Book.Now()
+		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(passage.Granted)) == 2 }))
+		require.Less(t, c.Book.Now()-acked, 300*time.Millisecond)
+		got := <-done
+		require.Equal(t, door.Complete, got[len(got)-1].End)
+		require.Empty(t, b.Check(nil))
+		c.Book.mu.Lock()
+		defer c.Book.mu.Unlock()
+		for _, e := range c.Book.rows {
+			if e.What == "unstaged" && string(e.Worker) == from {
+				require.Less(t, e.When-acked, 300*time.Millisecond)
+				return
+			}
+		}
+		require.Fail(t, "it was never freed")
+	})
+}
+
+// slow has all workers send memory at so many bytes a second.
+func (c *Cluster) slow(speed int) {
+	for _, b := range c.Of("worker") {
+		b.Worker.Order(guise.Faults{Speed: speed})
+	}
+}
--- a/proof/regime_test.go
+++ b/proof/regime_test.go
@@ -72,6 +72,7 @@
 		sum := guise.Sum(all)
 		require.Equal(t, len(all), sum.Ends[door.Complete], "%+v", sum)
 		require.Greater(t, b.governed(), 100)
+		require.Less(t, guise.Quantile(b.stays, 1), 200.0, "staged memory is freed once it is in")
 		used := map[word.WorkerId]bool{}
 		for _, e := range c.Book.rows {
 			used[e.Worker] = true
--- a/verge/govern.go
+++ b/verge/govern.go
@@ -70,16 +70,21 @@
 	return serial, nil
 }
 
-// guard ends a step's context once the worker is not cleared any more. The function that
-// it gives names the cause over an error that came of it.
-func (h *hands) guard(ctx context.Context, w word.WorkerId, part word.Part) (context.Context, func(error) error) {
+// guard ends a step's context once the worker, or the one that memory comes from, is not
+// cleared any more. The function that it gives names the cause over an error that came of
+// it.
+func (h *hands) guard(ctx context.Context, w word.WorkerId, part word.Part, source word.WorkerId) (context.Context, func(error) error) {
 	if h.regime == "" {
 		return ctx, func(err error) error { return err }
 	}
 	ctx, stop := context.WithCancelCause(ctx)
 	go func() {
 		for seam.Sleep(ctx, guardEvery) {
-			if _, err := h.n.allows(h.regime, w, part); err != nil {
+			_, err := h.n.allows(h.regime, w, part)
+			if err == nil && source != "" {
+				_, err = h.n.allows(h.regime, source, word.Prefill)
+			}
+			if err != nil {
 				stop(err)
 				return
 			}
--- a/verge/hands.go
+++ b/verge/hands.go
@@ -27,8 +27,9 @@
 	prefix uint64
 	picked word.Version
 	kind   string
-	regime string    // that the request is bound to, if any
-	part   word.Part // that was picked for last
+	regime string        // that the request is bound to, if any
+	part   word.Part     // that was picked for last
+	source word.WorkerId // where the memory that moves lies staged
 	steps  []lore.AuditStep
 	begun  bool // its first row stands
 }
@@ -98,23 +99,29 @@
 func (h *hands) ask(ctx context.Context, verb string, w word.WorkerId, id rein.Id, q OrderAsk, m *rein.Identity, span time.Duration) (*rein.Answer, error) {
 	cx, stop := context.WithTimeout(ctx, span)
 	defer stop()
-	q.Worker, q.Verb, q.Request, q.Attempt, q.Regime = w, verb, id.Request, id.Attempt, h.regime
+	q.Worker, q.Verb, q.Request, q.Attempt = w, verb, id.Request, id.Attempt
 	if m != nil {
 		var err error
 		if q.Body, err = json.Marshal(m); err != nil {
 			return nil, breakdown.As(err, breakdown.Bad, verb, string(w))
 		}
 	}
-	if h.regime == "" || q.Part == "" {
+	// Cancelling and freeing may go on beside the next attempt, and need no regime.
+	if q.Part == "" || h.regime == "" {
 		q.Part = ""
 		return h.n.order(cx, &q)
 	}
+	q.Regime = h.regime
 	serial, err := h.n.check(&q)
 	if err != nil {
 		return nil, err
 	}
 	h.saw(verb, w, id, serial)
-	cx, end := h.guard(cx, w, q.Part)
+	source := h.source
+	if verb != verbImport && verb != verbResume {
+		source = ""
+	}
+	cx, end := h.guard(cx, w, q.Part, source)
 	a, err := h.n.order(cx, &q)
 	return a, end(err)
 }
@@ -133,6 +140,7 @@
 }
 
 func (h *hands) Import(ctx context.Context, w word.WorkerId, m rein.Identity, src word.WorkerId) (*rein.Answer, error) {
+	h.source = src
 	return h.ask(ctx, verbImport, w, m.Id, OrderAsk{Source: src, Part: word.Decode}, &m, 1500*time.Millisecond)
 }
 
@@ -158,7 +166,7 @@
 	if !ok {
 		return breakdown.New(breakdown.Lost, "stream", string(w), "the platform does not list it")
 	}
-	ctx, end := h.guard(ctx, w, word.Decode)
+	ctx, end := h.guard(ctx, w, word.Decode, "")
 	return end(h.n.rein.Stream(ctx, l.Addr, id, from, h.n.opt.Pulse, func(p rein.Piece) error {
 		if _, err := h.n.allows(h.regime, w, word.Decode); err != nil {
 			return breakdown.As(err, breakdown.Lost, "stream", string(w))
