--- a/door/operate.go
+++ b/door/operate.go
@@ -6,9 +6,11 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 
 	"keelstair.example/breakdown"
+	"keelstair.example/writ"
 )
 
 // Apply is a whole or partial configuration. Source is CUE or JSON text; Base
@@ -45,11 +47,42 @@
 	Drained []string        `json:"drained"`
 }
 
+// Regimes shows who is certified. Low and High bound the fleet's time; Wall is the
+// node's own clock, which decides nothing. All in nanoseconds since 1970.
+type Regimes struct {
+	Version uint64   `json:"version"`
+	Low     int64    `json:"low"`
+	High    int64    `json:"high"`
+	Wall    int64    `json:"wall"`
+	Regimes []Regime `json:"regimes"`
+}
+
+// Regime is one of them, with its certificates and what it lacks now.
+type Regime struct {
+	Name  string     `json:"name"`
+	Kinds []string   `json:"kinds"`
+	Keep  int        `json:"keep"`
+	Rows  []writ.Row `json:"certificates"`
+	Short []string   `json:"short"`
+}
+
+// Audits are rows of the audit record as their own lines: the number of the first that
+// is kept, how many there ever were, and the newest one's hash.
+type Audits struct {
+	First int               `json:"first"`
+	Count int               `json:"count"`
+	Head  string            `json:"head"`
+	Rows  []json.RawMessage `json:"rows"`
+}
+
 // Operator is what operators may ask of a node.
 type Operator interface {
 	Apply(ctx context.Context, a *Apply) (*Applied, error)
 	Evacuate(ctx context.Context, zone string, m *Mark) (*Applied, error)
 	Drain(ctx context.Context, worker string, m *Mark) (*Applied, error)
+	Revoke(ctx context.Context, serial string, m *Mark) (*Applied, error)
+	Regimes() *Regimes
+	Audits(ctx context.Context, from, most int) (*Audits, error)
 	Shown(ctx context.Context) (*Shown, error)
 	Status() any
 }
@@ -109,6 +142,21 @@
 	}
 	mux.HandleFunc("POST /v1/zones/{name}", mark(o.Evacuate))
 	mux.HandleFunc("POST /v1/workers/{name}", mark(o.Drain))
+	mux.HandleFunc("POST /v1/certificates/{name}", mark(o.Revoke))
+	mux.HandleFunc("GET /v1/regimes", func(w http.ResponseWriter, _ *http.Request) { Write(w, http.StatusOK, o.Regimes()) })
+	mux.HandleFunc("GET /v1/audit", func(w http.ResponseWriter, r *http.Request) {
+		from, err := strconv.Atoi(r.FormValue("from"))
+		if err != nil || from < 1 {
+			Bounce(w, No(http.StatusBadRequest, "out-of-range", "from", "a row's number is needed, from 1 on"))
+			return
+		}
+		got, err := o.Audits(r.Context(), from, 500)
+		if err != nil {
+			Bounce(w, err)
+			return
+		}
+		Write(w, http.StatusOK, got)
+	})
 }
 
 func answer(w http.ResponseWriter, a any, err error) {
--- a/lore/image.go
+++ b/lore/image.go
@@ -24,4 +24,5 @@
 	// Rows of the open leaf, and how many deeds there are in all.
 	Rows  []byte
 	Count int
+	Governed
 }
--- a/lore/image_gen.go
+++ b/lore/image_gen.go
@@ -10,9 +10,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Image) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 13
+	// map header, size 14
 	// string "Active"
-	o = append(o, 0x8d, 0xa6, 0x41, 0x63, 0x74, 0x69, 0x76, 0x65)
+	o = append(o, 0x8e, 0xa6, 0x41, 0x63, 0x74, 0x69, 0x76, 0x65)
 	o, err = z.Active.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Active")
@@ -99,6 +99,13 @@
 	// string "Count"
 	o = append(o, 0xa5, 0x43, 0x6f, 0x75, 0x6e, 0x74)
 	o = msgp.AppendInt(o, z.Count)
+	// string "Governed"
+	o = append(o, 0xa8, 0x47, 0x6f, 0x76, 0x65, 0x72, 0x6e, 0x65, 0x64)
+	o, err = z.Governed.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Governed")
+		return
+	}
 	return
 }
 
@@ -293,6 +300,12 @@
 				err = msgp.WrapError(err, "Count")
 				return
 			}
+		case "Governed":
+			bts, err = z.Governed.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Governed")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -335,6 +348,6 @@
 	for za0007 := range z.ProgramsPending {
 		s += z.ProgramsPending[za0007].Msgsize()
 	}
-	s += 5 + msgp.BytesPrefixSize + len(z.Rows) + 6 + msgp.IntSize
+	s += 5 + msgp.BytesPrefixSize + len(z.Rows) + 6 + msgp.IntSize + 9 + z.Governed.Msgsize()
 	return
 }
--- a/lore/machine.go
+++ b/lore/machine.go
@@ -9,6 +9,7 @@
 
 	"keelstair.example/crux"
 	"keelstair.example/word"
+	"keelstair.example/writ"
 )
 
 // The keys of duties that do not hang on a worker.
@@ -43,6 +44,9 @@
 	warm  time.Duration        // the longest that a zone that was taken back may hold cold workers
 	back  map[uint64]word.Tick // since when the failback of a number is seen here, while this leads
 	now   word.Tick
+	seals map[string]word.Seq // revocations that wait for nodes to have seen them
+	clock clock
+	bare  *writ.Register // of the active policy
 }
 
 // MachineOptions of a machine; what is zero takes the default named beside it.
@@ -50,6 +54,7 @@
 	Wait  time.Duration // 300ms for silent nodes before a staged version is put in force
 	Read  Reader        // Plain: makes a policy of a text
 	Depth Depth
+	Wall  func() time.Time // time.Now: read once, for the fleet's time to begin
 }
 
 func NewMachine(opt MachineOptions) *Machine {
@@ -57,7 +62,10 @@
 	if opt.Read == nil {
 		opt.Read = Plain
 	}
-	m := &Machine{State: newState(false, opt.Depth), wait: opt.Wait, read: opt.Read, back: map[uint64]word.Tick{}}
+	if opt.Wall == nil {
+		opt.Wall = time.Now
+	}
+	m := &Machine{State: newState(false, opt.Depth), wait: opt.Wait, read: opt.Read, back: map[uint64]word.Tick{}, seals: map[string]word.Seq{}, clock: clock{wall: opt.Wall}}
 	m.waits = []*waiting{
 		{line: &m.line, stage: StageKind, activate: ActivateKind, due: map[word.Version]stagedAt{}},
 		{line: &m.programs, stage: StageProgramsKind, activate: ActivateProgramsKind, due: map[word.Version]stagedAt{}},
@@ -74,10 +82,16 @@
 			w.due[w.newest()] = stagedAt{seq: seq}
 		}
 	}
+	if err == nil && kind == RevokeKind {
+		var c Revoke
+		c.UnmarshalMsg(body)
+		m.seals[c.Serial] = seq
+	}
 	return out, err
 }
 
-func (m *Machine) Open(string) bool          { return true }
+// Open: nodes hear of the time by their leases, and of the audit record when they ask.
+func (m *Machine) Open(kind string) bool     { return kind != ClockKind && kind != AuditKind }
 func (m *Machine) Restore(body []byte) error { m.of = 0; m.keys = nil; return m.load(body) }
 
 func (m *Machine) Picture(open bool) []byte {
@@ -94,8 +108,9 @@
 		return m.keys
 	}
 	m.of = m.active.Version
-	m.keys, m.warm = []word.Key{BudgetKey, SettleKey}, 0
+	m.keys, m.bare, m.warm = []word.Key{BudgetKey, SettleKey}, nil, 0
 	if p, err := m.read(unpack(m.active.Text)); len(m.active.Text) > 0 && err == nil {
+		m.bare, _ = p.Register()
 		pools := map[string]bool{}
 		for id, w := range p.Workers {
 			m.keys = append(m.keys, WorkerKey(id))
@@ -116,10 +131,10 @@
 	return m.keys
 }
 
-// Due puts in force the newest staged version of each line that all live nodes have
-// seen, or that has waited long enough for silent ones, and names zones that are warm again.
+// Due moves the fleet's time on, seals revocations that every node with a lease has
+// seen, names zones that are warm again, and activates what may be.
 func (m *Machine) Due(now word.Tick, seq, seen word.Seq) []crux.Cmd {
-	out := m.warmed(now)
+	out := append(append(m.tick(now), m.seal(seq, seen)...), m.warmed(now)...)
 	for _, w := range m.waits {
 		if top := w.ripe(now, seq, seen, m.wait); top != 0 {
 			out = append(out, crux.Cmd{Kind: w.activate, Body: crux.Pack(&Activate{top})})
@@ -128,6 +143,36 @@
 	return out
 }
 
+// waiting lists revocations that may not be in force everywhere yet.
+func (s *State) waiting() []string {
+	var out []string
+	for serial, sure := range s.revoked {
+		if !sure {
+			out = append(out, serial)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (m *Machine) seal(seq, seen word.Seq) []crux.Cmd {
+	var out []crux.Cmd
+	for _, r := range m.waiting() {
+		at, ok := m.seals[r]
+		if !ok {
+			at = seq
+			m.seals[r] = at
+		}
+		if seen >= at {
+			delete(m.seals, r)
+			out = append(out, crux.Cmd{Kind: SealKind, Body: crux.Pack(&Seal{r})})
+		}
+	}
+	return out
+}
+
+// ripe names the newest staged version that all live nodes have seen, or that has waited
+// long enough for silent ones.
 func (w *waiting) ripe(now word.Tick, seq, seen word.Seq, wait time.Duration) word.Version {
 	var top word.Version
 	for _, r := range w.staged {
--- a/lore/programs.go
+++ b/lore/programs.go
@@ -74,6 +74,8 @@
 		_, err = p.Deck(&whim.Scores{})
 	} else if e := Fault(name, []byte(source), !partial); e != nil {
 		err = e
+	} else {
+		err = Locate(name, []byte(source), err)
 	}
 	if err != nil {
 		return nil, nil, err
--- a/lore/state.go
+++ b/lore/state.go
@@ -43,12 +43,16 @@
 	deeds     map[string]Deed
 	order     []string // settled, oldest first
 	shelf     shelf
-	count     int // of all deeds there ever were
-	most      int // that the policy in force allows
+	count     int             // of all deeds there ever were
+	most      int             // that the policy in force allows
+	revoked   map[string]bool // serials; true once in force everywhere
+	time      int64           // bound of the fleet's time
+	governed  bool            // the policy in force has regimes
+	audit     audit
 }
 
 func newState(lean bool, d Depth) *State {
-	return &State{lean: lean, zones: map[word.Zone]bool{}, drained: map[word.WorkerId]bool{}, failbacks: map[word.Zone]Failback{}, turning: map[word.WorkerId]word.Part{}, deeds: map[string]Deed{}, shelf: newShelf(d)}
+	return &State{lean: lean, zones: map[word.Zone]bool{}, drained: map[word.WorkerId]bool{}, failbacks: map[word.Zone]Failback{}, turning: map[word.WorkerId]word.Part{}, deeds: map[string]Deed{}, shelf: newShelf(d), revoked: map[string]bool{}}
 }
 
 // rule puts a version in force. A lean state has no need of its bounds.
@@ -56,9 +60,12 @@
 	if s.active = r; s.lean {
 		return
 	}
-	var p struct{ Limits Limits }
+	var p struct {
+		Limits  Limits
+		Regimes map[string]json.RawMessage
+	}
 	json.Unmarshal(unpack(r.Text), &p)
-	s.most = p.Limits.Deeds
+	s.most, s.governed = p.Limits.Deeds, len(p.Regimes) > 0
 }
 
 type command interface {
@@ -92,6 +99,16 @@
 		return &Seize{}
 	case BindKind:
 		return &Bind{}
+	case RevokeKind:
+		return &Revoke{}
+	case SealKind:
+		return &Seal{}
+	case ClockKind:
+		return &Clock{}
+	case AuditKind:
+		return &Audit{}
+	case AuditsKind:
+		return &Audits{}
 	}
 	return nil
 }
@@ -184,6 +201,11 @@
 		delete(s.deeds, c.Key)
 		return nil, nil
 	}
+	if len(c.Audit) > 0 {
+		if _, err := (&Audit{c.Audit}).apply(s); err != nil {
+			return nil, err
+		}
+	}
 	d.Fate, d.Out = c.Fate, c.Out
 	s.deeds[c.Key] = d
 	s.order = append(s.order, c.Key)
@@ -232,11 +254,17 @@
 	for w, to := range s.turning {
 		img.Turning = append(img.Turning, Turn{Worker: w, To: to})
 	}
+	for serial, sure := range s.revoked {
+		img.Revoked = append(img.Revoked, Revocation{serial, sure})
+	}
+	sort.Slice(img.Revoked, func(i, j int) bool { return img.Revoked[i].Serial < img.Revoked[j].Serial })
+	img.Time = s.time
 	sort.Slice(img.Turning, func(i, j int) bool { return img.Turning[i].Worker < img.Turning[j].Worker })
 	if !open && !s.lean {
 		for _, k := range s.order {
 			img.Deeds = append(img.Deeds, s.deeds[k])
 		}
+		img.Audits, img.AuditCount, img.AuditHead = s.audit.open, s.audit.count, s.audit.head
 		for _, r := range s.shelf.row {
 			img.Rows = append(img.Rows, r[:]...)
 		}
@@ -271,6 +299,11 @@
 	for _, t := range img.Turning {
 		next.turning[t.Worker] = t.To
 	}
+	for _, r := range img.Revoked {
+		next.revoked[r.Serial] = r.Sure
+	}
+	next.time = img.Time
+	next.audit = audit{img.AuditCount, img.AuditHead, img.Audits, s.audit.sealed}
 	for _, d := range img.Deeds {
 		next.deeds[d.Key] = d
 		if d.Fate != Claimed {
--- a/lore/view.go
+++ b/lore/view.go
@@ -13,6 +13,7 @@
 	"keelstair.example/tale"
 	"keelstair.example/whim"
 	"keelstair.example/word"
+	"keelstair.example/writ"
 )
 
 // Sight is one frozen state of the view.
@@ -27,6 +28,11 @@
 	Turning   map[word.WorkerId]word.Part
 	Failbacks map[word.Zone]Failback
 	Set       *Deal // the program set in force, if the core has one
+	// Register says who is cleared for governed work; nil without regimes. Bare is the
+	// same without revocations. Revoked has their serials: true once in force everywhere.
+	Register *writ.Register
+	Bare     *writ.Register
+	Revoked  map[string]bool
 }
 
 // kept is a version as it was read, once.
@@ -109,7 +115,7 @@
 	}
 	loud := false
 	switch kind {
-	case StageKind, ActivateKind, StageProgramsKind, ActivateProgramsKind, VacateKind, DrainKind, TurnKind:
+	case StageKind, ActivateKind, StageProgramsKind, ActivateProgramsKind, VacateKind, DrainKind, TurnKind, RevokeKind, SealKind:
 		loud = true
 		v.show()
 	}
@@ -183,9 +189,17 @@
 		s.Policy = &Policy{}
 	}
 	if old := v.sight.Load(); old.Policy == s.Policy && old.Table != nil {
-		s.Table = old.Table
+		s.Table, s.Bare = old.Table, old.Bare
 	} else {
 		s.Table = NewTable(s.Policy)
+		var err error
+		if s.Bare, err = s.Policy.Register(); err != nil {
+			v.Ring.Error().AnErr("cause", err).Msg("certificates that do not hold are left out")
+		}
+	}
+	if s.Bare != nil {
+		s.Revoked = maps.Clone(v.state.revoked)
+		s.Register = s.Bare.With(s.Revoked)
 	}
 	for z := range v.state.zones {
 		s.Zones[z] = true
--- a/passage/controller.go
+++ b/passage/controller.go
@@ -64,6 +64,7 @@
 	Worker word.WorkerId
 	At     word.Tick
 	Why    string
+	Regime string // that the task is bound to, if any
 }
 
 // Task is one request.
@@ -72,6 +73,7 @@
 	Kind     string
 	Zone     word.Zone
 	Claimed  bool
+	Regime   string
 	Tries    int
 	GiveUp   time.Duration
 	// Claim is called when room is booked at both workers and nothing has been sent
@@ -117,7 +119,7 @@
 	if f.Tell == nil {
 		return
 	}
-	e := Event{Id: f.id, Stage: s, Worker: w, At: f.Clock.Now()}
+	e := Event{Id: f.id, Stage: s, Worker: w, At: f.Clock.Now(), Regime: f.t.Regime}
 	if why != nil {
 		e.Why = why.Error()
 	}
@@ -131,6 +133,7 @@
 	f := &flight{Controller: c, t: t, put: put}
 	start := c.Clock.Now()
 	shun := map[word.WorkerId]bool{}
+	tries, since := 0, word.Tick(0)
 	for n := 1; ; n++ {
 		f.id = rein.Id{Request: t.Identity.Id.Request, Attempt: n}
 		f.from, f.to, f.life, f.runs = "", "", "", false
@@ -150,12 +153,21 @@
 			return done
 		}
 		late := len(f.sent) == 0 && c.Clock.Now().Past(start, t.GiveUp)
+		// Few workers may take over a governed stream: it waits for one of them.
+		switch tries++; {
+		case t.Regime == "" || f.from != "" || f.to != "" || len(f.sent) == 0:
+			since = 0
+		case since == 0:
+			since, tries = c.Clock.Now(), tries-1
+		case !c.Clock.Now().Past(since, f.patience()):
+			tries--
+		}
 		switch {
 		case gone:
 			return f.verdict(breakdown.As(ctx.Err(), breakdown.Lost, "origin went away", ""))
 		case breakdown.Is(err, breakdown.Bad):
 			return err
-		case n >= t.Tries || late:
+		case tries >= t.Tries || late:
 			return f.verdict(err)
 		case f.from == "" && f.to == "" && len(f.sent) == 0 && n == 1:
 			return f.verdict(err)
@@ -271,6 +283,10 @@
 		return err
 	}
 	f.tell(Resumed, to.Id, nil)
+	if t.Regime != "" {
+		// What lies staged is of no more use, and may not outlive the source's certificate.
+		go h.Cancel(context.WithoutCancel(ctx), from.Id, f.id)
+	}
 	// Only now, with every byte in and the digest right, does the origin get
 	// the first piece: a lost transfer is a bounce, not a broken stream.
 	if err := f.hand(got.Output, texts); err != nil {
--- a/relay/operate.go
+++ b/relay/operate.go
@@ -109,6 +109,19 @@
 	return nil, door.No(http.StatusNotFound, "unknown", "worker", "%q is not drained here; which workers leave stands in the list of workers", worker)
 }
 
+// Revoke is refused: what runs over these routes is under no regime.
+func (o *Operator) Revoke(_ context.Context, serial string, _ *door.Mark) (*door.Applied, error) {
+	return nil, door.No(http.StatusNotFound, "unknown", "certificate", "%q is not known here; no regime governs these routes", serial)
+}
+
+// Regimes are none.
+func (o *Operator) Regimes() *door.Regimes { return &door.Regimes{} }
+
+// Audits are none, as nothing is governed.
+func (o *Operator) Audits(context.Context, int, int) (*door.Audits, error) {
+	return &door.Audits{}, nil
+}
+
 // Shown gives the program set in force.
 func (o *Operator) Shown(ctx context.Context) (*door.Shown, error) {
 	cx, stop := context.WithTimeout(ctx, operatorWait)
--- a/verge/operate.go
+++ b/verge/operate.go
@@ -6,7 +6,9 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"time"
 
@@ -18,6 +20,7 @@
 	"keelstair.example/seam"
 	"keelstair.example/whim"
 	"keelstair.example/word"
+	"keelstair.example/writ"
 )
 
 // Apply checks the whole configuration before anything is written; then the
@@ -49,10 +52,13 @@
 		}
 		base = s.Text
 	}
-	_, whole, err := lore.Draft(name, a.Source, text, base, a.Partial)
+	p, whole, err := lore.Draft(name, a.Source, text, base, a.Partial)
 	if err != nil {
 		return nil, err
 	}
+	if err := p.Follows(n.view.Sight().Policy, n.clock()); err != nil {
+		return nil, lore.Locate(name, []byte(a.Source), err)
+	}
 	if a.Dry {
 		return &door.Applied{Version: a.Base, Policy: whole}, nil
 	}
@@ -162,6 +168,8 @@
 	Evacuated []string                    `json:"evacuated"`
 	Drained   []string                    `json:"drained"`
 	Deeds     [2]int                      `json:"deeds"` // claimed so far, and how many may ever be
+	Time      writ.Now                    `json:"time"`  // what the fleet's time may be; zeros without regimes
+	Revoked   []string                    `json:"revoked,omitempty"`
 }
 
 // Status tells how the node stands.
@@ -184,7 +192,7 @@
 	}
 	c := &n.counts
 	st.Counts = map[string]int64{"asked": c.Asked.Load(), "done": c.Done.Load(), "bounced": c.Bounced.Load(), "broken": c.Broken.Load(),
-		"unsure": c.Unsure.Load(), "replayed": c.Replayed.Load(), "moved": c.Moved.Load(), "again": c.Again.Load(), "turned": c.Turned.Load(), "inflight": n.inflight.Load()}
+		"unsure": c.Unsure.Load(), "replayed": c.Replayed.Load(), "moved": c.Moved.Load(), "again": c.Again.Load(), "turned": c.Turned.Load(), "passed": c.Passed.Load(), "inflight": n.inflight.Load()}
 	n.scores.Each(func(name string, s *whim.Score) {
 		st.Programs[name] = map[string]any{"picks": s.Picks.Load(), "fallbacks": s.Fallbacks.Load(), "agreed": s.Agreed.Load(), "turnsAsked": s.Asked.Load(), "turnsWished": s.Wishes.Load(),
 			"done": s.Done.Load(), "broken": s.Broken.Load(), "bounced": s.Bounced.Load(),
@@ -192,5 +200,6 @@
 	})
 	st.Last, _ = n.journal.Last(8)
 	st.Deeds[0], st.Deeds[1] = n.view.Deeds()
+	st.Time, st.Revoked = n.clock(), slices.Sorted(maps.Keys(n.view.Sight().Revoked))
 	return st
 }
