--- a/cmd/edict/writ.go
+++ b/cmd/edict/writ.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"os"
 	"strings"
@@ -168,7 +169,7 @@
 	if g.High == 0 {
 		fmt.Println("the fleet's time is not known at this node: it clears nobody")
 	} else {
-		fmt.Printf("the fleet's time is %s; this node's own clock is %.0f s ahead of it\n", day(g.High), float64(g.Wall-g.High)/1e9)
+		fmt.Printf("the fleet's time is %s; this node's own clock differs by %.1f s\n", day(g.High), math.Abs(float64(g.Wall-g.High))/1e9)
 	}
 	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	for _, one := range g.Regimes {
--- a/proof/bureau_test.go
+++ b/proof/bureau_test.go
@@ -46,6 +46,7 @@
 	steps  []passage.Event   // of governed work
 	revoke []time.Duration   // how long each revocation took
 	stays  []time.Duration   // how long memory lay staged
+	keep   int               // percent
 }
 
 // NewBureau must be made before the fleet is built, since it listens to its steps.
@@ -54,7 +55,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return &Bureau{key: key, certs: map[string]writ.Certificate{}, spans: map[string]grant{}, work: map[string]string{}}
+	return &Bureau{key: key, keep: 20, certs: map[string]writ.Certificate{}, spans: map[string]grant{}, work: map[string]string{}}
 }
 
 // tune hooks the bureau to a fleet.
@@ -109,7 +110,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return partOf(map[string]any{"issuers": map[string]any{"k1": b.issuer}, "certificates": maps.Clone(b.certs),
-		"regimes": map[string]any{"chair": map[string]any{"kinds": []string{"verdict", "speech"}}}})
+		"regimes": map[string]any{"chair": map[string]any{"kinds": []string{"verdict", "speech"}, "keep": b.keep}}})
 }
 
 // Open applies the part and waits until every certified node clears somebody.
--- a/proof/govern_test.go
+++ b/proof/govern_test.go
@@ -202,3 +202,40 @@
 		b.Worker.Order(guise.Faults{Speed: speed})
 	}
 }
+
+// TestRoom: in a crowd of work that no regime governs, what a regime keeps free on its
+// workers carries the governed work; without it most of that is bounced.
+func TestRoom(t *testing.T) {
+	unraced(t)
+	served := map[int]float64{}
+	for _, keep := range []int{0, 50} {
+		synctest.Test(t, func(t *testing.T) {
+			b := NewBureau()
+			b.keep = keep
+			c := Build(1, chamber, func(c *Cluster) {
+				b.tune(c)
+				c.Tune = func(o *guise.WorkerOptions) { o.Room, o.Step, o.Stage = 220, 20*time.Millisecond, 2*time.Second }
+			})
+			defer c.Close()
+			require.NoError(t, c.Found())
+			b.usual()
+			require.NoError(t, b.Open())
+			load := func(sh guise.Shape, rate float64, seed uint64) []guise.Outcome {
+				sh.Share = 100
+				return guise.Load(c.base, guise.LoadOptions{Host: c.out.Host(), Doors: c.Platform.Doors, Zones: c.Site.Zones, Shapes: []guise.Shape{sh},
+					Rate: rate, Span: 4 * time.Second, Seed: seed, Model: c.Site.Model, Weights: []string{guise.SiteWeights}})
+			}
+			other := make(chan []guise.Outcome, 1)
+			go func() { other <- load(chamber.Shapes[2], 500, 2) }()
+			all := load(chamber.Shapes[0], 15, 3)
+			crowd := guise.Sum(<-other)
+			require.Positive(t, crowd.Ends["bounced"], "it is a crowd")
+			require.Positive(t, crowd.Ends[door.Complete])
+			require.Empty(t, b.Check(all))
+			served[keep] = float64(guise.Sum(all).Ends[door.Complete]) / float64(len(all))
+		})
+	}
+	t.Logf("share of governed calls served at once: %v", served)
+	require.Greater(t, served[50], 0.95)
+	require.Less(t, served[0], 0.8)
+}
