--- a/proof/govern_test.go
+++ b/proof/govern_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"keelstair.example/crux"
 	"keelstair.example/door"
 	"keelstair.example/guise"
 	"keelstair.example/lore"
@@ -18,6 +20,7 @@
 	"keelstair.example/verge"
 	"keelstair.example/wire"
 	"keelstair.example/word"
+	"keelstair.example/writ"
 )
 
 // TestHolderChecks: a holder gives no governed order to an uncertified worker, and lets
@@ -239,3 +242,39 @@
 	require.Greater(t, served[50], 0.95)
 	require.Less(t, served[0], 0.8)
 }
+
+// TestBadCertificates: a door refuses a bad first part, with file, line and reason, and
+// nothing of it takes force; a revocation of nobody's certificate is refused.
+func TestBadCertificates(t *testing.T) {
+	unraced(t)
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBureau()
+		c := Build(1, chamber, b.tune)
+		defer c.Close()
+		require.NoError(t, c.Found())
+		b.usual()
+		for says, spoil := range map[string]func(*writ.Certificate){
+			"regimes.json:1:": func(one *writ.Certificate) { one.Worker = "p4" },
+			"another subject": func(one *writ.Certificate) { one.Worker = "p4" },
+			"it has expired": func(one *writ.Certificate) {
+				*one = b.sign("c-p1", writ.Certificate{Worker: "p1", Parts: one.Parts}, -time.Minute)
+			},
+		} {
+			good := b.certs["c-p1"]
+			one := good
+			spoil(&one)
+			b.certs["c-p1"] = one
+			err := c.Operate("/v1/policy", &door.Apply{Op: crux.Name(), Base: shown(c).Version, Partial: true, Name: "regimes.json", Source: b.part()}, nil)
+			n, name, detail := code(t, err)
+			require.Equal(t, http.StatusBadRequest, n, detail)
+			require.Equal(t, "bad", name)
+			require.Contains(t, detail, says)
+			require.Contains(t, detail, "certificates.c-p1.")
+			b.certs["c-p1"] = good
+		}
+		require.Empty(t, c.Of("verge")[0].Node.Regimes().Regimes)
+		n, _, _ := code(t, c.Operate("/v1/certificates/c-p1", &door.Mark{Op: "x", Out: true}, nil))
+		require.Equal(t, http.StatusNotFound, n)
+		require.NoError(t, b.Open())
+	})
+}
--- a/verge/operate.go
+++ b/verge/operate.go
@@ -68,7 +68,11 @@
 		}
 		return nil, lore.Locate(name, []byte(a.Source), err)
 	}
-	if err := p.Follows(n.view.Sight().Policy, n.clock()); err != nil {
+	now := n.clock()
+	if now.High == 0 {
+		now = writ.At(n.opt.Host.Clock.Wall()) // where the fleet's time will begin
+	}
+	if err := p.Follows(n.view.Sight().Policy, now); err != nil {
 		return nil, lore.Locate(name, []byte(a.Source), err)
 	}
 	if _, err := whim.NewDeck(Sources(p), p.Limits.Steps, &whim.Scores{}); err != nil {
