--- a/passage/controller.go
+++ b/passage/controller.go
@@ -252,6 +252,7 @@
 		return breakdown.New(breakdown.Lost, "export", string(from.Id), "what came back is not what went in")
 	}
 	h.Done(from.Id, f.id, true)
+	full := map[word.WorkerId]bool{}
 	for {
 		f.to = to.Id
 		if a, err = h.Import(ctx, to.Id, *got, from.Id); err == nil {
@@ -262,13 +263,18 @@
 		}
 		// Refused before any token of the decode side: the next one is tried.
 		f.to = ""
-		shun[to.Id] = true
+		shun[to.Id], full[to.Id] = true, true
 		h.Done(to.Id, f.id, true)
 		ask.Part = word.Decode
+		why := err
 		if to, err = f.book(ctx, ask, m.Model, whole, shun); err != nil {
 			return err
 		}
 		defer func(w word.WorkerId) { h.Done(w, f.id, ended) }(to.Id)
+		// Where all are shunned they are picked all the same, but none twice in an attempt.
+		if full[to.Id] {
+			return why
+		}
 	}
 	f.life = a.Life
 	f.tell(Imported, to.Id, nil)
--- a/passage/controller_test.go
+++ b/passage/controller_test.go
@@ -38,7 +38,8 @@
 	stale   int // so often what was picked is outdated
 	picks   int
 	regime  string
-	none    int // so often nobody is cleared, once a run was resumed
+	none    int  // so often nobody is cleared, once a run was resumed
+	last    bool // where all are shunned they are picked all the same
 }
 
 func lost() error    { return breakdown.New(breakdown.Lost, "test", "w", "lost") }
@@ -57,6 +58,9 @@
 			out = append(out, Picked{Id: w, Model: rein.Model{Name: "m", Weights: "w1"}, Block: 16})
 		}
 	}
+	if len(out) == 0 && s.last {
+		return s.Pick(q, rein.Model{}, nil)
+	}
 	return out
 }
 
@@ -86,6 +90,9 @@
 
 func (s *script) Import(_ context.Context, w word.WorkerId, _ rein.Identity, _ word.WorkerId) (*rein.Answer, error) {
 	s.imports = append(s.imports, w)
+	if len(s.imports) > 100 {
+		panic("it asks the same workers for ever")
+	}
 	if s.full[w] {
 		return nil, bounced()
 	}
@@ -184,6 +191,16 @@
 	require.Less(t, took, time.Second, "given up means answered at once")
 }
 
+// TestAllFull: where every decode worker refuses the import, and the node picks shunned ones
+// as a last resort, each is asked once in an attempt and the task ends bounced.
+func TestAllFull(t *testing.T) {
+	s := &script{full: map[word.WorkerId]bool{"d1": true, "d2": true}, last: true, coins: 5}
+	got, err, _ := play(t, s, false)
+	require.True(t, breakdown.Is(err, breakdown.Bounced), "%v", err)
+	require.Empty(t, got)
+	require.LessOrEqual(t, len(s.imports), 2*3)
+}
+
 // TestBadPieces: a gap, a repeat, and an end that comes too early never reach
 // the caller as a whole answer; with a coin the rest is recomputed.
 func TestBadPieces(t *testing.T) {
