--- a/cmd/berth/main.go
+++ b/cmd/berth/main.go
@@ -145,9 +145,10 @@
 	}
 	ring := boot.Ring(s.Name)
 	log.SetOutput(ring)
+	door := &http.Server{ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 20 * time.Second, MaxHeaderBytes: 64 << 10}
 	n, err := relay.New(relay.Options{Name: s.Name, Addr: s.Peer(), Zone: word.Zone(s.Zone), Seeds: s.Seeds, Host: host, Ring: ring,
 		Back: platform.NewBack(host.Net, s.List), Read: platform.Policy, Deck: deck, Lease: s.Lease,
-		Rate: s.ListRate, Ratio: s.Ratio, Window: s.Window, Allow: s.Allow, Over: s.Over, Spare: s.Spare})
+		Rate: s.ListRate, Ratio: s.Ratio, Window: s.Window, Allow: s.Allow, Over: s.Over, Spare: s.Spare, Drain: func(ctx context.Context) error { return wire.Drain(ctx, door) }})
 	if err != nil {
 		return err
 	}
@@ -163,7 +164,7 @@
 	ready := http.NewServeMux()
 	ready.Handle("GET /readiness", platform.Readiness(n))
 	boot.Serve(listen, host, s.Readiness, ready, fail)
-	door := &http.Server{Handler: &platform.Door{Node: n, Clock: host.Clock}, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 20 * time.Second, MaxHeaderBytes: 64 << 10}
+	door.Handler = &platform.Door{Node: n, Clock: host.Clock}
 	l, err := host.Net.Listen(s.Front)
 	if err != nil {
 		return err
--- a/relay/node.go
+++ b/relay/node.go
@@ -53,7 +53,10 @@
 	Admit   float64       // 3: times its aim that a request may be reckoned to take before some are refused early; below 0 none is
 	Fresh   time.Duration // 1s: the age of what is known of workers beyond which none is refused early
 	Callers int           // 4096: refused callers that are remembered
-	Trace   func(Event)
+	// Drain is called once as the node leaves: it lets no caller in any more, and returns
+	// when those that are in were answered or the context ends.
+	Drain func(context.Context) error
+	Trace func(Event)
 }
 
 func (o *Options) fill() {
@@ -181,7 +184,8 @@
 }
 
 // Run works until the context ends; then it says that it is not ready, goes on for the
-// linger so that callers hear of it, and lets what is under way finish within the grace.
+// linger so that callers hear of it, has the door drained, and lets what is under way
+// finish within the grace.
 func (n *Node) Run(ctx context.Context, linger, grace time.Duration) {
 	inner := n.inner
 	var wg sync.WaitGroup
@@ -191,7 +195,15 @@
 	<-ctx.Done()
 	n.leaving.Store(true)
 	began := n.now()
-	for !n.now().Past(began, grace) && (!n.now().Past(began, linger) || n.inflight.Load() > 0) {
+	seam.Sleep(inner, linger)
+	if n.opt.Drain != nil {
+		cx, stop := context.WithTimeout(inner, max(0, grace-n.now().Since(began)))
+		if err := n.opt.Drain(cx); err != nil {
+			n.opt.Ring.Info().AnErr("cause", err).Msg("callers are left unanswered")
+		}
+		stop()
+	}
+	for !n.now().Past(began, grace) && n.inflight.Load() > 0 {
 		seam.Sleep(inner, 50*time.Millisecond)
 	}
 	n.agent.Leave()
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -142,3 +142,13 @@
 	}
 	return breakdown.Wrap(err, "serve", l.Addr().String())
 }
+
+// Drain closes a server's listeners and idle connections and waits until all others were
+// answered. It looks twice, since a connection that was just let in is not known at first.
+func Drain(ctx context.Context, s *http.Server) error {
+	err := s.Shutdown(ctx)
+	if err == nil && seam.Sleep(ctx, 50*time.Millisecond) {
+		err = s.Shutdown(ctx)
+	}
+	return err
+}
