--- a/cmd/berth/main.go
+++ b/cmd/berth/main.go
@@ -14,18 +14,18 @@
 	"syscall"
 	"time"
 
-	"keelstair.example/breakdown"
 	"keelstair.example/cmd/boot"
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
 	"keelstair.example/door"
-	"keelstair.example/lore"
+	"keelstair.example/failure"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/platform"
 	"keelstair.example/relay"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
 	"keelstair.example/tale"
 	"keelstair.example/whim"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 func main() {
@@ -47,7 +47,7 @@
 }
 
 // watch reads the settings again at a hang-up, for the seeds they name.
-func watch(ctx context.Context, book *crux.Book) {
+func watch(ctx context.Context, book *coordination.Book) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	go func() {
@@ -77,8 +77,10 @@
 	if s.Dir == "" {
 		return desk(s, host, ring)
 	}
-	c, err := crux.New(crux.Options{Addr: s.Control, Zone: word.Zone(s.Zone), Host: host, Seeds: s.Seeds, Ring: ring, Lease: s.Lease, Joins: !s.Founds, Losses: s.Losses,
-		Machine: func() crux.Machine { return lore.NewMachine(lore.MachineOptions{Read: platform.Policy}) }})
+	c, err := coordination.New(coordination.Options{Addr: s.Control, Zone: ids.Zone(s.Zone), Host: host, Seeds: s.Seeds, Ring: ring, Lease: s.Lease, Joins: !s.Founds, Losses: s.Losses,
+		Machine: func() coordination.Machine {
+			return fleetstate.NewMachine(fleetstate.MachineOptions{Read: platform.Policy})
+		}})
 	if err != nil {
 		return err
 	}
@@ -94,7 +96,7 @@
 
 // operate puts the operators' calls on a mux: the platform's, and the product's own for
 // the program set.
-func operate(mux *http.ServeMux, s *platform.Settings, call *wire.Caller, book *crux.Book, ring *tale.Ring) {
+func operate(mux *http.ServeMux, s *platform.Settings, call *rpc.Caller, book *coordination.Book, ring *tale.Ring) {
 	(&platform.Operator{Call: call, Book: book, Zones: s.Zones, Ring: ring}).Mount(mux)
 	door.MountOperator(mux, &relay.Operator{Call: call, Book: book, Zones: s.Zones})
 }
@@ -103,9 +105,9 @@
 func desk(s *platform.Settings, host seam.Host, ring *tale.Ring) error {
 	ctx, stop := boot.Signals()
 	defer stop()
-	call := wire.NewCaller(host.Net)
+	call := rpc.NewCaller(host.Net)
 	defer call.Close()
-	book := crux.NewBook(host, call, s.Seeds, crux.Seat{Addr: s.Control})
+	book := coordination.NewBook(host, call, s.Seeds, coordination.Seat{Addr: s.Control})
 	watch(ctx, book)
 	mux := http.NewServeMux()
 	book.Serve(mux)
@@ -122,13 +124,13 @@
 	}
 	text, err := os.ReadFile(os.Args[2])
 	if err != nil {
-		return nil, breakdown.As(err, breakdown.Bad, "read policy", os.Args[2])
+		return nil, failure.As(err, failure.Bad, "read policy", os.Args[2])
 	}
-	p, err := lore.Plain(text)
+	p, err := fleetstate.Plain(text)
 	if err == nil {
 		err = p.CheckPrograms()
 	}
-	return p.Sources(), breakdown.As(err, breakdown.Bad, "read policy", os.Args[2])
+	return p.Sources(), failure.As(err, failure.Bad, "read policy", os.Args[2])
 }
 
 func node(s *platform.Settings) error {
@@ -146,9 +148,9 @@
 	ring := boot.Ring(s.Name)
 	log.SetOutput(ring)
 	door := &http.Server{ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 20 * time.Second, MaxHeaderBytes: 64 << 10}
-	n, err := relay.New(relay.Options{Name: s.Name, Addr: s.Peer(), Zone: word.Zone(s.Zone), Seeds: s.Seeds, Host: host, Ring: ring,
+	n, err := relay.New(relay.Options{Name: s.Name, Addr: s.Peer(), Zone: ids.Zone(s.Zone), Seeds: s.Seeds, Host: host, Ring: ring,
 		Back: platform.NewBack(host.Net, s.List), Read: platform.Policy, Deck: deck, Lease: s.Lease,
-		Rate: s.ListRate, Ratio: s.Ratio, Window: s.Window, Allow: s.Allow, Over: s.Over, Spare: s.Spare, Drain: func(ctx context.Context) error { return wire.Drain(ctx, door) }})
+		Rate: s.ListRate, Ratio: s.Ratio, Window: s.Window, Allow: s.Allow, Over: s.Over, Spare: s.Spare, Drain: func(ctx context.Context) error { return rpc.Drain(ctx, door) }})
 	if err != nil {
 		return err
 	}
--- a/cmd/boot/ask.go
+++ b/cmd/boot/ask.go
@@ -12,7 +12,7 @@
 
 	"keelstair.example/creed"
 	"keelstair.example/door"
-	"keelstair.example/wire"
+	"keelstair.example/rpc"
 )
 
 // Told is a door's no; its number is the exit code that operators know.
@@ -46,7 +46,7 @@
 	err := door.Put(ctx, &http.Client{}, doors, method, path, in, out)
 	var f *door.Fault
 	if !errors.As(err, &f) {
-		if err != nil && method == http.MethodPost && !wire.Undialled(err) {
+		if err != nil && method == http.MethodPost && !rpc.Undialled(err) {
 			return &Told{5, err.Error()}
 		}
 		return err
--- a/cmd/boot/boot.go
+++ b/cmd/boot/boot.go
@@ -9,9 +9,9 @@
 	"os/signal"
 	"syscall"
 
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
 	"keelstair.example/tale"
-	"keelstair.example/wire"
 )
 
 // Signals ends the context on SIGTERM or an interrupt.
@@ -36,7 +36,7 @@
 		return
 	}
 	go func() {
-		if err := wire.Serve(ctx, l, mux); err != nil {
+		if err := rpc.Serve(ctx, l, mux); err != nil {
 			fail(err)
 		}
 	}()
--- a/cmd/edict/audit.go
+++ b/cmd/edict/audit.go
@@ -12,9 +12,9 @@
 	"net/http"
 	"os"
 
-	"keelstair.example/breakdown"
 	"keelstair.example/door"
-	"keelstair.example/lore"
+	"keelstair.example/failure"
+	"keelstair.example/fleetstate"
 )
 
 type auditCmd struct {
@@ -22,16 +22,16 @@
 }
 
 // exported checks an earlier export and gives its last row.
-func exported(r io.Reader) (*lore.AuditRow, error) {
-	var last *lore.AuditRow
+func exported(r io.Reader) (*fleetstate.AuditRow, error) {
+	var last *fleetstate.AuditRow
 	lines := bufio.NewScanner(r)
 	lines.Buffer(nil, 8<<20)
 	for n := 1; lines.Scan(); n++ {
-		row := &lore.AuditRow{}
+		row := &fleetstate.AuditRow{}
 		if err := json.Unmarshal(lines.Bytes(), row); err != nil {
-			return nil, breakdown.As(err, breakdown.Bad, "check audit", fmt.Sprint("line ", n))
+			return nil, failure.As(err, failure.Bad, "check audit", fmt.Sprint("line ", n))
 		}
-		if err := lore.ChainCheck(last, []lore.AuditRow{*row}); err != nil {
+		if err := fleetstate.ChainCheck(last, []fleetstate.AuditRow{*row}); err != nil {
 			return nil, err
 		}
 		last = row
@@ -41,9 +41,9 @@
 
 // follow reads the fleet's rows after the last one that is known, and writes each once
 // it is checked. It gives how many there were.
-func follow(last *lore.AuditRow, ask func(from int) (*door.Audits, error), out io.Writer) (int, error) {
+func follow(last *fleetstate.AuditRow, ask func(from int) (*door.Audits, error), out io.Writer) (int, error) {
 	bad := func(form string, args ...any) error {
-		return breakdown.New(breakdown.Bad, "check audit", "", form, args...)
+		return failure.New(failure.Bad, "check audit", "", form, args...)
 	}
 	next := 1
 	if last != nil {
@@ -66,11 +66,11 @@
 			return wrote, nil
 		}
 		for _, line := range got.Rows {
-			row := &lore.AuditRow{}
+			row := &fleetstate.AuditRow{}
 			if err := json.Unmarshal(line, row); err != nil {
-				return wrote, breakdown.As(err, breakdown.Bad, "check audit", "")
+				return wrote, failure.As(err, failure.Bad, "check audit", "")
 			}
-			if err := lore.ChainCheck(last, []lore.AuditRow{*row}); err != nil {
+			if err := fleetstate.ChainCheck(last, []fleetstate.AuditRow{*row}); err != nil {
 				return wrote, err
 			}
 			if _, err := out.Write(append(bytes.Clone(line), '\n')); err != nil {
@@ -82,7 +82,7 @@
 }
 
 func (s *settings) audit(c *auditCmd) error {
-	var last *lore.AuditRow
+	var last *fleetstate.AuditRow
 	var out io.Writer = os.Stdout
 	if c.File != "" {
 		file, err := os.OpenFile(c.File, os.O_RDWR|os.O_CREATE|os.O_APPEND, 0o644)
--- a/cmd/edict/edict_test.go
+++ b/cmd/edict/edict_test.go
@@ -17,14 +17,14 @@
 	"github.com/stretchr/testify/require"
 
 	"keelstair.example/door"
-	"keelstair.example/lore"
+	"keelstair.example/fleetstate"
 	"keelstair.example/writ"
 )
 
 func lines(n int, tag string) (out []json.RawMessage) {
 	prev := ""
 	for i := range n {
-		r := lore.AuditRow{Index: i + 1, Prev: prev, Record: json.RawMessage(fmt.Sprintf(`{"request":"%s%d"}`, tag, i+1))}
+		r := fleetstate.AuditRow{Index: i + 1, Prev: prev, Record: json.RawMessage(fmt.Sprintf(`{"request":"%s%d"}`, tag, i+1))}
 		sum := sha256.Sum256([]byte(fmt.Sprintf("%s\n%d\n%s", r.Prev, r.Index, r.Record)))
 		r.Hash = hex.EncodeToString(sum[:])
 		prev = r.Hash
@@ -44,7 +44,7 @@
 		for i := max(from, first); i <= len(all) && len(got.Rows) < 3; i++ {
 			got.Rows = append(got.Rows, all[i-1])
 		}
-		var r lore.AuditRow
+		var r fleetstate.AuditRow
 		if len(all) > 0 {
 			json.Unmarshal(all[len(all)-1], &r)
 		}
--- a/cmd/edict/main.go
+++ b/cmd/edict/main.go
@@ -11,10 +11,10 @@
 	"os"
 
 	"keelstair.example/cmd/boot"
+	"keelstair.example/coordination"
 	"keelstair.example/creed"
-	"keelstair.example/crux"
 	"keelstair.example/door"
-	"keelstair.example/lore"
+	"keelstair.example/fleetstate"
 )
 
 type applyCmd struct {
@@ -149,7 +149,7 @@
 func (s *settings) put(c *applyCmd, name, text string) error {
 	a := door.Apply{Op: c.Op, Partial: c.Partial, Name: name, Source: text, Dry: c.Dry}
 	if a.Op == "" {
-		a.Op = crux.Name()
+		a.Op = coordination.Name()
 	}
 	if c.Base != nil {
 		a.Base = *c.Base
@@ -202,11 +202,11 @@
 		return err
 	}
 	var out door.Applied
-	a := door.Apply{Op: crux.Name(), Base: sh.Newest, Partial: c.Partial, Name: name, Source: text, Dry: true}
+	a := door.Apply{Op: coordination.Name(), Base: sh.Newest, Partial: c.Partial, Name: name, Source: text, Dry: true}
 	if err := s.ask(http.MethodPost, "/v1/policy", a, &out); err != nil {
 		return err
 	}
-	rows, err := lore.Diff(sh.Policy, out.Policy)
+	rows, err := fleetstate.Diff(sh.Policy, out.Policy)
 	if err != nil {
 		return err
 	}
@@ -222,7 +222,7 @@
 func (s *settings) mark(what string, c *nameCmd, out bool) error {
 	m := door.Mark{Op: c.Op, Out: out}
 	if m.Op == "" {
-		m.Op = crux.Name()
+		m.Op = coordination.Name()
 	}
 	fmt.Printf("operation %s\n", m.Op)
 	var got door.Applied
--- a/cmd/edict/writ.go
+++ b/cmd/edict/writ.go
@@ -12,10 +12,10 @@
 	"text/tabwriter"
 	"time"
 
+	"keelstair.example/coordination"
 	"keelstair.example/creed"
-	"keelstair.example/crux"
 	"keelstair.example/door"
-	"keelstair.example/word"
+	"keelstair.example/ids"
 	"keelstair.example/writ"
 )
 
@@ -93,15 +93,15 @@
 	if err != nil {
 		return nil, err
 	}
-	parts := []word.Part{word.Prefill, word.Decode}
+	parts := []ids.Part{ids.Prefill, ids.Decode}
 	if len(c.Parts) > 0 {
 		parts = nil
 	}
 	for _, p := range c.Parts {
-		if p != string(word.Prefill) && p != string(word.Decode) {
+		if p != string(ids.Prefill) && p != string(ids.Decode) {
 			return nil, creed.Fault("parts", "%q is neither prefill nor decode", p)
 		}
-		parts = append(parts, word.Part(p))
+		parts = append(parts, ids.Part(p))
 	}
 	switch {
 	case len(c.Worker)+len(c.Node) == 0:
@@ -113,13 +113,13 @@
 	}
 	out := map[string]writ.Certificate{}
 	put := func(one writ.Certificate) {
-		one.Serial, one.Regime, one.Issuer = crux.Name(), c.Regime, c.Issuer
+		one.Serial, one.Regime, one.Issuer = coordination.Name(), c.Regime, c.Issuer
 		one.From, one.Until = from.Format(time.RFC3339), until.Format(time.RFC3339)
 		one.Sign(private)
 		out[one.Serial] = one
 	}
 	for _, w := range c.Worker {
-		put(writ.Certificate{Worker: word.WorkerId(w), Parts: parts})
+		put(writ.Certificate{Worker: ids.WorkerId(w), Parts: parts})
 	}
 	for _, n := range c.Node {
 		put(writ.Certificate{Node: n})
@@ -149,7 +149,7 @@
 func (s *settings) revoke(c *nameCmd) error {
 	m := door.Mark{Op: c.Op, Out: true}
 	if m.Op == "" {
-		m.Op = crux.Name()
+		m.Op = coordination.Name()
 	}
 	fmt.Printf("operation %s\n", m.Op)
 	if err := s.ask(http.MethodPost, "/v1/certificates/"+c.Name, m, nil); err != nil {
--- a/cmd/gauge/fleet.go
+++ b/cmd/gauge/fleet.go
@@ -19,15 +19,15 @@
 	"syscall"
 	"time"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
-	"keelstair.example/lore"
+	"keelstair.example/coordination"
+	"keelstair.example/failure"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/platform"
 	"keelstair.example/rein"
 	"keelstair.example/relay"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 type proc struct {
@@ -45,15 +45,15 @@
 	bin     string
 	dir     string
 	host    seam.Host
-	call    *wire.Caller
-	book    *crux.Book
+	call    *rpc.Caller
+	book    *coordination.Book
 	tenets  []*proc
 	holders []*proc
 	empty   *proc // holds no node: what the looking costs
 	seeds   []string
 	list    string
 	shut    func()
-	version word.Version
+	version ids.Version
 	turn    int
 	next    int
 }
@@ -81,7 +81,7 @@
 	p.cmd.Stdout = in
 	if err := p.cmd.Start(); err != nil {
 		out.Close()
-		return nil, breakdown.As(err, breakdown.Lost, "start process", p.name)
+		return nil, failure.As(err, failure.Lost, "start process", p.name)
 	}
 	p.gone = make(chan struct{})
 	go func() { p.cmd.Wait(); close(p.gone) }()
@@ -142,9 +142,9 @@
 	}
 	f.list = l.Addr().String()
 	mux := http.NewServeMux()
-	at := map[word.Part]string{}
+	at := map[ids.Part]string{}
 	var ends []func() error
-	for _, p := range []word.Part{word.Prefill, word.Decode} {
+	for _, p := range []ids.Part{ids.Prefill, ids.Decode} {
 		if !f.size.Turns {
 			break
 		}
@@ -239,7 +239,7 @@
 	defer context.AfterFunc(ctx, func() { p.cmd.Process.Signal(syscall.SIGKILL) })()
 	row, err := bufio.NewReader(out).ReadString('\n')
 	if err != nil {
-		return breakdown.As(err, breakdown.Lost, "hear from process", p.name)
+		return failure.As(err, failure.Lost, "hear from process", p.name)
 	}
 	p.addr = strings.TrimSpace(row)
 	return nil
@@ -256,8 +256,8 @@
 	if f.seeds, err = free(cores); err != nil {
 		return f, err
 	}
-	f.call = wire.NewCaller(f.host.Net)
-	f.book = crux.NewBook(f.host, f.call, f.seeds, crux.Seat{})
+	f.call = rpc.NewCaller(f.host.Net)
+	f.book = coordination.NewBook(f.host, f.call, f.seeds, coordination.Seat{})
 	if err := f.lists(); err != nil {
 		return f, err
 	}
@@ -329,7 +329,7 @@
 			return nil
 		}
 		if time.Now().After(end) {
-			return breakdown.New(breakdown.Away, "wait until "+what, "fleet", "not after %s: %s", span, at)
+			return failure.New(failure.Away, "wait until "+what, "fleet", "not after %s: %s", span, at)
 		}
 		if !seam.Sleep(ctx, 50*time.Millisecond) {
 			return ctx.Err()
@@ -347,7 +347,7 @@
 		return 0, err
 	}
 	from := time.Now()
-	v, err := lore.Put(cx, f.call, f.book, word.OpId("gauge/"+crux.Name()), f.version, 0, body)
+	v, err := fleetstate.Put(cx, f.call, f.book, ids.OpId("gauge/"+coordination.Name()), f.version, 0, body)
 	if err != nil {
 		return 0, err
 	}
--- a/cmd/gauge/gauge_test.go
+++ b/cmd/gauge/gauge_test.go
@@ -22,9 +22,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/wire"
 )
 
 // TestMain lets the test's own program stand in for gauge.
@@ -79,7 +79,7 @@
 	many := usual
 	many.Nodes = 5000
 	err := many.check(m)
-	require.True(t, breakdown.Is(err, breakdown.Bad))
+	require.True(t, failure.Is(err, failure.Bad))
 	require.ErrorContains(t, err, "5000 nodes take 162 processes, over 100")
 	wide := usual
 	wide.Workers = 2_000_000
@@ -100,7 +100,7 @@
 	require.Len(t, with, len(all)+1)
 	for _, at := range []string{"nodes", "nodes=many", "nodes=-1", "nodes=NaN", "weather=3"} {
 		_, err = choose(nil, 0, at)
-		require.True(t, breakdown.Is(err, breakdown.Bad), at)
+		require.True(t, failure.Is(err, failure.Bad), at)
 	}
 }
 
@@ -121,8 +121,8 @@
 	})
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
-	go wire.Serve(ctx, l, mux)
-	web := wire.Web(near)
+	go rpc.Serve(ctx, l, mux)
+	web := rpc.Web(near)
 	body := strings.Repeat("x", 100_000)
 	for range 20 {
 		r, err := web.Post("http://"+at+"/echo", "text/plain", strings.NewReader(body))
--- a/cmd/gauge/hold.go
+++ b/cmd/gauge/hold.go
@@ -14,10 +14,10 @@
 	"sync"
 	"time"
 
+	"keelstair.example/ids"
 	"keelstair.example/relay"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 type holdCmd struct {
@@ -34,7 +34,7 @@
 // Stand is what a holding process tells of its nodes.
 type Stand struct {
 	Nodes   int             `json:"nodes"`
-	Least   word.Version    `json:"least"`   // the oldest version in force at any
+	Least   ids.Version     `json:"least"`   // the oldest version in force at any
 	Members [2]int          `json:"members"` // the fewest and the most known at any
 	Ready   int             `json:"ready"`
 	Flows   map[string]Flow `json:"flows"`
@@ -47,13 +47,13 @@
 
 // Force says when a version came in force at one node.
 type Force struct {
-	Version word.Version `json:"version"`
-	At      int64        `json:"at"` // wall clock, ns
+	Version ids.Version `json:"version"`
+	At      int64       `json:"at"` // wall clock, ns
 }
 
 type holder struct {
 	meter  *Meter
-	call   *wire.Caller // past the meter
+	call   *rpc.Caller // past the meter
 	nodes  []*hollow
 	mu     sync.Mutex
 	forces []Force
@@ -61,7 +61,7 @@
 
 // watch notes when versions come in force.
 func (h *holder) watch(ctx context.Context) {
-	seen := make([]word.Version, len(h.nodes))
+	seen := make([]ids.Version, len(h.nodes))
 	for seam.Sleep(ctx, 10*time.Millisecond) {
 		for i, n := range h.nodes {
 			v := n.view.Sight().Version
@@ -122,7 +122,7 @@
 	if err != nil {
 		return err
 	}
-	h := &holder{meter: newMeter(host.Net, c.Seeds), call: wire.NewCaller(host.Net)}
+	h := &holder{meter: newMeter(host.Net, c.Seeds), call: rpc.NewCaller(host.Net)}
 	defer h.call.Close()
 	plain := host.Net
 	host.Net = h.meter
--- a/cmd/gauge/hollow.go
+++ b/cmd/gauge/hollow.go
@@ -9,38 +9,38 @@
 	"net/http"
 	"time"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
 	"keelstair.example/door"
-	"keelstair.example/lore"
+	"keelstair.example/failure"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/platform"
 	"keelstair.example/relay"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
 	"keelstair.example/verge"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 // halls are zones as the target has them: 3 regions with 7 zones.
-var halls = []word.Zone{"r1-a", "r1-b", "r1-c", "r2-a", "r2-b", "r3-a", "r3-b"}
+var halls = []ids.Zone{"r1-a", "r1-b", "r1-c", "r2-a", "r2-b", "r3-a", "r3-b"}
 
 // hollow is one node.
 type hollow struct {
 	addr  string
 	door  string
-	view  *lore.View
+	view  *fleetstate.View
 	relay *relay.Node
 	run   func(context.Context)
 }
 
 // members asks the node, as a neighbour would, how many members it knows; -1 if it has
 // no news yet.
-func (h *hollow) members(ctx context.Context, call *wire.Caller) int {
-	r, err := wire.Call[crux.NewsAsk, crux.NewsReply](ctx, call, h.addr, "crux/news", &crux.NewsAsk{})
+func (h *hollow) members(ctx context.Context, call *rpc.Caller) int {
+	r, err := rpc.Call[coordination.NewsAsk, coordination.NewsReply](ctx, call, h.addr, "crux/news", &coordination.NewsAsk{})
 	if err != nil {
 		return -1
 	}
-	var img crux.Image
+	var img coordination.Image
 	if _, err := img.UnmarshalMsg(r.Picture); err != nil {
 		return -1
 	}
@@ -48,7 +48,7 @@
 }
 
 // raise makes a node and has it listen; run must still be called.
-func raise(ctx context.Context, host seam.Host, c *holdCmd, name string, zone word.Zone, back relay.Backend) (*hollow, error) {
+func raise(ctx context.Context, host seam.Host, c *holdCmd, name string, zone ids.Zone, back relay.Backend) (*hollow, error) {
 	l, err := host.Net.Listen("127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -80,30 +80,30 @@
 		h.view, h.relay, h.run = n.View(), n, func(ctx context.Context) { n.Run(ctx, 0, 0) }
 	default:
 		l.Close()
-		return nil, breakdown.New(breakdown.Bad, "make node", name, "there is no sort %q", c.Sort)
+		return nil, failure.New(failure.Bad, "make node", name, "there is no sort %q", c.Sort)
 	}
-	go wire.Serve(ctx, l, mux)
+	go rpc.Serve(ctx, l, mux)
 	return h, nil
 }
 
 // text is a configuration of a size; turn changes one route's deadline.
-func (s *Size) text(turn int) *lore.Policy {
-	p := &lore.Policy{Services: map[string]lore.Service{}, Zones: halls, Limits: lore.Limits{Deeds: 20_000_000}}
+func (s *Size) text(turn int) *fleetstate.Policy {
+	p := &fleetstate.Policy{Services: map[string]fleetstate.Service{}, Zones: halls, Limits: fleetstate.Limits{Deeds: 20_000_000}}
 	for i := range s.models() {
 		n := s.model(i)
-		p.Services[n] = lore.Service{Name: n, Probe: "/health", Conns: 64, WarmMs: 20000, WarmRate: 3, Slots: 48, Memory: 400_000, TokenSize: 131072, HoldMs: 30000, TurnMs: 4000, Models: []string{n}}
+		p.Services[n] = fleetstate.Service{Name: n, Probe: "/health", Conns: 64, WarmMs: 20000, WarmRate: 3, Slots: 48, Memory: 400_000, TokenSize: 131072, HoldMs: 30000, TurnMs: 4000, Models: []string{n}}
 	}
 	for i := range s.Routes {
 		// Names that are not all alike, since messages are packed on their way.
-		p.Routes = append(p.Routes, lore.Route{Name: fmt.Sprintf("route-%05d-%s", i, crux.Short(fmt.Sprint(i))[:8]), Host: fmt.Sprintf("tenant-%03d.example", i%330), Prefix: fmt.Sprintf("/v1/%05d/", i),
-			Split: []lore.Share{{Service: s.model(i), Weight: 900}, {Service: s.model(i + 1), Weight: 100}}, Stream: true, Resumable: true, Tries: 3, DeadlineMs: 30000, AimMs: 740, GapMs: 64, Urgency: 5})
+		p.Routes = append(p.Routes, fleetstate.Route{Name: fmt.Sprintf("route-%05d-%s", i, coordination.Short(fmt.Sprint(i))[:8]), Host: fmt.Sprintf("tenant-%03d.example", i%330), Prefix: fmt.Sprintf("/v1/%05d/", i),
+			Split: []fleetstate.Share{{Service: s.model(i), Weight: 900}, {Service: s.model(i + 1), Weight: 100}}, Stream: true, Resumable: true, Tries: 3, DeadlineMs: 30000, AimMs: 740, GapMs: 64, Urgency: 5})
 	}
 	p.Routes[turn%len(p.Routes)].DeadlineMs += turn
 	if s.Duties > 0 {
-		p.Workers = map[word.WorkerId]lore.Worker{}
+		p.Workers = map[ids.WorkerId]fleetstate.Worker{}
 	}
 	for i := range s.Duties {
-		p.Workers[word.WorkerId(fmt.Sprintf("w-%05d", i))] = lore.Worker{Part: s.part(i), Model: s.model(i), Weights: "w1", Adapters: []string{}, Room: 400_000, Block: 16, Zone: halls[i%len(halls)]}
+		p.Workers[ids.WorkerId(fmt.Sprintf("w-%05d", i))] = fleetstate.Worker{Part: s.part(i), Model: s.model(i), Weights: "w1", Adapters: []string{}, Room: 400_000, Block: 16, Zone: halls[i%len(halls)]}
 	}
 	return p
 }
@@ -114,19 +114,19 @@
 func (s *Size) model(i int) string { return fmt.Sprintf("model-%02d", i%s.models()) }
 
 // part has 32 of 100 workers of each model read prompts.
-func (s *Size) part(i int) word.Part {
+func (s *Size) part(i int) ids.Part {
 	if i/s.models()*8%25 < 8 {
-		return word.Prefill
+		return ids.Prefill
 	}
-	return word.Decode
+	return ids.Decode
 }
 
 // workers is a platform's list of a size. Those of a part answer at one address, if any
 // does: else nobody is there, and it is on this machine all the same.
-func (s *Size) workers(at map[word.Part]string) []relay.Worker {
+func (s *Size) workers(at map[ids.Part]string) []relay.Worker {
 	out := make([]relay.Worker, s.Workers)
 	for i := range out {
-		out[i] = relay.Worker{Id: word.WorkerId(fmt.Sprintf("w-%05d-%s", i, crux.Short(fmt.Sprint("w", i))[:8])), Service: s.model(i), Addr: at[s.part(i)],
+		out[i] = relay.Worker{Id: ids.WorkerId(fmt.Sprintf("w-%05d-%s", i, coordination.Short(fmt.Sprint("w", i))[:8])), Service: s.model(i), Addr: at[s.part(i)],
 			Zone: halls[i%len(halls)], Part: s.part(i), Slots: 48}
 		if out[i].Addr == "" {
 			out[i].Addr = fmt.Sprintf("127.1.%d.%d:9", i/250, 1+i%250)
@@ -146,6 +146,6 @@
 	if err != nil {
 		return nil, err
 	}
-	_, whole, err := lore.Whole("gauge", part)
+	_, whole, err := fleetstate.Whole("gauge", part)
 	return whole, err
 }
--- a/cmd/gauge/measure.go
+++ b/cmd/gauge/measure.go
@@ -12,8 +12,8 @@
 	"strings"
 	"time"
 
+	"keelstair.example/ids"
 	"keelstair.example/seam"
-	"keelstair.example/word"
 )
 
 // Spread sums up times, in ms.
@@ -180,8 +180,8 @@
 }
 
 // change applies at the rate, open loop by the clock, and notes when each was asked.
-func (f *fleet) change(ctx context.Context, pt *Point, span time.Duration) map[word.Version]time.Time {
-	asked := map[word.Version]time.Time{}
+func (f *fleet) change(ctx context.Context, pt *Point, span time.Duration) map[ids.Version]time.Time {
+	asked := map[ids.Version]time.Time{}
 	var acks []float64
 	begun := time.Now()
 	for i := 0; ; i++ {
@@ -203,9 +203,9 @@
 	return asked
 }
 
-func (f *fleet) forces(pt *Point, asked map[word.Version]time.Time, seen []Force) {
+func (f *fleet) forces(pt *Point, asked map[ids.Version]time.Time, seen []Force) {
 	var each, last []float64
-	worst, count := map[word.Version]float64{}, map[word.Version]int{}
+	worst, count := map[ids.Version]float64{}, map[ids.Version]int{}
 	for _, s := range seen {
 		if from, ok := asked[s.Version]; ok {
 			ms := float64(time.Unix(0, s.At).Sub(from).Microseconds()) / 1000
@@ -252,7 +252,7 @@
 		return nil, err
 	}
 	span := time.Duration(c.Seconds) * time.Second
-	var asked map[word.Version]time.Time
+	var asked map[ids.Version]time.Time
 	if spot.Size.Rate > 0 {
 		asked = f.change(ctx, pt, span)
 	} else {
--- a/cmd/gauge/page.go
+++ b/cmd/gauge/page.go
@@ -9,7 +9,7 @@
 	"slices"
 	"strings"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
 )
 
 // render rewrites the tables of a page.
@@ -19,7 +19,7 @@
 		return err
 	}
 	if len(book.Points) == 0 {
-		return breakdown.New(breakdown.Bad, "make page", from, "it holds no point; run first")
+		return failure.New(failure.Bad, "make page", from, "it holds no point; run first")
 	}
 	body, err := os.ReadFile(page)
 	if err != nil {
@@ -52,7 +52,7 @@
 		from, to := "<!-- gauge:"+name+" -->", "<!-- /gauge:"+name+" -->"
 		i, j := strings.Index(text, from), strings.Index(text, to)
 		if i < 0 || j < i {
-			return "", breakdown.New(breakdown.Bad, "make page", name, "the marks %s and %s are not there in this order", from, to)
+			return "", failure.New(failure.Bad, "make page", name, "the marks %s and %s are not there in this order", from, to)
 		}
 		text = text[:i+len(from)] + "\n" + table + text[j:]
 	}
--- a/cmd/gauge/picks.go
+++ b/cmd/gauge/picks.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
 	"keelstair.example/relay"
 	"keelstair.example/seam"
 )
@@ -44,11 +44,11 @@
 func (s *still) Free(context.Context, relay.Worker, string) error { return nil }
 
 func (s *still) Report(context.Context, relay.Worker) (*relay.Report, error) {
-	return nil, breakdown.New(breakdown.Away, "report", "", "none is given")
+	return nil, failure.New(failure.Away, "report", "", "none is given")
 }
 
 func (s *still) Order(context.Context, relay.Worker, *relay.Order) error {
-	return breakdown.New(breakdown.Bounced, "order", "", "none is taken")
+	return failure.New(failure.Bounced, "order", "", "none is taken")
 }
 
 func (s *still) Close() {}
--- a/cmd/gauge/proc.go
+++ b/cmd/gauge/proc.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
 )
 
 func procs() int { return runtime.NumCPU() }
@@ -38,7 +38,7 @@
 	// The name may hold blanks; the rest follows its last bracket.
 	f := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
 	if len(f) < 22 {
-		return u, breakdown.New(breakdown.Bad, "read process", at, "%d fields", len(f))
+		return u, failure.New(failure.Bad, "read process", at, "%d fields", len(f))
 	}
 	var user, sys, pages int64
 	fmt.Sscan(f[11], &user)
--- a/cmd/gauge/run.go
+++ b/cmd/gauge/run.go
@@ -16,7 +16,7 @@
 	"slices"
 	"strings"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
 )
 
 // Book is the file of figures.
@@ -126,9 +126,9 @@
 			return ctx.Err()
 		}
 		if err != nil {
-			err = breakdown.Wrap(err, "measure "+s.Sweep, fmt.Sprint(s.X))
+			err = failure.Wrap(err, "measure "+s.Sweep, fmt.Sprint(s.X))
 			fmt.Println(err)
-			failed = breakdown.Join(failed, err)
+			failed = failure.Join(failed, err)
 			continue
 		}
 		p.Commit = source
@@ -139,7 +139,7 @@
 		fmt.Println(p.row())
 	}
 	if c.Page != "" {
-		failed = breakdown.Join(failed, render(c.Json, c.Page))
+		failed = failure.Join(failed, render(c.Json, c.Page))
 	}
 	return failed
 }
--- a/cmd/gauge/size.go
+++ b/cmd/gauge/size.go
@@ -10,8 +10,8 @@
 	"strconv"
 	"strings"
 
-	"keelstair.example/breakdown"
 	"keelstair.example/creed"
+	"keelstair.example/failure"
 )
 
 // Size is what a point is measured at.
@@ -64,7 +64,7 @@
 			return m, nil
 		}
 	}
-	return m, breakdown.New(breakdown.Bad, "read memory", "/proc/meminfo", "it does not tell")
+	return m, failure.New(failure.Bad, "read memory", "/proc/meminfo", "it does not tell")
 }
 
 // processes tells how many a size takes, with an empty one to compare with.
--- a/cmd/guise/main.go
+++ b/cmd/guise/main.go
@@ -13,9 +13,9 @@
 	"keelstair.example/cmd/boot"
 	"keelstair.example/creed"
 	"keelstair.example/guise"
+	"keelstair.example/ids"
 	"keelstair.example/rein"
 	"keelstair.example/seam"
-	"keelstair.example/word"
 )
 
 type workerCmd struct {
@@ -55,7 +55,7 @@
 func (s *settings) Check() error {
 	switch {
 	case s.Worker != nil:
-		if s.Worker.Part != string(word.Prefill) && s.Worker.Part != string(word.Decode) {
+		if s.Worker.Part != string(ids.Prefill) && s.Worker.Part != string(ids.Decode) {
 			return creed.Fault("part", "%q is neither prefill nor decode", s.Worker.Part)
 		}
 		return creed.Addr("addr", s.Worker.Addr)
@@ -84,7 +84,7 @@
 	switch {
 	case s.Worker != nil:
 		c := s.Worker
-		w := guise.NewWorker(guise.WorkerOptions{Id: word.WorkerId(c.Id), Addr: c.Addr, Part: word.Part(c.Part), Room: c.Room, Block: c.Block,
+		w := guise.NewWorker(guise.WorkerOptions{Id: ids.WorkerId(c.Id), Addr: c.Addr, Part: ids.Part(c.Part), Room: c.Room, Block: c.Block,
 			Model: rein.Model{Name: c.Model, Weights: c.Weights, Adapters: c.Adapter}, Host: host})
 		mux := http.NewServeMux()
 		mux.Handle("/", w.Handler())
@@ -103,7 +103,7 @@
 
 func load(ctx context.Context, host seam.Host, c *loadCmd) {
 	site := guise.Sites[c.Site]
-	doors := func(word.Zone) []string { return strings.Split(c.Doors, ",") }
+	doors := func(ids.Zone) []string { return strings.Split(c.Doors, ",") }
 	if c.Doors == "" {
 		doors = guise.Asked(ctx, host, c.Platform, site.Zones)
 	}
--- a/cmd/omen/main.go
+++ b/cmd/omen/main.go
@@ -12,11 +12,11 @@
 	"keelstair.example/cmd/boot"
 	"keelstair.example/creed"
 	"keelstair.example/door"
-	"keelstair.example/lore"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/verge"
 	"keelstair.example/verge/augur"
 	"keelstair.example/whim"
-	"keelstair.example/word"
 )
 
 type policyCmd struct {
@@ -69,7 +69,7 @@
 	if err := s.get("/v1/policy", &sh); err != nil {
 		return err
 	}
-	now := &lore.Policy{}
+	now := &fleetstate.Policy{}
 	if err := json.Unmarshal(sh.Policy, now); err != nil {
 		return err
 	}
@@ -93,13 +93,13 @@
 func (s *settings) change(sh *door.Shown) (augur.Change, error) {
 	switch {
 	case s.Evacuate != nil:
-		return augur.Change{Evacuate: word.Zone(s.Evacuate.Name)}, nil
+		return augur.Change{Evacuate: ids.Zone(s.Evacuate.Name)}, nil
 	case s.Zone != nil:
-		return augur.Change{LoseZone: word.Zone(s.Zone.Name)}, nil
+		return augur.Change{LoseZone: ids.Zone(s.Zone.Name)}, nil
 	case s.Machine != nil:
 		return augur.Change{LoseAddr: s.Machine.Name}, nil
 	case s.Drain != nil:
-		return augur.Change{Drain: word.WorkerId(s.Drain.Name)}, nil
+		return augur.Change{Drain: ids.WorkerId(s.Drain.Name)}, nil
 	case s.Revoke != nil:
 		return augur.Change{Revoke: s.Revoke.Name}, nil
 	case s.Expire != nil:
@@ -116,14 +116,14 @@
 	if err != nil {
 		return augur.Change{}, err
 	}
-	body, err := lore.Source(s.Policy.File, text)
+	body, err := fleetstate.Source(s.Policy.File, text)
 	if err == nil && s.Policy.Partial {
-		body, err = lore.Merge(sh.Policy, body)
+		body, err = fleetstate.Merge(sh.Policy, body)
 	}
 	if err != nil {
 		return augur.Change{}, err
 	}
-	p, err := lore.Check(s.Policy.File, body)
+	p, err := fleetstate.Check(s.Policy.File, body)
 	if err != nil {
 		return augur.Change{}, err
 	}
--- a/cmd/realm/fleet.go
+++ b/cmd/realm/fleet.go
@@ -19,18 +19,18 @@
 	"time"
 
 	"keelstair.example/guise"
+	"keelstair.example/ids"
 	"keelstair.example/rein"
-	"keelstair.example/word"
 )
 
 type proc struct {
-	Name string    `json:"name"`
-	Kind string    `json:"kind"`
-	Zone word.Zone `json:"zone"`
-	Addr string    `json:"addr"`
-	Door string    `json:"door,omitempty"`
-	Data string    `json:"data,omitempty"`
-	Pid  int       `json:"pid"`
+	Name string   `json:"name"`
+	Kind string   `json:"kind"`
+	Zone ids.Zone `json:"zone"`
+	Addr string   `json:"addr"`
+	Door string   `json:"door,omitempty"`
+	Data string   `json:"data,omitempty"`
+	Pid  int      `json:"pid"`
 
 	args []string
 	cmd  *exec.Cmd
@@ -119,7 +119,7 @@
 	return out
 }
 
-func (f *fleet) tenet(name, addr string, zone word.Zone) *proc {
+func (f *fleet) tenet(name, addr string, zone ids.Zone) *proc {
 	data := filepath.Join(f.opt.Dir, name)
 	return &proc{Name: name, Kind: "tenet", Zone: zone, Addr: addr, Data: data,
 		args: append([]string{"--addr", addr, "--zone", string(zone), "--data", data, "--seeds"}, f.seeds...)}
@@ -175,10 +175,10 @@
 
 // settle lists all at the platform, applies the configuration, and waits until
 // every node is ready.
-func (f *fleet) settle(ctx context.Context, names []word.WorkerId) error {
+func (f *fleet) settle(ctx context.Context, names []ids.WorkerId) error {
 	begun := time.Now()
 	for _, p := range f.of("worker-") {
-		l := rein.Listed{Id: word.WorkerId(strings.TrimPrefix(p.Name, "worker-")), Addr: p.Addr, Zone: p.Zone}
+		l := rein.Listed{Id: ids.WorkerId(strings.TrimPrefix(p.Name, "worker-")), Addr: p.Addr, Zone: p.Zone}
 		if err := f.until(ctx, 10*time.Second, func() error { return post(f.platform, "/workers", l, nil) }); err != nil {
 			return err
 		}
--- a/cmd/realm/regime.go
+++ b/cmd/realm/regime.go
@@ -15,11 +15,11 @@
 	"time"
 
 	"keelstair.example/cmd/boot"
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
 	"keelstair.example/door"
 	"keelstair.example/guise"
+	"keelstair.example/ids"
 	"keelstair.example/seam"
-	"keelstair.example/word"
 	"keelstair.example/writ"
 )
 
@@ -43,7 +43,7 @@
 	}
 	for i, id := range f.site.Names() {
 		if i != f.site.Prefill-1 && i != f.site.Prefill+f.site.Decode-1 {
-			put(writ.Certificate{Worker: id, Parts: []word.Part{f.site.Worker(i).Part}}, string(id))
+			put(writ.Certificate{Worker: id, Parts: []ids.Part{f.site.Worker(i).Part}}, string(id))
 		}
 	}
 	for i := range f.site.Nodes - 1 {
@@ -113,7 +113,7 @@
 				}
 			}()
 		}
-		begun, op := time.Now(), crux.Name()
+		begun, op := time.Now(), coordination.Name()
 		err := f.until(ctx, 20*time.Second, func() error {
 			return boot.Ask(f.doors(), http.MethodPost, "/v1/certificates/c-"+name, door.Mark{Op: op, Out: true}, nil)
 		})
--- a/cmd/tenet/main.go
+++ b/cmd/tenet/main.go
@@ -8,12 +8,12 @@
 	"time"
 
 	"keelstair.example/cmd/boot"
+	"keelstair.example/coordination"
 	"keelstair.example/creed"
-	"keelstair.example/crux"
 	"keelstair.example/door"
-	"keelstair.example/lore"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/seam"
-	"keelstair.example/word"
 )
 
 type settings struct {
@@ -57,9 +57,11 @@
 	boot.Fail("tenet", err)
 	ring := boot.Ring("tenet " + s.Addr)
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
-	core, err := crux.New(crux.Options{Addr: s.Addr, Zone: word.Zone(s.Zone), Host: host, Seeds: s.Seeds, Ring: ring,
-		Machine: func() crux.Machine { return lore.NewMachine(lore.MachineOptions{Wall: host.Clock.Wall}) },
-		Beat:    ms(s.BeatMs), Silence: ms(s.SilenceMs), Lease: ms(s.LeaseMs), Stall: ms(s.StallMs), Replace: ms(s.ReplaceMs), Anew: s.FoundAnew})
+	core, err := coordination.New(coordination.Options{Addr: s.Addr, Zone: ids.Zone(s.Zone), Host: host, Seeds: s.Seeds, Ring: ring,
+		Machine: func() coordination.Machine {
+			return fleetstate.NewMachine(fleetstate.MachineOptions{Wall: host.Clock.Wall})
+		},
+		Beat: ms(s.BeatMs), Silence: ms(s.SilenceMs), Lease: ms(s.LeaseMs), Stall: ms(s.StallMs), Replace: ms(s.ReplaceMs), Anew: s.FoundAnew})
 	boot.Fail("tenet", err)
 	ctx, stop := boot.Signals()
 	defer stop()
--- a/cmd/verge/main.go
+++ b/cmd/verge/main.go
@@ -11,10 +11,10 @@
 	"keelstair.example/cmd/boot"
 	"keelstair.example/creed"
 	"keelstair.example/door"
+	"keelstair.example/ids"
 	"keelstair.example/seam"
 	"keelstair.example/verge"
 	"keelstair.example/verge/span"
-	"keelstair.example/word"
 )
 
 type settings struct {
@@ -57,7 +57,7 @@
 	host, err := seam.Real("")
 	boot.Fail("verge", err)
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
-	opt := verge.Options{Name: s.Name, Addr: s.Addr, Zone: word.Zone(s.Zone), Seeds: s.Seeds, Platform: s.Platform,
+	opt := verge.Options{Name: s.Name, Addr: s.Addr, Zone: ids.Zone(s.Zone), Seeds: s.Seeds, Platform: s.Platform,
 		Host: host, Ring: boot.Ring(s.Name), Lease: ms(s.LeaseMs), Orphan: ms(s.OrphanMs), Pulse: ms(s.PulseMs)}
 	if s.Trace != "" {
 		file, err := os.OpenFile(s.Trace, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
--- a/crux/agent.go
+++ b/coordination/agent.go
@@ -2,7 +2,7 @@
 // news (from the core, or from a neighbour while the core is away) and knows
 // which keys the node may act under at this very moment.
 
-package crux
+package coordination
 
 import (
 	"context"
@@ -12,18 +12,18 @@
 	"sync/atomic"
 	"time"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
 	"keelstair.example/tale"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 // Follower is the embedder's view, folded from the open part of the log. Fold
 // tells whether the core should learn at once that the node has seen the entry.
 type Follower interface {
 	Restore(open []byte) error
-	Fold(seq word.Seq, kind string, body []byte) (loud bool)
+	Fold(seq ids.Seq, kind string, body []byte) (loud bool)
 	Picture() []byte
 }
 
@@ -41,15 +41,15 @@
 }
 
 type sight struct {
-	seq     word.Seq
-	fence   word.Fence
+	seq     ids.Seq
+	fence   ids.Fence
 	members []Member
-	grants  map[word.Key]Grant
+	grants  map[ids.Key]Grant
 }
 
 type Agent struct {
 	opt  AgentOptions
-	call *wire.Caller
+	call *rpc.Caller
 	book *Book
 	feed *feed
 
@@ -70,29 +70,29 @@
 }
 
 func NewAgent(opt AgentOptions) *Agent {
-	word.Or(&opt.Lease, 3*time.Second)
-	word.Or(&opt.Renew, 500*time.Millisecond)
-	word.Or(&opt.Gap, time.Second)
+	ids.Or(&opt.Lease, 3*time.Second)
+	ids.Or(&opt.Renew, 500*time.Millisecond)
+	ids.Or(&opt.Gap, time.Second)
 	if opt.Ring == nil {
 		opt.Ring = tale.Mute()
 	}
-	a := &Agent{opt: opt, call: wire.NewCaller(opt.Host.Net), feed: newFeed(), poke: make(chan struct{}, 1)}
+	a := &Agent{opt: opt, call: rpc.NewCaller(opt.Host.Net), feed: newFeed(), poke: make(chan struct{}, 1)}
 	a.book = NewBook(opt.Host, a.call, opt.Seeds, Seat{Addr: opt.Me.Addr})
-	a.sight.Store(&sight{grants: map[word.Key]Grant{}})
+	a.sight.Store(&sight{grants: map[ids.Key]Grant{}})
 	a.tick.Store(int64(opt.Host.Clock.Now()))
 	return a
 }
 
-func (a *Agent) Book() *Book          { return a.book }
-func (a *Agent) Caller() *wire.Caller { return a.call }
-func (a *Agent) Me() Member           { return a.opt.Me }
+func (a *Agent) Book() *Book         { return a.book }
+func (a *Agent) Caller() *rpc.Caller { return a.call }
+func (a *Agent) Me() Member          { return a.opt.Me }
 
 // Mount lets neighbours ask whereabouts and news of this node.
 func (a *Agent) Mount(mux *http.ServeMux) {
 	a.book.Serve(mux)
-	wire.Handle(mux, "crux/news", func(ctx context.Context, q *NewsAsk) (*NewsReply, error) {
+	rpc.Handle(mux, "crux/news", func(ctx context.Context, q *NewsAsk) (*NewsReply, error) {
 		if a.sight.Load().seq == 0 {
-			return nil, breakdown.New(breakdown.Away, "news", a.opt.Me.Addr, "nothing is known yet")
+			return nil, failure.New(failure.Away, "news", a.opt.Me.Addr, "nothing is known yet")
 		}
 		return a.feed.news(ctx, q, func() (*Image, error) { return a.image(), nil })
 	})
@@ -137,7 +137,7 @@
 // lapsed until it is renewed anew.
 func (a *Agent) Awake() bool {
 	now := a.opt.Host.Clock.Now()
-	old := word.Tick(a.tick.Load())
+	old := ids.Tick(a.tick.Load())
 	if now.Past(old, a.opt.Gap) {
 		a.until.Store(0)
 		a.forget()
@@ -152,7 +152,7 @@
 
 // Fresh tells for how long the core has not confirmed this node.
 func (a *Agent) Fresh() time.Duration {
-	return a.opt.Host.Clock.Now().Since(word.Tick(a.sent.Load()))
+	return a.opt.Host.Clock.Now().Since(ids.Tick(a.sent.Load()))
 }
 
 // Caught tells that the core confirmed this node within a span, and that the news up
@@ -163,7 +163,7 @@
 
 // Held gives the fence of a key if this node may act under it now. While the
 // core as a whole is away the last view is kept; workers refuse older fences.
-func (a *Agent) Held(k word.Key) (word.Fence, bool) {
+func (a *Agent) Held(k ids.Key) (ids.Fence, bool) {
 	leased := a.Awake()
 	s := a.sight.Load()
 	g, ok := s.grants[k]
@@ -181,7 +181,7 @@
 
 // Begin marks an order under a key as under way, so that the key is given back
 // only when it has ended.
-func (a *Agent) Begin(k word.Key) (word.Fence, func(), bool) {
+func (a *Agent) Begin(k ids.Key) (ids.Fence, func(), bool) {
 	n, _ := a.busy.LoadOrStore(k, new(atomic.Int64))
 	n.(*atomic.Int64).Add(1)
 	end := func() { n.(*atomic.Int64).Add(-1) }
@@ -194,7 +194,7 @@
 }
 
 // Holder gives the member that does a key's duty as far as is known.
-func (a *Agent) Holder(k word.Key) (Member, word.Fence, bool) {
+func (a *Agent) Holder(k ids.Key) (Member, ids.Fence, bool) {
 	s := a.sight.Load()
 	g, ok := s.grants[k]
 	if !ok {
@@ -220,7 +220,7 @@
 }
 
 func (a *Agent) Members() []Member { return a.sight.Load().members }
-func (a *Agent) Seq() word.Seq     { return a.sight.Load().seq }
+func (a *Agent) Seq() ids.Seq      { return a.sight.Load().seq }
 
 func (a *Agent) keep(ctx context.Context) {
 	for {
@@ -265,7 +265,7 @@
 		}
 		return true
 	})
-	r, err := wire.Call[RenewAsk, RenewReply](ctx, a.call, a.book.Addr(a.book.Record().Primary), "crux/renew", q)
+	r, err := rpc.Call[RenewAsk, RenewReply](ctx, a.call, a.book.Addr(a.book.Record().Primary), "crux/renew", q)
 	if err != nil {
 		return err
 	}
--- a/crux/agent_test.go
+++ b/coordination/agent_test.go
@@ -1,6 +1,6 @@
 // The agent alone, against a core that only renews.
 
-package crux
+package coordination
 
 import (
 	"context"
@@ -11,16 +11,16 @@
 
 	"github.com/stretchr/testify/require"
 
+	"keelstair.example/ids"
+	"keelstair.example/rpc"
 	"keelstair.example/seam/sham"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 type blank struct{}
 
-func (blank) Restore([]byte) error               { return nil }
-func (blank) Fold(word.Seq, string, []byte) bool { return false }
-func (blank) Picture() []byte                    { return nil }
+func (blank) Restore([]byte) error              { return nil }
+func (blank) Fold(ids.Seq, string, []byte) bool { return false }
+func (blank) Picture() []byte                   { return nil }
 
 // TestLateNews: a lease that lapsed and is renewed gives back no key before the
 // news up to the renewal is folded, since the key may have gone elsewhere.
@@ -31,14 +31,14 @@
 		ctx, stop := context.WithCancel(context.Background())
 		defer func() { stop(); core.Kill(); node.Kill(); time.Sleep(10 * time.Second) }()
 		mux := http.NewServeMux()
-		wire.Handle(mux, "crux/renew", func(context.Context, *RenewAsk) (*RenewReply, error) { return &RenewReply{Seq: 9}, nil })
+		rpc.Handle(mux, "crux/renew", func(context.Context, *RenewAsk) (*RenewReply, error) { return &RenewReply{Seq: 9}, nil })
 		l, err := core.Host().Net.Listen("10.0.0.1:1")
 		require.NoError(t, err)
-		go wire.Serve(ctx, l, mux)
+		go rpc.Serve(ctx, l, mux)
 		a := NewAgent(AgentOptions{Me: Member{Node: "n", Addr: "10.0.0.2:1"}, Host: node.Host(), View: blank{}})
 		a.book.Learn(&WhereAsk{Record: Record{Epoch: 1, Founding: "f", Primary: Seat{Disk: "d", Addr: "10.0.0.1:1"}}})
-		at := func(seq word.Seq) {
-			a.sight.Store(&sight{seq: seq, grants: map[word.Key]Grant{"k": {Key: "k", Node: "n", Fence: 3}}})
+		at := func(seq ids.Seq) {
+			a.sight.Store(&sight{seq: seq, grants: map[ids.Key]Grant{"k": {Key: "k", Node: "n", Fence: 3}}})
 		}
 		at(5)
 		_, ok := a.Held("k")
--- a/crux/anew.go
+++ b/coordination/anew.go
@@ -3,15 +3,15 @@
 // an epoch far above all that were. It is refused where it could harm: while another
 // holder is heard, on a disk that is behind, or on one that carries no data.
 
-package crux
+package coordination
 
 import (
 	"context"
 	"time"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 	"keelstair.example/seam"
-	"keelstair.example/word"
 )
 
 const (
@@ -22,7 +22,7 @@
 
 func (c *Core) anew(ctx context.Context) error {
 	no := func(form string, args ...any) error {
-		return breakdown.New(breakdown.Bad, "found anew", c.me.Addr, form, args...)
+		return failure.New(failure.Bad, "found anew", c.me.Addr, form, args...)
 	}
 	rec, _ := c.accepted()
 	switch {
@@ -64,7 +64,7 @@
 	c.roll.fence += anewJump
 	c.roll.seq += anewJump
 	// Who holds what may have changed beyond this disk's knowledge: all is dealt anew.
-	c.roll.grants = map[word.Key]Grant{}
+	c.roll.grants = map[ids.Key]Grant{}
 	img, shelf := c.roll.picture(false), sheets(c.roll.app)
 	err := c.store.reset(img, shelf)
 	c.dataMu.Unlock()
--- a/crux/anew_test.go
+++ b/coordination/anew_test.go
@@ -1,6 +1,6 @@
 // Two of three disk machines lost for good.
 
-package crux_test
+package coordination_test
 
 import (
 	"testing"
--- a/crux/asks.go
+++ b/coordination/asks.go
@@ -1,24 +1,24 @@
 // The messages between the core and those who live by it: submitting a
 // command, asking where the core is.
 
-package crux
+package coordination
 
-import "keelstair.example/word"
+import "keelstair.example/ids"
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file asks.go
-//msgp:shim word.OpId as:string using:string/word.OpId
-//msgp:shim word.Seq as:uint64 using:uint64/word.Seq
+//msgp:shim ids.OpId as:string using:string/ids.OpId
+//msgp:shim ids.Seq as:uint64 using:uint64/ids.Seq
 
 // SubmitAsk asks for one command. Asking again with the same Op gives the
 // outcome that the first asking had.
 type SubmitAsk struct {
-	Op   word.OpId
+	Op   ids.OpId
 	Kind string
 	Body []byte
 }
 
 type SubmitReply struct {
-	Seq  word.Seq
+	Seq  ids.Seq
 	Body []byte
 	Code string
 	Why  string
@@ -31,7 +31,7 @@
 	Record  Record
 	Seats   []Seat
 	Members []Member
-	Seq     word.Seq // of the log, that the members are as of
+	Seq     ids.Seq // of the log, that the members are as of
 }
 
 type Empty struct{}
--- a/crux/ballot_note.go
+++ b/coordination/ballot_note.go
@@ -1,17 +1,17 @@
 // The two rounds that decide a record.
 
-package crux
+package coordination
 
-import "keelstair.example/word"
+import "keelstair.example/ids"
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file ballot_note.go
-//msgp:shim word.Epoch as:uint64 using:uint64/word.Epoch
-//msgp:shim word.Seq as:uint64 using:uint64/word.Seq
-//msgp:shim word.DiskId as:string using:string/word.DiskId
+//msgp:shim ids.Epoch as:uint64 using:uint64/ids.Epoch
+//msgp:shim ids.Seq as:uint64 using:uint64/ids.Seq
+//msgp:shim ids.DiskId as:string using:string/ids.DiskId
 
 // BallotAsk is either round: promise, or accept of Record.
 type BallotAsk struct {
-	Epoch    word.Epoch
+	Epoch    ids.Epoch
 	From     Seat
 	Accept   bool
 	Takeover bool
@@ -20,7 +20,7 @@
 
 type BallotReply struct {
 	Ok       bool
-	Promised word.Epoch
+	Promised ids.Epoch
 	Accepted Record
 	Why      string
 }
--- a/crux/book.go
+++ b/coordination/book.go
@@ -3,7 +3,7 @@
 // the first pages come from; whoever answers is asked again, so a book outlives
 // the swap of every seed.
 
-package crux
+package coordination
 
 import (
 	"context"
@@ -13,15 +13,15 @@
 	"sync"
 	"time"
 
+	"keelstair.example/ids"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 type seatSeen struct {
 	Seat
 	blank bool
-	at    word.Tick
+	at    ids.Tick
 }
 
 // Book is safe for use by many threads.
@@ -31,17 +31,17 @@
 	seeds   []string
 	me      WhereAsk
 	record  Record
-	seats   map[word.DiskId]seatSeen
+	seats   map[ids.DiskId]seatSeen
 	members []Member
-	seq     word.Seq // of the log, that the members are as of
-	call    *wire.Caller
+	seq     ids.Seq // of the log, that the members are as of
+	call    *rpc.Caller
 	foreign string
 	grown   chan struct{} // closed when a newer record is learnt
-	heardAt word.Tick     // when any other process was heard last
+	heardAt ids.Tick      // when any other process was heard last
 }
 
-func NewBook(host seam.Host, call *wire.Caller, seeds []string, me Seat) *Book {
-	return &Book{host: host, call: call, seeds: seeds, me: WhereAsk{Me: me}, seats: map[word.DiskId]seatSeen{}, grown: make(chan struct{})}
+func NewBook(host seam.Host, call *rpc.Caller, seeds []string, me Seat) *Book {
+	return &Book{host: host, call: call, seeds: seeds, me: WhereAsk{Me: me}, seats: map[ids.DiskId]seatSeen{}, grown: make(chan struct{})}
 }
 
 // Page is what the book would tell another process now.
@@ -93,7 +93,7 @@
 }
 
 // Heard tells when any other process was heard last.
-func (b *Book) Heard() word.Tick {
+func (b *Book) Heard() ids.Tick {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.heardAt
@@ -108,7 +108,7 @@
 
 // SetMembers is called by those who follow the news themselves; seq is the number of the
 // log up to which they have.
-func (b *Book) SetMembers(seq word.Seq, ms []Member) {
+func (b *Book) SetMembers(seq ids.Seq, ms []Member) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.enlist(seq, ms)
@@ -116,7 +116,7 @@
 
 // enlist takes members that are newer than those known. Epochs do not tell: whoever hears
 // of a newer one may know members of long ago.
-func (b *Book) enlist(seq word.Seq, ms []Member) {
+func (b *Book) enlist(seq ids.Seq, ms []Member) {
 	if seq > b.seq {
 		b.seq, b.members = seq, ms
 	}
@@ -142,7 +142,7 @@
 		go func() {
 			cx, stop := context.WithTimeout(ctx, 700*time.Millisecond)
 			defer stop()
-			wire.Call[WhereAsk, WhereAsk](cx, b.call, a, "crux/where", p)
+			rpc.Call[WhereAsk, WhereAsk](cx, b.call, a, "crux/where", p)
 		}()
 	}
 }
@@ -222,7 +222,7 @@
 		wg.Go(func() {
 			c, stop := context.WithTimeout(ctx, 700*time.Millisecond)
 			defer stop()
-			if p, err := wire.Call[WhereAsk, WhereAsk](c, b.call, a, "crux/where", b.Page()); err == nil {
+			if p, err := rpc.Call[WhereAsk, WhereAsk](c, b.call, a, "crux/where", b.Page()); err == nil {
 				b.Learn(p)
 			}
 		})
@@ -250,7 +250,7 @@
 
 // Serve answers others from the book.
 func (b *Book) Serve(mux *http.ServeMux) {
-	wire.Handle(mux, "crux/where", func(_ context.Context, q *WhereAsk) (*WhereAsk, error) {
+	rpc.Handle(mux, "crux/where", func(_ context.Context, q *WhereAsk) (*WhereAsk, error) {
 		b.Learn(q)
 		return b.Page(), nil
 	})
--- a/crux/book_test.go
+++ b/coordination/book_test.go
@@ -1,21 +1,21 @@
 // Pages of whereabouts that went round for a while.
 
-package crux
+package coordination
 
 import (
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"keelstair.example/ids"
 	"keelstair.example/seam/sham"
-	"keelstair.example/word"
 )
 
 // TestStalePage: of two pages of one epoch the one that has more of the log tells who the
 // members are, whichever comes last; so does one that tells of none left.
 func TestStalePage(t *testing.T) {
 	rec := Record{Epoch: 3, Founding: "f"}
-	page := func(epoch word.Epoch, seq word.Seq, names ...word.NodeId) *WhereAsk {
+	page := func(epoch ids.Epoch, seq ids.Seq, names ...ids.NodeId) *WhereAsk {
 		p := &WhereAsk{Record: rec, Seq: seq}
 		p.Record.Epoch = epoch
 		for _, n := range names {
@@ -23,9 +23,9 @@
 		}
 		return p
 	}
-	has := func(b *Book, names ...word.NodeId) {
+	has := func(b *Book, names ...ids.NodeId) {
 		t.Helper()
-		var got []word.NodeId
+		var got []ids.NodeId
 		for _, m := range b.Page().Members {
 			got = append(got, m.Node)
 		}
@@ -48,7 +48,7 @@
 	has(b, "c")
 	b.SetMembers(6, page(4, 6, "a", "b", "c").Members)
 	has(b, "c")
-	require.Equal(t, word.Seq(7), b.Page().Seq)
+	require.Equal(t, ids.Seq(7), b.Page().Seq)
 	b.Learn(page(4, 8))
 	has(b)
 	b.Learn(page(4, 7, "c"))
--- a/crux/core.go
+++ b/coordination/core.go
@@ -2,7 +2,7 @@
 // and primary, backup or spare as the newest record says. This file joins its
 // pieces and answers its neighbours.
 
-package crux
+package coordination
 
 import (
 	"context"
@@ -15,17 +15,17 @@
 	"sync/atomic"
 	"time"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
 	"keelstair.example/tale"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 // Options of a core; zero spans take the defaults named beside them.
 type Options struct {
 	Addr    string
-	Zone    word.Zone
+	Zone    ids.Zone
 	Host    seam.Host
 	Seeds   []string
 	Machine func() Machine
@@ -41,11 +41,11 @@
 }
 
 func (o *Options) fill() {
-	word.Or(&o.Beat, 200*time.Millisecond)
-	word.Or(&o.Silence, 900*time.Millisecond)
-	word.Or(&o.Lease, 3*time.Second)
-	word.Or(&o.Stall, time.Second)
-	word.Or(&o.Replace, 2*time.Second)
+	ids.Or(&o.Beat, 200*time.Millisecond)
+	ids.Or(&o.Silence, 900*time.Millisecond)
+	ids.Or(&o.Lease, 3*time.Second)
+	ids.Or(&o.Stall, time.Second)
+	ids.Or(&o.Replace, 2*time.Second)
 	o.Losses = max(1, o.Losses)
 	if o.Ring == nil {
 		o.Ring = tale.Mute()
@@ -55,14 +55,14 @@
 type Core struct {
 	opt   Options
 	me    Seat
-	call  *wire.Caller
+	call  *rpc.Caller
 	book  *Book
 	store *store
 	feed  *feed
 
 	regMu seam.Latch
 	reg   register
-	heard map[word.DiskId]word.Tick
+	heard map[ids.DiskId]ids.Tick
 
 	dataMu seam.Latch
 	roll   *roll
@@ -77,7 +77,7 @@
 // New opens the disk and reads what it holds. It starts nothing.
 func New(opt Options) (*Core, error) {
 	opt.fill()
-	c := &Core{opt: opt, regMu: seam.NewLatch(), dataMu: seam.NewLatch(), feed: newFeed(), heard: map[word.DiskId]word.Tick{}, fatal: make(chan error, 1)}
+	c := &Core{opt: opt, regMu: seam.NewLatch(), dataMu: seam.NewLatch(), feed: newFeed(), heard: map[ids.DiskId]ids.Tick{}, fatal: make(chan error, 1)}
 	c.store = &store{disk: opt.Host.Disk, stall: opt.Stall}
 	id, err := opt.Host.Disk.Load(identityFile)
 	if errors.Is(err, seam.ErrGone) {
@@ -85,9 +85,9 @@
 		err = opt.Host.Disk.Save(identityFile, id)
 	}
 	if err != nil {
-		return nil, breakdown.Wrap(err, "open identity", "disk")
+		return nil, failure.Wrap(err, "open identity", "disk")
 	}
-	c.me = Seat{Disk: word.DiskId(id), Addr: opt.Addr, Zone: opt.Zone}
+	c.me = Seat{Disk: ids.DiskId(id), Addr: opt.Addr, Zone: opt.Zone}
 	if c.reg, err = c.store.loadRegister(); err != nil {
 		return nil, err
 	}
@@ -95,7 +95,7 @@
 	if err := c.store.load(c.roll); err != nil {
 		return nil, err
 	}
-	c.call = wire.NewCaller(opt.Host.Net)
+	c.call = rpc.NewCaller(opt.Host.Net)
 	c.book = NewBook(opt.Host, c.call, opt.Seeds, c.me)
 	c.book.me.Blank = c.reg.Accepted.Founding == ""
 	c.book.Learn(&WhereAsk{Record: c.reg.Accepted})
@@ -122,8 +122,8 @@
 	return hex.EncodeToString(sum[:12])
 }
 
-func (c *Core) Book() *Book          { return c.book }
-func (c *Core) Caller() *wire.Caller { return c.call }
+func (c *Core) Book() *Book         { return c.book }
+func (c *Core) Caller() *rpc.Caller { return c.call }
 
 // Leads tells whether this core is the primary now.
 func (c *Core) Leads() bool { return c.lead.Load() != nil }
@@ -131,14 +131,14 @@
 // Mount puts the core's answers on a mux.
 func (c *Core) Mount(mux *http.ServeMux) {
 	c.book.Serve(mux)
-	wire.Handle(mux, "crux/ballot", c.ballot)
-	wire.Handle(mux, "crux/append", c.append)
-	wire.Handle(mux, "crux/picture", c.picture)
-	wire.Handle(mux, "crux/sheet", c.sheet)
-	wire.Handle(mux, "crux/submit", c.submit)
-	wire.Handle(mux, "crux/renew", c.renew)
-	wire.Handle(mux, "crux/news", c.news)
-	wire.Handle(mux, "crux/beat", c.beat)
+	rpc.Handle(mux, "crux/ballot", c.ballot)
+	rpc.Handle(mux, "crux/append", c.append)
+	rpc.Handle(mux, "crux/picture", c.picture)
+	rpc.Handle(mux, "crux/sheet", c.sheet)
+	rpc.Handle(mux, "crux/submit", c.submit)
+	rpc.Handle(mux, "crux/renew", c.renew)
+	rpc.Handle(mux, "crux/news", c.news)
+	rpc.Handle(mux, "crux/beat", c.beat)
 }
 
 // Run takes part until the context ends. It returns early only on a breakdown
@@ -194,13 +194,13 @@
 	}
 }
 
-func (c *Core) accepted() (Record, word.Epoch) {
+func (c *Core) accepted() (Record, ids.Epoch) {
 	c.regMu.Lock()
 	defer c.regMu.Unlock()
 	return c.reg.Accepted, c.reg.Promised
 }
 
-func holds(list []Seat, d word.DiskId) bool {
+func holds(list []Seat, d ids.DiskId) bool {
 	for _, s := range list {
 		if s.Disk == d {
 			return true
@@ -211,7 +211,7 @@
 
 // ballot answers either round of the register, synced before the answer.
 func (c *Core) ballot(_ context.Context, q *BallotAsk) (*BallotReply, error) {
-	ready := word.Epoch(c.ready.Load())
+	ready := ids.Epoch(c.ready.Load())
 	c.regMu.Lock()
 	defer c.regMu.Unlock()
 	now := c.opt.Host.Clock.Now()
@@ -246,7 +246,7 @@
 	return out("")
 }
 
-func (c *Core) alive(d word.DiskId, now word.Tick) bool {
+func (c *Core) alive(d ids.DiskId, now ids.Tick) bool {
 	if d == c.me.Disk {
 		return c.Leads()
 	}
@@ -285,7 +285,7 @@
 	for i := range q.Entries {
 		if _, err := c.roll.apply(&q.Entries[i]); err != nil {
 			c.sour = true
-			return nil, breakdown.Wrap(err, "apply entry", q.From.Addr)
+			return nil, failure.Wrap(err, "apply entry", q.From.Addr)
 		}
 	}
 	if _, promised = c.accepted(); promised > q.Epoch {
@@ -311,7 +311,7 @@
 	}
 	var img Image
 	if _, err := img.UnmarshalMsg(q.Body); err != nil {
-		return nil, breakdown.As(err, breakdown.Bad, "read picture", q.From.Addr)
+		return nil, failure.As(err, failure.Bad, "read picture", q.From.Addr)
 	}
 	near := sheets(c.roll.app)
 	known := map[string]bool{}
@@ -344,7 +344,7 @@
 func (c *Core) submit(ctx context.Context, q *SubmitAsk) (*SubmitReply, error) {
 	l := c.lead.Load()
 	if l == nil {
-		return nil, breakdown.New(breakdown.Away, "submit", c.me.Addr, "not the primary")
+		return nil, failure.New(failure.Away, "submit", c.me.Addr, "not the primary")
 	}
 	j := &job{ent: &Entry{Kind: q.Kind, Body: q.Body, Op: q.Op}, done: make(chan struct{})}
 	if err := l.ask(ctx, j); err != nil {
@@ -359,7 +359,7 @@
 func (c *Core) renew(ctx context.Context, q *RenewAsk) (*RenewReply, error) {
 	l := c.lead.Load()
 	if l == nil {
-		return nil, breakdown.New(breakdown.Away, "renew", c.me.Addr, "not the primary")
+		return nil, failure.New(failure.Away, "renew", c.me.Addr, "not the primary")
 	}
 	j := &job{renew: q, done: make(chan struct{})}
 	if err := l.ask(ctx, j); err != nil {
@@ -371,7 +371,7 @@
 func (c *Core) news(ctx context.Context, q *NewsAsk) (*NewsReply, error) {
 	l := c.lead.Load()
 	if l == nil {
-		return nil, breakdown.New(breakdown.Away, "news", c.me.Addr, "not the primary")
+		return nil, failure.New(failure.Away, "news", c.me.Addr, "not the primary")
 	}
 	return c.feed.news(ctx, q, func() (*Image, error) {
 		j := &job{peek: true, done: make(chan struct{})}
--- a/crux/entry.go
+++ b/coordination/entry.go
@@ -1,36 +1,36 @@
 // The messages that carry the log: entries from primary to backup.
 
-package crux
+package coordination
 
-import "keelstair.example/word"
+import "keelstair.example/ids"
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file entry.go
-//msgp:shim word.Epoch as:uint64 using:uint64/word.Epoch
-//msgp:shim word.Seq as:uint64 using:uint64/word.Seq
-//msgp:shim word.DiskId as:string using:string/word.DiskId
-//msgp:shim word.OpId as:string using:string/word.OpId
+//msgp:shim ids.Epoch as:uint64 using:uint64/ids.Epoch
+//msgp:shim ids.Seq as:uint64 using:uint64/ids.Seq
+//msgp:shim ids.DiskId as:string using:string/ids.DiskId
+//msgp:shim ids.OpId as:string using:string/ids.OpId
 
 // Entry is one command in the log. Open entries are also news for followers;
 // a closed one shows there as its number only.
 type Entry struct {
-	Seq  word.Seq
+	Seq  ids.Seq
 	Open bool
 	Kind string
-	Op   word.OpId
+	Op   ids.OpId
 	Body []byte
 }
 
 type AppendAsk struct {
-	Epoch   word.Epoch
+	Epoch   ids.Epoch
 	From    Seat
-	Prev    word.Seq
+	Prev    ids.Seq
 	Entries []Entry
 }
 
 type AppendReply struct {
-	Disk     word.DiskId // who answers a beat
+	Disk     ids.DiskId // who answers a beat
 	Ok       bool
-	Last     word.Seq
-	Promised word.Epoch
+	Last     ids.Seq
+	Promised ids.Epoch
 	Lacks    []string
 }
--- a/crux/example_test.go
+++ b/coordination/example_test.go
@@ -1,7 +1,7 @@
 // The core as others embed it: a small machine, its followers, and the runs that
 // lose machines, cut links and freeze them, over many seeds.
 
-package crux_test
+package coordination_test
 
 import (
 	"context"
@@ -15,30 +15,30 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
+	"keelstair.example/rpc"
 	"keelstair.example/seam/sham"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 // tally is the smallest machine an embedder may bring: a sum, and two duties.
 type tally struct{ sum int }
 
-func (t *tally) Apply(_ word.Seq, kind string, body []byte) ([]byte, error) {
+func (t *tally) Apply(_ ids.Seq, kind string, body []byte) ([]byte, error) {
 	n, err := strconv.Atoi(string(body))
 	if err != nil || kind != "add" {
-		return nil, breakdown.New(breakdown.Bad, "apply", kind, "it adds numbers only")
+		return nil, failure.New(failure.Bad, "apply", kind, "it adds numbers only")
 	}
 	t.sum += n
 	return []byte(strconv.Itoa(t.sum)), nil
 }
 
-func (t *tally) Open(string) bool                             { return true }
-func (t *tally) Picture(bool) []byte                          { return []byte(strconv.Itoa(t.sum)) }
-func (t *tally) Restore(b []byte) (err error)                 { t.sum, err = strconv.Atoi(string(b)); return err }
-func (t *tally) Keys() []word.Key                             { return []word.Key{"left", "right"} }
-func (t *tally) Due(word.Tick, word.Seq, word.Seq) []crux.Cmd { return nil }
+func (t *tally) Open(string) bool                                  { return true }
+func (t *tally) Picture(bool) []byte                               { return []byte(strconv.Itoa(t.sum)) }
+func (t *tally) Restore(b []byte) (err error)                      { t.sum, err = strconv.Atoi(string(b)); return err }
+func (t *tally) Keys() []ids.Key                                   { return []ids.Key{"left", "right"} }
+func (t *tally) Due(ids.Tick, ids.Seq, ids.Seq) []coordination.Cmd { return nil }
 
 // echo is a follower's view of it.
 type echo struct{ sum atomic.Int64 }
@@ -49,7 +49,7 @@
 	return err
 }
 
-func (e *echo) Fold(_ word.Seq, _ string, body []byte) bool {
+func (e *echo) Fold(_ ids.Seq, _ string, body []byte) bool {
 	n, _ := strconv.Atoi(string(body))
 	e.sum.Add(int64(n))
 	return false
@@ -62,8 +62,8 @@
 	w      *sham.World
 	procs  map[string]*sham.Proc
 	stops  map[string]context.CancelFunc
-	cores  map[string]*crux.Core
-	agents []*crux.Agent
+	cores  map[string]*coordination.Core
+	agents []*coordination.Agent
 	views  []*echo
 	seeds  []string
 	losses int
@@ -73,7 +73,7 @@
 
 // buildOf is a fleet of so many cores that bears so many losses at once.
 func buildOf(seed uint64, cores, losses int) *fleet {
-	f := &fleet{losses: losses, w: sham.NewWorld(seed), procs: map[string]*sham.Proc{}, stops: map[string]context.CancelFunc{}, cores: map[string]*crux.Core{}}
+	f := &fleet{losses: losses, w: sham.NewWorld(seed), procs: map[string]*sham.Proc{}, stops: map[string]context.CancelFunc{}, cores: map[string]*coordination.Core{}}
 	for i := range cores {
 		f.seeds = append(f.seeds, fmt.Sprintf("10.0.0.%d:1", i+1))
 	}
@@ -87,10 +87,10 @@
 	return f
 }
 
-func (f *fleet) agent(ip string) (*crux.Agent, *echo) {
+func (f *fleet) agent(ip string) (*coordination.Agent, *echo) {
 	v := &echo{}
 	p := f.w.Machine(ip).Start()
-	a := crux.NewAgent(crux.AgentOptions{Me: crux.Member{Node: word.NodeId(ip), Addr: ip + ":1"}, Host: p.Host(), Seeds: f.seeds, View: v})
+	a := coordination.NewAgent(coordination.AgentOptions{Me: coordination.Member{Node: ids.NodeId(ip), Addr: ip + ":1"}, Host: p.Host(), Seeds: f.seeds, View: v})
 	f.run(ip, ip+":1", p, a.Mount, a.Run)
 	return a, v
 }
@@ -104,7 +104,7 @@
 	}
 	mux := http.NewServeMux()
 	mount(mux)
-	go wire.Serve(ctx, l, mux)
+	go rpc.Serve(ctx, l, mux)
 	go run(ctx)
 }
 
@@ -113,7 +113,7 @@
 func (f *fleet) coreAs(addr string, anew bool) chan error {
 	ip := addr[:len(addr)-2]
 	p := f.w.Machine(ip).Start()
-	c, err := crux.New(crux.Options{Addr: addr, Host: p.Host(), Seeds: f.seeds, Machine: func() crux.Machine { return &tally{} }, Anew: anew, Losses: f.losses})
+	c, err := coordination.New(coordination.Options{Addr: addr, Host: p.Host(), Seeds: f.seeds, Machine: func() coordination.Machine { return &tally{} }, Anew: anew, Losses: f.losses})
 	if err != nil {
 		panic(err)
 	}
@@ -150,7 +150,7 @@
 func (f *fleet) add(n int, op string, span time.Duration) error {
 	ctx, stop := context.WithTimeout(context.Background(), span)
 	defer stop()
-	_, err := f.agents[0].Submit(ctx, word.OpId(op), "add", []byte(strconv.Itoa(n)))
+	_, err := f.agents[0].Submit(ctx, ids.OpId(op), "add", []byte(strconv.Itoa(n)))
 	return err
 }
 
@@ -252,7 +252,7 @@
 			}
 		}()
 		for {
-			for _, k := range []word.Key{"left", "right"} {
+			for _, k := range []ids.Key{"left", "right"} {
 				_, a := f.agents[0].Held(k)
 				_, b := f.agents[1].Held(k)
 				require.False(t, a && b, "seed %d: both hold %s", seed, k)
@@ -293,7 +293,7 @@
 			f.off(a[:8])
 		}
 		p := f.w.Machine("10.7.0.1").Start()
-		c, err := crux.New(crux.Options{Addr: "10.7.0.1:1", Host: p.Host(), Seeds: mine, Machine: func() crux.Machine { return &tally{} }})
+		c, err := coordination.New(coordination.Options{Addr: "10.7.0.1:1", Host: p.Host(), Seeds: mine, Machine: func() coordination.Machine { return &tally{} }})
 		require.NoError(t, err)
 		ctx, stop := context.WithTimeout(context.Background(), 20*time.Second)
 		defer stop()
--- a/crux/feed.go
+++ b/coordination/feed.go
@@ -1,7 +1,7 @@
 // The feed: entries by number, the newest kept in memory. Whoever asks from a
 // place that is still kept gets what followed; anyone else needs a picture.
 
-package crux
+package coordination
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"github.com/gammazero/deque"
 
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 const keepNews = 2048
@@ -18,14 +18,14 @@
 type feed struct {
 	mu   sync.Mutex
 	row  deque.Deque[Entry]
-	last word.Seq
+	last ids.Seq
 	ring chan struct{}
 }
 
 func newFeed() *feed { return &feed{ring: make(chan struct{})} }
 
 // start forgets all and begins after a number.
-func (f *feed) start(at word.Seq) {
+func (f *feed) start(at ids.Seq) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.row.Clear()
@@ -55,10 +55,10 @@
 }
 
 // from gives what followed a place; ok is false when a picture is needed.
-func (f *feed) from(at word.Seq) (ents []Entry, last word.Seq, ok bool, ring chan struct{}) {
+func (f *feed) from(at ids.Seq) (ents []Entry, last ids.Seq, ok bool, ring chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	first := f.last - word.Seq(f.row.Len())
+	first := f.last - ids.Seq(f.row.Len())
 	if at < first || at > f.last {
 		return nil, f.last, false, f.ring
 	}
--- a/crux/follow.go
+++ b/coordination/follow.go
@@ -1,6 +1,6 @@
 // How an agent follows the news and submits commands.
 
-package crux
+package coordination
 
 import (
 	"context"
@@ -8,10 +8,10 @@
 	"math/rand/v2"
 	"time"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 // follow asks the core, and while that is away, neighbours.
@@ -55,7 +55,7 @@
 	ctx, stop := context.WithTimeout(ctx, wait+700*time.Millisecond)
 	defer stop()
 	q := &NewsAsk{From: a.Seq(), Wait: int64(wait)}
-	r, err := wire.Call[NewsAsk, NewsReply](ctx, a.call, addr, "crux/news", q)
+	r, err := rpc.Call[NewsAsk, NewsReply](ctx, a.call, addr, "crux/news", q)
 	if err != nil {
 		return err
 	}
@@ -73,13 +73,13 @@
 	case r.Picture != nil:
 		var img Image
 		if _, err := img.UnmarshalMsg(r.Picture); err != nil {
-			return breakdown.As(err, breakdown.Bad, "read picture", "news")
+			return failure.As(err, failure.Bad, "read picture", "news")
 		}
 		if img.Seq <= old.seq {
 			return nil
 		}
 		if err := a.opt.View.Restore(img.App); err != nil {
-			return breakdown.Wrap(err, "restore view", "news")
+			return failure.Wrap(err, "restore view", "news")
 		}
 		next.seq, next.fence = img.Seq, img.Fence
 		for _, m := range img.Members {
@@ -96,7 +96,7 @@
 		maps.Copy(next.grants, old.grants)
 		for _, e := range r.Entries {
 			if e.Seq != next.seq+1 {
-				return breakdown.New(breakdown.Bad, "fold news", "news", "entry %d follows %d", e.Seq, next.seq)
+				return failure.New(failure.Bad, "fold news", "news", "entry %d follows %d", e.Seq, next.seq)
 			}
 			next.seq = e.Seq
 			if c, err := parse(e.Kind, e.Body); err != nil {
@@ -115,7 +115,7 @@
 	a.sight.Store(s)
 	a.book.SetMembers(s.seq, s.members)
 	a.given.Range(func(k, g any) bool {
-		if s.grants[k.(word.Key)] != g.(Grant) {
+		if s.grants[k.(ids.Key)] != g.(Grant) {
 			a.given.Delete(k)
 		}
 		return true
@@ -129,18 +129,18 @@
 // Submit asks the core for a command until the context ends. The same op is
 // asked with throughout, so whichever asking is taken, the outcome is one. An
 // error of kind Unknown means that it may have been done.
-func (a *Agent) Submit(ctx context.Context, op word.OpId, kind string, body []byte) (*SubmitReply, error) {
+func (a *Agent) Submit(ctx context.Context, op ids.OpId, kind string, body []byte) (*SubmitReply, error) {
 	return Submit(ctx, a.call, a.book, &SubmitAsk{Op: op, Kind: kind, Body: body})
 }
 
 // Submit is for those that hold no lease.
-func Submit(ctx context.Context, call *wire.Caller, book *Book, q *SubmitAsk) (*SubmitReply, error) {
+func Submit(ctx context.Context, call *rpc.Caller, book *Book, q *SubmitAsk) (*SubmitReply, error) {
 	var doubt error
 	final := func(err error) bool {
-		if breakdown.Is(err, breakdown.Unknown) {
+		if failure.Is(err, failure.Unknown) {
 			doubt = err
 		}
-		return breakdown.Is(err, breakdown.Stale) || breakdown.Is(err, breakdown.Bad)
+		return failure.Is(err, failure.Stale) || failure.Is(err, failure.Bad)
 	}
 	r, addr, err := Primary[SubmitAsk, SubmitReply](ctx, call, book, 1500*time.Millisecond, "crux/submit", q, final)
 	switch {
@@ -149,19 +149,19 @@
 	case final(err):
 		return nil, err
 	case doubt != nil:
-		return nil, breakdown.As(doubt, breakdown.Unknown, "submit", addr)
+		return nil, failure.As(doubt, failure.Unknown, "submit", addr)
 	}
-	return nil, breakdown.As(err, breakdown.Away, "submit", addr)
+	return nil, failure.As(err, failure.Away, "submit", addr)
 }
 
 // Primary asks the primary, each time for the span at most, until it answers, an error is
 // final, or the context ends; the address asked last comes with it. Between askings it
 // looks for the primary. No error is final if final is nil.
-func Primary[Q, R any](ctx context.Context, call *wire.Caller, book *Book, span time.Duration, name string, q *Q, final func(error) bool) (*R, string, error) {
+func Primary[Q, R any](ctx context.Context, call *rpc.Caller, book *Book, span time.Duration, name string, q *Q, final func(error) bool) (*R, string, error) {
 	for {
 		cx, stop := context.WithTimeout(ctx, span)
 		addr := book.Addr(book.Record().Primary)
-		r, err := wire.Call[Q, R](cx, call, addr, name, q)
+		r, err := rpc.Call[Q, R](cx, call, addr, name, q)
 		stop()
 		if err == nil || final != nil && final(err) {
 			return r, addr, err
--- a/crux/image_note.go
+++ b/coordination/image_note.go
@@ -1,19 +1,19 @@
 // The picture of all that the core holds.
 
-package crux
+package coordination
 
-import "keelstair.example/word"
+import "keelstair.example/ids"
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file image_note.go
-//msgp:shim word.Seq as:uint64 using:uint64/word.Seq
-//msgp:shim word.OpId as:string using:string/word.OpId
-//msgp:shim word.Fence as:uint64 using:uint64/word.Fence
+//msgp:shim ids.Seq as:uint64 using:uint64/ids.Seq
+//msgp:shim ids.OpId as:string using:string/ids.OpId
+//msgp:shim ids.Fence as:uint64 using:uint64/ids.Fence
 
 // Image is a picture of all that the core holds.
 type Image struct {
-	Seq     word.Seq
+	Seq     ids.Seq
 	Log     string
-	Fence   word.Fence
+	Fence   ids.Fence
 	Members []Member
 	Grants  []Grant
 	Ops     []Past
@@ -23,7 +23,7 @@
 
 // Past is the outcome an operation had.
 type Past struct {
-	Op   word.OpId
-	Seq  word.Seq
+	Op   ids.OpId
+	Seq  ids.Seq
 	Body []byte
 }
--- a/crux/lead.go
+++ b/coordination/lead.go
@@ -3,16 +3,16 @@
 // renewal of a lease counts only with a beat that the backup confirmed after
 // the renewal came, so a deposed primary can lengthen no lease.
 
-package crux
+package coordination
 
 import (
 	"context"
 	"sync"
 	"time"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/wire"
-	"keelstair.example/word"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
+	"keelstair.example/rpc"
 )
 
 type job struct {
@@ -32,14 +32,14 @@
 	rec   Record
 	jobs  chan *job
 	end   chan struct{}
-	since word.Tick
-	deals word.Tick
-	nodes map[word.NodeId]*tenant
-	asked word.Tick
+	since ids.Tick
+	deals ids.Tick
+	nodes map[ids.NodeId]*tenant
+	asked ids.Tick
 }
 
 func (l *leader) ask(ctx context.Context, j *job) error {
-	away := breakdown.New(breakdown.Bounced, "ask primary", l.c.me.Addr, "it has stood down")
+	away := failure.New(failure.Bounced, "ask primary", l.c.me.Addr, "it has stood down")
 	select {
 	case <-l.end:
 		return away
@@ -50,13 +50,13 @@
 	case <-l.end:
 		return away
 	case <-ctx.Done():
-		return breakdown.As(ctx.Err(), breakdown.Bounced, "ask primary", l.c.me.Addr)
+		return failure.As(ctx.Err(), failure.Bounced, "ask primary", l.c.me.Addr)
 	}
 	select {
 	case <-j.done:
 		return nil
 	case <-ctx.Done():
-		return breakdown.As(ctx.Err(), breakdown.Unknown, "ask primary", l.c.me.Addr)
+		return failure.As(ctx.Err(), failure.Unknown, "ask primary", l.c.me.Addr)
 	}
 }
 
@@ -64,7 +64,7 @@
 func (c *Core) serve(ctx context.Context, rec Record) {
 	now := c.opt.Host.Clock.Now()
 	l := &leader{c: c, rec: rec, jobs: make(chan *job, 256), end: make(chan struct{}), since: now,
-		deals: now.Add(c.opt.Lease + c.opt.Lease/10), nodes: map[word.NodeId]*tenant{}}
+		deals: now.Add(c.opt.Lease + c.opt.Lease/10), nodes: map[ids.NodeId]*tenant{}}
 	c.dataMu.Lock()
 	for n, m := range c.roll.members {
 		l.nodes[n] = &tenant{Member: m, last: now}
@@ -82,7 +82,7 @@
 	for {
 		select {
 		case j := <-l.jobs:
-			l.finish(j, breakdown.New(breakdown.Bounced, "write", c.me.Addr, "stood down before it was taken"))
+			l.finish(j, failure.New(failure.Bounced, "write", c.me.Addr, "stood down before it was taken"))
 		default:
 			return
 		}
@@ -159,7 +159,7 @@
 	err := l.write(ctx, prev, ents)
 	if err != nil {
 		c.sour = true
-		err = breakdown.As(err, breakdown.Unknown, "write", c.me.Addr)
+		err = failure.As(err, failure.Unknown, "write", c.me.Addr)
 		for _, j := range batch {
 			l.finish(j, err)
 		}
@@ -184,7 +184,7 @@
 
 // write returns only once all copies are synced. A silent backup is replaced
 // on the spot, by a picture that holds the entries too; meanwhile all wait.
-func (l *leader) write(ctx context.Context, prev word.Seq, ents []Entry) error {
+func (l *leader) write(ctx context.Context, prev ids.Seq, ents []Entry) error {
 	c := l.c
 	var wg sync.WaitGroup
 	var mine error
@@ -217,7 +217,7 @@
 			l.rec = rec
 			return nil
 		}
-		if breakdown.Is(err, breakdown.Stale) || n > 4 || ctx.Err() != nil {
+		if failure.Is(err, failure.Stale) || n > 4 || ctx.Err() != nil {
 			return err
 		}
 		time.Sleep(50 * time.Millisecond)
@@ -226,7 +226,7 @@
 
 // copyTo has one backup take a batch, synced.
 func (l *leader) copyTo(ctx context.Context, s Seat, ask *AppendAsk) error {
-	r, err := wire.Call[AppendAsk, AppendReply](ctx, l.c.call, l.c.book.Addr(s), "crux/append", ask)
+	r, err := rpc.Call[AppendAsk, AppendReply](ctx, l.c.call, l.c.book.Addr(s), "crux/append", ask)
 	switch {
 	case err != nil:
 		return err
@@ -234,7 +234,7 @@
 		if r.Promised > ask.Epoch {
 			l.c.raise(r.Promised)
 		}
-		return breakdown.New(breakdown.Stale, "append", s.Addr, "refused, promised %d", r.Promised)
+		return failure.New(failure.Stale, "append", s.Addr, "refused, promised %d", r.Promised)
 	}
 	l.c.hear(s.Disk)
 	return nil
@@ -253,7 +253,7 @@
 			go func() {
 				cx, stop := context.WithTimeout(ctx, 500*time.Millisecond)
 				defer stop()
-				r, err := wire.Call[AppendAsk, AppendReply](cx, c.call, c.book.Addr(s), "crux/beat", &AppendAsk{Epoch: rec.Epoch, From: c.me})
+				r, err := rpc.Call[AppendAsk, AppendReply](cx, c.call, c.book.Addr(s), "crux/beat", &AppendAsk{Epoch: rec.Epoch, From: c.me})
 				// An empty disk may answer at the address of one that is lost.
 				if err == nil && r.Ok && r.Disk == s.Disk {
 					c.hear(s.Disk)
@@ -263,7 +263,7 @@
 	}
 }
 
-func (c *Core) hear(d word.DiskId) {
+func (c *Core) hear(d ids.DiskId) {
 	c.regMu.Lock()
 	defer c.regMu.Unlock()
 	c.heard[d] = c.opt.Host.Clock.Now()
@@ -295,7 +295,7 @@
 // spare gives who may take over a holder's register, if that is lost: another disk that
 // stands at its very address, at once, since the one before it will not come back; any
 // other after a longer silence.
-func (l *leader) spare(s Seat, all []Seat, now word.Tick) (Seat, bool) {
+func (l *leader) spare(s Seat, all []Seat, now ids.Tick) (Seat, bool) {
 	c := l.c
 	c.regMu.Lock()
 	at := max(c.heard[s.Disk], l.since)
@@ -319,7 +319,7 @@
 	return all[some], true
 }
 
-func (l *leader) members() (word.Seq, []Member) {
+func (l *leader) members() (ids.Seq, []Member) {
 	l.c.dataMu.Lock()
 	defer l.c.dataMu.Unlock()
 	return l.c.roll.seq, l.c.roll.list()
--- a/crux/lease.go
+++ b/coordination/lease.go
@@ -2,26 +2,26 @@
 // may still act under it: its holder gave it back, or left, or its lease has
 // surely lapsed. A new primary waits a whole lease before it deals at all.
 
-package crux
+package coordination
 
 import (
 	"sort"
 
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 type tenant struct {
 	Member
-	last word.Tick
-	seen word.Seq
+	last ids.Tick
+	seen ids.Seq
 	bye  bool
 	drop []Grant
 }
 
 // Owner is the node that a key falls to: the highest hash of key and node (rendezvous
 // hashing).
-func Owner(key word.Key, nodes []word.NodeId) word.NodeId {
-	var top word.NodeId
+func Owner(key ids.Key, nodes []ids.NodeId) ids.NodeId {
+	var top ids.NodeId
 	for _, n := range nodes {
 		if top == "" || before(key, n, top) {
 			top = n
@@ -31,7 +31,7 @@
 }
 
 // Rank is the place of a node, from 0 on, among those that a key falls to in turn.
-func Rank(key word.Key, node word.NodeId, nodes []Member) int {
+func Rank(key ids.Key, node ids.NodeId, nodes []Member) int {
 	rank := 0
 	for _, m := range nodes {
 		if m.Node != node && before(key, m.Node, node) {
@@ -42,13 +42,13 @@
 }
 
 // before tells whether a key falls to a rather than to b.
-func before(key word.Key, a, b word.NodeId) bool {
+func before(key ids.Key, a, b ids.NodeId) bool {
 	x, y := weight(key, a), weight(key, b)
 	return x > y || x == y && a < b
 }
 
-func weight(key word.Key, n word.NodeId) uint64 {
-	return word.Mix(word.Hash(string(n) + "\x00" + string(key)))
+func weight(key ids.Key, n ids.NodeId) uint64 {
+	return ids.Mix(ids.Hash(string(n) + "\x00" + string(key)))
 }
 
 // hear turns a renewal into the entries it needs, before it is confirmed.
@@ -75,7 +75,7 @@
 }
 
 // extend lengthens the lease once the beat behind it was confirmed.
-func (l *leader) extend(q *RenewAsk, now word.Tick, r *roll) *RenewReply {
+func (l *leader) extend(q *RenewAsk, now ids.Tick, r *roll) *RenewReply {
 	if q.Bye {
 		delete(l.nodes, q.Me.Node)
 		return &RenewReply{Seq: r.seq}
@@ -106,7 +106,7 @@
 	}
 	span := c.opt.Lease + c.opt.Lease/10
 	late, seen := 0, c.roll.seq
-	var live []word.NodeId
+	var live []ids.NodeId
 	for n, t := range l.nodes {
 		if now.Past(t.last, span) {
 			late++
@@ -139,12 +139,12 @@
 
 // among keeps of the live nodes those that a key may fall to. If none may, all do: a key
 // without a holder would help nobody.
-func among(app Machine, k word.Key, live []word.NodeId) []word.NodeId {
+func among(app Machine, k ids.Key, live []ids.NodeId) []ids.NodeId {
 	p, ok := app.(Placer)
 	if !ok {
 		return live
 	}
-	var out []word.NodeId
+	var out []ids.NodeId
 	for _, n := range live {
 		if p.May(k, n) {
 			out = append(out, n)
@@ -157,7 +157,7 @@
 }
 
 // plan deals the free keys and marks the held ones that should move.
-func (l *leader) plan(now word.Tick, live []word.NodeId) Deal {
+func (l *leader) plan(now ids.Tick, live []ids.NodeId) Deal {
 	var d Deal
 	if now.Before(l.deals) && l.rec.Epoch > 1 || len(live) == 0 {
 		return d
@@ -165,7 +165,7 @@
 	for _, t := range l.nodes {
 		t.drop = nil
 	}
-	want := map[word.Key]bool{}
+	want := map[ids.Key]bool{}
 	for _, k := range l.c.roll.app.Keys() {
 		want[k] = true
 		to := Owner(k, among(l.c.roll.app, k, live))
--- a/crux/lease_note.go
+++ b/coordination/lease_note.go
@@ -1,21 +1,21 @@
 // The messages by which a lease is renewed and keys are given back.
 
-package crux
+package coordination
 
-import "keelstair.example/word"
+import "keelstair.example/ids"
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file lease_note.go
-//msgp:shim word.Seq as:uint64 using:uint64/word.Seq
-//msgp:shim word.Fence as:uint64 using:uint64/word.Fence
-//msgp:shim word.NodeId as:string using:string/word.NodeId
-//msgp:shim word.Zone as:string using:string/word.Zone
-//msgp:shim word.Key as:string using:string/word.Key
+//msgp:shim ids.Seq as:uint64 using:uint64/ids.Seq
+//msgp:shim ids.Fence as:uint64 using:uint64/ids.Fence
+//msgp:shim ids.NodeId as:string using:string/ids.NodeId
+//msgp:shim ids.Zone as:string using:string/ids.Zone
+//msgp:shim ids.Key as:string using:string/ids.Key
 
 // RenewAsk renews a lease, says how far the node has folded the news, and
 // gives back keys it no longer acts under.
 type RenewAsk struct {
 	Me   Member
-	Seen word.Seq
+	Seen ids.Seq
 	Done []Grant
 	Bye  bool
 	Time int64 `msg:"Time,omitempty"` // the machine's is no lower, as the node counts
@@ -24,7 +24,7 @@
 // RenewReply lists the keys that the node should give back. Time is the machine's, if
 // it keeps one: see Timekeeper.
 type RenewReply struct {
-	Seq  word.Seq
+	Seq  ids.Seq
 	Drop []Grant
 	Time int64 `msg:"Time,omitempty"`
 }
--- a/crux/losses_test.go
+++ b/coordination/losses_test.go
@@ -1,6 +1,6 @@
 // Where two machines may be lost at once.
 
-package crux_test
+package coordination_test
 
 import (
 	"context"
--- a/crux/news_note.go
+++ b/coordination/news_note.go
@@ -1,19 +1,19 @@
 // The messages of the feed: news from a place on, or a picture to start from.
 
-package crux
+package coordination
 
-import "keelstair.example/word"
+import "keelstair.example/ids"
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file news_note.go
-//msgp:shim word.Seq as:uint64 using:uint64/word.Seq
+//msgp:shim ids.Seq as:uint64 using:uint64/ids.Seq
 
 type NewsAsk struct {
-	From word.Seq
+	From ids.Seq
 	Wait int64
 }
 
 type NewsReply struct {
-	Seq     word.Seq
+	Seq     ids.Seq
 	Picture []byte
 	Entries []Entry
 }
--- a/crux/pages_test.go
+++ b/coordination/pages_test.go
@@ -1,6 +1,6 @@
 // Whereabouts that change while old pages of them go round.
 
-package crux_test
+package coordination_test
 
 import (
 	"context"
@@ -10,8 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/crux"
-	"keelstair.example/wire"
+	"keelstair.example/coordination"
+	"keelstair.example/rpc"
 )
 
 // TestOldPages: the seeds are exchanged one by one for empty machines at new addresses,
@@ -23,8 +23,8 @@
 		f := build(seed)
 		defer f.close()
 		require.NoError(t, f.add(1, "first", 10*time.Second))
-		books := func() map[string]*crux.Book {
-			out := map[string]*crux.Book{}
+		books := func() map[string]*coordination.Book {
+			out := map[string]*coordination.Book{}
 			for ip, c := range f.cores {
 				out[ip] = c.Book()
 			}
@@ -58,14 +58,14 @@
 			require.Empty(t, apart(), what)
 		}
 		teller := f.w.Machine("10.0.2.1").Start()
-		call := wire.NewCaller(teller.Host().Net)
+		call := rpc.NewCaller(teller.Host().Net)
 		defer func() { call.Close(); teller.Kill() }()
-		var old []*crux.WhereAsk
+		var old []*coordination.WhereAsk
 		tell := func() {
 			for _, p := range old {
 				for ip := range books() {
 					ctx, stop := context.WithTimeout(context.Background(), time.Second)
-					wire.Call[crux.WhereAsk, crux.WhereAsk](ctx, call, ip+":1", "crux/where", p)
+					rpc.Call[coordination.WhereAsk, coordination.WhereAsk](ctx, call, ip+":1", "crux/where", p)
 					stop()
 					require.Empty(t, apart(), "told by a page of epoch %d", p.Record.Epoch)
 				}
@@ -75,7 +75,7 @@
 		for i := range 3 {
 			for _, b := range books() {
 				p := b.Page()
-				p.Me = crux.Seat{}
+				p.Me = coordination.Seat{}
 				old = append(old, p)
 			}
 			switch k := (int(seed) + i) % 3; k {
--- a/crux/record.go
+++ b/coordination/record.go
@@ -2,9 +2,9 @@
 // registers on 2n+1 machines, so that after n losses one copy of the data is left and a
 // majority of the registers.
 
-package crux
+package coordination
 
-import "keelstair.example/word"
+import "keelstair.example/ids"
 
 // losses is how many machines may be lost at once.
 func (r Record) losses() int { return max(1, (len(r.Holders)-1)/2) }
@@ -26,7 +26,7 @@
 }
 
 // rank is the place of a backup, from 0 on, or -1.
-func (r Record) rank(d word.DiskId) int {
+func (r Record) rank(d ids.DiskId) int {
 	for i, s := range r.backups() {
 		if s.Disk == d {
 			return i
@@ -38,7 +38,7 @@
 // spread takes n of the seats, as evenly from the zones as may be, in the order given.
 func spread(row []Seat, n int) []Seat {
 	var out []Seat
-	per := map[word.Zone]int{}
+	per := map[ids.Zone]int{}
 	for most := 1; len(out) < n; most++ {
 		for _, s := range row {
 			if len(out) < n && per[s.Zone] < most && !holds(out, s.Disk) {
--- a/crux/record_note.go
+++ b/coordination/record_note.go
@@ -1,15 +1,15 @@
 // The record that the registers decide.
 
-package crux
+package coordination
 
-import "keelstair.example/word"
+import "keelstair.example/ids"
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file record_note.go
-//msgp:shim word.Epoch as:uint64 using:uint64/word.Epoch
+//msgp:shim ids.Epoch as:uint64 using:uint64/ids.Epoch
 
 // Record is what the registers decide: who leads in an epoch.
 type Record struct {
-	Epoch    word.Epoch
+	Epoch    ids.Epoch
 	Founding string
 	Primary  Seat
 	Backup   Seat
--- a/crux/restart_test.go
+++ b/coordination/restart_test.go
@@ -1,6 +1,6 @@
 // The core's way back after all of it was without power.
 
-package crux_test
+package coordination_test
 
 import (
 	"context"
--- a/crux/roll.go
+++ b/coordination/roll.go
@@ -1,9 +1,9 @@
-// Package crux is keelstair's coordination core, of use to any fleet: a log
+// Package coordination is keelstair's coordination core, of use to any fleet: a log
 // that a primary writes to a synced backup before it answers, registers on
 // three disk machines that decide who leads, leases, keyed duties under rising
 // fences, and a numbered feed of news. What the commands mean is the embedder's:
 // it brings a Machine. This file is the state that the log builds.
-package crux
+package coordination
 
 import (
 	"errors"
@@ -12,33 +12,33 @@
 
 	"github.com/tinylib/msgp/msgp"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/word"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 )
 
 // Machine is the embedder's state. Apply must be deterministic, and must change
 // nothing when it gives an error; seq is the number that the entry gets. Open
 // tells whether followers see a kind.
 type Machine interface {
-	Apply(seq word.Seq, kind string, body []byte) ([]byte, error)
+	Apply(seq ids.Seq, kind string, body []byte) ([]byte, error)
 	Open(kind string) bool
 	Picture(open bool) []byte
 	Restore(body []byte) error
-	Keys() []word.Key
-	Due(now word.Tick, seq, seen word.Seq) []Cmd
+	Keys() []ids.Key
+	Due(now ids.Tick, seq, seen ids.Seq) []Cmd
 }
 
 // Timekeeper is a Machine that keeps a time of its own for the fleet. The primary asks
 // for it with each renewal of a lease; 0 is no answer. Nodes count on from what they were
 // told, and tell what it cannot be lower than by now, which a new primary needs.
 type Timekeeper interface {
-	Time(now word.Tick) int64
-	Hear(now word.Tick, least int64)
+	Time(now ids.Tick) int64
+	Hear(now ids.Tick, least int64)
 }
 
 // Placer is a Machine that says which nodes a key may fall to.
 type Placer interface {
-	May(key word.Key, node word.NodeId) bool
+	May(key ids.Key, node ids.NodeId) bool
 }
 
 // Same is what Apply gives, with an answer, when there is nothing to write.
@@ -58,17 +58,17 @@
 )
 
 type roll struct {
-	seq     word.Seq
-	fence   word.Fence
-	members map[word.NodeId]Member
-	grants  map[word.Key]Grant
-	past    map[word.OpId]Past
-	order   map[string][]word.OpId
+	seq     ids.Seq
+	fence   ids.Fence
+	members map[ids.NodeId]Member
+	grants  map[ids.Key]Grant
+	past    map[ids.OpId]Past
+	order   map[string][]ids.OpId
 	app     Machine
 }
 
 func newRoll(app Machine) *roll {
-	return &roll{members: map[word.NodeId]Member{}, grants: map[word.Key]Grant{}, past: map[word.OpId]Past{}, order: map[string][]word.OpId{}, app: app}
+	return &roll{members: map[ids.NodeId]Member{}, grants: map[ids.Key]Grant{}, past: map[ids.OpId]Past{}, order: map[string][]ids.OpId{}, app: app}
 }
 
 type command interface{ apply(*roll) }
@@ -117,7 +117,7 @@
 	default:
 		return nil, nil
 	}
-	return c, breakdown.As(err, breakdown.Bad, "read command", kind)
+	return c, failure.As(err, failure.Bad, "read command", kind)
 }
 
 // apply takes the next entry. An error means that nothing changed.
@@ -184,7 +184,7 @@
 
 func (r *roll) restore(img *Image) error {
 	if err := r.app.Restore(img.App); err != nil {
-		return breakdown.As(err, breakdown.Bad, "restore picture", "")
+		return failure.As(err, failure.Bad, "restore picture", "")
 	}
 	fresh := newRoll(r.app)
 	fresh.seq, fresh.fence = img.Seq, img.Fence
--- a/crux/roll_test.go
+++ b/coordination/roll_test.go
@@ -1,6 +1,6 @@
 // What the roll remembers of operations.
 
-package crux
+package coordination
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 // TestPastByClass: a flood of one class of operations pushes out its own oldest
@@ -17,10 +17,10 @@
 	r := newRoll(nil)
 	r.keep(Past{Op: "op/first", Seq: 1})
 	for i := range 3 * maxPast {
-		r.keep(Past{Op: word.OpId(fmt.Sprintf("claim/%d", i)), Seq: word.Seq(i + 2)})
+		r.keep(Past{Op: ids.OpId(fmt.Sprintf("claim/%d", i)), Seq: ids.Seq(i + 2)})
 	}
-	require.Contains(t, r.past, word.OpId("op/first"))
+	require.Contains(t, r.past, ids.OpId("op/first"))
 	require.Len(t, r.past, maxPast+1)
-	require.NotContains(t, r.past, word.OpId("claim/0"))
-	require.Contains(t, r.past, word.OpId(fmt.Sprintf("claim/%d", 3*maxPast-1)))
+	require.NotContains(t, r.past, ids.OpId("claim/0"))
+	require.Contains(t, r.past, ids.OpId(fmt.Sprintf("claim/%d", 3*maxPast-1)))
 }
--- a/crux/shelf.go
+++ b/coordination/shelf.go
@@ -4,17 +4,17 @@
 // saved once and sent only to a machine that lacks it. Register holders that
 // carry no data fetch sheets beforehand, so that they can become the backup soon.
 
-package crux
+package coordination
 
 import (
 	"context"
 	"strings"
 	"time"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 // Sheet is a sealed part of a machine's state. Its name is that of its content.
@@ -71,10 +71,10 @@
 		}
 		body, err := s.disk.Load(sheetFile + n)
 		if err != nil {
-			return nil, breakdown.As(err, breakdown.Bad, "read sheet "+n, "disk")
+			return nil, failure.As(err, failure.Bad, "read sheet "+n, "disk")
 		}
 		if out[i] = Seal(body); out[i].Name != n {
-			return nil, breakdown.New(breakdown.Bad, "read sheet "+n, "disk", "its content is that of %s", out[i].Name)
+			return nil, failure.New(failure.Bad, "read sheet "+n, "disk", "its content is that of %s", out[i].Name)
 		}
 	}
 	return out, nil
@@ -126,13 +126,13 @@
 
 func (c *Core) shelve(one Sheet, near string) error {
 	if Seal(one.Body).Name != one.Name {
-		return breakdown.New(breakdown.Bad, "take sheet", near, "the content of %s does not fit its name", one.Name)
+		return failure.New(failure.Bad, "take sheet", near, "the content of %s does not fit its name", one.Name)
 	}
 	return c.store.keepSheet(one)
 }
 
 // lend sends the sheets that a backup-to-be said it lacks.
-func (c *Core) lend(ctx context.Context, e word.Epoch, to Seat, lacks []string, all []Sheet) error {
+func (c *Core) lend(ctx context.Context, e ids.Epoch, to Seat, lacks []string, all []Sheet) error {
 	want := map[string]bool{}
 	for _, n := range lacks {
 		want[n] = true
@@ -142,13 +142,13 @@
 			continue
 		}
 		cx, stop := context.WithTimeout(ctx, 2*time.Second)
-		r, err := wire.Call[SheetAsk, SheetReply](cx, c.call, c.book.Addr(to), "crux/sheet", &SheetAsk{Epoch: e, Name: one.Name, Body: one.Body})
+		r, err := rpc.Call[SheetAsk, SheetReply](cx, c.call, c.book.Addr(to), "crux/sheet", &SheetAsk{Epoch: e, Name: one.Name, Body: one.Body})
 		stop()
 		if err != nil {
 			return err
 		}
 		if !r.Ok {
-			return breakdown.New(breakdown.Stale, "send sheet", to.Addr, "refused")
+			return failure.New(failure.Stale, "send sheet", to.Addr, "refused")
 		}
 	}
 	return nil
@@ -168,7 +168,7 @@
 			at, of = 0, rec.Founding
 		}
 		cx, stop := context.WithTimeout(ctx, 2*time.Second)
-		r, err := wire.Call[SheetAsk, SheetReply](cx, c.call, c.book.Addr(rec.Primary), "crux/sheet", &SheetAsk{At: at})
+		r, err := rpc.Call[SheetAsk, SheetReply](cx, c.call, c.book.Addr(rec.Primary), "crux/sheet", &SheetAsk{At: at})
 		stop()
 		if err != nil || !r.Ok || r.Body == nil {
 			continue
--- a/crux/shelf_note.go
+++ b/coordination/shelf_note.go
@@ -1,21 +1,21 @@
 // The messages that carry pictures and sheets from one disk machine to another.
 
-package crux
+package coordination
 
-import "keelstair.example/word"
+import "keelstair.example/ids"
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file shelf_note.go
-//msgp:shim word.Epoch as:uint64 using:uint64/word.Epoch
+//msgp:shim ids.Epoch as:uint64 using:uint64/ids.Epoch
 
 type PictureAsk struct {
-	Epoch word.Epoch
+	Epoch ids.Epoch
 	From  Seat
 	Body  []byte
 }
 
 // SheetAsk brings a sheet, or, without a body, asks for the one at a place.
 type SheetAsk struct {
-	Epoch word.Epoch
+	Epoch ids.Epoch
 	At    int
 	Name  string
 	Body  []byte
--- a/crux/steward.go
+++ b/coordination/steward.go
@@ -1,7 +1,7 @@
 // The steward decides what this core is: it founds, takes over, refits a lost
 // backup, replaces a lost register holder, or waits.
 
-package crux
+package coordination
 
 import (
 	"context"
@@ -10,24 +10,24 @@
 	"sort"
 	"time"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 // meeting is who was met last, and since when nobody else.
 type meeting struct {
 	row []Seat
-	at  word.Tick
+	at  ids.Tick
 }
 
 type swap struct {
-	out word.DiskId
+	out ids.DiskId
 	in  Seat
 }
 
-func (c *Core) raise(e word.Epoch) {
+func (c *Core) raise(e ids.Epoch) {
 	for {
 		old := c.top.Load()
 		if uint64(e) <= old || c.top.CompareAndSwap(old, uint64(e)) {
@@ -44,7 +44,7 @@
 		rec, _ := c.accepted()
 		known := c.book.Record()
 		if f := c.book.Foreign(); f != "" && rec.Founding != "" && c.orphan(now, rec) {
-			c.fatal <- breakdown.New(breakdown.Bad, "meet neighbours", f, "this disk belongs to founding %s; the seeds to another", rec.Founding)
+			c.fatal <- failure.New(failure.Bad, "meet neighbours", f, "this disk belongs to founding %s; the seeds to another", rec.Founding)
 			return
 		}
 		if rec.Founding == "" {
@@ -87,7 +87,7 @@
 }
 
 // orphan: none of the own fleet's holders was heard for a while.
-func (c *Core) orphan(now word.Tick, rec Record) bool {
+func (c *Core) orphan(now ids.Tick, rec Record) bool {
 	c.regMu.Lock()
 	defer c.regMu.Unlock()
 	for _, s := range rec.Holders {
@@ -184,7 +184,7 @@
 			if s.Disk == c.me.Disk {
 				r, err = c.ballot(ctx, ask)
 			} else {
-				r, err = wire.Call[BallotAsk, BallotReply](ctx, c.call, c.book.Addr(s), "crux/ballot", ask)
+				r, err = rpc.Call[BallotAsk, BallotReply](ctx, c.call, c.book.Addr(s), "crux/ballot", ask)
 			}
 			if err != nil {
 				r = &BallotReply{}
@@ -220,11 +220,11 @@
 }
 
 // send brings a picture to a backup-to-be, and first the sheets that it lacks.
-func (c *Core) send(ctx context.Context, e word.Epoch, to Seat, body []byte, all []Sheet) error {
+func (c *Core) send(ctx context.Context, e ids.Epoch, to Seat, body []byte, all []Sheet) error {
 	ask := func() (*AppendReply, error) {
 		cx, stop := context.WithTimeout(ctx, 2*time.Second)
 		defer stop()
-		return wire.Call[PictureAsk, AppendReply](cx, c.call, c.book.Addr(to), "crux/picture", &PictureAsk{Epoch: e, From: c.me, Body: body})
+		return rpc.Call[PictureAsk, AppendReply](cx, c.call, c.book.Addr(to), "crux/picture", &PictureAsk{Epoch: e, From: c.me, Body: body})
 	}
 	r, err := ask()
 	if err == nil && len(r.Lacks) > 0 {
@@ -233,7 +233,7 @@
 		}
 	}
 	if err == nil && !r.Ok {
-		err = breakdown.New(breakdown.Stale, "send picture", to.Addr, "refused, promised %d", r.Promised)
+		err = failure.New(failure.Stale, "send picture", to.Addr, "refused, promised %d", r.Promised)
 	}
 	return err
 }
@@ -251,14 +251,14 @@
 // ascend makes this core the primary of a new epoch with backups that hold a
 // picture, by two rounds over the registers. The caller either leads already
 // (held is its epoch, and it holds dataMu) or leads not at all.
-func (c *Core) ascend(ctx context.Context, sw swap, held word.Epoch) (Record, error) {
+func (c *Core) ascend(ctx context.Context, sw swap, held ids.Epoch) (Record, error) {
 	cur, promised := c.accepted()
 	c.raise(promised)
 	if !c.named(cur) || held != 0 && cur.Epoch != held {
-		return cur, breakdown.New(breakdown.Stale, "ascend", c.me.Addr, "the newest record names others")
+		return cur, failure.New(failure.Stale, "ascend", c.me.Addr, "the newest record names others")
 	}
 	next := cur
-	next.Epoch = word.Epoch(c.top.Load() + 1)
+	next.Epoch = ids.Epoch(c.top.Load() + 1)
 	next.Holders = nil
 	for _, s := range cur.Holders {
 		if s.Disk == sw.out {
@@ -282,10 +282,10 @@
 	if top.Epoch > cur.Epoch {
 		c.book.Learn(&WhereAsk{Record: top})
 		c.adopt(top)
-		return cur, breakdown.New(breakdown.Stale, "ascend", c.me.Addr, "epoch %d is newer", top.Epoch)
+		return cur, failure.New(failure.Stale, "ascend", c.me.Addr, "epoch %d is newer", top.Epoch)
 	}
 	if !most(cur.Holders, yes) || !most(next.Holders, yes) {
-		return cur, breakdown.New(breakdown.Away, "ascend", c.me.Addr, "%d of %d registers promised", len(yes), len(union))
+		return cur, failure.New(failure.Away, "ascend", c.me.Addr, "%d of %d registers promised", len(yes), len(union))
 	}
 	sort.SliceStable(yes, func(i, j int) bool { return c.named(cur) && partner(cur, yes[i]) && !partner(cur, yes[j]) })
 	if held == 0 {
@@ -303,12 +303,12 @@
 		}
 	}
 	if len(ready) < next.losses() {
-		return cur, breakdown.New(breakdown.Away, "ascend", c.me.Addr, "%d of %d backups took the picture", len(ready), next.losses())
+		return cur, failure.New(failure.Away, "ascend", c.me.Addr, "%d of %d backups took the picture", len(ready), next.losses())
 	}
 	next.follow(ready)
 	ask = &BallotAsk{Epoch: next.Epoch, From: c.me, Accept: true, Record: next}
 	if n, _, _ := c.poll(ctx, ask, ready); n < len(ready) {
-		return cur, breakdown.New(breakdown.Unknown, "ascend", next.Backup.Addr, "%d of %d backups accepted", n, len(ready))
+		return cur, failure.New(failure.Unknown, "ascend", next.Backup.Addr, "%d of %d backups accepted", n, len(ready))
 	}
 	var rest []Seat
 	for _, s := range union {
@@ -319,7 +319,7 @@
 	_, _, yes = c.poll(ctx, ask, rest, []Seat{c.me})
 	yes = append(yes, ready...)
 	if !holds(yes, c.me.Disk) || !most(cur.Holders, yes) || !most(next.Holders, yes) {
-		return cur, breakdown.New(breakdown.Unknown, "ascend", c.me.Addr, "only %d registers accepted", len(yes))
+		return cur, failure.New(failure.Unknown, "ascend", c.me.Addr, "only %d registers accepted", len(yes))
 	}
 	return next, nil
 }
--- a/crux/store.go
+++ b/coordination/store.go
@@ -3,7 +3,7 @@
 // picture swaps both in one rename. Every disk step is watched: one that takes
 // longer than the stall limit makes its holder stand down.
 
-package crux
+package coordination
 
 import (
 	"errors"
@@ -13,9 +13,9 @@
 	"sync/atomic"
 	"time"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 	"keelstair.example/seam"
-	"keelstair.example/word"
 )
 
 const (
@@ -51,7 +51,7 @@
 	case err := <-done:
 		return err
 	case <-t.C:
-		return breakdown.New(breakdown.Lost, step, "disk", "stalled for over %s", most)
+		return failure.New(failure.Lost, step, "disk", "stalled for over %s", most)
 	}
 }
 
@@ -73,7 +73,7 @@
 		return err
 	default:
 		if _, err := img.UnmarshalMsg(body); err != nil {
-			return breakdown.As(err, breakdown.Bad, "read picture", "disk")
+			return failure.As(err, failure.Bad, "read picture", "disk")
 		}
 		if err := s.restore(r, &img, nil); err != nil {
 			return err
@@ -87,13 +87,13 @@
 	for _, row := range rows {
 		var e Entry
 		if _, err := e.UnmarshalMsg(row); err != nil {
-			return breakdown.As(err, breakdown.Bad, "read log", "disk")
+			return failure.As(err, failure.Bad, "read log", "disk")
 		}
 		if e.Seq != r.seq+1 {
-			return breakdown.New(breakdown.Bad, "read log", "disk", "row %d follows %d", e.Seq, r.seq)
+			return failure.New(failure.Bad, "read log", "disk", "row %d follows %d", e.Seq, r.seq)
 		}
 		if _, err := r.apply(&e); err != nil {
-			return breakdown.Wrap(err, "replay log", "disk")
+			return failure.Wrap(err, "replay log", "disk")
 		}
 	}
 	return s.sweep()
@@ -143,7 +143,7 @@
 // that the picture names are on disk before it.
 func (s *store) reset(img *Image, all []Sheet) error {
 	if s.busy.Load() > 0 {
-		return breakdown.New(breakdown.Lost, "save picture", "disk", "an earlier step still stalls")
+		return failure.New(failure.Lost, "save picture", "disk", "an earlier step still stalls")
 	}
 	for _, one := range all {
 		if err := s.keepSheet(one); err != nil {
@@ -180,7 +180,7 @@
 
 // register is what a disk machine promises and has accepted.
 type register struct {
-	Promised word.Epoch
+	Promised ids.Epoch
 	Accepted Record
 }
 
@@ -194,14 +194,14 @@
 		return register{}, err
 	}
 	if _, err := b.UnmarshalMsg(body); err != nil {
-		return register{}, breakdown.As(err, breakdown.Bad, "read register", "disk")
+		return register{}, failure.As(err, failure.Bad, "read register", "disk")
 	}
 	return register{b.Promised, b.Accepted}, nil
 }
 
 func (s *store) saveRegister(r register) error {
 	if s.saves.Load() > 0 {
-		return breakdown.New(breakdown.Lost, "save register", "disk", "an earlier save still stalls")
+		return failure.New(failure.Lost, "save register", "disk", "an earlier save still stalls")
 	}
 	b := BallotReply{Promised: r.Promised, Accepted: r.Accepted}
 	s.saves.Add(1)
--- a/crux/wipe_test.go
+++ b/coordination/wipe_test.go
@@ -1,6 +1,6 @@
 // A disk that is lost while its machine keeps its address.
 
-package crux_test
+package coordination_test
 
 import (
 	"fmt"
--- a/crux/word.go
+++ b/coordination/word.go
@@ -1,15 +1,15 @@
 // A node's word from the core: how late the fleet's time may be by now, and whether
 // what the core decides still reaches this node.
 
-package crux
+package coordination
 
-import "keelstair.example/word"
+import "keelstair.example/ids"
 
 // heardTime is a time that the core told, with when it was asked and when it was told.
 type heardTime struct {
 	at   int64
-	sent word.Tick
-	got  word.Tick
+	sent ids.Tick
+	got  ids.Tick
 }
 
 // Time gives two bounds of the machine's time (see Timekeeper), in its own unit of
--- a/crux/word_test.go
+++ b/coordination/word_test.go
@@ -1,6 +1,6 @@
 // A node's word from the core, and who a key may fall to.
 
-package crux
+package coordination
 
 import (
 	"context"
@@ -11,9 +11,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"keelstair.example/ids"
+	"keelstair.example/rpc"
 	"keelstair.example/seam/sham"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 // TestWord: the bounds of the told time hold whenever it was told between asking and
@@ -27,23 +27,23 @@
 		defer func() { stop(); core.Kill(); node.Kill(); time.Sleep(10 * time.Second) }()
 		mux := http.NewServeMux()
 		told := int64(0)
-		wire.Handle(mux, "crux/renew", func(context.Context, *RenewAsk) (*RenewReply, error) {
+		rpc.Handle(mux, "crux/renew", func(context.Context, *RenewAsk) (*RenewReply, error) {
 			time.Sleep(100 * time.Millisecond)
 			return &RenewReply{Seq: 9, Time: told}, nil
 		})
 		l, err := core.Host().Net.Listen("10.0.0.1:1")
 		require.NoError(t, err)
-		go wire.Serve(ctx, l, mux)
+		go rpc.Serve(ctx, l, mux)
 		a := NewAgent(AgentOptions{Me: Member{Node: "n", Addr: "10.0.0.2:1"}, Host: node.Host(), View: blank{}})
 		defer a.call.Close()
 		a.book.Learn(&WhereAsk{Record: Record{Epoch: 1, Founding: "f", Primary: Seat{Disk: "d", Addr: "10.0.0.1:1"}}})
-		a.sight.Store(&sight{seq: 5, grants: map[word.Key]Grant{}})
+		a.sight.Store(&sight{seq: 5, grants: map[ids.Key]Grant{}})
 		require.False(t, a.Word(), "no lease yet")
 		require.NoError(t, a.renew(ctx))
 		low, high := a.Time()
 		require.Zero(t, low+high, "none was told")
 		require.False(t, a.Word(), "news 6 to 9 may be a revocation")
-		a.sight.Store(&sight{seq: 9, grants: map[word.Key]Grant{}})
+		a.sight.Store(&sight{seq: 9, grants: map[ids.Key]Grant{}})
 		require.True(t, a.Word())
 		told = int64(time.Hour)
 		require.NoError(t, a.renew(ctx))
@@ -77,15 +77,15 @@
 			a.Awake()
 		}
 		require.False(t, a.Word(), "the lease has lapsed")
-		a.sight.Store(&sight{seq: 8, grants: map[word.Key]Grant{}})
+		a.sight.Store(&sight{seq: 8, grants: map[ids.Key]Grant{}})
 		require.NoError(t, a.renew(ctx))
 		require.False(t, a.Word(), "what came meanwhile is not folded")
 	})
 }
 
-type placed map[word.NodeId]bool
+type placed map[ids.NodeId]bool
 
-func (p placed) May(_ word.Key, n word.NodeId) bool { return p[n] }
+func (p placed) May(_ ids.Key, n ids.NodeId) bool { return p[n] }
 
 // TestAmong: a key falls to those that may have it, or, if none may, to any.
 func TestAmong(t *testing.T) {
@@ -93,8 +93,8 @@
 		Machine
 		placed
 	}
-	live := []word.NodeId{"a", "b", "c"}
+	live := []ids.NodeId{"a", "b", "c"}
 	require.Equal(t, live, among(struct{ Machine }{}, "k", live))
-	require.Equal(t, []word.NodeId{"b", "c"}, among(&app{placed: placed{"b": true, "c": true, "d": true}}, "k", live))
+	require.Equal(t, []ids.NodeId{"b", "c"}, among(&app{placed: placed{"b": true, "c": true, "d": true}}, "k", live))
 	require.Equal(t, live, among(&app{placed: placed{}}, "k", live))
 }
--- a/creed/creed.go
+++ b/creed/creed.go
@@ -12,7 +12,7 @@
 
 	"github.com/alexflint/go-arg"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
 )
 
 // Settings is what a program's settings struct must do.
@@ -39,7 +39,7 @@
 func Parse(s Settings, program, about string, args []string) error {
 	p, err := arg.NewParser(arg.Config{Program: program}, s)
 	if err != nil {
-		return breakdown.As(err, breakdown.Bad, "read flags", program)
+		return failure.As(err, failure.Bad, "read flags", program)
 	}
 	switch err := p.Parse(args); {
 	case errors.Is(err, arg.ErrHelp):
@@ -47,7 +47,7 @@
 		p.WriteHelp(os.Stdout)
 		return errHelp
 	case err != nil:
-		return breakdown.As(err, breakdown.Bad, "read flags", program)
+		return failure.As(err, failure.Bad, "read flags", program)
 	}
 	if f := s.File(); f != "" {
 		if err := load(f, s); err != nil {
@@ -55,10 +55,10 @@
 		}
 		// Flags stand over the file, and the file over the defaults.
 		if p, err = arg.NewParser(arg.Config{Program: program, IgnoreDefault: true}, s); err != nil {
-			return breakdown.As(err, breakdown.Bad, "read flags", program)
+			return failure.As(err, failure.Bad, "read flags", program)
 		}
 		if err := p.Parse(args); err != nil {
-			return breakdown.As(err, breakdown.Bad, "read flags", program)
+			return failure.As(err, failure.Bad, "read flags", program)
 		}
 	}
 	return s.Check()
@@ -67,16 +67,16 @@
 func load(path string, s Settings) error {
 	body, err := os.ReadFile(path)
 	if err != nil {
-		return breakdown.As(err, breakdown.Bad, "read settings", path)
+		return failure.As(err, failure.Bad, "read settings", path)
 	}
 	rows := json.NewDecoder(strings.NewReader(string(body)))
 	rows.DisallowUnknownFields()
-	return breakdown.As(rows.Decode(s), breakdown.Bad, "read settings", path)
+	return failure.As(rows.Decode(s), failure.Bad, "read settings", path)
 }
 
 // Fault names a field that is off.
 func Fault(field, form string, args ...any) error {
-	return breakdown.New(breakdown.Bad, "check settings", field, form, args...)
+	return failure.New(failure.Bad, "check settings", field, form, args...)
 }
 
 // Addr checks an address by IP number and port.
--- a/creed/creed_test.go
+++ b/creed/creed_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
 )
 
 type sample struct {
@@ -42,7 +42,7 @@
 		put(text)
 		err := Parse(&sample{}, "x", "", []string{"--settings", path})
 		require.ErrorContains(t, err, field)
-		require.True(t, breakdown.Is(err, breakdown.Bad), text)
+		require.True(t, failure.Is(err, failure.Bad), text)
 	}
 	require.Error(t, Parse(&sample{}, "x", "", []string{"--colour"}))
 	require.Error(t, Parse(&sample{}, "x", "", []string{"--settings", path + "gone"}))
--- a/door/ask.go
+++ b/door/ask.go
@@ -14,7 +14,7 @@
 	"strings"
 	"time"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
 )
 
 // Stagger is how long a silent door is waited for before the next is asked too.
@@ -52,7 +52,7 @@
 		err  error
 	}
 	got := make(chan told, len(doors))
-	var last error = breakdown.New(breakdown.Away, "ask doors", "", "no door is known")
+	var last error = failure.New(failure.Away, "ask doors", "", "no door is known")
 	next, open := 0, 0
 	for {
 		if next < len(doors) {
--- a/door/door.go
+++ b/door/door.go
@@ -18,7 +18,7 @@
 	"strings"
 	"time"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
 	"keelstair.example/rein"
 )
 
@@ -196,12 +196,12 @@
 func Bounce(w http.ResponseWriter, err error) {
 	var f *Fault
 	if !errors.As(err, &f) {
-		switch breakdown.KindOf(err) {
-		case breakdown.Bad:
+		switch failure.KindOf(err) {
+		case failure.Bad:
 			f = No(http.StatusBadRequest, "bad", "", "%v", err)
-		case breakdown.Stale:
+		case failure.Stale:
 			f = No(http.StatusConflict, "stale", "", "%v", err)
-		case breakdown.Unknown:
+		case failure.Unknown:
 			f = No(http.StatusGatewayTimeout, "unknown-fate", "", "%v", err)
 		default:
 			f = Later(http.StatusServiceUnavailable, "away", time.Second, "%v", err)
--- a/door/operate.go
+++ b/door/operate.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"time"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
 	"keelstair.example/writ"
 )
 
@@ -94,10 +94,10 @@
 
 // Fate tells an operator whether a thing was surely not done, and when to ask again.
 func Fate(err error, after time.Duration) error {
-	switch breakdown.KindOf(err) {
-	case breakdown.Unknown:
+	switch failure.KindOf(err) {
+	case failure.Unknown:
 		return Later(http.StatusGatewayTimeout, "unknown-fate", after, "it may have been taken; ask again with the same op: %v", err)
-	case breakdown.Bad, breakdown.Stale:
+	case failure.Bad, failure.Stale:
 		return err
 	}
 	return Later(http.StatusServiceUnavailable, "core-away", after, "it was not taken: %v", err)
--- a/door/pass.go
+++ b/door/pass.go
@@ -11,7 +11,7 @@
 	"net/http"
 	"time"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
 )
 
 // Pass asks a node on a path of its own and puts every line of its answer. It tells how
@@ -20,25 +20,25 @@
 func Pass(ctx context.Context, web *http.Client, addr, path string, ask *Ask, silent time.Duration, out Sink) (int, error) {
 	body, err := json.Marshal(ask)
 	if err != nil {
-		return 0, breakdown.As(err, breakdown.Bad, "pass on", addr)
+		return 0, failure.As(err, failure.Bad, "pass on", addr)
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
-		return 0, breakdown.As(err, breakdown.Bad, "pass on", addr)
+		return 0, failure.As(err, failure.Bad, "pass on", addr)
 	}
 	watch := time.AfterFunc(silent, stop)
 	defer watch.Stop()
 	r, err := web.Do(q)
 	if err != nil {
-		return 0, breakdown.As(err, breakdown.Unknown, "pass on", addr)
+		return 0, failure.As(err, failure.Unknown, "pass on", addr)
 	}
 	defer r.Body.Close()
 	if r.StatusCode != http.StatusOK {
 		b, err := io.ReadAll(r.Body)
 		if err != nil {
-			return 0, breakdown.As(err, breakdown.Unknown, "pass on", addr)
+			return 0, failure.As(err, failure.Unknown, "pass on", addr)
 		}
 		return 0, Refusal(r.StatusCode, b)
 	}
@@ -47,9 +47,9 @@
 		var l Line
 		if err := rows.Decode(&l); err != nil {
 			if errors.Is(err, io.EOF) {
-				err = breakdown.New(breakdown.Lost, "pass on", addr, "it stopped without an end")
+				err = failure.New(failure.Lost, "pass on", addr, "it stopped without an end")
 			}
-			return n, breakdown.As(err, breakdown.Lost, "pass on", addr)
+			return n, failure.As(err, failure.Lost, "pass on", addr)
 		}
 		watch.Reset(silent)
 		if err := out.Put(l); err != nil || l.End != "" {
--- a/breakdown/breakdown.go
+++ b/failure/failure.go
@@ -1,9 +1,9 @@
-// Package breakdown is the one helper that names and wraps every error of
+// Package failure is the one helper that names and wraps every error of
 // keelstair. A breakdown carries the step at which it arose, the neighbour that was
 // spoken to, a kind that callers may branch on, and the cause. Kinds are few on
 // purpose: each is a promise about what happened, above all whether the thing
 // asked for may have been done.
-package breakdown
+package failure
 
 import (
 	"errors"
--- a/lore/audit.go
+++ b/fleetstate/audit.go
@@ -2,7 +2,7 @@
 // with a hash over the row before it, so that a row that is removed or changed shows.
 // Full leaves are sealed as sheets; the oldest leave the store once there are too many.
 
-package lore
+package fleetstate
 
 import (
 	"bytes"
@@ -13,8 +13,8 @@
 
 	"github.com/tinylib/msgp/msgp"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
+	"keelstair.example/failure"
 )
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file audit.go
@@ -75,11 +75,11 @@
 		r := &rows[i]
 		switch {
 		case before != nil && r.Index != before.Index+1:
-			return breakdown.New(breakdown.Bad, "check audit", "", "row %d follows row %d: rows were removed", r.Index, before.Index)
+			return failure.New(failure.Bad, "check audit", "", "row %d follows row %d: rows were removed", r.Index, before.Index)
 		case before != nil && r.Prev != before.Hash:
-			return breakdown.New(breakdown.Bad, "check audit", "", "row %d does not follow row %d: one was changed or replaced", r.Index, before.Index)
+			return failure.New(failure.Bad, "check audit", "", "row %d does not follow row %d: one was changed or replaced", r.Index, before.Index)
 		case r.Hash != r.sum():
-			return breakdown.New(breakdown.Bad, "check audit", "", "row %d was changed: its hash is not that of its text", r.Index)
+			return failure.New(failure.Bad, "check audit", "", "row %d was changed: its hash is not that of its text", r.Index)
 		}
 		before = r
 	}
@@ -116,7 +116,7 @@
 	count  int
 	head   string
 	open   [][]byte
-	sealed []crux.Sheet
+	sealed []coordination.Sheet
 }
 
 func (a *audit) add(record []byte) {
@@ -132,7 +132,7 @@
 		return
 	}
 	body := append([]byte(auditMagic), bytes.Join(a.open, []byte{'\n'})...)
-	a.sealed = append(a.sealed[:len(a.sealed):len(a.sealed)], crux.Seal(body))
+	a.sealed = append(a.sealed[:len(a.sealed):len(a.sealed)], coordination.Seal(body))
 	a.open = nil
 	if n := len(a.sealed) - auditLeaves; n > 0 {
 		a.sealed = a.sealed[n:]
@@ -163,12 +163,12 @@
 func (c *Audit) apply(s *State) (msgp.Marshaler, error) {
 	// The text stands in a line as it is, so it must be as the encoder writes it.
 	if tight, err := json.Marshal(json.RawMessage(c.Record)); err != nil || !bytes.Equal(tight, c.Record) {
-		return nil, breakdown.New(breakdown.Bad, "audit", "", "a record must be compact JSON")
+		return nil, failure.New(failure.Bad, "audit", "", "a record must be compact JSON")
 	}
 	s.audit.add(c.Record)
 	return nil, nil
 }
 
 func (c *Audits) apply(s *State) (msgp.Marshaler, error) {
-	return s.audit.read(c.From, min(max(c.Most, 1), auditLeaf)), crux.Same
+	return s.audit.read(c.From, min(max(c.Most, 1), auditLeaf)), coordination.Same
 }
--- a/lore/audit_test.go
+++ b/fleetstate/audit_test.go
@@ -1,6 +1,6 @@
 // The chain of the audit record, over leaves, pictures and tampering.
 
-package lore
+package fleetstate
 
 import (
 	"encoding/json"
@@ -9,13 +9,13 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
+	"keelstair.example/failure"
 )
 
 func audits(t *testing.T, m *Machine, from, most int) (AuditsReply, []AuditRow) {
-	out, err := m.State.Apply(AuditsKind, crux.Pack(&Audits{From: from, Most: most}))
-	require.ErrorIs(t, err, crux.Same, "reading writes nothing")
+	out, err := m.State.Apply(AuditsKind, coordination.Pack(&Audits{From: from, Most: most}))
+	require.ErrorIs(t, err, coordination.Same, "reading writes nothing")
 	var got AuditsReply
 	_, err = got.UnmarshalMsg(out)
 	require.NoError(t, err)
@@ -35,7 +35,7 @@
 		body, err := json.Marshal(&AuditRecord{Request: fmt.Sprint("<r&", i), Kind: "verdict", Regime: "chair", Outcome: Done})
 		require.NoError(t, err)
 		for _, x := range []*Machine{m, copied} {
-			_, err = x.Apply(1, AuditKind, crux.Pack(&Audit{body}))
+			_, err = x.Apply(1, AuditKind, coordination.Pack(&Audit{body}))
 			require.NoError(t, err)
 		}
 		if i == auditLeaf+7 {
@@ -61,8 +61,8 @@
 	require.NoError(t, json.Unmarshal(all[1500].Record, &r))
 	require.Equal(t, "<r&1500", r.Request)
 	for _, text := range []string{"{} ", `{"a":"<"}`, "{", ""} {
-		_, err := m.Apply(1, AuditKind, crux.Pack(&Audit{[]byte(text)}))
-		require.True(t, breakdown.Is(err, breakdown.Bad), text)
+		_, err := m.Apply(1, AuditKind, coordination.Pack(&Audit{[]byte(text)}))
+		require.True(t, failure.Is(err, failure.Bad), text)
 	}
 	for range auditLeaf * auditLeaves {
 		m.audit.add([]byte("{}"))
--- a/lore/clock.go
+++ b/fleetstate/clock.go
@@ -4,13 +4,13 @@
 // wall is read once, when regimes first come in force. What passes while nobody leads is
 // made up for by the nodes, which count on, as far as a takeover may take.
 
-package lore
+package fleetstate
 
 import (
 	"time"
 
-	"keelstair.example/crux"
-	"keelstair.example/word"
+	"keelstair.example/coordination"
+	"keelstair.example/ids"
 )
 
 const (
@@ -23,21 +23,21 @@
 // clock is what the primary remembers between beats.
 type clock struct {
 	wall func() time.Time
-	base int64     // the time at a tick
-	at   word.Tick // the tick
-	last word.Tick // the newest beat
-	ours int64     // the bound that base and at go with
-	made int64     // what nodes made up for since
+	base int64    // the time at a tick
+	at   ids.Tick // the tick
+	last ids.Tick // the newest beat
+	ours int64    // the bound that base and at go with
+	made int64    // what nodes made up for since
 }
 
 // steady tells that this machine has led without a break and nobody else moved the
 // time on.
-func (c *clock) steady(now word.Tick, bound int64) bool {
+func (c *clock) steady(now ids.Tick, bound int64) bool {
 	return c.ours == bound && c.ours != 0 && !now.Past(c.last, time.Second)
 }
 
 // tick makes the command that moves the bound on, where one is due.
-func (m *Machine) tick(now word.Tick) []crux.Cmd {
+func (m *Machine) tick(now ids.Tick) []coordination.Cmd {
 	c := &m.clock
 	if m.time == 0 && !m.governed {
 		return nil
@@ -54,11 +54,11 @@
 		return nil
 	}
 	c.ours = here + int64(clockLead)
-	return []crux.Cmd{{Kind: ClockKind, Body: crux.Pack(&Clock{c.ours})}}
+	return []coordination.Cmd{{Kind: ClockKind, Body: coordination.Pack(&Clock{c.ours})}}
 }
 
 // Time gives the fleet's time, in nanoseconds since 1970; 0 while it is not known.
-func (m *Machine) Time(now word.Tick) int64 {
+func (m *Machine) Time(now ids.Tick) int64 {
 	if !m.clock.steady(now, m.time) {
 		return 0
 	}
@@ -67,7 +67,7 @@
 
 // Hear takes a node's word of what the time is not below. It counts only while this
 // machine has led for a short while, and only so far: one whose clock leapt moves little.
-func (m *Machine) Hear(now word.Tick, least int64) {
+func (m *Machine) Hear(now ids.Tick, least int64) {
 	c := &m.clock
 	if !c.steady(now, m.time) || now.Past(c.at, clockHears) {
 		return
--- a/lore/deed.go
+++ b/fleetstate/deed.go
@@ -1,21 +1,21 @@
 // The messages of deeds: a claim before anything runs, one outcome after.
 
-package lore
+package fleetstate
 
-import "keelstair.example/word"
+import "keelstair.example/ids"
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file deed.go
-//msgp:shim word.NodeId as:string using:string/word.NodeId
-//msgp:shim word.WorkerId as:string using:string/word.WorkerId
-//msgp:shim word.Life as:string using:string/word.Life
+//msgp:shim ids.NodeId as:string using:string/ids.NodeId
+//msgp:shim ids.WorkerId as:string using:string/ids.WorkerId
+//msgp:shim ids.Life as:string using:string/ids.Life
 
 // Deed is one ruling or verdict by its caller's key. It runs at no other worker, and
 // in no other life of that one, than it names.
 type Deed struct {
 	Key    string
-	Owner  word.NodeId
-	Worker word.WorkerId
-	Life   word.Life
+	Owner  ids.NodeId
+	Worker ids.WorkerId
+	Life   ids.Life
 	Digest string
 	Fate   string
 	Out    []byte
@@ -35,9 +35,9 @@
 // deed as it stands.
 type Claim struct {
 	Key    string
-	Owner  word.NodeId
-	Worker word.WorkerId
-	Life   word.Life
+	Owner  ids.NodeId
+	Worker ids.WorkerId
+	Life   ids.Life
 	Digest string
 }
 
--- a/lore/delta.go
+++ b/fleetstate/delta.go
@@ -2,13 +2,13 @@
 // what is copied from the one before it and what is new. Whoever applies one holds the
 // outcome against the digest of the whole, so that a delta never gives another text.
 
-package lore
+package fleetstate
 
 import (
 	"bytes"
 	"crypto/sha256"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
 )
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file delta.go
@@ -66,7 +66,7 @@
 // patch makes the text that a delta stands for, or fails with Bad.
 func (d *Delta) patch(old []byte) ([]byte, error) {
 	fault := func(why string) error {
-		return breakdown.New(breakdown.Bad, "apply delta", "", "%s", why)
+		return failure.New(failure.Bad, "apply delta", "", "%s", why)
 	}
 	if d.Size < 0 || d.Size > maxText {
 		return nil, fault("its size is out of bounds")
--- a/lore/delta_test.go
+++ b/fleetstate/delta_test.go
@@ -1,6 +1,6 @@
 // Deltas between texts.
 
-package lore
+package fleetstate
 
 import (
 	"fmt"
@@ -10,10 +10,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 	"keelstair.example/tale"
-	"keelstair.example/word"
 )
 
 // routesText is a plain text of so many zones and routes; mark sets one route apart.
@@ -59,13 +59,13 @@
 			require.Equal(t, string(text), string(got))
 			if string(old) != string(text) && len(d.Hunks) > 1 {
 				_, err = d.patch(append([]byte("x"), old...))
-				require.True(t, breakdown.Is(err, breakdown.Bad), "%v", err)
+				require.True(t, failure.Is(err, failure.Bad), "%v", err)
 			}
 		}
 	}
 	good := diff(texts[5], texts[6])
 	for range 300 {
-		body := crux.Pack(good)
+		body := coordination.Pack(good)
 		body[r.IntN(len(body))] ^= byte(1 + r.IntN(255))
 		var d Delta
 		if _, err := d.UnmarshalMsg(body); err != nil {
@@ -77,7 +77,7 @@
 	}
 	for _, d := range []Delta{{Size: -1}, {Size: maxText + 1}, {Size: 5, Hunks: []Hunk{{From: -1, Len: 2}}}, {Size: 5, Hunks: []Hunk{{From: 1, Len: 1 << 62}}}, {Size: 1, Hunks: []Hunk{{Text: []byte("long")}}}} {
 		_, err := d.patch([]byte("abc"))
-		require.True(t, breakdown.Is(err, breakdown.Bad), "%+v", d)
+		require.True(t, failure.Is(err, failure.Bad), "%+v", d)
 	}
 }
 
@@ -100,16 +100,16 @@
 		v.Fold(1, kind, body)
 		return err
 	}
-	require.NoError(t, both(StageKind, crux.Pack(&Stage{Text: pack(one)})))
+	require.NoError(t, both(StageKind, coordination.Pack(&Stage{Text: pack(one)})))
 	wrong := &Stage{Base: 1, Text: pack(two)}
 	wrong.Shorten(routesText(1400, 4), two)
 	require.True(t, wrong.Delta)
-	err := both(StageKind, crux.Pack(wrong))
-	require.True(t, breakdown.Is(err, breakdown.Bad), "%v", err)
-	require.True(t, breakdown.Is(both(StageKind, crux.Pack(&Stage{Base: 1, Delta: true, Text: []byte("x")})), breakdown.Bad))
+	err := both(StageKind, coordination.Pack(wrong))
+	require.True(t, failure.Is(err, failure.Bad), "%v", err)
+	require.True(t, failure.Is(both(StageKind, coordination.Pack(&Stage{Base: 1, Delta: true, Text: []byte("x")})), failure.Bad))
 	require.EqualValues(t, 1, m.newest())
-	require.NoError(t, both(StageKind, crux.Pack(c)))
-	require.NoError(t, both(ActivateKind, crux.Pack(&Activate{2})))
+	require.NoError(t, both(StageKind, coordination.Pack(c)))
+	require.NoError(t, both(ActivateKind, coordination.Pack(&Activate{2})))
 	require.EqualValues(t, 2, v.Sight().Version)
 	require.Equal(t, string(two), string(v.Sight().Text))
 	require.Len(t, v.Sight().Policy.Routes, 1401)
@@ -121,9 +121,9 @@
 	back := &Stage{Base: 2, Text: pack(one)}
 	back.Shorten(two, one)
 	for _, w := range []*View{v, late} {
-		require.True(t, w.Fold(3, StageKind, crux.Pack(back)))
-		w.Fold(4, ActivateKind, crux.Pack(&Activate{3}))
+		require.True(t, w.Fold(3, StageKind, coordination.Pack(back)))
+		w.Fold(4, ActivateKind, coordination.Pack(&Activate{3}))
 		require.Equal(t, string(one), string(w.Sight().Text), "also over a packed one")
-		require.EqualValues(t, word.Version(3), w.Sight().Version)
+		require.EqualValues(t, ids.Version(3), w.Sight().Version)
 	}
 }
--- a/lore/diff.go
+++ b/fleetstate/diff.go
@@ -1,23 +1,23 @@
 // What one policy would change over another, line by line.
 
-package lore
+package fleetstate
 
 import (
 	"encoding/json"
 	"fmt"
 	"sort"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
 )
 
 // Diff lists the fields that differ: + comes, - goes, ~ changes.
 func Diff(old, new []byte) ([]string, error) {
 	var a, b any
 	if err := json.Unmarshal(old, &a); err != nil {
-		return nil, breakdown.As(err, breakdown.Bad, "diff policies", "old")
+		return nil, failure.As(err, failure.Bad, "diff policies", "old")
 	}
 	if err := json.Unmarshal(new, &b); err != nil {
-		return nil, breakdown.As(err, breakdown.Bad, "diff policies", "new")
+		return nil, failure.As(err, failure.Bad, "diff policies", "new")
 	}
 	var out []string
 	walk("", a, b, &out)
--- a/lore/failback.go
+++ b/fleetstate/failback.go
@@ -1,19 +1,19 @@
 // Zones that were taken back of late. Their workers may have turned cold, so whoever starts
 // or comes back must hear of it, and for how long that has been so.
 
-package lore
+package fleetstate
 
 import (
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
 
-	"keelstair.example/crux"
-	"keelstair.example/word"
+	"keelstair.example/coordination"
+	"keelstair.example/ids"
 )
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file failback.go
-//msgp:shim word.Zone as:string using:string/word.Zone
+//msgp:shim ids.Zone as:string using:string/ids.Zone
 
 // WarmedKind is the name of Warmed in the log.
 const WarmedKind = "lore.warmed"
@@ -22,20 +22,20 @@
 // long it surely has been so, in ns. That is counted on the clock of whoever leads, anew
 // after a takeover, and so is never too long.
 type Failback struct {
-	Zone word.Zone
+	Zone ids.Zone
 	No   uint64
 	Ago  int64
 }
 
 // Warmed says that the workers of a zone that was taken back are warm by now.
 type Warmed struct {
-	Zone word.Zone
+	Zone ids.Zone
 	No   uint64
 }
 
 func (c *Warmed) apply(s *State) (msgp.Marshaler, error) {
 	if s.failbacks[c.Zone].No != c.No {
-		return nil, crux.Same
+		return nil, coordination.Same
 	}
 	delete(s.failbacks, c.Zone)
 	return nil, nil
@@ -59,20 +59,20 @@
 }
 
 // warmed names the zones whose workers are warm by now.
-func (m *Machine) warmed(now word.Tick) []crux.Cmd {
+func (m *Machine) warmed(now ids.Tick) []coordination.Cmd {
 	m.now = now
 	if len(m.failbacks) == 0 {
 		clear(m.back)
 		return nil
 	}
 	m.Keys()
-	var out []crux.Cmd
+	var out []coordination.Cmd
 	for z, f := range m.failbacks {
 		if _, ok := m.back[f.No]; !ok {
 			m.back[f.No] = now
 		}
 		if m.ago(f) > m.warm {
-			out = append(out, crux.Cmd{Kind: WarmedKind, Body: crux.Pack(&Warmed{z, f.No})})
+			out = append(out, coordination.Cmd{Kind: WarmedKind, Body: coordination.Pack(&Warmed{z, f.No})})
 		}
 	}
 	return out
--- a/lore/failback_test.go
+++ b/fleetstate/failback_test.go
@@ -1,6 +1,6 @@
 // What is told of zones that were taken back.
 
-package lore
+package fleetstate
 
 import (
 	"testing"
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/crux"
-	"keelstair.example/word"
+	"keelstair.example/coordination"
+	"keelstair.example/ids"
 )
 
 // TestFailback: a copy that leads tells for how long a zone has been back; one that takes
@@ -19,7 +19,7 @@
 func TestFailback(t *testing.T) {
 	text := []byte(`{"services":{"a":{"name":"a","warmMs":2000},"b":{"name":"b","warmMs":6000}}}`)
 	fresh := func() *Machine { return NewMachine(MachineOptions{}) }
-	seq := word.Seq(0)
+	seq := ids.Seq(0)
 	do := func(kind string, body []byte, ms ...*Machine) {
 		t.Helper()
 		seq++
@@ -28,7 +28,7 @@
 			require.NoError(t, err)
 		}
 	}
-	vacate := func(out bool, ms ...*Machine) { do(VacateKind, crux.Pack(&Vacate{Zone: "z", Out: out}), ms...) }
+	vacate := func(out bool, ms ...*Machine) { do(VacateKind, coordination.Pack(&Vacate{Zone: "z", Out: out}), ms...) }
 	tells := func(m *Machine) Failback {
 		t.Helper()
 		v := NewView(nil)
@@ -36,12 +36,12 @@
 		return v.Sight().Failbacks["z"]
 	}
 	lead, backup := fresh(), fresh()
-	do(StageKind, crux.Pack(&Stage{Text: text}), lead, backup)
-	do(ActivateKind, crux.Pack(&Activate{1}), lead, backup)
+	do(StageKind, coordination.Pack(&Stage{Text: text}), lead, backup)
+	do(ActivateKind, coordination.Pack(&Activate{1}), lead, backup)
 	vacate(true, lead, backup)
 	require.Zero(t, tells(lead))
 	vacate(false, lead, backup)
-	at := func(s float64) word.Tick { return word.Tick(s * float64(time.Second)) }
+	at := func(s float64) ids.Tick { return ids.Tick(s * float64(time.Second)) }
 	require.Empty(t, lead.Due(at(100), seq, seq))
 	require.Equal(t, Failback{"z", 1, 0}, tells(lead))
 	require.Empty(t, lead.Due(at(103), seq, seq))
@@ -62,7 +62,7 @@
 	require.Equal(t, WarmedKind, due[0].Kind)
 	vacate(true, lead, backup)
 	vacate(false, lead, backup)
-	require.Equal(t, crux.Same, func() error { _, err := lead.Apply(seq+1, due[0].Kind, due[0].Body); return err }(), "it speaks of an earlier time")
+	require.Equal(t, coordination.Same, func() error { _, err := lead.Apply(seq+1, due[0].Kind, due[0].Body); return err }(), "it speaks of an earlier time")
 	require.Empty(t, lead.Due(at(108), seq, seq))
 	require.Equal(t, Failback{"z", 2, 0}, tells(lead))
 	due = lead.Due(at(115.1), seq, seq)
--- a/lore/lore_test.go
+++ b/fleetstate/fleetstate_test.go
@@ -1,6 +1,6 @@
 // Policies, deeds and activation, without a fleet round them.
 
-package lore
+package fleetstate
 
 import (
 	"testing"
@@ -8,10 +8,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 	"keelstair.example/tale"
-	"keelstair.example/word"
 )
 
 const small = `{
@@ -50,7 +50,7 @@
 		require.NoError(t, err)
 		_, err = Check("part.cue", merged)
 		require.ErrorContains(t, err, says, part)
-		require.True(t, breakdown.Is(err, breakdown.Bad))
+		require.True(t, failure.Is(err, failure.Bad))
 	}
 	rows, err := Diff(whole, []byte(`{}`))
 	require.NoError(t, err)
@@ -70,7 +70,7 @@
 func TestDeeds(t *testing.T) {
 	s := newState(false, Depth{})
 	require.NoError(t, do(t, s, ClaimKind, &Claim{Key: "k", Owner: "n1"}))
-	require.ErrorIs(t, do(t, s, ClaimKind, &Claim{Key: "k", Owner: "n2"}), crux.Same)
+	require.ErrorIs(t, do(t, s, ClaimKind, &Claim{Key: "k", Owner: "n2"}), coordination.Same)
 	require.Error(t, do(t, s, SettleKind, &Settle{Key: "k", Owner: "n2", Fate: Done}))
 	require.NoError(t, do(t, s, SeizeKind, &Seize{Key: "k", From: "n1", To: "n3", Fence: 7}))
 	require.Error(t, do(t, s, SeizeKind, &Seize{Key: "k", From: "n3", To: "n4", Fence: 6}), "an older settler")
@@ -78,18 +78,18 @@
 	require.NoError(t, do(t, s, SettleKind, &Settle{Key: "k", Owner: "n3", Fate: NotRun}))
 	require.Error(t, do(t, s, SettleKind, &Settle{Key: "k", Owner: "n3", Fate: Done}), "a tombstone stays")
 	copied := newState(false, Depth{})
-	require.NoError(t, copied.load(crux.Pack(s.image(false))))
+	require.NoError(t, copied.load(coordination.Pack(s.image(false))))
 	require.Equal(t, s.deeds, copied.deeds)
 }
 
 // TestActivation: a staged version waits for all to have seen it, and not for
 // what came after it, at most the wait; a storm cannot put it off for ever.
 func TestActivation(t *testing.T) {
-	stage := func(m *Machine, seq word.Seq, base word.Version) error {
-		_, err := m.Apply(seq, StageKind, crux.Pack(&Stage{Base: base, Text: []byte(`{}`)}))
+	stage := func(m *Machine, seq ids.Seq, base ids.Version) error {
+		_, err := m.Apply(seq, StageKind, coordination.Pack(&Stage{Base: base, Text: []byte(`{}`)}))
 		return err
 	}
-	ms := func(n int) word.Tick { return word.Tick(time.Duration(n) * time.Millisecond) }
+	ms := func(n int) ids.Tick { return ids.Tick(time.Duration(n) * time.Millisecond) }
 	m := NewMachine(MachineOptions{Wait: time.Second})
 	require.NoError(t, stage(m, 5, 0))
 	require.Error(t, stage(m, 6, 0), "the loser of two")
@@ -97,11 +97,11 @@
 	require.Len(t, m.Due(ms(2), 9, 5), 1, "entries 6 to 9 need not be seen")
 	m = NewMachine(MachineOptions{Wait: time.Second})
 	for v := range 3 {
-		require.NoError(t, stage(m, word.Seq(v+1), word.Version(v)))
-		m.Due(ms(1+v*400), word.Seq(v+1), 0)
+		require.NoError(t, stage(m, ids.Seq(v+1), ids.Version(v)))
+		m.Due(ms(1+v*400), ids.Seq(v+1), 0)
 	}
 	got := m.Due(ms(1100), 4, 0)
-	require.Equal(t, []crux.Cmd{{Kind: ActivateKind, Body: crux.Pack(&Activate{1})}}, got)
+	require.Equal(t, []coordination.Cmd{{Kind: ActivateKind, Body: coordination.Pack(&Activate{1})}}, got)
 }
 
 // TestHeard: a version heard of is put in force if it is staged here; else the
@@ -128,7 +128,7 @@
 // node that has served it does not go back, and takes the next one that is above it.
 func TestSightPinned(t *testing.T) {
 	m, v := NewMachine(MachineOptions{}), NewView(tale.Mute())
-	seq := word.Seq(0)
+	seq := ids.Seq(0)
 	do := func(kind string, body []byte, views ...*View) {
 		t.Helper()
 		seq++
@@ -138,10 +138,10 @@
 			w.Fold(seq, kind, body)
 		}
 	}
-	rule := func(base, next word.Version, text string, views ...*View) {
+	rule := func(base, next ids.Version, text string, views ...*View) {
 		t.Helper()
-		do(StageKind, crux.Pack(&Stage{Base: base, Text: []byte(text), Next: next}), views...)
-		do(ActivateKind, crux.Pack(&Activate{next}), views...)
+		do(StageKind, coordination.Pack(&Stage{Base: base, Text: []byte(text), Next: next}), views...)
+		do(ActivateKind, coordination.Pack(&Activate{next}), views...)
 	}
 	rule(0, 1, `{"zones":["one"]}`, v)
 	old := m.Picture(false)
@@ -150,9 +150,9 @@
 	require.NoError(t, m.Restore(old))
 	require.NoError(t, v.Restore(m.Picture(true)))
 	require.EqualValues(t, 2, v.Sight().Version)
-	require.Equal(t, []word.Zone{"two"}, v.Sight().Policy.Zones)
+	require.Equal(t, []ids.Zone{"two"}, v.Sight().Policy.Zones)
 	require.Equal(t, `{"zones":["two"]}`, string(v.Sight().Text))
 	rule(1, 3, `{"zones":["three"]}`, v)
 	require.EqualValues(t, 3, v.Sight().Version)
-	require.Equal(t, []word.Zone{"three"}, v.Sight().Policy.Zones)
+	require.Equal(t, []ids.Zone{"three"}, v.Sight().Policy.Zones)
 }
--- a/lore/governed.go
+++ b/fleetstate/governed.go
@@ -1,6 +1,6 @@
 // What the picture has of governed work.
 
-package lore
+package fleetstate
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file governed.go
 
--- a/lore/image.go
+++ b/fleetstate/image.go
@@ -1,11 +1,11 @@
 // The picture of all that is agreed on.
 
-package lore
+package fleetstate
 
-import "keelstair.example/word"
+import "keelstair.example/ids"
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file image.go
-//msgp:shim word.Fence as:uint64 using:uint64/word.Fence
+//msgp:shim ids.Fence as:uint64 using:uint64/ids.Fence
 
 type Image struct {
 	Active  Ruled
@@ -16,7 +16,7 @@
 	// Zones taken back of late, and how many times one ever was.
 	Failbacks []Failback
 	Returns   uint64
-	Fence     word.Fence
+	Fence     ids.Fence
 	Deeds     []Deed
 	// The program set in force, and those that are staged.
 	Programs        Ruled
--- a/lore/line.go
+++ b/fleetstate/line.go
@@ -1,15 +1,15 @@
 // A line of versions: staged one over the other, and put in force in their order. The
 // configuration is one, the program sets are another.
 
-package lore
+package fleetstate
 
 import (
 	"slices"
 
 	"github.com/tinylib/msgp/msgp"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/word"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 )
 
 type line struct {
@@ -35,21 +35,21 @@
 	}
 }
 
-func (l *line) newest() word.Version { return l.top().Version }
+func (l *line) newest() ids.Version { return l.top().Version }
 
 func (l *line) stage(c *Stage) (msgp.Marshaler, error) {
 	if c.Base != l.newest() {
-		return nil, breakdown.New(breakdown.Stale, "apply policy", "", "it was made over version %d, the current one is %d", c.Base, l.newest())
+		return nil, failure.New(failure.Stale, "apply policy", "", "it was made over version %d, the current one is %d", c.Base, l.newest())
 	}
 	v := l.newest() + 1
 	if c.Next != 0 && c.Next < v {
-		return nil, breakdown.New(breakdown.Bad, "apply policy", "", "version %d is not above the current one, %d", c.Next, l.newest())
+		return nil, failure.New(failure.Bad, "apply policy", "", "version %d is not above the current one, %d", c.Next, l.newest())
 	}
 	v = max(v, c.Next)
 	if c.Delta {
 		var d Delta
 		if _, err := d.UnmarshalMsg(c.Text); err != nil {
-			return nil, breakdown.As(err, breakdown.Bad, "apply delta", "")
+			return nil, failure.As(err, failure.Bad, "apply delta", "")
 		}
 		text, err := d.patch(unpack(l.top().Text))
 		if err != nil {
@@ -62,12 +62,12 @@
 	return &Ruling{v}, nil
 }
 
-func (l *line) activate(v word.Version) (Ruled, error) {
+func (l *line) activate(v ids.Version) (Ruled, error) {
 	for i, r := range l.staged {
 		if r.Version == v {
 			l.active, l.staged = r, slices.Clone(l.staged[i+1:])
 			return r, nil
 		}
 	}
-	return Ruled{}, breakdown.New(breakdown.Stale, "activate", "", "version %d is not staged", v)
+	return Ruled{}, failure.New(failure.Stale, "activate", "", "version %d is not staged", v)
 }
--- a/lore/machine.go
+++ b/fleetstate/machine.go
@@ -1,36 +1,36 @@
 // The machine puts the state under the core: it says which duties there are
 // and when a staged version is due.
 
-package lore
+package fleetstate
 
 import (
 	"sort"
 	"time"
 
-	"keelstair.example/crux"
-	"keelstair.example/word"
+	"keelstair.example/coordination"
+	"keelstair.example/ids"
 	"keelstair.example/writ"
 )
 
 // The keys of duties that do not hang on a worker.
 const (
-	BudgetKey word.Key = "budget"
-	SettleKey word.Key = "settle"
+	BudgetKey ids.Key = "budget"
+	SettleKey ids.Key = "settle"
 )
 
-func WorkerKey(id word.WorkerId) word.Key { return word.Key("worker/" + string(id)) }
-func PoolKey(model string) word.Key       { return word.Key("pool/" + model) }
+func WorkerKey(id ids.WorkerId) ids.Key { return ids.Key("worker/" + string(id)) }
+func PoolKey(model string) ids.Key      { return ids.Key("pool/" + model) }
 
 type stagedAt struct {
-	at  word.Tick
-	seq word.Seq
+	at  ids.Tick
+	seq ids.Seq
 }
 
 // waiting is when the staged versions of a line may be put in force.
 type waiting struct {
 	*line
 	stage, activate string // the kinds of its commands
-	due             map[word.Version]stagedAt
+	due             map[ids.Version]stagedAt
 }
 
 // Machine is what tenets run over the core.
@@ -39,12 +39,12 @@
 	wait  time.Duration
 	read  Reader
 	waits []*waiting
-	keys  []word.Key
-	of    word.Version
-	warm  time.Duration        // the longest that a zone that was taken back may hold cold workers
-	back  map[uint64]word.Tick // since when the failback of a number is seen here, while this leads
-	now   word.Tick
-	seals map[string]word.Seq // revocations that wait for nodes to have seen them
+	keys  []ids.Key
+	of    ids.Version
+	warm  time.Duration       // the longest that a zone that was taken back may hold cold workers
+	back  map[uint64]ids.Tick // since when the failback of a number is seen here, while this leads
+	now   ids.Tick
+	seals map[string]ids.Seq // revocations that wait for nodes to have seen them
 	clock clock
 	bare  *writ.Register // of the active policy
 }
@@ -58,24 +58,24 @@
 }
 
 func NewMachine(opt MachineOptions) *Machine {
-	word.Or(&opt.Wait, 300*time.Millisecond)
+	ids.Or(&opt.Wait, 300*time.Millisecond)
 	if opt.Read == nil {
 		opt.Read = Plain
 	}
 	if opt.Wall == nil {
 		opt.Wall = time.Now
 	}
-	m := &Machine{State: newState(false, opt.Depth), wait: opt.Wait, read: opt.Read, back: map[uint64]word.Tick{}, seals: map[string]word.Seq{}, clock: clock{wall: opt.Wall}}
+	m := &Machine{State: newState(false, opt.Depth), wait: opt.Wait, read: opt.Read, back: map[uint64]ids.Tick{}, seals: map[string]ids.Seq{}, clock: clock{wall: opt.Wall}}
 	m.waits = []*waiting{
-		{line: &m.line, stage: StageKind, activate: ActivateKind, due: map[word.Version]stagedAt{}},
-		{line: &m.programs, stage: StageProgramsKind, activate: ActivateProgramsKind, due: map[word.Version]stagedAt{}},
+		{line: &m.line, stage: StageKind, activate: ActivateKind, due: map[ids.Version]stagedAt{}},
+		{line: &m.programs, stage: StageProgramsKind, activate: ActivateProgramsKind, due: map[ids.Version]stagedAt{}},
 	}
 	return m
 }
 
 // Apply notes at which number a version was staged: that is what nodes must have
 // seen, not the claims that come after it.
-func (m *Machine) Apply(seq word.Seq, kind string, body []byte) ([]byte, error) {
+func (m *Machine) Apply(seq ids.Seq, kind string, body []byte) ([]byte, error) {
 	out, err := m.State.Apply(kind, body)
 	for _, w := range m.waits {
 		if err == nil && kind == w.stage {
@@ -99,16 +99,16 @@
 	for i, f := range img.Failbacks {
 		img.Failbacks[i].Ago = int64(m.ago(f))
 	}
-	return crux.Pack(img)
+	return coordination.Pack(img)
 }
 
 // Keys names a duty for each worker and each model of the active policy.
-func (m *Machine) Keys() []word.Key {
+func (m *Machine) Keys() []ids.Key {
 	if m.keys != nil && m.of == m.active.Version {
 		return m.keys
 	}
 	m.of = m.active.Version
-	m.keys, m.bare, m.warm = []word.Key{BudgetKey, SettleKey}, nil, 0
+	m.keys, m.bare, m.warm = []ids.Key{BudgetKey, SettleKey}, nil, 0
 	if p, err := m.read(unpack(m.active.Text)); len(m.active.Text) > 0 && err == nil {
 		m.bare, _ = p.Register()
 		pools := map[string]bool{}
@@ -133,11 +133,11 @@
 
 // Due moves the fleet's time on, seals revocations that every node with a lease has
 // seen, names zones that are warm again, and activates what may be.
-func (m *Machine) Due(now word.Tick, seq, seen word.Seq) []crux.Cmd {
+func (m *Machine) Due(now ids.Tick, seq, seen ids.Seq) []coordination.Cmd {
 	out := append(append(m.tick(now), m.seal(seq, seen)...), m.warmed(now)...)
 	for _, w := range m.waits {
 		if top := w.ripe(now, seq, seen, m.wait); top != 0 {
-			out = append(out, crux.Cmd{Kind: w.activate, Body: crux.Pack(&Activate{top})})
+			out = append(out, coordination.Cmd{Kind: w.activate, Body: coordination.Pack(&Activate{top})})
 		}
 	}
 	return out
@@ -155,8 +155,8 @@
 	return out
 }
 
-func (m *Machine) seal(seq, seen word.Seq) []crux.Cmd {
-	var out []crux.Cmd
+func (m *Machine) seal(seq, seen ids.Seq) []coordination.Cmd {
+	var out []coordination.Cmd
 	for _, r := range m.waiting() {
 		at, ok := m.seals[r]
 		if !ok {
@@ -165,7 +165,7 @@
 		}
 		if seen >= at {
 			delete(m.seals, r)
-			out = append(out, crux.Cmd{Kind: SealKind, Body: crux.Pack(&Seal{r})})
+			out = append(out, coordination.Cmd{Kind: SealKind, Body: coordination.Pack(&Seal{r})})
 		}
 	}
 	return out
@@ -173,8 +173,8 @@
 
 // ripe names the newest staged version that all live nodes have seen, or that has waited
 // long enough for silent ones.
-func (w *waiting) ripe(now word.Tick, seq, seen word.Seq, wait time.Duration) word.Version {
-	var top word.Version
+func (w *waiting) ripe(now ids.Tick, seq, seen ids.Seq, wait time.Duration) ids.Version {
+	var top ids.Version
 	for _, r := range w.staged {
 		d, ok := w.due[r.Version]
 		if !ok {
--- a/lore/over_test.go
+++ b/fleetstate/over_test.go
@@ -1,6 +1,6 @@
 // Parts laid over wholes, and policies that are large.
 
-package lore
+package fleetstate
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
 )
 
 // big is a policy of n workers and n kinds.
@@ -60,7 +60,7 @@
 	require.ErrorContains(t, err, "3001 entries")
 	_, err = Source("huge", big(20000))
 	require.ErrorContains(t, err, "over 3000 entries")
-	require.True(t, breakdown.Is(err, breakdown.Bad))
+	require.True(t, failure.Is(err, failure.Bad))
 }
 
 // BenchmarkOver and BenchmarkWhole apply one small change to a large policy.
--- a/lore/policy.go
+++ b/fleetstate/policy.go
@@ -1,8 +1,8 @@
-// Package lore is what the fleet agrees on: the operators' configuration (in
+// Package fleetstate is what the fleet agrees on: the operators' configuration (in
 // our words the policy), zones that are evacuated, workers that drain, and the
 // deeds, that is, claims and outcomes of rulings and verdicts. This file reads
 // and checks a policy with CUE.
-package lore
+package fleetstate
 
 import (
 	_ "embed"
@@ -18,8 +18,8 @@
 	"cuelang.org/go/cue/errors"
 	"cuelang.org/go/cue/parser"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/word"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 )
 
 //go:embed policy.cue
@@ -27,13 +27,13 @@
 
 // Worker is one line of the catalogue.
 type Worker struct {
-	Part     word.Part `json:"part"`
-	Model    string    `json:"model"`
-	Weights  string    `json:"weights"`
-	Adapters []string  `json:"adapters"`
-	Room     int       `json:"room"`
-	Block    int       `json:"block"`
-	Zone     word.Zone `json:"zone"`
+	Part     ids.Part `json:"part"`
+	Model    string   `json:"model"`
+	Weights  string   `json:"weights"`
+	Adapters []string `json:"adapters"`
+	Room     int      `json:"room"`
+	Block    int      `json:"block"`
+	Zone     ids.Zone `json:"zone"`
 }
 
 // Kind is one sort of stream.
@@ -76,15 +76,15 @@
 func (l Limits) GiveUp() time.Duration { return time.Duration(l.GiveUpMs) * time.Millisecond }
 
 type Policy struct {
-	Workers  map[word.WorkerId]Worker `json:"workers"`
-	Zones    []word.Zone              `json:"zones"`
-	Kinds    map[string]Kind          `json:"kinds"`
-	Programs map[string]Program       `json:"programs"`
-	Limits   Limits                   `json:"limits"`
-	Switch   bool                     `json:"switch"`
-	Routes   []Route                  `json:"routes,omitempty"`
-	Services map[string]Service       `json:"services,omitempty"`
-	Intake   Intake                   `json:"intake,omitzero"`
+	Workers  map[ids.WorkerId]Worker `json:"workers"`
+	Zones    []ids.Zone              `json:"zones"`
+	Kinds    map[string]Kind         `json:"kinds"`
+	Programs map[string]Program      `json:"programs"`
+	Limits   Limits                  `json:"limits"`
+	Switch   bool                    `json:"switch"`
+	Routes   []Route                 `json:"routes,omitempty"`
+	Services map[string]Service      `json:"services,omitempty"`
+	Intake   Intake                  `json:"intake,omitzero"`
 	Certified
 }
 
@@ -125,7 +125,7 @@
 			break
 		}
 	}
-	return breakdown.New(breakdown.Bad, "check policy", "", "%s", strings.Join(rows, "; "))
+	return failure.New(failure.Bad, "check policy", "", "%s", strings.Join(rows, "; "))
 }
 
 // twice finds an entry, such as a worker, that is listed two times; CUE alone
@@ -160,10 +160,10 @@
 			}
 			key := strings.Join(at, ".")
 			if pos := fd.Pos(); seen[key] {
-				return breakdown.New(breakdown.Bad, "check policy", "", "%s:%d:%d: %s stands twice", pos.Filename(), pos.Line(), pos.Column(), key)
+				return failure.New(failure.Bad, "check policy", "", "%s:%d:%d: %s stands twice", pos.Filename(), pos.Line(), pos.Column(), key)
 			}
 			if seen[key] = true; len(seen) > maxEntries+100 {
-				return breakdown.New(breakdown.Bad, "check policy", "", "%s: over %d entries; a policy may have no more", fd.Pos().Filename(), maxEntries)
+				return failure.New(failure.Bad, "check policy", "", "%s: over %d entries; a policy may have no more", fd.Pos().Filename(), maxEntries)
 			}
 		}
 		return nil
@@ -256,30 +256,30 @@
 // sane checks what spans several fields.
 func (p *Policy) sane() error {
 	fault := func(field, form string, args ...any) error {
-		return breakdown.New(breakdown.Bad, "check policy", "", field+": "+form, args...)
+		return failure.New(failure.Bad, "check policy", "", field+": "+form, args...)
 	}
 	if n := len(p.Workers) + len(p.Kinds) + len(p.Programs) + len(p.Certificates); n > maxEntries {
 		return fault("workers, kinds, programs, certificates", "%d entries in all, over %d", n, maxEntries)
 	}
-	zones := map[word.Zone]bool{}
+	zones := map[ids.Zone]bool{}
 	for _, z := range p.Zones {
 		if zones[z] {
 			return fault("zones", "%s stands twice", z)
 		}
 		zones[z] = true
 	}
-	models := map[string]map[word.Part]bool{}
+	models := map[string]map[ids.Part]bool{}
 	for id, w := range p.Workers {
 		if !zones[w.Zone] {
 			return fault(fmt.Sprintf("workers.%s.zone", id), "unknown zone %q", w.Zone)
 		}
 		if models[w.Model] == nil {
-			models[w.Model] = map[word.Part]bool{}
+			models[w.Model] = map[ids.Part]bool{}
 		}
 		models[w.Model][w.Part] = true
 	}
 	for name, k := range p.Kinds {
-		if m := models[k.Model]; !(m[word.Prefill] && m[word.Decode]) {
+		if m := models[k.Model]; !(m[ids.Prefill] && m[ids.Decode]) {
 			return fault(fmt.Sprintf("kinds.%s.model", name), "no prefill and decode worker offers %q", k.Model)
 		}
 	}
@@ -295,7 +295,7 @@
 // CheckPrograms checks that the shares add up and that one program at most turns workers.
 func (p *Policy) CheckPrograms() error {
 	fault := func(form string, args ...any) error {
-		return breakdown.New(breakdown.Bad, "check policy", "", "programs: "+form, args...)
+		return failure.New(failure.Bad, "check policy", "", "programs: "+form, args...)
 	}
 	sum, shares, turners := 0, 0, 0
 	for _, g := range p.Programs {
@@ -323,10 +323,10 @@
 		whole = []byte("{}")
 	}
 	if err := json.Unmarshal(whole, &a); err != nil {
-		return nil, breakdown.As(err, breakdown.Bad, "merge policy", "")
+		return nil, failure.As(err, failure.Bad, "merge policy", "")
 	}
 	if err := json.Unmarshal(part, &b); err != nil {
-		return nil, breakdown.As(err, breakdown.Bad, "merge policy", "")
+		return nil, failure.As(err, failure.Bad, "merge policy", "")
 	}
 	return json.Marshal(lay(a, b))
 }
--- a/lore/programs.go
+++ b/fleetstate/programs.go
@@ -3,7 +3,7 @@
 // which nothing but programs and what bounds them is given; it comes over the same log,
 // is staged, compiled and put in force as the configuration is.
 
-package lore
+package fleetstate
 
 import (
 	"context"
@@ -12,11 +12,11 @@
 
 	"github.com/tinylib/msgp/msgp"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
+	"keelstair.example/rpc"
 	"keelstair.example/whim"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 // Kinds of command for program sets.
@@ -86,7 +86,7 @@
 // CheckSet checks that a policy is a program set and within its bounds.
 func (p *Policy) CheckSet() error {
 	fault := func(form string, args ...any) error {
-		return breakdown.New(breakdown.Bad, "check programs", "", form, args...)
+		return failure.New(failure.Bad, "check programs", "", form, args...)
 	}
 	size := 0
 	for _, g := range p.Programs {
@@ -118,7 +118,7 @@
 func Set(text []byte, scores *whim.Scores) (*Policy, *whim.Deck, error) {
 	p, err := Plain(unpack(text))
 	if err != nil {
-		return nil, nil, breakdown.As(err, breakdown.Bad, "read programs", "")
+		return nil, nil, failure.As(err, failure.Bad, "read programs", "")
 	}
 	d, err := p.Deck(scores)
 	return p, d, err
@@ -126,8 +126,8 @@
 
 // PutPrograms asks the core for a program set, as JSON, made over the version base. Its
 // errors are those of Put.
-func PutPrograms(ctx context.Context, call *wire.Caller, book *crux.Book, op word.OpId, base word.Version, text []byte) (word.Version, error) {
-	return decide(ctx, call, book, &crux.SubmitAsk{Op: op, Kind: StageProgramsKind, Body: crux.Pack(&Stage{Base: base, Text: pack(text)})})
+func PutPrograms(ctx context.Context, call *rpc.Caller, book *coordination.Book, op ids.OpId, base ids.Version, text []byte) (ids.Version, error) {
+	return decide(ctx, call, book, &coordination.SubmitAsk{Op: op, Kind: StageProgramsKind, Body: coordination.Pack(&Stage{Base: base, Text: pack(text)})})
 }
 
 // SetText is a set as JSON; for none it is the empty one.
--- a/lore/programs_test.go
+++ b/fleetstate/programs_test.go
@@ -1,6 +1,6 @@
 // Program sets on the state and the view alone, and what one costs to compile.
 
-package lore
+package fleetstate
 
 import (
 	"encoding/json"
@@ -12,10 +12,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
+	"keelstair.example/ids"
 	"keelstair.example/tale"
 	"keelstair.example/whim"
-	"keelstair.example/word"
 )
 
 // setOf is a set of so many programs, each filled up to a size.
@@ -37,7 +37,7 @@
 // whole or open, has them.
 func TestProgramsLine(t *testing.T) {
 	m := NewMachine(MachineOptions{Wait: time.Second})
-	apply := func(seq word.Seq, kind string, c interface{ MarshalMsg([]byte) ([]byte, error) }) error {
+	apply := func(seq ids.Seq, kind string, c interface{ MarshalMsg([]byte) ([]byte, error) }) error {
 		b, _ := c.MarshalMsg(nil)
 		_, err := m.Apply(seq, kind, b)
 		return err
@@ -45,8 +45,8 @@
 	require.NoError(t, apply(1, StageProgramsKind, &Stage{Text: setOf(1, 0)}))
 	require.NoError(t, apply(2, StageKind, &Stage{Text: []byte(`{}`), Next: 7}))
 	require.Error(t, apply(3, StageProgramsKind, &Stage{Text: setOf(2, 0)}), "the loser of two")
-	require.Equal(t, []crux.Cmd{{Kind: ActivateProgramsKind, Body: crux.Pack(&Activate{1})}}, m.Due(1, 3, 1))
-	require.Equal(t, []crux.Cmd{{Kind: ActivateKind, Body: crux.Pack(&Activate{7})}}, m.Due(1, 3, 2))
+	require.Equal(t, []coordination.Cmd{{Kind: ActivateProgramsKind, Body: coordination.Pack(&Activate{1})}}, m.Due(1, 3, 1))
+	require.Equal(t, []coordination.Cmd{{Kind: ActivateKind, Body: coordination.Pack(&Activate{7})}}, m.Due(1, 3, 2))
 	require.NoError(t, apply(4, ActivateProgramsKind, &Activate{1}))
 	require.Error(t, apply(5, ActivateProgramsKind, &Activate{1}))
 	require.NoError(t, apply(6, StageProgramsKind, &Stage{Base: 1, Text: setOf(2, 0)}))
@@ -56,12 +56,12 @@
 		require.NoError(t, copied.Restore(m.Picture(open)))
 		require.Equal(t, m.programs, copied.programs)
 		require.Equal(t, m.Picture(open), copied.Picture(open))
-		require.Len(t, copied.Due(word.Tick(1), 6, 6), 2, "the copy is due by itself")
+		require.Len(t, copied.Due(ids.Tick(1), 6, 6), 2, "the copy is due by itself")
 		v := NewView(tale.Mute())
 		v.Scores = &whim.Scores{}
 		require.NoError(t, v.Restore(copied.Picture(true)))
 		require.EqualValues(t, 1, v.Sight().Set.Version)
-		require.True(t, v.Fold(9, ActivateProgramsKind, crux.Pack(&Activate{2})))
+		require.True(t, v.Fold(9, ActivateProgramsKind, coordination.Pack(&Activate{2})))
 		require.EqualValues(t, 2, v.Sight().Set.Version)
 		require.Equal(t, []string{"p0", "p1"}, v.Sight().Set.Policy.Names())
 	}
--- a/lore/regime.go
+++ b/fleetstate/regime.go
@@ -1,7 +1,7 @@
 // Regimes in a policy: which kinds are governed, by whose certificates they may be
 // handled, and what is refused beforehand, with its place in the operator's text.
 
-package lore
+package fleetstate
 
 import (
 	"errors"
@@ -14,8 +14,8 @@
 	"cuelang.org/go/cue/parser"
 	"cuelang.org/go/cue/token"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/word"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 	"keelstair.example/writ"
 )
 
@@ -32,7 +32,7 @@
 }
 
 func regimeFault(path []string, reason string) error {
-	return breakdown.As(&writ.Fault{Path: path, Reason: reason}, breakdown.Bad, "check regimes", strings.Join(path, "."))
+	return failure.As(&writ.Fault{Path: path, Reason: reason}, failure.Bad, "check regimes", strings.Join(path, "."))
 }
 
 // checkRegimes: every certificate holds, every governed kind exists, and each regime has
@@ -57,7 +57,7 @@
 			if !ok {
 				return regimeFault([]string{"regimes", name, "kinds"}, "unknown kind "+quote(kind))
 			}
-			for _, part := range []word.Part{word.Prefill, word.Decode} {
+			for _, part := range []ids.Part{ids.Prefill, ids.Decode} {
 				if !p.certified(name, k.Model, part) {
 					return regimeFault([]string{"regimes", name}, "no certified "+string(part)+" worker offers "+quote(k.Model)+" for kind "+quote(kind))
 				}
@@ -77,7 +77,7 @@
 func quote(s string) string { return `"` + s + `"` }
 
 // certified tells whether a worker of the catalogue, in its own part, has a certificate.
-func (p *Policy) certified(regime, model string, part word.Part) bool {
+func (p *Policy) certified(regime, model string, part ids.Part) bool {
 	for _, c := range p.Certificates {
 		if w, ok := p.Workers[c.Worker]; ok && c.Regime == regime && w.Model == model && w.Part == part && slices.Contains(c.Parts, part) {
 			return true
@@ -127,7 +127,7 @@
 	if pos, _ := place(f.Decls, at.Path); pos.IsValid() {
 		where = pos.Position().String()
 	}
-	return breakdown.New(breakdown.Bad, "check policy", "", "%s: %s: %s", where, strings.Join(at.Path, "."), at.Reason)
+	return failure.New(failure.Bad, "check policy", "", "%s: %s: %s", where, strings.Join(at.Path, "."), at.Reason)
 }
 
 // place finds the deepest field along a path, and how deep it is.
@@ -167,7 +167,7 @@
 
 // NodeName is the name that a node's certificate bears: its id without the part that
 // changes at each start.
-func NodeName(id word.NodeId) string {
+func NodeName(id ids.NodeId) string {
 	if i := strings.LastIndexByte(string(id), '-'); i > 0 {
 		return string(id)[:i]
 	}
@@ -177,7 +177,7 @@
 // May: a certified worker's key falls to nodes that are certified for every regime that
 // it may serve, since its holder hands on what is governed; and settling, which reads
 // outcomes, to those certified for all.
-func (m *Machine) May(key word.Key, node word.NodeId) bool {
+func (m *Machine) May(key ids.Key, node ids.NodeId) bool {
 	id, worker := strings.CutPrefix(string(key), string(WorkerKey("")))
 	if m.bare == nil || !worker && key != SettleKey {
 		return true
@@ -185,8 +185,8 @@
 	register := m.bare.With(m.revoked)
 	now := writ.Now{Low: m.time - int64(clockLead), High: m.time}
 	for _, g := range register.Regimes() {
-		for _, part := range []word.Part{word.Prefill, word.Decode} {
-			if _, ok := register.Clears(g, writ.Subject{Worker: word.WorkerId(id)}, part, now); !ok && worker {
+		for _, part := range []ids.Part{ids.Prefill, ids.Decode} {
+			if _, ok := register.Clears(g, writ.Subject{Worker: ids.WorkerId(id)}, part, now); !ok && worker {
 				continue
 			}
 			if _, ok := register.Clears(g, writ.Subject{Node: NodeName(node)}, "", now); !ok {
--- a/lore/regime_test.go
+++ b/fleetstate/regime_test.go
@@ -1,6 +1,6 @@
 // Regimes in a policy, revocations that are sealed, and the fleet's time.
 
-package lore
+package fleetstate
 
 import (
 	"encoding/json"
@@ -11,10 +11,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 	"keelstair.example/tale"
-	"keelstair.example/word"
 	"keelstair.example/writ"
 )
 
@@ -24,7 +24,7 @@
 	require.NoError(t, err)
 	day := func(n int) string { return time.Date(2026, 12, 1+n, 0, 0, 0, 0, time.UTC).Format(time.RFC3339) }
 	certs := map[string]writ.Certificate{}
-	for serial, c := range map[string]writ.Certificate{"s1": {Worker: "p1", Parts: []word.Part{word.Prefill}}, "s2": {Worker: "d1", Parts: []word.Part{word.Decode}}, "s3": {Node: "v1"}} {
+	for serial, c := range map[string]writ.Certificate{"s1": {Worker: "p1", Parts: []ids.Part{ids.Prefill}}, "s2": {Worker: "d1", Parts: []ids.Part{ids.Decode}}, "s3": {Node: "v1"}} {
 		c.Serial, c.Regime, c.From, c.Until, c.Issuer = serial, "chair", day(0), day(30), "k1"
 		c.Sign(key)
 		certs[serial] = c
@@ -66,7 +66,7 @@
 	r, err := p.Register()
 	require.NoError(t, err)
 	now := writ.At(time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC))
-	serial, ok := r.Clears("chair", writ.Subject{Worker: "d1"}, word.Decode, now)
+	serial, ok := r.Clears("chair", writ.Subject{Worker: "d1"}, ids.Decode, now)
 	require.True(t, ok)
 	require.Equal(t, "s2", serial)
 	type certs = map[string]writ.Certificate
@@ -104,7 +104,7 @@
 			text := charter(t, one.change)
 			_, _, err := Whole("f.cue", text)
 			require.Error(t, err)
-			require.True(t, breakdown.Is(err, breakdown.Bad))
+			require.True(t, failure.Is(err, failure.Bad))
 			if e := Fault("f.cue", text, true); e != nil {
 				err = e
 			}
@@ -160,7 +160,7 @@
 	require.NoError(t, err)
 }
 
-func run(t *testing.T, m *Machine, list []crux.Cmd) (out []string) {
+func run(t *testing.T, m *Machine, list []coordination.Cmd) (out []string) {
 	for _, c := range list {
 		_, err := m.Apply(9, c.Kind, c.Body)
 		require.NoError(t, err)
@@ -173,10 +173,10 @@
 // primary that did not take it; it outlives pictures.
 func TestSeal(t *testing.T) {
 	m := NewMachine(MachineOptions{})
-	_, err := m.Apply(7, RevokeKind, crux.Pack(&Revoke{"s1"}))
+	_, err := m.Apply(7, RevokeKind, coordination.Pack(&Revoke{"s1"}))
 	require.NoError(t, err)
-	_, err = m.Apply(8, RevokeKind, crux.Pack(&Revoke{"s1"}))
-	require.ErrorIs(t, err, crux.Same)
+	_, err = m.Apply(8, RevokeKind, coordination.Pack(&Revoke{"s1"}))
+	require.ErrorIs(t, err, coordination.Same)
 	require.Empty(t, m.Due(1, 9, 6))
 	other := NewMachine(MachineOptions{})
 	require.NoError(t, other.Restore(m.Picture(false)))
@@ -184,20 +184,20 @@
 	require.Equal(t, []string{SealKind}, run(t, m, m.Due(1, 9, 7)))
 	require.Equal(t, []string{SealKind}, run(t, other, other.Due(1, 12, 9)))
 	require.Empty(t, m.Due(1, 10, 10))
-	_, err = m.Apply(11, SealKind, crux.Pack(&Seal{"s1"}))
-	require.True(t, breakdown.Is(err, breakdown.Stale))
+	_, err = m.Apply(11, SealKind, coordination.Pack(&Seal{"s1"}))
+	require.True(t, failure.Is(err, failure.Stale))
 	v := NewView(tale.Mute())
-	v.Fold(1, StageKind, crux.Pack(&Stage{Text: charter(t, nil)}))
+	v.Fold(1, StageKind, coordination.Pack(&Stage{Text: charter(t, nil)}))
 	v.Heard(1)
 	require.Empty(t, v.Sight().Revoked)
-	v.Fold(2, RevokeKind, crux.Pack(&Revoke{"s1"}))
+	v.Fold(2, RevokeKind, coordination.Pack(&Revoke{"s1"}))
 	now := writ.At(time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC))
-	_, ok := v.Sight().Register.Clears("chair", writ.Subject{Worker: "p1"}, word.Prefill, now)
+	_, ok := v.Sight().Register.Clears("chair", writ.Subject{Worker: "p1"}, ids.Prefill, now)
 	require.False(t, ok)
-	_, ok = v.Sight().Register.Clears("chair", writ.Subject{Worker: "d1"}, word.Decode, now)
+	_, ok = v.Sight().Register.Clears("chair", writ.Subject{Worker: "d1"}, ids.Decode, now)
 	require.True(t, ok)
 	require.Equal(t, map[string]bool{"s1": false}, v.Sight().Revoked)
-	v.Fold(3, SealKind, crux.Pack(&Seal{"s1"}))
+	v.Fold(3, SealKind, coordination.Pack(&Seal{"s1"}))
 	require.Equal(t, map[string]bool{"s1": true}, v.Sight().Revoked)
 }
 
@@ -206,7 +206,7 @@
 // earlier one. Without regimes there is none.
 func TestClock(t *testing.T) {
 	wall := time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC)
-	ms := func(n int) word.Tick { return word.Tick(time.Duration(n) * time.Millisecond) }
+	ms := func(n int) ids.Tick { return ids.Tick(time.Duration(n) * time.Millisecond) }
 	build := func() *Machine { return NewMachine(MachineOptions{Wall: func() time.Time { return wall }}) }
 	a, b := build(), build()
 	require.Empty(t, a.Due(ms(1), 1, 1), "nothing is written without regimes")
@@ -218,8 +218,8 @@
 			require.NoError(t, err)
 		}
 	}
-	apply(StageKind, crux.Pack(&Stage{Text: charter(t, nil)}))
-	apply(ActivateKind, crux.Pack(&Activate{1}))
+	apply(StageKind, coordination.Pack(&Stage{Text: charter(t, nil)}))
+	apply(ActivateKind, coordination.Pack(&Activate{1}))
 	writes, least := 0, int64(0)
 	lead := func(m *Machine, from, to int) int64 {
 		var now int64
@@ -278,21 +278,21 @@
 func TestMay(t *testing.T) {
 	m := NewMachine(MachineOptions{Wall: func() time.Time { return time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC) }})
 	require.True(t, m.May(WorkerKey("p1"), "v2-aa"))
-	for kind, body := range map[string][]byte{StageKind: crux.Pack(&Stage{Text: charter(t, nil)})} {
+	for kind, body := range map[string][]byte{StageKind: coordination.Pack(&Stage{Text: charter(t, nil)})} {
 		_, err := m.Apply(1, kind, body)
 		require.NoError(t, err)
 	}
-	_, err := m.Apply(1, ActivateKind, crux.Pack(&Activate{1}))
+	_, err := m.Apply(1, ActivateKind, coordination.Pack(&Activate{1}))
 	require.NoError(t, err)
 	run(t, m, m.Due(1, 1, 1))
 	m.Keys()
 	require.True(t, m.May(WorkerKey("p1"), "v1-0123456789abcdef"))
 	require.False(t, m.May(WorkerKey("p1"), "v2-0123456789abcdef"))
 	require.True(t, m.May(BudgetKey, "v2-0123456789abcdef"))
-	_, err = m.Apply(2, RevokeKind, crux.Pack(&Revoke{"s3"}))
+	_, err = m.Apply(2, RevokeKind, coordination.Pack(&Revoke{"s3"}))
 	require.NoError(t, err)
 	require.False(t, m.May(WorkerKey("p1"), "v1-0123456789abcdef"))
-	_, err = m.Apply(3, RevokeKind, crux.Pack(&Revoke{"s1"}))
+	_, err = m.Apply(3, RevokeKind, coordination.Pack(&Revoke{"s1"}))
 	require.NoError(t, err)
 	require.True(t, m.May(WorkerKey("p1"), "v2-0123456789abcdef"), "nothing governed runs there")
 }
--- a/lore/route.go
+++ b/fleetstate/route.go
@@ -2,7 +2,7 @@
 // route is picked by host and longest path prefix; a service is a set of workers that
 // the platform lists under one name.
 
-package lore
+package fleetstate
 
 import (
 	"net/url"
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/word"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 )
 
 // Share is one service of a split, by weight.
@@ -56,7 +56,7 @@
 	if sum == 0 {
 		return r.Service
 	}
-	at := int64(word.Hash(id) >> 1 % sum)
+	at := int64(ids.Hash(id) >> 1 % sum)
 	for _, s := range r.Split {
 		if at -= int64(s.Weight); at < 0 {
 			return s.Service
@@ -92,7 +92,7 @@
 // once, weights, times.
 func (p *Policy) CheckRoutes() error {
 	fault := func(r *Route, form string, args ...any) error {
-		return breakdown.New(breakdown.Bad, "check routes", "", "routes."+r.Name+": "+form, args...)
+		return failure.New(failure.Bad, "check routes", "", "routes."+r.Name+": "+form, args...)
 	}
 	names, places := map[string]bool{}, map[string]bool{}
 	for i := range p.Routes {
--- a/lore/route_test.go
+++ b/fleetstate/route_test.go
@@ -1,6 +1,6 @@
 // Routes and services: finding them, and what a policy with them must hold.
 
-package lore
+package fleetstate
 
 import (
 	"encoding/json"
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
 )
 
 // TestFind: the longest prefix that fits wins, whatever the order; the host counts without
@@ -116,7 +116,7 @@
 		f(&p.Routes[1])
 		err := p.CheckRoutes()
 		require.ErrorContains(t, err, says)
-		require.True(t, breakdown.Is(err, breakdown.Bad), says)
+		require.True(t, failure.Is(err, failure.Bad), says)
 	}
 	same := sound()
 	same.Routes[1].Host, same.Routes[1].Prefix = "b.example", "/"
@@ -200,7 +200,7 @@
 		require.NoError(t, err)
 		_, _, err = Whole("part.cue", merged)
 		require.ErrorContains(t, err, says, part)
-		require.True(t, breakdown.Is(err, breakdown.Bad), part)
+		require.True(t, failure.Is(err, failure.Bad), part)
 	}
 }
 
--- a/lore/settle.go
+++ b/fleetstate/settle.go
@@ -1,19 +1,19 @@
 // The messages that end a deed, or pass it on.
 
-package lore
+package fleetstate
 
-import "keelstair.example/word"
+import "keelstair.example/ids"
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file settle.go
-//msgp:shim word.NodeId as:string using:string/word.NodeId
-//msgp:shim word.WorkerId as:string using:string/word.WorkerId
-//msgp:shim word.Life as:string using:string/word.Life
-//msgp:shim word.Fence as:uint64 using:uint64/word.Fence
+//msgp:shim ids.NodeId as:string using:string/ids.NodeId
+//msgp:shim ids.WorkerId as:string using:string/ids.WorkerId
+//msgp:shim ids.Life as:string using:string/ids.Life
+//msgp:shim ids.Fence as:uint64 using:uint64/ids.Fence
 
 // Settle records the one outcome, and of governed work its audit record.
 type Settle struct {
 	Key   string
-	Owner word.NodeId
+	Owner ids.NodeId
 	Fate  string
 	Out   []byte
 	Audit []byte `msg:"Audit,omitempty"`
@@ -22,15 +22,15 @@
 // Bind has an open claim run elsewhere, before it is resumed there.
 type Bind struct {
 	Key    string
-	Owner  word.NodeId
-	Worker word.WorkerId
-	Life   word.Life
+	Owner  ids.NodeId
+	Worker ids.WorkerId
+	Life   ids.Life
 }
 
 // Seize passes a dead node's claim to the holder of the settling duty.
 type Seize struct {
 	Key   string
-	From  word.NodeId
-	To    word.NodeId
-	Fence word.Fence
+	From  ids.NodeId
+	To    ids.NodeId
+	Fence ids.Fence
 }
--- a/lore/shelf_test.go
+++ b/fleetstate/shelf_test.go
@@ -1,6 +1,6 @@
 // Old deeds: what is forgotten of them is never that they were.
 
-package lore
+package fleetstate
 
 import (
 	"fmt"
@@ -8,12 +8,12 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
+	"keelstair.example/failure"
 )
 
 func claim(t testing.TB, s *State, key, digest string) (ClaimReply, error) {
-	out, err := s.Apply(ClaimKind, crux.Pack(&Claim{Key: key, Owner: "n1", Digest: digest}))
+	out, err := s.Apply(ClaimKind, coordination.Pack(&Claim{Key: key, Owner: "n1", Digest: digest}))
 	var got ClaimReply
 	if out != nil {
 		_, e := got.UnmarshalMsg(out)
@@ -48,13 +48,13 @@
 	require.Equal(t, m.Picture(false), copied.Picture(false))
 	for i := range 100 {
 		got, err := claim(t, copied.State, key(i), fmt.Sprint("body", i))
-		require.ErrorIs(t, err, crux.Same)
+		require.ErrorIs(t, err, coordination.Same)
 		require.False(t, got.Fresh)
 		require.Equal(t, fate[i%3], got.Deed.Fate)
 		require.Equal(t, fmt.Sprint("body", i), got.Deed.Digest)
 		require.Equal(t, i < 96, got.Deed.Aged)
 		got, err = claim(t, copied.State, key(i), "another body")
-		require.ErrorIs(t, err, crux.Same)
+		require.ErrorIs(t, err, coordination.Same)
 		require.NotEqual(t, "another body", got.Deed.Digest, "the key stands for another request")
 	}
 	_, ok := copied.shelf.find("verdict/never", "x")
@@ -71,10 +71,10 @@
 		require.NoError(t, do(t, s, SettleKind, &Settle{Key: fmt.Sprint(i), Owner: "n1", Fate: Done}))
 	}
 	_, err := claim(t, s, "new", "b")
-	require.True(t, breakdown.Is(err, breakdown.Stale))
+	require.True(t, failure.Is(err, failure.Stale))
 	require.ErrorContains(t, err, "full")
 	got, err := claim(t, s, "0", "b")
-	require.ErrorIs(t, err, crux.Same)
+	require.ErrorIs(t, err, coordination.Same)
 	require.Equal(t, Done, got.Deed.Fate)
 }
 
--- a/lore/state.go
+++ b/fleetstate/state.go
@@ -1,7 +1,7 @@
 // The state that the decrees and deeds build, the same on every copy. Commands
 // are types with an apply method; one that is refused changes nothing.
 
-package lore
+package fleetstate
 
 import (
 	"encoding/json"
@@ -9,9 +9,9 @@
 
 	"github.com/tinylib/msgp/msgp"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
-	"keelstair.example/word"
+	"keelstair.example/coordination"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 )
 
 // Kinds of command by their names in the log.
@@ -34,12 +34,12 @@
 	line           // the configuration
 	programs  line // the program sets
 	lean      bool
-	zones     map[word.Zone]bool
-	drained   map[word.WorkerId]bool
-	turning   map[word.WorkerId]word.Part
-	failbacks map[word.Zone]Failback
+	zones     map[ids.Zone]bool
+	drained   map[ids.WorkerId]bool
+	turning   map[ids.WorkerId]ids.Part
+	failbacks map[ids.Zone]Failback
 	returns   uint64
-	fence     word.Fence
+	fence     ids.Fence
 	deeds     map[string]Deed
 	order     []string // settled, oldest first
 	shelf     shelf
@@ -52,7 +52,7 @@
 }
 
 func newState(lean bool, d Depth) *State {
-	return &State{lean: lean, zones: map[word.Zone]bool{}, drained: map[word.WorkerId]bool{}, failbacks: map[word.Zone]Failback{}, turning: map[word.WorkerId]word.Part{}, deeds: map[string]Deed{}, shelf: newShelf(d), revoked: map[string]bool{}}
+	return &State{lean: lean, zones: map[ids.Zone]bool{}, drained: map[ids.WorkerId]bool{}, failbacks: map[ids.Zone]Failback{}, turning: map[ids.WorkerId]ids.Part{}, deeds: map[string]Deed{}, shelf: newShelf(d), revoked: map[string]bool{}}
 }
 
 // rule puts a version in force. A lean state has no need of its bounds.
@@ -116,20 +116,20 @@
 // Apply reads a command by its kind and applies it.
 func (s *State) Apply(kind string, body []byte) ([]byte, error) {
 	if kind == AskKind {
-		return nil, breakdown.New(breakdown.Stale, "ask for an outcome", "", "no operation of this id was taken")
+		return nil, failure.New(failure.Stale, "ask for an outcome", "", "no operation of this id was taken")
 	}
 	c := parse(kind)
 	if c == nil {
-		return nil, breakdown.New(breakdown.Bad, "apply", kind, "no such command")
+		return nil, failure.New(failure.Bad, "apply", kind, "no such command")
 	}
 	if _, err := c.UnmarshalMsg(body); err != nil {
-		return nil, breakdown.As(err, breakdown.Bad, "apply", kind)
+		return nil, failure.As(err, failure.Bad, "apply", kind)
 	}
 	out, err := c.apply(s)
-	if err != nil && err != crux.Same || out == nil {
+	if err != nil && err != coordination.Same || out == nil {
 		return nil, err
 	}
-	return crux.Pack(out), err
+	return coordination.Pack(out), err
 }
 
 func (c *Stage) apply(s *State) (msgp.Marshaler, error) { return s.stage(c) }
@@ -144,7 +144,7 @@
 
 func (c *Vacate) apply(s *State) (msgp.Marshaler, error) {
 	if s.zones[c.Zone] == c.Out {
-		return &Ruling{s.newest()}, crux.Same
+		return &Ruling{s.newest()}, coordination.Same
 	}
 	if s.zones[c.Zone] = c.Out; c.Out {
 		delete(s.failbacks, c.Zone)
@@ -158,7 +158,7 @@
 
 func (c *Drain) apply(s *State) (msgp.Marshaler, error) {
 	if s.drained[c.Worker] == c.Out {
-		return &Ruling{s.newest()}, crux.Same
+		return &Ruling{s.newest()}, coordination.Same
 	}
 	if s.drained[c.Worker] = c.Out; !c.Out {
 		delete(s.drained, c.Worker)
@@ -168,13 +168,13 @@
 
 func (c *Claim) apply(s *State) (msgp.Marshaler, error) {
 	if d, ok := s.deeds[c.Key]; ok {
-		return &ClaimReply{Deed: d}, crux.Same
+		return &ClaimReply{Deed: d}, coordination.Same
 	}
 	if d, ok := s.shelf.find(c.Key, c.Digest); ok {
-		return &ClaimReply{Deed: d}, crux.Same
+		return &ClaimReply{Deed: d}, coordination.Same
 	}
 	if !s.lean && s.most > 0 && s.count >= s.most {
-		return nil, breakdown.New(breakdown.Stale, "claim", c.Key, "the store of deeds is full: %d", s.count)
+		return nil, failure.New(failure.Stale, "claim", c.Key, "the store of deeds is full: %d", s.count)
 	}
 	d := Deed{Key: c.Key, Owner: c.Owner, Worker: c.Worker, Life: c.Life, Digest: c.Digest, Fate: Claimed}
 	s.deeds[c.Key] = d
@@ -195,7 +195,7 @@
 func (c *Settle) apply(s *State) (msgp.Marshaler, error) {
 	d, ok := s.deeds[c.Key]
 	if !ok || d.Fate != Claimed || d.Owner != c.Owner {
-		return nil, breakdown.New(breakdown.Stale, "settle", c.Key, "it is %q and not this node's", d.Fate)
+		return nil, failure.New(failure.Stale, "settle", c.Key, "it is %q and not this node's", d.Fate)
 	}
 	if s.lean {
 		delete(s.deeds, c.Key)
@@ -216,7 +216,7 @@
 func (c *Bind) apply(s *State) (msgp.Marshaler, error) {
 	d, ok := s.deeds[c.Key]
 	if !ok || d.Fate != Claimed || d.Owner != c.Owner {
-		return nil, breakdown.New(breakdown.Stale, "bind", c.Key, "it is %q and not this node's", d.Fate)
+		return nil, failure.New(failure.Stale, "bind", c.Key, "it is %q and not this node's", d.Fate)
 	}
 	d.Worker, d.Life = c.Worker, c.Life
 	s.deeds[c.Key] = d
@@ -226,7 +226,7 @@
 func (c *Seize) apply(s *State) (msgp.Marshaler, error) {
 	d, ok := s.deeds[c.Key]
 	if !ok || d.Fate != Claimed || d.Owner != c.From || c.Fence < s.fence {
-		return nil, breakdown.New(breakdown.Stale, "seize", c.Key, "it is %q of %s, fence %d", d.Fate, d.Owner, s.fence)
+		return nil, failure.New(failure.Stale, "seize", c.Key, "it is %q of %s, fence %d", d.Fate, d.Owner, s.fence)
 	}
 	s.fence = c.Fence
 	d.Owner = c.To
@@ -280,21 +280,21 @@
 func (s *State) load(body []byte) error {
 	var img Image
 	if _, err := img.UnmarshalMsg(body); err != nil {
-		return breakdown.As(err, breakdown.Bad, "restore lore", "")
+		return failure.As(err, failure.Bad, "restore lore", "")
 	}
 	next := newState(s.lean, s.shelf.Depth)
 	next.rule(img.Active)
 	next.staged, next.fence, next.count, next.shelf.sealed = img.Staged, img.Fence, img.Count, s.shelf.sealed
 	next.programs = line{img.Programs, img.ProgramsPending}
 	for _, z := range img.Zones {
-		next.zones[word.Zone(z)] = true
+		next.zones[ids.Zone(z)] = true
 	}
 	next.returns = img.Returns
 	for _, f := range img.Failbacks {
 		next.failbacks[f.Zone] = f
 	}
 	for _, w := range img.Drained {
-		next.drained[word.WorkerId(w)] = true
+		next.drained[ids.WorkerId(w)] = true
 	}
 	for _, t := range img.Turning {
 		next.turning[t.Worker] = t.To
--- a/lore/text.go
+++ b/fleetstate/text.go
@@ -1,6 +1,6 @@
 // Texts of policies are kept packed: a large one goes to every node.
 
-package lore
+package fleetstate
 
 import (
 	"bytes"
--- a/lore/text_test.go
+++ b/fleetstate/text_test.go
@@ -1,6 +1,6 @@
 // Texts that are kept packed.
 
-package lore
+package fleetstate
 
 import (
 	"bytes"
--- a/lore/turn_test.go
+++ b/fleetstate/turn_test.go
@@ -1,39 +1,39 @@
 // Turns, and versions that ask for their numbers, on the state alone.
 
-package lore
+package fleetstate
 
 import (
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 	"keelstair.example/tale"
-	"keelstair.example/word"
 )
 
 // TestTurn: a turn stands until it is done; the same one again, or the end of none, changes
 // nothing and is no error to those who asked; another part replaces the first.
 func TestTurn(t *testing.T) {
 	s := newState(false, Depth{})
-	require.ErrorIs(t, do(t, s, TurnKind, &Turn{Worker: "w", Done: true}), crux.Same)
-	require.NoError(t, do(t, s, TurnKind, &Turn{Worker: "w", To: word.Decode}))
-	require.ErrorIs(t, do(t, s, TurnKind, &Turn{Worker: "w", To: word.Decode}), crux.Same)
-	require.NoError(t, do(t, s, TurnKind, &Turn{Worker: "w", To: word.Prefill}))
-	require.NoError(t, do(t, s, TurnKind, &Turn{Worker: "v", To: word.Decode}))
-	require.Equal(t, map[word.WorkerId]word.Part{"w": word.Prefill, "v": word.Decode}, s.turning)
+	require.ErrorIs(t, do(t, s, TurnKind, &Turn{Worker: "w", Done: true}), coordination.Same)
+	require.NoError(t, do(t, s, TurnKind, &Turn{Worker: "w", To: ids.Decode}))
+	require.ErrorIs(t, do(t, s, TurnKind, &Turn{Worker: "w", To: ids.Decode}), coordination.Same)
+	require.NoError(t, do(t, s, TurnKind, &Turn{Worker: "w", To: ids.Prefill}))
+	require.NoError(t, do(t, s, TurnKind, &Turn{Worker: "v", To: ids.Decode}))
+	require.Equal(t, map[ids.WorkerId]ids.Part{"w": ids.Prefill, "v": ids.Decode}, s.turning)
 	require.NoError(t, do(t, s, TurnKind, &Turn{Worker: "w", Done: true}))
-	require.Equal(t, map[word.WorkerId]word.Part{"v": word.Decode}, s.turning)
-	require.Equal(t, word.Key("service/x"), ServiceKey("x"))
+	require.Equal(t, map[ids.WorkerId]ids.Part{"v": ids.Decode}, s.turning)
+	require.Equal(t, ids.Key("service/x"), ServiceKey("x"))
 }
 
 // TestTurnInPicture: a copy made from a picture, whole or open, has the same turns, and
 // pictures of equal states are equal bytes.
 func TestTurnInPicture(t *testing.T) {
 	m := NewMachine(MachineOptions{})
-	for _, w := range []word.WorkerId{"c", "a", "b"} {
-		require.NoError(t, do(t, m.State, TurnKind, &Turn{Worker: w, To: word.Prefill}))
+	for _, w := range []ids.WorkerId{"c", "a", "b"} {
+		require.NoError(t, do(t, m.State, TurnKind, &Turn{Worker: w, To: ids.Prefill}))
 	}
 	for _, open := range []bool{false, true} {
 		copied := NewMachine(MachineOptions{})
@@ -49,13 +49,13 @@
 // news or in a picture, and no longer once it is done; an older sight stays as it was.
 func TestTurnInNews(t *testing.T) {
 	v := NewView(tale.Mute())
-	require.True(t, v.Fold(1, TurnKind, crux.Pack(&Turn{Worker: "w", To: word.Decode})))
+	require.True(t, v.Fold(1, TurnKind, coordination.Pack(&Turn{Worker: "w", To: ids.Decode})))
 	first := v.Sight()
-	require.Equal(t, map[word.WorkerId]word.Part{"w": word.Decode}, first.Turning)
+	require.Equal(t, map[ids.WorkerId]ids.Part{"w": ids.Decode}, first.Turning)
 	other := NewView(tale.Mute())
 	require.NoError(t, other.Restore(v.Picture()))
 	require.Equal(t, first.Turning, other.Sight().Turning)
-	require.True(t, v.Fold(2, TurnKind, crux.Pack(&Turn{Worker: "w", Done: true})))
+	require.True(t, v.Fold(2, TurnKind, coordination.Pack(&Turn{Worker: "w", Done: true})))
 	require.Empty(t, v.Sight().Turning)
 	require.Len(t, first.Turning, 1)
 	require.NoError(t, other.Restore(v.Picture()))
@@ -66,8 +66,8 @@
 // included; else, or over another base, nothing changes.
 func TestNext(t *testing.T) {
 	s := newState(false, Depth{})
-	stage := func(base, next word.Version) (word.Version, error) {
-		out, err := s.Apply(StageKind, crux.Pack(&Stage{Base: base, Next: next, Text: []byte(`{}`)}))
+	stage := func(base, next ids.Version) (ids.Version, error) {
+		out, err := s.Apply(StageKind, coordination.Pack(&Stage{Base: base, Next: next, Text: []byte(`{}`)}))
 		var got Ruling
 		if err == nil {
 			_, err = got.UnmarshalMsg(out)
@@ -79,10 +79,10 @@
 	require.NoError(t, err)
 	require.EqualValues(t, 5, v)
 	_, err = stage(0, 9)
-	require.True(t, breakdown.Is(err, breakdown.Stale))
-	for _, low := range []word.Version{1, 4, 5} {
+	require.True(t, failure.Is(err, failure.Stale))
+	for _, low := range []ids.Version{1, 4, 5} {
 		_, err = stage(5, low)
-		require.True(t, breakdown.Is(err, breakdown.Bad), low)
+		require.True(t, failure.Is(err, failure.Bad), low)
 	}
 	v, err = stage(5, 6)
 	require.NoError(t, err)
@@ -104,9 +104,9 @@
 func TestServiceKeys(t *testing.T) {
 	m := NewMachine(MachineOptions{})
 	require.NotContains(t, m.Keys(), RosterKey)
-	_, err := m.Apply(1, StageKind, crux.Pack(&Stage{Text: []byte(`{"services":{"s":{"name":"s"},"t":{"name":"t"}}}`)}))
+	_, err := m.Apply(1, StageKind, coordination.Pack(&Stage{Text: []byte(`{"services":{"s":{"name":"s"},"t":{"name":"t"}}}`)}))
 	require.NoError(t, err)
-	_, err = m.Apply(2, ActivateKind, crux.Pack(&Activate{1}))
+	_, err = m.Apply(2, ActivateKind, coordination.Pack(&Activate{1}))
 	require.NoError(t, err)
-	require.Equal(t, []word.Key{BudgetKey, RosterKey, ServiceKey("s"), ServiceKey("t"), SettleKey}, m.Keys())
+	require.Equal(t, []ids.Key{BudgetKey, RosterKey, ServiceKey("s"), ServiceKey("t"), SettleKey}, m.Keys())
 }
--- a/lore/view.go
+++ b/fleetstate/view.go
@@ -2,31 +2,31 @@
 // of a request. A version heard of in any message is put in force as soon as it
 // is staged here; until it is, the view says that new picks must be held.
 
-package lore
+package fleetstate
 
 import (
 	"maps"
 	"sync"
 	"sync/atomic"
 
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
+	"keelstair.example/ids"
 	"keelstair.example/tale"
 	"keelstair.example/whim"
-	"keelstair.example/word"
 	"keelstair.example/writ"
 )
 
 // Sight is one frozen state of the view.
 type Sight struct {
-	Version   word.Version
+	Version   ids.Version
 	Policy    *Policy
 	Table     *Table
 	Text      []byte
-	Newest    word.Version
-	Zones     map[word.Zone]bool
-	Drained   map[word.WorkerId]bool
-	Turning   map[word.WorkerId]word.Part
-	Failbacks map[word.Zone]Failback
+	Newest    ids.Version
+	Zones     map[ids.Zone]bool
+	Drained   map[ids.WorkerId]bool
+	Turning   map[ids.WorkerId]ids.Part
+	Failbacks map[ids.Zone]Failback
 	Set       *Deal // the program set in force, if the core has one
 	// Register says who is cleared for governed work; nil without regimes. Bare is the
 	// same without revocations. Revoked has their serials: true once in force everywhere.
@@ -43,15 +43,15 @@
 
 // Deal is one program set, compiled.
 type Deal struct {
-	Version word.Version
+	Version ids.Version
 	Policy  *Policy
 	Deck    *whim.Deck
 }
 
-// View is a crux.Follower. Ready is called with every policy as it is staged,
+// View is a coordination.Follower. Ready is called with every policy as it is staged,
 // so that programs are compiled before they are in force.
 type View struct {
-	Ready func(word.Version, *Policy)
+	Ready func(ids.Version, *Policy)
 	Ring  *tale.Ring
 	Read  Reader // Plain, if it is not set: makes a policy of a text
 	// Scores of programs; where it is not set, program sets are not compiled.
@@ -59,15 +59,15 @@
 
 	mu    sync.Mutex
 	state *State
-	kept  map[word.Version]kept
-	sets  map[word.Version]*Deal
+	kept  map[ids.Version]kept
+	sets  map[ids.Version]*Deal
 	sight atomic.Pointer[Sight]
 	heard atomic.Uint64
 }
 
 func NewView(ring *tale.Ring) *View {
-	v := &View{Ring: ring, state: newState(true, Depth{}), kept: map[word.Version]kept{}, sets: map[word.Version]*Deal{}}
-	v.sight.Store(&Sight{Policy: &Policy{}, Table: NewTable(&Policy{}), Zones: map[word.Zone]bool{}, Drained: map[word.WorkerId]bool{}})
+	v := &View{Ring: ring, state: newState(true, Depth{}), kept: map[ids.Version]kept{}, sets: map[ids.Version]*Deal{}}
+	v.sight.Store(&Sight{Policy: &Policy{}, Table: NewTable(&Policy{}), Zones: map[ids.Zone]bool{}, Drained: map[ids.WorkerId]bool{}})
 	return v
 }
 
@@ -75,7 +75,7 @@
 
 // Heard notes a version that someone else knows. It tells whether this node
 // may pick under what it has.
-func (v *View) Heard(n word.Version) bool {
+func (v *View) Heard(n ids.Version) bool {
 	for {
 		old := v.heard.Load()
 		if uint64(n) <= old {
@@ -92,7 +92,7 @@
 }
 
 // Known is the newest version heard of.
-func (v *View) Known() word.Version { return word.Version(v.heard.Load()) }
+func (v *View) Known() ids.Version { return ids.Version(v.heard.Load()) }
 
 // Settled tells whether nothing newer than the version in force was heard of.
 func (v *View) Settled() bool { return uint64(v.sight.Load().Version) >= v.heard.Load() }
@@ -107,10 +107,10 @@
 	return nil
 }
 
-func (v *View) Fold(_ word.Seq, kind string, body []byte) bool {
+func (v *View) Fold(_ ids.Seq, kind string, body []byte) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if _, err := v.state.Apply(kind, body); err != nil && err != crux.Same {
+	if _, err := v.state.Apply(kind, body); err != nil && err != coordination.Same {
 		v.Ring.Error().AnErr("cause", err).Str("kind", kind).Msg("news does not fold")
 	}
 	loud := false
@@ -125,7 +125,7 @@
 func (v *View) Picture() []byte {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return crux.Pack(v.state.image(true))
+	return coordination.Pack(v.state.image(true))
 }
 
 // Claims lists the open claims by owner.
@@ -184,7 +184,7 @@
 		k.text = unpack(now.Text)
 	}
 	s := &Sight{Version: now.Version, Policy: k.policy, Text: k.text, Newest: all[len(all)-1].Version,
-		Zones: map[word.Zone]bool{}, Drained: map[word.WorkerId]bool{}, Turning: maps.Clone(v.state.turning), Failbacks: maps.Clone(v.state.failbacks), Set: v.deal()}
+		Zones: map[ids.Zone]bool{}, Drained: map[ids.WorkerId]bool{}, Turning: maps.Clone(v.state.turning), Failbacks: maps.Clone(v.state.failbacks), Set: v.deal()}
 	if s.Policy == nil {
 		s.Policy = &Policy{}
 	}
--- a/lore/writ.go
+++ b/fleetstate/writ.go
@@ -1,12 +1,12 @@
 // The messages of revocations and of the fleet's time.
 
-package lore
+package fleetstate
 
 import (
 	"github.com/tinylib/msgp/msgp"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
+	"keelstair.example/failure"
 )
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file writ.go
@@ -43,7 +43,7 @@
 
 func (c *Revoke) apply(s *State) (msgp.Marshaler, error) {
 	if _, ok := s.revoked[c.Serial]; ok {
-		return &Ruling{s.newest()}, crux.Same
+		return &Ruling{s.newest()}, coordination.Same
 	}
 	s.revoked[c.Serial] = false
 	return &Ruling{s.newest()}, nil
@@ -51,7 +51,7 @@
 
 func (c *Seal) apply(s *State) (msgp.Marshaler, error) {
 	if sure, ok := s.revoked[c.Serial]; !ok || sure {
-		return nil, breakdown.New(breakdown.Stale, "seal", c.Serial, "no revocation of it waits")
+		return nil, failure.New(failure.Stale, "seal", c.Serial, "no revocation of it waits")
 	}
 	s.revoked[c.Serial] = true
 	return nil, nil
@@ -59,7 +59,7 @@
 
 func (c *Clock) apply(s *State) (msgp.Marshaler, error) {
 	if c.At <= s.time {
-		return &Ruling{s.newest()}, crux.Same
+		return &Ruling{s.newest()}, coordination.Same
 	}
 	s.time = c.At
 	return &Ruling{s.newest()}, nil
--- a/guise/engine.go
+++ b/guise/engine.go
@@ -8,8 +8,8 @@
 	"context"
 	"time"
 
+	"keelstair.example/ids"
 	"keelstair.example/rein"
-	"keelstair.example/word"
 )
 
 func (w *Worker) engine(ctx context.Context) {
@@ -98,7 +98,7 @@
 	}
 	for len(w.warm) > 512 {
 		var old uint64
-		at := word.Tick(1 << 62)
+		at := ids.Tick(1 << 62)
 		for k, t := range w.warm {
 			if t < at {
 				old, at = k, t
--- a/guise/load.go
+++ b/guise/load.go
@@ -17,9 +17,9 @@
 	"time"
 
 	"keelstair.example/door"
+	"keelstair.example/ids"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 // Shape is one kind of stream as callers send it.
@@ -37,8 +37,8 @@
 // LoadOptions say what to send.
 type LoadOptions struct {
 	Host    seam.Host
-	Doors   func(zone word.Zone) []string // ready ones, those of the caller's zone if it has any
-	Zones   []word.Zone                   // where callers are; none: anywhere
+	Doors   func(zone ids.Zone) []string // ready ones, those of the caller's zone if it has any
+	Zones   []ids.Zone                   // where callers are; none: anywhere
 	Shapes  []Shape
 	Rate    float64 // arrivals a second
 	Span    time.Duration
@@ -123,7 +123,7 @@
 
 // Load sends it all and waits for every answer.
 func Load(ctx context.Context, o LoadOptions) []Outcome {
-	web := wire.Web(o.Host.Net)
+	web := rpc.Web(o.Host.Net)
 	defer web.CloseIdleConnections()
 	if o.Patient == 0 {
 		o.Patient = 20 * time.Second
@@ -146,7 +146,7 @@
 func one(ctx context.Context, o *LoadOptions, web *http.Client, c *call, start time.Time, n uint64) Outcome {
 	rng := rand.New(rand.NewPCG(o.Seed, n+100))
 	r := Outcome{Kind: c.ask.Kind, Key: c.ask.Key, At: c.at}
-	zone := word.Zone("")
+	zone := ids.Zone("")
 	if len(o.Zones) > 0 {
 		zone = o.Zones[rng.IntN(len(o.Zones))]
 	}
@@ -187,7 +187,7 @@
 }
 
 // knock asks once; it gives how long to wait before asking again, if at all.
-func knock(ctx context.Context, o *LoadOptions, web *http.Client, c *call, r *Outcome, due time.Time, rng *rand.Rand, zone word.Zone) time.Duration {
+func knock(ctx context.Context, o *LoadOptions, web *http.Client, c *call, r *Outcome, due time.Time, rng *rand.Rand, zone ids.Zone) time.Duration {
 	doors := o.Doors(zone)
 	if len(doors) == 0 {
 		r.End, r.Detail = "bounced", "no door"
@@ -199,7 +199,7 @@
 	a, err := web.Do(q)
 	if err != nil {
 		r.End, r.Detail = "cut", "no answer"
-		if wire.Undialled(err) {
+		if rpc.Undialled(err) {
 			r.End, r.Detail = "bounced", "door is shut"
 			return 300 * time.Millisecond
 		}
@@ -299,7 +299,7 @@
 // Site is one of the two deployments, in the sizes of today.
 type Site struct {
 	Name    string
-	Zones   []word.Zone
+	Zones   []ids.Zone
 	Nodes   int // machines without a disk
 	Prefill int
 	Decode  int
@@ -309,8 +309,8 @@
 
 // Sites are the two.
 var Sites = map[string]Site{
-	"vatuloa": {Name: "vatuloa", Zones: []word.Zone{"hall-a", "hall-b", "hall-c"}, Nodes: 7, Prefill: 6, Decode: 6, Model: "bridge-8b",
+	"vatuloa": {Name: "vatuloa", Zones: []ids.Zone{"hall-a", "hall-b", "hall-c"}, Nodes: 7, Prefill: 6, Decode: 6, Model: "bridge-8b",
 		Shapes: []Shape{{Kind: "verdict", Claimed: true, Share: 45, Shared: 384, Own: 640, Max: 2}, {Kind: "clarification", Share: 55, Shared: 96, Own: 48, Max: 24}}},
-	"almaty": {Name: "almaty", Zones: []word.Zone{"alatau", "medeu", "bostandyk"}, Nodes: 6, Prefill: 4, Decode: 5, Model: "scooter-8b",
+	"almaty": {Name: "almaty", Zones: []ids.Zone{"alatau", "medeu", "bostandyk"}, Nodes: 6, Prefill: 4, Decode: 5, Model: "scooter-8b",
 		Shapes: []Shape{{Kind: "ruling", Claimed: true, Share: 45, Shared: 320, Own: 480, Max: 2}, {Kind: "rider", Share: 55, Shared: 128, Own: 48, Max: 24}}},
 }
--- a/guise/move.go
+++ b/guise/move.go
@@ -14,8 +14,8 @@
 	"strconv"
 	"time"
 
+	"keelstair.example/ids"
 	"keelstair.example/rein"
-	"keelstair.example/word"
 )
 
 func (w *Worker) take(_ context.Context, q *rein.ImportAsk) (*rein.Answer, error) {
@@ -28,10 +28,10 @@
 	if w.live[m.Id] != nil {
 		return &rein.Answer{}, nil
 	}
-	bill := word.Blocks(m.Computed, w.pool.size)
-	whole := max(bill, word.Blocks(len(m.Prompt)+m.Params.MaxTokens, w.pool.size))
+	bill := ids.Blocks(m.Computed, w.pool.size)
+	whole := max(bill, ids.Blocks(len(m.Prompt)+m.Params.MaxTokens, w.pool.size))
 	switch {
-	case w.part != word.Decode:
+	case w.part != ids.Decode:
 		return nil, no(http.StatusConflict, "this worker prefills")
 	case !w.opt.Model.Offers(m.Model):
 		return nil, no(http.StatusUnprocessableEntity, "another model")
