--- a/guise/platform.go
+++ b/guise/platform.go
@@ -11,29 +11,29 @@
 	"sync"
 	"time"
 
+	"keelstair.example/ids"
 	"keelstair.example/rein"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 // Door is a node as the platform knows it.
 type Door struct {
-	Addr  string    `json:"addr"`
-	Zone  word.Zone `json:"zone"`
-	Ready bool      `json:"ready"`
+	Addr  string   `json:"addr"`
+	Zone  ids.Zone `json:"zone"`
+	Ready bool     `json:"ready"`
 }
 
 // Platform lists workers and doors.
 type Platform struct {
 	mu      sync.Mutex
 	web     *http.Client
-	workers map[word.WorkerId]rein.Listed
+	workers map[ids.WorkerId]rein.Listed
 	doors   map[string]*Door
 }
 
 func NewPlatform(host seam.Host) *Platform {
-	return &Platform{web: wire.Web(host.Net), workers: map[word.WorkerId]rein.Listed{}, doors: map[string]*Door{}}
+	return &Platform{web: rpc.Web(host.Net), workers: map[ids.WorkerId]rein.Listed{}, doors: map[string]*Door{}}
 }
 
 // List puts a worker on the list, or changes its line.
@@ -44,14 +44,14 @@
 }
 
 // Strike takes a worker off the list.
-func (p *Platform) Strike(id word.WorkerId) {
+func (p *Platform) Strike(id ids.WorkerId) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.workers, id)
 }
 
 // Leave marks a worker as leaving.
-func (p *Platform) Leave(id word.WorkerId) {
+func (p *Platform) Leave(id ids.WorkerId) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if l, ok := p.workers[id]; ok {
@@ -61,14 +61,14 @@
 }
 
 // Door adds a node's door.
-func (p *Platform) Door(addr string, zone word.Zone) {
+func (p *Platform) Door(addr string, zone ids.Zone) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.doors[addr] = &Door{Addr: addr, Zone: zone}
 }
 
 // Doors lists the doors that were ready when last asked.
-func (p *Platform) Doors(zone word.Zone) []string {
+func (p *Platform) Doors(zone ids.Zone) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var near, far []string
@@ -138,11 +138,11 @@
 		reply(w, http.StatusOK, l)
 	})
 	mux.HandleFunc("POST /workers/{id}/leave", func(w http.ResponseWriter, r *http.Request) {
-		p.Leave(word.WorkerId(r.PathValue("id")))
+		p.Leave(ids.WorkerId(r.PathValue("id")))
 		reply(w, http.StatusOK, "leaving")
 	})
 	mux.HandleFunc("DELETE /workers/{id}", func(w http.ResponseWriter, r *http.Request) {
-		p.Strike(word.WorkerId(r.PathValue("id")))
+		p.Strike(ids.WorkerId(r.PathValue("id")))
 		reply(w, http.StatusOK, "gone")
 	})
 	mux.HandleFunc("POST /doors", func(w http.ResponseWriter, r *http.Request) {
@@ -155,7 +155,7 @@
 		reply(w, http.StatusOK, d)
 	})
 	mux.HandleFunc("GET /doors", func(w http.ResponseWriter, r *http.Request) {
-		out := p.Doors(word.Zone(r.FormValue("zone")))
+		out := p.Doors(ids.Zone(r.FormValue("zone")))
 		if out == nil {
 			out = []string{}
 		}
@@ -166,11 +166,11 @@
 
 // Asked gives the doors that a platform names ready for a zone, asked anew twice a
 // second.
-func Asked(ctx context.Context, host seam.Host, addr string, zones []word.Zone) func(word.Zone) []string {
-	web := wire.Web(host.Net)
+func Asked(ctx context.Context, host seam.Host, addr string, zones []ids.Zone) func(ids.Zone) []string {
+	web := rpc.Web(host.Net)
 	var mu sync.Mutex
-	kept := map[word.Zone][]string{}
-	ask := func(zone word.Zone) {
+	kept := map[ids.Zone][]string{}
+	ask := func(zone ids.Zone) {
 		cx, stop := context.WithTimeout(ctx, 700*time.Millisecond)
 		defer stop()
 		q, err := http.NewRequestWithContext(cx, http.MethodGet, "http://"+addr+"/doors?zone="+url.QueryEscape(string(zone)), nil)
@@ -201,7 +201,7 @@
 		}
 		web.CloseIdleConnections()
 	}()
-	return func(zone word.Zone) []string {
+	return func(zone ids.Zone) []string {
 		mu.Lock()
 		defer mu.Unlock()
 		return kept[zone]
--- a/guise/pool.go
+++ b/guise/pool.go
@@ -9,7 +9,7 @@
 	"encoding/binary"
 	"encoding/hex"
 
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 type pool struct {
@@ -105,7 +105,7 @@
 
 // Solo is the answer of a run that never moves: the measure for all others.
 func Solo(prompt []int32, max int, seed uint64, warmth float64, model, weights string, adapters []string) []int32 {
-	p := newPool(word.Blocks(len(prompt)+max+1, 16), 16)
+	p := newPool(ids.Blocks(len(prompt)+max+1, 16), 16)
 	tab := p.take(len(p.cells))
 	base := stem(model, weights, adapters)
 	var last uint64
--- a/guise/serve.go
+++ b/guise/serve.go
@@ -12,8 +12,8 @@
 	"strconv"
 	"time"
 
+	"keelstair.example/ids"
 	"keelstair.example/rein"
-	"keelstair.example/word"
 )
 
 func (w *Worker) Handler() http.Handler {
@@ -131,9 +131,9 @@
 	}
 	r := w.live[id]
 	if r == nil {
-		n := word.Blocks(len(q.Identity.Prompt)+len(q.Identity.Output)+1, w.pool.size)
+		n := ids.Blocks(len(q.Identity.Prompt)+len(q.Identity.Output)+1, w.pool.size)
 		switch {
-		case w.part != word.Prefill:
+		case w.part != ids.Prefill:
 			w.mu.Unlock()
 			return nil, no(http.StatusConflict, "this worker decodes")
 		case !w.opt.Model.Offers(q.Identity.Model):
@@ -183,7 +183,7 @@
 		return &rein.Answer{Identity: &got}, nil
 	}
 	r := w.live[q.Id]
-	if r == nil || w.part == word.Prefill && !r.read {
+	if r == nil || w.part == ids.Prefill && !r.read {
 		return nil, no(http.StatusNotFound, "nothing to export")
 	}
 	body, sum := w.pool.freight(r.tab, r.ident.Computed)
@@ -235,7 +235,7 @@
 	if err := w.heed("part", q.Lead, rein.Id{}); err != nil {
 		return nil, err
 	}
-	if q.Part != word.Prefill && q.Part != word.Decode {
+	if q.Part != ids.Prefill && q.Part != ids.Decode {
 		return nil, no(http.StatusBadRequest, "no such part")
 	}
 	if q.Part != w.part && len(w.live) > 0 {
--- a/guise/site.go
+++ b/guise/site.go
@@ -6,8 +6,8 @@
 	"encoding/json"
 	"fmt"
 
-	"keelstair.example/lore"
-	"keelstair.example/word"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 )
 
 // Room and Block of every stand-in worker.
@@ -18,8 +18,8 @@
 )
 
 // Names lists a site's workers, part by part, spread over its zones.
-func (s Site) Names() []word.WorkerId {
-	var out []word.WorkerId
+func (s Site) Names() []ids.WorkerId {
+	var out []ids.WorkerId
 	for i := range s.Prefill + s.Decode {
 		out = append(out, s.Name1(i))
 	}
@@ -27,26 +27,26 @@
 }
 
 // Name1 names the i-th worker.
-func (s Site) Name1(i int) word.WorkerId {
+func (s Site) Name1(i int) ids.WorkerId {
 	if i < s.Prefill {
-		return word.WorkerId(fmt.Sprintf("p%d", i+1))
+		return ids.WorkerId(fmt.Sprintf("p%d", i+1))
 	}
-	return word.WorkerId(fmt.Sprintf("d%d", i-s.Prefill+1))
+	return ids.WorkerId(fmt.Sprintf("d%d", i-s.Prefill+1))
 }
 
 // Worker gives the i-th worker's catalogue line.
-func (s Site) Worker(i int) lore.Worker {
-	part := word.Prefill
+func (s Site) Worker(i int) fleetstate.Worker {
+	part := ids.Prefill
 	at := i
 	if i >= s.Prefill {
-		part, at = word.Decode, i-s.Prefill
+		part, at = ids.Decode, i-s.Prefill
 	}
-	return lore.Worker{Part: part, Model: s.Model, Weights: SiteWeights, Adapters: []string{}, Room: SiteRoom, Block: SiteBlock, Zone: s.Zones[at%len(s.Zones)]}
+	return fleetstate.Worker{Part: part, Model: s.Model, Weights: SiteWeights, Adapters: []string{}, Room: SiteRoom, Block: SiteBlock, Zone: s.Zones[at%len(s.Zones)]}
 }
 
 // Policy is the whole configuration as JSON text.
-func (s Site) Policy(programs map[string]lore.Program) string {
-	workers := map[word.WorkerId]lore.Worker{}
+func (s Site) Policy(programs map[string]fleetstate.Program) string {
+	workers := map[ids.WorkerId]fleetstate.Worker{}
 	for i, id := range s.Names() {
 		workers[id] = s.Worker(i)
 	}
@@ -55,7 +55,7 @@
 		kinds[sh.Kind] = map[string]any{"claimed": sh.Claimed, "model": s.Model, "maxTokens": 64, "weight": 1}
 	}
 	if programs == nil {
-		programs = map[string]lore.Program{}
+		programs = map[string]fleetstate.Program{}
 	}
 	b, err := json.MarshalIndent(map[string]any{"zones": s.Zones, "workers": workers, "kinds": kinds, "programs": programs}, "", "  ")
 	if err != nil {
--- a/guise/worker.go
+++ b/guise/worker.go
@@ -10,17 +10,17 @@
 	"sync"
 	"time"
 
+	"keelstair.example/ids"
 	"keelstair.example/rein"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 // WorkerOptions set up a stand-in worker.
 type WorkerOptions struct {
-	Id     word.WorkerId
+	Id     ids.WorkerId
 	Addr   string
-	Part   word.Part
+	Part   ids.Part
 	Model  rein.Model
 	Room   int           // blocks
 	Block  int           // tokens a block
@@ -36,12 +36,12 @@
 }
 
 func (o *WorkerOptions) fill() {
-	word.Or(&o.Read, 40*time.Microsecond)
-	word.Or(&o.Step, 4*time.Millisecond)
-	word.Or(&o.Each, 200*time.Microsecond)
-	word.Or(&o.Lag, 300*time.Millisecond)
-	word.Or(&o.Stage, 5*time.Second)
-	word.Or(&o.Orphan, 2*time.Second)
+	ids.Or(&o.Read, 40*time.Microsecond)
+	ids.Or(&o.Step, 4*time.Millisecond)
+	ids.Or(&o.Each, 200*time.Microsecond)
+	ids.Or(&o.Lag, 300*time.Millisecond)
+	ids.Or(&o.Stage, 5*time.Second)
+	ids.Or(&o.Orphan, 2*time.Second)
 	if o.Block == 0 {
 		o.Block = 16
 	}
@@ -78,25 +78,25 @@
 // Event is one line for a checker.
 type Event struct {
 	What    string
-	Worker  word.WorkerId
+	Worker  ids.WorkerId
 	Id      rein.Id
-	Fence   word.Fence
-	Version word.Version
-	At      word.Tick
+	Fence   ids.Fence
+	Version ids.Version
+	At      ids.Tick
 }
 
 // Worker is one stand-in.
 type Worker struct {
 	opt  WorkerOptions
 	web  *http.Client
-	life word.Life
+	life ids.Life
 	Tell func(Event)
 
 	mu      sync.Mutex
-	part    word.Part
+	part    ids.Part
 	pool    *pool
-	fence   word.Fence
-	version word.Version
+	fence   ids.Fence
+	version ids.Version
 	fault   Faults
 	live    map[rein.Id]*run
 	queue   []*run
@@ -104,21 +104,21 @@
 	tomb    map[string]int
 	fates   map[string]*rein.Answer
 	tally   map[string]*Tally
-	warm    map[uint64]word.Tick
+	warm    map[uint64]ids.Tick
 	hits    [2]int // prompt tokens that were warm, and all
 	late    []dated
 	wake    chan struct{}
 }
 
 type dated struct {
-	at word.Tick
+	at ids.Tick
 	r  rein.Report
 }
 
 type parcel struct {
 	ident rein.Identity
 	body  []byte
-	until word.Tick
+	until ids.Tick
 }
 
 // run is one request on this worker.
@@ -133,18 +133,18 @@
 	resumed bool
 	ended   bool
 	stopped bool
-	touched word.Tick
+	touched ids.Tick
 	news    chan struct{}
 }
 
 func NewWorker(opt WorkerOptions) *Worker {
 	opt.fill()
-	return &Worker{opt: opt, life: word.Life(rand.Text()), web: wire.Web(opt.Host.Net), part: opt.Part, pool: newPool(opt.Room, opt.Block),
+	return &Worker{opt: opt, life: ids.Life(rand.Text()), web: rpc.Web(opt.Host.Net), part: opt.Part, pool: newPool(opt.Room, opt.Block),
 		live: map[rein.Id]*run{}, staged: map[rein.Id]*parcel{}, tomb: map[string]int{}, tally: map[string]*Tally{},
-		fates: map[string]*rein.Answer{}, warm: map[uint64]word.Tick{}, wake: make(chan struct{}, 1)}
+		fates: map[string]*rein.Answer{}, warm: map[uint64]ids.Tick{}, wake: make(chan struct{}, 1)}
 }
 
-func (w *Worker) now() word.Tick { return w.opt.Host.Clock.Now() }
+func (w *Worker) now() ids.Tick { return w.opt.Host.Clock.Now() }
 
 // Run works until the context ends.
 func (w *Worker) Run(ctx context.Context) {
@@ -268,7 +268,7 @@
 		case r.resumed && !r.ended:
 			w.tell("orphan-run", r.ident.Id, rein.Lead{})
 			w.drop(r, rein.FateStopped)
-		case !r.resumed && (w.part == word.Decode || r.read):
+		case !r.resumed && (w.part == ids.Decode || r.read):
 			w.tell("orphan-import", r.ident.Id, rein.Lead{})
 			w.drop(r, rein.FateNever)
 		}
@@ -293,7 +293,7 @@
 }
 
 // Part tells what the worker does now.
-func (w *Worker) Part() word.Part {
+func (w *Worker) Part() ids.Part {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.part
--- a/guise/worker_test.go
+++ b/guise/worker_test.go
@@ -12,11 +12,11 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 	"keelstair.example/rein"
+	"keelstair.example/rpc"
 	"keelstair.example/seam/sham"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 // pairOf runs a prefill and a decode worker and gives a rein to drive them.
@@ -32,15 +32,15 @@
 		w := sham.NewWorld(1)
 		ctx, stop := context.WithCancel(context.Background())
 		x := &pairOf{pa: "10.0.0.1:90", da: "10.0.0.2:90", ctx: ctx}
-		for i, part := range []word.Part{word.Prefill, word.Decode} {
+		for i, part := range []ids.Part{ids.Prefill, ids.Decode} {
 			host := w.Machine(fmt.Sprintf("10.0.0.%d", i+1)).Start().Host()
 			addr := fmt.Sprintf("10.0.0.%d:90", i+1)
-			k := NewWorker(WorkerOptions{Id: word.WorkerId(part), Addr: addr, Part: part, Room: room, Host: host, Model: rein.Model{Name: "m", Weights: "w1"}})
+			k := NewWorker(WorkerOptions{Id: ids.WorkerId(part), Addr: addr, Part: part, Room: room, Host: host, Model: rein.Model{Name: "m", Weights: "w1"}})
 			l, err := host.Net.Listen(addr)
 			require.NoError(t, err)
-			go wire.Serve(ctx, l, k.Handler())
+			go rpc.Serve(ctx, l, k.Handler())
 			go k.Run(ctx)
-			if part == word.Prefill {
+			if part == ids.Prefill {
 				x.p = k
 			} else {
 				x.d = k
@@ -115,7 +115,7 @@
 			got := x.read(t, m)
 			require.Zero(t, x.p.Used(), "the source must come back clean")
 			require.NoError(t, x.move(got))
-			require.Equal(t, word.Blocks(got.Computed, 16), x.d.Used(), "the bill is ceil(computed / block size)")
+			require.Equal(t, ids.Blocks(got.Computed, 16), x.d.Used(), "the bill is ceil(computed / block size)")
 			require.NoError(t, x.resume(got))
 			require.Equal(t, whole, x.rest(t, got))
 			require.Zero(t, x.d.Used())
@@ -130,7 +130,7 @@
 		m := x.identity("big", 100, 40)
 		got := x.read(t, m)
 		err := x.move(got)
-		require.True(t, breakdown.Is(err, breakdown.Bounced), "%v", err)
+		require.True(t, failure.Is(err, failure.Bounced), "%v", err)
 		require.Zero(t, x.d.Used())
 		require.Equal(t, 1, x.d.Tallies()["big"].Bounced)
 		fit := x.read(t, x.identity("fits", 100, 20))
@@ -162,7 +162,7 @@
 			x.p.Order(f)
 			m := x.read(t, x.identity("spoilt", 100, 8))
 			require.NoError(t, x.move(m))
-			require.True(t, breakdown.Is(x.resume(m), breakdown.Lost))
+			require.True(t, failure.Is(x.resume(m), failure.Lost))
 			require.Zero(t, x.d.Used())
 			require.Zero(t, x.d.Tallies()["spoilt"].Runs)
 		})
@@ -177,22 +177,22 @@
 		require.NoError(t, x.move(m))
 		time.Sleep(3 * time.Second)
 		require.Zero(t, x.d.Used())
-		require.True(t, breakdown.Is(x.resume(m), breakdown.Lost))
+		require.True(t, failure.Is(x.resume(m), failure.Lost))
 		m = x.read(t, x.identity("stopped", 100, 8))
 		a, err := x.r.Cancel(x.ctx, x.da, &rein.IdAsk{Lead: rein.Lead{Fence: 1}, Id: m.Id})
 		require.NoError(t, err)
 		require.Equal(t, rein.FateNever, a.Fate)
-		require.True(t, breakdown.Is(x.move(m), breakdown.Lost))
+		require.True(t, failure.Is(x.move(m), failure.Lost))
 	})
 }
 
 // TestFence: an order under an older fence is refused and changes nothing.
 func TestFence(t *testing.T) {
 	twin(t, 64, func(x *pairOf) {
-		_, err := x.r.Part(x.ctx, x.da, &rein.PartAsk{Lead: rein.Lead{Fence: 5}, Part: word.Decode})
+		_, err := x.r.Part(x.ctx, x.da, &rein.PartAsk{Lead: rein.Lead{Fence: 5}, Part: ids.Decode})
 		require.NoError(t, err)
 		m := x.read(t, x.identity("old", 100, 8))
-		require.True(t, breakdown.Is(x.move(m), breakdown.Stale))
+		require.True(t, failure.Is(x.move(m), failure.Stale))
 		require.Zero(t, x.d.Used())
 	})
 }
@@ -203,10 +203,10 @@
 		m := x.identity("other", 10, 4)
 		m.Model.Weights = "w9"
 		_, err := x.r.Prefill(x.ctx, x.pa, &rein.PrefillAsk{Lead: rein.Lead{Fence: 1}, Identity: m})
-		require.True(t, breakdown.Is(err, breakdown.Bad), "%v", err)
+		require.True(t, failure.Is(err, failure.Bad), "%v", err)
 		x.d.Order(Faults{Garbage: true})
 		_, err = x.r.Report(x.ctx, x.da)
 		require.ErrorContains(t, err, "garbage")
-		require.Equal(t, x.da, breakdown.Neighbour(err))
+		require.Equal(t, x.da, failure.Neighbour(err))
 	})
 }
--- a/word/hash.go
+++ b/ids/hash.go
@@ -1,6 +1,6 @@
 // Hashes that are the same on every machine: what falls to whom is found without a word.
 
-package word
+package ids
 
 import "hash/fnv"
 
--- a/word/hash_test.go
+++ b/ids/hash_test.go
@@ -1,6 +1,6 @@
 // What falls to whom must not change with a version of the code.
 
-package word
+package ids
 
 import "testing"
 
--- a/word/word.go
+++ b/ids/ids.go
@@ -1,9 +1,9 @@
-// Package word holds the small types that every plane of keelstair shares:
+// Package ids holds the small types that every plane of keelstair shares:
 // ids, versions, fences and times. Each is a type of its own, so that an epoch
 // is never taken for a fence nor a wall time for a tick. Ticks count
 // nanoseconds of a clock that never steps back and goes on while the machine
 // sleeps; wall time is for logs only.
-package word
+package ids
 
 import "time"
 
--- a/passage/clean.go
+++ b/passage/clean.go
@@ -8,16 +8,16 @@
 	"context"
 	"time"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 	"keelstair.example/rein"
 	"keelstair.example/seam"
-	"keelstair.example/word"
 )
 
 // Stopper is what clean needs of Hands; settling a dead node's claims uses it
 // too.
 type Stopper interface {
-	Cancel(ctx context.Context, w word.WorkerId, id rein.Id) (*rein.Answer, error)
+	Cancel(ctx context.Context, w ids.WorkerId, id rein.Id) (*rein.Answer, error)
 }
 
 // clean ends the attempt at both workers. It tells the task's final error if
@@ -35,11 +35,11 @@
 	a, err := f.stop(ctx, f.to)
 	switch {
 	case err != nil && f.t.Claimed && f.runs:
-		return breakdown.As(cause, breakdown.Unknown, "hand-over", f.id.Request), false
+		return failure.As(cause, failure.Unknown, "hand-over", f.id.Request), false
 	case err != nil && !gone:
 		// The worker cannot be asked. Once the orphan's time is over it has
 		// dropped the import, or stopped the run that nobody reads.
-		if !breakdown.Is(err, breakdown.Lost) {
+		if !failure.Is(err, failure.Lost) {
 			seam.Sleep(ctx, f.Orphan+300*time.Millisecond)
 		}
 		return nil, true
@@ -51,14 +51,14 @@
 		}
 		return nil, false
 	case f.t.Claimed && f.runs && a.Fate != rein.FateNever:
-		return breakdown.As(cause, breakdown.Unknown, "hand-over", f.id.Request), false
+		return failure.As(cause, failure.Unknown, "hand-over", f.id.Request), false
 	}
 	return nil, true
 }
 
 // stop cancels at one worker, trying a few times. A worker that has begun a new
 // life has lost the attempt; what came of it is not known.
-func (f *flight) stop(ctx context.Context, w word.WorkerId) (*rein.Answer, error) {
+func (f *flight) stop(ctx context.Context, w ids.WorkerId) (*rein.Answer, error) {
 	var err error
 	for n := range 3 {
 		if n > 0 && !seam.Sleep(ctx, 150*time.Millisecond) {
@@ -69,12 +69,12 @@
 		a, err = f.Hands.Cancel(cx, w, f.id)
 		end()
 		if err == nil && w == f.to && f.life != "" && a.Life != f.life {
-			return nil, breakdown.New(breakdown.Lost, "cancel", string(w), "the worker began a new life")
+			return nil, failure.New(failure.Lost, "cancel", string(w), "the worker began a new life")
 		}
 		if err == nil {
 			return a, nil
 		}
-		if breakdown.Is(err, breakdown.Lost) {
+		if failure.Is(err, failure.Lost) {
 			break
 		}
 	}
--- a/passage/controller.go
+++ b/passage/controller.go
@@ -9,28 +9,28 @@
 	"context"
 	"time"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 	"keelstair.example/rein"
 	"keelstair.example/seam"
 	"keelstair.example/whim"
-	"keelstair.example/word"
 )
 
 // Hands give the controller its reach: every order goes through the worker's
 // one duty holder.
 type Hands interface {
-	Pick(q *whim.Question, on rein.Model, shun map[word.WorkerId]bool) []Picked
-	Reserve(ctx context.Context, w word.WorkerId, id rein.Id, blocks int) error
-	Prefill(ctx context.Context, w word.WorkerId, m rein.Identity) (*rein.Answer, error)
-	Export(ctx context.Context, w word.WorkerId, id rein.Id) (*rein.Answer, error)
-	Import(ctx context.Context, w word.WorkerId, m rein.Identity, source word.WorkerId) (*rein.Answer, error)
-	Resume(ctx context.Context, w word.WorkerId, id rein.Id) (*rein.Answer, error)
-	Cancel(ctx context.Context, w word.WorkerId, id rein.Id) (*rein.Answer, error)
-	Done(w word.WorkerId, id rein.Id, sure bool)
-	Stream(ctx context.Context, w word.WorkerId, id rein.Id, from int, put func(rein.Piece) error) error
+	Pick(q *whim.Question, on rein.Model, shun map[ids.WorkerId]bool) []Picked
+	Reserve(ctx context.Context, w ids.WorkerId, id rein.Id, blocks int) error
+	Prefill(ctx context.Context, w ids.WorkerId, m rein.Identity) (*rein.Answer, error)
+	Export(ctx context.Context, w ids.WorkerId, id rein.Id) (*rein.Answer, error)
+	Import(ctx context.Context, w ids.WorkerId, m rein.Identity, source ids.WorkerId) (*rein.Answer, error)
+	Resume(ctx context.Context, w ids.WorkerId, id rein.Id) (*rein.Answer, error)
+	Cancel(ctx context.Context, w ids.WorkerId, id rein.Id) (*rein.Answer, error)
+	Done(w ids.WorkerId, id rein.Id, sure bool)
+	Stream(ctx context.Context, w ids.WorkerId, id rein.Id, from int, put func(rein.Piece) error) error
 	// Spend asks for one recompute, waiting a while for it if need be.
 	Spend(ctx context.Context, wait time.Duration) bool
-	Blame(w word.WorkerId)
+	Blame(w ids.WorkerId)
 	// Stale tells that what was picked last was picked under a version which may be
 	// no longer in force.
 	Stale() bool
@@ -38,10 +38,10 @@
 
 // Picked is a cleared worker with what it runs on.
 type Picked struct {
-	Id    word.WorkerId
+	Id    ids.WorkerId
 	Model rein.Model
 	Block int
-	Life  word.Life
+	Life  ids.Life
 }
 
 // State of a hand-over, in the order in which it goes.
@@ -61,8 +61,8 @@
 type Event struct {
 	Id     rein.Id
 	Stage  Stage
-	Worker word.WorkerId
-	At     word.Tick
+	Worker ids.WorkerId
+	At     ids.Tick
 	Why    string
 	Regime string // that the task is bound to, if any
 }
@@ -71,7 +71,7 @@
 type Task struct {
 	Identity rein.Identity
 	Kind     string
-	Zone     word.Zone
+	Zone     ids.Zone
 	Claimed  bool
 	Regime   string
 	Tries    int
@@ -80,7 +80,7 @@
 	// to either, with the decode worker and its life; its error then ends the task
 	// with nothing run. It is called again before a resume at another worker or life
 	// than it was last told, so that it is known where a run may have begun.
-	Claim func(w word.WorkerId, life word.Life) error
+	Claim func(w ids.WorkerId, life ids.Life) error
 }
 
 // Controller runs tasks.
@@ -96,8 +96,8 @@
 type Put func(index int, tok int32, text string) error
 
 type seat struct {
-	worker word.WorkerId
-	life   word.Life
+	worker ids.WorkerId
+	life   ids.Life
 }
 
 // flight is a task on its way.
@@ -107,15 +107,15 @@
 	id   rein.Id
 	sent []int32
 	put  Put
-	from word.WorkerId
-	to   word.WorkerId
-	life word.Life
+	from ids.WorkerId
+	to   ids.WorkerId
+	life ids.Life
 	runs bool // resume was ordered
 	open bool // Claim was called
 	seat seat // what it was told last
 }
 
-func (f *flight) tell(s Stage, w word.WorkerId, why error) {
+func (f *flight) tell(s Stage, w ids.WorkerId, why error) {
 	if f.Tell == nil {
 		return
 	}
@@ -132,15 +132,15 @@
 func (c *Controller) Run(ctx context.Context, t *Task, put Put) error {
 	f := &flight{Controller: c, t: t, put: put}
 	start := c.Clock.Now()
-	shun := map[word.WorkerId]bool{}
-	tries, since := 0, word.Tick(0)
+	shun := map[ids.WorkerId]bool{}
+	tries, since := 0, ids.Tick(0)
 	for n := 1; ; n++ {
 		f.id = rein.Id{Request: t.Identity.Id.Request, Attempt: n}
 		f.from, f.to, f.life, f.runs = "", "", "", false
 		err := f.try(ctx, shun)
 		// Picked under a version that is no longer in force: picked anew, once the
 		// newer one is here.
-		for breakdown.Is(err, breakdown.Stale) && f.from == "" && !c.Clock.Now().Past(start, t.GiveUp) && seam.Sleep(ctx, 30*time.Millisecond) {
+		for failure.Is(err, failure.Stale) && f.from == "" && !c.Clock.Now().Past(start, t.GiveUp) && seam.Sleep(ctx, 30*time.Millisecond) {
 			err = f.try(ctx, shun)
 		}
 		if err == nil {
@@ -164,22 +164,22 @@
 		}
 		switch {
 		case gone:
-			return f.verdict(breakdown.As(ctx.Err(), breakdown.Lost, "origin went away", ""))
-		case breakdown.Is(err, breakdown.Bad):
+			return f.verdict(failure.As(ctx.Err(), failure.Lost, "origin went away", ""))
+		case failure.Is(err, failure.Bad):
 			return err
 		case tries >= t.Tries || late:
 			return f.verdict(err)
 		case f.from == "" && f.to == "" && len(f.sent) == 0 && n == 1:
 			return f.verdict(err)
 		case f.from != "" && !c.Hands.Spend(ctx, f.patience()):
-			return f.verdict(breakdown.As(err, breakdown.KindOf(err), "retry budget is spent", ""))
+			return f.verdict(failure.As(err, failure.KindOf(err), "retry budget is spent", ""))
 		case f.from == "":
 			seam.Sleep(ctx, 100*time.Millisecond)
 		}
-		for _, w := range []word.WorkerId{f.from, f.to} {
+		for _, w := range []ids.WorkerId{f.from, f.to} {
 			if w != "" {
 				c.Hands.Blame(w)
-				shun[w] = breakdown.Is(err, breakdown.Lost) || breakdown.Is(err, breakdown.Unknown)
+				shun[w] = failure.Is(err, failure.Lost) || failure.Is(err, failure.Unknown)
 			}
 		}
 	}
@@ -197,20 +197,20 @@
 
 // verdict names a failed task by what its origin has seen of it.
 func (f *flight) verdict(err error) error {
-	kind := breakdown.Bounced
+	kind := failure.Bounced
 	if len(f.sent) > 0 {
-		kind = breakdown.Lost
+		kind = failure.Lost
 	}
-	return breakdown.As(err, kind, "hand-over", f.id.Request)
+	return failure.As(err, kind, "hand-over", f.id.Request)
 }
 
 // try goes once through all the stages.
-func (f *flight) try(ctx context.Context, shun map[word.WorkerId]bool) error {
+func (f *flight) try(ctx context.Context, shun map[ids.WorkerId]bool) error {
 	t, h := f.t, f.Hands
 	m := t.Identity
 	m.Id, m.Output = f.id, append([]int32(nil), f.sent...)
 	ask := &whim.Question{Request: m.Id.Request, Kind: t.Kind, Model: m.Model.Name, Adapters: m.Model.Adapters, Zone: t.Zone,
-		Prompt: len(m.Prompt), Max: m.Params.MaxTokens, Part: word.Decode}
+		Prompt: len(m.Prompt), Max: m.Params.MaxTokens, Part: ids.Decode}
 	whole := len(m.Prompt) + m.Params.MaxTokens
 	to, err := f.book(ctx, ask, m.Model, whole, shun)
 	if err != nil {
@@ -219,8 +219,8 @@
 	m.Model.Weights = to.Model.Weights
 	t.Identity.Model.Weights = to.Model.Weights
 	ended := false // the worker's own word that the run came to its end
-	defer func(w word.WorkerId) { h.Done(w, f.id, ended) }(to.Id)
-	ask.Part = word.Prefill
+	defer func(w ids.WorkerId) { h.Done(w, f.id, ended) }(to.Id)
+	ask.Part = ids.Prefill
 	from, err := f.book(ctx, ask, m.Model, len(m.Prompt)+len(m.Output)+1, shun)
 	if err != nil {
 		return err
@@ -229,12 +229,12 @@
 	if !f.open && t.Claim != nil {
 		f.open, f.seat = true, seat{to.Id, to.Life}
 		if err := t.Claim(to.Id, to.Life); err != nil {
-			return breakdown.As(err, breakdown.Bad, "claim", m.Id.Request)
+			return failure.As(err, failure.Bad, "claim", m.Id.Request)
 		}
 	}
 	// A claim may take long.
 	if h.Stale() {
-		return breakdown.New(breakdown.Stale, "pick", m.Id.Request, "a newer version may be in force")
+		return failure.New(failure.Stale, "pick", m.Id.Request, "a newer version may be in force")
 	}
 	f.from = from.Id
 	f.tell(Granted, from.Id, nil)
@@ -249,28 +249,28 @@
 	f.tell(Exported, from.Id, nil)
 	got, texts := a.Identity, a.Texts
 	if got == nil || !f.fits(&m, got) {
-		return breakdown.New(breakdown.Lost, "export", string(from.Id), "what came back is not what went in")
+		return failure.New(failure.Lost, "export", string(from.Id), "what came back is not what went in")
 	}
 	h.Done(from.Id, f.id, true)
-	full := map[word.WorkerId]bool{}
+	full := map[ids.WorkerId]bool{}
 	for {
 		f.to = to.Id
 		if a, err = h.Import(ctx, to.Id, *got, from.Id); err == nil {
 			break
 		}
-		if !breakdown.Is(err, breakdown.Bounced) {
+		if !failure.Is(err, failure.Bounced) {
 			return err
 		}
 		// Refused before any token of the decode side: the next one is tried.
 		f.to = ""
 		shun[to.Id], full[to.Id] = true, true
 		h.Done(to.Id, f.id, true)
-		ask.Part = word.Decode
+		ask.Part = ids.Decode
 		why := err
 		if to, err = f.book(ctx, ask, m.Model, whole, shun); err != nil {
 			return err
 		}
-		defer func(w word.WorkerId) { h.Done(w, f.id, ended) }(to.Id)
+		defer func(w ids.WorkerId) { h.Done(w, f.id, ended) }(to.Id)
 		// Where all are shunned they are picked all the same, but none twice in an attempt.
 		if full[to.Id] {
 			return why
@@ -280,7 +280,7 @@
 	f.tell(Imported, to.Id, nil)
 	if now := (seat{to.Id, a.Life}); t.Claim != nil && f.seat != now {
 		if err := t.Claim(to.Id, a.Life); err != nil {
-			return breakdown.As(err, breakdown.Bounced, "claim anew", m.Id.Request)
+			return failure.As(err, failure.Bounced, "claim anew", m.Id.Request)
 		}
 		f.seat = now
 	}
@@ -323,22 +323,22 @@
 }
 
 // book reserves room on the first worker that has it, in the program's order.
-func (f *flight) book(ctx context.Context, ask *whim.Question, on rein.Model, toks int, shun map[word.WorkerId]bool) (Picked, error) {
+func (f *flight) book(ctx context.Context, ask *whim.Question, on rein.Model, toks int, shun map[ids.WorkerId]bool) (Picked, error) {
 	ask.Need = toks
 	list := f.Hands.Pick(ask, on, shun)
-	err := breakdown.New(breakdown.Bounced, "pick "+string(ask.Part), "", "no worker is cleared")
+	err := failure.New(failure.Bounced, "pick "+string(ask.Part), "", "no worker is cleared")
 	for _, c := range list {
-		if err = f.Hands.Reserve(ctx, c.Id, f.id, word.Blocks(toks, c.Block)); err == nil {
+		if err = f.Hands.Reserve(ctx, c.Id, f.id, ids.Blocks(toks, c.Block)); err == nil {
 			return c, nil
 		}
-		if breakdown.Is(err, breakdown.Stale) {
+		if failure.Is(err, failure.Stale) {
 			return Picked{}, err
 		}
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	return Picked{}, breakdown.As(err, breakdown.Bounced, "book "+string(ask.Part), "")
+	return Picked{}, failure.As(err, failure.Bounced, "book "+string(ask.Part), "")
 }
 
 // hand puts all tokens that the origin has not had yet.
@@ -358,16 +358,16 @@
 // piece passes on index = last+1 only.
 func (f *flight) piece(p rein.Piece) error {
 	if p.Index != len(f.sent) {
-		return breakdown.New(breakdown.Lost, "stream", string(f.to), "piece %d came where %d was due", p.Index, len(f.sent))
+		return failure.New(failure.Lost, "stream", string(f.to), "piece %d came where %d was due", p.Index, len(f.sent))
 	}
 	if p.End != "" {
 		if p.Count != len(f.sent) {
-			return breakdown.New(breakdown.Lost, "stream", string(f.to), "an end after %d of %d pieces", len(f.sent), p.Count)
+			return failure.New(failure.Lost, "stream", string(f.to), "an end after %d of %d pieces", len(f.sent), p.Count)
 		}
 		return nil
 	}
 	if err := f.put(p.Index, p.Token, p.Text); err != nil {
-		return breakdown.As(err, breakdown.Lost, "write to origin", "")
+		return failure.As(err, failure.Lost, "write to origin", "")
 	}
 	f.sent = append(f.sent, p.Token)
 	return nil
--- a/passage/controller_test.go
+++ b/passage/controller_test.go
@@ -11,11 +11,11 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 	"keelstair.example/rein"
 	"keelstair.example/seam/sham"
 	"keelstair.example/whim"
-	"keelstair.example/word"
 )
 
 var answer = []int32{11, 12, 13, 14, 15}
@@ -23,7 +23,7 @@
 // script is a fake fleet of two prefill and two decode workers that does what
 // a test says.
 type script struct {
-	full    map[word.WorkerId]bool // bounces imports
+	full    map[ids.WorkerId]bool // bounces imports
 	spoil   func(m *rein.Identity)
 	resume  func(n int) error
 	stream  func(n, from int, put func(rein.Piece) error) error
@@ -32,9 +32,9 @@
 	resumes int
 	cancels int
 	tries   int
-	imports []word.WorkerId
+	imports []ids.WorkerId
 	loose   map[string]int
-	claim   func(w word.WorkerId, life word.Life) error
+	claim   func(w ids.WorkerId, life ids.Life) error
 	stale   int // so often what was picked is outdated
 	picks   int
 	regime  string
@@ -42,18 +42,18 @@
 	last    bool // where all are shunned they are picked all the same
 }
 
-func lost() error    { return breakdown.New(breakdown.Lost, "test", "w", "lost") }
-func bounced() error { return breakdown.New(breakdown.Bounced, "test", "w", "bounced") }
+func lost() error    { return failure.New(failure.Lost, "test", "w", "lost") }
+func bounced() error { return failure.New(failure.Bounced, "test", "w", "bounced") }
 
-func (s *script) Pick(q *whim.Question, _ rein.Model, shun map[word.WorkerId]bool) []Picked {
+func (s *script) Pick(q *whim.Question, _ rein.Model, shun map[ids.WorkerId]bool) []Picked {
 	s.picks++
 	if s.none > 0 && s.resumes > 0 {
 		s.none--
 		return nil
 	}
 	var out []Picked
-	for _, id := range []word.WorkerId{"1", "2"} {
-		w := word.WorkerId(q.Part[:1]) + id
+	for _, id := range []ids.WorkerId{"1", "2"} {
+		w := ids.WorkerId(q.Part[:1]) + id
 		if !shun[w] {
 			out = append(out, Picked{Id: w, Model: rein.Model{Name: "m", Weights: "w1"}, Block: 16})
 		}
@@ -64,12 +64,12 @@
 	return out
 }
 
-func (s *script) Reserve(_ context.Context, w word.WorkerId, id rein.Id, _ int) error {
+func (s *script) Reserve(_ context.Context, w ids.WorkerId, id rein.Id, _ int) error {
 	s.loose[string(w)+id.Request]++
 	return nil
 }
 
-func (s *script) Prefill(_ context.Context, _ word.WorkerId, m rein.Identity) (*rein.Answer, error) {
+func (s *script) Prefill(_ context.Context, _ ids.WorkerId, m rein.Identity) (*rein.Answer, error) {
 	s.tries++
 	m.Computed = len(m.Prompt)
 	if len(m.Output) == 0 {
@@ -78,7 +78,7 @@
 	return &rein.Answer{Identity: &m}, nil
 }
 
-func (s *script) Export(_ context.Context, _ word.WorkerId, id rein.Id) (*rein.Answer, error) {
+func (s *script) Export(_ context.Context, _ ids.WorkerId, id rein.Id) (*rein.Answer, error) {
 	m := ident()
 	m.Id, m.Output, m.Computed = id, answer[:1], len(m.Prompt)
 	m.Model.Weights = "w1"
@@ -88,7 +88,7 @@
 	return &rein.Answer{Identity: &m}, nil
 }
 
-func (s *script) Import(_ context.Context, w word.WorkerId, _ rein.Identity, _ word.WorkerId) (*rein.Answer, error) {
+func (s *script) Import(_ context.Context, w ids.WorkerId, _ rein.Identity, _ ids.WorkerId) (*rein.Answer, error) {
 	s.imports = append(s.imports, w)
 	if len(s.imports) > 100 {
 		panic("it asks the same workers for ever")
@@ -99,7 +99,7 @@
 	return &rein.Answer{Life: "one"}, nil
 }
 
-func (s *script) Resume(context.Context, word.WorkerId, rein.Id) (*rein.Answer, error) {
+func (s *script) Resume(context.Context, ids.WorkerId, rein.Id) (*rein.Answer, error) {
 	s.resumes++
 	if s.resume != nil {
 		if err := s.resume(s.resumes); err != nil {
@@ -109,7 +109,7 @@
 	return &rein.Answer{}, nil
 }
 
-func (s *script) Cancel(_ context.Context, w word.WorkerId, _ rein.Id) (*rein.Answer, error) {
+func (s *script) Cancel(_ context.Context, w ids.WorkerId, _ rein.Id) (*rein.Answer, error) {
 	if w[0] == 'p' {
 		return &rein.Answer{Fate: rein.FateNever}, nil
 	}
@@ -120,11 +120,11 @@
 	return &rein.Answer{Fate: rein.FateNever, Life: "one"}, nil
 }
 
-func (s *script) Done(w word.WorkerId, id rein.Id, _ bool) { s.loose[string(w)+id.Request] = 0 }
-func (s *script) Blame(word.WorkerId)                      {}
-func (s *script) Stale() bool                              { s.stale--; return s.stale >= 0 }
+func (s *script) Done(w ids.WorkerId, id rein.Id, _ bool) { s.loose[string(w)+id.Request] = 0 }
+func (s *script) Blame(ids.WorkerId)                      {}
+func (s *script) Stale() bool                             { s.stale--; return s.stale >= 0 }
 
-func (s *script) Stream(_ context.Context, _ word.WorkerId, _ rein.Id, from int, put func(rein.Piece) error) error {
+func (s *script) Stream(_ context.Context, _ ids.WorkerId, _ rein.Id, from int, put func(rein.Piece) error) error {
 	if s.stream != nil {
 		return s.stream(s.resumes, from, put)
 	}
@@ -179,14 +179,14 @@
 // TestBouncedImport: a refusal goes to the next worker before any piece; where
 // nobody has room the call is bounced at once, and nothing was put.
 func TestBouncedImport(t *testing.T) {
-	s := &script{full: map[word.WorkerId]bool{"d1": true}}
+	s := &script{full: map[ids.WorkerId]bool{"d1": true}}
 	got, err, _ := play(t, s, false)
 	require.NoError(t, err)
 	require.Equal(t, answer, got)
-	require.Equal(t, []word.WorkerId{"d1", "d2"}, s.imports)
-	s = &script{full: map[word.WorkerId]bool{"d1": true, "d2": true}}
+	require.Equal(t, []ids.WorkerId{"d1", "d2"}, s.imports)
+	s = &script{full: map[ids.WorkerId]bool{"d1": true, "d2": true}}
 	got, err, took := play(t, s, false)
-	require.True(t, breakdown.Is(err, breakdown.Bounced), "%v", err)
+	require.True(t, failure.Is(err, failure.Bounced), "%v", err)
 	require.Empty(t, got)
 	require.Less(t, took, time.Second, "given up means answered at once")
 }
@@ -194,9 +194,9 @@
 // TestAllFull: where every decode worker refuses the import, and the node picks shunned ones
 // as a last resort, each is asked once in an attempt and the task ends bounced.
 func TestAllFull(t *testing.T) {
-	s := &script{full: map[word.WorkerId]bool{"d1": true, "d2": true}, last: true, coins: 5}
+	s := &script{full: map[ids.WorkerId]bool{"d1": true, "d2": true}, last: true, coins: 5}
 	got, err, _ := play(t, s, false)
-	require.True(t, breakdown.Is(err, breakdown.Bounced), "%v", err)
+	require.True(t, failure.Is(err, failure.Bounced), "%v", err)
 	require.Empty(t, got)
 	require.LessOrEqual(t, len(s.imports), 2*3)
 }
@@ -224,7 +224,7 @@
 			}
 			got, err, _ := play(t, s, false)
 			if coins == 0 {
-				require.True(t, breakdown.Is(err, breakdown.Lost), "%s: %v", name, err)
+				require.True(t, failure.Is(err, failure.Lost), "%s: %v", name, err)
 				require.Equal(t, 1, s.tries, "%s: no coin, no recompute", name)
 				continue
 			}
@@ -270,7 +270,7 @@
 	} {
 		s := &script{coins: 5, stream: cut, fate: fate}
 		_, err, _ := play(t, s, true)
-		require.True(t, breakdown.Is(err, breakdown.Unknown), "%s: %v", name, err)
+		require.True(t, failure.Is(err, failure.Unknown), "%s: %v", name, err)
 		require.Equal(t, 1, s.resumes, name)
 	}
 	s := &script{coins: 5, resume: func(n int) error {
@@ -296,8 +296,8 @@
 // in another life than was known. What cannot be told is not resumed.
 func TestClaimedWhere(t *testing.T) {
 	var told []string
-	s := &script{coins: 5, full: map[word.WorkerId]bool{"d1": true}}
-	s.claim = func(w word.WorkerId, life word.Life) error {
+	s := &script{coins: 5, full: map[ids.WorkerId]bool{"d1": true}}
+	s.claim = func(w ids.WorkerId, life ids.Life) error {
 		require.Zero(t, s.resumes)
 		told = append(told, string(w)+"/"+string(life))
 		return nil
@@ -307,14 +307,14 @@
 	require.Equal(t, []string{"d1/", "d2/one"}, told)
 	s = &script{coins: 5}
 	n := 0
-	s.claim = func(word.WorkerId, word.Life) error {
+	s.claim = func(ids.WorkerId, ids.Life) error {
 		if n++; n > 1 {
 			return lost()
 		}
 		return nil
 	}
 	_, err, _ = play(t, s, true)
-	require.True(t, breakdown.Is(err, breakdown.Bounced), "%v", err)
+	require.True(t, failure.Is(err, failure.Bounced), "%v", err)
 	require.Zero(t, s.resumes)
 }
 
@@ -322,7 +322,7 @@
 // are picked anew and the key is not claimed again; nothing was sent before.
 func TestStaleAfterClaim(t *testing.T) {
 	claims := 0
-	s := &script{stale: 2, claim: func(word.WorkerId, word.Life) error { claims++; return nil }}
+	s := &script{stale: 2, claim: func(ids.WorkerId, ids.Life) error { claims++; return nil }}
 	got, err, _ := play(t, s, true)
 	require.NoError(t, err)
 	require.Equal(t, answer, got)
@@ -369,9 +369,9 @@
 	require.Equal(t, answer, got)
 	require.Greater(t, took, time.Second)
 	got, err, _ = play(t, &script{stream: whole, spoil: spoil, coins: 5, none: 20}, false)
-	require.True(t, breakdown.Is(err, breakdown.Lost), "%v", err)
+	require.True(t, failure.Is(err, failure.Lost), "%v", err)
 	require.Len(t, got, 3)
 	_, err, took = play(t, &script{stream: whole, spoil: spoil, coins: 5, regime: "chair", none: 1 << 20}, false)
-	require.True(t, breakdown.Is(err, breakdown.Lost), "%v", err)
+	require.True(t, failure.Is(err, failure.Lost), "%v", err)
 	require.Less(t, took, 10*time.Second)
 }
--- a/passage/ledger.go
+++ b/passage/ledger.go
@@ -10,30 +10,30 @@
 	"sync"
 	"time"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 	"keelstair.example/rein"
-	"keelstair.example/word"
 )
 
 type hold struct {
 	blocks int
-	at     word.Tick // when it was reserved
-	moved  word.Tick // when the worker took it
-	ended  word.Tick
+	at     ids.Tick // when it was reserved
+	moved  ids.Tick // when the worker took it
+	ended  ids.Tick
 	sure   bool // the worker itself said that it has freed it
 }
 
 // Ledger of one worker under one grant.
 type Ledger struct {
 	mu     sync.Mutex
-	since  word.Tick
-	fresh  word.Tick // when the worker was first seen ready, for the ramp
+	since  ids.Tick
+	fresh  ids.Tick // when the worker was first seen ready, for the ramp
 	lag    time.Duration
 	ramp   time.Duration
 	cap    int
-	part   word.Part
+	part   ids.Part
 	report *rein.Report
-	asked  word.Tick
+	asked  ids.Tick
 	holds  map[rein.Id]*hold
 	misses int
 	held   bool
@@ -46,7 +46,7 @@
 
 // Begin notes from when on the worker obeys this holder alone: what an earlier
 // one ordered shows in the first report that is surely younger.
-func (l *Ledger) Begin(now word.Tick) {
+func (l *Ledger) Begin(now ids.Tick) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.since, l.fresh = now, now
@@ -60,7 +60,7 @@
 }
 
 // Report takes a report that was asked for at a tick.
-func (l *Ledger) Report(r *rein.Report, asked word.Tick) {
+func (l *Ledger) Report(r *rein.Report, asked ids.Tick) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.report != nil && (r.Part != l.part || l.misses > 5) {
@@ -111,7 +111,7 @@
 
 // State is what the ledger says of its worker now.
 type State struct {
-	Part  word.Part
+	Part  ids.Part
 	Ready bool
 	Free  int
 	Room  int
@@ -121,16 +121,16 @@
 	Cap   int
 	Block int
 	Model rein.Model
-	Life  word.Life
+	Life  ids.Life
 }
 
-func (l *Ledger) State(now word.Tick) State {
+func (l *Ledger) State(now ids.Tick) State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.state(now)
 }
 
-func (l *Ledger) state(now word.Tick) State {
+func (l *Ledger) state(now ids.Tick) State {
 	s := State{Cap: l.limit(now)}
 	r := l.report
 	if r == nil || l.since == math.MaxInt64 {
@@ -171,7 +171,7 @@
 }
 
 // limit ramps up: a cold worker takes few starts at once.
-func (l *Ledger) limit(now word.Tick) int {
+func (l *Ledger) limit(now ids.Tick) int {
 	age := now.Since(l.fresh)
 	if l.ramp <= 0 || age >= l.ramp {
 		return l.cap
@@ -180,14 +180,14 @@
 }
 
 // Part is what the worker plays by its newest report.
-func (l *Ledger) Part() word.Part {
+func (l *Ledger) Part() ids.Part {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.part
 }
 
 // Reserve books room for a hand-over, or says at once that there is none.
-func (l *Ledger) Reserve(id rein.Id, blocks int, now word.Tick) error {
+func (l *Ledger) Reserve(id rein.Id, blocks int, now ids.Tick) error {
 	return l.ReserveBeside(id, blocks, 0, now)
 }
 
@@ -195,7 +195,7 @@
 func Beside(most, keep int) int { return max(1, most*(100-keep)/100) }
 
 // ReserveBeside books room that leaves so many percent of all room and starts free.
-func (l *Ledger) ReserveBeside(id rein.Id, blocks, keep int, now word.Tick) error {
+func (l *Ledger) ReserveBeside(id rein.Id, blocks, keep int, now ids.Tick) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.holds[id] != nil {
@@ -208,11 +208,11 @@
 	}
 	switch {
 	case !s.Ready:
-		return breakdown.New(breakdown.Bounced, "reserve", "", "no report young enough")
+		return failure.New(failure.Bounced, "reserve", "", "no report young enough")
 	case s.Busy >= s.Cap:
-		return breakdown.New(breakdown.Bounced, "reserve", "", "%d starts are under way, the cap is %d", s.Busy, s.Cap)
+		return failure.New(failure.Bounced, "reserve", "", "%d starts are under way, the cap is %d", s.Busy, s.Cap)
 	case s.Free < blocks:
-		return breakdown.New(breakdown.Bounced, "reserve", "", "%d blocks free, %d needed", s.Free, blocks)
+		return failure.New(failure.Bounced, "reserve", "", "%d blocks free, %d needed", s.Free, blocks)
 	}
 	l.holds[id] = &hold{blocks: blocks, at: now}
 	return nil
@@ -227,7 +227,7 @@
 }
 
 // Moved notes that the worker took the request in.
-func (l *Ledger) Moved(id rein.Id, now word.Tick) {
+func (l *Ledger) Moved(id rein.Id, now ids.Tick) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if h := l.holds[id]; h != nil && h.moved == 0 {
@@ -238,7 +238,7 @@
 // Ended notes that the request is done here. If the worker itself said so, its
 // room is free at once, and a late report that still lists it is not believed;
 // else the room counts as taken until a report shows it free.
-func (l *Ledger) Ended(id rein.Id, sure bool, now word.Tick) {
+func (l *Ledger) Ended(id rein.Id, sure bool, now ids.Tick) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := l.holds[id]
--- a/passage/ledger_test.go
+++ b/passage/ledger_test.go
@@ -9,16 +9,16 @@
 
 	"github.com/stretchr/testify/require"
 
+	"keelstair.example/ids"
 	"keelstair.example/rein"
-	"keelstair.example/word"
 )
 
 const lag = 500 * time.Millisecond
 
-func at(ms int) word.Tick { return word.Tick(time.Duration(ms) * time.Millisecond) }
+func at(ms int) ids.Tick { return ids.Tick(time.Duration(ms) * time.Millisecond) }
 
 func report(used int, on ...rein.Running) *rein.Report {
-	return &rein.Report{Part: word.Decode, Used: used, Capacity: 100, Block: 16, Running: on}
+	return &rein.Report{Part: ids.Decode, Used: used, Capacity: 100, Block: 16, Running: on}
 }
 
 func begun(ms int, ramp time.Duration, limit int) *Ledger {
@@ -116,7 +116,7 @@
 	require.Error(t, l.Reserve(one(5), 1, at(600)))
 	require.Equal(t, 16, l.State(at(2100)).Cap)
 	back := report(0)
-	back.Part = word.Prefill
+	back.Part = ids.Prefill
 	l.Report(back, at(3000))
 	require.Equal(t, 4, l.State(at(3500)).Cap, "a switched worker is cold again")
 }
--- a/passage/tide.go
+++ b/passage/tide.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 const (
@@ -32,7 +32,7 @@
 }
 
 // roll moves the book on to a second. The caller holds mu.
-func (t *Tide) roll(now word.Tick, done int64) {
+func (t *Tide) roll(now ids.Tick, done int64) {
 	sec := int64(now) / int64(time.Second)
 	if t.second == 0 || sec-t.second > tideSpan {
 		t.second, t.booked, t.done = sec, [tideSpan]int{}, done
@@ -47,7 +47,7 @@
 }
 
 // Next books an appointment no sooner than a span from now; done are completions so far.
-func (t *Tide) Next(now word.Tick, done int64, least time.Duration) time.Duration {
+func (t *Tide) Next(now ids.Tick, done int64, least time.Duration) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.roll(now, done)
--- a/passage/tide_test.go
+++ b/passage/tide_test.go
@@ -8,14 +8,14 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 // TestTide: many that are bounced at once are spread over seconds by the rate of
 // completions, none sooner than the least and none later than the book reaches; a few
 // come back soon; and seconds that went by are free again.
 func TestTide(t *testing.T) {
-	at := func(ms int) word.Tick { return word.Tick(time.Duration(100_000+ms) * time.Millisecond) }
+	at := func(ms int) ids.Tick { return ids.Tick(time.Duration(100_000+ms) * time.Millisecond) }
 	var b Tide
 	for s := range 6 {
 		b.roll(at(1000*s), int64(100*s))
--- a/proof/back_test.go
+++ b/proof/back_test.go
@@ -9,11 +9,11 @@
 	"fmt"
 	"time"
 
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
 	"keelstair.example/guise"
+	"keelstair.example/ids"
 	"keelstair.example/seam"
 	"keelstair.example/verge"
-	"keelstair.example/word"
 )
 
 // backs gives the spans by kind and by zone of the door. Zones that were emptied, or
@@ -28,8 +28,8 @@
 	for _, sh := range c.Site.Shapes {
 		note(sh.Kind, func(o guise.Outcome) bool { return o.Kind == sh.Kind })
 	}
-	zones := map[string]word.Zone{}
-	serves := map[word.Zone]bool{}
+	zones := map[string]ids.Zone{}
+	serves := map[ids.Zone]bool{}
 	for _, b := range c.Of("verge") {
 		zones[b.Door] = b.Zone
 		serves[b.Zone] = serves[b.Zone] || b.Up
@@ -59,7 +59,7 @@
 		now := time.Now()
 		led := false
 		c.cores.Range(func(k, _ any) bool {
-			if k.(*crux.Core).Leads() {
+			if k.(*coordination.Core).Leads() {
 				led = true
 			}
 			return true
--- a/proof/book_test.go
+++ b/proof/book_test.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"keelstair.example/guise"
+	"keelstair.example/ids"
 	"keelstair.example/passage"
 	"keelstair.example/verge"
-	"keelstair.example/word"
 )
 
 // Mark is a thing the script did, with when it was known to be done.
@@ -38,14 +38,14 @@
 	picks []Pick
 	again []time.Duration
 	acks  []Acked
-	laws  []time.Duration                    // how long each apply took, until it was in force
-	nays  []string                           // texts that were refused
-	force map[word.Version]map[string]string // texts in force anywhere, and who had them
+	laws  []time.Duration                   // how long each apply took, until it was in force
+	nays  []string                          // texts that were refused
+	force map[ids.Version]map[string]string // texts in force anywhere, and who had them
 }
 
 // Acked is a configuration that an operator was told is taken.
 type Acked struct {
-	Version word.Version
+	Version ids.Version
 	Text    string
 	At      time.Duration
 }
@@ -56,11 +56,11 @@
 // Pick is a hand-over granted by a node, under the version it has in force.
 type Pick struct {
 	Node    string
-	Version word.Version
+	Version ids.Version
 	At      time.Duration
 }
 
-func NewBook() *Book { return &Book{start: time.Now(), force: map[word.Version]map[string]string{}} }
+func NewBook() *Book { return &Book{start: time.Now(), force: map[ids.Version]map[string]string{}} }
 
 // Now is the time since the book was opened.
 func (b *Book) Now() time.Duration { return time.Since(b.start) }
@@ -78,7 +78,7 @@
 }
 
 // Step takes a hand-over's event, with the version that its node has in force.
-func (b *Book) Step(node string, e passage.Event, v word.Version) {
+func (b *Book) Step(node string, e passage.Event, v ids.Version) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if e.Stage == passage.Granted {
@@ -95,7 +95,7 @@
 	b.marks = append(b.marks, Mark{what, name, b.Now()})
 }
 
-func (b *Book) Ack(v word.Version, text string) {
+func (b *Book) Ack(v ids.Version, text string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.acks = append(b.acks, Acked{v, text, b.Now()})
@@ -238,12 +238,12 @@
 // order: at each worker fences never go down, and no order carries a version
 // older than one the worker had seen a quarter second before.
 func (b *Book) order(f *finder) {
-	fence := map[word.WorkerId]word.Fence{}
+	fence := map[ids.WorkerId]ids.Fence{}
 	type since struct {
-		v  word.Version
+		v  ids.Version
 		at time.Duration
 	}
-	seen := map[word.WorkerId][]since{}
+	seen := map[ids.WorkerId][]since{}
 	for _, e := range b.rows {
 		if e.Fence == 0 {
 			continue
@@ -271,7 +271,7 @@
 // behind: no node grants anything under a version older than one that some worker
 // had seen a quarter second before.
 func (b *Book) behind(f *finder) {
-	first := map[word.Version]time.Duration{}
+	first := map[ids.Version]time.Duration{}
 	for _, e := range b.rows {
 		if at, ok := first[e.Version]; e.Version > 0 && (!ok || e.When < at) {
 			first[e.Version] = e.When
@@ -327,7 +327,7 @@
 func (b *Book) FellBack() time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	first := map[word.WorkerId]map[word.Version]time.Duration{}
+	first := map[ids.WorkerId]map[ids.Version]time.Duration{}
 	most := time.Duration(0)
 	for _, e := range b.rows {
 		if e.Fence == 0 || e.What == "resumed" {
@@ -335,7 +335,7 @@
 		}
 		seen := first[e.Worker]
 		if seen == nil {
-			seen = map[word.Version]time.Duration{}
+			seen = map[ids.Version]time.Duration{}
 			first[e.Worker] = seen
 		}
 		for v, at := range seen {
--- a/proof/bureau_test.go
+++ b/proof/bureau_test.go
@@ -10,12 +10,12 @@
 	"sync"
 	"time"
 
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
 	"keelstair.example/door"
 	"keelstair.example/guise"
+	"keelstair.example/ids"
 	"keelstair.example/passage"
 	"keelstair.example/verge"
-	"keelstair.example/word"
 	"keelstair.example/writ"
 )
 
@@ -27,7 +27,7 @@
 const grace = 2 * time.Second
 
 // chamber is a site with governed kinds of both sorts and machines to spare.
-var chamber = guise.Site{Name: "chamber", Zones: []word.Zone{"a", "b", "c"}, Nodes: 5, Prefill: 4, Decode: 4, Model: "m",
+var chamber = guise.Site{Name: "chamber", Zones: []ids.Zone{"a", "b", "c"}, Nodes: 5, Prefill: 4, Decode: 4, Model: "m",
 	Shapes: []guise.Shape{{Kind: "verdict", Claimed: true, Share: 30, Shared: 64, Own: 64, Max: 2},
 		{Kind: "speech", Share: 30, Shared: 64, Own: 32, Max: 40}, {Kind: "clarification", Share: 40, Shared: 64, Own: 16, Max: 16}}}
 
@@ -94,11 +94,11 @@
 // certify gives all named a certificate for a day; the serial is c- and the name.
 func (b *Bureau) certify(workers, nodes []string) {
 	for _, w := range workers {
-		part := word.Prefill
+		part := ids.Prefill
 		if w[0] == 'd' {
-			part = word.Decode
+			part = ids.Decode
 		}
-		b.sign("c-"+w, writ.Certificate{Worker: word.WorkerId(w), Parts: []word.Part{part}}, 24*time.Hour)
+		b.sign("c-"+w, writ.Certificate{Worker: ids.WorkerId(w), Parts: []ids.Part{part}}, 24*time.Hour)
 	}
 	for _, n := range nodes {
 		b.sign("c-"+n, writ.Certificate{Node: n}, 24*time.Hour)
@@ -133,7 +133,7 @@
 
 // Revoke ends a certificate as edict does, until it is acknowledged.
 func (b *Bureau) Revoke(serial string) error {
-	op, begun := crux.Name(), b.c.Book.Now()
+	op, begun := coordination.Name(), b.c.Book.Now()
 	var err error
 	b.c.Until(20*time.Second, func() bool {
 		err = b.c.Operate("/v1/certificates/"+serial, &door.Mark{Op: op, Out: true}, nil)
@@ -154,7 +154,7 @@
 }
 
 // cleared tells whether a worker may be at governed work at a time.
-func (b *Bureau) cleared(w word.WorkerId, at time.Duration) bool {
+func (b *Bureau) cleared(w ids.WorkerId, at time.Duration) bool {
 	for serial, g := range b.spans {
 		if b.certs[serial].Worker == w && at >= g.from && at <= g.until+grace {
 			return true
@@ -243,4 +243,4 @@
 // usual certifies three of each part and four of the nodes.
 func (b *Bureau) usual() { b.certify(append(upTo("p", 3), upTo("d", 3)...), upTo("verge-", 4)) }
 
-func holds(b *Box) []word.Key { return b.Node.Status().(*verge.Standing).Holds }
+func holds(b *Box) []ids.Key { return b.Node.Status().(*verge.Standing).Holds }
--- a/proof/chamber_test.go
+++ b/proof/chamber_test.go
@@ -17,8 +17,8 @@
 
 	"keelstair.example/door"
 	"keelstair.example/guise"
+	"keelstair.example/ids"
 	"keelstair.example/rein"
-	"keelstair.example/word"
 	"keelstair.example/writ"
 )
 
@@ -108,11 +108,11 @@
 	{"expiry-while-cut", func(c *Cluster, b *Bureau, r *rand.Rand) error {
 		// Two get other certificates, which end soon, and then their first are revoked.
 		for _, w := range []string{"d1", "p1"} {
-			part := word.Decode
+			part := ids.Decode
 			if w[0] == 'p' {
-				part = word.Prefill
+				part = ids.Prefill
 			}
-			b.sign("short-"+w, writ.Certificate{Worker: word.WorkerId(w), Parts: []word.Part{part}}, 5*time.Second)
+			b.sign("short-"+w, writ.Certificate{Worker: ids.WorkerId(w), Parts: []ids.Part{part}}, 5*time.Second)
 		}
 		if err := alter(c, "short", partOf(map[string]any{"certificates": b.certs})); err != nil {
 			return err
@@ -232,5 +232,5 @@
 }
 
 func row(what, worker string, second int) Seen {
-	return Seen{guise.Event{What: what, Worker: word.WorkerId(worker), Id: rein.Id{Request: "r", Attempt: 1}}, time.Duration(second) * time.Second}
+	return Seen{guise.Event{What: what, Worker: ids.WorkerId(worker), Id: rein.Id{Request: "r", Attempt: 1}}, time.Duration(second) * time.Second}
 }
--- a/proof/checker_test.go
+++ b/proof/checker_test.go
@@ -9,9 +9,9 @@
 	"github.com/stretchr/testify/require"
 
 	"keelstair.example/guise"
+	"keelstair.example/ids"
 	"keelstair.example/rein"
 	"keelstair.example/verge"
-	"keelstair.example/word"
 )
 
 type fake map[string]guise.Tally
@@ -21,8 +21,8 @@
 // TestCheckersCatch plants one violation of each line and sees it caught, under
 // its own name and no other.
 func TestCheckersCatch(t *testing.T) {
-	event := func(b *Book, what, worker string, fence word.Fence, v word.Version, at time.Duration) {
-		b.rows = append(b.rows, Seen{guise.Event{What: what, Worker: word.WorkerId(worker), Id: rein.Id{Request: "r"}, Fence: fence, Version: v}, at})
+	event := func(b *Book, what, worker string, fence ids.Fence, v ids.Version, at time.Duration) {
+		b.rows = append(b.rows, Seen{guise.Event{What: what, Worker: ids.WorkerId(worker), Id: rein.Id{Request: "r"}, Fence: fence, Version: v}, at})
 	}
 	for line, plant := range map[string]func(b *Book) []guise.Outcome{
 		Twice: func(b *Book) []guise.Outcome {
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -13,29 +13,29 @@
 	"sync"
 	"time"
 
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
 	"keelstair.example/door"
+	"keelstair.example/fleetstate"
 	"keelstair.example/guise"
-	"keelstair.example/lore"
+	"keelstair.example/ids"
 	"keelstair.example/passage"
 	"keelstair.example/rein"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
 	"keelstair.example/seam/sham"
 	"keelstair.example/tale"
 	"keelstair.example/verge"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 // Box is one machine of the fleet with its process.
 type Box struct {
 	Name    string
 	Kind    string
-	Zone    word.Zone
+	Zone    ids.Zone
 	Addr    string
 	Door    string
 	Machine *sham.Machine
-	Core    *crux.Core
+	Core    *coordination.Core
 	Node    *verge.Node
 	Worker  *guise.Worker
 	Up      bool
@@ -56,16 +56,16 @@
 	Book     *Book
 	Seeds    []string
 	Tune     func(*guise.WorkerOptions)
-	Programs map[string]lore.Program
+	Programs map[string]fleetstate.Program
 	Steps    func(passage.Event) // told of every step of every hand-over
 	Fixed    bool                // workers keep their parts
 	Slack    time.Duration       // on top of the bound for an apply, where takeovers come between
-	Depth    lore.Depth
+	Depth    fleetstate.Depth
 
 	base  context.Context
 	shut  context.CancelFunc
 	wg    sync.WaitGroup
-	cores sync.Map   // *crux.Core, every one that was started
+	cores sync.Map   // *coordination.Core, every one that was started
 	nodes sync.Map   // *verge.Node -> name, likewise
 	mu    sync.Mutex // of Boxes
 	out   *sham.Proc
@@ -84,7 +84,7 @@
 	c.serve(c.base, p.Host(), "10.8.0.1:80", c.Platform.Handler())
 	c.wg.Go(func() { c.Platform.Run(c.base) })
 	c.out = c.World.Machine("10.9.0.1").Start()
-	c.web = wire.Web(c.out.Host().Net)
+	c.web = rpc.Web(c.out.Host().Net)
 	for i := range 3 {
 		c.Seeds = append(c.Seeds, fmt.Sprintf("10.1.0.%d:700", i+1))
 	}
@@ -114,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	c.wg.Go(func() { wire.Serve(ctx, l, h) })
+	c.wg.Go(func() { rpc.Serve(ctx, l, h) })
 	return nil
 }
 
@@ -126,13 +126,13 @@
 }
 
 // Tenet describes a disk machine.
-func (c *Cluster) Tenet(name, addr string, zone word.Zone) *Box {
+func (c *Cluster) Tenet(name, addr string, zone ids.Zone) *Box {
 	ip := addr[:len(addr)-4]
 	return &Box{Name: name, Kind: "tenet", Zone: zone, Addr: addr, Machine: c.World.Machine(ip),
 		begin: func(b *Box, ctx context.Context, host seam.Host) error {
-			core, err := crux.New(crux.Options{Addr: addr, Zone: zone, Host: host, Seeds: c.Seeds, Ring: c.ring(name),
-				Machine: func() crux.Machine {
-					return lore.NewMachine(lore.MachineOptions{Depth: c.Depth, Wall: host.Clock.Wall})
+			core, err := coordination.New(coordination.Options{Addr: addr, Zone: zone, Host: host, Seeds: c.Seeds, Ring: c.ring(name),
+				Machine: func() coordination.Machine {
+					return fleetstate.NewMachine(fleetstate.MachineOptions{Depth: c.Depth, Wall: host.Clock.Wall})
 				}})
 			if err != nil {
 				return err
@@ -147,7 +147,7 @@
 }
 
 // Verge describes a router node.
-func (c *Cluster) Verge(name, ip string, zone word.Zone) *Box {
+func (c *Cluster) Verge(name, ip string, zone ids.Zone) *Box {
 	return &Box{Name: name, Kind: "verge", Zone: zone, Addr: ip + ":701", Door: ip + ":80", Machine: c.World.Machine(ip),
 		begin: func(b *Box, ctx context.Context, host seam.Host) error {
 			n := verge.New(verge.Options{Name: name, Addr: b.Addr, Zone: zone, Seeds: c.Seeds, Platform: "10.8.0.1:80", Host: host,
@@ -175,7 +175,7 @@
 }
 
 // Stand describes a stand-in worker.
-func (c *Cluster) Stand(id word.WorkerId, w lore.Worker, ip string) *Box {
+func (c *Cluster) Stand(id ids.WorkerId, w fleetstate.Worker, ip string) *Box {
 	return &Box{Name: string(id), Kind: "worker", Zone: w.Zone, Addr: ip + ":90", Machine: c.World.Machine(ip),
 		begin: func(b *Box, ctx context.Context, host seam.Host) error {
 			opt := guise.WorkerOptions{Id: id, Addr: b.Addr, Part: w.Part, Room: w.Room, Block: w.Block, Host: host,
--- a/proof/compare_test.go
+++ b/proof/compare_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"keelstair.example/fleetstate"
 	"keelstair.example/guise"
-	"keelstair.example/lore"
 	"keelstair.example/whim"
 )
 
@@ -42,7 +42,7 @@
 						site := guise.Sites[name]
 						c := Build(seed, site, func(c *Cluster) {
 							if prog != whim.PlainName {
-								c.Programs = map[string]lore.Program{prog: {Source: whim.Shipped(prog), Share: 100}}
+								c.Programs = map[string]fleetstate.Program{prog: {Source: whim.Shipped(prog), Share: 100}}
 							}
 						})
 						defer c.Close()
--- a/proof/compose_test.go
+++ b/proof/compose_test.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"keelstair.example/guise"
+	"keelstair.example/ids"
 	"keelstair.example/seam"
-	"keelstair.example/word"
 )
 
 // act is one thing that happens. Acts of the same turn wait for one another.
@@ -259,7 +259,7 @@
 	switch i % 4 {
 	case 0:
 		part["workers"] = map[string]any{"ghost-" + name: map[string]any{"part": "decode", "model": "ghost", "weights": "g1", "room": 64, "zone": "hall-a"}}
-		part["zones"] = []word.Zone{"hall-a", "hall-b", "hall-c", "alatau", "medeu", "bostandyk", word.Zone("zone-" + name)}
+		part["zones"] = []ids.Zone{"hall-a", "hall-b", "hall-c", "alatau", "medeu", "bostandyk", ids.Zone("zone-" + name)}
 	case 1:
 		part["programs"] = map[string]any{"idea-" + op: map[string]any{"source": "def order(ask, workers):\n    return [w.id for w in workers]\n", "shadow": true}}
 	case 2:
--- a/proof/decree_test.go
+++ b/proof/decree_test.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"keelstair.example/door"
-	"keelstair.example/lore"
-	"keelstair.example/word"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 )
 
 // shown gives the newest that any node has in force, once nothing newer is on its way
@@ -33,15 +33,15 @@
 
 // expected is the whole text that a partial one over what is shown comes to.
 func expected(sh *door.Shown, part string) (string, error) {
-	src, err := lore.Source("part", []byte(part))
+	src, err := fleetstate.Source("part", []byte(part))
 	if err != nil {
 		return "", err
 	}
-	text, err := lore.Merge(sh.Policy, src)
+	text, err := fleetstate.Merge(sh.Policy, src)
 	if err != nil {
 		return "", err
 	}
-	_, whole, err := lore.Whole("part", text)
+	_, whole, err := fleetstate.Whole("part", text)
 	return string(whole), err
 }
 
@@ -71,7 +71,7 @@
 	default:
 		return err
 	}
-	c.Book.Ack(word.Version(got.Version), text)
+	c.Book.Ack(ids.Version(got.Version), text)
 	took := c.Book.Now() - begun
 	c.Book.Took(took)
 	// While no node can reach the core, none can learn what it took.
@@ -88,7 +88,7 @@
 
 // empty evacuates a zone or takes that back, until it is answered; the time counts
 // from the asking.
-func empty(c *Cluster, z word.Zone, op string, out bool) error {
+func empty(c *Cluster, z ids.Zone, op string, out bool) error {
 	what := "return"
 	if out {
 		what = "evacuate"
@@ -139,7 +139,7 @@
 }
 
 // Force notes what a node has in force.
-func (b *Book) Force(node string, v word.Version, text []byte) {
+func (b *Book) Force(node string, v ids.Version, text []byte) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.force[v] == nil {
@@ -158,7 +158,7 @@
 	c.Book.mu.Lock()
 	acks, marks := c.Book.acks, c.Book.marks
 	taken := map[string]bool{}
-	var last word.Version
+	var last ids.Version
 	for _, a := range acks {
 		taken[a.Text] = true
 		last = max(last, a.Version)
@@ -180,7 +180,7 @@
 	}
 	c.Book.mu.Unlock()
 	for _, b := range c.Of("verge") {
-		if b.Up && !c.Until(5*time.Second, func() bool { return word.Version(b.Node.Show().Version) >= last }) {
+		if b.Up && !c.Until(5*time.Second, func() bool { return ids.Version(b.Node.Show().Version) >= last }) {
 			f.say(LostLaw, "%s has version %d, version %d was acknowledged", b.Name, b.Node.Show().Version, last)
 		}
 	}
--- a/proof/freight_test.go
+++ b/proof/freight_test.go
@@ -14,9 +14,9 @@
 	"github.com/stretchr/testify/require"
 
 	"keelstair.example/guise"
+	"keelstair.example/ids"
 	"keelstair.example/passage"
 	"keelstair.example/rein"
-	"keelstair.example/word"
 )
 
 // TestFreight measures, with the size that the design names (256 MiB for 2048 tokens)
@@ -33,7 +33,7 @@
 		t.Run(link.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				var mu sync.Mutex
-				begun := map[rein.Id]word.Tick{}
+				begun := map[rein.Id]ids.Tick{}
 				took := map[string]map[passage.Stage][]time.Duration{"claimed": {}, "other": {}}
 				c := Build(3, guise.Sites["vatuloa"], func(c *Cluster) {
 					c.Tune = func(o *guise.WorkerOptions) { o.Weight, o.Speed = 128<<10, link.speed }
--- a/proof/govern_test.go
+++ b/proof/govern_test.go
@@ -12,14 +12,14 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
 	"keelstair.example/door"
+	"keelstair.example/fleetstate"
 	"keelstair.example/guise"
-	"keelstair.example/lore"
+	"keelstair.example/ids"
 	"keelstair.example/passage"
+	"keelstair.example/rpc"
 	"keelstair.example/verge"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 	"keelstair.example/writ"
 )
 
@@ -27,8 +27,8 @@
 // none import from one, whoever asks; what ends work is always given.
 func TestHolderChecks(t *testing.T) {
 	inChamber(t, (*Bureau).usual, func(t *testing.T, c *Cluster, b *Bureau) {
-		for _, w := range []word.WorkerId{"p4", "d4", "d1"} {
-			require.True(t, c.Until(5*time.Second, func() bool { return slices.Contains(holds(holder(c, w)), word.Key("worker/"+w)) }))
+		for _, w := range []ids.WorkerId{"p4", "d4", "d1"} {
+			require.True(t, c.Until(5*time.Second, func() bool { return slices.Contains(holds(holder(c, w)), ids.Key("worker/"+w)) }))
 		}
 		time.Sleep(2 * time.Second) // ledgers are open by then
 		ask := func(q verge.OrderAsk) error {
@@ -37,20 +37,20 @@
 			if q.Body == nil {
 				q.Body, _ = json.Marshal(map[string]any{})
 			}
-			call := wire.NewCaller(c.out.Host().Net)
+			call := rpc.NewCaller(c.out.Host().Net)
 			defer call.Close()
-			_, err := wire.Call[verge.OrderAsk, verge.OrderReply](c.base, call, holder(c, q.Worker).Addr, "verge/order", &q)
+			_, err := rpc.Call[verge.OrderAsk, verge.OrderReply](c.base, call, holder(c, q.Worker).Addr, "verge/order", &q)
 			return err
 		}
 		for _, verb := range []string{"reserve", "prefill", "export"} {
-			require.ErrorContains(t, ask(verge.OrderAsk{Worker: "p4", Verb: verb, Part: word.Prefill, Need: 1}), "no certificate", verb)
+			require.ErrorContains(t, ask(verge.OrderAsk{Worker: "p4", Verb: verb, Part: ids.Prefill, Need: 1}), "no certificate", verb)
 		}
 		for _, verb := range []string{"import", "resume"} {
-			require.ErrorContains(t, ask(verge.OrderAsk{Worker: "d4", Verb: verb, Part: word.Decode, Source: "p1"}), "no certificate", verb)
+			require.ErrorContains(t, ask(verge.OrderAsk{Worker: "d4", Verb: verb, Part: ids.Decode, Source: "p1"}), "no certificate", verb)
 		}
-		require.ErrorContains(t, ask(verge.OrderAsk{Worker: "d1", Verb: "import", Part: word.Decode, Source: "p4"}), "worker p4", "its source")
-		require.ErrorContains(t, ask(verge.OrderAsk{Worker: "d1", Verb: "reserve", Part: word.Prefill, Need: 1}), "no certificate", "another part")
-		require.NoError(t, ask(verge.OrderAsk{Worker: "d1", Verb: "reserve", Part: word.Decode, Need: 1}))
+		require.ErrorContains(t, ask(verge.OrderAsk{Worker: "d1", Verb: "import", Part: ids.Decode, Source: "p4"}), "worker p4", "its source")
+		require.ErrorContains(t, ask(verge.OrderAsk{Worker: "d1", Verb: "reserve", Part: ids.Prefill, Need: 1}), "no certificate", "another part")
+		require.NoError(t, ask(verge.OrderAsk{Worker: "d1", Verb: "reserve", Part: ids.Decode, Need: 1}))
 		require.NoError(t, ask(verge.OrderAsk{Worker: "p4", Verb: "done"}))
 		require.NoError(t, ask(verge.OrderAsk{Worker: "p4", Verb: "cancel"}))
 	})
@@ -138,7 +138,7 @@
 		b := NewBureau()
 		c := Build(1, chamber, func(c *Cluster) {
 			b.tune(c)
-			c.Programs = map[string]lore.Program{"spy": {Share: 100, Source: `
+			c.Programs = map[string]fleetstate.Program{"spy": {Share: 100, Source: `
 def order(ask, workers):
     for w in workers:
         if ask.kind == "speech" and w.id in ("p4", "d4"):
@@ -268,7 +268,7 @@
 			one := good
 			spoil(&one)
 			b.certs["c-p1"] = one
-			err := c.Operate("/v1/policy", &door.Apply{Op: crux.Name(), Base: shown(c).Version, Partial: true, Name: "regimes.json", Source: b.part()}, nil)
+			err := c.Operate("/v1/policy", &door.Apply{Op: coordination.Name(), Base: shown(c).Version, Partial: true, Name: "regimes.json", Source: b.part()}, nil)
 			n, name, detail := code(t, err)
 			require.Equal(t, http.StatusBadRequest, n, detail)
 			require.Equal(t, "bad", name)
@@ -286,11 +286,11 @@
 // rich waits until the shared retry budget has coins: in new hands it is empty, and what
 // has not put a piece is then told at once to come back.
 func rich(t *testing.T, c *Cluster) {
-	call := wire.NewCaller(c.out.Host().Net)
+	call := rpc.NewCaller(c.out.Host().Net)
 	defer call.Close()
 	spend := func() bool {
 		for _, b := range c.Of("verge") {
-			if r, err := wire.Call[crux.Empty, verge.Spent](c.base, call, b.Addr, "verge/spend", &crux.Empty{}); err == nil && r.Ok {
+			if r, err := rpc.Call[coordination.Empty, verge.Spent](c.base, call, b.Addr, "verge/spend", &coordination.Empty{}); err == nil && r.Ok {
 				return true
 			}
 		}
--- a/proof/others_test.go
+++ b/proof/others_test.go
@@ -10,7 +10,7 @@
 
 	"keelstair.example/door"
 	"keelstair.example/guise"
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 func ips(list ...*Box) []string {
@@ -156,7 +156,7 @@
 	{Name: "workers-leave", Run: func(c *Cluster, r *rand.Rand) error {
 		for _, id := range []string{"p1", "d1"} {
 			pause(r)
-			c.Platform.Leave(word.WorkerId(id))
+			c.Platform.Leave(ids.WorkerId(id))
 			c.Book.Mark("leave", id)
 		}
 		time.Sleep(5 * time.Second)
@@ -188,7 +188,7 @@
 						c.Book.Refuse(text)
 						return
 					}
-					c.Book.Ack(word.Version(got.Version), text)
+					c.Book.Ack(ids.Version(got.Version), text)
 					mu.Lock()
 					won++
 					mu.Unlock()
--- a/proof/price_test.go
+++ b/proof/price_test.go
@@ -14,7 +14,7 @@
 
 	"keelstair.example/door"
 	"keelstair.example/guise"
-	"keelstair.example/word"
+	"keelstair.example/ids"
 	"keelstair.example/writ"
 )
 
@@ -74,7 +74,7 @@
 				require.NoError(t, c.Found())
 				b.usual()
 				for i := range n {
-					b.sign(fmt.Sprint("x", i), writ.Certificate{Worker: "d3", Parts: []word.Part{word.Decode}}, 24*time.Hour)
+					b.sign(fmt.Sprint("x", i), writ.Certificate{Worker: "d3", Parts: []ids.Part{ids.Decode}}, 24*time.Hour)
 				}
 				require.NoError(t, b.Open())
 				for i := range n {
--- a/proof/program_test.go
+++ b/proof/program_test.go
@@ -11,14 +11,14 @@
 	"github.com/stretchr/testify/require"
 
 	"keelstair.example/door"
+	"keelstair.example/fleetstate"
 	"keelstair.example/guise"
-	"keelstair.example/lore"
+	"keelstair.example/ids"
 	"keelstair.example/verge"
 	"keelstair.example/whim"
-	"keelstair.example/word"
 )
 
-func programs(t *testing.T, list map[string]lore.Program) string {
+func programs(t *testing.T, list map[string]fleetstate.Program) string {
 	b, err := json.Marshal(map[string]any{"programs": list})
 	require.NoError(t, err)
 	return string(b)
@@ -32,9 +32,9 @@
 	inBubble(t, "vatuloa", nil, func(t *testing.T, c *Cluster) {
 		hostile := "def order(ask, workers):\n    return ['p1']\n"
 		rounds := []string{
-			programs(t, map[string]lore.Program{"free": {Source: whim.Shipped("free"), Share: 50}, "prefix": {Source: whim.Shipped("prefix"), Share: 50}}),
-			programs(t, map[string]lore.Program{"free": {Source: whim.Shipped("free"), Share: 20}, "prefix": {Source: whim.Shipped("prefix"), Share: 30}, "hostile": {Source: hostile, Share: 50}}),
-			programs(t, map[string]lore.Program{"free": {Source: whim.Shipped("free"), Share: 0, Shadow: true}, "prefix": {Source: whim.Shipped("prefix"), Share: 0, Shadow: true},
+			programs(t, map[string]fleetstate.Program{"free": {Source: whim.Shipped("free"), Share: 50}, "prefix": {Source: whim.Shipped("prefix"), Share: 50}}),
+			programs(t, map[string]fleetstate.Program{"free": {Source: whim.Shipped("free"), Share: 20}, "prefix": {Source: whim.Shipped("prefix"), Share: 30}, "hostile": {Source: hostile, Share: 50}}),
+			programs(t, map[string]fleetstate.Program{"free": {Source: whim.Shipped("free"), Share: 0, Shadow: true}, "prefix": {Source: whim.Shipped("prefix"), Share: 0, Shadow: true},
 				"hostile": {Source: "def order(ask, workers):\n    return workers[7]\n", Share: 100}}),
 			`{"programs": {"hostile": null, "free": null, "prefix": {"share": 100, "shadow": false}}}`,
 		}
@@ -80,7 +80,7 @@
 			w := site.Worker(part)
 			w.Weights = "w2"
 			id := fmt.Sprintf("n%d", i+1)
-			b := c.add(c.Stand(word.WorkerId(id), w, fmt.Sprintf("10.4.0.%d", i+1)))
+			b := c.add(c.Stand(ids.WorkerId(id), w, fmt.Sprintf("10.4.0.%d", i+1)))
 			require.True(t, b.Up)
 			news[id] = w
 		}
--- a/proof/regime_test.go
+++ b/proof/regime_test.go
@@ -13,11 +13,11 @@
 	"github.com/stretchr/testify/require"
 
 	"keelstair.example/door"
+	"keelstair.example/fleetstate"
 	"keelstair.example/guise"
-	"keelstair.example/lore"
+	"keelstair.example/ids"
 	"keelstair.example/passage"
 	"keelstair.example/verge"
-	"keelstair.example/word"
 	"keelstair.example/writ"
 )
 
@@ -73,7 +73,7 @@
 		require.Equal(t, len(all), sum.Ends[door.Complete], "%+v", sum)
 		require.Greater(t, b.governed(), 100)
 		require.Less(t, guise.Quantile(b.stays, 1), 200.0, "staged memory is freed once it is in")
-		used := map[word.WorkerId]bool{}
+		used := map[ids.WorkerId]bool{}
 		for _, e := range c.Book.rows {
 			used[e.Worker] = true
 		}
@@ -87,8 +87,8 @@
 }
 
 // audited reads the whole audit record as edict does, checked.
-func audited(t *testing.T, c *Cluster) []lore.AuditRecord {
-	var rows []lore.AuditRow
+func audited(t *testing.T, c *Cluster) []fleetstate.AuditRecord {
+	var rows []fleetstate.AuditRow
 	for {
 		got, err := c.Of("verge")[0].Node.Audits(c.base, len(rows)+1, 500)
 		require.NoError(t, err)
@@ -96,13 +96,13 @@
 			break
 		}
 		for _, l := range got.Rows {
-			var r lore.AuditRow
+			var r fleetstate.AuditRow
 			require.NoError(t, json.Unmarshal(l, &r))
 			rows = append(rows, r)
 		}
 	}
-	require.NoError(t, lore.ChainCheck(nil, rows))
-	out := make([]lore.AuditRecord, len(rows))
+	require.NoError(t, fleetstate.ChainCheck(nil, rows))
+	out := make([]fleetstate.AuditRecord, len(rows))
 	for i, r := range rows {
 		require.NoError(t, json.Unmarshal(r.Record, &out[i]))
 	}
@@ -123,12 +123,12 @@
 		all := c.Load(20, 10*time.Second, 1)
 		require.Empty(t, b.Check(all))
 		time.Sleep(3 * time.Second)
-		ends, begun := map[string]lore.AuditRecord{}, map[string]bool{}
+		ends, begun := map[string]fleetstate.AuditRecord{}, map[string]bool{}
 		for _, r := range audited(t, c) {
 			require.Equal(t, "chair", r.Regime)
 			require.Contains(t, []string{"verdict", "speech"}, r.Kind)
 			require.NotEmpty(t, r.Serial)
-			if r.Outcome == lore.Begun {
+			if r.Outcome == fleetstate.Begun {
 				begun[r.Request] = true
 				continue
 			}
@@ -144,7 +144,7 @@
 			switch {
 			case o.Kind == "verdict" && o.End == door.Complete:
 				r := ends[verge.Request("verdict/"+o.Key)]
-				require.Equal(t, lore.Done, r.Outcome, "%+v", o)
+				require.Equal(t, fleetstate.Done, r.Outcome, "%+v", o)
 				require.Equal(t, "verdict/"+o.Key, r.Key)
 				require.GreaterOrEqual(t, len(r.Steps), 4)
 			case o.Kind == "speech" && o.End == door.Complete:
@@ -185,7 +185,7 @@
 		require.True(t, c.Until(10*time.Second, func() bool {
 			for _, k := range holds(lone) {
 				for _, w := range append(upTo("p", 3), upTo("d", 3)...) {
-					if k == word.Key("worker/"+w) {
+					if k == ids.Key("worker/"+w) {
 						return false
 					}
 				}
@@ -281,7 +281,7 @@
 		require.NoError(t, b.Revoke("c-d2"))
 		require.Greater(t, b.revoke[0], 2*time.Second, "it waited for the lease of the one cut off")
 		require.Less(t, b.revoke[0], 5*time.Second)
-		_, err := cut.Node.Clears("chair", writ.Subject{Worker: "d3"}, word.Decode)
+		_, err := cut.Node.Clears("chair", writ.Subject{Worker: "d3"}, ids.Decode)
 		require.Error(t, err, "its word is too old for anybody")
 		time.Sleep(4 * time.Second)
 		require.Empty(t, b.Check(nil))
@@ -299,8 +299,8 @@
 func TestExpired(t *testing.T) {
 	inChamber(t, func(b *Bureau) {
 		b.usual()
-		b.sign("c-d1", writ.Certificate{Worker: "d1", Parts: []word.Part{word.Decode}}, 20*time.Second)
-		b.sign("c-p2", writ.Certificate{Worker: "p2", Parts: []word.Part{word.Prefill}}, 20*time.Second)
+		b.sign("c-d1", writ.Certificate{Worker: "d1", Parts: []ids.Part{ids.Decode}}, 20*time.Second)
+		b.sign("c-p2", writ.Certificate{Worker: "p2", Parts: []ids.Part{ids.Prefill}}, 20*time.Second)
 	}, func(t *testing.T, c *Cluster, b *Bureau) {
 		go func() {
 			for _, box := range []*Box{node(c, "verge-1"), node(c, "verge-2"), leader(c)} {
--- a/proof/script_test.go
+++ b/proof/script_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"keelstair.example/guise"
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 // seeds gives the fixed handful, or as many as KEELSTAIR_SEEDS asks for.
@@ -29,7 +29,7 @@
 
 // hamlet is a site small enough for the race detector, under which a whole
 // deployment takes some twenty times as long.
-var hamlet = guise.Site{Name: "hamlet", Zones: []word.Zone{"a", "b", "c"}, Nodes: 3, Prefill: 2, Decode: 2, Model: "m",
+var hamlet = guise.Site{Name: "hamlet", Zones: []ids.Zone{"a", "b", "c"}, Nodes: 3, Prefill: 2, Decode: 2, Model: "m",
 	Shapes: []guise.Shape{{Kind: "verdict", Claimed: true, Share: 45, Shared: 64, Own: 64, Max: 2}, {Kind: "clarification", Share: 55, Shared: 64, Own: 16, Max: 16}}}
 
 func unraced(t *testing.T) {
--- a/proof/shelf_test.go
+++ b/proof/shelf_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"keelstair.example/door"
-	"keelstair.example/lore"
+	"keelstair.example/fleetstate"
 )
 
 // TestOldKeys: long after its answer was forgotten, a key is still known: at the
@@ -18,7 +18,7 @@
 // empty one, and after the whole core lost power.
 func TestOldKeys(t *testing.T) {
 	unraced(t)
-	inBubble(t, "vatuloa", func(c *Cluster) { c.Depth = lore.Depth{Full: 4, Leaf: 8} }, func(t *testing.T, c *Cluster) {
+	inBubble(t, "vatuloa", func(c *Cluster) { c.Depth = fleetstate.Depth{Full: 4, Leaf: 8} }, func(t *testing.T, c *Cluster) {
 		node := func(i int) *Box { return c.Of("verge")[i%len(c.Of("verge"))] }
 		ask := func(i int) door.Ask {
 			a := verdict
--- a/proof/swing_test.go
+++ b/proof/swing_test.go
@@ -12,14 +12,14 @@
 	"github.com/stretchr/testify/require"
 
 	"keelstair.example/guise"
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 // swung is what came of one swing.
 type swung struct {
 	read, write guise.Summary
 	turns       int64
-	parts       map[word.Part]int
+	parts       map[ids.Part]int
 }
 
 func (s swung) String() string {
@@ -31,7 +31,7 @@
 // swing sends long prompts that six prefill workers cannot read, then long answers
 // that six decode workers cannot make, and counts.
 func swing(t *testing.T, turn bool, seed uint64, span time.Duration) swung {
-	out := swung{parts: map[word.Part]int{}}
+	out := swung{parts: map[ids.Part]int{}}
 	synctest.Test(t, func(t *testing.T) {
 		c := Build(seed, guise.Sites["vatuloa"], func(c *Cluster) {
 			c.Fixed = !turn
@@ -80,8 +80,8 @@
 		require.Zero(t, fixed[i].turns)
 		require.Positive(t, moved[i].turns)
 		require.LessOrEqual(t, moved[i].turns, int64(2*span/(2*time.Second)), "it must not flap")
-		require.Positive(t, moved[i].parts[word.Prefill])
-		require.Positive(t, moved[i].parts[word.Decode])
+		require.Positive(t, moved[i].parts[ids.Prefill])
+		require.Positive(t, moved[i].parts[ids.Decode])
 		a, b := fixed[i].read.Ends["complete"]+fixed[i].write.Ends["complete"], moved[i].read.Ends["complete"]+moved[i].write.Ends["complete"]
 		require.Greater(t, b, a, "turning helps")
 	}
--- a/rein/rein.go
+++ b/rein/rein.go
@@ -15,9 +15,9 @@
 	"syscall"
 	"time"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/wire"
 )
 
 const maxAnswer = 32 << 20
@@ -25,7 +25,7 @@
 // Rein speaks to workers and to the platform.
 type Rein struct{ web *http.Client }
 
-func New(n seam.Net) *Rein { return &Rein{web: wire.Web(n)} }
+func New(n seam.Net) *Rein { return &Rein{web: rpc.Web(n)} }
 
 func (r *Rein) Close() { r.web.CloseIdleConnections() }
 
@@ -37,18 +37,18 @@
 	After  int64  `json:"retryAfterMs,omitempty"`
 }
 
-func kind(code int) breakdown.Kind {
+func kind(code int) failure.Kind {
 	switch code {
 	case http.StatusPreconditionFailed:
-		return breakdown.Stale
+		return failure.Stale
 	case http.StatusInsufficientStorage, http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusConflict:
-		return breakdown.Bounced
+		return failure.Bounced
 	case http.StatusGone, http.StatusNotFound:
-		return breakdown.Lost
+		return failure.Lost
 	case http.StatusBadRequest, http.StatusUnprocessableEntity:
-		return breakdown.Bad
+		return failure.Bad
 	}
-	return breakdown.Unknown
+	return failure.Unknown
 }
 
 func (r *Rein) ask(ctx context.Context, method, addr, path string, in, out any, span time.Duration) error {
@@ -61,44 +61,44 @@
 	if in != nil {
 		b, err := json.Marshal(in)
 		if err != nil {
-			return breakdown.As(err, breakdown.Bad, path, addr)
+			return failure.As(err, failure.Bad, path, addr)
 		}
 		body = bytes.NewReader(b)
 	}
 	q, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, body)
 	if err != nil {
-		return breakdown.As(err, breakdown.Bad, path, addr)
+		return failure.As(err, failure.Bad, path, addr)
 	}
 	q.Header.Set("Content-Type", "application/json")
 	a, err := r.web.Do(q)
 	if err != nil {
-		return breakdown.As(err, unsent(err), path, addr)
+		return failure.As(err, unsent(err), path, addr)
 	}
 	defer a.Body.Close()
 	b, err := io.ReadAll(io.LimitReader(a.Body, maxAnswer))
 	if err != nil {
-		return breakdown.As(err, breakdown.Unknown, path, addr)
+		return failure.As(err, failure.Unknown, path, addr)
 	}
 	if a.StatusCode != http.StatusOK {
 		var no Bounce
 		json.Unmarshal(b, &no)
-		return breakdown.New(kind(a.StatusCode), path, addr, "%d %s %s", a.StatusCode, no.Name, no.Detail)
+		return failure.New(kind(a.StatusCode), path, addr, "%d %s %s", a.StatusCode, no.Name, no.Detail)
 	}
 	if out == nil {
 		return nil
 	}
 	if err := json.Unmarshal(b, out); err != nil {
-		return breakdown.As(err, breakdown.Unknown, path+" gave garbage", addr)
+		return failure.As(err, failure.Unknown, path+" gave garbage", addr)
 	}
 	return nil
 }
 
 // unsent: an order that could not even be dialled was surely not taken.
-func unsent(err error) breakdown.Kind {
-	if wire.Undialled(err) {
-		return breakdown.Bounced
+func unsent(err error) failure.Kind {
+	if rpc.Undialled(err) {
+		return failure.Bounced
 	}
-	return breakdown.Unknown
+	return failure.Unknown
 }
 
 func (r *Rein) order(ctx context.Context, addr, path string, in any, span time.Duration) (*Answer, error) {
@@ -127,7 +127,7 @@
 func (r *Rein) Cancel(ctx context.Context, addr string, q *IdAsk) (*Answer, error) {
 	a, err := r.order(ctx, addr, "/cancel", q, time.Second)
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		err = breakdown.As(err, breakdown.Lost, "cancel", addr)
+		err = failure.As(err, failure.Lost, "cancel", addr)
 	}
 	return a, err
 }
@@ -155,17 +155,17 @@
 	path := fmt.Sprintf("/stream?request=%s&attempt=%d&from=%d", id.Request, id.Attempt, from)
 	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
 	if err != nil {
-		return breakdown.As(err, breakdown.Bad, "stream", addr)
+		return failure.As(err, failure.Bad, "stream", addr)
 	}
 	watch := time.AfterFunc(pulse, stop)
 	defer watch.Stop()
 	a, err := r.web.Do(q)
 	if err != nil {
-		return breakdown.As(err, breakdown.Lost, "stream", addr)
+		return failure.As(err, failure.Lost, "stream", addr)
 	}
 	defer a.Body.Close()
 	if a.StatusCode != http.StatusOK {
-		return breakdown.New(kind(a.StatusCode), "stream", addr, "%d", a.StatusCode)
+		return failure.New(kind(a.StatusCode), "stream", addr, "%d", a.StatusCode)
 	}
 	rows := bufio.NewScanner(a.Body)
 	rows.Buffer(make([]byte, 4096), 1<<20)
@@ -176,7 +176,7 @@
 		}
 		var p Piece
 		if err := json.Unmarshal(rows.Bytes(), &p); err != nil {
-			return breakdown.As(err, breakdown.Lost, "stream gave garbage", addr)
+			return failure.As(err, failure.Lost, "stream gave garbage", addr)
 		}
 		if err := put(p); err != nil {
 			return err
@@ -186,7 +186,7 @@
 		}
 	}
 	if err := rows.Err(); err != nil {
-		return breakdown.As(err, breakdown.Lost, "stream", addr)
+		return failure.As(err, failure.Lost, "stream", addr)
 	}
-	return breakdown.New(breakdown.Lost, "stream", addr, "it stopped without an end")
+	return failure.New(failure.Lost, "stream", addr, "it stopped without an end")
 }
--- a/rein/talk.go
+++ b/rein/talk.go
@@ -6,7 +6,7 @@
 import (
 	"slices"
 
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 // Id names one try at moving one request.
@@ -56,8 +56,8 @@
 // Lead stands before every order: the fence it is given under and the newest
 // configuration that its giver knows.
 type Lead struct {
-	Fence   word.Fence   `json:"fence"`
-	Version word.Version `json:"version"`
+	Fence   ids.Fence   `json:"fence"`
+	Version ids.Version `json:"version"`
 }
 
 type PrefillAsk struct {
@@ -83,19 +83,19 @@
 
 type PartAsk struct {
 	Lead
-	Part word.Part `json:"part"`
+	Part ids.Part `json:"part"`
 }
 
 // Answer is what every order gets back. Texts are those of the output. Life is another one after every start
 // of the worker, so that a fresh process is not taken for one that remembers.
 type Answer struct {
-	Version  word.Version `json:"version"`
-	Identity *Identity    `json:"identity,omitempty"`
-	Fate     string       `json:"fate,omitempty"`
-	Output   []int32      `json:"output,omitempty"`
-	Texts    []string     `json:"texts,omitempty"`
-	Done     bool         `json:"done,omitempty"`
-	Life     word.Life    `json:"life"`
+	Version  ids.Version `json:"version"`
+	Identity *Identity   `json:"identity,omitempty"`
+	Fate     string      `json:"fate,omitempty"`
+	Output   []int32     `json:"output,omitempty"`
+	Texts    []string    `json:"texts,omitempty"`
+	Done     bool        `json:"done,omitempty"`
+	Life     ids.Life    `json:"life"`
 }
 
 // Fates of a hand-over as its worker knows them.
@@ -116,15 +116,15 @@
 
 // Report is the late picture that a worker gives of itself.
 type Report struct {
-	Part     word.Part    `json:"part"`
-	Model    Model        `json:"on"`
-	Used     int          `json:"cacheUsed"`
-	Capacity int          `json:"cacheCapacity"`
-	Block    int          `json:"blockSize"`
-	Queue    int          `json:"queue"`
-	Version  word.Version `json:"version"`
-	Running  []Running    `json:"running"`
-	Life     word.Life    `json:"life"`
+	Part     ids.Part    `json:"part"`
+	Model    Model       `json:"on"`
+	Used     int         `json:"cacheUsed"`
+	Capacity int         `json:"cacheCapacity"`
+	Block    int         `json:"blockSize"`
+	Queue    int         `json:"queue"`
+	Version  ids.Version `json:"version"`
+	Running  []Running   `json:"running"`
+	Life     ids.Life    `json:"life"`
 }
 
 // Piece is one line of a worker's stream.
@@ -138,8 +138,8 @@
 
 // Listed is one worker on the platform's list.
 type Listed struct {
-	Id      word.WorkerId `json:"id"`
-	Addr    string        `json:"addr"`
-	Zone    word.Zone     `json:"zone"`
-	Leaving bool          `json:"leaving,omitempty"`
+	Id      ids.WorkerId `json:"id"`
+	Addr    string       `json:"addr"`
+	Zone    ids.Zone     `json:"zone"`
+	Leaving bool         `json:"leaving,omitempty"`
 }
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -15,8 +15,8 @@
 	"sync/atomic"
 	"time"
 
-	"keelstair.example/lore"
-	"keelstair.example/word"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 )
 
 const (
@@ -30,7 +30,7 @@
 
 // pressure is how a service stands as this node knows it.
 type pressure struct {
-	at    word.Tick
+	at    ids.Tick
 	known bool    // the view is young enough
 	half  bool    // half of its places are taken
 	ahead float64 // ms of reading at the best reading worker
@@ -46,20 +46,20 @@
 // callers remembers who was told to come back when, of two generations.
 type callers struct {
 	mu       sync.Mutex
-	new, old map[uint64]word.Tick
+	new, old map[uint64]ids.Tick
 }
 
-func (c *callers) note(who uint64, due word.Tick, most int) {
+func (c *callers) note(who uint64, due ids.Tick, most int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.new == nil || len(c.new) >= max(1, most/2) {
-		c.new, c.old = map[uint64]word.Tick{}, c.new
+		c.new, c.old = map[uint64]ids.Tick{}, c.new
 	}
 	c.new[who] = due
 }
 
 // early gives how much sooner than told a caller came.
-func (c *callers) early(who uint64, now word.Tick) time.Duration {
+func (c *callers) early(who uint64, now ids.Tick) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return max(0, c.new[who].Since(now), c.old[who].Since(now))
@@ -91,7 +91,7 @@
 }
 
 // pressed reckons how a service stands.
-func (n *Node) pressed(svc *lore.Service, ros *roster, s *lore.Sight) *pressure {
+func (n *Node) pressed(svc *fleetstate.Service, ros *roster, s *fleetstate.Sight) *pressure {
 	now := n.now()
 	if v, ok := n.gate.views.Load(svc.Name); ok && !now.Past(v.(*pressure).at, admitView) {
 		return v.(*pressure)
@@ -100,9 +100,9 @@
 	shy := -1.0 // ahead at the best of those that turned something away just now
 	t := n.tabled(ros, s)
 	var taken, seen, slots int
-	for _, part := range []word.Part{word.Prefill, word.Decode} {
+	for _, part := range []ids.Part{ids.Prefill, ids.Decode} {
 		for _, e := range t.by[role{svc.Name, part}] {
-			if part == word.Decode && e.part == "" && len(t.by[role{svc.Name, word.Prefill}]) > 0 {
+			if part == ids.Decode && e.part == "" && len(t.by[role{svc.Name, ids.Prefill}]) > 0 {
 				continue // counted
 			}
 			places := max(1, ros.all[e.place].Slots)
@@ -115,7 +115,7 @@
 			if young {
 				seen, taken = seen+places, taken+max(busy, count)
 			}
-			if part != word.Prefill {
+			if part != ids.Prefill {
 				continue
 			}
 			best := &p.ahead
@@ -137,7 +137,7 @@
 }
 
 // admit refuses a request that would come late while places are short.
-func (t *trip) admit(s *lore.Sight) error {
+func (t *trip) admit(s *fleetstate.Sight) error {
 	n, now := t.n, t.n.now()
 	ros := n.roster.Load()
 	if n.opt.Admit < 0 || !t.route.Apart || t.last != "" || now.Past(ros.at, listOld) {
--- a/relay/admit_test.go
+++ b/relay/admit_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/lore"
-	"keelstair.example/word"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 )
 
 // client is one caller with all its tries.
@@ -40,17 +40,17 @@
 }
 
 func (c crowd) policy() []byte {
-	route := func(name, prefix string, urgency int) lore.Route {
-		return lore.Route{Name: name, Host: host, Prefix: prefix, Service: "svc", Apart: true, Stream: true, Tries: 2, DeadlineMs: 3000, AimMs: int(crowdAim / time.Millisecond), GapMs: 200, Urgency: urgency}
+	route := func(name, prefix string, urgency int) fleetstate.Route {
+		return fleetstate.Route{Name: name, Host: host, Prefix: prefix, Service: "svc", Apart: true, Stream: true, Tries: 2, DeadlineMs: 3000, AimMs: int(crowdAim / time.Millisecond), GapMs: 200, Urgency: urgency}
 	}
-	return policy([]lore.Route{route("urgent", "/stream/now/", 0), route("patient", "/stream/then/", 7)}, lore.Service{Name: "svc", Slots: 8, TurnMs: 1000})
+	return policy([]fleetstate.Route{route("urgent", "/stream/now/", 0), route("patient", "/stream/then/", 7)}, fleetstate.Service{Name: "svc", Slots: 8, TurnMs: 1000})
 }
 
 // run gives all callers with their ends, and the yard's book.
 func (c crowd) run(t *testing.T, seed uint64) ([]*client, []row, []*asked) {
 	all := both("svc", 3, 4)
 	for _, s := range all {
-		if s.Slots = c.emit; s.Part == word.Prefill {
+		if s.Slots = c.emit; s.Part == ids.Prefill {
 			s.Slots = c.readers
 		}
 	}
@@ -305,7 +305,7 @@
 	t    *testing.T
 	n    *Node
 	list []Worker
-	s    *lore.Sight
+	s    *fleetstate.Sight
 }
 
 func newGated(t *testing.T) *gated {
@@ -313,11 +313,11 @@
 	require.NoError(t, err)
 	n.opt.Admit = 2
 	g := &gated{t: t, n: n, list: many(8)}
-	p := &lore.Policy{Services: map[string]lore.Service{"s": {Name: "s"}}}
+	p := &fleetstate.Policy{Services: map[string]fleetstate.Service{"s": {Name: "s"}}}
 	for _, u := range []int{0, 7} {
-		p.Routes = append(p.Routes, lore.Route{Name: fmt.Sprint("u", u), Host: host, Prefix: fmt.Sprintf("/u%d/", u), Service: "s", Apart: true, DeadlineMs: 3000, AimMs: 500, Urgency: u})
+		p.Routes = append(p.Routes, fleetstate.Route{Name: fmt.Sprint("u", u), Host: host, Prefix: fmt.Sprintf("/u%d/", u), Service: "s", Apart: true, DeadlineMs: 3000, AimMs: 500, Urgency: u})
 	}
-	g.s = &lore.Sight{Policy: p}
+	g.s = &fleetstate.Sight{Policy: p}
 	n.take(g.list, n.now(), n.now())
 	return g
 }
--- a/relay/alarm.go
+++ b/relay/alarm.go
@@ -9,10 +9,10 @@
 	"context"
 	"time"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 const (
@@ -41,7 +41,7 @@
 }
 
 // sinks marks the worker as down and takes away what may run elsewhere.
-func (s *state) sinks(until word.Tick) {
+func (s *state) sinks(until ids.Tick) {
 	s.mu.Lock()
 	s.shun = max(s.shun, until)
 	row := s.flights
@@ -81,7 +81,7 @@
 			return
 		}
 		// Whoever says that it is ill, or answers requests meanwhile, is there: outcomes decide.
-		if n.opt.Eject >= 0 && breakdown.Is(err, breakdown.Bad) {
+		if n.opt.Eject >= 0 && failure.Is(err, failure.Bad) {
 			n.rose(st)
 			return
 		}
@@ -108,10 +108,10 @@
 	s.down = false
 }
 
-func (n *Node) warn(id word.WorkerId) {
+func (n *Node) warn(id ids.WorkerId) {
 	for _, m := range n.agent.Members() {
 		if m.Node != n.me.Node {
-			go wire.Call[Alarm, Heard](n.inner, n.agent.Caller(), m.Addr, "relay/alarm", &Alarm{id})
+			go rpc.Call[Alarm, Heard](n.inner, n.agent.Caller(), m.Addr, "relay/alarm", &Alarm{id})
 		}
 	}
 }
--- a/relay/alarm_note.go
+++ b/relay/alarm_note.go
@@ -2,14 +2,14 @@
 
 package relay
 
-import "keelstair.example/word"
+import "keelstair.example/ids"
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file alarm_note.go
-//msgp:shim word.WorkerId as:string using:string/word.WorkerId
+//msgp:shim ids.WorkerId as:string using:string/ids.WorkerId
 
 // Alarm names a worker that the sender got no answer from.
 type Alarm struct {
-	Worker word.WorkerId
+	Worker ids.WorkerId
 }
 
 // Heard answers it.
--- a/relay/alarm_note_gen.go
+++ b/relay/alarm_note_gen.go
@@ -4,7 +4,7 @@
 
 import (
 	"github.com/tinylib/msgp/msgp"
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 // MarshalMsg implements msgp.Marshaler
@@ -43,7 +43,7 @@
 					err = msgp.WrapError(err, "Worker")
 					return
 				}
-				z.Worker = word.WorkerId(zb0002)
+				z.Worker = ids.WorkerId(zb0002)
 			}
 		default:
 			bts, err = msgp.Skip(bts)
--- a/relay/alarm_test.go
+++ b/relay/alarm_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/lore"
-	"keelstair.example/word"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 )
 
 // TestDark: an emitting worker goes silent: soon no node sends there, also those that had
@@ -103,7 +103,7 @@
 				time.Sleep(50 * time.Millisecond)
 			}
 		})
-		shunned := map[word.WorkerId]bool{}
+		shunned := map[ids.WorkerId]bool{}
 		over := make(chan bool)
 		f.wg.Go(func() {
 			for {
@@ -113,7 +113,7 @@
 						st.mu.Lock()
 						defer st.mu.Unlock()
 						if b.now().Before(st.shun) {
-							shunned[k.(word.WorkerId)] = true
+							shunned[k.(ids.WorkerId)] = true
 						}
 						return true
 					})
@@ -169,7 +169,7 @@
 		time.Sleep(time.Second)
 		from := y.now()
 		f.load(40, 2*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), "/once/x", 400, 4) })
-		for _, id := range []word.WorkerId{"svc-decode-0.1", "svc-decode-1.1"} {
+		for _, id := range []ids.WorkerId{"svc-decode-0.1", "svc-decode-1.1"} {
 			require.NotEmpty(t, sentTo(y.book(), id, from, time.Hour), id)
 		}
 		time.Sleep(4 * time.Second)
@@ -214,7 +214,7 @@
 		y := newYard(both("svc", 2, 2)...)
 		routes := ways()
 		routes[1].AimMs, routes[1].DeadlineMs = 3000, 9000
-		f := build(t, 56, 1, y, policy(routes, lore.Service{Name: "svc", Slots: 16}), func(o *Options) { o.Allow = 60 })
+		f := build(t, 56, 1, y, policy(routes, fleetstate.Service{Name: "svc", Slots: 16}), func(o *Options) { o.Allow = 60 })
 		defer f.close()
 		y.at(func() { y.of("svc-decode-0").dark = true })
 		all := f.load(60, 250*time.Millisecond, func(i int) *Request { return f.req(fmt.Sprint("r", i), "/again/x", 400, 20) })
--- a/relay/board.go
+++ b/relay/board.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"keelstair.example/lore"
-	"keelstair.example/word"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 )
 
 const (
@@ -34,9 +34,9 @@
 
 // look is one round of reports of a service's workers.
 type look struct {
-	at   word.Tick // when they were asked for
+	at   ids.Tick // when they were asked for
 	seq  uint64
-	rows map[word.WorkerId]posted
+	rows map[ids.WorkerId]posted
 }
 
 type board struct {
@@ -47,7 +47,7 @@
 
 // post takes a round of reports. Workers that it does not name told nothing if the round is
 // whole, and are as before if it has only changes.
-func (b *board) post(service string, at word.Tick, rows map[word.WorkerId]stood, whole bool) *look {
+func (b *board) post(service string, at ids.Tick, rows map[ids.WorkerId]stood, whole bool) *look {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.looks == nil {
@@ -55,7 +55,7 @@
 	}
 	l := b.looks[service]
 	if l == nil {
-		l = &look{rows: map[word.WorkerId]posted{}}
+		l = &look{rows: map[ids.WorkerId]posted{}}
 		b.looks[service] = l
 	}
 	if !at.Past(l.at, roundLeast) {
@@ -73,7 +73,7 @@
 			l.rows[id] = posted{stood{}, b.seq}
 		}
 	}
-	out := &look{at: at, rows: make(map[word.WorkerId]posted, len(l.rows))}
+	out := &look{at: at, rows: make(map[ids.WorkerId]posted, len(l.rows))}
 	for id, p := range l.rows {
 		out.rows[id] = p
 	}
@@ -81,7 +81,7 @@
 }
 
 // prune forgets workers that are not listed any more.
-func (b *board) prune(on map[word.WorkerId]bool) {
+func (b *board) prune(on map[ids.WorkerId]bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, l := range b.looks {
@@ -94,7 +94,7 @@
 }
 
 // since lists what changed after a number of the board's, by places in a list.
-func (b *board) since(from uint64, list []Worker, now word.Tick, of func(service string) bool) (uint64, []Stands) {
+func (b *board) since(from uint64, list []Worker, now ids.Tick, of func(service string) bool) (uint64, []Stands) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []Stands
@@ -114,7 +114,7 @@
 }
 
 // stands takes a round of reports into the ledgers.
-func (n *Node) stands(service string, at word.Tick, rows map[word.WorkerId]stood, whole bool) {
+func (n *Node) stands(service string, at ids.Tick, rows map[ids.WorkerId]stood, whole bool) {
 	l := n.board.post(service, at, rows, whole)
 	if l == nil {
 		return
@@ -129,7 +129,7 @@
 
 // mine tells whether this node itself asks a service's workers for reports.
 func (n *Node) mine(service string) bool {
-	_, ok := n.agent.Held(lore.ServiceKey(service))
+	_, ok := n.agent.Held(fleetstate.ServiceKey(service))
 	return ok && n.opt.Turn >= 0
 }
 
@@ -142,7 +142,7 @@
 		if n.mine(s.Service) {
 			continue
 		}
-		rows := make(map[word.WorkerId]stood, len(s.Rows))
+		rows := make(map[ids.WorkerId]stood, len(s.Rows))
 		for _, r := range s.Rows {
 			if r.Place >= 0 && r.Place < len(list) {
 				rows[list[r.Place].Id] = stood{r.Used, r.Room, r.Running, r.Waiting}
@@ -153,10 +153,10 @@
 }
 
 // reported posts a round that this node asked for as the holder of a service's duty.
-func (n *Node) reported(service string, at word.Tick, all []report) {
-	rows := make(map[word.WorkerId]stood, len(all))
+func (n *Node) reported(service string, at ids.Tick, all []report) {
+	rows := make(map[ids.WorkerId]stood, len(all))
 	for _, r := range all {
-		rows[r.w.Id] = stood{word.Blocks(r.Used, blockSize), r.Room / blockSize, r.Running, r.Waiting}
+		rows[r.w.Id] = stood{ids.Blocks(r.Used, blockSize), r.Room / blockSize, r.Running, r.Waiting}
 	}
 	n.stands(service, at, rows, true)
 }
--- a/relay/budget.go
+++ b/relay/budget.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 const (
@@ -23,13 +23,13 @@
 	spent [pieces + 1]int
 	last  int64
 	nodes int
-	since word.Tick
+	since ids.Tick
 	prior int
 }
 
 func newBudget(window time.Duration) budget { return budget{slice: window / pieces} }
 
-func (b *budget) turn(now word.Tick) int {
+func (b *budget) turn(now ids.Tick) int {
 	at := int64(now) / int64(b.slice)
 	if b.last == 0 || at-b.last > pieces {
 		clear(b.asked[:])
@@ -44,7 +44,7 @@
 }
 
 // peers gives the most nodes seen at once in the last span or two.
-func (b *budget) peers(now word.Tick, seen int) int {
+func (b *budget) peers(now ids.Tick, seen int) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if now.Past(b.since, peersSpan) {
@@ -55,14 +55,14 @@
 }
 
 // ask counts a caller's request.
-func (b *budget) ask(now word.Tick) {
+func (b *budget) ask(now ids.Tick) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.asked[b.turn(now)]++
 }
 
 // spend takes one repeat, if there is one.
-func (b *budget) spend(now word.Tick, ratio, allow float64) bool {
+func (b *budget) spend(now ids.Tick, ratio, allow float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	i := b.turn(now)
@@ -84,13 +84,13 @@
 // warm spaces what this node sends to each cold worker.
 type warm struct {
 	mu   sync.Mutex
-	last map[word.WorkerId]word.Tick
+	last map[ids.WorkerId]ids.Tick
 }
 
-func newWarm() warm { return warm{last: map[word.WorkerId]word.Tick{}} }
+func newWarm() warm { return warm{last: map[ids.WorkerId]ids.Tick{}} }
 
 // may tells whether the gap since the last request to a cold worker went by.
-func (w *warm) may(id word.WorkerId, gap time.Duration, now word.Tick) bool {
+func (w *warm) may(id ids.WorkerId, gap time.Duration, now ids.Tick) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	at, ok := w.last[id]
@@ -98,7 +98,7 @@
 }
 
 // book notes a request to a cold worker, if it may be sent.
-func (w *warm) book(id word.WorkerId, gap time.Duration, now word.Tick) bool {
+func (w *warm) book(id ids.WorkerId, gap time.Duration, now ids.Tick) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if at, ok := w.last[id]; ok && !now.Past(at, gap) {
--- a/relay/carry.go
+++ b/relay/carry.go
@@ -11,33 +11,33 @@
 	"sync/atomic"
 	"time"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/lore"
+	"keelstair.example/failure"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/passage"
 	"keelstair.example/seam"
 	"keelstair.example/whim"
-	"keelstair.example/word"
 )
 
 // Event is one step of one request.
 type Event struct {
 	Request string
 	Stage   passage.Stage
-	Worker  word.WorkerId
-	At      word.Tick
+	Worker  ids.WorkerId
+	At      ids.Tick
 	Why     string
 }
 
 type trip struct {
 	n     *Node
 	r     *Request
-	route *lore.Route
-	svc   *lore.Service
+	route *fleetstate.Route
+	svc   *fleetstate.Service
 	deck  *whim.Deck // it keeps to the one it began with
 	sink  Sink
-	end   word.Tick
+	end   ids.Tick
 	marks []uint64
-	tried map[word.WorkerId]bool
+	tried map[ids.WorkerId]bool
 
 	kept  *choice // the worker whose memory of the prompt is yet to be fetched
 	extra bool    // a reading that failed is yet to be counted
@@ -47,7 +47,7 @@
 	last  string  // id of the last event that the caller has
 }
 
-func (t *trip) tell(stage passage.Stage, w word.WorkerId, why string) {
+func (t *trip) tell(stage passage.Stage, w ids.WorkerId, why string) {
 	if t.n.opt.Trace != nil {
 		t.n.opt.Trace(Event{t.r.Id, stage, w, t.n.now(), why})
 	}
@@ -77,7 +77,7 @@
 	if r.Wait > 0 {
 		wait = min(wait, r.Wait)
 	}
-	t := &trip{n: n, r: r, route: route, svc: &svc, deck: n.deal(s).Deck, sink: sink, end: r.At.Add(wait), tried: map[word.WorkerId]bool{}, last: r.From}
+	t := &trip{n: n, r: r, route: route, svc: &svc, deck: n.deal(s).Deck, sink: sink, end: r.At.Add(wait), tried: map[ids.WorkerId]bool{}, last: r.From}
 	t.marks, _ = marks(r)
 	n.budget.ask(n.now())
 	cx, stop := context.WithTimeout(ctx, wait)
@@ -126,8 +126,8 @@
 			}
 		}
 		why = err
-		switch breakdown.KindOf(err) {
-		case breakdown.Unknown:
+		switch failure.KindOf(err) {
+		case failure.Unknown:
 			// Whoever is silent has perhaps not fetched the memory.
 			t.ran = true
 			t.drop(src)
@@ -135,10 +135,10 @@
 			if !t.route.Again() || t.begun && !t.route.Resumable || errors.Is(err, errCaller) {
 				return t.giveUp(err, http.StatusBadGateway)
 			}
-		case breakdown.Lost:
+		case failure.Lost:
 			src = nil
 			t.fetched()
-		case breakdown.Away:
+		case failure.Away:
 			t.drop(src)
 			return t.giveUp(err, http.StatusGatewayTimeout)
 		}
@@ -270,16 +270,16 @@
 		t.tell(passage.Prefilled, c.w.Id, "")
 		return &Source{Worker: *c.w, Handle: memo.Handle}, true, nil
 	}
-	c.release(breakdown.Is(err, breakdown.Unknown), now)
+	c.release(failure.Is(err, failure.Unknown), now)
 	t.blame(ctx, c, err, now)
 	t.tell(passage.Dropped, c.w.Id, err.Error())
-	if breakdown.Is(err, breakdown.Bounced) && breakdown.Step(err) == dialStep {
+	if failure.Is(err, failure.Bounced) && failure.Step(err) == dialStep {
 		return nil, false, err
 	}
-	t.ran = t.ran || breakdown.Is(err, breakdown.Bad)
+	t.ran = t.ran || failure.Is(err, failure.Bad)
 	// It may not have been taken up, and then counts like any other sending.
 	t.extra = true
-	if breakdown.Is(err, breakdown.Bounced) || breakdown.Is(err, breakdown.Stale) {
+	if failure.Is(err, failure.Bounced) || failure.Is(err, failure.Stale) {
 		t.sends++
 	}
 	return nil, true, err
@@ -290,20 +290,20 @@
 
 // Undialled makes the breakdown of a request that never left.
 func Undialled(err error, near string) error {
-	return breakdown.As(err, breakdown.Bounced, dialStep, near)
+	return failure.As(err, failure.Bounced, dialStep, near)
 }
 
-func (t *trip) blame(ctx context.Context, c *choice, err error, now word.Tick) {
+func (t *trip) blame(ctx context.Context, c *choice, err error, now ids.Tick) {
 	switch {
-	case breakdown.Is(err, breakdown.Lost):
-	case breakdown.Is(err, breakdown.Stale):
+	case failure.Is(err, failure.Lost):
+	case failure.Is(err, failure.Stale):
 		t.tried[c.w.Id] = true
 		c.st.gone()
-	case breakdown.Is(err, breakdown.Bounced) && breakdown.Step(err) != dialStep:
+	case failure.Is(err, failure.Bounced) && failure.Step(err) != dialStep:
 		c.st.full(now)
 	case ctx.Err() == nil:
 		c.st.fault(now)
-		if breakdown.Step(err) != dialStep {
+		if failure.Step(err) != dialStep {
 			t.n.outcome(c, false)
 		}
 		t.n.suspect(*c.w, true)
@@ -338,10 +338,10 @@
 				return &c, reply, nil
 			}
 			c.st.end(0)
-			c.release(breakdown.Is(err, breakdown.Unknown), t.n.now())
+			c.release(failure.Is(err, failure.Unknown), t.n.now())
 			t.blame(ctx, &c, err, t.n.now())
 			t.tell(passage.Dropped, c.w.Id, err.Error())
-			if breakdown.Is(err, breakdown.Bounced) && breakdown.Step(err) == dialStep {
+			if failure.Is(err, failure.Bounced) && failure.Step(err) == dialStep {
 				t.sends--
 				t.tried[c.w.Id] = true
 				if again = t.n.now().Past(picked, pickOld); again {
@@ -356,10 +356,10 @@
 			continue
 		}
 		if t.sends >= max(1, t.route.Tries) {
-			return nil, nil, breakdown.New(breakdown.Away, "emit", t.svc.Name, "no try is left")
+			return nil, nil, failure.New(failure.Away, "emit", t.svc.Name, "no try is left")
 		}
 		if round > 2 || !seam.Sleep(ctx, 30*time.Millisecond) {
-			return nil, nil, breakdown.New(breakdown.Away, "emit", t.svc.Name, "no worker may take it")
+			return nil, nil, failure.New(failure.Away, "emit", t.svc.Name, "no worker may take it")
 		}
 	}
 }
--- a/relay/carry_test.go
+++ b/relay/carry_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 var paths = []string{"/once/x", "/again/x", "/stream/x", "/sresume/x"}
@@ -65,7 +65,7 @@
 			r.Parts = []Part{{Id: fmt.Sprint("system-", i/3%4), Tokens: 7900}, {Id: "last-" + r.Id, Tokens: 100}}
 			return r
 		})
-		at, used := map[string]map[word.WorkerId]int{}, map[word.WorkerId]bool{}
+		at, used := map[string]map[ids.WorkerId]int{}, map[ids.WorkerId]bool{}
 		begin := map[string]string{}
 		for _, a := range all {
 			require.NoError(t, a.err)
@@ -75,7 +75,7 @@
 			if k.Kind == "read" {
 				b := begin[k.Req]
 				if at[b] == nil {
-					at[b] = map[word.WorkerId]int{}
+					at[b] = map[ids.WorkerId]int{}
 				}
 				at[b][k.Worker]++
 				used[k.Worker] = true
@@ -209,7 +209,7 @@
 				a := f.ask(f.nodes[0], f.req("r", "/sresume/x", 500, 60))
 				require.NoError(t, a.err)
 				require.Empty(t, answers([]*asked{a}))
-				from, workers := "", map[word.WorkerId]bool{}
+				from, workers := "", map[ids.WorkerId]bool{}
 				for _, k := range y.book() {
 					if k.Kind == "emit" {
 						from = k.From
--- a/relay/check_test.go
+++ b/relay/check_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 // onceOnly: what may not be repeated runs once at most, and does not end in a refusal
@@ -155,7 +155,7 @@
 // coldRate: in no second do more than so many arrivals come to one cold worker.
 func coldRate(rows []row, most int) []string {
 	var out []string
-	by := map[word.WorkerId][]time.Duration{}
+	by := map[ids.WorkerId][]time.Duration{}
 	for _, k := range rows {
 		if !k.Cold || k.Kind != "read" && k.Kind != "emit" {
 			continue
@@ -182,7 +182,7 @@
 }
 
 // sentTo lists arrivals at a worker within a span.
-func sentTo(rows []row, id word.WorkerId, from, to time.Duration) []string {
+func sentTo(rows []row, id ids.WorkerId, from, to time.Duration) []string {
 	var out []string
 	for _, k := range rows {
 		if (k.Kind == "read" || k.Kind == "emit") && k.Worker == id && k.At >= from && k.At < to {
@@ -196,7 +196,7 @@
 // fences never fall.
 func ordersApart(rows []row, lease time.Duration) []string {
 	var out []string
-	last := map[word.WorkerId]row{}
+	last := map[ids.WorkerId]row{}
 	for _, k := range rows {
 		if k.Kind != "order" {
 			continue
@@ -216,9 +216,9 @@
 
 // thirds: each part keeps a third of the workers (rounded up, one at least), by what
 // orders make of them.
-func thirds(rows []row, parts map[word.WorkerId]word.Part) []string {
+func thirds(rows []row, parts map[ids.WorkerId]ids.Part) []string {
 	var out []string
-	now := map[word.WorkerId]word.Part{}
+	now := map[ids.WorkerId]ids.Part{}
 	for id, p := range parts {
 		now[id] = p
 	}
@@ -228,11 +228,11 @@
 			continue
 		}
 		now[k.Worker] = k.To
-		count := map[word.Part]int{}
+		count := map[ids.Part]int{}
 		for _, p := range now {
 			count[p]++
 		}
-		if count[word.Prefill] < least || count[word.Decode] < least {
+		if count[ids.Prefill] < least || count[ids.Decode] < least {
 			out = append(out, fmt.Sprintf("at %s: %v are left", k.At, count))
 		}
 	}
@@ -306,15 +306,15 @@
 	require.Empty(t, sentTo([]row{second}, "w", 0, time.Second))
 	require.NotEmpty(t, sentTo([]row{second}, "w", 3*time.Second, 4*time.Second))
 
-	order := func(at time.Duration, owner word.NodeId, fence word.Fence) row {
-		return row{Kind: "order", At: at, Worker: "w", Owner: owner, Fence: fence, To: word.Decode, Took: true}
+	order := func(at time.Duration, owner ids.NodeId, fence ids.Fence) row {
+		return row{Kind: "order", At: at, Worker: "w", Owner: owner, Fence: fence, To: ids.Decode, Took: true}
 	}
 	require.Empty(t, ordersApart([]row{order(0, "a", 1), order(1, "a", 1), order(4*time.Second, "b", 2)}, 3*time.Second))
 	require.NotEmpty(t, ordersApart([]row{order(0, "a", 1), order(2*time.Second, "b", 2)}, 3*time.Second), "too close")
 	require.NotEmpty(t, ordersApart([]row{order(0, "a", 2), order(4*time.Second, "b", 1)}, 3*time.Second), "a lower fence")
-	parts := map[word.WorkerId]word.Part{"v": word.Prefill, "w": word.Prefill, "x": word.Decode}
+	parts := map[ids.WorkerId]ids.Part{"v": ids.Prefill, "w": ids.Prefill, "x": ids.Decode}
 	require.Empty(t, thirds([]row{order(0, "a", 1)}, parts))
-	require.NotEmpty(t, thirds([]row{order(0, "a", 1)}, map[word.WorkerId]word.Part{"w": word.Prefill, "x": word.Decode}))
+	require.NotEmpty(t, thirds([]row{order(0, "a", 1)}, map[ids.WorkerId]ids.Part{"w": ids.Prefill, "x": ids.Decode}))
 
 	y := newYard()
 	y.handles["h"] = &handle{had: 1}
--- a/relay/config_test.go
+++ b/relay/config_test.go
@@ -11,12 +11,12 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/lore"
-	"keelstair.example/word"
+	"keelstair.example/failure"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 )
 
-func (f *fleet) inForce(v word.Version) bool {
+func (f *fleet) inForce(v ids.Version) bool {
 	for _, b := range f.up() {
 		if b.view.Sight().Version != v {
 			return false
@@ -25,11 +25,11 @@
 	return true
 }
 
-func (f *fleet) newest(t *testing.T) lore.Ruled {
+func (f *fleet) newest(t *testing.T) fleetstate.Ruled {
 	ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
 	defer stop()
 	b := f.up()[0]
-	got, _, err := lore.Newest(ctx, b.agent.Caller(), b.Book())
+	got, _, err := fleetstate.Newest(ctx, b.agent.Caller(), b.Book())
 	require.NoError(t, err)
 	return got
 }
@@ -44,26 +44,26 @@
 		f := build(t, 71, 2, y, plain(), nil)
 		defer f.close()
 		b := f.nodes[0]
-		put := func(op word.OpId, base, next word.Version, text string) (word.Version, error) {
+		put := func(op ids.OpId, base, next ids.Version, text string) (ids.Version, error) {
 			ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
 			defer stop()
-			return lore.Put(ctx, b.agent.Caller(), b.Book(), op, base, next, []byte(text))
+			return fleetstate.Put(ctx, b.agent.Caller(), b.Book(), op, base, next, []byte(text))
 		}
-		outcome := func(op word.OpId) (word.Version, error) {
+		outcome := func(op ids.OpId) (ids.Version, error) {
 			ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
 			defer stop()
-			return lore.Outcome(ctx, b.agent.Caller(), b.Book(), op)
+			return fleetstate.Outcome(ctx, b.agent.Caller(), b.Book(), op)
 		}
 		require.True(t, f.until(3*time.Second, func() bool { return f.inForce(1) }))
 		v, err := put("seven", 1, 7, `{"zones":["seven"]}`)
 		require.NoError(t, err)
 		require.EqualValues(t, 7, v)
-		require.Equal(t, lore.Ruled{Version: 7, Text: []byte(`{"zones":["seven"]}`)}, f.newest(t), "staged or in force, at once")
+		require.Equal(t, fleetstate.Ruled{Version: 7, Text: []byte(`{"zones":["seven"]}`)}, f.newest(t), "staged or in force, at once")
 		_, err = put("stale", 1, 9, `{}`)
-		require.True(t, breakdown.Is(err, breakdown.Stale), "%v", err)
-		for _, low := range []word.Version{3, 7} {
-			_, err = put(word.OpId(fmt.Sprint("low", low)), 7, low, `{}`)
-			require.True(t, breakdown.Is(err, breakdown.Bad), "%v", err)
+		require.True(t, failure.Is(err, failure.Stale), "%v", err)
+		for _, low := range []ids.Version{3, 7} {
+			_, err = put(ids.OpId(fmt.Sprint("low", low)), 7, low, `{}`)
+			require.True(t, failure.Is(err, failure.Bad), "%v", err)
 		}
 		v, err = put("twelve", 7, 12, `{"zones":["twelve"]}`)
 		require.NoError(t, err)
@@ -76,12 +76,12 @@
 		require.EqualValues(t, 13, v)
 		require.Equal(t, `{"zones":["thirteen"]}`, string(f.newest(t).Text))
 		_, err = put("stale", 1, 9, `{}`)
-		require.True(t, breakdown.Is(err, breakdown.Stale), "a refusal stays one")
+		require.True(t, failure.Is(err, failure.Stale), "a refusal stays one")
 		v, err = outcome("twelve")
 		require.NoError(t, err)
 		require.EqualValues(t, 12, v)
 		_, err = outcome("never")
-		require.True(t, breakdown.Is(err, breakdown.Stale))
+		require.True(t, failure.Is(err, failure.Stale))
 		require.True(t, f.until(3*time.Second, func() bool { return f.inForce(13) }))
 	})
 }
@@ -96,9 +96,9 @@
 		require.True(t, f.until(3*time.Second, func() bool { return f.inForce(1) }))
 		routes := ways()
 		for i := range 1400 {
-			routes = append(routes, lore.Route{Name: fmt.Sprint("x", i), Host: fmt.Sprintf("h%d.example", i), Prefix: "/", Service: "svc"})
+			routes = append(routes, fleetstate.Route{Name: fmt.Sprint("x", i), Host: fmt.Sprintf("h%d.example", i), Prefix: "/", Service: "svc"})
 		}
-		text := policy(routes, lore.Service{Name: "svc", Slots: 16})
+		text := policy(routes, fleetstate.Service{Name: "svc", Slots: 16})
 		require.NoError(t, f.put("large", 1, 2, text))
 		require.True(t, f.until(3*time.Second, func() bool { return f.inForce(2) }))
 		require.Equal(t, text, f.newest(t).Text)
@@ -134,13 +134,13 @@
 		f := build(t, seed, 3, y, plain(), nil)
 		defer f.close()
 		var mu sync.Mutex
-		texts := map[word.Version]string{}
+		texts := map[ids.Version]string{}
 		var faults []string
 		over := make(chan bool)
 		halt := sync.OnceFunc(func() { close(over) })
 		defer halt()
 		f.wg.Go(func() {
-			last := map[*Node]word.Version{}
+			last := map[*Node]ids.Version{}
 			for {
 				mu.Lock()
 				for _, b := range f.up() {
@@ -161,7 +161,7 @@
 				}
 			}
 		})
-		v := word.Version(1)
+		v := ids.Version(1)
 		for i := range 8 {
 			n := (int(seed) + i) % 3
 			ip := []string{nodeIp(n)}
@@ -177,10 +177,10 @@
 			case 3:
 				f.kill(n)
 			}
-			next := v + word.Version(1+i%3)
+			next := v + ids.Version(1+i%3)
 			var err error
 			f.until(20*time.Second, func() bool {
-				err = f.putAt(f.nodes[(n+1)%3], word.OpId(fmt.Sprint("op", i)), v, next, policy(append(ways(), lore.Route{Name: fmt.Sprint("x", next), Host: "x", Prefix: "/", Service: "svc"}), lore.Service{Name: "svc"}))
+				err = f.putAt(f.nodes[(n+1)%3], ids.OpId(fmt.Sprint("op", i)), v, next, policy(append(ways(), fleetstate.Route{Name: fmt.Sprint("x", next), Host: "x", Prefix: "/", Service: "svc"}), fleetstate.Service{Name: "svc"}))
 				return err == nil
 			})
 			require.NoError(t, err)
@@ -224,7 +224,7 @@
 				if dropped {
 					routes = routes[:3]
 				}
-				require.NoError(t, f.put("two", 1, 2, policy(routes, lore.Service{Name: "svc"}, lore.Service{Name: "other"})))
+				require.NoError(t, f.put("two", 1, 2, policy(routes, fleetstate.Service{Name: "svc"}, fleetstate.Service{Name: "other"})))
 				require.True(t, f.until(2*time.Second, func() bool { return f.inForce(2) }))
 				late := f.ask(f.nodes[0], f.req("late", "/sresume/x", 400, 3))
 				for _, k := range y.book() {
@@ -283,9 +283,9 @@
 		}
 		require.Equal(t, []string{"404", "404", "404"}, try("a", "/new/x"))
 		require.Equal(t, []string{"svc", "svc", "svc"}, try("b", "/once/deep/x"))
-		routes := append(ways()[1:], lore.Route{Name: "new", Host: host, Prefix: "/new/", Service: "svc", Apart: true, Tries: 1, DeadlineMs: 3000, AimMs: 100},
-			lore.Route{Name: "deep", Host: host, Prefix: "/again/deep/", Service: "other", Apart: true, Tries: 1, DeadlineMs: 3000, AimMs: 100})
-		require.NoError(t, f.put("two", 1, 2, policy(routes, lore.Service{Name: "svc"}, lore.Service{Name: "other"})))
+		routes := append(ways()[1:], fleetstate.Route{Name: "new", Host: host, Prefix: "/new/", Service: "svc", Apart: true, Tries: 1, DeadlineMs: 3000, AimMs: 100},
+			fleetstate.Route{Name: "deep", Host: host, Prefix: "/again/deep/", Service: "other", Apart: true, Tries: 1, DeadlineMs: 3000, AimMs: 100})
+		require.NoError(t, f.put("two", 1, 2, policy(routes, fleetstate.Service{Name: "svc"}, fleetstate.Service{Name: "other"})))
 		require.True(t, f.until(2*time.Second, func() bool { return f.inForce(2) }))
 		require.Equal(t, []string{"svc", "svc", "svc"}, try("c", "/new/x"))
 		require.Equal(t, []string{"404", "404", "404"}, try("d", "/once/x"))
@@ -299,8 +299,8 @@
 func TestSplit(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		y := newYard(append(both("svc", 2, 3), both("other", 2, 3)...)...)
-		split := lore.Route{Name: "r", Host: host, Prefix: "/once/", Split: []lore.Share{{Service: "svc", Weight: 3}, {Service: "other", Weight: 1}, {Service: "svc", Weight: 0}}, Apart: true, Tries: 2, DeadlineMs: 4000, AimMs: 400}
-		f := build(t, 75, 2, y, policy([]lore.Route{split}, lore.Service{Name: "svc"}, lore.Service{Name: "other"}), nil)
+		split := fleetstate.Route{Name: "r", Host: host, Prefix: "/once/", Split: []fleetstate.Share{{Service: "svc", Weight: 3}, {Service: "other", Weight: 1}, {Service: "svc", Weight: 0}}, Apart: true, Tries: 2, DeadlineMs: 4000, AimMs: 400}
+		f := build(t, 75, 2, y, policy([]fleetstate.Route{split}, fleetstate.Service{Name: "svc"}, fleetstate.Service{Name: "other"}), nil)
 		defer f.close()
 		all := f.load(80, 5*time.Second, func(i int) *Request { return f.req(fmt.Sprint("try-", i/2), "/once/x", 200, 2) })
 		at := map[string]string{}
--- a/relay/delta_test.go
+++ b/relay/delta_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/lore"
-	"keelstair.example/word"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 )
 
 // TestLargeChanges: a configuration of many routes changes by one of them, again and again,
@@ -24,13 +24,13 @@
 		text := func(mark int) []byte {
 			rows := ways()
 			for i := range 300 {
-				r := lore.Route{Name: fmt.Sprint("x", i), Host: fmt.Sprintf("h%d.example", i*7919), Prefix: "/", Service: "svc", Tries: 1, DeadlineMs: 900}
+				r := fleetstate.Route{Name: fmt.Sprint("x", i), Host: fmt.Sprintf("h%d.example", i*7919), Prefix: "/", Service: "svc", Tries: 1, DeadlineMs: 900}
 				if i == mark*37%300 {
 					r.DeadlineMs += mark
 				}
 				rows = append(rows, r)
 			}
-			return policy(rows, lore.Service{Name: "svc", Slots: 16})
+			return policy(rows, fleetstate.Service{Name: "svc", Slots: 16})
 		}
 		require.NoError(t, f.put("large", 1, 2, text(0)))
 		for i := 1; i < 8; i++ {
@@ -40,8 +40,8 @@
 			case 1:
 				f.kill(2)
 			}
-			v := word.Version(i + 1)
-			require.True(t, f.until(20*time.Second, func() bool { return f.put(word.OpId(fmt.Sprint("op", i)), v, v+1, text(i)) == nil }))
+			v := ids.Version(i + 1)
+			require.True(t, f.until(20*time.Second, func() bool { return f.put(ids.OpId(fmt.Sprint("op", i)), v, v+1, text(i)) == nil }))
 			require.True(t, f.until(2*time.Second, func() bool { return f.inForce(v + 1) }))
 			if !f.nodes[2].up {
 				f.node(2)
--- a/relay/eject.go
+++ b/relay/eject.go
@@ -11,9 +11,9 @@
 	"sort"
 	"time"
 
-	"keelstair.example/lore"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/seam"
-	"keelstair.example/word"
 )
 
 const (
@@ -36,10 +36,10 @@
 // record counts sendings that ended, fading.
 type record struct {
 	sent, failed float64
-	at           word.Tick
+	at           ids.Tick
 }
 
-func (r *record) fade(now word.Tick, span time.Duration) {
+func (r *record) fade(now ids.Tick, span time.Duration) {
 	f := math.Exp(-float64(now.Since(r.at)) / float64(span))
 	r.sent, r.failed, r.at = r.sent*f, r.failed*f, now
 }
@@ -56,17 +56,17 @@
 type verdict struct {
 	mine    record
 	heard   Outcomes // of the other nodes
-	heardAt word.Tick
+	heardAt ids.Tick
 	falls   record
 	flaps   bool
 	phase   phase
-	since   word.Tick // when the phase began
-	until   word.Tick
+	since   ids.Tick // when the phase began
+	until   ids.Tick
 	strikes int
 	trials  int
 	tripped bool // it failed a trial
 	picks   int
-	tried   word.Tick
+	tried   ids.Tick
 	ill     float64 // its rate of failures while it stands out
 }
 
@@ -131,7 +131,7 @@
 }
 
 // held tells whether a worker is to be passed over by this pick. The state is locked.
-func (v *verdict) held(now word.Tick, gap time.Duration) bool {
+func (v *verdict) held(now ids.Tick, gap time.Duration) bool {
 	if v.phase != probing {
 		return v.phase == ejected
 	}
@@ -145,7 +145,7 @@
 
 // odds are failures and sendings, of this node and of the others. A single node's word of
 // failures counts for nothing, and all that is heard for no more than hearMost sendings.
-func (v *verdict) odds(now word.Tick) (failed, sent float64) {
+func (v *verdict) odds(now ids.Tick) (failed, sent float64) {
 	v.mine.fade(now, recall)
 	failed, sent = v.mine.failed, v.mine.sent
 	seers := v.heard.Nodes
@@ -187,10 +187,10 @@
 
 type group struct {
 	service string
-	part    word.Part
+	part    ids.Part
 }
 
-func (n *Node) judge(s *lore.Sight) {
+func (n *Node) judge(s *fleetstate.Sight) {
 	now := n.now()
 	groups := map[group][]*accused{}
 	ros := n.roster.Load()
@@ -215,13 +215,13 @@
 }
 
 // judgeGroup judges the workers of one part of a service and gives how many are out.
-func (n *Node) judgeGroup(row []*accused, now word.Tick) int {
+func (n *Node) judgeGroup(row []*accused, now ids.Tick) int {
 	most, sum, known := 0, 0.0, 0
 	if len(row) > 1 {
 		most = max(1, int(n.opt.Out*float64(len(row))))
 	}
 	sort.Slice(row, func(i, j int) bool { return row[i].rate() > row[j].rate() })
-	told := n.toldAt.Load() != 0 && !now.Past(word.Tick(n.toldAt.Load()), 2*readSpan)
+	told := n.toldAt.Load() != 0 && !now.Past(ids.Tick(n.toldAt.Load()), 2*readSpan)
 	for _, a := range row {
 		sum += a.rate()
 		if told || a.sent >= 0.5 { // where the others tell, whom none names does not fail
@@ -258,7 +258,7 @@
 
 // step takes a worker through its ejection and probation; false if it is serving. What
 // it was ejected for is forgotten half way through, so that fresh outcomes decide.
-func (n *Node) step(a *accused, odd bool, now word.Tick) bool {
+func (n *Node) step(a *accused, odd bool, now ids.Tick) bool {
 	a.st.mu.Lock()
 	v := &a.st.verdict
 	v.ill = 0
@@ -286,7 +286,7 @@
 	return true
 }
 
-func (n *Node) eject(a *accused, now word.Tick) {
+func (n *Node) eject(a *accused, now ids.Tick) {
 	a.st.mu.Lock()
 	defer a.st.mu.Unlock()
 	v := &a.st.verdict
@@ -301,7 +301,7 @@
 	n.opt.Ring.Info().Str("worker", string(a.w.Id)).Float64("failed", a.failed).Float64("sent", a.sent).Dur("span", span).Msg("ejects a worker")
 }
 
-func (n *Node) readmit(a *accused, now word.Tick, why string) {
+func (n *Node) readmit(a *accused, now ids.Tick, why string) {
 	a.st.mu.Lock()
 	defer a.st.mu.Unlock()
 	v := &a.st.verdict
@@ -314,7 +314,7 @@
 }
 
 // out tells whether a worker is ejected or on probation.
-func (n *Node) out(id word.WorkerId) bool {
+func (n *Node) out(id ids.WorkerId) bool {
 	if n.outs.Load() == 0 {
 		return false
 	}
--- a/relay/eject_note.go
+++ b/relay/eject_note.go
@@ -2,16 +2,16 @@
 
 package relay
 
-import "keelstair.example/word"
+import "keelstair.example/ids"
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file eject_note.go
-//msgp:shim word.WorkerId as:string using:string/word.WorkerId
+//msgp:shim ids.WorkerId as:string using:string/ids.WorkerId
 //msgp:tuple Outcomes
 
 // Outcomes are sendings to a worker of late that ended, and those that it failed, both in
 // tenths and fading; Nodes is how many nodes saw it fail.
 type Outcomes struct {
-	Id     word.WorkerId
+	Id     ids.WorkerId
 	Sent   int
 	Failed int
 	Nodes  int
--- a/relay/eject_test.go
+++ b/relay/eject_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/word"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 )
 
 // standing is how many of a part a node has out at a moment.
@@ -147,7 +147,7 @@
 // worker, so that it does not depend on the order of calls.
 func some(seed uint64, x float64) func(k row) bool {
 	return func(k row) bool {
-		return rand.New(rand.NewPCG(seed, word.Hash(k.Req+k.Kind+string(k.Worker)))).Float64() < x
+		return rand.New(rand.NewPCG(seed, ids.Hash(k.Req+k.Kind+string(k.Worker)))).Float64() < x
 	}
 }
 
@@ -163,7 +163,7 @@
 }
 
 // share is the part of a span's sendings that goes to some workers.
-func share(rows []row, sick map[word.WorkerId]bool, from, to time.Duration) float64 {
+func share(rows []row, sick map[ids.WorkerId]bool, from, to time.Duration) float64 {
 	hit, all := 0, 0
 	for _, k := range rows {
 		if (k.Kind == "read" || k.Kind == "emit") && k.At >= from && k.At < to {
@@ -177,7 +177,7 @@
 }
 
 // falls: the sick workers' share of sendings falls to the part given of what is fair.
-func falls(rows []row, sick map[word.WorkerId]bool, fair, part float64, from, to time.Duration) []string {
+func falls(rows []row, sick map[ids.WorkerId]bool, fair, part float64, from, to time.Duration) []string {
 	if s := share(rows, sick, from, to); s > part*fair {
 		return []string{fmt.Sprintf("%.3f of the sendings go to sick workers, whose fair share is %.3f", s, fair)}
 	}
@@ -189,9 +189,9 @@
 	require.Empty(t, outBound([]standing{{out: 2, all: 6}, {out: 1, all: 2}}, 0.34))
 	require.NotEmpty(t, outBound([]standing{{out: 3, all: 6}}, 0.34), "over the bound")
 	require.NotEmpty(t, outBound([]standing{{out: 1, all: 1}}, 0.34), "the last")
-	k := func(id word.WorkerId, at time.Duration) row { return row{Kind: "emit", Worker: id, At: at} }
+	k := func(id ids.WorkerId, at time.Duration) row { return row{Kind: "emit", Worker: id, At: at} }
 	rows := []row{k("w", 0), k("w", 1), k("v", 5), k("w", 6), k("v", 7), k("v", 8)}
-	sick := map[word.WorkerId]bool{"w": true}
+	sick := map[ids.WorkerId]bool{"w": true}
 	require.Empty(t, falls(rows, sick, 0.5, 0.6, 5, 9))
 	require.NotEmpty(t, falls(rows, sick, 0.5, 0.4, 5, 9), "one of four")
 	require.NotEmpty(t, falls(rows, sick, 0.5, 0.6, 0, 9), "half")
@@ -205,7 +205,7 @@
 	eachSeed(t, 4, func(t *testing.T, seed uint64) {
 		x := []float64{0.3, 0.4, 0.5, 0.6}[seed%4]
 		hit := some(seed, x)
-		sick := map[word.WorkerId]bool{"svc-prefill-1.1": true, "svc-decode-2.1": true}
+		sick := map[ids.WorkerId]bool{"svc-prefill-1.1": true, "svc-decode-2.1": true}
 		grey := func(k row) fate {
 			if sick[k.Worker] && k.At > 3*time.Second && k.At < 13*time.Second && hit(k) {
 				if k.Kind == "read" {
@@ -263,7 +263,7 @@
 	for _, some := range []bool{false, true} {
 		t.Run(fmt.Sprint(some), func(t *testing.T) {
 			bubble(t, func(t *testing.T) {
-				bad := breakdown.New(breakdown.Bad, "report", "", "status 503")
+				bad := failure.New(failure.Bad, "report", "", "status 503")
 				mute := 0
 				lies := func(on bool) *ward {
 					return (&ward{seed: 3, nodes: 3, parts: 3, rate: 60, span: 14 * time.Second, sick: func(k row) fate {
@@ -291,7 +291,7 @@
 						}
 					}}).run(t)
 				}
-				well := map[word.WorkerId]bool{"svc-decode-1.1": true}
+				well := map[ids.WorkerId]bool{"svc-decode-1.1": true}
 				w := lies(true)
 				w.sound(t)
 				got := share(w.rows, well, 3*time.Second, 14*time.Second)
@@ -325,7 +325,7 @@
 				}
 			}}).run(t)
 		}
-		flapper, once := map[word.WorkerId]bool{"svc-decode-1.1": true}, map[word.WorkerId]bool{"svc-decode-3.1": true}
+		flapper, once := map[ids.WorkerId]bool{"svc-decode-1.1": true}, map[ids.WorkerId]bool{"svc-decode-3.1": true}
 		on, off := run(nil), run(func(o *Options) { o.Eject = -1 })
 		on.sound(t)
 		from, to := 6*time.Second, 14*time.Second
@@ -383,7 +383,7 @@
 		defer f.close()
 		n := f.nodes[0]
 		for i, ill := range []float64{0.9, 0.3, 0.6} {
-			st := n.state(word.WorkerId(fmt.Sprintf("svc-decode-%d.1", i)))
+			st := n.state(ids.WorkerId(fmt.Sprintf("svc-decode-%d.1", i)))
 			st.mu.Lock()
 			st.verdict.phase, st.verdict.until, st.verdict.ill = ejected, n.now().Add(time.Hour), ill
 			st.mu.Unlock()
@@ -413,7 +413,7 @@
 					}
 					return fine
 				}, act: func(f *fleet, y *yard) {
-					lost := breakdown.New(breakdown.Away, "report", "", "no answer")
+					lost := failure.New(failure.Away, "report", "", "no answer")
 					time.Sleep(3 * time.Second)
 					y.at(func() {
 						y.health = func(node string, s *stand) error {
@@ -427,7 +427,7 @@
 					y.at(func() { y.health = nil })
 				}}).run(t)
 				w.sound(t)
-				sick := map[word.WorkerId]bool{"svc-decode-1.1": true}
+				sick := map[ids.WorkerId]bool{"svc-decode-1.1": true}
 				var mine, rest []row
 				for _, k := range w.rows {
 					if off(k.Node) {
@@ -458,7 +458,7 @@
 		}, act: func(f *fleet, y *yard) {
 			for range 80 {
 				for _, b := range f.up()[2:] {
-					b.told.Store(word.NodeId("liar"), told{at: b.now(), outcomes: []Outcomes{{"svc-decode-1.1", 1 << 20, 1 << 20, 90}}})
+					b.told.Store(ids.NodeId("liar"), told{at: b.now(), outcomes: []Outcomes{{"svc-decode-1.1", 1 << 20, 1 << 20, 90}}})
 				}
 				time.Sleep(100 * time.Millisecond)
 			}
@@ -476,7 +476,7 @@
 	n := &Node{opt: Options{Out: 0.34, Say: 4}}
 	var list []Worker
 	for i := range 6 {
-		list = append(list, Worker{Id: word.WorkerId(fmt.Sprint("w", i)), Service: "svc"})
+		list = append(list, Worker{Id: ids.WorkerId(fmt.Sprint("w", i)), Service: "svc"})
 	}
 	n.roster.Store(&roster{all: list})
 	require.Equal(t, []Outcomes{{"w0", 40, 20, 1}, {"w1", 30, 0, 0}}, n.weighed([]Outcomes{{"w0", 400, 200, 9}, {"w1", 30, 0, 0}}))
@@ -532,10 +532,10 @@
 		if large { // as many as the largest site has
 			nodes, parts, rate = 72, 70, 605
 		}
-		sick := map[word.WorkerId]bool{}
+		sick := map[ids.WorkerId]bool{}
 		for i := range max(2, parts*14/100) {
-			sick[word.WorkerId(fmt.Sprintf("svc-prefill-%d.1", 3*i))] = true
-			sick[word.WorkerId(fmt.Sprintf("svc-decode-%d.1", 3*i+1))] = true
+			sick[ids.WorkerId(fmt.Sprintf("svc-prefill-%d.1", 3*i))] = true
+			sick[ids.WorkerId(fmt.Sprintf("svc-decode-%d.1", 3*i+1))] = true
 		}
 		run := func(o func(*Options)) *ward {
 			w := (&ward{seed: seed, nodes: nodes, parts: parts, rate: rate, span: 11 * time.Second, tune: o, sick: func(k row) fate {
@@ -568,7 +568,7 @@
 // it, and what it is sent meanwhile is a trickle.
 func TestProbation(t *testing.T) {
 	bubble(t, func(t *testing.T) {
-		sick := map[word.WorkerId]bool{"svc-decode-2.1": true}
+		sick := map[ids.WorkerId]bool{"svc-decode-2.1": true}
 		w := (&ward{seed: 8, nodes: 1, parts: 4, rate: 60, span: 40 * time.Second, sick: func(k row) fate {
 			if sick[k.Worker] && k.At > 2*time.Second && k.At < 30*time.Second {
 				return ranReset
@@ -594,7 +594,7 @@
 // get their share again at once: what they failed is explained.
 func TestOneFall(t *testing.T) {
 	eachSeed(t, 3, func(t *testing.T, seed uint64) {
-		cut := map[word.WorkerId]bool{"svc-decode-0.1": true, "svc-decode-3.1": true}
+		cut := map[ids.WorkerId]bool{"svc-decode-0.1": true, "svc-decode-3.1": true}
 		w := (&ward{seed: seed, nodes: 16, parts: 6, rate: 160, span: 9 * time.Second, act: func(f *fleet, y *yard) {
 			dark := func(on bool) {
 				y.at(func() {
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -17,11 +17,11 @@
 	"github.com/stretchr/testify/require"
 	"github.com/tinylib/msgp/msgp"
 
-	"keelstair.example/crux"
-	"keelstair.example/lore"
+	"keelstair.example/coordination"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
+	"keelstair.example/rpc"
 	"keelstair.example/seam/sham"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 // berth is one node of a fleet with its process.
@@ -39,7 +39,7 @@
 	w     *sham.World
 	y     *yard
 	seeds []string
-	cores map[string]*crux.Core
+	cores map[string]*coordination.Core
 	procs map[string]*sham.Proc
 	stops map[string]context.CancelFunc
 	tune  func(*Options)
@@ -55,7 +55,7 @@
 
 // build starts a fleet and puts a policy in force.
 func build(t *testing.T, seed uint64, nodes int, y *yard, text []byte, tune func(*Options)) *fleet {
-	f := &fleet{t: t, w: sham.NewWorld(seed), y: y, tune: tune, cores: map[string]*crux.Core{}, procs: map[string]*sham.Proc{}, stops: map[string]context.CancelFunc{}, over: make(chan struct{})}
+	f := &fleet{t: t, w: sham.NewWorld(seed), y: y, tune: tune, cores: map[string]*coordination.Core{}, procs: map[string]*sham.Proc{}, stops: map[string]context.CancelFunc{}, over: make(chan struct{})}
 	for _, ip := range coreIps {
 		f.seeds = append(f.seeds, ip+":1")
 	}
@@ -82,14 +82,14 @@
 func (f *fleet) core(ip string) {
 	ctx, stop := context.WithCancel(context.Background())
 	p := f.w.Machine(ip).Start()
-	c, err := crux.New(crux.Options{Addr: ip + ":1", Host: p.Host(), Seeds: f.seeds, Machine: func() crux.Machine { return lore.NewMachine(lore.MachineOptions{}) }})
+	c, err := coordination.New(coordination.Options{Addr: ip + ":1", Host: p.Host(), Seeds: f.seeds, Machine: func() coordination.Machine { return fleetstate.NewMachine(fleetstate.MachineOptions{}) }})
 	require.NoError(f.t, err)
 	f.cores[ip], f.procs[ip], f.stops[ip] = c, p, stop
 	l, err := p.Host().Net.Listen(ip + ":1")
 	require.NoError(f.t, err)
 	mux := http.NewServeMux()
 	c.Mount(mux)
-	f.wg.Go(func() { wire.Serve(ctx, l, mux) })
+	f.wg.Go(func() { rpc.Serve(ctx, l, mux) })
 	f.wg.Go(func() { c.Run(ctx) })
 }
 
@@ -117,7 +117,7 @@
 func (f *fleet) node(i int) *berth {
 	ip := nodeIp(i)
 	p := f.w.Machine(ip).Start()
-	opt := Options{Name: fmt.Sprint("n", i), Addr: ip + ":2", Zone: word.Zone([]string{"a", "b"}[i%2]), Seeds: f.seeds, Host: p.Host(), Back: &back{f.y, ip}, Turn: -1}
+	opt := Options{Name: fmt.Sprint("n", i), Addr: ip + ":2", Zone: ids.Zone([]string{"a", "b"}[i%2]), Seeds: f.seeds, Host: p.Host(), Back: &back{f.y, ip}, Turn: -1}
 	if f.tune != nil {
 		f.tune(&opt)
 	}
@@ -128,12 +128,12 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	b := &berth{Node: n, ip: ip, proc: p, stop: stop, done: make(chan struct{}), up: true}
-	f.y.at(func() { f.y.known[ip] = func(id word.WorkerId) bool { return b.offs()[id] } })
+	f.y.at(func() { f.y.known[ip] = func(id ids.WorkerId) bool { return b.offs()[id] } })
 	l, err := p.Host().Net.Listen(ip + ":2")
 	require.NoError(f.t, err)
 	mux := http.NewServeMux()
 	n.Mount(mux)
-	f.wg.Go(func() { wire.Serve(ctx, l, mux) })
+	f.wg.Go(func() { rpc.Serve(ctx, l, mux) })
 	f.wg.Go(func() { n.Run(ctx, 0, -time.Millisecond); close(b.done) })
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -178,9 +178,9 @@
 }
 
 // offs tells of each worker on the node's list whether it is to get nothing new.
-func (b *berth) offs() map[word.WorkerId]bool {
+func (b *berth) offs() map[ids.WorkerId]bool {
 	s := b.view.Sight()
-	off := map[word.WorkerId]bool{}
+	off := map[ids.WorkerId]bool{}
 	for _, w := range b.roster.Load().all {
 		_, turns := s.Turning[w.Id]
 		off[w.Id] = w.Leaving || turns || s.Drained[w.Id] || s.Zones[w.Zone]
@@ -196,7 +196,7 @@
 			f.y.at(func() {
 				m := f.y.off[b.ip]
 				if m == nil {
-					m = map[word.WorkerId]time.Time{}
+					m = map[ids.WorkerId]time.Time{}
 					f.y.off[b.ip] = m
 				}
 				for id, on := range off {
@@ -248,14 +248,14 @@
 }
 
 // put stages a text by way of the first node that is up.
-func (f *fleet) put(op word.OpId, base, next word.Version, text []byte) error {
+func (f *fleet) put(op ids.OpId, base, next ids.Version, text []byte) error {
 	return f.putAt(f.up()[0], op, base, next, text)
 }
 
-func (f *fleet) putAt(n *berth, op word.OpId, base, next word.Version, text []byte) error {
+func (f *fleet) putAt(n *berth, op ids.OpId, base, next ids.Version, text []byte) error {
 	ctx, stop := context.WithTimeout(context.Background(), 8*time.Second)
 	defer stop()
-	_, err := lore.Put(ctx, n.agent.Caller(), n.Book(), op, base, next, text)
+	_, err := fleetstate.Put(ctx, n.agent.Caller(), n.Book(), op, base, next, text)
 	return err
 }
 
@@ -263,7 +263,7 @@
 func (f *fleet) submit(kind string, c msgp.Marshaler) {
 	ctx, stop := context.WithTimeout(context.Background(), 8*time.Second)
 	defer stop()
-	_, err := f.up()[0].agent.Submit(ctx, word.OpId("op/"+crux.Name()), kind, crux.Pack(c))
+	_, err := f.up()[0].agent.Submit(ctx, ids.OpId("op/"+coordination.Name()), kind, coordination.Pack(c))
 	require.NoError(f.t, err)
 }
 
@@ -370,8 +370,8 @@
 }
 
 // ways are the routes that most tests use.
-func ways() []lore.Route {
-	return []lore.Route{
+func ways() []fleetstate.Route {
+	return []fleetstate.Route{
 		{Name: "once", Host: host, Prefix: "/once/", Service: "svc", Apart: true, Tries: 3, DeadlineMs: 4000, AimMs: 400, Urgency: 5},
 		{Name: "again", Host: host, Prefix: "/again/", Service: "svc", Apart: true, Repeatable: true, Tries: 3, DeadlineMs: 4000, AimMs: 400, Urgency: 5},
 		{Name: "stream", Host: host, Prefix: "/stream/", Service: "svc", Apart: true, Stream: true, Tries: 3, DeadlineMs: 8000, AimMs: 400, GapMs: 60, Urgency: 5},
@@ -379,8 +379,8 @@
 	}
 }
 
-func policy(routes []lore.Route, services ...lore.Service) []byte {
-	p := &lore.Policy{Routes: routes, Services: map[string]lore.Service{}}
+func policy(routes []fleetstate.Route, services ...fleetstate.Service) []byte {
+	p := &fleetstate.Policy{Routes: routes, Services: map[string]fleetstate.Service{}}
 	for _, s := range services {
 		p.Services[s.Name] = s
 	}
@@ -388,7 +388,7 @@
 	return b
 }
 
-func plain() []byte { return policy(ways(), lore.Service{Name: "svc", Slots: 16, TurnMs: 1000}) }
+func plain() []byte { return policy(ways(), fleetstate.Service{Name: "svc", Slots: 16, TurnMs: 1000}) }
 
 // bubble runs a test in a bubble of its own, where time is free.
 func bubble(t *testing.T, f func(t *testing.T)) { synctest.Test(t, f) }
--- a/relay/hearsay.go
+++ b/relay/hearsay.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 const (
@@ -35,7 +35,7 @@
 		}
 		r.fade(now, recall)
 		if r.sent > 0.1 && (r.failed > 0.1 || st.verdict.heard.Nodes > 0 && !now.Past(st.verdict.heardAt, askSpan)) {
-			out = append(out, Outcomes{Id: k.(word.WorkerId), Sent: int(10*r.sent + 0.5), Failed: int(10*r.failed + 0.5)})
+			out = append(out, Outcomes{Id: k.(ids.WorkerId), Sent: int(10*r.sent + 0.5), Failed: int(10*r.failed + 0.5)})
 		}
 		return true
 	})
@@ -65,27 +65,27 @@
 // tally is the sum of what nodes told, and each one's part of it.
 type tally struct {
 	mu    sync.Mutex
-	at    word.Tick
-	total map[word.WorkerId]Outcomes
-	by    map[word.NodeId][]Outcomes
+	at    ids.Tick
+	total map[ids.WorkerId]Outcomes
+	by    map[ids.NodeId][]Outcomes
 }
 
 // rest is the sum without one node's part.
-func (n *Node) rest(but word.NodeId) []Outcomes {
+func (n *Node) rest(but ids.NodeId) []Outcomes {
 	t := &n.tally
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if now := n.now(); t.total == nil || now.Past(t.at, tallySpan) {
-		t.at, t.total, t.by = now, map[word.WorkerId]Outcomes{}, map[word.NodeId][]Outcomes{}
+		t.at, t.total, t.by = now, map[ids.WorkerId]Outcomes{}, map[ids.NodeId][]Outcomes{}
 		t.add(n.me.Node, n.weighed(n.myOutcomes()))
 		n.told.Range(func(k, v any) bool {
 			if o := v.(told); !now.Past(o.at, 2*readSpan) && len(o.outcomes) > 0 {
-				t.add(k.(word.NodeId), n.weighed(o.outcomes))
+				t.add(k.(ids.NodeId), n.weighed(o.outcomes))
 			}
 			return true
 		})
 	}
-	own := map[word.WorkerId]Outcomes{}
+	own := map[ids.WorkerId]Outcomes{}
 	for _, r := range t.by[but] {
 		own[r.Id] = r
 	}
@@ -99,7 +99,7 @@
 	return out
 }
 
-func (t *tally) add(node word.NodeId, row []Outcomes) {
+func (t *tally) add(node ids.NodeId, row []Outcomes) {
 	t.by[node] = row
 	for _, r := range row {
 		s := t.total[r.Id]
@@ -113,7 +113,7 @@
 	if len(row) == 0 {
 		return nil
 	}
-	accuses := map[word.WorkerId]bool{}
+	accuses := map[ids.WorkerId]bool{}
 	for _, r := range row {
 		accuses[r.Id] = r.Failed > 3
 	}
--- a/relay/ledger.go
+++ b/relay/ledger.go
@@ -10,7 +10,7 @@
 import (
 	"time"
 
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 const (
@@ -26,18 +26,18 @@
 // is surely free once the hold has ended.
 type hold struct {
 	all, own  int
-	at, ended word.Tick
+	at, ended ids.Tick
 }
 
 // ledger of one life of a worker. The state's lock guards it.
 type ledger struct {
 	stood
-	at    word.Tick // when the report was asked for
+	at    ids.Tick // when the report was asked for
 	holds []*hold
 }
 
 // report takes what was heard of a report that was asked for at a tick.
-func (l *ledger) report(s stood, at word.Tick) {
+func (l *ledger) report(s stood, at ids.Tick) {
 	if at.Before(l.at) {
 		return
 	}
@@ -46,7 +46,7 @@
 }
 
 // prune forgets holds that ended before anything that a later report can show.
-func (l *ledger) prune(now word.Tick) {
+func (l *ledger) prune(now ids.Tick) {
 	keep := l.holds[:0]
 	for _, h := range l.holds {
 		if h.ended == 0 || !h.ended.Before(now.Add(-reportLag)) {
@@ -58,7 +58,7 @@
 }
 
 // book notes memory that is taken from now on.
-func (l *ledger) book(all, own int, now word.Tick) *hold {
+func (l *ledger) book(all, own int, now ids.Tick) *hold {
 	if n := len(l.holds); n > 0 && n%64 == 0 {
 		l.prune(now.Add(-reportOld))
 	}
@@ -68,7 +68,7 @@
 }
 
 // end notes that the worker is done with a hold; one that it never took is forgotten.
-func (l *ledger) end(h *hold, took bool, now word.Tick) {
+func (l *ledger) end(h *hold, took bool, now ids.Tick) {
 	if h == nil || h.ended != 0 {
 		return
 	}
@@ -85,7 +85,7 @@
 }
 
 // free gives the blocks that there should be room for; false if nothing fresh is known.
-func (l *ledger) free(now word.Tick) (int, bool) {
+func (l *ledger) free(now ids.Tick) (int, bool) {
 	if l.Room == 0 || now.Past(l.at, reportOld) {
 		return 0, false
 	}
--- a/relay/ledger_test.go
+++ b/relay/ledger_test.go
@@ -11,13 +11,13 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/crux"
-	"keelstair.example/lore"
+	"keelstair.example/coordination"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/whim"
-	"keelstair.example/word"
 )
 
-func ms(n int) word.Tick { return word.Tick(time.Duration(n) * time.Millisecond) }
+func ms(n int) ids.Tick { return ids.Tick(time.Duration(n) * time.Millisecond) }
 
 // TestLedger: what a report cannot show yet is added, what it still shows though it ended
 // here is taken off as far as no other request shares it, and where both may be, the worker
@@ -85,15 +85,15 @@
 	n, err := New(Options{Name: "n", Zone: "a", Host: quietHost()})
 	require.NoError(t, err)
 	now := n.now()
-	old := []Worker{{Id: "w.1", Service: "s", Zone: "a", Part: word.Decode, Slots: 8}}
+	old := []Worker{{Id: "w.1", Service: "s", Zone: "a", Part: ids.Decode, Slots: 8}}
 	n.take(old, now, now)
-	n.stands("s", now, map[word.WorkerId]stood{"w.1": {Used: 999, Room: 1000, Running: 5}}, true)
+	n.stands("s", now, map[ids.WorkerId]stood{"w.1": {Used: 999, Room: 1000, Running: 5}}, true)
 	r := &Request{Id: "r", Prompt: 800, Most: 16}
 	row := n.emitters(n.first.Deck, n.view.Sight(), service("s"), r, nil, nil)
 	require.Equal(t, 1, row[0].free)
 	require.Greater(t, row[0].cost, n.opt.NoRoom)
 	row[0].take(r, r.Most, now)
-	n.take([]Worker{{Id: "w.2", Service: "s", Zone: "a", Part: word.Decode, Slots: 8}}, now, now)
+	n.take([]Worker{{Id: "w.2", Service: "s", Zone: "a", Part: ids.Decode, Slots: 8}}, now, now)
 	row = n.emitters(n.first.Deck, n.view.Sight(), service("s"), r, nil, nil)
 	require.Zero(t, row[0].room, "nothing is known of the new life")
 	require.Less(t, row[0].cost, n.opt.NoRoom)
@@ -105,8 +105,8 @@
 // and of a worker that told nothing that it did.
 func TestBoard(t *testing.T) {
 	list := []Worker{{Id: "v"}, {Id: "w"}, {Id: "x"}}
-	rows := func(v, w int) map[word.WorkerId]stood {
-		return map[word.WorkerId]stood{"v": {Used: v, Room: 1000}, "w": {Used: w, Room: 1000}}
+	rows := func(v, w int) map[ids.WorkerId]stood {
+		return map[ids.WorkerId]stood{"v": {Used: v, Room: 1000}, "w": {Used: w, Room: 1000}}
 	}
 	var b board
 	require.NotNil(t, b.post("s", ms(1000), rows(100, 200), true))
@@ -118,10 +118,10 @@
 	require.NotNil(t, b.post("s", ms(2000), rows(105, 300), true))
 	seq, got = b.since(seq, list, ms(2000), every)
 	require.Equal(t, []Stands{{"s", 0, []Stand{{1, 300, 1000, 0, 0}}}}, got, "only what changed, and that all were asked")
-	require.NotNil(t, b.post("s", ms(3000), map[word.WorkerId]stood{"w": {Used: 300, Room: 1000}}, true))
+	require.NotNil(t, b.post("s", ms(3000), map[ids.WorkerId]stood{"w": {Used: 300, Room: 1000}}, true))
 	seq, got = b.since(seq, list, ms(3000), every)
 	require.Equal(t, []Stands{{"s", 0, []Stand{{0, 0, 0, 0, 0}}}}, got, "v told nothing")
-	require.NotNil(t, b.post("s", ms(4000), map[word.WorkerId]stood{"v": {Used: 9, Room: 1000}}, false))
+	require.NotNil(t, b.post("s", ms(4000), map[ids.WorkerId]stood{"v": {Used: 9, Room: 1000}}, false))
 	_, got = b.since(seq, list, ms(4000), every)
 	require.Equal(t, []Stands{{"s", 0, []Stand{{0, 9, 1000, 0, 0}}}}, got, "w is as it was")
 	_, got = b.since(0, list, ms(4000).Add(reportOld+1), every)
@@ -139,7 +139,7 @@
 		y := newYard(all...)
 		f := build(t, seed, 4, y, plain(), turning)
 		defer f.close()
-		knows := func(b *berth, id word.WorkerId, want int) bool {
+		knows := func(b *berth, id ids.WorkerId, want int) bool {
 			st := b.state(id)
 			st.mu.Lock()
 			defer st.mu.Unlock()
@@ -199,7 +199,7 @@
 // listHolder gives the number of the node that holds the list's duty, or -1.
 func (f *fleet) listHolder() int {
 	for i, b := range f.nodes {
-		if _, ok := b.agent.Held(lore.RosterKey); ok && b.up {
+		if _, ok := b.agent.Held(fleetstate.RosterKey); ok && b.up {
 			return i
 		}
 	}
@@ -247,9 +247,9 @@
 	require.NoError(t, err)
 	now := n.now()
 	var list []Worker
-	rows := map[word.WorkerId]stood{}
+	rows := map[ids.WorkerId]stood{}
 	for i := range 4 {
-		list = append(list, Worker{Id: wid(i), Service: "s", Zone: "a", Part: word.Decode, Slots: 8})
+		list = append(list, Worker{Id: wid(i), Service: "s", Zone: "a", Part: ids.Decode, Slots: 8})
 		rows[wid(i)] = stood{Used: 1000 - 100*i, Room: 4000}
 	}
 	n.take(list, now, now)
@@ -266,7 +266,7 @@
 func tight(t *testing.T, seed uint64, rate, noRoom float64) (away, done, all int, late time.Duration) {
 	ws := both("svc", 4, 6)
 	for i, s := range ws {
-		if s.memory = 400_000; s.Part == word.Decode {
+		if s.memory = 400_000; s.Part == ids.Decode {
 			s.memory = 40_000 + 10_000*(i%3)
 		}
 	}
@@ -341,7 +341,7 @@
 			var seq uint64
 			added, rounds := 0, 20
 			for s := range rounds {
-				rows := map[word.WorkerId]stood{}
+				rows := map[ids.WorkerId]stood{}
 				for i := range list {
 					at := stood{Room: 18_000}
 					switch load {
@@ -362,7 +362,7 @@
 					ask := &ListAsk{Node: "n", Seq: 7, Stood: seq}
 					full.Stood, full.Stands = b.since(seq, list, now.Add(time.Duration(250*k)*time.Millisecond), every)
 					seq = full.Stood
-					added += len(crux.Pack(full)) - len(crux.Pack(plain)) + len(crux.Pack(ask)) - len(crux.Pack(&ListAsk{Node: "n", Seq: 7}))
+					added += len(coordination.Pack(full)) - len(coordination.Pack(plain)) + len(coordination.Pack(ask)) - len(coordination.Pack(&ListAsk{Node: "n", Seq: 7}))
 				}
 			}
 			node := added / rounds
--- a/relay/list_note.go
+++ b/relay/list_note.go
@@ -2,20 +2,20 @@
 
 package relay
 
-import "keelstair.example/word"
+import "keelstair.example/ids"
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file list_note.go
-//msgp:shim word.WorkerId as:string using:string/word.WorkerId
-//msgp:shim word.Zone as:string using:string/word.Zone
-//msgp:shim word.Part as:string using:string/word.Part
+//msgp:shim ids.WorkerId as:string using:string/ids.WorkerId
+//msgp:shim ids.Zone as:string using:string/ids.Zone
+//msgp:shim ids.Part as:string using:string/ids.Part
 
 // Row is one worker of the list; Cold is in nanoseconds from the asking on.
 type Row struct {
-	Id      word.WorkerId
+	Id      ids.WorkerId
 	Service string
 	Addr    string
-	Zone    word.Zone
-	Part    word.Part
+	Zone    ids.Zone
+	Part    ids.Part
 	Slots   int
 	Leaving bool
 	Cold    int64
--- a/relay/list_note_gen.go
+++ b/relay/list_note_gen.go
@@ -4,7 +4,7 @@
 
 import (
 	"github.com/tinylib/msgp/msgp"
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 // MarshalMsg implements msgp.Marshaler
@@ -64,7 +64,7 @@
 					err = msgp.WrapError(err, "Id")
 					return
 				}
-				z.Id = word.WorkerId(zb0002)
+				z.Id = ids.WorkerId(zb0002)
 			}
 		case "Service":
 			z.Service, bts, err = msgp.ReadStringBytes(bts)
@@ -86,7 +86,7 @@
 					err = msgp.WrapError(err, "Zone")
 					return
 				}
-				z.Zone = word.Zone(zb0003)
+				z.Zone = ids.Zone(zb0003)
 			}
 		case "Part":
 			{
@@ -96,7 +96,7 @@
 					err = msgp.WrapError(err, "Part")
 					return
 				}
-				z.Part = word.Part(zb0004)
+				z.Part = ids.Part(zb0004)
 			}
 		case "Slots":
 			z.Slots, bts, err = msgp.ReadIntBytes(bts)
--- a/relay/list_test.go
+++ b/relay/list_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/lore"
+	"keelstair.example/fleetstate"
 )
 
 // lists counts the askings for the list by node since a time.
@@ -27,7 +27,7 @@
 
 func (f *fleet) lister() int {
 	for i, b := range f.nodes {
-		if _, ok := b.agent.Held(lore.RosterKey); ok && b.up {
+		if _, ok := b.agent.Held(fleetstate.RosterKey); ok && b.up {
 			return i
 		}
 	}
--- a/relay/node.go
+++ b/relay/node.go
@@ -10,49 +10,49 @@
 	"sync/atomic"
 	"time"
 
-	"keelstair.example/crux"
-	"keelstair.example/lore"
+	"keelstair.example/coordination"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/passage"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
 	"keelstair.example/tale"
 	"keelstair.example/whim"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 // Options of a node; zero spans and numbers take the defaults named beside them.
 type Options struct {
 	Name    string
 	Addr    string
-	Zone    word.Zone
+	Zone    ids.Zone
 	Seeds   []string
 	Host    seam.Host
 	Ring    *tale.Ring
 	Back    Backend
-	Read    lore.Reader   // of the operators' text; lore.Plain
-	Deck    []whim.Source // routing programs until the core has a set, beside the built-in order
-	Steps   uint64        // 20000: that one of these may take for one request
-	Lease   time.Duration // 3s
-	Renew   time.Duration // 500ms
-	Share   time.Duration // 250ms between tellings of what is under way
-	Roster  time.Duration // 700ms between askings of the list of workers
-	Rate    float64       // 0: askings of the list a second that all nodes have; 0 is no bound
-	Ratio   float64       // 0.2: repeats for each request
-	Window  time.Duration // 10s over which repeats are counted
-	Allow   int           // 0: repeats that all nodes have besides
-	Over    float64       // 1.5: of a cold worker's rate
-	Spare   int           // 5: requests besides that in a second
-	Silence time.Duration // 900ms: a reading worker that says nothing is left
-	Pace    float64       // 50: prompt tokens that a worker reads in a ms
-	Turn    time.Duration // 500ms between looks at whether a worker should change its part; below 0 never
-	Rest    float64       // 0.55: of a service's workers read while nothing is under way; below 0 none is turned for it
-	Eject   time.Duration // 2s: that a worker whose failures stand out is left out at first; below 0 never
-	Out     float64       // 0.34: of a service's part may be out at once, by failures
-	Say     float64       // 4: sendings that another node's word of a worker counts for; below 0 none is heard
-	NoRoom  float64       // 5: ms that a worker counts as farther that lacks all the memory needed; below 0 none
-	Admit   float64       // 3: times its aim that a request may be reckoned to take before some are refused early; below 0 none is
-	Fresh   time.Duration // 1s: the age of what is known of workers beyond which none is refused early
-	Callers int           // 4096: refused callers that are remembered
+	Read    fleetstate.Reader // of the operators' text; fleetstate.Plain
+	Deck    []whim.Source     // routing programs until the core has a set, beside the built-in order
+	Steps   uint64            // 20000: that one of these may take for one request
+	Lease   time.Duration     // 3s
+	Renew   time.Duration     // 500ms
+	Share   time.Duration     // 250ms between tellings of what is under way
+	Roster  time.Duration     // 700ms between askings of the list of workers
+	Rate    float64           // 0: askings of the list a second that all nodes have; 0 is no bound
+	Ratio   float64           // 0.2: repeats for each request
+	Window  time.Duration     // 10s over which repeats are counted
+	Allow   int               // 0: repeats that all nodes have besides
+	Over    float64           // 1.5: of a cold worker's rate
+	Spare   int               // 5: requests besides that in a second
+	Silence time.Duration     // 900ms: a reading worker that says nothing is left
+	Pace    float64           // 50: prompt tokens that a worker reads in a ms
+	Turn    time.Duration     // 500ms between looks at whether a worker should change its part; below 0 never
+	Rest    float64           // 0.55: of a service's workers read while nothing is under way; below 0 none is turned for it
+	Eject   time.Duration     // 2s: that a worker whose failures stand out is left out at first; below 0 never
+	Out     float64           // 0.34: of a service's part may be out at once, by failures
+	Say     float64           // 4: sendings that another node's word of a worker counts for; below 0 none is heard
+	NoRoom  float64           // 5: ms that a worker counts as farther that lacks all the memory needed; below 0 none
+	Admit   float64           // 3: times its aim that a request may be reckoned to take before some are refused early; below 0 none is
+	Fresh   time.Duration     // 1s: the age of what is known of workers beyond which none is refused early
+	Callers int               // 4096: refused callers that are remembered
 	// Drain is called once as the node leaves: it lets no caller in any more, and returns
 	// when those that are in were answered or the context ends.
 	Drain func(context.Context) error
@@ -60,14 +60,14 @@
 }
 
 func (o *Options) fill() {
-	word.Or(&o.Lease, 3*time.Second)
-	word.Or(&o.Renew, 500*time.Millisecond)
-	word.Or(&o.Share, 250*time.Millisecond)
-	word.Or(&o.Roster, 700*time.Millisecond)
-	word.Or(&o.Window, 10*time.Second)
-	word.Or(&o.Turn, 500*time.Millisecond)
-	word.Or(&o.Silence, 900*time.Millisecond)
-	word.Or(&o.Eject, 2*time.Second)
+	ids.Or(&o.Lease, 3*time.Second)
+	ids.Or(&o.Renew, 500*time.Millisecond)
+	ids.Or(&o.Share, 250*time.Millisecond)
+	ids.Or(&o.Roster, 700*time.Millisecond)
+	ids.Or(&o.Window, 10*time.Second)
+	ids.Or(&o.Turn, 500*time.Millisecond)
+	ids.Or(&o.Silence, 900*time.Millisecond)
+	ids.Or(&o.Eject, 2*time.Second)
 	if o.Ratio == 0 {
 		o.Ratio = 0.2
 	}
@@ -89,7 +89,7 @@
 	if o.Say == 0 {
 		o.Say = 4
 	}
-	word.Or(&o.Fresh, time.Second)
+	ids.Or(&o.Fresh, time.Second)
 	if o.Admit == 0 {
 		o.Admit = 3
 	}
@@ -115,28 +115,28 @@
 // Node is one router node for opaque requests.
 type Node struct {
 	opt      Options
-	me       crux.Member
-	agent    *crux.Agent
-	view     *lore.View
+	me       coordination.Member
+	agent    *coordination.Agent
+	view     *fleetstate.View
 	counts   Counts
 	budget   budget
-	scores   whim.Scores // outlive the programs' sets
-	first    *lore.Deal  // rules until the core has a set
+	scores   whim.Scores      // outlive the programs' sets
+	first    *fleetstate.Deal // rules until the core has a set
 	roster   atomic.Pointer[roster]
-	states   sync.Map // word.WorkerId -> *state
+	states   sync.Map // ids.WorkerId -> *state
 	warm     warm
-	told     sync.Map // word.NodeId -> told
-	backs    sync.Map // word.Zone -> failback, of those that were evacuated
+	told     sync.Map // ids.NodeId -> told
+	backs    sync.Map // ids.Zone -> failback, of those that were evacuated
 	tally    tally
 	stir     atomic.Bool  // an outcome is yet to be judged
 	outs     atomic.Int64 // workers that are ejected or on probation
-	toldAt   atomic.Int64 // word.Tick when others' outcomes were heard
-	deaf     atomic.Int64 // word.Tick when nobody had been heard for a while, last
+	toldAt   atomic.Int64 // ids.Tick when others' outcomes were heard
+	deaf     atomic.Int64 // ids.Tick when nobody had been heard for a while, last
 	board    board
 	table    atomic.Pointer[table]
 	gate     gate
 	tide     passage.Tide
-	seen     atomic.Pointer[lore.Sight]
+	seen     atomic.Pointer[fleetstate.Sight]
 	seeing   sync.Mutex
 	inflight atomic.Int64
 	leaving  atomic.Bool
@@ -152,35 +152,35 @@
 	if err != nil {
 		return nil, err
 	}
-	n.first = &lore.Deal{Deck: deck}
-	n.me = crux.Member{Node: word.NodeId(opt.Name + "-" + crux.Name()), Addr: opt.Addr, Zone: opt.Zone}
-	n.view = lore.NewView(opt.Ring)
+	n.first = &fleetstate.Deal{Deck: deck}
+	n.me = coordination.Member{Node: ids.NodeId(opt.Name + "-" + coordination.Name()), Addr: opt.Addr, Zone: opt.Zone}
+	n.view = fleetstate.NewView(opt.Ring)
 	n.view.Read, n.view.Scores = opt.Read, &n.scores
-	n.agent = crux.NewAgent(crux.AgentOptions{Me: n.me, Host: opt.Host, Seeds: opt.Seeds, View: n.view, Ring: opt.Ring, Lease: opt.Lease, Renew: opt.Renew})
+	n.agent = coordination.NewAgent(coordination.AgentOptions{Me: n.me, Host: opt.Host, Seeds: opt.Seeds, View: n.view, Ring: opt.Ring, Lease: opt.Lease, Renew: opt.Renew})
 	n.roster.Store(&roster{})
 	n.inner, n.stop = context.WithCancel(context.Background())
 	return n, nil
 }
 
-func (n *Node) now() word.Tick { return n.opt.Host.Clock.Now() }
+func (n *Node) now() ids.Tick { return n.opt.Host.Clock.Now() }
 
 // View shows what the node knows of the configuration.
-func (n *Node) View() *lore.View { return n.view }
+func (n *Node) View() *fleetstate.View { return n.view }
 
 // Book is where the node knows others from.
-func (n *Node) Book() *crux.Book { return n.agent.Book() }
+func (n *Node) Book() *coordination.Book { return n.agent.Book() }
 
 // Counts gives the node's figures.
 func (n *Node) Counts() *Counts { return &n.counts }
 
 // Intake tells what callers may send under the version in force.
-func (n *Node) Intake() lore.Intake { return n.sight().Policy.Intake }
+func (n *Node) Intake() fleetstate.Intake { return n.sight().Policy.Intake }
 
 // Mount puts the node's answers to its peers on a mux.
 func (n *Node) Mount(mux *http.ServeMux) {
 	n.agent.Mount(mux)
-	wire.Handle(mux, "relay/alarm", n.hear)
-	wire.Handle(mux, "relay/list", n.serveList)
+	rpc.Handle(mux, "relay/alarm", n.hear)
+	rpc.Handle(mux, "relay/list", n.serveList)
 }
 
 // Run works until the context ends; then it says that it is not ready, goes on for the
@@ -229,7 +229,7 @@
 }
 
 // deal is the program set that a sight has, else the one the node began with.
-func (n *Node) deal(s *lore.Sight) *lore.Deal {
+func (n *Node) deal(s *fleetstate.Sight) *fleetstate.Deal {
 	if s.Set != nil {
 		return s.Set
 	}
@@ -246,7 +246,7 @@
 
 // sight is what is in force. A zone that was taken back is noted before anything is sent
 // there, since its workers may have turned cold.
-func (n *Node) sight() *lore.Sight {
+func (n *Node) sight() *fleetstate.Sight {
 	s := n.view.Sight()
 	if n.seen.Load() == s {
 		return s
--- a/relay/operate.go
+++ b/relay/operate.go
@@ -11,19 +11,19 @@
 	"slices"
 	"time"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
 	"keelstair.example/door"
-	"keelstair.example/lore"
+	"keelstair.example/failure"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 // Operator is a door.Operator over the core that the book knows.
 type Operator struct {
-	Call  *wire.Caller
-	Book  *crux.Book
+	Call  *rpc.Caller
+	Book  *coordination.Book
 	Zones []string // that there are
 }
 
@@ -38,29 +38,29 @@
 func (o *Operator) Apply(ctx context.Context, a *door.Apply) (*door.Applied, error) {
 	cx, stop := context.WithTimeout(ctx, operatorWait)
 	defer stop()
-	op, name := word.OpId("op/"+a.Op), cmp.Or(a.Name, "programs")
-	text, err := lore.Source(name, []byte(a.Source))
+	op, name := ids.OpId("op/"+a.Op), cmp.Or(a.Name, "programs")
+	text, err := fleetstate.Source(name, []byte(a.Source))
 	if err != nil {
 		return nil, err
 	}
 	var base []byte
 	if a.Partial {
-		img, err := lore.Look(cx, o.Call, o.Book)
+		img, err := fleetstate.Look(cx, o.Call, o.Book)
 		if err != nil {
 			return nil, door.Fate(err, comeBack)
 		}
 		top, _ := img.Set()
 		if uint64(top.Version) != a.Base {
 			// The base has moved on, perhaps by this very operation.
-			v, err := lore.Outcome(cx, o.Call, o.Book, op)
-			if breakdown.Is(err, breakdown.Stale) {
+			v, err := fleetstate.Outcome(cx, o.Call, o.Book, op)
+			if failure.Is(err, failure.Stale) {
 				return nil, door.Stale(a.Base, uint64(top.Version))
 			}
 			return o.ruled(ctx, v, err)
 		}
-		base = lore.SetText(top)
+		base = fleetstate.SetText(top)
 	}
-	p, whole, err := lore.Draft(name, a.Source, text, base, a.Partial)
+	p, whole, err := fleetstate.Draft(name, a.Source, text, base, a.Partial)
 	if err == nil {
 		err = p.CheckSet()
 	}
@@ -70,19 +70,19 @@
 	if a.Dry {
 		return &door.Applied{Version: a.Base, Policy: whole}, nil
 	}
-	v, err := lore.PutPrograms(cx, o.Call, o.Book, op, word.Version(a.Base), whole)
+	v, err := fleetstate.PutPrograms(cx, o.Call, o.Book, op, ids.Version(a.Base), whole)
 	return o.ruled(ctx, v, err)
 }
 
 // ruled waits a while until the core has put a version in force.
-func (o *Operator) ruled(ctx context.Context, v word.Version, err error) (*door.Applied, error) {
+func (o *Operator) ruled(ctx context.Context, v ids.Version, err error) (*door.Applied, error) {
 	if err != nil {
 		return nil, door.Fate(err, comeBack)
 	}
 	cx, stop := context.WithTimeout(ctx, forceWait)
 	defer stop()
 	for {
-		if img, err := lore.Look(cx, o.Call, o.Book); err == nil && img.Programs.Version >= v {
+		if img, err := fleetstate.Look(cx, o.Call, o.Book); err == nil && img.Programs.Version >= v {
 			return &door.Applied{Version: uint64(v), Active: true}, nil
 		}
 		if !seam.Sleep(cx, 50*time.Millisecond) {
@@ -98,7 +98,7 @@
 	}
 	cx, stop := context.WithTimeout(ctx, operatorWait)
 	defer stop()
-	if err := lore.Mark(cx, o.Call, o.Book, word.OpId("op/"+m.Op), word.Zone(zone), m.Out); err != nil {
+	if err := fleetstate.Mark(cx, o.Call, o.Book, ids.OpId("op/"+m.Op), ids.Zone(zone), m.Out); err != nil {
 		return nil, door.Fate(err, comeBack)
 	}
 	return &door.Applied{Active: true}, nil
@@ -126,12 +126,12 @@
 func (o *Operator) Shown(ctx context.Context) (*door.Shown, error) {
 	cx, stop := context.WithTimeout(ctx, operatorWait)
 	defer stop()
-	img, err := lore.Look(cx, o.Call, o.Book)
+	img, err := fleetstate.Look(cx, o.Call, o.Book)
 	if err != nil {
 		return nil, err
 	}
 	top, _ := img.Set()
-	return &door.Shown{Version: uint64(img.Programs.Version), Newest: uint64(top.Version), Policy: lore.SetText(img.Programs),
+	return &door.Shown{Version: uint64(img.Programs.Version), Newest: uint64(top.Version), Policy: fleetstate.SetText(img.Programs),
 		Zones: append([]string{}, img.Zones...), Drained: append([]string{}, img.Drained...)}, nil
 }
 
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
 	"keelstair.example/passage"
 )
 
@@ -78,17 +78,17 @@
 	t.ran = true
 	if reply.Status/100 == 2 && !reply.Whole {
 		t.n.outcome(c, false)
-		return breakdown.New(breakdown.Unknown, "pass", c.w.Addr, "a success without the worker's stamp")
+		return failure.New(failure.Unknown, "pass", c.w.Addr, "a success without the worker's stamp")
 	}
 	if t.begun && (reply.Status != http.StatusOK || !reply.Events) {
-		return breakdown.New(breakdown.Unknown, "resume", c.w.Addr, "status %d", reply.Status)
+		return failure.New(failure.Unknown, "resume", c.w.Addr, "status %d", reply.Status)
 	}
 	if reply.Status/100 == 5 {
 		t.n.outcome(c, false)
 	}
 	if reply.Status/100 == 5 && t.route.Again() && t.sends < t.route.Tries {
 		c.st.fault(t.n.now())
-		return breakdown.New(breakdown.Unknown, "pass", c.w.Addr, "status %d", reply.Status)
+		return failure.New(failure.Unknown, "pass", c.w.Addr, "status %d", reply.Status)
 	}
 	t.tell(passage.Resumed, c.w.Id, "")
 	var err error
@@ -120,7 +120,7 @@
 
 func (t *trip) write(p []byte) error {
 	if err := t.sink.Write(p); err != nil {
-		return breakdown.As(errors.Join(errCaller, err), breakdown.Unknown, "pass", "caller")
+		return failure.As(errors.Join(errCaller, err), failure.Unknown, "pass", "caller")
 	}
 	return nil
 }
@@ -132,11 +132,11 @@
 	for {
 		k, err := reply.Body.Read(buf)
 		if err != nil && err != io.EOF {
-			return breakdown.As(err, breakdown.Unknown, "pass", "worker")
+			return failure.As(err, failure.Unknown, "pass", "worker")
 		}
 		if k > 0 || err == io.EOF {
 			if err := t.head(reply, reply.Length); err != nil {
-				return breakdown.As(errors.Join(errCaller, err), breakdown.Unknown, "pass", "caller")
+				return failure.As(errors.Join(errCaller, err), failure.Unknown, "pass", "caller")
 			}
 		}
 		if k > 0 {
@@ -160,7 +160,7 @@
 		if at := whole(held); at > 0 {
 			whole := held[:at]
 			if err := t.head(reply, -1); err != nil {
-				return breakdown.As(errors.Join(errCaller, err), breakdown.Unknown, "pass", "caller")
+				return failure.As(errors.Join(errCaller, err), failure.Unknown, "pass", "caller")
 			}
 			if err := t.write(whole); err != nil {
 				return err
@@ -172,7 +172,7 @@
 		}
 		if err == io.EOF {
 			if err := t.head(reply, -1); err != nil {
-				return breakdown.As(errors.Join(errCaller, err), breakdown.Unknown, "pass", "caller")
+				return failure.As(errors.Join(errCaller, err), failure.Unknown, "pass", "caller")
 			}
 			if len(held) > 0 {
 				return t.write(held)
@@ -180,7 +180,7 @@
 			return nil
 		}
 		if err != nil {
-			return breakdown.As(err, breakdown.Unknown, "pass", c.w.Addr)
+			return failure.As(err, failure.Unknown, "pass", c.w.Addr)
 		}
 	}
 }
--- a/relay/pick.go
+++ b/relay/pick.go
@@ -13,10 +13,10 @@
 	"sync/atomic"
 	"time"
 
-	"keelstair.example/crux"
-	"keelstair.example/lore"
+	"keelstair.example/coordination"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/whim"
-	"keelstair.example/word"
 )
 
 const (
@@ -71,25 +71,25 @@
 }
 
 // take books the memory of a request and of so many tokens that it may grow by.
-func (c *choice) take(r *Request, more int, now word.Tick) {
+func (c *choice) take(r *Request, more int, now ids.Tick) {
 	own := r.Prompt
 	for i := 0; i+1 < len(r.Parts); i++ {
 		own -= r.Parts[i].Tokens
 	}
 	c.st.mu.Lock()
 	defer c.st.mu.Unlock()
-	c.hold = c.st.mem.book(word.Blocks(r.Prompt+more, blockSize), max(0, own)/blockSize, now)
+	c.hold = c.st.mem.book(ids.Blocks(r.Prompt+more, blockSize), max(0, own)/blockSize, now)
 }
 
 // release ends that; took tells whether the worker may have had it.
-func (c *choice) release(took bool, now word.Tick) {
+func (c *choice) release(took bool, now ids.Tick) {
 	c.st.mu.Lock()
 	defer c.st.mu.Unlock()
 	c.st.mem.end(c.hold, took, now)
 }
 
 // weigh notes what is free, and adds the cost of lacking room. The state is locked.
-func (c *choice) weigh(need int, noRoom float64, now word.Tick) {
+func (c *choice) weigh(need int, noRoom float64, now ids.Tick) {
 	free, ok := c.st.mem.free(now)
 	if !ok {
 		return
@@ -102,7 +102,7 @@
 
 // cleared lists the workers of a service that may get new work of a part now. Those that
 // are to be left alone come only if no other is there.
-func (n *Node) cleared(s *lore.Sight, svc *lore.Service, part word.Part, tried map[word.WorkerId]bool) []choice {
+func (n *Node) cleared(s *fleetstate.Sight, svc *fleetstate.Service, part ids.Part, tried map[ids.WorkerId]bool) []choice {
 	var good, out, shy []choice
 	now := n.now()
 	ros := n.roster.Load()
@@ -145,7 +145,7 @@
 
 // bears tells whether a worker may get a request now, and the pause before another one if
 // it is cold. To a node that is cut off any may be cold.
-func (n *Node) bears(w *Worker, svc *lore.Service, got, now word.Tick) (time.Duration, bool) {
+func (n *Node) bears(w *Worker, svc *fleetstate.Service, got, now ids.Tick) (time.Duration, bool) {
 	if n.coldFor(w, svc, got, now) <= 0 && (svc.WarmRate <= 0 || !n.unheard(now)) {
 		return 0, true
 	}
@@ -154,7 +154,7 @@
 }
 
 // open is the same of a worker that was chosen some time ago, before others were tried.
-func (n *Node) open(id word.WorkerId, svc *lore.Service) (time.Duration, bool) {
+func (n *Node) open(id ids.WorkerId, svc *fleetstate.Service) (time.Duration, bool) {
 	ros := n.roster.Load()
 	w := ros.find(id)
 	if w == nil || !fit(n.sight(), w) {
@@ -166,7 +166,7 @@
 // gap is the pause that this node keeps between requests to a cold worker, so that all
 // nodes together stay under what it bears; where there are more nodes than it bears
 // requests, only some may send.
-func (n *Node) gap(id word.WorkerId, svc *lore.Service) (time.Duration, bool) {
+func (n *Node) gap(id ids.WorkerId, svc *fleetstate.Service) (time.Duration, bool) {
 	bound := int(svc.WarmRate*n.opt.Over) + n.opt.Spare - 2
 	peers := int(math.Round(1 / n.share()))
 	if per := bound / peers; per > 1 {
@@ -175,7 +175,7 @@
 	if bound >= peers {
 		return 1050 * time.Millisecond, true
 	}
-	return 1050 * time.Millisecond, crux.Rank(lore.WorkerKey(id), n.me.Node, n.agent.Members()) < bound
+	return 1050 * time.Millisecond, coordination.Rank(fleetstate.WorkerKey(id), n.me.Node, n.agent.Members()) < bound
 }
 
 func (n *Node) far(w *Worker, bytes int) float64 {
@@ -186,11 +186,11 @@
 }
 
 // readers orders the workers that may read a prompt.
-func (n *Node) readers(deck *whim.Deck, s *lore.Sight, svc *lore.Service, r *Request, tried map[word.WorkerId]bool) []choice {
-	list := n.cleared(s, svc, word.Prefill, tried)
+func (n *Node) readers(deck *whim.Deck, s *fleetstate.Sight, svc *fleetstate.Service, r *Request, tried map[ids.WorkerId]bool) []choice {
+	list := n.cleared(s, svc, ids.Prefill, tried)
 	ms, toks := marks(r)
-	row := n.tabled(n.roster.Load(), s).by[role{svc.Name, word.Prefill}]
-	homes := make([]word.WorkerId, len(ms))
+	row := n.tabled(n.roster.Load(), s).by[role{svc.Name, ids.Prefill}]
+	homes := make([]ids.WorkerId, len(ms))
 	for i, m := range ms {
 		homes[i] = home(m, row, n.out)
 	}
@@ -206,7 +206,7 @@
 			}
 		}
 		ahead, count := c.st.ahead(now)
-		c.weigh(word.Blocks(r.Prompt, blockSize), n.opt.NoRoom, now)
+		c.weigh(ids.Blocks(r.Prompt, blockSize), n.opt.NoRoom, now)
 		c.st.mu.Unlock()
 		c.busy = count
 		c.cost += (readAnew*float64(c.need)+float64(ahead))/n.opt.Pace + readFirst*float64(count) + n.far(c.w, len(r.Body))
@@ -214,12 +214,12 @@
 			c.aff = whim.Mix(ms[len(ms)-1], c.hash)
 		}
 	}
-	return n.order(deck, r, word.Prefill, list)
+	return n.order(deck, r, ids.Prefill, list)
 }
 
 // emitters orders the workers that may emit the answer, near the memory and near here.
-func (n *Node) emitters(deck *whim.Deck, s *lore.Sight, svc *lore.Service, r *Request, from *Worker, tried map[word.WorkerId]bool) []choice {
-	list := n.cleared(s, svc, word.Decode, tried)
+func (n *Node) emitters(deck *whim.Deck, s *fleetstate.Sight, svc *fleetstate.Service, r *Request, from *Worker, tried map[ids.WorkerId]bool) []choice {
+	list := n.cleared(s, svc, ids.Decode, tried)
 	now := n.now()
 	for i := range list {
 		c := &list[i]
@@ -228,7 +228,7 @@
 		if !now.Past(c.st.loadAt, loadSpan) {
 			c.busy = max(c.busy, c.st.load.Running+c.st.load.Waiting)
 		}
-		c.weigh(word.Blocks(r.Prompt+r.Most, blockSize), n.opt.NoRoom, now)
+		c.weigh(ids.Blocks(r.Prompt+r.Most, blockSize), n.opt.NoRoom, now)
 		c.st.mu.Unlock()
 		slots := max(1, c.w.Slots)
 		c.cost += 1.5*float64(c.busy) + n.far(c.w, len(r.Body))
@@ -242,13 +242,13 @@
 			c.need = r.Prompt
 		}
 	}
-	return n.order(deck, r, word.Decode, list)
+	return n.order(deck, r, ids.Decode, list)
 }
 
 // order asks the routing programs, cheapest first.
-func (n *Node) order(deck *whim.Deck, r *Request, part word.Part, list []choice) []choice {
+func (n *Node) order(deck *whim.Deck, r *Request, part ids.Part, list []choice) []choice {
 	// Among equals the request decides, so that nodes that know little crowd no worker.
-	own := word.Hash(r.Id)
+	own := ids.Hash(r.Id)
 	ranks := make([]place, len(list))
 	for i := range list {
 		list[i].cost += illCost * list[i].ill
@@ -270,7 +270,7 @@
 	for i := range head {
 		told = told && head[i].room > 0
 	}
-	by := make(map[word.WorkerId]choice, len(head))
+	by := make(map[ids.WorkerId]choice, len(head))
 	for i, c := range head {
 		cands[i] = whim.Candidate{Id: c.w.Id, Zone: c.w.Zone, Room: c.w.Slots, Free: max(0, c.w.Slots-c.busy), Busy: c.busy, Cap: c.w.Slots, Affinity: c.aff, Cost: c.cost}
 		if told {
--- a/relay/pick_test.go
+++ b/relay/pick_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/lore"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/whim"
-	"keelstair.example/word"
 )
 
 // TestTable: the table gives the same workers and homes as the whole list does, under each
@@ -22,20 +22,20 @@
 	list := many(40)
 	list[7].Part = ""
 	list[9].Service = "other"
-	sights := []*lore.Sight{{}, {Zones: map[word.Zone]bool{"b": true}}, {Drained: map[word.WorkerId]bool{list[2].Id: true}}, {Turning: map[word.WorkerId]word.Part{list[4].Id: word.Decode}}}
+	sights := []*fleetstate.Sight{{}, {Zones: map[ids.Zone]bool{"b": true}}, {Drained: map[ids.WorkerId]bool{list[2].Id: true}}, {Turning: map[ids.WorkerId]ids.Part{list[4].Id: ids.Decode}}}
 	for k := range 6 {
 		now := n.now()
 		if k > 0 {
 			list = append([]Worker(nil), list...)
 			list[3*k].Leaving = true
-			list[5*k].Part = word.Prefill
-			list = append(list[1:], Worker{Id: wid(k), Service: "s", Zone: "c", Part: word.Decode, Slots: 8})
+			list[5*k].Part = ids.Prefill
+			list = append(list[1:], Worker{Id: wid(k), Service: "s", Zone: "c", Part: ids.Decode, Slots: 8})
 		}
 		n.take(list, now, now)
 		for _, s := range sights {
-			for _, part := range []word.Part{word.Prefill, word.Decode} {
-				var want, got []word.WorkerId
-				var top word.WorkerId
+			for _, part := range []ids.Part{ids.Prefill, ids.Decode} {
+				var want, got []ids.WorkerId
+				var top ids.WorkerId
 				best := -1.0
 				for i := range list {
 					w := &list[i]
@@ -43,7 +43,7 @@
 						continue
 					}
 					want = append(want, w.Id)
-					if a := whim.Affinity(77, w.Id); w.Part == word.Prefill && a > best {
+					if a := whim.Affinity(77, w.Id); w.Part == ids.Prefill && a > best {
 						best, top = a, w.Id
 					}
 				}
@@ -61,7 +61,7 @@
 // TestPickedAnew: after a dial that took long nothing goes to a worker of which the node has
 // heard meanwhile that it leaves, nor does the request end while another worker is there.
 func TestPickedAnew(t *testing.T) {
-	for _, part := range []word.Part{word.Prefill, word.Decode} {
+	for _, part := range []ids.Part{ids.Prefill, ids.Decode} {
 		eachSeed(t, 3, func(t *testing.T, seed uint64) {
 			y := newYard(both("svc", 3, 3)...)
 			f := build(t, seed, 2, y, plain(), func(o *Options) { o.Allow, o.Roster, o.Share = 60, 100*time.Millisecond, 50*time.Millisecond })
@@ -108,7 +108,7 @@
 func many(workers int) []Worker {
 	list := make([]Worker, workers)
 	for i := range list {
-		list[i] = Worker{Id: word.WorkerId(fmt.Sprintf("i-7f3a%04d", i)), Service: "s", Zone: word.Zone("abcd"[i%4:][:1]), Part: []word.Part{word.Prefill, word.Decode}[i%2], Slots: 24}
+		list[i] = Worker{Id: ids.WorkerId(fmt.Sprintf("i-7f3a%04d", i)), Service: "s", Zone: ids.Zone("abcd"[i%4:][:1]), Part: []ids.Part{ids.Prefill, ids.Decode}[i%2], Slots: 24}
 	}
 	return list
 }
--- a/relay/place_test.go
+++ b/relay/place_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/lore"
-	"keelstair.example/word"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 )
 
 // TestOff: a worker that is drained, in an evacuated zone, leaving or off the list gets
@@ -24,7 +24,7 @@
 				y := newYard(both("svc", 4, 4)...)
 				f := build(t, 31, 3, y, plain(), nil)
 				defer f.close()
-				var gone []word.WorkerId
+				var gone []ids.WorkerId
 				var at time.Duration
 				f.wg.Go(func() {
 					time.Sleep(2 * time.Second)
@@ -39,10 +39,10 @@
 					switch how {
 					case "drained":
 						for _, id := range gone {
-							f.submit(lore.DrainKind, &lore.Drain{Worker: id, Out: true})
+							f.submit(fleetstate.DrainKind, &fleetstate.Drain{Worker: id, Out: true})
 						}
 					case "evacuated":
-						f.submit(lore.VacateKind, &lore.Vacate{Zone: "b", Out: true})
+						f.submit(fleetstate.VacateKind, &fleetstate.Vacate{Zone: "b", Out: true})
 					}
 					at = y.now()
 				})
--- a/relay/program_test.go
+++ b/relay/program_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"keelstair.example/ids"
 	"keelstair.example/whim"
-	"keelstair.example/word"
 )
 
 var programs = []whim.Source{
@@ -37,7 +37,7 @@
 		hit := map[string]bool{}
 		y.at(func() {
 			y.fate = func(k row, _ *stand) fate {
-				if h := word.Hash(k.Req); k.Kind == "emit" && h%7 == 0 && !hit[k.Req] {
+				if h := ids.Hash(k.Req); k.Kind == "emit" && h%7 == 0 && !hit[k.Req] {
 					hit[k.Req] = true
 					return midReset
 				}
@@ -78,13 +78,13 @@
 		f := build(t, 62, 2, y, plain(), func(o *Options) { o.Deck = deck })
 		defer f.close()
 		all := f.load(30, 3*1e9, func(i int) *Request { return f.req(fmt.Sprint("r", i), "/once/x", 400, 2) })
-		at := map[word.WorkerId]int{}
+		at := map[ids.WorkerId]int{}
 		for _, k := range y.book() {
 			if k.Kind == "emit" || k.Kind == "read" {
 				at[k.Worker]++
 			}
 		}
-		require.Equal(t, map[word.WorkerId]int{"svc-prefill-0.1": len(all), "svc-decode-0.1": len(all)}, at)
+		require.Equal(t, map[ids.WorkerId]int{"svc-prefill-0.1": len(all), "svc-decode-0.1": len(all)}, at)
 	})
 }
 
--- a/relay/rate_test.go
+++ b/relay/rate_test.go
@@ -9,10 +9,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/lore"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/seam"
 	"keelstair.example/seam/sham"
-	"keelstair.example/word"
 )
 
 // TestListPause: however many nodes ask by themselves, all together stay within the rate;
@@ -51,9 +51,9 @@
 
 func quietHost() seam.Host { return sham.NewWorld(1).Machine("10.0.0.9").Start().Host() }
 
-func wid(i int) word.WorkerId { return word.WorkerId("w" + strconv.Itoa(i)) }
+func wid(i int) ids.WorkerId { return ids.WorkerId("w" + strconv.Itoa(i)) }
 
-func service(name string) *lore.Service { return &lore.Service{Name: name} }
+func service(name string) *fleetstate.Service { return &fleetstate.Service{Name: name} }
 
 // TestRank: a longer reading is never more urgent than a shorter one of the same route, a
 // short one keeps its route's urgency, and none passes the worker's scale.
--- a/relay/reads_note.go
+++ b/relay/reads_note.go
@@ -2,14 +2,14 @@
 
 package relay
 
-import "keelstair.example/word"
+import "keelstair.example/ids"
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file reads_note.go
-//msgp:shim word.WorkerId as:string using:string/word.WorkerId
+//msgp:shim ids.WorkerId as:string using:string/ids.WorkerId
 
 // Reads is what a node, or all but the one that asks, have under way at a reading worker.
 type Reads struct {
-	Id     word.WorkerId
+	Id     ids.WorkerId
 	Tokens int
 	Count  int
 }
--- a/relay/reads_note_gen.go
+++ b/relay/reads_note_gen.go
@@ -4,7 +4,7 @@
 
 import (
 	"github.com/tinylib/msgp/msgp"
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 // MarshalMsg implements msgp.Marshaler
@@ -49,7 +49,7 @@
 					err = msgp.WrapError(err, "Id")
 					return
 				}
-				z.Id = word.WorkerId(zb0002)
+				z.Id = ids.WorkerId(zb0002)
 			}
 		case "Tokens":
 			z.Tokens, bts, err = msgp.ReadIntBytes(bts)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,7 +10,7 @@
 	"net/http"
 	"time"
 
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 // Part is one piece of a prompt; requests that begin with the same parts share them.
@@ -34,16 +34,16 @@
 	Prompt int           // tokens in
 	Most   int           // tokens out at most
 	Wait   time.Duration // how long the caller waits; 0 if it does not say
-	At     word.Tick     // when it came
+	At     ids.Tick      // when it came
 }
 
 // Worker is one line of the platform's list.
 type Worker struct {
-	Id      word.WorkerId // of this life
+	Id      ids.WorkerId // of this life
 	Service string
 	Addr    string
-	Zone    word.Zone
-	Part    word.Part // Prefill, Decode, or empty where the service knows no parts
+	Zone    ids.Zone
+	Part    ids.Part // Prefill, Decode, or empty where the service knows no parts
 	Slots   int
 	Leaving bool
 	Cold    time.Duration // how much longer it is cold
@@ -80,7 +80,7 @@
 
 // Report is what a worker tells of itself when asked, some moments old.
 type Report struct {
-	Part    word.Part
+	Part    ids.Part
 	Turning bool // an order is under way
 	Orders  int  // taken in this life
 	Waiting int
@@ -92,9 +92,9 @@
 // Order changes the part that a worker plays. Only the holder of the service's duty
 // sends one.
 type Order struct {
-	To    word.Part
-	Owner word.NodeId
-	Fence word.Fence
+	To    ids.Part
+	Owner ids.NodeId
+	Fence ids.Fence
 	After int // orders that the worker is expected to have taken
 }
 
--- a/relay/roster.go
+++ b/relay/roster.go
@@ -9,10 +9,10 @@
 	"math/rand/v2"
 	"time"
 
-	"keelstair.example/lore"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 const (
@@ -24,13 +24,13 @@
 
 type roster struct {
 	all []Worker
-	at  word.Tick // when it was asked for
-	got word.Tick // when the answer came, from which cold times count
-	seq uint64    // rises when something changed
+	at  ids.Tick // when it was asked for
+	got ids.Tick // when the answer came, from which cold times count
+	seq uint64   // rises when something changed
 }
 
 // find gives the line of a life, if it is listed.
-func (r *roster) find(id word.WorkerId) *Worker {
+func (r *roster) find(id ids.WorkerId) *Worker {
 	for i := range r.all {
 		if r.all[i].Id == id {
 			return &r.all[i]
@@ -41,11 +41,11 @@
 
 // rosters keeps the list fresh. While it cannot be had, the last one is kept.
 func (n *Node) rosters(ctx context.Context) {
-	var from word.NodeId
+	var from ids.NodeId
 	var have known
 	for ctx.Err() == nil {
 		wait := listPause(n.opt.Roster, n.opt.Rate, n.share())
-		m, _, ok := n.agent.Holder(lore.RosterKey)
+		m, _, ok := n.agent.Holder(fleetstate.RosterKey)
 		if ok && m.Node == n.me.Node {
 			wait = n.opt.Roster
 		} else if ok {
@@ -96,7 +96,7 @@
 	q := &ListAsk{Node: n.me.Node, Seq: have.seq, Reads: n.myReads(), Ends: n.myOutcomes(), Stood: have.stood}
 	var told uint64
 	told, q.Stands = n.board.since(have.told, n.roster.Load().all, n.now(), n.mine)
-	r, err := wire.Call[ListAsk, ListReply](cx, n.agent.Caller(), addr, "relay/list", q)
+	r, err := rpc.Call[ListAsk, ListReply](cx, n.agent.Caller(), addr, "relay/list", q)
 	if err != nil || r.Age > int64(listOld) || r.Seq == 0 {
 		return false
 	}
@@ -130,7 +130,7 @@
 		st.mu.Lock()
 		defer st.mu.Unlock()
 		if st.readers > 0 {
-			out = append(out, Reads{k.(word.WorkerId), st.reads, st.readers})
+			out = append(out, Reads{k.(ids.WorkerId), st.reads, st.readers})
 		}
 		return true
 	})
@@ -150,7 +150,7 @@
 
 // told is what a node said last of its readings.
 type told struct {
-	at       word.Tick
+	at       ids.Tick
 	reads    []Reads
 	outcomes []Outcomes
 }
@@ -177,9 +177,9 @@
 }
 
 // sum adds up what all nodes but one have under way.
-func (n *Node) sum(but word.NodeId) []Reads {
+func (n *Node) sum(but ids.NodeId) []Reads {
 	now := n.now()
-	at := map[word.WorkerId]int{}
+	at := map[ids.WorkerId]int{}
 	var out []Reads
 	add := func(row []Reads) {
 		for _, r := range row {
@@ -198,7 +198,7 @@
 		switch t := v.(told); {
 		case now.Past(t.at, 4*readSpan):
 			n.told.Delete(k)
-		case k.(word.NodeId) != but && !now.Past(t.at, 2*readSpan):
+		case k.(ids.NodeId) != but && !now.Past(t.at, 2*readSpan):
 			add(t.reads)
 		}
 		return true
@@ -231,17 +231,17 @@
 	return true
 }
 
-func (n *Node) take(list []Worker, asked, got word.Tick) {
+func (n *Node) take(list []Worker, asked, got ids.Tick) {
 	old := n.roster.Load()
 	next := &roster{all: list, at: asked, got: got, seq: old.seq}
 	if next.seq == 0 || !same(cooled(old.all, got.Since(old.got)), list) {
 		next.seq = old.seq + 1
-		on := make(map[word.WorkerId]bool, len(list))
+		on := make(map[ids.WorkerId]bool, len(list))
 		for _, w := range list {
 			on[w.Id] = true
 		}
 		n.states.Range(func(k, _ any) bool {
-			if !on[k.(word.WorkerId)] {
+			if !on[k.(ids.WorkerId)] {
 				n.states.Delete(k)
 			}
 			return true
--- a/relay/state.go
+++ b/relay/state.go
@@ -7,42 +7,42 @@
 	"sync/atomic"
 	"time"
 
-	"keelstair.example/lore"
-	"keelstair.example/word"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 )
 
 // state is what this node knows of one life of a worker.
 type state struct {
 	mu      sync.Mutex
 	load    Load
-	loadAt  word.Tick
-	shun    word.Tick // nothing is sent before
+	loadAt  ids.Tick
+	shun    ids.Tick // nothing is sent before
 	faults  int
 	left    bool // another life has its address
 	reads   int  // under way from here, in prompt tokens
 	readers int
 	emits   int
 	other   Reads // of the other nodes
-	otherAt word.Tick
+	otherAt ids.Tick
 	flights map[*flight]bool
 	watched atomic.Bool
 	down    bool         // it gives no report
-	alive   atomic.Int64 // word.Tick of the last sign of life that a sending gave
+	alive   atomic.Int64 // ids.Tick of the last sign of life that a sending gave
 	verdict verdict
-	cached  map[uint64]word.Tick // beginnings of prompts that it was seen to have read
+	cached  map[uint64]ids.Tick // beginnings of prompts that it was seen to have read
 	mem     ledger
 }
 
-func (n *Node) state(id word.WorkerId) *state {
+func (n *Node) state(id ids.WorkerId) *state {
 	if v, ok := n.states.Load(id); ok {
 		return v.(*state)
 	}
-	v, _ := n.states.LoadOrStore(id, &state{cached: map[uint64]word.Tick{}})
+	v, _ := n.states.LoadOrStore(id, &state{cached: map[uint64]ids.Tick{}})
 	return v.(*state)
 }
 
 // fit tells whether a worker may get new work under a sight.
-func fit(s *lore.Sight, w *Worker) bool {
+func fit(s *fleetstate.Sight, w *Worker) bool {
 	_, turning := s.Turning[w.Id]
 	return !w.Leaving && !turning && !s.Zones[w.Zone] && !s.Drained[w.Id]
 }
@@ -50,11 +50,11 @@
 // failback is when a zone was taken back, at the latest, and which time that was.
 type failback struct {
 	no uint64
-	at word.Tick
+	at ids.Tick
 }
 
 // coldFor tells how much longer a worker counts as cold.
-func (n *Node) coldFor(w *Worker, svc *lore.Service, got, now word.Tick) time.Duration {
+func (n *Node) coldFor(w *Worker, svc *fleetstate.Service, got, now ids.Tick) time.Duration {
 	left := w.Cold - now.Since(got)
 	if v, ok := n.backs.Load(w.Zone); ok {
 		left = max(left, svc.WarmSpan()-now.Since(v.(failback).at))
@@ -67,7 +67,7 @@
 // unheard tells that this node may have missed a zone that was emptied and taken back:
 // neither the core confirmed it nor did any other process speak to it for a while, or
 // they do so again for too short a time to have told the news.
-func (n *Node) unheard(now word.Tick) bool {
+func (n *Node) unheard(now ids.Tick) bool {
 	if n.agent.Caught(deafSpan) {
 		return false
 	}
@@ -75,12 +75,12 @@
 		n.deaf.Store(int64(now))
 		return true
 	}
-	at := word.Tick(n.deaf.Load())
+	at := ids.Tick(n.deaf.Load())
 	return at != 0 && !now.Past(at, deafSpan)
 }
 
 // fault notes that a worker failed; it is left alone for a while, longer each time.
-func (s *state) fault(now word.Tick) {
+func (s *state) fault(now ids.Tick) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = min(s.faults+1, 4)
@@ -95,13 +95,13 @@
 }
 
 // full notes that a worker turned a request away.
-func (s *state) full(now word.Tick) {
+func (s *state) full(now ids.Tick) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.shun = max(s.shun, now.Add(150*time.Millisecond))
 }
 
-func (s *state) well(l *Load, now word.Tick) {
+func (s *state) well(l *Load, now ids.Tick) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = 0
@@ -113,7 +113,7 @@
 // keepParts bounds the memory of what a worker has read.
 const keepParts = 4096
 
-func (s *state) begin(reads int, marks []uint64, now word.Tick) {
+func (s *state) begin(reads int, marks []uint64, now ids.Tick) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if reads > 0 {
@@ -143,7 +143,7 @@
 
 // ahead gives the prompt tokens and the prompts that all nodes have under way there. The
 // state is locked.
-func (s *state) ahead(now word.Tick) (tokens, count int) {
+func (s *state) ahead(now ids.Tick) (tokens, count int) {
 	tokens, count = s.reads, s.readers
 	if !now.Past(s.otherAt, readSpan) {
 		tokens, count = tokens+s.other.Tokens, count+s.other.Count
@@ -153,7 +153,7 @@
 
 // busy gives the requests there by the worker's own newest word; false if that is older
 // than a span. The state is locked.
-func (s *state) busy(now word.Tick, span time.Duration) (int, bool) {
+func (s *state) busy(now ids.Tick, span time.Duration) (int, bool) {
 	switch told := s.mem.Room > 0; {
 	case told && s.loadAt.Before(s.mem.at) && !now.Past(s.mem.at, span):
 		return s.mem.Running + s.mem.Waiting, true
