--- a/relay/swap_test.go
+++ b/relay/swap_test.go
@@ -14,12 +14,12 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
 	"keelstair.example/door"
-	"keelstair.example/lore"
+	"keelstair.example/failure"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/whim"
-	"keelstair.example/word"
 )
 
 // sorted is a program that prefers workers by a key.
@@ -34,9 +34,9 @@
 
 // setOf writes a program set.
 func setOf(list ...whim.Source) string {
-	p := map[string]lore.Program{}
+	p := map[string]fleetstate.Program{}
 	for _, s := range list {
-		p[s.Name] = lore.Program{Source: s.Text, Share: s.Share, Shadow: s.Shadow, Turns: s.Turns}
+		p[s.Name] = fleetstate.Program{Source: s.Text, Share: s.Share, Shadow: s.Shadow, Turns: s.Turns}
 	}
 	b, _ := json.Marshal(map[string]any{"programs": p})
 	return string(b)
@@ -62,7 +62,7 @@
 }
 
 // dealt tells whether every node has a set in force.
-func (f *fleet) dealt(v word.Version) bool {
+func (f *fleet) dealt(v ids.Version) bool {
 	for _, b := range f.up() {
 		if s := b.view.Sight().Set; s == nil || s.Version != v {
 			return false
@@ -162,13 +162,13 @@
 		a := <-long
 		require.NoError(t, a.err)
 		require.Empty(t, answers([]*asked{a}))
-		var at []word.WorkerId
+		var at []ids.WorkerId
 		for _, k := range y.book() {
 			if k.Kind == "emit" {
 				at = append(at, k.Worker)
 			}
 		}
-		require.Equal(t, []word.WorkerId{"svc-decode-0.1", "svc-decode-1.1"}, at)
+		require.Equal(t, []ids.WorkerId{"svc-decode-0.1", "svc-decode-1.1"}, at)
 	})
 }
 
@@ -207,13 +207,13 @@
 		for why, text := range bad {
 			_, err := f.apply("op "+why, 1, text)
 			require.ErrorContains(t, err, why)
-			require.True(t, breakdown.Is(err, breakdown.Bad), "%v", err)
+			require.True(t, failure.Is(err, failure.Bad), "%v", err)
 		}
 		_, err = f.apply("stale", 0, setOf(ok))
 		require.ErrorContains(t, err, "the current one is 1")
-		require.True(t, breakdown.Is(err, breakdown.Stale))
+		require.True(t, failure.Is(err, failure.Stale))
 		_, err = f.apply("ahead", 2, setOf(ok))
-		require.True(t, breakdown.Is(err, breakdown.Stale))
+		require.True(t, failure.Is(err, failure.Stale))
 		require.Equal(t, was, f.shown())
 		got, err := f.apply("one", 0, setOf(ok))
 		require.NoError(t, err, "the same operation again has its one outcome")
@@ -335,8 +335,8 @@
 		defer f.close()
 		var wg sync.WaitGroup
 		wg.Go(func() {
-			for v := word.Version(1); v < 9; v++ {
-				require.NoError(t, f.put(word.OpId(fmt.Sprint("doc", v)), v, v+1, plain()))
+			for v := ids.Version(1); v < 9; v++ {
+				require.NoError(t, f.put(ids.OpId(fmt.Sprint("doc", v)), v, v+1, plain()))
 			}
 		})
 		wg.Go(func() {
@@ -360,7 +360,7 @@
 		wg.Wait()
 		require.NotEqual(t, won[0] == nil, won[1] == nil, "%v", won)
 		for _, err := range won {
-			require.True(t, err == nil || breakdown.Is(err, breakdown.Stale), "%v", err)
+			require.True(t, err == nil || failure.Is(err, failure.Stale), "%v", err)
 		}
 		require.EqualValues(t, 9, f.shown().Newest)
 	})
@@ -376,7 +376,7 @@
 		_, err := f.apply("one", 0, setOf(whim.Source{Name: "one", Share: 100, Text: first(0)}))
 		require.NoError(t, err)
 		require.True(t, f.until(2*time.Second, func() bool { return f.dealt(1) }))
-		f.submit(lore.StageProgramsKind, &lore.Stage{Base: 1, Text: []byte(setOf(whim.Source{Name: "x", Share: 100, Text: "def"}))})
+		f.submit(fleetstate.StageProgramsKind, &fleetstate.Stage{Base: 1, Text: []byte(setOf(whim.Source{Name: "x", Share: 100, Text: "def"}))})
 		time.Sleep(2 * time.Second)
 		require.True(t, f.dealt(1))
 		require.NoError(t, f.ask(f.nodes[0], f.req("r", "/once/x", 400, 2)).err)
@@ -421,7 +421,7 @@
 				all := f.load(20, 40*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), paths[i%4], 400, 4) })
 				rows := y.book()
 				require.Greater(t, len(orders(rows)), c.some)
-				last, ends := map[word.WorkerId]time.Duration{}, time.Duration(-time.Hour)
+				last, ends := map[ids.WorkerId]time.Duration{}, time.Duration(-time.Hour)
 				for _, k := range orders(rows) {
 					if at, ok := last[k.Worker]; ok {
 						require.Greater(t, k.At-at, 4*time.Second, "dwell of %s", k.Worker)
@@ -466,11 +466,11 @@
 				_, err := f.apply("op", 0, setOf(c.p))
 				require.NoError(t, err)
 				time.Sleep(2 * time.Second)
-				y.pressed(word.Prefill, 6)
+				y.pressed(ids.Prefill, 6)
 				time.Sleep(10 * time.Second)
 				require.Equal(t, c.turns, len(orders(y.book())) > 0)
 				for _, k := range orders(y.book()) {
-					require.Equal(t, word.Prefill, k.To)
+					require.Equal(t, ids.Prefill, k.To)
 				}
 				h := f.nodes[max(0, f.holder())]
 				score := h.Scores().Of(name)
@@ -491,16 +491,16 @@
 		o := f.operator(f.nodes[0])
 		ctx, stop := context.WithTimeout(context.Background(), 20*time.Second)
 		defer stop()
-		_, err := o.Evacuate(ctx, "b", &door.Mark{Op: crux.Name(), Out: true})
+		_, err := o.Evacuate(ctx, "b", &door.Mark{Op: coordination.Name(), Out: true})
 		require.NoError(t, err)
 		require.Equal(t, []string{"b"}, f.shown().Zones)
 		require.True(t, f.until(2*time.Second, func() bool { return f.nodes[0].view.Sight().Zones["b"] }))
-		_, err = o.Evacuate(ctx, "b", &door.Mark{Op: crux.Name()})
+		_, err = o.Evacuate(ctx, "b", &door.Mark{Op: coordination.Name()})
 		require.NoError(t, err)
 		require.Equal(t, []string{}, f.shown().Zones)
-		_, err = o.Evacuate(ctx, "z", &door.Mark{Op: crux.Name(), Out: true})
+		_, err = o.Evacuate(ctx, "z", &door.Mark{Op: coordination.Name(), Out: true})
 		require.ErrorContains(t, err, `no zone "z"`)
-		_, err = o.Drain(ctx, "svc-decode-0.1", &door.Mark{Op: crux.Name(), Out: true})
+		_, err = o.Drain(ctx, "svc-decode-0.1", &door.Mark{Op: coordination.Name(), Out: true})
 		require.ErrorContains(t, err, "list of workers")
 		require.NotNil(t, o.Status())
 	})
--- a/relay/table.go
+++ b/relay/table.go
@@ -6,16 +6,16 @@
 import (
 	"slices"
 
-	"keelstair.example/lore"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/whim"
-	"keelstair.example/word"
 )
 
 // entry is a worker's place in the list with what does not change with a request.
 type entry struct {
 	place int
-	id    word.WorkerId
-	part  word.Part
+	id    ids.WorkerId
+	part  ids.Part
 	hash  uint64
 	st    *state
 }
@@ -23,18 +23,18 @@
 // role is a part that a service's workers can play; one that knows no parts plays both.
 type role struct {
 	service string
-	part    word.Part
+	part    ids.Part
 }
 
 type table struct {
 	seq   uint64
-	sight *lore.Sight
+	sight *fleetstate.Sight
 	by    map[role][]entry
 	ranks map[string][]int // by service: the urgencies of its routes, least urgent first
 }
 
 // tabled gives the table of a list under a sight.
-func (n *Node) tabled(ros *roster, s *lore.Sight) *table {
+func (n *Node) tabled(ros *roster, s *fleetstate.Sight) *table {
 	if t := n.table.Load(); t != nil && t.seq == ros.seq && t.sight == s {
 		return t
 	}
@@ -42,7 +42,7 @@
 	for i := range ros.all {
 		if w := &ros.all[i]; fit(s, w) {
 			e := entry{i, w.Id, w.Part, whim.Hash(w.Id), n.state(w.Id)}
-			for _, p := range []word.Part{word.Prefill, word.Decode} {
+			for _, p := range []ids.Part{ids.Prefill, ids.Decode} {
 				if k := (role{w.Service, p}); w.Part == p || w.Part == "" {
 					t.by[k] = append(t.by[k], e)
 				}
@@ -53,7 +53,7 @@
 	return t
 }
 
-func ranks(s *lore.Sight) map[string][]int {
+func ranks(s *fleetstate.Sight) map[string][]int {
 	out := map[string][]int{}
 	add := func(service string, urgency int) {
 		if !slices.Contains(out[service], urgency) {
@@ -77,11 +77,11 @@
 }
 
 // home is the reading worker that a beginning falls to, of those that are not out.
-func home(mark uint64, row []entry, out func(word.WorkerId) bool) word.WorkerId {
-	var top word.WorkerId
+func home(mark uint64, row []entry, out func(ids.WorkerId) bool) ids.WorkerId {
+	var top ids.WorkerId
 	best := -1.0
 	for i := range row {
-		if row[i].part != word.Prefill || out(row[i].id) {
+		if row[i].part != ids.Prefill || out(row[i].id) {
 			continue
 		}
 		if a := whim.Mix(mark, row[i].hash); a > best {
--- a/relay/tell_note.go
+++ b/relay/tell_note.go
@@ -2,15 +2,15 @@
 
 package relay
 
-import "keelstair.example/word"
+import "keelstair.example/ids"
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file tell_note.go
-//msgp:shim word.NodeId as:string using:string/word.NodeId
+//msgp:shim ids.NodeId as:string using:string/ids.NodeId
 
 // ListAsk tells which list a node has, its readings under way, up to where it has heard how
 // the workers stand, and, from the node that asks them, how they do.
 type ListAsk struct {
-	Node   word.NodeId
+	Node   ids.NodeId
 	Seq    uint64
 	Reads  []Reads
 	Ends   []Outcomes `msg:",omitempty"` // how sendings ended
--- a/relay/tell_note_gen.go
+++ b/relay/tell_note_gen.go
@@ -4,7 +4,7 @@
 
 import (
 	"github.com/tinylib/msgp/msgp"
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 // MarshalMsg implements msgp.Marshaler
@@ -106,7 +106,7 @@
 					err = msgp.WrapError(err, "Node")
 					return
 				}
-				z.Node = word.NodeId(zb0002)
+				z.Node = ids.NodeId(zb0002)
 			}
 		case "Seq":
 			z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -12,11 +12,11 @@
 	"sync"
 	"time"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
-	"keelstair.example/lore"
+	"keelstair.example/coordination"
+	"keelstair.example/failure"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/seam"
-	"keelstair.example/word"
 )
 
 const (
@@ -32,17 +32,17 @@
 )
 
 type duty struct {
-	fence  word.Fence
-	since  word.Tick
-	last   word.Tick // when the last turn ended
-	read   float64   // smoothed
+	fence  ids.Fence
+	since  ids.Tick
+	last   ids.Tick // when the last turn ended
+	read   float64  // smoothed
 	emit   float64
-	looked word.Tick
-	turned map[word.WorkerId]word.Tick // when a worker was last told to turn
+	looked ids.Tick
+	turned map[ids.WorkerId]ids.Tick // when a worker was last told to turn
 }
 
 type turn struct {
-	began word.Tick
+	began ids.Tick
 	sent  bool
 	after int
 }
@@ -53,11 +53,11 @@
 		return
 	}
 	duties := map[string]*duty{}
-	turns := map[word.WorkerId]*turn{}
+	turns := map[ids.WorkerId]*turn{}
 	for seam.Sleep(ctx, n.opt.Turn) {
 		s := n.sight()
 		for name := range s.Policy.Services {
-			key := lore.ServiceKey(name)
+			key := fleetstate.ServiceKey(name)
 			fence, ok := n.agent.Held(key)
 			if !ok {
 				delete(duties, name)
@@ -65,7 +65,7 @@
 			}
 			d := duties[name]
 			if d == nil || d.fence != fence {
-				d = &duty{fence: fence, since: n.now(), last: n.now(), read: 0.5, emit: 0.2, turned: map[word.WorkerId]word.Tick{}}
+				d = &duty{fence: fence, since: n.now(), last: n.now(), read: 0.5, emit: 0.2, turned: map[ids.WorkerId]ids.Tick{}}
 				duties[name] = d
 			}
 			if n.now().Past(d.since, n.opt.Lease+n.opt.Lease/5) {
@@ -76,10 +76,10 @@
 	}
 }
 
-func (n *Node) submitTurn(ctx context.Context, t *lore.Turn) bool {
+func (n *Node) submitTurn(ctx context.Context, t *fleetstate.Turn) bool {
 	cx, stop := context.WithTimeout(ctx, 700*time.Millisecond)
 	defer stop()
-	_, err := n.agent.Submit(cx, word.OpId("turn/"+crux.Name()), lore.TurnKind, crux.Pack(t))
+	_, err := n.agent.Submit(cx, ids.OpId("turn/"+coordination.Name()), fleetstate.TurnKind, coordination.Pack(t))
 	return err == nil
 }
 
@@ -89,9 +89,9 @@
 }
 
 // look asks the workers, ends turns that are over, and begins one where it helps.
-func (n *Node) look(ctx context.Context, s *lore.Sight, svc *lore.Service, key word.Key, d *duty, turns map[word.WorkerId]*turn) {
+func (n *Node) look(ctx context.Context, s *fleetstate.Sight, svc *fleetstate.Service, key ids.Key, d *duty, turns map[ids.WorkerId]*turn) {
 	ros := n.roster.Load()
-	listed := map[word.WorkerId]*Worker{}
+	listed := map[ids.WorkerId]*Worker{}
 	mine := false
 	for i := range ros.all {
 		if w := &ros.all[i]; w.Service == svc.Name {
@@ -111,7 +111,7 @@
 		}
 		wg.Go(func() {
 			if w == nil && !n.elsewhere(id) || w != nil && n.over(ctx, w, to, key, d, t) {
-				if n.submitTurn(ctx, &lore.Turn{Worker: id, Done: true}) {
+				if n.submitTurn(ctx, &fleetstate.Turn{Worker: id, Done: true}) {
 					mu.Lock()
 					defer mu.Unlock()
 					delete(turns, id)
@@ -139,7 +139,7 @@
 	some, to := choose(rows, read, emit, n.opt.Rest)
 	some, to = n.wish(n.deal(s), svc, d, rows, some, to)
 	for _, w := range some {
-		if n.submitTurn(ctx, &lore.Turn{Worker: w.w.Id, To: to}) {
+		if n.submitTurn(ctx, &fleetstate.Turn{Worker: w.w.Id, To: to}) {
 			turns[w.w.Id] = &turn{began: n.now(), after: w.Orders}
 			d.turned[w.w.Id] = n.now()
 			n.opt.Ring.Info().Str("worker", string(w.w.Id)).Str("to", string(to)).Float64("read", read).Float64("emit", emit).Msg("turns a worker")
@@ -148,13 +148,13 @@
 }
 
 // elsewhere tells that another service's worker, or one whose list is not known, has it.
-func (n *Node) elsewhere(id word.WorkerId) bool {
+func (n *Node) elsewhere(id ids.WorkerId) bool {
 	ros := n.roster.Load()
 	return len(ros.all) == 0 || ros.find(id) != nil
 }
 
 // over sends the order of a turn once all have heard of it, and tells when it is done.
-func (n *Node) over(ctx context.Context, w *Worker, to word.Part, key word.Key, d *duty, t *turn) bool {
+func (n *Node) over(ctx context.Context, w *Worker, to ids.Part, key ids.Key, d *duty, t *turn) bool {
 	now := n.now()
 	switch {
 	case w.Part == to, now.Past(t.began, turnWait), w.Leaving:
@@ -174,11 +174,11 @@
 	cx, stop := context.WithTimeout(ctx, 600*time.Millisecond)
 	defer stop()
 	err := n.opt.Back.Order(cx, *w, &Order{To: to, Owner: n.me.Node, Fence: fence, After: t.after})
-	return breakdown.Is(err, breakdown.Bounced)
+	return failure.Is(err, failure.Bounced)
 }
 
 // reports asks all workers that may be counted on, side by side.
-func (n *Node) reports(ctx context.Context, s *lore.Sight, listed map[word.WorkerId]*Worker) []report {
+func (n *Node) reports(ctx context.Context, s *fleetstate.Sight, listed map[ids.WorkerId]*Worker) []report {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	var out []report
@@ -205,10 +205,10 @@
 
 // weigh gives the smoothed prompts at each reading worker, and the part of the emitting
 // workers' places or memory that is taken.
-func (d *duty) weigh(rows []report, svc *lore.Service) (read, emit float64) {
+func (d *duty) weigh(rows []report, svc *fleetstate.Service) (read, emit float64) {
 	var readers, emitters, prompts, streams, used, room int
 	for _, r := range rows {
-		if r.Part == word.Prefill {
+		if r.Part == ids.Prefill {
 			readers, prompts = readers+1, prompts+r.Running+r.Waiting
 		} else {
 			emitters, streams, used, room = emitters+1, streams+r.Running+r.Waiting, used+r.Used, room+r.Room
@@ -230,12 +230,12 @@
 // choose names the workers that should turn: more at once where there are many, the least
 // busy of the part that can spare them, from the zones that have the most of it. While
 // nothing is under way, rest is the part of the workers that reads.
-func choose(rows []report, read, emit, rest float64) ([]*report, word.Part) {
+func choose(rows []report, read, emit, rest float64) ([]*report, ids.Part) {
 	var readers, emitters, busy int
-	zones := map[word.Zone]int{}
+	zones := map[ids.Zone]int{}
 	for _, r := range rows {
 		busy += r.Running + r.Waiting
-		if r.Part == word.Prefill {
+		if r.Part == ids.Prefill {
 			readers++
 		} else {
 			emitters++
@@ -243,7 +243,7 @@
 	}
 	all := readers + emitters
 	keep := least(all)
-	from, to, want := word.Decode, word.Prefill, max(1, all/turnPart)
+	from, to, want := ids.Decode, ids.Prefill, max(1, all/turnPart)
 	spare := func(load float64, have, by int) float64 { return load * float64(have) / float64(max(1, have-by)) }
 	switch {
 	case all < 2:
@@ -251,14 +251,14 @@
 	case readers == 0:
 		want = min(want, emitters-1)
 	case emitters == 0:
-		from, to, want = word.Prefill, word.Decode, min(want, readers-1)
+		from, to, want = ids.Prefill, ids.Decode, min(want, readers-1)
 	case busy == 0 && float64(readers+1) <= rest*float64(all):
 		want = min(want, int(rest*float64(all))-readers, emitters-keep)
 	case read > pressRead:
 		for want = min(want, emitters-keep); want > 0 && spare(emit, emitters, want) >= easyEmit; want-- {
 		}
 	case emit > pressEmit:
-		from, to = word.Prefill, word.Decode
+		from, to = ids.Prefill, ids.Decode
 		for want = min(want, readers-keep); want > 0 && emit <= fullEmit && spare(read, readers, want) >= pressRead; want-- {
 		}
 	default:
--- a/relay/turn_test.go
+++ b/relay/turn_test.go
@@ -9,18 +9,18 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/lore"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/seam/sham"
-	"keelstair.example/word"
 )
 
-var svcKey = lore.ServiceKey("svc")
+var svcKey = fleetstate.ServiceKey("svc")
 
 // turning has nodes look at the workers' reports.
 func turning(o *Options) { o.Turn, o.Allow = 500*time.Millisecond, 20 }
 
 // pressed makes the workers of a part busy by their reports.
-func (y *yard) pressed(part word.Part, by int) {
+func (y *yard) pressed(part ids.Part, by int) {
 	y.at(func() {
 		y.lean = func(s *stand) int {
 			if s.Part == part {
@@ -31,10 +31,10 @@
 	})
 }
 
-func parts(y *yard) map[word.WorkerId]word.Part {
+func parts(y *yard) map[ids.WorkerId]ids.Part {
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	out := map[word.WorkerId]word.Part{}
+	out := map[ids.WorkerId]ids.Part{}
 	for _, s := range y.all {
 		out[s.Id] = s.Part
 	}
@@ -82,17 +82,17 @@
 		defer f.close()
 		was := parts(y)
 		f.wg.Go(func() {
-			y.pressed(word.Prefill, 6)
+			y.pressed(ids.Prefill, 6)
 			time.Sleep(14 * time.Second)
-			y.pressed(word.Decode, 14)
+			y.pressed(ids.Decode, 14)
 			time.Sleep(25 * time.Second)
-			y.pressed(word.Prefill, 6)
+			y.pressed(ids.Prefill, 6)
 		})
 		all := f.load(25, 50*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), paths[i%4], 400, 6) })
 		rows := y.book()
-		to := map[word.Part]int{}
-		by := map[word.NodeId]bool{}
-		var flips []word.Part
+		to := map[ids.Part]int{}
+		by := map[ids.NodeId]bool{}
+		var flips []ids.Part
 		for _, k := range orders(rows) {
 			to[k.To]++
 			by[k.Owner] = true
@@ -100,7 +100,7 @@
 				flips = append(flips, k.To)
 			}
 		}
-		require.Equal(t, []word.Part{word.Prefill, word.Decode, word.Prefill}, flips, "%v", orders(rows))
+		require.Equal(t, []ids.Part{ids.Prefill, ids.Decode, ids.Prefill}, flips, "%v", orders(rows))
 		require.Len(t, by, 1, "one node orders")
 		require.Empty(t, thirds(rows, was))
 		require.Empty(t, leftAlone(rows, 100*time.Millisecond))
@@ -118,7 +118,7 @@
 func TestNoTurnNeeded(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		y := newYard(append(both("svc", 3, 3), stands("free", "", 3)...)...)
-		text := policy(append(ways(), lore.Route{Name: "f", Host: host, Prefix: "/free/", Service: "free", Tries: 2, DeadlineMs: 4000, AimMs: 400}), lore.Service{Name: "svc", Slots: 16}, lore.Service{Name: "free", Slots: 16})
+		text := policy(append(ways(), fleetstate.Route{Name: "f", Host: host, Prefix: "/free/", Service: "free", Tries: 2, DeadlineMs: 4000, AimMs: 400}), fleetstate.Service{Name: "svc", Slots: 16}, fleetstate.Service{Name: "free", Slots: 16})
 		f := build(t, 42, 2, y, text, turning)
 		defer f.close()
 		f.load(20, 10*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), []string{"/once/x", "/free/x"}[i%2], 400, 4) })
@@ -136,7 +136,7 @@
 		defer f.close()
 		was := parts(y)
 		for i := range 7 {
-			y.pressed([]word.Part{word.Prefill, word.Decode}[i%2], []int{6, 14}[i%2])
+			y.pressed([]ids.Part{ids.Prefill, ids.Decode}[i%2], []int{6, 14}[i%2])
 			f.until(12*time.Second, func() bool { return f.holder() >= 0 && len(orders(y.book())) > i })
 			time.Sleep(time.Duration(seed*131%17+uint64(i)*7%5) * 100 * time.Millisecond)
 			h := f.holder()
@@ -181,7 +181,7 @@
 		require.Greater(t, len(orders(rows)), 3)
 		require.Empty(t, ordersApart(rows, 3*time.Second))
 		require.Empty(t, thirds(rows, was))
-		owner, last := map[word.Fence]word.NodeId{}, word.Fence(0)
+		owner, last := map[ids.Fence]ids.NodeId{}, ids.Fence(0)
 		for _, k := range orders(rows) {
 			if old, ok := owner[k.Fence]; ok {
 				require.Equal(t, old, k.Owner)
@@ -202,7 +202,7 @@
 				y := newYard(both("svc", 3, 4)...)
 				f := build(t, 43, 3, y, plain(), turning)
 				defer f.close()
-				y.pressed(word.Prefill, 6)
+				y.pressed(ids.Prefill, 6)
 				require.True(t, f.until(15*time.Second, func() bool {
 					return len(f.nodes[0].view.Sight().Turning) > 0 && (!ordered || len(orders(y.book())) > 0)
 				}))
@@ -238,7 +238,7 @@
 		next := -1
 		require.True(t, f.until(20*time.Second, func() bool { next = f.holder(); return next >= 0 && next != h }))
 		since := y.now()
-		y.pressed(word.Prefill, 6)
+		y.pressed(ids.Prefill, 6)
 		require.True(t, f.until(20*time.Second, func() bool { return len(orders(y.book())) > 0 }))
 		first := orders(y.book())[0]
 		require.Equal(t, nodeIp(next), first.Node)
@@ -259,7 +259,7 @@
 			f.w.Set(ip, late.ip, sham.Link{Delay: 200 * time.Millisecond})
 		}
 		time.Sleep(4 * time.Second)
-		y.pressed(word.Prefill, 6)
+		y.pressed(ids.Prefill, 6)
 		all := f.load(60, 8*time.Second, func(i int) *Request { return f.req(fmt.Sprint("r", i), paths[i%4], 400, 4) })
 		rows := y.book()
 		require.NotEmpty(t, orders(rows))
--- a/relay/wish.go
+++ b/relay/wish.go
@@ -5,21 +5,21 @@
 package relay
 
 import (
-	"keelstair.example/lore"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/whim"
-	"keelstair.example/word"
 )
 
 // wish gives the workers that the program in charge has turned, else the built-in choice.
-func (n *Node) wish(deal *lore.Deal, svc *lore.Service, d *duty, rows []report, some []*report, to word.Part) ([]*report, word.Part) {
+func (n *Node) wish(deal *fleetstate.Deal, svc *fleetstate.Service, d *duty, rows []report, some []*report, to ids.Part) ([]*report, ids.Part) {
 	if !deal.Deck.Rules() {
 		return some, to
 	}
-	count := map[word.Part]int{}
+	count := map[ids.Part]int{}
 	for _, r := range rows {
 		count[r.Part]++
 	}
-	if count[word.Prefill] == 0 || count[word.Decode] == 0 {
+	if count[ids.Prefill] == 0 || count[ids.Decode] == 0 {
 		return some, to
 	}
 	dwell := turnDwell
@@ -29,7 +29,7 @@
 	now := n.now()
 	// Both parts are pressed from the same press on.
 	p := &whim.Pool{Model: svc.Name, Since: now.Since(d.last),
-		Press: map[word.Part]float64{word.Prefill: min(1, d.read*pressEmit/pressRead), word.Decode: min(1, d.emit)}}
+		Press: map[ids.Part]float64{ids.Prefill: min(1, d.read*pressEmit/pressRead), ids.Decode: min(1, d.emit)}}
 	for _, r := range rows {
 		at, was := d.turned[r.w.Id]
 		p.Workers = append(p.Workers, whim.Turner{Id: r.w.Id, Zone: r.w.Zone, Part: r.Part, Home: r.Part, Busy: r.Running + r.Waiting, Work: r.Running,
--- a/relay/yard_test.go
+++ b/relay/yard_test.go
@@ -14,8 +14,8 @@
 	"sync"
 	"time"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/word"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 )
 
 // fate is what becomes of one call at a worker.
@@ -41,21 +41,21 @@
 	At     time.Duration
 	Kind   string // read, emit, free, order, report
 	Node   string
-	Worker word.WorkerId
+	Worker ids.WorkerId
 	Req    string
 	From   string
 	Took   bool          // it was not turned away
 	Ran    bool          // an emission began, or a reading gave its memory
 	Cold   bool          // the worker was cold
 	Off    time.Duration // how long the node knew that the worker is to get nothing new
-	Owner  word.NodeId
-	Fence  word.Fence
-	To     word.Part
+	Owner  ids.NodeId
+	Fence  ids.Fence
+	To     ids.Part
 }
 
 // handle is memory that a worker keeps.
 type handle struct {
-	worker word.WorkerId
+	worker ids.WorkerId
 	req    string
 	had    int
 	freed  bool
@@ -72,7 +72,7 @@
 	hidden           bool // not listed
 	warm             time.Time
 	orders           int
-	turning          word.Part
+	turning          ids.Part
 	running, waiting int
 	memory           int // tokens; 0 is without end
 	used             int
@@ -94,14 +94,14 @@
 	handles map[string]*handle
 	cut     map[string]bool // nodes that reach no worker
 	frozen  map[string]bool // nodes that stand still
-	off     map[string]map[word.WorkerId]time.Time
-	known   map[string]func(id word.WorkerId) bool // by node: whether it knows now that a worker is off
+	off     map[string]map[ids.WorkerId]time.Time
+	known   map[string]func(id ids.WorkerId) bool // by node: whether it knows now that a worker is off
 	fate    func(k row, w *stand) fate
 	listed  func() time.Duration // how long the asking for the list is under way
 	nolist  bool
-	asked   []row                       // askings for the list
-	chill   map[word.Zone]time.Duration // for how long workers of a zone turn cold at their first request
-	step    time.Duration               // between events
+	asked   []row                      // askings for the list
+	chill   map[ids.Zone]time.Duration // for how long workers of a zone turn cold at their first request
+	step    time.Duration              // between events
 	turn    time.Duration
 	handle  int
 	onRead  func(r *Request)
@@ -116,26 +116,26 @@
 
 func newYard(all ...*stand) *yard {
 	return &yard{start: time.Now(), all: all, handles: map[string]*handle{}, cut: map[string]bool{}, frozen: map[string]bool{},
-		off: map[string]map[word.WorkerId]time.Time{}, known: map[string]func(word.WorkerId) bool{}, direct: 50, step: 20 * time.Millisecond, turn: time.Second}
+		off: map[string]map[ids.WorkerId]time.Time{}, known: map[string]func(ids.WorkerId) bool{}, direct: 50, step: 20 * time.Millisecond, turn: time.Second}
 }
 
 // stands makes so many workers of a part, by turns in two zones.
-func stands(service string, part word.Part, n int) []*stand {
+func stands(service string, part ids.Part, n int) []*stand {
 	var out []*stand
 	for i := range n {
 		name := fmt.Sprintf("%s-%s-%d", service, part, i)
 		if part == "" {
 			name = fmt.Sprintf("%s-%d", service, i)
 		}
-		out = append(out, &stand{name: name, life: 1, Worker: Worker{Id: word.WorkerId(name + ".1"), Service: service, Addr: name + ":90",
-			Zone: word.Zone([]string{"a", "b"}[i%2]), Part: part, Slots: 16}})
+		out = append(out, &stand{name: name, life: 1, Worker: Worker{Id: ids.WorkerId(name + ".1"), Service: service, Addr: name + ":90",
+			Zone: ids.Zone([]string{"a", "b"}[i%2]), Part: part, Slots: 16}})
 	}
 	return out
 }
 
 // both makes readers and emitters of one service.
 func both(service string, readers, emitters int) []*stand {
-	return append(stands(service, word.Prefill, readers), stands(service, word.Decode, emitters)...)
+	return append(stands(service, ids.Prefill, readers), stands(service, ids.Decode, emitters)...)
 }
 
 func (y *yard) now() time.Duration { return time.Since(y.start) }
@@ -164,7 +164,7 @@
 		if w.name == name {
 			w.dead = true
 			next := &stand{Worker: w.Worker, name: name, life: w.life + 1}
-			next.Id = word.WorkerId(fmt.Sprintf("%s.%d", name, next.life))
+			next.Id = ids.WorkerId(fmt.Sprintf("%s.%d", name, next.life))
 			y.all[i] = next
 		}
 	}
@@ -185,7 +185,7 @@
 var errReset = errors.New("connection reset")
 
 func unknown(w Worker, why string) error {
-	return breakdown.New(breakdown.Unknown, "ask worker", w.Addr, "%s", why)
+	return failure.New(failure.Unknown, "ask worker", w.Addr, "%s", why)
 }
 
 // gate holds a frozen node at its next step on the network.
@@ -279,11 +279,11 @@
 	p := &y.rows[len(y.rows)-1]
 	switch {
 	case s.Id != w.Id:
-		return p, how, breakdown.New(breakdown.Stale, "ask worker", w.Addr, "another life has the address")
+		return p, how, failure.New(failure.Stale, "ask worker", w.Addr, "another life has the address")
 	case s.dark && (how == fine || how == midReset):
 		how = idleSilent
-	case how == turnedAway, s.turning != "", s.waiting >= y.most(s), k.Kind == "read" && s.Part == word.Decode:
-		return p, how, breakdown.New(breakdown.Bounced, "ask worker", w.Addr, "turned away")
+	case how == turnedAway, s.turning != "", s.waiting >= y.most(s), k.Kind == "read" && s.Part == ids.Decode:
+		return p, how, failure.New(failure.Bounced, "ask worker", w.Addr, "turned away")
 	}
 	p.Took = true
 	return p, how, nil
@@ -461,7 +461,7 @@
 	p, how, err := b.arrive(row{Kind: "emit", Req: r.Id, From: from, Off: off}, s, w)
 	if err == nil && src != nil && how != idleReset && how != idleSilent && (how == lostMemory || !y.fetch(src)) {
 		p.Took = false
-		err = breakdown.New(breakdown.Lost, "fetch memory", w.Addr, "it cannot be had")
+		err = failure.New(failure.Lost, "fetch memory", w.Addr, "it cannot be had")
 	}
 	if err == nil && how != idleReset && how != idleSilent {
 		p.Ran = true
@@ -619,7 +619,7 @@
 	if s.Id != w.Id || s.turning != "" || o.After != s.orders || s.dark {
 		y.rows = append(y.rows, k)
 		y.mu.Unlock()
-		return breakdown.New(breakdown.Bounced, "order", w.Addr, "refused")
+		return failure.New(failure.Bounced, "order", w.Addr, "refused")
 	}
 	k.Took = true
 	y.rows = append(y.rows, k)
@@ -642,7 +642,7 @@
 	y.asked = append(y.asked, row{At: y.now(), Node: b.ip})
 	y.mu.Unlock()
 	if no || !nap(ctx, lag) {
-		return nil, breakdown.New(breakdown.Away, "list", "", "no list")
+		return nil, failure.New(failure.Away, "list", "", "no list")
 	}
 	y.mu.Lock()
 	defer y.mu.Unlock()
--- a/wire/dial.go
+++ b/rpc/dial.go
@@ -2,7 +2,7 @@
 // and the system sends it again only after a second; so a connection that does not come up
 // soon is tried once more beside the first, and whichever is up first is used.
 
-package wire
+package rpc
 
 import (
 	"context"
--- a/wire/wire.go
+++ b/rpc/rpc.go
@@ -1,8 +1,8 @@
-// Package wire carries messages between keelstair's own processes: connect-go
+// Package rpc carries messages between keelstair's own processes: connect-go
 // over HTTP/1.1 with a msgp codec. Handle puts a function behind a name, Call
 // asks it of an address. An error keeps its kind across the wire and gains the
 // step and the peer.
-package wire
+package rpc
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 	"connectrpc.com/connect"
 	"github.com/tinylib/msgp/msgp"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
 	"keelstair.example/seam"
 )
 
@@ -46,13 +46,13 @@
 	packFrom = 1024 // bytes; shorter answers go as they are
 )
 
-var codes = map[breakdown.Kind]connect.Code{
-	breakdown.Bounced: connect.CodeResourceExhausted,
-	breakdown.Stale:   connect.CodeAborted,
-	breakdown.Lost:    connect.CodeDataLoss,
-	breakdown.Bad:     connect.CodeInvalidArgument,
-	breakdown.Away:    connect.CodeFailedPrecondition,
-	breakdown.Unknown: connect.CodeUnknown,
+var codes = map[failure.Kind]connect.Code{
+	failure.Bounced: connect.CodeResourceExhausted,
+	failure.Stale:   connect.CodeAborted,
+	failure.Lost:    connect.CodeDataLoss,
+	failure.Bad:     connect.CodeInvalidArgument,
+	failure.Away:    connect.CodeFailedPrecondition,
+	failure.Unknown: connect.CodeUnknown,
 }
 
 // Handle serves f under a name such as "crux/append".
@@ -60,7 +60,7 @@
 	h := connect.NewUnaryHandler("/"+name, func(ctx context.Context, q *connect.Request[Q]) (*connect.Response[A], error) {
 		a, err := f(ctx, q.Msg)
 		if err != nil {
-			return nil, connect.NewError(codes[breakdown.KindOf(err)], err)
+			return nil, connect.NewError(codes[failure.KindOf(err)], err)
 		}
 		return connect.NewResponse(a), nil
 	}, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxBody), connect.WithCompressMinBytes(packFrom))
@@ -93,7 +93,7 @@
 // one second.
 func Call[Q, A any](ctx context.Context, c *Caller, addr, name string, q *Q) (*A, error) {
 	if addr == "" {
-		return nil, breakdown.New(breakdown.Bounced, name, "nobody", "no address is known")
+		return nil, failure.New(failure.Bounced, name, "nobody", "no address is known")
 	}
 	if _, ok := ctx.Deadline(); !ok {
 		var stop context.CancelFunc
@@ -108,7 +108,7 @@
 	}
 	a, err := got.(*connect.Client[Q, A]).CallUnary(ctx, connect.NewRequest(q))
 	if err != nil {
-		kind := breakdown.Unknown
+		kind := failure.Unknown
 		var ce *connect.Error
 		if errors.As(err, &ce) && connect.IsWireError(err) {
 			for k, code := range codes {
@@ -118,9 +118,9 @@
 			}
 		}
 		if Undialled(err) {
-			kind = breakdown.Bounced
+			kind = failure.Bounced
 		}
-		return nil, breakdown.As(err, kind, name, addr)
+		return nil, failure.As(err, kind, name, addr)
 	}
 	return a.Msg, nil
 }
@@ -140,7 +140,7 @@
 	if ctx.Err() != nil || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
-	return breakdown.Wrap(err, "serve", l.Addr().String())
+	return failure.Wrap(err, "serve", l.Addr().String())
 }
 
 // Drain closes a server's listeners and idle connections and waits until all others were
--- a/seam/disk.go
+++ b/seam/disk.go
@@ -18,7 +18,7 @@
 
 	"github.com/tidwall/wal"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
 )
 
 var table = crc32.MakeTable(crc32.Castagnoli)
@@ -34,15 +34,15 @@
 // OpenDisk makes the folder if need be and locks it against a second process.
 func OpenDisk(dir string) (Disk, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return nil, breakdown.As(err, breakdown.Bad, "open data folder", dir)
+		return nil, failure.As(err, failure.Bad, "open data folder", dir)
 	}
 	f, err := os.OpenFile(filepath.Join(dir, "lock"), os.O_CREATE|os.O_RDWR, 0o644)
 	if err != nil {
-		return nil, breakdown.As(err, breakdown.Bad, "open data folder", dir)
+		return nil, failure.As(err, failure.Bad, "open data folder", dir)
 	}
 	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		f.Close()
-		return nil, breakdown.As(err, breakdown.Bad, "lock data folder, is another process using it?", dir)
+		return nil, failure.As(err, failure.Bad, "lock data folder, is another process using it?", dir)
 	}
 	return &realDisk{dir: dir, lock: f}, nil
 }
@@ -66,7 +66,7 @@
 	path := filepath.Join(d.dir, name)
 	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o644)
 	if err != nil {
-		return breakdown.As(err, breakdown.Lost, "save file", name)
+		return failure.As(err, failure.Lost, "save file", name)
 	}
 	_, err = f.Write(Seal(body))
 	if err == nil {
@@ -81,7 +81,7 @@
 	if err == nil {
 		err = syncDir(d.dir)
 	}
-	return breakdown.As(err, breakdown.Lost, "save file", name)
+	return failure.As(err, failure.Lost, "save file", name)
 }
 
 func syncDir(dir string) error {
@@ -96,18 +96,18 @@
 func (d *realDisk) Load(name string) ([]byte, error) {
 	row, err := os.ReadFile(filepath.Join(d.dir, name))
 	if err != nil {
-		return nil, breakdown.As(err, breakdown.Lost, "load file", name)
+		return nil, failure.As(err, failure.Lost, "load file", name)
 	}
 	body, ok := Unseal(row)
 	if !ok {
-		return nil, breakdown.New(breakdown.Bad, "load file", name, "checksum does not fit: the disk counts as lost")
+		return nil, failure.New(failure.Bad, "load file", name, "checksum does not fit: the disk counts as lost")
 	}
 	return body, nil
 }
 
 func (d *realDisk) Drop(name string) error {
 	if err := os.RemoveAll(filepath.Join(d.dir, name)); err != nil {
-		return breakdown.As(err, breakdown.Lost, "drop", name)
+		return failure.As(err, failure.Lost, "drop", name)
 	}
 	return nil
 }
@@ -115,7 +115,7 @@
 func (d *realDisk) List() ([]string, error) {
 	ents, err := os.ReadDir(d.dir)
 	if err != nil {
-		return nil, breakdown.As(err, breakdown.Lost, "list", d.dir)
+		return nil, failure.As(err, failure.Lost, "list", d.dir)
 	}
 	var out []string
 	for _, e := range ents {
@@ -138,24 +138,24 @@
 	}
 	log, err := wal.Open(dir, &wal.Options{SegmentSize: 4 << 20, SegmentCacheSize: 2})
 	if err != nil {
-		return nil, nil, breakdown.As(err, breakdown.Lost, "open log", name)
+		return nil, nil, failure.As(err, failure.Lost, "open log", name)
 	}
 	if err := syncDir(d.dir); err != nil {
-		return nil, nil, breakdown.As(err, breakdown.Lost, "open log", name)
+		return nil, nil, failure.As(err, failure.Lost, "open log", name)
 	}
 	last, err := log.LastIndex()
 	if err != nil {
-		return nil, nil, breakdown.As(err, breakdown.Lost, "open log", name)
+		return nil, nil, failure.As(err, failure.Lost, "open log", name)
 	}
 	var rows [][]byte
 	for i := uint64(1); i <= last; i++ {
 		row, err := log.Read(i)
 		if err != nil {
-			return nil, nil, breakdown.As(err, breakdown.Lost, "read log", name)
+			return nil, nil, failure.As(err, failure.Lost, "read log", name)
 		}
 		body, ok := Unseal(row)
 		if !ok {
-			return nil, nil, breakdown.New(breakdown.Bad, "read log", name, "row %d of %d is damaged: the disk counts as lost", i, last)
+			return nil, nil, failure.New(failure.Bad, "read log", name, "row %d of %d is damaged: the disk counts as lost", i, last)
 		}
 		rows = append(rows, body)
 	}
@@ -168,7 +168,7 @@
 		batch.Write(l.next+uint64(i), Seal(row))
 	}
 	if err := l.log.WriteBatch(&batch); err != nil {
-		return breakdown.As(err, breakdown.Lost, "append log", "disk")
+		return failure.As(err, failure.Lost, "append log", "disk")
 	}
 	l.next += uint64(len(rows))
 	return nil
@@ -185,7 +185,7 @@
 		return nil
 	}
 	if err != nil {
-		return breakdown.As(err, breakdown.Lost, "read log folder", dir)
+		return failure.As(err, failure.Lost, "read log folder", dir)
 	}
 	var segs []string
 	for _, e := range ents {
@@ -200,7 +200,7 @@
 	path := filepath.Join(dir, segs[len(segs)-1])
 	body, err := os.ReadFile(path)
 	if err != nil {
-		return breakdown.As(err, breakdown.Lost, "read log segment", path)
+		return failure.As(err, failure.Lost, "read log segment", path)
 	}
 	good, bad := 0, false
 	for at := 0; at < len(body); {
@@ -215,7 +215,7 @@
 			continue
 		}
 		if bad {
-			return breakdown.New(breakdown.Bad, "check log", path, "a damaged row stands before good ones: the disk counts as lost")
+			return failure.New(failure.Bad, "check log", path, "a damaged row stands before good ones: the disk counts as lost")
 		}
 		good = at
 	}
@@ -224,11 +224,11 @@
 	}
 	f, err := os.OpenFile(path, os.O_RDWR, 0o644)
 	if err != nil {
-		return breakdown.As(err, breakdown.Lost, "cut log tail", path)
+		return failure.As(err, failure.Lost, "cut log tail", path)
 	}
 	defer f.Close()
 	if err := f.Truncate(int64(good)); err != nil {
-		return breakdown.As(err, breakdown.Lost, "cut log tail", path)
+		return failure.As(err, failure.Lost, "cut log tail", path)
 	}
-	return breakdown.As(f.Sync(), breakdown.Lost, "cut log tail", path)
+	return failure.As(f.Sync(), failure.Lost, "cut log tail", path)
 }
--- a/seam/disk_test.go
+++ b/seam/disk_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
 )
 
 // The newest segment of a log on the real disk.
@@ -96,7 +96,7 @@
 	require.NoError(t, os.WriteFile(path, body, 0o644))
 	_, err = open(t, dir)
 	require.Error(t, err)
-	require.True(t, breakdown.Is(err, breakdown.Bad), "%v", err)
+	require.True(t, failure.Is(err, failure.Bad), "%v", err)
 	require.Contains(t, err.Error(), "counts as lost")
 }
 
@@ -116,5 +116,5 @@
 	require.Equal(t, "two", string(got))
 	require.NoError(t, os.WriteFile(filepath.Join(dir, "register"), []byte("xxxxtwo"), 0o644))
 	_, err = d.Load("register")
-	require.True(t, breakdown.Is(err, breakdown.Bad), "%v", err)
+	require.True(t, failure.Is(err, failure.Bad), "%v", err)
 }
--- a/seam/seam.go
+++ b/seam/seam.go
@@ -11,11 +11,11 @@
 
 	"golang.org/x/sys/unix"
 
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 type Clock interface {
-	Now() word.Tick
+	Now() ids.Tick
 	Wall() time.Time
 }
 
@@ -62,12 +62,12 @@
 type realClock struct{}
 
 // Now counts suspension, so that a machine which slept knows it slept.
-func (realClock) Now() word.Tick {
+func (realClock) Now() ids.Tick {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		panic(err)
 	}
-	return word.Tick(ts.Nano())
+	return ids.Tick(ts.Nano())
 }
 
 func (realClock) Wall() time.Time { return time.Now() }
--- a/seam/sham/disk.go
+++ b/seam/sham/disk.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
 	"keelstair.example/seam"
 )
 
@@ -66,7 +66,7 @@
 func (h *handle) step(name string, write bool, f, torn func(d *disk)) error {
 	w := h.p.at.world
 	if !h.p.gate() {
-		return breakdown.As(errDead, breakdown.Lost, name, "disk")
+		return failure.As(errDead, failure.Lost, name, "disk")
 	}
 	w.mu.Lock()
 	d := h.p.at.disk
@@ -92,7 +92,7 @@
 		if torn != nil && w.rng.IntN(2) == 0 {
 			torn(d)
 		}
-		return breakdown.As(errDead, breakdown.Lost, name, "disk")
+		return failure.As(errDead, failure.Lost, name, "disk")
 	}
 	if write {
 		d.count++
@@ -111,7 +111,7 @@
 	ok := false
 	err := h.step("load "+name, false, func(d *disk) { out, ok = d.files[name] }, nil)
 	if err == nil && !ok {
-		err = breakdown.As(seam.ErrGone, breakdown.Lost, "load "+name, "disk")
+		err = failure.As(seam.ErrGone, failure.Lost, "load "+name, "disk")
 	}
 	return slices.Clone(out), err
 }
--- a/seam/sham/world.go
+++ b/seam/sham/world.go
@@ -12,8 +12,8 @@
 	"sync"
 	"time"
 
+	"keelstair.example/ids"
 	"keelstair.example/seam"
-	"keelstair.example/word"
 )
 
 // Link is how one machine reaches another.
@@ -237,10 +237,10 @@
 // Now does not wait for a frozen machine to wake: it is asked under locks. A
 // frozen process is held at its next step on the network or the disk instead,
 // which is the harsher case: what it had checked before is old by then.
-func (c clock) Now() word.Tick {
+func (c clock) Now() ids.Tick {
 	c.p.at.world.mu.Lock()
 	defer c.p.at.world.mu.Unlock()
-	return word.Tick(time.Since(c.p.at.world.start) + c.p.at.ahead + time.Hour)
+	return ids.Tick(time.Since(c.p.at.world.start) + c.p.at.ahead + time.Hour)
 }
 
 func (c clock) Wall() time.Time { return time.Now() }
--- a/verge/audit.go
+++ b/verge/audit.go
@@ -10,21 +10,21 @@
 	"strings"
 	"time"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
 	"keelstair.example/door"
-	"keelstair.example/lore"
+	"keelstair.example/failure"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/rein"
-	"keelstair.example/word"
 	"keelstair.example/writ"
 )
 
 // saw notes a step that was cleared.
-func (h *hands) saw(verb string, w word.WorkerId, id rein.Id, serial string) {
+func (h *hands) saw(verb string, w ids.WorkerId, id rein.Id, serial string) {
 	if serial == "" || verb == verbReserve {
 		return
 	}
-	h.steps = append(h.steps, lore.AuditStep{Attempt: id.Attempt, What: verb, Worker: string(w), Serial: serial, At: h.n.clock().High})
+	h.steps = append(h.steps, fleetstate.AuditStep{Attempt: id.Attempt, What: verb, Worker: string(w), Serial: serial, At: h.n.clock().High})
 }
 
 // record writes the row's text; nothing for work that is not governed.
@@ -33,18 +33,18 @@
 		return nil
 	}
 	serial, _ := h.n.clears(h.regime, writ.Subject{Node: h.n.opt.Name}, "")
-	b, _ := json.Marshal(&lore.AuditRecord{Request: request, Key: key, Kind: h.kind, Regime: h.regime,
+	b, _ := json.Marshal(&fleetstate.AuditRecord{Request: request, Key: key, Kind: h.kind, Regime: h.regime,
 		Node: string(h.n.me.Node), Serial: serial, Steps: h.steps, Outcome: outcome})
 	return b
 }
 
 // audit adds a row to the core's chain. The operation's id has it stand there once.
-func (n *Node) audit(ctx context.Context, op word.OpId, record []byte) error {
-	_, err := n.agent.Submit(ctx, op, lore.AuditKind, crux.Pack(&lore.Audit{Record: record}))
+func (n *Node) audit(ctx context.Context, op ids.OpId, record []byte) error {
+	_, err := n.agent.Submit(ctx, op, fleetstate.AuditKind, coordination.Pack(&fleetstate.Audit{Record: record}))
 	return err
 }
 
-func auditOp(request, what string) word.OpId { return word.OpId("audit/" + request + "/" + what) }
+func auditOp(request, what string) ids.OpId { return ids.OpId("audit/" + request + "/" + what) }
 
 // begin records governed work that claims no key, before anything is sent to a worker.
 func (h *hands) begin(ctx context.Context, request string) error {
@@ -53,7 +53,7 @@
 	}
 	cx, stop := context.WithTimeout(ctx, 1500*time.Millisecond)
 	defer stop()
-	if err := h.n.audit(cx, auditOp(request, lore.Begun), h.record(request, "", lore.Begun)); err != nil {
+	if err := h.n.audit(cx, auditOp(request, fleetstate.Begun), h.record(request, "", fleetstate.Begun)); err != nil {
 		return h.n.later(http.StatusServiceUnavailable, "core-away", "the request cannot be recorded: %v", err)
 	}
 	h.begun = true
@@ -70,7 +70,7 @@
 	case err != nil && count > 0:
 		outcome = door.Broken
 	case err != nil:
-		outcome = lore.NotRun
+		outcome = fleetstate.NotRun
 	}
 	d := debt{op: auditOp(request, "end"), audit: h.record(request, "", outcome)}
 	if !h.n.pay(context.Background(), d) {
@@ -79,14 +79,14 @@
 }
 
 // seized is the record of a deed that is settled for a node that died.
-func (n *Node) seized(d *lore.Deed, fate string) []byte {
+func (n *Node) seized(d *fleetstate.Deed, fate string) []byte {
 	kind, _, _ := strings.Cut(d.Key, "/")
 	h := &hands{n: n, kind: kind, regime: n.view.Sight().Register.Governs(kind)}
 	if h.regime == "" {
 		return nil
 	}
-	serial, _ := n.clears(h.regime, writ.Subject{Worker: d.Worker}, word.Decode)
-	h.steps = []lore.AuditStep{{What: "settled", Worker: string(d.Worker), Serial: serial, At: n.clock().High}}
+	serial, _ := n.clears(h.regime, writ.Subject{Worker: d.Worker}, ids.Decode)
+	h.steps = []fleetstate.AuditStep{{What: "settled", Worker: string(d.Worker), Serial: serial, At: n.clock().High}}
 	return h.record(Request(d.Key), d.Key, fate)
 }
 
@@ -94,13 +94,13 @@
 func (n *Node) Audits(ctx context.Context, from, most int) (*door.Audits, error) {
 	cx, stop := context.WithTimeout(ctx, 5*time.Second)
 	defer stop()
-	r, err := n.agent.Submit(cx, "", lore.AuditsKind, crux.Pack(&lore.Audits{From: from, Most: most}))
+	r, err := n.agent.Submit(cx, "", fleetstate.AuditsKind, coordination.Pack(&fleetstate.Audits{From: from, Most: most}))
 	if err != nil {
 		return nil, n.fate(err)
 	}
-	var got lore.AuditsReply
+	var got fleetstate.AuditsReply
 	if _, err := got.UnmarshalMsg(r.Body); err != nil {
-		return nil, breakdown.As(err, breakdown.Unknown, "read audit", "core")
+		return nil, failure.As(err, failure.Unknown, "read audit", "core")
 	}
 	out := &door.Audits{First: got.First, Count: got.Count, Head: got.Head, Rows: []json.RawMessage{}}
 	for _, l := range got.Lines {
--- a/verge/augur/augur.go
+++ b/verge/augur/augur.go
@@ -7,44 +7,44 @@
 	"fmt"
 	"sort"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
-	"keelstair.example/lore"
+	"keelstair.example/coordination"
+	"keelstair.example/failure"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/verge"
-	"keelstair.example/word"
 )
 
 // Change is what may be done; one of its fields is set.
 type Change struct {
-	Policy   *lore.Policy // a whole new configuration
-	Evacuate word.Zone
-	LoseZone word.Zone
+	Policy   *fleetstate.Policy // a whole new configuration
+	Evacuate ids.Zone
+	LoseZone ids.Zone
 	LoseAddr string // a machine, by any of its addresses
-	Drain    word.WorkerId
+	Drain    ids.WorkerId
 	Revoke   string // a certificate's serial
 	At       int64  // the fleet's time moves on to this, in nanoseconds since 1970
 }
 
 // Move is a key that would change hands.
 type Move struct {
-	Key  word.Key    `json:"key"`
-	From word.NodeId `json:"from"`
-	To   word.NodeId `json:"to"`
+	Key  ids.Key    `json:"key"`
+	From ids.NodeId `json:"from"`
+	To   ids.NodeId `json:"to"`
 }
 
 // Room is what one part of a model can hold, in blocks.
 type Room struct {
-	Model   string    `json:"model"`
-	Part    word.Part `json:"part"`
-	Workers [2]int    `json:"workers"`
-	Blocks  [2]int    `json:"blocks"`
-	Used    int       `json:"used"`
-	Zones   [2]int    `json:"zones"`
+	Model   string   `json:"model"`
+	Part    ids.Part `json:"part"`
+	Workers [2]int   `json:"workers"`
+	Blocks  [2]int   `json:"blocks"`
+	Used    int      `json:"used"`
+	Zones   [2]int   `json:"zones"`
 }
 
 // Forecast is what would come of it; pairs are before and after.
 type Forecast struct {
-	Version  word.Version      `json:"version"`
+	Version  ids.Version       `json:"version"`
 	Workers  []string          `json:"workers"`
 	Keys     []Move            `json:"keys"`
 	Rooms    []Room            `json:"rooms"`
@@ -59,7 +59,7 @@
 }
 
 // Foresee holds a change against the live state.
-func Foresee(st *verge.Standing, now *lore.Policy, c Change) (*Forecast, error) {
+func Foresee(st *verge.Standing, now *fleetstate.Policy, c Change) (*Forecast, error) {
 	if err := known(st, now, c); err != nil {
 		return nil, err
 	}
@@ -80,18 +80,18 @@
 	return f, nil
 }
 
-func known(st *verge.Standing, p *lore.Policy, c Change) error {
-	for _, z := range []word.Zone{c.Evacuate, c.LoseZone} {
+func known(st *verge.Standing, p *fleetstate.Policy, c Change) error {
+	for _, z := range []ids.Zone{c.Evacuate, c.LoseZone} {
 		ok := z == ""
 		for _, have := range p.Zones {
 			ok = ok || have == z
 		}
 		if !ok {
-			return breakdown.New(breakdown.Bad, "plan", string(z), "there is no such zone")
+			return failure.New(failure.Bad, "plan", string(z), "there is no such zone")
 		}
 	}
 	if _, ok := p.Workers[c.Drain]; !ok && c.Drain != "" {
-		return breakdown.New(breakdown.Bad, "plan", string(c.Drain), "there is no such worker")
+		return failure.New(failure.Bad, "plan", string(c.Drain), "there is no such worker")
 	}
 	if c.LoseAddr != "" {
 		for _, m := range st.Members {
@@ -104,20 +104,20 @@
 				return nil
 			}
 		}
-		return breakdown.New(breakdown.Bad, "plan", c.LoseAddr, "no node and no disk machine has this address")
+		return failure.New(failure.Bad, "plan", c.LoseAddr, "no node and no disk machine has this address")
 	}
 	return nil
 }
 
-func ids(a, b *lore.Policy) []word.WorkerId {
-	set := map[word.WorkerId]bool{}
+func workerIds(a, b *fleetstate.Policy) []ids.WorkerId {
+	set := map[ids.WorkerId]bool{}
 	for id := range a.Workers {
 		set[id] = true
 	}
 	for id := range b.Workers {
 		set[id] = true
 	}
-	out := make([]word.WorkerId, 0, len(set))
+	out := make([]ids.WorkerId, 0, len(set))
 	for id := range set {
 		out = append(out, id)
 	}
@@ -125,8 +125,8 @@
 	return out
 }
 
-func (f *Forecast) workers(a, b *lore.Policy) {
-	for _, id := range ids(a, b) {
+func (f *Forecast) workers(a, b *fleetstate.Policy) {
+	for _, id := range workerIds(a, b) {
 		x, was := a.Workers[id]
 		y, is := b.Workers[id]
 		switch {
@@ -140,8 +140,8 @@
 	}
 }
 
-func (f *Forecast) shares(a, b *lore.Policy) {
-	for i, p := range []*lore.Policy{a, b} {
+func (f *Forecast) shares(a, b *fleetstate.Policy) {
+	for i, p := range []*fleetstate.Policy{a, b} {
 		plain := 100
 		put := func(name string, n int) {
 			pair := f.Shares[name]
@@ -159,12 +159,12 @@
 }
 
 // lost tells whether a change takes away what stands at an address in a zone.
-func (c Change) lost(zone word.Zone, addr string) bool {
+func (c Change) lost(zone ids.Zone, addr string) bool {
 	return c.LoseZone != "" && c.LoseZone == zone || c.LoseAddr != "" && c.LoseAddr == addr
 }
 
-func (f *Forecast) keys(st *verge.Standing, next *lore.Policy, c Change) {
-	var was, is []word.NodeId
+func (f *Forecast) keys(st *verge.Standing, next *fleetstate.Policy, c Change) {
+	var was, is []ids.NodeId
 	for _, m := range st.Members {
 		was = append(was, m.Node)
 		if !c.lost(m.Zone, m.Addr) {
@@ -175,31 +175,31 @@
 	if len(is) == 0 {
 		f.warn("no node would be left")
 	}
-	keys := []word.Key{lore.BudgetKey, lore.SettleKey}
+	keys := []ids.Key{fleetstate.BudgetKey, fleetstate.SettleKey}
 	pools := map[string]bool{}
 	for id, w := range next.Workers {
-		keys = append(keys, lore.WorkerKey(id))
+		keys = append(keys, fleetstate.WorkerKey(id))
 		pools[w.Model] = true
 	}
 	for m := range pools {
-		keys = append(keys, lore.PoolKey(m))
+		keys = append(keys, fleetstate.PoolKey(m))
 	}
 	sort.Slice(keys, func(i, j int) bool { return keys[i] < keys[j] })
 	for _, k := range keys {
-		if from, to := crux.Owner(k, was), crux.Owner(k, is); from != to {
+		if from, to := coordination.Owner(k, was), coordination.Owner(k, is); from != to {
 			f.Keys = append(f.Keys, Move{k, from, to})
 		}
 	}
 }
 
-func (f *Forecast) rooms(st *verge.Standing, now, next *lore.Policy, c Change) {
+func (f *Forecast) rooms(st *verge.Standing, now, next *fleetstate.Policy, c Change) {
 	type group struct {
 		model string
-		part  word.Part
+		part  ids.Part
 	}
 	rooms := map[group]*Room{}
-	zones := map[group][2]map[word.Zone]bool{}
-	stands := map[word.WorkerId]verge.Stand{}
+	zones := map[group][2]map[ids.Zone]bool{}
+	stands := map[ids.WorkerId]verge.Stand{}
 	for _, s := range st.Workers {
 		stands[s.Id] = s
 	}
@@ -210,7 +210,7 @@
 	for _, w := range st.Drained {
 		out[w] = true
 	}
-	for i, p := range []*lore.Policy{now, next} {
+	for i, p := range []*fleetstate.Policy{now, next} {
 		for id, w := range p.Workers {
 			part := w.Part
 			s, live := stands[id]
@@ -220,7 +220,7 @@
 			g := group{w.Model, part}
 			if rooms[g] == nil {
 				rooms[g] = &Room{Model: w.Model, Part: part}
-				zones[g] = [2]map[word.Zone]bool{{}, {}}
+				zones[g] = [2]map[ids.Zone]bool{{}, {}}
 			}
 			if out[string(w.Zone)] || out[string(id)] {
 				continue
@@ -259,7 +259,7 @@
 }
 
 // deeds warns early of a store that fills up.
-func (f *Forecast) deeds(st *verge.Standing, next *lore.Policy) {
+func (f *Forecast) deeds(st *verge.Standing, next *fleetstate.Policy) {
 	if n, most := st.Deeds[0], next.Limits.Deeds; most > 0 && n*10 >= most*8 {
 		f.warn("%d of %d deeds are taken; at the last one new keys are bounced: raise limits.deeds", n, most)
 	}
--- a/verge/augur/augur_test.go
+++ b/verge/augur/augur_test.go
@@ -7,22 +7,22 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/crux"
-	"keelstair.example/lore"
+	"keelstair.example/coordination"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/verge"
-	"keelstair.example/word"
 )
 
-func fixture() (*verge.Standing, *lore.Policy) {
+func fixture() (*verge.Standing, *fleetstate.Policy) {
 	st := &verge.Standing{Version: 4}
-	p := &lore.Policy{Zones: []word.Zone{"a", "b"}, Workers: map[word.WorkerId]lore.Worker{}}
-	for i, z := range []word.Zone{"a", "b", "b"} {
+	p := &fleetstate.Policy{Zones: []ids.Zone{"a", "b"}, Workers: map[ids.WorkerId]fleetstate.Worker{}}
+	for i, z := range []ids.Zone{"a", "b", "b"} {
 		n := string(rune('1' + i))
-		st.Members = append(st.Members, crux.Member{Node: word.NodeId("n" + n), Addr: "10.0.0." + n + ":1", Zone: z})
-		st.Core.Holders = append(st.Core.Holders, crux.Seat{Disk: word.DiskId(n), Addr: "10.0.1." + n + ":1", Zone: z})
-		for _, part := range []word.Part{word.Prefill, word.Decode} {
-			id := word.WorkerId(string(part[0]) + n)
-			p.Workers[id] = lore.Worker{Part: part, Model: "m", Weights: "w", Room: 100, Block: 16, Zone: z}
+		st.Members = append(st.Members, coordination.Member{Node: ids.NodeId("n" + n), Addr: "10.0.0." + n + ":1", Zone: z})
+		st.Core.Holders = append(st.Core.Holders, coordination.Seat{Disk: ids.DiskId(n), Addr: "10.0.1." + n + ":1", Zone: z})
+		for _, part := range []ids.Part{ids.Prefill, ids.Decode} {
+			id := ids.WorkerId(string(part[0]) + n)
+			p.Workers[id] = fleetstate.Worker{Part: part, Model: "m", Weights: "w", Room: 100, Block: 16, Zone: z}
 			st.Workers = append(st.Workers, verge.Stand{Id: id, Part: part, Ready: true, Free: 40, Room: 100})
 		}
 	}
@@ -38,8 +38,8 @@
 	require.Equal(t, [2]int{3, 1}, f.Nodes)
 	require.Equal(t, [2]int{3, 1}, f.Disks)
 	for _, m := range f.Keys {
-		require.Equal(t, word.NodeId("n1"), m.To)
-		require.Equal(t, crux.Owner(m.Key, []word.NodeId{"n1", "n2", "n3"}), m.From)
+		require.Equal(t, ids.NodeId("n1"), m.To)
+		require.Equal(t, coordination.Owner(m.Key, []ids.NodeId{"n1", "n2", "n3"}), m.From)
 	}
 	require.Len(t, f.Rooms, 2)
 	require.Equal(t, [2]int{300, 100}, f.Rooms[0].Blocks)
@@ -54,7 +54,7 @@
 	require.Equal(t, [2]int{3, 2}, f.Disks)
 	require.Len(t, f.Warnings, 1)
 	next := *p
-	next.Workers = map[word.WorkerId]lore.Worker{"p1": p.Workers["p1"]}
+	next.Workers = map[ids.WorkerId]fleetstate.Worker{"p1": p.Workers["p1"]}
 	f, err = Foresee(st, p, Change{Policy: &next})
 	require.NoError(t, err)
 	require.Len(t, f.Workers, 5)
--- a/verge/augur/regimes.go
+++ b/verge/augur/regimes.go
@@ -7,10 +7,10 @@
 	"slices"
 	"time"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/lore"
+	"keelstair.example/failure"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/verge"
-	"keelstair.example/word"
 	"keelstair.example/writ"
 )
 
@@ -18,15 +18,15 @@
 const soon = 7 * 24 * time.Hour
 
 // gone tells which subjects a change, or what stands already, takes away.
-func gone(st *verge.Standing, p *lore.Policy, c Change) func(writ.Subject) bool {
-	zones, nodes := map[word.Zone]bool{}, map[string]bool{}
+func gone(st *verge.Standing, p *fleetstate.Policy, c Change) func(writ.Subject) bool {
+	zones, nodes := map[ids.Zone]bool{}, map[string]bool{}
 	for _, z := range st.Evacuated {
-		zones[word.Zone(z)] = true
+		zones[ids.Zone(z)] = true
 	}
 	zones[c.Evacuate], zones[c.LoseZone] = true, true
 	for _, m := range st.Members {
 		if !zones[m.Zone] && (c.LoseAddr == "" || m.Addr != c.LoseAddr) {
-			nodes[lore.NodeName(m.Node)] = true
+			nodes[fleetstate.NodeName(m.Node)] = true
 		}
 	}
 	return func(s writ.Subject) bool {
@@ -38,12 +38,12 @@
 	}
 }
 
-func (f *Forecast) regimes(st *verge.Standing, now, next *lore.Policy, c Change) error {
+func (f *Forecast) regimes(st *verge.Standing, now, next *fleetstate.Policy, c Change) error {
 	before, _ := now.Register()
 	after, _ := next.Register()
 	if c.Revoke != "" {
 		if _, ok := before.Find(c.Revoke); !ok {
-			return breakdown.New(breakdown.Bad, "plan", c.Revoke, "there is no such certificate")
+			return failure.New(failure.Bad, "plan", c.Revoke, "there is no such certificate")
 		}
 	}
 	revoked := map[string]bool{}
--- a/verge/augur/regimes_test.go
+++ b/verge/augur/regimes_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/crux"
-	"keelstair.example/word"
+	"keelstair.example/coordination"
+	"keelstair.example/ids"
 	"keelstair.example/writ"
 )
 
@@ -19,7 +19,7 @@
 func TestShort(t *testing.T) {
 	st, p := fixture()
 	for i := range st.Members {
-		st.Members[i] = crux.Member{Node: st.Members[i].Node + "-0123", Addr: st.Members[i].Addr, Zone: st.Members[i].Zone}
+		st.Members[i] = coordination.Member{Node: st.Members[i].Node + "-0123", Addr: st.Members[i].Addr, Zone: st.Members[i].Zone}
 	}
 	key, _, err := writ.NewKey()
 	require.NoError(t, err)
@@ -33,10 +33,10 @@
 		c.Sign(key)
 		p.Certificates[serial] = c
 	}
-	put("p1", writ.Certificate{Worker: "p1", Parts: []word.Part{word.Prefill}}, 50)
-	put("p2", writ.Certificate{Worker: "p2", Parts: []word.Part{word.Prefill}}, 50)
-	put("d2", writ.Certificate{Worker: "d2", Parts: []word.Part{word.Decode}}, 50)
-	put("d3", writ.Certificate{Worker: "d3", Parts: []word.Part{word.Decode}}, 30)
+	put("p1", writ.Certificate{Worker: "p1", Parts: []ids.Part{ids.Prefill}}, 50)
+	put("p2", writ.Certificate{Worker: "p2", Parts: []ids.Part{ids.Prefill}}, 50)
+	put("d2", writ.Certificate{Worker: "d2", Parts: []ids.Part{ids.Decode}}, 50)
+	put("d3", writ.Certificate{Worker: "d3", Parts: []ids.Part{ids.Decode}}, 30)
 	put("n1", writ.Certificate{Node: "n1"}, 50)
 	put("n2", writ.Certificate{Node: "n2"}, 50)
 	st.Time = writ.At(now)
--- a/verge/beat_note.go
+++ b/verge/beat_note.go
@@ -2,32 +2,32 @@
 
 package verge
 
-import "keelstair.example/word"
+import "keelstair.example/ids"
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file beat_note.go
-//msgp:shim word.Version as:uint64 using:uint64/word.Version
-//msgp:shim word.WorkerId as:string using:string/word.WorkerId
-//msgp:shim word.NodeId as:string using:string/word.NodeId
-//msgp:shim word.Fence as:uint64 using:uint64/word.Fence
-//msgp:shim word.Life as:string using:string/word.Life
-//msgp:shim word.Part as:string using:string/word.Part
+//msgp:shim ids.Version as:uint64 using:uint64/ids.Version
+//msgp:shim ids.WorkerId as:string using:string/ids.WorkerId
+//msgp:shim ids.NodeId as:string using:string/ids.NodeId
+//msgp:shim ids.Fence as:uint64 using:uint64/ids.Fence
+//msgp:shim ids.Life as:string using:string/ids.Life
+//msgp:shim ids.Part as:string using:string/ids.Part
 
 // Beat says which version a node has heard of, how long ago the core confirmed
 // it, how the workers stand whose ledgers it keeps, and which workers leave by the
 // platform's list, if that was had lately.
 type Beat struct {
-	Node    word.NodeId
-	Version word.Version
+	Node    ids.NodeId
+	Version ids.Version
 	Fresh   int64
 	Workers []Stand
-	Leaving []word.WorkerId
+	Leaving []ids.WorkerId
 }
 
 // Stand is one ledger's state.
 type Stand struct {
-	Id    word.WorkerId
-	Fence word.Fence
-	Part  word.Part
+	Id    ids.WorkerId
+	Fence ids.Fence
+	Part  ids.Part
 	Ready bool
 	Free  int
 	Room  int
@@ -36,5 +36,5 @@
 	Used  int
 	Cap   int
 	Block int
-	Life  word.Life
+	Life  ids.Life
 }
--- a/verge/beat_note_gen.go
+++ b/verge/beat_note_gen.go
@@ -4,7 +4,7 @@
 
 import (
 	"github.com/tinylib/msgp/msgp"
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 // MarshalMsg implements msgp.Marshaler
@@ -65,7 +65,7 @@
 					err = msgp.WrapError(err, "Node")
 					return
 				}
-				z.Node = word.NodeId(zb0002)
+				z.Node = ids.NodeId(zb0002)
 			}
 		case "Version":
 			{
@@ -75,7 +75,7 @@
 					err = msgp.WrapError(err, "Version")
 					return
 				}
-				z.Version = word.Version(zb0003)
+				z.Version = ids.Version(zb0003)
 			}
 		case "Fresh":
 			z.Fresh, bts, err = msgp.ReadInt64Bytes(bts)
@@ -112,7 +112,7 @@
 			if cap(z.Leaving) >= int(zb0005) {
 				z.Leaving = (z.Leaving)[:zb0005]
 			} else {
-				z.Leaving = make([]word.WorkerId, zb0005)
+				z.Leaving = make([]ids.WorkerId, zb0005)
 			}
 			for za0002 := range z.Leaving {
 				{
@@ -122,7 +122,7 @@
 						err = msgp.WrapError(err, "Leaving", za0002)
 						return
 					}
-					z.Leaving[za0002] = word.WorkerId(zb0006)
+					z.Leaving[za0002] = ids.WorkerId(zb0006)
 				}
 			}
 		default:
@@ -219,7 +219,7 @@
 					err = msgp.WrapError(err, "Id")
 					return
 				}
-				z.Id = word.WorkerId(zb0002)
+				z.Id = ids.WorkerId(zb0002)
 			}
 		case "Fence":
 			{
@@ -229,7 +229,7 @@
 					err = msgp.WrapError(err, "Fence")
 					return
 				}
-				z.Fence = word.Fence(zb0003)
+				z.Fence = ids.Fence(zb0003)
 			}
 		case "Part":
 			{
@@ -239,7 +239,7 @@
 					err = msgp.WrapError(err, "Part")
 					return
 				}
-				z.Part = word.Part(zb0004)
+				z.Part = ids.Part(zb0004)
 			}
 		case "Ready":
 			z.Ready, bts, err = msgp.ReadBoolBytes(bts)
@@ -297,7 +297,7 @@
 					err = msgp.WrapError(err, "Life")
 					return
 				}
-				z.Life = word.Life(zb0005)
+				z.Life = ids.Life(zb0005)
 			}
 		default:
 			bts, err = msgp.Skip(bts)
--- a/verge/beats.go
+++ b/verge/beats.go
@@ -10,12 +10,12 @@
 	"sync"
 	"time"
 
-	"keelstair.example/crux"
-	"keelstair.example/lore"
+	"keelstair.example/coordination"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/rein"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 // currentSpan is no more than the wait for silent nodes and the quarter second in
@@ -23,17 +23,17 @@
 const currentSpan = 500 * time.Millisecond
 
 type mate struct {
-	at     word.Tick
-	told   word.Tick // when it was asked what it then answered
+	at     ids.Tick
+	told   ids.Tick // when it was asked what it then answered
 	fresh  time.Duration
 	stands []Stand
-	leave  []word.WorkerId
+	leave  []ids.WorkerId
 }
 
 func (n *Node) beat() *Beat {
 	b := &Beat{Node: n.me.Node, Version: n.view.Known(), Fresh: int64(n.agent.Fresh())}
 	now := n.now()
-	if !now.Past(word.Tick(n.listed.Load()), time.Second) {
+	if !now.Past(ids.Tick(n.listed.Load()), time.Second) {
 		for id, l := range *n.roster.Load() {
 			if l.Leaving {
 				b.Leaving = append(b.Leaving, id)
@@ -42,7 +42,7 @@
 	}
 	n.ledgers.Range(func(k, v any) bool {
 		d := v.(*desk)
-		if f, ok := n.agent.Held(lore.WorkerKey(d.id)); ok && f == d.fence {
+		if f, ok := n.agent.Held(fleetstate.WorkerKey(d.id)); ok && f == d.fence {
 			st := d.ledger.State(now)
 			b.Workers = append(b.Workers, Stand{Id: d.id, Fence: f, Part: st.Part, Ready: st.Ready, Free: st.Free,
 				Room: st.Room, Busy: st.Busy, Work: st.Work, Used: st.Used, Cap: st.Cap, Block: st.Block, Life: st.Life})
@@ -68,7 +68,7 @@
 			wg.Go(func() {
 				cx, stop := context.WithTimeout(ctx, 2*n.opt.Beat)
 				defer stop()
-				if r, err := wire.Call[Beat, Beat](cx, n.call, m.Addr, "verge/beat", b); err == nil {
+				if r, err := rpc.Call[Beat, Beat](cx, n.call, m.Addr, "verge/beat", b); err == nil {
 					n.learn(ctx, m, r, asked)
 				}
 			})
@@ -90,7 +90,7 @@
 	return n.beat(), nil
 }
 
-func (n *Node) note(b *Beat, told word.Tick) {
+func (n *Node) note(b *Beat, told ids.Tick) {
 	if v, ok := n.mates.Load(b.Node); ok {
 		told = max(told, v.(mate).told)
 	}
@@ -99,7 +99,7 @@
 
 // learn takes a neighbour's beat; it counts as heard once its version is noted. A newer version than is staged here is
 // fetched from that neighbour at once.
-func (n *Node) learn(ctx context.Context, m crux.Member, b *Beat, told word.Tick) {
+func (n *Node) learn(ctx context.Context, m coordination.Member, b *Beat, told ids.Tick) {
 	if !n.view.Heard(b.Version) {
 		go n.agent.Fetch(ctx, m.Addr)
 	}
@@ -110,14 +110,14 @@
 // worker, and who leaves, since a node may be cut from the platform.
 func (n *Node) sum() {
 	now := n.now()
-	live := map[word.NodeId]bool{}
+	live := map[ids.NodeId]bool{}
 	for _, m := range n.agent.Members() {
 		live[m.Node] = true
 	}
-	all, leave := map[word.WorkerId]Stand{}, map[word.WorkerId]bool{}
+	all, leave := map[ids.WorkerId]Stand{}, map[ids.WorkerId]bool{}
 	n.mates.Range(func(k, v any) bool {
 		m := v.(mate)
-		if now.Past(m.at, 5*time.Second) && !live[k.(word.NodeId)] {
+		if now.Past(m.at, 5*time.Second) && !live[k.(ids.NodeId)] {
 			n.mates.Delete(k)
 		}
 		if now.Past(m.at, time.Second) {
@@ -168,7 +168,7 @@
 func (n *Node) rosters(ctx context.Context) {
 	for {
 		if list, err := n.rein.Workers(ctx, n.opt.Platform); err == nil {
-			all := make(map[word.WorkerId]rein.Listed, len(list))
+			all := make(map[ids.WorkerId]rein.Listed, len(list))
 			for _, l := range list {
 				all[l.Id] = l
 			}
--- a/verge/beats_test.go
+++ b/verge/beats_test.go
@@ -11,11 +11,11 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/crux"
-	"keelstair.example/lore"
+	"keelstair.example/coordination"
+	"keelstair.example/fleetstate"
+	"keelstair.example/rpc"
 	"keelstair.example/seam/sham"
 	"keelstair.example/tale"
-	"keelstair.example/wire"
 )
 
 // TestCurrentByAnswers: with the core away, a neighbour that beats by itself may tell of a
@@ -27,20 +27,20 @@
 		w := sham.NewWorld(1)
 		near, at := w.Machine("10.0.0.1").Start(), w.Machine("10.0.0.2").Start()
 		defer func() { stop(); near.Kill(); at.Kill(); time.Sleep(10 * time.Second) }()
-		b := crux.Member{Node: "b", Addr: "10.0.0.1:1"}
+		b := coordination.Member{Node: "b", Addr: "10.0.0.1:1"}
 		n := New(Options{Name: "n", Addr: "10.0.0.2:1", Host: at.Host()})
-		img := &crux.Image{Seq: 1, Members: []crux.Member{n.me, b, {Node: "c"}}, App: lore.NewView(tale.Mute()).Picture()}
+		img := &coordination.Image{Seq: 1, Members: []coordination.Member{n.me, b, {Node: "c"}}, App: fleetstate.NewView(tale.Mute()).Picture()}
 		mux := http.NewServeMux()
-		wire.Handle(mux, "crux/news", func(context.Context, *crux.NewsAsk) (*crux.NewsReply, error) {
-			return &crux.NewsReply{Seq: 1, Picture: crux.Pack(img)}, nil
+		rpc.Handle(mux, "crux/news", func(context.Context, *coordination.NewsAsk) (*coordination.NewsReply, error) {
+			return &coordination.NewsReply{Seq: 1, Picture: coordination.Pack(img)}, nil
 		})
 		l, err := near.Host().Net.Listen(b.Addr)
 		require.NoError(t, err)
-		go wire.Serve(ctx, l, mux)
+		go rpc.Serve(ctx, l, mux)
 		require.NoError(t, n.agent.Fetch(ctx, b.Addr))
 		require.Len(t, n.agent.Members(), 3)
 		beat, slow := &Beat{Node: "b"}, 200*time.Millisecond
-		wire.Handle(mux, "verge/beat", func(context.Context, *Beat) (*Beat, error) { time.Sleep(slow); return beat, nil })
+		rpc.Handle(mux, "verge/beat", func(context.Context, *Beat) (*Beat, error) { time.Sleep(slow); return beat, nil })
 		hear := func() {
 			_, err := n.hearBeat(ctx, beat)
 			require.NoError(t, err)
@@ -77,17 +77,17 @@
 				w := sham.NewWorld(1)
 				near, at, away := w.Machine("10.0.0.1").Start(), w.Machine("10.0.0.2").Start(), w.Machine("10.0.0.3").Start()
 				defer func() { stop(); near.Kill(); at.Kill(); away.Kill(); time.Sleep(10 * time.Second) }()
-				b, c := crux.Member{Node: "b", Addr: "10.0.0.1:1"}, crux.Member{Node: "c", Addr: "10.0.0.3:1"}
+				b, c := coordination.Member{Node: "b", Addr: "10.0.0.1:1"}, coordination.Member{Node: "c", Addr: "10.0.0.3:1"}
 				n := New(Options{Name: "n", Addr: "10.0.0.2:1", Host: at.Host()})
-				img := &crux.Image{Seq: 1, Members: []crux.Member{n.me, b, c}, App: lore.NewView(tale.Mute()).Picture()}
+				img := &coordination.Image{Seq: 1, Members: []coordination.Member{n.me, b, c}, App: fleetstate.NewView(tale.Mute()).Picture()}
 				mux := http.NewServeMux()
-				wire.Handle(mux, "crux/news", func(context.Context, *crux.NewsAsk) (*crux.NewsReply, error) {
-					return &crux.NewsReply{Seq: 1, Picture: crux.Pack(img)}, nil
+				rpc.Handle(mux, "crux/news", func(context.Context, *coordination.NewsAsk) (*coordination.NewsReply, error) {
+					return &coordination.NewsReply{Seq: 1, Picture: coordination.Pack(img)}, nil
 				})
-				wire.Handle(mux, "verge/beat", func(context.Context, *Beat) (*Beat, error) { time.Sleep(slow); return &Beat{Node: "b"}, nil })
+				rpc.Handle(mux, "verge/beat", func(context.Context, *Beat) (*Beat, error) { time.Sleep(slow); return &Beat{Node: "b"}, nil })
 				l, err := near.Host().Net.Listen(b.Addr)
 				require.NoError(t, err)
-				go wire.Serve(ctx, l, mux)
+				go rpc.Serve(ctx, l, mux)
 				require.NoError(t, n.agent.Fetch(ctx, b.Addr))
 				w.Sever([]string{"10.0.0.2"}, []string{"10.0.0.3"}, true)
 				go n.beats(ctx)
--- a/verge/debt.go
+++ b/verge/debt.go
@@ -10,17 +10,17 @@
 	"sync"
 	"time"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
-	"keelstair.example/lore"
+	"keelstair.example/coordination"
+	"keelstair.example/failure"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/seam"
-	"keelstair.example/word"
 )
 
 type debt struct {
-	op     word.OpId
-	claim  *lore.Claim
-	settle *lore.Settle
+	op     ids.OpId
+	claim  *fleetstate.Claim
+	settle *fleetstate.Settle
 	audit  []byte
 }
 
@@ -59,22 +59,22 @@
 		cx, stop := context.WithTimeout(ctx, 1500*time.Millisecond)
 		defer stop()
 		err := n.audit(cx, d.op, d.audit)
-		return err == nil || breakdown.Is(err, breakdown.Bad)
+		return err == nil || failure.Is(err, failure.Bad)
 	}
 	if d.settle == nil {
 		cx, stop := context.WithTimeout(ctx, 1500*time.Millisecond)
 		defer stop()
-		r, err := n.agent.Submit(cx, d.op, lore.ClaimKind, crux.Pack(d.claim))
+		r, err := n.agent.Submit(cx, d.op, fleetstate.ClaimKind, coordination.Pack(d.claim))
 		if err != nil {
-			return breakdown.Is(err, breakdown.Stale) || breakdown.Is(err, breakdown.Bad)
+			return failure.Is(err, failure.Stale) || failure.Is(err, failure.Bad)
 		}
-		var got lore.ClaimReply
+		var got fleetstate.ClaimReply
 		if _, err := got.UnmarshalMsg(r.Body); err != nil || !got.Fresh {
 			return true
 		}
 		// It was claimed for nothing: nothing ran, and now nothing can.
-		d.settle = &lore.Settle{Key: d.claim.Key, Owner: n.me.Node, Fate: lore.NotRun}
+		d.settle = &fleetstate.Settle{Key: d.claim.Key, Owner: n.me.Node, Fate: fleetstate.NotRun}
 	}
 	err := n.settle(d.settle)
-	return err == nil || breakdown.Is(err, breakdown.Stale)
+	return err == nil || failure.Is(err, failure.Stale)
 }
--- a/verge/govern.go
+++ b/verge/govern.go
@@ -7,11 +7,11 @@
 	"context"
 	"time"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/lore"
+	"keelstair.example/failure"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/passage"
 	"keelstair.example/seam"
-	"keelstair.example/word"
 	"keelstair.example/writ"
 )
 
@@ -20,7 +20,7 @@
 
 // allows tells whether this node, and then a worker in a part, may handle a regime's
 // work now, and gives the worker's serial. What no regime governs (any more) is allowed.
-func (n *Node) allows(regime string, w word.WorkerId, part word.Part) (string, error) {
+func (n *Node) allows(regime string, w ids.WorkerId, part ids.Part) (string, error) {
 	if regime == "" || !n.view.Sight().Register.Has(regime) {
 		return "", nil
 	}
@@ -32,7 +32,7 @@
 
 // bound gives the regime of a request now: the newest one that governs its kind, else
 // the one that it began under.
-func (h *hands) bound(s *lore.Sight) string {
+func (h *hands) bound(s *fleetstate.Sight) string {
 	if g := s.Register.Governs(h.kind); g != "" {
 		h.regime = g
 	}
@@ -41,7 +41,7 @@
 
 // free tells whether a stand has room for so many blocks beside what its worker keeps
 // for governed work.
-func (n *Node) free(s *lore.Sight, st Stand, need int) bool {
+func (n *Node) free(s *fleetstate.Sight, st Stand, need int) bool {
 	if s.Register == nil {
 		return true
 	}
@@ -60,11 +60,11 @@
 	}
 	serial, err := n.allows(q.Regime, q.Worker, q.Part)
 	if err != nil {
-		return "", breakdown.Wrap(err, q.Verb, string(q.Worker))
+		return "", failure.Wrap(err, q.Verb, string(q.Worker))
 	}
 	if q.Verb == verbImport {
-		if _, err := n.allows(q.Regime, q.Source, word.Prefill); err != nil {
-			return "", breakdown.As(err, breakdown.Lost, q.Verb, string(q.Source))
+		if _, err := n.allows(q.Regime, q.Source, ids.Prefill); err != nil {
+			return "", failure.As(err, failure.Lost, q.Verb, string(q.Source))
 		}
 	}
 	return serial, nil
@@ -73,7 +73,7 @@
 // guard ends a step's context once the worker, or the one that memory comes from, is not
 // cleared any more. The function that it gives names the cause over an error that came of
 // it.
-func (h *hands) guard(ctx context.Context, w word.WorkerId, part word.Part, source word.WorkerId) (context.Context, func(error) error) {
+func (h *hands) guard(ctx context.Context, w ids.WorkerId, part ids.Part, source ids.WorkerId) (context.Context, func(error) error) {
 	if h.regime == "" {
 		return ctx, func(err error) error { return err }
 	}
@@ -82,7 +82,7 @@
 		for seam.Sleep(ctx, guardEvery) {
 			_, err := h.n.allows(h.regime, w, part)
 			if err == nil && source != "" {
-				_, err = h.n.allows(h.regime, source, word.Prefill)
+				_, err = h.n.allows(h.regime, source, ids.Prefill)
 			}
 			if err != nil {
 				stop(err)
@@ -93,15 +93,15 @@
 	return ctx, func(err error) error {
 		cause := context.Cause(ctx)
 		stop(nil)
-		if err != nil && cause != nil && breakdown.Step(cause) == "clear" {
-			return breakdown.As(cause, breakdown.Lost, "governed step", string(w))
+		if err != nil && cause != nil && failure.Step(cause) == "clear" {
+			return failure.As(cause, failure.Lost, "governed step", string(w))
 		}
 		return err
 	}
 }
 
 // Clears is the register's answer at this node now, for those who look on.
-func (n *Node) Clears(regime string, s writ.Subject, part word.Part) (string, error) {
+func (n *Node) Clears(regime string, s writ.Subject, part ids.Part) (string, error) {
 	return n.clears(regime, s, part)
 }
 
--- a/verge/hands.go
+++ b/verge/hands.go
@@ -7,34 +7,34 @@
 	"encoding/json"
 	"time"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
-	"keelstair.example/lore"
+	"keelstair.example/coordination"
+	"keelstair.example/failure"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/passage"
 	"keelstair.example/rein"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
 	"keelstair.example/whim"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 // hands act for one request under the sight it began with; whether a worker may
 // get new work is always asked of the newest.
 type hands struct {
 	n      *Node
-	sight  *lore.Sight
+	sight  *fleetstate.Sight
 	deck   *whim.Deck
 	prefix uint64
-	picked word.Version
+	picked ids.Version
 	kind   string
-	regime string        // that the request is bound to, if any
-	part   word.Part     // that was picked for last
-	source word.WorkerId // where the memory that moves lies staged
-	steps  []lore.AuditStep
+	regime string       // that the request is bound to, if any
+	part   ids.Part     // that was picked for last
+	source ids.WorkerId // where the memory that moves lies staged
+	steps  []fleetstate.AuditStep
 	begun  bool // its first row stands
 }
 
-func (h *hands) Pick(q *whim.Question, on rein.Model, shun map[word.WorkerId]bool) []passage.Picked {
+func (h *hands) Pick(q *whim.Question, on rein.Model, shun map[ids.WorkerId]bool) []passage.Picked {
 	n := h.n
 	// While a newer version is heard of and not had yet, or could not be heard of,
 	// picks are held.
@@ -53,16 +53,16 @@
 		_, err := n.allows(regime, st.Id, st.Part)
 		return err == nil
 	}
-	by := map[word.WorkerId]passage.Picked{}
+	by := map[ids.WorkerId]passage.Picked{}
 	var list, last []whim.Candidate
-	both := map[string]map[word.Part]bool{}
+	both := map[string]map[ids.Part]bool{}
 	for id, st := range *n.stands.Load() {
 		w, ok := s.Policy.Workers[id]
 		if !ok || !st.Ready || !n.fit(s, id) || !cleared(st) {
 			continue
 		}
 		if both[w.Weights] == nil {
-			both[w.Weights] = map[word.Part]bool{}
+			both[w.Weights] = map[ids.Part]bool{}
 		}
 		both[w.Weights][st.Part] = true
 	}
@@ -73,9 +73,9 @@
 		if want.Weights == "" {
 			want.Weights = w.Weights
 		}
-		need := word.Blocks(q.Need, st.Block)
+		need := ids.Blocks(q.Need, st.Block)
 		if !ok || st.Part != q.Part || !st.Ready || !n.fit(s, id) || !cleared(st) || regime == "" && !n.free(s, st, need) || !m.Offers(want) || st.Busy >= st.Cap ||
-			!both[w.Weights][word.Prefill] || !both[w.Weights][word.Decode] || st.Free < need {
+			!both[w.Weights][ids.Prefill] || !both[w.Weights][ids.Decode] || st.Free < need {
 			continue
 		}
 		by[id] = passage.Picked{Id: id, Model: m, Block: st.Block, Life: st.Life}
@@ -96,14 +96,14 @@
 	return out
 }
 
-func (h *hands) ask(ctx context.Context, verb string, w word.WorkerId, id rein.Id, q OrderAsk, m *rein.Identity, span time.Duration) (*rein.Answer, error) {
+func (h *hands) ask(ctx context.Context, verb string, w ids.WorkerId, id rein.Id, q OrderAsk, m *rein.Identity, span time.Duration) (*rein.Answer, error) {
 	cx, stop := context.WithTimeout(ctx, span)
 	defer stop()
 	q.Worker, q.Verb, q.Request, q.Attempt = w, verb, id.Request, id.Attempt
 	if m != nil {
 		var err error
 		if q.Body, err = json.Marshal(m); err != nil {
-			return nil, breakdown.As(err, breakdown.Bad, verb, string(w))
+			return nil, failure.As(err, failure.Bad, verb, string(w))
 		}
 	}
 	// Cancelling and freeing may go on beside the next attempt, and need no regime.
@@ -126,34 +126,34 @@
 	return a, end(err)
 }
 
-func (h *hands) Reserve(ctx context.Context, w word.WorkerId, id rein.Id, blocks int) error {
+func (h *hands) Reserve(ctx context.Context, w ids.WorkerId, id rein.Id, blocks int) error {
 	_, err := h.ask(ctx, verbReserve, w, id, OrderAsk{Need: blocks, Part: h.part}, nil, 400*time.Millisecond)
 	return err
 }
 
-func (h *hands) Prefill(ctx context.Context, w word.WorkerId, m rein.Identity) (*rein.Answer, error) {
-	return h.ask(ctx, verbPrefill, w, m.Id, OrderAsk{Part: word.Prefill}, &m, 6*time.Second)
+func (h *hands) Prefill(ctx context.Context, w ids.WorkerId, m rein.Identity) (*rein.Answer, error) {
+	return h.ask(ctx, verbPrefill, w, m.Id, OrderAsk{Part: ids.Prefill}, &m, 6*time.Second)
 }
 
-func (h *hands) Export(ctx context.Context, w word.WorkerId, id rein.Id) (*rein.Answer, error) {
-	return h.ask(ctx, verbExport, w, id, OrderAsk{Part: word.Prefill}, nil, 1500*time.Millisecond)
+func (h *hands) Export(ctx context.Context, w ids.WorkerId, id rein.Id) (*rein.Answer, error) {
+	return h.ask(ctx, verbExport, w, id, OrderAsk{Part: ids.Prefill}, nil, 1500*time.Millisecond)
 }
 
-func (h *hands) Import(ctx context.Context, w word.WorkerId, m rein.Identity, src word.WorkerId) (*rein.Answer, error) {
+func (h *hands) Import(ctx context.Context, w ids.WorkerId, m rein.Identity, src ids.WorkerId) (*rein.Answer, error) {
 	h.source = src
-	return h.ask(ctx, verbImport, w, m.Id, OrderAsk{Source: src, Part: word.Decode}, &m, 1500*time.Millisecond)
+	return h.ask(ctx, verbImport, w, m.Id, OrderAsk{Source: src, Part: ids.Decode}, &m, 1500*time.Millisecond)
 }
 
-func (h *hands) Resume(ctx context.Context, w word.WorkerId, id rein.Id) (*rein.Answer, error) {
-	return h.ask(ctx, verbResume, w, id, OrderAsk{Part: word.Decode}, nil, 3*time.Second)
+func (h *hands) Resume(ctx context.Context, w ids.WorkerId, id rein.Id) (*rein.Answer, error) {
+	return h.ask(ctx, verbResume, w, id, OrderAsk{Part: ids.Decode}, nil, 3*time.Second)
 }
 
-func (h *hands) Cancel(ctx context.Context, w word.WorkerId, id rein.Id) (*rein.Answer, error) {
+func (h *hands) Cancel(ctx context.Context, w ids.WorkerId, id rein.Id) (*rein.Answer, error) {
 	return h.ask(ctx, verbCancel, w, id, OrderAsk{}, nil, time.Second)
 }
 
 // Done gives the room back without waiting; a lost one is found by reports.
-func (h *hands) Done(w word.WorkerId, id rein.Id, sure bool) {
+func (h *hands) Done(w ids.WorkerId, id rein.Id, sure bool) {
 	q := OrderAsk{}
 	if sure {
 		q.Need = 1
@@ -161,15 +161,15 @@
 	go h.ask(context.Background(), verbDone, w, id, q, nil, time.Second)
 }
 
-func (h *hands) Stream(ctx context.Context, w word.WorkerId, id rein.Id, from int, put func(rein.Piece) error) error {
+func (h *hands) Stream(ctx context.Context, w ids.WorkerId, id rein.Id, from int, put func(rein.Piece) error) error {
 	l, ok := (*h.n.roster.Load())[w]
 	if !ok {
-		return breakdown.New(breakdown.Lost, "stream", string(w), "the platform does not list it")
+		return failure.New(failure.Lost, "stream", string(w), "the platform does not list it")
 	}
-	ctx, end := h.guard(ctx, w, word.Decode, "")
+	ctx, end := h.guard(ctx, w, ids.Decode, "")
 	return end(h.n.rein.Stream(ctx, l.Addr, id, from, h.n.opt.Pulse, func(p rein.Piece) error {
-		if _, err := h.n.allows(h.regime, w, word.Decode); err != nil {
-			return breakdown.As(err, breakdown.Lost, "stream", string(w))
+		if _, err := h.n.allows(h.regime, w, ids.Decode); err != nil {
+			return failure.As(err, failure.Lost, "stream", string(w))
 		}
 		return put(p)
 	}))
@@ -180,9 +180,9 @@
 func (h *hands) Spend(ctx context.Context, wait time.Duration) bool {
 	n := h.n
 	for end := n.now().Add(wait); ; {
-		if m, _, ok := n.agent.Holder(lore.BudgetKey); ok {
+		if m, _, ok := n.agent.Holder(fleetstate.BudgetKey); ok {
 			cx, stop := context.WithTimeout(ctx, 400*time.Millisecond)
-			r, err := wire.Call[crux.Empty, Spent](cx, n.call, m.Addr, "verge/spend", &crux.Empty{})
+			r, err := rpc.Call[coordination.Empty, Spent](cx, n.call, m.Addr, "verge/spend", &coordination.Empty{})
 			stop()
 			if err == nil && r.Ok {
 				return true
@@ -202,14 +202,14 @@
 // blame is how often hand-overs were lost at a worker of late.
 type blame struct {
 	count int
-	at    word.Tick
+	at    ids.Tick
 }
 
 const blameSpan = 3 * time.Second
 
 // Blame notes a lost hand-over. Which of its two workers was at fault is not
 // known; the one that is at fault again and again stands out.
-func (h *hands) Blame(w word.WorkerId) {
+func (h *hands) Blame(w ids.WorkerId) {
 	n := h.n
 	now := n.now()
 	b := blame{1, now}
@@ -220,7 +220,7 @@
 }
 
 // blamed workers are picked last for a while.
-func (n *Node) blamed(w word.WorkerId) bool {
+func (n *Node) blamed(w ids.WorkerId) bool {
 	v, ok := n.blames.Load(w)
 	return ok && v.(blame).count >= 2 && !n.now().Past(v.(blame).at, blameSpan)
 }
--- a/verge/holder.go
+++ b/verge/holder.go
@@ -10,19 +10,19 @@
 	"sync"
 	"time"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/lore"
+	"keelstair.example/failure"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/passage"
 	"keelstair.example/rein"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 // desk is the duty for one worker under one grant.
 type desk struct {
-	id     word.WorkerId
-	fence  word.Fence
+	id     ids.WorkerId
+	fence  ids.Fence
 	ledger *passage.Ledger
 	known  bool // the worker knows the fence; the poll alone reads and sets it
 	stop   context.CancelFunc
@@ -46,9 +46,9 @@
 	var wg sync.WaitGroup
 	for {
 		lim := n.view.Sight().Policy.Limits
-		mine := map[word.WorkerId]bool{}
+		mine := map[ids.WorkerId]bool{}
 		for id := range n.view.Sight().Policy.Workers {
-			f, ok := n.agent.Held(lore.WorkerKey(id))
+			f, ok := n.agent.Held(fleetstate.WorkerKey(id))
 			if !ok {
 				continue
 			}
@@ -66,7 +66,7 @@
 			wg.Go(func() { n.poll(cx, d) })
 		}
 		n.ledgers.Range(func(k, v any) bool {
-			if !mine[k.(word.WorkerId)] {
+			if !mine[k.(ids.WorkerId)] {
 				v.(*desk).stop()
 				n.ledgers.Delete(k)
 			}
@@ -104,13 +104,13 @@
 // firstOrder names the worker the part that it has, under the new fence. From
 // then on it obeys no earlier holder, and only from then on is the time counted
 // after which a report surely shows all that the earlier one had ordered.
-func (n *Node) firstOrder(ctx context.Context, d *desk, addr string, part word.Part) error {
-	f, ok := n.agent.Held(lore.WorkerKey(d.id))
+func (n *Node) firstOrder(ctx context.Context, d *desk, addr string, part ids.Part) error {
+	f, ok := n.agent.Held(fleetstate.WorkerKey(d.id))
 	if !ok || f != d.fence {
-		return breakdown.New(breakdown.Away, "first order", n.me.Addr, "the key of %s went to other hands", d.id)
+		return failure.New(failure.Away, "first order", n.me.Addr, "the key of %s went to other hands", d.id)
 	}
 	if !n.sure() {
-		return breakdown.New(breakdown.Away, "first order", n.me.Addr, "a newer version may be in force")
+		return failure.New(failure.Away, "first order", n.me.Addr, "a newer version may be in force")
 	}
 	cx, stop := context.WithTimeout(ctx, 800*time.Millisecond)
 	defer stop()
@@ -127,27 +127,27 @@
 func (n *Node) obey(ctx context.Context, q *OrderAsk) (*OrderReply, error) {
 	a, err := n.act(ctx, q)
 	if err != nil {
-		return nil, breakdown.Wrap(err, q.Verb, string(q.Worker))
+		return nil, failure.Wrap(err, q.Verb, string(q.Worker))
 	}
 	r := &OrderReply{Version: n.view.Known()}
 	if a != nil {
 		r.Version = max(r.Version, a.Version)
 		if r.Body, err = json.Marshal(a); err != nil {
-			return nil, breakdown.As(err, breakdown.Bad, q.Verb, string(q.Worker))
+			return nil, failure.As(err, failure.Bad, q.Verb, string(q.Worker))
 		}
 	}
 	return r, nil
 }
 
 func (n *Node) act(ctx context.Context, q *OrderAsk) (*rein.Answer, error) {
-	fence, end, ok := n.agent.Begin(lore.WorkerKey(q.Worker))
+	fence, end, ok := n.agent.Begin(fleetstate.WorkerKey(q.Worker))
 	if !ok {
-		return nil, breakdown.New(breakdown.Away, "hold key", n.me.Addr, "not the holder of %s", q.Worker)
+		return nil, failure.New(failure.Away, "hold key", n.me.Addr, "not the holder of %s", q.Worker)
 	}
 	defer end()
 	v, ok := n.ledgers.Load(q.Worker)
 	if !ok || v.(*desk).fence != fence {
-		return nil, breakdown.New(breakdown.Away, "hold key", n.me.Addr, "the desk of %s is not open yet", q.Worker)
+		return nil, failure.New(failure.Away, "hold key", n.me.Addr, "the desk of %s is not open yet", q.Worker)
 	}
 	led := v.(*desk).ledger
 	if _, err := n.check(q); err != nil {
@@ -156,14 +156,14 @@
 	id := rein.Id{Request: q.Request, Attempt: q.Attempt}
 	l, ok := (*n.roster.Load())[q.Worker]
 	if !ok {
-		return nil, breakdown.New(breakdown.Lost, "find worker", string(q.Worker), "the platform does not list it")
+		return nil, failure.New(failure.Lost, "find worker", string(q.Worker), "the platform does not list it")
 	}
 	settled := n.view.Heard(q.Version)
 	lead := rein.Lead{Fence: fence, Version: n.view.Sight().Version}
 	var in rein.Identity
 	if len(q.Body) > 0 && q.Verb != verbTurn {
 		if err := json.Unmarshal(q.Body, &in); err != nil {
-			return nil, breakdown.As(err, breakdown.Bad, "read order", string(q.Worker))
+			return nil, failure.As(err, failure.Bad, "read order", string(q.Worker))
 		}
 	}
 	var a *rein.Answer
@@ -172,10 +172,10 @@
 	case verbReserve:
 		s := n.view.Sight()
 		if q.Version < s.Version {
-			return nil, breakdown.New(breakdown.Stale, "reserve", string(q.Worker), "picked under version %d, %d is in force", q.Version, s.Version)
+			return nil, failure.New(failure.Stale, "reserve", string(q.Worker), "picked under version %d, %d is in force", q.Version, s.Version)
 		}
 		if !n.fit(s, q.Worker) || !settled || !n.current() {
-			return nil, breakdown.New(breakdown.Bounced, "reserve", string(q.Worker), "it may get no new work")
+			return nil, failure.New(failure.Bounced, "reserve", string(q.Worker), "it may get no new work")
 		}
 		keep := 0
 		if q.Regime == "" {
@@ -184,7 +184,7 @@
 		return nil, led.ReserveBeside(id, q.Need, keep, n.now())
 	case verbPrefill:
 		if !led.Reserved(id) {
-			return nil, breakdown.New(breakdown.Bounced, "prefill", string(q.Worker), "no room is booked for %s", id.Request)
+			return nil, failure.New(failure.Bounced, "prefill", string(q.Worker), "no room is booked for %s", id.Request)
 		}
 		led.Moved(id, n.now())
 		a, err = n.rein.Prefill(ctx, l.Addr, &rein.PrefillAsk{Lead: lead, Identity: in})
@@ -193,7 +193,7 @@
 	case verbImport:
 		src, ok := (*n.roster.Load())[q.Source]
 		if !led.Reserved(id) || !ok {
-			return nil, breakdown.New(breakdown.Bounced, "import", string(q.Worker), "no room is booked for %s", id.Request)
+			return nil, failure.New(failure.Bounced, "import", string(q.Worker), "no room is booked for %s", id.Request)
 		}
 		led.Moved(id, n.now())
 		a, err = n.rein.Import(ctx, l.Addr, &rein.ImportAsk{Lead: lead, Identity: in, Source: src.Addr})
@@ -203,12 +203,12 @@
 		a, err = n.rein.Cancel(ctx, l.Addr, &rein.IdAsk{Lead: lead, Id: id})
 		led.Ended(id, err == nil, n.now())
 	case verbTurn:
-		return n.turnHere(ctx, v.(*desk), l.Addr, lead, word.Part(q.Body))
+		return n.turnHere(ctx, v.(*desk), l.Addr, lead, ids.Part(q.Body))
 	case verbDone:
 		led.Ended(id, q.Need > 0, n.now())
 		return nil, nil
 	default:
-		return nil, breakdown.New(breakdown.Bad, "read order", n.me.Addr, "no verb %q", q.Verb)
+		return nil, failure.New(failure.Bad, "read order", n.me.Addr, "no verb %q", q.Verb)
 	}
 	if err != nil {
 		return nil, err
@@ -223,11 +223,11 @@
 func (n *Node) order(ctx context.Context, q *OrderAsk) (*rein.Answer, error) {
 	for {
 		a, err := n.ferry(ctx, q)
-		if !breakdown.Is(err, breakdown.Away) {
+		if !failure.Is(err, failure.Away) {
 			return a, err
 		}
 		if q.Verb == verbReserve || q.Verb == verbDone || !seam.Sleep(ctx, 60*time.Millisecond) {
-			return nil, breakdown.As(err, breakdown.Bounced, q.Verb, string(q.Worker))
+			return nil, failure.As(err, failure.Bounced, q.Verb, string(q.Worker))
 		}
 	}
 }
@@ -236,26 +236,26 @@
 	if q.Version = n.view.Known(); q.Verb == verbReserve {
 		q.Version = n.view.Sight().Version
 	}
-	m, _, ok := n.agent.Holder(lore.WorkerKey(q.Worker))
+	m, _, ok := n.agent.Holder(fleetstate.WorkerKey(q.Worker))
 	if !ok {
-		return nil, breakdown.New(breakdown.Away, q.Verb, string(q.Worker), "nobody holds its key now")
+		return nil, failure.New(failure.Away, q.Verb, string(q.Worker), "nobody holds its key now")
 	}
 	if m.Node == n.me.Node {
 		a, err := n.act(ctx, q)
-		return a, breakdown.Wrap(err, q.Verb, string(q.Worker))
+		return a, failure.Wrap(err, q.Verb, string(q.Worker))
 	}
-	r, err := wire.Call[OrderAsk, OrderReply](ctx, n.call, m.Addr, "verge/order", q)
-	if wire.Undialled(err) {
-		return nil, breakdown.As(err, breakdown.Away, q.Verb, string(q.Worker))
+	r, err := rpc.Call[OrderAsk, OrderReply](ctx, n.call, m.Addr, "verge/order", q)
+	if rpc.Undialled(err) {
+		return nil, failure.As(err, failure.Away, q.Verb, string(q.Worker))
 	}
 	if err != nil {
-		return nil, breakdown.Wrap(err, q.Verb, string(q.Worker))
+		return nil, failure.Wrap(err, q.Verb, string(q.Worker))
 	}
 	n.view.Heard(r.Version)
 	a := &rein.Answer{}
 	if len(r.Body) > 0 {
 		if err := json.Unmarshal(r.Body, a); err != nil {
-			return nil, breakdown.As(err, breakdown.Unknown, q.Verb, m.Addr)
+			return nil, failure.As(err, failure.Unknown, q.Verb, m.Addr)
 		}
 	}
 	return a, nil
--- a/verge/node.go
+++ b/verge/node.go
@@ -10,23 +10,23 @@
 	"sync/atomic"
 	"time"
 
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
 	"keelstair.example/door"
-	"keelstair.example/lore"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/passage"
 	"keelstair.example/rein"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
 	"keelstair.example/tale"
 	"keelstair.example/whim"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 )
 
 // Options of a node; zero spans take the defaults named beside them.
 type Options struct {
 	Name     string
 	Addr     string
-	Zone     word.Zone
+	Zone     ids.Zone
 	Seeds    []string
 	Platform string
 	Host     seam.Host
@@ -42,13 +42,13 @@
 }
 
 func (o *Options) fill() {
-	word.Or(&o.Lease, 3*time.Second)
-	word.Or(&o.Renew, 500*time.Millisecond)
-	word.Or(&o.Beat, 150*time.Millisecond)
-	word.Or(&o.Poll, 200*time.Millisecond)
-	word.Or(&o.Roster, 400*time.Millisecond)
-	word.Or(&o.Orphan, 2*time.Second)
-	word.Or(&o.Pulse, 1200*time.Millisecond)
+	ids.Or(&o.Lease, 3*time.Second)
+	ids.Or(&o.Renew, 500*time.Millisecond)
+	ids.Or(&o.Beat, 150*time.Millisecond)
+	ids.Or(&o.Poll, 200*time.Millisecond)
+	ids.Or(&o.Roster, 400*time.Millisecond)
+	ids.Or(&o.Orphan, 2*time.Second)
+	ids.Or(&o.Pulse, 1200*time.Millisecond)
 	if o.Ring == nil {
 		o.Ring = tale.Mute()
 	}
@@ -57,26 +57,26 @@
 // Node is one router node.
 type Node struct {
 	opt     Options
-	me      crux.Member
-	agent   *crux.Agent
-	view    *lore.View
+	me      coordination.Member
+	agent   *coordination.Agent
+	view    *fleetstate.View
 	rein    *rein.Rein
-	call    *wire.Caller
+	call    *rpc.Caller
 	web     *http.Client // for what is passed on
 	scores  *whim.Scores
 	journal *tale.Journal[passage.Event]
 	counts  Counts
 
-	decks    sync.Map // word.Version -> *whim.Deck
-	roster   atomic.Pointer[map[word.WorkerId]rein.Listed]
+	decks    sync.Map // ids.Version -> *whim.Deck
+	roster   atomic.Pointer[map[ids.WorkerId]rein.Listed]
 	listed   atomic.Int64 // when the roster was had
-	stands   atomic.Pointer[map[word.WorkerId]Stand]
-	leave    atomic.Pointer[map[word.WorkerId]bool]
-	mates    sync.Map // word.NodeId -> mate
-	ledgers  sync.Map // word.WorkerId -> *desk
-	blames   sync.Map // word.WorkerId -> blame
+	stands   atomic.Pointer[map[ids.WorkerId]Stand]
+	leave    atomic.Pointer[map[ids.WorkerId]bool]
+	mates    sync.Map // ids.NodeId -> mate
+	ledgers  sync.Map // ids.WorkerId -> *desk
+	blames   sync.Map // ids.WorkerId -> blame
 	debts    debts
-	turned   sync.Map // word.WorkerId -> word.Tick
+	turned   sync.Map // ids.WorkerId -> ids.Tick
 	inflight atomic.Int64
 	kinds    sync.Map // kind -> *atomic.Int64
 	stopping atomic.Bool
@@ -92,17 +92,17 @@
 func New(opt Options) *Node {
 	opt.fill()
 	n := &Node{opt: opt, scores: &whim.Scores{}, journal: tale.NewJournal[passage.Event](1024)}
-	n.me = crux.Member{Node: word.NodeId(opt.Name + "-" + crux.Name()), Addr: opt.Addr, Zone: opt.Zone}
-	n.view = lore.NewView(opt.Ring)
+	n.me = coordination.Member{Node: ids.NodeId(opt.Name + "-" + coordination.Name()), Addr: opt.Addr, Zone: opt.Zone}
+	n.view = fleetstate.NewView(opt.Ring)
 	n.view.Ready = n.compile
-	n.agent = crux.NewAgent(crux.AgentOptions{Me: n.me, Host: opt.Host, Seeds: opt.Seeds, View: n.view, Ring: opt.Ring,
+	n.agent = coordination.NewAgent(coordination.AgentOptions{Me: n.me, Host: opt.Host, Seeds: opt.Seeds, View: n.view, Ring: opt.Ring,
 		Lease: opt.Lease, Renew: opt.Renew, Lonely: n.lonely})
 	n.call = n.agent.Caller()
 	n.rein = rein.New(opt.Host.Net)
-	n.web = wire.Web(opt.Host.Net)
-	n.roster.Store(&map[word.WorkerId]rein.Listed{})
-	n.stands.Store(&map[word.WorkerId]Stand{})
-	n.leave.Store(&map[word.WorkerId]bool{})
+	n.web = rpc.Web(opt.Host.Net)
+	n.roster.Store(&map[ids.WorkerId]rein.Listed{})
+	n.stands.Store(&map[ids.WorkerId]Stand{})
+	n.leave.Store(&map[ids.WorkerId]bool{})
 	n.journal.View(n.fold)
 	if opt.Trace != nil {
 		n.journal.View(opt.Trace)
@@ -121,20 +121,20 @@
 	}
 }
 
-func (n *Node) now() word.Tick { return n.opt.Host.Clock.Now() }
+func (n *Node) now() ids.Tick { return n.opt.Host.Clock.Now() }
 
 // Me is how the core knows this node.
-func (n *Node) Me() crux.Member { return n.me }
+func (n *Node) Me() coordination.Member { return n.me }
 
 // View shows what the node knows of the lore.
-func (n *Node) View() *lore.View { return n.view }
+func (n *Node) View() *fleetstate.View { return n.view }
 
 // Mount puts the node's answers to its neighbours on a mux.
 func (n *Node) Mount(mux *http.ServeMux) {
 	n.agent.Mount(mux)
-	wire.Handle(mux, "verge/order", n.obey)
-	wire.Handle(mux, "verge/beat", n.hearBeat)
-	wire.Handle(mux, "verge/spend", n.spendHere)
+	rpc.Handle(mux, "verge/order", n.obey)
+	rpc.Handle(mux, "verge/beat", n.hearBeat)
+	rpc.Handle(mux, "verge/spend", n.spendHere)
 	door.Streams(mux, passPath, n.servePassed)
 }
 
@@ -161,7 +161,7 @@
 }
 
 // compile readies the programs of a version before it is in force.
-func (n *Node) compile(v word.Version, p *lore.Policy) {
+func (n *Node) compile(v ids.Version, p *fleetstate.Policy) {
 	deck, err := p.Deck(n.scores)
 	if err != nil {
 		n.opt.Ring.Error().AnErr("cause", err).Uint64("version", uint64(v)).Msg("programs do not compile; the plain order serves")
@@ -169,7 +169,7 @@
 	}
 	n.decks.Store(v, deck)
 	n.decks.Range(func(k, _ any) bool {
-		if k.(word.Version)+8 < v {
+		if k.(ids.Version)+8 < v {
 			n.decks.Delete(k)
 		}
 		return true
@@ -191,20 +191,20 @@
 	case !n.agent.Leased() && !n.lonely():
 		return false, "the lease has lapsed"
 	}
-	ready := map[word.Part]bool{}
+	ready := map[ids.Part]bool{}
 	for _, st := range *n.stands.Load() {
 		if st.Ready && n.fit(s, st.Id) {
 			ready[st.Part] = true
 		}
 	}
-	if !ready[word.Prefill] || !ready[word.Decode] {
+	if !ready[ids.Prefill] || !ready[ids.Decode] {
 		return false, "no prefill and decode worker is ready"
 	}
 	return true, ""
 }
 
 // fit tells whether a worker may get new work under a sight.
-func (n *Node) fit(s *lore.Sight, id word.WorkerId) bool {
+func (n *Node) fit(s *fleetstate.Sight, id ids.WorkerId) bool {
 	w, ok := s.Policy.Workers[id]
 	if !ok || s.Drained[id] || s.Zones[w.Zone] {
 		return false
--- a/verge/operate.go
+++ b/verge/operate.go
@@ -12,14 +12,14 @@
 	"sort"
 	"time"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
 	"keelstair.example/door"
-	"keelstair.example/lore"
+	"keelstair.example/failure"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/passage"
 	"keelstair.example/seam"
 	"keelstair.example/whim"
-	"keelstair.example/word"
 	"keelstair.example/writ"
 )
 
@@ -28,7 +28,7 @@
 func (n *Node) Apply(ctx context.Context, a *door.Apply) (*door.Applied, error) {
 	name := cmp.Or(a.Name, "policy")
 	var base []byte
-	text, err := lore.Source(name, []byte(a.Source))
+	text, err := fleetstate.Source(name, []byte(a.Source))
 	if err != nil {
 		return nil, err
 	}
@@ -41,18 +41,18 @@
 			// The base has moved on, perhaps by this very operation.
 			cx, stop := context.WithTimeout(ctx, 5*time.Second)
 			defer stop()
-			r, err := n.agent.Submit(cx, word.OpId("op/"+a.Op), lore.AskKind, nil)
+			r, err := n.agent.Submit(cx, ids.OpId("op/"+a.Op), fleetstate.AskKind, nil)
 			if err == nil {
 				return n.ruled(ctx, r, true)
 			}
-			if !breakdown.Is(err, breakdown.Stale) {
+			if !failure.Is(err, failure.Stale) {
 				return nil, n.fate(err)
 			}
 			return nil, n.stale(a.Base, s)
 		}
 		base = s.Text
 	}
-	p, whole, err := lore.Draft(name, a.Source, text, base, a.Partial)
+	p, whole, err := fleetstate.Draft(name, a.Source, text, base, a.Partial)
 	if err != nil {
 		return nil, err
 	}
@@ -61,16 +61,16 @@
 		now = writ.At(n.opt.Host.Clock.Wall()) // where the fleet's time will begin
 	}
 	if err := p.Follows(n.view.Sight().Policy, now); err != nil {
-		return nil, lore.Locate(name, []byte(a.Source), err)
+		return nil, fleetstate.Locate(name, []byte(a.Source), err)
 	}
 	if a.Dry {
 		return &door.Applied{Version: a.Base, Policy: whole}, nil
 	}
 	cx, stop := context.WithTimeout(ctx, 5*time.Second)
 	defer stop()
-	r, err := n.agent.Submit(cx, word.OpId("op/"+a.Op), lore.StageKind, crux.Pack(&lore.Stage{Base: word.Version(a.Base), Text: whole}))
+	r, err := n.agent.Submit(cx, ids.OpId("op/"+a.Op), fleetstate.StageKind, coordination.Pack(&fleetstate.Stage{Base: ids.Version(a.Base), Text: whole}))
 	if err != nil {
-		if breakdown.Is(err, breakdown.Stale) {
+		if failure.Is(err, failure.Stale) {
 			return nil, n.stale(a.Base, n.view.Sight())
 		}
 		return nil, n.fate(err)
@@ -78,7 +78,7 @@
 	return n.ruled(ctx, r, true)
 }
 
-func (n *Node) stale(base uint64, s *lore.Sight) error {
+func (n *Node) stale(base uint64, s *fleetstate.Sight) error {
 	return door.Stale(base, uint64(max(s.Newest, s.Version)))
 }
 
@@ -86,10 +86,10 @@
 func (n *Node) fate(err error) error { return door.Fate(err, n.after()) }
 
 // ruled waits a while until this node has put the answer's version in force.
-func (n *Node) ruled(ctx context.Context, r *crux.SubmitReply, wait bool) (*door.Applied, error) {
-	var got lore.Ruling
+func (n *Node) ruled(ctx context.Context, r *coordination.SubmitReply, wait bool) (*door.Applied, error) {
+	var got fleetstate.Ruling
 	if _, err := got.UnmarshalMsg(r.Body); err != nil {
-		return nil, breakdown.As(err, breakdown.Unknown, "read ruling", "core")
+		return nil, failure.As(err, failure.Unknown, "read ruling", "core")
 	}
 	for range 80 {
 		if n.agent.Seq() >= r.Seq && (!wait || n.view.Sight().Version >= got.Version) {
@@ -105,7 +105,7 @@
 func (n *Node) mark(ctx context.Context, op, kind string, body []byte) (*door.Applied, error) {
 	cx, stop := context.WithTimeout(ctx, 5*time.Second)
 	defer stop()
-	r, err := n.agent.Submit(cx, word.OpId("op/"+op), kind, body)
+	r, err := n.agent.Submit(cx, ids.OpId("op/"+op), kind, body)
 	if err != nil {
 		return nil, n.fate(err)
 	}
@@ -121,15 +121,15 @@
 	if !known {
 		return nil, door.No(http.StatusNotFound, "unknown", "zone", "there is no zone %q", zone)
 	}
-	return n.mark(ctx, m.Op, lore.VacateKind, crux.Pack(&lore.Vacate{Zone: word.Zone(zone), Out: m.Out}))
+	return n.mark(ctx, m.Op, fleetstate.VacateKind, coordination.Pack(&fleetstate.Vacate{Zone: ids.Zone(zone), Out: m.Out}))
 }
 
 // Drain keeps new work from a worker, or takes that back.
 func (n *Node) Drain(ctx context.Context, worker string, m *door.Mark) (*door.Applied, error) {
-	if _, ok := n.view.Sight().Policy.Workers[word.WorkerId(worker)]; !ok {
+	if _, ok := n.view.Sight().Policy.Workers[ids.WorkerId(worker)]; !ok {
 		return nil, door.No(http.StatusNotFound, "unknown", "worker", "there is no worker %q", worker)
 	}
-	return n.mark(ctx, m.Op, lore.DrainKind, crux.Pack(&lore.Drain{Worker: word.WorkerId(worker), Out: m.Out}))
+	return n.mark(ctx, m.Op, fleetstate.DrainKind, coordination.Pack(&fleetstate.Drain{Worker: ids.WorkerId(worker), Out: m.Out}))
 }
 
 // Shown gives operators what Show does.
@@ -155,25 +155,25 @@
 
 // Standing is the answer of status.
 type Standing struct {
-	Node      word.NodeId                 `json:"node"`
-	Zone      word.Zone                   `json:"zone"`
-	Ready     bool                        `json:"ready"`
-	Why       string                      `json:"why,omitempty"`
-	Version   word.Version                `json:"version"`
-	Seq       word.Seq                    `json:"seq"`
-	Core      crux.Record                 `json:"core"`
-	Members   []crux.Member               `json:"members"`
-	Holds     []word.Key                  `json:"holds"`
-	Workers   []Stand                     `json:"workers"`
-	Counts    map[string]int64            `json:"counts"`
-	Programs  map[string]map[string]any   `json:"programs"`
-	Last      []passage.Event             `json:"last"`
-	Listed    map[word.WorkerId]word.Zone `json:"listed"`
-	Evacuated []string                    `json:"evacuated"`
-	Drained   []string                    `json:"drained"`
-	Deeds     [2]int                      `json:"deeds"` // claimed so far, and how many may ever be
-	Time      writ.Now                    `json:"time"`  // what the fleet's time may be; zeros without regimes
-	Revoked   []string                    `json:"revoked,omitempty"`
+	Node      ids.NodeId                `json:"node"`
+	Zone      ids.Zone                  `json:"zone"`
+	Ready     bool                      `json:"ready"`
+	Why       string                    `json:"why,omitempty"`
+	Version   ids.Version               `json:"version"`
+	Seq       ids.Seq                   `json:"seq"`
+	Core      coordination.Record       `json:"core"`
+	Members   []coordination.Member     `json:"members"`
+	Holds     []ids.Key                 `json:"holds"`
+	Workers   []Stand                   `json:"workers"`
+	Counts    map[string]int64          `json:"counts"`
+	Programs  map[string]map[string]any `json:"programs"`
+	Last      []passage.Event           `json:"last"`
+	Listed    map[ids.WorkerId]ids.Zone `json:"listed"`
+	Evacuated []string                  `json:"evacuated"`
+	Drained   []string                  `json:"drained"`
+	Deeds     [2]int                    `json:"deeds"` // claimed so far, and how many may ever be
+	Time      writ.Now                  `json:"time"`  // what the fleet's time may be; zeros without regimes
+	Revoked   []string                  `json:"revoked,omitempty"`
 }
 
 // Status tells how the node stands.
@@ -182,7 +182,7 @@
 	sh := n.Show()
 	st := &Standing{Node: n.me.Node, Zone: n.me.Zone, Ready: ok, Why: why, Version: n.view.Sight().Version, Seq: n.agent.Seq(),
 		Core: n.agent.Book().Record(), Members: n.agent.Members(), Programs: map[string]map[string]any{},
-		Listed: map[word.WorkerId]word.Zone{}, Evacuated: sh.Zones, Drained: sh.Drained, Workers: []Stand{}, Holds: []word.Key{}}
+		Listed: map[ids.WorkerId]ids.Zone{}, Evacuated: sh.Zones, Drained: sh.Drained, Workers: []Stand{}, Holds: []ids.Key{}}
 	for _, g := range n.agent.Mine() {
 		st.Holds = append(st.Holds, g.Key)
 	}
--- a/verge/order.go
+++ b/verge/order.go
@@ -2,31 +2,31 @@
 
 package verge
 
-import "keelstair.example/word"
+import "keelstair.example/ids"
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file order.go
-//msgp:shim word.Version as:uint64 using:uint64/word.Version
-//msgp:shim word.Part as:string using:string/word.Part
-//msgp:shim word.WorkerId as:string using:string/word.WorkerId
+//msgp:shim ids.Version as:uint64 using:uint64/ids.Version
+//msgp:shim ids.Part as:string using:string/ids.Part
+//msgp:shim ids.WorkerId as:string using:string/ids.WorkerId
 
 // OrderAsk is one order. Body is the identity, as the worker will read it. Regime and the
 // part that the worker plays are set for governed work alone.
 type OrderAsk struct {
-	Worker  word.WorkerId
+	Worker  ids.WorkerId
 	Verb    string
-	Version word.Version
+	Version ids.Version
 	Request string
 	Attempt int
 	Need    int
-	Source  word.WorkerId
+	Source  ids.WorkerId
 	Body    []byte
-	Regime  string    `msg:"Regime,omitempty"`
-	Part    word.Part `msg:"Part,omitempty"`
+	Regime  string   `msg:"Regime,omitempty"`
+	Part    ids.Part `msg:"Part,omitempty"`
 }
 
 // OrderReply is the worker's answer.
 type OrderReply struct {
-	Version word.Version
+	Version ids.Version
 	Body    []byte
 }
 
--- a/verge/order_gen.go
+++ b/verge/order_gen.go
@@ -4,7 +4,7 @@
 
 import (
 	"github.com/tinylib/msgp/msgp"
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 // MarshalMsg implements msgp.Marshaler
@@ -91,7 +91,7 @@
 					err = msgp.WrapError(err, "Worker")
 					return
 				}
-				z.Worker = word.WorkerId(zb0002)
+				z.Worker = ids.WorkerId(zb0002)
 			}
 		case "Verb":
 			z.Verb, bts, err = msgp.ReadStringBytes(bts)
@@ -107,7 +107,7 @@
 					err = msgp.WrapError(err, "Version")
 					return
 				}
-				z.Version = word.Version(zb0003)
+				z.Version = ids.Version(zb0003)
 			}
 		case "Request":
 			z.Request, bts, err = msgp.ReadStringBytes(bts)
@@ -135,7 +135,7 @@
 					err = msgp.WrapError(err, "Source")
 					return
 				}
-				z.Source = word.WorkerId(zb0004)
+				z.Source = ids.WorkerId(zb0004)
 			}
 		case "Body":
 			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
@@ -157,7 +157,7 @@
 					err = msgp.WrapError(err, "Part")
 					return
 				}
-				z.Part = word.Part(zb0005)
+				z.Part = ids.Part(zb0005)
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -216,7 +216,7 @@
 					err = msgp.WrapError(err, "Version")
 					return
 				}
-				z.Version = word.Version(zb0002)
+				z.Version = ids.Version(zb0002)
 			}
 		case "Body":
 			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
--- a/verge/pass.go
+++ b/verge/pass.go
@@ -9,11 +9,11 @@
 	"net/http"
 	"time"
 
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
 	"keelstair.example/door"
-	"keelstair.example/lore"
+	"keelstair.example/fleetstate"
 	"keelstair.example/rein"
-	"keelstair.example/wire"
+	"keelstair.example/rpc"
 	"keelstair.example/writ"
 )
 
@@ -24,15 +24,15 @@
 
 // fellows lists, in a random order, the nodes that were heard lately, stand in no
 // emptied zone, and are certified for a regime.
-func (n *Node) fellows(s *lore.Sight, regime string) []crux.Member {
+func (n *Node) fellows(s *fleetstate.Sight, regime string) []coordination.Member {
 	now := n.now()
-	var out []crux.Member
+	var out []coordination.Member
 	for _, m := range n.agent.Members() {
 		v, ok := n.mates.Load(m.Node)
 		if m.Node == n.me.Node || !ok || now.Past(v.(mate).at, time.Second) || s.Zones[m.Zone] {
 			continue
 		}
-		if _, err := n.clears(regime, writ.Subject{Node: lore.NodeName(m.Node)}, ""); err == nil {
+		if _, err := n.clears(regime, writ.Subject{Node: fleetstate.NodeName(m.Node)}, ""); err == nil {
 			out = append(out, m)
 		}
 	}
@@ -42,7 +42,7 @@
 
 // pass has a certified node serve a request. The next one is asked only where the one
 // before surely did nothing.
-func (n *Node) pass(ctx context.Context, s *lore.Sight, regime string, ask *door.Ask, out door.Sink) error {
+func (n *Node) pass(ctx context.Context, s *fleetstate.Sight, regime string, ask *door.Ask, out door.Sink) error {
 	for _, m := range n.fellows(s, regime) {
 		count, err := door.Pass(ctx, n.web, m.Addr, passPath, ask, passSilent, out)
 		if err == nil {
@@ -51,7 +51,7 @@
 		}
 		f, refused := err.(*door.Fault)
 		switch {
-		case refused && (f.Name == "not-ready" || f.Name == "not-certified"), count == 0 && wire.Undialled(err):
+		case refused && (f.Name == "not-ready" || f.Name == "not-certified"), count == 0 && rpc.Undialled(err):
 			continue
 		case refused:
 			n.counts.Passed.Add(1)
--- a/verge/regime.go
+++ b/verge/regime.go
@@ -8,12 +8,12 @@
 	"net/http"
 	"time"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
 	"keelstair.example/door"
-	"keelstair.example/lore"
+	"keelstair.example/failure"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/seam"
-	"keelstair.example/word"
 	"keelstair.example/writ"
 )
 
@@ -25,13 +25,13 @@
 
 // clears gives the serial by which a subject may handle a regime's work now. Nobody may
 // while this node's word is too old to know of revocations and of the time.
-func (n *Node) clears(regime string, s writ.Subject, part word.Part) (string, error) {
+func (n *Node) clears(regime string, s writ.Subject, part ids.Part) (string, error) {
 	if !n.agent.Word() {
-		return "", breakdown.New(breakdown.Bounced, "clear", s.String(), "this node's word from the core is too old for regime %q", regime)
+		return "", failure.New(failure.Bounced, "clear", s.String(), "this node's word from the core is too old for regime %q", regime)
 	}
 	serial, ok := n.view.Sight().Register.Clears(regime, s, part, n.clock())
 	if !ok {
-		return "", breakdown.New(breakdown.Bounced, "clear", s.String(), "no certificate in force clears it for regime %q", regime)
+		return "", failure.New(failure.Bounced, "clear", s.String(), "no certificate in force clears it for regime %q", regime)
 	}
 	return serial, nil
 }
@@ -46,7 +46,7 @@
 	}
 	cx, stop := context.WithTimeout(ctx, 5*time.Second)
 	defer stop()
-	r, err := n.agent.Submit(cx, word.OpId("op/"+m.Op), lore.RevokeKind, crux.Pack(&lore.Revoke{Serial: serial}))
+	r, err := n.agent.Submit(cx, ids.OpId("op/"+m.Op), fleetstate.RevokeKind, coordination.Pack(&fleetstate.Revoke{Serial: serial}))
 	if err != nil {
 		return nil, n.fate(err)
 	}
@@ -71,11 +71,11 @@
 }
 
 // able tells whether a certificate's subject could be picked now.
-func (n *Node) able(s *lore.Sight) func(writ.Subject) bool {
+func (n *Node) able(s *fleetstate.Sight) func(writ.Subject) bool {
 	names := map[string]bool{}
 	for _, m := range n.agent.Members() {
 		if !s.Zones[m.Zone] {
-			names[lore.NodeName(m.Node)] = true
+			names[fleetstate.NodeName(m.Node)] = true
 		}
 	}
 	return func(one writ.Subject) bool { return one.Worker != "" && n.fit(s, one.Worker) || names[one.Node] }
--- a/verge/regime_test.go
+++ b/verge/regime_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/lore"
-	"keelstair.example/word"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/writ"
 )
 
@@ -21,23 +21,23 @@
 	now := time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC)
 	from, until := now.AddDate(0, 0, -1).Format(time.RFC3339), now.AddDate(0, 0, 1).Format(time.RFC3339)
 	certs := map[string]writ.Certificate{}
-	put := func(serial string, w word.WorkerId) {
-		c := writ.Certificate{Serial: serial, Worker: w, Regime: "chair", Parts: []word.Part{word.Prefill}, From: from, Until: until, Issuer: "k"}
+	put := func(serial string, w ids.WorkerId) {
+		c := writ.Certificate{Serial: serial, Worker: w, Regime: "chair", Parts: []ids.Part{ids.Prefill}, From: from, Until: until, Issuer: "k"}
 		c.Sign(key)
 		certs[serial] = c
 	}
-	sight := func(revoked map[string]bool) *lore.Sight {
+	sight := func(revoked map[string]bool) *fleetstate.Sight {
 		r, err := writ.Compile(map[string]writ.Regime{"chair": {Kinds: []string{"verdict"}}},
 			map[string]writ.Issuer{"k": {Key: writ.Public(key), From: from, Until: until}}, certs)
 		require.NoError(t, err)
-		return &lore.Sight{Register: r.With(revoked)}
+		return &fleetstate.Sight{Register: r.With(revoked)}
 	}
-	list := []Stand{{Id: "p1", Part: word.Prefill}, {Id: "p2", Part: word.Prefill}, {Id: "p3", Part: word.Prefill}}
+	list := []Stand{{Id: "p1", Part: ids.Prefill}, {Id: "p2", Part: ids.Prefill}, {Id: "p3", Part: ids.Prefill}}
 	put("1", "p1")
 	at := writ.At(now)
 	require.False(t, covered(sight(nil), list, list[0], at))
 	require.True(t, covered(sight(nil), list, list[1], at), "it serves no regime")
-	require.True(t, covered(&lore.Sight{}, list, list[0], at), "there is no regime")
+	require.True(t, covered(&fleetstate.Sight{}, list, list[0], at), "there is no regime")
 	put("2", "p2")
 	require.True(t, covered(sight(nil), list, list[0], at))
 	require.False(t, covered(sight(map[string]bool{"2": false}), list, list[0], at))
--- a/verge/serve.go
+++ b/verge/serve.go
@@ -12,14 +12,14 @@
 	"sync/atomic"
 	"time"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/crux"
+	"keelstair.example/coordination"
 	"keelstair.example/door"
-	"keelstair.example/lore"
+	"keelstair.example/failure"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/passage"
 	"keelstair.example/rein"
 	"keelstair.example/whim"
-	"keelstair.example/word"
 	"keelstair.example/writ"
 )
 
@@ -84,14 +84,14 @@
 	t := &passage.Task{Kind: ask.Kind, Regime: s.Register.Governs(ask.Kind), Zone: n.me.Zone, Claimed: kind.Claimed, Tries: s.Policy.Limits.Attempts, GiveUp: s.Policy.Limits.GiveUp()}
 	t.Identity = rein.Identity{Prompt: ask.Tokens(), Model: rein.Model{Name: kind.Model, Adapters: ask.Adapters},
 		Params: rein.Params{MaxTokens: ask.MaxTokens, Temperature: ask.Temperature, Seed: ask.Seed}}
-	t.Identity.Id.Request = crux.Name()
+	t.Identity.Id.Request = coordination.Name()
 	if !kind.Claimed {
 		return n.plain(ctx, s, t, out)
 	}
 	return n.claimed(ctx, s, t, ask, out)
 }
 
-func (n *Node) adapters(s *lore.Sight, model string, want []string) bool {
+func (n *Node) adapters(s *fleetstate.Sight, model string, want []string) bool {
 	if len(want) == 0 {
 		return true
 	}
@@ -107,7 +107,7 @@
 // grantEntry bounds the streams carried at once. Once a node is half full, a kind
 // may take no more than its share by weight, so a crowd of one cannot shut out
 // the other.
-func (n *Node) grantEntry(s *lore.Sight, kind string) (func(), *door.Fault) {
+func (n *Node) grantEntry(s *fleetstate.Sight, kind string) (func(), *door.Fault) {
 	v, _ := n.kinds.LoadOrStore(kind, new(atomic.Int64))
 	mine := v.(*atomic.Int64)
 	most := int64(s.Policy.Limits.Inflight)
@@ -126,7 +126,7 @@
 }
 
 // deck gives the programs of a sight.
-func (n *Node) deck(s *lore.Sight) *whim.Deck {
+func (n *Node) deck(s *fleetstate.Sight) *whim.Deck {
 	if v, ok := n.decks.Load(s.Version); ok {
 		return v.(*whim.Deck)
 	}
@@ -134,7 +134,7 @@
 	return d
 }
 
-func (n *Node) controller(s *lore.Sight, t *passage.Task) (*passage.Controller, *hands, *whim.Score) {
+func (n *Node) controller(s *fleetstate.Sight, t *passage.Task) (*passage.Controller, *hands, *whim.Score) {
 	deck := n.deck(s)
 	h := &hands{n: n, sight: s, deck: deck, kind: t.Kind, regime: t.Regime, prefix: whim.Prefix(t.Identity.Prompt, s.Policy.Limits.PrefixTokens)}
 	return &passage.Controller{Hands: h, Clock: n.opt.Host.Clock, Orphan: n.opt.Orphan, Pulse: n.opt.Pulse, Tell: n.journal.Append}, h,
@@ -142,12 +142,12 @@
 }
 
 // plain runs a request that needs no claim.
-func (n *Node) plain(ctx context.Context, s *lore.Sight, t *passage.Task, out door.Sink) error {
+func (n *Node) plain(ctx context.Context, s *fleetstate.Sight, t *passage.Task, out door.Sink) error {
 	c, h, score := n.controller(s, t)
 	start, count := n.now(), 0
 	var known error
 	if t.Regime != "" {
-		t.Claim = func(word.WorkerId, word.Life) error { known = h.begin(ctx, t.Identity.Id.Request); return known }
+		t.Claim = func(ids.WorkerId, ids.Life) error { known = h.begin(ctx, t.Identity.Id.Request); return known }
 	}
 	err := c.Run(ctx, t, func(i int, tok int32, text string) error {
 		if count++; count == 1 {
@@ -169,7 +169,7 @@
 		n.counts.Done.Add(1)
 		score.Done.Add(1)
 		return out.Put(door.Line{Index: count, End: door.Complete, Count: count})
-	case breakdown.Is(err, breakdown.Bad):
+	case failure.Is(err, failure.Bad):
 		return door.No(http.StatusBadRequest, "refused", "", "%v", err)
 	case count == 0:
 		score.Bounced.Add(1)
@@ -186,13 +186,13 @@
 // anything is sent to a worker, and the outcome is recorded before the end line
 // is sent. It runs on when the origin goes away: the same key asked again is then
 // answered from the record.
-func (n *Node) claimed(ctx context.Context, s *lore.Sight, t *passage.Task, ask *door.Ask, out door.Sink) error {
+func (n *Node) claimed(ctx context.Context, s *fleetstate.Sight, t *passage.Task, ask *door.Ask, out door.Sink) error {
 	key := ask.Kind + "/" + ask.Key
 	t.Identity.Id.Request = Request(key)
 	c, h, score := n.controller(s, t)
 	start, deaf, fresh := n.now(), false, false
 	var known error
-	t.Claim = func(w word.WorkerId, life word.Life) error {
+	t.Claim = func(w ids.WorkerId, life ids.Life) error {
 		if fresh {
 			return n.bind(key, w, life)
 		}
@@ -228,38 +228,38 @@
 		score.Bounced.Add(1)
 		return n.crowd(http.StatusServiceUnavailable, "bounced", "%v", err)
 	}
-	fate := lore.Done
+	fate := fleetstate.Done
 	switch {
 	case err == nil:
-	case breakdown.Is(err, breakdown.Unknown):
-		fate = lore.Unsure
+	case failure.Is(err, failure.Unknown):
+		fate = fleetstate.Unsure
 	case len(toks) > 0:
-		fate = lore.Unsure
+		fate = fleetstate.Unsure
 	default:
-		fate = lore.NotRun
+		fate = fleetstate.NotRun
 	}
 	body, _ := json.Marshal(record{toks, texts})
-	if fate != lore.Done {
+	if fate != fleetstate.Done {
 		body = nil
 	}
-	end := &lore.Settle{Key: key, Owner: n.me.Node, Fate: fate, Out: body, Audit: h.record(t.Identity.Id.Request, key, fate)}
+	end := &fleetstate.Settle{Key: key, Owner: n.me.Node, Fate: fate, Out: body, Audit: h.record(t.Identity.Id.Request, key, fate)}
 	if e := n.settle(end); e != nil {
 		n.counts.Unsure.Add(1)
-		if !breakdown.Is(e, breakdown.Stale) {
+		if !failure.Is(e, failure.Stale) {
 			n.debts.add(debt{settle: end})
 		}
-		if len(toks) == 0 && fate == lore.NotRun {
+		if len(toks) == 0 && fate == fleetstate.NotRun {
 			return n.later(http.StatusServiceUnavailable, "outcome-pending", "%v", e)
 		}
 		return out.Put(door.Line{Index: len(toks), End: door.Unknown, Count: len(toks),
 			Error: &rein.Bounce{Name: "unrecorded", Detail: "the outcome is not on record yet; ask again with the same key", After: n.after().Milliseconds()}})
 	}
 	switch fate {
-	case lore.Unsure:
+	case fleetstate.Unsure:
 		n.counts.Unsure.Add(1)
 		return out.Put(door.Line{Index: len(toks), End: door.Unknown, Count: len(toks),
 			Error: &rein.Bounce{Name: "may-have-run", Detail: err.Error()}})
-	case lore.NotRun:
+	case fleetstate.NotRun:
 		score.Bounced.Add(1)
 		return n.gone(len(toks), out)
 	}
@@ -281,24 +281,24 @@
 var errReplayed = errors.New("answered from the record")
 
 // claim takes the key; a deed is given if it was taken before.
-func (n *Node) claim(ctx context.Context, key string, ask *door.Ask, w word.WorkerId, life word.Life) (*lore.Deed, error) {
+func (n *Node) claim(ctx context.Context, key string, ask *door.Ask, w ids.WorkerId, life ids.Life) (*fleetstate.Deed, error) {
 	cx, stop := context.WithTimeout(context.WithoutCancel(ctx), 1500*time.Millisecond)
 	defer stop()
-	claim := &lore.Claim{Key: key, Owner: n.me.Node, Worker: w, Life: life, Digest: ask.Digest()}
-	op := word.OpId("claim/" + crux.Name())
-	r, err := n.agent.Submit(cx, op, lore.ClaimKind, crux.Pack(claim))
+	claim := &fleetstate.Claim{Key: key, Owner: n.me.Node, Worker: w, Life: life, Digest: ask.Digest()}
+	op := ids.OpId("claim/" + coordination.Name())
+	r, err := n.agent.Submit(cx, op, fleetstate.ClaimKind, coordination.Pack(claim))
 	if err != nil {
-		if breakdown.Is(err, breakdown.Unknown) {
+		if failure.Is(err, failure.Unknown) {
 			n.debts.add(debt{op: op, claim: claim})
 			return nil, n.later(http.StatusServiceUnavailable, "claim-unknown", "whether the key was claimed is not known; nothing runs on it: %v", err)
 		}
-		if breakdown.Is(err, breakdown.Stale) {
+		if failure.Is(err, failure.Stale) {
 			n.counts.Bounced.Add(1)
 			return nil, door.Later(http.StatusServiceUnavailable, "store-full", time.Minute, "nothing was run: %v", err)
 		}
 		return nil, n.later(http.StatusServiceUnavailable, "core-away", "%v", err)
 	}
-	var got lore.ClaimReply
+	var got fleetstate.ClaimReply
 	if _, err := got.UnmarshalMsg(r.Body); err != nil {
 		return nil, n.later(http.StatusServiceUnavailable, "core-away", "%v", err)
 	}
@@ -312,11 +312,11 @@
 }
 
 // bind has a claimed key run elsewhere than it was claimed for.
-func (n *Node) bind(key string, w word.WorkerId, life word.Life) error {
+func (n *Node) bind(key string, w ids.WorkerId, life ids.Life) error {
 	cx, stop := context.WithTimeout(context.Background(), 1500*time.Millisecond)
 	defer stop()
-	b := &lore.Bind{Key: key, Owner: n.me.Node, Worker: w, Life: life}
-	_, err := n.agent.Submit(cx, word.OpId("bind/"+crux.Name()), lore.BindKind, crux.Pack(b))
+	b := &fleetstate.Bind{Key: key, Owner: n.me.Node, Worker: w, Life: life}
+	_, err := n.agent.Submit(cx, ids.OpId("bind/"+coordination.Name()), fleetstate.BindKind, coordination.Pack(b))
 	return err
 }
 
@@ -326,33 +326,33 @@
 }
 
 // Request is the request id that a key always has.
-func Request(key string) string { return "k-" + crux.Short(key) }
+func Request(key string) string { return "k-" + coordination.Short(key) }
 
-func (n *Node) settle(s *lore.Settle) error {
+func (n *Node) settle(s *fleetstate.Settle) error {
 	cx, stop := context.WithTimeout(context.Background(), 4*time.Second)
 	defer stop()
-	_, err := n.agent.Submit(cx, word.OpId("settle/"+s.Key+"/"+string(s.Owner)), lore.SettleKind, crux.Pack(s))
+	_, err := n.agent.Submit(cx, ids.OpId("settle/"+s.Key+"/"+string(s.Owner)), fleetstate.SettleKind, coordination.Pack(s))
 	return err
 }
 
 // replay answers a key that is known already.
-func (n *Node) replay(d *lore.Deed, out door.Sink) error {
+func (n *Node) replay(d *fleetstate.Deed, out door.Sink) error {
 	n.counts.Replayed.Add(1)
 	switch d.Fate {
-	case lore.Claimed:
+	case fleetstate.Claimed:
 		return n.later(http.StatusConflict, "running", "the key is being run")
-	case lore.NotRun:
+	case fleetstate.NotRun:
 		return n.gone(0, out)
-	case lore.Done:
+	case fleetstate.Done:
 		if d.Aged {
 			return door.No(http.StatusGone, "answer-aged", "key", "it ran and was answered; so old an answer is not kept, and it will not be run again")
 		}
-	case lore.Unsure:
+	case fleetstate.Unsure:
 		return door.No(http.StatusGone, "may-have-run", "key", "whether it ran is not known; it will not be run again")
 	}
 	var r record
 	if err := json.Unmarshal(d.Out, &r); err != nil {
-		return breakdown.As(err, breakdown.Bad, "replay", d.Key)
+		return failure.As(err, failure.Bad, "replay", d.Key)
 	}
 	for i, t := range r.Tokens {
 		if err := out.Put(door.Line{Index: i, Token: t, Text: r.Texts[i], Replay: true}); err != nil {
--- a/verge/settle.go
+++ b/verge/settle.go
@@ -12,21 +12,21 @@
 	"sync"
 	"time"
 
-	"keelstair.example/crux"
-	"keelstair.example/lore"
+	"keelstair.example/coordination"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/rein"
 	"keelstair.example/seam"
-	"keelstair.example/word"
 	"keelstair.example/writ"
 )
 
 func (n *Node) settler(ctx context.Context) {
 	for seam.Sleep(ctx, 300*time.Millisecond) {
-		fence, end, ok := n.agent.Begin(lore.SettleKey)
+		fence, end, ok := n.agent.Begin(fleetstate.SettleKey)
 		if !ok {
 			continue
 		}
-		live := map[word.NodeId]bool{}
+		live := map[ids.NodeId]bool{}
 		for _, m := range n.agent.Members() {
 			live[m.Node] = true
 		}
@@ -39,11 +39,11 @@
 	}
 }
 
-func (n *Node) close(ctx context.Context, d lore.Deed, fence word.Fence) {
+func (n *Node) close(ctx context.Context, d fleetstate.Deed, fence ids.Fence) {
 	cx, stop := context.WithTimeout(ctx, 2*time.Second)
 	defer stop()
-	seize := &lore.Seize{Key: d.Key, From: d.Owner, To: n.me.Node, Fence: fence}
-	r, err := n.agent.Submit(cx, "", lore.SeizeKind, crux.Pack(seize))
+	seize := &fleetstate.Seize{Key: d.Key, From: d.Owner, To: n.me.Node, Fence: fence}
+	r, err := n.agent.Submit(cx, "", fleetstate.SeizeKind, coordination.Pack(seize))
 	if err != nil {
 		return
 	}
@@ -52,7 +52,7 @@
 		return
 	}
 	fate, out := n.inquire(ctx, &d)
-	s := &lore.Settle{Key: d.Key, Owner: n.me.Node, Fate: fate, Out: out, Audit: n.seized(&d, fate)}
+	s := &fleetstate.Settle{Key: d.Key, Owner: n.me.Node, Fate: fate, Out: out, Audit: n.seized(&d, fate)}
 	if err := n.settle(s); err != nil {
 		n.opt.Ring.Warn().AnErr("cause", err).Str("key", d.Key).Msg("a dead node's claim is not settled yet")
 	}
@@ -61,9 +61,9 @@
 // inquire cancels a request for good at the one worker at which it may run, and
 // takes that worker's word. A worker that cannot be asked, or has begun a new life
 // since, may have run it.
-func (n *Node) inquire(ctx context.Context, d *lore.Deed) (string, []byte) {
+func (n *Node) inquire(ctx context.Context, d *fleetstate.Deed) (string, []byte) {
 	if _, ok := (*n.roster.Load())[d.Worker]; !ok {
-		return lore.Unsure, nil
+		return fleetstate.Unsure, nil
 	}
 	h := &hands{n: n, sight: n.view.Sight()}
 	for range 4 {
@@ -71,23 +71,23 @@
 		switch {
 		case err != nil:
 			if !seam.Sleep(ctx, 500*time.Millisecond) {
-				return lore.Unsure, nil
+				return fleetstate.Unsure, nil
 			}
 		case a.Life != d.Life:
-			return lore.Unsure, nil
+			return fleetstate.Unsure, nil
 		case a.Done && !n.mayRead(d.Key):
-			return lore.Unsure, nil
+			return fleetstate.Unsure, nil
 		case a.Done:
 			texts := append(a.Texts, make([]string, len(a.Output))...)
 			out, _ := json.Marshal(record{a.Output, texts[:len(a.Output)]})
-			return lore.Done, out
+			return fleetstate.Done, out
 		case a.Fate == rein.FateNever:
-			return lore.NotRun, nil
+			return fleetstate.NotRun, nil
 		default:
-			return lore.Unsure, nil
+			return fleetstate.Unsure, nil
 		}
 	}
-	return lore.Unsure, nil
+	return fleetstate.Unsure, nil
 }
 
 // mayRead tells whether this node may read the outcome of a deed: of a governed one only
@@ -104,13 +104,13 @@
 
 type purse struct {
 	mu    sync.Mutex
-	fence word.Fence
-	at    word.Tick
+	fence ids.Fence
+	at    ids.Tick
 	coins float64
 }
 
-func (n *Node) spendHere(_ context.Context, _ *crux.Empty) (*Spent, error) {
-	fence, end, ok := n.agent.Begin(lore.BudgetKey)
+func (n *Node) spendHere(_ context.Context, _ *coordination.Empty) (*Spent, error) {
+	fence, end, ok := n.agent.Begin(fleetstate.BudgetKey)
 	if !ok {
 		return &Spent{}, nil
 	}
--- a/verge/switch.go
+++ b/verge/switch.go
@@ -15,13 +15,13 @@
 	"sort"
 	"time"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/lore"
+	"keelstair.example/failure"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/rein"
+	"keelstair.example/rpc"
 	"keelstair.example/seam"
 	"keelstair.example/whim"
-	"keelstair.example/wire"
-	"keelstair.example/word"
 	"keelstair.example/writ"
 )
 
@@ -34,10 +34,10 @@
 // pool is what the holder of a pool's key remembers; new hands start anew and
 // wait half a dwell.
 type pool struct {
-	fence word.Fence
-	last  word.Tick
-	to    word.Part
-	press map[word.Part]float64
+	fence ids.Fence
+	last  ids.Tick
+	to    ids.Part
+	press map[ids.Part]float64
 }
 
 func (n *Node) switcher(ctx context.Context) {
@@ -49,14 +49,14 @@
 			models[w.Model] = true
 		}
 		for m := range models {
-			fence, end, ok := n.agent.Begin(lore.PoolKey(m))
+			fence, end, ok := n.agent.Begin(fleetstate.PoolKey(m))
 			if !ok {
 				delete(pools, m)
 				continue
 			}
 			p := pools[m]
 			if p == nil || p.fence != fence {
-				p = &pool{fence: fence, last: n.now(), press: map[word.Part]float64{}}
+				p = &pool{fence: fence, last: n.now(), press: map[ids.Part]float64{}}
 				pools[m] = p
 			}
 			if w, ok := n.pickTurn(s, m, p); ok {
@@ -72,16 +72,16 @@
 }
 
 // pickTurn names a worker that should turn now, if any.
-func (n *Node) pickTurn(s *lore.Sight, model string, p *pool) (whim.Wish, bool) {
+func (n *Node) pickTurn(s *fleetstate.Sight, model string, p *pool) (whim.Wish, bool) {
 	now, dwell := n.now(), s.Policy.Limits.Dwell()
-	by := map[word.Part][]Stand{}
+	by := map[ids.Part][]Stand{}
 	for id, st := range *n.stands.Load() {
 		if w, ok := s.Policy.Workers[id]; ok && w.Model == model && st.Ready && n.fit(s, id) {
 			by[st.Part] = append(by[st.Part], st)
 		}
 	}
 	view := &whim.Pool{Model: model, Press: p.press, Since: now.Since(p.last)}
-	for _, part := range []word.Part{word.Prefill, word.Decode} {
+	for _, part := range []ids.Part{ids.Prefill, ids.Decode} {
 		list := by[part]
 		sort.Slice(list, func(i, j int) bool { return list[i].Id < list[j].Id })
 		p.press[part] += smooth * (press(list) - p.press[part])
@@ -105,11 +105,11 @@
 }
 
 // wish asks the programs; with turning off, workers go home one by one.
-func (n *Node) wish(s *lore.Sight, view *whim.Pool) (whim.Wish, bool) {
+func (n *Node) wish(s *fleetstate.Sight, view *whim.Pool) (whim.Wish, bool) {
 	if s.Policy.Switch {
 		return n.deck(s).Turn(view)
 	}
-	for _, to := range []word.Part{word.Prefill, word.Decode} {
+	for _, to := range []ids.Part{ids.Prefill, ids.Decode} {
 		if w, ok := whim.Idlest(view, to, func(t whim.Turner) bool { return t.Home == to }); ok {
 			return w, true
 		}
@@ -129,9 +129,9 @@
 
 // spare tells whether a part can do without one of its workers: one of the same
 // weights stays, and two zones still have one if they had before.
-func spare(s *lore.Sight, list []Stand, id word.WorkerId) bool {
+func spare(s *fleetstate.Sight, list []Stand, id ids.WorkerId) bool {
 	me := s.Policy.Workers[id]
-	before, after, same := map[word.Zone]bool{}, map[word.Zone]bool{}, 0
+	before, after, same := map[ids.Zone]bool{}, map[ids.Zone]bool{}, 0
 	for _, st := range list {
 		w := s.Policy.Workers[st.Id]
 		before[w.Zone] = true
@@ -148,7 +148,7 @@
 
 // covered tells whether every regime that a worker serves in its part keeps another one
 // there that is cleared too.
-func covered(s *lore.Sight, list []Stand, me Stand, now writ.Now) bool {
+func covered(s *fleetstate.Sight, list []Stand, me Stand, now writ.Now) bool {
 	for _, g := range s.Register.Regimes() {
 		clear := func(st Stand) bool {
 			_, ok := s.Register.Clears(g, writ.Subject{Worker: st.Id}, me.Part, now)
@@ -161,47 +161,47 @@
 	return true
 }
 
-func (n *Node) turnedWithin(id word.WorkerId, dwell time.Duration) bool {
+func (n *Node) turnedWithin(id ids.WorkerId, dwell time.Duration) bool {
 	v, ok := n.turned.Load(id)
-	return ok && n.now().Since(v.(word.Tick)) < dwell
+	return ok && n.now().Since(v.(ids.Tick)) < dwell
 }
 
 // turn asks the worker's holder to drain it and change its part.
-func (n *Node) turn(ctx context.Context, id word.WorkerId, to word.Part) error {
+func (n *Node) turn(ctx context.Context, id ids.WorkerId, to ids.Part) error {
 	cx, stop := context.WithTimeout(ctx, turnMost+time.Second)
 	defer stop()
-	m, _, ok := n.agent.Holder(lore.WorkerKey(id))
+	m, _, ok := n.agent.Holder(fleetstate.WorkerKey(id))
 	if !ok {
-		return breakdown.New(breakdown.Away, "turn", string(id), "nobody holds its key now")
+		return failure.New(failure.Away, "turn", string(id), "nobody holds its key now")
 	}
 	q := &OrderAsk{Worker: id, Verb: verbTurn, Body: []byte(to)}
 	if m.Node == n.me.Node {
 		_, err := n.act(cx, q)
 		return err
 	}
-	_, err := wire.Call[OrderAsk, OrderReply](cx, n.call, m.Addr, "verge/order", q)
-	return breakdown.Wrap(err, "turn", string(id))
+	_, err := rpc.Call[OrderAsk, OrderReply](cx, n.call, m.Addr, "verge/order", q)
+	return failure.Wrap(err, "turn", string(id))
 }
 
 // turnHere is the holder's side: no new work, wait until it is empty, order it.
-func (n *Node) turnHere(ctx context.Context, d *desk, addr string, lead rein.Lead, to word.Part) (*rein.Answer, error) {
+func (n *Node) turnHere(ctx context.Context, d *desk, addr string, lead rein.Lead, to ids.Part) (*rein.Answer, error) {
 	d.ledger.Hold(true)
 	defer d.ledger.Hold(false)
 	cx, stop := context.WithTimeout(ctx, turnMost)
 	defer stop()
 	for {
-		if f, ok := n.agent.Held(lore.WorkerKey(d.id)); !ok || f != d.fence {
-			return nil, breakdown.New(breakdown.Away, "turn", n.me.Addr, "the key of %s went to other hands", d.id)
+		if f, ok := n.agent.Held(fleetstate.WorkerKey(d.id)); !ok || f != d.fence {
+			return nil, failure.New(failure.Away, "turn", n.me.Addr, "the key of %s went to other hands", d.id)
 		}
 		lead.Version = n.view.Sight().Version
 		if n.sure() && d.ledger.Empty() {
 			a, err := n.rein.Part(cx, addr, &rein.PartAsk{Lead: lead, Part: to})
-			if !breakdown.Is(err, breakdown.Bounced) {
+			if !failure.Is(err, failure.Bounced) {
 				return a, err
 			}
 		}
 		if !seam.Sleep(cx, 100*time.Millisecond) {
-			return nil, breakdown.New(breakdown.Bounced, "turn", string(d.id), "it did not drain in %s", turnMost)
+			return nil, failure.New(failure.Bounced, "turn", string(d.id), "it did not drain in %s", turnMost)
 		}
 	}
 }
--- a/verge/switch_test.go
+++ b/verge/switch_test.go
@@ -10,24 +10,24 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/lore"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
 	"keelstair.example/rein"
 	"keelstair.example/seam/sham"
-	"keelstair.example/word"
 )
 
 // stage sets up a node that sees so many workers of each part, this busy.
-func stage(reads, writes, readBusy, writeBusy int) (*Node, *lore.Sight) {
+func stage(reads, writes, readBusy, writeBusy int) (*Node, *fleetstate.Sight) {
 	n := New(Options{Name: "n", Host: sham.NewWorld(1).Machine("10.0.0.1").Start().Host()})
-	s := &lore.Sight{Policy: &lore.Policy{Switch: true, Workers: map[word.WorkerId]lore.Worker{}, Limits: lore.Limits{DwellMs: 4000}}}
-	stands, roster := map[word.WorkerId]Stand{}, map[word.WorkerId]rein.Listed{}
+	s := &fleetstate.Sight{Policy: &fleetstate.Policy{Switch: true, Workers: map[ids.WorkerId]fleetstate.Worker{}, Limits: fleetstate.Limits{DwellMs: 4000}}}
+	stands, roster := map[ids.WorkerId]Stand{}, map[ids.WorkerId]rein.Listed{}
 	for i := range reads + writes {
-		part, busy := word.Prefill, readBusy
+		part, busy := ids.Prefill, readBusy
 		if i >= reads {
-			part, busy = word.Decode, writeBusy
+			part, busy = ids.Decode, writeBusy
 		}
-		id := word.WorkerId(fmt.Sprintf("%s%d", part[:1], i))
-		s.Policy.Workers[id] = lore.Worker{Part: part, Model: "m", Weights: "w", Zone: word.Zone(fmt.Sprint(i % 3))}
+		id := ids.WorkerId(fmt.Sprintf("%s%d", part[:1], i))
+		s.Policy.Workers[id] = fleetstate.Worker{Part: part, Model: "m", Weights: "w", Zone: ids.Zone(fmt.Sprint(i % 3))}
 		stands[id] = Stand{Id: id, Part: part, Ready: true, Free: 90, Room: 100, Busy: busy, Work: busy, Cap: 16}
 		roster[id] = rein.Listed{Id: id}
 	}
@@ -37,9 +37,9 @@
 }
 
 // turns asks the switcher twice a second for so long.
-func turns(n *Node, s *lore.Sight, span time.Duration) []word.Part {
-	p := &pool{last: n.now(), press: map[word.Part]float64{}}
-	var out []word.Part
+func turns(n *Node, s *fleetstate.Sight, span time.Duration) []ids.Part {
+	p := &pool{last: n.now(), press: map[ids.Part]float64{}}
+	var out []ids.Part
 	for end := n.now().Add(span); n.now().Before(end); time.Sleep(turnEvery) {
 		if w, ok := n.pickTurn(s, "m", p); ok {
 			out = append(out, w.To)
@@ -58,12 +58,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		n, s := stage(4, 4, 14, 0)
 		got := turns(n, s, 60*time.Second)
-		require.Equal(t, []word.Part{word.Prefill, word.Prefill}, got, "two zones keep a decode worker")
+		require.Equal(t, []ids.Part{ids.Prefill, ids.Prefill}, got, "two zones keep a decode worker")
 		n, s = stage(4, 4, 14, 0)
 		require.Len(t, turns(n, s, 2900*time.Millisecond), 1, "half a dwell first, and a quarter between two")
 		n, s = stage(4, 4, 14, 0)
 		for id, st := range *n.stands.Load() {
-			if st.Part == word.Decode {
+			if st.Part == ids.Decode {
 				st.Busy = 14
 				(*n.stands.Load())[id] = st
 			}
@@ -76,14 +76,14 @@
 		n, s = stage(4, 4, 4, 0)
 		require.Empty(t, turns(n, s, 60*time.Second), "neither is pressed")
 		n, s = stage(4, 4, 0, 14)
-		require.Equal(t, word.Decode, turns(n, s, 30*time.Second)[0])
+		require.Equal(t, ids.Decode, turns(n, s, 30*time.Second)[0])
 		s.Policy.Switch = false
 		for id, st := range *n.stands.Load() {
 			st.Busy = 0
 			(*n.stands.Load())[id] = st
 		}
 		for _, to := range turns(n, s, 60*time.Second) {
-			require.Equal(t, word.Prefill, to)
+			require.Equal(t, ids.Prefill, to)
 		}
 		for id, st := range *n.stands.Load() {
 			require.Equal(t, s.Policy.Workers[id].Part, st.Part, "home again")
--- a/whim/deck.go
+++ b/whim/deck.go
@@ -11,8 +11,8 @@
 	"sync/atomic"
 	"time"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/word"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 )
 
 // Score counts how a program fares. All is atomic: it is on the request path.
@@ -97,10 +97,10 @@
 	for _, s := range list {
 		p, err := Compile(s.Name, s.Text, steps)
 		if err == nil && s.Turns && !p.Turns() {
-			err = breakdown.New(breakdown.Bad, "compile program", s.Name, "%s.star:1: it is to be in charge of turning and has no turn(pool)", s.Name)
+			err = failure.New(failure.Bad, "compile program", s.Name, "%s.star:1: it is to be in charge of turning and has no turn(pool)", s.Name)
 		}
 		if err != nil {
-			return nil, breakdown.Wrap(err, "check programs", "")
+			return nil, failure.Wrap(err, "check programs", "")
 		}
 		d.slots = append(d.slots, slot{s.Name, s.Share, s.Shadow, s.Turns, p})
 	}
@@ -127,7 +127,7 @@
 func (d *Deck) Rules() bool { return len(d.slots) > 0 }
 
 // route gives the candidates that a program matches, in its order.
-func route(p Program, q *Question, list []Candidate) ([]word.WorkerId, error) {
+func route(p Program, q *Question, list []Candidate) ([]ids.WorkerId, error) {
 	some, err := p.Match(q, list)
 	if err != nil {
 		return nil, err
@@ -141,10 +141,10 @@
 
 // Order asks the request's program, and in its shadow the shadow programs,
 // whose choices are only counted.
-func (d *Deck) Order(q *Question, list []Candidate) []word.WorkerId {
+func (d *Deck) Order(q *Question, list []Candidate) []ids.WorkerId {
 	name := d.For(q.Request)
 	plain, _ := Plain{}.Order(q, list)
-	out, firsts := plain, map[string]word.WorkerId{}
+	out, firsts := plain, map[string]ids.WorkerId{}
 	for _, s := range d.slots {
 		if s.name != name && !s.shadow {
 			continue
--- a/whim/star.go
+++ b/whim/star.go
@@ -11,8 +11,8 @@
 	"go.starlark.net/starlarkstruct"
 	"go.starlark.net/syntax"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/word"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 )
 
 type star struct {
@@ -51,12 +51,12 @@
 			if ok {
 				line = f.Position().Line
 			}
-			return nil, breakdown.New(breakdown.Bad, "compile program", name, "%s.star:%d: it should be %s", name, line, part.form)
+			return nil, failure.New(failure.Bad, "compile program", name, "%s.star:%d: it should be %s", name, line, part.form)
 		}
 		*part.into = f
 	}
 	if s.match == nil && s.order == nil && s.turn == nil {
-		return nil, breakdown.New(breakdown.Bad, "compile program", name, "%s.star:1: it must define match(ask, worker), order(ask, workers) or turn(pool)", name)
+		return nil, failure.New(failure.Bad, "compile program", name, "%s.star:1: it must define match(ask, worker), order(ask, workers) or turn(pool)", name)
 	}
 	return s, nil
 }
@@ -67,11 +67,11 @@
 	if errors.As(err, &ev) {
 		for i := range ev.CallStack {
 			if pos := ev.CallStack.At(i).Pos; pos.Line > 0 {
-				return breakdown.New(breakdown.Bad, step, name, "%s: %s", pos, ev.Msg)
+				return failure.New(failure.Bad, step, name, "%s: %s", pos, ev.Msg)
 			}
 		}
 	}
-	return breakdown.As(err, breakdown.Bad, step, name)
+	return failure.As(err, failure.Bad, step, name)
 }
 
 func (s *star) thread() *starlark.Thread {
@@ -118,7 +118,7 @@
 		}
 		yes, ok := v.(starlark.Bool)
 		if !ok {
-			return nil, breakdown.New(breakdown.Bad, "run program", s.name, "match gave %s, not True or False", v.Type())
+			return nil, failure.New(failure.Bad, "run program", s.name, "match gave %s, not True or False", v.Type())
 		}
 		if yes {
 			out = append(out, list[i])
@@ -127,7 +127,7 @@
 	return out, nil
 }
 
-func (s *star) Order(q *Question, list []Candidate) ([]word.WorkerId, error) {
+func (s *star) Order(q *Question, list []Candidate) ([]ids.WorkerId, error) {
 	if s.order == nil {
 		return Plain{}.Order(q, list)
 	}
@@ -141,18 +141,18 @@
 	}
 	seq, ok := v.(starlark.Iterable)
 	if !ok {
-		return nil, breakdown.New(breakdown.Bad, "run program", s.name, "order gave %s, not a list of ids", v.Type())
+		return nil, failure.New(failure.Bad, "run program", s.name, "order gave %s, not a list of ids", v.Type())
 	}
 	it := seq.Iterate()
 	defer it.Done()
-	var out []word.WorkerId
+	var out []ids.WorkerId
 	var e starlark.Value
 	for it.Next(&e) {
 		id, ok := starlark.AsString(e)
 		if !ok || len(out) > len(list) {
-			return nil, breakdown.New(breakdown.Bad, "run program", s.name, "order gave a list that is not ids of candidates")
+			return nil, failure.New(failure.Bad, "run program", s.name, "order gave a list that is not ids of candidates")
 		}
-		out = append(out, word.WorkerId(id))
+		out = append(out, ids.WorkerId(id))
 	}
 	return out, nil
 }
@@ -171,7 +171,7 @@
 	}
 	pool := starlarkstruct.FromStringDict(starlark.String("pool"), starlark.StringDict{
 		"model": starlark.String(p.Model), "since": starlark.Float(p.Since.Seconds()), "workers": starlark.NewList(row),
-		"prefill": starlark.Float(p.Press[word.Prefill]), "decode": starlark.Float(p.Press[word.Decode]),
+		"prefill": starlark.Float(p.Press[ids.Prefill]), "decode": starlark.Float(p.Press[ids.Decode]),
 	})
 	v, err := starlark.Call(s.thread(), s.turn, starlark.Tuple{pool}, nil)
 	if err != nil {
@@ -184,8 +184,8 @@
 		id, a := starlark.AsString(pair.Index(0))
 		to, b := starlark.AsString(pair.Index(1))
 		if a && b {
-			return Wish{word.WorkerId(id), word.Part(to)}, true, nil
+			return Wish{ids.WorkerId(id), ids.Part(to)}, true, nil
 		}
 	}
-	return Wish{}, false, breakdown.New(breakdown.Bad, "run program", s.name, "turn gave %s, not None or (id, part)", v)
+	return Wish{}, false, failure.New(failure.Bad, "run program", s.name, "turn gave %s, not None or (id, part)", v)
 }
--- a/whim/turn.go
+++ b/whim/turn.go
@@ -7,18 +7,18 @@
 import (
 	"time"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/word"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 )
 
 // Turner is a worker of a pool as a program sees it.
 type Turner struct {
-	Id   word.WorkerId
-	Zone word.Zone
-	Part word.Part
-	Home word.Part // the part that the catalogue gives it
-	Busy int       // starts booked or under way
-	Work int       // of these, begun at the worker
+	Id   ids.WorkerId
+	Zone ids.Zone
+	Part ids.Part
+	Home ids.Part // the part that the catalogue gives it
+	Busy int      // starts booked or under way
+	Work int      // of these, begun at the worker
 	Cap  int
 	Free int
 	Room int
@@ -30,23 +30,23 @@
 // for another worker, does not count.
 type Pool struct {
 	Model   string
-	Press   map[word.Part]float64
+	Press   map[ids.Part]float64
 	Workers []Turner
 	Since   time.Duration // since the pool's last turn
 }
 
 // Wish is for a worker to change to a part.
 type Wish struct {
-	Worker word.WorkerId
-	To     word.Part
+	Worker ids.WorkerId
+	To     ids.Part
 }
 
 // Other is the part that a worker changes from when it changes to one.
-func Other(p word.Part) word.Part {
-	if p == word.Prefill {
-		return word.Decode
+func Other(p ids.Part) ids.Part {
+	if p == ids.Prefill {
+		return ids.Decode
 	}
-	return word.Prefill
+	return ids.Prefill
 }
 
 const (
@@ -57,11 +57,11 @@
 // Turn of the built-in program: a hard pressed part gets the least busy worker of
 // the other, if that one is not pressed too, without it.
 func (Plain) Turn(p *Pool) (Wish, bool, error) {
-	count := map[word.Part]int{}
+	count := map[ids.Part]int{}
 	for _, w := range p.Workers {
 		count[w.Part]++
 	}
-	for _, to := range []word.Part{word.Prefill, word.Decode} {
+	for _, to := range []ids.Part{ids.Prefill, ids.Decode} {
 		from := Other(to)
 		rest := p.Press[from] * float64(count[from]) / float64(max(count[from]-1, 1))
 		if p.Press[to] <= pressed || p.Press[to] <= apart*rest {
@@ -76,7 +76,7 @@
 
 // Idlest names the least busy worker that may change to a part, one that comes home
 // by it before others.
-func Idlest(p *Pool, to word.Part, counts func(Turner) bool) (Wish, bool) {
+func Idlest(p *Pool, to ids.Part, counts func(Turner) bool) (Wish, bool) {
 	var best *Turner
 	for i, w := range p.Workers {
 		if w.Part == to || !w.May || !counts(w) {
@@ -99,7 +99,7 @@
 			return nil
 		}
 	}
-	return breakdown.New(breakdown.Bad, "turn worker", string(w.Worker), "the program names a worker that may not turn to %q", w.To)
+	return failure.New(failure.Bad, "turn worker", string(w.Worker), "the program names a worker that may not turn to %q", w.To)
 }
 
 // Turn asks the program in charge, else the built-in one.
--- a/whim/turn_test.go
+++ b/whim/turn_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 func deckOf(t *testing.T, scores *Scores, list ...Source) *Deck {
@@ -23,11 +23,11 @@
 	for i := range list {
 		list[i].Adapters = []string{"legal"}[:i%2]
 	}
-	q := &Question{Part: word.Decode, Request: "r", Kind: "ruling"}
+	q := &Question{Part: ids.Decode, Request: "r", Kind: "ruling"}
 	text := "def match(ask, worker):\n    return ask.kind != 'ruling' or 'legal' in worker.adapters\n"
 	d := deckOf(t, &Scores{}, Source{Name: "legal", Text: text, Share: 100})
-	require.Equal(t, []word.WorkerId{"w5", "w3", "w1"}, d.Order(q, list), "in the built-in order")
-	require.Len(t, d.Order(&Question{Part: word.Decode, Request: "r", Kind: "rider"}, list), 6)
+	require.Equal(t, []ids.WorkerId{"w5", "w3", "w1"}, d.Order(q, list), "in the built-in order")
+	require.Len(t, d.Order(&Question{Part: ids.Decode, Request: "r", Kind: "rider"}, list), 6)
 	none := deckOf(t, &Scores{}, Source{Name: "none", Text: "def match(ask, worker):\n    return False\n", Share: 100})
 	require.Empty(t, none.Order(q, list), "matched by nobody")
 	for name, body := range map[string]string{"endless": "[i for i in range(1 << 40)]", "failing": "worker.nothing", "nonsense": "3"} {
@@ -41,11 +41,11 @@
 }
 
 func pressedPool() *Pool {
-	p := &Pool{Model: "m", Press: map[word.Part]float64{word.Prefill: 0.9, word.Decode: 0.1}}
-	for i, id := range []word.WorkerId{"p1", "p2", "d1", "d2", "d3"} {
-		w := Turner{Id: id, Part: word.Prefill, Home: word.Prefill, Busy: 10 - i, Cap: 16, May: id != "d3"}
+	p := &Pool{Model: "m", Press: map[ids.Part]float64{ids.Prefill: 0.9, ids.Decode: 0.1}}
+	for i, id := range []ids.WorkerId{"p1", "p2", "d1", "d2", "d3"} {
+		w := Turner{Id: id, Part: ids.Prefill, Home: ids.Prefill, Busy: 10 - i, Cap: 16, May: id != "d3"}
 		if i >= 2 {
-			w.Part, w.Home = word.Decode, word.Decode
+			w.Part, w.Home = ids.Decode, ids.Decode
 		}
 		p.Workers = append(p.Workers, w)
 	}
@@ -55,14 +55,14 @@
 // TestTurnPrograms: the program in charge decides, one that is not only is counted,
 // and whatever it wishes for that may not be falls back to the built-in wish.
 func TestTurnPrograms(t *testing.T) {
-	plain := Wish{"d2", word.Prefill}
+	plain := Wish{"d2", ids.Prefill}
 	for name, k := range map[string]struct {
 		body  string
 		wish  Wish
 		ok    bool
 		falls int64
 	}{
-		"own":      {"('d1', 'prefill') if pool.prefill > 0.8 else None", Wish{"d1", word.Prefill}, true, 0},
+		"own":      {"('d1', 'prefill') if pool.prefill > 0.8 else None", Wish{"d1", ids.Prefill}, true, 0},
 		"calm":     {"None", Wish{}, false, 0},
 		"may not":  {"('d3', 'prefill')", plain, true, 1},
 		"stranger": {"('d9', 'prefill')", plain, true, 1},
--- a/whim/whim.go
+++ b/whim/whim.go
@@ -7,8 +7,8 @@
 import (
 	"sort"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/word"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 )
 
 // Question is what a program may know of the work.
@@ -17,8 +17,8 @@
 	Kind     string
 	Model    string
 	Adapters []string
-	Part     word.Part
-	Zone     word.Zone
+	Part     ids.Part
+	Zone     ids.Zone
 	Prompt   int
 	Max      int
 	Need     int
@@ -28,8 +28,8 @@
 // Candidate is a worker that may take it. Affinity, from 0 to 1, is the same on
 // every node for the same prompt prefix and worker.
 type Candidate struct {
-	Id       word.WorkerId
-	Zone     word.Zone
+	Id       ids.WorkerId
+	Zone     ids.Zone
 	Weights  string
 	Adapters []string
 	Free     int
@@ -45,20 +45,20 @@
 // worker should change its part. It need not have an idea of each.
 type Program interface {
 	Match(q *Question, list []Candidate) ([]Candidate, error)
-	Order(q *Question, list []Candidate) ([]word.WorkerId, error)
+	Order(q *Question, list []Candidate) ([]ids.WorkerId, error)
 	Turn(p *Pool) (Wish, bool, error)
 	Turns() bool
 }
 
 // Affinity is high for the worker that a prefix falls to.
-func Affinity(prefix uint64, id word.WorkerId) float64 { return Mix(prefix, Hash(id)) }
+func Affinity(prefix uint64, id ids.WorkerId) float64 { return Mix(prefix, Hash(id)) }
 
 // Hash is what Affinity makes of a worker's id.
-func Hash(id word.WorkerId) uint64 { return word.Hash(string(id)) }
+func Hash(id ids.WorkerId) uint64 { return ids.Hash(string(id)) }
 
 // Mix is the Affinity of a worker by its id's Hash, from 0 to 1.
 func Mix(prefix, hash uint64) float64 {
-	return float64(word.Mix(hash^prefix)>>11) / (1 << 53)
+	return float64(ids.Mix(hash^prefix)>>11) / (1 << 53)
 }
 
 // Prefix hashes the first tokens of a prompt.
@@ -78,18 +78,18 @@
 func (Plain) Match(_ *Question, list []Candidate) ([]Candidate, error) { return list, nil }
 func (Plain) Turns() bool                                              { return true }
 
-func (Plain) Order(q *Question, list []Candidate) ([]word.WorkerId, error) {
+func (Plain) Order(q *Question, list []Candidate) ([]ids.WorkerId, error) {
 	score := func(c Candidate) float64 {
 		if q.Priced {
 			return c.Cost
 		}
-		if q.Part == word.Prefill {
+		if q.Part == ids.Prefill {
 			return float64(c.Busy)
 		}
 		return -float64(c.Free) / float64(max(c.Room, 1))
 	}
 	row := append([]Candidate(nil), list...)
-	own := word.Hash(q.Request)
+	own := ids.Hash(q.Request)
 	sort.SliceStable(row, func(i, j int) bool {
 		a, b := score(row[i]), score(row[j])
 		if a != b {
@@ -97,7 +97,7 @@
 		}
 		return Affinity(own, row[i].Id) > Affinity(own, row[j].Id)
 	})
-	out := make([]word.WorkerId, len(row))
+	out := make([]ids.WorkerId, len(row))
 	for i, c := range row {
 		out[i] = c.Id
 	}
@@ -106,15 +106,15 @@
 
 // clear holds a program's order against the candidates: strangers and repeats
 // are an error, and whoever was left out comes last in the plain order.
-func clear(q *Question, list []Candidate, got []word.WorkerId) ([]word.WorkerId, error) {
-	left := make(map[word.WorkerId]bool, len(list))
+func clear(q *Question, list []Candidate, got []ids.WorkerId) ([]ids.WorkerId, error) {
+	left := make(map[ids.WorkerId]bool, len(list))
 	for _, c := range list {
 		left[c.Id] = true
 	}
-	out := make([]word.WorkerId, 0, len(list))
+	out := make([]ids.WorkerId, 0, len(list))
 	for _, id := range got {
 		if !left[id] {
-			return nil, breakdown.New(breakdown.Bad, "order workers", string(id), "the program names a worker that is no candidate, or names it twice")
+			return nil, failure.New(failure.Bad, "order workers", string(id), "the program names a worker that is no candidate, or names it twice")
 		}
 		delete(left, id)
 		out = append(out, id)
--- a/whim/whim_test.go
+++ b/whim/whim_test.go
@@ -8,24 +8,24 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/word"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 )
 
 func some(n int) []Candidate {
 	var out []Candidate
 	for i := range n {
-		out = append(out, Candidate{Id: word.WorkerId(fmt.Sprintf("w%d", i)), Free: 100 + i, Room: 200, Busy: n - i, Cap: 16, Affinity: Affinity(7, word.WorkerId(fmt.Sprintf("w%d", i)))})
+		out = append(out, Candidate{Id: ids.WorkerId(fmt.Sprintf("w%d", i)), Free: 100 + i, Room: 200, Busy: n - i, Cap: 16, Affinity: Affinity(7, ids.WorkerId(fmt.Sprintf("w%d", i)))})
 	}
 	return out
 }
 
 // TestShippedOrder: the shipped programs compile and order by what they say.
 func TestShippedOrder(t *testing.T) {
-	for name, first := range map[string]word.WorkerId{"free": "w5", "short": "w5"} {
+	for name, first := range map[string]ids.WorkerId{"free": "w5", "short": "w5"} {
 		p, err := Compile(name, Shipped(name), 20000)
 		require.NoError(t, err)
-		got, err := p.Order(&Question{Part: word.Decode}, some(6))
+		got, err := p.Order(&Question{Part: ids.Decode}, some(6))
 		require.NoError(t, err)
 		require.Len(t, got, 6)
 		require.Equal(t, first, got[0], name)
@@ -40,7 +40,7 @@
 			best = level[i]
 		}
 	}
-	got, err := p.Order(&Question{Part: word.Prefill}, level)
+	got, err := p.Order(&Question{Part: ids.Prefill}, level)
 	require.NoError(t, err)
 	require.Equal(t, best.Id, got[0])
 }
@@ -48,7 +48,7 @@
 // TestHostile: a program that never ends, fails, names a stranger, names one
 // twice or gives nonsense falls back to the built-in order, and is counted.
 func TestHostile(t *testing.T) {
-	plain, _ := Plain{}.Order(&Question{Part: word.Decode}, some(4))
+	plain, _ := Plain{}.Order(&Question{Part: ids.Decode}, some(4))
 	for name, body := range map[string]string{
 		"endless":  "    x = 0\n    for i in range(1000000000):\n        x += i\n    return [w.id for w in workers]",
 		"failing":  "    return [w.id for w in workers][99]",
@@ -62,7 +62,7 @@
 		scores := &Scores{}
 		deck, err := NewDeck([]Source{{Name: name, Text: "seen = []\ndef order(ask, workers):\n" + body, Share: 100}}, 20000, scores)
 		require.NoError(t, err, name)
-		require.Equal(t, plain, deck.Order(&Question{Part: word.Decode, Request: "r"}, some(4)), name)
+		require.Equal(t, plain, deck.Order(&Question{Part: ids.Decode, Request: "r"}, some(4)), name)
 		require.EqualValues(t, 1, scores.Of(name).Fallbacks.Load(), name)
 	}
 }
@@ -71,9 +71,9 @@
 func TestLeftOut(t *testing.T) {
 	deck, err := NewDeck([]Source{{Name: "one", Text: "def order(ask, workers):\n    return ['w2']", Share: 100}}, 20000, &Scores{})
 	require.NoError(t, err)
-	got := deck.Order(&Question{Part: word.Decode, Request: "r"}, some(4))
+	got := deck.Order(&Question{Part: ids.Decode, Request: "r"}, some(4))
 	require.Len(t, got, 4)
-	require.Equal(t, word.WorkerId("w2"), got[0])
+	require.Equal(t, ids.WorkerId("w2"), got[0])
 }
 
 // TestShares: traffic falls to programs by their shares, a shadow only counts.
@@ -83,7 +83,7 @@
 		{Name: "c", Text: Shipped("prefix"), Shadow: true}}, 20000, scores)
 	require.NoError(t, err)
 	for i := range 2000 {
-		deck.Order(&Question{Part: word.Decode, Request: fmt.Sprint("r", i)}, some(3))
+		deck.Order(&Question{Part: ids.Decode, Request: fmt.Sprint("r", i)}, some(3))
 	}
 	a, b, c := scores.Of("a").Picks.Load(), scores.Of("b").Picks.Load(), scores.Of("c").Picks.Load()
 	require.EqualValues(t, 2000, a+b)
@@ -100,7 +100,7 @@
 		"while True:\n    pass":                          "bad.star:1",
 	} {
 		_, err := NewDeck([]Source{{Name: "bad", Text: text}}, 20000, &Scores{})
-		require.True(t, breakdown.Is(err, breakdown.Bad), text)
+		require.True(t, failure.Is(err, failure.Bad), text)
 		require.ErrorContains(t, err, says)
 	}
 }
@@ -108,7 +108,7 @@
 func BenchmarkPlain(b *testing.B) {
 	list := some(12)
 	for b.Loop() {
-		Plain{}.Order(&Question{Part: word.Prefill}, list)
+		Plain{}.Order(&Question{Part: ids.Prefill}, list)
 	}
 }
 
@@ -116,6 +116,6 @@
 	p, _ := Compile("prefix", Shipped("prefix"), 20000)
 	list := some(12)
 	for b.Loop() {
-		p.Order(&Question{Part: word.Prefill}, list)
+		p.Order(&Question{Part: ids.Prefill}, list)
 	}
 }
--- a/writ/key.go
+++ b/writ/key.go
@@ -9,18 +9,18 @@
 	"encoding/base64"
 	"encoding/pem"
 
-	"keelstair.example/breakdown"
+	"keelstair.example/failure"
 )
 
 // NewKey makes a key and gives its file's text.
 func NewKey() (ed25519.PrivateKey, []byte, error) {
 	_, private, err := ed25519.GenerateKey(rand.Reader)
 	if err != nil {
-		return nil, nil, breakdown.As(err, breakdown.Bad, "make key", "")
+		return nil, nil, failure.As(err, failure.Bad, "make key", "")
 	}
 	der, err := x509.MarshalPKCS8PrivateKey(private)
 	if err != nil {
-		return nil, nil, breakdown.As(err, breakdown.Bad, "make key", "")
+		return nil, nil, failure.As(err, failure.Bad, "make key", "")
 	}
 	return private, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: der}), nil
 }
@@ -29,15 +29,15 @@
 func ReadKey(text []byte) (ed25519.PrivateKey, error) {
 	block, _ := pem.Decode(text)
 	if block == nil || block.Type != "PRIVATE KEY" {
-		return nil, breakdown.New(breakdown.Bad, "read key", "", "it is no PEM file with a PRIVATE KEY")
+		return nil, failure.New(failure.Bad, "read key", "", "it is no PEM file with a PRIVATE KEY")
 	}
 	any, err := x509.ParsePKCS8PrivateKey(block.Bytes)
 	if err != nil {
-		return nil, breakdown.As(err, breakdown.Bad, "read key", "")
+		return nil, failure.As(err, failure.Bad, "read key", "")
 	}
 	private, ok := any.(ed25519.PrivateKey)
 	if !ok {
-		return nil, breakdown.New(breakdown.Bad, "read key", "", "it is a key of another sort; an Ed25519 key is needed")
+		return nil, failure.New(failure.Bad, "read key", "", "it is a key of another sort; an Ed25519 key is needed")
 	}
 	return private, nil
 }
--- a/writ/register.go
+++ b/writ/register.go
@@ -9,7 +9,7 @@
 	"sort"
 	"time"
 
-	"keelstair.example/word"
+	"keelstair.example/ids"
 )
 
 // Now is what the fleet's time may be at this moment: two bounds, in nanoseconds since
@@ -22,7 +22,7 @@
 type seat struct {
 	regime  string
 	subject Subject
-	part    word.Part
+	part    ids.Part
 }
 
 type entry struct {
@@ -101,7 +101,7 @@
 	}
 	parts := c.Parts
 	if c.Node != "" {
-		parts = []word.Part{""}
+		parts = []ids.Part{""}
 	}
 	e := entry{serial, from, until}
 	for _, p := range parts {
@@ -156,7 +156,7 @@
 
 // Clears tells whether a subject may play a part (none for a node) in a regime now, and
 // by which serial: of several the one that ends last.
-func (r *Register) Clears(regime string, s Subject, part word.Part, now Now) (serial string, ok bool) {
+func (r *Register) Clears(regime string, s Subject, part ids.Part, now Now) (serial string, ok bool) {
 	if r == nil || now.High == 0 {
 		return "", false
 	}
@@ -171,7 +171,7 @@
 
 // Keeps is the share of a worker's room, in percent, that is kept free for governed
 // work: the largest of the regimes that it may serve now in a part.
-func (r *Register) Keeps(w word.WorkerId, part word.Part, now Now) int {
+func (r *Register) Keeps(w ids.WorkerId, part ids.Part, now Now) int {
 	most := 0
 	if r != nil {
 		for name, g := range r.regimes {
@@ -253,7 +253,7 @@
 // Short lists what a regime lacks at a time, among the workers that can be picked:
 // fewer than want of a part, or no node. A nil alive counts all.
 func (r *Register) Short(regime string, want int, now Now, alive func(Subject) bool) []string {
-	count := map[word.Part]map[Subject]bool{word.Prefill: {}, word.Decode: {}, "": {}}
+	count := map[ids.Part]map[Subject]bool{ids.Prefill: {}, ids.Decode: {}, "": {}}
 	for _, row := range r.Rows(regime, now) {
 		if row.State != Valid || alive != nil && !alive(row.Subject()) {
 			continue
@@ -266,7 +266,7 @@
 		}
 	}
 	var out []string
-	for _, p := range []word.Part{word.Prefill, word.Decode} {
+	for _, p := range []ids.Part{ids.Prefill, ids.Decode} {
 		if n := len(count[p]); n < want {
 			out = append(out, string(p)+" workers")
 		}
--- a/writ/writ.go
+++ b/writ/writ.go
@@ -11,8 +11,8 @@
 	"fmt"
 	"time"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/word"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 )
 
 // Regime governs the kinds that it names. Keep is the share of a certified worker's
@@ -34,20 +34,20 @@
 // are a worker's; a node has none. Times are RFC 3339; the span begins with From and
 // ends just before Until.
 type Certificate struct {
-	Serial    string        `json:"serial"`
-	Worker    word.WorkerId `json:"worker,omitempty"`
-	Node      string        `json:"node,omitempty"`
-	Regime    string        `json:"regime"`
-	Parts     []word.Part   `json:"parts,omitempty"`
-	From      string        `json:"from"`
-	Until     string        `json:"until"`
-	Issuer    string        `json:"issuer"`
-	Signature string        `json:"signature,omitempty"`
+	Serial    string       `json:"serial"`
+	Worker    ids.WorkerId `json:"worker,omitempty"`
+	Node      string       `json:"node,omitempty"`
+	Regime    string       `json:"regime"`
+	Parts     []ids.Part   `json:"parts,omitempty"`
+	From      string       `json:"from"`
+	Until     string       `json:"until"`
+	Issuer    string       `json:"issuer"`
+	Signature string       `json:"signature,omitempty"`
 }
 
 // Subject is who a certificate speaks of; one of the two is set.
 type Subject struct {
-	Worker word.WorkerId
+	Worker ids.WorkerId
 	Node   string
 }
 
@@ -89,7 +89,7 @@
 func (f *Fault) Error() string { return f.Reason }
 
 func fault(path []string, form string, args ...any) error {
-	return breakdown.As(&Fault{path, fmt.Sprintf(form, args...)}, breakdown.Bad, "check regimes", "")
+	return failure.As(&Fault{path, fmt.Sprintf(form, args...)}, failure.Bad, "check regimes", "")
 }
 
 // span reads the two ends of a validity, in nanoseconds since 1970.
--- a/writ/writ_test.go
+++ b/writ/writ_test.go
@@ -15,13 +15,13 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/breakdown"
-	"keelstair.example/word"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
 )
 
 var (
 	day0 = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
-	both = []word.Part{word.Prefill, word.Decode}
+	both = []ids.Part{ids.Prefill, ids.Decode}
 )
 
 func day(n int) string { return day0.AddDate(0, 0, n).Format(time.RFC3339) }
@@ -63,8 +63,8 @@
 // start by the lower; revoked at once; the key that signed must be in force too.
 func TestClears(t *testing.T) {
 	o := open(t)
-	o.put("k1", Certificate{Serial: "3", Worker: "p1", Regime: "chair", Parts: []word.Part{word.Prefill}, From: day(5), Until: day(150)})
-	o.put("k2", Certificate{Serial: "4", Worker: "d1", Regime: "chair", Parts: []word.Part{word.Decode}, From: day(80), Until: day(150)})
+	o.put("k1", Certificate{Serial: "3", Worker: "p1", Regime: "chair", Parts: []ids.Part{ids.Prefill}, From: day(5), Until: day(150)})
+	o.put("k2", Certificate{Serial: "4", Worker: "d1", Regime: "chair", Parts: []ids.Part{ids.Decode}, From: day(80), Until: day(150)})
 	r, err := o.compile()
 	require.NoError(t, err)
 	require.Equal(t, "chair", r.Governs("verdict"))
@@ -73,38 +73,38 @@
 	for _, one := range []struct {
 		regime  string
 		subject Subject
-		part    word.Part
+		part    ids.Part
 		now     Now
 		serial  string
 	}{
-		{"chair", p1, word.Prefill, on(2), "1"},
-		{"chair", p1, word.Decode, on(2), "1"},
-		{"chair", p1, word.Prefill, on(6), "3"},
-		{"fines", p1, word.Prefill, on(2), ""},
+		{"chair", p1, ids.Prefill, on(2), "1"},
+		{"chair", p1, ids.Decode, on(2), "1"},
+		{"chair", p1, ids.Prefill, on(6), "3"},
+		{"fines", p1, ids.Prefill, on(2), ""},
 		{"chair", Subject{Node: "p1"}, "", on(2), ""},
 		{"chair", Subject{Node: "v1"}, "", on(2), "2"},
-		{"chair", p1, word.Decode, on(0), ""},
-		{"chair", p1, word.Decode, on(1), "1"},
-		{"chair", p1, word.Decode, Now{on(1).Low - 1, on(1).High}, ""},
-		{"chair", p1, word.Decode, Now{on(9).Low, on(10).High}, ""},
-		{"chair", p1, word.Decode, Now{on(9).Low, on(10).High - 1}, "1"},
-		{"chair", p1, word.Prefill, on(99), "3"},
-		{"chair", p1, word.Prefill, on(100), ""}, // k1 is over
-		{"chair", d1, word.Decode, on(85), ""},   // k2 is not yet
-		{"chair", d1, word.Decode, on(95), "4"},  // both keys are valid
-		{"chair", d1, word.Decode, Now{}, ""},    // no word of the time
+		{"chair", p1, ids.Decode, on(0), ""},
+		{"chair", p1, ids.Decode, on(1), "1"},
+		{"chair", p1, ids.Decode, Now{on(1).Low - 1, on(1).High}, ""},
+		{"chair", p1, ids.Decode, Now{on(9).Low, on(10).High}, ""},
+		{"chair", p1, ids.Decode, Now{on(9).Low, on(10).High - 1}, "1"},
+		{"chair", p1, ids.Prefill, on(99), "3"},
+		{"chair", p1, ids.Prefill, on(100), ""}, // k1 is over
+		{"chair", d1, ids.Decode, on(85), ""},   // k2 is not yet
+		{"chair", d1, ids.Decode, on(95), "4"},  // both keys are valid
+		{"chair", d1, ids.Decode, Now{}, ""},    // no word of the time
 	} {
 		serial, ok := r.Clears(one.regime, one.subject, one.part, one.now)
 		require.Equal(t, one.serial, serial, "%+v", one)
 		require.Equal(t, one.serial != "", ok)
 	}
 	cut := r.With(map[string]bool{"3": true})
-	serial, _ := cut.Clears("chair", p1, word.Prefill, on(6))
+	serial, _ := cut.Clears("chair", p1, ids.Prefill, on(6))
 	require.Equal(t, "1", serial, "the other certificate still holds")
-	_, ok := r.With(map[string]bool{"1": true, "3": true}).Clears("chair", p1, word.Prefill, on(6))
+	_, ok := r.With(map[string]bool{"1": true, "3": true}).Clears("chair", p1, ids.Prefill, on(6))
 	require.False(t, ok)
-	require.Equal(t, 20, r.Keeps("p1", word.Decode, on(2)))
-	require.Zero(t, r.Keeps("d1", word.Decode, on(2)))
+	require.Equal(t, 20, r.Keeps("p1", ids.Decode, on(2)))
+	require.Zero(t, r.Keeps("d1", ids.Decode, on(2)))
 	require.Equal(t, []string{"decode workers"}, r.Short("chair", 1, on(20), nil))
 	require.Equal(t, []string{"prefill workers", "decode workers", "router nodes"}, r.Short("fines", 1, on(20), nil))
 	states := map[string]State{}
@@ -121,7 +121,7 @@
 	require.Nil(t, r)
 	require.Empty(t, r.Governs("verdict"))
 	require.Nil(t, r.With(map[string]bool{"1": true}))
-	require.Zero(t, r.Keeps("p1", word.Decode, on(1)))
+	require.Zero(t, r.Keeps("p1", ids.Decode, on(1)))
 	require.Empty(t, r.Regimes())
 }
 
@@ -166,14 +166,14 @@
 			one.do(o)
 			r, err := o.compile()
 			require.ErrorContains(t, err, one.says)
-			require.True(t, breakdown.Is(first(err), breakdown.Bad))
+			require.True(t, failure.Is(first(err), failure.Bad))
 			var f *Fault
 			require.ErrorAs(t, err, &f)
 			require.Equal(t, one.path, strings.Join(f.Path, "."))
 			require.NotContains(t, f.Reason, "\n")
 			if strings.HasPrefix(one.path, "certificates.1") || strings.HasPrefix(one.path, "issuers") {
-				for _, w := range []word.WorkerId{"p1", "p2"} {
-					_, ok := r.Clears("chair", Subject{Worker: w}, word.Prefill, on(2))
+				for _, w := range []ids.WorkerId{"p1", "p2"} {
+					_, ok := r.Clears("chair", Subject{Worker: w}, ids.Prefill, on(2))
 					require.False(t, ok)
 				}
 			}
@@ -203,6 +203,6 @@
 	} {
 		_, err := ReadKey(text)
 		require.ErrorContains(t, err, says)
-		require.True(t, breakdown.Is(err, breakdown.Bad))
+		require.True(t, failure.Is(err, failure.Bad))
 	}
 }
