--- a/door/door.go
+++ b/api/api.go
@@ -1,8 +1,8 @@
-// Package door is the one place that knows how origins and operators speak:
+// Package api is the one place that knows how origins and operators speak:
 // HTTP/1.1 with JSON. It reads and checks what they send and writes what they
 // get; what is done with it stands behind two narrow interfaces. This file is
 // the origins' side.
-package door
+package api
 
 import (
 	"context"
@@ -19,7 +19,7 @@
 	"time"
 
 	"keelstair.example/failure"
-	"keelstair.example/rein"
+	"keelstair.example/workerclient"
 )
 
 const (
@@ -64,13 +64,13 @@
 
 // Line is one line of the stream that an origin reads.
 type Line struct {
-	Index  int          `json:"index"`
-	Token  int32        `json:"token,omitempty"`
-	Text   string       `json:"text,omitempty"`
-	End    string       `json:"end,omitempty"`
-	Count  int          `json:"count,omitempty"`
-	Error  *rein.Bounce `json:"error,omitempty"`
-	Replay bool         `json:"replay,omitempty"`
+	Index  int                  `json:"index"`
+	Token  int32                `json:"token,omitempty"`
+	Text   string               `json:"text,omitempty"`
+	End    string               `json:"end,omitempty"`
+	Count  int                  `json:"count,omitempty"`
+	Error  *workerclient.Bounce `json:"error,omitempty"`
+	Replay bool                 `json:"replay,omitempty"`
 }
 
 // Ends of a stream. Only Complete means that the answer is whole.
@@ -83,14 +83,14 @@
 // Fault is a refusal on its way to an origin or an operator.
 type Fault struct {
 	Code int
-	rein.Bounce
+	workerclient.Bounce
 }
 
 func (f *Fault) Error() string { return f.Name + " " + f.Field + " " + f.Detail }
 
 // No makes a fault.
 func No(code int, name, field, form string, args ...any) *Fault {
-	return &Fault{code, rein.Bounce{Name: name, Field: field, Detail: fmt.Sprintf(form, args...)}}
+	return &Fault{code, workerclient.Bounce{Name: name, Field: field, Detail: fmt.Sprintf(form, args...)}}
 }
 
 // Later makes a fault that says when to come back.
--- a/door/ask.go
+++ b/api/ask.go
@@ -3,7 +3,7 @@
 // one says that it cannot tell, or is silent for a while, and the first answer that
 // is final counts.
 
-package door
+package api
 
 import (
 	"bytes"
--- a/door/operate.go
+++ b/api/operate.go
@@ -1,6 +1,6 @@
 // The operators' side of the door.
 
-package door
+package api
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 	"strconv"
 	"time"
 
+	"keelstair.example/certification"
 	"keelstair.example/failure"
-	"keelstair.example/writ"
 )
 
 // Apply is a whole or partial configuration. Source is CUE or JSON text; Base
@@ -59,11 +59,11 @@
 
 // Regime is one of them, with its certificates and what it lacks now.
 type Regime struct {
-	Name  string     `json:"name"`
-	Kinds []string   `json:"kinds"`
-	Keep  int        `json:"keep"`
-	Rows  []writ.Row `json:"certificates"`
-	Short []string   `json:"short"`
+	Name  string              `json:"name"`
+	Kinds []string            `json:"kinds"`
+	Keep  int                 `json:"keep"`
+	Rows  []certification.Row `json:"certificates"`
+	Short []string            `json:"short"`
 }
 
 // Audits are rows of the audit record as their own lines: the number of the first that
--- a/door/pass.go
+++ b/api/pass.go
@@ -1,6 +1,6 @@
 // Passing an origin's request on to another node, untouched, and its answer back.
 
-package door
+package api
 
 import (
 	"bytes"
--- a/writ/writ.go
+++ b/certification/certification.go
@@ -1,8 +1,8 @@
-// Package writ says which nodes may handle which governed work. A regime names the
+// Package certification says which nodes may handle which governed work. A regime names the
 // kinds of request that it governs; a certificate, signed by an issuer's Ed25519 key,
 // clears one worker or router node for one regime during a span. This file holds the
 // types, and how a certificate is signed and verified.
-package writ
+package certification
 
 import (
 	"crypto/ed25519"
--- a/writ/key.go
+++ b/certification/key.go
@@ -1,6 +1,6 @@
 // Key files: PKCS #8 in PEM, as openssl genpkey -algorithm ed25519 writes them too.
 
-package writ
+package certification
 
 import (
 	"crypto/ed25519"
--- a/writ/register.go
+++ b/certification/register.go
@@ -1,7 +1,7 @@
 // The register is compiled once for each configuration: it answers on the path of a
 // request whether a subject is cleared for a regime at this time, and by which serial.
 
-package writ
+package certification
 
 import (
 	"errors"
--- a/writ/writ_test.go
+++ b/certification/writ_test.go
@@ -1,6 +1,6 @@
 // Certificates that hold, and each that does not, with its one clear line.
 
-package writ
+package certification
 
 import (
 	"crypto/ecdsa"
--- a/cmd/berth/main.go
+++ b/cmd/berth/main.go
@@ -14,17 +14,17 @@
 	"syscall"
 	"time"
 
+	"keelstair.example/api"
 	"keelstair.example/cmd/boot"
 	"keelstair.example/coordination"
-	"keelstair.example/door"
 	"keelstair.example/failure"
 	"keelstair.example/fleetstate"
 	"keelstair.example/ids"
+	"keelstair.example/logging"
 	"keelstair.example/platform"
-	"keelstair.example/relay"
+	"keelstair.example/proxy"
 	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/tale"
 	"keelstair.example/whim"
 )
 
@@ -96,13 +96,13 @@
 
 // operate puts the operators' calls on a mux: the platform's, and the product's own for
 // the program set.
-func operate(mux *http.ServeMux, s *platform.Settings, call *rpc.Caller, book *coordination.Book, ring *tale.Ring) {
+func operate(mux *http.ServeMux, s *platform.Settings, call *rpc.Caller, book *coordination.Book, ring *logging.Ring) {
 	(&platform.Operator{Call: call, Book: book, Zones: s.Zones, Ring: ring}).Mount(mux)
-	door.MountOperator(mux, &relay.Operator{Call: call, Book: book, Zones: s.Zones})
+	api.MountOperator(mux, &proxy.Operator{Call: call, Book: book, Zones: s.Zones})
 }
 
 // desk serves the operator on a machine without a disk: it holds nothing and asks the core.
-func desk(s *platform.Settings, host seam.Host, ring *tale.Ring) error {
+func desk(s *platform.Settings, host seam.Host, ring *logging.Ring) error {
 	ctx, stop := boot.Signals()
 	defer stop()
 	call := rpc.NewCaller(host.Net)
@@ -148,7 +148,7 @@
 	ring := boot.Ring(s.Name)
 	log.SetOutput(ring)
 	door := &http.Server{ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 20 * time.Second, MaxHeaderBytes: 64 << 10}
-	n, err := relay.New(relay.Options{Name: s.Name, Addr: s.Peer(), Zone: ids.Zone(s.Zone), Seeds: s.Seeds, Host: host, Ring: ring,
+	n, err := proxy.New(proxy.Options{Name: s.Name, Addr: s.Peer(), Zone: ids.Zone(s.Zone), Seeds: s.Seeds, Host: host, Ring: ring,
 		Back: platform.NewBack(host.Net, s.List), Read: platform.Policy, Deck: deck, Lease: s.Lease,
 		Rate: s.ListRate, Ratio: s.Ratio, Window: s.Window, Allow: s.Allow, Over: s.Over, Spare: s.Spare, Drain: func(ctx context.Context) error { return rpc.Drain(ctx, door) }})
 	if err != nil {
--- a/cmd/boot/ask.go
+++ b/cmd/boot/ask.go
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
+	"keelstair.example/api"
 	"keelstair.example/creed"
-	"keelstair.example/door"
 	"keelstair.example/rpc"
 )
 
@@ -43,8 +43,8 @@
 func Ask(doors []string, method, path string, in, out any) error {
 	ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
 	defer stop()
-	err := door.Put(ctx, &http.Client{}, doors, method, path, in, out)
-	var f *door.Fault
+	err := api.Put(ctx, &http.Client{}, doors, method, path, in, out)
+	var f *api.Fault
 	if !errors.As(err, &f) {
 		if err != nil && method == http.MethodPost && !rpc.Undialled(err) {
 			return &Told{5, err.Error()}
--- a/cmd/boot/boot.go
+++ b/cmd/boot/boot.go
@@ -9,9 +9,9 @@
 	"os/signal"
 	"syscall"
 
+	"keelstair.example/logging"
 	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/tale"
 )
 
 // Signals ends the context on SIGTERM or an interrupt.
@@ -44,4 +44,4 @@
 
 // Ring is the program's log: it pours to the error output when something goes
 // wrong.
-func Ring(name string) *tale.Ring { return tale.NewRing(512, os.Stderr, name) }
+func Ring(name string) *logging.Ring { return logging.NewRing(512, os.Stderr, name) }
--- a/cmd/edict/edict_test.go
+++ b/cmd/edict/edict_test.go
@@ -16,9 +16,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/door"
+	"keelstair.example/api"
+	"keelstair.example/certification"
 	"keelstair.example/fleetstate"
-	"keelstair.example/writ"
 )
 
 func lines(n int, tag string) (out []json.RawMessage) {
@@ -38,9 +38,9 @@
 }
 
 // fleet answers as a fleet that has so many rows and keeps those from a number on.
-func fleet(all []json.RawMessage, first int) func(int) (*door.Audits, error) {
-	return func(from int) (*door.Audits, error) {
-		got := &door.Audits{First: first, Count: len(all)}
+func fleet(all []json.RawMessage, first int) func(int) (*api.Audits, error) {
+	return func(from int) (*api.Audits, error) {
+		got := &api.Audits{First: first, Count: len(all)}
 		for i := max(from, first); i <= len(all) && len(got.Rows) < 3; i++ {
 			got.Rows = append(got.Rows, all[i-1])
 		}
@@ -77,7 +77,7 @@
 	require.NoError(t, err)
 	require.Equal(t, 6, n, "without an export it begins at the first that is kept")
 	short := append(append([]json.RawMessage{}, all[:8]...), all[9])
-	for says, ask := range map[string]func(int) (*door.Audits, error){
+	for says, ask := range map[string]func(int) (*api.Audits, error){
 		"ends at row 8":          fleet(all[:8], 1),
 		"is not the one":         fleet(lines(10, "b"), 1),
 		"does not follow row 10": fleet(lines(12, "b"), 1),
@@ -97,7 +97,7 @@
 // TestSigned: certificates that edict signs hold under the issuer that edict key prints;
 // what cannot be meant is refused before anything is signed.
 func TestSigned(t *testing.T) {
-	private, text, err := writ.NewKey()
+	private, text, err := certification.NewKey()
 	require.NoError(t, err)
 	file := filepath.Join(t.TempDir(), "key.pem")
 	require.NoError(t, os.WriteFile(file, text, 0o600))
@@ -106,10 +106,10 @@
 	certs, err := c.signed(now)
 	require.NoError(t, err)
 	require.Len(t, certs, 3)
-	r, err := writ.Compile(map[string]writ.Regime{"chair": {Kinds: []string{"verdict"}}}, map[string]writ.Issuer{"k1": {Key: writ.Public(private),
+	r, err := certification.Compile(map[string]certification.Regime{"chair": {Kinds: []string{"verdict"}}}, map[string]certification.Issuer{"k1": {Key: certification.Public(private),
 		From: "2026-01-01T00:00:00Z", Until: "2028-01-01T00:00:00Z"}}, certs)
 	require.NoError(t, err)
-	require.Empty(t, r.Short("chair", 1, writ.At(now), nil))
+	require.Empty(t, r.Short("chair", 1, certification.At(now), nil))
 	for says, spoil := range map[string]func(c *certifyCmd){
 		"is neither":          func(c *certifyCmd) { c.Parts = []string{"both"} },
 		"at least one":        func(c *certifyCmd) { c.Worker, c.Node = nil, nil },
--- a/cmd/edict/main.go
+++ b/cmd/edict/main.go
@@ -10,10 +10,10 @@
 	"net/http"
 	"os"
 
+	"keelstair.example/api"
 	"keelstair.example/cmd/boot"
 	"keelstair.example/coordination"
 	"keelstair.example/creed"
-	"keelstair.example/door"
 	"keelstair.example/fleetstate"
 )
 
@@ -133,8 +133,8 @@
 	return file, string(b), err
 }
 
-func (s *settings) now() (*door.Shown, error) {
-	var out door.Shown
+func (s *settings) now() (*api.Shown, error) {
+	var out api.Shown
 	return &out, s.ask(http.MethodGet, "/v1/policy", nil, &out)
 }
 
@@ -147,7 +147,7 @@
 }
 
 func (s *settings) put(c *applyCmd, name, text string) error {
-	a := door.Apply{Op: c.Op, Partial: c.Partial, Name: name, Source: text, Dry: c.Dry}
+	a := api.Apply{Op: c.Op, Partial: c.Partial, Name: name, Source: text, Dry: c.Dry}
 	if a.Op == "" {
 		a.Op = coordination.Name()
 	}
@@ -161,7 +161,7 @@
 		a.Base = sh.Newest
 	}
 	fmt.Printf("operation %s over version %d\n", a.Op, a.Base)
-	var out door.Applied
+	var out api.Applied
 	if err := s.ask(http.MethodPost, "/v1/policy", a, &out); err != nil {
 		return err
 	}
@@ -201,8 +201,8 @@
 	if err != nil {
 		return err
 	}
-	var out door.Applied
-	a := door.Apply{Op: coordination.Name(), Base: sh.Newest, Partial: c.Partial, Name: name, Source: text, Dry: true}
+	var out api.Applied
+	a := api.Apply{Op: coordination.Name(), Base: sh.Newest, Partial: c.Partial, Name: name, Source: text, Dry: true}
 	if err := s.ask(http.MethodPost, "/v1/policy", a, &out); err != nil {
 		return err
 	}
@@ -220,12 +220,12 @@
 }
 
 func (s *settings) mark(what string, c *nameCmd, out bool) error {
-	m := door.Mark{Op: c.Op, Out: out}
+	m := api.Mark{Op: c.Op, Out: out}
 	if m.Op == "" {
 		m.Op = coordination.Name()
 	}
 	fmt.Printf("operation %s\n", m.Op)
-	var got door.Applied
+	var got api.Applied
 	if err := s.ask(http.MethodPost, "/v1/"+what+"/"+c.Name, m, &got); err != nil {
 		return err
 	}
--- a/cmd/edict/writ.go
+++ b/cmd/edict/writ.go
@@ -12,11 +12,11 @@
 	"text/tabwriter"
 	"time"
 
+	"keelstair.example/api"
+	"keelstair.example/certification"
 	"keelstair.example/coordination"
 	"keelstair.example/creed"
-	"keelstair.example/door"
 	"keelstair.example/ids"
-	"keelstair.example/writ"
 )
 
 type keyCmd struct {
@@ -60,28 +60,28 @@
 	}
 	text, err := os.ReadFile(c.File)
 	if os.IsNotExist(err) {
-		if _, text, err = writ.NewKey(); err == nil {
+		if _, text, err = certification.NewKey(); err == nil {
 			err = os.WriteFile(c.File, text, 0o600)
 		}
 	}
 	if err != nil {
 		return err
 	}
-	private, err := writ.ReadKey(text)
+	private, err := certification.ReadKey(text)
 	if err != nil {
 		return err
 	}
-	return print(map[string]any{"issuers": map[string]writ.Issuer{c.Issuer: {Key: writ.Public(private),
+	return print(map[string]any{"issuers": map[string]certification.Issuer{c.Issuer: {Key: certification.Public(private),
 		From: from.Format(time.RFC3339), Until: from.AddDate(0, 0, c.Days).Format(time.RFC3339)}}})
 }
 
 // signed makes the certificates that a command asks for.
-func (c *certifyCmd) signed(now time.Time) (map[string]writ.Certificate, error) {
+func (c *certifyCmd) signed(now time.Time) (map[string]certification.Certificate, error) {
 	text, err := os.ReadFile(c.Key)
 	if err != nil {
 		return nil, err
 	}
-	private, err := writ.ReadKey(text)
+	private, err := certification.ReadKey(text)
 	if err != nil {
 		return nil, err
 	}
@@ -111,18 +111,18 @@
 	case !now.Before(until):
 		return nil, creed.Fault("until", "the end %s is past", until.Format(time.RFC3339))
 	}
-	out := map[string]writ.Certificate{}
-	put := func(one writ.Certificate) {
+	out := map[string]certification.Certificate{}
+	put := func(one certification.Certificate) {
 		one.Serial, one.Regime, one.Issuer = coordination.Name(), c.Regime, c.Issuer
 		one.From, one.Until = from.Format(time.RFC3339), until.Format(time.RFC3339)
 		one.Sign(private)
 		out[one.Serial] = one
 	}
 	for _, w := range c.Worker {
-		put(writ.Certificate{Worker: ids.WorkerId(w), Parts: parts})
+		put(certification.Certificate{Worker: ids.WorkerId(w), Parts: parts})
 	}
 	for _, n := range c.Node {
-		put(writ.Certificate{Node: n})
+		put(certification.Certificate{Node: n})
 	}
 	return out, nil
 }
@@ -147,7 +147,7 @@
 }
 
 func (s *settings) revoke(c *nameCmd) error {
-	m := door.Mark{Op: c.Op, Out: true}
+	m := api.Mark{Op: c.Op, Out: true}
 	if m.Op == "" {
 		m.Op = coordination.Name()
 	}
@@ -162,7 +162,7 @@
 func day(ns int64) string { return time.Unix(0, ns).UTC().Format(time.RFC3339) }
 
 func (s *settings) regimes() error {
-	var g door.Regimes
+	var g api.Regimes
 	if err := s.ask(http.MethodGet, "/v1/regimes", nil, &g); err != nil {
 		return err
 	}
--- a/cmd/gauge/fleet.go
+++ b/cmd/gauge/fleet.go
@@ -24,10 +24,10 @@
 	"keelstair.example/fleetstate"
 	"keelstair.example/ids"
 	"keelstair.example/platform"
-	"keelstair.example/rein"
-	"keelstair.example/relay"
+	"keelstair.example/proxy"
 	"keelstair.example/rpc"
 	"keelstair.example/seam"
+	"keelstair.example/workerclient"
 )
 
 type proc struct {
@@ -164,9 +164,9 @@
 	}
 	swap := &swapped{}
 	if f.size.Sort == "verge" {
-		rows := []rein.Listed{}
+		rows := []workerclient.Listed{}
 		for _, w := range list {
-			rows = append(rows, rein.Listed{Id: w.Id, Addr: w.Addr, Zone: w.Zone})
+			rows = append(rows, workerclient.Listed{Id: w.Id, Addr: w.Addr, Zone: w.Zone})
 		}
 		body, err := json.Marshal(rows)
 		if err != nil {
@@ -196,7 +196,7 @@
 func (s *swapped) ServeHTTP(w http.ResponseWriter, r *http.Request) { (*s.now.Load()).ServeHTTP(w, r) }
 
 // churn lets one worker after the other be marked as leaving, or not any more.
-func (f *fleet) churn(ctx context.Context, to *swapped, list []relay.Worker) {
+func (f *fleet) churn(ctx context.Context, to *swapped, list []proxy.Worker) {
 	for i := 0; f.size.Churn > 0 && seam.Sleep(ctx, time.Duration(float64(time.Second)/f.size.Churn)); i++ {
 		w := &list[i*7919%len(list)]
 		w.Leaving = !w.Leaving
--- a/cmd/gauge/hold.go
+++ b/cmd/gauge/hold.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"keelstair.example/ids"
-	"keelstair.example/relay"
+	"keelstair.example/proxy"
 	"keelstair.example/rpc"
 	"keelstair.example/seam"
 )
@@ -126,7 +126,7 @@
 	defer h.call.Close()
 	plain := host.Net
 	host.Net = h.meter
-	var back relay.Backend
+	var back proxy.Backend
 	if c.Picks > 0 {
 		back = &still{list: (&Size{Workers: c.Picks}).workers(nil)}
 	}
--- a/cmd/gauge/hollow.go
+++ b/cmd/gauge/hollow.go
@@ -9,16 +9,16 @@
 	"net/http"
 	"time"
 
+	"keelstair.example/api"
 	"keelstair.example/coordination"
-	"keelstair.example/door"
 	"keelstair.example/failure"
 	"keelstair.example/fleetstate"
 	"keelstair.example/ids"
 	"keelstair.example/platform"
-	"keelstair.example/relay"
+	"keelstair.example/proxy"
+	"keelstair.example/router"
 	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/verge"
 )
 
 // halls are zones as the target has them: 3 regions with 7 zones.
@@ -29,7 +29,7 @@
 	addr  string
 	door  string
 	view  *fleetstate.View
-	relay *relay.Node
+	relay *proxy.Node
 	run   func(context.Context)
 }
 
@@ -48,7 +48,7 @@
 }
 
 // raise makes a node and has it listen; run must still be called.
-func raise(ctx context.Context, host seam.Host, c *holdCmd, name string, zone ids.Zone, back relay.Backend) (*hollow, error) {
+func raise(ctx context.Context, host seam.Host, c *holdCmd, name string, zone ids.Zone, back proxy.Backend) (*hollow, error) {
 	l, err := host.Net.Listen("127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -57,10 +57,10 @@
 	h := &hollow{addr: l.Addr().String()}
 	switch c.Sort {
 	case "verge":
-		n := verge.New(verge.Options{Name: name, Addr: l.Addr().String(), Zone: zone, Seeds: c.Seeds, Platform: c.List, Host: host})
+		n := router.New(router.Options{Name: name, Addr: l.Addr().String(), Zone: zone, Seeds: c.Seeds, Platform: c.List, Host: host})
 		n.Mount(mux)
-		door.Mount(mux, n)
-		door.MountOperator(mux, n)
+		api.Mount(mux, n)
+		api.MountOperator(mux, n)
 		h.door = h.addr
 		h.view, h.run = n.View(), func(ctx context.Context) { n.Run(ctx, time.Second) }
 	case "relay":
@@ -71,7 +71,7 @@
 		if c.Turns {
 			turn = 0 // the product's own
 		}
-		n, err := relay.New(relay.Options{Name: name, Addr: l.Addr().String(), Zone: zone, Seeds: c.Seeds, Host: host, Back: back, Turn: turn})
+		n, err := proxy.New(proxy.Options{Name: name, Addr: l.Addr().String(), Zone: zone, Seeds: c.Seeds, Host: host, Back: back, Turn: turn})
 		if err != nil {
 			l.Close()
 			return nil, err
@@ -123,10 +123,10 @@
 
 // workers is a platform's list of a size. Those of a part answer at one address, if any
 // does: else nobody is there, and it is on this machine all the same.
-func (s *Size) workers(at map[ids.Part]string) []relay.Worker {
-	out := make([]relay.Worker, s.Workers)
+func (s *Size) workers(at map[ids.Part]string) []proxy.Worker {
+	out := make([]proxy.Worker, s.Workers)
 	for i := range out {
-		out[i] = relay.Worker{Id: ids.WorkerId(fmt.Sprintf("w-%05d-%s", i, coordination.Short(fmt.Sprint("w", i))[:8])), Service: s.model(i), Addr: at[s.part(i)],
+		out[i] = proxy.Worker{Id: ids.WorkerId(fmt.Sprintf("w-%05d-%s", i, coordination.Short(fmt.Sprint("w", i))[:8])), Service: s.model(i), Addr: at[s.part(i)],
 			Zone: halls[i%len(halls)], Part: s.part(i), Slots: 48}
 		if out[i].Addr == "" {
 			out[i].Addr = fmt.Sprintf("127.1.%d.%d:9", i/250, 1+i%250)
--- a/cmd/gauge/picks.go
+++ b/cmd/gauge/picks.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"keelstair.example/failure"
-	"keelstair.example/relay"
+	"keelstair.example/proxy"
 	"keelstair.example/seam"
 )
 
@@ -28,26 +28,26 @@
 }
 
 // still stands in for workers that answer at once.
-type still struct{ list []relay.Worker }
+type still struct{ list []proxy.Worker }
 
-func (s *still) List(context.Context) ([]relay.Worker, error) { return s.list, nil }
+func (s *still) List(context.Context) ([]proxy.Worker, error) { return s.list, nil }
 
-func (s *still) Read(_ context.Context, w relay.Worker, r *relay.Request, _ time.Duration, _ int) (*relay.Memo, error) {
-	return &relay.Memo{Handle: "h", Tokens: r.Prompt, Load: &relay.Load{Slots: w.Slots}}, nil
+func (s *still) Read(_ context.Context, w proxy.Worker, r *proxy.Request, _ time.Duration, _ int) (*proxy.Memo, error) {
+	return &proxy.Memo{Handle: "h", Tokens: r.Prompt, Load: &proxy.Load{Slots: w.Slots}}, nil
 }
 
-func (s *still) Emit(_ context.Context, w relay.Worker, _ *relay.Request, _ *relay.Source, _ string, _ time.Duration, _ int) (*relay.Reply, error) {
-	return &relay.Reply{Status: http.StatusOK, Header: http.Header{}, Whole: true, Events: true, Length: -1,
-		Body: io.NopCloser(strings.NewReader("id: 1\ndata: t\n\n")), Load: &relay.Load{Slots: w.Slots}}, nil
+func (s *still) Emit(_ context.Context, w proxy.Worker, _ *proxy.Request, _ *proxy.Source, _ string, _ time.Duration, _ int) (*proxy.Reply, error) {
+	return &proxy.Reply{Status: http.StatusOK, Header: http.Header{}, Whole: true, Events: true, Length: -1,
+		Body: io.NopCloser(strings.NewReader("id: 1\ndata: t\n\n")), Load: &proxy.Load{Slots: w.Slots}}, nil
 }
 
-func (s *still) Free(context.Context, relay.Worker, string) error { return nil }
+func (s *still) Free(context.Context, proxy.Worker, string) error { return nil }
 
-func (s *still) Report(context.Context, relay.Worker) (*relay.Report, error) {
+func (s *still) Report(context.Context, proxy.Worker) (*proxy.Report, error) {
 	return nil, failure.New(failure.Away, "report", "", "none is given")
 }
 
-func (s *still) Order(context.Context, relay.Worker, *relay.Order) error {
+func (s *still) Order(context.Context, proxy.Worker, *proxy.Order) error {
 	return failure.New(failure.Bounced, "order", "", "none is taken")
 }
 
@@ -60,7 +60,7 @@
 
 // pickMany carries so many requests, one after the other. Each shares its beginning with
 // others of its tenant.
-func (s *Size) pickMany(ctx context.Context, n *relay.Node, count int) *Picked {
+func (s *Size) pickMany(ctx context.Context, n *proxy.Node, count int) *Picked {
 	host, err := seam.Real("")
 	if err != nil || n == nil {
 		return &Picked{Why: "there is no such node"}
@@ -69,9 +69,9 @@
 	var before, after runtime.MemStats
 	run := func(i int) error {
 		route := i % 50
-		return n.Carry(ctx, &relay.Request{Id: fmt.Sprint("r-", i), Method: http.MethodPost, Path: fmt.Sprintf("/v1/%05d/chat", route), Target: "/",
+		return n.Carry(ctx, &proxy.Request{Id: fmt.Sprint("r-", i), Method: http.MethodPost, Path: fmt.Sprintf("/v1/%05d/chat", route), Target: "/",
 			Host: fmt.Sprintf("tenant-%03d.example", route%330), Header: http.Header{}, Body: make([]byte, 4096), Model: s.model(route),
-			Parts:  []relay.Part{{Id: fmt.Sprint("system-", route), Tokens: 600}, {Id: fmt.Sprint("turn-", i%400), Tokens: 900}, {Id: fmt.Sprint("last-", i), Tokens: 100}},
+			Parts:  []proxy.Part{{Id: fmt.Sprint("system-", route), Tokens: 600}, {Id: fmt.Sprint("turn-", i%400), Tokens: 900}, {Id: fmt.Sprint("last-", i), Tokens: 100}},
 			Prompt: 1600, Most: 200, At: host.Clock.Now()}, sink{})
 	}
 	for i := range count / 10 {
--- a/cmd/guise/main.go
+++ b/cmd/guise/main.go
@@ -12,10 +12,10 @@
 
 	"keelstair.example/cmd/boot"
 	"keelstair.example/creed"
-	"keelstair.example/guise"
 	"keelstair.example/ids"
-	"keelstair.example/rein"
 	"keelstair.example/seam"
+	"keelstair.example/standin"
+	"keelstair.example/workerclient"
 )
 
 type workerCmd struct {
@@ -62,7 +62,7 @@
 	case s.Platform != nil:
 		return creed.Addr("addr", s.Platform.Addr)
 	case s.Load != nil:
-		if _, ok := guise.Sites[s.Load.Site]; !ok {
+		if _, ok := standin.Sites[s.Load.Site]; !ok {
 			return creed.Fault("site", "there is no site %q", s.Load.Site)
 		}
 		if s.Load.Rate <= 0 || s.Load.Seconds <= 0 {
@@ -84,14 +84,14 @@
 	switch {
 	case s.Worker != nil:
 		c := s.Worker
-		w := guise.NewWorker(guise.WorkerOptions{Id: ids.WorkerId(c.Id), Addr: c.Addr, Part: ids.Part(c.Part), Room: c.Room, Block: c.Block,
-			Model: rein.Model{Name: c.Model, Weights: c.Weights, Adapters: c.Adapter}, Host: host})
+		w := standin.NewWorker(standin.WorkerOptions{Id: ids.WorkerId(c.Id), Addr: c.Addr, Part: ids.Part(c.Part), Room: c.Room, Block: c.Block,
+			Model: workerclient.Model{Name: c.Model, Weights: c.Weights, Adapters: c.Adapter}, Host: host})
 		mux := http.NewServeMux()
 		mux.Handle("/", w.Handler())
 		boot.Serve(ctx, host, c.Addr, mux, fail)
 		w.Run(ctx)
 	case s.Platform != nil:
-		p := guise.NewPlatform(host)
+		p := standin.NewPlatform(host)
 		mux := http.NewServeMux()
 		mux.Handle("/", p.Handler())
 		boot.Serve(ctx, host, s.Platform.Addr, mux, fail)
@@ -102,13 +102,13 @@
 }
 
 func load(ctx context.Context, host seam.Host, c *loadCmd) {
-	site := guise.Sites[c.Site]
+	site := standin.Sites[c.Site]
 	doors := func(ids.Zone) []string { return strings.Split(c.Doors, ",") }
 	if c.Doors == "" {
-		doors = guise.Asked(ctx, host, c.Platform, site.Zones)
+		doors = standin.Asked(ctx, host, c.Platform, site.Zones)
 	}
-	all := guise.Load(ctx, guise.LoadOptions{Host: host, Doors: doors, Zones: site.Zones, Shapes: site.Shapes, Rate: c.Rate,
+	all := standin.Load(ctx, standin.LoadOptions{Host: host, Doors: doors, Zones: site.Zones, Shapes: site.Shapes, Rate: c.Rate,
 		Span: time.Duration(c.Seconds) * time.Second, Seed: c.Seed, Model: site.Model, Weights: strings.Split(c.Weights, ","), Retries: c.Retries})
-	b, _ := json.MarshalIndent(guise.Sum(all), "", "  ")
+	b, _ := json.MarshalIndent(standin.Sum(all), "", "  ")
 	fmt.Println(string(b))
 }
--- a/cmd/omen/main.go
+++ b/cmd/omen/main.go
@@ -9,13 +9,13 @@
 	"text/tabwriter"
 	"time"
 
+	"keelstair.example/api"
 	"keelstair.example/cmd/boot"
 	"keelstair.example/creed"
-	"keelstair.example/door"
 	"keelstair.example/fleetstate"
 	"keelstair.example/ids"
-	"keelstair.example/verge"
-	"keelstair.example/verge/augur"
+	"keelstair.example/router"
+	"keelstair.example/router/augur"
 	"keelstair.example/whim"
 )
 
@@ -61,8 +61,8 @@
 }
 
 func (s *settings) run() error {
-	var st verge.Standing
-	var sh door.Shown
+	var st router.Standing
+	var sh api.Shown
 	if err := s.get("/v1/status", &st); err != nil {
 		return err
 	}
@@ -90,7 +90,7 @@
 	return nil
 }
 
-func (s *settings) change(sh *door.Shown) (augur.Change, error) {
+func (s *settings) change(sh *api.Shown) (augur.Change, error) {
 	switch {
 	case s.Evacuate != nil:
 		return augur.Change{Evacuate: ids.Zone(s.Evacuate.Name)}, nil
--- a/cmd/realm/fleet.go
+++ b/cmd/realm/fleet.go
@@ -18,9 +18,9 @@
 	"syscall"
 	"time"
 
-	"keelstair.example/guise"
 	"keelstair.example/ids"
-	"keelstair.example/rein"
+	"keelstair.example/standin"
+	"keelstair.example/workerclient"
 )
 
 type proc struct {
@@ -39,7 +39,7 @@
 
 type fleet struct {
 	opt      *upCmd
-	site     guise.Site
+	site     standin.Site
 	mu       sync.Mutex
 	procs    []*proc
 	seeds    []string
@@ -126,7 +126,7 @@
 }
 
 func start(ctx context.Context, opt *upCmd) (*fleet, error) {
-	site := guise.Sites[opt.Site]
+	site := standin.Sites[opt.Site]
 	f := &fleet{opt: opt, site: site, revoked: map[string]int{}}
 	if err := os.RemoveAll(opt.Dir); err != nil {
 		return f, err
@@ -178,13 +178,13 @@
 func (f *fleet) settle(ctx context.Context, names []ids.WorkerId) error {
 	begun := time.Now()
 	for _, p := range f.of("worker-") {
-		l := rein.Listed{Id: ids.WorkerId(strings.TrimPrefix(p.Name, "worker-")), Addr: p.Addr, Zone: p.Zone}
+		l := workerclient.Listed{Id: ids.WorkerId(strings.TrimPrefix(p.Name, "worker-")), Addr: p.Addr, Zone: p.Zone}
 		if err := f.until(ctx, 10*time.Second, func() error { return post(f.platform, "/workers", l, nil) }); err != nil {
 			return err
 		}
 	}
 	for _, p := range f.of("verge") {
-		if err := post(f.platform, "/doors", guise.Door{Addr: p.Door, Zone: p.Zone}, nil); err != nil {
+		if err := post(f.platform, "/doors", standin.Door{Addr: p.Door, Zone: p.Zone}, nil); err != nil {
 			return err
 		}
 	}
--- a/cmd/realm/harm.go
+++ b/cmd/realm/harm.go
@@ -12,23 +12,23 @@
 	"syscall"
 	"time"
 
+	"keelstair.example/api"
 	"keelstair.example/cmd/boot"
 	"keelstair.example/coordination"
-	"keelstair.example/door"
-	"keelstair.example/guise"
 	"keelstair.example/seam"
+	"keelstair.example/standin"
 )
 
 // change applies a part over what is in force, as edict does, and tells how long it
 // took until it was in force.
 func (f *fleet) change(ctx context.Context, name, part string) error {
-	var sh door.Shown
+	var sh api.Shown
 	if err := boot.Ask(f.doors(), http.MethodGet, "/v1/policy", nil, &sh); err != nil {
 		return err
 	}
 	begun := time.Now()
-	var got door.Applied
-	a := door.Apply{Op: coordination.Name(), Base: sh.Newest, Partial: true, Name: name, Source: part}
+	var got api.Applied
+	a := api.Apply{Op: coordination.Name(), Base: sh.Newest, Partial: true, Name: name, Source: part}
 	if err := boot.Ask(f.doors(), http.MethodPost, "/v1/policy", a, &got); err != nil {
 		return fmt.Errorf("%s: %w", name, err)
 	}
@@ -39,7 +39,7 @@
 // expect looks at every node for a limit that was acknowledged.
 func (f *fleet) expect(what string, want int) {
 	for _, p := range f.of("verge") {
-		var sh door.Shown
+		var sh api.Shown
 		var v struct{ Limits struct{ RetryAfterMs int } }
 		err := boot.Ask([]string{p.Door}, http.MethodGet, "/v1/policy", nil, &sh)
 		if err == nil {
@@ -82,12 +82,12 @@
 	z := f.site.Zones[1]
 	path := "/v1/zones/" + string(z)
 	begun := time.Now()
-	if err := boot.Ask(f.doors(), http.MethodPost, path, door.Mark{Op: coordination.Name(), Out: true}, nil); err != nil {
+	if err := boot.Ask(f.doors(), http.MethodPost, path, api.Mark{Op: coordination.Name(), Out: true}, nil); err != nil {
 		logf("%v", err)
 	}
 	reads := func() (n int) {
 		for _, p := range f.of("worker-") {
-			var book map[string]guise.Tally
+			var book map[string]standin.Tally
 			r, err := web.Get("http://" + p.Addr + "/tally")
 			if p.Zone == z && read(r, err, &book) == nil {
 				for _, t := range book {
@@ -104,7 +104,7 @@
 		}
 	}
 	logf("the zone's workers last began something %.2f s after the asking", at.Seconds())
-	if err := boot.Ask(f.doors(), http.MethodPost, path, door.Mark{Op: coordination.Name()}, nil); err != nil {
+	if err := boot.Ask(f.doors(), http.MethodPost, path, api.Mark{Op: coordination.Name()}, nil); err != nil {
 		logf("%v", err)
 	}
 }
--- a/cmd/realm/main.go
+++ b/cmd/realm/main.go
@@ -12,7 +12,7 @@
 
 	"keelstair.example/cmd/boot"
 	"keelstair.example/creed"
-	"keelstair.example/guise"
+	"keelstair.example/standin"
 )
 
 type upCmd struct {
@@ -49,7 +49,7 @@
 	default:
 		return creed.Fault("command", "one of up, run is needed")
 	}
-	if _, ok := guise.Sites[site]; !ok {
+	if _, ok := standin.Sites[site]; !ok {
 		return creed.Fault("site", "there is no site %q", site)
 	}
 	return nil
--- a/cmd/realm/regime.go
+++ b/cmd/realm/regime.go
@@ -14,20 +14,20 @@
 	"strings"
 	"time"
 
+	"keelstair.example/api"
+	"keelstair.example/certification"
 	"keelstair.example/cmd/boot"
 	"keelstair.example/coordination"
-	"keelstair.example/door"
-	"keelstair.example/guise"
 	"keelstair.example/ids"
 	"keelstair.example/seam"
-	"keelstair.example/writ"
+	"keelstair.example/standin"
 )
 
 const regime = "chair"
 
 // certify signs for the fleet, applies the part, and waits until every node clears all.
 func (f *fleet) certify(ctx context.Context) error {
-	key, text, err := writ.NewKey()
+	key, text, err := certification.NewKey()
 	if err != nil {
 		return err
 	}
@@ -35,19 +35,19 @@
 		return err
 	}
 	from, until := time.Now().Add(-time.Hour).UTC().Format(time.RFC3339), time.Now().AddDate(0, 1, 0).UTC().Format(time.RFC3339)
-	certs := map[string]writ.Certificate{}
-	put := func(c writ.Certificate, name string) {
+	certs := map[string]certification.Certificate{}
+	put := func(c certification.Certificate, name string) {
 		c.Serial, c.Regime, c.Issuer, c.From, c.Until = "c-"+name, regime, "k1", from, until
 		c.Sign(key)
 		certs[c.Serial] = c
 	}
 	for i, id := range f.site.Names() {
 		if i != f.site.Prefill-1 && i != f.site.Prefill+f.site.Decode-1 {
-			put(writ.Certificate{Worker: id, Parts: []ids.Part{f.site.Worker(i).Part}}, string(id))
+			put(certification.Certificate{Worker: id, Parts: []ids.Part{f.site.Worker(i).Part}}, string(id))
 		}
 	}
 	for i := range f.site.Nodes - 1 {
-		put(writ.Certificate{Node: fmt.Sprintf("verge-%d", i+1)}, fmt.Sprintf("verge-%d", i+1))
+		put(certification.Certificate{Node: fmt.Sprintf("verge-%d", i+1)}, fmt.Sprintf("verge-%d", i+1))
 	}
 	var kinds []string
 	for _, sh := range f.site.Shapes {
@@ -55,8 +55,8 @@
 			kinds = append(kinds, sh.Kind)
 		}
 	}
-	part, err := json.Marshal(map[string]any{"switch": false, "certificates": certs, "regimes": map[string]any{regime: writ.Regime{Kinds: kinds, Keep: 20}},
-		"issuers": map[string]any{"k1": writ.Issuer{Key: writ.Public(key), From: from, Until: until}}})
+	part, err := json.Marshal(map[string]any{"switch": false, "certificates": certs, "regimes": map[string]any{regime: certification.Regime{Kinds: kinds, Keep: 20}},
+		"issuers": map[string]any{"k1": certification.Issuer{Key: certification.Public(key), From: from, Until: until}}})
 	if err != nil {
 		return err
 	}
@@ -65,7 +65,7 @@
 	}
 	for _, d := range f.doors() {
 		if err := f.until(ctx, 10*time.Second, func() error {
-			var g door.Regimes
+			var g api.Regimes
 			err := boot.Ask([]string{d}, http.MethodGet, "/v1/regimes", nil, &g)
 			if err == nil && (g.High == 0 || len(g.Regimes) == 0 || len(g.Regimes[0].Short) > 0) {
 				err = fmt.Errorf("%s does not clear all yet", d)
@@ -84,7 +84,7 @@
 func (f *fleet) governed() map[string]int {
 	out := map[string]int{}
 	for _, p := range f.of("worker-") {
-		var book map[string]guise.Tally
+		var book map[string]standin.Tally
 		r, err := web.Get("http://" + p.Addr + "/tally")
 		if read(r, err, &book) != nil {
 			continue
@@ -115,7 +115,7 @@
 		}
 		begun, op := time.Now(), coordination.Name()
 		err := f.until(ctx, 20*time.Second, func() error {
-			return boot.Ask(f.doors(), http.MethodPost, "/v1/certificates/c-"+name, door.Mark{Op: op, Out: true}, nil)
+			return boot.Ask(f.doors(), http.MethodPost, "/v1/certificates/c-"+name, api.Mark{Op: op, Out: true}, nil)
 		})
 		took := time.Since(begun)
 		if err != nil {
--- a/cmd/realm/run.go
+++ b/cmd/realm/run.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
-	"keelstair.example/guise"
 	"keelstair.example/seam"
+	"keelstair.example/standin"
 )
 
 func run(ctx context.Context, c *runCmd) error {
@@ -32,9 +32,9 @@
 		}
 	}()
 	begun := time.Now()
-	all := guise.Load(ctx, guise.LoadOptions{Host: host, Doors: guise.Asked(cx, host, f.platform, f.site.Zones), Zones: f.site.Zones, Shapes: f.site.Shapes, Rate: c.Rate, Span: span,
-		Seed: c.Seed, Model: f.site.Model, Weights: []string{guise.SiteWeights}, Retries: 8})
-	b, err := json.MarshalIndent(guise.Sum(all), "", "  ")
+	all := standin.Load(ctx, standin.LoadOptions{Host: host, Doors: standin.Asked(cx, host, f.platform, f.site.Zones), Zones: f.site.Zones, Shapes: f.site.Shapes, Rate: c.Rate, Span: span,
+		Seed: c.Seed, Model: f.site.Model, Weights: []string{standin.SiteWeights}, Retries: 8})
+	b, err := json.MarshalIndent(standin.Sum(all), "", "  ")
 	if err != nil {
 		return err
 	}
@@ -48,13 +48,13 @@
 
 // gaps are the longest spans without a completion from the breakdown on: of each
 // kind, and of the doors of each zone that still has a node.
-func (f *fleet) gaps(all []guise.Outcome, from, to time.Duration) []string {
+func (f *fleet) gaps(all []standin.Outcome, from, to time.Duration) []string {
 	var out []string
-	note := func(name string, counts func(guise.Outcome) bool) {
-		out = append(out, fmt.Sprintf("%s %.2f s", name, guise.Back(all, from, to, counts).Seconds()))
+	note := func(name string, counts func(standin.Outcome) bool) {
+		out = append(out, fmt.Sprintf("%s %.2f s", name, standin.Back(all, from, to, counts).Seconds()))
 	}
 	for _, sh := range f.site.Shapes {
-		note(sh.Kind, func(o guise.Outcome) bool { return o.Kind == sh.Kind })
+		note(sh.Kind, func(o standin.Outcome) bool { return o.Kind == sh.Kind })
 	}
 	for _, z := range f.site.Zones {
 		doors := map[string]bool{}
@@ -64,7 +64,7 @@
 			}
 		}
 		if len(doors) > 0 {
-			note("doors of "+string(z), func(o guise.Outcome) bool { return doors[o.Door] })
+			note("doors of "+string(z), func(o standin.Outcome) bool { return doors[o.Door] })
 		}
 	}
 	return out
@@ -74,7 +74,7 @@
 func (f *fleet) tallies() (runs, doubles int) {
 	records := map[string]int{}
 	for _, p := range f.of("worker-") {
-		var book map[string]guise.Tally
+		var book map[string]standin.Tally
 		r, err := web.Get("http://" + p.Addr + "/tally")
 		if read(r, err, &book) != nil {
 			continue
--- a/cmd/tenet/main.go
+++ b/cmd/tenet/main.go
@@ -7,10 +7,10 @@
 	"os"
 	"time"
 
+	"keelstair.example/api"
 	"keelstair.example/cmd/boot"
 	"keelstair.example/coordination"
 	"keelstair.example/creed"
-	"keelstair.example/door"
 	"keelstair.example/fleetstate"
 	"keelstair.example/ids"
 	"keelstair.example/seam"
@@ -73,10 +73,10 @@
 		if !ok {
 			code = http.StatusServiceUnavailable
 		}
-		door.Write(w, code, map[string]any{"ready": ok, "leads": core.Leads()})
+		api.Write(w, code, map[string]any{"ready": ok, "leads": core.Leads()})
 	})
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
-		door.Write(w, http.StatusOK, map[string]any{"leads": core.Leads(), "page": core.Book().Page()})
+		api.Write(w, http.StatusOK, map[string]any{"leads": core.Leads(), "page": core.Book().Page()})
 	})
 	boot.Serve(ctx, host, s.Addr, mux, func(err error) { boot.Fail("tenet", err) })
 	boot.Fail("tenet", core.Run(ctx))
--- a/cmd/verge/main.go
+++ b/cmd/verge/main.go
@@ -8,13 +8,13 @@
 	"os"
 	"time"
 
+	"keelstair.example/api"
 	"keelstair.example/cmd/boot"
 	"keelstair.example/creed"
-	"keelstair.example/door"
 	"keelstair.example/ids"
+	"keelstair.example/router"
+	"keelstair.example/router/span"
 	"keelstair.example/seam"
-	"keelstair.example/verge"
-	"keelstair.example/verge/span"
 )
 
 type settings struct {
@@ -57,22 +57,22 @@
 	host, err := seam.Real("")
 	boot.Fail("verge", err)
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
-	opt := verge.Options{Name: s.Name, Addr: s.Addr, Zone: ids.Zone(s.Zone), Seeds: s.Seeds, Platform: s.Platform,
+	opt := router.Options{Name: s.Name, Addr: s.Addr, Zone: ids.Zone(s.Zone), Seeds: s.Seeds, Platform: s.Platform,
 		Host: host, Ring: boot.Ring(s.Name), Lease: ms(s.LeaseMs), Orphan: ms(s.OrphanMs), Pulse: ms(s.PulseMs)}
 	if s.Trace != "" {
 		file, err := os.OpenFile(s.Trace, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 		boot.Fail("verge", err)
 		opt.Trace = span.New(file, s.Name, host.Clock).Tell
 	}
-	node := verge.New(opt)
+	node := router.New(opt)
 	ctx, stop := boot.Signals()
 	defer stop()
 	listen, shut := context.WithCancel(context.Background())
 	defer shut()
 	inner, outer := http.NewServeMux(), http.NewServeMux()
 	node.Mount(inner)
-	door.Mount(outer, node)
-	door.MountOperator(outer, node)
+	api.Mount(outer, node)
+	api.MountOperator(outer, node)
 	fail := func(err error) { boot.Fail("verge", err) }
 	boot.Serve(listen, host, s.Addr, inner, fail)
 	boot.Serve(listen, host, s.Door, outer, fail)
--- a/coordination/agent.go
+++ b/coordination/agent.go
@@ -14,9 +14,9 @@
 
 	"keelstair.example/failure"
 	"keelstair.example/ids"
+	"keelstair.example/logging"
 	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/tale"
 )
 
 // Follower is the embedder's view, folded from the open part of the log. Fold
@@ -33,7 +33,7 @@
 	Host   seam.Host
 	Seeds  []string
 	View   Follower
-	Ring   *tale.Ring
+	Ring   *logging.Ring
 	Lease  time.Duration // 3s, the same as the core's
 	Renew  time.Duration // 500ms
 	Gap    time.Duration // 1s between ticks means that the process slept
@@ -74,7 +74,7 @@
 	ids.Or(&opt.Renew, 500*time.Millisecond)
 	ids.Or(&opt.Gap, time.Second)
 	if opt.Ring == nil {
-		opt.Ring = tale.Mute()
+		opt.Ring = logging.Mute()
 	}
 	a := &Agent{opt: opt, call: rpc.NewCaller(opt.Host.Net), feed: newFeed(), poke: make(chan struct{}, 1)}
 	a.book = NewBook(opt.Host, a.call, opt.Seeds, Seat{Addr: opt.Me.Addr})
--- a/coordination/core.go
+++ b/coordination/core.go
@@ -17,9 +17,9 @@
 
 	"keelstair.example/failure"
 	"keelstair.example/ids"
+	"keelstair.example/logging"
 	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/tale"
 )
 
 // Options of a core; zero spans take the defaults named beside them.
@@ -29,7 +29,7 @@
 	Host    seam.Host
 	Seeds   []string
 	Machine func() Machine
-	Ring    *tale.Ring
+	Ring    *logging.Ring
 	Beat    time.Duration // 200ms: primary to backup and witnesses
 	Silence time.Duration // 900ms: then the backup takes over
 	Lease   time.Duration // 3s: of every node
@@ -48,7 +48,7 @@
 	ids.Or(&o.Replace, 2*time.Second)
 	o.Losses = max(1, o.Losses)
 	if o.Ring == nil {
-		o.Ring = tale.Mute()
+		o.Ring = logging.Mute()
 	}
 }
 
--- a/fleetstate/delta_test.go
+++ b/fleetstate/delta_test.go
@@ -13,7 +13,7 @@
 	"keelstair.example/coordination"
 	"keelstair.example/failure"
 	"keelstair.example/ids"
-	"keelstair.example/tale"
+	"keelstair.example/logging"
 )
 
 // routesText is a plain text of so many zones and routes; mark sets one route apart.
@@ -94,7 +94,7 @@
 	far := &Stage{Base: 1, Text: pack(two)}
 	far.Shorten([]byte(`{}`), two)
 	require.False(t, far.Delta)
-	m, v := NewMachine(MachineOptions{}), NewView(tale.Mute())
+	m, v := NewMachine(MachineOptions{}), NewView(logging.Mute())
 	both := func(kind string, body []byte) error {
 		_, err := m.Apply(1, kind, body)
 		v.Fold(1, kind, body)
@@ -115,7 +115,7 @@
 	require.Len(t, v.Sight().Policy.Routes, 1401)
 	require.Less(t, len(m.Picture(true)), len(two)/5)
 	require.Equal(t, string(two), string(unpack(m.active.Text)))
-	late := NewView(tale.Mute())
+	late := NewView(logging.Mute())
 	require.NoError(t, late.Restore(v.Picture()))
 	require.Equal(t, string(two), string(late.Sight().Text))
 	back := &Stage{Base: 2, Text: pack(one)}
--- a/fleetstate/fleetstate_test.go
+++ b/fleetstate/fleetstate_test.go
@@ -11,7 +11,7 @@
 	"keelstair.example/coordination"
 	"keelstair.example/failure"
 	"keelstair.example/ids"
-	"keelstair.example/tale"
+	"keelstair.example/logging"
 )
 
 const small = `{
@@ -107,7 +107,7 @@
 // TestHeard: a version heard of is put in force if it is staged here; else the
 // node holds its picks.
 func TestHeard(t *testing.T) {
-	v := NewView(tale.Mute())
+	v := NewView(logging.Mute())
 	fold := func(kind string, c interface{ MarshalMsg([]byte) ([]byte, error) }) {
 		b, _ := c.MarshalMsg(nil)
 		v.Fold(0, kind, b)
@@ -127,7 +127,7 @@
 // TestSightPinned: the core is founded anew from a copy that lacks the newest version: a
 // node that has served it does not go back, and takes the next one that is above it.
 func TestSightPinned(t *testing.T) {
-	m, v := NewMachine(MachineOptions{}), NewView(tale.Mute())
+	m, v := NewMachine(MachineOptions{}), NewView(logging.Mute())
 	seq := ids.Seq(0)
 	do := func(kind string, body []byte, views ...*View) {
 		t.Helper()
--- a/fleetstate/machine.go
+++ b/fleetstate/machine.go
@@ -7,9 +7,9 @@
 	"sort"
 	"time"
 
+	"keelstair.example/certification"
 	"keelstair.example/coordination"
 	"keelstair.example/ids"
-	"keelstair.example/writ"
 )
 
 // The keys of duties that do not hang on a worker.
@@ -46,7 +46,7 @@
 	now   ids.Tick
 	seals map[string]ids.Seq // revocations that wait for nodes to have seen them
 	clock clock
-	bare  *writ.Register // of the active policy
+	bare  *certification.Register // of the active policy
 }
 
 // MachineOptions of a machine; what is zero takes the default named beside it.
--- a/fleetstate/programs_test.go
+++ b/fleetstate/programs_test.go
@@ -14,7 +14,7 @@
 
 	"keelstair.example/coordination"
 	"keelstair.example/ids"
-	"keelstair.example/tale"
+	"keelstair.example/logging"
 	"keelstair.example/whim"
 )
 
@@ -57,7 +57,7 @@
 		require.Equal(t, m.programs, copied.programs)
 		require.Equal(t, m.Picture(open), copied.Picture(open))
 		require.Len(t, copied.Due(ids.Tick(1), 6, 6), 2, "the copy is due by itself")
-		v := NewView(tale.Mute())
+		v := NewView(logging.Mute())
 		v.Scores = &whim.Scores{}
 		require.NoError(t, v.Restore(copied.Picture(true)))
 		require.EqualValues(t, 1, v.Sight().Set.Version)
--- a/fleetstate/regime.go
+++ b/fleetstate/regime.go
@@ -14,25 +14,25 @@
 	"cuelang.org/go/cue/parser"
 	"cuelang.org/go/cue/token"
 
+	"keelstair.example/certification"
 	"keelstair.example/failure"
 	"keelstair.example/ids"
-	"keelstair.example/writ"
 )
 
 // Certified is the part of a policy that certified nodes are for.
 type Certified struct {
-	Regimes      map[string]writ.Regime      `json:"regimes,omitempty"`
-	Issuers      map[string]writ.Issuer      `json:"issuers,omitempty"`
-	Certificates map[string]writ.Certificate `json:"certificates,omitempty"`
+	Regimes      map[string]certification.Regime      `json:"regimes,omitempty"`
+	Issuers      map[string]certification.Issuer      `json:"issuers,omitempty"`
+	Certificates map[string]certification.Certificate `json:"certificates,omitempty"`
 }
 
 // Register compiles what the policy says of regimes; nil without any.
-func (c *Certified) Register() (*writ.Register, error) {
-	return writ.Compile(c.Regimes, c.Issuers, c.Certificates)
+func (c *Certified) Register() (*certification.Register, error) {
+	return certification.Compile(c.Regimes, c.Issuers, c.Certificates)
 }
 
 func regimeFault(path []string, reason string) error {
-	return failure.As(&writ.Fault{Path: path, Reason: reason}, failure.Bad, "check regimes", strings.Join(path, "."))
+	return failure.As(&certification.Fault{Path: path, Reason: reason}, failure.Bad, "check regimes", strings.Join(path, "."))
 }
 
 // checkRegimes: every certificate holds, every governed kind exists, and each regime has
@@ -42,7 +42,7 @@
 		return nil
 	}
 	if _, err := p.Register(); err != nil {
-		var f *writ.Fault
+		var f *certification.Fault
 		if errors.As(err, &f) {
 			return regimeFault(f.Path, f.Reason)
 		}
@@ -88,7 +88,7 @@
 
 // Follows checks a policy against the one that it replaces: a serial never stands for
 // another certificate, and none comes in that has ended by now.
-func (p *Policy) Follows(old *Policy, now writ.Now) error {
+func (p *Policy) Follows(old *Policy, now certification.Now) error {
 	for _, serial := range slices.Sorted(maps.Keys(p.Certificates)) {
 		c := p.Certificates[serial]
 		was, had := old.Certificates[serial]
@@ -102,11 +102,11 @@
 	return nil
 }
 
-func expired(p *Policy, serial string, now writ.Now) bool {
+func expired(p *Policy, serial string, now certification.Now) bool {
 	r, _ := p.Register()
 	for _, row := range r.Rows(p.Certificates[serial].Regime, now) {
 		if row.Serial == serial {
-			return row.State == writ.Expired
+			return row.State == certification.Expired
 		}
 	}
 	return false
@@ -115,7 +115,7 @@
 // Locate gives the place of a fault's field in an operator's own text, or of the nearest
 // field around it, before the fault's line.
 func Locate(name string, text []byte, err error) error {
-	var at *writ.Fault
+	var at *certification.Fault
 	if !errors.As(err, &at) {
 		return err
 	}
@@ -183,13 +183,13 @@
 		return true
 	}
 	register := m.bare.With(m.revoked)
-	now := writ.Now{Low: m.time - int64(clockLead), High: m.time}
+	now := certification.Now{Low: m.time - int64(clockLead), High: m.time}
 	for _, g := range register.Regimes() {
 		for _, part := range []ids.Part{ids.Prefill, ids.Decode} {
-			if _, ok := register.Clears(g, writ.Subject{Worker: ids.WorkerId(id)}, part, now); !ok && worker {
+			if _, ok := register.Clears(g, certification.Subject{Worker: ids.WorkerId(id)}, part, now); !ok && worker {
 				continue
 			}
-			if _, ok := register.Clears(g, writ.Subject{Node: NodeName(node)}, "", now); !ok {
+			if _, ok := register.Clears(g, certification.Subject{Node: NodeName(node)}, "", now); !ok {
 				return false
 			}
 		}
--- a/fleetstate/regime_test.go
+++ b/fleetstate/regime_test.go
@@ -11,20 +11,20 @@
 
 	"github.com/stretchr/testify/require"
 
+	"keelstair.example/certification"
 	"keelstair.example/coordination"
 	"keelstair.example/failure"
 	"keelstair.example/ids"
-	"keelstair.example/tale"
-	"keelstair.example/writ"
+	"keelstair.example/logging"
 )
 
 // charter gives the small policy with one regime, as its operators' text, a field a line.
-func charter(t *testing.T, change func(all map[string]any, certs map[string]writ.Certificate)) []byte {
-	key, _, err := writ.NewKey()
+func charter(t *testing.T, change func(all map[string]any, certs map[string]certification.Certificate)) []byte {
+	key, _, err := certification.NewKey()
 	require.NoError(t, err)
 	day := func(n int) string { return time.Date(2026, 12, 1+n, 0, 0, 0, 0, time.UTC).Format(time.RFC3339) }
-	certs := map[string]writ.Certificate{}
-	for serial, c := range map[string]writ.Certificate{"s1": {Worker: "p1", Parts: []ids.Part{ids.Prefill}}, "s2": {Worker: "d1", Parts: []ids.Part{ids.Decode}}, "s3": {Node: "v1"}} {
+	certs := map[string]certification.Certificate{}
+	for serial, c := range map[string]certification.Certificate{"s1": {Worker: "p1", Parts: []ids.Part{ids.Prefill}}, "s2": {Worker: "d1", Parts: []ids.Part{ids.Decode}}, "s3": {Node: "v1"}} {
 		c.Serial, c.Regime, c.From, c.Until, c.Issuer = serial, "chair", day(0), day(30), "k1"
 		c.Sign(key)
 		certs[serial] = c
@@ -34,7 +34,7 @@
 	all := map[string]any{}
 	require.NoError(t, json.Unmarshal(text, &all))
 	all["regimes"] = map[string]any{"chair": map[string]any{"kinds": []string{"verdict"}}}
-	all["issuers"] = map[string]any{"k1": writ.Issuer{Key: writ.Public(key), From: day(-1), Until: day(100)}}
+	all["issuers"] = map[string]any{"k1": certification.Issuer{Key: certification.Public(key), From: day(-1), Until: day(100)}}
 	all["certificates"] = certs
 	if change != nil {
 		change(all, certs)
@@ -65,27 +65,27 @@
 	require.Equal(t, 20, p.Regimes["chair"].Keep)
 	r, err := p.Register()
 	require.NoError(t, err)
-	now := writ.At(time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC))
-	serial, ok := r.Clears("chair", writ.Subject{Worker: "d1"}, ids.Decode, now)
+	now := certification.At(time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC))
+	serial, ok := r.Clears("chair", certification.Subject{Worker: "d1"}, ids.Decode, now)
 	require.True(t, ok)
 	require.Equal(t, "s2", serial)
-	type certs = map[string]writ.Certificate
-	set := func(f func(c *writ.Certificate)) func(map[string]any, certs) {
+	type certs = map[string]certification.Certificate
+	set := func(f func(c *certification.Certificate)) func(map[string]any, certs) {
 		return func(_ map[string]any, all certs) { c := all["s2"]; f(&c); all["s2"] = c }
 	}
 	for says, one := range map[string]struct {
 		change func(map[string]any, certs)
 		at     string
 	}{
-		`unknown regime "x"`:                     {set(func(c *writ.Certificate) { c.Regime = "x" }), `"regime": "x"`},
+		`unknown regime "x"`:                     {set(func(c *certification.Certificate) { c.Regime = "x" }), `"regime": "x"`},
 		`conflicting values "s9" and "s2"`:       {func(_ map[string]any, all certs) { all["s9"] = all["s2"] }, `"s9"`},
 		`no certified decode worker offers "m"`:  {func(_ map[string]any, all certs) { delete(all, "s2") }, `"regimes"`},
 		`no certified prefill worker offers "m"`: {func(_ map[string]any, all certs) { delete(all, "s1") }, `"regimes"`},
 		"no router node":                         {func(_ map[string]any, all certs) { delete(all, "s3") }, `"regimes"`},
-		"is not after its start":                 {set(func(c *writ.Certificate) { c.Until = "2026-11-01T00:00:00Z" }), `"until": "2026-11-01`},
-		"forged, altered":                        {set(func(c *writ.Certificate) { c.Until = "2027-11-01T00:00:00Z" }), `"signature"`},
-		"truncated":                              {set(func(c *writ.Certificate) { c.Signature = "AAAA" }), `"AAAA"`},
-		`issuer "k7" is foreign`:                 {set(func(c *writ.Certificate) { c.Issuer = "k7" }), `"issuer": "k7"`},
+		"is not after its start":                 {set(func(c *certification.Certificate) { c.Until = "2026-11-01T00:00:00Z" }), `"until": "2026-11-01`},
+		"forged, altered":                        {set(func(c *certification.Certificate) { c.Until = "2027-11-01T00:00:00Z" }), `"signature"`},
+		"truncated":                              {set(func(c *certification.Certificate) { c.Signature = "AAAA" }), `"AAAA"`},
+		`issuer "k7" is foreign`:                 {set(func(c *certification.Certificate) { c.Issuer = "k7" }), `"issuer": "k7"`},
 		`unknown kind "fine"`: {func(all map[string]any, _ certs) {
 			all["regimes"] = map[string]any{"chair": map[string]any{"kinds": []string{"fine"}}}
 		}, `"kinds": [`},
@@ -137,13 +137,13 @@
 	require.NoError(t, err)
 	next, _, err := Whole("f", charter(t, nil)) // other keys, so other signatures
 	require.NoError(t, err)
-	early := writ.At(time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC))
-	late := writ.At(time.Date(2027, 1, 30, 0, 0, 0, 0, time.UTC))
+	early := certification.At(time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC))
+	late := certification.At(time.Date(2027, 1, 30, 0, 0, 0, 0, time.UTC))
 	require.NoError(t, old.Follows(old, late))
 	require.ErrorContains(t, next.Follows(old, early), "stands for another certificate")
 	require.NoError(t, old.Follows(&Policy{}, early))
 	require.ErrorContains(t, old.Follows(&Policy{}, late), "it has expired")
-	require.NoError(t, old.Follows(&Policy{}, writ.Now{}), "no word of the time")
+	require.NoError(t, old.Follows(&Policy{}, certification.Now{}), "no word of the time")
 }
 
 // TestOverCertificates: a part that touches something else leaves certificates alone,
@@ -186,15 +186,15 @@
 	require.Empty(t, m.Due(1, 10, 10))
 	_, err = m.Apply(11, SealKind, coordination.Pack(&Seal{"s1"}))
 	require.True(t, failure.Is(err, failure.Stale))
-	v := NewView(tale.Mute())
+	v := NewView(logging.Mute())
 	v.Fold(1, StageKind, coordination.Pack(&Stage{Text: charter(t, nil)}))
 	v.Heard(1)
 	require.Empty(t, v.Sight().Revoked)
 	v.Fold(2, RevokeKind, coordination.Pack(&Revoke{"s1"}))
-	now := writ.At(time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC))
-	_, ok := v.Sight().Register.Clears("chair", writ.Subject{Worker: "p1"}, ids.Prefill, now)
+	now := certification.At(time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC))
+	_, ok := v.Sight().Register.Clears("chair", certification.Subject{Worker: "p1"}, ids.Prefill, now)
 	require.False(t, ok)
-	_, ok = v.Sight().Register.Clears("chair", writ.Subject{Worker: "d1"}, ids.Decode, now)
+	_, ok = v.Sight().Register.Clears("chair", certification.Subject{Worker: "d1"}, ids.Decode, now)
 	require.True(t, ok)
 	require.Equal(t, map[string]bool{"s1": false}, v.Sight().Revoked)
 	v.Fold(3, SealKind, coordination.Pack(&Seal{"s1"}))
--- a/fleetstate/turn_test.go
+++ b/fleetstate/turn_test.go
@@ -10,7 +10,7 @@
 	"keelstair.example/coordination"
 	"keelstair.example/failure"
 	"keelstair.example/ids"
-	"keelstair.example/tale"
+	"keelstair.example/logging"
 )
 
 // TestTurn: a turn stands until it is done; the same one again, or the end of none, changes
@@ -48,11 +48,11 @@
 // TestTurnInNews: a view shows a turn as soon as it is folded, loudly, whether it came as
 // news or in a picture, and no longer once it is done; an older sight stays as it was.
 func TestTurnInNews(t *testing.T) {
-	v := NewView(tale.Mute())
+	v := NewView(logging.Mute())
 	require.True(t, v.Fold(1, TurnKind, coordination.Pack(&Turn{Worker: "w", To: ids.Decode})))
 	first := v.Sight()
 	require.Equal(t, map[ids.WorkerId]ids.Part{"w": ids.Decode}, first.Turning)
-	other := NewView(tale.Mute())
+	other := NewView(logging.Mute())
 	require.NoError(t, other.Restore(v.Picture()))
 	require.Equal(t, first.Turning, other.Sight().Turning)
 	require.True(t, v.Fold(2, TurnKind, coordination.Pack(&Turn{Worker: "w", Done: true})))
--- a/fleetstate/view.go
+++ b/fleetstate/view.go
@@ -9,11 +9,11 @@
 	"sync"
 	"sync/atomic"
 
+	"keelstair.example/certification"
 	"keelstair.example/coordination"
 	"keelstair.example/ids"
-	"keelstair.example/tale"
+	"keelstair.example/logging"
 	"keelstair.example/whim"
-	"keelstair.example/writ"
 )
 
 // Sight is one frozen state of the view.
@@ -30,8 +30,8 @@
 	Set       *Deal // the program set in force, if the core has one
 	// Register says who is cleared for governed work; nil without regimes. Bare is the
 	// same without revocations. Revoked has their serials: true once in force everywhere.
-	Register *writ.Register
-	Bare     *writ.Register
+	Register *certification.Register
+	Bare     *certification.Register
 	Revoked  map[string]bool
 }
 
@@ -52,7 +52,7 @@
 // so that programs are compiled before they are in force.
 type View struct {
 	Ready func(ids.Version, *Policy)
-	Ring  *tale.Ring
+	Ring  *logging.Ring
 	Read  Reader // Plain, if it is not set: makes a policy of a text
 	// Scores of programs; where it is not set, program sets are not compiled.
 	Scores *whim.Scores
@@ -65,7 +65,7 @@
 	heard atomic.Uint64
 }
 
-func NewView(ring *tale.Ring) *View {
+func NewView(ring *logging.Ring) *View {
 	v := &View{Ring: ring, state: newState(true, Depth{}), kept: map[ids.Version]kept{}, sets: map[ids.Version]*Deal{}}
 	v.sight.Store(&Sight{Policy: &Policy{}, Table: NewTable(&Policy{}), Zones: map[ids.Zone]bool{}, Drained: map[ids.WorkerId]bool{}})
 	return v
--- a/passage/clean.go
+++ b/handoff/clean.go
@@ -2,7 +2,7 @@
 // is confirmed cancelled or its time is surely over, and a claimed task whose
 // run may have begun is never run again.
 
-package passage
+package handoff
 
 import (
 	"context"
@@ -10,14 +10,14 @@
 
 	"keelstair.example/failure"
 	"keelstair.example/ids"
-	"keelstair.example/rein"
 	"keelstair.example/seam"
+	"keelstair.example/workerclient"
 )
 
 // Stopper is what clean needs of Hands; settling a dead node's claims uses it
 // too.
 type Stopper interface {
-	Cancel(ctx context.Context, w ids.WorkerId, id rein.Id) (*rein.Answer, error)
+	Cancel(ctx context.Context, w ids.WorkerId, id workerclient.Id) (*workerclient.Answer, error)
 }
 
 // clean ends the attempt at both workers. It tells the task's final error if
@@ -50,7 +50,7 @@
 			return f.verdict(err), false
 		}
 		return nil, false
-	case f.t.Claimed && f.runs && a.Fate != rein.FateNever:
+	case f.t.Claimed && f.runs && a.Fate != workerclient.FateNever:
 		return failure.As(cause, failure.Unknown, "hand-over", f.id.Request), false
 	}
 	return nil, true
@@ -58,14 +58,14 @@
 
 // stop cancels at one worker, trying a few times. A worker that has begun a new
 // life has lost the attempt; what came of it is not known.
-func (f *flight) stop(ctx context.Context, w ids.WorkerId) (*rein.Answer, error) {
+func (f *flight) stop(ctx context.Context, w ids.WorkerId) (*workerclient.Answer, error) {
 	var err error
 	for n := range 3 {
 		if n > 0 && !seam.Sleep(ctx, 150*time.Millisecond) {
 			break
 		}
 		cx, end := context.WithTimeout(ctx, 900*time.Millisecond)
-		var a *rein.Answer
+		var a *workerclient.Answer
 		a, err = f.Hands.Cancel(cx, w, f.id)
 		end()
 		if err == nil && w == f.to && f.life != "" && a.Life != f.life {
--- a/passage/controller.go
+++ b/handoff/controller.go
@@ -3,7 +3,7 @@
 // booked before anything runs, and resume, with every byte of the memory in, is
 // the point of no return, before which no piece goes out.
 
-package passage
+package handoff
 
 import (
 	"context"
@@ -11,23 +11,23 @@
 
 	"keelstair.example/failure"
 	"keelstair.example/ids"
-	"keelstair.example/rein"
 	"keelstair.example/seam"
 	"keelstair.example/whim"
+	"keelstair.example/workerclient"
 )
 
 // Hands give the controller its reach: every order goes through the worker's
 // one duty holder.
 type Hands interface {
-	Pick(q *whim.Question, on rein.Model, shun map[ids.WorkerId]bool) []Picked
-	Reserve(ctx context.Context, w ids.WorkerId, id rein.Id, blocks int) error
-	Prefill(ctx context.Context, w ids.WorkerId, m rein.Identity) (*rein.Answer, error)
-	Export(ctx context.Context, w ids.WorkerId, id rein.Id) (*rein.Answer, error)
-	Import(ctx context.Context, w ids.WorkerId, m rein.Identity, source ids.WorkerId) (*rein.Answer, error)
-	Resume(ctx context.Context, w ids.WorkerId, id rein.Id) (*rein.Answer, error)
-	Cancel(ctx context.Context, w ids.WorkerId, id rein.Id) (*rein.Answer, error)
-	Done(w ids.WorkerId, id rein.Id, sure bool)
-	Stream(ctx context.Context, w ids.WorkerId, id rein.Id, from int, put func(rein.Piece) error) error
+	Pick(q *whim.Question, on workerclient.Model, shun map[ids.WorkerId]bool) []Picked
+	Reserve(ctx context.Context, w ids.WorkerId, id workerclient.Id, blocks int) error
+	Prefill(ctx context.Context, w ids.WorkerId, m workerclient.Identity) (*workerclient.Answer, error)
+	Export(ctx context.Context, w ids.WorkerId, id workerclient.Id) (*workerclient.Answer, error)
+	Import(ctx context.Context, w ids.WorkerId, m workerclient.Identity, source ids.WorkerId) (*workerclient.Answer, error)
+	Resume(ctx context.Context, w ids.WorkerId, id workerclient.Id) (*workerclient.Answer, error)
+	Cancel(ctx context.Context, w ids.WorkerId, id workerclient.Id) (*workerclient.Answer, error)
+	Done(w ids.WorkerId, id workerclient.Id, sure bool)
+	Stream(ctx context.Context, w ids.WorkerId, id workerclient.Id, from int, put func(workerclient.Piece) error) error
 	// Spend asks for one recompute, waiting a while for it if need be.
 	Spend(ctx context.Context, wait time.Duration) bool
 	Blame(w ids.WorkerId)
@@ -39,7 +39,7 @@
 // Picked is a cleared worker with what it runs on.
 type Picked struct {
 	Id    ids.WorkerId
-	Model rein.Model
+	Model workerclient.Model
 	Block int
 	Life  ids.Life
 }
@@ -59,7 +59,7 @@
 
 // Event is one step of one hand-over.
 type Event struct {
-	Id     rein.Id
+	Id     workerclient.Id
 	Stage  Stage
 	Worker ids.WorkerId
 	At     ids.Tick
@@ -69,7 +69,7 @@
 
 // Task is one request.
 type Task struct {
-	Identity rein.Identity
+	Identity workerclient.Identity
 	Kind     string
 	Zone     ids.Zone
 	Claimed  bool
@@ -104,7 +104,7 @@
 type flight struct {
 	*Controller
 	t    *Task
-	id   rein.Id
+	id   workerclient.Id
 	sent []int32
 	put  Put
 	from ids.WorkerId
@@ -135,7 +135,7 @@
 	shun := map[ids.WorkerId]bool{}
 	tries, since := 0, ids.Tick(0)
 	for n := 1; ; n++ {
-		f.id = rein.Id{Request: t.Identity.Id.Request, Attempt: n}
+		f.id = workerclient.Id{Request: t.Identity.Id.Request, Attempt: n}
 		f.from, f.to, f.life, f.runs = "", "", "", false
 		err := f.try(ctx, shun)
 		// Picked under a version that is no longer in force: picked anew, once the
@@ -304,7 +304,7 @@
 }
 
 // fits checks that the identity which travels on is the one that was sent in.
-func (f *flight) fits(in, out *rein.Identity) bool {
+func (f *flight) fits(in, out *workerclient.Identity) bool {
 	if out.Id != in.Id || len(out.Prompt) != len(in.Prompt) || len(out.Output) < len(in.Output) ||
 		!in.Model.Offers(out.Model) || out.Params != in.Params || out.Computed < len(in.Prompt) {
 		return false
@@ -323,7 +323,7 @@
 }
 
 // book reserves room on the first worker that has it, in the program's order.
-func (f *flight) book(ctx context.Context, ask *whim.Question, on rein.Model, toks int, shun map[ids.WorkerId]bool) (Picked, error) {
+func (f *flight) book(ctx context.Context, ask *whim.Question, on workerclient.Model, toks int, shun map[ids.WorkerId]bool) (Picked, error) {
 	ask.Need = toks
 	list := f.Hands.Pick(ask, on, shun)
 	err := failure.New(failure.Bounced, "pick "+string(ask.Part), "", "no worker is cleared")
@@ -344,7 +344,7 @@
 // hand puts all tokens that the origin has not had yet.
 func (f *flight) hand(out []int32, texts []string) error {
 	for i := len(f.sent); i < len(out); i++ {
-		p := rein.Piece{Index: i, Token: out[i]}
+		p := workerclient.Piece{Index: i, Token: out[i]}
 		if i < len(texts) {
 			p.Text = texts[i]
 		}
@@ -356,7 +356,7 @@
 }
 
 // piece passes on index = last+1 only.
-func (f *flight) piece(p rein.Piece) error {
+func (f *flight) piece(p workerclient.Piece) error {
 	if p.Index != len(f.sent) {
 		return failure.New(failure.Lost, "stream", string(f.to), "piece %d came where %d was due", p.Index, len(f.sent))
 	}
--- a/passage/controller_test.go
+++ b/handoff/controller_test.go
@@ -1,7 +1,7 @@
 // The controller against a scripted fleet: every way a hand-over can go wrong, and
 // what the origin then gets.
 
-package passage
+package handoff
 
 import (
 	"context"
@@ -13,9 +13,9 @@
 
 	"keelstair.example/failure"
 	"keelstair.example/ids"
-	"keelstair.example/rein"
 	"keelstair.example/seam/sham"
 	"keelstair.example/whim"
+	"keelstair.example/workerclient"
 )
 
 var answer = []int32{11, 12, 13, 14, 15}
@@ -24,10 +24,10 @@
 // a test says.
 type script struct {
 	full    map[ids.WorkerId]bool // bounces imports
-	spoil   func(m *rein.Identity)
+	spoil   func(m *workerclient.Identity)
 	resume  func(n int) error
-	stream  func(n, from int, put func(rein.Piece) error) error
-	fate    func(n int) (*rein.Answer, error)
+	stream  func(n, from int, put func(workerclient.Piece) error) error
+	fate    func(n int) (*workerclient.Answer, error)
 	coins   int
 	resumes int
 	cancels int
@@ -45,7 +45,7 @@
 func lost() error    { return failure.New(failure.Lost, "test", "w", "lost") }
 func bounced() error { return failure.New(failure.Bounced, "test", "w", "bounced") }
 
-func (s *script) Pick(q *whim.Question, _ rein.Model, shun map[ids.WorkerId]bool) []Picked {
+func (s *script) Pick(q *whim.Question, _ workerclient.Model, shun map[ids.WorkerId]bool) []Picked {
 	s.picks++
 	if s.none > 0 && s.resumes > 0 {
 		s.none--
@@ -55,40 +55,40 @@
 	for _, id := range []ids.WorkerId{"1", "2"} {
 		w := ids.WorkerId(q.Part[:1]) + id
 		if !shun[w] {
-			out = append(out, Picked{Id: w, Model: rein.Model{Name: "m", Weights: "w1"}, Block: 16})
+			out = append(out, Picked{Id: w, Model: workerclient.Model{Name: "m", Weights: "w1"}, Block: 16})
 		}
 	}
 	if len(out) == 0 && s.last {
-		return s.Pick(q, rein.Model{}, nil)
+		return s.Pick(q, workerclient.Model{}, nil)
 	}
 	return out
 }
 
-func (s *script) Reserve(_ context.Context, w ids.WorkerId, id rein.Id, _ int) error {
+func (s *script) Reserve(_ context.Context, w ids.WorkerId, id workerclient.Id, _ int) error {
 	s.loose[string(w)+id.Request]++
 	return nil
 }
 
-func (s *script) Prefill(_ context.Context, _ ids.WorkerId, m rein.Identity) (*rein.Answer, error) {
+func (s *script) Prefill(_ context.Context, _ ids.WorkerId, m workerclient.Identity) (*workerclient.Answer, error) {
 	s.tries++
 	m.Computed = len(m.Prompt)
 	if len(m.Output) == 0 {
 		m.Output = answer[:1]
 	}
-	return &rein.Answer{Identity: &m}, nil
+	return &workerclient.Answer{Identity: &m}, nil
 }
 
-func (s *script) Export(_ context.Context, _ ids.WorkerId, id rein.Id) (*rein.Answer, error) {
+func (s *script) Export(_ context.Context, _ ids.WorkerId, id workerclient.Id) (*workerclient.Answer, error) {
 	m := ident()
 	m.Id, m.Output, m.Computed = id, answer[:1], len(m.Prompt)
 	m.Model.Weights = "w1"
 	if s.spoil != nil {
 		s.spoil(&m)
 	}
-	return &rein.Answer{Identity: &m}, nil
+	return &workerclient.Answer{Identity: &m}, nil
 }
 
-func (s *script) Import(_ context.Context, w ids.WorkerId, _ rein.Identity, _ ids.WorkerId) (*rein.Answer, error) {
+func (s *script) Import(_ context.Context, w ids.WorkerId, _ workerclient.Identity, _ ids.WorkerId) (*workerclient.Answer, error) {
 	s.imports = append(s.imports, w)
 	if len(s.imports) > 100 {
 		panic("it asks the same workers for ever")
@@ -96,35 +96,35 @@
 	if s.full[w] {
 		return nil, bounced()
 	}
-	return &rein.Answer{Life: "one"}, nil
+	return &workerclient.Answer{Life: "one"}, nil
 }
 
-func (s *script) Resume(context.Context, ids.WorkerId, rein.Id) (*rein.Answer, error) {
+func (s *script) Resume(context.Context, ids.WorkerId, workerclient.Id) (*workerclient.Answer, error) {
 	s.resumes++
 	if s.resume != nil {
 		if err := s.resume(s.resumes); err != nil {
 			return nil, err
 		}
 	}
-	return &rein.Answer{}, nil
+	return &workerclient.Answer{}, nil
 }
 
-func (s *script) Cancel(_ context.Context, w ids.WorkerId, _ rein.Id) (*rein.Answer, error) {
+func (s *script) Cancel(_ context.Context, w ids.WorkerId, _ workerclient.Id) (*workerclient.Answer, error) {
 	if w[0] == 'p' {
-		return &rein.Answer{Fate: rein.FateNever}, nil
+		return &workerclient.Answer{Fate: workerclient.FateNever}, nil
 	}
 	s.cancels++
 	if s.fate != nil {
 		return s.fate(s.cancels)
 	}
-	return &rein.Answer{Fate: rein.FateNever, Life: "one"}, nil
+	return &workerclient.Answer{Fate: workerclient.FateNever, Life: "one"}, nil
 }
 
-func (s *script) Done(w ids.WorkerId, id rein.Id, _ bool) { s.loose[string(w)+id.Request] = 0 }
-func (s *script) Blame(ids.WorkerId)                      {}
-func (s *script) Stale() bool                             { s.stale--; return s.stale >= 0 }
+func (s *script) Done(w ids.WorkerId, id workerclient.Id, _ bool) { s.loose[string(w)+id.Request] = 0 }
+func (s *script) Blame(ids.WorkerId)                              {}
+func (s *script) Stale() bool                                     { s.stale--; return s.stale >= 0 }
 
-func (s *script) Stream(_ context.Context, _ ids.WorkerId, _ rein.Id, from int, put func(rein.Piece) error) error {
+func (s *script) Stream(_ context.Context, _ ids.WorkerId, _ workerclient.Id, from int, put func(workerclient.Piece) error) error {
 	if s.stream != nil {
 		return s.stream(s.resumes, from, put)
 	}
@@ -133,20 +133,20 @@
 
 func (s *script) Spend(context.Context, time.Duration) bool { s.coins--; return s.coins >= 0 }
 
-func send(put func(rein.Piece) error, from, to int, end bool) error {
+func send(put func(workerclient.Piece) error, from, to int, end bool) error {
 	for i := from; i < to; i++ {
-		if err := put(rein.Piece{Index: i, Token: answer[i]}); err != nil {
+		if err := put(workerclient.Piece{Index: i, Token: answer[i]}); err != nil {
 			return err
 		}
 	}
 	if end {
-		return put(rein.Piece{Index: to, End: "stop", Count: to})
+		return put(workerclient.Piece{Index: to, End: "stop", Count: to})
 	}
 	return lost()
 }
 
-func ident() rein.Identity {
-	return rein.Identity{Id: rein.Id{Request: "r"}, Prompt: []int32{1, 2, 3}, Params: rein.Params{MaxTokens: 5}, Model: rein.Model{Name: "m"}}
+func ident() workerclient.Identity {
+	return workerclient.Identity{Id: workerclient.Id{Request: "r"}, Prompt: []int32{1, 2, 3}, Params: workerclient.Params{MaxTokens: 5}, Model: workerclient.Model{Name: "m"}}
 }
 
 func play(t *testing.T, s *script, claimed bool) (got []int32, err error, took time.Duration) {
@@ -204,20 +204,22 @@
 // TestBadPieces: a gap, a repeat, and an end that comes too early never reach
 // the caller as a whole answer; with a coin the rest is recomputed.
 func TestBadPieces(t *testing.T) {
-	for name, bad := range map[string]func(put func(rein.Piece) error) error{
-		"gap":       func(put func(rein.Piece) error) error { return put(rein.Piece{Index: 3, Token: 14}) },
-		"repeat":    func(put func(rein.Piece) error) error { return put(rein.Piece{Index: 0, Token: 11}) },
-		"early end": func(put func(rein.Piece) error) error { return put(rein.Piece{Index: 1, End: "stop", Count: 5}) },
-		"cut":       func(put func(rein.Piece) error) error { return send(put, 1, 3, false) },
+	for name, bad := range map[string]func(put func(workerclient.Piece) error) error{
+		"gap":    func(put func(workerclient.Piece) error) error { return put(workerclient.Piece{Index: 3, Token: 14}) },
+		"repeat": func(put func(workerclient.Piece) error) error { return put(workerclient.Piece{Index: 0, Token: 11}) },
+		"early end": func(put func(workerclient.Piece) error) error {
+			return put(workerclient.Piece{Index: 1, End: "stop", Count: 5})
+		},
+		"cut": func(put func(workerclient.Piece) error) error { return send(put, 1, 3, false) },
 	} {
 		for coins := range 2 {
-			s := &script{coins: coins, stream: func(n, from int, put func(rein.Piece) error) error {
+			s := &script{coins: coins, stream: func(n, from int, put func(workerclient.Piece) error) error {
 				if n == 1 {
 					return bad(put)
 				}
 				return send(put, from, len(answer), true)
 			}}
-			s.spoil = func(m *rein.Identity) {
+			s.spoil = func(m *workerclient.Identity) {
 				if m.Id.Attempt > 1 {
 					m.Output = answer[:max(1, map[string]int{"cut": 3}[name])]
 				}
@@ -236,13 +238,13 @@
 
 // TestForeignIdentity: what comes back from export must be what went in.
 func TestForeignIdentity(t *testing.T) {
-	for name, spoil := range map[string]func(m *rein.Identity){
-		"other prompt":  func(m *rein.Identity) { m.Prompt = []int32{1, 2, 4} },
-		"other request": func(m *rein.Identity) { m.Id.Request = "x" },
-		"other attempt": func(m *rein.Identity) { m.Id.Attempt++ },
-		"other seed":    func(m *rein.Identity) { m.Params.Seed++ },
-		"other weights": func(m *rein.Identity) { m.Model.Weights = "w2" },
-		"too little":    func(m *rein.Identity) { m.Computed = 1 },
+	for name, spoil := range map[string]func(m *workerclient.Identity){
+		"other prompt":  func(m *workerclient.Identity) { m.Prompt = []int32{1, 2, 4} },
+		"other request": func(m *workerclient.Identity) { m.Id.Request = "x" },
+		"other attempt": func(m *workerclient.Identity) { m.Id.Attempt++ },
+		"other seed":    func(m *workerclient.Identity) { m.Params.Seed++ },
+		"other weights": func(m *workerclient.Identity) { m.Model.Weights = "w2" },
+		"too little":    func(m *workerclient.Identity) { m.Computed = 1 },
 	} {
 		s := &script{spoil: spoil}
 		got, err, _ := play(t, s, false)
@@ -256,17 +258,21 @@
 // when its worker cannot be asked, nor when it began a new life, nor when it was
 // stopped midway. One that surely never began is tried again.
 func TestClaimedOnce(t *testing.T) {
-	cut := func(n, from int, put func(rein.Piece) error) error {
+	cut := func(n, from int, put func(workerclient.Piece) error) error {
 		if n == 1 {
 			return lost()
 		}
 		return send(put, from, len(answer), true)
 	}
-	for name, fate := range map[string]func(int) (*rein.Answer, error){
-		"cannot be asked": func(int) (*rein.Answer, error) { return nil, bounced() },
-		"nobody listens":  func(int) (*rein.Answer, error) { return nil, lost() },
-		"new life":        func(int) (*rein.Answer, error) { return &rein.Answer{Fate: rein.FateNever, Life: "two"}, nil },
-		"stopped midway":  func(int) (*rein.Answer, error) { return &rein.Answer{Fate: rein.FateStopped, Life: "one"}, nil },
+	for name, fate := range map[string]func(int) (*workerclient.Answer, error){
+		"cannot be asked": func(int) (*workerclient.Answer, error) { return nil, bounced() },
+		"nobody listens":  func(int) (*workerclient.Answer, error) { return nil, lost() },
+		"new life": func(int) (*workerclient.Answer, error) {
+			return &workerclient.Answer{Fate: workerclient.FateNever, Life: "two"}, nil
+		},
+		"stopped midway": func(int) (*workerclient.Answer, error) {
+			return &workerclient.Answer{Fate: workerclient.FateStopped, Life: "one"}, nil
+		},
 	} {
 		s := &script{coins: 5, stream: cut, fate: fate}
 		_, err, _ := play(t, s, true)
@@ -282,8 +288,8 @@
 	got, err, _ := play(t, s, true)
 	require.NoError(t, err)
 	require.Equal(t, answer, got)
-	s = &script{stream: cut, fate: func(int) (*rein.Answer, error) {
-		return &rein.Answer{Fate: rein.FateFinished, Done: true, Output: answer, Life: "one"}, nil
+	s = &script{stream: cut, fate: func(int) (*workerclient.Answer, error) {
+		return &workerclient.Answer{Fate: workerclient.FateFinished, Done: true, Output: answer, Life: "one"}, nil
 	}}
 	got, err, _ = play(t, s, true)
 	require.NoError(t, err, "it had finished: its own output is handed on")
@@ -336,8 +342,8 @@
 func TestOrphanWait(t *testing.T) {
 	var again time.Time
 	begun := time.Now()
-	s := &script{coins: 5, fate: func(int) (*rein.Answer, error) { return nil, bounced() }}
-	s.stream = func(n, from int, put func(rein.Piece) error) error {
+	s := &script{coins: 5, fate: func(int) (*workerclient.Answer, error) { return nil, bounced() }}
+	s.stream = func(n, from int, put func(workerclient.Piece) error) error {
 		if n == 1 {
 			begun = time.Now()
 			return lost()
@@ -353,13 +359,13 @@
 // TestGovernedWaits: a governed stream that has begun and finds nobody cleared waits for
 // one that is, within its patience; another one is given up after its tries.
 func TestGovernedWaits(t *testing.T) {
-	whole := func(n, from int, put func(rein.Piece) error) error {
+	whole := func(n, from int, put func(workerclient.Piece) error) error {
 		if n == 1 {
 			return send(put, from, 3, false)
 		}
 		return send(put, from, len(answer), true)
 	}
-	spoil := func(m *rein.Identity) {
+	spoil := func(m *workerclient.Identity) {
 		if m.Id.Attempt > 1 {
 			m.Output = answer[:3]
 		}
--- a/passage/ledger.go
+++ b/handoff/ledger.go
@@ -1,9 +1,9 @@
-// Package passage is the hand-over: moving a live request from the worker that
+// Package handoff is the hand-over: moving a live request from the worker that
 // read its prompt to the one that continues it. This file is the ledger that a
 // worker's one duty holder keeps of its blocks. Reports are late, so the ledger
 // adds what a report cannot show yet and never counts on what it may still
 // show; whatever it errs by makes a worker look fuller.
-package passage
+package handoff
 
 import (
 	"math"
@@ -12,7 +12,7 @@
 
 	"keelstair.example/failure"
 	"keelstair.example/ids"
-	"keelstair.example/rein"
+	"keelstair.example/workerclient"
 )
 
 type hold struct {
@@ -32,16 +32,16 @@
 	ramp   time.Duration
 	cap    int
 	part   ids.Part
-	report *rein.Report
+	report *workerclient.Report
 	asked  ids.Tick
-	holds  map[rein.Id]*hold
+	holds  map[workerclient.Id]*hold
 	misses int
 	held   bool
 }
 
 // NewLedger begins with nothing known, and is of no use before Begin.
 func NewLedger(lag, ramp time.Duration, limit int) *Ledger {
-	return &Ledger{since: math.MaxInt64, lag: lag, ramp: ramp, cap: limit, holds: map[rein.Id]*hold{}}
+	return &Ledger{since: math.MaxInt64, lag: lag, ramp: ramp, cap: limit, holds: map[workerclient.Id]*hold{}}
 }
 
 // Begin notes from when on the worker obeys this holder alone: what an earlier
@@ -60,14 +60,14 @@
 }
 
 // Report takes a report that was asked for at a tick.
-func (l *Ledger) Report(r *rein.Report, asked ids.Tick) {
+func (l *Ledger) Report(r *workerclient.Report, asked ids.Tick) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.report != nil && (r.Part != l.part || l.misses > 5) {
 		l.fresh = asked
 	}
 	l.report, l.asked, l.part, l.misses = r, asked, r.Part, 0
-	on := map[rein.Id]bool{}
+	on := map[workerclient.Id]bool{}
 	for _, v := range r.Running {
 		on[v.Id] = true
 	}
@@ -120,7 +120,7 @@
 	Used  int // blocks that the begun ones hold or may grow by
 	Cap   int
 	Block int
-	Model rein.Model
+	Model workerclient.Model
 	Life  ids.Life
 }
 
@@ -187,7 +187,7 @@
 }
 
 // Reserve books room for a hand-over, or says at once that there is none.
-func (l *Ledger) Reserve(id rein.Id, blocks int, now ids.Tick) error {
+func (l *Ledger) Reserve(id workerclient.Id, blocks int, now ids.Tick) error {
 	return l.ReserveBeside(id, blocks, 0, now)
 }
 
@@ -195,7 +195,7 @@
 func Beside(most, keep int) int { return max(1, most*(100-keep)/100) }
 
 // ReserveBeside books room that leaves so many percent of all room and starts free.
-func (l *Ledger) ReserveBeside(id rein.Id, blocks, keep int, now ids.Tick) error {
+func (l *Ledger) ReserveBeside(id workerclient.Id, blocks, keep int, now ids.Tick) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.holds[id] != nil {
@@ -219,7 +219,7 @@
 }
 
 // Reserved tells whether a hand-over has its room booked.
-func (l *Ledger) Reserved(id rein.Id) bool {
+func (l *Ledger) Reserved(id workerclient.Id) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := l.holds[id]
@@ -227,7 +227,7 @@
 }
 
 // Moved notes that the worker took the request in.
-func (l *Ledger) Moved(id rein.Id, now ids.Tick) {
+func (l *Ledger) Moved(id workerclient.Id, now ids.Tick) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if h := l.holds[id]; h != nil && h.moved == 0 {
@@ -238,7 +238,7 @@
 // Ended notes that the request is done here. If the worker itself said so, its
 // room is free at once, and a late report that still lists it is not believed;
 // else the room counts as taken until a report shows it free.
-func (l *Ledger) Ended(id rein.Id, sure bool, now ids.Tick) {
+func (l *Ledger) Ended(id workerclient.Id, sure bool, now ids.Tick) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := l.holds[id]
--- a/passage/tide.go
+++ b/handoff/tide.go
@@ -3,7 +3,7 @@
 // is given the first second with room, somewhere within it. So a crowd comes back at
 // the rate at which it can be served, and not as one.
 
-package passage
+package handoff
 
 import (
 	"cmp"
--- a/passage/tide_test.go
+++ b/handoff/tide_test.go
@@ -1,6 +1,6 @@
 // A crowd's appointments.
 
-package passage
+package handoff
 
 import (
 	"testing"
--- a/tale/journal.go
+++ b/logging/journal.go
@@ -1,6 +1,6 @@
 // The journal: events in memory, and the views folded from them.
 
-package tale
+package logging
 
 import "sync"
 
--- a/tale/ring.go
+++ b/logging/ring.go
@@ -1,7 +1,7 @@
-// Package tale keeps what a process has lived through: a ring of log lines that
+// Package logging keeps what a process has lived through: a ring of log lines that
 // is written out only when something goes wrong, and a journal of events from
 // which views are folded.
-package tale
+package logging
 
 import (
 	"io"
--- a/relay/admit.go
+++ b/proxy/admit.go
@@ -4,7 +4,7 @@
 // nodes, which all see the same a moment late, do not refuse all at once. Who comes back
 // before it was told to is refused first.
 
-package relay
+package proxy
 
 import (
 	"hash/fnv"
--- a/relay/admit_test.go
+++ b/proxy/admit_test.go
@@ -1,7 +1,7 @@
 // Early refusals: overloads with two urgencies and with callers that do not wait, and what
 // must never be refused.
 
-package relay
+package proxy
 
 import (
 	"fmt"
--- a/relay/alarm.go
+++ b/proxy/alarm.go
@@ -3,7 +3,7 @@
 // run elsewhere is taken away from it at once, and the peers are warned. Each peer asks
 // for itself before it believes, so a node that is cut off puts nobody out.
 
-package relay
+package proxy
 
 import (
 	"context"
--- a/relay/alarm_note.go
+++ b/proxy/alarm_note.go
@@ -1,6 +1,6 @@
 // The message by which nodes warn each other of a worker that fell silent.
 
-package relay
+package proxy
 
 import "keelstair.example/ids"
 
--- a/relay/alarm_test.go
+++ b/proxy/alarm_test.go
@@ -1,6 +1,6 @@
 // Workers that are silent, and nodes that are cut off.
 
-package relay
+package proxy
 
 import (
 	"fmt"
--- a/relay/board.go
+++ b/proxy/board.go
@@ -2,7 +2,7 @@
 // holder of the list hears of them from it, and hands on to each node, with the list, what
 // changed since that node's last asking.
 
-package relay
+package proxy
 
 import (
 	"sync"
--- a/relay/budget.go
+++ b/proxy/budget.go
@@ -2,7 +2,7 @@
 // what a cold worker bears. Each node keeps to its part of the allowance by the number
 // of nodes that there were at most of late, so the sum holds while the core is away.
 
-package relay
+package proxy
 
 import (
 	"sync"
--- a/relay/budget_test.go
+++ b/proxy/budget_test.go
@@ -1,6 +1,6 @@
 // The retry budget and cold workers: bounds over all nodes that need no message.
 
-package relay
+package proxy
 
 import (
 	"fmt"
--- a/relay/carry.go
+++ b/proxy/carry.go
@@ -2,7 +2,7 @@
 // node that took a try keeps its promise alone, since every try has an id of its own:
 // what was offered and not turned away may have run, and never ends in a refusal.
 
-package relay
+package proxy
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 
 	"keelstair.example/failure"
 	"keelstair.example/fleetstate"
+	"keelstair.example/handoff"
 	"keelstair.example/ids"
-	"keelstair.example/passage"
 	"keelstair.example/seam"
 	"keelstair.example/whim"
 )
@@ -22,7 +22,7 @@
 // Event is one step of one request.
 type Event struct {
 	Request string
-	Stage   passage.Stage
+	Stage   handoff.Stage
 	Worker  ids.WorkerId
 	At      ids.Tick
 	Why     string
@@ -47,7 +47,7 @@
 	last  string  // id of the last event that the caller has
 }
 
-func (t *trip) tell(stage passage.Stage, w ids.WorkerId, why string) {
+func (t *trip) tell(stage handoff.Stage, w ids.WorkerId, why string) {
 	if t.n.opt.Trace != nil {
 		t.n.opt.Trace(Event{t.r.Id, stage, w, t.n.now(), why})
 	}
@@ -89,13 +89,13 @@
 	switch err.(type) {
 	case nil:
 		n.counts.Done.Add(1)
-		t.tell(passage.Ended, "", "")
+		t.tell(handoff.Ended, "", "")
 	case *Refusal:
 		n.counts.Refused.Add(1)
-		t.tell(passage.Dropped, "", err.Error())
+		t.tell(handoff.Dropped, "", err.Error())
 	default:
 		n.counts.Broken.Add(1)
-		t.tell(passage.Dropped, "", err.Error())
+		t.tell(handoff.Dropped, "", err.Error())
 	}
 	return err
 }
@@ -249,7 +249,7 @@
 
 // readAt has one worker read the prompt; false if no connection to it came up.
 func (t *trip) readAt(ctx context.Context, c *choice) (*Source, bool, error) {
-	t.tell(passage.Granted, c.w.Id, "")
+	t.tell(handoff.Granted, c.w.Id, "")
 	span := min(t.n.opt.Silence+time.Duration(c.cost*2)*time.Millisecond, t.left())
 	cx, stop := context.WithTimeout(ctx, span)
 	cx, take := context.WithCancelCause(cx)
@@ -267,12 +267,12 @@
 		c.st.well(memo.Load, now)
 		t.n.outcome(c, true)
 		t.kept = c
-		t.tell(passage.Prefilled, c.w.Id, "")
+		t.tell(handoff.Prefilled, c.w.Id, "")
 		return &Source{Worker: *c.w, Handle: memo.Handle}, true, nil
 	}
 	c.release(failure.Is(err, failure.Unknown), now)
 	t.blame(ctx, c, err, now)
-	t.tell(passage.Dropped, c.w.Id, err.Error())
+	t.tell(handoff.Dropped, c.w.Id, err.Error())
 	if failure.Is(err, failure.Bounced) && failure.Step(err) == dialStep {
 		return nil, false, err
 	}
@@ -340,7 +340,7 @@
 			c.st.end(0)
 			c.release(failure.Is(err, failure.Unknown), t.n.now())
 			t.blame(ctx, &c, err, t.n.now())
-			t.tell(passage.Dropped, c.w.Id, err.Error())
+			t.tell(handoff.Dropped, c.w.Id, err.Error())
 			if failure.Is(err, failure.Bounced) && failure.Step(err) == dialStep {
 				t.sends--
 				t.tried[c.w.Id] = true
--- a/relay/carry_test.go
+++ b/proxy/carry_test.go
@@ -1,7 +1,7 @@
 // Requests from end to end: calm loads, workers that fail, streams that are cut, and
 // memory that nobody fetches.
 
-package relay
+package proxy
 
 import (
 	"context"
--- a/relay/check_test.go
+++ b/proxy/check_test.go
@@ -1,7 +1,7 @@
 // Checkers over the yard's book and the callers' ends, and planted violations that each
 // of them must catch.
 
-package relay
+package proxy
 
 import (
 	"fmt"
--- a/relay/config_test.go
+++ b/proxy/config_test.go
@@ -1,6 +1,6 @@
 // Configurations: staged at the core, in force at the nodes.
 
-package relay
+package proxy
 
 import (
 	"context"
--- a/relay/delta_test.go
+++ b/proxy/delta_test.go
@@ -1,6 +1,6 @@
 // Large configurations that change little.
 
-package relay
+package proxy
 
 import (
 	"fmt"
--- a/relay/eject.go
+++ b/proxy/eject.go
@@ -3,7 +3,7 @@
 // part is left out for a span that grows with each time, then a trickle decides. The bound
 // on how many are out, and that those are used when no other is left, keep a mistake cheap.
 
-package relay
+package proxy
 
 import (
 	"context"
--- a/relay/eject_note.go
+++ b/proxy/eject_note.go
@@ -1,6 +1,6 @@
 // What nodes tell each other of how their sendings to a worker ended.
 
-package relay
+package proxy
 
 import "keelstair.example/ids"
 
--- a/relay/eject_test.go
+++ b/proxy/eject_test.go
@@ -1,6 +1,6 @@
 // Sick workers: outlier ejection by outcomes, with a bound, probation and damping.
 
-package relay
+package proxy
 
 import (
 	"fmt"
--- a/relay/fleet_test.go
+++ b/proxy/fleet_test.go
@@ -1,6 +1,6 @@
 // Small fleets on simulated machines: three cores, some relay nodes, a yard of workers.
 
-package relay
+package proxy
 
 import (
 	"context"
--- a/relay/hearsay.go
+++ b/proxy/hearsay.go
@@ -2,7 +2,7 @@
 // the list go rows of the workers that failed here, and of those that others saw fail; back
 // comes the sum of the others. Each node's say is bounded.
 
-package relay
+package proxy
 
 import (
 	"sort"
--- a/relay/ledger.go
+++ b/proxy/ledger.go
@@ -5,7 +5,7 @@
 // beside this one, and the answer is only a cost. So no more than the principle is shared:
 // whatever the ledger errs by makes a worker look fuller.
 
-package relay
+package proxy
 
 import (
 	"time"
--- a/relay/ledger_test.go
+++ b/proxy/ledger_test.go
@@ -1,7 +1,7 @@
 // Free memory of workers: derived from late reports and from what was booked and ended here
 // since, told to all nodes, and used in the order of workers.
 
-package relay
+package proxy
 
 import (
 	"fmt"
--- a/relay/list_note.go
+++ b/proxy/list_note.go
@@ -1,6 +1,6 @@
 // The messages by which one node's list of workers reaches the others.
 
-package relay
+package proxy
 
 import "keelstair.example/ids"
 
--- a/relay/list_test.go
+++ b/proxy/list_test.go
@@ -1,6 +1,6 @@
 // Who asks the platform for the list of workers, and how the others come by it.
 
-package relay
+package proxy
 
 import (
 	"fmt"
--- a/relay/node.go
+++ b/proxy/node.go
@@ -1,7 +1,7 @@
 // A Node joins the parts: the core's agent, the view of the configuration, the list of
 // workers and what is known of each.
 
-package relay
+package proxy
 
 import (
 	"context"
@@ -12,11 +12,11 @@
 
 	"keelstair.example/coordination"
 	"keelstair.example/fleetstate"
+	"keelstair.example/handoff"
 	"keelstair.example/ids"
-	"keelstair.example/passage"
+	"keelstair.example/logging"
 	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/tale"
 	"keelstair.example/whim"
 )
 
@@ -27,7 +27,7 @@
 	Zone    ids.Zone
 	Seeds   []string
 	Host    seam.Host
-	Ring    *tale.Ring
+	Ring    *logging.Ring
 	Back    Backend
 	Read    fleetstate.Reader // of the operators' text; fleetstate.Plain
 	Deck    []whim.Source     // routing programs until the core has a set, beside the built-in order
@@ -103,7 +103,7 @@
 		o.Steps = 20000
 	}
 	if o.Ring == nil {
-		o.Ring = tale.Mute()
+		o.Ring = logging.Mute()
 	}
 }
 
@@ -135,7 +135,7 @@
 	board    board
 	table    atomic.Pointer[table]
 	gate     gate
-	tide     passage.Tide
+	tide     handoff.Tide
 	seen     atomic.Pointer[fleetstate.Sight]
 	seeing   sync.Mutex
 	inflight atomic.Int64
@@ -147,7 +147,7 @@
 // New makes a node; it starts nothing.
 func New(opt Options) (*Node, error) {
 	opt.fill()
-	n := &Node{opt: opt, budget: newBudget(opt.Window), warm: newWarm(), tide: passage.Tide{Least: 2}}
+	n := &Node{opt: opt, budget: newBudget(opt.Window), warm: newWarm(), tide: handoff.Tide{Least: 2}}
 	deck, err := whim.NewDeck(opt.Deck, opt.Steps, &n.scores)
 	if err != nil {
 		return nil, err
--- a/relay/operate.go
+++ b/proxy/operate.go
@@ -2,7 +2,7 @@
 // nodes: they carry the program set there. The rest of the configuration is the fleet's
 // own document.
 
-package relay
+package proxy
 
 import (
 	"cmp"
@@ -11,8 +11,8 @@
 	"slices"
 	"time"
 
+	"keelstair.example/api"
 	"keelstair.example/coordination"
-	"keelstair.example/door"
 	"keelstair.example/failure"
 	"keelstair.example/fleetstate"
 	"keelstair.example/ids"
@@ -20,7 +20,7 @@
 	"keelstair.example/seam"
 )
 
-// Operator is a door.Operator over the core that the book knows.
+// Operator is a api.Operator over the core that the book knows.
 type Operator struct {
 	Call  *rpc.Caller
 	Book  *coordination.Book
@@ -35,7 +35,7 @@
 
 // Apply checks and compiles a program set before anything is written; the core takes it
 // if it was made over the newest one.
-func (o *Operator) Apply(ctx context.Context, a *door.Apply) (*door.Applied, error) {
+func (o *Operator) Apply(ctx context.Context, a *api.Apply) (*api.Applied, error) {
 	cx, stop := context.WithTimeout(ctx, operatorWait)
 	defer stop()
 	op, name := ids.OpId("op/"+a.Op), cmp.Or(a.Name, "programs")
@@ -47,14 +47,14 @@
 	if a.Partial {
 		img, err := fleetstate.Look(cx, o.Call, o.Book)
 		if err != nil {
-			return nil, door.Fate(err, comeBack)
+			return nil, api.Fate(err, comeBack)
 		}
 		top, _ := img.Set()
 		if uint64(top.Version) != a.Base {
 			// The base has moved on, perhaps by this very operation.
 			v, err := fleetstate.Outcome(cx, o.Call, o.Book, op)
 			if failure.Is(err, failure.Stale) {
-				return nil, door.Stale(a.Base, uint64(top.Version))
+				return nil, api.Stale(a.Base, uint64(top.Version))
 			}
 			return o.ruled(ctx, v, err)
 		}
@@ -68,62 +68,62 @@
 		return nil, err
 	}
 	if a.Dry {
-		return &door.Applied{Version: a.Base, Policy: whole}, nil
+		return &api.Applied{Version: a.Base, Policy: whole}, nil
 	}
 	v, err := fleetstate.PutPrograms(cx, o.Call, o.Book, op, ids.Version(a.Base), whole)
 	return o.ruled(ctx, v, err)
 }
 
 // ruled waits a while until the core has put a version in force.
-func (o *Operator) ruled(ctx context.Context, v ids.Version, err error) (*door.Applied, error) {
+func (o *Operator) ruled(ctx context.Context, v ids.Version, err error) (*api.Applied, error) {
 	if err != nil {
-		return nil, door.Fate(err, comeBack)
+		return nil, api.Fate(err, comeBack)
 	}
 	cx, stop := context.WithTimeout(ctx, forceWait)
 	defer stop()
 	for {
 		if img, err := fleetstate.Look(cx, o.Call, o.Book); err == nil && img.Programs.Version >= v {
-			return &door.Applied{Version: uint64(v), Active: true}, nil
+			return &api.Applied{Version: uint64(v), Active: true}, nil
 		}
 		if !seam.Sleep(cx, 50*time.Millisecond) {
-			return &door.Applied{Version: uint64(v)}, nil
+			return &api.Applied{Version: uint64(v)}, nil
 		}
 	}
 }
 
 // Evacuate empties a zone of new work, or takes that back.
-func (o *Operator) Evacuate(ctx context.Context, zone string, m *door.Mark) (*door.Applied, error) {
+func (o *Operator) Evacuate(ctx context.Context, zone string, m *api.Mark) (*api.Applied, error) {
 	if !slices.Contains(o.Zones, zone) {
-		return nil, door.No(http.StatusNotFound, "unknown", "zone", "there is no zone %q", zone)
+		return nil, api.No(http.StatusNotFound, "unknown", "zone", "there is no zone %q", zone)
 	}
 	cx, stop := context.WithTimeout(ctx, operatorWait)
 	defer stop()
 	if err := fleetstate.Mark(cx, o.Call, o.Book, ids.OpId("op/"+m.Op), ids.Zone(zone), m.Out); err != nil {
-		return nil, door.Fate(err, comeBack)
+		return nil, api.Fate(err, comeBack)
 	}
-	return &door.Applied{Active: true}, nil
+	return &api.Applied{Active: true}, nil
 }
 
 // Drain is refused: which workers leave stands in the fleet's own list.
-func (o *Operator) Drain(_ context.Context, worker string, _ *door.Mark) (*door.Applied, error) {
-	return nil, door.No(http.StatusNotFound, "unknown", "worker", "%q is not drained here; which workers leave stands in the list of workers", worker)
+func (o *Operator) Drain(_ context.Context, worker string, _ *api.Mark) (*api.Applied, error) {
+	return nil, api.No(http.StatusNotFound, "unknown", "worker", "%q is not drained here; which workers leave stands in the list of workers", worker)
 }
 
 // Revoke is refused: what runs over these routes is under no regime.
-func (o *Operator) Revoke(_ context.Context, serial string, _ *door.Mark) (*door.Applied, error) {
-	return nil, door.No(http.StatusNotFound, "unknown", "certificate", "%q is not known here; no regime governs these routes", serial)
+func (o *Operator) Revoke(_ context.Context, serial string, _ *api.Mark) (*api.Applied, error) {
+	return nil, api.No(http.StatusNotFound, "unknown", "certificate", "%q is not known here; no regime governs these routes", serial)
 }
 
 // Regimes are none.
-func (o *Operator) Regimes() *door.Regimes { return &door.Regimes{} }
+func (o *Operator) Regimes() *api.Regimes { return &api.Regimes{} }
 
 // Audits are none, as nothing is governed.
-func (o *Operator) Audits(context.Context, int, int) (*door.Audits, error) {
-	return &door.Audits{}, nil
+func (o *Operator) Audits(context.Context, int, int) (*api.Audits, error) {
+	return &api.Audits{}, nil
 }
 
 // Shown gives the program set in force.
-func (o *Operator) Shown(ctx context.Context) (*door.Shown, error) {
+func (o *Operator) Shown(ctx context.Context) (*api.Shown, error) {
 	cx, stop := context.WithTimeout(ctx, operatorWait)
 	defer stop()
 	img, err := fleetstate.Look(cx, o.Call, o.Book)
@@ -131,7 +131,7 @@
 		return nil, err
 	}
 	top, _ := img.Set()
-	return &door.Shown{Version: uint64(img.Programs.Version), Newest: uint64(top.Version), Policy: fleetstate.SetText(img.Programs),
+	return &api.Shown{Version: uint64(img.Programs.Version), Newest: uint64(top.Version), Policy: fleetstate.SetText(img.Programs),
 		Zones: append([]string{}, img.Zones...), Drained: append([]string{}, img.Drained...)}, nil
 }
 
--- a/relay/pass.go
+++ b/proxy/pass.go
@@ -2,7 +2,7 @@
 // elsewhere, what the first worker did not finish is asked of another one, from the last
 // event that the caller has.
 
-package relay
+package proxy
 
 import (
 	"bytes"
@@ -14,7 +14,7 @@
 	"time"
 
 	"keelstair.example/failure"
-	"keelstair.example/passage"
+	"keelstair.example/handoff"
 )
 
 var errSilent = errors.New("the worker says nothing")
@@ -90,7 +90,7 @@
 		c.st.fault(t.n.now())
 		return failure.New(failure.Unknown, "pass", c.w.Addr, "status %d", reply.Status)
 	}
-	t.tell(passage.Resumed, c.w.Id, "")
+	t.tell(handoff.Resumed, c.w.Id, "")
 	var err error
 	if reply.Events {
 		err = t.events(c, reply)
--- a/relay/pick.go
+++ b/proxy/pick.go
@@ -3,7 +3,7 @@
 // that begin alike fall to the same reading worker on every node, unless it is busier
 // than the reading anew is worth.
 
-package relay
+package proxy
 
 import (
 	"cmp"
--- a/relay/pick_test.go
+++ b/proxy/pick_test.go
@@ -1,6 +1,6 @@
 // Which worker is picked, and what a pick costs.
 
-package relay
+package proxy
 
 import (
 	"fmt"
--- a/relay/place_test.go
+++ b/proxy/place_test.go
@@ -1,6 +1,6 @@
 // Workers that are to get nothing new.
 
-package relay
+package proxy
 
 import (
 	"fmt"
--- a/relay/program_test.go
+++ b/proxy/program_test.go
@@ -1,6 +1,6 @@
 // Routing programs on the path of opaque requests.
 
-package relay
+package proxy
 
 import (
 	"fmt"
--- a/relay/relay.go
+++ b/proxy/proxy.go
@@ -1,8 +1,8 @@
-// Package relay is the data plane for opaque requests: it carries each from the door to
+// Package proxy is the data plane for opaque requests: it carries each from the door to
 // a worker that reads its prompt and on to one that emits the answer, and keeps the
 // hand-over's promises though it never looks into a body. This file has what the door
 // and the workers' adapter must bring, and what they get.
-package relay
+package proxy
 
 import (
 	"context"
--- a/proof/raced_test.go
+++ b/proxy/raced_test.go
@@ -1,5 +1,5 @@
 //go:build race
 
-package proof
+package proxy
 
 const raced = true
--- a/relay/rate_test.go
+++ b/proxy/rate_test.go
@@ -1,6 +1,6 @@
 // How often nodes ask for the list of workers.
 
-package relay
+package proxy
 
 import (
 	"strconv"
--- a/relay/reads_note.go
+++ b/proxy/reads_note.go
@@ -1,6 +1,6 @@
 // What nodes tell each other of the readings that they have under way.
 
-package relay
+package proxy
 
 import "keelstair.example/ids"
 
--- a/relay/roster.go
+++ b/proxy/roster.go
@@ -2,7 +2,7 @@
 // others hear from it, and tell it which readings they have under way, so that each knows the
 // sum. Whoever hears nothing fresh there asks the platform.
 
-package relay
+package proxy
 
 import (
 	"context"
--- a/relay/stand_note.go
+++ b/proxy/stand_note.go
@@ -1,6 +1,6 @@
 // The messages by which what the workers report reaches all nodes.
 
-package relay
+package proxy
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file stand_note.go
 //msgp:tuple Stand
--- a/relay/state.go
+++ b/proxy/state.go
@@ -1,6 +1,6 @@
 // What this node knows of each life of a worker.
 
-package relay
+package proxy
 
 import (
 	"sync"
--- a/relay/table.go
+++ b/proxy/table.go
@@ -1,7 +1,7 @@
 // The workers that may get new work, by service and part, made once for each version of the
 // list and of the sight, so that no request walks the whole list or hashes a worker's id.
 
-package relay
+package proxy
 
 import (
 	"slices"
--- a/relay/tell_note.go
+++ b/proxy/tell_note.go
@@ -1,6 +1,6 @@
 // The messages by which nodes tell the holder of the list what they have under way.
 
-package relay
+package proxy
 
 import "keelstair.example/ids"
 
--- a/relay/told_note.go
+++ b/proxy/told_note.go
@@ -1,6 +1,6 @@
 // What the holder of the list answers.
 
-package relay
+package proxy
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file told_note.go
 
--- a/relay/turn.go
+++ b/proxy/turn.go
@@ -4,7 +4,7 @@
 // lease has surely lapsed. All nodes hear of a turn before the order goes out, so that
 // nothing new is sent to the worker meanwhile.
 
-package relay
+package proxy
 
 import (
 	"context"
--- a/relay/turn_test.go
+++ b/proxy/turn_test.go
@@ -1,6 +1,6 @@
 // Workers that change their part by the one holder of a service's duty.
 
-package relay
+package proxy
 
 import (
 	"fmt"
--- a/relay/wish.go
+++ b/proxy/wish.go
@@ -2,7 +2,7 @@
 // and names one. Which may turn is decided before: each part keeps its least, and a worker
 // rests for the dwell. Where a part has no worker at all, the built-in choice stands.
 
-package relay
+package proxy
 
 import (
 	"keelstair.example/fleetstate"
--- a/relay/yard_test.go
+++ b/proxy/yard_test.go
@@ -2,7 +2,7 @@
 // turning away, handles that can be had once, events with ids, reports and orders. It
 // keeps a book of what arrived when, and what ran.
 
-package relay
+package proxy
 
 import (
 	"context"
--- a/verge/audit.go
+++ b/router/audit.go
@@ -1,7 +1,7 @@
 // The audit record of governed work at its node: the steps as they are cleared, one row
 // at the core before anything runs, and one with the outcome.
 
-package verge
+package router
 
 import (
 	"context"
@@ -10,17 +10,17 @@
 	"strings"
 	"time"
 
+	"keelstair.example/api"
+	"keelstair.example/certification"
 	"keelstair.example/coordination"
-	"keelstair.example/door"
 	"keelstair.example/failure"
 	"keelstair.example/fleetstate"
 	"keelstair.example/ids"
-	"keelstair.example/rein"
-	"keelstair.example/writ"
+	"keelstair.example/workerclient"
 )
 
 // saw notes a step that was cleared.
-func (h *hands) saw(verb string, w ids.WorkerId, id rein.Id, serial string) {
+func (h *hands) saw(verb string, w ids.WorkerId, id workerclient.Id, serial string) {
 	if serial == "" || verb == verbReserve {
 		return
 	}
@@ -32,7 +32,7 @@
 	if h.regime == "" {
 		return nil
 	}
-	serial, _ := h.n.clears(h.regime, writ.Subject{Node: h.n.opt.Name}, "")
+	serial, _ := h.n.clears(h.regime, certification.Subject{Node: h.n.opt.Name}, "")
 	b, _ := json.Marshal(&fleetstate.AuditRecord{Request: request, Key: key, Kind: h.kind, Regime: h.regime,
 		Node: string(h.n.me.Node), Serial: serial, Steps: h.steps, Outcome: outcome})
 	return b
@@ -65,10 +65,10 @@
 	if !h.begun {
 		return
 	}
-	outcome := door.Complete
+	outcome := api.Complete
 	switch {
 	case err != nil && count > 0:
-		outcome = door.Broken
+		outcome = api.Broken
 	case err != nil:
 		outcome = fleetstate.NotRun
 	}
@@ -85,13 +85,13 @@
 	if h.regime == "" {
 		return nil
 	}
-	serial, _ := n.clears(h.regime, writ.Subject{Worker: d.Worker}, ids.Decode)
+	serial, _ := n.clears(h.regime, certification.Subject{Worker: d.Worker}, ids.Decode)
 	h.steps = []fleetstate.AuditStep{{What: "settled", Worker: string(d.Worker), Serial: serial, At: n.clock().High}}
 	return h.record(Request(d.Key), d.Key, fate)
 }
 
 // Audits reads the core's chain.
-func (n *Node) Audits(ctx context.Context, from, most int) (*door.Audits, error) {
+func (n *Node) Audits(ctx context.Context, from, most int) (*api.Audits, error) {
 	cx, stop := context.WithTimeout(ctx, 5*time.Second)
 	defer stop()
 	r, err := n.agent.Submit(cx, "", fleetstate.AuditsKind, coordination.Pack(&fleetstate.Audits{From: from, Most: most}))
@@ -102,7 +102,7 @@
 	if _, err := got.UnmarshalMsg(r.Body); err != nil {
 		return nil, failure.As(err, failure.Unknown, "read audit", "core")
 	}
-	out := &door.Audits{First: got.First, Count: got.Count, Head: got.Head, Rows: []json.RawMessage{}}
+	out := &api.Audits{First: got.First, Count: got.Count, Head: got.Head, Rows: []json.RawMessage{}}
 	for _, l := range got.Lines {
 		out.Rows = append(out.Rows, l)
 	}
--- a/verge/augur/augur.go
+++ b/router/augur/augur.go
@@ -11,7 +11,7 @@
 	"keelstair.example/failure"
 	"keelstair.example/fleetstate"
 	"keelstair.example/ids"
-	"keelstair.example/verge"
+	"keelstair.example/router"
 )
 
 // Change is what may be done; one of its fields is set.
@@ -59,7 +59,7 @@
 }
 
 // Foresee holds a change against the live state.
-func Foresee(st *verge.Standing, now *fleetstate.Policy, c Change) (*Forecast, error) {
+func Foresee(st *router.Standing, now *fleetstate.Policy, c Change) (*Forecast, error) {
 	if err := known(st, now, c); err != nil {
 		return nil, err
 	}
@@ -80,7 +80,7 @@
 	return f, nil
 }
 
-func known(st *verge.Standing, p *fleetstate.Policy, c Change) error {
+func known(st *router.Standing, p *fleetstate.Policy, c Change) error {
 	for _, z := range []ids.Zone{c.Evacuate, c.LoseZone} {
 		ok := z == ""
 		for _, have := range p.Zones {
@@ -163,7 +163,7 @@
 	return c.LoseZone != "" && c.LoseZone == zone || c.LoseAddr != "" && c.LoseAddr == addr
 }
 
-func (f *Forecast) keys(st *verge.Standing, next *fleetstate.Policy, c Change) {
+func (f *Forecast) keys(st *router.Standing, next *fleetstate.Policy, c Change) {
 	var was, is []ids.NodeId
 	for _, m := range st.Members {
 		was = append(was, m.Node)
@@ -192,14 +192,14 @@
 	}
 }
 
-func (f *Forecast) rooms(st *verge.Standing, now, next *fleetstate.Policy, c Change) {
+func (f *Forecast) rooms(st *router.Standing, now, next *fleetstate.Policy, c Change) {
 	type group struct {
 		model string
 		part  ids.Part
 	}
 	rooms := map[group]*Room{}
 	zones := map[group][2]map[ids.Zone]bool{}
-	stands := map[ids.WorkerId]verge.Stand{}
+	stands := map[ids.WorkerId]router.Stand{}
 	for _, s := range st.Workers {
 		stands[s.Id] = s
 	}
@@ -259,13 +259,13 @@
 }
 
 // deeds warns early of a store that fills up.
-func (f *Forecast) deeds(st *verge.Standing, next *fleetstate.Policy) {
+func (f *Forecast) deeds(st *router.Standing, next *fleetstate.Policy) {
 	if n, most := st.Deeds[0], next.Limits.Deeds; most > 0 && n*10 >= most*8 {
 		f.warn("%d of %d deeds are taken; at the last one new keys are bounced: raise limits.deeds", n, most)
 	}
 }
 
-func (f *Forecast) core(st *verge.Standing, c Change) {
+func (f *Forecast) core(st *router.Standing, c Change) {
 	f.Disks[0] = len(st.Core.Holders)
 	for _, s := range st.Core.Holders {
 		if !c.lost(s.Zone, s.Addr) {
--- a/verge/augur/augur_test.go
+++ b/router/augur/augur_test.go
@@ -10,11 +10,11 @@
 	"keelstair.example/coordination"
 	"keelstair.example/fleetstate"
 	"keelstair.example/ids"
-	"keelstair.example/verge"
+	"keelstair.example/router"
 )
 
-func fixture() (*verge.Standing, *fleetstate.Policy) {
-	st := &verge.Standing{Version: 4}
+func fixture() (*router.Standing, *fleetstate.Policy) {
+	st := &router.Standing{Version: 4}
 	p := &fleetstate.Policy{Zones: []ids.Zone{"a", "b"}, Workers: map[ids.WorkerId]fleetstate.Worker{}}
 	for i, z := range []ids.Zone{"a", "b", "b"} {
 		n := string(rune('1' + i))
@@ -23,7 +23,7 @@
 		for _, part := range []ids.Part{ids.Prefill, ids.Decode} {
 			id := ids.WorkerId(string(part[0]) + n)
 			p.Workers[id] = fleetstate.Worker{Part: part, Model: "m", Weights: "w", Room: 100, Block: 16, Zone: z}
-			st.Workers = append(st.Workers, verge.Stand{Id: id, Part: part, Ready: true, Free: 40, Room: 100})
+			st.Workers = append(st.Workers, router.Stand{Id: id, Part: part, Ready: true, Free: 40, Room: 100})
 		}
 	}
 	return st, p
--- a/verge/augur/regimes.go
+++ b/router/augur/regimes.go
@@ -7,18 +7,18 @@
 	"slices"
 	"time"
 
+	"keelstair.example/certification"
 	"keelstair.example/failure"
 	"keelstair.example/fleetstate"
 	"keelstair.example/ids"
-	"keelstair.example/verge"
-	"keelstair.example/writ"
+	"keelstair.example/router"
 )
 
 // soon is how far ahead ends of certificates are warned of with any plan.
 const soon = 7 * 24 * time.Hour
 
 // gone tells which subjects a change, or what stands already, takes away.
-func gone(st *verge.Standing, p *fleetstate.Policy, c Change) func(writ.Subject) bool {
+func gone(st *router.Standing, p *fleetstate.Policy, c Change) func(certification.Subject) bool {
 	zones, nodes := map[ids.Zone]bool{}, map[string]bool{}
 	for _, z := range st.Evacuated {
 		zones[ids.Zone(z)] = true
@@ -29,7 +29,7 @@
 			nodes[fleetstate.NodeName(m.Node)] = true
 		}
 	}
-	return func(s writ.Subject) bool {
+	return func(s certification.Subject) bool {
 		if s.Node != "" {
 			return !nodes[s.Node]
 		}
@@ -38,7 +38,7 @@
 	}
 }
 
-func (f *Forecast) regimes(st *verge.Standing, now, next *fleetstate.Policy, c Change) error {
+func (f *Forecast) regimes(st *router.Standing, now, next *fleetstate.Policy, c Change) error {
 	before, _ := now.Register()
 	after, _ := next.Register()
 	if c.Revoke != "" {
@@ -55,12 +55,12 @@
 	after = after.With(revoked)
 	then := st.Time
 	if c.At > 0 {
-		then = writ.Now{Low: max(c.At, then.Low), High: max(c.At, then.High)}
+		then = certification.Now{Low: max(c.At, then.Low), High: max(c.At, then.High)}
 	}
-	late := writ.Now{Low: then.Low + int64(soon), High: then.High + int64(soon)}
+	late := certification.Now{Low: then.Low + int64(soon), High: then.High + int64(soon)}
 	was, is := gone(st, now, Change{}), gone(st, next, c)
-	there := func(f func(writ.Subject) bool) func(writ.Subject) bool {
-		return func(s writ.Subject) bool { return !f(s) }
+	there := func(f func(certification.Subject) bool) func(certification.Subject) bool {
+		return func(s certification.Subject) bool { return !f(s) }
 	}
 	for _, g := range after.Regimes() {
 		short := after.Short(g, 1, then, there(is))
--- a/verge/augur/regimes_test.go
+++ b/router/augur/regimes_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"keelstair.example/certification"
 	"keelstair.example/coordination"
 	"keelstair.example/ids"
-	"keelstair.example/writ"
 )
 
 // TestShort: before a drain, a revocation, an expiry, an evacuation or the loss of a
@@ -21,25 +21,25 @@
 	for i := range st.Members {
 		st.Members[i] = coordination.Member{Node: st.Members[i].Node + "-0123", Addr: st.Members[i].Addr, Zone: st.Members[i].Zone}
 	}
-	key, _, err := writ.NewKey()
+	key, _, err := certification.NewKey()
 	require.NoError(t, err)
 	now := time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC)
 	day := func(n int) string { return now.AddDate(0, 0, n).Format(time.RFC3339) }
-	p.Regimes = map[string]writ.Regime{"chair": {Kinds: []string{"verdict"}}}
-	p.Issuers = map[string]writ.Issuer{"k": {Key: writ.Public(key), From: day(-1), Until: day(100)}}
-	p.Certificates = map[string]writ.Certificate{}
-	put := func(serial string, c writ.Certificate, until int) {
+	p.Regimes = map[string]certification.Regime{"chair": {Kinds: []string{"verdict"}}}
+	p.Issuers = map[string]certification.Issuer{"k": {Key: certification.Public(key), From: day(-1), Until: day(100)}}
+	p.Certificates = map[string]certification.Certificate{}
+	put := func(serial string, c certification.Certificate, until int) {
 		c.Serial, c.Regime, c.Issuer, c.From, c.Until = serial, "chair", "k", day(-1), day(until)
 		c.Sign(key)
 		p.Certificates[serial] = c
 	}
-	put("p1", writ.Certificate{Worker: "p1", Parts: []ids.Part{ids.Prefill}}, 50)
-	put("p2", writ.Certificate{Worker: "p2", Parts: []ids.Part{ids.Prefill}}, 50)
-	put("d2", writ.Certificate{Worker: "d2", Parts: []ids.Part{ids.Decode}}, 50)
-	put("d3", writ.Certificate{Worker: "d3", Parts: []ids.Part{ids.Decode}}, 30)
-	put("n1", writ.Certificate{Node: "n1"}, 50)
-	put("n2", writ.Certificate{Node: "n2"}, 50)
-	st.Time = writ.At(now)
+	put("p1", certification.Certificate{Worker: "p1", Parts: []ids.Part{ids.Prefill}}, 50)
+	put("p2", certification.Certificate{Worker: "p2", Parts: []ids.Part{ids.Prefill}}, 50)
+	put("d2", certification.Certificate{Worker: "d2", Parts: []ids.Part{ids.Decode}}, 50)
+	put("d3", certification.Certificate{Worker: "d3", Parts: []ids.Part{ids.Decode}}, 30)
+	put("n1", certification.Certificate{Node: "n1"}, 50)
+	put("n2", certification.Certificate{Node: "n2"}, 50)
+	st.Time = certification.At(now)
 	warned := func(c Change) (out []string) {
 		f, err := Foresee(st, p, c)
 		require.NoError(t, err)
--- a/verge/beat_note.go
+++ b/router/beat_note.go
@@ -1,6 +1,6 @@
 // The messages of beats, by which neighbours tell each other what they know.
 
-package verge
+package router
 
 import "keelstair.example/ids"
 
--- a/verge/beats.go
+++ b/router/beats.go
@@ -3,7 +3,7 @@
 // So a node cut from the core alone still learns, and nodes can tell the core's
 // own trouble from theirs.
 
-package verge
+package router
 
 import (
 	"context"
@@ -13,9 +13,9 @@
 	"keelstair.example/coordination"
 	"keelstair.example/fleetstate"
 	"keelstair.example/ids"
-	"keelstair.example/rein"
 	"keelstair.example/rpc"
 	"keelstair.example/seam"
+	"keelstair.example/workerclient"
 )
 
 // currentSpan is no more than the wait for silent nodes and the quarter second in
@@ -168,7 +168,7 @@
 func (n *Node) rosters(ctx context.Context) {
 	for {
 		if list, err := n.rein.Workers(ctx, n.opt.Platform); err == nil {
-			all := make(map[ids.WorkerId]rein.Listed, len(list))
+			all := make(map[ids.WorkerId]workerclient.Listed, len(list))
 			for _, l := range list {
 				all[l.Id] = l
 			}
--- a/verge/beats_test.go
+++ b/router/beats_test.go
@@ -1,6 +1,6 @@
 // Which beats tell that a node is not behind.
 
-package verge
+package router
 
 import (
 	"context"
@@ -13,9 +13,9 @@
 
 	"keelstair.example/coordination"
 	"keelstair.example/fleetstate"
+	"keelstair.example/logging"
 	"keelstair.example/rpc"
 	"keelstair.example/seam/sham"
-	"keelstair.example/tale"
 )
 
 // TestCurrentByAnswers: with the core away, a neighbour that beats by itself may tell of a
@@ -29,7 +29,7 @@
 		defer func() { stop(); near.Kill(); at.Kill(); time.Sleep(10 * time.Second) }()
 		b := coordination.Member{Node: "b", Addr: "10.0.0.1:1"}
 		n := New(Options{Name: "n", Addr: "10.0.0.2:1", Host: at.Host()})
-		img := &coordination.Image{Seq: 1, Members: []coordination.Member{n.me, b, {Node: "c"}}, App: fleetstate.NewView(tale.Mute()).Picture()}
+		img := &coordination.Image{Seq: 1, Members: []coordination.Member{n.me, b, {Node: "c"}}, App: fleetstate.NewView(logging.Mute()).Picture()}
 		mux := http.NewServeMux()
 		rpc.Handle(mux, "crux/news", func(context.Context, *coordination.NewsAsk) (*coordination.NewsReply, error) {
 			return &coordination.NewsReply{Seq: 1, Picture: coordination.Pack(img)}, nil
@@ -79,7 +79,7 @@
 				defer func() { stop(); near.Kill(); at.Kill(); away.Kill(); time.Sleep(10 * time.Second) }()
 				b, c := coordination.Member{Node: "b", Addr: "10.0.0.1:1"}, coordination.Member{Node: "c", Addr: "10.0.0.3:1"}
 				n := New(Options{Name: "n", Addr: "10.0.0.2:1", Host: at.Host()})
-				img := &coordination.Image{Seq: 1, Members: []coordination.Member{n.me, b, c}, App: fleetstate.NewView(tale.Mute()).Picture()}
+				img := &coordination.Image{Seq: 1, Members: []coordination.Member{n.me, b, c}, App: fleetstate.NewView(logging.Mute()).Picture()}
 				mux := http.NewServeMux()
 				rpc.Handle(mux, "crux/news", func(context.Context, *coordination.NewsAsk) (*coordination.NewsReply, error) {
 					return &coordination.NewsReply{Seq: 1, Picture: coordination.Pack(img)}, nil
--- a/verge/debt.go
+++ b/router/debt.go
@@ -3,7 +3,7 @@
 // asked again with the same operation until it is known; so no key stays claimed
 // by a node that lives and does not run it.
 
-package verge
+package router
 
 import (
 	"context"
--- a/verge/govern.go
+++ b/router/govern.go
@@ -1,18 +1,18 @@
 // Governed work is held to its regime by mechanism: whom the register does not clear is
 // no candidate, gets no order, and loses what it runs at once.
 
-package verge
+package router
 
 import (
 	"context"
 	"time"
 
+	"keelstair.example/certification"
 	"keelstair.example/failure"
 	"keelstair.example/fleetstate"
+	"keelstair.example/handoff"
 	"keelstair.example/ids"
-	"keelstair.example/passage"
 	"keelstair.example/seam"
-	"keelstair.example/writ"
 )
 
 // guardEvery is how often a running step is held against the register.
@@ -24,10 +24,10 @@
 	if regime == "" || !n.view.Sight().Register.Has(regime) {
 		return "", nil
 	}
-	if _, err := n.clears(regime, writ.Subject{Node: n.opt.Name}, ""); err != nil {
+	if _, err := n.clears(regime, certification.Subject{Node: n.opt.Name}, ""); err != nil {
 		return "", err
 	}
-	return n.clears(regime, writ.Subject{Worker: w}, part)
+	return n.clears(regime, certification.Subject{Worker: w}, part)
 }
 
 // bound gives the regime of a request now: the newest one that governs its kind, else
@@ -46,7 +46,7 @@
 		return true
 	}
 	keep := s.Register.Keeps(st.Id, st.Part, n.clock())
-	return st.Free-need >= st.Room*keep/100 && (keep == 0 || st.Busy < passage.Beside(st.Cap, keep))
+	return st.Free-need >= st.Room*keep/100 && (keep == 0 || st.Busy < handoff.Beside(st.Cap, keep))
 }
 
 // check is the holder's: an order for governed work is given only while the register
@@ -101,7 +101,7 @@
 }
 
 // Clears is the register's answer at this node now, for those who look on.
-func (n *Node) Clears(regime string, s writ.Subject, part ids.Part) (string, error) {
+func (n *Node) Clears(regime string, s certification.Subject, part ids.Part) (string, error) {
 	return n.clears(regime, s, part)
 }
 
--- a/verge/hands.go
+++ b/router/hands.go
@@ -1,6 +1,6 @@
 // The node's hands: how its controller picks cleared workers and reaches them.
 
-package verge
+package router
 
 import (
 	"context"
@@ -10,12 +10,12 @@
 	"keelstair.example/coordination"
 	"keelstair.example/failure"
 	"keelstair.example/fleetstate"
+	"keelstair.example/handoff"
 	"keelstair.example/ids"
-	"keelstair.example/passage"
-	"keelstair.example/rein"
 	"keelstair.example/rpc"
 	"keelstair.example/seam"
 	"keelstair.example/whim"
+	"keelstair.example/workerclient"
 )
 
 // hands act for one request under the sight it began with; whether a worker may
@@ -34,7 +34,7 @@
 	begun  bool // its first row stands
 }
 
-func (h *hands) Pick(q *whim.Question, on rein.Model, shun map[ids.WorkerId]bool) []passage.Picked {
+func (h *hands) Pick(q *whim.Question, on workerclient.Model, shun map[ids.WorkerId]bool) []handoff.Picked {
 	n := h.n
 	// While a newer version is heard of and not had yet, or could not be heard of,
 	// picks are held.
@@ -53,7 +53,7 @@
 		_, err := n.allows(regime, st.Id, st.Part)
 		return err == nil
 	}
-	by := map[ids.WorkerId]passage.Picked{}
+	by := map[ids.WorkerId]handoff.Picked{}
 	var list, last []whim.Candidate
 	both := map[string]map[ids.Part]bool{}
 	for id, st := range *n.stands.Load() {
@@ -68,7 +68,7 @@
 	}
 	for id, st := range *n.stands.Load() {
 		w, ok := s.Policy.Workers[id]
-		m := rein.Model{Name: w.Model, Weights: w.Weights, Adapters: w.Adapters}
+		m := workerclient.Model{Name: w.Model, Weights: w.Weights, Adapters: w.Adapters}
 		want := on
 		if want.Weights == "" {
 			want.Weights = w.Weights
@@ -78,7 +78,7 @@
 			!both[w.Weights][ids.Prefill] || !both[w.Weights][ids.Decode] || st.Free < need {
 			continue
 		}
-		by[id] = passage.Picked{Id: id, Model: m, Block: st.Block, Life: st.Life}
+		by[id] = handoff.Picked{Id: id, Model: m, Block: st.Block, Life: st.Life}
 		c := whim.Candidate{Id: id, Zone: w.Zone, Weights: w.Weights, Adapters: w.Adapters, Free: st.Free, Room: st.Room, Busy: st.Busy, Cap: st.Cap, Affinity: whim.Affinity(h.prefix, id)}
 		if shun[id] || n.blamed(id) {
 			last = append(last, c)
@@ -89,14 +89,14 @@
 	if len(list) == 0 {
 		list = last
 	}
-	out := make([]passage.Picked, 0, len(list))
+	out := make([]handoff.Picked, 0, len(list))
 	for _, id := range h.deck.Order(q, list) {
 		out = append(out, by[id])
 	}
 	return out
 }
 
-func (h *hands) ask(ctx context.Context, verb string, w ids.WorkerId, id rein.Id, q OrderAsk, m *rein.Identity, span time.Duration) (*rein.Answer, error) {
+func (h *hands) ask(ctx context.Context, verb string, w ids.WorkerId, id workerclient.Id, q OrderAsk, m *workerclient.Identity, span time.Duration) (*workerclient.Answer, error) {
 	cx, stop := context.WithTimeout(ctx, span)
 	defer stop()
 	q.Worker, q.Verb, q.Request, q.Attempt = w, verb, id.Request, id.Attempt
@@ -126,34 +126,34 @@
 	return a, end(err)
 }
 
-func (h *hands) Reserve(ctx context.Context, w ids.WorkerId, id rein.Id, blocks int) error {
+func (h *hands) Reserve(ctx context.Context, w ids.WorkerId, id workerclient.Id, blocks int) error {
 	_, err := h.ask(ctx, verbReserve, w, id, OrderAsk{Need: blocks, Part: h.part}, nil, 400*time.Millisecond)
 	return err
 }
 
-func (h *hands) Prefill(ctx context.Context, w ids.WorkerId, m rein.Identity) (*rein.Answer, error) {
+func (h *hands) Prefill(ctx context.Context, w ids.WorkerId, m workerclient.Identity) (*workerclient.Answer, error) {
 	return h.ask(ctx, verbPrefill, w, m.Id, OrderAsk{Part: ids.Prefill}, &m, 6*time.Second)
 }
 
-func (h *hands) Export(ctx context.Context, w ids.WorkerId, id rein.Id) (*rein.Answer, error) {
+func (h *hands) Export(ctx context.Context, w ids.WorkerId, id workerclient.Id) (*workerclient.Answer, error) {
 	return h.ask(ctx, verbExport, w, id, OrderAsk{Part: ids.Prefill}, nil, 1500*time.Millisecond)
 }
 
-func (h *hands) Import(ctx context.Context, w ids.WorkerId, m rein.Identity, src ids.WorkerId) (*rein.Answer, error) {
+func (h *hands) Import(ctx context.Context, w ids.WorkerId, m workerclient.Identity, src ids.WorkerId) (*workerclient.Answer, error) {
 	h.source = src
 	return h.ask(ctx, verbImport, w, m.Id, OrderAsk{Source: src, Part: ids.Decode}, &m, 1500*time.Millisecond)
 }
 
-func (h *hands) Resume(ctx context.Context, w ids.WorkerId, id rein.Id) (*rein.Answer, error) {
+func (h *hands) Resume(ctx context.Context, w ids.WorkerId, id workerclient.Id) (*workerclient.Answer, error) {
 	return h.ask(ctx, verbResume, w, id, OrderAsk{Part: ids.Decode}, nil, 3*time.Second)
 }
 
-func (h *hands) Cancel(ctx context.Context, w ids.WorkerId, id rein.Id) (*rein.Answer, error) {
+func (h *hands) Cancel(ctx context.Context, w ids.WorkerId, id workerclient.Id) (*workerclient.Answer, error) {
 	return h.ask(ctx, verbCancel, w, id, OrderAsk{}, nil, time.Second)
 }
 
 // Done gives the room back without waiting; a lost one is found by reports.
-func (h *hands) Done(w ids.WorkerId, id rein.Id, sure bool) {
+func (h *hands) Done(w ids.WorkerId, id workerclient.Id, sure bool) {
 	q := OrderAsk{}
 	if sure {
 		q.Need = 1
@@ -161,13 +161,13 @@
 	go h.ask(context.Background(), verbDone, w, id, q, nil, time.Second)
 }
 
-func (h *hands) Stream(ctx context.Context, w ids.WorkerId, id rein.Id, from int, put func(rein.Piece) error) error {
+func (h *hands) Stream(ctx context.Context, w ids.WorkerId, id workerclient.Id, from int, put func(workerclient.Piece) error) error {
 	l, ok := (*h.n.roster.Load())[w]
 	if !ok {
 		return failure.New(failure.Lost, "stream", string(w), "the platform does not list it")
 	}
 	ctx, end := h.guard(ctx, w, ids.Decode, "")
-	return end(h.n.rein.Stream(ctx, l.Addr, id, from, h.n.opt.Pulse, func(p rein.Piece) error {
+	return end(h.n.rein.Stream(ctx, l.Addr, id, from, h.n.opt.Pulse, func(p workerclient.Piece) error {
 		if _, err := h.n.allows(h.regime, w, ids.Decode); err != nil {
 			return failure.As(err, failure.Lost, "stream", string(w))
 		}
--- a/verge/holder.go
+++ b/router/holder.go
@@ -2,7 +2,7 @@
 // the ledger, and gives the orders, each under the fence and each only while
 // this node holds the key.
 
-package verge
+package router
 
 import (
 	"context"
@@ -12,18 +12,18 @@
 
 	"keelstair.example/failure"
 	"keelstair.example/fleetstate"
+	"keelstair.example/handoff"
 	"keelstair.example/ids"
-	"keelstair.example/passage"
-	"keelstair.example/rein"
 	"keelstair.example/rpc"
 	"keelstair.example/seam"
+	"keelstair.example/workerclient"
 )
 
 // desk is the duty for one worker under one grant.
 type desk struct {
 	id     ids.WorkerId
 	fence  ids.Fence
-	ledger *passage.Ledger
+	ledger *handoff.Ledger
 	known  bool // the worker knows the fence; the poll alone reads and sets it
 	stop   context.CancelFunc
 }
@@ -61,7 +61,7 @@
 				old.(*desk).stop()
 			}
 			cx, stop := context.WithCancel(ctx)
-			d := &desk{id: id, fence: f, stop: stop, ledger: passage.NewLedger(lim.Lag(), lim.Ramp(), lim.Queue)}
+			d := &desk{id: id, fence: f, stop: stop, ledger: handoff.NewLedger(lim.Lag(), lim.Ramp(), lim.Queue)}
 			n.ledgers.Store(id, d)
 			wg.Go(func() { n.poll(cx, d) })
 		}
@@ -114,8 +114,8 @@
 	}
 	cx, stop := context.WithTimeout(ctx, 800*time.Millisecond)
 	defer stop()
-	lead := rein.Lead{Fence: f, Version: n.view.Sight().Version}
-	if _, err := n.rein.Part(cx, addr, &rein.PartAsk{Lead: lead, Part: part}); err != nil {
+	lead := workerclient.Lead{Fence: f, Version: n.view.Sight().Version}
+	if _, err := n.rein.Part(cx, addr, &workerclient.PartAsk{Lead: lead, Part: part}); err != nil {
 		return err
 	}
 	d.known = true
@@ -139,7 +139,7 @@
 	return r, nil
 }
 
-func (n *Node) act(ctx context.Context, q *OrderAsk) (*rein.Answer, error) {
+func (n *Node) act(ctx context.Context, q *OrderAsk) (*workerclient.Answer, error) {
 	fence, end, ok := n.agent.Begin(fleetstate.WorkerKey(q.Worker))
 	if !ok {
 		return nil, failure.New(failure.Away, "hold key", n.me.Addr, "not the holder of %s", q.Worker)
@@ -153,20 +153,20 @@
 	if _, err := n.check(q); err != nil {
 		return nil, err
 	}
-	id := rein.Id{Request: q.Request, Attempt: q.Attempt}
+	id := workerclient.Id{Request: q.Request, Attempt: q.Attempt}
 	l, ok := (*n.roster.Load())[q.Worker]
 	if !ok {
 		return nil, failure.New(failure.Lost, "find worker", string(q.Worker), "the platform does not list it")
 	}
 	settled := n.view.Heard(q.Version)
-	lead := rein.Lead{Fence: fence, Version: n.view.Sight().Version}
-	var in rein.Identity
+	lead := workerclient.Lead{Fence: fence, Version: n.view.Sight().Version}
+	var in workerclient.Identity
 	if len(q.Body) > 0 && q.Verb != verbTurn {
 		if err := json.Unmarshal(q.Body, &in); err != nil {
 			return nil, failure.As(err, failure.Bad, "read order", string(q.Worker))
 		}
 	}
-	var a *rein.Answer
+	var a *workerclient.Answer
 	var err error
 	switch q.Verb {
 	case verbReserve:
@@ -187,20 +187,20 @@
 			return nil, failure.New(failure.Bounced, "prefill", string(q.Worker), "no room is booked for %s", id.Request)
 		}
 		led.Moved(id, n.now())
-		a, err = n.rein.Prefill(ctx, l.Addr, &rein.PrefillAsk{Lead: lead, Identity: in})
+		a, err = n.rein.Prefill(ctx, l.Addr, &workerclient.PrefillAsk{Lead: lead, Identity: in})
 	case verbExport:
-		a, err = n.rein.Export(ctx, l.Addr, &rein.ExportAsk{Lead: lead, Id: id})
+		a, err = n.rein.Export(ctx, l.Addr, &workerclient.ExportAsk{Lead: lead, Id: id})
 	case verbImport:
 		src, ok := (*n.roster.Load())[q.Source]
 		if !led.Reserved(id) || !ok {
 			return nil, failure.New(failure.Bounced, "import", string(q.Worker), "no room is booked for %s", id.Request)
 		}
 		led.Moved(id, n.now())
-		a, err = n.rein.Import(ctx, l.Addr, &rein.ImportAsk{Lead: lead, Identity: in, Source: src.Addr})
+		a, err = n.rein.Import(ctx, l.Addr, &workerclient.ImportAsk{Lead: lead, Identity: in, Source: src.Addr})
 	case verbResume:
-		a, err = n.rein.Resume(ctx, l.Addr, &rein.IdAsk{Lead: lead, Id: id})
+		a, err = n.rein.Resume(ctx, l.Addr, &workerclient.IdAsk{Lead: lead, Id: id})
 	case verbCancel:
-		a, err = n.rein.Cancel(ctx, l.Addr, &rein.IdAsk{Lead: lead, Id: id})
+		a, err = n.rein.Cancel(ctx, l.Addr, &workerclient.IdAsk{Lead: lead, Id: id})
 		led.Ended(id, err == nil, n.now())
 	case verbTurn:
 		return n.turnHere(ctx, v.(*desk), l.Addr, lead, ids.Part(q.Body))
@@ -220,7 +220,7 @@
 // order sends an order to the worker's holder, wherever that is now. While the
 // key is between two hands nothing was done, and it asks again until its time
 // is up; only a reservation is better made elsewhere.
-func (n *Node) order(ctx context.Context, q *OrderAsk) (*rein.Answer, error) {
+func (n *Node) order(ctx context.Context, q *OrderAsk) (*workerclient.Answer, error) {
 	for {
 		a, err := n.ferry(ctx, q)
 		if !failure.Is(err, failure.Away) {
@@ -232,7 +232,7 @@
 	}
 }
 
-func (n *Node) ferry(ctx context.Context, q *OrderAsk) (*rein.Answer, error) {
+func (n *Node) ferry(ctx context.Context, q *OrderAsk) (*workerclient.Answer, error) {
 	if q.Version = n.view.Known(); q.Verb == verbReserve {
 		q.Version = n.view.Sight().Version
 	}
@@ -252,7 +252,7 @@
 		return nil, failure.Wrap(err, q.Verb, string(q.Worker))
 	}
 	n.view.Heard(r.Version)
-	a := &rein.Answer{}
+	a := &workerclient.Answer{}
 	if len(r.Body) > 0 {
 		if err := json.Unmarshal(r.Body, a); err != nil {
 			return nil, failure.As(err, failure.Unknown, q.Verb, m.Addr)
--- a/verge/node.go
+++ b/router/node.go
@@ -1,7 +1,7 @@
-// Package verge is the data plane: a router node that opens its door to
+// Package router is the data plane: a router node that opens its door to
 // origins, carries their requests from worker to worker, and does the keyed
 // duties that fall to it. This file joins the parts of a node.
-package verge
+package router
 
 import (
 	"context"
@@ -10,16 +10,16 @@
 	"sync/atomic"
 	"time"
 
+	"keelstair.example/api"
 	"keelstair.example/coordination"
-	"keelstair.example/door"
 	"keelstair.example/fleetstate"
+	"keelstair.example/handoff"
 	"keelstair.example/ids"
-	"keelstair.example/passage"
-	"keelstair.example/rein"
+	"keelstair.example/logging"
 	"keelstair.example/rpc"
 	"keelstair.example/seam"
-	"keelstair.example/tale"
 	"keelstair.example/whim"
+	"keelstair.example/workerclient"
 )
 
 // Options of a node; zero spans take the defaults named beside them.
@@ -30,7 +30,7 @@
 	Seeds    []string
 	Platform string
 	Host     seam.Host
-	Ring     *tale.Ring
+	Ring     *logging.Ring
 	Lease    time.Duration // 3s
 	Renew    time.Duration // 500ms
 	Beat     time.Duration // 150ms between neighbours
@@ -38,7 +38,7 @@
 	Roster   time.Duration // 400ms between askings of the platform's list
 	Orphan   time.Duration // 2s, the same as the workers'
 	Pulse    time.Duration // 1.2s of silence within a stream
-	Trace    func(passage.Event)
+	Trace    func(handoff.Event)
 }
 
 func (o *Options) fill() {
@@ -50,7 +50,7 @@
 	ids.Or(&o.Orphan, 2*time.Second)
 	ids.Or(&o.Pulse, 1200*time.Millisecond)
 	if o.Ring == nil {
-		o.Ring = tale.Mute()
+		o.Ring = logging.Mute()
 	}
 }
 
@@ -60,15 +60,15 @@
 	me      coordination.Member
 	agent   *coordination.Agent
 	view    *fleetstate.View
-	rein    *rein.Rein
+	rein    *workerclient.Rein
 	call    *rpc.Caller
 	web     *http.Client // for what is passed on
 	scores  *whim.Scores
-	journal *tale.Journal[passage.Event]
+	journal *logging.Journal[handoff.Event]
 	counts  Counts
 
 	decks    sync.Map // ids.Version -> *whim.Deck
-	roster   atomic.Pointer[map[ids.WorkerId]rein.Listed]
+	roster   atomic.Pointer[map[ids.WorkerId]workerclient.Listed]
 	listed   atomic.Int64 // when the roster was had
 	stands   atomic.Pointer[map[ids.WorkerId]Stand]
 	leave    atomic.Pointer[map[ids.WorkerId]bool]
@@ -81,7 +81,7 @@
 	kinds    sync.Map // kind -> *atomic.Int64
 	stopping atomic.Bool
 	purse    purse
-	tide     passage.Tide
+	tide     handoff.Tide
 }
 
 // Counts are the node's figures since it started.
@@ -91,16 +91,16 @@
 
 func New(opt Options) *Node {
 	opt.fill()
-	n := &Node{opt: opt, scores: &whim.Scores{}, journal: tale.NewJournal[passage.Event](1024)}
+	n := &Node{opt: opt, scores: &whim.Scores{}, journal: logging.NewJournal[handoff.Event](1024)}
 	n.me = coordination.Member{Node: ids.NodeId(opt.Name + "-" + coordination.Name()), Addr: opt.Addr, Zone: opt.Zone}
 	n.view = fleetstate.NewView(opt.Ring)
 	n.view.Ready = n.compile
 	n.agent = coordination.NewAgent(coordination.AgentOptions{Me: n.me, Host: opt.Host, Seeds: opt.Seeds, View: n.view, Ring: opt.Ring,
 		Lease: opt.Lease, Renew: opt.Renew, Lonely: n.lonely})
 	n.call = n.agent.Caller()
-	n.rein = rein.New(opt.Host.Net)
+	n.rein = workerclient.New(opt.Host.Net)
 	n.web = rpc.Web(opt.Host.Net)
-	n.roster.Store(&map[ids.WorkerId]rein.Listed{})
+	n.roster.Store(&map[ids.WorkerId]workerclient.Listed{})
 	n.stands.Store(&map[ids.WorkerId]Stand{})
 	n.leave.Store(&map[ids.WorkerId]bool{})
 	n.journal.View(n.fold)
@@ -110,11 +110,11 @@
 	return n
 }
 
-func (n *Node) fold(e passage.Event) {
+func (n *Node) fold(e handoff.Event) {
 	switch e.Stage {
-	case passage.Resumed:
+	case handoff.Resumed:
 		n.counts.Moved.Add(1)
-	case passage.Granted:
+	case handoff.Granted:
 		if e.Id.Attempt > 1 {
 			n.counts.Again.Add(1)
 		}
@@ -135,7 +135,7 @@
 	rpc.Handle(mux, "verge/order", n.obey)
 	rpc.Handle(mux, "verge/beat", n.hearBeat)
 	rpc.Handle(mux, "verge/spend", n.spendHere)
-	door.Streams(mux, passPath, n.servePassed)
+	api.Streams(mux, passPath, n.servePassed)
 }
 
 // Run works until the context ends; then it takes no new work, lets streams
--- a/verge/operate.go
+++ b/router/operate.go
@@ -1,7 +1,7 @@
 // What operators may ask of a node: configurations, evacuations, drains, and
 // how things stand.
 
-package verge
+package router
 
 import (
 	"cmp"
@@ -12,20 +12,20 @@
 	"sort"
 	"time"
 
+	"keelstair.example/api"
+	"keelstair.example/certification"
 	"keelstair.example/coordination"
-	"keelstair.example/door"
 	"keelstair.example/failure"
 	"keelstair.example/fleetstate"
+	"keelstair.example/handoff"
 	"keelstair.example/ids"
-	"keelstair.example/passage"
 	"keelstair.example/seam"
 	"keelstair.example/whim"
-	"keelstair.example/writ"
 )
 
 // Apply checks the whole configuration before anything is written; then the
 // core takes it if it was made over the newest version.
-func (n *Node) Apply(ctx context.Context, a *door.Apply) (*door.Applied, error) {
+func (n *Node) Apply(ctx context.Context, a *api.Apply) (*api.Applied, error) {
 	name := cmp.Or(a.Name, "policy")
 	var base []byte
 	text, err := fleetstate.Source(name, []byte(a.Source))
@@ -58,13 +58,13 @@
 	}
 	now := n.clock()
 	if now.High == 0 {
-		now = writ.At(n.opt.Host.Clock.Wall()) // where the fleet's time will begin
+		now = certification.At(n.opt.Host.Clock.Wall()) // where the fleet's time will begin
 	}
 	if err := p.Follows(n.view.Sight().Policy, now); err != nil {
 		return nil, fleetstate.Locate(name, []byte(a.Source), err)
 	}
 	if a.Dry {
-		return &door.Applied{Version: a.Base, Policy: whole}, nil
+		return &api.Applied{Version: a.Base, Policy: whole}, nil
 	}
 	cx, stop := context.WithTimeout(ctx, 5*time.Second)
 	defer stop()
@@ -79,30 +79,30 @@
 }
 
 func (n *Node) stale(base uint64, s *fleetstate.Sight) error {
-	return door.Stale(base, uint64(max(s.Newest, s.Version)))
+	return api.Stale(base, uint64(max(s.Newest, s.Version)))
 }
 
 // fate tells an operator whether a thing was surely not done.
-func (n *Node) fate(err error) error { return door.Fate(err, n.after()) }
+func (n *Node) fate(err error) error { return api.Fate(err, n.after()) }
 
 // ruled waits a while until this node has put the answer's version in force.
-func (n *Node) ruled(ctx context.Context, r *coordination.SubmitReply, wait bool) (*door.Applied, error) {
+func (n *Node) ruled(ctx context.Context, r *coordination.SubmitReply, wait bool) (*api.Applied, error) {
 	var got fleetstate.Ruling
 	if _, err := got.UnmarshalMsg(r.Body); err != nil {
 		return nil, failure.As(err, failure.Unknown, "read ruling", "core")
 	}
 	for range 80 {
 		if n.agent.Seq() >= r.Seq && (!wait || n.view.Sight().Version >= got.Version) {
-			return &door.Applied{Version: uint64(got.Version), Active: true}, nil
+			return &api.Applied{Version: uint64(got.Version), Active: true}, nil
 		}
 		if !seam.Sleep(ctx, 25*time.Millisecond) {
 			break
 		}
 	}
-	return &door.Applied{Version: uint64(got.Version)}, nil
+	return &api.Applied{Version: uint64(got.Version)}, nil
 }
 
-func (n *Node) mark(ctx context.Context, op, kind string, body []byte) (*door.Applied, error) {
+func (n *Node) mark(ctx context.Context, op, kind string, body []byte) (*api.Applied, error) {
 	cx, stop := context.WithTimeout(ctx, 5*time.Second)
 	defer stop()
 	r, err := n.agent.Submit(cx, ids.OpId("op/"+op), kind, body)
@@ -113,32 +113,32 @@
 }
 
 // Evacuate empties a zone of new work, or takes that back.
-func (n *Node) Evacuate(ctx context.Context, zone string, m *door.Mark) (*door.Applied, error) {
+func (n *Node) Evacuate(ctx context.Context, zone string, m *api.Mark) (*api.Applied, error) {
 	known := false
 	for _, z := range n.view.Sight().Policy.Zones {
 		known = known || string(z) == zone
 	}
 	if !known {
-		return nil, door.No(http.StatusNotFound, "unknown", "zone", "there is no zone %q", zone)
+		return nil, api.No(http.StatusNotFound, "unknown", "zone", "there is no zone %q", zone)
 	}
 	return n.mark(ctx, m.Op, fleetstate.VacateKind, coordination.Pack(&fleetstate.Vacate{Zone: ids.Zone(zone), Out: m.Out}))
 }
 
 // Drain keeps new work from a worker, or takes that back.
-func (n *Node) Drain(ctx context.Context, worker string, m *door.Mark) (*door.Applied, error) {
+func (n *Node) Drain(ctx context.Context, worker string, m *api.Mark) (*api.Applied, error) {
 	if _, ok := n.view.Sight().Policy.Workers[ids.WorkerId(worker)]; !ok {
-		return nil, door.No(http.StatusNotFound, "unknown", "worker", "there is no worker %q", worker)
+		return nil, api.No(http.StatusNotFound, "unknown", "worker", "there is no worker %q", worker)
 	}
 	return n.mark(ctx, m.Op, fleetstate.DrainKind, coordination.Pack(&fleetstate.Drain{Worker: ids.WorkerId(worker), Out: m.Out}))
 }
 
 // Shown gives operators what Show does.
-func (n *Node) Shown(context.Context) (*door.Shown, error) { return n.Show(), nil }
+func (n *Node) Shown(context.Context) (*api.Shown, error) { return n.Show(), nil }
 
 // Show gives the configuration in force.
-func (n *Node) Show() *door.Shown {
+func (n *Node) Show() *api.Shown {
 	s := n.view.Sight()
-	out := &door.Shown{Version: uint64(s.Version), Newest: uint64(max(s.Newest, s.Version)), Policy: s.Text, Zones: []string{}, Drained: []string{}}
+	out := &api.Shown{Version: uint64(s.Version), Newest: uint64(max(s.Newest, s.Version)), Policy: s.Text, Zones: []string{}, Drained: []string{}}
 	if len(out.Policy) == 0 {
 		out.Policy = []byte("{}")
 	}
@@ -167,12 +167,12 @@
 	Workers   []Stand                   `json:"workers"`
 	Counts    map[string]int64          `json:"counts"`
 	Programs  map[string]map[string]any `json:"programs"`
-	Last      []passage.Event           `json:"last"`
+	Last      []handoff.Event           `json:"last"`
 	Listed    map[ids.WorkerId]ids.Zone `json:"listed"`
 	Evacuated []string                  `json:"evacuated"`
 	Drained   []string                  `json:"drained"`
 	Deeds     [2]int                    `json:"deeds"` // claimed so far, and how many may ever be
-	Time      writ.Now                  `json:"time"`  // what the fleet's time may be; zeros without regimes
+	Time      certification.Now         `json:"time"`  // what the fleet's time may be; zeros without regimes
 	Revoked   []string                  `json:"revoked,omitempty"`
 }
 
--- a/verge/order.go
+++ b/router/order.go
@@ -1,6 +1,6 @@
 // The messages between nodes: orders for a worker's one holder, and beats.
 
-package verge
+package router
 
 import "keelstair.example/ids"
 
--- a/verge/pass.go
+++ b/router/pass.go
@@ -1,7 +1,7 @@
 // A node that is not certified itself handles no governed request: it passes it on,
 // untouched, to one that is, or bounces it at once.
 
-package verge
+package router
 
 import (
 	"context"
@@ -9,12 +9,12 @@
 	"net/http"
 	"time"
 
+	"keelstair.example/api"
+	"keelstair.example/certification"
 	"keelstair.example/coordination"
-	"keelstair.example/door"
 	"keelstair.example/fleetstate"
-	"keelstair.example/rein"
 	"keelstair.example/rpc"
-	"keelstair.example/writ"
+	"keelstair.example/workerclient"
 )
 
 const (
@@ -32,7 +32,7 @@
 		if m.Node == n.me.Node || !ok || now.Past(v.(mate).at, time.Second) || s.Zones[m.Zone] {
 			continue
 		}
-		if _, err := n.clears(regime, writ.Subject{Node: fleetstate.NodeName(m.Node)}, ""); err == nil {
+		if _, err := n.clears(regime, certification.Subject{Node: fleetstate.NodeName(m.Node)}, ""); err == nil {
 			out = append(out, m)
 		}
 	}
@@ -42,14 +42,14 @@
 
 // pass has a certified node serve a request. The next one is asked only where the one
 // before surely did nothing.
-func (n *Node) pass(ctx context.Context, s *fleetstate.Sight, regime string, ask *door.Ask, out door.Sink) error {
+func (n *Node) pass(ctx context.Context, s *fleetstate.Sight, regime string, ask *api.Ask, out api.Sink) error {
 	for _, m := range n.fellows(s, regime) {
-		count, err := door.Pass(ctx, n.web, m.Addr, passPath, ask, passSilent, out)
+		count, err := api.Pass(ctx, n.web, m.Addr, passPath, ask, passSilent, out)
 		if err == nil {
 			n.counts.Passed.Add(1)
 			return nil
 		}
-		f, refused := err.(*door.Fault)
+		f, refused := err.(*api.Fault)
 		switch {
 		case refused && (f.Name == "not-ready" || f.Name == "not-certified"), count == 0 && rpc.Undialled(err):
 			continue
@@ -61,18 +61,18 @@
 		case count == 0:
 			return n.crowd(http.StatusServiceUnavailable, "bounced", "the node that it was passed to is lost: %v", err)
 		}
-		end := door.Broken
+		end := api.Broken
 		if s.Policy.Kinds[ask.Kind].Claimed {
-			end = door.Unknown
+			end = api.Unknown
 		}
 		n.counts.Broken.Add(1)
-		return out.Put(door.Line{Index: count, End: end, Count: count,
-			Error: &rein.Bounce{Name: "broken", Detail: err.Error(), After: n.after().Milliseconds()}})
+		return out.Put(api.Line{Index: count, End: end, Count: count,
+			Error: &workerclient.Bounce{Name: "broken", Detail: err.Error(), After: n.after().Milliseconds()}})
 	}
 	return n.later(http.StatusServiceUnavailable, "not-certified", "this node is not certified for regime %q now, and reaches none that is", regime)
 }
 
 // servePassed answers what another node passed on; it is passed no further.
-func (n *Node) servePassed(ctx context.Context, ask *door.Ask, out door.Sink) error {
+func (n *Node) servePassed(ctx context.Context, ask *api.Ask, out api.Sink) error {
 	return n.serve(ctx, ask, out, true)
 }
--- a/verge/regime.go
+++ b/router/regime.go
@@ -1,31 +1,31 @@
 // What a node knows of regimes: whom its register clears at the fleet's time, and only
 // while its word from the core is good; and what operators may ask of it.
 
-package verge
+package router
 
 import (
 	"context"
 	"net/http"
 	"time"
 
+	"keelstair.example/api"
+	"keelstair.example/certification"
 	"keelstair.example/coordination"
-	"keelstair.example/door"
 	"keelstair.example/failure"
 	"keelstair.example/fleetstate"
 	"keelstair.example/ids"
 	"keelstair.example/seam"
-	"keelstair.example/writ"
 )
 
 // clock gives what the fleet's time may be now.
-func (n *Node) clock() writ.Now {
+func (n *Node) clock() certification.Now {
 	low, high := n.agent.Time()
-	return writ.Now{Low: low, High: high}
+	return certification.Now{Low: low, High: high}
 }
 
 // clears gives the serial by which a subject may handle a regime's work now. Nobody may
 // while this node's word is too old to know of revocations and of the time.
-func (n *Node) clears(regime string, s writ.Subject, part ids.Part) (string, error) {
+func (n *Node) clears(regime string, s certification.Subject, part ids.Part) (string, error) {
 	if !n.agent.Word() {
 		return "", failure.New(failure.Bounced, "clear", s.String(), "this node's word from the core is too old for regime %q", regime)
 	}
@@ -37,12 +37,12 @@
 }
 
 // Revoke ends a certificate for good. It answers once that is in force everywhere.
-func (n *Node) Revoke(ctx context.Context, serial string, m *door.Mark) (*door.Applied, error) {
+func (n *Node) Revoke(ctx context.Context, serial string, m *api.Mark) (*api.Applied, error) {
 	if _, ok := n.view.Sight().Register.Find(serial); !ok {
-		return nil, door.No(http.StatusNotFound, "unknown", "serial", "there is no certificate %q", serial)
+		return nil, api.No(http.StatusNotFound, "unknown", "serial", "there is no certificate %q", serial)
 	}
 	if !m.Out {
-		return nil, door.No(http.StatusBadRequest, "out-of-range", "out", "a revocation is for good")
+		return nil, api.No(http.StatusBadRequest, "out-of-range", "out", "a revocation is for good")
 	}
 	cx, stop := context.WithTimeout(ctx, 5*time.Second)
 	defer stop()
@@ -52,31 +52,33 @@
 	}
 	for !n.view.Sight().Revoked[serial] {
 		if !seam.Sleep(cx, 10*time.Millisecond) {
-			return nil, door.Later(http.StatusGatewayTimeout, "not-everywhere", n.after(), "the revocation is durable and not yet in force everywhere; ask again with the same op")
+			return nil, api.Later(http.StatusGatewayTimeout, "not-everywhere", n.after(), "the revocation is durable and not yet in force everywhere; ask again with the same op")
 		}
 	}
 	return n.ruled(ctx, r, false)
 }
 
 // Regimes tells who is certified, until when, and what is short.
-func (n *Node) Regimes() *door.Regimes {
+func (n *Node) Regimes() *api.Regimes {
 	s, now := n.view.Sight(), n.clock()
-	out := &door.Regimes{Version: uint64(s.Version), Low: now.Low, High: now.High, Wall: n.opt.Host.Clock.Wall().UnixNano(), Regimes: []door.Regime{}}
+	out := &api.Regimes{Version: uint64(s.Version), Low: now.Low, High: now.High, Wall: n.opt.Host.Clock.Wall().UnixNano(), Regimes: []api.Regime{}}
 	for _, name := range s.Register.Regimes() {
 		g := s.Policy.Regimes[name]
-		out.Regimes = append(out.Regimes, door.Regime{Name: name, Kinds: g.Kinds, Keep: g.Keep, Rows: s.Register.Rows(name, now),
+		out.Regimes = append(out.Regimes, api.Regime{Name: name, Kinds: g.Kinds, Keep: g.Keep, Rows: s.Register.Rows(name, now),
 			Short: s.Register.Short(name, 1, now, n.able(s))})
 	}
 	return out
 }
 
 // able tells whether a certificate's subject could be picked now.
-func (n *Node) able(s *fleetstate.Sight) func(writ.Subject) bool {
+func (n *Node) able(s *fleetstate.Sight) func(certification.Subject) bool {
 	names := map[string]bool{}
 	for _, m := range n.agent.Members() {
 		if !s.Zones[m.Zone] {
 			names[fleetstate.NodeName(m.Node)] = true
 		}
 	}
-	return func(one writ.Subject) bool { return one.Worker != "" && n.fit(s, one.Worker) || names[one.Node] }
+	return func(one certification.Subject) bool {
+		return one.Worker != "" && n.fit(s, one.Worker) || names[one.Node]
+	}
 }
--- a/verge/regime_test.go
+++ b/router/regime_test.go
@@ -1,6 +1,6 @@
 // Turning under regimes, without a fleet.
 
-package verge
+package router
 
 import (
 	"testing"
@@ -8,33 +8,33 @@
 
 	"github.com/stretchr/testify/require"
 
+	"keelstair.example/certification"
 	"keelstair.example/fleetstate"
 	"keelstair.example/ids"
-	"keelstair.example/writ"
 )
 
 // TestCovered: a worker that is the last of its part cleared for a regime does not turn;
 // a second one frees it, and a revocation of the second binds it again.
 func TestCovered(t *testing.T) {
-	key, _, err := writ.NewKey()
+	key, _, err := certification.NewKey()
 	require.NoError(t, err)
 	now := time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC)
 	from, until := now.AddDate(0, 0, -1).Format(time.RFC3339), now.AddDate(0, 0, 1).Format(time.RFC3339)
-	certs := map[string]writ.Certificate{}
+	certs := map[string]certification.Certificate{}
 	put := func(serial string, w ids.WorkerId) {
-		c := writ.Certificate{Serial: serial, Worker: w, Regime: "chair", Parts: []ids.Part{ids.Prefill}, From: from, Until: until, Issuer: "k"}
+		c := certification.Certificate{Serial: serial, Worker: w, Regime: "chair", Parts: []ids.Part{ids.Prefill}, From: from, Until: until, Issuer: "k"}
 		c.Sign(key)
 		certs[serial] = c
 	}
 	sight := func(revoked map[string]bool) *fleetstate.Sight {
-		r, err := writ.Compile(map[string]writ.Regime{"chair": {Kinds: []string{"verdict"}}},
-			map[string]writ.Issuer{"k": {Key: writ.Public(key), From: from, Until: until}}, certs)
+		r, err := certification.Compile(map[string]certification.Regime{"chair": {Kinds: []string{"verdict"}}},
+			map[string]certification.Issuer{"k": {Key: certification.Public(key), From: from, Until: until}}, certs)
 		require.NoError(t, err)
 		return &fleetstate.Sight{Register: r.With(revoked)}
 	}
 	list := []Stand{{Id: "p1", Part: ids.Prefill}, {Id: "p2", Part: ids.Prefill}, {Id: "p3", Part: ids.Prefill}}
 	put("1", "p1")
-	at := writ.At(now)
+	at := certification.At(now)
 	require.False(t, covered(sight(nil), list, list[0], at))
 	require.True(t, covered(sight(nil), list, list[1], at), "it serves no regime")
 	require.True(t, covered(&fleetstate.Sight{}, list, list[0], at), "there is no regime")
--- a/verge/serve.go
+++ b/router/serve.go
@@ -2,7 +2,7 @@
 // needs one, the run, and the record before the end line. What is given up gets
 // its answer at once, with when to come back.
 
-package verge
+package router
 
 import (
 	"context"
@@ -12,15 +12,15 @@
 	"sync/atomic"
 	"time"
 
+	"keelstair.example/api"
+	"keelstair.example/certification"
 	"keelstair.example/coordination"
-	"keelstair.example/door"
 	"keelstair.example/failure"
 	"keelstair.example/fleetstate"
+	"keelstair.example/handoff"
 	"keelstair.example/ids"
-	"keelstair.example/passage"
-	"keelstair.example/rein"
 	"keelstair.example/whim"
-	"keelstair.example/writ"
+	"keelstair.example/workerclient"
 )
 
 func (n *Node) after() time.Duration {
@@ -30,25 +30,25 @@
 	return time.Second
 }
 
-func (n *Node) later(code int, name, form string, args ...any) *door.Fault {
+func (n *Node) later(code int, name, form string, args ...any) *api.Fault {
 	n.counts.Bounced.Add(1)
-	return door.Later(code, name, n.after(), form, args...)
+	return api.Later(code, name, n.after(), form, args...)
 }
 
 // crowd bounces for want of room: the caller comes back when there should be some.
-func (n *Node) crowd(code int, name, form string, args ...any) *door.Fault {
+func (n *Node) crowd(code int, name, form string, args ...any) *api.Fault {
 	f := n.later(code, name, form, args...)
 	f.After = n.tide.Next(n.now(), n.counts.Done.Load(), n.after()).Milliseconds()
 	return f
 }
 
 // Serve is the door's Server.
-func (n *Node) Serve(ctx context.Context, ask *door.Ask, out door.Sink) error {
+func (n *Node) Serve(ctx context.Context, ask *api.Ask, out api.Sink) error {
 	return n.serve(ctx, ask, out, false)
 }
 
 // serve answers what an origin asked, or what another node passed on.
-func (n *Node) serve(ctx context.Context, ask *door.Ask, out door.Sink, passed bool) error {
+func (n *Node) serve(ctx context.Context, ask *api.Ask, out api.Sink, passed bool) error {
 	n.counts.Asked.Add(1)
 	if ok, why := n.Ready(); !ok {
 		return n.later(http.StatusServiceUnavailable, "not-ready", "%s", why)
@@ -57,14 +57,14 @@
 	kind, ok := s.Policy.Kinds[ask.Kind]
 	switch {
 	case !ok:
-		return door.No(http.StatusBadRequest, "unknown", "kind", "there is no kind %q", ask.Kind)
+		return api.No(http.StatusBadRequest, "unknown", "kind", "there is no kind %q", ask.Kind)
 	case ask.Model != "" && ask.Model != kind.Model:
-		return door.No(http.StatusBadRequest, "unknown", "model", "kind %q runs on %q", ask.Kind, kind.Model)
+		return api.No(http.StatusBadRequest, "unknown", "model", "kind %q runs on %q", ask.Kind, kind.Model)
 	case !n.adapters(s, kind.Model, ask.Adapters):
-		return door.No(http.StatusBadRequest, "unknown", "adapters", "no worker offers them all")
+		return api.No(http.StatusBadRequest, "unknown", "adapters", "no worker offers them all")
 	}
 	if g := s.Register.Governs(ask.Kind); g != "" {
-		if _, err := n.clears(g, writ.Subject{Node: n.opt.Name}, ""); err != nil && !passed {
+		if _, err := n.clears(g, certification.Subject{Node: n.opt.Name}, ""); err != nil && !passed {
 			return n.pass(ctx, s, g, ask, out)
 		} else if err != nil {
 			return n.later(http.StatusServiceUnavailable, "not-certified", "%v", err)
@@ -81,9 +81,9 @@
 		return f
 	}
 	defer leave()
-	t := &passage.Task{Kind: ask.Kind, Regime: s.Register.Governs(ask.Kind), Zone: n.me.Zone, Claimed: kind.Claimed, Tries: s.Policy.Limits.Attempts, GiveUp: s.Policy.Limits.GiveUp()}
-	t.Identity = rein.Identity{Prompt: ask.Tokens(), Model: rein.Model{Name: kind.Model, Adapters: ask.Adapters},
-		Params: rein.Params{MaxTokens: ask.MaxTokens, Temperature: ask.Temperature, Seed: ask.Seed}}
+	t := &handoff.Task{Kind: ask.Kind, Regime: s.Register.Governs(ask.Kind), Zone: n.me.Zone, Claimed: kind.Claimed, Tries: s.Policy.Limits.Attempts, GiveUp: s.Policy.Limits.GiveUp()}
+	t.Identity = workerclient.Identity{Prompt: ask.Tokens(), Model: workerclient.Model{Name: kind.Model, Adapters: ask.Adapters},
+		Params: workerclient.Params{MaxTokens: ask.MaxTokens, Temperature: ask.Temperature, Seed: ask.Seed}}
 	t.Identity.Id.Request = coordination.Name()
 	if !kind.Claimed {
 		return n.plain(ctx, s, t, out)
@@ -96,8 +96,8 @@
 		return true
 	}
 	for _, w := range s.Policy.Workers {
-		m := rein.Model{Name: w.Model, Weights: w.Weights, Adapters: w.Adapters}
-		if m.Offers(rein.Model{Name: model, Weights: w.Weights, Adapters: want}) {
+		m := workerclient.Model{Name: w.Model, Weights: w.Weights, Adapters: w.Adapters}
+		if m.Offers(workerclient.Model{Name: model, Weights: w.Weights, Adapters: want}) {
 			return true
 		}
 	}
@@ -107,7 +107,7 @@
 // grantEntry bounds the streams carried at once. Once a node is half full, a kind
 // may take no more than its share by weight, so a crowd of one cannot shut out
 // the other.
-func (n *Node) grantEntry(s *fleetstate.Sight, kind string) (func(), *door.Fault) {
+func (n *Node) grantEntry(s *fleetstate.Sight, kind string) (func(), *api.Fault) {
 	v, _ := n.kinds.LoadOrStore(kind, new(atomic.Int64))
 	mine := v.(*atomic.Int64)
 	most := int64(s.Policy.Limits.Inflight)
@@ -134,15 +134,15 @@
 	return d
 }
 
-func (n *Node) controller(s *fleetstate.Sight, t *passage.Task) (*passage.Controller, *hands, *whim.Score) {
+func (n *Node) controller(s *fleetstate.Sight, t *handoff.Task) (*handoff.Controller, *hands, *whim.Score) {
 	deck := n.deck(s)
 	h := &hands{n: n, sight: s, deck: deck, kind: t.Kind, regime: t.Regime, prefix: whim.Prefix(t.Identity.Prompt, s.Policy.Limits.PrefixTokens)}
-	return &passage.Controller{Hands: h, Clock: n.opt.Host.Clock, Orphan: n.opt.Orphan, Pulse: n.opt.Pulse, Tell: n.journal.Append}, h,
+	return &handoff.Controller{Hands: h, Clock: n.opt.Host.Clock, Orphan: n.opt.Orphan, Pulse: n.opt.Pulse, Tell: n.journal.Append}, h,
 		n.scores.Of(deck.For(t.Identity.Id.Request))
 }
 
 // plain runs a request that needs no claim.
-func (n *Node) plain(ctx context.Context, s *fleetstate.Sight, t *passage.Task, out door.Sink) error {
+func (n *Node) plain(ctx context.Context, s *fleetstate.Sight, t *handoff.Task, out api.Sink) error {
 	c, h, score := n.controller(s, t)
 	start, count := n.now(), 0
 	var known error
@@ -153,7 +153,7 @@
 		if count++; count == 1 {
 			score.First(n.now().Since(start))
 		}
-		return out.Put(door.Line{Index: i, Token: tok, Text: text})
+		return out.Put(api.Line{Index: i, Token: tok, Text: text})
 	})
 	if known != nil {
 		return known
@@ -163,14 +163,14 @@
 }
 
 // finish says how a stream ended; only a whole one looks complete.
-func (n *Node) finish(err error, count int, score *whim.Score, out door.Sink) error {
+func (n *Node) finish(err error, count int, score *whim.Score, out api.Sink) error {
 	switch {
 	case err == nil:
 		n.counts.Done.Add(1)
 		score.Done.Add(1)
-		return out.Put(door.Line{Index: count, End: door.Complete, Count: count})
+		return out.Put(api.Line{Index: count, End: api.Complete, Count: count})
 	case failure.Is(err, failure.Bad):
-		return door.No(http.StatusBadRequest, "refused", "", "%v", err)
+		return api.No(http.StatusBadRequest, "refused", "", "%v", err)
 	case count == 0:
 		score.Bounced.Add(1)
 		return n.crowd(http.StatusServiceUnavailable, "bounced", "%v", err)
@@ -178,15 +178,15 @@
 	n.counts.Broken.Add(1)
 	score.Broken.Add(1)
 	n.opt.Ring.Info().AnErr("cause", err).Int("pieces", count).Msg("a stream broke")
-	return out.Put(door.Line{Index: count, End: door.Broken, Count: count,
-		Error: &rein.Bounce{Name: "broken", Detail: err.Error(), After: n.after().Milliseconds()}})
+	return out.Put(api.Line{Index: count, End: api.Broken, Count: count,
+		Error: &workerclient.Bounce{Name: "broken", Detail: err.Error(), After: n.after().Milliseconds()}})
 }
 
 // claimed runs a ruling or verdict: once room is booked its key is claimed, before
 // anything is sent to a worker, and the outcome is recorded before the end line
 // is sent. It runs on when the origin goes away: the same key asked again is then
 // answered from the record.
-func (n *Node) claimed(ctx context.Context, s *fleetstate.Sight, t *passage.Task, ask *door.Ask, out door.Sink) error {
+func (n *Node) claimed(ctx context.Context, s *fleetstate.Sight, t *handoff.Task, ask *api.Ask, out api.Sink) error {
 	key := ask.Kind + "/" + ask.Key
 	t.Identity.Id.Request = Request(key)
 	c, h, score := n.controller(s, t)
@@ -214,7 +214,7 @@
 		if toks, texts = append(toks, tok), append(texts, text); len(toks) == 1 {
 			score.First(n.now().Since(start))
 		}
-		if !deaf && out.Put(door.Line{Index: i, Token: tok, Text: text}) != nil {
+		if !deaf && out.Put(api.Line{Index: i, Token: tok, Text: text}) != nil {
 			deaf = true
 		}
 		return nil
@@ -251,14 +251,14 @@
 		if len(toks) == 0 && fate == fleetstate.NotRun {
 			return n.later(http.StatusServiceUnavailable, "outcome-pending", "%v", e)
 		}
-		return out.Put(door.Line{Index: len(toks), End: door.Unknown, Count: len(toks),
-			Error: &rein.Bounce{Name: "unrecorded", Detail: "the outcome is not on record yet; ask again with the same key", After: n.after().Milliseconds()}})
+		return out.Put(api.Line{Index: len(toks), End: api.Unknown, Count: len(toks),
+			Error: &workerclient.Bounce{Name: "unrecorded", Detail: "the outcome is not on record yet; ask again with the same key", After: n.after().Milliseconds()}})
 	}
 	switch fate {
 	case fleetstate.Unsure:
 		n.counts.Unsure.Add(1)
-		return out.Put(door.Line{Index: len(toks), End: door.Unknown, Count: len(toks),
-			Error: &rein.Bounce{Name: "may-have-run", Detail: err.Error()}})
+		return out.Put(api.Line{Index: len(toks), End: api.Unknown, Count: len(toks),
+			Error: &workerclient.Bounce{Name: "may-have-run", Detail: err.Error()}})
 	case fleetstate.NotRun:
 		score.Bounced.Add(1)
 		return n.gone(len(toks), out)
@@ -268,20 +268,20 @@
 
 // gone answers for a key that ends as not run: no late copy of it can run, so
 // the caller comes back with a new key.
-func (n *Node) gone(count int, out door.Sink) error {
-	no := rein.Bounce{Name: "not-run", Field: "key", Detail: "it was not run and never will be; ask anew with another key", After: n.after().Milliseconds()}
+func (n *Node) gone(count int, out api.Sink) error {
+	no := workerclient.Bounce{Name: "not-run", Field: "key", Detail: "it was not run and never will be; ask anew with another key", After: n.after().Milliseconds()}
 	n.counts.Bounced.Add(1)
 	if count == 0 {
-		return &door.Fault{Code: http.StatusServiceUnavailable, Bounce: no}
+		return &api.Fault{Code: http.StatusServiceUnavailable, Bounce: no}
 	}
-	return out.Put(door.Line{Index: count, End: door.Broken, Count: count, Error: &no})
+	return out.Put(api.Line{Index: count, End: api.Broken, Count: count, Error: &no})
 }
 
 // errReplayed ends a task whose answer came from the record.
 var errReplayed = errors.New("answered from the record")
 
 // claim takes the key; a deed is given if it was taken before.
-func (n *Node) claim(ctx context.Context, key string, ask *door.Ask, w ids.WorkerId, life ids.Life) (*fleetstate.Deed, error) {
+func (n *Node) claim(ctx context.Context, key string, ask *api.Ask, w ids.WorkerId, life ids.Life) (*fleetstate.Deed, error) {
 	cx, stop := context.WithTimeout(context.WithoutCancel(ctx), 1500*time.Millisecond)
 	defer stop()
 	claim := &fleetstate.Claim{Key: key, Owner: n.me.Node, Worker: w, Life: life, Digest: ask.Digest()}
@@ -294,7 +294,7 @@
 		}
 		if failure.Is(err, failure.Stale) {
 			n.counts.Bounced.Add(1)
-			return nil, door.Later(http.StatusServiceUnavailable, "store-full", time.Minute, "nothing was run: %v", err)
+			return nil, api.Later(http.StatusServiceUnavailable, "store-full", time.Minute, "nothing was run: %v", err)
 		}
 		return nil, n.later(http.StatusServiceUnavailable, "core-away", "%v", err)
 	}
@@ -304,7 +304,7 @@
 	}
 	switch {
 	case got.Deed.Digest != claim.Digest:
-		return nil, door.No(http.StatusUnprocessableEntity, "key-reused", "key", "the key stands for another request")
+		return nil, api.No(http.StatusUnprocessableEntity, "key-reused", "key", "the key stands for another request")
 	case !got.Fresh:
 		return &got.Deed, nil
 	}
@@ -336,7 +336,7 @@
 }
 
 // replay answers a key that is known already.
-func (n *Node) replay(d *fleetstate.Deed, out door.Sink) error {
+func (n *Node) replay(d *fleetstate.Deed, out api.Sink) error {
 	n.counts.Replayed.Add(1)
 	switch d.Fate {
 	case fleetstate.Claimed:
@@ -345,19 +345,19 @@
 		return n.gone(0, out)
 	case fleetstate.Done:
 		if d.Aged {
-			return door.No(http.StatusGone, "answer-aged", "key", "it ran and was answered; so old an answer is not kept, and it will not be run again")
+			return api.No(http.StatusGone, "answer-aged", "key", "it ran and was answered; so old an answer is not kept, and it will not be run again")
 		}
 	case fleetstate.Unsure:
-		return door.No(http.StatusGone, "may-have-run", "key", "whether it ran is not known; it will not be run again")
+		return api.No(http.StatusGone, "may-have-run", "key", "whether it ran is not known; it will not be run again")
 	}
 	var r record
 	if err := json.Unmarshal(d.Out, &r); err != nil {
 		return failure.As(err, failure.Bad, "replay", d.Key)
 	}
 	for i, t := range r.Tokens {
-		if err := out.Put(door.Line{Index: i, Token: t, Text: r.Texts[i], Replay: true}); err != nil {
+		if err := out.Put(api.Line{Index: i, Token: t, Text: r.Texts[i], Replay: true}); err != nil {
 			return err
 		}
 	}
-	return out.Put(door.Line{Index: len(r.Tokens), End: door.Complete, Count: len(r.Tokens), Replay: true})
+	return out.Put(api.Line{Index: len(r.Tokens), End: api.Complete, Count: len(r.Tokens), Replay: true})
 }
--- a/verge/settle.go
+++ b/router/settle.go
@@ -3,7 +3,7 @@
 // what the workers say became of it. And the purse: the retry budget that all
 // nodes share, kept by one, empty in new hands.
 
-package verge
+package router
 
 import (
 	"context"
@@ -12,12 +12,12 @@
 	"sync"
 	"time"
 
+	"keelstair.example/certification"
 	"keelstair.example/coordination"
 	"keelstair.example/fleetstate"
 	"keelstair.example/ids"
-	"keelstair.example/rein"
 	"keelstair.example/seam"
-	"keelstair.example/writ"
+	"keelstair.example/workerclient"
 )
 
 func (n *Node) settler(ctx context.Context) {
@@ -67,7 +67,7 @@
 	}
 	h := &hands{n: n, sight: n.view.Sight()}
 	for range 4 {
-		a, err := h.Cancel(ctx, d.Worker, rein.Id{Request: Request(d.Key), Attempt: 1 << 20})
+		a, err := h.Cancel(ctx, d.Worker, workerclient.Id{Request: Request(d.Key), Attempt: 1 << 20})
 		switch {
 		case err != nil:
 			if !seam.Sleep(ctx, 500*time.Millisecond) {
@@ -81,7 +81,7 @@
 			texts := append(a.Texts, make([]string, len(a.Output))...)
 			out, _ := json.Marshal(record{a.Output, texts[:len(a.Output)]})
 			return fleetstate.Done, out
-		case a.Fate == rein.FateNever:
+		case a.Fate == workerclient.FateNever:
 			return fleetstate.NotRun, nil
 		default:
 			return fleetstate.Unsure, nil
@@ -98,7 +98,7 @@
 	if g == "" {
 		return true
 	}
-	_, err := n.clears(g, writ.Subject{Node: n.opt.Name}, "")
+	_, err := n.clears(g, certification.Subject{Node: n.opt.Name}, "")
 	return err == nil
 }
 
--- a/verge/span/span.go
+++ b/router/span/span.go
@@ -15,9 +15,9 @@
 	trace "go.opentelemetry.io/proto/otlp/trace/v1"
 	"google.golang.org/protobuf/encoding/protojson"
 
-	"keelstair.example/passage"
-	"keelstair.example/rein"
+	"keelstair.example/handoff"
 	"keelstair.example/seam"
+	"keelstair.example/workerclient"
 )
 
 const most = 4096
@@ -28,19 +28,19 @@
 	node  string
 	out   io.Writer
 	clock seam.Clock
-	open  map[rein.Id][]passage.Event
+	open  map[workerclient.Id][]handoff.Event
 }
 
 func New(out io.Writer, node string, clock seam.Clock) *Writer {
-	return &Writer{out: out, node: node, clock: clock, open: map[rein.Id][]passage.Event{}}
+	return &Writer{out: out, node: node, clock: clock, open: map[workerclient.Id][]handoff.Event{}}
 }
 
 // Tell takes one event of the journal.
-func (w *Writer) Tell(e passage.Event) {
+func (w *Writer) Tell(e handoff.Event) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	rows := append(w.open[e.Id], e)
-	if e.Stage != passage.Ended && e.Stage != passage.Dropped {
+	if e.Stage != handoff.Ended && e.Stage != handoff.Dropped {
 		if len(w.open) < most {
 			w.open[e.Id] = rows
 		}
@@ -89,15 +89,15 @@
 	return &common.KeyValue{Key: key, Value: &common.AnyValue{Value: &common.AnyValue_StringValue{StringValue: v}}}
 }
 
-func (w *Writer) trace(id rein.Id, rows []passage.Event) *trace.TracesData {
-	scope := &trace.ScopeSpans{Scope: &common.InstrumentationScope{Name: "keelstair.example/passage"}}
+func (w *Writer) trace(id workerclient.Id, rows []handoff.Event) *trace.TracesData {
+	scope := &trace.ScopeSpans{Scope: &common.InstrumentationScope{Name: "keelstair.example/handoff"}}
 	res := &trace.ResourceSpans{ScopeSpans: []*trace.ScopeSpans{scope},
 		Resource: &resource.Resource{Attributes: []*common.KeyValue{text("service.name", "keelstair"), text("service.instance.id", w.node)}}}
 	// Ticks become wall time by what the clocks show now.
 	now, wall := w.clock.Now(), w.clock.Wall()
-	at := func(e passage.Event) uint64 { return uint64(wall.Add(-now.Since(e.At)).UnixNano()) }
+	at := func(e handoff.Event) uint64 { return uint64(wall.Add(-now.Since(e.At)).UnixNano()) }
 	sum := sha256.Sum256([]byte(id.Request))
-	put := func(name string, n int, from, to passage.Event) *trace.Span {
+	put := func(name string, n int, from, to handoff.Event) *trace.Span {
 		s := &trace.Span{TraceId: sum[:16], SpanId: append([]byte{byte(id.Attempt), byte(n + 1)}, sum[16:22]...), Name: name,
 			StartTimeUnixNano: at(from), EndTimeUnixNano: at(to)}
 		scope.Spans = append(scope.Spans, s)
@@ -107,7 +107,7 @@
 	whole := put("hand-over", 0, rows[0], last)
 	whole.Attributes = []*common.KeyValue{text("request", id.Request),
 		{Key: "attempt", Value: &common.AnyValue{Value: &common.AnyValue_IntValue{IntValue: int64(id.Attempt)}}}}
-	if last.Stage == passage.Dropped {
+	if last.Stage == handoff.Dropped {
 		whole.Status = &trace.Status{Code: trace.Status_STATUS_CODE_ERROR, Message: last.Why}
 	}
 	for i := 1; i < len(rows); i++ {
--- a/verge/span/span_test.go
+++ b/router/span/span_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/passage"
-	"keelstair.example/rein"
+	"keelstair.example/handoff"
 	"keelstair.example/seam/sham"
+	"keelstair.example/workerclient"
 )
 
 // TestSpans: one line a hand-over, one span a step, all under one parent, and a
@@ -21,10 +21,10 @@
 	var out bytes.Buffer
 	clock := sham.NewWorld(1).Machine("10.0.0.1").Start().Host().Clock
 	w := New(&out, "n1", clock)
-	id := rein.Id{Request: "r", Attempt: 2}
-	for i, s := range []passage.Stage{passage.Granted, passage.Prefilled, passage.Exported, passage.Imported, passage.Dropped} {
+	id := workerclient.Id{Request: "r", Attempt: 2}
+	for i, s := range []handoff.Stage{handoff.Granted, handoff.Prefilled, handoff.Exported, handoff.Imported, handoff.Dropped} {
 		require.Zero(t, out.Len())
-		w.Tell(passage.Event{Id: id, Stage: s, Worker: "d1", At: clock.Now().Add(time.Duration(i) * time.Millisecond), Why: "lost"})
+		w.Tell(handoff.Event{Id: id, Stage: s, Worker: "d1", At: clock.Now().Add(time.Duration(i) * time.Millisecond), Why: "lost"})
 	}
 	var got struct {
 		ResourceSpans []struct {
--- a/verge/switch.go
+++ b/router/switch.go
@@ -7,7 +7,7 @@
 // prompt still waits to be read, decode then looked as pressed as prefill was, and
 // nothing turned.) The worker's own holder drains it first.
 
-package verge
+package router
 
 import (
 	"context"
@@ -15,14 +15,14 @@
 	"sort"
 	"time"
 
+	"keelstair.example/certification"
 	"keelstair.example/failure"
 	"keelstair.example/fleetstate"
 	"keelstair.example/ids"
-	"keelstair.example/rein"
 	"keelstair.example/rpc"
 	"keelstair.example/seam"
 	"keelstair.example/whim"
-	"keelstair.example/writ"
+	"keelstair.example/workerclient"
 )
 
 const (
@@ -148,10 +148,10 @@
 
 // covered tells whether every regime that a worker serves in its part keeps another one
 // there that is cleared too.
-func covered(s *fleetstate.Sight, list []Stand, me Stand, now writ.Now) bool {
+func covered(s *fleetstate.Sight, list []Stand, me Stand, now certification.Now) bool {
 	for _, g := range s.Register.Regimes() {
 		clear := func(st Stand) bool {
-			_, ok := s.Register.Clears(g, writ.Subject{Worker: st.Id}, me.Part, now)
+			_, ok := s.Register.Clears(g, certification.Subject{Worker: st.Id}, me.Part, now)
 			return ok
 		}
 		if clear(me) && !slices.ContainsFunc(list, func(st Stand) bool { return st.Id != me.Id && clear(st) }) {
@@ -184,7 +184,7 @@
 }
 
 // turnHere is the holder's side: no new work, wait until it is empty, order it.
-func (n *Node) turnHere(ctx context.Context, d *desk, addr string, lead rein.Lead, to ids.Part) (*rein.Answer, error) {
+func (n *Node) turnHere(ctx context.Context, d *desk, addr string, lead workerclient.Lead, to ids.Part) (*workerclient.Answer, error) {
 	d.ledger.Hold(true)
 	defer d.ledger.Hold(false)
 	cx, stop := context.WithTimeout(ctx, turnMost)
@@ -195,7 +195,7 @@
 		}
 		lead.Version = n.view.Sight().Version
 		if n.sure() && d.ledger.Empty() {
-			a, err := n.rein.Part(cx, addr, &rein.PartAsk{Lead: lead, Part: to})
+			a, err := n.rein.Part(cx, addr, &workerclient.PartAsk{Lead: lead, Part: to})
 			if !failure.Is(err, failure.Bounced) {
 				return a, err
 			}
--- a/verge/switch_test.go
+++ b/router/switch_test.go
@@ -1,6 +1,6 @@
 // When the switcher turns a worker, and when it must not.
 
-package verge
+package router
 
 import (
 	"fmt"
@@ -12,15 +12,15 @@
 
 	"keelstair.example/fleetstate"
 	"keelstair.example/ids"
-	"keelstair.example/rein"
 	"keelstair.example/seam/sham"
+	"keelstair.example/workerclient"
 )
 
 // stage sets up a node that sees so many workers of each part, this busy.
 func stage(reads, writes, readBusy, writeBusy int) (*Node, *fleetstate.Sight) {
 	n := New(Options{Name: "n", Host: sham.NewWorld(1).Machine("10.0.0.1").Start().Host()})
 	s := &fleetstate.Sight{Policy: &fleetstate.Policy{Switch: true, Workers: map[ids.WorkerId]fleetstate.Worker{}, Limits: fleetstate.Limits{DwellMs: 4000}}}
-	stands, roster := map[ids.WorkerId]Stand{}, map[ids.WorkerId]rein.Listed{}
+	stands, roster := map[ids.WorkerId]Stand{}, map[ids.WorkerId]workerclient.Listed{}
 	for i := range reads + writes {
 		part, busy := ids.Prefill, readBusy
 		if i >= reads {
@@ -29,7 +29,7 @@
 		id := ids.WorkerId(fmt.Sprintf("%s%d", part[:1], i))
 		s.Policy.Workers[id] = fleetstate.Worker{Part: part, Model: "m", Weights: "w", Zone: ids.Zone(fmt.Sprint(i % 3))}
 		stands[id] = Stand{Id: id, Part: part, Ready: true, Free: 90, Room: 100, Busy: busy, Work: busy, Cap: 16}
-		roster[id] = rein.Listed{Id: id}
+		roster[id] = workerclient.Listed{Id: id}
 	}
 	n.stands.Store(&stands)
 	n.roster.Store(&roster)
--- a/proof/back_test.go
+++ b/simulation/back_test.go
@@ -2,7 +2,7 @@
 // the doors of each surviving zone, since what all calls show together can hide one
 // kind that stands still; and the longest span without a primary.
 
-package proof
+package simulation
 
 import (
 	"context"
@@ -10,23 +10,23 @@
 	"time"
 
 	"keelstair.example/coordination"
-	"keelstair.example/guise"
 	"keelstair.example/ids"
+	"keelstair.example/router"
 	"keelstair.example/seam"
-	"keelstair.example/verge"
+	"keelstair.example/standin"
 )
 
 // backs gives the spans by kind and by zone of the door. Zones that were emptied, or
 // have no node any more, are not asked for service.
-func (c *Cluster) backs(all []guise.Outcome, spans [][2]time.Duration) map[string]time.Duration {
+func (c *Cluster) backs(all []standin.Outcome, spans [][2]time.Duration) map[string]time.Duration {
 	out := map[string]time.Duration{}
-	note := func(name string, counts func(guise.Outcome) bool) {
+	note := func(name string, counts func(standin.Outcome) bool) {
 		for _, s := range spans {
-			out[name] = max(out[name], guise.Back(all, s[0], s[1], counts))
+			out[name] = max(out[name], standin.Back(all, s[0], s[1], counts))
 		}
 	}
 	for _, sh := range c.Site.Shapes {
-		note(sh.Kind, func(o guise.Outcome) bool { return o.Kind == sh.Kind })
+		note(sh.Kind, func(o standin.Outcome) bool { return o.Kind == sh.Kind })
 	}
 	zones := map[string]ids.Zone{}
 	serves := map[ids.Zone]bool{}
@@ -45,7 +45,7 @@
 	}
 	for z, ok := range serves {
 		if ok {
-			note("door of "+string(z), func(o guise.Outcome) bool { return zones[o.Door] == z })
+			note("door of "+string(z), func(o standin.Outcome) bool { return zones[o.Door] == z })
 		}
 	}
 	return out
@@ -69,7 +69,7 @@
 		}
 		*most = max(*most, now.Sub(last))
 		c.nodes.Range(func(k, name any) bool {
-			if s := k.(*verge.Node).View().Sight(); s.Version > 0 {
+			if s := k.(*router.Node).View().Sight(); s.Version > 0 {
 				c.Book.Force(name.(string), s.Version, s.Text)
 			}
 			return true
--- a/proof/book_test.go
+++ b/simulation/book_test.go
@@ -1,7 +1,7 @@
 // The book records what workers and controllers say they did; the checkers read
 // it afterwards, one for each line of what must never happen.
 
-package proof
+package simulation
 
 import (
 	"fmt"
@@ -9,10 +9,10 @@
 	"sync"
 	"time"
 
-	"keelstair.example/guise"
+	"keelstair.example/handoff"
 	"keelstair.example/ids"
-	"keelstair.example/passage"
-	"keelstair.example/verge"
+	"keelstair.example/router"
+	"keelstair.example/standin"
 )
 
 // Mark is a thing the script did, with when it was known to be done.
@@ -24,7 +24,7 @@
 
 // Seen is a worker's event at a simulated time.
 type Seen struct {
-	guise.Event
+	standin.Event
 	When time.Duration
 }
 
@@ -51,7 +51,9 @@
 }
 
 // Teller is a worker that keeps a count of its own.
-type Teller interface{ Tallies() map[string]guise.Tally }
+type Teller interface {
+	Tallies() map[string]standin.Tally
+}
 
 // Pick is a hand-over granted by a node, under the version it has in force.
 type Pick struct {
@@ -65,7 +67,7 @@
 // Now is the time since the book was opened.
 func (b *Book) Now() time.Duration { return time.Since(b.start) }
 
-func (b *Book) Worker(e guise.Event) {
+func (b *Book) Worker(e standin.Event) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.rows = append(b.rows, Seen{e, b.Now()})
@@ -78,13 +80,13 @@
 }
 
 // Step takes a hand-over's event, with the version that its node has in force.
-func (b *Book) Step(node string, e passage.Event, v ids.Version) {
+func (b *Book) Step(node string, e handoff.Event, v ids.Version) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if e.Stage == passage.Granted {
+	if e.Stage == handoff.Granted {
 		b.picks = append(b.picks, Pick{node, v, b.Now()})
 	}
-	if e.Stage == passage.Granted && e.Id.Attempt > 1 {
+	if e.Stage == handoff.Granted && e.Id.Attempt > 1 {
 		b.again = append(b.again, b.Now())
 	}
 }
@@ -136,7 +138,7 @@
 )
 
 // Check reads the book and the callers' outcomes.
-func (b *Book) Check(all []guise.Outcome) []Fault {
+func (b *Book) Check(all []standin.Outcome) []Fault {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	f := &finder{}
@@ -149,8 +151,8 @@
 	return f.out
 }
 
-func requests(all []guise.Outcome) map[string]guise.Outcome {
-	out := map[string]guise.Outcome{}
+func requests(all []standin.Outcome) map[string]standin.Outcome {
+	out := map[string]standin.Outcome{}
 	for _, o := range all {
 		if o.Key != "" {
 			out[o.Kind+"/"+o.Key] = o
@@ -159,7 +161,7 @@
 	return out
 }
 
-func (b *Book) twice(f *finder, all []guise.Outcome) {
+func (b *Book) twice(f *finder, all []standin.Outcome) {
 	runs, records, starved := map[string]int{}, map[string]int{}, 0
 	for _, w := range b.lives {
 		for id, t := range w.Tallies() {
@@ -182,7 +184,7 @@
 		// A caller that was told "not run" has moved on to a key with a plus.
 		for k := key; strings.HasSuffix(k, "+"); {
 			k = strings.TrimSuffix(k, "+")
-			if n := runs[verge.Request(k)]; n > 0 {
+			if n := runs[router.Request(k)]; n > 0 {
 				f.say(NotRun, "%s was told not run, and ran %d times", k, n)
 			}
 		}
@@ -190,7 +192,7 @@
 }
 
 // streams reads what the callers themselves found off.
-func streams(f *finder, all []guise.Outcome) {
+func streams(f *finder, all []standin.Outcome) {
 	for _, o := range all {
 		if o.End != "wrong" {
 			continue
--- a/proof/bureau_test.go
+++ b/simulation/bureau_test.go
@@ -1,7 +1,7 @@
 // A bureau certifies a fleet's machines, and checks afterwards, on the workers' own
 // books, that governed work was handled on certified ones alone.
 
-package proof
+package simulation
 
 import (
 	"crypto/ed25519"
@@ -10,13 +10,13 @@
 	"sync"
 	"time"
 
+	"keelstair.example/api"
+	"keelstair.example/certification"
 	"keelstair.example/coordination"
-	"keelstair.example/door"
-	"keelstair.example/guise"
+	"keelstair.example/handoff"
 	"keelstair.example/ids"
-	"keelstair.example/passage"
-	"keelstair.example/verge"
-	"keelstair.example/writ"
+	"keelstair.example/router"
+	"keelstair.example/standin"
 )
 
 // Uncertified is the line of what must never happen to governed work.
@@ -27,8 +27,8 @@
 const grace = 2 * time.Second
 
 // chamber is a site with governed kinds of both sorts and machines to spare.
-var chamber = guise.Site{Name: "chamber", Zones: []ids.Zone{"a", "b", "c"}, Nodes: 5, Prefill: 4, Decode: 4, Model: "m",
-	Shapes: []guise.Shape{{Kind: "verdict", Claimed: true, Share: 30, Shared: 64, Own: 64, Max: 2},
+var chamber = standin.Site{Name: "chamber", Zones: []ids.Zone{"a", "b", "c"}, Nodes: 5, Prefill: 4, Decode: 4, Model: "m",
+	Shapes: []standin.Shape{{Kind: "verdict", Claimed: true, Share: 30, Shared: 64, Own: 64, Max: 2},
 		{Kind: "speech", Share: 30, Shared: 64, Own: 32, Max: 40}, {Kind: "clarification", Share: 40, Shared: 64, Own: 16, Max: 16}}}
 
 // grant is a certificate's span at a worker, in the book's time.
@@ -38,12 +38,12 @@
 type Bureau struct {
 	c      *Cluster
 	key    ed25519.PrivateKey
-	issuer writ.Issuer
+	issuer certification.Issuer
 	mu     sync.Mutex
-	certs  map[string]writ.Certificate
+	certs  map[string]certification.Certificate
 	spans  map[string]grant  // by serial
 	work   map[string]string // governed requests by id, with the node that carries them
-	steps  []passage.Event   // of governed work
+	steps  []handoff.Event   // of governed work
 	revoke []time.Duration   // how long each revocation took
 	stays  []time.Duration   // how long memory lay staged
 	keep   int               // percent
@@ -51,21 +51,21 @@
 
 // NewBureau must be made before the fleet is built, since it listens to its steps.
 func NewBureau() *Bureau {
-	key, _, err := writ.NewKey()
+	key, _, err := certification.NewKey()
 	if err != nil {
 		panic(err)
 	}
-	return &Bureau{key: key, keep: 20, certs: map[string]writ.Certificate{}, spans: map[string]grant{}, work: map[string]string{}}
+	return &Bureau{key: key, keep: 20, certs: map[string]certification.Certificate{}, spans: map[string]grant{}, work: map[string]string{}}
 }
 
 // tune hooks the bureau to a fleet.
 func (b *Bureau) tune(c *Cluster) {
 	b.c, c.Fixed = c, true
 	// What nobody comes for lies staged no longer than an orphan runs.
-	c.Tune = func(o *guise.WorkerOptions) { o.Stage = 2 * time.Second }
+	c.Tune = func(o *standin.WorkerOptions) { o.Stage = 2 * time.Second }
 	now := time.Now().UTC()
-	b.issuer = writ.Issuer{Key: writ.Public(b.key), From: now.AddDate(0, 0, -1).Format(time.RFC3339), Until: now.AddDate(1, 0, 0).Format(time.RFC3339)}
-	c.Steps = func(e passage.Event) {
+	b.issuer = certification.Issuer{Key: certification.Public(b.key), From: now.AddDate(0, 0, -1).Format(time.RFC3339), Until: now.AddDate(1, 0, 0).Format(time.RFC3339)}
+	c.Steps = func(e handoff.Event) {
 		if e.Regime != "" {
 			b.mu.Lock()
 			defer b.mu.Unlock()
@@ -76,7 +76,7 @@
 }
 
 // sign makes a certificate that holds from an hour ago on for a span.
-func (b *Bureau) sign(serial string, c writ.Certificate, span time.Duration) writ.Certificate {
+func (b *Bureau) sign(serial string, c certification.Certificate, span time.Duration) certification.Certificate {
 	now := time.Now().UTC()
 	c.Serial, c.Regime, c.Issuer = serial, "chair", "k1"
 	c.From, c.Until = now.Add(-time.Hour).Format(time.RFC3339), now.Add(span).Format(time.RFC3339)
@@ -98,10 +98,10 @@
 		if w[0] == 'd' {
 			part = ids.Decode
 		}
-		b.sign("c-"+w, writ.Certificate{Worker: ids.WorkerId(w), Parts: []ids.Part{part}}, 24*time.Hour)
+		b.sign("c-"+w, certification.Certificate{Worker: ids.WorkerId(w), Parts: []ids.Part{part}}, 24*time.Hour)
 	}
 	for _, n := range nodes {
-		b.sign("c-"+n, writ.Certificate{Node: n}, 24*time.Hour)
+		b.sign("c-"+n, certification.Certificate{Node: n}, 24*time.Hour)
 	}
 }
 
@@ -136,7 +136,7 @@
 	op, begun := coordination.Name(), b.c.Book.Now()
 	var err error
 	b.c.Until(20*time.Second, func() bool {
-		err = b.c.Operate("/v1/certificates/"+serial, &door.Mark{Op: op, Out: true}, nil)
+		err = b.c.Operate("/v1/certificates/"+serial, &api.Mark{Op: op, Out: true}, nil)
 		return err == nil
 	})
 	if err != nil {
@@ -165,12 +165,12 @@
 
 // Check holds the workers' books against the certificates: no order for governed work,
 // and no run of it, at a worker that was not certified then.
-func (b *Bureau) Check(all []guise.Outcome) []Fault {
+func (b *Bureau) Check(all []standin.Outcome) []Fault {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, o := range all {
 		if o.Kind == "verdict" {
-			b.work[verge.Request(o.Kind+"/"+o.Key)] = "chair"
+			b.work[router.Request(o.Kind+"/"+o.Key)] = "chair"
 		}
 	}
 	b.c.Book.mu.Lock()
@@ -220,7 +220,7 @@
 }
 
 // serves lists the workers at which a request had governed steps.
-func (b *Bureau) serves(stage passage.Stage) []string {
+func (b *Bureau) serves(stage handoff.Stage) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []string
@@ -243,4 +243,4 @@
 // usual certifies three of each part and four of the nodes.
 func (b *Bureau) usual() { b.certify(append(upTo("p", 3), upTo("d", 3)...), upTo("verge-", 4)) }
 
-func holds(b *Box) []ids.Key { return b.Node.Status().(*verge.Standing).Holds }
+func holds(b *Box) []ids.Key { return b.Node.Status().(*router.Standing).Holds }
--- a/proof/chamber_test.go
+++ b/simulation/chamber_test.go
@@ -1,7 +1,7 @@
 // Scripts over a fleet with a regime in force, with seeds, held against the workers' own
 // books.
 
-package proof
+package simulation
 
 import (
 	"errors"
@@ -15,11 +15,11 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/door"
-	"keelstair.example/guise"
+	"keelstair.example/api"
+	"keelstair.example/certification"
 	"keelstair.example/ids"
-	"keelstair.example/rein"
-	"keelstair.example/writ"
+	"keelstair.example/standin"
+	"keelstair.example/workerclient"
 )
 
 // Sitting is one script over the chamber.
@@ -112,7 +112,7 @@
 			if w[0] == 'p' {
 				part = ids.Prefill
 			}
-			b.sign("short-"+w, writ.Certificate{Worker: ids.WorkerId(w), Parts: []ids.Part{part}}, 5*time.Second)
+			b.sign("short-"+w, certification.Certificate{Worker: ids.WorkerId(w), Parts: []ids.Part{part}}, 5*time.Second)
 		}
 		if err := alter(c, "short", partOf(map[string]any{"certificates": b.certs})); err != nil {
 			return err
@@ -180,10 +180,10 @@
 	time.Sleep(3 * time.Second)
 	require.Empty(t, b.Check(append(all, then...)))
 	require.Empty(t, c.Book.Check(append(all, then...)))
-	sum := guise.Sum(then)
-	require.Equal(t, len(then), sum.Ends[door.Complete], "after the script: %+v", sum)
+	sum := standin.Sum(then)
+	require.Equal(t, len(then), sum.Ends[api.Complete], "after the script: %+v", sum)
 	audited(t, c)
-	t.Logf("%s seed %d: %v %v, revocations %v", s.Name, seed, guise.Sum(all).Ends, guise.Sum(all).Details, b.revoke)
+	t.Logf("%s seed %d: %v %v, revocations %v", s.Name, seed, standin.Sum(all).Ends, standin.Sum(all).Details, b.revoke)
 }
 
 // TestSittings runs every script with its seeds.
@@ -212,12 +212,12 @@
 		"later":                         {[]Seen{row("import", "p1", 13)}, true},
 		"runs on":                       {[]Seen{row("import", "p1", 9), row("cancel", "p1", 13)}, true},
 		"ends in time":                  {[]Seen{row("import", "p1", 9), row("cancel", "p1", 11)}, false},
-		"not governed":                  {[]Seen{{guise.Event{What: "import", Worker: "d9", Id: rein.Id{Request: "free"}}, time.Second}}, false},
+		"not governed":                  {[]Seen{{standin.Event{What: "import", Worker: "d9", Id: workerclient.Id{Request: "free"}}, time.Second}}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := NewBureau()
 			b.c = &Cluster{Book: NewBook()}
-			b.certs["s"] = writ.Certificate{Worker: "p1"}
+			b.certs["s"] = certification.Certificate{Worker: "p1"}
 			b.spans["s"] = grant{2 * time.Second, 10 * time.Second}
 			b.work["r"] = "chair"
 			b.c.Book.rows = one.rows
@@ -232,5 +232,5 @@
 }
 
 func row(what, worker string, second int) Seen {
-	return Seen{guise.Event{What: what, Worker: ids.WorkerId(worker), Id: rein.Id{Request: "r", Attempt: 1}}, time.Duration(second) * time.Second}
+	return Seen{standin.Event{What: what, Worker: ids.WorkerId(worker), Id: workerclient.Id{Request: "r", Attempt: 1}}, time.Duration(second) * time.Second}
 }
--- a/proof/checker_test.go
+++ b/simulation/checker_test.go
@@ -1,6 +1,6 @@
 // The checkers themselves: each catches a planted violation of its line.
 
-package proof
+package simulation
 
 import (
 	"testing"
@@ -8,63 +8,63 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/guise"
 	"keelstair.example/ids"
-	"keelstair.example/rein"
-	"keelstair.example/verge"
+	"keelstair.example/router"
+	"keelstair.example/standin"
+	"keelstair.example/workerclient"
 )
 
-type fake map[string]guise.Tally
+type fake map[string]standin.Tally
 
-func (f fake) Tallies() map[string]guise.Tally { return f }
+func (f fake) Tallies() map[string]standin.Tally { return f }
 
 // TestCheckersCatch plants one violation of each line and sees it caught, under
 // its own name and no other.
 func TestCheckersCatch(t *testing.T) {
 	event := func(b *Book, what, worker string, fence ids.Fence, v ids.Version, at time.Duration) {
-		b.rows = append(b.rows, Seen{guise.Event{What: what, Worker: ids.WorkerId(worker), Id: rein.Id{Request: "r"}, Fence: fence, Version: v}, at})
+		b.rows = append(b.rows, Seen{standin.Event{What: what, Worker: ids.WorkerId(worker), Id: workerclient.Id{Request: "r"}, Fence: fence, Version: v}, at})
 	}
-	for line, plant := range map[string]func(b *Book) []guise.Outcome{
-		Twice: func(b *Book) []guise.Outcome {
+	for line, plant := range map[string]func(b *Book) []standin.Outcome{
+		Twice: func(b *Book) []standin.Outcome {
 			b.Life(fake{"k-1": {Runs: 1, Records: 1}})
 			b.Life(fake{"k-1": {Runs: 1}})
 			return nil
 		},
-		NotRun: func(b *Book) []guise.Outcome {
-			b.Life(fake{verge.Request("verdict/c1"): {Runs: 1, Records: 1}})
-			return []guise.Outcome{{Kind: "verdict", Key: "c1+", End: "complete"}}
+		NotRun: func(b *Book) []standin.Outcome {
+			b.Life(fake{router.Request("verdict/c1"): {Runs: 1, Records: 1}})
+			return []standin.Outcome{{Kind: "verdict", Key: "c1+", End: "complete"}}
 		},
-		Torn: func(*Book) []guise.Outcome {
-			return []guise.Outcome{{Kind: "rider", End: "wrong", Detail: "piece 4 where 3 was due"}}
+		Torn: func(*Book) []standin.Outcome {
+			return []standin.Outcome{{Kind: "rider", End: "wrong", Detail: "piece 4 where 3 was due"}}
 		},
-		Differs: func(*Book) []guise.Outcome {
-			return []guise.Outcome{{Kind: "rider", End: "wrong", Detail: "tokens [1]"}}
+		Differs: func(*Book) []standin.Outcome {
+			return []standin.Outcome{{Kind: "rider", End: "wrong", Detail: "tokens [1]"}}
 		},
-		Starved: func(b *Book) []guise.Outcome { b.Life(fake{"x": {Starved: 1}}); return nil },
-		LateLeave: func(b *Book) []guise.Outcome {
+		Starved: func(b *Book) []standin.Outcome { b.Life(fake{"x": {Starved: 1}}); return nil },
+		LateLeave: func(b *Book) []standin.Outcome {
 			b.marks = append(b.marks, Mark{"leave", "p1", time.Second})
 			event(b, "prefill", "p1", 1, 1, 3900*time.Millisecond)
 			event(b, "prefill", "p1", 1, 1, 4100*time.Millisecond)
 			return nil
 		},
-		LateZone: func(b *Book) []guise.Outcome {
+		LateZone: func(b *Book) []standin.Outcome {
 			b.marks = append(b.marks, Mark{"evacuate", "d1", time.Second}, Mark{"return", "d1", 8 * time.Second})
 			event(b, "import", "d1", 1, 1, 9*time.Second)
 			event(b, "import", "d1", 1, 1, 7*time.Second)
 			return nil
 		},
-		SlowLaw: func(b *Book) []guise.Outcome {
+		SlowLaw: func(b *Book) []standin.Outcome {
 			event(b, "import", "d1", 1, 5, time.Second)
 			event(b, "import", "d1", 1, 4, 1200*time.Millisecond)
 			event(b, "import", "d1", 1, 4, 1300*time.Millisecond)
 			return nil
 		},
-		Conflict: func(b *Book) []guise.Outcome {
+		Conflict: func(b *Book) []standin.Outcome {
 			event(b, "import", "d1", 7, 1, time.Second)
 			event(b, "import", "d1", 6, 1, 2*time.Second)
 			return nil
 		},
-		Overspent: func(b *Book) []guise.Outcome {
+		Overspent: func(b *Book) []standin.Outcome {
 			for i := range 20 {
 				b.again = append(b.again, time.Duration(i)*50*time.Millisecond)
 			}
@@ -84,7 +84,7 @@
 	require.Equal(t, SlowLaw, b.Check(nil)[0].Line)
 	b.picks = b.picks[:1]
 	require.Empty(t, b.Check(nil))
-	require.Equal(t, 5*time.Second, guise.Back([]guise.Outcome{
+	require.Equal(t, 5*time.Second, standin.Back([]standin.Outcome{
 		{End: "complete", At: time.Second}, {End: "broken", At: 3 * time.Second}, {End: "complete", At: 6 * time.Second},
 	}, time.Second, 7*time.Second, nil))
 }
--- a/proof/cluster_test.go
+++ b/simulation/cluster_test.go
@@ -1,8 +1,8 @@
-// Package proof runs whole fleets in one process, on the simulated machines of
+// Package simulation runs whole fleets in one process, on the simulated machines of
 // seam/sham and the real HTTP and connect-go stacks, breaks them as a seed says,
 // and holds what was recorded against every line of what must never happen.
 // This file builds a fleet; it is meant for a testing/synctest bubble.
-package proof
+package simulation
 
 import (
 	"context"
@@ -13,18 +13,18 @@
 	"sync"
 	"time"
 
+	"keelstair.example/api"
 	"keelstair.example/coordination"
-	"keelstair.example/door"
 	"keelstair.example/fleetstate"
-	"keelstair.example/guise"
+	"keelstair.example/handoff"
 	"keelstair.example/ids"
-	"keelstair.example/passage"
-	"keelstair.example/rein"
+	"keelstair.example/logging"
+	"keelstair.example/router"
 	"keelstair.example/rpc"
 	"keelstair.example/seam"
 	"keelstair.example/seam/sham"
-	"keelstair.example/tale"
-	"keelstair.example/verge"
+	"keelstair.example/standin"
+	"keelstair.example/workerclient"
 )
 
 // Box is one machine of the fleet with its process.
@@ -36,8 +36,8 @@
 	Door    string
 	Machine *sham.Machine
 	Core    *coordination.Core
-	Node    *verge.Node
-	Worker  *guise.Worker
+	Node    *router.Node
+	Worker  *standin.Worker
 	Up      bool
 	Leave   context.CancelFunc // a node's SIGTERM
 
@@ -50,14 +50,14 @@
 // Cluster is a fleet.
 type Cluster struct {
 	World    *sham.World
-	Site     guise.Site
+	Site     standin.Site
 	Boxes    []*Box
-	Platform *guise.Platform
+	Platform *standin.Platform
 	Book     *Book
 	Seeds    []string
-	Tune     func(*guise.WorkerOptions)
+	Tune     func(*standin.WorkerOptions)
 	Programs map[string]fleetstate.Program
-	Steps    func(passage.Event) // told of every step of every hand-over
+	Steps    func(handoff.Event) // told of every step of every hand-over
 	Fixed    bool                // workers keep their parts
 	Slack    time.Duration       // on top of the bound for an apply, where takeovers come between
 	Depth    fleetstate.Depth
@@ -66,21 +66,21 @@
 	shut  context.CancelFunc
 	wg    sync.WaitGroup
 	cores sync.Map   // *coordination.Core, every one that was started
-	nodes sync.Map   // *verge.Node -> name, likewise
+	nodes sync.Map   // *router.Node -> name, likewise
 	mu    sync.Mutex // of Boxes
 	out   *sham.Proc
 	web   *http.Client
 }
 
 // Build sets up a site's fleet and starts all of it but the load.
-func Build(seed uint64, site guise.Site, tune func(*Cluster)) *Cluster {
+func Build(seed uint64, site standin.Site, tune func(*Cluster)) *Cluster {
 	c := &Cluster{World: sham.NewWorld(seed), Site: site, Book: NewBook()}
 	c.base, c.shut = context.WithCancel(context.Background())
 	if tune != nil {
 		tune(c)
 	}
 	p := c.World.Machine("10.8.0.1").Start()
-	c.Platform = guise.NewPlatform(p.Host())
+	c.Platform = standin.NewPlatform(p.Host())
 	c.serve(c.base, p.Host(), "10.8.0.1:80", c.Platform.Handler())
 	c.wg.Go(func() { c.Platform.Run(c.base) })
 	c.out = c.World.Machine("10.9.0.1").Start()
@@ -118,11 +118,11 @@
 	return nil
 }
 
-func (c *Cluster) ring(name string) *tale.Ring {
+func (c *Cluster) ring(name string) *logging.Ring {
 	if os.Getenv("KEELSTAIR_TALK") != "" {
-		return tale.NewRing(64, os.Stderr, name)
+		return logging.NewRing(64, os.Stderr, name)
 	}
-	return tale.Mute()
+	return logging.Mute()
 }
 
 // Tenet describes a disk machine.
@@ -150,8 +150,8 @@
 func (c *Cluster) Verge(name, ip string, zone ids.Zone) *Box {
 	return &Box{Name: name, Kind: "verge", Zone: zone, Addr: ip + ":701", Door: ip + ":80", Machine: c.World.Machine(ip),
 		begin: func(b *Box, ctx context.Context, host seam.Host) error {
-			n := verge.New(verge.Options{Name: name, Addr: b.Addr, Zone: zone, Seeds: c.Seeds, Platform: "10.8.0.1:80", Host: host,
-				Ring: c.ring(name), Trace: func(e passage.Event) {
+			n := router.New(router.Options{Name: name, Addr: b.Addr, Zone: zone, Seeds: c.Seeds, Platform: "10.8.0.1:80", Host: host,
+				Ring: c.ring(name), Trace: func(e handoff.Event) {
 					c.Book.Step(name, e, b.Node.View().Sight().Version)
 					if c.Steps != nil {
 						c.Steps(e)
@@ -161,8 +161,8 @@
 			c.nodes.Store(n, name)
 			in, out := http.NewServeMux(), http.NewServeMux()
 			n.Mount(in)
-			door.Mount(out, n)
-			door.MountOperator(out, n)
+			api.Mount(out, n)
+			api.MountOperator(out, n)
 			cx, leave := context.WithCancel(ctx)
 			b.Leave = leave
 			c.wg.Go(func() { n.Run(cx, 3*time.Second) })
@@ -178,19 +178,19 @@
 func (c *Cluster) Stand(id ids.WorkerId, w fleetstate.Worker, ip string) *Box {
 	return &Box{Name: string(id), Kind: "worker", Zone: w.Zone, Addr: ip + ":90", Machine: c.World.Machine(ip),
 		begin: func(b *Box, ctx context.Context, host seam.Host) error {
-			opt := guise.WorkerOptions{Id: id, Addr: b.Addr, Part: w.Part, Room: w.Room, Block: w.Block, Host: host,
-				Model: rein.Model{Name: w.Model, Weights: w.Weights, Adapters: w.Adapters}}
+			opt := standin.WorkerOptions{Id: id, Addr: b.Addr, Part: w.Part, Room: w.Room, Block: w.Block, Host: host,
+				Model: workerclient.Model{Name: w.Model, Weights: w.Weights, Adapters: w.Adapters}}
 			// Slow enough that a breakdown finds work in flight.
 			opt.Step, opt.Read = 10*time.Millisecond, 80*time.Microsecond
 			if c.Tune != nil {
 				c.Tune(&opt)
 			}
-			k := guise.NewWorker(opt)
+			k := standin.NewWorker(opt)
 			k.Tell = c.Book.Worker
 			b.Worker = k
 			c.Book.Life(k)
 			c.wg.Go(func() { k.Run(ctx) })
-			c.Platform.List(rein.Listed{Id: id, Addr: b.Addr, Zone: w.Zone})
+			c.Platform.List(workerclient.Listed{Id: id, Addr: b.Addr, Zone: w.Zone})
 			return c.serve(ctx, host, b.Addr, k.Handler())
 		}}
 }
@@ -284,7 +284,7 @@
 	}
 	var err error
 	c.Until(10*time.Second, func() bool {
-		_, err = c.Apply(&door.Apply{Op: "first", Base: 0, Source: text})
+		_, err = c.Apply(&api.Apply{Op: "first", Base: 0, Source: text})
 		return err == nil
 	})
 	if err != nil {
@@ -304,14 +304,14 @@
 }
 
 // Apply asks the first door that answers.
-func (c *Cluster) Apply(a *door.Apply) (*door.Applied, error) {
-	got := &door.Applied{}
+func (c *Cluster) Apply(a *api.Apply) (*api.Applied, error) {
+	got := &api.Applied{}
 	return got, c.Operate("/v1/policy", a, got)
 }
 
 // Mark evacuates, drains, or takes that back.
 func (c *Cluster) Mark(path, op string, out bool) error {
-	return c.Operate(path, &door.Mark{Op: op, Out: out}, nil)
+	return c.Operate(path, &api.Mark{Op: op, Out: out}, nil)
 }
 
 // Operate asks the doors of the nodes that are up, as edict does.
@@ -322,25 +322,25 @@
 	}
 	cx, stop := context.WithTimeout(c.base, 8*time.Second)
 	defer stop()
-	return door.Put(cx, c.web, doors, http.MethodPost, path, in, out)
+	return api.Put(cx, c.web, doors, http.MethodPost, path, in, out)
 }
 
 // At asks one node's door.
 func (c *Cluster) At(b *Box, path string, in, out any) error {
 	cx, stop := context.WithTimeout(c.base, 6*time.Second)
 	defer stop()
-	return door.Put(cx, c.web, []string{b.Door}, http.MethodPost, path, in, out)
+	return api.Put(cx, c.web, []string{b.Door}, http.MethodPost, path, in, out)
 }
 
 // Load sends the site's mix for a span and waits for every answer.
-func (c *Cluster) Load(rate float64, span time.Duration, seed uint64) []guise.Outcome {
+func (c *Cluster) Load(rate float64, span time.Duration, seed uint64) []standin.Outcome {
 	return c.Mix(c.Site.Shapes, rate, span, seed)
 }
 
 // Mix sends another mix of shapes.
-func (c *Cluster) Mix(shapes []guise.Shape, rate float64, span time.Duration, seed uint64) []guise.Outcome {
-	return guise.Load(c.base, guise.LoadOptions{Host: c.out.Host(), Doors: c.Platform.Doors, Zones: c.Site.Zones, Shapes: shapes, Rate: rate, Span: span, Seed: seed,
-		Model: c.Site.Model, Weights: []string{guise.SiteWeights, "w2"}, Retries: 8})
+func (c *Cluster) Mix(shapes []standin.Shape, rate float64, span time.Duration, seed uint64) []standin.Outcome {
+	return standin.Load(c.base, standin.LoadOptions{Host: c.out.Host(), Doors: c.Platform.Doors, Zones: c.Site.Zones, Shapes: shapes, Rate: rate, Span: span, Seed: seed,
+		Model: c.Site.Model, Weights: []string{standin.SiteWeights, "w2"}, Retries: 8})
 }
 
 // Close ends the fleet and everything in it.
