--- a/proof/compare_test.go
+++ b/simulation/compare_test.go
@@ -1,6 +1,6 @@
 // The routing programs measured against each other.
 
-package proof
+package simulation
 
 import (
 	"fmt"
@@ -15,7 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"keelstair.example/fleetstate"
-	"keelstair.example/guise"
+	"keelstair.example/standin"
 	"keelstair.example/whim"
 )
 
@@ -39,7 +39,7 @@
 				t.Run(fmt.Sprintf("%s/%s/%d", name, prog, seed), func(t *testing.T) {
 					t.Parallel()
 					synctest.Test(t, func(t *testing.T) {
-						site := guise.Sites[name]
+						site := standin.Sites[name]
 						c := Build(seed, site, func(c *Cluster) {
 							if prog != whim.PlainName {
 								c.Programs = map[string]fleetstate.Program{prog: {Source: whim.Shipped(prog), Share: 100}}
@@ -53,7 +53,7 @@
 						for i := range shapes {
 							shapes[i].Stems = stems
 						}
-						sum := guise.Sum(c.Mix(shapes, rate, 12*time.Second, seed))
+						sum := standin.Sum(c.Mix(shapes, rate, 12*time.Second, seed))
 						warm, read := 0, 0
 						for _, b := range c.Of("worker") {
 							w, n := b.Worker.Hits()
--- a/proof/compose_test.go
+++ b/simulation/compose_test.go
@@ -2,7 +2,7 @@
 // as a seed says, within what is to be borne: one disk machine away for long at a
 // time, one zone at a time; any number of processes killed and started again.
 
-package proof
+package simulation
 
 import (
 	"errors"
@@ -11,9 +11,9 @@
 	"strings"
 	"time"
 
-	"keelstair.example/guise"
 	"keelstair.example/ids"
 	"keelstair.example/seam"
+	"keelstair.example/standin"
 )
 
 // act is one thing that happens. Acts of the same turn wait for one another.
@@ -183,29 +183,29 @@
 	}},
 	{"links slow, then a controller dies with memory in flight", "", func(c *Cluster, r *rand.Rand, _ string) error {
 		for _, b := range c.Of("worker") {
-			b.Worker.Order(guise.Faults{Speed: 60_000 + r.IntN(300_000)})
+			b.Worker.Order(standin.Faults{Speed: 60_000 + r.IntN(300_000)})
 		}
 		time.Sleep(span(r, 300, 1200))
 		err := cycle(c, hit(r, c.Of("verge")), span(r, 200, 2500), false)
 		for _, b := range c.Of("worker") {
-			b.Worker.Order(guise.Faults{})
+			b.Worker.Order(standin.Faults{})
 		}
 		return err
 	}},
 	{"memory lost or spoilt", "", func(c *Cluster, r *rand.Rand, _ string) error {
 		b := hit(r, c.Of("worker"))
-		b.Worker.Order(guise.Faults{Drop: r.IntN(2) == 0, Corrupt: true})
+		b.Worker.Order(standin.Faults{Drop: r.IntN(2) == 0, Corrupt: true})
 		time.Sleep(span(r, 500, 3000))
-		b.Worker.Order(guise.Faults{})
+		b.Worker.Order(standin.Faults{})
 		return nil
 	}},
 	{"reports lag", "", func(c *Cluster, r *rand.Rand, _ string) error {
 		for _, b := range c.Of("worker") {
-			b.Worker.Order(guise.Faults{LagMs: 450})
+			b.Worker.Order(standin.Faults{LagMs: 450})
 		}
 		time.Sleep(span(r, 1000, 4000))
 		for _, b := range c.Of("worker") {
-			b.Worker.Order(guise.Faults{})
+			b.Worker.Order(standin.Faults{})
 		}
 		return nil
 	}},
--- a/proof/crowd_test.go
+++ b/simulation/crowd_test.go
@@ -1,6 +1,6 @@
 // Crowds, and a fleet that has lost every seed it was started with.
 
-package proof
+package simulation
 
 import (
 	"testing"
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/door"
-	"keelstair.example/guise"
+	"keelstair.example/api"
+	"keelstair.example/standin"
 )
 
 // TestCrowd: far more callers than the fleet can carry come at once. Whoever is
@@ -18,13 +18,13 @@
 func TestCrowd(t *testing.T) {
 	unraced(t)
 	inBubble(t, "almaty", func(c *Cluster) {
-		c.Tune = func(o *guise.WorkerOptions) { o.Room = 220; o.Step = 20 * time.Millisecond }
+		c.Tune = func(o *standin.WorkerOptions) { o.Room = 220; o.Step = 20 * time.Millisecond }
 	}, func(t *testing.T, c *Cluster) {
 		before := c.Load(20, 2*time.Second, 1)
-		require.Equal(t, len(before), guise.Sum(before).Ends[door.Complete])
-		crowd := guise.Load(c.base, guise.LoadOptions{Host: c.out.Host(), Doors: c.Platform.Doors, Zones: c.Site.Zones, Shapes: c.Site.Shapes,
-			Rate: 700, Span: 3 * time.Second, Seed: 2, Model: c.Site.Model, Weights: []string{guise.SiteWeights}, Retries: 0})
-		sum := guise.Sum(crowd)
+		require.Equal(t, len(before), standin.Sum(before).Ends[api.Complete])
+		crowd := standin.Load(c.base, standin.LoadOptions{Host: c.out.Host(), Doors: c.Platform.Doors, Zones: c.Site.Zones, Shapes: c.Site.Shapes,
+			Rate: 700, Span: 3 * time.Second, Seed: 2, Model: c.Site.Model, Weights: []string{standin.SiteWeights}, Retries: 0})
+		sum := standin.Sum(crowd)
 		t.Logf("%+v", sum)
 		require.Empty(t, c.Book.Check(crowd))
 		require.Positive(t, sum.Ends["bounced"])
@@ -36,7 +36,7 @@
 		}
 		time.Sleep(3 * time.Second)
 		after := c.Load(20, 3*time.Second, 3)
-		require.Equal(t, len(after), guise.Sum(after).Ends[door.Complete], "%+v", guise.Sum(after))
+		require.Equal(t, len(after), standin.Sum(after).Ends[api.Complete], "%+v", standin.Sum(after))
 	})
 }
 
@@ -59,7 +59,7 @@
 		require.True(t, c.Until(6*time.Second, func() bool { ok, _ := late.Node.Ready(); return ok }))
 		require.NoError(t, change(c, "seedless", 2300))
 		all := c.Load(30, 4*time.Second, 9)
-		require.Equal(t, len(all), guise.Sum(all).Ends[door.Complete], "%+v", guise.Sum(all))
+		require.Equal(t, len(all), standin.Sum(all).Ends[api.Complete], "%+v", standin.Sum(all))
 		require.Empty(t, c.Book.Check(all))
 		require.Empty(t, c.laws())
 	})
@@ -71,7 +71,7 @@
 func TestCrowdReturns(t *testing.T) {
 	unraced(t)
 	inBubble(t, "almaty", func(c *Cluster) {
-		c.Tune = func(o *guise.WorkerOptions) { o.Room = 220; o.Step = 20 * time.Millisecond }
+		c.Tune = func(o *standin.WorkerOptions) { o.Room = 220; o.Step = 20 * time.Millisecond }
 	}, func(t *testing.T, c *Cluster) {
 		c.Load(20, 2*time.Second, 1)
 		all := c.Load(450, 3*time.Second, 2)
@@ -81,9 +81,9 @@
 			tries, most = tries+o.Tries, max(most, o.Tries)
 			last = max(last, o.At+o.Whole)
 		}
-		sum := guise.Sum(all)
+		sum := standin.Sum(all)
 		t.Logf("%d calls, %v, %d askings, at most %d by one, the last ended after %s; %+v", len(all), sum.Ends, tries, most, last, sum.Kinds)
 		require.Empty(t, c.Book.Check(all))
-		require.Greater(t, sum.Ends[door.Complete]*100, len(all)*90)
+		require.Greater(t, sum.Ends[api.Complete]*100, len(all)*90)
 	})
 }
--- a/proof/decree_test.go
+++ b/simulation/decree_test.go
@@ -2,7 +2,7 @@
 // configurations that were acknowledged or refused, and zones from the moment at
 // which their emptying was asked for.
 
-package proof
+package simulation
 
 import (
 	"encoding/json"
@@ -11,15 +11,15 @@
 	"net/http"
 	"time"
 
-	"keelstair.example/door"
+	"keelstair.example/api"
 	"keelstair.example/fleetstate"
 	"keelstair.example/ids"
 )
 
 // shown gives the newest that any node has in force, once nothing newer is on its way
 // there.
-func shown(c *Cluster) *door.Shown {
-	sh := &door.Shown{}
+func shown(c *Cluster) *api.Shown {
+	sh := &api.Shown{}
 	c.Until(3*time.Second, func() bool {
 		for _, b := range running(c, "verge") {
 			if s := b.Node.Show(); s.Version >= sh.Version {
@@ -32,7 +32,7 @@
 }
 
 // expected is the whole text that a partial one over what is shown comes to.
-func expected(sh *door.Shown, part string) (string, error) {
+func expected(sh *api.Shown, part string) (string, error) {
 	src, err := fleetstate.Source("part", []byte(part))
 	if err != nil {
 		return "", err
@@ -56,13 +56,13 @@
 		return err
 	}
 	begun := c.Book.Now()
-	var got *door.Applied
+	var got *api.Applied
 	c.Until(12*time.Second, func() bool {
-		got, err = c.Apply(&door.Apply{Op: op, Base: sh.Version, Partial: true, Source: part})
-		var r *door.Fault
+		got, err = c.Apply(&api.Apply{Op: op, Base: sh.Version, Partial: true, Source: part})
+		var r *api.Fault
 		return err == nil || errors.As(err, &r) && r.Code < 500
 	})
-	var r *door.Fault
+	var r *api.Fault
 	switch {
 	case err == nil:
 	case errors.As(err, &r) && r.Code == http.StatusConflict:
--- a/proof/deed_test.go
+++ b/simulation/deed_test.go
@@ -1,7 +1,7 @@
 // Rulings and verdicts: one key asked everywhere, and controllers that die at every
 // step of a hand-over.
 
-package proof
+package simulation
 
 import (
 	"sync"
@@ -10,22 +10,22 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/door"
-	"keelstair.example/guise"
-	"keelstair.example/verge"
+	"keelstair.example/api"
+	"keelstair.example/router"
+	"keelstair.example/standin"
 )
 
 func runsOf(c *Cluster, key string) (runs, records int) {
 	c.Book.mu.Lock()
 	defer c.Book.mu.Unlock()
 	for _, w := range c.Book.lives {
-		t := w.Tallies()[verge.Request(key)]
+		t := w.Tallies()[router.Request(key)]
 		runs, records = runs+t.Runs, records+t.Records
 	}
 	return runs, records
 }
 
-var verdict = door.Ask{Kind: "verdict", Key: "q1", Prompt: "was the binding resolution carried by the chairs present", MaxTokens: 3, Seed: 5}
+var verdict = api.Ask{Kind: "verdict", Key: "q1", Prompt: "was the binding resolution carried by the chairs present", MaxTokens: 3, Seed: 5}
 
 // TestSameKey: one key asked of every node at once, and again later, runs once
 // and gives one record; another body under the key is refused.
@@ -40,9 +40,9 @@
 				got, err := c.stream(b, verdict)
 				mu.Lock()
 				defer mu.Unlock()
-				if r, ok := err.(*door.Fault); ok && r.Name == "running" {
+				if r, ok := err.(*api.Fault); ok && r.Name == "running" {
 					running++
-				} else if err == nil && got[len(got)-1].End == door.Complete {
+				} else if err == nil && got[len(got)-1].End == api.Complete {
 					whole++
 				}
 			})
@@ -52,7 +52,7 @@
 		require.Positive(t, whole)
 		first, err := c.stream(c.Of("verge")[0], verdict)
 		require.NoError(t, err)
-		solo := guise.Solo(verdict.Tokens(), 3, 5, 0, c.Site.Model, guise.SiteWeights, nil)
+		solo := standin.Solo(verdict.Tokens(), 3, 5, 0, c.Site.Model, standin.SiteWeights, nil)
 		require.Len(t, first, len(solo)+1)
 		for i, tok := range solo {
 			require.Equal(t, tok, first[i].Token)
@@ -63,7 +63,7 @@
 		other := verdict
 		other.Seed++
 		_, err = c.stream(c.Of("verge")[1], other)
-		require.Equal(t, "key-reused", err.(*door.Fault).Name)
+		require.Equal(t, "key-reused", err.(*api.Fault).Name)
 	})
 }
 
@@ -91,12 +91,12 @@
 						continue
 					}
 					got, err := c.stream(o, ask)
-					if r, is := err.(*door.Fault); is {
+					if r, is := err.(*api.Fault); is {
 						last = r.Name
 					} else if err == nil && len(got) > 0 {
 						last = got[len(got)-1].End
 					}
-					return last == door.Complete || last == "not-run" || last == "may-have-run"
+					return last == api.Complete || last == "not-run" || last == "may-have-run"
 				}
 				return false
 			})
@@ -127,7 +127,7 @@
 		var w *Box
 		require.True(t, c.Until(3*time.Second, func() bool {
 			for _, o := range c.Of("worker") {
-				if o.Worker.Tallies()[verge.Request("verdict/q1")].Runs > 0 {
+				if o.Worker.Tallies()[router.Request("verdict/q1")].Runs > 0 {
 					w = o
 				}
 			}
@@ -139,7 +139,7 @@
 		var last string
 		require.True(t, c.Until(12*time.Second, func() bool {
 			_, err := c.stream(c.Of("verge")[0], ask)
-			if r, ok := err.(*door.Fault); ok {
+			if r, ok := err.(*api.Fault); ok {
 				last = r.Name
 			}
 			return last == "not-run" || last == "may-have-run"
--- a/proof/duties_test.go
+++ b/simulation/duties_test.go
@@ -1,7 +1,7 @@
 // Scripts of operators and of the platform while something else breaks: zones that
 // are emptied, workers that leave, machines that are stopped one by one.
 
-package proof
+package simulation
 
 import (
 	"errors"
@@ -12,16 +12,16 @@
 	"sync"
 	"time"
 
-	"keelstair.example/door"
+	"keelstair.example/api"
 	"keelstair.example/fleetstate"
 	"keelstair.example/ids"
-	"keelstair.example/verge"
+	"keelstair.example/router"
 )
 
 // holder is the node that holds the key of a worker.
 func holder(c *Cluster, id ids.WorkerId) *Box {
 	for _, b := range c.Of("verge") {
-		if b.Up && slices.Contains(b.Node.Status().(*verge.Standing).Holds, fleetstate.WorkerKey(id)) {
+		if b.Up && slices.Contains(b.Node.Status().(*router.Standing).Holds, fleetstate.WorkerKey(id)) {
 			return b
 		}
 	}
@@ -32,7 +32,7 @@
 func able(c *Cluster) *Box {
 	for _, b := range c.Of("verge") {
 		has := map[byte]bool{}
-		for _, k := range b.Node.Status().(*verge.Standing).Holds {
+		for _, k := range b.Node.Status().(*router.Standing).Holds {
 			if id, ok := strings.CutPrefix(string(k), "worker/"); ok {
 				has[id[0]] = true
 			}
@@ -49,7 +49,7 @@
 	for i := range 60 {
 		go func() {
 			time.Sleep(time.Duration(i) * 50 * time.Millisecond)
-			c.stream(b, door.Ask{Kind: c.Site.Shapes[1].Kind, Prompt: fmt.Sprint("is it still so ", i), MaxTokens: 2})
+			c.stream(b, api.Ask{Kind: c.Site.Shapes[1].Kind, Prompt: fmt.Sprint("is it still so ", i), MaxTokens: 2})
 		}()
 	}
 }
@@ -94,14 +94,14 @@
 		}
 		sh := shown(c)
 		b := hit(r, c.Of("verge"))
-		bad := &door.Apply{Op: fmt.Sprint("bad-", n), Base: sh.Version, Partial: true, Source: `{"workers":{"p1":{"room":0}}}`}
+		bad := &api.Apply{Op: fmt.Sprint("bad-", n), Base: sh.Version, Partial: true, Source: `{"workers":{"p1":{"room":0}}}`}
 		if err := c.At(b, "/v1/policy", bad, nil); err == nil {
 			return fmt.Errorf("round %d: a bad part was taken", n)
 		}
 		if err := alter(c, fmt.Sprint("grow-", n), partOf(map[string]any{"kinds": kinds, "workers": workers})); err != nil {
 			return err
 		}
-		late := &door.Apply{Op: fmt.Sprint("late-", n), Base: sh.Version, Partial: true, Source: `{"limits":{"queue":3}}`}
+		late := &api.Apply{Op: fmt.Sprint("late-", n), Base: sh.Version, Partial: true, Source: `{"limits":{"queue":3}}`}
 		if err := c.At(hit(r, c.Of("verge")), "/v1/policy", late, nil); err == nil {
 			return fmt.Errorf("round %d: a part over an old version was taken", n)
 		}
@@ -159,7 +159,7 @@
 		c.Book.Mark("leave", w.Name)
 		// The platform hands nobody to this door now; who knows it still comes.
 		for i := range 40 {
-			c.stream(b, door.Ask{Kind: c.Site.Shapes[1].Kind, Prompt: fmt.Sprint("who still comes here ", i), MaxTokens: 4})
+			c.stream(b, api.Ask{Kind: c.Site.Shapes[1].Kind, Prompt: fmt.Sprint("who still comes here ", i), MaxTokens: 4})
 			time.Sleep(100 * time.Millisecond)
 		}
 		c.World.Sever(ips(b), []string{"10.8.0.1"}, false)
--- a/proof/freight_test.go
+++ b/simulation/freight_test.go
@@ -1,6 +1,6 @@
 // What the memory's way over the network costs the first piece.
 
-package proof
+package simulation
 
 import (
 	"fmt"
@@ -13,10 +13,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/guise"
+	"keelstair.example/handoff"
 	"keelstair.example/ids"
-	"keelstair.example/passage"
-	"keelstair.example/rein"
+	"keelstair.example/standin"
+	"keelstair.example/workerclient"
 )
 
 // TestFreight measures, with the size that the design names (256 MiB for 2048 tokens)
@@ -33,18 +33,18 @@
 		t.Run(link.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				var mu sync.Mutex
-				begun := map[rein.Id]ids.Tick{}
-				took := map[string]map[passage.Stage][]time.Duration{"claimed": {}, "other": {}}
-				c := Build(3, guise.Sites["vatuloa"], func(c *Cluster) {
-					c.Tune = func(o *guise.WorkerOptions) { o.Weight, o.Speed = 128<<10, link.speed }
-					c.Steps = func(e passage.Event) {
+				begun := map[workerclient.Id]ids.Tick{}
+				took := map[string]map[handoff.Stage][]time.Duration{"claimed": {}, "other": {}}
+				c := Build(3, standin.Sites["vatuloa"], func(c *Cluster) {
+					c.Tune = func(o *standin.WorkerOptions) { o.Weight, o.Speed = 128<<10, link.speed }
+					c.Steps = func(e handoff.Event) {
 						mu.Lock()
 						defer mu.Unlock()
 						kind := "other"
 						if strings.HasPrefix(e.Id.Request, "k-") {
 							kind = "claimed"
 						}
-						if e.Stage == passage.Granted {
+						if e.Stage == handoff.Granted {
 							begun[e.Id] = e.At
 						} else if at, ok := begun[e.Id]; ok {
 							took[kind][e.Stage] = append(took[kind][e.Stage], e.At.Since(at))
@@ -54,13 +54,13 @@
 				defer c.Close()
 				require.NoError(t, c.Found())
 				all := c.Load(20, 12*time.Second, 3)
-				sum := guise.Sum(all)
+				sum := standin.Sum(all)
 				require.Equal(t, len(all), sum.Ends["complete"], "%+v", sum)
 				mu.Lock()
 				defer mu.Unlock()
 				for kind, stages := range took {
-					for _, s := range []passage.Stage{passage.Prefilled, passage.Imported, passage.Resumed} {
-						fmt.Printf("| %s | %s | %s | %.0f / %.0f |\n", link.name, kind, s, guise.Quantile(stages[s], 0.5), guise.Quantile(stages[s], 0.99))
+					for _, s := range []handoff.Stage{handoff.Prefilled, handoff.Imported, handoff.Resumed} {
+						fmt.Printf("| %s | %s | %s | %.0f / %.0f |\n", link.name, kind, s, standin.Quantile(stages[s], 0.5), standin.Quantile(stages[s], 0.99))
 					}
 				}
 			})
--- a/proof/govern_test.go
+++ b/simulation/govern_test.go
@@ -1,6 +1,6 @@
 // The single mechanisms that hold governed work to its regime, each by itself.
 
-package proof
+package simulation
 
 import (
 	"encoding/json"
@@ -12,15 +12,15 @@
 
 	"github.com/stretchr/testify/require"
 
+	"keelstair.example/api"
+	"keelstair.example/certification"
 	"keelstair.example/coordination"
-	"keelstair.example/door"
 	"keelstair.example/fleetstate"
-	"keelstair.example/guise"
+	"keelstair.example/handoff"
 	"keelstair.example/ids"
-	"keelstair.example/passage"
+	"keelstair.example/router"
 	"keelstair.example/rpc"
-	"keelstair.example/verge"
-	"keelstair.example/writ"
+	"keelstair.example/standin"
 )
 
 // TestHolderChecks: a holder gives no governed order to an uncertified worker, and lets
@@ -31,7 +31,7 @@
 			require.True(t, c.Until(5*time.Second, func() bool { return slices.Contains(holds(holder(c, w)), ids.Key("worker/"+w)) }))
 		}
 		time.Sleep(2 * time.Second) // ledgers are open by then
-		ask := func(q verge.OrderAsk) error {
+		ask := func(q router.OrderAsk) error {
 			q.Request, q.Attempt, q.Regime = "x", 1, "chair"
 			q.Version = c.Of("verge")[0].Node.View().Sight().Version
 			if q.Body == nil {
@@ -39,20 +39,20 @@
 			}
 			call := rpc.NewCaller(c.out.Host().Net)
 			defer call.Close()
-			_, err := rpc.Call[verge.OrderAsk, verge.OrderReply](c.base, call, holder(c, q.Worker).Addr, "verge/order", &q)
+			_, err := rpc.Call[router.OrderAsk, router.OrderReply](c.base, call, holder(c, q.Worker).Addr, "verge/order", &q)
 			return err
 		}
 		for _, verb := range []string{"reserve", "prefill", "export"} {
-			require.ErrorContains(t, ask(verge.OrderAsk{Worker: "p4", Verb: verb, Part: ids.Prefill, Need: 1}), "no certificate", verb)
+			require.ErrorContains(t, ask(router.OrderAsk{Worker: "p4", Verb: verb, Part: ids.Prefill, Need: 1}), "no certificate", verb)
 		}
 		for _, verb := range []string{"import", "resume"} {
-			require.ErrorContains(t, ask(verge.OrderAsk{Worker: "d4", Verb: verb, Part: ids.Decode, Source: "p1"}), "no certificate", verb)
+			require.ErrorContains(t, ask(router.OrderAsk{Worker: "d4", Verb: verb, Part: ids.Decode, Source: "p1"}), "no certificate", verb)
 		}
-		require.ErrorContains(t, ask(verge.OrderAsk{Worker: "d1", Verb: "import", Part: ids.Decode, Source: "p4"}), "worker p4", "its source")
-		require.ErrorContains(t, ask(verge.OrderAsk{Worker: "d1", Verb: "reserve", Part: ids.Prefill, Need: 1}), "no certificate", "another part")
-		require.NoError(t, ask(verge.OrderAsk{Worker: "d1", Verb: "reserve", Part: ids.Decode, Need: 1}))
-		require.NoError(t, ask(verge.OrderAsk{Worker: "p4", Verb: "done"}))
-		require.NoError(t, ask(verge.OrderAsk{Worker: "p4", Verb: "cancel"}))
+		require.ErrorContains(t, ask(router.OrderAsk{Worker: "d1", Verb: "import", Part: ids.Decode, Source: "p4"}), "worker p4", "its source")
+		require.ErrorContains(t, ask(router.OrderAsk{Worker: "d1", Verb: "reserve", Part: ids.Prefill, Need: 1}), "no certificate", "another part")
+		require.NoError(t, ask(router.OrderAsk{Worker: "d1", Verb: "reserve", Part: ids.Decode, Need: 1}))
+		require.NoError(t, ask(router.OrderAsk{Worker: "p4", Verb: "done"}))
+		require.NoError(t, ask(router.OrderAsk{Worker: "p4", Verb: "cancel"}))
 	})
 }
 
@@ -66,22 +66,22 @@
 		for i := range ask.PromptIds {
 			ask.PromptIds[i] = int32(i%4000) + 1
 		}
-		done := make(chan []door.Line, 1)
+		done := make(chan []api.Line, 1)
 		go func() {
 			got, _ := c.stream(node(c, "verge-1"), ask)
 			done <- got
 		}()
-		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(passage.Granted)) == 1 }))
-		at := b.serves(passage.Granted)[0]
+		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(handoff.Granted)) == 1 }))
+		at := b.serves(handoff.Granted)[0]
 		time.Sleep(100 * time.Millisecond)
 		require.NoError(t, b.Revoke("c-"+at))
 		acked := c.Book.Now()
-		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(passage.Dropped)) >= 1 }))
+		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(handoff.Dropped)) >= 1 }))
 		require.Less(t, c.Book.Now()-acked, 300*time.Millisecond)
-		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(passage.Granted)) >= 2 }))
-		require.NotEqual(t, at, b.serves(passage.Granted)[1])
+		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(handoff.Granted)) >= 2 }))
+		require.NotEqual(t, at, b.serves(handoff.Granted)[1])
 		got := <-done
-		require.Equal(t, door.Complete, got[len(got)-1].End)
+		require.Equal(t, api.Complete, got[len(got)-1].End)
 		require.Empty(t, b.Check(nil))
 	})
 }
@@ -91,20 +91,20 @@
 func TestNextPiece(t *testing.T) {
 	inChamber(t, (*Bureau).usual, func(t *testing.T, c *Cluster, b *Bureau) {
 		ask, n := long(speech), node(c, "verge-1")
-		done := make(chan []door.Line, 1)
+		done := make(chan []api.Line, 1)
 		go func() {
 			got, _ := c.stream(n, ask)
 			done <- got
 		}()
-		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(passage.Resumed)) == 1 }))
-		at := b.serves(passage.Resumed)[0]
+		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(handoff.Resumed)) == 1 }))
+		at := b.serves(handoff.Resumed)[0]
 		time.Sleep(30 * time.Millisecond)
 		go b.Revoke("c-" + at)
 		for !seen(n, "c-"+at) {
 			time.Sleep(time.Millisecond)
 		}
 		folded := time.Now()
-		require.True(t, c.Until(time.Second, func() bool { return len(b.serves(passage.Dropped)) >= 1 }))
+		require.True(t, c.Until(time.Second, func() bool { return len(b.serves(handoff.Dropped)) >= 1 }))
 		require.Less(t, time.Since(folded), 45*time.Millisecond, "a step of the worker takes ten")
 		whole(t, c, ask, <-done)
 	})
@@ -121,8 +121,8 @@
 	unraced(t)
 	inBubble(t, "almaty", nil, func(t *testing.T, c *Cluster) {
 		all := c.Load(20, 4*time.Second, 1)
-		require.Equal(t, len(all), guise.Sum(all).Ends[door.Complete])
-		st := c.Of("verge")[0].Node.Status().(*verge.Standing)
+		require.Equal(t, len(all), standin.Sum(all).Ends[api.Complete])
+		st := c.Of("verge")[0].Node.Status().(*router.Standing)
 		require.Zero(t, st.Time)
 		got, err := c.Of("verge")[0].Node.Audits(c.base, 1, 10)
 		require.NoError(t, err)
@@ -155,9 +155,9 @@
 			ask.Seed = uint64(i)
 			got, err := c.stream(node(c, "verge-1"), ask)
 			require.NoError(t, err)
-			require.Equal(t, door.Complete, got[len(got)-1].End)
+			require.Equal(t, api.Complete, got[len(got)-1].End)
 		}
-		score := node(c, "verge-1").Node.Status().(*verge.Standing).Programs["spy"]
+		score := node(c, "verge-1").Node.Status().(*router.Standing).Programs["spy"]
 		require.GreaterOrEqual(t, score["picks"], int64(20), "%v", score)
 		require.Zero(t, score["fallbacks"], "%v", score)
 	})
@@ -176,20 +176,20 @@
 		for i := range ask.PromptIds {
 			ask.PromptIds[i] = int32(i) + 1
 		}
-		done := make(chan []door.Line, 1)
+		done := make(chan []api.Line, 1)
 		go func() {
 			got, _ := c.stream(node(c, "verge-1"), ask)
 			done <- got
 		}()
-		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(passage.Imported)) == 1 }))
-		from := b.serves(passage.Granted)[0]
+		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(handoff.Imported)) == 1 }))
+		from := b.serves(handoff.Granted)[0]
 		require.NoError(t, b.Revoke("c-"+from))
 		acked := c.Book.Now()
-		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(passage.Dropped)) >= 1 }))
+		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(handoff.Dropped)) >= 1 }))
 		require.Less(t, c.Book.Now()-acked, 300*time.Millisecond)
-		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(passage.Granted)) >= 2 }))
+		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(handoff.Granted)) >= 2 }))
 		got := <-done
-		require.Equal(t, door.Complete, got[len(got)-1].End)
+		require.Equal(t, api.Complete, got[len(got)-1].End)
 		require.Empty(t, b.Check(nil))
 		c.Book.mu.Lock()
 		defer c.Book.mu.Unlock()
@@ -206,7 +206,7 @@
 // slow has all workers send memory at so many bytes a second.
 func (c *Cluster) slow(speed int) {
 	for _, b := range c.Of("worker") {
-		b.Worker.Order(guise.Faults{Speed: speed})
+		b.Worker.Order(standin.Faults{Speed: speed})
 	}
 }
 
@@ -221,25 +221,25 @@
 			b.keep = keep
 			c := Build(1, chamber, func(c *Cluster) {
 				b.tune(c)
-				c.Tune = func(o *guise.WorkerOptions) { o.Room, o.Step, o.Stage = 220, 20*time.Millisecond, 2*time.Second }
+				c.Tune = func(o *standin.WorkerOptions) { o.Room, o.Step, o.Stage = 220, 20*time.Millisecond, 2*time.Second }
 			})
 			defer c.Close()
 			require.NoError(t, c.Found())
 			b.usual()
 			require.NoError(t, b.Open())
-			load := func(sh guise.Shape, rate float64, seed uint64) []guise.Outcome {
+			load := func(sh standin.Shape, rate float64, seed uint64) []standin.Outcome {
 				sh.Share = 100
-				return guise.Load(c.base, guise.LoadOptions{Host: c.out.Host(), Doors: c.Platform.Doors, Zones: c.Site.Zones, Shapes: []guise.Shape{sh},
-					Rate: rate, Span: 4 * time.Second, Seed: seed, Model: c.Site.Model, Weights: []string{guise.SiteWeights}})
+				return standin.Load(c.base, standin.LoadOptions{Host: c.out.Host(), Doors: c.Platform.Doors, Zones: c.Site.Zones, Shapes: []standin.Shape{sh},
+					Rate: rate, Span: 4 * time.Second, Seed: seed, Model: c.Site.Model, Weights: []string{standin.SiteWeights}})
 			}
-			other := make(chan []guise.Outcome, 1)
+			other := make(chan []standin.Outcome, 1)
 			go func() { other <- load(chamber.Shapes[2], 500, 2) }()
 			all := load(chamber.Shapes[0], 15, 3)
-			crowd := guise.Sum(<-other)
+			crowd := standin.Sum(<-other)
 			require.Positive(t, crowd.Ends["bounced"], "it is a crowd")
-			require.Positive(t, crowd.Ends[door.Complete])
+			require.Positive(t, crowd.Ends[api.Complete])
 			require.Empty(t, b.Check(all))
-			served[keep] = float64(guise.Sum(all).Ends[door.Complete]) / float64(len(all))
+			served[keep] = float64(standin.Sum(all).Ends[api.Complete]) / float64(len(all))
 		})
 	}
 	t.Logf("share of governed calls served at once: %v", served)
@@ -257,18 +257,18 @@
 		defer c.Close()
 		require.NoError(t, c.Found())
 		b.usual()
-		for says, spoil := range map[string]func(*writ.Certificate){
-			"regimes.json:1:": func(one *writ.Certificate) { one.Worker = "p4" },
-			"another subject": func(one *writ.Certificate) { one.Worker = "p4" },
-			"it has expired": func(one *writ.Certificate) {
-				*one = b.sign("c-p1", writ.Certificate{Worker: "p1", Parts: one.Parts}, -time.Minute)
+		for says, spoil := range map[string]func(*certification.Certificate){
+			"regimes.json:1:": func(one *certification.Certificate) { one.Worker = "p4" },
+			"another subject": func(one *certification.Certificate) { one.Worker = "p4" },
+			"it has expired": func(one *certification.Certificate) {
+				*one = b.sign("c-p1", certification.Certificate{Worker: "p1", Parts: one.Parts}, -time.Minute)
 			},
 		} {
 			good := b.certs["c-p1"]
 			one := good
 			spoil(&one)
 			b.certs["c-p1"] = one
-			err := c.Operate("/v1/policy", &door.Apply{Op: coordination.Name(), Base: shown(c).Version, Partial: true, Name: "regimes.json", Source: b.part()}, nil)
+			err := c.Operate("/v1/policy", &api.Apply{Op: coordination.Name(), Base: shown(c).Version, Partial: true, Name: "regimes.json", Source: b.part()}, nil)
 			n, name, detail := code(t, err)
 			require.Equal(t, http.StatusBadRequest, n, detail)
 			require.Equal(t, "bad", name)
@@ -277,7 +277,7 @@
 			b.certs["c-p1"] = good
 		}
 		require.Empty(t, c.Of("verge")[0].Node.Regimes().Regimes)
-		n, _, _ := code(t, c.Operate("/v1/certificates/c-p1", &door.Mark{Op: "x", Out: true}, nil))
+		n, _, _ := code(t, c.Operate("/v1/certificates/c-p1", &api.Mark{Op: "x", Out: true}, nil))
 		require.Equal(t, http.StatusNotFound, n)
 		require.NoError(t, b.Open())
 	})
@@ -290,7 +290,7 @@
 	defer call.Close()
 	spend := func() bool {
 		for _, b := range c.Of("verge") {
-			if r, err := rpc.Call[coordination.Empty, verge.Spent](c.base, call, b.Addr, "verge/spend", &coordination.Empty{}); err == nil && r.Ok {
+			if r, err := rpc.Call[coordination.Empty, router.Spent](c.base, call, b.Addr, "verge/spend", &coordination.Empty{}); err == nil && r.Ok {
 				return true
 			}
 		}
--- a/proof/machines_test.go
+++ b/simulation/machines_test.go
@@ -2,7 +2,7 @@
 // seed picks whom a script strikes. This file holds those of machines, disks
 // and the core; others_test.go those of links, clocks, workers and operators.
 
-package proof
+package simulation
 
 import (
 	"fmt"
--- a/proof/others_test.go
+++ b/simulation/others_test.go
@@ -1,6 +1,6 @@
 // Scripts of links, clocks, workers and operators.
 
-package proof
+package simulation
 
 import (
 	"fmt"
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"keelstair.example/door"
-	"keelstair.example/guise"
+	"keelstair.example/api"
 	"keelstair.example/ids"
+	"keelstair.example/standin"
 )
 
 func ips(list ...*Box) []string {
@@ -106,9 +106,9 @@
 				time.Sleep(4 * time.Second)
 				b.Machine.Freeze(false)
 			} else {
-				b.Worker.Order(guise.Faults{Dark: true})
+				b.Worker.Order(standin.Faults{Dark: true})
 				time.Sleep(4 * time.Second)
-				b.Worker.Order(guise.Faults{})
+				b.Worker.Order(standin.Faults{})
 			}
 		}
 		return nil
@@ -117,7 +117,7 @@
 		pause(r)
 		for _, b := range c.Of("worker") {
 			if r.IntN(2) == 0 {
-				b.Worker.Order(guise.Faults{Speed: 100_000 + r.IntN(400_000)})
+				b.Worker.Order(standin.Faults{Speed: 100_000 + r.IntN(400_000)})
 			}
 		}
 		time.Sleep(time.Second)
@@ -125,34 +125,34 @@
 		c.Kill(b)
 		time.Sleep(3 * time.Second)
 		for _, o := range c.Of("worker") {
-			o.Worker.Order(guise.Faults{})
+			o.Worker.Order(standin.Faults{})
 		}
 		return c.Start(b)
 	}},
 	{Name: "memory-lost-or-spoilt", Run: func(c *Cluster, r *rand.Rand) error {
 		for _, b := range c.Of("worker")[:3] {
-			b.Worker.Order(guise.Faults{Drop: r.IntN(2) == 0, Corrupt: true})
+			b.Worker.Order(standin.Faults{Drop: r.IntN(2) == 0, Corrupt: true})
 		}
 		time.Sleep(3 * time.Second)
 		for _, b := range c.Of("worker")[:3] {
-			b.Worker.Order(guise.Faults{})
+			b.Worker.Order(standin.Faults{})
 		}
 		return nil
 	}},
 	{Name: "worker-speaks-garbage", Run: func(c *Cluster, r *rand.Rand) error {
 		b := hit(r, c.Of("worker"))
-		b.Worker.Order(guise.Faults{Garbage: true})
+		b.Worker.Order(standin.Faults{Garbage: true})
 		time.Sleep(3 * time.Second)
-		b.Worker.Order(guise.Faults{})
+		b.Worker.Order(standin.Faults{})
 		return nil
 	}},
 	{Name: "reports-lag", Run: func(c *Cluster, r *rand.Rand) error {
 		for _, b := range c.Of("worker") {
-			b.Worker.Order(guise.Faults{LagMs: 450})
+			b.Worker.Order(standin.Faults{LagMs: 450})
 		}
 		time.Sleep(5 * time.Second)
 		return nil
-	}, Tune: func(c *Cluster) { c.Tune = func(o *guise.WorkerOptions) { o.Room = 140 } }},
+	}, Tune: func(c *Cluster) { c.Tune = func(o *standin.WorkerOptions) { o.Room = 140 } }},
 	{Name: "workers-leave", Run: func(c *Cluster, r *rand.Rand) error {
 		for _, id := range []string{"p1", "d1"} {
 			pause(r)
@@ -181,9 +181,9 @@
 				wg.Go(func() {
 					part := fmt.Sprintf(`{"limits":{"retryAfterMs":%d}}`, 3000+10*n+k)
 					text, _ := expected(sh, part)
-					got := &door.Applied{}
+					got := &api.Applied{}
 					b := c.Of("verge")[k]
-					err := c.At(b, "/v1/policy", &door.Apply{Op: fmt.Sprintf("race-%d-%d", n, k), Base: sh.Version, Partial: true, Source: part}, got)
+					err := c.At(b, "/v1/policy", &api.Apply{Op: fmt.Sprintf("race-%d-%d", n, k), Base: sh.Version, Partial: true, Source: part}, got)
 					if err != nil {
 						c.Book.Refuse(text)
 						return
--- a/proof/plain_test.go
+++ b/simulation/plain_test.go
@@ -1,6 +1,6 @@
 // A day on which nothing breaks.
 
-package proof
+package simulation
 
 import (
 	"testing"
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/guise"
+	"keelstair.example/standin"
 )
 
 // TestTenthSecond: callers come in the tenth second after the machines were started,
@@ -19,7 +19,7 @@
 	unraced(t)
 	synctest.Test(t, func(t *testing.T) {
 		begun := time.Now()
-		c := Build(7, guise.Sites["vatuloa"], nil)
+		c := Build(7, standin.Sites["vatuloa"], nil)
 		defer c.Close()
 		for _, b := range c.Of("tenet") {
 			b.Machine.Disk(60 * time.Millisecond)
@@ -38,7 +38,7 @@
 		require.Less(t, time.Since(begun), 10*time.Second)
 		time.Sleep(10*time.Second - time.Since(begun))
 		all := c.Load(40, 5*time.Second, 7)
-		sum := guise.Sum(all)
+		sum := standin.Sum(all)
 		require.Equal(t, len(all), sum.Ends["complete"], "%+v", sum)
 		for _, o := range all {
 			require.Equal(t, 1, o.Tries, "nobody is sent away")
@@ -51,14 +51,14 @@
 // both sites.
 func TestPlainDay(t *testing.T) {
 	unraced(t)
-	for name, site := range guise.Sites {
+	for name, site := range standin.Sites {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := Build(1, site, nil)
 				defer c.Close()
 				require.NoError(t, c.Found())
 				all := c.Load(20, 10*time.Second, 1)
-				sum := guise.Sum(all)
+				sum := standin.Sum(all)
 				require.Equal(t, len(all), sum.Ends["complete"], "%+v", sum)
 				require.Empty(t, c.Book.Check(all))
 				t.Logf("%+v", sum)
--- a/proof/price_test.go
+++ b/simulation/price_test.go
@@ -1,7 +1,7 @@
 // What regimes cost, on simulated time: first pieces with and without, and how long
 // revocations take. Run by make compare.
 
-package proof
+package simulation
 
 import (
 	"fmt"
@@ -12,10 +12,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/door"
-	"keelstair.example/guise"
+	"keelstair.example/api"
+	"keelstair.example/certification"
 	"keelstair.example/ids"
-	"keelstair.example/writ"
+	"keelstair.example/standin"
 )
 
 func measured(t *testing.T) {
@@ -46,8 +46,8 @@
 				}
 				time.Sleep(5 * time.Second)
 				all := c.Load(30, 30*time.Second, 4)
-				sum := guise.Sum(all)
-				require.Equal(t, len(all), sum.Ends[door.Complete])
+				sum := standin.Sum(all)
+				require.Equal(t, len(all), sum.Ends[api.Complete])
 				for _, sh := range chamber.Shapes {
 					k := sum.Kinds[sh.Kind]
 					fmt.Printf("| first piece, ms | %s | %s | %.1f / %.1f | %d |\n", way, sh.Kind, k.FirstP50, k.FirstP99, k.Complete)
@@ -74,7 +74,7 @@
 				require.NoError(t, c.Found())
 				b.usual()
 				for i := range n {
-					b.sign(fmt.Sprint("x", i), writ.Certificate{Worker: "d3", Parts: []ids.Part{ids.Decode}}, 24*time.Hour)
+					b.sign(fmt.Sprint("x", i), certification.Certificate{Worker: "d3", Parts: []ids.Part{ids.Decode}}, 24*time.Hour)
 				}
 				require.NoError(t, b.Open())
 				for i := range n {
@@ -95,7 +95,7 @@
 					require.NoError(t, c.Start(lead))
 					time.Sleep(4*time.Second + time.Duration(i)*7*time.Millisecond)
 				}
-				fmt.Printf("| revocation, ms | %s | %d | %.0f / %.0f / %.0f |\n", way, n, guise.Quantile(b.revoke, 0.5), guise.Quantile(b.revoke, 0.95), guise.Quantile(b.revoke, 1))
+				fmt.Printf("| revocation, ms | %s | %d | %.0f / %.0f / %.0f |\n", way, n, standin.Quantile(b.revoke, 0.5), standin.Quantile(b.revoke, 0.95), standin.Quantile(b.revoke, 1))
 			})
 		})
 	}
--- a/proof/program_test.go
+++ b/simulation/program_test.go
@@ -1,6 +1,6 @@
 // Programs swapped under load, and weight versions rolled out.
 
-package proof
+package simulation
 
 import (
 	"encoding/json"
@@ -10,11 +10,11 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/door"
+	"keelstair.example/api"
 	"keelstair.example/fleetstate"
-	"keelstair.example/guise"
 	"keelstair.example/ids"
-	"keelstair.example/verge"
+	"keelstair.example/router"
+	"keelstair.example/standin"
 	"keelstair.example/whim"
 )
 
@@ -42,7 +42,7 @@
 		go func() {
 			for i, text := range rounds {
 				time.Sleep(1500 * time.Millisecond)
-				if _, err := c.Apply(&door.Apply{Op: fmt.Sprint("swap", i), Base: uint64(i + 1), Partial: true, Source: text}); err != nil {
+				if _, err := c.Apply(&api.Apply{Op: fmt.Sprint("swap", i), Base: uint64(i + 1), Partial: true, Source: text}); err != nil {
 					done <- fmt.Errorf("round %d: %w", i, err)
 					return
 				}
@@ -51,12 +51,12 @@
 		}()
 		all := c.Load(50, 9*time.Second, 3)
 		require.NoError(t, <-done)
-		sum := guise.Sum(all)
+		sum := standin.Sum(all)
 		require.Equal(t, len(all), sum.Ends["complete"], "%+v", sum)
 		require.Empty(t, c.Book.Check(all))
 		picks, falls := map[string]int64{}, map[string]int64{}
 		for _, b := range c.Of("verge") {
-			for name, p := range b.Node.Status().(*verge.Standing).Programs {
+			for name, p := range b.Node.Status().(*router.Standing).Programs {
 				picks[name] += p["picks"].(int64)
 				falls[name] += p["fallbacks"].(int64)
 			}
@@ -74,7 +74,7 @@
 func TestRollOut(t *testing.T) {
 	unraced(t)
 	inBubble(t, "almaty", nil, func(t *testing.T, c *Cluster) {
-		site := guise.Sites["almaty"]
+		site := standin.Sites["almaty"]
 		news := map[string]any{}
 		for i, part := range []int{0, 4, 1, 5} {
 			w := site.Worker(part)
@@ -89,7 +89,7 @@
 		done := make(chan error, 1)
 		go func() {
 			time.Sleep(2 * time.Second)
-			_, err := c.Apply(&door.Apply{Op: "add", Base: 1, Partial: true, Source: string(add)})
+			_, err := c.Apply(&api.Apply{Op: "add", Base: 1, Partial: true, Source: string(add)})
 			time.Sleep(3 * time.Second)
 			for _, id := range site.Names() {
 				if err == nil {
@@ -100,11 +100,11 @@
 		}()
 		all := c.Load(40, 10*time.Second, 3)
 		require.NoError(t, <-done)
-		sum := guise.Sum(all)
+		sum := standin.Sum(all)
 		require.Equal(t, len(all), sum.Ends["complete"], "%+v", sum)
 		require.Empty(t, c.Book.Check(all))
 		late := c.Load(40, 3*time.Second, 4)
-		require.Equal(t, len(late), guise.Sum(late).Ends["complete"])
+		require.Equal(t, len(late), standin.Sum(late).Ends["complete"])
 		runs := 0
 		for _, b := range c.Of("worker") {
 			if b.Name[0] == 'n' {
--- a/relay/raced_test.go
+++ b/simulation/raced_test.go
@@ -1,5 +1,5 @@
 //go:build race
 
-package relay
+package simulation
 
 const raced = true
--- a/proof/regime_test.go
+++ b/simulation/regime_test.go
@@ -1,7 +1,7 @@
 // Certified nodes: governed work stays on them as they are revoked, expire, drain, fail
 // and join.
 
-package proof
+package simulation
 
 import (
 	"encoding/json"
@@ -12,13 +12,13 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/door"
+	"keelstair.example/api"
+	"keelstair.example/certification"
 	"keelstair.example/fleetstate"
-	"keelstair.example/guise"
+	"keelstair.example/handoff"
 	"keelstair.example/ids"
-	"keelstair.example/passage"
-	"keelstair.example/verge"
-	"keelstair.example/writ"
+	"keelstair.example/router"
+	"keelstair.example/standin"
 )
 
 // inChamber runs a fleet with a regime in force.
@@ -40,26 +40,26 @@
 	return list[slices.IndexFunc(list, func(b *Box) bool { return b.Name == name })]
 }
 
-var speech = door.Ask{Kind: "speech", Prompt: "the chair gives the floor to the delegate of the fourth row", MaxTokens: 60, Seed: 9}
+var speech = api.Ask{Kind: "speech", Prompt: "the chair gives the floor to the delegate of the fourth row", MaxTokens: 60, Seed: 9}
 
 // long gives an asking whose answer has fifty tokens or more.
-func long(ask door.Ask) door.Ask {
+func long(ask api.Ask) api.Ask {
 	ask.MaxTokens = 64
-	for len(guise.Solo(ask.Tokens(), ask.MaxTokens, ask.Seed, 0, chamber.Model, guise.SiteWeights, nil)) < 50 {
+	for len(standin.Solo(ask.Tokens(), ask.MaxTokens, ask.Seed, 0, chamber.Model, standin.SiteWeights, nil)) < 50 {
 		ask.Seed++
 	}
 	return ask
 }
 
 // whole checks a stream against a run that never moved.
-func whole(t *testing.T, c *Cluster, ask door.Ask, got []door.Line) {
+func whole(t *testing.T, c *Cluster, ask api.Ask, got []api.Line) {
 	t.Helper()
-	solo := guise.Solo(ask.Tokens(), ask.MaxTokens, ask.Seed, 0, c.Site.Model, guise.SiteWeights, nil)
+	solo := standin.Solo(ask.Tokens(), ask.MaxTokens, ask.Seed, 0, c.Site.Model, standin.SiteWeights, nil)
 	require.Len(t, got, len(solo)+1, "%+v", got[len(got)-1].Error)
 	for i, tok := range solo {
 		require.Equal(t, tok, got[i].Token)
 	}
-	require.Equal(t, door.Complete, got[len(solo)].End)
+	require.Equal(t, api.Complete, got[len(solo)].End)
 }
 
 // TestCertified: under a mixed load governed work is handled on certified nodes alone,
@@ -69,10 +69,10 @@
 		all := c.Load(30, 10*time.Second, 1)
 		require.Empty(t, b.Check(all))
 		require.Empty(t, c.Book.Check(all))
-		sum := guise.Sum(all)
-		require.Equal(t, len(all), sum.Ends[door.Complete], "%+v", sum)
+		sum := standin.Sum(all)
+		require.Equal(t, len(all), sum.Ends[api.Complete], "%+v", sum)
 		require.Greater(t, b.governed(), 100)
-		require.Less(t, guise.Quantile(b.stays, 1), 200.0, "staged memory is freed once it is in")
+		require.Less(t, standin.Quantile(b.stays, 1), 200.0, "staged memory is freed once it is in")
 		used := map[ids.WorkerId]bool{}
 		for _, e := range c.Book.rows {
 			used[e.Worker] = true
@@ -142,12 +142,12 @@
 		speeches := 0
 		for _, o := range all {
 			switch {
-			case o.Kind == "verdict" && o.End == door.Complete:
-				r := ends[verge.Request("verdict/"+o.Key)]
+			case o.Kind == "verdict" && o.End == api.Complete:
+				r := ends[router.Request("verdict/"+o.Key)]
 				require.Equal(t, fleetstate.Done, r.Outcome, "%+v", o)
 				require.Equal(t, "verdict/"+o.Key, r.Key)
 				require.GreaterOrEqual(t, len(r.Steps), 4)
-			case o.Kind == "speech" && o.End == door.Complete:
+			case o.Kind == "speech" && o.End == api.Complete:
 				speeches++
 			}
 		}
@@ -155,7 +155,7 @@
 		for id, r := range ends {
 			if r.Kind == "speech" {
 				require.True(t, begun[id])
-				if r.Outcome == door.Complete {
+				if r.Outcome == api.Complete {
 					done++
 				}
 			}
@@ -180,8 +180,8 @@
 		require.NoError(t, err)
 		require.True(t, again[0].Replay)
 		require.Equal(t, first[0].Token, again[0].Token)
-		_, err = c.stream(lone, door.Ask{Kind: "verdict", Key: "q1", Prompt: "another body", MaxTokens: 2})
-		require.Equal(t, "key-reused", err.(*door.Fault).Name, "a refusal comes back as it was")
+		_, err = c.stream(lone, api.Ask{Kind: "verdict", Key: "q1", Prompt: "another body", MaxTokens: 2})
+		require.Equal(t, "key-reused", err.(*api.Fault).Name, "a refusal comes back as it was")
 		require.True(t, c.Until(10*time.Second, func() bool {
 			for _, k := range holds(lone) {
 				for _, w := range append(upTo("p", 3), upTo("d", 3)...) {
@@ -197,12 +197,12 @@
 		}
 		begun := time.Now()
 		_, err = c.stream(lone, speech)
-		f, ok := err.(*door.Fault)
+		f, ok := err.(*api.Fault)
 		require.True(t, ok, "%v", err)
 		require.Equal(t, "not-certified", f.Name)
 		require.Positive(t, f.After)
 		require.Less(t, time.Since(begun), 300*time.Millisecond)
-		_, err = c.stream(lone, door.Ask{Kind: "clarification", Prompt: "may I speak", MaxTokens: 3})
+		_, err = c.stream(lone, api.Ask{Kind: "clarification", Prompt: "may I speak", MaxTokens: 3})
 		require.NoError(t, err, "other work goes on")
 	})
 }
@@ -212,18 +212,18 @@
 func TestRevokedMidStream(t *testing.T) {
 	inChamber(t, (*Bureau).usual, func(t *testing.T, c *Cluster, b *Bureau) {
 		ask := long(speech)
-		done := make(chan []door.Line, 1)
+		done := make(chan []api.Line, 1)
 		go func() {
 			got, _ := c.stream(node(c, "verge-1"), ask)
 			done <- got
 		}()
-		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(passage.Resumed)) == 1 }))
-		at := b.serves(passage.Resumed)[0]
+		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(handoff.Resumed)) == 1 }))
+		at := b.serves(handoff.Resumed)[0]
 		time.Sleep(100 * time.Millisecond)
 		require.NoError(t, b.Revoke("c-"+at))
 		require.Less(t, b.revoke[0], time.Second, "all nodes are well")
 		whole(t, c, ask, <-done)
-		resumed := b.serves(passage.Resumed)
+		resumed := b.serves(handoff.Resumed)
 		require.Len(t, resumed, 2, "it moved: %v, revoked in %v", b.steps, b.revoke)
 		require.NotEqual(t, at, resumed[1])
 		time.Sleep(3 * time.Second)
@@ -236,21 +236,21 @@
 func TestRevokedVerdict(t *testing.T) {
 	inChamber(t, (*Bureau).usual, func(t *testing.T, c *Cluster, b *Bureau) {
 		ask := long(verdict)
-		done := make(chan []door.Line, 1)
+		done := make(chan []api.Line, 1)
 		go func() {
 			got, _ := c.stream(node(c, "verge-1"), ask)
 			done <- got
 		}()
-		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(passage.Resumed)) == 1 }))
+		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(handoff.Resumed)) == 1 }))
 		time.Sleep(50 * time.Millisecond)
-		require.NoError(t, b.Revoke("c-"+b.serves(passage.Resumed)[0]))
+		require.NoError(t, b.Revoke("c-"+b.serves(handoff.Resumed)[0]))
 		got := <-done
-		require.Equal(t, door.Unknown, got[len(got)-1].End)
+		require.Equal(t, api.Unknown, got[len(got)-1].End)
 		// A key between two hands has it bounced at first; the caller comes back.
 		name := ""
 		c.Until(5*time.Second, func() bool {
 			_, err := c.stream(node(c, "verge-2"), ask)
-			name = err.(*door.Fault).Name
+			name = err.(*api.Fault).Name
 			return name != "bounced"
 		})
 		require.Equal(t, "may-have-run", name)
@@ -281,14 +281,14 @@
 		require.NoError(t, b.Revoke("c-d2"))
 		require.Greater(t, b.revoke[0], 2*time.Second, "it waited for the lease of the one cut off")
 		require.Less(t, b.revoke[0], 5*time.Second)
-		_, err := cut.Node.Clears("chair", writ.Subject{Worker: "d3"}, ids.Decode)
+		_, err := cut.Node.Clears("chair", certification.Subject{Worker: "d3"}, ids.Decode)
 		require.Error(t, err, "its word is too old for anybody")
 		time.Sleep(4 * time.Second)
 		require.Empty(t, b.Check(nil))
 		c.World.Sever(ips(cut), mates, false)
 		require.True(t, c.Until(8*time.Second, func() bool {
 			got, err := c.stream(cut, speech)
-			return err == nil && got[len(got)-1].End == door.Complete
+			return err == nil && got[len(got)-1].End == api.Complete
 		}), "it serves again")
 		require.Empty(t, b.Check(nil))
 	})
@@ -299,8 +299,8 @@
 func TestExpired(t *testing.T) {
 	inChamber(t, func(b *Bureau) {
 		b.usual()
-		b.sign("c-d1", writ.Certificate{Worker: "d1", Parts: []ids.Part{ids.Decode}}, 20*time.Second)
-		b.sign("c-p2", writ.Certificate{Worker: "p2", Parts: []ids.Part{ids.Prefill}}, 20*time.Second)
+		b.sign("c-d1", certification.Certificate{Worker: "d1", Parts: []ids.Part{ids.Decode}}, 20*time.Second)
+		b.sign("c-p2", certification.Certificate{Worker: "p2", Parts: []ids.Part{ids.Prefill}}, 20*time.Second)
 	}, func(t *testing.T, c *Cluster, b *Bureau) {
 		go func() {
 			for _, box := range []*Box{node(c, "verge-1"), node(c, "verge-2"), leader(c)} {
@@ -311,8 +311,8 @@
 		all := c.Load(30, 24*time.Second, 1)
 		require.Empty(t, b.Check(all))
 		require.Empty(t, c.Book.Check(all))
-		sum := guise.Sum(all)
-		require.Equal(t, len(all), sum.Ends[door.Complete]+sum.Ends[door.Unknown], "%+v", sum)
+		sum := standin.Sum(all)
+		require.Equal(t, len(all), sum.Ends[api.Complete]+sum.Ends[api.Unknown], "%+v", sum)
 		last := map[string]time.Duration{}
 		for _, e := range c.Book.rows {
 			if b.work[e.Id.Request] != "" && e.What == "resumed" || e.What == "import" {
--- a/proof/script_test.go
+++ b/simulation/script_test.go
@@ -1,6 +1,6 @@
 // Every script as a test, with one seed or many.
 
-package proof
+package simulation
 
 import (
 	"os"
@@ -12,8 +12,8 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"keelstair.example/guise"
 	"keelstair.example/ids"
+	"keelstair.example/standin"
 )
 
 // seeds gives the fixed handful, or as many as KEELSTAIR_SEEDS asks for.
@@ -29,8 +29,8 @@
 
 // hamlet is a site small enough for the race detector, under which a whole
 // deployment takes some twenty times as long.
-var hamlet = guise.Site{Name: "hamlet", Zones: []ids.Zone{"a", "b", "c"}, Nodes: 3, Prefill: 2, Decode: 2, Model: "m",
-	Shapes: []guise.Shape{{Kind: "verdict", Claimed: true, Share: 45, Shared: 64, Own: 64, Max: 2}, {Kind: "clarification", Share: 55, Shared: 64, Own: 16, Max: 16}}}
+var hamlet = standin.Site{Name: "hamlet", Zones: []ids.Zone{"a", "b", "c"}, Nodes: 3, Prefill: 2, Decode: 2, Model: "m",
+	Shapes: []standin.Shape{{Kind: "verdict", Claimed: true, Share: 45, Shared: 64, Own: 64, Max: 2}, {Kind: "clarification", Share: 55, Shared: 64, Own: 16, Max: 16}}}
 
 func unraced(t *testing.T) {
 	if raced {
@@ -51,9 +51,9 @@
 		for _, seed := range seeds() {
 			t.Run(s.Name+"/"+strconv.Itoa(int(seed)), func(t *testing.T) {
 				t.Parallel()
-				site := guise.Sites["vatuloa"]
+				site := standin.Sites["vatuloa"]
 				if (uint64(i)+seed)%2 == 0 {
-					site = guise.Sites["almaty"]
+					site = standin.Sites["almaty"]
 				}
 				if raced {
 					site = hamlet
@@ -79,9 +79,9 @@
 	for _, seed := range list {
 		t.Run(strconv.Itoa(int(seed)), func(t *testing.T) {
 			t.Parallel()
-			site := guise.Sites["vatuloa"]
+			site := standin.Sites["vatuloa"]
 			if seed%2 == 0 {
-				site = guise.Sites["almaty"]
+				site = standin.Sites["almaty"]
 			}
 			synctest.Test(t, func(t *testing.T) {
 				s := Together(seed)
--- a/proof/shelf_test.go
+++ b/simulation/shelf_test.go
@@ -1,6 +1,6 @@
 // Keys older than any answer that is kept, over a whole fleet.
 
-package proof
+package simulation
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/door"
+	"keelstair.example/api"
 	"keelstair.example/fleetstate"
 )
 
@@ -20,7 +20,7 @@
 	unraced(t)
 	inBubble(t, "vatuloa", func(c *Cluster) { c.Depth = fleetstate.Depth{Full: 4, Leaf: 8} }, func(t *testing.T, c *Cluster) {
 		node := func(i int) *Box { return c.Of("verge")[i%len(c.Of("verge"))] }
-		ask := func(i int) door.Ask {
+		ask := func(i int) api.Ask {
 			a := verdict
 			a.Key = fmt.Sprint("old-", i)
 			return a
@@ -30,7 +30,7 @@
 			for end := next + n; next < end; next++ {
 				require.True(t, c.Until(8*time.Second, func() bool {
 					got, err := c.stream(node(next), ask(next))
-					return err == nil && got[len(got)-1].End == door.Complete
+					return err == nil && got[len(got)-1].End == api.Complete
 				}))
 			}
 		}
@@ -39,15 +39,15 @@
 				var last error
 				require.True(t, c.Until(8*time.Second, func() bool {
 					_, last = c.stream(node(i), ask(i))
-					r, ok := last.(*door.Fault)
+					r, ok := last.(*api.Fault)
 					return ok && r.Code != 503
 				}), "key %d of %d: %v", i, next, last)
-				require.Equal(t, "answer-aged", last.(*door.Fault).Name, "key %d of %d", i, next)
+				require.Equal(t, "answer-aged", last.(*api.Fault).Name, "key %d of %d", i, next)
 			}
 			other := ask(0)
 			other.Seed++
 			_, err := c.stream(node(1), other)
-			require.Equal(t, "key-reused", err.(*door.Fault).Name)
+			require.Equal(t, "key-reused", err.(*api.Fault).Name)
 		}
 		serve(30)
 		old()
--- a/proof/stream_test.go
+++ b/simulation/stream_test.go
@@ -1,6 +1,6 @@
 // One origin's call at one door, line by line.
 
-package proof
+package simulation
 
 import (
 	"context"
@@ -10,11 +10,11 @@
 	"strings"
 	"time"
 
-	"keelstair.example/door"
+	"keelstair.example/api"
 )
 
 // stream asks one door and gives the lines, or the refusal.
-func (c *Cluster) stream(b *Box, ask door.Ask) ([]door.Line, error) {
+func (c *Cluster) stream(b *Box, ask api.Ask) ([]api.Line, error) {
 	body, err := json.Marshal(ask)
 	if err != nil {
 		return nil, err
@@ -32,11 +32,11 @@
 	defer r.Body.Close()
 	if r.StatusCode != http.StatusOK {
 		b, _ := io.ReadAll(r.Body)
-		return nil, door.Refusal(r.StatusCode, b)
+		return nil, api.Refusal(r.StatusCode, b)
 	}
-	var out []door.Line
+	var out []api.Line
 	for rows := json.NewDecoder(r.Body); ; {
-		var l door.Line
+		var l api.Line
 		if rows.Decode(&l) != nil {
 			return out, nil
 		}
--- a/proof/swing_test.go
+++ b/simulation/swing_test.go
@@ -1,6 +1,6 @@
 // A mix that swings, with fixed parts and with workers that turn.
 
-package proof
+package simulation
 
 import (
 	"fmt"
@@ -11,13 +11,13 @@
 
 	"github.com/stretchr/testify/require"
 
-	"keelstair.example/guise"
 	"keelstair.example/ids"
+	"keelstair.example/standin"
 )
 
 // swung is what came of one swing.
 type swung struct {
-	read, write guise.Summary
+	read, write standin.Summary
 	turns       int64
 	parts       map[ids.Part]int
 }
@@ -33,16 +33,16 @@
 func swing(t *testing.T, turn bool, seed uint64, span time.Duration) swung {
 	out := swung{parts: map[ids.Part]int{}}
 	synctest.Test(t, func(t *testing.T) {
-		c := Build(seed, guise.Sites["vatuloa"], func(c *Cluster) {
+		c := Build(seed, standin.Sites["vatuloa"], func(c *Cluster) {
 			c.Fixed = !turn
 			// Slow workers, so that few calls make a crowd.
-			c.Tune = func(o *guise.WorkerOptions) { o.Read, o.Each = 320*time.Microsecond, 4*time.Millisecond }
+			c.Tune = func(o *standin.WorkerOptions) { o.Read, o.Each = 320*time.Microsecond, 4*time.Millisecond }
 		})
 		defer c.Close()
 		require.NoError(t, c.Found())
-		read := c.Mix([]guise.Shape{{Kind: "clarification", Share: 100, Own: 400, Max: 2, Long: 1400}}, 14.5, span, seed)
-		write := c.Mix([]guise.Shape{{Kind: "clarification", Share: 100, Own: 40, Max: 64, Long: 10}}, 75, span, seed+100)
-		out.read, out.write = guise.Sum(read), guise.Sum(write)
+		read := c.Mix([]standin.Shape{{Kind: "clarification", Share: 100, Own: 400, Max: 2, Long: 1400}}, 14.5, span, seed)
+		write := c.Mix([]standin.Shape{{Kind: "clarification", Share: 100, Own: 40, Max: 64, Long: 10}}, 75, span, seed+100)
+		out.read, out.write = standin.Sum(read), standin.Sum(write)
 		for _, b := range c.Of("verge") {
 			out.turns += b.Node.Turned()
 		}
@@ -52,7 +52,7 @@
 		all := append(read, write...)
 		require.Empty(t, c.Book.Check(all))
 		for _, o := range all {
-			require.Contains(t, []string{"complete", "bounced", guise.Left}, o.End, "no stream breaks: %s", o.Detail)
+			require.Contains(t, []string{"complete", "bounced", standin.Left}, o.End, "no stream breaks: %s", o.Detail)
 		}
 	})
 	return out
--- a/proof/trial_test.go
+++ b/simulation/trial_test.go
@@ -1,6 +1,6 @@
 // A trial is one script against one site under one seed, with its verdict.
 
-package proof
+package simulation
 
 import (
 	"context"
@@ -8,14 +8,14 @@
 	"math/rand/v2"
 	"time"
 
-	"keelstair.example/door"
-	"keelstair.example/guise"
+	"keelstair.example/api"
+	"keelstair.example/standin"
 )
 
 // Verdict of a trial.
 type Verdict struct {
 	Faults []Fault
-	Sum    guise.Summary
+	Sum    standin.Summary
 	Back   map[string]time.Duration // longest spans without a completion, by kind and by zone of the door
 	Lead   time.Duration            // longest span without a primary
 	Again  int
@@ -33,7 +33,7 @@
 }
 
 // Trial runs a script. It must be called within a synctest bubble.
-func Trial(s Script, site guise.Site, seed uint64, pace Pace) Verdict {
+func Trial(s Script, site standin.Site, seed uint64, pace Pace) Verdict {
 	c := Build(seed, site, s.Tune)
 	defer c.Close()
 	v := Verdict{}
@@ -64,7 +64,7 @@
 	if err != nil {
 		v.Faults = append(v.Faults, Fault{NotBack, "script: " + err.Error()})
 	}
-	v.Sum = guise.Sum(all)
+	v.Sum = standin.Sum(all)
 	still()
 	v.Back = c.backs(all, [][2]time.Duration{{struck, span}, {rest + 500*time.Millisecond, rest + pace.Then}})
 	bound := s.Bound
@@ -72,7 +72,7 @@
 		bound = 12 * time.Second
 	}
 	v.Faults = append(v.Faults, late(v.Back, bound)...)
-	if n := v.Sum.Ends[door.Complete]; s.Calm && n != len(all) {
+	if n := v.Sum.Ends[api.Complete]; s.Calm && n != len(all) {
 		v.Faults = append(v.Faults, Fault{NotBack, fmt.Sprintf("only %d of %d calls completed on a calm day: %v", n, len(all), v.Sum.Details)})
 	}
 	v.Faults = append(v.Faults, c.Book.Check(all)...)
--- a/guise/back.go
+++ b/standin/back.go
@@ -1,12 +1,12 @@
 // The longest span without service, as callers see it.
 
-package guise
+package standin
 
 import (
 	"slices"
 	"time"
 
-	"keelstair.example/door"
+	"keelstair.example/api"
 )
 
 // Back tells the longest span after a moment without a completed call among those
@@ -14,7 +14,7 @@
 func Back(all []Outcome, from, to time.Duration, counts func(Outcome) bool) time.Duration {
 	var ends []time.Duration
 	for _, o := range all {
-		if at := o.At + o.Whole; o.End == door.Complete && at > from && at < to && (counts == nil || counts(o)) {
+		if at := o.At + o.Whole; o.End == api.Complete && at > from && at < to && (counts == nil || counts(o)) {
 			ends = append(ends, at)
 		}
 	}
--- a/guise/engine.go
+++ b/standin/engine.go
@@ -2,14 +2,14 @@
 // each resumed run a step, growing block tables out of the room that the import
 // was pledged.
 
-package guise
+package standin
 
 import (
 	"context"
 	"time"
 
 	"keelstair.example/ids"
-	"keelstair.example/rein"
+	"keelstair.example/workerclient"
 )
 
 func (w *Worker) engine(ctx context.Context) {
@@ -149,8 +149,8 @@
 		more := w.pool.take(1)
 		if more == nil {
 			w.count(r.ident.Id.Request).Starved++
-			w.tell("starved", r.ident.Id, rein.Lead{})
-			w.drop(r, rein.FateStopped)
+			w.tell("starved", r.ident.Id, workerclient.Lead{})
+			w.drop(r, workerclient.FateStopped)
 			return
 		}
 		r.tab = append(r.tab, more...)
@@ -180,6 +180,6 @@
 func (w *Worker) end(r *run) {
 	r.ended = true
 	w.count(r.ident.Id.Request).Records++
-	w.tell("record", r.ident.Id, rein.Lead{})
-	w.drop(r, rein.FateFinished)
+	w.tell("record", r.ident.Id, workerclient.Lead{})
+	w.drop(r, workerclient.FateFinished)
 }
--- a/guise/load.go
+++ b/standin/load.go
@@ -1,7 +1,7 @@
 // Stand-in callers: an open loop whose arrivals are fixed beforehand, so that
 // waiting is counted; each answer is held against a run that never moved.
 
-package guise
+package standin
 
 import (
 	"bufio"
@@ -16,7 +16,7 @@
 	"sync"
 	"time"
 
-	"keelstair.example/door"
+	"keelstair.example/api"
 	"keelstair.example/ids"
 	"keelstair.example/rpc"
 	"keelstair.example/seam"
@@ -85,7 +85,7 @@
 type call struct {
 	at    time.Duration
 	shape Shape
-	ask   door.Ask
+	ask   api.Ask
 }
 
 func plan(o *LoadOptions) []call {
@@ -103,7 +103,7 @@
 				break
 			}
 		}
-		a := door.Ask{Kind: sh.Kind, MaxTokens: sh.Max, Seed: rng.Uint64() >> 12}
+		a := api.Ask{Kind: sh.Kind, MaxTokens: sh.Max, Seed: rng.Uint64() >> 12}
 		base := int32(len(sh.Kind) * 1000)
 		if sh.Stems > 1 {
 			base += int32(rng.IntN(sh.Stems) * 7919)
@@ -163,7 +163,7 @@
 	if r.End == "cut" && cx.Err() != nil && ctx.Err() == nil {
 		r.End = Left
 	}
-	if r.End == door.Complete && !o.whole(c, r.Tokens) {
+	if r.End == api.Complete && !o.whole(c, r.Tokens) {
 		r.End, r.Detail = "wrong", fmt.Sprintf("tokens %v", r.Tokens)
 	}
 	return r
@@ -228,7 +228,7 @@
 	r.Tokens, r.End, r.Detail = nil, "cut", "the stream stopped"
 	rows := bufio.NewScanner(a.Body)
 	for rows.Scan() {
-		var l door.Line
+		var l api.Line
 		if err := json.Unmarshal(rows.Bytes(), &l); err != nil {
 			r.End, r.Detail = "wrong", "garbage"
 			return 0
@@ -242,10 +242,10 @@
 			if l.Error != nil {
 				r.Detail = l.Error.Name
 			}
-			if l.End == door.Complete && l.Count != len(r.Tokens) {
+			if l.End == api.Complete && l.Count != len(r.Tokens) {
 				r.End = "wrong"
 			}
-			if l.End == door.Unknown && c.shape.Claimed && l.Error != nil && l.Error.After > 0 {
+			if l.End == api.Unknown && c.shape.Claimed && l.Error != nil && l.Error.After > 0 {
 				return time.Duration(l.Error.After) * time.Millisecond
 			}
 			return 0
@@ -267,12 +267,12 @@
 	first, whole := map[string][]time.Duration{}, map[string][]time.Duration{}
 	for _, o := range all {
 		s.Ends[o.End]++
-		if o.End != door.Complete {
+		if o.End != api.Complete {
 			s.Details[o.End+": "+o.Detail]++
 		}
 		k := s.Kinds[o.Kind]
 		k.Sent++
-		if o.End == door.Complete {
+		if o.End == api.Complete {
 			k.Complete++
 			first[o.Kind] = append(first[o.Kind], o.First)
 			whole[o.Kind] = append(whole[o.Kind], o.Whole)
--- a/guise/move.go
+++ b/standin/move.go
@@ -2,7 +2,7 @@
 // fails loudly, attention waits for every byte, for the digest and for the
 // resume, and a cancelled attempt can never start again.
 
-package guise
+package standin
 
 import (
 	"context"
@@ -15,10 +15,10 @@
 	"time"
 
 	"keelstair.example/ids"
-	"keelstair.example/rein"
+	"keelstair.example/workerclient"
 )
 
-func (w *Worker) take(_ context.Context, q *rein.ImportAsk) (*rein.Answer, error) {
+func (w *Worker) take(_ context.Context, q *workerclient.ImportAsk) (*workerclient.Answer, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	m := q.Identity
@@ -26,7 +26,7 @@
 		return nil, err
 	}
 	if w.live[m.Id] != nil {
-		return &rein.Answer{}, nil
+		return &workerclient.Answer{}, nil
 	}
 	bill := ids.Blocks(m.Computed, w.pool.size)
 	whole := max(bill, ids.Blocks(len(m.Prompt)+m.Params.MaxTokens, w.pool.size))
@@ -46,7 +46,7 @@
 	w.pool.pledge += r.pledge
 	w.live[m.Id] = r
 	go w.fetch(r, q.Source)
-	return &rein.Answer{}, nil
+	return &workerclient.Answer{}, nil
 }
 
 // fetch fills the blocks as the bytes come in.
@@ -104,9 +104,9 @@
 	defer w.mu.Unlock()
 	if err != nil {
 		r.lost = true
-		w.tell("lost", id, rein.Lead{})
+		w.tell("lost", id, workerclient.Lead{})
 		if !r.arrived {
-			w.drop(r, rein.FateNever)
+			w.drop(r, workerclient.FateNever)
 		}
 		return
 	}
@@ -117,7 +117,7 @@
 }
 
 // resume is the point of no return.
-func (w *Worker) resume(ctx context.Context, q *rein.IdAsk) (*rein.Answer, error) {
+func (w *Worker) resume(ctx context.Context, q *workerclient.IdAsk) (*workerclient.Answer, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	r := w.live[q.Id]
@@ -125,7 +125,7 @@
 		return nil, err
 	}
 	if r == nil {
-		if f := w.fates[q.Id.Request]; f != nil && f.Fate != rein.FateNever {
+		if f := w.fates[q.Id.Request]; f != nil && f.Fate != workerclient.FateNever {
 			return f, nil
 		}
 		return nil, no(http.StatusGone, "nothing to resume")
@@ -155,11 +155,11 @@
 	}
 	r.touched = w.now()
 	w.kick()
-	return &rein.Answer{Fate: rein.FateRunning}, nil
+	return &workerclient.Answer{Fate: workerclient.FateRunning}, nil
 }
 
 // cancel stops an attempt for good and tells what came of the request here.
-func (w *Worker) cancel(_ context.Context, q *rein.IdAsk) (*rein.Answer, error) {
+func (w *Worker) cancel(_ context.Context, q *workerclient.IdAsk) (*workerclient.Answer, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.heed("cancel", q.Lead, q.Id); err != nil {
@@ -178,9 +178,9 @@
 			continue
 		}
 		if r.resumed {
-			w.drop(r, rein.FateStopped)
+			w.drop(r, workerclient.FateStopped)
 		} else {
-			w.drop(r, rein.FateNever)
+			w.drop(r, workerclient.FateNever)
 		}
 	}
 	if f := w.fates[q.Id.Request]; f != nil {
@@ -188,7 +188,7 @@
 		cop.Texts = nil
 		return &cop, nil
 	}
-	return &rein.Answer{Fate: rein.FateNever}, nil
+	return &workerclient.Answer{Fate: workerclient.FateNever}, nil
 }
 
 // stream hands out pieces from an index on. A line goes out at least every
@@ -196,22 +196,22 @@
 func (w *Worker) stream(rw http.ResponseWriter, q *http.Request) {
 	n, _ := strconv.Atoi(q.FormValue("attempt"))
 	at, _ := strconv.Atoi(q.FormValue("from"))
-	id := rein.Id{Request: q.FormValue("request"), Attempt: n}
+	id := workerclient.Id{Request: q.FormValue("request"), Attempt: n}
 	w.mu.Lock()
 	r := w.live[id]
 	f := w.fates[id.Request]
 	w.mu.Unlock()
 	if r == nil && (f == nil || !f.Done) {
-		reply(rw, http.StatusGone, rein.Bounce{Name: "no such run"})
+		reply(rw, http.StatusGone, workerclient.Bounce{Name: "no such run"})
 		return
 	}
 	rows := json.NewEncoder(rw)
 	put := func(out []int32, ended bool) {
 		for ; at < len(out); at++ {
-			rows.Encode(rein.Piece{Index: at, Token: out[at], Text: say(out[at])})
+			rows.Encode(workerclient.Piece{Index: at, Token: out[at], Text: say(out[at])})
 		}
 		if ended {
-			rows.Encode(rein.Piece{Index: at, End: "stop", Count: len(out)})
+			rows.Encode(workerclient.Piece{Index: at, End: "stop", Count: len(out)})
 		}
 		rw.(http.Flusher).Flush()
 	}
--- a/guise/platform.go
+++ b/standin/platform.go
@@ -1,7 +1,7 @@
 // The stand-in platform: it lists workers as they come and go, checks every
 // node's readiness each second, and hands callers to ready nodes in their zone.
 
-package guise
+package standin
 
 import (
 	"context"
@@ -12,9 +12,9 @@
 	"time"
 
 	"keelstair.example/ids"
-	"keelstair.example/rein"
 	"keelstair.example/rpc"
 	"keelstair.example/seam"
+	"keelstair.example/workerclient"
 )
 
 // Door is a node as the platform knows it.
@@ -28,16 +28,16 @@
 type Platform struct {
 	mu      sync.Mutex
 	web     *http.Client
-	workers map[ids.WorkerId]rein.Listed
+	workers map[ids.WorkerId]workerclient.Listed
 	doors   map[string]*Door
 }
 
 func NewPlatform(host seam.Host) *Platform {
-	return &Platform{web: rpc.Web(host.Net), workers: map[ids.WorkerId]rein.Listed{}, doors: map[string]*Door{}}
+	return &Platform{web: rpc.Web(host.Net), workers: map[ids.WorkerId]workerclient.Listed{}, doors: map[string]*Door{}}
 }
 
 // List puts a worker on the list, or changes its line.
-func (p *Platform) List(l rein.Listed) {
+func (p *Platform) List(l workerclient.Listed) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.workers[l.Id] = l
@@ -121,7 +121,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /workers", func(w http.ResponseWriter, _ *http.Request) {
 		p.mu.Lock()
-		out := []rein.Listed{}
+		out := []workerclient.Listed{}
 		for _, l := range p.workers {
 			out = append(out, l)
 		}
@@ -129,9 +129,9 @@
 		reply(w, http.StatusOK, out)
 	})
 	mux.HandleFunc("POST /workers", func(w http.ResponseWriter, r *http.Request) {
-		var l rein.Listed
+		var l workerclient.Listed
 		if err := json.NewDecoder(r.Body).Decode(&l); err != nil || l.Id == "" {
-			reply(w, http.StatusBadRequest, rein.Bounce{Name: "malformed"})
+			reply(w, http.StatusBadRequest, workerclient.Bounce{Name: "malformed"})
 			return
 		}
 		p.List(l)
@@ -148,7 +148,7 @@
 	mux.HandleFunc("POST /doors", func(w http.ResponseWriter, r *http.Request) {
 		var d Door
 		if err := json.NewDecoder(r.Body).Decode(&d); err != nil || d.Addr == "" {
-			reply(w, http.StatusBadRequest, rein.Bounce{Name: "malformed"})
+			reply(w, http.StatusBadRequest, workerclient.Bounce{Name: "malformed"})
 			return
 		}
 		p.Door(d.Addr, d.Zone)
--- a/guise/pool.go
+++ b/standin/pool.go
@@ -1,8 +1,8 @@
-// Package guise holds the stand-ins: a model worker, callers, a platform. This
+// Package standin holds the stand-ins: a model worker, callers, a platform. This
 // file is the worker's memory: a pool of blocks of KV cells, and block tables
 // that put them in the order of tokens. Freed blocks keep their old cells, as
 // real memory does, so reading what was never filled gives foreign content.
-package guise
+package standin
 
 import (
 	"crypto/sha256"
--- a/guise/serve.go
+++ b/standin/serve.go
@@ -1,7 +1,7 @@
 // The stand-in's HTTP side: orders under a fence, the late report, the stream,
 // and the KV that another worker fetches.
 
-package guise
+package standin
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 	"time"
 
 	"keelstair.example/ids"
-	"keelstair.example/rein"
+	"keelstair.example/workerclient"
 )
 
 func (w *Worker) Handler() http.Handler {
@@ -26,7 +26,7 @@
 	mux.HandleFunc("POST /part", order(w, w.turnTo))
 	mux.HandleFunc("GET /report", func(rw http.ResponseWriter, _ *http.Request) {
 		w.mu.Lock()
-		var r rein.Report
+		var r workerclient.Report
 		if len(w.late) > 0 {
 			r = w.late[0].r
 		} else {
@@ -80,16 +80,16 @@
 func no(code int, form string, args ...any) error { return &refusal{code, fmt.Sprintf(form, args...)} }
 
 // order reads an order and turns a refusal into its code.
-func order[Q any](w *Worker, f func(context.Context, *Q) (*rein.Answer, error)) http.HandlerFunc {
+func order[Q any](w *Worker, f func(context.Context, *Q) (*workerclient.Answer, error)) http.HandlerFunc {
 	return func(rw http.ResponseWriter, q *http.Request) {
 		var in Q
 		if err := json.NewDecoder(io.LimitReader(q.Body, 16<<20)).Decode(&in); err != nil {
-			reply(rw, http.StatusBadRequest, rein.Bounce{Name: "malformed", Detail: err.Error()})
+			reply(rw, http.StatusBadRequest, workerclient.Bounce{Name: "malformed", Detail: err.Error()})
 			return
 		}
 		a, err := f(q.Context(), &in)
 		if r, ok := err.(*refusal); ok {
-			reply(rw, r.code, rein.Bounce{Name: r.name})
+			reply(rw, r.code, workerclient.Bounce{Name: r.name})
 			return
 		}
 		w.mu.Lock()
@@ -110,7 +110,7 @@
 func say(t int32) string { return fmt.Sprintf("t%d ", t) }
 
 // heed checks the fence and notes the version. The caller holds mu.
-func (w *Worker) heed(what string, l rein.Lead, id rein.Id) error {
+func (w *Worker) heed(what string, l workerclient.Lead, id workerclient.Id) error {
 	if l.Fence < w.fence && !w.fault.Forget {
 		return no(http.StatusPreconditionFailed, "fence %d is older than %d", l.Fence, w.fence)
 	}
@@ -122,7 +122,7 @@
 	return nil
 }
 
-func (w *Worker) prefill(ctx context.Context, q *rein.PrefillAsk) (*rein.Answer, error) {
+func (w *Worker) prefill(ctx context.Context, q *workerclient.PrefillAsk) (*workerclient.Answer, error) {
 	id := q.Identity.Id
 	w.mu.Lock()
 	if err := w.heed("prefill", q.Lead, id); err != nil {
@@ -156,7 +156,7 @@
 		case <-news:
 		case <-ctx.Done():
 			w.mu.Lock()
-			w.drop(r, rein.FateNever)
+			w.drop(r, workerclient.FateNever)
 			w.mu.Unlock()
 			return nil, no(http.StatusGone, "the asker went away")
 		}
@@ -167,12 +167,12 @@
 		return nil, no(http.StatusGone, "stopped while reading")
 	}
 	got := r.ident
-	return &rein.Answer{Identity: &got}, nil
+	return &workerclient.Answer{Identity: &got}, nil
 }
 
 // export snapshots the token state, takes the request off the schedule and
 // frees all its blocks; the bytes wait in the staging buffer for a while.
-func (w *Worker) export(_ context.Context, q *rein.ExportAsk) (*rein.Answer, error) {
+func (w *Worker) export(_ context.Context, q *workerclient.ExportAsk) (*workerclient.Answer, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.heed("export", q.Lead, q.Id); err != nil {
@@ -180,7 +180,7 @@
 	}
 	if p, ok := w.staged[q.Id]; ok {
 		got := p.ident
-		return &rein.Answer{Identity: &got}, nil
+		return &workerclient.Answer{Identity: &got}, nil
 	}
 	r := w.live[q.Id]
 	if r == nil || w.part == ids.Prefill && !r.read {
@@ -190,19 +190,19 @@
 	r.ident.Length, r.ident.Digest = int64(len(body)), sum
 	w.staged[q.Id] = &parcel{r.ident, body, w.now().Add(w.opt.Stage)}
 	got := r.ident
-	w.drop(r, rein.FateNever)
-	return &rein.Answer{Identity: &got}, nil
+	w.drop(r, workerclient.FateNever)
+	return &workerclient.Answer{Identity: &got}, nil
 }
 
 func (w *Worker) freight(rw http.ResponseWriter, q *http.Request) {
 	n, _ := strconv.Atoi(q.FormValue("attempt"))
-	id := rein.Id{Request: q.FormValue("request"), Attempt: n}
+	id := workerclient.Id{Request: q.FormValue("request"), Attempt: n}
 	w.mu.Lock()
 	p, ok := w.staged[id]
 	f, speed := w.fault, w.opt.Speed
 	w.mu.Unlock()
 	if !ok {
-		reply(rw, http.StatusGone, rein.Bounce{Name: "not staged"})
+		reply(rw, http.StatusGone, workerclient.Bounce{Name: "not staged"})
 		return
 	}
 	if f.Speed > 0 {
@@ -229,10 +229,10 @@
 	}
 }
 
-func (w *Worker) turnTo(_ context.Context, q *rein.PartAsk) (*rein.Answer, error) {
+func (w *Worker) turnTo(_ context.Context, q *workerclient.PartAsk) (*workerclient.Answer, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err := w.heed("part", q.Lead, rein.Id{}); err != nil {
+	if err := w.heed("part", q.Lead, workerclient.Id{}); err != nil {
 		return nil, err
 	}
 	if q.Part != ids.Prefill && q.Part != ids.Decode {
@@ -242,5 +242,5 @@
 		return nil, no(http.StatusConflict, "%d requests are still here", len(w.live))
 	}
 	w.part = q.Part
-	return &rein.Answer{}, nil
+	return &workerclient.Answer{}, nil
 }
--- a/guise/site.go
+++ b/standin/site.go
@@ -1,6 +1,6 @@
 // A site's configuration, as its operators would write it.
 
-package guise
+package standin
 
 import (
 	"encoding/json"
--- a/guise/worker.go
+++ b/standin/worker.go
@@ -1,7 +1,7 @@
 // The stand-in worker: what it is set up as, the faults it can be ordered to
 // have, and its own count of runs and records, by which a double shows.
 
-package guise
+package standin
 
 import (
 	"context"
@@ -11,9 +11,9 @@
 	"time"
 
 	"keelstair.example/ids"
-	"keelstair.example/rein"
 	"keelstair.example/rpc"
 	"keelstair.example/seam"
+	"keelstair.example/workerclient"
 )
 
 // WorkerOptions set up a stand-in worker.
@@ -21,7 +21,7 @@
 	Id     ids.WorkerId
 	Addr   string
 	Part   ids.Part
-	Model  rein.Model
+	Model  workerclient.Model
 	Room   int           // blocks
 	Block  int           // tokens a block
 	Read   time.Duration // a prompt token's prefill, 40us
@@ -79,7 +79,7 @@
 type Event struct {
 	What    string
 	Worker  ids.WorkerId
-	Id      rein.Id
+	Id      workerclient.Id
 	Fence   ids.Fence
 	Version ids.Version
 	At      ids.Tick
@@ -98,11 +98,11 @@
 	fence   ids.Fence
 	version ids.Version
 	fault   Faults
-	live    map[rein.Id]*run
+	live    map[workerclient.Id]*run
 	queue   []*run
-	staged  map[rein.Id]*parcel
+	staged  map[workerclient.Id]*parcel
 	tomb    map[string]int
-	fates   map[string]*rein.Answer
+	fates   map[string]*workerclient.Answer
 	tally   map[string]*Tally
 	warm    map[uint64]ids.Tick
 	hits    [2]int // prompt tokens that were warm, and all
@@ -112,18 +112,18 @@
 
 type dated struct {
 	at ids.Tick
-	r  rein.Report
+	r  workerclient.Report
 }
 
 type parcel struct {
-	ident rein.Identity
+	ident workerclient.Identity
 	body  []byte
 	until ids.Tick
 }
 
 // run is one request on this worker.
 type run struct {
-	ident   rein.Identity
+	ident   workerclient.Identity
 	tab     []int
 	pledge  int
 	last    uint64
@@ -140,8 +140,8 @@
 func NewWorker(opt WorkerOptions) *Worker {
 	opt.fill()
 	return &Worker{opt: opt, life: ids.Life(rand.Text()), web: rpc.Web(opt.Host.Net), part: opt.Part, pool: newPool(opt.Room, opt.Block),
-		live: map[rein.Id]*run{}, staged: map[rein.Id]*parcel{}, tomb: map[string]int{}, tally: map[string]*Tally{},
-		fates: map[string]*rein.Answer{}, warm: map[uint64]ids.Tick{}, wake: make(chan struct{}, 1)}
+		live: map[workerclient.Id]*run{}, staged: map[workerclient.Id]*parcel{}, tomb: map[string]int{}, tally: map[string]*Tally{},
+		fates: map[string]*workerclient.Answer{}, warm: map[uint64]ids.Tick{}, wake: make(chan struct{}, 1)}
 }
 
 func (w *Worker) now() ids.Tick { return w.opt.Host.Clock.Now() }
@@ -159,7 +159,7 @@
 	w.web.CloseIdleConnections()
 }
 
-func (w *Worker) tell(what string, id rein.Id, l rein.Lead) {
+func (w *Worker) tell(what string, id workerclient.Id, l workerclient.Lead) {
 	if w.Tell != nil {
 		w.Tell(Event{what, w.opt.Id, id, l.Fence, l.Version, w.now()})
 	}
@@ -228,8 +228,8 @@
 	w.pool.give(r.tab)
 	w.pool.pledge -= r.pledge
 	r.tab, r.pledge = nil, 0
-	if f := w.fates[r.ident.Id.Request]; f == nil || f.Fate == rein.FateNever || fate == rein.FateFinished {
-		w.fates[r.ident.Id.Request] = &rein.Answer{Fate: fate, Output: r.ident.Output, Done: fate == rein.FateFinished}
+	if f := w.fates[r.ident.Id.Request]; f == nil || f.Fate == workerclient.FateNever || fate == workerclient.FateFinished {
+		w.fates[r.ident.Id.Request] = &workerclient.Answer{Fate: fate, Output: r.ident.Output, Done: fate == workerclient.FateFinished}
 	}
 	if !r.ended {
 		r.stopped = true
@@ -244,9 +244,9 @@
 }
 
 // unstage frees outgoing KV. The caller holds mu.
-func (w *Worker) unstage(id rein.Id) {
+func (w *Worker) unstage(id workerclient.Id) {
 	delete(w.staged, id)
-	w.tell("unstaged", id, rein.Lead{})
+	w.tell("unstaged", id, workerclient.Lead{})
 }
 
 // sweep ends what nobody came for: staged KV, imports never resumed, runs that
@@ -266,11 +266,11 @@
 		}
 		switch {
 		case r.resumed && !r.ended:
-			w.tell("orphan-run", r.ident.Id, rein.Lead{})
-			w.drop(r, rein.FateStopped)
+			w.tell("orphan-run", r.ident.Id, workerclient.Lead{})
+			w.drop(r, workerclient.FateStopped)
 		case !r.resumed && (w.part == ids.Decode || r.read):
-			w.tell("orphan-import", r.ident.Id, rein.Lead{})
-			w.drop(r, rein.FateNever)
+			w.tell("orphan-import", r.ident.Id, workerclient.Lead{})
+			w.drop(r, workerclient.FateNever)
 		}
 	}
 	w.late = append(w.late, dated{now, w.report()})
@@ -283,11 +283,11 @@
 	}
 }
 
-func (w *Worker) report() rein.Report {
-	r := rein.Report{Part: w.part, Model: w.opt.Model, Used: w.pool.used(), Capacity: len(w.pool.cells),
-		Block: w.pool.size, Queue: len(w.queue), Version: w.version, Running: []rein.Running{}, Life: w.life}
+func (w *Worker) report() workerclient.Report {
+	r := workerclient.Report{Part: w.part, Model: w.opt.Model, Used: w.pool.used(), Capacity: len(w.pool.cells),
+		Block: w.pool.size, Queue: len(w.queue), Version: w.version, Running: []workerclient.Running{}, Life: w.life}
 	for id, v := range w.live {
-		r.Running = append(r.Running, rein.Running{Id: id, Blocks: len(v.tab), Room: v.pledge})
+		r.Running = append(r.Running, workerclient.Running{Id: id, Blocks: len(v.tab), Room: v.pledge})
 	}
 	return r
 }
--- a/guise/worker_test.go
+++ b/standin/worker_test.go
@@ -1,7 +1,7 @@
 // The stand-in worker, held against what the hand-over paper's own tests prove and
 // what the paper leaves open: arrival, lost memory, orphans, fences.
 
-package guise
+package standin
 
 import (
 	"context"
@@ -14,16 +14,16 @@
 
 	"keelstair.example/failure"
 	"keelstair.example/ids"
-	"keelstair.example/rein"
 	"keelstair.example/rpc"
 	"keelstair.example/seam/sham"
+	"keelstair.example/workerclient"
 )
 
 // pairOf runs a prefill and a decode worker and gives a rein to drive them.
 type pairOf struct {
 	p, d   *Worker
 	pa, da string
-	r      *rein.Rein
+	r      *workerclient.Rein
 	ctx    context.Context
 }
 
@@ -35,7 +35,7 @@
 		for i, part := range []ids.Part{ids.Prefill, ids.Decode} {
 			host := w.Machine(fmt.Sprintf("10.0.0.%d", i+1)).Start().Host()
 			addr := fmt.Sprintf("10.0.0.%d:90", i+1)
-			k := NewWorker(WorkerOptions{Id: ids.WorkerId(part), Addr: addr, Part: part, Room: room, Host: host, Model: rein.Model{Name: "m", Weights: "w1"}})
+			k := NewWorker(WorkerOptions{Id: ids.WorkerId(part), Addr: addr, Part: part, Room: room, Host: host, Model: workerclient.Model{Name: "m", Weights: "w1"}})
 			l, err := host.Net.Listen(addr)
 			require.NoError(t, err)
 			go rpc.Serve(ctx, l, k.Handler())
@@ -47,7 +47,7 @@
 			}
 		}
 		me := w.Machine("10.0.0.9").Start()
-		x.r = rein.New(me.Host().Net)
+		x.r = workerclient.New(me.Host().Net)
 		defer func() {
 			stop()
 			x.r.Close()
@@ -61,35 +61,35 @@
 	})
 }
 
-func (x *pairOf) identity(name string, prompt, max int) rein.Identity {
-	m := rein.Identity{Id: rein.Id{Request: name, Attempt: 1}, Params: rein.Params{MaxTokens: max, Seed: 7}, Model: rein.Model{Name: "m", Weights: "w1"}}
+func (x *pairOf) identity(name string, prompt, max int) workerclient.Identity {
+	m := workerclient.Identity{Id: workerclient.Id{Request: name, Attempt: 1}, Params: workerclient.Params{MaxTokens: max, Seed: 7}, Model: workerclient.Model{Name: "m", Weights: "w1"}}
 	for i := range prompt {
 		m.Prompt = append(m.Prompt, int32(i*31%997+len(name)))
 	}
 	return m
 }
 
-func (x *pairOf) read(t *testing.T, m rein.Identity) rein.Identity {
-	_, err := x.r.Prefill(x.ctx, x.pa, &rein.PrefillAsk{Lead: rein.Lead{Fence: 1}, Identity: m})
+func (x *pairOf) read(t *testing.T, m workerclient.Identity) workerclient.Identity {
+	_, err := x.r.Prefill(x.ctx, x.pa, &workerclient.PrefillAsk{Lead: workerclient.Lead{Fence: 1}, Identity: m})
 	require.NoError(t, err)
-	a, err := x.r.Export(x.ctx, x.pa, &rein.ExportAsk{Lead: rein.Lead{Fence: 1}, Id: m.Id})
+	a, err := x.r.Export(x.ctx, x.pa, &workerclient.ExportAsk{Lead: workerclient.Lead{Fence: 1}, Id: m.Id})
 	require.NoError(t, err)
 	return *a.Identity
 }
 
-func (x *pairOf) move(m rein.Identity) error {
-	_, err := x.r.Import(x.ctx, x.da, &rein.ImportAsk{Lead: rein.Lead{Fence: 1}, Identity: m, Source: x.pa})
+func (x *pairOf) move(m workerclient.Identity) error {
+	_, err := x.r.Import(x.ctx, x.da, &workerclient.ImportAsk{Lead: workerclient.Lead{Fence: 1}, Identity: m, Source: x.pa})
 	return err
 }
 
-func (x *pairOf) resume(m rein.Identity) error {
-	_, err := x.r.Resume(x.ctx, x.da, &rein.IdAsk{Lead: rein.Lead{Fence: 1}, Id: m.Id})
+func (x *pairOf) resume(m workerclient.Identity) error {
+	_, err := x.r.Resume(x.ctx, x.da, &workerclient.IdAsk{Lead: workerclient.Lead{Fence: 1}, Id: m.Id})
 	return err
 }
 
-func (x *pairOf) rest(t *testing.T, m rein.Identity) []int32 {
+func (x *pairOf) rest(t *testing.T, m workerclient.Identity) []int32 {
 	out := append([]int32(nil), m.Output...)
-	require.NoError(t, x.r.Stream(x.ctx, x.da, m.Id, len(out), time.Second, func(p rein.Piece) error {
+	require.NoError(t, x.r.Stream(x.ctx, x.da, m.Id, len(out), time.Second, func(p workerclient.Piece) error {
 		if p.End == "" {
 			out = append(out, p.Token)
 		}
@@ -98,7 +98,7 @@
 	return out
 }
 
-func solo(m rein.Identity) []int32 {
+func solo(m workerclient.Identity) []int32 {
 	return Solo(m.Prompt, m.Params.MaxTokens, m.Params.Seed, m.Params.Temperature, m.Model.Name, m.Model.Weights, m.Model.Adapters)
 }
 
@@ -179,9 +179,9 @@
 		require.Zero(t, x.d.Used())
 		require.True(t, failure.Is(x.resume(m), failure.Lost))
 		m = x.read(t, x.identity("stopped", 100, 8))
-		a, err := x.r.Cancel(x.ctx, x.da, &rein.IdAsk{Lead: rein.Lead{Fence: 1}, Id: m.Id})
+		a, err := x.r.Cancel(x.ctx, x.da, &workerclient.IdAsk{Lead: workerclient.Lead{Fence: 1}, Id: m.Id})
 		require.NoError(t, err)
-		require.Equal(t, rein.FateNever, a.Fate)
+		require.Equal(t, workerclient.FateNever, a.Fate)
 		require.True(t, failure.Is(x.move(m), failure.Lost))
 	})
 }
@@ -189,7 +189,7 @@
 // TestFence: an order under an older fence is refused and changes nothing.
 func TestFence(t *testing.T) {
 	twin(t, 64, func(x *pairOf) {
-		_, err := x.r.Part(x.ctx, x.da, &rein.PartAsk{Lead: rein.Lead{Fence: 5}, Part: ids.Decode})
+		_, err := x.r.Part(x.ctx, x.da, &workerclient.PartAsk{Lead: workerclient.Lead{Fence: 5}, Part: ids.Decode})
 		require.NoError(t, err)
 		m := x.read(t, x.identity("old", 100, 8))
 		require.True(t, failure.Is(x.move(m), failure.Stale))
@@ -202,7 +202,7 @@
 	twin(t, 64, func(x *pairOf) {
 		m := x.identity("other", 10, 4)
 		m.Model.Weights = "w9"
-		_, err := x.r.Prefill(x.ctx, x.pa, &rein.PrefillAsk{Lead: rein.Lead{Fence: 1}, Identity: m})
+		_, err := x.r.Prefill(x.ctx, x.pa, &workerclient.PrefillAsk{Lead: workerclient.Lead{Fence: 1}, Identity: m})
 		require.True(t, failure.Is(err, failure.Bad), "%v", err)
 		x.d.Order(Faults{Garbage: true})
 		_, err = x.r.Report(x.ctx, x.da)
--- a/tools/mods.sh
+++ b/tools/mods.sh
@@ -3,7 +3,7 @@
 # modules together by relative path, and tidies them.
 set -eu
 cd "$(dirname "$0")/.."
-mods="ids failure tale seam creed rpc coordination writ fleetstate whim rein passage door verge relay platform guise proof cmd tools"
+mods="ids failure logging seam creed rpc coordination certification fleetstate whim workerclient handoff api router proxy platform standin simulation cmd tools"
 for m in $mods; do
   [ -f "$m/go.mod" ] || printf 'module keelstair.example/%s\n\ngo 1.26.0\n' "$m" > "$m/go.mod"
   for o in $mods; do
--- a/tools/suite/suite_test.go
+++ b/tools/suite/suite_test.go
@@ -39,9 +39,9 @@
 }
 
 func TestKnownList(t *testing.T) {
-	list, faults := parseKnown("# why\n\nTestA, one, with a comma, issue 3\n verge.TestB/x/1, two, issue 4\n")
+	list, faults := parseKnown("# why\n\nTestA, one, with a comma, issue 3\n router.TestB/x/1, two, issue 4\n")
 	require.Empty(t, faults)
-	require.Equal(t, []known{{"TestA", "TestA, one, with a comma, issue 3"}, {"verge.TestB/x/1", "verge.TestB/x/1, two, issue 4"}}, list)
+	require.Equal(t, []known{{"TestA", "TestA, one, with a comma, issue 3"}, {"router.TestB/x/1", "router.TestB/x/1, two, issue 4"}}, list)
 	for _, bad := range []string{"TestA", "TestA, issue 3", "TestA, cause", "TestA, cause, issue x", "A, cause, issue 1", "TestA, , issue 1", "TestA, a, issue 1\nTestA, b, issue 2"} {
 		_, faults := parseKnown(bad)
 		require.Len(t, faults, 1, bad)
--- a/rein/talk.go
+++ b/workerclient/talk.go
@@ -1,7 +1,7 @@
-// Package rein is the one place that knows how workers and the platform speak:
+// Package workerclient is the one place that knows how workers and the platform speak:
 // HTTP/1.1 with JSON. A published interface that differs is met here alone.
 // This file is the vocabulary.
-package rein
+package workerclient
 
 import (
 	"slices"
--- a/rein/rein.go
+++ b/workerclient/workerclient.go
@@ -1,7 +1,7 @@
 // How orders, reports and streams go over the wire, and what each refusal of a
 // worker means in our own kinds of breakdown.
 
-package rein
+package workerclient
 
 import (
 	"bufio"
