--- a/cmd/berth/main.go
+++ b/cmd/berth/main.go
@@ -64,6 +64,13 @@
 	}()
 }
 
+// A core process that is asked to end hands over within the first span, and keeps the second
+// of the platform's grace time for ending.
+const (
+	handOverMost  = 4 * time.Second
+	handOverSpare = 2500 * time.Millisecond
+)
+
 func core(s *platform.Settings) error {
 	if err := s.ForCore(); err != nil {
 		return err
@@ -84,8 +91,9 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := boot.Signals()
+	asked, stop := boot.Signals()
 	defer stop()
+	ctx := boot.HandOver(asked, c, min(handOverMost, s.Grace-handOverSpare))
 	watch(ctx, c.Book())
 	mux := http.NewServeMux()
 	c.Mount(mux)
--- a/cmd/boot/boot.go
+++ b/cmd/boot/boot.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"keelstair.example/logging"
 	"keelstair.example/rpc"
@@ -19,6 +20,25 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 }
 
+// Leaver is what hands over before it ends.
+type Leaver interface {
+	Leave(ctx context.Context) error
+}
+
+// HandOver gives a context for a process that is to hand over when it is asked to end. It ends
+// once that is done, or a span after the asking.
+func HandOver(asked context.Context, l Leaver, span time.Duration) context.Context {
+	ctx, end := context.WithCancel(context.Background())
+	go func() {
+		defer end()
+		<-asked.Done()
+		within, stop := context.WithTimeout(context.Background(), span)
+		defer stop()
+		l.Leave(within) // it logs what stood in its way; the process ends all the same
+	}()
+	return ctx
+}
+
 // Fail prints one clear line and ends the process.
 func Fail(program string, err error) {
 	if err != nil {
--- a/cmd/tenet/main.go
+++ b/cmd/tenet/main.go
@@ -26,6 +26,7 @@
 	SilenceMs int      `arg:"--silence-ms" default:"900" help:"after so long the backup takes over" json:"silenceMs"`
 	LeaseMs   int      `arg:"--lease-ms" default:"3000" help:"of every node; the nodes must have the same" json:"leaseMs"`
 	StallMs   int      `arg:"--stall-ms" default:"1000" help:"a disk step that takes longer makes this machine stand down" json:"stallMs"`
+	GraceMs   int      `arg:"--grace-ms" default:"4000" help:"a machine that is stopped hands over what it holds within this span" json:"graceMs"`
 	FoundAnew bool     `arg:"--found-anew" help:"two of three disk machines are lost for good: go on from this disk with two empty ones; see the operators' page" json:"-"`
 	ReplaceMs int      `arg:"--replace-ms" default:"4000" help:"a register holder silent so long may be replaced by a spare" json:"replaceMs"`
 }
@@ -47,7 +48,7 @@
 	}
 	return creed.First(creed.Addr("addr", s.Addr), creed.Seeds("seeds", s.Seeds),
 		span("beatMs", s.BeatMs, 20, 1000), span("silenceMs", s.SilenceMs, 4*s.BeatMs, 30000),
-		span("leaseMs", s.LeaseMs, 2*s.SilenceMs, 60000), span("stallMs", s.StallMs, 50, 30000), span("replaceMs", s.ReplaceMs, s.SilenceMs, 600000))
+		span("leaseMs", s.LeaseMs, 2*s.SilenceMs, 60000), span("stallMs", s.StallMs, 50, 30000), span("graceMs", s.GraceMs, 0, 600000), span("replaceMs", s.ReplaceMs, s.SilenceMs, 600000))
 }
 
 func main() {
@@ -63,8 +64,9 @@
 		},
 		Beat: ms(s.BeatMs), Silence: ms(s.SilenceMs), Lease: ms(s.LeaseMs), Stall: ms(s.StallMs), Replace: ms(s.ReplaceMs), Anew: s.FoundAnew})
 	boot.Fail("tenet", err)
-	ctx, stop := boot.Signals()
+	asked, stop := boot.Signals()
 	defer stop()
+	ctx := boot.HandOver(asked, core, ms(s.GraceMs))
 	mux := http.NewServeMux()
 	core.Mount(mux)
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
--- a/coordination/agent.go
+++ b/coordination/agent.go
@@ -53,7 +53,9 @@
 	book *Book
 	feed *feed
 
-	mu    sync.Mutex
+	mu        sync.Mutex
+	newsEpoch ids.Epoch // of the news that was taken last; older news is not taken
+
 	sight atomic.Pointer[sight]
 
 	until atomic.Int64
@@ -94,7 +96,13 @@
 		if a.sight.Load().seq == 0 {
 			return nil, failure.New(failure.Away, "news", a.opt.Me.Addr, "nothing is known yet")
 		}
-		return a.feed.news(ctx, q, func() (*Image, error) { return a.image(), nil })
+		r, err := a.feed.news(ctx, q, func() (*Image, error) { return a.image(), nil })
+		if err == nil {
+			a.mu.Lock()
+			r.Epoch = a.newsEpoch
+			a.mu.Unlock()
+		}
+		return r, err
 	})
 }
 
--- a/coordination/anew.go
+++ b/coordination/anew.go
@@ -65,6 +65,7 @@
 	c.roll.seq += anewJump
 	// Who holds what may have changed beyond this disk's knowledge: all is dealt anew.
 	c.roll.grants = map[ids.Key]Grant{}
+	c.roll.digest, c.roll.history = stateDigest(c.roll.seq, []byte(Name())), history{}
 	img, shelf := c.roll.picture(false), sheets(c.roll.app)
 	err := c.store.reset(img, shelf)
 	c.dataMu.Unlock()
@@ -73,6 +74,7 @@
 	}
 	next := rec
 	next.Epoch += anewJump
+	next.Before = nil
 	next.Primary, next.Holders = c.me, append([]Seat{c.me}, spare...)
 	next.follow(spare[:rec.losses()])
 	if !c.begin(ctx, next, Pack(img), shelf) {
@@ -87,14 +89,14 @@
 // backup takes the picture, and the backup accepts first.
 func (c *Core) begin(ctx context.Context, rec Record, body []byte, shelf []Sheet) bool {
 	ask := &BallotAsk{Epoch: rec.Epoch, From: c.me, Record: rec}
-	if n, _, _ := c.poll(ctx, ask, rec.Holders); n < len(rec.Holders) {
+	if _, yes := c.poll(ctx, ask, rec.Holders, nil); len(yes) < len(rec.Holders) {
 		if _, promised := c.accepted(); promised != rec.Epoch {
 			return false
 		}
 	}
 	order := rec.backups()
 	for _, s := range order {
-		if c.send(ctx, rec.Epoch, s, body, shelf) != nil {
+		if c.bringWhole(ctx, rec.Epoch, s, body, shelf) != nil {
 			return false
 		}
 	}
@@ -105,7 +107,7 @@
 		}
 	}
 	for _, s := range append(order, c.me) {
-		if n, _, _ := c.poll(ctx, ask, []Seat{s}); n < 1 {
+		if _, yes := c.poll(ctx, ask, []Seat{s}, nil); len(yes) < 1 {
 			return false
 		}
 	}
--- a/coordination/asks.go
+++ b/coordination/asks.go
@@ -32,6 +32,7 @@
 	Seats   []Seat
 	Members []Member
 	Seq     ids.Seq // of the log, that the members are as of
+	Leaving bool    `msg:"Leaving,omitempty"` // it is about to end and takes on nothing new
 }
 
 type Empty struct{}
--- a/coordination/asks_gen.go
+++ b/coordination/asks_gen.go
@@ -212,47 +212,65 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *WhereAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "Me"
-	o = append(o, 0x86, 0xa2, 0x4d, 0x65)
-	o, err = z.Me.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Me")
-		return
-	}
-	// string "Blank"
-	o = append(o, 0xa5, 0x42, 0x6c, 0x61, 0x6e, 0x6b)
-	o = msgp.AppendBool(o, z.Blank)
-	// string "Record"
-	o = append(o, 0xa6, 0x52, 0x65, 0x63, 0x6f, 0x72, 0x64)
-	o, err = z.Record.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Record")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Leaving == false {
+		zb0001Len--
+		zb0001Mask |= 0x40
 	}
-	// string "Seats"
-	o = append(o, 0xa5, 0x53, 0x65, 0x61, 0x74, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Seats)))
-	for za0001 := range z.Seats {
-		o, err = z.Seats[za0001].MarshalMsg(o)
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "Me"
+		o = append(o, 0xa2, 0x4d, 0x65)
+		o, err = z.Me.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Seats", za0001)
+			err = msgp.WrapError(err, "Me")
 			return
 		}
-	}
-	// string "Members"
-	o = append(o, 0xa7, 0x4d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
-	for za0002 := range z.Members {
-		o, err = z.Members[za0002].MarshalMsg(o)
+		// string "Blank"
+		o = append(o, 0xa5, 0x42, 0x6c, 0x61, 0x6e, 0x6b)
+		o = msgp.AppendBool(o, z.Blank)
+		// string "Record"
+		o = append(o, 0xa6, 0x52, 0x65, 0x63, 0x6f, 0x72, 0x64)
+		o, err = z.Record.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", za0002)
+			err = msgp.WrapError(err, "Record")
 			return
 		}
+		// string "Seats"
+		o = append(o, 0xa5, 0x53, 0x65, 0x61, 0x74, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Seats)))
+		for za0001 := range z.Seats {
+			o, err = z.Seats[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Seats", za0001)
+				return
+			}
+		}
+		// string "Members"
+		o = append(o, 0xa7, 0x4d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+		for za0002 := range z.Members {
+			o, err = z.Members[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Members", za0002)
+				return
+			}
+		}
+		// string "Seq"
+		o = append(o, 0xa3, 0x53, 0x65, 0x71)
+		o = msgp.AppendUint64(o, uint64(z.Seq))
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "Leaving"
+			o = append(o, 0xa7, 0x4c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+			o = msgp.AppendBool(o, z.Leaving)
+		}
 	}
-	// string "Seq"
-	o = append(o, 0xa3, 0x53, 0x65, 0x71)
-	o = msgp.AppendUint64(o, uint64(z.Seq))
 	return
 }
 
@@ -340,6 +358,12 @@
 				}
 				z.Seq = ids.Seq(zb0004)
 			}
+		case "Leaving":
+			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -362,6 +386,6 @@
 	for za0002 := range z.Members {
 		s += z.Members[za0002].Msgsize()
 	}
-	s += 4 + msgp.Uint64Size
+	s += 4 + msgp.Uint64Size + 8 + msgp.BoolSize
 	return
 }
--- a/coordination/ballot_note.go
+++ b/coordination/ballot_note.go
@@ -18,9 +18,12 @@
 	Record   Record
 }
 
+// BallotReply is a register as it stands after either round. It is also what a disk keeps
+// of the register.
 type BallotReply struct {
-	Ok       bool
-	Promised ids.Epoch
-	Accepted Record
-	Why      string
+	Ok         bool
+	Promised   ids.Epoch
+	Accepted   Record
+	Why        string
+	PromisedTo ids.DiskId `msg:"PromisedTo,omitempty"` // the replica that the promise was given to
 }
--- a/coordination/ballot_note_gen.go
+++ b/coordination/ballot_note_gen.go
@@ -110,23 +110,41 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *BallotReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "Ok"
-	o = append(o, 0x84, 0xa2, 0x4f, 0x6b)
-	o = msgp.AppendBool(o, z.Ok)
-	// string "Promised"
-	o = append(o, 0xa8, 0x50, 0x72, 0x6f, 0x6d, 0x69, 0x73, 0x65, 0x64)
-	o = msgp.AppendUint64(o, uint64(z.Promised))
-	// string "Accepted"
-	o = append(o, 0xa8, 0x41, 0x63, 0x63, 0x65, 0x70, 0x74, 0x65, 0x64)
-	o, err = z.Accepted.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Accepted")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.PromisedTo == "" {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "Ok"
+		o = append(o, 0xa2, 0x4f, 0x6b)
+		o = msgp.AppendBool(o, z.Ok)
+		// string "Promised"
+		o = append(o, 0xa8, 0x50, 0x72, 0x6f, 0x6d, 0x69, 0x73, 0x65, 0x64)
+		o = msgp.AppendUint64(o, uint64(z.Promised))
+		// string "Accepted"
+		o = append(o, 0xa8, 0x41, 0x63, 0x63, 0x65, 0x70, 0x74, 0x65, 0x64)
+		o, err = z.Accepted.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Accepted")
+			return
+		}
+		// string "Why"
+		o = append(o, 0xa3, 0x57, 0x68, 0x79)
+		o = msgp.AppendString(o, z.Why)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "PromisedTo"
+			o = append(o, 0xaa, 0x50, 0x72, 0x6f, 0x6d, 0x69, 0x73, 0x65, 0x64, 0x54, 0x6f)
+			o = msgp.AppendString(o, string(z.PromisedTo))
+		}
 	}
-	// string "Why"
-	o = append(o, 0xa3, 0x57, 0x68, 0x79)
-	o = msgp.AppendString(o, z.Why)
 	return
 }
 
@@ -176,6 +194,16 @@
 				err = msgp.WrapError(err, "Why")
 				return
 			}
+		case "PromisedTo":
+			{
+				var zb0003 string
+				zb0003, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "PromisedTo")
+					return
+				}
+				z.PromisedTo = ids.DiskId(zb0003)
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -190,6 +218,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *BallotReply) Msgsize() (s int) {
-	s = 1 + 3 + msgp.BoolSize + 9 + msgp.Uint64Size + 9 + z.Accepted.Msgsize() + 4 + msgp.StringPrefixSize + len(z.Why)
+	s = 1 + 3 + msgp.BoolSize + 9 + msgp.Uint64Size + 9 + z.Accepted.Msgsize() + 4 + msgp.StringPrefixSize + len(z.Why) + 11 + msgp.StringPrefixSize + len(string(z.PromisedTo))
 	return
 }
--- a/coordination/book.go
+++ b/coordination/book.go
@@ -20,8 +20,9 @@
 
 type seatSeen struct {
 	Seat
-	blank bool
-	at    ids.Tick
+	blank   bool
+	leaving bool
+	at      ids.Tick
 }
 
 // Book is safe for use by many threads.
@@ -77,7 +78,7 @@
 		b.heardAt = b.host.Clock.Now()
 	}
 	if p.Me.Disk != "" && p.Me.Disk != b.me.Me.Disk {
-		b.seats[p.Me.Disk] = seatSeen{p.Me, p.Blank, b.host.Clock.Now()}
+		b.seats[p.Me.Disk] = seatSeen{p.Me, p.Blank, p.Leaving, b.host.Clock.Now()}
 	}
 	for _, s := range p.Seats {
 		if _, ok := b.seats[s.Disk]; !ok && s.Disk != b.me.Me.Disk {
@@ -181,6 +182,20 @@
 	return all, blank
 }
 
+// setLeaving has all pages tell from now on that this process is about to end.
+func (b *Book) setLeaving() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.me.Leaving = true
+}
+
+// leaving tells whether a replica said that it is about to end.
+func (b *Book) leaving(d ids.DiskId) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.seats[d].leaving
+}
+
 // whom lists every address worth asking.
 func (b *Book) whom() []string {
 	b.mu.Lock()
@@ -195,7 +210,7 @@
 	for _, m := range b.members {
 		set[m.Addr] = true
 	}
-	for _, s := range b.record.Holders {
+	for _, s := range b.record.voters() {
 		set[s.Addr] = true
 	}
 	delete(set, b.me.Me.Addr)
--- a/coordination/core.go
+++ b/coordination/core.go
@@ -69,15 +69,19 @@
 	ready  atomic.Uint64
 	sour   bool
 
-	lead  atomic.Pointer[leader]
-	top   atomic.Uint64
-	fatal chan error
+	lead    atomic.Pointer[leader]
+	top     atomic.Uint64
+	leaving atomic.Bool
+	asked   atomic.Uint64 // the epoch whose primary has asked this backup to take over
+	wake    chan struct{} // the steward's
+	copies  atomic.Uint64 // whole states sent to others
+	fatal   chan error
 }
 
 // New opens the disk and reads what it holds. It starts nothing.
 func New(opt Options) (*Core, error) {
 	opt.fill()
-	c := &Core{opt: opt, regMu: seam.NewLatch(), dataMu: seam.NewLatch(), feed: newFeed(), heard: map[ids.DiskId]ids.Tick{}, fatal: make(chan error, 1)}
+	c := &Core{opt: opt, regMu: seam.NewLatch(), dataMu: seam.NewLatch(), feed: newFeed(), heard: map[ids.DiskId]ids.Tick{}, wake: make(chan struct{}, 1), fatal: make(chan error, 1)}
 	c.store = &store{disk: opt.Host.Disk, stall: opt.Stall}
 	id, err := opt.Host.Disk.Load(identityFile)
 	if errors.Is(err, seam.ErrGone) {
@@ -139,6 +143,8 @@
 	rpc.Handle(mux, "crux/renew", c.renew)
 	rpc.Handle(mux, "crux/news", c.news)
 	rpc.Handle(mux, "crux/beat", c.beat)
+	rpc.Handle(mux, "crux/leave", c.leave)
+	rpc.Handle(mux, "crux/lead", c.takeOver)
 }
 
 // Run takes part until the context ends. It returns early only on a breakdown
@@ -194,12 +200,6 @@
 	}
 }
 
-func (c *Core) accepted() (Record, ids.Epoch) {
-	c.regMu.Lock()
-	defer c.regMu.Unlock()
-	return c.reg.Accepted, c.reg.Promised
-}
-
 func holds(list []Seat, d ids.DiskId) bool {
 	for _, s := range list {
 		if s.Disk == d {
@@ -209,62 +209,6 @@
 	return false
 }
 
-// ballot answers either round of the register, synced before the answer.
-func (c *Core) ballot(_ context.Context, q *BallotAsk) (*BallotReply, error) {
-	ready := ids.Epoch(c.ready.Load())
-	c.regMu.Lock()
-	defer c.regMu.Unlock()
-	now := c.opt.Host.Clock.Now()
-	out := func(why string) (*BallotReply, error) {
-		return &BallotReply{Ok: why == "", Promised: c.reg.Promised, Accepted: c.reg.Accepted, Why: why}, nil
-	}
-	next := c.reg
-	switch prim := c.reg.Accepted.Primary.Disk; {
-	case c.reg.Accepted.Founding != "" && c.reg.Accepted.Founding != q.Record.Founding:
-		return out("another founding")
-	case !holds(q.Record.Holders, c.me.Disk):
-		return out("not a holder")
-	case !q.Accept && q.Epoch <= c.reg.Promised, q.Accept && q.Epoch < c.reg.Promised:
-		return out("a newer epoch is promised")
-	case q.Takeover && q.From.Disk != prim && c.alive(prim, now):
-		return out("the primary is heard")
-	case q.Accept && q.Record.rank(c.me.Disk) >= 0 && ready != q.Epoch:
-		return out("the picture of this epoch is missing")
-	case q.Accept:
-		next.Accepted, next.Promised = q.Record, q.Epoch
-	default:
-		next.Promised = q.Epoch
-	}
-	if err := c.store.saveRegister(next); err != nil {
-		return nil, err
-	}
-	c.reg = next
-	if q.Accept {
-		c.heard[q.From.Disk] = now
-		c.book.Learn(&WhereAsk{Record: q.Record})
-	}
-	return out("")
-}
-
-func (c *Core) alive(d ids.DiskId, now ids.Tick) bool {
-	if d == c.me.Disk {
-		return c.Leads()
-	}
-	at, ok := c.heard[d]
-	return ok && !now.Past(at, c.opt.Silence*2/3)
-}
-
-// beat is the primary's sign of life to those it sends no entries.
-func (c *Core) beat(_ context.Context, q *AppendAsk) (*AppendReply, error) {
-	c.regMu.Lock()
-	defer c.regMu.Unlock()
-	if q.Epoch >= c.reg.Accepted.Epoch && q.Epoch >= c.reg.Promised {
-		c.heard[q.From.Disk] = c.opt.Host.Clock.Now()
-		return &AppendReply{Disk: c.me.Disk, Ok: true, Promised: c.reg.Promised}, nil
-	}
-	return &AppendReply{Disk: c.me.Disk, Promised: c.reg.Promised}, nil
-}
-
 // append takes entries as the backup; they are synced before the answer. An
 // older epoch is refused, so a deposed primary can acknowledge nothing.
 func (c *Core) append(_ context.Context, q *AppendAsk) (*AppendReply, error) {
@@ -276,17 +220,15 @@
 		return r, nil
 	}
 	c.regMu.Lock()
-	c.heard[q.From.Disk] = c.opt.Host.Clock.Now()
+	c.hear(q.From.Disk)
+	c.settle(q.Epoch, q.From.Disk)
 	c.regMu.Unlock()
 	if err := c.store.append(q.Entries); err != nil {
 		c.sour = true
 		return nil, err
 	}
-	for i := range q.Entries {
-		if _, err := c.roll.apply(&q.Entries[i]); err != nil {
-			c.sour = true
-			return nil, failure.Wrap(err, "apply entry", q.From.Addr)
-		}
+	if err := c.applyAll(q.Entries); err != nil {
+		return nil, failure.Wrap(err, "apply entry", q.From.Addr)
 	}
 	if _, promised = c.accepted(); promised > q.Epoch {
 		return &AppendReply{Promised: promised}, nil
@@ -300,47 +242,6 @@
 	return &AppendReply{Ok: true, Last: c.roll.seq, Promised: promised}, nil
 }
 
-// picture replaces all data with the proposer's, synced. Only the one that this
-// register has promised the epoch to may send it.
-func (c *Core) picture(_ context.Context, q *PictureAsk) (*AppendReply, error) {
-	c.dataMu.Lock()
-	defer c.dataMu.Unlock()
-	rec, promised := c.accepted()
-	if promised != q.Epoch || rec.Epoch >= q.Epoch || c.Leads() {
-		return &AppendReply{Promised: promised}, nil
-	}
-	var img Image
-	if _, err := img.UnmarshalMsg(q.Body); err != nil {
-		return nil, failure.As(err, failure.Bad, "read picture", q.From.Addr)
-	}
-	near := sheets(c.roll.app)
-	known := map[string]bool{}
-	for _, one := range near {
-		known[one.Name] = true
-	}
-	var lacks []string
-	for _, n := range img.Sheets {
-		if !known[n] && !c.store.hasSheet(n) {
-			lacks = append(lacks, n)
-		}
-	}
-	if len(lacks) > 0 {
-		return &AppendReply{Promised: promised, Lacks: lacks}, nil
-	}
-	fresh := newRoll(c.opt.Machine())
-	if err := c.store.restore(fresh, &img, near); err != nil {
-		return nil, err
-	}
-	if err := c.store.reset(&img, sheets(fresh.app)); err != nil {
-		c.sour = true
-		return nil, err
-	}
-	c.store.dropSheets(&img)
-	c.roll, c.sour = fresh, false
-	c.ready.Store(uint64(q.Epoch))
-	return &AppendReply{Ok: true, Last: img.Seq, Promised: promised}, nil
-}
-
 func (c *Core) submit(ctx context.Context, q *SubmitAsk) (*SubmitReply, error) {
 	l := c.lead.Load()
 	if l == nil {
@@ -373,11 +274,15 @@
 	if l == nil {
 		return nil, failure.New(failure.Away, "news", c.me.Addr, "not the primary")
 	}
-	return c.feed.news(ctx, q, func() (*Image, error) {
+	r, err := c.feed.news(ctx, q, func() (*Image, error) {
 		j := &job{peek: true, done: make(chan struct{})}
 		if err := l.ask(ctx, j); err != nil {
 			return nil, err
 		}
 		return j.img, j.err
 	})
+	if err == nil {
+		r.Epoch = l.founded
+	}
+	return r, err
 }
--- a/coordination/entry.go
+++ b/coordination/entry.go
@@ -33,4 +33,6 @@
 	Last     ids.Seq
 	Promised ids.Epoch
 	Lacks    []string
+	Behind   bool   `msg:"Behind,omitempty"` // more than the place in the log is needed
+	Digest   []byte `msg:"Digest,omitempty"` // of the log up to Last
 }
--- a/coordination/entry_gen.go
+++ b/coordination/entry_gen.go
@@ -124,24 +124,51 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *AppendReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "Disk"
-	o = append(o, 0x85, 0xa4, 0x44, 0x69, 0x73, 0x6b)
-	o = msgp.AppendString(o, string(z.Disk))
-	// string "Ok"
-	o = append(o, 0xa2, 0x4f, 0x6b)
-	o = msgp.AppendBool(o, z.Ok)
-	// string "Last"
-	o = append(o, 0xa4, 0x4c, 0x61, 0x73, 0x74)
-	o = msgp.AppendUint64(o, uint64(z.Last))
-	// string "Promised"
-	o = append(o, 0xa8, 0x50, 0x72, 0x6f, 0x6d, 0x69, 0x73, 0x65, 0x64)
-	o = msgp.AppendUint64(o, uint64(z.Promised))
-	// string "Lacks"
-	o = append(o, 0xa5, 0x4c, 0x61, 0x63, 0x6b, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Lacks)))
-	for za0001 := range z.Lacks {
-		o = msgp.AppendString(o, z.Lacks[za0001])
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Behind == false {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.Digest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "Disk"
+		o = append(o, 0xa4, 0x44, 0x69, 0x73, 0x6b)
+		o = msgp.AppendString(o, string(z.Disk))
+		// string "Ok"
+		o = append(o, 0xa2, 0x4f, 0x6b)
+		o = msgp.AppendBool(o, z.Ok)
+		// string "Last"
+		o = append(o, 0xa4, 0x4c, 0x61, 0x73, 0x74)
+		o = msgp.AppendUint64(o, uint64(z.Last))
+		// string "Promised"
+		o = append(o, 0xa8, 0x50, 0x72, 0x6f, 0x6d, 0x69, 0x73, 0x65, 0x64)
+		o = msgp.AppendUint64(o, uint64(z.Promised))
+		// string "Lacks"
+		o = append(o, 0xa5, 0x4c, 0x61, 0x63, 0x6b, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Lacks)))
+		for za0001 := range z.Lacks {
+			o = msgp.AppendString(o, z.Lacks[za0001])
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "Behind"
+			o = append(o, 0xa6, 0x42, 0x65, 0x68, 0x69, 0x6e, 0x64)
+			o = msgp.AppendBool(o, z.Behind)
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "Digest"
+			o = append(o, 0xa6, 0x44, 0x69, 0x67, 0x65, 0x73, 0x74)
+			o = msgp.AppendBytes(o, z.Digest)
+		}
 	}
 	return
 }
@@ -219,6 +246,18 @@
 					return
 				}
 			}
+		case "Behind":
+			z.Behind, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Behind")
+				return
+			}
+		case "Digest":
+			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -237,6 +276,7 @@
 	for za0001 := range z.Lacks {
 		s += msgp.StringPrefixSize + len(z.Lacks[za0001])
 	}
+	s += 7 + msgp.BoolSize + 7 + msgp.BytesPrefixSize + len(z.Digest)
 	return
 }
 
--- a/coordination/follow.go
+++ b/coordination/follow.go
@@ -65,6 +65,9 @@
 func (a *Agent) take(q *NewsAsk, r *NewsReply) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if r.Epoch < a.newsEpoch {
+		return failure.New(failure.Stale, "take news", "", "it is of epoch %d, epoch %d was heard", r.Epoch, a.newsEpoch)
+	}
 	old := a.sight.Load()
 	next := newRoll(nil)
 	next.seq, next.fence = old.seq, old.fence
@@ -111,6 +114,7 @@
 	default:
 		return nil
 	}
+	a.newsEpoch = r.Epoch
 	s := &sight{seq: next.seq, fence: next.fence, grants: next.grants, members: next.list()}
 	a.sight.Store(s)
 	a.book.SetMembers(s.seq, s.members)
--- a/coordination/image_note.go
+++ b/coordination/image_note.go
@@ -19,6 +19,7 @@
 	Ops     []Past
 	Sheets  []string
 	App     []byte
+	Digest  []byte `msg:"Digest,omitempty"` // of the log up to Seq: see logDigest
 }
 
 // Past is the outcome an operation had.
--- a/coordination/image_note_gen.go
+++ b/coordination/image_note_gen.go
@@ -10,60 +10,78 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Image) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
-	// string "Seq"
-	o = append(o, 0x88, 0xa3, 0x53, 0x65, 0x71)
-	o = msgp.AppendUint64(o, uint64(z.Seq))
-	// string "Log"
-	o = append(o, 0xa3, 0x4c, 0x6f, 0x67)
-	o = msgp.AppendString(o, z.Log)
-	// string "Fence"
-	o = append(o, 0xa5, 0x46, 0x65, 0x6e, 0x63, 0x65)
-	o = msgp.AppendUint64(o, uint64(z.Fence))
-	// string "Members"
-	o = append(o, 0xa7, 0x4d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
-	for za0001 := range z.Members {
-		o, err = z.Members[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001)
-			return
-		}
+	// check for omitted fields
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
+	_ = zb0001Mask
+	if z.Digest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100
 	}
-	// string "Grants"
-	o = append(o, 0xa6, 0x47, 0x72, 0x61, 0x6e, 0x74, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Grants)))
-	for za0002 := range z.Grants {
-		o, err = z.Grants[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Grants", za0002)
-			return
-		}
-	}
-	// string "Ops"
-	o = append(o, 0xa3, 0x4f, 0x70, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Ops)))
-	for za0003 := range z.Ops {
-		// map header, size 3
-		// string "Op"
-		o = append(o, 0x83, 0xa2, 0x4f, 0x70)
-		o = msgp.AppendString(o, string(z.Ops[za0003].Op))
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
 		// string "Seq"
 		o = append(o, 0xa3, 0x53, 0x65, 0x71)
-		o = msgp.AppendUint64(o, uint64(z.Ops[za0003].Seq))
-		// string "Body"
-		o = append(o, 0xa4, 0x42, 0x6f, 0x64, 0x79)
-		o = msgp.AppendBytes(o, z.Ops[za0003].Body)
-	}
-	// string "Sheets"
-	o = append(o, 0xa6, 0x53, 0x68, 0x65, 0x65, 0x74, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Sheets)))
-	for za0004 := range z.Sheets {
-		o = msgp.AppendString(o, z.Sheets[za0004])
+		o = msgp.AppendUint64(o, uint64(z.Seq))
+		// string "Log"
+		o = append(o, 0xa3, 0x4c, 0x6f, 0x67)
+		o = msgp.AppendString(o, z.Log)
+		// string "Fence"
+		o = append(o, 0xa5, 0x46, 0x65, 0x6e, 0x63, 0x65)
+		o = msgp.AppendUint64(o, uint64(z.Fence))
+		// string "Members"
+		o = append(o, 0xa7, 0x4d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+		for za0001 := range z.Members {
+			o, err = z.Members[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Members", za0001)
+				return
+			}
+		}
+		// string "Grants"
+		o = append(o, 0xa6, 0x47, 0x72, 0x61, 0x6e, 0x74, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Grants)))
+		for za0002 := range z.Grants {
+			o, err = z.Grants[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Grants", za0002)
+				return
+			}
+		}
+		// string "Ops"
+		o = append(o, 0xa3, 0x4f, 0x70, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Ops)))
+		for za0003 := range z.Ops {
+			// map header, size 3
+			// string "Op"
+			o = append(o, 0x83, 0xa2, 0x4f, 0x70)
+			o = msgp.AppendString(o, string(z.Ops[za0003].Op))
+			// string "Seq"
+			o = append(o, 0xa3, 0x53, 0x65, 0x71)
+			o = msgp.AppendUint64(o, uint64(z.Ops[za0003].Seq))
+			// string "Body"
+			o = append(o, 0xa4, 0x42, 0x6f, 0x64, 0x79)
+			o = msgp.AppendBytes(o, z.Ops[za0003].Body)
+		}
+		// string "Sheets"
+		o = append(o, 0xa6, 0x53, 0x68, 0x65, 0x65, 0x74, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Sheets)))
+		for za0004 := range z.Sheets {
+			o = msgp.AppendString(o, z.Sheets[za0004])
+		}
+		// string "App"
+		o = append(o, 0xa3, 0x41, 0x70, 0x70)
+		o = msgp.AppendBytes(o, z.App)
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "Digest"
+			o = append(o, 0xa6, 0x44, 0x69, 0x67, 0x65, 0x73, 0x74)
+			o = msgp.AppendBytes(o, z.Digest)
+		}
 	}
-	// string "App"
-	o = append(o, 0xa3, 0x41, 0x70, 0x70)
-	o = msgp.AppendBytes(o, z.App)
 	return
 }
 
@@ -236,6 +254,12 @@
 				err = msgp.WrapError(err, "App")
 				return
 			}
+		case "Digest":
+			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -266,7 +290,7 @@
 	for za0004 := range z.Sheets {
 		s += msgp.StringPrefixSize + len(z.Sheets[za0004])
 	}
-	s += 4 + msgp.BytesPrefixSize + len(z.App)
+	s += 4 + msgp.BytesPrefixSize + len(z.App) + 7 + msgp.BytesPrefixSize + len(z.Digest)
 	return
 }
 
--- a/coordination/lead.go
+++ b/coordination/lead.go
@@ -19,6 +19,9 @@
 	ent   *Entry
 	renew *RenewAsk
 	peek  bool
+	// Changes of membership: a replica that leaves, or the lead itself.
+	release  *Seat
+	transfer bool
 
 	out   []byte
 	lease *RenewReply
@@ -28,14 +31,16 @@
 }
 
 type leader struct {
-	c     *Core
-	rec   Record
-	jobs  chan *job
-	end   chan struct{}
-	since ids.Tick
-	deals ids.Tick
-	nodes map[ids.NodeId]*tenant
-	asked ids.Tick
+	c   *Core
+	rec Record
+	// The epoch in which this lead began. Later ones of the same lead change backups or holders only.
+	founded ids.Epoch
+	jobs    chan *job
+	end     chan struct{}
+	since   ids.Tick
+	deals   ids.Tick
+	nodes   map[ids.NodeId]*tenant
+	asked   ids.Tick
 }
 
 func (l *leader) ask(ctx context.Context, j *job) error {
@@ -63,7 +68,7 @@
 // serve leads until it must stand down.
 func (c *Core) serve(ctx context.Context, rec Record) {
 	now := c.opt.Host.Clock.Now()
-	l := &leader{c: c, rec: rec, jobs: make(chan *job, 256), end: make(chan struct{}), since: now,
+	l := &leader{c: c, rec: rec, founded: rec.Epoch, jobs: make(chan *job, 256), end: make(chan struct{}), since: now,
 		deals: now.Add(c.opt.Lease + c.opt.Lease/10), nodes: map[ids.NodeId]*tenant{}}
 	c.dataMu.Lock()
 	for n, m := range c.roll.members {
@@ -121,6 +126,12 @@
 				break more
 			}
 		}
+		if err := l.change(ctx, batch); err != nil {
+			for _, j := range batch {
+				l.finish(j, failure.New(failure.Bounced, "write", l.c.me.Addr, "stood down before it was taken"))
+			}
+			return err
+		}
 		if err := l.commit(ctx, batch); err != nil {
 			return err
 		}
@@ -161,6 +172,7 @@
 		c.sour = true
 		err = failure.As(err, failure.Unknown, "write", c.me.Addr)
 		for _, j := range batch {
+			j.err = err // a refusal, too, came from a state that may be old
 			l.finish(j, err)
 		}
 		return err
@@ -212,7 +224,7 @@
 		return nil
 	}
 	for n := 0; ; n++ {
-		rec, err := c.ascend(ctx, swap{}, l.rec.Epoch)
+		rec, err := c.ascend(ctx, proposal{held: l.rec.Epoch})
 		if err == nil {
 			l.rec = rec
 			return nil
@@ -236,7 +248,7 @@
 		}
 		return failure.New(failure.Stale, "append", s.Addr, "refused, promised %d", r.Promised)
 	}
-	l.c.hear(s.Disk)
+	l.c.heardFrom(s.Disk)
 	return nil
 }
 
@@ -256,69 +268,13 @@
 				r, err := rpc.Call[AppendAsk, AppendReply](cx, c.call, c.book.Addr(s), "crux/beat", &AppendAsk{Epoch: rec.Epoch, From: c.me})
 				// An empty disk may answer at the address of one that is lost.
 				if err == nil && r.Ok && r.Disk == s.Disk {
-					c.hear(s.Disk)
+					c.heardFrom(s.Disk)
 				}
 			}()
 		}
 	}
 }
 
-func (c *Core) hear(d ids.DiskId) {
-	c.regMu.Lock()
-	defer c.regMu.Unlock()
-	c.heard[d] = c.opt.Host.Clock.Now()
-}
-
-// heal gives the register of a long silent holder to a spare that is heard.
-func (l *leader) heal(ctx context.Context) error {
-	c := l.c
-	now := c.opt.Host.Clock.Now()
-	c.book.SetMembers(l.members())
-	all, _ := c.book.heard(5 * time.Second)
-	for _, s := range l.rec.Holders {
-		spare, ok := l.spare(s, all, now)
-		if !ok {
-			continue
-		}
-		c.dataMu.Lock()
-		rec, err := c.ascend(ctx, swap{s.Disk, spare}, l.rec.Epoch)
-		c.dataMu.Unlock()
-		c.opt.Ring.Warn().AnErr("cause", err).Str("out", s.Addr).Str("in", spare.Addr).Msg("replaces a register holder")
-		if err == nil {
-			l.rec = rec
-		}
-		return err
-	}
-	return nil
-}
-
-// spare gives who may take over a holder's register, if that is lost: another disk that
-// stands at its very address, at once, since the one before it will not come back; any
-// other after a longer silence.
-func (l *leader) spare(s Seat, all []Seat, now ids.Tick) (Seat, bool) {
-	c := l.c
-	c.regMu.Lock()
-	at := max(c.heard[s.Disk], l.since)
-	c.regMu.Unlock()
-	if s.Disk == c.me.Disk || !now.Past(at, c.opt.Silence) {
-		return Seat{}, false
-	}
-	place, some := c.book.Addr(s), -1
-	for i := range all {
-		switch {
-		case holds(l.rec.Holders, all[i].Disk):
-		case all[i].Addr == place:
-			return all[i], true
-		case some < 0 && now.Past(at, c.opt.Replace):
-			some = i
-		}
-	}
-	if some < 0 {
-		return Seat{}, false
-	}
-	return all[some], true
-}
-
 func (l *leader) members() (ids.Seq, []Member) {
 	l.c.dataMu.Lock()
 	defer l.c.dataMu.Unlock()
--- a/coordination/news_note.go
+++ b/coordination/news_note.go
@@ -5,6 +5,7 @@
 import "keelstair.example/ids"
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file news_note.go
+//msgp:shim ids.Epoch as:uint64 using:uint64/ids.Epoch
 //msgp:shim ids.Seq as:uint64 using:uint64/ids.Seq
 
 type NewsAsk struct {
@@ -16,4 +17,5 @@
 	Seq     ids.Seq
 	Picture []byte
 	Entries []Entry
+	Epoch   ids.Epoch `msg:"Epoch,omitempty"` // in which the news was decided last
 }
--- a/coordination/news_note_gen.go
+++ b/coordination/news_note_gen.go
@@ -75,21 +75,39 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *NewsReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "Seq"
-	o = append(o, 0x83, 0xa3, 0x53, 0x65, 0x71)
-	o = msgp.AppendUint64(o, uint64(z.Seq))
-	// string "Picture"
-	o = append(o, 0xa7, 0x50, 0x69, 0x63, 0x74, 0x75, 0x72, 0x65)
-	o = msgp.AppendBytes(o, z.Picture)
-	// string "Entries"
-	o = append(o, 0xa7, 0x45, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
-	for za0001 := range z.Entries {
-		o, err = z.Entries[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Entries", za0001)
-			return
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Epoch == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "Seq"
+		o = append(o, 0xa3, 0x53, 0x65, 0x71)
+		o = msgp.AppendUint64(o, uint64(z.Seq))
+		// string "Picture"
+		o = append(o, 0xa7, 0x50, 0x69, 0x63, 0x74, 0x75, 0x72, 0x65)
+		o = msgp.AppendBytes(o, z.Picture)
+		// string "Entries"
+		o = append(o, 0xa7, 0x45, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
+		for za0001 := range z.Entries {
+			o, err = z.Entries[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Entries", za0001)
+				return
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "Epoch"
+			o = append(o, 0xa5, 0x45, 0x70, 0x6f, 0x63, 0x68)
+			o = msgp.AppendUint64(o, uint64(z.Epoch))
 		}
 	}
 	return
@@ -148,6 +166,16 @@
 					return
 				}
 			}
+		case "Epoch":
+			{
+				var zb0004 uint64
+				zb0004, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Epoch")
+					return
+				}
+				z.Epoch = ids.Epoch(zb0004)
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -166,5 +194,6 @@
 	for za0001 := range z.Entries {
 		s += z.Entries[za0001].Msgsize()
 	}
+	s += 6 + msgp.Uint64Size
 	return
 }
--- a/coordination/record.go
+++ b/coordination/record.go
@@ -35,6 +35,37 @@
 	return -1
 }
 
+// quorums are the sets of replicas whose majorities a ballot for this record needs, each of
+// them: the holders, and while a change of the holders is not known to be decided, those
+// before it (joint consensus). So two ballots always share a register.
+func (r Record) quorums() [][]Seat {
+	if len(r.Before) == 0 {
+		return [][]Seat{r.Holders}
+	}
+	return [][]Seat{r.Holders, r.Before}
+}
+
+// voters are the replicas of all its quorums, each once.
+func (r Record) voters() []Seat {
+	out := append([]Seat(nil), r.Holders...)
+	for _, s := range r.Before {
+		if !holds(out, s.Disk) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// decidedBy tells whether these replicas are a majority of each quorum.
+func (r Record) decidedBy(yes []Seat) bool {
+	for _, set := range r.quorums() {
+		if !most(set, yes) {
+			return false
+		}
+	}
+	return true
+}
+
 // spread takes n of the seats, as evenly from the zones as may be, in the order given.
 func spread(row []Seat, n int) []Seat {
 	var out []Seat
--- a/coordination/record_note.go
+++ b/coordination/record_note.go
@@ -15,4 +15,5 @@
 	Backup   Seat
 	Holders  []Seat
 	Also     []Seat // further backups, where more than one machine may be lost at once
+	Before   []Seat `msg:"Before,omitempty"` // the holders before a change of them that is not known to be decided
 }
--- a/coordination/record_note_gen.go
+++ b/coordination/record_note_gen.go
@@ -10,46 +10,71 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Record) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "Epoch"
-	o = append(o, 0x86, 0xa5, 0x45, 0x70, 0x6f, 0x63, 0x68)
-	o = msgp.AppendUint64(o, uint64(z.Epoch))
-	// string "Founding"
-	o = append(o, 0xa8, 0x46, 0x6f, 0x75, 0x6e, 0x64, 0x69, 0x6e, 0x67)
-	o = msgp.AppendString(o, z.Founding)
-	// string "Primary"
-	o = append(o, 0xa7, 0x50, 0x72, 0x69, 0x6d, 0x61, 0x72, 0x79)
-	o, err = z.Primary.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Primary")
-		return
-	}
-	// string "Backup"
-	o = append(o, 0xa6, 0x42, 0x61, 0x63, 0x6b, 0x75, 0x70)
-	o, err = z.Backup.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Backup")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Before == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
 	}
-	// string "Holders"
-	o = append(o, 0xa7, 0x48, 0x6f, 0x6c, 0x64, 0x65, 0x72, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Holders)))
-	for za0001 := range z.Holders {
-		o, err = z.Holders[za0001].MarshalMsg(o)
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "Epoch"
+		o = append(o, 0xa5, 0x45, 0x70, 0x6f, 0x63, 0x68)
+		o = msgp.AppendUint64(o, uint64(z.Epoch))
+		// string "Founding"
+		o = append(o, 0xa8, 0x46, 0x6f, 0x75, 0x6e, 0x64, 0x69, 0x6e, 0x67)
+		o = msgp.AppendString(o, z.Founding)
+		// string "Primary"
+		o = append(o, 0xa7, 0x50, 0x72, 0x69, 0x6d, 0x61, 0x72, 0x79)
+		o, err = z.Primary.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Holders", za0001)
+			err = msgp.WrapError(err, "Primary")
 			return
 		}
-	}
-	// string "Also"
-	o = append(o, 0xa4, 0x41, 0x6c, 0x73, 0x6f)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Also)))
-	for za0002 := range z.Also {
-		o, err = z.Also[za0002].MarshalMsg(o)
+		// string "Backup"
+		o = append(o, 0xa6, 0x42, 0x61, 0x63, 0x6b, 0x75, 0x70)
+		o, err = z.Backup.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Also", za0002)
+			err = msgp.WrapError(err, "Backup")
 			return
 		}
+		// string "Holders"
+		o = append(o, 0xa7, 0x48, 0x6f, 0x6c, 0x64, 0x65, 0x72, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Holders)))
+		for za0001 := range z.Holders {
+			o, err = z.Holders[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Holders", za0001)
+				return
+			}
+		}
+		// string "Also"
+		o = append(o, 0xa4, 0x41, 0x6c, 0x73, 0x6f)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Also)))
+		for za0002 := range z.Also {
+			o, err = z.Also[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Also", za0002)
+				return
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "Before"
+			o = append(o, 0xa6, 0x42, 0x65, 0x66, 0x6f, 0x72, 0x65)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Before)))
+			for za0003 := range z.Before {
+				o, err = z.Before[za0003].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Before", za0003)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -138,6 +163,25 @@
 					return
 				}
 			}
+		case "Before":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Before")
+				return
+			}
+			if cap(z.Before) >= int(zb0005) {
+				z.Before = (z.Before)[:zb0005]
+			} else {
+				z.Before = make([]Seat, zb0005)
+			}
+			for za0003 := range z.Before {
+				bts, err = z.Before[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Before", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -160,5 +204,9 @@
 	for za0002 := range z.Also {
 		s += z.Also[za0002].Msgsize()
 	}
+	s += 7 + msgp.ArrayHeaderSize
+	for za0003 := range z.Before {
+		s += z.Before[za0003].Msgsize()
+	}
 	return
 }
--- a/coordination/roll.go
+++ b/coordination/roll.go
@@ -65,10 +65,12 @@
 	past    map[ids.OpId]Past
 	order   map[string][]ids.OpId
 	app     Machine
+	digest  []byte // of the log up to seq
+	history history
 }
 
 func newRoll(app Machine) *roll {
-	return &roll{members: map[ids.NodeId]Member{}, grants: map[ids.Key]Grant{}, past: map[ids.OpId]Past{}, order: map[string][]ids.OpId{}, app: app}
+	return &roll{members: map[ids.NodeId]Member{}, grants: map[ids.Key]Grant{}, past: map[ids.OpId]Past{}, order: map[string][]ids.OpId{}, app: app, digest: make([]byte, digestBytes)}
 }
 
 type command interface{ apply(*roll) }
@@ -138,6 +140,8 @@
 	if e.Op != "" {
 		r.keep(Past{Op: e.Op, Seq: e.Seq, Body: out})
 	}
+	r.digest = logDigest(r.digest, e)
+	r.history.add(e, r.digest)
 	return out, nil
 }
 
@@ -171,6 +175,7 @@
 	}
 	sort.Slice(img.Grants, func(i, j int) bool { return img.Grants[i].Key < img.Grants[j].Key })
 	if !open {
+		img.Digest = r.digest
 		for _, one := range sheets(r.app) {
 			img.Sheets = append(img.Sheets, one.Name)
 		}
@@ -187,7 +192,10 @@
 		return failure.As(err, failure.Bad, "restore picture", "")
 	}
 	fresh := newRoll(r.app)
-	fresh.seq, fresh.fence = img.Seq, img.Fence
+	fresh.seq, fresh.fence, fresh.digest = img.Seq, img.Fence, img.Digest
+	if len(fresh.digest) == 0 {
+		fresh.digest = stateDigest(img.Seq, img.App)
+	}
 	for _, m := range img.Members {
 		fresh.members[m.Node] = m
 	}
--- a/coordination/shelf_note_gen.go
+++ b/coordination/shelf_note_gen.go
@@ -10,20 +10,63 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PictureAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "Epoch"
-	o = append(o, 0x83, 0xa5, 0x45, 0x70, 0x6f, 0x63, 0x68)
-	o = msgp.AppendUint64(o, uint64(z.Epoch))
-	// string "From"
-	o = append(o, 0xa4, 0x46, 0x72, 0x6f, 0x6d)
-	o, err = z.From.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Seq == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Digest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Entries == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "Epoch"
+		o = append(o, 0xa5, 0x45, 0x70, 0x6f, 0x63, 0x68)
+		o = msgp.AppendUint64(o, uint64(z.Epoch))
+		// string "From"
+		o = append(o, 0xa4, 0x46, 0x72, 0x6f, 0x6d)
+		o, err = z.From.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "From")
+			return
+		}
+		// string "Body"
+		o = append(o, 0xa4, 0x42, 0x6f, 0x64, 0x79)
+		o = msgp.AppendBytes(o, z.Body)
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "Seq"
+			o = append(o, 0xa3, 0x53, 0x65, 0x71)
+			o = msgp.AppendUint64(o, uint64(z.Seq))
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "Digest"
+			o = append(o, 0xa6, 0x44, 0x69, 0x67, 0x65, 0x73, 0x74)
+			o = msgp.AppendBytes(o, z.Digest)
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "Entries"
+			o = append(o, 0xa7, 0x45, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
+			for za0001 := range z.Entries {
+				o, err = z.Entries[za0001].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Entries", za0001)
+					return
+				}
+			}
+		}
 	}
-	// string "Body"
-	o = append(o, 0xa4, 0x42, 0x6f, 0x64, 0x79)
-	o = msgp.AppendBytes(o, z.Body)
 	return
 }
 
@@ -67,6 +110,41 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "Seq":
+			{
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Seq")
+					return
+				}
+				z.Seq = ids.Seq(zb0003)
+			}
+		case "Digest":
+			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+		case "Entries":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Entries")
+				return
+			}
+			if cap(z.Entries) >= int(zb0004) {
+				z.Entries = (z.Entries)[:zb0004]
+			} else {
+				z.Entries = make([]Entry, zb0004)
+			}
+			for za0001 := range z.Entries {
+				bts, err = z.Entries[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Entries", za0001)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -81,7 +159,10 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *PictureAsk) Msgsize() (s int) {
-	s = 1 + 6 + msgp.Uint64Size + 5 + z.From.Msgsize() + 5 + msgp.BytesPrefixSize + len(z.Body)
+	s = 1 + 6 + msgp.Uint64Size + 5 + z.From.Msgsize() + 5 + msgp.BytesPrefixSize + len(z.Body) + 4 + msgp.Uint64Size + 7 + msgp.BytesPrefixSize + len(z.Digest) + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Entries {
+		s += z.Entries[za0001].Msgsize()
+	}
 	return
 }
 
--- a/coordination/steward.go
+++ b/coordination/steward.go
@@ -12,8 +12,11 @@
 
 	"keelstair.example/failure"
 	"keelstair.example/ids"
-	"keelstair.example/rpc"
-	"keelstair.example/seam"
+)
+
+const (
+	stewardLook   = 60 * time.Millisecond // between two looks, and as much again by chance
+	leaverSilence = 2 * time.Second       // longer than others wait, since a replica that is about to end leads only if nobody else does
 )
 
 // meeting is who was met last, and since when nobody else.
@@ -22,24 +25,10 @@
 	at  ids.Tick
 }
 
-type swap struct {
-	out ids.DiskId
-	in  Seat
-}
-
-func (c *Core) raise(e ids.Epoch) {
-	for {
-		old := c.top.Load()
-		if uint64(e) <= old || c.top.CompareAndSwap(old, uint64(e)) {
-			return
-		}
-	}
-}
-
 func (c *Core) steward(ctx context.Context) {
 	idle := c.opt.Host.Clock.Now()
 	met := &meeting{}
-	for seam.Sleep(ctx, 60*time.Millisecond+rand.N(60*time.Millisecond)) {
+	for c.pause(ctx) {
 		now := c.opt.Host.Clock.Now()
 		rec, _ := c.accepted()
 		known := c.book.Record()
@@ -73,10 +62,14 @@
 			}
 			c.regMu.Unlock()
 		}
-		if !now.Past(idle, wait) {
+		asked := c.asked.Load() == uint64(rec.Epoch)
+		if c.leaving.Load() {
+			wait += leaverSilence
+		}
+		if !asked && !now.Past(idle, wait) {
 			continue
 		}
-		got, err := c.ascend(ctx, swap{}, 0)
+		got, err := c.ascend(ctx, proposal{asked: asked})
 		if err != nil {
 			c.opt.Ring.Info().AnErr("cause", err).Msg("does not lead")
 			continue
@@ -86,6 +79,20 @@
 	}
 }
 
+// pause waits for the steward's next look, or until it is woken; it is false once the context
+// has ended.
+func (c *Core) pause(ctx context.Context) bool {
+	t := time.NewTimer(stewardLook + rand.N(stewardLook))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-c.wake:
+	case <-t.C:
+	}
+	return true
+}
+
 // orphan: none of the own fleet's holders was heard for a while.
 func (c *Core) orphan(now ids.Tick, rec Record) bool {
 	c.regMu.Lock()
@@ -124,22 +131,6 @@
 	return false
 }
 
-// adopt takes over a newer record that others have accepted.
-// It counts as an accept that came late by another way, so a promise to a newer
-// epoch forbids it; and a backup accepts only what it holds the picture of.
-func (c *Core) adopt(r Record) bool {
-	c.regMu.Lock()
-	defer c.regMu.Unlock()
-	if r.Epoch <= c.reg.Accepted.Epoch || !holds(r.Holders, c.me.Disk) || c.reg.Promised > r.Epoch || r.rank(c.me.Disk) >= 0 {
-		return false
-	}
-	if err := c.store.saveRegister(register{Promised: r.Epoch, Accepted: r}); err != nil {
-		return false
-	}
-	c.reg = register{Promised: r.Epoch, Accepted: r}
-	return true
-}
-
 // found makes the first record, only when enough empty disk machines have met (three, if
 // one may be lost) and all of them accept it. The lowest identity proposes, once it heard
 // of no other machine for a while.
@@ -166,162 +157,3 @@
 		c.serve(ctx, rec)
 	}
 }
-
-// poll asks holders either round; it tells how many said yes, the newest record
-// and the yes-sayers. Once enough said yes, the rest get only a moment more.
-func (c *Core) poll(ctx context.Context, ask *BallotAsk, whom []Seat, sets ...[]Seat) (int, Record, []Seat) {
-	ctx, stop := context.WithTimeout(ctx, 700*time.Millisecond)
-	defer stop()
-	type vote struct {
-		seat Seat
-		r    *BallotReply
-	}
-	votes := make(chan vote, len(whom))
-	for _, s := range whom {
-		go func() {
-			var r *BallotReply
-			var err error
-			if s.Disk == c.me.Disk {
-				r, err = c.ballot(ctx, ask)
-			} else {
-				r, err = rpc.Call[BallotAsk, BallotReply](ctx, c.call, c.book.Addr(s), "crux/ballot", ask)
-			}
-			if err != nil {
-				r = &BallotReply{}
-			}
-			votes <- vote{s, r}
-		}()
-	}
-	var top Record
-	var yes []Seat
-	var soon <-chan time.Time
-	for range whom {
-		select {
-		case v := <-votes:
-			c.raise(v.r.Promised)
-			if v.r.Accepted.Epoch > top.Epoch {
-				top = v.r.Accepted
-			}
-			if v.r.Ok {
-				yes = append(yes, v.seat)
-			}
-		case <-soon:
-			return len(yes), top, yes
-		}
-		enough := len(sets) > 0
-		for _, set := range sets {
-			enough = enough && most(set, yes)
-		}
-		if enough && soon == nil {
-			soon = time.After(60 * time.Millisecond)
-		}
-	}
-	return len(yes), top, yes
-}
-
-// send brings a picture to a backup-to-be, and first the sheets that it lacks.
-func (c *Core) send(ctx context.Context, e ids.Epoch, to Seat, body []byte, all []Sheet) error {
-	ask := func() (*AppendReply, error) {
-		cx, stop := context.WithTimeout(ctx, 2*time.Second)
-		defer stop()
-		return rpc.Call[PictureAsk, AppendReply](cx, c.call, c.book.Addr(to), "crux/picture", &PictureAsk{Epoch: e, From: c.me, Body: body})
-	}
-	r, err := ask()
-	if err == nil && len(r.Lacks) > 0 {
-		if err = c.lend(ctx, e, to, r.Lacks, all); err == nil {
-			r, err = ask()
-		}
-	}
-	if err == nil && !r.Ok {
-		err = failure.New(failure.Stale, "send picture", to.Addr, "refused, promised %d", r.Promised)
-	}
-	return err
-}
-
-func most(set, yes []Seat) bool {
-	n := 0
-	for _, s := range set {
-		if holds(yes, s.Disk) {
-			n++
-		}
-	}
-	return 2*n > len(set)
-}
-
-// ascend makes this core the primary of a new epoch with backups that hold a
-// picture, by two rounds over the registers. The caller either leads already
-// (held is its epoch, and it holds dataMu) or leads not at all.
-func (c *Core) ascend(ctx context.Context, sw swap, held ids.Epoch) (Record, error) {
-	cur, promised := c.accepted()
-	c.raise(promised)
-	if !c.named(cur) || held != 0 && cur.Epoch != held {
-		return cur, failure.New(failure.Stale, "ascend", c.me.Addr, "the newest record names others")
-	}
-	next := cur
-	next.Epoch = ids.Epoch(c.top.Load() + 1)
-	next.Holders = nil
-	for _, s := range cur.Holders {
-		if s.Disk == sw.out {
-			s = sw.in
-		}
-		s.Addr = c.book.Addr(s)
-		if s.Disk == c.me.Disk {
-			s = c.me
-		}
-		next.Holders = append(next.Holders, s)
-	}
-	union := append([]Seat(nil), next.Holders...)
-	for _, s := range cur.Holders {
-		if !holds(union, s.Disk) {
-			union = append(union, s)
-		}
-	}
-	ask := &BallotAsk{Epoch: next.Epoch, From: c.me, Takeover: held == 0, Record: cur}
-	ask.Record.Holders = union
-	_, top, yes := c.poll(ctx, ask, union, cur.Holders, next.Holders)
-	if top.Epoch > cur.Epoch {
-		c.book.Learn(&WhereAsk{Record: top})
-		c.adopt(top)
-		return cur, failure.New(failure.Stale, "ascend", c.me.Addr, "epoch %d is newer", top.Epoch)
-	}
-	if !most(cur.Holders, yes) || !most(next.Holders, yes) {
-		return cur, failure.New(failure.Away, "ascend", c.me.Addr, "%d of %d registers promised", len(yes), len(union))
-	}
-	sort.SliceStable(yes, func(i, j int) bool { return c.named(cur) && partner(cur, yes[i]) && !partner(cur, yes[j]) })
-	if held == 0 {
-		c.dataMu.Lock()
-	}
-	body, all := Pack(c.roll.picture(false)), sheets(c.roll.app)
-	if held == 0 {
-		c.dataMu.Unlock()
-	}
-	next.Primary = c.me
-	var ready []Seat
-	for _, s := range yes {
-		if len(ready) < next.losses() && s.Disk != c.me.Disk && holds(next.Holders, s.Disk) && c.send(ctx, next.Epoch, s, body, all) == nil {
-			ready = append(ready, s)
-		}
-	}
-	if len(ready) < next.losses() {
-		return cur, failure.New(failure.Away, "ascend", c.me.Addr, "%d of %d backups took the picture", len(ready), next.losses())
-	}
-	next.follow(ready)
-	ask = &BallotAsk{Epoch: next.Epoch, From: c.me, Accept: true, Record: next}
-	if n, _, _ := c.poll(ctx, ask, ready); n < len(ready) {
-		return cur, failure.New(failure.Unknown, "ascend", next.Backup.Addr, "%d of %d backups accepted", n, len(ready))
-	}
-	var rest []Seat
-	for _, s := range union {
-		if next.rank(s.Disk) < 0 {
-			rest = append(rest, s)
-		}
-	}
-	_, _, yes = c.poll(ctx, ask, rest, []Seat{c.me})
-	yes = append(yes, ready...)
-	if !holds(yes, c.me.Disk) || !most(cur.Holders, yes) || !most(next.Holders, yes) {
-		return cur, failure.New(failure.Unknown, "ascend", c.me.Addr, "only %d registers accepted", len(yes))
-	}
-	return next, nil
-}
-
-func partner(r Record, s Seat) bool { return s.Disk == r.Primary.Disk || r.rank(s.Disk) >= 0 }
--- a/coordination/store.go
+++ b/coordination/store.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"keelstair.example/failure"
-	"keelstair.example/ids"
 	"keelstair.example/seam"
 )
 
@@ -178,12 +177,6 @@
 	return s.within("drop old log", func() error { return s.disk.Drop(oldName) })
 }
 
-// register is what a disk machine promises and has accepted.
-type register struct {
-	Promised ids.Epoch
-	Accepted Record
-}
-
 func (s *store) loadRegister() (register, error) {
 	var b BallotReply
 	body, err := s.disk.Load(registerFile)
@@ -196,14 +189,14 @@
 	if _, err := b.UnmarshalMsg(body); err != nil {
 		return register{}, failure.As(err, failure.Bad, "read register", "disk")
 	}
-	return register{b.Promised, b.Accepted}, nil
+	return register{Promised: b.Promised, PromisedTo: b.PromisedTo, Accepted: b.Accepted}, nil
 }
 
 func (s *store) saveRegister(r register) error {
 	if s.saves.Load() > 0 {
 		return failure.New(failure.Lost, "save register", "disk", "an earlier save still stalls")
 	}
-	b := BallotReply{Promised: r.Promised, Accepted: r.Accepted}
+	b := BallotReply{Promised: r.Promised, PromisedTo: r.PromisedTo, Accepted: r.Accepted}
 	s.saves.Add(1)
 	return s.within("save register", func() error {
 		defer s.saves.Add(-1)
--- /dev/null
+++ b/coordination/walk_test.go
@@ -0,0 +1,209 @@
+// Random walks of the real core: machines lose power, restart, leave, are cut off one way and
+// both, run on slow disks and lose their disks within what is borne, while clients send
+// commands again until each has its one outcome.
+
+package coordination_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/coordination"
+	"keelstair.example/ids"
+)
+
+const (
+	walkActs    = 14
+	walkClients = 3
+)
+
+// walkSeeds are twelve, or as many from KEELSTAIR_FROM on as KEELSTAIR_SEEDS says.
+func walkSeeds() (from, to uint64) {
+	from, to = 1, 12
+	if n, err := strconv.ParseUint(os.Getenv("KEELSTAIR_SEEDS"), 10, 64); err == nil {
+		from, _ = strconv.ParseUint(os.Getenv("KEELSTAIR_FROM"), 10, 64)
+		from++
+		to = from + n - 1
+	}
+	return from, to
+}
+
+// walk is one run.
+type walk struct {
+	*fleet
+	t    *testing.T
+	rng  *rand.Rand
+	note []string
+	wipe time.Time // when a disk was lost last
+	mu   sync.Mutex
+	sums map[int]string // by an answer's sum, the command that it was given to
+	want int
+}
+
+func (w *walk) say(form string, args ...any) {
+	w.note = append(w.note, fmt.Sprintf(form, args...))
+}
+
+// client sends commands one after the other, each again until it is answered. Each adds one,
+// so the sums that are answered rise and no two commands have the same.
+func (w *walk) client(n int, end <-chan struct{}, done *sync.WaitGroup) {
+	defer done.Done()
+	last := 0
+	for i := 0; ; i++ {
+		select {
+		case <-end:
+			return
+		default:
+		}
+		op := fmt.Sprintf("w/%d-%d", n, i)
+		sum := w.command(w.agents[n%len(w.agents)], op)
+		w.mu.Lock()
+		if other, ok := w.sums[sum]; ok || sum <= last {
+			w.t.Errorf("%s and %s were both answered %d, after %d: %v", op, other, sum, last, w.note)
+		}
+		w.sums[sum] = op
+		w.want++
+		w.mu.Unlock()
+		last = sum
+		time.Sleep(time.Duration(50+w.randN(300)) * time.Millisecond)
+	}
+}
+
+func (w *walk) randN(n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rng.IntN(n)
+}
+
+// act brings about one trouble, and takes it back after a while.
+func (w *walk) act() {
+	ip := machineOf(w.seeds[w.randN(len(w.seeds))])
+	if lead := w.leader(); lead != "" && w.randN(3) == 0 {
+		ip = lead
+	}
+	span := time.Duration(50+w.randN(2500)) * time.Millisecond
+	switch kind := w.randN(8); kind {
+	case 0, 1:
+		w.powerOff(ip, span, kind == 1)
+	case 2:
+		var group []string
+		for _, a := range w.seeds {
+			if w.randN(2) == 0 {
+				group = append(group, machineOf(a))
+			}
+		}
+		w.say("cut %v for %s", group, span)
+		w.isolate(group, true)
+		time.Sleep(span)
+		w.isolate(group, false)
+	case 3:
+		other := machineOf(w.seeds[w.randN(len(w.seeds))])
+		w.say("one way %s to %s for %s", ip, other, span)
+		w.w.Cut([]string{ip}, []string{other}, true)
+		time.Sleep(span)
+		w.w.Cut([]string{ip}, []string{other}, false)
+	case 4:
+		w.say("slow disk %s for %s", ip, span)
+		w.w.Machine(ip).Disk(time.Duration(20+w.randN(300)) * time.Millisecond)
+		time.Sleep(span)
+		w.w.Machine(ip).Disk(time.Millisecond)
+	case 5:
+		if w.cores[ip] == nil {
+			return
+		}
+		w.say("leave %s", ip)
+		w.leave(ip, 3*time.Second)
+		time.Sleep(span / 4)
+		w.core(ip + ":1")
+	case 6:
+		w.say("freeze %s for %s", ip, span)
+		w.w.Machine(ip).Freeze(true)
+		time.Sleep(span)
+		w.w.Machine(ip).Freeze(false)
+	default:
+		w.say("stall %s for %s", ip, span)
+		w.w.Machine(ip).Stall(true)
+		time.Sleep(span)
+		w.w.Machine(ip).Stall(false)
+	}
+	time.Sleep(time.Duration(w.randN(1500)) * time.Millisecond)
+}
+
+// powerOff has a machine lose its power, and its disk if that is borne: only once the core
+// had time to heal since the last one.
+func (w *walk) powerOff(ip string, span time.Duration, disk bool) {
+	if w.cores[ip] == nil {
+		return
+	}
+	if disk = disk && time.Since(w.wipe) > 12*time.Second; disk {
+		time.Sleep(6 * time.Second) // nothing else is lost meanwhile
+	}
+	w.say("off %s for %s, disk lost %t", ip, span, disk)
+	w.off(ip)
+	if disk {
+		w.w.Machine(ip).Wipe()
+		w.wipe = time.Now()
+	}
+	time.Sleep(span)
+	w.core(ip + ":1")
+	if disk {
+		time.Sleep(6 * time.Second)
+	}
+}
+
+// TestWalk: whatever happens, each command is taken once, and none that was answered is lost.
+func TestWalk(t *testing.T) {
+	sizes := []struct{ machines, losses int }{{3, 1}, {5, 1}, {6, 2}, {8, 2}}
+	from, to := walkSeeds()
+	for seed := from; seed <= to; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				size := sizes[seed%uint64(len(sizes))]
+				w := &walk{fleet: buildOf(seed, size.machines, size.losses), t: t, rng: rand.New(rand.NewPCG(seed, 5)), sums: map[int]string{}}
+				defer w.close()
+				require.NoError(t, w.add(0, "first", 10*time.Second))
+				end := make(chan struct{})
+				var clients sync.WaitGroup
+				for n := range walkClients {
+					clients.Add(1)
+					go w.client(n, end, &clients)
+				}
+				for range walkActs {
+					w.act()
+				}
+				close(end)
+				clients.Wait()
+				sum := w.command(w.agents[0], "w/last")
+				require.Equal(t, w.want+1, sum, "%d machines, %d losses: %v", size.machines, size.losses, w.note)
+			})
+		})
+	}
+}
+
+// command adds one and gives the sum that it was answered with.
+func (w *walk) command(a *coordination.Agent, op string) int {
+	for began := time.Now(); ; {
+		ctx, stop := context.WithTimeout(context.Background(), 3*time.Second)
+		r, err := a.Submit(ctx, ids.OpId(op), "add", []byte("1"))
+		stop()
+		if err == nil {
+			sum, err := strconv.Atoi(string(r.Body))
+			require.NoError(w.t, err)
+			return sum
+		}
+		if time.Since(began) > 90*time.Second {
+			w.t.Errorf("%s is not answered for 90 s: %v: %v", op, err, w.note)
+			return -1
+		}
+	}
+}
