suite: refuse a list of known red tests with more than three entries

Cause: KNOWN-RED.txt may hold three tests at most, but the judge took any number, and a list with a faulty line was only refused after all the tests had run.

Now the list is read first: a fourth entry, like a line that is no entry, ends the command with one line and exit code 2 before any test is run.

Tests: TestKnownListIsBounded and TestRefusedListEndsBeforeTheRuns (both failed before).

--- a/tools/suite/known.go
+++ b/tools/suite/known.go
@@ -1,6 +1,7 @@
 // The list of the known red: tests that fail for a cause that is named and has an
 // issue. One a line, "TestName, cause, issue N"; a subtest is named in full, and a
-// name that several packages have is written with its package before it, "verge.TestName".
+// name that several packages have is written with its package before it, "router.TestName". The list is bounded, so that red tests
+// are mended and do not pile up.
 
 package main
 
@@ -15,7 +16,11 @@
 
 var knownForm = regexp.MustCompile(`^((?:\w+\.)?Test\S*), (\S.*), issue \d+$`)
 
-// parseKnown reads the list; what it cannot read is a fault.
+// maxKnown is how many entries the list may hold.
+const maxKnown = 3
+
+// parseKnown reads the list. Each line that is not an entry is a fault, and so is a list
+// of more than maxKnown entries.
 func parseKnown(text string) (list []known, faults []string) {
 	had := map[string]bool{}
 	for i, line := range strings.Split(text, "\n") {
@@ -34,6 +39,9 @@
 			list = append(list, known{m[1], line})
 		}
 	}
+	if len(list) > maxKnown {
+		faults = append(faults, fmt.Sprintf("the known red has %d entries, %d at most are allowed", len(list), maxKnown))
+	}
 	return list, faults
 }
 
--- a/tools/suite/main.go
+++ b/tools/suite/main.go
@@ -22,18 +22,29 @@
 		os.Exit(2)
 	}
 	list, faults := parseKnown(string(text))
+	if len(faults) > 0 {
+		refuse(os.Args[1], faults)
+	}
 	var runs []*run
 	for _, args := range commands(os.Args[3:]) {
 		runs = append(runs, start(args, os.Stdout))
 	}
 	v := judge(list, runs)
-	v.faults = append(faults, v.faults...)
 	v.print(os.Stdout)
 	if len(v.faults) > 0 {
 		os.Exit(1)
 	}
 }
 
+// refuse ends the command, before any test is run, with the faults of a list that cannot
+// be taken as it is.
+func refuse(path string, faults []string) {
+	for _, fault := range faults {
+		fmt.Fprintf(os.Stderr, "%s: %s\n", path, fault)
+	}
+	os.Exit(2)
+}
+
 func commands(args []string) (out [][]string) {
 	out = append(out, nil)
 	for _, a := range args {
--- a/tools/suite/suite_test.go
+++ b/tools/suite/suite_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -48,6 +49,34 @@
 	}
 }
 
+// TestKnownListIsBounded: three tests may be known red; the list with a fourth is refused
+// by one line, however many there are.
+func TestKnownListIsBounded(t *testing.T) {
+	three := "# why\nTestA, one, issue 1\nTestB, two, issue 2\n\nTestC, three, issue 3\n"
+	list, faults := parseKnown(three)
+	require.Empty(t, faults)
+	require.Len(t, list, 3)
+	for entries, text := range map[int]string{
+		4: three + "TestD, four, issue 4\n",
+		5: three + "TestD, four, issue 4\nTestE, five, issue 4\n",
+	} {
+		_, faults := parseKnown(text)
+		require.Equal(t, []string{fmt.Sprintf("the known red has %d entries, 3 at most are allowed", entries)}, faults)
+	}
+}
+
+// TestRefusedListEndsBeforeTheRuns: a list that cannot be taken as it is ends the command
+// with its faults, and no test is run.
+func TestRefusedListEndsBeforeTheRuns(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "known")
+	text := "TestA, c, issue 1\nTestB, c, issue 1\nTestC, c, issue 1\nTestD, c, issue 1\n"
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	out, err := exec.Command("go", "run", ".", path, "--", "echo", "a run began").CombinedOutput()
+	require.Error(t, err)
+	require.Contains(t, string(out), "the known red has 4 entries, 3 at most are allowed\n")
+	require.NotContains(t, string(out), "a run began")
+}
+
 func TestListed(t *testing.T) {
 	r := func() *run {
 		return told("m/a TestA fail", "m/a TestB pass", "m/a TestC skip", "m/a - output FAIL", "m/a - fail", "m/b TestD pass", "m/b - pass")
