Mend what staticcheck finds in handoff, api and cmd/gauge

SA4006: the answers of a prefill order and of the gauge's first look were assigned and never used. ST1016, ST1021, ST1023: receiver names, the comment on Stage, a type that its value gives. Behaviour is the same: go test ./handoff/... ./api/... ./cmd/... passes.

--- a/api/ask.go
+++ b/api/ask.go
@@ -52,7 +52,7 @@
 		err  error
 	}
 	got := make(chan told, len(doors))
-	var last error = failure.New(failure.Away, "ask doors", "", "no door is known")
+	last := failure.New(failure.Away, "ask doors", "", "no door is known")
 	next, open := 0, 0
 	for {
 		if next < len(doors) {
--- a/cmd/gauge/measure.go
+++ b/cmd/gauge/measure.go
@@ -243,12 +243,12 @@
 		return nil, ctx.Err()
 	}
 	tenets := f.byCore(ctx)
-	a, err := f.glance("?whole")
-	if err != nil {
+	if _, err := f.glance("?whole"); err != nil {
 		return nil, err
 	}
 	// Leave the collection out that the first look caused.
-	if a, err = f.glance(""); err != nil {
+	a, err := f.glance("")
+	if err != nil {
 		return nil, err
 	}
 	span := time.Duration(c.Seconds) * time.Second
--- a/cmd/gauge/page.go
+++ b/cmd/gauge/page.go
@@ -75,8 +75,8 @@
 }
 
 // alone is a figure of the node with a process for itself, unless it asks for the list.
-func (p *Point) alone(y float64) float64 {
-	if p.Size.Nodes > 1 && p.Alone.Flows["workers"].Asked > 0.3 && p.Size.Sort == "relay" {
+func (pt *Point) alone(y float64) float64 {
+	if pt.Size.Nodes > 1 && pt.Alone.Flows["workers"].Asked > 0.3 && pt.Size.Sort == "relay" {
 		return math.NaN()
 	}
 	return y
--- a/cmd/gauge/run.go
+++ b/cmd/gauge/run.go
@@ -146,15 +146,15 @@
 
 const columns = "sweep       x | a node: cpu %  MB  kB/s in  kB/s out  asked/s  served/s  sockets | primary: cpu %  MB  kB/s in  kB/s out  sockets | in force at last, ms: mean p99 worst | load"
 
-func (p *Point) row() string {
-	n, l := p.Node, p.Cores[0]
+func (pt *Point) row() string {
+	n, l := pt.Node, pt.Cores[0]
 	row := fmt.Sprintf("%-8s %4v | %.2f %.2f %.1f %.1f %.1f %.1f %.1f | %.1f %.1f %.1f %.1f %.0f | %.0f %.0f %.0f | %.1f",
-		p.Sweep, p.X, n.Cpu, n.Memory, n.In/1000, n.Out/1000, n.Asked, n.Served, n.Sockets, l.Cpu, l.Rss, l.In/1000, l.Out/1000, l.Sockets, p.Last.Mean, p.Last.P99, p.Last.Worst, p.Load)
-	if p.Known > 0 {
-		row += fmt.Sprintf(" | known after %.2f s, replaced in %.2f s", p.Known, p.Mended)
+		pt.Sweep, pt.X, n.Cpu, n.Memory, n.In/1000, n.Out/1000, n.Asked, n.Served, n.Sockets, l.Cpu, l.Rss, l.In/1000, l.Out/1000, l.Sockets, pt.Last.Mean, pt.Last.P99, pt.Last.Worst, pt.Load)
+	if pt.Known > 0 {
+		row += fmt.Sprintf(" | known after %.2f s, replaced in %.2f s", pt.Known, pt.Mended)
 	}
-	if p.Picked != nil {
-		row += fmt.Sprintf(" | %.1f us and %.1f kB a request, %d of %d done %s", p.Picked.Micros, p.Picked.Bytes/1000, p.Picked.Done, p.Picked.Count, p.Picked.Why)
+	if pt.Picked != nil {
+		row += fmt.Sprintf(" | %.1f us and %.1f kB a request, %d of %d done %s", pt.Picked.Micros, pt.Picked.Bytes/1000, pt.Picked.Done, pt.Picked.Count, pt.Picked.Why)
 	}
 	return row
 }
--- a/handoff/controller.go
+++ b/handoff/controller.go
@@ -44,7 +44,7 @@
 	Life  ids.Life
 }
 
-// State of a hand-over, in the order in which it goes.
+// Stage is how far a hand-over has come.
 type Stage string
 
 const (
@@ -238,12 +238,12 @@
 	}
 	f.from = from.Id
 	f.tell(Granted, from.Id, nil)
-	a, err := h.Prefill(ctx, from.Id, m)
-	if err != nil {
+	if _, err = h.Prefill(ctx, from.Id, m); err != nil {
 		return err
 	}
 	f.tell(Prefilled, from.Id, nil)
-	if a, err = h.Export(ctx, from.Id, f.id); err != nil {
+	a, err := h.Export(ctx, from.Id, f.id)
+	if err != nil {
 		return err
 	}
 	f.tell(Exported, from.Id, nil)
--- a/handoff/controller_test.go
+++ b/handoff/controller_test.go
@@ -149,7 +149,7 @@
 	return workerclient.Identity{Id: workerclient.Id{Request: "r"}, Prompt: []int32{1, 2, 3}, Params: workerclient.Params{MaxTokens: 5}, Model: workerclient.Model{Name: "m"}}
 }
 
-func play(t *testing.T, s *script, claimed bool) (got []int32, err error, took time.Duration) {
+func play(t *testing.T, s *script, claimed bool) (got []int32, took time.Duration, err error) {
 	s.loose = map[string]int{}
 	synctest.Test(t, func(t *testing.T) {
 		c := &Controller{Hands: s, Clock: sham.NewWorld(1).Machine("10.0.0.1").Start().Host().Clock, Orphan: 2 * time.Second, Pulse: time.Second}
@@ -164,13 +164,13 @@
 	for k, n := range s.loose {
 		require.Zero(t, n, "room is given back: %s", k)
 	}
-	return got, err, took
+	return got, took, err
 }
 
 // TestPlainMove: one prefill, one import, one resume, the whole answer.
 func TestPlainMove(t *testing.T) {
 	s := &script{}
-	got, err, _ := play(t, s, true)
+	got, _, err := play(t, s, true)
 	require.NoError(t, err)
 	require.Equal(t, answer, got)
 	require.Equal(t, 1, s.resumes)
@@ -180,12 +180,12 @@
 // nobody has room the call is bounced at once, and nothing was put.
 func TestBouncedImport(t *testing.T) {
 	s := &script{full: map[ids.WorkerId]bool{"d1": true}}
-	got, err, _ := play(t, s, false)
+	got, _, err := play(t, s, false)
 	require.NoError(t, err)
 	require.Equal(t, answer, got)
 	require.Equal(t, []ids.WorkerId{"d1", "d2"}, s.imports)
 	s = &script{full: map[ids.WorkerId]bool{"d1": true, "d2": true}}
-	got, err, took := play(t, s, false)
+	got, took, err := play(t, s, false)
 	require.True(t, failure.Is(err, failure.Bounced), "%v", err)
 	require.Empty(t, got)
 	require.Less(t, took, time.Second, "given up means answered at once")
@@ -195,7 +195,7 @@
 // as a last resort, each is asked once in an attempt and the task ends bounced.
 func TestAllFull(t *testing.T) {
 	s := &script{full: map[ids.WorkerId]bool{"d1": true, "d2": true}, last: true, coins: 5}
-	got, err, _ := play(t, s, false)
+	got, _, err := play(t, s, false)
 	require.True(t, failure.Is(err, failure.Bounced), "%v", err)
 	require.Empty(t, got)
 	require.LessOrEqual(t, len(s.imports), 2*3)
@@ -224,7 +224,7 @@
 					m.Output = answer[:max(1, map[string]int{"cut": 3}[name])]
 				}
 			}
-			got, err, _ := play(t, s, false)
+			got, _, err := play(t, s, false)
 			if coins == 0 {
 				require.True(t, failure.Is(err, failure.Lost), "%s: %v", name, err)
 				require.Equal(t, 1, s.tries, "%s: no coin, no recompute", name)
@@ -247,7 +247,7 @@
 		"too little":    func(m *workerclient.Identity) { m.Computed = 1 },
 	} {
 		s := &script{spoil: spoil}
-		got, err, _ := play(t, s, false)
+		got, _, err := play(t, s, false)
 		require.Error(t, err, name)
 		require.Empty(t, got, name)
 		require.Zero(t, s.resumes, name)
@@ -275,7 +275,7 @@
 		},
 	} {
 		s := &script{coins: 5, stream: cut, fate: fate}
-		_, err, _ := play(t, s, true)
+		_, _, err := play(t, s, true)
 		require.True(t, failure.Is(err, failure.Unknown), "%s: %v", name, err)
 		require.Equal(t, 1, s.resumes, name)
 	}
@@ -285,13 +285,13 @@
 		}
 		return nil
 	}}
-	got, err, _ := play(t, s, true)
+	got, _, err := play(t, s, true)
 	require.NoError(t, err)
 	require.Equal(t, answer, got)
 	s = &script{stream: cut, fate: func(int) (*workerclient.Answer, error) {
 		return &workerclient.Answer{Fate: workerclient.FateFinished, Done: true, Output: answer, Life: "one"}, nil
 	}}
-	got, err, _ = play(t, s, true)
+	got, _, err = play(t, s, true)
 	require.NoError(t, err, "it had finished: its own output is handed on")
 	require.Equal(t, answer, got)
 	require.Equal(t, 1, s.resumes)
@@ -308,7 +308,7 @@
 		told = append(told, string(w)+"/"+string(life))
 		return nil
 	}
-	_, err, _ := play(t, s, true)
+	_, _, err := play(t, s, true)
 	require.NoError(t, err)
 	require.Equal(t, []string{"d1/", "d2/one"}, told)
 	s = &script{coins: 5}
@@ -319,7 +319,7 @@
 		}
 		return nil
 	}
-	_, err, _ = play(t, s, true)
+	_, _, err = play(t, s, true)
 	require.True(t, failure.Is(err, failure.Bounced), "%v", err)
 	require.Zero(t, s.resumes)
 }
@@ -329,7 +329,7 @@
 func TestStaleAfterClaim(t *testing.T) {
 	claims := 0
 	s := &script{stale: 2, claim: func(ids.WorkerId, ids.Life) error { claims++; return nil }}
-	got, err, _ := play(t, s, true)
+	got, _, err := play(t, s, true)
 	require.NoError(t, err)
 	require.Equal(t, answer, got)
 	require.Equal(t, 1, s.tries, "one prefill")
@@ -351,7 +351,7 @@
 		again = time.Now()
 		return send(put, from, len(answer), true)
 	}
-	_, err, _ := play(t, s, false)
+	_, _, err := play(t, s, false)
 	require.NoError(t, err)
 	require.Greater(t, again.Sub(begun), 2*time.Second)
 }
@@ -370,14 +370,14 @@
 			m.Output = answer[:3]
 		}
 	}
-	got, err, took := play(t, &script{stream: whole, spoil: spoil, coins: 5, regime: "chair", none: 20}, false)
+	got, took, err := play(t, &script{stream: whole, spoil: spoil, coins: 5, regime: "chair", none: 20}, false)
 	require.NoError(t, err)
 	require.Equal(t, answer, got)
 	require.Greater(t, took, time.Second)
-	got, err, _ = play(t, &script{stream: whole, spoil: spoil, coins: 5, none: 20}, false)
+	got, _, err = play(t, &script{stream: whole, spoil: spoil, coins: 5, none: 20}, false)
 	require.True(t, failure.Is(err, failure.Lost), "%v", err)
 	require.Len(t, got, 3)
-	_, err, took = play(t, &script{stream: whole, spoil: spoil, coins: 5, regime: "chair", none: 1 << 20}, false)
+	_, took, err = play(t, &script{stream: whole, spoil: spoil, coins: 5, regime: "chair", none: 1 << 20}, false)
 	require.True(t, failure.Is(err, failure.Lost), "%v", err)
 	require.Less(t, took, 10*time.Second)
 }
