Lint in make test: staticcheck, documented exported items, lengths of functions

Cause: make test ran gofmt, go vet and the length of files only.

- staticcheck v0.8.2 is pinned as a tool in tools/staticcheck/go.mod, a module outside the workspace so that its dependencies do not raise the product's. staticcheck.conf names its checks: all but ST1003 (initialisms, 48 names, NodeId and Id in every package).
It runs over all modules of go.work, tests too.
Six findings in coordination, fleetstate and platform stand in tools/findings/known.txt; none of them is of the SA kind.
A checker that fails or is cut short is an error, never taken for a clean run.
- tools/exported: 17 of 36 packages have every exported item documented and are held to it (held.txt); 125 items lack a comment elsewhere.
A package that becomes clean must be added.
- tools/funclength: 27 of 2,035 functions, tests included, are longer than 60 lines (long.txt).
One that was cut must be removed.

The lists of what stands only shrink and the list of what is held only grows, since an entry that is no longer needed is a failure.

Tests: tools/{ratchet,source,findings,exported,funclength}; cases known-red-* and lint-* of tools/ablate.py, each of which fails its test without the mechanism.

--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,12 @@
 MODULES := $(shell grep -o '\./[a-z]*' go.work | cut -c3-)
 
-.PHONY: build test lines names tools format vet sweep gen tidy up ablate compare
+.PHONY: build test lines names tools format vet lint staticcheck exported funclength sweep gen tidy up ablate compare
 
 build:
 	go build -o bin/ ./cmd/...
 
 # The whole check, the same as CI runs. It passes over the tests in KNOWN-RED.txt alone.
-test: format lines names vet tools
+test: format lines names vet tools lint
 	go run ./tools/suite KNOWN-RED.txt \
 		-- go test -json -race -count=1 -timeout 600s $(foreach m,$(MODULES),./$(m)/...) \
 		-- go test -json -count=1 -timeout 600s ./simulation/... ./proxy/...
@@ -34,6 +34,23 @@
 vet:
 	go vet $(foreach m,$(MODULES),./$(m)/...)
 
+# Checks beyond go vet, each with a checked-in list of what it passes over or holds.
+lint: staticcheck exported funclength
+
+# staticcheck at the version in tools/staticcheck/go.mod, which stands outside the workspace
+# so that its dependencies are not the product's; its checks are named in staticcheck.conf.
+staticcheck:
+	@go run ./tools/findings tools/findings/known.txt -- \
+		$$(GOWORK=off go tool -C tools/staticcheck -n staticcheck) -f json $(foreach m,$(MODULES),./$(m)/...)
+
+# Exported items without a doc comment.
+exported:
+	@go run ./tools/exported tools/exported/held.txt
+
+# Functions that are too long.
+funclength:
+	@go run ./tools/funclength tools/funclength/long.txt
+
 gen:
 	$(foreach m,$(MODULES),(cd $(m) && go generate ./...) &&) true
 
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -6,6 +6,12 @@
 
 # name, file, what stands there, what is put in its place, module, test
 CASES = [
+    ("known-red-bound", "tools/suite/known.go", "if len(list) > maxKnown {", "if false {", "tools/suite", "TestKnownListIsBounded"),
+    ("known-red-read-first", "tools/suite/main.go", "		refuse(os.Args[1], faults)\n", "", "tools/suite", "TestRefusedListEndsBeforeTheRuns"),
+    ("lint-list-shrinks", "tools/ratchet/ratchet.go", ", without(listed, found)", ", nil", "tools/ratchet", "TestCompare"),
+    ("lint-checker-failed", "tools/findings/main.go", "if failure != nil && !found {", "if failure != nil && !found && false {", "tools/findings", "TestRun"),
+    ("lint-held-packages", "tools/exported/main.go", "			faults = append(faults, undocumented...)\n", "", "tools/exported", "TestJudge"),
+    ("lint-long-functions", "tools/funclength/main.go", "if f.lines > maxLines {", "if f.lines > 10*maxLines {", "tools/funclength", "TestJudge"),
     ("backup-sync", "coordination/lead.go", "	case err != nil:\n		return err\n	case !r.Ok:\n", "	case err != nil:\n		return nil\n	case !r.Ok && false:\n", "coordination", "TestAckedSurvives"),
     ("operation-ids", "coordination/lead.go", "if p, ok := c.roll.past[e.Op]; ok && e.Op != \"\" {", "if p, ok := c.roll.past[e.Op]; ok && false {", "coordination", "TestAckedSurvives"),
     ("anew-living", "coordination/anew.go", "if holds(rec.Holders, s.Disk) {", "if false {", "coordination", "TestFoundAnewBounced"),
--- /dev/null
+++ b/tools/findings/main.go
@@ -0,0 +1,131 @@
+// Command findings runs staticcheck (with -f json) and passes over the findings in a list
+// that may only shrink: a listed finding that is no longer reported has to leave it. It
+// prints how many findings are listed.
+// Usage: findings LIST -- staticcheck -f json PACKAGE...
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	"keelstair.example/tools/ratchet"
+)
+
+func main() {
+	if len(os.Args) < 4 || os.Args[2] != "--" {
+		fmt.Fprintln(os.Stderr, "usage: findings LIST -- staticcheck -f json PACKAGE...")
+		os.Exit(2)
+	}
+	listed, err := ratchet.Read(os.Args[1])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	reported, err := run(os.Args[3:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "staticcheck:", err)
+		os.Exit(2)
+	}
+	faults := judge(listed, reported)
+	for _, fault := range faults {
+		fmt.Println(fault)
+	}
+	fmt.Printf("%d findings of staticcheck, %d known\n", len(reported), len(listed))
+	if len(faults) > 0 {
+		os.Exit(1)
+	}
+}
+
+// exitFindings is the exit code that goes with findings; staticcheck also uses it when it
+// could not run.
+const exitFindings = 1
+
+// run gives the findings of a command. It ends well with none or exits with exitFindings
+// and some; all else means that the code was not checked, and is an error.
+func run(command []string) ([]finding, error) {
+	root, err := os.Getwd()
+	if err != nil {
+		return nil, err
+	}
+	var output bytes.Buffer
+	checker := exec.Command(command[0], command[1:]...)
+	checker.Stdout = &output
+	checker.Stderr = os.Stderr
+	failure := checker.Run()
+	reported, err := read(&output, root)
+	if err != nil {
+		return nil, err
+	}
+	found := checker.ProcessState != nil && checker.ProcessState.ExitCode() == exitFindings && len(reported) > 0
+	if failure != nil && !found {
+		return nil, failure
+	}
+	return reported, nil
+}
+
+// finding is one line of staticcheck's output.
+type finding struct {
+	Code     string `json:"code"`
+	Message  string `json:"message"`
+	Location struct {
+		File   string `json:"file"`
+		Line   int    `json:"line"`
+		Column int    `json:"column"`
+	} `json:"location"`
+}
+
+// id names a finding by its file, check and message, without its line, which changes with
+// every edit above it.
+func (f finding) id() string {
+	return fmt.Sprintf("%s %s %s", f.Location.File, f.Code, f.Message)
+}
+
+// read takes findings up to the end of the input; paths become relative to root.
+func read(input io.Reader, root string) ([]finding, error) {
+	var reported []finding
+	for decoder := json.NewDecoder(input); ; {
+		var f finding
+		err := decoder.Decode(&f)
+		if errors.Is(err, io.EOF) {
+			return reported, nil
+		}
+		if err == nil && f.Code == "" {
+			err = errors.New("a finding without a code")
+		}
+		if err != nil {
+			return nil, err
+		}
+		if relative, err := filepath.Rel(root, f.Location.File); err == nil {
+			f.Location.File = filepath.ToSlash(relative)
+		}
+		reported = append(reported, f)
+	}
+}
+
+// judge gives a line for each finding that is not listed, and for each listed one that is
+// no longer reported.
+func judge(listed []string, reported []finding) (faults []string) {
+	var ids []string
+	for _, f := range reported {
+		ids = append(ids, f.id())
+	}
+	unlisted, stale := ratchet.Compare(listed, ids)
+	for _, f := range reported {
+		for _, id := range unlisted {
+			if f.id() == id {
+				at := f.Location
+				faults = append(faults, fmt.Sprintf("%s:%d:%d: %s (%s)", at.File, at.Line, at.Column, f.Message, f.Code))
+			}
+		}
+	}
+	for _, id := range stale {
+		faults = append(faults, fmt.Sprintf("%q is listed, but no longer found: remove it from the list", id))
+	}
+	return faults
+}
