Name the files of api and workerclient by what they hold

Mechanical: api.go -> streams.go, ask.go -> client.go, operate.go -> operator.go, pass.go -> forward.go; in workerclient talk.go -> messages.go, workerclient.go -> client.go. The case doors-staggered of tools/ablate.py follows.

--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -75,7 +75,7 @@
     ("silent-nodes", "fleetstate/machine.go", "seen >= d.seq || now.Past(d.at, wait)", "seen >= d.seq", "fleetstate", "TestActivation"),
     ("replace-holders", "coordination/lead.go", "if s.Disk == c.me.Disk || !now.Past(at, c.opt.Silence) {", "if true {", "simulation", "TestScripts/rolling-replacement"),
     ("evacuation-at-holder", "router/holder.go", "if !n.fit(s, q.Worker) || !settled ||", "if !settled ||", "simulation", "TestScripts/zone-emptied-with"),
-    ("doors-staggered", "api/ask.go", "case <-wait.C:", "case <-(chan time.Time)(nil):", "simulation", "TestScripts/zone-emptied-with"),
+    ("doors-staggered", "api/client.go", "case <-wait.C:", "case <-(chan time.Time)(nil):", "simulation", "TestScripts/zone-emptied-with"),
     ("large-refused", "fleetstate/policy.go", "n > maxEntries {", "n > 1<<40 {", "fleetstate", "TestTooLarge"),
     ("staged-number", "fleetstate/machine.go", "if err == nil && kind == w.stage {", "if false {", "fleetstate", "TestActivation"),
     ("retry-budget", "router/settle.go", "if p.coins < 1 {", "if false {", "simulation", "TestScripts/memory-lost"),
