--- a/failure/failure.go
+++ b/failure/failure.go
@@ -1,8 +1,10 @@
-// Package failure is the one helper that names and wraps every error of
-// keelstair. A breakdown carries the step at which it arose, the neighbour that was
-// spoken to, a kind that callers may branch on, and the cause. Kinds are few on
-// purpose: each is a promise about what happened, above all whether the thing
-// asked for may have been done.
+// Package failure makes and wraps the errors of all parts of keelstair. An error carries a
+// kind that callers may branch on, the step at which it arose, the peer that was spoken to,
+// and its cause.
+//
+// Kinds are few on purpose. Each states what has happened, above all whether what was asked
+// for may have been done, and so whether it may be sent again. An error of another source
+// has the kind Unknown until it is given one with As.
 package failure
 
 import (
@@ -12,17 +14,26 @@
 	"github.com/ansel1/merry/v2"
 )
 
+// Kind classifies an error by what is known of the operation that failed.
 type Kind string
 
+// The kinds of errors.
 const (
-	Bounced Kind = "bounced" // surely not done
-	Unknown Kind = "unknown" // may have been done
-	Stale   Kind = "stale"   // a newer version, fence or epoch is in force
-	Lost    Kind = "lost"    // the neighbour or the memory is gone
-	Bad     Kind = "bad"     // the asking itself is wrong
-	Away    Kind = "away"    // nobody can serve this now
+	// Bounced: it was certainly not done; it may be sent again, also elsewhere.
+	Bounced Kind = "bounced"
+	// Unknown: it may have been done. Only what is idempotent may be sent again.
+	Unknown Kind = "unknown"
+	// Stale: it was not done, since a newer version, fence or epoch is in force.
+	Stale Kind = "stale"
+	// Lost: the peer, or the memory that the operation needs, is gone for good.
+	Lost Kind = "lost"
+	// Bad: the request is wrong and fails wherever it is sent.
+	Bad Kind = "bad"
+	// Away: nobody can serve it at this time.
+	Away Kind = "away"
 )
 
+// key is the type of the keys under which an error carries its values.
 type key int
 
 const (
@@ -31,14 +42,16 @@
 	kindKey
 )
 
-// New makes a breakdown of a kind at a step with a neighbour.
+// New returns an error of a kind that arose at a step. near names the peer, by address or
+// id, and may be empty. The message is the step, the peer, and the formatted text.
 func New(kind Kind, step, near, form string, args ...any) error {
 	return merry.Wrap(merry.Errorf(form, args...), merry.WithValue(kindKey, kind),
 		merry.WithValue(stepKey, step), merry.WithValue(nearKey, near),
 		merry.PrependMessage(name(step, near)))
 }
 
-// Wrap names the step and the neighbour at which err arose and keeps its kind.
+// Wrap adds the step and the peer at which err arose, and keeps its kind. It returns nil for
+// nil.
 func Wrap(err error, step, near string) error {
 	if err == nil {
 		return nil
@@ -47,7 +60,8 @@
 		merry.WithValue(nearKey, near), merry.PrependMessage(name(step, near)))
 }
 
-// As gives err another kind, with the step and the neighbour.
+// As returns err with the given kind instead of its own, and adds the step and the peer. It
+// returns nil for nil.
 func As(err error, kind Kind, step, near string) error {
 	if err == nil {
 		return nil
@@ -63,6 +77,8 @@
 	return fmt.Sprintf("%s [%s]", step, near)
 }
 
+// KindOf returns the kind of err, or Unknown where it has none. Of several kinds in a chain of
+// wrapped errors it is the outermost.
 func KindOf(err error) Kind {
 	if k, ok := merry.Value(err, kindKey).(Kind); ok {
 		return k
@@ -70,10 +86,20 @@
 	return Unknown
 }
 
-func Step(err error) string      { s, _ := merry.Value(err, stepKey).(string); return s }
-func Neighbour(err error) string { s, _ := merry.Value(err, nearKey).(string); return s }
+// Step returns the outermost step at which err arose, or "" where it carries none.
+func Step(err error) string {
+	step, _ := merry.Value(err, stepKey).(string)
+	return step
+}
+
+// Neighbour returns the outermost peer that err names, or "" where it carries none.
+func Neighbour(err error) string {
+	near, _ := merry.Value(err, nearKey).(string)
+	return near
+}
 
+// Is reports whether err is an error of the kind. It is false for nil.
 func Is(err error, kind Kind) bool { return err != nil && KindOf(err) == kind }
 
-// Join keeps several breakdowns as one.
+// Join returns an error that wraps all the given ones, like errors.Join: nil where all are.
 func Join(errs ...error) error { return errors.Join(errs...) }
--- a/ids/ids.go
+++ b/ids/ids.go
@@ -1,41 +1,55 @@
-// Package ids holds the small types that every plane of keelstair shares:
-// ids, versions, fences and times. Each is a type of its own, so that an epoch
-// is never taken for a fence nor a wall time for a tick. Ticks count
-// nanoseconds of a clock that never steps back and goes on while the machine
-// sleeps; wall time is for logs only.
 package ids
 
 import "time"
 
-type (
-	Epoch    uint64
-	Seq      uint64
-	Fence    uint64
-	Version  uint64
-	NodeId   string
-	DiskId   string
-	WorkerId string
-	Life     string // of a worker's process: another one after every start
-	Zone     string
-	Key      string
-	OpId     string
-	Tick     int64
-)
+// Epoch numbers the terms of leadership of the coordination core. It only grows.
+type Epoch uint64
+
+// Seq is the position of an entry in the core's log. Each entry has one more than the last.
+type Seq uint64
+
+// Fence is a fencing token: the core gives a greater one with every grant of a lease, and
+// whoever obeys the holder refuses an order with a smaller one than it has seen.
+type Fence uint64
+
+// Version numbers the configurations of the fleet in the order in which they were staged.
+type Version uint64
+
+// NodeId names one run of a node's process: its configured name and a random part that is
+// drawn at each start.
+type NodeId string
+
+// DiskId names the disk of a machine of the core. It is drawn when the disk is first used
+// and stored there, so it stays the same over restarts and changes of address.
+type DiskId string
 
-// Part is what a worker does: read prompts, or make tokens.
+// WorkerId names a worker, as the platform lists it.
+type WorkerId string
+
+// Life names one run of a worker's process; it is another one after every start.
+type Life string
+
+// Zone names a failure domain of the platform.
+type Zone string
+
+// Key names a duty of which the core leases at most one holder at a time.
+type Key string
+
+// OpId names an operation on the core's state. An operation that is submitted again under
+// the same id is applied once, as long as the core remembers the id.
+type OpId string
+
+// Part is the part that a worker plays in serving requests.
 type Part string
 
+// The parts of workers.
 const (
-	Prefill Part = "prefill"
-	Decode  Part = "decode"
+	Prefill Part = "prefill" // reads prompts into KV cache
+	Decode  Part = "decode"  // generates tokens
 )
 
-func (t Tick) Add(d time.Duration) Tick          { return t + Tick(d) }
-func (t Tick) Since(u Tick) time.Duration        { return time.Duration(t - u) }
-func (t Tick) Before(u Tick) bool                { return t < u }
-func (t Tick) Past(u Tick, d time.Duration) bool { return time.Duration(t-u) > d }
-
-// Blocks is the paper's bill: how many blocks so many tokens take.
+// Blocks returns how many KV cache blocks of size tokens each are needed for so many
+// tokens. It is 0 where size isn't positive.
 func Blocks(toks, size int) int {
 	if size <= 0 {
 		return 0
@@ -43,7 +57,7 @@
 	return (toks + size - 1) / size
 }
 
-// Or sets a span that was left at zero.
+// Or sets a duration that was left at zero to its default v.
 func Or(d *time.Duration, v time.Duration) {
 	if *d == 0 {
 		*d = v
--- a/logging/journal.go
+++ b/logging/journal.go
@@ -1,11 +1,10 @@
-// The journal: events in memory, and the views folded from them.
-
 package logging
 
 import "sync"
 
-// Journal is a row of events in memory. Views are folded from it as events
-// come; only the newest events are kept, the views keep what matters.
+// Journal is a sequence of events in memory. Views are computed from it as events come; it
+// keeps the newest events only, and the views keep what they need. It is safe for
+// concurrent use.
 type Journal[E any] struct {
 	mu    sync.Mutex
 	keep  int
@@ -14,15 +13,19 @@
 	views []func(E)
 }
 
+// NewJournal returns an empty journal that keeps at least the newest keep events, and fewer
+// than twice as many.
 func NewJournal[E any](keep int) *Journal[E] { return &Journal[E]{keep: keep} }
 
-// View adds a fold, which sees every event from now on, one at a time.
+// View adds a function that is called with every event from now on, in order and one at a
+// time. It must not use the journal.
 func (j *Journal[E]) View(fold func(E)) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.views = append(j.views, fold)
 }
 
+// Append adds an event, and returns once every view has seen it.
 func (j *Journal[E]) Append(e E) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -36,7 +39,8 @@
 	}
 }
 
-// Last gives the newest events, oldest first, and the count of all so far.
+// Last returns a copy of the newest n events, or of all that are kept if those are fewer, the
+// oldest first, and the count of all events so far.
 func (j *Journal[E]) Last(n int) ([]E, uint64) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/logging/ring.go
+++ b/logging/ring.go
@@ -1,6 +1,3 @@
-// Package logging keeps what a process has lived through: a ring of log lines that
-// is written out only when something goes wrong, and a journal of events from
-// which views are folded.
 package logging
 
 import (
@@ -10,8 +7,11 @@
 	"github.com/rs/zerolog"
 )
 
-// Ring holds the newest lines in memory. It is the writer under a zerolog
-// logger; lines of level error pour the whole ring out.
+// muteSize is how many lines the ring of Mute holds.
+const muteSize = 8
+
+// Ring is a logger that holds the newest lines in memory. A line of level error or above
+// writes them all out, oldest first, and empties the ring. It is safe for concurrent use.
 type Ring struct {
 	mu    sync.Mutex
 	lines [][]byte
@@ -20,18 +20,22 @@
 	zerolog.Logger
 }
 
-// NewRing keeps so many lines and pours to out.
+// NewRing returns a ring of size lines, at least 1, that writes to out. Each line carries a
+// time stamp and, as "node", the name.
 func NewRing(size int, out io.Writer, name string) *Ring {
 	r := &Ring{lines: make([][]byte, size), out: out}
 	r.Logger = zerolog.New(r).With().Timestamp().Str("node", name).Logger()
 	return r
 }
 
-// Mute is a ring for those who want none.
-func Mute() *Ring { return NewRing(8, io.Discard, "") }
+// Mute returns a ring that never writes anything out.
+func Mute() *Ring { return NewRing(muteSize, io.Discard, "") }
 
+// Write keeps a line of unknown level, as io.Writer. It never fails.
 func (r *Ring) Write(p []byte) (int, error) { return r.WriteLevel(zerolog.InfoLevel, p) }
 
+// WriteLevel keeps a line, as zerolog.LevelWriter, and writes the ring out where the level is
+// error or above. It never fails: what the output does not take is dropped.
 func (r *Ring) WriteLevel(level zerolog.Level, p []byte) (int, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
