workerclient: doc comments on all exported items, Rein becomes Client, named time limits

The comments give units, the kind of error that each refusal is told as, and what may be sent again. Read on the way: orders are POST requests, which net/http does not repeat once a byte was written; reports, lists and streams are GET requests, and it may repeat those on a new connection. No behaviour changes.

--- a/router/beats.go
+++ b/router/beats.go
@@ -167,7 +167,7 @@
 // answer, the last list is kept.
 func (n *Node) rosters(ctx context.Context) {
 	for {
-		if list, err := n.rein.Workers(ctx, n.opt.Platform); err == nil {
+		if list, err := n.workerClient.Workers(ctx, n.opt.Platform); err == nil {
 			all := make(map[ids.WorkerId]workerclient.Listed, len(list))
 			for _, l := range list {
 				all[l.Id] = l
--- a/router/hands.go
+++ b/router/hands.go
@@ -167,7 +167,7 @@
 		return failure.New(failure.Lost, "stream", string(w), "the platform does not list it")
 	}
 	ctx, end := h.guard(ctx, w, ids.Decode, "")
-	return end(h.n.rein.Stream(ctx, l.Addr, id, from, h.n.opt.Pulse, func(p workerclient.Piece) error {
+	return end(h.n.workerClient.Stream(ctx, l.Addr, id, from, h.n.opt.Pulse, func(p workerclient.Piece) error {
 		if _, err := h.n.allows(h.regime, w, ids.Decode); err != nil {
 			return failure.As(err, failure.Lost, "stream", string(w))
 		}
--- a/router/holder.go
+++ b/router/holder.go
@@ -84,7 +84,7 @@
 	for {
 		if l, ok := (*n.roster.Load())[d.id]; ok {
 			asked := n.now()
-			r, err := n.rein.Report(ctx, l.Addr)
+			r, err := n.workerClient.Report(ctx, l.Addr)
 			if err == nil && !d.known {
 				err = n.firstOrder(ctx, d, l.Addr, r.Part)
 			}
@@ -115,7 +115,7 @@
 	cx, stop := context.WithTimeout(ctx, 800*time.Millisecond)
 	defer stop()
 	lead := workerclient.Lead{Fence: f, Version: n.view.Sight().Version}
-	if _, err := n.rein.Part(cx, addr, &workerclient.PartAsk{Lead: lead, Part: part}); err != nil {
+	if _, err := n.workerClient.Part(cx, addr, &workerclient.PartAsk{Lead: lead, Part: part}); err != nil {
 		return err
 	}
 	d.known = true
@@ -187,20 +187,20 @@
 			return nil, failure.New(failure.Bounced, "prefill", string(q.Worker), "no room is booked for %s", id.Request)
 		}
 		led.Moved(id, n.now())
-		a, err = n.rein.Prefill(ctx, l.Addr, &workerclient.PrefillAsk{Lead: lead, Identity: in})
+		a, err = n.workerClient.Prefill(ctx, l.Addr, &workerclient.PrefillAsk{Lead: lead, Identity: in})
 	case verbExport:
-		a, err = n.rein.Export(ctx, l.Addr, &workerclient.ExportAsk{Lead: lead, Id: id})
+		a, err = n.workerClient.Export(ctx, l.Addr, &workerclient.ExportAsk{Lead: lead, Id: id})
 	case verbImport:
 		src, ok := (*n.roster.Load())[q.Source]
 		if !led.Reserved(id) || !ok {
 			return nil, failure.New(failure.Bounced, "import", string(q.Worker), "no room is booked for %s", id.Request)
 		}
 		led.Moved(id, n.now())
-		a, err = n.rein.Import(ctx, l.Addr, &workerclient.ImportAsk{Lead: lead, Identity: in, Source: src.Addr})
+		a, err = n.workerClient.Import(ctx, l.Addr, &workerclient.ImportAsk{Lead: lead, Identity: in, Source: src.Addr})
 	case verbResume:
-		a, err = n.rein.Resume(ctx, l.Addr, &workerclient.IdAsk{Lead: lead, Id: id})
+		a, err = n.workerClient.Resume(ctx, l.Addr, &workerclient.IdAsk{Lead: lead, Id: id})
 	case verbCancel:
-		a, err = n.rein.Cancel(ctx, l.Addr, &workerclient.IdAsk{Lead: lead, Id: id})
+		a, err = n.workerClient.Cancel(ctx, l.Addr, &workerclient.IdAsk{Lead: lead, Id: id})
 		led.Ended(id, err == nil, n.now())
 	case verbTurn:
 		return n.turnHere(ctx, v.(*desk), l.Addr, lead, ids.Part(q.Body))
--- a/router/node.go
+++ b/router/node.go
@@ -56,16 +56,16 @@
 
 // Node is one router node.
 type Node struct {
-	opt     Options
-	me      coordination.Member
-	agent   *coordination.Agent
-	view    *fleetstate.View
-	rein    *workerclient.Rein
-	call    *rpc.Caller
-	web     *http.Client // for what is passed on
-	scores  *whim.Scores
-	journal *logging.Journal[handoff.Event]
-	counts  Counts
+	opt          Options
+	me           coordination.Member
+	agent        *coordination.Agent
+	view         *fleetstate.View
+	workerClient *workerclient.Client
+	call         *rpc.Caller
+	web          *http.Client // for what is passed on
+	scores       *whim.Scores
+	journal      *logging.Journal[handoff.Event]
+	counts       Counts
 
 	decks    sync.Map // ids.Version -> *whim.Deck
 	roster   atomic.Pointer[map[ids.WorkerId]workerclient.Listed]
@@ -98,7 +98,7 @@
 	n.agent = coordination.NewAgent(coordination.AgentOptions{Me: n.me, Host: opt.Host, Seeds: opt.Seeds, View: n.view, Ring: opt.Ring,
 		Lease: opt.Lease, Renew: opt.Renew, Lonely: n.lonely})
 	n.call = n.agent.Caller()
-	n.rein = workerclient.New(opt.Host.Net)
+	n.workerClient = workerclient.New(opt.Host.Net)
 	n.web = rpc.Web(opt.Host.Net)
 	n.roster.Store(&map[ids.WorkerId]workerclient.Listed{})
 	n.stands.Store(&map[ids.WorkerId]Stand{})
@@ -156,7 +156,7 @@
 	}
 	stop()
 	wg.Wait()
-	n.rein.Close()
+	n.workerClient.Close()
 	n.web.CloseIdleConnections()
 }
 
--- a/router/switch.go
+++ b/router/switch.go
@@ -195,7 +195,7 @@
 		}
 		lead.Version = n.view.Sight().Version
 		if n.sure() && d.ledger.Empty() {
-			a, err := n.rein.Part(cx, addr, &workerclient.PartAsk{Lead: lead, Part: to})
+			a, err := n.workerClient.Part(cx, addr, &workerclient.PartAsk{Lead: lead, Part: to})
 			if !failure.Is(err, failure.Bounced) {
 				return a, err
 			}
--- a/standin/worker_test.go
+++ b/standin/worker_test.go
@@ -19,11 +19,11 @@
 	"keelstair.example/workerclient"
 )
 
-// pairOf runs a prefill and a decode worker and gives a rein to drive them.
+// pairOf runs a prefill and a decode worker and gives a client to drive them.
 type pairOf struct {
 	p, d   *Worker
 	pa, da string
-	r      *workerclient.Rein
+	r      *workerclient.Client
 	ctx    context.Context
 }
 
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -6,6 +6,7 @@
 
 # name, file, what stands there, what is put in its place, module, test
 CASES = [
+    ("order-sent-once", "workerclient/client.go", "	q.Header.Set(\"Content-Type\", \"application/json\")\n", "	q.Header.Set(\"Idempotency-Key\", path)\n", "workerclient", "TestOrderNotRepeated"),
     ("known-red-bound", "tools/suite/known.go", "if len(list) > maxKnown {", "if false {", "tools/suite", "TestKnownListIsBounded"),
     ("known-red-read-first", "tools/suite/main.go", "		refuse(os.Args[1], faults)\n", "", "tools/suite", "TestRefusedListEndsBeforeTheRuns"),
     ("lint-list-shrinks", "tools/ratchet/ratchet.go", ", without(listed, found)", ", nil", "tools/ratchet", "TestCompare"),
--- a/workerclient/client.go
+++ b/workerclient/client.go
@@ -1,6 +1,3 @@
-// How orders, reports and streams go over the wire, and what each refusal of a
-// worker means in our own kinds of breakdown.
-
 package workerclient
 
 import (
@@ -20,16 +17,35 @@
 	"keelstair.example/seam"
 )
 
-const maxAnswer = 32 << 20
+// Time limits of the calls, where the caller's context has no deadline. Prefill computes
+// before it answers, and resume waits for the KV to arrive; the others answer at once.
+const (
+	prefillTimeout = 10 * time.Second
+	resumeTimeout  = 5 * time.Second
+	moveTimeout    = 2 * time.Second // export and import
+	shortTimeout   = time.Second     // cancel and change of part
+	readTimeout    = 800 * time.Millisecond
+)
+
+// Bounds on what is read of an answer, in bytes.
+const (
+	maxAnswer   = 32 << 20
+	maxLine     = 1 << 20 // one line of a stream
+	firstBuffer = 4096    // of a line, grown as needed
+)
 
-// Rein speaks to workers and to the platform.
-type Rein struct{ web *http.Client }
+// Client calls workers and the platform. It is safe for concurrent use.
+type Client struct{ web *http.Client }
 
-func New(n seam.Net) *Rein { return &Rein{web: rpc.Web(n)} }
+// New returns a client that dials through the host's network.
+func New(n seam.Net) *Client { return &Client{web: rpc.Web(n)} }
 
-func (r *Rein) Close() { r.web.CloseIdleConnections() }
+// Close closes the connections that are idle. Calls under way are not affected.
+func (c *Client) Close() { c.web.CloseIdleConnections() }
 
-// Bounce is what a worker or a door says when it does not do a thing.
+// Bounce is the body of a refusal, of a worker or of a node: a name for programs, the field
+// that is at fault if any, a text for people, and After, in how many milliseconds to come
+// back (0: not said).
 type Bounce struct {
 	Name   string `json:"name"`
 	Field  string `json:"field,omitempty"`
@@ -37,6 +53,7 @@
 	After  int64  `json:"retryAfterMs,omitempty"`
 }
 
+// kind returns what a worker's HTTP status tells of the order.
 func kind(code int) failure.Kind {
 	switch code {
 	case http.StatusPreconditionFailed:
@@ -51,10 +68,12 @@
 	return failure.Unknown
 }
 
-func (r *Rein) ask(ctx context.Context, method, addr, path string, in, out any, span time.Duration) error {
+// ask makes one call and decodes its answer into out, unless that is nil. timeout counts
+// where the context has no deadline.
+func (c *Client) ask(ctx context.Context, method, addr, path string, in, out any, timeout time.Duration) error {
 	if _, ok := ctx.Deadline(); !ok {
 		var stop context.CancelFunc
-		ctx, stop = context.WithTimeout(ctx, span)
+		ctx, stop = context.WithTimeout(ctx, timeout)
 		defer stop()
 	}
 	var body io.Reader
@@ -70,7 +89,7 @@
 		return failure.As(err, failure.Bad, path, addr)
 	}
 	q.Header.Set("Content-Type", "application/json")
-	a, err := r.web.Do(q)
+	a, err := c.web.Do(q)
 	if err != nil {
 		return failure.As(err, unsent(err), path, addr)
 	}
@@ -93,7 +112,8 @@
 	return nil
 }
 
-// unsent: an order that could not even be dialled was surely not taken.
+// unsent returns the kind of an error of the transport: an order for which no connection was
+// made was certainly not taken.
 func unsent(err error) failure.Kind {
 	if rpc.Undialled(err) {
 		return failure.Bounced
@@ -101,55 +121,67 @@
 	return failure.Unknown
 }
 
-func (r *Rein) order(ctx context.Context, addr, path string, in any, span time.Duration) (*Answer, error) {
+func (c *Client) order(ctx context.Context, addr, path string, in any, timeout time.Duration) (*Answer, error) {
 	out := &Answer{}
-	return out, r.ask(ctx, http.MethodPost, addr, path, in, out, span)
+	return out, c.ask(ctx, http.MethodPost, addr, path, in, out, timeout)
 }
 
-func (r *Rein) Prefill(ctx context.Context, addr string, q *PrefillAsk) (*Answer, error) {
-	return r.order(ctx, addr, "/prefill", q, 10*time.Second)
+// Prefill has a worker compute the KV of a request. It returns after the computation.
+func (c *Client) Prefill(ctx context.Context, addr string, q *PrefillAsk) (*Answer, error) {
+	return c.order(ctx, addr, "/prefill", q, prefillTimeout)
 }
 
-func (r *Rein) Export(ctx context.Context, addr string, q *ExportAsk) (*Answer, error) {
-	return r.order(ctx, addr, "/export", q, 2*time.Second)
+// Export has a worker keep the KV of an attempt ready to be fetched. Its answer has the
+// request's identity with the length and digest of that KV, and the tokens made so far.
+func (c *Client) Export(ctx context.Context, addr string, q *ExportAsk) (*Answer, error) {
+	return c.order(ctx, addr, "/export", q, moveTimeout)
 }
 
-func (r *Rein) Import(ctx context.Context, addr string, q *ImportAsk) (*Answer, error) {
-	return r.order(ctx, addr, "/import", q, 2*time.Second)
+// Import has a worker reserve room and begin to fetch the KV. Without room it is refused with
+// kind Bounced.
+func (c *Client) Import(ctx context.Context, addr string, q *ImportAsk) (*Answer, error) {
+	return c.order(ctx, addr, "/import", q, moveTimeout)
 }
 
-func (r *Rein) Resume(ctx context.Context, addr string, q *IdAsk) (*Answer, error) {
-	return r.order(ctx, addr, "/resume", q, 5*time.Second)
+// Resume has a worker run an attempt that was imported, once its KV has arrived whole.
+func (c *Client) Resume(ctx context.Context, addr string, q *IdAsk) (*Answer, error) {
+	return c.order(ctx, addr, "/resume", q, resumeTimeout)
 }
 
-// Cancel ends an attempt. Where nobody listens any more no process is left that
-// could go on with it: it is lost, which is more than not having been reached.
-func (r *Rein) Cancel(ctx context.Context, addr string, q *IdAsk) (*Answer, error) {
-	a, err := r.order(ctx, addr, "/cancel", q, time.Second)
+// Cancel ends an attempt and all earlier ones of its request for good: none can start or go on
+// afterwards. The answer has the request's fate at this worker.
+// Where the connection is refused no process is left that could go on with it, so the kind is
+// Lost, which says more than Bounced.
+func (c *Client) Cancel(ctx context.Context, addr string, q *IdAsk) (*Answer, error) {
+	a, err := c.order(ctx, addr, "/cancel", q, shortTimeout)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		err = failure.As(err, failure.Lost, "cancel", addr)
 	}
 	return a, err
 }
 
-func (r *Rein) Part(ctx context.Context, addr string, q *PartAsk) (*Answer, error) {
-	return r.order(ctx, addr, "/part", q, time.Second)
+// Part has a worker change its part.
+func (c *Client) Part(ctx context.Context, addr string, q *PartAsk) (*Answer, error) {
+	return c.order(ctx, addr, "/part", q, shortTimeout)
 }
 
-func (r *Rein) Report(ctx context.Context, addr string) (*Report, error) {
+// Report asks a worker for its report.
+func (c *Client) Report(ctx context.Context, addr string) (*Report, error) {
 	out := &Report{}
-	return out, r.ask(ctx, http.MethodGet, addr, "/report", nil, out, 800*time.Millisecond)
+	return out, c.ask(ctx, http.MethodGet, addr, "/report", nil, out, readTimeout)
 }
 
-// Workers is the platform's list.
-func (r *Rein) Workers(ctx context.Context, addr string) ([]Listed, error) {
+// Workers asks the platform for its list of workers.
+func (c *Client) Workers(ctx context.Context, addr string) ([]Listed, error) {
 	var out []Listed
-	return out, r.ask(ctx, http.MethodGet, addr, "/workers", nil, &out, 800*time.Millisecond)
+	return out, c.ask(ctx, http.MethodGet, addr, "/workers", nil, &out, readTimeout)
 }
 
-// Stream hands on the pieces of a resumed run from an index on, until it ends.
-// The worker speaks at least every pulse; a longer silence means it is lost.
-func (r *Rein) Stream(ctx context.Context, addr string, id Id, from int, pulse time.Duration, put func(Piece) error) error {
+// Stream calls put with the pieces of a resumed attempt from index from on, until it has
+// ended; an error of put ends it, and is returned as it is. Other errors are mostly of kind
+// Lost. The worker writes at least once every pulse, if only an empty line; a longer silence
+// counts as its loss.
+func (c *Client) Stream(ctx context.Context, addr string, id Id, from int, pulse time.Duration, put func(Piece) error) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	path := fmt.Sprintf("/stream?request=%s&attempt=%d&from=%d", id.Request, id.Attempt, from)
@@ -159,7 +191,7 @@
 	}
 	watch := time.AfterFunc(pulse, stop)
 	defer watch.Stop()
-	a, err := r.web.Do(q)
+	a, err := c.web.Do(q)
 	if err != nil {
 		return failure.As(err, failure.Lost, "stream", addr)
 	}
@@ -168,7 +200,7 @@
 		return failure.New(kind(a.StatusCode), "stream", addr, "%d", a.StatusCode)
 	}
 	rows := bufio.NewScanner(a.Body)
-	rows.Buffer(make([]byte, 4096), 1<<20)
+	rows.Buffer(make([]byte, firstBuffer), maxLine)
 	for rows.Scan() {
 		watch.Reset(pulse)
 		if len(rows.Bytes()) == 0 {
--- /dev/null
+++ b/workerclient/client_test.go
@@ -0,0 +1,100 @@
+package workerclient
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"keelstair.example/failure"
+	"keelstair.example/ids"
+)
+
+// loopback dials and listens without a host.
+type loopback struct{}
+
+func (loopback) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+}
+
+func (loopback) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+
+// forgetfulWorker answers the first request of each connection; at the second it reads the
+// whole request, counts it and closes the connection without an answer.
+func forgetfulWorker(t *testing.T) (addr string, cut *atomic.Int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	cut = new(atomic.Int64)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serveOnce(conn, cut)
+		}
+	}()
+	return listener.Addr().String(), cut
+}
+
+func serveOnce(conn net.Conn, cut *atomic.Int64) {
+	defer conn.Close()
+	requests := bufio.NewReader(conn)
+	for n := 0; n < 2; n++ {
+		request, err := http.ReadRequest(requests)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, request.Body)
+		if n > 0 {
+			cut.Add(1)
+			return
+		}
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}")
+	}
+}
+
+// TestOrderNotRepeated: an order that was written and got no answer is not sent again, also
+// on a connection that was used before, and may have been carried out.
+func TestOrderNotRepeated(t *testing.T) {
+	addr, cut := forgetfulWorker(t)
+	c := New(loopback{})
+	defer c.Close()
+	ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+	defer stop()
+	if _, err := c.Part(ctx, addr, &PartAsk{Part: ids.Decode}); err != nil {
+		t.Fatal(err)
+	}
+	_, err := c.Part(ctx, addr, &PartAsk{Part: ids.Decode})
+	if !failure.Is(err, failure.Unknown) {
+		t.Errorf("kind %s of %v, not unknown", failure.KindOf(err), err)
+	}
+	if n := cut.Load(); n != 1 {
+		t.Errorf("the order that got no answer was sent %d times on a used connection", n)
+	}
+}
+
+// TestUndialledOrder: an order for which no connection could be made was not carried out.
+func TestUndialledOrder(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := listener.Addr().String()
+	listener.Close()
+	c := New(loopback{})
+	defer c.Close()
+	if _, err := c.Part(context.Background(), addr, &PartAsk{}); !failure.Is(err, failure.Bounced) {
+		t.Errorf("kind %s of %v, not bounced", failure.KindOf(err), err)
+	}
+	if _, err := c.Cancel(context.Background(), addr, &IdAsk{}); !failure.Is(err, failure.Lost) {
+		t.Errorf("kind %s of %v, not lost", failure.KindOf(err), err)
+	}
+}
--- a/workerclient/messages.go
+++ b/workerclient/messages.go
@@ -1,6 +1,3 @@
-// Package workerclient is the one place that knows how workers and the platform speak:
-// HTTP/1.1 with JSON. A published interface that differs is met here alone.
-// This file is the vocabulary.
 package workerclient
 
 import (
@@ -9,29 +6,30 @@
 	"keelstair.example/ids"
 )
 
-// Id names one try at moving one request.
+// Id names one attempt at handing one request over to a decode worker. Attempts count from 1.
 type Id struct {
 	Request string `json:"request"`
 	Attempt int    `json:"attempt"`
 }
 
-// Params are the sampling params; they travel whole, the seed too.
+// Params are a request's sampling parameters. They are passed on whole, so that any worker
+// generates the same tokens.
 type Params struct {
 	MaxTokens   int     `json:"maxTokens"`
 	Temperature float64 `json:"temperature,omitempty"`
 	Seed        uint64  `json:"seed,omitempty"`
 }
 
-// Model says on what a request may run; all three must be the same wherever it
-// continues.
+// Model names what a request runs on: a model, the version of its weights, and adapters. All
+// three must be the same wherever a request continues.
 type Model struct {
 	Name     string   `json:"model"`
 	Weights  string   `json:"weights"`
 	Adapters []string `json:"adapters,omitempty"`
 }
 
-// Offers tells whether a worker set up as m can run what asks for o: the same
-// model and weights, and every adapter asked for.
+// Offers reports whether a worker with m can run a request for o: model and weights are the
+// same, and m has every adapter of o.
 func (m Model) Offers(o Model) bool {
 	for _, a := range o.Adapters {
 		if !slices.Contains(m.Adapters, a) {
@@ -41,7 +39,9 @@
 	return m.Name == o.Name && m.Weights == o.Weights
 }
 
-// Identity is all that a request is, wherever it goes. Block ids never travel.
+// Identity is the whole state of a request as it is handed from worker to worker. Computed
+// counts the tokens whose KV is there; Length (bytes) and Digest are those of that KV.
+// The ids of cache blocks are local to a worker and no part of it.
 type Identity struct {
 	Id       Id      `json:"id"`
 	Prompt   []int32 `json:"prompt"`
@@ -53,41 +53,48 @@
 	Digest   string  `json:"kvDigest"`
 }
 
-// Lead stands before every order: the fence it is given under and the newest
-// configuration that its giver knows.
+// Lead is part of every order: the fence of the lease under which it is given, and the newest
+// configuration that its giver knows. A worker refuses a smaller fence than it has seen.
 type Lead struct {
 	Fence   ids.Fence   `json:"fence"`
 	Version ids.Version `json:"version"`
 }
 
+// PrefillAsk orders a prefill worker to read a request's prompt and output so far.
 type PrefillAsk struct {
 	Lead
 	Identity Identity `json:"identity"`
 }
 
+// ExportAsk orders a prefill worker to keep a request's KV ready for the decode worker.
 type ExportAsk struct {
 	Lead
 	Id Id `json:"id"`
 }
 
+// ImportAsk orders a decode worker to reserve room for a request and to fetch its KV from the
+// worker at address Source.
 type ImportAsk struct {
 	Lead
 	Identity Identity `json:"identity"`
 	Source   string   `json:"source"`
 }
 
+// IdAsk orders a worker to resume or to cancel one attempt.
 type IdAsk struct {
 	Lead
 	Id Id `json:"id"`
 }
 
+// PartAsk orders a worker to change its part.
 type PartAsk struct {
 	Lead
 	Part ids.Part `json:"part"`
 }
 
-// Answer is what every order gets back. Texts are those of the output. Life is another one after every start
-// of the worker, so that a fresh process is not taken for one that remembers.
+// Answer is a worker's answer to any order. Texts are those of the tokens in Output, and Fate
+// is one of the constants below. Life is another one after every start of the worker, so
+// that a fresh process is not taken for one that remembers.
 type Answer struct {
 	Version  ids.Version `json:"version"`
 	Identity *Identity   `json:"identity,omitempty"`
@@ -98,23 +105,24 @@
 	Life     ids.Life    `json:"life"`
 }
 
-// Fates of a hand-over as its worker knows them.
+// The fates of an attempt, as its decode worker knows them.
 const (
 	FateNever    = "never"    // never came to run here, and never will
 	FateStopped  = "stopped"  // ran in part, and was stopped
 	FateFinished = "finished" // ran to its end
-	FateRunning  = "running"
+	FateRunning  = "running"  // runs now
 )
 
-// Running is one request on a worker: blocks it holds and blocks it may yet
-// grow by.
+// Running is one request on a worker: the cache blocks that it holds, and Room, how many more
+// it may come to need.
 type Running struct {
 	Id     Id  `json:"id"`
 	Blocks int `json:"blocks"`
 	Room   int `json:"room"`
 }
 
-// Report is the late picture that a worker gives of itself.
+// Report is a worker's account of itself, which may lag behind its state. Used and Capacity
+// count cache blocks of Block tokens each; Queue counts requests that wait.
 type Report struct {
 	Part     ids.Part    `json:"part"`
 	Model    Model       `json:"on"`
@@ -127,7 +135,8 @@
 	Life     ids.Life    `json:"life"`
 }
 
-// Piece is one line of a worker's stream.
+// Piece is one line of a worker's stream: the token at Index of the output or, where End is
+// set, the end of the stream after Count tokens.
 type Piece struct {
 	Index int    `json:"index"`
 	Token int32  `json:"token"`
@@ -136,7 +145,7 @@
 	Count int    `json:"count,omitempty"`
 }
 
-// Listed is one worker on the platform's list.
+// Listed is one worker on the platform's list. Leaving tells that it ends soon.
 type Listed struct {
 	Id      ids.WorkerId `json:"id"`
 	Addr    string       `json:"addr"`
