api: doc comments on all exported items, typed bodies, named bounds, a file for each job

The bodies of GET /ready and of refusals are types in place of maps, the same on the wire. New tests, the package's first, hold the status, body and time to come back of each kind of error, that an order which may have been carried out is never told as one that was not, and what a body may be.

--- a/api/client.go
+++ b/api/client.go
@@ -1,8 +1,3 @@
-// Asking doors, as operators do. An operation has one id and so one outcome,
-// whichever doors are asked and however often; so the next door is asked as soon as
-// one says that it cannot tell, or is silent for a while, and the first answer that
-// is final counts.
-
 package api
 
 import (
@@ -17,17 +12,17 @@
 	"keelstair.example/failure"
 )
 
-// Stagger is how long a silent door is waited for before the next is asked too.
+// Stagger is how long a silent node is waited for before the next is asked too.
 const Stagger = 700 * time.Millisecond
 
-// final tells whether no other door can know better.
+// final reports whether an outcome is certain, so that no other node has to be asked.
 func final(err error) bool {
 	f, ok := err.(*Fault)
 	return err == nil || ok && f.Code < http.StatusInternalServerError
 }
 
-// weight: an operation that may have been taken is the most to be told of, and a
-// door's word more than none.
+// weight ranks the errors of several nodes by what the caller has to know: first that the
+// operation may have been carried out, then what a node answered, then that none answered.
 func weight(err error) int {
 	f, ok := err.(*Fault)
 	switch {
@@ -39,7 +34,11 @@
 	return 1
 }
 
-// Put asks doors until one answers for good, and reads its answer into out.
+// Put sends a request to the nodes at the addresses doors until one gives a final answer, and
+// decodes that into out unless it is nil. The next node is asked as soon as one answers that
+// it can't tell, or is silent for Stagger. So several nodes may get the request: an operation
+// must carry its own id, by which it has one outcome however often it is sent. Without a final
+// answer the error that tells most is returned.
 func Put(ctx context.Context, web *http.Client, doors []string, method, path string, in, out any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
@@ -84,6 +83,7 @@
 	}
 }
 
+// put sends the request to one node. The body is sent only if full is set.
 func put(ctx context.Context, web *http.Client, addr, method, path string, body []byte, full bool) ([]byte, error) {
 	var in io.Reader
 	if full {
@@ -105,7 +105,7 @@
 	return nil, Refusal(r.StatusCode, b)
 }
 
-// Refusal reads what a door answered with another code than 200.
+// Refusal decodes a node's answer with another status than 200.
 func Refusal(code int, body []byte) *Fault {
 	var v struct{ Error Fault }
 	if json.Unmarshal(body, &v); v.Error.Name == "" {
--- /dev/null
+++ b/api/fault.go
@@ -0,0 +1,64 @@
+package api
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"keelstair.example/failure"
+	"keelstair.example/workerclient"
+)
+
+// Fault is a refusal that an origin or an operator gets, with its HTTP status.
+type Fault struct {
+	Code int
+	workerclient.Bounce
+}
+
+// Error returns the refusal's name, field and text.
+func (f *Fault) Error() string { return f.Name + " " + f.Field + " " + f.Detail }
+
+// No returns a refusal with a status. name is for programs, field the one at fault or "", and
+// the formatted text for people.
+func No(code int, name, field, form string, args ...any) *Fault {
+	return &Fault{code, workerclient.Bounce{Name: name, Field: field, Detail: fmt.Sprintf(form, args...)}}
+}
+
+// Later returns a refusal that also says after how long to come back.
+func Later(code int, name string, after time.Duration, form string, args ...any) *Fault {
+	f := No(code, name, "", form, args...)
+	f.After = after.Milliseconds()
+	return f
+}
+
+// refusal is the body of an answer other than 200.
+type refusal struct {
+	Error workerclient.Bounce `json:"error"`
+}
+
+// retryUnavailable is when to come back where an error doesn't say it.
+const retryUnavailable = time.Second
+
+// Bounce answers with an error: a Fault as it is, and others with the status for their kind of
+// package failure. A time to come back is also given as Retry-After, in full seconds.
+func Bounce(w http.ResponseWriter, err error) {
+	var f *Fault
+	if !errors.As(err, &f) {
+		switch failure.KindOf(err) {
+		case failure.Bad:
+			f = No(http.StatusBadRequest, "bad", "", "%v", err)
+		case failure.Stale:
+			f = No(http.StatusConflict, "stale", "", "%v", err)
+		case failure.Unknown:
+			f = No(http.StatusGatewayTimeout, "unknown-fate", "", "%v", err)
+		default:
+			f = Later(http.StatusServiceUnavailable, "away", retryUnavailable, "%v", err)
+		}
+	}
+	if f.After > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt((f.After+999)/1000, 10))
+	}
+	Write(w, f.Code, refusal{f.Bounce})
+}
--- /dev/null
+++ b/api/fault_test.go
@@ -0,0 +1,73 @@
+package api
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"keelstair.example/failure"
+)
+
+// TestBounce: the status, the body and the time to come back of each kind of error, as
+// origins and operators rely on them.
+func TestBounce(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		err   error
+		code  int
+		after string
+		body  string
+	}{
+		{"fault", No(http.StatusNotFound, "unknown", "zone", "no %s", "a"), 404, "", `{"error":{"name":"unknown","field":"zone","detail":"no a"}}`},
+		{"later", Later(http.StatusServiceUnavailable, "full", 1500*time.Millisecond, "wait"), 503, "2", `{"error":{"name":"full","detail":"wait","retryAfterMs":1500}}`},
+		{"bad", failure.New(failure.Bad, "check", "", "wrong"), 400, "", `{"error":{"name":"bad","detail":"check: wrong"}}`},
+		{"stale", failure.New(failure.Stale, "check", "", "old"), 409, "", `{"error":{"name":"stale","detail":"check: old"}}`},
+		{"foreign", errors.New("cut"), 504, "", `{"error":{"name":"unknown-fate","detail":"cut"}}`},
+		{"away", failure.New(failure.Away, "ask", "", "none"), 503, "1", `{"error":{"name":"away","detail":"ask: none","retryAfterMs":1000}}`},
+	} {
+		w := httptest.NewRecorder()
+		Bounce(w, c.err)
+		if w.Code != c.code || w.Header().Get("Retry-After") != c.after || strings.TrimSpace(w.Body.String()) != c.body {
+			t.Errorf("%s: %d, Retry-After %q, %s", c.name, w.Code, w.Header().Get("Retry-After"), w.Body)
+		}
+	}
+}
+
+// TestFate: an order that may have been carried out is never told as one that was not.
+func TestFate(t *testing.T) {
+	for kind, code := range map[failure.Kind]int{failure.Unknown: 504, failure.Bounced: 503, failure.Away: 503, failure.Lost: 503} {
+		var f *Fault
+		if err := Fate(failure.New(kind, "submit", "", "x"), time.Second); !errors.As(err, &f) || f.Code != code || f.After != 1000 {
+			t.Errorf("%s: %v", kind, err)
+		}
+	}
+	for _, kind := range []failure.Kind{failure.Bad, failure.Stale} {
+		if err := failure.New(kind, "submit", "", "x"); Fate(err, time.Second) != err {
+			t.Errorf("%s is changed", kind)
+		}
+	}
+}
+
+// TestRead: a body is one value of known fields within its bound.
+func TestRead(t *testing.T) {
+	for body, want := range map[string]string{
+		`{"op":"a"}`:                        "",
+		`{"op":"a"} {}`:                     "malformed ",
+		`{"op":`:                            "malformed ",
+		`{"op":1}`:                          "wrong-type op",
+		`{"opp":"a"}`:                       "unknown-field opp",
+		`{"op":"` + strings.Repeat("a", 64): "too-large ",
+	} {
+		var m Mark
+		got := ""
+		if f := Read(httptest.NewRequest(http.MethodPost, "/", strings.NewReader(body)), &m, 32); f != nil {
+			got = f.Name + " " + f.Field
+		}
+		if got != want {
+			t.Errorf("%s: %q, not %q", body, got, want)
+		}
+	}
+}
--- a/api/forward.go
+++ b/api/forward.go
@@ -1,5 +1,3 @@
-// Passing an origin's request on to another node, untouched, and its answer back.
-
 package api
 
 import (
@@ -14,9 +12,10 @@
 	"keelstair.example/failure"
 )
 
-// Pass asks a node on a path of its own and puts every line of its answer. It tells how
-// many lines were put. A refusal comes back as the Fault that the node answered with. A
-// node silent for the span is given up.
+// Pass forwards an origin's request unchanged to the node at addr, on a path that nodes use
+// among themselves, and puts every line of its answer to out. It returns how many lines were
+// put. A refusal comes back as the Fault that the node answered with; a node that is silent
+// for the given time is given up. The request is sent once.
 func Pass(ctx context.Context, web *http.Client, addr, path string, ask *Ask, silent time.Duration, out Sink) (int, error) {
 	body, err := json.Marshal(ask)
 	if err != nil {
--- a/api/operator.go
+++ b/api/operator.go
@@ -1,5 +1,3 @@
-// The operators' side of the door.
-
 package api
 
 import (
@@ -13,9 +11,10 @@
 	"keelstair.example/failure"
 )
 
-// Apply is a whole or partial configuration. Source is CUE or JSON text; Base
-// is the version it was made over; Op is the operation's id, by which an
-// operator who was told nothing may ask again and learns the one outcome.
+// Apply is an order for a whole or partial configuration. Source is CUE or JSON text, Name what
+// it is called in errors, and Base the version that it builds on. Op is the operation's id, by
+// which an operator who got no answer may send it again and learns its one outcome. Dry only
+// checks it.
 type Apply struct {
 	Op      string `json:"op"`
 	Base    uint64 `json:"base"`
@@ -25,20 +24,23 @@
 	Dry     bool   `json:"dry,omitempty"`
 }
 
-// Applied answers it.
+// Applied answers an order: the version that it led to, and whether that is in force at the
+// node. Policy is the whole configuration, after a dry run only.
 type Applied struct {
 	Version uint64          `json:"version"`
 	Active  bool            `json:"active"`
 	Policy  json.RawMessage `json:"policy,omitempty"`
 }
 
-// Mark is an evacuation, a drain, or the taking back of one.
+// Mark is an order to take a zone, a worker or a certificate out of use or, with Out false,
+// to take that back (not of a certificate). Op is the operation's id, as in Apply.
 type Mark struct {
 	Op  string `json:"op"`
 	Out bool   `json:"out"`
 }
 
-// Shown is the configuration in force.
+// Shown is the configuration that is in force at a node, the newest version that it knows of,
+// and the zones and workers that are taken out of use.
 type Shown struct {
 	Version uint64          `json:"version"`
 	Newest  uint64          `json:"newest"`
@@ -47,8 +49,8 @@
 	Drained []string        `json:"drained"`
 }
 
-// Regimes shows who is certified. Low and High bound the fleet's time; Wall is the
-// node's own clock, which decides nothing. All in nanoseconds since 1970.
+// Regimes lists the certified workers and nodes. Low and High bound the fleet's time; Wall is
+// the node's own clock, which decides nothing. All are in nanoseconds since 1970.
 type Regimes struct {
 	Version uint64   `json:"version"`
 	Low     int64    `json:"low"`
@@ -57,7 +59,7 @@
 	Regimes []Regime `json:"regimes"`
 }
 
-// Regime is one of them, with its certificates and what it lacks now.
+// Regime is one regime with its certificates and, in Short, what it lacks now.
 type Regime struct {
 	Name  string              `json:"name"`
 	Kinds []string            `json:"kinds"`
@@ -66,8 +68,8 @@
 	Short []string            `json:"short"`
 }
 
-// Audits are rows of the audit record as their own lines: the number of the first that
-// is kept, how many there ever were, and the newest one's hash.
+// Audits is a part of the audit record: its rows, the number of the first one that is kept, how
+// many there have been, and the hash of the newest.
 type Audits struct {
 	First int               `json:"first"`
 	Count int               `json:"count"`
@@ -75,24 +77,35 @@
 	Rows  []json.RawMessage `json:"rows"`
 }
 
-// Operator is what operators may ask of a node.
+// Operator carries out operators' orders. Its errors are answered as Bounce says; Fate makes
+// them where an order may have been carried out.
 type Operator interface {
+	// Apply checks a configuration and puts it in force.
 	Apply(ctx context.Context, a *Apply) (*Applied, error)
+	// Evacuate keeps new work from a zone, or takes that back.
 	Evacuate(ctx context.Context, zone string, m *Mark) (*Applied, error)
+	// Drain keeps new work from a worker, or takes that back.
 	Drain(ctx context.Context, worker string, m *Mark) (*Applied, error)
+	// Revoke makes a certificate void for good.
 	Revoke(ctx context.Context, serial string, m *Mark) (*Applied, error)
+	// Regimes lists the regimes and their certificates.
 	Regimes() *Regimes
+	// Audits returns at most so many rows of the audit record, from the one with number from on.
 	Audits(ctx context.Context, from, most int) (*Audits, error)
+	// Shown returns the configuration in force.
 	Shown(ctx context.Context) (*Shown, error)
+	// Status returns the node's state, to be written as JSON.
 	Status() any
 }
 
-// Stale is the answer to a configuration that was made over another than the newest.
+// Stale returns the refusal of a configuration that builds on another version than the newest.
 func Stale(base, newest uint64) error {
 	return No(http.StatusConflict, "stale", "base", "it was made over version %d; the newest is %d", base, newest)
 }
 
-// Fate tells an operator whether a thing was surely not done, and when to ask again.
+// Fate turns an error of package failure into the refusal of an order: 504 if it may have been
+// carried out, 503 if it was not, each with when to send it again. Errors of kind Bad and
+// Stale stay as they are.
 func Fate(err error, after time.Duration) error {
 	switch failure.KindOf(err) {
 	case failure.Unknown:
@@ -103,9 +116,14 @@
 	return Later(http.StatusServiceUnavailable, "core-away", after, "it was not taken: %v", err)
 }
 
-const maxPolicy = 8 << 20
+// Bounds on what operators send and get.
+const (
+	maxPolicy    = 8 << 20 // bytes of a configuration
+	maxMark      = 4096    // bytes of another order
+	maxAuditRows = 500     // rows of the audit record in an answer
+)
 
-// MountOperator puts the operators' side on a mux.
+// MountOperator registers the operators' side of the interface, under /v1.
 func MountOperator(mux *http.ServeMux, o Operator) {
 	mux.HandleFunc("GET /v1/policy", func(w http.ResponseWriter, r *http.Request) {
 		got, err := o.Shown(r.Context())
@@ -128,7 +146,7 @@
 	mark := func(f func(context.Context, string, *Mark) (*Applied, error)) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
 			var m Mark
-			if f := Read(r, &m, 4096); f != nil {
+			if f := Read(r, &m, maxMark); f != nil {
 				Bounce(w, f)
 				return
 			}
@@ -150,7 +168,7 @@
 			Bounce(w, No(http.StatusBadRequest, "out-of-range", "from", "a row's number is needed, from 1 on"))
 			return
 		}
-		got, err := o.Audits(r.Context(), from, 500)
+		got, err := o.Audits(r.Context(), from, maxAuditRows)
 		if err != nil {
 			Bounce(w, err)
 			return
@@ -159,6 +177,7 @@
 	})
 }
 
+// answer writes the answer a, or the error.
 func answer(w http.ResponseWriter, a any, err error) {
 	if err != nil {
 		Bounce(w, err)
--- a/api/streams.go
+++ b/api/streams.go
@@ -1,7 +1,3 @@
-// Package api is the one place that knows how origins and operators speak:
-// HTTP/1.1 with JSON. It reads and checks what they send and writes what they
-// get; what is done with it stands behind two narrow interfaces. This file is
-// the origins' side.
 package api
 
 import (
@@ -9,25 +5,28 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
-	"fmt"
 	"hash/fnv"
-	"io"
 	"net/http"
-	"strconv"
 	"strings"
-	"time"
 
-	"keelstair.example/failure"
 	"keelstair.example/workerclient"
 )
 
+// Bounds on an origin's request.
 const (
-	maxAsk = 4 << 20
-	maxKey = 200
+	maxAsk         = 4 << 20 // bytes of its body
+	maxKey         = 200     // bytes of its key
+	maxTemperature = 10
 )
 
-// Ask is what an origin sends.
+const (
+	vocabulary  = 50000 // ids that the words of a prompt are mapped to
+	digestBytes = 12    // of the SHA-256 hash of a request
+)
+
+// Ask is an origin's request. The prompt is given either as text or as token ids. Key, by
+// which a repeat is recognized, is needed for the kinds that the configuration says; Adapters
+// are those that the worker must have.
 type Ask struct {
 	Kind        string   `json:"kind"`
 	Key         string   `json:"key,omitempty"`
@@ -40,14 +39,16 @@
 	Seed        uint64   `json:"seed,omitempty"`
 }
 
-// Digest tells a key's true repeat from its misuse.
+// Digest returns a hash of the whole request in hex. A request with the key of an earlier one
+// is its repeat only if the digests are equal.
 func (a *Ask) Digest() string {
 	b, _ := json.Marshal(a)
 	sum := sha256.Sum256(b)
-	return hex.EncodeToString(sum[:12])
+	return hex.EncodeToString(sum[:digestBytes])
 }
 
-// Tokens gives the prompt's ids: those sent, or one for each word.
+// Tokens returns the ids of the prompt's tokens: those that were sent, or one for each word of
+// its text.
 func (a *Ask) Tokens() []int32 {
 	if len(a.PromptIds) > 0 {
 		return a.PromptIds
@@ -57,12 +58,14 @@
 	for i, w := range rows {
 		h := fnv.New32a()
 		h.Write([]byte(w))
-		out[i] = int32(h.Sum32()%50000) + 1
+		out[i] = int32(h.Sum32()%vocabulary) + 1
 	}
 	return out
 }
 
-// Line is one line of the stream that an origin reads.
+// Line is one line of the stream that an origin reads: the token at Index or, where End is set,
+// the end of the stream after Count tokens. Replay marks a line that comes from the record of
+// an earlier request with the same key.
 type Line struct {
 	Index  int                  `json:"index"`
 	Token  int32                `json:"token,omitempty"`
@@ -73,44 +76,35 @@
 	Replay bool                 `json:"replay,omitempty"`
 }
 
-// Ends of a stream. Only Complete means that the answer is whole.
+// Ends of a stream.
 const (
-	Complete = "complete"
-	Broken   = "broken"
-	Unknown  = "unknown"
+	Complete = "complete" // the answer is whole
+	Broken   = "broken"   // it stops midway and won't go on
+	Unknown  = "unknown"  // it stops, and whether the request ran to its end isn't known
 )
 
-// Fault is a refusal on its way to an origin or an operator.
-type Fault struct {
-	Code int
-	workerclient.Bounce
-}
-
-func (f *Fault) Error() string { return f.Name + " " + f.Field + " " + f.Detail }
-
-// No makes a fault.
-func No(code int, name, field, form string, args ...any) *Fault {
-	return &Fault{code, workerclient.Bounce{Name: name, Field: field, Detail: fmt.Sprintf(form, args...)}}
-}
-
-// Later makes a fault that says when to come back.
-func Later(code int, name string, after time.Duration, form string, args ...any) *Fault {
-	f := No(code, name, "", form, args...)
-	f.After = after.Milliseconds()
-	return f
-}
-
 // Sink takes the lines of a stream.
-type Sink interface{ Put(Line) error }
+type Sink interface {
+	// Put writes a line out at once. After an error nobody reads the stream any more.
+	Put(Line) error
+}
 
-// Server carries an origin's request. An error before the first line becomes
-// the answer's code; after it, the stream's last line says how it ended.
+// Server serves origins' requests.
 type Server interface {
+	// Serve runs a request and puts its answer to out. An error before the first line becomes
+	// the HTTP status (see Bounce); after it, the last line says how the stream ended.
 	Serve(ctx context.Context, ask *Ask, out Sink) error
+	// Ready reports whether the node can serve, and else why not.
 	Ready() (bool, string)
 }
 
-// Streams answers origins' requests on a path.
+// Readiness is the body of the answer to GET /ready, whose status is 200 or 503.
+type Readiness struct {
+	Ready bool   `json:"ready"`
+	Why   string `json:"why"`
+}
+
+// Streams registers a handler for origins' requests on a path.
 func Streams(mux *http.ServeMux, path string, serve func(context.Context, *Ask, Sink) error) {
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
 		var ask Ask
@@ -125,7 +119,7 @@
 	})
 }
 
-// Mount puts the origins' side on a mux.
+// Mount registers the origins' side of the interface: POST /v1/streams and GET /ready.
 func Mount(mux *http.ServeMux, s Server) {
 	Streams(mux, "/v1/streams", s.Serve)
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
@@ -134,14 +128,15 @@
 		if !ok {
 			code = http.StatusServiceUnavailable
 		}
-		Write(w, code, map[string]any{"ready": ok, "why": why})
+		Write(w, code, Readiness{ok, why})
 	})
 }
 
+// lines is the sink that writes to an origin, one line of JSON each.
 type lines struct {
 	w     http.ResponseWriter
 	rows  *json.Encoder
-	begun bool
+	begun bool // the status and headers are written
 }
 
 func (l *lines) Put(line Line) error {
@@ -159,61 +154,8 @@
 	return nil
 }
 
-// Read takes a JSON body: one value, known fields only, bounded.
-func Read(r *http.Request, into any, most int64) *Fault {
-	body, err := io.ReadAll(io.LimitReader(r.Body, most+1))
-	if err != nil {
-		return No(http.StatusBadRequest, "unreadable", "", "%v", err)
-	}
-	if int64(len(body)) > most {
-		return No(http.StatusRequestEntityTooLarge, "too-large", "", "a body may have %d bytes", most)
-	}
-	rows := json.NewDecoder(strings.NewReader(string(body)))
-	rows.DisallowUnknownFields()
-	err = rows.Decode(into)
-	var kind *json.UnmarshalTypeError
-	switch {
-	case err == nil && rows.More():
-		return No(http.StatusBadRequest, "malformed", "", "more than one value")
-	case err == nil:
-		return nil
-	case errors.As(err, &kind):
-		return No(http.StatusBadRequest, "wrong-type", kind.Field, "%s is no %s", kind.Value, kind.Type)
-	case strings.HasPrefix(err.Error(), "json: unknown field "):
-		return No(http.StatusBadRequest, "unknown-field", strings.Trim(strings.TrimPrefix(err.Error(), "json: unknown field "), `"`), "no such field")
-	}
-	return No(http.StatusBadRequest, "malformed", "", "%v", err)
-}
-
-// Write answers with JSON.
-func Write(w http.ResponseWriter, code int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(code)
-	json.NewEncoder(w).Encode(v)
-}
-
-// Bounce answers with an error and, where one may come back, with when.
-func Bounce(w http.ResponseWriter, err error) {
-	var f *Fault
-	if !errors.As(err, &f) {
-		switch failure.KindOf(err) {
-		case failure.Bad:
-			f = No(http.StatusBadRequest, "bad", "", "%v", err)
-		case failure.Stale:
-			f = No(http.StatusConflict, "stale", "", "%v", err)
-		case failure.Unknown:
-			f = No(http.StatusGatewayTimeout, "unknown-fate", "", "%v", err)
-		default:
-			f = Later(http.StatusServiceUnavailable, "away", time.Second, "%v", err)
-		}
-	}
-	if f.After > 0 {
-		w.Header().Set("Retry-After", strconv.FormatInt((f.After+999)/1000, 10))
-	}
-	Write(w, f.Code, map[string]any{"error": f.Bounce})
-}
-
-// Check holds an ask against the kinds that there are.
+// Check returns what is wrong with a request, or nil. claimed tells that its kind needs a key;
+// maxTokens and maxPrompt bound the tokens of its answer and of its prompt.
 func (a *Ask) Check(claimed bool, maxTokens, maxPrompt int) *Fault {
 	switch {
 	case a.Prompt != "" && len(a.PromptIds) > 0:
@@ -224,8 +166,8 @@
 		return No(http.StatusRequestEntityTooLarge, "too-large", "prompt", "%d tokens, at most %d", len(a.Tokens()), maxPrompt)
 	case a.MaxTokens < 0 || a.MaxTokens > maxTokens:
 		return No(http.StatusBadRequest, "out-of-range", "maxTokens", "at most %d", maxTokens)
-	case a.Temperature < 0 || a.Temperature > 10:
-		return No(http.StatusBadRequest, "out-of-range", "temperature", "from 0 to 10")
+	case a.Temperature < 0 || a.Temperature > maxTemperature:
+		return No(http.StatusBadRequest, "out-of-range", "temperature", "from 0 to %d", maxTemperature)
 	case claimed && a.Key == "":
 		return No(http.StatusBadRequest, "missing", "key", "kind %q needs the caller's key", a.Kind)
 	case len(a.Key) > maxKey:
