--- a/certification/certification.go
+++ b/certification/certification.go
@@ -51,6 +51,7 @@
 	Node   string
 }
 
+// String returns what the subject is and its name, as in "worker w-1".
 func (s Subject) String() string {
 	if s.Node != "" {
 		return "node " + s.Node
@@ -58,6 +59,7 @@
 	return "worker " + string(s.Worker)
 }
 
+// Subject returns whom the certificate clears.
 func (c *Certificate) Subject() Subject { return Subject{c.Worker, c.Node} }
 
 // domain keeps a signature from standing for any other kind of text.
@@ -86,6 +88,7 @@
 	Reason string
 }
 
+// Error returns the reason alone; where it applies is in Path.
 func (f *Fault) Error() string { return f.Reason }
 
 func fault(path []string, form string, args ...any) error {
--- a/certification/register.go
+++ b/certification/register.go
@@ -191,14 +191,14 @@
 	return sorted(r.regimes)
 }
 
-// State of a certificate at a time.
+// State is that of a certificate at a time.
 type State string
 
 const (
-	Valid   State = "valid"
-	Early   State = "not yet valid"
-	Expired State = "expired"
-	Revoked State = "revoked"
+	Valid   State = "valid"         // in force
+	Early   State = "not yet valid" // its span may not have begun yet
+	Expired State = "expired"       // its span may have ended
+	Revoked State = "revoked"       // void for good, whatever its span
 )
 
 // Row is one certificate with its state and the end of its span, cut to its issuer's.
--- a/cmd/boot/ask.go
+++ b/cmd/boot/ask.go
@@ -21,6 +21,7 @@
 	text string
 }
 
+// Error returns the text that operators read.
 func (t *Told) Error() string { return t.text }
 
 // Doors checks a list of doors, given one by one or with commas.
--- a/cmd/gauge/count.go
+++ b/cmd/gauge/count.go
@@ -63,6 +63,7 @@
 	return out
 }
 
+// Dial connects as the wrapped network does, and counts the connection and what goes over it.
 func (m *Meter) Dial(ctx context.Context, addr string) (net.Conn, error) {
 	c, err := m.Net.Dial(ctx, addr)
 	if err != nil {
@@ -76,6 +77,7 @@
 	return out, nil
 }
 
+// Listen listens as the wrapped network does, and counts what goes over accepted connections.
 func (m *Meter) Listen(addr string) (net.Listener, error) {
 	l, err := m.Net.Listen(addr)
 	if err != nil {
--- a/cmd/gauge/fit.go
+++ b/cmd/gauge/fit.go
@@ -184,6 +184,7 @@
 	return hi
 }
 
+// String returns the fitted formula in x, as the capacity page shows it.
 func (f *Fit) String() string {
 	if len(f.Xs) < 3 {
 		return "too few points"
--- a/handoff/controller.go
+++ b/handoff/controller.go
@@ -48,13 +48,13 @@
 type Stage string
 
 const (
-	Granted   Stage = "granted"
-	Prefilled Stage = "prefilled"
-	Exported  Stage = "exported"
-	Imported  Stage = "imported"
-	Resumed   Stage = "resumed"
-	Ended     Stage = "ended"
-	Dropped   Stage = "dropped"
+	Granted   Stage = "granted"   // a prefill worker is chosen
+	Prefilled Stage = "prefilled" // that has computed the KV
+	Exported  Stage = "exported"  // and keeps it ready to be fetched
+	Imported  Stage = "imported"  // the decode worker has reserved room for it
+	Resumed   Stage = "resumed"   // the decode worker has all of it, and runs
+	Ended     Stage = "ended"     // the stream came to its end
+	Dropped   Stage = "dropped"   // the attempt was given up
 )
 
 // Event is one step of one hand-over.
--- a/handoff/ledger.go
+++ b/handoff/ledger.go
@@ -124,6 +124,7 @@
 	Life  ids.Life
 }
 
+// State returns what the ledger says of its worker at a time.
 func (l *Ledger) State(now ids.Tick) State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/router/node.go
+++ b/router/node.go
@@ -89,6 +89,8 @@
 	Asked, Done, Bounced, Broken, Unsure, Replayed, Moved, Again, Turned, Passed atomic.Int64
 }
 
+// New returns a node with the given options, and defaults for those that are left at zero.
+// It starts nothing.
 func New(opt Options) *Node {
 	opt.fill()
 	n := &Node{opt: opt, scores: &whim.Scores{}, journal: logging.NewJournal[handoff.Event](1024)}
--- a/router/span/span.go
+++ b/router/span/span.go
@@ -31,6 +31,7 @@
 	open  map[workerclient.Id][]handoff.Event
 }
 
+// New returns a writer of traces for a node, by its name. Ticks become wall time by the clock.
 func New(out io.Writer, node string, clock seam.Clock) *Writer {
 	return &Writer{out: out, node: node, clock: clock, open: map[workerclient.Id][]handoff.Event{}}
 }
--- a/standin/load.go
+++ b/standin/load.go
@@ -74,6 +74,8 @@
 	Details map[string]int     `json:"details,omitempty"`
 }
 
+// KindSum is the part of a summary for one kind of stream. Times are in milliseconds from the
+// planned arrival: to the first piece, and to the end.
 type KindSum struct {
 	Sent     int     `json:"sent"`
 	Complete int     `json:"complete"`
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -32,6 +32,7 @@
 	doors   map[string]*Door
 }
 
+// NewPlatform returns a platform without workers or nodes. It asks nodes over the host's network.
 func NewPlatform(host seam.Host) *Platform {
 	return &Platform{web: rpc.Web(host.Net), workers: map[ids.WorkerId]workerclient.Listed{}, doors: map[string]*Door{}}
 }
@@ -117,6 +118,7 @@
 	p.web.CloseIdleConnections()
 }
 
+// Handler serves the platform's interface over HTTP.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /workers", func(w http.ResponseWriter, _ *http.Request) {
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -16,6 +16,7 @@
 	"keelstair.example/workerclient"
 )
 
+// Handler serves the worker's interface over HTTP, with POST /fault and GET /tally for tests.
 func (w *Worker) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /prefill", order(w, w.prefill))
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -137,6 +137,8 @@
 	news    chan struct{}
 }
 
+// NewWorker returns a worker with the given options, and defaults for those that are left at
+// zero. It runs nothing before Run.
 func NewWorker(opt WorkerOptions) *Worker {
 	opt.fill()
 	return &Worker{opt: opt, life: ids.Life(rand.Text()), web: rpc.Web(opt.Host.Net), part: opt.Part, pool: newPool(opt.Room, opt.Block),
--- a/whim/deck.go
+++ b/whim/deck.go
@@ -39,7 +39,8 @@
 	s.at++
 }
 
-// Quantile of the newest first-piece times.
+// Quantile returns the quantile q, from 0 to 1, of the newest times to a first piece, or 0
+// without any.
 func (s *Score) Quantile(q float64) time.Duration {
 	s.mu.Lock()
 	row := slices.Clone(s.first)
@@ -51,9 +52,10 @@
 	return row[int(q*float64(len(row)-1))]
 }
 
-// Scores by program name.
+// Scores holds the scores by the names of their programs. It is safe for concurrent use.
 type Scores struct{ all sync.Map }
 
+// Of returns the score of a program, which is made at its first use.
 func (s *Scores) Of(name string) *Score {
 	v, ok := s.all.Load(name)
 	if !ok {
@@ -62,6 +64,7 @@
 	return v.(*Score)
 }
 
+// Each calls f with every score, in no order.
 func (s *Scores) Each(f func(string, *Score)) {
 	s.all.Range(func(k, v any) bool { f(k.(string), v.(*Score)); return true })
 }
@@ -86,6 +89,7 @@
 // PlainName is what the built-in order is called in the scores.
 const PlainName = "plain"
 
+// Deck is the programs of one version of the configuration, with their shares.
 type Deck struct {
 	slots  []slot
 	scores *Scores
--- a/whim/whim.go
+++ b/whim/whim.go
@@ -75,9 +75,13 @@
 // two beats do not all fall to one worker.
 type Plain struct{}
 
+// Match returns all candidates.
 func (Plain) Match(_ *Question, list []Candidate) ([]Candidate, error) { return list, nil }
-func (Plain) Turns() bool                                              { return true }
 
+// Turns reports that the built-in order also says when workers change their part.
+func (Plain) Turns() bool { return true }
+
+// Order returns the candidates in the built-in order; it never fails.
 func (Plain) Order(q *Question, list []Candidate) ([]ids.WorkerId, error) {
 	score := func(c Candidate) float64 {
 		if q.Priced {
