--- a/coordination/agent.go
+++ b/coordination/agent.go
@@ -47,6 +47,7 @@
 	grants  map[ids.Key]Grant
 }
 
+// Agent is safe for use by many threads. NewAgent makes one, Mount and Run start it.
 type Agent struct {
 	opt  AgentOptions
 	call *rpc.Caller
@@ -71,6 +72,7 @@
 	given sync.Map
 }
 
+// NewAgent makes an agent; zero spans of its options take their defaults. It starts nothing.
 func NewAgent(opt AgentOptions) *Agent {
 	ids.Or(&opt.Lease, 3*time.Second)
 	ids.Or(&opt.Renew, 500*time.Millisecond)
@@ -85,9 +87,14 @@
 	return a
 }
 
-func (a *Agent) Book() *Book         { return a.book }
+// Book is what the agent knows of where everyone is.
+func (a *Agent) Book() *Book { return a.book }
+
+// Caller asks other processes over the agent's network.
 func (a *Agent) Caller() *rpc.Caller { return a.call }
-func (a *Agent) Me() Member          { return a.opt.Me }
+
+// Me is the node that the agent is for.
+func (a *Agent) Me() Member { return a.opt.Me }
 
 // Mount lets neighbours ask whereabouts and news of this node.
 func (a *Agent) Mount(mux *http.ServeMux) {
@@ -227,8 +234,11 @@
 	return out
 }
 
+// Members are the nodes that hold a lease, as far as the news was taken.
 func (a *Agent) Members() []Member { return a.sight.Load().members }
-func (a *Agent) Seq() ids.Seq      { return a.sight.Load().seq }
+
+// Seq is the number of the log up to which the news was taken.
+func (a *Agent) Seq() ids.Seq { return a.sight.Load().seq }
 
 func (a *Agent) keep(ctx context.Context) {
 	for {
--- a/coordination/anew.go
+++ b/coordination/anew.go
@@ -21,45 +21,74 @@
 )
 
 func (c *Core) anew(ctx context.Context) error {
-	no := func(form string, args ...any) error {
-		return failure.New(failure.Bad, "found anew", c.me.Addr, form, args...)
-	}
 	rec, _ := c.accepted()
 	switch {
 	case rec.Founding == "":
-		return no("this disk belongs to no fleet")
+		return c.notAnew("this disk belongs to no fleet")
 	case !c.named(rec):
-		return no("this disk holds a register and no data; one of %s and %s has it", rec.Primary.Addr, rec.Backup.Addr)
+		return c.notAnew("this disk holds a register and no data; one of %s and %s has it", rec.Primary.Addr, rec.Backup.Addr)
+	}
+	spare, err := c.listen(ctx, rec)
+	if err != nil {
+		return err
+	}
+	seq, img, shelf, err := c.jump()
+	if err != nil {
+		return err
+	}
+	next := rec
+	next.Epoch += anewJump
+	next.Before = nil
+	next.Primary, next.Holders = c.me, append([]Seat{c.me}, spare...)
+	next.follow(spare[:rec.losses()])
+	if !c.begin(ctx, next, Pack(img), shelf) {
+		return c.notAnew("the empty machines at %s and %s did not agree; order it again", spare[0].Addr, spare[1].Addr)
 	}
+	c.opt.Ring.Warn().Uint64("epoch", uint64(next.Epoch)).Uint64("seq", uint64(seq)).
+		Msg("founded anew from this disk alone; what was acknowledged after this number, if anything, is lost")
+	return nil
+}
+
+func (c *Core) notAnew(form string, args ...any) error {
+	return failure.New(failure.Bad, "found anew", c.me.Addr, form, args...)
+}
+
+// listen waits for empty machines, as many as are needed, and for holders that may live after
+// all: then the founding is refused.
+func (c *Core) listen(ctx context.Context, rec Record) ([]Seat, error) {
+	need := 2 * rec.losses()
 	from := c.opt.Host.Clock.Now()
-	var spare []Seat
 	for now := from; ; now = c.opt.Host.Clock.Now() {
 		c.book.Ask(ctx, 8)
 		if f := c.book.Foreign(); f != "" {
-			return no("the seeds lead to another fleet, %s", f)
+			return nil, c.notAnew("the seeds lead to another fleet, %s", f)
 		}
 		if known := c.book.Record(); known.Epoch > rec.Epoch {
-			return no("this disk is behind: it knows epoch %d, others know %d with the data at %s and %s", rec.Epoch, known.Epoch, known.Primary.Addr, known.Backup.Addr)
+			return nil, c.notAnew("this disk is behind: it knows epoch %d, others know %d with the data at %s and %s", rec.Epoch, known.Epoch, known.Primary.Addr, known.Backup.Addr)
 		}
 		all, _ := c.book.heard(2 * time.Second)
 		for _, s := range all {
 			if holds(rec.Holders, s.Disk) {
-				return no("the holder at %s lives; the core will be back when two of three are", s.Addr)
+				return nil, c.notAnew("the holder at %s lives; the core will be back when two of three are", s.Addr)
 			}
 		}
-		need := 2 * rec.losses()
 		if now.Past(from, anewListen) && len(all) >= need {
-			spare = all[:need]
-			break
+			return all[:need], nil
 		}
 		if now.Past(from, anewWait) {
-			return no("%d empty machines were met, %d are needed", len(all), need)
+			return nil, c.notAnew("%d empty machines were met, %d are needed", len(all), need)
 		}
 		if !seam.Sleep(ctx, 200*time.Millisecond) {
-			return ctx.Err()
+			return nil, ctx.Err()
 		}
 	}
+}
+
+// jump puts fences and numbers above all that others may have seen, on disk. It gives the
+// number that this disk had reached.
+func (c *Core) jump() (ids.Seq, *Image, []Sheet, error) {
 	c.dataMu.Lock()
+	defer c.dataMu.Unlock()
 	seq := c.roll.seq
 	c.roll.fence += anewJump
 	c.roll.seq += anewJump
@@ -67,22 +96,7 @@
 	c.roll.grants = map[ids.Key]Grant{}
 	c.roll.digest, c.roll.history = stateDigest(c.roll.seq, []byte(Name())), history{}
 	img, shelf := c.roll.picture(false), sheets(c.roll.app)
-	err := c.store.reset(img, shelf)
-	c.dataMu.Unlock()
-	if err != nil {
-		return err
-	}
-	next := rec
-	next.Epoch += anewJump
-	next.Before = nil
-	next.Primary, next.Holders = c.me, append([]Seat{c.me}, spare...)
-	next.follow(spare[:rec.losses()])
-	if !c.begin(ctx, next, Pack(img), shelf) {
-		return no("the empty machines at %s and %s did not agree; order it again", spare[0].Addr, spare[1].Addr)
-	}
-	c.opt.Ring.Warn().Uint64("epoch", uint64(next.Epoch)).Uint64("seq", uint64(seq)).
-		Msg("founded anew from this disk alone; what was acknowledged after this number, if anything, is lost")
-	return nil
+	return seq, img, shelf, c.store.reset(img, shelf)
 }
 
 // begin makes a first record with those who hold nothing yet: all promise, the
--- a/coordination/asks.go
+++ b/coordination/asks.go
@@ -17,6 +17,7 @@
 	Body []byte
 }
 
+// SubmitReply is the outcome of a command: its number in the log, and what Apply gave.
 type SubmitReply struct {
 	Seq  ids.Seq
 	Body []byte
@@ -35,4 +36,5 @@
 	Leaving bool    `msg:"Leaving,omitempty"` // it is about to end and takes on nothing new
 }
 
+// Empty is a message that says nothing.
 type Empty struct{}
--- a/coordination/book.go
+++ b/coordination/book.go
@@ -41,6 +41,8 @@
 	heardAt ids.Tick      // when any other process was heard last
 }
 
+// NewBook makes the book of a process: me is its own replica, or only its address. It knows no
+// more than the seeds, until it asks.
 func NewBook(host seam.Host, call *rpc.Caller, seeds []string, me Seat) *Book {
 	return &Book{host: host, call: call, seeds: seeds, me: WhereAsk{Me: me}, seats: map[ids.DiskId]seatSeen{}, grown: make(chan struct{})}
 }
@@ -123,6 +125,7 @@
 	}
 }
 
+// Record is the newest record that was heard of.
 func (b *Book) Record() Record {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/coordination/core.go
+++ b/coordination/core.go
@@ -52,6 +52,8 @@
 	}
 }
 
+// Core is safe for use by many threads. New makes one, Mount and Run start it, Leave prepares
+// its end.
 type Core struct {
 	opt   Options
 	me    Seat
@@ -126,7 +128,10 @@
 	return hex.EncodeToString(sum[:12])
 }
 
-func (c *Core) Book() *Book         { return c.book }
+// Book is what the core knows of where everyone is.
+func (c *Core) Book() *Book { return c.book }
+
+// Caller asks other processes over the core's network.
 func (c *Core) Caller() *rpc.Caller { return c.call }
 
 // Leads tells whether this core is the primary now.
--- a/coordination/entry.go
+++ b/coordination/entry.go
@@ -20,6 +20,8 @@
 	Body []byte
 }
 
+// AppendAsk brings the entries that follow the number Prev to a backup, or, without any, is a
+// heartbeat of the primary of an epoch.
 type AppendAsk struct {
 	Epoch   ids.Epoch
 	From    Seat
@@ -27,6 +29,7 @@
 	Entries []Entry
 }
 
+// AppendReply tells how far a replica's log reaches, and the epoch that it has promised.
 type AppendReply struct {
 	Disk     ids.DiskId // who answers a beat
 	Ok       bool
--- a/coordination/follow.go
+++ b/coordination/follow.go
@@ -62,6 +62,7 @@
 	return a.take(q, r)
 }
 
+// take folds news into the view: entries that follow on, or a picture that is ahead of it.
 func (a *Agent) take(q *NewsAsk, r *NewsReply) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -69,52 +70,80 @@
 		return failure.New(failure.Stale, "take news", "", "it is of epoch %d, epoch %d was heard", r.Epoch, a.newsEpoch)
 	}
 	old := a.sight.Load()
-	next := newRoll(nil)
-	next.seq, next.fence = old.seq, old.fence
-	loud := r.Picture != nil
+	var next *roll
+	var loud bool
+	var err error
 	switch {
 	case r.Picture != nil:
-		var img Image
-		if _, err := img.UnmarshalMsg(r.Picture); err != nil {
-			return failure.As(err, failure.Bad, "read picture", "news")
-		}
-		if img.Seq <= old.seq {
-			return nil
-		}
-		if err := a.opt.View.Restore(img.App); err != nil {
-			return failure.Wrap(err, "restore view", "news")
-		}
-		next.seq, next.fence = img.Seq, img.Fence
-		for _, m := range img.Members {
-			next.members[m.Node] = m
-		}
-		for _, g := range img.Grants {
-			next.grants[g.Key] = g
-		}
-		a.feed.start(img.Seq)
+		next, err = a.takePicture(old, r.Picture)
+		loud = true
 	case len(r.Entries) > 0 && old.seq == q.From:
-		for _, m := range old.members {
-			next.members[m.Node] = m
+		next, loud, err = a.takeEntries(old, r.Entries)
+	}
+	if err != nil || next == nil {
+		return err
+	}
+	a.newsEpoch = r.Epoch
+	a.show(next)
+	if loud {
+		a.Poke()
+	}
+	return nil
+}
+
+// takePicture restores the view, unless it is as far already.
+func (a *Agent) takePicture(old *sight, picture []byte) (*roll, error) {
+	var img Image
+	if _, err := img.UnmarshalMsg(picture); err != nil {
+		return nil, failure.As(err, failure.Bad, "read picture", "news")
+	}
+	if img.Seq <= old.seq {
+		return nil, nil
+	}
+	if err := a.opt.View.Restore(img.App); err != nil {
+		return nil, failure.Wrap(err, "restore view", "news")
+	}
+	next := newRoll(nil)
+	next.seq, next.fence = img.Seq, img.Fence
+	for _, m := range img.Members {
+		next.members[m.Node] = m
+	}
+	for _, g := range img.Grants {
+		next.grants[g.Key] = g
+	}
+	a.feed.start(img.Seq)
+	return next, nil
+}
+
+// takeEntries folds entries one by one; loud tells that the core should hear of one at once.
+func (a *Agent) takeEntries(old *sight, entries []Entry) (next *roll, loud bool, err error) {
+	next = newRoll(nil)
+	next.seq, next.fence = old.seq, old.fence
+	for _, m := range old.members {
+		next.members[m.Node] = m
+	}
+	maps.Copy(next.grants, old.grants)
+	for _, e := range entries {
+		if e.Seq != next.seq+1 {
+			return nil, false, failure.New(failure.Bad, "fold news", "news", "entry %d follows %d", e.Seq, next.seq)
 		}
-		maps.Copy(next.grants, old.grants)
-		for _, e := range r.Entries {
-			if e.Seq != next.seq+1 {
-				return failure.New(failure.Bad, "fold news", "news", "entry %d follows %d", e.Seq, next.seq)
-			}
-			next.seq = e.Seq
-			if c, err := parse(e.Kind, e.Body); err != nil {
-				return err
-			} else if c != nil {
-				c.apply(next)
-			} else if e.Open && a.opt.View.Fold(e.Seq, e.Kind, e.Body) {
-				loud = true
-			}
+		next.seq = e.Seq
+		c, err := parse(e.Kind, e.Body)
+		if err != nil {
+			return nil, false, err
+		}
+		if c != nil {
+			c.apply(next)
+		} else if e.Open && a.opt.View.Fold(e.Seq, e.Kind, e.Body) {
+			loud = true
 		}
-		a.feed.push(r.Entries)
-	default:
-		return nil
 	}
-	a.newsEpoch = r.Epoch
+	a.feed.push(entries)
+	return next, loud, nil
+}
+
+// show puts a state in place of the one before, and forgets given back keys that passed on.
+func (a *Agent) show(next *roll) {
 	s := &sight{seq: next.seq, fence: next.fence, grants: next.grants, members: next.list()}
 	a.sight.Store(s)
 	a.book.SetMembers(s.seq, s.members)
@@ -124,10 +153,6 @@
 		}
 		return true
 	})
-	if loud {
-		a.Poke()
-	}
-	return nil
 }
 
 // Submit asks the core for a command until the context ends. The same op is
--- a/coordination/lease.go
+++ b/coordination/lease.go
@@ -14,7 +14,6 @@
 	Member
 	last ids.Tick
 	seen ids.Seq
-	bye  bool
 	drop []Grant
 }
 
--- a/coordination/news_note.go
+++ b/coordination/news_note.go
@@ -8,11 +8,14 @@
 //msgp:shim ids.Epoch as:uint64 using:uint64/ids.Epoch
 //msgp:shim ids.Seq as:uint64 using:uint64/ids.Seq
 
+// NewsAsk asks for the entries after a number, waiting so many nanoseconds for the first one.
 type NewsAsk struct {
 	From ids.Seq
 	Wait int64
 }
 
+// NewsReply brings entries up to the number Seq, or, where they are not kept any more, a
+// picture of the open part of the state.
 type NewsReply struct {
 	Seq     ids.Seq
 	Picture []byte
--- a/coordination/shelf_note.go
+++ b/coordination/shelf_note.go
@@ -28,6 +28,7 @@
 	Body  []byte
 }
 
+// SheetReply gives a sheet, and how many there are.
 type SheetReply struct {
 	Ok    bool
 	Count int
