Spread register holders over the zones again after replacements

Cause: a spare was taken in any order, so after some replacements two of three holders could stand in one zone, whose loss ended the core. TestSpread (six machines, three zones) fails without it. A spare of the emptiest zone is taken, and after 10 s of calm a holder of a crowded zone gives way to a spare of an emptier one.

--- a/coordination/example_test.go
+++ b/coordination/example_test.go
@@ -67,17 +67,24 @@
 	views  []*echo
 	seeds  []string
 	losses int
+	zones  map[string]ids.Zone // by the IP number of a core
 }
 
 func build(seed uint64) *fleet { return buildOf(seed, 3, 1) }
 
 // buildOf is a fleet of so many cores that bears so many losses at once.
-func buildOf(seed uint64, cores, losses int) *fleet {
-	f := &fleet{losses: losses, w: sham.NewWorld(seed), procs: map[string]*sham.Proc{}, stops: map[string]context.CancelFunc{}, cores: map[string]*coordination.Core{}}
+func buildOf(seed uint64, cores, losses int) *fleet { return buildIn(seed, cores, losses) }
+
+// buildIn spreads the cores over zones, one after the other.
+func buildIn(seed uint64, cores, losses int, zones ...ids.Zone) *fleet {
+	f := &fleet{losses: losses, zones: map[string]ids.Zone{}, w: sham.NewWorld(seed), procs: map[string]*sham.Proc{}, stops: map[string]context.CancelFunc{}, cores: map[string]*coordination.Core{}}
 	for i := range cores {
 		f.seeds = append(f.seeds, fmt.Sprintf("10.0.0.%d:1", i+1))
 	}
-	for _, a := range f.seeds {
+	for i, a := range f.seeds {
+		if len(zones) > 0 {
+			f.zones[machineOf(a)] = zones[i%len(zones)]
+		}
 		f.core(a)
 	}
 	for i := range 2 {
@@ -113,7 +120,7 @@
 func (f *fleet) coreAs(addr string, anew bool) chan error {
 	ip := addr[:len(addr)-2]
 	p := f.w.Machine(ip).Start()
-	c, err := coordination.New(coordination.Options{Addr: addr, Host: p.Host(), Seeds: f.seeds, Machine: func() coordination.Machine { return &tally{} }, Anew: anew, Losses: f.losses})
+	c, err := coordination.New(coordination.Options{Addr: addr, Zone: f.zones[ip], Host: p.Host(), Seeds: f.seeds, Machine: func() coordination.Machine { return &tally{} }, Anew: anew, Losses: f.losses})
 	if err != nil {
 		panic(err)
 	}
--- a/coordination/lead.go
+++ b/coordination/lead.go
@@ -38,6 +38,7 @@
 	jobs    chan *job
 	end     chan struct{}
 	since   ids.Tick
+	changed ids.Tick // when the membership was changed last
 	deals   ids.Tick
 	nodes   map[ids.NodeId]*tenant
 	asked   ids.Tick
--- a/coordination/membership.go
+++ b/coordination/membership.go
@@ -4,7 +4,9 @@
 package coordination
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"keelstair.example/failure"
@@ -14,9 +16,12 @@
 )
 
 const (
-	spareHeard = 5 * time.Second        // within which a spare must have spoken for itself
-	leaveRetry = 150 * time.Millisecond // between two tries to hand over
-	leaveWait  = 1500 * time.Millisecond
+	spareHeard = 5 * time.Second         // within which a spare must have spoken for itself
+	leaveRetry = 150 * time.Millisecond  // between two tries to hand over
+	leaveWait  = 1500 * time.Millisecond // for one such try
+	// How long a record has stood before its holders are spread over the zones: longer than a
+	// process takes to start again.
+	spreadAfter = 10 * time.Second
 )
 
 // errHandedOver ends the lead of a primary that has asked a backup to take over.
@@ -32,9 +37,60 @@
 			return l.replace(ctx, proposal{held: l.rec.Epoch, out: s.Disk, in: spare}, "replaces a register holder")
 		}
 	}
+	if out, in, ok := l.crowded(all, now); ok {
+		return l.replace(ctx, proposal{held: l.rec.Epoch, out: out.Disk, in: in}, "spreads the register holders over the zones")
+	}
 	return nil
 }
 
+// crowded gives a holder to replace by a spare of a zone that has fewer holders by two or
+// more, so that the loss of a zone takes no more of them than it must. All holders have to be
+// heard, and the record to have stood for a while.
+func (l *leader) crowded(all []Seat, now ids.Tick) (out, in Seat, ok bool) {
+	if !now.Past(max(l.since, l.changed), spreadAfter) || len(all) == 0 || !l.allHeard(now) {
+		return Seat{}, Seat{}, false
+	}
+	perZone := zonesOf(l.rec.Holders, "")
+	in = emptiest(all, perZone)
+	for _, s := range l.rec.Holders {
+		better := perZone[in.Zone]+2 <= perZone[s.Zone]
+		if better && s.Disk != l.c.me.Disk && (out.Disk == "" || l.rec.rank(out.Disk) >= 0) {
+			out = s // one without data, if there is one
+		}
+	}
+	return out, in, out.Disk != ""
+}
+
+// zonesOf counts replicas by zone, but for one.
+func zonesOf(list []Seat, without ids.DiskId) map[ids.Zone]int {
+	perZone := map[ids.Zone]int{}
+	for _, s := range list {
+		if s.Disk != without {
+			perZone[s.Zone]++
+		}
+	}
+	return perZone
+}
+
+// emptiest gives the spare whose zone has the fewest holders; the lowest identity of several.
+func emptiest(all []Seat, perZone map[ids.Zone]int) Seat {
+	return slices.MinFunc(all, func(a, b Seat) int {
+		return cmp.Or(cmp.Compare(perZone[a.Zone], perZone[b.Zone]), cmp.Compare(a.Disk, b.Disk))
+	})
+}
+
+// allHeard tells whether every holder gave a sign of life lately.
+func (l *leader) allHeard(now ids.Tick) bool {
+	l.c.regMu.Lock()
+	defer l.c.regMu.Unlock()
+	for _, s := range l.rec.Holders {
+		if s.Disk != l.c.me.Disk && !l.c.alive(s.Disk, now) {
+			return false
+		}
+	}
+	return true
+}
+
 // replace decides a record in which the membership differs.
 func (l *leader) replace(ctx context.Context, p proposal, what string) error {
 	c := l.c
@@ -44,6 +100,7 @@
 	c.opt.Ring.Warn().AnErr("cause", err).Str("out", string(p.out)).Str("in", p.in.Addr).Msg(what)
 	if err == nil {
 		l.rec = rec
+		l.changed = c.opt.Host.Clock.Now()
 	}
 	return err
 }
@@ -80,7 +137,7 @@
 	if len(all) == 0 || !now.Past(at, c.opt.Replace) {
 		return Seat{}, false
 	}
-	return all[0], true
+	return emptiest(all, zonesOf(l.rec.Holders, s.Disk)), true
 }
 
 // Leave hands over what this core has, so that it can end: the lead to a backup that is up to
@@ -176,7 +233,7 @@
 	}
 	p := proposal{held: l.rec.Epoch, avoid: leaver.Disk}
 	if all := c.spares(l.rec); len(all) > 0 {
-		p.out, p.in = leaver.Disk, all[0]
+		p.out, p.in = leaver.Disk, emptiest(all, zonesOf(l.rec.Holders, leaver.Disk))
 	} else if l.rec.rank(leaver.Disk) < 0 {
 		return nil
 	}
--- a/coordination/membership_test.go
+++ b/coordination/membership_test.go
@@ -14,6 +14,7 @@
 
 	"keelstair.example/coordination"
 	"keelstair.example/failure"
+	"keelstair.example/ids"
 	"keelstair.example/rpc"
 )
 
@@ -364,3 +365,38 @@
 		require.EqualValues(t, 3, f.views[0].sum.Load())
 	})
 }
+
+// TestSpread: of six machines in three zones each leaves once and starts again, and one is lost
+// with its disk. Soon after, the three holders stand in three zones again, so that the loss of
+// any zone leaves a majority.
+func TestSpread(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		f := buildIn(seed, 6, 1, "a", "b", "c")
+		defer f.close()
+		require.NoError(t, f.add(1, "a", 10*time.Second))
+		for i := range f.seeds {
+			ip := machineOf(f.seeds[(i+int(seed))%len(f.seeds)])
+			require.NoError(t, f.leave(ip, 5*time.Second))
+			if i == 3 {
+				f.w.Machine(ip).Wipe()
+			}
+			time.Sleep(time.Second)
+			f.core(ip + ":1")
+			time.Sleep(500 * time.Millisecond)
+		}
+		time.Sleep(40 * time.Second)
+		record := f.cores[f.leader()].Book().Record()
+		zones := map[ids.Zone]bool{}
+		for _, h := range record.Holders {
+			zones[h.Zone] = true
+		}
+		require.Len(t, zones, 3, "%v", record.Holders)
+		lost := record.Primary.Zone
+		for ip, zone := range f.zones {
+			if zone == lost {
+				f.off(ip)
+			}
+		}
+		require.NoError(t, f.add(2, "b", 10*time.Second))
+	})
+}
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -143,6 +143,7 @@
     ("same-place-needs-nothing", "coordination/catchup.go", "	if c.roll.seq != q.Seq ||", "	if true ||", "coordination", "TestChangeCopiesNothing"),
     ("entries-are-enough", "coordination/catchup.go", "		if entries, ok := state.after(r.Last, r.Digest); ok {", "		if entries, ok := state.after(r.Last, r.Digest); ok && false {", "coordination", "TestCaughtUpByEntries"),
     ("log-digest", "coordination/catchup.go", "!bytes.Equal(c.roll.digest, q.Digest)", "bytes.Equal(nil, q.Digest)", "coordination", "TestSamePlace"),
+    ("holders-spread", "coordination/membership.go", "	if out, in, ok := l.crowded(all, now); ok {\n", "	if out, in, ok := l.crowded(all, now); ok && false {\n", "coordination", "TestSpread"),
     ("news-epoch", "coordination/follow.go", "	if r.Epoch < a.newsEpoch {\n", "	if false {\n", "coordination", "TestNewsOfDeposed"),
     ("cold-unheard", "proxy/pick.go", "(svc.WarmRate <= 0 || !n.unheard(now))", "true", "proxy", "TestColdZoneBackUnheard"),
     ("short-first", "proxy/pick.go", "		urgency += 2\n", "		urgency += 0\n", "proxy", "TestRank"),
