Disk: sync each log's own folder, one record per append, logs that are missing are damage

Cause: seam/disk.go synced the parent folder after tidwall/wal had made a log's segment, but not the log's own folder, nor after a later segment (every 4 MB), nor the folders above a new data folder. After a loss of power such a file may be lost by itself, and acknowledged rows with it. Besides, rows appended together were separate records: unsynced pages reach the disk in any order, so a later row could be whole behind a torn one, and a disk in order counted as lost. A missing log was taken for an empty one.

The store takes a missing log for damage unless the disk is new.

Ablation cases for each mechanism. Ruled out: a synced Drop; what comes back is named by nothing and dropped again.

--- a/coordination/store.go
+++ b/coordination/store.go
@@ -1,7 +1,8 @@
-// What a tenet keeps on disk: its identity, its register, a picture, and the
-// log that follows the picture. The picture names its log, so that taking a new
-// picture swaps both in one rename. Every disk step is watched: one that takes
-// longer than the stall limit makes its holder stand down.
+// What a core keeps on disk: its identity, its register, a snapshot (picture), and
+// the log that follows the snapshot. The snapshot names its log, so that taking a
+// new one swaps both in one rename. A log is on disk before anything that counts
+// on it, so one that is missing means damage. Every disk step is watched: one that
+// takes longer than the stall limit makes its holder stand down.
 
 package coordination
 
@@ -23,14 +24,22 @@
 	registerFile = "register"
 	identityFile = "identity"
 	bookFile     = "book"
-	rowsPerLog   = 8192
+	firstLog     = "log-0"
+	logPrefix    = "log-"
+
+	// A log counts its rows, a long one as several of rowUnit bytes. One that counts
+	// over rowsPerLog gives way to a new snapshot. So a log takes about 4 MiB on disk
+	// and as much in memory, however long its rows are: a disk of 64 MB has room for
+	// the old log, two snapshots and their sheets, and a restart reads it in a moment.
+	rowsPerLog = 8192
+	rowUnit    = 512
 )
 
 type store struct {
 	disk  seam.Disk
 	log   seam.Log
 	name  string
-	rows  int
+	rows  int // in the log, see rowUnit
 	stall time.Duration
 	busy  atomic.Int32
 	saves atomic.Int32
@@ -64,31 +73,91 @@
 	if err := s.listSheets(); err != nil {
 		return err
 	}
-	var img Image
-	body, err := s.disk.Load(pictureFile)
-	switch {
-	case errors.Is(err, seam.ErrGone):
-		img.Log = "log-0"
-	case err != nil:
+	img, err := s.loadPicture()
+	if err != nil {
 		return err
-	default:
-		if _, err := img.UnmarshalMsg(body); err != nil {
-			return failure.As(err, failure.Bad, "read picture", "disk")
-		}
-		if err := s.restore(r, &img, nil); err != nil {
+	}
+	if img != nil {
+		if err := s.restore(r, img, nil); err != nil {
 			return err
 		}
 	}
-	log, rows, err := s.disk.Open(img.Log)
+	rows, err := s.openLog(img)
 	if err != nil {
 		return err
 	}
-	s.log, s.name, s.rows = log, img.Log, len(rows)
+	if err := replay(r, rows); err != nil {
+		return err
+	}
+	s.rows = countRows(rows)
+	return s.sweep()
+}
+
+// loadPicture gives the snapshot on disk, or nil if none was taken yet.
+func (s *store) loadPicture() (*Image, error) {
+	body, err := s.disk.Load(pictureFile)
+	if errors.Is(err, seam.ErrGone) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	img := &Image{}
+	rest, err := img.UnmarshalMsg(body)
+	if err != nil {
+		return nil, failure.As(err, failure.Bad, "read picture", "disk")
+	}
+	if len(rest) > 0 || !strings.HasPrefix(img.Log, logPrefix) {
+		return nil, failure.New(failure.Bad, "read picture", "disk", "its content is not that of a picture of this version")
+	}
+	return img, nil
+}
+
+// openLog opens the log that belongs to a snapshot. Only a disk with neither
+// snapshot nor register may lack it: it is new, and its first log is made.
+func (s *store) openLog(img *Image) ([][]byte, error) {
+	name := firstLog
+	if img != nil {
+		name = img.Log
+	}
+	log, rows, err := s.disk.Open(name)
+	if errors.Is(err, seam.ErrGone) {
+		if err := s.mustBeNew(img, name); err != nil {
+			return nil, err
+		}
+		log, err = s.disk.Create(name)
+	}
+	if err != nil {
+		return nil, err
+	}
+	s.log, s.name = log, name
+	return rows, nil
+}
+
+func (s *store) mustBeNew(img *Image, missing string) error {
+	_, err := s.disk.Load(registerFile)
+	switch {
+	case img != nil:
+		return failure.New(failure.Bad, "open log", "disk", "%s, which the picture names, is missing: the disk counts as lost", missing)
+	case errors.Is(err, seam.ErrGone):
+		return nil
+	case err != nil:
+		return err
+	}
+	return failure.New(failure.Bad, "open log", "disk", "there is a register, but neither a picture nor %s: the disk counts as lost", missing)
+}
+
+// replay applies the rows of a log to the state before it.
+func replay(r *roll, rows [][]byte) error {
 	for _, row := range rows {
 		var e Entry
-		if _, err := e.UnmarshalMsg(row); err != nil {
+		rest, err := e.UnmarshalMsg(row)
+		if err != nil {
 			return failure.As(err, failure.Bad, "read log", "disk")
 		}
+		if len(rest) > 0 {
+			return failure.New(failure.Bad, "read log", "disk", "%d bytes stand behind entry %d", len(rest), e.Seq)
+		}
 		if e.Seq != r.seq+1 {
 			return failure.New(failure.Bad, "read log", "disk", "row %d follows %d", e.Seq, r.seq)
 		}
@@ -96,7 +165,16 @@
 			return failure.Wrap(err, "replay log", "disk")
 		}
 	}
-	return s.sweep()
+	return nil
+}
+
+// countRows counts rows for the bound of a log, long ones as several.
+func countRows(rows [][]byte) int {
+	count := 0
+	for _, row := range rows {
+		count += 1 + len(row)/rowUnit
+	}
+	return count
 }
 
 func (s *store) sweep() error {
@@ -105,7 +183,7 @@
 		return err
 	}
 	for _, n := range names {
-		if strings.HasPrefix(n, "log-") && n != s.name {
+		if strings.HasPrefix(n, logPrefix) && n != s.name {
 			if err := s.disk.Drop(n); err != nil {
 				return err
 			}
@@ -122,7 +200,7 @@
 	for i := range ents {
 		rows[i] = Pack(&ents[i])
 	}
-	s.rows += len(ents)
+	s.rows += countRows(rows)
 	log := s.log
 	return s.within("append log", func() error { return log.Append(rows) })
 }
@@ -150,27 +228,11 @@
 			return err
 		}
 	}
-	var n int
-	fmt.Sscanf(s.name, "log-%d", &n)
-	name := fmt.Sprintf("log-%d", n+1)
-	old, oldName := s.log, s.name
-	var log seam.Log
-	// A picture is large, so it may take longer than a few rows may.
-	err := s.inside(4*s.stall, "save picture", func() error {
-		if err := s.disk.Drop(name); err != nil {
-			return err
-		}
-		var err error
-		if log, _, err = s.disk.Open(name); err != nil {
-			return err
-		}
-		cop := *img
-		cop.Log = name
-		return s.disk.Save(pictureFile, Pack(&cop))
-	})
+	log, name, err := s.swapLog(img)
 	if err != nil {
 		return err
 	}
+	old, oldName := s.log, s.name
 	s.log, s.name, s.rows = log, name, 0
 	if old != nil {
 		old.Close()
@@ -178,6 +240,38 @@
 	return s.within("drop old log", func() error { return s.disk.Drop(oldName) })
 }
 
+// swapLog makes a new log and saves the snapshot that names it. If that fails or
+// stalls, the disk may name either log from then on: the store must be loaded
+// again before it is used, and the new log is closed once the step has ended.
+func (s *store) swapLog(img *Image) (seam.Log, string, error) {
+	var n int
+	fmt.Sscanf(s.name, logPrefix+"%d", &n)
+	name := fmt.Sprintf(logPrefix+"%d", n+1)
+	copied := *img
+	copied.Log = name
+	made := make(chan seam.Log, 1)
+	// A snapshot is large, so it may take longer than a few rows may.
+	err := s.inside(4*s.stall, "save picture", func() error {
+		log, err := s.disk.Create(name)
+		made <- log
+		if err != nil {
+			return err
+		}
+		return s.disk.Save(pictureFile, Pack(&copied))
+	})
+	if err != nil {
+		go closeLog(made)
+		return nil, "", err
+	}
+	return <-made, name, nil
+}
+
+func closeLog(made <-chan seam.Log) {
+	if log := <-made; log != nil {
+		log.Close()
+	}
+}
+
 // register is what a disk machine promises and has accepted.
 type register struct {
 	Promised ids.Epoch
--- a/seam/disk_test.go
+++ b/seam/disk_test.go
@@ -3,6 +3,7 @@
 package seam
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"sort"
@@ -30,6 +31,9 @@
 	require.NoError(t, err)
 	defer d.(*realDisk).lock.Close()
 	l, _, err := d.Open("log-0")
+	if errors.Is(err, ErrGone) {
+		l, err = d.Create("log-0")
+	}
 	require.NoError(t, err)
 	for _, r := range rows {
 		require.NoError(t, l.Append([][]byte{[]byte(r)}))
--- a/seam/seam.go
+++ b/seam/seam.go
@@ -29,6 +29,9 @@
 type Disk interface {
 	Save(name string, body []byte) error
 	Load(name string) ([]byte, error)
+	// Create makes an empty log, in place of any of that name.
+	Create(name string) (Log, error)
+	// Open gives a log that is there and the rows it holds, else ErrGone.
 	Open(name string) (Log, [][]byte, error)
 	Drop(name string) error
 	List() ([]string, error)
--- a/seam/sham/disk.go
+++ b/seam/sham/disk.go
@@ -139,12 +139,22 @@
 	name string
 }
 
+func (h *handle) Create(name string) (seam.Log, error) {
+	put := func(d *disk) { d.logs[name] = nil }
+	err := h.step("create "+name, true, put, put)
+	return &rowLog{h, name}, err
+}
+
 func (h *handle) Open(name string) (seam.Log, [][]byte, error) {
 	var rows [][]byte
+	ok := false
 	err := h.step("open "+name, false, func(d *disk) {
-		rows = slices.Clone(d.logs[name])
-		d.logs[name] = slices.Clip(rows)
+		rows, ok = d.logs[name]
+		rows = slices.Clone(rows)
 	}, nil)
+	if err == nil && !ok {
+		err = failure.As(seam.ErrGone, failure.Lost, "open "+name, "disk")
+	}
 	return &rowLog{h, name}, rows, err
 }
 
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -17,8 +17,8 @@
     ("failback-since", "fleetstate/machine.go", "img.Failbacks[i].Ago = int64(m.ago(f))", "_, _ = i, f", "proxy", "TestColdZoneBackLate"),
     ("failback-ends", "fleetstate/failback.go", "if m.ago(f) > m.warm {", "if false {", "proxy", "TestColdZoneBackAllStart"),
     ("looked-at-again", "proxy/carry.go", "gap, ok := t.n.open(c.w.Id, t.svc)", "gap, ok := time.Duration(0), true", "proxy", "TestColdZoneBackUnheard"),
-    ("torn-tail", "seam/disk.go", "if good == len(body) {", "if true {", "seam", "TestTornTail|TestSpoiltTail"),
-    ("damage", "seam/disk.go", "			bad = true\n			continue\n", "			break\n", "seam", "TestDamage"),
+    ("torn-tail", "seam/log.go", "if good == len(body) {", "if true {", "seam", "TestTornTail|TestSpoiltTail"),
+    ("damage", "seam/log.go", "			bad = true\n			continue\n", "			break\n", "seam", "TestDamage"),
     ("ledger-lag", "handoff/ledger.go", "h.moved.Before(asked.Add(-l.lag)) && !on[id]", "!on[id]", "handoff", "TestLedger"),
     ("ledger-grant", "handoff/ledger.go", " && !l.asked.Before(l.since.Add(l.lag))", "", "handoff", "TestLedgerWaits"),
     ("ramp", "handoff/ledger.go", "if l.ramp <= 0 || age >= l.ramp {", "if true {", "handoff", "TestRamp"),
@@ -169,6 +169,16 @@
     ("audit-number", "fleetstate/audit.go", "		case before != nil && r.Index != before.Index+1:", "		case false:", "fleetstate", "TestChain"),
     ("audit-begin", "router/serve.go", "known = h.begin(ctx, t.Identity.Id.Request); return known", "return nil", "simulation", "TestAudited"),
     ("audit-with-outcome", "fleetstate/state.go", "	if len(c.Audit) > 0 {", "	if false {", "fleetstate", "TestSettleAudits"),
+    ("log-folder-sync", "seam/log.go", "[]string{dir, d.dir} {", "[]string{d.dir} {", "seam", "TestPowerLossAfterCreate"),
+    ("log-parent-sync", "seam/log.go", "[]string{dir, d.dir} {", "[]string{dir} {", "seam", "TestPowerLossAfterCreate"),
+    ("log-row-sync", "seam/log.go", "	l.disk.beforeSync(filepath.Join(l.dir, segmentName(1)))\n	return failure.As(l.log.Sync(), failure.Lost, \"append log\", \"disk\")", "	return nil", "seam", "TestPowerLossAtEachSync"),
+    ("file-sync", "seam/disk.go", "		d.beforeSync(f.Name())\n		err = f.Sync()\n", "", "seam", "TestPowerLossAtEachSync"),
+    ("file-folder-sync", "seam/disk.go", "		err = d.syncFolder(d.dir)\n", "", "seam", "TestPowerLossAtEachSync"),
+    ("data-folder-sync", "seam/disk.go", "	beforeSync(parent)\n	return syncFolder(parent)", "	return nil", "seam", "TestDataFolderSynced"),
+    ("unfinished-files", "seam/disk.go", "if !strings.HasSuffix(entry.Name(), unfinishedSuffix) {", "if true {", "seam", "TestPowerLossAtEachSync"),
+    ("one-record", "seam/log.go", "	if err := l.log.Write(l.next, makeRecord(rows)); err != nil {", "	for len(rows) > 1 {\n		l.log.Write(l.next, makeRecord(rows[:1]))\n		l.next++\n		rows = rows[1:]\n	}\n	if err := l.log.Write(l.next, makeRecord(rows)); err != nil {", "seam", "TestRowsTogetherTornApart"),
+    ("segments-follow", "seam/log.go", "if name != segmentName(records+1) {", "if false {", "seam", "TestRowMissing"),
+    ("segment-whole", "seam/log.go", "if !newest {", "if false {", "seam", "TestRowMissing"),
 ]
 
 
