--- /dev/null
+++ b/coordination/late_snapshot_test.go
@@ -0,0 +1,73 @@
+// A primary's snapshot that its disk saves only after the primary has stood down.
+
+package coordination
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/seam"
+	"keelstair.example/seam/sham"
+)
+
+// slowDisk saves its snapshots late.
+type slowDisk struct {
+	seam.Disk
+	late time.Duration
+}
+
+func (d *slowDisk) Save(name string, body []byte) error {
+	if name == pictureFile {
+		time.Sleep(d.late)
+	}
+	return d.Disk.Save(name, body)
+}
+
+// commitOne has a primary without backups write one entry; it gives the error that
+// its client sees, and the one that makes the primary stand down.
+func commitOne(l *leader, body string) (answer, standDown error) {
+	j := &job{ent: &Entry{Kind: "put", Body: []byte(body)}, done: make(chan struct{})}
+	standDown = l.commit(context.Background(), []*job{j})
+	<-j.done
+	return j.err, standDown
+}
+
+// TestLateSnapshot: the picture on disk may name the new log once the step ends, so
+// the primary reads its disk again before it leads again. Otherwise what it writes
+// to the old log and acknowledges is gone at the next start.
+func TestLateSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		machine := sham.NewWorld(1).Machine("10.0.0.1")
+		host := machine.Start().Host()
+		disk := &slowDisk{Disk: host.Disk}
+		host.Disk = disk
+		c, err := New(Options{Addr: "10.0.0.1:1", Host: host, Machine: func() Machine { return &listMachine{} }})
+		require.NoError(t, err)
+		l := &leader{c: c}
+		disk.late = 10 * time.Second
+		var standDown error
+		for i := 0; standDown == nil; i++ {
+			require.Less(t, i, 100, "the log is never full")
+			var answer error
+			answer, standDown = commitOne(l, strings.Repeat("x", 100_000))
+			require.NoError(t, answer)
+		}
+		require.ErrorContains(t, standDown, "stalled")
+		time.Sleep(20 * time.Second)
+		require.False(t, c.soured(), "the disk can be read again")
+		answer, _ := commitOne(l, "after")
+		require.NoError(t, answer)
+		machine.PowerOff()
+
+		r := newRoll(&listMachine{})
+		require.NoError(t, newStore(machine.Start().Host().Disk).load(r))
+		require.True(t, strings.HasSuffix(r.app.(*listMachine).all(), "after"), "the acknowledged entry is lost")
+		machine.PowerOff()
+		time.Sleep(time.Minute)
+	})
+}
--- a/coordination/lead.go
+++ b/coordination/lead.go
@@ -177,7 +177,10 @@
 		l.finish(j, nil)
 	}
 	if c.store.rows > rowsPerLog {
-		return c.store.reset(c.roll.picture(false), sheets(c.roll.app))
+		if err := c.store.reset(c.roll.picture(false), sheets(c.roll.app)); err != nil {
+			c.sour = true
+			return err
+		}
 	}
 	return nil
 }
--- /dev/null
+++ b/coordination/powerloss_test.go
@@ -0,0 +1,339 @@
+// The store on a real folder that loses power right before every single sync, with
+// every state that may be left; and again while it starts from such a state.
+
+package coordination
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/ids"
+	"keelstair.example/seam"
+	"keelstair.example/seam/sham"
+)
+
+// listMachine keeps all values it was given, the older ones on sheets.
+type listMachine struct {
+	sealed []Sheet
+	values []string
+}
+
+const valuesPerSheet = 5
+
+func (m *listMachine) Apply(_ ids.Seq, kind string, body []byte) ([]byte, error) {
+	if kind != "put" {
+		return nil, errors.New("unknown kind")
+	}
+	m.values = append(m.values, string(body))
+	if len(m.values) == valuesPerSheet {
+		m.sealed = append(m.sealed, Seal([]byte(strings.Join(m.values, ","))))
+		m.values = nil
+	}
+	return nil, nil
+}
+
+func (m *listMachine) all() string {
+	var parts []string
+	for _, one := range m.sealed {
+		parts = append(parts, string(one.Body))
+	}
+	return strings.Join(append(parts, m.values...), ",")
+}
+
+func (m *listMachine) Open(string) bool { return true }
+
+func (m *listMachine) Picture(bool) []byte { return []byte(strings.Join(m.values, ",")) }
+
+func (m *listMachine) Restore(body []byte) error {
+	m.values = nil
+	if len(body) > 0 {
+		m.values = strings.Split(string(body), ",")
+	}
+	return nil
+}
+
+func (m *listMachine) Keys() []ids.Key                      { return nil }
+func (m *listMachine) Due(ids.Tick, ids.Seq, ids.Seq) []Cmd { return nil }
+func (m *listMachine) Sheets() []Sheet                      { return m.sealed }
+func (m *listMachine) Shelve(all []Sheet)                   { m.sealed = all }
+
+// storeHistory is a store at work, and what it has acknowledged.
+type storeHistory struct {
+	store             *store
+	roll              *roll
+	acked, asked      string
+	register, written register
+	next              int
+}
+
+func newStore(disk seam.Disk) *store { return &store{disk: disk, stall: 20 * time.Second} }
+
+// check reads a store back and holds it against what was acknowledged.
+func (h *storeHistory) check(disk seam.Disk) error {
+	s, r := newStore(disk), newRoll(&listMachine{})
+	if err := s.load(r); err != nil {
+		return err
+	}
+	defer s.log.Close()
+	if got := r.app.(*listMachine).all(); got != h.acked && got != h.asked {
+		return fmt.Errorf("the state is %q, neither %q nor %q", got, h.acked, h.asked)
+	}
+	reg, err := s.loadRegister()
+	if err != nil {
+		return err
+	}
+	if reg.Promised != h.register.Promised && reg.Promised != h.written.Promised {
+		return fmt.Errorf("the register promises %d, neither %d nor %d", reg.Promised, h.register.Promised, h.written.Promised)
+	}
+	return nil
+}
+
+func (h *storeHistory) appendSome(random *rand.Rand) error {
+	var entries []Entry
+	for range 1 + random.IntN(3) {
+		h.next++
+		e := Entry{Kind: "put", Body: []byte(strconv.Itoa(h.next))}
+		if _, err := h.roll.apply(&e); err != nil {
+			return err
+		}
+		entries = append(entries, e)
+	}
+	h.asked = h.roll.app.(*listMachine).all()
+	err := h.store.append(entries)
+	h.acked = h.asked
+	return err
+}
+
+func (h *storeHistory) promise() error {
+	h.written.Promised++
+	err := h.store.saveRegister(h.written)
+	h.register = h.written
+	return err
+}
+
+func (h *storeHistory) reset() error {
+	img := h.roll.picture(false)
+	if err := h.store.reset(img, sheets(h.roll.app)); err != nil {
+		return err
+	}
+	h.store.dropSheets(img)
+	return nil
+}
+
+func (h *storeHistory) reload() error {
+	h.roll = newRoll(&listMachine{})
+	return h.store.load(h.roll)
+}
+
+func (h *storeHistory) step(random *rand.Rand) error {
+	switch random.IntN(6) {
+	case 0:
+		return h.reset()
+	case 1:
+		return h.promise()
+	case 2:
+		return h.reload()
+	}
+	return h.appendSome(random)
+}
+
+// startAgain starts from a state that a loss of power left, and loses power again
+// right before each sync of that start.
+func (h *storeHistory) startAgain(t *testing.T, dir string, seed uint64) {
+	loss, err := sham.NewPowerLoss(dir, seed)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer loss.Close()
+	disk, err := seam.OpenWatchedDisk(dir, func(path string) {
+		if err := loss.BeforeSync(path, func(dir string) { h.start(t, dir) }); err != nil {
+			t.Error(err)
+		}
+	})
+	if err == nil {
+		err = h.check(disk)
+	}
+	if err != nil {
+		t.Errorf("seed %d: %v", seed, err)
+	}
+}
+
+func (h *storeHistory) start(t *testing.T, dir string) {
+	disk, err := seam.OpenDisk(dir)
+	if err == nil {
+		err = h.check(disk)
+	}
+	if err != nil {
+		t.Errorf("at the second start: %v", err)
+	}
+}
+
+// TestStorePowerLoss: at whatever disk step of appending, saving the register, taking
+// a snapshot, dropping sheets and starting power is lost, and whichever unsynced files
+// are lost, what is read back holds every acknowledged row and is the state before or
+// after the step.
+func TestStorePowerLoss(t *testing.T) {
+	seeds := 1
+	if more, err := strconv.Atoi(os.Getenv("KEELSTAIR_SEEDS")); err == nil {
+		seeds = more
+	}
+	states := 0
+	for seed := uint64(1); seed <= uint64(seeds) && !t.Failed(); seed++ {
+		states += storePowerLoss(t, seed)
+	}
+	t.Logf("%d states", states)
+}
+
+func storePowerLoss(t *testing.T, seed uint64) int {
+	dir := t.TempDir()
+	loss, err := sham.NewPowerLoss(dir, seed)
+	require.NoError(t, err)
+	defer loss.Close()
+	random := rand.New(rand.NewPCG(seed, 1))
+	h := &storeHistory{}
+	states := 0
+	disk, err := seam.OpenWatchedDisk(dir, func(path string) {
+		err := loss.BeforeSync(path, func(dir string) {
+			states++
+			h.startAgain(t, dir, seed)
+		})
+		if err != nil {
+			t.Error(err)
+		}
+	})
+	require.NoError(t, err)
+	h.store = newStore(disk)
+	require.NoError(t, h.reload())
+	require.NoError(t, h.promise())
+	for i := range 40 {
+		require.NoError(t, h.step(random), "seed %d step %d", seed, i)
+		if t.Failed() {
+			break
+		}
+	}
+	return states
+}
+
+// TestDamagedDisk: a snapshot, register, log or sheet that is cut short, changed, or
+// of another kind or version ends in one clear line and is never taken for state.
+func TestDamagedDisk(t *testing.T) {
+	healthy := t.TempDir()
+	fillStore(t, healthy)
+	sheet, log := "", "log-1/00000000000000000001"
+	entries, err := os.ReadDir(healthy)
+	require.NoError(t, err)
+	for _, entry := range entries {
+		if strings.HasPrefix(entry.Name(), sheetFile) {
+			sheet = entry.Name()
+		}
+	}
+	read := func(dir, name string) []byte {
+		body, err := os.ReadFile(dir + "/" + name)
+		require.NoError(t, err)
+		return body
+	}
+	sealed := func(body []byte) func([]byte) []byte {
+		return func([]byte) []byte { return seam.Seal(body) }
+	}
+	half := func(b []byte) []byte { return b[:len(b)/2] }
+	none := func([]byte) []byte { return nil }
+	flip := func(b []byte) []byte { b = bytes.Clone(b); b[len(b)/2] ^= 8; return b }
+	entry := Entry{Seq: 99, Kind: "put", Body: []byte("x")}
+	rows := func(bodies ...[]byte) func([]byte) []byte {
+		return func(all []byte) []byte {
+			for _, body := range bodies {
+				row := seam.Seal(body)
+				all = append(append(all, byte(len(row))), row...)
+			}
+			return all
+		}
+	}
+	after := Entry{Seq: 9, Kind: "put", Body: []byte("9")}
+	for _, c := range []struct {
+		name, file string
+		change     func([]byte) []byte
+		why        string
+	}{
+		{"snapshot cut short", "picture", half, "counts as lost"},
+		{"snapshot empty", "picture", none, "counts as lost"},
+		{"snapshot changed", "picture", flip, "counts as lost"},
+		{"snapshot of another kind", "picture", sealed([]byte{0x80}), "not that of a picture"},
+		{"snapshot no message", "picture", sealed([]byte("hello")), "read picture"},
+		{"snapshot with more behind", "picture", func(b []byte) []byte { return seam.Seal(append(b[4:len(b):len(b)], 0)) }, "not that of a picture"},
+		{"register cut short", "register", half, "counts as lost"},
+		{"register empty", "register", none, "counts as lost"},
+		{"register changed", "register", flip, "counts as lost"},
+		{"register of another kind", "register", sealed([]byte{0x80}), "not that of a register"},
+		{"register no message", "register", sealed([]byte("hello")), "read register"},
+		{"register that accepts more than it promises", "register", sealed(Pack(&BallotReply{Promised: 1, Accepted: Record{Epoch: 2, Founding: "f"}})), "not that of a register"},
+		{"log changed in the middle", log, func(b []byte) []byte { b = bytes.Clone(b); b[8] ^= 8; return b }, "counts as lost"},
+		{"log lacks rows", log, rows(Pack(&entry)), "follows"},
+		{"log with a row of another kind", log, rows([]byte{0x80}), "follows"},
+		{"log with a row that is no message", log, rows([]byte("hello")), "read log"},
+		{"log with a row and more behind", log, rows(append(Pack(&after), 0)), "stand behind"},
+		{"log with an unknown command", log, rows(Pack(&Entry{Seq: 9, Kind: "newer"})), "replay log"},
+		{"sheet cut short", sheet, half, "read sheet"},
+		{"sheet changed", sheet, flip, "read sheet"},
+		{"sheet of another name", sheet, sealed([]byte("other")), "its content is that of"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			dir := t.TempDir()
+			require.NoError(t, os.CopyFS(dir, os.DirFS(healthy)))
+			require.NoError(t, os.WriteFile(dir+"/"+c.file, c.change(read(dir, c.file)), 0o644))
+			requireRefused(t, dir, c.why)
+		})
+	}
+	for _, c := range []struct{ file, why string }{
+		{"picture", "there is a register, but neither a picture nor log-0"},
+		{"log-1", "log-1, which the picture names, is missing"},
+		{log, "log-1, which the picture names, is missing"},
+		{sheet, "read sheet"},
+	} {
+		t.Run("lost "+c.file, func(t *testing.T) {
+			dir := t.TempDir()
+			require.NoError(t, os.CopyFS(dir, os.DirFS(healthy)))
+			require.NoError(t, os.RemoveAll(dir+"/"+c.file))
+			requireRefused(t, dir, c.why)
+		})
+	}
+}
+
+// fillStore makes a disk with a sheet, a snapshot, and rows after it up to number 8.
+func fillStore(t *testing.T, dir string) {
+	disk, err := seam.OpenDisk(dir)
+	require.NoError(t, err)
+	h := &storeHistory{store: newStore(disk)}
+	require.NoError(t, h.reload())
+	require.NoError(t, h.promise())
+	for number := 1; number <= 8; number++ {
+		e := Entry{Kind: "put", Body: []byte(strconv.Itoa(number))}
+		_, err := h.roll.apply(&e)
+		require.NoError(t, err)
+		require.NoError(t, h.store.append([]Entry{e}))
+		if number == 6 {
+			require.NoError(t, h.reset())
+		}
+	}
+	require.NoError(t, h.store.log.Close())
+}
+
+func requireRefused(t *testing.T, dir, why string) {
+	disk, err := seam.OpenDisk(dir)
+	require.NoError(t, err)
+	s := newStore(disk)
+	if _, err = s.loadRegister(); err == nil {
+		err = s.load(newRoll(&listMachine{}))
+	}
+	require.ErrorContains(t, err, why)
+	require.NotContains(t, err.Error(), "\n")
+}
--- a/coordination/store.go
+++ b/coordination/store.go
@@ -287,9 +287,14 @@
 	if err != nil {
 		return register{}, err
 	}
-	if _, err := b.UnmarshalMsg(body); err != nil {
+	rest, err := b.UnmarshalMsg(body)
+	if err != nil {
 		return register{}, failure.As(err, failure.Bad, "read register", "disk")
 	}
+	// What is accepted was promised before, and only what was promised is saved.
+	if len(rest) > 0 || b.Promised == 0 || b.Promised < b.Accepted.Epoch {
+		return register{}, failure.New(failure.Bad, "read register", "disk", "its content is not that of a register: the disk counts as lost")
+	}
 	return register{b.Promised, b.Accepted}, nil
 }
 
--- /dev/null
+++ b/coordination/store_test.go
@@ -0,0 +1,146 @@
+// Snapshots of the core whose disk step stalls, fails or comes late, and the bound
+// of the log.
+
+package coordination_test
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/coordination"
+	"keelstair.example/ids"
+	"keelstair.example/seam"
+)
+
+// lateDisk is a disk whose next snapshot is saved late, and which counts logs.
+type lateDisk struct {
+	seam.Disk
+	late            time.Duration // of the next snapshot, if any
+	snapshots, logs atomic.Int32  // saved; open
+}
+
+func (d *lateDisk) Save(name string, body []byte) error {
+	if name == "picture" {
+		wait := d.late
+		d.late = 0
+		time.Sleep(wait)
+		defer d.snapshots.Add(1)
+	}
+	return d.Disk.Save(name, body)
+}
+
+func (d *lateDisk) Create(name string) (seam.Log, error) {
+	log, err := d.Disk.Create(name)
+	return d.counted(log), err
+}
+
+func (d *lateDisk) Open(name string) (seam.Log, [][]byte, error) {
+	log, rows, err := d.Disk.Open(name)
+	if err != nil {
+		return nil, nil, err
+	}
+	return d.counted(log), rows, nil
+}
+
+func (d *lateDisk) counted(log seam.Log) seam.Log {
+	d.logs.Add(1)
+	return &countedLog{log, d}
+}
+
+type countedLog struct {
+	seam.Log
+	disk *lateDisk
+}
+
+func (l *countedLog) Close() error {
+	l.disk.logs.Add(-1)
+	return l.Log.Close()
+}
+
+// coreOn starts a core on a disk that counts and may be late.
+func (f *fleet) coreOn(addr string) *lateDisk {
+	ip := addr[:len(addr)-2]
+	p := f.w.Machine(ip).Start()
+	host := p.Host()
+	late := &lateDisk{Disk: host.Disk}
+	host.Disk = late
+	c, err := coordination.New(coordination.Options{Addr: addr, Host: host, Seeds: f.seeds, Machine: func() coordination.Machine { return &tally{} }, Losses: f.losses})
+	if err != nil {
+		panic(err)
+	}
+	f.cores[ip] = c
+	f.run(ip, addr, p, c.Mount, func(ctx context.Context) { c.Run(ctx) })
+	return late
+}
+
+// addLong adds n by a command of so many bytes.
+func (f *fleet) addLong(n int, op string, size int, span time.Duration) error {
+	ctx, stop := context.WithTimeout(context.Background(), span)
+	defer stop()
+	number := strconv.Itoa(n)
+	_, err := f.agents[0].Submit(ctx, ids.OpId(op), "add", []byte(strings.Repeat("0", size-len(number))+number))
+	return err
+}
+
+// lateFleet is a fleet on such disks that has agreed on a first command.
+func lateFleet(t *testing.T, seed uint64) (*fleet, map[string]*lateDisk) {
+	f := build(seed)
+	disks := map[string]*lateDisk{}
+	for _, addr := range f.seeds {
+		f.off(addr[:8])
+		f.w.Machine(addr[:8]).Wipe()
+		disks[addr[:8]] = f.coreOn(addr)
+	}
+	require.NoError(t, f.add(1, "first", 20*time.Second))
+	return f, disks
+}
+
+const longRow = 200_000
+
+// TestOneLogOpen: however snapshots come late, a core holds one log open.
+func TestOneLogOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, disks := lateFleet(t, 6)
+		defer f.close()
+		for i := range 60 {
+			for _, d := range disks {
+				if i%20 == 0 {
+					d.late = 6 * time.Second
+				}
+			}
+			require.NoError(t, f.addLong(1, fmt.Sprint("long", i), longRow, 60*time.Second))
+		}
+		time.Sleep(30 * time.Second)
+		for ip, d := range disks {
+			require.EqualValues(t, 1, d.logs.Load(), ip)
+		}
+	})
+}
+
+// TestLongRows: a log gives way to a snapshot by its bytes as well as by its rows, at
+// the primary and at the backup.
+func TestLongRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, disks := lateFleet(t, 7)
+		defer f.close()
+		const rows = 50
+		for i := range rows {
+			require.NoError(t, f.addLong(1, fmt.Sprint("long", i), longRow, 20*time.Second))
+		}
+		copies := 0
+		for _, d := range disks {
+			if d.snapshots.Load() >= rows*longRow/(5<<20) {
+				copies++
+			}
+		}
+		require.GreaterOrEqual(t, copies, 2, "both copies of the data took snapshots")
+	})
+}
--- a/seam/sham/powerloss.go
+++ b/seam/sham/powerloss.go
@@ -8,6 +8,7 @@
 
 import (
 	"bytes"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
@@ -30,12 +31,13 @@
 	top     inode
 	durable map[inode]fileState
 	// Every file seen is held open, so that no inode is used again for another.
-	held map[inode]*os.File
+	held   map[inode]*os.File
+	random *rand.Rand
 }
 
 // NewPowerLoss takes all that the folder holds now as durable.
-func NewPowerLoss(root string) (*PowerLoss, error) {
-	p := &PowerLoss{root: root, held: map[inode]*os.File{}}
+func NewPowerLoss(root string, seed uint64) (*PowerLoss, error) {
+	p := &PowerLoss{root: root, held: map[inode]*os.File{}, random: rand.New(rand.NewPCG(seed, 0))}
 	var err error
 	p.durable, err = p.scan()
 	return p, err
@@ -88,18 +90,26 @@
 	return number, nil
 }
 
-// Choose picks one of n ways; 0 is always what was synced, n-1 what is there now.
-type Choose func(n int) int
+// choose picks one of n ways; 0 is always what was synced, n-1 what is there now.
+type choose func(n int) int
 
-// BeforeSync is called before a file or folder is synced. It calls visit with
-// a function that makes one state that a loss of power may leave until then, in an
-// empty folder; afterwards what is synced counts as durable.
-func (p *PowerLoss) BeforeSync(path string, visit func(make func(dir string, choose Choose) error)) error {
+const (
+	statesInOrder = 48 // of one moment, counted through
+	statesDrawn   = 12 // besides, if there are more
+)
+
+// BeforeSync is called before a file or folder is synced. It makes the states that
+// a loss of power may leave until then, each in a folder that exists while visit
+// runs: the first ones in order, and if there are more, some drawn by chance.
+// Afterwards what is synced counts as durable.
+func (p *PowerLoss) BeforeSync(path string, visit func(dir string)) error {
 	live, err := p.scan()
 	if err != nil {
 		return err
 	}
-	visit(func(dir string, choose Choose) error { return p.write(dir, p.top, live, choose) })
+	if err := p.eachState(live, visit); err != nil {
+		return err
+	}
 	info, err := os.Stat(path)
 	if err != nil {
 		return err
@@ -109,8 +119,51 @@
 	return nil
 }
 
+func (p *PowerLoss) eachState(live map[inode]fileState, visit func(dir string)) error {
+	var path, bounds []int
+	for range statesInOrder {
+		at := 0
+		err := p.visitState(live, visit, func(n int) int {
+			if at == len(path) {
+				path, bounds = append(path, 0), append(bounds, n)
+			}
+			at++
+			return path[at-1]
+		})
+		if err != nil {
+			return err
+		}
+		for len(path) > 0 && path[len(path)-1]+1 == bounds[len(path)-1] {
+			path, bounds = path[:len(path)-1], bounds[:len(path)-1]
+		}
+		if len(path) == 0 {
+			return nil
+		}
+		path[len(path)-1]++
+	}
+	for range statesDrawn {
+		if err := p.visitState(live, visit, p.random.IntN); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *PowerLoss) visitState(live map[inode]fileState, visit func(dir string), choose choose) error {
+	dir, err := os.MkdirTemp("", "powerloss")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	if err := p.write(dir, p.top, live, choose); err != nil {
+		return err
+	}
+	visit(dir)
+	return nil
+}
+
 // write makes a state of one folder and all below it.
-func (p *PowerLoss) write(dir string, number inode, live map[inode]fileState, choose Choose) error {
+func (p *PowerLoss) write(dir string, number inode, live map[inode]fileState, choose choose) error {
 	old, now := p.durable[number].names, live[number].names
 	for _, name := range unionOf(old, now) {
 		child := old[name]
@@ -141,7 +194,7 @@
 	return p.durable[number].folder || live[number].folder
 }
 
-func (p *PowerLoss) body(number inode, live map[inode]fileState, choose Choose) []byte {
+func (p *PowerLoss) body(number inode, live map[inode]fileState, choose choose) []byte {
 	old := p.durable[number].body
 	state, there := live[number]
 	if now := state.body; there && !bytes.Equal(old, now) {
@@ -151,7 +204,7 @@
 }
 
 // chooseBody gives a content between that which was synced and that which is there.
-func chooseBody(old, now []byte, choose Choose) []byte {
+func chooseBody(old, now []byte, choose choose) []byte {
 	same := 0
 	for same < min(len(old), len(now)) && old[same] == now[same] {
 		same++
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -179,6 +179,17 @@
     ("one-record", "seam/log.go", "	if err := l.log.Write(l.next, makeRecord(rows)); err != nil {", "	for len(rows) > 1 {\n		l.log.Write(l.next, makeRecord(rows[:1]))\n		l.next++\n		rows = rows[1:]\n	}\n	if err := l.log.Write(l.next, makeRecord(rows)); err != nil {", "seam", "TestRowsTogetherTornApart"),
     ("segments-follow", "seam/log.go", "if name != segmentName(records+1) {", "if false {", "seam", "TestRowMissing"),
     ("segment-whole", "seam/log.go", "if !newest {", "if false {", "seam", "TestRowMissing"),
+    ("late-snapshot", "coordination/lead.go", "sheets(c.roll.app)); err != nil {\n			c.sour = true\n", "sheets(c.roll.app)); err != nil {\n", "coordination", "TestLateSnapshot"),
+    ("late-log-closed", "coordination/store.go", "		go closeLog(made)\n", "		_ = closeLog\n", "coordination", "TestOneLogOpen"),
+    ("log-bytes", "coordination/store.go", "count += 1 + len(row)/rowUnit", "count += 1 + len(row)*0", "coordination", "TestLongRows"),
+    ("picture-before-log", "coordination/store.go", "		log, err := s.disk.Create(name)\n		made <- log\n		if err != nil {\n			return err\n		}\n		return s.disk.Save(pictureFile, Pack(&copied))\n", "		if err := s.disk.Save(pictureFile, Pack(&copied)); err != nil {\n			return err\n		}\n		log, err := s.disk.Create(name)\n		made <- log\n		return err\n", "coordination", "TestStorePowerLoss"),
+    ("sheets-before-picture", "coordination/store.go", "	for _, one := range all {\n		if err := s.keepSheet(one); err != nil {", "	for _, one := range all[:0] {\n		if err := s.keepSheet(one); err != nil {", "coordination", "TestStorePowerLoss"),
+    ("missing-log", "coordination/store.go", "		if err := s.mustBeNew(img, name); err != nil {\n			return nil, err\n		}\n", "", "coordination", "TestDamagedDisk"),
+    ("picture-content", "coordination/store.go", "if len(rest) > 0 || !strings.HasPrefix(img.Log, logPrefix) {", "if len(rest) > 1<<20 {", "coordination", "TestDamagedDisk"),
+    ("register-content", "coordination/store.go", "if len(rest) > 0 || b.Promised == 0 || b.Promised < b.Accepted.Epoch {", "if len(rest) > 1<<20 {", "coordination", "TestDamagedDisk"),
+    ("row-follows", "coordination/store.go", "if e.Seq != r.seq+1 {", "if false {", "coordination", "TestDamagedDisk"),
+    ("sheet-content", "coordination/shelf.go", "if out[i] = Seal(body); out[i].Name != n {", "if out[i] = Seal(body); false {", "coordination", "TestDamagedDisk"),
+    ("file-checksum", "seam/disk.go", "	body, ok := Unseal(row)\n	if !ok {", "	body, ok := Unseal(row)\n	if !ok && len(row) < 4 {", "coordination", "TestDamagedDisk"),
 ]
 
 
