--- a/coordination/powerloss_test.go
+++ b/coordination/powerloss_test.go
@@ -121,12 +121,7 @@
 }
 
 func (h *storeHistory) reset() error {
-	img := h.roll.picture(false)
-	if err := h.store.reset(img, sheets(h.roll.app)); err != nil {
-		return err
-	}
-	h.store.dropSheets(img)
-	return nil
+	return h.store.reset(h.roll.picture(false), sheets(h.roll.app))
 }
 
 func (h *storeHistory) reload() error {
@@ -224,6 +219,34 @@
 	return states
 }
 
+// TestOldSheetsDropped: the disk keeps no sheet that the machine has let go of.
+func TestOldSheetsDropped(t *testing.T) {
+	disk, err := seam.OpenDisk(t.TempDir())
+	require.NoError(t, err)
+	h := &storeHistory{store: newStore(disk)}
+	require.NoError(t, h.reload())
+	kept := func() (count int) {
+		names, err := disk.List()
+		require.NoError(t, err)
+		for _, name := range names {
+			if strings.HasPrefix(name, sheetFile) {
+				count++
+			}
+		}
+		return count
+	}
+	for range 3 * valuesPerSheet {
+		_, err := h.roll.apply(&Entry{Kind: "put", Body: []byte("x")})
+		require.NoError(t, err)
+		require.NoError(t, h.reset())
+	}
+	machine := h.roll.app.(*listMachine)
+	require.Equal(t, 1, kept(), "sheets of one content are one file")
+	machine.sealed = []Sheet{Seal([]byte("another"))}
+	require.NoError(t, h.reset())
+	require.Equal(t, 1, kept())
+}
+
 // TestDamagedDisk: a snapshot, register, log or sheet that is cut short, changed, or
 // of another kind or version ends in one clear line and is never taken for state.
 func TestDamagedDisk(t *testing.T) {
--- a/coordination/store.go
+++ b/coordination/store.go
@@ -237,7 +237,10 @@
 	if old != nil {
 		old.Close()
 	}
-	return s.within("drop old log", func() error { return s.disk.Drop(oldName) })
+	return s.within("drop what the picture replaces", func() error {
+		s.dropSheets(img)
+		return s.disk.Drop(oldName)
+	})
 }
 
 // swapLog makes a new log and saves the snapshot that names it. If that fails or
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -190,6 +190,7 @@
     ("row-follows", "coordination/store.go", "if e.Seq != r.seq+1 {", "if false {", "coordination", "TestDamagedDisk"),
     ("sheet-content", "coordination/shelf.go", "if out[i] = Seal(body); out[i].Name != n {", "if out[i] = Seal(body); false {", "coordination", "TestDamagedDisk"),
     ("file-checksum", "seam/disk.go", "	body, ok := Unseal(row)\n	if !ok {", "	body, ok := Unseal(row)\n	if !ok && len(row) < 4 {", "coordination", "TestDamagedDisk"),
+    ("old-sheets", "coordination/store.go", "		s.dropSheets(img)\n", "", "coordination", "TestOldSheetsDropped"),
 ]
 
 
