--- a/simulation/history_test.go
+++ b/simulation/history_test.go
@@ -33,6 +33,8 @@
 	diskBound     = 40_000_000     // bytes that a member's disk holds at most; the disk has 64 MB
 	catchUpBound  = 10 * time.Second
 	historyRoutes = 1400
+
+	changesPerGeneration = 5
 )
 
 // ratedNet is a network whose machine sends at a limited rate, and counts.
@@ -84,8 +86,9 @@
 	return c.Conn.Write(b)
 }
 
-// largeDocument has many routes of about 290 bytes; one of them was changed.
-func largeDocument(changed, mark int) []byte {
+// largeDocument has many routes of about 290 bytes. All differ from one generation to
+// the next, so that this change goes as a whole text; others change one route.
+func largeDocument(generation, changed, mark int) []byte {
 	var b strings.Builder
 	b.WriteString(`{"routes":[`)
 	for i := range historyRoutes {
@@ -93,7 +96,7 @@
 			b.WriteByte(',')
 		}
 		h := uint32(i+1) * 2654435761
-		deadline := 2000 + int(h%9)*500
+		deadline := 2000 + int(h%9)*500 + generation
 		if i == changed {
 			deadline = 100_000 + mark
 		}
@@ -215,11 +218,11 @@
 	h.slowest = max(h.slowest, time.Since(began))
 }
 
-// change makes one change of the document, and every seventh time one of a zone.
+// change makes one change of the document, every fifth of all of it, and every seventh time one of a zone.
 func (h *history) change() {
 	h.changes++
 	op := ids.OpId(fmt.Sprint("op/change-", h.changes))
-	text := largeDocument(h.changes*131%historyRoutes, h.changes)
+	text := largeDocument(h.changes/changesPerGeneration, h.changes*131%historyRoutes, h.changes)
 	h.agree(func(ctx context.Context) error {
 		version, err := fleetstate.Put(ctx, h.operator.Caller(), h.operator.Book(), op, h.newest, 0, text)
 		if err == nil {
