--- a/coordination/powerloss_test.go
+++ b/coordination/powerloss_test.go
@@ -9,8 +9,11 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"runtime"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -247,6 +250,24 @@
 	require.Equal(t, 1, kept())
 }
 
+// TestStepEnds: once a disk step has answered, it no longer counts as one that stalls,
+// or a snapshot right after it would be refused and the primary stand down.
+func TestStepEnds(t *testing.T) {
+	var wg sync.WaitGroup
+	var late atomic.Int32
+	for range 8 * runtime.GOMAXPROCS(0) {
+		wg.Go(func() {
+			s := newStore(nil)
+			for range 15_000 {
+				s.within("no step", func() error { return nil })
+				late.Add(s.busy.Load())
+			}
+		})
+	}
+	wg.Wait()
+	require.Zero(t, late.Load(), "steps that had answered still counted")
+}
+
 // TestDamagedDisk: a snapshot, register, log or sheet that is cut short, changed, or
 // of another kind or version ends in one clear line and is never taken for state.
 func TestDamagedDisk(t *testing.T) {
--- a/coordination/store.go
+++ b/coordination/store.go
@@ -53,7 +53,12 @@
 func (s *store) inside(most time.Duration, step string, f func() error) error {
 	done := make(chan error, 1)
 	s.busy.Add(1)
-	go func() { defer s.busy.Add(-1); done <- f() }()
+	go func() {
+		err := f()
+		// Before the answer, so that the next step doesn't take this one for stalled.
+		s.busy.Add(-1)
+		done <- err
+	}()
 	t := time.NewTimer(most)
 	defer t.Stop()
 	select {
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -192,6 +192,7 @@
     ("file-checksum", "seam/disk.go", "	body, ok := Unseal(row)\n	if !ok {", "	body, ok := Unseal(row)\n	if !ok && len(row) < 4 {", "coordination", "TestDamagedDisk"),
     ("old-sheets", "coordination/store.go", "		s.dropSheets(img)\n", "", "coordination", "TestOldSheetsDropped"),
     ("caught-up", "coordination/core.go", "	c.roll, c.sour = fresh, false\n	c.ready", "	c.sour = false\n	c.ready", "simulation", "TestLongHistory"),
+    ("step-ends", "coordination/store.go", "		s.busy.Add(-1)\n		done <- err\n", "		done <- err\n		s.busy.Add(-1)\n", "coordination", "TestStepEnds"),
 ]
 
 
