--- a/coordination/catchup.go
+++ b/coordination/catchup.go
@@ -14,7 +14,17 @@
 	"keelstair.example/rpc"
 )
 
-const bringWait = 2 * time.Second // for one message that readies a backup
+// A message that readies a backup may take bringWait, and longer by its size: slowLink bytes a
+// second are what a link of 10 Mbit/s carries besides other traffic.
+const (
+	bringWait = 2 * time.Second
+	slowLink  = 250_000
+)
+
+// sendTime is how long the sending of so many bytes to a replica may take.
+func sendTime(bytes int) time.Duration {
+	return bringWait + time.Duration(bytes)*time.Second/slowLink
+}
 
 // stateCopy is a proposer's state at one place in the log. The whole of it is packed only if
 // some backup needs it.
@@ -100,7 +110,7 @@
 }
 
 func (c *Core) sendState(ctx context.Context, to Seat, ask *PictureAsk) (*AppendReply, error) {
-	ctx, stop := context.WithTimeout(ctx, bringWait)
+	ctx, stop := context.WithTimeout(ctx, sendTime(ask.Msgsize()))
 	defer stop()
 	return rpc.Call[PictureAsk, AppendReply](ctx, c.call, c.book.Addr(to), "crux/picture", ask)
 }
@@ -135,7 +145,7 @@
 	if c.sour {
 		return &AppendReply{Promised: q.Epoch, Behind: true}, nil
 	}
-	if len(q.Entries) > 0 && q.Entries[0].Seq == c.roll.seq+1 {
+	if len(q.Entries) > 0 && follow(q.Entries, c.roll.seq) {
 		if err := c.store.append(q.Entries); err != nil {
 			c.sour = true
 			return nil, err
@@ -151,6 +161,16 @@
 	return &AppendReply{Ok: true, Last: c.roll.seq, Promised: q.Epoch}, nil
 }
 
+// follow tells whether entries bear the numbers that come after seq.
+func follow(entries []Entry, seq ids.Seq) bool {
+	for i := range entries {
+		if entries[i].Seq != seq+1+ids.Seq(i) {
+			return false
+		}
+	}
+	return true
+}
+
 // applyAll applies entries that are on disk already; the data is read again from there
 // before it is used if one cannot be applied.
 func (c *Core) applyAll(entries []Entry) error {
@@ -191,7 +211,6 @@
 		c.sour = true
 		return nil, err
 	}
-	c.store.dropSheets(&img)
 	c.roll, c.sour = fresh, false
 	c.ready.Store(uint64(q.Epoch))
 	return &AppendReply{Ok: true, Last: img.Seq, Promised: promised}, nil
--- a/coordination/core.go
+++ b/coordination/core.go
@@ -221,7 +221,10 @@
 	defer c.dataMu.Unlock()
 	rec, promised := c.accepted()
 	r := &AppendReply{Promised: promised, Last: c.roll.seq}
-	if q.Epoch < promised || rec.Epoch != q.Epoch || rec.rank(c.me.Disk) < 0 || c.sour || q.Prev != c.roll.seq {
+	if q.Epoch < promised || rec.Epoch != q.Epoch || rec.Primary.Disk != q.From.Disk || rec.rank(c.me.Disk) < 0 {
+		return r, nil
+	}
+	if c.sour || q.Prev != c.roll.seq || !follow(q.Entries, q.Prev) {
 		return r, nil
 	}
 	c.regMu.Lock()
--- a/coordination/read_bench_test.go
+++ b/coordination/read_bench_test.go
@@ -56,7 +56,7 @@
 		read()
 	}
 	b.StopTimer()
-	b.ReportMetric(float64((processorTime(b) - before).Microseconds())/float64(b.N), "cpu-µs/op")
+	b.ReportMetric(float64((processorTime(b)-before).Microseconds())/float64(b.N), "cpu-µs/op")
 }
 
 // processorTime is what this process has used so far.
--- a/coordination/shelf.go
+++ b/coordination/shelf.go
@@ -141,7 +141,7 @@
 		if !want[one.Name] {
 			continue
 		}
-		cx, stop := context.WithTimeout(ctx, 2*time.Second)
+		cx, stop := context.WithTimeout(ctx, sendTime(len(one.Body)))
 		r, err := rpc.Call[SheetAsk, SheetReply](cx, c.call, c.book.Addr(to), "crux/sheet", &SheetAsk{Epoch: e, Name: one.Name, Body: one.Body})
 		stop()
 		if err != nil {
--- a/seam/sham/disk.go
+++ b/seam/sham/disk.go
@@ -57,6 +57,22 @@
 	return m.disk.count
 }
 
+// Stored counts the bytes that the disk holds.
+func (m *Machine) Stored() int {
+	m.world.mu.Lock()
+	defer m.world.mu.Unlock()
+	total := 0
+	for _, body := range m.disk.files {
+		total += len(body)
+	}
+	for _, rows := range m.disk.logs {
+		for _, row := range rows {
+			total += len(row)
+		}
+	}
+	return total
+}
+
 type handle struct{ p *Proc }
 
 var errDead = errors.New("the process is dead")
@@ -139,12 +155,22 @@
 	name string
 }
 
+func (h *handle) Create(name string) (seam.Log, error) {
+	put := func(d *disk) { d.logs[name] = nil }
+	err := h.step("create "+name, true, put, put)
+	return &rowLog{h, name}, err
+}
+
 func (h *handle) Open(name string) (seam.Log, [][]byte, error) {
 	var rows [][]byte
+	ok := false
 	err := h.step("open "+name, false, func(d *disk) {
-		rows = slices.Clone(d.logs[name])
-		d.logs[name] = slices.Clip(rows)
+		rows, ok = d.logs[name]
+		rows = slices.Clone(rows)
 	}, nil)
+	if err == nil && !ok {
+		err = failure.As(seam.ErrGone, failure.Lost, "open "+name, "disk")
+	}
 	return &rowLog{h, name}, rows, err
 }
 
--- /dev/null
+++ b/simulation/large_test.go
@@ -0,0 +1,56 @@
+// A large state on slow links.
+
+package simulation
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/coordination"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
+)
+
+const (
+	largeEntries   = 200
+	largeEntrySize = 15_000
+)
+
+// TestLargeSnapshot: a state whose snapshot takes longer than two seconds on a link of
+// 10 Mbit/s still has a leader after the one before it stops, and takes changes.
+func TestLargeSnapshot(t *testing.T) {
+	unraced(t)
+	synctest.Test(t, func(t *testing.T) {
+		h := newHistory(t)
+		defer h.close()
+		h.change()
+		random := rand.New(rand.NewPCG(1, 1))
+		drain := func(i int) {
+			name := make([]byte, largeEntrySize)
+			for j := range name {
+				name[j] = byte('a' + random.IntN(26))
+			}
+			h.agree(func(ctx context.Context) error {
+				body := coordination.Pack(&fleetstate.Drain{Worker: ids.WorkerId(name), Out: true})
+				_, err := h.operator.Submit(ctx, ids.OpId(fmt.Sprint("drain/", i)), fleetstate.DrainKind, body)
+				return err
+			})
+		}
+		for i := range largeEntries {
+			drain(i)
+		}
+		first := h.leader()
+		h.stop(first)
+		began := time.Now()
+		require.Eventually(t, func() bool { return h.leader() != "" }, 30*time.Second, 100*time.Millisecond)
+		t.Logf("a new leader after %s", time.Since(began))
+		h.start(first)
+		drain(largeEntries)
+	})
+}
