Tell late and repeated orders from new ones, and answer within a second

Cause, evacuations: the operator's call bears no id and each sending made a fresh one, so a copy held up at a machine that was cut off, or on its way to the primary, emptied the zone anew after it was taken back. Entries without a base replay as before. The product's evacuations and drains, known by an operation's id, are written even if they change nothing: an id that was answered but not remembered was done anew when a copy came after the opposite order. Cause, configurations: an operation's id is remembered for 2,048 operations; an order sent again past that was refused (412) though it had been taken. Each line of versions remembers its newest 1,024 superseded versions; an order over an older one has an unknown fate (504), never a refusal. Evacuations of the product's interface have a class of ids of their own. Cause, silence: calls waited 3 s for the core, callers leave after one. Ruled out: an id made of zone and direction (a second evacuation would be taken for the first), more ids remembered (that moves the bound and keeps the fault). 1,024 versions take 3,087 bytes in the image, 5,135 above number 65,535.

Outcome takes the base now; TestPut gives it and asserts what it did.

--- a/fleetstate/decree.go
+++ b/fleetstate/decree.go
@@ -9,10 +9,13 @@
 //msgp:shim ids.Zone as:string using:string/ids.Zone
 //msgp:shim ids.WorkerId as:string using:string/ids.WorkerId
 
-// Vacate empties a zone, or takes that back.
+// Vacate empties a zone, or takes that back. With Compare it is refused as stale unless the
+// zone has changed Base times so far; without, its operation's id alone tells a repetition.
 type Vacate struct {
-	Zone ids.Zone
-	Out  bool
+	Zone    ids.Zone
+	Out     bool
+	Compare bool
+	Base    uint64
 }
 
 // Drain keeps new work from a worker, or takes that back.
--- a/fleetstate/decree_gen.go
+++ b/fleetstate/decree_gen.go
@@ -194,15 +194,21 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Vacate) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Vacate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 4
 	// string "Zone"
-	o = append(o, 0x82, 0xa4, 0x5a, 0x6f, 0x6e, 0x65)
+	o = append(o, 0x84, 0xa4, 0x5a, 0x6f, 0x6e, 0x65)
 	o = msgp.AppendString(o, string(z.Zone))
 	// string "Out"
 	o = append(o, 0xa3, 0x4f, 0x75, 0x74)
 	o = msgp.AppendBool(o, z.Out)
+	// string "Compare"
+	o = append(o, 0xa7, 0x43, 0x6f, 0x6d, 0x70, 0x61, 0x72, 0x65)
+	o = msgp.AppendBool(o, z.Compare)
+	// string "Base"
+	o = append(o, 0xa4, 0x42, 0x61, 0x73, 0x65)
+	o = msgp.AppendUint64(o, z.Base)
 	return
 }
 
@@ -240,6 +246,18 @@
 				err = msgp.WrapError(err, "Out")
 				return
 			}
+		case "Compare":
+			z.Compare, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Compare")
+				return
+			}
+		case "Base":
+			z.Base, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Base")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -253,7 +271,7 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Vacate) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(string(z.Zone)) + 4 + msgp.BoolSize
+func (z *Vacate) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(string(z.Zone)) + 4 + msgp.BoolSize + 8 + msgp.BoolSize + 5 + msgp.Uint64Size
 	return
 }
--- a/fleetstate/image.go
+++ b/fleetstate/image.go
@@ -25,4 +25,5 @@
 	Rows  []byte
 	Count int
 	Governed
+	OrderMemory
 }
--- a/fleetstate/image_gen.go
+++ b/fleetstate/image_gen.go
@@ -10,9 +10,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Image) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 14
+	// map header, size 15
 	// string "Active"
-	o = append(o, 0x8e, 0xa6, 0x41, 0x63, 0x74, 0x69, 0x76, 0x65)
+	o = append(o, 0x8f, 0xa6, 0x41, 0x63, 0x74, 0x69, 0x76, 0x65)
 	o, err = z.Active.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Active")
@@ -106,6 +106,13 @@
 		err = msgp.WrapError(err, "Governed")
 		return
 	}
+	// string "OrderMemory"
+	o = append(o, 0xab, 0x4f, 0x72, 0x64, 0x65, 0x72, 0x4d, 0x65, 0x6d, 0x6f, 0x72, 0x79)
+	o, err = z.OrderMemory.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "OrderMemory")
+		return
+	}
 	return
 }
 
@@ -306,6 +313,12 @@
 				err = msgp.WrapError(err, "Governed")
 				return
 			}
+		case "OrderMemory":
+			bts, err = z.OrderMemory.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OrderMemory")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -348,6 +361,6 @@
 	for za0007 := range z.ProgramsPending {
 		s += z.ProgramsPending[za0007].Msgsize()
 	}
-	s += 5 + msgp.BytesPrefixSize + len(z.Rows) + 6 + msgp.IntSize + 9 + z.Governed.Msgsize()
+	s += 5 + msgp.BytesPrefixSize + len(z.Rows) + 6 + msgp.IntSize + 9 + z.Governed.Msgsize() + 12 + z.OrderMemory.Msgsize()
 	return
 }
--- a/fleetstate/line.go
+++ b/fleetstate/line.go
@@ -13,8 +13,9 @@
 )
 
 type line struct {
-	active Ruled
-	staged []Ruled
+	active     Ruled
+	staged     []Ruled
+	superseded supersededVersions
 }
 
 // all are the version in force and those that are staged, oldest first.
@@ -38,27 +39,27 @@
 func (l *line) newest() ids.Version { return l.top().Version }
 
 func (l *line) stage(c *Stage) (msgp.Marshaler, error) {
-	if c.Base != l.newest() {
-		return nil, failure.New(failure.Stale, "apply policy", "", "it was made over version %d, the current one is %d", c.Base, l.newest())
+	if err := l.checkBase(c.Base); err != nil {
+		return nil, err
 	}
 	v := l.newest() + 1
 	if c.Next != 0 && c.Next < v {
 		return nil, failure.New(failure.Bad, "apply policy", "", "version %d is not above the current one, %d", c.Next, l.newest())
 	}
 	v = max(v, c.Next)
+	text := c.Text
 	if c.Delta {
 		var d Delta
 		if _, err := d.UnmarshalMsg(c.Text); err != nil {
 			return nil, failure.As(err, failure.Bad, "apply delta", "")
 		}
-		text, err := d.patch(unpack(l.top().Text))
-		if err != nil {
+		var err error
+		if text, err = d.patch(unpack(l.top().Text)); err != nil {
 			return nil, err
 		}
-		l.staged = append(l.staged, Ruled{v, text})
-		return &Ruling{v}, nil
 	}
-	l.staged = append(l.staged, Ruled{v, c.Text})
+	l.superseded.push(c.Base)
+	l.staged = append(l.staged, Ruled{v, text})
 	return &Ruling{v}, nil
 }
 
--- /dev/null
+++ b/fleetstate/orders_test.go
@@ -0,0 +1,167 @@
+// What is remembered of orders, and how late and repeated ones are told from new ones.
+
+package fleetstate
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/tinylib/msgp/msgp"
+
+	"keelstair.example/coordination"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
+)
+
+// replicas are copies of one machine that take the same commands.
+type replicas struct {
+	*testing.T
+	seq ids.Seq
+	all []*Machine
+}
+
+func newReplicas(t *testing.T) *replicas {
+	return &replicas{T: t, all: []*Machine{NewMachine(MachineOptions{})}}
+}
+
+// apply applies a command to every replica; all must agree on its fate.
+func (r *replicas) apply(kind string, c msgp.Marshaler) error {
+	r.Helper()
+	r.seq++
+	_, first := r.all[0].Apply(r.seq, kind, coordination.Pack(c))
+	for _, m := range r.all[1:] {
+		_, err := m.Apply(r.seq, kind, coordination.Pack(c))
+		require.Equal(r, failure.KindOf(first), failure.KindOf(err))
+		require.Equal(r, first == nil, err == nil)
+	}
+	return first
+}
+
+// snapshot adds a replica that is restored from the first one's image.
+func (r *replicas) snapshot() {
+	m := NewMachine(MachineOptions{})
+	require.NoError(r, m.Restore(r.all[0].Picture(false)))
+	r.all = append(r.all, m)
+}
+
+func (r *replicas) zone(z ids.Zone) (revision uint64, out bool) {
+	return r.all[0].image(true).ZoneRevision(z)
+}
+
+// TestVacateCompared: an evacuation over a revision of its zone is applied if the zone has
+// not changed since, is nothing to do if the zone already is as asked, and is stale
+// otherwise; a replica from a snapshot decides alike. Other zones do not matter.
+func TestVacateCompared(t *testing.T) {
+	r := newReplicas(t)
+	over := func(base uint64, out bool) error {
+		return r.apply(VacateKind, &Vacate{Zone: "z", Out: out, Compare: true, Base: base})
+	}
+	require.NoError(t, over(0, true))
+	require.Equal(t, coordination.Same, over(0, true), "as asked already")
+	r.snapshot()
+	require.NoError(t, over(1, false))
+	require.True(t, failure.Is(over(0, true), failure.Stale), "a copy of the first that was held up")
+	require.True(t, failure.Is(over(1, true), failure.Stale))
+	r.snapshot()
+	require.True(t, failure.Is(over(0, true), failure.Stale))
+	require.NoError(t, r.apply(VacateKind, &Vacate{Zone: "y", Out: true, Compare: true}))
+	revision, out := r.zone("z")
+	require.EqualValues(t, 2, revision)
+	require.False(t, out)
+	require.NoError(t, over(2, true))
+}
+
+// TestVacateOfEarlierReleases: a log entry without a base is applied as it was when it was
+// written, and counts; an image without revisions is read.
+func TestVacateOfEarlierReleases(t *testing.T) {
+	old := msgp.AppendMapHeader(nil, 2)
+	old = msgp.AppendString(msgp.AppendString(old, "Zone"), "z")
+	old = msgp.AppendBool(msgp.AppendString(old, "Out"), true)
+	m := NewMachine(MachineOptions{})
+	_, err := m.Apply(1, VacateKind, old)
+	require.NoError(t, err)
+	revision, out := m.image(true).ZoneRevision("z")
+	require.EqualValues(t, 1, revision)
+	require.True(t, out)
+
+	img := m.image(false)
+	img.OrderMemory = OrderMemory{}
+	require.NoError(t, m.Restore(coordination.Pack(img)))
+	revision, out = m.image(true).ZoneRevision("z")
+	require.Zero(t, revision)
+	require.True(t, out)
+}
+
+// TestUnchangedIsWritten: an order that is known by its operation's id alone is written even
+// if it changes nothing, so that the core remembers the id.
+func TestUnchangedIsWritten(t *testing.T) {
+	r := newReplicas(t)
+	for range 2 {
+		require.NoError(t, r.apply(VacateKind, &Vacate{Zone: "z", Out: true}))
+		require.NoError(t, r.apply(DrainKind, &Drain{Worker: "w", Out: true}))
+	}
+	revision, _ := r.zone("z")
+	require.EqualValues(t, 1, revision, "nothing changed the second time")
+}
+
+// stage stages a document of the configuration's line or of the program sets'.
+func (r *replicas) stage(kind string, base, next ids.Version) error {
+	return r.apply(kind, &Stage{Base: base, Next: next, Text: []byte(`{}`)})
+}
+
+// TestForgottenBase: an order made over a version that is superseded is stale while the
+// versions since then are remembered, and of unknown fate before that, on both lines, asked
+// for as an outcome too, also at a replica from a snapshot. One over a number that never
+// was a version is stale if it lies within what is remembered.
+func TestForgottenBase(t *testing.T) {
+	for _, kind := range []string{StageKind, StageProgramsKind} {
+		r := newReplicas(t)
+		for v := range ids.Version(maxSuperseded + 100) {
+			require.NoError(t, r.stage(kind, 2*v, 2*v+2))
+			if v == 700 {
+				r.snapshot()
+			}
+		}
+		r.snapshot()
+		newest := ids.Version(2 * (maxSuperseded + 100))
+		oldest := newest - 2*maxSuperseded
+		for base, want := range map[ids.Version]failure.Kind{
+			0: failure.Unknown, oldest - 2: failure.Unknown, oldest - 1: failure.Unknown,
+			oldest: failure.Stale, oldest + 1: failure.Stale, newest - 2: failure.Stale, newest + 2: failure.Stale,
+		} {
+			ask := &OutcomeAsk{Base: base, Programs: kind == StageProgramsKind}
+			require.Equal(t, want, failure.KindOf(r.stage(kind, base, 0)), "base %d", base)
+			require.Equal(t, want, failure.KindOf(r.apply(AskKind, ask)), "base %d", base)
+		}
+		ask := &OutcomeAsk{Base: newest, Programs: kind == StageProgramsKind}
+		require.Equal(t, failure.Bounced, failure.KindOf(r.apply(AskKind, ask)), "it is still to be done")
+		require.NoError(t, r.stage(kind, newest, 0))
+	}
+}
+
+// TestShortHistory: while all versions there ever were are remembered, nothing is of unknown
+// fate.
+func TestShortHistory(t *testing.T) {
+	r := newReplicas(t)
+	for v := range ids.Version(10) {
+		require.NoError(t, r.stage(StageKind, v, 0))
+	}
+	for v := range ids.Version(10) {
+		require.Equal(t, failure.Stale, failure.KindOf(r.stage(StageKind, v, 0)))
+	}
+	require.Equal(t, failure.Stale, failure.KindOf(r.stage(StageKind, 11, 0)))
+}
+
+// TestHistoryOfEarlierReleases: an image without superseded versions tells nothing of what
+// was made over older ones than its newest.
+func TestHistoryOfEarlierReleases(t *testing.T) {
+	m := NewMachine(MachineOptions{})
+	img := &Image{Active: Ruled{Version: 7, Text: []byte(`{}`)}}
+	require.NoError(t, m.Restore(coordination.Pack(img)))
+	r := &replicas{T: t, all: []*Machine{m}}
+	require.Equal(t, failure.Unknown, failure.KindOf(r.stage(StageKind, 5, 0)))
+	require.NoError(t, r.stage(StageKind, 7, 9))
+	require.Equal(t, failure.Unknown, failure.KindOf(r.stage(StageKind, 5, 0)))
+	require.Equal(t, failure.Stale, failure.KindOf(r.stage(StageKind, 7, 0)))
+	require.Equal(t, failure.Stale, failure.KindOf(r.apply(AskKind, &OutcomeAsk{Base: 7})))
+}
--- a/fleetstate/read.go
+++ b/fleetstate/read.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"keelstair.example/coordination"
@@ -13,9 +14,18 @@
 	"keelstair.example/rpc"
 )
 
+const (
+	// attemptTimeout is for one attempt at the primary. It is longer than a primary takes to
+	// replace a silent backup, and short enough for two attempts within a second.
+	attemptTimeout = 420 * time.Millisecond
+	// attemptPerKB is added for a command's body: at 10 Mbit/s a kilobyte takes 0.8 ms to the
+	// primary, and as long from there to a backup.
+	attemptPerKB = 2 * time.Millisecond
+)
+
 // Look asks the core for all that is agreed on, until the context ends.
 func Look(ctx context.Context, call *rpc.Caller, book *coordination.Book) (*Image, error) {
-	r, addr, err := coordination.Primary[coordination.NewsAsk, coordination.NewsReply](ctx, call, book, time.Second, "crux/news", &coordination.NewsAsk{}, nil)
+	r, addr, err := coordination.CallPrimary[coordination.NewsAsk, coordination.NewsReply](ctx, call, book, attemptTimeout, "crux/news", &coordination.NewsAsk{}, nil)
 	if err != nil {
 		return nil, failure.As(err, failure.Away, "read newest", addr)
 	}
@@ -37,14 +47,19 @@
 	if err != nil {
 		return Ruled{}, nil, err
 	}
-	top := (&line{img.Active, img.Staged}).top()
+	return img.Newest(), img.Zones, nil
+}
+
+// Newest gives the newest version, in force or staged, with its text as it was put.
+func (img *Image) Newest() Ruled {
+	top := (&line{active: img.Active, staged: img.Staged}).top()
 	top.Text = unpack(top.Text)
-	return top, img.Zones, nil
+	return top
 }
 
 // Set gives the newest program set, in force or staged, and whether it is in force.
 func (img *Image) Set() (Ruled, bool) {
-	return (&line{img.Programs, img.ProgramsPending}).top(), len(img.ProgramsPending) == 0
+	return (&line{active: img.Programs, staged: img.ProgramsPending}).top(), len(img.ProgramsPending) == 0
 }
 
 // Put asks the core for a text as the version next (0: the one after base), made over
@@ -53,15 +68,21 @@
 // have been taken, Away where it was not. A large text that differs little from the one
 // it was made over goes as a delta.
 func Put(ctx context.Context, call *rpc.Caller, book *coordination.Book, op ids.OpId, base, next ids.Version, text []byte) (ids.Version, error) {
-	c := &Stage{Base: base, Text: pack(text), Next: next}
+	var newest Ruled
 	if base > 0 && len(text) >= deltaFrom {
-		top, _, err := Newest(ctx, call, book)
-		if err != nil {
+		var err error
+		if newest, _, err = Newest(ctx, call, book); err != nil {
 			return 0, err
 		}
-		if top.Version == base {
-			c.Shorten(top.Text, text)
-		}
+	}
+	return PutOver(ctx, call, book, op, base, next, text, newest)
+}
+
+// PutOver is Put for a caller that has read the newest version already.
+func PutOver(ctx context.Context, call *rpc.Caller, book *coordination.Book, op ids.OpId, base, next ids.Version, text []byte, newest Ruled) (ids.Version, error) {
+	c := &Stage{Base: base, Text: pack(text), Next: next}
+	if base > 0 && len(text) >= deltaFrom && newest.Version == base {
+		c.Shorten(newest.Text, text)
 	}
 	return decide(ctx, call, book, &coordination.SubmitAsk{Op: op, Kind: StageKind, Body: coordination.Pack(c)})
 }
@@ -78,19 +99,43 @@
 	}
 }
 
-// Outcome tells the version that an operation made, or Stale if none was taken.
-func Outcome(ctx context.Context, call *rpc.Caller, book *coordination.Book, op ids.OpId) (ids.Version, error) {
-	return decide(ctx, call, book, &coordination.SubmitAsk{Op: op, Kind: AskKind})
+// Outcome tells the version that an operation made. Errors: Stale where none was taken,
+// Unknown where one may have been, too long ago to tell.
+func Outcome(ctx context.Context, call *rpc.Caller, book *coordination.Book, op ids.OpId, q OutcomeAsk) (ids.Version, error) {
+	return decide(ctx, call, book, &coordination.SubmitAsk{Op: op, Kind: AskKind, Body: coordination.Pack(&q)})
+}
+
+// ZoneRevision tells how often a zone has changed, and whether it is evacuated.
+func (img *Image) ZoneRevision(zone ids.Zone) (revision uint64, out bool) {
+	for _, z := range img.ZoneRevisions {
+		if z.Zone == zone {
+			revision = z.Count
+		}
+	}
+	return revision, slices.Contains(img.Zones, string(zone))
 }
 
-// Mark empties a zone of new work, or takes that back.
+// Mark empties a zone of new work, or takes that back, once for an operation's id.
 func Mark(ctx context.Context, call *rpc.Caller, book *coordination.Book, op ids.OpId, zone ids.Zone, out bool) error {
-	_, err := decide(ctx, call, book, &coordination.SubmitAsk{Op: op, Kind: VacateKind, Body: coordination.Pack(&Vacate{Zone: zone, Out: out})})
+	return vacate(ctx, call, book, op, &Vacate{Zone: zone, Out: out})
+}
+
+// MarkOver empties a zone of new work, or takes that back, if the zone has changed so many
+// times as revision says. Else it is Stale, unless the zone already is as asked.
+func MarkOver(ctx context.Context, call *rpc.Caller, book *coordination.Book, zone ids.Zone, out bool, revision uint64) error {
+	op := ids.OpId("mark/" + coordination.Name())
+	return vacate(ctx, call, book, op, &Vacate{Zone: zone, Out: out, Compare: true, Base: revision})
+}
+
+func vacate(ctx context.Context, call *rpc.Caller, book *coordination.Book, op ids.OpId, c *Vacate) error {
+	_, err := decide(ctx, call, book, &coordination.SubmitAsk{Op: op, Kind: VacateKind, Body: coordination.Pack(c)})
 	return err
 }
 
+// decide submits a decree, and gives the version that it ruled.
 func decide(ctx context.Context, call *rpc.Caller, book *coordination.Book, q *coordination.SubmitAsk) (ids.Version, error) {
-	r, err := coordination.Submit(ctx, call, book, q)
+	attempt := attemptTimeout + time.Duration(len(q.Body)/1024)*attemptPerKB
+	r, err := coordination.SubmitWithin(ctx, call, book, attempt, q)
 	if err != nil {
 		return 0, err
 	}
--- a/fleetstate/state.go
+++ b/fleetstate/state.go
@@ -31,28 +31,29 @@
 
 // State holds it all. A lean one (on nodes) keeps open claims only.
 type State struct {
-	line           // the configuration
-	programs  line // the program sets
-	lean      bool
-	zones     map[ids.Zone]bool
-	drained   map[ids.WorkerId]bool
-	turning   map[ids.WorkerId]ids.Part
-	failbacks map[ids.Zone]Failback
-	returns   uint64
-	fence     ids.Fence
-	deeds     map[string]Deed
-	order     []string // settled, oldest first
-	shelf     shelf
-	count     int             // of all deeds there ever were
-	most      int             // that the policy in force allows
-	revoked   map[string]bool // serials; true once in force everywhere
-	time      int64           // bound of the fleet's time
-	governed  bool            // the policy in force has regimes
-	audit     audit
+	line               // the configuration
+	programs      line // the program sets
+	lean          bool
+	zones         map[ids.Zone]bool
+	zoneRevisions map[ids.Zone]uint64
+	drained       map[ids.WorkerId]bool
+	turning       map[ids.WorkerId]ids.Part
+	failbacks     map[ids.Zone]Failback
+	returns       uint64
+	fence         ids.Fence
+	deeds         map[string]Deed
+	order         []string // settled, oldest first
+	shelf         shelf
+	count         int             // of all deeds there ever were
+	most          int             // that the policy in force allows
+	revoked       map[string]bool // serials; true once in force everywhere
+	time          int64           // bound of the fleet's time
+	governed      bool            // the policy in force has regimes
+	audit         audit
 }
 
 func newState(lean bool, d Depth) *State {
-	return &State{lean: lean, zones: map[ids.Zone]bool{}, drained: map[ids.WorkerId]bool{}, failbacks: map[ids.Zone]Failback{}, turning: map[ids.WorkerId]ids.Part{}, deeds: map[string]Deed{}, shelf: newShelf(d), revoked: map[string]bool{}}
+	return &State{lean: lean, zones: map[ids.Zone]bool{}, zoneRevisions: map[ids.Zone]uint64{}, drained: map[ids.WorkerId]bool{}, failbacks: map[ids.Zone]Failback{}, turning: map[ids.WorkerId]ids.Part{}, deeds: map[string]Deed{}, shelf: newShelf(d), revoked: map[string]bool{}}
 }
 
 // rule puts a version in force. A lean state has no need of its bounds.
@@ -116,7 +117,7 @@
 // Apply reads a command by its kind and applies it.
 func (s *State) Apply(kind string, body []byte) ([]byte, error) {
 	if kind == AskKind {
-		return nil, failure.New(failure.Stale, "ask for an outcome", "", "no operation of this id was taken")
+		return nil, s.outcome(body)
 	}
 	c := parse(kind)
 	if c == nil {
@@ -144,8 +145,12 @@
 
 func (c *Vacate) apply(s *State) (msgp.Marshaler, error) {
 	if s.zones[c.Zone] == c.Out {
-		return &Ruling{s.newest()}, coordination.Same
+		return s.unchanged(c.Compare)
+	}
+	if err := s.checkZone(c); err != nil {
+		return nil, err
 	}
+	s.zoneRevisions[c.Zone]++
 	if s.zones[c.Zone] = c.Out; c.Out {
 		delete(s.failbacks, c.Zone)
 	} else {
@@ -156,9 +161,19 @@
 	return &Ruling{s.newest()}, nil
 }
 
+// unchanged answers an order that finds all as it asks. One that is known by its id alone is
+// written all the same: were its id not remembered, a copy of it that arrives after the
+// opposite order would be done.
+func (s *State) unchanged(compared bool) (msgp.Marshaler, error) {
+	if compared {
+		return &Ruling{s.newest()}, coordination.Same
+	}
+	return &Ruling{s.newest()}, nil
+}
+
 func (c *Drain) apply(s *State) (msgp.Marshaler, error) {
 	if s.drained[c.Worker] == c.Out {
-		return &Ruling{s.newest()}, coordination.Same
+		return s.unchanged(false)
 	}
 	if s.drained[c.Worker] = c.Out; !c.Out {
 		delete(s.drained, c.Worker)
@@ -260,6 +275,7 @@
 	sort.Slice(img.Revoked, func(i, j int) bool { return img.Revoked[i].Serial < img.Revoked[j].Serial })
 	img.Time = s.time
 	sort.Slice(img.Turning, func(i, j int) bool { return img.Turning[i].Worker < img.Turning[j].Worker })
+	img.OrderMemory = s.orderMemory()
 	if !open && !s.lean {
 		for _, k := range s.order {
 			img.Deeds = append(img.Deeds, s.deeds[k])
@@ -285,7 +301,8 @@
 	next := newState(s.lean, s.shelf.Depth)
 	next.rule(img.Active)
 	next.staged, next.fence, next.count, next.shelf.sealed = img.Staged, img.Fence, img.Count, s.shelf.sealed
-	next.programs = line{img.Programs, img.ProgramsPending}
+	next.programs = line{active: img.Programs, staged: img.ProgramsPending}
+	next.recall(img.OrderMemory)
 	for _, z := range img.Zones {
 		next.zones[ids.Zone(z)] = true
 	}
--- a/proxy/config_test.go
+++ b/proxy/config_test.go
@@ -49,10 +49,10 @@
 			defer stop()
 			return fleetstate.Put(ctx, b.agent.Caller(), b.Book(), op, base, next, []byte(text))
 		}
-		outcome := func(op ids.OpId) (ids.Version, error) {
+		outcome := func(op ids.OpId, base ids.Version) (ids.Version, error) {
 			ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
 			defer stop()
-			return fleetstate.Outcome(ctx, b.agent.Caller(), b.Book(), op)
+			return fleetstate.Outcome(ctx, b.agent.Caller(), b.Book(), op, fleetstate.OutcomeAsk{Base: base})
 		}
 		require.True(t, f.until(3*time.Second, func() bool { return f.inForce(1) }))
 		v, err := put("seven", 1, 7, `{"zones":["seven"]}`)
@@ -77,10 +77,10 @@
 		require.Equal(t, `{"zones":["thirteen"]}`, string(f.newest(t).Text))
 		_, err = put("stale", 1, 9, `{}`)
 		require.True(t, failure.Is(err, failure.Stale), "a refusal stays one")
-		v, err = outcome("twelve")
+		v, err = outcome("twelve", 7)
 		require.NoError(t, err)
 		require.EqualValues(t, 12, v)
-		_, err = outcome("never")
+		_, err = outcome("never", 7)
 		require.True(t, failure.Is(err, failure.Stale))
 		require.True(t, f.until(3*time.Second, func() bool { return f.inForce(13) }))
 	})
--- a/proxy/operate.go
+++ b/proxy/operate.go
@@ -33,12 +33,19 @@
 	comeBack     = 500 * time.Millisecond // what an operator is told
 )
 
+// Operation ids are remembered by class: however many evacuations there are, the ids of
+// program sets are remembered for as many versions as the core promises.
+const (
+	programOps = "op/"
+	zoneOps    = "zone/"
+)
+
 // Apply checks and compiles a program set before anything is written; the core takes it
 // if it was made over the newest one.
 func (o *Operator) Apply(ctx context.Context, a *api.Apply) (*api.Applied, error) {
 	cx, stop := context.WithTimeout(ctx, operatorWait)
 	defer stop()
-	op, name := ids.OpId("op/"+a.Op), cmp.Or(a.Name, "programs")
+	op, name := ids.OpId(programOps+a.Op), cmp.Or(a.Name, "programs")
 	text, err := fleetstate.Source(name, []byte(a.Source))
 	if err != nil {
 		return nil, err
@@ -52,7 +59,7 @@
 		top, _ := img.Set()
 		if uint64(top.Version) != a.Base {
 			// The base has moved on, perhaps by this very operation.
-			v, err := fleetstate.Outcome(cx, o.Call, o.Book, op)
+			v, err := fleetstate.Outcome(cx, o.Call, o.Book, op, fleetstate.OutcomeAsk{Base: ids.Version(a.Base), Programs: true})
 			if failure.Is(err, failure.Stale) {
 				return nil, api.Stale(a.Base, uint64(top.Version))
 			}
@@ -98,7 +105,7 @@
 	}
 	cx, stop := context.WithTimeout(ctx, operatorWait)
 	defer stop()
-	if err := fleetstate.Mark(cx, o.Call, o.Book, ids.OpId("op/"+m.Op), ids.Zone(zone), m.Out); err != nil {
+	if err := fleetstate.Mark(cx, o.Call, o.Book, ids.OpId(zoneOps+m.Op), ids.Zone(zone), m.Out); err != nil {
 		return nil, api.Fate(err, comeBack)
 	}
 	return &api.Applied{Active: true}, nil
