--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -179,6 +179,7 @@
     ("answer-says-when", "platform/operator.go", "	w.Header().Set(\"Retry-After\", retryAfter)\n", "	_ = retryAfter\n", "platform", "TestAnswerWithinASecond"),
     ("order-forgotten", "fleetstate/orders.go", "	case base < reach:", "	case base < reach && false:", "platform", "TestOrdersOfLongAgo"),
     ("order-remembered", "fleetstate/orders.go", "maxSuperseded = 1024", "maxSuperseded = 4096", "platform", "TestOrdersOfLongAgo"),
+    ("program-ids-apart", "proxy/operate.go", "zoneOps    = \"zone/\"", "zoneOps    = programOps", "platform", "TestProgramsAmongEvacuations"),
     ("superseded-in-image", "fleetstate/orders.go", "	s.superseded, s.programs.superseded = m.Superseded, m.SupersededPrograms\n", "", "fleetstate", "TestForgottenBase"),
     ("operation-ids-sent-again", "coordination/lead.go", "if p, ok := c.roll.past[e.Op]; ok && e.Op != \"\" {", "if p, ok := c.roll.past[e.Op]; ok && false {", "platform", "TestEightOperators"),
     ("one-winner", "fleetstate/orders.go", "	case base == l.newest():", "	case true:", "platform", "TestEightOperators"),
