--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -176,6 +176,8 @@
     ("evacuation-given-up", "platform/operator.go", "answerWithin = 900 * time.Millisecond", "answerWithin = 3 * time.Second", "platform", "TestLateEvacuationCut"),
     ("evacuation-id-remembered", "fleetstate/state.go", "	if compared {\n		return &Ruling", "	if true {\n		return &Ruling", "platform", "TestLateMark"),
     ("answer-within-a-second", "platform/operator.go", "answerWithin = 900 * time.Millisecond", "answerWithin = 3 * time.Second", "platform", "TestAnswerWithinASecond"),
+    ("document-caller-gone", "platform/operator.go", "context.WithTimeout(r.Context(), answerWithin", "context.WithTimeout(context.WithoutCancel(r.Context()), answerWithin", "platform", "TestLateDocument"),
+    ("answer-later-to-large", "platform/operator.go", "answerPerKB = 2 * time.Millisecond", "answerPerKB = 0 * time.Millisecond", "platform", "TestAnswerToLargeBody"),
     ("answer-says-when", "platform/operator.go", "	w.Header().Set(\"Retry-After\", retryAfter)\n", "	_ = retryAfter\n", "platform", "TestAnswerWithinASecond"),
     ("order-forgotten", "fleetstate/orders.go", "	case base < reach:", "	case base < reach && false:", "platform", "TestOrdersOfLongAgo"),
     ("order-remembered", "fleetstate/orders.go", "maxSuperseded = 1024", "maxSuperseded = 4096", "platform", "TestOrdersOfLongAgo"),
