--- a/coordination/follow.go
+++ b/coordination/follow.go
@@ -159,45 +159,5 @@
 // asked with throughout, so whichever asking is taken, the outcome is one. An
 // error of kind Unknown means that it may have been done.
 func (a *Agent) Submit(ctx context.Context, op ids.OpId, kind string, body []byte) (*SubmitReply, error) {
-	return Submit(ctx, a.call, a.book, &SubmitAsk{Op: op, Kind: kind, Body: body})
-}
-
-// Submit is for those that hold no lease.
-func Submit(ctx context.Context, call *rpc.Caller, book *Book, q *SubmitAsk) (*SubmitReply, error) {
-	var doubt error
-	final := func(err error) bool {
-		if failure.Is(err, failure.Unknown) {
-			doubt = err
-		}
-		return failure.Is(err, failure.Stale) || failure.Is(err, failure.Bad)
-	}
-	r, addr, err := Primary[SubmitAsk, SubmitReply](ctx, call, book, 1500*time.Millisecond, "crux/submit", q, final)
-	switch {
-	case err == nil:
-		return r, nil
-	case final(err):
-		return nil, err
-	case doubt != nil:
-		return nil, failure.As(doubt, failure.Unknown, "submit", addr)
-	}
-	return nil, failure.As(err, failure.Away, "submit", addr)
-}
-
-// Primary asks the primary, each time for the span at most, until it answers, an error is
-// final, or the context ends; the address asked last comes with it. Between askings it
-// looks for the primary. No error is final if final is nil.
-func Primary[Q, R any](ctx context.Context, call *rpc.Caller, book *Book, span time.Duration, name string, q *Q, final func(error) bool) (*R, string, error) {
-	for {
-		cx, stop := context.WithTimeout(ctx, span)
-		addr := book.Addr(book.Record().Primary)
-		r, err := rpc.Call[Q, R](cx, call, addr, name, q)
-		stop()
-		if err == nil || final != nil && final(err) {
-			return r, addr, err
-		}
-		book.Ask(ctx, 3)
-		if !seam.Sleep(ctx, 20*time.Millisecond+rand.N(60*time.Millisecond)) {
-			return nil, addr, err
-		}
-	}
+	return SubmitWithin(ctx, a.call, a.book, submitAttempt, &SubmitAsk{Op: op, Kind: kind, Body: body})
 }
--- a/coordination/primary_call.go
+++ b/coordination/primary_call.go
@@ -14,6 +14,8 @@
 )
 
 const (
+	submitAttempt = 1500 * time.Millisecond // of an agent, which has time
+
 	searchWidth = 3                     // processes asked at once where the primary is
 	minPause    = 40 * time.Millisecond // between attempts, at random up to twice as long
 )
--- a/coordination/read_bench_test.go
+++ b/coordination/read_bench_test.go
@@ -46,7 +46,7 @@
 	read := func() {
 		limit, end := context.WithTimeout(ctx, 20*time.Second)
 		defer end()
-		_, _, err := coordination.Primary[coordination.NewsAsk, coordination.NewsReply](limit, caller, book, time.Second, "crux/news", &coordination.NewsAsk{}, nil)
+		_, _, err := coordination.CallPrimary[coordination.NewsAsk, coordination.NewsReply](limit, caller, book, time.Second, "crux/news", &coordination.NewsAsk{}, nil)
 		require.NoError(b, err)
 	}
 	read()
