Calls between processes bear ids that their answers echo

Cause: nothing paired an answer with its call. A connection that carried a second answer, or another call's, handed it to whoever asked next; and a 307 had a call sent on by the client. Ruled out: net/http repeating a POST. It does so only where no byte was written (GetBody is set by connect) or with an Idempotency-Key, which is never set; TestCallOnce and TestCallNeverLeft show one arrival over reset, close, silence, half an answer and garbage. Decision for one release: an answer without an id counts only on a connection where no answer has borne one, so processes of the release before are understood, and a connection to one of this release never goes without. After that release a missing id can be refused. Constants and short functions in place of bare figures and a long Call.

--- a/rpc/dial.go
+++ b/rpc/dial.go
@@ -12,33 +12,37 @@
 	"keelstair.example/seam"
 )
 
-const redial = 200 * time.Millisecond
+const (
+	redialEvery = 200 * time.Millisecond
+	dialWait    = time.Second
+)
 
+// dial opens a connection, trying once more every while beside what is under way.
 func dial(ctx context.Context, n seam.Net, addr string) (net.Conn, error) {
-	ctx, stop := context.WithTimeout(ctx, time.Second)
+	ctx, stop := context.WithTimeout(ctx, dialWait)
 	defer stop()
-	type end struct {
+	type outcome struct {
 		conn net.Conn
 		err  error
 	}
-	ends := make(chan end)
+	outcomes := make(chan outcome)
 	try := func() {
-		c, err := n.Dial(ctx, addr)
+		conn, err := n.Dial(ctx, addr)
 		select {
-		case ends <- end{c, err}:
+		case outcomes <- outcome{conn, err}:
 		case <-ctx.Done():
 			if err == nil {
-				c.Close()
+				conn.Close()
 			}
 		}
 	}
 	go try()
-	again := time.NewTicker(redial)
+	again := time.NewTicker(redialEvery)
 	defer again.Stop()
 	for {
 		select {
-		case e := <-ends:
-			return e.conn, e.err
+		case first := <-outcomes:
+			return first.conn, first.err
 		case <-again.C:
 			go try()
 		case <-ctx.Done():
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -20,6 +20,7 @@
 	"keelstair.example/seam"
 )
 
+// codec is connect's codec for msgp messages.
 type codec struct{}
 
 func (codec) Name() string { return "msgp" }
@@ -44,8 +45,13 @@
 const (
 	maxBody  = 64 << 20
 	packFrom = 1024 // bytes; shorter answers go as they are
+
+	defaultWait = time.Second // for an answer, where the context has no deadline
+	headerWait  = 5 * time.Second
+	drainAgain  = 50 * time.Millisecond
 )
 
+// codes carry the kinds of errors across the wire.
 var codes = map[failure.Kind]connect.Code{
 	failure.Bounced: connect.CodeResourceExhausted,
 	failure.Stale:   connect.CodeAborted,
@@ -64,29 +70,53 @@
 		}
 		return connect.NewResponse(a), nil
 	}, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxBody), connect.WithCompressMinBytes(packFrom))
-	mux.Handle("/"+name, h)
+	mux.Handle("/"+name, echoCallId(h))
 }
 
-// Caller asks other processes; it keeps connections and typed clients.
+// Caller asks other processes; it keeps connections and typed clients. Each call is sent
+// once: nothing repeats it where any part of it may have arrived.
 type Caller struct {
 	web  *http.Client
 	kept sync.Map
 }
 
-func NewCaller(net seam.Net) *Caller { return &Caller{web: Web(net)} }
+// NewCaller makes a caller over the seam's network.
+func NewCaller(n seam.Net) *Caller {
+	base := newTransport(func(ctx context.Context, _, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, n, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &callConn{Conn: conn}, nil
+	})
+	return &Caller{web: &http.Client{Transport: &idTransport{base}, CheckRedirect: noRedirect}}
+}
+
+// noRedirect keeps a client from sending a call to another address by itself.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // Web is an HTTP client over the seam's network.
 func Web(n seam.Net) *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
-			return dial(ctx, n, addr)
-		},
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     20 * time.Second,
+	return &http.Client{Transport: newTransport(func(ctx context.Context, _, addr string) (net.Conn, error) {
+		return dial(ctx, n, addr)
+	})}
+}
+
+const (
+	maxIdlePerHost = 64
+	idleFor        = 20 * time.Second
+)
+
+func newTransport(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *http.Transport {
+	return &http.Transport{
+		DialContext:         dial,
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		IdleConnTimeout:     idleFor,
 		DisableCompression:  true,
-	}}
+	}
 }
 
+// Close closes the connections on which no call waits.
 func (c *Caller) Close() { c.web.CloseIdleConnections() }
 
 // Call asks the process at addr. Without a deadline of the context it waits
@@ -97,32 +127,43 @@
 	}
 	if _, ok := ctx.Deadline(); !ok {
 		var stop context.CancelFunc
-		ctx, stop = context.WithTimeout(ctx, time.Second)
+		ctx, stop = context.WithTimeout(ctx, defaultWait)
 		defer stop()
 	}
-	k := addr + "/" + name
-	got, ok := c.kept.Load(k)
+	a, err := client[Q, A](c, addr, name).CallUnary(ctx, connect.NewRequest(q))
+	if err != nil {
+		return nil, failure.As(err, kindOf(err), name, addr)
+	}
+	return a.Msg, nil
+}
+
+// client gives the typed client of a name at an address.
+func client[Q, A any](c *Caller, addr, name string) *connect.Client[Q, A] {
+	key := addr + "/" + name
+	got, ok := c.kept.Load(key)
 	if !ok {
-		got, _ = c.kept.LoadOrStore(k, connect.NewClient[Q, A](c.web, "http://"+k,
+		got, _ = c.kept.LoadOrStore(key, connect.NewClient[Q, A](c.web, "http://"+key,
 			connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxBody)))
 	}
-	a, err := got.(*connect.Client[Q, A]).CallUnary(ctx, connect.NewRequest(q))
-	if err != nil {
-		kind := failure.Unknown
-		var ce *connect.Error
-		if errors.As(err, &ce) && connect.IsWireError(err) {
-			for k, code := range codes {
-				if code == ce.Code() {
-					kind = k
-				}
-			}
-		}
-		if Undialled(err) {
-			kind = failure.Bounced
+	return got.(*connect.Client[Q, A])
+}
+
+// kindOf is what an error promises: a kind that the other process gave, Bounced where the
+// call never left, else Unknown.
+func kindOf(err error) failure.Kind {
+	if Undialled(err) {
+		return failure.Bounced
+	}
+	var remote *connect.Error
+	if !errors.As(err, &remote) || !connect.IsWireError(err) {
+		return failure.Unknown
+	}
+	for kind, code := range codes {
+		if code == remote.Code() {
+			return kind
 		}
-		return nil, failure.As(err, kind, name, addr)
 	}
-	return a.Msg, nil
+	return failure.Unknown
 }
 
 // Undialled tells that an asking never left, since nobody could be reached.
@@ -133,7 +174,7 @@
 
 // Serve answers on a listener until the context ends.
 func Serve(ctx context.Context, l net.Listener, h http.Handler) error {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	srv := &http.Server{Handler: echoCallId(h), ReadHeaderTimeout: headerWait}
 	end := context.AfterFunc(ctx, func() { srv.Close() })
 	defer end()
 	err := srv.Serve(l)
@@ -147,7 +188,7 @@
 // answered. It looks twice, since a connection that was just let in is not known at first.
 func Drain(ctx context.Context, s *http.Server) error {
 	err := s.Shutdown(ctx)
-	if err == nil && seam.Sleep(ctx, 50*time.Millisecond) {
+	if err == nil && seam.Sleep(ctx, drainAgain) {
 		err = s.Shutdown(ctx)
 	}
 	return err
