A worker's 408, 429 or 503 without its word promises the client nothing

Cause: such an answer was passed on with its status, though without Keelstair-Not-Executed the request may have run; to the client the status is a promise that it has not. It ends with 502 now, or is asked of another worker where it may be repeated (TestPromiseWithoutWord, 6 of 6 cases failed first). A worker that takes a stream up and begins again before the client's last event is not passed on (TestResumedRepeats failed first: events came twice).

--- a/proxy/pass.go
+++ b/proxy/pass.go
@@ -10,7 +10,7 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
+	"strconv"
 	"time"
 
 	"keelstair.example/failure"
@@ -80,6 +80,10 @@
 		t.n.outcome(c, false)
 		return failure.New(failure.Unknown, "pass", c.w.Addr, "a success without the worker's stamp")
 	}
+	if promisesNotRun(reply.Status) {
+		t.n.outcome(c, false)
+		return failure.New(failure.Unknown, "pass", c.w.Addr, "status %d without word that it was not run", reply.Status)
+	}
 	if t.begun && (reply.Status != http.StatusOK || !reply.Events) {
 		return failure.New(failure.Unknown, "resume", c.w.Addr, "status %d", reply.Status)
 	}
@@ -108,6 +112,16 @@
 	return err
 }
 
+// promisesNotRun tells of the statuses by which a caller knows that its request has not run.
+// A worker that did not run one says so by other means, which the adapter reads.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 var errCaller = errors.New("the caller went away")
 
 func (t *trip) head(reply *Reply, length int64) error {
@@ -154,30 +168,18 @@
 func (t *trip) events(c *choice, reply *Reply) error {
 	var held []byte
 	buf := make([]byte, 8<<10)
+	resumed := t.begun
 	for {
 		k, err := reply.Body.Read(buf)
 		held = append(held, buf[:k]...)
 		if at := whole(held); at > 0 {
-			whole := held[:at]
-			if err := t.head(reply, -1); err != nil {
-				return failure.As(errors.Join(errCaller, err), failure.Unknown, "pass", "caller")
-			}
-			if err := t.write(whole); err != nil {
+			if err := t.forward(c, reply, held[:at], resumed); err != nil {
 				return err
 			}
-			if id := lastId(whole); id != "" {
-				t.last = id
-			}
 			held = append(held[:0], held[at:]...)
 		}
 		if err == io.EOF {
-			if err := t.head(reply, -1); err != nil {
-				return failure.As(errors.Join(errCaller, err), failure.Unknown, "pass", "caller")
-			}
-			if len(held) > 0 {
-				return t.write(held)
-			}
-			return nil
+			return t.finish(reply, held)
 		}
 		if err != nil {
 			return failure.As(err, failure.Unknown, "pass", c.w.Addr)
@@ -185,6 +187,37 @@
 	}
 }
 
+// forward passes whole events on and notes the last one's id. A worker that takes a stream
+// up must not go back behind the last event that the caller has.
+func (t *trip) forward(c *choice, reply *Reply, events []byte, resumed bool) error {
+	first, last := eventIds(events)
+	if resumed && !follows(first, t.last) {
+		return failure.New(failure.Unknown, "resume", c.w.Addr, "event %s comes after %s", first, t.last)
+	}
+	if err := t.head(reply, -1); err != nil {
+		return failure.As(errors.Join(errCaller, err), failure.Unknown, "pass", "caller")
+	}
+	if err := t.write(events); err != nil {
+		return err
+	}
+	if last != "" {
+		t.last = last
+	}
+	return nil
+}
+
+// finish ends a stream that its worker has ended; what stands behind the last whole event is
+// passed on as it is.
+func (t *trip) finish(reply *Reply, rest []byte) error {
+	if err := t.head(reply, -1); err != nil {
+		return failure.As(errors.Join(errCaller, err), failure.Unknown, "pass", "caller")
+	}
+	if len(rest) > 0 {
+		return t.write(rest)
+	}
+	return nil
+}
+
 // whole is the length of the whole events that bytes begin with.
 func whole(p []byte) int {
 	at := 0
@@ -196,13 +229,24 @@
 	return at
 }
 
-// lastId gives the id of the last event in whole ones.
-func lastId(p []byte) string {
-	id := ""
-	for line := range strings.Lines(string(p)) {
-		if v, ok := strings.CutPrefix(strings.TrimRight(line, "\r\n"), "id:"); ok {
-			id = strings.TrimSpace(v)
+// eventIds gives the ids of the first and the last event that have one.
+func eventIds(events []byte) (first, last string) {
+	for line := range bytes.Lines(events) {
+		id, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
+		}
+		last = string(bytes.TrimSpace(id))
+		if first == "" {
+			first = last
 		}
 	}
-	return id
+	return first, last
+}
+
+// follows tells whether an event may come after another; ids that are no numbers tell nothing.
+func follows(id, before string) bool {
+	n, err := strconv.ParseInt(id, 10, 64)
+	last, errLast := strconv.ParseInt(before, 10, 64)
+	return err != nil || errLast != nil || n > last
 }
