A message between processes with bytes behind it is refused

Cause: the codec dropped what stands behind a message, so a spoilt one could be taken (TestMessageTrailing failed first). Ruled out: a message cut short, which was refused at every length already.

--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -25,21 +25,28 @@
 
 func (codec) Name() string { return "msgp" }
 
-func (codec) Marshal(v any) ([]byte, error) {
-	m, ok := v.(msgp.Marshaler)
+func (codec) Marshal(message any) ([]byte, error) {
+	m, ok := message.(msgp.Marshaler)
 	if !ok {
-		return nil, fmt.Errorf("%T is no msgp message", v)
+		return nil, fmt.Errorf("%T is no msgp message", message)
 	}
 	return m.MarshalMsg(nil)
 }
 
-func (codec) Unmarshal(b []byte, v any) error {
-	m, ok := v.(msgp.Unmarshaler)
+// Unmarshal reads one message. Bytes behind it mean that it was spoilt.
+func (codec) Unmarshal(text []byte, message any) error {
+	m, ok := message.(msgp.Unmarshaler)
 	if !ok {
-		return fmt.Errorf("%T is no msgp message", v)
+		return fmt.Errorf("%T is no msgp message", message)
 	}
-	_, err := m.UnmarshalMsg(b)
-	return err
+	rest, err := m.UnmarshalMsg(text)
+	if err != nil {
+		return err
+	}
+	if len(rest) > 0 {
+		return fmt.Errorf("%d bytes stand behind the message", len(rest))
+	}
+	return nil
 }
 
 const (
--- a/rpc/rpc_test.go
+++ b/rpc/rpc_test.go
@@ -428,3 +428,16 @@
 	stop()
 	require.NoError(t, <-ended)
 }
+
+// TestMessageTrailing: bytes behind a message, in a call or in an answer, mean that it was
+// spoilt; it is not taken.
+func TestMessageTrailing(t *testing.T) {
+	spoilt, _ := (&note{"this"}).MarshalMsg(nil)
+	require.NoError(t, codec{}.Unmarshal(spoilt, &note{}))
+	for _, tail := range []string{"\x00", "this", string(spoilt)} {
+		require.Error(t, codec{}.Unmarshal(append(spoilt[:len(spoilt):len(spoilt)], tail...), &note{}), "%q", tail)
+	}
+	for cut := range spoilt {
+		require.Error(t, codec{}.Unmarshal(spoilt[:cut], &note{}), "%d bytes", cut)
+	}
+}
