--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -191,9 +191,11 @@
     ("resumed-repeats", "proxy/pass.go", "	if resumed && !follows(first, t.last) {", "	if false {", "platform", "TestResumedRepeats"),
     ("resumed-otherwise", "proxy/pass.go", "	if t.begun && (reply.Status", "	if false && (reply.Status", "platform", "TestResumeFails"),
     ("success-unsealed", "proxy/pass.go", "	if reply.Status/100 == 2 && !reply.Whole {", "	if false {", "platform", "TestUnsealed"),
-    ("old-protocol", "platform/door.go", "	if !q.ProtoAtLeast(1, 1) {", "	if false {", "platform", "TestOldProtocol"),
+    ("old-protocol", "platform/door.go", "	case !q.ProtoAtLeast(1, 1):", "	case false:", "platform", "TestOldProtocol"),
+    ("unknown-end", "platform/door.go", "	default:\n		panic(http.ErrAbortHandler)\n", "", "platform", "TestUnknownEnd"),
+    ("message-trailing", "rpc/rpc.go", "	if len(rest) > 0 {", "	if false {", "rpc", "TestMessageTrailing"),
     ("early-end", "platform/door.go", "		if e.Begun {\n", "		if false {\n", "platform", "TestEarlyEnd$"),
-    ("half-sent", "platform/door.go", "		panic(http.ErrAbortHandler) // it was not read whole\n", "", "platform", "TestHalfSentRequest"),
+    ("half-sent", "platform/door.go", "		panic(http.ErrAbortHandler) // it was not read whole\n", "		finish(w, d.Node.Carry(q.Context(), newRequest(q, body, at), &sink{w: w, flush: http.NewResponseController(w)}))\n", "platform", "TestHalfSentRequest"),
     ("client-steers", "platform/door.go", "		r.Header.Del(k) // the system's own to set\n", "		_ = k\n", "platform", "TestClientCannotSteer"),
 ]
 
