--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -175,6 +175,7 @@
     ("call-id-connection", "rpc/callid.go", "		conn.Close()\n", "", "rpc", "TestCallOnce"),
     ("call-id-echoed", "rpc/callid.go", "			w.Header().Set(callIdHeader, id)\n", "			_ = id\n", "rpc", "TestEcho"),
     ("call-redirect", "rpc/rpc.go", ", CheckRedirect: noRedirect", "", "rpc", "TestCallOnce"),
+    ("first-byte", "platform/connection.go", "m.bytes.Load() == bytes", "m.bytes.Load() <= bytes+1", "platform", "TestFirstByte"),
     ("refused-id-again", "platform/connection.go", "		if s.conn.barred(id) {", "		if false {", "platform", "TestSameIdAgain"),
     ("refused-ids-bounded", "platform/connection.go", " || len(m.refused) >= maxRefusals", "", "platform", "TestTurnedAwayReuse"),
     ("stray-to-own-call", "platform/back.go", "	if a.Header.Get(attemptHeader) != \"\" {\n		s.abandon(a)\n		return failure.New(failure.Away", "	if false {\n		s.abandon(a)\n		return failure.New(failure.Away", "platform", "TestStrayAnswerToOwnCalls"),
