--- a/cmd/berth/main.go
+++ b/cmd/berth/main.go
@@ -47,7 +47,7 @@
 }
 
 // watch reads the settings again at a hang-up, for the seeds they name.
-func watch(ctx context.Context, book *coordination.Book) {
+func watch(ctx context.Context, book *coordination.Directory) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	go func() {
@@ -94,19 +94,19 @@
 	asked, stop := boot.Signals()
 	defer stop()
 	ctx := boot.HandOver(asked, c, min(handOverMost, s.Grace-handOverSpare))
-	watch(ctx, c.Book())
+	watch(ctx, c.Directory())
 	mux := http.NewServeMux()
 	c.Mount(mux)
-	operate(mux, s, c.Caller(), c.Book(), ring)
+	operate(mux, s, c.Caller(), c.Directory(), ring)
 	boot.Serve(ctx, host, s.Control, mux, func(err error) { boot.Fail("berth core", err) })
 	return c.Run(ctx)
 }
 
 // operate puts the operators' calls on a mux: the platform's, and the product's own for
 // the program set.
-func operate(mux *http.ServeMux, s *platform.Settings, call *rpc.Caller, book *coordination.Book, ring *logging.Ring) {
-	(&platform.Operator{Call: call, Book: book, Zones: s.Zones, Ring: ring}).Mount(mux)
-	api.MountOperator(mux, &proxy.Operator{Call: call, Book: book, Zones: s.Zones})
+func operate(mux *http.ServeMux, s *platform.Settings, call *rpc.Caller, book *coordination.Directory, ring *logging.Ring) {
+	(&platform.Operator{Call: call, Directory: book, Zones: s.Zones, Ring: ring}).Mount(mux)
+	api.MountOperator(mux, &proxy.Operator{Call: call, Directory: book, Zones: s.Zones})
 }
 
 // desk serves the operator on a machine without a disk: it holds nothing and asks the core.
@@ -115,7 +115,7 @@
 	defer stop()
 	call := rpc.NewCaller(host.Net)
 	defer call.Close()
-	book := coordination.NewBook(host, call, s.Seeds, coordination.Seat{Addr: s.Control})
+	book := coordination.NewDirectory(host, call, s.Seeds, coordination.Replica{Addr: s.Control})
 	watch(ctx, book)
 	mux := http.NewServeMux()
 	book.Serve(mux)
@@ -166,7 +166,7 @@
 	defer stop()
 	listen, shut := context.WithCancel(context.Background())
 	defer shut()
-	watch(listen, n.Book())
+	watch(listen, n.Directory())
 	fail := func(err error) { boot.Fail("berth node", err) }
 	peers := http.NewServeMux()
 	n.Mount(peers)
--- a/cmd/gauge/fleet.go
+++ b/cmd/gauge/fleet.go
@@ -46,7 +46,7 @@
 	dir     string
 	host    seam.Host
 	call    *rpc.Caller
-	book    *coordination.Book
+	book    *coordination.Directory
 	tenets  []*proc
 	holders []*proc
 	empty   *proc // holds no node: what the looking costs
@@ -257,7 +257,7 @@
 		return f, err
 	}
 	f.call = rpc.NewCaller(f.host.Net)
-	f.book = coordination.NewBook(f.host, f.call, f.seeds, coordination.Seat{})
+	f.book = coordination.NewDirectory(f.host, f.call, f.seeds, coordination.Replica{})
 	if err := f.lists(); err != nil {
 		return f, err
 	}
--- a/cmd/gauge/hollow.go
+++ b/cmd/gauge/hollow.go
@@ -41,7 +41,7 @@
 		return -1
 	}
 	var img coordination.Image
-	if _, err := img.UnmarshalMsg(r.Picture); err != nil {
+	if _, err := img.UnmarshalMsg(r.Snapshot); err != nil {
 		return -1
 	}
 	return len(img.Members)
--- a/cmd/tenet/main.go
+++ b/cmd/tenet/main.go
@@ -70,7 +70,7 @@
 	mux := http.NewServeMux()
 	core.Mount(mux)
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		ok := core.Book().Record().Founding != ""
+		ok := core.Directory().Record().Founding != ""
 		code := http.StatusOK
 		if !ok {
 			code = http.StatusServiceUnavailable
@@ -78,7 +78,7 @@
 		api.Write(w, code, map[string]any{"ready": ok, "leads": core.Leads()})
 	})
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
-		api.Write(w, http.StatusOK, map[string]any{"leads": core.Leads(), "page": core.Book().Page()})
+		api.Write(w, http.StatusOK, map[string]any{"leads": core.Leads(), "page": core.Directory().Page()})
 	})
 	boot.Serve(ctx, host, s.Addr, mux, func(err error) { boot.Fail("tenet", err) })
 	boot.Fail("tenet", core.Run(ctx))
--- a/coordination/agent.go
+++ b/coordination/agent.go
@@ -24,7 +24,7 @@
 type Follower interface {
 	Restore(open []byte) error
 	Fold(seq ids.Seq, kind string, body []byte) (loud bool)
-	Picture() []byte
+	Snapshot() []byte
 }
 
 // AgentOptions name a node to the core.
@@ -49,10 +49,10 @@
 
 // Agent is safe for use by many threads. NewAgent makes one, Mount and Run start it.
 type Agent struct {
-	opt  AgentOptions
-	call *rpc.Caller
-	book *Book
-	feed *feed
+	opt       AgentOptions
+	call      *rpc.Caller
+	directory *Directory
+	feed      *feed
 
 	mu        sync.Mutex
 	newsEpoch ids.Epoch // of the news that was taken last; older news is not taken
@@ -81,14 +81,14 @@
 		opt.Ring = logging.Mute()
 	}
 	a := &Agent{opt: opt, call: rpc.NewCaller(opt.Host.Net), feed: newFeed(), poke: make(chan struct{}, 1)}
-	a.book = NewBook(opt.Host, a.call, opt.Seeds, Seat{Addr: opt.Me.Addr})
+	a.directory = NewDirectory(opt.Host, a.call, opt.Seeds, Replica{Addr: opt.Me.Addr})
 	a.sight.Store(&sight{grants: map[ids.Key]Grant{}})
 	a.tick.Store(int64(opt.Host.Clock.Now()))
 	return a
 }
 
-// Book is what the agent knows of where everyone is.
-func (a *Agent) Book() *Book { return a.book }
+// Directory is what the agent knows of where everyone is.
+func (a *Agent) Directory() *Directory { return a.directory }
 
 // Caller asks other processes over the agent's network.
 func (a *Agent) Caller() *rpc.Caller { return a.call }
@@ -98,7 +98,7 @@
 
 // Mount lets neighbours ask whereabouts and news of this node.
 func (a *Agent) Mount(mux *http.ServeMux) {
-	a.book.Serve(mux)
+	a.directory.Serve(mux)
 	rpc.Handle(mux, "crux/news", func(ctx context.Context, q *NewsAsk) (*NewsReply, error) {
 		if a.sight.Load().seq == 0 {
 			return nil, failure.New(failure.Away, "news", a.opt.Me.Addr, "nothing is known yet")
@@ -117,7 +117,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := a.sight.Load()
-	img := &Image{Seq: s.seq, Fence: s.fence, Members: s.members, App: a.opt.View.Picture()}
+	img := &Image{Seq: s.seq, Fence: s.fence, Members: s.members, App: a.opt.View.Snapshot()}
 	for _, g := range s.grants {
 		img.Grants = append(img.Grants, g)
 	}
@@ -128,7 +128,7 @@
 // goodbye, so that its keys pass on at once.
 func (a *Agent) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go(func() { a.book.Keep(ctx, func() bool { return a.sent.Load() > 0 && a.Fresh() < 3*a.opt.Renew }) })
+	wg.Go(func() { a.directory.Keep(ctx, func() bool { return a.sent.Load() > 0 && a.Fresh() < 3*a.opt.Renew }) })
 	wg.Go(func() { a.follow(ctx) })
 	wg.Go(func() { a.keep(ctx) })
 	wg.Go(func() {
@@ -249,7 +249,7 @@
 		if err != nil {
 			wait = 100*time.Millisecond + rand.N(150*time.Millisecond)
 			if ctx.Err() == nil {
-				a.book.Ask(ctx, 3)
+				a.directory.Ask(ctx, 3)
 			}
 		}
 		t := time.NewTimer(wait)
@@ -283,7 +283,7 @@
 		}
 		return true
 	})
-	r, err := rpc.Call[RenewAsk, RenewReply](ctx, a.call, a.book.Addr(a.book.Record().Primary), "crux/renew", q)
+	r, err := rpc.Call[RenewAsk, RenewReply](ctx, a.call, a.directory.Addr(a.directory.Record().Primary), "crux/renew", q)
 	if err != nil {
 		return err
 	}
--- a/coordination/agent_test.go
+++ b/coordination/agent_test.go
@@ -20,7 +20,7 @@
 
 func (blank) Restore([]byte) error              { return nil }
 func (blank) Fold(ids.Seq, string, []byte) bool { return false }
-func (blank) Picture() []byte                   { return nil }
+func (blank) Snapshot() []byte                  { return nil }
 
 // TestLateNews: a lease that lapsed and is renewed gives back no key before the
 // news up to the renewal is folded, since the key may have gone elsewhere.
@@ -36,7 +36,7 @@
 		require.NoError(t, err)
 		go rpc.Serve(ctx, l, mux)
 		a := NewAgent(AgentOptions{Me: Member{Node: "n", Addr: "10.0.0.2:1"}, Host: node.Host(), View: blank{}})
-		a.book.Learn(&WhereAsk{Record: Record{Epoch: 1, Founding: "f", Primary: Seat{Disk: "d", Addr: "10.0.0.1:1"}}})
+		a.directory.Learn(&WhereAsk{Record: Record{Epoch: 1, Founding: "f", Primary: Replica{Disk: "d", Addr: "10.0.0.1:1"}}})
 		at := func(seq ids.Seq) {
 			a.sight.Store(&sight{seq: seq, grants: map[ids.Key]Grant{"k": {Key: "k", Node: "n", Fence: 3}}})
 		}
--- a/coordination/anew.go
+++ b/coordination/anew.go
@@ -39,7 +39,7 @@
 	next := rec
 	next.Epoch += anewJump
 	next.Before = nil
-	next.Primary, next.Holders = c.me, append([]Seat{c.me}, spare...)
+	next.Primary, next.Holders = c.me, append([]Replica{c.me}, spare...)
 	next.follow(spare[:rec.losses()])
 	if !c.begin(ctx, next, Pack(img), shelf) {
 		return c.notAnew("the empty machines at %s and %s did not agree; order it again", spare[0].Addr, spare[1].Addr)
@@ -55,18 +55,18 @@
 
 // listen waits for empty machines, as many as are needed, and for holders that may live after
 // all: then the founding is refused.
-func (c *Core) listen(ctx context.Context, rec Record) ([]Seat, error) {
+func (c *Core) listen(ctx context.Context, rec Record) ([]Replica, error) {
 	need := 2 * rec.losses()
 	from := c.opt.Host.Clock.Now()
 	for now := from; ; now = c.opt.Host.Clock.Now() {
-		c.book.Ask(ctx, 8)
-		if f := c.book.Foreign(); f != "" {
+		c.directory.Ask(ctx, 8)
+		if f := c.directory.Foreign(); f != "" {
 			return nil, c.notAnew("the seeds lead to another fleet, %s", f)
 		}
-		if known := c.book.Record(); known.Epoch > rec.Epoch {
+		if known := c.directory.Record(); known.Epoch > rec.Epoch {
 			return nil, c.notAnew("this disk is behind: it knows epoch %d, others know %d with the data at %s and %s", rec.Epoch, known.Epoch, known.Primary.Addr, known.Backup.Addr)
 		}
-		all, _ := c.book.heard(2 * time.Second)
+		all, _ := c.directory.heard(2 * time.Second)
 		for _, s := range all {
 			if holds(rec.Holders, s.Disk) {
 				return nil, c.notAnew("the holder at %s lives; the core will be back when two of three are", s.Addr)
@@ -89,18 +89,18 @@
 func (c *Core) jump() (ids.Seq, *Image, []Sheet, error) {
 	c.dataMu.Lock()
 	defer c.dataMu.Unlock()
-	seq := c.roll.seq
-	c.roll.fence += anewJump
-	c.roll.seq += anewJump
+	seq := c.state.seq
+	c.state.fence += anewJump
+	c.state.seq += anewJump
 	// Who holds what may have changed beyond this disk's knowledge: all is dealt anew.
-	c.roll.grants = map[ids.Key]Grant{}
-	c.roll.digest, c.roll.history = stateDigest(c.roll.seq, []byte(Name())), history{}
-	img, shelf := c.roll.picture(false), sheets(c.roll.app)
+	c.state.grants = map[ids.Key]Grant{}
+	c.state.digest, c.state.history = stateDigest(c.state.seq, []byte(Name())), history{}
+	img, shelf := c.state.snapshot(false), sheets(c.state.app)
 	return seq, img, shelf, c.store.reset(img, shelf)
 }
 
 // begin makes a first record with those who hold nothing yet: all promise, the
-// backup takes the picture, and the backup accepts first.
+// backup takes the snapshot, and the backup accepts first.
 func (c *Core) begin(ctx context.Context, rec Record, body []byte, shelf []Sheet) bool {
 	ask := &BallotAsk{Epoch: rec.Epoch, From: c.me, Record: rec}
 	if _, yes := c.poll(ctx, ask, rec.Holders, nil); len(yes) < len(rec.Holders) {
@@ -121,7 +121,7 @@
 		}
 	}
 	for _, s := range append(order, c.me) {
-		if _, yes := c.poll(ctx, ask, []Seat{s}, nil); len(yes) < 1 {
+		if _, yes := c.poll(ctx, ask, []Replica{s}, nil); len(yes) < 1 {
 			return false
 		}
 	}
--- a/coordination/anew_test.go
+++ b/coordination/anew_test.go
@@ -23,7 +23,7 @@
 		lead := f.leader()
 		var data string
 		for ip, c := range f.cores {
-			if b := c.Book().Record().Backup.Addr; b == ip+":1" {
+			if b := c.Directory().Record().Backup.Addr; b == ip+":1" {
 				data = ip
 			}
 		}
@@ -68,7 +68,7 @@
 		defer f.close()
 		require.NoError(t, f.add(7, "a", 10*time.Second))
 		time.Sleep(2 * time.Second)
-		rec := f.cores[f.leader()].Book().Record()
+		rec := f.cores[f.leader()].Directory().Record()
 		at := func(addr string) string { return addr[:8] }
 		var witness string
 		for _, s := range rec.Holders {
--- a/coordination/asks.go
+++ b/coordination/asks.go
@@ -27,10 +27,10 @@
 
 // WhereAsk is asked of anyone by anyone; both sides learn.
 type WhereAsk struct {
-	Me      Seat
+	Me      Replica
 	Blank   bool
 	Record  Record
-	Seats   []Seat
+	Seats   []Replica
 	Members []Member
 	Seq     ids.Seq // of the log, that the members are as of
 	Leaving bool    `msg:"Leaving,omitempty"` // it is about to end and takes on nothing new
--- a/coordination/asks_gen.go
+++ b/coordination/asks_gen.go
@@ -320,7 +320,7 @@
 			if cap(z.Seats) >= int(zb0002) {
 				z.Seats = (z.Seats)[:zb0002]
 			} else {
-				z.Seats = make([]Seat, zb0002)
+				z.Seats = make([]Replica, zb0002)
 			}
 			for za0001 := range z.Seats {
 				bts, err = z.Seats[za0001].UnmarshalMsg(bts)
--- a/coordination/bad_append_test.go
+++ b/coordination/bad_append_test.go
@@ -12,9 +12,9 @@
 // TestStrangerAppend: entries of a member that isn't the primary of the accepted record,
 // such as that of another fleet at an equal epoch, change nothing.
 func TestStrangerAppend(t *testing.T) {
-	withMember(t, func(c *Core, _ Seat) {
+	withMember(t, func(c *Core, _ Replica) {
 		c.reg.Accepted.Epoch = 2
-		ask := &AppendAsk{Epoch: 2, From: Seat{Disk: "stranger", Addr: "10.0.0.3:1"}, Prev: 2, Entries: []Entry{{Seq: 3, Kind: "put", Body: []byte("three")}}}
+		ask := &AppendAsk{Epoch: 2, From: Replica{Disk: "stranger", Addr: "10.0.0.3:1"}, Prev: 2, Entries: []Entry{{Seq: 3, Kind: "put", Body: []byte("three")}}}
 		r, err := c.append(context.Background(), ask)
 		require.True(t, err != nil || !r.Ok)
 		requireOld(t, c)
@@ -24,12 +24,12 @@
 // TestWrongNumber: an entry with another number than the one due is refused before it is
 // written, or the disk couldn't be read back.
 func TestWrongNumber(t *testing.T) {
-	withMember(t, func(c *Core, proposer Seat) {
+	withMember(t, func(c *Core, proposer Replica) {
 		c.reg.Accepted.Epoch = 2
 		ask := &AppendAsk{Epoch: 2, From: proposer, Prev: 2, Entries: []Entry{{Seq: 7, Kind: "put", Body: []byte("three")}}}
 		r, err := c.append(context.Background(), ask)
 		require.True(t, err != nil || !r.Ok)
 		requireOld(t, c)
-		require.NoError(t, c.store.load(newRoll(&listMachine{})))
+		require.NoError(t, c.store.load(newReplicatedState(&listMachine{})))
 	})
 }
--- a/coordination/bad_message_test.go
+++ b/coordination/bad_message_test.go
@@ -18,19 +18,19 @@
 
 // withMember runs f with a member that holds two entries and has promised epoch 2 to
 // the proposer of the founding "f".
-func withMember(t *testing.T, f func(c *Core, proposer Seat)) {
+func withMember(t *testing.T, f func(c *Core, proposer Replica)) {
 	synctest.Test(t, func(t *testing.T) {
 		machine := sham.NewWorld(1).Machine("10.0.0.1")
 		c, err := New(Options{Addr: "10.0.0.1:1", Host: machine.Start().Host(), Machine: func() Machine { return &listMachine{} }})
 		require.NoError(t, err)
-		proposer := Seat{Disk: "proposer", Addr: "10.0.0.2:1"}
+		proposer := Replica{Disk: "proposer", Addr: "10.0.0.2:1"}
 		for _, body := range []string{"one", "two"} {
 			e := Entry{Kind: "put", Body: []byte(body)}
-			_, err := c.roll.apply(&e)
+			_, err := c.state.apply(&e)
 			require.NoError(t, err)
 			require.NoError(t, c.store.append([]Entry{e}))
 		}
-		c.reg = register{Promised: 2, Accepted: Record{Epoch: 1, Founding: "f", Primary: proposer, Backup: c.me, Holders: []Seat{proposer, c.me}}}
+		c.reg = register{Promised: 2, Accepted: Record{Epoch: 1, Founding: "f", Primary: proposer, Backup: c.me, Holders: []Replica{proposer, c.me}}}
 		f(c, proposer)
 		machine.PowerOff()
 		time.Sleep(time.Minute)
@@ -39,52 +39,52 @@
 
 // snapshotOf gives a snapshot of a machine with seven other values.
 func snapshotOf(t *testing.T) (body []byte, all []Sheet) {
-	r := newRoll(&listMachine{})
+	r := newReplicatedState(&listMachine{})
 	for range 7 {
 		_, err := r.apply(&Entry{Kind: "put", Op: "op", Body: []byte("other")})
 		require.NoError(t, err)
 	}
-	return Pack(r.picture(false)), sheets(r.app)
+	return Pack(r.snapshot(false)), sheets(r.app)
 }
 
 func requireOld(t *testing.T, c *Core) {
-	require.Equal(t, "one,two", c.roll.app.(*listMachine).all())
-	require.EqualValues(t, 2, c.roll.seq)
+	require.Equal(t, "one,two", c.state.app.(*listMachine).all())
+	require.EqualValues(t, 2, c.state.seq)
 	require.Zero(t, c.ready.Load())
 }
 
 // TestCutSnapshot: a snapshot that a proposer sent and that was cut short anywhere is
 // refused, and the data stays as it was; whole, it is taken.
 func TestCutSnapshot(t *testing.T) {
-	withMember(t, func(c *Core, proposer Seat) {
+	withMember(t, func(c *Core, proposer Replica) {
 		body, all := snapshotOf(t)
 		for _, one := range all {
 			require.NoError(t, c.store.keepSheet(one))
 		}
 		for size := range body {
-			r, err := c.picture(context.Background(), &PictureAsk{Epoch: 2, From: proposer, Body: body[:size]})
+			r, err := c.snapshot(context.Background(), &SnapshotAsk{Epoch: 2, From: proposer, Body: body[:size]})
 			require.True(t, err != nil || !r.Ok, "cut to %d of %d bytes", size, len(body))
 			if err != nil {
 				require.NotContains(t, err.Error(), "\n")
 			}
 			requireOld(t, c)
 		}
-		r, err := c.picture(context.Background(), &PictureAsk{Epoch: 2, From: proposer, Body: body})
+		r, err := c.snapshot(context.Background(), &SnapshotAsk{Epoch: 2, From: proposer, Body: body})
 		require.NoError(t, err)
 		require.True(t, r.Ok)
-		require.Equal(t, strings.Repeat("other,", 6)+"other", c.roll.app.(*listMachine).all())
+		require.Equal(t, strings.Repeat("other,", 6)+"other", c.state.app.(*listMachine).all())
 	})
 }
 
 // TestWrongSheet: a sheet whose content doesn't fit its name is refused, in a message
 // as well as in a snapshot.
 func TestWrongSheet(t *testing.T) {
-	withMember(t, func(c *Core, proposer Seat) {
+	withMember(t, func(c *Core, proposer Replica) {
 		body, all := snapshotOf(t)
 		changed := bytes.ToUpper(all[0].Body)
 		_, err := c.sheet(context.Background(), &SheetAsk{Epoch: 2, Name: all[0].Name, Body: changed})
 		require.ErrorContains(t, err, "does not fit its name")
-		r, err := c.picture(context.Background(), &PictureAsk{Epoch: 2, From: proposer, Body: body})
+		r, err := c.snapshot(context.Background(), &SnapshotAsk{Epoch: 2, From: proposer, Body: body})
 		require.NoError(t, err)
 		require.Equal(t, []string{all[0].Name}, r.Lacks)
 		requireOld(t, c)
@@ -94,16 +94,16 @@
 // TestOtherEpoch: a snapshot of an epoch that wasn't promised, or a register's ballot of
 // another founding, changes nothing.
 func TestOtherEpoch(t *testing.T) {
-	withMember(t, func(c *Core, proposer Seat) {
+	withMember(t, func(c *Core, proposer Replica) {
 		body, all := snapshotOf(t)
 		require.NoError(t, c.store.keepSheet(all[0]))
 		for _, epoch := range []ids.Epoch{0, 1, 3} {
-			r, err := c.picture(context.Background(), &PictureAsk{Epoch: epoch, From: proposer, Body: body})
+			r, err := c.snapshot(context.Background(), &SnapshotAsk{Epoch: epoch, From: proposer, Body: body})
 			require.NoError(t, err)
 			require.False(t, r.Ok, "epoch %d", epoch)
 			requireOld(t, c)
 		}
-		ballot, err := c.ballot(context.Background(), &BallotAsk{Epoch: 9, From: proposer, Record: Record{Epoch: 9, Founding: "another", Primary: proposer, Holders: []Seat{c.me}}})
+		ballot, err := c.ballot(context.Background(), &BallotAsk{Epoch: 9, From: proposer, Record: Record{Epoch: 9, Founding: "another", Primary: proposer, Holders: []Replica{c.me}}})
 		require.NoError(t, err)
 		require.False(t, ballot.Ok)
 		require.Equal(t, "another founding", ballot.Why)
@@ -113,7 +113,7 @@
 
 // TestOtherAppend: entries that don't follow, or of another epoch, change nothing.
 func TestOtherAppend(t *testing.T) {
-	withMember(t, func(c *Core, proposer Seat) {
+	withMember(t, func(c *Core, proposer Replica) {
 		c.reg.Accepted.Epoch = 2
 		entry := Entry{Seq: 3, Kind: "put", Body: []byte("three")}
 		for name, ask := range map[string]*AppendAsk{
--- a/coordination/ballot_note.go
+++ b/coordination/ballot_note.go
@@ -12,7 +12,7 @@
 // BallotAsk is either round: promise, or accept of Record.
 type BallotAsk struct {
 	Epoch    ids.Epoch
-	From     Seat
+	From     Replica
 	Accept   bool
 	Takeover bool
 	Record   Record
--- a/coordination/catchup.go
+++ b/coordination/catchup.go
@@ -31,7 +31,7 @@
 type stateCopy struct {
 	core   *Core
 	locked bool // the caller holds dataMu
-	roll   *roll
+	state  *replicatedState
 	seq    ids.Seq
 	digest []byte
 	body   []byte
@@ -44,7 +44,7 @@
 		c.dataMu.Lock()
 		defer c.dataMu.Unlock()
 	}
-	return &stateCopy{core: c, locked: locked, roll: c.roll, seq: c.roll.seq, digest: c.roll.digest}
+	return &stateCopy{core: c, locked: locked, state: c.state, seq: c.state.seq, digest: c.state.digest}
 }
 
 // use runs a function on the state, unless that has changed.
@@ -53,7 +53,7 @@
 		s.core.dataMu.Lock()
 		defer s.core.dataMu.Unlock()
 	}
-	if s.core.roll != s.roll || s.roll.seq != s.seq {
+	if s.core.state != s.state || s.state.seq != s.seq {
 		return failure.New(failure.Stale, "copy state", s.core.me.Addr, "the state has changed meanwhile")
 	}
 	f()
@@ -62,7 +62,7 @@
 
 // after gives the entries that a replica at this place lacks.
 func (s *stateCopy) after(seq ids.Seq, digest []byte) (entries []Entry, ok bool) {
-	err := s.use(func() { entries, ok = s.roll.history.after(seq, digest) })
+	err := s.use(func() { entries, ok = s.state.history.after(seq, digest) })
 	return entries, ok && err == nil
 }
 
@@ -71,13 +71,13 @@
 	if s.body != nil {
 		return s.body, s.sheets, nil
 	}
-	err := s.use(func() { s.body, s.sheets = Pack(s.roll.picture(false)), sheets(s.roll.app) })
+	err := s.use(func() { s.body, s.sheets = Pack(s.state.snapshot(false)), sheets(s.state.app) })
 	return s.body, s.sheets, err
 }
 
 // bring makes a backup-to-be ready for an epoch.
-func (c *Core) bring(ctx context.Context, e ids.Epoch, to Seat, state *stateCopy) error {
-	ask := &PictureAsk{Epoch: e, From: c.me, Seq: state.seq, Digest: state.digest}
+func (c *Core) bring(ctx context.Context, e ids.Epoch, to Replica, state *stateCopy) error {
+	ask := &SnapshotAsk{Epoch: e, From: c.me, Seq: state.seq, Digest: state.digest}
 	r, err := c.sendState(ctx, to, ask)
 	if err == nil && r.Behind {
 		if entries, ok := state.after(r.Last, r.Digest); ok {
@@ -96,10 +96,10 @@
 }
 
 // bringWhole sends the whole state, and first the sheets that the other lacks.
-func (c *Core) bringWhole(ctx context.Context, e ids.Epoch, to Seat, body []byte, all []Sheet) error {
+func (c *Core) bringWhole(ctx context.Context, e ids.Epoch, to Replica, body []byte, all []Sheet) error {
 	c.copies.Add(1)
 	c.opt.Ring.Info().Str("to", to.Addr).Int("bytes", len(body)).Msg("sends its whole state")
-	ask := &PictureAsk{Epoch: e, From: c.me, Body: body}
+	ask := &SnapshotAsk{Epoch: e, From: c.me, Body: body}
 	r, err := c.sendState(ctx, to, ask)
 	if err == nil && len(r.Lacks) > 0 {
 		if err = c.lend(ctx, e, to, r.Lacks, all); err == nil {
@@ -109,23 +109,23 @@
 	return refused(r, err, to)
 }
 
-func (c *Core) sendState(ctx context.Context, to Seat, ask *PictureAsk) (*AppendReply, error) {
+func (c *Core) sendState(ctx context.Context, to Replica, ask *SnapshotAsk) (*AppendReply, error) {
 	ctx, stop := context.WithTimeout(ctx, sendTime(ask.Msgsize()))
 	defer stop()
-	return rpc.Call[PictureAsk, AppendReply](ctx, c.call, c.book.Addr(to), "crux/picture", ask)
+	return rpc.Call[SnapshotAsk, AppendReply](ctx, c.call, c.directory.Addr(to), "crux/picture", ask)
 }
 
 // refused makes a refusal an error.
-func refused(r *AppendReply, err error, by Seat) error {
+func refused(r *AppendReply, err error, by Replica) error {
 	if err == nil && !r.Ok {
 		return failure.New(failure.Stale, "send picture", by.Addr, "refused, promised %d", r.Promised)
 	}
 	return err
 }
 
-// picture readies this core as a backup, synced. Only the one that this register has promised
+// snapshot readies this core as a backup, synced. Only the one that this register has promised
 // the epoch to may ask for that.
-func (c *Core) picture(_ context.Context, q *PictureAsk) (*AppendReply, error) {
+func (c *Core) snapshot(_ context.Context, q *SnapshotAsk) (*AppendReply, error) {
 	c.dataMu.Lock()
 	defer c.dataMu.Unlock()
 	c.regMu.Lock()
@@ -141,24 +141,24 @@
 }
 
 // followOn takes the entries that this core lacks, if it stands right before them.
-func (c *Core) followOn(q *PictureAsk) (*AppendReply, error) {
-	if c.sour {
+func (c *Core) followOn(q *SnapshotAsk) (*AppendReply, error) {
+	if c.mustReload {
 		return &AppendReply{Promised: q.Epoch, Behind: true}, nil
 	}
-	if len(q.Entries) > 0 && follow(q.Entries, c.roll.seq) {
+	if len(q.Entries) > 0 && follow(q.Entries, c.state.seq) {
 		if err := c.store.append(q.Entries); err != nil {
-			c.sour = true
+			c.mustReload = true
 			return nil, err
 		}
 		if err := c.applyAll(q.Entries); err != nil {
 			return nil, failure.Wrap(err, "apply entry", q.From.Addr)
 		}
 	}
-	if c.roll.seq != q.Seq || !bytes.Equal(c.roll.digest, q.Digest) {
-		return &AppendReply{Promised: q.Epoch, Behind: true, Last: c.roll.seq, Digest: c.roll.digest}, nil
+	if c.state.seq != q.Seq || !bytes.Equal(c.state.digest, q.Digest) {
+		return &AppendReply{Promised: q.Epoch, Behind: true, Last: c.state.seq, Digest: c.state.digest}, nil
 	}
 	c.ready.Store(uint64(q.Epoch))
-	return &AppendReply{Ok: true, Last: c.roll.seq, Promised: q.Epoch}, nil
+	return &AppendReply{Ok: true, Last: c.state.seq, Promised: q.Epoch}, nil
 }
 
 // follow tells whether entries bear the numbers that come after seq.
@@ -175,8 +175,8 @@
 // before it is used if one cannot be applied.
 func (c *Core) applyAll(entries []Entry) error {
 	for i := range entries {
-		if _, err := c.roll.apply(&entries[i]); err != nil {
-			c.sour = true
+		if _, err := c.state.apply(&entries[i]); err != nil {
+			c.mustReload = true
 			return err
 		}
 	}
@@ -184,12 +184,12 @@
 }
 
 // restore replaces all data with the proposer's.
-func (c *Core) restore(q *PictureAsk, promised ids.Epoch) (*AppendReply, error) {
+func (c *Core) restore(q *SnapshotAsk, promised ids.Epoch) (*AppendReply, error) {
 	var img Image
 	if _, err := img.UnmarshalMsg(q.Body); err != nil {
 		return nil, failure.As(err, failure.Bad, "read picture", q.From.Addr)
 	}
-	near := sheets(c.roll.app)
+	near := sheets(c.state.app)
 	known := map[string]bool{}
 	for _, one := range near {
 		known[one.Name] = true
@@ -203,15 +203,15 @@
 	if len(lacks) > 0 {
 		return &AppendReply{Promised: promised, Lacks: lacks}, nil
 	}
-	fresh := newRoll(c.opt.Machine())
+	fresh := newReplicatedState(c.opt.Machine())
 	if err := c.store.restore(fresh, &img, near); err != nil {
 		return nil, err
 	}
 	if err := c.store.reset(&img, sheets(fresh.app)); err != nil {
-		c.sour = true
+		c.mustReload = true
 		return nil, err
 	}
-	c.roll, c.sour = fresh, false
+	c.state, c.mustReload = fresh, false
 	c.ready.Store(uint64(q.Epoch))
 	return &AppendReply{Ok: true, Last: img.Seq, Promised: promised}, nil
 }
--- a/coordination/core.go
+++ b/coordination/core.go
@@ -55,21 +55,21 @@
 // Core is safe for use by many threads. New makes one, Mount and Run start it, Leave prepares
 // its end.
 type Core struct {
-	opt   Options
-	me    Seat
-	call  *rpc.Caller
-	book  *Book
-	store *store
-	feed  *feed
+	opt       Options
+	me        Replica
+	call      *rpc.Caller
+	directory *Directory
+	store     *store
+	feed      *feed
 
 	regMu seam.Latch
 	reg   register
 	heard map[ids.DiskId]ids.Tick
 
-	dataMu seam.Latch
-	roll   *roll
-	ready  atomic.Uint64
-	sour   bool
+	dataMu     seam.Latch
+	state      *replicatedState
+	ready      atomic.Uint64
+	mustReload bool
 
 	lead    atomic.Pointer[leader]
 	top     atomic.Uint64
@@ -93,23 +93,23 @@
 	if err != nil {
 		return nil, failure.Wrap(err, "open identity", "disk")
 	}
-	c.me = Seat{Disk: ids.DiskId(id), Addr: opt.Addr, Zone: opt.Zone}
+	c.me = Replica{Disk: ids.DiskId(id), Addr: opt.Addr, Zone: opt.Zone}
 	if c.reg, err = c.store.loadRegister(); err != nil {
 		return nil, err
 	}
-	c.roll = newRoll(opt.Machine())
-	if err := c.store.load(c.roll); err != nil {
+	c.state = newReplicatedState(opt.Machine())
+	if err := c.store.load(c.state); err != nil {
 		return nil, err
 	}
 	c.call = rpc.NewCaller(opt.Host.Net)
-	c.book = NewBook(opt.Host, c.call, opt.Seeds, c.me)
-	c.book.me.Blank = c.reg.Accepted.Founding == ""
-	c.book.Learn(&WhereAsk{Record: c.reg.Accepted})
-	if body, err := opt.Host.Disk.Load(bookFile); err == nil {
+	c.directory = NewDirectory(opt.Host, c.call, opt.Seeds, c.me)
+	c.directory.me.Blank = c.reg.Accepted.Founding == ""
+	c.directory.Learn(&WhereAsk{Record: c.reg.Accepted})
+	if body, err := opt.Host.Disk.Load(directoryFile); err == nil {
 		var p WhereAsk
 		if _, err := p.UnmarshalMsg(body); err == nil {
-			p.Me = Seat{}
-			c.book.Learn(&p)
+			p.Me = Replica{}
+			c.directory.Learn(&p)
 		}
 	}
 	return c, nil
@@ -128,8 +128,8 @@
 	return hex.EncodeToString(sum[:12])
 }
 
-// Book is what the core knows of where everyone is.
-func (c *Core) Book() *Book { return c.book }
+// Directory is what the core knows of where everyone is.
+func (c *Core) Directory() *Directory { return c.directory }
 
 // Caller asks other processes over the core's network.
 func (c *Core) Caller() *rpc.Caller { return c.call }
@@ -139,10 +139,10 @@
 
 // Mount puts the core's answers on a mux.
 func (c *Core) Mount(mux *http.ServeMux) {
-	c.book.Serve(mux)
+	c.directory.Serve(mux)
 	rpc.Handle(mux, "crux/ballot", c.ballot)
 	rpc.Handle(mux, "crux/append", c.append)
-	rpc.Handle(mux, "crux/picture", c.picture)
+	rpc.Handle(mux, "crux/picture", c.snapshot)
 	rpc.Handle(mux, "crux/sheet", c.sheet)
 	rpc.Handle(mux, "crux/submit", c.submit)
 	rpc.Handle(mux, "crux/renew", c.renew)
@@ -158,7 +158,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	var wg sync.WaitGroup
-	wg.Go(func() { c.book.Keep(ctx, c.calm) })
+	wg.Go(func() { c.directory.Keep(ctx, c.calm) })
 	wg.Go(func() {
 		if c.opt.Anew {
 			if err := c.anew(ctx); err != nil {
@@ -168,7 +168,7 @@
 		}
 		c.steward(ctx)
 	})
-	wg.Go(func() { c.keepBook(ctx) })
+	wg.Go(func() { c.keepDirectory(ctx) })
 	wg.Go(func() { c.collect(ctx) })
 	var err error
 	select {
@@ -191,21 +191,21 @@
 
 // keepBook saves the whereabouts now and then, so that a restart finds others
 // even when every seed has gone.
-func (c *Core) keepBook(ctx context.Context) {
+func (c *Core) keepDirectory(ctx context.Context) {
 	var old string
 	for seam.Sleep(ctx, 2*time.Second) {
-		p := c.book.Page()
+		p := c.directory.Page()
 		body := string(Pack(p))
 		if body == old || len(p.Seats)+len(p.Members) == 0 || c.store.busy.Load() > 0 {
 			continue
 		}
-		if c.store.within("save book", func() error { return c.opt.Host.Disk.Save(bookFile, []byte(body)) }) == nil {
+		if c.store.within("save book", func() error { return c.opt.Host.Disk.Save(directoryFile, []byte(body)) }) == nil {
 			old = body
 		}
 	}
 }
 
-func holds(list []Seat, d ids.DiskId) bool {
+func holds(list []Replica, d ids.DiskId) bool {
 	for _, s := range list {
 		if s.Disk == d {
 			return true
@@ -220,11 +220,11 @@
 	c.dataMu.Lock()
 	defer c.dataMu.Unlock()
 	rec, promised := c.accepted()
-	r := &AppendReply{Promised: promised, Last: c.roll.seq}
+	r := &AppendReply{Promised: promised, Last: c.state.seq}
 	if q.Epoch < promised || rec.Epoch != q.Epoch || rec.Primary.Disk != q.From.Disk || rec.rank(c.me.Disk) < 0 {
 		return r, nil
 	}
-	if c.sour || q.Prev != c.roll.seq || !follow(q.Entries, q.Prev) {
+	if c.mustReload || q.Prev != c.state.seq || !follow(q.Entries, q.Prev) {
 		return r, nil
 	}
 	c.regMu.Lock()
@@ -232,7 +232,7 @@
 	c.settle(q.Epoch, q.From.Disk)
 	c.regMu.Unlock()
 	if err := c.store.append(q.Entries); err != nil {
-		c.sour = true
+		c.mustReload = true
 		return nil, err
 	}
 	if err := c.applyAll(q.Entries); err != nil {
@@ -242,12 +242,12 @@
 		return &AppendReply{Promised: promised}, nil
 	}
 	if c.store.rows > rowsPerLog {
-		if err := c.store.reset(c.roll.picture(false), sheets(c.roll.app)); err != nil {
-			c.sour = true
+		if err := c.store.reset(c.state.snapshot(false), sheets(c.state.app)); err != nil {
+			c.mustReload = true
 			return nil, err
 		}
 	}
-	return &AppendReply{Ok: true, Last: c.roll.seq, Promised: promised}, nil
+	return &AppendReply{Ok: true, Last: c.state.seq, Promised: promised}, nil
 }
 
 func (c *Core) submit(ctx context.Context, q *SubmitAsk) (*SubmitReply, error) {
--- a/coordination/book.go
+++ b/coordination/directory.go
@@ -1,6 +1,6 @@
-// The book of whereabouts that every process keeps and shares: the newest
+// The directory of whereabouts that every process keeps and shares: the newest
 // record, the disk machines heard of, the members. Three seeds are only where
-// the first pages come from; whoever answers is asked again, so a book outlives
+// the first pages come from; whoever answers is asked again, so a directory outlives
 // the swap of every seed.
 
 package coordination
@@ -18,21 +18,21 @@
 	"keelstair.example/seam"
 )
 
-type seatSeen struct {
-	Seat
+type replicaSeen struct {
+	Replica
 	blank   bool
 	leaving bool
 	at      ids.Tick
 }
 
-// Book is safe for use by many threads.
-type Book struct {
+// Directory is safe for use by many threads.
+type Directory struct {
 	mu      sync.Mutex
 	host    seam.Host
 	seeds   []string
 	me      WhereAsk
 	record  Record
-	seats   map[ids.DiskId]seatSeen
+	seats   map[ids.DiskId]replicaSeen
 	members []Member
 	seq     ids.Seq // of the log, that the members are as of
 	call    *rpc.Caller
@@ -41,14 +41,14 @@
 	heardAt ids.Tick      // when any other process was heard last
 }
 
-// NewBook makes the book of a process: me is its own replica, or only its address. It knows no
+// NewDirectory makes the directory of a process: me is its own replica, or only its address. It knows no
 // more than the seeds, until it asks.
-func NewBook(host seam.Host, call *rpc.Caller, seeds []string, me Seat) *Book {
-	return &Book{host: host, call: call, seeds: seeds, me: WhereAsk{Me: me}, seats: map[ids.DiskId]seatSeen{}, grown: make(chan struct{})}
+func NewDirectory(host seam.Host, call *rpc.Caller, seeds []string, me Replica) *Directory {
+	return &Directory{host: host, call: call, seeds: seeds, me: WhereAsk{Me: me}, seats: map[ids.DiskId]replicaSeen{}, grown: make(chan struct{})}
 }
 
-// Page is what the book would tell another process now.
-func (b *Book) Page() *WhereAsk {
+// Page is what the directory would tell another process now.
+func (b *Directory) Page() *WhereAsk {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.me
@@ -57,7 +57,7 @@
 	now := b.host.Clock.Now()
 	for _, s := range b.seats {
 		if !now.Past(s.at, 10*time.Second) {
-			p.Seats = append(p.Seats, s.Seat)
+			p.Seats = append(p.Seats, s.Replica)
 		}
 	}
 	sort.Slice(p.Seats, func(i, j int) bool { return p.Seats[i].Disk < p.Seats[j].Disk })
@@ -65,7 +65,7 @@
 }
 
 // Learn takes in another's page. Only what the speaker says of itself is dated.
-func (b *Book) Learn(p *WhereAsk) {
+func (b *Directory) Learn(p *WhereAsk) {
 	b.mu.Lock()
 	if b.record.Founding != "" && p.Record.Founding != "" && p.Record.Founding != b.record.Founding {
 		b.foreign = p.Record.Founding
@@ -80,11 +80,11 @@
 		b.heardAt = b.host.Clock.Now()
 	}
 	if p.Me.Disk != "" && p.Me.Disk != b.me.Me.Disk {
-		b.seats[p.Me.Disk] = seatSeen{p.Me, p.Blank, p.Leaving, b.host.Clock.Now()}
+		b.seats[p.Me.Disk] = replicaSeen{p.Me, p.Blank, p.Leaving, b.host.Clock.Now()}
 	}
 	for _, s := range p.Seats {
 		if _, ok := b.seats[s.Disk]; !ok && s.Disk != b.me.Me.Disk {
-			b.seats[s.Disk] = seatSeen{Seat: s, at: b.host.Clock.Now().Add(-5 * time.Second)}
+			b.seats[s.Disk] = replicaSeen{Replica: s, at: b.host.Clock.Now().Add(-5 * time.Second)}
 		}
 	}
 	b.enlist(p.Seq, p.Members)
@@ -96,14 +96,14 @@
 }
 
 // Heard tells when any other process was heard last.
-func (b *Book) Heard() ids.Tick {
+func (b *Directory) Heard() ids.Tick {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.heardAt
 }
 
 // Reseed takes the seeds that changed settings name.
-func (b *Book) Reseed(seeds []string) {
+func (b *Directory) Reseed(seeds []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.seeds = seeds
@@ -111,7 +111,7 @@
 
 // SetMembers is called by those who follow the news themselves; seq is the number of the
 // log up to which they have.
-func (b *Book) SetMembers(seq ids.Seq, ms []Member) {
+func (b *Directory) SetMembers(seq ids.Seq, ms []Member) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.enlist(seq, ms)
@@ -119,28 +119,28 @@
 
 // enlist takes members that are newer than those known. Epochs do not tell: whoever hears
 // of a newer one may know members of long ago.
-func (b *Book) enlist(seq ids.Seq, ms []Member) {
+func (b *Directory) enlist(seq ids.Seq, ms []Member) {
 	if seq > b.seq {
 		b.seq, b.members = seq, ms
 	}
 }
 
 // Record is the newest record that was heard of.
-func (b *Book) Record() Record {
+func (b *Directory) Record() Record {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.record
 }
 
 // Grown is closed when a newer record than that of now is learnt.
-func (b *Book) Grown() <-chan struct{} {
+func (b *Directory) Grown() <-chan struct{} {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.grown
 }
 
 // Tell gives everyone known this page, so that they need not find out by themselves.
-func (b *Book) Tell(ctx context.Context) {
+func (b *Directory) Tell(ctx context.Context) {
 	p := b.Page()
 	for _, a := range b.whom() {
 		go func() {
@@ -152,14 +152,14 @@
 }
 
 // Foreign is the founding id of another fleet that was met, if any.
-func (b *Book) Foreign() string {
+func (b *Directory) Foreign() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.foreign
 }
 
-// Addr gives the freshest address of a seat.
-func (b *Book) Addr(s Seat) string {
+// Addr gives the freshest address of a replica.
+func (b *Directory) Addr(s Replica) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if got, ok := b.seats[s.Disk]; ok {
@@ -168,8 +168,8 @@
 	return s.Addr
 }
 
-// heard gives the seats that spoke for themselves within the span.
-func (b *Book) heard(span time.Duration) (all []Seat, blank []Seat) {
+// heard gives the replicas that spoke for themselves within the span.
+func (b *Directory) heard(span time.Duration) (all []Replica, blank []Replica) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.host.Clock.Now()
@@ -177,30 +177,30 @@
 		if now.Past(s.at, span) {
 			continue
 		}
-		all = append(all, s.Seat)
+		all = append(all, s.Replica)
 		if s.blank {
-			blank = append(blank, s.Seat)
+			blank = append(blank, s.Replica)
 		}
 	}
 	return all, blank
 }
 
 // setLeaving has all pages tell from now on that this process is about to end.
-func (b *Book) setLeaving() {
+func (b *Directory) setLeaving() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.me.Leaving = true
 }
 
 // leaving tells whether a replica said that it is about to end.
-func (b *Book) leaving(d ids.DiskId) bool {
+func (b *Directory) leaving(d ids.DiskId) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.seats[d].leaving
 }
 
 // whom lists every address worth asking.
-func (b *Book) whom() []string {
+func (b *Directory) whom() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	set := map[string]bool{}
@@ -226,7 +226,7 @@
 }
 
 // Ask asks so many of the known, in a random order, and learns.
-func (b *Book) Ask(ctx context.Context, most int) {
+func (b *Directory) Ask(ctx context.Context, most int) {
 	list := b.whom()
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	if len(list) > most {
@@ -250,7 +250,7 @@
 
 // Keep asks for ever: often while the core is unknown, seldom afterwards, and hardly
 // while all is calm, since whoever moves asks the others.
-func (b *Book) Keep(ctx context.Context, calm func() bool) {
+func (b *Directory) Keep(ctx context.Context, calm func() bool) {
 	for {
 		most, wait := 4, time.Second
 		switch {
@@ -266,8 +266,8 @@
 	}
 }
 
-// Serve answers others from the book.
-func (b *Book) Serve(mux *http.ServeMux) {
+// Serve answers others from the directory.
+func (b *Directory) Serve(mux *http.ServeMux) {
 	rpc.Handle(mux, "crux/where", func(_ context.Context, q *WhereAsk) (*WhereAsk, error) {
 		b.Learn(q)
 		return b.Page(), nil
--- a/coordination/book_test.go
+++ b/coordination/directory_test.go
@@ -23,7 +23,7 @@
 		}
 		return p
 	}
-	has := func(b *Book, names ...ids.NodeId) {
+	has := func(b *Directory, names ...ids.NodeId) {
 		t.Helper()
 		var got []ids.NodeId
 		for _, m := range b.Page().Members {
@@ -33,7 +33,7 @@
 	}
 	p := sham.NewWorld(1).Machine("10.0.0.1").Start()
 	defer p.Kill()
-	b := NewBook(p.Host(), nil, nil, Seat{Disk: "d", Addr: "d:1"})
+	b := NewDirectory(p.Host(), nil, nil, Replica{Disk: "d", Addr: "d:1"})
 	b.Learn(page(3, 5, "a", "b"))
 	has(b, "a", "b")
 	b.Learn(page(3, 4, "a", "gone"))
--- a/coordination/election.go
+++ b/coordination/election.go
@@ -26,7 +26,7 @@
 	held  ids.Epoch  // the epoch in which the proposer leads already, or 0 for a takeover
 	asked bool       // the primary has asked the proposer to take over
 	out   ids.DiskId // a holder that is replaced
-	in    Seat       // by this one
+	in    Replica    // by this one
 	avoid ids.DiskId // no backup, if another can be
 }
 
@@ -42,14 +42,14 @@
 
 // vote is one replica's answer in a round.
 type vote struct {
-	from  Seat
+	from  Replica
 	reply *BallotReply
 }
 
 // poll asks replicas in either round; it gives the newest record that was told and those who
 // said yes. Once these are enough, the rest get only a moment more; a nil function waits for
 // all of them.
-func (c *Core) poll(ctx context.Context, ask *BallotAsk, whom []Seat, enough func(yes []Seat) bool) (Record, []Seat) {
+func (c *Core) poll(ctx context.Context, ask *BallotAsk, whom []Replica, enough func(yes []Replica) bool) (Record, []Replica) {
 	ctx, stop := context.WithTimeout(ctx, pollWait)
 	defer stop()
 	votes := make(chan vote, len(whom))
@@ -57,7 +57,7 @@
 		go func() { votes <- vote{s, c.askVote(ctx, s, ask)} }()
 	}
 	var newest Record
-	var yes []Seat
+	var yes []Replica
 	var soon <-chan time.Time
 	for range whom {
 		select {
@@ -78,13 +78,13 @@
 }
 
 // askVote gives a replica's answer, which is a plain no where none came.
-func (c *Core) askVote(ctx context.Context, s Seat, ask *BallotAsk) *BallotReply {
+func (c *Core) askVote(ctx context.Context, s Replica, ask *BallotAsk) *BallotReply {
 	var reply *BallotReply
 	var err error
 	if s.Disk == c.me.Disk {
 		reply, err = c.ballot(ctx, ask)
 	} else {
-		reply, err = rpc.Call[BallotAsk, BallotReply](ctx, c.call, c.book.Addr(s), "crux/ballot", ask)
+		reply, err = rpc.Call[BallotAsk, BallotReply](ctx, c.call, c.directory.Addr(s), "crux/ballot", ask)
 	}
 	if err != nil {
 		return &BallotReply{}
@@ -101,7 +101,7 @@
 	return a
 }
 
-func most(set, yes []Seat) bool {
+func most(set, yes []Replica) bool {
 	n := 0
 	for _, s := range set {
 		if holds(yes, s.Disk) {
@@ -153,7 +153,7 @@
 		if s.Disk == p.out {
 			s = p.in
 		}
-		s.Addr = c.book.Addr(s)
+		s.Addr = c.directory.Addr(s)
 		if s.Disk == c.me.Disk {
 			s = c.me
 		}
@@ -170,12 +170,12 @@
 
 // prepare is the first round: every quorum and the proposer itself promise the epoch. The
 // proposer's own promise keeps the primary before it from acknowledging more.
-func (c *Core) prepare(ctx context.Context, current Record, next *Record, p proposal) ([]Seat, error) {
+func (c *Core) prepare(ctx context.Context, current Record, next *Record, p proposal) ([]Replica, error) {
 	ask := &BallotAsk{Epoch: next.Epoch, From: c.me, Takeover: p.held == 0 && !p.asked, Record: *next}
-	enough := func(yes []Seat) bool { return holds(yes, c.me.Disk) && next.decidedBy(yes) }
+	enough := func(yes []Replica) bool { return holds(yes, c.me.Disk) && next.decidedBy(yes) }
 	newest, yes := c.poll(ctx, ask, next.voters(), enough)
 	if newest.Epoch > current.Epoch {
-		c.book.Learn(&WhereAsk{Record: newest})
+		c.directory.Learn(&WhereAsk{Record: newest})
 		c.adopt(newest)
 		return nil, failure.New(failure.Stale, "ascend", c.me.Addr, "epoch %d is newer", newest.Epoch)
 	}
@@ -190,11 +190,11 @@
 
 // readyBackups brings as many backups as the record needs up to this core's state: those that
 // had it last come first, those that are about to end come last.
-func (c *Core) readyBackups(ctx context.Context, next Record, yes []Seat, p proposal) ([]Seat, error) {
+func (c *Core) readyBackups(ctx context.Context, next Record, yes []Replica, p proposal) ([]Replica, error) {
 	current, _ := c.accepted()
-	order := func(s Seat) int {
+	order := func(s Replica) int {
 		switch {
-		case s.Disk == p.avoid || c.book.leaving(s.Disk):
+		case s.Disk == p.avoid || c.directory.leaving(s.Disk):
 			return 2
 		case partner(current, s):
 			return 0
@@ -203,7 +203,7 @@
 	}
 	sort.SliceStable(yes, func(i, j int) bool { return order(yes[i]) < order(yes[j]) })
 	state := c.copyState(p.held != 0)
-	var ready []Seat
+	var ready []Replica
 	for _, s := range yes {
 		if len(ready) < next.losses() && s.Disk != c.me.Disk && s.Disk != p.avoid && holds(next.Holders, s.Disk) && c.bring(ctx, next.Epoch, s, state) == nil {
 			ready = append(ready, s)
@@ -216,18 +216,18 @@
 }
 
 // decide is the second round: the backups accept first, since the rest count on them.
-func (c *Core) decide(ctx context.Context, next Record, ready []Seat) error {
+func (c *Core) decide(ctx context.Context, next Record, ready []Replica) error {
 	ask := &BallotAsk{Epoch: next.Epoch, From: c.me, Accept: true, Record: next}
 	if _, yes := c.poll(ctx, ask, ready, nil); len(yes) < len(ready) {
 		return failure.New(failure.Unknown, "ascend", next.Backup.Addr, "%d of %d backups accepted", len(yes), len(ready))
 	}
-	var rest []Seat
+	var rest []Replica
 	for _, s := range next.voters() {
 		if next.rank(s.Disk) < 0 {
 			rest = append(rest, s)
 		}
 	}
-	enough := func(yes []Seat) bool {
+	enough := func(yes []Replica) bool {
 		return holds(yes, c.me.Disk) && next.decidedBy(append(slices.Clone(yes), ready...))
 	}
 	if _, yes := c.poll(ctx, ask, rest, enough); !enough(yes) {
@@ -236,4 +236,4 @@
 	return nil
 }
 
-func partner(r Record, s Seat) bool { return s.Disk == r.Primary.Disk || r.rank(s.Disk) >= 0 }
+func partner(r Record, s Replica) bool { return s.Disk == r.Primary.Disk || r.rank(s.Disk) >= 0 }
--- a/coordination/entry.go
+++ b/coordination/entry.go
@@ -24,7 +24,7 @@
 // heartbeat of the primary of an epoch.
 type AppendAsk struct {
 	Epoch   ids.Epoch
-	From    Seat
+	From    Replica
 	Prev    ids.Seq
 	Entries []Entry
 }
--- a/coordination/example_test.go
+++ b/coordination/example_test.go
@@ -35,7 +35,7 @@
 }
 
 func (t *tally) Open(string) bool                                  { return true }
-func (t *tally) Picture(bool) []byte                               { return []byte(strconv.Itoa(t.sum)) }
+func (t *tally) Snapshot(bool) []byte                              { return []byte(strconv.Itoa(t.sum)) }
 func (t *tally) Restore(b []byte) (err error)                      { t.sum, err = strconv.Atoi(string(b)); return err }
 func (t *tally) Keys() []ids.Key                                   { return []ids.Key{"left", "right"} }
 func (t *tally) Due(ids.Tick, ids.Seq, ids.Seq) []coordination.Cmd { return nil }
@@ -55,7 +55,7 @@
 	return false
 }
 
-func (e *echo) Picture() []byte { return []byte(strconv.FormatInt(e.sum.Load(), 10)) }
+func (e *echo) Snapshot() []byte { return []byte(strconv.FormatInt(e.sum.Load(), 10)) }
 
 // fleet is three cores and two agents on simulated machines.
 type fleet struct {
--- a/coordination/feed.go
+++ b/coordination/feed.go
@@ -1,5 +1,5 @@
 // The feed: entries by number, the newest kept in memory. Whoever asks from a
-// place that is still kept gets what followed; anyone else needs a picture.
+// place that is still kept gets what followed; anyone else needs a snapshot.
 
 package coordination
 
@@ -54,7 +54,7 @@
 	f.ring = make(chan struct{})
 }
 
-// from gives what followed a place; ok is false when a picture is needed.
+// from gives what followed a place; ok is false when a snapshot is needed.
 func (f *feed) from(at ids.Seq) (ents []Entry, last ids.Seq, ok bool, ring chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -69,18 +69,18 @@
 }
 
 // news answers an asking, waiting a while for the first entry if need be.
-func (f *feed) news(ctx context.Context, q *NewsAsk, picture func() (*Image, error)) (*NewsReply, error) {
+func (f *feed) news(ctx context.Context, q *NewsAsk, snapshot func() (*Image, error)) (*NewsReply, error) {
 	wait := min(time.Duration(q.Wait), 5*time.Second)
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	for {
 		ents, last, ok, ring := f.from(q.From)
 		if !ok || q.From == 0 {
-			img, err := picture()
+			img, err := snapshot()
 			if err != nil {
 				return nil, err
 			}
-			return &NewsReply{Seq: img.Seq, Picture: Pack(img)}, nil
+			return &NewsReply{Seq: img.Seq, Snapshot: Pack(img)}, nil
 		}
 		if len(ents) > 0 || wait <= 0 {
 			return &NewsReply{Seq: last, Entries: ents}, nil
--- a/coordination/follow.go
+++ b/coordination/follow.go
@@ -37,7 +37,7 @@
 func (a *Agent) wait(ctx context.Context) error {
 	cx, stop := context.WithCancel(ctx)
 	defer stop()
-	grown := a.book.Grown()
+	grown := a.directory.Grown()
 	go func() {
 		select {
 		case <-grown:
@@ -45,7 +45,7 @@
 		case <-cx.Done():
 		}
 	}()
-	return a.fetch(cx, a.book.Addr(a.book.Record().Primary), 2*time.Second)
+	return a.fetch(cx, a.directory.Addr(a.directory.Record().Primary), 2*time.Second)
 }
 
 // Fetch takes the news that a neighbour has.
@@ -62,7 +62,7 @@
 	return a.take(q, r)
 }
 
-// take folds news into the view: entries that follow on, or a picture that is ahead of it.
+// take folds news into the view: entries that follow on, or a snapshot that is ahead of it.
 func (a *Agent) take(q *NewsAsk, r *NewsReply) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -70,12 +70,12 @@
 		return failure.New(failure.Stale, "take news", "", "it is of epoch %d, epoch %d was heard", r.Epoch, a.newsEpoch)
 	}
 	old := a.sight.Load()
-	var next *roll
+	var next *replicatedState
 	var loud bool
 	var err error
 	switch {
-	case r.Picture != nil:
-		next, err = a.takePicture(old, r.Picture)
+	case r.Snapshot != nil:
+		next, err = a.takeSnapshot(old, r.Snapshot)
 		loud = true
 	case len(r.Entries) > 0 && old.seq == q.From:
 		next, loud, err = a.takeEntries(old, r.Entries)
@@ -92,9 +92,9 @@
 }
 
 // takePicture restores the view, unless it is as far already.
-func (a *Agent) takePicture(old *sight, picture []byte) (*roll, error) {
+func (a *Agent) takeSnapshot(old *sight, snapshot []byte) (*replicatedState, error) {
 	var img Image
-	if _, err := img.UnmarshalMsg(picture); err != nil {
+	if _, err := img.UnmarshalMsg(snapshot); err != nil {
 		return nil, failure.As(err, failure.Bad, "read picture", "news")
 	}
 	if img.Seq <= old.seq {
@@ -103,7 +103,7 @@
 	if err := a.opt.View.Restore(img.App); err != nil {
 		return nil, failure.Wrap(err, "restore view", "news")
 	}
-	next := newRoll(nil)
+	next := newReplicatedState(nil)
 	next.seq, next.fence = img.Seq, img.Fence
 	for _, m := range img.Members {
 		next.members[m.Node] = m
@@ -116,8 +116,8 @@
 }
 
 // takeEntries folds entries one by one; loud tells that the core should hear of one at once.
-func (a *Agent) takeEntries(old *sight, entries []Entry) (next *roll, loud bool, err error) {
-	next = newRoll(nil)
+func (a *Agent) takeEntries(old *sight, entries []Entry) (next *replicatedState, loud bool, err error) {
+	next = newReplicatedState(nil)
 	next.seq, next.fence = old.seq, old.fence
 	for _, m := range old.members {
 		next.members[m.Node] = m
@@ -143,10 +143,10 @@
 }
 
 // show puts a state in place of the one before, and forgets given back keys that passed on.
-func (a *Agent) show(next *roll) {
+func (a *Agent) show(next *replicatedState) {
 	s := &sight{seq: next.seq, fence: next.fence, grants: next.grants, members: next.list()}
 	a.sight.Store(s)
-	a.book.SetMembers(s.seq, s.members)
+	a.directory.SetMembers(s.seq, s.members)
 	a.given.Range(func(k, g any) bool {
 		if s.grants[k.(ids.Key)] != g.(Grant) {
 			a.given.Delete(k)
@@ -159,5 +159,5 @@
 // asked with throughout, so whichever asking is taken, the outcome is one. An
 // error of kind Unknown means that it may have been done.
 func (a *Agent) Submit(ctx context.Context, op ids.OpId, kind string, body []byte) (*SubmitReply, error) {
-	return SubmitWithin(ctx, a.call, a.book, submitAttempt, &SubmitAsk{Op: op, Kind: kind, Body: body})
+	return SubmitWithin(ctx, a.call, a.directory, submitAttempt, &SubmitAsk{Op: op, Kind: kind, Body: body})
 }
--- a/coordination/image_note.go
+++ b/coordination/image_note.go
@@ -1,4 +1,4 @@
-// The picture of all that the core holds.
+// The snapshot of all that the core holds.
 
 package coordination
 
@@ -9,7 +9,7 @@
 //msgp:shim ids.OpId as:string using:string/ids.OpId
 //msgp:shim ids.Fence as:uint64 using:uint64/ids.Fence
 
-// Image is a picture of all that the core holds.
+// Image is a snapshot of all that the core holds.
 type Image struct {
 	Seq     ids.Seq
 	Log     string
--- a/coordination/late_snapshot_test.go
+++ b/coordination/late_snapshot_test.go
@@ -22,7 +22,7 @@
 }
 
 func (d *slowDisk) Save(name string, body []byte) error {
-	if name == pictureFile {
+	if name == snapshotFile {
 		time.Sleep(d.late)
 	}
 	return d.Disk.Save(name, body)
@@ -37,7 +37,7 @@
 	return j.err, standDown
 }
 
-// TestLateSnapshot: the picture on disk may name the new log once the step ends, so
+// TestLateSnapshot: the snapshot on disk may name the new log once the step ends, so
 // the primary reads its disk again before it leads again. Otherwise what it writes
 // to the old log and acknowledges is gone at the next start.
 func TestLateSnapshot(t *testing.T) {
@@ -59,12 +59,12 @@
 		}
 		require.ErrorContains(t, standDown, "stalled")
 		time.Sleep(20 * time.Second)
-		require.False(t, c.soured(), "the disk can be read again")
+		require.False(t, c.reloaded(), "the disk can be read again")
 		answer, _ := commitOne(l, "after")
 		require.NoError(t, answer)
 		machine.PowerOff()
 
-		r := newRoll(&listMachine{})
+		r := newReplicatedState(&listMachine{})
 		require.NoError(t, newStore(machine.Start().Host().Disk).load(r))
 		require.True(t, strings.HasSuffix(r.app.(*listMachine).all(), "after"), "the acknowledged entry is lost")
 		machine.PowerOff()
--- a/coordination/lead.go
+++ b/coordination/lead.go
@@ -20,7 +20,7 @@
 	renew *RenewAsk
 	peek  bool
 	// Changes of membership: a replica that leaves, or the lead itself.
-	release  *Seat
+	release  *Replica
 	transfer bool
 
 	out   []byte
@@ -40,7 +40,7 @@
 	since   ids.Tick
 	changed ids.Tick // when the membership was changed last
 	deals   ids.Tick
-	nodes   map[ids.NodeId]*tenant
+	nodes   map[ids.NodeId]*leaseHolder
 	asked   ids.Tick
 }
 
@@ -70,17 +70,17 @@
 func (c *Core) serve(ctx context.Context, rec Record) {
 	now := c.opt.Host.Clock.Now()
 	l := &leader{c: c, rec: rec, founded: rec.Epoch, jobs: make(chan *job, 256), end: make(chan struct{}), since: now,
-		deals: now.Add(c.opt.Lease + c.opt.Lease/10), nodes: map[ids.NodeId]*tenant{}}
+		deals: now.Add(c.opt.Lease + c.opt.Lease/10), nodes: map[ids.NodeId]*leaseHolder{}}
 	c.dataMu.Lock()
-	for n, m := range c.roll.members {
-		l.nodes[n] = &tenant{Member: m, last: now}
+	for n, m := range c.state.members {
+		l.nodes[n] = &leaseHolder{Member: m, last: now}
 	}
-	c.feed.start(c.roll.seq)
+	c.feed.start(c.state.seq)
 	c.dataMu.Unlock()
 	c.lead.Store(l)
 	c.opt.Ring.Warn().Uint64("epoch", uint64(rec.Epoch)).Str("backup", rec.Backup.Addr).Msg("leads")
-	c.book.SetMembers(l.members())
-	c.book.Tell(ctx)
+	c.directory.SetMembers(l.members())
+	c.directory.Tell(ctx)
 	err := l.loop(ctx)
 	c.lead.Store(nil)
 	close(l.end)
@@ -144,17 +144,17 @@
 	c := l.c
 	c.dataMu.Lock()
 	defer c.dataMu.Unlock()
-	prev := c.roll.seq
+	prev := c.state.seq
 	var ents []Entry
 	add := func(j *job, e *Entry) {
-		if p, ok := c.roll.past[e.Op]; ok && e.Op != "" {
+		if p, ok := c.state.past[e.Op]; ok && e.Op != "" {
 			j.out, e.Seq = p.Body, p.Seq
 			return
 		}
-		switch j.out, j.err = c.roll.apply(e); j.err {
+		switch j.out, j.err = c.state.apply(e); j.err {
 		case nil:
 			ents = append(ents, *e)
-		case Same:
+		case ErrUnchanged:
 			j.err = nil
 		}
 	}
@@ -170,7 +170,7 @@
 	}
 	err := l.write(ctx, prev, ents)
 	if err != nil {
-		c.sour = true
+		c.mustReload = true
 		err = failure.As(err, failure.Unknown, "write", c.me.Addr)
 		for _, j := range batch {
 			j.err = err // a refusal, too, came from a state that may be old
@@ -182,16 +182,16 @@
 	now := c.opt.Host.Clock.Now()
 	for _, j := range batch {
 		if j.renew != nil {
-			j.lease = l.extend(j.renew, now, c.roll)
+			j.lease = l.extend(j.renew, now, c.state)
 		}
 		if j.peek {
-			j.img = c.roll.picture(true)
+			j.img = c.state.snapshot(true)
 		}
 		l.finish(j, nil)
 	}
 	if c.store.rows > rowsPerLog {
-		if err := c.store.reset(c.roll.picture(false), sheets(c.roll.app)); err != nil {
-			c.sour = true
+		if err := c.store.reset(c.state.snapshot(false), sheets(c.state.app)); err != nil {
+			c.mustReload = true
 			return err
 		}
 	}
@@ -199,7 +199,7 @@
 }
 
 // write returns only once all copies are synced. A silent backup is replaced
-// on the spot, by a picture that holds the entries too; meanwhile all wait.
+// on the spot, by a snapshot that holds the entries too; meanwhile all wait.
 func (l *leader) write(ctx context.Context, prev ids.Seq, ents []Entry) error {
 	c := l.c
 	var wg sync.WaitGroup
@@ -241,8 +241,8 @@
 }
 
 // copyTo has one backup take a batch, synced.
-func (l *leader) copyTo(ctx context.Context, s Seat, ask *AppendAsk) error {
-	r, err := rpc.Call[AppendAsk, AppendReply](ctx, l.c.call, l.c.book.Addr(s), "crux/append", ask)
+func (l *leader) copyTo(ctx context.Context, s Replica, ask *AppendAsk) error {
+	r, err := rpc.Call[AppendAsk, AppendReply](ctx, l.c.call, l.c.directory.Addr(s), "crux/append", ask)
 	switch {
 	case err != nil:
 		return err
@@ -269,7 +269,7 @@
 			go func() {
 				cx, stop := context.WithTimeout(ctx, 500*time.Millisecond)
 				defer stop()
-				r, err := rpc.Call[AppendAsk, AppendReply](cx, c.call, c.book.Addr(s), "crux/beat", &AppendAsk{Epoch: rec.Epoch, From: c.me})
+				r, err := rpc.Call[AppendAsk, AppendReply](cx, c.call, c.directory.Addr(s), "crux/beat", &AppendAsk{Epoch: rec.Epoch, From: c.me})
 				// An empty disk may answer at the address of one that is lost.
 				if err == nil && r.Ok && r.Disk == s.Disk {
 					c.heardFrom(s.Disk)
@@ -282,5 +282,5 @@
 func (l *leader) members() (ids.Seq, []Member) {
 	l.c.dataMu.Lock()
 	defer l.c.dataMu.Unlock()
-	return l.c.roll.seq, l.c.roll.list()
+	return l.c.state.seq, l.c.state.list()
 }
--- a/coordination/lease.go
+++ b/coordination/lease.go
@@ -10,7 +10,7 @@
 	"keelstair.example/ids"
 )
 
-type tenant struct {
+type leaseHolder struct {
 	Member
 	last ids.Tick
 	seen ids.Seq
@@ -53,7 +53,7 @@
 // hear turns a renewal into the entries it needs, before it is confirmed.
 func (l *leader) hear(q *RenewAsk) []*Entry {
 	var out []*Entry
-	old, ok := l.c.roll.members[q.Me.Node]
+	old, ok := l.c.state.members[q.Me.Node]
 	switch {
 	case q.Bye && ok:
 		out = append(out, &Entry{Kind: leaveKind, Body: Pack(&q.Me)})
@@ -63,7 +63,7 @@
 	}
 	var back Deal
 	for _, g := range q.Done {
-		if cur := l.c.roll.grants[g.Key]; cur == g && g.Node == q.Me.Node {
+		if cur := l.c.state.grants[g.Key]; cur == g && g.Node == q.Me.Node {
 			back.Grants = append(back.Grants, Grant{Key: g.Key})
 		}
 	}
@@ -74,14 +74,14 @@
 }
 
 // extend lengthens the lease once the beat behind it was confirmed.
-func (l *leader) extend(q *RenewAsk, now ids.Tick, r *roll) *RenewReply {
+func (l *leader) extend(q *RenewAsk, now ids.Tick, r *replicatedState) *RenewReply {
 	if q.Bye {
 		delete(l.nodes, q.Me.Node)
 		return &RenewReply{Seq: r.seq}
 	}
 	t := l.nodes[q.Me.Node]
 	if t == nil {
-		t = &tenant{}
+		t = &leaseHolder{}
 		l.nodes[q.Me.Node] = t
 	}
 	t.Member, t.last, t.seen = q.Me, now, max(t.seen, q.Seen)
@@ -104,7 +104,7 @@
 		out = append(out, &job{ent: &Entry{Kind: kind, Body: body}, done: make(chan struct{})})
 	}
 	span := c.opt.Lease + c.opt.Lease/10
-	late, seen := 0, c.roll.seq
+	late, seen := 0, c.state.seq
 	var live []ids.NodeId
 	for n, t := range l.nodes {
 		if now.Past(t.last, span) {
@@ -127,7 +127,7 @@
 			delete(l.nodes, n)
 		}
 	}
-	for _, cmd := range c.roll.app.Due(now, c.roll.seq, seen) {
+	for _, cmd := range c.state.app.Due(now, c.state.seq, seen) {
 		put(cmd.Kind, cmd.Body)
 	}
 	if d := l.plan(now, live); len(d.Grants) > 0 {
@@ -165,10 +165,10 @@
 		t.drop = nil
 	}
 	want := map[ids.Key]bool{}
-	for _, k := range l.c.roll.app.Keys() {
+	for _, k := range l.c.state.app.Keys() {
 		want[k] = true
-		to := Owner(k, among(l.c.roll.app, k, live))
-		cur, ok := l.c.roll.grants[k]
+		to := Owner(k, among(l.c.state.app, k, live))
+		cur, ok := l.c.state.grants[k]
 		switch t := l.nodes[cur.Node]; {
 		case !ok:
 			d.Grants = append(d.Grants, Grant{Key: k, Node: to})
@@ -176,7 +176,7 @@
 			t.drop = append(t.drop, cur)
 		}
 	}
-	for k, g := range l.c.roll.grants {
+	for k, g := range l.c.state.grants {
 		if t := l.nodes[g.Node]; !want[k] && t != nil {
 			t.drop = append(t.drop, g)
 		}
--- a/coordination/leave_note.go
+++ b/coordination/leave_note.go
@@ -9,7 +9,7 @@
 
 // LeaveAsk tells the primary that a replica is about to end.
 type LeaveAsk struct {
-	Me Seat
+	Me Replica
 }
 
 // LeaveReply tells whether anything still depends on the replica, and the record of that.
@@ -21,7 +21,7 @@
 // LeadAsk is the primary of an epoch asking a backup to take over from it.
 type LeadAsk struct {
 	Epoch ids.Epoch
-	From  Seat
+	From  Replica
 }
 
 // LeadReply tells whether the backup will.
--- a/coordination/losses_test.go
+++ b/coordination/losses_test.go
@@ -26,7 +26,7 @@
 			want++
 			lead := f.leader()
 			ips := []string{lead}
-			rec := f.cores[lead].Book().Record()
+			rec := f.cores[lead].Directory().Record()
 			switch r.IntN(3) {
 			case 0:
 				ips = append(ips, rec.Backup.Addr[:8])
@@ -57,7 +57,7 @@
 		}
 		all := 0
 		for _, c := range f.cores {
-			rec := c.Book().Record()
+			rec := c.Directory().Record()
 			require.Len(t, rec.Holders, 5)
 			require.Len(t, rec.Also, 1)
 			all++
@@ -76,7 +76,7 @@
 		require.NoError(t, f.add(1, "a", 10*time.Second))
 		time.Sleep(time.Duration(seed%5) * 300 * time.Millisecond)
 		lead := f.leader()
-		rec := f.cores[lead].Book().Record()
+		rec := f.cores[lead].Directory().Record()
 		away, other := rec.Also[0].Addr[:8], rec.Backup.Addr[:8]
 		if seed%2 == 0 {
 			away, other = other, away
--- a/coordination/membership.go
+++ b/coordination/membership.go
@@ -30,7 +30,7 @@
 // heal gives the register of a long silent holder to a spare that is heard.
 func (l *leader) heal(ctx context.Context) error {
 	now := l.c.opt.Host.Clock.Now()
-	l.c.book.SetMembers(l.members())
+	l.c.directory.SetMembers(l.members())
 	all := l.c.spares(l.rec)
 	for _, s := range l.rec.Holders {
 		if spare, ok := l.spare(s, all, now); ok {
@@ -46,9 +46,9 @@
 // crowded gives a holder to replace by a spare of a zone that has fewer holders by two or
 // more, so that the loss of a zone takes no more of them than it must. All holders have to be
 // heard, and the record to have stood for a while.
-func (l *leader) crowded(all []Seat, now ids.Tick) (out, in Seat, ok bool) {
+func (l *leader) crowded(all []Replica, now ids.Tick) (out, in Replica, ok bool) {
 	if !now.Past(max(l.since, l.changed), spreadAfter) || len(all) == 0 || !l.allHeard(now) {
-		return Seat{}, Seat{}, false
+		return Replica{}, Replica{}, false
 	}
 	perZone := zonesOf(l.rec.Holders, "")
 	in = emptiest(all, perZone)
@@ -62,7 +62,7 @@
 }
 
 // zonesOf counts replicas by zone, but for one.
-func zonesOf(list []Seat, without ids.DiskId) map[ids.Zone]int {
+func zonesOf(list []Replica, without ids.DiskId) map[ids.Zone]int {
 	perZone := map[ids.Zone]int{}
 	for _, s := range list {
 		if s.Disk != without {
@@ -73,8 +73,8 @@
 }
 
 // emptiest gives the spare whose zone has the fewest holders; the lowest identity of several.
-func emptiest(all []Seat, perZone map[ids.Zone]int) Seat {
-	return slices.MinFunc(all, func(a, b Seat) int {
+func emptiest(all []Replica, perZone map[ids.Zone]int) Replica {
+	return slices.MinFunc(all, func(a, b Replica) int {
 		return cmp.Or(cmp.Compare(perZone[a.Zone], perZone[b.Zone]), cmp.Compare(a.Disk, b.Disk))
 	})
 }
@@ -106,11 +106,11 @@
 }
 
 // spares are the replicas that were heard lately, hold no register and are not about to end.
-func (c *Core) spares(rec Record) []Seat {
-	all, _ := c.book.heard(spareHeard)
-	var out []Seat
+func (c *Core) spares(rec Record) []Replica {
+	all, _ := c.directory.heard(spareHeard)
+	var out []Replica
 	for _, s := range all {
-		if !holds(rec.Holders, s.Disk) && !c.book.leaving(s.Disk) {
+		if !holds(rec.Holders, s.Disk) && !c.directory.leaving(s.Disk) {
 			out = append(out, s)
 		}
 	}
@@ -120,22 +120,22 @@
 // spare gives who may take over a holder's register, if that is lost: another disk that
 // stands at its very address, at once, since the one before it will not come back; any
 // other after a longer silence.
-func (l *leader) spare(s Seat, all []Seat, now ids.Tick) (Seat, bool) {
+func (l *leader) spare(s Replica, all []Replica, now ids.Tick) (Replica, bool) {
 	c := l.c
 	c.regMu.Lock()
 	at := max(c.heard[s.Disk], l.since)
 	c.regMu.Unlock()
 	if s.Disk == c.me.Disk || !now.Past(at, c.opt.Silence) {
-		return Seat{}, false
+		return Replica{}, false
 	}
-	place := c.book.Addr(s)
+	place := c.directory.Addr(s)
 	for i := range all {
 		if all[i].Addr == place {
 			return all[i], true
 		}
 	}
 	if len(all) == 0 || !now.Past(at, c.opt.Replace) {
-		return Seat{}, false
+		return Replica{}, false
 	}
 	return emptiest(all, zonesOf(l.rec.Holders, s.Disk)), true
 }
@@ -146,8 +146,8 @@
 // meanwhile; a process that starts again on the same disk takes part as before.
 func (c *Core) Leave(ctx context.Context) error {
 	c.leaving.Store(true)
-	c.book.setLeaving()
-	c.book.Tell(ctx)
+	c.directory.setLeaving()
+	c.directory.Tell(ctx)
 	for {
 		done, err := c.handOver(ctx)
 		if done {
@@ -164,7 +164,7 @@
 // handOver takes the next step of leaving; it is done when nothing depends on this core.
 func (c *Core) handOver(ctx context.Context) (bool, error) {
 	rec, _ := c.accepted()
-	if known := c.book.Record(); known.Epoch > rec.Epoch {
+	if known := c.directory.Record(); known.Epoch > rec.Epoch {
 		rec = known
 	}
 	if !holds(rec.Holders, c.me.Disk) {
@@ -180,12 +180,12 @@
 		}
 		return false, err
 	}
-	r, err := rpc.Call[LeaveAsk, LeaveReply](ctx, c.call, c.book.Addr(rec.Primary), "crux/leave", &LeaveAsk{Me: c.me})
+	r, err := rpc.Call[LeaveAsk, LeaveReply](ctx, c.call, c.directory.Addr(rec.Primary), "crux/leave", &LeaveAsk{Me: c.me})
 	if err != nil {
-		c.book.Ask(ctx, 3)
+		c.directory.Ask(ctx, 3)
 		return false, err
 	}
-	c.book.Learn(&WhereAsk{Record: r.Record})
+	c.directory.Learn(&WhereAsk{Record: r.Record})
 	return r.Done, nil
 }
 
@@ -226,7 +226,7 @@
 
 // release takes a replica that is about to end out of the record: its register passes on to a
 // spare if there is one, its copy of the data to another holder.
-func (l *leader) release(ctx context.Context, j *job, leaver Seat) error {
+func (l *leader) release(ctx context.Context, j *job, leaver Replica) error {
 	c := l.c
 	if !holds(l.rec.Holders, leaver.Disk) || leaver.Disk == c.me.Disk {
 		return nil
@@ -269,11 +269,11 @@
 	c := l.c
 	err := failure.New(failure.Away, "hand over", c.me.Addr, "no backup may take over")
 	for _, s := range l.rec.backups() {
-		if c.book.leaving(s.Disk) {
+		if c.directory.leaving(s.Disk) {
 			continue
 		}
 		var r *LeadReply
-		r, err = rpc.Call[LeadAsk, LeadReply](ctx, c.call, c.book.Addr(s), "crux/lead", &LeadAsk{Epoch: l.rec.Epoch, From: c.me})
+		r, err = rpc.Call[LeadAsk, LeadReply](ctx, c.call, c.directory.Addr(s), "crux/lead", &LeadAsk{Epoch: l.rec.Epoch, From: c.me})
 		if err == nil && r.Ok {
 			return nil
 		}
--- a/coordination/membership_test.go
+++ b/coordination/membership_test.go
@@ -26,7 +26,7 @@
 	t.Helper()
 	primary = f.leader()
 	require.NotEmpty(t, primary)
-	record := f.cores[primary].Book().Record()
+	record := f.cores[primary].Directory().Record()
 	backup = machineOf(record.Backup.Addr)
 	holder := map[string]bool{}
 	for _, h := range record.Holders {
@@ -68,10 +68,10 @@
 		time.Sleep(time.Second)
 		primary, backup, witness, spare := f.roles(t)
 		all := []string{primary, backup, witness, spare}
-		before := f.cores[primary].Book().Record().Epoch
+		before := f.cores[primary].Directory().Record().Epoch
 		f.w.Machine(primary).Disk(200 * time.Millisecond)
 		f.w.Sever([]string{witness}, all, true)
-		accepted := func() bool { return f.cores[backup].Book().Record().Epoch > before }
+		accepted := func() bool { return f.cores[backup].Directory().Record().Epoch > before }
 		require.True(t, await(20*time.Second, accepted), "the change begins")
 		f.off(primary)
 		f.w.Machine(primary).Disk(time.Millisecond)
@@ -135,7 +135,7 @@
 					require.NoError(t, f.leave(leaver, 5*time.Second))
 					f.w.Machine(leaver).Wipe()
 					require.NoError(t, f.add(2, "b", 2*time.Second), "orders are taken at once")
-					record := f.cores[f.leader()].Book().Record()
+					record := f.cores[f.leader()].Directory().Record()
 					lost := []string{machineOf(record.Primary.Addr), machineOf(record.Backup.Addr)}[next]
 					f.off(lost)
 					f.w.Machine(lost).Wipe()
@@ -205,10 +205,10 @@
 		time.Sleep(time.Second)
 		primary, _, witness, _ := f.roles(t)
 		copies := f.cores[primary].WholeCopies()
-		epoch := f.cores[primary].Book().Record().Epoch
+		epoch := f.cores[primary].Directory().Record().Epoch
 		f.off(witness)
 		time.Sleep(5 * time.Second)
-		require.Greater(t, f.cores[primary].Book().Record().Epoch, epoch, "the holder is replaced")
+		require.Greater(t, f.cores[primary].Directory().Record().Epoch, epoch, "the holder is replaced")
 		require.Equal(t, copies, f.cores[primary].WholeCopies())
 	})
 }
@@ -222,11 +222,11 @@
 		require.NoError(t, f.add(1, "a", 10*time.Second))
 		time.Sleep(time.Second)
 		primary := f.leader()
-		record := f.cores[primary].Book().Record()
+		record := f.cores[primary].Directory().Record()
 		backup := machineOf(record.Backup.Addr)
 		f.isolate([]string{backup}, true)
 		require.NoError(t, f.add(2, "b", 5*time.Second))
-		other := machineOf(f.cores[primary].Book().Record().Backup.Addr)
+		other := machineOf(f.cores[primary].Directory().Record().Backup.Addr)
 		require.NotEqual(t, backup, other)
 		f.isolate([]string{backup}, false)
 		time.Sleep(time.Second)
@@ -284,7 +284,7 @@
 		require.NoError(t, f.add(1, "a", 10*time.Second))
 		time.Sleep(2 * time.Second)
 		old := f.leader()
-		record := f.cores[old].Book().Record()
+		record := f.cores[old].Directory().Record()
 		backup := machineOf(record.Backup.Addr)
 		var witness string
 		for ip := range f.cores {
@@ -326,7 +326,7 @@
 		p := f.w.Machine("10.0.2.1").Start()
 		f.run("10.0.2.1", "10.0.2.1:1", p, func(mux *http.ServeMux) {
 			rpc.Handle(mux, "crux/news", func(context.Context, *coordination.NewsAsk) (*coordination.NewsReply, error) {
-				return &coordination.NewsReply{Seq: old.Seq, Picture: coordination.Pack(&old), Epoch: 1}, nil
+				return &coordination.NewsReply{Seq: old.Seq, Snapshot: coordination.Pack(&old), Epoch: 1}, nil
 			})
 		}, func(context.Context) {})
 		require.Error(t, f.agents[0].Fetch(t.Context(), "10.0.2.1:1"))
@@ -343,21 +343,21 @@
 		require.NoError(t, f.add(1, "a", 10*time.Second))
 		time.Sleep(time.Second)
 		primary := f.leader()
-		backup := machineOf(f.cores[primary].Book().Record().Backup.Addr)
+		backup := machineOf(f.cores[primary].Directory().Record().Backup.Addr)
 		require.NoError(t, f.leave(backup, 5*time.Second))
 		go func() {
 			time.Sleep(1500 * time.Millisecond)
 			f.core(backup + ":1")
 		}()
 		time.Sleep(700 * time.Millisecond)
-		record := f.cores[primary].Book().Record()
+		record := f.cores[primary].Directory().Record()
 		next := primary
 		if seed%2 == 0 {
 			next = machineOf(record.Backup.Addr)
 		}
 		began, epoch := time.Now(), record.Epoch
 		require.NoError(t, f.leave(next, 6*time.Second))
-		require.LessOrEqual(t, f.cores[f.leader()].Book().Record().Epoch, epoch+3, "no ballots are begun while they can't succeed")
+		require.LessOrEqual(t, f.cores[f.leader()].Directory().Record().Epoch, epoch+3, "no ballots are begun while they can't succeed")
 		require.Greater(t, time.Since(began), 700*time.Millisecond, "the other one was not back yet")
 		f.w.Machine(next).Wipe()
 		require.NoError(t, f.add(2, "b", 2*time.Second))
@@ -385,7 +385,7 @@
 			time.Sleep(500 * time.Millisecond)
 		}
 		time.Sleep(40 * time.Second)
-		record := f.cores[f.leader()].Book().Record()
+		record := f.cores[f.leader()].Directory().Record()
 		zones := map[ids.Zone]bool{}
 		for _, h := range record.Holders {
 			zones[h.Zone] = true
--- a/coordination/news_note.go
+++ b/coordination/news_note.go
@@ -1,4 +1,4 @@
-// The messages of the feed: news from a place on, or a picture to start from.
+// The messages of the feed: news from a place on, or a snapshot to start from.
 
 package coordination
 
@@ -15,10 +15,10 @@
 }
 
 // NewsReply brings entries up to the number Seq, or, where they are not kept any more, a
-// picture of the open part of the state.
+// snapshot of the open part of the state.
 type NewsReply struct {
-	Seq     ids.Seq
-	Picture []byte
-	Entries []Entry
-	Epoch   ids.Epoch `msg:"Epoch,omitempty"` // in which the news was decided last
+	Seq      ids.Seq
+	Snapshot []byte `msg:"Picture"` // the name on the wire is that of earlier releases
+	Entries  []Entry
+	Epoch    ids.Epoch `msg:"Epoch,omitempty"` // in which the news was decided last
 }
--- a/coordination/news_note_gen.go
+++ b/coordination/news_note_gen.go
@@ -93,7 +93,7 @@
 		o = msgp.AppendUint64(o, uint64(z.Seq))
 		// string "Picture"
 		o = append(o, 0xa7, 0x50, 0x69, 0x63, 0x74, 0x75, 0x72, 0x65)
-		o = msgp.AppendBytes(o, z.Picture)
+		o = msgp.AppendBytes(o, z.Snapshot)
 		// string "Entries"
 		o = append(o, 0xa7, 0x45, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
@@ -142,9 +142,9 @@
 				z.Seq = ids.Seq(zb0002)
 			}
 		case "Picture":
-			z.Picture, bts, err = msgp.ReadBytesBytes(bts, z.Picture)
+			z.Snapshot, bts, err = msgp.ReadBytesBytes(bts, z.Snapshot)
 			if err != nil {
-				err = msgp.WrapError(err, "Picture")
+				err = msgp.WrapError(err, "Snapshot")
 				return
 			}
 		case "Entries":
@@ -190,7 +190,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *NewsReply) Msgsize() (s int) {
-	s = 1 + 4 + msgp.Uint64Size + 8 + msgp.BytesPrefixSize + len(z.Picture) + 8 + msgp.ArrayHeaderSize
+	s = 1 + 4 + msgp.Uint64Size + 8 + msgp.BytesPrefixSize + len(z.Snapshot) + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Entries {
 		s += z.Entries[za0001].Msgsize()
 	}
--- a/coordination/note.go
+++ b/coordination/note.go
@@ -10,8 +10,8 @@
 //msgp:shim ids.DiskId as:string using:string/ids.DiskId
 //msgp:shim ids.Zone as:string using:string/ids.Zone
 
-// Seat is a disk machine: its identity and where it listens now.
-type Seat struct {
+// Replica is a disk machine: its identity and where it listens now.
+type Replica struct {
 	Disk ids.DiskId
 	Addr string
 	Zone ids.Zone
--- a/coordination/note_gen.go
+++ b/coordination/note_gen.go
@@ -8,7 +8,7 @@
 )
 
 // MarshalMsg implements msgp.Marshaler
-func (z Seat) MarshalMsg(b []byte) (o []byte, err error) {
+func (z Replica) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 3
 	// string "Disk"
@@ -24,7 +24,7 @@
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Seat) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Replica) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -80,7 +80,7 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Seat) Msgsize() (s int) {
+func (z Replica) Msgsize() (s int) {
 	s = 1 + 5 + msgp.StringPrefixSize + len(string(z.Disk)) + 5 + msgp.StringPrefixSize + len(z.Addr) + 5 + msgp.StringPrefixSize + len(string(z.Zone))
 	return
 }
--- a/coordination/pages_test.go
+++ b/coordination/pages_test.go
@@ -23,13 +23,13 @@
 		f := build(seed)
 		defer f.close()
 		require.NoError(t, f.add(1, "first", 10*time.Second))
-		books := func() map[string]*coordination.Book {
-			out := map[string]*coordination.Book{}
+		books := func() map[string]*coordination.Directory {
+			out := map[string]*coordination.Directory{}
 			for ip, c := range f.cores {
-				out[ip] = c.Book()
+				out[ip] = c.Directory()
 			}
 			for _, a := range f.agents {
-				out[string(a.Me().Node)] = a.Book()
+				out[string(a.Me().Node)] = a.Directory()
 			}
 			return out
 		}
@@ -37,7 +37,7 @@
 			if f.leader() == "" {
 				return "nobody leads"
 			}
-			want := f.cores[f.leader()].Book().Page()
+			want := f.cores[f.leader()].Directory().Page()
 			for ip, b := range books() {
 				p := b.Page()
 				if p.Record.Epoch != want.Record.Epoch || fmt.Sprint(p.Members) != fmt.Sprint(want.Members) {
@@ -75,7 +75,7 @@
 		for i := range 3 {
 			for _, b := range books() {
 				p := b.Page()
-				p.Me = coordination.Seat{}
+				p.Me = coordination.Replica{}
 				old = append(old, p)
 			}
 			switch k := (int(seed) + i) % 3; k {
@@ -99,7 +99,7 @@
 				end := time.Now().Add(40 * time.Second)
 				for held := false; !held && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 					if l := f.leader(); l != "" {
-						for _, s := range f.cores[l].Book().Record().Holders {
+						for _, s := range f.cores[l].Directory().Record().Holders {
 							held = held || s.Addr == f.seeds[i]
 						}
 					}
@@ -111,7 +111,7 @@
 			require.Empty(t, apart(), "later")
 			require.NoError(t, f.add(1, fmt.Sprint("op", i), 10*time.Second))
 			agree("once more")
-			for _, s := range f.cores[f.leader()].Book().Record().Holders {
+			for _, s := range f.cores[f.leader()].Directory().Record().Holders {
 				require.NotNil(t, f.cores[s.Addr[:8]], "%s holds a register", s.Addr)
 			}
 		}
--- a/coordination/powerloss_test.go
+++ b/coordination/powerloss_test.go
@@ -55,7 +55,7 @@
 
 func (m *listMachine) Open(string) bool { return true }
 
-func (m *listMachine) Picture(bool) []byte { return []byte(strings.Join(m.values, ",")) }
+func (m *listMachine) Snapshot(bool) []byte { return []byte(strings.Join(m.values, ",")) }
 
 func (m *listMachine) Restore(body []byte) error {
 	m.values = nil
@@ -73,7 +73,7 @@
 // storeHistory is a store at work, and what it has acknowledged.
 type storeHistory struct {
 	store             *store
-	roll              *roll
+	state             *replicatedState
 	acked, asked      string
 	register, written register
 	next              int
@@ -83,7 +83,7 @@
 
 // check reads a store back and holds it against what was acknowledged.
 func (h *storeHistory) check(disk seam.Disk) error {
-	s, r := newStore(disk), newRoll(&listMachine{})
+	s, r := newStore(disk), newReplicatedState(&listMachine{})
 	if err := s.load(r); err != nil {
 		return err
 	}
@@ -106,12 +106,12 @@
 	for range 1 + random.IntN(3) {
 		h.next++
 		e := Entry{Kind: "put", Body: []byte(strconv.Itoa(h.next))}
-		if _, err := h.roll.apply(&e); err != nil {
+		if _, err := h.state.apply(&e); err != nil {
 			return err
 		}
 		entries = append(entries, e)
 	}
-	h.asked = h.roll.app.(*listMachine).all()
+	h.asked = h.state.app.(*listMachine).all()
 	err := h.store.append(entries)
 	h.acked = h.asked
 	return err
@@ -125,12 +125,12 @@
 }
 
 func (h *storeHistory) reset() error {
-	return h.store.reset(h.roll.picture(false), sheets(h.roll.app))
+	return h.store.reset(h.state.snapshot(false), sheets(h.state.app))
 }
 
 func (h *storeHistory) reload() error {
-	h.roll = newRoll(&listMachine{})
-	return h.store.load(h.roll)
+	h.state = newReplicatedState(&listMachine{})
+	return h.store.load(h.state)
 }
 
 func (h *storeHistory) step(random *rand.Rand) error {
@@ -240,11 +240,11 @@
 		return count
 	}
 	for range 3 * valuesPerSheet {
-		_, err := h.roll.apply(&Entry{Kind: "put", Body: []byte("x")})
+		_, err := h.state.apply(&Entry{Kind: "put", Body: []byte("x")})
 		require.NoError(t, err)
 		require.NoError(t, h.reset())
 	}
-	machine := h.roll.app.(*listMachine)
+	machine := h.state.app.(*listMachine)
 	require.Equal(t, 1, kept(), "sheets of one content are one file")
 	machine.sealed = []Sheet{Seal([]byte("another"))}
 	require.NoError(t, h.reset())
@@ -379,7 +379,7 @@
 	require.NoError(t, h.promise())
 	for number := 1; number <= 8; number++ {
 		e := Entry{Kind: "put", Body: []byte(strconv.Itoa(number))}
-		_, err := h.roll.apply(&e)
+		_, err := h.state.apply(&e)
 		require.NoError(t, err)
 		require.NoError(t, h.store.append([]Entry{e}))
 		if number == 6 {
@@ -394,7 +394,7 @@
 	require.NoError(t, err)
 	s := newStore(disk)
 	if _, err = s.loadRegister(); err == nil {
-		err = s.load(newRoll(&listMachine{}))
+		err = s.load(newReplicatedState(&listMachine{}))
 	}
 	require.ErrorContains(t, err, why)
 	require.NotContains(t, err.Error(), "\n")
@@ -419,11 +419,11 @@
 	require.NoError(t, err)
 	h := &storeHistory{store: newStore(disk)}
 	require.NoError(t, h.reload())
-	machine := h.roll.app.(*listMachine)
+	machine := h.state.app.(*listMachine)
 	resets := 0
 	for range rows {
 		e := Entry{Kind: "put", Body: bytes.Repeat([]byte("x"), rowSize)}
-		_, err := h.roll.apply(&e)
+		_, err := h.state.apply(&e)
 		require.NoError(t, err)
 		require.NoError(t, h.store.append([]Entry{e}))
 		if last := len(machine.sealed); last > 1 {
--- a/coordination/primary_call.go
+++ b/coordination/primary_call.go
@@ -24,14 +24,14 @@
 // address asked last comes with it. No attempt lasts longer than the given time. An attempt
 // is left when a newer record is learnt: a deposed primary that is frozen or cut off would
 // take all the time there is. No error is final if final is nil.
-func CallPrimary[Q, R any](ctx context.Context, call *rpc.Caller, book *Book, attempt time.Duration, name string, q *Q, final func(error) bool) (*R, string, error) {
+func CallPrimary[Q, R any](ctx context.Context, call *rpc.Caller, directory *Directory, attempt time.Duration, name string, q *Q, final func(error) bool) (*R, string, error) {
 	var find search
 	for {
-		r, addr, err := callOnce[Q, R](ctx, call, book, attempt, name, q)
+		r, addr, err := callOnce[Q, R](ctx, call, directory, attempt, name, q)
 		if err == nil || final != nil && final(err) {
 			return r, addr, err
 		}
-		if !find.pause(ctx, book) {
+		if !find.pause(ctx, directory) {
 			return nil, addr, err
 		}
 	}
@@ -39,7 +39,7 @@
 
 // SubmitWithin submits a command by attempts of bounded length under its one operation id,
 // so that it is applied once at most. Errors are those of Submit.
-func SubmitWithin(ctx context.Context, call *rpc.Caller, book *Book, attempt time.Duration, q *SubmitAsk) (*SubmitReply, error) {
+func SubmitWithin(ctx context.Context, call *rpc.Caller, directory *Directory, attempt time.Duration, q *SubmitAsk) (*SubmitReply, error) {
 	var doubt error
 	final := func(err error) bool {
 		if failure.Is(err, failure.Unknown) {
@@ -47,7 +47,7 @@
 		}
 		return failure.Is(err, failure.Stale) || failure.Is(err, failure.Bad)
 	}
-	r, addr, err := CallPrimary[SubmitAsk, SubmitReply](ctx, call, book, attempt, "crux/submit", q, final)
+	r, addr, err := CallPrimary[SubmitAsk, SubmitReply](ctx, call, directory, attempt, "crux/submit", q, final)
 	switch {
 	case err == nil:
 		return r, nil
@@ -60,10 +60,10 @@
 }
 
 // callOnce makes one attempt.
-func callOnce[Q, R any](ctx context.Context, call *rpc.Caller, book *Book, attempt time.Duration, name string, q *Q) (*R, string, error) {
+func callOnce[Q, R any](ctx context.Context, call *rpc.Caller, directory *Directory, attempt time.Duration, name string, q *Q) (*R, string, error) {
 	cx, stop := context.WithTimeout(ctx, attempt)
 	defer stop()
-	grown := book.Grown()
+	grown := directory.Grown()
 	go func() {
 		select {
 		case <-grown:
@@ -71,7 +71,7 @@
 		case <-cx.Done():
 		}
 	}()
-	addr := book.Addr(book.Record().Primary)
+	addr := directory.Addr(directory.Record().Primary)
 	r, err := rpc.Call[Q, R](cx, call, addr, name, q)
 	return r, addr, err
 }
@@ -80,11 +80,11 @@
 type search struct{ asking atomic.Bool }
 
 // pause waits for a newer record or a short while, and tells whether the context still runs.
-func (s *search) pause(ctx context.Context, book *Book) bool {
-	grown := book.Grown()
+func (s *search) pause(ctx context.Context, directory *Directory) bool {
+	grown := directory.Grown()
 	if s.asking.CompareAndSwap(false, true) {
 		go func() {
-			book.Ask(ctx, searchWidth)
+			directory.Ask(ctx, searchWidth)
 			s.asking.Store(false)
 		}()
 	}
--- a/coordination/primary_call_test.go
+++ b/coordination/primary_call_test.go
@@ -15,19 +15,19 @@
 )
 
 // stranger is a process that knows nothing but the seeds.
-func (f *fleet) stranger(ip string) (*rpc.Caller, *coordination.Book) {
+func (f *fleet) stranger(ip string) (*rpc.Caller, *coordination.Directory) {
 	p := f.w.Machine(ip).Start()
 	f.procs[ip], f.stops[ip] = p, func() {}
 	call := rpc.NewCaller(p.Host().Net)
-	return call, coordination.NewBook(p.Host(), call, f.seeds, coordination.Seat{Addr: ip + ":1"})
+	return call, coordination.NewDirectory(p.Host(), call, f.seeds, coordination.Replica{Addr: ip + ":1"})
 }
 
 // submitOne submits one addition under an id, within a span and by attempts of a length.
-func submitOne(call *rpc.Caller, book *coordination.Book, span, attempt time.Duration, op string) error {
+func submitOne(call *rpc.Caller, directory *coordination.Directory, span, attempt time.Duration, op string) error {
 	ctx, stop := context.WithTimeout(context.Background(), span)
 	defer stop()
 	q := &coordination.SubmitAsk{Op: ids.OpId("test/" + op), Kind: "add", Body: []byte("1")}
-	_, err := coordination.SubmitWithin(ctx, call, book, attempt, q)
+	_, err := coordination.SubmitWithin(ctx, call, directory, attempt, q)
 	return err
 }
 
@@ -46,9 +46,9 @@
 			}
 		}
 		time.Sleep(3 * time.Second)
-		call, book := f.stranger("10.0.2.9")
+		call, directory := f.stranger("10.0.2.9")
 		defer call.Close()
-		require.NoError(t, submitOne(call, book, 900*time.Millisecond, 420*time.Millisecond, "found"))
+		require.NoError(t, submitOne(call, directory, 900*time.Millisecond, 420*time.Millisecond, "found"))
 	})
 }
 
@@ -60,17 +60,17 @@
 		f := build(seed)
 		defer f.close()
 		require.NoError(t, f.add(1, "first", 10*time.Second))
-		call, book := f.stranger("10.0.2.9")
+		call, directory := f.stranger("10.0.2.9")
 		defer call.Close()
-		require.NoError(t, submitOne(call, book, 5*time.Second, time.Second, "known"))
+		require.NoError(t, submitOne(call, directory, 5*time.Second, time.Second, "known"))
 		top := f.leader()
 		f.w.Machine(top).Freeze(true)
 		began := time.Now()
 		go func() {
 			time.Sleep(2 * time.Second)
-			book.Ask(context.Background(), 3)
+			directory.Ask(context.Background(), 3)
 		}()
-		require.NoError(t, submitOne(call, book, 20*time.Second, 15*time.Second, "left"))
+		require.NoError(t, submitOne(call, directory, 20*time.Second, 15*time.Second, "left"))
 		require.Less(t, time.Since(began), 5*time.Second)
 		f.w.Machine(top).Freeze(false)
 		time.Sleep(4 * time.Second)
@@ -85,13 +85,13 @@
 		f := build(seed)
 		defer f.close()
 		require.NoError(t, f.add(1, "first", 10*time.Second))
-		call, book := f.stranger("10.0.2.9")
+		call, directory := f.stranger("10.0.2.9")
 		defer call.Close()
-		require.NoError(t, submitOne(call, book, 5*time.Second, time.Second, "known"))
+		require.NoError(t, submitOne(call, directory, 5*time.Second, time.Second, "known"))
 		top := f.leader()
 		f.w.Machine(top).Freeze(true)
 		began := time.Now()
-		require.NoError(t, submitOne(call, book, 20*time.Second, 420*time.Millisecond, "given-up"))
+		require.NoError(t, submitOne(call, directory, 20*time.Second, 420*time.Millisecond, "given-up"))
 		require.Less(t, time.Since(began), 5*time.Second)
 		f.w.Machine(top).Freeze(false)
 	})
@@ -104,16 +104,16 @@
 		f := build(seed)
 		defer f.close()
 		require.NoError(t, f.add(1, "first", 10*time.Second))
-		call, book := f.stranger("10.0.2.9")
+		call, directory := f.stranger("10.0.2.9")
 		defer call.Close()
-		require.NoError(t, submitOne(call, book, 5*time.Second, time.Second, "known"))
+		require.NoError(t, submitOne(call, directory, 5*time.Second, time.Second, "known"))
 		time.Sleep(25 * time.Second) // idle connections are closed by then, and nothing is under way
 		cores := []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"}
 		f.w.Sever([]string{"10.0.2.9"}, cores, true)
 		ctx, stop := context.WithCancel(context.Background())
 		time.AfterFunc(500*time.Millisecond, stop)
 		began := time.Now()
-		_, err := coordination.SubmitWithin(ctx, call, book, 5*time.Second, &coordination.SubmitAsk{Op: "test/gone", Kind: "add", Body: []byte("5")})
+		_, err := coordination.SubmitWithin(ctx, call, directory, 5*time.Second, &coordination.SubmitAsk{Op: "test/gone", Kind: "add", Body: []byte("5")})
 		require.Error(t, err)
 		require.Less(t, time.Since(began), 600*time.Millisecond)
 		f.w.Sever([]string{"10.0.2.9"}, cores, false)
--- a/coordination/read_bench_test.go
+++ b/coordination/read_bench_test.go
@@ -42,11 +42,11 @@
 		go core.Run(ctx)
 	}
 	caller := rpc.NewCaller(host.Net)
-	book := coordination.NewBook(host, caller, seeds, coordination.Seat{})
+	directory := coordination.NewDirectory(host, caller, seeds, coordination.Replica{})
 	read := func() {
 		limit, end := context.WithTimeout(ctx, 20*time.Second)
 		defer end()
-		_, _, err := coordination.CallPrimary[coordination.NewsAsk, coordination.NewsReply](limit, caller, book, time.Second, "crux/news", &coordination.NewsAsk{}, nil)
+		_, _, err := coordination.CallPrimary[coordination.NewsAsk, coordination.NewsReply](limit, caller, directory, time.Second, "crux/news", &coordination.NewsAsk{}, nil)
 		require.NoError(b, err)
 	}
 	read()
--- a/coordination/record.go
+++ b/coordination/record.go
@@ -10,18 +10,18 @@
 func (r Record) losses() int { return max(1, (len(r.Holders)-1)/2) }
 
 // backups are all that take every entry before it is answered.
-func (r Record) backups() []Seat {
+func (r Record) backups() []Replica {
 	if r.Backup.Disk == "" {
 		return nil
 	}
-	return append([]Seat{r.Backup}, r.Also...)
+	return append([]Replica{r.Backup}, r.Also...)
 }
 
 // follow names the backups.
-func (r *Record) follow(list []Seat) {
-	r.Backup, r.Also = Seat{}, nil
+func (r *Record) follow(list []Replica) {
+	r.Backup, r.Also = Replica{}, nil
 	if len(list) > 0 {
-		r.Backup, r.Also = list[0], append([]Seat(nil), list[1:]...)
+		r.Backup, r.Also = list[0], append([]Replica(nil), list[1:]...)
 	}
 }
 
@@ -38,16 +38,16 @@
 // quorums are the sets of replicas whose majorities a ballot for this record needs, each of
 // them: the holders, and while a change of the holders is not known to be decided, those
 // before it (joint consensus). So two ballots always share a register.
-func (r Record) quorums() [][]Seat {
+func (r Record) quorums() [][]Replica {
 	if len(r.Before) == 0 {
-		return [][]Seat{r.Holders}
+		return [][]Replica{r.Holders}
 	}
-	return [][]Seat{r.Holders, r.Before}
+	return [][]Replica{r.Holders, r.Before}
 }
 
 // voters are the replicas of all its quorums, each once.
-func (r Record) voters() []Seat {
-	out := append([]Seat(nil), r.Holders...)
+func (r Record) voters() []Replica {
+	out := append([]Replica(nil), r.Holders...)
 	for _, s := range r.Before {
 		if !holds(out, s.Disk) {
 			out = append(out, s)
@@ -57,7 +57,7 @@
 }
 
 // decidedBy tells whether these replicas are a majority of each quorum.
-func (r Record) decidedBy(yes []Seat) bool {
+func (r Record) decidedBy(yes []Replica) bool {
 	for _, set := range r.quorums() {
 		if !most(set, yes) {
 			return false
@@ -66,9 +66,9 @@
 	return true
 }
 
-// spread takes n of the seats, as evenly from the zones as may be, in the order given.
-func spread(row []Seat, n int) []Seat {
-	var out []Seat
+// spread takes n of the replicas, as evenly from the zones as may be, in the order given.
+func spread(row []Replica, n int) []Replica {
+	var out []Replica
 	per := map[ids.Zone]int{}
 	for most := 1; len(out) < n; most++ {
 		for _, s := range row {
--- a/coordination/record_note.go
+++ b/coordination/record_note.go
@@ -11,9 +11,9 @@
 type Record struct {
 	Epoch    ids.Epoch
 	Founding string
-	Primary  Seat
-	Backup   Seat
-	Holders  []Seat
-	Also     []Seat // further backups, where more than one machine may be lost at once
-	Before   []Seat `msg:"Before,omitempty"` // the holders before a change of them that is not known to be decided
+	Primary  Replica
+	Backup   Replica
+	Holders  []Replica
+	Also     []Replica // further backups, where more than one machine may be lost at once
+	Before   []Replica `msg:"Before,omitempty"` // the holders before a change of them that is not known to be decided
 }
--- a/coordination/record_note_gen.go
+++ b/coordination/record_note_gen.go
@@ -135,7 +135,7 @@
 			if cap(z.Holders) >= int(zb0003) {
 				z.Holders = (z.Holders)[:zb0003]
 			} else {
-				z.Holders = make([]Seat, zb0003)
+				z.Holders = make([]Replica, zb0003)
 			}
 			for za0001 := range z.Holders {
 				bts, err = z.Holders[za0001].UnmarshalMsg(bts)
@@ -154,7 +154,7 @@
 			if cap(z.Also) >= int(zb0004) {
 				z.Also = (z.Also)[:zb0004]
 			} else {
-				z.Also = make([]Seat, zb0004)
+				z.Also = make([]Replica, zb0004)
 			}
 			for za0002 := range z.Also {
 				bts, err = z.Also[za0002].UnmarshalMsg(bts)
@@ -173,7 +173,7 @@
 			if cap(z.Before) >= int(zb0005) {
 				z.Before = (z.Before)[:zb0005]
 			} else {
-				z.Before = make([]Seat, zb0005)
+				z.Before = make([]Replica, zb0005)
 			}
 			for za0003 := range z.Before {
 				bts, err = z.Before[za0003].UnmarshalMsg(bts)
--- a/coordination/register.go
+++ b/coordination/register.go
@@ -81,14 +81,14 @@
 	c.reg = next
 	if q.Accept {
 		c.heard[q.From.Disk] = now
-		c.book.Learn(&WhereAsk{Record: q.Record})
+		c.directory.Learn(&WhereAsk{Record: q.Record})
 	}
 	return answer("")
 }
 
 // adopt takes over a newer record that others have accepted.
 // It counts as an accept that came late by another way, so a promise to a newer
-// epoch forbids it; and a backup accepts only what it holds the picture of.
+// epoch forbids it; and a backup accepts only what it holds the snapshot of.
 func (c *Core) adopt(r Record) bool {
 	c.regMu.Lock()
 	defer c.regMu.Unlock()
--- a/coordination/register_test.go
+++ b/coordination/register_test.go
@@ -18,8 +18,8 @@
 		p := sham.NewWorld(1).Machine("10.0.0.1").Start()
 		c, err := New(Options{Addr: "10.0.0.1:1", Host: p.Host(), Machine: func() Machine { return nil }})
 		require.NoError(t, err)
-		record := Record{Epoch: 1, Founding: "f", Primary: Seat{Disk: "x"}, Holders: []Seat{{Disk: "x"}, {Disk: "y"}, c.me}}
-		record.follow([]Seat{{Disk: "y"}})
+		record := Record{Epoch: 1, Founding: "f", Primary: Replica{Disk: "x"}, Holders: []Replica{{Disk: "x"}, {Disk: "y"}, c.me}}
+		record.follow([]Replica{{Disk: "y"}})
 		r, err := c.ballot(t.Context(), &BallotAsk{Epoch: 1, From: record.Primary, Accept: true, Record: record})
 		require.NoError(t, err)
 		require.True(t, r.Ok, r.Why)
@@ -32,14 +32,14 @@
 // whichever way it comes; the promise outlives a restart.
 func TestPromiseToOne(t *testing.T) {
 	inRegister(t, func(c *Core, record Record) {
-		r, err := c.ballot(t.Context(), &BallotAsk{Epoch: 2, From: Seat{Disk: "x"}, Record: record})
+		r, err := c.ballot(t.Context(), &BallotAsk{Epoch: 2, From: Replica{Disk: "x"}, Record: record})
 		require.NoError(t, err)
 		require.True(t, r.Ok, r.Why)
 		c.reg, err = c.store.loadRegister()
 		require.NoError(t, err)
 		other := record
-		other.Epoch, other.Primary = 2, Seat{Disk: "y"}
-		other.follow([]Seat{{Disk: "x"}})
+		other.Epoch, other.Primary = 2, Replica{Disk: "y"}
+		other.follow([]Replica{{Disk: "x"}})
 		r, err = c.ballot(t.Context(), &BallotAsk{Epoch: 2, From: other.Primary, Accept: true, Record: other})
 		require.NoError(t, err)
 		require.False(t, r.Ok)
@@ -59,14 +59,14 @@
 		change := record
 		change.Epoch = 2
 		change.Before = record.Holders
-		change.Holders = []Seat{{Disk: "x"}, {Disk: "y"}, {Disk: "z"}}
+		change.Holders = []Replica{{Disk: "x"}, {Disk: "y"}, {Disk: "z"}}
 		r, err := c.ballot(t.Context(), &BallotAsk{Epoch: 2, From: change.Primary, Accept: true, Record: change})
 		require.NoError(t, err)
 		require.True(t, r.Ok, "a holder that is replaced has a say in it: %s", r.Why)
 		require.Len(t, c.reg.Accepted.voters(), 4)
-		require.False(t, change.decidedBy([]Seat{{Disk: "y"}, {Disk: "z"}}))
-		require.True(t, change.decidedBy([]Seat{{Disk: "y"}, {Disk: "x"}}))
-		_, err = c.beat(t.Context(), &AppendAsk{Epoch: 2, From: Seat{Disk: "y"}})
+		require.False(t, change.decidedBy([]Replica{{Disk: "y"}, {Disk: "z"}}))
+		require.True(t, change.decidedBy([]Replica{{Disk: "y"}, {Disk: "x"}}))
+		_, err = c.beat(t.Context(), &AppendAsk{Epoch: 2, From: Replica{Disk: "y"}})
 		require.NoError(t, err)
 		require.NotEmpty(t, c.reg.Accepted.Before, "only its primary tells that it is decided")
 		_, err = c.beat(t.Context(), &AppendAsk{Epoch: 2, From: change.Primary})
@@ -83,7 +83,7 @@
 func TestSamePlace(t *testing.T) {
 	inRegister(t, func(c *Core, record Record) {
 		entry := func(body string) Entry { return Entry{Kind: joinKind, Body: Pack(&Member{Node: ids.NodeId(body)})} }
-		mine, theirs := []Entry{entry("a"), entry("b")}, newRoll(nil)
+		mine, theirs := []Entry{entry("a"), entry("b")}, newReplicatedState(nil)
 		require.NoError(t, c.applyAll(mine))
 		for _, e := range []Entry{entry("a"), entry("c")} {
 			_, err := theirs.apply(&e)
@@ -91,20 +91,20 @@
 		}
 		_, err := c.ballot(t.Context(), &BallotAsk{Epoch: 2, From: record.Primary, Record: record})
 		require.NoError(t, err)
-		ask := &PictureAsk{Epoch: 2, From: record.Primary, Seq: theirs.seq, Digest: theirs.digest}
-		r, err := c.picture(t.Context(), ask)
+		ask := &SnapshotAsk{Epoch: 2, From: record.Primary, Seq: theirs.seq, Digest: theirs.digest}
+		r, err := c.snapshot(t.Context(), ask)
 		require.NoError(t, err)
 		require.True(t, r.Behind && !r.Ok)
 		_, ok := theirs.history.after(r.Last, r.Digest)
 		require.False(t, ok, "the log differs at that place")
 		require.NotEqual(t, ids.Epoch(c.ready.Load()), ids.Epoch(2))
-		ask.Digest = c.roll.digest
-		r, err = c.picture(t.Context(), ask)
+		ask.Digest = c.state.digest
+		r, err = c.snapshot(t.Context(), ask)
 		require.NoError(t, err)
 		require.True(t, r.Ok)
 		other := *ask
-		other.From = Seat{Disk: "y"}
-		r, err = c.picture(t.Context(), &other)
+		other.From = Replica{Disk: "y"}
+		r, err = c.snapshot(t.Context(), &other)
 		require.NoError(t, err)
 		require.False(t, r.Ok, "only the proposer that the epoch is promised to readies it")
 	})
--- a/coordination/shelf.go
+++ b/coordination/shelf.go
@@ -1,5 +1,5 @@
 // The shelf holds what a machine will never change again, in sheets of a fixed
-// content. A picture names its sheets and does not contain them, so neither a
+// content. A snapshot names its sheets and does not contain them, so neither a
 // takeover nor a compaction grows with all that was ever agreed on: a sheet is
 // saved once and sent only to a machine that lacks it. Register holders that
 // carry no data fetch sheets beforehand, so that they can become the backup soon.
@@ -26,7 +26,7 @@
 // Seal names a content.
 func Seal(body []byte) Sheet { return Sheet{Short(string(body)), body} }
 
-// Shelf is what a Machine may be too. Sheets lists what its pictures leave out, in
+// Shelf is what a Machine may be too. Sheets lists what its snapshots leave out, in
 // an order that every copy has; Shelve gives them back before Restore.
 type Shelf interface {
 	Sheets() []Sheet
@@ -56,7 +56,7 @@
 
 func (s *store) hasSheet(name string) bool { _, ok := s.sheets.Load(name); return ok }
 
-// findSheets gives the sheets that a picture names: those in memory, else those on
+// findSheets gives the sheets that a snapshot names: those in memory, else those on
 // disk, each held against its name.
 func (s *store) findSheets(names []string, near []Sheet) ([]Sheet, error) {
 	had := map[string]Sheet{}
@@ -91,7 +91,7 @@
 	return err
 }
 
-// dropSheets drops those that no picture here names any more.
+// dropSheets drops those that no snapshot here names any more.
 func (s *store) dropSheets(img *Image) {
 	named := map[string]bool{}
 	for _, n := range img.Sheets {
@@ -116,7 +116,7 @@
 	}
 	c.dataMu.Lock()
 	defer c.dataMu.Unlock()
-	all := sheets(c.roll.app)
+	all := sheets(c.state.app)
 	r := &SheetReply{Ok: c.Leads(), Count: len(all)}
 	if r.Ok && q.At < len(all) {
 		r.Name, r.Body = all[q.At].Name, all[q.At].Body
@@ -132,7 +132,7 @@
 }
 
 // lend sends the sheets that a backup-to-be said it lacks.
-func (c *Core) lend(ctx context.Context, e ids.Epoch, to Seat, lacks []string, all []Sheet) error {
+func (c *Core) lend(ctx context.Context, e ids.Epoch, to Replica, lacks []string, all []Sheet) error {
 	want := map[string]bool{}
 	for _, n := range lacks {
 		want[n] = true
@@ -142,7 +142,7 @@
 			continue
 		}
 		cx, stop := context.WithTimeout(ctx, sendTime(len(one.Body)))
-		r, err := rpc.Call[SheetAsk, SheetReply](cx, c.call, c.book.Addr(to), "crux/sheet", &SheetAsk{Epoch: e, Name: one.Name, Body: one.Body})
+		r, err := rpc.Call[SheetAsk, SheetReply](cx, c.call, c.directory.Addr(to), "crux/sheet", &SheetAsk{Epoch: e, Name: one.Name, Body: one.Body})
 		stop()
 		if err != nil {
 			return err
@@ -168,7 +168,7 @@
 			at, of = 0, rec.Founding
 		}
 		cx, stop := context.WithTimeout(ctx, 2*time.Second)
-		r, err := rpc.Call[SheetAsk, SheetReply](cx, c.call, c.book.Addr(rec.Primary), "crux/sheet", &SheetAsk{At: at})
+		r, err := rpc.Call[SheetAsk, SheetReply](cx, c.call, c.directory.Addr(rec.Primary), "crux/sheet", &SheetAsk{At: at})
 		stop()
 		if err != nil || !r.Ok || r.Body == nil {
 			continue
--- a/coordination/shelf_note.go
+++ b/coordination/shelf_note.go
@@ -1,4 +1,4 @@
-// The messages that carry pictures and sheets from one disk machine to another.
+// The messages that carry snapshots and sheets from one disk machine to another.
 
 package coordination
 
@@ -8,12 +8,12 @@
 //msgp:shim ids.Epoch as:uint64 using:uint64/ids.Epoch
 //msgp:shim ids.Seq as:uint64 using:uint64/ids.Seq
 
-// PictureAsk readies a backup for an epoch: with the place in the log alone, which is enough
+// SnapshotAsk readies a backup for an epoch: with the place in the log alone, which is enough
 // where the backup stands there too; with the entries after the backup's own place; or with
 // the whole state.
-type PictureAsk struct {
+type SnapshotAsk struct {
 	Epoch   ids.Epoch
-	From    Seat
+	From    Replica
 	Body    []byte
 	Seq     ids.Seq `msg:"Seq,omitempty"`
 	Digest  []byte  `msg:"Digest,omitempty"`
--- a/coordination/shelf_note_gen.go
+++ b/coordination/shelf_note_gen.go
@@ -8,70 +8,26 @@
 )
 
 // MarshalMsg implements msgp.Marshaler
-func (z *PictureAsk) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *SheetAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
-	_ = zb0001Mask
-	if z.Seq == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x8
-	}
-	if z.Digest == nil {
-		zb0001Len--
-		zb0001Mask |= 0x10
-	}
-	if z.Entries == nil {
-		zb0001Len--
-		zb0001Mask |= 0x20
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "Epoch"
-		o = append(o, 0xa5, 0x45, 0x70, 0x6f, 0x63, 0x68)
-		o = msgp.AppendUint64(o, uint64(z.Epoch))
-		// string "From"
-		o = append(o, 0xa4, 0x46, 0x72, 0x6f, 0x6d)
-		o, err = z.From.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "From")
-			return
-		}
-		// string "Body"
-		o = append(o, 0xa4, 0x42, 0x6f, 0x64, 0x79)
-		o = msgp.AppendBytes(o, z.Body)
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
-			// string "Seq"
-			o = append(o, 0xa3, 0x53, 0x65, 0x71)
-			o = msgp.AppendUint64(o, uint64(z.Seq))
-		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// string "Digest"
-			o = append(o, 0xa6, 0x44, 0x69, 0x67, 0x65, 0x73, 0x74)
-			o = msgp.AppendBytes(o, z.Digest)
-		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
-			// string "Entries"
-			o = append(o, 0xa7, 0x45, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
-			o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
-			for za0001 := range z.Entries {
-				o, err = z.Entries[za0001].MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "Entries", za0001)
-					return
-				}
-			}
-		}
-	}
+	// map header, size 4
+	// string "Epoch"
+	o = append(o, 0x84, 0xa5, 0x45, 0x70, 0x6f, 0x63, 0x68)
+	o = msgp.AppendUint64(o, uint64(z.Epoch))
+	// string "At"
+	o = append(o, 0xa2, 0x41, 0x74)
+	o = msgp.AppendInt(o, z.At)
+	// string "Name"
+	o = append(o, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Name)
+	// string "Body"
+	o = append(o, 0xa4, 0x42, 0x6f, 0x64, 0x79)
+	o = msgp.AppendBytes(o, z.Body)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *PictureAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *SheetAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -98,53 +54,24 @@
 				}
 				z.Epoch = ids.Epoch(zb0002)
 			}
-		case "From":
-			bts, err = z.From.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "Body":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+		case "At":
+			z.At, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Body")
+				err = msgp.WrapError(err, "At")
 				return
 			}
-		case "Seq":
-			{
-				var zb0003 uint64
-				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Seq")
-					return
-				}
-				z.Seq = ids.Seq(zb0003)
-			}
-		case "Digest":
-			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
+		case "Name":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Digest")
+				err = msgp.WrapError(err, "Name")
 				return
 			}
-		case "Entries":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "Body":
+			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
 			if err != nil {
-				err = msgp.WrapError(err, "Entries")
+				err = msgp.WrapError(err, "Body")
 				return
 			}
-			if cap(z.Entries) >= int(zb0004) {
-				z.Entries = (z.Entries)[:zb0004]
-			} else {
-				z.Entries = make([]Entry, zb0004)
-			}
-			for za0001 := range z.Entries {
-				bts, err = z.Entries[za0001].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Entries", za0001)
-					return
-				}
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -158,24 +85,21 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *PictureAsk) Msgsize() (s int) {
-	s = 1 + 6 + msgp.Uint64Size + 5 + z.From.Msgsize() + 5 + msgp.BytesPrefixSize + len(z.Body) + 4 + msgp.Uint64Size + 7 + msgp.BytesPrefixSize + len(z.Digest) + 8 + msgp.ArrayHeaderSize
-	for za0001 := range z.Entries {
-		s += z.Entries[za0001].Msgsize()
-	}
+func (z *SheetAsk) Msgsize() (s int) {
+	s = 1 + 6 + msgp.Uint64Size + 3 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Name) + 5 + msgp.BytesPrefixSize + len(z.Body)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *SheetAsk) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *SheetReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 4
-	// string "Epoch"
-	o = append(o, 0x84, 0xa5, 0x45, 0x70, 0x6f, 0x63, 0x68)
-	o = msgp.AppendUint64(o, uint64(z.Epoch))
-	// string "At"
-	o = append(o, 0xa2, 0x41, 0x74)
-	o = msgp.AppendInt(o, z.At)
+	// string "Ok"
+	o = append(o, 0x84, 0xa2, 0x4f, 0x6b)
+	o = msgp.AppendBool(o, z.Ok)
+	// string "Count"
+	o = append(o, 0xa5, 0x43, 0x6f, 0x75, 0x6e, 0x74)
+	o = msgp.AppendInt(o, z.Count)
 	// string "Name"
 	o = append(o, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
 	o = msgp.AppendString(o, z.Name)
@@ -186,7 +110,7 @@
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *SheetAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *SheetReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -203,20 +127,16 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "Epoch":
-			{
-				var zb0002 uint64
-				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Epoch")
-					return
-				}
-				z.Epoch = ids.Epoch(zb0002)
+		case "Ok":
+			z.Ok, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ok")
+				return
 			}
-		case "At":
-			z.At, bts, err = msgp.ReadIntBytes(bts)
+		case "Count":
+			z.Count, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "At")
+				err = msgp.WrapError(err, "Count")
 				return
 			}
 		case "Name":
@@ -244,32 +164,76 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *SheetAsk) Msgsize() (s int) {
-	s = 1 + 6 + msgp.Uint64Size + 3 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Name) + 5 + msgp.BytesPrefixSize + len(z.Body)
+func (z *SheetReply) Msgsize() (s int) {
+	s = 1 + 3 + msgp.BoolSize + 6 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Name) + 5 + msgp.BytesPrefixSize + len(z.Body)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *SheetReply) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *SnapshotAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "Ok"
-	o = append(o, 0x84, 0xa2, 0x4f, 0x6b)
-	o = msgp.AppendBool(o, z.Ok)
-	// string "Count"
-	o = append(o, 0xa5, 0x43, 0x6f, 0x75, 0x6e, 0x74)
-	o = msgp.AppendInt(o, z.Count)
-	// string "Name"
-	o = append(o, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
-	o = msgp.AppendString(o, z.Name)
-	// string "Body"
-	o = append(o, 0xa4, 0x42, 0x6f, 0x64, 0x79)
-	o = msgp.AppendBytes(o, z.Body)
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Seq == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Digest == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Entries == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "Epoch"
+		o = append(o, 0xa5, 0x45, 0x70, 0x6f, 0x63, 0x68)
+		o = msgp.AppendUint64(o, uint64(z.Epoch))
+		// string "From"
+		o = append(o, 0xa4, 0x46, 0x72, 0x6f, 0x6d)
+		o, err = z.From.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "From")
+			return
+		}
+		// string "Body"
+		o = append(o, 0xa4, 0x42, 0x6f, 0x64, 0x79)
+		o = msgp.AppendBytes(o, z.Body)
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "Seq"
+			o = append(o, 0xa3, 0x53, 0x65, 0x71)
+			o = msgp.AppendUint64(o, uint64(z.Seq))
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "Digest"
+			o = append(o, 0xa6, 0x44, 0x69, 0x67, 0x65, 0x73, 0x74)
+			o = msgp.AppendBytes(o, z.Digest)
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "Entries"
+			o = append(o, 0xa7, 0x45, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
+			for za0001 := range z.Entries {
+				o, err = z.Entries[za0001].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Entries", za0001)
+					return
+				}
+			}
+		}
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *SheetReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *SnapshotAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -286,30 +250,63 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "Ok":
-			z.Ok, bts, err = msgp.ReadBoolBytes(bts)
+		case "Epoch":
+			{
+				var zb0002 uint64
+				zb0002, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Epoch")
+					return
+				}
+				z.Epoch = ids.Epoch(zb0002)
+			}
+		case "From":
+			bts, err = z.From.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Ok")
+				err = msgp.WrapError(err, "From")
 				return
 			}
-		case "Count":
-			z.Count, bts, err = msgp.ReadIntBytes(bts)
+		case "Body":
+			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
 			if err != nil {
-				err = msgp.WrapError(err, "Count")
+				err = msgp.WrapError(err, "Body")
 				return
 			}
-		case "Name":
-			z.Name, bts, err = msgp.ReadStringBytes(bts)
+		case "Seq":
+			{
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Seq")
+					return
+				}
+				z.Seq = ids.Seq(zb0003)
+			}
+		case "Digest":
+			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
 			if err != nil {
-				err = msgp.WrapError(err, "Name")
+				err = msgp.WrapError(err, "Digest")
 				return
 			}
-		case "Body":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+		case "Entries":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Body")
+				err = msgp.WrapError(err, "Entries")
 				return
 			}
+			if cap(z.Entries) >= int(zb0004) {
+				z.Entries = (z.Entries)[:zb0004]
+			} else {
+				z.Entries = make([]Entry, zb0004)
+			}
+			for za0001 := range z.Entries {
+				bts, err = z.Entries[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Entries", za0001)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -323,7 +320,10 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *SheetReply) Msgsize() (s int) {
-	s = 1 + 3 + msgp.BoolSize + 6 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Name) + 5 + msgp.BytesPrefixSize + len(z.Body)
+func (z *SnapshotAsk) Msgsize() (s int) {
+	s = 1 + 6 + msgp.Uint64Size + 5 + z.From.Msgsize() + 5 + msgp.BytesPrefixSize + len(z.Body) + 4 + msgp.Uint64Size + 7 + msgp.BytesPrefixSize + len(z.Digest) + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Entries {
+		s += z.Entries[za0001].Msgsize()
+	}
 	return
 }
--- a/coordination/roll.go
+++ b/coordination/state.go
@@ -22,7 +22,7 @@
 type Machine interface {
 	Apply(seq ids.Seq, kind string, body []byte) ([]byte, error)
 	Open(kind string) bool
-	Picture(open bool) []byte
+	Snapshot(open bool) []byte
 	Restore(body []byte) error
 	Keys() []ids.Key
 	Due(now ids.Tick, seq, seen ids.Seq) []Cmd
@@ -41,8 +41,8 @@
 	May(key ids.Key, node ids.NodeId) bool
 }
 
-// Same is what Apply gives, with an answer, when there is nothing to write.
-var Same = errors.New("nothing to write")
+// ErrUnchanged is what Apply gives, with an answer, when there is nothing to write.
+var ErrUnchanged = errors.New("nothing to write")
 
 // Cmd is a command of the embedder's, by name and body.
 type Cmd struct {
@@ -57,7 +57,7 @@
 	maxPast   = 2048 // of each class of operations
 )
 
-type roll struct {
+type replicatedState struct {
 	seq     ids.Seq
 	fence   ids.Fence
 	members map[ids.NodeId]Member
@@ -69,19 +69,19 @@
 	history history
 }
 
-func newRoll(app Machine) *roll {
-	return &roll{members: map[ids.NodeId]Member{}, grants: map[ids.Key]Grant{}, past: map[ids.OpId]Past{}, order: map[string][]ids.OpId{}, app: app, digest: make([]byte, digestBytes)}
+func newReplicatedState(app Machine) *replicatedState {
+	return &replicatedState{members: map[ids.NodeId]Member{}, grants: map[ids.Key]Grant{}, past: map[ids.OpId]Past{}, order: map[string][]ids.OpId{}, app: app, digest: make([]byte, digestBytes)}
 }
 
-type command interface{ apply(*roll) }
+type command interface{ apply(*replicatedState) }
 
 type join struct{ Member }
 type leave struct{ Member }
 type deal struct{ Deal }
 
-func (c join) apply(r *roll) { r.members[c.Node] = c.Member }
+func (c join) apply(r *replicatedState) { r.members[c.Node] = c.Member }
 
-func (c leave) apply(r *roll) {
+func (c leave) apply(r *replicatedState) {
 	delete(r.members, c.Node)
 	for k, g := range r.grants {
 		if g.Node == c.Node {
@@ -90,7 +90,7 @@
 	}
 }
 
-func (c deal) apply(r *roll) {
+func (c deal) apply(r *replicatedState) {
 	for _, g := range c.Grants {
 		if g.Node == "" {
 			delete(r.grants, g.Key)
@@ -123,7 +123,7 @@
 }
 
 // apply takes the next entry. An error means that nothing changed.
-func (r *roll) apply(e *Entry) ([]byte, error) {
+func (r *replicatedState) apply(e *Entry) ([]byte, error) {
 	c, err := parse(e.Kind, e.Body)
 	if err != nil {
 		return nil, err
@@ -147,7 +147,7 @@
 
 // keep remembers an operation's outcome. Operations are classed by what stands
 // before the first slash, so that many of one class push out none of another.
-func (r *roll) keep(p Past) {
+func (r *replicatedState) keep(p Past) {
 	class, _, _ := strings.Cut(string(p.Op), "/")
 	r.past[p.Op] = p
 	row := append(r.order[class], p.Op)
@@ -159,7 +159,7 @@
 }
 
 // list gives the members by name.
-func (r *roll) list() []Member {
+func (r *replicatedState) list() []Member {
 	var out []Member
 	for _, m := range r.members {
 		out = append(out, m)
@@ -168,8 +168,8 @@
 	return out
 }
 
-func (r *roll) picture(open bool) *Image {
-	img := &Image{Seq: r.seq, Fence: r.fence, App: r.app.Picture(open), Members: r.list()}
+func (r *replicatedState) snapshot(open bool) *Image {
+	img := &Image{Seq: r.seq, Fence: r.fence, App: r.app.Snapshot(open), Members: r.list()}
 	for _, g := range r.grants {
 		img.Grants = append(img.Grants, g)
 	}
@@ -187,11 +187,11 @@
 	return img
 }
 
-func (r *roll) restore(img *Image) error {
+func (r *replicatedState) restore(img *Image) error {
 	if err := r.app.Restore(img.App); err != nil {
 		return failure.As(err, failure.Bad, "restore picture", "")
 	}
-	fresh := newRoll(r.app)
+	fresh := newReplicatedState(r.app)
 	fresh.seq, fresh.fence, fresh.digest = img.Seq, img.Fence, img.Digest
 	if len(fresh.digest) == 0 {
 		fresh.digest = stateDigest(img.Seq, img.App)
--- a/coordination/roll_note.go
+++ b/coordination/state_note.go
@@ -4,7 +4,7 @@
 
 import "keelstair.example/ids"
 
-//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file roll_note.go
+//go:generate go run github.com/tinylib/msgp@v1.6.5 -io=false -tests=false -file state_note.go
 //msgp:shim ids.Seq as:uint64 using:uint64/ids.Seq
 //msgp:shim ids.Fence as:uint64 using:uint64/ids.Fence
 //msgp:shim ids.NodeId as:string using:string/ids.NodeId
--- a/coordination/roll_test.go
+++ b/coordination/state_test.go
@@ -1,4 +1,4 @@
-// What the roll remembers of operations.
+// What the state remembers of operations.
 
 package coordination
 
@@ -12,9 +12,9 @@
 )
 
 // TestPastByClass: a flood of one class of operations pushes out its own oldest
-// only, and a picture brings all of them over.
+// only, and a snapshot brings all of them over.
 func TestPastByClass(t *testing.T) {
-	r := newRoll(nil)
+	r := newReplicatedState(nil)
 	r.keep(Past{Op: "op/first", Seq: 1})
 	for i := range 3 * maxPast {
 		r.keep(Past{Op: ids.OpId(fmt.Sprintf("claim/%d", i)), Seq: ids.Seq(i + 2)})
--- a/coordination/steward.go
+++ b/coordination/steward.go
@@ -21,7 +21,7 @@
 
 // meeting is who was met last, and since when nobody else.
 type meeting struct {
-	row []Seat
+	row []Replica
 	at  ids.Tick
 }
 
@@ -31,8 +31,8 @@
 	for c.pause(ctx) {
 		now := c.opt.Host.Clock.Now()
 		rec, _ := c.accepted()
-		known := c.book.Record()
-		if f := c.book.Foreign(); f != "" && rec.Founding != "" && c.orphan(now, rec) {
+		known := c.directory.Record()
+		if f := c.directory.Foreign(); f != "" && rec.Founding != "" && c.orphan(now, rec) {
 			c.fatal <- failure.New(failure.Bad, "meet neighbours", f, "this disk belongs to founding %s; the seeds to another", rec.Founding)
 			return
 		}
@@ -50,7 +50,7 @@
 			idle = now
 			continue
 		}
-		if c.store.busy.Load() > 0 || !c.named(rec) || c.soured() {
+		if c.store.busy.Load() > 0 || !c.named(rec) || c.reloaded() {
 			continue
 		}
 		wait := time.Duration(0)
@@ -102,7 +102,7 @@
 			return false
 		}
 	}
-	all, _ := c.book.heard(5 * time.Second)
+	all, _ := c.directory.heard(5 * time.Second)
 	for _, s := range all {
 		if holds(rec.Holders, s.Disk) {
 			return false
@@ -116,18 +116,18 @@
 }
 
 // soured data (a failed disk step) is read again from disk before it is used.
-func (c *Core) soured() bool {
+func (c *Core) reloaded() bool {
 	c.dataMu.Lock()
 	defer c.dataMu.Unlock()
-	if !c.sour {
+	if !c.mustReload {
 		return false
 	}
-	fresh := newRoll(c.opt.Machine())
+	fresh := newReplicatedState(c.opt.Machine())
 	if err := c.store.load(fresh); err != nil {
 		c.opt.Ring.Error().AnErr("cause", err).Msg("disk cannot be read back")
 		return true
 	}
-	c.roll, c.sour = fresh, false
+	c.state, c.mustReload = fresh, false
 	return false
 }
 
@@ -135,7 +135,7 @@
 // one may be lost) and all of them accept it. The lowest identity proposes, once it heard
 // of no other machine for a while.
 func (c *Core) found(ctx context.Context, met *meeting) {
-	all, blank := c.book.heard(2 * time.Second)
+	all, blank := c.directory.heard(2 * time.Second)
 	n := 2*c.opt.Losses + 1
 	if len(all) != len(blank) || len(blank) < n-1 {
 		return
@@ -151,7 +151,7 @@
 	rec := Record{Epoch: 1, Founding: "f-" + string(c.me.Disk), Primary: c.me, Holders: row}
 	rec.follow(row[1 : 1+c.opt.Losses])
 	c.dataMu.Lock()
-	body, shelf := Pack(c.roll.picture(false)), sheets(c.roll.app)
+	body, shelf := Pack(c.state.snapshot(false)), sheets(c.state.app)
 	c.dataMu.Unlock()
 	if c.begin(ctx, rec, body, shelf) {
 		c.serve(ctx, rec)
--- a/coordination/store.go
+++ b/coordination/store.go
@@ -1,4 +1,4 @@
-// What a core keeps on disk: its identity, its register, a snapshot (picture), and
+// What a core keeps on disk: its identity, its register, a snapshot (snapshot), and
 // the log that follows the snapshot. The snapshot names its log, so that taking a
 // new one swaps both in one rename. A log is on disk before anything that counts
 // on it, so one that is missing means damage. Every disk step is watched: one that
@@ -19,12 +19,12 @@
 )
 
 const (
-	pictureFile  = "picture"
-	registerFile = "register"
-	identityFile = "identity"
-	bookFile     = "book"
-	firstLog     = "log-0"
-	logPrefix    = "log-"
+	snapshotFile  = "picture"
+	registerFile  = "register"
+	identityFile  = "identity"
+	directoryFile = "book"
+	firstLog      = "log-0"
+	logPrefix     = "log-"
 
 	// A log counts its rows, a long one as several of rowUnit bytes. One that counts
 	// over rowsPerLog gives way to a new snapshot. So a log takes about 4 MiB on disk
@@ -68,8 +68,8 @@
 	}
 }
 
-// load reads picture and log into a roll that starts empty.
-func (s *store) load(r *roll) error {
+// load reads snapshot and log into a state that starts empty.
+func (s *store) load(r *replicatedState) error {
 	if s.log != nil {
 		s.log.Close()
 		s.log = nil
@@ -77,7 +77,7 @@
 	if err := s.listSheets(); err != nil {
 		return err
 	}
-	img, err := s.loadPicture()
+	img, err := s.loadSnapshot()
 	if err != nil {
 		return err
 	}
@@ -98,8 +98,8 @@
 }
 
 // loadPicture gives the snapshot on disk, or nil if none was taken yet.
-func (s *store) loadPicture() (*Image, error) {
-	body, err := s.disk.Load(pictureFile)
+func (s *store) loadSnapshot() (*Image, error) {
+	body, err := s.disk.Load(snapshotFile)
 	if errors.Is(err, seam.ErrGone) {
 		return nil, nil
 	}
@@ -152,7 +152,7 @@
 }
 
 // replay applies the rows of a log to the state before it.
-func replay(r *roll, rows [][]byte) error {
+func replay(r *replicatedState, rows [][]byte) error {
 	for _, row := range rows {
 		var e Entry
 		rest, err := e.UnmarshalMsg(row)
@@ -209,8 +209,8 @@
 	return s.within("append log", func() error { return log.Append(rows) })
 }
 
-// restore makes a roll from a picture and the sheets that it names.
-func (s *store) restore(r *roll, img *Image, near []Sheet) error {
+// restore makes a state from a snapshot and the sheets that it names.
+func (s *store) restore(r *replicatedState, img *Image, near []Sheet) error {
 	if shelf, ok := r.app.(Shelf); ok {
 		all, err := s.findSheets(img.Sheets, near)
 		if err != nil {
@@ -221,8 +221,8 @@
 	return r.restore(img)
 }
 
-// reset puts a picture in place of all that was, with a new empty log. Sheets
-// that the picture names are on disk before it.
+// reset puts a snapshot in place of all that was, with a new empty log. Sheets
+// that the snapshot names are on disk before it.
 func (s *store) reset(img *Image, all []Sheet) error {
 	if s.busy.Load() > 0 {
 		return failure.New(failure.Lost, "save picture", "disk", "an earlier step still stalls")
@@ -264,7 +264,7 @@
 		if err != nil {
 			return err
 		}
-		return s.disk.Save(pictureFile, Pack(&copied))
+		return s.disk.Save(snapshotFile, Pack(&copied))
 	})
 	if err != nil {
 		go closeLog(made)
--- a/coordination/times_test.go
+++ b/coordination/times_test.go
@@ -54,7 +54,7 @@
 		f.off(witness)
 		began := time.Now()
 		require.True(t, await(20*time.Second, func() bool {
-			for _, h := range f.cores[primary].Book().Record().Holders {
+			for _, h := range f.cores[primary].Directory().Record().Holders {
 				if machineOf(h.Addr) == spare {
 					return true
 				}
--- a/coordination/word_test.go
+++ b/coordination/word_test.go
@@ -36,7 +36,7 @@
 		go rpc.Serve(ctx, l, mux)
 		a := NewAgent(AgentOptions{Me: Member{Node: "n", Addr: "10.0.0.2:1"}, Host: node.Host(), View: blank{}})
 		defer a.call.Close()
-		a.book.Learn(&WhereAsk{Record: Record{Epoch: 1, Founding: "f", Primary: Seat{Disk: "d", Addr: "10.0.0.1:1"}}})
+		a.directory.Learn(&WhereAsk{Record: Record{Epoch: 1, Founding: "f", Primary: Replica{Disk: "d", Addr: "10.0.0.1:1"}}})
 		a.sight.Store(&sight{seq: 5, grants: map[ids.Key]Grant{}})
 		require.False(t, a.Word(), "no lease yet")
 		require.NoError(t, a.renew(ctx))
--- a/fleetstate/audit.go
+++ b/fleetstate/audit.go
@@ -170,5 +170,5 @@
 }
 
 func (c *Audits) apply(s *State) (msgp.Marshaler, error) {
-	return s.audit.read(c.From, min(max(c.Most, 1), auditLeaf)), coordination.Same
+	return s.audit.read(c.From, min(max(c.Most, 1), auditLeaf)), coordination.ErrUnchanged
 }
--- a/fleetstate/audit_test.go
+++ b/fleetstate/audit_test.go
@@ -15,7 +15,7 @@
 
 func audits(t *testing.T, m *Machine, from, most int) (AuditsReply, []AuditRow) {
 	out, err := m.State.Apply(AuditsKind, coordination.Pack(&Audits{From: from, Most: most}))
-	require.ErrorIs(t, err, coordination.Same, "reading writes nothing")
+	require.ErrorIs(t, err, coordination.ErrUnchanged, "reading writes nothing")
 	var got AuditsReply
 	_, err = got.UnmarshalMsg(out)
 	require.NoError(t, err)
@@ -41,7 +41,7 @@
 		if i == auditLeaf+7 {
 			copied = NewMachine(MachineOptions{})
 			copied.Shelve(m.Sheets())
-			require.NoError(t, copied.Restore(m.Picture(false)))
+			require.NoError(t, copied.Restore(m.Snapshot(false)))
 		}
 	}
 	require.Equal(t, m.Sheets(), copied.Sheets())
--- a/fleetstate/delta_test.go
+++ b/fleetstate/delta_test.go
@@ -113,10 +113,10 @@
 	require.EqualValues(t, 2, v.Sight().Version)
 	require.Equal(t, string(two), string(v.Sight().Text))
 	require.Len(t, v.Sight().Policy.Routes, 1401)
-	require.Less(t, len(m.Picture(true)), len(two)/5)
+	require.Less(t, len(m.Snapshot(true)), len(two)/5)
 	require.Equal(t, string(two), string(unpack(m.active.Text)))
 	late := NewView(logging.Mute())
-	require.NoError(t, late.Restore(v.Picture()))
+	require.NoError(t, late.Restore(v.Snapshot()))
 	require.Equal(t, string(two), string(late.Sight().Text))
 	back := &Stage{Base: 2, Text: pack(one)}
 	back.Shorten(two, one)
--- a/fleetstate/failback.go
+++ b/fleetstate/failback.go
@@ -35,7 +35,7 @@
 
 func (c *Warmed) apply(s *State) (msgp.Marshaler, error) {
 	if s.failbacks[c.Zone].No != c.No {
-		return nil, coordination.Same
+		return nil, coordination.ErrUnchanged
 	}
 	delete(s.failbacks, c.Zone)
 	return nil, nil
--- a/fleetstate/failback_test.go
+++ b/fleetstate/failback_test.go
@@ -32,7 +32,7 @@
 	tells := func(m *Machine) Failback {
 		t.Helper()
 		v := NewView(nil)
-		require.NoError(t, v.Restore(m.Picture(true)))
+		require.NoError(t, v.Restore(m.Snapshot(true)))
 		return v.Sight().Failbacks["z"]
 	}
 	lead, backup := fresh(), fresh()
@@ -52,7 +52,7 @@
 	require.Empty(t, backup.Due(at(9), seq, seq))
 	require.Equal(t, int64(2*time.Second), tells(backup).Ago, "from its own start on")
 	given := fresh()
-	require.NoError(t, given.Restore(lead.Picture(false)))
+	require.NoError(t, given.Restore(lead.Snapshot(false)))
 	require.Empty(t, given.Due(at(50), seq, seq))
 	require.Empty(t, given.Due(at(51), seq, seq))
 	require.Equal(t, int64(4*time.Second), tells(given).Ago, "from what it was told on")
@@ -62,7 +62,7 @@
 	require.Equal(t, WarmedKind, due[0].Kind)
 	vacate(true, lead, backup)
 	vacate(false, lead, backup)
-	require.Equal(t, coordination.Same, func() error { _, err := lead.Apply(seq+1, due[0].Kind, due[0].Body); return err }(), "it speaks of an earlier time")
+	require.Equal(t, coordination.ErrUnchanged, func() error { _, err := lead.Apply(seq+1, due[0].Kind, due[0].Body); return err }(), "it speaks of an earlier time")
 	require.Empty(t, lead.Due(at(108), seq, seq))
 	require.Equal(t, Failback{"z", 2, 0}, tells(lead))
 	due = lead.Due(at(115.1), seq, seq)
--- a/fleetstate/fleetstate_test.go
+++ b/fleetstate/fleetstate_test.go
@@ -70,7 +70,7 @@
 func TestDeeds(t *testing.T) {
 	s := newState(false, Depth{})
 	require.NoError(t, do(t, s, ClaimKind, &Claim{Key: "k", Owner: "n1"}))
-	require.ErrorIs(t, do(t, s, ClaimKind, &Claim{Key: "k", Owner: "n2"}), coordination.Same)
+	require.ErrorIs(t, do(t, s, ClaimKind, &Claim{Key: "k", Owner: "n2"}), coordination.ErrUnchanged)
 	require.Error(t, do(t, s, SettleKind, &Settle{Key: "k", Owner: "n2", Fate: Done}))
 	require.NoError(t, do(t, s, SeizeKind, &Seize{Key: "k", From: "n1", To: "n3", Fence: 7}))
 	require.Error(t, do(t, s, SeizeKind, &Seize{Key: "k", From: "n3", To: "n4", Fence: 6}), "an older settler")
@@ -144,11 +144,11 @@
 		do(ActivateKind, coordination.Pack(&Activate{next}), views...)
 	}
 	rule(0, 1, `{"zones":["one"]}`, v)
-	old := m.Picture(false)
+	old := m.Snapshot(false)
 	rule(1, 2, `{"zones":["two"]}`, v)
 	require.EqualValues(t, 2, v.Sight().Version)
 	require.NoError(t, m.Restore(old))
-	require.NoError(t, v.Restore(m.Picture(true)))
+	require.NoError(t, v.Restore(m.Snapshot(true)))
 	require.EqualValues(t, 2, v.Sight().Version)
 	require.Equal(t, []ids.Zone{"two"}, v.Sight().Policy.Zones)
 	require.Equal(t, `{"zones":["two"]}`, string(v.Sight().Text))
--- a/fleetstate/machine.go
+++ b/fleetstate/machine.go
@@ -94,7 +94,7 @@
 func (m *Machine) Open(kind string) bool     { return kind != ClockKind && kind != AuditKind }
 func (m *Machine) Restore(body []byte) error { m.of = 0; m.keys = nil; return m.load(body) }
 
-func (m *Machine) Picture(open bool) []byte {
+func (m *Machine) Snapshot(open bool) []byte {
 	img := m.image(open)
 	for i, f := range img.Failbacks {
 		img.Failbacks[i].Ago = int64(m.ago(f))
--- a/fleetstate/orders_test.go
+++ b/fleetstate/orders_test.go
@@ -40,7 +40,7 @@
 // snapshot adds a replica that is restored from the first one's image.
 func (r *replicas) snapshot() {
 	m := NewMachine(MachineOptions{})
-	require.NoError(r, m.Restore(r.all[0].Picture(false)))
+	require.NoError(r, m.Restore(r.all[0].Snapshot(false)))
 	r.all = append(r.all, m)
 }
 
@@ -57,7 +57,7 @@
 		return r.apply(VacateKind, &Vacate{Zone: "z", Out: out, Compare: true, Base: base})
 	}
 	require.NoError(t, over(0, true))
-	require.Equal(t, coordination.Same, over(0, true), "as asked already")
+	require.Equal(t, coordination.ErrUnchanged, over(0, true), "as asked already")
 	r.snapshot()
 	require.NoError(t, over(1, false))
 	require.True(t, failure.Is(over(0, true), failure.Stale), "a copy of the first that was held up")
--- a/fleetstate/programs_test.go
+++ b/fleetstate/programs_test.go
@@ -53,13 +53,13 @@
 	require.EqualValues(t, 7, m.newest())
 	for _, open := range []bool{false, true} {
 		copied := NewMachine(MachineOptions{})
-		require.NoError(t, copied.Restore(m.Picture(open)))
+		require.NoError(t, copied.Restore(m.Snapshot(open)))
 		require.Equal(t, m.programs, copied.programs)
-		require.Equal(t, m.Picture(open), copied.Picture(open))
+		require.Equal(t, m.Snapshot(open), copied.Snapshot(open))
 		require.Len(t, copied.Due(ids.Tick(1), 6, 6), 2, "the copy is due by itself")
 		v := NewView(logging.Mute())
 		v.Scores = &whim.Scores{}
-		require.NoError(t, v.Restore(copied.Picture(true)))
+		require.NoError(t, v.Restore(copied.Snapshot(true)))
 		require.EqualValues(t, 1, v.Sight().Set.Version)
 		require.True(t, v.Fold(9, ActivateProgramsKind, coordination.Pack(&Activate{2})))
 		require.EqualValues(t, 2, v.Sight().Set.Version)
--- a/fleetstate/shelf_test.go
+++ b/fleetstate/shelf_test.go
@@ -40,21 +40,21 @@
 		if i == 50 {
 			copied = NewMachine(MachineOptions{Depth: Depth{Full: 4, Leaf: 8}})
 			copied.Shelve(m.Sheets())
-			require.NoError(t, copied.Restore(m.Picture(false)))
+			require.NoError(t, copied.Restore(m.Snapshot(false)))
 		}
 	}
 	require.Equal(t, m.Sheets(), copied.Sheets())
 	require.Len(t, m.Sheets(), 12)
-	require.Equal(t, m.Picture(false), copied.Picture(false))
+	require.Equal(t, m.Snapshot(false), copied.Snapshot(false))
 	for i := range 100 {
 		got, err := claim(t, copied.State, key(i), fmt.Sprint("body", i))
-		require.ErrorIs(t, err, coordination.Same)
+		require.ErrorIs(t, err, coordination.ErrUnchanged)
 		require.False(t, got.Fresh)
 		require.Equal(t, fate[i%3], got.Deed.Fate)
 		require.Equal(t, fmt.Sprint("body", i), got.Deed.Digest)
 		require.Equal(t, i < 96, got.Deed.Aged)
 		got, err = claim(t, copied.State, key(i), "another body")
-		require.ErrorIs(t, err, coordination.Same)
+		require.ErrorIs(t, err, coordination.ErrUnchanged)
 		require.NotEqual(t, "another body", got.Deed.Digest, "the key stands for another request")
 	}
 	_, ok := copied.shelf.find("verdict/never", "x")
@@ -74,7 +74,7 @@
 	require.True(t, failure.Is(err, failure.Stale))
 	require.ErrorContains(t, err, "full")
 	got, err := claim(t, s, "0", "b")
-	require.ErrorIs(t, err, coordination.Same)
+	require.ErrorIs(t, err, coordination.ErrUnchanged)
 	require.Equal(t, Done, got.Deed.Fate)
 }
 
@@ -97,7 +97,7 @@
 func BenchmarkPicture(b *testing.B) {
 	m := full(5 * million)
 	for b.Loop() {
-		body := m.Picture(false)
+		body := m.Snapshot(false)
 		next := NewMachine(MachineOptions{})
 		next.Shelve(m.Sheets())
 		if err := next.Restore(body); err != nil {
--- a/fleetstate/state.go
+++ b/fleetstate/state.go
@@ -127,7 +127,7 @@
 		return nil, failure.As(err, failure.Bad, "apply", kind)
 	}
 	out, err := c.apply(s)
-	if err != nil && err != coordination.Same || out == nil {
+	if err != nil && err != coordination.ErrUnchanged || out == nil {
 		return nil, err
 	}
 	return coordination.Pack(out), err
@@ -166,7 +166,7 @@
 // opposite order would be done.
 func (s *State) unchanged(compared bool) (msgp.Marshaler, error) {
 	if compared {
-		return &Ruling{s.newest()}, coordination.Same
+		return &Ruling{s.newest()}, coordination.ErrUnchanged
 	}
 	return &Ruling{s.newest()}, nil
 }
@@ -183,10 +183,10 @@
 
 func (c *Claim) apply(s *State) (msgp.Marshaler, error) {
 	if d, ok := s.deeds[c.Key]; ok {
-		return &ClaimReply{Deed: d}, coordination.Same
+		return &ClaimReply{Deed: d}, coordination.ErrUnchanged
 	}
 	if d, ok := s.shelf.find(c.Key, c.Digest); ok {
-		return &ClaimReply{Deed: d}, coordination.Same
+		return &ClaimReply{Deed: d}, coordination.ErrUnchanged
 	}
 	if !s.lean && s.most > 0 && s.count >= s.most {
 		return nil, failure.New(failure.Stale, "claim", c.Key, "the store of deeds is full: %d", s.count)
--- a/fleetstate/turn.go
+++ b/fleetstate/turn.go
@@ -34,7 +34,7 @@
 	to, ok := s.turning[c.Worker]
 	switch {
 	case c.Done && !ok, !c.Done && to == c.To:
-		return &Ruling{s.newest()}, coordination.Same
+		return &Ruling{s.newest()}, coordination.ErrUnchanged
 	case c.Done:
 		delete(s.turning, c.Worker)
 	default:
--- a/fleetstate/turn_test.go
+++ b/fleetstate/turn_test.go
@@ -17,9 +17,9 @@
 // nothing and is no error to those who asked; another part replaces the first.
 func TestTurn(t *testing.T) {
 	s := newState(false, Depth{})
-	require.ErrorIs(t, do(t, s, TurnKind, &Turn{Worker: "w", Done: true}), coordination.Same)
+	require.ErrorIs(t, do(t, s, TurnKind, &Turn{Worker: "w", Done: true}), coordination.ErrUnchanged)
 	require.NoError(t, do(t, s, TurnKind, &Turn{Worker: "w", To: ids.Decode}))
-	require.ErrorIs(t, do(t, s, TurnKind, &Turn{Worker: "w", To: ids.Decode}), coordination.Same)
+	require.ErrorIs(t, do(t, s, TurnKind, &Turn{Worker: "w", To: ids.Decode}), coordination.ErrUnchanged)
 	require.NoError(t, do(t, s, TurnKind, &Turn{Worker: "w", To: ids.Prefill}))
 	require.NoError(t, do(t, s, TurnKind, &Turn{Worker: "v", To: ids.Decode}))
 	require.Equal(t, map[ids.WorkerId]ids.Part{"w": ids.Prefill, "v": ids.Decode}, s.turning)
@@ -37,9 +37,9 @@
 	}
 	for _, open := range []bool{false, true} {
 		copied := NewMachine(MachineOptions{})
-		require.NoError(t, copied.Restore(m.Picture(open)))
+		require.NoError(t, copied.Restore(m.Snapshot(open)))
 		require.Equal(t, m.turning, copied.turning)
-		require.Equal(t, m.Picture(open), copied.Picture(open))
+		require.Equal(t, m.Snapshot(open), copied.Snapshot(open))
 		require.NoError(t, do(t, copied.State, TurnKind, &Turn{Worker: "a", Done: true}))
 		require.Len(t, m.turning, 3, "the copy is its own")
 	}
@@ -53,12 +53,12 @@
 	first := v.Sight()
 	require.Equal(t, map[ids.WorkerId]ids.Part{"w": ids.Decode}, first.Turning)
 	other := NewView(logging.Mute())
-	require.NoError(t, other.Restore(v.Picture()))
+	require.NoError(t, other.Restore(v.Snapshot()))
 	require.Equal(t, first.Turning, other.Sight().Turning)
 	require.True(t, v.Fold(2, TurnKind, coordination.Pack(&Turn{Worker: "w", Done: true})))
 	require.Empty(t, v.Sight().Turning)
 	require.Len(t, first.Turning, 1)
-	require.NoError(t, other.Restore(v.Picture()))
+	require.NoError(t, other.Restore(v.Snapshot()))
 	require.Empty(t, other.Sight().Turning)
 }
 
--- a/fleetstate/view.go
+++ b/fleetstate/view.go
@@ -110,7 +110,7 @@
 func (v *View) Fold(_ ids.Seq, kind string, body []byte) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if _, err := v.state.Apply(kind, body); err != nil && err != coordination.Same {
+	if _, err := v.state.Apply(kind, body); err != nil && err != coordination.ErrUnchanged {
 		v.Ring.Error().AnErr("cause", err).Str("kind", kind).Msg("news does not fold")
 	}
 	loud := false
@@ -122,7 +122,7 @@
 	return loud
 }
 
-func (v *View) Picture() []byte {
+func (v *View) Snapshot() []byte {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return coordination.Pack(v.state.image(true))
--- a/fleetstate/writ.go
+++ b/fleetstate/writ.go
@@ -43,7 +43,7 @@
 
 func (c *Revoke) apply(s *State) (msgp.Marshaler, error) {
 	if _, ok := s.revoked[c.Serial]; ok {
-		return &Ruling{s.newest()}, coordination.Same
+		return &Ruling{s.newest()}, coordination.ErrUnchanged
 	}
 	s.revoked[c.Serial] = false
 	return &Ruling{s.newest()}, nil
@@ -59,7 +59,7 @@
 
 func (c *Clock) apply(s *State) (msgp.Marshaler, error) {
 	if c.At <= s.time {
-		return &Ruling{s.newest()}, coordination.Same
+		return &Ruling{s.newest()}, coordination.ErrUnchanged
 	}
 	s.time = c.At
 	return &Ruling{s.newest()}, nil
--- a/proxy/config_test.go
+++ b/proxy/config_test.go
@@ -29,7 +29,7 @@
 	ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
 	defer stop()
 	b := f.up()[0]
-	got, _, err := fleetstate.Newest(ctx, b.agent.Caller(), b.Book())
+	got, _, err := fleetstate.Newest(ctx, b.agent.Caller(), b.Directory())
 	require.NoError(t, err)
 	return got
 }
@@ -47,12 +47,12 @@
 		put := func(op ids.OpId, base, next ids.Version, text string) (ids.Version, error) {
 			ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
 			defer stop()
-			return fleetstate.Put(ctx, b.agent.Caller(), b.Book(), op, base, next, []byte(text))
+			return fleetstate.Put(ctx, b.agent.Caller(), b.Directory(), op, base, next, []byte(text))
 		}
 		outcome := func(op ids.OpId, base ids.Version) (ids.Version, error) {
 			ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
 			defer stop()
-			return fleetstate.Outcome(ctx, b.agent.Caller(), b.Book(), op, fleetstate.OutcomeAsk{Base: base})
+			return fleetstate.Outcome(ctx, b.agent.Caller(), b.Directory(), op, fleetstate.OutcomeAsk{Base: base})
 		}
 		require.True(t, f.until(3*time.Second, func() bool { return f.inForce(1) }))
 		v, err := put("seven", 1, 7, `{"zones":["seven"]}`)
@@ -104,7 +104,7 @@
 		require.Equal(t, text, f.newest(t).Text)
 		for _, b := range f.nodes {
 			require.Equal(t, text, b.view.Sight().Text)
-			require.Less(t, len(b.view.Picture()), len(text)/5)
+			require.Less(t, len(b.view.Snapshot()), len(text)/5)
 		}
 	})
 }
--- a/proxy/fleet_test.go
+++ b/proxy/fleet_test.go
@@ -255,7 +255,7 @@
 func (f *fleet) putAt(n *berth, op ids.OpId, base, next ids.Version, text []byte) error {
 	ctx, stop := context.WithTimeout(context.Background(), 8*time.Second)
 	defer stop()
-	_, err := fleetstate.Put(ctx, n.agent.Caller(), n.Book(), op, base, next, text)
+	_, err := fleetstate.Put(ctx, n.agent.Caller(), n.Directory(), op, base, next, text)
 	return err
 }
 
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -167,8 +167,8 @@
 // View shows what the node knows of the configuration.
 func (n *Node) View() *fleetstate.View { return n.view }
 
-// Book is where the node knows others from.
-func (n *Node) Book() *coordination.Book { return n.agent.Book() }
+// Directory is where the node knows others from.
+func (n *Node) Directory() *coordination.Directory { return n.agent.Directory() }
 
 // Counts gives the node's figures.
 func (n *Node) Counts() *Counts { return &n.counts }
--- a/proxy/operate.go
+++ b/proxy/operate.go
@@ -22,9 +22,9 @@
 
 // Operator is a api.Operator over the core that the book knows.
 type Operator struct {
-	Call  *rpc.Caller
-	Book  *coordination.Book
-	Zones []string // that there are
+	Call      *rpc.Caller
+	Directory *coordination.Directory
+	Zones     []string // that there are
 }
 
 const (
@@ -52,14 +52,14 @@
 	}
 	var base []byte
 	if a.Partial {
-		img, err := fleetstate.Look(cx, o.Call, o.Book)
+		img, err := fleetstate.Look(cx, o.Call, o.Directory)
 		if err != nil {
 			return nil, api.Fate(err, comeBack)
 		}
 		top, _ := img.Set()
 		if uint64(top.Version) != a.Base {
 			// The base has moved on, perhaps by this very operation.
-			v, err := fleetstate.Outcome(cx, o.Call, o.Book, op, fleetstate.OutcomeAsk{Base: ids.Version(a.Base), Programs: true})
+			v, err := fleetstate.Outcome(cx, o.Call, o.Directory, op, fleetstate.OutcomeAsk{Base: ids.Version(a.Base), Programs: true})
 			if failure.Is(err, failure.Stale) {
 				return nil, api.Stale(a.Base, uint64(top.Version))
 			}
@@ -77,7 +77,7 @@
 	if a.Dry {
 		return &api.Applied{Version: a.Base, Policy: whole}, nil
 	}
-	v, err := fleetstate.PutPrograms(cx, o.Call, o.Book, op, ids.Version(a.Base), whole)
+	v, err := fleetstate.PutPrograms(cx, o.Call, o.Directory, op, ids.Version(a.Base), whole)
 	return o.ruled(ctx, v, err)
 }
 
@@ -89,7 +89,7 @@
 	cx, stop := context.WithTimeout(ctx, forceWait)
 	defer stop()
 	for {
-		if img, err := fleetstate.Look(cx, o.Call, o.Book); err == nil && img.Programs.Version >= v {
+		if img, err := fleetstate.Look(cx, o.Call, o.Directory); err == nil && img.Programs.Version >= v {
 			return &api.Applied{Version: uint64(v), Active: true}, nil
 		}
 		if !seam.Sleep(cx, 50*time.Millisecond) {
@@ -105,7 +105,7 @@
 	}
 	cx, stop := context.WithTimeout(ctx, operatorWait)
 	defer stop()
-	if err := fleetstate.Mark(cx, o.Call, o.Book, ids.OpId(zoneOps+m.Op), ids.Zone(zone), m.Out); err != nil {
+	if err := fleetstate.Mark(cx, o.Call, o.Directory, ids.OpId(zoneOps+m.Op), ids.Zone(zone), m.Out); err != nil {
 		return nil, api.Fate(err, comeBack)
 	}
 	return &api.Applied{Active: true}, nil
@@ -133,7 +133,7 @@
 func (o *Operator) Shown(ctx context.Context) (*api.Shown, error) {
 	cx, stop := context.WithTimeout(ctx, operatorWait)
 	defer stop()
-	img, err := fleetstate.Look(cx, o.Call, o.Book)
+	img, err := fleetstate.Look(cx, o.Call, o.Directory)
 	if err != nil {
 		return nil, err
 	}
@@ -144,5 +144,5 @@
 
 // Status tells where this process believes the core to be.
 func (o *Operator) Status() any {
-	return map[string]any{"core": o.Book.Record(), "zones": o.Zones}
+	return map[string]any{"core": o.Directory.Record(), "zones": o.Zones}
 }
--- a/proxy/state.go
+++ b/proxy/state.go
@@ -71,7 +71,7 @@
 	if n.agent.Caught(deafSpan) {
 		return false
 	}
-	if now.Past(n.agent.Book().Heard(), deafSpan) {
+	if now.Past(n.agent.Directory().Heard(), deafSpan) {
 		n.deaf.Store(int64(now))
 		return true
 	}
--- a/proxy/swap_test.go
+++ b/proxy/swap_test.go
@@ -44,7 +44,7 @@
 
 // operator speaks to the core by way of a node.
 func (f *fleet) operator(b *berth) *Operator {
-	return &Operator{Call: b.agent.Caller(), Book: b.Book(), Zones: []string{"a", "b"}}
+	return &Operator{Call: b.agent.Caller(), Directory: b.Directory(), Zones: []string{"a", "b"}}
 }
 
 func (f *fleet) apply(op string, base uint64, text string) (*api.Applied, error) {
--- a/router/augur/augur_test.go
+++ b/router/augur/augur_test.go
@@ -19,7 +19,7 @@
 	for i, z := range []ids.Zone{"a", "b", "b"} {
 		n := string(rune('1' + i))
 		st.Members = append(st.Members, coordination.Member{Node: ids.NodeId("n" + n), Addr: "10.0.0." + n + ":1", Zone: z})
-		st.Core.Holders = append(st.Core.Holders, coordination.Seat{Disk: ids.DiskId(n), Addr: "10.0.1." + n + ":1", Zone: z})
+		st.Core.Holders = append(st.Core.Holders, coordination.Replica{Disk: ids.DiskId(n), Addr: "10.0.1." + n + ":1", Zone: z})
 		for _, part := range []ids.Part{ids.Prefill, ids.Decode} {
 			id := ids.WorkerId(string(part[0]) + n)
 			p.Workers[id] = fleetstate.Worker{Part: part, Model: "m", Weights: "w", Room: 100, Block: 16, Zone: z}
--- a/router/operate.go
+++ b/router/operate.go
@@ -181,7 +181,7 @@
 	ok, why := n.Ready()
 	sh := n.Show()
 	st := &Standing{Node: n.me.Node, Zone: n.me.Zone, Ready: ok, Why: why, Version: n.view.Sight().Version, Seq: n.agent.Seq(),
-		Core: n.agent.Book().Record(), Members: n.agent.Members(), Programs: map[string]map[string]any{},
+		Core: n.agent.Directory().Record(), Members: n.agent.Members(), Programs: map[string]map[string]any{},
 		Listed: map[ids.WorkerId]ids.Zone{}, Evacuated: sh.Zones, Drained: sh.Drained, Workers: []Stand{}, Holds: []ids.Key{}}
 	for _, g := range n.agent.Mine() {
 		st.Holds = append(st.Holds, g.Key)
--- a/simulation/history_test.go
+++ b/simulation/history_test.go
@@ -112,7 +112,7 @@
 
 func (counter) Restore([]byte) error              { return nil }
 func (counter) Fold(ids.Seq, string, []byte) bool { return false }
-func (counter) Picture() []byte                   { return nil }
+func (counter) Snapshot() []byte                  { return nil }
 
 // history is a core with its operator.
 type history struct {
@@ -215,7 +215,7 @@
 	op := ids.OpId(fmt.Sprint("op/change-", h.changes))
 	text := largeDocument(h.changes/changesPerGeneration, h.changes*131%historyRoutes, h.changes)
 	h.agree(func(ctx context.Context) error {
-		version, err := fleetstate.Put(ctx, h.operator.Caller(), h.operator.Book(), op, h.newest, 0, text)
+		version, err := fleetstate.Put(ctx, h.operator.Caller(), h.operator.Directory(), op, h.newest, 0, text)
 		if err == nil {
 			h.newest = version
 		}
@@ -224,7 +224,7 @@
 	if h.changes%7 == 0 {
 		h.evacuated = !h.evacuated
 		h.agree(func(ctx context.Context) error {
-			return fleetstate.Mark(ctx, h.operator.Caller(), h.operator.Book(), op+"-zone", "zone-1", h.evacuated)
+			return fleetstate.Mark(ctx, h.operator.Caller(), h.operator.Directory(), op+"-zone", "zone-1", h.evacuated)
 		})
 	}
 	for _, addr := range h.seeds {
@@ -236,7 +236,7 @@
 func (h *history) caughtUp(addr string) time.Duration {
 	began := time.Now()
 	for {
-		record := h.cores[addr].Book().Record()
+		record := h.cores[addr].Directory().Record()
 		if record.Primary.Addr == addr || record.Backup.Addr == addr {
 			return time.Since(began)
 		}
@@ -249,7 +249,7 @@
 // is new comes in its place. The remaining member then stops, so that the one that
 // caught up must lead.
 func (h *history) replace(kind string) (took time.Duration, sent int) {
-	out := h.cores[h.leader()].Book().Record().Backup.Addr
+	out := h.cores[h.leader()].Directory().Record().Backup.Addr
 	h.stop(out)
 	h.change()
 	in := out
@@ -273,7 +273,7 @@
 		time.Sleep(time.Second)
 	}
 	// The one that became the backup meanwhile goes, so that this one must take its place.
-	other := h.cores[h.leader()].Book().Record().Backup.Addr
+	other := h.cores[h.leader()].Directory().Record().Backup.Addr
 	if other != in {
 		h.stop(other)
 	}
