--- a/proxy/hearsay.go
+++ b/proxy/hearsay.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"keelstair.example/fleetstate"
 	"keelstair.example/ids"
 )
 
@@ -16,6 +17,7 @@
 	rowsMost  = 64 // that a node tells
 	askSpan   = time.Second
 	tallySpan = 100 * time.Millisecond
+	fromAbove = ids.NodeId("above") // in whose name a tally has what came from above
 )
 
 // myOutcomes lists what this node saw of workers that failed here, or that others name.
@@ -75,19 +77,45 @@
 	t := &n.tally
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if now := n.now(); t.total == nil || now.Past(t.at, tallySpan) {
-		t.at, t.total, t.by = now, map[ids.WorkerId]Outcomes{}, map[ids.NodeId][]Outcomes{}
-		t.add(n.me.Node, n.weighed(n.myOutcomes()))
-		n.told.Range(func(k, v any) bool {
-			if o := v.(told); !now.Past(o.at, 2*readSpan) && len(o.outcomes) > 0 {
-				t.add(k.(ids.NodeId), n.weighed(o.outcomes))
-			}
-			return true
-		})
+	n.count(t)
+	return t.without(but)
+}
+
+// below is the sum of what the nodes below this one told.
+func (n *Node) below() []Outcomes {
+	t := &n.tally
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n.count(t)
+	return t.without(n.me.Node, fromAbove)
+}
+
+// count adds up anew what was told, if that is due. The tally is locked.
+func (n *Node) count(t *tally) {
+	now := n.now()
+	if t.total != nil && !now.Past(t.at, tallySpan) {
+		return
 	}
+	t.at, t.total, t.by = now, map[ids.WorkerId]Outcomes{}, map[ids.NodeId][]Outcomes{}
+	t.add(n.me.Node, n.weighed(n.myOutcomes()))
+	t.add(fromAbove, n.heardAbove(now).outcomes)
+	holder, _, _ := n.agent.Holder(fleetstate.RosterKey)
+	counts := n.tree().tellersTo(n.me, holder, n.agent.Members())
+	n.told.Range(func(k, v any) bool {
+		if o := v.(told); counts(k.(ids.NodeId)) && !now.Past(o.at, 2*readSpan) && len(o.outcomes)+len(o.below) > 0 {
+			t.add(k.(ids.NodeId), append(n.weighed(o.outcomes), o.below...))
+		}
+		return true
+	})
+}
+
+// without is the sum without some nodes' parts.
+func (t *tally) without(but ...ids.NodeId) []Outcomes {
 	own := map[ids.WorkerId]Outcomes{}
-	for _, r := range t.by[but] {
-		own[r.Id] = r
+	for _, node := range but {
+		for _, r := range t.by[node] {
+			own[r.Id] = own[r.Id].and(r)
+		}
 	}
 	var out []Outcomes
 	for id, r := range t.total {
@@ -102,11 +130,14 @@
 func (t *tally) add(node ids.NodeId, row []Outcomes) {
 	t.by[node] = row
 	for _, r := range row {
-		s := t.total[r.Id]
-		t.total[r.Id] = Outcomes{r.Id, s.Sent + r.Sent, s.Failed + r.Failed, s.Nodes + r.Nodes}
+		t.total[r.Id] = t.total[r.Id].and(r)
 	}
 }
 
+func (o Outcomes) and(r Outcomes) Outcomes {
+	return Outcomes{r.Id, o.Sent + r.Sent, o.Failed + r.Failed, o.Nodes + r.Nodes}
+}
+
 // weighed bounds a node's say: of each worker to so many sendings, and to nothing if it
 // accuses more of a part than may be out, since then it is the node that is ill.
 func (n *Node) weighed(row []Outcomes) []Outcomes {
--- a/proxy/ledger_test.go
+++ b/proxy/ledger_test.go
@@ -357,12 +357,12 @@
 				now := ms(1000 * (s + 1))
 				b.post("minutes-llm", now, rows, true)
 				for k := range 4 { // askings a second
-					plain := &ListReply{Seq: 7, Age: 1 << 29}
-					full := &ListReply{Seq: 7, Age: 1 << 29}
-					ask := &ListAsk{Node: "n", Seq: 7, Stood: seq}
+					plain := &ListReply{Version: 7, Age: 1 << 29}
+					full := &ListReply{Version: 7, Age: 1 << 29}
+					ask := &ListAsk{Node: "n", Version: 7, Stood: seq}
 					full.Stood, full.Stands = b.since(seq, list, now.Add(time.Duration(250*k)*time.Millisecond), every)
 					seq = full.Stood
-					added += len(coordination.Pack(full)) - len(coordination.Pack(plain)) + len(coordination.Pack(ask)) - len(coordination.Pack(&ListAsk{Node: "n", Seq: 7}))
+					added += len(coordination.Pack(full)) - len(coordination.Pack(plain)) + len(coordination.Pack(ask)) - len(coordination.Pack(&ListAsk{Node: "n", Version: 7}))
 				}
 			}
 			node := added / rounds
--- a/proxy/list_test.go
+++ b/proxy/list_test.go
@@ -106,3 +106,50 @@
 		})
 	}
 }
+
+// TestSlowList: where a listing takes long, as one of many pages does, the holder's list is
+// old by that alone: the others still hear from it and do not all ask the platform.
+func TestSlowList(t *testing.T) {
+	for _, long := range []time.Duration{700 * time.Millisecond, time.Second} {
+		t.Run(long.String(), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				y := newYard(both("svc", 3, 3)...)
+				y.listed = func() time.Duration { return long }
+				f := build(t, 63, 6, y, plain(), nil)
+				defer f.close()
+				time.Sleep(10 * time.Second)
+				from := y.now()
+				time.Sleep(10 * time.Second)
+				require.Len(t, y.lists(from), 1, "%v", y.lists(from))
+				y.at(func() { y.of("svc-decode-1").Leaving = true })
+				require.True(t, f.until(2*long+1500*time.Millisecond, func() bool { return f.heard(y, "svc-decode-1") }))
+			})
+		})
+	}
+}
+
+// TestListAfterAllKilled: all nodes are killed and start again at their addresses. The core
+// still names the holder of before, at whose address another process now answers that has no
+// list: each node has one soon all the same.
+func TestListAfterAllKilled(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 3, 3)...)
+		f := build(t, 69, 5, y, plain(), nil)
+		defer f.close()
+		time.Sleep(6 * time.Second)
+		for i := range f.nodes {
+			f.kill(i)
+		}
+		for i := range f.nodes {
+			f.node(i)
+		}
+		require.True(t, f.until(700*time.Millisecond, func() bool {
+			for _, b := range f.up() {
+				if ready, _ := b.Ready(); !ready {
+					return false
+				}
+			}
+			return true
+		}))
+	})
+}
--- /dev/null
+++ b/proxy/list_tree.go
@@ -0,0 +1,162 @@
+// From whom a node hears the list of workers. In a small fleet every node asks the holder of
+// the list's duty. In a large one that node's link and processor would not do, so the nodes
+// of a zone form a tree, the same on every node by rendezvous hashing: its root, or in its
+// own zone the holder, is the only one to ask the holder, and each byte crosses zones once.
+// A node whose parent does not answer asks that one's parent, up to the holder; where none
+// has a fresh list, the first node of the zone that answers asks the platform in its stead.
+
+package proxy
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"keelstair.example/coordination"
+	"keelstair.example/fleetstate"
+	"keelstair.example/ids"
+)
+
+const (
+	levelLag   = 300 * time.Millisecond
+	probeMost  = 8                       // nodes of the zone that are looked for at once
+	failedSpan = 4 * time.Second         // for which a source that did not answer is passed over
+	listLost   = 2500 * time.Millisecond // age of the list from which a node asks the platform though it stands in for nobody
+)
+
+// treeShape tells up to how many nodes all ask the holder, and how many children a node has
+// in a larger fleet. The direct ones ask the holder there too, since they have the reports of
+// the workers, which all want to hear.
+type treeShape struct {
+	flat, width int
+	direct      map[ids.NodeId]bool
+}
+
+// listSources are those that a node may hear the list from.
+type listSources struct {
+	parents []coordination.Member // nearest first, the holder last
+	zone    []coordination.Member // of this node, in the order in which they stand in for the holder; none if all ask it
+	zones   int
+}
+
+// sourcesOf gives a node's sources under a holder, or while there is none.
+func (t treeShape) sourcesOf(me, holder coordination.Member, members []coordination.Member) listSources {
+	if len(members) <= t.flat && holder.Node == "" {
+		return listSources{}
+	}
+	if len(members) <= t.flat {
+		return listSources{parents: []coordination.Member{holder}}
+	}
+	tree := zoneTree(me.Zone, holder, members)
+	if placeIn(tree, me.Node) < 0 { // it is not a member yet, or not any more
+		tree = append(tree, me)
+	}
+	out := listSources{zone: tree, zones: len(zonesOf(members))}
+	if tree[0].Node == holder.Node {
+		out.zone = tree[1:]
+	}
+	for at := placeIn(tree, me.Node); at > 0 && !t.direct[me.Node]; {
+		at = (at - 1) / t.width
+		out.parents = append(out.parents, tree[at])
+	}
+	if n := len(out.parents); holder.Node != "" && (n == 0 || out.parents[n-1].Node != holder.Node) {
+		out.parents = append(out.parents, holder)
+	}
+	return out
+}
+
+// zoneTree lists the nodes of a zone so that the parent of each stands at one less than its
+// place by the tree's width; the holder comes first in its own zone.
+func zoneTree(zone ids.Zone, holder coordination.Member, members []coordination.Member) []coordination.Member {
+	var row []coordination.Member
+	for _, m := range members {
+		if m.Zone == zone && m.Node != holder.Node {
+			row = append(row, m)
+		}
+	}
+	sortByWeight(row)
+	if holder.Zone == zone {
+		row = append([]coordination.Member{holder}, row...)
+	}
+	return row
+}
+
+func zonesOf(members []coordination.Member) map[ids.Zone]bool {
+	zones := map[ids.Zone]bool{}
+	for _, m := range members {
+		zones[m.Zone] = true
+	}
+	return zones
+}
+
+func placeIn(tree []coordination.Member, node ids.NodeId) int {
+	return slices.IndexFunc(tree, func(m coordination.Member) bool { return m.Node == node })
+}
+
+// tellersTo tells whose words of outcomes count at a node. Each node has one such place, so
+// that no word counts twice while a node asks several.
+func (t treeShape) tellersTo(me, holder coordination.Member, members []coordination.Member) func(ids.NodeId) bool {
+	if len(members) <= t.flat {
+		return func(ids.NodeId) bool { return me.Node == holder.Node }
+	}
+	children := map[ids.NodeId]bool{}
+	tree := zoneTree(me.Zone, holder, members)
+	if at := placeIn(tree, me.Node); at >= 0 {
+		first := at*t.width + 1
+		for i := first; i < min(first+t.width, len(tree)); i++ {
+			children[tree[i].Node] = !t.direct[tree[i].Node]
+		}
+	}
+	if me.Node == holder.Node {
+		for node := range t.direct {
+			children[node] = true
+		}
+		for zone := range zonesOf(members) {
+			if zone != me.Zone {
+				children[zoneTree(zone, holder, members)[0].Node] = true
+			}
+		}
+	}
+	return func(node ids.NodeId) bool { return children[node] }
+}
+
+// sortByWeight puts members into the order of rendezvous hashing.
+func sortByWeight(row []coordination.Member) {
+	weights := make(map[ids.NodeId]uint64, len(row))
+	for _, m := range row {
+		weights[m.Node] = ids.Mix(ids.Hash(string(m.Node)))
+	}
+	slices.SortFunc(row, func(a, b coordination.Member) int {
+		return cmp.Or(cmp.Compare(weights[b.Node], weights[a.Node]), cmp.Compare(a.Node, b.Node))
+	})
+}
+
+// flat tells that all nodes ask the holder.
+func (s *listSources) flat() bool { return len(s.zone) == 0 }
+
+// freshFor is how old the list of the parent of a number may be, besides what the asking of
+// the platform takes: each level below the holder adds to it.
+func (s *listSources) freshFor(parent int) time.Duration {
+	return listOld + time.Duration(len(s.parents)-1-parent)*levelLag
+}
+
+// standIn gives the first of the zone that has not failed of late.
+func (s *listSources) standIn(failed func(ids.NodeId) bool) (coordination.Member, bool) {
+	for _, m := range s.zone {
+		if !failed(m.Node) {
+			return m, true
+		}
+	}
+	return coordination.Member{}, false
+}
+
+// tree is the shape of the fleet's tree as this node knows it.
+func (n *Node) tree() treeShape {
+	t := treeShape{n.opt.Flat, n.opt.Width, map[ids.NodeId]bool{}}
+	for name := range n.sight().Policy.Services {
+		if m, _, ok := n.agent.Holder(fleetstate.ServiceKey(name)); ok {
+			t.direct[m.Node] = true
+		}
+	}
+	return t
+}
--- /dev/null
+++ b/proxy/list_tree_test.go
@@ -0,0 +1,425 @@
+// How the list reaches many nodes: by deltas, at once, and by a tree of nodes.
+
+package proxy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/coordination"
+	"keelstair.example/ids"
+)
+
+// manyMembers are nodes in four zones.
+func manyMembers(n int) []coordination.Member {
+	out := make([]coordination.Member, n)
+	for i := range out {
+		out[i] = coordination.Member{Node: ids.NodeId(fmt.Sprintf("node-%03d", i)), Addr: fmt.Sprint(i), Zone: ids.Zone(fmt.Sprint("z", i%4))}
+	}
+	return out
+}
+
+// TestListTree: in a large fleet no node is asked by more than a few, each way leads to the
+// holder in few steps, one node of each other zone crosses to the holder's, and each node's
+// word of outcomes counts at its own parent and nowhere else.
+func TestListTree(t *testing.T) {
+	shape := treeShape{flat: 96, width: 12, direct: map[ids.NodeId]bool{"node-040": true, "node-041": true}}
+	for _, size := range []int{97, 300, 651} {
+		members := manyMembers(size)
+		holder := members[5]
+		asked := map[ids.NodeId]int{}
+		parent := map[ids.NodeId]ids.NodeId{}
+		crossing := 0
+		for _, m := range members {
+			if m.Node == holder.Node {
+				continue
+			}
+			s := shape.sourcesOf(m, holder, members)
+			require.False(t, s.flat())
+			first := s.parents[0]
+			asked[first.Node]++
+			parent[m.Node] = first.Node
+			if first.Zone != m.Zone {
+				crossing++
+			}
+			require.LessOrEqual(t, len(s.parents), 4)
+			require.Equal(t, holder.Node, s.parents[len(s.parents)-1].Node)
+		}
+		require.LessOrEqual(t, crossing, 3+len(shape.direct))
+		for node, count := range asked {
+			most := shape.width
+			if node == holder.Node {
+				most += 3 + len(shape.direct)
+			}
+			require.LessOrEqual(t, count, most)
+		}
+		for _, m := range members {
+			counts := shape.tellersTo(m, holder, members)
+			for _, other := range members {
+				require.Equal(t, parent[other.Node] == m.Node && other.Node != holder.Node, counts(other.Node))
+			}
+		}
+	}
+}
+
+// TestListTreeStranger: a node that is no member, even the only one of its zone, has a way.
+func TestListTreeStranger(t *testing.T) {
+	members := manyMembers(120)
+	shape := treeShape{flat: 96, width: 12}
+	for _, zone := range []ids.Zone{"z1", "elsewhere"} {
+		s := shape.sourcesOf(coordination.Member{Node: "new", Zone: zone}, members[5], members)
+		require.Equal(t, members[5].Node, s.parents[len(s.parents)-1].Node)
+	}
+}
+
+// TestListDelta: whatever changed since the version that a node has, the delta makes its list
+// the same as the sender's; where that version is forgotten, the whole list comes.
+func TestListDelta(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		sender, err := New(Options{Name: "sender", Host: quietHost()})
+		require.NoError(t, err)
+		reader, err := New(Options{Name: "reader", Host: quietHost()})
+		require.NoError(t, err)
+		f := &follower{n: reader}
+		list := many(60)
+		for round := range 60 {
+			for range rng.IntN(4) {
+				list = changeOne(rng, list, round)
+			}
+			sender.take(list, sender.now(), sender.now())
+			if rng.IntN(3) > 0 {
+				continue
+			}
+			q := &ListAsk{Version: reader.roster.Load().version, Deltas: true}
+			r := sender.listSince(q)
+			require.Equal(t, q.Version != 0, r.Delta || r.Version == q.Version)
+			f.apply(r)
+			require.Equal(t, sender.roster.Load().all, reader.roster.Load().all)
+			require.Equal(t, sender.roster.Load().version, reader.roster.Load().version)
+		}
+		old := reader.roster.Load().version
+		for round := range changesKept + 1 {
+			list = changeOne(rng, list, 100+round)
+			sender.take(list, sender.now(), sender.now())
+		}
+		r := sender.listSince(&ListAsk{Version: old, Deltas: true})
+		require.False(t, r.Delta)
+		require.Len(t, r.Rows, len(list))
+		require.False(t, sender.listSince(&ListAsk{Version: sender.roster.Load().changes[3].to}).Delta, "who does not know deltas gets none")
+	}
+}
+
+// TestListVersionsAgree: nodes that asked the platform apart have the same version of the same
+// list, in whatever order it came, so that what follows is a delta for each.
+func TestListVersionsAgree(t *testing.T) {
+	a, err := New(Options{Name: "a", Host: quietHost()})
+	require.NoError(t, err)
+	b, err := New(Options{Name: "b", Host: quietHost()})
+	require.NoError(t, err)
+	list := many(20)
+	a.take(list, a.now(), a.now())
+	list = slices.Clone(list)
+	slices.Reverse(list)
+	b.take(list, b.now(), b.now())
+	require.Equal(t, a.roster.Load().version, b.roster.Load().version)
+	list = append([]Worker(nil), list...)
+	list[3].Leaving = true
+	a.take(list, a.now(), a.now())
+	r := a.listSince(&ListAsk{Version: b.roster.Load().version, Deltas: true})
+	require.True(t, r.Delta)
+	require.Len(t, r.Rows, 1)
+	old := a.roster.Load().version
+	list = append([]Worker(nil), list...)
+	list[3].Cold = time.Second
+	a.take(list, a.now(), a.now())
+	require.NotEqual(t, old, a.roster.Load().version, "a cold time alone is news too")
+}
+
+// changeOne makes a worker leave, go or come.
+func changeOne(rng *rand.Rand, list []Worker, round int) []Worker {
+	list = append([]Worker(nil), list...)
+	i := rng.IntN(len(list))
+	switch rng.IntN(3) {
+	case 0:
+		list[i].Leaving = !list[i].Leaving
+	case 1:
+		list = append(list[:i], list[i+1:]...)
+	}
+	w := list[0]
+	w.Id = ids.WorkerId(fmt.Sprintf("new-%d-%d", round, rng.IntN(1<<30)))
+	return append(list, w)
+}
+
+// TestListBytes: at 3,000 workers and readings at a third of them, a worker that leaves costs
+// each node that hears of it a few hundred bytes, and all readings a few thousand.
+func TestListBytes(t *testing.T) {
+	n, err := New(Options{Name: "n", Host: quietHost()})
+	require.NoError(t, err)
+	list := many(3000)
+	n.take(list, n.now(), n.now())
+	version := n.roster.Load().version
+	list = append([]Worker(nil), list...)
+	list[7].Leaving = true
+	n.take(list, n.now(), n.now())
+	whole := len(coordination.Pack(n.listSince(&ListAsk{Deltas: true})))
+	delta := len(coordination.Pack(n.listSince(&ListAsk{Version: version, Deltas: true})))
+	var row []Reads
+	for i := range 1000 {
+		row = append(row, Reads{list[i].Id, 1000 + i, 1})
+	}
+	n.told.Store(ids.NodeId("other"), told{at: n.now(), reads: row})
+	reads := len(coordination.Pack(&ListReply{Reads: n.sum("none", true)}))
+	t.Logf("whole %d, delta %d, readings %d bytes", whole, delta, reads)
+	require.Less(t, delta, 400)
+	require.Less(t, reads, 12_000)
+}
+
+// TestLeavingPushed: that a worker leaves is known to all nodes a moment after the holder of
+// the list knows, in a flat fleet and down a tree of three levels.
+func TestLeavingPushed(t *testing.T) {
+	for _, flat := range []int{96, 1} {
+		t.Run(fmt.Sprint(flat), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				y := newYard(both("svc", 6, 6)...)
+				f := build(t, 64, 12, y, plain(), treed(flat))
+				defer f.close()
+				time.Sleep(6 * time.Second)
+				late := time.Duration(0)
+				for _, name := range []string{"svc-decode-0", "svc-decode-1", "svc-decode-2", "svc-prefill-0", "svc-prefill-1"} {
+					h := f.nodes[f.lister()]
+					id := y.of(name).Id
+					time.Sleep(370 * time.Millisecond)
+					y.at(func() { y.of(name).Leaving = true })
+					require.True(t, f.until(2*time.Second, func() bool { w := h.roster.Load().find(id); return w != nil && w.Leaving }))
+					from := time.Now()
+					require.True(t, f.until(2*time.Second, func() bool { return f.heard(y, name) }))
+					late = max(late, time.Since(from))
+				}
+				require.LessOrEqual(t, late, 100*time.Millisecond)
+			})
+		})
+	}
+}
+
+// treed has a tree of width 2 from so many nodes on.
+func treed(flat int) func(*Options) {
+	return func(o *Options) { o.Flat, o.Width = flat, 2 }
+}
+
+// TestTreeOneAsker: in a tree too the holder alone asks the platform.
+func TestTreeOneAsker(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 3, 3)...)
+		f := build(t, 65, 12, y, plain(), treed(1))
+		defer f.close()
+		time.Sleep(8 * time.Second)
+		from := y.now()
+		time.Sleep(10 * time.Second)
+		require.Len(t, y.lists(from), 1, "%v", y.lists(from))
+	})
+}
+
+// top gives the node that stands first in the tree of the zone that the holder is not in.
+func (f *fleet) top() int {
+	holder := f.nodes[f.lister()]
+	members := holder.agent.Members()
+	for i, b := range f.nodes {
+		if b.up && b.me.Zone != holder.me.Zone && b.tree().sourcesOf(b.me, holder.me, members).parents[0].Node == holder.me.Node {
+			return i
+		}
+	}
+	return -1
+}
+
+// TestTreeLosses: the holder of the list, the first node of the other zone, or both at once
+// are killed or frozen, and at that moment and after it workers leave: all nodes hear of it
+// in time, nothing reaches a worker that leaves later than it may, and few nodes ask the
+// platform meanwhile.
+func TestTreeLosses(t *testing.T) {
+	for _, lost := range []string{"holder", "top", "both"} {
+		for _, how := range []string{"killed", "frozen"} {
+			t.Run(lost+" "+how, func(t *testing.T) {
+				eachSeed(t, 3, func(t *testing.T, seed uint64) { loseInTree(t, seed, lost, how) })
+			})
+		}
+	}
+}
+
+func loseInTree(t *testing.T, seed uint64, lost, how string) {
+	y := newYard(both("svc", 6, 6)...)
+	f := build(t, seed, 14, y, plain(), treed(1))
+	defer f.close()
+	time.Sleep(8 * time.Second)
+	var out []int
+	if lost != "top" {
+		out = append(out, f.lister())
+	}
+	if lost != "holder" {
+		out = append(out, f.top())
+	}
+	require.NotContains(t, out, -1)
+	from := y.now()
+	for _, i := range out {
+		b := f.nodes[i]
+		if how == "killed" {
+			f.kill(i)
+			continue
+		}
+		f.freeze(i, true)
+		f.at(func() { b.up = false })
+		defer func() {
+			f.at(func() { b.up = true })
+			f.freeze(i, false)
+		}()
+	}
+	for i, name := range []string{"svc-decode-0", "svc-prefill-0", "svc-decode-2", "svc-prefill-3"} {
+		y.at(func() { y.of(name).Leaving = true })
+		require.True(t, f.until(3*time.Second, func() bool { return f.heard(y, name) }), "change %d", i)
+		time.Sleep(300 * time.Millisecond)
+	}
+	asked := y.lists(from)
+	for _, i := range out { // what a process does as it is killed is not meant
+		delete(asked, nodeIp(i))
+	}
+	most := 4
+	if lost == "top" { // its children hear from the holder
+		most = 1
+	}
+	require.LessOrEqual(t, len(asked), most, "%v", asked)
+	require.True(t, f.until(4*time.Second, func() bool { return f.lister() >= 0 }), "there is a holder again")
+}
+
+// TestTreeManyLost: three of five nodes, the holder among them, and the core are lost at once,
+// silently or not, as workers leave: those that are left hear of it in time, though there is
+// no holder until the core is back.
+func TestTreeManyLost(t *testing.T) {
+	for _, how := range []string{"killed", "frozen"} {
+		t.Run(how, func(t *testing.T) {
+			eachSeed(t, 3, func(t *testing.T, seed uint64) {
+				y := newYard(both("svc", 6, 6)...)
+				f := build(t, seed, 30, y, plain(), treed(1))
+				defer f.close()
+				time.Sleep(8 * time.Second)
+				holder := f.lister()
+				for _, ip := range coreIps {
+					if how == "killed" {
+						f.offCore(ip)
+					} else {
+						f.w.Machine(ip).Freeze(true)
+					}
+				}
+				for i, b := range f.nodes {
+					switch {
+					case i != holder && i%5 > 2:
+					case how == "killed":
+						f.kill(i)
+					default:
+						f.freeze(i, true)
+						f.at(func() { b.up = false })
+						defer func() {
+							f.at(func() { b.up = true })
+							f.freeze(i, false)
+						}()
+					}
+				}
+				y.at(func() { y.of("svc-decode-0").Leaving = true })
+				require.True(t, f.until(4*time.Second, func() bool { return f.heard(y, "svc-decode-0") }))
+			})
+		})
+	}
+}
+
+// TestStartTogether: nodes that all start at once do not all ask the platform before they
+// know who holds the list.
+func TestStartTogether(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 3, 3)...)
+		f := build(t, 68, 12, y, plain(), treed(1))
+		defer f.close()
+		require.LessOrEqual(t, len(y.lists(0)), 3, "%v", y.lists(0))
+	})
+}
+
+// TestTreeSums: what one node has under way, and what it saw fail, is known to all others
+// through the tree, and counted once.
+func TestTreeSums(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 3, 3)...)
+		f := build(t, 66, 12, y, plain(), treed(1))
+		defer f.close()
+		time.Sleep(8 * time.Second)
+		id := y.of("svc-prefill-0").Id
+		for i, b := range f.nodes {
+			st := b.state(id)
+			st.begin(100+i, nil, b.now())
+		}
+		time.Sleep(2 * time.Second)
+		for i, b := range f.nodes {
+			st := b.state(id)
+			st.mu.Lock()
+			tokens, count := st.ahead(b.now())
+			st.mu.Unlock()
+			require.Equal(t, 12*100+66, tokens, "node %d", i)
+			require.Equal(t, 12, count)
+		}
+	})
+}
+
+// TestTreeOutcomes: a worker that every third node saw fail is known to all as failing, and
+// what one node alone saw counts as one node's word.
+func TestTreeOutcomes(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newYard(both("svc", 3, 6)...)
+		f := build(t, 67, 12, y, plain(), func(o *Options) {
+			treed(1)(o)
+			o.Eject = time.Hour // an ejection's end would forget what was seen
+		})
+		defer f.close()
+		time.Sleep(8 * time.Second)
+		sick, alone := y.of("svc-decode-1").Id, y.of("svc-decode-2").Id
+		stop := time.Now().Add(2 * time.Second)
+		for time.Now().Before(stop) {
+			for i, b := range f.nodes {
+				if i%3 == 0 {
+					b.sawFail(sick)
+				}
+				if i == 1 {
+					b.sawFail(alone)
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		for i, b := range f.nodes {
+			heard := func(id ids.WorkerId) int {
+				st := b.state(id)
+				st.mu.Lock()
+				defer st.mu.Unlock()
+				return st.verdict.heard.Nodes
+			}
+			own := 0
+			if i%3 == 0 {
+				own = 1
+			}
+			require.Equal(t, 4-own, heard(sick), "node %d", i)
+			if i != 1 {
+				require.Equal(t, 1, heard(alone), "node %d", i)
+			}
+		}
+	})
+}
+
+// sawFail has a node note one sending that failed.
+func (b *berth) sawFail(id ids.WorkerId) {
+	st := b.state(id)
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.verdict.mine.fade(b.now(), recall)
+	st.verdict.mine.sent++
+	st.verdict.mine.failed++
+}
--- a/proxy/node.go
+++ b/proxy/node.go
@@ -53,6 +53,8 @@
 	Admit   float64           // 3: times its aim that a request may be reckoned to take before some are refused early; below 0 none is
 	Fresh   time.Duration     // 1s: the age of what is known of workers beyond which none is refused early
 	Callers int               // 4096: refused callers that are remembered
+	Flat    int               // 96: nodes up to which all ask the holder of the list
+	Width   int               // 12: nodes that ask one other in a larger fleet
 	// Drain is called once as the node leaves: it lets no caller in any more, and returns
 	// when those that are in were answered or the context ends.
 	Drain func(context.Context) error
@@ -96,6 +98,12 @@
 	if o.Callers == 0 {
 		o.Callers = 4096
 	}
+	if o.Flat == 0 {
+		o.Flat = 96
+	}
+	if o.Width == 0 {
+		o.Width = 12
+	}
 	if o.NoRoom == 0 {
 		o.NoRoom = 5
 	}
@@ -114,34 +122,37 @@
 
 // Node is one router node for opaque requests.
 type Node struct {
-	opt      Options
-	me       coordination.Member
-	agent    *coordination.Agent
-	view     *fleetstate.View
-	counts   Counts
-	budget   budget
-	scores   whim.Scores      // outlive the programs' sets
-	first    *fleetstate.Deal // rules until the core has a set
-	roster   atomic.Pointer[roster]
-	states   sync.Map // ids.WorkerId -> *state
-	warm     warm
-	told     sync.Map // ids.NodeId -> told
-	backs    sync.Map // ids.Zone -> failback, of those that were evacuated
-	tally    tally
-	stir     atomic.Bool  // an outcome is yet to be judged
-	outs     atomic.Int64 // workers that are ejected or on probation
-	toldAt   atomic.Int64 // ids.Tick when others' outcomes were heard
-	deaf     atomic.Int64 // ids.Tick when nobody had been heard for a while, last
-	board    board
-	table    atomic.Pointer[table]
-	gate     gate
-	tide     handoff.Tide
-	seen     atomic.Pointer[fleetstate.Sight]
-	seeing   sync.Mutex
-	inflight atomic.Int64
-	leaving  atomic.Bool
-	inner    context.Context // ends with Run
-	stop     context.CancelFunc
+	opt         Options
+	me          coordination.Member
+	agent       *coordination.Agent
+	view        *fleetstate.View
+	counts      Counts
+	budget      budget
+	scores      whim.Scores      // outlive the programs' sets
+	first       *fleetstate.Deal // rules until the core has a set
+	roster      atomic.Pointer[roster]
+	states      sync.Map // ids.WorkerId -> *state
+	warm        warm
+	told        sync.Map // ids.NodeId -> told
+	above       atomic.Pointer[above]
+	listTook    atomic.Int64 // ns that the platform took for the list, or for that of who gave it
+	listChanged signal
+	backs       sync.Map // ids.Zone -> failback, of those that were evacuated
+	tally       tally
+	stir        atomic.Bool  // an outcome is yet to be judged
+	outs        atomic.Int64 // workers that are ejected or on probation
+	toldAt      atomic.Int64 // ids.Tick when others' outcomes were heard
+	deaf        atomic.Int64 // ids.Tick when nobody had been heard for a while, last
+	board       board
+	table       atomic.Pointer[table]
+	gate        gate
+	tide        handoff.Tide
+	seen        atomic.Pointer[fleetstate.Sight]
+	seeing      sync.Mutex
+	inflight    atomic.Int64
+	leaving     atomic.Bool
+	inner       context.Context // ends with Run
+	stop        context.CancelFunc
 }
 
 // New makes a node; it starts nothing.
@@ -181,6 +192,7 @@
 	n.agent.Mount(mux)
 	rpc.Handle(mux, "relay/alarm", n.hear)
 	rpc.Handle(mux, "relay/list", n.serveList)
+	rpc.Handle(mux, "relay/alive", func(context.Context, *Heard) (*Heard, error) { return &Heard{}, nil })
 }
 
 // Run works until the context ends; then it says that it is not ready, goes on for the
--- a/proxy/roster.go
+++ b/proxy/roster.go
@@ -1,73 +1,67 @@
 // The list of workers, kept fresh: one node holds the duty of asking the platform, and the
 // others hear from it, and tell it which readings they have under way, so that each knows the
-// sum. Whoever hears nothing fresh there asks the platform.
+// sum. Where nothing fresh is heard, some node asks the platform in the holder's stead.
 
 package proxy
 
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"keelstair.example/fleetstate"
 	"keelstair.example/ids"
-	"keelstair.example/rpc"
 	"keelstair.example/seam"
 )
 
 const (
-	listWait = 500 * time.Millisecond  // for the holder's answer
-	listOld  = 1500 * time.Millisecond // then what the holder has is not fresh
-	readSpan = 500 * time.Millisecond  // how long another node's word of its readings counts
-	coldSlip = 300 * time.Millisecond  // by which a cold time may be off and is no change
+	listWait   = 500 * time.Millisecond  // for the holder's answer
+	listOld    = 1500 * time.Millisecond // then what the holder has is not fresh
+	readSpan   = 500 * time.Millisecond  // how long another node's word of its readings counts
+	tookMost   = 1500 * time.Millisecond // by which a slow platform may make a list older
+	startPause = 50 * time.Millisecond   // until a holder is known
+	holdMost   = time.Second             // that an answer waits for a change
+	readsMost  = 256                     // workers whose readings are told at once
 )
 
-type roster struct {
-	all []Worker
-	at  ids.Tick // when it was asked for
-	got ids.Tick // when the answer came, from which cold times count
-	seq uint64   // rises when something changed
-}
-
-// find gives the line of a life, if it is listed.
-func (r *roster) find(id ids.WorkerId) *Worker {
-	for i := range r.all {
-		if r.all[i].Id == id {
-			return &r.all[i]
-		}
-	}
-	return nil
-}
-
 // rosters keeps the list fresh. While it cannot be had, the last one is kept.
 func (n *Node) rosters(ctx context.Context) {
-	var from ids.NodeId
-	var have known
+	f := &follower{n: n, failed: map[ids.NodeId]ids.Tick{}}
 	for ctx.Err() == nil {
-		wait := listPause(n.opt.Roster, n.opt.Rate, n.share())
-		m, _, ok := n.agent.Holder(fleetstate.RosterKey)
-		if ok && m.Node == n.me.Node {
-			wait = n.opt.Roster
-		} else if ok {
-			if m.Node != from {
-				from, have = m.Node, known{}
-			}
-			if n.follow(ctx, m.Addr, &have) {
-				seam.Sleep(ctx, n.opt.Share*4/5+rand.N(n.opt.Share*2/5))
+		wait := n.opt.Roster
+		holder, _, ok := n.agent.Holder(fleetstate.RosterKey)
+		switch {
+		case ok && holder.Node == n.me.Node:
+			n.above.Store(nil)
+		case !ok && n.sight().Version == 0: // nothing can be served yet, and many nodes may start together
+			seam.Sleep(ctx, startPause)
+			continue
+		default:
+			sources := n.tree().sourcesOf(n.me, holder, n.agent.Members())
+			if f.follow(ctx, &sources) || !f.mayAsk(ctx, &sources) {
 				continue
 			}
-			from = ""
-		}
-		asked := n.now()
-		if list, err := n.opt.Back.List(ctx); err == nil {
-			n.take(list, asked, n.now())
-		} else if ctx.Err() == nil {
-			n.opt.Ring.Info().AnErr("cause", err).Msg("the list of workers cannot be had")
+			wait = f.pause(&sources)
 		}
+		n.askPlatform(ctx)
 		n.restAsHolder(ctx, wait*4/5+rand.N(wait*2/5))
 	}
 }
 
+// askPlatform has the list from the platform itself.
+func (n *Node) askPlatform(ctx context.Context) {
+	asked := n.now()
+	list, err := n.opt.Back.List(ctx)
+	switch {
+	case err == nil:
+		n.listTook.Store(int64(n.now().Since(asked)))
+		n.take(list, asked, n.now())
+	case ctx.Err() == nil:
+		n.opt.Ring.Info().AnErr("cause", err).Msg("the list of workers cannot be had")
+	}
+}
+
 // listPause is the time between two askings of a node, so that all together stay within
 // two thirds of the rate though each asks by itself.
 func listPause(least time.Duration, rate, share float64) time.Duration {
@@ -80,48 +74,11 @@
 // restAsHolder waits, and meanwhile keeps the sum of the readings fresh.
 func (n *Node) restAsHolder(ctx context.Context, wait time.Duration) {
 	for end := n.now().Add(wait); n.now().Before(end) && seam.Sleep(ctx, min(n.opt.Share, wait)); {
-		n.others(n.sum(n.me.Node))
+		n.others(n.sum(n.me.Node, true))
 		n.hearsay(n.rest(n.me.Node))
 	}
 }
 
-// known is what this node has of one holder, by the holder's numbers, and up to which of
-// its own numbers it has told that holder how workers stand.
-type known struct{ seq, stood, told uint64 }
-
-// follow asks the holder once; false if it has nothing fresh.
-func (n *Node) follow(ctx context.Context, addr string, have *known) bool {
-	cx, stop := context.WithTimeout(ctx, listWait)
-	defer stop()
-	q := &ListAsk{Node: n.me.Node, Seq: have.seq, Reads: n.myReads(), Ends: n.myOutcomes(), Stood: have.stood}
-	var told uint64
-	told, q.Stands = n.board.since(have.told, n.roster.Load().all, n.now(), n.mine)
-	r, err := rpc.Call[ListAsk, ListReply](cx, n.agent.Caller(), addr, "relay/list", q)
-	if err != nil || r.Age > int64(listOld) || r.Seq == 0 {
-		return false
-	}
-	at := n.now().Add(-time.Duration(r.Age))
-	n.others(r.Reads)
-	n.hearsay(r.Ends)
-	have.stood = r.Stood
-	if r.Seq == have.seq {
-		have.told = told
-		old := *n.roster.Load()
-		old.at = at
-		n.roster.Store(&old)
-		n.heard(r.Stands, old.all)
-		return true
-	}
-	list := make([]Worker, len(r.Rows))
-	for i, w := range r.Rows {
-		list[i] = Worker{w.Id, w.Service, w.Addr, w.Zone, w.Part, w.Slots, w.Leaving, time.Duration(w.Cold)}
-	}
-	have.seq = r.Seq
-	n.take(list, at, n.now())
-	n.heard(r.Stands, list)
-	return true
-}
-
 // myReads lists the readings that this node has under way.
 func (n *Node) myReads() []Reads {
 	var out []Reads
@@ -148,36 +105,99 @@
 	}
 }
 
-// told is what a node said last of its readings.
+// told is what a node said last of its readings, and of those below it.
 type told struct {
+	at       ids.Tick
+	reads    []Reads
+	outcomes []Outcomes // its own
+	below    []Outcomes // weighed
+}
+
+// above is what this node heard last, from whom it has the list, of all nodes that are not
+// below itself.
+type above struct {
 	at       ids.Tick
 	reads    []Reads
 	outcomes []Outcomes
 }
 
-// serveList answers the other nodes with the list and with what all have under way.
-func (n *Node) serveList(_ context.Context, q *ListAsk) (*ListReply, error) {
+// heardAbove gives that while it counts.
+func (n *Node) heardAbove(now ids.Tick) *above {
+	if a := n.above.Load(); a != nil && !now.Past(a.at, 2*readSpan) {
+		return a
+	}
+	return &above{}
+}
+
+// serveList answers the other nodes with the list and with what all have under way. Where
+// they have the list as it is, it waits for a change as long as they allow.
+func (n *Node) serveList(ctx context.Context, q *ListAsk) (*ListReply, error) {
 	now := n.now()
-	n.told.Store(q.Node, told{now, q.Reads, q.Ends})
+	n.told.Store(q.Node, told{now, q.Reads, q.Ends, q.Below})
+	changed := n.listChanged.next()
 	ros := n.roster.Load()
-	out := &ListReply{Seq: ros.seq, Age: int64(now.Since(ros.at)), Reads: n.sum(q.Node), Ends: n.rest(q.Node)}
-	if ros.seq == q.Seq {
+	if ros.version == q.Version {
 		n.heard(q.Stands, ros.all)
+		if now.Since(ros.at) < listOld && waitFor(ctx, changed, time.Duration(q.Hold)) {
+			out := n.listSince(q)
+			out.Early, out.Stood = true, q.Stood
+			return out, nil
+		}
 	} else {
 		q.Stood = 0
 	}
-	out.Stood, out.Stands = n.board.since(q.Stood, ros.all, now, every)
-	if ros.seq != q.Seq {
-		for _, w := range ros.all {
-			cold := max(0, w.Cold-now.Since(ros.got))
-			out.Rows = append(out.Rows, Row{w.Id, w.Service, w.Addr, w.Zone, w.Part, w.Slots, w.Leaving, int64(cold)})
+	out := n.listSince(q)
+	now = n.now()
+	out.Reads, out.Ends = n.sum(q.Node, true), n.rest(q.Node)
+	out.Stood, out.Stands = n.board.since(q.Stood, n.roster.Load().all, now, every)
+	return out, nil
+}
+
+// waitFor waits for a span at most; true if what it waits for came.
+func waitFor(ctx context.Context, changed <-chan struct{}, span time.Duration) bool {
+	if span <= 0 {
+		return false
+	}
+	end := time.NewTimer(min(span, holdMost))
+	defer end.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-end.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// listSince answers with what changed after the version that a node has, or with all.
+func (n *Node) listSince(q *ListAsk) *ListReply {
+	now := n.now()
+	ros := n.roster.Load()
+	out := &ListReply{Node: n.me.Node, Version: ros.version, Age: int64(now.Since(ros.at)), Took: n.listTook.Load()}
+	if ros.version == q.Version {
+		return out
+	}
+	changed, ok := ros.changedSince(q.Version)
+	out.Delta = ok && q.Deltas
+	for _, w := range ros.all {
+		if out.Delta && !changed[w.Id] {
+			continue
 		}
+		delete(changed, w.Id)
+		cold := max(0, w.Cold-now.Since(ros.got))
+		out.Rows = append(out.Rows, Row{w.Id, w.Service, w.Addr, w.Zone, w.Part, w.Slots, w.Leaving, int64(cold)})
 	}
-	return out, nil
+	if out.Delta {
+		for id := range changed {
+			out.Gone = append(out.Gone, id)
+		}
+	}
+	return out
 }
 
-// sum adds up what all nodes but one have under way.
-func (n *Node) sum(but ids.NodeId) []Reads {
+// sum adds up what all nodes but one have under way; without those above, it is what this
+// node and those below it have.
+func (n *Node) sum(but ids.NodeId, withAbove bool) []Reads {
 	now := n.now()
 	at := map[ids.WorkerId]int{}
 	var out []Reads
@@ -194,6 +214,9 @@
 	if but != n.me.Node {
 		add(n.myReads())
 	}
+	if withAbove {
+		add(n.heardAbove(now).reads)
+	}
 	n.told.Range(func(k, v any) bool {
 		switch t := v.(told); {
 		case now.Past(t.at, 4*readSpan):
@@ -203,39 +226,27 @@
 		}
 		return true
 	})
-	return out
+	return mostReads(out)
 }
 
-// cooled is a list as it is some time later.
-func cooled(list []Worker, by time.Duration) []Worker {
-	out := append([]Worker(nil), list...)
-	for i := range out {
-		out[i].Cold = max(0, out[i].Cold-by)
+// mostReads keeps the workers that have the most to read, since the others hardly matter to who
+// chooses one.
+func mostReads(row []Reads) []Reads {
+	if len(row) > readsMost {
+		slices.SortFunc(row, func(a, b Reads) int { return b.Tokens - a.Tokens })
+		row = row[:readsMost]
 	}
-	return out
+	return row
 }
 
-// same tells whether two lists say the same but for cold times that ran on.
-func same(a, b []Worker) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		x, y := a[i], b[i]
-		slip := x.Cold - y.Cold
-		x.Cold, y.Cold = 0, 0
-		if x != y || slip > coldSlip || slip < -coldSlip {
-			return false
-		}
-	}
-	return true
-}
+// take puts a list into force that the platform gave.
+func (n *Node) take(list []Worker, asked, got ids.Tick) { n.adopt(list, 0, asked, got) }
 
-func (n *Node) take(list []Worker, asked, got ids.Tick) {
+// adopt puts a list into force, of a version if another node gave it one.
+func (n *Node) adopt(list []Worker, version uint64, asked, got ids.Tick) {
 	old := n.roster.Load()
-	next := &roster{all: list, at: asked, got: got, seq: old.seq}
-	if next.seq == 0 || !same(cooled(old.all, got.Since(old.got)), list) {
-		next.seq = old.seq + 1
+	next := old.next(list, version, asked, got)
+	if next.seq != old.seq {
 		on := make(map[ids.WorkerId]bool, len(list))
 		for _, w := range list {
 			on[w.Id] = true
@@ -249,4 +260,7 @@
 		n.board.prune(on)
 	}
 	n.roster.Store(next)
+	if next.version != old.version {
+		n.listChanged.ring()
+	}
 }
--- a/proxy/tell_note_gen.go
+++ b/proxy/tell_note_gen.go
@@ -11,21 +11,33 @@
 func (z *ListAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
 	_ = zb0001Mask
 	if z.Ends == nil {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
-	if z.Stood == 0 {
+	if z.Below == nil {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
-	if z.Stands == nil {
+	if z.Stood == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
+	if z.Stands == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.Deltas == false {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.Hold == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -36,7 +48,7 @@
 		o = msgp.AppendString(o, string(z.Node))
 		// string "Seq"
 		o = append(o, 0xa3, 0x53, 0x65, 0x71)
-		o = msgp.AppendUint64(o, z.Seq)
+		o = msgp.AppendUint64(o, z.Version)
 		// string "Reads"
 		o = append(o, 0xa5, 0x52, 0x65, 0x61, 0x64, 0x73)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Reads)))
@@ -60,22 +72,44 @@
 			}
 		}
 		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "Below"
+			o = append(o, 0xa5, 0x42, 0x65, 0x6c, 0x6f, 0x77)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Below)))
+			for za0003 := range z.Below {
+				o, err = z.Below[za0003].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Below", za0003)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
 			// string "Stood"
 			o = append(o, 0xa5, 0x53, 0x74, 0x6f, 0x6f, 0x64)
 			o = msgp.AppendUint64(o, z.Stood)
 		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "Stands"
 			o = append(o, 0xa6, 0x53, 0x74, 0x61, 0x6e, 0x64, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Stands)))
-			for za0003 := range z.Stands {
-				o, err = z.Stands[za0003].MarshalMsg(o)
+			for za0004 := range z.Stands {
+				o, err = z.Stands[za0004].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Stands", za0003)
+					err = msgp.WrapError(err, "Stands", za0004)
 					return
 				}
 			}
 		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "Deltas"
+			o = append(o, 0xa6, 0x44, 0x65, 0x6c, 0x74, 0x61, 0x73)
+			o = msgp.AppendBool(o, z.Deltas)
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "Hold"
+			o = append(o, 0xa4, 0x48, 0x6f, 0x6c, 0x64)
+			o = msgp.AppendInt64(o, z.Hold)
+		}
 	}
 	return
 }
@@ -109,9 +143,9 @@
 				z.Node = ids.NodeId(zb0002)
 			}
 		case "Seq":
-			z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Seq")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 		case "Reads":
@@ -152,6 +186,25 @@
 					return
 				}
 			}
+		case "Below":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Below")
+				return
+			}
+			if cap(z.Below) >= int(zb0005) {
+				z.Below = (z.Below)[:zb0005]
+			} else {
+				z.Below = make([]Outcomes, zb0005)
+			}
+			for za0003 := range z.Below {
+				bts, err = z.Below[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Below", za0003)
+					return
+				}
+			}
 		case "Stood":
 			z.Stood, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -159,24 +212,36 @@
 				return
 			}
 		case "Stands":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Stands")
 				return
 			}
-			if cap(z.Stands) >= int(zb0005) {
-				z.Stands = (z.Stands)[:zb0005]
+			if cap(z.Stands) >= int(zb0006) {
+				z.Stands = (z.Stands)[:zb0006]
 			} else {
-				z.Stands = make([]Stands, zb0005)
+				z.Stands = make([]Stands, zb0006)
 			}
-			for za0003 := range z.Stands {
-				bts, err = z.Stands[za0003].UnmarshalMsg(bts)
+			for za0004 := range z.Stands {
+				bts, err = z.Stands[za0004].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Stands", za0003)
+					err = msgp.WrapError(err, "Stands", za0004)
 					return
 				}
 			}
+		case "Deltas":
+			z.Deltas, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Deltas")
+				return
+			}
+		case "Hold":
+			z.Hold, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Hold")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -199,9 +264,14 @@
 	for za0002 := range z.Ends {
 		s += z.Ends[za0002].Msgsize()
 	}
+	s += 6 + msgp.ArrayHeaderSize
+	for za0003 := range z.Below {
+		s += z.Below[za0003].Msgsize()
+	}
 	s += 6 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
-	for za0003 := range z.Stands {
-		s += z.Stands[za0003].Msgsize()
+	for za0004 := range z.Stands {
+		s += z.Stands[za0004].Msgsize()
 	}
+	s += 7 + msgp.BoolSize + 5 + msgp.Int64Size
 	return
 }
--- a/proxy/told_note_gen.go
+++ b/proxy/told_note_gen.go
@@ -4,38 +4,69 @@
 
 import (
 	"github.com/tinylib/msgp/msgp"
+	"keelstair.example/ids"
 )
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ListReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
 	_ = zb0001Mask
+	if z.Node == "" {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	if z.Took == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Delta == false {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.Gone == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
 	if z.Ends == nil {
 		zb0001Len--
-		zb0001Mask |= 0x10
+		zb0001Mask |= 0x100
 	}
 	if z.Stood == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x20
+		zb0001Mask |= 0x200
 	}
 	if z.Stands == nil {
 		zb0001Len--
-		zb0001Mask |= 0x40
+		zb0001Mask |= 0x400
+	}
+	if z.Early == false {
+		zb0001Len--
+		zb0001Mask |= 0x800
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "Node"
+			o = append(o, 0xa4, 0x4e, 0x6f, 0x64, 0x65)
+			o = msgp.AppendString(o, string(z.Node))
+		}
 		// string "Seq"
 		o = append(o, 0xa3, 0x53, 0x65, 0x71)
-		o = msgp.AppendUint64(o, z.Seq)
+		o = msgp.AppendUint64(o, z.Version)
 		// string "Age"
 		o = append(o, 0xa3, 0x41, 0x67, 0x65)
 		o = msgp.AppendInt64(o, z.Age)
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "Took"
+			o = append(o, 0xa4, 0x54, 0x6f, 0x6f, 0x6b)
+			o = msgp.AppendInt64(o, z.Took)
+		}
 		// string "Rows"
 		o = append(o, 0xa4, 0x52, 0x6f, 0x77, 0x73)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Rows)))
@@ -46,45 +77,63 @@
 				return
 			}
 		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "Delta"
+			o = append(o, 0xa5, 0x44, 0x65, 0x6c, 0x74, 0x61)
+			o = msgp.AppendBool(o, z.Delta)
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "Gone"
+			o = append(o, 0xa4, 0x47, 0x6f, 0x6e, 0x65)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Gone)))
+			for za0002 := range z.Gone {
+				o = msgp.AppendString(o, string(z.Gone[za0002]))
+			}
+		}
 		// string "Reads"
 		o = append(o, 0xa5, 0x52, 0x65, 0x61, 0x64, 0x73)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Reads)))
-		for za0002 := range z.Reads {
-			o, err = z.Reads[za0002].MarshalMsg(o)
+		for za0003 := range z.Reads {
+			o, err = z.Reads[za0003].MarshalMsg(o)
 			if err != nil {
-				err = msgp.WrapError(err, "Reads", za0002)
+				err = msgp.WrapError(err, "Reads", za0003)
 				return
 			}
 		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// string "Ends"
 			o = append(o, 0xa4, 0x45, 0x6e, 0x64, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Ends)))
-			for za0003 := range z.Ends {
-				o, err = z.Ends[za0003].MarshalMsg(o)
+			for za0004 := range z.Ends {
+				o, err = z.Ends[za0004].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Ends", za0003)
+					err = msgp.WrapError(err, "Ends", za0004)
 					return
 				}
 			}
 		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "Stood"
 			o = append(o, 0xa5, 0x53, 0x74, 0x6f, 0x6f, 0x64)
 			o = msgp.AppendUint64(o, z.Stood)
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "Stands"
 			o = append(o, 0xa6, 0x53, 0x74, 0x61, 0x6e, 0x64, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Stands)))
-			for za0004 := range z.Stands {
-				o, err = z.Stands[za0004].MarshalMsg(o)
+			for za0005 := range z.Stands {
+				o, err = z.Stands[za0005].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Stands", za0004)
+					err = msgp.WrapError(err, "Stands", za0005)
 					return
 				}
 			}
 		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "Early"
+			o = append(o, 0xa5, 0x45, 0x61, 0x72, 0x6c, 0x79)
+			o = msgp.AppendBool(o, z.Early)
+		}
 	}
 	return
 }
@@ -107,10 +156,20 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "Node":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Node")
+					return
+				}
+				z.Node = ids.NodeId(zb0002)
+			}
 		case "Seq":
-			z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Seq")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 		case "Age":
@@ -119,17 +178,23 @@
 				err = msgp.WrapError(err, "Age")
 				return
 			}
+		case "Took":
+			z.Took, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Took")
+				return
+			}
 		case "Rows":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Rows")
 				return
 			}
-			if cap(z.Rows) >= int(zb0002) {
-				z.Rows = (z.Rows)[:zb0002]
+			if cap(z.Rows) >= int(zb0003) {
+				z.Rows = (z.Rows)[:zb0003]
 			} else {
-				z.Rows = make([]Row, zb0002)
+				z.Rows = make([]Row, zb0003)
 			}
 			for za0001 := range z.Rows {
 				bts, err = z.Rows[za0001].UnmarshalMsg(bts)
@@ -138,41 +203,70 @@
 					return
 				}
 			}
+		case "Delta":
+			z.Delta, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Delta")
+				return
+			}
+		case "Gone":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Gone")
+				return
+			}
+			if cap(z.Gone) >= int(zb0004) {
+				z.Gone = (z.Gone)[:zb0004]
+			} else {
+				z.Gone = make([]ids.WorkerId, zb0004)
+			}
+			for za0002 := range z.Gone {
+				{
+					var zb0005 string
+					zb0005, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Gone", za0002)
+						return
+					}
+					z.Gone[za0002] = ids.WorkerId(zb0005)
+				}
+			}
 		case "Reads":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Reads")
 				return
 			}
-			if cap(z.Reads) >= int(zb0003) {
-				z.Reads = (z.Reads)[:zb0003]
+			if cap(z.Reads) >= int(zb0006) {
+				z.Reads = (z.Reads)[:zb0006]
 			} else {
-				z.Reads = make([]Reads, zb0003)
+				z.Reads = make([]Reads, zb0006)
 			}
-			for za0002 := range z.Reads {
-				bts, err = z.Reads[za0002].UnmarshalMsg(bts)
+			for za0003 := range z.Reads {
+				bts, err = z.Reads[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Reads", za0002)
+					err = msgp.WrapError(err, "Reads", za0003)
 					return
 				}
 			}
 		case "Ends":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Ends")
 				return
 			}
-			if cap(z.Ends) >= int(zb0004) {
-				z.Ends = (z.Ends)[:zb0004]
+			if cap(z.Ends) >= int(zb0007) {
+				z.Ends = (z.Ends)[:zb0007]
 			} else {
-				z.Ends = make([]Outcomes, zb0004)
+				z.Ends = make([]Outcomes, zb0007)
 			}
-			for za0003 := range z.Ends {
-				bts, err = z.Ends[za0003].UnmarshalMsg(bts)
+			for za0004 := range z.Ends {
+				bts, err = z.Ends[za0004].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Ends", za0003)
+					err = msgp.WrapError(err, "Ends", za0004)
 					return
 				}
 			}
@@ -183,24 +277,30 @@
 				return
 			}
 		case "Stands":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Stands")
 				return
 			}
-			if cap(z.Stands) >= int(zb0005) {
-				z.Stands = (z.Stands)[:zb0005]
+			if cap(z.Stands) >= int(zb0008) {
+				z.Stands = (z.Stands)[:zb0008]
 			} else {
-				z.Stands = make([]Stands, zb0005)
+				z.Stands = make([]Stands, zb0008)
 			}
-			for za0004 := range z.Stands {
-				bts, err = z.Stands[za0004].UnmarshalMsg(bts)
+			for za0005 := range z.Stands {
+				bts, err = z.Stands[za0005].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Stands", za0004)
+					err = msgp.WrapError(err, "Stands", za0005)
 					return
 				}
 			}
+		case "Early":
+			z.Early, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Early")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -215,21 +315,26 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ListReply) Msgsize() (s int) {
-	s = 1 + 4 + msgp.Uint64Size + 4 + msgp.Int64Size + 5 + msgp.ArrayHeaderSize
+	s = 1 + 5 + msgp.StringPrefixSize + len(string(z.Node)) + 4 + msgp.Uint64Size + 4 + msgp.Int64Size + 5 + msgp.Int64Size + 5 + msgp.ArrayHeaderSize
 	for za0001 := range z.Rows {
 		s += z.Rows[za0001].Msgsize()
 	}
+	s += 6 + msgp.BoolSize + 5 + msgp.ArrayHeaderSize
+	for za0002 := range z.Gone {
+		s += msgp.StringPrefixSize + len(string(z.Gone[za0002]))
+	}
 	s += 6 + msgp.ArrayHeaderSize
-	for za0002 := range z.Reads {
-		s += z.Reads[za0002].Msgsize()
+	for za0003 := range z.Reads {
+		s += z.Reads[za0003].Msgsize()
 	}
 	s += 5 + msgp.ArrayHeaderSize
-	for za0003 := range z.Ends {
-		s += z.Ends[za0003].Msgsize()
+	for za0004 := range z.Ends {
+		s += z.Ends[za0004].Msgsize()
 	}
 	s += 6 + msgp.Uint64Size + 7 + msgp.ArrayHeaderSize
-	for za0004 := range z.Stands {
-		s += z.Stands[za0004].Msgsize()
+	for za0005 := range z.Stands {
+		s += z.Stands[za0005].Msgsize()
 	}
+	s += 6 + msgp.BoolSize
 	return
 }
