Two tests that failed by chance: TestGrey and TestMeter

TestGrey failed in 1 to 3 of 20 runs, before this work too: it asked for the share of a worker between 20 and 24 s, but a third ejection right before the worker is well, at 13 s, lasts 8 s by design, and trials come after it.

TestMeter compared what one side had written with what the other had read while the writer's count, which follows its write, could still be under way (1 of 40 runs before).

--- a/cmd/gauge/gauge_test.go
+++ b/cmd/gauge/gauge_test.go
@@ -133,7 +133,12 @@
 		r.Body.Close()
 	}
 	web.CloseIdleConnections()
-	a, b := near.Flows()["echo@"+at], far.Flows()["echo"]
+	// A side counts what it wrote after the write has returned, when the other may have it.
+	var a, b Flow
+	require.Eventually(t, func() bool {
+		a, b = near.Flows()["echo@"+at], far.Flows()["echo"]
+		return a.Out == b.In && a.In == b.Out
+	}, 5*time.Second, time.Millisecond, "what one side sent the other received")
 	require.EqualValues(t, 20, a.Asked)
 	require.EqualValues(t, 20, b.Served)
 	require.Greater(t, a.Out, int64(20*len(body)))
--- a/proxy/eject_test.go
+++ b/proxy/eject_test.go
@@ -215,9 +215,9 @@
 			}
 			return fine
 		}
-		on := (&ward{seed: seed, nodes: 4, parts: 6, rate: 80, span: 24 * time.Second, sick: grey}).run(t)
+		on := (&ward{seed: seed, nodes: 4, parts: 6, rate: 80, span: 30 * time.Second, sick: grey}).run(t)
 		on.sound(t)
-		off := (&ward{seed: seed, nodes: 4, parts: 6, rate: 80, span: 24 * time.Second, sick: grey, tune: func(o *Options) { o.Eject = -1 }}).run(t)
+		off := (&ward{seed: seed, nodes: 4, parts: 6, rate: 80, span: 30 * time.Second, sick: grey, tune: func(o *Options) { o.Eject = -1 }}).run(t)
 		had, all := off.done(5*time.Second, 13*time.Second)
 		has, _ := on.done(5*time.Second, 13*time.Second)
 		t.Logf("x %.1f: share %.3f, without %.3f; answered %d, without %d, of %d; ejections %d", x, share(on.rows, sick, 5*time.Second, 13*time.Second),
@@ -225,7 +225,8 @@
 		require.Empty(t, falls(on.rows, sick, 1.0/6, 0.6, 5*time.Second, 13*time.Second))
 		require.NotEmpty(t, falls(off.rows, sick, 1.0/6, 0.6, 5*time.Second, 13*time.Second), "without it they go on")
 		require.Greater(t, has, had)
-		require.Greater(t, share(on.rows, sick, 20*time.Second, 24*time.Second), 0.5/6, "they are used again")
+		// A third ejection right before they are well lasts 8 s, and trials come after it.
+		require.Greater(t, share(on.rows, sick, 25*time.Second, 30*time.Second), 0.7/6, "they are used again")
 		require.Zero(t, off.ejects)
 		require.Positive(t, on.readmits)
 	})
