--- /dev/null
+++ b/coordination/cutoff_test.go
@@ -0,0 +1,136 @@
+// Machines that are cut off for twenty seconds.
+
+package coordination_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/coordination"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
+	"keelstair.example/rpc"
+)
+
+const cutOffSpan = 20 * time.Second
+
+// direction is which way packets between a machine and the other cores are lost.
+type direction string
+
+const (
+	bothWays    direction = "both ways"
+	hearsNone   direction = "it hears nothing"
+	reachesNone direction = "it reaches nobody"
+)
+
+// cutFrom cuts machines off from the other cores, or joins them again. Nodes reach them.
+func (f *fleet) cutFrom(group []string, how direction, cut bool) {
+	var rest []string
+	for ip := range f.cores {
+		rest = append(rest, ip)
+	}
+	for _, ip := range group {
+		if how != reachesNone {
+			f.w.Cut(rest, []string{ip}, cut)
+		}
+		if how != hearsNone {
+			f.w.Cut([]string{ip}, rest, cut)
+		}
+	}
+}
+
+// askCore asks one core for a command that changes nothing of the sum, and for all there is,
+// whoever leads.
+func (f *fleet) askCore(ip, op string) (submitted, read error) {
+	caller := rpc.NewCaller(f.procs["10.0.1.1"].Host().Net)
+	defer caller.Close()
+	ctx, stop := context.WithTimeout(context.Background(), 900*time.Millisecond)
+	defer stop()
+	ask := &coordination.SubmitAsk{Op: ids.OpId(op), Kind: "add", Body: []byte("0")}
+	_, submitted = rpc.Call[coordination.SubmitAsk, coordination.SubmitReply](ctx, caller, ip+":1", "crux/submit", ask)
+	_, read = rpc.Call[coordination.NewsAsk, coordination.NewsReply](ctx, caller, ip+":1", "crux/news", &coordination.NewsAsk{})
+	return submitted, read
+}
+
+// TestCutOff: the primary, the backup or a holder without data, or two of them where two
+// losses are borne, are cut off from the other cores for 20 s, both ways or one way. Commands
+// are answered all the while. A machine that is cut off both ways takes no order, confirms
+// none, refuses none and tells nothing of its state. Afterwards all have all, and the next
+// loss is borne.
+func TestCutOff(t *testing.T) {
+	sizes := []struct{ machines, losses int }{{3, 1}, {6, 2}}
+	for _, size := range sizes {
+		for _, how := range []direction{bothWays, hearsNone, reachesNone} {
+			for first := range size.losses + 2 {
+				for second := first; second < size.losses+2; second++ {
+					if second > first && size.losses < 2 {
+						continue
+					}
+					t.Run(fmt.Sprintf("%d machines, places %d and %d, %s", size.machines, first, second, how), func(t *testing.T) {
+						t.Parallel()
+						synctest.Test(t, func(t *testing.T) { cutOff(t, size.machines, size.losses, first, second, how) })
+					})
+				}
+			}
+		}
+	}
+}
+
+// places are the machines of the record: the primary, its backups, then a holder without data.
+func (f *fleet) places(t *testing.T) []string {
+	record := f.cores[f.leader()].Directory().Record()
+	out := []string{machineOf(record.Primary.Addr), machineOf(record.Backup.Addr)}
+	for _, b := range record.Also {
+		out = append(out, machineOf(b.Addr))
+	}
+	for _, h := range record.Holders {
+		if ip := machineOf(h.Addr); !slices.Contains(out, ip) {
+			return append(out, ip)
+		}
+	}
+	t.Fatal("all holders have the data")
+	return nil
+}
+
+func cutOff(t *testing.T, machines, losses, first, second int, how direction) {
+	f := buildOf(uint64(first*7+second+1), machines, losses)
+	defer f.close()
+	require.NoError(t, f.add(1, "a", 10*time.Second))
+	time.Sleep(2 * time.Second)
+	place := f.places(t)
+	group := []string{place[first]}
+	if second != first {
+		group = append(group, place[second])
+	}
+	f.cutFrom(group, how, true)
+	began := time.Now()
+	sum := 1
+	for n := 0; time.Since(began) < cutOffSpan; n++ {
+		require.NoError(t, f.add(1, fmt.Sprint("during", n), 8*time.Second))
+		sum++
+		for _, ip := range group {
+			submitted, read := f.askCore(ip, fmt.Sprint(ip, "/", n))
+			if how == bothWays {
+				require.Error(t, submitted, "an order was confirmed")
+				require.False(t, failure.Is(submitted, failure.Stale) || failure.Is(submitted, failure.Bad), "an order was refused: %v", submitted)
+				require.Error(t, read, "it told a state that may be old")
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	f.cutFrom(group, how, false)
+	time.Sleep(4 * time.Second)
+	require.NoError(t, f.add(1, "after", 5*time.Second))
+	f.off(f.leader())
+	require.NoError(t, f.add(1, "without the primary", 8*time.Second))
+	time.Sleep(time.Second)
+	for _, v := range f.views {
+		require.EqualValues(t, sum+2, v.sum.Load())
+	}
+}
