--- a/proxy/list_follow.go
+++ b/proxy/list_follow.go
@@ -21,6 +21,7 @@
 	from   ids.NodeId
 	since  ids.Tick // from when on that is so
 	known  bool     // it answered the last time
+	flat   bool     // all nodes ask the holder
 	stood  uint64   // by the numbers of that source: up to where it told how workers stand
 	told   uint64   // by this node's own: up to where that source was told
 }
@@ -38,6 +39,7 @@
 // follow has the list from the nearest source with a fresh one, and then waits until the next
 // asking is due. False if none has one.
 func (f *follower) follow(ctx context.Context, s *listSources) bool {
+	f.flat = s.flat()
 	for i, parent := range s.parents {
 		if f.hasFailed(parent.Node) && !s.flat() {
 			continue
@@ -166,7 +168,9 @@
 	began := n.now()
 	span := n.opt.Share*4/5 + rand.N(n.opt.Share*2/5)
 	hold := span
-	if !f.known { // it may be gone, which an answer at once shows sooner
+	// A source that may be gone shows it sooner by an answer at once. In a small fleet changes
+	// are few, and readings that come at once are worth more than changes that do.
+	if !f.known || f.flat {
 		hold = 0
 	}
 	r, err := f.call(ctx, m.Addr, hold)
