List of workers: in a small fleet the sums of the answer are used as they come

Cause: since the list goes by a tree, a node took others' outcomes and readings from a tally of its own that may be older than the answer, also where all ask the holder and the answer has the sums of all. In a tree all stays as it was.

--- a/proxy/list_follow.go
+++ b/proxy/list_follow.go
@@ -234,8 +234,13 @@
 		return
 	}
 	n.above.Store(&above{now, r.Reads, r.Ends})
-	n.others(n.sum(n.me.Node, true))
-	n.hearsay(n.rest(n.me.Node))
+	if f.flat { // the answer has the sums of all; the tally of this node may be older
+		n.others(r.Reads)
+		n.hearsay(r.Ends)
+	} else {
+		n.others(n.sum(n.me.Node, true))
+		n.hearsay(n.rest(n.me.Node))
+	}
 	n.heard(r.Stands, list)
 }
 
