--- a/coordination/powerloss_test.go
+++ b/coordination/powerloss_test.go
@@ -103,9 +103,11 @@
 	return nil
 }
 
-func (h *storeHistory) appendSome(random *rand.Rand) error {
+func (h *storeHistory) appendSome(random *rand.Rand) error { return h.appendCount(1 + random.IntN(3)) }
+
+func (h *storeHistory) appendCount(count int) error {
 	var entries []Entry
-	for range 1 + random.IntN(3) {
+	for range count {
 		h.next++
 		e := Entry{Kind: "put", Body: []byte(strconv.Itoa(h.next))}
 		if _, err := h.state.apply(&e); err != nil {
@@ -115,14 +117,18 @@
 	}
 	h.requested = h.state.machine.(*listMachine).all()
 	err := h.store.append(entries)
-	h.acknowledged = h.requested
+	if err == nil {
+		h.acknowledged = h.requested
+	}
 	return err
 }
 
 func (h *storeHistory) promise() error {
 	h.written.Promised++
 	err := h.store.saveRegister(h.written)
-	h.register = h.written
+	if err == nil {
+		h.register = h.written
+	}
 	return err
 }
 
--- /dev/null
+++ b/coordination/statemachine_test.go
@@ -0,0 +1,481 @@
+// State-machine tests: rapid draws actions on the register and on the store, and shrinks a
+// failure to a short run of them.
+
+package coordination
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"keelstair.example/host/simulated"
+	"keelstair.example/ids"
+)
+
+// rapidChecks is how many runs of rapidSteps actions are drawn; KEELSTAIR_SEEDS times as many if
+// it is set.
+const (
+	rapidChecks = 500
+	rapidSteps  = 100
+)
+
+// seedRapid has rapid draw the same runs each time; KEELSTAIR_FROM names others.
+var seedRapid = sync.OnceFunc(func() {
+	times, from := 1, 0
+	if n, err := strconv.Atoi(os.Getenv("KEELSTAIR_SEEDS")); err == nil && n > 0 {
+		times = n
+		from, _ = strconv.Atoi(os.Getenv("KEELSTAIR_FROM"))
+	}
+	for name, value := range map[string]string{
+		"rapid.checks":     strconv.Itoa(rapidChecks * times),
+		"rapid.seed":       strconv.Itoa(from + 1),
+		"rapid.steps":      strconv.Itoa(rapidSteps),
+		"rapid.nofailfile": "true",
+	} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+})
+
+// bubble is a test without its deadline, which may not be asked for in simulated time.
+type bubble struct{ testing.TB }
+
+// checkActions draws runs of the actions that start makes, in simulated time.
+func checkActions(t *testing.T, start func(t *rapid.T) (actions map[string]func(*rapid.T), end func())) {
+	seedRapid()
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(bubble{t}, func(t *rapid.T) {
+			actions, end := start(t)
+			defer end()
+			t.Repeat(actions)
+		})
+	})
+}
+
+// proposal is a ballot under way: its messages are delivered in any order, any number of times.
+type proposal struct {
+	proposer  int
+	record    Record
+	parent    ids.Epoch // of the record that it is based on
+	takeover  bool
+	removes   bool
+	promised  []Replica
+	accepting bool
+	answered  []Replica // accepts that the proposer knows of
+	accepted  []Replica // all accepts
+	abandoned bool      // nothing of it is delivered any more
+	closed    bool      // its proposer no longer waits for answers
+	chosen    bool
+}
+
+// registerModel is the registers of some replicas, and the proposers' side of every ballot.
+type registerModel struct {
+	cores     []*Core
+	processes []*simulated.Process
+	proposals []*proposal
+	leads     []ids.Epoch // by replica, the epoch that it knows to be decided for it
+	parents   map[ids.Epoch]ids.Epoch
+	chosen    []ids.Epoch
+}
+
+const (
+	modelVoters   = 3
+	modelReplicas = 5
+)
+
+func newRegisterModel(t *rapid.T) *registerModel {
+	m := &registerModel{leads: make([]ids.Epoch, modelReplicas), parents: map[ids.Epoch]ids.Epoch{}}
+	world := simulated.NewWorld(1)
+	for i := range modelReplicas {
+		ip := fmt.Sprintf("10.0.0.%d", i+1)
+		p := world.Machine(ip).Start()
+		c, err := New(Options{Addr: ip + ":1", Host: p.Host(), Machine: func() StateMachine { return nil }})
+		require.NoError(t, err)
+		m.cores, m.processes = append(m.cores, c), append(m.processes, p)
+	}
+	founding := Record{Epoch: firstEpoch, ClusterID: "f", Primary: m.cores[0].self}
+	for _, c := range m.cores[:modelVoters] {
+		founding.Voters = append(founding.Voters, c.self)
+	}
+	founding.setBackups([]Replica{m.cores[1].self})
+	for _, c := range m.cores[:modelVoters] {
+		c.readyEpoch.Store(uint64(firstEpoch))
+		r, err := c.handleBallot(t.Context(), &BallotRequest{
+			Epoch:  firstEpoch,
+			From:   founding.Primary,
+			Accept: true,
+			Record: founding,
+		})
+		require.NoError(t, err)
+		require.True(t, r.OK, r.Reason)
+	}
+	m.leads[0] = firstEpoch
+	m.chosen = []ids.Epoch{firstEpoch}
+	return m
+}
+
+func (m *registerModel) end() {
+	for _, p := range m.processes {
+		p.Kill()
+	}
+}
+
+func (m *registerModel) coreOf(s Replica) *Core {
+	for _, c := range m.cores {
+		if c.self.Disk == s.Disk {
+			return c
+		}
+	}
+	return nil
+}
+
+// drawProposal gives one of the proposals that fit, or skips the action.
+func (m *registerModel) drawProposal(t *rapid.T, fits func(*proposal) bool) *proposal {
+	var list []*proposal
+	for _, p := range m.proposals {
+		if !p.abandoned && fits(p) {
+			list = append(list, p)
+		}
+	}
+	if len(list) == 0 {
+		t.Skip("no such proposal")
+	}
+	return rapid.SampledFrom(list).Draw(t, "proposal")
+}
+
+// drawCore gives one of the replicas that fit by what they have accepted, or skips the action.
+func (m *registerModel) drawCore(t *rapid.T, label string, fits func(i int, current Record) bool) int {
+	var list []int
+	for i, c := range m.cores {
+		if current, _ := c.accepted(); current.ClusterID != "" && fits(i, current) {
+			list = append(list, i)
+		}
+	}
+	if len(list) == 0 {
+		t.Skip("no such replica")
+	}
+	return rapid.SampledFrom(list).Draw(t, label)
+}
+
+// propose begins a ballot at a replica with the data; a primary may change a voter by it.
+func (m *registerModel) propose(t *rapid.T) {
+	i := m.drawCore(t, "proposer", func(i int, current Record) bool { return isDataReplicaOf(current, m.cores[i].self) })
+	c := m.cores[i]
+	current, promised := c.accepted()
+	c.observeEpoch(promised)
+	time.Sleep(2 * c.options.ElectionTimeout) // a silent primary may be replaced
+	b := ballot{}
+	if m.leads[i] == current.Epoch {
+		b.leadingEpoch = current.Epoch
+		if rapid.IntRange(0, 2).Draw(t, "change a voter") > 0 {
+			b.removed = current.Voters[rapid.IntRange(0, len(current.Voters)-1).Draw(t, "removed")].Disk
+			for _, spare := range m.cores {
+				if !containsDisk(current.Voters, spare.self.Disk) {
+					b.added = spare.self
+				}
+			}
+			if b.removed == c.self.Disk {
+				b.removed, b.added = "", Replica{}
+			}
+		}
+	}
+	m.close(i)
+	p := &proposal{
+		proposer: i,
+		record:   c.draftRecord(current, b),
+		parent:   current.Epoch,
+		takeover: b.leadingEpoch == 0,
+		removes:  b.removed != "",
+	}
+	m.proposals = append(m.proposals, p)
+	m.prepareAtSome(t, p)
+}
+
+// close ends a replica's ballots: it has one at a time. Accepts of earlier ones may come late.
+func (m *registerModel) close(proposer int) {
+	for _, p := range m.proposals {
+		if p.proposer == proposer {
+			p.closed = true
+			p.abandoned = p.abandoned || !p.accepting
+		}
+	}
+}
+
+// lost tells whether an answer is lost on its way: one of ten.
+func (m *registerModel) lost(t *rapid.T) bool { return rapid.IntRange(0, 9).Draw(t, "answer") == 9 }
+
+// drawReplicas gives some of the replicas, in the order given.
+func drawReplicas(t *rapid.T, all []Replica) []Replica {
+	var some []Replica
+	for _, s := range all {
+		if rapid.Bool().Draw(t, "reached") {
+			some = append(some, s)
+		}
+	}
+	return some
+}
+
+// prepare delivers the first round's message to some more replicas.
+func (m *registerModel) prepare(t *rapid.T) {
+	m.prepareAtSome(t, m.drawProposal(t, func(p *proposal) bool { return !p.accepting }))
+}
+
+func (m *registerModel) prepareAtSome(t *rapid.T, p *proposal) {
+	for _, to := range drawReplicas(t, p.record.allVoters()) {
+		if !p.abandoned {
+			m.prepareAt(t, p, to)
+		}
+	}
+}
+
+// prepareAt delivers the message to one replica, and its answer unless that is lost.
+func (m *registerModel) prepareAt(t *rapid.T, p *proposal, to Replica) {
+	proposer := m.cores[p.proposer]
+	r, err := m.coreOf(to).handleBallot(t.Context(), &BallotRequest{
+		Epoch:    p.record.Epoch,
+		From:     proposer.self,
+		Takeover: p.takeover,
+		Record:   p.record,
+	})
+	require.NoError(t, err)
+	if m.lost(t) {
+		return
+	}
+	proposer.observeEpoch(r.Promised)
+	if r.Accepted.Epoch > p.parent {
+		p.abandoned = true
+		m.adopt(t, p.proposer, r.Accepted)
+		return
+	}
+	if r.Accepted.Epoch == p.parent && len(r.Accepted.OutgoingVoters) == 0 && !p.removes {
+		p.record.OutgoingVoters = nil
+	}
+	if r.OK && !containsDisk(p.promised, to.Disk) {
+		p.promised = append(p.promised, to)
+	}
+}
+
+// adopt has a replica take over a record that it was told of, which is an accept.
+func (m *registerModel) adopt(t *rapid.T, i int, record Record) {
+	if !m.cores[i].adoptRecord(record) {
+		return
+	}
+	for _, p := range m.proposals {
+		if p.accepting && p.record.Epoch == record.Epoch && m.cores[p.proposer].self.Disk == record.Primary.Disk {
+			m.accept(t, p, m.cores[i].self)
+		}
+	}
+}
+
+// ready ends the first round if it is won: a backup is caught up, and the second round begins.
+func (m *registerModel) ready(t *rapid.T, p *proposal) bool {
+	proposer := m.cores[p.proposer].self
+	if p.closed || !containsDisk(p.promised, proposer.Disk) || !p.record.decidedBy(p.promised) {
+		return false
+	}
+	for _, s := range p.promised {
+		if s.Disk == proposer.Disk || !containsDisk(p.record.Voters, s.Disk) {
+			continue
+		}
+		c := m.coreOf(s)
+		r, err := c.handleSnapshot(t.Context(), &SnapshotRequest{
+			Epoch:  p.record.Epoch,
+			From:   proposer,
+			Digest: c.state.digest,
+		})
+		if err == nil && r.OK {
+			p.record.setBackups([]Replica{s})
+			p.accepting = true
+			m.parents[p.record.Epoch] = p.parent
+			return true
+		}
+	}
+	return false
+}
+
+// deliverAccept delivers the second round's message to some replicas, once the backup has accepted.
+func (m *registerModel) deliverAccept(t *rapid.T) {
+	p := m.drawProposal(t, func(p *proposal) bool { return p.accepting || m.ready(t, p) })
+	if !containsDisk(p.answered, p.record.Backup.Disk) {
+		m.acceptAt(t, p, p.record.Backup)
+		return
+	}
+	for _, to := range drawReplicas(t, p.record.allVoters()) {
+		m.acceptAt(t, p, to)
+	}
+}
+
+// acceptAt delivers the message to one replica, and its answer unless that is lost.
+func (m *registerModel) acceptAt(t *rapid.T, p *proposal, to Replica) {
+	proposer := m.cores[p.proposer]
+	r, err := m.coreOf(to).handleBallot(t.Context(), &BallotRequest{
+		Epoch:  p.record.Epoch,
+		From:   proposer.self,
+		Accept: true,
+		Record: p.record,
+	})
+	require.NoError(t, err)
+	if !r.OK {
+		return
+	}
+	m.accept(t, p, to)
+	if m.lost(t) || p.closed || containsDisk(p.answered, to.Disk) {
+		return
+	}
+	p.answered = append(p.answered, to)
+	if current, _ := proposer.accepted(); containsDisk(p.answered, proposer.self.Disk) &&
+		p.record.decidedBy(p.answered) && current.Epoch == p.record.Epoch {
+		m.leads[p.proposer] = p.record.Epoch
+		proposer.registerMu.Lock()
+		proposer.markDecided(p.record.Epoch, proposer.self.Disk)
+		proposer.registerMu.Unlock()
+	}
+}
+
+// accept notes that a register has accepted a record, and whether it is chosen by that.
+func (m *registerModel) accept(t *rapid.T, p *proposal, by Replica) {
+	if containsDisk(p.accepted, by.Disk) {
+		return
+	}
+	p.accepted = append(p.accepted, by)
+	if p.chosen || !p.record.decidedBy(p.accepted) {
+		return
+	}
+	p.chosen = true
+	for _, other := range m.chosen {
+		older, newer := min(other, p.record.Epoch), max(other, p.record.Epoch)
+		require.NotEqual(t, older, newer, "two records of one epoch are chosen")
+		require.True(t, m.basedOn(newer, older), "epochs %d and %d are both chosen, and neither knew of the other", older, newer)
+	}
+	m.chosen = append(m.chosen, p.record.Epoch)
+}
+
+// basedOn tells whether the record of an epoch was made over that of an older one, by some steps.
+func (m *registerModel) basedOn(epoch, older ids.Epoch) bool {
+	for epoch > older {
+		epoch = m.parents[epoch]
+	}
+	return epoch == older
+}
+
+// heartbeat has a primary tell one replica that its record is decided.
+func (m *registerModel) heartbeat(t *rapid.T) {
+	from := m.drawCore(t, "primary", func(i int, current Record) bool {
+		return m.leads[i] != 0 && current.Epoch == m.leads[i]
+	})
+	to := rapid.IntRange(0, modelReplicas-1).Draw(t, "replica")
+	_, err := m.cores[to].handleHeartbeat(t.Context(), &AppendRequest{Epoch: m.leads[from], From: m.cores[from].self})
+	require.NoError(t, err)
+}
+
+// restart has a replica forget what is not on its disk; ballots of its own end with that.
+func (m *registerModel) restart(t *rapid.T) {
+	i := rapid.IntRange(0, modelReplicas-1).Draw(t, "replica")
+	c := m.cores[i]
+	kept, err := c.store.loadRegister()
+	require.NoError(t, err)
+	require.Equal(t, c.register, kept, "what was answered is on disk")
+	c.register = kept
+	c.readyEpoch.Store(0)
+	m.leads[i] = 0
+	m.close(i)
+}
+
+// TestRegisterStateMachine: whatever messages are lost, late or doubled, whoever restarts and
+// whichever voters change meanwhile, of all records that a majority of each quorum has
+// accepted each is based on the one before it.
+func TestRegisterStateMachine(t *testing.T) {
+	checkActions(t, func(t *rapid.T) (map[string]func(*rapid.T), func()) {
+		m := newRegisterModel(t)
+		return map[string]func(*rapid.T){
+			"propose":   m.propose,
+			"prepare":   m.prepare,
+			"accept":    m.deliverAccept,
+			"accept2":   m.deliverAccept,
+			"heartbeat": m.heartbeat,
+			"restart":   m.restart,
+		}, m.end
+	})
+}
+
+// storeModel is a store on a simulated disk, and what it has acknowledged.
+type storeModel struct {
+	storeHistory
+	machine *simulated.Machine
+	process *simulated.Process
+}
+
+func newStoreModel(t *rapid.T) *storeModel {
+	m := &storeModel{machine: simulated.NewWorld(1).Machine("10.0.0.1")}
+	m.start(t)
+	require.NoError(t, m.promise())
+	return m
+}
+
+// start starts a process on the disk as it is, and holds what it reads against what was
+// acknowledged: of the rows of a step that was cut short, some of the first may be there. The
+// state goes on from what is on disk.
+func (m *storeModel) start(t *rapid.T) {
+	m.process = m.machine.Start()
+	m.store = newStore(m.process.Host().Disk)
+	require.NoError(t, m.reload())
+	got := m.state.machine.(*listMachine).all()
+	require.True(t, isPrefix(m.acknowledged, got), "%q is lost of %q", got, m.acknowledged)
+	require.True(t, isPrefix(got, m.requested), "%q was never asked for, %q was", got, m.requested)
+	kept, err := m.store.loadRegister()
+	require.NoError(t, err)
+	require.Contains(t, []ids.Epoch{m.register.Promised, m.written.Promised}, kept.Promised)
+	m.acknowledged, m.requested = got, got
+	m.register, m.written = kept, kept
+}
+
+// isPrefix tells whether a list of values begins with another.
+func isPrefix(begin, list string) bool { return strings.HasPrefix(list+",", begin+",") || begin == "" }
+
+// run makes a step, in which the process may be killed; after that it starts again.
+func (m *storeModel) run(t *rapid.T, step func() error) {
+	if rapid.IntRange(0, 2).Draw(t, "kill") < 2 {
+		require.NoError(t, step())
+		return
+	}
+	after := time.Duration(rapid.IntRange(0, 4000).Draw(t, "after us")) * time.Microsecond
+	kill := time.AfterFunc(after, m.process.Kill)
+	err := step()
+	kill.Stop()
+	if err == nil {
+		m.process.Kill()
+	}
+	time.Sleep(time.Second) // a step that was cut short ends by itself
+	m.start(t)
+}
+
+// appendEntries appends up to five entries.
+func (m *storeModel) appendEntries(t *rapid.T) {
+	count := rapid.IntRange(1, valuesPerChunk).Draw(t, "entries")
+	m.run(t, func() error { return m.appendCount(count) })
+}
+
+// TestStoreStateMachine: whenever the process is killed within whichever step, what the next one
+// reads is the state before or after that step, and what was answered is never lost.
+func TestStoreStateMachine(t *testing.T) {
+	checkActions(t, func(t *rapid.T) (map[string]func(*rapid.T), func()) {
+		m := newStoreModel(t)
+		return map[string]func(*rapid.T){
+			"append":   m.appendEntries,
+			"append2":  m.appendEntries,
+			"register": func(t *rapid.T) { m.run(t, m.promise) },
+			"compact":  func(t *rapid.T) { m.run(t, m.reset) },
+			"reload":   func(t *rapid.T) { m.run(t, m.reload) },
+		}, func() { m.process.Kill() }
+	})
+}
