platform: idleMs and headerWaitMs of the configuration in force hold, also for open connections

They were stored and not applied: 20 s and 10 s were fixed, so a client that took up a connection after four fifths of a longer idleMs met a closed one, and a slow header got no answer. conntimeout keeps a timer for each connection, from what the server says of its state and the first byte that is read, and arms it anew when a version comes in force. A late header ends with 408; its request never reaches the handler. Tests at 1, 15 and 60 s on the simulated clock.

--- a/cmd/keelstair-platform/main.go
+++ b/cmd/keelstair-platform/main.go
@@ -185,7 +185,7 @@
 	}
 	ring := cli.Ring(s.Name)
 	log.SetOutput(ring)
-	server := &http.Server{ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 20 * time.Second, MaxHeaderBytes: 64 << 10}
+	server := platform.NewClientServer()
 	n, err := proxy.New(proxy.Options{
 		Name:               s.Name,
 		Addr:               s.Peer(),
@@ -204,8 +204,9 @@
 		SlowStartOvershoot: s.SlowStartOvershoot,
 		SlowStartAllowance: s.SlowStartAllowance,
 		Drain: func(ctx context.Context) error {
-			return rpc.Drain(ctx, server)
+			return rpc.Drain(ctx, &server.Server)
 		},
+		ClientLimitsChanged: server.SetLimits,
 	})
 	if err != nil {
 		return err
@@ -216,12 +217,11 @@
 	defer shut()
 	watch(listen, n.Directory())
 	serveInternal(listen, s, host, n)
-	server.Handler = &platform.Frontend{Node: n, Clock: host.Clock}
 	l, err := host.Net.Listen(s.FrontendAddr)
 	if err != nil {
 		return err
 	}
-	go server.Serve(l)
+	go server.ServeClients(l, &platform.Frontend{Node: n, Clock: host.Clock})
 	n.Run(ctx, 2500*time.Millisecond, s.Grace-1500*time.Millisecond)
 	fmt.Println(n.Summary())
 	return nil
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -70,7 +70,9 @@
 	// Drain is called once as the node leaves: it lets no caller in any more, and returns
 	// when those that are in were answered or the context ends.
 	Drain func(context.Context) error
-	Trace func(Event)
+	// ClientLimitsChanged is called with the limits of each version that comes in force.
+	ClientLimitsChanged func(fleetstate.ClientLimits)
+	Trace               func(Event)
 }
 
 func (o *Options) setDefaults() {
@@ -302,6 +304,9 @@
 		}
 	}
 	n.lastSnapshot.Store(s)
+	if n.options.ClientLimitsChanged != nil {
+		n.options.ClientLimitsChanged(s.Configuration.ClientLimits)
+	}
 	return s
 }
 
