--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -252,6 +252,9 @@
 func (n *Node) spendOfBudget(part float64) bool {
 	ratio := part * retryRatioShare * n.options.RetryRatio
 	allowance := part * retryAllowanceShare * float64(n.options.RetryAllowance) * n.share()
+	if n.uncounted() {
+		allowance = 0
+	}
 	return n.budget.spend(n.now(), ratio, allowance)
 }
 
--- a/internal/proxy/retry_budget_test.go
+++ b/internal/proxy/retry_budget_test.go
@@ -160,9 +160,10 @@
 
 // TestBudgetCutOff: a node is cut off from the core and no longer counts as a member, but
 // goes on serving: the others do not take its part of the allowance meanwhile, also when
-// that goes on for a while.
+// that goes on for a while. After longer than they remember it, it repeats nothing beyond its
+// ratio.
 func TestBudgetCutOff(t *testing.T) {
-	for _, after := range []time.Duration{0, 60 * time.Second} {
+	for _, after := range []time.Duration{0, 60 * time.Second, 5 * time.Minute} {
 		t.Run(after.String(), func(t *testing.T) {
 			bubble(t, func(t *testing.T) {
 				const allow = 100
@@ -179,7 +180,9 @@
 				time.Sleep(time.Second)
 				f.w.Partition([]string{nodeIP(0)}, append([]string{nodeIP(1)}, coreIps...), true)
 				require.True(t, f.until(10*time.Second, func() bool { return len(f.nodes[1].agent.Members()) == 1 }))
-				time.Sleep(after)
+				if after > 0 { // the number of nodes is looked at when something is repeated
+					f.load(2, after, func(i int) *Request { return f.req(fmt.Sprint("b", i), "/again/x", 400, 4) })
+				}
 				all := f.load(30, 9*time.Second, func(i int) *Request {
 					return f.req(fmt.Sprint("r", i), "/again/x", 400, 4)
 				})
--- a/internal/proxy/worker_state.go
+++ b/internal/proxy/worker_state.go
@@ -79,6 +79,13 @@
 	return at != 0 && !now.Past(at, isolationTimeout)
 }
 
+// uncounted tells that the other nodes may no longer count this one among those that share what
+// all have, since no process has heard of it for so long.
+func (n *Node) uncounted() bool {
+	alone := peerCountTTL - n.options.RetryWindow
+	return !n.agent.CaughtUp(alone) && n.now().Past(n.agent.Directory().LastContact(), alone)
+}
+
 // recordFailure notes that a worker failed; it is left alone for a while, longer each time.
 func (s *workerState) recordFailure(now ids.Tick) {
 	s.mu.Lock()
