router: operation ids of evacuations, drains and revocations have classes of their own

All shared the class of configurations, so 2,048 evacuations pushed out the id of an earlier apply, which was refused as stale when it was sent again (TestApplyAmongEvacuations fails without the classes). An operation that is sent again across the upgrade itself is taken under its new class as a new one.

--- a/internal/router/operate.go
+++ b/internal/router/operate.go
@@ -23,6 +23,28 @@
 	"keelstair.example/internal/routing"
 )
 
+// Operation ids are remembered by class, which stands before the slash: however many marks of
+// one kind there are, the ids of configurations and of the other kinds are not pushed out.
+const (
+	configurationOps = "op/"
+	evacuationOps    = "zone/"
+	drainOps         = "drain/"
+	revocationOps    = "revoke/"
+)
+
+// markOps gives the class of the operations that set a mark.
+func markOps(kind string) string {
+	switch kind {
+	case fleetstate.EvacuateKind:
+		return evacuationOps
+	case fleetstate.DrainKind:
+		return drainOps
+	case fleetstate.RevokeKind:
+		return revocationOps
+	}
+	return configurationOps
+}
+
 // Apply checks the whole configuration before anything is written; then the
 // core takes it if it was made over the newest version.
 func (n *Node) Apply(ctx context.Context, a *api.ApplyRequest) (*api.ApplyResponse, error) {
@@ -41,7 +63,7 @@
 			// The base has moved on, perhaps by this very operation.
 			callContext, stop := context.WithTimeout(ctx, 5*time.Second)
 			defer stop()
-			r, err := n.agent.Submit(callContext, ids.OpID("op/"+a.Op), fleetstate.QueryKind, nil)
+			r, err := n.agent.Submit(callContext, ids.OpID(configurationOps+a.Op), fleetstate.QueryKind, nil)
 			if err == nil {
 				return n.versionApplied(ctx, r, true)
 			}
@@ -70,7 +92,7 @@
 	defer stop()
 	r, err := n.agent.Submit(
 		callContext,
-		ids.OpID("op/"+a.Op),
+		ids.OpID(configurationOps+a.Op),
 		fleetstate.PrepareKind,
 		coordination.MustMarshal(&fleetstate.PrepareVersion{
 			Base: ids.Version(a.Base),
@@ -117,7 +139,7 @@
 func (n *Node) mark(ctx context.Context, op, kind string, body []byte) (*api.ApplyResponse, error) {
 	callContext, stop := context.WithTimeout(ctx, 5*time.Second)
 	defer stop()
-	r, err := n.agent.Submit(callContext, ids.OpID("op/"+op), kind, body)
+	r, err := n.agent.Submit(callContext, ids.OpID(markOps(kind)+op), kind, body)
 	if err != nil {
 		return nil, n.outcomeOf(err)
 	}
--- /dev/null
+++ b/internal/simulation/operation_class_test.go
@@ -0,0 +1,31 @@
+// Operations are remembered by class.
+
+package simulation
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/internal/api"
+)
+
+// TestApplyAmongEvacuations: a configuration's operation that is sent again after more evacuations
+// than are remembered is acknowledged with the version that it made, and not refused.
+func TestApplyAmongEvacuations(t *testing.T) {
+	unraced(t)
+	inBubble(t, "vatuloa", nil, func(t *testing.T, c *Cluster) {
+		a := &api.ApplyRequest{Op: "once", Base: 1, Partial: true, Source: `{limits: {queue: 9}}`}
+		one, err := c.Apply(a)
+		require.NoError(t, err)
+		zone := string(c.Of("router")[0].Zone)
+		const remembered = 2048
+		for i := range remembered + 2 {
+			require.NoError(t, c.Mark("/v1/zones/"+zone, fmt.Sprint("mark", i), i%2 == 0))
+		}
+		two, err := c.Apply(a)
+		require.NoError(t, err)
+		require.Equal(t, one.Version, two.Version)
+	})
+}
