host: timers that the race detector bears within simulated time

The detector's own failed check is traced. Within a bubble of testing/synctest, Go 1.26 runs an expired timer at its receiver, or at its start, with the one detector context of the bubble and no lock, so two threads that do so at once corrupt it: SIGSEGV, or a CHECK in tsan_rtl.cpp. Ruled out: memory (a process of a few hundred MB), the number of goroutines. Under the detector alone, host.NewTimer and NewTicker send by a function, which runs under a lock, and start nothing for no span; otherwise they are the standard ones.

--- a/coordination/agent.go
+++ b/coordination/agent.go
@@ -256,7 +256,7 @@
 				a.directory.Query(ctx, 3)
 			}
 		}
-		t := time.NewTimer(wait)
+		t := host.NewTimer(wait)
 		select {
 		case <-ctx.Done():
 			t.Stop()
--- a/coordination/election.go
+++ b/coordination/election.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"keelstair.example/failure"
+	"keelstair.example/host"
 	"keelstair.example/ids"
 	"keelstair.example/rpc"
 )
@@ -76,7 +77,7 @@
 			return newest, yes
 		}
 		if soon == nil && enough != nil && enough(yes) {
-			soon = time.After(voteGrace)
+			soon = host.NewTimer(voteGrace).C
 		}
 	}
 	return newest, yes
--- a/coordination/election_loop.go
+++ b/coordination/election_loop.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"keelstair.example/failure"
+	"keelstair.example/host"
 	"keelstair.example/ids"
 )
 
@@ -111,7 +112,7 @@
 // awaitElectionTick waits for the election loop's next look, or until it is woken; it is false once the context
 // has ended.
 func (c *Core) awaitElectionTick(ctx context.Context) bool {
-	t := time.NewTimer(electionTick + rand.N(electionTick))
+	t := host.NewTimer(electionTick + rand.N(electionTick))
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
--- a/coordination/feed.go
+++ b/coordination/feed.go
@@ -10,6 +10,7 @@
 
 	"github.com/gammazero/deque"
 
+	"keelstair.example/host"
 	"keelstair.example/ids"
 )
 
@@ -75,7 +76,7 @@
 	snapshot func() (*Snapshot, error),
 ) (*WatchResponse, error) {
 	wait := min(time.Duration(request.Wait), 5*time.Second)
-	t := time.NewTimer(wait)
+	t := host.NewTimer(wait)
 	defer t.Stop()
 	for {
 		entries, last, ok, ring := f.since(request.From)
--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"keelstair.example/failure"
+	"keelstair.example/host"
 	"keelstair.example/ids"
 	"keelstair.example/rpc"
 )
@@ -111,7 +112,7 @@
 }
 
 func (l *leader) loop(ctx context.Context) error {
-	heartbeat := time.NewTicker(l.core.options.HeartbeatInterval)
+	heartbeat := host.NewTicker(l.core.options.HeartbeatInterval)
 	defer heartbeat.Stop()
 	for {
 		var batch []*operation
--- a/coordination/primary_call.go
+++ b/coordination/primary_call.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"keelstair.example/failure"
+	"keelstair.example/host"
 	"keelstair.example/rpc"
 )
 
@@ -111,7 +112,7 @@
 			s.asking.Store(false)
 		}()
 	}
-	timer := time.NewTimer(minBackoff + rand.N(minBackoff))
+	timer := host.NewTimer(minBackoff + rand.N(minBackoff))
 	defer timer.Stop()
 	select {
 	case <-grown:
--- a/coordination/store.go
+++ b/coordination/store.go
@@ -58,7 +58,7 @@
 		s.pending.Add(-1)
 		done <- err
 	}()
-	t := time.NewTimer(limit)
+	t := host.NewTimer(limit)
 	defer t.Stop()
 	select {
 	case err := <-done:
--- a/host/host.go
+++ b/host/host.go
@@ -57,7 +57,7 @@
 // Sleep waits for a span or until the context ends; it reports whether the
 // whole span went by.
 func Sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
+	t := NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
--- a/host/simulated/disk.go
+++ b/host/simulated/disk.go
@@ -95,7 +95,7 @@
 	wait := d.delay
 	w.mu.Unlock()
 	if write && wait > 0 {
-		t := time.NewTimer(wait)
+		t := host.NewTimer(wait)
 		select {
 		case <-t.C:
 		case <-h.process.done:
--- a/host/simulated/net.go
+++ b/host/simulated/net.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/gammazero/deque"
+
+	"keelstair.example/host"
 )
 
 var errReset = &net.OpError{Op: "read", Net: "simulated", Err: syscall.ECONNRESET}
@@ -110,7 +112,7 @@
 		}
 		mine, all := h.changed, w.changed
 		w.mu.Unlock()
-		t := time.NewTimer(wait)
+		t := host.NewTimer(wait)
 		select {
 		case <-mine:
 		case <-all:
@@ -193,8 +195,8 @@
 	if p.dead {
 		return nil, errReset
 	}
-	host, _, err := net.SplitHostPort(addr)
-	if err != nil || host != p.machine.IP || p.machine.listeners[addr] != nil {
+	ip, _, err := net.SplitHostPort(addr)
+	if err != nil || ip != p.machine.IP || p.machine.listeners[addr] != nil {
 		return nil, &net.OpError{Op: "listen", Net: "simulated", Err: syscall.EADDRINUSE}
 	}
 	e := &listener{proc: p, addr: address(addr), backlog: make(chan *connection, 1024), closed: make(chan struct{})}
@@ -227,19 +229,19 @@
 // dial takes a round exchange. A cut link or a machine without power says nothing
 // until the caller's patience ends; a machine where nobody listens refuses.
 func (p *Process) dial(ctx context.Context, addr string) (net.Conn, error) {
-	host, _, err := net.SplitHostPort(addr)
+	ip, _, err := net.SplitHostPort(addr)
 	if err != nil {
 		return nil, dialFault(err)
 	}
 	w := p.machine.world
-	patience := time.NewTimer(time.Second)
+	patience := host.NewTimer(time.Second)
 	defer patience.Stop()
 	if !p.awaitThaw() {
 		return nil, dialFault(errors.New("this process is dead"))
 	}
 	w.mu.Lock()
-	there, back := w.link(p.machine.IP, host), w.link(host, p.machine.IP)
-	m := w.machines[host]
+	there, back := w.link(p.machine.IP, ip), w.link(ip, p.machine.IP)
+	m := w.machines[ip]
 	silent := there.Blocked || back.Blocked || m == nil || m.poweredOff
 	w.mu.Unlock()
 	if silent { // the opening packet is lost, and sent again too late
@@ -250,7 +252,7 @@
 			return nil, dialFault(os.ErrDeadlineExceeded)
 		}
 	}
-	t := time.NewTimer(there.Delay + back.Delay)
+	t := host.NewTimer(there.Delay + back.Delay)
 	select {
 	case <-t.C:
 	case <-ctx.Done():
--- a/internal/api/client.go
+++ b/internal/api/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"keelstair.example/failure"
+	"keelstair.example/host"
 )
 
 // Stagger is how long a silent node is waited for before the next is asked too.
@@ -64,7 +65,7 @@
 		if open == 0 {
 			return last
 		}
-		wait := time.NewTimer(Stagger)
+		wait := host.NewTimer(Stagger)
 		select {
 		case t := <-got:
 			open--
--- a/internal/conntimeout/conntimeout.go
+++ b/internal/conntimeout/conntimeout.go
@@ -223,7 +223,7 @@
 	if limit <= 0 {
 		return
 	}
-	left := max(0, limit-time.Since(c.since))
+	left := max(1, limit-time.Since(c.since))
 	if c.timer == nil {
 		c.timer = time.AfterFunc(left, c.expire)
 		return
--- a/internal/proxy/config_test.go
+++ b/internal/proxy/config_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"keelstair.example/failure"
+	"keelstair.example/host"
 	"keelstair.example/ids"
 	"keelstair.example/internal/fleetstate"
 )
@@ -167,7 +168,7 @@
 				select {
 				case <-over:
 					return
-				case <-time.After(3 * time.Millisecond):
+				case <-host.NewTimer(3 * time.Millisecond).C:
 				}
 			}
 		})
--- a/internal/proxy/endpoint_list.go
+++ b/internal/proxy/endpoint_list.go
@@ -158,7 +158,7 @@
 	if duration <= 0 {
 		return false
 	}
-	end := time.NewTimer(min(duration, maxListWait))
+	end := host.NewTimer(min(duration, maxListWait))
 	defer end.Stop()
 	select {
 	case <-changed:
--- a/internal/proxy/fault_notice_test.go
+++ b/internal/proxy/fault_notice_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"keelstair.example/host"
 	"keelstair.example/ids"
 	"keelstair.example/internal/fleetstate"
 )
@@ -123,7 +124,7 @@
 				select {
 				case <-over:
 					return
-				case <-time.After(10 * time.Millisecond):
+				case <-host.NewTimer(10 * time.Millisecond).C:
 				}
 			}
 		})
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"keelstair.example/coordination"
+	"keelstair.example/host"
 	"keelstair.example/host/simulated"
 	"keelstair.example/ids"
 	"keelstair.example/internal/fleetstate"
@@ -238,7 +239,7 @@
 		select {
 		case <-f.over:
 			return
-		case <-time.After(5 * time.Millisecond):
+		case <-host.NewTimer(5 * time.Millisecond).C:
 		}
 	}
 }
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"keelstair.example/failure"
+	"keelstair.example/host"
 )
 
 const (
@@ -109,7 +110,7 @@
 	}
 	cancelFirst := begin(first)
 	defer cancelFirst(nil)
-	timer := time.NewTimer(delay)
+	timer := host.NewTimer(delay)
 	defer timer.Stop()
 	select {
 	case read := <-reads:
--- a/internal/proxy/outlier_test.go
+++ b/internal/proxy/outlier_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"keelstair.example/failure"
+	"keelstair.example/host"
 	"keelstair.example/ids"
 )
 
@@ -71,7 +72,7 @@
 			select {
 			case <-over:
 				return
-			case <-time.After(50 * time.Millisecond):
+			case <-host.NewTimer(50 * time.Millisecond).C:
 			}
 		}
 	})
--- a/internal/proxy/proxy_cluster_test.go
+++ b/internal/proxy/proxy_cluster_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"keelstair.example/failure"
+	"keelstair.example/host"
 	"keelstair.example/ids"
 )
 
@@ -203,7 +204,7 @@
 }
 
 func nap(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
+	t := host.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -8,6 +8,7 @@
 	"context"
 	"time"
 
+	"keelstair.example/host"
 	"keelstair.example/ids"
 	"keelstair.example/internal/workerclient"
 )
@@ -23,7 +24,7 @@
 			}
 			continue
 		}
-		t := time.NewTimer(spent)
+		t := host.NewTimer(spent)
 		select {
 		case <-ctx.Done():
 			t.Stop()
--- a/internal/standin/move.go
+++ b/internal/standin/move.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"time"
 
+	"keelstair.example/host"
 	"keelstair.example/ids"
 	"keelstair.example/internal/workerclient"
 )
@@ -263,7 +264,7 @@
 		case <-news:
 		case <-q.Context().Done():
 			return
-		case <-time.After(400 * time.Millisecond):
+		case <-host.NewTimer(400 * time.Millisecond).C:
 			rw.Write([]byte("\n"))
 		}
 	}
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"keelstair.example/host"
 	"keelstair.example/ids"
 	"keelstair.example/internal/workerclient"
 )
@@ -223,7 +224,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		select {
-		case <-time.After(duration / parts):
+		case <-host.NewTimer(duration / parts).C:
 		case <-q.Context().Done():
 			return
 		}
--- a/rpc/dial.go
+++ b/rpc/dial.go
@@ -37,7 +37,7 @@
 		}
 	}
 	go attempt()
-	again := time.NewTicker(redialInterval)
+	again := host.NewTicker(redialInterval)
 	defer again.Stop()
 	for {
 		select {
