proxy: a silent worker's requests are read by readers, found sooner, and roles follow a loss at once

The memory is offered to the next worker; a read at a worker that is down is done again by another reader, paid from the budget; usual silences are learned (mean and deviation) in place of 300 to 600 ms; a suspected worker is passed over while it is asked; an outage has the roles looked at at once, with the pressure that falls to the workers left, several at a time.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -45,6 +45,7 @@
 	prepaid       bool   // the next sending is paid for, by a hedge
 	attemptsMade  int    // counted: decodes, and prefills rejected or repeated
 	mayHaveRun    bool   // it may have run
+	memoryGone    bool   // a worker has turned it away, since it could not fetch its memory
 	headSent      bool   // the caller has the head of an answer
 	lastEventID   string // id of the last event that the caller has
 	timing        exchangeTiming
@@ -158,7 +159,8 @@
 			return t.giveUp(reason, http.StatusGatewayTimeout)
 		}
 		w, reply, err := t.decode(ctx, source)
-		if err == nil {
+		answered := err == nil
+		if answered {
 			source = nil
 			t.fetched()
 			if err = t.relay(ctx, w, reply); err == nil {
@@ -168,15 +170,20 @@
 		reason = err
 		switch failure.KindOf(err) {
 		case failure.OutcomeUnknown:
-			// Whoever is silent has perhaps not fetched the memory.
 			t.mayHaveRun = true
-			t.releaseSource(source)
-			source = nil
 			if !t.route.MayRetry() || t.headSent && !t.route.Resumable || errors.Is(err, errCallerGone) {
+				t.releaseSource(source)
 				return t.giveUp(err, http.StatusBadGateway)
 			}
+			// A worker that never answered has perhaps not fetched the memory, so the next one is
+			// offered it too: reading the prompt by itself, it would hold up all that it decodes.
+			if source != nil && t.node.isDown(source.Worker.ID) {
+				t.releaseSource(source)
+				source = nil
+			}
 		case failure.DataLost:
 			source = nil
+			t.memoryGone = true
 			t.fetched()
 		case failure.Unavailable:
 			t.releaseSource(source)
@@ -228,7 +235,7 @@
 
 // payRetry counts one more sending, and takes it from the shared budget unless it is the first.
 func (t *exchange) payRetry() bool {
-	if t.attemptsMade >= max(1, t.route.MaxAttempts) ||
+	if t.attemptsMade >= t.maxAttempts() ||
 		!t.prepaid && (t.attemptsMade > 0 || t.unpaidPrefill) && !t.node.spendRetry() {
 		return false
 	}
@@ -237,6 +244,16 @@
 	return true
 }
 
+// maxAttempts is how many times this request may be sent. One that was turned away because its memory
+// could not be fetched has run nowhere, so a worker may be sent it once more.
+func (t *exchange) maxAttempts() int {
+	limit := max(1, t.route.MaxAttempts)
+	if t.memoryGone {
+		limit++
+	}
+	return limit
+}
+
 // Parts of the retry budget that this node uses: what crosses on the way, and nodes that are not
 // known, leave a margin.
 const (
@@ -313,7 +330,7 @@
 			from = &source.Worker
 		}
 		for _, c := range t.node.emitters(t.programs, t.node.snapshot(), t.service, t.request, from, t.tried) {
-			if t.attemptsMade >= max(1, t.route.MaxAttempts) {
+			if t.attemptsMade >= t.maxAttempts() {
 				break
 			}
 			if !t.send(&c, 0) {
@@ -349,7 +366,7 @@
 			round--
 			continue
 		}
-		if t.attemptsMade >= max(1, t.route.MaxAttempts) {
+		if t.attemptsMade >= t.maxAttempts() {
 			return nil, nil, failure.New(failure.Unavailable, "emit", t.service.Name, "no try is left")
 		}
 		if round > 2 || !host.Sleep(ctx, 30*time.Millisecond) {
@@ -370,7 +387,9 @@
 	} else {
 		g.silenceTimer = time.AfterFunc(t.patience(), func() { t.node.recordOutcome(c, false) })
 	}
-	g.probeTimer = time.AfterFunc(alarmQuietPeriod, func() { t.node.suspect(*c.worker) })
+	times := t.node.timesOf(t.service.Name)
+	g.times, g.heardAt = times, t.node.now()
+	g.probeTimer = time.AfterFunc(times.firstEvent.suspicious(alarmQuietPeriod), func() { t.node.suspect(*c.worker) })
 	reply, err := t.node.options.Backend.Emit(
 		callContext, *c.worker, t.request, source, t.lastEventID, t.remaining(), t.route.Urgency,
 	)
@@ -384,7 +403,7 @@
 
 // mayRetry tells whether this try may run once more.
 func (t *exchange) mayRetry() bool {
-	return t.route.MayRetry() && t.attemptsMade < max(1, t.route.MaxAttempts)
+	return t.route.MayRetry() && t.attemptsMade < t.maxAttempts()
 }
 
 // patience is how long an emitting worker may say nothing before a request that may run
--- a/internal/proxy/fault_notice.go
+++ b/internal/proxy/fault_notice.go
@@ -70,9 +70,11 @@
 	if !st.watched.CompareAndSwap(false, true) {
 		return
 	}
+	st.setSuspected(true)
 	go func() {
 		defer st.watched.Store(false)
 		defer st.clearAvoid()
+		defer st.setSuspected(false)
 		n.watchWorker(w, st)
 	}()
 }
@@ -113,6 +115,13 @@
 	}
 }
 
+// setSuspected notes whether a worker is being asked for its report.
+func (s *workerState) setSuspected(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspected = on
+}
+
 // clearAvoid ends the knowledge that a worker is down.
 func (s *workerState) clearAvoid() {
 	s.mu.Lock()
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -54,17 +54,9 @@
 	return seen[len(seen)/2], true
 }
 
-func (n *Node) overheadOf(service string) *readOverhead {
-	if v, ok := n.overheads.Load(service); ok {
-		return v.(*readOverhead)
-	}
-	v, _ := n.overheads.LoadOrStore(service, &readOverhead{})
-	return v.(*readOverhead)
-}
-
 // hedgeDelay gives how long a read may take before it is hedged; false if it is not to be.
 func (t *exchange) hedgeDelay(first *pick) (time.Duration, bool) {
-	usual, ok := t.node.overheadOf(t.service.Name).median()
+	usual, ok := t.node.timesOf(t.service.Name).overhead.median()
 	if !ok || t.node.options.HedgeFactor < 0 || t.route.MaxAttempts < 2 || t.attemptsMade > 0 {
 		return 0, false
 	}
@@ -73,7 +65,7 @@
 
 // hedgeCandidate books and pays a second worker, if one can be in time.
 func (t *exchange) hedgeCandidate(first *pick) *pick {
-	usual, _ := t.node.overheadOf(t.service.Name).median()
+	usual, _ := t.node.timesOf(t.service.Name).overhead.median()
 	left := t.route.LatencyTarget() - t.node.now().Since(t.request.At)
 	tried := maps.Clone(t.tried)
 	tried[first.worker.ID] = true
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -137,7 +137,8 @@
 	loads           loadBoard
 	candidates      atomic.Pointer[candidateIndex]
 	admission       admission
-	overheads       sync.Map // service -> *readOverhead
+	serviceTimes    sync.Map      // service -> *serviceTimes
+	outages         chan struct{} // a worker was found to be down
 	retryAfter      handoff.RetryAfterScheduler
 	lastSnapshot    atomic.Pointer[fleetstate.Snapshot]
 	snapshotMu      sync.Mutex
@@ -154,6 +155,7 @@
 		options:    options,
 		budget:     newRetryBudget(options.RetryWindow),
 		slowStart:  newSlowStart(),
+		outages:    make(chan struct{}, 1),
 		retryAfter: handoff.RetryAfterScheduler{MinPerSecond: 2},
 	}
 	programs, err := routing.NewProgramSet(options.Programs, options.ProgramSteps, &n.scores)
--- a/internal/proxy/outlier.go
+++ b/internal/proxy/outlier.go
@@ -113,6 +113,7 @@
 	}
 	if !st.down {
 		st.down = true
+		n.noteOutage()
 		v.outages.decay(now, outageHalfLife)
 		v.outages.sent++
 	}
--- a/internal/proxy/pick.go
+++ b/internal/proxy/pick.go
@@ -129,7 +129,7 @@
 		}
 		c.state.mu.Lock()
 		shun, left := now.Before(c.state.avoidUntil), c.state.replaced
-		held := !shun && c.state.outlier.blocked(now, n.options.ShareInterval)
+		held := !shun && (c.state.suspected || c.state.outlier.blocked(now, n.options.ShareInterval))
 		c.failureRate = c.state.outlier.failureRate
 		c.state.mu.Unlock()
 		if left {
--- a/internal/proxy/prefill_exchange.go
+++ b/internal/proxy/prefill_exchange.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"keelstair.example/failure"
@@ -33,14 +34,14 @@
 			t.timing.prefillSent, t.timing.prefillExpected = t.node.now(), c.reading
 			source, dialled, err := t.prefillHedged(ctx, &c)
 			t.timing.prefillEnded = t.node.now()
-			if dialled {
+			if dialled && !t.payReread(ctx, err) {
 				return source, err
 			}
 			t.tried[c.worker.ID] = true
 			if ctx.Err() != nil {
 				return nil, err
 			}
-			if again = t.node.now().Past(picked, pickMaxAge); again {
+			if again = dialled || t.node.now().Past(picked, pickMaxAge); again {
 				break
 			}
 		}
@@ -48,6 +49,18 @@
 	return nil, nil
 }
 
+// payReread tells whether a prompt whose read has failed is to be read by another worker, and takes
+// that from the retry budget: only if the first one is down, so that it does not count among the
+// workers that the request was sent to. A decode worker that read the prompt by itself would hold
+// up all that it decodes.
+func (t *exchange) payReread(ctx context.Context, err error) bool {
+	if !errors.Is(err, errWorkerSilent) || ctx.Err() != nil || !t.unpaidPrefill || !t.node.spendRetry() {
+		return false
+	}
+	t.unpaidPrefill = false
+	return true
+}
+
 // prefillRead is how one worker's read of the prompt ended.
 type prefillRead struct {
 	pick   *pick
@@ -65,19 +78,25 @@
 	callContext, take := context.WithCancelCause(callContext)
 	f := &attempt{take}
 	c.state.addAttempt(f)
-	quiet := time.AfterFunc(prefillQuietPeriod+prefillQuietFactor*c.expected, func() {
+	times := t.node.timesOf(t.service.Name)
+	quiet := time.AfterFunc(prefillQuietFactor*c.expected+times.prefill.suspicious(prefillQuietPeriod), func() {
 		t.node.suspect(*c.worker)
 	})
 	memory, err := t.node.options.Backend.Read(
 		callContext, *c.worker, t.request, duration, urgencyRank(t.route.Urgency, c.need),
 	)
 	quiet.Stop()
+	if err != nil && errors.Is(context.Cause(callContext), errWorkerSilent) {
+		err = errors.Join(errWorkerSilent, err)
+	}
 	c.state.removeAttempt(f)
 	take(nil)
 	stop()
 	c.state.end(max(1, c.need))
 	if err == nil {
-		t.node.overheadOf(t.service.Name).observe(t.node.now().Since(began) - c.reading)
+		took := t.node.now().Since(began)
+		times.overhead.observe(took - c.reading)
+		times.prefill.observe(took - prefillQuietFactor*c.expected)
 	}
 	return prefillRead{c, memory, err}
 }
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"keelstair.example/failure"
+	"keelstair.example/ids"
 	"keelstair.example/internal/handoff"
 )
 
@@ -30,6 +31,20 @@
 	probeTimer    *time.Timer
 	deadlineTimer *time.Timer
 	silenceTimer  *time.Timer // until the first byte, where it cannot go elsewhere
+	times         *serviceTimes
+	heardAt       ids.Tick // when the worker was heard last, or the request was sent
+	answered      bool     // it has been heard
+}
+
+// noteSign learns from the silence that bytes of the worker have ended.
+func (g *supervisedBody) noteSign() {
+	now := g.exchange.node.now()
+	silence := &g.times.nextEvent
+	if !g.answered {
+		silence = &g.times.firstEvent
+	}
+	silence.observe(now.Since(g.heardAt))
+	g.answered, g.heardAt = true, now
 }
 
 func (g *supervisedBody) Read(p []byte) (int, error) {
@@ -39,7 +54,10 @@
 		if g.silenceTimer != nil {
 			g.silenceTimer.Stop()
 		}
-		g.probeTimer.Reset(alarmQuietPeriod + time.Duration(g.exchange.route.TokenIntervalMs)*time.Millisecond)
+		g.noteSign()
+		g.probeTimer.Reset(g.times.nextEvent.suspicious(
+			alarmQuietPeriod + time.Duration(g.exchange.route.TokenIntervalMs)*time.Millisecond,
+		))
 		if g.deadlineTimer != nil {
 			g.deadlineTimer.Reset(max(
 				600*time.Millisecond, 3*time.Duration(g.exchange.route.TokenIntervalMs)*time.Millisecond,
--- a/internal/proxy/role_balance.go
+++ b/internal/proxy/role_balance.go
@@ -20,15 +20,11 @@
 )
 
 const (
-	roleChangeInterval   = 1200 * time.Millisecond // between two role changes of a service
-	roleChangeTimeout    = 8 * time.Second         // then a turn that shows no end is given up
-	roleChangeNotice     = 350 * time.Millisecond  // for all nodes to hear of it
-	prefillPressureLimit = 1.3                     // prompts at each reading worker
-	decodePressureLimit  = 0.35                    // of the places of emitting workers
-	decodeRelaxed        = 0.25
-	decodeSaturated      = 0.6 // pressed beyond what readers may weigh against it
-	minRoleShare         = 3   // one of so many workers keeps each part
-	roleChangeShare      = 12  // one of so many workers changes its role at once
+	roleChangeInterval = 1200 * time.Millisecond // between two role changes of a service
+	roleChangeTick     = 100 * time.Millisecond  // between two looks while workers change roles
+	outageGathering    = 80 * time.Millisecond   // after an outage, before the roles are looked at
+	roleChangeTimeout  = 8 * time.Second         // then a turn that shows no end is given up
+	roleChangeNotice   = 350 * time.Millisecond  // for all nodes to hear of it
 )
 
 type roleBalance struct {
@@ -39,6 +35,9 @@
 	decodePressure  float64
 	lastReport      ids.Tick
 	changedAt       map[ids.WorkerID]ids.Tick // when a worker was last told to turn
+	up              roleCounts                // in the last round
+	lost            roleCounts                // since the round before
+	urgent          bool                      // workers were found to be down since
 }
 
 type roleChange struct {
@@ -54,7 +53,11 @@
 	}
 	duties := map[string]*roleBalance{}
 	turns := map[ids.WorkerID]*roleChange{}
-	for host.Sleep(ctx, n.options.RoleChangeInterval) {
+	for {
+		urgent, ok := n.awaitRoleTick(ctx, len(turns) > 0)
+		if !ok {
+			return
+		}
 		s := n.snapshot()
 		for name := range s.Configuration.Services {
 			key := fleetstate.ServiceKey(name)
@@ -75,6 +78,7 @@
 				}
 				duties[name] = d
 			}
+			d.urgent = d.urgent || urgent
 			if n.now().Past(d.since, n.options.LeaseDuration+n.options.LeaseDuration/5) {
 				service := s.Configuration.Services[name]
 				n.balanceRoles(ctx, s, &service, key, d, turns)
@@ -83,6 +87,33 @@
 	}
 }
 
+// awaitRoleTick waits for the next look at the roles: sooner while workers change theirs, and urgently
+// when a worker was found to be down. It is not ok once the context has ended.
+func (n *Node) awaitRoleTick(ctx context.Context, changing bool) (urgent, ok bool) {
+	wait := n.options.RoleChangeInterval
+	if changing {
+		wait = min(wait, roleChangeTick)
+	}
+	timer := host.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false, false
+	case <-n.outages:
+		return true, host.Sleep(ctx, outageGathering) // several may be down at once
+	case <-timer.C:
+		return false, true
+	}
+}
+
+// noteOutage has the roles looked at, since a worker was found to be down.
+func (n *Node) noteOutage() {
+	select {
+	case n.outages <- struct{}{}:
+	default:
+	}
+}
+
 func (n *Node) submitRoleChange(ctx context.Context, t *fleetstate.RoleChange) bool {
 	callContext, stop := context.WithTimeout(ctx, 700*time.Millisecond)
 	defer stop()
@@ -121,14 +152,16 @@
 		}
 	}
 	n.finishRoleChanges(ctx, s, listed, key, d, turns)
-	if own || !n.now().Past(d.lastReport, 2*n.options.RoleChangeInterval-50*time.Millisecond) {
+	urgent := d.urgent
+	if !urgent && (own || !n.now().Past(d.lastReport, 2*n.options.RoleChangeInterval-50*time.Millisecond)) {
 		return
 	}
-	d.lastReport = n.now()
+	d.lastReport, d.urgent = n.now(), false
 	rows := n.reports(ctx, s, listed)
+	d.count(n.workersUp(s, listed))
 	n.recordReports(service.Name, d.lastReport, rows)
 	read, emit := d.smooth(rows, service)
-	if !n.now().Past(d.lastChange, roleChangeInterval) {
+	if !urgent && !n.now().Past(d.lastChange, roleChangeInterval) {
 		return
 	}
 	for id := range d.changedAt {
@@ -136,12 +169,13 @@
 			delete(d.changedAt, id)
 		}
 	}
-	some, to := chooseRoleChange(rows, read, emit, n.options.IdlePrefillShare)
+	some, to := chooseRoleChange(rows, read, emit, n.options.IdlePrefillShare, d.lost)
 	some, to = n.proposeRoleChange(n.deal(s), service, d, rows, some, to)
 	for _, w := range some {
 		if n.submitRoleChange(ctx, &fleetstate.RoleChange{Worker: w.worker.ID, To: to}) {
 			turns[w.worker.ID] = &roleChange{began: n.now(), expected: w.Orders}
 			d.changedAt[w.worker.ID] = n.now()
+			d.up.move(to)
 			n.options.Ring.Info().Str("worker", string(w.worker.ID)).Str("role", string(to)).
 				Float64("prefillPressure", read).Float64("decodePressure", emit).Msg("changing worker role")
 		}
@@ -227,7 +261,7 @@
 	var wg sync.WaitGroup
 	var out []workerReport
 	for _, w := range listed {
-		if !acceptsWork(s, w) || w.Role == "" {
+		if !acceptsWork(s, w) || w.Role == "" || n.isDown(w.ID) {
 			continue
 		}
 		wg.Go(func() {
@@ -246,88 +280,3 @@
 	sort.Slice(out, func(i, j int) bool { return out[i].worker.ID < out[j].worker.ID })
 	return out
 }
-
-// smooth gives the smoothed prompts at each reading worker, and the part of the emitting
-// workers' places or memory that is taken.
-func (d *roleBalance) smooth(rows []workerReport, service *fleetstate.Service) (read, emit float64) {
-	var readers, emitters, prompts, streams, used, room int
-	for _, r := range rows {
-		if r.Role == ids.Prefill {
-			readers, prompts = readers+1, prompts+r.Running+r.Waiting
-		} else {
-			emitters, streams, used, room = emitters+1, streams+r.Running+r.Waiting, used+r.Used, room+r.Capacity
-		}
-	}
-	if readers > 0 {
-		d.prefillPressure += 0.4 * (float64(prompts)/float64(readers) - d.prefillPressure)
-	}
-	if emitters > 0 && room > 0 {
-		taken := max(float64(streams)/float64(emitters*max(1, service.Concurrency)), float64(used)/float64(room))
-		d.decodePressure += 0.4 * (taken - d.decodePressure)
-	}
-	return d.prefillPressure, d.decodePressure
-}
-
-// minPerRole is how many of so many workers keep each part.
-func minPerRole(all int) int { return max(1, (all+minRoleShare-1)/minRoleShare) }
-
-// chooseRoleChange names the workers that should turn: more at once where there are many, the least
-// busy of the part that can spare them, from the zones that have the most of it. While
-// nothing is under way, rest is the part of the workers that reads.
-func chooseRoleChange(rows []workerReport, read, emit, rest float64) ([]*workerReport, ids.Role) {
-	var readers, emitters, busy int
-	zones := map[ids.Zone]int{}
-	for _, r := range rows {
-		busy += r.Running + r.Waiting
-		if r.Role == ids.Prefill {
-			readers++
-		} else {
-			emitters++
-		}
-	}
-	all := readers + emitters
-	keep := minPerRole(all)
-	from, to, want := ids.Decode, ids.Prefill, max(1, all/roleChangeShare)
-	spare := func(load float64, have, by int) float64 { return load * float64(have) / float64(max(1, have-by)) }
-	switch {
-	case all < 2:
-		return nil, ""
-	case readers == 0:
-		want = min(want, emitters-1)
-	case emitters == 0:
-		from, to, want = ids.Prefill, ids.Decode, min(want, readers-1)
-	case busy == 0 && float64(readers+1) <= rest*float64(all):
-		want = min(want, int(rest*float64(all))-readers, emitters-keep)
-	case read > prefillPressureLimit:
-		for want = min(want, emitters-keep); want > 0 && spare(emit, emitters, want) >= decodeRelaxed; want-- {
-		}
-	case emit > decodePressureLimit:
-		from, to = ids.Prefill, ids.Decode
-		for want = min(want, readers-keep); want > 0 && emit <= decodeSaturated &&
-			spare(read, readers, want) >= prefillPressureLimit; want-- {
-		}
-	default:
-		return nil, ""
-	}
-	var some []*workerReport
-	for i := range rows {
-		if rows[i].Role == from {
-			some = append(some, &rows[i])
-			zones[rows[i].worker.Zone]++
-		}
-	}
-	var out []*workerReport
-	for len(out) < want && len(some) > 0 {
-		best := 0
-		for i, r := range some {
-			a, b := zones[r.worker.Zone], zones[some[best].worker.Zone]
-			if a > b || a == b && r.Running+r.Waiting < some[best].Running+some[best].Waiting {
-				best = i
-			}
-		}
-		zones[some[best].worker.Zone]--
-		out = append(out, some[best])
-		some = append(some[:best], some[best+1:]...)
-	}
-	return out, to
-}
--- a/internal/proxy/worker_state.go
+++ b/internal/proxy/worker_state.go
@@ -27,6 +27,7 @@
 	attempts       map[*attempt]bool
 	watched        atomic.Bool
 	down           bool         // it gives no report
+	suspected      bool         // it was silent, and is asked for its report
 	lastSuccess    atomic.Int64 // ids.Tick of the last sign of life that a sending gave
 	outlier        outlierState
 	cached         map[uint64]ids.Tick // beginnings of prompts that it was seen to have read
