--- /dev/null
+++ b/internal/proxy/decode_exchange.go
@@ -0,0 +1,104 @@
+// The decode half of an exchange: the request is offered to a worker that emits the answer, with
+// the memory of its prompt if there is one.
+
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"keelstair.example/failure"
+	"keelstair.example/host"
+	"keelstair.example/internal/handoff"
+)
+
+// decode offers the request to a worker. Away means that there is none or no try left.
+func (t *exchange) decode(ctx context.Context, source *Source) (*pick, *Response, error) {
+	for round := 0; ; round++ {
+		picked, again := t.node.now(), false
+		var from *Worker
+		if source != nil {
+			from = &source.Worker
+		}
+		for _, c := range t.node.emitters(t.programs, t.node.snapshot(), t.service, t.request, from, t.tried) {
+			if t.attemptsMade >= t.maxAttempts() {
+				break
+			}
+			if !t.send(&c, 0) {
+				continue
+			}
+			if !t.payRetry() {
+				c.state.end(0)
+				c.release(false, t.node.now())
+				break
+			}
+			if source == nil {
+				t.node.counts.Direct.Add(1)
+			}
+			reply, err := t.offer(ctx, &c, source)
+			if err == nil {
+				return &c, reply, nil
+			}
+			c.state.end(0)
+			c.release(failure.Is(err, failure.OutcomeUnknown), t.node.now())
+			t.blame(ctx, &c, err, t.node.now())
+			t.trace(handoff.Dropped, c.worker.ID, err.Error())
+			if failure.Is(err, failure.NotExecuted) && failure.Step(err) == dialStep {
+				t.attemptsMade--
+				t.tried[c.worker.ID] = true
+				if again = t.node.now().Past(picked, pickMaxAge); again {
+					break
+				}
+				continue
+			}
+			return nil, nil, err
+		}
+		if again && ctx.Err() == nil {
+			round--
+			continue
+		}
+		if t.attemptsMade >= t.maxAttempts() {
+			return nil, nil, failure.New(failure.Unavailable, "emit", t.service.Name, "no try is left")
+		}
+		if round > 2 || !host.Sleep(ctx, 30*time.Millisecond) {
+			return nil, nil, failure.New(failure.Unavailable, "emit", t.service.Name, "no worker may take it")
+		}
+	}
+}
+
+// offer sends to one worker. A silent one is left for another only where the request may
+// run again.
+func (t *exchange) offer(ctx context.Context, c *pick, source *Source) (*Response, error) {
+	callContext, stop := context.WithCancelCause(ctx)
+	g := &supervisedBody{exchange: t, pick: c, stop: stop}
+	if t.mayRetry() {
+		g.attempt = &attempt{stop}
+		c.state.addAttempt(g.attempt)
+		g.deadlineTimer = time.AfterFunc(t.patience(), func() { stop(errWorkerSilent) })
+	} else {
+		g.silenceTimer = time.AfterFunc(t.patience(), func() { t.node.recordOutcome(c, false) })
+	}
+	times := t.node.timesOf(t.service.Name)
+	g.times, g.heardAt = times, t.node.now()
+	g.probeTimer = time.AfterFunc(times.firstEvent.suspicious(alarmQuietPeriod), func() { t.node.suspect(*c.worker) })
+	reply, err := t.node.options.Backend.Emit(
+		callContext, *c.worker, t.request, source, t.lastEventID, t.remaining(), t.route.Urgency,
+	)
+	if err != nil {
+		g.done()
+		return nil, err
+	}
+	g.ReadCloser, reply.Body = reply.Body, g
+	return reply, nil
+}
+
+// mayRetry tells whether this try may run once more.
+func (t *exchange) mayRetry() bool {
+	return t.route.MayRetry() && t.attemptsMade < t.maxAttempts()
+}
+
+// patience is how long an emitting worker may say nothing before a request that may run
+// again goes elsewhere.
+func (t *exchange) patience() time.Duration {
+	return max(t.node.options.DecodeSilence, 2*t.route.LatencyTarget())
+}
--- a/internal/proxy/proxy_cluster_test.go
+++ b/internal/proxy/proxy_cluster_test.go
@@ -464,13 +464,7 @@
 		return nil, err
 	}
 	y.mu.Lock()
-	p, how, err := b.arrive(row{
-		Kind:   "emit",
-		Req:    r.ID,
-		From:   from,
-		Off:    off,
-		Direct: source == nil && from == "",
-	}, s, w)
+	p, how, err := b.arrive(row{Kind: "emit", Req: r.ID, From: from, Off: off, Direct: source == nil && from == ""}, s, w)
 	if err == nil && source != nil && how != idleReset && how != idleSilent && (how == lostMemory || !y.fetch(source)) {
 		p.Took = false
 		err = failure.New(failure.DataLost, "fetch memory", w.Addr, "it cannot be had")
--- a/internal/proxy/role_choice.go
+++ b/internal/proxy/role_choice.go
@@ -100,7 +100,6 @@
 // nothing is under way, rest is the part of the workers that reads.
 func chooseRoleChange(rows []workerReport, read, emit, rest float64, lost roleCounts) ([]*workerReport, ids.Role) {
 	var readers, emitters, busy int
-	zones := map[ids.Zone]int{}
 	for _, r := range rows {
 		busy += r.Running + r.Waiting
 		if r.Role == ids.Prefill {
@@ -139,9 +138,16 @@
 	default:
 		return nil, ""
 	}
+	return leastBusy(rows, from, want), to
+}
+
+// leastBusy names so many workers of a role, from the zones that have the most of it, the least busy
+// of a zone first.
+func leastBusy(rows []workerReport, role ids.Role, want int) []*workerReport {
+	zones := map[ids.Zone]int{}
 	var some []*workerReport
 	for i := range rows {
-		if rows[i].Role == from {
+		if rows[i].Role == role {
 			some = append(some, &rows[i])
 			zones[rows[i].worker.Zone]++
 		}
@@ -159,5 +165,5 @@
 		out = append(out, some[best])
 		some = append(some[:best], some[best+1:]...)
 	}
-	return out, to
+	return out
 }
