--- /dev/null
+++ b/tools/capacity/main.go
@@ -0,0 +1,100 @@
+// Capacity prints, as a table of Markdown, what each figure of the newest whole sweep of a site comes
+// to at a larger size: the figure of the middle and of the busiest process at each size that was
+// played, the power of the size by which it grows with that power's standard error, and the figure
+// at the target. It plays nothing.
+//
+//	go run ./tools/capacity SITE [TARGET [JOURNAL]]
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+)
+
+const (
+	defaultTarget  = 650 // nodes
+	defaultJournal = "journal"
+)
+
+func main() {
+	if len(os.Args) < 2 || len(os.Args) > 4 {
+		fmt.Fprintln(os.Stderr, "usage: capacity SITE [TARGET [JOURNAL]]")
+		os.Exit(2)
+	}
+	target, journal := defaultTarget, defaultJournal
+	if len(os.Args) > 2 {
+		n, err := strconv.Atoi(os.Args[2])
+		fail(err)
+		target = n
+	}
+	if len(os.Args) > 3 {
+		journal = os.Args[3]
+	}
+	s, err := newest(journal, os.Args[1])
+	fail(err)
+	s.print(os.Stdout, target)
+}
+
+func fail(err error) {
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "capacity: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+// newest gives the newest whole sweep of a site. Entries are named by their time.
+func newest(journal, site string) (*sweep, error) {
+	paths, err := filepath.Glob(filepath.Join(journal, "*.json"))
+	if err != nil {
+		return nil, err
+	}
+	sort.Sort(sort.Reverse(sort.StringSlice(paths)))
+	for _, path := range paths {
+		s, err := readSweep(path)
+		if err != nil {
+			return nil, err
+		}
+		if s != nil && s.Site == site {
+			return s, nil
+		}
+	}
+	return nil, fmt.Errorf("%s has no whole sweep of %s", journal, site)
+}
+
+// print writes the table.
+func (s *sweep) print(w io.Writer, target int) {
+	fmt.Fprintf(w, "Sweep %s of %s, %s, on %.10s.\n\n", s.ID, s.Site, strings.Join(s.At, " to "), s.Head)
+	fmt.Fprint(w, "| figure |")
+	for _, n := range s.sizes {
+		fmt.Fprintf(w, " %d |", n)
+	}
+	fmt.Fprintf(w, " power, busiest | middle at %d | busiest at %d |\n|---|%s---|---|---|\n", target, target,
+		strings.Repeat("---|", len(s.sizes)))
+	for _, m := range s.rows {
+		fmt.Fprintf(w, "| %s |", m.name)
+		for i := range s.sizes {
+			fmt.Fprintf(w, " %.4g / %.4g |", m.middle[i], m.busiest[i])
+		}
+		busiest, ok := fit(s.sizes, m.busiest, target)
+		fmt.Fprintf(w, " %s | %s | %s |\n", power(busiest, ok), carried(fit(s.sizes, m.middle, target)), carried(busiest, ok))
+	}
+}
+
+func power(s slope, ok bool) string {
+	if !ok {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f +- %.2f", s.power, s.deviation)
+}
+
+func carried(s slope, ok bool) string {
+	if !ok {
+		return "-"
+	}
+	return fmt.Sprintf("%.3g", s.carried)
+}
