--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -92,7 +92,7 @@
 		lastEventID: r.LastEventID,
 	}
 	t.prefixes, _ = prefixHashes(r)
-	n.budget.countRequest(n.now())
+	n.budget.CountRequest(n.now())
 	callContext, stop := context.WithTimeout(ctx, wait)
 	defer stop()
 	err := t.admit(s)
@@ -271,7 +271,7 @@
 	if n.uncounted() {
 		allowance = 0
 	}
-	return n.budget.spend(n.now(), ratio, allowance)
+	return n.budget.Spend(n.now(), ratio, allowance)
 }
 
 // send books a worker for one sending; false if it may get nothing new by now, or is cold
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -16,6 +16,7 @@
 	"keelstair.example/internal/exchangemetrics"
 	"keelstair.example/internal/fleetstate"
 	"keelstair.example/internal/handoff"
+	"keelstair.example/internal/retrybudget"
 	"keelstair.example/internal/routing"
 	"keelstair.example/logging"
 	"keelstair.example/rpc"
@@ -118,7 +119,7 @@
 	view            *fleetstate.View
 	counts          Counts
 	metrics         *exchangemetrics.Metrics
-	budget          retryBudget
+	budget          *retrybudget.Budget
 	scores          routing.Scores               // outlive the programs' sets
 	startupPrograms *fleetstate.CompiledPrograms // rules until the core has a set
 	endpoints       atomic.Pointer[endpointList]
@@ -153,7 +154,7 @@
 	options.setDefaults()
 	n := &Node{
 		options:    options,
-		budget:     newRetryBudget(options.RetryWindow),
+		budget:     retrybudget.New(options.RetryWindow),
 		slowStart:  newSlowStart(),
 		outages:    make(chan struct{}, 1),
 		retryAfter: handoff.RetryAfterScheduler{MinPerSecond: 2},
@@ -288,7 +289,7 @@
 
 // share is one over the number of nodes that there may be.
 func (n *Node) share() float64 {
-	return 1 / float64(max(1, n.budget.peers(n.now(), len(n.agent.Members()))))
+	return 1 / float64(max(1, n.budget.Peers(n.now(), len(n.agent.Members()))))
 }
 
 // snapshot is what is in force. A zone that was taken back is noted before anything is sent
--- a/internal/proxy/prefill_exchange.go
+++ b/internal/proxy/prefill_exchange.go
@@ -79,7 +79,7 @@
 	f := &attempt{take}
 	c.state.addAttempt(f)
 	times := t.node.timesOf(t.service.Name)
-	quiet := time.AfterFunc(prefillQuietFactor*c.expected+times.prefill.suspicious(prefillQuietPeriod), func() {
+	quiet := time.AfterFunc(prefillQuietFactor*c.expected+times.prefill.Suspicious(prefillQuietPeriod), func() {
 		t.node.suspect(*c.worker)
 	})
 	memory, err := t.node.options.Backend.Read(
@@ -96,7 +96,7 @@
 	if err == nil {
 		took := t.node.now().Since(began)
 		times.overhead.observe(took - c.reading)
-		times.prefill.observe(took - prefillQuietFactor*c.expected)
+		times.prefill.Observe(took - prefillQuietFactor*c.expected)
 	}
 	return prefillRead{c, memory, err}
 }
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -39,11 +39,11 @@
 // noteSign learns from the silence that bytes of the worker have ended.
 func (g *supervisedBody) noteSign() {
 	now := g.exchange.node.now()
-	silence := &g.times.nextEvent
+	usual := &g.times.nextEvent
 	if !g.answered {
-		silence = &g.times.firstEvent
+		usual = &g.times.firstEvent
 	}
-	silence.observe(now.Since(g.heardAt))
+	usual.Observe(now.Since(g.heardAt))
 	g.answered, g.heardAt = true, now
 }
 
@@ -55,7 +55,7 @@
 			g.silenceTimer.Stop()
 		}
 		g.noteSign()
-		g.probeTimer.Reset(g.times.nextEvent.suspicious(
+		g.probeTimer.Reset(g.times.nextEvent.Suspicious(
 			alarmQuietPeriod + time.Duration(g.exchange.route.TokenIntervalMs)*time.Millisecond,
 		))
 		if g.deadlineTimer != nil {
--- a/internal/proxy/silent_workers_test.go
+++ b/internal/proxy/silent_workers_test.go
@@ -11,6 +11,7 @@
 
 	"keelstair.example/ids"
 	"keelstair.example/internal/fleetstate"
+	"keelstair.example/internal/silence"
 )
 
 // directEmissions are those that were sent without memory between two moments.
@@ -141,35 +142,12 @@
 		defer f.close()
 		dark := goDark(f, y, darkAfter, "svc-decode-1")
 		f.load(60, darkLoad, func(i int) *Request { return f.req(fmt.Sprint("r", i), "/once/x", 400, 4) })
-		const found = minSuspicion + 150*time.Millisecond
+		const found = silence.Floor + 150*time.Millisecond
 		require.NotEmpty(t, sentTo(y.directory(), "svc-decode-1.1", dark, time.Hour))
 		require.Empty(t, sentTo(y.directory(), "svc-decode-1.1", dark+found, dark+time.Second))
 	})
 }
 
-// TestSilenceEstimate: the suspicious silence lies far beyond those that were seen, at the floor for
-// regular ones and at the ceiling for irregular ones or while few were seen.
-func TestSilenceEstimate(t *testing.T) {
-	const ceiling = 500 * time.Millisecond
-	var e silenceEstimate
-	for range minSilenceSamples - 1 {
-		e.observe(20 * time.Millisecond)
-		require.Equal(t, ceiling, e.suspicious(ceiling))
-	}
-	for range 50 {
-		e.observe(20 * time.Millisecond)
-	}
-	require.Equal(t, minSuspicion, e.suspicious(ceiling))
-	for i := range 100 {
-		e.observe(time.Duration(10+40*(i%2)) * time.Millisecond)
-	}
-	require.InDelta(t, 190, float64(e.suspicious(ceiling)/time.Millisecond), 15)
-	for i := range 100 {
-		e.observe(time.Duration(400*(i%2)) * time.Millisecond)
-	}
-	require.Equal(t, ceiling, e.suspicious(ceiling))
-}
-
 // TestLostEmittersReplaced: two of three emitting workers go silent under load. As many reading ones
 // are told to emit within a second and a half.
 func TestLostEmittersReplaced(t *testing.T) {
--- a/internal/proxy/worker_state.go
+++ b/internal/proxy/worker_state.go
@@ -9,6 +9,7 @@
 
 	"keelstair.example/ids"
 	"keelstair.example/internal/fleetstate"
+	"keelstair.example/internal/retrybudget"
 )
 
 // workerState is what this node knows of one life of a worker.
@@ -83,7 +84,7 @@
 // uncounted tells that the other nodes may no longer count this one among those that share what
 // all have, since no process has heard of it for so long.
 func (n *Node) uncounted() bool {
-	alone := peerCountTTL - n.options.RetryWindow
+	alone := retrybudget.PeerCountTTL - n.options.RetryWindow
 	return !n.agent.CaughtUp(alone) && n.now().Past(n.agent.Directory().LastContact(), alone)
 }
 
