proxy: decode workers that are far slower than others get less to emit

A slow worker's answers are late by their pauses, and a pick knew places only. Each node learns the usual pause between events of each worker; beyond twice that of the faster quarter it costs 100 ms for each time more.

--- a/internal/proxy/pick.go
+++ b/internal/proxy/pick.go
@@ -64,8 +64,9 @@
 	reservation *reservation
 	capacity    int // blocks; 0 if nothing fresh is known
 	free        int
-	failureRate float64      // rate of failures, if they stand out
-	ended       *atomic.Bool // its outcome is noted
+	gap         time.Duration // between its events, of late; 0 if not known
+	failureRate float64       // rate of failures, if they stand out
+	ended       *atomic.Bool  // its outcome is noted
 }
 
 // ranked is what is sorted in a pick's stead, since it is small and holds no pointers.
@@ -255,6 +256,7 @@
 			c.busy = max(c.busy, c.state.load.Running+c.state.load.Waiting)
 		}
 		c.applyMemory(ids.Blocks(r.Prompt+r.MaxTokens, blockSize), n.options.NoCapacityCost, now)
+		c.gap = c.state.eventGap.current(now)
 		c.state.mu.Unlock()
 		slots := max(1, c.worker.Concurrency)
 		c.cost += 1.5*float64(c.busy) + n.far(c.worker, len(r.Body))
@@ -268,6 +270,7 @@
 			c.need = r.Prompt
 		}
 	}
+	addSlowDecodeCost(list)
 	return n.order(programs, r, ids.Decode, list)
 }
 
--- a/internal/proxy/proxy_cluster_test.go
+++ b/internal/proxy/proxy_cluster_test.go
@@ -114,6 +114,7 @@
 	dial      map[string]time.Duration          // addresses to which none comes up, and how long that takes
 	direct    int                               // tokens a ms that an emitting worker reads by itself
 	slowRead  map[string]time.Duration          // workers that take so much longer for each prompt
+	slowStep  map[string]time.Duration          // workers that take so long between events
 	queue     int                               // requests that wait at a worker at most; 0: twice its places
 }
 
@@ -529,6 +530,16 @@
 	ended     error
 }
 
+// stepOf is how long a worker takes between events.
+func (y *workerPool) stepOf(s *stand) time.Duration {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	if d, ok := y.slowStep[s.name]; ok {
+		return d
+	}
+	return y.step
+}
+
 func (a *answer) Read(p []byte) (int, error) {
 	if len(a.buf) == 0 {
 		if a.ended == nil && a.at == len(a.rest) && a.partition != a.at {
@@ -538,7 +549,7 @@
 			a.leave()
 			return 0, a.ended
 		}
-		if !nap(a.ctx, a.b.y.step) {
+		if !nap(a.ctx, a.b.y.stepOf(a.s)) {
 			a.leave()
 			return 0, a.ctx.Err()
 		}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -39,11 +39,13 @@
 // noteSign learns from the silence that bytes of the worker have ended.
 func (g *supervisedBody) noteSign() {
 	now := g.exchange.node.now()
-	usual := &g.times.nextEvent
-	if !g.answered {
-		usual = &g.times.firstEvent
+	pause := now.Since(g.heardAt)
+	if g.answered {
+		g.times.nextEvent.Observe(pause)
+		g.pick.state.noteGap(pause, now)
+	} else {
+		g.times.firstEvent.Observe(pause)
 	}
-	usual.Observe(now.Since(g.heardAt))
 	g.answered, g.heardAt = true, now
 }
 
--- a/internal/proxy/worker_state.go
+++ b/internal/proxy/worker_state.go
@@ -33,6 +33,7 @@
 	outlier        outlierState
 	cached         map[uint64]ids.Tick // beginnings of prompts that it was seen to have read
 	memory         memoryAccount
+	eventGap       eventGap
 }
 
 func (n *Node) state(id ids.WorkerID) *workerState {
