coordination: TestWalk and the runs beyond tolerance share one runner under load

The clients, their end and the check that each command was taken once stood twice. Assertions, seeds of the walk and bounds are the same; the runs beyond tolerance draw their clients' pauses by the walk's seed now.

--- a/coordination/beyond_tolerance_test.go
+++ b/coordination/beyond_tolerance_test.go
@@ -5,7 +5,6 @@
 
 import (
 	"math/rand/v2"
-	"sync"
 	"testing"
 	"time"
 
@@ -25,31 +24,15 @@
 // beyondTolerance runs clients through some rounds of trouble. After each of them the core must
 // answer in time; in the end every command was taken once.
 func beyondTolerance(t *testing.T, seed uint64, trouble func(w *walk, rng *rand.Rand)) {
-	w := &walk{
-		fleet: buildOf(seed, beyondMachines, beyondLosses),
-		t:     t,
-		rng:   rand.New(rand.NewPCG(seed, 9)),
-		sums:  map[int]string{},
-	}
-	defer w.close()
-	require.NoError(t, w.submitNumber(0, "first", 10*time.Second))
-	end := make(chan struct{})
-	var clients sync.WaitGroup
-	for n := range walkClients {
-		clients.Add(1)
-		go w.client(n, end, &clients)
-	}
-	rng := rand.New(rand.NewPCG(seed, 10))
-	for range beyondRounds {
-		time.Sleep(time.Duration(500+rng.IntN(2000)) * time.Millisecond)
-		trouble(w, rng)
-		back := time.Now()
-		require.NoError(t, w.submitNumber(0, "after "+back.String(), beyondRecovery), "%v", w.trace)
-	}
-	close(end)
-	clients.Wait()
-	sum := w.command(w.agents[0], "w/last")
-	require.Equal(t, w.want+1, sum, "%v", w.trace)
+	underLoad(t, buildOf(seed, beyondMachines, beyondLosses), seed, func(w *walk) {
+		rng := rand.New(rand.NewPCG(seed, 10))
+		for range beyondRounds {
+			time.Sleep(time.Duration(500+rng.IntN(2000)) * time.Millisecond)
+			trouble(w, rng)
+			back := time.Now()
+			require.NoError(t, w.submitNumber(0, "after "+back.String(), beyondRecovery), "%v", w.trace)
+		}
+	})
 }
 
 // TestHalvesPartitioned: the cores are cut into two halves for some seconds, while nodes reach
--- a/coordination/walk_test.go
+++ b/coordination/walk_test.go
@@ -169,32 +169,34 @@
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				size := sizes[seed%uint64(len(sizes))]
-				w := &walk{
-					fleet: buildOf(seed, size.machines, size.losses),
-					t:     t,
-					rng:   rand.New(rand.NewPCG(seed, 5)),
-					sums:  map[int]string{},
-				}
-				defer w.close()
-				require.NoError(t, w.submitNumber(0, "first", 10*time.Second))
-				end := make(chan struct{})
-				var clients sync.WaitGroup
-				for n := range walkClients {
-					clients.Add(1)
-					go w.client(n, end, &clients)
-				}
-				for range walkActs {
-					w.act()
-				}
-				close(end)
-				clients.Wait()
-				sum := w.command(w.agents[0], "w/last")
-				require.Equal(t, w.want+1, sum, "%d machines, %d losses: %v", size.machines, size.losses, w.trace)
+				underLoad(t, buildOf(seed, size.machines, size.losses), seed, func(w *walk) {
+					for range walkActs {
+						w.act()
+					}
+				})
 			})
 		})
 	}
 }
 
+// underLoad runs trouble in a fleet while clients send commands. In the end each of these was taken once.
+func underLoad(t *testing.T, f *fleet, seed uint64, trouble func(w *walk)) {
+	w := &walk{fleet: f, t: t, rng: rand.New(rand.NewPCG(seed, 5)), sums: map[int]string{}}
+	defer w.close()
+	require.NoError(t, w.submitNumber(0, "first", 10*time.Second))
+	end := make(chan struct{})
+	var clients sync.WaitGroup
+	for n := range walkClients {
+		clients.Add(1)
+		go w.client(n, end, &clients)
+	}
+	trouble(w)
+	close(end)
+	clients.Wait()
+	sum := w.command(w.agents[0], "w/last")
+	require.Equal(t, w.want+1, sum, "%d machines, %d losses: %v", len(f.seeds), f.faultTolerance, w.trace)
+}
+
 // command adds one and gives the sum that it was answered with.
 func (w *walk) command(a *coordination.Agent, op string) int {
 	for began := time.Now(); ; {
