fleetstate: tenants with keys, and routes that are public

What callers saw: a configuration could not say who may send requests. Tenants in the operators' text were kept and passed over, so an invalid one, by which two tenants share a key, was taken.

Tenants have a name, keys and perhaps an urgency. A configuration by which two tenants share a key, or with a missing or repeated name or an empty key, is invalid; the error names the field and never shows a key. A key that stands twice within one tenant is taken: whose it is stays plain, and refusing it would refuse a change that does no harm. A list of tenants that has become empty admits nobody, so taking away the last tenant does not open the routes to all.

Keys are indexed once for each version, beside the table of routes, by a hash that is keyed by a secret of the process, so that the time of a look-up tells nothing of a key.

--- a/internal/fleetstate/configuration.go
+++ b/internal/fleetstate/configuration.go
@@ -94,6 +94,7 @@
 	Routes       []Route                 `json:"routes,omitempty"`
 	Services     map[string]Service      `json:"services,omitempty"`
 	ClientLimits ClientLimits            `json:"intake,omitzero"`
+	Tenants      []Tenant                `json:"tenants,omitzero"` // nil: requests need no key
 	Certified
 }
 
@@ -314,6 +315,9 @@
 	if err := p.checkRegimes(); err != nil {
 		return err
 	}
+	if err := p.CheckTenants(); err != nil {
+		return err
+	}
 	return p.CheckRoutes()
 }
 
--- a/internal/fleetstate/overlay.go
+++ b/internal/fleetstate/overlay.go
@@ -27,7 +27,7 @@
 	if json.Unmarshal(merged, &all) != nil || json.Unmarshal(part, &touch) != nil {
 		return ParseComplete(name, merged)
 	}
-	for _, k := range []string{"routes", "services", "intake", "regimes", "issuers", "certificates"} {
+	for _, k := range []string{"routes", "services", "intake", "tenants", "regimes", "issuers", "certificates"} {
 		if _, ok := touch[k]; ok {
 			return ParseComplete(name, merged)
 		}
--- a/internal/fleetstate/policy.cue
+++ b/internal/fleetstate/policy.cue
@@ -70,6 +70,15 @@
 	aimMs:      *deadlineMs | (int & >0)
 	gapMs:      *0 | (int & >=0)
 	urgency:    *5 | (int & >=0 & <=9)
+	// Requests need no key of a tenant.
+	public: *false | bool
+}
+
+// Where there are tenants, requests on routes that are not public bear one of their keys.
+#Tenant: {
+	name:     string & !=""
+	keys:     *[] | [...(string & !="")]
+	urgency?: int & >=0 & <=9
 }
 
 // What is known of a service's workers beforehand.
@@ -118,6 +127,7 @@
 	issuers?: [=~"^[0-9A-Za-z-]{1,64}$"]:         #Issuer
 	certificates?: [Serial=string]: #Certificate & {serial: Serial}
 	routes?: [...#Route]
+	tenants?: [...#Tenant]
 	services?: [Name=string & !=""]: #Service & {name: Name}
 	intake?: {
 		headerBytes:  *16384 | (int & >0)
--- a/internal/fleetstate/route.go
+++ b/internal/fleetstate/route.go
@@ -36,6 +36,7 @@
 	LatencyTargetMs int     `json:"aimMs"`
 	TokenIntervalMs int     `json:"gapMs,omitempty"`
 	Urgency         int     `json:"urgency"`
+	Public          bool    `json:"public,omitempty"` // requests need no key of a tenant
 }
 
 // MayRetry tells whether a try that may have run may be sent once more.
--- /dev/null
+++ b/internal/fleetstate/tenants_test.go
@@ -0,0 +1,118 @@
+// Tenants and their keys.
+
+package fleetstate
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/failure"
+	"keelstair.example/logging"
+)
+
+// tenanted is a configuration of two tenants.
+func tenanted() *Configuration {
+	urgency := 2
+	return &Configuration{Tenants: []Tenant{
+		{Name: "amber", Keys: []string{"key-a1", "key-a2"}, Urgency: &urgency},
+		{Name: "birch", Keys: []string{"key-b1"}},
+	}}
+}
+
+// TestCheckTenants: each fault alone is refused by the field that has it, and no key is shown.
+func TestCheckTenants(t *testing.T) {
+	require.NoError(t, tenanted().CheckTenants())
+	require.NoError(t, (&Configuration{}).CheckTenants())
+	for says, change := range map[string]func(p *Configuration){
+		`tenants.birch.keys[1]: it is also a key of tenant "amber"`: func(p *Configuration) {
+			p.Tenants[1].Keys = append(p.Tenants[1].Keys, "key-a2")
+		},
+		`tenants.birch.keys[0]: it is empty`:          func(p *Configuration) { p.Tenants[1].Keys[0] = "" },
+		`tenants.amber: the name stands twice`:        func(p *Configuration) { p.Tenants[1].Name = "amber" },
+		`tenants[1].name: it is missing`:              func(p *Configuration) { p.Tenants[1].Name = "" },
+		`tenants[1].name: it has a control character`: func(p *Configuration) { p.Tenants[1].Name = "b\r\nx: y" },
+	} {
+		p := tenanted()
+		change(p)
+		err := p.CheckTenants()
+		require.ErrorContains(t, err, says)
+		require.True(t, failure.Is(err, failure.InvalidArgument), says)
+		require.NotContains(t, err.Error(), "key-a", "no key is shown")
+	}
+	repeated := tenanted()
+	repeated.Tenants[0].Keys = append(repeated.Tenants[0].Keys, "key-a1")
+	require.NoError(t, repeated.CheckTenants(), "whose key it is stays plain")
+}
+
+// TestKeyIndex: a key finds its tenant, all else finds nobody; a list of tenants that has become
+// empty admits nobody, and a configuration without one asks for no key.
+func TestKeyIndex(t *testing.T) {
+	index := NewKeyIndex(tenanted())
+	require.True(t, index.Required())
+	for key, name := range map[string]string{"key-a1": "amber", "key-a2": "amber", "key-b1": "birch"} {
+		require.Equal(t, name, index.Find(key).Name)
+	}
+	for _, key := range []string{"", "key-a", "key-a11", "KEY-A1", "amber", "Bearer key-a1", "key-a1,key-b1", " key-a1"} {
+		require.Nil(t, index.Find(key), key)
+	}
+	require.False(t, NewKeyIndex(&Configuration{}).Required())
+	require.Nil(t, NewKeyIndex(&Configuration{}).Find("key-a1"))
+	emptied := NewKeyIndex(&Configuration{Tenants: []Tenant{}})
+	require.True(t, emptied.Required())
+	require.Nil(t, emptied.Find("key-a1"))
+	var none *KeyIndex
+	require.False(t, none.Required())
+	require.Nil(t, none.Find("key-a1"))
+}
+
+// TestKeyIndexKeepsNoKeys: what is indexed is the keyed hash, so a dump of it shows no key.
+func TestKeyIndexKeepsNoKeys(t *testing.T) {
+	require.NotEqual(t, digestOf("key-a1"), digestOf("key-a2"))
+	require.Equal(t, digestOf("key-a1"), digestOf("key-a1"))
+	require.Len(t, digestSecret(), len(keyDigest{}))
+	require.NotEqual(t, make([]byte, len(keyDigest{})), digestSecret())
+}
+
+// TestKeyIndexOfSnapshot: a snapshot has the index of its configuration, and one that follows with
+// the same configuration has the same index.
+func TestKeyIndexOfSnapshot(t *testing.T) {
+	view := NewView(logging.Discard())
+	require.False(t, view.Current().Keys.Required())
+	configuration := tenanted()
+	first := &Snapshot{Configuration: configuration}
+	view.indexConfiguration(first)
+	require.Equal(t, "birch", first.Keys.Find("key-b1").Name)
+	view.current.Store(first)
+	second := &Snapshot{Configuration: configuration}
+	view.indexConfiguration(second)
+	require.Same(t, first.Keys, second.Keys)
+}
+
+// TestCompleteTenants: tenants are read from CUE, checked, and read back as they were, an emptied
+// list too; a part that changes them is checked like a whole.
+func TestCompleteTenants(t *testing.T) {
+	text := func(tenants string) []byte {
+		return []byte(`{zones: ["a"], workers: {}, kinds: {}, programs: {}, limits: {}, services: {s: {}}
+			routes: [{name: "one", host: "a.example", prefix: "/", service: "s", deadlineMs: 4000, public: true}]
+			` + tenants + `}`)
+	}
+	p, whole, err := ParseComplete("t.cue", text(`tenants: [{name: "amber", keys: ["k1"], urgency: 0}, {name: "birch"}]`))
+	require.NoError(t, err)
+	require.True(t, p.Routes[0].Public)
+	again, err := ReadPlain(whole)
+	require.NoError(t, err)
+	require.Equal(t, p.Tenants[0], again.Tenants[0])
+	require.Equal(t, 0, *again.Tenants[0].Urgency)
+	require.Nil(t, again.Tenants[1].Urgency)
+	_, _, err = Overlay("part.json", whole, []byte(`{"tenants":[{"name":"amber","keys":["k1"]},{"name":"birch","keys":["k1"]}]}`))
+	require.ErrorContains(t, err, "tenants.birch.keys[0]")
+	_, emptied, err := Overlay("part.json", whole, []byte(`{"tenants":[]}`))
+	require.NoError(t, err)
+	again, err = ReadPlain(emptied)
+	require.NoError(t, err)
+	require.True(t, NewKeyIndex(again).Required())
+	bare, _, err := ParseComplete("t.cue", text(""))
+	require.NoError(t, err)
+	require.Nil(t, bare.Tenants)
+}
--- a/internal/fleetstate/view.go
+++ b/internal/fleetstate/view.go
@@ -21,6 +21,7 @@
 	Version       ids.Version
 	Configuration *Configuration
 	Table         *Table
+	Keys          *KeyIndex // of tenants
 	Text          []byte
 	Newest        ids.Version
 	Zones         map[ids.Zone]bool
@@ -76,6 +77,7 @@
 	v.current.Store(&Snapshot{
 		Configuration: &Configuration{},
 		Table:         NewTable(&Configuration{}),
+		Keys:          NewKeyIndex(&Configuration{}),
 		Zones:         map[ids.Zone]bool{},
 		Drained:       map[ids.WorkerID]bool{},
 	})
@@ -250,9 +252,9 @@
 // before if that has the same one.
 func (v *View) indexConfiguration(s *Snapshot) {
 	if previous := v.current.Load(); previous.Configuration == s.Configuration && previous.Table != nil {
-		s.Table, s.Unrevoked = previous.Table, previous.Unrevoked
+		s.Table, s.Keys, s.Unrevoked = previous.Table, previous.Keys, previous.Unrevoked
 	} else {
-		s.Table = NewTable(s.Configuration)
+		s.Table, s.Keys = NewTable(s.Configuration), NewKeyIndex(s.Configuration)
 		var err error
 		if s.Unrevoked, err = s.Configuration.Register(); err != nil {
 			v.Ring.Error().AnErr("cause", err).Msg("invalid certificates left out")
