proxy: authenticate requests by the keys of tenants

Requests with an unknown key, or with one that had been taken away, were run.

Cause: keys of tenants were not built. Both headers were passed on like any other.

Why it works: the key and a claimed tenant are taken from the headers before anything is passed on, on any route and with or without tenants. The node finds the tenant by the key and names it on reads, hedged reads and decodes, with the tenant's urgency in place of the route's. A request without a known key is rejected with 401 unless its route is public, and only by a node that is sure of its version; one that may be behind says when to come back, as for an unknown route. The key is looked up again in the newest configuration before each sending, so a request whose key is taken away while it waits is not sent any more; 401 is answered only where it has run nowhere.

--- a/internal/proxy/admission.go
+++ b/internal/proxy/admission.go
@@ -154,7 +154,7 @@
 	aim := max(1, float64((t.route.LatencyTarget()-now.Since(t.request.At))/time.Millisecond))
 	rank := 0
 	for _, u := range n.candidateIndexFor(list, s).ranks[t.service.Name] {
-		if u > t.route.Urgency {
+		if u > t.urgency() {
 			rank++
 		}
 	}
--- a/internal/proxy/candidate_index.go
+++ b/internal/proxy/candidate_index.go
@@ -65,9 +65,11 @@
 	}
 	for i := range s.Configuration.Routes {
 		r := &s.Configuration.Routes[i]
-		add(r.Service, r.Urgency)
-		for _, p := range r.Split {
-			add(p.Service, r.Urgency)
+		for _, urgency := range routeUrgencies(s.Configuration, r) {
+			add(r.Service, urgency)
+			for _, p := range r.Split {
+				add(p.Service, urgency)
+			}
 		}
 	}
 	for _, rows := range out {
@@ -76,6 +78,19 @@
 	return out
 }
 
+// routeUrgencies lists how urgent a route's requests may be, by who sends them.
+func routeUrgencies(c *fleetstate.Configuration, route *fleetstate.Route) []int {
+	var out []int
+	if c.Tenants == nil || route.Public {
+		out = append(out, route.Urgency)
+	}
+	for i := range c.Tenants {
+		out = append(out, urgencyOf(route, &c.Tenants[i]))
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // prefixHome is the reading worker that a beginning falls to, of those that are not out.
 func prefixHome(mark uint64, rows []candidate, out func(ids.WorkerID) bool) ids.WorkerID {
 	var top ids.WorkerID
--- a/internal/proxy/decode_exchange.go
+++ b/internal/proxy/decode_exchange.go
@@ -24,6 +24,9 @@
 			if t.attemptsMade >= t.maxAttempts() {
 				break
 			}
+			if err := t.authenticate(t.node.snapshot()); err != nil {
+				return nil, nil, err
+			}
 			if !t.send(&c, 0) {
 				continue
 			}
@@ -82,7 +85,7 @@
 	g.times, g.heardAt = times, t.node.now()
 	g.probeTimer = time.AfterFunc(times.firstEvent.Suspicious(alarmQuietPeriod), func() { t.node.suspect(*c.worker) })
 	reply, err := t.node.options.Backend.Emit(
-		callContext, *c.worker, t.request, source, t.lastEventID, t.remaining(), t.route.Urgency,
+		callContext, *c.worker, c.request, source, t.lastEventID, t.remaining(), c.urgency,
 	)
 	if err != nil {
 		g.done()
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -35,6 +35,9 @@
 	service  *fleetstate.Service
 	programs *routing.ProgramSet // it keeps to the one it began with
 	sink     Sink
+	tenant   *fleetstate.Tenant   // whose key it bears; nil without one
+	keys     *fleetstate.KeyIndex // by which the tenant was found
+	outgoing *Request             // as workers get it
 	deadline ids.Tick
 	prefixes []uint64
 	tried    map[ids.WorkerID]bool
@@ -91,18 +94,26 @@
 		tried:       map[ids.WorkerID]bool{},
 		lastEventID: r.LastEventID,
 	}
-	t.prefixes, _ = prefixHashes(r)
-	n.budget.CountRequest(n.now())
-	callContext, stop := context.WithTimeout(ctx, wait)
-	defer stop()
-	err := t.admit(s)
-	if err == nil {
-		err = t.run(callContext)
-	}
+	err := t.serve(ctx, s, wait)
 	t.count(err)
 	return err
 }
 
+// serve has the request authenticated and admitted, and runs it.
+func (t *exchange) serve(ctx context.Context, s *fleetstate.Snapshot, wait time.Duration) error {
+	if err := t.authenticate(s); err != nil {
+		return err
+	}
+	t.prefixes, _ = prefixHashes(t.request)
+	t.node.budget.CountRequest(t.node.now())
+	if err := t.admit(s); err != nil {
+		return err
+	}
+	callContext, stop := context.WithTimeout(ctx, wait)
+	defer stop()
+	return t.run(callContext)
+}
+
 const (
 	// currentSpan is how lately the core must have confirmed this node, with the change feed up to
 	// that confirmation applied, for its word that something does not exist to be final. It is
@@ -115,10 +126,20 @@
 // rejectUnknown ends a request for what the version in force here does not have. A node that
 // may be behind cannot tell whether a newer version has it: it says when to come back.
 func (n *Node) rejectUnknown(reason string) error {
+	n.counts.Rejected.Add(1)
+	return n.unknown(http.StatusNotFound, reason)
+}
+
+// unknown is how a request ends that the version in force here does not allow.
+func (n *Node) unknown(code int, reason string) *RejectedError {
 	if !n.agent.CaughtUp(currentSpan) {
-		return n.reject(http.StatusServiceUnavailable, staleRetryAfter, reason+", and this node may be behind")
+		return &RejectedError{
+			Code:       http.StatusServiceUnavailable,
+			RetryAfter: staleRetryAfter,
+			Reason:     reason + ", and this node may be behind",
+		}
 	}
-	return n.reject(http.StatusNotFound, 0, reason)
+	return &RejectedError{Code: code, Reason: reason}
 }
 
 // count counts an exchange by how it ended.
@@ -166,6 +187,10 @@
 				return nil
 			}
 		}
+		if rejected, ok := err.(*RejectedError); ok {
+			t.releaseSource(source)
+			return t.endRejected(rejected)
+		}
 		reason = err
 		switch failure.KindOf(err) {
 		case failure.OutcomeUnknown:
@@ -287,6 +312,7 @@
 	}
 	c.state.begin(reads, ms, t.node.now())
 	c.ended = new(atomic.Bool)
+	c.request, c.urgency = t.outgoing, t.urgency()
 	more := t.request.MaxTokens
 	if reads > 0 {
 		more = 0
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -65,6 +65,9 @@
 
 // hedgeCandidate books and pays a second worker, if one can be in time.
 func (t *exchange) hedgeCandidate(first *pick) *pick {
+	if t.authenticate(t.node.snapshot()) != nil {
+		return nil
+	}
 	usual, _ := t.node.timesOf(t.service.Name).overhead.median()
 	left := t.route.LatencyTarget() - t.node.now().Since(t.request.At)
 	tried := maps.Clone(t.tried)
--- a/internal/proxy/pick.go
+++ b/internal/proxy/pick.go
@@ -67,6 +67,8 @@
 	gap         time.Duration // between its events, of late; 0 if not known
 	failureRate float64       // rate of failures, if they stand out
 	ended       *atomic.Bool  // its outcome is noted
+	request     *Request      // as it is sent to this worker
+	urgency     int           // with which it is sent
 }
 
 // ranked is what is sorted in a pick's stead, since it is small and holds no pointers.
--- a/internal/proxy/prefill_exchange.go
+++ b/internal/proxy/prefill_exchange.go
@@ -28,6 +28,9 @@
 		again = false
 		picked := t.node.now()
 		for _, c := range t.node.prefillCandidates(t.programs, t.node.snapshot(), t.service, t.request, t.tried) {
+			if err := t.authenticate(t.node.snapshot()); err != nil {
+				return nil, err
+			}
 			if !t.send(&c, max(1, c.need)) {
 				continue
 			}
@@ -83,7 +86,7 @@
 		t.node.suspect(*c.worker)
 	})
 	memory, err := t.node.options.Backend.Read(
-		callContext, *c.worker, t.request, duration, urgencyRank(t.route.Urgency, c.need),
+		callContext, *c.worker, c.request, duration, urgencyRank(c.urgency, c.need),
 	)
 	quiet.Stop()
 	if err != nil && errors.Is(context.Cause(callContext), errWorkerSilent) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -28,6 +28,8 @@
 	Host        string
 	Header      http.Header // what is passed on, without what concerns one connection
 	Body        []byte
+	Key         string // of the tenant; never passed on
+	Tenant      string // whose key it bears; empty until that is known
 	LastEventID string // the id of the last event that the caller has
 	Model       string
 	Segments    []PromptSegment
--- a/internal/proxy/proxy_cluster_test.go
+++ b/internal/proxy/proxy_cluster_test.go
@@ -53,6 +53,9 @@
 	Owner  ids.NodeID
 	Fence  ids.Fence
 	To     ids.Role
+	// What the worker was told of who asks.
+	Key, Tenant string
+	Urgency     int
 }
 
 // handle is memory that a worker keeps.
@@ -403,7 +406,7 @@
 		return nil, err
 	}
 	y.mu.Lock()
-	_, how, err := b.arrive(row{Kind: "read", Req: r.ID, Off: off}, s, w)
+	_, how, err := b.arrive(row{Kind: "read", Req: r.ID, Off: off, Key: r.Key, Tenant: r.Tenant, Urgency: urgency}, s, w)
 	at := len(y.rows) - 1
 	y.mu.Unlock()
 	if err != nil {
@@ -458,6 +461,13 @@
 	return false
 }
 
+// emission is the line of the book for an emission.
+func emission(r *Request, from string, direct bool, off time.Duration, urgency int) row {
+	return row{
+		Kind: "emit", Req: r.ID, From: from, Off: off, Direct: direct, Key: r.Key, Tenant: r.Tenant, Urgency: urgency,
+	}
+}
+
 func (b *back) Emit(ctx context.Context, w Worker, r *Request, source *Source, from string, left time.Duration, urgency int) (*Response, error) {
 	y, off := b.y, b.knew(w)
 	s, err := b.reach(ctx, w)
@@ -465,7 +475,7 @@
 		return nil, err
 	}
 	y.mu.Lock()
-	p, how, err := b.arrive(row{Kind: "emit", Req: r.ID, From: from, Off: off, Direct: source == nil && from == ""}, s, w)
+	p, how, err := b.arrive(emission(r, from, source == nil && from == "", off, urgency), s, w)
 	if err == nil && source != nil && how != idleReset && how != idleSilent && (how == lostMemory || !y.fetch(source)) {
 		p.Took = false
 		err = failure.New(failure.DataLost, "fetch memory", w.Addr, "it cannot be had")
