--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -102,6 +102,7 @@
 // serve has the request authenticated and admitted, and runs it.
 func (t *exchange) serve(ctx context.Context, s *fleetstate.Snapshot, wait time.Duration) error {
 	if err := t.authenticate(s); err != nil {
+		t.node.counts.Unauthenticated.Add(1)
 		return err
 	}
 	t.prefixes, _ = prefixHashes(t.request)
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -109,6 +109,8 @@
 // Counts are the node's figures since it started.
 type Counts struct {
 	Requests, Completed, Rejected, Aborted, Direct, Retries, RejectedEarly, Ejected, Readmitted, FaultNotices, Hedges atomic.Int64
+
+	Unauthenticated atomic.Int64 // requests that were rejected for want of a known key
 }
 
 // Node is one router node for opaque requests.
@@ -250,6 +252,7 @@
 	}{
 		{"keelstair_requests", "Requests that came.", &n.counts.Requests},
 		{"keelstair_rejected_early", "Requests that were rejected before any worker was offered them.", &n.counts.RejectedEarly},
+		{"keelstair_unauthenticated", "Requests that were rejected for want of a known key.", &n.counts.Unauthenticated},
 		{"keelstair_direct_decodes", "Prompts that the decode worker was to read by itself.", &n.counts.Direct},
 		{"keelstair_retries", "Attempts after the first.", &n.counts.Retries},
 		{"keelstair_hedges", "Prompts that were read at a second worker besides.", &n.counts.Hedges},
--- a/internal/proxy/tenant.go
+++ b/internal/proxy/tenant.go
@@ -41,6 +41,7 @@
 // endRejected ends a request that must not be sent any more. Only where it has run nowhere may
 // the answer say so.
 func (t *exchange) endRejected(rejected *RejectedError) error {
+	t.node.counts.Unauthenticated.Add(1)
 	if t.mayHaveRun || t.headSent {
 		return &AbortedError{Code: http.StatusBadGateway, HeadSent: t.headSent, Reason: rejected.Reason}
 	}
--- a/internal/proxy/tenant_test.go
+++ b/internal/proxy/tenant_test.go
@@ -118,6 +118,9 @@
 		defer f.close()
 		require.Equal(t, http.StatusUnauthorized, statusOf(t, f.ask(f.nodes[0], f.keyed("a", "/once/x", "birch")).err))
 		require.Equal(t, http.StatusUnauthorized, statusOf(t, f.ask(f.nodes[1], f.req("b", "/stream/x", 400, 2)).err))
+		for _, b := range f.nodes {
+			require.EqualValues(t, 1, b.counts.Unauthenticated.Load())
+		}
 		require.Empty(t, y.callsOf("a"))
 		require.Empty(t, y.callsOf("b"))
 		require.NoError(t, f.ask(f.nodes[0], f.req("c", "/open/x", 400, 2)).err)
@@ -203,6 +206,7 @@
 					}
 				}
 				require.Equal(t, waiting.emits, emits)
+				require.EqualValues(t, 1, f.nodes[0].counts.Unauthenticated.Load())
 				time.Sleep(2 * time.Second)
 				require.Empty(t, kept(y), "the memory of its prompt is given back")
 			})
