fleetstate: parse only the newest of the versions that come in one batch

Cause: a node published after each entry of the change feed, and each publication parsed every version that was prepared. A node that was behind parsed all that it had missed, though only the newest would be put in force.

The agent now tells the view which entries came together (coordination.Batcher); the view publishes once for them, and parses the version to be put in force and the newest prepared one alone.

--- a/coordination/agent.go
+++ b/coordination/agent.go
@@ -27,6 +27,12 @@
 	Snapshot() []byte
 }
 
+// A Batcher is a Watcher that wants to know which entries came together: Batch runs observe,
+// which calls Observe for each of them.
+type Batcher interface {
+	Batch(observe func())
+}
+
 // AgentOptions name a node to the core.
 type AgentOptions struct {
 	Self            Member
--- a/coordination/watch.go
+++ b/coordination/watch.go
@@ -125,16 +125,31 @@
 		next.members[m.Node] = m
 	}
 	maps.Copy(next.grants, previous.grants)
+	observe := func() { loud, err = a.observe(next, entries) }
+	if batcher, ok := a.options.Watcher.(Batcher); ok {
+		batcher.Batch(observe)
+	} else {
+		observe()
+	}
+	if err != nil {
+		return nil, false, err
+	}
+	a.feed.push(entries)
+	return next, loud, nil
+}
+
+// observe applies the core's own entries to next and shows the watcher the others.
+func (a *Agent) observe(next *replicatedState, entries []Entry) (loud bool, err error) {
 	for _, e := range entries {
 		if e.Seq != next.seq+1 {
-			return nil, false, failure.New(
+			return false, failure.New(
 				failure.InvalidArgument, "fold news", "news", "entry %d follows %d", e.Seq, next.seq,
 			)
 		}
 		next.seq = e.Seq
 		c, err := parse(e.Kind, e.Body)
 		if err != nil {
-			return nil, false, err
+			return false, err
 		}
 		if c != nil {
 			c.apply(next)
@@ -142,8 +157,7 @@
 			loud = true
 		}
 	}
-	a.feed.push(entries)
-	return next, loud, nil
+	return loud, nil
 }
 
 // publish puts a state in place of the one before, and forgets given back keys that passed on.
--- a/internal/fleetstate/view.go
+++ b/internal/fleetstate/view.go
@@ -6,6 +6,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -48,8 +49,8 @@
 	Set           *routing.ProgramSet
 }
 
-// View is a coordination.Watcher. Ready is called with every configuration as it is prepared,
-// so that programs are compiled before they are in force.
+// View is a coordination.Watcher. Ready is called with every configuration before it is in
+// force, so that programs are compiled by then.
 type View struct {
 	Ready func(ids.Version, *Configuration)
 	Ring  *logging.Ring
@@ -61,6 +62,8 @@
 	state       *State
 	parsed      map[ids.Version]parsedVersion
 	programSets map[ids.Version]*CompiledPrograms
+	batching    bool // entries that came together are being observed
+	unpublished bool // some of them change the snapshot
 	current     atomic.Pointer[Snapshot]
 	highest     atomic.Uint64
 }
@@ -133,11 +136,30 @@
 	case PrepareKind, CommitKind, PrepareProgramsKind, CommitProgramsKind,
 		EvacuateKind, DrainKind, RoleChangeKind, RevokeKind, ConfirmRevocationKind:
 		urgent = true
-		v.publish()
+		if v.unpublished = v.batching; !v.batching {
+			v.publish()
+		}
 	}
 	return urgent
 }
 
+// Batch publishes once for all entries that observe applies, as coordination.Batcher. A version
+// that a later one of them supersedes is never parsed.
+func (v *View) Batch(observe func()) {
+	v.setBatching(true)
+	defer v.setBatching(false)
+	observe()
+}
+
+func (v *View) setBatching(on bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.batching = on; !on && v.unpublished {
+		v.unpublished = false
+		v.publish()
+	}
+}
+
 // Snapshot encodes the state for a peer, as coordination.Watcher.
 func (v *View) Snapshot() []byte {
 	v.mu.Lock()
@@ -183,19 +205,21 @@
 	}
 }
 
-// newestInForce parses the versions that are new here and gives the one to put in force: the
-// newest that can be read of those committed or heard of.
+// newestInForce gives the version to put in force: the newest that can be parsed of those
+// committed or heard of. It parses that one, and the newest of all, which is the next.
 func (v *View) newestInForce(all []VersionedText) VersionedText {
-	now := v.state.active
-	for i, version := range all {
-		if !v.parse(version) {
+	newest := false
+	for i, version := range slices.Backward(all) {
+		mayServe := i == 0 || uint64(version.Version) <= v.highest.Load()
+		if newest && !mayServe || !v.parse(version) {
 			continue
 		}
-		if i > 0 && uint64(version.Version) <= v.highest.Load() {
-			now = version
+		newest = true
+		if mayServe {
+			return version
 		}
 	}
-	return now
+	return v.state.active
 }
 
 // parse reads a version once, and reports whether that could be done.
