fleetstate: rounds of duties fix an act's content and order its holders

An act outside the fleet (a report of usage, a setpoint) is to be done once with one content, though the node that does it may be killed or frozen at any step. A round is a command through the log: the first round for an act of a subject fixes the content, a round of an earlier holder is refused once a later one has won, and no two holders win with one fence.

--- /dev/null
+++ b/internal/fleetstate/duty_round.go
@@ -0,0 +1,85 @@
+// Rounds of duties. An act outside the fleet, such as a call to the platform, may only follow a
+// round that was won for it. The log orders the rounds: once a holder with a higher fence has won
+// one for a subject, earlier holders win none for it, and the content of an act is the same for
+// whoever performs it.
+
+package fleetstate
+
+import (
+	"slices"
+	"sort"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"keelstair.example/coordination"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
+)
+
+// MeteringKey is the duty of reporting the usage.
+const MeteringKey ids.Key = "metering"
+
+// maxDutyActs is how many acts are kept of a subject.
+const maxDutyActs = 16
+
+func (c *DutyRound) apply(s *State) (msgp.Marshaler, error) {
+	subject := s.duties[c.Subject]
+	if c.Fence < subject.Fence || c.Fence == subject.Fence && c.Owner != subject.Owner {
+		return nil, failure.New(failure.Stale, "win round", c.Subject,
+			"fence %d of %s is not above %d of %s", c.Fence, c.Owner, subject.Fence, subject.Owner)
+	}
+	number := c.Number
+	if number == 0 {
+		number = subject.newest() + 1
+	}
+	if number <= subject.Forgotten {
+		return nil, failure.New(failure.Stale, "win round", c.Subject,
+			"act %d is not remembered; those up to %d are not", number, subject.Forgotten)
+	}
+	next, act, changed := subject.with(number, c)
+	if !changed && c.Fence == subject.Fence {
+		return &DutyRoundReply{act}, coordination.ErrUnchanged
+	}
+	next.Name, next.Owner, next.Fence = c.Subject, c.Owner, c.Fence
+	s.duties[c.Subject] = next
+	return &DutyRoundReply{act}, nil
+}
+
+// newest is the number of the newest act.
+func (d *DutySubject) newest() uint64 {
+	if len(d.Acts) == 0 {
+		return d.Forgotten
+	}
+	return d.Acts[len(d.Acts)-1].Number
+}
+
+// with gives the subject after a round for the act of a number, and that act. The subject itself
+// stays as it is.
+func (d *DutySubject) with(number uint64, c *DutyRound) (next DutySubject, act DutyAct, changed bool) {
+	next = *d
+	next.Acts = slices.Clone(d.Acts)
+	at := sort.Search(len(next.Acts), func(i int) bool { return next.Acts[i].Number >= number })
+	if at == len(next.Acts) || next.Acts[at].Number != number {
+		next.Acts = slices.Insert(next.Acts, at, DutyAct{Number: number, Content: c.Content})
+		changed = true
+	}
+	if c.Done && !next.Acts[at].Done {
+		next.Acts[at] = DutyAct{Number: number, Done: true}
+		changed = true
+	}
+	act = next.Acts[at]
+	if extra := len(next.Acts) - maxDutyActs; extra > 0 {
+		next.Forgotten = next.Acts[extra-1].Number
+		next.Acts = next.Acts[extra:]
+	}
+	return next, act, changed
+}
+
+func (s *State) encodeDuties() []DutySubject {
+	out := make([]DutySubject, 0, len(s.duties))
+	for _, d := range s.duties {
+		out = append(out, d)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
--- /dev/null
+++ b/internal/fleetstate/duty_round_test.go
@@ -0,0 +1,120 @@
+// Rounds of duties on the state alone.
+
+package fleetstate
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"keelstair.example/coordination"
+	"keelstair.example/failure"
+	"keelstair.example/ids"
+)
+
+func winRound(t *testing.T, s *State, c DutyRound) (DutyAct, error) {
+	t.Helper()
+	out, err := s.Apply(DutyRoundKind, coordination.MustMarshal(&c))
+	if err != nil && err != coordination.ErrUnchanged {
+		return DutyAct{}, err
+	}
+	var reply DutyRoundReply
+	_, readErr := reply.UnmarshalMsg(out)
+	require.NoError(t, readErr)
+	return reply.Act, err
+}
+
+// TestDutyContentFixedByFirstRound: a later holder takes over the content of an act as it is.
+func TestDutyContentFixedByFirstRound(t *testing.T) {
+	s := newState(false, Retention{})
+	first := DutyRound{Subject: "usage", Number: 7, Owner: "a", Fence: 3, Content: []byte("x")}
+	act, err := winRound(t, s, first)
+	require.NoError(t, err)
+	require.Equal(t, DutyAct{Number: 7, Content: []byte("x")}, act)
+	_, err = winRound(t, s, first)
+	require.ErrorIs(t, err, coordination.ErrUnchanged)
+	act, err = winRound(t, s, DutyRound{Subject: "usage", Number: 7, Owner: "b", Fence: 4, Content: []byte("y")})
+	require.NoError(t, err)
+	require.Equal(t, "x", string(act.Content))
+	act, err = winRound(t, s, DutyRound{Subject: "usage", Number: 7, Owner: "b", Fence: 4, Done: true})
+	require.NoError(t, err)
+	require.Equal(t, DutyAct{Number: 7, Done: true}, act)
+	act, err = winRound(t, s, DutyRound{Subject: "usage", Number: 7, Owner: "b", Fence: 4, Content: []byte("z")})
+	require.ErrorIs(t, err, coordination.ErrUnchanged)
+	require.Equal(t, DutyAct{Number: 7, Done: true}, act)
+}
+
+// TestDutyRoundOfEarlierHolder: once a later holder has won, an earlier one wins no round of the
+// subject, nor does another one under the same fence, and neither changes anything.
+func TestDutyRoundOfEarlierHolder(t *testing.T) {
+	s := newState(false, Retention{})
+	_, err := winRound(t, s, DutyRound{Subject: "usage", Number: 1, Owner: "b", Fence: 4})
+	require.NoError(t, err)
+	before := coordination.MustMarshal(s.encode(false))
+	for _, c := range []DutyRound{
+		{Subject: "usage", Number: 2, Owner: "a", Fence: 3},
+		{Subject: "usage", Number: 1, Owner: "a", Fence: 3, Done: true},
+		{Subject: "usage", Number: 2, Owner: "a", Fence: 4},
+	} {
+		_, err = winRound(t, s, c)
+		require.True(t, failure.Is(err, failure.Stale), "%v", err)
+		require.Equal(t, before, coordination.MustMarshal(s.encode(false)))
+	}
+	_, err = winRound(t, s, DutyRound{Subject: "other", Number: 2, Owner: "a", Fence: 3})
+	require.NoError(t, err, "subjects are apart")
+}
+
+// TestDutyActsBounded: the oldest acts are forgotten, and no round is won for them again, whatever
+// the order in which acts came.
+func TestDutyActsBounded(t *testing.T) {
+	s := newState(false, Retention{})
+	for i := range uint64(maxDutyActs + 3) {
+		_, err := winRound(t, s, DutyRound{Subject: "usage", Number: 100 + i, Owner: "a", Fence: 1})
+		require.NoError(t, err)
+	}
+	require.Len(t, s.duties["usage"].Acts, maxDutyActs)
+	_, err := winRound(t, s, DutyRound{Subject: "usage", Number: 102, Owner: "a", Fence: 1})
+	require.True(t, failure.Is(err, failure.Stale), "%v", err)
+	act, err := winRound(t, s, DutyRound{Subject: "usage", Owner: "a", Fence: 1, Content: []byte("next")})
+	require.NoError(t, err)
+	require.EqualValues(t, 100+maxDutyActs+3, act.Number)
+}
+
+// TestDutyRoundsInSnapshot: a copy made from a whole snapshot holds later rounds to the same; nodes are
+// told nothing of them.
+func TestDutyRoundsInSnapshot(t *testing.T) {
+	m := NewMachine(MachineOptions{Metering: true})
+	for _, subject := range []string{"b", "a"} {
+		_, err := winRound(t, m.State, DutyRound{Subject: subject, Number: 5, Owner: "n", Fence: 9, Content: []byte(subject)})
+		require.NoError(t, err)
+	}
+	copied := NewMachine(MachineOptions{})
+	require.NoError(t, copied.Restore(m.Snapshot(false)))
+	require.Equal(t, m.duties, copied.duties)
+	require.Equal(t, m.Snapshot(false), copied.Snapshot(false))
+	_, err := winRound(t, copied.State, DutyRound{Subject: "a", Number: 6, Owner: "m", Fence: 8})
+	require.True(t, failure.Is(err, failure.Stale), "%v", err)
+	open := NewMachine(MachineOptions{})
+	require.NoError(t, open.Restore(m.Snapshot(true)))
+	require.Empty(t, open.duties)
+	require.False(t, m.Published(DutyRoundKind))
+}
+
+// TestMeteringKey: there is a key for metering only where usage is reported.
+func TestMeteringKey(t *testing.T) {
+	text := []byte(`{"services":{"svc":{"concurrency":1}}}`)
+	for _, metering := range []bool{false, true} {
+		m := NewMachine(MachineOptions{Metering: metering})
+		m.active = VersionedText{Version: 1, Text: compress(text)}
+		require.Equal(t, metering, contains(m.Keys(), MeteringKey))
+	}
+}
+
+func contains(keys []ids.Key, key ids.Key) bool {
+	for _, k := range keys {
+		if k == key {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/fleetstate/machine.go
+++ b/internal/fleetstate/machine.go
@@ -50,6 +50,7 @@
 	pendingRevocations map[string]ids.Seq // revocations that wait for nodes to have seen them
 	clock              clock
 	unrevoked          *certification.Register // of the active configuration
+	metering           bool
 }
 
 // MachineOptions of a machine; what is zero takes the default named beside it.
@@ -58,6 +59,7 @@
 	Read          ConfigurationReader // Plain: makes a configuration of a text
 	Retention     Retention
 	Wall          func() time.Time // time.Now: read once, for the fleet's time to begin
+	Metering      bool             // usage is reported, so that there is a key for it
 }
 
 // NewMachine returns an empty machine; zero options take their defaults.
@@ -76,6 +78,7 @@
 		failbackSince:      map[uint64]ids.Tick{},
 		pendingRevocations: map[string]ids.Seq{},
 		clock:              clock{wall: opt.Wall},
+		metering:           opt.Metering,
 	}
 	m.pendingCommits = []*pendingCommit{
 		{
@@ -111,9 +114,11 @@
 	return out, err
 }
 
-// Published reports whether watchers see a command: nodes hear of the time by their leases, and
-// of the audit record when they ask.
-func (m *Machine) Published(kind string) bool { return kind != ClockKind && kind != AuditKind }
+// Published reports whether watchers see a command: nodes hear of the time by their leases, of
+// the audit record when they ask, and of duty rounds by the answers.
+func (m *Machine) Published(kind string) bool {
+	return kind != ClockKind && kind != AuditKind && kind != DutyRoundKind
+}
 
 // Restore replaces the state by that of a snapshot.
 func (m *Machine) Restore(body []byte) error { m.keysVersion = 0; m.keys = nil; return m.decode(body) }
@@ -144,6 +149,9 @@
 		if len(p.Services) > 0 {
 			m.keys = append(m.keys, WorkerListKey)
 		}
+		if len(p.Services) > 0 && m.metering {
+			m.keys = append(m.keys, MeteringKey)
+		}
 		for n, svc := range p.Services {
 			m.maxSlowStart = max(m.maxSlowStart, svc.SlowStart())
 			m.keys = append(m.keys, ServiceKey(n))
--- a/internal/fleetstate/messages.go
+++ b/internal/fleetstate/messages.go
@@ -57,6 +57,9 @@
 // RoleChangeKind is the name of RoleChange in the log.
 const RoleChangeKind = "lore.turn"
 
+// DutyRoundKind is the name of DutyRound in the log.
+const DutyRoundKind = "lore.duty"
+
 // PrepareVersion brings a whole, checked configuration, made over the version Base.
 // Next is the number it gets; 0 is the one after Base. With Delta, Text is a Delta from
 // the text of Base.
@@ -147,6 +150,40 @@
 	Done   bool
 }
 
+// DutyRound asks for the right to one act of a duty: the act of a number for a subject, with
+// its content. The first round for an act fixes the content. Number 0 stands for the act after
+// the newest. Done says that the act was accepted outside, and brings no content.
+type DutyRound struct {
+	Subject string
+	Number  uint64
+	Owner   ids.NodeID
+	Fence   ids.Fence
+	Content []byte
+	Done    bool
+}
+
+// DutyRoundReply is the act as it stands.
+type DutyRoundReply struct {
+	Act DutyAct
+}
+
+// DutyAct is one act of a subject. Content is dropped once it is done.
+type DutyAct struct {
+	Number  uint64
+	Content []byte
+	Done    bool
+}
+
+// DutySubject is what is kept of a subject: who won a round for it last, the newest acts in the
+// order of their numbers, and the number up to which acts are not kept any more.
+type DutySubject struct {
+	Name      string
+	Owner     ids.NodeID
+	Fence     ids.Fence
+	Forgotten uint64
+	Acts      []DutyAct
+}
+
 // Fates of an idempotency record. Once it is not Claimed any more it never changes.
 const (
 	Claimed    = "claimed"
@@ -273,6 +310,7 @@
 	RecordCount        int    `msg:"Count"`
 	CertificationState `msg:"Governed"`
 	OrderMemory
+	Duties []DutySubject `msg:"Duties,omitempty"`
 }
 
 // CertificationState is empty without regimes.
--- a/internal/fleetstate/messages_gen.go
+++ b/internal/fleetstate/messages_gen.go
@@ -1035,128 +1035,583 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *EncodedState) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *DutyAct) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 15
-	// string "Active"
-	o = append(o, 0x8f, 0xa6, 0x41, 0x63, 0x74, 0x69, 0x76, 0x65)
-	// map header, size 2
-	// string "Version"
-	o = append(o, 0x82, 0xa7, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, uint64(z.Active.Version))
-	// string "Text"
-	o = append(o, 0xa4, 0x54, 0x65, 0x78, 0x74)
-	o = msgp.AppendBytes(o, z.Active.Text)
-	// string "Staged"
-	o = append(o, 0xa6, 0x53, 0x74, 0x61, 0x67, 0x65, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Prepared)))
-	for za0001 := range z.Prepared {
-		// map header, size 2
-		// string "Version"
-		o = append(o, 0x82, 0xa7, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-		o = msgp.AppendUint64(o, uint64(z.Prepared[za0001].Version))
-		// string "Text"
-		o = append(o, 0xa4, 0x54, 0x65, 0x78, 0x74)
-		o = msgp.AppendBytes(o, z.Prepared[za0001].Text)
+	// map header, size 3
+	// string "Number"
+	o = append(o, 0x83, 0xa6, 0x4e, 0x75, 0x6d, 0x62, 0x65, 0x72)
+	o = msgp.AppendUint64(o, z.Number)
+	// string "Content"
+	o = append(o, 0xa7, 0x43, 0x6f, 0x6e, 0x74, 0x65, 0x6e, 0x74)
+	o = msgp.AppendBytes(o, z.Content)
+	// string "Done"
+	o = append(o, 0xa4, 0x44, 0x6f, 0x6e, 0x65)
+	o = msgp.AppendBool(o, z.Done)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *DutyAct) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
 	}
-	// string "Zones"
-	o = append(o, 0xa5, 0x5a, 0x6f, 0x6e, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Zones)))
-	for za0002 := range z.Zones {
-		o = msgp.AppendString(o, z.Zones[za0002])
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Number":
+			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
+			}
+		case "Content":
+			z.Content, bts, err = msgp.ReadBytesBytes(bts, z.Content)
+			if err != nil {
+				err = msgp.WrapError(err, "Content")
+				return
+			}
+		case "Done":
+			z.Done, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Done")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
-	// string "Drained"
-	o = append(o, 0xa7, 0x44, 0x72, 0x61, 0x69, 0x6e, 0x65, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Drained)))
-	for za0003 := range z.Drained {
-		o = msgp.AppendString(o, z.Drained[za0003])
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *DutyAct) Msgsize() (s int) {
+	s = 1 + 7 + msgp.Uint64Size + 8 + msgp.BytesPrefixSize + len(z.Content) + 5 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *DutyRound) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "Subject"
+	o = append(o, 0x86, 0xa7, 0x53, 0x75, 0x62, 0x6a, 0x65, 0x63, 0x74)
+	o = msgp.AppendString(o, z.Subject)
+	// string "Number"
+	o = append(o, 0xa6, 0x4e, 0x75, 0x6d, 0x62, 0x65, 0x72)
+	o = msgp.AppendUint64(o, z.Number)
+	// string "Owner"
+	o = append(o, 0xa5, 0x4f, 0x77, 0x6e, 0x65, 0x72)
+	o = msgp.AppendString(o, string(z.Owner))
+	// string "Fence"
+	o = append(o, 0xa5, 0x46, 0x65, 0x6e, 0x63, 0x65)
+	o = msgp.AppendUint64(o, uint64(z.Fence))
+	// string "Content"
+	o = append(o, 0xa7, 0x43, 0x6f, 0x6e, 0x74, 0x65, 0x6e, 0x74)
+	o = msgp.AppendBytes(o, z.Content)
+	// string "Done"
+	o = append(o, 0xa4, 0x44, 0x6f, 0x6e, 0x65)
+	o = msgp.AppendBool(o, z.Done)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *DutyRound) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
 	}
-	// string "Turning"
-	o = append(o, 0xa7, 0x54, 0x75, 0x72, 0x6e, 0x69, 0x6e, 0x67)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.RoleChanges)))
-	for za0004 := range z.RoleChanges {
-		// map header, size 3
-		// string "Worker"
-		o = append(o, 0x83, 0xa6, 0x57, 0x6f, 0x72, 0x6b, 0x65, 0x72)
-		o = msgp.AppendString(o, string(z.RoleChanges[za0004].Worker))
-		// string "To"
-		o = append(o, 0xa2, 0x54, 0x6f)
-		o = msgp.AppendString(o, string(z.RoleChanges[za0004].To))
-		// string "Done"
-		o = append(o, 0xa4, 0x44, 0x6f, 0x6e, 0x65)
-		o = msgp.AppendBool(o, z.RoleChanges[za0004].Done)
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Subject":
+			z.Subject, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Subject")
+				return
+			}
+		case "Number":
+			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
+			}
+		case "Owner":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Owner")
+					return
+				}
+				z.Owner = ids.NodeID(zb0002)
+			}
+		case "Fence":
+			{
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Fence")
+					return
+				}
+				z.Fence = ids.Fence(zb0003)
+			}
+		case "Content":
+			z.Content, bts, err = msgp.ReadBytesBytes(bts, z.Content)
+			if err != nil {
+				err = msgp.WrapError(err, "Content")
+				return
+			}
+		case "Done":
+			z.Done, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Done")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
-	// string "Failbacks"
-	o = append(o, 0xa9, 0x46, 0x61, 0x69, 0x6c, 0x62, 0x61, 0x63, 0x6b, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Failbacks)))
-	for za0005 := range z.Failbacks {
-		// map header, size 3
-		// string "Zone"
-		o = append(o, 0x83, 0xa4, 0x5a, 0x6f, 0x6e, 0x65)
-		o = msgp.AppendString(o, string(z.Failbacks[za0005].Zone))
-		// string "No"
-		o = append(o, 0xa2, 0x4e, 0x6f)
-		o = msgp.AppendUint64(o, z.Failbacks[za0005].Number)
-		// string "Ago"
-		o = append(o, 0xa3, 0x41, 0x67, 0x6f)
-		o = msgp.AppendInt64(o, z.Failbacks[za0005].Ago)
-	}
-	// string "Returns"
-	o = append(o, 0xa7, 0x52, 0x65, 0x74, 0x75, 0x72, 0x6e, 0x73)
-	o = msgp.AppendUint64(o, z.FailbackCount)
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *DutyRound) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Subject) + 7 + msgp.Uint64Size + 6 + msgp.StringPrefixSize + len(string(z.Owner)) + 6 + msgp.Uint64Size + 8 + msgp.BytesPrefixSize + len(z.Content) + 5 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *DutyRoundReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "Act"
+	o = append(o, 0x81, 0xa3, 0x41, 0x63, 0x74)
+	// map header, size 3
+	// string "Number"
+	o = append(o, 0x83, 0xa6, 0x4e, 0x75, 0x6d, 0x62, 0x65, 0x72)
+	o = msgp.AppendUint64(o, z.Act.Number)
+	// string "Content"
+	o = append(o, 0xa7, 0x43, 0x6f, 0x6e, 0x74, 0x65, 0x6e, 0x74)
+	o = msgp.AppendBytes(o, z.Act.Content)
+	// string "Done"
+	o = append(o, 0xa4, 0x44, 0x6f, 0x6e, 0x65)
+	o = msgp.AppendBool(o, z.Act.Done)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *DutyRoundReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Act":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Act")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Act")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "Number":
+					z.Act.Number, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Act", "Number")
+						return
+					}
+				case "Content":
+					z.Act.Content, bts, err = msgp.ReadBytesBytes(bts, z.Act.Content)
+					if err != nil {
+						err = msgp.WrapError(err, "Act", "Content")
+						return
+					}
+				case "Done":
+					z.Act.Done, bts, err = msgp.ReadBoolBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Act", "Done")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Act")
+						return
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *DutyRoundReply) Msgsize() (s int) {
+	s = 1 + 4 + 1 + 7 + msgp.Uint64Size + 8 + msgp.BytesPrefixSize + len(z.Act.Content) + 5 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *DutySubject) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "Name"
+	o = append(o, 0x85, 0xa4, 0x4e, 0x61, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Name)
+	// string "Owner"
+	o = append(o, 0xa5, 0x4f, 0x77, 0x6e, 0x65, 0x72)
+	o = msgp.AppendString(o, string(z.Owner))
 	// string "Fence"
 	o = append(o, 0xa5, 0x46, 0x65, 0x6e, 0x63, 0x65)
 	o = msgp.AppendUint64(o, uint64(z.Fence))
-	// string "Deeds"
-	o = append(o, 0xa5, 0x44, 0x65, 0x65, 0x64, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Records)))
-	for za0006 := range z.Records {
-		o, err = z.Records[za0006].MarshalMsg(o)
+	// string "Forgotten"
+	o = append(o, 0xa9, 0x46, 0x6f, 0x72, 0x67, 0x6f, 0x74, 0x74, 0x65, 0x6e)
+	o = msgp.AppendUint64(o, z.Forgotten)
+	// string "Acts"
+	o = append(o, 0xa4, 0x41, 0x63, 0x74, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Acts)))
+	for za0001 := range z.Acts {
+		// map header, size 3
+		// string "Number"
+		o = append(o, 0x83, 0xa6, 0x4e, 0x75, 0x6d, 0x62, 0x65, 0x72)
+		o = msgp.AppendUint64(o, z.Acts[za0001].Number)
+		// string "Content"
+		o = append(o, 0xa7, 0x43, 0x6f, 0x6e, 0x74, 0x65, 0x6e, 0x74)
+		o = msgp.AppendBytes(o, z.Acts[za0001].Content)
+		// string "Done"
+		o = append(o, 0xa4, 0x44, 0x6f, 0x6e, 0x65)
+		o = msgp.AppendBool(o, z.Acts[za0001].Done)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *DutySubject) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Records", za0006)
+			err = msgp.WrapError(err)
 			return
 		}
+		switch msgp.UnsafeString(field) {
+		case "Name":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "Owner":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Owner")
+					return
+				}
+				z.Owner = ids.NodeID(zb0002)
+			}
+		case "Fence":
+			{
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Fence")
+					return
+				}
+				z.Fence = ids.Fence(zb0003)
+			}
+		case "Forgotten":
+			z.Forgotten, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Forgotten")
+				return
+			}
+		case "Acts":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Acts")
+				return
+			}
+			if cap(z.Acts) >= int(zb0004) {
+				z.Acts = (z.Acts)[:zb0004]
+			} else {
+				z.Acts = make([]DutyAct, zb0004)
+			}
+			for za0001 := range z.Acts {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Acts", za0001)
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Acts", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "Number":
+						z.Acts[za0001].Number, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Acts", za0001, "Number")
+							return
+						}
+					case "Content":
+						z.Acts[za0001].Content, bts, err = msgp.ReadBytesBytes(bts, z.Acts[za0001].Content)
+						if err != nil {
+							err = msgp.WrapError(err, "Acts", za0001, "Content")
+							return
+						}
+					case "Done":
+						z.Acts[za0001].Done, bts, err = msgp.ReadBoolBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Acts", za0001, "Done")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Acts", za0001)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
-	// string "Programs"
-	o = append(o, 0xa8, 0x50, 0x72, 0x6f, 0x67, 0x72, 0x61, 0x6d, 0x73)
-	// map header, size 2
-	// string "Version"
-	o = append(o, 0x82, 0xa7, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, uint64(z.Programs.Version))
-	// string "Text"
-	o = append(o, 0xa4, 0x54, 0x65, 0x78, 0x74)
-	o = msgp.AppendBytes(o, z.Programs.Text)
-	// string "ProgramsPending"
-	o = append(o, 0xaf, 0x50, 0x72, 0x6f, 0x67, 0x72, 0x61, 0x6d, 0x73, 0x50, 0x65, 0x6e, 0x64, 0x69, 0x6e, 0x67)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.ProgramsPrepared)))
-	for za0007 := range z.ProgramsPrepared {
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *DutySubject) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 6 + msgp.StringPrefixSize + len(string(z.Owner)) + 6 + msgp.Uint64Size + 10 + msgp.Uint64Size + 5 + msgp.ArrayHeaderSize
+	for za0001 := range z.Acts {
+		s += 1 + 7 + msgp.Uint64Size + 8 + msgp.BytesPrefixSize + len(z.Acts[za0001].Content) + 5 + msgp.BoolSize
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *EncodedState) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(16)
+	var zb0001Mask uint16 /* 16 bits */
+	_ = zb0001Mask
+	if z.Duties == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8000
+	}
+	// variable map header, size zb0001Len
+	o = msgp.AppendMapHeader(o, zb0001Len)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "Active"
+		o = append(o, 0xa6, 0x41, 0x63, 0x74, 0x69, 0x76, 0x65)
 		// map header, size 2
 		// string "Version"
 		o = append(o, 0x82, 0xa7, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-		o = msgp.AppendUint64(o, uint64(z.ProgramsPrepared[za0007].Version))
+		o = msgp.AppendUint64(o, uint64(z.Active.Version))
 		// string "Text"
 		o = append(o, 0xa4, 0x54, 0x65, 0x78, 0x74)
-		o = msgp.AppendBytes(o, z.ProgramsPrepared[za0007].Text)
-	}
-	// string "Rows"
-	o = append(o, 0xa4, 0x52, 0x6f, 0x77, 0x73)
-	o = msgp.AppendBytes(o, z.AgedRows)
-	// string "Count"
-	o = append(o, 0xa5, 0x43, 0x6f, 0x75, 0x6e, 0x74)
-	o = msgp.AppendInt(o, z.RecordCount)
-	// string "Governed"
-	o = append(o, 0xa8, 0x47, 0x6f, 0x76, 0x65, 0x72, 0x6e, 0x65, 0x64)
-	o, err = z.CertificationState.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "CertificationState")
-		return
-	}
-	// string "OrderMemory"
-	o = append(o, 0xab, 0x4f, 0x72, 0x64, 0x65, 0x72, 0x4d, 0x65, 0x6d, 0x6f, 0x72, 0x79)
-	o, err = z.OrderMemory.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "OrderMemory")
-		return
+		o = msgp.AppendBytes(o, z.Active.Text)
+		// string "Staged"
+		o = append(o, 0xa6, 0x53, 0x74, 0x61, 0x67, 0x65, 0x64)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Prepared)))
+		for za0001 := range z.Prepared {
+			// map header, size 2
+			// string "Version"
+			o = append(o, 0x82, 0xa7, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendUint64(o, uint64(z.Prepared[za0001].Version))
+			// string "Text"
+			o = append(o, 0xa4, 0x54, 0x65, 0x78, 0x74)
+			o = msgp.AppendBytes(o, z.Prepared[za0001].Text)
+		}
+		// string "Zones"
+		o = append(o, 0xa5, 0x5a, 0x6f, 0x6e, 0x65, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Zones)))
+		for za0002 := range z.Zones {
+			o = msgp.AppendString(o, z.Zones[za0002])
+		}
+		// string "Drained"
+		o = append(o, 0xa7, 0x44, 0x72, 0x61, 0x69, 0x6e, 0x65, 0x64)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Drained)))
+		for za0003 := range z.Drained {
+			o = msgp.AppendString(o, z.Drained[za0003])
+		}
+		// string "Turning"
+		o = append(o, 0xa7, 0x54, 0x75, 0x72, 0x6e, 0x69, 0x6e, 0x67)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.RoleChanges)))
+		for za0004 := range z.RoleChanges {
+			// map header, size 3
+			// string "Worker"
+			o = append(o, 0x83, 0xa6, 0x57, 0x6f, 0x72, 0x6b, 0x65, 0x72)
+			o = msgp.AppendString(o, string(z.RoleChanges[za0004].Worker))
+			// string "To"
+			o = append(o, 0xa2, 0x54, 0x6f)
+			o = msgp.AppendString(o, string(z.RoleChanges[za0004].To))
+			// string "Done"
+			o = append(o, 0xa4, 0x44, 0x6f, 0x6e, 0x65)
+			o = msgp.AppendBool(o, z.RoleChanges[za0004].Done)
+		}
+		// string "Failbacks"
+		o = append(o, 0xa9, 0x46, 0x61, 0x69, 0x6c, 0x62, 0x61, 0x63, 0x6b, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Failbacks)))
+		for za0005 := range z.Failbacks {
+			// map header, size 3
+			// string "Zone"
+			o = append(o, 0x83, 0xa4, 0x5a, 0x6f, 0x6e, 0x65)
+			o = msgp.AppendString(o, string(z.Failbacks[za0005].Zone))
+			// string "No"
+			o = append(o, 0xa2, 0x4e, 0x6f)
+			o = msgp.AppendUint64(o, z.Failbacks[za0005].Number)
+			// string "Ago"
+			o = append(o, 0xa3, 0x41, 0x67, 0x6f)
+			o = msgp.AppendInt64(o, z.Failbacks[za0005].Ago)
+		}
+		// string "Returns"
+		o = append(o, 0xa7, 0x52, 0x65, 0x74, 0x75, 0x72, 0x6e, 0x73)
+		o = msgp.AppendUint64(o, z.FailbackCount)
+		// string "Fence"
+		o = append(o, 0xa5, 0x46, 0x65, 0x6e, 0x63, 0x65)
+		o = msgp.AppendUint64(o, uint64(z.Fence))
+		// string "Deeds"
+		o = append(o, 0xa5, 0x44, 0x65, 0x65, 0x64, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Records)))
+		for za0006 := range z.Records {
+			o, err = z.Records[za0006].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Records", za0006)
+				return
+			}
+		}
+		// string "Programs"
+		o = append(o, 0xa8, 0x50, 0x72, 0x6f, 0x67, 0x72, 0x61, 0x6d, 0x73)
+		// map header, size 2
+		// string "Version"
+		o = append(o, 0x82, 0xa7, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, uint64(z.Programs.Version))
+		// string "Text"
+		o = append(o, 0xa4, 0x54, 0x65, 0x78, 0x74)
+		o = msgp.AppendBytes(o, z.Programs.Text)
+		// string "ProgramsPending"
+		o = append(o, 0xaf, 0x50, 0x72, 0x6f, 0x67, 0x72, 0x61, 0x6d, 0x73, 0x50, 0x65, 0x6e, 0x64, 0x69, 0x6e, 0x67)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.ProgramsPrepared)))
+		for za0007 := range z.ProgramsPrepared {
+			// map header, size 2
+			// string "Version"
+			o = append(o, 0x82, 0xa7, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendUint64(o, uint64(z.ProgramsPrepared[za0007].Version))
+			// string "Text"
+			o = append(o, 0xa4, 0x54, 0x65, 0x78, 0x74)
+			o = msgp.AppendBytes(o, z.ProgramsPrepared[za0007].Text)
+		}
+		// string "Rows"
+		o = append(o, 0xa4, 0x52, 0x6f, 0x77, 0x73)
+		o = msgp.AppendBytes(o, z.AgedRows)
+		// string "Count"
+		o = append(o, 0xa5, 0x43, 0x6f, 0x75, 0x6e, 0x74)
+		o = msgp.AppendInt(o, z.RecordCount)
+		// string "Governed"
+		o = append(o, 0xa8, 0x47, 0x6f, 0x76, 0x65, 0x72, 0x6e, 0x65, 0x64)
+		o, err = z.CertificationState.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "CertificationState")
+			return
+		}
+		// string "OrderMemory"
+		o = append(o, 0xab, 0x4f, 0x72, 0x64, 0x65, 0x72, 0x4d, 0x65, 0x6d, 0x6f, 0x72, 0x79)
+		o, err = z.OrderMemory.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "OrderMemory")
+			return
+		}
+		if (zb0001Mask & 0x8000) == 0 { // if not omitted
+			// string "Duties"
+			o = append(o, 0xa6, 0x44, 0x75, 0x74, 0x69, 0x65, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Duties)))
+			for za0008 := range z.Duties {
+				o, err = z.Duties[za0008].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Duties", za0008)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -1578,6 +2033,25 @@
 				err = msgp.WrapError(err, "OrderMemory")
 				return
 			}
+		case "Duties":
+			var zb0023 uint32
+			zb0023, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Duties")
+				return
+			}
+			if cap(z.Duties) >= int(zb0023) {
+				z.Duties = (z.Duties)[:zb0023]
+			} else {
+				z.Duties = make([]DutySubject, zb0023)
+			}
+			for za0008 := range z.Duties {
+				bts, err = z.Duties[za0008].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Duties", za0008)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1592,7 +2066,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EncodedState) Msgsize() (s int) {
-	s = 1 + 7 + 1 + 8 + msgp.Uint64Size + 5 + msgp.BytesPrefixSize + len(z.Active.Text) + 7 + msgp.ArrayHeaderSize
+	s = 3 + 7 + 1 + 8 + msgp.Uint64Size + 5 + msgp.BytesPrefixSize + len(z.Active.Text) + 7 + msgp.ArrayHeaderSize
 	for za0001 := range z.Prepared {
 		s += 1 + 8 + msgp.Uint64Size + 5 + msgp.BytesPrefixSize + len(z.Prepared[za0001].Text)
 	}
@@ -1620,7 +2094,10 @@
 	for za0007 := range z.ProgramsPrepared {
 		s += 1 + 8 + msgp.Uint64Size + 5 + msgp.BytesPrefixSize + len(z.ProgramsPrepared[za0007].Text)
 	}
-	s += 5 + msgp.BytesPrefixSize + len(z.AgedRows) + 6 + msgp.IntSize + 9 + z.CertificationState.Msgsize() + 12 + z.OrderMemory.Msgsize()
+	s += 5 + msgp.BytesPrefixSize + len(z.AgedRows) + 6 + msgp.IntSize + 9 + z.CertificationState.Msgsize() + 12 + z.OrderMemory.Msgsize() + 7 + msgp.ArrayHeaderSize
+	for za0008 := range z.Duties {
+		s += z.Duties[za0008].Msgsize()
+	}
 	return
 }
 
--- a/internal/fleetstate/state.go
+++ b/internal/fleetstate/state.go
@@ -34,6 +34,7 @@
 	time           int64           // bound of the fleet's time
 	governed       bool            // the configuration in force has regimes
 	audit          audit
+	duties         map[string]DutySubject
 }
 
 func newState(lean bool, d Retention) *State {
@@ -47,6 +48,7 @@
 		records:       map[string]IdempotencyRecord{},
 		aged:          newAgedKeys(d),
 		revoked:       map[string]bool{},
+		duties:        map[string]DutySubject{},
 	}
 }
 
@@ -104,6 +106,8 @@
 		return &Audit{}
 	case AuditQueryKind:
 		return &AuditQuery{}
+	case DutyRoundKind:
+		return &DutyRound{}
 	}
 	return nil
 }
--- a/internal/fleetstate/state_encoding.go
+++ b/internal/fleetstate/state_encoding.go
@@ -51,6 +51,7 @@
 		for _, k := range s.resolvedOrder {
 			encoded.Records = append(encoded.Records, s.records[k])
 		}
+		encoded.Duties = s.encodeDuties()
 		encoded.Audits, encoded.AuditCount, encoded.AuditHead = s.audit.open, s.audit.count, s.audit.head
 		for _, r := range s.aged.rows {
 			encoded.AgedRows = append(encoded.AgedRows, r[:]...)
@@ -101,6 +102,9 @@
 			next.resolvedOrder = append(next.resolvedOrder, d.Key)
 		}
 	}
+	for _, d := range encoded.Duties {
+		next.duties[d.Name] = d
+	}
 	for at := 0; at+rowSize <= len(encoded.AgedRows); at += rowSize {
 		next.aged.add([rowSize]byte(encoded.AgedRows[at : at+rowSize]))
 	}
