--- a/internal/proxy/tenant_test.go
+++ b/internal/proxy/tenant_test.go
@@ -4,6 +4,7 @@
 package proxy
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -258,6 +259,39 @@
 	}
 }
 
+// TestMovedKeyNamesItsNewTenant: a request that is sent again after its key went to another tenant
+// names that one.
+func TestMovedKeyNamesItsNewTenant(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		y := newCluster(both("svc", 2, 3)...)
+		f := build(t, 84, 2, y, tenantPolicy("amber"), func(o *Options) { o.RetryAllowance = 40 })
+		defer f.close()
+		y.at(func() {
+			silent := true
+			y.fate = func(k row, _ *stand) fate {
+				if k.Kind != "emit" || !silent {
+					return fine
+				}
+				silent = false
+				return idleSilent
+			}
+		})
+		ended := make(chan *asked, 1)
+		f.wg.Go(func() { ended <- f.ask(f.nodes[0], f.keyed("r", "/again/x", "amber")) })
+		time.Sleep(200 * time.Millisecond)
+		moved := bytes.Replace(tenantPolicy("amber"), []byte(`"name":"amber"`), []byte(`"name":"birch"`), 1)
+		require.NoError(t, f.put("two", 1, 2, moved))
+		require.NoError(t, (<-ended).err)
+		var names []string
+		for _, k := range y.callsOf("r") {
+			if k.Kind == "emit" {
+				names = append(names, k.Tenant)
+			}
+		}
+		require.Equal(t, []string{"amber", "birch"}, names)
+	})
+}
+
 // TestAddedKeyIsNotMissed: while versions that add keys come one after the other, a request with a
 // key is never rejected for it once its version is in force at the node that takes the request.
 func TestAddedKeyIsNotMissed(t *testing.T) {
