--- a/cmd/keelstair-platform/main.go
+++ b/cmd/keelstair-platform/main.go
@@ -87,6 +87,7 @@
 	if s.Dir == "" {
 		return runDiskless(s, host, ring)
 	}
+	documents := &platform.DocumentReader{}
 	c, err := coordination.New(coordination.Options{
 		Addr:           s.ControlAddr,
 		Zone:           ids.Zone(s.Zone),
@@ -97,7 +98,7 @@
 		JoinOnly:       !s.Bootstrap,
 		FaultTolerance: s.FaultTolerance,
 		Machine: func() coordination.StateMachine {
-			return fleetstate.NewMachine(fleetstate.MachineOptions{Read: platform.ReadDocument})
+			return fleetstate.NewMachine(fleetstate.MachineOptions{Read: documents.Read})
 		},
 	})
 	if err != nil {
@@ -194,7 +195,7 @@
 		Host:               host,
 		Ring:               ring,
 		Backend:            platform.NewWorkerBackend(host.Net, s.CloudAddr),
-		ReadConfiguration:  platform.ReadDocument,
+		ReadConfiguration:  (&platform.DocumentReader{}).Read,
 		Programs:           programs,
 		LeaseDuration:      s.LeaseDuration,
 		ListRate:           s.ListRate,
