coordination: a fetch of the change feed ends by silence, not by its whole time

A fetch ended 0.7 s after its wait, whatever the size of the answer, and the next began from the same place: a node whose link carries the state in longer than that never had a version at all, and 300 nodes that ask one primary at once share its link.

rpc.CallUntilSilent bounds the time without a byte of the answer, first and between bytes; a fetch uses it with 0.7 s after its wait. The simulated network now gives large writes in pieces, as links do.

TestLargeSnapshotOverSlowLinkArrives: over a link that carries the state in 5 s a node never came to version 1 before. TestCallUntilSilent: an answer that trickles arrives, one that stops is left.

--- a/coordination/watch.go
+++ b/coordination/watch.go
@@ -14,6 +14,11 @@
 	"keelstair.example/rpc"
 )
 
+const (
+	fetchSilence = 700 * time.Millisecond // without a byte of the change feed: its sender is left
+	maxFetch     = 30 * time.Second
+)
+
 // follow asks the core, and while that is away, peers.
 func (a *Agent) follow(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -52,10 +57,12 @@
 func (a *Agent) Fetch(ctx context.Context, addr string) error { return a.fetch(ctx, addr, 0) }
 
 func (a *Agent) fetch(ctx context.Context, addr string, wait time.Duration) error {
-	ctx, stop := context.WithTimeout(ctx, wait+700*time.Millisecond)
+	ctx, stop := context.WithTimeout(ctx, maxFetch)
 	defer stop()
 	request := &WatchRequest{From: a.Seq(), Wait: int64(wait)}
-	r, err := rpc.Call[WatchRequest, WatchResponse](ctx, a.caller, addr, WatchMethod, request)
+	r, err := rpc.CallUntilSilent[WatchRequest, WatchResponse](
+		ctx, a.caller, addr, WatchMethod, request, wait+fetchSilence, fetchSilence,
+	)
 	if err != nil {
 		return err
 	}
--- a/host/simulated/net.go
+++ b/host/simulated/net.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -17,6 +18,9 @@
 	"keelstair.example/host"
 )
 
+// segmentSize is what arrives together of one write.
+const segmentSize = 8 << 10
+
 var errReset = &net.OpError{Op: "read", Net: "simulated", Err: syscall.ECONNRESET}
 
 func dialFault(err error) error { return &net.OpError{Op: "dial", Net: "simulated", Err: err} }
@@ -134,15 +138,17 @@
 		return 0, &net.OpError{Op: "write", Net: "simulated", Err: syscall.EPIPE}
 	}
 	l := w.link(h.from, h.to)
-	at := time.Now().Add(l.Delay)
-	if at.Before(h.nextArrival) {
-		at = h.nextArrival
-	}
-	if l.BytesPerSecond > 0 {
-		at = at.Add(time.Duration(len(b)) * time.Second / time.Duration(l.BytesPerSecond))
+	for sent := range slices.Chunk(b, segmentSize) {
+		at := time.Now().Add(l.Delay)
+		if at.Before(h.nextArrival) {
+			at = h.nextArrival
+		}
+		if l.BytesPerSecond > 0 {
+			at = at.Add(time.Duration(len(sent)) * time.Second / time.Duration(l.BytesPerSecond))
+		}
+		h.nextArrival = at
+		h.chunks.PushBack(chunk{at, append([]byte(nil), sent...)})
 	}
-	h.nextArrival = at
-	h.chunks.PushBack(chunk{at, append([]byte(nil), b...)})
 	h.notify()
 	return len(b), nil
 }
--- a/rpc/callid.go
+++ b/rpc/callid.go
@@ -29,7 +29,17 @@
 // callConn is a connection that knows whether its other end echoes call ids.
 type callConn struct {
 	net.Conn
-	echoes atomic.Bool
+	echoes   atomic.Bool
+	progress atomic.Pointer[progress] // of the call that the connection carries, if it wants to know
+}
+
+// Read notes what arrives.
+func (c *callConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if p := c.progress.Load(); p != nil && n > 0 {
+		p.note()
+	}
+	return n, err
 }
 
 // answers tells whether an answer that bears an id may be the one to a call. Processes of
@@ -53,8 +63,10 @@
 func (t *idTransport) RoundTrip(q *http.Request) (*http.Response, error) {
 	id := newCallID()
 	var conn *callConn
+	wanted, _ := q.Context().Value(progressKey{}).(*progress)
 	trace := &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) {
 		conn = got.Conn.(*callConn)
+		conn.progress.Store(wanted)
 	}}
 	q = q.WithContext(httptrace.WithClientTrace(q.Context(), trace))
 	q.Header = q.Header.Clone()
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -135,14 +135,18 @@
 // Call asks the process at addr. Without a deadline of the context it waits
 // one second.
 func Call[Q, A any](ctx context.Context, c *Caller, addr, name string, q *Q) (*A, error) {
-	if addr == "" {
-		return nil, failure.New(failure.NotExecuted, name, "nobody", "no address is known")
-	}
 	if _, ok := ctx.Deadline(); !ok {
 		var stop context.CancelFunc
 		ctx, stop = context.WithTimeout(ctx, defaultTimeout)
 		defer stop()
 	}
+	return callUnary[Q, A](ctx, c, addr, name, q)
+}
+
+func callUnary[Q, A any](ctx context.Context, c *Caller, addr, name string, q *Q) (*A, error) {
+	if addr == "" {
+		return nil, failure.New(failure.NotExecuted, name, "nobody", "no address is known")
+	}
 	a, err := client[Q, A](c, addr, name).CallUnary(ctx, connect.NewRequest(q))
 	if err != nil {
 		return nil, failure.As(err, kindOf(err), name, addr)
