coordination: a search for the primary carries no list of members

Cause: every question of the directory and every answer brought the whole list of members, 80 bytes a node. While the core is away each node asks four processes each 100 to 250 ms, so the bytes grow as the square of the fleet, and most go over the links and through the processors of the core, which has to elect a primary meanwhile. A calm fleet paid it too, with each node's question every four seconds.

Why it works: who follows the change feed has the members from there. A question now says up to where the asker knows them, brings none, and asks one process in two seconds for newer ones, so that a core machine that does not lead, or a node without a feed, still learns them. The question has a type of its own with the fields of before, so earlier releases read it and are answered as before; no encoding on file changes. The simulated machines count what they send, and may have a link that all their connections share.

--- a/coordination/directory.go
+++ b/coordination/directory.go
@@ -18,6 +18,9 @@
 	"keelstair.example/rpc"
 )
 
+// Time between two questions of one process for the members.
+const membersInterval = 2 * time.Second
+
 type replicaContact struct {
 	Replica
 	empty   bool
@@ -39,6 +42,7 @@
 	foreignCluster string
 	recordChanged  chan struct{} // closed when a newer record is learnt
 	lastContact    ids.Tick      // when any other process was heard last
+	membersAsked   ids.Tick      // when another process was last asked for the members
 }
 
 // NewDirectory makes the directory of a process: me is its own replica, or only its address. It knows no
@@ -51,10 +55,50 @@
 		self:          PeerExchange{Self: me},
 		replicas:      map[ids.DiskID]replicaContact{},
 		recordChanged: make(chan struct{}),
+		membersAsked:  host.Clock.Now(),
+	}
+}
+
+// request is what another process is asked with. One process in membersInterval is asked for the
+// members too: who follows the change feed knows them from there.
+func (d *Directory) request() *PeerExchangeRequest {
+	p := d.Exchange()
+	request := &PeerExchangeRequest{
+		Self:      p.Self,
+		Empty:     p.Empty,
+		Record:    p.Record,
+		Replicas:  p.Replicas,
+		Leaving:   p.Leaving,
+		KnownSeq:  p.Seq,
+		NoMembers: true,
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now := d.host.Clock.Now(); now.Past(d.membersAsked, membersInterval) {
+		d.membersAsked, request.NoMembers = now, false
 	}
+	return request
 }
 
-// Exchange is what the directory would tell another process now.
+// answer learns from a process that asks, and gives what that one is told.
+func (d *Directory) answer(request *PeerExchangeRequest) *PeerExchange {
+	d.Merge(&PeerExchange{
+		Self:     request.Self,
+		Empty:    request.Empty,
+		Record:   request.Record,
+		Replicas: request.Replicas,
+		Members:  request.Members,
+		Seq:      request.Seq,
+		Leaving:  request.Leaving,
+	})
+	p := d.Exchange()
+	if request.NoMembers || p.Seq <= request.KnownSeq {
+		p.Members, p.Seq = nil, 0
+	}
+	return p
+}
+
+// Exchange is all that the directory knows now.
 func (d *Directory) Exchange() *PeerExchange {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -148,12 +192,13 @@
 
 // Broadcast gives everyone known this page, so that they need not find out by themselves.
 func (d *Directory) Broadcast(ctx context.Context) {
-	p := d.Exchange()
+	p := d.request()
+	p.NoMembers = true
 	for _, a := range d.addresses() {
 		go func() {
 			callContext, stop := context.WithTimeout(ctx, 700*time.Millisecond)
 			defer stop()
-			rpc.Call[PeerExchange, PeerExchange](callContext, d.caller, a, ExchangeMethod, p)
+			rpc.Call[PeerExchangeRequest, PeerExchange](callContext, d.caller, a, ExchangeMethod, p)
 		}()
 	}
 }
@@ -247,8 +292,8 @@
 		wg.Go(func() {
 			c, stop := context.WithTimeout(ctx, 700*time.Millisecond)
 			defer stop()
-			if p, err := rpc.Call[PeerExchange, PeerExchange](
-				c, d.caller, a, ExchangeMethod, d.Exchange(),
+			if p, err := rpc.Call[PeerExchangeRequest, PeerExchange](
+				c, d.caller, a, ExchangeMethod, d.request(),
 			); err == nil {
 				d.Merge(p)
 			}
@@ -277,8 +322,7 @@
 
 // Serve answers others from the directory.
 func (d *Directory) Serve(mux *http.ServeMux) {
-	rpc.Handle(mux, ExchangeMethod, func(_ context.Context, request *PeerExchange) (*PeerExchange, error) {
-		d.Merge(request)
-		return d.Exchange(), nil
+	rpc.Handle(mux, ExchangeMethod, func(_ context.Context, request *PeerExchangeRequest) (*PeerExchange, error) {
+		return d.answer(request), nil
 	})
 }
--- a/coordination/messages.go
+++ b/coordination/messages.go
@@ -227,7 +227,24 @@
 	Reason string `msg:"Why"`
 }
 
-// PeerExchange is asked of anyone by anyone; both sides learn.
+// PeerExchangeRequest is asked of anyone by anyone; both sides learn. It has the fields of the
+// PeerExchange with which earlier releases ask.
+type PeerExchangeRequest struct {
+	Self     Replica `msg:"Me"`
+	Empty    bool    `msg:"Blank"`
+	Record   Record
+	Replicas []Replica `msg:"Seats"`
+	Members  []Member  // by earlier releases
+	Seq      ids.Seq   // of the log, that these are as of
+	Leaving  bool      `msg:"Leaving,omitempty"`
+	// The number of the log that the members known to the asker are as of.
+	KnownSeq ids.Seq `msg:"KnownSeq,omitempty"`
+	// The asker wants no members.
+	NoMembers bool `msg:"NoMembers,omitempty"`
+}
+
+// PeerExchange is the answer. The members, of which there may be hundreds, are told only to who
+// lacks them and wants them.
 type PeerExchange struct {
 	Self     Replica `msg:"Me" json:"Me"`
 	Empty    bool    `msg:"Blank" json:"Blank"`
--- a/coordination/messages_gen.go
+++ b/coordination/messages_gen.go
@@ -1753,6 +1753,365 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *PeerExchangeRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
+	_ = zb0001Mask
+	if z.Leaving == false {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.KnownSeq == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.NoMembers == false {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "Me"
+		o = append(o, 0xa2, 0x4d, 0x65)
+		// map header, size 3
+		// string "Disk"
+		o = append(o, 0x83, 0xa4, 0x44, 0x69, 0x73, 0x6b)
+		o = msgp.AppendString(o, string(z.Self.Disk))
+		// string "Addr"
+		o = append(o, 0xa4, 0x41, 0x64, 0x64, 0x72)
+		o = msgp.AppendString(o, z.Self.Addr)
+		// string "Zone"
+		o = append(o, 0xa4, 0x5a, 0x6f, 0x6e, 0x65)
+		o = msgp.AppendString(o, string(z.Self.Zone))
+		// string "Blank"
+		o = append(o, 0xa5, 0x42, 0x6c, 0x61, 0x6e, 0x6b)
+		o = msgp.AppendBool(o, z.Empty)
+		// string "Record"
+		o = append(o, 0xa6, 0x52, 0x65, 0x63, 0x6f, 0x72, 0x64)
+		o, err = z.Record.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Record")
+			return
+		}
+		// string "Seats"
+		o = append(o, 0xa5, 0x53, 0x65, 0x61, 0x74, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
+		for za0001 := range z.Replicas {
+			// map header, size 3
+			// string "Disk"
+			o = append(o, 0x83, 0xa4, 0x44, 0x69, 0x73, 0x6b)
+			o = msgp.AppendString(o, string(z.Replicas[za0001].Disk))
+			// string "Addr"
+			o = append(o, 0xa4, 0x41, 0x64, 0x64, 0x72)
+			o = msgp.AppendString(o, z.Replicas[za0001].Addr)
+			// string "Zone"
+			o = append(o, 0xa4, 0x5a, 0x6f, 0x6e, 0x65)
+			o = msgp.AppendString(o, string(z.Replicas[za0001].Zone))
+		}
+		// string "Members"
+		o = append(o, 0xa7, 0x4d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+		for za0002 := range z.Members {
+			// map header, size 3
+			// string "Node"
+			o = append(o, 0x83, 0xa4, 0x4e, 0x6f, 0x64, 0x65)
+			o = msgp.AppendString(o, string(z.Members[za0002].Node))
+			// string "Addr"
+			o = append(o, 0xa4, 0x41, 0x64, 0x64, 0x72)
+			o = msgp.AppendString(o, z.Members[za0002].Addr)
+			// string "Zone"
+			o = append(o, 0xa4, 0x5a, 0x6f, 0x6e, 0x65)
+			o = msgp.AppendString(o, string(z.Members[za0002].Zone))
+		}
+		// string "Seq"
+		o = append(o, 0xa3, 0x53, 0x65, 0x71)
+		o = msgp.AppendUint64(o, uint64(z.Seq))
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "Leaving"
+			o = append(o, 0xa7, 0x4c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+			o = msgp.AppendBool(o, z.Leaving)
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "KnownSeq"
+			o = append(o, 0xa8, 0x4b, 0x6e, 0x6f, 0x77, 0x6e, 0x53, 0x65, 0x71)
+			o = msgp.AppendUint64(o, uint64(z.KnownSeq))
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "NoMembers"
+			o = append(o, 0xa9, 0x4e, 0x6f, 0x4d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
+			o = msgp.AppendBool(o, z.NoMembers)
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PeerExchangeRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Me":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Self")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Self")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "Disk":
+					{
+						var zb0003 string
+						zb0003, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Self", "Disk")
+							return
+						}
+						z.Self.Disk = ids.DiskID(zb0003)
+					}
+				case "Addr":
+					z.Self.Addr, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Self", "Addr")
+						return
+					}
+				case "Zone":
+					{
+						var zb0004 string
+						zb0004, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Self", "Zone")
+							return
+						}
+						z.Self.Zone = ids.Zone(zb0004)
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Self")
+						return
+					}
+				}
+			}
+		case "Blank":
+			z.Empty, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Empty")
+				return
+			}
+		case "Record":
+			bts, err = z.Record.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Record")
+				return
+			}
+		case "Seats":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Replicas")
+				return
+			}
+			if cap(z.Replicas) >= int(zb0005) {
+				z.Replicas = (z.Replicas)[:zb0005]
+			} else {
+				z.Replicas = make([]Replica, zb0005)
+			}
+			for za0001 := range z.Replicas {
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Replicas", za0001)
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Replicas", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "Disk":
+						{
+							var zb0007 string
+							zb0007, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Replicas", za0001, "Disk")
+								return
+							}
+							z.Replicas[za0001].Disk = ids.DiskID(zb0007)
+						}
+					case "Addr":
+						z.Replicas[za0001].Addr, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Replicas", za0001, "Addr")
+							return
+						}
+					case "Zone":
+						{
+							var zb0008 string
+							zb0008, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Replicas", za0001, "Zone")
+								return
+							}
+							z.Replicas[za0001].Zone = ids.Zone(zb0008)
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Replicas", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "Members":
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Members")
+				return
+			}
+			if cap(z.Members) >= int(zb0009) {
+				z.Members = (z.Members)[:zb0009]
+			} else {
+				z.Members = make([]Member, zb0009)
+			}
+			for za0002 := range z.Members {
+				var zb0010 uint32
+				zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Members", za0002)
+					return
+				}
+				for zb0010 > 0 {
+					zb0010--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Members", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "Node":
+						{
+							var zb0011 string
+							zb0011, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Members", za0002, "Node")
+								return
+							}
+							z.Members[za0002].Node = ids.NodeID(zb0011)
+						}
+					case "Addr":
+						z.Members[za0002].Addr, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Members", za0002, "Addr")
+							return
+						}
+					case "Zone":
+						{
+							var zb0012 string
+							zb0012, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Members", za0002, "Zone")
+								return
+							}
+							z.Members[za0002].Zone = ids.Zone(zb0012)
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Members", za0002)
+							return
+						}
+					}
+				}
+			}
+		case "Seq":
+			{
+				var zb0013 uint64
+				zb0013, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Seq")
+					return
+				}
+				z.Seq = ids.Seq(zb0013)
+			}
+		case "Leaving":
+			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+		case "KnownSeq":
+			{
+				var zb0014 uint64
+				zb0014, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "KnownSeq")
+					return
+				}
+				z.KnownSeq = ids.Seq(zb0014)
+			}
+		case "NoMembers":
+			z.NoMembers, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "NoMembers")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PeerExchangeRequest) Msgsize() (s int) {
+	s = 1 + 3 + 1 + 5 + msgp.StringPrefixSize + len(string(z.Self.Disk)) + 5 + msgp.StringPrefixSize + len(z.Self.Addr) + 5 + msgp.StringPrefixSize + len(string(z.Self.Zone)) + 6 + msgp.BoolSize + 7 + z.Record.Msgsize() + 6 + msgp.ArrayHeaderSize
+	for za0001 := range z.Replicas {
+		s += 1 + 5 + msgp.StringPrefixSize + len(string(z.Replicas[za0001].Disk)) + 5 + msgp.StringPrefixSize + len(z.Replicas[za0001].Addr) + 5 + msgp.StringPrefixSize + len(string(z.Replicas[za0001].Zone))
+	}
+	s += 8 + msgp.ArrayHeaderSize
+	for za0002 := range z.Members {
+		s += 1 + 5 + msgp.StringPrefixSize + len(string(z.Members[za0002].Node)) + 5 + msgp.StringPrefixSize + len(z.Members[za0002].Addr) + 5 + msgp.StringPrefixSize + len(string(z.Members[za0002].Zone))
+	}
+	s += 4 + msgp.Uint64Size + 8 + msgp.BoolSize + 9 + msgp.Uint64Size + 10 + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Record) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/coordination/wire_test.go
+++ b/coordination/wire_test.go
@@ -39,6 +39,7 @@
 		"SubmitAsk":   &SubmitRequest{},
 		"SubmitReply": &SubmitResponse{},
 		"WhereAsk":    &PeerExchange{},
+		"WhereQuery":  &PeerExchangeRequest{},
 	})
 }
 
--- a/host/simulated/net.go
+++ b/host/simulated/net.go
@@ -134,7 +134,8 @@
 		return 0, &net.OpError{Op: "write", Net: "simulated", Err: syscall.EPIPE}
 	}
 	l := w.link(h.from, h.to)
-	at := time.Now().Add(l.Delay)
+	at := w.machines[h.from].link.send(time.Now(), len(b)).Add(l.Delay)
+	at = w.machines[h.to].link.receive(at, len(b))
 	if at.Before(h.nextArrival) {
 		at = h.nextArrival
 	}
--- a/host/simulated/world.go
+++ b/host/simulated/world.go
@@ -46,6 +46,14 @@
 	disk       *disk
 	processes  map[*Process]bool
 	listeners  map[string]*listener
+	link       machineLink
+}
+
+// machineLink is what all connections of a machine share, one way in and one way out.
+type machineLink struct {
+	bytesPerSecond     int // 0 is no bound
+	sent               int // bytes so far
+	sendFree, recvFree time.Time
 }
 
 // Process is one process on a machine; it ends when killed.
@@ -81,6 +89,43 @@
 	return m
 }
 
+// SetLinkRate bounds the bytes a second that the machine sends over all its connections, and as
+// many that it receives; 0 is no bound.
+func (m *Machine) SetLinkRate(bytesPerSecond int) {
+	m.world.mu.Lock()
+	defer m.world.mu.Unlock()
+	m.link.bytesPerSecond = bytesPerSecond
+}
+
+// BytesSent counts what the machine has sent so far.
+func (m *Machine) BytesSent() int {
+	m.world.mu.Lock()
+	defer m.world.mu.Unlock()
+	return m.link.sent
+}
+
+// send gives when bytes that leave now have gone out of the machine.
+func (l *machineLink) send(now time.Time, bytes int) time.Time {
+	l.sent += bytes
+	return l.transfer(&l.sendFree, now, bytes)
+}
+
+// receive gives when bytes that arrive at a moment have come into the machine.
+func (l *machineLink) receive(at time.Time, bytes int) time.Time {
+	return l.transfer(&l.recvFree, at, bytes)
+}
+
+func (l *machineLink) transfer(free *time.Time, at time.Time, bytes int) time.Time {
+	if l.bytesPerSecond <= 0 {
+		return at
+	}
+	if free.Before(at) {
+		*free = at
+	}
+	*free = free.Add(time.Duration(bytes) * time.Second / time.Duration(l.bytesPerSecond))
+	return *free
+}
+
 // notify wakes everyone who waits on the state of the world. The caller holds mu.
 func (w *World) notify() {
 	close(w.changed)
