--- a/host/simulated/net.go
+++ b/host/simulated/net.go
@@ -139,7 +139,8 @@
 	}
 	l := w.link(h.from, h.to)
 	for sent := range slices.Chunk(b, segmentSize) {
-		at := time.Now().Add(l.Delay)
+		at := w.machines[h.from].link.send(time.Now(), len(sent)).Add(l.Delay)
+		at = w.machines[h.to].link.receive(at, len(sent))
 		if at.Before(h.nextArrival) {
 			at = h.nextArrival
 		}
