proxy: a node that may lack an acknowledged version refuses, unless it is cut off from the core

Cause: a version is acknowledged once it is on the disks of the primary and its backups. Nothing bounded the age of the version that a node which had not heard of it served by.

A node now knows a moment up to which it has all that was acknowledged in force: when the newest renewal was sent whose number in the log it has folded (Agent.CurrentAt), once all that was prepared there is in force. Past bounds.applyMaxMs less 0.25 s it answers 503 with Retry-After and is not ready, if it is in touch: it was confirmed within 1 s, or never since its start, or lacks processor time, or the primary has accepted its probes for longer than a takeover takes. Otherwise it goes on with what it has. A version that was prepared here for 0.5 s is put in force without the core's commit.

A request keeps the version under which it came: the rule goes by when it was sent, so the age is looked at after its arrival and not again.

TestTakeoverMakesNoNodeRefuse: a primary that loses power, stands still or is cut off, a core that is gone, and nodes cut off from it make no node refuse.

TestNodesStartedAfterPowerLossServeNoOlderVersion passes without the change too: it refutes the hypothesis that a node takes its first version from a peer.

--- a/cmd/keelstair-platform/main.go
+++ b/cmd/keelstair-platform/main.go
@@ -198,6 +198,7 @@
 		ReadConfiguration:  (&platform.DocumentReader{}).Read,
 		Programs:           programs,
 		LeaseDuration:      s.LeaseDuration,
+		ApplyMax:           s.ApplyMax,
 		ListRate:           s.ListRate,
 		RetryRatio:         s.RetryRatio,
 		RetryWindow:        s.RetryWindow,
--- a/coordination/agent.go
+++ b/coordination/agent.go
@@ -65,6 +65,9 @@
 
 	view atomic.Pointer[clusterView]
 
+	confirmations confirmations
+	prober        prober
+
 	leaseExpiry  atomic.Int64
 	confirmedAt  atomic.Int64
 	minSeq       atomic.Uint64
@@ -141,6 +144,7 @@
 	})
 	wg.Go(func() { a.follow(ctx) })
 	wg.Go(func() { a.renewLoop(ctx) })
+	wg.Go(func() { a.probeLoop(ctx) })
 	wg.Go(func() {
 		for host.Sleep(ctx, a.options.MaxTickGap/8) {
 			a.LeaseValid()
@@ -303,6 +307,7 @@
 		a.minSeq.Store(uint64(r.Seq))
 	}
 	a.confirmedSeq.Store(uint64(r.Seq))
+	a.confirmations.add(confirmation{now, r.Seq})
 	if r.Time != 0 {
 		a.sample.Store(&timeSample{r.Time, now, a.options.Host.Clock.Now()})
 	}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -64,9 +64,14 @@
 	n.counts.Requests.Add(1)
 	n.inflight.Add(1)
 	defer n.inflight.Add(-1)
+	behind := n.behind()
 	s := n.snapshot()
-	if s.Version == 0 {
+	switch {
+	case s.Version == 0:
 		return n.reject(http.StatusServiceUnavailable, time.Second, "no configuration is in force")
+	case behind:
+		n.counts.RejectedStale.Add(1)
+		return n.reject(http.StatusServiceUnavailable, staleRetryAfter, "the configuration may be out of date")
 	}
 	route := s.Table.Find(r.Host, r.Path)
 	if route == nil {
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -39,6 +39,7 @@
 	RenewInterval time.Duration // 500ms
 	ShareInterval time.Duration // 250ms between tellings of what is under way
 	ListInterval  time.Duration // 700ms between askings of the list of workers
+	ApplyMax      time.Duration // 2s from its acknowledgement until a version is in force everywhere
 	// 0: askings of the list a second that all nodes have; 0 is no bound
 	ListRate           float64
 	RetryRatio         float64       // 0.2: repeats for each request
@@ -81,6 +82,7 @@
 	ids.SetDefault(&o.RenewInterval, 500*time.Millisecond)
 	ids.SetDefault(&o.ShareInterval, 250*time.Millisecond)
 	ids.SetDefault(&o.ListInterval, 700*time.Millisecond)
+	ids.SetDefault(&o.ApplyMax, 2*time.Second)
 	ids.SetDefault(&o.RetryWindow, 10*time.Second)
 	ids.SetDefault(&o.RoleChangeInterval, 500*time.Millisecond)
 	ids.SetDefault(&o.PrefillSilence, 2*time.Second)
@@ -108,7 +110,7 @@
 
 // Counts are the node's figures since it started.
 type Counts struct {
-	Requests, Completed, Rejected, Aborted, Direct, Retries, RejectedEarly, Ejected, Readmitted, FaultNotices, Hedges atomic.Int64
+	Requests, Completed, Rejected, Aborted, Direct, Retries, RejectedEarly, Ejected, Readmitted, FaultNotices, Hedges, RejectedStale atomic.Int64
 }
 
 // Node is one router node for opaque requests.
@@ -143,6 +145,7 @@
 	retryAfter      handoff.RetryAfterScheduler
 	lastSnapshot    atomic.Pointer[fleetstate.Snapshot]
 	snapshotMu      sync.Mutex
+	versionAge      versionAge
 	inflight        atomic.Int64
 	leaving         atomic.Bool
 	runContext      context.Context // ends with Run
@@ -250,6 +253,7 @@
 	}{
 		{"keelstair_requests", "Requests that came.", &n.counts.Requests},
 		{"keelstair_rejected_early", "Requests that were rejected before any worker was offered them.", &n.counts.RejectedEarly},
+		{"keelstair_rejected_stale", "Requests that were rejected because the configuration may be out of date.", &n.counts.RejectedStale},
 		{"keelstair_direct_decodes", "Prompts that the decode worker was to read by itself.", &n.counts.Direct},
 		{"keelstair_retries", "Attempts after the first.", &n.counts.Retries},
 		{"keelstair_hedges", "Prompts that were read at a second worker besides.", &n.counts.Hedges},
@@ -272,6 +276,8 @@
 		return false, "no configuration is in force"
 	case len(n.endpoints.Load().workers) == 0:
 		return false, "no worker is listed"
+	case n.behind():
+		return false, "the configuration may be out of date"
 	}
 	return true, ""
 }
@@ -306,7 +312,10 @@
 			n.failbacks.Store(z, failback{f.Number, n.now().Add(-time.Duration(f.Ago))})
 		}
 	}
-	n.lastSnapshot.Store(s)
+	if previous := n.lastSnapshot.Swap(s); previous == nil || previous.Version != s.Version {
+		n.options.Ring.Info().Uint64("version", uint64(s.Version)).Uint64("newest", uint64(s.Newest)).
+			Msg("configuration in force")
+	}
 	if n.options.ClientLimitsChanged != nil {
 		n.options.ClientLimitsChanged(s.Configuration.ClientLimits)
 	}
@@ -318,6 +327,7 @@
 	last := "-"
 	for host.Sleep(ctx, 100*time.Millisecond) {
 		n.isolated(n.now())
+		n.putLateInForce()
 		if _, reason := n.Ready(); reason != last {
 			last = reason
 			n.options.Ring.Info().Str("reason", reason).Bool("ready", reason == "").Msg("readiness changed")
