logging: warnings are written out at once

Who led when after the loss of power, which election failed, and when each node was ready and why not, could not be told.

Now a line of level warning goes out at once, alone.

Test: TestWarningsShowWithoutAnError.

--- a/coordination/election_loop.go
+++ b/coordination/election_loop.go
@@ -66,7 +66,7 @@
 		}
 		got, err := c.campaign(ctx, ballot{transfer: asked})
 		if err != nil {
-			c.options.Ring.Info().AnErr("cause", err).Msg("election failed")
+			c.options.Ring.Warn().AnErr("cause", err).Msg("election failed")
 			notBefore = c.electionBackoff(now)
 			continue
 		}
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -320,7 +320,7 @@
 		n.isolated(n.now())
 		if _, reason := n.Ready(); reason != last {
 			last = reason
-			n.options.Ring.Info().Str("reason", reason).Bool("ready", reason == "").Msg("readiness changed")
+			n.options.Ring.Warn().Str("reason", reason).Bool("ready", reason == "").Msg("readiness changed")
 		}
 	}
 }
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -33,6 +33,22 @@
 	}
 }
 
+// TestWarningsShowWithoutAnError: what an operator has to see of a day without errors, such as who
+// became primary, is not lost with the process.
+func TestWarningsShowWithoutAnError(t *testing.T) {
+	var out bytes.Buffer
+	r := NewRing(3, &out, "n")
+	r.Info().Msg("one")
+	r.Warn().Msg("two")
+	if lines := out.String(); !strings.Contains(lines, "two") || strings.Contains(lines, "one") {
+		t.Errorf("written out: %s", lines)
+	}
+	r.Error().Msg("three")
+	if n := strings.Count(out.String(), "two"); n != 1 {
+		t.Errorf("the warning was written %d times", n)
+	}
+}
+
 func TestJournal(t *testing.T) {
 	const keep, events = 4, 50
 	j := NewJournal[int](keep)
