coordination: nodes that start together share one encoding of the state

Why it works: all that ask in one batch are told the state as of the same number, so they share it; it is only read afterwards.

--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -189,23 +189,33 @@
 		return err
 	}
 	c.feed.push(entries)
+	l.answer(batch)
+	if c.store.rows > rowsPerLog {
+		if err := c.store.compact(c.state.snapshot(false), chunksOf(c.state.machine)); err != nil {
+			c.reloadNeeded = true
+			return err
+		}
+	}
+	return nil
+}
+
+// answer ends the operations of a batch that is durable. The caller holds dataMu.
+func (l *leader) answer(batch []*operation) {
+	c := l.core
 	now := c.options.Host.Clock.Now()
+	var snapshot *Snapshot
 	for _, op := range batch {
 		if op.renew != nil {
 			op.renewal = l.extendLease(op.renew, now, c.state)
 		}
 		if op.readState {
-			op.snapshot = c.state.snapshot(true)
+			if snapshot == nil { // the same for all that ask in one batch
+				snapshot = c.state.snapshot(true)
+			}
+			op.snapshot = snapshot
 		}
 		l.finish(op, nil)
 	}
-	if c.store.rows > rowsPerLog {
-		if err := c.store.compact(c.state.snapshot(false), chunksOf(c.state.machine)); err != nil {
-			c.reloadNeeded = true
-			return err
-		}
-	}
-	return nil
 }
 
 // replicate returns only once all copies are synced. A silent backup is replaced
