proxy: usage is reported to the platform by one node at a time

Each node counts the requests of tenants by the window in which their answer began and tells the holder of the metering key once a second what it has not heard; a new holder is told all anew. The holder fixes the counts of a window by a round in the log once all members have told theirs (3 s after its end at the latest), and calls the platform until it accepts them. A holder acts only when it has owned the key for 1.2 leases, asks right before it writes whether it still may, and each call has a connection of its own that is gone after 2 s, so that no call of an earlier holder follows one of a later. Windows go by each node's steady clock, set by the middle of all clocks.

--- a/cmd/keelstair-platform/main.go
+++ b/cmd/keelstair-platform/main.go
@@ -97,7 +97,10 @@
 		JoinOnly:       !s.Bootstrap,
 		FaultTolerance: s.FaultTolerance,
 		Machine: func() coordination.StateMachine {
-			return fleetstate.NewMachine(fleetstate.MachineOptions{Read: platform.ReadDocument})
+			return fleetstate.NewMachine(fleetstate.MachineOptions{
+				Read:     platform.ReadDocument,
+				Metering: s.Metering,
+			})
 		},
 	})
 	if err != nil {
@@ -171,6 +174,14 @@
 	cli.Serve(ctx, h, s.ReadinessAddr, ready, fail)
 }
 
+// setDuties has a node do the duties at the platform that the settings name.
+func setDuties(options *proxy.Options, s *platform.Settings) {
+	if s.Metering {
+		options.UsageReporter = platform.NewDuties(options.Host.Net, s.CloudAddr)
+		options.UsageWindow = s.ReportWindow
+	}
+}
+
 func runRouter(s *platform.Settings) error {
 	if err := s.ForNode(); err != nil {
 		return err
@@ -186,7 +197,7 @@
 	ring := cli.Ring(s.Name)
 	log.SetOutput(ring)
 	server := platform.NewClientServer()
-	n, err := proxy.New(proxy.Options{
+	options := proxy.Options{
 		Name:               s.Name,
 		Addr:               s.Peer(),
 		Zone:               ids.Zone(s.Zone),
@@ -207,7 +218,9 @@
 			return rpc.Drain(ctx, &server.Server)
 		},
 		ClientLimitsChanged: server.SetLimits,
-	})
+	}
+	setDuties(&options, s)
+	n, err := proxy.New(options)
 	if err != nil {
 		return err
 	}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -49,6 +49,7 @@
 	mayHaveRun    bool   // it may have run
 	memoryGone    bool   // a worker has turned it away, since it could not fetch its memory
 	headSent      bool   // the caller has the head of an answer
+	begunCounted  bool   // it is counted as begun
 	lastEventID   string // id of the last event that the caller has
 	timing        exchangeTiming
 }
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -93,10 +93,12 @@
 	ctx, stop := context.WithCancel(context.Background())
 	p := f.w.Machine(ip).Start()
 	c, err := coordination.New(coordination.Options{
-		Addr:    ip + ":1",
-		Host:    p.Host(),
-		Seeds:   f.seeds,
-		Machine: func() coordination.StateMachine { return fleetstate.NewMachine(fleetstate.MachineOptions{}) },
+		Addr:  ip + ":1",
+		Host:  p.Host(),
+		Seeds: f.seeds,
+		Machine: func() coordination.StateMachine {
+			return fleetstate.NewMachine(fleetstate.MachineOptions{Metering: f.y.metering})
+		},
 	})
 	require.NoError(f.t, err)
 	f.cores[ip], f.procs[ip], f.stops[ip] = c, p, stop
--- a/internal/proxy/messages.go
+++ b/internal/proxy/messages.go
@@ -16,12 +16,15 @@
 //msgp:tuple Outcomes
 //msgp:tuple WorkerLoad
 //msgp:tuple ServiceLoads
+//msgp:tuple UsageRow
+//msgp:tuple UsageCount
 
 // Names of the RPC methods. They are part of the protocol between releases.
 const (
 	faultMethod = "relay/alarm"
 	listMethod  = "relay/list"
 	pingMethod  = "relay/alive"
+	usageMethod = "relay/usage"
 )
 
 // FaultNotice names a worker that the sender got no answer from.
@@ -113,3 +116,37 @@
 	Loads    []ServiceLoads `msg:"Stands,omitempty"`
 	Early    bool           `msg:"Early,omitempty"`
 }
+
+// UsageRow is how many requests of a tenant a node has seen begin in a window so far.
+type UsageRow struct {
+	Window uint64
+	Tenant string
+	Count  int
+}
+
+// UsageRequest tells the holder of the metering duty the counts that it has not heard. Since is
+// the window in which the node started; Own is the time by its own clock, and Now its estimate
+// of the time, both in nanoseconds since 1970.
+type UsageRequest struct {
+	Node  ids.NodeID
+	Since uint64
+	Own   int64
+	Now   int64
+	Rows  []UsageRow
+}
+
+// UsageResponse tells the time by the middle of all nodes' clocks.
+type UsageResponse struct {
+	Time int64
+}
+
+// UsageCount is how many requests of a tenant began in a window.
+type UsageCount struct {
+	Tenant string
+	Count  int
+}
+
+// UsageContent is the content of a usage report, in the order of the tenants' names.
+type UsageContent struct {
+	Rows []UsageCount
+}
--- a/internal/proxy/messages_gen.go
+++ b/internal/proxy/messages_gen.go
@@ -1000,6 +1000,372 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *UsageContent) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "Rows"
+	o = append(o, 0x81, 0xa4, 0x52, 0x6f, 0x77, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Rows)))
+	for za0001 := range z.Rows {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Rows[za0001].Tenant)
+		o = msgp.AppendInt(o, z.Rows[za0001].Count)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageContent) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Rows":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rows")
+				return
+			}
+			if cap(z.Rows) >= int(zb0002) {
+				z.Rows = (z.Rows)[:zb0002]
+			} else {
+				z.Rows = make([]UsageCount, zb0002)
+			}
+			for za0001 := range z.Rows {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Rows", za0001)
+					return
+				}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Rows[za0001].Tenant, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Rows", za0001, "Tenant")
+					return
+				}
+				z.Rows[za0001].Count, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Rows", za0001, "Count")
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UsageContent) Msgsize() (s int) {
+	s = 1 + 5 + msgp.ArrayHeaderSize
+	for za0001 := range z.Rows {
+		s += 1 + msgp.StringPrefixSize + len(z.Rows[za0001].Tenant) + msgp.IntSize
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z UsageCount) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Tenant)
+	o = msgp.AppendInt(o, z.Count)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageCount) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Tenant, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tenant")
+		return
+	}
+	z.Count, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Count")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z UsageCount) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Tenant) + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *UsageRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "Node"
+	o = append(o, 0x85, 0xa4, 0x4e, 0x6f, 0x64, 0x65)
+	o = msgp.AppendString(o, string(z.Node))
+	// string "Since"
+	o = append(o, 0xa5, 0x53, 0x69, 0x6e, 0x63, 0x65)
+	o = msgp.AppendUint64(o, z.Since)
+	// string "Own"
+	o = append(o, 0xa3, 0x4f, 0x77, 0x6e)
+	o = msgp.AppendInt64(o, z.Own)
+	// string "Now"
+	o = append(o, 0xa3, 0x4e, 0x6f, 0x77)
+	o = msgp.AppendInt64(o, z.Now)
+	// string "Rows"
+	o = append(o, 0xa4, 0x52, 0x6f, 0x77, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Rows)))
+	for za0001 := range z.Rows {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint64(o, z.Rows[za0001].Window)
+		o = msgp.AppendString(o, z.Rows[za0001].Tenant)
+		o = msgp.AppendInt(o, z.Rows[za0001].Count)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Node":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Node")
+					return
+				}
+				z.Node = ids.NodeID(zb0002)
+			}
+		case "Since":
+			z.Since, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Since")
+				return
+			}
+		case "Own":
+			z.Own, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Own")
+				return
+			}
+		case "Now":
+			z.Now, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Now")
+				return
+			}
+		case "Rows":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rows")
+				return
+			}
+			if cap(z.Rows) >= int(zb0003) {
+				z.Rows = (z.Rows)[:zb0003]
+			} else {
+				z.Rows = make([]UsageRow, zb0003)
+			}
+			for za0001 := range z.Rows {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Rows", za0001)
+					return
+				}
+				if zb0004 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0004}
+					return
+				}
+				z.Rows[za0001].Window, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Rows", za0001, "Window")
+					return
+				}
+				z.Rows[za0001].Tenant, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Rows", za0001, "Tenant")
+					return
+				}
+				z.Rows[za0001].Count, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Rows", za0001, "Count")
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UsageRequest) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(string(z.Node)) + 6 + msgp.Uint64Size + 4 + msgp.Int64Size + 4 + msgp.Int64Size + 5 + msgp.ArrayHeaderSize
+	for za0001 := range z.Rows {
+		s += 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Rows[za0001].Tenant) + msgp.IntSize
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z UsageResponse) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "Time"
+	o = append(o, 0x81, 0xa4, 0x54, 0x69, 0x6d, 0x65)
+	o = msgp.AppendInt64(o, z.Time)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "Time":
+			z.Time, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Time")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z UsageResponse) Msgsize() (s int) {
+	s = 1 + 5 + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z UsageRow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Window)
+	o = msgp.AppendString(o, z.Tenant)
+	o = msgp.AppendInt(o, z.Count)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Window, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Window")
+		return
+	}
+	z.Tenant, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tenant")
+		return
+	}
+	z.Count, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Count")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z UsageRow) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Tenant) + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *WorkerLoad) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -74,6 +74,9 @@
 	// ClientLimitsChanged is called with the limits of each version that comes in force.
 	ClientLimitsChanged func(fleetstate.ClientLimits)
 	Trace               func(Event)
+	// Usage is reported by it for each window, where both are set.
+	UsageReporter UsageReporter
+	UsageWindow   time.Duration
 }
 
 func (o *Options) setDefaults() {
@@ -141,6 +144,7 @@
 	serviceTimes    sync.Map      // service -> *serviceTimes
 	outages         chan struct{} // a worker was found to be down
 	retryAfter      handoff.RetryAfterScheduler
+	usage           *usageMeter // nil where usage is not reported
 	lastSnapshot    atomic.Pointer[fleetstate.Snapshot]
 	snapshotMu      sync.Mutex
 	inflight        atomic.Int64
@@ -182,6 +186,7 @@
 		LeaseDuration: options.LeaseDuration,
 		RenewInterval: options.RenewInterval,
 	})
+	n.usage = newUsageMeter(&n.options)
 	n.endpoints.Store(&endpointList{})
 	n.runContext, n.stop = context.WithCancel(context.Background())
 	return n, nil
@@ -206,6 +211,7 @@
 	n.agent.Mount(mux)
 	rpc.Handle(mux, faultMethod, n.hear)
 	rpc.Handle(mux, listMethod, n.serveList)
+	rpc.Handle(mux, usageMethod, n.takeUsage)
 	mux.Handle("GET /metrics", n.metrics.Handler())
 	rpc.Handle(mux, pingMethod, func(context.Context, *Ack) (*Ack, error) { return &Ack{}, nil })
 }
@@ -216,7 +222,9 @@
 func (n *Node) Run(ctx context.Context, linger, grace time.Duration) {
 	inner := n.runContext
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){n.agent.Run, n.maintainEndpoints, n.watch, n.roleBalancer, n.ejector} {
+	for _, f := range []func(context.Context){
+		n.agent.Run, n.maintainEndpoints, n.watch, n.roleBalancer, n.ejector, n.tellUsage, n.reportUsage,
+	} {
 		wg.Go(func() { f(inner) })
 	}
 	<-ctx.Done()
--- a/internal/proxy/proxy_cluster_test.go
+++ b/internal/proxy/proxy_cluster_test.go
@@ -93,6 +93,7 @@
 
 type workerPool struct {
 	mu        sync.Mutex
+	metering  bool // the fleet reports usage
 	start     time.Time
 	all       []*stand
 	rows      []row
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -178,6 +178,7 @@
 			return failure.As(err, failure.OutcomeUnknown, "pass", "worker")
 		}
 		if k > 0 || err == io.EOF {
+			t.countBegun()
 			if err := t.writeHead(reply, reply.Length); err != nil {
 				return failure.As(errors.Join(errCallerGone, err), failure.OutcomeUnknown, "pass", "caller")
 			}
@@ -226,6 +227,7 @@
 		)
 	}
 	t.timing.event(t.node.now())
+	t.countBegun()
 	if err := t.writeHead(reply, -1); err != nil {
 		return failure.As(errors.Join(errCallerGone, err), failure.OutcomeUnknown, "pass", "caller")
 	}
--- a/internal/proxy/wire_test.go
+++ b/internal/proxy/wire_test.go
@@ -21,12 +21,18 @@
 		"Row":       &WorkerRow{},
 		"Stand":     &WorkerLoad{},
 		"Stands":    &ServiceLoads{},
+
+		"UsageContent": &UsageContent{},
+		"UsageCount":   &UsageCount{},
+		"UsageReply":   &UsageResponse{},
+		"UsageRow":     &UsageRow{},
+		"UsageTell":    &UsageRequest{},
 	})
 }
 
 // TestMethodNames: the names of the RPC methods are those of earlier releases.
 func TestMethodNames(t *testing.T) {
 	require.Equal(t, []string{
-		"relay/alarm", "relay/list", "relay/alive",
-	}, []string{faultMethod, listMethod, pingMethod})
+		"relay/alarm", "relay/list", "relay/alive", "relay/usage",
+	}, []string{faultMethod, listMethod, pingMethod, usageMethod})
 }
