metering: a holder that hasn't heard most members reports nothing

A holder that started on a clock that is ahead and was reached by no other node would have fixed windows of the future, and with them pushed the real ones out of what the log remembers: usage would not have been reported any more (found by review, not seen). It reports only while it has heard over half of the members within 10 s, so the middle of the clocks is that of most. A round that is stale since the key went away passes over no window.

--- a/internal/metering/collector.go
+++ b/internal/metering/collector.go
@@ -84,6 +84,20 @@
 	return c.first
 }
 
+// HeardMost tells whether over half of the nodes of a list were heard of late, so that the middle of
+// their clocks can be trusted.
+func (c *Collector) HeardMost(nodes []ids.NodeID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	heard := 0
+	for _, name := range nodes {
+		if n := c.nodes[name]; n != nil && !c.clock.Tick().Past(n.heardAt, offsetMaxAge) {
+			heard++
+		}
+	}
+	return 2*heard > len(nodes)
+}
+
 // Complete tells whether all nodes of a list have told what they counted up to a time.
 func (c *Collector) Complete(time int64, nodes []ids.NodeID) bool {
 	c.mu.Lock()
--- a/internal/metering/metering_test.go
+++ b/internal/metering/metering_test.go
@@ -87,6 +87,8 @@
 	require.Equal(t, map[string]int{"x": 7, "y": 1}, c.Sum(7))
 	require.Empty(t, c.Sum(9))
 	require.EqualValues(t, 6, c.First())
+	require.True(t, c.HeardMost([]ids.NodeID{"a/1", "a/2", "b"}))
+	require.False(t, c.HeardMost([]ids.NodeID{"a/1", "b"}), "half of them is not most")
 	require.True(t, c.Complete(12, []ids.NodeID{"a/1", "a/2"}))
 	require.False(t, c.Complete(13, []ids.NodeID{"a/1", "a/2"}))
 	require.False(t, c.Complete(12, []ids.NodeID{"a/1", "b"}))
--- a/internal/proxy/metering.go
+++ b/internal/proxy/metering.go
@@ -160,7 +160,7 @@
 	current := meter.windows.At(now)
 	meter.collector.Prune(current)
 	first := meter.collector.First()
-	if first == 0 {
+	if first == 0 || !meter.collector.HeardMost(n.memberNames()) {
 		return next
 	}
 	if current > metering.KeptWindows {
@@ -169,14 +169,27 @@
 	for next = max(next, first); n.windowSettled(next, now); next++ {
 		content := coordination.MustMarshal(usageContent(meter.collector.Sum(next)))
 		err := holder.Perform(ctx, meteringSubject, next, content, n.callUsage)
-		if err != nil && !failure.Is(err, failure.Stale) {
-			n.options.Ring.Warn().AnErr("cause", err).Uint64("window", next).Msg("usage not reported yet")
+		if err == nil {
+			continue
+		}
+		n.options.Ring.Warn().AnErr("cause", err).Uint64("window", next).Msg("usage not reported yet")
+		// A window that the log has forgotten is passed over, unless it was the fence that was old.
+		if _, mayAct := holder.Owned(); !mayAct || !failure.Is(err, failure.Stale) {
 			return next
 		}
 	}
 	return next
 }
 
+// memberNames names the nodes that hold a lease.
+func (n *Node) memberNames() []ids.NodeID {
+	var out []ids.NodeID
+	for _, m := range n.agent.Members() {
+		out = append(out, m.Node)
+	}
+	return out
+}
+
 // windowSettled tells whether a window may be added up: all members have told their counts of it, or
 // were waited for long enough.
 func (n *Node) windowSettled(window uint64, now int64) bool {
@@ -187,11 +200,7 @@
 	if since >= windowMaxWait {
 		return true
 	}
-	var members []ids.NodeID
-	for _, m := range n.agent.Members() {
-		members = append(members, m.Node)
-	}
-	return n.usage.collector.Complete(n.usage.windows.End(window), members)
+	return n.usage.collector.Complete(n.usage.windows.End(window), n.memberNames())
 }
 
 // usageContent lists counts by tenant.
