--- a/internal/fleetstate/tenants.go
+++ b/internal/fleetstate/tenants.go
@@ -8,6 +8,7 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"fmt"
+	"reflect"
 	"strings"
 	"sync"
 
@@ -73,15 +74,15 @@
 	return keyDigest(hash.Sum(nil))
 }
 
-// KeyIndex finds tenants by their keys; it is made once for each version.
+// KeyIndex finds tenants by their keys; it is made once for each list of tenants.
 type KeyIndex struct {
-	required bool
-	tenants  map[keyDigest]*Tenant
+	list    []Tenant
+	tenants map[keyDigest]*Tenant
 }
 
 // NewKeyIndex indexes a configuration's tenants.
 func NewKeyIndex(p *Configuration) *KeyIndex {
-	index := &KeyIndex{required: p.Tenants != nil, tenants: map[keyDigest]*Tenant{}}
+	index := &KeyIndex{list: p.Tenants, tenants: map[keyDigest]*Tenant{}}
 	for i := range p.Tenants {
 		for _, key := range p.Tenants[i].Keys {
 			index.tenants[digestOf(key)] = &p.Tenants[i]
@@ -90,9 +91,17 @@
 	return index
 }
 
+// next is the index of a configuration that follows: the same one where the tenants are the same.
+func (x *KeyIndex) next(p *Configuration) *KeyIndex {
+	if x != nil && reflect.DeepEqual(x.list, p.Tenants) {
+		return x
+	}
+	return NewKeyIndex(p)
+}
+
 // Required tells whether requests need a key where their route is not public. A list of tenants
 // without an entry admits nobody: taking away the last tenant does not open the routes to all.
-func (x *KeyIndex) Required() bool { return x != nil && x.required }
+func (x *KeyIndex) Required() bool { return x != nil && x.list != nil }
 
 // Find gives the tenant that a key belongs to, or nil.
 func (x *KeyIndex) Find(key string) *Tenant {
--- a/internal/fleetstate/tenants_test.go
+++ b/internal/fleetstate/tenants_test.go
@@ -75,18 +75,33 @@
 }
 
 // TestKeyIndexOfSnapshot: a snapshot has the index of its configuration, and one that follows with
-// the same configuration has the same index.
+// the same tenants has the same index.
 func TestKeyIndexOfSnapshot(t *testing.T) {
 	view := NewView(logging.Discard())
 	require.False(t, view.Current().Keys.Required())
-	configuration := tenanted()
-	first := &Snapshot{Configuration: configuration}
-	view.indexConfiguration(first)
-	require.Equal(t, "birch", first.Keys.Find("key-b1").Name)
-	view.current.Store(first)
-	second := &Snapshot{Configuration: configuration}
-	view.indexConfiguration(second)
-	require.Same(t, first.Keys, second.Keys)
+	next := func(change func(p *Configuration)) *KeyIndex {
+		configuration := tenanted()
+		change(configuration)
+		s := &Snapshot{Configuration: configuration}
+		view.indexConfiguration(s)
+		view.current.Store(s)
+		return s.Keys
+	}
+	first := next(func(*Configuration) {})
+	require.Equal(t, "birch", first.Find("key-b1").Name)
+	require.Same(t, first, next(func(p *Configuration) { p.Routes = []Route{{Name: "one"}} }))
+	urgent := 0
+	for name, change := range map[string]func(p *Configuration){
+		"key":     func(p *Configuration) { p.Tenants[1].Keys[0] = "key-b2" },
+		"urgency": func(p *Configuration) { p.Tenants[0].Urgency = &urgent },
+		"name":    func(p *Configuration) { p.Tenants[1].Name = "cedar" },
+		"empty":   func(p *Configuration) { p.Tenants = []Tenant{} },
+		"none":    func(p *Configuration) { p.Tenants = nil },
+	} {
+		changed := next(change)
+		require.NotSame(t, first, changed, name)
+		require.Equal(t, name != "none", changed.Required(), name)
+	}
 }
 
 // TestCompleteTenants: tenants are read from CUE, checked, and read back as they were, an emptied
--- a/internal/fleetstate/view.go
+++ b/internal/fleetstate/view.go
@@ -254,7 +254,7 @@
 	if previous := v.current.Load(); previous.Configuration == s.Configuration && previous.Table != nil {
 		s.Table, s.Keys, s.Unrevoked = previous.Table, previous.Keys, previous.Unrevoked
 	} else {
-		s.Table, s.Keys = NewTable(s.Configuration), NewKeyIndex(s.Configuration)
+		s.Table, s.Keys = NewTable(s.Configuration), previous.Keys.next(s.Configuration)
 		var err error
 		if s.Unrevoked, err = s.Configuration.Register(); err != nil {
 			v.Ring.Error().AnErr("cause", err).Msg("invalid certificates left out")
