tools/suite: entries of KNOWN-RED.txt have a test, a command, what was seen and an issue

An entry was one line "TestName, cause, issue N", without the command and seed that show the failure, and the list took three entries at most.

The rest is as strict as it was: make test passes over exactly the listed tests, prints them, and fails when one passes or was never run. An entry that lacks a field, has one twice, empty or of another name, and a test that is named twice are refused before any test is run.

--- a/tools/suite/judge.go
+++ b/tools/suite/judge.go
@@ -10,7 +10,7 @@
 
 type verdict struct {
 	passed, skipped int
-	red             []string // lines of the list that hold
+	red             []string // entries of the list that hold
 	faults          []string // each counts as one failure
 }
 
@@ -37,7 +37,7 @@
 		case len(pkgs) > 1:
 			v.fault("%s is known red, but several packages have a test of that name", k.name)
 		case ends["fail"] > 0:
-			v.red = append(v.red, k.line)
+			v.red = append(v.red, k.String())
 		case ends["pass"] > 0:
 			v.fault("%s is known red, but passes now", k.name)
 		default:
--- a/tools/suite/known.go
+++ b/tools/suite/known.go
@@ -1,8 +1,7 @@
-// The list of the known red: tests that fail for a cause that is named and has an
-// issue. One a line, "TestName, cause, issue N"; a subtest is named in full, and a
-// name that several packages have is written with its package before it, "router.TestName".
-// The list is bounded, so that red tests
-// are mended and do not pile up.
+// The list of tests that are known to fail. An entry is a block of lines "field: value"
+// that a blank line ends; it has each of the fields test, command, seen and issue once. A
+// subtest is named in full, and a name that several packages have is written with its
+// package before it, "router.TestName". Lines that begin with # are comments.
 
 package main
 
@@ -13,42 +12,91 @@
 	"strings"
 )
 
-type known struct{ name, line string }
+// known is one entry: a test, the command with its seed that shows the failure, what was
+// seen, and the issue.
+type known struct{ name, command, seen, issue string }
 
-var knownForm = regexp.MustCompile(`^((?:\w+\.)?Test\S*), (\S.*), issue \d+$`)
+// knownFields are the fields of an entry, each with the form of its value.
+var knownFields = map[string]*regexp.Regexp{
+	"test":    regexp.MustCompile(`^(\w+\.)?Test\S*$`),
+	"command": regexp.MustCompile(`^\S.*$`),
+	"seen":    regexp.MustCompile(`^\S.*$`),
+	"issue":   regexp.MustCompile(`^\d+$`),
+}
 
-// maxKnown is how many entries the list may hold.
-const maxKnown = 3
+// knownParser folds the lines of the list in, one after the other.
+type knownParser struct {
+	list   []known
+	faults []string
+	names  map[string]bool
+	begun  int               // the line on which the open entry begins
+	fields map[string]string // of the open entry; nil where none is open
+}
 
-// parseKnown reads the list. Each line that is not an entry is a fault, and so is a list
-// of more than maxKnown entries.
+// parseKnown reads the list. Each line that is no field, each entry that lacks one or has it
+// twice, and each test that is named twice is a fault.
 func parseKnown(text string) (list []known, faults []string) {
-	had := map[string]bool{}
+	p := &knownParser{names: map[string]bool{}}
 	for i, line := range strings.Split(text, "\n") {
 		line = strings.TrimSpace(line)
-		if line == "" || line[0] == '#' {
-			continue
-		}
-		m := knownForm.FindStringSubmatch(line)
 		switch {
-		case m == nil:
-			faults = append(
-				faults,
-				fmt.Sprintf("line %d of the known red is not \"TestName, cause, issue N\": %s", i+1, line),
-			)
-		case had[m[1]]:
-			faults = append(faults, fmt.Sprintf("line %d of the known red names %s again", i+1, m[1]))
-		default:
-			had[m[1]] = true
-			list = append(list, known{m[1], line})
+		case line == "":
+			p.endEntry()
+		case line[0] != '#':
+			p.takeField(i+1, line)
+		}
+	}
+	p.endEntry()
+	return p.list, p.faults
+}
+
+func (p *knownParser) fault(form string, args ...any) {
+	p.faults = append(p.faults, fmt.Sprintf(form, args...))
+}
+
+// takeField folds one line of an entry in.
+func (p *knownParser) takeField(at int, line string) {
+	if p.fields == nil {
+		p.begun, p.fields = at, map[string]string{}
+	}
+	field, value, _ := strings.Cut(line, ":")
+	value = strings.TrimSpace(value)
+	form, ok := knownFields[field]
+	_, again := p.fields[field]
+	switch {
+	case !ok:
+		p.fault("line %d is none of test:, command:, seen:, issue:: %s", at, line)
+	case again:
+		p.fault("line %d: the entry has %s: twice", at, field)
+	case !form.MatchString(value):
+		p.fault("line %d: %s: can't be %q", at, field, value)
+	}
+	p.fields[field] = value
+}
+
+// endEntry ends the open entry, if there is one.
+func (p *knownParser) endEntry() {
+	if p.fields == nil {
+		return
+	}
+	fields := p.fields
+	p.fields = nil
+	for _, field := range []string{"test", "command", "seen", "issue"} {
+		if _, ok := fields[field]; !ok {
+			p.fault("the entry on line %d has no %s:", p.begun, field)
 		}
 	}
-	if len(list) > maxKnown {
-		faults = append(
-			faults, fmt.Sprintf("the known red has %d entries, %d at most are allowed", len(list), maxKnown),
-		)
+	k := known{fields["test"], fields["command"], fields["seen"], fields["issue"]}
+	if k.name != "" && p.names[k.name] {
+		p.fault("the entry on line %d names %s again", p.begun, k.name)
 	}
-	return list, faults
+	p.names[k.name] = true
+	p.list = append(p.list, k)
+}
+
+// String gives the entry on one line.
+func (k known) String() string {
+	return fmt.Sprintf("%s: %s (%s; issue %s)", k.name, k.seen, k.command, k.issue)
 }
 
 func (k known) names(t *test) bool {
