--- a/internal/proxy/metering_test.go
+++ b/internal/proxy/metering_test.go
@@ -321,9 +321,9 @@
 	})
 }
 
-// TestOneReporter: reporting nodes that are killed, frozen, cut off from the core one way or both, or
-// from the platform, while that is slow or refuses: one node at a time reports, and no window gets two
-// contents.
+// TestOneReporter: reporting nodes that are killed, stopped, frozen, cut off from the core one way or both,
+// or from the platform, while that is slow or refuses, and a core that loses its primary: one node at a
+// time reports, and no window gets two contents.
 func TestOneReporter(t *testing.T) {
 	eachSeed(t, 12, func(t *testing.T, seed uint64) {
 		f, j := metered(t, seed, 4)
@@ -338,7 +338,7 @@
 			if h < 0 {
 				continue
 			}
-			f.troubleReporter(j, h, (int(seed)+i)%7)
+			f.troubleReporter(j, h, (int(seed)+i)%9)
 		}
 		time.Sleep(30 * time.Second)
 		calls := j.all()
@@ -383,5 +383,21 @@
 		f.w.Block(ip, coreIps, true)
 		time.Sleep(8 * time.Second)
 		f.w.Block(ip, coreIps, false)
+	case 7:
+		b := f.nodes[h]
+		f.at(func() { b.up = false })
+		b.stop()
+		<-b.done
+		b.proc.Kill()
+		f.node(h)
+	case 8:
+		if primary := f.leader(); primary != "" {
+			f.offCore(primary)
+			time.Sleep(500 * time.Millisecond)
+			f.kill(h)
+			time.Sleep(6 * time.Second)
+			f.core(primary)
+			f.node(h)
+		}
 	}
 }
