keelstair-testbed: a soak with real processes, judged by the workers' books

keelstair-testbed soak starts a fleet with as many router nodes as asked, loads it over kept connections, and for two thirds of the time sends SIGTERM and SIGKILL to routers and controllers without waiting for those before, starts each again, and changes the configuration in series. It fails if a caller got a wrong answer, a request has two records in the workers' books, a router that gets SIGTERM only cut a stream that it had begun, or a node is not at the newest acknowledged change soon after calm.

--- a/cmd/keelstair-testbed/faults.go
+++ b/cmd/keelstair-testbed/faults.go
@@ -38,6 +38,15 @@
 
 // expect looks at every node for a limit that was acknowledged.
 func (f *fleet) expect(what string, want int) {
+	if err := f.lagging(what, want); err != nil {
+		logf("LOST: %v", err)
+		return
+	}
+	logf("every node has %s %d", what, want)
+}
+
+// lagging gives the first node that lacks a limit that was acknowledged, as an error.
+func (f *fleet) lagging(what string, want int) error {
 	for _, p := range f.of("router") {
 		var sh api.Shown
 		var v struct{ Limits struct{ RetryAfterMs int } }
@@ -46,11 +55,10 @@
 			err = json.Unmarshal(sh.Policy, &v)
 		}
 		if err != nil || v.Limits.RetryAfterMs != want {
-			logf("LOST at %s: %s is %d, %d was acknowledged (%v)", p.Name, what, v.Limits.RetryAfterMs, want, err)
-			return
+			return fmt.Errorf("at %s %s is %d, %d was acknowledged (%v)", p.Name, what, v.Limits.RetryAfterMs, want, err)
 		}
 	}
-	logf("every node has %s %d", what, want)
+	return nil
 }
 
 // race lets two operators change one version at once, several times: one must win.
--- a/cmd/keelstair-testbed/fleet.go
+++ b/cmd/keelstair-testbed/fleet.go
@@ -131,8 +131,12 @@
 	}
 }
 
-func start(ctx context.Context, opt *upCmd) (*fleet, error) {
+// start starts a fleet with so many router nodes; 0 is as many as the site has.
+func start(ctx context.Context, opt *upCmd, nodes int) (*fleet, error) {
 	site := standin.Sites[opt.Site]
+	if nodes > 0 {
+		site.Nodes = nodes
+	}
 	f := &fleet{opt: opt, site: site, revoked: map[string]int{}}
 	if err := os.RemoveAll(opt.Dir); err != nil {
 		return f, err
--- a/cmd/keelstair-testbed/main.go
+++ b/cmd/keelstair-testbed/main.go
@@ -32,8 +32,9 @@
 }
 
 type options struct {
-	Up  *upCmd  `arg:"subcommand:up" help:"start a fleet, apply its configuration, and keep it"`
-	Run *runCmd `arg:"subcommand:run" help:"start a fleet, load it, break it, and report"`
+	Up   *upCmd   `arg:"subcommand:up" help:"start a fleet, apply its configuration, and keep it"`
+	Run  *runCmd  `arg:"subcommand:run" help:"start a fleet, load it, break it, and report"`
+	Soak *soakCmd `arg:"subcommand:soak" help:"start a fleet, load it, signal and restart it all the time, and judge"`
 }
 
 func (s *options) File() string { return "" }
@@ -46,8 +47,10 @@
 	case s.Run != nil:
 		site = s.Run.Site
 		s.Run.Regimes = s.Run.Regimes || s.Run.Break == "revoke"
+	case s.Soak != nil:
+		site = s.Soak.Site
 	default:
-		return settings.Invalid("command", "one of up, run is needed")
+		return settings.Invalid("command", "one of up, run, soak is needed")
 	}
 	if _, ok := standin.Sites[site]; !ok {
 		return settings.Invalid("site", "there is no site %q", site)
@@ -64,7 +67,11 @@
 		cli.Fail("keelstair-testbed", run(ctx, s.Run))
 		return
 	}
-	f, err := start(ctx, s.Up)
+	if s.Soak != nil {
+		cli.Fail("keelstair-testbed", runSoak(ctx, s.Soak))
+		return
+	}
+	f, err := start(ctx, s.Up, 0)
 	defer f.stop()
 	cli.Fail("keelstair-testbed", err)
 	f.describe(os.Stdout)
--- a/cmd/keelstair-testbed/run.go
+++ b/cmd/keelstair-testbed/run.go
@@ -14,7 +14,7 @@
 )
 
 func run(ctx context.Context, c *runCmd) error {
-	f, err := start(ctx, &c.upCmd)
+	f, err := start(ctx, &c.upCmd, 0)
 	defer f.stop()
 	if err != nil {
 		return err
