testbed and simulation tests: the load and the background stream stand once

keelstair-testbed's run and soak described the same load, and five simulation tests started a stream in the background by the same lines. They share fleet.load and Cluster.startStream. The tests of revoked workers pass as before, and so does a run without a breakdown.

--- a/cmd/keelstair-testbed/run.go
+++ b/cmd/keelstair-testbed/run.go
@@ -32,18 +32,7 @@
 		}
 	}()
 	begun := time.Now()
-	all := standin.Load(ctx, standin.LoadOptions{
-		Host:     machine,
-		Doors:    standin.Asked(cx, machine, f.platform, f.site.Zones),
-		Zones:    f.site.Zones,
-		Shapes:   f.site.Shapes,
-		Rate:     c.Rate,
-		Duration: duration,
-		Seed:     c.Seed,
-		Model:    f.site.Model,
-		Weights:  []string{standin.SiteWeights},
-		Retries:  8,
-	})
+	all := f.load(ctx, machine, c.Seed, c.Rate, duration)
 	b, err := json.MarshalIndent(standin.Sum(all), "", "  ")
 	if err != nil {
 		return err
@@ -60,6 +49,30 @@
 	return nil
 }
 
+// load has callers of the site ask its nodes for so long, and gives what became of each call.
+func (f *fleet) load(
+	ctx context.Context,
+	machine host.Host,
+	seed uint64,
+	rate float64,
+	duration time.Duration,
+) []standin.Outcome {
+	asking, stop := context.WithCancel(ctx)
+	defer stop()
+	return standin.Load(ctx, standin.LoadOptions{
+		Host:     machine,
+		Doors:    standin.Asked(asking, machine, f.platform, f.site.Zones),
+		Zones:    f.site.Zones,
+		Shapes:   f.site.Shapes,
+		Rate:     rate,
+		Duration: duration,
+		Seed:     seed,
+		Model:    f.site.Model,
+		Weights:  []string{standin.SiteWeights},
+		Retries:  8,
+	})
+}
+
 // gaps are the longest spans without a completion from the breakdown on: of each
 // kind, and of the doors of each zone that still has a node.
 func (f *fleet) gaps(all []standin.Outcome, from, to time.Duration) []string {
--- a/cmd/keelstair-testbed/soak.go
+++ b/cmd/keelstair-testbed/soak.go
@@ -59,18 +59,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { s.disturb(disturbing) })
 	running.Go(func() { s.changeOften(disturbing) })
-	outcomes := standin.Load(ctx, standin.LoadOptions{
-		Host:     machine,
-		Doors:    standin.Asked(ctx, machine, f.platform, f.site.Zones),
-		Zones:    f.site.Zones,
-		Shapes:   f.site.Shapes,
-		Rate:     c.Rate,
-		Duration: duration,
-		Seed:     c.Seed,
-		Model:    f.site.Model,
-		Weights:  []string{standin.SiteWeights},
-		Retries:  8,
-	})
+	outcomes := f.load(ctx, machine, c.Seed, c.Rate, duration)
 	running.Wait()
 	s.restart.Wait()
 	return s.judge(ctx, c.Seed, outcomes)
--- a/internal/simulation/govern_test.go
+++ b/internal/simulation/govern_test.go
@@ -90,11 +90,7 @@
 		for i := range ask.PromptIds {
 			ask.PromptIds[i] = int32(i%4000) + 1
 		}
-		done := make(chan []api.StreamEvent, 1)
-		go func() {
-			got, _ := c.stream(node(c, "router-1"), ask)
-			done <- got
-		}()
+		done := c.startStream(node(c, "router-1"), ask)
 		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(handoff.Granted)) == 1 }))
 		at := b.serves(handoff.Granted)[0]
 		time.Sleep(100 * time.Millisecond)
@@ -115,11 +111,7 @@
 func TestNextEvent(t *testing.T) {
 	withGovernedWork(t, (*AuditModel).usual, func(t *testing.T, c *Cluster, b *AuditModel) {
 		ask, n := long(speech), node(c, "router-1")
-		done := make(chan []api.StreamEvent, 1)
-		go func() {
-			got, _ := c.stream(n, ask)
-			done <- got
-		}()
+		done := c.startStream(n, ask)
 		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(handoff.Resumed)) == 1 }))
 		at := b.serves(handoff.Resumed)[0]
 		time.Sleep(30 * time.Millisecond)
@@ -200,11 +192,7 @@
 		for i := range ask.PromptIds {
 			ask.PromptIds[i] = int32(i) + 1
 		}
-		done := make(chan []api.StreamEvent, 1)
-		go func() {
-			got, _ := c.stream(node(c, "router-1"), ask)
-			done <- got
-		}()
+		done := c.startStream(node(c, "router-1"), ask)
 		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(handoff.Imported)) == 1 }))
 		from := b.serves(handoff.Granted)[0]
 		require.NoError(t, b.Revoke("c-"+from))
--- a/internal/simulation/regime_test.go
+++ b/internal/simulation/regime_test.go
@@ -217,11 +217,7 @@
 func TestRevokedMidStream(t *testing.T) {
 	withGovernedWork(t, (*AuditModel).usual, func(t *testing.T, c *Cluster, b *AuditModel) {
 		ask := long(speech)
-		done := make(chan []api.StreamEvent, 1)
-		go func() {
-			got, _ := c.stream(node(c, "router-1"), ask)
-			done <- got
-		}()
+		done := c.startStream(node(c, "router-1"), ask)
 		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(handoff.Resumed)) == 1 }))
 		at := b.serves(handoff.Resumed)[0]
 		time.Sleep(100 * time.Millisecond)
@@ -241,11 +237,7 @@
 func TestRevokedVerdict(t *testing.T) {
 	withGovernedWork(t, (*AuditModel).usual, func(t *testing.T, c *Cluster, b *AuditModel) {
 		ask := long(verdict)
-		done := make(chan []api.StreamEvent, 1)
-		go func() {
-			got, _ := c.stream(node(c, "router-1"), ask)
-			done <- got
-		}()
+		done := c.startStream(node(c, "router-1"), ask)
 		require.True(t, c.Until(3*time.Second, func() bool { return len(b.serves(handoff.Resumed)) == 1 }))
 		time.Sleep(50 * time.Millisecond)
 		require.NoError(t, b.Revoke("c-"+b.serves(handoff.Resumed)[0]))
--- a/internal/simulation/stream_test.go
+++ b/internal/simulation/stream_test.go
@@ -13,6 +13,16 @@
 	"keelstair.example/internal/api"
 )
 
+// startStream asks one door in the background; the lines come once the stream has ended.
+func (c *Cluster) startStream(b *Process, ask api.StreamRequest) <-chan []api.StreamEvent {
+	done := make(chan []api.StreamEvent, 1)
+	go func() {
+		got, _ := c.stream(b, ask)
+		done <- got
+	}()
+	return done
+}
+
 // stream asks one door and gives the lines, or the refusal.
 func (c *Cluster) stream(b *Process, ask api.StreamRequest) ([]api.StreamEvent, error) {
 	body, err := json.Marshal(ask)
