keelstair-platform: a SIGHUP that comes while the process starts does not end it

What callers would see: the platform sends SIGHUP when the settings change. One that reached a process before it had read its settings, its programs and, on a controller, its disk, ended the process by the signal's default action, and a series of signals could do so again and again.

Cause: SIGHUP was caught in watch, which runs only once the controller or node is made; a controller's disk may be slow for seconds before that.

Evidence: a process in which nothing has caught SIGHUP yet ends with "signal: hangup", as the test did with the signal handling as it was. Now the signal is caught first thing in main and kept, one deep, for watch, which then reads the settings that are newest by then. TestHangUpDuringStart sends it before watch runs, and sees the seeds taken.

What remains are the milliseconds before main, in which no Go program can catch a signal.

--- a/cmd/keelstair-platform/main.go
+++ b/cmd/keelstair-platform/main.go
@@ -33,7 +33,7 @@
 	if len(os.Args) == 2 || len(os.Args) == 3 && os.Args[1] == "router" {
 		role = os.Args[1]
 	}
-	run, ok := map[string]func(*platform.Settings) error{"controller": runController, "router": runRouter}[role]
+	run, ok := map[string]func(*platform.Settings, <-chan os.Signal) error{"controller": runController, "router": runRouter}[role]
 	if !ok {
 		fmt.Fprintln(
 			os.Stderr,
@@ -41,26 +41,33 @@
 		)
 		os.Exit(2)
 	}
+	hangUps := catchHangUps()
 	s, err := platform.Load()
 	cli.Fail("keelstair-platform "+role, err)
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(s.Memory * 3 / 4)
 	}
-	cli.Fail("keelstair-platform "+role, run(s))
+	cli.Fail("keelstair-platform "+role, run(s, hangUps))
+}
+
+// catchHangUps has every later SIGHUP kept for watch: one that comes while the process still
+// starts would end it.
+func catchHangUps() <-chan os.Signal {
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	return hangUps
 }
 
 // watch reads the settings again at a hang-up, for the seeds they name.
-func watch(ctx context.Context, directory *coordination.Directory) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+func watch(ctx context.Context, hangUps <-chan os.Signal, setSeeds func(seeds []string)) {
 	go func() {
 		for {
 			select {
 			case <-ctx.Done():
 				return
-			case <-hup:
+			case <-hangUps:
 				if s, err := platform.Load(); err == nil {
-					directory.SetSeeds(s.Seeds)
+					setSeeds(s.Seeds)
 				}
 			}
 		}
@@ -74,7 +81,7 @@
 	handOverReserve = 2500 * time.Millisecond
 )
 
-func runController(s *platform.Settings) error {
+func runController(s *platform.Settings, hangUps <-chan os.Signal) error {
 	if err := s.ForCore(); err != nil {
 		return err
 	}
@@ -85,7 +92,7 @@
 	ring := cli.Ring("controller " + s.Name)
 	log.SetOutput(ring)
 	if s.Dir == "" {
-		return runDiskless(s, host, ring)
+		return runDiskless(s, hangUps, host, ring)
 	}
 	c, err := coordination.New(coordination.Options{
 		Addr:           s.ControlAddr,
@@ -106,7 +113,7 @@
 	asked, stop := cli.Signals()
 	defer stop()
 	ctx := cli.HandOver(asked, c, min(maxHandOver, s.Grace-handOverReserve))
-	watch(ctx, c.Directory())
+	watch(ctx, hangUps, c.Directory().SetSeeds)
 	mux := http.NewServeMux()
 	c.Mount(mux)
 	operate(mux, s, c.Caller(), c.Directory(), ring)
@@ -128,13 +135,13 @@
 }
 
 // runDiskless serves the operator on a machine without a disk: it holds nothing and asks the core.
-func runDiskless(s *platform.Settings, host host.Host, ring *logging.Ring) error {
+func runDiskless(s *platform.Settings, hangUps <-chan os.Signal, host host.Host, ring *logging.Ring) error {
 	ctx, stop := cli.Signals()
 	defer stop()
 	call := rpc.NewCaller(host.Net)
 	defer call.Close()
 	directory := coordination.NewDirectory(host, call, s.Seeds, coordination.Replica{Addr: s.ControlAddr})
-	watch(ctx, directory)
+	watch(ctx, hangUps, directory.SetSeeds)
 	mux := http.NewServeMux()
 	directory.Serve(mux)
 	operate(mux, s, call, directory, ring)
@@ -171,7 +178,7 @@
 	cli.Serve(ctx, h, s.ReadinessAddr, ready, fail)
 }
 
-func runRouter(s *platform.Settings) error {
+func runRouter(s *platform.Settings, hangUps <-chan os.Signal) error {
 	if err := s.ForNode(); err != nil {
 		return err
 	}
@@ -215,7 +222,7 @@
 	defer stop()
 	listen, shut := context.WithCancel(context.Background())
 	defer shut()
-	watch(listen, n.Directory())
+	watch(listen, hangUps, n.Directory().SetSeeds)
 	serveInternal(listen, s, host, n)
 	l, err := host.Net.Listen(s.FrontendAddr)
 	if err != nil {
--- a/cmd/keelstair-platform/main_test.go
+++ b/cmd/keelstair-platform/main_test.go
@@ -5,9 +5,12 @@
 import (
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"keelstair.example/platform"
 )
 
 // TestPrograms: the programs of the named policy are taken with their shares; without one
@@ -40,3 +43,19 @@
 	require.NoError(t, err)
 	require.Len(t, got, 3)
 }
+
+// TestHangUpDuringStart: a SIGHUP that comes before the process has started does not end it, and
+// the settings are read once it has.
+func TestHangUpDuringStart(t *testing.T) {
+	at := filepath.Join(t.TempDir(), "local.conf")
+	settings := "nodeName=a\nip=10.0.0.1\nzone=north\nzones.north=land\ninternalPorts=7300,7315\nseedNodes=10.0.0.1:1,10.0.0.2:1\n"
+	require.NoError(t, os.WriteFile(at, []byte(settings), 0o600))
+	t.Setenv(platform.SettingsVariable, at)
+	_, err := platform.Load()
+	require.NoError(t, err)
+	hangUps := catchHangUps()
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	seeds := make(chan []string, 1)
+	watch(t.Context(), hangUps, func(s []string) { seeds <- s })
+	require.Equal(t, []string{"10.0.0.1:1", "10.0.0.2:1"}, <-seeds)
+}
