--- a/cmd/keelstair-platform/main.go
+++ b/cmd/keelstair-platform/main.go
@@ -94,6 +94,7 @@
 	if s.Dir == "" {
 		return runDiskless(s, hangUps, host, ring)
 	}
+	documents := &platform.DocumentReader{}
 	c, err := coordination.New(coordination.Options{
 		Addr:           s.ControlAddr,
 		Zone:           ids.Zone(s.Zone),
@@ -104,7 +105,10 @@
 		JoinOnly:       !s.Bootstrap,
 		FaultTolerance: s.FaultTolerance,
 		Machine: func() coordination.StateMachine {
-			return fleetstate.NewMachine(fleetstate.MachineOptions{Read: platform.ReadDocument})
+			return fleetstate.NewMachine(fleetstate.MachineOptions{
+				Read:     documents.Read,
+				Metering: s.Metering,
+			})
 		},
 	})
 	if err != nil {
@@ -178,6 +182,14 @@
 	cli.Serve(ctx, h, s.ReadinessAddr, ready, fail)
 }
 
+// setDuties has a node do the duties at the platform that the settings name.
+func setDuties(options *proxy.Options, s *platform.Settings) {
+	if s.Metering {
+		options.UsageReporter = platform.NewDuties(options.Host.Net, s.CloudAddr)
+		options.UsageWindow = s.ReportWindow
+	}
+}
+
 func runRouter(s *platform.Settings, hangUps <-chan os.Signal) error {
 	if err := s.ForNode(); err != nil {
 		return err
@@ -193,7 +205,7 @@
 	ring := cli.Ring(s.Name)
 	log.SetOutput(ring)
 	server := platform.NewClientServer()
-	n, err := proxy.New(proxy.Options{
+	options := proxy.Options{
 		Name:               s.Name,
 		Addr:               s.Peer(),
 		Zone:               ids.Zone(s.Zone),
@@ -201,9 +213,10 @@
 		Host:               host,
 		Ring:               ring,
 		Backend:            platform.NewWorkerBackend(host.Net, s.CloudAddr),
-		ReadConfiguration:  platform.ReadDocument,
+		ReadConfiguration:  (&platform.DocumentReader{}).Read,
 		Programs:           programs,
 		LeaseDuration:      s.LeaseDuration,
+		ApplyMax:           s.ApplyMax,
 		ListRate:           s.ListRate,
 		RetryRatio:         s.RetryRatio,
 		RetryWindow:        s.RetryWindow,
@@ -214,7 +227,9 @@
 			return rpc.Drain(ctx, &server.Server)
 		},
 		ClientLimitsChanged: server.SetLimits,
-	})
+	}
+	setDuties(&options, s)
+	n, err := proxy.New(options)
 	if err != nil {
 		return err
 	}
--- a/coordination/watch.go
+++ b/coordination/watch.go
@@ -14,6 +14,11 @@
 	"keelstair.example/rpc"
 )
 
+const (
+	fetchSilence = 700 * time.Millisecond // without a byte of the change feed: its sender is left
+	maxFetch     = 30 * time.Second
+)
+
 // follow asks the core, and while that is away, peers.
 func (a *Agent) follow(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -52,10 +57,12 @@
 func (a *Agent) Fetch(ctx context.Context, addr string) error { return a.fetch(ctx, addr, 0) }
 
 func (a *Agent) fetch(ctx context.Context, addr string, wait time.Duration) error {
-	ctx, stop := context.WithTimeout(ctx, wait+700*time.Millisecond)
+	ctx, stop := context.WithTimeout(ctx, maxFetch)
 	defer stop()
 	request := &WatchRequest{From: a.Seq(), Wait: int64(wait)}
-	r, err := rpc.Call[WatchRequest, WatchResponse](ctx, a.caller, addr, WatchMethod, request)
+	r, err := rpc.CallUntilSilent[WatchRequest, WatchResponse](
+		ctx, a.caller, addr, WatchMethod, request, wait+fetchSilence, fetchSilence,
+	)
 	if err != nil {
 		return err
 	}
@@ -125,16 +132,31 @@
 		next.members[m.Node] = m
 	}
 	maps.Copy(next.grants, previous.grants)
+	observe := func() { loud, err = a.observe(next, entries) }
+	if batcher, ok := a.options.Watcher.(Batcher); ok {
+		batcher.Batch(observe)
+	} else {
+		observe()
+	}
+	if err != nil {
+		return nil, false, err
+	}
+	a.feed.push(entries)
+	return next, loud, nil
+}
+
+// observe applies the core's own entries to next and shows the watcher the others.
+func (a *Agent) observe(next *replicatedState, entries []Entry) (loud bool, err error) {
 	for _, e := range entries {
 		if e.Seq != next.seq+1 {
-			return nil, false, failure.New(
+			return false, failure.New(
 				failure.InvalidArgument, "fold news", "news", "entry %d follows %d", e.Seq, next.seq,
 			)
 		}
 		next.seq = e.Seq
 		c, err := parse(e.Kind, e.Body)
 		if err != nil {
-			return nil, false, err
+			return false, err
 		}
 		if c != nil {
 			c.apply(next)
@@ -142,8 +164,7 @@
 			loud = true
 		}
 	}
-	a.feed.push(entries)
-	return next, loud, nil
+	return loud, nil
 }
 
 // publish puts a state in place of the one before, and forgets given back keys that passed on.
