--- a/cmd/keelstair-testbed/run.go
+++ b/cmd/keelstair-testbed/run.go
@@ -97,9 +97,9 @@
 	return out
 }
 
-// tallies reads what the workers that still run have counted.
-func (f *fleet) tallies() (runs, doubles int) {
-	records := map[string]int{}
+// books sums what the workers that still run have counted, by request.
+func (f *fleet) books() map[string]standin.Tally {
+	sums := map[string]standin.Tally{}
 	for _, p := range f.of("worker-") {
 		var book map[string]standin.Tally
 		r, err := web.Get("http://" + p.Addr + "/tally")
@@ -107,12 +107,20 @@
 			continue
 		}
 		for id, t := range book {
-			runs += t.Runs
-			records[id] += t.Records
+			sum := sums[id]
+			sum.Runs += t.Runs
+			sum.Records += t.Records
+			sums[id] = sum
 		}
 	}
-	for _, n := range records {
-		if n > 1 {
+	return sums
+}
+
+// tallies counts the runs that began and the requests with two records.
+func (f *fleet) tallies() (runs, doubles int) {
+	for _, t := range f.books() {
+		runs += t.Runs
+		if t.Records > 1 {
 			doubles++
 		}
 	}
