host: under the race detector a ticker's Stop drops a tick that was not taken

Traced: the ticker for runs under the race detector is a goroutine, which may wake at the same simulated instant as the caller of Stop and send before it; time.Ticker receives nothing after Stop. Programs are not built with this file.

--- a/host/timer_race.go
+++ b/host/timer_race.go
@@ -9,7 +9,10 @@
 
 package host
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
 // Timer is a timer whose channel C gets the time once a span went by.
 type Timer struct {
@@ -32,20 +35,23 @@
 
 // Ticker is a ticker whose channel C gets the time once in each span.
 type Ticker struct {
-	C    <-chan time.Time
-	done chan struct{}
+	C       <-chan time.Time
+	c       chan time.Time
+	done    chan struct{}
+	mu      sync.Mutex
+	stopped bool
 }
 
 // NewTicker starts a ticker.
 func NewTicker(d time.Duration) *Ticker {
 	c := make(chan time.Time, 1)
-	t := &Ticker{c, make(chan struct{})}
-	go t.run(c, d)
+	t := &Ticker{C: c, c: c, done: make(chan struct{})}
+	go t.run(d)
 	return t
 }
 
-// run ticks until the ticker is stopped; a tick that nobody takes is dropped.
-func (t *Ticker) run(c chan<- time.Time, d time.Duration) {
+// run ticks until the ticker is stopped.
+func (t *Ticker) run(d time.Duration) {
 	for {
 		timer := NewTimer(d)
 		select {
@@ -53,13 +59,35 @@
 			timer.Stop()
 			return
 		case now := <-timer.C:
-			select {
-			case c <- now:
-			default:
-			}
+			t.tick(now)
 		}
 	}
 }
 
-// Stop ends the ticker. It is called once.
-func (t *Ticker) Stop() { close(t.done) }
+// tick sends the time, unless the ticker was stopped; a tick that nobody takes is dropped.
+func (t *Ticker) tick(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped {
+		return
+	}
+	select {
+	case t.c <- now:
+	default:
+	}
+}
+
+// Stop ends the ticker; as with time.Ticker, no tick is received after it.
+func (t *Ticker) Stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped {
+		return
+	}
+	t.stopped = true
+	close(t.done)
+	select {
+	case <-t.c:
+	default:
+	}
+}
