proxy: a node that shuts down logs what it cuts off

The log of a node did not tell whether a shutdown ended with requests in flight, which they were and when they had come, so that an answer cut by the end of a process could not be told from one cut by a change of the configuration. The node now warns once at the end of a shutdown with its duration and the number of unfinished requests, and names eight of them at most. The drain's error is a warning too. The wait for requests moves to a file of its own.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -68,8 +68,8 @@
 // *RejectedError that the request was not run, an *AbortedError that it may have been run.
 func (n *Node) Serve(ctx context.Context, r *Request, sink Sink) error {
 	n.counts.Requests.Add(1)
-	n.inflight.Add(1)
-	defer n.inflight.Add(-1)
+	n.inflight.add(r)
+	defer n.inflight.remove(r)
 	behind := n.versionStale()
 	s := n.snapshot()
 	switch {
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -158,7 +158,7 @@
 	lastSnapshot    atomic.Pointer[fleetstate.Snapshot]
 	snapshotMu      sync.Mutex
 	versionAge      versionAge
-	inflight        atomic.Int64
+	inflight        requestSet
 	shuttingDown    atomic.Bool
 	runContext      context.Context // ends with Run
 	stop            context.CancelFunc
@@ -240,18 +240,7 @@
 	}
 	<-ctx.Done()
 	n.shuttingDown.Store(true)
-	began := n.now()
-	host.Sleep(inner, drainDelay)
-	if n.options.Drain != nil {
-		callContext, stop := context.WithTimeout(inner, max(0, shutdownTimeout-n.now().Since(began)))
-		if err := n.options.Drain(callContext); err != nil {
-			n.options.Ring.Info().AnErr("cause", err).Msg("shutdown: drain ended with unanswered requests")
-		}
-		stop()
-	}
-	for !n.now().Past(began, shutdownTimeout) && n.inflight.Load() > 0 {
-		host.Sleep(inner, 50*time.Millisecond)
-	}
+	n.finishRequests(inner, drainDelay, shutdownTimeout)
 	n.agent.Leave()
 	n.stop()
 	wg.Wait()
