proxy: a node that shuts down lets answers finish for the whole grace period

Callers saw streams closed in the middle of the answer, 6.5 s after the SIGTERM of the node that had taken the request 1.5 to 2.5 s after that signal. The node kept 1.5 s of its grace period of 8 s for giving up its lease, which takes 0.7 s at most, and waited for the requests first.

The background tasks now stop and the lease is given up while requests are still in flight, 1 s before the grace period is over, and answers may go on until 0.3 s before it. The periods are one type, which the program and the tests take from the same function. Where no request is in flight the node leaves as early as before.

That a change of the configuration cuts a stream is refuted by TestStreamSurvivesConfigurationChanges.

--- a/cmd/keelstair-platform/main.go
+++ b/cmd/keelstair-platform/main.go
@@ -248,7 +248,7 @@
 		return err
 	}
 	go server.ServeClients(listener, &platform.Frontend{Node: node, Clock: host.Clock})
-	node.Run(ctx, 2500*time.Millisecond, s.GracePeriod-1500*time.Millisecond)
+	node.Run(ctx, proxy.NewShutdownPeriods(s.GracePeriod))
 	fmt.Println(node.Summary())
 	return nil
 }
--- a/coordination/agent.go
+++ b/coordination/agent.go
@@ -140,6 +140,9 @@
 	return snapshot
 }
 
+// LeaveTimeout is the time limit for giving up the lease at the end of Run.
+const LeaveTimeout = 700 * time.Millisecond
+
 // Run maintains the lease, the change feed and the directory until the context ends. After Leave it
 // then gives up the lease, so that the node's keys are reassigned without waiting for its expiry.
 func (a *Agent) Run(ctx context.Context) {
@@ -159,7 +162,7 @@
 	})
 	wg.Wait()
 	if a.leaving.Load() {
-		callContext, stop := context.WithTimeout(context.Background(), 700*time.Millisecond)
+		callContext, stop := context.WithTimeout(context.Background(), LeaveTimeout)
 		defer stop()
 		a.renew(callContext)
 	}
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -176,7 +176,7 @@
 	mux := http.NewServeMux()
 	n.Mount(mux)
 	f.wg.Go(func() { rpc.Serve(ctx, l, mux) })
-	f.wg.Go(func() { n.Run(ctx, 0, -time.Millisecond); close(node.done) })
+	f.wg.Go(func() { n.Run(ctx, ShutdownPeriods{}); close(node.done) })
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if i < len(f.nodes) {
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -227,23 +227,18 @@
 	rpc.Handle(mux, pingMethod, func(context.Context, *Ack) (*Ack, error) { return &Ack{}, nil })
 }
 
-// Run runs the node until the context ends. It then reports not ready, keeps serving for drainDelay so
-// that clients notice, drains the frontend, and lets in-flight requests finish. It stops waiting for them
-// shutdownTimeout after the end of the context.
-func (n *Node) Run(ctx context.Context, drainDelay, shutdownTimeout time.Duration) {
-	inner := n.runContext
-	var wg sync.WaitGroup
+// Run runs the node until the context ends, and then shuts it down: the node reports not ready, keeps serving
+// so that clients notice, drains the frontend and lets requests in flight finish, within the given periods.
+func (n *Node) Run(ctx context.Context, periods ShutdownPeriods) {
+	var background sync.WaitGroup
 	for _, f := range []func(context.Context){
 		n.agent.Run, n.maintainWorkerList, n.logReadiness, n.roleBalancer, n.runOutlierDetection, n.sendUsage, n.reportUsage,
 	} {
-		wg.Go(func() { f(inner) })
+		background.Go(func() { f(n.runContext) })
 	}
 	<-ctx.Done()
 	n.shuttingDown.Store(true)
-	n.finishRequests(inner, drainDelay, shutdownTimeout)
-	n.agent.Leave()
-	n.stop()
-	wg.Wait()
+	n.shutDown(periods, &background)
 	n.options.Backend.Close()
 }
 
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -7,12 +7,15 @@
 	"sync"
 	"time"
 
+	"keelstair.example/coordination"
 	"keelstair.example/host"
 	"keelstair.example/ids"
 )
 
-// maxLoggedRequests is the number of unfinished requests that a shutdown logs one by one.
-const maxLoggedRequests = 8
+const (
+	maxLoggedRequests    = 8 // unfinished requests that a shutdown logs one by one
+	inflightPollInterval = 50 * time.Millisecond
+)
 
 // requestSet is the set of requests that a node is serving.
 type requestSet struct {
@@ -51,22 +54,66 @@
 	return out
 }
 
-// finishRequests accepts requests for drainDelay, then drains the frontend and waits until the requests
-// in flight have ended, until shutdownTimeout after the start of the shutdown at the latest.
-func (n *Node) finishRequests(inner context.Context, drainDelay, shutdownTimeout time.Duration) {
+// ShutdownPeriods divide the time from SIGTERM until the process must have exited. All are counted from
+// SIGTERM.
+type ShutdownPeriods struct {
+	Accept time.Duration // until then new requests are accepted, while callers notice that the node is not ready
+	Leave  time.Duration // then the node gives up its lease, even if requests are still in flight
+	Finish time.Duration // until then requests in flight may finish
+}
+
+const (
+	// acceptPeriod is how long callers need to notice that a node is not ready: two readiness checks of
+	// one second each, and the time until their list of nodes has changed.
+	acceptPeriod = 2500 * time.Millisecond
+	// exitMargin is the part of the grace period in which the process exits.
+	exitMargin = 300 * time.Millisecond
+)
+
+// NewShutdownPeriods returns the periods for a process that is killed one grace period after SIGTERM.
+func NewShutdownPeriods(gracePeriod time.Duration) ShutdownPeriods {
+	finish := max(0, gracePeriod-exitMargin)
+	return ShutdownPeriods{
+		Accept: min(acceptPeriod, finish/2),
+		Leave:  max(0, finish-coordination.LeaveTimeout),
+		Finish: finish,
+	}
+}
+
+// shutDown accepts requests until the end of the accept period. It then drains the frontend and stops the node's
+// background tasks once no request is in flight, or at Leave. Requests in flight may finish meanwhile.
+func (n *Node) shutDown(periods ShutdownPeriods, background *sync.WaitGroup) {
 	began := n.now()
-	host.Sleep(inner, drainDelay)
+	host.Sleep(n.runContext, periods.Accept)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		n.finishRequests(periods.Finish - n.now().Since(began))
+	}()
+	leave := host.NewTimer(periods.Leave - n.now().Since(began))
+	defer leave.Stop()
+	select {
+	case <-ended:
+	case <-leave.C:
+	}
+	n.agent.Leave()
+	n.stop()
+	background.Wait()
+	<-ended
+	n.logUnfinishedRequests(began)
+}
+
+// finishRequests drains the frontend and returns when no request is in flight or the timeout has passed.
+func (n *Node) finishRequests(timeout time.Duration) {
+	ctx, stop := context.WithTimeout(context.Background(), max(0, timeout))
+	defer stop()
 	if n.options.Drain != nil {
-		callContext, stop := context.WithTimeout(inner, max(0, shutdownTimeout-n.now().Since(began)))
-		if err := n.options.Drain(callContext); err != nil {
+		if err := n.options.Drain(ctx); err != nil {
 			n.options.Ring.Warn().AnErr("cause", err).Msg("shutdown: drain ended with open connections")
 		}
-		stop()
 	}
-	for !n.now().Past(began, shutdownTimeout) && n.inflight.len() > 0 {
-		host.Sleep(inner, 50*time.Millisecond)
+	for n.inflight.len() > 0 && host.Sleep(ctx, inflightPollInterval) {
 	}
-	n.logUnfinishedRequests(began)
 }
 
 // logUnfinishedRequests logs how long the shutdown took and the requests that the exit of the process
