proxy: a node refuses what it reads after its accept period and might cut off

A request whose body was complete only after the node had begun to drain was sent to a worker, however long its answer might take, and cut by the exit of the process. It now gets 503 with a retry delay, unless its deadline falls before the end of the grace period, in which case the node answers it in time in any case. Nothing has run at that moment, so the status keeps its promise.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -113,6 +113,9 @@
 		t.node.counts.Unauthenticated.Add(1)
 		return err
 	}
+	if err := t.checkShutdown(); err != nil {
+		return err
+	}
 	t.prefixes, _ = prefixHashes(t.request)
 	t.node.budget.CountRequest(t.node.now())
 	if err := t.admit(s); err != nil {
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -159,8 +159,8 @@
 	snapshotMu      sync.Mutex
 	versionAge      versionAge
 	inflight        requestSet
-	shuttingDown    atomic.Bool
-	runContext      context.Context // ends with Run
+	shutdown        atomic.Pointer[shutdownSchedule] // nil until the node shuts down
+	runContext      context.Context                  // ends with Run
 	stop            context.CancelFunc
 }
 
@@ -237,8 +237,7 @@
 		background.Go(func() { f(n.runContext) })
 	}
 	<-ctx.Done()
-	n.shuttingDown.Store(true)
-	n.shutDown(periods, &background)
+	n.shutDown(newShutdownSchedule(n.now(), periods), &background)
 	n.options.Backend.Close()
 }
 
@@ -266,12 +265,12 @@
 }
 
 // ShuttingDown reports whether the node is shutting down.
-func (n *Node) ShuttingDown() bool { return n.shuttingDown.Load() }
+func (n *Node) ShuttingDown() bool { return n.shutdown.Load() != nil }
 
 // Ready reports whether new requests can be served here now, and if not, why.
 func (n *Node) Ready() (bool, string) {
 	switch s := n.snapshot(); {
-	case n.shuttingDown.Load():
+	case n.ShuttingDown():
 		return false, "draining"
 	case s.Version == 0:
 		return false, "no configuration is in force"
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -80,17 +81,29 @@
 	}
 }
 
+// shutdownSchedule holds the times at which the periods of a shutdown end.
+type shutdownSchedule struct{ began, acceptUntil, leaveAt, finishBy ids.Tick }
+
+func newShutdownSchedule(now ids.Tick, periods ShutdownPeriods) *shutdownSchedule {
+	return &shutdownSchedule{
+		began:       now,
+		acceptUntil: now.Add(periods.Accept),
+		leaveAt:     now.Add(periods.Leave),
+		finishBy:    now.Add(periods.Finish),
+	}
+}
+
 // shutDown accepts requests until the end of the accept period. It then drains the frontend and stops the node's
-// background tasks once no request is in flight, or at Leave. Requests in flight may finish meanwhile.
-func (n *Node) shutDown(periods ShutdownPeriods, background *sync.WaitGroup) {
-	began := n.now()
-	host.Sleep(n.runContext, periods.Accept)
+// background tasks once no request is in flight, or at leaveAt. Requests in flight may finish meanwhile.
+func (n *Node) shutDown(schedule *shutdownSchedule, background *sync.WaitGroup) {
+	n.shutdown.Store(schedule)
+	host.Sleep(n.runContext, schedule.acceptUntil.Since(n.now()))
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		n.finishRequests(periods.Finish - n.now().Since(began))
+		n.finishRequests(schedule.finishBy.Since(n.now()))
 	}()
-	leave := host.NewTimer(periods.Leave - n.now().Since(began))
+	leave := host.NewTimer(schedule.leaveAt.Since(n.now()))
 	defer leave.Stop()
 	select {
 	case <-ended:
@@ -100,7 +113,17 @@
 	n.stop()
 	background.Wait()
 	<-ended
-	n.logUnfinishedRequests(began)
+	n.logUnfinishedRequests(schedule.began)
+}
+
+// checkShutdown rejects a request that the node has read after its accept period if the answer might be cut off
+// by the exit of the process.
+func (t *exchange) checkShutdown() error {
+	schedule := t.node.shutdown.Load()
+	if schedule == nil || t.node.now().Before(schedule.acceptUntil) || !schedule.finishBy.Before(t.deadline) {
+		return nil
+	}
+	return &RejectedError{Code: http.StatusServiceUnavailable, RetryAfter: minRetryAfter, Reason: "the node is shutting down"}
 }
 
 // finishRequests drains the frontend and returns when no request is in flight or the timeout has passed.
