cli: a control plane process answers the requests that it has read before it exits

An operator's change that a process without a disk was forwarding when it received SIGTERM got no answer: the server closed all connections at once, and main returned without waiting for the handlers. A core process did the same once it had handed over its roles. Both now close a gate after the hand-over, which rejects new requests of operators with 503 and waits up to 1 s for those in progress; rpc.Serve ends the contexts of requests, sends the responses and then closes, within 0.1 s; and main waits for its servers. The calls of peers, which include long polls of the change feed, do not hold a process up.

--- a/cmd/keelstair-controller/main.go
+++ b/cmd/keelstair-controller/main.go
@@ -81,7 +81,7 @@
 	cli.ExitOnError("keelstair-controller", err)
 	shutdown, stop := cli.SignalContext()
 	defer stop()
-	ctx := cli.ShutdownContext(shutdown, core, ms(o.LeaveTimeoutMs))
+	ctx := cli.ShutdownContext(shutdown, core, ms(o.LeaveTimeoutMs), &cli.RequestGate{})
 	mux := http.NewServeMux()
 	core.Mount(mux)
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
@@ -95,6 +95,8 @@
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
 		api.WriteJSON(w, http.StatusOK, map[string]any{"leads": core.Leads(), "page": core.Directory().Exchange()})
 	})
-	cli.Serve(ctx, host, o.Addr, mux, func(err error) { cli.ExitOnError("keelstair-controller", err) })
+	servers := cli.NewServers(host, func(err error) { cli.ExitOnError("keelstair-controller", err) })
+	servers.Serve(ctx, o.Addr, mux)
 	cli.ExitOnError("keelstair-controller", core.Run(ctx))
+	servers.Wait()
 }
--- a/cmd/keelstair-platform/main.go
+++ b/cmd/keelstair-platform/main.go
@@ -93,9 +93,27 @@
 	}
 	ring := cli.NewRing("controller " + s.Name)
 	log.SetOutput(ring)
+	shutdown, stop := cli.SignalContext()
+	defer stop()
 	if s.StateDir == "" {
-		return runDiskless(s, hangups, host, ring)
+		serveDiskless(shutdown, s, hangups, host, ring)
+		return nil
 	}
+	return serveCore(shutdown, s, hangups, host, ring)
+}
+
+// exitOnControllerError ends a control plane process that failed.
+func exitOnControllerError(err error) { cli.ExitOnError("keelstair-platform controller", err) }
+
+// serveCore runs a control plane process with a disk. When shutdown ends, it hands over its roles, answers the
+// operators' requests in progress and returns.
+func serveCore(
+	shutdown context.Context,
+	s *platform.Settings,
+	hangups <-chan os.Signal,
+	host host.Host,
+	ring *logging.Ring,
+) error {
 	documentReader := &platform.DocumentReader{}
 	core, err := coordination.New(coordination.Options{
 		Addr:           s.ControlAddr,
@@ -116,45 +134,54 @@
 	if err != nil {
 		return err
 	}
-	shutdown, stop := cli.SignalContext()
-	defer stop()
-	ctx := cli.ShutdownContext(shutdown, core, min(maxLeaveDuration, s.GracePeriod-shutdownReserve))
+	gate := &cli.RequestGate{}
+	ctx := cli.ShutdownContext(shutdown, core, min(maxLeaveDuration, s.GracePeriod-shutdownReserve), gate)
 	reloadSeedsOnSIGHUP(ctx, hangups, core.Directory().SetSeeds)
 	mux := http.NewServeMux()
 	core.Mount(mux)
-	mountOperatorAPIs(mux, s, core.Caller(), core.Directory(), ring)
-	cli.Serve(ctx, host, s.ControlAddr, mux, func(err error) { cli.ExitOnError("keelstair-platform controller", err) })
-	return core.Run(ctx)
+	mux.Handle("/", gate.Handler(operatorAPIs(s, core.Caller(), core.Directory(), ring)))
+	servers := cli.NewServers(host, exitOnControllerError)
+	servers.Serve(ctx, s.ControlAddr, mux)
+	err = core.Run(ctx)
+	servers.Wait()
+	return err
 }
 
-// mountOperatorAPIs registers the handlers for operators: those of the platform's API, and those of
-// keelstair's own API.
-func mountOperatorAPIs(
-	mux *http.ServeMux,
+// operatorAPIs returns the handler for operators: the platform's API, and keelstair's own API.
+func operatorAPIs(
 	s *platform.Settings,
 	caller *rpc.Caller,
 	directory *coordination.Directory,
 	ring *logging.Ring,
-) {
+) http.Handler {
+	mux := http.NewServeMux()
 	(&platform.Operator{Caller: caller, Directory: directory, Zones: s.Zones, Log: ring}).Mount(mux)
 	api.RegisterOperatorAPI(mux, &proxy.Operator{Caller: caller, Directory: directory, Zones: s.Zones})
+	return mux
 }
 
-// runDiskless serves the operator APIs on a machine without a disk. It stores nothing and forwards
-// operations to the core.
-func runDiskless(s *platform.Settings, hangups <-chan os.Signal, host host.Host, ring *logging.Ring) error {
-	ctx, stop := cli.SignalContext()
-	defer stop()
+// serveDiskless serves the operator APIs on a machine without a disk. It stores nothing and forwards
+// operations to the core. When shutdown ends, it answers the requests in progress and returns.
+func serveDiskless(
+	shutdown context.Context,
+	s *platform.Settings,
+	hangups <-chan os.Signal,
+	host host.Host,
+	ring *logging.Ring,
+) {
+	gate := &cli.RequestGate{}
+	ctx := cli.ShutdownContext(shutdown, nil, 0, gate)
 	caller := rpc.NewCaller(host.Net)
 	defer caller.Close()
 	directory := coordination.NewDirectory(host, caller, s.Seeds, coordination.Replica{Addr: s.ControlAddr})
 	reloadSeedsOnSIGHUP(ctx, hangups, directory.SetSeeds)
 	mux := http.NewServeMux()
 	directory.Serve(mux)
-	mountOperatorAPIs(mux, s, caller, directory, ring)
-	cli.Serve(ctx, host, s.ControlAddr, mux, func(err error) { cli.ExitOnError("keelstair-platform controller", err) })
+	mux.Handle("/", gate.Handler(operatorAPIs(s, caller, directory, ring)))
+	servers := cli.NewServers(host, exitOnControllerError)
+	servers.Serve(ctx, s.ControlAddr, mux)
 	directory.Run(ctx, func() bool { return false })
-	return nil
+	servers.Wait()
 }
 
 // loadPrograms returns the routing programs of the policy file on the command line, or none if the command line
@@ -176,14 +203,13 @@
 
 // serveInternal starts the internal servers of a router node: one for its peers, and one for the platform's
 // readiness check.
-func serveInternal(ctx context.Context, s *platform.Settings, h host.Host, node *proxy.Node) {
-	fail := func(err error) { cli.ExitOnError("keelstair-platform router", err) }
+func serveInternal(ctx context.Context, servers *cli.Servers, s *platform.Settings, node *proxy.Node) {
 	peers := http.NewServeMux()
 	node.Mount(peers)
-	cli.Serve(ctx, h, s.PeerAddr(), peers, fail)
+	servers.Serve(ctx, s.PeerAddr(), peers)
 	ready := http.NewServeMux()
 	ready.Handle("GET /readiness", platform.Readiness(node))
-	cli.Serve(ctx, h, s.ReadinessAddr, ready, fail)
+	servers.Serve(ctx, s.ReadinessAddr, ready)
 }
 
 // configureMetering makes a node report usage to the platform if the settings enable metering.
@@ -242,13 +268,16 @@
 	serveCtx, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
 	reloadSeedsOnSIGHUP(serveCtx, hangups, node.Directory().SetSeeds)
-	serveInternal(serveCtx, s, host, node)
+	servers := cli.NewServers(host, func(err error) { cli.ExitOnError("keelstair-platform router", err) })
+	serveInternal(serveCtx, servers, s, node)
 	listener, err := host.Net.Listen(s.FrontendAddr)
 	if err != nil {
 		return err
 	}
 	go server.ServeClients(listener, &platform.Frontend{Node: node, Clock: host.Clock})
 	node.Run(ctx, proxy.NewShutdownPeriods(s.GracePeriod))
+	stopServing()
+	servers.Wait()
 	fmt.Println(node.Summary())
 	return nil
 }
--- a/cmd/keelstair-router/main.go
+++ b/cmd/keelstair-router/main.go
@@ -88,8 +88,10 @@
 	node.Mount(peerMux)
 	api.RegisterClientAPI(frontendMux, node)
 	api.RegisterOperatorAPI(frontendMux, node)
-	fail := func(err error) { cli.ExitOnError("keelstair-router", err) }
-	cli.Serve(serveCtx, host, o.Addr, peerMux, fail)
-	cli.Serve(serveCtx, host, o.Frontend, frontendMux, fail)
+	servers := cli.NewServers(host, func(err error) { cli.ExitOnError("keelstair-router", err) })
+	servers.Serve(serveCtx, o.Addr, peerMux)
+	servers.Serve(serveCtx, o.Frontend, frontendMux)
 	node.Run(ctx, ms(o.DrainTimeoutMs))
+	stopServing()
+	servers.Wait()
 }
--- a/cmd/keelstair-standin/main.go
+++ b/cmd/keelstair-standin/main.go
@@ -85,7 +85,8 @@
 	cli.ExitOnError("standin", err)
 	ctx, stop := cli.SignalContext()
 	defer stop()
-	fail := func(err error) { cli.ExitOnError("standin", err) }
+	servers := cli.NewServers(host, func(err error) { cli.ExitOnError("standin", err) })
+	defer servers.Wait()
 	switch {
 	case o.Worker != nil:
 		c := o.Worker
@@ -100,13 +101,13 @@
 		})
 		mux := http.NewServeMux()
 		mux.Handle("/", w.Handler())
-		cli.Serve(ctx, host, c.Addr, mux, fail)
+		servers.Serve(ctx, c.Addr, mux)
 		w.Run(ctx)
 	case o.Platform != nil:
 		p := standin.NewPlatform(host)
 		mux := http.NewServeMux()
 		mux.Handle("/", p.Handler())
-		cli.Serve(ctx, host, o.Platform.Addr, mux, fail)
+		servers.Serve(ctx, o.Platform.Addr, mux)
 		p.Run(ctx)
 	case o.Load != nil:
 		runLoad(ctx, host, o.Load)
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 
@@ -26,21 +27,34 @@
 	Leave(ctx context.Context) error
 }
 
-// ShutdownContext returns the context for a process that hands over its roles before it shuts down. It
-// calls Leave when shutdown ends, and the returned context ends when Leave returns. Leave's context has
-// the given timeout.
-func ShutdownContext(shutdown context.Context, leaver Leaver, timeout time.Duration) context.Context {
+// requestDrainTimeout limits how long a process that shuts down waits for the requests in progress at its gate.
+const requestDrainTimeout = time.Second
+
+// ShutdownContext returns the context for a process that hands over its roles before it shuts down. When shutdown
+// ends, it calls Leave with the given timeout, unless leaver is nil, and then closes the gate. The
+// returned context ends after both.
+func ShutdownContext(shutdown context.Context, leaver Leaver, timeout time.Duration, gate *RequestGate) context.Context {
 	ctx, end := context.WithCancel(context.Background())
 	go func() {
 		defer end()
 		<-shutdown.Done()
-		leaveCtx, stop := context.WithTimeout(context.Background(), timeout)
+		if leaver != nil {
+			leave(leaver, timeout)
+		}
+		drainCtx, stop := context.WithTimeout(context.Background(), requestDrainTimeout)
 		defer stop()
-		leaver.Leave(leaveCtx) // Leave logs its error; the process shuts down regardless
+		gate.Close(drainCtx)
 	}()
 	return ctx
 }
 
+// leave hands over the roles. The process shuts down even if that fails; Leave logs its error.
+func leave(leaver Leaver, timeout time.Duration) {
+	ctx, stop := context.WithTimeout(context.Background(), timeout)
+	defer stop()
+	leaver.Leave(ctx)
+}
+
 // ExitOnError prints an error on one line and exits with code 1. It does nothing if err is nil.
 func ExitOnError(program string, err error) {
 	if err != nil {
@@ -49,21 +63,33 @@
 	}
 }
 
-// Serve listens on addr and serves requests in the background until the context ends. It passes errors
-// to fail.
-func Serve(ctx context.Context, host host.Host, addr string, mux *http.ServeMux, fail func(error)) {
-	listener, err := host.Net.Listen(addr)
+// Servers are the HTTP servers of a process.
+type Servers struct {
+	host    host.Host
+	fail    func(error)
+	running sync.WaitGroup
+}
+
+// NewServers returns servers on a host, which pass their errors to fail.
+func NewServers(host host.Host, fail func(error)) *Servers { return &Servers{host: host, fail: fail} }
+
+// Serve listens on addr and serves requests in the background until the context ends.
+func (s *Servers) Serve(ctx context.Context, addr string, handler http.Handler) {
+	listener, err := s.host.Net.Listen(addr)
 	if err != nil {
-		fail(err)
+		s.fail(err)
 		return
 	}
-	go func() {
-		if err := rpc.Serve(ctx, listener, mux); err != nil {
-			fail(err)
+	s.running.Go(func() {
+		if err := rpc.Serve(ctx, listener, handler); err != nil {
+			s.fail(err)
 		}
-	}()
+	})
 }
 
+// Wait returns when all servers have ended and their last responses are sent.
+func (s *Servers) Wait() { s.running.Wait() }
+
 // NewRing returns the program's logger. It keeps the newest 512 lines in memory and writes them to
 // standard error when an error is logged. Warnings are written immediately.
 func NewRing(name string) *logging.Ring { return logging.NewRing(512, os.Stderr, name) }
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -54,9 +54,10 @@
 	maxMessageBytes  = 64 << 20
 	minCompressBytes = 1024 // shorter responses are sent uncompressed
 
-	defaultTimeout = time.Second // of a call whose context has no deadline
-	headerTimeout  = 5 * time.Second
-	drainInterval  = 50 * time.Millisecond
+	defaultTimeout  = time.Second // of a call whose context has no deadline
+	headerTimeout   = 5 * time.Second
+	shutdownTimeout = 100 * time.Millisecond // for the responses to requests in progress when a server ends
+	drainInterval   = 50 * time.Millisecond
 )
 
 // connectCodes maps the kinds of errors to the codes that represent them on the wire.
@@ -191,13 +192,28 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-// Serve serves HTTP requests on l until ctx is done.
+// Serve serves HTTP requests on l until ctx is done. The contexts of requests end with ctx. Serve returns
+// when the responses to the requests in progress are sent, shutdownTimeout after the end of ctx at the latest.
 func Serve(ctx context.Context, l net.Listener, handler http.Handler) error {
-	srv := &http.Server{Handler: echoCallID(handler), ReadHeaderTimeout: headerTimeout}
-	stop := context.AfterFunc(ctx, func() { srv.Close() })
-	defer stop()
+	srv := &http.Server{
+		Handler:           echoCallID(handler),
+		ReadHeaderTimeout: headerTimeout,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+	ended := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		srv.Shutdown(shutdownCtx)
+		srv.Close()
+	})
 	err := srv.Serve(l)
-	if ctx.Err() != nil || errors.Is(err, http.ErrServerClosed) {
+	if !stop() {
+		<-ended
+		return nil
+	}
+	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return failure.Wrap(err, "serve", l.Addr().String())
