proxy: a node that shuts down sends its last usage

Each node sends its counts of tenants' requests about once a second. One that exited after SIGTERM took along what it had counted since the last message, and what its owner had acknowledged only in part: the requests of its last second were missing in the report to the platform. It now sends its counts, as the owner of the duty also to its successor, before it gives up the lease.

--- a/internal/proxy/metering.go
+++ b/internal/proxy/metering.go
@@ -10,6 +10,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"keelstair.example/coordination"
@@ -47,6 +48,7 @@
 	ledger         *metering.Ledger    // this node's own counts, and which of them the owner has acknowledged
 	collector      *metering.Collector // the counts that this node received as owner or successor
 	startWindow    uint64              // the window in which this node started
+	sendMu         sync.Mutex          // held while counts are sent
 	collectorFence ids.Fence           // fence of the owner whose acknowledgements the ledger has recorded
 }
 
@@ -85,16 +87,34 @@
 		if !host.Sleep(ctx, interval*4/5+rand.N(interval*2/5)) {
 			return
 		}
-		current := meter.windows.At(meter.clock.Now())
-		meter.ledger.Prune(current)
-		meter.collector.Prune(current)
-		if owner, fence, ok := n.agent.KeyOwner(fleetstate.MeteringKey); ok {
-			if meter.collectorFence != fence {
-				meter.collectorFence = fence
-				meter.ledger.ResetAcknowledgements() // forgets the acknowledgements of the previous owner
-			}
-			meter.send(ctx, n, owner)
-		}
+		n.sendUsageOnce(ctx)
+	}
+}
+
+// sendUsageOnce sends this node's counts that the owner of the metering duty, if one is known, has not acknowledged.
+func (n *Node) sendUsageOnce(ctx context.Context) {
+	meter := n.usage
+	meter.sendMu.Lock()
+	defer meter.sendMu.Unlock()
+	current := meter.windows.At(meter.clock.Now())
+	meter.ledger.Prune(current)
+	meter.collector.Prune(current)
+	owner, fence, ok := n.agent.KeyOwner(fleetstate.MeteringKey)
+	if !ok {
+		return
+	}
+	if meter.collectorFence != fence {
+		meter.collectorFence = fence
+		meter.ledger.ResetAcknowledgements() // forgets the acknowledgements of the previous owner
+	}
+	meter.send(ctx, n, owner)
+}
+
+// sendLastUsage sends the counts of a node that is shutting down. It must be called before the node gives up
+// its lease, because a successor takes an owner's counts only while it knows it as the owner.
+func (n *Node) sendLastUsage() {
+	if n.usage != nil {
+		n.sendUsageOnce(context.Background())
 	}
 }
 
--- a/internal/proxy/metering_test.go
+++ b/internal/proxy/metering_test.go
@@ -328,6 +328,39 @@
 	})
 }
 
+// TestUsageOfNodeInShutdownIsReported: a node receives SIGTERM right after it has served requests, once as the holder
+// of the metering lease and once as another node. Its counts are reported.
+func TestUsageOfNodeInShutdownIsReported(t *testing.T) {
+	for _, asHolder := range []bool{false, true} {
+		runInBubble(t, func(t *testing.T) {
+			f, recorder := startMeteredFleet(t, 77, 4)
+			defer f.closeMeteredFleet()
+			require.True(t, f.waitUntil(20*time.Second, func() bool { return len(recorder.recordedCalls()) > 0 }))
+			f.waitUntil(10*time.Second, func() bool {
+				return time.Duration(time.Now().UnixNano()%int64(usageWindow)) < 100*time.Millisecond
+			})
+			stopped := f.meteringHolder()
+			if !asHolder {
+				stopped = (stopped + 1) % len(f.nodes)
+			}
+			node := f.nodes[stopped]
+			window := uint64(time.Now().UnixNano()) / uint64(usageWindow)
+			const requests = 5
+			for n := range requests {
+				result := f.send(node, f.newTenantRequest(fmt.Sprint("s", n), "/once/x", "amber"))
+				require.NoError(t, result.err)
+			}
+			node.cancel()
+			<-node.done
+			f.killNode(stopped)
+			time.Sleep(15 * time.Second)
+			calls := recorder.recordedCalls()
+			require.Empty(t, checkSingleReporter(calls, usageLease))
+			require.Equal(t, map[string]int{"amber": requests}, firstReports(calls)[window].Counts, "holder: %v", asHolder)
+		})
+	}
+}
+
 // TestSingleUsageReporter: reporting nodes are killed, stopped, frozen, or partitioned from the core in one
 // or both directions or from the platform, while the platform is slow or rejects reports, or after the core
 // (the coordination service) lost its primary. One node at a time reports, and no window is reported with two
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -59,7 +59,7 @@
 // SIGTERM.
 type ShutdownPeriods struct {
 	Accept time.Duration // until then new requests are accepted, while callers notice that the node is not ready
-	Leave  time.Duration // then the node gives up its lease, even if requests are still in flight
+	Leave  time.Duration // then the node sends its last usage and gives up its lease, even if requests are still in flight
 	Finish time.Duration // until then requests in flight may finish
 }
 
@@ -76,7 +76,7 @@
 	finish := max(0, gracePeriod-exitMargin)
 	return ShutdownPeriods{
 		Accept: min(acceptPeriod, finish/2),
-		Leave:  max(0, finish-coordination.LeaveTimeout),
+		Leave:  max(0, finish-usageTimeout-coordination.LeaveTimeout),
 		Finish: finish,
 	}
 }
@@ -109,6 +109,7 @@
 	case <-ended:
 	case <-leave.C:
 	}
+	n.sendLastUsage()
 	n.agent.Leave()
 	n.stop()
 	background.Wait()
