proxy: a node that shuts down refuses streams that usually take longer than it has

The node now keeps the durations of the newest 64 answers of each route. During its accept period it answers 503 to a request if one of them took longer than the time that is left, unless the request's deadline comes first.

Ruled out: the largest output that a request allows as the estimate. TestNodeInShutdownRefusesStreamsThatUsuallyTakeLonger fails without the check (200 for 503).

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -161,6 +161,7 @@
 	case nil:
 		n.counts.Completed.Add(1)
 		t.trace(handoff.Ended, "", "")
+		n.answerTimesOf(t.route.Name).observe(n.now().Since(t.request.At))
 		n.metrics.Observe(t.service.Name, t.request.Prompt, t.timing.durations(t.request.At, n.now()), t.targets())
 	case *RejectedError:
 		n.counts.Rejected.Add(1)
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -152,6 +152,7 @@
 	candidates      atomic.Pointer[candidateIndex]
 	admission       admission
 	serviceTimes    sync.Map      // service -> *serviceTimes
+	answerTimes     sync.Map      // route -> *answerTimes
 	outages         chan struct{} // signals that a worker was found down
 	retryAfter      handoff.RetryAfterScheduler
 	usage           *usageMeter // nil where usage is not reported
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -117,11 +117,17 @@
 	n.logUnfinishedRequests(schedule.began)
 }
 
-// checkShutdown rejects a request that the node has read after its accept period if the answer might be cut off
-// by the exit of the process.
+// checkShutdown rejects a request whose answer might be cut off by the exit of the process. A request is accepted in
+// any case if its deadline is earlier. Otherwise it must have been read within the accept period, and none of
+// the newest answers of its route may have taken longer than the time that is left.
 func (t *exchange) checkShutdown() error {
 	schedule := t.node.shutdown.Load()
-	if schedule == nil || t.node.now().Before(schedule.acceptUntil) || !schedule.finishBy.Before(t.deadline) {
+	if schedule == nil || !schedule.finishBy.Before(t.deadline) {
+		return nil
+	}
+	now := t.node.now()
+	expectedEnd := now.Add(t.node.answerTimesOf(t.route.Name).longest())
+	if now.Before(schedule.acceptUntil) && !schedule.finishBy.Before(expectedEnd) {
 		return nil
 	}
 	return &RejectedError{Code: http.StatusServiceUnavailable, RetryAfter: minRetryAfter, Reason: "the node is shutting down"}
