router: a shutdown waits for the requests that it forwards

A client whose governed request a router without a certificate had passed on to a certified one got 7 of 65 events when that router received SIGTERM: forwarded requests were not counted as in flight, so the router exited at once. A request that had passed the readiness check and was not admitted yet was missed in the same way. Every request is now counted from its arrival, before that check. The limit of concurrent streams counts as before.

The simulated routers now exit when their shutdown has ended, as the program does. TestForwardedStreamIsFinishedBeforeShutdown failed before and passes now.

--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -78,9 +78,10 @@
 	duties            sync.Map // ids.WorkerID -> *workerDuty
 	faults            sync.Map // ids.WorkerID -> faultCount
 	unresolved        unresolvedClaims
-	roleChanges       sync.Map // ids.WorkerID -> ids.Tick of its last role change
-	inflight          atomic.Int64
-	kinds             sync.Map // kind -> *atomic.Int64, its requests in flight
+	roleChanges       sync.Map     // ids.WorkerID -> ids.Tick of its last role change
+	inProgress        atomic.Int64 // requests of clients and peers, including those that are forwarded
+	inflight          atomic.Int64 // streams that count against the limit of the configuration
+	kinds             sync.Map     // kind -> *atomic.Int64, its requests in flight
 	stopping          atomic.Bool
 	retryBucket       retryBucket
 	retryAfter        handoff.RetryAfterScheduler
@@ -172,7 +173,7 @@
 	<-ctx.Done()
 	n.stopping.Store(true)
 	if drain > 0 {
-		for deadline := n.now().Add(drain); n.inflight.Load() > 0 && n.now().Before(deadline); {
+		for deadline := n.now().Add(drain); n.inProgress.Load() > 0 && n.now().Before(deadline); {
 			host.Sleep(inner, 50*time.Millisecond)
 		}
 		n.agent.Leave()
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -52,6 +52,8 @@
 // serve serves a client's request, or one that another node forwarded.
 func (n *Node) serve(ctx context.Context, request *api.StreamRequest, out api.Sink, forwarded bool) error {
 	n.counts.Requests.Add(1)
+	n.inProgress.Add(1) // before Ready, so that a shutdown waits for every request that passes it
+	defer n.inProgress.Add(-1)
 	if ok, reason := n.Ready(); !ok {
 		return n.rejectRetryable(http.StatusServiceUnavailable, "not-ready", "%s", reason)
 	}
--- a/internal/simulation/certified_nodes_test.go
+++ b/internal/simulation/certified_nodes_test.go
@@ -217,6 +217,20 @@
 	})
 }
 
+// TestForwardedStreamIsFinishedBeforeShutdown sends SIGTERM to a router while it forwards a governed request to a
+// certified one. The client receives the complete stream.
+func TestForwardedStreamIsFinishedBeforeShutdown(t *testing.T) {
+	withRegimeInForce(t, (*CertificationModel).certifyAllButLast, func(t *testing.T, c *Cluster, m *CertificationModel) {
+		require.NoError(t, m.WaitForOwners())
+		uncertified := routerNamed(c, "router-5")
+		request := withLongOutput(speechRequest)
+		stream := c.startStream(uncertified, request)
+		require.True(t, c.WaitUntil(3*time.Second, func() bool { return len(m.workersWithStep(handoff.Resumed)) == 1 }))
+		uncertified.Shutdown()
+		requireReferenceOutput(t, c, request, <-stream)
+	})
+}
+
 // TestCertificateRevokedMidStream checks that a stream continues on another certified worker when the
 // certificate of its decode worker is revoked, and delivers each token once. From two seconds after the
 // acknowledgement of the revocation, no governed request is left on the worker.
--- a/internal/simulation/cluster_test.go
+++ b/internal/simulation/cluster_test.go
@@ -159,6 +159,9 @@
 	}
 }
 
+// exitDelay is the time from the end of a router's shutdown to the exit of its process.
+const exitDelay = 50 * time.Millisecond
+
 // Router describes a router with one address for its peers and one for the frontend.
 func (c *Cluster) Router(name, ip string, zone ids.Zone) *Process {
 	return &Process{
@@ -192,7 +195,13 @@
 			api.RegisterOperatorAPI(clientMux, n)
 			nodeCtx, shutdown := context.WithCancel(ctx)
 			p.Shutdown = shutdown
-			c.wg.Go(func() { n.Run(nodeCtx, 3*time.Second) })
+			c.wg.Go(func() {
+				n.Run(nodeCtx, 3*time.Second)
+				if ctx.Err() == nil {
+					time.Sleep(exitDelay)
+					c.Kill(p)
+				}
+			})
 			c.Platform.AddNode(p.FrontendAddr, zone)
 			if err := c.serve(ctx, host, p.Addr, peerMux); err != nil {
 				return err
