--- a/internal/conntimeout/conntimeout.go
+++ b/internal/conntimeout/conntimeout.go
@@ -65,18 +65,32 @@
 		return
 	}
 	g.limits = limits
-	conns := make([]*conn, 0, len(g.open))
-	for c := range g.open {
-		conns = append(conns, c)
-	}
 	g.mu.Unlock()
-	for _, c := range conns {
+	for _, c := range g.openConns() {
 		c.mu.Lock()
 		c.arm()
 		c.mu.Unlock()
 	}
 }
 
+// CloseUnused closes the connections on which no byte has arrived yet. A server that shuts down would wait for
+// them, but not serve a request that arrives on them.
+func (g *Guard) CloseUnused() {
+	for _, c := range g.openConns() {
+		c.closeIfUnused()
+	}
+}
+
+func (g *Guard) openConns() []*conn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	conns := make([]*conn, 0, len(g.open))
+	for c := range g.open {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
 // Install makes a server report the states of its connections to the guard. The server must use a
 // listener from Listener and a handler from Handler, and set no header or idle timeout itself.
 func (g *Guard) Install(server *http.Server) {
@@ -159,6 +173,7 @@
 
 	mu    sync.Mutex
 	phase phase
+	used  bool      // a byte has arrived
 	since time.Time // when the phase began
 	timer *time.Timer
 }
@@ -168,6 +183,7 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.mu.Lock()
+		c.used = true
 		if c.phase == idle {
 			c.enter(readingHeader)
 		}
@@ -176,6 +192,16 @@
 	return n, err
 }
 
+// closeIfUnused closes the connection unless a byte has arrived on it.
+func (c *conn) closeIfUnused() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.used {
+		c.phase = expired
+		c.Conn.Close()
+	}
+}
+
 // serverState updates the phase when the server reports a new connection state. An expired connection stays
 // expired until it is closed.
 func (c *conn) serverState(state http.ConnState) {
