keelstair-platform: the tests of its shutdown use keelstair's own operator API

A test outside platform/ used a header of the users' platform, which make names refuses. The requests are now evacuations over the API that keelstairctl uses, with the same checks: a request in progress at SIGTERM is acknowledged, and each operation that takes effect while a core process leaves has been acknowledged.

--- a/cmd/keelstair-platform/shutdown_test.go
+++ b/cmd/keelstair-platform/shutdown_test.go
@@ -4,33 +4,39 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
-	"strings"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"keelstair.example/coordination"
 	"keelstair.example/host/simulated"
+	"keelstair.example/internal/api"
+	"keelstair.example/internal/fleetstate"
 	"keelstair.example/logging"
 	"keelstair.example/platform"
 	"keelstair.example/rpc"
 )
 
-const disklessAddr = "10.0.1.1:1"
+const (
+	disklessAddr = "10.0.1.1:1"
+	zone         = "north"
+)
 
 // controlPlane is a simulated control plane of three processes with a disk and one without.
 type controlPlane struct {
 	*testing.T
 	world   *simulated.World
 	client  *http.Client
+	caller  *rpc.Caller
 	cores   []string
 	sigterm map[string]context.CancelFunc // by address
 
+	directory *coordination.Directory
 	processes map[string]*simulated.Process
 }
 
@@ -39,9 +45,11 @@
 		c := &controlPlane{T: t, world: simulated.NewWorld(1), sigterm: map[string]context.CancelFunc{}, processes: map[string]*simulated.Process{}}
 		client := c.world.Machine("10.0.9.1").Start()
 		c.client = rpc.NewHTTPClient(client.Host().Net)
+		c.caller = rpc.NewCaller(client.Host().Net)
 		for i := range 3 {
 			c.cores = append(c.cores, fmt.Sprintf("10.0.0.%d:1", i+1))
 		}
+		c.directory = coordination.NewDirectory(client.Host(), c.caller, c.cores, coordination.Replica{})
 		for _, addr := range append(c.cores, disklessAddr) {
 			c.start(addr)
 		}
@@ -51,6 +59,7 @@
 			}
 			time.Sleep(time.Minute)
 			c.client.CloseIdleConnections()
+			c.caller.Close()
 			client.Kill()
 			time.Sleep(time.Minute) // all timers must expire before the bubble ends
 		}()
@@ -66,8 +75,8 @@
 	c.processes[addr] = process
 	settings := &platform.Settings{
 		ControlAddr: addr,
-		Zone:        "north",
-		Zones:       []string{"north"},
+		Zone:        zone,
+		Zones:       []string{zone},
 		Seeds:       c.cores,
 		Bootstrap:   true,
 		GracePeriod: 8 * time.Second,
@@ -82,90 +91,71 @@
 	}()
 }
 
-// call sends an operator's request and returns the status and the body of the response. The status 0 means that no
-// complete response arrived.
-func (c *controlPlane) call(method, addr string, base int, body string) (int, []byte) {
+// evacuate sends an evacuation of the zone, or its end, to one process. An error means that it was not acknowledged.
+func (c *controlPlane) evacuate(addr, op string, out bool) error {
 	ctx, stop := context.WithTimeout(context.Background(), 6*time.Second)
 	defer stop()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+addr+"/configuration", strings.NewReader(body))
-	require.NoError(c, err)
-	request.Header.Set("If-Match", fmt.Sprint(base))
-	response, err := c.client.Do(request)
-	if err != nil {
-		return 0, nil
-	}
-	defer response.Body.Close()
-	got, err := io.ReadAll(response.Body)
-	if err != nil {
-		return 0, nil
-	}
-	return response.StatusCode, got
+	return api.Send(ctx, c.client, []string{addr}, http.MethodPost, "/v1/zones/"+zone, &api.MarkRequest{Op: op, Out: out}, nil)
 }
 
-// putConfiguration sends a configuration over the given version.
-func (c *controlPlane) putConfiguration(addr string, version int) int {
-	document := fmt.Sprintf(`{"revision":%d,"routes":[],"plants":[],"limits":{}}`, version+1)
-	status, _ := c.call(http.MethodPut, addr, version, document)
-	return status
-}
-
-// currentVersion reads the newest version from the core.
-func (c *controlPlane) currentVersion() int {
+// awaitCore waits until the core takes operations.
+func (c *controlPlane) awaitCore() {
 	for range 100 {
-		status, body := c.call(http.MethodGet, disklessAddr, 0, "")
-		var document struct{ Revision int }
-		if status == http.StatusOK && json.Unmarshal(body, &document) == nil {
-			return document.Revision
+		if c.evacuate(disklessAddr, "first", false) == nil {
+			return
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	require.Fail(c, "the configuration cannot be read")
-	return 0
+	require.Fail(c, "no operation was acknowledged")
 }
 
-// putUntilTaken repeats putConfiguration until the configuration is acknowledged.
-func (c *controlPlane) putUntilTaken(version int) {
+// evacuated reads from the core whether the zone is evacuated.
+func (c *controlPlane) evacuated() bool {
 	for range 100 {
-		if c.putConfiguration(disklessAddr, version) == http.StatusOK {
-			return
+		ctx, stop := context.WithTimeout(context.Background(), time.Second)
+		state, err := fleetstate.ReadState(ctx, c.caller, c.directory)
+		stop()
+		if err == nil {
+			return slices.Contains(state.EvacuatedZones, zone)
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	require.Fail(c, "no configuration was acknowledged")
+	require.Fail(c, "the state cannot be read")
+	return false
 }
 
 // TestOperatorRequestInProgressIsAnsweredAtShutdown sends SIGTERM to a control plane process without a disk while it
-// waits for the core to store a change.
+// waits for the core to store an evacuation.
 func TestOperatorRequestInProgressIsAnsweredAtShutdown(t *testing.T) {
 	withControlPlane(t, func(c *controlPlane) {
-		c.putUntilTaken(0)
+		c.awaitCore()
 		for _, addr := range c.cores {
 			c.world.Machine(addr[:len(addr)-2]).SetDiskDelay(200 * time.Millisecond)
 		}
 		time.AfterFunc(50*time.Millisecond, c.sigterm[disklessAddr])
-		require.Equal(c, http.StatusOK, c.putConfiguration(disklessAddr, 1))
+		require.NoError(c, c.evacuate(disklessAddr, "out", true))
 	})
 }
 
-// TestChangesDuringLeaveAreAnswered sends changes to a core process from its SIGTERM until it has exited. Each
-// change that comes into force must have been acknowledged.
-func TestChangesDuringLeaveAreAnswered(t *testing.T) {
+// TestOperationsDuringLeaveAreAnswered sends operations to a core process from its SIGTERM until it has exited. Each
+// operation that takes effect must have been acknowledged.
+func TestOperationsDuringLeaveAreAnswered(t *testing.T) {
 	withControlPlane(t, func(c *controlPlane) {
-		c.putUntilTaken(0)
+		c.awaitCore()
 		exited := c.processes[c.cores[0]].Done()
 		c.sigterm[c.cores[0]]()
-		version := 1
-		for running := true; running; {
+		out := false
+		for n, running := 0, true; running; n++ {
 			select {
 			case <-exited:
 				running = false
 			default:
 			}
-			if c.putConfiguration(c.cores[0], version) == http.StatusOK {
-				version++
+			if c.evacuate(c.cores[0], fmt.Sprint("op-", n), !out) == nil {
+				out = !out
 			}
 			time.Sleep(time.Millisecond)
-			require.Equal(c, version, c.currentVersion())
+			require.Equal(c, out, c.evacuated())
 		}
 	})
 }
