proxy: few answers of a route count as a small sample in a shutdown

The longest of n answers is now scaled up to the expected longest of a full window, by the ratio of their logarithms.

--- a/internal/proxy/answer_times.go
+++ b/internal/proxy/answer_times.go
@@ -4,13 +4,17 @@
 package proxy
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
 )
 
-// answerWindow is the number of newest answers of a route whose durations are kept.
-const answerWindow = 64
+const (
+	answerWindow = 64 // number of newest answers of a route whose durations are kept
+	// minAnswerSamples limits how far the longest of a few answers is extrapolated.
+	minAnswerSamples = 4
+)
 
 // answerTimes holds the durations of the newest complete answers of a route, from the arrival of the request to the
 // end of the answer.
@@ -32,14 +36,17 @@
 	a.next = (a.next + 1) % answerWindow
 }
 
-// longest returns the longest duration in the window, 0 if it is empty.
-func (a *answerTimes) longest() time.Duration {
+// expectedLongest estimates the longest duration in a full window, 0 without any answer. The longest of n durations with
+// an exponential tail grows with the logarithm of n, and the longest of fewer answers is scaled up accordingly.
+func (a *answerTimes) expectedLongest() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if len(a.durations) == 0 {
 		return 0
 	}
-	return slices.Max(a.durations)
+	samples := max(minAnswerSamples, len(a.durations))
+	scale := math.Log(answerWindow) / math.Log(float64(samples))
+	return time.Duration(scale * float64(slices.Max(a.durations)))
 }
 
 // answerTimesOf returns the answer times of a route, and creates them if there are none.
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -118,15 +118,15 @@
 }
 
 // checkShutdown rejects a request whose answer might be cut off by the exit of the process. A request is accepted in
-// any case if its deadline is earlier. Otherwise it must have been read within the accept period, and none of
-// the newest answers of its route may have taken longer than the time that is left.
+// any case if its deadline is earlier. Otherwise it must have been read within the accept period, and the longest
+// of 64 answers of its route must be expected to end in time.
 func (t *exchange) checkShutdown() error {
 	schedule := t.node.shutdown.Load()
 	if schedule == nil || !schedule.finishBy.Before(t.deadline) {
 		return nil
 	}
 	now := t.node.now()
-	expectedEnd := now.Add(t.node.answerTimesOf(t.route.Name).longest())
+	expectedEnd := now.Add(t.node.answerTimesOf(t.route.Name).expectedLongest())
 	if now.Before(schedule.acceptUntil) && !schedule.finishBy.Before(expectedEnd) {
 		return nil
 	}
