Review case 2: routers go over their memory during a burst of large bodies

The case shows that a router holds the whole body of every request that it serves, without a bound on their sum. With bodies of the configured limit and twice the usual number of requests it goes over its memory, is killed, and all streams that it has accepted are lost (Fault).

Nothing is fixed.

--- a/review/testdata/fleet/main.go
+++ b/review/testdata/fleet/main.go
@@ -32,7 +32,8 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*fleet) (int, error){
-	"slow-worker": slowWorkerCase,
+	"slow-worker":  slowWorkerCase,
+	"large-bodies": largeBodiesCase,
 }
 
 func main() {
