Review case 3: a lengthless stream of a killed worker looks complete

The case shows that a stream without a length whose worker is killed between two events reaches the client as a complete, stamped answer that lacks its last events, on a route that may be resumed (ORDER).

Run: the deploy file's build, review/build.sh, review/3/run.sh. Nothing is fixed.

--- a/review/testdata/fleet/main.go
+++ b/review/testdata/fleet/main.go
@@ -34,9 +34,16 @@
 var cases = map[string]func(*fleet) (int, error){
 	"slow-worker":  slowWorkerCase,
 	"large-bodies": largeBodiesCase,
+	"lengthless":   lengthlessCase,
 }
 
 func main() {
+	if len(os.Args) == 4 && os.Args[1] == "worker" {
+		if err := json.Unmarshal(namesText, &names); err != nil {
+			os.Exit(couldNotRun)
+		}
+		os.Exit(runLengthlessWorker(os.Args[2], os.Args[3]))
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: fleet CASE RECORD")
 		os.Exit(couldNotRun)
