--- a/review/testdata/fleet/lengthless.go
+++ b/review/testdata/fleet/lengthless.go
@@ -23,7 +23,7 @@
 	rulingClients   = 16 // for each router
 	rulingDeadline  = 3 * time.Second
 	rulingQuietTime = 4 * time.Second
-	rulingDownFor   = 4500 * time.Millisecond // then it starts again with a new id
+	rulingDownFor   = 4500 * time.Millisecond // then it leaves the list, for good
 )
 
 // startWorkerProcess starts a worker in a process of its own and lists it.
