--- a/review/testdata/fleet/client.go
+++ b/review/testdata/fleet/client.go
@@ -4,6 +4,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -22,6 +24,7 @@
 	status  int // 0 without an answer
 	header  http.Header
 	body    []byte
+	events  int   // whole events of a stream
 	err     error // why the answer is not complete
 }
 
@@ -40,6 +43,13 @@
 	deadline         time.Duration
 	header           []string // further header lines
 	body             string
+	leaveAfter       int // events after which the client leaves; 0 for never
+}
+
+// withID returns the request under the id of another try.
+func (r request) withID(id string) request {
+	r.id = id
+	return r
 }
 
 // send sends one request and reads its answer. It connects if there is no open connection.
@@ -66,12 +76,34 @@
 		c.close()
 		return out
 	}
-	c.receive(out)
+	c.receive(out, r.leaveAfter)
 	return out
 }
 
-// receive reads the answer.
-func (c *client) receive(out *call) {
+// errLeft ends a call whose client has left on the way.
+var errLeft = errors.New("the client has left")
+
+// leavingReader ends with errLeft once a number of events has been read.
+type leavingReader struct {
+	io.Reader
+	read       []byte
+	leaveAfter int
+}
+
+func (l *leavingReader) Read(p []byte) (int, error) {
+	n, err := l.Reader.Read(p)
+	l.read = append(l.read, p[:n]...)
+	if l.leaveAfter > 0 && countEvents(l.read) >= l.leaveAfter {
+		return n, errLeft
+	}
+	return n, err
+}
+
+// countEvents counts the whole events of a stream.
+func countEvents(body []byte) int { return bytes.Count(body, []byte("\n\n")) }
+
+// receive reads the answer, or its first events if leaveAfter is not 0.
+func (c *client) receive(out *call, leaveAfter int) {
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodPost})
 	if err != nil {
 		out.err = err
@@ -79,7 +111,8 @@
 		return
 	}
 	out.status, out.header = response.StatusCode, response.Header
-	out.body, out.err = io.ReadAll(response.Body)
+	out.body, out.err = io.ReadAll(&leavingReader{Reader: response.Body, leaveAfter: leaveAfter})
+	out.events = countEvents(out.body)
 	c.used = true
 	if out.err != nil || response.Close {
 		c.close()
--- a/review/testdata/fleet/platform.go
+++ b/review/testdata/fleet/platform.go
@@ -17,6 +17,7 @@
 type listed struct {
 	id, service, addr, zone, phase, state string
 	capacity                              int
+	revision                              int // of its weights; 0 counts as 1
 }
 
 // platform serves the list of workers.
@@ -49,7 +50,7 @@
 		}
 		if e.phase != "" {
 			row["phase"] = e.phase
-			row["models"] = []map[string]any{{"name": "m", "revision": 1, "adapters": []string{}}}
+			row["models"] = []map[string]any{{"name": "m", "revision": max(1, e.revision), "adapters": []string{}}}
 		}
 		rows = append(rows, row)
 	}
--- a/review/testdata/fleet/processes.go
+++ b/review/testdata/fleet/processes.go
@@ -90,10 +90,12 @@
 	for i, zone := range zones {
 		m := &machine{zone: zone, ip: fmt.Sprintf("127.0.31.%d", i+1)}
 		for _, addr := range []*string{&m.front, &m.readiness, &m.control, &m.peer} {
-			var err error
-			if *addr, err = freeAddr(m.ip); err != nil {
+			l, err := net.Listen("tcp", m.ip+":0")
+			if err != nil {
 				return err
 			}
+			defer l.Close() // only now, so that no address is drawn twice
+			*addr = l.Addr().String()
 		}
 		f.machines = append(f.machines, m)
 	}
@@ -177,6 +179,10 @@
 	go func() {
 		err := command.Wait()
 		f.log("%s, process %d, ended: %v", p.name, command.Process.Pid, err)
+		if err != nil && command.ProcessState.Exited() {
+			text, _ := os.ReadFile(p.log.Name())
+			f.log("%s: its output ends with: %s", p.name, text[max(0, len(text)-400):])
+		}
 		close(exited)
 	}()
 	return nil
