--- a/review/testdata/fleet/main.go
+++ b/review/testdata/fleet/main.go
@@ -33,6 +33,7 @@
 // cases are the cases by name.
 var cases = map[string]func(*fleet) (int, error){
 	"pinned":       pinnedCase,
+	"founding":     foundingCase,
 	"slow-worker":  slowWorkerCase,
 	"large-bodies": largeBodiesCase,
 	"lengthless":   lengthlessCase,
