--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -275,7 +275,7 @@
 		return float64(n.BodyBytes())
 	})
 	n.metrics.RegisterGauge("keelstair_evicted_bodies", "Bodies that were given up, so that no retry was possible.", func() float64 {
-		return float64(n.bodies.Evictions())
+		return float64(n.EvictedBodies())
 	})
 }
 
--- a/internal/proxy/request_body.go
+++ b/internal/proxy/request_body.go
@@ -88,6 +88,9 @@
 // BodyBytes returns the number of bytes of request bodies that the node holds in memory.
 func (n *Node) BodyBytes() int64 { return n.bodies.Held() }
 
+// EvictedBodies returns the number of bodies that were given up for others, so that no retry was possible.
+func (n *Node) EvictedBodies() int64 { return n.bodies.Evictions() }
+
 // releaseBodyIfUnneeded releases the body once a worker is answering and no other worker may be sent the request.
 // The response may run for much longer than the attempts, and would keep the body until its end.
 func (t *exchange) releaseBodyIfUnneeded() {
