Unused parts of the hand-over controller go; copies of map keys

handoff.Canceler and Controller.StreamTimeout were not used (the router's own StreamTimeout is). Two loops that copy the keys of a map are slices.Collect(maps.Keys(...)). No behaviour changes; the tests of these packages pass.

--- a/internal/conntimeout/conntimeout.go
+++ b/internal/conntimeout/conntimeout.go
@@ -10,8 +10,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -84,11 +86,7 @@
 func (g *Guard) openConns() []*conn {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	conns := make([]*conn, 0, len(g.open))
-	for c := range g.open {
-		conns = append(conns, c)
-	}
-	return conns
+	return slices.Collect(maps.Keys(g.open))
 }
 
 // Install makes a server report the states of its connections to the guard. The server must use a
--- a/internal/handoff/cleanup.go
+++ b/internal/handoff/cleanup.go
@@ -14,12 +14,6 @@
 	"keelstair.example/internal/workerclient"
 )
 
-// Canceler is the part of Transport that cancels an attempt at a worker. Resolving the claims
-// of a dead node needs no more than that.
-type Canceler interface {
-	Cancel(ctx context.Context, w ids.WorkerID, id workerclient.ID) (*workerclient.OrderResponse, error)
-}
-
 // cleanUp ends the attempt at both workers and reports whether the task may be retried. If
 // not, it returns the final error of the task, or nil if the answer is complete.
 func (f *handoffTask) cleanUp(cause error, clientGone bool) (error, bool) {
--- a/internal/handoff/controller.go
+++ b/internal/handoff/controller.go
@@ -91,7 +91,6 @@
 	Transport     Transport
 	Clock         host.Clock
 	OrphanTimeout time.Duration // after this long, a worker has certainly ended an attempt that has no controller
-	StreamTimeout time.Duration // a worker that sends nothing on a stream for this long counts as lost
 	Trace         func(Event)
 }
 
--- a/internal/handoff/controller_test.go
+++ b/internal/handoff/controller_test.go
@@ -181,7 +181,6 @@
 			Transport:     s,
 			Clock:         simulated.NewWorld(1).Machine("10.0.0.1").Start().Host().Clock,
 			OrphanTimeout: 2 * time.Second,
-			StreamTimeout: time.Second,
 		}
 		start := time.Now()
 		err = c.Run(context.Background(), &Task{
--- a/internal/proxy/request_body.go
+++ b/internal/proxy/request_body.go
@@ -45,7 +45,8 @@
 }
 
 // ReadBody reads the body of a request, which must have no body yet. The caller releases it when it has served the
-// request. A *RejectedError means that there is no memory for it now, or that it did not arrive within the request's timeout.
+// request. A *RejectedError means that there is no memory for it now, or that it did not arrive within the
+// request's timeout.
 func (n *Node) ReadBody(ctx context.Context, r *Request, src BodySource) error {
 	if src.Length == 0 {
 		return nil
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,11 +50,7 @@
 func (s *requestSet) list() []*Request {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make([]*Request, 0, len(s.requests))
-	for r := range s.requests {
-		out = append(out, r)
-	}
-	return out
+	return slices.Collect(maps.Keys(s.requests))
 }
 
 // ShutdownPeriods divide the time from SIGTERM until the process must have exited. All are counted from
--- a/internal/requestbody/body_test.go
+++ b/internal/requestbody/body_test.go
@@ -32,7 +32,9 @@
 }
 
 // lengths are body lengths around the bounds of chunks.
-var lengths = []int{1, minChunk - 1, minChunk, minChunk + 1, maxChunk - 1, maxChunk, maxChunk + 1, 3*maxChunk + 17, 1 << 20}
+var lengths = []int{
+	1, minChunk - 1, minChunk, minChunk + 1, maxChunk - 1, maxChunk, maxChunk + 1, 3*maxChunk + 17, 1 << 20,
+}
 
 // TestReadReturnsWholeBody checks that a body is read and returned unchanged, with and without a known length, by
 // any size of reads, as often as needed.
@@ -40,7 +42,11 @@
 	for _, length := range lengths {
 		want := content(length)
 		for _, known := range []int64{int64(length), -1} {
-			for _, src := range []io.Reader{bytes.NewReader(want), iotest.HalfReader(bytes.NewReader(want)), iotest.DataErrReader(bytes.NewReader(want))} {
+			for _, src := range []io.Reader{
+				bytes.NewReader(want),
+				iotest.HalfReader(bytes.NewReader(want)),
+				iotest.DataErrReader(bytes.NewReader(want)),
+			} {
 				memory := NewMemory(0)
 				body, err := memory.Read(t.Context(), src, known, 0)
 				require.NoError(t, err)
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -169,7 +169,6 @@
 			Transport:     tr,
 			Clock:         n.options.Host.Clock,
 			OrphanTimeout: n.options.OrphanTimeout,
-			StreamTimeout: n.options.StreamTimeout,
 			Trace:         n.journal.Append,
 		}, tr,
 		n.scores.Of(programs.ProgramFor(t.Identity.ID.Request))
