Routers: a role change waits until the last one shows

Cause: a node decided on the next change by the time since the last one was proposed. A worker drains for up to several seconds before it changes, so half a second after it had changed the next decision was due, on statuses in which it still had its old role. The same worker was also chosen twice in a row, and drained again for 4.3 s for nothing.

Now the time counts from the end of a change, and no change begins before the worker reports its new role (for a dwell time at most, as a change that failed never shows).

Ruled out: rounding (the test's figures differ from run to run on one machine, by the order in which goroutines run); load of the machine (the time of the test is simulated; runs alone and six at once look alike).

--- a/internal/router/role_balance.go
+++ b/internal/router/role_balance.go
@@ -1,9 +1,9 @@
 // This file changes the roles of workers. For each model's pool, the holder of the pool's key
 // decides when a worker changes between prefill and decode. A routing program or the built-in rule
 // proposes a change; this file enforces the limits that no proposal can exceed. A worker changes
-// its role at most once per dwell time. Changes in a pool are half a dwell time apart, or a quarter
-// if they go in the same direction, so that each shows its effect before the next. The role that a
-// worker leaves must keep enough workers.
+// its role at most once per dwell time. A change in a pool begins half a dwell time after the last one
+// ended, or a quarter if it goes in the same direction, and not before the worker reports its new role,
+// so that each shows its effect before the next. The role that a worker leaves must keep enough workers.
 //
 // Pressure counts only requests that have started at a worker, not reservations: memory for the
 // whole answer is reserved at a decode worker while the prompt still waits for prefill, so with
@@ -38,10 +38,17 @@
 // rolePool is the state that the holder of a pool's key keeps. A new holder starts with an empty
 // state and waits half a dwell time before its first change.
 type rolePool struct {
-	fence      ids.Fence
-	lastChange ids.Tick
-	lastRole   ids.Role
-	pressure   map[ids.Role]float64
+	fence             ids.Fence
+	lastChange        routing.RoleChange
+	lastChangeEndedAt ids.Tick
+	pressure          map[ids.Role]float64
+}
+
+// lastChangeSeen reports whether the statuses show the last role change. One that failed never shows, and so
+// counts as seen after a dwell time.
+func (p *rolePool) lastChangeSeen(statuses map[ids.WorkerID]WorkerStatus, now ids.Tick, dwell time.Duration) bool {
+	st, ok := statuses[p.lastChange.Worker]
+	return !ok || st.Role == p.lastChange.To || now.Since(p.lastChangeEndedAt) >= dwell
 }
 
 // roleBalanceLoop makes role changes in the pools whose keys this node holds.
@@ -61,7 +68,7 @@
 			}
 			pool := pools[model]
 			if pool == nil || pool.fence != fence {
-				pool = &rolePool{fence: fence, lastChange: n.now(), pressure: map[ids.Role]float64{}}
+				pool = &rolePool{fence: fence, lastChangeEndedAt: n.now(), pressure: map[ids.Role]float64{}}
 				pools[model] = pool
 			}
 			if change, ok := n.pickRoleChange(s, model, pool); ok {
@@ -70,6 +77,7 @@
 				} else {
 					n.options.Ring.Info().AnErr("cause", err).Str("worker", string(change.Worker)).Msg("failed to change worker role")
 				}
+				n.endRoleChange(pool, change)
 			}
 			end()
 		}
@@ -80,18 +88,20 @@
 func (n *Node) pickRoleChange(s *fleetstate.Snapshot, model string, pool *rolePool) (routing.RoleChange, bool) {
 	now, dwell := n.now(), s.Configuration.Limits.MinRoleDwell()
 	byRole := map[ids.Role][]WorkerStatus{}
-	for id, st := range *n.workerStatuses.Load() {
+	statuses := *n.workerStatuses.Load()
+	for id, st := range statuses {
 		if w, ok := s.Configuration.Workers[id]; ok && w.Model == model && st.Ready && n.acceptsWork(s, id) {
 			byRole[st.Role] = append(byRole[st.Role], st)
 		}
 	}
-	view := &routing.Pool{Model: model, Pressure: pool.pressure, SinceRoleChange: now.Since(pool.lastChange)}
+	lastChangeSeen := pool.lastChangeSeen(statuses, now, dwell)
+	view := &routing.Pool{Model: model, Pressure: pool.pressure, SinceRoleChange: now.Since(pool.lastChangeEndedAt)}
 	for _, role := range []ids.Role{ids.Prefill, ids.Decode} {
 		workers := byRole[role]
 		sort.Slice(workers, func(i, j int) bool { return workers[i].ID < workers[j].ID })
 		pool.pressure[role] += pressureSmoothing * (rolePressure(workers) - pool.pressure[role])
 		interval := dwell / 2
-		if routing.OtherRole(role) == pool.lastRole {
+		if routing.OtherRole(role) == pool.lastChange.To {
 			interval = dwell / 4
 		}
 		for _, st := range workers {
@@ -106,17 +116,19 @@
 				MaxConcurrent: st.MaxConcurrent,
 				Free:          st.Free,
 				Capacity:      st.Capacity,
-				Allowed: view.SinceRoleChange >= interval && canSpare(s, workers, st.ID) &&
+				Allowed: lastChangeSeen && view.SinceRoleChange >= interval && canSpare(s, workers, st.ID) &&
 					regimesStayCovered(s, workers, st, n.fleetTime()) && !n.changedRoleWithin(st.ID, dwell),
 			})
 		}
 	}
-	change, ok := n.proposeRoleChange(s, view)
-	if ok {
-		n.roleChanges.Store(change.Worker, now)
-		pool.lastChange, pool.lastRole = now, change.To
-	}
-	return change, ok
+	return n.proposeRoleChange(s, view)
+}
+
+// endRoleChange records that a role change has been carried out or has failed. The time that it took, while its
+// worker drained, does not count as time in which its effect could show.
+func (n *Node) endRoleChange(pool *rolePool, change routing.RoleChange) {
+	pool.lastChange, pool.lastChangeEndedAt = change, n.now()
+	n.roleChanges.Store(change.Worker, pool.lastChangeEndedAt)
 }
 
 // proposeRoleChange asks the routing programs for a role change. If role changes are disabled, it
--- a/internal/router/role_balance_test.go
+++ b/internal/router/role_balance_test.go
@@ -13,6 +13,7 @@
 	"keelstair.example/host/simulated"
 	"keelstair.example/ids"
 	"keelstair.example/internal/fleetstate"
+	"keelstair.example/internal/routing"
 	"keelstair.example/internal/workerclient"
 )
 
@@ -55,22 +56,88 @@
 	return n, s
 }
 
+func newRolePoolAt(n *Node) *rolePool {
+	return &rolePool{lastChangeEndedAt: n.now(), pressure: map[ids.Role]float64{}}
+}
+
+// reportRole lets the worker of a role change report its new role.
+func reportRole(n *Node, change routing.RoleChange) {
+	st := (*n.workerStatuses.Load())[change.Worker]
+	st.Role = change.To
+	(*n.workerStatuses.Load())[change.Worker] = st
+}
+
 // runRoleBalancer has the node decide twice a second for the given time, applies its decisions and
 // returns the new roles.
 func runRoleBalancer(n *Node, s *fleetstate.Snapshot, duration time.Duration) []ids.Role {
-	pool := &rolePool{lastChange: n.now(), pressure: map[ids.Role]float64{}}
+	pool := newRolePoolAt(n)
 	var out []ids.Role
 	for end := n.now().Add(duration); n.now().Before(end); time.Sleep(roleChangeInterval) {
 		if w, ok := n.pickRoleChange(s, "m", pool); ok {
 			out = append(out, w.To)
-			st := (*n.workerStatuses.Load())[w.Worker]
-			st.Role = w.To
-			(*n.workerStatuses.Load())[w.Worker] = st
+			n.endRoleChange(pool, w)
+			reportRole(n, w)
 		}
 	}
 	return out
 }
 
+// awaitRoleChange has the node decide twice a second until it changes a role, and returns when that is.
+func awaitRoleChange(t *testing.T, n *Node, s *fleetstate.Snapshot, pool *rolePool) (routing.RoleChange, ids.Tick) {
+	for range 120 {
+		if change, ok := n.pickRoleChange(s, "m", pool); ok {
+			return change, n.now()
+		}
+		time.Sleep(roleChangeInterval)
+	}
+	require.Fail(t, "no role change in a minute")
+	return routing.RoleChange{}, 0
+}
+
+// TestRoleChangeWaitsForTheLastOne guards against roles that change back and forth because a change was decided by
+// counts of workers from before the last one.
+func TestRoleChangeWaitsForTheLastOne(t *testing.T) {
+	const dwell, drainTime, reportDelay = 4 * time.Second, 3 * time.Second, 1800 * time.Millisecond
+	for name, reported := range map[string]bool{"the worker reports its role late": true, "the change fails": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n, s := newRoleBalanceFixture(4, 6, 14, 0)
+				pool := newRolePoolAt(n)
+				first, _ := awaitRoleChange(t, n, s, pool)
+				time.Sleep(drainTime)
+				n.endRoleChange(pool, first)
+				ended := n.now()
+				wait := dwell
+				if reported {
+					time.AfterFunc(reportDelay, func() { reportRole(n, first) })
+					wait = reportDelay
+				}
+				second, at := awaitRoleChange(t, n, s, pool)
+				require.GreaterOrEqual(t, at.Since(ended), wait)
+				require.Less(t, at.Since(ended), wait+2*roleChangeInterval)
+				require.Equal(t, first.To, second.To)
+				require.Equal(t, reported, first.Worker != second.Worker)
+			})
+		})
+	}
+}
+
+// TestRoleChangeEffectShowsAfterDrain guards against a change that is decided as soon as the last one ends because
+// the time in which its worker drained counted as the time between them.
+func TestRoleChangeEffectShowsAfterDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, s := newRoleBalanceFixture(4, 6, 14, 0)
+		pool := newRolePoolAt(n)
+		first, _ := awaitRoleChange(t, n, s, pool)
+		time.Sleep(3 * time.Second)
+		n.endRoleChange(pool, first)
+		reportRole(n, first)
+		ended := n.now()
+		_, at := awaitRoleChange(t, n, s, pool)
+		require.GreaterOrEqual(t, at.Since(ended), time.Second, "a quarter of the dwell time")
+	})
+}
+
 // TestRoleChanges checks that a loaded role gets workers from an idle one, a quarter of the dwell
 // time apart, until the idle role can spare none. No worker changes if both roles are loaded or
 // neither is. With role changes disabled the workers return to their configured roles.
