Routers: clients that send their bodies too slowly give way

Cause: the memory of a body of known length is reserved whole before it is read, and only the deadline ended that.

Now, while a reservation waits, a body that is behind an even pace to its deadline by more than an eighth of that time gives way, the slowest first, and only if that makes enough room; it ends in 408. So a client holds memory for longer only in proportion to what it has sent. Nobody is given up while there is room.

Weighed: reserving as the bytes arrive (two bodies that are each read in part can then keep each other from becoming whole); a limit to the pause between two reads (a byte every now and then defeats it).

--- a/internal/proxy/request_body.go
+++ b/internal/proxy/request_body.go
@@ -55,11 +55,16 @@
 	if err := src.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return err
 	}
-	body, err := n.bodies.Read(ctx, requestbody.Source{Reader: src.Reader, Length: src.Length}, wait)
+	body, err := n.bodies.Read(ctx, requestbody.Source{
+		Reader:    src.Reader,
+		Length:    src.Length,
+		Timeout:   timeout,
+		Interrupt: func() { src.SetReadDeadline(time.Now()) },
+	}, wait)
 	switch {
 	case errors.Is(err, requestbody.ErrFull):
 		return n.rejectBody(http.StatusServiceUnavailable, "no memory for the body")
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, requestbody.ErrTooSlow), errors.Is(err, os.ErrDeadlineExceeded):
 		return n.rejectBody(http.StatusRequestTimeout, "the body did not arrive in time")
 	case err != nil:
 		return err
--- a/internal/requestbody/body.go
+++ b/internal/requestbody/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 )
 
 // ErrReleased is the error of NewReader after Release or an eviction.
@@ -17,12 +18,14 @@
 	memory        *Memory
 	unknownLength bool // until it has been read
 	length        int
-	reserved      int64 // bytes counted by memory; guarded by memory.mu like all fields below
+	arrived       atomic.Int64 // bytes that have been read
+	reserved      int64        // bytes counted by memory; guarded by memory.mu like all fields below
 	chunks        [][]byte
 	readers       int
 	released      bool
 	attempt       bool          // an attempt has begun, after which only a retry needs the body
 	queued        *list.Element // its place among the evictable bodies; nil if it may not be evicted
+	pace          pace
 }
 
 // FromBytes returns a body with the given content, which must not be changed. No Memory counts it.
@@ -110,6 +113,7 @@
 // drop drops the bytes and returns how many were counted. memory.mu must be held.
 func (b *Body) drop() int64 {
 	b.unqueue()
+	delete(b.memory.reading, b)
 	dropped := b.reserved
 	b.released, b.chunks, b.reserved = true, nil, 0
 	return dropped
--- a/internal/requestbody/doc.go
+++ b/internal/requestbody/doc.go
@@ -17,4 +17,7 @@
 //   - Memory counts the bytes of a body from before they are allocated until nothing refers to them.
 //   - Bodies that are not small leave an eighth of the limit to small ones, which do not queue behind them. Those of
 //     unknown length leave a half of that to ones of known length.
+//   - While a reservation waits, no body being read is behind an even pace to its timeout by more than an eighth of
+//     it, if the memory of those that are would be enough: they are given up with ErrTooSlow. So a client holds
+//     memory for longer only in proportion to what it has sent.
 package requestbody
--- a/internal/requestbody/memory.go
+++ b/internal/requestbody/memory.go
@@ -16,6 +16,8 @@
 	smallBody = 64 << 10
 	// smallBodyShare is the fraction 1/smallBodyShare of the limit that is kept for small bodies.
 	smallBodyShare = 8
+	// paceCheckInterval is how often a waiting reservation looks for clients that have fallen behind their pace.
+	paceCheckInterval = 20 * time.Millisecond
 )
 
 // ErrFull is the error of Read if there was no memory for a body in time.
@@ -27,7 +29,8 @@
 	limit     int64 // bytes; 0 means no limit
 	used      int64
 	waiters   []*reservation
-	evictable *list.List // of *Body, in the order in which they were sent
+	evictable *list.List         // of *Body, in the order in which they were sent
+	reading   map[*Body]struct{} // bodies being read that have a pace, and interrupted ones until they are dropped
 	evictions int64
 }
 
@@ -48,7 +51,7 @@
 
 // NewMemory returns a Memory with a limit in bytes; 0 means no limit.
 func NewMemory(limit int64) *Memory {
-	return &Memory{limit: limit, evictable: list.New()}
+	return &Memory{limit: limit, evictable: list.New(), reading: map[*Body]struct{}{}}
 }
 
 // Held returns the number of bytes held.
@@ -118,13 +121,19 @@
 func (m *Memory) await(ctx context.Context, r *reservation, wait time.Duration) error {
 	timer := host.NewTimer(wait)
 	defer timer.Stop()
-	select {
-	case <-r.granted:
-		return nil
-	case <-timer.C:
-		return m.withdraw(r, ErrFull)
-	case <-ctx.Done():
-		return m.withdraw(r, ctx.Err())
+	paceCheck := host.NewTicker(paceCheckInterval)
+	defer paceCheck.Stop()
+	for {
+		select {
+		case <-r.granted:
+			return nil
+		case <-timer.C:
+			return m.withdraw(r, ErrFull)
+		case <-ctx.Done():
+			return m.withdraw(r, ctx.Err())
+		case <-paceCheck.C:
+			m.checkPace(r)
+		}
 	}
 }
 
@@ -174,7 +183,8 @@
 }
 
 // makeRoom reports whether the given number of bytes that are missing is free after evictions, which it makes only
-// if they are enough. mu must be held.
+// if they are enough. If they are not, clients that are behind their pace give way, and the bytes are free later.
+// mu must be held.
 func (m *Memory) makeRoom(missing int64) bool {
 	var victims []*Body
 	for e := m.evictable.Front(); e != nil && missing > 0; e = e.Next() {
@@ -184,6 +194,7 @@
 		}
 	}
 	if missing > 0 {
+		m.interruptSlowest(missing)
 		return false
 	}
 	for _, body := range victims {
--- a/internal/requestbody/memory_test.go
+++ b/internal/requestbody/memory_test.go
@@ -300,6 +300,7 @@
 	}
 	require.Zero(t, memory.Held(), "seed %d", seed)
 	require.Empty(t, memory.waiters, "seed %d", seed)
+	require.Empty(t, memory.reading, "seed %d", seed)
 	require.Zero(t, memory.evictable.Len(), "seed %d", seed)
 	require.Contains(t, served, true, "seed %d", seed)
 }
@@ -308,9 +309,13 @@
 type slowReader struct {
 	rest []byte
 	rng  *rand.Rand
+	idle *idleSource // what follows the content; nil for its end
 }
 
 func (r *slowReader) Read(p []byte) (int, error) {
+	if len(r.rest) == 0 && r.idle != nil {
+		return r.idle.Read(p)
+	}
 	if len(r.rest) == 0 {
 		return 0, io.EOF
 	}
@@ -328,13 +333,18 @@
 	if rng.IntN(3) == 0 {
 		length = -1
 	}
-	reader := &slowReader{want, rng}
-	if rng.IntN(5) == 0 {
+	reader, idle := &slowReader{rest: want, rng: rng}, newIdleSource()
+	switch rng.IntN(5) {
+	case 0:
 		reader.rest = want[:len(want)/2] // the client breaks off
+	case 1:
+		reader.rest, reader.idle = want[:len(want)/2], idle // the client sends no more
 	}
-	ctx, stop := context.WithTimeout(t.Context(), time.Duration(50+rng.IntN(2000))*time.Millisecond)
+	timeout := time.Duration(50+rng.IntN(2000)) * time.Millisecond
+	ctx, stop := context.WithTimeout(t.Context(), timeout)
 	defer stop()
-	src := Source{Reader: reader, Length: length}
+	defer context.AfterFunc(ctx, idle.interrupt)()
+	src := Source{Reader: reader, Length: length, Timeout: timeout, Interrupt: idle.interrupt}
 	body, err := memory.Read(ctx, src, time.Duration(rng.IntN(1000))*time.Millisecond)
 	if err != nil {
 		return false
--- a/internal/requestbody/read.go
+++ b/internal/requestbody/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"time"
 )
@@ -11,10 +12,17 @@
 	minChunk = 4 << 10  // bytes of the first chunk of a body of unknown length
 )
 
+// ErrTooSlow is the error of Read if the client was behind its pace and others needed the memory.
+var ErrTooSlow = errors.New("the body arrives too slowly")
+
 // Source is a body that has not been read.
 type Source struct {
 	io.Reader
-	Length int64 // -1 if unknown
+	Length  int64         // -1 if unknown
+	Timeout time.Duration // the time in which the whole body should arrive; 0 means any
+	// Interrupt makes a running or the next Read return an error soon. It must not block. A body without it, or
+	// without a timeout, is never too slow.
+	Interrupt func()
 }
 
 // Read reads a body. It waits for memory for at most the given time in all. On an error, nothing stays held.
@@ -26,6 +34,9 @@
 	} else {
 		err = body.readExactly(ctx, src, wait)
 	}
+	if m.endReading(body) {
+		err = ErrTooSlow
+	}
 	if err != nil {
 		body.Release()
 		return nil, err
@@ -43,9 +54,10 @@
 	if _, err := b.memory.reserve(ctx, b, src.Length, wait); err != nil {
 		return err
 	}
+	b.memory.beginReading(b, src)
 	for rest := src.Length; rest > 0; {
 		chunk := make([]byte, min(rest, maxChunk))
-		n, err := fill(src, chunk)
+		n, err := b.fill(src, chunk)
 		if n < len(chunk) {
 			return unexpected(err)
 		}
@@ -62,8 +74,9 @@
 		if wait, err = b.memory.reserve(ctx, b, size, wait); err != nil {
 			return err
 		}
+		b.memory.beginReading(b, src)
 		chunk := make([]byte, size)
-		n, err := fill(src, chunk)
+		n, err := b.fill(src, chunk)
 		b.add(chunk[:n])
 		if err == io.EOF {
 			return nil
@@ -83,10 +96,11 @@
 }
 
 // fill reads until the chunk is full or src returns an error, which is io.EOF at its end.
-func fill(src io.Reader, chunk []byte) (int, error) {
+func (b *Body) fill(src io.Reader, chunk []byte) (int, error) {
 	for n := 0; ; {
 		k, err := src.Read(chunk[n:])
 		n += k
+		b.arrived.Add(int64(k))
 		if err != nil || n == len(chunk) {
 			return n, err
 		}
