Routers: rejected large bodies do not come back together

What callers would see: all requests that were refused for want of memory in one moment got the same Retry-After, 150 ms, so that a burst came back as a burst.

Cause: a constant in place of the schedule that early rejection uses. The time of a request was worked out in two places, of which one took a negative Keelstair-Deadline-Ms for its value; one function serves both. A body of a request without a route has 10 s at most.

The route is still looked up twice, before the body is read and after: a configuration that came meanwhile applies.

--- a/internal/proxy/admission.go
+++ b/internal/proxy/admission.go
@@ -197,8 +197,14 @@
 
 // retryAfterHint schedules the caller's return, within the time that it is expected to wait.
 func (t *exchange) retryAfterHint() time.Duration {
-	limit := time.Duration(retryAfterShare * float64(t.remaining()))
-	after := t.node.retryAfter.Next(t.node.now(), t.node.counts.Completed.Load(), t.retryDelay())
+	return t.node.scheduleRetry(t.retryDelay(), t.remaining())
+}
+
+// scheduleRetry returns a retry delay of at least minimum, such that rejected callers do not all return at once, and
+// each within the remaining time of its request.
+func (n *Node) scheduleRetry(minimum, remaining time.Duration) time.Duration {
+	limit := time.Duration(retryAfterShare * float64(remaining))
+	after := n.retryAfter.Next(n.now(), n.counts.Completed.Load(), minimum)
 	if after > limit && limit > 0 {
 		after = limit/2 + rand.N(limit/2+1)
 	}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -87,10 +87,7 @@
 	if !ok {
 		return n.rejectUnknown("no service")
 	}
-	timeout := route.Deadline()
-	if r.Timeout > 0 {
-		timeout = min(timeout, r.Timeout)
-	}
+	timeout := r.timeoutOn(route)
 	t := &exchange{
 		node:        n,
 		request:     r,
@@ -107,6 +104,14 @@
 	return err
 }
 
+// timeoutOn returns the time that a request may take on a route.
+func (r *Request) timeoutOn(route *fleetstate.Route) time.Duration {
+	if r.Timeout > 0 {
+		return min(route.Deadline(), r.Timeout)
+	}
+	return route.Deadline()
+}
+
 // serve authenticates, admits and runs the request.
 func (t *exchange) serve(ctx context.Context, s *fleetstate.Snapshot, timeout time.Duration) error {
 	if err := t.authenticate(s); err != nil {
--- a/internal/proxy/request_body.go
+++ b/internal/proxy/request_body.go
@@ -23,9 +23,9 @@
 	// bodyWaitShare is the fraction of a request's latency target for which its body may wait for memory. A
 	// request that is rejected after that can still be in time at another node.
 	bodyWaitShare = 4
-	// unroutedBodyTimeout limits the reading of a body whose request has no route and states no timeout.
+	// unroutedBodyTimeout limits the reading of a body whose request has no route.
 	unroutedBodyTimeout = 10 * time.Second
-	bodyRetryAfter      = 150 * time.Millisecond // retry delay if there was no memory for a body
+	minBodyRetryAfter   = 150 * time.Millisecond // smallest retry delay if there was no memory for a body
 )
 
 // errBodyEvicted is the error of an attempt whose body has been evicted.
@@ -63,9 +63,9 @@
 	}, wait)
 	switch {
 	case errors.Is(err, requestbody.ErrFull):
-		return n.rejectBody(http.StatusServiceUnavailable, "no memory for the body")
+		return n.rejectBody(http.StatusServiceUnavailable, timeout, "no memory for the body")
 	case errors.Is(err, requestbody.ErrTooSlow), errors.Is(err, os.ErrDeadlineExceeded):
-		return n.rejectBody(http.StatusRequestTimeout, "the body did not arrive in time")
+		return n.rejectBody(http.StatusRequestTimeout, timeout, "the body did not arrive in time")
 	case err != nil:
 		return err
 	}
@@ -73,22 +73,21 @@
 	return src.SetReadDeadline(time.Time{})
 }
 
-// rejectBody rejects a request whose body has not been read completely.
-func (n *Node) rejectBody(code int, reason string) error {
+// rejectBody rejects a request with the given timeout whose body has not been read completely.
+func (n *Node) rejectBody(code int, timeout time.Duration, reason string) error {
 	n.counts.Requests.Add(1)
 	n.counts.RejectedBodies.Add(1)
-	return n.reject(code, bodyRetryAfter, reason)
+	return n.reject(code, n.scheduleRetry(minBodyRetryAfter, timeout), reason)
 }
 
 // bodyTimes returns how long a request's body may wait for memory, and how long reading it may take in all.
 func (n *Node) bodyTimes(r *Request) (wait, timeout time.Duration) {
-	target := time.Duration(0)
-	timeout = cmp.Or(r.Timeout, unroutedBodyTimeout)
-	if route := n.snapshot().RouteTable.Find(r.Host, r.Path); route != nil {
-		target = route.LatencyTarget()
-		timeout = min(route.Deadline(), cmp.Or(r.Timeout, route.Deadline()))
+	route := n.snapshot().RouteTable.Find(r.Host, r.Path)
+	if route == nil {
+		return 0, unroutedBodyTimeout
 	}
-	return min(target, timeout) / bodyWaitShare, timeout
+	timeout = r.timeoutOn(route)
+	return min(route.LatencyTarget(), timeout) / bodyWaitShare, timeout
 }
 
 // BodyBytes returns the number of bytes of request bodies that the node holds in memory.
