Routers: a large event is forwarded in parts instead of being held

Cause: an event was collected until it was complete, whatever its size, and searched for its end from the start with each read.

Now at most 64 KiB of an incomplete event are held. Beyond that its parts go on to the client as they come. No other worker can continue such a stream: if its worker fails, it ends as one without tries left, and its body is released.

Weighed: ending the stream with an error (answers that were delivered whole would be lost).

--- a/internal/proxy/decode_exchange.go
+++ b/internal/proxy/decode_exchange.go
@@ -105,6 +105,11 @@
 	return t.route.MayRetry() && t.attemptsMade < t.maxAttempts()
 }
 
+// canContinue reports whether another worker may take up the answer after what the caller has of it.
+func (t *exchange) canContinue() bool {
+	return t.route.MayRetry() && (!t.headSent || t.route.Resumable && !t.partSent.Load())
+}
+
 // decodeSilenceTimeout returns how long a decode worker may be silent before a request that may be
 // retried is sent to another worker.
 func (t *exchange) decodeSilenceTimeout() time.Duration {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -44,15 +44,16 @@
 	prefixes []uint64
 	tried    map[ids.WorkerID]bool
 
-	prefilledAt            *candidate // the worker whose prompt memory has not been fetched yet
-	failedPrefillUncounted bool       // a failed prefill has not been charged to the retry budget yet
-	retryPaid              bool       // the next attempt was already charged, by a hedge
-	attemptsMade           int        // decodes, and prefills that were rejected or repeated
-	mayHaveRun             bool       // a worker may have run the request
-	sourceLost             bool       // a worker rejected the request because it could not fetch the prompt's memory
-	headSent               bool       // the caller has the response head
-	usageCounted           bool       // the request is counted for usage metering
-	lastEventID            string     // id of the last event sent to the caller
+	prefilledAt            *candidate  // the worker whose prompt memory has not been fetched yet
+	failedPrefillUncounted bool        // a failed prefill has not been charged to the retry budget yet
+	retryPaid              bool        // the next attempt was already charged, by a hedge
+	attemptsMade           int         // decodes, and prefills that were rejected or repeated
+	mayHaveRun             bool        // a worker may have run the request
+	sourceLost             bool        // a worker rejected the request because it could not fetch the prompt's memory
+	headSent               bool        // the caller has the response head
+	usageCounted           bool        // the request is counted for usage metering
+	lastEventID            string      // id of the last event sent to the caller
+	partSent               atomic.Bool // a part of an event was sent before the event was complete
 	timing                 exchangeTiming
 }
 
@@ -213,7 +214,7 @@
 		switch failure.KindOf(err) {
 		case failure.OutcomeUnknown:
 			t.mayHaveRun = true
-			if !t.route.MayRetry() || t.headSent && !t.route.Resumable || errors.Is(err, errCallerDisconnected) {
+			if !t.canContinue() || errors.Is(err, errCallerDisconnected) {
 				t.releaseSource(source)
 				return t.giveUp(err, http.StatusBadGateway)
 			}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -18,6 +18,13 @@
 	"keelstair.example/internal/handoff"
 )
 
+const (
+	// maxPendingEvent is the number of bytes of an incomplete event that are held back until it is complete.
+	maxPendingEvent = 64 << 10
+	// maxEventEnd is the length in bytes of the longest end of an event.
+	maxEventEnd = len("\r\n\r\n")
+)
+
 var errWorkerSilent = errors.New("the worker says nothing")
 
 // supervisedBody is an answer's body with timers that detect a silent worker. After a first silence the
@@ -200,7 +207,7 @@
 	}
 }
 
-// relayEvents copies each event to the caller once it is complete.
+// relayEvents copies each event to the caller once it is complete. A large event is copied in parts.
 func (t *exchange) relayEvents(c *candidate, reply *Response) error {
 	var pending []byte
 	buf := make([]byte, 8<<10)
@@ -214,6 +221,13 @@
 			}
 			pending = append(pending[:0], pending[end:]...)
 		}
+		if len(pending) > maxPendingEvent {
+			part := len(pending) - maxEventEnd + 1 // the end of the event may have begun
+			if err := t.forwardPart(c, reply, pending[:part], resumed); err != nil {
+				return err
+			}
+			pending = append(pending[:0], pending[part:]...)
+		}
 		if err == io.EOF {
 			return t.finish(reply, pending)
 		}
@@ -227,7 +241,7 @@
 // a stream must not repeat events up to the last one that the caller has.
 func (t *exchange) forward(c *candidate, reply *Response, events []byte, resumed bool) error {
 	first, last := eventIDs(events)
-	if resumed && !isLaterEvent(first, t.lastEventID) {
+	if resumed && !t.partSent.Load() && !isLaterEvent(first, t.lastEventID) {
 		return failure.New(
 			failure.OutcomeUnknown, "resume", c.worker.Addr, "event %s comes after %s", first, t.lastEventID,
 		)
@@ -246,6 +260,15 @@
 	return nil
 }
 
+// forwardPart sends a part of an event that is too large to be held until it is complete. No other worker can
+// continue the stream after that.
+func (t *exchange) forwardPart(c *candidate, reply *Response, part []byte, resumed bool) error {
+	err := t.forward(c, reply, part, resumed)
+	t.partSent.Store(true)
+	t.releaseBodyIfUnneeded()
+	return err
+}
+
 // finish ends a stream that its worker has ended. Bytes after the last complete event are written
 // unchanged.
 func (t *exchange) finish(reply *Response, rest []byte) error {
