Operators' documents share a limit of memory

Cause: each document was read whole, without a bound on the sum of those being read, and without a time by which it had to arrive.

Without a limit of memory nothing changes but the 30 s.

--- a/cmd/keelstair-platform/main.go
+++ b/cmd/keelstair-platform/main.go
@@ -22,6 +22,7 @@
 	"keelstair.example/internal/cli"
 	"keelstair.example/internal/fleetstate"
 	"keelstair.example/internal/proxy"
+	"keelstair.example/internal/requestbody"
 	"keelstair.example/internal/routing"
 	"keelstair.example/logging"
 	"keelstair.example/platform"
@@ -147,6 +148,14 @@
 	return err
 }
 
+const (
+	// documentMemoryShare: 1/documentMemoryShare of the process's memory is for documents that operators send. A
+	// document takes several times its length while it is parsed and stored.
+	documentMemoryShare = 16
+	documentWait        = 500 * time.Millisecond // for memory; operators turn to another node after a second
+	documentTimeout     = 30 * time.Second       // for the reading of a document, over a slow link
+)
+
 // operatorAPIs returns the handler for operators: the platform's API, and keelstair's own API.
 func operatorAPIs(
 	s *platform.Settings,
@@ -155,9 +164,17 @@
 	ring *logging.Ring,
 ) http.Handler {
 	mux := http.NewServeMux()
-	(&platform.Operator{Caller: caller, Directory: directory, Zones: s.Zones, Log: ring}).Mount(mux)
+	operator := &platform.Operator{Caller: caller, Directory: directory, Zones: s.Zones, Log: ring}
+	operator.Mount(mux)
 	api.RegisterOperatorAPI(mux, &proxy.Operator{Caller: caller, Directory: directory, Zones: s.Zones})
-	return mux
+	return &requestbody.Handler{
+		Next:     mux,
+		Memory:   requestbody.NewMemory(s.MemoryBytes / documentMemoryShare),
+		MaxBytes: platform.MaxDocumentBytes,
+		Wait:     documentWait,
+		Timeout:  documentTimeout,
+		Reject:   operator.RejectUnread,
+	}
 }
 
 // serveDiskless serves the operator APIs on a machine without a disk. It stores nothing and forwards
--- /dev/null
+++ b/internal/requestbody/handler.go
@@ -0,0 +1,68 @@
+package requestbody
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Handler reads the bodies of requests into a memory that they share before another handler gets the requests, so that
+// many large ones at the same time do not exceed the memory of the process.
+type Handler struct {
+	Next     http.Handler
+	Memory   *Memory
+	MaxBytes int64         // of a body
+	Wait     time.Duration // how long a body may wait for memory
+	Timeout  time.Duration // how long reading a body may take
+	// Reject answers a request whose body was not read because of ErrFull or ErrTooSlow.
+	Reject func(http.ResponseWriter, error)
+}
+
+// ServeHTTP reads the body and calls the next handler. A body that is invalid, or longer than MaxBytes, gives the next
+// handler the error at its end.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if request.ContentLength == 0 {
+		h.Next.ServeHTTP(w, request)
+		return
+	}
+	controller := http.NewResponseController(w)
+	controller.SetReadDeadline(time.Now().Add(h.Timeout))
+	body, err := h.Memory.Read(request.Context(), Source{
+		Reader:    http.MaxBytesReader(w, request.Body, h.MaxBytes),
+		Length:    request.ContentLength,
+		Timeout:   h.Timeout,
+		Interrupt: func() { controller.SetReadDeadline(time.Now()) },
+	}, h.Wait)
+	if errors.Is(err, ErrFull) || errors.Is(err, ErrTooSlow) {
+		h.Reject(w, err)
+		return
+	}
+	defer body.Release()
+	controller.SetReadDeadline(time.Time{})
+	reader := readerOf(body, err)
+	defer reader.Close()
+	request.Body = reader
+	h.Next.ServeHTTP(w, request)
+}
+
+// readerOf returns a reader of a body that has been read, or of the error that reading ended with.
+func readerOf(body *Body, err error) io.ReadCloser {
+	if err != nil {
+		return io.NopCloser(failingReader{err})
+	}
+	if body == nil {
+		return io.NopCloser(bytes.NewReader(nil))
+	}
+	reader, err := body.NewReader()
+	if err != nil {
+		return io.NopCloser(failingReader{err})
+	}
+	return reader
+}
+
+// failingReader returns an error from every Read.
+type failingReader struct{ err error }
+
+func (r failingReader) Read([]byte) (int, error) { return 0, r.err }
--- /dev/null
+++ b/internal/requestbody/handler_test.go
@@ -0,0 +1,83 @@
+package requestbody
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// newTestHandler returns a Handler whose next handler takes a second for a request and answers with the body's length.
+func newTestHandler() *Handler {
+	return &Handler{
+		Next: http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+			text, err := io.ReadAll(request.Body)
+			var tooLarge *http.MaxBytesError
+			if errors.As(err, &tooLarge) {
+				w.WriteHeader(http.StatusBadRequest)
+				return
+			}
+			time.Sleep(time.Second)
+			w.Write(text)
+		}),
+		Memory:   NewMemory(testLimit),
+		MaxBytes: 400 << 10,
+		Wait:     500 * time.Millisecond,
+		Timeout:  10 * time.Second,
+		Reject:   func(w http.ResponseWriter, _ error) { w.WriteHeader(http.StatusServiceUnavailable) },
+	}
+}
+
+// TestConcurrentRequestsShareMemory guards against a process that goes over its memory because many large requests to
+// its operators' API arrive at the same time.
+func TestConcurrentRequestsShareMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newTestHandler()
+		statuses := make(chan int, 20)
+		for range cap(statuses) {
+			go func() {
+				response := httptest.NewRecorder()
+				h.ServeHTTP(response, httptest.NewRequest("PUT", "/", bytes.NewReader(content(300<<10))))
+				if response.Code == http.StatusOK {
+					assert.True(t, bytes.Equal(content(300<<10), response.Body.Bytes()))
+				}
+				statuses <- response.Code
+			}()
+		}
+		synctest.Wait()
+		require.LessOrEqual(t, h.Memory.Held(), int64(testLimit))
+		served := 0
+		for range cap(statuses) {
+			if <-statuses == http.StatusOK {
+				served++
+			}
+		}
+		require.Equal(t, 2, served, "as many as the memory holds")
+		require.Zero(t, h.Memory.Held())
+	})
+}
+
+// TestHandlerPassesErrorsOn checks that the next handler sees bodies that are empty or too long as it would without the
+// Handler.
+func TestHandlerPassesErrorsOn(t *testing.T) {
+	h := newTestHandler()
+	for size, status := range map[int]int{0: http.StatusOK, 400 << 10: http.StatusOK, 400<<10 + 1: http.StatusBadRequest} {
+		for _, length := range []int64{int64(size), -1} {
+			synctest.Test(t, func(t *testing.T) {
+				request := httptest.NewRequest("PUT", "/", bytes.NewReader(content(size)))
+				request.ContentLength = length
+				response := httptest.NewRecorder()
+				h.ServeHTTP(response, request)
+				require.Equal(t, status, response.Code, "%d bytes, length %d", size, length)
+				require.Zero(t, h.Memory.Held())
+			})
+		}
+	}
+}
