--- a/cmd/keelstair-platform/documents_test.go
+++ b/cmd/keelstair-platform/documents_test.go
@@ -37,7 +37,7 @@
 		require.Equal(t, http.StatusServiceUnavailable, large.Code, "another large document is being read")
 		require.NotEmpty(t, large.Header().Get("Retry-After"))
 		small := put(strings.NewReader(strings.Repeat(" ", smallDocument)), smallDocument)
-		require.Equal(t, http.StatusBadRequest, small.Code, "it is read and found without If-Match")
+		require.Equal(t, http.StatusBadRequest, small.Code, "it is read, and does not say what it changes")
 		client.Write([]byte(strings.Repeat(" ", largeDocument)))
 		client.Close()
 		require.Equal(t, http.StatusBadRequest, (<-ended).Code)
