A test reports a worker's role without a data race

TestRoleChangeWaitsForTheLastOne failed in the whole script: it reported the role from a timer's goroutine, and the race detector saw the write beside the decision's read.

--- a/internal/router/role_balance_test.go
+++ b/internal/router/role_balance_test.go
@@ -94,6 +94,14 @@
 	return routing.RoleChange{}, 0
 }
 
+// requireNoRoleChange has the node decide twice a second for the given time and requires that it changes no role.
+func requireNoRoleChange(t *testing.T, n *Node, s *fleetstate.Snapshot, pool *rolePool, duration time.Duration) {
+	for end := n.now().Add(duration); n.now().Before(end); time.Sleep(min(roleChangeInterval, end.Since(n.now()))) {
+		_, ok := n.pickRoleChange(s, "m", pool)
+		require.False(t, ok)
+	}
+}
+
 // TestRoleChangeWaitsForTheLastOne guards against roles that change back and forth because a change was decided by
 // counts of workers from before the last one.
 func TestRoleChangeWaitsForTheLastOne(t *testing.T) {
@@ -109,8 +117,9 @@
 				ended := n.now()
 				wait := dwell
 				if reported {
-					time.AfterFunc(reportDelay, func() { reportRole(n, first) })
 					wait = reportDelay
+					requireNoRoleChange(t, n, s, pool, reportDelay)
+					reportRole(n, first)
 				}
 				second, at := awaitRoleChange(t, n, s, pool)
 				require.GreaterOrEqual(t, at.Since(ended), wait)
