Routers: bodies that wait for memory have a limit, too

Cause: a body that waits for memory isn't counted, though its bytes may have arrived: the kernel receives them into the buffers of the connection, and they count as the process's. Only the time of the wait, a quarter of the latency target, bounded their sum.

Now new bodies wait only as long as those that wait have no more bytes than the memory for bodies holds. A body beyond that is refused at once, with the same 503 and Retry-After as one whose wait ended. An eighth of it is for bodies up to 64 KiB, as it is of the memory. Bodies that have been read in part may always wait, since others would wait for their memory in vain. So a process needs half of its memory for bodies, read or not, whatever the time and the links.

Weighed: a smaller receive buffer for each connection (bounds nothing without a bound on connections).

TestWaitingBodiesStayWithinLimit fails without the check: the body beyond the limit waits for its full hour. TestWaitersGetMemoryInOrder had five waiters that were two and a half times the limit together; now a part of the memory is taken, and the five are smaller, so that again one fits at a time: the same order is required, and that a sixth that would fit does not pass them.

--- a/internal/requestbody/memory.go
+++ b/internal/requestbody/memory.go
@@ -29,6 +29,7 @@
 	limit     int64 // bytes; 0 means no limit
 	used      int64
 	waiters   []*reservation
+	waiting   int64              // bytes that waiters may have received and not read
 	evictable *list.List         // of *Body, in the order in which they were sent
 	reading   map[*Body]struct{} // bodies being read that have a pace, and interrupted ones until they are dropped
 	evictions int64
@@ -39,6 +40,7 @@
 	body    *Body
 	size    int64 // bytes that it adds to the memory in use
 	total   int64 // bytes of the body with them
+	unread  int64 // bytes that may have arrived without being read; of a body of unknown length its next chunk
 	granted chan struct{}
 }
 
@@ -85,11 +87,11 @@
 // newReservation returns a reservation of memory for more bytes of a body. A body that is larger than the limit
 // counts as all of it, and so is alone. mu must be held.
 func (m *Memory) newReservation(body *Body, size int64) *reservation {
-	total := body.reserved + size
+	r := &reservation{body: body, size: size, total: body.reserved + size, unread: size, granted: make(chan struct{})}
 	if m.limit > 0 {
-		size = min(size, m.allowance(body, total)-body.reserved)
+		r.size = max(0, min(size, m.allowance(body, r.total)-body.reserved))
 	}
-	return &reservation{body: body, size: max(size, 0), total: total, granted: make(chan struct{})}
+	return r
 }
 
 // reserve counts bytes of a body that are about to be allocated. It waits for at most the given time until there is
@@ -101,6 +103,10 @@
 		m.mu.Unlock()
 		return wait, nil
 	}
+	if !m.mayWait(r) {
+		m.mu.Unlock()
+		return wait, ErrFull
+	}
 	m.enqueue(r)
 	m.mu.Unlock()
 	began := time.Now()
@@ -108,6 +114,13 @@
 	return max(0, wait-time.Since(began)), err
 }
 
+// mayWait reports whether a reservation may wait. The bytes of waiting bodies are in memory without being counted as
+// used, because the kernel receives them; so new bodies wait only up to the limit, of which a part is for small ones
+// here as well. mu must be held.
+func (m *Memory) mayWait(r *reservation) bool {
+	return len(m.waiters) == 0 || r.continues() || m.waiting+r.unread <= m.allowance(r.body, r.total)
+}
+
 // enqueue adds a reservation to those that wait. mu must be held.
 func (m *Memory) enqueue(r *reservation) {
 	next := slices.IndexFunc(m.waiters, func(other *reservation) bool { return r.continues() && !other.continues() })
@@ -115,6 +128,7 @@
 		next = len(m.waiters)
 	}
 	m.waiters = slices.Insert(m.waiters, next, r)
+	m.waiting += r.unread
 }
 
 // await waits until a reservation is granted. It withdraws it after the given time, or when ctx ends.
@@ -146,6 +160,7 @@
 		return nil
 	}
 	m.waiters = slices.Delete(m.waiters, i, i+1)
+	m.waiting -= r.unread
 	m.grant()
 	return err
 }
@@ -167,6 +182,7 @@
 			blocked = true
 			return false
 		}
+		m.waiting -= r.unread
 		close(r.granted)
 		return true
 	})
--- a/internal/requestbody/memory_test.go
+++ b/internal/requestbody/memory_test.go
@@ -66,11 +66,12 @@
 func TestWaitersGetMemoryInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		memory := NewMemory(testLimit)
-		held := requireRead(t, memory, 800<<10)
+		kept := requireRead(t, memory, 600<<10)
+		held := requireRead(t, memory, 200<<10)
 		order := make(chan int, 5)
 		for i := range 5 {
 			go func() {
-				body, err := readLarge(t, memory, 500<<10, time.Hour)
+				body, err := readLarge(t, memory, 160<<10, time.Hour)
 				assert.NoError(t, err)
 				order <- i
 				time.Sleep(time.Second)
@@ -79,16 +80,53 @@
 			synctest.Wait()
 		}
 		held.Release()
-		_, err := readLarge(t, memory, 300<<10, time.Second/2)
+		_, err := readLarge(t, memory, smallBody+1, time.Second/2)
 		require.ErrorIs(t, err, ErrFull, "it would fit, but others have waited for longer")
 		time.Sleep(time.Minute)
 		for want := range 5 {
 			require.Equal(t, want, <-order)
 		}
+		kept.Release()
 		require.Zero(t, memory.Held())
 	})
 }
 
+// TestWaitingBodiesStayWithinLimit guards against a process that goes over its memory because of bodies that have
+// arrived and wait to be read.
+func TestWaitingBodiesStayWithinLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := NewMemory(testLimit)
+		held := requireRead(t, memory, 800<<10)
+		waitFor := func(ctx context.Context, size int) {
+			body, _ := memory.Read(ctx, bytesSource(content(size), int64(size)), time.Hour)
+			body.Release()
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		go waitFor(ctx, 2*testLimit)
+		synctest.Wait()
+		require.Equal(t, int64(2*testLimit), memory.waiting, "a body larger than the limit waits alone")
+		stop()
+		synctest.Wait()
+		for range 2 {
+			go waitFor(t.Context(), 440<<10)
+		}
+		synctest.Wait()
+		began := time.Now()
+		_, err := readLarge(t, memory, 100<<10, time.Hour)
+		require.ErrorIs(t, err, ErrFull)
+		require.Zero(t, time.Since(began))
+		for range 3 {
+			defer requireRead(t, memory, smallBody).Release()
+		}
+		go waitFor(t.Context(), smallBody)
+		synctest.Wait()
+		require.Equal(t, int64(2*440<<10+smallBody), memory.waiting, "large bodies leave room for small ones that wait")
+		held.Release()
+		synctest.Wait()
+		require.Zero(t, memory.waiting)
+	})
+}
+
 // TestSmallBodiesPassLargeOnes guards against large bodies that keep small requests from being served.
 func TestSmallBodiesPassLargeOnes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
