Operators' API: a document with an impossible length keeps nobody out

Cause: memory for a body of known length is reserved before it is read, and one that is larger than the whole memory gets all of it. The limit of a document's length was looked at only while it was read.

Now a request that states more than the limit gets its error without a reservation, and its connection is closed.

--- a/internal/requestbody/handler.go
+++ b/internal/requestbody/handler.go
@@ -21,12 +21,22 @@
 }
 
 // ServeHTTP reads the body and calls the next handler. A body that is invalid, or longer than MaxBytes, gives the next
-// handler the error at its end.
+// handler the error of reading it.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	if request.ContentLength == 0 {
+	switch {
+	case request.ContentLength == 0:
 		h.Next.ServeHTTP(w, request)
-		return
+	case request.ContentLength > h.MaxBytes:
+		w.Header().Set("Connection", "close")
+		request.Body = readerOf(nil, &http.MaxBytesError{Limit: h.MaxBytes})
+		h.Next.ServeHTTP(w, request)
+	default:
+		h.readAndServe(w, request)
 	}
+}
+
+// readAndServe reads a body that is not known to be too long and calls the next handler.
+func (h *Handler) readAndServe(w http.ResponseWriter, request *http.Request) {
 	controller := http.NewResponseController(w)
 	controller.SetReadDeadline(time.Now().Add(h.Timeout))
 	body, err := h.Memory.Read(request.Context(), Source{
--- a/internal/requestbody/handler_test.go
+++ b/internal/requestbody/handler_test.go
@@ -81,3 +81,24 @@
 		}
 	}
 }
+
+// TestImpossibleLengthHoldsNoMemory guards against a request that keeps others out by stating a length beyond MaxBytes.
+func TestImpossibleLengthHoldsNoMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newTestHandler()
+		idle := newIdleSource()
+		defer idle.interrupt()
+		rejected := httptest.NewRecorder()
+		go func() {
+			request := httptest.NewRequest("PUT", "/", idle)
+			request.ContentLength = 1 << 40
+			h.ServeHTTP(rejected, request)
+		}()
+		synctest.Wait()
+		require.Zero(t, h.Memory.Held())
+		require.Equal(t, http.StatusBadRequest, rejected.Code)
+		response := httptest.NewRecorder()
+		h.ServeHTTP(response, httptest.NewRequest("PUT", "/", bytes.NewReader(content(300<<10))))
+		require.Equal(t, http.StatusOK, response.Code)
+	})
+}
