Operators' API: the refusal of a large document reaches its sender

What operators would see: a large document that found no memory was refused, and its connection was reset with the rest of the document unread, so that the refusal could be lost ("unexpected EOF"); found by reading, beside the documents' limit of memory.

Cause: the platform's frontend sends the refusal at once and drops what still comes, and the handler of the operators' documents didn't.

TestRejectedClientGetsResponse fails on the code before: unexpected EOF.

--- a/internal/requestbody/handler.go
+++ b/internal/requestbody/handler.go
@@ -39,14 +39,19 @@
 func (h *Handler) readAndServe(w http.ResponseWriter, request *http.Request) {
 	controller := http.NewResponseController(w)
 	controller.SetReadDeadline(time.Now().Add(h.Timeout))
+	src := http.MaxBytesReader(w, request.Body, h.MaxBytes)
 	body, err := h.Memory.Read(request.Context(), Source{
-		Reader:    http.MaxBytesReader(w, request.Body, h.MaxBytes),
+		Reader:    src,
 		Length:    request.ContentLength,
 		Timeout:   h.Timeout,
 		Interrupt: func() { controller.SetReadDeadline(time.Now()) },
 	}, h.Wait)
-	if errors.Is(err, ErrFull) || errors.Is(err, ErrTooSlow) {
-		h.Reject(w, err)
+	switch {
+	case errors.Is(err, ErrFull):
+		RespondUnread(w, request, src, func() { h.Reject(w, err) })
+		return
+	case errors.Is(err, ErrTooSlow):
+		RespondUnread(w, request, nil, func() { h.Reject(w, err) })
 		return
 	}
 	defer body.Release()
@@ -57,6 +62,23 @@
 	h.Next.ServeHTTP(w, request)
 }
 
+// RespondUnread sends the response to a request whose body has not been read completely at once. If the client sends
+// the body all the same, the rest of it is read and dropped, because a connection that is closed with unread bytes is
+// reset, and the client might lose the response. A nil rest means that nothing more is expected.
+func RespondUnread(w http.ResponseWriter, request *http.Request, rest io.Reader, respond func()) {
+	controller := http.NewResponseController(w)
+	bodyComes := rest != nil && request.Header.Get("Expect") == ""
+	if bodyComes && controller.EnableFullDuplex() == nil {
+		respond()
+		controller.Flush()
+		io.Copy(io.Discard, rest)
+		return
+	}
+	w.Header().Set("Connection", "close")
+	respond()
+	controller.SetReadDeadline(time.Now()) // the server must not wait for the rest of the body
+}
+
 // readerOf returns a reader of a body that has been read, or of the error that reading ended with.
 func readerOf(body *Body, err error) io.ReadCloser {
 	if err != nil {
--- a/internal/requestbody/handler_test.go
+++ b/internal/requestbody/handler_test.go
@@ -1,9 +1,11 @@
 package requestbody
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -102,3 +104,30 @@
 		require.Equal(t, http.StatusOK, response.Code)
 	})
 }
+
+// TestRejectedClientGetsResponse guards against clients that lose the response to a body that was not read, because its
+// connection is reset.
+func TestRejectedClientGetsResponse(t *testing.T) {
+	h := newTestHandler()
+	h.Wait = 0
+	held := requireRead(t, h.Memory, 800<<10)
+	server := httptest.NewServer(h)
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	put := func() int {
+		request, err := http.NewRequest("PUT", server.URL, bytes.NewReader(content(int(h.MaxBytes))))
+		require.NoError(t, err)
+		require.NoError(t, request.Write(conn))
+		response, err := http.ReadResponse(reader, request)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		return response.StatusCode
+	}
+	require.Equal(t, http.StatusServiceUnavailable, put())
+	held.Release()
+	require.Equal(t, http.StatusOK, put(), "on the same connection")
+}
