keelstair-router: the bodies of all requests share a limit

Cause: the body of each request was read whole, and decoded from a second copy, before the request was admitted, and nothing bounded the sum of the bodies being read.

Now they share a quarter of the process's memory (--memory-mb, new; 256 MiB without it) by the mechanism of the other routers: small bodies pass, slow clients give way, and what finds no room within 0.25 s gets 503 "no-memory" and Retry-After. This covers clients, operators at the frontend, and requests that other nodes forward, which the forwarding node then offers to the next one. A body is released once it has been decoded, so a running stream holds none; its prompt is bounded by the configuration (inflight, maxPrompt), as before.

--- a/cmd/keelstair-platform/main.go
+++ b/cmd/keelstair-platform/main.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -45,9 +44,7 @@
 	hangups := notifySIGHUP()
 	s, err := platform.LoadSettings()
 	cli.ExitOnError("keelstair-platform "+role, err)
-	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(s.MemoryBytes * 3 / 4)
-	}
+	cli.LimitMemory(s.MemoryBytes)
 	cli.ExitOnError("keelstair-platform "+role, run(s, hangups))
 }
 
--- a/cmd/keelstair-router/main.go
+++ b/cmd/keelstair-router/main.go
@@ -10,13 +10,15 @@
 
 	"keelstair.example/host"
 	"keelstair.example/ids"
-	"keelstair.example/internal/api"
 	"keelstair.example/internal/cli"
 	"keelstair.example/internal/router"
 	"keelstair.example/internal/router/tracing"
 	"keelstair.example/internal/settings"
 )
 
+// maxMemoryMB is the largest memory of a process that can be stated, in MiB.
+const maxMemoryMB = 1 << 30
+
 type options struct {
 	SettingsFile    string   `arg:"--settings" help:"a JSON file with the same settings; flags take precedence over it" json:"-"`
 	Name            string   `arg:"--name" help:"name of this node in logs and certificates; default: the value of --addr" json:"name"`
@@ -30,6 +32,7 @@
 	StreamTimeoutMs int      `arg:"--pulse-ms" default:"1200" help:"silence of a worker within a stream, in ms, after which the worker is considered lost" json:"pulseMs"`
 	TraceFile       string   `arg:"--trace" help:"append OpenTelemetry traces to this file, as JSON lines" json:"trace"`
 	DrainTimeoutMs  int      `arg:"--drain-ms" default:"10000" help:"time limit for running streams after SIGTERM, in ms" json:"drainMs"`
+	MemoryMB        int      `arg:"--memory-mb" help:"memory of this process in MiB, a quarter of which is for the bodies of requests; 0: no limit, and 256 MiB for bodies" json:"memoryMb"`
 }
 
 func (o *options) File() string { return o.SettingsFile }
@@ -44,6 +47,8 @@
 		return settings.InvalidField("orphanMs, pulseMs", "orphanMs must be at least 100 ms and pulseMs at least 500 ms")
 	case o.DrainTimeoutMs < 0:
 		return settings.InvalidField("drainMs", "must not be negative")
+	case o.MemoryMB < 0 || o.MemoryMB > maxMemoryMB:
+		return settings.InvalidField("memoryMb", "%d MiB is not between 0 and %d MiB", o.MemoryMB, maxMemoryMB)
 	}
 	return settings.FirstError(
 		settings.CheckAddr("addr", o.Addr),
@@ -61,6 +66,8 @@
 	}
 	host, err := host.Real("")
 	cli.ExitOnError("keelstair-router", err)
+	memoryLimit := int64(o.MemoryMB) << 20
+	cli.LimitMemory(memoryLimit)
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	routerOptions := router.Options{
 		Name:          o.Name,
@@ -73,6 +80,7 @@
 		LeaseDuration: ms(o.LeaseMs),
 		OrphanTimeout: ms(o.OrphanTimeoutMs),
 		StreamTimeout: ms(o.StreamTimeoutMs),
+		MemoryLimit:   memoryLimit,
 	}
 	if o.TraceFile != "" {
 		file, err := os.OpenFile(o.TraceFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -84,13 +92,11 @@
 	defer stop()
 	serveCtx, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
-	peerMux, frontendMux := http.NewServeMux(), http.NewServeMux()
+	peerMux := http.NewServeMux()
 	node.Mount(peerMux)
-	api.RegisterClientAPI(frontendMux, node)
-	api.RegisterOperatorAPI(frontendMux, node)
 	servers := cli.NewServers(host, func(err error) { cli.ExitOnError("keelstair-router", err) })
 	servers.Serve(serveCtx, o.Addr, peerMux)
-	servers.Serve(serveCtx, o.Frontend, frontendMux)
+	servers.Serve(serveCtx, o.Frontend, node.FrontendHandler())
 	node.Run(ctx, ms(o.DrainTimeoutMs))
 	stopServing()
 	servers.Wait()
--- a/internal/api/json.go
+++ b/internal/api/json.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -15,13 +16,14 @@
 // another value after it, of at most limit bytes. An invalid body is returned as a Fault with status 400 or 413.
 func ReadJSON(r *http.Request, out any, limit int64) *Fault {
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
+	var tooLarge *http.MaxBytesError
+	if err != nil && !errors.As(err, &tooLarge) {
 		return NewFault(http.StatusBadRequest, "unreadable", "", "%v", err)
 	}
-	if int64(len(body)) > limit {
+	if err != nil || int64(len(body)) > limit {
 		return NewFault(http.StatusRequestEntityTooLarge, "too-large", "", "the body exceeds the limit of %d bytes", limit)
 	}
-	decoder := json.NewDecoder(strings.NewReader(string(body)))
+	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	err = decoder.Decode(out)
 	var typeErr *json.UnmarshalTypeError
--- a/internal/api/operator.go
+++ b/internal/api/operator.go
@@ -129,7 +129,9 @@
 const (
 	maxPolicyBytes = 8 << 20 // bytes of a request that applies a configuration
 	maxMarkBytes   = 4096    // bytes of any other request
-	maxAuditRows   = 500     // rows of the audit log in a response
+	// MaxBodyBytes is the length of the longest body of any request.
+	MaxBodyBytes = maxPolicyBytes
+	maxAuditRows = 500 // rows of the audit log in a response
 )
 
 // RegisterOperatorAPI registers the handlers of the operator API, under /v1.
--- a/internal/api/streams.go
+++ b/internal/api/streams.go
@@ -111,6 +111,7 @@
 			WriteError(w, f)
 			return
 		}
+		r.Body.Close() // its memory is not needed while the stream runs
 		out := &eventWriter{w: w, encoder: json.NewEncoder(w)}
 		if err := serve(r.Context(), &request, out); err != nil && !out.started {
 			WriteError(w, err)
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -179,7 +179,7 @@
 		budget:     retrybudget.New(options.RetryWindow),
 		slowStart:  newSlowStart(),
 		outages:    make(chan struct{}, 1),
-		bodies:     newBodyMemory(options.MemoryLimit),
+		bodies:     requestbody.NewProcessMemory(options.MemoryLimit),
 		retryAfter: handoff.RetryAfterScheduler{MinPerSecond: 2},
 	}
 	programs, err := routing.NewProgramSet(options.Programs, options.ProgramSteps, &n.scores)
--- a/internal/proxy/request_body.go
+++ b/internal/proxy/request_body.go
@@ -5,7 +5,6 @@
 package proxy
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -18,8 +17,6 @@
 )
 
 const (
-	bodyMemoryShare   = 4         // 1/bodyMemoryShare of the process's memory is for bodies
-	defaultBodyMemory = 256 << 20 // bytes, if the process's memory has no limit
 	// bodyWaitShare is the fraction of a request's latency target for which its body may wait for memory. A
 	// request that is rejected after that can still be in time at another node.
 	bodyWaitShare = 4
@@ -39,11 +36,6 @@
 	SetReadDeadline func(time.Time) error
 }
 
-// newBodyMemory returns the memory for bodies in a process whose memory has the given limit.
-func newBodyMemory(memoryLimit int64) *requestbody.Memory {
-	return requestbody.NewMemory(cmp.Or(memoryLimit/bodyMemoryShare, defaultBodyMemory))
-}
-
 // ReadBody reads the body of a request, which must have no body yet. The caller releases it when it has served the
 // request. A *RejectedError means that there is no memory for it now, or that it did not arrive within the
 // request's timeout.
--- a/internal/requestbody/handler.go
+++ b/internal/requestbody/handler.go
@@ -9,7 +9,8 @@
 )
 
 // Handler reads the bodies of requests into a memory that they share before another handler gets the requests, so that
-// many large ones at the same time do not exceed the memory of the process.
+// many large ones at the same time do not exceed the memory of the process. A body is held until the response ends, or
+// until the other handler closes it.
 type Handler struct {
 	Next     http.Handler
 	Memory   *Memory
@@ -54,10 +55,10 @@
 		RespondUnread(w, request, nil, func() { h.Reject(w, err) })
 		return
 	}
-	defer body.Release()
 	controller.SetReadDeadline(time.Time{})
 	reader := readerOf(body, err)
 	defer reader.Close()
+	body.Release() // once the reader is closed
 	request.Body = reader
 	h.Next.ServeHTTP(w, request)
 }
--- a/internal/requestbody/memory.go
+++ b/internal/requestbody/memory.go
@@ -1,6 +1,7 @@
 package requestbody
 
 import (
+	"cmp"
 	"container/list"
 	"context"
 	"errors"
@@ -15,7 +16,9 @@
 	// smallBody is the largest size in bytes of a body that does not queue behind others.
 	smallBody = 64 << 10
 	// smallBodyShare is the fraction 1/smallBodyShare of the limit that is kept for small bodies.
-	smallBodyShare = 8
+	smallBodyShare     = 8
+	processShare       = 4         // 1/processShare of the process's memory is for bodies
+	defaultMemoryLimit = 256 << 20 // bytes, if the process's memory has no limit
 	// paceCheckInterval is how often a waiting reservation looks for clients that have fallen behind their pace.
 	paceCheckInterval = 20 * time.Millisecond
 )
@@ -56,6 +59,11 @@
 	return &Memory{limit: limit, evictable: list.New(), reading: map[*Body]struct{}{}}
 }
 
+// NewProcessMemory returns the Memory for the requests of a process whose memory has a limit in bytes; 0 means no limit.
+func NewProcessMemory(processLimit int64) *Memory {
+	return NewMemory(cmp.Or(processLimit/processShare, defaultMemoryLimit))
+}
+
 // Held returns the number of bytes held.
 func (m *Memory) Held() int64 {
 	m.mu.Lock()
--- a/internal/router/forward.go
+++ b/internal/router/forward.go
@@ -58,7 +58,7 @@
 		}
 		fault, rejected := err.(*api.Fault)
 		switch {
-		case rejected && (fault.Name == "not-ready" || fault.Name == "not-certified"), count == 0 && rpc.IsDialError(err):
+		case rejected && mayServeElsewhere(fault), count == 0 && rpc.IsDialError(err):
 			continue
 		case rejected:
 			n.counts.Forwarded.Add(1)
@@ -95,6 +95,11 @@
 	)
 }
 
+// mayServeElsewhere reports whether another node may serve a request that a node rejected.
+func mayServeElsewhere(fault *api.Fault) bool {
+	return fault.Name == "not-ready" || fault.Name == "not-certified" || fault.Name == faultNoMemory
+}
+
 // serveForwarded serves a request that another node forwarded; it is not forwarded again.
 func (n *Node) serveForwarded(ctx context.Context, request *api.StreamRequest, out api.Sink) error {
 	return n.serve(ctx, request, out, true)
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -17,6 +17,7 @@
 	"keelstair.example/internal/api"
 	"keelstair.example/internal/fleetstate"
 	"keelstair.example/internal/handoff"
+	"keelstair.example/internal/requestbody"
 	"keelstair.example/internal/routing"
 	"keelstair.example/internal/workerclient"
 	"keelstair.example/logging"
@@ -40,6 +41,7 @@
 	OrphanTimeout     time.Duration // default 2s, the same as the workers' orphan timeout
 	StreamTimeout     time.Duration // maximum silence within a stream; default 1.2s
 	Trace             func(handoff.Event)
+	MemoryLimit       int64 // memory of the process in bytes, of which a share is for the bodies of requests; default none
 }
 
 // setDefaults replaces unset options by their defaults.
@@ -85,6 +87,7 @@
 	stopping          atomic.Bool
 	retryBucket       retryBucket
 	retryAfter        handoff.RetryAfterScheduler
+	bodies            *requestbody.Memory
 }
 
 // Counts holds the node's counters since it started. Rejected requests may be retried later, Aborted
@@ -98,7 +101,12 @@
 // New returns a node that has not been started. Options left at zero take their defaults.
 func New(opt Options) *Node {
 	opt.setDefaults()
-	n := &Node{options: opt, scores: &routing.Scores{}, journal: logging.NewJournal[handoff.Event](1024)}
+	n := &Node{
+		options: opt,
+		scores:  &routing.Scores{},
+		journal: logging.NewJournal[handoff.Event](1024),
+		bodies:  requestbody.NewProcessMemory(opt.MemoryLimit),
+	}
 	n.self = coordination.Member{
 		Node: ids.NodeID(opt.Name + "-" + coordination.NewID()),
 		Addr: opt.Addr,
@@ -155,7 +163,9 @@
 	rpc.Handle(mux, OrderMethod, n.handleOrder)
 	rpc.Handle(mux, heartbeatMethod, n.handleHeartbeat)
 	rpc.Handle(mux, SpendMethod, n.handleSpendRetry)
-	api.HandleStreams(mux, forwardPath, n.serveForwarded)
+	forwarded := http.NewServeMux()
+	api.HandleStreams(forwarded, forwardPath, n.serveForwarded)
+	mux.Handle(forwardPath, n.limitBodies(forwarded))
 }
 
 // Run runs the node until the context ends. It then accepts no new requests, waits up to the drain
--- a/internal/simulation/cluster_test.go
+++ b/internal/simulation/cluster_test.go
@@ -189,10 +189,8 @@
 			})
 			p.Node = n
 			c.nodes.Store(n, name)
-			peerMux, clientMux := http.NewServeMux(), http.NewServeMux()
+			peerMux := http.NewServeMux()
 			n.Mount(peerMux)
-			api.RegisterClientAPI(clientMux, n)
-			api.RegisterOperatorAPI(clientMux, n)
 			nodeCtx, shutdown := context.WithCancel(ctx)
 			p.Shutdown = shutdown
 			c.wg.Go(func() {
@@ -206,7 +204,7 @@
 			if err := c.serve(ctx, host, p.Addr, peerMux); err != nil {
 				return err
 			}
-			return c.serve(ctx, host, p.FrontendAddr, clientMux)
+			return c.serve(ctx, host, p.FrontendAddr, n.FrontendHandler())
 		},
 	}
 }
