handoff: an attempt in short functions

An attempt is a type in a file of its own now, with its steps as methods: reserve, claim, prefill, import, claim again, resume. No behaviour changes, but the order in which reservations are freed at the end: those of decode workers first, then that of the prefill worker.

The package's tests pass (with the race detector, too), and those of the router and of the simulated fleets.

--- a/internal/handoff/controller.go
+++ b/internal/handoff/controller.go
@@ -141,12 +141,12 @@
 	for n := 1; ; n++ {
 		f.attemptID = workerclient.ID{Request: t.Identity.ID.Request, Attempt: n}
 		f.prefillWorker, f.decodeWorker, f.incarnation, f.resumeOrdered = "", "", "", false
-		err := f.attempt(ctx, avoided)
+		err := f.runAttempt(ctx, avoided)
 		// If the workers were picked under a version that is no longer in force, they are picked
 		// again once this node has the newer one.
 		for failure.Is(err, failure.Stale) && f.prefillWorker == "" && !c.Clock.Now().Past(start, t.RetryTimeout) &&
 			host.Sleep(ctx, 30*time.Millisecond) {
-			err = f.attempt(ctx, avoided)
+			err = f.runAttempt(ctx, avoided)
 		}
 		if err == nil {
 			f.trace(Ended, f.decodeWorker, nil)
@@ -210,158 +210,6 @@
 	return failure.As(err, kind, "hand-over", f.attemptID.Request)
 }
 
-// attempt goes through all steps once.
-func (f *handoffTask) attempt(ctx context.Context, avoided map[ids.WorkerID]bool) error {
-	t, transport := f.task, f.Transport
-	m := t.Identity
-	m.ID, m.Output = f.attemptID, append([]int32(nil), f.sent...)
-	request := &routing.PickRequest{
-		Request:      m.ID.Request,
-		Kind:         t.Kind,
-		Model:        m.Model.Name,
-		Adapters:     m.Model.Adapters,
-		Zone:         t.Zone,
-		PromptTokens: len(m.Prompt),
-		MaxTokens:    m.Params.MaxTokens,
-		Role:         ids.Decode,
-	}
-	totalTokens := len(m.Prompt) + m.Params.MaxTokens
-	decode, err := f.reserve(ctx, request, m.Model, totalTokens, avoided)
-	if err != nil {
-		return err
-	}
-	m.Model.Weights = decode.Model.Weights
-	t.Identity.Model.Weights = decode.Model.Weights
-	ended := false // the worker itself reported the end of the run
-	defer func(w ids.WorkerID) { transport.Release(w, f.attemptID, ended) }(decode.ID)
-	request.Role = ids.Prefill
-	prefill, err := f.reserve(ctx, request, m.Model, len(m.Prompt)+len(m.Output)+1, avoided)
-	if err != nil {
-		return err
-	}
-	defer transport.Release(prefill.ID, f.attemptID, false)
-	if !f.claimCalled && t.Claim != nil {
-		f.claimCalled, f.claimedTarget = true, decodeTarget{decode.ID, decode.Incarnation}
-		if err := t.Claim(decode.ID, decode.Incarnation); err != nil {
-			return failure.As(err, failure.InvalidArgument, "claim", m.ID.Request) // Run does not retry this kind
-		}
-	}
-	// The claim may have taken long enough for the version to change.
-	if transport.PickMayBeOutdated() {
-		return failure.New(failure.Stale, "pick", m.ID.Request, "a newer version may be in force")
-	}
-	f.prefillWorker = prefill.ID
-	f.trace(Granted, prefill.ID, nil)
-	if _, err = transport.Prefill(ctx, prefill.ID, m); err != nil {
-		return err
-	}
-	f.trace(Prefilled, prefill.ID, nil)
-	response, err := transport.Export(ctx, prefill.ID, f.attemptID)
-	if err != nil {
-		return err
-	}
-	f.trace(Exported, prefill.ID, nil)
-	exported, texts := response.Identity, response.Texts
-	if exported == nil || !f.identityMatches(&m, exported) {
-		return failure.New(failure.DataLost, "export", string(prefill.ID), "the exported identity does not match the request")
-	}
-	transport.Release(prefill.ID, f.attemptID, true)
-	refused := map[ids.WorkerID]bool{}
-	for {
-		f.decodeWorker = decode.ID
-		if response, err = transport.Import(ctx, decode.ID, *exported, prefill.ID); err == nil {
-			break
-		}
-		if !failure.Is(err, failure.NotExecuted) {
-			return err
-		}
-		// The import was refused before any token was decoded: the next worker is tried.
-		f.decodeWorker = ""
-		avoided[decode.ID], refused[decode.ID] = true, true
-		transport.Release(decode.ID, f.attemptID, true)
-		request.Role = ids.Decode
-		refusal := err
-		if decode, err = f.reserve(ctx, request, m.Model, totalTokens, avoided); err != nil {
-			return err
-		}
-		defer func(w ids.WorkerID) { transport.Release(w, f.attemptID, ended) }(decode.ID)
-		// Pick may return avoided workers again, but none is tried twice in an attempt.
-		if refused[decode.ID] {
-			return refusal
-		}
-	}
-	f.incarnation = response.Incarnation
-	f.trace(Imported, decode.ID, nil)
-	if target := (decodeTarget{decode.ID, response.Incarnation}); t.Claim != nil && f.claimedTarget != target {
-		if err := t.Claim(decode.ID, response.Incarnation); err != nil {
-			return failure.As(err, failure.NotExecuted, "claim again", m.ID.Request)
-		}
-		f.claimedTarget = target
-	}
-	f.resumeOrdered = true
-	if _, err = transport.Resume(ctx, decode.ID, f.attemptID); err != nil {
-		return err
-	}
-	f.trace(Resumed, decode.ID, nil)
-	if t.Regime != "" {
-		// The exported KV cache is no longer needed and must not outlive the source's certificate.
-		go transport.Cancel(context.WithoutCancel(ctx), prefill.ID, f.attemptID)
-	}
-	// The client gets the first token only now that the KV cache is complete and its digest
-	// verified, so that a lost transfer is a retryable failure and not a broken stream.
-	if err := f.deliverMissing(exported.Output, texts); err != nil {
-		return err
-	}
-	err = transport.Stream(ctx, decode.ID, f.attemptID, len(f.sent), f.deliver)
-	ended = err == nil
-	return err
-}
-
-// identityMatches reports whether the exported identity, out, continues the one sent, in.
-func (f *handoffTask) identityMatches(in, out *workerclient.Identity) bool {
-	if out.ID != in.ID || len(out.Prompt) != len(in.Prompt) || len(out.Output) < len(in.Output) ||
-		!in.Model.Serves(out.Model) || out.Params != in.Params || out.Computed < len(in.Prompt) {
-		return false
-	}
-	for i := range in.Prompt {
-		if in.Prompt[i] != out.Prompt[i] {
-			return false
-		}
-	}
-	for i := range in.Output {
-		if in.Output[i] != out.Output[i] {
-			return false
-		}
-	}
-	return true
-}
-
-// reserve reserves memory for a number of tokens on the first worker that has enough, in the order
-// of the routing program.
-func (f *handoffTask) reserve(
-	ctx context.Context,
-	request *routing.PickRequest,
-	model workerclient.Model,
-	tokens int,
-	avoided map[ids.WorkerID]bool,
-) (PickedWorker, error) {
-	request.NeededTokens = tokens
-	workers := f.Transport.Pick(request, model, avoided)
-	err := failure.New(failure.NotExecuted, "pick "+string(request.Role), "", "no worker is eligible")
-	for _, c := range workers {
-		if err = f.Transport.Reserve(ctx, c.ID, f.attemptID, ids.Blocks(tokens, c.TokensPerBlock)); err == nil {
-			return c, nil
-		}
-		if failure.Is(err, failure.Stale) {
-			return PickedWorker{}, err
-		}
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	return PickedWorker{}, failure.As(err, failure.NotExecuted, "reserve "+string(request.Role), "")
-}
-
 // deliverMissing puts all tokens that the client has not received yet.
 func (f *handoffTask) deliverMissing(tokens []int32, texts []string) error {
 	for i := len(f.sent); i < len(tokens); i++ {
