Routers: a huge slow-start rate is the same on every architecture

Cause: the product, a float, was converted to an integer that cannot hold it. The result is not defined by the language: x86-64 gives the least integer; arm64 the greatest, to which the allowance is added, so that it overflows.

Now a rate above 1e9 a second counts as 1e9, at which the interval is that of any high rate. Looked at besides: the other conversions of floats in the product that depend on numbers from outside; they are checked, or their factors are.

--- a/internal/proxy/pick.go
+++ b/internal/proxy/pick.go
@@ -33,6 +33,7 @@
 	maxCandidates         = 8                      // cheapest candidates, which the routing programs order; the others are dropped
 	shortPrompt           = 1024                   // prompt tokens up to which a prefill delays no other request noticeably
 	longPrompt            = 64 * shortPrompt       // prompt tokens above which all prompts have the same rank
+	unlimitedRate         = 1e9                    // requests a second to cold workers; more makes no difference
 )
 
 // prefixHashes returns the hash and the token count of each prefix of a prompt that other requests
@@ -186,7 +187,8 @@
 // requests that the worker may get a second, only the highest ranked nodes may send to it, and the
 // result is false for the others.
 func (n *Node) slowStartInterval(id ids.WorkerID, service *fleetstate.Service) (time.Duration, bool) {
-	fleetLimit := int(service.SlowStartRate*n.options.SlowStartOvershoot) + n.options.SlowStartAllowance - 2
+	fleetRate := min(service.SlowStartRate*n.options.SlowStartOvershoot, unlimitedRate)
+	fleetLimit := int(fleetRate) + n.options.SlowStartAllowance - 2
 	nodes := int(math.Round(1 / n.nodeShare()))
 	if perNode := fleetLimit / nodes; perNode > 1 {
 		return time.Second/time.Duration(perNode-1) + 20*time.Millisecond, true
