proxy: slow start in one file

The functions that pace requests to cold workers stood among those that pick workers. A line of Counts that was over 120 columns is broken.

--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -123,7 +123,8 @@
 
 // Counts are the node's counters since it started.
 type Counts struct {
-	Requests, Completed, Rejected, Aborted, Direct, Retries, RejectedEarly, Ejected, Readmitted, FaultNotices, Hedges, RejectedStale atomic.Int64
+	Requests, Completed, Rejected, Aborted, Direct, Retries, RejectedEarly, Ejected, Readmitted,
+	FaultNotices, Hedges, RejectedStale atomic.Int64
 
 	Unauthenticated atomic.Int64 // requests rejected for lack of a known key
 	RejectedBodies  atomic.Int64 // requests rejected for lack of memory for their bodies, or because these took too long
--- a/internal/proxy/pick.go
+++ b/internal/proxy/pick.go
@@ -8,12 +8,10 @@
 import (
 	"cmp"
 	"hash/fnv"
-	"math"
 	"slices"
 	"sync/atomic"
 	"time"
 
-	"keelstair.example/coordination"
 	"keelstair.example/ids"
 	"keelstair.example/internal/fleetstate"
 	"keelstair.example/internal/routing"
@@ -33,7 +31,6 @@
 	maxCandidates         = 8                      // cheapest candidates, which the routing programs order; the others are dropped
 	shortPrompt           = 1024                   // prompt tokens up to which a prefill delays no other request noticeably
 	longPrompt            = 64 * shortPrompt       // prompt tokens above which all prompts have the same rank
-	unlimitedRate         = 1e9                    // requests a second to cold workers; more makes no difference
 )
 
 // prefixHashes returns the hash and the token count of each prefix of a prompt that other requests
@@ -160,45 +157,6 @@
 	return avoided
 }
 
-// slowStartAllows reports whether a worker may get a request now, and the minimum interval before
-// the next one if it is cold. A node that is cut off treats every worker as cold.
-func (n *Node) slowStartAllows(w *Worker, service *fleetstate.Service, received, now ids.Tick) (time.Duration, bool) {
-	if n.coldFor(w, service, received, now) <= 0 && (service.SlowStartRate <= 0 || !n.isolated(now)) {
-		return 0, true
-	}
-	interval, ok := n.slowStartInterval(w.ID, service)
-	return interval, ok && n.slowStart.allows(w.ID, interval, now)
-}
-
-// slowStartDelay repeats the check of slowStartAllows for a worker that was picked some time ago,
-// before others were tried.
-func (n *Node) slowStartDelay(id ids.WorkerID, service *fleetstate.Service) (time.Duration, bool) {
-	list := n.currentList.Load()
-	w := list.find(id)
-	if w == nil || !acceptsWork(n.snapshot(), w) {
-		return 0, false
-	}
-	return n.slowStartAllows(w, service, list.receivedAt, n.now())
-}
-
-// slowStartInterval returns the minimum interval between this node's requests to a cold worker, so
-// that all nodes together stay below the worker's slow-start rate, with a margin of 2 requests a
-// second for the fleet, 1 for each node, and 20 or 50 ms on the interval. If the nodes outnumber the
-// requests that the worker may get a second, only the highest ranked nodes may send to it, and the
-// result is false for the others.
-func (n *Node) slowStartInterval(id ids.WorkerID, service *fleetstate.Service) (time.Duration, bool) {
-	fleetRate := min(service.SlowStartRate*n.options.SlowStartOvershoot, unlimitedRate)
-	fleetLimit := int(fleetRate) + n.options.SlowStartAllowance - 2
-	nodes := int(math.Round(1 / n.nodeShare()))
-	if perNode := fleetLimit / nodes; perNode > 1 {
-		return time.Second/time.Duration(perNode-1) + 20*time.Millisecond, true
-	}
-	if fleetLimit >= nodes {
-		return 1050 * time.Millisecond, true
-	}
-	return 1050 * time.Millisecond, coordination.Rank(fleetstate.WorkerKey(id), n.self.Node, n.agent.Members()) < fleetLimit
-}
-
 // zoneCost returns the cost in ms of sending a body to a worker in another zone.
 func (n *Node) zoneCost(w *Worker, bytes int) float64 {
 	if w.Zone == n.self.Zone {
