Ablation: a test that patches still apply

A patch that no longer matches its source was seen only when somebody ran it. TestPatchesMatchSource looks for the text that each hunk replaces.

--- a/tools/ablation/cases_test.go
+++ b/tools/ablation/cases_test.go
@@ -52,3 +52,47 @@
 		}
 	}
 }
+
+// TestPatchesMatchSource guards against patches that no longer apply because the source around a change has moved on.
+func TestPatchesMatchSource(t *testing.T) {
+	patches, err := filepath.Glob("*.diff")
+	require.NoError(t, err)
+	require.NotEmpty(t, patches)
+	for _, patch := range patches {
+		body, err := os.ReadFile(patch)
+		require.NoError(t, err)
+		hunks := patchedTexts(string(body))
+		require.NotEmpty(t, hunks, patch)
+		for _, hunk := range hunks {
+			source, err := os.ReadFile(filepath.Join(root, hunk.file))
+			require.NoError(t, err, patch)
+			if !strings.Contains(string(source), hunk.text) {
+				t.Errorf("%s: %s does not contain the text to replace:\n%s", patch, hunk.file, hunk.text)
+			}
+		}
+	}
+}
+
+// patchedText is a text that a hunk of a patch replaces, with its context.
+type patchedText struct{ file, text string }
+
+// patchedTexts returns the text that each hunk of a unified diff replaces.
+func patchedTexts(patch string) []patchedText {
+	var texts []patchedText
+	file, inHunk := "", false
+	for line := range strings.Lines(patch) {
+		name, isName := strings.CutPrefix(line, "+++ b/")
+		switch {
+		case strings.HasPrefix(line, "diff "):
+			inHunk = false
+		case isName && !inHunk:
+			file = strings.TrimSpace(name)
+		case strings.HasPrefix(line, "@@"):
+			inHunk = true
+			texts = append(texts, patchedText{file: file})
+		case inHunk && (line[0] == ' ' || line[0] == '-'):
+			texts[len(texts)-1].text += line[1:]
+		}
+	}
+	return texts
+}
