Operators' API: a document that comes too late may be sent again

What operators would see: a document that took longer than 30 s got 400, at which operators end their call; found by reading, on the way. Clients of keelstair-router got 400 "unreadable" likewise.

Cause: the end of the time was an error like that of an invalid body. The clients' frontend of the platform told them apart already; now requestbody does, with ErrTooSlow, and all callers reject it as one that may come back: 503 for documents, 408 for clients.

TestLateBodyIsRejected fails on the code before: the next handler gets the error.

--- a/internal/proxy/request_body.go
+++ b/internal/proxy/request_body.go
@@ -9,7 +9,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"keelstair.example/failure"
@@ -56,7 +55,7 @@
 	switch {
 	case errors.Is(err, requestbody.ErrFull):
 		return n.rejectBody(http.StatusServiceUnavailable, timeout, "no memory for the body")
-	case errors.Is(err, requestbody.ErrTooSlow), errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, requestbody.ErrTooSlow):
 		return n.rejectBody(http.StatusRequestTimeout, timeout, "the body did not arrive in time")
 	case err != nil:
 		return err
--- a/internal/requestbody/handler_test.go
+++ b/internal/requestbody/handler_test.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -131,3 +133,13 @@
 	held.Release()
 	require.Equal(t, http.StatusOK, put(), "on the same connection")
 }
+
+// TestLateBodyIsRejected guards against a body that is refused as invalid for good, though only its time was over.
+func TestLateBodyIsRejected(t *testing.T) {
+	h := newTestHandler()
+	response := httptest.NewRecorder()
+	late := io.MultiReader(bytes.NewReader(content(300<<10)), iotest.ErrReader(os.ErrDeadlineExceeded))
+	h.ServeHTTP(response, httptest.NewRequest("PUT", "/", late))
+	require.Equal(t, http.StatusServiceUnavailable, response.Code)
+	require.Zero(t, h.Memory.Held())
+}
--- a/internal/requestbody/read.go
+++ b/internal/requestbody/read.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"os"
 	"time"
 )
 
@@ -12,7 +13,8 @@
 	minChunk = 4 << 10  // bytes of the first chunk of a body of unknown length
 )
 
-// ErrTooSlow is the error of Read if the client was behind its pace and others needed the memory.
+// ErrTooSlow is the error of Read if the body's time was over, or if the client was behind its pace and others needed the
+// memory.
 var ErrTooSlow = errors.New("the body arrives too slowly")
 
 // Source is a body that has not been read.
@@ -34,7 +36,7 @@
 	} else {
 		err = body.readExactly(ctx, src, wait)
 	}
-	if m.endReading(body) {
+	if m.endReading(body) || errors.Is(err, os.ErrDeadlineExceeded) {
 		err = ErrTooSlow
 	}
 	if err != nil {
