--- a/cmd/keelstair-platform/main.go
+++ b/cmd/keelstair-platform/main.go
@@ -28,17 +28,15 @@
 	"keelstair.example/rpc"
 )
 
+// usage is printed if the arguments name no role.
+const usage = `usage: keelstair-platform controller | keelstair-platform router [POLICY]
+POLICY is a configuration file of keelstair in JSON. Its programs route requests, according to their shares, until the core has a program set (keelstairctl apply).
+The environment variable ` + platform.SettingsVariable + ` names the settings file.`
+
 func main() {
-	role := ""
-	if len(os.Args) == 2 || len(os.Args) == 3 && os.Args[1] == "router" {
-		role = os.Args[1]
-	}
-	run, ok := map[string]func(*platform.Settings, <-chan os.Signal) error{"controller": runController, "router": runRouter}[role]
-	if !ok {
-		fmt.Fprintln(
-			os.Stderr,
-			"usage: keelstair-platform controller | keelstair-platform router [POLICY]\nPOLICY is a configuration file of keelstair in JSON. Its programs route requests, according to their shares, until the core has a program set (keelstairctl apply).\nThe environment variable "+platform.SettingsVariable+" names the settings file.",
-		)
+	role, run := parseRole(os.Args[1:])
+	if run == nil {
+		fmt.Fprintln(os.Stderr, usage)
 		os.Exit(2)
 	}
 	hangups := notifySIGHUP()
@@ -48,6 +46,17 @@
 	cli.ExitOnError("keelstair-platform "+role, run(s, hangups))
 }
 
+// parseRole returns the role that the arguments name and the function that runs it, or nil if they name none.
+func parseRole(args []string) (string, func(*platform.Settings, <-chan os.Signal) error) {
+	switch {
+	case len(args) == 1 && args[0] == "controller":
+		return args[0], runController
+	case (len(args) == 1 || len(args) == 2) && args[0] == "router":
+		return args[0], runRouter
+	}
+	return "", nil
+}
+
 // notifySIGHUP returns a channel that receives SIGHUP for reloadSeedsOnSIGHUP. It must be called
 // early, because a SIGHUP without a handler would terminate the process during startup.
 func notifySIGHUP() <-chan os.Signal {
