Routers: twice the limit may wait for memory

What callers would see: of twelve requests with large bodies that come in one moment, where memory is for four, some were refused at once since the bodies that wait have a limit.

Cause: the limit of waiting bodies, the same as that of the memory, was too small for a burst of requests whose bodies come free again within the wait: these twelve all succeed if they wait.

Now twice the limit may wait. Three quarters of the process's memory are then for bodies, read or not, and the bound still doesn't depend on latency targets and links.

--- a/internal/requestbody/doc.go
+++ b/internal/requestbody/doc.go
@@ -14,8 +14,8 @@
 //   - The bytes held never exceed the limit. Only a single body that is larger than the limit may, alone.
 //   - A Reader that is open when its body is released keeps the bytes until it is closed, so that a request is
 //     never sent with only a part of its body. A body with an open reader is not evicted.
-//   - New bodies that wait have no more bytes together than the limit, except a single one. These bytes may have
-//     arrived and fill the receive buffers of connections, so a process needs memory for twice the limit.
+//   - New bodies that wait have no more bytes together than twice the limit, except a single one. These bytes may have
+//     arrived and fill the receive buffers of connections, so a process needs memory for three times the limit.
 //   - Memory counts the bytes of a body from before they are allocated until nothing refers to them.
 //   - Bodies that are not small leave an eighth of the limit to small ones, which do not queue behind them. Those of
 //     unknown length leave a half of that to ones of known length.
--- a/internal/requestbody/memory.go
+++ b/internal/requestbody/memory.go
@@ -16,7 +16,9 @@
 	// smallBody is the largest size in bytes of a body that does not queue behind others.
 	smallBody = 64 << 10
 	// smallBodyShare is the fraction 1/smallBodyShare of the limit that is kept for small bodies.
-	smallBodyShare     = 8
+	smallBodyShare = 8
+	// waitingFactor times the limit is the most that bodies waiting for memory may have.
+	waitingFactor      = 2
 	processShare       = 4         // 1/processShare of the process's memory is for bodies
 	defaultMemoryLimit = 256 << 20 // bytes, if the process's memory has no limit
 	// paceCheckInterval is how often a waiting reservation looks for clients that have fallen behind their pace.
@@ -123,10 +125,10 @@
 }
 
 // mayWait reports whether a reservation may wait. The bytes of waiting bodies are in memory without being counted as
-// used, because the kernel receives them; so new bodies wait only up to the limit, of which a part is for small ones
-// here as well. mu must be held.
+// used, because the kernel receives them; so new bodies wait only up to waitingFactor times the limit, of which a part
+// is for small ones here as well. mu must be held.
 func (m *Memory) mayWait(r *reservation) bool {
-	return len(m.waiters) == 0 || r.continues() || m.waiting+r.unread <= m.allowance(r.body, r.total)
+	return len(m.waiters) == 0 || r.continues() || m.waiting+r.unread <= waitingFactor*m.allowance(r.body, r.total)
 }
 
 // enqueue adds a reservation to those that wait. mu must be held.
