Routers: idle clients with small bodies don't take the processor

Cause: since slow clients give way, each waiting reservation looked at all bodies being read, and sorted them, whenever it did not fit: for each of those that wait, on every release, and besides every 20 ms.

Now slow clients are looked for once in 20 ms while anything waits, for the first in the queue and for the smallest of those that do not queue; the waiting ones have no ticker each. A reservation that doesn't fit costs a comparison, since the sum of the evictable bodies is kept.

TestWaitingCostsNothingWhileClientsAreSlow fails on the code before (10 allocations for ten waiting bodies, 0 allowed). TestIdleClientsGiveWayToSmallBodies passes before; without the search for the smallest one it fails.

--- a/internal/requestbody/body.go
+++ b/internal/requestbody/body.go
@@ -91,6 +91,7 @@
 	defer b.memory.mu.Unlock()
 	if b.attempt && !b.released && b.queued == nil {
 		b.queued = b.memory.evictable.PushBack(b)
+		b.memory.evictableBytes += b.reserved
 		b.memory.grant()
 	}
 }
@@ -99,6 +100,7 @@
 func (b *Body) unqueue() {
 	if b.queued != nil {
 		b.memory.evictable.Remove(b.queued)
+		b.memory.evictableBytes -= b.reserved
 		b.queued = nil
 	}
 }
--- a/internal/requestbody/memory.go
+++ b/internal/requestbody/memory.go
@@ -21,8 +21,6 @@
 	waitingFactor      = 2
 	processShare       = 4         // 1/processShare of the process's memory is for bodies
 	defaultMemoryLimit = 256 << 20 // bytes, if the process's memory has no limit
-	// paceCheckInterval is how often a waiting reservation looks for clients that have fallen behind their pace.
-	paceCheckInterval = 20 * time.Millisecond
 )
 
 // ErrFull is the error of Read if there was no memory for a body in time.
@@ -38,6 +36,9 @@
 	evictable *list.List         // of *Body, in the order in which they were sent
 	reading   map[*Body]struct{} // bodies being read that have a pace, and interrupted ones until they are dropped
 	evictions int64
+
+	evictableBytes int64 // of all evictable bodies
+	checkingPace   bool  // checkPace is going to be called
 }
 
 // reservation is a request for memory for a body. The channel is closed when it is granted.
@@ -139,25 +140,20 @@
 	}
 	m.waiters = slices.Insert(m.waiters, next, r)
 	m.waiting += r.unread
+	m.startPaceChecks()
 }
 
 // await waits until a reservation is granted. It withdraws it after the given time, or when ctx ends.
 func (m *Memory) await(ctx context.Context, r *reservation, wait time.Duration) error {
 	timer := host.NewTimer(wait)
 	defer timer.Stop()
-	paceCheck := host.NewTicker(paceCheckInterval)
-	defer paceCheck.Stop()
-	for {
-		select {
-		case <-r.granted:
-			return nil
-		case <-timer.C:
-			return m.withdraw(r, ErrFull)
-		case <-ctx.Done():
-			return m.withdraw(r, ctx.Err())
-		case <-paceCheck.C:
-			m.checkPace(r)
-		}
+	select {
+	case <-r.granted:
+		return nil
+	case <-timer.C:
+		return m.withdraw(r, ErrFull)
+	case <-ctx.Done():
+		return m.withdraw(r, ctx.Err())
 	}
 }
 
@@ -200,7 +196,7 @@
 
 // grantIfRoom counts the bytes of a reservation if they fit, and reports whether they do. mu must be held.
 func (m *Memory) grantIfRoom(r *reservation) bool {
-	if m.limit > 0 && !m.makeRoom(m.used+r.size-m.allowance(r.body, r.total)) {
+	if m.limit > 0 && !m.makeRoom(m.missing(r)) {
 		return false
 	}
 	m.used += r.size
@@ -208,10 +204,17 @@
 	return true
 }
 
+// missing returns how many bytes have to come free for a reservation to fit. mu must be held.
+func (m *Memory) missing(r *reservation) int64 {
+	return m.used + r.size - m.allowance(r.body, r.total)
+}
+
 // makeRoom reports whether the given number of bytes that are missing is free after evictions, which it makes only
-// if they are enough. If they are not, clients that are behind their pace give way, and the bytes are free later.
-// mu must be held.
+// if they are enough. mu must be held.
 func (m *Memory) makeRoom(missing int64) bool {
+	if missing > m.evictableBytes {
+		return false
+	}
 	var victims []*Body
 	for e := m.evictable.Front(); e != nil && missing > 0; e = e.Next() {
 		if body := e.Value.(*Body); body.readers == 0 {
@@ -220,7 +223,6 @@
 		}
 	}
 	if missing > 0 {
-		m.interruptSlowest(missing)
 		return false
 	}
 	for _, body := range victims {
--- a/internal/requestbody/pace.go
+++ b/internal/requestbody/pace.go
@@ -6,8 +6,12 @@
 	"time"
 )
 
-// paceSlack is the fraction of its timeout by which a body may be behind an even pace before it gives way to others.
-const paceSlack = 1.0 / 8
+const (
+	// paceSlack is the fraction of its timeout by which a body may be behind an even pace before it gives way to others.
+	paceSlack = 1.0 / 8
+	// paceCheckInterval is how often clients that have fallen behind their pace are looked for while reservations wait.
+	paceCheckInterval = 20 * time.Millisecond
+)
 
 // pace tells how fast a body should arrive.
 type pace struct {
@@ -42,13 +46,40 @@
 	return body.pace.interrupted
 }
 
-// checkPace looks for clients that have fallen behind their pace if the reservation is the next to be granted.
-func (m *Memory) checkPace(r *reservation) {
+// startPaceChecks checks the pace of the bodies being read now, and at intervals while reservations wait, whose number
+// makes no difference. mu must be held.
+func (m *Memory) startPaceChecks() {
+	if !m.checkingPace {
+		m.checkPace()
+	}
+}
+
+// continuePaceChecks checks the pace again if reservations still wait.
+func (m *Memory) continuePaceChecks() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.waiters) > 0 && m.waiters[0] == r {
-		m.grant()
+	m.checkingPace = false
+	if len(m.waiters) > 0 {
+		m.checkPace()
+	}
+}
+
+// checkPace interrupts clients that have fallen behind their pace, for the reservation that is the next in the queue, or
+// else for the one that needs the fewest bytes of those that do not queue. mu must be held.
+func (m *Memory) checkPace() {
+	next := m.waiters[0]
+	m.interruptSlowest(m.missing(next) - m.evictableBytes)
+	smallest := next
+	for _, r := range m.waiters {
+		if !r.queues() && m.missing(r) < m.missing(smallest) {
+			smallest = r
+		}
+	}
+	if smallest != next {
+		m.interruptSlowest(m.missing(smallest) - m.evictableBytes)
 	}
+	m.checkingPace = true
+	time.AfterFunc(paceCheckInterval, m.continuePaceChecks)
 }
 
 // interruptSlowest interrupts the bodies that are furthest behind their pace, so that the given number of bytes comes
--- a/internal/requestbody/pace_test.go
+++ b/internal/requestbody/pace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"sync"
 	"testing"
@@ -90,6 +91,31 @@
 	})
 }
 
+// TestIdleClientsGiveWayToSmallBodies guards against small bodies that wait although idle clients could make room for
+// them, because that would not be enough for a large body that has waited for longer.
+func TestIdleClientsGiveWayToSmallBodies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := NewMemory(testLimit)
+		defer requireRead(t, memory, 800<<10).Release()
+		for range 2 {
+			defer requireRead(t, memory, smallBody).Release()
+		}
+		idle := startIdleClient(t, memory, 0, smallBody)
+		time.Sleep(2 * allowedLag)
+		large := make(chan error)
+		go func() {
+			_, err := readLarge(t, memory, 500<<10, time.Second)
+			large <- err
+		}()
+		requireRunning(t, idle)
+		small, err := readLarge(t, memory, smallBody, shortWait)
+		require.NoError(t, err)
+		require.ErrorIs(t, <-idle, ErrTooSlow)
+		require.ErrorIs(t, <-large, ErrFull)
+		small.Release()
+	})
+}
+
 // TestIdleClientsOfUnknownLengthGiveWay guards against clients that hold the memory by sending a part of a body whose
 // length they do not state.
 func TestIdleClientsOfUnknownLengthGiveWay(t *testing.T) {
@@ -152,3 +178,57 @@
 	r.rest = r.rest[n:]
 	return n, nil
 }
+
+// TestWaitingCostsNothingWhileClientsAreSlow guards against a node that spends its time looking for slow clients, anew
+// for each waiting body whenever bytes come free.
+func TestWaitingCostsNothingWhileClientsAreSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := NewMemory(testLimit)
+		held := requireRead(t, memory, 800<<10)
+		for range 3 {
+			defer requireRead(t, memory, smallBody).Release()
+		}
+		startIdleClient(t, memory, 0, smallBody/4)
+		time.Sleep(2 * allowedLag)
+		ctx, stop := context.WithCancel(t.Context())
+		for range 10 {
+			go memory.Read(ctx, bytesSource(content(smallBody), smallBody), time.Hour)
+		}
+		synctest.Wait()
+		require.Len(t, memory.waiters, 10, "the slow client would not make enough room")
+		require.Zero(t, testing.AllocsPerRun(100, memory.grant))
+		stop()
+		synctest.Wait()
+		held.Release()
+	})
+}
+
+// BenchmarkGrantWhileFull measures the search for bodies that fit while slow clients hold the memory and others wait.
+func BenchmarkGrantWhileFull(b *testing.B) {
+	const slow, waiting = 1000, 1000
+	memory := NewMemory(slow * smallBody)
+	ctx, stop := context.WithCancel(b.Context())
+	idle := newIdleSource()
+	src := Source{Reader: idle, Length: smallBody, Timeout: time.Hour, Interrupt: func() {}}
+	for range slow {
+		go memory.Read(ctx, src, time.Hour)
+	}
+	for memory.Held() < slow*smallBody {
+		time.Sleep(time.Millisecond)
+	}
+	for range waiting {
+		go memory.Read(ctx, Source{Reader: io.LimitReader(idle, 1), Length: smallBody}, time.Hour)
+	}
+	for waiters := 0; waiters < min(waiting, slow); time.Sleep(time.Millisecond) {
+		memory.mu.Lock()
+		waiters = len(memory.waiters)
+		memory.mu.Unlock()
+	}
+	for b.Loop() {
+		memory.mu.Lock()
+		memory.grant()
+		memory.mu.Unlock()
+	}
+	stop()
+	idle.interrupt()
+}
