--- a/internal/requestbody/doc.go
+++ b/internal/requestbody/doc.go
@@ -8,7 +8,8 @@
 // The bodies of a node share one Memory with a limit. If a new body does not fit, Memory first evicts bodies that
 // have been sent completely and that only a retry would need, those that were sent first before others. If that
 // is not enough, the new body waits, and it is given up with ErrFull if its turn does not come in time, or at once if
-// too many bytes wait already. So an overloaded node loses the possibility of retries first, and refuses new requests only after that.
+// too many bytes wait already. So an overloaded node loses the possibility of retries first, and refuses new requests
+// only after that.
 //
 // Invariants:
 //   - The bytes held never exceed the limit. Only a single body that is larger than the limit may, alone.
--- a/internal/requestbody/memory.go
+++ b/internal/requestbody/memory.go
@@ -38,7 +38,7 @@
 	evictions int64
 
 	evictableBytes int64 // of all evictable bodies
-	checkingPace   bool  // checkPace is going to be called
+	checkingPace   bool  // continuePaceChecks is going to be called
 }
 
 // reservation is a request for memory for a body. The channel is closed when it is granted.
