--- a/internal/requestbody/memory.go
+++ b/internal/requestbody/memory.go
@@ -62,7 +62,8 @@
 	return &Memory{limit: limit, evictable: list.New(), reading: map[*Body]struct{}{}}
 }
 
-// NewProcessMemory returns the Memory for the requests of a process whose memory has a limit in bytes; 0 means no limit.
+// NewProcessMemory returns the Memory for the requests of a process whose memory has a limit in bytes; 0 means no
+// limit.
 func NewProcessMemory(processLimit int64) *Memory {
 	return NewMemory(cmp.Or(processLimit/processShare, defaultMemoryLimit))
 }
--- a/internal/requestbody/pace.go
+++ b/internal/requestbody/pace.go
@@ -64,8 +64,8 @@
 	}
 }
 
-// checkPace interrupts clients that have fallen behind their pace, for the reservation that is the next in the queue, or
-// else for the one that needs the fewest bytes of those that do not queue. mu must be held.
+// checkPace interrupts clients that have fallen behind their pace, for the reservation that is the next in the queue,
+// or else for the one that needs the fewest bytes of those that do not queue. mu must be held.
 func (m *Memory) checkPace() {
 	next := m.waiters[0]
 	m.interruptSlowest(m.missing(next) - m.evictableBytes)
--- a/internal/requestbody/read.go
+++ b/internal/requestbody/read.go
@@ -13,8 +13,8 @@
 	minChunk = 4 << 10  // bytes of the first chunk of a body of unknown length
 )
 
-// ErrTooSlow is the error of Read if the body's time was over, or if the client was behind its pace and others needed the
-// memory.
+// ErrTooSlow is the error of Read if the body's time was over, or if the client was behind its pace and others needed
+// the memory.
 var ErrTooSlow = errors.New("the body arrives too slowly")
 
 // Source is a body that has not been read.
