Simulated network: a closed connection's read returns behind a partition

What was seen: TestCoreFailureCausesNoRejections/partitioned_from_the_other_cores/1 failed once, with the race detector, in a whole script that ran beside another one: "deadlock: main bubble goroutine has exited but blocked goroutines remain", and one goroutine, a connection's Read that waited in the simulated network.

Cause: data in transit on a blocked link kept a Read of a connection waiting, even after the connection had been closed at its own end: the error of the close came after that data. A closed connection is no longer among those of its process, so neither the end of the process nor anything else ended the Read. It takes a connection that is closed while data is on its way to it and its link is blocked for good, as the partition of this test is.

Now a close by the reader discards that data, as with a real connection, and replaces the error of an earlier close by the peer, but not a reset. The product is not touched.

--- a/host/simulated/net.go
+++ b/host/simulated/net.go
@@ -53,12 +53,14 @@
 	p.changed = make(chan struct{})
 }
 
-// fail makes reads of the pipe return err after the data in transit. A reset discards that data and
-// replaces an earlier error. The caller holds the world's mu.
+// fail makes reads of the pipe return err after the data in transit. A reset, or a close by the
+// reader, discards that data and replaces an earlier error, but a close does not replace a reset.
+// The caller holds the world's mu.
 func (p *pipe) fail(err error) {
-	if p.err == nil || err == errReset {
+	discards := err == errReset || err == net.ErrClosed && p.err != errReset
+	if p.err == nil || discards {
 		p.err = err
-		if err == errReset {
+		if discards {
 			p.chunks.Clear()
 		}
 		p.notify()
