Routers: metrics tell how workers' answers ended, and which streams were continued

Nothing told whether a stream ended by its last chunk, by its length or by its connection, nor after which event another worker went on, so the hypotheses of the incident could not be told apart. keelstair_answer_ends_total counts answers by framing and end, keelstair_continuations counts streams that another worker continued, and each of these is logged with the last id before and the first after it. No logic changes.

--- a/internal/exchangemetrics/metrics.go
+++ b/internal/exchangemetrics/metrics.go
@@ -85,9 +85,10 @@
 
 // Metrics holds the metrics of one node. It is safe for concurrent use.
 type Metrics struct {
-	registry  *prometheus.Registry
-	steps     *prometheus.HistogramVec
-	exchanges *prometheus.CounterVec
+	registry   *prometheus.Registry
+	steps      *prometheus.HistogramVec
+	exchanges  *prometheus.CounterVec
+	answerEnds *prometheus.CounterVec
 }
 
 // New returns metrics in which nothing is counted yet.
@@ -103,8 +104,12 @@
 			Name: "keelstair_exchanges_total",
 			Help: "Exchanges by service, prompt size and the cause by which they missed their targets.",
 		}, []string{"service", "size", "cause"}),
+		answerEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "keelstair_answer_ends_total",
+			Help: "Answers of workers by what marks the end of their body, and how they ended.",
+		}, []string{"framing", "end"}),
 	}
-	m.registry.MustRegister(m.steps, m.exchanges)
+	m.registry.MustRegister(m.steps, m.exchanges, m.answerEnds)
 	return m
 }
 
@@ -135,6 +140,11 @@
 	m.exchanges.WithLabelValues(service, promptSizeLabel(prompt), string(cause)).Inc()
 }
 
+// CountAnswerEnd counts a worker's answer by what marks the end of its body, and by how it ended.
+func (m *Metrics) CountAnswerEnd(framing, end string) {
+	m.answerEnds.WithLabelValues(framing, end).Inc()
+}
+
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/internal/proxy/fake_platform_test.go
+++ b/internal/proxy/fake_platform_test.go
@@ -519,7 +519,7 @@
 		return nil, err
 	}
 	body := &responseBody{ctx: ctx, backend: b, worker: worker, release: release, cutChunk: -1}
-	response := &Response{Status: http.StatusOK, Header: http.Header{"X-Worker": {string(w.ID)}}, FromWorker: outcome != unidentifiedResponse, Length: -1, Body: body, Load: platform.currentLoad(worker)}
+	response := &Response{Status: http.StatusOK, Header: http.Header{"X-Worker": {string(w.ID)}}, FromWorker: outcome != unidentifiedResponse, Length: -1, Framing: FramedByChunks, Body: body, Load: platform.currentLoad(worker)}
 	if outcome == serverError {
 		response.Status = http.StatusInternalServerError
 		body.chunks = [][]byte{[]byte("failed")}
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -127,6 +127,7 @@
 	FaultNotices, Hedges, RejectedStale atomic.Int64
 
 	Unauthenticated atomic.Int64 // requests rejected for lack of a known key
+	Continuations   atomic.Int64 // streams that another worker continued within one answer
 	RejectedBodies  atomic.Int64 // requests rejected for lack of memory for their bodies, or because these took too long
 }
 
@@ -266,6 +267,7 @@
 		{"keelstair_rejected_bodies", "Requests that were rejected before their bodies were read.", &n.counts.RejectedBodies},
 		{"keelstair_direct_decodes", "Prompts that the decode worker was to read by itself.", &n.counts.Direct},
 		{"keelstair_retries", "Attempts after the first.", &n.counts.Retries},
+		{"keelstair_continuations", "Streams that another worker continued within one answer.", &n.counts.Continuations},
 		{"keelstair_hedges", "Prompts that were read at a second worker besides.", &n.counts.Hedges},
 		{"keelstair_ejections", "Workers that were ejected as outliers.", &n.counts.Ejected},
 		{"keelstair_fault_notices", "Warnings of silent workers that were sent to peers.", &n.counts.FaultNotices},
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -78,6 +78,7 @@
 	FromWorker bool        // it has the header that identifies the worker
 	Events     bool        // the body is an event stream
 	Length     int64       // -1 if unknown
+	Framing    Framing
 	Body       io.ReadCloser
 	Load       *Load
 }
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -140,6 +140,7 @@
 	} else {
 		err = t.relayBody(reply)
 	}
+	t.countAnswerEnd(ctx, reply, err)
 	if err != nil && ctx.Err() == nil && !errors.Is(err, errCallerDisconnected) {
 		c.state.recordFailure(t.node.now())
 		t.node.recordOutcome(c, false)
@@ -211,11 +212,16 @@
 func (t *exchange) relayEvents(c *candidate, reply *Response) error {
 	var pending []byte
 	buf := make([]byte, 8<<10)
-	resumed := t.headSent
+	resumed, continued := t.headSent, false
 	for {
 		k, err := reply.Body.Read(buf)
 		pending = append(pending, buf[:k]...)
 		if end := completeEvents(pending); end > 0 {
+			if resumed && !continued {
+				first, _ := eventIDs(pending[:end])
+				t.recordContinuation(c, first)
+				continued = true
+			}
 			if err := t.forward(c, reply, pending[:end], resumed); err != nil {
 				return err
 			}
