Simulated network: a killed process's connections end as a kernel ends them

A kernel closes the connections of a killed process without a reset, unless the process had unread data. The simulated one always reset them, so no test could see what a peer does at such an end.

--- a/host/simulated/net.go
+++ b/host/simulated/net.go
@@ -1,6 +1,6 @@
 // The simulated network: byte streams that preserve order, delay their data, and wait until a
-// blocked link is unblocked, as TCP would. They are reset when a process at either end is killed,
-// except by PowerOff, which does not reset the peer's end.
+// blocked link is unblocked, as TCP would. When a process at either end is killed, the peer's end is
+// closed, or reset if the process had unread data; PowerOff does neither.
 
 package simulated
 
--- a/host/simulated/world.go
+++ b/host/simulated/world.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -222,7 +223,8 @@
 // Done is closed when the process is killed.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
-// Kill ends the process immediately and resets both ends of its connections.
+// Kill ends the process immediately. Its connections end as a kernel ends them: a peer reads the end of the
+// stream after the data in transit, or a reset if it had sent data that the process has not read.
 func (p *Process) Kill() {
 	w := p.machine.world
 	w.mu.Lock()
@@ -231,9 +233,9 @@
 	w.notify()
 }
 
-// kill ends the process and resets its ends of its connections. If resetPeers is true, it also
-// resets the peers' ends. The caller holds mu.
-func (p *Process) kill(resetPeers bool) {
+// kill ends the process and its ends of its connections. If closePeers is true, the peers' ends are closed
+// or reset, too. The caller holds mu.
+func (p *Process) kill(closePeers bool) {
 	if p.dead {
 		return
 	}
@@ -247,9 +249,13 @@
 		}
 	}
 	for in, out := range p.connections {
+		unread := in.chunks.Len() > 0
 		in.fail(errReset)
-		if resetPeers {
+		switch {
+		case closePeers && unread:
 			out.fail(errReset)
+		case closePeers:
+			out.fail(io.EOF)
 		}
 	}
 }
