Routers: an answer that ends with its connection is complete only if its worker lives

Callers got status 200, the worker's seal and a regular end of a stream that lacked its last events, or all of them. Cause: an answer with neither a length nor chunks ends with its connection, and the kernel closes the connections of a killed process in the same way, without a reset; the end of the input was taken for the end of the message, for streams and for other bodies, even without a single event.

At such an end the router now asks the worker, by a call that names its incarnation and begins after the end, whether its process still runs. A killed process can't answer, so only a confirmed end is complete. Otherwise the answer counts as cut: a resumable stream goes on at another worker after its last event, any other ends as a cut that the caller can see. Questions about one worker that wait at the same time share a call. Answers with a length or chunks aren't asked about.

Weighed and not taken: a continuation at another worker each time (a run and a part of the retry budget for every whole stream); the platform's list (it shows a crash seconds later); bytes on other connections of the worker (they may have been sent before its death); the announced number of tokens (only an upper bound).

--- a/internal/proxy/answer_end.go
+++ b/internal/proxy/answer_end.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"errors"
+
+	"keelstair.example/failure"
 )
 
 // Framing is what marks the end of an answer's body.
@@ -23,15 +25,36 @@
 const (
 	endComplete     answerEnd = "complete"
 	endCut          answerEnd = "cut"          // the worker broke it off, or was given up
+	endUnconfirmed  answerEnd = "unconfirmed"  // its connection ended, and its worker did not confirm that it lives
 	endDisconnected answerEnd = "disconnected" // the caller left, or the deadline passed
 )
 
+var errUnconfirmedEnd = errors.New("the connection ended, and the worker doesn't confirm that it lives")
+
+// confirmEnd returns nil if an answer whose body has ended is complete. A kernel closes the connections of a process that
+// was killed as if the process had done so. Therefore an answer that ends with its connection is complete only if the
+// worker's process still lives afterwards.
+func (t *exchange) confirmEnd(ctx context.Context, c *candidate, reply *Response) error {
+	if reply.Framing != FramedByConnection {
+		return nil
+	}
+	err := t.node.confirmAlive(ctx, c.worker, c.state)
+	if err == nil {
+		return nil
+	}
+	t.node.options.Ring.Warn().Str("request", t.request.ID).Str("worker", string(c.worker.ID)).
+		Str("after", t.lastEventID).AnErr("cause", err).Msg("end of answer is not confirmed")
+	return failure.As(errors.Join(errUnconfirmedEnd, err), failure.OutcomeUnknown, "pass", c.worker.Addr)
+}
+
 // countAnswerEnd counts an answer by its framing and by how its relay ended.
 func (t *exchange) countAnswerEnd(ctx context.Context, reply *Response, err error) {
 	end := endCut
 	switch {
 	case err == nil:
 		end = endComplete
+	case errors.Is(err, errUnconfirmedEnd) && ctx.Err() == nil:
+		end = endUnconfirmed
 	case ctx.Err() != nil || errors.Is(err, errCallerDisconnected):
 		end = endDisconnected
 	}
--- a/internal/proxy/fake_platform_test.go
+++ b/internal/proxy/fake_platform_test.go
@@ -650,6 +650,17 @@
 	return report, nil
 }
 
+func (b *fakeBackend) CheckAlive(ctx context.Context, w Worker) error {
+	worker, err := b.connect(ctx, w)
+	if err != nil {
+		return err
+	}
+	if worker.ID != w.ID {
+		return failure.New(failure.Stale, "check alive", w.Addr, "another incarnation has the address")
+	}
+	return b.checkResponsePath(ctx, worker)
+}
+
 func (b *fakeBackend) Order(ctx context.Context, w Worker, order *RoleOrder) error {
 	worker, err := b.connect(ctx, w)
 	if err != nil {
--- /dev/null
+++ b/internal/proxy/liveness.go
@@ -0,0 +1,90 @@
+// Liveness checks: calls by which a worker shows that its process still runs.
+
+package proxy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"keelstair.example/failure"
+)
+
+const (
+	livenessAttempts = 2 // a worker with too many connections resets further ones
+	livenessPause    = 50 * time.Millisecond
+)
+
+// livenessCheck asks a worker whether its process still runs. Only a call that begins after the question answers it.
+// Questions that wait for such a call share it. The zero value is ready to use.
+type livenessCheck struct {
+	mu      sync.Mutex
+	running bool
+	next    *livenessCall // begins when the running call has ended; nil if nobody waits
+}
+
+// livenessCall is a call for one or more questions.
+type livenessCall struct {
+	done chan struct{} // closed when err is set
+	err  error
+}
+
+// ask returns a call that begins after the question.
+func (l *livenessCheck) ask(call func() error) *livenessCall {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.next == nil {
+		l.next = &livenessCall{done: make(chan struct{})}
+	}
+	asked := l.next
+	if !l.running {
+		l.running = true
+		go l.run(call)
+	}
+	return asked
+}
+
+// run makes calls until nobody waits for one.
+func (l *livenessCheck) run(call func() error) {
+	for c := l.begin(); c != nil; c = l.begin() {
+		c.err = call()
+		close(c.done)
+	}
+}
+
+// begin returns the call that is to begin now, or nil if nobody waits for one.
+func (l *livenessCheck) begin() *livenessCall {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.next
+	l.next, l.running = nil, c != nil
+	return c
+}
+
+// confirmAlive returns nil if the worker's process has answered a call that began after confirmAlive did.
+func (n *Node) confirmAlive(ctx context.Context, w *Worker, state *workerState) error {
+	call := state.liveness.ask(func() error { return n.checkAlive(w) })
+	select {
+	case <-call.done:
+		return call.err
+	case <-ctx.Done():
+		return failure.As(ctx.Err(), failure.OutcomeUnknown, "check alive", w.Addr)
+	}
+}
+
+// checkAlive calls a worker until it answers or no attempt is left. The calls serve several exchanges, so none of them
+// can cancel them.
+func (n *Node) checkAlive(w *Worker) (err error) {
+	for attempt := range livenessAttempts {
+		if attempt > 0 {
+			time.Sleep(livenessPause)
+		}
+		ctx, stop := context.WithTimeout(context.Background(), healthCheckTimeout)
+		err = n.options.Backend.CheckAlive(ctx, *w)
+		stop()
+		if err == nil || failure.Is(err, failure.Stale) {
+			return err
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/proxy/liveness_test.go
@@ -0,0 +1,67 @@
+package proxy
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestLivenessCallBeginsAfterItsQuestion guards against a worker that counts as alive because of a call that it answered
+// before the question.
+func TestLivenessCallBeginsAfterItsQuestion(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		const callDuration = 100 * time.Millisecond
+		errDead := errors.New("dead")
+		check, calls, alive := &livenessCheck{}, 0, true
+		call := func() error {
+			calls++
+			answers := alive
+			time.Sleep(callDuration)
+			if answers {
+				return nil
+			}
+			return errDead
+		}
+		first := check.ask(call)
+		time.Sleep(callDuration / 2)
+		alive = false
+		var later []*livenessCall
+		for range 20 {
+			later = append(later, check.ask(call))
+		}
+		<-first.done
+		require.NoError(t, first.err)
+		for _, c := range later {
+			<-c.done
+			require.ErrorIs(t, c.err, errDead)
+		}
+		require.Equal(t, 2, calls, "questions that wait share a call")
+		synctest.Wait()
+		alive = true
+		again := check.ask(call)
+		<-again.done
+		require.NoError(t, again.err)
+	})
+}
+
+// TestAnotherIncarnationIsNotAlive guards against a new process at a worker's address that confirms an answer of the old
+// one.
+func TestAnotherIncarnationIsNotAlive(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		platform := newFakePlatform(newFakeWorkers("svc", "", 2)...)
+		f := startFleet(t, 59, 1, platform, defaultConfiguration(), nil)
+		defer f.close()
+		node, worker := f.nodes[0], platform.worker("svc-0").Worker
+		require.NoError(t, node.confirmAlive(t.Context(), &worker, node.state(worker.ID)))
+		platform.restartWorker("svc-0")
+		require.Error(t, node.confirmAlive(t.Context(), &worker, node.state(worker.ID)))
+		started := time.Now()
+		frozen := platform.worker("svc-1")
+		platform.withLock(func() { frozen.silent = true })
+		require.Error(t, node.confirmAlive(t.Context(), &frozen.Worker, node.state(frozen.ID)))
+		require.LessOrEqual(t, time.Since(started), livenessAttempts*healthCheckTimeout+livenessPause)
+	})
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -114,6 +114,8 @@
 	Free(ctx context.Context, w Worker, handle string) error
 	Report(ctx context.Context, w Worker) (*Report, error)
 	Order(ctx context.Context, w Worker, o *RoleOrder) error
+	// CheckAlive returns nil if this incarnation of the worker answered a call.
+	CheckAlive(ctx context.Context, w Worker) error
 	Close()
 }
 
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -136,9 +136,9 @@
 	t.trace(handoff.Resumed, c.worker.ID, "") // every answer that is relayed, also the first one
 	var err error
 	if reply.Events {
-		err = t.relayEvents(c, reply)
+		err = t.relayEvents(ctx, c, reply)
 	} else {
-		err = t.relayBody(reply)
+		err = t.relayBody(ctx, c, reply)
 	}
 	t.countAnswerEnd(ctx, reply, err)
 	if err != nil && ctx.Err() == nil && !errors.Is(err, errCallerDisconnected) {
@@ -184,32 +184,41 @@
 
 // relayBody copies an answer without events. The head is sent with the first bytes, so that a request
 // whose answer breaks off before them can still be retried on another worker.
-func (t *exchange) relayBody(reply *Response) error {
+func (t *exchange) relayBody(ctx context.Context, c *candidate, reply *Response) error {
 	buf := make([]byte, 16<<10)
 	for {
 		k, err := reply.Body.Read(buf)
 		if err != nil && err != io.EOF {
 			return failure.As(err, failure.OutcomeUnknown, "pass", "worker")
 		}
-		if k > 0 || err == io.EOF {
-			t.countAnswerStarted()
-			if err := t.writeHead(reply, reply.Length); err != nil {
-				return failure.As(errors.Join(errCallerDisconnected, err), failure.OutcomeUnknown, "pass", "caller")
-			}
-		}
 		if k > 0 {
+			if err := t.beginAnswer(reply, reply.Length); err != nil {
+				return err
+			}
 			if err := t.write(buf[:k]); err != nil {
 				return err
 			}
 		}
 		if err == io.EOF {
-			return nil
+			if err := t.confirmEnd(ctx, c, reply); err != nil {
+				return err
+			}
+			return t.beginAnswer(reply, reply.Length)
 		}
 	}
 }
 
+// beginAnswer sends the head of the answer, unless the caller has it.
+func (t *exchange) beginAnswer(reply *Response, length int64) error {
+	t.countAnswerStarted()
+	if err := t.writeHead(reply, length); err != nil {
+		return failure.As(errors.Join(errCallerDisconnected, err), failure.OutcomeUnknown, "pass", "caller")
+	}
+	return nil
+}
+
 // relayEvents copies each event to the caller once it is complete. A large event is copied in parts.
-func (t *exchange) relayEvents(c *candidate, reply *Response) error {
+func (t *exchange) relayEvents(ctx context.Context, c *candidate, reply *Response) error {
 	var pending []byte
 	buf := make([]byte, 8<<10)
 	resumed, continued := t.headSent, false
@@ -235,7 +244,7 @@
 			pending = append(pending[:0], pending[part:]...)
 		}
 		if err == io.EOF {
-			return t.finish(reply, pending)
+			return t.finish(ctx, c, reply, pending)
 		}
 		if err != nil {
 			return failure.As(err, failure.OutcomeUnknown, "pass", c.worker.Addr)
@@ -253,9 +262,8 @@
 		)
 	}
 	t.timing.recordEvents(t.node.now())
-	t.countAnswerStarted()
-	if err := t.writeHead(reply, -1); err != nil {
-		return failure.As(errors.Join(errCallerDisconnected, err), failure.OutcomeUnknown, "pass", "caller")
+	if err := t.beginAnswer(reply, -1); err != nil {
+		return err
 	}
 	if err := t.write(events); err != nil {
 		return err
@@ -276,8 +284,14 @@
 }
 
 // finish ends a stream that its worker has ended. Bytes after the last complete event are written
-// unchanged.
-func (t *exchange) finish(reply *Response, rest []byte) error {
+// unchanged if the framing shows that the worker sent all that it meant to send.
+func (t *exchange) finish(ctx context.Context, c *candidate, reply *Response, rest []byte) error {
+	if reply.Framing == FramedByConnection && len(rest) > 0 {
+		return failure.New(failure.OutcomeUnknown, "pass", c.worker.Addr, "the connection ended in the middle of an event")
+	}
+	if err := t.confirmEnd(ctx, c, reply); err != nil {
+		return err
+	}
 	if err := t.writeHead(reply, -1); err != nil {
 		return failure.As(errors.Join(errCallerDisconnected, err), failure.OutcomeUnknown, "pass", "caller")
 	}
--- a/internal/proxy/worker_state.go
+++ b/internal/proxy/worker_state.go
@@ -34,6 +34,7 @@
 	cached         map[uint64]ids.Tick // hashes of prompt prefixes that this node sent it
 	memory         memoryAccount
 	eventGap       eventGap
+	liveness       livenessCheck
 }
 
 // state returns the state of a worker, and creates it if there is none.
