Routers: events reach the caller in the order of their ids, each once

A worker's repeated or earlier event reached the caller: only the first id of each read was compared with the last one, and only in a continuation, so events 5, 6, 6 of one read were relayed, and a caller that came with Last-Event-Id 5 got events 1 to 5 again from a worker that ignored it.

The relay of events now looks at each event before it is forwarded. One whose id does not come after the last one ends the worker's answer there: another worker goes on after the last event, or the caller sees a cut. A caller's own Last-Event-Id counts only on routes whose streams can be resumed, since workers of other routes may begin anew. Ids that are not numbers are not compared, as before, and neither are those of routes that are not streaming.

The relay of events has a file of its own.

--- a/internal/proxy/answer_end.go
+++ b/internal/proxy/answer_end.go
@@ -26,6 +26,7 @@
 	endComplete     answerEnd = "complete"
 	endCut          answerEnd = "cut"          // the worker broke it off, or was given up
 	endUnconfirmed  answerEnd = "unconfirmed"  // its connection ended, and its worker did not confirm that it lives
+	endOutOfOrder   answerEnd = "out_of_order" // an event did not come after the last one
 	endDisconnected answerEnd = "disconnected" // the caller left, or the deadline passed
 )
 
@@ -55,6 +56,8 @@
 		end = endComplete
 	case errors.Is(err, errUnconfirmedEnd) && ctx.Err() == nil:
 		end = endUnconfirmed
+	case errors.Is(err, errEventOrder):
+		end = endOutOfOrder
 	case ctx.Err() != nil || errors.Is(err, errCallerDisconnected):
 		end = endDisconnected
 	}
--- /dev/null
+++ b/internal/proxy/event_relay.go
@@ -0,0 +1,193 @@
+// Relay of an answer that is a stream of events: each complete event once, in the order of their ids.
+
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"strconv"
+
+	"keelstair.example/failure"
+)
+
+const (
+	// maxPendingEvent is the number of bytes of an incomplete event that are held back until it is complete.
+	maxPendingEvent = 64 << 10
+	// maxEventEnd is the length in bytes of the longest end of an event.
+	maxEventEnd = len("\r\n\r\n")
+	// eventReadSize is the number of bytes that are read at a time.
+	eventReadSize = 8 << 10
+)
+
+var errEventOrder = errors.New("an event doesn't come after the last one")
+
+// eventRelay copies the events of one worker's answer to the caller.
+type eventRelay struct {
+	*exchange
+	candidate   *candidate
+	reply       *Response
+	pending     []byte // bytes that have arrived and have not been forwarded
+	inEvent     bool   // the beginning of the first pending event has been forwarded
+	lastID      string // the events after it are new to the caller; empty if all are
+	continues   bool   // the caller has events of another worker
+	eventNumber int    // events that were forwarded
+}
+
+// newEventRelay returns a relay of an answer. A caller that came with the id of an event has the events up to it, if the
+// route's streams can be resumed.
+func newEventRelay(t *exchange, c *candidate, reply *Response) *eventRelay {
+	r := &eventRelay{exchange: t, candidate: c, reply: reply, continues: t.headSent}
+	if t.headSent || t.route.Resumable {
+		r.lastID = t.lastEventID
+	}
+	return r
+}
+
+// run copies events until the answer ends. A large event is copied in parts.
+func (r *eventRelay) run(ctx context.Context) error {
+	buf := make([]byte, eventReadSize)
+	for {
+		k, err := r.reply.Body.Read(buf)
+		r.pending = append(r.pending, buf[:k]...)
+		if err := r.forwardEvents(); err != nil {
+			return err
+		}
+		if len(r.pending) > maxPendingEvent {
+			if err := r.forwardPart(); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return r.finish(ctx)
+		}
+		if err != nil {
+			return failure.As(err, failure.OutcomeUnknown, "pass", r.candidate.worker.Addr)
+		}
+	}
+}
+
+// forwardEvents sends the complete pending events to the caller, up to one that is out of order.
+func (r *eventRelay) forwardEvents() error {
+	length, err := 0, error(nil)
+	for err == nil {
+		event := firstEvent(r.pending[length:])
+		if event == nil {
+			break
+		}
+		if err = r.admit(event); err == nil {
+			length += len(event)
+		}
+	}
+	if forwardErr := r.forward(length); forwardErr != nil {
+		return forwardErr
+	}
+	return err
+}
+
+// admit checks that an event, or the beginning of one, comes after the last one.
+func (r *eventRelay) admit(event []byte) error {
+	if r.inEvent { // only the rest of an event
+		r.inEvent = false
+		return nil
+	}
+	id := eventID(event)
+	if r.route.Stream && !isLaterEvent(id, r.lastID) {
+		r.node.options.Ring.Warn().Str("request", r.request.ID).Str("worker", string(r.candidate.worker.ID)).
+			Str("after", r.lastID).Str("event", id).Msg("event out of order")
+		return failure.As(errEventOrder, failure.OutcomeUnknown, "pass", r.candidate.worker.Addr)
+	}
+	if id != "" {
+		r.lastID = id
+	}
+	if r.eventNumber++; r.continues && r.eventNumber == 1 {
+		r.recordContinuation(r.candidate, id)
+	}
+	return nil
+}
+
+// forward sends the given number of pending bytes to the caller.
+func (r *eventRelay) forward(length int) error {
+	if length == 0 {
+		return nil
+	}
+	r.timing.recordEvents(r.node.now())
+	if err := r.beginAnswer(r.reply, -1); err != nil {
+		return err
+	}
+	if err := r.write(r.pending[:length]); err != nil {
+		return err
+	}
+	if r.lastID != "" {
+		r.lastEventID = r.lastID
+	}
+	r.pending = append(r.pending[:0], r.pending[length:]...)
+	return nil
+}
+
+// forwardPart sends a part of an event that is too large to be held until it is complete. No other worker can
+// continue the stream after that.
+func (r *eventRelay) forwardPart() error {
+	length := len(r.pending) - maxEventEnd + 1 // the end of the event may have begun
+	if err := r.admit(r.pending[:length]); err != nil {
+		return err
+	}
+	r.inEvent = true
+	err := r.forward(length)
+	r.partSent.Store(true)
+	r.releaseBodyIfUnneeded()
+	return err
+}
+
+// finish ends a stream that its worker has ended. Bytes after the last complete event are written
+// unchanged if the framing shows that the worker sent all that it meant to send.
+func (r *eventRelay) finish(ctx context.Context) error {
+	if r.reply.Framing == FramedByConnection && len(r.pending) > 0 {
+		return failure.New(
+			failure.OutcomeUnknown, "pass", r.candidate.worker.Addr, "the connection ended in the middle of an event",
+		)
+	}
+	if err := r.confirmEnd(ctx, r.candidate, r.reply); err != nil {
+		return err
+	}
+	if err := r.writeHead(r.reply, -1); err != nil {
+		return failure.As(errors.Join(errCallerDisconnected, err), failure.OutcomeUnknown, "pass", "caller")
+	}
+	if len(r.pending) > 0 {
+		return r.write(r.pending)
+	}
+	return nil
+}
+
+// firstEvent returns the first event of p, with the blank line that ends it, or nil if none is complete.
+func firstEvent(p []byte) []byte {
+	length := 0
+	for _, end := range []string{"\n\n", "\r\n\r\n"} {
+		if i := bytes.Index(p, []byte(end)); i >= 0 && (length == 0 || i+len(end) < length) {
+			length = i + len(end)
+		}
+	}
+	if length == 0 {
+		return nil
+	}
+	return p[:length]
+}
+
+// eventID returns the id of an event, or an empty id if it has none.
+func eventID(event []byte) (id string) {
+	for line := range bytes.Lines(event) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id = string(bytes.TrimSpace(value))
+		}
+	}
+	return id
+}
+
+// isLaterEvent reports whether an event id is greater than an earlier one. Ids that are not numbers
+// cannot be compared, and the result is true for them.
+func isLaterEvent(id, before string) bool {
+	n, err := strconv.ParseInt(id, 10, 64)
+	last, errLast := strconv.ParseInt(before, 10, 64)
+	return err != nil || errLast != nil || n > last
+}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -5,12 +5,10 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"keelstair.example/failure"
@@ -18,13 +16,6 @@
 	"keelstair.example/internal/handoff"
 )
 
-const (
-	// maxPendingEvent is the number of bytes of an incomplete event that are held back until it is complete.
-	maxPendingEvent = 64 << 10
-	// maxEventEnd is the length in bytes of the longest end of an event.
-	maxEventEnd = len("\r\n\r\n")
-)
-
 var errWorkerSilent = errors.New("the worker says nothing")
 
 // supervisedBody is an answer's body with timers that detect a silent worker. After a first silence the
@@ -136,7 +127,7 @@
 	t.trace(handoff.Resumed, c.worker.ID, "") // every answer that is relayed, also the first one
 	var err error
 	if reply.Events {
-		err = t.relayEvents(ctx, c, reply)
+		err = newEventRelay(t, c, reply).run(ctx)
 	} else {
 		err = t.relayBody(ctx, c, reply)
 	}
@@ -216,121 +207,3 @@
 	}
 	return nil
 }
-
-// relayEvents copies each event to the caller once it is complete. A large event is copied in parts.
-func (t *exchange) relayEvents(ctx context.Context, c *candidate, reply *Response) error {
-	var pending []byte
-	buf := make([]byte, 8<<10)
-	resumed, continued := t.headSent, false
-	for {
-		k, err := reply.Body.Read(buf)
-		pending = append(pending, buf[:k]...)
-		if end := completeEvents(pending); end > 0 {
-			if resumed && !continued {
-				first, _ := eventIDs(pending[:end])
-				t.recordContinuation(c, first)
-				continued = true
-			}
-			if err := t.forward(c, reply, pending[:end], resumed); err != nil {
-				return err
-			}
-			pending = append(pending[:0], pending[end:]...)
-		}
-		if len(pending) > maxPendingEvent {
-			part := len(pending) - maxEventEnd + 1 // the end of the event may have begun
-			if err := t.forwardPart(c, reply, pending[:part], resumed); err != nil {
-				return err
-			}
-			pending = append(pending[:0], pending[part:]...)
-		}
-		if err == io.EOF {
-			return t.finish(ctx, c, reply, pending)
-		}
-		if err != nil {
-			return failure.As(err, failure.OutcomeUnknown, "pass", c.worker.Addr)
-		}
-	}
-}
-
-// forward sends complete events to the caller and records the id of the last one. A worker that resumes
-// a stream must not repeat events up to the last one that the caller has.
-func (t *exchange) forward(c *candidate, reply *Response, events []byte, resumed bool) error {
-	first, last := eventIDs(events)
-	if resumed && !t.partSent.Load() && !isLaterEvent(first, t.lastEventID) {
-		return failure.New(
-			failure.OutcomeUnknown, "resume", c.worker.Addr, "event %s comes after %s", first, t.lastEventID,
-		)
-	}
-	t.timing.recordEvents(t.node.now())
-	if err := t.beginAnswer(reply, -1); err != nil {
-		return err
-	}
-	if err := t.write(events); err != nil {
-		return err
-	}
-	if last != "" {
-		t.lastEventID = last
-	}
-	return nil
-}
-
-// forwardPart sends a part of an event that is too large to be held until it is complete. No other worker can
-// continue the stream after that.
-func (t *exchange) forwardPart(c *candidate, reply *Response, part []byte, resumed bool) error {
-	err := t.forward(c, reply, part, resumed)
-	t.partSent.Store(true)
-	t.releaseBodyIfUnneeded()
-	return err
-}
-
-// finish ends a stream that its worker has ended. Bytes after the last complete event are written
-// unchanged if the framing shows that the worker sent all that it meant to send.
-func (t *exchange) finish(ctx context.Context, c *candidate, reply *Response, rest []byte) error {
-	if reply.Framing == FramedByConnection && len(rest) > 0 {
-		return failure.New(failure.OutcomeUnknown, "pass", c.worker.Addr, "the connection ended in the middle of an event")
-	}
-	if err := t.confirmEnd(ctx, c, reply); err != nil {
-		return err
-	}
-	if err := t.writeHead(reply, -1); err != nil {
-		return failure.As(errors.Join(errCallerDisconnected, err), failure.OutcomeUnknown, "pass", "caller")
-	}
-	if len(rest) > 0 {
-		return t.write(rest)
-	}
-	return nil
-}
-
-// completeEvents returns the length of the complete events at the start of p.
-func completeEvents(p []byte) int {
-	length := 0
-	for _, end := range []string{"\n\n", "\r\n\r\n"} {
-		if i := bytes.LastIndex(p, []byte(end)); i >= 0 {
-			length = max(length, i+len(end))
-		}
-	}
-	return length
-}
-
-// eventIDs returns the ids of the first and the last event that have one.
-func eventIDs(events []byte) (first, last string) {
-	for line := range bytes.Lines(events) {
-		id, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
-			continue
-		}
-		last = string(bytes.TrimSpace(id))
-		if first == "" {
-			first = last
-		}
-	}
-	return first, last
-}
-
-// isLaterEvent reports whether an event id is greater than an earlier one. Ids that are not numbers
-// cannot be compared, and the result is true for them.
-func isLaterEvent(id, before string) bool {
-	n, err := strconv.ParseInt(id, 10, 64)
-	last, errLast := strconv.ParseInt(before, 10, 64)
-	return err != nil || errLast != nil || n > last
-}
