Routers: an answer behind a stream without framing is not part of the stream

A worker in trouble may send more after a whole answer. Behind a stream that has neither a length nor chunks these bytes were relayed as its events: the caller got event 10, the head of a second answer and then events 1 to 3, or only a part of that head.

A status line where an event should begin now ends the stream, and the rest of the connection is not read; whether the stream is complete is decided as at the end of a connection. Nothing like that can be told for bodies that are no streams, whose bytes may be anything.

--- a/internal/proxy/event_relay.go
+++ b/internal/proxy/event_relay.go
@@ -19,6 +19,8 @@
 	maxEventEnd = len("\r\n\r\n")
 	// eventReadSize is the number of bytes that are read at a time.
 	eventReadSize = 8 << 10
+	// statusLinePrefix begins every HTTP/1 answer, and no field of an event.
+	statusLinePrefix = "HTTP/1."
 )
 
 var errEventOrder = errors.New("an event doesn't come after the last one")
@@ -54,6 +56,9 @@
 		if err := r.forwardEvents(); err != nil {
 			return err
 		}
+		if r.isNextAnswer(r.pending) {
+			return r.finishBeforeNextAnswer(ctx)
+		}
 		if len(r.pending) > maxPendingEvent {
 			if err := r.forwardPart(); err != nil {
 				return err
@@ -73,7 +78,7 @@
 	length, err := 0, error(nil)
 	for err == nil {
 		event := firstEvent(r.pending[length:])
-		if event == nil {
+		if event == nil || r.isNextAnswer(event) {
 			break
 		}
 		if err = r.admit(event); err == nil {
@@ -160,6 +165,20 @@
 	return nil
 }
 
+// isNextAnswer reports whether p is the beginning of another answer, behind the one that is relayed. An answer with a
+// length or chunks ends before it.
+func (r *eventRelay) isNextAnswer(p []byte) bool {
+	return r.reply.Framing == FramedByConnection && !r.inEvent && bytes.HasPrefix(p, []byte(statusLinePrefix))
+}
+
+// finishBeforeNextAnswer ends a stream behind which its worker sent another answer, whose bytes belong to no request.
+func (r *eventRelay) finishBeforeNextAnswer(ctx context.Context) error {
+	r.node.options.Ring.Warn().Str("request", r.request.ID).Str("worker", string(r.candidate.worker.ID)).
+		Str("after", r.lastID).Msg("another answer follows the stream")
+	r.pending = nil
+	return r.finish(ctx)
+}
+
 // firstEvent returns the first event of p, with the blank line that ends it, or nil if none is complete.
 func firstEvent(p []byte) []byte {
 	length := 0
