Routers: a stream is not continued after events without ids

When a worker was lost after events that bear no id, the next one was asked to go on after the last id, or from the beginning, and the caller got these events twice. Such a stream can't be continued exactly, so it ends as a cut that the caller can see, and a silent worker is not given up for another one meanwhile. Once an event bears an id again, the stream can be continued after it. Comments don't count.

A test of the liveness calls counts without a data race.

--- a/internal/proxy/decode_exchange.go
+++ b/internal/proxy/decode_exchange.go
@@ -105,8 +105,12 @@
 	return t.route.MayRetry() && t.attemptsMade < t.maxAttempts()
 }
 
-// canContinue reports whether another worker may take up the answer after what the caller has of it.
-func (t *exchange) canContinue() bool {
+// canContinue reports whether another worker may take up the answer after what the caller has of it. It goes on after the
+// id of an event, so it would repeat events without one.
+func (t *exchange) canContinue() bool { return t.mayBecomeContinuable() && !t.lastHasNoID.Load() }
+
+// mayBecomeContinuable reports whether another worker may take up the answer after this or a later event.
+func (t *exchange) mayBecomeContinuable() bool {
 	return t.route.MayRetry() && (!t.headSent || t.route.Resumable && !t.partSent.Load())
 }
 
--- a/internal/proxy/event_relay.go
+++ b/internal/proxy/event_relay.go
@@ -103,8 +103,12 @@
 			Str("after", r.lastID).Str("event", id).Msg("event out of order")
 		return failure.As(errEventOrder, failure.OutcomeUnknown, "pass", r.candidate.worker.Addr)
 	}
-	if id != "" {
+	switch {
+	case id != "":
 		r.lastID = id
+		r.lastHasNoID.Store(false)
+	case hasField(event):
+		r.lastHasNoID.Store(true)
 	}
 	if r.eventNumber++; r.continues && r.eventNumber == 1 {
 		r.recordContinuation(r.candidate, id)
@@ -203,6 +207,16 @@
 	return id
 }
 
+// hasField reports whether an event has more lines than comments.
+func hasField(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // isLaterEvent reports whether an event id is greater than an earlier one. Ids that are not numbers
 // cannot be compared, and the result is true for them.
 func isLaterEvent(id, before string) bool {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -53,6 +53,7 @@
 	headSent               bool        // the caller has the response head
 	usageCounted           bool        // the request is counted for usage metering
 	lastEventID            string      // id of the last event sent to the caller
+	lastHasNoID            atomic.Bool // an event without an id was sent after the one with lastEventID
 	partSent               atomic.Bool // a part of an event was sent before the event was complete
 	timing                 exchangeTiming
 }
--- a/internal/proxy/liveness_test.go
+++ b/internal/proxy/liveness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,10 +16,13 @@
 	runInBubble(t, func(t *testing.T) {
 		const callDuration = 100 * time.Millisecond
 		errDead := errors.New("dead")
-		check, calls, alive := &livenessCheck{}, 0, true
+		var calls atomic.Int64
+		var alive atomic.Bool
+		alive.Store(true)
+		check := &livenessCheck{}
 		call := func() error {
-			calls++
-			answers := alive
+			calls.Add(1)
+			answers := alive.Load()
 			time.Sleep(callDuration)
 			if answers {
 				return nil
@@ -27,7 +31,7 @@
 		}
 		first := check.ask(call)
 		time.Sleep(callDuration / 2)
-		alive = false
+		alive.Store(false)
 		var later []*livenessCall
 		for range 20 {
 			later = append(later, check.ask(call))
@@ -38,9 +42,9 @@
 			<-c.done
 			require.ErrorIs(t, c.err, errDead)
 		}
-		require.Equal(t, 2, calls, "questions that wait share a call")
+		require.EqualValues(t, 2, calls.Load(), "questions that wait share a call")
 		synctest.Wait()
-		alive = true
+		alive.Store(true)
 		again := check.ask(call)
 		<-again.done
 		require.NoError(t, again.err)
--- a/internal/proxy/request_body.go
+++ b/internal/proxy/request_body.go
@@ -90,16 +90,16 @@
 // releaseBodyIfUnneeded releases the body once a worker is answering and no other worker may be sent the request.
 // The response may run for much longer than the attempts, and would keep the body until its end.
 func (t *exchange) releaseBodyIfUnneeded() {
-	if !t.mayRetryDecode() || !t.canContinue() {
+	if !t.mayRetryDecode() || !t.mayBecomeContinuable() {
 		t.request.Body.Release()
 	}
 }
 
 // cancelForRetry returns a function that cancels an attempt in favor of another one, unless the body for that has
-// been evicted or a part of an event has been sent.
+// been evicted or the other one could not go on after what has been sent.
 func (t *exchange) cancelForRetry(stop context.CancelCauseFunc) context.CancelCauseFunc {
 	return func(cause error) {
-		if !t.partSent.Load() && t.request.Body.BeginAttempt() {
+		if !t.partSent.Load() && !t.lastHasNoID.Load() && t.request.Body.BeginAttempt() {
 			stop(cause)
 		}
 	}
