keelstair-testbed streams: real worker processes in every framing, killed and replaced

The new soak runs keelstair-platform as processes with worker processes that end their answers by length, by chunks or by their connection, some with a second answer behind it. Workers are killed, frozen, terminated with and without notice and started anew at the same or another address, routers and controllers signaled and documents applied, all overlapping. Clients know each byte of their answers and check every one; requests that may run once are counted from the workers' logs.

--- a/cmd/keelstair-testbed/fleet.go
+++ b/cmd/keelstair-testbed/fleet.go
@@ -33,6 +33,7 @@
 	Pid      int      `json:"pid"`
 
 	args   []string
+	env    []string // variables beside those of this program
 	cmd    *exec.Cmd
 	exited chan struct{}
 }
@@ -58,6 +59,7 @@
 	}
 	defer logFile.Close()
 	p.cmd = exec.Command(filepath.Join(f.opt.BinDir, "keelstair-"+p.Kind), p.args...)
+	p.cmd.Env = append(os.Environ(), p.env...)
 	p.cmd.Stdout, p.cmd.Stderr = logFile, logFile
 	if err := p.cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.Name, err)
@@ -106,13 +108,14 @@
 
 // stop kills all processes, also suspended ones, and waits until they have exited.
 func (f *fleet) stop() {
-	for _, p := range f.procs {
+	all := f.processes("")
+	for _, p := range all {
 		if p.cmd != nil && p.cmd.Process != nil {
 			p.signal(syscall.SIGCONT)
 			p.signal(syscall.SIGKILL)
 		}
 	}
-	for _, p := range f.procs {
+	for _, p := range all {
 		if p.exited != nil {
 			<-p.exited
 		}
--- a/cmd/keelstair-testbed/main.go
+++ b/cmd/keelstair-testbed/main.go
@@ -35,6 +35,9 @@
 	Up   *upCmd   `arg:"subcommand:up" help:"start a fleet, apply its configuration, and keep it running"`
 	Run  *runCmd  `arg:"subcommand:run" help:"start a fleet, put it under load, inject a fault, and report the results"`
 	Soak *soakCmd `arg:"subcommand:soak" help:"start a fleet, put it under load, repeatedly signal and restart its processes, and check the results"`
+
+	Streams      *streamsCmd      `arg:"subcommand:streams" help:"like soak, with the programs of the users' platform and workers that answer in every framing"`
+	StreamWorker *streamWorkerCmd `arg:"subcommand:stream-worker" help:"serve as one worker of streams"`
 }
 
 func (o *options) File() string { return "" }
@@ -49,8 +52,12 @@
 		o.Run.Regimes = o.Run.Regimes || o.Run.Fault == "revoke"
 	case o.Soak != nil:
 		site = o.Soak.Site
+	case o.Streams != nil:
+		return o.Streams.check()
+	case o.StreamWorker != nil:
+		return settings.CheckAddr("addr", o.StreamWorker.Addr)
 	default:
-		return settings.InvalidField("command", "one of up, run, soak is required")
+		return settings.InvalidField("command", "one of up, run, soak, streams is required")
 	}
 	if _, ok := standin.Sites[site]; !ok {
 		return settings.InvalidField("site", "site %q does not exist", site)
@@ -68,13 +75,19 @@
 	)
 	ctx, stop := cli.SignalContext()
 	defer stop()
-	if o.Run != nil {
+	switch {
+	case o.Run != nil:
 		cli.ExitOnError("keelstair-testbed", runOnce(ctx, o.Run))
 		return
-	}
-	if o.Soak != nil {
+	case o.Soak != nil:
 		cli.ExitOnError("keelstair-testbed", runSoak(ctx, o.Soak))
 		return
+	case o.Streams != nil:
+		cli.ExitOnError("keelstair-testbed", runStreams(ctx, o.Streams))
+		return
+	case o.StreamWorker != nil:
+		cli.ExitOnError("keelstair-testbed", runStreamWorker(ctx, o.StreamWorker))
+		return
 	}
 	f, err := startFleet(ctx, o.Up, 0)
 	defer f.stop()
--- /dev/null
+++ b/cmd/keelstair-testbed/streams_test.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestStreamsOfLostWorkers guards against streams of real worker processes that look complete, repeat events or are joined
+// with others when the processes are killed, stopped and replaced.
+func TestStreamsOfLostWorkers(t *testing.T) {
+	dir := t.TempDir()
+	for _, program := range []string{"keelstair-platform", "keelstair-testbed"} {
+		build := exec.Command("go", "build", "-o", filepath.Join(dir, program), "keelstair.example/cmd/"+program)
+		build.Stderr = os.Stderr
+		require.NoError(t, build.Run())
+	}
+	require.NoError(t, runStreams(t.Context(), &streamsCmd{
+		Dir: filepath.Join(dir, "data"), BinDir: dir, Machines: 3, Workers: 9, Clients: 48, LoadSeconds: 20, Seed: 1,
+	}))
+}
