--- a/internal/workerclient/client_test.go
+++ b/internal/workerclient/client_test.go
@@ -99,3 +99,32 @@
 		t.Errorf("kind %s of %v, not lost", failure.KindOf(err), err)
 	}
 }
+
+// TestStreamOfLostWorkerIsNotComplete guards against a stream that seems complete because the connection of a worker that
+// was killed has ended.
+func TestStreamOfLostWorkerIsNotComplete(t *testing.T) {
+	for _, body := range []string{"", "{\"index\":0,\"token\":5}\n", "{\"index\":0,\"token\":5}\n{\"index\":1,\"tok"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"+body)
+			}
+		}()
+		c := New(loopback{})
+		err = c.Stream(t.Context(), listener.Addr().String(), ID{Request: "r", Attempt: 1}, 0, time.Second,
+			func(TokenEvent) error { return nil })
+		if !failure.Is(err, failure.DataLost) {
+			t.Errorf("kind %s of %v after %q, not lost", failure.KindOf(err), err, body)
+		}
+		c.Close()
+		listener.Close()
+	}
+}
