Routers: a busy worker has a second to show that it lives

A whole answer without framing counted as cut if its worker failed two calls: one that is busy answers late, and one with too many connections resets further ones. The router now calls for up to a second, unless the process is known to be gone: no process listens at its address, or another incarnation does. A killed worker is so found without any wait.

--- a/internal/proxy/fake_platform_test.go
+++ b/internal/proxy/fake_platform_test.go
@@ -74,6 +74,7 @@
 	incarnation      int
 	silent           bool // sends no responses
 	terminated       bool
+	failingChecks    int       // liveness checks whose connections it resets
 	unlisted         bool      // missing from the worker list
 	warmAt           time.Time // when it has warmed up
 	orderCount       int
@@ -658,6 +659,15 @@
 	if worker.ID != w.ID {
 		return failure.New(failure.Stale, "check alive", w.Addr, "another incarnation has the address")
 	}
+	failed := false
+	b.platform.withLock(func() {
+		if failed = worker.failingChecks > 0; failed {
+			worker.failingChecks--
+		}
+	})
+	if failed {
+		return outcomeUnknown(w, "connection reset")
+	}
 	return b.checkResponsePath(ctx, worker)
 }
 
--- a/internal/proxy/liveness.go
+++ b/internal/proxy/liveness.go
@@ -8,11 +8,14 @@
 	"time"
 
 	"keelstair.example/failure"
+	"keelstair.example/host"
 )
 
 const (
-	livenessAttempts = 2 // a worker with too many connections resets further ones
-	livenessPause    = 50 * time.Millisecond
+	// livenessTimeout is how long a worker has to show that it lives. One that is busy, or has too many connections,
+	// may fail some calls.
+	livenessTimeout = time.Second
+	livenessPause   = 50 * time.Millisecond // between two calls
 )
 
 // livenessCheck asks a worker whether its process still runs. Only a call that begins after the question answers it.
@@ -72,19 +75,22 @@
 	}
 }
 
-// checkAlive calls a worker until it answers or no attempt is left. The calls serve several exchanges, so none of them
-// can cancel them.
-func (n *Node) checkAlive(w *Worker) (err error) {
-	for attempt := range livenessAttempts {
-		if attempt > 0 {
-			time.Sleep(livenessPause)
-		}
-		ctx, stop := context.WithTimeout(context.Background(), healthCheckTimeout)
-		err = n.options.Backend.CheckAlive(ctx, *w)
-		stop()
-		if err == nil || failure.Is(err, failure.Stale) {
+// checkAlive calls a worker until it answers, its process is known to be gone, or the time is over. The calls serve several
+// exchanges, so none of these can cancel them.
+func (n *Node) checkAlive(w *Worker) error {
+	ctx, stop := context.WithTimeout(context.Background(), livenessTimeout)
+	defer stop()
+	for {
+		err := n.callAlive(ctx, w)
+		if err == nil || failure.Is(err, failure.Stale) || !host.Sleep(ctx, livenessPause) {
 			return err
 		}
 	}
-	return err
+}
+
+// callAlive makes one call of a liveness check.
+func (n *Node) callAlive(ctx context.Context, w *Worker) error {
+	ctx, stop := context.WithTimeout(ctx, healthCheckTimeout)
+	defer stop()
+	return n.options.Backend.CheckAlive(ctx, *w)
 }
