keelstair-testbed: the soak of streams in files by concern

The run, its processes, its faults and its checks are a file each, with the soak's own lock under a name of its own. Faults look at the processes under their lock, and an ablation case that can't be set up is no longer taken for a failing test.

--- a/cmd/keelstair-testbed/faults.go
+++ b/cmd/keelstair-testbed/faults.go
@@ -242,7 +242,7 @@
 			f.retry(ctx, 8*time.Second, func() error { return get(p.Frontend, "/ready") })
 		}
 	case "hall":
-		for _, p := range f.procs {
+		for _, p := range f.processes("") {
 			if p.Zone == f.site.Zones[0] {
 				p.signal(syscall.SIGKILL)
 			}
--- a/cmd/keelstair-testbed/stream_faults.go
+++ b/cmd/keelstair-testbed/stream_faults.go
@@ -131,7 +131,7 @@
 		case kind < 9:
 			s.signalRouter()
 		default:
-			controllers := s.processes("controller-")
+			controllers := s.processes(controllerRole + "-")
 			signals := []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}
 			s.signalAndRestart(controllers[s.rng.IntN(len(controllers))], signals[s.rng.IntN(len(signals))])
 		}
@@ -143,8 +143,8 @@
 	slot := s.workers[s.rng.IntN(len(s.workers))]
 	faults := s.workerFaults()
 	fault, pause := faults[s.rng.IntN(len(faults))], time.Duration(100+s.rng.IntN(1200))*time.Millisecond
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.stateMu.Lock()
+	defer s.stateMu.Unlock()
 	busy := 0
 	for _, other := range s.workers {
 		if other.busy {
@@ -158,15 +158,15 @@
 	logf("%s: %s", slot.id(), fault.name)
 	s.restarts.Go(func() {
 		fault.inject(slot, pause)
-		s.mu.Lock()
-		defer s.mu.Unlock()
+		s.stateMu.Lock()
+		defer s.stateMu.Unlock()
 		slot.busy = false
 	})
 }
 
 // signalRouter signals a random router, or every third one. A router that exits is started again.
 func (s *streamSoak) signalRouter() {
-	routers := s.processes(streamRouterKind + "-")
+	routers := s.processes(routerRole + "-")
 	first := s.rng.IntN(len(routers))
 	switch s.rng.IntN(4) {
 	case 0:
@@ -178,8 +178,8 @@
 	case 2:
 		s.signalAndRestart(routers[first], syscall.SIGKILL)
 	case 3:
-		s.soak.mu.Lock()
-		defer s.soak.mu.Unlock()
+		s.fleet.mu.Lock()
+		defer s.fleet.mu.Unlock()
 		routers[first].signal(syscall.SIGHUP)
 	}
 }
@@ -193,12 +193,3 @@
 		}
 	}
 }
-
-// quantileMs returns a quantile of durations in milliseconds, or 0 without any.
-func quantileMs(durations []time.Duration, share float64) float64 {
-	if len(durations) == 0 {
-		return 0
-	}
-	slices.Sort(durations)
-	return float64(durations[int(share*float64(len(durations)-1))].Microseconds()) / 1000
-}
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -29,7 +29,7 @@
                 out, ok = run.stdout + run.stderr, run.returncode == 0
             except subprocess.TimeoutExpired:
                 out, ok = "--- FAIL: timed out", False
-        if "build failed" in out or "no tests to run" in out:
+        if "build failed" in out or "setup failed" in out or "no tests to run" in out:
             print(f"{name}: {test} could not be run:\n{out[:600]}")
             problems += 1
         elif ok:
