--- a/cmd/keelstair-testbed/streams_test.go
+++ b/cmd/keelstair-testbed/streams_test.go
@@ -9,8 +9,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestStreamsOfLostWorkers guards against streams of real worker processes that look complete, repeat events or are joined
-// with others when the processes are killed, stopped and replaced.
+// TestStreamsOfLostWorkers guards against streams of lost worker processes that look complete or are joined.
 func TestStreamsOfLostWorkers(t *testing.T) {
 	dir := t.TempDir()
 	for _, program := range []string{"keelstair-platform", "keelstair-testbed"} {
--- a/internal/api/forward_test.go
+++ b/internal/api/forward_test.go
@@ -17,8 +17,7 @@
 
 func (discardSink) Put(StreamEvent) error { return nil }
 
-// TestForwardedStreamWithoutEndIsNotComplete guards against a stream that seems complete because the connection to a node
-// that was killed has ended.
+// TestForwardedStreamWithoutEndIsNotComplete guards against a stream that seems complete at a killed node's FIN.
 func TestForwardedStreamWithoutEndIsNotComplete(t *testing.T) {
 	for _, body := range []string{"", `{"index":0,"token":5}`, `{"index":0,"token":5}{"index":1,"tok`} {
 		node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/proxy/liveness_test.go
+++ b/internal/proxy/liveness_test.go
@@ -10,8 +10,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestLivenessCallBeginsAfterItsQuestion guards against a worker that counts as alive because of a call that it answered
-// before the question.
+// TestLivenessCallBeginsAfterItsQuestion guards against a call from before the worker's death that counts.
 func TestLivenessCallBeginsAfterItsQuestion(t *testing.T) {
 	runInBubble(t, func(t *testing.T) {
 		const callDuration = 100 * time.Millisecond
@@ -51,8 +50,7 @@
 	})
 }
 
-// TestAnotherIncarnationIsNotAlive guards against a new process at a worker's address that confirms an answer of the old
-// one.
+// TestAnotherIncarnationIsNotAlive guards against a new process that confirms an answer of the old one.
 func TestAnotherIncarnationIsNotAlive(t *testing.T) {
 	runInBubble(t, func(t *testing.T) {
 		platform := newFakePlatform(newFakeWorkers("svc", "", 2)...)
--- a/internal/workerclient/client_test.go
+++ b/internal/workerclient/client_test.go
@@ -100,8 +100,7 @@
 	}
 }
 
-// TestStreamOfLostWorkerIsNotComplete guards against a stream that seems complete because the connection of a worker that
-// was killed has ended.
+// TestStreamOfLostWorkerIsNotComplete guards against a stream that seems complete at a killed worker's FIN.
 func TestStreamOfLostWorkerIsNotComplete(t *testing.T) {
 	for _, body := range []string{"", "{\"index\":0,\"token\":5}\n", "{\"index\":0,\"token\":5}\n{\"index\":1,\"tok"} {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
