--- a/internal/conntimeout/conntimeout.go
+++ b/internal/connguard/guard.go
@@ -1,4 +1,4 @@
-// Package conntimeout limits how long a client's connection may be idle between requests, and how
+// Package connguard limits how long a client's connection may be idle between requests, and how
 // long the header of a request may take to arrive. Unlike the timeouts of http.Server, the limits
 // can change while the server runs and then apply to open connections as well, and a client whose
 // header takes too long receives status 408.
@@ -6,7 +6,7 @@
 // A connection is closed only while it has no request being served. A 408 guarantees that the
 // request was not and will not be executed, so the handler is not called for a connection that
 // has received one.
-package conntimeout
+package connguard
 
 import (
 	"context"
--- a/internal/conntimeout/conntimeout_test.go
+++ b/internal/connguard/guard_test.go
@@ -1,4 +1,4 @@
-package conntimeout
+package connguard
 
 import (
 	"context"
