Request bodies: silent clients give way, also just before the end

Clients that stopped a byte short of a large body held the memory for bodies until the deadline of their route: other large bodies were refused for as long. A body was compared with an even pace to its deadline alone, and one that is nearly complete is far ahead of that.

While others wait for memory, a body of which nothing has arrived for an eighth of its time gives way now, too; those furthest behind their pace go first, as before.

--- a/internal/requestbody/doc.go
+++ b/internal/requestbody/doc.go
@@ -21,6 +21,6 @@
 //   - Bodies that are not small leave an eighth of the limit to small ones, which do not queue behind them. Those of
 //     unknown length leave a half of that to ones of known length.
 //   - While a reservation waits, no body being read is behind an even pace to its timeout by more than an eighth of
-//     it, if the memory of those that are would be enough: they are given up with ErrTooSlow. So a client holds
-//     memory for longer only in proportion to what it has sent.
+//     it, and none has been silent for longer than that, if the memory of those that are would be enough: they are given
+//     up with ErrTooSlow. So a client holds memory for longer only in proportion to what it has sent, and while it sends.
 package requestbody
--- a/internal/requestbody/pace.go
+++ b/internal/requestbody/pace.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// paceSlack is the fraction of its timeout by which a body may be behind an even pace before it gives way to others.
+	// paceSlack is the fraction of its timeout by which a body may be behind an even pace, or for which nothing of it may
+	// arrive, before it gives way to others.
 	paceSlack = 1.0 / 8
 	// paceCheckInterval is how often clients that have fallen behind their pace are looked for while reservations wait.
 	paceCheckInterval = 20 * time.Millisecond
@@ -105,12 +106,14 @@
 	}
 }
 
-// slowBodies returns the bodies being read that are behind their pace, the slowest first. mu must be held.
+// slowBodies returns the bodies being read that are behind their pace or silent, those furthest behind first. mu must be
+// held.
 func (m *Memory) slowBodies(now time.Time) []*Body {
 	lags := map[*Body]float64{}
 	var slow []*Body
 	for body := range m.reading {
-		if lag := body.lag(now); lag > paceSlack && !body.pace.interrupted {
+		lag := body.lag(now)
+		if max(lag, body.silence(now)) > paceSlack && !body.pace.interrupted {
 			lags[body] = lag
 			slow = append(slow, body)
 		}
@@ -119,6 +122,15 @@
 	return slow
 }
 
+// silence returns for how long nothing of the body has arrived, as a fraction of its timeout. memory.mu must be held.
+func (b *Body) silence(now time.Time) float64 {
+	lastArrival := b.pace.began
+	if at := b.arrivedAt.Load(); at != 0 {
+		lastArrival = time.Unix(0, at)
+	}
+	return float64(now.Sub(lastArrival)) / float64(b.pace.timeout)
+}
+
 // lag returns how far the body is behind an even pace, as a fraction of its timeout. A body of unknown length is
 // compared with the memory that it holds. memory.mu must be held.
 func (b *Body) lag(now time.Time) float64 {
--- a/internal/requestbody/pace_test.go
+++ b/internal/requestbody/pace_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"sync"
 	"testing"
@@ -74,6 +75,36 @@
 	})
 }
 
+// TestSilentClientsGiveWayJustBeforeTheEnd guards against clients that hold the memory until their deadline by stopping
+// just before the end of their bodies, with a length and without.
+func TestSilentClientsGiveWayJustBeforeTheEnd(t *testing.T) {
+	for _, length := range []int64{paceTestBody, -1} {
+		synctest.Test(t, func(t *testing.T) {
+			memory := NewMemory(testLimit)
+			var silent []<-chan error
+			for range bodiesThatFit {
+				silent = append(silent, startIdleClient(t, memory, paceTestBody-1, length))
+			}
+			for range bodiesThatFit {
+				if held, err := readLarge(t, memory, paceTestBody, 0); err == nil {
+					defer held.Release()
+				}
+			}
+			body, err := readLarge(t, memory, paceTestBody, allowedLag+shortWait)
+			require.NoError(t, err)
+			body.Release()
+			synctest.Wait()
+			given := 0
+			for _, ended := range silent {
+				if len(ended) > 0 && errors.Is(<-ended, ErrTooSlow) {
+					given++
+				}
+			}
+			require.Equal(t, 1, given, "as many as are needed")
+		})
+	}
+}
+
 // TestSlowClientsStayIfTheyAreNotEnough checks that no client is given up where a body would not fit all the same, and
 // that a body that fits needs nobody to give way.
 func TestSlowClientsStayIfTheyAreNotEnough(t *testing.T) {
--- a/internal/requestbody/read.go
+++ b/internal/requestbody/read.go
@@ -102,7 +102,10 @@
 	for n := 0; ; {
 		k, err := src.Read(chunk[n:])
 		n += k
-		b.arrived.Add(int64(k))
+		if k > 0 {
+			b.arrived.Add(int64(k))
+			b.arrivedAt.Store(time.Now().UnixNano())
+		}
 		if err != nil || n == len(chunk) {
 			return n, err
 		}
