Request bodies: the rest of a rejected body is read for 3 s at most

The rest of a body that was rejected was read and dropped without a limit of time, so that a client that stopped short kept its connection and a goroutine for good. The same held for a body announced as a little over the limit, whose rest the server reads before its 413.

The rest has UnreadTimeout now. After that the connection is closed, by an abort of the handler: the server would take what follows for a new request.

--- a/internal/requestbody/handler.go
+++ b/internal/requestbody/handler.go
@@ -63,16 +63,21 @@
 	h.Next.ServeHTTP(w, request)
 }
 
+// UnreadTimeout limits for how long the rest of a body is read and dropped after the response to its request.
+const UnreadTimeout = 3 * time.Second
+
 // RespondUnread sends the response to a request whose body has not been read completely at once. If the client sends
-// the body all the same, the rest of it is read and dropped, because a connection that is closed with unread bytes is
-// reset, and the client might lose the response. A nil rest means that nothing more is expected.
+// the body all the same, the rest of it is read and dropped for up to UnreadTimeout, because a connection that is closed
+// with unread bytes is reset, and the client might lose the response. After that, the connection is closed. A nil rest
+// means that nothing more is expected.
 func RespondUnread(w http.ResponseWriter, request *http.Request, rest io.Reader, respond func()) {
 	controller := http.NewResponseController(w)
 	bodyComes := rest != nil && request.Header.Get("Expect") == ""
 	if bodyComes && controller.EnableFullDuplex() == nil {
 		respond()
 		controller.Flush()
-		io.Copy(io.Discard, rest)
+		controller.SetReadDeadline(time.Now().Add(UnreadTimeout))
+		dropRest(rest)
 		return
 	}
 	w.Header().Set("Connection", "close")
@@ -80,6 +85,16 @@
 	controller.SetReadDeadline(time.Now()) // the server must not wait for the rest of the body
 }
 
+// dropRest reads the rest of a body. If it does not end, it aborts the handler, so that what follows is not taken for
+// another request. The server itself closes the connection after a body that is too long.
+func dropRest(rest io.Reader) {
+	_, err := io.Copy(io.Discard, rest)
+	var tooLarge *http.MaxBytesError
+	if err != nil && !errors.As(err, &tooLarge) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // readerOf returns a reader of a body that has been read, or of the error that reading ended with.
 func readerOf(body *Body, err error) io.ReadCloser {
 	if err != nil {
--- a/internal/requestbody/handler_test.go
+++ b/internal/requestbody/handler_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -134,6 +135,35 @@
 	require.Equal(t, http.StatusOK, put(), "on the same connection")
 }
 
+// TestRestOfRejectedBodyEnds guards against clients that keep a connection for good by not sending the rest of a body
+// that was rejected, and against a part of it that is taken for another request.
+func TestRestOfRejectedBodyEnds(t *testing.T) {
+	h := newTestHandler()
+	h.Wait = 0
+	defer requireRead(t, h.Memory, 800<<10).Release()
+	server := httptest.NewServer(h)
+	defer server.Close()
+	for _, framing := range []string{"Content-Length: 300000", "Transfer-Encoding: chunked"} {
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		require.NoError(t, err)
+		defer conn.Close()
+		fmt.Fprintf(conn, "PUT / HTTP/1.1\r\nHost: a.example\r\n%s\r\n\r\n", framing)
+		if framing == "Transfer-Encoding: chunked" {
+			fmt.Fprintf(conn, "%x\r\n%s\r\n40000\r\n", 64<<10, content(64<<10))
+		}
+		reader := bufio.NewReader(conn)
+		conn.SetReadDeadline(time.Now().Add(5 * UnreadTimeout))
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		time.Sleep(UnreadTimeout - time.Second/2)
+		io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n")
+		rest, err := io.ReadAll(reader)
+		require.Empty(t, rest)
+		require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+	}
+}
+
 // TestLateBodyIsRejected guards against a body that is refused as invalid for good, though only its time was over.
 func TestLateBodyIsRejected(t *testing.T) {
 	h := newTestHandler()
