Servers: the connections of all clients share a bound

Cause: nothing bounded what connections hold. The memory for bodies counts what is read; bytes that arrived unread filled receive buffers that the kernel lets grow to megabytes each, chunks of a byte count six on the wire, and a header of 60 KB in lines of eight bytes takes 2 MB while it is parsed. The number of connections had no bound at any port.

Now internal/connguard bounds the connections of each server by the process's memory and descriptors (limits.fileLimit is read), the memory of headers, and the receive buffer of each connection, which a listener hands on to what it accepts: so the number bounds the bytes that arrived unread. A bound alone would be used up by the crowd. So the oldest incomplete request gives way to a new connection, whether it is silent, in its header or in its body; a caller that sends a whole request is served. Kept connections, up to half, don't give way to incomplete requests. Where requests are served on all connections, each ends with its request for a second, so that callers that are refused get a turn. Clients that don't read their answers give way after a second, and are cut after idleMs.

Weighed and left: refusing new connections when the bound is reached (the crowd keeps its places, ordinary callers get nothing); reading the kernel's queues now and then (a gigabit fills them between two readings).

--- a/cmd/keelstair-controller/main.go
+++ b/cmd/keelstair-controller/main.go
@@ -96,7 +96,7 @@
 		api.WriteJSON(w, http.StatusOK, map[string]any{"leads": core.Leads(), "page": core.Directory().Exchange()})
 	})
 	servers := cli.NewServers(host, func(err error) { cli.ExitOnError("keelstair-controller", err) })
-	servers.Serve(ctx, o.Addr, mux)
+	servers.Serve(ctx, o.Addr, mux, cli.ConnectionLimits(0, 0).Control())
 	cli.ExitOnError("keelstair-controller", core.Run(ctx))
 	servers.Wait()
 }
--- a/cmd/keelstair-platform/main.go
+++ b/cmd/keelstair-platform/main.go
@@ -19,6 +19,7 @@
 	"keelstair.example/ids"
 	"keelstair.example/internal/api"
 	"keelstair.example/internal/cli"
+	"keelstair.example/internal/connguard"
 	"keelstair.example/internal/fleetstate"
 	"keelstair.example/internal/proxy"
 	"keelstair.example/internal/requestbody"
@@ -109,6 +110,11 @@
 	return serveCore(shutdown, s, hangups, host, ring)
 }
 
+// connectionLimits returns the limits that the connections of a process share.
+func connectionLimits(s *platform.Settings) connguard.Process {
+	return cli.ConnectionLimits(s.MemoryBytes, s.FileLimit)
+}
+
 // exitOnControllerError ends a control plane process that failed.
 func exitOnControllerError(err error) { cli.ExitOnError("keelstair-platform controller", err) }
 
@@ -148,7 +154,7 @@
 	core.Mount(mux)
 	mux.Handle("/", gate.Handler(operatorAPIs(s, core.Caller(), core.Directory(), ring)))
 	servers := cli.NewServers(host, exitOnControllerError)
-	servers.Serve(ctx, s.ControlAddr, mux)
+	servers.Serve(ctx, s.ControlAddr, mux, connectionLimits(s).Control())
 	err = core.Run(ctx)
 	servers.Wait()
 	return err
@@ -202,7 +208,7 @@
 	directory.Serve(mux)
 	mux.Handle("/", gate.Handler(operatorAPIs(s, caller, directory, ring)))
 	servers := cli.NewServers(host, exitOnControllerError)
-	servers.Serve(ctx, s.ControlAddr, mux)
+	servers.Serve(ctx, s.ControlAddr, mux, connectionLimits(s).Control())
 	directory.Run(ctx, func() bool { return false })
 	servers.Wait()
 }
@@ -229,10 +235,10 @@
 func serveInternal(ctx context.Context, servers *cli.Servers, s *platform.Settings, node *proxy.Node) {
 	peers := http.NewServeMux()
 	node.Mount(peers)
-	servers.Serve(ctx, s.PeerAddr(), peers)
+	servers.Serve(ctx, s.PeerAddr(), peers, connectionLimits(s).Peers())
 	ready := http.NewServeMux()
 	ready.Handle("GET /readiness", platform.Readiness(node))
-	servers.Serve(ctx, s.ReadinessAddr, ready)
+	servers.Serve(ctx, s.ReadinessAddr, ready, connectionLimits(s).Probes())
 }
 
 // configureMetering makes a node report usage to the platform if the settings enable metering.
@@ -257,7 +263,7 @@
 	}
 	ring := cli.NewRing(s.Name)
 	log.SetOutput(ring)
-	server := platform.NewClientServer()
+	server := platform.NewClientServer(connectionLimits(s).Clients())
 	options := proxy.Options{
 		Name:                s.Name,
 		Addr:                s.PeerAddr(),
@@ -278,6 +284,7 @@
 		SlowStartAllowance:  s.SlowStartAllowance,
 		Drain:               server.Drain,
 		ClientLimitsChanged: server.SetLimits,
+		ConnectionsClosed:   server.ConnectionsClosed,
 		MemoryLimit:         s.MemoryBytes,
 	}
 	configureMetering(&options, s)
--- a/cmd/keelstair-standin/main.go
+++ b/cmd/keelstair-standin/main.go
@@ -13,6 +13,7 @@
 	"keelstair.example/host"
 	"keelstair.example/ids"
 	"keelstair.example/internal/cli"
+	"keelstair.example/internal/connguard"
 	"keelstair.example/internal/settings"
 	"keelstair.example/internal/standin"
 	"keelstair.example/internal/workerclient"
@@ -101,13 +102,13 @@
 		})
 		mux := http.NewServeMux()
 		mux.Handle("/", w.Handler())
-		servers.Serve(ctx, c.Addr, mux)
+		servers.Serve(ctx, c.Addr, mux, connguard.Capacity{})
 		w.Run(ctx)
 	case o.Platform != nil:
 		p := standin.NewPlatform(host)
 		mux := http.NewServeMux()
 		mux.Handle("/", p.Handler())
-		servers.Serve(ctx, o.Platform.Addr, mux)
+		servers.Serve(ctx, o.Platform.Addr, mux, connguard.Capacity{})
 		p.Run(ctx)
 	case o.Load != nil:
 		runLoad(ctx, host, o.Load)
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"keelstair.example/host"
+	"keelstair.example/internal/connguard"
 	"keelstair.example/logging"
 	"keelstair.example/rpc"
 )
@@ -22,6 +23,9 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 }
 
+// unreadAnswerTimeout is how long a caller may leave an answer unread.
+const unreadAnswerTimeout = 20 * time.Second
+
 // Leaver hands over its roles to other processes before it shuts down.
 type Leaver interface {
 	Leave(ctx context.Context) error
@@ -73,15 +77,17 @@
 // NewServers returns servers on a host, which pass their errors to fail.
 func NewServers(host host.Host, fail func(error)) *Servers { return &Servers{host: host, fail: fail} }
 
-// Serve listens on addr and serves requests in the background until the context ends.
-func (s *Servers) Serve(ctx context.Context, addr string, handler http.Handler) {
+// Serve listens on addr and serves requests in the background until the context ends. The capacity bounds its
+// connections.
+func (s *Servers) Serve(ctx context.Context, addr string, handler http.Handler, capacity connguard.Capacity) {
 	listener, err := s.host.Net.Listen(addr)
 	if err != nil {
 		s.fail(err)
 		return
 	}
+	guard := connguard.New(connguard.Limits{Write: unreadAnswerTimeout}, capacity)
 	s.running.Go(func() {
-		if err := rpc.Serve(ctx, listener, handler); err != nil {
+		if err := rpc.Serve(ctx, guard.Listener(listener), handler); err != nil {
 			s.fail(err)
 		}
 	})
--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -1,27 +1,46 @@
-// Package connguard limits how long a client's connection may be idle between requests, and how
-// long the header of a request may take to arrive. Unlike the timeouts of http.Server, the limits
-// can change while the server runs and then apply to open connections as well, and a client whose
-// header takes too long receives status 408.
+// Package connguard limits what the connections of a server may hold, so that clients that do not behave cannot take
+// what others need.
 //
-// A connection is closed only while it has no request being served. A 408 guarantees that the
-// request was not and will not be executed, so the handler is not called for a connection that
-// has received one.
+// Limits bound the time of one connection: how long it may be idle between requests, how long the header of a request
+// may take to arrive, and how long a client may leave an answer unread. Unlike the timeouts of http.Server, they can
+// change while the server runs and then apply to open connections as well, and a client whose header takes too long
+// receives status 408.
+//
+// Capacity bounds all connections together: their number, and the memory of headers. When it is exceeded, connections
+// are closed for others, and first those that have been in their phase for the longest: a client that sends a whole
+// request is served, however many clients do not. What a connection may hold is bounded as well, by a small receive
+// buffer, so that a number of connections bounds the bytes that have arrived without being read.
+//
+// Invariants:
+//   - Except for a client that does not read its answer, a connection is closed only while no complete request is being
+//     served on it. A 408 guarantees that the request was not and will not be executed, so the handler is not called
+//     for a connection that has received one.
+//   - Connections that are kept for a further request, up to half of the capacity, do not give way to those whose first
+//     request is incomplete. Only while requests are served on all connections, so that others are refused, each closes
+//     at the end of its request.
+//   - The mutex of a connection is locked before that of the guard, and never two of connections.
 package connguard
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"maps"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"keelstair.example/host"
 )
 
 // Limits are the time limits for a client's connection. Zero means no limit.
 type Limits struct {
 	Header time.Duration // from the first byte of a request until its header is complete
 	Idle   time.Duration // without a byte, from a connection's start or the end of a response
+	Write  time.Duration // of one write, while the client does not read
 }
 
 // The limits that apply if the configuration does not set them.
@@ -32,12 +51,13 @@
 
 // FromMilliseconds returns the limits for values in milliseconds. A value of 0 or less selects the default.
 func FromMilliseconds(header, idle int) Limits {
-	limits := Limits{Header: DefaultHeader, Idle: DefaultIdle}
+	limits := Limits{Header: DefaultHeader, Idle: DefaultIdle, Write: DefaultIdle}
 	if header > 0 {
 		limits.Header = time.Duration(header) * time.Millisecond
 	}
 	if idle > 0 {
 		limits.Idle = time.Duration(idle) * time.Millisecond
+		limits.Write = limits.Idle
 	}
 	return limits
 }
@@ -48,15 +68,27 @@
 // writeTimeout limits how long sending timeoutResponse may take if the client does not read.
 const writeTimeout = time.Second
 
-// Guard enforces the limits for the connections of one server.
+// Guard enforces the limits and the capacity for the connections of one server.
 type Guard struct {
-	mu     sync.Mutex
-	limits Limits
-	open   map[*conn]bool
+	capacity        Capacity
+	closedForOthers atomic.Int64
+
+	mu          sync.Mutex
+	limits      Limits
+	open        map[*conn]bool
+	unfinished  queue     // connections whose first or next request is incomplete, or whose answer is complete
+	kept        queue     // connections that are idle after an answer
+	headerBytes int64     // memory of headers, without the allotments
+	refusedAt   time.Time // when a connection was last closed because requests are served on all others
 }
 
 // New returns a guard with the given initial limits.
-func New(limits Limits) *Guard { return &Guard{limits: limits, open: map[*conn]bool{}} }
+func New(limits Limits, capacity Capacity) *Guard {
+	return &Guard{limits: limits, capacity: capacity, open: map[*conn]bool{}}
+}
+
+// ClosedForOthers returns how many connections were closed because of the capacity.
+func (g *Guard) ClosedForOthers() int64 { return g.closedForOthers.Load() }
 
 // SetLimits changes the limits. They also apply to open connections, and the time that a connection has
 // already spent in its current phase counts towards them.
@@ -102,35 +134,71 @@
 	}
 }
 
-// Listener wraps a listener so that the limits apply to its connections.
-func (g *Guard) Listener(l net.Listener) net.Listener { return &listener{l, g} }
+// Listener wraps a listener so that the limits apply to its connections. It is an rpc.ServerListener; another server is
+// passed to Install.
+func (g *Guard) Listener(l net.Listener) net.Listener {
+	if g.capacity != (Capacity{}) {
+		host.SetReceiveBuffer(l, receiveBuffer) // a host without such buffers has none to bound
+	}
+	return &listener{l, g}
+}
 
 // Handler wraps a handler. It aborts requests whose connection has timed out instead of calling the
 // handler.
 func (g *Guard) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok && c.timedOut() {
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if c.timedOut() {
 			panic(http.ErrAbortHandler)
 		}
+		if r.Body != nil && r.Body != http.NoBody {
+			c.move(receiving)
+			r = r.WithContext(r.Context()) // the server looks at the body of its own request
+			r.Body = &trackedBody{r.Body, c}
+		}
+		defer c.move(finishing)
 		next.ServeHTTP(w, r)
 	})
 }
 
+// trackedBody is the body of a request. When it has been read, the request is complete.
+type trackedBody struct {
+	io.ReadCloser
+	conn *conn
+}
+
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.conn.move(serving)
+	}
+	return n, err
+}
+
 func (g *Guard) currentLimits() Limits {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.limits
 }
 
-// track adds an open connection, or removes a closed one.
-func (g *Guard) track(c *conn, open bool) {
+// track adds an open connection.
+func (g *Guard) track(c *conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if open {
-		g.open[c] = true
-	} else {
-		delete(g.open, c)
-	}
+	g.open[c] = true
+}
+
+// forget removes a connection. c.mu must be held.
+func (g *Guard) forget(c *conn) {
+	g.releaseHeader(c)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unplace(c)
+	delete(g.open, c)
 }
 
 type connKey struct{}
@@ -146,10 +214,11 @@
 		return nil, err
 	}
 	c := &conn{Conn: raw, guard: l.guard, since: time.Now()}
-	l.guard.track(c, true)
+	l.guard.track(c)
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.arm()
+	c.enter(idle)
+	c.mu.Unlock()
+	l.guard.keepWithinCapacity()
 	return c, nil
 }
 
@@ -159,44 +228,90 @@
 const (
 	idle          phase = iota // no byte of the next request has arrived
 	readingHeader              // the first byte of a request has arrived, but its header is not complete
-	serving                    // the header of a request is complete, but the response is not
+	receiving                  // the header of a request is complete, but its body has not been read
+	serving                    // the request is complete, but the response is not
+	finishing                  // the handler has returned, and the server may still send the end of the response
 	expired                    // the guard closed the connection because a limit was exceeded
 	closed
 )
 
+// Configure prepares a server, whose handler has been set, for the connections of the listener.
+func (l *listener) Configure(server *http.Server) {
+	l.guard.Install(server)
+	server.Handler = l.guard.Handler(server.Handler)
+}
+
 // conn is a client's connection.
 type conn struct {
 	net.Conn
 	guard *Guard
 
-	mu    sync.Mutex
-	phase phase
-	used  bool      // a byte has arrived
-	since time.Time // when the phase began
-	timer *time.Timer
+	writeBegan atomic.Int64 // Unix time of the running write in ns; 0 if there is none
+
+	mu         sync.Mutex
+	phase      phase
+	used       bool      // a byte has arrived
+	answered   bool      // a request has been answered
+	headerRead bool      // the end of the header being read has arrived
+	since      time.Time // when the phase began
+	timer      *time.Timer
+
+	// Guarded by guard.mu:
+	place        queued
+	headerMemory int64 // bytes
 }
 
 // Read reads from the connection and starts the header phase at the first byte of a request.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.mu.Lock()
-		c.used = true
-		if c.phase == idle {
-			c.enter(readingHeader)
-		}
-		c.mu.Unlock()
+	if n > 0 && c.arrived(p[:n]) {
+		c.guard.keepWithinCapacity()
 	}
 	return n, err
 }
 
+// arrived records bytes that have been read. It reports whether they belong to a header.
+func (c *conn) arrived(p []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.used = true
+	if c.phase == idle {
+		c.headerRead = false
+		c.enter(readingHeader)
+	}
+	if c.phase != readingHeader || c.headerRead {
+		return false
+	}
+	if end := bytes.Index(p, headerEnd); end >= 0 {
+		c.headerRead = true
+		p = p[:end]
+	}
+	c.guard.chargeHeader(c, int64(headerByteMemory*len(p)+headerLineMemory*bytes.Count(p, lineEnd)))
+	return true
+}
+
+var (
+	lineEnd   = []byte{'\n'}
+	headerEnd = []byte("\r\n\r\n")
+)
+
+// Write writes to the connection. It fails if the client reads nothing for too long.
+func (c *conn) Write(p []byte) (int, error) {
+	now := time.Now()
+	if limit := c.guard.currentLimits().Write; limit > 0 {
+		c.Conn.SetWriteDeadline(now.Add(limit))
+	}
+	c.writeBegan.Store(now.UnixNano())
+	defer c.writeBegan.Store(0)
+	return c.Conn.Write(p)
+}
+
 // closeIfUnused closes the connection unless a byte has arrived on it.
 func (c *conn) closeIfUnused() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.used {
-		c.phase = expired
-		c.Conn.Close()
+		c.abandon()
 	}
 }
 
@@ -212,10 +327,25 @@
 	case http.StateActive:
 		c.enter(serving)
 	case http.StateIdle:
+		c.answered = true
+		c.guard.releaseHeader(c)
+		if c.guard.mustTakeTurns() {
+			c.abandon()
+			return
+		}
 		c.enter(idle)
 	case http.StateClosed, http.StateHijacked:
 		c.enter(closed)
-		c.guard.track(c, false)
+		c.guard.forget(c)
+	}
+}
+
+// move enters a phase of a request that is being handled.
+func (c *conn) move(next phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != expired && c.phase != closed {
+		c.enter(next)
 	}
 }
 
@@ -229,6 +359,7 @@
 func (c *conn) enter(next phase) {
 	c.phase, c.since = next, time.Now()
 	c.arm()
+	c.guard.place(c)
 }
 
 // limit returns how long the current phase may last, or 0 for no limit. The caller holds mu.
@@ -269,6 +400,7 @@
 	}
 	headerTimedOut := c.phase == readingHeader
 	c.phase = expired
+	c.guard.forget(c)
 	c.mu.Unlock()
 	if headerTimedOut {
 		c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
--- a/internal/connguard/guard_test.go
+++ b/internal/connguard/guard_test.go
@@ -44,7 +44,7 @@
 // only when its connection has already received a 408.
 func TestExpiredIsNotServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := New(Limits{Header: time.Second})
+		g := New(Limits{Header: time.Second}, Capacity{})
 		c, client := acceptGuarded(t, g)
 		go client.Write([]byte("G"))
 		_, err := c.Read(make([]byte, 1))
@@ -67,7 +67,7 @@
 // set, and that a new limit also applies to an open connection.
 func TestServingHasNoLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := New(Limits{Header: time.Second, Idle: time.Second})
+		g := New(Limits{Header: time.Second, Idle: time.Second}, Capacity{})
 		c, client := acceptGuarded(t, g)
 		c.serverState(http.StateActive)
 		time.Sleep(time.Hour)
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -81,7 +81,9 @@
 	Drain func(context.Context) error
 	// ClientLimitsChanged is called with the limits of each version that comes into force.
 	ClientLimitsChanged func(fleetstate.ClientLimits)
-	Trace               func(Event)
+	// ConnectionsClosed returns how many connections of clients were closed so that others had room.
+	ConnectionsClosed func() int64
+	Trace             func(Event)
 	// MemoryLimit is the memory of the process in bytes, of which a share is for the bodies of requests. Without
 	// it, bodies may take 256 MiB.
 	MemoryLimit int64
@@ -277,6 +279,11 @@
 	n.metrics.RegisterGauge("keelstair_body_bytes", "Bytes of request bodies in memory.", func() float64 {
 		return float64(n.BodyBytes())
 	})
+	if closed := n.options.ConnectionsClosed; closed != nil {
+		n.metrics.RegisterGauge("keelstair_connections_closed", "Connections closed so that others had room.", func() float64 {
+			return float64(closed())
+		})
+	}
 	n.metrics.RegisterGauge("keelstair_evicted_bodies", "Bodies that were given up, so that no retry was possible.", func() float64 {
 		return float64(n.EvictedBodies())
 	})
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -192,7 +192,14 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-// Serve serves HTTP requests on l until ctx is done. The contexts of requests end with ctx. Serve returns
+// ServerListener is a listener that observes the connections of its server, for example to bound them.
+type ServerListener interface {
+	net.Listener
+	// Configure changes a server before it serves the connections of the listener.
+	Configure(server *http.Server)
+}
+
+// Serve serves HTTP requests on l, which may be a ServerListener, until ctx is done. The contexts of requests end with ctx. Serve returns
 // when the responses to the requests in progress are sent, shutdownTimeout after the end of ctx at the latest.
 func Serve(ctx context.Context, l net.Listener, handler http.Handler) error {
 	srv := &http.Server{
@@ -200,6 +207,9 @@
 		ReadHeaderTimeout: headerTimeout,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
+	if observer, ok := l.(ServerListener); ok {
+		observer.Configure(srv)
+	}
 	ended := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(ended)
