Control ports: large messages between processes share a memory

Found by asking at the other doors: the port of a controller for operators also takes the messages of other processes, up to 64 MiB each, and nothing bounded their sum.

Messages above 64 KiB, or without a stated length, now share a sixteenth of the memory until they are answered; smaller ones are passed on as before and cost nothing, as what they hold is bounded by the number of connections.

--- a/cmd/keelstair-controller/main.go
+++ b/cmd/keelstair-controller/main.go
@@ -82,8 +82,9 @@
 	shutdown, stop := cli.SignalContext()
 	defer stop()
 	ctx := cli.ShutdownContext(shutdown, core, ms(o.LeaveTimeoutMs), &cli.RequestGate{})
+	messages := http.NewServeMux()
+	core.Mount(messages)
 	mux := http.NewServeMux()
-	core.Mount(mux)
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		ok := core.Directory().Record().ClusterID != ""
 		code := http.StatusOK
@@ -96,7 +97,7 @@
 		api.WriteJSON(w, http.StatusOK, map[string]any{"leads": core.Leads(), "page": core.Directory().Exchange()})
 	})
 	servers := cli.NewServers(host, func(err error) { cli.ExitOnError("keelstair-controller", err) })
-	servers.Serve(ctx, o.Addr, mux, cli.ConnectionLimits(0, 0).Control())
+	servers.Serve(ctx, o.Addr, cli.LimitMessages(messages, mux, 0), cli.ConnectionLimits(0, 0).Control())
 	cli.ExitOnError("keelstair-controller", core.Run(ctx))
 	servers.Wait()
 }
--- a/internal/requestbody/handler.go
+++ b/internal/requestbody/handler.go
@@ -15,6 +15,7 @@
 	Next     http.Handler
 	Memory   *Memory
 	MaxBytes int64         // of a body
+	SkipUpTo int64         // bodies that state a length up to this are passed on without being read
 	Wait     time.Duration // how long a body may wait for memory
 	Timeout  time.Duration // how long reading a body may take
 	// Reject answers a request whose body was not read because of ErrFull or ErrTooSlow.
@@ -25,7 +26,7 @@
 // handler the error of reading it.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	switch {
-	case request.ContentLength == 0:
+	case request.ContentLength >= 0 && request.ContentLength <= h.SkipUpTo:
 		h.Next.ServeHTTP(w, request)
 	case request.ContentLength > h.MaxBytes:
 		w.Header().Set("Connection", "close")
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -50,8 +50,10 @@
 	return nil
 }
 
+// MaxMessageBytes is the largest size of a message.
+const MaxMessageBytes = 64 << 20
+
 const (
-	maxMessageBytes  = 64 << 20
 	minCompressBytes = 1024 // shorter responses are sent uncompressed
 
 	defaultTimeout  = time.Second // of a call whose context has no deadline
@@ -82,7 +84,7 @@
 			return connect.NewResponse(response), nil
 		},
 		connect.WithCodec(codec{}),
-		connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithReadMaxBytes(MaxMessageBytes),
 		connect.WithCompressMinBytes(minCompressBytes),
 	)
 	mux.Handle("/"+name, echoCallID(handler))
@@ -162,7 +164,7 @@
 	cached, ok := c.clients.Load(key)
 	if !ok {
 		cached, _ = c.clients.LoadOrStore(key, connect.NewClient[Req, Resp](c.httpClient, "http://"+key,
-			connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessageBytes)))
+			connect.WithCodec(codec{}), connect.WithReadMaxBytes(MaxMessageBytes)))
 	}
 	return cached.(*connect.Client[Req, Resp])
 }
