--- a/cmd/keelstair-platform/main.go
+++ b/cmd/keelstair-platform/main.go
@@ -251,22 +251,9 @@
 	}
 }
 
-func runRouter(s *platform.Settings, hangups <-chan os.Signal) error {
-	if err := s.ValidateNode(); err != nil {
-		return err
-	}
-	host, err := host.Real("")
-	if err != nil {
-		return err
-	}
-	programs, err := loadPrograms()
-	if err != nil {
-		return err
-	}
-	ring := cli.NewRing(s.Name)
-	log.SetOutput(ring)
-	server := platform.NewClientServer(connectionLimits(s).Clients())
-	options := proxy.Options{
+// routerOptions returns the options of a router node that follow from its settings and from its server for clients.
+func routerOptions(s *platform.Settings, host host.Host, ring *logging.Ring, server *platform.ClientServer) proxy.Options {
+	return proxy.Options{
 		Name:                s.Name,
 		Addr:                s.PeerAddr(),
 		Zone:                ids.Zone(s.Zone),
@@ -275,7 +262,6 @@
 		Ring:                ring,
 		Backend:             platform.NewWorkerBackend(host.Net, s.CloudAPIAddr),
 		ParseConfiguration:  (&platform.DocumentReader{}).Read,
-		Programs:            programs,
 		LeaseDuration:       s.LeaseDuration,
 		ApplyMax:            s.MaxApplyDelay,
 		ListRate:            s.ListsPerSecond,
@@ -289,6 +275,25 @@
 		ConnectionsClosed:   server.ConnectionsClosed,
 		MemoryLimit:         s.MemoryBytes,
 	}
+}
+
+func runRouter(s *platform.Settings, hangups <-chan os.Signal) error {
+	if err := s.ValidateNode(); err != nil {
+		return err
+	}
+	host, err := host.Real("")
+	if err != nil {
+		return err
+	}
+	programs, err := loadPrograms()
+	if err != nil {
+		return err
+	}
+	ring := cli.NewRing(s.Name)
+	log.SetOutput(ring)
+	server := platform.NewClientServer(connectionLimits(s).Clients())
+	options := routerOptions(s, host, ring, server)
+	options.Programs = programs
 	configureMetering(&options, s)
 	node, err := proxy.New(options)
 	if err != nil {
