Controllers: documents and large messages share one memory

They share one memory now, a sixteenth of the process's, and no body is larger than an eighth of the process's memory (284 MB: 35.5 MB, 184 MB: 23 MB, so that a document of 16 MiB still passes).

--- a/cmd/keelstair-controller/main.go
+++ b/cmd/keelstair-controller/main.go
@@ -97,7 +97,7 @@
 		api.WriteJSON(w, http.StatusOK, map[string]any{"leads": core.Leads(), "page": core.Directory().Exchange()})
 	})
 	servers := cli.NewServers(host, func(err error) { cli.ExitOnError("keelstair-controller", err) })
-	servers.Serve(ctx, o.Addr, cli.LimitMessages(messages, mux, 0), cli.ConnectionLimits(0, 0).Control())
+	servers.Serve(ctx, o.Addr, cli.NewLargeBodies(0).LimitMessages(messages, mux), cli.ConnectionLimits(0, 0).Control())
 	cli.ExitOnError("keelstair-controller", core.Run(ctx))
 	servers.Wait()
 }
--- a/cmd/keelstair-platform/documents_test.go
+++ b/cmd/keelstair-platform/documents_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"keelstair.example/internal/cli"
 	"keelstair.example/logging"
 	"keelstair.example/platform"
 )
@@ -21,7 +22,7 @@
 func TestLargeDocumentsShareMemory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const memoryBytes, largeDocument, smallDocument = 32 << 20, 1 << 20, 10 << 10
-		handler := operatorAPIs(&platform.Settings{MemoryBytes: memoryBytes}, nil, nil, logging.Discard())
+		handler := operatorAPIs(&platform.Settings{}, cli.NewLargeBodies(memoryBytes), nil, nil, logging.Discard())
 		put := func(body io.Reader, length int64) *httptest.ResponseRecorder {
 			request := httptest.NewRequest(http.MethodPut, "/configuration", body)
 			request.ContentLength = length
--- a/cmd/keelstair-platform/main.go
+++ b/cmd/keelstair-platform/main.go
@@ -152,9 +152,10 @@
 	reloadSeedsOnSIGHUP(ctx, hangups, core.Directory().SetSeeds)
 	messages := http.NewServeMux()
 	core.Mount(messages)
-	operators := gate.Handler(operatorAPIs(s, core.Caller(), core.Directory(), ring))
+	largeBodies := cli.NewLargeBodies(s.MemoryBytes)
+	operators := gate.Handler(operatorAPIs(s, largeBodies, core.Caller(), core.Directory(), ring))
 	servers := cli.NewServers(host, exitOnControllerError)
-	handler := cli.LimitMessages(messages, operators, s.MemoryBytes)
+	handler := largeBodies.LimitMessages(messages, operators)
 	servers.Serve(ctx, s.ControlAddr, handler, connectionLimits(s).Control())
 	err = core.Run(ctx)
 	servers.Wait()
@@ -162,16 +163,14 @@
 }
 
 const (
-	// documentMemoryShare: 1/documentMemoryShare of the process's memory is for documents that operators send. A
-	// document takes several times its length while it is parsed and stored.
-	documentMemoryShare = 16
-	documentWait        = 500 * time.Millisecond // for memory; operators turn to another node after a second
-	documentTimeout     = 30 * time.Second       // for the reading of a document, over a slow link
+	documentWait    = 500 * time.Millisecond // for memory; operators turn to another node after a second
+	documentTimeout = 30 * time.Second       // for the reading of a document, over a slow link
 )
 
 // operatorAPIs returns the handler for operators: the platform's API, and keelstair's own API.
 func operatorAPIs(
 	s *platform.Settings,
+	largeBodies *cli.LargeBodies,
 	caller *rpc.Caller,
 	directory *coordination.Directory,
 	ring *logging.Ring,
@@ -182,8 +181,8 @@
 	api.RegisterOperatorAPI(mux, &proxy.Operator{Caller: caller, Directory: directory, Zones: s.Zones})
 	return &requestbody.Handler{
 		Next:     mux,
-		Memory:   requestbody.NewMemory(s.MemoryBytes / documentMemoryShare),
-		MaxBytes: platform.MaxDocumentBytes,
+		Memory:   largeBodies.Memory,
+		MaxBytes: largeBodies.MaxBytes(platform.MaxDocumentBytes),
 		Wait:     documentWait,
 		Timeout:  documentTimeout,
 		Reject:   operator.RejectUnread,
@@ -207,9 +206,10 @@
 	reloadSeedsOnSIGHUP(ctx, hangups, directory.SetSeeds)
 	messages := http.NewServeMux()
 	directory.Serve(messages)
-	operators := gate.Handler(operatorAPIs(s, caller, directory, ring))
+	largeBodies := cli.NewLargeBodies(s.MemoryBytes)
+	operators := gate.Handler(operatorAPIs(s, largeBodies, caller, directory, ring))
 	servers := cli.NewServers(host, exitOnControllerError)
-	handler := cli.LimitMessages(messages, operators, s.MemoryBytes)
+	handler := largeBodies.LimitMessages(messages, operators)
 	servers.Serve(ctx, s.ControlAddr, handler, connectionLimits(s).Control())
 	directory.Run(ctx, func() bool { return false })
 	servers.Wait()
@@ -237,7 +237,8 @@
 func serveInternal(ctx context.Context, servers *cli.Servers, s *platform.Settings, node *proxy.Node) {
 	peers := http.NewServeMux()
 	node.Mount(peers)
-	servers.Serve(ctx, s.PeerAddr(), cli.LimitMessages(peers, http.NotFoundHandler(), s.MemoryBytes), connectionLimits(s).Peers())
+	handler := cli.NewLargeBodies(s.MemoryBytes).LimitMessages(peers, http.NotFoundHandler())
+	servers.Serve(ctx, s.PeerAddr(), handler, connectionLimits(s).Peers())
 	ready := http.NewServeMux()
 	ready.Handle("GET /readiness", platform.Readiness(node))
 	servers.Serve(ctx, s.ReadinessAddr, ready, connectionLimits(s).Probes())
--- a/cmd/keelstair-router/main.go
+++ b/cmd/keelstair-router/main.go
@@ -96,7 +96,7 @@
 	node.Mount(peerMux)
 	servers := cli.NewServers(host, func(err error) { cli.ExitOnError("keelstair-router", err) })
 	limits := cli.ConnectionLimits(memoryLimit, 0)
-	servers.Serve(serveCtx, o.Addr, cli.LimitMessages(peerMux, http.NotFoundHandler(), memoryLimit), limits.Peers())
+	servers.Serve(serveCtx, o.Addr, cli.NewLargeBodies(memoryLimit).LimitMessages(peerMux, http.NotFoundHandler()), limits.Peers())
 	servers.Serve(serveCtx, o.Frontend, node.FrontendHandler(), limits.Clients())
 	node.Run(ctx, ms(o.DrainTimeoutMs))
 	stopServing()
--- a/internal/cli/messages_test.go
+++ b/internal/cli/large_bodies_test.go
@@ -18,7 +18,7 @@
 		const memoryLimit, largeMessage = 16 << 20, 600 << 10
 		messages := http.NewServeMux()
 		messages.HandleFunc("/crux/a", func(w http.ResponseWriter, r *http.Request) { io.Copy(w, r.Body) })
-		handler := LimitMessages(messages, http.NotFoundHandler(), memoryLimit)
+		handler := NewLargeBodies(memoryLimit).LimitMessages(messages, http.NotFoundHandler())
 		send := func(path string, body io.Reader, length int64) *httptest.ResponseRecorder {
 			request := httptest.NewRequest(http.MethodPost, path, body)
 			request.ContentLength = length
@@ -41,5 +41,9 @@
 		client.Close()
 		require.Equal(t, text, (<-ended).Body.String())
 		require.Equal(t, text, send("/crux/a", strings.NewReader(text), -1).Body.String())
+		whole := send("/crux/a", strings.NewReader(strings.Repeat("x", memoryLimit/8)), memoryLimit/8)
+		require.Equal(t, memoryLimit/8, whole.Body.Len(), "larger than the memory for all, alone")
+		excess := send("/crux/a", strings.NewReader(strings.Repeat("x", memoryLimit/8+1)), memoryLimit/8+1)
+		require.Empty(t, excess.Body.String(), "larger than the process can hold several times")
 	})
 }
