connguard: peers' incomplete requests have the whole memory for connections

At servers that peers use, half of it was for incomplete requests: 368 connections with 184 MB, fewer than the nodes of a large fleet that may connect at once after a herd of restarts. It is all of it now (736).

--- a/internal/connguard/capacity.go
+++ b/internal/connguard/capacity.go
@@ -76,7 +76,7 @@
 // shared returns the capacity of a server with a share of the descriptors.
 func (p Process) shared(parts int) Capacity {
 	conns := p.descriptors(parts)
-	return Capacity{Conns: conns, Unfinished: min(conns, p.memoryConns()) / 2, HeaderBytes: p.headerBytes()}
+	return Capacity{Conns: conns, Unfinished: min(conns, p.memoryConns()), HeaderBytes: p.headerBytes()}
 }
 
 // memoryConns returns how many connections the memory for them holds.
