Silences of clients are measured by the steady clock

The silence of a body, and of a client that does not read, were measured by the time of day, which may jump: after a step forward, every body being read would have counted as silent and given way to others that wait, and every running write as stalled. Found by reading; no test steps the clock, as the tests' simulated time has no second clock.

An answer with a large header that is just being sent is left alone, too, while headers are over their memory.

--- a/internal/connguard/capacity.go
+++ b/internal/connguard/capacity.go
@@ -172,7 +172,7 @@
 	defer g.mu.Unlock()
 	capacity := g.capacity
 	if capacity.HeaderBytes > 0 && g.headerBytes > capacity.HeaderBytes {
-		if c := g.unfinished.first(func(c *conn) bool { return c.excessHeader() > 0 }); c != nil {
+		if c := g.unfinished.first(func(c *conn) bool { return c.excessHeader() > 0 && mayClose(c) }); c != nil {
 			return c, false
 		}
 	}
@@ -229,7 +229,7 @@
 
 // stalledConn returns a connection whose client does not read its answer, or nil. mu must be held.
 func (g *Guard) stalledConn() *conn {
-	now := time.Now().UnixNano()
+	now := int64(time.Since(g.began))
 	for c := range g.open {
 		if began := c.writeBegan.Load(); began != 0 && now-began > int64(stallTime) {
 			return c
--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -33,7 +33,7 @@
 	net.Conn
 	guard *Guard
 
-	writeBegan atomic.Int64 // Unix time of the running write in ns; 0 if there is none
+	writeBegan atomic.Int64 // when the running write began, in ns from the start of the guard; 0 if there is none
 
 	mu         sync.Mutex
 	phase      phase
@@ -88,7 +88,7 @@
 	if limit := c.guard.currentLimits().Write; limit > 0 {
 		c.Conn.SetWriteDeadline(now.Add(limit))
 	}
-	c.writeBegan.Store(now.UnixNano())
+	c.writeBegan.Store(max(1, int64(now.Sub(c.guard.began))))
 	defer c.writeBegan.Store(0)
 	return c.Conn.Write(p)
 }
--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -69,6 +69,7 @@
 
 // Guard enforces the limits and the capacity for the connections of one server.
 type Guard struct {
+	began           time.Time
 	capacity        Capacity
 	closedForOthers atomic.Int64
 
@@ -83,7 +84,7 @@
 
 // New returns a guard with the given initial limits.
 func New(limits Limits, capacity Capacity) *Guard {
-	return &Guard{limits: limits, capacity: capacity, open: map[*conn]bool{}}
+	return &Guard{began: time.Now(), limits: limits, capacity: capacity, open: map[*conn]bool{}}
 }
 
 // ClosedForOthers returns how many connections were closed because of the capacity.
--- a/internal/requestbody/body.go
+++ b/internal/requestbody/body.go
@@ -19,7 +19,7 @@
 	unknownLength bool // until it has been read
 	length        int
 	arrived       atomic.Int64 // bytes that have been read
-	arrivedAt     atomic.Int64 // Unix time in ns at which the last of them were read
+	arrivedAfter  atomic.Int64 // ns from the beginning of reading until the last of them were read
 	reserved      int64        // bytes counted by memory; guarded by memory.mu like all fields below
 	chunks        [][]byte
 	readers       int
--- a/internal/requestbody/pace.go
+++ b/internal/requestbody/pace.go
@@ -124,11 +124,8 @@
 
 // silence returns for how long nothing of the body has arrived, as a fraction of its timeout. memory.mu must be held.
 func (b *Body) silence(now time.Time) float64 {
-	lastArrival := b.pace.began
-	if at := b.arrivedAt.Load(); at != 0 {
-		lastArrival = time.Unix(0, at)
-	}
-	return float64(now.Sub(lastArrival)) / float64(b.pace.timeout)
+	silent := now.Sub(b.pace.began) - time.Duration(b.arrivedAfter.Load())
+	return float64(silent) / float64(b.pace.timeout)
 }
 
 // lag returns how far the body is behind an even pace, as a fraction of its timeout. A body of unknown length is
--- a/internal/requestbody/read.go
+++ b/internal/requestbody/read.go
@@ -104,7 +104,7 @@
 		n += k
 		if k > 0 {
 			b.arrived.Add(int64(k))
-			b.arrivedAt.Store(time.Now().UnixNano())
+			b.arrivedAfter.Store(int64(time.Since(b.pace.began)))
 		}
 		if err != nil || n == len(chunk) {
 			return n, err
