TestRestOfRejectedBodyEnds holds without the mechanism no longer

The ablation of the 3 s for the rest of a rejected body passed: the handler's own time for a body (10 s in the test) was still in force while the rest was read, and ended it, too.

--- a/internal/requestbody/handler_test.go
+++ b/internal/requestbody/handler_test.go
@@ -139,7 +139,7 @@
 // that was rejected, and against a part of it that is taken for another request.
 func TestRestOfRejectedBodyEnds(t *testing.T) {
 	h := newTestHandler()
-	h.Wait = 0
+	h.Wait, h.Timeout = 0, time.Hour
 	defer requireRead(t, h.Memory, 800<<10).Release()
 	server := httptest.NewServer(h)
 	defer server.Close()
