connguard: the servers of a router fit into its process together

Each server was within a quarter of its process's memory for incomplete requests and a sixteenth for headers, at its own port: with clients, peers and readiness checks pressed at once these made up to fifteen sixteenths, beside the quarter for bodies and the sixteenth for large messages, so more than there is.

Each server has its share now (peers an eighth, probes a sixteenth; those of clients and of controllers stay), in one table, and with bodies and large messages they are seven eighths of the memory and two thirds of the descriptors at most. Peers have 368 incomplete requests with 184 MB again: a router is called by few nodes at once, a controller, which all may call, keeps 736.

The memory of a process without a limit is one constant now, not two.

--- a/internal/cli/large_bodies.go
+++ b/internal/cli/large_bodies.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"keelstair.example/internal/connguard"
 	"keelstair.example/internal/requestbody"
 	"keelstair.example/rpc"
 )
@@ -15,9 +16,6 @@
 	largeBodyShare = 16
 	// largestBodyShare: no body is larger than 1/largestBodyShare of the process's memory.
 	largestBodyShare = 8
-	// unlimitedMemory is the memory in bytes of a process without a limit.
-	unlimitedMemory = 1 << 30
-
 	// smallMessage is the largest size in bytes of a message that is not large. What such messages hold is bounded by the
 	// number of connections.
 	smallMessage   = 64 << 10
@@ -34,7 +32,7 @@
 
 // NewLargeBodies returns the memory for large bodies of a process whose memory has a limit in bytes; 0 means no limit.
 func NewLargeBodies(memoryLimit int64) *LargeBodies {
-	memoryLimit = cmp.Or(memoryLimit, unlimitedMemory)
+	memoryLimit = cmp.Or(memoryLimit, connguard.DefaultMemory)
 	return &LargeBodies{
 		Memory:   requestbody.NewMemory(memoryLimit / largeBodyShare),
 		maxBytes: memoryLimit / largestBodyShare,
--- a/internal/connguard/capacity.go
+++ b/internal/connguard/capacity.go
@@ -27,22 +27,33 @@
 	turnTime = time.Second
 )
 
+// DefaultMemory is the memory in bytes of a process whose memory has no limit.
+const DefaultMemory = 1 << 30
+
 const (
-	connMemoryShare     = 4       // 1/connMemoryShare of the process's memory is for connections
-	headerMemoryShare   = 16      // 1/headerMemoryShare of the process's memory is for headers beyond the allotment
-	defaultMemory       = 1 << 30 // bytes, if the process's memory has no limit
-	reservedDescriptors = 200     // that are not for connections
-	minDescriptors      = 24      // for connections, however low the limit is
+	reservedDescriptors = 200 // that are not for connections
+	minDescriptors      = 24  // for connections, however low the limit is
 )
 
-// The shares of the descriptors for connections, in parts of descriptorParts. What a router does not accept is left for its
-// own connections to workers and peers.
+// share is the part of a process that is for the connections of one server.
+type share struct {
+	descriptors  int // in parts of descriptorParts
+	connMemory   int // in parts of memoryParts
+	headerMemory int // of headers beyond the allotment of each connection, in parts of memoryParts
+}
+
 const (
 	descriptorParts = 12
-	clientParts     = 4
-	peerParts       = 3
-	probeParts      = 1
-	controlParts    = 6
+	memoryParts     = 32
+)
+
+// The shares of the servers of a router fit into its process together, beside the quarter of its memory for bodies and a
+// third of its descriptors for its own connections to workers and peers.
+var (
+	clientShare  = share{descriptors: 4, connMemory: 8, headerMemory: 2}
+	peerShare    = share{descriptors: 3, connMemory: 4, headerMemory: 1}
+	probeShare   = share{descriptors: 1, connMemory: 2, headerMemory: 1}
+	controlShare = share{descriptors: 6, connMemory: 8, headerMemory: 2} // of a controller's only server
 )
 
 // Capacity bounds what all connections of a server hold together. A bound of 0 is none.
@@ -60,41 +71,31 @@
 
 // Clients returns the capacity of a router's server for clients.
 func (p Process) Clients() Capacity {
-	return Capacity{Conns: min(p.memoryConns(), p.descriptors(clientParts)), HeaderBytes: p.headerBytes()}
+	capacity := p.capacity(clientShare)
+	return Capacity{Conns: capacity.Unfinished, HeaderBytes: capacity.HeaderBytes}
 }
 
-// Peers returns the capacity of a router's server for peers. Their connections are many and hold little, so that only
-// those whose requests are incomplete are bounded by memory.
-func (p Process) Peers() Capacity { return p.shared(peerParts) }
+// Peers returns the capacity of a router's server for peers.
+func (p Process) Peers() Capacity { return p.capacity(peerShare) }
 
 // Probes returns the capacity of a router's server for readiness checks.
-func (p Process) Probes() Capacity { return p.shared(probeParts) }
+func (p Process) Probes() Capacity { return p.capacity(probeShare) }
 
 // Control returns the capacity of a controller's server, for operators and for the other processes.
-func (p Process) Control() Capacity { return p.shared(controlParts) }
-
-// shared returns the capacity of a server with a share of the descriptors.
-func (p Process) shared(parts int) Capacity {
-	conns := p.descriptors(parts)
-	return Capacity{Conns: conns, Unfinished: min(conns, p.memoryConns()), HeaderBytes: p.headerBytes()}
-}
-
-// memoryConns returns how many connections the memory for them holds.
-func (p Process) memoryConns() int {
-	return int(p.memory() / connMemoryShare / connMemory)
-}
-
-// descriptors returns a share of the descriptors for connections.
-func (p Process) descriptors(parts int) int {
-	return max(p.DescriptorLimit-reservedDescriptors, minDescriptors) * parts / descriptorParts
+func (p Process) Control() Capacity { return p.capacity(controlShare) }
+
+// capacity returns the capacity of a server with a share of the process. Connections of peers are many and hold little,
+// so that only those whose requests are incomplete are bounded by memory.
+func (p Process) capacity(s share) Capacity {
+	memory := cmp.Or(p.MemoryLimit, DefaultMemory) / memoryParts
+	conns := max(p.DescriptorLimit-reservedDescriptors, minDescriptors) * s.descriptors / descriptorParts
+	return Capacity{
+		Conns:       conns,
+		Unfinished:  min(conns, int(memory)*s.connMemory/connMemory),
+		HeaderBytes: memory * int64(s.headerMemory),
+	}
 }
 
-// headerBytes returns the memory for headers beyond the allotment of each connection.
-func (p Process) headerBytes() int64 { return p.memory() / headerMemoryShare }
-
-// memory returns the memory of the process in bytes.
-func (p Process) memory() int64 { return cmp.Or(p.MemoryLimit, defaultMemory) }
-
 // queue holds connections that may be closed for others, those that entered their phase first at its front.
 type queue struct{ list.List }
 
--- a/internal/connguard/capacity_test.go
+++ b/internal/connguard/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -280,3 +281,25 @@
 		require.Greater(t, capacity.HeaderBytes, int64(header)*clients/2, fmt.Sprint(memory))
 	}
 }
+
+// TestServersFitTheProcess guards against servers of a router that are within their bounds and together over those of
+// their process.
+func TestServersFitTheProcess(t *testing.T) {
+	for _, memory := range []int64{16 << 20, 64 << 20, 184 << 20, 284 << 20, 4 << 30, 0} {
+		for _, descriptors := range []int{1000, 4100, 1 << 20} {
+			process := Process{MemoryLimit: memory, DescriptorLimit: descriptors}
+			var conns int
+			var held int64
+			for _, capacity := range []Capacity{process.Clients(), process.Peers(), process.Probes()} {
+				conns += capacity.Conns
+				unfinished := cmp.Or(capacity.Unfinished, capacity.Conns)
+				held += int64(unfinished)*connMemory + capacity.HeaderBytes
+			}
+			require.Positive(t, process.Probes().Unfinished, "%+v", process)
+			const bodies, largeMessages = 1.0 / 4, 1.0 / 16
+			total := float64(cmp.Or(memory, DefaultMemory))
+			require.LessOrEqual(t, float64(held), total*(7.0/8-bodies-largeMessages), "%+v", process)
+			require.LessOrEqual(t, conns, (descriptors-reservedDescriptors)*2/3, "%+v", process)
+		}
+	}
+}
