--- a/cmd/keelstair-platform/main.go
+++ b/cmd/keelstair-platform/main.go
@@ -152,10 +152,8 @@
 	reloadSeedsOnSIGHUP(ctx, hangups, core.Directory().SetSeeds)
 	messages := http.NewServeMux()
 	core.Mount(messages)
-	largeBodies := cli.NewLargeBodies(s.MemoryBytes)
-	operators := gate.Handler(operatorAPIs(s, largeBodies, core.Caller(), core.Directory(), ring))
+	handler := controlHandler(s, messages, gate, core.Caller(), core.Directory(), ring)
 	servers := cli.NewServers(host, exitOnControllerError)
-	handler := largeBodies.LimitMessages(messages, operators)
 	servers.Serve(ctx, s.ControlAddr, handler, connectionLimits(s).Control())
 	err = core.Run(ctx)
 	servers.Wait()
@@ -167,6 +165,21 @@
 	documentTimeout = 30 * time.Second       // for the reading of a document, over a slow link
 )
 
+// controlHandler returns the handler of a control plane process: messages from other processes, and operators' requests
+// through the gate. Large bodies of both share a part of the memory.
+func controlHandler(
+	s *platform.Settings,
+	messages *http.ServeMux,
+	gate *cli.RequestGate,
+	caller *rpc.Caller,
+	directory *coordination.Directory,
+	ring *logging.Ring,
+) http.Handler {
+	largeBodies := cli.NewLargeBodies(s.MemoryBytes)
+	operators := gate.Handler(operatorAPIs(s, largeBodies, caller, directory, ring))
+	return largeBodies.LimitMessages(messages, operators)
+}
+
 // operatorAPIs returns the handler for operators: the platform's API, and keelstair's own API.
 func operatorAPIs(
 	s *platform.Settings,
@@ -206,10 +219,8 @@
 	reloadSeedsOnSIGHUP(ctx, hangups, directory.SetSeeds)
 	messages := http.NewServeMux()
 	directory.Serve(messages)
-	largeBodies := cli.NewLargeBodies(s.MemoryBytes)
-	operators := gate.Handler(operatorAPIs(s, largeBodies, caller, directory, ring))
+	handler := controlHandler(s, messages, gate, caller, directory, ring)
 	servers := cli.NewServers(host, exitOnControllerError)
-	handler := largeBodies.LimitMessages(messages, operators)
 	servers.Serve(ctx, s.ControlAddr, handler, connectionLimits(s).Control())
 	directory.Run(ctx, func() bool { return false })
 	servers.Wait()
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -201,8 +201,9 @@
 	Configure(server *http.Server)
 }
 
-// Serve serves HTTP requests on l, which may be a ServerListener, until ctx is done. The contexts of requests end with ctx. Serve returns
-// when the responses to the requests in progress are sent, shutdownTimeout after the end of ctx at the latest.
+// Serve serves HTTP requests on l, which may be a ServerListener, until ctx is done. The contexts of requests end with
+// ctx. Serve returns when the responses to the requests in progress are sent, shutdownTimeout after the end of ctx at the
+// latest.
 func Serve(ctx context.Context, l net.Listener, handler http.Handler) error {
 	srv := &http.Server{
 		Handler:           echoCallID(handler),
