connguard: bound the connections that have not been accepted

Found by asking what one client can hold before it is served.

Cause: what has arrived on connections that a process has not accepted is in its receive queues as well. The kernel keeps up to 4,096 of them (net.core.somaxconn), with 24 KiB each: 96 MiB, whatever the memory of the process.

The fix sets the accept queue by the memory of the process: shares of 1/32 for clients, 1/64 each for peers and readiness, 1/16 for the only server of a controller, at 32 KiB a connection. The sum of a router's shares stays at seven eighths: the port for readiness has half of its connections, and headers of peers and readiness half of their memory. At 284 MB the queue holds 284 connections of clients; a client beyond it is not refused, its system tries again.

Ruled out: accepting faster (nothing is accepted while the process does not run), smaller receive buffers (16 KiB, doubled, is what ordinary requests need in one piece).

--- a/internal/connguard/capacity.go
+++ b/internal/connguard/capacity.go
@@ -12,6 +12,8 @@
 	// connMemory is what a connection may hold in bytes: its receive buffer, the buffers and stacks of the server, and
 	// headers of headerAllotment.
 	connMemory = 64 << 10
+	// queuedConnMemory is what a connection that has not been accepted may hold in bytes, in its receive buffer.
+	queuedConnMemory = 2 * receiveBuffer
 	// headerAllotment is the memory in bytes of a header that does not count towards Capacity.HeaderBytes.
 	headerAllotment = 8 << 10
 	// headerByteMemory and headerLineMemory are the memory in bytes of a byte and of a line of a header while it is
@@ -40,26 +42,29 @@
 	descriptors  int // in parts of descriptorParts
 	connMemory   int // in parts of memoryParts
 	headerMemory int // of headers beyond the allotment of each connection, in parts of memoryParts
+	queuedMemory int // of connections that have not been accepted, in parts of memoryParts
 }
 
 const (
 	descriptorParts = 12
-	memoryParts     = 32
+	memoryParts     = 64
 )
 
 // The shares of the servers of a router fit into its process together, beside the quarter of its memory for bodies and a
 // third of its descriptors for its own connections to workers and peers.
 var (
-	clientShare  = share{descriptors: 4, connMemory: 8, headerMemory: 2}
-	peerShare    = share{descriptors: 3, connMemory: 4, headerMemory: 1}
-	probeShare   = share{descriptors: 1, connMemory: 2, headerMemory: 1}
-	controlShare = share{descriptors: 6, connMemory: 8, headerMemory: 2} // of a controller's only server
+	clientShare = share{descriptors: 4, connMemory: 16, headerMemory: 4, queuedMemory: 2}
+	peerShare   = share{descriptors: 3, connMemory: 8, headerMemory: 1, queuedMemory: 1}
+	probeShare  = share{descriptors: 1, connMemory: 2, headerMemory: 1, queuedMemory: 1}
+	// controlShare is of a controller's only server.
+	controlShare = share{descriptors: 6, connMemory: 16, headerMemory: 4, queuedMemory: 4}
 )
 
 // Capacity bounds what all connections of a server hold together. A bound of 0 is none.
 type Capacity struct {
 	Conns       int   // open connections
 	Unfinished  int   // of them, those whose first or next request is incomplete
+	Queued      int   // connections that have not been accepted
 	HeaderBytes int64 // memory of headers, without the allotment of each connection
 }
 
@@ -72,7 +77,8 @@
 // Clients returns the capacity of a router's server for clients.
 func (p Process) Clients() Capacity {
 	capacity := p.capacity(clientShare)
-	return Capacity{Conns: capacity.Unfinished, HeaderBytes: capacity.HeaderBytes}
+	capacity.Conns, capacity.Unfinished = capacity.Unfinished, 0
+	return capacity
 }
 
 // Peers returns the capacity of a router's server for peers.
@@ -92,6 +98,7 @@
 	return Capacity{
 		Conns:       conns,
 		Unfinished:  min(conns, int(memory)*s.connMemory/connMemory),
+		Queued:      int(memory) * s.queuedMemory / queuedConnMemory,
 		HeaderBytes: memory * int64(s.headerMemory),
 	}
 }
--- a/internal/connguard/capacity_test.go
+++ b/internal/connguard/capacity_test.go
@@ -293,9 +293,10 @@
 			for _, capacity := range []Capacity{process.Clients(), process.Peers(), process.Probes()} {
 				conns += capacity.Conns
 				unfinished := cmp.Or(capacity.Unfinished, capacity.Conns)
-				held += int64(unfinished)*connMemory + capacity.HeaderBytes
+				held += int64(unfinished)*connMemory + capacity.HeaderBytes + int64(capacity.Queued)*queuedConnMemory
 			}
 			require.Positive(t, process.Probes().Unfinished, "%+v", process)
+			require.Positive(t, process.Probes().Queued, "%+v", process)
 			const bodies, largeMessages = 1.0 / 4, 1.0 / 16
 			total := float64(cmp.Or(memory, DefaultMemory))
 			require.LessOrEqual(t, float64(held), total*(7.0/8-bodies-largeMessages), "%+v", process)
--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -9,7 +9,8 @@
 // Capacity bounds all connections together: their number, and the memory of headers. When it is exceeded, connections
 // are closed for others, and first those that have been in their phase for the longest: a client that sends a whole
 // request is served, however many clients do not. What a connection may hold is bounded as well, by a small receive
-// buffer, so that a number of connections bounds the bytes that have arrived without being read.
+// buffer, so that a number of connections bounds the bytes that have arrived without being read; so are the connections
+// that have not been accepted.
 //
 // Invariants:
 //   - Except for a client that does not read its answer, a connection is closed only while no complete request is being
@@ -140,6 +141,9 @@
 	if g.capacity != (Capacity{}) {
 		host.SetReceiveBuffer(l, receiveBuffer) // a host without such buffers has none to bound
 	}
+	if g.capacity.Queued > 0 {
+		host.SetAcceptQueue(l, g.capacity.Queued)
+	}
 	return &listener{l, g}
 }
 
