Answers' ends and continuations say who they met: confirmed ends, leftover bytes, version of the weights

An operator's log could not tell apart a stream whose worker ended it early, one whose end another process confirmed, and one that was continued by a worker of other weights: a confirmed end left no line, bytes behind the last event neither, and a continuation named no version.

--- a/internal/proxy/answer_end.go
+++ b/internal/proxy/answer_end.go
@@ -39,8 +39,11 @@
 	if reply.Framing != FramedByConnection {
 		return nil
 	}
+	endedAt := t.node.now()
 	err := t.node.confirmAlive(ctx, c.worker, c.state)
 	if err == nil {
+		t.node.options.Ring.Info().Str("request", t.request.ID).Str("worker", string(c.worker.ID)).
+			Str("after", t.lastEventID).Dur("waited", t.node.now().Since(endedAt)).Msg("end of answer is confirmed")
 		return nil
 	}
 	t.node.options.Ring.Warn().Str("request", t.request.ID).Str("worker", string(c.worker.ID)).
@@ -64,9 +67,9 @@
 	t.node.metrics.CountAnswerEnd(string(reply.Framing), string(end))
 }
 
-// recordContinuation counts and logs a stream that another worker continues.
-func (t *exchange) recordContinuation(c *candidate, first string) {
+// recordContinuation counts and logs a stream that another worker's answer continues.
+func (t *exchange) recordContinuation(c *candidate, reply *Response, first string) {
 	t.node.counts.Continuations.Add(1)
 	t.node.options.Ring.Info().Str("request", t.request.ID).Str("worker", string(c.worker.ID)).
-		Str("after", t.lastEventID).Str("first", first).Msg("stream continued")
+		Str("after", t.lastEventID).Str("first", first).Str("version", reply.ModelVersion).Msg("stream continued")
 }
--- a/internal/proxy/event_relay.go
+++ b/internal/proxy/event_relay.go
@@ -111,7 +111,7 @@
 		r.lastHasNoID.Store(true)
 	}
 	if r.eventNumber++; r.continues && r.eventNumber == 1 {
-		r.recordContinuation(r.candidate, id)
+		r.recordContinuation(r.candidate, r.reply, id)
 	}
 	return nil
 }
@@ -157,6 +157,10 @@
 			failure.OutcomeUnknown, "pass", r.candidate.worker.Addr, "the connection ended in the middle of an event",
 		)
 	}
+	if len(r.pending) > 0 {
+		r.node.options.Ring.Warn().Str("request", r.request.ID).Str("worker", string(r.candidate.worker.ID)).
+			Str("after", r.lastID).Int("bytes", len(r.pending)).Msg("bytes follow the last event")
+	}
 	if err := r.confirmEnd(ctx, r.candidate, r.reply); err != nil {
 		return err
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -80,7 +80,9 @@
 	Length     int64       // -1 if unknown
 	Framing    Framing
 	Body       io.ReadCloser
-	Load       *Load
+	// ModelVersion is the version of the weights that the answer begins with; empty if the worker names none.
+	ModelVersion string
+	Load         *Load
 }
 
 // Report is a worker's answer to a report request; its data may be some moments old.
