A worker's answer that ends with its connection is confirmed by a call that names the worker

A health check may wait for a slot, so a call has 500 ms in place of 250. Cost: one probe for the answers of a worker that end with their connections at the same time, as before one report.

--- a/internal/proxy/fake_platform_test.go
+++ b/internal/proxy/fake_platform_test.go
@@ -651,7 +651,7 @@
 	return report, nil
 }
 
-func (b *fakeBackend) CheckAlive(ctx context.Context, w Worker) error {
+func (b *fakeBackend) CheckAlive(ctx context.Context, w Worker, _ string) error {
 	worker, err := b.connect(ctx, w)
 	if err != nil {
 		return err
--- a/internal/proxy/liveness.go
+++ b/internal/proxy/liveness.go
@@ -14,8 +14,9 @@
 const (
 	// livenessTimeout is how long a worker has to show that it lives. One that is busy, or has too many connections,
 	// may fail some calls.
-	livenessTimeout = time.Second
-	livenessPause   = 50 * time.Millisecond // between two calls
+	livenessTimeout     = time.Second
+	livenessCallTimeout = livenessTimeout / 2   // a busy worker lets a health check wait for a slot
+	livenessPause       = 50 * time.Millisecond // between two calls
 )
 
 // livenessCheck asks a worker whether its process still runs. Only a call that begins after the question answers it.
@@ -90,7 +91,7 @@
 
 // callAlive makes one call of a liveness check.
 func (n *Node) callAlive(ctx context.Context, w *Worker) error {
-	ctx, stop := context.WithTimeout(ctx, healthCheckTimeout)
+	ctx, stop := context.WithTimeout(ctx, livenessCallTimeout)
 	defer stop()
-	return n.options.Backend.CheckAlive(ctx, *w)
+	return n.options.Backend.CheckAlive(ctx, *w, n.snapshot().Configuration.Services[w.Service].HealthCheckPath)
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -116,8 +116,9 @@
 	Free(ctx context.Context, w Worker, handle string) error
 	Report(ctx context.Context, w Worker) (*Report, error)
 	Order(ctx context.Context, w Worker, o *RoleOrder) error
-	// CheckAlive returns nil if this incarnation of the worker answered a call, and a Stale error if it is gone.
-	CheckAlive(ctx context.Context, w Worker) error
+	// CheckAlive returns nil if this incarnation of the worker answered a health check at the path, and a Stale error if
+	// it is gone. An answer that names no worker confirms none.
+	CheckAlive(ctx context.Context, w Worker, path string) error
 	Close()
 }
 
