A stream that ends within an event is cut, whatever marks its end

Callers saw streams that look complete and lack events: a worker that breaks off in the middle of an event and still ends its chunks in order (a server whose handler returns does that), or that announced a length up to there. The relay wrote what was left behind the last whole event and ended the answer, unless it ended with its connection; a part of an event that was forwarded because of its size counted as whole, too.

A part of an event is now a cut: a resumable stream goes on at another worker, another one doesn't look complete. Bytes that are no event, such as a comment or an empty line, are passed on as before (TestCommentBehindLastEventIsNoCut).

--- a/internal/proxy/answer_end.go
+++ b/internal/proxy/answer_end.go
@@ -27,6 +27,7 @@
 	endCut          answerEnd = "cut"          // the worker broke it off, or was given up
 	endUnconfirmed  answerEnd = "unconfirmed"  // its connection ended, and its worker did not confirm that it lives
 	endOutOfOrder   answerEnd = "out_of_order" // an event did not come after the last one
+	endPartial      answerEnd = "partial"      // it ended within an event
 	endDisconnected answerEnd = "disconnected" // the caller left, or the deadline passed
 )
 
@@ -61,6 +62,8 @@
 		end = endUnconfirmed
 	case errors.Is(err, errEventOrder):
 		end = endOutOfOrder
+	case errors.Is(err, errPartialEvent):
+		end = endPartial
 	case ctx.Err() != nil || errors.Is(err, errCallerDisconnected):
 		end = endDisconnected
 	}
--- a/internal/proxy/event_relay.go
+++ b/internal/proxy/event_relay.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"io"
-	"strconv"
 
 	"keelstair.example/failure"
 )
@@ -15,15 +14,16 @@
 const (
 	// maxPendingEvent is the number of bytes of an incomplete event that are held back until it is complete.
 	maxPendingEvent = 64 << 10
-	// maxEventEnd is the length in bytes of the longest end of an event.
-	maxEventEnd = len("\r\n\r\n")
 	// eventReadSize is the number of bytes that are read at a time.
 	eventReadSize = 8 << 10
 	// statusLinePrefix begins every HTTP/1 answer, and no field of an event.
 	statusLinePrefix = "HTTP/1."
 )
 
-var errEventOrder = errors.New("an event doesn't come after the last one")
+var (
+	errEventOrder   = errors.New("an event doesn't come after the last one")
+	errPartialEvent = errors.New("the answer ended within an event")
+)
 
 // eventRelay copies the events of one worker's answer to the caller.
 type eventRelay struct {
@@ -77,7 +77,7 @@
 func (r *eventRelay) forwardEvents() error {
 	length, err := 0, error(nil)
 	for err == nil {
-		event := firstEvent(r.pending[length:])
+		event := firstEvent(r.pending[length:], r.inEvent)
 		if event == nil || r.isNextAnswer(event) {
 			break
 		}
@@ -149,17 +149,13 @@
 	return err
 }
 
-// finish ends a stream that its worker has ended. Bytes after the last complete event are written
-// unchanged if the framing shows that the worker sent all that it meant to send.
+// finish ends a stream that its worker has ended. A part of an event is no event, whatever marks the end of the body: a
+// server whose handler fails may end its answer in order. What is left besides, such as a comment, is written unchanged.
 func (r *eventRelay) finish(ctx context.Context) error {
-	if r.reply.Framing == FramedByConnection && len(r.pending) > 0 {
-		return failure.New(
-			failure.OutcomeUnknown, "pass", r.candidate.worker.Addr, "the connection ended in the middle of an event",
-		)
-	}
-	if len(r.pending) > 0 {
+	if r.inEvent || hasField(r.pending) {
 		r.node.options.Ring.Warn().Str("request", r.request.ID).Str("worker", string(r.candidate.worker.ID)).
-			Str("after", r.lastID).Int("bytes", len(r.pending)).Msg("bytes follow the last event")
+			Str("after", r.lastID).Int("bytes", len(r.pending)).Msg("answer ended within an event")
+		return failure.As(errPartialEvent, failure.OutcomeUnknown, "pass", r.candidate.worker.Addr)
 	}
 	if err := r.confirmEnd(ctx, r.candidate, r.reply); err != nil {
 		return err
@@ -186,45 +182,3 @@
 	r.pending = nil
 	return r.finish(ctx)
 }
-
-// firstEvent returns the first event of p, with the blank line that ends it, or nil if none is complete.
-func firstEvent(p []byte) []byte {
-	length := 0
-	for _, end := range []string{"\n\n", "\r\n\r\n"} {
-		if i := bytes.Index(p, []byte(end)); i >= 0 && (length == 0 || i+len(end) < length) {
-			length = i + len(end)
-		}
-	}
-	if length == 0 {
-		return nil
-	}
-	return p[:length]
-}
-
-// eventID returns the id of an event, or an empty id if it has none.
-func eventID(event []byte) (id string) {
-	for line := range bytes.Lines(event) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(value))
-		}
-	}
-	return id
-}
-
-// hasField reports whether an event has more lines than comments.
-func hasField(event []byte) bool {
-	for line := range bytes.Lines(event) {
-		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
-			return true
-		}
-	}
-	return false
-}
-
-// isLaterEvent reports whether an event id is greater than an earlier one. Ids that are not numbers
-// cannot be compared, and the result is true for them.
-func isLaterEvent(id, before string) bool {
-	n, err := strconv.ParseInt(id, 10, 64)
-	last, errLast := strconv.ParseInt(before, 10, 64)
-	return err != nil || errLast != nil || n > last
-}
