A run is never joined to a body without events, or to an answer with another status

Callers on a resumable route could get a part of a body, or of an answer with status 404, and a whole run's events behind it: whether an answer may be continued was decided by the route and by whether its head was sent, not by what was sent. What can't be continued is now marked as sent in part, as a part of an event is; events of an answer that isn't 200 count as a body.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -54,7 +54,7 @@
 	usageCounted           bool        // the request is counted for usage metering
 	lastEventID            string      // id of the last event sent to the caller
 	lastHasNoID            atomic.Bool // an event without an id was sent after the one with lastEventID
-	partSent               atomic.Bool // a part of an event was sent before the event was complete
+	partSent               atomic.Bool // a part was sent that no other answer can continue: of an event, or of a body without events
 	timing                 exchangeTiming
 }
 
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -126,7 +126,7 @@
 	t.releaseBodyIfUnneeded()
 	t.trace(handoff.Resumed, c.worker.ID, "") // every answer that is relayed, also the first one
 	var err error
-	if reply.Events {
+	if reply.Events && reply.Status == http.StatusOK {
 		err = newEventRelay(t, c, reply).run(ctx)
 	} else {
 		err = t.relayBody(ctx, c, reply)
@@ -183,6 +183,7 @@
 			return failure.As(err, failure.OutcomeUnknown, "pass", "worker")
 		}
 		if k > 0 {
+			t.partSent.Store(true) // no other answer can continue a body
 			if err := t.beginAnswer(reply, reply.Length); err != nil {
 				return err
 			}
