A stream goes on with the weights that it began with

A resumable stream whose worker died went on at any other worker, also one of older weights: the caller got the pieces of two different runs as one, and the version of the weights that it sees went back (TestContinuationHasSameWeights failed: 2, then 1). A prompt read with one version of the weights was decoded with another in the same way (TestDecodeHasWeightsOfPrefill).

The continuation now expects the version of the last event that the caller has, told by the head or by an event's first line, and a decode that of the prompt's memory.

--- a/internal/proxy/decode_exchange.go
+++ b/internal/proxy/decode_exchange.go
@@ -90,7 +90,7 @@
 	body.times, body.lastByteAt = times, t.node.now()
 	body.probeTimer = time.AfterFunc(times.firstEvent.SuspicionTimeout(healthCheckSilence), func() { t.node.suspect(*c.worker) })
 	reply, err := t.node.options.Backend.Decode(
-		callContext, *c.worker, c.request, source, t.lastEventID, t.remaining(), c.urgency,
+		callContext, *c.worker, c.request, source, Received{t.lastEventID, t.modelVersion}, t.remaining(), c.urgency,
 	)
 	if err != nil {
 		body.stopTimers()
--- a/internal/proxy/event_relay.go
+++ b/internal/proxy/event_relay.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -34,13 +35,14 @@
 	inEvent     bool   // the beginning of the first pending event has been forwarded
 	lastID      string // the events after it are new to the caller; empty if all are
 	continues   bool   // the caller has events of another worker
+	version     string // of the weights, as of the last admitted event
 	eventNumber int    // events that were forwarded
 }
 
 // newEventRelay returns a relay of an answer. A caller that came with the id of an event has the events up to it, if the
 // route's streams can be resumed.
 func newEventRelay(t *exchange, c *candidate, reply *Response) *eventRelay {
-	r := &eventRelay{exchange: t, candidate: c, reply: reply, continues: t.headSent}
+	r := &eventRelay{exchange: t, candidate: c, reply: reply, continues: t.headSent, version: cmp.Or(reply.ModelVersion, t.modelVersion)}
 	if t.headSent || t.route.Resumable {
 		r.lastID = t.lastEventID
 	}
@@ -103,6 +105,9 @@
 			Str("after", r.lastID).Str("event", id).Msg("event out of order")
 		return failure.As(errEventOrder, failure.OutcomeUnknown, "pass", r.candidate.worker.Addr)
 	}
+	if version, ok := eventField(event, r.reply.ModelVersionField); ok {
+		r.version = version
+	}
 	switch {
 	case id != "":
 		r.lastID = id
@@ -131,6 +136,7 @@
 	if r.lastID != "" {
 		r.lastEventID = r.lastID
 	}
+	r.modelVersion = r.version
 	r.pending = append(r.pending[:0], r.pending[length:]...)
 	return nil
 }
--- a/internal/proxy/event_text.go
+++ b/internal/proxy/event_text.go
@@ -63,6 +63,15 @@
 	return id
 }
 
+// eventField returns the value of a field that is the first line of an event.
+func eventField(event []byte, name string) (value string, ok bool) {
+	if name == "" {
+		return "", false
+	}
+	text, ok := bytes.CutPrefix(event[:lineLength(event)], []byte(name+":"))
+	return string(bytes.TrimSpace(text)), ok
+}
+
 // hasField reports whether an event has more lines than comments.
 func hasField(event []byte) bool {
 	for line := range eventLines(event) {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -53,6 +53,7 @@
 	headSent               bool        // the caller has the response head
 	usageCounted           bool        // the request is counted for usage metering
 	lastEventID            string      // id of the last event sent to the caller
+	modelVersion           string      // version of the weights that the events sent to the caller come from
 	lastHasNoID            atomic.Bool // an event without an id was sent after the one with lastEventID
 	partSent               atomic.Bool // a part was sent that no other answer can continue: of an event, or of a body without events
 	timing                 exchangeTiming
@@ -348,6 +349,9 @@
 // dialStep is the step named in an error if no connection was established.
 const dialStep = "dial"
 
+// VersionStep is the step named in an error if a worker's weights have another version than expected.
+const VersionStep = "match version"
+
 // NotDialled returns the failure of a request that was never sent because no connection was
 // established.
 func NotDialled(err error, near string) error {
@@ -358,6 +362,8 @@
 func (t *exchange) recordWorkerError(ctx context.Context, c *candidate, err error, now ids.Tick) {
 	switch {
 	case failure.Is(err, failure.DataLost):
+	case failure.Step(err) == VersionStep:
+		t.tried[c.worker.ID] = true
 	case failure.Is(err, failure.Stale):
 		t.tried[c.worker.ID] = true
 		c.state.markReplaced()
--- a/internal/proxy/fake_platform_test.go
+++ b/internal/proxy/fake_platform_test.go
@@ -484,7 +484,8 @@
 	}
 }
 
-func (b *fakeBackend) Decode(ctx context.Context, w Worker, r *Request, source *Source, lastEventID string, remaining time.Duration, urgency int) (*Response, error) {
+func (b *fakeBackend) Decode(ctx context.Context, w Worker, r *Request, source *Source, received Received, remaining time.Duration, urgency int) (*Response, error) {
+	lastEventID := received.LastEventID
 	platform, unavailableFor := b.platform, b.knownUnavailableFor(w)
 	worker, err := b.connect(ctx, w)
 	if err != nil {
--- a/internal/proxy/prefill_exchange.go
+++ b/internal/proxy/prefill_exchange.go
@@ -113,7 +113,9 @@
 		t.node.recordOutcome(c, true)
 		t.prefilledAt = c
 		t.trace(handoff.Prefilled, c.worker.ID, "")
-		return &Source{Worker: *c.worker, Handle: outcome.memory.Handle}, true, nil
+		return &Source{
+			Worker: *c.worker, Handle: outcome.memory.Handle, ModelVersion: outcome.memory.ModelVersion,
+		}, true, nil
 	}
 	t.recordFailedPrefill(ctx, outcome)
 	if failure.Is(outcome.err, failure.NotExecuted) && failure.Step(outcome.err) == dialStep {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -60,15 +60,23 @@
 
 // PrefillResult is a worker's confirmation that it has prefilled a prompt and keeps the memory.
 type PrefillResult struct {
-	Handle string
-	Tokens int
-	Load   *Load
+	Handle       string
+	Tokens       int
+	ModelVersion string // version of the weights that it was read with; empty if the worker names none
+	Load         *Load
 }
 
 // Source identifies the prompt memory that the decode worker fetches.
 type Source struct {
-	Worker Worker
-	Handle string
+	Worker       Worker
+	Handle       string
+	ModelVersion string // version of the weights that the memory was made with; empty if unknown
+}
+
+// Received is what the caller has of an answer that another worker is to continue.
+type Received struct {
+	LastEventID  string // id of its last event; empty without one
+	ModelVersion string // version of the weights that it must go on with; empty if any will do
 }
 
 // Response is the beginning of a worker's answer, with its body to be read.
@@ -82,7 +90,9 @@
 	Body       io.ReadCloser
 	// ModelVersion is the version of the weights that the answer begins with; empty if the worker names none.
 	ModelVersion string
-	Load         *Load
+	// ModelVersionField is the name of the field by which an event's first line tells a new version.
+	ModelVersionField string
+	Load              *Load
 }
 
 // Report is a worker's answer to a report request; its data may be some moments old.
@@ -105,14 +115,14 @@
 }
 
 // Backend sends requests to workers. Its errors are failures of these kinds: NotExecuted if the request
-// was certainly not run, Stale if another incarnation has the address, DataLost if the prompt's memory
+// was certainly not run (with the step VersionStep if the worker's weights have another version), Stale if another incarnation has the address, DataLost if the prompt's memory
 // is unavailable and nothing was run, OutcomeUnknown if the request may have been run, and
 // InvalidArgument if a worker answered a prefill by running the request, or a report request by saying
 // that it is unhealthy.
 type Backend interface {
 	List(ctx context.Context) ([]Worker, error)
 	Prefill(ctx context.Context, w Worker, r *Request, timeout time.Duration, urgency int) (*PrefillResult, error)
-	Decode(ctx context.Context, w Worker, r *Request, source *Source, lastEventID string, timeout time.Duration, urgency int) (*Response, error)
+	Decode(ctx context.Context, w Worker, r *Request, source *Source, received Received, timeout time.Duration, urgency int) (*Response, error)
 	Free(ctx context.Context, w Worker, handle string) error
 	Report(ctx context.Context, w Worker) (*Report, error)
 	Order(ctx context.Context, w Worker, o *RoleOrder) error
