A resumable stream that ends with its connection is checked at another worker

What is decidable: another worker knows what comes after the last event. It has nothing, and the stream is complete, or it has the rest, which the caller gets. The cost is a run, so it is charged to the retry budget: any such end may use the share that hedges may use; that of a worker whose answers broke off in the last 10 s, or that leaves or isn't listed, all of it. A check that learns nothing in its time (twice the aim, at least half a second) leaves the end as it was, unless the worker was found to end streams early: then the end is a cut, which the caller of a resumable route can take up.

Undecidable, as before: the same on routes that aren't resumable, and an end in chunks between two events.

--- a/internal/proxy/answer_end.go
+++ b/internal/proxy/answer_end.go
@@ -27,6 +27,7 @@
 	endCut          answerEnd = "cut"          // the worker broke it off, or was given up
 	endUnconfirmed  answerEnd = "unconfirmed"  // its connection ended, and its worker did not confirm that it lives
 	endOutOfOrder   answerEnd = "out_of_order" // an event did not come after the last one
+	endShort        answerEnd = "short"        // it seemed complete, and another worker had later events
 	endPartial      answerEnd = "partial"      // it ended within an event
 	endDisconnected answerEnd = "disconnected" // the caller left, or the deadline passed
 )
--- a/internal/proxy/event_relay.go
+++ b/internal/proxy/event_relay.go
@@ -115,6 +115,9 @@
 	case hasField(event):
 		r.lastHasNoID.Store(true)
 	}
+	if hasField(event) {
+		r.disproveEnd()
+	}
 	if r.eventNumber++; r.continues && r.eventNumber == 1 {
 		r.recordContinuation(r.candidate, r.reply, id)
 	}
@@ -166,6 +169,9 @@
 	if err := r.confirmEnd(ctx, r.candidate, r.reply); err != nil {
 		return err
 	}
+	if r.beginEndCheck(r.candidate, r.reply) {
+		return uncheckedEndError(r.candidate)
+	}
 	if err := r.writeHead(r.reply, -1); err != nil {
 		return failure.As(errors.Join(errCallerDisconnected, err), failure.OutcomeUnknown, "pass", "caller")
 	}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -44,18 +44,19 @@
 	prefixes []uint64
 	tried    map[ids.WorkerID]bool
 
-	prefilledAt            *candidate  // the worker whose prompt memory has not been fetched yet
-	failedPrefillUncounted bool        // a failed prefill has not been charged to the retry budget yet
-	retryPaid              bool        // the next attempt was already charged, by a hedge
-	attemptsMade           int         // decodes, and prefills that were rejected or repeated
-	mayHaveRun             bool        // a worker may have run the request
-	sourceLost             bool        // a worker rejected the request because it could not fetch the prompt's memory
-	headSent               bool        // the caller has the response head
-	usageCounted           bool        // the request is counted for usage metering
-	lastEventID            string      // id of the last event sent to the caller
-	modelVersion           string      // version of the weights that the events sent to the caller come from
-	lastHasNoID            atomic.Bool // an event without an id was sent after the one with lastEventID
-	partSent               atomic.Bool // a part was sent that no other answer can continue: of an event, or of a body without events
+	prefilledAt            *candidate    // the worker whose prompt memory has not been fetched yet
+	failedPrefillUncounted bool          // a failed prefill has not been charged to the retry budget yet
+	retryPaid              bool          // the next attempt was already charged, by a hedge
+	attemptsMade           int           // decodes, and prefills that were rejected or repeated
+	mayHaveRun             bool          // a worker may have run the request
+	sourceLost             bool          // a worker rejected the request because it could not fetch the prompt's memory
+	headSent               bool          // the caller has the response head
+	usageCounted           bool          // the request is counted for usage metering
+	lastEventID            string        // id of the last event sent to the caller
+	modelVersion           string        // version of the weights that the events sent to the caller come from
+	lastHasNoID            atomic.Bool   // an event without an id was sent after the one with lastEventID
+	partSent               atomic.Bool   // a part was sent that no other answer can continue: of an event, or of a body without events
+	uncheckedEnd           *uncheckedEnd // an end that another worker is asked about; nil without one
 	timing                 exchangeTiming
 }
 
@@ -189,6 +190,13 @@
 
 // run makes attempts until the answer is complete, the attempts are used up or the deadline passes.
 func (t *exchange) run(ctx context.Context) error {
+	attemptContext, stop := context.WithCancel(ctx)
+	defer stop()
+	return t.settleEnd(ctx, t.runAttempts(attemptContext))
+}
+
+// runAttempts makes the attempts of run.
+func (t *exchange) runAttempts(ctx context.Context) error {
 	var source *Source
 	var reason error
 	if t.route.Disaggregated && t.lastEventID == "" {
@@ -213,6 +221,9 @@
 			return t.endRejected(rejected)
 		}
 		reason = err
+		if errors.Is(err, errUncheckedEnd) {
+			ctx = t.limitEndCheck(ctx)
+		}
 		switch failure.KindOf(err) {
 		case failure.OutcomeUnknown:
 			t.mayHaveRun = true
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -131,9 +131,13 @@
 	} else {
 		err = t.relayBody(ctx, c, reply)
 	}
+	if errors.Is(err, errUncheckedEnd) {
+		return err
+	}
 	t.countAnswerEnd(ctx, reply, err)
 	if err != nil && ctx.Err() == nil && !errors.Is(err, errCallerDisconnected) {
 		c.state.recordFailure(t.node.now())
+		c.state.recordBrokenAnswer(t.node.now(), false)
 		t.node.recordOutcome(c, false)
 		t.node.suspect(*c.worker)
 	}
--- a/internal/proxy/worker_state.go
+++ b/internal/proxy/worker_state.go
@@ -35,6 +35,7 @@
 	memory         memoryAccount
 	eventGap       eventGap
 	liveness       livenessCheck
+	trouble        answerTrouble
 }
 
 // state returns the state of a worker, and creates it if there is none.
