keelstair-testbed streams: broken ends, other weights, new lives at a listener, frozen routers, clients that resume

The soak's workers answered in one way and its clients waited for each answer, so it could show neither of the faults that were found since. Its workers now end bodies in order within an event, end connections early between two events, tell the version of their weights and refuse other ones, write CRLF, comments, ids with gaps and events over 64 KiB, and become another incarnation at the same listener; routers and controllers are frozen, too; clients give up, read slowly, and take up cut streams at any router; three operators read the document all the while, and its version must not fall. An early end of a living worker isn't decidable without a check, which the retry budget limits, so those that look complete are counted beside the violations.

--- a/cmd/keelstair-testbed/stream_checks.go
+++ b/cmd/keelstair-testbed/stream_checks.go
@@ -18,10 +18,10 @@
 
 // check returns an error for every violation. No fault began after lastFault.
 func (s *streamSoak) check(lastFault time.Time) error {
-	var violations []error
+	violations := s.violations
 	servedInCalm := 0
 	summary := newStreamSummary()
-	runs, err := s.countWorkerRuns()
+	runs, err := s.workerRuns()
 	if err != nil {
 		return err
 	}
@@ -30,9 +30,12 @@
 		if text := o.Violation(); text != "" {
 			violations = append(violations, fmt.Errorf("request %s to %s (%s): %s", o.ID, o.Path, o.Answer().Framing, text))
 		}
-		if n := runs[o.ID]; n > 1 && !o.MayRunAgain() {
+		if n := len(runs[o.ID]); n > 1 && !o.MayRunAgain() {
 			violations = append(violations, fmt.Errorf("request %s to %s ran %d times", o.ID, o.Path, n))
 		}
+		if text := mixedWeights(o.LastEventID, runs[o.ID]); text != "" {
+			violations = append(violations, fmt.Errorf("request %s to %s: %s", o.ID, o.Path, text))
+		}
 		if o.Whole() && o.sentAt.After(lastFault) {
 			servedInCalm++
 		}
@@ -42,31 +45,51 @@
 	}
 	summary.print(os.Stdout)
 	s.printRouterLogs()
+	fmt.Printf("early ends of living workers that look complete: %d of %d; documents read: %d, failed: %d\n",
+		summary.endedEarly, summary.mayEndEarly, s.readers.reads, s.readers.failed)
 	logf("seed %d: %d requests, version %d, %d violations", s.opt.Seed, len(s.outcomes), s.version, len(violations))
 	return errors.Join(violations...)
 }
 
-// countWorkerRuns returns how often each request was run, from the workers' logs.
-func (s *streamSoak) countWorkerRuns() (map[string]int, error) {
-	runs := map[string]int{}
+// workerRuns returns the runs of each attempt, from the workers' logs.
+func (s *streamSoak) workerRuns() (map[string][]workerstandin.Run, error) {
+	runs := map[string][]workerstandin.Run{}
 	for _, p := range s.processes("worker-") {
 		text, err := os.ReadFile(filepath.Join(s.opt.Dir, p.Name+".log"))
 		if err != nil {
 			return nil, err
 		}
 		for line := range strings.Lines(string(text)) {
-			if rest, ok := strings.CutPrefix(line, "run "); ok {
-				id, _, _ := strings.Cut(rest, " ")
-				runs[id]++
+			if run, ok := workerstandin.ParseRun(line); ok {
+				runs[run.AttemptID] = append(runs[run.AttemptID], run)
 			}
 		}
 	}
 	return runs, nil
 }
 
+// mixedWeights returns how the runs of one attempt go on with weights that no earlier run of it had, or an empty text. The
+// client had the events up to an id before.
+func mixedWeights(before int, runs []workerstandin.Run) string {
+	for _, later := range runs {
+		if later.LastEventID == before {
+			continue
+		}
+		if !slices.ContainsFunc(runs, func(earlier workerstandin.Run) bool {
+			return earlier.LastEventID < later.LastEventID && earlier.Weights == later.Weights
+		}) {
+			return fmt.Sprintf("the run after event %d has weights %d, which no run before it had", later.LastEventID, later.Weights)
+		}
+	}
+	return ""
+}
+
 // printRouterLogs prints how often the routers logged each message about the end or the order of an answer.
 func (s *streamSoak) printRouterLogs() {
-	for _, message := range []string{"end of answer is not confirmed", "another answer follows the stream", "event out of order"} {
+	for _, message := range []string{
+		"end of answer is not confirmed", "worker ended a stream early", "answer ended within an event",
+		"another answer follows the stream", "event out of order",
+	} {
 		count := 0
 		for _, p := range s.processes(routerRole + "-") {
 			text, _ := os.ReadFile(filepath.Join(s.opt.Dir, p.Name+".log"))
@@ -77,22 +100,33 @@
 }
 
 // streamSummary counts outcomes by the framing of their answers.
-type streamSummary map[workerstandin.Framing]*framingSummary
+type streamSummary struct {
+	byFraming               map[workerstandin.Framing]*framingSummary
+	endedEarly, mayEndEarly int // answers that look complete where a living worker ended them, and all that it may end so
+}
 
 type framingSummary struct {
-	whole, cut, cutAtEnd, refused, failed int
-	endDelays                             []time.Duration
+	whole, cut, cutAtEnd, gaveUp, refused, failed int
+	endDelays                                     []time.Duration
 }
 
-func newStreamSummary() streamSummary {
-	return streamSummary{
+func newStreamSummary() *streamSummary {
+	return &streamSummary{byFraming: map[workerstandin.Framing]*framingSummary{
 		workerstandin.Length: {}, workerstandin.Chunks: {}, workerstandin.Connection: {},
-	}
+	}}
 }
 
-func (s streamSummary) add(o *workerstandin.Outcome) {
-	f := s[o.Answer().Framing]
+func (s *streamSummary) add(o *workerstandin.Outcome) {
+	a := o.Answer()
+	if a.Break == workerstandin.EarlyEnd && o.Status == http.StatusOK && o.LastEventID == 0 {
+		s.mayEndEarly++
+	}
+	f := s.byFraming[a.Framing]
 	switch {
+	case o.EndedEarly():
+		s.endedEarly++
+	case o.GaveUp:
+		f.gaveUp++
 	case o.Whole():
 		f.whole++
 		f.endDelays = append(f.endDelays, o.EndDelay)
@@ -107,11 +141,11 @@
 	}
 }
 
-func (s streamSummary) print(w io.Writer) {
-	fmt.Fprintln(w, "framing     whole   cut  cut at end  refused  failed  end delay ms: median  p99")
+func (s *streamSummary) print(w io.Writer) {
+	fmt.Fprintln(w, "framing     whole   cut  cut at end  given up  refused  failed  end delay ms: median  p99")
 	for _, framing := range []workerstandin.Framing{workerstandin.Length, workerstandin.Chunks, workerstandin.Connection} {
-		f := s[framing]
-		fmt.Fprintf(w, "%-10s %6d %5d %11d %8d %7d %21.1f %4.1f\n", framing, f.whole, f.cut, f.cutAtEnd, f.refused, f.failed,
+		f := s.byFraming[framing]
+		fmt.Fprintf(w, "%-10s %6d %5d %11d %9d %8d %7d %21.1f %4.1f\n", framing, f.whole, f.cut, f.cutAtEnd, f.gaveUp, f.refused, f.failed,
 			quantileMs(f.endDelays, 0.5), quantileMs(f.endDelays, 0.99))
 	}
 }
--- a/cmd/keelstair-testbed/stream_faults.go
+++ b/cmd/keelstair-testbed/stream_faults.go
@@ -17,7 +17,8 @@
 const (
 	leaveNotice     = 3500 * time.Millisecond // from the list's notice that a worker leaves to its SIGTERM
 	crashedListTime = 2 * time.Second         // for which the list names a worker that is gone
-	documentPause   = 900 * time.Millisecond
+	maxFreeze       = 2500 * time.Millisecond // of a router or a controller
+	otherWeights    = 4                       // every so many incarnations have other weights
 )
 
 // streamWorkerSlot is the place of one worker, which one incarnation after another takes.
@@ -25,6 +26,7 @@
 	number      int
 	zone        string
 	incarnation int
+	renewed     int // incarnations at the same listener after the first
 	addr        string
 	process     *process
 	busy        bool // a fault is in progress
@@ -36,9 +38,21 @@
 }
 
 func (slot *streamWorkerSlot) id() string {
+	return workerstandin.RenewedID(slot.processName(), slot.renewed)
+}
+
+func (slot *streamWorkerSlot) processName() string {
 	return fmt.Sprintf("worker-%d-%d", slot.number, slot.incarnation)
 }
 
+// weights returns the version of the weights of the slot's incarnation.
+func (slot *streamWorkerSlot) weights() int {
+	if (slot.number+slot.incarnation)%otherWeights == 0 {
+		return 2
+	}
+	return 1
+}
+
 // listed returns the entry of the slot's worker in the list.
 func (slot *streamWorkerSlot) listed() workerstandin.ListedWorker {
 	return workerstandin.ListedWorker{ID: slot.id(), Addr: slot.addr, Zone: slot.zone}
@@ -47,10 +61,11 @@
 // startWorker starts the next incarnation of a worker at an address and lists it.
 func (s *streamSoak) startWorker(slot *streamWorkerSlot, addr string) error {
 	slot.incarnation++
+	slot.renewed = 0
 	slot.addr = addr
 	slot.process = &process{
-		Name: slot.id(), Kind: "testbed", Zone: ids.Zone(slot.zone), Addr: addr,
-		args: []string{"stream-worker", "--id", slot.id(), "--addr", addr},
+		Name: slot.processName(), Kind: "testbed", Zone: ids.Zone(slot.zone), Addr: addr,
+		args: []string{"stream-worker", "--id", slot.id(), "--addr", addr, "--weights", fmt.Sprint(slot.weights())},
 	}
 	if err := s.addProcess(slot.process); err != nil {
 		return err
@@ -77,6 +92,14 @@
 			s.list.Remove(old.ID)
 			s.logError(s.startWorker(slot, old.Addr))
 		}},
+		{"another incarnation at the same listener", func(slot *streamWorkerSlot, _ time.Duration) {
+			old := slot.id()
+			slot.process.signal(syscall.SIGUSR1)
+			slot.renewed++
+			s.list.Put(slot.listed())
+			time.Sleep(crashedListTime)
+			s.list.Remove(old)
+		}},
 		{"freeze, then kill", func(slot *streamWorkerSlot, pause time.Duration) {
 			slot.process.signal(syscall.SIGSTOP)
 			time.Sleep(pause / 4)
@@ -131,9 +154,7 @@
 		case kind < 9:
 			s.signalRouter()
 		default:
-			controllers := s.processes(controllerRole + "-")
-			signals := []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}
-			s.signalAndRestart(controllers[s.rng.IntN(len(controllers))], signals[s.rng.IntN(len(signals))])
+			s.signalController()
 		}
 	}
 }
@@ -168,7 +189,9 @@
 func (s *streamSoak) signalRouter() {
 	routers := s.processes(routerRole + "-")
 	first := s.rng.IntN(len(routers))
-	switch s.rng.IntN(4) {
+	switch s.rng.IntN(5) {
+	case 4:
+		s.freeze(routers[first])
 	case 0:
 		s.terminateAndRestart(routers[first])
 	case 1:
@@ -184,12 +207,33 @@
 	}
 }
 
-// changeDocument applies one version of the document after the other until the context ends.
-func (s *streamSoak) changeDocument(ctx context.Context) {
-	s.version = 1
-	for sent := 2; host.Sleep(ctx, documentPause); sent++ {
-		if err := s.putDocument(s.version, sent); err == nil {
-			s.version = sent
-		}
+// signalController ends a random controller, or freezes it.
+func (s *streamSoak) signalController() {
+	controllers := s.processes(controllerRole + "-")
+	p := controllers[s.rng.IntN(len(controllers))]
+	switch s.rng.IntN(3) {
+	case 0:
+		s.signalAndRestart(p, syscall.SIGTERM)
+	case 1:
+		s.signalAndRestart(p, syscall.SIGKILL)
+	case 2:
+		s.freeze(p)
+	}
+}
+
+// freeze stops a process for a while. It may be killed meanwhile.
+func (s *streamSoak) freeze(p *process) {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	if !p.running() {
+		return
 	}
+	duration := time.Duration(s.rng.Int64N(int64(maxFreeze)))
+	logf("%s: frozen for %v", p.Name, duration)
+	frozen := p.cmd.Process
+	frozen.Signal(syscall.SIGSTOP)
+	s.restarts.Go(func() {
+		time.Sleep(duration)
+		frozen.Signal(syscall.SIGCONT)
+	})
 }
--- a/cmd/keelstair-testbed/stream_fleet.go
+++ b/cmd/keelstair-testbed/stream_fleet.go
@@ -138,15 +138,3 @@
 	s.procs = append(s.procs, p)
 	return nil
 }
-
-// putDocument sends a version of the document that replaces another one to a random controller.
-func (s *streamSoak) putDocument(base, version int) error {
-	addr := s.machines[rand.IntN(controllerCount)].ControlAddr
-	request, err := workerstandin.DocumentUpdate{Base: base, Version: version}.NewRequest(addr)
-	if err != nil {
-		return err
-	}
-	client := http.Client{Timeout: time.Second}
-	response, err := client.Do(request)
-	return decodeResponse(response, err, nil)
-}
--- a/cmd/keelstair-testbed/streams.go
+++ b/cmd/keelstair-testbed/streams.go
@@ -5,11 +5,11 @@
 
 import (
 	"context"
-	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 
 	"keelstair.example/internal/settings"
@@ -28,8 +28,9 @@
 }
 
 type streamWorkerCmd struct {
-	ID   string `arg:"--id,required" help:"id of this incarnation"`
-	Addr string `arg:"--addr,required" help:"address to serve"`
+	ID      string `arg:"--id,required" help:"id of this incarnation"`
+	Addr    string `arg:"--addr,required" help:"address to serve"`
+	Weights int    `arg:"--weights" help:"version of the weights"`
 }
 
 // check returns an error for numbers that a run can't have.
@@ -53,9 +54,11 @@
 	listener net.Listener
 	workers  []*streamWorkerSlot
 
-	stateMu  sync.Mutex
-	outcomes []*timedOutcome
-	version  int // the newest acknowledged version of the document
+	stateMu    sync.Mutex
+	outcomes   []*timedOutcome
+	version    int // the newest acknowledged version of the document
+	readers    documentReaders
+	violations []error // what was seen during the run
 }
 
 // timedOutcome is an outcome with the time at which its request was sent.
@@ -64,13 +67,22 @@
 	sentAt time.Time
 }
 
-// runStreamWorker serves as a worker until the context ends and the answers that have begun are complete.
+// runStreamWorker serves as a worker until the context ends and the answers that have begun are complete. At SIGUSR1 it
+// becomes another incarnation.
 func runStreamWorker(ctx context.Context, c *streamWorkerCmd) error {
+	worker := &workerstandin.Worker{ID: c.ID, Weights: c.Weights, Runs: os.Stdout}
+	renewals := make(chan os.Signal, 1)
+	signal.Notify(renewals, syscall.SIGUSR1)
+	go func() {
+		for range renewals {
+			worker.Renew()
+		}
+	}()
 	listener, err := net.Listen("tcp", c.Addr)
 	if err != nil {
 		return err
 	}
-	return (&workerstandin.Worker{ID: c.ID, Runs: os.Stdout}).Serve(ctx, listener)
+	return worker.Serve(ctx, listener)
 }
 
 func runStreams(ctx context.Context, c *streamsCmd) error {
@@ -91,6 +103,9 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { s.injectFaults(faultCtx) })
 	tasks.Go(func() { s.changeDocument(faultCtx) })
+	for range controllerCount {
+		tasks.Go(func() { s.readDocuments(loadCtx) })
+	}
 	for n := range c.Clients {
 		tasks.Go(func() { s.sendRequests(loadCtx, n) })
 	}
@@ -98,18 +113,3 @@
 	s.restarts.Wait()
 	return s.check(lastFault)
 }
-
-// sendRequests sends requests of one client until the context ends.
-func (s *streamSoak) sendRequests(ctx context.Context, number int) {
-	rng := rand.New(rand.NewPCG(s.opt.Seed, uint64(number)+1))
-	client := &workerstandin.Client{Pick: func() string { return s.machines[rng.IntN(len(s.machines))].FrontendAddr }}
-	defer client.Close()
-	for n := 0; ctx.Err() == nil; n++ {
-		sentAt := time.Now()
-		o := client.Send(fmt.Sprintf("%d-%d-%d", s.opt.Seed, number, n), workerstandin.Routes[rng.IntN(len(workerstandin.Routes))])
-		s.stateMu.Lock()
-		s.outcomes = append(s.outcomes, &timedOutcome{o, sentAt})
-		s.stateMu.Unlock()
-		time.Sleep(time.Duration(rng.IntN(150)) * time.Millisecond)
-	}
-}
