keelstair-testbed streams: split reading and writing, orders, usage reports, and the numbers that they bear

No run had workers that read prompts for others while either end is killed, and nobody had looked at the other sense of the rule, a number that goes back. The soak's workers may now read prompts (handles that are taken once), continue them, and change their phase by orders; the platform takes usage reports of tenants. Checked as it goes, per source and per observer: the version of the document that three operators read at any controller, the fences of orders at each worker and their owners, the fences, owners, windows and counts of usage reports, the weights within a stream, and whose memory a run took.

--- a/cmd/keelstair-testbed/stream_checks.go
+++ b/cmd/keelstair-testbed/stream_checks.go
@@ -21,10 +21,16 @@
 	violations := s.violations
 	servedInCalm := 0
 	summary := newStreamSummary()
-	runs, err := s.workerRuns()
+	logs, err := s.readWorkerLogs()
 	if err != nil {
 		return err
 	}
+	runs := logs.runs
+	violations = append(violations, logs.violations...)
+	windows, usageViolations := s.usage.Result()
+	for _, text := range usageViolations {
+		violations = append(violations, fmt.Errorf("usage report: %s", text))
+	}
 	for _, o := range s.outcomes {
 		summary.add(o.Outcome)
 		if text := o.Violation(); text != "" {
@@ -45,27 +51,65 @@
 	}
 	summary.print(os.Stdout)
 	s.printRouterLogs()
-	fmt.Printf("early ends of living workers that look complete: %d of %d; documents read: %d, failed: %d\n",
-		summary.endedEarly, summary.mayEndEarly, s.readers.reads, s.readers.failed)
+	fmt.Printf("early ends of living workers that look complete: %d of %d; documents read: %d, failed: %d; orders: %d; windows: %d\n",
+		summary.endedEarly, summary.mayEndEarly, s.readers.reads, s.readers.failed, logs.orders, windows)
 	logf("seed %d: %d requests, version %d, %d violations", s.opt.Seed, len(s.outcomes), s.version, len(violations))
 	return errors.Join(violations...)
 }
 
-// workerRuns returns the runs of each attempt, from the workers' logs.
-func (s *streamSoak) workerRuns() (map[string][]workerstandin.Run, error) {
-	runs := map[string][]workerstandin.Run{}
+// workerLogs is what the workers of a run wrote.
+type workerLogs struct {
+	runs       map[string][]workerstandin.Run // by attempt
+	orders     int
+	fences     map[string]*workerstandin.FenceObserver // by worker
+	owners     map[uint64]string                       // by fence
+	violations []error
+}
+
+// readWorkerLogs reads the logs of all workers.
+func (s *streamSoak) readWorkerLogs() (*workerLogs, error) {
+	logs := &workerLogs{
+		runs: map[string][]workerstandin.Run{}, fences: map[string]*workerstandin.FenceObserver{}, owners: map[uint64]string{},
+	}
 	for _, p := range s.processes("worker-") {
 		text, err := os.ReadFile(filepath.Join(s.opt.Dir, p.Name+".log"))
 		if err != nil {
 			return nil, err
 		}
 		for line := range strings.Lines(string(text)) {
-			if run, ok := workerstandin.ParseRun(line); ok {
-				runs[run.AttemptID] = append(runs[run.AttemptID], run)
-			}
+			logs.add(line)
+		}
+	}
+	return logs, nil
+}
+
+// add adds a line of a worker's log.
+func (l *workerLogs) add(line string) {
+	if run, ok := workerstandin.ParseRun(line); ok {
+		l.runs[run.AttemptID] = append(l.runs[run.AttemptID], run)
+		if run.IsForeign() {
+			l.violations = append(l.violations, fmt.Errorf("request %s took the memory of %s", run.AttemptID, run.ReadFor))
 		}
 	}
-	return runs, nil
+	if order, ok := workerstandin.ParseOrder(line); ok {
+		l.addOrder(order)
+	}
+}
+
+// addOrder checks an order against those before it, of the same worker and with the same fence.
+func (l *workerLogs) addOrder(o workerstandin.Order) {
+	l.orders++
+	if l.fences[o.Worker] == nil {
+		l.fences[o.Worker] = &workerstandin.FenceObserver{}
+	}
+	text := l.fences[o.Worker].Observe(o.Owner, o.Fence)
+	if owner := l.owners[o.Fence]; text == "" && owner != "" && owner != o.Owner {
+		text = fmt.Sprintf("fence %d has the owners %s and %s", o.Fence, owner, o.Owner)
+	}
+	l.owners[o.Fence] = o.Owner
+	if text != "" {
+		l.violations = append(l.violations, fmt.Errorf("order to %s: %s", o.Worker, text))
+	}
 }
 
 // mixedWeights returns how the runs of one attempt go on with weights that no earlier run of it had, or an empty text. The
--- a/cmd/keelstair-testbed/stream_clients.go
+++ b/cmd/keelstair-testbed/stream_clients.go
@@ -13,6 +13,7 @@
 
 const (
 	maxClientAttempts = 3
+	splitShare        = 3  // one in so many requests has its prompt read by another worker
 	giveUpShare       = 12 // one in so many requests is given up
 	slowReadShare     = 20 // one in so many answers is read slowly
 	slowReadPause     = 150 * time.Millisecond
@@ -32,14 +33,19 @@
 	defer connections.Close()
 	client := &streamClient{connections, s, rng}
 	for n := 0; ctx.Err() == nil; n++ {
-		client.sendUntilWhole(fmt.Sprintf("%d-%d-%d", s.opt.Seed, number, n), workerstandin.Routes[rng.IntN(len(workerstandin.Routes))])
+		paths := workerstandin.Routes
+		if s.opt.Split > 0 && rng.IntN(splitShare) == 0 {
+			paths = workerstandin.SplitRoutes
+		}
+		client.sendUntilWhole(fmt.Sprintf("%d-%d-%d", s.opt.Seed, number, n), paths[rng.IntN(len(paths))])
 		time.Sleep(time.Duration(rng.IntN(150)) * time.Millisecond)
 	}
 }
 
 // sendUntilWhole sends a request, and takes up its stream where it is cut or was given up.
 func (c *streamClient) sendUntilWhole(id, path string) {
-	request := workerstandin.Request{Path: path}
+	keys := workerstandin.TenantKeys
+	request := workerstandin.Request{Path: path, Key: keys[c.rng.IntN(len(keys))]}
 	for attempt := range maxClientAttempts {
 		request.ID = fmt.Sprintf("%s.%d", id, attempt)
 		c.drawBehavior(&request)
--- a/cmd/keelstair-testbed/stream_documents.go
+++ b/cmd/keelstair-testbed/stream_documents.go
@@ -44,7 +44,9 @@
 
 // putDocument sends a version of the document that replaces another one to a random controller.
 func (s *streamSoak) putDocument(base, version int) error {
-	request, err := workerstandin.DocumentUpdate{Base: base, Version: version}.NewRequest(s.randomController())
+	request, err := workerstandin.DocumentUpdate{
+		Base: base, Version: version, Split: s.opt.Split > 0, Tenants: true,
+	}.NewRequest(s.randomController())
 	if err != nil {
 		return err
 	}
--- a/cmd/keelstair-testbed/stream_faults.go
+++ b/cmd/keelstair-testbed/stream_faults.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"syscall"
 	"time"
@@ -18,13 +19,15 @@
 	leaveNotice     = 3500 * time.Millisecond // from the list's notice that a worker leaves to its SIGTERM
 	crashedListTime = 2 * time.Second         // for which the list names a worker that is gone
 	maxFreeze       = 2500 * time.Millisecond // of a router or a controller
-	otherWeights    = 4                       // every so many incarnations have other weights
+	phasePause      = 200 * time.Millisecond
+	otherWeights    = 4 // every so many incarnations have other weights
 )
 
 // streamWorkerSlot is the place of one worker, which one incarnation after another takes.
 type streamWorkerSlot struct {
 	number      int
 	zone        string
+	phase       workerstandin.Phase // with which each incarnation begins; empty for a worker that does everything
 	incarnation int
 	renewed     int // incarnations at the same listener after the first
 	addr        string
@@ -55,7 +58,7 @@
 
 // listed returns the entry of the slot's worker in the list.
 func (slot *streamWorkerSlot) listed() workerstandin.ListedWorker {
-	return workerstandin.ListedWorker{ID: slot.id(), Addr: slot.addr, Zone: slot.zone}
+	return workerstandin.ListedWorker{ID: slot.id(), Addr: slot.addr, Zone: slot.zone, Phase: slot.phase}
 }
 
 // startWorker starts the next incarnation of a worker at an address and lists it.
@@ -65,7 +68,7 @@
 	slot.addr = addr
 	slot.process = &process{
 		Name: slot.processName(), Kind: "testbed", Zone: ids.Zone(slot.zone), Addr: addr,
-		args: []string{"stream-worker", "--id", slot.id(), "--addr", addr, "--weights", fmt.Sprint(slot.weights())},
+		args: []string{"stream-worker", "--id", slot.id(), "--addr", addr, "--weights", fmt.Sprint(slot.weights()), "--phase", string(slot.phase)},
 	}
 	if err := s.addProcess(slot.process); err != nil {
 		return err
@@ -74,6 +77,22 @@
 	return nil
 }
 
+// followPhases keeps the phases in the list as the workers report them.
+func (s *streamSoak) followPhases(ctx context.Context) {
+	client := http.Client{Timeout: phasePause}
+	for host.Sleep(ctx, phasePause) {
+		for _, worker := range s.list.Split() {
+			var report struct {
+				Phase workerstandin.Phase `json:"phase"`
+			}
+			response, err := client.Get("http://" + worker.Addr + "/report")
+			if decodeResponse(response, err, &report) == nil {
+				s.list.SetPhase(worker.ID, report.Phase)
+			}
+		}
+	}
+}
+
 // workerFault is a fault of one worker. It returns once the slot has a new incarnation, or the old one is well.
 type workerFault struct {
 	name   string
--- a/cmd/keelstair-testbed/stream_fleet.go
+++ b/cmd/keelstair-testbed/stream_fleet.go
@@ -44,13 +44,17 @@
 		opt:     c,
 		network: fmt.Sprintf("127.%d.%d.", 1+pid/250%250, pid%250),
 		list:    &workerstandin.WorkerList{},
+		usage:   &workerstandin.UsageReports{},
 	}
 	var err error
 	s.listener, err = net.Listen("tcp", s.network+"250:0")
 	if err != nil {
 		return nil, err
 	}
-	go http.Serve(s.listener, s.list)
+	platform := http.NewServeMux()
+	platform.Handle("/workers", s.list)
+	platform.Handle("/metering", s.usage)
+	go http.Serve(s.listener, platform)
 	s.planMachines()
 	return s, nil
 }
@@ -73,6 +77,7 @@
 			FrontendAddr: addr(0), ReadinessAddr: addr(1), ControlAddr: addr(2), FirstPort: port + 3, LastPort: port + 7,
 			StateDir: filepath.Join(s.opt.Dir, fmt.Sprintf("state-%d", i+1)),
 			ListAddr: s.listener.Addr().String(),
+			Metering: true,
 		})
 	}
 	for _, m := range s.machines {
@@ -84,8 +89,11 @@
 
 // start starts all processes and waits until the routers are ready.
 func (s *streamSoak) start(ctx context.Context) error {
-	for i := range s.opt.Workers {
+	for i := range s.opt.Workers + s.opt.Split {
 		slot := &streamWorkerSlot{number: i, zone: s.machines[i%controllerCount].Zone}
+		if i >= s.opt.Workers {
+			slot.phase = workerstandin.EmitPhase // routers order some of them to read prompts
+		}
 		s.workers = append(s.workers, slot)
 		if err := s.startWorker(slot, s.newWorkerAddr(slot)); err != nil {
 			return err
--- a/cmd/keelstair-testbed/streams.go
+++ b/cmd/keelstair-testbed/streams.go
@@ -20,7 +20,8 @@
 	Dir         string `arg:"--dir" default:"testbed-data" help:"directory for data and logs; its contents are deleted first"`
 	BinDir      string `arg:"--bin" default:"bin" help:"directory with the programs"`
 	Machines    int    `arg:"--machines" default:"3" help:"number of machines, each with a router; the first three have a controller"`
-	Workers     int    `arg:"--workers" default:"9" help:"number of worker processes"`
+	Workers     int    `arg:"--workers" default:"9" help:"number of worker processes that do everything"`
+	Split       int    `arg:"--split-workers" default:"6" help:"number of worker processes that read prompts or continue them"`
 	Clients     int    `arg:"--clients" default:"48" help:"number of clients"`
 	LoadSeconds int    `arg:"--load" default:"30" help:"duration of the load in seconds; faults are injected in the first three quarters"`
 	Seed        uint64 `arg:"--seed" default:"1"`
@@ -31,6 +32,7 @@
 	ID      string `arg:"--id,required" help:"id of this incarnation"`
 	Addr    string `arg:"--addr,required" help:"address to serve"`
 	Weights int    `arg:"--weights" help:"version of the weights"`
+	Phase   string `arg:"--phase" help:"what the worker does; everything if empty"`
 }
 
 // check returns an error for numbers that a run can't have.
@@ -38,8 +40,8 @@
 	switch {
 	case c.Machines < controllerCount || c.Machines > maxMachines:
 		return settings.InvalidField("machines", "%d is not between %d and %d", c.Machines, controllerCount, maxMachines)
-	case c.Workers < 2 || c.Workers > maxWorkers:
-		return settings.InvalidField("workers", "%d is not between 2 and %d", c.Workers, maxWorkers)
+	case c.Workers < 2 || c.Workers+c.Split > maxWorkers:
+		return settings.InvalidField("workers", "%d is not between 2 and %d", c.Workers, maxWorkers-c.Split)
 	}
 	return nil
 }
@@ -51,6 +53,7 @@
 	network  string // prefix of the loopback addresses of this run
 	machines []*workerstandin.Machine
 	list     *workerstandin.WorkerList
+	usage    *workerstandin.UsageReports
 	listener net.Listener
 	workers  []*streamWorkerSlot
 
@@ -70,7 +73,7 @@
 // runStreamWorker serves as a worker until the context ends and the answers that have begun are complete. At SIGUSR1 it
 // becomes another incarnation.
 func runStreamWorker(ctx context.Context, c *streamWorkerCmd) error {
-	worker := &workerstandin.Worker{ID: c.ID, Weights: c.Weights, Runs: os.Stdout}
+	worker := &workerstandin.Worker{ID: c.ID, Weights: c.Weights, Phase: workerstandin.Phase(c.Phase), Runs: os.Stdout}
 	renewals := make(chan os.Signal, 1)
 	signal.Notify(renewals, syscall.SIGUSR1)
 	go func() {
@@ -103,6 +106,7 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { s.injectFaults(faultCtx) })
 	tasks.Go(func() { s.changeDocument(faultCtx) })
+	tasks.Go(func() { s.followPhases(loadCtx) })
 	for range controllerCount {
 		tasks.Go(func() { s.readDocuments(loadCtx) })
 	}
