--- a/internal/proxy/event_relay.go
+++ b/internal/proxy/event_relay.go
@@ -173,7 +173,7 @@
 		return uncheckedEndError(r.candidate)
 	}
 	if err := r.writeHead(r.reply, -1); err != nil {
-		return failure.As(errors.Join(errCallerDisconnected, err), failure.OutcomeUnknown, "pass", "caller")
+		return err
 	}
 	if len(r.pending) > 0 {
 		return r.write(r.pending)
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -161,20 +161,25 @@
 
 var errCallerDisconnected = errors.New("caller disconnected")
 
+// writeHead sends the head of the answer, unless the caller has it.
 func (t *exchange) writeHead(reply *Response, length int64) error {
 	if t.headSent {
 		return nil
 	}
 	t.headSent = true
 	t.releaseBodyIfUnneeded()
-	return t.sink.Head(reply.Status, reply.Header, length)
+	return callerError(t.sink.Head(reply.Status, reply.Header, length))
 }
 
-func (t *exchange) write(p []byte) error {
-	if err := t.sink.Write(p); err != nil {
-		return failure.As(errors.Join(errCallerDisconnected, err), failure.OutcomeUnknown, "pass", "caller")
+// write sends a part of the body.
+func (t *exchange) write(p []byte) error { return callerError(t.sink.Write(p)) }
+
+// callerError returns the error of an exchange whose caller can't be written to, or nil without an error.
+func callerError(err error) error {
+	if err == nil {
+		return nil
 	}
-	return nil
+	return failure.As(errors.Join(errCallerDisconnected, err), failure.OutcomeUnknown, "pass", "caller")
 }
 
 // relayBody copies an answer without events. The head is sent with the first bytes, so that a request
@@ -204,11 +209,8 @@
 	}
 }
 
-// beginAnswer sends the head of the answer, unless the caller has it.
+// beginAnswer counts the answer as started and sends its head, unless that was done.
 func (t *exchange) beginAnswer(reply *Response, length int64) error {
 	t.countAnswerStarted()
-	if err := t.writeHead(reply, length); err != nil {
-		return failure.As(errors.Join(errCallerDisconnected, err), failure.OutcomeUnknown, "pass", "caller")
-	}
-	return nil
+	return t.writeHead(reply, length)
 }
