A prompt whose weights no decode worker has is read again

TestPromptOfOtherWeightsIsReadAgain failed. After two such workers, or when no other is left, the memory is freed and a worker reads the prompt itself; the request has run nowhere, so it may be sent once more, as when its memory could not be fetched.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -44,6 +44,8 @@
 	prefixes []uint64
 	tried    map[ids.WorkerID]bool
 
+	otherWeights []ids.WorkerID // workers that were tried and have other weights than expected
+
 	prefilledAt            *candidate    // the worker whose prompt memory has not been fetched yet
 	failedPrefillUncounted bool          // a failed prefill has not been charged to the retry budget yet
 	retryPaid              bool          // the next attempt was already charged, by a hedge
@@ -241,14 +243,40 @@
 			source = nil
 			t.sourceLost = true
 			t.releasePrefillReservation()
+		case failure.NotExecuted:
+			source = t.sourceUnlessMismatched(source, maxSourceMismatches)
 		case failure.Unavailable:
-			t.releaseSource(source)
-			return t.giveUp(err, http.StatusGatewayTimeout)
+			if source == nil || len(t.otherWeights) == 0 {
+				t.releaseSource(source)
+				return t.giveUp(err, http.StatusGatewayTimeout)
+			}
+			source = t.sourceUnlessMismatched(source, 1)
 		}
 		t.node.counts.Retries.Add(1)
 	}
 }
 
+// maxSourceMismatches is the number of workers of other weights after which the memory is given up, and a worker reads the
+// prompt itself.
+const maxSourceMismatches = 2
+
+// sourceUnlessMismatched returns the source, or nil if as many workers have other weights than it. The source is freed then,
+// and these workers may be tried again. The request has run nowhere, so it may be sent once more.
+func (t *exchange) sourceUnlessMismatched(source *Source, limit int) *Source {
+	if source == nil || len(t.otherWeights) == 0 {
+		return source
+	}
+	t.sourceLost = true
+	if len(t.otherWeights) < limit {
+		return source
+	}
+	t.releaseSource(source)
+	for _, id := range t.otherWeights {
+		delete(t.tried, id)
+	}
+	return nil
+}
+
 func (t *exchange) releaseSource(source *Source) {
 	if source != nil {
 		t.freeSource(source)
@@ -332,6 +360,7 @@
 	case failure.Is(err, failure.DataLost):
 	case failure.Step(err) == VersionStep:
 		t.tried[c.worker.ID] = true
+		t.otherWeights = append(t.otherWeights, c.worker.ID)
 	case failure.Is(err, failure.Stale):
 		t.tried[c.worker.ID] = true
 		c.state.markReplaced()
