--- a/internal/proxy/event_relay.go
+++ b/internal/proxy/event_relay.go
@@ -42,7 +42,8 @@
 // newEventRelay returns a relay of an answer. A caller that came with the id of an event has the events up to it, if the
 // route's streams can be resumed.
 func newEventRelay(t *exchange, c *candidate, reply *Response) *eventRelay {
-	r := &eventRelay{exchange: t, candidate: c, reply: reply, continues: t.headSent, version: cmp.Or(reply.ModelVersion, t.modelVersion)}
+	r := &eventRelay{exchange: t, candidate: c, reply: reply, continues: t.headSent}
+	r.version = cmp.Or(reply.ModelVersion, t.modelVersion)
 	if t.headSent || t.route.Resumable {
 		r.lastID = t.lastEventID
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -115,10 +115,10 @@
 }
 
 // Backend sends requests to workers. Its errors are failures of these kinds: NotExecuted if the request
-// was certainly not run (with the step VersionStep if the worker's weights have another version), Stale if another incarnation has the address, DataLost if the prompt's memory
-// is unavailable and nothing was run, OutcomeUnknown if the request may have been run, and
-// InvalidArgument if a worker answered a prefill by running the request, or a report request by saying
-// that it is unhealthy.
+// was certainly not run (with the step VersionStep if the worker's weights have another version), Stale
+// if another incarnation has the address, DataLost if the prompt's memory is unavailable and nothing was
+// run, OutcomeUnknown if the request may have been run, and InvalidArgument if a worker answered a prefill
+// by running the request, or a report request by saying that it is unhealthy.
 type Backend interface {
 	List(ctx context.Context) ([]Worker, error)
 	Prefill(ctx context.Context, w Worker, r *Request, timeout time.Duration, urgency int) (*PrefillResult, error)
