--- a/cmd/keelstair-testbed/faults.go
+++ b/cmd/keelstair-testbed/faults.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"keelstair.example/coordination"
@@ -174,86 +173,3 @@
 		f.reportRetryAfter("limits.retryAfterMs", want)
 	}
 }
-
-// injectFault injects the fault with the given name.
-func (f *fleet) injectFault(ctx context.Context, fault string) {
-	primary := f.primaryController()
-	logf("injecting fault: %s", fault)
-	restart := func(p *process, wait time.Duration) {
-		if host.Sleep(ctx, wait) {
-			if err := f.startProcess(p); err != nil {
-				logf("%v", err)
-			}
-		}
-	}
-	switch fault {
-	case "controller":
-		primary.kill()
-		restart(primary, 5*time.Second)
-	case "wipe":
-		primary.kill()
-		os.RemoveAll(primary.DataDir)
-		restart(primary, 2*time.Second)
-	case "core":
-		for _, p := range f.processes("controller") {
-			p.kill()
-		}
-		for _, p := range f.processes("controller") {
-			restart(p, 300*time.Millisecond)
-		}
-	case "router":
-		f.processes("router")[0].kill()
-	case "worker":
-		f.processes("worker-d")[0].kill()
-	case "freeze":
-		primary.signal(syscall.SIGSTOP)
-		router := f.processes("router")[0]
-		router.signal(syscall.SIGSTOP)
-		host.Sleep(ctx, 6*time.Second)
-		primary.signal(syscall.SIGCONT)
-		router.signal(syscall.SIGCONT)
-	case "ack":
-		// The primary is killed and its data deleted right after it acknowledged a change.
-		if err := f.applyPartial(ctx, "ack", `{"limits":{"retryAfterMs":1234}}`); err != nil {
-			logf("%v", err)
-		}
-		primary.kill()
-		os.RemoveAll(primary.DataDir)
-		host.Sleep(ctx, 3*time.Second)
-		f.reportRetryAfter("limits.retryAfterMs", 1234)
-		restart(primary, 0)
-	case "race":
-		f.raceOperators(ctx)
-	case "evacuate":
-		f.evacuateZone(ctx)
-	case "roll":
-		f.replaceControllers(ctx)
-	case "revoke":
-		f.revokeCertificates(ctx)
-	case "stop":
-		for _, p := range f.processes("router") {
-			p.signal(syscall.SIGTERM)
-			select {
-			case <-p.exited:
-			case <-ctx.Done():
-				return
-			}
-			restart(p, 200*time.Millisecond)
-			f.retry(ctx, 8*time.Second, func() error { return get(p.Frontend, "/ready") })
-		}
-	case "hall":
-		for _, p := range f.processes("") {
-			if p.Zone == f.site.Zones[0] {
-				p.signal(syscall.SIGKILL)
-			}
-		}
-	case "all":
-		for _, p := range append(f.processes("controller"), f.processes("router")...) {
-			p.signal(syscall.SIGKILL)
-		}
-		for _, p := range append(f.processes("controller"), f.processes("router")...) {
-			<-p.exited
-			restart(p, 0)
-		}
-	}
-}
