--- a/review/testdata/budget/client.go
+++ b/review/testdata/smallfleet/client.go
@@ -18,22 +18,27 @@
 type try struct {
 	at      time.Time
 	service string
+	machine string
 	id      string
 	answer  string
+	ended   time.Time
 }
 
 // crowd sends the requests of all clients.
 type crowd struct {
-	fleet  *fleet
-	client *http.Client
-	group  sync.WaitGroup
-	mu     sync.Mutex
-	tries  []*try
-	count  int
+	fleet *fleet
+	// repeatable tells that a request may run more than once.
+	repeatable bool
+	change     *change // the change of the configuration; nil without one
+	client     *http.Client
+	group      sync.WaitGroup
+	mu         sync.Mutex
+	tries      []*try
+	count      int
 }
 
 func newCrowd(f *fleet) *crowd {
-	return &crowd{fleet: f, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}}
+	return &crowd{fleet: f, repeatable: f.mode == "idempotent", client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}}
 }
 
 // deadline is how long a client waits, for all of its tries together.
@@ -57,7 +62,7 @@
 	for attempt := range 2 {
 		status, retryAfter := c.send(service, fmt.Sprintf("%s-%06d.%d", service, number, attempt), number+attempt, until)
 		wait := min(retryAfter, time.Until(until)/3)
-		if status == http.StatusOK || time.Until(until) < 100*time.Millisecond {
+		if status == http.StatusOK || !c.repeatable && status != http.StatusServiceUnavailable || time.Until(until) < 100*time.Millisecond {
 			return
 		}
 		time.Sleep(wait)
@@ -66,16 +71,16 @@
 
 // send makes one try at the router that the client's number leads to.
 func (c *crowd) send(service, id string, seed int, until time.Time) (status int, retryAfter time.Duration) {
-	t := &try{at: time.Now(), service: service, id: id}
+	hash := fnv.New32a()
+	fmt.Fprint(hash, seed)
+	m := c.fleet.machines[int(hash.Sum32())%len(c.fleet.machines)]
+	t := &try{at: time.Now(), service: service, machine: m.name, id: id}
 	c.mu.Lock()
 	c.tries = append(c.tries, t)
 	c.mu.Unlock()
 	defer func() { c.note(t, fmt.Sprint(status)) }()
 	ctx, stop := context.WithDeadline(context.Background(), until)
 	defer stop()
-	hash := fnv.New32a()
-	fmt.Fprint(hash, seed)
-	m := c.fleet.machines[int(hash.Sum32())%len(c.fleet.machines)]
 	url := fmt.Sprintf("http://%s:%d/%s/", m.ip, c.fleet.ports.front, service)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("question"))
 	if err != nil {
@@ -100,5 +105,5 @@
 func (c *crowd) note(t *try, answer string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t.answer = answer
+	t.answer, t.ended = answer, time.Now()
 }
--- a/review/testdata/budget/fleet.go
+++ b/review/testdata/smallfleet/fleet.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -30,7 +29,8 @@
 type fleet struct {
 	dir, list string
 	ports     ports
-	tries     int // of the route to desk
+	tries     int    // of the route to desk
+	mode      string // of the route to desk
 	machines  []*machine
 }
 
@@ -146,17 +146,18 @@
 	}
 }
 
-// put sends the configuration until it is taken.
-func (f *fleet) put(limit time.Duration) error {
+// put sends a configuration until it is taken.
+func (f *fleet) put(name string, base, revision int, limit time.Duration) error {
 	client := &http.Client{Timeout: 2 * time.Second}
 	last := error(nil)
+	document := fill(name, "revision", revision, "tries", f.tries, "mode", f.mode)
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		url := fmt.Sprintf("http://%s:%d/configuration", f.machines[0].ip, f.ports.control)
-		request, err := http.NewRequest(http.MethodPut, url, bytes.NewReader([]byte(fill("document.json", "revision", 7, "tries", f.tries))))
+		request, err := http.NewRequest(http.MethodPut, url, strings.NewReader(document))
 		if err != nil {
 			return err
 		}
-		request.Header.Set(words["base"], "0")
+		request.Header.Set(words["base"], fmt.Sprint(base))
 		request.Header.Set("Content-Type", "application/json")
 		response, err := client.Do(request)
 		if err != nil {
--- a/review/testdata/budget/main.go
+++ b/review/testdata/smallfleet/main.go
@@ -1,7 +1,7 @@
-// Command budget plays a small deployment on loopback addresses: the project's controllers and routers as processes, with
-// stand-ins for clients, workers, the operator and the platform's list. It checks the budget of further tries.
+// Command smallfleet plays a small deployment on loopback addresses: the project's controllers and routers as processes, with
+// stand-ins for clients, workers, the operator and the platform's list. It checks a rule.
 //
-// Usage: budget burst|restart RECORD
+// Usage: smallfleet burst|restart|move RECORD
 package main
 
 import (
@@ -27,7 +27,7 @@
 
 func main() {
 	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: budget burst|restart RECORD")
+		fmt.Fprintln(os.Stderr, "usage: smallfleet burst|restart|move RECORD")
 		os.Exit(exitNotRun)
 	}
 	record, err := os.Create(os.Args[2])
@@ -56,11 +56,29 @@
 	slots           int     // of a worker of desk
 	queue           int     // requests that wait at a worker of desk
 	work            time.Duration
+	move            bool // the route to desk is moved to another service, and its first service is removed
+}
+
+// mode is that of the route to desk.
+func (s scenario) mode() string {
+	if s.move {
+		return "effectful"
+	}
+	return "idempotent"
+}
+
+// document is the first configuration.
+func (s scenario) document() string {
+	if s.move {
+		return "document-both.json"
+	}
+	return "document.json"
 }
 
 var scenarios = map[string]scenario{
 	"burst":   {machinesPerZone: 1, chat: 300, desk: 40, burst: 2, tries: 2, slots: 4, queue: 16, work: 400 * time.Millisecond},
-	"restart": {machinesPerZone: 2, desk: 8, burst: 2, killed: 3, tries: 3, slots: 1, queue: 0, work: 600 * time.Millisecond},
+	"move":    {machinesPerZone: 1, desk: 20, tries: 1, slots: 64, queue: 192, work: 1500 * time.Millisecond, move: true},
+	"restart": {machinesPerZone: 2, desk: 12, burst: 2, killed: 3, tries: 4, slots: 2, queue: 0, work: 800 * time.Millisecond},
 }
 
 // play runs a scenario and returns whether the rule was broken.
@@ -69,7 +87,7 @@
 	if !ok {
 		return false, fmt.Errorf("no scenario %q", name)
 	}
-	dir, err := os.MkdirTemp("", "budget-")
+	dir, err := os.MkdirTemp("", "smallfleet-")
 	if err != nil {
 		return false, err
 	}
@@ -87,10 +105,10 @@
 	if err != nil {
 		return false, err
 	}
-	f.tries = s.tries
+	f.tries, f.mode = s.tries, s.mode()
 	defer f.stop()
 	stopOnSignal(f)
-	if err := prepare(f); err != nil {
+	if err := prepare(f, s.document()); err != nil {
 		return false, err
 	}
 	began := time.Now()
@@ -102,6 +120,9 @@
 	defer books.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if s.move {
+		broken = reportLost(out, began, books.rows, c.tries, c.change)
+	}
 	for _, service := range []string{"chat", "desk"} {
 		broken = report(out, began, books.rows, c.tries, service) || broken
 	}
@@ -110,11 +131,11 @@
 }
 
 // prepare starts the fleet and waits until it serves.
-func prepare(f *fleet) error {
+func prepare(f *fleet, document string) error {
 	if err := f.start(); err != nil {
 		return err
 	}
-	if err := f.put(20 * time.Second); err != nil {
+	if err := f.put(document, 0, 7, 20*time.Second); err != nil {
 		return err
 	}
 	return f.awaitReady(20 * time.Second)
@@ -138,7 +159,12 @@
 		zone := zones[i%len(zones)]
 		out = append(out,
 			&worker{id: fmt.Sprintf("i-chat%d", i), service: "chat", zone: zone, capacity: 64, queue: 192, work: 50 * time.Millisecond, book: books},
-			&worker{id: fmt.Sprintf("i-desk%d", i), service: "desk", zone: zone, capacity: s.slots, queue: s.queue, work: s.work, book: books})
+			&worker{id: fmt.Sprintf("i-desk%d", i), service: "desk", zone: zone, capacity: s.slots, queue: s.queue, work: s.work, unframed: s.move, book: books})
+	}
+	if s.move {
+		for i := range 6 {
+			out = append(out, &worker{id: fmt.Sprintf("i-next%d", i), service: "desk2", zone: zones[i%len(zones)], capacity: s.slots, queue: s.queue, work: s.work, unframed: true, book: books})
+		}
 	}
 	for i, w := range out {
 		if err := w.start(fmt.Sprintf("127.9.9.%d", i+1)); err != nil {
@@ -158,7 +184,10 @@
 	if trouble && s.killed > 0 {
 		c.group.Go(func() { s.killRouters(c.fleet, out, began) })
 	}
-	if trouble || s.killed > 0 {
+	if trouble && s.move {
+		c.group.Go(func() { c.change = moveService(c.fleet, out, began) })
+	}
+	if s.burst > 0 && (trouble || s.killed > 0) {
 		c.group.Go(func() {
 			time.Sleep(warmUp)
 			fmt.Fprintf(out, "burst from %.1f s for %v: %v times the requests for desk\n", time.Since(began).Seconds(), burstLength, s.burst)
--- a/review/testdata/budget/worker.go
+++ b/review/testdata/smallfleet/worker.go
@@ -45,6 +45,7 @@
 	id, service, zone, address string
 	capacity, queue            int
 	work                       time.Duration
+	unframed                   bool // its answers have no length and end with their connections
 	book                       *book
 	slots                      chan struct{}
 	mu                         sync.Mutex
@@ -143,11 +144,29 @@
 		return
 	}
 	w.book.finish(a, "run")
+	if w.unframed {
+		w.answerUnframed(out, a)
+		return
+	}
 	out.Header().Set(words["seal"], w.id+"."+a.id)
 	out.Header().Set(words["load"], w.load())
 	io.WriteString(out, "answer to "+a.id)
 }
 
+// answerUnframed writes an answer without a length and closes its connection.
+func (w *worker) answerUnframed(out http.ResponseWriter, a *arrival) {
+	conn, _, err := http.NewResponseController(out).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	head := "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: text/plain\r\n"
+	for _, field := range [][2]string{{"attempt", a.id}, {"seal", w.id + "." + a.id}, {"load", w.load()}} {
+		head += words[field[0]] + ": " + field[1] + "\r\n"
+	}
+	io.WriteString(conn, head+"\r\nanswer to "+a.id)
+}
+
 // timeLeft returns the time that the request gives its worker.
 func timeLeft(r *http.Request) time.Duration {
 	ms, err := strconv.Atoi(r.Header.Get(words["deadline"]))
