--- a/review/testdata/smallfleet/main.go
+++ b/review/testdata/smallfleet/main.go
@@ -1,7 +1,7 @@
 // Command smallfleet plays a small deployment on loopback addresses: the project's controllers and routers as processes, with
 // stand-ins for clients, workers, the operator and the platform's list. It checks a rule.
 //
-// Usage: smallfleet burst|restart|move RECORD
+// Usage: smallfleet burst|restart|move|roll RECORD
 package main
 
 import (
@@ -27,7 +27,7 @@
 
 func main() {
 	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: smallfleet burst|restart|move RECORD")
+		fmt.Fprintln(os.Stderr, "usage: smallfleet burst|restart|move|roll RECORD")
 		os.Exit(exitNotRun)
 	}
 	record, err := os.Create(os.Args[2])
@@ -56,12 +56,13 @@
 	slots           int     // of a worker of desk
 	queue           int     // requests that wait at a worker of desk
 	work            time.Duration
+	roll            bool // a router gets SIGTERM while the burst lasts, and starts again
 	move            bool // the route to desk is moved to another service, and its first service is removed
 }
 
 // mode is that of the route to desk.
 func (s scenario) mode() string {
-	if s.move {
+	if s.move || s.roll {
 		return "effectful"
 	}
 	return "idempotent"
@@ -78,6 +79,7 @@
 var scenarios = map[string]scenario{
 	"burst":   {machinesPerZone: 1, chat: 300, desk: 40, burst: 2, tries: 2, slots: 4, queue: 16, work: 400 * time.Millisecond},
 	"move":    {machinesPerZone: 1, desk: 20, tries: 1, slots: 64, queue: 192, work: 1500 * time.Millisecond, move: true},
+	"roll":    {machinesPerZone: 1, desk: 16, burst: 2, tries: 1, slots: 4, queue: 16, work: time.Second, roll: true},
 	"restart": {machinesPerZone: 2, desk: 12, burst: 2, killed: 3, tries: 4, slots: 2, queue: 0, work: 800 * time.Millisecond},
 }
 
@@ -120,11 +122,15 @@
 	defer books.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if s.roll {
+		broken = reportRolled(out, books.rows, c.tries, c.change)
+	}
 	if s.move {
 		broken = reportLost(out, began, books.rows, c.tries, c.change)
 	}
 	for _, service := range []string{"chat", "desk"} {
-		broken = report(out, began, books.rows, c.tries, service) || broken
+		beyond := report(out, began, books.rows, c.tries, service)
+		broken = broken || beyond
 	}
 	writeRows(out, began, books.rows, c.tries)
 	return broken, nil
@@ -159,7 +165,7 @@
 		zone := zones[i%len(zones)]
 		out = append(out,
 			&worker{id: fmt.Sprintf("i-chat%d", i), service: "chat", zone: zone, capacity: 64, queue: 192, work: 50 * time.Millisecond, book: books},
-			&worker{id: fmt.Sprintf("i-desk%d", i), service: "desk", zone: zone, capacity: s.slots, queue: s.queue, work: s.work, unframed: s.move, book: books})
+			&worker{id: fmt.Sprintf("i-desk%d", i), service: "desk", zone: zone, capacity: s.slots, queue: s.queue, work: s.work, unframed: s.move || s.roll, book: books})
 	}
 	if s.move {
 		for i := range 6 {
@@ -187,6 +193,9 @@
 	if trouble && s.move {
 		c.group.Go(func() { c.change = moveService(c.fleet, out, began) })
 	}
+	if s.roll {
+		c.group.Go(func() { c.change = rollRouter(c.fleet, out, began) })
+	}
 	if s.burst > 0 && (trouble || s.killed > 0) {
 		c.group.Go(func() {
 			time.Sleep(warmUp)
--- a/review/testdata/smallfleet/worker.go
+++ b/review/testdata/smallfleet/worker.go
@@ -96,10 +96,7 @@
 		return
 	}
 	if r.Method == http.MethodGet {
-		out.Header().Set(words["worker"], w.id)
-		if r.URL.Path != words["probe"] {
-			out.WriteHeader(http.StatusNotFound)
-		}
+		w.answerCheck(out, r)
 		return
 	}
 	a := &arrival{time.Now(), w.service, w.id, r.Header.Get(words["attempt"]), ""}
@@ -115,6 +112,25 @@
 	w.serve(out, r, a)
 }
 
+// answerCheck answers a health check, which waits for a slot, or is turned away, like a request.
+func (w *worker) answerCheck(out http.ResponseWriter, r *http.Request) {
+	out.Header().Set(words["worker"], w.id)
+	if r.URL.Path != words["probe"] {
+		out.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if !w.enter() {
+		w.refuse(out)
+		return
+	}
+	defer w.leave()
+	select {
+	case w.slots <- struct{}{}:
+		<-w.slots
+	case <-r.Context().Done():
+	}
+}
+
 // refuse answers that the request was not run.
 func (w *worker) refuse(out http.ResponseWriter) {
 	out.Header().Set(words["notRun"], "full")
