--- a/review/testdata/smallfleet/client.go
+++ b/review/testdata/smallfleet/client.go
@@ -89,19 +89,37 @@
 	request.Host = service + ".example"
 	request.Header.Set(words["attempt"], id)
 	request.Header.Set(words["deadline"], strconv.FormatInt(time.Until(until).Milliseconds(), 10))
+	if service == "ruling" {
+		setPrompt(request, seed)
+	}
 	response, err := c.client.Do(request)
 	if err != nil {
 		return 0, 0
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	if err != nil || response.StatusCode == http.StatusOK && string(body) != "answer to "+id {
+	if err != nil || response.StatusCode == http.StatusOK && !isWhole(service, id, string(body)) {
 		return -1, 0
 	}
 	seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 	return response.StatusCode, time.Duration(seconds * float64(time.Second))
 }
 
+// setPrompt sets the headers of a request to a model.
+func setPrompt(request *http.Request, number int) {
+	request.Header.Set(words["model"], "m")
+	request.Header.Set(words["counts"], fmt.Sprintf("%d,%d", promptTokens, modelPieces))
+	request.Header.Set(words["prefix"], fmt.Sprintf("%x:%d", 1_000_000+number, promptTokens))
+}
+
+// isWhole reports whether a body is the whole answer to a request.
+func isWhole(service, id, body string) bool {
+	if service == "ruling" {
+		return strings.Count(body, "id: ") == modelPieces
+	}
+	return body == "answer to "+id
+}
+
 func (c *crowd) note(t *try, answer string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/review/testdata/smallfleet/main.go
+++ b/review/testdata/smallfleet/main.go
@@ -1,7 +1,7 @@
 // Command smallfleet plays a small deployment on loopback addresses: the project's controllers and routers as processes, with
 // stand-ins for clients, workers, the operator and the platform's list. It checks a rule.
 //
-// Usage: smallfleet burst|restart|move|roll RECORD
+// Usage: smallfleet burst|restart|move|roll|weights RECORD
 package main
 
 import (
@@ -27,7 +27,7 @@
 
 func main() {
 	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: smallfleet burst|restart|move|roll RECORD")
+		fmt.Fprintln(os.Stderr, "usage: smallfleet burst|restart|move|roll|weights RECORD")
 		os.Exit(exitNotRun)
 	}
 	record, err := os.Create(os.Args[2])
@@ -50,6 +50,7 @@
 type scenario struct {
 	machinesPerZone int
 	chat, desk      float64 // requests a second
+	ruling          float64 // streams a second on a route that is added later
 	burst           float64 // factor on desk
 	killed          int     // routers that are killed together, again and again while the burst lasts
 	tries           int     // workers that one try may be sent to
@@ -79,6 +80,7 @@
 var scenarios = map[string]scenario{
 	"burst":   {machinesPerZone: 1, chat: 300, desk: 40, burst: 2, tries: 2, slots: 4, queue: 16, work: 400 * time.Millisecond},
 	"move":    {machinesPerZone: 1, desk: 20, tries: 1, slots: 64, queue: 192, work: 1500 * time.Millisecond, move: true},
+	"weights": {machinesPerZone: 1, chat: 10, tries: 2, slots: 4, work: 400 * time.Millisecond, ruling: 36},
 	"roll":    {machinesPerZone: 1, desk: 16, burst: 2, tries: 1, slots: 4, queue: 16, work: time.Second, roll: true},
 	"restart": {machinesPerZone: 2, desk: 12, burst: 2, killed: 3, tries: 4, slots: 2, queue: 0, work: 800 * time.Millisecond},
 }
@@ -99,7 +101,13 @@
 	if err != nil {
 		return false, err
 	}
-	list, err := serveList(workers)
+	pool := &modelPool{}
+	if s.ruling > 0 {
+		if pool, err = startModel(); err != nil {
+			return false, err
+		}
+	}
+	list, err := serveList(workers, pool)
 	if err != nil {
 		return false, err
 	}
@@ -113,8 +121,17 @@
 	if err := prepare(f, s.document()); err != nil {
 		return false, err
 	}
+	if s.ruling > 0 {
+		if err := f.put("document-model.json", 7, 9, 5*time.Second); err != nil {
+			return false, err
+		}
+		time.Sleep(applyMax)
+	}
 	began := time.Now()
 	c := newCrowd(f)
+	if s.ruling > 0 {
+		return s.playWeights(c, pool, trouble, began, out), nil
+	}
 	s.send(c, trouble, began, out)
 	c.group.Wait()
 	broken := false
--- a/review/testdata/smallfleet/worker.go
+++ b/review/testdata/smallfleet/worker.go
@@ -193,7 +193,7 @@
 }
 
 // serveList serves the platform's list and returns its address.
-func serveList(workers []*worker) (string, error) {
+func serveList(workers []*worker, pool *modelPool) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
@@ -203,10 +203,9 @@
 		entries = append(entries, strings.TrimSpace(fill("entry.json",
 			"id", w.id, "service", w.service, "address", w.address, "zone", w.zone, "capacity", w.capacity)))
 	}
-	page := fill("page.json", "entries", strings.Join(entries, ","))
 	go http.Serve(listener, http.HandlerFunc(func(out http.ResponseWriter, _ *http.Request) {
 		out.Header().Set("Content-Type", "application/json")
-		io.WriteString(out, page)
+		io.WriteString(out, fill("page.json", "entries", strings.Join(append(pool.entries(), entries...), ",")))
 	}))
 	return listener.Addr().String(), nil
 }
