--- a/review/testdata/smallfleet/main.go
+++ b/review/testdata/smallfleet/main.go
@@ -21,7 +21,7 @@
 	afterBurst  = 4 * time.Second
 
 	killRounds   = 3
-	restartGap   = 2500 * time.Millisecond
+	restartGap   = 1800 * time.Millisecond
 	restartDelay = 500 * time.Millisecond
 )
 
